--- /dev/null
+++ b/crates/workswood-core/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! Fleet files: what operators declare, and the offline checks of it.
+
+mod check;
+mod file;
+mod parse;
+mod time;
+
+pub use check::check;
+pub use file::*;
+pub use parse::{Issue, parse};
+pub use time::{parse_rfc3339_ms, rfc3339_ms};
--- /dev/null
+++ b/crates/workswood-core/src/fold/apply.rs
@@ -0,0 +1,132 @@
+//! Files put in force.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{HostRec, State, Verdict, Void};
+use crate::fleet::FleetFile;
+use crate::ids::{FileId, Offset};
+
+/// A file in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FileRec {
+    /// Version; the first accepted change makes it 1.
+    pub version: u64,
+    /// Offset at which the version was accepted.
+    pub offset: Offset,
+    /// Id of the change.
+    pub change: String,
+    /// Who applied it.
+    pub author: String,
+    /// Digest of the file's content.
+    pub digest: u64,
+    /// The content.
+    pub file: FleetFile,
+}
+
+/// Digest of a file's content.
+fn digest(file: &FleetFile) -> u64 {
+    xxh3_64(&serde_json::to_vec(file).unwrap_or_default())
+}
+
+impl State {
+    pub(super) fn apply(
+        &mut self,
+        offset: Offset,
+        id: &str,
+        base: u64,
+        author: &str,
+        file: &FleetFile,
+    ) -> Verdict {
+        let digest = digest(file);
+        if let Some(now) = self.files.get(&file.file) {
+            // The same change, applied again or raced by its own copy, is once.
+            if now.change == id || now.digest == digest {
+                return Ok(());
+            }
+        }
+        let version = self.files.get(&file.file).map_or(0, |f| f.version);
+        if version != base {
+            let author = self.files.get(&file.file).map_or(String::new(), |f| f.author.clone());
+            return Err(Void::Stale { version, author });
+        }
+        if let Some((what, owner)) = self.claimed_elsewhere(file) {
+            return Err(Void::Claimed { what, file: owner });
+        }
+        let rec = FileRec {
+            version: version + 1,
+            offset,
+            change: id.to_string(),
+            author: author.to_string(),
+            digest,
+            file: file.clone(),
+        };
+        self.files.insert(file.file.clone(), rec);
+        self.claim_hosts(file);
+        self.drop_orphans();
+        Ok(())
+    }
+
+    fn claimed_elsewhere(&self, file: &FleetFile) -> Option<(String, FileId)> {
+        for h in &file.hosts {
+            if let Some(rec) = self.hosts.get(&h.name).filter(|r| r.file != file.file) {
+                return Some((format!("host `{}`", h.name), rec.file.clone()));
+            }
+        }
+        for other in self.fleet_files().filter(|f| f.file != file.file) {
+            if let Some(what) = shared_name(file, other) {
+                return Some((what, other.file.clone()));
+            }
+        }
+        None
+    }
+
+    fn claim_hosts(&mut self, file: &FleetFile) {
+        for h in &file.hosts {
+            let rec = self.hosts.entry(h.name.clone()).or_insert_with(|| HostRec::new(&file.file, h));
+            rec.released = false;
+        }
+        let named: std::collections::BTreeSet<&String> = file.hosts.iter().map(|h| &h.name).collect();
+        for (id, rec) in &mut self.hosts {
+            if rec.file == file.file && !named.contains(id) {
+                rec.released = true;
+            }
+        }
+        // A host that never worked for us has nothing to drain.
+        self.hosts.retain(|_, r| !(r.released && r.pool.is_none()));
+    }
+
+    /// Forgets instances of services that are no longer in force: they are
+    /// handed back as they run, not stopped.
+    fn drop_orphans(&mut self) {
+        let names: std::collections::BTreeSet<String> = self.services().map(|s| s.name.clone()).collect();
+        self.instances.retain(|_, i| names.contains(&i.service));
+        self.index_instances();
+        let jobs: std::collections::BTreeSet<String> = self.declared_jobs().map(|j| j.name.clone()).collect();
+        self.jobs.retain(|name, _| jobs.contains(name));
+    }
+}
+
+fn shared_name(a: &FleetFile, b: &FleetFile) -> Option<String> {
+    let pool = a.pools.iter().find(|x| b.pools.iter().any(|y| x.name == y.name));
+    if let Some(p) = pool {
+        return Some(format!("pool `{}`", p.name));
+    }
+    let service = a.services.iter().find(|x| b.services.iter().any(|y| x.name == y.name));
+    if let Some(s) = service {
+        return Some(format!("service `{}`", s.name));
+    }
+    let team = a.teams.iter().find(|x| b.teams.iter().any(|y| x.name == y.name));
+    if let Some(t) = team {
+        return Some(format!("team `{}`", t.name));
+    }
+    let job = a.jobs.iter().find(|x| b.jobs.iter().any(|y| x.name == y.name));
+    if let Some(j) = job {
+        return Some(format!("job `{}`", j.name));
+    }
+    let routes = |f: &FleetFile| -> Vec<String> {
+        f.services.iter().flat_map(|s| s.routes.iter().map(|r| r.path.clone())).collect()
+    };
+    let theirs = routes(b);
+    routes(a).into_iter().find(|r| theirs.contains(r)).map(|r| format!("route `{r}`"))
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/duty.rs
@@ -0,0 +1,74 @@
+//! Duties: leases without clocks in the fold.
+//!
+//! A lease has a term and a count of renewals. A process that has seen no
+//! renewal for the lease time, on its own clock, appends `Take` with the count
+//! it saw. If the holder renewed in between, the count differs and the take is
+//! void. Decisions carry the term, so those of a former holder are void from
+//! the moment the take is accepted, whatever that holder still believes.
+
+use serde::{Deserialize, Serialize};
+
+use super::{State, Verdict, Void};
+use crate::ids::{Incarnation, Term};
+use crate::record::{Duty, RosterMember};
+
+/// A duty's lease.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRec {
+    /// Who holds it; none after it was given up.
+    pub holder: Option<Incarnation>,
+    /// The holder's term.
+    pub term: Term,
+    /// Renewals in this term.
+    pub renewals: u64,
+}
+
+impl State {
+    /// The lease of a duty; an empty one if nobody ever took it.
+    pub fn lease(&self, duty: Duty) -> LeaseRec {
+        self.leases.get(&duty).cloned().unwrap_or_default()
+    }
+
+    pub(super) fn holds(&self, duty: Duty, term: Term) -> Verdict {
+        let lease = self.lease(duty);
+        if lease.holder.is_some() && lease.term == term { Ok(()) } else { Err(Void::Term) }
+    }
+
+    pub(super) fn take(&mut self, duty: Duty, holder: &str, term: Term, seen: u64) -> Verdict {
+        let lease = self.lease(duty);
+        if term != lease.term + 1 || seen != lease.renewals {
+            return Err(Void::Term);
+        }
+        let rec = LeaseRec { holder: Some(holder.to_string()), term, renewals: 0 };
+        self.leases.insert(duty, rec);
+        Ok(())
+    }
+
+    pub(super) fn renew(&mut self, duty: Duty, term: Term, from: &str) -> Verdict {
+        self.holds(duty, term)?;
+        let lease = self.leases.entry(duty).or_default();
+        if lease.holder.as_deref() != Some(from) {
+            return Err(Void::Term);
+        }
+        lease.renewals += 1;
+        Ok(())
+    }
+
+    pub(super) fn give_up(&mut self, duty: Duty, term: Term, from: &str) -> Verdict {
+        self.holds(duty, term)?;
+        let lease = self.leases.entry(duty).or_default();
+        if lease.holder.as_deref() != Some(from) {
+            return Err(Void::Term);
+        }
+        lease.holder = None;
+        lease.renewals += 1;
+        Ok(())
+    }
+
+    pub(super) fn set_roster(&mut self, term: Term, members: &[RosterMember]) -> Verdict {
+        self.holds(Duty::Planner, term)?;
+        self.roster = members.to_vec();
+        self.roster_generation += 1;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/hosts.rs
@@ -0,0 +1,226 @@
+//! Hosts: one pool at most, changed by steps that name the generation.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use super::{State, Verdict, Void};
+use crate::fleet::{Host, Place};
+use crate::ids::{FileId, PoolId, Term};
+use crate::invariant;
+use crate::record::{DrainReason, Duty, HostStep};
+
+/// Where a host is in its life with us.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "phase", rename_all = "snake_case")]
+pub enum Phase {
+    /// In no pool.
+    Free,
+    /// In its pool, takes work.
+    Active,
+    /// Takes no new work; work in progress goes on.
+    Draining(DrainReason),
+    /// No work is left on it.
+    Drained(DrainReason),
+    /// Being rebooted for the maintenance named.
+    Rebooting {
+        /// Name of the maintenance.
+        name: String,
+        /// Boot id before the reboot.
+        boot: String,
+    },
+}
+
+/// What is known and decided of a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HostRec {
+    /// The file that claims it.
+    pub file: FileId,
+    /// The one pool it belongs to.
+    pub pool: Option<PoolId>,
+    /// Grows with each accepted step.
+    pub generation: u64,
+    /// Where it is in its life.
+    pub phase: Phase,
+    /// Offset of the last step.
+    pub offset: u64,
+    /// Log time of the last change of phase or health.
+    pub since: u64,
+    /// Generation at which the pool was set; token of that act.
+    pub pool_generation: u64,
+    /// Generation of the last drain; token of that act.
+    pub drain_generation: u64,
+    /// Generation at which it last went back to work; token of that act.
+    pub back_generation: u64,
+    /// Where it stands.
+    pub place: Place,
+    /// Processors in cores.
+    pub cpus: u32,
+    /// Memory in GiB.
+    pub memory_gib: u32,
+    /// Accelerators.
+    pub accelerators: u32,
+    /// Whether it answers.
+    pub up: bool,
+    /// Whether a script moved it; it is left alone while set.
+    pub foreign: bool,
+    /// Whether no file claims it any longer.
+    pub released: bool,
+    /// Maintenance that it has been through.
+    pub maintained: BTreeSet<String>,
+}
+
+impl HostRec {
+    /// A host just claimed and not yet seen by the platform's list.
+    pub fn new(file: &str, host: &Host) -> HostRec {
+        HostRec {
+            file: file.to_string(),
+            pool: None,
+            generation: 0,
+            phase: Phase::Free,
+            offset: 0,
+            since: 0,
+            pool_generation: 0,
+            drain_generation: 0,
+            back_generation: 0,
+            place: host.place(),
+            cpus: host.cpus,
+            memory_gib: host.memory_gib,
+            accelerators: host.accelerators,
+            up: false,
+            foreign: false,
+            released: false,
+            maintained: BTreeSet::new(),
+        }
+    }
+
+    /// Whether instances on it may take new work.
+    pub fn takes_work(&self) -> bool {
+        self.up && !self.foreign && self.phase == Phase::Active
+    }
+
+    /// Whether it is away by our own act.
+    pub fn away(&self) -> bool {
+        !matches!(self.phase, Phase::Free | Phase::Active)
+    }
+
+    /// The maintenance it is under, if any.
+    pub fn under(&self) -> Option<&str> {
+        match &self.phase {
+            Phase::Draining(DrainReason::Maintain { name })
+            | Phase::Drained(DrainReason::Maintain { name }) => Some(name),
+            Phase::Rebooting { name, .. } => Some(name),
+            _ => None,
+        }
+    }
+}
+
+impl State {
+    pub(super) fn step_host(&mut self, term: Term, host: &str, generation: u64, step: &HostStep) -> Verdict {
+        self.holds(Duty::Planner, term)?;
+        let rec = self.hosts.get(host).ok_or(Void::Missing)?;
+        if rec.generation != generation {
+            return Err(Void::Generation);
+        }
+        if let HostStep::Drain { .. } = step {
+            self.may_leave(host)?;
+        }
+        if let HostStep::Flip | HostStep::Forget = step
+            && self.by_host.contains_key(host)
+        {
+            return Err(Void::Phase);
+        }
+        if let HostStep::Forget = step {
+            let released = rec.released && matches!(rec.phase, Phase::Drained(DrainReason::Release));
+            if !released {
+                return Err(Void::Phase);
+            }
+            self.hosts.remove(host);
+            return Ok(());
+        }
+        let pool_known = |p: &str| self.pools().any(|x| x.name == p);
+        match step {
+            HostStep::Assign { pool } if !pool_known(pool) => return Err(Void::Missing),
+            HostStep::Drain { reason: DrainReason::Move { to } } if !pool_known(to) => {
+                return Err(Void::Missing);
+            }
+            _ => {}
+        }
+        let (time, offset) = (self.time, self.next - 1);
+        let rec = self.hosts.get_mut(host).ok_or(Void::Missing)?;
+        let moved = next(rec, step)?;
+        rec.generation += 1;
+        rec.offset = offset;
+        if !matches!(step, HostStep::Seen { .. }) {
+            rec.since = time;
+        }
+        note_generation(rec, step);
+        let whole = rec.pool.is_some() || rec.phase == Phase::Free;
+        invariant::check(whole, || format!("host {host} is in no pool and not free"));
+        self.host_moves += u64::from(moved);
+        if let HostStep::Reboot { .. } = step {
+            self.stop_instances(host);
+        }
+        Ok(())
+    }
+
+    /// Instances on a rebooting host are not ready until they are seen again.
+    fn stop_instances(&mut self, host: &str) {
+        for id in self.by_host.get(host).into_iter().flatten() {
+            if let Some(i) = self.instances.get_mut(id) {
+                i.ready = false;
+            }
+        }
+    }
+}
+
+/// Keeps the generations that serve as tokens of acts on the platform.
+fn note_generation(rec: &mut HostRec, step: &HostStep) {
+    match step {
+        HostStep::Assign { .. } => rec.pool_generation = rec.generation,
+        // Two acts follow a flip, so it takes two generations.
+        HostStep::Flip => {
+            rec.pool_generation = rec.generation;
+            rec.generation += 1;
+            rec.back_generation = rec.generation;
+        }
+        HostStep::Drain { .. } => rec.drain_generation = rec.generation,
+        HostStep::Undrain | HostStep::Return => rec.back_generation = rec.generation,
+        _ => {}
+    }
+}
+
+/// Carries one step out on a host; true if it changed the pool.
+fn next(rec: &mut HostRec, step: &HostStep) -> Result<bool, Void> {
+    match (step, rec.phase.clone()) {
+        (HostStep::Seen { place, cpus, memory_gib, accelerators }, _) => {
+            rec.place = place.clone();
+            rec.cpus = *cpus;
+            rec.memory_gib = *memory_gib;
+            rec.accelerators = *accelerators;
+        }
+        (HostStep::Health { up }, _) => rec.up = *up,
+        (HostStep::Foreign { foreign }, _) => rec.foreign = *foreign,
+        (HostStep::Assign { pool }, Phase::Free) => {
+            rec.pool = Some(pool.clone());
+            rec.phase = Phase::Active;
+        }
+        (HostStep::Drain { reason }, Phase::Active) => rec.phase = Phase::Draining(reason.clone()),
+        (HostStep::Drained, Phase::Draining(reason)) => rec.phase = Phase::Drained(reason),
+        (HostStep::Undrain, Phase::Draining(_) | Phase::Drained(_)) => rec.phase = Phase::Active,
+        (HostStep::Flip, Phase::Drained(DrainReason::Move { to })) => {
+            rec.pool = Some(to);
+            rec.phase = Phase::Active;
+            return Ok(true);
+        }
+        (HostStep::Reboot { boot }, Phase::Drained(DrainReason::Maintain { name })) => {
+            rec.phase = Phase::Rebooting { name, boot: boot.clone() };
+        }
+        (HostStep::Return, Phase::Rebooting { name, .. }) => {
+            rec.maintained.insert(name);
+            rec.phase = Phase::Active;
+        }
+        _ => return Err(Void::Phase),
+    }
+    Ok(false)
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/instances.rs
@@ -0,0 +1,223 @@
+//! Instances of services and the availability budgets that guard them.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{HostRec, State, Verdict, Void};
+use crate::fleet::{Budget, Service};
+use crate::ids::{HostId, InstanceId, Rack, ServiceId, Term};
+use crate::record::{Duty, InstanceStep};
+
+/// A placed instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct InstanceRec {
+    /// The service.
+    pub service: ServiceId,
+    /// The host it is placed on.
+    pub host: HostId,
+    /// IP address and port, once known.
+    pub address: String,
+    /// Whether it takes work.
+    pub ready: bool,
+    /// Offset of its placement; token of its start on the platform.
+    pub token: u64,
+}
+
+/// What a service has at one offset.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Availability {
+    /// Instances that take work.
+    pub available: u32,
+    /// Available instances by rack.
+    pub by_rack: BTreeMap<Rack, u32>,
+    /// Instances away by our own acts, by data centre.
+    pub away_by_data_centre: BTreeMap<String, u32>,
+}
+
+/// Budget and availability of a service side by side.
+#[derive(Clone, Debug, Serialize)]
+pub struct Stance {
+    /// The service.
+    pub service: ServiceId,
+    /// Instances that take work.
+    pub available: u32,
+    /// Least instances that the budget asks for.
+    pub min_available: u32,
+    /// How many more may leave now.
+    pub slack: i64,
+}
+
+impl Availability {
+    /// Instances that may still leave before the budget is reached, overall.
+    pub fn slack(&self, budget: &Budget) -> i64 {
+        let worst = if budget.reserve_rack { self.by_rack.values().max().copied().unwrap_or(0) } else { 0 };
+        i64::from(self.available) - i64::from(budget.min_available) - i64::from(worst)
+    }
+
+    /// Adds one instance on a host.
+    pub fn add(&mut self, instance: &InstanceRec, host: Option<&HostRec>) {
+        let Some(host) = host else { return };
+        if instance.ready && host.takes_work() {
+            self.available += 1;
+            *self.by_rack.entry(host.place.rack.clone()).or_default() += 1;
+        } else if host.away() {
+            *self.away_by_data_centre.entry(host.place.data_centre.clone()).or_default() += 1;
+        }
+    }
+
+    /// Takes one available instance away; `None` if the budget forbids it.
+    pub fn leave(&self, budget: &Budget, host: &HostRec) -> Option<Availability> {
+        let mut after = self.clone();
+        after.available = after.available.checked_sub(1)?;
+        if let Some(n) = after.by_rack.get_mut(&host.place.rack) {
+            *n = n.saturating_sub(1);
+        }
+        let away = after.away_by_data_centre.entry(host.place.data_centre.clone()).or_default();
+        *away += 1;
+        let in_data_centre = budget.max_unavailable_per_data_centre.is_none_or(|most| *away <= most);
+        (in_data_centre && after.slack(budget) >= 0).then_some(after)
+    }
+}
+
+impl State {
+    /// Availability of every service with placed instances.
+    pub fn availability(&self) -> BTreeMap<ServiceId, Availability> {
+        let mut all: BTreeMap<ServiceId, Availability> = BTreeMap::new();
+        for i in self.instances.values() {
+            all.entry(i.service.clone()).or_default().add(i, self.hosts.get(&i.host));
+        }
+        all
+    }
+
+    /// Availability of one service.
+    pub fn availability_of(&self, service: &str) -> Availability {
+        let mut a = Availability::default();
+        for i in self.instances_of(service) {
+            a.add(i.1, self.hosts.get(&i.1.host));
+        }
+        a
+    }
+
+    /// Budgets of all services beside what they have.
+    pub fn stances(&self) -> Vec<Stance> {
+        let all = self.availability();
+        let empty = Availability::default();
+        self.services()
+            .map(|s| {
+                let a = all.get(&s.name).unwrap_or(&empty);
+                Stance {
+                    service: s.name.clone(),
+                    available: a.available,
+                    min_available: s.budget.min_available,
+                    slack: a.slack(&s.budget),
+                }
+            })
+            .collect()
+    }
+
+    /// The placed instances of a service. Names share the prefix `service/`.
+    pub fn instances_of<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (&'a InstanceId, &'a InstanceRec)> + 'a {
+        let first = format!("{service}/");
+        self.instances.range(first.clone()..).take_while(move |(id, _)| id.starts_with(&first))
+    }
+
+    /// Whether all budgets allow that a host stops taking work.
+    pub fn may_leave(&self, host: &str) -> Verdict {
+        let rec = self.hosts.get(host).ok_or(Void::Missing)?;
+        // What a failed or foreign host carried is already lost to its service.
+        if !rec.takes_work() {
+            return Ok(());
+        }
+        for s in self.services_on(host) {
+            let allowed = self.availability_of(&s.name).leave(&s.budget, rec).is_some();
+            if !allowed {
+                return Err(Void::Budget(s.name.clone()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Services with a working instance on a host.
+    fn services_on(&self, host: &str) -> Vec<&Service> {
+        let ids = self.by_host.get(host).into_iter().flatten();
+        let ready = ids.filter(|id| self.instances.get(*id).is_some_and(|i| i.ready));
+        ready.filter_map(|id| self.service(service_of(id))).collect()
+    }
+
+    /// Builds the index from hosts to instances anew.
+    pub(super) fn index_instances(&mut self) {
+        self.by_host.clear();
+        for (id, i) in &self.instances {
+            self.by_host.entry(i.host.clone()).or_default().push(id.clone());
+        }
+    }
+
+    pub(super) fn step_instance(&mut self, term: Term, instance: &str, step: &InstanceStep) -> Verdict {
+        self.holds(Duty::Planner, term)?;
+        match step {
+            InstanceStep::Place { host } => self.place(instance, host),
+            InstanceStep::Ready { address, ready } => {
+                let rec = self.instances.get_mut(instance).ok_or(Void::Missing)?;
+                rec.address.clone_from(address);
+                rec.ready = *ready;
+                Ok(())
+            }
+            InstanceStep::Remove => self.remove(instance),
+        }
+    }
+
+    fn place(&mut self, instance: &str, host: &str) -> Verdict {
+        let service = service_of(instance);
+        let s = self.service(service).ok_or(Void::Missing)?;
+        let h = self.hosts.get(host).ok_or(Void::Missing)?;
+        let doubled = self.instances.contains_key(instance);
+        let crowded = self.instances_of(service).any(|(_, i)| i.host == host);
+        if doubled || crowded || !h.takes_work() || h.pool.as_ref() != Some(&s.pool) {
+            return Err(Void::Phase);
+        }
+        let rec = InstanceRec {
+            service: service.to_string(),
+            host: host.to_string(),
+            address: String::new(),
+            ready: false,
+            token: self.next - 1,
+        };
+        self.instances.insert(instance.to_string(), rec);
+        self.by_host.entry(host.to_string()).or_default().push(instance.to_string());
+        Ok(())
+    }
+
+    fn remove(&mut self, instance: &str) -> Verdict {
+        let rec = self.instances.get(instance).ok_or(Void::Missing)?;
+        let host = self.hosts.get(&rec.host);
+        let working = rec.ready && host.is_some_and(|h| h.takes_work());
+        if working {
+            let s = self.service(&rec.service).ok_or(Void::Missing)?;
+            let a = self.availability_of(&rec.service);
+            // Surplus instances may go while the rest keeps the budget.
+            let allowed = host.is_some_and(|h| a.leave(&s.budget, h).is_some());
+            if !allowed {
+                return Err(Void::Budget(rec.service.clone()));
+            }
+        }
+        let host = rec.host.clone();
+        self.instances.remove(instance);
+        if let Some(on) = self.by_host.get_mut(&host) {
+            on.retain(|id| id != instance);
+            if on.is_empty() {
+                self.by_host.remove(&host);
+            }
+        }
+        self.instance_moves += 1;
+        Ok(())
+    }
+}
+
+/// The service part of an instance's name.
+pub(super) fn service_of(instance: &str) -> &str {
+    instance.rsplit_once('/').map_or(instance, |(s, _)| s)
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/jobs.rs
@@ -0,0 +1,75 @@
+//! Jobs: started at most once where they may not be repeated.
+
+use serde::{Deserialize, Serialize};
+
+use super::{State, Verdict, Void};
+use crate::ids::{HostId, Term};
+use crate::record::{Duty, JobStep};
+
+/// Where a job is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "phase", rename_all = "snake_case")]
+pub enum JobPhase {
+    /// Not running; may be started.
+    Waiting,
+    /// Started on a host under a token.
+    Running {
+        /// The host.
+        host: HostId,
+    },
+    /// Ended well.
+    Done,
+    /// Ended badly, or not known how; not started again.
+    Failed,
+}
+
+/// A job that was started at least once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRec {
+    /// Where it is.
+    pub phase: JobPhase,
+    /// Token of the last start; the platform refuses lower ones.
+    pub token: u64,
+    /// Log time of the last step.
+    pub since: u64,
+    /// Failed runs.
+    pub failures: u32,
+}
+
+/// Failed runs after which a job is not started again.
+const MAX_FAILURES: u32 = 3;
+
+impl State {
+    pub(super) fn step_job(&mut self, term: Term, job: &str, step: &JobStep) -> Verdict {
+        self.holds(Duty::Planner, term)?;
+        let declared = self.declared_jobs().find(|j| j.name == job).ok_or(Void::Missing)?;
+        let (repeatable, pool) = (declared.repeatable, declared.pool.clone());
+        let time = self.time;
+        if let JobStep::Start { host } = step {
+            let h = self.hosts.get(host).ok_or(Void::Missing)?;
+            if !h.takes_work() || h.pool.as_ref() != Some(&pool) {
+                return Err(Void::Phase);
+            }
+        }
+        let fresh = JobRec { phase: JobPhase::Waiting, token: 0, since: time, failures: 0 };
+        let rec = self.jobs.entry(job.to_string()).or_insert(fresh);
+        match (step, &rec.phase) {
+            (JobStep::Start { host }, JobPhase::Waiting) => {
+                // A second start of a job that may not be repeated needs a
+                // checkpointed stop, which only `Preempt` gives.
+                rec.token += 1;
+                rec.phase = JobPhase::Running { host: host.clone() };
+            }
+            (JobStep::Preempt, JobPhase::Running { .. }) if repeatable => rec.phase = JobPhase::Waiting,
+            (JobStep::End { ok: true }, JobPhase::Running { .. }) => rec.phase = JobPhase::Done,
+            (JobStep::End { ok: false }, JobPhase::Running { .. }) => {
+                rec.failures += 1;
+                let again = repeatable && rec.failures < MAX_FAILURES;
+                rec.phase = if again { JobPhase::Waiting } else { JobPhase::Failed };
+            }
+            _ => return Err(Void::Phase),
+        }
+        rec.since = time;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/keys.rs
@@ -0,0 +1,204 @@
+//! Requests that run at most once, and requests that wait in the log.
+//!
+//! The first claim of a key in the log wins; only its holder sends, once. A
+//! claim counts only while its last moment is not before log time, and keys
+//! are kept for [`KEY_GRACE`] after it. So a key that is absent, within the
+//! grace, was never claimed; and once log time has passed the last moment it
+//! never will be. That needs no agreement of clocks: a wrong clock can refuse
+//! requests, but can't run one twice.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{State, Verdict, Void};
+use crate::ids::{Incarnation, RequestKey, ServiceId, UnixMs};
+use crate::record::{Deferred, End};
+
+/// How far ahead a last moment may lie.
+pub const MAX_KEY_WINDOW: Duration = Duration::from_secs(3600);
+/// How long a key and its outcome are kept after its last moment.
+pub const KEY_GRACE: Duration = Duration::from_secs(3600);
+
+/// A key in its window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyRec {
+    /// Service of the request.
+    pub service: ServiceId,
+    /// Digest of method, path and body.
+    pub digest: u64,
+    /// After this moment no copy is started.
+    pub last_moment: UnixMs,
+    /// How far it got.
+    pub state: KeyState,
+    /// Attempts started.
+    pub attempts: u32,
+    /// The request itself when it is deferred.
+    pub deferred: Option<Deferred>,
+}
+
+/// How far a key got.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "is", rename_all = "snake_case")]
+pub enum KeyState {
+    /// Accepted, waits to be run.
+    Waiting,
+    /// Its holder runs it or has not said how it ended.
+    Running {
+        /// The holder.
+        holder: Incarnation,
+    },
+    /// An endpoint answered.
+    Done {
+        /// HTTP status.
+        status: u16,
+        /// Body, base64; none when it was too large to keep.
+        body: Option<String>,
+    },
+    /// It may have run and is not run again.
+    Unknown,
+}
+
+/// What the fold says of a key that a caller names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Lookup<'a> {
+    /// It is known.
+    Known(&'a KeyRec),
+    /// It was not claimed, and may be.
+    Open,
+    /// It was never claimed and never will be.
+    NeverRun,
+    /// Its window is too old to tell.
+    Forgotten,
+}
+
+impl KeyRec {
+    fn expires(&self) -> UnixMs {
+        self.last_moment + KEY_GRACE.as_millis() as UnixMs
+    }
+
+    /// Whether it still has to run.
+    pub fn open(&self) -> bool {
+        self.deferred.is_some() && matches!(self.state, KeyState::Waiting | KeyState::Running { .. })
+    }
+}
+
+impl State {
+    /// Looks a key up.
+    pub fn lookup(&self, key: &str, last_moment: UnixMs) -> Lookup<'_> {
+        if let Some(rec) = self.keys.get(key) {
+            return Lookup::Known(rec);
+        }
+        if last_moment >= self.time {
+            return Lookup::Open;
+        }
+        if last_moment + KEY_GRACE.as_millis() as UnixMs >= self.time {
+            return Lookup::NeverRun;
+        }
+        Lookup::Forgotten
+    }
+
+    pub(super) fn claim(
+        &mut self,
+        key: &RequestKey,
+        service: &ServiceId,
+        digest: u64,
+        holder: Option<&Incarnation>,
+        last_moment: UnixMs,
+        deferred: Option<&Deferred>,
+    ) -> Verdict {
+        if self.keys.contains_key(key) {
+            return Err(Void::KeyTaken);
+        }
+        if last_moment < self.time {
+            return Err(Void::Expired);
+        }
+        // Only a process on the roster may run: those who must be sure that a
+        // key is not running ask all of the roster.
+        if holder.is_some_and(|h| !self.roster.iter().any(|m| m.id == *h)) {
+            return Err(Void::Phase);
+        }
+        let state = match holder {
+            Some(h) => KeyState::Running { holder: h.clone() },
+            None => KeyState::Waiting,
+        };
+        let rec = KeyRec {
+            service: service.clone(),
+            digest,
+            last_moment,
+            attempts: u32::from(holder.is_some()),
+            state,
+            deferred: deferred.cloned(),
+        };
+        self.expiries.insert((rec.expires(), key.clone()));
+        if rec.open() {
+            self.open_keys.insert(key.clone());
+        }
+        self.keys.insert(key.clone(), rec);
+        Ok(())
+    }
+
+    pub(super) fn start(&mut self, key: &str, holder: &str, attempt: u32) -> Verdict {
+        let rec = self.keys.get_mut(key).ok_or(Void::Missing)?;
+        let deferred = rec.deferred.as_ref().ok_or(Void::Phase)?;
+        let free = match rec.state {
+            KeyState::Waiting => true,
+            KeyState::Running { .. } => deferred.repeatable,
+            KeyState::Done { .. } | KeyState::Unknown => false,
+        };
+        if !free || attempt != rec.attempts + 1 {
+            return Err(Void::KeyTaken);
+        }
+        rec.attempts = attempt;
+        rec.state = KeyState::Running { holder: holder.to_string() };
+        Ok(())
+    }
+
+    pub(super) fn finish(&mut self, key: &str, holder: &str, end: &End) -> Verdict {
+        let rec = self.keys.get_mut(key).ok_or(Void::Missing)?;
+        let held = matches!(&rec.state, KeyState::Running { holder: h } if h == holder);
+        if !held {
+            return Err(Void::Phase);
+        }
+        let again = rec.deferred.as_ref().is_some_and(|d| d.repeatable);
+        match end {
+            End::Answered { status, body } => {
+                rec.state = KeyState::Done { status: *status, body: body.clone() };
+            }
+            End::NotSent if rec.deferred.is_some() => rec.state = KeyState::Waiting,
+            // The key is free again: the caller was told that nothing ran.
+            End::NotSent => {
+                let gone = (rec.expires(), key.to_string());
+                self.expiries.remove(&gone);
+                self.keys.remove(key);
+                return Ok(());
+            }
+            End::Unknown if again => rec.state = KeyState::Waiting,
+            End::Unknown => rec.state = KeyState::Unknown,
+        }
+        if !rec.open() {
+            // One that outlived its grace is kept for one more, for its caller.
+            rec.last_moment = rec.last_moment.max(self.time.saturating_sub(KEY_GRACE.as_millis() as UnixMs));
+            let expires = rec.expires();
+            self.open_keys.remove(key);
+            self.expiries.insert((expires, key.to_string()));
+        }
+        Ok(())
+    }
+
+    /// Forgets keys whose grace is over; an open deferred request stays until
+    /// it has run, and is forgotten when it ends after its grace.
+    pub(super) fn prune_keys(&mut self) {
+        while let Some((at, key)) = self.expiries.first().filter(|(at, _)| *at < self.time).cloned() {
+            self.expiries.remove(&(at, key.clone()));
+            if !self.open_keys.contains(&key) {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    pub(super) fn index_keys(&mut self) {
+        self.expiries = self.keys.iter().map(|(k, r)| (r.expires(), k.clone())).collect();
+        self.open_keys = self.keys.iter().filter(|(_, r)| r.open()).map(|(k, _)| k.clone()).collect();
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/fold/mod.rs
@@ -0,0 +1,239 @@
+//! The state that every process folds from the log, and the fold itself.
+//!
+//! [`State::fold`] is the only place where state changes. It reads nothing but
+//! the envelope: time is the highest `at` seen so far, so that all processes
+//! agree on it. Sub-modules hold one family of records each.
+
+mod apply;
+mod duty;
+mod hosts;
+mod instances;
+mod jobs;
+mod keys;
+mod snapshot;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::code::Code;
+use crate::fleet::{FleetFile, Job, Maintenance, Pool, Service};
+use crate::ids::*;
+use crate::invariant;
+use crate::record::{Duty, Envelope, FORMAT, Record, RosterMember};
+
+pub use apply::FileRec;
+pub use duty::LeaseRec;
+pub use hosts::{HostRec, Phase};
+pub use instances::{Availability, InstanceRec, Stance};
+pub use jobs::{JobPhase, JobRec};
+pub use keys::{KEY_GRACE, KeyRec, KeyState, Lookup, MAX_KEY_WINDOW};
+pub use snapshot::{Assembler, Digest};
+
+/// Why a record had no effect.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Void {
+    /// The term is not the current one.
+    Term,
+    /// The generation is not the current one.
+    Generation,
+    /// The phase does not allow the step.
+    Phase,
+    /// The thing named does not exist.
+    Missing,
+    /// A budget would be broken.
+    Budget(ServiceId),
+    /// The key was claimed before.
+    KeyTaken,
+    /// The last moment has passed in log time.
+    Expired,
+    /// Another change of the file was accepted first.
+    Stale {
+        /// Version in force.
+        version: u64,
+        /// Who applied it.
+        author: String,
+    },
+    /// Something in the file belongs to another file.
+    Claimed {
+        /// What belongs elsewhere.
+        what: String,
+        /// The file it belongs to.
+        file: FileId,
+    },
+    /// The record's kind or format is not known.
+    Unknown,
+    /// The envelope was folded before, or one after it.
+    Repeated,
+}
+
+impl Void {
+    /// The code that an operator or caller is shown.
+    pub fn code(&self) -> Code {
+        match self {
+            Void::Stale { .. } => Code::StaleBase,
+            Void::Claimed { .. } => Code::ClaimedElsewhere,
+            Void::KeyTaken => Code::KeyConflict,
+            Void::Expired => Code::KeyExpired,
+            _ => Code::ApplyNotTaken,
+        }
+    }
+}
+
+/// Outcome of one record: accepted, or void with a reason.
+pub type Verdict = Result<(), Void>;
+
+/// The state of the whole system at one offset.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    /// Offset of the next envelope to fold.
+    pub next: Offset,
+    /// Log time: the highest `at` folded.
+    pub time: UnixMs,
+    /// Files in force.
+    pub files: BTreeMap<FileId, FileRec>,
+    /// Duties and who holds them.
+    pub leases: BTreeMap<Duty, LeaseRec>,
+    /// Processes that share slots.
+    pub roster: Vec<RosterMember>,
+    /// Grows with each change of the roster.
+    pub roster_generation: u64,
+    /// Hosts that files claim, or that are being given up.
+    pub hosts: BTreeMap<HostId, HostRec>,
+    /// Instances that are placed.
+    pub instances: BTreeMap<InstanceId, InstanceRec>,
+    /// Keys within their window, and open deferred requests.
+    pub keys: BTreeMap<RequestKey, KeyRec>,
+    /// Jobs that were started or have ended.
+    pub jobs: BTreeMap<JobId, JobRec>,
+    /// Highest `seq` folded of each process, and log time then.
+    pub senders: BTreeMap<Incarnation, (u64, UnixMs)>,
+    /// Records of unknown kind or format.
+    pub unknown: u64,
+    /// Hosts moved between pools so far.
+    pub host_moves: u64,
+    /// Instances moved between hosts so far.
+    pub instance_moves: u64,
+    /// Digests at recent marks; not part of the digest itself.
+    #[serde(skip)]
+    pub marks: Vec<Digest>,
+    /// Instances by host, derived from `instances`.
+    #[serde(skip)]
+    pub by_host: BTreeMap<HostId, Vec<InstanceId>>,
+    /// Keys by the time they are forgotten, derived from `keys`.
+    #[serde(skip)]
+    pub expiries: BTreeSet<(UnixMs, RequestKey)>,
+    /// Deferred requests that still have to run, derived from `keys`.
+    #[serde(skip)]
+    pub open_keys: BTreeSet<RequestKey>,
+}
+
+/// How long a process may be silent in the log before its `seq` is dropped.
+/// Must exceed the longest time that the platform may hold back an append.
+const SENDER_MEMORY_MS: UnixMs = 24 * 3600 * 1000;
+
+impl State {
+    /// Folds the envelope at `offset`; returns one verdict a record.
+    pub fn fold(&mut self, offset: Offset, env: &Envelope) -> Vec<Verdict> {
+        let in_order = invariant::check(offset >= self.next, || {
+            format!("offset {offset} folded again, next is {}", self.next)
+        });
+        if !in_order {
+            return vec![Err(Void::Repeated); env.records.len()];
+        }
+        self.next = offset + 1;
+        if env.v != FORMAT {
+            self.unknown += 1;
+            return vec![Err(Void::Unknown); env.records.len()];
+        }
+        let last = self.senders.get(&env.from).map_or(0, |s| s.0);
+        if env.seq <= last {
+            return vec![Err(Void::Repeated); env.records.len()];
+        }
+        self.time = self.time.max(env.at);
+        self.senders.insert(env.from.clone(), (env.seq, self.time));
+        self.prune();
+        let verdicts: Vec<Verdict> = env.records.iter().map(|r| self.fold_record(env, offset, r)).collect();
+        // The mark is of the state after the whole envelope, wherever it stands.
+        let marked =
+            env.records.iter().zip(&verdicts).any(|(r, v)| matches!(r, Record::Mark { .. }) && v.is_ok());
+        if marked {
+            self.mark(offset);
+        }
+        verdicts
+    }
+
+    /// Passes over an envelope that can't be read.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = offset + 1;
+        self.unknown += 1;
+    }
+
+    fn fold_record(&mut self, env: &Envelope, offset: Offset, record: &Record) -> Verdict {
+        match record {
+            Record::Apply { id, base, author, file } => self.apply(offset, id, *base, author, file),
+            Record::Take { duty, holder, term, seen } => self.take(*duty, holder, *term, *seen),
+            Record::Renew { duty, term } => self.renew(*duty, *term, &env.from),
+            Record::GiveUp { duty, term } => self.give_up(*duty, *term, &env.from),
+            Record::Roster { term, members } => self.set_roster(*term, members),
+            Record::Host { term, host, generation, step } => self.step_host(*term, host, *generation, step),
+            Record::Instance { term, instance, step } => self.step_instance(*term, instance, step),
+            Record::Claim { key, service, digest, holder, last_moment, deferred } => {
+                self.claim(key, service, *digest, holder.as_ref(), *last_moment, deferred.as_ref())
+            }
+            Record::Start { key, holder, attempt } => self.start(key, holder, *attempt),
+            Record::Finish { key, holder, end } => self.finish(key, holder, end),
+            Record::Job { term, job, step } => self.step_job(*term, job, step),
+            Record::Mark { term } => self.holds(Duty::Checkpointer, *term),
+            Record::Checkpoint { upto, digest, .. } => self.compare(*upto, *digest),
+            Record::Unknown(_) => {
+                self.unknown += 1;
+                Err(Void::Unknown)
+            }
+        }
+    }
+
+    /// Builds everything that is derived from other fields anew.
+    fn index(&mut self) {
+        self.index_instances();
+        self.index_keys();
+    }
+
+    fn prune(&mut self) {
+        self.prune_keys();
+        let floor = self.time.saturating_sub(SENDER_MEMORY_MS);
+        if self.senders.len() > 64 {
+            self.senders.retain(|_, (_, at)| *at >= floor);
+        }
+    }
+
+    /// Every pool in force.
+    pub fn pools(&self) -> impl Iterator<Item = &Pool> {
+        self.files.values().flat_map(|f| &f.file.pools)
+    }
+
+    /// Every service in force.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.files.values().flat_map(|f| &f.file.services)
+    }
+
+    /// The service of a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services().find(|s| s.name == name)
+    }
+
+    /// All maintenance in force.
+    pub fn maintenance(&self) -> impl Iterator<Item = &Maintenance> {
+        self.files.values().flat_map(|f| &f.file.maintenance)
+    }
+
+    /// All jobs in force.
+    pub fn declared_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.files.values().flat_map(|f| &f.file.jobs)
+    }
+
+    /// All files in force.
+    pub fn fleet_files(&self) -> impl Iterator<Item = &FleetFile> {
+        self.files.values().map(|f| &f.file)
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/plan/mod.rs
@@ -0,0 +1,58 @@
+//! Decisions about the fleet: pools, instances, maintenance, jobs.
+//!
+//! [`decide`] takes the folded state, what the platform's list shows, and the
+//! time, and returns records to append. It holds no state of its own: a planner
+//! that is replaced in the middle of anything goes on from the log. The fold
+//! checks each record again at its offset.
+//!
+//! [`acts`] compares the state with the list and returns the calls on the
+//! platform that bring the list nearer to the state. A call is repeated only
+//! while the list does not show its effect, and carries the generation of the
+//! host as its token.
+
+mod acts;
+mod bound;
+mod index;
+mod jobs;
+mod measure;
+mod observe;
+mod place;
+mod pools;
+mod seen;
+mod wave;
+
+use crate::fold::State;
+use crate::ids::{Term, UnixMs};
+use crate::record::Record;
+
+pub use acts::{Act, acts};
+pub use bound::Bound;
+pub use index::Index;
+pub use measure::{Measures, Strategy, measure};
+pub use seen::{HostSeen, HostState, Seen, TaskSeen};
+pub use wave::{Stop, WaveStatus, wave_status};
+
+/// What the planner must know besides the state and the list.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// Whether every entry process that may send work has folded the offset.
+    pub confirmed: crate::ids::Offset,
+    /// Requests that entry processes have open on instances.
+    pub in_flight: std::collections::BTreeMap<crate::ids::InstanceId, u32>,
+}
+
+/// Returns the records to append now. `term` is the planner's.
+pub fn decide(state: &State, seen: &Seen, facts: &Facts, now: UnixMs, term: Term) -> Vec<Record> {
+    let mut records = observe::records(state, seen, term);
+    // Facts first: what is decided on them follows when they are in the log.
+    if !records.is_empty() {
+        return records;
+    }
+    let mut index = Index::new(state);
+    records.extend(pools::records(state, seen, &mut index, term));
+    records.extend(place::records(state, seen, &mut index, now, term));
+    records.extend(observe::progress(state, seen, facts, term));
+    records.extend(wave::records(state, &mut index, now, term));
+    records.extend(jobs::records(state, seen, now, term));
+    records
+}
--- /dev/null
+++ b/crates/workswood-core/src/route/mod.rs
@@ -0,0 +1,21 @@
+//! Decisions of one entry host about requests.
+//!
+//! A [`Dispatcher`] serves one service on one entry host. It owns a share of
+//! the slots of each endpoint ([`share`]), may borrow idle slots of its peers,
+//! keeps bounded queues by class, and never uses a slot that it does not hold.
+//! So the slots of an endpoint are used by all entry hosts together without
+//! any of them knowing the others' load.
+
+mod dispatch;
+mod health;
+mod queue;
+mod retry;
+mod share;
+mod table;
+
+pub use dispatch::{Action, Dispatcher, EndpointView, Limits, Loan, Outcome, Ticket, Want};
+pub use health::{Health, Standing};
+pub use queue::{ClassQueues, MAX_QUEUED, Waiting};
+pub use retry::RetryBudget;
+pub use share::{MAX_MEMBERS, owned_slots};
+pub use table::{Endpoint, RouteTable, ServiceView};
--- /dev/null
+++ b/crates/workswood-operators/src/server.rs
@@ -0,0 +1,83 @@
+//! The listening side.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use subtle::ConstantTimeEq;
+use tokio::net::TcpListener;
+use warp::http::StatusCode;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+use workswood_core::code::Code;
+
+use crate::{ApplyReply, ApplyRequest, Status};
+
+/// Most bytes of a change.
+const MOST_BODY: u64 = 4 * 1024 * 1024;
+/// Longest time for one call, beyond the wait that the call itself names.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What an entry host does for operators.
+pub trait Operations: Send + Sync + 'static {
+    /// Applies a change.
+    fn apply(self: Arc<Self>, req: ApplyRequest) -> BoxFuture<'static, ApplyReply>;
+    /// Tells what it knows.
+    fn status(&self) -> Status;
+    /// Metrics as text.
+    fn metrics(&self) -> String;
+}
+
+/// Serves operators on a listener until the task is dropped.
+pub async fn serve<O: Operations>(listener: TcpListener, token: String, ops: Arc<O>) {
+    let token = Arc::new(token);
+    let with = {
+        let ops = ops.clone();
+        warp::any().map(move || ops.clone())
+    };
+    let allowed = warp::header::optional::<String>("authorization").map(move |h: Option<String>| {
+        let given = h.as_deref().and_then(|h| h.strip_prefix("Bearer ")).unwrap_or_default();
+        bool::from(given.as_bytes().ct_eq(token.as_bytes()))
+    });
+    let apply = warp::post()
+        .and(warp::path!("v1" / "apply"))
+        .and(allowed.clone())
+        .and(warp::body::content_length_limit(MOST_BODY))
+        .and(warp::body::bytes())
+        .and(with.clone())
+        .then(apply);
+    let status = warp::get().and(warp::path!("v1" / "status")).and(allowed.clone()).and(with.clone()).map(
+        |allowed: bool, ops: Arc<O>| if allowed { json(&ops.status()) } else { refused(Code::BadToken) },
+    );
+    let metrics =
+        warp::get().and(warp::path!("metrics")).and(allowed).and(with).map(|allowed: bool, ops: Arc<O>| {
+            if allowed { ops.metrics().into_response() } else { refused(Code::BadToken) }
+        });
+    let routes = apply.or(status).unify().or(metrics).unify();
+    warp::serve(routes).incoming(listener).run().await;
+}
+
+async fn apply<O: Operations>(allowed: bool, body: bytes::Bytes, ops: Arc<O>) -> Response {
+    if !allowed {
+        return refused(Code::BadToken);
+    }
+    let Ok(req) = serde_json::from_slice::<ApplyRequest>(&body) else {
+        return refused(Code::BadRequest);
+    };
+    let limit = CALL_TIMEOUT + Duration::from_millis(req.wait_ms);
+    let reply = tokio::time::timeout(limit, ops.apply(req)).await;
+    json(&reply.unwrap_or(ApplyReply::Unknown { code: Code::ApplyUnknown }))
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response {
+    warp::reply::json(value).into_response()
+}
+
+fn refused(code: Code) -> Response {
+    let status = match code {
+        Code::BadToken => StatusCode::UNAUTHORIZED,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    let text = format!("error {}: {}; {}\n", code.number(), code.text(), code.advice());
+    warp::reply::with_status(text, status).into_response()
+}
--- /dev/null
+++ b/crates/workswood-peers/src/lib.rs
@@ -0,0 +1,17 @@
+//! Messages between the processes of workswood.
+//!
+//! Every process listens for its peers and keeps one connection to each peer
+//! it talks to. A connection begins with a [`Hello`] that carries the token;
+//! then frames of [`Frame`] go both ways, each with the length in front. A
+//! frame with a `call` number other than 0 is a question or its answer.
+
+mod link;
+mod message;
+mod server;
+
+pub use link::Link;
+pub use message::*;
+pub use server::{Handler, serve};
+
+/// Largest frame; a state of the target's size fits.
+pub const MAX_FRAME: usize = 64 * 1024 * 1024;
--- /dev/null
+++ b/crates/workswood-peers/src/message.rs
@@ -0,0 +1,216 @@
+//! The messages, as `prost` types.
+
+/// One frame.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Number of the question; 0 for a message without an answer.
+    #[prost(uint64, tag = "1")]
+    pub call: u64,
+    /// The message.
+    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub msg: Option<Msg>,
+}
+
+/// A message of any kind.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Msg {
+    /// Opens a connection.
+    #[prost(message, tag = "2")]
+    Hello(Hello),
+    /// Heartbeat.
+    #[prost(message, tag = "3")]
+    Beats(Beats),
+    /// The log has grown.
+    #[prost(message, tag = "4")]
+    Head(Head),
+    /// Asks for idle slots.
+    #[prost(message, tag = "5")]
+    SlotAsk(SlotAsk),
+    /// Lends slots; may be empty.
+    #[prost(message, tag = "6")]
+    SlotLoan(SlotLoan),
+    /// Loans that are in use, and loans that are given back.
+    #[prost(message, tag = "7")]
+    SlotState(SlotState),
+    /// Asks for the state.
+    #[prost(message, tag = "8")]
+    StateAsk(StateAsk),
+    /// The state.
+    #[prost(message, tag = "9")]
+    StateReply(StateReply),
+    /// Asks whether a key is known.
+    #[prost(message, tag = "10")]
+    KeyAsk(KeyAsk),
+    /// Whether a key is known.
+    #[prost(message, tag = "11")]
+    KeyReply(KeyReply),
+    /// Endpoints that take no new work.
+    #[prost(message, tag = "12")]
+    Leaving(Leaving),
+    /// Nothing to say.
+    #[prost(message, tag = "13")]
+    Done(Done),
+}
+
+/// Opens a connection.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Version of this protocol.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// The token that all processes share.
+    #[prost(string, tag = "2")]
+    pub token: String,
+    /// Incarnation of the process that connects.
+    #[prost(string, tag = "3")]
+    pub from: String,
+}
+
+/// What a process says of itself or of another.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beat {
+    /// Address of its peer listener.
+    #[prost(string, tag = "1")]
+    pub address: String,
+    /// Its incarnation.
+    #[prost(string, tag = "2")]
+    pub id: String,
+    /// Its data centre.
+    #[prost(string, tag = "3")]
+    pub data_centre: String,
+    /// Counts up.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// Next offset that it folds.
+    #[prost(uint64, tag = "5")]
+    pub next: u64,
+    /// Whether it is stopping.
+    #[prost(bool, tag = "6")]
+    pub stopping: bool,
+}
+
+/// Heartbeat with what the sender knows of some others.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beats {
+    /// The sender's own beat.
+    #[prost(message, optional, tag = "1")]
+    pub own: Option<Beat>,
+    /// Beats of some others.
+    #[prost(message, repeated, tag = "2")]
+    pub others: Vec<Beat>,
+    /// Instances that the sender has requests open on, if it is asked to tell.
+    #[prost(message, repeated, tag = "3")]
+    pub open: Vec<Open>,
+}
+
+/// Requests open on an instance.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Open {
+    /// The instance.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+}
+
+/// The log has grown.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Head {
+    /// An offset that is in the log.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+}
+
+/// Asks for idle slots.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotAsk {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+    /// Incarnation of the process that asks.
+    #[prost(string, tag = "3")]
+    pub from: String,
+}
+
+/// Lends slots.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotLoan {
+    /// One entry for each slot.
+    #[prost(message, repeated, tag = "1")]
+    pub loans: Vec<Lent>,
+}
+
+/// One slot that is lent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Lent {
+    /// Number at the lender.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// The endpoint.
+    #[prost(string, tag = "2")]
+    pub endpoint: String,
+}
+
+/// Loans that are in use, and loans that are given back.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct SlotState {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Incarnation of the borrower.
+    #[prost(string, tag = "2")]
+    pub from: String,
+    /// Loans in use.
+    #[prost(uint64, repeated, tag = "3")]
+    pub kept: Vec<u64>,
+    /// Loans given back.
+    #[prost(uint64, repeated, tag = "4")]
+    pub returned: Vec<u64>,
+}
+
+/// Asks for the state.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StateAsk {}
+
+/// The state.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StateReply {
+    /// Its text; empty if there is none.
+    #[prost(string, tag = "1")]
+    pub text: String,
+}
+
+/// Asks whether a key is known.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeyAsk {
+    /// The key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+}
+
+/// Whether a key is known.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeyReply {
+    /// Whether the key is claimed, or a claim is on its way.
+    #[prost(bool, tag = "1")]
+    pub known: bool,
+    /// Roster that the answering process has folded.
+    #[prost(string, repeated, tag = "2")]
+    pub roster: Vec<String>,
+}
+
+/// Endpoints that take no new work.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Leaving {
+    /// Instances that are leaving.
+    #[prost(string, repeated, tag = "1")]
+    pub instances: Vec<String>,
+}
+
+/// Nothing to say.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Done {}
--- /dev/null
+++ b/crates/workswood-standin/src/hosts.rs
@@ -0,0 +1,66 @@
+//! The hosts of the stand-in platform and what acts do to them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use workswood_core::fleet::FleetFile;
+use workswood_core::plan::{HostSeen, HostState, TaskSeen};
+
+use crate::endpoint::EndpointStandin;
+
+/// A task on a host.
+pub struct TaskSim {
+    /// Token it was started with.
+    pub token: u64,
+    /// The endpoint, for instances that are up.
+    pub endpoint: Option<Arc<EndpointStandin>>,
+    /// How it ended.
+    pub ended: Option<bool>,
+}
+
+/// A host.
+pub struct HostSim {
+    /// What the list says of it, apart from tasks.
+    pub seen: HostSeen,
+    /// Tasks by name.
+    pub tasks: BTreeMap<String, TaskSim>,
+    /// Counts boots.
+    pub boots: u64,
+}
+
+impl HostSim {
+    /// The host as the list shows it.
+    pub fn list(&self) -> HostSeen {
+        let tasks = self.tasks.iter().map(|(id, t)| TaskSeen {
+            id: id.clone(),
+            address: t.endpoint.as_ref().map(|e| e.address.to_string()).unwrap_or_default(),
+            ready: t.endpoint.is_some() && self.seen.state == HostState::Live,
+            used_millis: 0,
+            ended: t.ended,
+            token: t.token,
+        });
+        let idle = self.tasks.values().all(|t| t.endpoint.as_ref().is_none_or(|e| e.in_flight() == 0));
+        HostSeen { tasks: tasks.collect(), drained: self.seen.draining && idle, ..self.seen.clone() }
+    }
+}
+
+/// All hosts that files name, live and in no pool.
+pub fn hosts_of(files: &[FleetFile]) -> BTreeMap<String, HostSim> {
+    let all = files.iter().flat_map(|f| &f.hosts).map(|h| {
+        let seen = HostSeen {
+            place: h.place(),
+            cpus: h.cpus,
+            memory_gib: h.memory_gib,
+            accelerators: h.accelerators,
+            pool: None,
+            state: HostState::Live,
+            draining: false,
+            drained: false,
+            boot: format!("{}#1", h.name),
+            token: 0,
+            tasks: Vec::new(),
+        };
+        (h.name.clone(), HostSim { seen, tasks: BTreeMap::new(), boots: 1 })
+    });
+    all.collect()
+}
--- /dev/null
+++ b/crates/workswood-standin/src/platform.rs
@@ -0,0 +1,406 @@
+//! The platform: a log with retention, a lagging list, and acts.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::task::JoinHandle;
+use warp::http::StatusCode;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+use workswood_core::fleet::FleetFile;
+use workswood_core::plan::{Act, HostState, Seen};
+use workswood_platform::{LogRecord, ReadReply};
+
+use crate::endpoint::{EndpointStandin, Ledger};
+use crate::hosts::{HostSim, TaskSim, hosts_of};
+
+const SLOTS: u32 = 8;
+const MOST_RECORD: u64 = 4 * 1024 * 1024;
+
+/// Failures to inject, changed at any time.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    /// The log answers 503 and takes nothing.
+    pub log_down: bool,
+    /// This many further appends take effect and are answered 503.
+    pub lose_appends: u32,
+    /// This many further appends take effect twice.
+    pub double_appends: u32,
+    /// Each append takes this long.
+    pub append_delay: Duration,
+    /// Records kept.
+    pub retention: usize,
+    /// Age of the list.
+    pub list_lag: Duration,
+    /// This many further acts take effect and are answered 503.
+    pub lose_acts: u32,
+    /// This many further acts are answered 503 without effect.
+    pub refuse_acts: u32,
+    /// How long a reboot takes.
+    pub reboot: Duration,
+    /// Hosts that do not come back from a reboot.
+    pub stuck: Vec<String>,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Faults {
+            log_down: false,
+            lose_appends: 0,
+            double_appends: 0,
+            append_delay: Duration::from_millis(2),
+            retention: 100_000,
+            list_lag: Duration::from_millis(100),
+            lose_acts: 0,
+            refuse_acts: 0,
+            reboot: Duration::from_millis(500),
+            stuck: Vec::new(),
+        }
+    }
+}
+
+/// What the platform has done.
+#[derive(Clone, Debug, Default)]
+pub struct Counters {
+    /// Records appended.
+    pub appends: u64,
+    /// Reads of the log.
+    pub reads: u64,
+    /// Acts carried out.
+    pub acts: u64,
+    /// Acts refused for an old token or boot.
+    pub fenced: u64,
+    /// Reboots carried out.
+    pub reboots: u64,
+}
+
+struct Inner {
+    log: VecDeque<LogRecord>,
+    head: u64,
+    hosts: BTreeMap<String, HostSim>,
+    lists: VecDeque<(tokio::time::Instant, Seen)>,
+    entries: Vec<String>,
+    task_tokens: BTreeMap<String, u64>,
+    faults: Faults,
+    counters: Counters,
+}
+
+/// A running platform; stops when dropped.
+pub struct PlatformStandin {
+    /// IP address and port.
+    pub address: String,
+    /// What its endpoints saw.
+    pub ledger: Arc<Ledger>,
+    inner: Arc<Mutex<Inner>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for PlatformStandin {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+impl PlatformStandin {
+    /// Starts a platform on a loopback port with the hosts that files name.
+    pub async fn start(files: &[FleetFile]) -> std::io::Result<PlatformStandin> {
+        let ledger = Arc::new(Ledger::default());
+        let inner = Arc::new(Mutex::new(Inner {
+            log: VecDeque::new(),
+            head: 0,
+            hosts: hosts_of(files),
+            lists: VecDeque::new(),
+            entries: Vec::new(),
+            task_tokens: BTreeMap::new(),
+            faults: Faults::default(),
+            counters: Counters::default(),
+        }));
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?.to_string();
+        let routes = routes(inner.clone(), ledger.clone());
+        let server = tokio::spawn(warp::serve(routes).incoming(listener).run());
+        let lister = tokio::spawn(list(inner.clone()));
+        Ok(PlatformStandin { address, ledger, inner, tasks: vec![server, lister] })
+    }
+
+    /// Changes the failures that are injected.
+    pub fn faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.inner.lock().faults);
+    }
+
+    /// What it has done so far.
+    pub fn counters(&self) -> Counters {
+        self.inner.lock().counters.clone()
+    }
+
+    /// Names the entry processes that the list shows.
+    pub fn set_entries(&self, entries: Vec<String>) {
+        self.inner.lock().entries = entries;
+    }
+
+    /// Changes a host, as a failure or another script would.
+    pub fn change_host(&self, host: &str, change: impl FnOnce(&mut HostSim)) {
+        if let Some(h) = self.inner.lock().hosts.get_mut(host) {
+            change(h);
+        }
+    }
+
+    /// Names of all hosts.
+    pub fn hosts(&self) -> Vec<String> {
+        self.inner.lock().hosts.keys().cloned().collect()
+    }
+
+    /// The list without lag.
+    pub fn truth(&self) -> Seen {
+        self.inner.lock().seen()
+    }
+
+    /// The endpoint of an instance, if it is up.
+    pub fn endpoint(&self, instance: &str) -> Option<Arc<EndpointStandin>> {
+        let inner = self.inner.lock();
+        let mut tasks = inner.hosts.values().filter_map(|h| h.tasks.get(instance));
+        tasks.find_map(|t| t.endpoint.clone())
+    }
+
+    /// A copy of the records that are kept.
+    pub fn log(&self) -> Vec<LogRecord> {
+        self.inner.lock().log.iter().cloned().collect()
+    }
+}
+
+impl Inner {
+    fn seen(&self) -> Seen {
+        let hosts = self.hosts.iter().map(|(id, h)| (id.clone(), h.list())).collect();
+        Seen { hosts, entries: self.entries.clone() }
+    }
+
+    fn push(&mut self, body: String) -> u64 {
+        let offset = self.head;
+        self.head += 1;
+        self.counters.appends += 1;
+        self.log.push_back(LogRecord { offset, body });
+        while self.log.len() > self.faults.retention {
+            self.log.pop_front();
+        }
+        offset
+    }
+}
+
+/// Keeps snapshots of the list, so that readers get one of the lag's age.
+async fn list(inner: Arc<Mutex<Inner>>) {
+    loop {
+        let lag = {
+            let mut inner = inner.lock();
+            let seen = inner.seen();
+            let lag = inner.faults.list_lag;
+            let now = tokio::time::Instant::now();
+            inner.lists.push_back((now, seen));
+            while inner.lists.len() > 1 && now - inner.lists[1].0 >= lag {
+                inner.lists.pop_front();
+            }
+            lag
+        };
+        tokio::time::sleep((lag / 4).max(Duration::from_millis(10))).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    max: usize,
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response {
+    warp::reply::json(value).into_response()
+}
+
+fn error(status: StatusCode, text: &'static str) -> Response {
+    warp::reply::with_status(text, status).into_response()
+}
+
+fn routes(
+    inner: Arc<Mutex<Inner>>,
+    ledger: Arc<Ledger>,
+) -> impl Filter<Extract = impl Reply, Error = warp::Rejection> + Clone {
+    let with = {
+        let inner = inner.clone();
+        warp::any().map(move || inner.clone())
+    };
+    let append = warp::post()
+        .and(warp::path!("log"))
+        .and(warp::body::content_length_limit(MOST_RECORD))
+        .and(warp::body::bytes())
+        .and(with.clone())
+        .then(append);
+    let read = warp::get().and(warp::path!("log")).and(warp::query()).and(with.clone()).map(read);
+    let hosts = warp::get().and(warp::path!("hosts")).and(with.clone()).map(|inner: Arc<Mutex<Inner>>| {
+        let inner = inner.lock();
+        let oldest = inner.lists.front().map(|(_, s)| s.clone());
+        json(&oldest.unwrap_or_default())
+    });
+    let acts =
+        warp::post().and(warp::path!("acts")).and(warp::body::json()).and(with).then(move |act, inner| {
+            let ledger = ledger.clone();
+            async move { act_on(act, inner, ledger).await }
+        });
+    append.or(read).unify().or(hosts).unify().or(acts).unify()
+}
+
+async fn append(body: Bytes, inner: Arc<Mutex<Inner>>) -> Response {
+    let delay = {
+        let inner = inner.lock();
+        if inner.faults.log_down {
+            return error(StatusCode::SERVICE_UNAVAILABLE, "log is down");
+        }
+        inner.faults.append_delay
+    };
+    tokio::time::sleep(delay).await;
+    let mut inner = inner.lock();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let offset = inner.push(text.clone());
+    if inner.faults.double_appends > 0 {
+        inner.faults.double_appends -= 1;
+        inner.push(text);
+    }
+    if inner.faults.lose_appends > 0 {
+        inner.faults.lose_appends -= 1;
+        return error(StatusCode::SERVICE_UNAVAILABLE, "answer lost");
+    }
+    json(&serde_json::json!({ "offset": offset }))
+}
+
+fn read(q: ReadQuery, inner: Arc<Mutex<Inner>>) -> Response {
+    let mut inner = inner.lock();
+    if inner.faults.log_down {
+        return error(StatusCode::SERVICE_UNAVAILABLE, "log is down");
+    }
+    inner.counters.reads += 1;
+    let first = inner.log.front().map_or(inner.head, |r| r.offset);
+    let skip = q.from.saturating_sub(first) as usize;
+    let records = inner.log.iter().skip(skip).take(q.max).cloned().collect();
+    json(&ReadReply { first, head: inner.head, records })
+}
+
+async fn act_on(act: Act, inner: Arc<Mutex<Inner>>, ledger: Arc<Ledger>) -> Response {
+    {
+        let mut inner = inner.lock();
+        if inner.faults.refuse_acts > 0 {
+            inner.faults.refuse_acts -= 1;
+            return error(StatusCode::SERVICE_UNAVAILABLE, "not done");
+        }
+    }
+    let done = carry_out(&act, &inner, &ledger).await;
+    let mut inner = inner.lock();
+    if !done {
+        inner.counters.fenced += 1;
+        return error(StatusCode::CONFLICT, "token or boot is old");
+    }
+    inner.counters.acts += 1;
+    if inner.faults.lose_acts > 0 {
+        inner.faults.lose_acts -= 1;
+        return error(StatusCode::SERVICE_UNAVAILABLE, "answer lost");
+    }
+    json(&serde_json::json!({}))
+}
+
+/// Carries an act out; false if it is fenced off.
+async fn carry_out(act: &Act, inner: &Arc<Mutex<Inner>>, ledger: &Arc<Ledger>) -> bool {
+    match act {
+        Act::SetPool { host, pool, token } => {
+            on_host(inner, host, *token, |h| h.seen.pool = Some(pool.clone()))
+        }
+        Act::Drain { host, token } => on_host(inner, host, *token, |h| h.seen.draining = true),
+        Act::Undrain { host, token } => on_host(inner, host, *token, |h| h.seen.draining = false),
+        Act::Reboot { host, boot, token } => reboot(inner, host, boot, *token, ledger),
+        Act::Start { host, task, token } => start(inner, host, task, *token, ledger).await,
+        Act::Stop { host, task, token } => stop(inner, host, task, *token),
+    }
+}
+
+fn on_host(inner: &Mutex<Inner>, host: &str, token: u64, change: impl FnOnce(&mut HostSim)) -> bool {
+    let mut inner = inner.lock();
+    let Some(h) = inner.hosts.get_mut(host).filter(|h| h.seen.token <= token) else { return false };
+    h.seen.token = token;
+    change(h);
+    true
+}
+
+fn reboot(inner: &Arc<Mutex<Inner>>, host: &str, boot: &str, token: u64, ledger: &Arc<Ledger>) -> bool {
+    let same =
+        inner.lock().hosts.get(host).is_some_and(|h| h.seen.boot == boot && h.seen.state == HostState::Live);
+    if !same {
+        return false;
+    }
+    let down = |h: &mut HostSim| {
+        h.seen.state = HostState::Down;
+        h.boots += 1;
+        h.seen.boot = format!("{host}#{}", h.boots);
+        h.tasks.values_mut().for_each(|t| t.endpoint = None);
+    };
+    if !on_host(inner, host, token, down) {
+        return false;
+    }
+    inner.lock().counters.reboots += 1;
+    tokio::spawn(come_back(inner.clone(), host.to_string(), ledger.clone()));
+    true
+}
+
+async fn come_back(inner: Arc<Mutex<Inner>>, host: String, ledger: Arc<Ledger>) {
+    let time = inner.lock().faults.reboot;
+    tokio::time::sleep(time).await;
+    while inner.lock().faults.stuck.contains(&host) {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let names: Vec<String> =
+        inner.lock().hosts.get(&host).map(|h| h.tasks.keys().cloned().collect()).unwrap_or_default();
+    for name in names {
+        let Ok(e) = EndpointStandin::start(&name, SLOTS, ledger.clone()).await else { continue };
+        let mut inner = inner.lock();
+        if let Some(t) = inner.hosts.get_mut(&host).and_then(|h| h.tasks.get_mut(&name)) {
+            t.endpoint = Some(Arc::new(e));
+        }
+    }
+    if let Some(h) = inner.lock().hosts.get_mut(&host) {
+        h.seen.state = HostState::Live;
+    }
+}
+
+async fn start(inner: &Arc<Mutex<Inner>>, host: &str, task: &str, token: u64, ledger: &Arc<Ledger>) -> bool {
+    {
+        let mut inner = inner.lock();
+        let known = inner.task_tokens.get(task).copied();
+        let there = inner.hosts.get(host).and_then(|h| h.tasks.get(task)).is_some_and(|t| t.token == token);
+        if there {
+            return true;
+        }
+        if known.is_some_and(|k| k >= token) {
+            return false;
+        }
+        inner.task_tokens.insert(task.to_string(), token);
+    }
+    // A name with a number is an instance; anything else is a job.
+    let instance = task.contains('/');
+    let endpoint = match instance {
+        true => EndpointStandin::start(task, SLOTS, ledger.clone()).await.ok().map(Arc::new),
+        false => None,
+    };
+    let mut inner = inner.lock();
+    let Some(h) = inner.hosts.get_mut(host) else { return false };
+    let ended = (!instance).then_some(true);
+    h.tasks.insert(task.to_string(), TaskSim { token, endpoint, ended });
+    true
+}
+
+fn stop(inner: &Mutex<Inner>, host: &str, task: &str, token: u64) -> bool {
+    let mut inner = inner.lock();
+    let Some(h) = inner.hosts.get_mut(host) else { return false };
+    let same = h.tasks.get(task).is_some_and(|t| t.token == token);
+    if same {
+        h.tasks.remove(task);
+    }
+    same
+}
--- /dev/null
+++ b/crates/workswood-test-support/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/workswood/ops/check.rs
@@ -0,0 +1,54 @@
+//! `check`: fleet files, offline.
+
+use std::collections::BTreeMap;
+
+use snafu::ResultExt;
+use workswood_core::code::Code;
+use workswood_core::fleet::{FleetFile, Issue, check, parse};
+
+use crate::util::errors::{Error, ReadFileSnafu, Result};
+
+/// Reads and checks one file.
+pub fn read(path: &str) -> Result<FleetFile> {
+    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
+    read_text(path, &text)
+}
+
+/// Checks the text of a file.
+pub fn read_text(path: &str, text: &str) -> Result<FleetFile> {
+    let bad = |issues| Error::BadFile { path: path.to_string(), issues };
+    let file = parse(text).map_err(bad)?;
+    let issues = check(&file);
+    if issues.is_empty() { Ok(file) } else { Err(bad(issues)) }
+}
+
+/// Checks files one by one and against each other; returns all errors.
+pub fn run(paths: &[String]) -> (Vec<FleetFile>, Vec<Error>) {
+    let mut files = Vec::new();
+    let mut errors = Vec::new();
+    for path in paths {
+        match read(path) {
+            Ok(f) => files.push(f),
+            Err(e) => errors.push(e),
+        }
+    }
+    errors.extend(clashes(&files));
+    (files, errors)
+}
+
+fn clashes(files: &[FleetFile]) -> Vec<Error> {
+    let mut owner: BTreeMap<String, &str> = BTreeMap::new();
+    let mut errors = Vec::new();
+    for f in files {
+        let hosts = f.hosts.iter().map(|h| format!("host `{}`", h.name));
+        let pools = f.pools.iter().map(|p| format!("pool `{}`", p.name));
+        let services = f.services.iter().map(|s| format!("service `{}`", s.name));
+        for what in hosts.chain(pools).chain(services) {
+            let Some(other) = owner.insert(what.clone(), &f.file) else { continue };
+            let text = format!("{what} also stands in file `{other}`");
+            let issues = vec![Issue::new("file", Code::ClaimedElsewhere, text)];
+            errors.push(Error::BadFile { path: f.file.clone(), issues });
+        }
+    }
+    errors
+}
--- /dev/null
+++ b/src/workswood/ops/dev.rs
@@ -0,0 +1,299 @@
+//! `dev`: entries, a stand-in platform and stand-in endpoints in one process.
+//!
+//! Applies the files, sends one request over every route, and follows the
+//! maintenance to its end. Times in the files are shifted so that the earliest
+//! maintenance starts now; a reboot takes half a second here.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use workswood_core::fleet::FleetFile;
+use workswood_core::ids::UnixMs;
+use workswood_operators::{ApplyReply, ApplyRequest, OperatorClient, Status};
+use workswood_standin::PlatformStandin;
+
+use super::entry::Entry;
+use crate::util::errors::{CallSnafu, Error, Result};
+use crate::util::settings::{Settings, Tokens};
+
+use snafu::ResultExt;
+
+/// Longest time for everything to settle, and for maintenance to finish.
+const PATIENCE: Duration = Duration::from_secs(120);
+const LOOK: Duration = Duration::from_millis(100);
+const OPERATOR_TOKEN: &str = "dev-operator";
+const PEER_TOKEN: &str = "dev-peer";
+
+/// The file used when none is named.
+pub const DEFAULT_FILE: &str = include_str!("../../../examples/factoring.json");
+
+/// Some entries on a stand-in platform.
+pub struct Dev {
+    /// The platform.
+    pub platform: PlatformStandin,
+    /// The entries.
+    pub entries: Vec<Entry>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Settings of an entry on the loopback, with ports chosen by the system.
+pub fn loopback(name: &str, data_centre: &str, platform: &str, seeds: Vec<SocketAddr>) -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        name: name.to_string(),
+        data_centre: data_centre.to_string(),
+        callers: any,
+        operators: any,
+        peers: any,
+        platform: platform.parse().unwrap_or(any),
+        seeds,
+        operators_token_file: String::new(),
+        peers_token_file: String::new(),
+        log_level: log::LevelFilter::Info,
+        balancer_lag: Duration::from_millis(300),
+        stop_limit: Duration::from_secs(30),
+        checkpoint_every: Duration::from_secs(5),
+        appends_per_second: 90,
+    }
+}
+
+impl Dev {
+    /// Starts a platform with the hosts of files, and entries in their data
+    /// centres.
+    pub async fn start(files: &[FleetFile], entries: usize) -> Result<Dev> {
+        let started = PlatformStandin::start(files).await;
+        let platform = started.context(crate::util::errors::ListenSnafu { address: "127.0.0.1:0" })?;
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let mut dev = Dev { platform, entries: Vec::new(), client };
+        for _ in 0..entries {
+            let number = dev.entries.len();
+            let mut centres: Vec<&str> =
+                files.iter().flat_map(|f| f.hosts.iter().map(|h| h.data_centre.as_str())).collect();
+            centres.sort_unstable();
+            centres.dedup();
+            let centre = centres.get(number % centres.len().max(1)).copied().unwrap_or("local");
+            dev.add(&format!("entry-{number}"), centre).await?;
+        }
+        Ok(dev)
+    }
+
+    /// Starts one more entry.
+    pub async fn add(&mut self, name: &str, data_centre: &str) -> Result<()> {
+        let seeds = self.entries.iter().map(|e| e.node.settings.peers).collect();
+        let settings = loopback(name, data_centre, &self.platform.address, seeds);
+        self.add_with(settings).await
+    }
+
+    /// Starts one more entry with settings.
+    pub async fn add_with(&mut self, settings: Settings) -> Result<()> {
+        let tokens = Tokens { operators: OPERATOR_TOKEN.to_string(), peers: PEER_TOKEN.to_string() };
+        self.entries.push(Entry::start(settings, tokens).await?);
+        let addresses = self.entries.iter().map(|e| e.node.address()).collect();
+        self.platform.set_entries(addresses);
+        Ok(())
+    }
+
+    /// A client of an entry's listener for operators.
+    pub fn operator(&self, entry: usize) -> OperatorClient {
+        OperatorClient::new(&self.entries[entry].node.settings.operators.to_string(), OPERATOR_TOKEN)
+    }
+
+    /// Applies a file through an entry.
+    pub async fn apply(&self, entry: usize, file: &FleetFile, base: u64) -> Result<ApplyReply> {
+        let req = ApplyRequest {
+            id: uuid::Uuid::new_v4().to_string(),
+            base,
+            author: "dev".to_string(),
+            text: serde_json::to_string(file).unwrap_or_default(),
+            wait_ms: 5_000,
+        };
+        self.operator(entry).apply(&req).await.context(CallSnafu)
+    }
+
+    /// What an entry knows.
+    pub async fn status(&self, entry: usize) -> Result<Status> {
+        self.operator(entry).status().await.context(CallSnafu)
+    }
+
+    /// Sends a request of a caller to an entry.
+    pub async fn call(&self, entry: usize, req: CallerRequest) -> Result<Response<Bytes>> {
+        let address = self.entries[entry].node.settings.callers;
+        send(&self.client, address, req).await
+    }
+
+    /// A way to send requests that does not borrow this.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller { client: self.client.clone(), address: self.entries[entry].node.settings.callers }
+    }
+
+    /// Waits until a status of an entry fits.
+    pub async fn wait(&self, entry: usize, what: &str, fits: impl Fn(&Status) -> bool) -> Result<Status> {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let status = self.status(entry).await?;
+            if fits(&status) {
+                return Ok(status);
+            }
+            if Instant::now() > until {
+                let message = format!("waited in vain: {what}\n{}", crate::ops::status::text(&status));
+                return Err(Error::Broken { message });
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Waits until all entries share slots and all instances take work.
+    pub async fn settle(&self) -> Result<()> {
+        let entries = self.entries.len();
+        self.wait(0, "entries on the roster", |s| {
+            s.entries.iter().filter(|e| e.on_roster).count() == entries
+        })
+        .await?;
+        self.wait(0, "instances ready", all_ready).await?;
+        Ok(())
+    }
+}
+
+/// Whether every budget has all it asks for, and a bit more where it may.
+fn all_ready(s: &Status) -> bool {
+    let budgets = s.budgets.as_array();
+    budgets.is_some_and(|b| !b.is_empty() && b.iter().all(|b| b["slack"].as_i64().is_some_and(|n| n > 0)))
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug, Default)]
+pub struct CallerRequest {
+    /// Path with query.
+    pub path: String,
+    /// Body.
+    pub body: Bytes,
+    /// Key and last moment.
+    pub key: Option<(String, UnixMs)>,
+}
+
+impl CallerRequest {
+    /// A request without body or key.
+    pub fn to(path: &str) -> CallerRequest {
+        CallerRequest { path: path.to_string(), ..CallerRequest::default() }
+    }
+
+    /// The same with a body.
+    pub fn with_body(mut self, body: impl Into<Bytes>) -> CallerRequest {
+        self.body = body.into();
+        self
+    }
+
+    /// The same with a key.
+    pub fn with_key(mut self, key: &str, last_moment: UnixMs) -> CallerRequest {
+        self.key = Some((key.to_string(), last_moment));
+        self
+    }
+}
+
+/// Sends requests of callers to one address.
+#[derive(Clone)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+}
+
+impl Caller {
+    /// Sends a request.
+    pub async fn call(&self, req: CallerRequest) -> Result<Response<Bytes>> {
+        send(&self.client, self.address, req).await
+    }
+}
+
+async fn send(
+    client: &Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    req: CallerRequest,
+) -> Result<Response<Bytes>> {
+    let broken = |message: String| Error::Broken { message };
+    let mut builder = Request::builder().method(Method::POST).uri(format!("http://{address}{}", req.path));
+    if let Some((key, last_moment)) = &req.key {
+        builder = builder.header(workswood_callers::KEY, key);
+        builder = builder.header(workswood_callers::LAST_MOMENT, last_moment.to_string());
+    }
+    let request = builder.body(Full::new(req.body)).map_err(|e| broken(e.to_string()))?;
+    let res = client.request(request).await.map_err(|e| broken(format!("caller cut off: {e:?}")))?;
+    let (head, body) = res.into_parts();
+    let body = body.collect().await.map_err(|e| broken(format!("answer cut off: {e:?}")))?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
+
+/// Moves all times of a file so that its earliest maintenance starts at `now`.
+pub fn shift(file: &mut FleetFile, now: UnixMs) {
+    let earliest = file.maintenance.iter().map(|m| m.start).filter(|s| *s > 0).min();
+    let Some(earliest) = earliest else { return };
+    let moved = |t: UnixMs| if t == 0 { 0 } else { (t + now).saturating_sub(earliest) };
+    for m in &mut file.maintenance {
+        m.start = moved(m.start);
+        m.deadline = moved(m.deadline);
+        for w in &mut m.keep_clear {
+            w.from = moved(w.from);
+            w.to = moved(w.to);
+        }
+    }
+}
+
+/// Runs the files; prints what happens.
+pub async fn run(mut files: Vec<FleetFile>, entries: usize, keep: bool) -> Result<()> {
+    let dev = Dev::start(&files, entries).await?;
+    let now = dev.entries[0].node.wall();
+    files.iter_mut().for_each(|f| shift(f, now));
+    dev.wait(0, "the entry catches up", |s| s.ready).await?;
+    for e in &dev.entries {
+        println!("entry {} callers={}", e.node.settings.name, e.node.settings.callers);
+    }
+    for f in &files {
+        match dev.apply(0, f, 0).await? {
+            ApplyReply::Accepted { version, behind, .. } => {
+                println!("applied {} version={version} behind={}", f.file, behind.len());
+            }
+            other => return Err(Error::Broken { message: format!("{other:?}") }),
+        }
+    }
+    dev.settle().await?;
+    println!("all instances are ready");
+    for f in &files {
+        for path in f.services.iter().flat_map(|s| &s.routes).map(|r| &r.path) {
+            let key = uuid::Uuid::new_v4().simple().to_string();
+            let last_moment = dev.entries[0].node.wall() + 60_000;
+            let req = CallerRequest::to(path).with_body("hello").with_key(&key, last_moment);
+            let res = dev.call(0, req).await?;
+            let ran = res.headers().get(workswood_callers::RAN).and_then(|v| v.to_str().ok()).unwrap_or("-");
+            println!("request {path} status={} ran={ran}", res.status().as_u16());
+        }
+    }
+    follow(&dev).await?;
+    if keep {
+        println!("serving until interrupted");
+        let _ = tokio::signal::ctrl_c().await;
+    }
+    Ok(())
+}
+
+/// Follows the maintenance to its end.
+async fn follow(dev: &Dev) -> Result<()> {
+    let finished = |s: &Status| {
+        let waves = s.waves.as_array();
+        waves.is_some_and(|w| w.iter().all(|w| w["stop"]["stop"] == "finished"))
+    };
+    let started = Instant::now();
+    let status = dev.wait(0, "maintenance finishes", finished).await?;
+    println!("maintenance finished after {:.1}s of stand-in time", started.elapsed().as_secs_f64());
+    print!("{}", crate::ops::status::text(&status));
+    let cut = dev.platform.ledger.cut_off.load(std::sync::atomic::Ordering::Relaxed);
+    if status.invariants_broken > 0 || cut > 0 {
+        let message = format!("{} invariant(s) broken, {cut} request(s) cut off", status.invariants_broken);
+        return Err(Error::Broken { message });
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/workswood/ops/entry/gossip.rs
@@ -0,0 +1,200 @@
+//! Beats to peers, and answers to theirs.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::FutureExt;
+use workswood_core::member::Beat;
+use workswood_core::route::{Loan, Want};
+use workswood_peers::{
+    Beat as WireBeat, Beats, Handler, KeyAsk, KeyReply, Leaving, Lent, Link, Msg, Open, SlotAsk, SlotLoan,
+    SlotState, StateReply,
+};
+
+use super::lanes;
+use super::node::{Node, PeerView};
+
+/// Time between beats.
+const BEAT: Duration = Duration::from_millis(300);
+/// Others told of in one beat.
+const SAMPLE: usize = 8;
+/// Beats after which the platform's list is read for other entry hosts.
+const LIST_EVERY: u64 = 10;
+
+fn to_wire(b: &Beat) -> WireBeat {
+    WireBeat {
+        address: b.address.clone(),
+        id: b.id.clone(),
+        data_centre: b.data_centre.clone(),
+        number: b.number,
+        next: b.next,
+        stopping: b.stopping,
+    }
+}
+
+fn from_wire(b: WireBeat) -> Beat {
+    Beat {
+        address: b.address,
+        id: b.id,
+        data_centre: b.data_centre,
+        number: b.number,
+        next: b.next,
+        stopping: b.stopping,
+    }
+}
+
+/// Beats until the process ends.
+pub async fn run(node: Arc<Node>) {
+    let mut number = 0;
+    let mut seeds: BTreeSet<String> = node.settings.seeds.iter().map(|s| s.to_string()).collect();
+    loop {
+        if number % LIST_EVERY == 0
+            && let Ok(seen) = node.platform.hosts().await
+        {
+            seeds.extend(seen.entries);
+        }
+        number += 1;
+        beat(&node, number, &seeds);
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+fn beat(node: &Arc<Node>, number: u64, seeds: &BTreeSet<String>) {
+    let own = own_beat(node, number);
+    let (others, contacts) = {
+        let mut members = node.members.lock();
+        for m in members.tick(node.now()) {
+            log::info!("event=member id={} address={} liveness={:?}", m.beat.id, m.beat.address, m.liveness);
+        }
+        members.heard(node.now(), own.clone());
+        let contacts = members.contacts(&own.address, &own.data_centre);
+        (members.sample(number, SAMPLE), contacts)
+    };
+    let open = open_requests(node);
+    let beats = Beats { own: Some(to_wire(&own)), others: others.iter().map(to_wire).collect(), open };
+    for link in links(node, &contacts, seeds) {
+        link.send(Msg::Beats(beats.clone()));
+    }
+}
+
+fn own_beat(node: &Node, number: u64) -> Beat {
+    Beat {
+        address: node.address(),
+        id: node.id.clone(),
+        data_centre: node.settings.data_centre.clone(),
+        number,
+        next: node.state.read().next,
+        stopping: node.is(&node.stopping),
+    }
+}
+
+/// Requests open on instances whose hosts are draining.
+fn open_requests(node: &Node) -> Vec<Open> {
+    let draining: Vec<String> = {
+        let state = node.state.read();
+        let hosts = state.hosts.iter().filter(|(_, h)| h.away()).map(|(id, _)| id);
+        hosts.flat_map(|h| state.by_host.get(h).into_iter().flatten().cloned()).collect()
+    };
+    lanes::open_on(node, &draining)
+        .into_iter()
+        .map(|(instance, requests)| Open { instance, requests })
+        .collect()
+}
+
+/// Links to contacts and to seeds that nobody has answered for yet.
+fn links(node: &Arc<Node>, contacts: &[String], seeds: &BTreeSet<String>) -> Vec<Link> {
+    let known: BTreeSet<String> = node.members.lock().iter().map(|m| m.beat.address.clone()).collect();
+    let own = node.address();
+    let unknown = seeds.iter().filter(|s| **s != own && !known.contains(*s));
+    let want: BTreeSet<String> = contacts.iter().chain(unknown).cloned().collect();
+    let mut links = node.links.lock();
+    links.retain(|address, _| want.contains(address));
+    for address in want {
+        links
+            .entry(address.clone())
+            .or_insert_with(|| Link::open(address, node.tokens.peers.clone(), node.id.clone()));
+    }
+    links.values().cloned().collect()
+}
+
+/// Answers peers.
+pub fn handler(node: Arc<Node>) -> Handler {
+    Arc::new(move |msg| {
+        let node = node.clone();
+        async move { answer(&node, msg) }.boxed()
+    })
+}
+
+fn answer(node: &Arc<Node>, msg: Msg) -> Option<Msg> {
+    match msg {
+        Msg::Beats(b) => hear(node, b),
+        Msg::Head(h) => {
+            if h.offset >= node.state.read().next {
+                node.grown.notify_one();
+            }
+        }
+        Msg::SlotAsk(ask) => return Some(Msg::SlotLoan(lend(node, &ask))),
+        Msg::SlotState(s) => loans_told(node, &s),
+        Msg::StateAsk(_) => {
+            let text = if node.is(&node.ready) { node.state.read().text() } else { String::new() };
+            return Some(Msg::StateReply(StateReply { text }));
+        }
+        Msg::KeyAsk(KeyAsk { key }) => {
+            let state = node.state.read();
+            let known = state.keys.contains_key(&key) || node.claiming.lock().contains_key(&key);
+            let roster = state.roster.iter().map(|m| m.id.clone()).collect();
+            return Some(Msg::KeyReply(KeyReply { known, roster }));
+        }
+        Msg::Leaving(Leaving { instances }) => lanes::close(node, &instances),
+        Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
+    }
+    None
+}
+
+fn hear(node: &Arc<Node>, b: Beats) {
+    let (now, here) = (node.now(), node.state.read().next);
+    // The state is never locked while the members are.
+    let mut members = node.members.lock();
+    if let Some(own) = b.own {
+        let view = PeerView { open: b.open.into_iter().map(|o| (o.instance, o.requests)).collect() };
+        node.peer_views.lock().insert(own.address.clone(), view);
+        let next = own.next;
+        if members.heard(now, from_wire(own)) {
+            log::info!("event=member_news");
+        }
+        if next > here {
+            node.grown.notify_one();
+        }
+    }
+    for other in b.others {
+        if other.address != node.address() {
+            members.heard(now, from_wire(other));
+        }
+    }
+}
+
+fn lend(node: &Arc<Node>, ask: &SlotAsk) -> SlotLoan {
+    let lane = node.lanes.read().get(&ask.service).cloned();
+    let loans = lane.map(|l| l.lend(node.now(), &ask.from, Want { slots: ask.slots })).unwrap_or_default();
+    let wire = |l: &Loan| Lent { id: l.id, endpoint: l.endpoint.clone() };
+    SlotLoan { loans: loans.iter().map(wire).collect() }
+}
+
+fn loans_told(node: &Arc<Node>, s: &SlotState) {
+    let lane = node.lanes.read().get(&s.service).cloned();
+    if let Some(lane) = lane {
+        lane.loans_told(node, s);
+    }
+}
+
+/// Tells all peers that endpoints take no new work.
+pub fn tell_leaving(node: &Node, instances: Vec<String>) {
+    let msg = Msg::Leaving(Leaving { instances });
+    for link in node.links.lock().values() {
+        link.send(msg.clone());
+    }
+    node.metrics.lines_dropped.set(crate::util::logs::dropped() as i64);
+    log::info!("event=endpoint_leaving ready={}", node.ready.load(Ordering::Relaxed));
+}
--- /dev/null
+++ b/src/workswood/ops/entry/keys.rs
@@ -0,0 +1,264 @@
+//! Requests that may not be repeated.
+//!
+//! The right to run is won by the first claim of the key in the log. Only the
+//! winner sends, once. Everybody else is told what the log says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use hyper::Response;
+use workswood_callers::{KEY, RAN, refusal, whole};
+use workswood_core::code::{Code, Ran};
+use workswood_core::fold::{KeyRec, KeyState, Lookup, MAX_KEY_WINDOW, Void};
+use workswood_core::ids::{RequestKey, UnixMs};
+use workswood_core::record::{End as KeyEnd, Record};
+use workswood_peers::{KeyAsk, Msg};
+
+use super::appender::Missed;
+use super::lanes;
+use super::node::Node;
+use super::serve::{self, Call, End, Reply};
+
+/// Largest body of an answer that is kept with its key, in bytes.
+const MOST_KEPT: usize = 4 * 1024;
+/// How far the clocks of entry hosts may differ.
+pub const CLOCK_BOUND: Duration = Duration::from_secs(2);
+/// Longest wait for a peer that is asked about a key.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+const MOST_KEY: usize = 128;
+/// When a caller should ask again about a request that runs.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+/// A key as a caller gives it.
+pub struct Given {
+    /// The key.
+    pub key: RequestKey,
+    /// After this moment no copy is started.
+    pub last_moment: UnixMs,
+    /// Digest of the request.
+    pub digest: u64,
+}
+
+/// Reads the key of a request.
+pub fn given(node: &Node, call: &Call, body: &Bytes, key: Option<String>) -> Result<Given, Code> {
+    let key = key.ok_or(Code::KeyMissing)?;
+    let plain = key.bytes().all(|b| b.is_ascii_graphic());
+    if key.is_empty() || key.len() > MOST_KEY || !plain {
+        return Err(Code::KeyMalformed);
+    }
+    let last_moment = match &call.last_moment {
+        Some(t) => t.parse().map_err(|_| Code::KeyMalformed)?,
+        None => return Err(Code::KeyMissing),
+    };
+    let most = node.wall() + (MAX_KEY_WINDOW + CLOCK_BOUND).as_millis() as UnixMs;
+    if last_moment > most {
+        return Err(Code::KeyMalformed);
+    }
+    Ok(Given { key, last_moment, digest: digest(call, body) })
+}
+
+/// Digest of method, path and body.
+pub fn digest(call: &Call, body: &Bytes) -> u64 {
+    workswood_core::digest(&[call.head.method.as_str().as_bytes(), call.head.path.as_bytes(), body])
+}
+
+/// Answers a request that may not be repeated.
+pub async fn answer(node: &Arc<Node>, call: Call, body: Bytes, key: Option<String>) -> Reply {
+    let given = match given(node, &call, &body, key) {
+        Ok(g) => g,
+        // Without a readable key nothing like it can have run.
+        Err(code) => return refusal(code, Ran::NotRun, None),
+    };
+    // It goes on when the caller goes away, so that the outcome is recorded.
+    let node = node.clone();
+    let run = tokio::spawn(async move { claim_and_run(&node, call, body, given).await });
+    run.await.unwrap_or_else(|_| refusal(Code::KeyUnknownOutcome, Ran::Unknown, None))
+}
+
+/// Marks a key as being claimed here, for peers that ask.
+struct Claiming {
+    node: Arc<Node>,
+    key: RequestKey,
+}
+
+impl Claiming {
+    fn new(node: &Arc<Node>, key: &str) -> Claiming {
+        *node.claiming.lock().entry(key.to_string()).or_default() += 1;
+        Claiming { node: node.clone(), key: key.to_string() }
+    }
+}
+
+impl Drop for Claiming {
+    fn drop(&mut self) {
+        let mut claiming = self.node.claiming.lock();
+        if let Some(n) = claiming.get_mut(&self.key) {
+            *n -= 1;
+            if *n == 0 {
+                claiming.remove(&self.key);
+            }
+        }
+    }
+}
+
+async fn claim_and_run(node: &Arc<Node>, call: Call, body: Bytes, given: Given) -> Reply {
+    if let Some(reply) = known(node, &given) {
+        return reply;
+    }
+    if let Some(code) = hopeless(node, &call) {
+        return refuse(node, Some(&given.key), code, Some(Duration::from_secs(1))).await;
+    }
+    let claiming = Claiming::new(node, &given.key);
+    let record = Record::Claim {
+        key: given.key.clone(),
+        service: call.service.clone(),
+        digest: given.digest,
+        holder: Some(node.id.clone()),
+        last_moment: given.last_moment,
+        deferred: None,
+    };
+    match node.append(vec![record]).await.map(|f| f.verdicts) {
+        Ok(v) => match v.first() {
+            Some(Ok(())) => run_claimed(node, call, body, &given.key).await,
+            Some(Err(Void::KeyTaken)) => {
+                known(node, &given).unwrap_or_else(|| refusal(Code::KeyUnknownOutcome, Ran::Unknown, None))
+            }
+            Some(Err(Void::Expired)) => expired(node, &given),
+            _ => refusal(Code::LogUnavailable, Ran::NotRun, Some(Duration::from_secs(1))),
+        },
+        // This process will not send, whatever becomes of the claim. Another
+        // copy may have run all the same, which the peers can tell.
+        Err(Missed::NotSent | Missed::Unknown) => {
+            drop(claiming);
+            refuse(node, Some(&given.key), Code::LogUnavailable, Some(Duration::from_secs(1))).await
+        }
+    }
+}
+
+/// Why a claim would be of no use now.
+fn hopeless(node: &Node, call: &Call) -> Option<Code> {
+    if !node.is(&node.log_up) {
+        return Some(Code::LogUnavailable);
+    }
+    let behind = node.wall() + (CLOCK_BOUND.as_millis() as UnixMs) < node.state.read().time;
+    if behind {
+        return Some(Code::ClockSkew);
+    }
+    let lane = lanes::of(node, &call.service)?;
+    let wait = lane.wait(node.now(), call.route.class);
+    (node.now() + wait >= call.deadline).then_some(Code::WaitTooLong)
+}
+
+/// Runs a request that this process has won.
+async fn run_claimed(node: &Arc<Node>, call: Call, body: Bytes, key: &str) -> Reply {
+    let end = serve::run(node, &call, body).await;
+    let record = finish_record(node, key, &end);
+    if let End::NotSent(..) = end {
+        // The key must be free again before the caller comes back with it.
+        let _ = node.append(vec![record]).await;
+    } else {
+        let node = node.clone();
+        tokio::spawn(async move { node.append(vec![record]).await });
+    }
+    serve::finish(end)
+}
+
+/// The record of how an attempt of this process ended.
+pub fn finish_record(node: &Node, key: &str, end: &End) -> Record {
+    let end = match end {
+        End::Answered(reply, body) => {
+            let kept = body.as_ref().filter(|b| b.len() <= MOST_KEPT).map(|b| STANDARD.encode(b));
+            KeyEnd::Answered { status: reply.status().as_u16(), body: kept }
+        }
+        End::NotSent(..) => KeyEnd::NotSent,
+        End::Broke(_) => KeyEnd::Unknown,
+    };
+    Record::Finish { key: key.to_string(), holder: node.id.clone(), end }
+}
+
+/// What the log says of a key; `None` if it may be claimed.
+pub fn known(node: &Node, given: &Given) -> Option<Reply> {
+    let state = node.state.read();
+    match state.lookup(&given.key, given.last_moment) {
+        Lookup::Known(rec) if rec.digest != given.digest || rec.last_moment != given.last_moment => {
+            Some(refusal(Code::KeyConflict, Ran::Unknown, None))
+        }
+        Lookup::Known(rec) => Some(told(rec, &given.key, |id| state.roster.iter().any(|m| m.id == id))),
+        Lookup::Open => None,
+        Lookup::NeverRun => Some(refusal(Code::KeyExpired, Ran::NotRun, None)),
+        Lookup::Forgotten => Some(refusal(Code::KeyExpired, Ran::Unknown, None)),
+    }
+}
+
+fn expired(node: &Node, given: &Given) -> Reply {
+    known(node, given).unwrap_or_else(|| refusal(Code::KeyExpired, Ran::Unknown, None))
+}
+
+/// The answer to a copy of a known request.
+fn told(rec: &KeyRec, key: &str, alive: impl Fn(&str) -> bool) -> Reply {
+    match &rec.state {
+        KeyState::Done { status, body } => done(*status, body.as_deref(), key),
+        KeyState::Unknown => refusal(Code::KeyUnknownOutcome, Ran::Unknown, None),
+        KeyState::Running { holder } if rec.deferred.is_none() && !alive(holder) => {
+            refusal(Code::KeyUnknownOutcome, Ran::Unknown, None)
+        }
+        KeyState::Running { .. } | KeyState::Waiting => {
+            refusal(Code::KeyRunning, Ran::Unknown, Some(ASK_AGAIN))
+        }
+    }
+}
+
+fn done(status: u16, body: Option<&str>, key: &str) -> Reply {
+    let b = body.and_then(|b| STANDARD.decode(b).ok()).unwrap_or_default();
+    let mut res = Response::builder().status(status).header(RAN, Ran::Run.as_str()).header(KEY, key);
+    if body.is_none() {
+        res = res.header("x-workswood-body", "not-kept");
+    }
+    res.body(whole(Bytes::from(b))).unwrap_or_else(|_| refusal(Code::KeyUnknownOutcome, Ran::Run, None))
+}
+
+/// Answers the question for the outcome of a key.
+pub fn outcome(node: &Node, key: &str) -> Reply {
+    let state = node.state.read();
+    match state.keys.get(key) {
+        Some(rec) => told(rec, key, |id| state.roster.iter().any(|m| m.id == id)),
+        None => refusal(Code::KeyNotFound, Ran::Unknown, None),
+    }
+}
+
+/// Refuses a request. One with a key is told "not run" only if no copy of it
+/// can have been claimed by any process.
+pub async fn refuse(node: &Arc<Node>, key: Option<&str>, code: Code, after: Option<Duration>) -> Reply {
+    let ran = match key {
+        None => Ran::NotRun,
+        Some(key) if never_claimed(node, key).await => Ran::NotRun,
+        Some(_) => Ran::Unknown,
+    };
+    refusal(code, ran, after)
+}
+
+/// Whether every process that may claim says that it does not know the key.
+/// The roster is widened by those that the others know of.
+async fn never_claimed(node: &Arc<Node>, key: &str) -> bool {
+    let here = node.state.read().keys.contains_key(key) || node.claiming.lock().contains_key(key);
+    let mut asked: Vec<String> = vec![node.id.clone()];
+    let mut left = node.roster_peers();
+    if here || !node.is(&node.ready) {
+        return false;
+    }
+    while let Some(id) = left.pop() {
+        if asked.contains(&id) {
+            continue;
+        }
+        let Some(link) = node.link_to(&id) else { return false };
+        let ask = Msg::KeyAsk(KeyAsk { key: key.to_string() });
+        match link.call(ask, ASK_TIMEOUT).await {
+            Some(Msg::KeyReply(r)) if !r.known => left.extend(r.roster),
+            _ => return false,
+        }
+        asked.push(id);
+    }
+    true
+}
--- /dev/null
+++ b/src/workswood/ops/mod.rs
@@ -0,0 +1,9 @@
+//! One operation for each command.
+
+pub mod apply;
+pub mod check;
+pub mod dev;
+pub mod entry;
+pub mod explain;
+pub mod plan;
+pub mod status;
--- /dev/null
+++ b/src/workswood/util/mod.rs
@@ -0,0 +1,7 @@
+//! Settings, logs, metrics and errors.
+
+pub mod errors;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
+pub mod table;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,1 @@
+//! The test suite: one module for each feature.
