--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -1,11 +1,15 @@
 //! Small fakes for the test suite.
 //!
+//! * [`cut`] is a relay that can be cut.
 //! * [`files`] makes small fleet files.
 //! * [`log`] is a log in memory with readers that lag.
 //! * [`platform`] is a platform on injected time, without sockets.
 //! * [`history`] draws random histories of planners against that platform.
+//! * [`live`] starts entries over sockets.
 
+pub mod cut;
 pub mod files;
 pub mod history;
+pub mod live;
 pub mod log;
 pub mod platform;
--- /dev/null
+++ b/crates/workswood-test-support/src/live.rs
@@ -0,0 +1,167 @@
+//! Entries over sockets, on a stand-in platform.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+use workswood::ops::dev::{Caller, CallerRequest, Dev};
+use workswood_core::fleet::FleetFile;
+use workswood_core::plan::HostState;
+use workswood_operators::ApplyReply;
+use workswood_standin::PlatformStandin;
+
+/// Longest wait for anything that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Starts entries and puts a file in force.
+pub async fn fleet(file: &FleetFile, entries: usize) -> Dev {
+    let dev = Dev::start(std::slice::from_ref(file), entries).await.expect("entries start");
+    for i in 0..entries {
+        dev.wait(i, "ready", |s| s.ready).await.expect("an entry gets ready");
+    }
+    let reply = dev.apply(0, file, 0).await.expect("an answer");
+    assert!(matches!(reply, ApplyReply::Accepted { .. }), "{reply:?}");
+    dev.settle().await.expect("the fleet settles");
+    for i in 0..entries {
+        until("every entry shares slots", || {
+            let node = &dev.entries[i].node;
+            node.table.load().share.0.is_some() && node.state.read().roster.len() == entries
+        })
+        .await;
+    }
+    dev
+}
+
+/// Waits until something holds.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The `x-workswood-ran` of an answer.
+pub fn ran(res: &hyper::Response<bytes::Bytes>) -> &str {
+    res.headers().get("x-workswood-ran").and_then(|v| v.to_str().ok()).unwrap_or("-")
+}
+
+/// The numbered code of an answer; 0 for none.
+pub fn code(res: &hyper::Response<bytes::Bytes>) -> u16 {
+    let v = res.headers().get("x-workswood-code").and_then(|v| v.to_str().ok());
+    v.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+/// Callers that send without pause.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    /// Requests answered with status 200 and their own body.
+    pub good: Arc<AtomicU64>,
+    /// Requests refused as not run.
+    pub refused: Arc<AtomicU64>,
+    /// Answers that were cut, wrong or of unknown outcome, in words.
+    pub bad: Arc<std::sync::Mutex<Vec<String>>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts `n` callers on each of some entries.
+    pub fn start(callers: Vec<Caller>, n: usize, path: &str) -> Load {
+        let mut load = Load {
+            stop: Arc::default(),
+            good: Arc::default(),
+            refused: Arc::default(),
+            bad: Arc::default(),
+            tasks: Vec::new(),
+        };
+        for c in callers {
+            load.add(c, n, path);
+        }
+        load
+    }
+
+    /// Adds callers of one entry.
+    pub fn add(&mut self, caller: Caller, n: usize, path: &str) {
+        self.add_until(caller, n, path, Arc::default());
+    }
+
+    /// Adds callers of one entry that stop when told so, as when a balancer
+    /// sends them elsewhere.
+    pub fn add_until(&mut self, caller: Caller, n: usize, path: &str, gone: Arc<AtomicBool>) {
+        for i in 0..n {
+            let (stop, good, refused, bad) =
+                (self.stop.clone(), self.good.clone(), self.refused.clone(), self.bad.clone());
+            let (caller, path, gone) = (caller.clone(), path.to_string(), gone.clone());
+            self.tasks.push(tokio::spawn(async move {
+                let mut k = 0u64;
+                while !stop.load(Ordering::Relaxed) && !gone.load(Ordering::Relaxed) {
+                    k += 1;
+                    let body = format!("{path} {i} {k}");
+                    let res = caller.call(CallerRequest::to(&path).with_body(body.clone())).await;
+                    match res {
+                        Ok(r) if r.status() == 200 && r.body() == body.as_bytes() => {
+                            good.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Ok(r) if ran(&r) == "not-run" => {
+                            refused.fetch_add(1, Ordering::Relaxed);
+                        }
+                        Ok(r) => bad.lock().expect("no poison").push(format!("{r:?}")),
+                        Err(e) => bad.lock().expect("no poison").push(format!("{e:?}")),
+                    }
+                }
+            }));
+        }
+    }
+
+    /// Ends all callers and waits for their last answers.
+    pub async fn stop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for t in self.tasks.drain(..) {
+            t.await.expect("a caller ends");
+        }
+    }
+
+    /// What went wrong so far.
+    pub fn bad(&self) -> Vec<String> {
+        self.bad.lock().expect("no poison").clone()
+    }
+}
+
+/// Watches a service's availability on the platform itself.
+pub struct Watch {
+    least: Arc<AtomicU64>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Watch {
+    /// Watches until dropped.
+    pub fn start(platform: Arc<PlatformStandin>, service: &str) -> Watch {
+        let least = Arc::new(AtomicU64::new(u64::MAX));
+        let (low, prefix) = (least.clone(), format!("{service}/"));
+        let task = tokio::spawn(async move {
+            loop {
+                low.fetch_min(available(&platform, &prefix), Ordering::Relaxed);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        Watch { least, task }
+    }
+
+    /// The least that was seen.
+    pub fn least(&self) -> u64 {
+        self.least.load(Ordering::Relaxed)
+    }
+}
+
+fn available(platform: &PlatformStandin, prefix: &str) -> u64 {
+    let truth = platform.truth();
+    let takes = truth.hosts.values().filter(|h| h.state == HostState::Live && !h.draining);
+    takes.flat_map(|h| &h.tasks).filter(|t| t.ready && t.id.starts_with(prefix)).count() as u64
+}
--- a/src/workswood/ops/dev.rs
+++ b/src/workswood/ops/dev.rs
@@ -5,6 +5,7 @@
 //! maintenance starts now; a reboot takes half a second here.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -36,7 +37,7 @@
 /// Some entries on a stand-in platform.
 pub struct Dev {
     /// The platform.
-    pub platform: PlatformStandin,
+    pub platform: Arc<PlatformStandin>,
     /// The entries.
     pub entries: Vec<Entry>,
     client: Client<HttpConnector, Full<Bytes>>,
@@ -70,7 +71,7 @@
         let started = PlatformStandin::start(files).await;
         let platform = started.context(crate::util::errors::ListenSnafu { address: "127.0.0.1:0" })?;
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let mut dev = Dev { platform, entries: Vec::new(), client };
+        let mut dev = Dev { platform: Arc::new(platform), entries: Vec::new(), client };
         for _ in 0..entries {
             let number = dev.entries.len();
             let mut centres: Vec<&str> =
