Measure routing and planning; open the slot window; index the planner

Change: a window of a quarter more than the slots is leased; the planner indexes hosts by pool and services by name; the first host of a wave is one with instances.

--- a/crates/workswood-core/src/fleet/check.rs
+++ b/crates/workswood-core/src/fleet/check.rs
@@ -88,7 +88,8 @@
     pool_exists(issues, f, at, &s.pool);
     range(issues, format!("{at}.instances"), s.instances, 1, MAX_INSTANCES);
     range(issues, format!("{at}.slots"), s.slots, 1, MAX_SLOTS);
-    range(issues, format!("{at}.connections"), s.connections, s.slots, MAX_SLOTS * 8);
+    range(issues, format!("{at}.window"), s.window(), s.slots, MAX_SLOTS * 2);
+    range(issues, format!("{at}.connections"), s.connections, s.window(), MAX_SLOTS * 8);
     if s.budget.min_available >= s.instances {
         let text = format!(
             "min_available {} of {} instances leaves none for maintenance",
--- a/crates/workswood-core/src/fleet/file.rs
+++ b/crates/workswood-core/src/fleet/file.rs
@@ -95,6 +95,10 @@
     /// Requests that one instance works on at a time.
     #[serde(default = "default_slots")]
     pub slots: u32,
+    /// Requests that may be under way to one instance at a time, those on the
+    /// wire included; 0 is a quarter more than `slots`.
+    #[serde(default)]
+    pub window: u32,
     /// Connections that one instance accepts, over all entry hosts.
     #[serde(default = "default_connections")]
     pub connections: u32,
@@ -121,6 +125,16 @@
     64
 }
 
+impl Service {
+    /// Requests that may be under way to one instance at a time.
+    pub fn window(&self) -> u32 {
+        match self.window {
+            0 => self.slots + self.slots / 4,
+            n => n,
+        }
+    }
+}
+
 /// What the service must keep, counting every cause together.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Budget {
--- a/crates/workswood-core/src/fold/apply.rs
+++ b/crates/workswood-core/src/fold/apply.rs
@@ -62,6 +62,7 @@
             file: file.clone(),
         };
         self.files.insert(file.file.clone(), rec);
+        self.index_services();
         self.claim_hosts(file);
         self.drop_orphans();
         Ok(())
@@ -81,6 +82,14 @@
         None
     }
 
+    pub(super) fn index_services(&mut self) {
+        let declared = |(name, f): (&FileId, &FileRec)| {
+            let all = f.file.services.iter().enumerate();
+            all.map(|(i, s)| (s.name.clone(), (name.clone(), i))).collect::<Vec<_>>()
+        };
+        self.by_service = self.files.iter().flat_map(declared).collect();
+    }
+
     fn claim_hosts(&mut self, file: &FleetFile) {
         for h in &file.hosts {
             let rec = self.hosts.entry(h.name.clone()).or_insert_with(|| HostRec::new(&file.file, h));
@@ -99,8 +108,8 @@
     /// Forgets instances of services that are no longer in force: they are
     /// handed back as they run, not stopped.
     fn drop_orphans(&mut self) {
-        let names: std::collections::BTreeSet<String> = self.services().map(|s| s.name.clone()).collect();
-        self.instances.retain(|_, i| names.contains(&i.service));
+        let by_service = &self.by_service;
+        self.instances.retain(|_, i| by_service.contains_key(&i.service));
         self.index_instances();
         let jobs: std::collections::BTreeSet<String> = self.declared_jobs().map(|j| j.name.clone()).collect();
         self.jobs.retain(|name, _| jobs.contains(name));
--- a/crates/workswood-core/src/fold/mod.rs
+++ b/crates/workswood-core/src/fold/mod.rs
@@ -120,6 +120,9 @@
     /// Instances by host, derived from `instances`.
     #[serde(skip)]
     pub by_host: BTreeMap<HostId, Vec<InstanceId>>,
+    /// Where each service in force is declared, derived from `files`.
+    #[serde(skip)]
+    pub by_service: BTreeMap<ServiceId, (FileId, usize)>,
     /// Keys by the time they are forgotten, derived from `keys`.
     #[serde(skip)]
     pub expiries: BTreeSet<(UnixMs, RequestKey)>,
@@ -195,6 +198,7 @@
 
     /// Builds everything that is derived from other fields anew.
     fn index(&mut self) {
+        self.index_services();
         self.index_instances();
         self.index_keys();
     }
@@ -219,7 +223,8 @@
 
     /// The service of a name.
     pub fn service(&self, name: &str) -> Option<&Service> {
-        self.services().find(|s| s.name == name)
+        let (file, i) = self.by_service.get(name)?;
+        self.files.get(file)?.file.services.get(*i)
     }
 
     /// All maintenance in force.
--- a/crates/workswood-core/src/plan/index.rs
+++ b/crates/workswood-core/src/plan/index.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::fleet::Service;
-use crate::fold::{Availability, State};
+use crate::fold::{Availability, HostRec, InstanceRec, State};
 use crate::ids::{HostId, InstanceId, ServiceId};
 
 /// Availability and services by name, kept up to date by the round itself.
@@ -15,24 +15,38 @@
     pub services: BTreeMap<&'a str, &'a Service>,
     /// Availability by service, less what this round takes away.
     pub availability: BTreeMap<ServiceId, Availability>,
-    /// Instances on each host.
-    pub on_host: BTreeMap<&'a HostId, Vec<(&'a InstanceId, &'a str)>>,
+    /// Hosts of each pool; those in none are not in it.
+    pub pools: BTreeMap<&'a str, Vec<(&'a HostId, &'a HostRec)>>,
 }
 
 impl<'a> Index<'a> {
     /// Sums the state up.
     pub fn new(state: &'a State) -> Index<'a> {
         let services = state.services().map(|s| (s.name.as_str(), s)).collect();
-        let mut on_host: BTreeMap<&HostId, Vec<(&InstanceId, &str)>> = BTreeMap::new();
-        for (id, i) in &state.instances {
-            on_host.entry(&i.host).or_default().push((id, i.service.as_str()));
+        let mut pools: BTreeMap<&str, Vec<(&HostId, &HostRec)>> = BTreeMap::new();
+        for (id, h) in &state.hosts {
+            if let Some(p) = &h.pool {
+                pools.entry(p).or_default().push((id, h));
+            }
         }
-        Index { state, services, availability: state.availability(), on_host }
+        Index { state, services, availability: state.availability(), pools }
+    }
+
+    /// Hosts of a pool.
+    pub fn pool(&self, pool: &str) -> &[(&'a HostId, &'a HostRec)] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Instances on a host.
+    fn on_host(&self, host: &HostId) -> impl Iterator<Item = (&'a InstanceId, &'a InstanceRec)> {
+        let state = self.state;
+        let on = state.by_host.get(host).into_iter().flatten();
+        on.filter_map(|id| state.instances.get_key_value(id))
     }
 
     /// Names of the services with instances on a host.
     pub fn services_on(&self, host: &HostId) -> Vec<&'a str> {
-        self.on_host.get(host).into_iter().flatten().map(|(_, s)| *s).collect()
+        self.on_host(host).map(|(_, i)| i.service.as_str()).collect()
     }
 
     /// Takes a host away if every budget allows it.
@@ -64,14 +78,10 @@
         if !rec.takes_work() {
             return Some(after);
         }
-        for (id, service) in self.on_host.get(host).into_iter().flatten() {
-            let ready = self.state.instances.get(*id).is_some_and(|i| i.ready);
-            if !ready {
-                continue;
-            }
-            let s = self.services.get(service)?;
-            let a = self.availability.get(*service)?;
-            after.push((*service, a.leave(&s.budget, rec)?));
+        for (_, i) in self.on_host(host).filter(|(_, i)| i.ready) {
+            let s = self.services.get(i.service.as_str())?;
+            let a = self.availability.get(&i.service)?;
+            after.push((i.service.as_str(), a.leave(&s.budget, rec)?));
         }
         Some(after)
     }
--- a/crates/workswood-core/src/plan/measure.rs
+++ b/crates/workswood-core/src/plan/measure.rs
@@ -55,7 +55,7 @@
     let mut end = start;
     loop {
         let mut index = Index::new(&state);
-        let picked = choose(&state, &mut index, m, now);
+        let picked = choose(&mut index, m, now);
         if picked.is_empty() {
             // A span that is kept clear is waited out; anything else is final.
             let Some(w) = m.keep_clear.iter().find(|w| now + length > w.from && now < w.to) else { break };
--- a/crates/workswood-core/src/plan/place.rs
+++ b/crates/workswood-core/src/plan/place.rs
@@ -16,7 +16,7 @@
 /// Records that place missing instances and remove those that must go.
 pub(super) fn records(state: &State, seen: &Seen, index: &mut Index, now: UnixMs, term: Term) -> Vec<Record> {
     let mut all = Vec::new();
-    let mut load = loads(state);
+    let mut load: Option<BTreeMap<HostId, (u32, u32)>> = None;
     for s in state.services() {
         let have: Vec<(&InstanceId, &InstanceRec)> = state.instances_of(&s.name).collect();
         for (id, i) in &have {
@@ -24,12 +24,16 @@
                 all.push(Record::Instance { term, instance: (*id).clone(), step: InstanceStep::Remove });
             }
         }
+        if have.len() >= s.instances as usize {
+            continue;
+        }
+        let load = load.get_or_insert_with(|| loads(state));
         let missing = (0..s.instances)
             .map(|n| format!("{}/{n}", s.name))
             .filter(|id| !state.instances.contains_key(id));
         let mut spread = Spread::new(state, &have);
         for id in missing {
-            let Some(host) = spread.choose(state, seen, s, &id, &load) else { break };
+            let Some(host) = spread.choose(index, seen, s, &id, load) else { break };
             spread.add(&state.hosts[&host], &host);
             let used = load.entry(host.clone()).or_default();
             used.0 += s.cpus;
@@ -99,28 +103,27 @@
     /// the emptiest rack, data centre and host.
     fn choose(
         &self,
-        state: &State,
+        index: &Index,
         seen: &Seen,
         s: &Service,
         id: &str,
         load: &BTreeMap<HostId, (u32, u32)>,
     ) -> Option<HostId> {
         let used = |id: &HostId| load.get(id).copied().unwrap_or_default();
-        let fits = |(id, h): &(&HostId, &HostRec)| {
+        let fits = |(id, h): &&(&HostId, &HostRec)| {
             let (cpus, memory) = used(id);
             h.takes_work()
                 && !h.released
-                && h.pool.as_ref() == Some(&s.pool)
                 && cpus + s.cpus <= h.cpus
                 && memory + s.memory_gib <= h.memory_gib
-                && !self.hosts.contains(id)
+                && !self.hosts.contains(*id)
         };
-        let rank = |(host, h): &(&HostId, &HostRec)| {
+        let rank = |(host, h): &&(&HostId, &HostRec)| {
             let runs = seen.hosts.get(*host).is_some_and(|x| x.tasks.iter().any(|t| t.id == id));
             let centre = self.centres.get(&h.place.data_centre).copied().unwrap_or(0);
             let rack = self.racks.get(&h.place.rack).copied().unwrap_or(0);
             (!runs, rack, centre, used(host).0, (*host).clone())
         };
-        state.hosts.iter().filter(fits).min_by_key(rank).map(|(id, _)| id.clone())
+        index.pool(&s.pool).iter().filter(fits).min_by_key(rank).map(|(id, _)| (*id).clone())
     }
 }
--- a/crates/workswood-core/src/plan/pools.rs
+++ b/crates/workswood-core/src/plan/pools.rs
@@ -19,9 +19,13 @@
             all.push(step(term, id, rec, HostStep::Drain { reason: DrainReason::Release }));
         }
     }
+    let heading = headings(state);
     for file in state.fleet_files() {
         for pool in &file.pools {
-            let want = deficit(state, pool);
+            let want = deficit(&heading, pool);
+            if want == 0 {
+                continue;
+            }
             let free = free_hosts(state, seen, file, pool, &taken);
             for id in free.into_iter().take(want) {
                 taken.insert(id.clone(), pool.name.clone());
@@ -31,8 +35,11 @@
         }
         for pool in &file.pools {
             let got = taken.values().filter(|p| **p == pool.name).count();
-            let want = deficit(state, pool).saturating_sub(got);
-            for id in spare_hosts(state, index, file, pool, &taken).into_iter().take(want) {
+            let want = deficit(&heading, pool).saturating_sub(got);
+            if want == 0 {
+                continue;
+            }
+            for id in spare_hosts(state, index, &heading, file, pool, &taken).into_iter().take(want) {
                 if index.take(&id) {
                     taken.insert(id.clone(), pool.name.clone());
                     let reason = DrainReason::Move { to: pool.name.clone() };
@@ -60,8 +67,17 @@
     rec.up && !rec.foreign && !rec.released
 }
 
-fn deficit(state: &State, pool: &Pool) -> usize {
-    let have = state.hosts.values().filter(|r| healthy(r) && heading(r) == Some(&pool.name)).count();
+/// Healthy hosts that are in each pool or on their way to it.
+fn headings(state: &State) -> BTreeMap<&str, usize> {
+    let mut all: BTreeMap<&str, usize> = BTreeMap::new();
+    for pool in state.hosts.values().filter(|r| healthy(r)).filter_map(heading) {
+        *all.entry(pool).or_default() += 1;
+    }
+    all
+}
+
+fn deficit(heading: &BTreeMap<&str, usize>, pool: &Pool) -> usize {
+    let have = heading.get(pool.name.as_str()).copied().unwrap_or(0);
     (pool.size as usize).saturating_sub(have)
 }
 
@@ -106,6 +122,7 @@
 fn spare_hosts(
     state: &State,
     index: &Index,
+    heading: &BTreeMap<&str, usize>,
     file: &FleetFile,
     to: &Pool,
     taken: &BTreeMap<HostId, PoolId>,
@@ -115,7 +132,7 @@
     for (id, r) in state.hosts.iter().filter(|(_, r)| r.file == file.file && r.phase == Phase::Active) {
         let Some(from) = r.pool.as_deref().filter(|p| *p != to.name) else { continue };
         if healthy(r) && fits(r, to) && !taken.contains_key(id) {
-            spare.entry(from).or_insert_with(|| surplus(state, file, from));
+            spare.entry(from).or_insert_with(|| surplus(heading, file, from));
             all.push((index.services_on(id).len(), id));
         }
     }
@@ -132,8 +149,8 @@
 }
 
 /// Hosts that a pool has beyond its size; all, if it is no longer declared.
-fn surplus(state: &State, file: &FleetFile, pool: &str) -> usize {
-    let have = state.hosts.values().filter(|r| healthy(r) && heading(r).is_some_and(|p| p == pool)).count();
+fn surplus(heading: &BTreeMap<&str, usize>, file: &FleetFile, pool: &str) -> usize {
+    let have = heading.get(pool).copied().unwrap_or(0);
     let size = file.pools.iter().find(|p| p.name == pool).map_or(0, |p| p.size as usize);
     have.saturating_sub(size)
 }
--- a/crates/workswood-core/src/plan/wave.rs
+++ b/crates/workswood-core/src/plan/wave.rs
@@ -86,9 +86,9 @@
     left: Vec<(&'a HostId, &'a HostRec)>,
 }
 
-fn members<'a>(state: &'a State, m: &Maintenance) -> Members<'a> {
+fn members<'a>(index: &Index<'a>, m: &Maintenance) -> Members<'a> {
     let mut all = Members { done: 0, away: Vec::new(), left: Vec::new() };
-    for (id, rec) in state.hosts.iter().filter(|(_, r)| r.pool.as_ref() == Some(&m.pool) && !r.released) {
+    for (id, rec) in index.pool(&m.pool).iter().filter(|(_, r)| !r.released) {
         if rec.under() == Some(&m.name) {
             all.away.push((id, rec));
         } else if rec.maintained.contains(&m.name) {
@@ -104,7 +104,7 @@
 pub(super) fn records(state: &State, index: &mut Index, now: UnixMs, term: Term) -> Vec<Record> {
     let mut all = Vec::new();
     for m in state.maintenance() {
-        for id in choose(state, index, m, now) {
+        for id in choose(index, m, now) {
             let rec = &state.hosts[&id];
             let step = HostStep::Drain { reason: DrainReason::Maintain { name: m.name.clone() } };
             all.push(Record::Host { term, host: id, generation: rec.generation, step });
@@ -114,9 +114,9 @@
 }
 
 /// The hosts that leave for a maintenance now; takes them from the index.
-pub(super) fn choose(state: &State, index: &mut Index, m: &Maintenance, now: UnixMs) -> Vec<HostId> {
-    let all = members(state, m);
-    if barrier(state, m, &all, now).is_some() {
+pub(super) fn choose(index: &mut Index, m: &Maintenance, now: UnixMs) -> Vec<HostId> {
+    let all = members(index, m);
+    if barrier(index, m, &all, now).is_some() {
         return Vec::new();
     }
     let canary = all.done == 0;
@@ -127,7 +127,12 @@
     };
     let room = room.saturating_sub(all.away.len());
     let usable = |(_, r): &&(&HostId, &HostRec)| r.takes_work();
-    let left: Vec<&HostId> = all.left.iter().filter(usable).map(|(id, _)| *id).collect();
+    let mut left: Vec<&HostId> = all.left.iter().filter(usable).map(|(id, _)| *id).collect();
+    let works = |id: &&HostId| index.state.by_host.contains_key(*id);
+    if canary && left.iter().any(|id| works(id)) {
+        // A first host without instances would show nothing.
+        left.retain(works);
+    }
     pack(index, left, room)
 }
 
@@ -149,7 +154,7 @@
 }
 
 /// What keeps any further host from leaving, apart from budgets.
-fn barrier(state: &State, m: &Maintenance, all: &Members, now: UnixMs) -> Option<Stop> {
+fn barrier(index: &Index, m: &Maintenance, all: &Members, now: UnixMs) -> Option<Stop> {
     let length = m.duration.as_millis() as UnixMs;
     if all.left.is_empty() && all.away.is_empty() {
         return Some(Stop::Finished);
@@ -167,7 +172,7 @@
     if let Some((id, _)) = all.away.iter().find(overdue) {
         return Some(Stop::Unwell { host: (*id).clone() });
     }
-    if let Some(host) = unwell(state, m) {
+    if let Some(host) = unwell(index, m) {
         return Some(Stop::Unwell { host });
     }
     if all.done == 0
@@ -184,29 +189,29 @@
 
 /// A host that has been through and is down, or has instances that are not
 /// ready again.
-fn unwell(state: &State, m: &Maintenance) -> Option<HostId> {
-    let through = state.hosts.iter().filter(|(_, r)| {
-        r.pool.as_ref() == Some(&m.pool)
-            && r.maintained.contains(&m.name)
-            && r.phase == Phase::Active
-            && !r.foreign
-    });
+fn unwell(index: &Index, m: &Maintenance) -> Option<HostId> {
+    let state = index.state;
+    let through = index
+        .pool(&m.pool)
+        .iter()
+        .filter(|(_, r)| r.maintained.contains(&m.name) && r.phase == Phase::Active && !r.foreign);
     let ill = |id: &HostId, r: &HostRec| {
         let on = state.by_host.get(id).into_iter().flatten();
         let idle = on.filter_map(|i| state.instances.get(i)).any(|i| !i.ready);
         !r.up || idle
     };
-    through.into_iter().find(|(id, r)| ill(id, r)).map(|(id, _)| id.clone())
+    through.into_iter().find(|(id, r)| ill(id, r)).map(|(id, _)| (*id).clone())
 }
 
 /// Where every maintenance in force stands at a time.
 pub fn wave_status(state: &State, now: UnixMs) -> Vec<WaveStatus> {
-    state.maintenance().map(|m| status(state, m, now)).collect()
+    let index = Index::new(state);
+    state.maintenance().map(|m| status(&index, m, now)).collect()
 }
 
-fn status(state: &State, m: &Maintenance, now: UnixMs) -> WaveStatus {
-    let all = members(state, m);
-    let stop = barrier(state, m, &all, now).unwrap_or_else(|| hold(state, m, &all));
+fn status(index: &Index, m: &Maintenance, now: UnixMs) -> WaveStatus {
+    let all = members(index, m);
+    let stop = barrier(index, m, &all, now).unwrap_or_else(|| hold(index.state, m, &all));
     WaveStatus {
         name: m.name.clone(),
         done: all.done,
--- a/crates/workswood-core/src/route/dispatch.rs
+++ b/crates/workswood-core/src/route/dispatch.rs
@@ -232,7 +232,7 @@
                 health: Health::default(),
             });
             ep.open = e.open;
-            let share = member.map_or(0, |m| owned_slots(view.slots, e.number, m, members));
+            let share = member.map_or(0, |m| owned_slots(view.window, e.number, m, members));
             ep.set_share(now, share, settle);
             self.endpoints.insert(e.id.clone(), ep);
         }
--- a/crates/workswood-test-support/src/files.rs
+++ b/crates/workswood-test-support/src/files.rs
@@ -39,6 +39,7 @@
         cpus: 4,
         memory_gib: 8,
         slots: 8,
+        window: 0,
         connections: 64,
         budget: Budget { min_available, max_unavailable_per_data_centre: None, reserve_rack: false },
         routes: vec![
--- /dev/null
+++ b/src/bin/workswood/commands/bench.rs
@@ -0,0 +1,23 @@
+//! `workswood bench`
+
+use clap::builder::PossibleValuesParser;
+use clap::{Arg, ArgMatches, Command};
+use workswood::{Result, ops};
+
+/// Its command line.
+pub fn cli() -> Command {
+    let names = ops::bench::ALL.iter().map(|b| b.name);
+    let list = ops::bench::ALL.iter().map(|b| format!("  {:10} {}\n", b.name, b.about));
+    Command::new("bench")
+        .about("Run an experiment whose figures stand in docs/")
+        .arg(
+            Arg::new("name").value_name("NAME").required(true).value_parser(PossibleValuesParser::new(names)),
+        )
+        .after_help(format!("{}\nExample: workswood bench route", list.collect::<String>()))
+}
+
+/// Runs it.
+pub fn exec(args: &ArgMatches) -> Result<()> {
+    workswood::util::logs::start(log::LevelFilter::Error);
+    super::block_on(ops::bench::run(&super::text(args, "name")))
+}
--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each command.
 
 pub mod apply;
+pub mod bench;
 pub mod check;
 pub mod dev;
 pub mod entry;
@@ -31,6 +32,7 @@
         Entry { cli: status::cli, exec: status::exec },
         Entry { cli: explain::cli, exec: explain::exec },
         Entry { cli: dev::cli, exec: dev::exec },
+        Entry { cli: bench::cli, exec: bench::exec },
     ]
 }
 
--- /dev/null
+++ b/src/workswood/ops/bench/fold.rs
@@ -0,0 +1,162 @@
+//! Time of a fold, and bytes of state.
+
+use std::time::Instant;
+
+use workswood_core::fleet::{Budget, Class, FleetFile, Host, Pool, Route, Service};
+use workswood_core::fold::State;
+use workswood_core::record::{Duty, End, Envelope, FORMAT, Record, RosterMember};
+
+use super::stats::median;
+use crate::ops::plan::settled;
+
+const RUNS: usize = 5;
+
+/// A file with hosts in racks of twenty over thirty data centres, and a
+/// service of ten instances for every ten hosts of a pool.
+pub fn fleet(hosts: usize, pools: usize) -> FleetFile {
+    let host = |i: usize| Host {
+        name: format!("h{i:05}"),
+        data_centre: format!("dc{}", (i / 20) % 30),
+        rack: format!("r{:04}", i / 20),
+        cpus: 32,
+        memory_gib: 128,
+        accelerators: 0,
+    };
+    let size = |p: usize| (hosts / pools + usize::from(p < hosts % pools)) as u32;
+    let pool = |p: usize| Pool {
+        name: format!("pool{p}"),
+        size: size(p),
+        min_cpus: 0,
+        min_memory_gib: 0,
+        min_accelerators: 0,
+    };
+    let mut services = Vec::new();
+    for p in 0..pools {
+        for n in 0..(size(p) / 10).max(1) {
+            services.push(service(p, n, 10.min(size(p))));
+        }
+    }
+    FleetFile {
+        file: "bench".to_string(),
+        hosts: (0..hosts).map(host).collect(),
+        pools: (0..pools).map(pool).collect(),
+        services,
+        ..FleetFile::default()
+    }
+}
+
+fn service(pool: usize, n: u32, instances: u32) -> Service {
+    Service {
+        name: format!("svc-{pool}-{n}"),
+        pool: format!("pool{pool}"),
+        instances,
+        cpus: 4,
+        memory_gib: 8,
+        slots: 8,
+        window: 0,
+        connections: 64,
+        budget: Budget {
+            min_available: instances - 2,
+            max_unavailable_per_data_centre: None,
+            reserve_rack: false,
+        },
+        routes: vec![Route {
+            path: format!("/svc-{pool}-{n}/"),
+            class: Class::Urgent,
+            repeatable: true,
+            deadline: std::time::Duration::from_secs(2),
+        }],
+    }
+}
+
+/// Prints bytes of state by hosts and keys, and the time of folding claims.
+pub fn run() {
+    println!("hosts services state_bytes bytes_per_host text_ms");
+    for (hosts, pools) in [(50, 2), (500, 4), (5_000, 12), (24_000, 52)] {
+        let state = settled(&[fleet(hosts, pools)], 1_000_000);
+        let started = Instant::now();
+        let bytes = state.text().len();
+        let ms = started.elapsed().as_secs_f64() * 1e3;
+        println!("{hosts} {} {bytes} {} {ms:.1}", state.services().count(), bytes / hosts);
+    }
+    println!("keys claim_and_finish_ns_per_record bytes_per_key");
+    for keys in [1_000u64, 10_000, 100_000] {
+        let mut bytes = 0;
+        let times = (0..RUNS).map(|_| {
+            let (ns, b) = claims(keys);
+            bytes = b;
+            ns
+        });
+        let ns = median(times.collect());
+        println!("{keys} {ns:.0} {bytes}");
+    }
+    println!("log_records catch_up_ms (decode and fold, 10 records an envelope)");
+    for envelopes in [1_000usize, 10_000] {
+        let texts = log_texts(envelopes);
+        let times = (0..RUNS).map(|_| {
+            let started = Instant::now();
+            let mut state = State::default();
+            for (i, t) in texts.iter().enumerate() {
+                if let Ok(env) = serde_json::from_str::<Envelope>(t) {
+                    state.fold(i as u64, &env);
+                }
+            }
+            started.elapsed().as_secs_f64() * 1e3
+        });
+        println!("{} {:.1}", envelopes * 10, median(times.collect()));
+    }
+}
+
+fn with_roster() -> State {
+    let mut state = State::default();
+    let member = RosterMember { id: "me".to_string(), data_centre: "dc0".to_string() };
+    let records = vec![
+        Record::Take { duty: Duty::Planner, holder: "me".to_string(), term: 1, seen: 0 },
+        Record::Roster { term: 1, members: vec![member] },
+    ];
+    state.fold(0, &Envelope { v: FORMAT, from: "me".to_string(), seq: 1, at: 1, records });
+    state
+}
+
+fn pair(i: u64) -> [Record; 2] {
+    let key = format!("key-{i:020}");
+    let claim = Record::Claim {
+        key: key.clone(),
+        service: "svc".to_string(),
+        digest: i,
+        holder: Some("me".to_string()),
+        last_moment: 10_000_000,
+        deferred: None,
+    };
+    let end = End::Answered { status: 200, body: Some("b2s=".to_string()) };
+    [claim, Record::Finish { key, holder: "me".to_string(), end }]
+}
+
+fn claims(keys: u64) -> (f64, usize) {
+    let mut state = with_roster();
+    let empty = state.text().len();
+    let envelopes: Vec<Envelope> = (0..keys / 10)
+        .map(|e| Envelope {
+            v: FORMAT,
+            from: "me".to_string(),
+            seq: e + 2,
+            at: 1,
+            records: (0..10).flat_map(|i| pair(e * 10 + i)).collect(),
+        })
+        .collect();
+    let started = Instant::now();
+    for (i, env) in envelopes.iter().enumerate() {
+        state.fold(i as u64 + 1, env);
+    }
+    let ns = started.elapsed().as_nanos() as f64 / (keys * 2) as f64;
+    (ns, (state.text().len() - empty) / keys as usize)
+}
+
+fn log_texts(envelopes: usize) -> Vec<String> {
+    let text = |e: usize| {
+        let records = (0..5).flat_map(|i| pair((e * 5 + i) as u64)).collect();
+        let env = Envelope { v: FORMAT, from: "me".to_string(), seq: e as u64 + 1, at: 1, records };
+        serde_json::to_string(&env).unwrap_or_default()
+    };
+    (0..envelopes).map(text).collect()
+}
--- /dev/null
+++ b/src/workswood/ops/bench/live.rs
@@ -0,0 +1,207 @@
+//! Entries over sockets, in one process on the loopback.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use workswood_operators::ApplyReply;
+
+use super::stats::{Times, median};
+use crate::ops::check::read_text;
+use crate::ops::dev::{Caller, CallerRequest, DEFAULT_FILE, Dev};
+use crate::util::errors::{Error, Result};
+
+const ENTRIES: usize = 6;
+
+/// The factoring fleet, settled, without maintenance.
+async fn factoring(entries: usize) -> Result<Dev> {
+    let mut file = read_text("factoring.json", DEFAULT_FILE)?;
+    file.maintenance.clear();
+    let dev = Dev::start(std::slice::from_ref(&file), entries).await?;
+    for i in 0..entries {
+        dev.wait(i, "ready", |s| s.ready).await?;
+    }
+    accepted(dev.apply(0, &file, 0).await?)?;
+    dev.settle().await?;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    Ok(dev)
+}
+
+fn accepted(reply: ApplyReply) -> Result<()> {
+    match reply {
+        ApplyReply::Accepted { .. } => Ok(()),
+        other => Err(Error::Broken { message: format!("{other:?}") }),
+    }
+}
+
+/// Requests without pause from some callers; time of each.
+async fn without_pause(callers: Vec<Caller>, path: &str, seconds: f64) -> (Times, f64) {
+    let until = Instant::now() + Duration::from_secs_f64(seconds);
+    let tasks = callers.into_iter().map(|c| {
+        let path = path.to_string();
+        tokio::spawn(async move {
+            let mut all = Vec::new();
+            while Instant::now() < until {
+                let started = Instant::now();
+                if c.call(CallerRequest::to(&path)).await.is_ok() {
+                    all.push(started.elapsed().as_secs_f64());
+                }
+            }
+            all
+        })
+    });
+    let mut times = Times::default();
+    for t in futures::future::join_all(tasks).await.into_iter().flatten().flatten() {
+        times.add(t);
+    }
+    let rate = times.len() as f64 / seconds;
+    (times, rate)
+}
+
+/// Requests over an entry against direct ones, paired.
+pub async fn proxy() -> Result<()> {
+    let dev = factoring(1).await?;
+    let Some(endpoint) = dev.platform.endpoint("house-a/0") else {
+        return Err(Error::Broken { message: "no endpoint".to_string() });
+    };
+    let direct = dev.caller_of(endpoint.address);
+    let over = dev.caller(0);
+    println!("run direct_p50_ms direct_per_s over_entry_p50_ms over_entry_per_s added_p50_ms");
+    let mut added = Vec::new();
+    for run in 1..=5 {
+        let (d, dr) = without_pause(vec![direct.clone(); 4], "/house-a/verify?ms=0", 2.0).await;
+        let (o, or) = without_pause(vec![over.clone(); 4], "/house-a/verify?ms=0", 2.0).await;
+        added.push(o.ms(0.5) - d.ms(0.5));
+        println!("{run} {:.3} {dr:.0} {:.3} {or:.0} {:.3}", d.ms(0.5), o.ms(0.5), o.ms(0.5) - d.ms(0.5));
+    }
+    println!("median added_p50_ms {:.3}", median(added));
+    Ok(())
+}
+
+/// Keyed requests at several rates: time added by the claim, and appends.
+pub async fn commit() -> Result<()> {
+    let dev = factoring(ENTRIES).await?;
+    let before = dev.platform.counters().appends;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let rest = (dev.platform.counters().appends - before) as f64 / 5.0;
+    println!("appends_per_s at rest {rest:.1}");
+    println!(
+        "keyed_per_s plain_p50_ms keyed_p50_ms keyed_p99_ms added_p50_ms added_p99_ms appends_per_s not_ok"
+    );
+    for rate in [10.0, 100.0, 1_000.0] {
+        let plain = paced(&dev, rate, false).await?;
+        let before = dev.platform.counters().appends;
+        let started = Instant::now();
+        let keyed = paced(&dev, rate, true).await?;
+        let appends = (dev.platform.counters().appends - before) as f64 / started.elapsed().as_secs_f64();
+        println!(
+            "{rate:.0} {:.1} {:.1} {:.1} {:.1} {:.1} {appends:.1} {}",
+            plain.0.ms(0.5),
+            keyed.0.ms(0.5),
+            keyed.0.ms(0.99),
+            keyed.0.ms(0.5) - plain.0.ms(0.5),
+            keyed.0.ms(0.99) - plain.0.ms(0.99),
+            keyed.1
+        );
+    }
+    let doubled = dev.platform.ledger.doubled().len();
+    println!("keys that ran twice: {doubled}");
+    Ok(())
+}
+
+/// Requests at a rate, spread over all entries, for five seconds.
+async fn paced(dev: &Dev, rate: f64, keyed: bool) -> Result<(Times, u64)> {
+    const SECONDS: f64 = 5.0;
+    let failed = Arc::new(AtomicU64::new(0));
+    let mut tasks = Vec::new();
+    let mut tick = tokio::time::interval(Duration::from_secs_f64(1.0 / rate));
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Burst);
+    let last = dev.entries[0].node.wall() + 600_000;
+    for n in 0..(rate * SECONDS) as usize {
+        tick.tick().await;
+        let (caller, failed) = (dev.caller(n % dev.entries.len()), failed.clone());
+        tasks.push(tokio::spawn(async move {
+            let path = if keyed { "/house-a/disburse?ms=1" } else { "/house-a/verify?ms=1" };
+            let mut req = CallerRequest::to(path);
+            if keyed {
+                req = req.with_key(&uuid::Uuid::new_v4().simple().to_string(), last);
+            }
+            let started = Instant::now();
+            let res = caller.call(req).await;
+            let good = res.is_ok_and(|r| r.status() == 200);
+            failed.fetch_add(u64::from(!good), Ordering::Relaxed);
+            started.elapsed().as_secs_f64()
+        }));
+    }
+    let mut times = Times::default();
+    for t in futures::future::join_all(tasks).await.into_iter().flatten() {
+        times.add(t);
+    }
+    Ok((times, failed.load(Ordering::Relaxed)))
+}
+
+/// Time until a change is in force on six entries.
+pub async fn config() -> Result<()> {
+    const CHANGES: u64 = 200;
+    let dev = factoring(ENTRIES).await?;
+    let mut file = read_text("factoring.json", DEFAULT_FILE)?;
+    file.maintenance.clear();
+    let mut times = Times::default();
+    for n in 0..CHANGES {
+        file.objective.moves = 100 + n as u32;
+        let started = Instant::now();
+        let reply = dev.apply_within((n % 6) as usize, &file, 1 + n, Duration::ZERO).await?;
+        let ApplyReply::Accepted { offset, .. } = reply else {
+            return Err(Error::Broken { message: format!("{reply:?}") });
+        };
+        while dev.entries.iter().any(|e| e.node.state.read().next <= offset) {
+            tokio::time::sleep(Duration::from_micros(200)).await;
+        }
+        times.add(started.elapsed().as_secs_f64());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    println!("changes entries p50_ms p99_ms max_ms");
+    println!("{CHANGES} {ENTRIES} {:.1} {:.1} {:.1}", times.ms(0.5), times.ms(0.99), times.ms(1.0));
+    Ok(())
+}
+
+/// Bytes a second between entries at rest, by their number.
+pub async fn peers() -> Result<()> {
+    println!("entries data_centres links_per_entry bytes_per_s_per_entry cpu_percent_of_a_core_per_entry");
+    for entries in [6usize, 12, 24, 48, 96] {
+        let mut file = read_text("factoring.json", DEFAULT_FILE)?;
+        file.maintenance.clear();
+        file.services.truncate(1);
+        let dev = Dev::start(std::slice::from_ref(&file), entries).await?;
+        dev.wait(0, "all on the roster", |s| s.entries.iter().filter(|e| e.on_roster).count() == entries)
+            .await?;
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        let (bytes, links) = totals(&dev);
+        let cpu = cpu_seconds();
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        let used = 100.0 * (cpu_seconds() - cpu) / 10.0 / entries as f64;
+        let rate = (totals(&dev).0 - bytes) as f64 / 10.0 / entries as f64;
+        println!("{entries} 4 {:.1} {rate:.0} {used:.2}", links as f64 / entries as f64);
+    }
+    Ok(())
+}
+
+fn totals(dev: &Dev) -> (u64, usize) {
+    let mut bytes = 0;
+    let mut links = 0;
+    for e in &dev.entries {
+        let all = e.node.links.lock();
+        bytes += all.values().map(workswood_peers::Link::bytes_sent).sum::<u64>();
+        links += all.len();
+    }
+    (bytes, links)
+}
+
+/// Processor time of this process so far, in seconds.
+fn cpu_seconds() -> f64 {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<f64> = after.split_whitespace().skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
+    fields.iter().sum::<f64>() / TICKS_PER_SECOND
+}
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -1,6 +1,7 @@
 //! One operation for each command.
 
 pub mod apply;
+pub mod bench;
 pub mod check;
 pub mod dev;
 pub mod entry;
--- a/src/workswood/ops/plan.rs
+++ b/src/workswood/ops/plan.rs
@@ -16,6 +16,8 @@
 const MOST_ROUNDS: u64 = 200;
 const TERM: u64 = 1;
 const PLANNER: &str = "offline";
+/// Address that instances have in an offline plan.
+const ADDRESS: &str = "127.0.0.1:1";
 
 /// A plan of one maintenance.
 pub struct MaintenancePlan {
@@ -92,6 +94,37 @@
     Seen { hosts: hosts.collect(), entries: Vec::new() }
 }
 
+/// The list that a platform without faults would show for a state.
+pub fn listed(state: &State) -> Seen {
+    let mut seen = Seen::default();
+    for (id, h) in &state.hosts {
+        let on = state.by_host.get(id).into_iter().flatten();
+        let task = |i: &String| TaskSeen {
+            id: i.clone(),
+            address: ADDRESS.to_string(),
+            ready: true,
+            used_millis: 0,
+            ended: None,
+            token: state.instances.get(i).map_or(0, |r| r.token),
+        };
+        let host = HostSeen {
+            place: h.place.clone(),
+            cpus: h.cpus,
+            memory_gib: h.memory_gib,
+            accelerators: h.accelerators,
+            pool: h.pool.clone(),
+            state: HostState::Live,
+            draining: false,
+            drained: false,
+            boot: "1".to_string(),
+            token: h.generation,
+            tasks: on.map(task).collect(),
+        };
+        seen.hosts.insert(id.clone(), host);
+    }
+    seen
+}
+
 /// Lets the list show what was decided, as a platform without faults would.
 fn show(seen: &mut Seen, records: &[Record]) {
     for r in records {
@@ -100,7 +133,7 @@
         {
             h.tasks.push(TaskSeen {
                 id: instance.clone(),
-                address: "127.0.0.1:1".to_string(),
+                address: ADDRESS.to_string(),
                 ready: true,
                 used_millis: 0,
                 ended: None,
