--- a/crates/workswood-core/src/member.rs
+++ b/crates/workswood-core/src/member.rs
@@ -16,7 +16,9 @@
 /// Silence after which a process counts as dead.
 pub const DEAD_AFTER: Duration = Duration::from_millis(4_000);
 /// Silence after which a dead process is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_secs(120);
+/// Members beyond which silence of those without a link counts less.
+const MEMBERS_PER_DETOUR: u32 = 8;
 /// Relays of a data centre: its first processes by address.
 const RELAYS: usize = 2;
 /// Neighbours on the ring of a data centre that a process talks to.
@@ -60,6 +62,8 @@
     pub heard: Duration,
     /// How it seems.
     pub liveness: Liveness,
+    /// Whether the newest beat came from the process itself.
+    pub direct: bool,
 }
 
 /// All processes known here, by address.
@@ -69,8 +73,9 @@
 }
 
 impl Members {
-    /// Takes a beat in; true if it told of something new about who is there.
-    pub fn heard(&mut self, now: Duration, beat: Beat) -> bool {
+    /// Takes a beat in, from the process itself or told on by another; true if
+    /// it told of something new about who is there.
+    pub fn heard(&mut self, now: Duration, beat: Beat, direct: bool) -> bool {
         let old = self.all.get(&beat.address);
         let same = old.filter(|m| m.beat.id == beat.id);
         if same.is_some_and(|m| m.beat.number >= beat.number) {
@@ -78,7 +83,7 @@
         }
         // Another incarnation at the address replaces the former one.
         let news = same.is_none_or(|m| m.liveness != Liveness::Alive || m.beat.stopping != beat.stopping);
-        let rec = MemberRec { beat: beat.clone(), heard: now, liveness: Liveness::Alive };
+        let rec = MemberRec { beat: beat.clone(), heard: now, liveness: Liveness::Alive, direct };
         self.all.insert(beat.address, rec);
         news
     }
@@ -86,8 +91,11 @@
     /// Ages all members; returns those whose liveness changed.
     pub fn tick(&mut self, now: Duration) -> Vec<MemberRec> {
         let mut changed = Vec::new();
+        // News told on by others takes longer the more members there are.
+        let detours = 1 + self.all.len() as u32 / MEMBERS_PER_DETOUR;
         for m in self.all.values_mut() {
-            let liveness = aged(now.saturating_sub(m.heard));
+            let silence = now.saturating_sub(m.heard);
+            let liveness = aged(if m.direct { silence } else { silence / detours });
             if liveness != m.liveness {
                 m.liveness = liveness;
                 changed.push(m.clone());
--- a/crates/workswood-core/src/plan/wave.rs
+++ b/crates/workswood-core/src/plan/wave.rs
@@ -129,7 +129,7 @@
     let usable = |(_, r): &&(&HostId, &HostRec)| r.takes_work();
     let mut left: Vec<&HostId> = all.left.iter().filter(usable).map(|(id, _)| *id).collect();
     let works = |id: &&HostId| index.state.by_host.contains_key(*id);
-    if canary && left.iter().any(|id| works(id)) {
+    if canary && left.iter().any(works) {
         // A first host without instances would show nothing.
         left.retain(works);
     }
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -5,11 +5,13 @@
 //! * [`log`] is a log in memory with readers that lag.
 //! * [`platform`] is a platform on injected time, without sockets.
 //! * [`history`] draws random histories of planners against that platform.
+//! * [`keys`] draws random schedules of requests that may not be repeated.
 //! * [`live`] starts entries over sockets.
 
 pub mod cut;
 pub mod files;
 pub mod history;
+pub mod keys;
 pub mod live;
 pub mod log;
 pub mod platform;
--- a/src/workswood/ops/bench/plan.rs
+++ b/src/workswood/ops/bench/plan.rs
@@ -67,11 +67,10 @@
     let Some(host) = state.by_host.keys().next().cloned() else { return f64::NAN };
     let mut seen = seen.clone();
     seen.hosts.remove(&host);
-    let mut seq = 1_000_000;
     let mut now = NOW;
     let facts = Facts { confirmed: u64::MAX, ..Facts::default() };
     let mut total = 0.0;
-    for _ in 0..6 {
+    for seq in 1_000_000..1_000_006 {
         let started = Instant::now();
         let records = decide(&state, &seen, &facts, now, 1);
         total = f64::max(total, started.elapsed().as_secs_f64() * 1e3);
@@ -79,7 +78,6 @@
         if records.is_empty() {
             break;
         }
-        seq += 1;
         let env = Envelope { v: FORMAT, from: "offline".to_string(), seq, at: now, records };
         state.fold(state.next, &env);
     }
--- a/src/workswood/ops/entry/deferred.rs
+++ b/src/workswood/ops/entry/deferred.rs
@@ -12,10 +12,11 @@
 use workswood_core::fleet::Class;
 use workswood_core::fold::{KeyRec, KeyState, MAX_KEY_WINDOW, State, Void};
 use workswood_core::ids::{RequestKey, UnixMs};
+use workswood_core::keyed::{Given, Told};
 use workswood_core::record::{Deferred, End as KeyEnd, Record};
 
 use super::appender::Missed;
-use super::keys::{self, Given};
+use super::keys::{self, Claiming};
 use super::lanes::{self, Ask};
 use super::node::Node;
 use super::serve::{self, Call, Head, Reply};
@@ -52,6 +53,9 @@
         return keys::refuse(node, Some(&given.key), Code::LogUnavailable, Some(Duration::from_secs(1)))
             .await;
     }
+    let Some(claiming) = Claiming::begin(node, &given.key, call.deadline).await else {
+        return keys::tell(&Told::Running, &given.key);
+    };
     let deferred = Deferred {
         method: call.head.method.to_string(),
         path: call.head.path.clone(),
@@ -75,6 +79,7 @@
             _ => refusal(Code::LogUnavailable, Ran::NotRun, Some(Duration::from_secs(1))),
         },
         Err(Missed::NotSent) => {
+            drop(claiming);
             keys::refuse(node, Some(&given.key), Code::LogUnavailable, Some(Duration::from_secs(1))).await
         }
         // It may still come into the log and run; the key tells.
--- a/src/workswood/ops/entry/duties.rs
+++ b/src/workswood/ops/entry/duties.rs
@@ -202,6 +202,9 @@
         .collect();
     want.sort();
     let differs = want != state.roster && !want.is_empty();
+    if differs {
+        *node.proposed.lock() = want.iter().map(|m| m.id.clone()).collect();
+    }
     differs.then_some(Record::Roster { term, members: want })
 }
 
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -13,15 +13,15 @@
     SlotState, StateReply,
 };
 
-use super::lanes;
 use super::node::{Node, PeerView};
+use super::{keys, lanes};
 
 /// Time between beats.
-const BEAT: Duration = Duration::from_millis(300);
+const BEAT: Duration = Duration::from_millis(500);
 /// Others told of in one beat.
-const SAMPLE: usize = 8;
+const SAMPLE: usize = 2;
 /// Beats after which the platform's list is read for other entry hosts.
-const LIST_EVERY: u64 = 10;
+const LIST_EVERY: u64 = 6;
 
 fn to_wire(b: &Beat) -> WireBeat {
     WireBeat {
@@ -68,7 +68,7 @@
         for m in members.tick(node.now()) {
             log::info!("event=member id={} address={} liveness={:?}", m.beat.id, m.beat.address, m.liveness);
         }
-        members.heard(node.now(), own.clone());
+        members.heard(node.now(), own.clone(), true);
         let contacts = members.contacts(&own.address, &own.data_centre);
         (members.sample(number, SAMPLE), contacts)
     };
@@ -142,10 +142,8 @@
             return Some(Msg::StateReply(StateReply { text }));
         }
         Msg::KeyAsk(KeyAsk { key }) => {
-            let state = node.state.read();
-            let known = state.keys.contains_key(&key) || node.claiming.lock().contains_key(&key);
-            let roster = state.roster.iter().map(|m| m.id.clone()).collect();
-            return Some(Msg::KeyReply(KeyReply { known, roster }));
+            let r = keys::reply(node, &key);
+            return Some(Msg::KeyReply(KeyReply { known: r.known, roster: r.roster }));
         }
         Msg::Leaving(Leaving { instances }) => lanes::close(node, &instances),
         Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
@@ -162,7 +160,7 @@
         node.peer_views.lock().insert(own.address.clone(), view);
         let next = own.next;
         let id = own.id.clone();
-        if members.heard(now, from_wire(own)) {
+        if members.heard(now, from_wire(own), true) {
             log::info!("event=member id={id} liveness=alive");
         }
         if next > here {
@@ -171,7 +169,7 @@
     }
     for other in b.others {
         if other.address != node.address() {
-            members.heard(now, from_wire(other));
+            members.heard(now, from_wire(other), false);
         }
     }
 }
--- a/src/workswood/ops/entry/keys.rs
+++ b/src/workswood/ops/entry/keys.rs
@@ -12,12 +12,12 @@
 use hyper::Response;
 use workswood_callers::{KEY, RAN, refusal, whole};
 use workswood_core::code::{Code, Ran};
-use workswood_core::fold::{KeyRec, KeyState, Lookup, MAX_KEY_WINDOW, Void};
+use workswood_core::fold::{MAX_KEY_WINDOW, Void};
 use workswood_core::ids::{RequestKey, UnixMs};
+use workswood_core::keyed::{self, AfterClaim, Given, HOLD, Inquiry, Told};
 use workswood_core::record::{End as KeyEnd, Record};
 use workswood_peers::{KeyAsk, Msg};
 
-use super::appender::Missed;
 use super::lanes;
 use super::node::Node;
 use super::serve::{self, Call, End, Reply};
@@ -29,19 +29,11 @@
 /// Longest wait for a peer that is asked about a key.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 const MOST_KEY: usize = 128;
+/// When a caller should come back to a log that is down.
+const COME_BACK: Duration = Duration::from_secs(1);
 /// When a caller should ask again about a request that runs.
 const ASK_AGAIN: Duration = Duration::from_millis(500);
 
-/// A key as a caller gives it.
-pub struct Given {
-    /// The key.
-    pub key: RequestKey,
-    /// After this moment no copy is started.
-    pub last_moment: UnixMs,
-    /// Digest of the request.
-    pub digest: u64,
-}
-
 /// Reads the key of a request.
 pub fn given(node: &Node, call: &Call, body: &Bytes, key: Option<String>) -> Result<Given, Code> {
     let key = key.ok_or(Code::KeyMissing)?;
@@ -79,27 +71,29 @@
 }
 
 /// Marks a key as being claimed here, for peers that ask.
-struct Claiming {
+pub struct Claiming {
     node: Arc<Node>,
     key: RequestKey,
 }
 
 impl Claiming {
-    fn new(node: &Arc<Node>, key: &str) -> Claiming {
-        *node.claiming.lock().entry(key.to_string()).or_default() += 1;
-        Claiming { node: node.clone(), key: key.to_string() }
+    /// Begins a claim, when the key is no longer held for another's answer;
+    /// `None` if that is after the deadline.
+    pub async fn begin(node: &Arc<Node>, key: &str, deadline: Duration) -> Option<Claiming> {
+        loop {
+            let begun = node.claims.lock().begin(key, node.now());
+            match begun {
+                Ok(()) => return Some(Claiming { node: node.clone(), key: key.to_string() }),
+                Err(until) if until < deadline => tokio::time::sleep(until.saturating_sub(node.now())).await,
+                Err(_) => return None,
+            }
+        }
     }
 }
 
 impl Drop for Claiming {
     fn drop(&mut self) {
-        let mut claiming = self.node.claiming.lock();
-        if let Some(n) = claiming.get_mut(&self.key) {
-            *n -= 1;
-            if *n == 0 {
-                claiming.remove(&self.key);
-            }
-        }
+        self.node.claims.lock().end(&self.key);
     }
 }
 
@@ -108,9 +102,11 @@
         return reply;
     }
     if let Some(code) = hopeless(node, &call) {
-        return refuse(node, Some(&given.key), code, Some(Duration::from_secs(1))).await;
+        return refuse(node, Some(&given.key), code, Some(COME_BACK)).await;
     }
-    let claiming = Claiming::new(node, &given.key);
+    let Some(claiming) = Claiming::begin(node, &given.key, call.deadline).await else {
+        return tell(&Told::Running, &given.key);
+    };
     let record = Record::Claim {
         key: given.key.clone(),
         service: call.service.clone(),
@@ -119,20 +115,20 @@
         last_moment: given.last_moment,
         deferred: None,
     };
-    match node.append(vec![record]).await.map(|f| f.verdicts) {
-        Ok(v) => match v.first() {
-            Some(Ok(())) => run_claimed(node, call, body, &given.key).await,
-            Some(Err(Void::KeyTaken)) => {
-                known(node, &given).unwrap_or_else(|| refusal(Code::KeyUnknownOutcome, Ran::Unknown, None))
-            }
-            Some(Err(Void::Expired)) => expired(node, &given),
-            _ => refusal(Code::LogUnavailable, Ran::NotRun, Some(Duration::from_secs(1))),
-        },
+    let Ok(folded) = node.append(vec![record]).await else {
         // This process will not send, whatever becomes of the claim. Another
         // copy may have run all the same, which the peers can tell.
-        Err(Missed::NotSent | Missed::Unknown) => {
+        drop(claiming);
+        return refuse(node, Some(&given.key), Code::LogUnavailable, Some(COME_BACK)).await;
+    };
+    let verdict = folded.verdicts.first().cloned().unwrap_or(Err(Void::Unknown));
+    let next = keyed::after_claim(&node.state.read(), &given, &verdict);
+    match next {
+        AfterClaim::Run => run_claimed(node, call, body, &given.key).await,
+        AfterClaim::Tell(told) => tell(&told, &given.key),
+        AfterClaim::NotNow => {
             drop(claiming);
-            refuse(node, Some(&given.key), Code::LogUnavailable, Some(Duration::from_secs(1))).await
+            refuse(node, Some(&given.key), Code::LogUnavailable, Some(COME_BACK)).await
         }
     }
 }
@@ -178,35 +174,18 @@
     Record::Finish { key: key.to_string(), holder: node.id.clone(), end }
 }
 
-/// What the log says of a key; `None` if it may be claimed.
+/// What the log says of a key, as an answer; `None` if it may be claimed.
 pub fn known(node: &Node, given: &Given) -> Option<Reply> {
-    let state = node.state.read();
-    match state.lookup(&given.key, given.last_moment) {
-        Lookup::Known(rec) if rec.digest != given.digest || rec.last_moment != given.last_moment => {
-            Some(refusal(Code::KeyConflict, Ran::Unknown, None))
-        }
-        Lookup::Known(rec) => Some(told(rec, &given.key, |id| state.roster.iter().any(|m| m.id == id))),
-        Lookup::Open => None,
-        Lookup::NeverRun => Some(refusal(Code::KeyExpired, Ran::NotRun, None)),
-        Lookup::Forgotten => Some(refusal(Code::KeyExpired, Ran::Unknown, None)),
-    }
+    let told = keyed::known(&node.state.read(), given)?;
+    Some(tell(&told, &given.key))
 }
 
-fn expired(node: &Node, given: &Given) -> Reply {
-    known(node, given).unwrap_or_else(|| refusal(Code::KeyExpired, Ran::Unknown, None))
-}
-
-/// The answer to a copy of a known request.
-fn told(rec: &KeyRec, key: &str, alive: impl Fn(&str) -> bool) -> Reply {
-    match &rec.state {
-        KeyState::Done { status, body } => done(*status, body.as_deref(), key),
-        KeyState::Unknown => refusal(Code::KeyUnknownOutcome, Ran::Unknown, None),
-        KeyState::Running { holder } if rec.deferred.is_none() && !alive(holder) => {
-            refusal(Code::KeyUnknownOutcome, Ran::Unknown, None)
-        }
-        KeyState::Running { .. } | KeyState::Waiting => {
-            refusal(Code::KeyRunning, Ran::Unknown, Some(ASK_AGAIN))
-        }
+/// The answer to a copy that is not sent.
+pub fn tell(told: &Told, key: &str) -> Reply {
+    let after = matches!(told, Told::Running).then_some(ASK_AGAIN);
+    match (told, told.code()) {
+        (Told::Done { status, body }, _) => done(*status, body.as_deref(), key),
+        (_, code) => refusal(code.unwrap_or(Code::KeyUnknownOutcome), told.ran(), after),
     }
 }
 
@@ -223,7 +202,7 @@
 pub fn outcome(node: &Node, key: &str) -> Reply {
     let state = node.state.read();
     match state.keys.get(key) {
-        Some(rec) => told(rec, key, |id| state.roster.iter().any(|m| m.id == id)),
+        Some(rec) => tell(&keyed::told(&state, rec), key),
         None => refusal(Code::KeyNotFound, Ran::Unknown, None),
     }
 }
@@ -239,26 +218,32 @@
     refusal(code, ran, after)
 }
 
+/// What this process says when it is asked about a key.
+pub fn reply(node: &Node, key: &str) -> keyed::Reply {
+    let state = node.state.read();
+    // A process that has not caught up can't say that it does not know.
+    let known = state.keys.contains_key(key)
+        || !node.is(&node.ready)
+        || node.claims.lock().begun_or_hold(key, node.now());
+    let folded = state.roster.iter().map(|m| m.id.clone());
+    keyed::Reply { known, roster: folded.chain(node.proposed.lock().iter().cloned()).collect() }
+}
+
 /// Whether every process that may claim says that it does not know the key.
-/// The roster is widened by those that the others know of.
 async fn never_claimed(node: &Arc<Node>, key: &str) -> bool {
-    let here = node.state.read().keys.contains_key(key) || node.claiming.lock().contains_key(key);
-    let mut asked: Vec<String> = vec![node.id.clone()];
-    let mut left = node.roster_peers();
-    if here || !node.is(&node.ready) {
-        return false;
-    }
-    while let Some(id) = left.pop() {
-        if asked.contains(&id) {
-            continue;
-        }
-        let Some(link) = node.link_to(&id) else { return false };
+    let began = node.now();
+    let mut inquiry = Inquiry::new(&node.id, reply(node, key));
+    while let Some(id) = inquiry.ask() {
         let ask = Msg::KeyAsk(KeyAsk { key: key.to_string() });
-        match link.call(ask, ASK_TIMEOUT).await {
-            Some(Msg::KeyReply(r)) if !r.known => left.extend(r.roster),
-            _ => return false,
-        }
-        asked.push(id);
-    }
-    true
+        let answer = match node.link_to(id) {
+            Some(link) => link.call(ask, ASK_TIMEOUT).await,
+            None => None,
+        };
+        inquiry.heard(match answer {
+            Some(Msg::KeyReply(r)) => Some(keyed::Reply { known: r.known, roster: r.roster }),
+            _ => None,
+        });
+    }
+    // The others hold the key only for so long.
+    inquiry.never_claimed() && node.now() - began < HOLD / 2
 }
--- a/src/workswood/ops/entry/node.rs
+++ b/src/workswood/ops/entry/node.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use workswood_core::fold::State;
 use workswood_core::ids::{Incarnation, InstanceId, Offset, ServiceId, UnixMs};
+use workswood_core::keyed::Claims;
 use workswood_core::member::Members;
 use workswood_core::route::RouteTable;
 use workswood_endpoints::EndpointClient;
@@ -63,8 +64,10 @@
     pub pending: Mutex<BTreeMap<u64, Pending>>,
     /// Records to append.
     pub appends: mpsc::Sender<Job>,
-    /// Keys that this process has claimed or is about to.
-    pub claiming: Mutex<BTreeMap<String, u32>>,
+    /// Keys that this process is about to claim.
+    pub claims: Mutex<Claims>,
+    /// The roster that this process has proposed as planner.
+    pub proposed: Mutex<Vec<Incarnation>>,
     /// Metrics.
     pub metrics: Metrics,
     /// Whether it has caught up.
@@ -81,6 +84,15 @@
     tickets: AtomicU64,
 }
 
+/// Random digits of an incarnation: enough that no two lives of one name
+/// share them, and few bytes in each beat.
+const DIGITS: usize = 12;
+
+fn incarnation(name: &str) -> Incarnation {
+    let random = uuid::Uuid::new_v4().simple().to_string();
+    format!("{name}-{}", &random[..DIGITS])
+}
+
 impl Node {
     /// A process that has read nothing yet, and the queue of its appender.
     pub fn new(
@@ -90,7 +102,7 @@
     ) -> (Arc<Node>, mpsc::Receiver<Job>) {
         let (tx, rx) = mpsc::channel(8 * 1024);
         let node = Node {
-            id: format!("{}-{}", settings.name, uuid::Uuid::new_v4().simple()),
+            id: incarnation(&settings.name),
             settings,
             tokens,
             platform,
@@ -106,7 +118,8 @@
             lanes: RwLock::default(),
             pending: Mutex::default(),
             appends: tx,
-            claiming: Mutex::default(),
+            claims: Mutex::default(),
+            proposed: Mutex::default(),
             metrics: Metrics::default(),
             ready: AtomicBool::new(false),
             log_up: AtomicBool::new(false),
--- /dev/null
+++ b/tests/testsuite/random_keys.rs
@@ -0,0 +1,43 @@
+//! Random schedules of requests that may not be repeated.
+
+use arbtest::arbtest;
+use workswood_test_support::keys::{KeyTally, Schedule};
+
+/// Schedules in one run of the suite.
+const SCHEDULES: u64 = 10_000;
+const STEPS: usize = 80;
+
+fn run(seed: u64, schedules: u64) -> KeyTally {
+    let mut total = KeyTally::default();
+    for i in 0..schedules {
+        arbtest(|u| {
+            let mut s = Schedule::new();
+            for _ in 0..STEPS {
+                s.step(u)?;
+            }
+            assert!(s.tally.broken.is_empty(), "{:?}\n{}", s.tally.broken, s.tally.trace.join("\n"));
+            total.copies += s.tally.copies;
+            total.ran += s.tally.ran;
+            total.not_run += s.tally.not_run;
+            total.unknown += s.tally.unknown;
+            total.deaths += s.tally.deaths;
+            Ok(())
+        })
+        .seed((seed + i) << 32 | 2_048);
+    }
+    total
+}
+
+#[test]
+fn at_most_once() {
+    let t = run(1, SCHEDULES);
+    println!("{t:?}");
+    assert!(t.ran > 1_000 && t.not_run > 1_000 && t.unknown > 1_000 && t.deaths > 1_000, "{t:?}");
+}
+
+/// Run by hand for the figures in `docs/`.
+#[test]
+#[ignore = "long; run by hand"]
+fn many_schedules() {
+    println!("{:?}", run(5_000_000, 200_000));
+}
