Add the long randomised run; count the log as down after two failed reads

Cause: (1) nothing ran all faults together over sockets. (2) entry_stop:: all_replaced failed once in four full runs: a single slow answer of the log made an entry refuse keyed requests as if the log were down. Ruled out for (2): membership (no roster change in the log lines), slots. Change: 'workswood soak' draws callers, operators and faults from one seed and checks what callers were told against the endpoints' ledger; only the follower judges whether the log is down, after two failed reads in a row.

--- a/crates/workswood-standin/src/hosts.rs
+++ b/crates/workswood-standin/src/hosts.rs
@@ -26,6 +26,8 @@
     pub tasks: BTreeMap<String, TaskSim>,
     /// Counts boots.
     pub boots: u64,
+    /// Whether it is on its way through a reboot.
+    pub rebooting: bool,
 }
 
 impl HostSim {
@@ -60,7 +62,7 @@
             token: 0,
             tasks: Vec::new(),
         };
-        (h.name.clone(), HostSim { seen, tasks: BTreeMap::new(), boots: 1 })
+        (h.name.clone(), HostSim { seen, tasks: BTreeMap::new(), boots: 1, rebooting: false })
     });
     all.collect()
 }
--- a/crates/workswood-standin/src/platform.rs
+++ b/crates/workswood-standin/src/platform.rs
@@ -149,6 +149,28 @@
         }
     }
 
+    /// Fails a host with everything on it.
+    pub fn fail_host(&self, host: &str) {
+        self.change_host(host, |h| {
+            h.seen.state = HostState::Down;
+            h.tasks.values_mut().for_each(|t| t.endpoint = None);
+        });
+    }
+
+    /// Brings a failed host back with its tasks; one that is rebooting comes
+    /// back by itself.
+    pub async fn recover_host(&self, host: &str) {
+        let failed = self
+            .inner
+            .lock()
+            .hosts
+            .get(host)
+            .is_some_and(|h| h.seen.state == HostState::Down && !h.rebooting);
+        if failed {
+            bring_up(&self.inner, host, &self.ledger).await;
+        }
+    }
+
     /// Names of all hosts.
     pub fn hosts(&self) -> Vec<String> {
         self.inner.lock().hosts.keys().cloned().collect()
@@ -338,6 +360,7 @@
     let down = |h: &mut HostSim| {
         h.seen.state = HostState::Down;
         h.boots += 1;
+        h.rebooting = true;
         h.seen.boot = format!("{host}#{}", h.boots);
         h.tasks.values_mut().for_each(|t| t.endpoint = None);
     };
@@ -355,16 +378,22 @@
     while inner.lock().faults.stuck.contains(&host) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
+    bring_up(&inner, &host, &ledger).await;
+}
+
+/// Starts a host's tasks again and lets the host live.
+async fn bring_up(inner: &Mutex<Inner>, host: &str, ledger: &Arc<Ledger>) {
     let names: Vec<String> =
-        inner.lock().hosts.get(&host).map(|h| h.tasks.keys().cloned().collect()).unwrap_or_default();
-    for name in names {
+        inner.lock().hosts.get(host).map(|h| h.tasks.keys().cloned().collect()).unwrap_or_default();
+    for name in names.into_iter().filter(|n| n.contains('/')) {
         let Ok(e) = EndpointStandin::start(&name, SLOTS, ledger.clone()).await else { continue };
         let mut inner = inner.lock();
-        if let Some(t) = inner.hosts.get_mut(&host).and_then(|h| h.tasks.get_mut(&name)) {
+        if let Some(t) = inner.hosts.get_mut(host).and_then(|h| h.tasks.get_mut(&name)) {
             t.endpoint = Some(Arc::new(e));
         }
     }
-    if let Some(h) = inner.lock().hosts.get_mut(&host) {
+    if let Some(h) = inner.lock().hosts.get_mut(host) {
+        h.rebooting = false;
         h.seen.state = HostState::Live;
     }
 }
--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod explain;
 pub mod plan;
+pub mod soak;
 pub mod status;
 
 use clap::{Arg, ArgMatches, Command};
@@ -33,6 +34,7 @@
         Entry { cli: explain::cli, exec: explain::exec },
         Entry { cli: dev::cli, exec: dev::exec },
         Entry { cli: bench::cli, exec: bench::exec },
+        Entry { cli: soak::cli, exec: soak::exec },
     ]
 }
 
--- a/src/workswood/ops/entry/appender.rs
+++ b/src/workswood/ops/entry/appender.rs
@@ -6,7 +6,6 @@
 //! told so at once, and it is void for good once a later envelope is folded.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -200,7 +199,6 @@
             Ok(offset) => {
                 node.metrics.appends.inc();
                 node.metrics.records.inc_by(env.records.len() as u64);
-                node.log_up.store(true, Ordering::Release);
                 tell(node, offset);
                 sent = true;
                 if read_back(node, env.seq, READ_BACK).await {
@@ -208,9 +206,7 @@
                 }
                 break;
             }
-            Err(Error::Unreachable { .. } | Error::Refused { .. }) => {
-                node.log_up.store(false, Ordering::Release);
-            }
+            Err(Error::Unreachable { .. } | Error::Refused { .. }) => {}
             // The answer is lost, not surely the append: look, then try again.
             Err(e) => {
                 log::warn!("event=append_unanswered seq={} error={e:?}", env.seq);
@@ -219,7 +215,6 @@
                 if read_back(node, env.seq, RETRY_PAUSE).await {
                     return;
                 }
-                node.log_up.store(false, Ordering::Release);
             }
         }
         node.metrics.append_retries.inc();
--- a/src/workswood/ops/entry/follower.rs
+++ b/src/workswood/ops/entry/follower.rs
@@ -18,6 +18,9 @@
 const MOST_READ: usize = 512;
 /// How often the log is read while nobody tells of its growth.
 const POLL: Duration = Duration::from_millis(250);
+/// Failed reads in a row after which the log counts as down. One alone may be
+/// a slow answer, and refuses nothing.
+const FAILURES_TO_DOWN: u32 = 2;
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait for a peer's state.
@@ -26,8 +29,9 @@
 /// Follows the log until the process ends.
 pub async fn run(node: Arc<Node>) {
     start(&node).await;
+    let mut failures = 0;
     loop {
-        let more = step(&node).await;
+        let more = step(&node, &mut failures).await;
         if !more {
             let _ = tokio::time::timeout(POLL, node.grown.notified()).await;
         }
@@ -113,11 +117,19 @@
 }
 
 /// Reads and folds what is new; true if there may be more.
-async fn step(node: &Arc<Node>) -> bool {
+async fn step(node: &Arc<Node>, failures: &mut u32) -> bool {
     let from = node.state.read().next;
     let read = match node.platform.read(from, MOST_READ).await {
-        Ok(r) => r,
+        Ok(r) => {
+            *failures = 0;
+            r
+        }
         Err(e) => {
+            *failures += 1;
+            if *failures < FAILURES_TO_DOWN {
+                tokio::time::sleep(PAUSE).await;
+                return true;
+            }
             if node.log_up.swap(false, Ordering::AcqRel) {
                 log::warn!("event=log_down error={e:?}");
             }
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -7,4 +7,5 @@
 pub mod entry;
 pub mod explain;
 pub mod plan;
+pub mod soak;
 pub mod status;
--- /dev/null
+++ b/src/workswood/ops/soak.rs
@@ -0,0 +1,483 @@
+//! `soak`: a long randomised run of six entries on a stand-in platform.
+//!
+//! Callers, operators and faults are drawn from one seed. What was told to
+//! callers is checked against the ledger that the stand-in endpoints keep; the
+//! program's own invariants are read at the end. Timing is that of the machine,
+//! so two runs of one seed draw the same choices but may interleave otherwise.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use workswood_core::fleet::{Class, FleetFile, Maintenance};
+use workswood_core::invariant;
+use workswood_core::plan::HostState;
+use workswood_operators::ApplyReply;
+use workswood_standin::{Behaviour, PlatformStandin};
+
+use super::dev::{Caller, CallerRequest, Dev};
+use super::entry::Entry;
+use crate::util::errors::{Error, Result};
+
+const ENTRIES: usize = 6;
+/// Callers of each kind.
+const CALLERS: u64 = 8;
+/// Longest time for everything to settle after the last fault.
+const HEAL: Duration = Duration::from_secs(180);
+/// Time between a planned stop's first sign and its callers going elsewhere.
+const BALANCER: Duration = Duration::from_millis(100);
+/// How long keys may be used.
+const KEY_MS: u64 = 30_000;
+
+/// How a run is made.
+pub struct SoakOptions {
+    /// How long faults go on.
+    pub time: Duration,
+    /// Seed of all choices.
+    pub seed: u64,
+}
+
+/// What a run did and found.
+#[derive(Default)]
+struct Tally {
+    counts: Mutex<BTreeMap<&'static str, u64>>,
+    violations: Mutex<Vec<String>>,
+    accepted: Mutex<Vec<(String, bool)>>,
+}
+
+impl Tally {
+    fn count(&self, what: &'static str) {
+        *self.counts.lock().entry(what).or_default() += 1;
+    }
+
+    fn violation(&self, text: String) {
+        log::error!("event=violation text={text:?}");
+        self.violations.lock().push(text);
+    }
+}
+
+/// What callers see of the entries: those that the balancer sends them to.
+#[derive(Default)]
+struct Balancer {
+    ready: Mutex<Vec<(u64, Caller)>>,
+    killed: Mutex<Vec<u64>>,
+    next: AtomicU64,
+}
+
+impl Balancer {
+    fn add(&self, caller: Caller) -> u64 {
+        let id = self.next.fetch_add(1, Ordering::Relaxed);
+        self.ready.lock().push((id, caller));
+        id
+    }
+
+    fn remove(&self, id: u64) {
+        self.ready.lock().retain(|(i, _)| *i != id);
+    }
+
+    fn pick(&self, rng: &mut StdRng) -> Option<(u64, Caller)> {
+        self.ready.lock().choose(rng).cloned()
+    }
+
+    fn was_killed(&self, id: u64) -> bool {
+        self.killed.lock().contains(&id)
+    }
+}
+
+struct Soak {
+    platform: Arc<PlatformStandin>,
+    tally: Arc<Tally>,
+    balancer: Arc<Balancer>,
+    stop: Arc<AtomicBool>,
+    routes: Vec<(String, Class, bool)>,
+}
+
+/// Runs a soak on a file; fails if anything was broken.
+pub async fn run(mut file: FleetFile, opts: &SoakOptions) -> Result<()> {
+    let declared = std::mem::take(&mut file.maintenance);
+    let mut dev = Dev::start(std::slice::from_ref(&file), ENTRIES).await?;
+    for i in 0..ENTRIES {
+        dev.wait(i, "ready", |s| s.ready).await?;
+    }
+    dev.apply(0, &file, 0).await?;
+    dev.settle().await?;
+    let soak = Soak::new(&dev, &file);
+    let mut ids: Vec<u64> = (0..ENTRIES).map(|i| soak.balancer.add(dev.caller(i))).collect();
+    let callers = soak.callers(opts.seed);
+    let mut rng = StdRng::seed_from_u64(opts.seed);
+    let started = Instant::now();
+    let mut round = 0;
+    while started.elapsed() < opts.time {
+        round += 1;
+        soak.fault(&mut dev, &mut ids, &mut rng).await?;
+        if round % 2 == 0 {
+            soak.operate(&dev, &mut file, &declared, &mut rng).await?;
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
+        if round % 50 == 0 {
+            println!("t={:.0}s {}", started.elapsed().as_secs_f64(), soak.line());
+        }
+    }
+    soak.stop.store(true, Ordering::Relaxed);
+    futures::future::join_all(callers).await;
+    soak.heal(&dev).await?;
+    soak.judge(&dev).await
+}
+
+impl Soak {
+    fn new(dev: &Dev, file: &FleetFile) -> Soak {
+        let routes = file.services.iter().flat_map(|s| &s.routes);
+        Soak {
+            platform: dev.platform.clone(),
+            tally: Arc::default(),
+            balancer: Arc::default(),
+            stop: Arc::default(),
+            routes: routes.map(|r| (r.path.clone(), r.class, r.repeatable)).collect(),
+        }
+    }
+
+    fn line(&self) -> String {
+        let counts = self.tally.counts.lock();
+        let parts: Vec<String> = counts.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        format!("{} violations={}", parts.join(" "), self.tally.violations.lock().len())
+    }
+
+    fn callers(&self, seed: u64) -> Vec<tokio::task::JoinHandle<()>> {
+        let one = |n: u64| {
+            let c = OneCaller {
+                platform: self.platform.clone(),
+                tally: self.tally.clone(),
+                balancer: self.balancer.clone(),
+                routes: self.routes.clone(),
+                rng: StdRng::seed_from_u64(seed.wrapping_mul(1_000) + n),
+                number: n,
+            };
+            tokio::spawn(c.run(self.stop.clone()))
+        };
+        (1..=CALLERS).map(one).collect()
+    }
+
+    /// One fault, drawn at random.
+    async fn fault(&self, dev: &mut Dev, ids: &mut Vec<u64>, rng: &mut StdRng) -> Result<()> {
+        let kind = rng.random_range(0..14);
+        let name = match kind {
+            0 => self.set("lost_appends", |f| f.lose_appends = 3),
+            1 => self.set("doubled_appends", |f| f.double_appends = 3),
+            2 => self.outage(Duration::from_millis(rng.random_range(300..6_000))),
+            3 => self.set("slow_log", |f| f.append_delay = Duration::from_millis(150)),
+            4 => self.set("log_well", |f| f.append_delay = Duration::from_millis(2)),
+            5 => self.set("lost_acts", |f| f.lose_acts = 5),
+            6 => self.set("refused_acts", |f| f.refuse_acts = 5),
+            7 => self.set("lagging_list", |f| f.list_lag = Duration::from_millis(1_500)),
+            8 => self.set("fresh_list", |f| f.list_lag = Duration::from_millis(100)),
+            9 => self.fail_hosts(rng, false),
+            10 => self.fail_hosts(rng, true),
+            11 => self.bad_endpoint(rng),
+            12 => {
+                self.kill(dev, ids, rng).await?;
+                "entry_killed"
+            }
+            _ => {
+                self.replace(dev, ids, rng).await?;
+                "entry_replaced"
+            }
+        };
+        self.tally.count(name);
+        Ok(())
+    }
+
+    fn set(&self, name: &'static str, change: impl FnOnce(&mut workswood_standin::Faults)) -> &'static str {
+        self.platform.faults(change);
+        name
+    }
+
+    fn outage(&self, time: Duration) -> &'static str {
+        self.platform.faults(|f| f.log_down = true);
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            platform.faults(|f| f.log_down = false);
+        });
+        "log_outage"
+    }
+
+    /// Fails a host, or all hosts of its rack, for some seconds.
+    fn fail_hosts(&self, rng: &mut StdRng, rack: bool) -> &'static str {
+        let truth = self.platform.truth();
+        let names: Vec<&String> = truth.hosts.keys().collect();
+        let Some(first) = names.choose(rng).copied() else { return "host_failed" };
+        let place = &truth.hosts[first].place.rack;
+        let failed =
+            names.into_iter().filter(|n| *n == first || (rack && truth.hosts[*n].place.rack == *place));
+        let failed: Vec<String> = failed.cloned().collect();
+        for name in &failed {
+            self.platform.fail_host(name);
+        }
+        let (platform, time) = (self.platform.clone(), Duration::from_millis(rng.random_range(500..8_000)));
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            for name in failed {
+                platform.recover_host(&name).await;
+            }
+        });
+        if rack { "rack_failed" } else { "host_failed" }
+    }
+
+    fn bad_endpoint(&self, rng: &mut StdRng) -> &'static str {
+        let truth = self.platform.truth();
+        let tasks = truth.hosts.values().filter(|h| h.state == HostState::Live).flat_map(|h| &h.tasks);
+        let ids: Vec<&String> = tasks.map(|t| &t.id).collect();
+        let Some(e) = ids.choose(rng).and_then(|id| self.platform.endpoint(id)) else {
+            return "endpoint_bad";
+        };
+        let all = [
+            Behaviour::FailsAll,
+            Behaviour::Frozen,
+            Behaviour::Slow(10),
+            Behaviour::CutsBody,
+            Behaviour::Resets,
+        ];
+        e.behave(*all.choose(rng).unwrap_or(&Behaviour::FailsAll));
+        let time = Duration::from_millis(rng.random_range(500..5_000));
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            e.behave(Behaviour::Well);
+        });
+        "endpoint_bad"
+    }
+
+    async fn kill(&self, dev: &mut Dev, ids: &mut Vec<u64>, rng: &mut StdRng) -> Result<()> {
+        let i = rng.random_range(0..dev.entries.len());
+        let id = ids.remove(i);
+        self.balancer.killed.lock().push(id);
+        self.balancer.remove(id);
+        let dead = dev.entries.remove(i);
+        dead.kill();
+        self.start_another(dev, ids, rng).await
+    }
+
+    /// A planned stop, with a replacement that starts beside it.
+    async fn replace(&self, dev: &mut Dev, ids: &mut Vec<u64>, rng: &mut StdRng) -> Result<()> {
+        let i = rng.random_range(0..dev.entries.len());
+        let (id, old) = (ids.remove(i), dev.entries.remove(i));
+        let (balancer, node) = (self.balancer.clone(), old.node.clone());
+        let stop: tokio::task::JoinHandle<()> = tokio::spawn(Entry::stop(old));
+        tokio::spawn(async move {
+            while !node.is(&node.leaving) {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            tokio::time::sleep(BALANCER).await;
+            balancer.remove(id);
+            let _ = stop.await;
+        });
+        self.start_another(dev, ids, rng).await
+    }
+
+    async fn start_another(&self, dev: &mut Dev, ids: &mut Vec<u64>, rng: &mut StdRng) -> Result<()> {
+        let name = format!("entry-{}", rng.random_range(100..1_000_000));
+        let place = dev.entries.first().map(|e| e.node.settings.data_centre.clone()).unwrap_or_default();
+        dev.add(&name, &place).await?;
+        let node = dev.entries[dev.entries.len() - 1].node.clone();
+        let caller = dev.caller(dev.entries.len() - 1);
+        ids.push(self.balancer.next.fetch_add(1, Ordering::Relaxed));
+        let (balancer, id) = (self.balancer.clone(), ids[ids.len() - 1]);
+        // The balancer sends callers when it says that it is ready.
+        tokio::spawn(async move {
+            while !node.is(&node.ready) {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            balancer.ready.lock().push((id, caller));
+        });
+        Ok(())
+    }
+
+    /// Operators race on one base; now and then they plan new maintenance.
+    async fn operate(
+        &self,
+        dev: &Dev,
+        file: &mut FleetFile,
+        declared: &[Maintenance],
+        rng: &mut StdRng,
+    ) -> Result<()> {
+        let node = &dev.entries[0].node;
+        let Some((base, mut now)) =
+            node.state.read().files.get(&file.file).map(|f| (f.version, f.file.clone()))
+        else {
+            return Ok(());
+        };
+        if rng.random_ratio(1, 12) {
+            let named = |m: &Maintenance| Maintenance {
+                name: format!("{}-{base}", m.name),
+                start: 0,
+                deadline: 0,
+                keep_clear: Vec::new(),
+                ..m.clone()
+            };
+            now.maintenance = declared.iter().map(named).collect();
+            self.tally.count("maintenance_planned");
+        }
+        now.objective.moves = 1_000 + base as u32;
+        let mut other = now.clone();
+        other.objective.moves += 500_000;
+        let b = dev.entries.len() - 1;
+        let both = futures::future::join(
+            dev.apply_within(0, &now, base, Duration::ZERO),
+            dev.apply_within(b, &other, base, Duration::ZERO),
+        );
+        let (x, y) = both.await;
+        let won = |r: &Result<ApplyReply>| matches!(r, Ok(ApplyReply::Accepted { version, .. }) if *version == base + 1);
+        let wins = usize::from(won(&x)) + usize::from(won(&y));
+        self.tally.count("operator_races");
+        if wins > 1 {
+            self.tally.violation(format!("two changes won on base {base}: {x:?} {y:?}"));
+        }
+        *file = now;
+        Ok(())
+    }
+
+    async fn heal(&self, dev: &Dev) -> Result<()> {
+        self.platform.faults(|f| *f = workswood_standin::Faults::default());
+        for name in self.platform.hosts() {
+            self.platform.recover_host(&name).await;
+        }
+        let until = Instant::now() + HEAL;
+        loop {
+            let s = dev.status(0).await?;
+            let waves = s.waves.as_array().is_some_and(|w| w.iter().all(|w| w["stop"]["stop"] == "finished"));
+            let budgets =
+                s.budgets.as_array().is_some_and(|b| b.iter().all(|b| b["slack"].as_i64() >= Some(0)));
+            if waves && budgets && s.open_deferred == 0 && s.hosts.iter().all(|p| p.away.is_empty()) {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                self.tally.violation(format!("did not settle:\n{}", super::status::text(&s)));
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    async fn judge(&self, dev: &Dev) -> Result<()> {
+        for key in self.platform.ledger.doubled() {
+            // Keys of repeatable requests begin with another letter.
+            if key.starts_with('o') {
+                self.tally.violation(format!("{key} ran twice"));
+            }
+        }
+        let accepted = self.tally.accepted.lock().clone();
+        for (key, repeatable) in &accepted {
+            let res = dev.call(0, CallerRequest::to(&format!("/workswood/outcome/{key}"))).await?;
+            let ran =
+                res.headers().get("x-workswood-ran").and_then(|v| v.to_str().ok()).unwrap_or("-").to_string();
+            let lost =
+                if *repeatable { ran != "run" } else { self.platform.ledger.runs(key) == 0 && ran == "run" };
+            if lost {
+                self.tally.violation(format!("deferred {key} was lost: {ran}"));
+            }
+        }
+        let broken = invariant::total();
+        if broken > 0 {
+            self.tally.violation(format!("{broken} invariant(s) broken, first: {:?}", invariant::first()));
+        }
+        let c = self.platform.counters();
+        println!(
+            "end {} accepted_deferred={} appends={} acts={} fenced={} reboots={} most_connections={} over_slots={}",
+            self.line(),
+            accepted.len(),
+            c.appends,
+            c.acts,
+            c.fenced,
+            c.reboots,
+            self.platform.ledger.most_connections.load(Ordering::Relaxed),
+            self.platform.ledger.over_slots.load(Ordering::Relaxed)
+        );
+        let violations = self.tally.violations.lock().clone();
+        match violations.first() {
+            None => Ok(()),
+            Some(first) => {
+                Err(Error::Broken { message: format!("{} violation(s), first: {first}", violations.len()) })
+            }
+        }
+    }
+}
+
+/// One caller.
+struct OneCaller {
+    platform: Arc<PlatformStandin>,
+    tally: Arc<Tally>,
+    balancer: Arc<Balancer>,
+    routes: Vec<(String, Class, bool)>,
+    rng: StdRng,
+    number: u64,
+}
+
+impl OneCaller {
+    async fn run(mut self, stop: Arc<AtomicBool>) {
+        let mut n = 0;
+        while !stop.load(Ordering::Relaxed) {
+            n += 1;
+            let Some((path, class, repeatable)) = self.routes.choose(&mut self.rng).cloned() else { return };
+            let key = format!("{}{}-{n}", if repeatable { 'r' } else { 'o' }, self.number);
+            let copies = if repeatable { 1 } else { self.rng.random_range(1..=3) };
+            let last = now_ms() + KEY_MS;
+            let body = Bytes::from(format!("{key} {}", "x".repeat(self.rng.random_range(0..2_000))));
+            let path = format!("{path}?ms={}", self.rng.random_range(0..15));
+            for copy in 0..copies {
+                let req = CallerRequest::to(&path).with_body(body.clone());
+                let req = if class == Class::Later || !repeatable { req.with_key(&key, last) } else { req };
+                self.one(req, &key, class, repeatable, &body).await;
+                if copy + 1 < copies {
+                    tokio::time::sleep(Duration::from_millis(self.rng.random_range(0..200))).await;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(self.rng.random_range(1..20))).await;
+        }
+    }
+
+    async fn one(&mut self, req: CallerRequest, key: &str, class: Class, repeatable: bool, body: &Bytes) {
+        let Some((id, caller)) = self.balancer.pick(&mut self.rng) else { return };
+        self.tally.count("requests");
+        let res = match caller.call(req).await {
+            Ok(r) => r,
+            Err(e) => {
+                if self.balancer.was_killed(id) {
+                    return self.tally.count("cut_by_kill");
+                }
+                return self.tally.violation(format!("cut off without a kill: {key} {e:?}"));
+            }
+        };
+        let ran = res.headers().get("x-workswood-ran").and_then(|v| v.to_str().ok()).unwrap_or("-");
+        match ran {
+            "run" if res.status() == 200 && res.body() != body => {
+                let kept = !res.headers().contains_key("x-workswood-body");
+                if kept {
+                    self.tally.violation(format!("{key} got another answer"));
+                }
+            }
+            "run" if res.status() == 200 => self.tally.count("run"),
+            "run" => self.tally.count("run_and_failed"),
+            "accepted" => {
+                self.tally.count("accepted");
+                self.tally.accepted.lock().push((key.to_string(), repeatable));
+            }
+            "not-run" => {
+                self.tally.count("not_run");
+                if !repeatable && self.platform.ledger.runs(key) > 0 {
+                    self.tally.violation(format!("{key} was told not run, and ran ({class:?})"));
+                }
+            }
+            _ => self.tally.count("unknown"),
+        }
+    }
+}
+
+fn now_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- a/src/workswood/util/logs.rs
+++ b/src/workswood/util/logs.rs
@@ -59,7 +59,7 @@
         .level(level)
         .level_for("hyper", LevelFilter::Warn)
         .level_for("hyper_util", LevelFilter::Warn)
-        .level_for("warp", LevelFilter::Warn)
+        .level_for("warp", LevelFilter::Off)
         .format(|out, message, record| {
             let at = humantime::format_rfc3339_millis(SystemTime::now());
             out.finish(format_args!(
