--- a/crates/workswood-core/src/fold/jobs.rs
+++ b/crates/workswood-core/src/fold/jobs.rs
@@ -60,7 +60,10 @@
                 rec.token = offset;
                 rec.phase = JobPhase::Running { host: host.clone() };
             }
-            (JobStep::Preempt, JobPhase::Running { .. }) if repeatable => rec.phase = JobPhase::Waiting,
+            (JobStep::Preempt | JobStep::Lost, JobPhase::Running { .. }) if repeatable => {
+                rec.phase = JobPhase::Waiting;
+            }
+            (JobStep::Lost, JobPhase::Running { .. }) => rec.phase = JobPhase::Failed,
             (JobStep::End { ok: true }, JobPhase::Running { .. }) => rec.phase = JobPhase::Done,
             (JobStep::End { ok: false }, JobPhase::Running { .. }) => {
                 rec.failures += 1;
--- a/crates/workswood-core/src/plan/jobs.rs
+++ b/crates/workswood-core/src/plan/jobs.rs
@@ -47,19 +47,19 @@
     let end = |(id, r, host): (&JobId, &JobRec, &HostId)| {
         let on = seen.hosts.get(host);
         let task = on.and_then(|h| h.tasks.iter().find(|t| t.id == *id && t.token == r.token));
-        let ok = match task {
-            Some(t) => t.ended?,
-            // The host that should run it is gone: the run may have happened.
-            None if now.saturating_sub(r.since) > LOST_AFTER_MS && lost(state, host) => false,
-            None => return None,
-        };
-        Some((id.clone(), JobStep::End { ok }))
+        if let Some(ok) = task.and_then(|t| t.ended) {
+            return Some((id.clone(), JobStep::End { ok }));
+        }
+        // What the list shows on a host that is gone is old.
+        lost(state, host, r, now).then(|| (id.clone(), JobStep::Lost))
     };
     running.filter_map(end).collect()
 }
 
-fn lost(state: &State, host: &HostId) -> bool {
-    state.hosts.get(host).is_none_or(|h| !h.up)
+/// Whether a running job's host has been gone for too long.
+fn lost(state: &State, host: &HostId, r: &JobRec, now: UnixMs) -> bool {
+    let gone = state.hosts.get(host).map_or(Some(r.since), |h| (!h.up).then_some(h.since.max(r.since)));
+    gone.is_some_and(|since| now.saturating_sub(since) > LOST_AFTER_MS)
 }
 
 /// Room on hosts and in quotas, kept up to date by the round.
--- a/crates/workswood-core/src/plan/mod.rs
+++ b/crates/workswood-core/src/plan/mod.rs
@@ -51,8 +51,12 @@
     let mut index = Index::new(state);
     records.extend(pools::records(state, seen, &mut index, term));
     records.extend(place::records(state, seen, &mut index, now, term));
+    // Jobs count the room that is left when placements are in the log.
+    let settled = records.is_empty();
     records.extend(observe::progress(state, seen, facts, term));
     records.extend(wave::records(state, &mut index, now, term));
-    records.extend(jobs::records(state, seen, now, term));
+    if settled {
+        records.extend(jobs::records(state, seen, now, term));
+    }
     records
 }
--- a/crates/workswood-core/src/record.rs
+++ b/crates/workswood-core/src/record.rs
@@ -288,6 +288,8 @@
     },
     /// Stops it so that it may start again later.
     Preempt,
+    /// Notes that its host is gone; it may have run.
+    Lost,
     /// Notes that it has ended.
     End {
         /// Whether it succeeded.
--- a/src/workswood/ops/bench/live.rs
+++ b/src/workswood/ops/bench/live.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use workswood_core::record::{Envelope, Record};
 use workswood_operators::ApplyReply;
 
 use super::stats::{Times, median};
@@ -205,3 +206,36 @@
     let fields: Vec<f64> = after.split_whitespace().skip(11).take(2).filter_map(|f| f.parse().ok()).collect();
     fields.iter().sum::<f64>() / TICKS_PER_SECOND
 }
+
+/// Records and envelopes that the log takes for each host maintained.
+pub async fn wave() -> Result<()> {
+    let dev = factoring(ENTRIES).await?;
+    let mut file = read_text("factoring.json", DEFAULT_FILE)?;
+    file.maintenance.iter_mut().for_each(|m| {
+        m.start = 0;
+        m.deadline = 0;
+    });
+    let from = dev.platform.log().len();
+    let started = Instant::now();
+    accepted(dev.apply(0, &file, 1).await?)?;
+    let finished = |s: &workswood_operators::Status| s.waves[0]["stop"]["stop"] == "finished";
+    let status = dev.wait(0, "the wave ends", finished).await?;
+    let hosts = status.waves[0]["done"].as_u64().unwrap_or(1);
+    let (mut envelopes, mut records, mut bytes) = (0, 0, 0);
+    for r in &dev.platform.log()[from..] {
+        let Ok(env) = serde_json::from_str::<Envelope>(&r.body) else { continue };
+        let of_wave = |r: &&Record| matches!(r, Record::Host { .. } | Record::Instance { .. });
+        let count = env.records.iter().filter(of_wave).count();
+        envelopes += usize::from(count > 0);
+        records += count;
+        bytes += if count > 0 { r.body.len() } else { 0 };
+    }
+    println!("hosts seconds envelopes records records_per_host bytes_per_host");
+    println!(
+        "{hosts} {:.1} {envelopes} {records} {:.1} {:.0}",
+        started.elapsed().as_secs_f64(),
+        records as f64 / hosts as f64,
+        bytes as f64 / hosts as f64
+    );
+    Ok(())
+}
--- a/src/workswood/ops/entry/duties.rs
+++ b/src/workswood/ops/entry/duties.rs
@@ -247,6 +247,7 @@
                     JobStep::Start { .. } => "free_capacity",
                     JobStep::Preempt => "urgent_job",
                     JobStep::End { .. } => "list",
+                    JobStep::Lost => "host_gone",
                 };
                 log::info!(target: DECISION, "event=job job={job} step={step:?} reason={why}");
             }
--- /dev/null
+++ b/tests/testsuite/job_placement.rs
@@ -0,0 +1,115 @@
+//! Jobs: urgent ones first, quotas, lost hosts, jobs that can't run.
+
+use workswood_core::fleet::{Class, FleetFile};
+use workswood_core::fold::JobPhase;
+use workswood_core::plan::{Act, Facts, HostState, acts, decide};
+use workswood_core::record::{Duty, Record};
+use workswood_test_support::files::{job, small, team};
+use workswood_test_support::log::{Log, Process};
+use workswood_test_support::platform::Platform;
+
+struct Fleet {
+    log: Log,
+    p: Process,
+    platform: Platform,
+    now: u64,
+}
+
+impl Fleet {
+    fn new(file: &FleetFile) -> Fleet {
+        let mut f = Fleet {
+            log: Log::default(),
+            p: Process::new("p"),
+            platform: Platform::new(file),
+            now: 1_000_000,
+        };
+        let take = Record::Take { duty: Duty::Planner, holder: "p".into(), term: 1, seen: 0 };
+        f.p.append(&mut f.log, f.now, vec![take]);
+        f.apply(file, 0);
+        f
+    }
+
+    fn apply(&mut self, file: &FleetFile, base: u64) {
+        let file = Box::new(file.clone());
+        let record = Record::Apply { id: format!("{base}"), base, author: "a".into(), file };
+        assert_eq!(self.p.append(&mut self.log, self.now, vec![record]), [Ok(())]);
+    }
+
+    fn rounds(&mut self, n: usize) -> Vec<Act> {
+        let mut all = Vec::new();
+        for _ in 0..n {
+            self.now += 1_000;
+            self.platform.tick(self.now);
+            let seen = self.platform.list(0);
+            let facts = Facts { confirmed: u64::MAX, ..Facts::default() };
+            let records = decide(&self.p.state, &seen, &facts, self.now, 1);
+            if !records.is_empty() {
+                self.p.append(&mut self.log, self.now, records);
+            }
+            for a in acts(&self.p.state, &seen) {
+                self.platform.act(&a, self.now);
+                all.push(a);
+            }
+        }
+        all
+    }
+
+    fn phase(&self, job: &str) -> Option<JobPhase> {
+        self.p.state.jobs.get(job).map(|j| j.phase.clone())
+    }
+}
+
+fn file(jobs: usize) -> FleetFile {
+    let mut f = small(2, 1, 0);
+    f.teams = vec![team()];
+    f.jobs = (0..jobs).map(|i| job(&format!("low-{i}"), "main", Class::Later, true)).collect();
+    f
+}
+
+#[test]
+fn urgent_preempts() {
+    let mut f = file(8);
+    let mut fleet = Fleet::new(&f);
+    fleet.rounds(8);
+    let running = |fleet: &Fleet| {
+        fleet.p.state.jobs.values().filter(|j| matches!(j.phase, JobPhase::Running { .. })).count()
+    };
+    assert_eq!(running(&fleet), 7, "the pool is full");
+    f.jobs.push(job("now", "main", Class::Urgent, true));
+    fleet.apply(&f, 1);
+    fleet.rounds(4);
+    assert!(matches!(fleet.phase("now"), Some(JobPhase::Running { .. })));
+    assert_eq!(running(&fleet), 7, "one lower job made room");
+    assert_eq!(fleet.platform.starts["now"], 1);
+}
+
+#[test]
+fn quota_of_team() {
+    let mut f = file(8);
+    f.teams[0].quota_cpus = 16;
+    let mut fleet = Fleet::new(&f);
+    fleet.rounds(8);
+    assert_eq!(fleet.p.state.jobs.len(), 2);
+    fleet.platform.end_jobs();
+    fleet.rounds(4);
+    let done = fleet.p.state.jobs.values().filter(|j| j.phase == JobPhase::Done).count();
+    assert_eq!((done, fleet.p.state.jobs.len()), (2, 4));
+}
+
+#[test]
+fn lost_host() {
+    let mut f = file(0);
+    f.jobs = vec![job("once", "main", Class::Normal, false), job("again", "main", Class::Normal, true)];
+    let mut fleet = Fleet::new(&f);
+    fleet.rounds(6);
+    let hosts: Vec<String> = fleet.platform.hosts.keys().cloned().collect();
+    hosts.iter().for_each(|h| fleet.platform.fail(h, true));
+    fleet.rounds(40);
+    // The host that may still run it is back; it does not run a second time.
+    hosts.iter().for_each(|h| fleet.platform.fail(h, false));
+    fleet.rounds(10);
+    assert_eq!(fleet.phase("once"), Some(JobPhase::Failed));
+    assert_eq!(fleet.platform.starts["once"], 1);
+    assert!(fleet.platform.starts["again"] >= 2);
+    assert!(fleet.platform.hosts.values().all(|h| h.state == HostState::Live));
+}
