Make processes that come on the roster wait before they claim keys

Cause: 200,000 random schedules found one in which a process died after it had promised not to claim a key, and its next life came on the roster and claimed it while the question was still under way: a copy was told 'not run', and it ran. Ruled out: the promise itself (held while its process lives), the widening of the roster (the asked had not folded the new life yet, nor did they need to). Change: no claim for 2 s after coming on the roster; a question takes 1 s at most. A keyed request that meets the pause waits it out, or is refused as not run if its deadline is sooner. Also: the soak counted entries that had left before they were ready as cut off; its balancer forgets them now. Conclusion: a promise of a process must outlive it; time on the roster does what its memory can't.

--- a/crates/workswood-core/src/keyed.rs
+++ b/crates/workswood-core/src/keyed.rs
@@ -135,12 +135,28 @@
 pub struct Claims {
     active: BTreeMap<RequestKey, u32>,
     held: BTreeMap<RequestKey, Duration>,
+    open_from: Option<Duration>,
 }
 
 impl Claims {
+    /// Notes whether this process is on the roster. One that comes on it makes
+    /// no claim for [`HOLD`]: a question that began before does not reach it,
+    /// and what its former life has held is forgotten.
+    pub fn on_roster(&mut self, on: bool, now: Duration) {
+        match (on, self.open_from) {
+            (true, None) => self.open_from = Some(now + HOLD),
+            (true, Some(_)) => {}
+            (false, _) => self.open_from = None,
+        }
+    }
+
     /// Begins a claim; while the key is held, returns until when. Times are
     /// since the start of the process.
     pub fn begin(&mut self, key: &str, now: Duration) -> Result<(), Duration> {
+        let open_from = self.open_from.unwrap_or(now + HOLD);
+        if now < open_from {
+            return Err(open_from);
+        }
         self.held.retain(|_, until| *until > now);
         if let Some(until) = self.held.get(key) {
             return Err(*until);
--- a/crates/workswood-test-support/src/keys.rs
+++ b/crates/workswood-test-support/src/keys.rs
@@ -46,6 +46,8 @@
     stage: Stage,
     /// The caller was answered and the process only tidies up.
     told: bool,
+    /// Step at which its process began to ask the others.
+    asking_since: u64,
 }
 
 struct Entry {
@@ -56,6 +58,8 @@
     abandoned: Vec<(String, Envelope)>,
     /// Keys held for the question of the copy numbered.
     held: Vec<(String, u64)>,
+    /// Step at which it came on the roster, in this life.
+    joined: Option<u64>,
 }
 
 /// What a schedule found.
@@ -86,6 +90,7 @@
     runs: BTreeMap<String, u32>,
     now: UnixMs,
     log_down: bool,
+    steps: u64,
     /// What was done and found.
     pub tally: KeyTally,
 }
@@ -99,6 +104,7 @@
             lives: 0,
             abandoned: Vec::new(),
             held: Vec::new(),
+            joined: None,
         };
         let mut s = Schedule {
             log: Log::default(),
@@ -108,6 +114,7 @@
             runs: BTreeMap::new(),
             now: 1_000_000,
             log_down: false,
+            steps: 0,
             tally: KeyTally::default(),
         };
         let take = Record::Take { duty: Duty::Planner, holder: "planner".into(), term: 1, seen: 0 };
@@ -123,10 +130,15 @@
         let members =
             alive.map(|e| RosterMember { id: e.process.id.clone(), data_centre: "d".into() }).collect();
         self.planner.append(&mut self.log, self.now, vec![Record::Roster { term: 1, members }]);
+        let steps = self.steps;
+        for e in self.entries.iter_mut().filter(|e| e.alive) {
+            e.joined.get_or_insert(steps);
+        }
     }
 
     /// One random step.
     pub fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.steps += 1;
         match u.int_in_range(0..=13u8)? {
             0 => self.now += u.int_in_range(1..=WINDOW)?,
             1 | 2 => self.come(u)?,
@@ -153,7 +165,7 @@
         let entry = u.choose_index(ENTRIES)?;
         self.tally.copies += 1;
         let number = self.tally.copies;
-        self.copies.push(Copy { number, entry, given, stage: Stage::Came, told: false });
+        self.copies.push(Copy { number, entry, given, stage: Stage::Came, told: false, asking_since: 0 });
         Ok(())
     }
 
@@ -168,6 +180,7 @@
         e.lives += 1;
         e.abandoned.clear();
         e.held.clear();
+        e.joined = None;
         // Its replacement has folded nothing and is another incarnation.
         e.process = Process::new(&format!("e{i}-{}", e.lives));
         e.alive = true;
@@ -243,7 +256,12 @@
             self.tell(n, told.ran());
             return Stage::Over;
         }
-        if self.entries[i].held.iter().any(|(k, _)| *k == given.key) {
+        // Questions that began before it came on the roster are over by the
+        // time that it may claim.
+        let joined = self.entries[i].joined.unwrap_or(u64::MAX);
+        let asked = |c: &Copy| matches!(c.stage, Stage::Asking(_)) && c.asking_since <= joined;
+        let earlier = self.copies.iter().any(|c| c.given.key == given.key && asked(c));
+        if earlier || self.entries[i].held.iter().any(|(k, _)| *k == given.key) {
             self.tell(n, Ran::Unknown);
             return Stage::Over;
         }
@@ -323,6 +341,7 @@
     }
 
     fn begin_asking(&mut self, n: usize) -> Stage {
+        self.copies[n].asking_since = self.steps;
         let i = self.copies[n].entry;
         let own = self.reply(i, n);
         Stage::Asking(Inquiry::new(&self.entries[i].process.id, own))
--- a/src/workswood/ops/entry/deferred.rs
+++ b/src/workswood/ops/entry/deferred.rs
@@ -12,7 +12,7 @@
 use workswood_core::fleet::Class;
 use workswood_core::fold::{KeyRec, KeyState, MAX_KEY_WINDOW, State, Void};
 use workswood_core::ids::{RequestKey, UnixMs};
-use workswood_core::keyed::{Given, Told};
+use workswood_core::keyed::{Given, HOLD};
 use workswood_core::record::{Deferred, End as KeyEnd, Record};
 
 use super::appender::Missed;
@@ -54,7 +54,7 @@
             .await;
     }
     let Some(claiming) = Claiming::begin(node, &given.key, call.deadline).await else {
-        return keys::tell(&Told::Running, &given.key);
+        return keys::refuse(node, Some(&given.key), Code::WaitTooLong, Some(HOLD)).await;
     };
     let deferred = Deferred {
         method: call.head.method.to_string(),
--- a/src/workswood/ops/entry/keys.rs
+++ b/src/workswood/ops/entry/keys.rs
@@ -105,7 +105,7 @@
         return refuse(node, Some(&given.key), code, Some(COME_BACK)).await;
     }
     let Some(claiming) = Claiming::begin(node, &given.key, call.deadline).await else {
-        return tell(&Told::Running, &given.key);
+        return refuse(node, Some(&given.key), Code::WaitTooLong, Some(HOLD)).await;
     };
     let record = Record::Claim {
         key: given.key.clone(),
--- a/src/workswood/ops/soak.rs
+++ b/src/workswood/ops/soak.rs
@@ -292,7 +292,11 @@
             while !node.is(&node.ready) {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
-            balancer.ready.lock().push((id, caller));
+            // It may be gone again by now.
+            let mut ready = balancer.ready.lock();
+            if !node.is(&node.leaving) && !balancer.was_killed(id) {
+                ready.push((id, caller));
+            }
         });
         Ok(())
     }
--- a/tests/testsuite/random_keys.rs
+++ b/tests/testsuite/random_keys.rs
@@ -35,6 +35,13 @@
     assert!(t.ran > 1_000 && t.not_run > 1_000 && t.unknown > 1_000 && t.deaths > 1_000, "{t:?}");
 }
 
+/// A process that came on the roster while others were being asked claimed the
+/// key that its former life had held.
+#[test]
+fn joined_while_asked() {
+    run(0x004c_af16, 1);
+}
+
 /// Run by hand for the figures in `docs/`.
 #[test]
 #[ignore = "long; run by hand"]
