Test late drains and old lists by themselves; share what stood twice

Change: act_tokens causes both; the one-planner fake is shared by two features; a declared host becomes a listed one in one place instead of three; the dispatcher's view of an endpoint has a file of its own.

--- a/crates/workswood-core/src/plan/seen.rs
+++ b/crates/workswood-core/src/plan/seen.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::Place;
+use crate::fleet::{Host, Place};
 use crate::ids::{HostId, PoolId};
 
 /// State of a host in the platform's list.
@@ -63,6 +63,25 @@
     pub tasks: Vec<TaskSeen>,
 }
 
+impl HostSeen {
+    /// A host as declared: live, in no pool, just booted, without tasks.
+    pub fn fresh(h: &Host) -> HostSeen {
+        HostSeen {
+            place: h.place(),
+            cpus: h.cpus,
+            memory_gib: h.memory_gib,
+            accelerators: h.accelerators,
+            pool: None,
+            state: HostState::Live,
+            draining: false,
+            drained: false,
+            boot: format!("{}#1", h.name),
+            token: 0,
+            tasks: Vec::new(),
+        }
+    }
+}
+
 /// The whole list.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Seen {
--- a/crates/workswood-core/src/route/dispatch.rs
+++ b/crates/workswood-core/src/route/dispatch.rs
@@ -3,14 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::health::{Health, Standing};
+use super::endpoint::{EndpointView, Loan};
+use super::health::Standing;
 use super::queue::{ClassQueues, MAX_QUEUED, Waiting};
 use super::retry::RetryBudget;
 use super::share::owned_slots;
 use super::table::ServiceView;
 use crate::code::Code;
 use crate::fleet::Class;
-use crate::ids::{DataCentre, Incarnation, InstanceId};
+use crate::ids::{DataCentre, InstanceId};
 use crate::invariant;
 
 /// Number of a request on this entry host.
@@ -21,9 +22,6 @@
 /// A lender takes a slot back if its borrower has not confirmed the loan for
 /// this long: the borrower is gone.
 const LOAN_SILENCE: Duration = Duration::from_secs(4);
-/// How long a slot gained by a change of the roster stays unused, so that its
-/// former owner's work can end.
-const SETTLE: Duration = Duration::from_secs(1);
 /// Most slots asked for at once.
 const MOST_WANTED: u32 = 8;
 /// Mean time of a request assumed before any was measured, in seconds.
@@ -80,17 +78,6 @@
     Neutral,
 }
 
-/// One slot of an endpoint, lent by one entry process to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Loan {
-    /// Number of the loan at its lender.
-    pub id: u64,
-    /// The other side: the lender at the borrower, the borrower at the lender.
-    pub peer: Incarnation,
-    /// The endpoint.
-    pub endpoint: InstanceId,
-}
-
 /// Slots that this entry host would like to borrow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Want {
@@ -113,62 +100,6 @@
     }
 }
 
-/// An endpoint as the dispatcher sees it.
-#[derive(Clone, Debug)]
-pub struct EndpointView {
-    address: String,
-    data_centre: DataCentre,
-    open: bool,
-    closed_until: Duration,
-    owned: u32,
-    gained: Option<(u32, Duration)>,
-    lent: Vec<(Loan, Duration)>,
-    borrowed: Vec<(Loan, Duration)>,
-    in_flight: u32,
-    health: Health,
-}
-
-impl EndpointView {
-    /// Slots that may be used here at a time.
-    fn held(&self, now: Duration) -> u32 {
-        let gained = self.gained.filter(|(_, from)| now >= *from).map_or(0, |(n, _)| n);
-        let own = (self.owned + gained).saturating_sub(self.lent.len() as u32);
-        own + self.borrowed.len() as u32
-    }
-
-    /// Takes a share over; what is gained settles first.
-    fn set_share(&mut self, now: Duration, share: u32, settle: bool) {
-        let held = self.owned + self.gained.map_or(0, |(n, _)| n);
-        if share == held {
-            return;
-        }
-        self.gained = None;
-        if share > self.owned && settle {
-            self.gained = Some((share - self.owned, now + SETTLE));
-        } else {
-            self.owned = share;
-        }
-    }
-
-    fn settle(&mut self, now: Duration) {
-        if let Some((n, from)) = self.gained
-            && now >= from
-        {
-            self.owned += n;
-            self.gained = None;
-        }
-    }
-
-    /// Whether it may get a new request, slots aside.
-    fn usable(&self, now: Duration) -> bool {
-        self.open && now >= self.closed_until && self.health.may_send(now)
-    }
-
-    fn free(&self, now: Duration) -> u32 {
-        self.held(now).saturating_sub(self.in_flight)
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Flight {
     endpoint: InstanceId,
@@ -236,18 +167,7 @@
         let mut old = std::mem::take(&mut self.endpoints);
         for e in &view.endpoints {
             let kept = old.remove(&e.id).filter(|o| o.address == e.address);
-            let mut ep = kept.unwrap_or_else(|| EndpointView {
-                address: e.address.clone(),
-                data_centre: e.data_centre.clone(),
-                open: e.open,
-                closed_until: Duration::ZERO,
-                owned: 0,
-                gained: None,
-                lent: Vec::new(),
-                borrowed: Vec::new(),
-                in_flight: 0,
-                health: Health::default(),
-            });
+            let mut ep = kept.unwrap_or_else(|| EndpointView::new(e));
             ep.open = e.open;
             let share = member.map_or(0, |m| owned_slots(view.window, e.number, m, members));
             ep.set_share(now, share, settle);
--- a/crates/workswood-core/src/route/mod.rs
+++ b/crates/workswood-core/src/route/mod.rs
@@ -7,13 +7,15 @@
 //! any of them knowing the others' load.
 
 mod dispatch;
+mod endpoint;
 mod health;
 mod queue;
 mod retry;
 mod share;
 mod table;
 
-pub use dispatch::{Action, Dispatcher, EndpointView, Limits, Loan, Outcome, Ticket, Want};
+pub use dispatch::{Action, Dispatcher, Limits, Outcome, Ticket, Want};
+pub use endpoint::Loan;
 pub use health::{Health, Standing};
 pub use queue::{ClassQueues, MAX_QUEUED, Waiting};
 pub use retry::RetryBudget;
--- a/crates/workswood-standin/src/hosts.rs
+++ b/crates/workswood-standin/src/hosts.rs
@@ -49,19 +49,7 @@
 /// All hosts that files name, live and in no pool.
 pub fn hosts_of(files: &[FleetFile]) -> BTreeMap<String, HostSim> {
     let all = files.iter().flat_map(|f| &f.hosts).map(|h| {
-        let seen = HostSeen {
-            place: h.place(),
-            cpus: h.cpus,
-            memory_gib: h.memory_gib,
-            accelerators: h.accelerators,
-            pool: None,
-            state: HostState::Live,
-            draining: false,
-            drained: false,
-            boot: format!("{}#1", h.name),
-            token: 0,
-            tasks: Vec::new(),
-        };
+        let seen = HostSeen::fresh(h);
         (h.name.clone(), HostSim { seen, tasks: BTreeMap::new(), boots: 1, rebooting: false })
     });
     all.collect()
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`cut`] is a relay that can be cut.
 //! * [`files`] makes small fleet files.
 //! * [`log`] is a log in memory with readers that lag.
+//! * [`one`] is one planner, round by round.
 //! * [`platform`] is a platform on injected time, without sockets.
 //! * [`history`] draws random histories of planners against that platform.
 //! * [`keys`] draws random schedules of requests that may not be repeated.
@@ -14,4 +15,5 @@
 pub mod keys;
 pub mod live;
 pub mod log;
+pub mod one;
 pub mod platform;
--- a/crates/workswood-test-support/src/platform.rs
+++ b/crates/workswood-test-support/src/platform.rs
@@ -28,19 +28,7 @@
     /// A platform with the hosts of a file, all live and in no pool.
     pub fn new(file: &FleetFile) -> Platform {
         let hosts = file.hosts.iter().map(|h| {
-            let seen = HostSeen {
-                place: h.place(),
-                cpus: h.cpus,
-                memory_gib: h.memory_gib,
-                accelerators: h.accelerators,
-                pool: None,
-                state: HostState::Live,
-                draining: false,
-                drained: false,
-                boot: "1".to_string(),
-                token: 0,
-                tasks: Vec::new(),
-            };
+            let seen = HostSeen::fresh(h);
             (h.name.clone(), seen)
         });
         Platform {
--- a/src/workswood/ops/plan.rs
+++ b/src/workswood/ops/plan.rs
@@ -76,19 +76,7 @@
 /// A list of all hosts of the files, live and in no pool.
 fn live(files: &[FleetFile]) -> Seen {
     let hosts = files.iter().flat_map(|f| &f.hosts).map(|h| {
-        let seen = HostSeen {
-            place: h.place(),
-            cpus: h.cpus,
-            memory_gib: h.memory_gib,
-            accelerators: h.accelerators,
-            pool: None,
-            state: HostState::Live,
-            draining: false,
-            drained: false,
-            boot: "1".to_string(),
-            token: 0,
-            tasks: Vec::new(),
-        };
+        let seen = HostSeen::fresh(h);
         (h.name.clone(), seen)
     });
     Seen { hosts: hosts.collect(), entries: Vec::new() }
--- a/tests/testsuite/job_placement.rs
+++ b/tests/testsuite/job_placement.rs
@@ -2,61 +2,12 @@
 
 use workswood_core::fleet::{Class, FleetFile};
 use workswood_core::fold::JobPhase;
-use workswood_core::plan::{Act, Facts, HostState, acts, decide};
-use workswood_core::record::{Duty, Record};
+use workswood_core::plan::HostState;
 use workswood_test_support::files::{job, small, team};
-use workswood_test_support::log::{Log, Process};
-use workswood_test_support::platform::Platform;
+use workswood_test_support::one::Fleet;
 
-struct Fleet {
-    log: Log,
-    p: Process,
-    platform: Platform,
-    now: u64,
-}
-
-impl Fleet {
-    fn new(file: &FleetFile) -> Fleet {
-        let mut f = Fleet {
-            log: Log::default(),
-            p: Process::new("p"),
-            platform: Platform::new(file),
-            now: 1_000_000,
-        };
-        let take = Record::Take { duty: Duty::Planner, holder: "p".into(), term: 1, seen: 0 };
-        f.p.append(&mut f.log, f.now, vec![take]);
-        f.apply(file, 0);
-        f
-    }
-
-    fn apply(&mut self, file: &FleetFile, base: u64) {
-        let file = Box::new(file.clone());
-        let record = Record::Apply { id: format!("{base}"), base, author: "a".into(), file };
-        assert_eq!(self.p.append(&mut self.log, self.now, vec![record]), [Ok(())]);
-    }
-
-    fn rounds(&mut self, n: usize) -> Vec<Act> {
-        let mut all = Vec::new();
-        for _ in 0..n {
-            self.now += 1_000;
-            self.platform.tick(self.now);
-            let seen = self.platform.list(0);
-            let facts = Facts { confirmed: u64::MAX, ..Facts::default() };
-            let records = decide(&self.p.state, &seen, &facts, self.now, 1);
-            if !records.is_empty() {
-                self.p.append(&mut self.log, self.now, records);
-            }
-            for a in acts(&self.p.state, &seen) {
-                self.platform.act(&a, self.now);
-                all.push(a);
-            }
-        }
-        all
-    }
-
-    fn phase(&self, job: &str) -> Option<JobPhase> {
-        self.p.state.jobs.get(job).map(|j| j.phase.clone())
-    }
+fn phase(fleet: &Fleet, job: &str) -> Option<JobPhase> {
+    fleet.p.state.jobs.get(job).map(|j| j.phase.clone())
 }
 
 fn file(jobs: usize) -> FleetFile {
@@ -78,7 +29,7 @@
     f.jobs.push(job("now", "main", Class::Urgent, true));
     fleet.apply(&f, 1);
     fleet.rounds(4);
-    assert!(matches!(fleet.phase("now"), Some(JobPhase::Running { .. })));
+    assert!(matches!(phase(&fleet, "now"), Some(JobPhase::Running { .. })));
     assert_eq!(running(&fleet), 7, "one lower job made room");
     assert_eq!(fleet.platform.starts["now"], 1);
 }
@@ -108,7 +59,7 @@
     // The host that may still run it is back; it does not run a second time.
     hosts.iter().for_each(|h| fleet.platform.fail(h, false));
     fleet.rounds(10);
-    assert_eq!(fleet.phase("once"), Some(JobPhase::Failed));
+    assert_eq!(phase(&fleet, "once"), Some(JobPhase::Failed));
     assert_eq!(fleet.platform.starts["once"], 1);
     assert!(fleet.platform.starts["again"] >= 2);
     assert!(fleet.platform.hosts.values().all(|h| h.state == HostState::Live));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test suite: one module for each feature.
 
+mod act_tokens;
 mod bad_endpoints;
 mod deferred_requests;
 mod entry_stop;
