Mend two tests that could not fail

Cause: on a scratch copy, taking out ejection left failing_endpoint green (the endpoint it broke was in another data centre and was hardly chosen), and taking out both waits of a planned stop left all_replaced green (in one process the connections of a stopped entry live on). Change: the first breaks an endpoint that is chosen; the second asserts that nothing is in progress when the stop returns, and the test with processes sends a slow request to an entry that gets SIGTERM, and reads the whole answer.

--- a/src/workswood/ops/dev.rs
+++ b/src/workswood/ops/dev.rs
@@ -235,6 +235,11 @@
 }
 
 impl Caller {
+    /// Sends to an address.
+    pub fn to(address: SocketAddr) -> Caller {
+        Caller { client: Client::builder(TokioExecutor::new()).build_http(), address }
+    }
+
     /// Sends a request.
     pub async fn call(&self, req: CallerRequest) -> Result<Response<Bytes>> {
         send(&self.client, self.address, req).await
--- a/tests/testsuite/entry_stop.rs
+++ b/tests/testsuite/entry_stop.rs
@@ -44,6 +44,8 @@
         let res = dev.call(round % ENTRIES, req).await.expect("an answer");
         assert_eq!(ran(&res), "run", "{res:?}");
         stop.await.expect("it stops");
+        // The process would exit now; in this test its connections live on.
+        assert_eq!(stopping.in_progress.load(Ordering::Relaxed), 0, "it stopped with requests in progress");
         assert_eq!(slow.await.expect("it ends").expect("an answer").status(), 200);
     }
     load.stop().await;
--- a/tests/testsuite/separate_processes.rs
+++ b/tests/testsuite/separate_processes.rs
@@ -5,18 +5,19 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
-use workswood::ops::dev::loopback;
+use workswood::ops::dev::{Caller, CallerRequest, loopback};
 use workswood_core::fleet::FleetFile;
 use workswood_operators::{ApplyReply, ApplyRequest, OperatorClient, Status};
 use workswood_standin::PlatformStandin;
 use workswood_test_support::files::{maintenance, small};
-use workswood_test_support::live::{PATIENCE, Watch};
+use workswood_test_support::live::{PATIENCE, Watch, until};
 
 const ENTRIES: usize = 3;
 
 struct Process {
     child: Child,
     operators: String,
+    callers: SocketAddr,
     id: String,
 }
 
@@ -61,7 +62,7 @@
         .stderr(Stdio::null())
         .spawn()
         .expect("it starts");
-    Process { child, operators: own[1].to_string(), id: format!("p{n}-") }
+    Process { child, operators: own[1].to_string(), callers: own[0], id: format!("p{n}-") }
 }
 
 async fn wait(p: &Process, what: &str, fits: impl Fn(&Status) -> bool) -> Status {
@@ -131,8 +132,17 @@
     assert_eq!((s.invariants_broken, s.first_broken), (0, None));
     assert!(watch.least() >= 4, "only {} were available", watch.least());
     assert_eq!(platform.counters().reboots, 8, "a host was rebooted twice or not at all");
-    // A planned stop by signal exits with 0.
+    // A planned stop by signal exits with 0 and cuts off nothing.
+    let caller = Caller::to(all[rest].callers);
+    let slow = CallerRequest::to("/shop/get?ms=2500").with_body("slow");
+    let slow = tokio::spawn(async move { caller.call(slow).await });
+    until("it runs", || {
+        (0..6).any(|i| platform.endpoint(&format!("shop/{i}")).is_some_and(|e| e.in_flight() > 0))
+    })
+    .await;
     all[rest].signal("-TERM");
+    let res = slow.await.expect("a caller ends").expect("an answer");
+    assert_eq!(res.body().as_ref(), b"slow");
     let status = all[rest].child.wait().expect("it ends");
     assert!(status.success(), "{status}");
     drop(all);
--- a/tests/testsuite/slot_dispatch.rs
+++ b/tests/testsuite/slot_dispatch.rs
@@ -227,12 +227,13 @@
     for t in 0..2_000u64 {
         now += ms(1);
         for (t, e) in sent(&d.offer(now, t, Class::Urgent, now + ms(1_000))) {
-            to_bad += u64::from(e == "s/3");
-            let outcome = if e == "s/3" { Outcome::Bad } else { Outcome::Good };
-            d.done(now + ms(if e == "s/3" { 0 } else { 5 }), t, outcome);
+            // One of this data centre, which gets most while all are idle.
+            to_bad += u64::from(e == "s/4");
+            let outcome = if e == "s/4" { Outcome::Bad } else { Outcome::Good };
+            d.done(now + ms(if e == "s/4" { 0 } else { 5 }), t, outcome);
         }
     }
-    assert!(to_bad < 20, "{to_bad} of 2,000 went to the endpoint that fails fast");
+    assert!((3..20).contains(&to_bad), "{to_bad} of 2,000 went to the endpoint that fails fast");
 }
 
 #[test]
