Make the cut of a body reach its reader

Cause: with the check of a body's end taken out, cuts_bodies and endpoint_breaks stayed green: the stand-in broke the connection before the first half had left, so no cut body ever arrived. Ruled out: the client (it reports the break when half a body arrives). Change: the stand-in breaks off 20 ms after the first half. Before: taking the check out survived. After: both tests catch it. Conclusion: the promise of whole answers is proved by a body that is cut.

--- a/crates/workswood-standin/src/endpoint.rs
+++ b/crates/workswood-standin/src/endpoint.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::stream;
+use futures::{StreamExt, stream};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -23,6 +23,9 @@
 /// Time that a request takes when its path names none.
 const DEFAULT_MS: u64 = 5;
 
+/// Time between the first half of a cut body and the end of its connection.
+const CUT_AFTER: Duration = Duration::from_millis(20);
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Behaviour {
@@ -213,9 +216,13 @@
 /// An answer that says it is longer than what comes.
 fn cut(body: &Bytes) -> Response<BoxBody<Bytes, std::io::Error>> {
     let half = body.slice(..body.len() / 2);
-    let broken = std::io::Error::other("cut off");
-    let parts = stream::iter([Ok(Frame::data(half)), Err(broken)]);
-    let mut res = Response::new(BodyExt::boxed(StreamBody::new(parts)));
+    let first = stream::once(async { Ok(Frame::data(half)) });
+    // The first half must have left before the connection breaks.
+    let broken = stream::once(async {
+        tokio::time::sleep(CUT_AFTER).await;
+        Err(std::io::Error::other("cut off"))
+    });
+    let mut res = Response::new(BodyExt::boxed(StreamBody::new(first.chain(broken))));
     res.headers_mut().insert("content-length", (body.len() as u64).into());
     res
 }
