Give back starts of deferred requests that came into the log late

Found by reading: a start whose append was given up, and that was accepted later, had a holder that did not know of it and was alive. Change: such a start is given back as not sent, as claims were already. After: the tests of deferred requests and of lost appends pass; a test that causes just this is missing.

--- a/src/workswood/ops/entry/appender.rs
+++ b/src/workswood/ops/entry/appender.rs
@@ -93,10 +93,14 @@
         }
     }
 
-    /// Gives claims back that were accepted after nobody waited for them.
+    /// Gives claims and starts back that were accepted after nobody waited for
+    /// them: nothing was sent for them.
     fn release(self: &Arc<Self>, records: &[Record], verdicts: &[Verdict]) {
         for (r, v) in records.iter().zip(verdicts) {
-            let Record::Claim { key, holder: Some(holder), .. } = r else { continue };
+            let (Record::Claim { key, holder: Some(holder), .. } | Record::Start { key, holder, .. }) = r
+            else {
+                continue;
+            };
             if v.is_err() || *holder != self.id {
                 continue;
             }
