--- a/src/workswood/ops/bench/live.rs
+++ b/src/workswood/ops/bench/live.rs
@@ -65,7 +65,7 @@
     let Some(endpoint) = dev.platform.endpoint("house-a/0") else {
         return Err(Error::Broken { message: "no endpoint".to_string() });
     };
-    let direct = dev.caller_of(endpoint.address);
+    let direct = Caller::to(endpoint.address);
     let over = dev.caller(0);
     println!("run direct_p50_ms direct_per_s over_entry_p50_ms over_entry_per_s added_p50_ms");
     let mut added = Vec::new();
--- a/src/workswood/ops/dev.rs
+++ b/src/workswood/ops/dev.rs
@@ -148,11 +148,6 @@
         Caller { client: self.client.clone(), address: self.entries[entry].node.settings.callers }
     }
 
-    /// A way to send requests to any address.
-    pub fn caller_of(&self, address: SocketAddr) -> Caller {
-        Caller { client: self.client.clone(), address }
-    }
-
     /// Waits until a status of an entry fits.
     pub async fn wait(&self, entry: usize, what: &str, fits: impl Fn(&Status) -> bool) -> Result<Status> {
         let until = Instant::now() + PATIENCE;
