--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -46,10 +46,12 @@
     match code {
         Code::UnknownRoute | Code::KeyNotFound => 404,
         Code::BodyTooLarge | Code::PayloadTooLarge => 413,
-        Code::KeyMissing | Code::KeyMalformed => 400,
+        Code::KeyMissing | Code::KeyMalformed | Code::JobMalformed => 400,
+        Code::MethodUnknown => 405,
+        Code::JobUnknown => 410,
         Code::KeyConflict | Code::KeyRunning | Code::KeyUnknownOutcome | Code::KeyExpired => 409,
         Code::EndpointBroke | Code::ConnectFailed => 502,
-        Code::EndpointTimeout => 504,
+        Code::EndpointTimeout | Code::OutcomeUnknown => 504,
         _ => 503,
     }
 }
--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -77,6 +77,11 @@
     127 ClockSkew "the clock of this entry host is behind the log by more than the bound" "set the clock of the entry host";
     128 PayloadTooLarge "a deferred request's body is larger than the log may hold" "send it on a route that runs while the caller waits";
     129 KeyNotFound "no request with this key is known" "check the key; outcomes are kept for a limited time";
+    140 JobMalformed "the job can't be read" "name it by 16 hex digits and mend the body; see docs/JOBS.md";
+    141 JobUnknown "no such job is known" "check the number; ended jobs are kept for a limited time";
+    142 HolderAway "the process that knows the jobs can't be asked now" "come back after the time in retry-after";
+    143 OutcomeUnknown "the store did not answer: the request may have been accepted" "send the same job number again; it stays one job";
+    144 MethodUnknown "the method is not one that queues know" "use POST, GET or DELETE";
     200 FileUnreadable "the file can't be read" "check the path and its permissions";
     201 FileNotJson "the file is not valid JSON" "mend the place named";
     202 UnknownField "a field is not known" "use the name suggested, or see docs/FLEET.md";
--- /dev/null
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -0,0 +1,64 @@
+//! Queues and services in force.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::spec::QueueId;
+use crate::ids::ServiceId;
+
+/// A queue that callers hand jobs in to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueConfig {
+    /// Its name.
+    pub name: QueueId,
+    /// Host name that callers use.
+    pub host: String,
+    /// Start of the paths that belong to it.
+    pub path_prefix: String,
+    /// Service whose workers run its jobs.
+    pub service: ServiceId,
+    /// 0 is the most urgent.
+    pub priority: u32,
+    /// How many failed runs a task may have.
+    pub max_attempts: u32,
+    /// A job is owed within this multiple of its longest chain of work,
+    pub stretch: f64,
+    /// plus this much.
+    pub target: Duration,
+    /// Whether only some workers may run its steps, known to the adviser.
+    pub advised: bool,
+}
+
+/// A service: a pool of workers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceConfig {
+    /// Its name.
+    pub name: ServiceId,
+    /// Whether its workers refuse what does not fit.
+    pub guards_room: bool,
+    /// Whether its machines are off and unpaid.
+    pub spare: bool,
+}
+
+/// What is in force.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct SchedConfig {
+    /// Version; higher is newer.
+    pub version: u64,
+    /// Queues by name.
+    pub queues: HashMap<QueueId, QueueConfig>,
+    /// Services by name.
+    pub services: HashMap<ServiceId, ServiceConfig>,
+    /// Most bytes of a request's body.
+    pub max_body_bytes: usize,
+}
+
+impl SchedConfig {
+    /// The queue of a request: the longest path prefix of its host name.
+    pub fn route(&self, host: &str, path: &str) -> Option<&QueueConfig> {
+        self.queues
+            .values()
+            .filter(|q| q.host == host && path.starts_with(&q.path_prefix))
+            .max_by_key(|q| q.path_prefix.len())
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -0,0 +1,225 @@
+//! What a worker's report tells of runs: which go on and which have ended.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::job::{Outcome, Phase, WorkerId};
+use super::sched::{Action, Scheduler};
+use super::spec::TaskId;
+use super::worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker};
+
+/// Faults of different jobs, with nothing done in between, after which a
+/// worker is shunned. One alone is more often the job's own.
+const FAULTS_TO_SHUN: u32 = 2;
+/// How long a worker is shunned for each fault in a row.
+const SHUN_FOR: Duration = Duration::from_millis(2500);
+/// Longest time that a worker is shunned before it is tried again.
+const SHUN_AT_MOST: Duration = Duration::from_secs(15);
+/// At most one of this many workers of a service is shunned at a time.
+const SHUN_ONE_OF: usize = 3;
+
+impl Scheduler {
+    /// Takes the answer of a worker in.
+    pub(super) fn reported(&mut self, id: &WorkerId, report: &Report, lease_end: Duration) {
+        let now = self.now;
+        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(lease_end));
+        let back = !w.reachable || !w.fenced;
+        w.heard = now;
+        w.reachable = true;
+        w.fenced = true;
+        w.lease_end = w.lease_end.max(lease_end);
+        let known = w.recorded_ends;
+        let service = w.info.as_ref().map(|i| i.service.clone());
+        if back {
+            self.place_again.extend(service);
+            self.notes.push(format!("event=worker_reached worker={id} token={}", self.token));
+        }
+        let new_ends = report.ended.iter().filter(|e| e.number > known);
+        let mut last = known;
+        for end in new_ends {
+            last = last.max(end.number);
+            self.run_ended(id, end);
+        }
+        if let Some(w) = self.workers.get_mut(id) {
+            w.recorded_ends = last;
+        }
+        if !report.ended.is_empty() {
+            self.forget.insert(id.clone(), last);
+        }
+        for run in &report.running {
+            self.run_listed(id, run);
+        }
+        self.settle_missing(id, report);
+        self.share_worker(id);
+    }
+
+    fn run_listed(&mut self, id: &WorkerId, listed: &ReportedRun) {
+        let now = self.now;
+        let job = self.jobs.get_mut(&listed.task.job);
+        let wanted = job.as_ref().is_some_and(|j| j.open());
+        let task = job.and_then(|j| j.task_mut(&listed.task));
+        let run = task.and_then(|t| {
+            let done = t.done;
+            let checkpoint = &mut t.checkpoint;
+            let run = t.runs.iter_mut().find(|r| r.worker == *id && r.attempt == listed.attempt)?;
+            if !listed.checkpoint.is_empty() {
+                checkpoint.clone_from(&listed.checkpoint);
+            }
+            Some((run, done))
+        });
+        let Some((run, done)) = run else {
+            self.notes
+                .push(format!("event=stray_run worker={id} task={} attempt={}", listed.task, listed.attempt));
+            self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
+            return;
+        };
+        run.figure = listed.figure;
+        if listed.percent > run.percent || run.phase != Phase::Running {
+            run.percent = listed.percent;
+            run.progressed = now;
+        }
+        if matches!(run.phase, Phase::Starting | Phase::Inherited) {
+            run.enter(Phase::Running, now);
+        }
+        if run.phase == Phase::Running && (!wanted || done) {
+            run.enter(Phase::Stopping, now);
+            self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
+        }
+    }
+
+    /// Settles runs that a fresh report neither lists nor ends.
+    fn settle_missing(&mut self, id: &WorkerId, report: &Report) {
+        let listed: HashSet<(TaskId, u32)> = report.running.iter().map(|r| (r.task, r.attempt)).collect();
+        let Some(w) = self.workers.get(id) else { return };
+        let missing: Vec<(TaskId, u32)> = w.runs.keys().filter(|k| !listed.contains(k)).copied().collect();
+        for (task, attempt) in missing {
+            let found = self.jobs.get(&task.job).and_then(|j| j.task(&task));
+            let run = found.and_then(|t| t.runs.iter().find(|r| r.worker == *id && r.attempt == attempt));
+            let gone = match run {
+                // The token that the look carried keeps a predecessor's start out.
+                Some(run) if run.phase == Phase::Inherited => true,
+                // Only a look sent after the change says anything about it.
+                Some(run) if matches!(run.phase, Phase::Running | Phase::Stopped) => {
+                    report.asked > run.phase_at
+                }
+                Some(_) => false,
+                None => true,
+            };
+            if gone {
+                self.settle(id, &task, attempt, "not_listed");
+            }
+        }
+    }
+
+    /// Takes one end in.
+    fn run_ended(&mut self, id: &WorkerId, end: &ReportedEnd) {
+        let task_id = end.task;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.release(task_id, end.attempt);
+            if let Some(info) = &w.info {
+                self.place_again.insert(info.service.clone());
+            }
+        }
+        self.notes.push(format!(
+            "event=run_ended worker={id} task={task_id} attempt={} how={:?} number={}",
+            end.attempt, end.kind, end.number
+        ));
+        let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(task_id.step)).cloned() else { return };
+        let Some(task) = job.task_mut(&task_id) else { return };
+        task.runs.retain(|r| r.worker != *id || r.attempt != end.attempt);
+        if step.checkpointing && !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        self.dirty.insert(task_id.job);
+        match end.kind {
+            EndKind::Done => self.task_done(id, &task_id, step.gang, step.lasting),
+            EndKind::Failed => self.task_failed(id, &task_id, step.lasting),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+        self.queue_task(&task_id);
+    }
+
+    fn task_done(&mut self, id: &WorkerId, task_id: &TaskId, gang: bool, lasting: bool) {
+        if let Some(w) = self.workers.get_mut(id) {
+            w.faults = 0;
+        }
+        if lasting {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
+        let members: Vec<TaskId> = if gang {
+            let count = job.step(task_id).map_or(0, |s| s.count);
+            (0..count).map(|index| TaskId { index, ..*task_id }).collect()
+        } else {
+            vec![*task_id]
+        };
+        for m in &members {
+            if let Some(t) = job.task_mut(m) {
+                t.done = true;
+            }
+        }
+        let step_done = job.step_done(task_id.round, task_id.step);
+        for m in &members {
+            self.unqueue(m);
+            self.stop_runs(m, None);
+        }
+        if step_done {
+            self.queue_job(task_id.job);
+        }
+    }
+
+    fn task_failed(&mut self, id: &WorkerId, task_id: &TaskId, lasting: bool) {
+        self.blame(id, task_id);
+        let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
+        let most = job.spec.max_attempts.max(1);
+        let gang = job.step(task_id).is_some_and(|s| s.gang);
+        let Some(task) = job.task_mut(task_id) else { return };
+        task.failed += 1;
+        task.avoid = Some(id.clone());
+        let mut failed = task.failed;
+        if gang {
+            let step = job.rounds.get(task_id.round as usize).and_then(|r| r.get(usize::from(task_id.step)));
+            failed = step.map_or(failed, |tasks| tasks.iter().map(|t| t.failed).sum());
+        }
+        if !lasting && failed >= most {
+            self.end_job(task_id.job, Outcome::Failed);
+        }
+    }
+
+    /// Decides whether a fault was the worker's or the job's: a job that
+    /// fails in two places is at fault itself.
+    pub(super) fn blame(&mut self, id: &WorkerId, task_id: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
+        match job.blamed.clone() {
+            Some(first) if first == *id => return,
+            Some(first) => {
+                if let Some(w) = self.workers.get_mut(&first) {
+                    w.faults = w.faults.saturating_sub(1);
+                }
+                return;
+            }
+            None => job.blamed = Some(id.clone()),
+        }
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(id) else { return };
+        w.faults += 1;
+        let faults = w.faults;
+        if faults < FAULTS_TO_SHUN || !self.may_shun(id) {
+            return;
+        }
+        let until = now + (SHUN_FOR * faults).min(SHUN_AT_MOST);
+        if let Some(w) = self.workers.get_mut(id) {
+            w.shunned_until = until;
+        }
+        self.notes.push(format!("event=worker_shunned worker={id} faults={faults}"));
+    }
+
+    fn may_shun(&self, id: &WorkerId) -> bool {
+        let service = self.workers.get(id).and_then(|w| w.info.as_ref()).map(|i| &i.service);
+        let same = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
+        let all = self.workers.values().filter(same).count();
+        let shunned = self.workers.values().filter(same).filter(|w| w.shunned_until > self.now).count();
+        (shunned + 1) * SHUN_ONE_OF <= all
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -0,0 +1,68 @@
+//! Ending lasting tasks by our own order, within their availability budget.
+
+use super::job::{Phase, WorkerId};
+use super::sched::{Action, Scheduler};
+use super::spec::TaskId;
+
+impl Scheduler {
+    /// Moves lasting tasks off workers that are leaving. Such a worker ends
+    /// in any case, so the budget does not bind here.
+    pub(super) fn evict_leaving(&mut self) {
+        let leaving = self.workers.iter().filter(|(_, w)| {
+            w.reachable && w.listed && w.info.as_ref().is_some_and(|i| i.draining) && !w.runs.is_empty()
+        });
+        let leaving: Vec<WorkerId> = leaving.map(|(id, _)| id.clone()).collect();
+        for id in leaving {
+            for (task, attempt) in self.lasting_runs(&id) {
+                self.evict(&id, &task, attempt, "worker_leaving");
+            }
+        }
+    }
+
+    /// Lasting tasks that run on a worker.
+    pub(super) fn lasting_runs(&self, id: &WorkerId) -> Vec<(TaskId, u32)> {
+        let Some(w) = self.workers.get(id) else { return Vec::new() };
+        let lasting = |task: &TaskId| {
+            let step = self.jobs.get(&task.job).and_then(|j| j.step(task));
+            step.is_some_and(|s| s.lasting)
+        };
+        let mut runs: Vec<(TaskId, u32)> = w.runs.keys().filter(|(t, _)| lasting(t)).copied().collect();
+        runs.sort();
+        runs
+    }
+
+    /// Whether ending this task keeps the availability budget of its step.
+    pub(super) fn may_evict(&self, id: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return true };
+        if !job.open() {
+            return true;
+        }
+        let Some(step) = job.step(id) else { return true };
+        job.others_away(id) < step.may_miss
+    }
+
+    /// Evicts lasting tasks of a worker as far as their budgets allow;
+    /// returns how many still stand there.
+    pub(super) fn evict_within_budget(&mut self, id: &WorkerId) -> usize {
+        let runs = self.lasting_runs(id);
+        for (task, attempt) in &runs {
+            if self.may_evict(task) {
+                self.evict(id, task, *attempt, "maintenance");
+            }
+        }
+        runs.len()
+    }
+
+    fn evict(&mut self, id: &WorkerId, task: &TaskId, attempt: u32, why: &str) {
+        let now = self.now;
+        let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else { return };
+        let Some(run) = t.runs.iter_mut().find(|r| r.worker == *id && r.attempt == attempt) else { return };
+        if run.phase != Phase::Running {
+            return;
+        }
+        run.evicted = true;
+        run.enter(Phase::Stopping, now);
+        self.notes.push(format!("event=task_evicted worker={id} task={task} attempt={attempt} reason={why}"));
+        self.actions.push(Action::Stop(id.clone(), *task, attempt));
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -0,0 +1,336 @@
+//! The state of one job, and its stored form.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::spec::{JobKey, JobSpec, StepSpec, TaskId};
+
+/// One life of a worker process; a restarted one has another.
+pub type WorkerId = Arc<str>;
+
+/// Pace of a task that nothing holds back, in percent.
+pub const FULL_PACE: u32 = 100;
+
+/// What callers are told of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shown {
+    /// No task has begun.
+    Queued,
+    /// Some task has begun.
+    Running,
+    /// It ended as told by the outcome.
+    Ended(Outcome),
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The caller cancelled it.
+    Canceled,
+}
+
+/// How far a run has come, as far as we know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// On record or about to be; the worker has not answered the start.
+    Starting,
+    /// Known from a predecessor's records; the worker has not been asked yet.
+    Inherited,
+    /// The worker runs it.
+    Running,
+    /// The worker has been told to stop it, or is about to be.
+    Stopping,
+    /// The worker has taken the stop; its next report settles the run.
+    Stopped,
+}
+
+/// One try of a task on one worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Where.
+    pub worker: WorkerId,
+    /// Number of the try; rises from 1 over the life of the task.
+    pub attempt: u32,
+    /// How far it has come.
+    pub phase: Phase,
+    /// When it was placed.
+    pub since: Duration,
+    /// When `phase` last changed.
+    pub phase_at: Duration,
+    /// Latest share of the work done, in percent.
+    pub percent: u32,
+    /// When `percent` last rose.
+    pub progressed: Duration,
+    /// Rough figure of the worker: slow answers in ms, or processor use.
+    pub figure: u64,
+    /// Pace that we asked for, in percent.
+    pub pace: u32,
+    /// Whether our own order ends it, for the availability budget.
+    pub evicted: bool,
+}
+
+impl Run {
+    /// A run that is about to be started.
+    pub fn new(worker: WorkerId, attempt: u32, phase: Phase, now: Duration) -> Run {
+        Run {
+            worker,
+            attempt,
+            phase,
+            since: now,
+            phase_at: now,
+            percent: 0,
+            progressed: now,
+            figure: 0,
+            pace: FULL_PACE,
+            evicted: false,
+        }
+    }
+
+    /// Changes the phase.
+    pub fn enter(&mut self, phase: Phase, now: Duration) {
+        self.phase = phase;
+        self.phase_at = now;
+    }
+
+    /// Whether a lasting task is past its warm-up.
+    pub fn at_work(&self) -> bool {
+        self.phase == Phase::Running && self.percent >= 100
+    }
+}
+
+/// A task of a job.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Whether it is done.
+    pub done: bool,
+    /// How many of its runs failed.
+    pub failed: u32,
+    /// Number of its latest run.
+    pub attempt: u32,
+    /// Latest checkpoint; empty for none.
+    pub checkpoint: String,
+    /// Runs that may exist.
+    pub runs: Vec<Run>,
+    /// Worker of the latest failed or stuck run, to be avoided.
+    pub avoid: Option<WorkerId>,
+}
+
+/// One round of a job: its steps and their tasks.
+pub type Round = Vec<Vec<Task>>;
+
+/// A job and all that is known of its tasks.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Its number.
+    pub key: JobKey,
+    /// What was asked for.
+    pub spec: Arc<JobSpec>,
+    /// Whether the caller cancelled it.
+    pub cancelled: bool,
+    /// How it ended.
+    pub outcome: Option<Outcome>,
+    /// When it ended, on the scheduler's clock.
+    pub ended: Duration,
+    /// Whether any task has begun.
+    pub begun: bool,
+    /// First worker that a task of it failed on.
+    pub blamed: Option<WorkerId>,
+    /// Rounds that are due, by number.
+    pub rounds: Vec<Round>,
+    /// When the scheduler heard of it.
+    pub heard: Duration,
+}
+
+impl Job {
+    /// A job that was just handed in.
+    pub fn new(key: JobKey, spec: Arc<JobSpec>, heard: Duration) -> Job {
+        Job {
+            key,
+            spec,
+            cancelled: false,
+            outcome: None,
+            ended: Duration::ZERO,
+            begun: false,
+            blamed: None,
+            rounds: Vec::new(),
+            heard,
+        }
+    }
+
+    /// Adds the next round.
+    pub fn open_round(&mut self) {
+        let steps = self.spec.steps.iter();
+        self.rounds.push(steps.map(|s| vec![Task::default(); s.count as usize]).collect());
+    }
+
+    /// The spec of a task's step.
+    pub fn step(&self, id: &TaskId) -> Option<&StepSpec> {
+        self.spec.steps.get(usize::from(id.step))
+    }
+
+    /// A task.
+    pub fn task(&self, id: &TaskId) -> Option<&Task> {
+        let step = self.rounds.get(id.round as usize)?.get(usize::from(id.step))?;
+        step.get(id.index as usize)
+    }
+
+    /// A task, to change.
+    pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut Task> {
+        let step = self.rounds.get_mut(id.round as usize)?.get_mut(usize::from(id.step))?;
+        step.get_mut(id.index as usize)
+    }
+
+    /// Whether a step of a round has all its tasks done.
+    pub fn step_done(&self, round: u32, step: u16) -> bool {
+        let r = self.rounds.get(round as usize);
+        r.and_then(|r| r.get(usize::from(step))).is_some_and(|tasks| tasks.iter().all(|t| t.done))
+    }
+
+    /// Whether a step may run: all that it waits for is done.
+    pub fn step_open(&self, round: u32, step: u16) -> bool {
+        let after = self.spec.steps.get(usize::from(step)).map(|s| s.after.as_slice());
+        after.is_some_and(|after| after.iter().all(|a| self.step_done(round, *a)))
+    }
+
+    /// How many tasks of a lasting step, other than `id`, are not at work.
+    pub fn others_away(&self, id: &TaskId) -> u32 {
+        let step = self.rounds.get(id.round as usize).and_then(|r| r.get(usize::from(id.step)));
+        let tasks = step.map(Vec::as_slice).unwrap_or_default().iter().enumerate();
+        let others = tasks.filter(|(n, _)| *n != id.index as usize);
+        others.filter(|(_, t)| !t.runs.iter().any(|r| r.at_work() && !r.evicted)).count() as u32
+    }
+
+    /// Whether every task of every round is done.
+    pub fn all_done(&self) -> bool {
+        let opened = self.rounds.len() as u32 == self.spec.rounds();
+        opened && self.rounds.iter().flatten().flatten().all(|t| t.done)
+    }
+
+    /// Whether nothing of it may run anywhere.
+    pub fn at_rest(&self) -> bool {
+        self.rounds.iter().flatten().flatten().all(|t| t.runs.is_empty())
+    }
+
+    /// Whether tasks may still be started.
+    pub fn open(&self) -> bool {
+        !self.cancelled && self.outcome.is_none()
+    }
+
+    /// Names of all tasks of opened rounds.
+    pub fn task_ids(&self) -> Vec<TaskId> {
+        let mut ids = Vec::new();
+        for (round, steps) in self.rounds.iter().enumerate() {
+            for (step, tasks) in steps.iter().enumerate() {
+                for index in 0..tasks.len() {
+                    let (round, step, index) = (round as u32, step as u16, index as u32);
+                    ids.push(TaskId { job: self.key, round, step, index });
+                }
+            }
+        }
+        ids
+    }
+
+    /// What callers are told once the present state is on record.
+    pub fn shown(&self) -> Shown {
+        match self.outcome {
+            Some(o) => Shown::Ended(o),
+            None if self.begun => Shown::Running,
+            None => Shown::Queued,
+        }
+    }
+
+    /// The stored form.
+    pub fn record(&self) -> JobRecord {
+        let task = |t: &Task| TaskRecord {
+            done: t.done,
+            failed: t.failed,
+            attempt: t.attempt,
+            checkpoint: t.checkpoint.clone(),
+            runs: t.runs.iter().map(|r| (r.worker.to_string(), r.attempt)).collect(),
+        };
+        let step = |tasks: &Vec<Task>| tasks.iter().map(task).collect();
+        JobRecord {
+            cancelled: self.cancelled,
+            outcome: self.outcome,
+            begun: self.begun,
+            rounds: self.rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
+        }
+    }
+
+    /// The job as a predecessor left it.
+    pub fn restore(key: JobKey, spec: Arc<JobSpec>, rec: JobRecord, now: Duration) -> Job {
+        let mut job = Job::new(key, spec, now);
+        job.cancelled = rec.cancelled;
+        job.outcome = rec.outcome;
+        job.begun = rec.begun;
+        job.ended = now;
+        let step = |tasks: Vec<TaskRecord>| tasks.into_iter().map(|t| t.restore(now)).collect();
+        job.rounds = rec.rounds.into_iter().map(|r| r.into_iter().map(step).collect()).collect();
+        job
+    }
+}
+
+/// The stored form of a job's state; its spec is stored apart, once.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRecord {
+    /// Whether the caller cancelled it.
+    #[serde(default, rename = "x")]
+    pub cancelled: bool,
+    /// How it ended.
+    #[serde(default, rename = "o")]
+    pub outcome: Option<Outcome>,
+    /// Whether any task has begun.
+    #[serde(default, rename = "b")]
+    pub begun: bool,
+    /// Tasks by round and step.
+    #[serde(default, rename = "r")]
+    pub rounds: Vec<Vec<Vec<TaskRecord>>>,
+}
+
+/// The stored form of a task.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TaskRecord {
+    /// Whether it is done.
+    #[serde(default, rename = "d", skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// How many of its runs failed.
+    #[serde(default, rename = "f", skip_serializing_if = "is_zero")]
+    pub failed: u32,
+    /// Number of its latest run.
+    #[serde(default, rename = "a", skip_serializing_if = "is_zero")]
+    pub attempt: u32,
+    /// Latest checkpoint.
+    #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
+    /// Worker and attempt of each run that may exist.
+    #[serde(default, rename = "w", skip_serializing_if = "Vec::is_empty")]
+    pub runs: Vec<(String, u32)>,
+}
+
+fn is_false(b: &bool) -> bool {
+    !b
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl TaskRecord {
+    fn restore(self, now: Duration) -> Task {
+        let run = |(worker, attempt): (String, u32)| Run::new(worker.into(), attempt, Phase::Inherited, now);
+        Task {
+            done: self.done,
+            failed: self.failed,
+            attempt: self.attempt,
+            checkpoint: self.checkpoint,
+            runs: self.runs.into_iter().map(run).collect(),
+            avoid: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -0,0 +1,42 @@
+//! Jobs of many steps: what is queued, what runs where, and what is known of
+//! the workers that run it.
+//!
+//! One process at a time holds the scheduler lease and owns a [`Scheduler`].
+//! The scheduler is a state machine: [`Event`]s go in, changed records and
+//! [`Action`]s come out as a [`Batch`]. The process writes the records of a
+//! batch to the platform's store first and carries the actions out only after
+//! the store has acknowledged them. What follows from that order:
+//!
+//! * a start is on record before a worker can hear of it, so that a successor
+//!   knows every place where a task may run;
+//! * an end is on record before the worker is told to forget it;
+//! * callers are shown a state only when it is on record.
+//!
+//! How the pieces meet:
+//!
+//! * [`spec`] holds what callers ask for, and its checks.
+//! * [`config`] holds queues and services in force.
+//! * [`job`] holds the state of one job and its stored form.
+//! * [`worker`] holds what is known of one worker, its room and its lease.
+//! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
+//!   [`evict`] are its decisions.
+//! * [`wave`] decides which machine is maintained next.
+
+pub mod config;
+pub mod ends;
+pub mod evict;
+pub mod job;
+pub mod place;
+pub mod sched;
+pub mod settle;
+pub mod share;
+pub mod spec;
+pub mod wave;
+pub mod worker;
+
+pub use config::{QueueConfig, SchedConfig, ServiceConfig};
+pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
+pub use sched::{Action, Batch, Event, Limits, Scheduler, StartReply, StopReply};
+pub use spec::{JobKey, JobSpec, Repeat, StepSpec, TaskId};
+pub use wave::{Machine, MachineReply, MachineState, Wave, WaveRecord};
+pub use worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker, WorkerInfo};
--- /dev/null
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -0,0 +1,511 @@
+//! The scheduler: events in, records and actions out.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::config::SchedConfig;
+use super::job::{Job, JobRecord, Outcome, Phase, Shown, WorkerId};
+use super::spec::{JobKey, JobSpec, QueueId, TaskId};
+use super::wave::{Machine, MachineReply, Wave, WaveRecord, WaveState};
+use super::worker::{Report, Worker, WorkerInfo};
+use crate::ids::{HostId, ServiceId, Term, UnixMs};
+use crate::invariant;
+
+/// Bounds of the platform that the scheduler works with, and its own limits.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Length of a worker's lease, counted from when it was sent.
+    pub lease: Duration,
+    /// How long a scheduler that can't renew its own lease goes on extending
+    /// workers' leases.
+    pub grace: Duration,
+    /// Share by which a worker's clock may run slow.
+    pub drift: f64,
+    /// A new holder waits this long before its first order to a machine.
+    pub machine_handover: Duration,
+    /// How long ended jobs are kept for questions.
+    pub keep_ended: Duration,
+    /// How far ahead of its due time a round may be opened.
+    pub early: Duration,
+}
+
+/// Added to the end of every lease, for rounding and queues on the way.
+pub const LEASE_SLACK: Duration = Duration::from_millis(300);
+/// A running task whose progress stands still for this long is taken to be
+/// stuck. Twice the look interval plus a second for slow workers.
+pub const STUCK_AFTER: Duration = Duration::from_millis(2500);
+/// A stop without an effect is sent again after this time.
+pub const STOP_AGAIN: Duration = Duration::from_millis(1000);
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller handed a job in, and it is on record.
+    Submitted(JobKey, Arc<JobSpec>),
+    /// A caller cancelled a job, and that is on record.
+    Cancelled(JobKey),
+    /// What is in force changed.
+    Config(Arc<SchedConfig>),
+    /// The list shows a worker, new or changed.
+    WorkerListed(WorkerInfo),
+    /// The list no longer shows a worker.
+    WorkerUnlisted(WorkerId),
+    /// A worker answered a look; its lease ends as told if not extended.
+    Reported(WorkerId, Report, Duration),
+    /// A worker did not answer; its lease ends as told if not extended.
+    Unanswered(WorkerId, Duration),
+    /// A worker's address is answered by another life: this one is over.
+    LifeOver(WorkerId),
+    /// The outcome of a start; the worker's lease ends as told.
+    Started(WorkerId, TaskId, u32, StartReply, Duration),
+    /// The outcome of a stop.
+    Stopped(WorkerId, TaskId, u32, StopReply),
+    /// The list of machines.
+    Machines(Vec<Machine>),
+    /// An operator asks for maintenance, or a predecessor's progress with it.
+    Wave(Wave, Option<WaveRecord>),
+    /// The outcome of an order to a machine.
+    MachineOrdered(HostId, MachineReply),
+    /// Time passed.
+    Tick,
+}
+
+/// What came of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// It runs, or ran.
+    Taken,
+    /// The worker refused every try, and has done nothing.
+    Refused,
+    /// The worker is not well and has done nothing.
+    Unwell,
+    /// It refused the last try, but an earlier one had no answer.
+    Unsure,
+    /// No try was answered.
+    NoAnswer,
+    /// Nothing was sent.
+    NotSent,
+    /// The worker knows a higher token.
+    Deposed,
+}
+
+/// What came of a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReply {
+    /// The worker has taken it.
+    Taken,
+    /// No answer, or a refusal without effect.
+    NoAnswer,
+    /// The worker knows a higher token.
+    Deposed,
+}
+
+/// What is to be done once the records of the batch are stored.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Look at a worker from now on.
+    Watch(WorkerInfo),
+    /// Look no longer.
+    Unwatch(WorkerId),
+    /// Start a task.
+    Start {
+        /// Where.
+        worker: WorkerId,
+        /// Which.
+        task: TaskId,
+        /// Number of the try.
+        attempt: u32,
+        /// Text of the job.
+        text: Arc<JobSpec>,
+        /// Checkpoint to go on from; empty for none.
+        checkpoint: String,
+        /// Ticket of the adviser, where one is needed.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a task.
+    Stop(WorkerId, TaskId, u32),
+    /// Let a task work at a share, in percent.
+    Pace(WorkerId, TaskId, u32, u32),
+    /// Maintain a machine as part of a wave.
+    Upkeep(HostId, u64),
+    /// Give a machine to another pool.
+    Move(HostId, ServiceId),
+}
+
+/// A record of the scheduler's state.
+#[derive(Clone, Debug)]
+pub enum Record {
+    /// The state of a job.
+    Job(JobKey, JobRecord),
+    /// A job is forgotten.
+    DropJob(JobKey),
+    /// Progress of a wave.
+    Wave(u64, WaveRecord),
+}
+
+/// What the caller-facing part may tell once a batch is stored.
+#[derive(Clone, Debug)]
+pub struct ShownJob {
+    /// The job.
+    pub key: JobKey,
+    /// Its queue.
+    pub queue: QueueId,
+    /// Its state; `None` when it is forgotten.
+    pub state: Option<Shown>,
+    /// Whether its rounds have times of their own.
+    pub timed: bool,
+}
+
+/// Records to store, and what follows once they are stored.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Records, to be stored all or none.
+    pub records: Vec<Record>,
+    /// Actions that wait for the records.
+    pub actions: Vec<Action>,
+    /// Highest end that each worker may forget.
+    pub forget: Vec<(WorkerId, u64)>,
+    /// What callers may be told.
+    pub shown: Vec<ShownJob>,
+    /// Waves whose status is to be published, with whether they are complete.
+    pub waves: Vec<(u64, bool)>,
+}
+
+impl Batch {
+    /// Whether there is nothing in it.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+            && self.actions.is_empty()
+            && self.forget.is_empty()
+            && self.shown.is_empty()
+            && self.waves.is_empty()
+    }
+}
+
+/// Place of a task in the queue of its service: most urgent first.
+pub(super) type ReadyKey = (u32, u64, TaskId);
+
+/// The state of the process that holds the scheduler lease.
+pub struct Scheduler {
+    /// Steady clock.
+    pub now: Duration,
+    /// Time of day.
+    pub wall: UnixMs,
+    /// When this scheduler began.
+    pub since: Duration,
+    /// Fencing token of this term.
+    pub token: Term,
+    /// Bounds.
+    pub limits: Limits,
+    /// What is in force.
+    pub config: Arc<SchedConfig>,
+    /// Jobs that are known.
+    pub jobs: HashMap<JobKey, Job>,
+    /// Lives of workers that are known.
+    pub workers: HashMap<WorkerId, Worker>,
+    /// Tasks that wait for a worker, by service.
+    pub(super) ready: HashMap<ServiceId, BTreeSet<ReadyKey>>,
+    /// Machines, as last listed.
+    pub machines: HashMap<HostId, Machine>,
+    /// Waves by number.
+    pub waves: BTreeMap<u64, WaveState>,
+    /// Whether a worker has shown a higher token than ours.
+    pub deposed: bool,
+    pub(super) dirty: BTreeSet<JobKey>,
+    pub(super) dirty_waves: BTreeSet<u64>,
+    dropped: Vec<(JobKey, QueueId)>,
+    pub(super) actions: Vec<Action>,
+    pub(super) forget: BTreeMap<WorkerId, u64>,
+    pub(super) place_again: BTreeSet<ServiceId>,
+    /// Decisions worth a log line, drained by the process.
+    pub notes: Vec<String>,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing yet.
+    pub fn new(token: Term, limits: Limits, now: Duration, wall: UnixMs) -> Scheduler {
+        Scheduler {
+            now,
+            wall,
+            since: now,
+            token,
+            limits,
+            config: Arc::default(),
+            jobs: HashMap::new(),
+            workers: HashMap::new(),
+            ready: HashMap::new(),
+            machines: HashMap::new(),
+            waves: BTreeMap::new(),
+            deposed: false,
+            dirty: BTreeSet::new(),
+            dirty_waves: BTreeSet::new(),
+            dropped: Vec::new(),
+            actions: Vec::new(),
+            forget: BTreeMap::new(),
+            place_again: BTreeSet::new(),
+            notes: Vec::new(),
+        }
+    }
+
+    /// Takes over a job with the state that a predecessor recorded.
+    pub fn restore(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
+        let now = self.now;
+        let job = match rec {
+            Some(rec) => Job::restore(key, spec, rec, now),
+            None => Job::new(key, spec, now),
+        };
+        let bound = self.inherited_lease_end();
+        for id in job.task_ids() {
+            let Some(task) = job.task(&id) else { continue };
+            for run in &task.runs {
+                let w = self.workers.entry(run.worker.clone());
+                let w = w.or_insert_with(|| Worker::unknown(bound));
+                if let Some(step) = job.step(&id) {
+                    w.take(id, run.attempt, step.reserved());
+                }
+            }
+        }
+        self.jobs.insert(key, job);
+        self.open_due_rounds(key);
+        self.queue_job(key);
+        self.dirty.insert(key);
+    }
+
+    /// When the last lease that a predecessor may have extended has ended.
+    fn inherited_lease_end(&self) -> Duration {
+        self.since + self.limits.grace + self.lease_span()
+    }
+
+    /// The longest real time that a lease may last.
+    pub fn lease_span(&self) -> Duration {
+        self.limits.lease.mul_f64(1.0 / (1.0 - self.limits.drift)) + LEASE_SLACK
+    }
+
+    /// Takes one event in.
+    pub fn handle(&mut self, ev: Event) {
+        match ev {
+            Event::Submitted(key, spec) => self.submitted(key, spec),
+            Event::Cancelled(key) => self.cancel(key),
+            Event::Config(cfg) => self.set_config(cfg),
+            Event::WorkerListed(info) => self.worker_listed(info),
+            Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
+            Event::Reported(id, report, lease_end) => self.reported(&id, &report, lease_end),
+            Event::Unanswered(id, lease_end) => self.unanswered(&id, lease_end),
+            Event::LifeOver(id) => self.life_over(&id, "other_life"),
+            Event::Started(id, task, attempt, reply, lease_end) => {
+                self.started(&id, task, attempt, reply, lease_end);
+            }
+            Event::Stopped(id, task, attempt, reply) => self.stopped(&id, task, attempt, reply),
+            Event::Machines(list) => self.machines_listed(list),
+            Event::Wave(wave, rec) => self.wave_asked(wave, rec),
+            Event::MachineOrdered(machine, reply) => self.machine_ordered(&machine, reply),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn submitted(&mut self, key: JobKey, spec: Arc<JobSpec>) {
+        if self.jobs.contains_key(&key) {
+            return;
+        }
+        self.notes.push(format!("event=job_known job={key:016x} queue={}", spec.queue));
+        self.jobs.insert(key, Job::new(key, spec, self.now));
+        self.dirty.insert(key);
+        self.open_due_rounds(key);
+        self.queue_job(key);
+    }
+
+    fn cancel(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.cancelled || job.outcome.is_some() {
+            return;
+        }
+        job.cancelled = true;
+        self.end_job(key, Outcome::Canceled);
+    }
+
+    fn set_config(&mut self, cfg: Arc<SchedConfig>) {
+        if cfg.version < self.config.version {
+            return;
+        }
+        self.config = cfg;
+        self.place_again.extend(self.ready.keys().cloned());
+    }
+
+    /// Opens rounds that are due.
+    pub(super) fn open_due_rounds(&mut self, key: JobKey) {
+        let ahead = self.wall + self.limits.early.as_millis() as u64;
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        while job.open() && (job.rounds.len() as u32) < job.spec.rounds() {
+            if job.spec.due(job.rounds.len() as u32) > ahead {
+                break;
+            }
+            job.open_round();
+            self.dirty.insert(key);
+        }
+    }
+
+    /// Queues all tasks of a job that may be started now.
+    pub(super) fn queue_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        if !job.open() {
+            return;
+        }
+        let ids: Vec<TaskId> = job.task_ids();
+        let mut open: HashMap<(u32, u16), bool> = HashMap::new();
+        let mut waiting = Vec::new();
+        for id in ids {
+            let open = *open.entry((id.round, id.step)).or_insert_with(|| job.step_open(id.round, id.step));
+            let idle = job.task(&id).is_some_and(|t| !t.done && t.runs.is_empty());
+            if open && idle {
+                waiting.push(self.ready_key(job, &id));
+            }
+        }
+        let service = job.spec.service.clone();
+        self.ready.entry(service.clone()).or_default().extend(waiting);
+        self.place_again.insert(service);
+        self.finish_if_done(key);
+    }
+
+    /// Queues one task if it may be started now.
+    pub(super) fn queue_task(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let idle = job.task(id).is_some_and(|t| !t.done && t.runs.is_empty());
+        if !job.open() || !idle || !job.step_open(id.round, id.step) {
+            return;
+        }
+        let key = self.ready_key(job, id);
+        let service = job.spec.service.clone();
+        self.ready.entry(service.clone()).or_default().insert(key);
+        self.place_again.insert(service);
+    }
+
+    /// Takes a task out of the queue.
+    pub(super) fn unqueue(&mut self, id: &TaskId) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let key = self.ready_key(job, id);
+        if let Some(set) = self.ready.get_mut(&job.spec.service) {
+            set.remove(&key);
+        }
+    }
+
+    /// Where a task stands in its queue. It depends on nothing that changes
+    /// while the task waits but the configuration.
+    fn ready_key(&self, job: &Job, id: &TaskId) -> ReadyKey {
+        let lasting = job.step(id).is_some_and(|s| s.lasting);
+        let order = if lasting { 0 } else { job.spec.accepted.max(job.spec.due(id.round)) };
+        (job.spec.priority, order, *id)
+    }
+
+    /// Ends a job: nothing of it is started any more, and what runs is stopped.
+    pub(super) fn end_job(&mut self, key: JobKey, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        if job.outcome.is_some() {
+            return;
+        }
+        if outcome == Outcome::Completed {
+            let done = job.all_done();
+            if !invariant::check(done, || format!("job {key:016x} completed with open tasks")) {
+                return;
+            }
+        }
+        job.outcome = Some(outcome);
+        job.ended = self.now;
+        self.notes.push(format!(
+            "event=job_ended job={key:016x} outcome={outcome:?} age_ms={}",
+            self.wall.saturating_sub(job.spec.accepted)
+        ));
+        self.dirty.insert(key);
+        let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
+        for id in ids {
+            self.unqueue(&id);
+            self.stop_runs(&id, None);
+        }
+    }
+
+    /// Shows a job as completed once nothing of it is open.
+    pub(super) fn finish_if_done(&mut self, key: JobKey) {
+        let done = self.jobs.get(&key).is_some_and(|j| j.open() && j.all_done());
+        if done {
+            self.end_job(key, Outcome::Completed);
+        }
+    }
+
+    /// Stops the runs of a task, all or all but one attempt.
+    pub(super) fn stop_runs(&mut self, id: &TaskId, keep: Option<u32>) {
+        let now = self.now;
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
+        for run in &mut task.runs {
+            if Some(run.attempt) == keep || matches!(run.phase, Phase::Stopping | Phase::Stopped) {
+                continue;
+            }
+            // A start on its way is stopped when its outcome is known.
+            if run.phase == Phase::Starting {
+                continue;
+            }
+            run.enter(Phase::Stopping, now);
+            self.actions.push(Action::Stop(run.worker.clone(), *id, run.attempt));
+        }
+    }
+
+    fn tick(&mut self) {
+        let timed = |j: &&Job| j.open() && j.spec.repeat.is_some();
+        let timed: Vec<JobKey> = self.jobs.values().filter(timed).map(|j| j.key).collect();
+        for key in timed {
+            let before = self.jobs.get(&key).map_or(0, |j| j.rounds.len());
+            self.open_due_rounds(key);
+            if self.jobs.get(&key).map_or(0, |j| j.rounds.len()) > before {
+                self.queue_job(key);
+            }
+        }
+        self.settle_lapsed();
+        self.settle_slow();
+        self.evict_leaving();
+        self.run_waves();
+        self.forget_jobs();
+        self.place_again.extend(self.ready.iter().filter(|(_, s)| !s.is_empty()).map(|(k, _)| k.clone()));
+    }
+
+    fn forget_jobs(&mut self) {
+        let (now, keep) = (self.now, self.limits.keep_ended);
+        let old = |j: &&Job| j.outcome.is_some() && j.at_rest() && j.ended + keep < now;
+        let keys: Vec<JobKey> = self.jobs.values().filter(old).map(|j| j.key).collect();
+        for key in keys {
+            if let Some(job) = self.jobs.remove(&key) {
+                self.dropped.push((key, job.spec.queue.clone()));
+            }
+            self.dirty.remove(&key);
+        }
+    }
+
+    /// Decides what can be decided, and hands over all that changed.
+    pub fn take_batch(&mut self) -> Batch {
+        let services = std::mem::take(&mut self.place_again);
+        for service in services {
+            self.place(&service);
+        }
+        let mut batch = Batch::default();
+        for key in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get(&key) else { continue };
+            batch.records.push(Record::Job(key, job.record()));
+            batch.shown.push(ShownJob {
+                key,
+                queue: job.spec.queue.clone(),
+                state: Some(job.shown()),
+                timed: job.spec.repeat.is_some(),
+            });
+        }
+        for (key, queue) in std::mem::take(&mut self.dropped) {
+            batch.records.push(Record::DropJob(key));
+            batch.shown.push(ShownJob { key, queue, state: None, timed: false });
+        }
+        for n in std::mem::take(&mut self.dirty_waves) {
+            let Some(wave) = self.waves.get(&n) else { continue };
+            batch.records.push(Record::Wave(n, wave.record.clone()));
+            batch.waves.push((n, wave.complete()));
+        }
+        batch.actions = std::mem::take(&mut self.actions);
+        batch.forget = std::mem::take(&mut self.forget).into_iter().collect();
+        batch
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -0,0 +1,246 @@
+//! Which runs are over although no end was reported.
+//!
+//! A task may be started again only when its earlier run can't be at work any
+//! more. That is known in four ways: the worker refused the start and has had
+//! no earlier try of it; a report that was asked for later does not list it;
+//! that life of the worker is over; or the worker's lease has ended.
+
+use std::time::Duration;
+
+use super::job::{Phase, Run, WorkerId};
+use super::sched::{Action, STOP_AGAIN, STUCK_AFTER, Scheduler, StartReply, StopReply};
+use super::spec::TaskId;
+use super::worker::{Worker, WorkerInfo};
+
+/// A worker that turned a start down as unwell gets no work for this long;
+/// about one look.
+const UNWELL_FOR: Duration = Duration::from_millis(1000);
+
+impl Scheduler {
+    /// Takes a worker in that is listed, new or changed.
+    pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
+        let id = info.id.clone();
+        self.end_older_lives(&info);
+        let now = self.now;
+        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now));
+        let fresh = w.info.is_none() || !w.listed;
+        let draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
+        self.place_again.insert(info.service.clone());
+        w.info = Some(info.clone());
+        w.listed = true;
+        if fresh {
+            self.notes.push(format!(
+                "event=worker_listed worker={id} service={} address={}",
+                info.service, info.address
+            ));
+            self.actions.push(Action::Watch(info));
+        } else if draining {
+            self.notes.push(format!("event=worker_draining worker={id} service={}", info.service));
+        }
+    }
+
+    /// Ends other lives at the same address or on the same machine.
+    fn end_older_lives(&mut self, info: &WorkerInfo) {
+        let same = |w: &Worker| {
+            let Some(i) = &w.info else { return false };
+            let machine = !i.machine.is_empty() && i.machine == info.machine;
+            i.id != info.id && (i.address == info.address || machine)
+        };
+        let older = self.workers.iter().filter(|(_, w)| same(w) && !w.listed);
+        let older: Vec<WorkerId> = older.map(|(id, _)| id.clone()).collect();
+        for id in older {
+            self.life_over(&id, "replaced");
+        }
+    }
+
+    /// A worker is no longer listed. It may live on, cut off from the store.
+    pub(super) fn worker_unlisted(&mut self, id: &WorkerId) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        w.listed = false;
+        self.notes.push(format!("event=worker_unlisted worker={id} runs={}", w.runs.len()));
+        self.drop_if_idle(id);
+    }
+
+    /// Forgets a worker that is neither listed nor runs anything.
+    fn drop_if_idle(&mut self, id: &WorkerId) {
+        let idle = self.workers.get(id).is_some_and(|w| !w.listed && w.runs.is_empty());
+        if idle {
+            self.workers.remove(id);
+            self.actions.push(Action::Unwatch(id.clone()));
+        }
+    }
+
+    /// A worker did not answer a look.
+    pub(super) fn unanswered(&mut self, id: &WorkerId, lease_end: Duration) {
+        let Some(w) = self.workers.get_mut(id) else { return };
+        if w.reachable {
+            self.notes.push(format!("event=worker_unreachable worker={id} runs={}", w.runs.len()));
+        }
+        w.reachable = false;
+        w.lease_end = w.lease_end.max(lease_end);
+    }
+
+    /// A life of a worker is over: nothing runs there.
+    pub(super) fn life_over(&mut self, id: &WorkerId, why: &str) {
+        self.settle_all(id, why);
+        if self.workers.remove(id).is_some() {
+            self.notes.push(format!("event=worker_life_over worker={id} reason={why}"));
+            self.actions.push(Action::Unwatch(id.clone()));
+        }
+    }
+
+    fn settle_all(&mut self, id: &WorkerId, why: &str) {
+        let runs: Vec<(TaskId, u32)> =
+            self.workers.get(id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
+        for (task, attempt) in runs {
+            self.settle(id, &task, attempt, why);
+        }
+    }
+
+    /// A run is over without an end of its own.
+    pub(super) fn settle(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, why: &str) {
+        if let Some(w) = self.workers.get_mut(id) {
+            w.release(*task_id, attempt);
+        }
+        let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id)) else { return };
+        let before = task.runs.len();
+        task.runs.retain(|r| r.worker != *id || r.attempt != attempt);
+        if task.runs.len() == before {
+            return;
+        }
+        self.notes
+            .push(format!("event=run_settled worker={id} task={task_id} attempt={attempt} reason={why}"));
+        self.dirty.insert(task_id.job);
+        self.queue_task(task_id);
+    }
+
+    fn run_mut(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) -> Option<&mut Run> {
+        let t = self.jobs.get_mut(&task.job)?.task_mut(task)?;
+        t.runs.iter_mut().find(|r| r.worker == *id && r.attempt == attempt)
+    }
+
+    /// The outcome of a start.
+    pub(super) fn started(
+        &mut self,
+        id: &WorkerId,
+        task: TaskId,
+        attempt: u32,
+        reply: StartReply,
+        lease_end: Duration,
+    ) {
+        let now = self.now;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.lease_end = w.lease_end.max(lease_end);
+        }
+        if reply != StartReply::Taken {
+            self.notes.push(format!(
+                "event=start_not_taken worker={id} task={task} attempt={attempt} reply={reply:?}"
+            ));
+        }
+        if reply == StartReply::Unwell
+            && let Some(w) = self.workers.get_mut(id)
+        {
+            w.shunned_until = w.shunned_until.max(now + UNWELL_FOR);
+        }
+        let job = self.jobs.get(&task.job);
+        let wanted = job.is_some_and(|j| j.open() && j.task(&task).is_some_and(|t| !t.done));
+        let Some(run) = self.run_mut(id, &task, attempt) else { return };
+        match reply {
+            StartReply::Taken if wanted => {
+                if run.phase == Phase::Starting {
+                    run.enter(Phase::Running, now);
+                    run.progressed = now;
+                }
+            }
+            StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer => {
+                if !matches!(run.phase, Phase::Stopping | Phase::Stopped) {
+                    run.enter(Phase::Stopping, now);
+                    self.actions.push(Action::Stop(id.clone(), task, attempt));
+                }
+            }
+            StartReply::Refused | StartReply::Unwell | StartReply::NotSent => {
+                self.settle(id, &task, attempt, "start_refused");
+            }
+            StartReply::Deposed => self.deposed = true,
+        }
+    }
+
+    /// The outcome of a stop.
+    pub(super) fn stopped(&mut self, id: &WorkerId, task: TaskId, attempt: u32, reply: StopReply) {
+        let now = self.now;
+        match reply {
+            StopReply::Taken => {
+                if let Some(run) = self.run_mut(id, &task, attempt)
+                    && run.phase == Phase::Stopping
+                {
+                    run.enter(Phase::Stopped, now);
+                }
+            }
+            // Sent again by `settle_slow`.
+            StopReply::NoAnswer => {}
+            StopReply::Deposed => self.deposed = true,
+        }
+    }
+
+    /// Settles what ran on workers whose lease has ended.
+    pub(super) fn settle_lapsed(&mut self) {
+        let now = self.now;
+        let lapsed = self.workers.iter().filter(|(_, w)| !w.reachable && w.lease_end < now);
+        let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| id.clone()).collect();
+        for id in lapsed {
+            let runs: Vec<(TaskId, u32)> =
+                self.workers.get(&id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
+            for (task, attempt) in runs {
+                // The outcome of a start on its way brings a later end of the lease.
+                let starting = self.run_mut(&id, &task, attempt).is_some_and(|r| r.phase == Phase::Starting);
+                if !starting {
+                    self.settle(&id, &task, attempt, "lease_ended");
+                }
+            }
+            self.drop_if_idle(&id);
+        }
+    }
+
+    /// Sends stops again that had no effect, and stops runs that stand still.
+    pub(super) fn settle_slow(&mut self) {
+        let now = self.now;
+        let mut stops = Vec::new();
+        let mut stuck = Vec::new();
+        for (id, w) in self.workers.iter().filter(|(_, w)| w.reachable) {
+            for (task, attempt) in w.runs.keys() {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(step) = job.step(task) else { continue };
+                let Some(t) = job.task(task) else { continue };
+                let Some(run) = t.runs.iter().find(|r| r.worker == *id && r.attempt == *attempt) else {
+                    continue;
+                };
+                match run.phase {
+                    Phase::Stopping | Phase::Stopped if run.phase_at + STOP_AGAIN < now => {
+                        stops.push((id.clone(), *task, *attempt));
+                    }
+                    Phase::Running if run.progressed + STUCK_AFTER < now => {
+                        let working = step.lasting && run.percent >= 100;
+                        if !working && !step.gang && w.heard > run.progressed + STUCK_AFTER {
+                            stuck.push((id.clone(), *task, *attempt));
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (id, task, attempt) in stuck {
+            self.notes.push(format!("event=run_stuck worker={id} task={task} attempt={attempt}"));
+            self.blame(&id, &task);
+            if let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(&task)) {
+                t.avoid = Some(id.clone());
+            }
+            stops.push((id, task, attempt));
+        }
+        for (id, task, attempt) in stops {
+            if let Some(run) = self.run_mut(&id, &task, attempt) {
+                run.enter(Phase::Stopping, now);
+            }
+            self.actions.push(Action::Stop(id, task, attempt));
+        }
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/share.rs
@@ -0,0 +1,66 @@
+//! How tasks that serve users and tasks that fill share a worker.
+//!
+//! What fills slows what serves, by amounts that are known only from the
+//! rough figures of the latest look. Filling tasks are slowed down quickly
+//! when a figure comes near its target, and sped up step by step when all
+//! figures are far below.
+
+use super::job::{FULL_PACE, Phase, WorkerId};
+use super::sched::{Action, Scheduler};
+use super::spec::TaskId;
+
+/// Above this share of its target a serving task is in danger.
+const DANGER: f64 = 0.85;
+/// Below this share of its target a serving task has room to spare.
+const EASE: f64 = 0.55;
+/// By how much the pace rises a look, in percent.
+const PACE_STEP: u32 = 15;
+/// A pace below this is no pace: the task waits.
+const LEAST_PACE: u32 = 15;
+
+impl Scheduler {
+    /// Sets the pace of the filling tasks of a worker after a look.
+    pub(super) fn share_worker(&mut self, id: &WorkerId) {
+        let Some(w) = self.workers.get(id) else { return };
+        if w.fills.is_empty() {
+            return;
+        }
+        let load = w.serves.iter().filter_map(|t| self.load_of(id, t)).fold(0.0, f64::max);
+        let fills: Vec<TaskId> = w.fills.iter().copied().collect();
+        for task in fills {
+            let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(&task)) else { continue };
+            let running = |r: &&mut super::job::Run| r.worker == *id && r.phase == Phase::Running;
+            let Some(run) = t.runs.iter_mut().find(running) else { continue };
+            let pace = next_pace(run.pace, load);
+            if pace != run.pace {
+                run.pace = pace;
+                let attempt = run.attempt;
+                self.notes.push(format!(
+                    "event=pace worker={id} task={task} attempt={attempt} pace={pace} load={load:.2}"
+                ));
+                self.actions.push(Action::Pace(id.clone(), task, attempt, pace));
+            }
+        }
+    }
+
+    /// The figure of a serving task as a share of its target.
+    fn load_of(&self, id: &WorkerId, task: &TaskId) -> Option<f64> {
+        let job = self.jobs.get(&task.job)?;
+        let target = job.step(task)?.target?.as_millis().max(1) as f64;
+        let run = job.task(task)?.runs.iter().find(|r| r.worker == *id && r.at_work())?;
+        Some(run.figure as f64 / target)
+    }
+}
+
+/// The next pace of a filling task, from the largest load of a neighbour.
+fn next_pace(pace: u32, load: f64) -> u32 {
+    if load > 1.0 {
+        let less = pace / 3;
+        return if less < LEAST_PACE { 0 } else { less };
+    }
+    if load > DANGER {
+        let less = pace * 2 / 3;
+        return if less < LEAST_PACE { 0 } else { less };
+    }
+    if load < EASE { (pace + PACE_STEP).min(FULL_PACE) } else { pace }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -0,0 +1,229 @@
+//! What callers ask for.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Rack, ServiceId, UnixMs};
+
+/// Number of a job, chosen by its caller; shown as 16 hex digits.
+pub type JobKey = u64;
+/// Name of a queue.
+pub type QueueId = String;
+
+/// Most tasks of one round of a job. Bounds the memory a single job can take.
+pub const MOST_TASKS: u64 = 10_000;
+/// Most steps of a job; step numbers are stored in 16 bits.
+pub const MOST_STEPS: usize = 1_000;
+
+/// Room that a task takes, or that a worker has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Thousandths of a core.
+    #[serde(default, rename = "c")]
+    pub cpu_millis: u64,
+    /// Memory in MB.
+    #[serde(default, rename = "m")]
+    pub mem_mb: u64,
+    /// Accelerators.
+    #[serde(default, rename = "g")]
+    pub gpus: u64,
+}
+
+impl Room {
+    /// Whether `other` fits in here.
+    pub fn holds(&self, other: &Room) -> bool {
+        other.cpu_millis <= self.cpu_millis && other.mem_mb <= self.mem_mb && other.gpus <= self.gpus
+    }
+
+    /// Adds another amount.
+    pub fn add(&mut self, other: &Room) {
+        self.cpu_millis += other.cpu_millis;
+        self.mem_mb += other.mem_mb;
+        self.gpus += other.gpus;
+    }
+
+    /// What is left after taking `other` out; nothing goes below zero.
+    pub fn minus(&self, other: &Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            mem_mb: self.mem_mb.saturating_sub(other.mem_mb),
+            gpus: self.gpus.saturating_sub(other.gpus),
+        }
+    }
+}
+
+/// One step of a job: `count` like tasks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StepSpec {
+    /// How many tasks.
+    pub count: u32,
+    /// Room that each task asks for.
+    pub room: Room,
+    /// Rough guess of how long a task takes.
+    #[serde(default)]
+    pub estimate: Duration,
+    /// Numbers of the steps that must be done before.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<u16>,
+    /// Whether progress survives a stop.
+    #[serde(default)]
+    pub checkpointing: bool,
+    /// Whether all tasks must run at the same time.
+    #[serde(default)]
+    pub gang: bool,
+    /// Whether the tasks are faster together in one rack.
+    #[serde(default)]
+    pub same_rack: bool,
+    /// Label that the worker must carry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub label: Option<String>,
+    /// Rack that holds the data.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub near: Option<Rack>,
+    /// Most tasks of the step on one worker; 0 for no limit.
+    #[serde(default)]
+    pub most_per_worker: u32,
+    /// Whether copies of a task may run at the same time.
+    #[serde(default)]
+    pub speculative: bool,
+    /// Whether the tasks run until the job is cancelled.
+    #[serde(default)]
+    pub lasting: bool,
+    /// What the tasks run; tasks of one image behave alike.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub image: Option<String>,
+    /// Bound on the slow answers of a lasting task that serves users.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<Duration>,
+    /// Whether the tasks live on processor time that others leave unused.
+    #[serde(default)]
+    pub fills: bool,
+    /// How many tasks of a lasting step may be away at once by our doing.
+    #[serde(default)]
+    pub may_miss: u32,
+}
+
+impl StepSpec {
+    /// The room that a task takes from a worker's capacity.
+    pub fn reserved(&self) -> Room {
+        if self.fills { Room { cpu_millis: 0, ..self.room } } else { self.room }
+    }
+}
+
+/// When the steps of a job run again and again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Repeat {
+    /// How many rounds.
+    pub count: u32,
+    /// When the first round is due.
+    pub start: UnixMs,
+    /// Time between the starts of two rounds.
+    pub every: Duration,
+}
+
+/// A job as handed in.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The queue it was handed in to.
+    pub queue: QueueId,
+    /// The service whose workers run it.
+    pub service: ServiceId,
+    /// Urgency of its queue when it was accepted; 0 is the most urgent.
+    #[serde(default)]
+    pub priority: u32,
+    /// How many failed runs a task may have.
+    pub max_attempts: u32,
+    /// Text that is passed to every task.
+    pub text: String,
+    /// Its steps.
+    pub steps: Vec<StepSpec>,
+    /// Rounds, if it has any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub repeat: Option<Repeat>,
+    /// When an entry accepted it.
+    pub accepted: UnixMs,
+}
+
+impl JobSpec {
+    /// Checks what the scheduler relies on.
+    pub fn check(&self) -> Result<(), String> {
+        if self.steps.is_empty() {
+            return Err("a job needs at least one step".to_string());
+        }
+        if self.steps.len() > MOST_STEPS {
+            return Err(format!("a job may have {MOST_STEPS} steps at most"));
+        }
+        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
+        if tasks > MOST_TASKS {
+            return Err(format!("a job may have {MOST_TASKS} tasks at most"));
+        }
+        for (n, s) in self.steps.iter().enumerate() {
+            if s.after.iter().any(|a| usize::from(*a) >= n) {
+                return Err(format!("step {n} may only wait for earlier steps"));
+            }
+        }
+        Ok(())
+    }
+
+    /// How many rounds the job has.
+    pub fn rounds(&self) -> u32 {
+        self.repeat.map_or(1, |r| r.count.max(1))
+    }
+
+    /// When a round is due.
+    pub fn due(&self, round: u32) -> UnixMs {
+        self.repeat.map_or(0, |r| r.start + u64::from(round) * r.every.as_millis() as u64)
+    }
+
+    /// Whether any step runs until the job is cancelled.
+    pub fn lasts(&self) -> bool {
+        self.steps.iter().any(|s| s.lasting)
+    }
+}
+
+/// Name of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// Its job.
+    pub job: JobKey,
+    /// Round of the job.
+    pub round: u32,
+    /// Step of the job.
+    pub step: u16,
+    /// Number within the step.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}.{}", self.job, self.round, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = String;
+
+    fn from_str(s: &str) -> Result<TaskId, String> {
+        let bad = || format!("`{s}` is not the name of a task");
+        let mut parts = s.split('.');
+        let mut next = || parts.next().ok_or_else(bad);
+        let job = parse_job(next()?).ok_or_else(bad)?;
+        let round = next()?.parse().map_err(|_| bad())?;
+        let step = next()?.parse().map_err(|_| bad())?;
+        let index = next()?.parse().map_err(|_| bad())?;
+        Ok(TaskId { job, round, step, index })
+    }
+}
+
+/// Reads the 16 hex digits of a job.
+pub fn parse_job(s: &str) -> Option<JobKey> {
+    if s.len() != 16 { None } else { u64::from_str_radix(s, 16).ok() }
+}
+
+/// The 16 hex digits of a job.
+pub fn show_job(job: JobKey) -> String {
+    format!("{job:016x}")
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -0,0 +1,325 @@
+//! Maintenance waves: which machine goes down next, and when.
+//!
+//! A machine passes through these states: it is emptied (no new work, lasting
+//! tasks moved off within their budgets), ordered down (the order is on
+//! record first), down, and finished when it is up again with another life of
+//! its worker. An order without an answer is repeated; the platform answers
+//! alike when it has been carried out already.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::job::WorkerId;
+use super::sched::{Action, Scheduler};
+use super::spec::Room;
+use crate::ids::{DataCentre, HostId, ServiceId};
+
+/// Longest time that short tasks are given to end before a machine goes down.
+const EMPTY_FOR: Duration = Duration::from_millis(3500);
+/// An order without an outcome is sent again after this time.
+const ORDER_AGAIN: Duration = Duration::from_millis(1500);
+/// How many machines are emptied ahead for each that may be down.
+const EMPTY_AHEAD: usize = 2;
+
+/// State of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// It works, or could.
+    Up,
+    /// It changes its pool.
+    Moving,
+    /// It is being maintained.
+    Upkeep,
+    /// It is off or lost.
+    Down,
+}
+
+/// A machine, as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Its name.
+    pub name: HostId,
+    /// The service whose pool it is in.
+    pub pool: ServiceId,
+    /// Its state.
+    pub state: MachineState,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+    /// Its room.
+    pub capacity: Room,
+    /// The present life of its worker.
+    pub worker: Option<WorkerId>,
+}
+
+/// Answer to an order to a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineReply {
+    /// Done, now or before.
+    Done,
+    /// Not now: the machine is busy.
+    Busy,
+    /// Never: no such machine, or not part of this wave.
+    Impossible,
+    /// Another holder has used a higher token for it.
+    Fenced,
+    /// No answer; it may have been done.
+    NoAnswer,
+    /// Refused for now without effect.
+    Later,
+}
+
+/// A wave, as operators ask for it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wave {
+    /// Its number.
+    pub number: u64,
+    /// Machines to maintain.
+    pub machines: Vec<HostId>,
+    /// Time allowed for all of them.
+    pub within: Duration,
+    /// How many may be down at once.
+    pub most_at_once: usize,
+}
+
+/// The stored progress of a wave.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// Machines ordered down, with the life of the worker at that time.
+    #[serde(default)]
+    pub ordered: BTreeMap<HostId, Option<String>>,
+    /// Machines whose order was confirmed.
+    #[serde(default)]
+    pub down: BTreeSet<HostId>,
+    /// Machines that are up again.
+    #[serde(default)]
+    pub finished: BTreeSet<HostId>,
+}
+
+/// What the scheduler knows of a wave.
+#[derive(Clone, Debug)]
+pub struct WaveState {
+    /// What was asked for.
+    pub wave: Wave,
+    /// What is on record.
+    pub record: WaveRecord,
+    /// Machines that are being emptied, and since when.
+    pub emptying: BTreeMap<HostId, Duration>,
+    /// When each order was last sent.
+    pub sent: BTreeMap<HostId, Duration>,
+    /// When we heard of it.
+    pub heard: Duration,
+}
+
+impl WaveState {
+    /// Whether every machine of it has been maintained.
+    pub fn complete(&self) -> bool {
+        self.wave.machines.iter().all(|m| self.record.finished.contains(m))
+    }
+
+    /// Machines that are, or may be, down for it.
+    fn down_now(&self) -> usize {
+        self.record.ordered.keys().filter(|m| !self.record.finished.contains(*m)).count()
+    }
+}
+
+impl Scheduler {
+    /// An operator asks for a wave.
+    pub(super) fn wave_asked(&mut self, wave: Wave, rec: Option<WaveRecord>) {
+        let number = wave.number;
+        if self.waves.contains_key(&number) {
+            return;
+        }
+        self.notes.push(format!(
+            "event=wave_known wave={number} machines={} most_at_once={}",
+            wave.machines.len(),
+            wave.most_at_once
+        ));
+        let record = rec.unwrap_or_default();
+        let now = self.now;
+        let state = WaveState { wave, record, emptying: BTreeMap::new(), sent: BTreeMap::new(), heard: now };
+        self.waves.insert(number, state);
+        self.dirty_waves.insert(number);
+    }
+
+    /// The platform's list of machines was read.
+    pub(super) fn machines_listed(&mut self, list: Vec<Machine>) {
+        self.machines = list.into_iter().map(|m| (m.name.clone(), m)).collect();
+        self.finish_machines();
+    }
+
+    /// Whether the list of machines is needed.
+    pub fn wants_machines(&self) -> bool {
+        self.waves.values().any(|w| !w.complete())
+    }
+
+    /// Marks machines as finished that are up again with another life.
+    fn finish_machines(&mut self) {
+        for (number, w) in &mut self.waves {
+            let waiting: Vec<HostId> =
+                w.record.down.iter().filter(|m| !w.record.finished.contains(*m)).cloned().collect();
+            for name in waiting {
+                let before = w.record.ordered.get(&name).cloned().flatten();
+                let back = match self.machines.get(&name) {
+                    Some(m) => {
+                        let life = m.worker.as_ref().map(|id| id.to_string());
+                        m.state == MachineState::Up && life.is_some() && life != before
+                    }
+                    // A machine that was taken away needs no maintenance.
+                    None => !self.machines.is_empty(),
+                };
+                if back {
+                    w.record.finished.insert(name);
+                    self.dirty_waves.insert(*number);
+                }
+            }
+        }
+    }
+
+    /// Goes on with all waves.
+    pub(super) fn run_waves(&mut self) {
+        let open: Vec<u64> = self.waves.iter().filter(|(_, w)| !w.complete()).map(|(n, _)| *n).collect();
+        for n in open {
+            self.run_wave(n);
+        }
+        self.set_cordons();
+    }
+
+    /// Keeps new work away from machines that are to go down.
+    fn set_cordons(&mut self) {
+        let mut cordoned: BTreeSet<WorkerId> = BTreeSet::new();
+        for w in self.waves.values() {
+            let ordered = w.record.ordered.keys().filter(|m| !w.record.finished.contains(*m));
+            for m in w.emptying.keys().chain(ordered) {
+                cordoned.extend(self.worker_on(m));
+            }
+        }
+        for (id, w) in &mut self.workers {
+            let was = w.cordoned;
+            w.cordoned = cordoned.contains(id);
+            if was
+                && !w.cordoned
+                && let Some(info) = &w.info
+            {
+                self.place_again.insert(info.service.clone());
+            }
+        }
+    }
+
+    /// The listed worker of a machine, from the worker's own statement or the
+    /// list of machines.
+    pub(super) fn worker_on(&self, machine: &HostId) -> Option<WorkerId> {
+        let says =
+            |w: &super::worker::Worker| w.listed && w.info.as_ref().is_some_and(|i| i.machine == *machine);
+        let own = self.workers.iter().find(|(_, w)| says(w)).map(|(id, _)| id.clone());
+        own.or_else(|| self.machines.get(machine).and_then(|m| m.worker.clone()))
+    }
+
+    fn run_wave(&mut self, n: u64) {
+        if self.machines.is_empty() || self.now < self.since + self.limits.machine_handover {
+            return;
+        }
+        self.order_again(n);
+        self.start_emptying(n);
+        self.order_empty(n);
+    }
+
+    /// Sends orders again that have had no outcome.
+    fn order_again(&mut self, n: u64) {
+        let now = self.now;
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        let open = w.record.ordered.keys().filter(|m| !w.record.down.contains(*m));
+        let due: Vec<HostId> =
+            open.filter(|m| w.sent.get(*m).is_none_or(|at| *at + ORDER_AGAIN < now)).cloned().collect();
+        for m in due {
+            w.sent.insert(m.clone(), now);
+            self.actions.push(Action::Upkeep(m, n));
+        }
+    }
+
+    /// Picks machines to empty: those with the least on them first.
+    fn start_emptying(&mut self, n: u64) {
+        let Some(w) = self.waves.get(&n) else { return };
+        let ahead = w.wave.most_at_once.max(1) * EMPTY_AHEAD;
+        let mut room = ahead.saturating_sub(w.emptying.len() + w.down_now());
+        let waiting = w.wave.machines.iter().filter(|m| {
+            !w.record.ordered.contains_key(*m)
+                && !w.emptying.contains_key(*m)
+                && !w.record.finished.contains(*m)
+        });
+        let mut waiting: Vec<(usize, u64, HostId)> = waiting
+            .map(|m| {
+                let id = self.worker_on(m);
+                let lasting = id.as_ref().map_or(0, |id| self.lasting_runs(id).len());
+                let used = id.and_then(|id| self.workers.get(&id)).map_or(0, |w| w.used.cpu_millis);
+                (lasting, used, m.clone())
+            })
+            .collect();
+        waiting.sort();
+        let now = self.now;
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        for (_, _, m) in waiting {
+            if room == 0 {
+                break;
+            }
+            room -= 1;
+            self.notes.push(format!("event=machine_emptying wave={n} machine={m}"));
+            w.emptying.insert(m, now);
+        }
+    }
+
+    /// Orders machines down that are empty, or were given enough time.
+    fn order_empty(&mut self, n: u64) {
+        let Some(w) = self.waves.get(&n) else { return };
+        let mut room = w.wave.most_at_once.max(1).saturating_sub(w.down_now());
+        let emptying: Vec<(HostId, Duration)> = w.emptying.iter().map(|(m, at)| (m.clone(), *at)).collect();
+        for (m, at) in emptying {
+            let worker = self.worker_on(&m);
+            let lasting = worker.as_ref().map_or(0, |id| self.evict_within_budget(id));
+            let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
+            let waited = self.now >= at + EMPTY_FOR;
+            if room == 0 || lasting > 0 || (runs > 0 && !waited) {
+                continue;
+            }
+            room -= 1;
+            let now = self.now;
+            let Some(w) = self.waves.get_mut(&n) else { return };
+            w.emptying.remove(&m);
+            w.record.ordered.insert(m.clone(), worker.map(|id| id.to_string()));
+            w.sent.insert(m.clone(), now);
+            self.notes.push(format!("event=machine_ordered_down wave={n} machine={m} runs={runs}"));
+            self.dirty_waves.insert(n);
+            self.actions.push(Action::Upkeep(m, n));
+        }
+    }
+
+    /// The outcome of an order.
+    pub(super) fn machine_ordered(&mut self, machine: &HostId, reply: MachineReply) {
+        let of = self
+            .waves
+            .iter()
+            .find(|(_, w)| w.record.ordered.contains_key(machine) && !w.record.down.contains(machine));
+        let Some(n) = of.map(|(n, _)| *n) else { return };
+        self.notes.push(format!("event=machine_answer wave={n} machine={machine} reply={reply:?}"));
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        match reply {
+            MachineReply::Done => {
+                w.record.down.insert(machine.clone());
+                let life = w.record.ordered.get(machine).cloned().flatten();
+                self.dirty_waves.insert(n);
+                if let Some(life) = life {
+                    self.life_over(&life.as_str().into(), "upkeep");
+                }
+            }
+            MachineReply::Impossible => {
+                w.record.down.insert(machine.clone());
+                w.record.finished.insert(machine.clone());
+                self.dirty_waves.insert(n);
+            }
+            MachineReply::Busy | MachineReply::Later | MachineReply::NoAnswer | MachineReply::Fenced => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -0,0 +1,180 @@
+//! What is known of one worker: its room, its lease and its health.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::job::WorkerId;
+use super::spec::{Room, TaskId};
+use crate::ids::{DataCentre, HostId, ServiceId};
+
+/// What a worker says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerInfo {
+    /// This life of it.
+    pub id: WorkerId,
+    /// The service whose pool it stands in.
+    pub service: ServiceId,
+    /// IP address and port of its listener.
+    pub address: String,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Machine that it is a life of; empty if it does not say.
+    pub machine: HostId,
+    /// Its whole room.
+    pub capacity: Room,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A run that a worker lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedRun {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the try.
+    pub attempt: u32,
+    /// Latest checkpoint.
+    pub checkpoint: String,
+    /// Share of the work done, or of the warm-up of a lasting task.
+    pub percent: u32,
+    /// Slow answers in ms of a task that serves; else processor use.
+    pub figure: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndKind {
+    /// The task is done.
+    Done,
+    /// It failed, through its own fault or the worker's.
+    Failed,
+    /// We stopped it.
+    Stopped,
+    /// The lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited in vain for the other members of its gang.
+    Alone,
+}
+
+/// An end that a worker lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedEnd {
+    /// Number of the end within the worker's life; rises from 1.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// Number of the try.
+    pub attempt: u32,
+    /// How it ended.
+    pub kind: EndKind,
+    /// Latest checkpoint.
+    pub checkpoint: String,
+}
+
+/// What a worker answers when it is looked at.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// When the look was sent, on the scheduler's clock.
+    pub asked: Duration,
+    /// What runs.
+    pub running: Vec<ReportedRun>,
+    /// Ends that it has not been told to forget.
+    pub ended: Vec<ReportedEnd>,
+}
+
+/// What the scheduler knows of one life of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What it says of itself; `None` when only records speak of it.
+    pub info: Option<WorkerInfo>,
+    /// Whether it was listed when we last heard of the list.
+    pub listed: bool,
+    /// Whether our token is known to it.
+    pub fenced: bool,
+    /// Whether its last look was answered.
+    pub reachable: bool,
+    /// Last answered look.
+    pub heard: Duration,
+    /// When everything on it must have ended if we stop extending its lease.
+    pub lease_end: Duration,
+    /// Runs that may exist there, with the room that each takes.
+    pub runs: HashMap<(TaskId, u32), Room>,
+    /// Tasks of these runs that fill.
+    pub fills: BTreeSet<TaskId>,
+    /// Tasks of these runs that serve users.
+    pub serves: BTreeSet<TaskId>,
+    /// Room taken by `runs`.
+    pub used: Room,
+    /// Highest number of an end that is on record.
+    pub recorded_ends: u64,
+    /// Tasks that failed or stood still here lately, without one done since.
+    pub faults: u32,
+    /// No new work before this moment.
+    pub shunned_until: Duration,
+    /// Whether maintenance or a move keeps new work away.
+    pub cordoned: bool,
+    /// Tickets by step, and until when they hold.
+    pub tickets: BTreeMap<(u64, u32, u16), (Arc<str>, Duration)>,
+}
+
+impl Worker {
+    /// A worker that nothing is known of.
+    pub fn unknown(lease_end: Duration) -> Worker {
+        Worker {
+            info: None,
+            listed: false,
+            fenced: false,
+            reachable: false,
+            heard: Duration::ZERO,
+            lease_end,
+            runs: HashMap::new(),
+            fills: BTreeSet::new(),
+            serves: BTreeSet::new(),
+            used: Room::default(),
+            recorded_ends: 0,
+            faults: 0,
+            shunned_until: Duration::ZERO,
+            cordoned: false,
+            tickets: BTreeMap::new(),
+        }
+    }
+
+    /// Whether it may be given new work.
+    pub fn takes_work(&self, now: Duration) -> bool {
+        let Some(info) = &self.info else { return false };
+        self.listed
+            && self.fenced
+            && self.reachable
+            && !self.cordoned
+            && !info.draining
+            && self.shunned_until <= now
+    }
+
+    /// Room that is free.
+    pub fn free(&self) -> Room {
+        self.info.as_ref().map(|i| i.capacity.minus(&self.used)).unwrap_or_default()
+    }
+
+    /// Takes room for a run.
+    pub fn take(&mut self, task: TaskId, attempt: u32, room: Room) {
+        if self.runs.insert((task, attempt), room).is_none() {
+            self.used.add(&room);
+        }
+    }
+
+    /// Gives the room of a run back.
+    pub fn release(&mut self, task: TaskId, attempt: u32) {
+        if let Some(room) = self.runs.remove(&(task, attempt)) {
+            self.used = self.used.minus(&room);
+        }
+        if !self.runs.keys().any(|(t, _)| *t == task) {
+            self.fills.remove(&task);
+            self.serves.remove(&task);
+        }
+    }
+}
--- a/crates/workswood-core/src/lib.rs
+++ b/crates/workswood-core/src/lib.rs
@@ -16,6 +16,7 @@
 //!   instances run, which hosts are maintained together. The fold checks each
 //!   proposal again, so that a slow or paused planner can't break a budget.
 //! * [`route`] decides on one entry host which request gets which endpoint.
+//! * [`jobs`] queues and runs jobs of many steps on the workers of services.
 //! * [`keyed`] decides what a request that may not be repeated is told.
 //! * [`member`] decides which other entry hosts are alive.
 //! * [`invariant`] counts what must never happen, in release builds too.
@@ -26,6 +27,7 @@
 pub mod fold;
 pub mod ids;
 pub mod invariant;
+pub mod jobs;
 pub mod keyed;
 pub mod member;
 pub mod plan;
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -7,7 +7,7 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// The message.
-    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub msg: Option<Msg>,
 }
 
@@ -50,6 +50,71 @@
     /// Nothing to say.
     #[prost(message, tag = "13")]
     Done(Done),
+    /// Asks for the state of a job.
+    #[prost(message, tag = "14")]
+    JobAsk(JobAsk),
+    /// The state of a job.
+    #[prost(message, tag = "15")]
+    JobReply(JobReply),
+    /// Asks how many jobs of a queue have not begun.
+    #[prost(message, tag = "16")]
+    PendingAsk(PendingAsk),
+    /// How many jobs of a queue have not begun.
+    #[prost(message, tag = "17")]
+    PendingReply(PendingReply),
+}
+
+/// Asks for the state of a job.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobAsk {
+    /// The job.
+    #[prost(uint64, tag = "1")]
+    pub job: u64,
+}
+
+/// The state of a job.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct JobReply {
+    /// Whether the answering process holds the scheduler lease and is up to date.
+    #[prost(bool, tag = "1")]
+    pub current: bool,
+    /// The state; unset if no such job is known.
+    #[prost(enumeration = "JobState", optional, tag = "2")]
+    pub state: Option<i32>,
+}
+
+/// State of a job between processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum JobState {
+    /// No task has begun.
+    Queued = 0,
+    /// Some task has begun.
+    Running = 1,
+    /// All tasks are done.
+    Completed = 2,
+    /// A task failed too often.
+    Failed = 3,
+    /// The caller cancelled it.
+    Canceled = 4,
+}
+
+/// Asks how many jobs of a queue have not begun.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PendingAsk {
+    /// The queue.
+    #[prost(string, tag = "1")]
+    pub queue: String,
+}
+
+/// How many jobs of a queue have not begun.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct PendingReply {
+    /// Whether the answering process holds the scheduler lease and is up to date.
+    #[prost(bool, tag = "1")]
+    pub current: bool,
+    /// How many.
+    #[prost(uint64, tag = "2")]
+    pub pending: u64,
 }
 
 /// Opens a connection.
--- a/crates/workswood-platform/src/lib.rs
+++ b/crates/workswood-platform/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `POST /acts` with an [`Act`] | `{}` |
 
 mod http;
+pub mod jobs;
 
 use std::time::Duration;
 
--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod dev;
 pub mod entry;
 pub mod explain;
+pub mod jobs;
 pub mod plan;
 pub mod soak;
 pub mod status;
@@ -27,6 +28,7 @@
 pub fn all() -> Vec<Entry> {
     vec![
         Entry { cli: entry::cli, exec: entry::exec },
+        Entry { cli: jobs::cli, exec: jobs::exec },
         Entry { cli: check::cli, exec: check::exec },
         Entry { cli: plan::cli, exec: plan::exec },
         Entry { cli: apply::cli, exec: apply::exec },
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -148,7 +148,9 @@
             return Some(Msg::KeyReply(KeyReply { known: r.known, roster: r.roster }));
         }
         Msg::Leaving(Leaving { instances }) => lanes::close(node, &instances),
+        // Answers, and questions that only processes that run jobs are asked.
         Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
+        Msg::JobAsk(_) | Msg::JobReply(_) | Msg::PendingAsk(_) | Msg::PendingReply(_) => {}
     }
     None
 }
--- /dev/null
+++ b/src/workswood/ops/jobs/ask.rs
@@ -0,0 +1,147 @@
+//! Questions of callers, answered by the holder of the scheduler lease.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::FutureExt;
+use workswood_core::jobs::{JobKey, Outcome, Shown};
+use workswood_peers::{Handler, JobAsk, JobReply, JobState, Link, Msg, PendingAsk, PendingReply};
+
+use super::node::{Leading, Node};
+
+/// Peers on the prepared platform share no secret: their network is their own.
+pub const TOKEN: &str = "";
+/// Longest wait for the holder's answer; a few times the way there and back on
+/// a busy host.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// The holder speaks for the inbox only if it read it this recently.
+const INBOX_AGE: Duration = Duration::from_millis(2500);
+
+/// Answer to a question.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Told<T> {
+    /// The holder knows.
+    Known(T),
+    /// The holder is up to date and knows of no such thing.
+    Unknown,
+    /// The holder can't be asked.
+    Unreachable,
+}
+
+fn current(node: &Node, l: &Leading) -> bool {
+    let read = l.inbox_read.load(Ordering::Acquire);
+    read > 0 && node.now_ms() < read + INBOX_AGE.as_millis() as u64
+}
+
+fn own_job(node: &Node, l: &Leading, job: JobKey) -> Told<Shown> {
+    match l.shown.read().get(&job).and_then(|s| s.state) {
+        Some(state) => Told::Known(state),
+        None if current(node, l) => Told::Unknown,
+        None => Told::Unreachable,
+    }
+}
+
+fn own_pending(node: &Node, l: &Leading, queue: &str) -> Told<u64> {
+    if !current(node, l) {
+        return Told::Unreachable;
+    }
+    let shown = l.shown.read();
+    let waits = |s: &&workswood_core::jobs::sched::ShownJob| {
+        s.queue == queue && s.state == Some(Shown::Queued) && !s.timed
+    };
+    Told::Known(shown.values().filter(waits).count() as u64)
+}
+
+/// Asks for the state of a job.
+pub async fn job(node: &Arc<Node>, job: JobKey) -> Told<Shown> {
+    if let Some(l) = node.leading.load_full() {
+        return own_job(node, &l, job);
+    }
+    match call(node, Msg::JobAsk(JobAsk { job })).await {
+        Some(Msg::JobReply(r)) if r.current => match r.state {
+            Some(s) => JobState::try_from(s).map_or(Told::Unreachable, |s| Told::Known(shown(s))),
+            None => Told::Unknown,
+        },
+        _ => Told::Unreachable,
+    }
+}
+
+/// Asks how many jobs of a queue have not begun.
+pub async fn pending(node: &Arc<Node>, queue: &str) -> Told<u64> {
+    if let Some(l) = node.leading.load_full() {
+        return own_pending(node, &l, queue);
+    }
+    match call(node, Msg::PendingAsk(PendingAsk { queue: queue.to_string() })).await {
+        Some(Msg::PendingReply(r)) if r.current => Told::Known(r.pending),
+        _ => Told::Unreachable,
+    }
+}
+
+async fn call(node: &Arc<Node>, msg: Msg) -> Option<Msg> {
+    let holder = node.holder.load_full()?;
+    if holder.released || holder.id == node.id {
+        return None;
+    }
+    let link = {
+        let mut links = node.links.lock();
+        if links.len() > 1 {
+            links.retain(|address, _| *address == holder.peers);
+        }
+        let open = || Link::open(holder.peers.clone(), TOKEN.to_string(), node.id.clone());
+        links.entry(holder.peers.clone()).or_insert_with(open).clone()
+    };
+    link.call(msg, CALL_TIMEOUT).await
+}
+
+/// Answers peers' questions.
+pub fn handler(node: Arc<Node>) -> Handler {
+    Arc::new(move |msg| {
+        let node = node.clone();
+        async move { answer(&node, msg) }.boxed()
+    })
+}
+
+fn answer(node: &Node, msg: Msg) -> Option<Msg> {
+    let l = node.leading.load_full();
+    match msg {
+        Msg::JobAsk(ask) => {
+            let told = l.map_or(Told::Unreachable, |l| own_job(node, &l, ask.job));
+            let (current, state) = match told {
+                Told::Known(s) => (true, Some(state(s) as i32)),
+                Told::Unknown => (true, None),
+                Told::Unreachable => (false, None),
+            };
+            Some(Msg::JobReply(JobReply { current, state }))
+        }
+        Msg::PendingAsk(ask) => {
+            let told = l.map_or(Told::Unreachable, |l| own_pending(node, &l, &ask.queue));
+            let (current, pending) = match told {
+                Told::Known(n) => (true, n),
+                Told::Unknown | Told::Unreachable => (false, 0),
+            };
+            Some(Msg::PendingReply(PendingReply { current, pending }))
+        }
+        _ => None,
+    }
+}
+
+fn state(s: Shown) -> JobState {
+    match s {
+        Shown::Queued => JobState::Queued,
+        Shown::Running => JobState::Running,
+        Shown::Ended(Outcome::Completed) => JobState::Completed,
+        Shown::Ended(Outcome::Failed) => JobState::Failed,
+        Shown::Ended(Outcome::Canceled) => JobState::Canceled,
+    }
+}
+
+fn shown(s: JobState) -> Shown {
+    match s {
+        JobState::Queued => Shown::Queued,
+        JobState::Running => Shown::Running,
+        JobState::Completed => Shown::Ended(Outcome::Completed),
+        JobState::Failed => Shown::Ended(Outcome::Failed),
+        JobState::Canceled => Shown::Ended(Outcome::Canceled),
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/follow.rs
@@ -0,0 +1,90 @@
+//! Keeps up with a topic of the store: first the newest records, then each
+//! change as it comes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::Event;
+use workswood_platform::jobs::{KeyedRecord, OperatorItem, StoreError, Topic};
+
+use super::node::Node;
+
+/// How long one read waits for a record. A connection that was cut in silence
+/// is noticed after this and the read's slack, well inside the 2 s in which a
+/// change has to be in force.
+const READ_WAIT: Duration = Duration::from_millis(1000);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What a follower hears.
+pub enum Heard {
+    /// All newest records; replaces what was heard before.
+    Reset(Vec<KeyedRecord>),
+    /// Changes, in order; may be empty when a read reached the end.
+    Changes(Vec<KeyedRecord>),
+}
+
+/// Follows a topic for ever.
+pub async fn topic(node: Arc<Node>, topic: Topic, mut heard: impl FnMut(Heard) + Send) {
+    let mut next = None;
+    let mut failing = false;
+    loop {
+        let res = match next {
+            None => node.platform.newest(topic).await.map(|n| (Heard::Reset(n.records), n.next)),
+            Some(from) => {
+                node.platform.tail(topic, from, READ_WAIT).await.map(|t| (Heard::Changes(t.records), t.next))
+            }
+        };
+        match res {
+            Ok((h, at)) => {
+                if failing {
+                    log::info!("event=dependency_regained dependency=store topic={topic:?}");
+                }
+                failing = false;
+                node.store_is_up();
+                next = Some(at);
+                heard(h);
+            }
+            Err(StoreError::Gone) => next = None,
+            Err(e) => {
+                if !failing {
+                    log::warn!("event=dependency_lost dependency=store topic={topic:?} error=\"{e}\"");
+                }
+                failing = true;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Follows what operators write.
+pub async fn run(node: Arc<Node>) {
+    let n = node.clone();
+    topic(node, Topic::Operators, move |heard| {
+        let (Heard::Reset(records) | Heard::Changes(records)) = heard;
+        records.iter().for_each(|r| take_item(&n, r));
+    })
+    .await;
+}
+
+fn take_item(node: &Node, rec: &KeyedRecord) {
+    match node.platform.operator_item(rec) {
+        Ok(Some(OperatorItem::Config(cfg))) => {
+            let now = node.config.load().as_ref().map_or(0, |c| c.version);
+            // Versions never go back, whatever order records are read in.
+            if cfg.version <= now {
+                return;
+            }
+            log::info!("event=config_in_force version={} queues={}", cfg.version, cfg.queues.len());
+            let cfg = Arc::new(cfg);
+            node.config.store(Some(cfg.clone()));
+            node.tell_scheduler(Event::Config(cfg));
+        }
+        Ok(Some(OperatorItem::Wave(wave))) => {
+            node.waves.lock().insert(wave.number, wave.clone());
+            node.tell_scheduler(Event::Wave(wave, None));
+        }
+        Ok(None) => {}
+        Err(e) => log::error!("event=operator_item_not_read code=203 key={} error=\"{e}\"", rec.key),
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/front.rs
@@ -0,0 +1,197 @@
+//! Answers callers: hands jobs in, tells their state, cancels them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use workswood_adapter::callers as wire;
+use workswood_callers::{Handler, ReplyBody, refusal, whole};
+use workswood_core::code::{Code, Ran};
+use workswood_core::jobs::spec::parse_job;
+use workswood_core::jobs::{JobKey, JobSpec, QueueConfig, SchedConfig};
+use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+
+use super::ask::{self, Told};
+use super::node::Node;
+use super::record::{cancel_key, job_key, value_record};
+
+/// When to come back after a refusal: a store or lease holder that is away is
+/// mostly back or replaced within a few seconds.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// How often a record for the inbox is sent.
+const APPEND_TRIES: u32 = 3;
+/// Pause before a record that was refused is sent again.
+const APPEND_PAUSE: Duration = Duration::from_millis(30);
+/// A store that has been silent for this long is not asked on a caller's time.
+const STORE_SILENT: Duration = Duration::from_millis(1700);
+
+/// Answers one request each.
+pub fn handler(node: Arc<Node>) -> Handler {
+    Arc::new(move |req| {
+        let node = node.clone();
+        async move { answer(&node, req).await }.boxed()
+    })
+}
+
+async fn answer(node: &Arc<Node>, req: Request<Incoming>) -> Response<ReplyBody> {
+    let Some(cfg) = node.config.load_full() else {
+        return refusal(Code::NotCaughtUp, Ran::NotRun, Some(COME_BACK));
+    };
+    let host = host_of(&req);
+    let path = req.uri().path().to_string();
+    let Some(queue) = cfg.route(&host, &path) else {
+        log::info!("event=no_route host={host} path={path} version={}", cfg.version);
+        return refusal(Code::UnknownRoute, Ran::NotRun, None);
+    };
+    let rest = path[queue.path_prefix.len()..].trim_matches('/');
+    if rest.is_empty() {
+        return pending(node, &req, queue).await;
+    }
+    let Some(job) = parse_job(rest) else {
+        return refusal(Code::JobMalformed, Ran::NotRun, None);
+    };
+    match *req.method() {
+        Method::POST => submit(node, &cfg, queue, job, req).await,
+        Method::GET => state(node, job).await,
+        Method::DELETE => cancel(node, job).await,
+        _ => refusal(Code::MethodUnknown, Ran::NotRun, None),
+    }
+}
+
+fn host_of(req: &Request<Incoming>) -> String {
+    let header = req.headers().get(hyper::header::HOST).and_then(|h| h.to_str().ok());
+    let host = header.or_else(|| req.uri().host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_ascii_lowercase()
+}
+
+fn json(body: Bytes) -> Response<ReplyBody> {
+    let res = Response::builder().status(200).header("content-type", "application/json");
+    res.body(whole(body)).unwrap_or_else(|_| Response::new(whole(Bytes::new())))
+}
+
+async fn pending(node: &Arc<Node>, req: &Request<Incoming>, queue: &QueueConfig) -> Response<ReplyBody> {
+    if req.method() != Method::GET {
+        return refusal(Code::MethodUnknown, Ran::NotRun, None);
+    }
+    match ask::pending(node, &queue.name).await {
+        Told::Known(n) => json(wire::pending_body(n)),
+        Told::Unknown | Told::Unreachable => refusal(Code::HolderAway, Ran::NotRun, Some(COME_BACK)),
+    }
+}
+
+async fn state(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
+    match ask::job(node, job).await {
+        Told::Known(s) => json(wire::state_body(s)),
+        Told::Unknown => refusal(Code::JobUnknown, Ran::NotRun, None),
+        Told::Unreachable => refusal(Code::HolderAway, Ran::NotRun, Some(COME_BACK)),
+    }
+}
+
+async fn cancel(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
+    if ask::job(node, job).await == Told::Unknown {
+        return refusal(Code::JobUnknown, Ran::NotRun, None);
+    }
+    let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
+    match store(node, rec).await {
+        Stored::Yes => {
+            log::info!("event=cancel_accepted job={job:016x}");
+            json(Bytes::from_static(b"{}"))
+        }
+        Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
+        Stored::Unknown => refusal(Code::OutcomeUnknown, Ran::Unknown, Some(COME_BACK)),
+    }
+}
+
+async fn submit(
+    node: &Arc<Node>,
+    cfg: &SchedConfig,
+    queue: &QueueConfig,
+    job: JobKey,
+    req: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let body = match Limited::new(req.into_body(), cfg.max_body_bytes).collect().await {
+        Ok(b) => b.to_bytes(),
+        Err(e) => {
+            log::info!("event=job_refused job={job:016x} reason=body error=\"{e}\"");
+            return refusal(Code::BodyTooLarge, Ran::NotRun, None);
+        }
+    };
+    let spec = match read_spec(node, queue, &body) {
+        Ok(spec) => spec,
+        Err(e) => {
+            log::info!("event=job_refused job={job:016x} reason=malformed error=\"{e}\"");
+            return refusal(Code::JobMalformed, Ran::NotRun, None);
+        }
+    };
+    let begun = node.now();
+    let stored = store(node, value_record(job_key(job), &spec)).await;
+    log::info!(
+        "event=job_handed_in job={job:016x} queue={} version={} stored={stored:?} took_ms={} store_silence_ms={}",
+        queue.name,
+        cfg.version,
+        (node.now() - begun).as_millis(),
+        node.store_silence().as_millis()
+    );
+    match stored {
+        Stored::Yes => json(Bytes::from_static(b"{}")),
+        Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
+        Stored::Unknown => refusal(Code::OutcomeUnknown, Ran::Unknown, Some(COME_BACK)),
+    }
+}
+
+fn read_spec(node: &Node, queue: &QueueConfig, body: &[u8]) -> Result<JobSpec, String> {
+    let handed = wire::read_job(body)?;
+    let spec = JobSpec {
+        queue: queue.name.clone(),
+        service: queue.service.clone(),
+        priority: queue.priority,
+        max_attempts: queue.max_attempts,
+        text: handed.text,
+        steps: handed.steps,
+        repeat: handed.repeat,
+        accepted: node.wall(),
+    };
+    spec.check()?;
+    Ok(spec)
+}
+
+/// Whether a record is in the store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Stored {
+    /// It is.
+    Yes,
+    /// It is not, and will not be.
+    No,
+    /// It may be, or may come to be.
+    Unknown,
+}
+
+/// Writes a record of a caller into the inbox. The key is the caller's own,
+/// so sending it again changes nothing.
+async fn store(node: &Arc<Node>, rec: KeyedRecord) -> Stored {
+    if node.store_silence() > STORE_SILENT {
+        return Stored::No;
+    }
+    let mut unknown = false;
+    for n in 0..APPEND_TRIES {
+        if n > 0 {
+            tokio::time::sleep(APPEND_PAUSE).await;
+        }
+        match node.platform.append(Topic::Inbox, vec![rec.clone()], Guard::None).await {
+            Ok(_) => {
+                node.store_is_up();
+                return Stored::Yes;
+            }
+            Err(StoreError::Unknown { text }) => {
+                log::warn!("event=inbox_append_unanswered key={} error=\"{text}\"", rec.key);
+                unknown = true;
+            }
+            Err(e) => log::warn!("event=inbox_append_refused key={} error=\"{e}\"", rec.key),
+        }
+    }
+    if unknown { Stored::Unknown } else { Stored::No }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/lease.rs
@@ -0,0 +1,194 @@
+//! The scheduler lease: who runs the scheduler.
+//!
+//! The lease is a topic of the store. A process claims it with an append that
+//! is done only if the topic ends where the process last read; the term is one
+//! more than that offset, so it rises with every claim. The holder renews by
+//! appends that are refused once a higher term has been seen. Everybody reads
+//! the topic; nobody trusts the answer to its own claim, which may be lost.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use workswood_core::ids::{Incarnation, Offset, Term};
+use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
+
+use super::lead;
+use super::node::{Holder, Node};
+
+/// A holder that has not renewed for this long is taken to be gone: three
+/// renewals and an answer that was lost.
+const EXPIRES: Duration = Duration::from_millis(2600);
+/// How long one read waits for a record.
+const READ_WAIT: Duration = Duration::from_millis(500);
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Key of the lease.
+pub(super) const KEY: &str = "holder";
+
+/// Stored form of the lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct LeaseRecord {
+    /// Incarnation of the holder.
+    pub id: Incarnation,
+    /// Name of its host.
+    pub name: String,
+    /// Its peer listener.
+    pub peers: String,
+    /// Its term.
+    pub term: Term,
+    /// Whether it gives the lease back.
+    #[serde(default)]
+    pub released: bool,
+}
+
+impl LeaseRecord {
+    pub(super) fn of(node: &Node, term: Term, released: bool) -> LeaseRecord {
+        LeaseRecord {
+            id: node.id.clone(),
+            name: node.settings.name.clone(),
+            peers: node.settings.peers.to_string(),
+            term,
+            released,
+        }
+    }
+
+    pub(super) fn keyed(&self) -> KeyedRecord {
+        let value = serde_json::to_vec(self).unwrap_or_default();
+        KeyedRecord { key: KEY.to_string(), value: Some(value.into()) }
+    }
+}
+
+/// What a process knows of the lease.
+struct View {
+    next: Offset,
+    holder: Option<Holder>,
+    /// When the holder was last heard of, or could not have been heard of.
+    heard: Duration,
+    /// Latest term that was led here.
+    led: Term,
+}
+
+/// Watches the lease and claims it when it is free.
+pub async fn run(node: Arc<Node>) {
+    let mut view: Option<View> = None;
+    loop {
+        let res = match &view {
+            None => {
+                node.platform.newest(Topic::Lease).await.map(|n| Tail { records: n.records, next: n.next })
+            }
+            Some(v) => node.platform.tail(Topic::Lease, v.next, READ_WAIT).await,
+        };
+        match res {
+            Ok(tail) => {
+                node.store_is_up();
+                let v = view.get_or_insert_with(|| View { next: 0, holder: None, heard: node.now(), led: 0 });
+                let at_end = take(&node, v, tail);
+                if at_end {
+                    claim_if_free(&node, v).await;
+                }
+                lead_if_mine(&node, v);
+            }
+            Err(StoreError::Gone) => {
+                let led = view.as_ref().map_or(0, |v| v.led);
+                view = None;
+                if let Ok(n) = node.platform.newest(Topic::Lease).await {
+                    let mut v = View { next: 0, holder: None, heard: node.now(), led };
+                    take(&node, &mut v, Tail { records: n.records, next: n.next });
+                    view = Some(v);
+                }
+            }
+            Err(_) => {
+                // The holder can't be heard while the store is away; it gets
+                // its full time again afterwards.
+                if let Some(v) = &mut view {
+                    v.heard = node.now();
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Takes records in; returns whether there were none.
+fn take(node: &Node, v: &mut View, tail: Tail) -> bool {
+    let first = v.next == 0 && v.holder.is_none();
+    v.next = tail.next;
+    let at_end = tail.records.is_empty() || first;
+    for rec in &tail.records {
+        take_one(node, v, rec);
+    }
+    at_end
+}
+
+fn take_one(node: &Node, v: &mut View, rec: &KeyedRecord) {
+    let value = rec.value.as_deref().unwrap_or_default();
+    let Ok(l) = serde_json::from_slice::<LeaseRecord>(value) else {
+        log::error!("event=lease_not_read code=203");
+        return;
+    };
+    // A renewal or release of an earlier term may arrive late.
+    if v.holder.as_ref().is_some_and(|h| l.term < h.term) {
+        return;
+    }
+    let holder = Holder { id: l.id, name: l.name, peers: l.peers, term: l.term, released: l.released };
+    if v.holder.as_ref() != Some(&holder) {
+        log::info!(
+            "event=lease_holder name={} id={} term={} released={}",
+            holder.name,
+            holder.id,
+            holder.term,
+            holder.released
+        );
+    }
+    v.heard = node.now();
+    node.holder.store(Some(Arc::new(holder.clone())));
+    v.holder = Some(holder);
+}
+
+/// Why the lease may be claimed, if it may.
+fn free(node: &Node, v: &View) -> Option<&'static str> {
+    let Some(h) = &v.holder else { return Some("never_held") };
+    if h.released {
+        return Some("released");
+    }
+    if h.name == node.settings.name && h.id != node.id {
+        return Some("own_former_life");
+    }
+    let led_here_before = h.id == node.id && v.led >= h.term && node.leading.load().is_none();
+    if led_here_before {
+        return Some("given_up_here");
+    }
+    (node.now() > v.heard + EXPIRES).then_some("expired")
+}
+
+async fn claim_if_free(node: &Arc<Node>, v: &mut View) {
+    if node.is_stopping() || node.leading.load().is_some() || node.config.load().is_none() {
+        return;
+    }
+    let Some(why) = free(node, v) else { return };
+    let term = v.next + 1;
+    let rec = LeaseRecord::of(node, term, false).keyed();
+    let res = node.platform.append(Topic::Lease, vec![rec], Guard::EndsAt(v.next)).await;
+    match res {
+        Ok(_) => log::info!("event=lease_claimed term={term} reason={why}"),
+        Err(e) => log::info!("event=lease_claim_failed term={term} reason={why} error=\"{e}\""),
+    }
+}
+
+/// Starts the scheduler when the lease turns out to be ours.
+fn lead_if_mine(node: &Arc<Node>, v: &mut View) {
+    let Some(h) = &v.holder else { return };
+    let mine = h.id == node.id && !h.released;
+    match node.leading.load().as_ref() {
+        None if mine && h.term > v.led && !node.is_stopping() => {
+            v.led = h.term;
+            lead::start(node, h.term);
+        }
+        Some(l) if l.term < h.term => {
+            log::warn!("event=lease_lost term={} to={} to_term={}", l.term, h.name, h.term);
+            let _ = l.end.send(true);
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/load.rs
@@ -0,0 +1,118 @@
+//! Loads the state that earlier lease holders recorded.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::ids::Offset;
+use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Limits, Scheduler, WaveRecord};
+use workswood_platform::jobs::{Guard, KeyedRecord, Newest, StoreError, Topic};
+
+use super::node::Node;
+use super::record::{InboxKey, StateKey, inbox_key, state_key};
+use super::renew::GRACE;
+
+/// Length of a worker's lease. Long enough for a successor to take over
+/// before it ends (2.6 s to notice, a second to load), short enough for what
+/// ran on a lost worker to be started again.
+const WORKER_LEASE: Duration = Duration::from_millis(6000);
+/// Share by which a worker's clock may run slow, from the platform's pages.
+const DRIFT: f64 = 0.02;
+
+/// A scheduler with its predecessors' state.
+pub struct Loaded {
+    /// The scheduler.
+    pub sched: Scheduler,
+    /// Where to go on reading the inbox.
+    pub inbox_next: Offset,
+}
+
+fn limits(node: &Node) -> Limits {
+    let s = &node.settings;
+    Limits {
+        lease: WORKER_LEASE.min(Duration::from_millis(s.longest_lease_ms)),
+        grace: GRACE,
+        drift: DRIFT,
+        machine_handover: Duration::from_millis(s.machine_handover_ms),
+        keep_ended: Duration::from_secs_f64(s.keep_ended_s),
+        early: Duration::from_millis(s.early_ms) / 2,
+    }
+}
+
+/// Keeps all earlier holders from writing state, then reads it.
+pub async fn load(node: &Arc<Node>, term: u64) -> Result<Loaded, StoreError> {
+    node.platform.append(Topic::State, Vec::new(), Guard::Term(term, 0)).await?;
+    let inbox = node.platform.newest(Topic::Inbox).await?;
+    let state = node.platform.newest(Topic::State).await?;
+    node.store_is_up();
+    let inbox_next = inbox.next;
+    let mut sched = Scheduler::new(term, limits(node), node.now(), node.wall());
+    if let Some(cfg) = node.config.load_full() {
+        sched.handle(Event::Config(cfg));
+    }
+    let (records, waves) = read_state(state);
+    restore(&mut sched, inbox, records);
+    for (n, wave) in node.waves.lock().iter() {
+        sched.handle(Event::Wave(wave.clone(), waves.get(n).cloned()));
+    }
+    Ok(Loaded { sched, inbox_next })
+}
+
+fn read_state(state: Newest) -> (HashMap<JobKey, JobRecord>, HashMap<u64, WaveRecord>) {
+    let mut jobs = HashMap::new();
+    let mut waves = HashMap::new();
+    for rec in state.records {
+        let value = rec.value.unwrap_or_default();
+        match state_key(&rec.key) {
+            Some(StateKey::Job(key)) => {
+                if let Some(j) = read(&rec.key, &value) {
+                    jobs.insert(key, j);
+                }
+            }
+            Some(StateKey::Wave(n)) => {
+                if let Some(w) = read(&rec.key, &value) {
+                    waves.insert(n, w);
+                }
+            }
+            None => log::error!("event=record_not_read code=203 key={}", rec.key),
+        }
+    }
+    (jobs, waves)
+}
+
+fn read<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
+    let read = serde_json::from_slice(value);
+    read.inspect_err(|e| log::error!("event=record_not_read code=203 key={key} error=\"{e}\"")).ok()
+}
+
+fn restore(sched: &mut Scheduler, inbox: Newest, mut records: HashMap<JobKey, JobRecord>) {
+    let mut cancels = BTreeSet::new();
+    for rec in inbox.records {
+        match inbox_event(&rec) {
+            Some(Event::Submitted(key, spec)) => sched.restore(key, spec, records.remove(&key)),
+            Some(Event::Cancelled(key)) => {
+                cancels.insert(key);
+            }
+            _ => {}
+        }
+    }
+    for key in cancels {
+        sched.handle(Event::Cancelled(key));
+    }
+}
+
+/// What a record of the inbox means.
+pub fn inbox_event(rec: &KeyedRecord) -> Option<Event> {
+    let value = rec.value.as_deref()?;
+    match inbox_key(&rec.key) {
+        Some(InboxKey::Job(key)) => {
+            let spec: JobSpec = read(&rec.key, value)?;
+            Some(Event::Submitted(key, Arc::new(spec)))
+        }
+        Some(InboxKey::Cancel(key)) => Some(Event::Cancelled(key)),
+        None => {
+            log::error!("event=record_not_read code=203 key={}", rec.key);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/mod.rs
@@ -0,0 +1,81 @@
+//! The process of an entry host that queues and runs jobs.
+//!
+//! Every entry host runs the same process. Each one takes jobs from callers
+//! and writes them into the platform's store; the one that holds the scheduler
+//! lease decides where their tasks run. A [`Node`] is what the tasks of a
+//! process share:
+//!
+//! * [`front`] answers callers, and [`ready`] the balancer;
+//! * [`follow`] keeps up with what operators write;
+//! * [`lease`] watches the scheduler lease and claims it;
+//! * [`lead`] runs the scheduler while this process holds the lease, with
+//!   [`load`] (a predecessor's state), [`record`] (the stored form),
+//!   [`renew`] (the lease), [`watch`] (looks at workers) and [`orders`];
+//! * [`ask`] puts callers' questions to the lease holder;
+//! * [`stop`] ends the process without cutting anything off.
+
+mod ask;
+mod follow;
+mod front;
+mod lead;
+mod lease;
+mod load;
+mod node;
+mod orders;
+mod ready;
+mod record;
+mod renew;
+mod stop;
+mod watch;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch as channel;
+use workswood_adapter::{Addresses, PlatformClient};
+use workswood_platform::jobs::JobPlatform;
+
+pub use node::Node;
+
+use crate::util::errors::{Error, ListenSnafu, Result};
+use crate::util::job_settings::{JobSettings, PATH_VARIABLE};
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.context(ListenSnafu { address: address.to_string() })
+}
+
+/// Runs the process until a signal stops it.
+pub async fn run(named: Option<String>) -> Result<()> {
+    let path = named.or_else(|| std::env::var(PATH_VARIABLE).ok()).ok_or_else(|| Error::Settings {
+        path: String::new(),
+        text: format!("no settings file: name one, or set {PATH_VARIABLE}"),
+    })?;
+    let settings = JobSettings::read(&path)?;
+    crate::util::logs::start(settings.log_level);
+    let callers = listen(settings.callers).await?;
+    let readiness = listen(settings.readiness).await?;
+    let peers = listen(settings.peers).await?;
+    let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
+    let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::new(addresses));
+    let node = Arc::new(Node::new(settings, platform));
+    log::info!(
+        "event=started id={} name={} data_centre={} callers={} peers={}",
+        node.id,
+        node.settings.name,
+        node.settings.data_centre,
+        node.settings.callers,
+        node.settings.peers
+    );
+    let (stop_callers, stopped) = channel::channel(false);
+    tokio::spawn(ready::serve(readiness, node.clone()));
+    tokio::spawn(workswood_peers::serve(peers, ask::TOKEN.to_string(), ask::handler(node.clone())));
+    tokio::spawn(follow::run(node.clone()));
+    tokio::spawn(lease::run(node.clone()));
+    tokio::spawn(stop::watch_reload(path));
+    let callers = tokio::spawn(workswood_callers::serve(callers, front::handler(node.clone()), stopped));
+    stop::signal().await;
+    stop::run(&node, &stop_callers, callers).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/node.rs
@@ -0,0 +1,130 @@
+//! What the tasks of one process share.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use workswood_core::ids::{Incarnation, Term, UnixMs};
+use workswood_core::jobs::sched::ShownJob;
+use workswood_core::jobs::{Event, JobKey, SchedConfig, Wave};
+use workswood_peers::Link;
+use workswood_platform::jobs::JobPlatform;
+
+use crate::util::job_settings::JobSettings;
+
+/// Who holds the scheduler lease, as last read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Holder {
+    /// Its incarnation.
+    pub id: Incarnation,
+    /// Name of its host.
+    pub name: String,
+    /// Its peer listener.
+    pub peers: String,
+    /// Its term.
+    pub term: Term,
+    /// Whether it gave the lease back.
+    pub released: bool,
+}
+
+/// What other tasks see of the scheduler while this process runs it.
+pub struct Leading {
+    /// Term of the lease.
+    pub term: Term,
+    /// Events for the scheduler.
+    pub tx: mpsc::UnboundedSender<Event>,
+    /// What callers may be told.
+    pub shown: RwLock<HashMap<JobKey, ShownJob>>,
+    /// When the inbox was last read to its end, in ms since the start.
+    pub inbox_read: AtomicU64,
+    /// Until when workers' leases may be extended, in ms since the start.
+    pub extend_until: AtomicU64,
+    /// Turns true when the scheduler has to end.
+    pub end: watch::Sender<bool>,
+}
+
+/// What the tasks of one process share.
+pub struct Node {
+    /// Its settings.
+    pub settings: JobSettings,
+    /// The platform.
+    pub platform: Arc<dyn JobPlatform>,
+    /// This life of the process.
+    pub id: Incarnation,
+    /// What is in force.
+    pub config: ArcSwapOption<SchedConfig>,
+    /// Maintenance waves that operators asked for.
+    pub waves: Mutex<BTreeMap<u64, Wave>>,
+    /// Who holds the lease.
+    pub holder: ArcSwapOption<Holder>,
+    /// The scheduler, while it runs here.
+    pub leading: ArcSwapOption<Leading>,
+    /// Connections to peers by address.
+    pub links: Mutex<HashMap<String, Link>>,
+    /// Whether a planned stop has begun.
+    pub stopping: AtomicBool,
+    started: Instant,
+    store_answered: AtomicU64,
+}
+
+impl Node {
+    /// A process that has not read anything yet.
+    pub fn new(settings: JobSettings, platform: Arc<dyn JobPlatform>) -> Node {
+        Node {
+            settings,
+            platform,
+            id: uuid::Uuid::new_v4().simple().to_string(),
+            config: ArcSwapOption::empty(),
+            waves: Mutex::default(),
+            holder: ArcSwapOption::empty(),
+            leading: ArcSwapOption::empty(),
+            links: Mutex::default(),
+            stopping: AtomicBool::new(false),
+            started: Instant::now(),
+            store_answered: AtomicU64::new(0),
+        }
+    }
+
+    /// Time since the process started, on the steady clock.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// [`Node::now`] in milliseconds, for atomics.
+    pub fn now_ms(&self) -> u64 {
+        self.now().as_millis() as u64
+    }
+
+    /// The time of day.
+    pub fn wall(&self) -> UnixMs {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
+
+    /// Notes that the store has answered.
+    pub fn store_is_up(&self) {
+        self.store_answered.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// How long ago the store last answered.
+    pub fn store_silence(&self) -> Duration {
+        Duration::from_millis(self.now_ms().saturating_sub(self.store_answered.load(Ordering::Relaxed)))
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Hands an event to the scheduler if it runs here.
+    pub fn tell_scheduler(&self, ev: Event) {
+        if let Some(l) = self.leading.load().as_ref() {
+            // A scheduler that has just ended takes no more events.
+            let _ = l.tx.send(ev);
+        }
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/ready.rs
@@ -0,0 +1,37 @@
+//! Tells the balancer whether callers may be sent here.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::FutureExt;
+use hyper::Response;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use workswood_callers::whole;
+
+use super::node::Node;
+
+/// A process that has not heard of the store for this long sends callers to
+/// others: two reads and their slack.
+const STORE_SILENT: Duration = Duration::from_millis(2500);
+
+/// Whether callers may be sent here.
+pub fn is_ready(node: &Node) -> bool {
+    !node.is_stopping() && node.config.load().is_some() && node.store_silence() < STORE_SILENT
+}
+
+/// Answers the balancer for ever.
+pub async fn serve(listener: TcpListener, node: Arc<Node>) {
+    let (_keep, never) = watch::channel(false);
+    let handler: workswood_callers::Handler = Arc::new(move |_| {
+        let node = node.clone();
+        async move {
+            let status = if is_ready(&node) { 200 } else { 503 };
+            let res = Response::builder().status(status);
+            res.body(whole(Bytes::new())).unwrap_or_else(|_| Response::new(whole(Bytes::new())))
+        }
+        .boxed()
+    });
+    workswood_callers::serve(listener, handler, never).await;
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/record.rs
@@ -0,0 +1,88 @@
+//! The stored form of what the scheduler and the entries keep.
+//!
+//! The inbox holds a job under its 16 hex digits, and a cancel under `x` and
+//! the digits. The state holds a job's state under its digits and a wave's
+//! progress under `wave-` and its number.
+
+use serde::Serialize;
+use workswood_core::jobs::sched::Record;
+use workswood_core::jobs::spec::parse_job;
+use workswood_core::jobs::{JobKey, spec::show_job};
+use workswood_platform::jobs::KeyedRecord;
+
+/// Start of the key of a cancel.
+const CANCEL: &str = "x";
+/// Start of the key of a wave's progress.
+const WAVE: &str = "wave-";
+
+/// A key of the inbox.
+pub enum InboxKey {
+    /// A job.
+    Job(JobKey),
+    /// A cancel.
+    Cancel(JobKey),
+}
+
+/// A key of the state.
+pub enum StateKey {
+    /// State of a job.
+    Job(JobKey),
+    /// Progress of a wave.
+    Wave(u64),
+}
+
+/// Reads a key of the inbox.
+pub fn inbox_key(key: &str) -> Option<InboxKey> {
+    if let Some(digits) = key.strip_prefix(CANCEL) {
+        return parse_job(digits).map(InboxKey::Cancel);
+    }
+    parse_job(key).map(InboxKey::Job)
+}
+
+/// Reads a key of the state.
+pub fn state_key(key: &str) -> Option<StateKey> {
+    if let Some(n) = key.strip_prefix(WAVE) {
+        return n.parse().ok().map(StateKey::Wave);
+    }
+    parse_job(key).map(StateKey::Job)
+}
+
+/// Key of a job in inbox and state.
+pub fn job_key(job: JobKey) -> String {
+    show_job(job)
+}
+
+/// Key of a cancel in the inbox.
+pub fn cancel_key(job: JobKey) -> String {
+    format!("{CANCEL}{}", show_job(job))
+}
+
+fn keyed<T: Serialize>(key: String, value: &T) -> KeyedRecord {
+    let value = serde_json::to_vec(value).unwrap_or_default();
+    KeyedRecord { key, value: Some(value.into()) }
+}
+
+/// A record of the scheduler's state as it is stored.
+pub fn state_record(rec: &Record) -> KeyedRecord {
+    match rec {
+        Record::Job(job, state) => keyed(job_key(*job), state),
+        Record::DropJob(job) => KeyedRecord { key: job_key(*job), value: None },
+        Record::Wave(n, progress) => keyed(format!("{WAVE}{n}"), progress),
+    }
+}
+
+/// Records that take a forgotten job out of the inbox.
+pub fn inbox_drops(rec: &Record) -> Vec<KeyedRecord> {
+    match rec {
+        Record::DropJob(job) => vec![
+            KeyedRecord { key: job_key(*job), value: None },
+            KeyedRecord { key: cancel_key(*job), value: None },
+        ],
+        Record::Job(..) | Record::Wave(..) => Vec::new(),
+    }
+}
+
+/// Any value as a record.
+pub fn value_record<T: Serialize>(key: String, value: &T) -> KeyedRecord {
+    keyed(key, value)
+}
--- /dev/null
+++ b/src/workswood/ops/jobs/renew.rs
@@ -0,0 +1,63 @@
+//! Renews the scheduler lease while this process holds it.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use workswood_platform::jobs::{Guard, StoreError, Topic};
+
+use super::lease::LeaseRecord;
+use super::node::{Leading, Node};
+
+/// Time between two renewals.
+const EVERY: Duration = Duration::from_millis(700);
+/// Pause after a renewal that failed.
+const PAUSE: Duration = Duration::from_millis(150);
+/// How long after its last renewal a holder goes on extending workers' leases.
+/// A successor waits as long for workers that it can't reach, and only for
+/// those; most outages of the store are shorter.
+pub const GRACE: Duration = Duration::from_secs(8);
+
+/// Renews until the scheduler ends.
+pub async fn run(node: Arc<Node>, l: Arc<Leading>) {
+    let mut number = 1;
+    loop {
+        let sent = node.now();
+        let rec = LeaseRecord::of(&node, l.term, false).keyed();
+        match node.platform.append(Topic::Lease, vec![rec], Guard::Term(l.term, number)).await {
+            Ok(_) => {
+                node.store_is_up();
+                number += 1;
+                let until = (sent + GRACE).as_millis() as u64;
+                l.extend_until.store(until, Ordering::Release);
+                tokio::time::sleep(EVERY).await;
+            }
+            Err(StoreError::Overtaken) => {
+                log::warn!("event=lease_overtaken term={}", l.term);
+                let _ = l.end.send(true);
+                return;
+            }
+            Err(e) => {
+                log::warn!("event=lease_not_renewed term={} error=\"{e}\"", l.term);
+                if node.now_ms() > l.extend_until.load(Ordering::Acquire) {
+                    log::warn!("event=lease_given_up term={} reason=store_away", l.term);
+                    let _ = l.end.send(true);
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Gives the lease back, so that another process claims it at once.
+pub async fn release(node: &Node, term: u64) {
+    let rec = LeaseRecord::of(node, term, true).keyed();
+    // The number is above all renewals of this term that can have been sent;
+    // a gap in numbers is refused, so the append goes without one.
+    let res = node.platform.append(Topic::Lease, vec![rec], Guard::None).await;
+    match res {
+        Ok(_) => log::info!("event=lease_released term={term}"),
+        Err(e) => log::warn!("event=lease_not_released term={term} error=\"{e}\""),
+    }
+}
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod dev;
 pub mod entry;
 pub mod explain;
+pub mod jobs;
 pub mod plan;
 pub mod soak;
 pub mod status;
--- /dev/null
+++ b/src/workswood/util/job_settings.rs
@@ -0,0 +1,96 @@
+//! Settings of a process that queues and runs jobs. See `docs/SETTINGS.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+use workswood_core::ids::DataCentre;
+
+use super::errors::{Error, ReadFileSnafu, Result};
+
+/// Environment variable with the path of the settings file.
+pub const PATH_VARIABLE: &str = "WORKSWOOD_SETTINGS";
+
+/// Settings of a process that queues and runs jobs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSettings {
+    /// Name of the host, used in logs and leases.
+    pub name: String,
+    /// Data centre that it stands in.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether callers may be sent here.
+    pub readiness: SocketAddr,
+    /// Where peers connect; also what peers are told.
+    pub peers: SocketAddr,
+    /// Where metrics are served.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: String,
+    /// The platform's machine service.
+    pub machines: String,
+    /// The service that says which workers may run a step, if there is one.
+    #[serde(default)]
+    pub adviser: Option<String>,
+    /// Longest lease that workers accept, in milliseconds.
+    pub longest_lease_ms: u64,
+    /// How long a new lease holder waits before orders to machines.
+    pub machine_handover_ms: u64,
+    /// How far ahead of its time a round may start, in milliseconds.
+    #[serde(default)]
+    pub early_ms: u64,
+    /// How long ended jobs are kept for questions, in seconds.
+    pub keep_ended_s: f64,
+    /// Time allowed for a planned stop, in seconds.
+    pub stop_within_s: f64,
+    /// Least level of log lines: `error`, `warn`, `info` or `debug`.
+    #[serde(default = "default_level")]
+    pub log_level: log::LevelFilter,
+}
+
+fn default_level() -> log::LevelFilter {
+    log::LevelFilter::Info
+}
+
+impl JobSettings {
+    /// Reads and checks a settings file.
+    pub fn read(path: &str) -> Result<JobSettings> {
+        let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
+        let bad = |text: String| Error::Settings { path: path.to_string(), text };
+        let s: JobSettings = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
+        s.check().map_err(bad)?;
+        Ok(s)
+    }
+
+    fn check(&self) -> std::result::Result<(), String> {
+        if self.name.is_empty() || self.data_centre.is_empty() {
+            return Err("`name` and `data_centre` must not be empty".to_string());
+        }
+        if self.peers.ip().is_unspecified() {
+            return Err("`peers` is told to other hosts and needs an address, not 0.0.0.0".to_string());
+        }
+        for (field, value) in [("store", &self.store), ("machines", &self.machines)] {
+            if value.parse::<SocketAddr>().is_err() {
+                return Err(format!("`{field}` must be an IP address and port, not `{value}`"));
+            }
+        }
+        if self.longest_lease_ms < 1_000 {
+            return Err("`longest_lease_ms` must be at least 1000".to_string());
+        }
+        if !(1.0..=3_600.0).contains(&self.stop_within_s) {
+            return Err("`stop_within_s` must be between 1 and 3600".to_string());
+        }
+        if !(0.0..=86_400.0).contains(&self.keep_ended_s) {
+            return Err("`keep_ended_s` must be between 0 and 86400".to_string());
+        }
+        Ok(())
+    }
+
+    /// Time allowed for a planned stop.
+    pub fn stop_within(&self) -> Duration {
+        Duration::from_secs_f64(self.stop_within_s)
+    }
+}
--- a/src/workswood/util/logs.rs
+++ b/src/workswood/util/logs.rs
@@ -1,7 +1,7 @@
 //! Logs: one line of key=value pairs an event, written off the request's path.
 //!
 //! Lines go through a bounded queue to a thread that writes them to standard
-//! error. When the queue is full the line is dropped and counted.
+//! output. When the queue is full the line is dropped and counted.
 
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,7 +45,7 @@
 pub fn start(level: LevelFilter) {
     let (tx, rx) = sync_channel::<String>(QUEUE);
     std::thread::spawn(move || {
-        let mut out = std::io::BufWriter::new(std::io::stderr());
+        let mut out = std::io::BufWriter::new(std::io::stdout());
         while let Ok(line) = rx.recv() {
             let _ = out.write_all(line.as_bytes());
             for line in rx.try_iter() {
