--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -67,6 +67,8 @@
     Wave(Wave, Option<WaveRecord>),
     /// The outcome of an order to a machine.
     MachineOrdered(HostId, MachineReply),
+    /// The inbox was read to its end at this time.
+    InboxRead(Duration),
     /// Time passed.
     Tick,
 }
@@ -170,17 +172,8 @@
     pub shown: Vec<ShownJob>,
     /// Waves whose status is to be published, with whether they are complete.
     pub waves: Vec<(u64, bool)>,
-}
-
-impl Batch {
-    /// Whether there is nothing in it.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
-            && self.actions.is_empty()
-            && self.forget.is_empty()
-            && self.shown.is_empty()
-            && self.waves.is_empty()
-    }
+    /// Everything that was in the inbox at this time is shown with this batch.
+    pub inbox_read: Duration,
 }
 
 /// Place of a task in the queue of its service: most urgent first.
@@ -218,6 +211,7 @@
     pub(super) actions: Vec<Action>,
     pub(super) forget: BTreeMap<WorkerId, u64>,
     pub(super) place_again: BTreeSet<ServiceId>,
+    inbox_read: Duration,
     /// Decisions worth a log line, drained by the process.
     pub notes: Vec<String>,
 }
@@ -244,6 +238,7 @@
             actions: Vec::new(),
             forget: BTreeMap::new(),
             place_again: BTreeSet::new(),
+            inbox_read: Duration::ZERO,
             notes: Vec::new(),
         }
     }
@@ -300,6 +295,7 @@
             Event::Machines(list) => self.machines_listed(list),
             Event::Wave(wave, rec) => self.wave_asked(wave, rec),
             Event::MachineOrdered(machine, reply) => self.machine_ordered(&machine, reply),
+            Event::InboxRead(at) => self.inbox_read = at,
             Event::Tick => self.tick(),
         }
     }
@@ -504,6 +500,7 @@
             batch.records.push(Record::Wave(n, wave.record.clone()));
             batch.waves.push((n, wave.complete()));
         }
+        batch.inbox_read = self.inbox_read;
         batch.actions = std::mem::take(&mut self.actions);
         batch.forget = std::mem::take(&mut self.forget).into_iter().collect();
         batch
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -20,6 +20,9 @@
 const EMPTY_FOR: Duration = Duration::from_millis(3500);
 /// An order without an outcome is sent again after this time.
 const ORDER_AGAIN: Duration = Duration::from_millis(1500);
+/// A machine that is off is listed as under maintenance within this time
+/// after its order was confirmed, if it is at all.
+const OFF_SETTLES: Duration = Duration::from_millis(1500);
 /// How many machines are emptied ahead for each that may be down.
 const EMPTY_AHEAD: usize = 2;
 
@@ -110,10 +113,24 @@
     pub emptying: BTreeMap<HostId, Duration>,
     /// When each order was last sent.
     pub sent: BTreeMap<HostId, Duration>,
+    /// When each order was confirmed, as far as this scheduler heard it.
+    pub confirmed: BTreeMap<HostId, Duration>,
     /// When we heard of it.
     pub heard: Duration,
 }
 
+/// Whether a machine is back from maintenance: its worker has another life.
+/// One that is off in its pool has no worker, before and after.
+fn is_back(m: &Machine, before: &Option<String>, confirmed: Option<&Duration>, now: Duration) -> bool {
+    match (&m.worker, m.state) {
+        (Some(id), MachineState::Up) => Some(&**id) != before.as_deref(),
+        (None, MachineState::Up | MachineState::Down) if before.is_none() => {
+            confirmed.is_some_and(|at| *at + OFF_SETTLES < now)
+        }
+        _ => false,
+    }
+}
+
 impl WaveState {
     /// Whether every machine of it has been maintained.
     pub fn complete(&self) -> bool {
@@ -140,7 +157,15 @@
         ));
         let record = rec.unwrap_or_default();
         let now = self.now;
-        let state = WaveState { wave, record, emptying: BTreeMap::new(), sent: BTreeMap::new(), heard: now };
+        let confirmed = record.down.iter().map(|m| (m.clone(), now)).collect();
+        let state = WaveState {
+            wave,
+            record,
+            emptying: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            confirmed,
+            heard: now,
+        };
         self.waves.insert(number, state);
         self.dirty_waves.insert(number);
     }
@@ -164,10 +189,7 @@
             for name in waiting {
                 let before = w.record.ordered.get(&name).cloned().flatten();
                 let back = match self.machines.get(&name) {
-                    Some(m) => {
-                        let life = m.worker.as_ref().map(|id| id.to_string());
-                        m.state == MachineState::Up && life.is_some() && life != before
-                    }
+                    Some(m) => is_back(m, &before, w.confirmed.get(&name), self.now),
                     // A machine that was taken away needs no maintenance.
                     None => !self.machines.is_empty(),
                 };
@@ -308,6 +330,7 @@
         match reply {
             MachineReply::Done => {
                 w.record.down.insert(machine.clone());
+                w.confirmed.insert(machine.clone(), self.now);
                 let life = w.record.ordered.get(machine).cloned().flatten();
                 self.dirty_waves.insert(n);
                 if let Some(life) = life {
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -189,6 +189,7 @@
         if !batch.shown.is_empty() {
             self.show(batch.shown);
         }
+        self.l.inbox_read.store(batch.inbox_read.as_millis() as u64, Ordering::Release);
         for (id, number) in batch.forget {
             if let Some(link) = self.links.get(&id) {
                 link.forget.send_replace(number);
@@ -264,7 +265,7 @@
                 for ev in tail.records.iter().filter_map(inbox_event) {
                     let _ = l.tx.send(ev);
                 }
-                l.inbox_read.store(node.now_ms(), Ordering::Release);
+                let _ = l.tx.send(Event::InboxRead(node.now()));
             }
             Err(StoreError::Gone) => match node.platform.newest(Topic::Inbox).await {
                 Ok(n) => {
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -40,7 +40,8 @@
     pub tx: mpsc::UnboundedSender<Event>,
     /// What callers may be told.
     pub shown: RwLock<HashMap<JobKey, ShownJob>>,
-    /// When the inbox was last read to its end, in ms since the start.
+    /// All that was in the inbox at this time is in `shown`; ms since the
+    /// start, 0 before the first time.
     pub inbox_read: AtomicU64,
     /// Until when workers' leases may be extended, in ms since the start.
     pub extend_until: AtomicU64,
