--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -30,8 +30,8 @@
         w.listed = true;
         if fresh {
             self.notes.push(format!(
-                "event=worker_listed worker={id} service={} address={}",
-                info.service, info.address
+                "event=worker_listed worker={id} service={} address={} machine={}",
+                info.service, info.address, info.machine
             ));
             self.actions.push(Action::Watch(info));
         } else if draining {
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -14,6 +14,7 @@
 use super::job::WorkerId;
 use super::sched::{Action, Scheduler};
 use super::spec::Room;
+use super::worker::Worker;
 use crate::ids::{DataCentre, HostId, ServiceId};
 
 /// Longest time that short tasks are given to end before a machine goes down.
@@ -115,6 +116,8 @@
     pub sent: BTreeMap<HostId, Duration>,
     /// When each order was confirmed, as far as this scheduler heard it.
     pub confirmed: BTreeMap<HostId, Duration>,
+    /// Machines whose order may yet be carried out though it was not answered.
+    pub unsure: BTreeSet<HostId>,
     /// When we heard of it.
     pub heard: Duration,
 }
@@ -157,6 +160,8 @@
         ));
         let record = rec.unwrap_or_default();
         let now = self.now;
+        let open = record.ordered.keys().filter(|m| !record.down.contains(*m));
+        let unsure = open.cloned().collect();
         let confirmed = record.down.iter().map(|m| (m.clone(), now)).collect();
         let state = WaveState {
             wave,
@@ -164,6 +169,7 @@
             emptying: BTreeMap::new(),
             sent: BTreeMap::new(),
             confirmed,
+            unsure,
             heard: now,
         };
         self.waves.insert(number, state);
@@ -210,33 +216,42 @@
         self.set_cordons();
     }
 
+    /// Whether a machine is to go down, or may go down at any moment.
+    pub(super) fn goes_down(&self, machine: &HostId) -> bool {
+        self.waves.values().any(|w| {
+            let ordered = w.record.ordered.contains_key(machine) && !w.record.finished.contains(machine);
+            ordered || w.emptying.contains_key(machine)
+        })
+    }
+
     /// Keeps new work away from machines that are to go down.
     fn set_cordons(&mut self) {
-        let mut cordoned: BTreeSet<WorkerId> = BTreeSet::new();
-        for w in self.waves.values() {
-            let ordered = w.record.ordered.keys().filter(|m| !w.record.finished.contains(*m));
-            for m in w.emptying.keys().chain(ordered) {
-                cordoned.extend(self.worker_on(m));
-            }
-        }
-        for (id, w) in &mut self.workers {
-            let was = w.cordoned;
-            w.cordoned = cordoned.contains(id);
-            if was
-                && !w.cordoned
-                && let Some(info) = &w.info
-            {
+        let of = |w: &Worker| w.info.as_ref().map(|i| i.machine.clone());
+        let changed: Vec<(WorkerId, bool)> = self
+            .workers
+            .iter()
+            .filter_map(|(id, w)| Some((id, w.cordoned, self.goes_down(&of(w)?))))
+            .filter(|(_, was, now)| was != now)
+            .map(|(id, _, now)| (id.clone(), now))
+            .collect();
+        for (id, cordoned) in changed {
+            let Some(w) = self.workers.get_mut(&id) else { continue };
+            w.cordoned = cordoned;
+            if let Some(info) = &w.info {
                 self.place_again.insert(info.service.clone());
             }
         }
     }
 
-    /// The listed worker of a machine, from the worker's own statement or the
-    /// list of machines.
+    /// The worker of a machine, from the worker's own statement or the list of
+    /// machines. A life that is not listed may be cut off and still run tasks.
     pub(super) fn worker_on(&self, machine: &HostId) -> Option<WorkerId> {
-        let says =
-            |w: &super::worker::Worker| w.listed && w.info.as_ref().is_some_and(|i| i.machine == *machine);
-        let own = self.workers.iter().find(|(_, w)| says(w)).map(|(id, _)| id.clone());
+        let says = |w: &Worker| {
+            let here = w.info.as_ref().is_some_and(|i| i.machine == *machine);
+            here && (w.listed || !w.runs.is_empty())
+        };
+        let here = self.workers.iter().filter(|(_, w)| says(w));
+        let own = here.max_by_key(|(_, w)| w.listed).map(|(id, _)| id.clone());
         own.or_else(|| self.machines.get(machine).and_then(|m| m.worker.clone()))
     }
 
@@ -342,7 +357,18 @@
                 w.record.finished.insert(machine.clone());
                 self.dirty_waves.insert(n);
             }
-            MachineReply::Busy | MachineReply::Later | MachineReply::NoAnswer | MachineReply::Fenced => {}
+            MachineReply::NoAnswer => {
+                w.unsure.insert(machine.clone());
+            }
+            // Nothing was done. Unless an earlier try may yet be, the machine
+            // is emptied anew: it may come back with other work on it.
+            MachineReply::Busy | MachineReply::Later | MachineReply::Fenced => {
+                if !w.unsure.contains(machine) {
+                    w.record.ordered.remove(machine);
+                    w.emptying.insert(machine.clone(), self.now);
+                    self.dirty_waves.insert(n);
+                }
+            }
         }
     }
 }
