End an older life only for one that nobody has heard of before

Change: only a life that is unknown and was listed just now ends older ones. A worker that refuses a start gets no work for 400 ms: the same start was refused over and over.

--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -47,8 +47,9 @@
     Cancelled(JobKey),
     /// What is in force changed.
     Config(Arc<SchedConfig>),
-    /// The list shows a worker, new or changed.
-    WorkerListed(WorkerInfo),
+    /// The list shows a worker, new or changed. `true` if it was listed just
+    /// now, so that it is newer than every other life we know of.
+    WorkerListed(WorkerInfo, bool),
     /// The list no longer shows a worker.
     WorkerUnlisted(WorkerId),
     /// A worker answered a look; its lease ends as told if not extended.
@@ -299,7 +300,7 @@
             Event::Submitted(key, spec) => self.submitted(key, spec),
             Event::Cancelled(key) => self.cancel(key),
             Event::Config(cfg) => self.set_config(cfg),
-            Event::WorkerListed(info) => self.worker_listed(info),
+            Event::WorkerListed(info, just_now) => self.worker_listed(info, just_now),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
             Event::Reported(id, report, lease_end) => self.reported(&id, &report, lease_end),
             Event::Unanswered(id, lease_end) => self.unanswered(&id, lease_end),
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -15,12 +15,16 @@
 /// A worker that turned a start down as unwell gets no work for this long;
 /// about one look.
 const UNWELL_FOR: Duration = Duration::from_millis(1000);
+/// A worker that refused a start gets no work for this long; a few looks.
+const REFUSED_FOR: Duration = Duration::from_millis(400);
 
 impl Scheduler {
     /// Takes a worker in that is listed, new or changed.
-    pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
+    pub(super) fn worker_listed(&mut self, info: WorkerInfo, just_now: bool) {
         let id = info.id.clone();
-        self.end_older_lives(&info);
+        if just_now && !self.workers.contains_key(&id) {
+            self.end_older_lives(&info);
+        }
         let now = self.now;
         let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now));
         let fresh = w.info.is_none() || !w.listed;
@@ -40,14 +44,16 @@
         }
     }
 
-    /// Ends other lives at the same address or on the same machine.
+    /// Ends other lives at the same address or on the same machine. Only for
+    /// a life that nobody has heard of before: the list keeps entries of lives
+    /// that are over for some seconds, in no order.
     fn end_older_lives(&mut self, info: &WorkerInfo) {
         let same = |w: &Worker| {
             let Some(i) = &w.info else { return false };
             let machine = !i.machine.is_empty() && i.machine == info.machine;
             i.id != info.id && (i.address == info.address || machine)
         };
-        let older = self.workers.iter().filter(|(_, w)| same(w) && !w.listed);
+        let older = self.workers.iter().filter(|(_, w)| same(w));
         let older: Vec<WorkerId> = older.map(|(id, _)| id.clone()).collect();
         for id in older {
             self.life_over(&id, "replaced");
@@ -145,6 +151,12 @@
         {
             w.shunned_until = w.shunned_until.max(now + UNWELL_FOR);
         }
+        // Its room is not what we think: a look will tell.
+        if reply == StartReply::Refused
+            && let Some(w) = self.workers.get_mut(id)
+        {
+            w.shunned_until = w.shunned_until.max(now + REFUSED_FOR);
+        }
         let job = self.jobs.get(&task.job);
         let wanted = job.is_some_and(|j| j.open() && j.task(&task).is_some_and(|t| !t.done));
         let Some(run) = self.run_mut(id, &task, attempt) else { return };
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -290,6 +290,7 @@
     let mut known: HashMap<String, ()> = HashMap::new();
     let n = node.clone();
     topic(node, Topic::Workers, move |heard| {
+        let just_now = matches!(heard, Heard::Changes(_));
         let records = match heard {
             Heard::Reset(records) => {
                 let gone: Vec<String> =
@@ -311,7 +312,7 @@
             match n.platform.worker_info(&rec) {
                 Ok(info) => {
                     known.insert(rec.key, ());
-                    let _ = l.tx.send(Event::WorkerListed(info));
+                    let _ = l.tx.send(Event::WorkerListed(info, just_now));
                 }
                 Err(e) => log::error!("event=worker_not_read code=203 worker={} error=\"{e}\"", rec.key),
             }
