Let jobs that can be in time go first, and of these the one with least work left

Change: waiting tasks are ordered by standing (in time, late, worth nothing), then by the work left in their job; how long tasks take is learned per queue. What remains is room: demand turns faster than pools.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -113,7 +113,7 @@
 
     /// Takes one end in.
     fn run_ended(&mut self, id: &WorkerId, end: &ReportedEnd) {
-        let task_id = end.task;
+        let (now, task_id) = (self.now, end.task);
         if let Some(w) = self.workers.get_mut(id) {
             w.release(task_id, end.attempt);
             if let Some(info) = &w.info {
@@ -125,9 +125,14 @@
             end.attempt, end.kind, end.number
         ));
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
-        let Some(step) = job.spec.steps.get(usize::from(task_id.step)).cloned() else { return };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(task_id.step)) else { return };
         let Some(task) = job.task_mut(&task_id) else { return };
-        task.runs.retain(|r| r.worker != *id || r.attempt != end.attempt);
+        let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == end.attempt);
+        let run = run.map(|n| task.runs.remove(n));
+        if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
+            self.durations.observe(&spec.queue, now.saturating_sub(run.phase_at));
+        }
         if step.checkpointing && !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -18,6 +18,7 @@
 //! * [`config`] holds queues and services in force.
 //! * [`job`] holds the state of one job and its stored form.
 //! * [`worker`] holds what is known of one worker, its room and its lease.
+//! * [`order`] decides which waiting task is next.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
 //! * [`wave`] decides which machine is maintained next.
@@ -26,6 +27,7 @@
 pub mod ends;
 pub mod evict;
 pub mod job;
+pub mod order;
 pub mod place;
 pub mod sched;
 pub mod settle;
--- /dev/null
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -0,0 +1,209 @@
+//! In which order waiting tasks get a worker.
+//!
+//! A job is owed within a multiple of its longest chain of work plus a fixed
+//! time; done later it is worth little, and much later nothing. A queue that
+//! serves jobs in the order of their coming makes every job late once it is
+//! behind. So tasks whose job can still be in time go first; among them those
+//! of the job with the least work left, which brings the most jobs home with
+//! the same cores. Jobs that are late anyway get what is left over.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::config::QueueConfig;
+use super::job::Job;
+use super::spec::{JobSpec, QueueId, TaskId};
+use crate::ids::UnixMs;
+
+/// A task that is done this many multiples of its time after it was owed is
+/// worth nothing.
+const LATE_UNTIL: f64 = 3.0;
+/// Ends after which the mean of a queue is trusted as much as an estimate.
+const ENOUGH_ENDS: u32 = 8;
+/// Weight of the newest end in the mean of a queue: about the last 30 count.
+const NEWEST: f64 = 1.0 / 30.0;
+/// Guess for a step without an estimate, before any task has ended.
+const NO_ESTIMATE: Duration = Duration::from_millis(1000);
+
+/// How well a job stands against the time it is owed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It can be in time.
+    InTime,
+    /// It will be late, but not worthless.
+    Late,
+    /// It will be worth nothing.
+    Void,
+}
+
+/// Place of a task in its queue: the least goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Urgency of the queue; 0 is the most urgent.
+    pub priority: u32,
+    /// Standing of the job when it was last looked at.
+    pub standing: Standing,
+    /// Work left in the job, in core-milliseconds.
+    pub work: u64,
+    /// The task.
+    pub task: TaskId,
+}
+
+/// When the standing of a job gets worse.
+#[derive(Clone, Copy, Debug)]
+pub struct Dues {
+    /// The task must begin by then for its job to be in time.
+    pub in_time: UnixMs,
+    /// The task must begin by then for its job to be worth anything.
+    pub late: UnixMs,
+}
+
+impl Dues {
+    /// The standing at a time.
+    pub fn standing(&self, now: UnixMs) -> Standing {
+        if now <= self.in_time {
+            Standing::InTime
+        } else if now <= self.late {
+            Standing::Late
+        } else {
+            Standing::Void
+        }
+    }
+}
+
+/// Tasks of one service that wait for a worker.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    order: BTreeSet<Place>,
+    places: HashMap<TaskId, (Place, Dues)>,
+}
+
+impl Waiting {
+    /// Adds a task, or moves it to its new place.
+    pub fn insert(&mut self, place: Place, dues: Dues) {
+        self.remove(&place.task);
+        self.order.insert(place);
+        self.places.insert(place.task, (place, dues));
+    }
+
+    /// Takes a task out.
+    pub fn remove(&mut self, task: &TaskId) {
+        if let Some((place, _)) = self.places.remove(task) {
+            self.order.remove(&place);
+        }
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// Tasks in their order.
+    pub fn tasks(&self) -> impl Iterator<Item = &TaskId> {
+        self.order.iter().map(|p| &p.task)
+    }
+
+    /// Tasks in their order, with their standing.
+    pub fn places(&self) -> impl Iterator<Item = &Place> {
+        self.order.iter()
+    }
+
+    /// Moves tasks back whose standing got worse.
+    pub fn age(&mut self, now: UnixMs) {
+        let worse = |(place, dues): &&(Place, Dues)| dues.standing(now) > place.standing;
+        let moved: Vec<(Place, Dues)> = self.places.values().filter(worse).copied().collect();
+        for (place, dues) in moved {
+            self.insert(Place { standing: dues.standing(now), ..place }, dues);
+        }
+    }
+}
+
+/// How long tasks of each queue have taken lately.
+#[derive(Debug, Default)]
+pub struct Durations {
+    by_queue: HashMap<QueueId, (u32, f64)>,
+}
+
+impl Durations {
+    /// Takes in how long a task took that is done.
+    pub fn observe(&mut self, queue: &str, took: Duration) {
+        let ms = took.as_secs_f64() * 1000.0;
+        let (n, mean) = self.by_queue.entry(queue.to_string()).or_insert((0, ms));
+        *n += 1;
+        let weight = NEWEST.max(1.0 / f64::from(*n));
+        *mean += (ms - *mean) * weight;
+    }
+
+    /// How long a task with this estimate will take: between what the caller
+    /// guessed and what the queue has shown, since both are far off at times.
+    pub fn expect(&self, queue: &str, estimate: Duration) -> Duration {
+        let guess = if estimate.is_zero() { NO_ESTIMATE } else { estimate };
+        match self.by_queue.get(queue) {
+            Some((n, mean)) if *n >= ENOUGH_ENDS => {
+                let guess = guess.as_secs_f64() * 1000.0;
+                Duration::from_secs_f64((guess * mean).sqrt() / 1000.0)
+            }
+            _ => guess,
+        }
+    }
+}
+
+/// Longest chain of work from a step on, that step included.
+pub fn chain_from(spec: &JobSpec, step: usize, took: &dyn Fn(usize) -> Duration) -> Duration {
+    // Steps wait only for earlier ones, so one pass from the end is enough.
+    let mut chains = vec![Duration::ZERO; spec.steps.len()];
+    for n in (0..spec.steps.len()).rev() {
+        let behind = spec.steps.iter().enumerate().skip(n + 1);
+        let behind = behind.filter(|(_, s)| s.after.iter().any(|a| usize::from(*a) == n));
+        let longest = behind.map(|(m, _)| chains[m]).max().unwrap_or_default();
+        chains[n] = took(n) + longest;
+    }
+    chains.get(step).copied().unwrap_or_default()
+}
+
+/// Longest chain of work of a whole job.
+pub fn longest_chain(spec: &JobSpec, took: &dyn Fn(usize) -> Duration) -> Duration {
+    (0..spec.steps.len()).map(|n| chain_from(spec, n, took)).max().unwrap_or_default()
+}
+
+/// Where a task stands, and when it will stand worse.
+pub fn place_of(
+    job: &Job,
+    id: &TaskId,
+    queue: Option<&QueueConfig>,
+    known: &Durations,
+    now: UnixMs,
+) -> (Place, Dues) {
+    let spec = &job.spec;
+    let took = |n: usize| known.expect(&spec.queue, spec.steps[n].estimate);
+    let lasting = job.step(id).is_some_and(|s| s.lasting);
+    let begin = spec.accepted.max(spec.due(id.round));
+    let owed = owed_after(spec, queue, &took);
+    let left = chain_from(spec, usize::from(id.step), &took).as_millis() as u64;
+    let end = begin + owed.as_millis() as u64;
+    let end_late = begin + owed.mul_f64(LATE_UNTIL).as_millis() as u64;
+    let dues = match lasting {
+        true => Dues { in_time: UnixMs::MAX, late: UnixMs::MAX },
+        false => Dues { in_time: end.saturating_sub(left), late: end_late.saturating_sub(left) },
+    };
+    let work = if lasting { 0 } else { work_left(job, id.round, &took) };
+    let place = Place { priority: spec.priority, standing: dues.standing(now), work, task: *id };
+    (place, dues)
+}
+
+/// The time that a job is owed within, from when it was handed in.
+fn owed_after(spec: &JobSpec, queue: Option<&QueueConfig>, took: &dyn Fn(usize) -> Duration) -> Duration {
+    let (stretch, target) = queue.map_or((1.0, Duration::ZERO), |q| (q.stretch, q.target));
+    longest_chain(spec, took).mul_f64(stretch) + target
+}
+
+/// Work left in a round of a job, in core-milliseconds.
+fn work_left(job: &Job, round: u32, took: &dyn Fn(usize) -> Duration) -> u64 {
+    let Some(steps) = job.rounds.get(round as usize) else { return 0 };
+    let left = steps.iter().enumerate().map(|(n, tasks)| {
+        let open = tasks.iter().filter(|t| !t.done).count() as u64;
+        let per_task = job.spec.steps[n].room.cpu_millis * took(n).as_millis() as u64 / 1000;
+        open * per_task
+    });
+    left.sum()
+}
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -21,7 +21,7 @@
         if waiting.is_empty() {
             return;
         }
-        let ids: Vec<TaskId> = waiting.iter().map(|(_, _, id)| *id).collect();
+        let ids: Vec<TaskId> = waiting.tasks().copied().collect();
         let workers = self.takers(service);
         let mut misses = 0;
         for id in ids {
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -6,6 +6,7 @@
 
 use super::config::SchedConfig;
 use super::job::{Job, JobRecord, Outcome, Phase, Shown, WorkerId};
+use super::order::{Durations, Waiting, place_of};
 use super::spec::{JobKey, JobSpec, QueueId, TaskId};
 use super::wave::{Machine, MachineReply, Wave, WaveRecord, WaveState};
 use super::worker::{Report, Worker, WorkerInfo, WorkerRecord};
@@ -181,9 +182,6 @@
     pub inbox_read: Duration,
 }
 
-/// Place of a task in the queue of its service: most urgent first.
-pub(super) type ReadyKey = (u32, u64, TaskId);
-
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
     /// Steady clock.
@@ -203,7 +201,9 @@
     /// Lives of workers that are known.
     pub workers: HashMap<WorkerId, Worker>,
     /// Tasks that wait for a worker, by service.
-    pub(super) ready: HashMap<ServiceId, BTreeSet<ReadyKey>>,
+    pub(super) ready: HashMap<ServiceId, Waiting>,
+    /// How long tasks take.
+    pub(super) durations: Durations,
     /// Machines, as last listed.
     pub machines: HashMap<HostId, Machine>,
     /// Waves by number.
@@ -235,6 +235,7 @@
             jobs: HashMap::new(),
             workers: HashMap::new(),
             ready: HashMap::new(),
+            durations: Durations::default(),
             machines: HashMap::new(),
             waves: BTreeMap::new(),
             deposed: false,
@@ -371,12 +372,10 @@
             let open = *open.entry((id.round, id.step)).or_insert_with(|| job.step_open(id.round, id.step));
             let idle = job.task(&id).is_some_and(|t| !t.done && t.runs.is_empty());
             if open && idle {
-                waiting.push(self.ready_key(job, &id));
+                waiting.push(id);
             }
         }
-        let service = job.spec.service.clone();
-        self.ready.entry(service.clone()).or_default().extend(waiting);
-        self.place_again.insert(service);
+        self.enqueue(key, &waiting);
         self.finish_if_done(key);
     }
 
@@ -387,29 +386,29 @@
         if !job.open() || !idle || !job.step_open(id.round, id.step) {
             return;
         }
-        let key = self.ready_key(job, id);
+        self.enqueue(id.job, &[*id]);
+    }
+
+    fn enqueue(&mut self, key: JobKey, ids: &[TaskId]) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let queue = self.config.queues.get(&job.spec.queue);
         let service = job.spec.service.clone();
-        self.ready.entry(service.clone()).or_default().insert(key);
+        let waiting = self.ready.entry(service.clone()).or_default();
+        for id in ids {
+            let (place, dues) = place_of(job, id, queue, &self.durations, self.wall);
+            waiting.insert(place, dues);
+        }
         self.place_again.insert(service);
     }
 
     /// Takes a task out of the queue.
     pub(super) fn unqueue(&mut self, id: &TaskId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
-        let key = self.ready_key(job, id);
-        if let Some(set) = self.ready.get_mut(&job.spec.service) {
-            set.remove(&key);
+        if let Some(waiting) = self.ready.get_mut(&job.spec.service) {
+            waiting.remove(id);
         }
     }
 
-    /// Where a task stands in its queue. It depends on nothing that changes
-    /// while the task waits but the configuration.
-    fn ready_key(&self, job: &Job, id: &TaskId) -> ReadyKey {
-        let lasting = job.step(id).is_some_and(|s| s.lasting);
-        let order = if lasting { 0 } else { job.spec.accepted.max(job.spec.due(id.round)) };
-        (job.spec.priority, order, *id)
-    }
-
     /// Ends a job: nothing of it is started any more, and what runs is stopped.
     pub(super) fn end_job(&mut self, key: JobKey, outcome: Outcome) {
         let Some(job) = self.jobs.get_mut(&key) else { return };
@@ -471,6 +470,8 @@
                 self.queue_job(key);
             }
         }
+        let wall = self.wall;
+        self.ready.values_mut().for_each(|w| w.age(wall));
         self.settle_lapsed();
         self.settle_slow();
         self.evict_leaving();
