Move machines between pools by need

Cause: demand turns among services by a factor of four within seconds; a pool of fixed size is behind for each turn while others stand idle. Change: a pool that is short gets machines that are off, or empty ones of pools that have more than they need now; idle machines are turned off later.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
 //! * [`wave`] decides which machine is maintained next.
+//! * [`pools`] decides which machine changes its pool.
 
 pub mod config;
 pub mod ends;
@@ -29,6 +30,7 @@
 pub mod job;
 pub mod order;
 pub mod place;
+pub mod pools;
 pub mod sched;
 pub mod settle;
 pub mod share;
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -7,6 +7,7 @@
 use super::config::SchedConfig;
 use super::job::{Job, JobRecord, Outcome, Phase, Shown, WorkerId};
 use super::order::{Durations, Waiting, place_of};
+use super::pools::PoolState;
 use super::spec::{JobKey, JobSpec, QueueId, TaskId};
 use super::wave::{Machine, MachineReply, Wave, WaveRecord, WaveState};
 use super::worker::{Report, Worker, WorkerInfo, WorkerRecord};
@@ -208,6 +209,8 @@
     pub machines: HashMap<HostId, Machine>,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveState>,
+    /// Moves of machines, and what pools need.
+    pub(super) pools: PoolState,
     /// Whether a worker has shown a higher token than ours.
     pub deposed: bool,
     pub(super) dirty: BTreeSet<JobKey>,
@@ -238,6 +241,7 @@
             durations: Durations::default(),
             machines: HashMap::new(),
             waves: BTreeMap::new(),
+            pools: PoolState::default(),
             deposed: false,
             dirty: BTreeSet::new(),
             dirty_waves: BTreeSet::new(),
@@ -476,6 +480,7 @@
         self.settle_slow();
         self.evict_leaving();
         self.run_waves();
+        self.run_pools();
         self.forget_jobs();
         self.place_again.extend(self.ready.iter().filter(|(_, s)| !s.is_empty()).map(|(k, _)| k.clone()));
     }
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -179,12 +179,13 @@
     /// The platform's list of machines was read.
     pub(super) fn machines_listed(&mut self, list: Vec<Machine>) {
         self.machines = list.into_iter().map(|m| (m.name.clone(), m)).collect();
+        self.correct_list();
         self.finish_machines();
     }
 
     /// Whether the list of machines is needed.
     pub fn wants_machines(&self) -> bool {
-        self.waves.values().any(|w| !w.complete())
+        self.waves.values().any(|w| !w.complete()) || self.config.services.values().any(|s| s.spare)
     }
 
     /// Marks machines as finished that are up again with another life.
@@ -218,6 +219,11 @@
 
     /// Whether a machine is to go down, or may go down at any moment.
     pub(super) fn goes_down(&self, machine: &HostId) -> bool {
+        self.pools.moving.contains_key(machine) || self.wave_takes(machine)
+    }
+
+    /// Whether a wave has a machine down or is about to.
+    pub(super) fn wave_takes(&self, machine: &HostId) -> bool {
         self.waves.values().any(|w| {
             let ordered = w.record.ordered.contains_key(machine) && !w.record.finished.contains(machine);
             ordered || w.emptying.contains_key(machine)
@@ -285,6 +291,7 @@
         let waiting = w.wave.machines.iter().filter(|m| {
             !w.record.ordered.contains_key(*m)
                 && !w.emptying.contains_key(*m)
+                && !self.pools.moving.contains_key(*m)
                 && !w.record.finished.contains(*m)
         });
         let mut waiting: Vec<(usize, u64, HostId)> = waiting
@@ -335,6 +342,9 @@
 
     /// The outcome of an order.
     pub(super) fn machine_ordered(&mut self, machine: &HostId, reply: MachineReply) {
+        if self.machine_moved(machine, reply) {
+            return;
+        }
         let of = self
             .waves
             .iter()
