Tell lives that are over by the list of machines; take back runs that go on

Change: a life ends when its address answers for another one, when the list of machines, asked for later than the life was known, shows its machine down or with another life, or when its lease ends. A machine that came to a pool stays 2.5 s.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::job::{Outcome, Phase, WorkerId};
+use super::job::{Outcome, Phase, Run, WorkerId};
 use super::sched::{Action, Scheduler};
 use super::spec::TaskId;
 use super::worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker};
@@ -22,7 +22,7 @@
     /// Takes the answer of a worker in.
     pub(super) fn reported(&mut self, id: &WorkerId, report: &Report, lease_end: Duration) {
         let now = self.now;
-        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(lease_end));
+        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(lease_end, now));
         let back = !w.reachable || !w.fenced;
         w.heard = now;
         w.reachable = true;
@@ -68,6 +68,9 @@
             Some((run, done))
         });
         let Some((run, done)) = run else {
+            if wanted && self.adopt(id, listed) {
+                return;
+            }
             self.notes
                 .push(format!("event=stray_run worker={id} task={} attempt={}", listed.task, listed.attempt));
             self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
@@ -87,6 +90,30 @@
         }
     }
 
+    /// Takes a run back in that was taken to be over, if nothing else runs
+    /// the task.
+    fn adopt(&mut self, id: &WorkerId, listed: &ReportedRun) -> bool {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&listed.task.job) else { return false };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(listed.task.step)) else { return false };
+        let Some(task) = job.task_mut(&listed.task) else { return false };
+        if task.done || step.gang || !task.runs.is_empty() || listed.attempt < task.attempt {
+            return false;
+        }
+        task.attempt = listed.attempt;
+        task.runs.push(Run::new(id.clone(), listed.attempt, Phase::Running, now));
+        if let Some(w) = self.workers.get_mut(id) {
+            w.take(listed.task, listed.attempt, step.reserved());
+            w.mark(&listed.task, step);
+        }
+        self.unqueue(&listed.task);
+        self.dirty.insert(listed.task.job);
+        self.notes
+            .push(format!("event=run_adopted worker={id} task={} attempt={}", listed.task, listed.attempt));
+        true
+    }
+
     /// Settles runs that a fresh report neither lists nor ends.
     fn settle_missing(&mut self, id: &WorkerId, report: &Report) {
         let listed: HashSet<(TaskId, u32)> = report.running.iter().map(|r| (r.task, r.attempt)).collect();
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -166,11 +166,7 @@
             let fits = w.free().holds(&room);
             invariant::check(fits, || format!("start of {id} on {worker} does not fit"));
             w.take(*id, attempt, room);
-            if step.fills {
-                w.fills.insert(*id);
-            } else if step.target.is_some() {
-                w.serves.insert(*id);
-            }
+            w.mark(id, step);
         }
         self.notes.push(format!("event=task_placed worker={worker} task={id} attempt={attempt}"));
         self.actions.push(Action::Start {
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -34,6 +34,8 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(1500);
 /// A list of machines may have been asked for this long ago.
 const LIST_LAG: Duration = Duration::from_millis(1200);
+/// A machine that has come to a pool stays there for this long.
+const STAYS: Duration = Duration::from_millis(2500);
 /// Moves that may be under way at a time.
 const MOST_MOVES: usize = 12;
 
@@ -231,7 +233,8 @@
                 || self.pools.impossible.contains(&(m.name.clone(), to.clone()));
             let Some(id) = self.worker_on(&m.name) else { continue };
             let Some(w) = self.workers.get(&id) else { continue };
-            if barred || !w.reachable || !w.runs.is_empty() {
+            let new = w.known_since + STAYS > self.now;
+            if barred || new || !w.reachable || !w.runs.is_empty() {
                 continue;
             }
             let found = (w.runs.len(), m.name.clone());
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -49,9 +49,8 @@
     Cancelled(JobKey),
     /// What is in force changed.
     Config(Arc<SchedConfig>),
-    /// The list shows a worker, new or changed. `true` if it was listed just
-    /// now, so that it is newer than every other life we know of.
-    WorkerListed(WorkerInfo, bool),
+    /// The list shows a worker, new or changed.
+    WorkerListed(WorkerInfo),
     /// The list no longer shows a worker.
     WorkerUnlisted(WorkerId),
     /// A worker answered a look; its lease ends as told if not extended.
@@ -64,8 +63,8 @@
     Started(WorkerId, TaskId, u32, StartReply, Duration),
     /// The outcome of a stop.
     Stopped(WorkerId, TaskId, u32, StopReply),
-    /// The list of machines.
-    Machines(Vec<Machine>),
+    /// The list of machines, and when it was asked for.
+    Machines(Vec<Machine>, Duration),
     /// An operator asks for maintenance, or a predecessor's progress with it.
     Wave(Wave, Option<WaveRecord>),
     /// The outcome of an order to a machine.
@@ -258,7 +257,7 @@
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
         let info = WorkerInfo::restore(id.clone(), rec);
-        let mut w = Worker::unknown(self.inherited_lease_end());
+        let mut w = Worker::unknown(self.inherited_lease_end(), self.since);
         w.info = Some(info.clone());
         self.workers.insert(id, w);
         // Its address tells whether that life is over.
@@ -277,7 +276,7 @@
             let Some(task) = job.task(&id) else { continue };
             for run in &task.runs {
                 let w = self.workers.entry(run.worker.clone());
-                let w = w.or_insert_with(|| Worker::unknown(bound));
+                let w = w.or_insert_with(|| Worker::unknown(bound, self.since));
                 if let Some(step) = job.step(&id) {
                     w.take(id, run.attempt, step.reserved());
                 }
@@ -305,7 +304,7 @@
             Event::Submitted(key, spec) => self.submitted(key, spec),
             Event::Cancelled(key) => self.cancel(key),
             Event::Config(cfg) => self.set_config(cfg),
-            Event::WorkerListed(info, just_now) => self.worker_listed(info, just_now),
+            Event::WorkerListed(info) => self.worker_listed(info),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
             Event::Reported(id, report, lease_end) => self.reported(&id, &report, lease_end),
             Event::Unanswered(id, lease_end) => self.unanswered(&id, lease_end),
@@ -314,7 +313,7 @@
                 self.started(&id, task, attempt, reply, lease_end);
             }
             Event::Stopped(id, task, attempt, reply) => self.stopped(&id, task, attempt, reply),
-            Event::Machines(list) => self.machines_listed(list),
+            Event::Machines(list, asked) => self.machines_listed(list, asked),
             Event::Wave(wave, rec) => self.wave_asked(wave, rec),
             Event::MachineOrdered(machine, reply) => self.machine_ordered(&machine, reply),
             Event::InboxRead(at) => self.inbox_read = at,
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -10,6 +10,7 @@
 use super::job::{Phase, Run, WorkerId};
 use super::sched::{Action, STOP_AGAIN, STUCK_AFTER, Scheduler, StartReply, StopReply};
 use super::spec::TaskId;
+use super::wave::MachineState;
 use super::worker::{Worker, WorkerInfo};
 
 /// A worker that turned a start down as unwell gets no work for this long;
@@ -20,19 +21,19 @@
 
 impl Scheduler {
     /// Takes a worker in that is listed, new or changed.
-    pub(super) fn worker_listed(&mut self, info: WorkerInfo, just_now: bool) {
+    pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
         let id = info.id.clone();
-        if just_now && !self.workers.contains_key(&id) {
-            self.end_older_lives(&info);
-        }
         let now = self.now;
-        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now));
+        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now, now));
         let fresh = w.info.is_none() || !w.listed;
         let draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
         self.place_again.insert(info.service.clone());
         w.info = Some(info.clone());
         w.listed = true;
         if fresh {
+            // Nothing is sent before it has answered anew.
+            w.fenced = false;
+            w.reachable = false;
             self.notes.push(format!(
                 "event=worker_listed worker={id} service={} address={} machine={}",
                 info.service, info.address, info.machine
@@ -44,19 +45,25 @@
         }
     }
 
-    /// Ends other lives at the same address or on the same machine. Only for
-    /// a life that nobody has heard of before: the list keeps entries of lives
-    /// that are over for some seconds, in no order.
-    fn end_older_lives(&mut self, info: &WorkerInfo) {
-        let same = |w: &Worker| {
-            let Some(i) = &w.info else { return false };
-            let machine = !i.machine.is_empty() && i.machine == info.machine;
-            i.id != info.id && (i.address == info.address || machine)
+    /// Ends lives that a list of machines shows to be over: their machine is
+    /// down, or has another life. The list of workers does not tell: entries
+    /// linger, and may be written late by a life that is over. `asked` is when
+    /// the list was asked for; what was known before can't be newer than it.
+    pub(super) fn end_listed_over(&mut self, asked: Duration) {
+        let over = |id: &WorkerId, w: &Worker| {
+            let Some(info) = &w.info else { return false };
+            let Some(m) = self.machines.get(&info.machine) else { return false };
+            let other = match (m.state, &m.worker) {
+                (MachineState::Up, Some(life)) => life != id,
+                (MachineState::Down, None) => true,
+                _ => false,
+            };
+            other && !w.reachable && w.known_since < asked
         };
-        let older = self.workers.iter().filter(|(_, w)| same(w));
-        let older: Vec<WorkerId> = older.map(|(id, _)| id.clone()).collect();
-        for id in older {
-            self.life_over(&id, "replaced");
+        let over: Vec<WorkerId> =
+            self.workers.iter().filter(|(id, w)| over(id, w)).map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.life_over(&id, "machine_listed_without_it");
         }
     }
 
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -177,9 +177,10 @@
     }
 
     /// The platform's list of machines was read.
-    pub(super) fn machines_listed(&mut self, list: Vec<Machine>) {
+    pub(super) fn machines_listed(&mut self, list: Vec<Machine>, asked: Duration) {
         self.machines = list.into_iter().map(|m| (m.name.clone(), m)).collect();
         self.correct_list();
+        self.end_listed_over(asked);
         self.finish_machines();
     }
 
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
-use super::spec::{Room, TaskId};
+use super::spec::{Room, StepSpec, TaskId};
 use crate::ids::{DataCentre, HostId, ServiceId};
 
 /// What a worker says of itself.
@@ -136,6 +136,8 @@
     pub reachable: bool,
     /// Last answered look.
     pub heard: Duration,
+    /// When we, or a predecessor, knew of it at the latest.
+    pub known_since: Duration,
     /// When everything on it must have ended if we stop extending its lease.
     pub lease_end: Duration,
     /// Runs that may exist there, with the room that each takes.
@@ -160,13 +162,14 @@
 
 impl Worker {
     /// A worker that nothing is known of.
-    pub fn unknown(lease_end: Duration) -> Worker {
+    pub fn unknown(lease_end: Duration, known_since: Duration) -> Worker {
         Worker {
             info: None,
             listed: false,
             fenced: false,
             reachable: false,
             heard: Duration::ZERO,
+            known_since,
             lease_end,
             runs: HashMap::new(),
             fills: BTreeSet::new(),
@@ -203,6 +206,15 @@
         }
     }
 
+    /// Notes whether a task that runs here serves or fills.
+    pub fn mark(&mut self, task: &TaskId, step: &StepSpec) {
+        if step.fills {
+            self.fills.insert(*task);
+        } else if step.target.is_some() {
+            self.serves.insert(*task);
+        }
+    }
+
     /// Gives the room of a run back.
     pub fn release(&mut self, task: TaskId, attempt: u32) {
         if let Some(room) = self.runs.remove(&(task, attempt)) {
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -290,7 +290,6 @@
     let mut known: HashMap<String, ()> = HashMap::new();
     let n = node.clone();
     topic(node, Topic::Workers, move |heard| {
-        let just_now = matches!(heard, Heard::Changes(_));
         let records = match heard {
             Heard::Reset(records) => {
                 let gone: Vec<String> =
@@ -312,7 +311,7 @@
             match n.platform.worker_info(&rec) {
                 Ok(info) => {
                     known.insert(rec.key, ());
-                    let _ = l.tx.send(Event::WorkerListed(info, just_now));
+                    let _ = l.tx.send(Event::WorkerListed(info));
                 }
                 Err(e) => log::error!("event=worker_not_read code=203 worker={} error=\"{e}\"", rec.key),
             }
@@ -322,9 +321,10 @@
 }
 
 async fn read_machines(node: Arc<Node>, l: Arc<Leading>) {
+    let asked = node.now();
     match node.platform.machines().await {
         Ok(list) => {
-            let _ = l.tx.send(Event::Machines(list));
+            let _ = l.tx.send(Event::Machines(list, asked));
         }
         Err(e) => log::warn!("event=machines_not_read error=\"{e}\""),
     }
