--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -5,7 +5,8 @@
 //! serves jobs in the order of their coming makes every job late once it is
 //! behind. So tasks whose job can still be in time go first; among them those
 //! of the job with the least work left, which brings the most jobs home with
-//! the same cores. Jobs that are late anyway get what is left over.
+//! the same cores. Jobs that are late anyway get what is left over, in
+//! the order of their coming, so that large ones have their turn too.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -43,8 +44,9 @@
     pub priority: u32,
     /// Standing of the job when it was last looked at.
     pub standing: Standing,
-    /// Work left in the job, in core-milliseconds.
-    pub work: u64,
+    /// In time: the work left in the job, in core-milliseconds. Later: when
+    /// the job was handed in.
+    pub rank: u64,
     /// The task.
     pub task: TaskId,
 }
@@ -52,6 +54,8 @@
 /// When the standing of a job gets worse.
 #[derive(Clone, Copy, Debug)]
 pub struct Dues {
+    /// When the job was handed in, or its round was due.
+    pub begin: UnixMs,
     /// The task must begin by then for its job to be in time.
     pub in_time: UnixMs,
     /// The task must begin by then for its job to be worth anything.
@@ -113,7 +117,7 @@
         let worse = |(place, dues): &&(Place, Dues)| dues.standing(now) > place.standing;
         let moved: Vec<(Place, Dues)> = self.places.values().filter(worse).copied().collect();
         for (place, dues) in moved {
-            self.insert(Place { standing: dues.standing(now), ..place }, dues);
+            self.insert(Place { standing: dues.standing(now), rank: dues.begin, ..place }, dues);
         }
     }
 }
@@ -183,11 +187,16 @@
     let end = begin + owed.as_millis() as u64;
     let end_late = begin + owed.mul_f64(LATE_UNTIL).as_millis() as u64;
     let dues = match lasting {
-        true => Dues { in_time: UnixMs::MAX, late: UnixMs::MAX },
-        false => Dues { in_time: end.saturating_sub(left), late: end_late.saturating_sub(left) },
+        true => Dues { begin, in_time: UnixMs::MAX, late: UnixMs::MAX },
+        false => Dues { begin, in_time: end.saturating_sub(left), late: end_late.saturating_sub(left) },
     };
-    let work = if lasting { 0 } else { work_left(job, id.round, &took) };
-    let place = Place { priority: spec.priority, standing: dues.standing(now), work, task: *id };
+    let standing = dues.standing(now);
+    let rank = match standing {
+        _ if lasting => 0,
+        Standing::InTime => work_left(job, id.round, &took),
+        Standing::Late | Standing::Void => begin,
+    };
+    let place = Place { priority: spec.priority, standing, rank, task: *id };
     (place, dues)
 }
 
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -18,6 +18,9 @@
 
 /// Share of a machine's room that is planned to be in use.
 const FULL: f64 = 0.85;
+/// How much a waiting task counts whose job is late: it is worth little, but
+/// it was accepted.
+const LATE: f64 = 0.3;
 /// Machines that a pool keeps above its need.
 const MARGIN: f64 = 1.0;
 /// How fast the need falls that counts when another pool is short, in machines
@@ -143,12 +146,15 @@
                 size = info.capacity;
             }
         }
+        let mut late = Room::default();
         let mut apart = 0;
         if let Some(waiting) = self.ready.get(service) {
-            for place in waiting.places().filter(|p| p.standing == Standing::InTime) {
+            for place in waiting.places() {
                 let step = self.jobs.get(&place.task.job).and_then(|j| j.step(&place.task));
-                if let Some(step) = step {
-                    wanted.add(&step.reserved());
+                let Some(room) = step.map(|s| s.reserved()) else { continue };
+                match place.standing {
+                    Standing::InTime => wanted.add(&room),
+                    Standing::Late | Standing::Void => late.add(&room),
                 }
             }
         }
@@ -159,8 +165,8 @@
         if size.cpu_millis == 0 {
             return if wanted == Room::default() { f64::from(apart) } else { f64::from(apart.max(1)) };
         }
-        let cpu = wanted.cpu_millis as f64 / size.cpu_millis as f64;
-        let mem = wanted.mem_mb as f64 / size.mem_mb.max(1) as f64;
+        let cpu = (wanted.cpu_millis as f64 + late.cpu_millis as f64 * LATE) / size.cpu_millis as f64;
+        let mem = (wanted.mem_mb as f64 + late.mem_mb as f64 * LATE) / size.mem_mb.max(1) as f64;
         (cpu.max(mem) / FULL).max(f64::from(apart))
     }
 
