--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod operator_changes;
 mod peer_members;
 mod random_fleet;
+mod random_jobs;
 mod random_keys;
 mod result_codes;
 mod separate_processes;
--- /dev/null
+++ b/tests/testsuite/random_jobs.rs
@@ -0,0 +1,103 @@
+//! Random histories of lease holders, workers and callers, checked by an
+//! oracle of what workers began and callers were shown.
+
+use std::time::Duration;
+
+use workswood_core::invariant;
+use workswood_core::jobs::Shown;
+use workswood_test_support::job_world::{Luck, World, job, step};
+
+/// Histories in one run of the suite.
+const HISTORIES: u64 = 250;
+/// Events of one history.
+const EVENTS: u64 = 45;
+
+/// Plays one history; returns starts and takeovers.
+fn history(seed: u64) -> (u64, u64) {
+    let mut luck = Luck::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
+    for _ in 0..8 {
+        luck.below(2);
+    }
+    let mut w = World::new(4, luck);
+    w.play(Duration::from_millis(600));
+    w.luck.trouble = 60;
+    let mut keys = Vec::new();
+    for n in 0..EVENTS {
+        match w.luck.below(12) {
+            0..=4 => {
+                let mut steps = vec![step(1 + w.luck.below(3) as u32, vec![])];
+                if w.luck.below(2) == 0 {
+                    steps.push(step(1 + w.luck.below(3) as u32, vec![0]));
+                }
+                steps[0].speculative = w.luck.below(6) == 0;
+                w.submit(n + 1, job(steps, w.now.as_millis() as u64));
+                keys.push(n + 1);
+            }
+            5 => {
+                if let Some(key) = keys.last() {
+                    w.cancel(*key);
+                }
+            }
+            6 => w.take_over(),
+            7 => {
+                let long = Duration::from_millis(500 + w.luck.below(9000));
+                w.pause(long);
+                if w.luck.below(2) == 0 {
+                    w.take_over();
+                }
+            }
+            8 => {
+                let at = w.luck.below(4) as usize;
+                w.replace(at);
+            }
+            9 => {
+                let at = w.luck.below(4) as usize;
+                w.cut(at, true);
+            }
+            10 => (0..4).for_each(|at| w.cut(at, false)),
+            _ => {}
+        }
+        let long = Duration::from_millis(100 + w.luck.below(900));
+        w.play(long);
+    }
+    w.heal();
+    w.play(Duration::from_secs(40));
+    assert!(w.seen.broken.is_empty(), "seed {seed}: {:?}", w.seen.broken);
+    for key in keys {
+        assert!(w.over(key), "seed {seed}: job {key} is still {:?}", w.shown(key));
+    }
+    (w.seen.starts, w.seen.takeovers)
+}
+
+#[test]
+fn short_histories() {
+    let (mut starts, mut takeovers) = (0, 0);
+    for seed in 1..=HISTORIES {
+        let (s, t) = history(seed);
+        starts += s;
+        takeovers += t;
+    }
+    assert!(starts > HISTORIES && takeovers > HISTORIES, "{starts} starts, {takeovers} takeovers");
+    assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
+}
+
+#[test]
+#[ignore = "by hand: 10,000 histories"]
+fn many_histories_of_jobs() {
+    let mut starts = 0;
+    for seed in 1_000_000..1_010_000 {
+        starts += history(seed).0;
+    }
+    println!("histories=10000 starts={starts}");
+}
+
+#[test]
+fn quiet_history() {
+    let mut w = World::new(3, Luck::new(7, 0));
+    w.play(Duration::from_millis(500));
+    w.submit(1, job(vec![step(3, vec![]), step(2, vec![0])], 1));
+    w.play(Duration::from_secs(12));
+    assert!(w.over(1), "{:?}", w.shown(1));
+    assert_eq!(w.seen.broken, Vec::<String>::new());
+    assert!(matches!(w.shown(1), Some(Shown::Ended(_))));
+}
