Take idle machines first in a wave; plan for a third of its time

Cause: a wave emptied twice as many machines as may be down, at any load. Change: machines that are idle and spared go first, busy ones only by plan; at most as many are emptied as may be down.

--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -186,6 +186,16 @@
         Pool { need, have: have as f64 }
     }
 
+    /// Whether a machine's pool does without it.
+    pub(super) fn can_spare(&self, machine: &HostId) -> bool {
+        let Some(m) = self.machines.get(machine) else { return false };
+        if self.config.services.get(&m.pool).is_some_and(|s| s.spare) {
+            return true;
+        }
+        let pool = self.pool(&m.pool);
+        pool.have - 1.0 >= (pool.need.lend + MARGIN).ceil()
+    }
+
     /// Brings machines to pools that are short of them.
     fn fill_pools(&mut self, spare: &ServiceId) {
         let services: Vec<ServiceId> =
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -24,8 +24,12 @@
 /// A machine that is off is listed as under maintenance within this time
 /// after its order was confirmed, if it is at all.
 const OFF_SETTLES: Duration = Duration::from_millis(1500);
-/// How many machines are emptied ahead for each that may be down.
-const EMPTY_AHEAD: usize = 2;
+/// Share of a wave's time that is planned for; the rest is for machines that
+/// come back late.
+const USE_OF_TIME: f64 = 0.35;
+/// A machine is begun this long before it has to be finished: emptying, and the
+/// maintenance itself.
+const AHEAD: Duration = Duration::from_millis(4000);
 
 /// State of a machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -140,6 +144,14 @@
         self.wave.machines.iter().all(|m| self.record.finished.contains(m))
     }
 
+    /// How many machines should be finished or under way by now.
+    fn planned(&self, now: Duration) -> usize {
+        let passed = now.saturating_sub(self.heard).as_secs_f64() + AHEAD.as_secs_f64();
+        let within = self.wave.within.as_secs_f64() * USE_OF_TIME;
+        let share = if within > 0.0 { (passed / within).min(1.0) } else { 1.0 };
+        (self.wave.machines.len() as f64 * share).ceil() as usize
+    }
+
     /// Machines that are, or may be, down for it.
     fn down_now(&self) -> usize {
         self.record.ordered.keys().filter(|m| !self.record.finished.contains(*m)).count()
@@ -284,38 +296,44 @@
         }
     }
 
-    /// Picks machines to empty: those with the least on them first.
+    /// Picks machines to empty: idle ones that their pool can spare at any
+    /// time, others only as the wave's time runs out.
     fn start_emptying(&mut self, n: u64) {
         let Some(w) = self.waves.get(&n) else { return };
-        let ahead = w.wave.most_at_once.max(1) * EMPTY_AHEAD;
-        let mut room = ahead.saturating_sub(w.emptying.len() + w.down_now());
+        let begun = w.emptying.len() + w.down_now();
+        let mut room = w.wave.most_at_once.max(1).saturating_sub(begun);
+        let mut behind = w.planned(self.now).saturating_sub(w.record.finished.len() + begun);
         let waiting = w.wave.machines.iter().filter(|m| {
             !w.record.ordered.contains_key(*m)
                 && !w.emptying.contains_key(*m)
                 && !self.pools.moving.contains_key(*m)
                 && !w.record.finished.contains(*m)
         });
-        let mut waiting: Vec<(usize, u64, HostId)> = waiting
-            .map(|m| {
-                let id = self.worker_on(m);
-                let lasting = id.as_ref().map_or(0, |id| self.lasting_runs(id).len());
-                let used = id.and_then(|id| self.workers.get(&id)).map_or(0, |w| w.used.cpu_millis);
-                (lasting, used, m.clone())
-            })
-            .collect();
+        let mut waiting: Vec<(usize, u64, HostId)> = waiting.map(|m| self.load_on(m)).collect();
         waiting.sort();
-        let now = self.now;
-        let Some(w) = self.waves.get_mut(&n) else { return };
-        for (_, _, m) in waiting {
-            if room == 0 {
+        for (lasting, used, m) in waiting {
+            let spared = lasting == 0 && used == 0 && self.can_spare(&m);
+            if room == 0 || (behind == 0 && !spared) {
                 break;
             }
             room -= 1;
-            self.notes.push(format!("event=machine_emptying wave={n} machine={m}"));
-            w.emptying.insert(m, now);
+            behind = behind.saturating_sub(1);
+            self.notes.push(format!("event=machine_emptying wave={n} machine={m} spared={spared}"));
+            let now = self.now;
+            if let Some(w) = self.waves.get_mut(&n) {
+                w.emptying.insert(m, now);
+            }
         }
     }
 
+    /// Lasting tasks and processor use on a machine.
+    fn load_on(&self, m: &HostId) -> (usize, u64, HostId) {
+        let id = self.worker_on(m);
+        let lasting = id.as_ref().map_or(0, |id| self.lasting_runs(id).len());
+        let used = id.and_then(|id| self.workers.get(&id)).map_or(0, |w| w.used.cpu_millis);
+        (lasting, used, m.clone())
+    }
+
     /// Orders machines down that are empty, or were given enough time.
     fn order_empty(&mut self, n: u64) {
         let Some(w) = self.waves.get(&n) else { return };
