Let pools follow the work that came in lately

Cause: at a turn of demand the need shows in what runs and waits only after a task's time; machines come a second and a half after that. Change: the work handed in over the last 1.5 s counts as need.

--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -207,7 +207,7 @@
 }
 
 /// Work left in a round of a job, in core-milliseconds.
-fn work_left(job: &Job, round: u32, took: &dyn Fn(usize) -> Duration) -> u64 {
+pub fn work_left(job: &Job, round: u32, took: &dyn Fn(usize) -> Duration) -> u64 {
     let Some(steps) = job.rounds.get(round as usize) else { return 0 };
     let left = steps.iter().enumerate().map(|(n, tasks)| {
         let open = tasks.iter().filter(|t| !t.done).count() as u64;
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -6,11 +6,11 @@
 //! it needs; a pool that has had too many for some time gives some up. What
 //! runs on a machine dies when it moves: only empty machines do.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use super::job::WorkerId;
-use super::order::Standing;
+use super::job::{Job, WorkerId};
+use super::order::{Standing, work_left};
 use super::sched::{Action, Scheduler};
 use super::spec::Room;
 use super::wave::{Machine, MachineReply, MachineState};
@@ -21,6 +21,9 @@
 /// How much a waiting task counts whose job is late: it is worth little, but
 /// it was accepted.
 const LATE: f64 = 0.3;
+/// Work that came in within this time tells how much there will be to do,
+/// before it shows in what runs: tasks of later steps are not waiting yet.
+const ARRIVALS: Duration = Duration::from_millis(1500);
 /// Machines that a pool keeps above its need.
 const MARGIN: f64 = 1.0;
 /// How fast the need falls that counts when another pool is short, in machines
@@ -68,6 +71,9 @@
     impossible: BTreeSet<(HostId, ServiceId)>,
     /// Pools of machines that moved lately; the list may be older than that.
     moved: BTreeMap<HostId, (Duration, ServiceId)>,
+    /// Work that came in lately, by service: when, and how many
+    /// core-milliseconds.
+    arrivals: BTreeMap<ServiceId, VecDeque<(Duration, u64)>>,
     /// Services that have had work.
     worked: BTreeSet<ServiceId>,
     /// When the need was last worked out.
@@ -119,6 +125,8 @@
     fn work_out_need(&mut self) {
         let passed = self.now.saturating_sub(self.pools.worked_out).as_secs_f64();
         self.pools.worked_out = self.now;
+        let since = self.now.saturating_sub(ARRIVALS);
+        self.pools.arrivals.values_mut().for_each(|list| list.retain(|(at, _)| *at >= since));
         let services: Vec<ServiceId> = self.config.services.keys().cloned().collect();
         for s in services {
             let now = self.need_now(&s);
@@ -167,7 +175,27 @@
         }
         let cpu = (wanted.cpu_millis as f64 + late.cpu_millis as f64 * LATE) / size.cpu_millis as f64;
         let mem = (wanted.mem_mb as f64 + late.mem_mb as f64 * LATE) / size.mem_mb.max(1) as f64;
-        (cpu.max(mem) / FULL).max(f64::from(apart))
+        let offered = self.offered(service) * 1000.0 / size.cpu_millis as f64;
+        (cpu.max(mem).max(offered) / FULL).max(f64::from(apart))
+    }
+
+    /// Takes in the work of a job that was handed in.
+    pub(super) fn work_arrived(&mut self, job: &Job) {
+        if job.spec.lasts() || job.rounds.is_empty() {
+            return;
+        }
+        let took = |n: usize| self.durations.expect(&job.spec.queue, job.spec.steps[n].estimate);
+        let work = work_left(job, 0, &took);
+        let list = self.pools.arrivals.entry(job.spec.service.clone()).or_default();
+        list.push_back((self.now, work));
+    }
+
+    /// Cores that would be busy if work came in as it did lately.
+    fn offered(&self, service: &ServiceId) -> f64 {
+        let list = self.pools.arrivals.get(service);
+        let recent = list.into_iter().flatten().filter(|(at, _)| *at + ARRIVALS > self.now);
+        let work: u64 = recent.map(|(_, work)| work).sum();
+        work as f64 / ARRIVALS.as_millis() as f64
     }
 
     fn pool(&self, service: &ServiceId) -> Pool {
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -329,6 +329,10 @@
         self.jobs.insert(key, Job::new(key, spec, self.now));
         self.dirty.insert(key);
         self.open_due_rounds(key);
+        if let Some(job) = self.jobs.remove(&key) {
+            self.work_arrived(&job);
+            self.jobs.insert(key, job);
+        }
         self.queue_job(key);
     }
 
