--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -24,7 +24,9 @@
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
         let id = info.id.clone();
         let now = self.now;
+        let cordoned = self.goes_down(&info.machine);
         let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now, now));
+        w.cordoned = cordoned;
         let fresh = w.info.is_none() || !w.listed;
         let draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
         self.place_again.insert(info.service.clone());
--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -449,6 +449,9 @@
                 }
                 let noted = w.ended.iter().filter(|e| e.number <= *forget && e.kind == EndKind::Done);
                 self.noted.extend(noted.map(|e| e.task));
+                for e in w.ended.iter().filter(|e| e.number <= *forget && e.kind == EndKind::Failed) {
+                    *self.failed.entry(e.task).or_default() += 1;
+                }
                 w.ended.retain(|e| e.number > *forget);
                 let running = w.running.iter().map(|(task, r)| {
                     let passed = (now - r.began).as_millis() as u64 * 100;
@@ -691,7 +694,7 @@
         let term = self.holders[n].sched.token;
         let span = self.holders[n].sched.lease_span();
         let mut reply = StartReply::NotSent;
-        for _ in 0..3 {
+        for _ in 0..1 + self.luck.below(3) {
             let Some(lease_end) = self.lease_from(n) else { break };
             let answer = self.deliver(&id, Order::Start { term, task, attempt, lease_end });
             reply = match (answer, reply) {
--- /dev/null
+++ b/tests/testsuite/job_settings.rs
@@ -0,0 +1,76 @@
+//! Settings of a process that runs jobs.
+
+use std::path::PathBuf;
+
+use workswood::util::job_settings::JobSettings;
+
+const GOOD: &str = r#"{
+  "name": "entry-1", "data_centre": "north", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+  "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0", "store": "127.0.0.1:9", "machines": "127.0.0.1:9",
+  "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6 }"#;
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("workswood-{}-{name}.json", std::process::id()));
+    std::fs::write(&path, text).expect("the temporary folder takes a file");
+    path
+}
+
+fn read(name: &str, text: &str) -> Result<JobSettings, String> {
+    let path = file(name, text);
+    let res = JobSettings::read(&path.to_string_lossy()).map_err(|e| e.report());
+    std::fs::remove_file(path).expect("the file is there");
+    res
+}
+
+#[test]
+fn good_file() {
+    let s = read("good", GOOD).expect("the file is good");
+    assert_eq!((s.name.as_str(), s.adviser.as_deref()), ("entry-1", None));
+    assert_eq!(s.stop_within().as_secs(), 6);
+}
+
+#[test]
+fn bad_values_numbered() {
+    let cases = [
+        (r#""name": "entry-1""#, r#""name": """#, "`name`"),
+        (r#""peers": "127.0.0.1:0""#, r#""peers": "0.0.0.0:1""#, "`peers`"),
+        (r#""store": "127.0.0.1:9""#, r#""store": "store:9""#, "`store`"),
+        (r#""longest_lease_ms": 10000"#, r#""longest_lease_ms": 10"#, "`longest_lease_ms`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 0"#, "`stop_within_s`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "colour": 1"#, "colour"),
+    ];
+    for (n, (from, to, named)) in cases.into_iter().enumerate() {
+        let report = read(&format!("bad{n}"), &GOOD.replace(from, to)).expect_err("the file is bad");
+        assert!(report.starts_with("error 300") && report.contains(named), "{report}");
+    }
+    let report = JobSettings::read("/nowhere/at/all.json").expect_err("no such file").report();
+    assert!(report.starts_with("error 200"), "{report}");
+}
+
+#[test]
+fn template_names_known_fields() {
+    let template = include_str!("../../deploy/settings.json");
+    // Gaps become values of the right kind: text in quotes, else a number.
+    let mut text = String::new();
+    for line in template.lines() {
+        let filled = match line.split_once(": ") {
+            Some((field, value)) if value.contains("{{") => {
+                let comma = if value.ends_with(',') { "," } else { "" };
+                let number = field.contains("_ms") || field.contains("_s\"");
+                let address = !field.contains("\"name\"") && !field.contains("data_centre");
+                let value = if number {
+                    "2000"
+                } else if address {
+                    "\"127.0.0.1:9\""
+                } else {
+                    "\"x\""
+                };
+                format!("{field}: {value}{comma}")
+            }
+            _ => line.to_string(),
+        };
+        text.push_str(&filled);
+    }
+    let s = read("template", &text).expect("the template fills to settings that are read");
+    assert_eq!(s.adviser.as_deref(), Some("127.0.0.1:9"));
+}
--- /dev/null
+++ b/tests/testsuite/queue_order.rs
@@ -0,0 +1,75 @@
+//! In which order waiting tasks get a worker.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::order::{Durations, Place, Standing, Waiting, place_of};
+use workswood_core::jobs::{Job, JobSpec};
+use workswood_test_support::job_world::{QUEUE, config, job, step};
+
+fn opened(key: u64, spec: JobSpec) -> Job {
+    let mut j = Job::new(key, Arc::new(spec), Duration::ZERO);
+    j.open_round();
+    j
+}
+
+fn first_place(j: &Job, now: u64) -> Place {
+    let cfg = config();
+    let id = j.task_ids()[0];
+    place_of(j, &id, cfg.queues.get(QUEUE), &Durations::default(), now).0
+}
+
+/// Steps are estimated at 500 ms: one is owed within 1.6 x 500 + 600 ms.
+const OWED: u64 = 1400;
+
+#[test]
+fn late_behind_in_time() {
+    let (old, new) = (opened(1, job(vec![step(1, vec![])], 0)), opened(2, job(vec![step(1, vec![])], 1000)));
+    let now = OWED - 500 + 1;
+    assert_eq!(first_place(&old, now - 1).standing, Standing::InTime);
+    assert_eq!(first_place(&old, now).standing, Standing::Late);
+    assert!(first_place(&new, now) < first_place(&old, now), "what can be in time goes first");
+    assert_eq!(first_place(&old, 3 * OWED).standing, Standing::Void);
+}
+
+#[test]
+fn late_by_age() {
+    let (small, large) =
+        (opened(1, job(vec![step(1, vec![])], 10)), opened(2, job(vec![step(9, vec![])], 9)));
+    let now = 2000;
+    assert_eq!(first_place(&large, now).standing, Standing::Late);
+    assert!(first_place(&large, now) < first_place(&small, now), "the older one goes first");
+}
+
+#[test]
+fn small_before_large() {
+    let (small, large) =
+        (opened(1, job(vec![step(1, vec![])], 100)), opened(2, job(vec![step(9, vec![])], 0)));
+    assert!(first_place(&small, 200) < first_place(&large, 200));
+    let much_later = opened(3, job(vec![step(1, vec![])], 5000));
+    assert!(first_place(&large, 200) < first_place(&much_later, 200), "the handicap is bounded");
+}
+
+#[test]
+fn standing_gets_worse() {
+    let cfg = config();
+    let j = opened(1, job(vec![step(1, vec![])], 0));
+    let id = j.task_ids()[0];
+    let mut waiting = Waiting::default();
+    let (place, dues) = place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), 0);
+    waiting.insert(place, dues);
+    waiting.age(OWED);
+    let standings: Vec<Standing> = waiting.places().map(|p| p.standing).collect();
+    assert_eq!(standings, [Standing::Late]);
+    waiting.remove(&id);
+    assert!(waiting.is_empty());
+}
+
+#[test]
+fn durations_learned() {
+    let mut known = Durations::default();
+    let guess = Duration::from_millis(400);
+    assert_eq!(known.expect(QUEUE, guess), guess);
+    (0..8).for_each(|_| known.observe(QUEUE, Duration::from_millis(1600)));
+    assert_eq!(known.expect(QUEUE, guess), Duration::from_millis(800), "between both");
+}
