Replace a lost lease holder after 1.8 s

Cause (both incidents): a holder that the store turns away places nothing until another one claims the lease, 2.3 to 2.6 s. Change: renewals every 450 ms, expiry after 1.8 s, reads of 300 ms.

--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -18,9 +18,9 @@
 
 /// A holder that has not renewed for this long is taken to be gone: three
 /// renewals and an answer that was lost.
-const EXPIRES: Duration = Duration::from_millis(2600);
+const EXPIRES: Duration = Duration::from_millis(1800);
 /// How long one read waits for a record.
-const READ_WAIT: Duration = Duration::from_millis(500);
+const READ_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Key of the lease.
--- a/src/workswood/ops/jobs/renew.rs
+++ b/src/workswood/ops/jobs/renew.rs
@@ -10,7 +10,7 @@
 use super::node::{Leading, Node};
 
 /// Time between two renewals.
-const EVERY: Duration = Duration::from_millis(700);
+const EVERY: Duration = Duration::from_millis(450);
 /// Pause after a renewal that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long after its last renewal a holder goes on extending workers' leases.
