--- a/src/bin/workswood/commands/check.rs
+++ b/src/bin/workswood/commands/check.rs
@@ -1,26 +1,33 @@
 //! `workswood check`
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use workswood::{Result, ops};
+use workswood::{Error, Result, ops};
 
 /// Its command line.
 pub fn cli() -> Command {
     Command::new("check")
         .about("Check fleet files offline; prints every error with its path")
         .arg(Arg::new("files").value_name("FILE").required(true).action(ArgAction::Append).num_args(1..))
+        .arg(
+            Arg::new("jobs")
+                .long("jobs")
+                .action(ArgAction::SetTrue)
+                .help("the files are settings of `workswood jobs`"),
+        )
         .after_help("Example: workswood check examples/factoring.json examples/gridlark.json")
 }
 
 /// Runs it.
 pub fn exec(args: &ArgMatches) -> Result<()> {
-    let (files, mut errors) = ops::check::run(&super::texts(args, "files"));
-    let last = errors.pop();
-    for e in &errors {
-        eprint!("{}", e.report());
-    }
-    if let Some(e) = last {
-        return Err(e);
+    let paths = super::texts(args, "files");
+    if args.get_flag("jobs") {
+        let (settings, errors) = ops::check::job_settings(&paths);
+        all_good(errors)?;
+        settings.iter().for_each(|s| println!("{}: {}, callers at {}", s.name, s.data_centre, s.callers));
+        return Ok(());
     }
+    let (files, errors) = ops::check::run(&paths);
+    all_good(errors)?;
     for f in files {
         println!(
             "{}: {} hosts, {} pools, {} services",
@@ -32,3 +39,12 @@
     }
     Ok(())
 }
+
+/// Reports all errors but the last, which becomes the command's own.
+fn all_good(mut errors: Vec<Error>) -> Result<()> {
+    let last = errors.pop();
+    for e in &errors {
+        eprint!("{}", e.report());
+    }
+    last.map_or(Ok(()), Err)
+}
--- a/src/workswood/ops/check.rs
+++ b/src/workswood/ops/check.rs
@@ -7,6 +7,7 @@
 use workswood_core::fleet::{FleetFile, Issue, check, parse};
 
 use crate::util::errors::{Error, ReadFileSnafu, Result};
+use crate::util::job_settings::JobSettings;
 
 /// Reads and checks one file.
 pub fn read(path: &str) -> Result<FleetFile> {
@@ -36,6 +37,19 @@
     (files, errors)
 }
 
+/// Checks settings files of `workswood jobs`; returns all errors.
+pub fn job_settings(paths: &[String]) -> (Vec<JobSettings>, Vec<Error>) {
+    let mut good = Vec::new();
+    let mut errors = Vec::new();
+    for path in paths {
+        match JobSettings::read(path) {
+            Ok(s) => good.push(s),
+            Err(e) => errors.push(e),
+        }
+    }
+    (good, errors)
+}
+
 fn clashes(files: &[FleetFile]) -> Vec<Error> {
     let mut owner: BTreeMap<String, &str> = BTreeMap::new();
     let mut errors = Vec::new();
--- /dev/null
+++ b/src/workswood/util/job_metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of a process that queues and runs jobs. The names are the ones in
+//! `docs/OPERATIONS.md`.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+use workswood_core::invariant;
+
+use super::logs;
+use super::metrics::{counter, gauge};
+
+/// Bounds of the histograms, in seconds: from one store call to the longest
+/// wait of a caller.
+const SECONDS: [f64; 11] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 5.0];
+
+/// Metrics of one process.
+pub struct JobMetrics {
+    registry: Registry,
+    /// Jobs handed in, by what came of it: `accepted`, `refused`, `unknown`.
+    pub handed_in: IntCounterVec,
+    /// Time from a job's arrival to its answer, in seconds.
+    pub hand_in_seconds: Histogram,
+    /// Questions for the state of a job, by answer: `known`, `unknown`, `unreachable`.
+    pub asked: IntCounterVec,
+    /// Starts of tasks, by outcome.
+    pub starts: IntCounterVec,
+    /// Time from closing a batch of the scheduler to its being stored, in seconds.
+    pub batch_seconds: Histogram,
+    /// Terms of the scheduler lease that began here.
+    pub terms: IntCounter,
+    /// Whether this process runs the scheduler.
+    pub leading: IntGauge,
+    /// Term of the lease as last read.
+    pub lease_term: IntGauge,
+    /// Version of the configuration in force here.
+    pub config_version: IntGauge,
+    /// How long ago the store last answered, in milliseconds.
+    pub store_silence_ms: IntGauge,
+    broken: IntGauge,
+    lines_dropped: IntGauge,
+}
+
+fn by(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
+    let c = IntCounterVec::new(Opts::new(name, help), &[label]).expect("metric names are constants");
+    registry.register(Box::new(c.clone())).expect("each metric is registered once");
+    c
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+    let h = Histogram::with_opts(opts).expect("metric names are constants");
+    registry.register(Box::new(h.clone())).expect("each metric is registered once");
+    h
+}
+
+impl Default for JobMetrics {
+    fn default() -> JobMetrics {
+        let r = Registry::new();
+        JobMetrics {
+            handed_in: by(&r, "workswood_jobs_handed_in_total", "jobs handed in, by result", "result"),
+            hand_in_seconds: histogram(&r, "workswood_hand_in_seconds", "time to answer a job handed in"),
+            asked: by(&r, "workswood_jobs_asked_total", "questions for the state of a job", "result"),
+            starts: by(&r, "workswood_task_starts_total", "starts of tasks, by outcome", "outcome"),
+            batch_seconds: histogram(&r, "workswood_batch_seconds", "time to store a batch of the scheduler"),
+            terms: counter(&r, "workswood_lease_terms_total", "terms of the lease that began here"),
+            leading: gauge(&r, "workswood_leading", "1 while the scheduler runs here"),
+            lease_term: gauge(&r, "workswood_lease_term", "term of the lease as last read"),
+            config_version: gauge(&r, "workswood_config_version", "version in force here"),
+            store_silence_ms: gauge(&r, "workswood_store_silence_ms", "time since the store answered"),
+            broken: gauge(&r, "workswood_invariants_broken", "broken invariants"),
+            lines_dropped: gauge(&r, "workswood_log_lines_dropped", "log lines dropped"),
+            registry: r,
+        }
+    }
+}
+
+impl JobMetrics {
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        self.broken.set(invariant::total() as i64);
+        self.lines_dropped.set(logs::dropped() as i64);
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(e) => format!("# metrics can't be encoded: {e}\n"),
+        }
+    }
+}
--- a/src/workswood/util/metrics.rs
+++ b/src/workswood/util/metrics.rs
@@ -35,13 +35,13 @@
     pub lines_dropped: IntGauge,
 }
 
-fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
     let c = IntCounter::with_opts(Opts::new(name, help)).expect("metric names are constants");
     registry.register(Box::new(c.clone())).expect("each metric is registered once");
     c
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let g = IntGauge::with_opts(Opts::new(name, help)).expect("metric names are constants");
     registry.register(Box::new(g.clone())).expect("each metric is registered once");
     g
--- a/src/workswood/util/mod.rs
+++ b/src/workswood/util/mod.rs
@@ -1,6 +1,7 @@
 //! Settings, logs, metrics and errors.
 
 pub mod errors;
+pub mod job_metrics;
 pub mod job_settings;
 pub mod logs;
 pub mod metrics;
