--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::job::{Outcome, Phase, Run, WorkerId};
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::TaskId;
+use super::types::Action;
 use super::worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker};
 
 /// Faults of different jobs, with nothing done in between, after which a
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -1,8 +1,9 @@
 //! Ending lasting tasks by our own order, within their availability budget.
 
 use super::job::{Phase, WorkerId};
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::TaskId;
+use super::types::Action;
 
 impl Scheduler {
     /// Moves lasting tasks off workers that are leaving. Such a worker ends
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -19,6 +19,7 @@
 //! * [`job`] holds the state of one job and its stored form.
 //! * [`worker`] holds what is known of one worker, its room and its lease.
 //! * [`order`] decides which waiting task is next.
+//! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
 //! * [`wave`] decides which machine is maintained next.
@@ -35,12 +36,14 @@
 pub mod settle;
 pub mod share;
 pub mod spec;
+pub mod types;
 pub mod wave;
 pub mod worker;
 
 pub use config::{QueueConfig, SchedConfig, ServiceConfig};
 pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
-pub use sched::{Action, Batch, Event, Limits, Scheduler, StartReply, StopReply};
+pub use sched::Scheduler;
 pub use spec::{JobKey, JobSpec, Repeat, StepSpec, TaskId};
+pub use types::{Action, Batch, Event, Limits, Record, ShownJob, StartReply, StopReply};
 pub use wave::{Machine, MachineReply, MachineState, Wave, WaveRecord};
 pub use worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker, WorkerInfo, WorkerRecord};
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use super::job::{Job, Phase, Run, WorkerId};
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::{Room, StepSpec, TaskId};
+use super::types::Action;
 use super::worker::Worker;
 use crate::ids::ServiceId;
 use crate::invariant;
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -11,8 +11,9 @@
 
 use super::job::{Job, WorkerId};
 use super::order::{Standing, work_left};
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::Room;
+use super::types::Action;
 use super::wave::{Machine, MachineReply, MachineState};
 use crate::ids::{HostId, ServiceId};
 
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -8,11 +8,17 @@
 use std::time::Duration;
 
 use super::job::{Phase, Run, WorkerId};
-use super::sched::{Action, STOP_AGAIN, STUCK_AFTER, Scheduler, StartReply, StopReply};
+use super::sched::Scheduler;
 use super::spec::TaskId;
+use super::types::{Action, StartReply, StopReply};
 use super::wave::MachineState;
 use super::worker::{Worker, WorkerInfo};
 
+/// A running task whose progress stands still for this long is taken to be
+/// stuck. Twice the look interval plus a second for slow workers.
+const STUCK_AFTER: Duration = Duration::from_millis(2500);
+/// A stop without an effect is sent again after this time.
+const STOP_AGAIN: Duration = Duration::from_millis(1000);
 /// A worker that turned a start down as unwell gets no work for this long;
 /// about one look.
 const UNWELL_FOR: Duration = Duration::from_millis(1000);
--- a/crates/workswood-core/src/jobs/share.rs
+++ b/crates/workswood-core/src/jobs/share.rs
@@ -6,8 +6,9 @@
 //! figures are far below.
 
 use super::job::{FULL_PACE, Phase, WorkerId};
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::TaskId;
+use super::types::Action;
 
 /// Above this share of its target a serving task is in danger.
 const DANGER: f64 = 0.85;
--- /dev/null
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -0,0 +1,177 @@
+//! What goes into the scheduler and what comes out of it.
+//!
+//! [`Event`]s go in. What comes out is a [`Batch`]: [`Record`]s to be stored
+//! first, and [`Action`]s that follow once they are.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::config::SchedConfig;
+use super::job::{JobRecord, Shown, WorkerId};
+use super::spec::{JobKey, JobSpec, QueueId, TaskId};
+use super::wave::{Machine, MachineReply, Wave, WaveRecord};
+use super::worker::{Report, WorkerInfo, WorkerRecord};
+use crate::ids::{HostId, ServiceId};
+
+/// Bounds of the platform that the scheduler works with, and its own limits.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Length of a worker's lease, counted from when it was sent.
+    pub lease: Duration,
+    /// How long a scheduler that can't renew its own lease goes on extending
+    /// workers' leases.
+    pub grace: Duration,
+    /// Share by which a worker's clock may run slow.
+    pub drift: f64,
+    /// A new holder waits this long before its first order to a machine.
+    pub machine_handover: Duration,
+    /// How long ended jobs are kept for questions.
+    pub keep_ended: Duration,
+    /// How far ahead of its due time a round may be opened.
+    pub early: Duration,
+}
+
+/// Added to the end of every lease, for rounding and queues on the way.
+pub const LEASE_SLACK: Duration = Duration::from_millis(300);
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A caller handed a job in, and it is on record.
+    Submitted(JobKey, Arc<JobSpec>),
+    /// A caller cancelled a job, and that is on record.
+    Cancelled(JobKey),
+    /// What is in force changed.
+    Config(Arc<SchedConfig>),
+    /// The list shows a worker, new or changed.
+    WorkerListed(WorkerInfo),
+    /// The list no longer shows a worker.
+    WorkerUnlisted(WorkerId),
+    /// A worker answered a look; its lease ends as told if not extended.
+    Reported(WorkerId, Report, Duration),
+    /// A worker did not answer; its lease ends as told if not extended.
+    Unanswered(WorkerId, Duration),
+    /// A worker's address is answered by another life: this one is over.
+    LifeOver(WorkerId),
+    /// The outcome of a start; the worker's lease ends as told.
+    Started(WorkerId, TaskId, u32, StartReply, Duration),
+    /// The outcome of a stop.
+    Stopped(WorkerId, TaskId, u32, StopReply),
+    /// The list of machines, and when it was asked for.
+    Machines(Vec<Machine>, Duration),
+    /// An operator asks for maintenance, or a predecessor's progress with it.
+    Wave(Wave, Option<WaveRecord>),
+    /// The outcome of an order to a machine.
+    MachineOrdered(HostId, MachineReply),
+    /// The inbox was read to its end at this time.
+    InboxRead(Duration),
+    /// Time passed.
+    Tick,
+}
+
+/// What came of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartReply {
+    /// It runs, or ran.
+    Taken,
+    /// The worker refused every try, and has done nothing.
+    Refused,
+    /// The worker is not well and has done nothing.
+    Unwell,
+    /// It refused the last try, but an earlier one had no answer.
+    Unsure,
+    /// No try was answered.
+    NoAnswer,
+    /// Nothing was sent.
+    NotSent,
+    /// The worker knows a higher token.
+    Deposed,
+}
+
+/// What came of a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopReply {
+    /// The worker has taken it.
+    Taken,
+    /// No answer, or a refusal without effect.
+    NoAnswer,
+    /// The worker knows a higher token.
+    Deposed,
+}
+
+/// What is to be done once the records of the batch are stored.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Look at a worker from now on.
+    Watch(WorkerInfo),
+    /// Look no longer.
+    Unwatch(WorkerId),
+    /// Start a task.
+    Start {
+        /// Where.
+        worker: WorkerId,
+        /// Which.
+        task: TaskId,
+        /// Number of the try.
+        attempt: u32,
+        /// Text of the job.
+        text: Arc<JobSpec>,
+        /// Checkpoint to go on from; empty for none.
+        checkpoint: String,
+        /// Ticket of the adviser, where one is needed.
+        ticket: Option<Arc<str>>,
+    },
+    /// Stop a task.
+    Stop(WorkerId, TaskId, u32),
+    /// Let a task work at a share, in percent.
+    Pace(WorkerId, TaskId, u32, u32),
+    /// Maintain a machine as part of a wave.
+    Upkeep(HostId, u64),
+    /// Give a machine to another pool.
+    Move(HostId, ServiceId),
+}
+
+/// A record of the scheduler's state.
+#[derive(Clone, Debug)]
+pub enum Record {
+    /// The state of a job.
+    Job(JobKey, JobRecord),
+    /// A job is forgotten.
+    DropJob(JobKey),
+    /// Progress of a wave.
+    Wave(u64, WaveRecord),
+    /// A life of a worker.
+    Worker(WorkerId, WorkerRecord),
+    /// A life of a worker is forgotten.
+    DropWorker(WorkerId),
+}
+
+/// What the caller-facing part may tell once a batch is stored.
+#[derive(Clone, Debug)]
+pub struct ShownJob {
+    /// The job.
+    pub key: JobKey,
+    /// Its queue.
+    pub queue: QueueId,
+    /// Its state; `None` when it is forgotten.
+    pub state: Option<Shown>,
+    /// Whether its rounds have times of their own.
+    pub timed: bool,
+}
+
+/// Records to store, and what follows once they are stored.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Records, to be stored all or none.
+    pub records: Vec<Record>,
+    /// Actions that wait for the records.
+    pub actions: Vec<Action>,
+    /// Highest end that each worker may forget.
+    pub forget: Vec<(WorkerId, u64)>,
+    /// What callers may be told.
+    pub shown: Vec<ShownJob>,
+    /// Waves whose status is to be published, with whether they are complete.
+    pub waves: Vec<(u64, bool)>,
+    /// Everything that was in the inbox at this time is shown with this batch.
+    pub inbox_read: Duration,
+}
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -12,8 +12,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
-use super::sched::{Action, Scheduler};
+use super::sched::Scheduler;
 use super::spec::Room;
+use super::types::Action;
 use super::worker::Worker;
 use crate::ids::{DataCentre, HostId, ServiceId};
 
--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -11,8 +11,8 @@
 
 use workswood_core::ids::Term;
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::sched::{Record, ShownJob};
 use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::types::{Record, ShownJob};
 use workswood_core::jobs::{
     Action, Batch, EndKind, Event, JobKey, JobRecord, JobSpec, Limits, Outcome, QueueConfig, Report,
     ReportedEnd, ReportedRun, SchedConfig, Scheduler, ServiceConfig, Shown, StartReply, StepSpec, StopReply,
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures::FutureExt;
-use workswood_core::jobs::{JobKey, Outcome, Shown};
+use workswood_core::jobs::{JobKey, Outcome, Shown, ShownJob};
 use workswood_peers::{Handler, JobAsk, JobReply, JobState, Link, Msg, PendingAsk, PendingReply};
 
 use super::node::{Leading, Node};
@@ -47,9 +47,7 @@
         return Told::Unreachable;
     }
     let shown = l.shown.read();
-    let waits = |s: &&workswood_core::jobs::sched::ShownJob| {
-        s.queue == queue && s.state == Some(Shown::Queued) && !s.timed
-    };
+    let waits = |s: &&ShownJob| s.queue == queue && s.state == Some(Shown::Queued) && !s.timed;
     Told::Known(shown.values().filter(waits).count() as u64)
 }
 
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -13,8 +13,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::sched::ShownJob;
-use workswood_core::jobs::{Action, Batch, Event, JobKey, Scheduler};
+use workswood_core::jobs::{Action, Batch, Event, JobKey, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
 use super::follow::{Heard, topic};
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -10,8 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use workswood_core::ids::{Incarnation, Term, UnixMs};
-use workswood_core::jobs::sched::ShownJob;
-use workswood_core::jobs::{Event, JobKey, SchedConfig, Wave};
+use workswood_core::jobs::{Event, JobKey, SchedConfig, ShownJob, Wave};
 use workswood_peers::Link;
 use workswood_platform::jobs::JobPlatform;
 
--- a/src/workswood/ops/jobs/orders.rs
+++ b/src/workswood/ops/jobs/orders.rs
@@ -7,6 +7,7 @@
 
 use tokio::task::JoinSet;
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::types::LEASE_SLACK;
 use workswood_core::jobs::{Action, Event, JobSpec, StartReply, StopReply, TaskId, WorkerInfo};
 use workswood_platform::jobs::{StartOrder, WorkerError};
 
@@ -18,6 +19,10 @@
 /// How often a stop is sent before the scheduler is told of it.
 const STOP_TRIES: u32 = 2;
 
+/// How much longer a lease that a start carried may last than it says: more
+/// than a worker's clock may run slow.
+const CLOCK_MARGIN: f64 = 1.05;
+
 /// What orders need.
 pub struct Orders<'a> {
     /// The process.
@@ -126,7 +131,7 @@
         if !allowed || link.is_closed() || link.is_silent() {
             break;
         }
-        *sent_until = now + s.lease.mul_f64(1.05) + workswood_core::jobs::sched::LEASE_SLACK;
+        *sent_until = now + s.lease.mul_f64(CLOCK_MARGIN) + LEASE_SLACK;
         let order = StartOrder {
             task: s.task,
             attempt: s.attempt,
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -7,9 +7,8 @@
 
 use serde::Serialize;
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::sched::Record;
-use workswood_core::jobs::spec::parse_job;
-use workswood_core::jobs::{JobKey, spec::show_job};
+use workswood_core::jobs::spec::{parse_job, show_job};
+use workswood_core::jobs::{JobKey, Record};
 use workswood_platform::jobs::KeyedRecord;
 
 /// Start of the key of a cancel.
