--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::job::{Outcome, Phase, Run, WorkerId};
+use super::job::{Job, Outcome, Phase, Run, WorkerId};
 use super::sched::Scheduler;
 use super::spec::TaskId;
 use super::types::Action;
@@ -22,6 +22,17 @@
 impl Scheduler {
     /// Takes the answer of a worker in.
     pub(super) fn reported(&mut self, id: &WorkerId, report: &Report, lease_end: Duration) {
+        self.answered(id, lease_end);
+        self.take_ends(id, &report.ended);
+        for run in &report.running {
+            self.run_listed(id, run);
+        }
+        self.settle_missing(id, report);
+        self.share_worker(id);
+    }
+
+    /// Notes that a worker answered, and so knows our token.
+    fn answered(&mut self, id: &WorkerId, lease_end: Duration) {
         let now = self.now;
         let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(lease_end, now));
         let back = !w.reachable || !w.fenced;
@@ -29,68 +40,53 @@
         w.reachable = true;
         w.fenced = true;
         w.lease_end = w.lease_end.max(lease_end);
-        let known = w.recorded_ends;
-        let service = w.info.as_ref().map(|i| i.service.clone());
         if back {
-            self.place_again.extend(service);
+            self.place_again.extend(w.info.as_ref().map(|i| i.service.clone()));
             self.notes.push(format!("event=worker_reached worker={id} token={}", self.token));
         }
-        let new_ends = report.ended.iter().filter(|e| e.number > known);
+    }
+
+    /// Takes in the ends that are not on record yet.
+    fn take_ends(&mut self, id: &WorkerId, ended: &[ReportedEnd]) {
+        let known = self.workers.get(id).map_or(0, |w| w.recorded_ends);
         let mut last = known;
-        for end in new_ends {
+        for end in ended.iter().filter(|e| e.number > known) {
             last = last.max(end.number);
             self.run_ended(id, end);
         }
         if let Some(w) = self.workers.get_mut(id) {
             w.recorded_ends = last;
         }
-        if !report.ended.is_empty() {
+        if !ended.is_empty() {
             self.forget.insert(id.clone(), last);
         }
-        for run in &report.running {
-            self.run_listed(id, run);
-        }
-        self.settle_missing(id, report);
-        self.share_worker(id);
     }
 
+    /// Takes in that a worker lists a run; one that is not wanted is stopped.
     fn run_listed(&mut self, id: &WorkerId, listed: &ReportedRun) {
         let now = self.now;
         let job = self.jobs.get_mut(&listed.task.job);
         let wanted = job.as_ref().is_some_and(|j| j.open());
-        let task = job.and_then(|j| j.task_mut(&listed.task));
-        let run = task.and_then(|t| {
-            let done = t.done;
-            let checkpoint = &mut t.checkpoint;
-            let run = t.runs.iter_mut().find(|r| r.worker == *id && r.attempt == listed.attempt)?;
-            if !listed.checkpoint.is_empty() {
-                checkpoint.clone_from(&listed.checkpoint);
-            }
-            Some((run, done))
-        });
-        let Some((run, done)) = run else {
-            if wanted && self.adopt(id, listed) {
-                return;
-            }
-            self.notes
-                .push(format!("event=stray_run worker={id} task={} attempt={}", listed.task, listed.attempt));
-            self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
+        let Some((run, done)) = job.and_then(|j| update_run(j, id, listed, now)) else {
+            self.stray_run(id, listed, wanted);
             return;
         };
-        run.figure = listed.figure;
-        if listed.percent > run.percent || run.phase != Phase::Running {
-            run.percent = listed.percent;
-            run.progressed = now;
-        }
-        if matches!(run.phase, Phase::Starting | Phase::Inherited) {
-            run.enter(Phase::Running, now);
-        }
         if run.phase == Phase::Running && (!wanted || done) {
             run.enter(Phase::Stopping, now);
             self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
         }
     }
 
+    /// Takes a run back in that is not known, or stops it.
+    fn stray_run(&mut self, id: &WorkerId, listed: &ReportedRun, wanted: bool) {
+        if wanted && self.adopt(id, listed) {
+            return;
+        }
+        self.notes
+            .push(format!("event=stray_run worker={id} task={} attempt={}", listed.task, listed.attempt));
+        self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
+    }
+
     /// Takes a run back in that was taken to be over, if nothing else runs
     /// the task.
     fn adopt(&mut self, id: &WorkerId, listed: &ReportedRun) -> bool {
@@ -173,6 +169,7 @@
         self.queue_task(&task_id);
     }
 
+    /// A task is done, and with it all members of its gang.
     fn task_done(&mut self, id: &WorkerId, task_id: &TaskId, gang: bool, lasting: bool) {
         if let Some(w) = self.workers.get_mut(id) {
             w.faults = 0;
@@ -202,6 +199,7 @@
         }
     }
 
+    /// A run of a task failed; too many of them end the job.
     fn task_failed(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, lasting: bool) {
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
         let most = job.spec.max_attempts.max(1);
@@ -250,6 +248,7 @@
         self.notes.push(format!("event=worker_shunned worker={id} faults={faults}"));
     }
 
+    /// Whether few enough workers of the service are shunned for one more.
     fn may_shun(&self, id: &WorkerId) -> bool {
         let service = self.workers.get(id).and_then(|w| w.info.as_ref()).map(|i| &i.service);
         let same = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
@@ -258,3 +257,27 @@
         (shunned + 1) * SHUN_ONE_OF <= all
     }
 }
+
+/// Brings a known run up to what its worker lists; returns it, and whether its
+/// task is done.
+fn update_run<'a>(
+    job: &'a mut Job,
+    id: &WorkerId,
+    listed: &ReportedRun,
+    now: Duration,
+) -> Option<(&'a mut Run, bool)> {
+    let task = job.task_mut(&listed.task)?;
+    let run = task.runs.iter_mut().find(|r| r.worker == *id && r.attempt == listed.attempt)?;
+    if !listed.checkpoint.is_empty() {
+        task.checkpoint.clone_from(&listed.checkpoint);
+    }
+    run.figure = listed.figure;
+    if listed.percent > run.percent || run.phase != Phase::Running {
+        run.percent = listed.percent;
+        run.progressed = now;
+    }
+    if matches!(run.phase, Phase::Starting | Phase::Inherited) {
+        run.enter(Phase::Running, now);
+    }
+    Some((run, task.done))
+}
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -9,7 +9,7 @@
 
 use super::job::{Phase, Run, WorkerId};
 use super::sched::Scheduler;
-use super::spec::TaskId;
+use super::spec::{StepSpec, TaskId};
 use super::types::{Action, StartReply, StopReply};
 use super::wave::MachineState;
 use super::worker::{Worker, WorkerInfo};
@@ -25,6 +25,9 @@
 /// A worker that refused a start gets no work for this long; a few looks.
 const REFUSED_FOR: Duration = Duration::from_millis(400);
 
+/// Worker, task and number of a run.
+type RunName = (WorkerId, TaskId, u32);
+
 impl Scheduler {
     /// Takes a worker in that is listed, new or changed.
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
@@ -111,10 +114,13 @@
         }
     }
 
+    /// Runs that may exist on a worker.
+    fn runs_on(&self, id: &WorkerId) -> Vec<(TaskId, u32)> {
+        self.workers.get(id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default()
+    }
+
     fn settle_all(&mut self, id: &WorkerId, why: &str) {
-        let runs: Vec<(TaskId, u32)> =
-            self.workers.get(id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
-        for (task, attempt) in runs {
+        for (task, attempt) in self.runs_on(id) {
             self.settle(id, &task, attempt, why);
         }
     }
@@ -136,6 +142,11 @@
         self.queue_task(task_id);
     }
 
+    fn run(&self, id: &WorkerId, task: &TaskId, attempt: u32) -> Option<&Run> {
+        let t = self.jobs.get(&task.job)?.task(task)?;
+        t.runs.iter().find(|r| r.worker == *id && r.attempt == attempt)
+    }
+
     fn run_mut(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) -> Option<&mut Run> {
         let t = self.jobs.get_mut(&task.job)?.task_mut(task)?;
         t.runs.iter_mut().find(|r| r.worker == *id && r.attempt == attempt)
@@ -159,17 +170,7 @@
                 "event=start_not_taken worker={id} task={task} attempt={attempt} reply={reply:?}"
             ));
         }
-        if reply == StartReply::Unwell
-            && let Some(w) = self.workers.get_mut(id)
-        {
-            w.shunned_until = w.shunned_until.max(now + UNWELL_FOR);
-        }
-        // Its room is not what we think: a look will tell.
-        if reply == StartReply::Refused
-            && let Some(w) = self.workers.get_mut(id)
-        {
-            w.shunned_until = w.shunned_until.max(now + REFUSED_FOR);
-        }
+        self.shun_after_refusal(id, reply);
         let job = self.jobs.get(&task.job);
         let wanted = job.is_some_and(|j| j.open() && j.task(&task).is_some_and(|t| !t.done));
         let Some(run) = self.run_mut(id, &task, attempt) else { return };
@@ -193,6 +194,24 @@
         }
     }
 
+    /// Keeps new work away for a while from a worker that refused a start.
+    fn shun_after_refusal(&mut self, id: &WorkerId, reply: StartReply) {
+        let shun_for = match reply {
+            StartReply::Unwell => UNWELL_FOR,
+            // Its room is not what we think: a look will tell.
+            StartReply::Refused => REFUSED_FOR,
+            StartReply::Taken
+            | StartReply::Unsure
+            | StartReply::NoAnswer
+            | StartReply::NotSent
+            | StartReply::Deposed => return,
+        };
+        let until = self.now + shun_for;
+        if let Some(w) = self.workers.get_mut(id) {
+            w.shunned_until = w.shunned_until.max(until);
+        }
+    }
+
     /// The outcome of a stop.
     pub(super) fn stopped(&mut self, id: &WorkerId, task: TaskId, attempt: u32, reply: StopReply) {
         let now = self.now;
@@ -216,9 +235,7 @@
         let lapsed = self.workers.iter().filter(|(_, w)| !w.reachable && w.lease_end < now);
         let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in lapsed {
-            let runs: Vec<(TaskId, u32)> =
-                self.workers.get(&id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
-            for (task, attempt) in runs {
+            for (task, attempt) in self.runs_on(&id) {
                 // The outcome of a start on its way brings a later end of the lease.
                 let starting = self.run_mut(&id, &task, attempt).is_some_and(|r| r.phase == Phase::Starting);
                 if !starting {
@@ -231,31 +248,7 @@
 
     /// Sends stops again that had no effect, and stops runs that stand still.
     pub(super) fn settle_slow(&mut self) {
-        let now = self.now;
-        let mut stops = Vec::new();
-        let mut stuck = Vec::new();
-        for (id, w) in self.workers.iter().filter(|(_, w)| w.reachable) {
-            for (task, attempt) in w.runs.keys() {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
-                let Some(step) = job.step(task) else { continue };
-                let Some(t) = job.task(task) else { continue };
-                let Some(run) = t.runs.iter().find(|r| r.worker == *id && r.attempt == *attempt) else {
-                    continue;
-                };
-                match run.phase {
-                    Phase::Stopping | Phase::Stopped if run.phase_at + STOP_AGAIN < now => {
-                        stops.push((id.clone(), *task, *attempt));
-                    }
-                    Phase::Running if run.progressed + STUCK_AFTER < now => {
-                        let working = step.lasting && run.percent >= 100;
-                        if !working && !step.gang && w.heard > run.progressed + STUCK_AFTER {
-                            stuck.push((id.clone(), *task, *attempt));
-                        }
-                    }
-                    _ => {}
-                }
-            }
-        }
+        let (mut stops, stuck) = self.slow_runs();
         for (id, task, attempt) in stuck {
             self.notes.push(format!("event=run_stuck worker={id} task={task} attempt={attempt}"));
             self.blame(&id, &task);
@@ -264,6 +257,7 @@
             }
             stops.push((id, task, attempt));
         }
+        let now = self.now;
         for (id, task, attempt) in stops {
             if let Some(run) = self.run_mut(&id, &task, attempt) {
                 run.enter(Phase::Stopping, now);
@@ -271,4 +265,35 @@
             self.actions.push(Action::Stop(id, task, attempt));
         }
     }
+
+    /// Runs whose stop had no effect, and runs that stand still.
+    fn slow_runs(&self) -> (Vec<RunName>, Vec<RunName>) {
+        let mut stops = Vec::new();
+        let mut stuck = Vec::new();
+        for (id, w) in self.workers.iter().filter(|(_, w)| w.reachable) {
+            for (task, attempt) in w.runs.keys() {
+                let Some(step) = self.jobs.get(&task.job).and_then(|j| j.step(task)) else { continue };
+                let Some(run) = self.run(id, task, *attempt) else { continue };
+                match run.phase {
+                    Phase::Stopping | Phase::Stopped if run.phase_at + STOP_AGAIN < self.now => {
+                        stops.push((id.clone(), *task, *attempt));
+                    }
+                    Phase::Running if stands_still(w, step, run, self.now) => {
+                        stuck.push((id.clone(), *task, *attempt));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        (stops, stuck)
+    }
+}
+
+/// Whether a run makes no progress although its worker answers. Members of a
+/// gang wait for each other, and a lasting task past its warm-up has no more
+/// progress to make.
+fn stands_still(w: &Worker, step: &StepSpec, run: &Run, now: Duration) -> bool {
+    let limit = run.progressed + STUCK_AFTER;
+    let working = step.lasting && run.percent >= 100;
+    limit < now && !working && !step.gang && w.heard > limit
 }
