--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -23,12 +23,14 @@
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
 //! * [`wave`] decides which machine is maintained next.
-//! * [`pools`] decides which machine changes its pool.
+//! * [`need`] works out how many machines each pool needs, and [`pools`]
+//!   decides which machine changes its pool.
 
 pub mod config;
 pub mod ends;
 pub mod evict;
 pub mod job;
+pub mod need;
 pub mod order;
 pub mod place;
 pub mod pools;
