--- /dev/null
+++ b/crates/workswood-core/src/jobs/machine.rs
@@ -0,0 +1,54 @@
+//! Machines, and the answers to orders to them.
+
+use super::job::WorkerId;
+use super::spec::Room;
+use crate::ids::{DataCentre, HostId, ServiceId};
+
+/// State of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineState {
+    /// It works, or could.
+    Up,
+    /// It changes its pool.
+    Moving,
+    /// It is being maintained.
+    Upkeep,
+    /// It is off or lost.
+    Down,
+}
+
+/// A machine, as the platform lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    /// Its name.
+    pub name: HostId,
+    /// The service whose pool it is in.
+    pub pool: ServiceId,
+    /// Its state.
+    pub state: MachineState,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Kind and rack.
+    pub labels: Vec<String>,
+    /// Its room.
+    pub capacity: Room,
+    /// The present life of its worker.
+    pub worker: Option<WorkerId>,
+}
+
+/// Answer to an order to a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MachineReply {
+    /// Done, now or before.
+    Done,
+    /// Not now: the machine is busy.
+    Busy,
+    /// Never: no such machine, or not part of this wave.
+    Impossible,
+    /// Another holder has used a higher token for it.
+    Fenced,
+    /// No answer; it may have been done.
+    NoAnswer,
+    /// Refused for now without effect.
+    Later,
+}
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -18,6 +18,7 @@
 //! * [`config`] holds queues and services in force.
 //! * [`job`] holds the state of one job and its stored form.
 //! * [`worker`] holds what is known of one worker, its room and its lease.
+//! * [`machine`] holds what is known of one machine.
 //! * [`order`] decides which waiting task is next.
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
@@ -30,6 +31,7 @@
 pub mod ends;
 pub mod evict;
 pub mod job;
+pub mod machine;
 pub mod need;
 pub mod order;
 pub mod place;
@@ -44,8 +46,9 @@
 
 pub use config::{QueueConfig, SchedConfig, ServiceConfig};
 pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
+pub use machine::{Machine, MachineReply, MachineState};
 pub use sched::Scheduler;
 pub use spec::{JobKey, JobSpec, Repeat, StepSpec, TaskId};
 pub use types::{Action, Batch, Event, Limits, Record, ShownJob, StartReply, StopReply};
-pub use wave::{Machine, MachineReply, MachineState, Wave, WaveRecord};
+pub use wave::{Wave, WaveRecord};
 pub use worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker, WorkerInfo, WorkerRecord};
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -10,10 +10,10 @@
 use std::time::Duration;
 
 use super::job::WorkerId;
+use super::machine::{Machine, MachineReply, MachineState};
 use super::need::Need;
 use super::sched::Scheduler;
 use super::types::Action;
-use super::wave::{Machine, MachineReply, MachineState};
 use crate::ids::{HostId, ServiceId};
 
 /// Machines that a pool keeps above its need.
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -6,11 +6,12 @@
 
 use super::config::SchedConfig;
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
+use super::machine::Machine;
 use super::order::{Durations, Waiting, place_of};
 use super::pools::PoolState;
 use super::spec::{JobKey, JobSpec, QueueId, TaskId};
 use super::types::{Action, Batch, Event, LEASE_SLACK, Limits, Record, ShownJob};
-use super::wave::{Machine, WaveState};
+use super::wave::WaveState;
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
 use crate::ids::{HostId, ServiceId, Term, UnixMs};
 use crate::invariant;
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use super::job::{Phase, Run, WorkerId};
+use super::machine::MachineState;
 use super::sched::Scheduler;
 use super::spec::{StepSpec, TaskId};
 use super::types::{Action, StartReply, StopReply};
-use super::wave::MachineState;
 use super::worker::{Worker, WorkerInfo};
 
 /// A running task whose progress stands still for this long is taken to be
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -8,8 +8,9 @@
 
 use super::config::SchedConfig;
 use super::job::{JobRecord, Shown, WorkerId};
+use super::machine::{Machine, MachineReply};
 use super::spec::{JobKey, JobSpec, QueueId, TaskId};
-use super::wave::{Machine, MachineReply, Wave, WaveRecord};
+use super::wave::{Wave, WaveRecord};
 use super::worker::{Report, WorkerInfo, WorkerRecord};
 use crate::ids::{HostId, ServiceId};
 
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -12,11 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
+use super::machine::{Machine, MachineReply, MachineState};
 use super::sched::Scheduler;
-use super::spec::Room;
 use super::types::Action;
 use super::worker::Worker;
-use crate::ids::{DataCentre, HostId, ServiceId};
+use crate::ids::HostId;
 
 /// Longest time that short tasks are given to end before a machine goes down.
 const EMPTY_FOR: Duration = Duration::from_millis(3500);
@@ -32,55 +32,6 @@
 /// maintenance itself.
 const AHEAD: Duration = Duration::from_millis(4000);
 
-/// State of a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MachineState {
-    /// It works, or could.
-    Up,
-    /// It changes its pool.
-    Moving,
-    /// It is being maintained.
-    Upkeep,
-    /// It is off or lost.
-    Down,
-}
-
-/// A machine, as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Machine {
-    /// Its name.
-    pub name: HostId,
-    /// The service whose pool it is in.
-    pub pool: ServiceId,
-    /// Its state.
-    pub state: MachineState,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// Kind and rack.
-    pub labels: Vec<String>,
-    /// Its room.
-    pub capacity: Room,
-    /// The present life of its worker.
-    pub worker: Option<WorkerId>,
-}
-
-/// Answer to an order to a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MachineReply {
-    /// Done, now or before.
-    Done,
-    /// Not now: the machine is busy.
-    Busy,
-    /// Never: no such machine, or not part of this wave.
-    Impossible,
-    /// Another holder has used a higher token for it.
-    Fenced,
-    /// No answer; it may have been done.
-    NoAnswer,
-    /// Refused for now without effect.
-    Later,
-}
-
 /// A wave, as operators ask for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wave {
@@ -153,6 +104,18 @@
         (self.wave.machines.len() as f64 * share).ceil() as usize
     }
 
+    /// Whether nothing has been begun yet with a machine of it.
+    fn waits(&self, machine: &HostId) -> bool {
+        let begun = self.record.ordered.contains_key(machine) || self.emptying.contains_key(machine);
+        !begun && !self.record.finished.contains(machine)
+    }
+
+    /// Whether a machine is emptied for it, or is or may be down.
+    fn takes(&self, machine: &HostId) -> bool {
+        let ordered = self.record.ordered.contains_key(machine) && !self.record.finished.contains(machine);
+        ordered || self.emptying.contains_key(machine)
+    }
+
     /// Machines that are, or may be, down for it.
     fn down_now(&self) -> usize {
         self.record.ordered.keys().filter(|m| !self.record.finished.contains(*m)).count()
@@ -231,17 +194,14 @@
         self.set_cordons();
     }
 
-    /// Whether a machine is to go down, or may go down at any moment.
-    pub(super) fn goes_down(&self, machine: &HostId) -> bool {
+    /// Whether a machine gets no new work: it moves, or a wave takes it.
+    fn is_cordoned(&self, machine: &HostId) -> bool {
         self.pools.moving.contains_key(machine) || self.wave_takes(machine)
     }
 
-    /// Whether a wave has a machine down or is about to.
+    /// Whether some wave empties a machine or has it down.
     pub(super) fn wave_takes(&self, machine: &HostId) -> bool {
-        self.waves.values().any(|w| {
-            let ordered = w.record.ordered.contains_key(machine) && !w.record.finished.contains(machine);
-            ordered || w.emptying.contains_key(machine)
-        })
+        self.waves.values().any(|w| w.takes(machine))
     }
 
     /// Keeps new work away from machines that are to go down.
@@ -250,7 +210,7 @@
         let changed: Vec<(WorkerId, bool)> = self
             .workers
             .iter()
-            .filter_map(|(id, w)| Some((id, w.cordoned, self.goes_down(&of(w)?))))
+            .filter_map(|(id, w)| Some((id, w.cordoned, self.is_cordoned(&of(w)?))))
             .filter(|(_, was, now)| was != now)
             .map(|(id, _, now)| (id.clone(), now))
             .collect();
@@ -275,6 +235,7 @@
         own.or_else(|| self.machines.get(machine).and_then(|m| m.worker.clone()))
     }
 
+    /// Goes on with one wave, once no earlier holder's order can be under way.
     fn run_wave(&mut self, n: u64) {
         if self.machines.is_empty() || self.now < self.since + self.limits.machine_handover {
             return;
@@ -304,12 +265,7 @@
         let begun = w.emptying.len() + w.down_now();
         let mut room = w.wave.most_at_once.max(1).saturating_sub(begun);
         let mut behind = w.planned(self.now).saturating_sub(w.record.finished.len() + begun);
-        let waiting = w.wave.machines.iter().filter(|m| {
-            !w.record.ordered.contains_key(*m)
-                && !w.emptying.contains_key(*m)
-                && !self.pools.moving.contains_key(*m)
-                && !w.record.finished.contains(*m)
-        });
+        let waiting = w.wave.machines.iter().filter(|m| w.waits(m) && !self.pools.moving.contains_key(*m));
         let mut waiting: Vec<(usize, u64, HostId)> = waiting.map(|m| self.load_on(m)).collect();
         waiting.sort();
         for (lasting, used, m) in waiting {
@@ -360,16 +316,19 @@
         }
     }
 
-    /// The outcome of an order.
+    /// The wave that has ordered a machine down and waits for the outcome.
+    fn wave_of_order(&self, machine: &HostId) -> Option<u64> {
+        let waits =
+            |w: &WaveState| w.record.ordered.contains_key(machine) && !w.record.down.contains(machine);
+        self.waves.iter().find(|(_, w)| waits(w)).map(|(n, _)| *n)
+    }
+
+    /// The outcome of an order to a machine, of a move or of a wave.
     pub(super) fn machine_ordered(&mut self, machine: &HostId, reply: MachineReply) {
         if self.machine_moved(machine, reply) {
             return;
         }
-        let of = self
-            .waves
-            .iter()
-            .find(|(_, w)| w.record.ordered.contains_key(machine) && !w.record.down.contains(machine));
-        let Some(n) = of.map(|(n, _)| *n) else { return };
+        let Some(n) = self.wave_of_order(machine) else { return };
         self.notes.push(format!("event=machine_answer wave={n} machine={machine} reply={reply:?}"));
         let Some(w) = self.waves.get_mut(&n) else { return };
         match reply {
