--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -13,11 +13,11 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Action, Batch, Event, JobKey, Scheduler, ShownJob};
+use workswood_core::jobs::{Action, Batch, Event, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
-use super::follow::{Heard, topic};
-use super::load::{Loaded, inbox_event, load};
+use super::feeds::{publish_waves, read_inbox, read_machines, read_workers};
+use super::load::{Loaded, load};
 use super::node::{Leading, Node};
 use super::orders::Orders;
 use super::record::{inbox_drops, state_record};
@@ -30,8 +30,6 @@
 const PAUSE: Duration = Duration::from_millis(60);
 /// Events taken in before a batch is closed.
 const MOST_EVENTS: usize = 512;
-/// How long one read of the inbox waits.
-const INBOX_WAIT: Duration = Duration::from_millis(1000);
 /// Time between two readings of the list of machines while a wave runs.
 const MACHINES_EVERY: Duration = Duration::from_millis(600);
 
@@ -54,6 +52,7 @@
     tokio::spawn(run(node.clone(), leading, rx, ended));
 }
 
+/// Runs the scheduler of a term until it ends by itself or is told to.
 async fn run(
     node: Arc<Node>,
     l: Arc<Leading>,
@@ -71,6 +70,7 @@
     log::info!("event=scheduler_ended term={}", l.term);
 }
 
+/// Loads the predecessors' state; `None` if another term has begun.
 async fn load_until_done(node: &Arc<Node>, term: u64, since: Duration) -> Option<Loaded> {
     loop {
         match load(node, term, since).await {
@@ -84,6 +84,7 @@
     }
 }
 
+/// Loads the state, starts what feeds the scheduler, and runs it.
 async fn schedule(
     node: Arc<Node>,
     l: Arc<Leading>,
@@ -103,35 +104,37 @@
         links: HashMap::new(),
         number: 1,
         status: status_tx,
+        machines_read: Duration::ZERO,
     };
     owner.run(&mut rx, tasks).await;
 }
 
+/// A batch that is being written; `None` once another term has begun.
+type Writing = JoinHandle<Option<Batch>>;
+
 /// The task that owns the scheduler.
 struct Owner {
     node: Arc<Node>,
     l: Arc<Leading>,
     sched: Scheduler,
+    /// Workers that are looked at.
     links: HashMap<WorkerId, Arc<WorkerLink>>,
     /// Number of the next append of this term.
     number: u64,
+    /// Waves to publish, with whether they are complete.
     status: watch::Sender<BTreeMap<u64, bool>>,
+    /// When the list of machines was last asked for.
+    machines_read: Duration,
 }
 
 impl Owner {
+    /// Runs until the scheduler is deposed, overtaken or ended.
     async fn run(&mut self, rx: &mut mpsc::UnboundedReceiver<Event>, tasks: &mut JoinSet<()>) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut machines_read = Duration::ZERO;
-        let mut writing: Option<JoinHandle<Option<Batch>>> = None;
+        let mut writing: Option<Writing> = None;
         let mut waiting = Vec::with_capacity(MOST_EVENTS);
         loop {
-            let written = async {
-                match writing.as_mut() {
-                    Some(w) => w.await.ok().flatten(),
-                    None => std::future::pending().await,
-                }
-            };
             tokio::select! {
                 n = rx.recv_many(&mut waiting, MOST_EVENTS) => {
                     if n == 0 {
@@ -140,15 +143,8 @@
                     self.clock();
                     waiting.drain(..).for_each(|ev| self.sched.handle(ev));
                 }
-                _ = tick.tick() => {
-                    self.clock();
-                    self.sched.handle(Event::Tick);
-                    if self.sched.wants_machines() && self.node.now() > machines_read + MACHINES_EVERY {
-                        machines_read = self.node.now();
-                        tasks.spawn(read_machines(self.node.clone(), self.l.clone()));
-                    }
-                }
-                done = written => {
+                _ = tick.tick() => self.tick(tasks),
+                done = written(&mut writing) => {
                     writing = None;
                     let Some(batch) = done else { return };
                     self.carry_out(batch, tasks);
@@ -159,20 +155,38 @@
                 return;
             }
             if writing.is_none() {
-                let batch = self.sched.take_batch();
-                self.log_notes();
-                if batch.records.is_empty() {
-                    self.carry_out(batch, tasks);
-                } else {
-                    let number = self.number;
-                    self.number += 1;
-                    writing = Some(tokio::spawn(write(self.node.clone(), self.l.term, number, batch)));
-                }
+                writing = self.next_batch(tasks);
             }
             while tasks.try_join_next().is_some() {}
         }
     }
 
+    /// Tells the scheduler that time passed, and has machines listed if it
+    /// needs them.
+    fn tick(&mut self, tasks: &mut JoinSet<()>) {
+        self.clock();
+        self.sched.handle(Event::Tick);
+        if self.sched.wants_machines() && self.node.now() > self.machines_read + MACHINES_EVERY {
+            self.machines_read = self.node.now();
+            tasks.spawn(read_machines(self.node.clone(), self.l.clone()));
+        }
+    }
+
+    /// Takes the next batch from the scheduler and begins to write it; one
+    /// without records is carried out at once.
+    fn next_batch(&mut self, tasks: &mut JoinSet<()>) -> Option<Writing> {
+        let batch = self.sched.take_batch();
+        self.log_notes();
+        if batch.records.is_empty() {
+            self.carry_out(batch, tasks);
+            return None;
+        }
+        let number = self.number;
+        self.number += 1;
+        Some(tokio::spawn(write(self.node.clone(), self.l.term, number, batch)))
+    }
+
+    /// Sets the scheduler's clocks.
     fn clock(&mut self) {
         self.sched.now = self.node.now();
         self.sched.wall = self.node.wall();
@@ -202,8 +216,13 @@
         if !drops.is_empty() {
             tasks.spawn(drop_from_inbox(self.node.clone(), drops));
         }
+        self.send_orders(batch.actions, tasks);
+    }
+
+    /// Sends the orders of a stored batch.
+    fn send_orders(&mut self, actions: Vec<Action>, tasks: &mut JoinSet<()>) {
         let mut orders = Orders { node: &self.node, l: &self.l, lease: self.sched.limits.lease, tasks };
-        for action in batch.actions {
+        for action in actions {
             match action {
                 Action::Watch(info) => {
                     let link = orders.watch(info, self.sched.lease_span());
@@ -221,19 +240,27 @@
         }
     }
 
+    /// Shows callers the jobs of a stored batch.
     fn show(&self, shown: Vec<ShownJob>) {
         let mut map = self.l.shown.write();
         for s in shown {
-            let key: JobKey = s.key;
             if s.state.is_some() {
-                map.insert(key, s);
+                map.insert(s.key, s);
             } else {
-                map.remove(&key);
+                map.remove(&s.key);
             }
         }
     }
 }
 
+/// Waits until a batch is written; for ever if none is.
+async fn written(writing: &mut Option<Writing>) -> Option<Batch> {
+    match writing {
+        Some(w) => w.await.ok().flatten(),
+        None => std::future::pending().await,
+    }
+}
+
 /// Writes a batch until it is stored; `None` if another term has begun.
 async fn write(node: Arc<Node>, term: u64, number: u64, batch: Batch) -> Option<Batch> {
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
@@ -255,107 +282,7 @@
     }
 }
 
-/// Hands jobs and cancels from the inbox to the scheduler.
-async fn read_inbox(node: Arc<Node>, l: Arc<Leading>, mut next: u64) {
-    loop {
-        match node.platform.tail(Topic::Inbox, next, INBOX_WAIT).await {
-            Ok(tail) => {
-                node.store_is_up();
-                next = tail.next;
-                for ev in tail.records.iter().filter_map(inbox_event) {
-                    let _ = l.tx.send(ev);
-                }
-                let _ = l.tx.send(Event::InboxRead(node.now()));
-            }
-            Err(StoreError::Gone) => match node.platform.newest(Topic::Inbox).await {
-                Ok(n) => {
-                    next = n.next;
-                    for ev in n.records.iter().filter_map(inbox_event) {
-                        let _ = l.tx.send(ev);
-                    }
-                }
-                Err(e) => log::warn!("event=inbox_not_read error=\"{e}\""),
-            },
-            Err(e) => {
-                log::warn!("event=inbox_not_read error=\"{e}\"");
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Hands the list of workers, and its changes, to the scheduler.
-async fn read_workers(node: Arc<Node>, l: Arc<Leading>) {
-    let mut known: HashMap<String, ()> = HashMap::new();
-    let n = node.clone();
-    topic(node, Topic::Workers, move |heard| {
-        let records = match heard {
-            Heard::Reset(records) => {
-                let gone: Vec<String> =
-                    known.keys().filter(|k| !records.iter().any(|r| r.key == **k)).cloned().collect();
-                for id in gone {
-                    known.remove(&id);
-                    let _ = l.tx.send(Event::WorkerUnlisted(id.as_str().into()));
-                }
-                records
-            }
-            Heard::Changes(records) => records,
-        };
-        for rec in records {
-            if rec.value.is_none() {
-                known.remove(&rec.key);
-                let _ = l.tx.send(Event::WorkerUnlisted(rec.key.as_str().into()));
-                continue;
-            }
-            match n.platform.worker_info(&rec) {
-                Ok(info) => {
-                    known.insert(rec.key, ());
-                    let _ = l.tx.send(Event::WorkerListed(info));
-                }
-                Err(e) => log::error!("event=worker_not_read code=203 worker={} error=\"{e}\"", rec.key),
-            }
-        }
-    })
-    .await;
-}
-
-async fn read_machines(node: Arc<Node>, l: Arc<Leading>) {
-    let asked = node.now();
-    match node.platform.machines().await {
-        Ok(list) => {
-            let _ = l.tx.send(Event::Machines(list, asked));
-        }
-        Err(e) => log::warn!("event=machines_not_read error=\"{e}\""),
-    }
-}
-
-/// Tells operators how waves stand, until each is told.
-async fn publish_waves(node: Arc<Node>, mut wanted: watch::Receiver<BTreeMap<u64, bool>>) {
-    let mut told: BTreeMap<u64, bool> = BTreeMap::new();
-    loop {
-        let now = wanted.borrow_and_update().clone();
-        for (n, complete) in now {
-            if told.get(&n) == Some(&complete) {
-                continue;
-            }
-            let rec = node.platform.wave_status(n, complete);
-            match node.platform.append(Topic::Status, vec![rec], Guard::None).await {
-                Ok(_) => {
-                    log::info!("event=wave_published wave={n} complete={complete}");
-                    told.insert(n, complete);
-                }
-                Err(e) => log::warn!("event=wave_not_published wave={n} error=\"{e}\""),
-            }
-        }
-        let behind = wanted.borrow().iter().any(|(n, c)| told.get(n) != Some(c));
-        if behind {
-            tokio::time::sleep(PAUSE).await;
-        } else if wanted.changed().await.is_err() {
-            return;
-        }
-    }
-}
-
+/// Takes forgotten jobs out of the inbox.
 async fn drop_from_inbox(node: Arc<Node>, drops: Vec<KeyedRecord>) {
     // A drop that is lost leaves a record behind that the next holder drops.
     if let Err(e) = node.platform.append(Topic::Inbox, drops, Guard::None).await {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -9,12 +9,14 @@
 //! * [`follow`] keeps up with what operators write;
 //! * [`lease`] watches the scheduler lease and claims it;
 //! * [`lead`] runs the scheduler while this process holds the lease, with
-//!   [`load`] (a predecessor's state), [`record`] (the stored form),
-//!   [`renew`] (the lease), [`watch`] (looks at workers) and [`orders`];
+//!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`]
+//!   (the stored form), [`renew`] (the lease), [`watch`] (looks at workers) and
+//!   [`orders`];
 //! * [`ask`] puts callers' questions to the lease holder;
 //! * [`stop`] ends the process without cutting anything off.
 
 mod ask;
+mod feeds;
 mod follow;
 mod front;
 mod lead;
