--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -33,7 +33,7 @@
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
         let id = info.id.clone();
         let now = self.now;
-        let cordoned = self.goes_down(&info.machine);
+        let cordoned = self.is_cordoned(&info.machine);
         let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now, now));
         w.cordoned = cordoned;
         let fresh = w.info.is_none() || !w.listed;
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -195,7 +195,7 @@
     }
 
     /// Whether a machine gets no new work: it moves, or a wave takes it.
-    fn is_cordoned(&self, machine: &HostId) -> bool {
+    pub(super) fn is_cordoned(&self, machine: &HostId) -> bool {
         self.pools.moving.contains_key(machine) || self.wave_takes(machine)
     }
 
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -29,6 +29,17 @@
     Unreachable,
 }
 
+impl<T> Told<T> {
+    /// Its label in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Told::Known(_) => "known",
+            Told::Unknown => "unknown",
+            Told::Unreachable => "unreachable",
+        }
+    }
+}
+
 fn current(node: &Node, l: &Leading) -> bool {
     let read = l.inbox_read.load(Ordering::Acquire);
     read > 0 && node.now_ms() < read + INBOX_AGE.as_millis() as u64
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -84,7 +84,9 @@
 }
 
 async fn state(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
-    match ask::job(node, job).await {
+    let told = ask::job(node, job).await;
+    node.metrics.asked.with_label_values(&[told.label()]).inc();
+    match told {
         Told::Known(s) => json(wire::state_body(s)),
         Told::Unknown => refusal(Code::JobUnknown, Ran::NotRun, None),
         Told::Unreachable => refusal(Code::HolderAway, Ran::NotRun, Some(COME_BACK)),
@@ -136,6 +138,8 @@
         (node.now() - begun).as_millis(),
         node.store_silence().as_millis()
     );
+    node.metrics.handed_in.with_label_values(&[stored.label()]).inc();
+    node.metrics.hand_in_seconds.observe((node.now() - begun).as_secs_f64());
     match stored {
         Stored::Yes => json(Bytes::from_static(b"{}")),
         Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
@@ -170,6 +174,17 @@
     Unknown,
 }
 
+impl Stored {
+    /// Its label in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Stored::Yes => "accepted",
+            Stored::No => "refused",
+            Stored::Unknown => "unknown",
+        }
+    }
+}
+
 /// Writes a record of a caller into the inbox. The key is the caller's own,
 /// so sending it again changes nothing.
 async fn store(node: &Arc<Node>, rec: KeyedRecord) -> Stored {
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -11,7 +11,7 @@
 
 use parking_lot::RwLock;
 use tokio::sync::{mpsc, watch};
-use tokio::task::{JoinHandle, JoinSet};
+use tokio::task::JoinSet;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Batch, Event, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
@@ -48,6 +48,7 @@
         end,
     });
     node.leading.store(Some(leading.clone()));
+    node.metrics.terms.inc();
     log::info!("event=scheduler_started term={term}");
     tokio::spawn(run(node.clone(), leading, rx, ended));
 }
@@ -109,8 +110,9 @@
     owner.run(&mut rx, tasks).await;
 }
 
-/// A batch that is being written; `None` once another term has begun.
-type Writing = JoinHandle<Option<Batch>>;
+/// The batch that is being written, if there is one; its outcome is `None`
+/// once another term has begun. Writing ends with the scheduler.
+type Writing = JoinSet<Option<Batch>>;
 
 /// The task that owns the scheduler.
 struct Owner {
@@ -132,7 +134,7 @@
     async fn run(&mut self, rx: &mut mpsc::UnboundedReceiver<Event>, tasks: &mut JoinSet<()>) {
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut writing: Option<Writing> = None;
+        let mut writing = Writing::new();
         let mut waiting = Vec::with_capacity(MOST_EVENTS);
         loop {
             tokio::select! {
@@ -145,7 +147,6 @@
                 }
                 _ = tick.tick() => self.tick(tasks),
                 done = written(&mut writing) => {
-                    writing = None;
                     let Some(batch) = done else { return };
                     self.carry_out(batch, tasks);
                 }
@@ -154,8 +155,8 @@
                 log::warn!("event=deposed_by_worker term={}", self.l.term);
                 return;
             }
-            if writing.is_none() {
-                writing = self.next_batch(tasks);
+            if writing.is_empty() {
+                self.next_batch(&mut writing, tasks);
             }
             while tasks.try_join_next().is_some() {}
         }
@@ -174,16 +175,16 @@
 
     /// Takes the next batch from the scheduler and begins to write it; one
     /// without records is carried out at once.
-    fn next_batch(&mut self, tasks: &mut JoinSet<()>) -> Option<Writing> {
+    fn next_batch(&mut self, writing: &mut Writing, tasks: &mut JoinSet<()>) {
         let batch = self.sched.take_batch();
         self.log_notes();
         if batch.records.is_empty() {
             self.carry_out(batch, tasks);
-            return None;
+            return;
         }
         let number = self.number;
         self.number += 1;
-        Some(tokio::spawn(write(self.node.clone(), self.l.term, number, batch)))
+        writing.spawn(write(self.node.clone(), self.l.term, number, batch));
     }
 
     /// Sets the scheduler's clocks.
@@ -254,9 +255,9 @@
 }
 
 /// Waits until a batch is written; for ever if none is.
-async fn written(writing: &mut Option<Writing>) -> Option<Batch> {
-    match writing {
-        Some(w) => w.await.ok().flatten(),
+async fn written(writing: &mut Writing) -> Option<Batch> {
+    match writing.join_next().await {
+        Some(done) => done.ok().flatten(),
         None => std::future::pending().await,
     }
 }
@@ -264,6 +265,7 @@
 /// Writes a batch until it is stored; `None` if another term has begun.
 async fn write(node: Arc<Node>, term: u64, number: u64, batch: Batch) -> Option<Batch> {
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
+    let _timer = node.metrics.batch_seconds.start_timer();
     loop {
         match node.platform.append(Topic::State, records.clone(), Guard::Term(term, number)).await {
             Ok(_) => {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -5,7 +5,7 @@
 //! lease decides where their tasks run. A [`Node`] is what the tasks of a
 //! process share:
 //!
-//! * [`front`] answers callers, and [`ready`] the balancer;
+//! * [`front`] answers callers, and [`probe`] the balancer;
 //! * [`follow`] keeps up with what operators write;
 //! * [`lease`] watches the scheduler lease and claims it;
 //! * [`lead`] runs the scheduler while this process holds the lease, with
@@ -24,7 +24,7 @@
 mod load;
 mod node;
 mod orders;
-mod ready;
+mod probe;
 mod record;
 mod renew;
 mod stop;
@@ -58,6 +58,7 @@
     crate::util::logs::start(settings.log_level);
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
+    let metrics = listen(settings.metrics).await?;
     let peers = listen(settings.peers).await?;
     let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
     let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::new(addresses));
@@ -71,7 +72,8 @@
         node.settings.peers
     );
     let (stop_callers, stopped) = channel::channel(false);
-    tokio::spawn(ready::serve(readiness, node.clone()));
+    tokio::spawn(probe::readiness(readiness, node.clone()));
+    tokio::spawn(probe::metrics(metrics, node.clone()));
     tokio::spawn(workswood_peers::serve(peers, ask::TOKEN.to_string(), ask::handler(node.clone())));
     tokio::spawn(follow::run(node.clone()));
     tokio::spawn(lease::run(node.clone()));
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -14,6 +14,7 @@
 use workswood_peers::Link;
 use workswood_platform::jobs::JobPlatform;
 
+use crate::util::job_metrics::JobMetrics;
 use crate::util::job_settings::JobSettings;
 
 /// Who holds the scheduler lease, as last read.
@@ -68,6 +69,8 @@
     pub leading: ArcSwapOption<Leading>,
     /// Connections to peers by address.
     pub links: Mutex<HashMap<String, Link>>,
+    /// Its metrics.
+    pub metrics: JobMetrics,
     /// Whether a planned stop has begun.
     pub stopping: AtomicBool,
     started: Instant,
@@ -86,6 +89,7 @@
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
             links: Mutex::default(),
+            metrics: JobMetrics::default(),
             stopping: AtomicBool::new(false),
             started: Instant::now(),
             store_answered: AtomicU64::new(0),
@@ -117,6 +121,16 @@
         Duration::from_millis(self.now_ms().saturating_sub(self.store_answered.load(Ordering::Relaxed)))
     }
 
+    /// All metrics as text, with the gauges as they stand now.
+    pub fn metrics_text(&self) -> String {
+        let m = &self.metrics;
+        m.leading.set(i64::from(self.leading.load().is_some()));
+        m.lease_term.set(self.holder.load().as_ref().map_or(0, |h| h.term as i64));
+        m.config_version.set(self.config.load().as_ref().map_or(0, |c| c.version as i64));
+        m.store_silence_ms.set(self.store_silence().as_millis() as i64);
+        m.text()
+    }
+
     /// Whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Acquire)
--- a/src/workswood/ops/jobs/orders.rs
+++ b/src/workswood/ops/jobs/orders.rs
@@ -108,6 +108,7 @@
     let (task, attempt) = (s.task, s.attempt);
     let mut sent_until = node.now();
     let reply = try_start(&node, &l, &link, s, &mut sent_until).await;
+    node.metrics.starts.with_label_values(&[start_label(reply)]).inc();
     let _ = l.tx.send(Event::Started(link.info.id.clone(), task, attempt, reply, sent_until));
 }
 
@@ -158,6 +159,19 @@
     if unanswered { StartReply::NoAnswer } else { StartReply::NotSent }
 }
 
+/// The label of a start's outcome in metrics.
+fn start_label(reply: StartReply) -> &'static str {
+    match reply {
+        StartReply::Taken => "taken",
+        StartReply::Refused => "refused",
+        StartReply::Unwell => "unwell",
+        StartReply::Unsure => "unsure",
+        StartReply::NoAnswer => "no_answer",
+        StartReply::NotSent => "not_sent",
+        StartReply::Deposed => "deposed",
+    }
+}
+
 async fn stop(node: Arc<Node>, l: Arc<Leading>, link: Arc<WorkerLink>, task: TaskId, attempt: u32) {
     let _lane = link.lanes.acquire().await;
     let mut reply = StopReply::NoAnswer;
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -26,7 +26,7 @@
     pub readiness: SocketAddr,
     /// Where peers connect; also what peers are told.
     pub peers: SocketAddr,
-    /// Where metrics are served; the process does not serve any yet.
+    /// Where metrics are served.
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: String,
--- a/tests/testsuite/queue_order.rs
+++ b/tests/testsuite/queue_order.rs
@@ -8,7 +8,7 @@
 use workswood_test_support::job_world::{QUEUE, config, job, step};
 
 fn opened(key: u64, spec: JobSpec) -> Job {
-    let mut j = Job::new(key, Arc::new(spec), Duration::ZERO);
+    let mut j = Job::new(key, Arc::new(spec));
     j.open_round();
     j
 }
