--- a/src/workswood/ops/jobs/orders.rs
+++ b/src/workswood/ops/jobs/orders.rs
@@ -73,14 +73,7 @@
             }
             Action::Pace(worker, task, attempt, percent) => {
                 if let Some(link) = links.get(&worker).cloned() {
-                    self.tasks.spawn(async move {
-                        let _lane = link.lanes.acquire().await;
-                        let res = node.platform.pace(&link.info, l.term, task, attempt, percent).await;
-                        if let Err(e) = res {
-                            // The next look shows the figures again.
-                            log::warn!("event=pace_not_taken worker={worker} task={task} error={e:?}");
-                        }
-                    });
+                    self.tasks.spawn(pace(node, l, link, task, attempt, percent));
                 }
             }
             Action::Upkeep(machine, wave) => {
@@ -158,6 +151,22 @@
     if unanswered { StartReply::NoAnswer } else { StartReply::NotSent }
 }
 
+async fn pace(
+    node: Arc<Node>,
+    l: Arc<Leading>,
+    link: Arc<WorkerLink>,
+    task: TaskId,
+    attempt: u32,
+    percent: u32,
+) {
+    let _lane = link.lanes.acquire().await;
+    let res = node.platform.pace(&link.info, l.term, task, attempt, percent).await;
+    if let Err(e) = res {
+        // The next look shows the figures again.
+        log::warn!("event=pace_not_taken worker={} task={task} error={e:?}", link.info.id);
+    }
+}
+
 async fn stop(node: Arc<Node>, l: Arc<Leading>, link: Arc<WorkerLink>, task: TaskId, attempt: u32) {
     let _lane = link.lanes.acquire().await;
     let mut reply = StopReply::NoAnswer;
--- a/src/workswood/ops/jobs/watch.rs
+++ b/src/workswood/ops/jobs/watch.rs
@@ -65,6 +65,12 @@
         self.silent.load(Ordering::Acquire)
     }
 
+    /// Notes that a look was answered, and the worker's clock.
+    fn answered(&self, clock: WorkerClock, now: Duration) {
+        *self.clock.lock() = Some((clock, now));
+        self.silent.store(false, Ordering::Release);
+    }
+
     /// End of a lease that begins now, on the worker's clock; `None` until
     /// the worker has answered once.
     pub fn lease_end(&self, now: Duration, lease: Duration) -> Option<WorkerClock> {
@@ -82,10 +88,11 @@
         let sent = node.now();
         let may_extend = !link.is_silent() && node.now_ms() < l.extend_until.load(Ordering::Acquire);
         let lease_end = if may_extend { link.lease_end(sent, lease) } else { None };
+        let mut wait = Duration::ZERO;
         if lease_end.is_some() {
             sent_until = sent + span;
+            wait = LOOK_WAIT;
         }
-        let wait = if lease_end.is_some() { LOOK_WAIT } else { Duration::ZERO };
         let forget = *link.forget.borrow();
         let res = node.platform.look(&link.info, l.term, forget, lease_end, wait).await;
         if link.is_closed() {
@@ -93,8 +100,7 @@
         }
         match res {
             Ok((clock, mut report)) => {
-                *link.clock.lock() = Some((clock, node.now()));
-                link.silent.store(false, Ordering::Release);
+                link.answered(clock, node.now());
                 report.asked = sent;
                 let last = report.ended.iter().map(|e| e.number).max().unwrap_or(0);
                 let _ = l.tx.send(Event::Reported(id.clone(), report, sent_until));
