--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -154,10 +154,12 @@
         let Some(task) = job.task_mut(&task_id) else { return };
         let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == end.attempt);
         let run = run.map(|n| task.runs.remove(n));
+        let known = run.is_some();
         if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
             self.durations.observe(&spec.queue, now.saturating_sub(run.phase_at));
         }
-        if step.checkpointing && !end.checkpoint.is_empty() {
+        // An end that is listed again may be older than the checkpoint we have.
+        if known && step.checkpointing && !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
         self.dirty.insert(task_id.job);
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -289,6 +289,17 @@
     pub rounds: Vec<Vec<Vec<TaskRecord>>>,
 }
 
+impl JobRecord {
+    /// Whether the record belongs to a job with these steps.
+    pub fn fits(&self, spec: &JobSpec) -> bool {
+        let alike = |round: &Vec<Vec<TaskRecord>>| {
+            let counts = spec.steps.iter().map(|s| s.count as usize);
+            round.len() == spec.steps.len() && round.iter().map(Vec::len).eq(counts)
+        };
+        self.rounds.iter().all(alike)
+    }
+}
+
 /// The stored form of a task.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TaskRecord {
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -1,19 +1,20 @@
 //! Which worker a task is started on.
 
 use std::cmp::Reverse;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::job::{Job, Phase, Run, WorkerId};
 use super::sched::Scheduler;
-use super::spec::{Room, StepSpec, TaskId};
+use super::spec::{JobKey, Room, StepSpec, TaskId};
 use super::types::Action;
 use super::worker::Worker;
 use crate::ids::ServiceId;
 use crate::invariant;
 
-/// Tasks without a place that are looked at before a pass gives up. Smaller
-/// ones behind may fit where larger ones don't.
-const MOST_MISSES: usize = 48;
+/// Steps without a place that are looked at before a pass gives up. Smaller
+/// tasks behind may fit where larger ones don't.
+const MOST_MISSES: usize = 64;
 
 impl Scheduler {
     /// Places waiting tasks of a service, most urgent first.
@@ -24,13 +25,15 @@
         }
         let ids: Vec<TaskId> = waiting.tasks().copied().collect();
         let workers = self.takers(service);
-        let mut misses = 0;
+        // Tasks of one step are alike: where one finds no room, none does.
+        let mut missed: HashSet<(JobKey, u32, u16)> = HashSet::new();
         for id in ids {
-            if misses >= MOST_MISSES || workers.is_empty() {
+            if missed.len() >= MOST_MISSES || workers.is_empty() {
                 break;
             }
-            if !self.place_one(&id, &workers) {
-                misses += 1;
+            let alike = (id.job, id.round, id.step);
+            if !missed.contains(&alike) && !self.place_one(&id, &workers) {
+                missed.insert(alike);
             }
         }
     }
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -6,6 +6,7 @@
 //! it needs; a pool that has had too many for some time gives some up. What
 //! runs on a machine dies when it moves: only empty machines do.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -129,7 +130,10 @@
 
     /// Brings machines to pools that are short of them.
     fn fill_pools(&mut self, spare: &ServiceId) {
-        let services = self.working_services();
+        let mut services = self.working_services();
+        // The one that lacks most first, by tenths of a machine.
+        let short = |p: &Pool| ((p.need.now - p.have) * 10.0) as i64;
+        services.sort_by_key(|s| (Reverse(short(&self.pool(s))), s.clone()));
         for s in &services {
             loop {
                 let pool = self.pool(s);
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -62,6 +62,8 @@
     pub(super) place_again: BTreeSet<ServiceId>,
     /// When the inbox was last read to its end.
     inbox_read: Duration,
+    /// Cancels of jobs that are not known yet.
+    early_cancels: BTreeSet<JobKey>,
     /// Decisions worth a log line, drained by the process.
     pub notes: Vec<String>,
 }
@@ -92,6 +94,7 @@
             forget: BTreeMap::new(),
             place_again: BTreeSet::new(),
             inbox_read: Duration::ZERO,
+            early_cancels: BTreeSet::new(),
             notes: Vec::new(),
         }
     }
@@ -109,10 +112,18 @@
     /// Takes over a job with the state that a predecessor recorded.
     pub fn restore(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
         let now = self.now;
-        let job = match rec {
-            Some(rec) => Job::restore(key, spec, rec, now),
-            None => Job::new(key, spec),
+        let fits = rec.as_ref().is_none_or(|rec| rec.fits(&spec));
+        let mut job = match rec {
+            Some(rec) if fits => Job::restore(key, spec, rec, now),
+            _ => Job::new(key, spec),
         };
+        if !fits {
+            // Handed in again with other steps: what was begun does not match
+            // what is asked for, and must not be begun anew.
+            self.notes.push(format!("event=job_changed job={key:016x} outcome=Failed"));
+            job.outcome = Some(Outcome::Failed);
+            job.ended = now;
+        }
         let bound = self.inherited_lease_end();
         for id in job.task_ids() {
             let Some(task) = job.task(&id) else { continue };
@@ -121,6 +132,7 @@
                 let w = w.or_insert_with(|| Worker::unknown(bound, self.since));
                 if let Some(step) = job.step(&id) {
                     w.take(id, run.attempt, step.reserved());
+                    w.mark(&id, step);
                 }
             }
         }
@@ -130,6 +142,11 @@
         self.dirty.insert(key);
     }
 
+    /// Drops a job's state whose job is no longer in the inbox.
+    pub fn drop_record(&mut self, key: JobKey) {
+        self.dropped.push((key, QueueId::new()));
+    }
+
     /// When the last lease that a predecessor may have extended has ended.
     fn inherited_lease_end(&self) -> Duration {
         self.since + self.limits.grace + self.lease_span()
@@ -177,11 +194,17 @@
             self.jobs.insert(key, job);
         }
         self.queue_job(key);
+        if self.early_cancels.remove(&key) {
+            self.cancel(key);
+        }
     }
 
     /// The caller cancelled a job.
     fn cancel(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else {
+            self.early_cancels.insert(key);
+            return;
+        };
         if job.cancelled || job.outcome.is_some() {
             return;
         }
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use super::job::{Phase, Run, WorkerId};
+use super::job::{FULL_PACE, Phase, Run, WorkerId};
 use super::machine::MachineState;
 use super::sched::Scheduler;
 use super::spec::{StepSpec, TaskId};
@@ -28,6 +28,13 @@
 /// Worker, task and number of a run.
 type RunName = (WorkerId, TaskId, u32);
 
+/// Looks that may be under way when a stop is taken; the stop is sent again
+/// only after as many looks without an effect.
+const LOOKS_AFTER_STOP: u32 = 4;
+/// Share of its estimated time that a task may go without progress: three
+/// times what a percent takes.
+const STUCK_SHARE: f64 = 0.03;
+
 impl Scheduler {
     /// Takes a worker in that is listed, new or changed.
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
@@ -277,7 +284,11 @@
                 let Some(step) = self.jobs.get(&task.job).and_then(|j| j.step(task)) else { continue };
                 let Some(run) = self.run(id, task, *attempt) else { continue };
                 match run.phase {
-                    Phase::Stopping | Phase::Stopped if run.phase_at + STOP_AGAIN < self.now => {
+                    Phase::Stopping if run.phase_at + STOP_AGAIN < self.now => {
+                        stops.push((id.clone(), *task, *attempt));
+                    }
+                    // Taken; a look that is sent later settles it.
+                    Phase::Stopped if run.phase_at + STOP_AGAIN * LOOKS_AFTER_STOP < self.now => {
                         stops.push((id.clone(), *task, *attempt));
                     }
                     Phase::Running if stands_still(w, step, run, self.now) => {
@@ -295,7 +306,9 @@
 /// gang wait for each other, and a lasting task past its warm-up has no more
 /// progress to make.
 fn stands_still(w: &Worker, step: &StepSpec, run: &Run, now: Duration) -> bool {
-    let limit = run.progressed + STUCK_AFTER;
-    let working = step.lasting && run.percent >= 100;
+    // Progress is told in whole percent: a long task shows none for a while.
+    let limit = run.progressed + STUCK_AFTER + step.estimate.mul_f64(STUCK_SHARE);
+    let slowed = run.pace < FULL_PACE;
+    let working = slowed || step.lasting && run.percent >= 100;
     limit < now && !working && !step.gang && w.heard > limit
 }
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -15,6 +15,12 @@
 
 /// Most tasks of one round of a job. Bounds the memory a single job can take.
 pub const MOST_TASKS: u64 = 10_000;
+/// Most tasks of all rounds of a job: its state is one record of the store,
+/// which takes 256 KB, and a task takes about ten bytes of it.
+pub const MOST_TASKS_OF_ALL_ROUNDS: u64 = 20_000;
+/// Longest estimate of a task. Times are reckoned in milliseconds with factors
+/// of up to some thousands, and must not overflow.
+pub const MOST_ESTIMATE: Duration = Duration::from_secs(30 * 24 * 3600);
 /// Most steps of a job; step numbers are stored in 16 bits.
 pub const MOST_STEPS: usize = 1_000;
 
@@ -160,6 +166,15 @@
             return Err(format!("a job may have {MOST_STEPS} steps at most"));
         }
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.count)).sum();
+        if self.steps.iter().any(|s| s.count == 0) {
+            return Err("each step needs at least one task".to_string());
+        }
+        if self.steps.iter().any(|s| s.estimate > MOST_ESTIMATE) {
+            return Err(format!("a task may be estimated at {} s at most", MOST_ESTIMATE.as_secs()));
+        }
+        if tasks.saturating_mul(u64::from(self.rounds())) > MOST_TASKS_OF_ALL_ROUNDS {
+            return Err(format!("all rounds together may have {MOST_TASKS_OF_ALL_ROUNDS} tasks at most"));
+        }
         if tasks > MOST_TASKS {
             return Err(format!("a job may have {MOST_TASKS} tasks at most"));
         }
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -270,9 +270,12 @@
         waiting.sort();
         for (lasting, used, m) in waiting {
             let spared = lasting == 0 && used == 0 && self.can_spare(&m);
-            if room == 0 || (behind == 0 && !spared) {
+            if room == 0 {
                 break;
             }
+            if (behind == 0 && !spared) || self.wave_takes(&m) {
+                continue;
+            }
             room -= 1;
             behind = behind.saturating_sub(1);
             self.notes.push(format!("event=machine_emptying wave={n} machine={m} spared={spared}"));
--- a/src/workswood/ops/jobs/feeds.rs
+++ b/src/workswood/ops/jobs/feeds.rs
@@ -37,7 +37,10 @@
                     next = n.next;
                     hand_over(&l, &n.records);
                 }
-                Err(e) => log::warn!("event=inbox_not_read error=\"{e}\""),
+                Err(e) => {
+                    log::warn!("event=inbox_not_read error=\"{e}\"");
+                    tokio::time::sleep(PAUSE).await;
+                }
             },
             Err(e) => {
                 log::warn!("event=inbox_not_read error=\"{e}\"");
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -94,13 +94,16 @@
 }
 
 async fn cancel(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
-    if ask::job(node, job).await == Told::Unknown {
-        return refusal(Code::JobUnknown, Ran::NotRun, None);
-    }
+    // A job that was accepted a moment ago may not be known yet: the cancel is
+    // kept in any case.
+    let unknown = ask::job(node, job).await == Told::Unknown;
     let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
     match store(node, rec).await {
         Stored::Yes => {
-            log::info!("event=cancel_accepted job={job:016x}");
+            log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
+            if unknown {
+                return refusal(Code::JobUnknown, Ran::NotRun, None);
+            }
             json(Bytes::from_static(b"{}"))
         }
         Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -11,7 +11,7 @@
 
 use parking_lot::RwLock;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Batch, Event, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
@@ -50,7 +50,16 @@
     node.leading.store(Some(leading.clone()));
     node.metrics.terms.inc();
     log::info!("event=scheduler_started term={term}");
-    tokio::spawn(run(node.clone(), leading, rx, ended));
+    tokio::spawn(supervise(node.clone(), tokio::spawn(run(node.clone(), leading, rx, ended))));
+}
+
+/// Gives the place of the scheduler free if it failed, so that the lease is
+/// claimed anew.
+async fn supervise(node: Arc<Node>, scheduler: JoinHandle<()>) {
+    if let Err(e) = scheduler.await {
+        log::error!("event=scheduler_failed error=\"{e}\"");
+        node.leading.store(None);
+    }
 }
 
 /// Runs the scheduler of a term until it ends by itself or is told to.
@@ -213,10 +222,6 @@
         if !batch.waves.is_empty() {
             self.status.send_modify(|s| s.extend(batch.waves));
         }
-        let drops: Vec<KeyedRecord> = batch.records.iter().flat_map(inbox_drops).collect();
-        if !drops.is_empty() {
-            tasks.spawn(drop_from_inbox(self.node.clone(), drops));
-        }
         self.send_orders(batch.actions, tasks);
     }
 
@@ -264,6 +269,7 @@
 
 /// Writes a batch until it is stored; `None` if another term has begun.
 async fn write(node: Arc<Node>, term: u64, number: u64, batch: Batch) -> Option<Batch> {
+    drop_from_inbox(&node, batch.records.iter().flat_map(inbox_drops).collect()).await;
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
     let _timer = node.metrics.batch_seconds.start_timer();
     loop {
@@ -284,10 +290,14 @@
     }
 }
 
-/// Takes forgotten jobs out of the inbox.
-async fn drop_from_inbox(node: Arc<Node>, drops: Vec<KeyedRecord>) {
-    // A drop that is lost leaves a record behind that the next holder drops.
-    if let Err(e) = node.platform.append(Topic::Inbox, drops, Guard::None).await {
+/// Takes forgotten jobs out of the inbox. Their state is dropped only after
+/// that: a job in the inbox without a state would be taken for a new one.
+async fn drop_from_inbox(node: &Node, drops: Vec<KeyedRecord>) {
+    if drops.is_empty() {
+        return;
+    }
+    while let Err(e) = node.platform.append(Topic::Inbox, drops.clone(), Guard::None).await {
         log::warn!("event=inbox_not_trimmed error=\"{e}\"");
+        tokio::time::sleep(PAUSE).await;
     }
 }
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -104,6 +104,8 @@
 }
 
 /// Restores the jobs of the inbox, then cancels what callers cancelled.
+/// Hands jobs, their state and cancels to the scheduler. State whose job is no
+/// longer in the inbox is left from a job that was being forgotten.
 fn restore(sched: &mut Scheduler, inbox: Newest, mut records: HashMap<JobKey, JobRecord>) {
     let mut cancels = BTreeSet::new();
     for rec in inbox.records {
@@ -115,6 +117,7 @@
             _ => {}
         }
     }
+    records.into_keys().for_each(|key| sched.drop_record(key));
     for key in cancels {
         sched.handle(Event::Cancelled(key));
     }
--- /dev/null
+++ b/tests/testsuite/job_limits.rs
@@ -0,0 +1,133 @@
+//! Jobs that are out of bounds, and jobs that change under their number.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_adapter::callers::read_job;
+use workswood_core::jobs::{
+    Action, Event, Job, JobSpec, Limits, Outcome, Repeat, Scheduler, Shown, WorkerInfo,
+};
+use workswood_test_support::job_world::{SERVICE, config, job, step};
+
+fn limits() -> Limits {
+    Limits {
+        lease: Duration::from_secs(5),
+        grace: Duration::from_secs(4),
+        drift: 0.02,
+        machine_handover: Duration::ZERO,
+        keep_ended: Duration::from_secs(60),
+        early: Duration::ZERO,
+    }
+}
+
+fn scheduler() -> Scheduler {
+    let mut s = Scheduler::new(1, limits(), Duration::from_secs(1), 1000);
+    s.handle(Event::Config(Arc::new(config())));
+    s
+}
+
+fn with_worker(cores: u64) -> Scheduler {
+    let mut s = scheduler();
+    let info = WorkerInfo {
+        id: "w".into(),
+        service: SERVICE.to_string(),
+        address: "10.0.0.1:80".to_string(),
+        data_centre: "north".to_string(),
+        machine: "m".to_string(),
+        capacity: workswood_core::jobs::spec::Room { cpu_millis: cores * 1000, mem_mb: 8000, gpus: 0 },
+        labels: Vec::new(),
+        draining: false,
+    };
+    s.handle(Event::WorkerListed(info));
+    s.handle(Event::Reported("w".into(), workswood_core::jobs::Report::default(), Duration::from_secs(9)));
+    s
+}
+
+fn starts(s: &mut Scheduler) -> Vec<u64> {
+    let of = |a: &Action| match a {
+        Action::Start { task, .. } => Some(task.job),
+        _ => None,
+    };
+    s.take_batch().actions.iter().filter_map(of).collect()
+}
+
+#[test]
+fn out_of_bounds_refused() {
+    let mut empty = job(vec![step(1, vec![]), step(0, vec![0])], 0);
+    assert!(empty.check().is_err(), "a step without tasks would be done at once");
+    empty.steps[1].count = 1;
+    assert!(empty.check().is_ok());
+    let mut long = empty.clone();
+    long.steps[0].estimate = Duration::from_millis(u64::MAX);
+    assert!(long.check().is_err());
+    let mut often = empty.clone();
+    often.repeat = Some(Repeat { count: u32::MAX, start: 0, every: Duration::ZERO });
+    assert!(often.check().is_err());
+    let forward = job(vec![step(1, vec![0])], 0);
+    assert!(forward.check().is_err(), "a step may not wait for itself");
+}
+
+#[test]
+fn wild_numbers_read() {
+    for n in ["1e22", "1e300", "-5", "0"] {
+        let body = format!(r#"{{"spec":"x","task_groups":[{{"count":1,"cpu":1,"estimate_ms":{n}}}]}}"#);
+        let read = read_job(body.as_bytes()).expect("the body is read without a panic");
+        assert_eq!(read.steps.len(), 1);
+    }
+    assert!(read_job(b"{").is_err());
+    let text = "x".repeat(4001);
+    assert!(read_job(format!(r#"{{"spec":"{text}"}}"#).as_bytes()).is_err());
+}
+
+#[test]
+fn changed_job_restored() {
+    let spec = Arc::new(job(vec![step(2, vec![]), step(1, vec![0])], 0));
+    let mut begun = Job::new(5, spec);
+    begun.open_round();
+    let rec = begun.record();
+    let other: Arc<JobSpec> = Arc::new(job(vec![step(1, vec![])], 0));
+    assert!(!rec.fits(&other));
+    let mut s = scheduler();
+    s.restore(5, other, Some(rec));
+    let shown = s.take_batch().shown;
+    assert_eq!(shown[0].state, Some(Shown::Ended(Outcome::Failed)));
+}
+
+#[test]
+fn early_cancel_kept() {
+    let mut s = with_worker(4);
+    s.handle(Event::Cancelled(9));
+    s.handle(Event::Submitted(9, Arc::new(job(vec![step(1, vec![])], 0))));
+    let batch = s.take_batch();
+    assert!(!batch.actions.iter().any(|a| matches!(a, Action::Start { .. })), "{:?}", batch.actions);
+    assert_eq!(batch.shown[0].state, Some(Shown::Ended(Outcome::Canceled)));
+}
+
+#[test]
+fn many_misfits_ahead() {
+    let mut s = with_worker(2);
+    let mut lasting = step(60, vec![]);
+    lasting.lasting = true;
+    lasting.most_per_worker = 1;
+    s.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let mut large = step(50, vec![]);
+    large.room.cpu_millis = 64_000;
+    s.handle(Event::Submitted(2, Arc::new(job(vec![large], 0))));
+    s.handle(Event::Submitted(3, Arc::new(job(vec![step(1, vec![])], 0))));
+    assert!(starts(&mut s).contains(&3), "tasks that fit nowhere keep nobody from starting");
+}
+
+#[test]
+fn filling_runs_known_after_takeover() {
+    let mut filling = step(1, vec![]);
+    filling.fills = true;
+    filling.lasting = true;
+    let spec = Arc::new(job(vec![filling], 0));
+    let mut s = with_worker(2);
+    s.handle(Event::Submitted(1, spec.clone()));
+    s.take_batch();
+    let rec = s.jobs[&1].record();
+    let mut next = scheduler();
+    next.restore(1, spec, Some(rec));
+    assert_eq!(next.workers.values().map(|w| w.fills.len()).sum::<usize>(), 1);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod entry_stop;
 mod fleet_files;
 mod fold_rules;
+mod job_limits;
 mod job_placement;
 mod job_settings;
 mod keyed_requests;
