--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -12,9 +12,10 @@
 use crate::ids::ServiceId;
 use crate::invariant;
 
-/// Steps without a place that are looked at before a pass gives up. Smaller
-/// tasks behind may fit where larger ones don't.
-const MOST_MISSES: usize = 64;
+/// Steps without a place that are looked at before a pass gives up, lasting
+/// ones apart. Smaller tasks behind may fit where larger ones don't; with many
+/// of them the large ones would never find room.
+const MOST_MISSES: usize = 8;
 
 impl Scheduler {
     /// Places waiting tasks of a service, most urgent first.
@@ -27,17 +28,25 @@
         let workers = self.takers(service);
         // Tasks of one step are alike: where one finds no room, none does.
         let mut missed: HashSet<(JobKey, u32, u16)> = HashSet::new();
+        let mut misses = 0;
         for id in ids {
-            if missed.len() >= MOST_MISSES || workers.is_empty() {
+            if misses >= MOST_MISSES || workers.is_empty() {
                 break;
             }
             let alike = (id.job, id.round, id.step);
             if !missed.contains(&alike) && !self.place_one(&id, &workers) {
                 missed.insert(alike);
+                misses += usize::from(!self.lasts(&id));
             }
         }
     }
 
+    /// Whether a task runs until its job is cancelled; one that has no place
+    /// may have none for hours.
+    fn lasts(&self, id: &TaskId) -> bool {
+        self.jobs.get(&id.job).and_then(|j| j.step(id)).is_some_and(|s| s.lasting)
+    }
+
     /// Workers of a service that take work.
     fn takers(&self, service: &ServiceId) -> Vec<WorkerId> {
         let takes = |w: &Worker| {
