Read a body that is too large to its end before refusing it

Change: the rest is thrown away for up to a second and 32 MB; one reader for both listeners. body_limits holds it.

--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -1,6 +1,8 @@
 //! The listener for callers: HTTP/1.1 with limits, and a planned stop that
 //! cuts nothing off.
 
+mod body;
+
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +19,8 @@
 use tokio::sync::{Semaphore, watch};
 use workswood_core::code::{Code, Ran};
 
+pub use body::{BodyError, read_body};
+
 /// Longest time for the head of a request to arrive.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Most bytes of the head of a request.
--- a/src/workswood/ops/entry/serve.rs
+++ b/src/workswood/ops/entry/serve.rs
@@ -11,7 +11,9 @@
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use workswood_callers::{CODE, DEADLINE, Handler, KEY, LAST_MOMENT, RAN, ReplyBody, refusal, whole};
+use workswood_callers::{
+    CODE, DEADLINE, Handler, KEY, LAST_MOMENT, RAN, ReplyBody, read_body, refusal, whole,
+};
 use workswood_core::code::{Code, Ran};
 use workswood_core::fleet::{Class, Route};
 use workswood_core::ids::{InstanceId, ServiceId};
@@ -180,10 +182,7 @@
 }
 
 async fn held(body: Incoming) -> Result<Bytes, Code> {
-    match Limited::new(body, MOST_HELD).collect().await {
-        Ok(b) => Ok(b.to_bytes()),
-        Err(_) => Err(Code::BodyTooLarge),
-    }
+    read_body(body, MOST_HELD).await.map_err(|_| Code::BodyTooLarge)
 }
 
 /// Turns an end into an answer.
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -5,11 +5,10 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use workswood_adapter::callers as wire;
-use workswood_callers::{Handler, ReplyBody, refusal, whole};
+use workswood_callers::{Handler, ReplyBody, read_body, refusal, whole};
 use workswood_core::code::{Code, Ran};
 use workswood_core::jobs::spec::parse_job;
 use workswood_core::jobs::{JobKey, JobSpec, QueueConfig, SchedConfig};
@@ -118,10 +117,10 @@
     job: JobKey,
     req: Request<Incoming>,
 ) -> Response<ReplyBody> {
-    let body = match Limited::new(req.into_body(), cfg.max_body_bytes).collect().await {
-        Ok(b) => b.to_bytes(),
+    let body = match read_body(req.into_body(), cfg.max_body_bytes).await {
+        Ok(b) => b,
         Err(e) => {
-            log::info!("event=job_refused job={job:016x} reason=body error=\"{e}\"");
+            log::info!("event=job_refused job={job:016x} reason=body error={e:?}");
             return refusal(Code::BodyTooLarge, Ran::NotRun, None);
         }
     };
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod act_tokens;
 mod bad_endpoints;
+mod body_limits;
 mod deferred_requests;
 mod entry_stop;
 mod fleet_files;
