Give twins one piece of code: stop signals, reading of settings, answers about the inbox

Found when reading the whole change once more: both processes waited for stop signals and read settings files with the same lines; a hand-in and a cancel worded the same three outcomes; stop_runs had a parameter that was always empty; a comment told the old time to notice a lost lease holder. No behaviour changes.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -194,7 +194,7 @@
         let step_done = job.step_done(task_id.round, task_id.step);
         for m in &members {
             self.unqueue(m);
-            self.stop_runs(m, None);
+            self.stop_runs(m);
         }
         if step_done {
             self.queue_job(task_id.job);
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -307,7 +307,7 @@
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
         for id in ids {
             self.unqueue(&id);
-            self.stop_runs(&id, None);
+            self.stop_runs(&id);
         }
     }
 
@@ -319,16 +319,13 @@
         }
     }
 
-    /// Stops the runs of a task, all or all but one attempt.
-    pub(super) fn stop_runs(&mut self, id: &TaskId, keep: Option<u32>) {
+    /// Stops the runs of a task.
+    pub(super) fn stop_runs(&mut self, id: &TaskId) {
         let now = self.now;
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
         for run in &mut task.runs {
-            if Some(run.attempt) == keep || matches!(run.phase, Phase::Stopping | Phase::Stopped) {
-                continue;
-            }
             // A start on its way is stopped when its outcome is known.
-            if run.phase == Phase::Starting {
+            if matches!(run.phase, Phase::Starting | Phase::Stopping | Phase::Stopped) {
                 continue;
             }
             run.enter(Phase::Stopping, now);
--- a/src/workswood/ops/entry/mod.rs
+++ b/src/workswood/ops/entry/mod.rs
@@ -37,6 +37,7 @@
 
 use crate::util::errors::{ListenSnafu, Result};
 use crate::util::settings::{Settings, Tokens};
+use crate::util::signals;
 
 /// A running entry process.
 pub struct Entry {
@@ -120,11 +121,11 @@
     let tokens = settings.tokens(path)?;
     crate::util::logs::start(settings.log_level);
     let entry = Entry::start(settings, tokens).await?;
-    stop::signal().await;
+    signals::stop().await;
     log::info!("event=stop_asked");
     tokio::select! {
         () = entry.stop() => log::info!("event=stopped"),
-        () = stop::signal() => log::warn!("event=stopped_at_once reason=second_signal"),
+        () = signals::stop() => log::warn!("event=stopped_at_once reason=second_signal"),
     }
     Ok(())
 }
--- a/src/workswood/ops/entry/stop.rs
+++ b/src/workswood/ops/entry/stop.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal as on};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -18,17 +17,6 @@
 /// Time for peers to hear the last beat.
 const LAST_BEAT: Duration = Duration::from_millis(700);
 
-/// Waits for a signal to stop.
-pub async fn signal() {
-    let (Ok(mut term), Ok(mut int)) = (on(SignalKind::terminate()), on(SignalKind::interrupt())) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
-
 /// Stops a process as planned, within the limit of its settings.
 pub(super) async fn run(
     node: &std::sync::Arc<Node>,
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -97,17 +97,14 @@
     // kept in any case.
     let unknown = ask::job(node, job).await == Told::Unknown;
     let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
-    match store(node, rec).await {
-        Stored::Yes => {
-            log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
-            if unknown {
-                return refusal(Code::JobUnknown, Ran::NotRun, None);
-            }
-            json(Bytes::from_static(b"{}"))
+    let stored = store(node, rec).await;
+    if stored == Stored::Yes {
+        log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
+        if unknown {
+            return refusal(Code::JobUnknown, Ran::NotRun, None);
         }
-        Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
-        Stored::Unknown => refusal(Code::OutcomeUnknown, Ran::Unknown, Some(COME_BACK)),
     }
+    stored.answer()
 }
 
 async fn submit(
@@ -142,11 +139,7 @@
     );
     node.metrics.handed_in.with_label_values(&[stored.label()]).inc();
     node.metrics.hand_in_seconds.observe((node.now() - begun).as_secs_f64());
-    match stored {
-        Stored::Yes => json(Bytes::from_static(b"{}")),
-        Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
-        Stored::Unknown => refusal(Code::OutcomeUnknown, Ran::Unknown, Some(COME_BACK)),
-    }
+    stored.answer()
 }
 
 fn read_spec(node: &Node, queue: &QueueConfig, body: &[u8]) -> Result<JobSpec, String> {
@@ -177,6 +170,15 @@
 }
 
 impl Stored {
+    /// What the caller is told.
+    fn answer(self) -> Response<ReplyBody> {
+        match self {
+            Stored::Yes => json(Bytes::from_static(b"{}")),
+            Stored::No => refusal(Code::LogUnavailable, Ran::NotRun, Some(COME_BACK)),
+            Stored::Unknown => refusal(Code::OutcomeUnknown, Ran::Unknown, Some(COME_BACK)),
+        }
+    }
+
     /// Its label in metrics.
     fn label(self) -> &'static str {
         match self {
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -14,7 +14,7 @@
 use super::renew::GRACE;
 
 /// Length of a worker's lease. Long enough for a successor to take over
-/// before it ends (2.6 s to notice, a second to load), short enough for what
+/// before it ends (1.8 s to notice, a second to load), short enough for what
 /// ran on a lost worker to be started again.
 const WORKER_LEASE: Duration = Duration::from_millis(5000);
 /// Share by which a worker's clock may run slow, from the platform's pages.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -43,6 +43,7 @@
 
 use crate::util::errors::{Error, ListenSnafu, Result};
 use crate::util::job_settings::{JobSettings, PATH_VARIABLE};
+use crate::util::signals;
 
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).await.context(ListenSnafu { address: address.to_string() })
@@ -79,7 +80,7 @@
     tokio::spawn(lease::run(node.clone()));
     tokio::spawn(stop::watch_reload(path));
     let callers = tokio::spawn(workswood_callers::serve(callers, front::handler(node.clone()), stopped));
-    stop::signal().await;
+    signals::stop().await;
     stop::run(&node, &stop_callers, callers).await;
     Ok(())
 }
--- a/src/workswood/ops/jobs/stop.rs
+++ b/src/workswood/ops/jobs/stop.rs
@@ -21,17 +21,6 @@
 /// Kept free at the end of the time allowed for a stop.
 const MARGIN: Duration = Duration::from_millis(500);
 
-/// Waits for a signal to stop.
-pub async fn signal() {
-    let (Ok(mut term), Ok(mut int)) = (on(SignalKind::terminate()), on(SignalKind::interrupt())) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
-    }
-}
-
 /// Rereads the settings file at each reload signal. Settings that can't be
 /// used are refused and the present ones kept; addresses and limits of a
 /// running process do not change, so a good file changes nothing before the
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 use workswood_core::ids::DataCentre;
 
-use super::errors::{Error, ReadFileSnafu, Result};
+use super::errors::Result;
+use super::settings::read_checked;
 
 /// Environment variable with the path of the settings file.
 pub const PATH_VARIABLE: &str = "WORKSWOOD_SETTINGS";
@@ -59,11 +59,7 @@
 impl JobSettings {
     /// Reads and checks a settings file.
     pub fn read(path: &str) -> Result<JobSettings> {
-        let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
-        let bad = |text: String| Error::Settings { path: path.to_string(), text };
-        let s: JobSettings = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
-        s.check().map_err(bad)?;
-        Ok(s)
+        read_checked(path, JobSettings::check)
     }
 
     fn check(&self) -> std::result::Result<(), String> {
--- a/src/workswood/util/mod.rs
+++ b/src/workswood/util/mod.rs
@@ -6,4 +6,5 @@
 pub mod logs;
 pub mod metrics;
 pub mod settings;
+pub mod signals;
 pub mod table;
--- a/src/workswood/util/settings.rs
+++ b/src/workswood/util/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 use workswood_core::ids::DataCentre;
@@ -70,6 +71,18 @@
     90
 }
 
+/// Reads a settings file of any kind and checks it.
+pub(super) fn read_checked<T: DeserializeOwned>(
+    path: &str,
+    check: fn(&T) -> std::result::Result<(), String>,
+) -> Result<T> {
+    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
+    let bad = |text: String| Error::Settings { path: path.to_string(), text };
+    let s: T = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
+    check(&s).map_err(bad)?;
+    Ok(s)
+}
+
 /// The tokens of one process.
 #[derive(Clone)]
 pub struct Tokens {
@@ -82,11 +95,7 @@
 impl Settings {
     /// Reads and checks a settings file.
     pub fn read(path: &str) -> Result<Settings> {
-        let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
-        let bad = |text: String| Error::Settings { path: path.to_string(), text };
-        let s: Settings = serde_json::from_str(&text).map_err(|e| bad(e.to_string()))?;
-        s.check().map_err(bad)?;
-        Ok(s)
+        read_checked(path, Settings::check)
     }
 
     fn check(&self) -> std::result::Result<(), String> {
--- /dev/null
+++ b/src/workswood/util/signals.rs
@@ -0,0 +1,15 @@
+//! Signals that end a process.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for a signal to stop.
+pub async fn stop() {
+    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
