Finish a machine's maintenance only by a list asked for after its order

A list of machines that was asked for before an order was carried out shows the machine up; where the life on record was not the latest one (its pool had just changed), that life looked new and the machine was taken to be back.

Change: a machine is back only by a list asked for after the order was confirmed; a list that was overtaken by a later one is dropped.

Test machine_orders::earlier_list_finishes_nothing failed before.

--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -40,6 +40,8 @@
     pub(super) durations: Durations,
     /// Machines, as last listed.
     pub machines: HashMap<HostId, Machine>,
+    /// When that list was asked for.
+    pub(super) machines_asked: Duration,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveState>,
     /// Moves of machines, and what pools need.
@@ -83,6 +85,7 @@
             ready: HashMap::new(),
             durations: Durations::default(),
             machines: HashMap::new(),
+            machines_asked: Duration::ZERO,
             waves: BTreeMap::new(),
             pools: PoolState::default(),
             deposed: false,
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -79,13 +79,15 @@
 }
 
 /// Whether a machine is back from maintenance: its worker has another life.
-/// One that is off in its pool has no worker, before and after.
-fn is_back(m: &Machine, before: &Option<String>, confirmed: Option<&Duration>, now: Duration) -> bool {
+/// One that is off in its pool has no worker, before and after. A list that
+/// was asked for before the order was confirmed may be older than the
+/// maintenance: with a life on record that is not the latest (the machine has
+/// just changed its pool), it would show the machine as back at once.
+fn is_back(m: &Machine, before: &Option<String>, confirmed: Option<&Duration>, asked: Duration) -> bool {
+    let Some(confirmed) = confirmed.filter(|at| **at < asked) else { return false };
     match (&m.worker, m.state) {
         (Some(id), MachineState::Up) => Some(&**id) != before.as_deref(),
-        (None, MachineState::Up | MachineState::Down) if before.is_none() => {
-            confirmed.is_some_and(|at| *at + OFF_SETTLES < now)
-        }
+        (None, MachineState::Up | MachineState::Down) if before.is_none() => *confirmed + OFF_SETTLES < asked,
         _ => false,
     }
 }
@@ -154,10 +156,15 @@
 
     /// The platform's list of machines was read.
     pub(super) fn machines_listed(&mut self, list: Vec<Machine>, asked: Duration) {
+        // Answers may overtake one another; an older list tells nothing new.
+        if asked < self.machines_asked {
+            return;
+        }
+        self.machines_asked = asked;
         self.machines = list.into_iter().map(|m| (m.name.clone(), m)).collect();
         self.correct_list();
         self.end_listed_over(asked);
-        self.finish_machines();
+        self.finish_machines(asked);
     }
 
     /// Whether the list of machines is needed.
@@ -166,14 +173,14 @@
     }
 
     /// Marks machines as finished that are up again with another life.
-    fn finish_machines(&mut self) {
+    fn finish_machines(&mut self, asked: Duration) {
         for (number, w) in &mut self.waves {
             let waiting: Vec<HostId> =
                 w.record.down.iter().filter(|m| !w.record.finished.contains(*m)).cloned().collect();
             for name in waiting {
                 let before = w.record.ordered.get(&name).cloned().flatten();
                 let back = match self.machines.get(&name) {
-                    Some(m) => is_back(m, &before, w.confirmed.get(&name), self.now),
+                    Some(m) => is_back(m, &before, w.confirmed.get(&name), asked),
                     // A machine that was taken away needs no maintenance.
                     None => !self.machines.is_empty(),
                 };
--- a/tests/testsuite/machine_orders.rs
+++ b/tests/testsuite/machine_orders.rs
@@ -144,6 +144,31 @@
     assert_eq!(down.len(), 2, "none has come back yet: {down:?}");
 }
 
+#[test]
+fn earlier_list_finishes_nothing() {
+    let mut b = Bench::new(1);
+    // The workers that stand on these machines are not known yet.
+    b.list(vec![machine(1, SERVICE, None), machine(2, SERVICE, None)]);
+    b.sched.handle(Event::Wave(wave(&[1, 2], 1), None));
+    b.at(150);
+    b.tick();
+    b.at(300);
+    b.tick();
+    assert_eq!(upkeeps(&b.actions), ["m-1"]);
+    // Asked for before the order was carried out, answered after it.
+    let asked = b.sched.now;
+    b.at(400);
+    b.sched.handle(Event::MachineOrdered("m-1".to_string(), MachineReply::Done));
+    let list = vec![machine(1, SERVICE, Some(3)), machine(2, SERVICE, None)];
+    b.sched.handle(Event::Machines(list, asked));
+    for t in 0..10 {
+        b.at(500 + t * 150);
+        b.tick();
+    }
+    let ordered = upkeeps(&b.actions);
+    assert!(!ordered.contains(&"m-2".to_string()), "one may be down at once: {ordered:?}");
+}
+
 #[test]
 fn busy_machine() {
     let mut b = Bench::new(2);
