Let hosts that carry more hold the scheduler lease

Cause: on the grown sites hosts differ (0.5 cores and 200 Mbit/s; 0.12 cores and 10 Mbit/s).

Change: each host knows how many workers it can look after (cores and link from its settings). The less it can carry, the later it claims a free lease; one that carries twice as much takes the lease over from a settled holder. The decision is pure (core/jobs/claim.rs). Inbox and state are loaded together. Orders to machines wait 0.3 s longer after a change of holder, as an overtaken holder may send until it has read of that. A line of the log a second on each pool.

Test lease_claims.

--- /dev/null
+++ b/crates/workswood-core/src/jobs/claim.rs
@@ -0,0 +1,140 @@
+//! When a process claims the scheduler lease.
+//!
+//! Hosts differ. The holder looks at every worker about three times a second and
+//! reads all state when it takes over; on a small host that takes seconds in
+//! which nobody gets an answer. So a host claims a free lease the later the less
+//! it can carry, and one that can carry far more takes the lease over from a
+//! small host once both have been up for some time.
+
+use std::time::Duration;
+
+use crate::ids::{Incarnation, Term};
+
+/// Workers that a host can look after as holder.
+pub type Strength = u32;
+
+/// Workers that one core can look after: 0.14 to 0.15 cores were used at 349.
+const WORKERS_PER_CORE: f64 = 2400.0;
+/// Workers that one Mbit/s carries: three looks a second of a kilobyte each,
+/// with as much again for state and orders.
+const WORKERS_PER_MBPS: f64 = 35.0;
+/// A host that can look after as many workers claims at once: more than any
+/// deployment known to us has, with a quarter to spare.
+const ENOUGH: Strength = 450;
+/// How long a host waits before a claim that could carry no worker at all; less
+/// than it takes to notice that a holder is gone.
+const LONGEST_DELAY: Duration = Duration::from_millis(1500);
+/// A holder that has not renewed for this long is taken to be gone: three
+/// renewals and an answer that was lost.
+pub const EXPIRES: Duration = Duration::from_millis(1800);
+/// A holder is replaced by one that can carry this many times as much.
+const FAR_STRONGER: Strength = 2;
+/// How long holder and candidate must have been there before that: a host that
+/// restarts again and again must not take the lease each time.
+const SETTLED: Duration = Duration::from_secs(4);
+
+/// Workers that a host can look after.
+pub fn strength(cores: f64, link_mbps: f64) -> Strength {
+    (cores * WORKERS_PER_CORE).min(link_mbps * WORKERS_PER_MBPS) as Strength
+}
+
+/// The holder, as a candidate knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HolderSeen {
+    /// Its incarnation.
+    pub id: Incarnation,
+    /// Name of its host.
+    pub name: String,
+    /// Its term.
+    pub term: Term,
+    /// Whether it gave the lease back.
+    pub released: bool,
+    /// What it can carry; `None` if it does not say.
+    pub strength: Option<Strength>,
+}
+
+/// A process that may claim the lease.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// This life of the process.
+    pub id: Incarnation,
+    /// Name of its host.
+    pub name: String,
+    /// What it can carry.
+    pub strength: Strength,
+    /// Latest term that was led here.
+    pub led: Term,
+}
+
+/// How long ago things happened.
+#[derive(Clone, Copy, Debug)]
+pub struct Ages {
+    /// Since the holder was last heard of, or could not have been heard of.
+    pub heard: Duration,
+    /// Since this holder's term was first seen.
+    pub term: Duration,
+    /// Since the candidate started.
+    pub up: Duration,
+}
+
+/// Why the lease may be claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// Nobody ever held it.
+    NeverHeld,
+    /// The holder gave it back.
+    Released,
+    /// The holder was a former life of this process.
+    OwnFormerLife,
+    /// It was led here and given up.
+    GivenUpHere,
+    /// The holder has not renewed it.
+    Expired,
+    /// The holder can carry far less.
+    FarStronger,
+}
+
+impl Reason {
+    /// Its name in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Reason::NeverHeld => "never_held",
+            Reason::Released => "released",
+            Reason::OwnFormerLife => "own_former_life",
+            Reason::GivenUpHere => "given_up_here",
+            Reason::Expired => "expired",
+            Reason::FarStronger => "far_stronger",
+        }
+    }
+}
+
+impl Candidate {
+    /// How long this host lets stronger ones claim a free lease first.
+    fn delay(&self) -> Duration {
+        let lacking = 1.0 - f64::from(self.strength.min(ENOUGH)) / f64::from(ENOUGH);
+        LONGEST_DELAY.mul_f64(lacking)
+    }
+
+    /// Why this process, which does not lead now, may claim the lease.
+    pub fn reason_to_claim(&self, holder: Option<&HolderSeen>, ages: Ages) -> Option<Reason> {
+        let Some(h) = holder else { return (ages.heard >= self.delay()).then_some(Reason::NeverHeld) };
+        let free = if h.released {
+            Some(Reason::Released)
+        } else if h.name == self.name && h.id != self.id {
+            Some(Reason::OwnFormerLife)
+        } else if h.id == self.id && self.led >= h.term {
+            Some(Reason::GivenUpHere)
+        } else {
+            None
+        };
+        if free.is_some() && ages.heard >= self.delay() {
+            return free;
+        }
+        if ages.heard > EXPIRES + self.delay() {
+            return Some(Reason::Expired);
+        }
+        let weaker = h.strength.is_some_and(|s| s.saturating_mul(FAR_STRONGER) <= self.strength);
+        let settled = ages.term >= SETTLED && ages.up >= SETTLED;
+        (h.id != self.id && weaker && settled).then_some(Reason::FarStronger)
+    }
+}
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -23,10 +23,12 @@
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
+//! * [`claim`] decides which process runs the scheduler.
 //! * [`wave`] decides which machine is maintained next.
 //! * [`need`] works out how many machines each pool needs, and [`pools`]
 //!   decides which machine changes its pool.
 
+pub mod claim;
 pub mod config;
 pub mod ends;
 pub mod evict;
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -75,7 +75,7 @@
     }
 
     /// Room that runs take in a service, and the room of its largest worker.
-    fn room_in_use(&self, service: &ServiceId) -> (Room, Room) {
+    pub(super) fn room_in_use(&self, service: &ServiceId) -> (Room, Room) {
         let mut used = Room::default();
         let mut size = Room::default();
         for w in self.workers.values() {
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -32,6 +32,9 @@
 /// Moves that may be under way at a time.
 const MOST_MOVES: usize = 12;
 
+/// Time between two lines of the log on each pool.
+const NOTE_EVERY: Duration = Duration::from_secs(1);
+
 /// A move that is under way.
 #[derive(Clone, Debug)]
 pub struct Moving {
@@ -63,6 +66,8 @@
     pub(super) arrivals: BTreeMap<ServiceId, VecDeque<(Duration, u64)>>,
     /// Services that have had work.
     pub(super) worked: BTreeSet<ServiceId>,
+    /// When the pools were last noted in the log.
+    noted: Duration,
     /// When the need was last worked out.
     pub(super) worked_out: Duration,
 }
@@ -99,6 +104,30 @@
             self.trim_pools(&spare);
         }
         self.order_moves();
+        self.note_pools();
+    }
+
+    /// Notes now and then how the pools stand.
+    fn note_pools(&mut self) {
+        if self.now < self.pools.noted + NOTE_EVERY {
+            return;
+        }
+        self.pools.noted = self.now;
+        for s in self.working_services() {
+            let pool = self.pool(&s);
+            let (used, size) = self.room_in_use(&s);
+            let busy = used.cpu_millis as f64 / size.cpu_millis.max(1) as f64;
+            let waiting = self.ready.get(&s).map_or(0, |w| w.places().count());
+            let need = pool.need;
+            self.notes.push(format!(
+                "event=pool_state service={s} have={} busy={busy:.1} need_now={:.1} need_lend={:.1} need_keep={:.1} waiting={waiting} moving={}",
+                pool.have,
+                need.now,
+                need.lend,
+                need.keep,
+                self.pools.moving.len()
+            ));
+        }
     }
 
     /// The pool of a service: what it needs, and the machines that stay or come.
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -5,20 +5,19 @@
 //! more than that offset, so it rises with every claim. The holder renews by
 //! appends that are refused once a higher term has been seen. Everybody reads
 //! the topic; nobody trusts the answer to its own claim, which may be lost.
+//! When a process claims is decided by [`workswood_core::jobs::claim`].
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::{Incarnation, Offset, Term};
+use workswood_core::jobs::claim::{Ages, Candidate, HolderSeen, Strength};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
 use super::lead;
 use super::node::{Holder, Node};
 
-/// A holder that has not renewed for this long is taken to be gone: three
-/// renewals and an answer that was lost.
-const EXPIRES: Duration = Duration::from_millis(1800);
 /// How long one read waits for a record.
 const READ_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failed read.
@@ -40,6 +39,9 @@
     /// Whether it gives the lease back.
     #[serde(default)]
     pub released: bool,
+    /// Workers that it can look after.
+    #[serde(default)]
+    pub strength: Option<Strength>,
 }
 
 impl LeaseRecord {
@@ -50,6 +52,7 @@
             peers: node.settings.peers.to_string(),
             term,
             released,
+            strength: Some(node.settings.strength()),
         }
     }
 
@@ -62,13 +65,23 @@
 /// What a process knows of the lease.
 struct View {
     next: Offset,
-    holder: Option<Holder>,
+    holder: Option<HolderSeen>,
     /// When the holder was last heard of, or could not have been heard of.
     heard: Duration,
+    /// When the holder's term was first seen.
+    term_seen: Duration,
     /// Latest term that was led here.
     led: Term,
 }
 
+impl View {
+    /// A view that has read nothing.
+    fn new(node: &Node, led: Term) -> View {
+        let now = node.now();
+        View { next: 0, holder: None, heard: now, term_seen: now, led }
+    }
+}
+
 /// Watches the lease and claims it when it is free.
 pub async fn run(node: Arc<Node>) {
     let mut view: Option<View> = None;
@@ -82,7 +95,7 @@
         match res {
             Ok(tail) => {
                 node.store_is_up();
-                let v = view.get_or_insert_with(|| View { next: 0, holder: None, heard: node.now(), led: 0 });
+                let v = view.get_or_insert_with(|| View::new(&node, 0));
                 let at_end = take(&node, v, tail);
                 if at_end {
                     claim_if_free(&node, v).await;
@@ -93,7 +106,7 @@
                 let led = view.as_ref().map_or(0, |v| v.led);
                 view = None;
                 if let Ok(n) = node.platform.newest(Topic::Lease).await {
-                    let mut v = View { next: 0, holder: None, heard: node.now(), led };
+                    let mut v = View::new(&node, led);
                     take(&node, &mut v, Tail { records: n.records, next: n.next });
                     view = Some(v);
                 }
@@ -131,42 +144,47 @@
     if v.holder.as_ref().is_some_and(|h| l.term < h.term) {
         return;
     }
-    let holder = Holder { id: l.id, name: l.name, peers: l.peers, term: l.term, released: l.released };
-    if v.holder.as_ref() != Some(&holder) {
-        log::info!(
-            "event=lease_holder name={} id={} term={} released={}",
-            holder.name,
-            holder.id,
-            holder.term,
-            holder.released
-        );
-    }
+    let seen = HolderSeen {
+        id: l.id.clone(),
+        name: l.name.clone(),
+        term: l.term,
+        released: l.released,
+        strength: l.strength,
+    };
     v.heard = node.now();
-    node.holder.store(Some(Arc::new(holder.clone())));
-    v.holder = Some(holder);
-}
-
-/// Why the lease may be claimed, if it may.
-fn free(node: &Node, v: &View) -> Option<&'static str> {
-    let Some(h) = &v.holder else { return Some("never_held") };
-    if h.released {
-        return Some("released");
-    }
-    if h.name == node.settings.name && h.id != node.id {
-        return Some("own_former_life");
+    if v.holder.as_ref() == Some(&seen) {
+        return;
     }
-    let led_here_before = h.id == node.id && v.led >= h.term && node.leading.load().is_none();
-    if led_here_before {
-        return Some("given_up_here");
+    if v.holder.as_ref().is_none_or(|h| h.term != seen.term) {
+        v.term_seen = v.heard;
     }
-    (node.now() > v.heard + EXPIRES).then_some("expired")
+    log::info!(
+        "event=lease_holder name={} id={} term={} released={} strength={}",
+        seen.name,
+        seen.id,
+        seen.term,
+        seen.released,
+        seen.strength.unwrap_or_default()
+    );
+    let holder = Holder { id: l.id, peers: l.peers, term: l.term, released: l.released };
+    node.holder.store(Some(Arc::new(holder)));
+    v.holder = Some(seen);
 }
 
 async fn claim_if_free(node: &Arc<Node>, v: &mut View) {
     if node.is_stopping() || node.leading.load().is_some() || node.config.load().is_none() {
         return;
     }
-    let Some(why) = free(node, v) else { return };
+    let candidate = Candidate {
+        id: node.id.clone(),
+        name: node.settings.name.clone(),
+        strength: node.settings.strength(),
+        led: v.led,
+    };
+    let now = node.now();
+    let ages = Ages { heard: now - v.heard, term: now - v.term_seen, up: now };
+    let Some(why) = candidate.reason_to_claim(v.holder.as_ref(), ages) else { return };
+    let why = why.label();
     let term = v.next + 1;
     let rec = LeaseRecord::of(node, term, false).keyed();
     let res = node.platform.append(Topic::Lease, vec![rec], Guard::EndsAt(v.next)).await;
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -17,6 +17,9 @@
 /// before it ends (1.8 s to notice, a second to load), short enough for what
 /// ran on a lost worker to be started again.
 const WORKER_LEASE: Duration = Duration::from_millis(5000);
+/// A holder that is overtaken may send orders to machines until it has read of
+/// that; a few times the way from the store on a busy host.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(300);
 /// Share by which a worker's clock may run slow, from the platform's pages.
 const DRIFT: f64 = 0.02;
 
@@ -34,7 +37,7 @@
         lease: WORKER_LEASE.min(Duration::from_millis(s.longest_lease_ms)),
         grace: GRACE,
         drift: DRIFT,
-        machine_handover: Duration::from_millis(s.machine_handover_ms),
+        machine_handover: Duration::from_millis(s.machine_handover_ms) + HANDOVER_MARGIN,
         keep_ended: Duration::from_secs_f64(s.keep_ended_s),
         early: Duration::from_millis(s.early_ms) / 2,
     }
@@ -43,8 +46,9 @@
 /// Keeps all earlier holders from writing state, then reads it.
 pub async fn load(node: &Arc<Node>, term: u64, since: Duration) -> Result<Loaded, StoreError> {
     node.platform.append(Topic::State, Vec::new(), Guard::Term(term, 0)).await?;
-    let inbox = node.platform.newest(Topic::Inbox).await?;
-    let state = node.platform.newest(Topic::State).await?;
+    // Nobody else writes state from here on, so the two need no order.
+    let (inbox, state) =
+        tokio::try_join!(node.platform.newest(Topic::Inbox), node.platform.newest(Topic::State))?;
     node.store_is_up();
     let inbox_next = inbox.next;
     let mut sched = Scheduler::new(term, limits(node), since, node.wall());
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -22,8 +22,6 @@
 pub struct Holder {
     /// Its incarnation.
     pub id: Incarnation,
-    /// Name of its host.
-    pub name: String,
     /// Its peer listener.
     pub peers: String,
     /// Its term.
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::DataCentre;
+use workswood_core::jobs::claim::{self, Strength};
 
 use super::errors::Result;
 use super::settings::read_checked;
@@ -36,6 +37,12 @@
     /// process does not ask it yet.
     #[serde(default)]
     pub adviser: Option<String>,
+    /// Share of a core that the host gives the process.
+    #[serde(default = "default_cores")]
+    pub cores: f64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
     /// Longest lease that workers accept, in milliseconds.
     pub longest_lease_ms: u64,
     /// How long a new lease holder waits before orders to machines.
@@ -52,6 +59,14 @@
     pub log_level: log::LevelFilter,
 }
 
+fn default_cores() -> f64 {
+    1.0
+}
+
+fn default_link() -> f64 {
+    1000.0
+}
+
 fn default_level() -> log::LevelFilter {
     log::LevelFilter::Info
 }
@@ -74,6 +89,12 @@
                 return Err(format!("`{field}` must be an IP address and port, not `{value}`"));
             }
         }
+        if !(self.cores > 0.0 && self.cores.is_finite()) {
+            return Err("`cores` must be above 0".to_string());
+        }
+        if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
+            return Err("`link_mbps` must be above 0".to_string());
+        }
         if self.longest_lease_ms < 1_000 {
             return Err("`longest_lease_ms` must be at least 1000".to_string());
         }
@@ -86,6 +107,11 @@
         Ok(())
     }
 
+    /// Workers that this host can look after as lease holder.
+    pub fn strength(&self) -> Strength {
+        claim::strength(self.cores, self.link_mbps)
+    }
+
     /// Time allowed for a planned stop.
     pub fn stop_within(&self) -> Duration {
         Duration::from_secs_f64(self.stop_within_s)
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -37,6 +37,8 @@
         (r#""store": "127.0.0.1:9""#, r#""store": "store:9""#, "`store`"),
         (r#""longest_lease_ms": 10000"#, r#""longest_lease_ms": 10"#, "`longest_lease_ms`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 0"#, "`stop_within_s`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "cores": 0"#, "`cores`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "link_mbps": -1"#, "`link_mbps`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "colour": 1"#, "colour"),
     ];
     for (n, (from, to, named)) in cases.into_iter().enumerate() {
@@ -56,7 +58,7 @@
         let filled = match line.split_once(": ") {
             Some((field, value)) if value.contains("{{") => {
                 let comma = if value.ends_with(',') { "," } else { "" };
-                let number = field.contains("_ms") || field.contains("_s\"");
+                let number = ["_ms", "_s\"", "cores", "_mbps"].iter().any(|n| field.contains(n));
                 let address = !field.contains("\"name\"") && !field.contains("data_centre");
                 let value = if number {
                     "2000"
--- /dev/null
+++ b/tests/testsuite/lease_claims.rs
@@ -0,0 +1,68 @@
+//! Which process claims the scheduler lease, and when.
+
+use std::time::Duration;
+
+use workswood_core::jobs::claim::{Ages, Candidate, EXPIRES, HolderSeen, Reason, strength};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn large() -> Candidate {
+    Candidate { id: "a".into(), name: "large".into(), strength: strength(0.5, 200.0), led: 0 }
+}
+
+fn small() -> Candidate {
+    Candidate { id: "b".into(), name: "small".into(), strength: strength(0.12, 10.0), led: 0 }
+}
+
+fn held_by(c: &Candidate) -> HolderSeen {
+    HolderSeen {
+        id: c.id.clone(),
+        name: c.name.clone(),
+        term: 7,
+        released: false,
+        strength: Some(c.strength),
+    }
+}
+
+fn ages(heard: Duration, up: Duration) -> Ages {
+    Ages { heard, term: up, up }
+}
+
+#[test]
+fn large_before_small() {
+    let moment = ages(20 * MS, MS);
+    assert_eq!(large().reason_to_claim(None, moment), Some(Reason::NeverHeld));
+    assert_eq!(small().reason_to_claim(None, moment), None);
+    assert_eq!(small().reason_to_claim(None, ages(600 * MS, MS)), Some(Reason::NeverHeld));
+}
+
+#[test]
+fn expired_lease() {
+    let gone = HolderSeen { id: "c".into(), name: "other".into(), ..held_by(&large()) };
+    let just = ages(EXPIRES + MS, 20 * EXPIRES);
+    assert_eq!(large().reason_to_claim(Some(&gone), just), Some(Reason::Expired));
+    assert_eq!(small().reason_to_claim(Some(&gone), just), None);
+    let later = ages(EXPIRES + 600 * MS, 20 * EXPIRES);
+    assert_eq!(small().reason_to_claim(Some(&gone), later), Some(Reason::Expired));
+}
+
+#[test]
+fn former_life_at_once() {
+    let before = HolderSeen { id: "former".into(), ..held_by(&large()) };
+    let moment = ages(MS, MS);
+    assert_eq!(large().reason_to_claim(Some(&before), moment), Some(Reason::OwnFormerLife));
+}
+
+#[test]
+fn far_stronger_takes_over() {
+    let holder = held_by(&small());
+    let renewed = |up: Duration| ages(100 * MS, up);
+    assert_eq!(large().reason_to_claim(Some(&holder), renewed(3000 * MS)), None, "not settled yet");
+    let settled = renewed(5000 * MS);
+    assert_eq!(large().reason_to_claim(Some(&holder), settled), Some(Reason::FarStronger));
+    assert_eq!(small().reason_to_claim(Some(&held_by(&large())), settled), None);
+    let alike = HolderSeen { id: "c".into(), name: "other".into(), ..held_by(&large()) };
+    assert_eq!(large().reason_to_claim(Some(&alike), settled), None, "alike hosts leave each other alone");
+    let silent = HolderSeen { strength: None, ..holder };
+    assert_eq!(large().reason_to_claim(Some(&silent), settled), None, "an older program does not say");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod job_placement;
 mod job_settings;
 mod keyed_requests;
+mod lease_claims;
 mod log_faults;
 mod log_retention;
 mod machine_orders;
