Change pools by shares of the fleet

Cause: margins, the rates at which need is forgotten and the moves under way were counts found on 50 machines (12 moves at a time, 6 machines a second lent, 1 a second turned off).

Change: all of them are shares of the machines listed; on 50 machines they come to the same. Machines are turned off several at a time.

--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -19,12 +19,12 @@
 /// Work that came in within this time tells how much there will be to do,
 /// before it shows in what runs: tasks of later steps are not waiting yet.
 const ARRIVALS: Duration = Duration::from_millis(1500);
-/// How fast the need falls that counts when another pool is short, in machines
-/// a second: a machine that is idle here is wanted there.
-const LEND_PER_S: f64 = 6.0;
-/// How fast the need falls that counts when machines are turned off, in
-/// machines a second: the next turn of demand may come soon.
-const FORGET_PER_S: f64 = 1.0;
+/// How fast the need falls that counts when another pool is short, as a share of
+/// all machines a second: a machine that is idle here is wanted there.
+const LEND_PER_S: f64 = 0.11;
+/// How fast the need falls that counts when machines are turned off, likewise:
+/// the next turn of demand may come soon.
+const FORGET_PER_S: f64 = 0.02;
 /// Need of a service in machines, falling from its peaks at two speeds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Need {
@@ -43,14 +43,16 @@
         self.pools.worked_out = self.now;
         let since = self.now.saturating_sub(ARRIVALS);
         self.pools.arrivals.values_mut().for_each(|list| list.retain(|(at, _)| *at >= since));
+        let all = self.machines.len() as f64;
+        let (lend_falls, keep_falls) = (passed * LEND_PER_S * all, passed * FORGET_PER_S * all);
         let services: Vec<ServiceId> = self.config.services.keys().cloned().collect();
         for s in services {
             let now = self.need_now(&s);
             let before = self.pools.need.get(&s).copied().unwrap_or_default();
             // Before its first work, a pool is taken to be of the right size.
             let known = self.pools.worked.contains(&s) || now > 0.0;
-            let keep = if known { before.keep - passed * FORGET_PER_S } else { self.pool(&s).have };
-            let lend = before.lend - passed * LEND_PER_S;
+            let keep = if known { before.keep - keep_falls } else { self.pool(&s).have };
+            let lend = before.lend - lend_falls;
             let need = Need { now, lend: lend.max(now), keep: keep.max(now) };
             if known {
                 self.pools.worked.insert(s.clone());
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -17,10 +17,11 @@
 use super::types::Action;
 use crate::ids::{HostId, ServiceId};
 
-/// Machines that a pool keeps above its need.
-const MARGIN: f64 = 1.0;
-/// A pool gives machines up only when it has this many more than it needs.
-const SURPLUS: f64 = 2.0;
+/// Machines that a pool keeps above its need, as a share of all machines.
+const MARGIN: f64 = 0.02;
+/// A pool gives machines up only when it has more than it needs by this share
+/// of all machines.
+const SURPLUS: f64 = 0.04;
 /// Longest time that a machine is kept from new work before its move is given up.
 const EMPTY_FOR: Duration = Duration::from_millis(2500);
 /// An order without an outcome is sent again after this time.
@@ -29,8 +30,9 @@
 const LIST_LAG: Duration = Duration::from_millis(1200);
 /// A machine that has come to a pool stays there for this long.
 const STAYS: Duration = Duration::from_millis(2500);
-/// Moves that may be under way at a time.
-const MOST_MOVES: usize = 12;
+/// Share of all machines that may be under way at a time. A turn of demand wants
+/// several times a pool's machines within a task's time.
+const MOST_MOVES: f64 = 0.25;
 
 /// Time between two lines of the log on each pool.
 const NOTE_EVERY: Duration = Duration::from_secs(1);
@@ -92,6 +94,17 @@
         self.config.services.values().filter(|s| !s.spare).map(|s| s.name.clone()).collect()
     }
 
+    /// A share of all machines, at least one. What is right for 50 machines and
+    /// for 350 is a share: demand, and what is put aside for it, grow alike.
+    pub(super) fn machines_share(&self, share: f64) -> f64 {
+        (self.machines.len() as f64 * share).round().max(1.0)
+    }
+
+    /// Machines that a pool keeps above its need.
+    fn margin(&self) -> f64 {
+        self.machines_share(MARGIN)
+    }
+
     /// Goes on with moves, and decides on new ones.
     pub(super) fn run_pools(&mut self) {
         if self.machines.is_empty() {
@@ -154,7 +167,7 @@
             return true;
         }
         let pool = self.pool(&m.pool);
-        pool.have - 1.0 >= (pool.need.lend + MARGIN).ceil()
+        pool.have - 1.0 >= (pool.need.lend + self.margin()).ceil()
     }
 
     /// Brings machines to pools that are short of them.
@@ -166,7 +179,9 @@
         for s in &services {
             loop {
                 let pool = self.pool(s);
-                if pool.have >= (pool.need.now + MARGIN).ceil() || self.pools.moving.len() >= MOST_MOVES {
+                if pool.have >= (pool.need.now + self.margin()).ceil()
+                    || self.pools.moving.len() as f64 >= self.machines_share(MOST_MOVES)
+                {
                     break;
                 }
                 let found = self.spare_machine(spare, s).or_else(|| self.surplus_machine(&services, s));
@@ -186,7 +201,7 @@
     fn surplus_machine(&self, services: &[ServiceId], to: &ServiceId) -> Option<HostId> {
         let donors = services.iter().filter(|s| *s != to).filter(|s| {
             let pool = self.pool(s);
-            pool.have >= (pool.need.lend + MARGIN).ceil() + 1.0
+            pool.have >= (pool.need.lend + self.margin()).ceil() + 1.0
         });
         donors.filter_map(|s| self.empty_machine(s, to)).min()
     }
@@ -217,10 +232,15 @@
         let services = self.working_services();
         for s in services {
             let pool = self.pool(&s);
-            if pool.have < (pool.need.keep + MARGIN).ceil() + SURPLUS {
+            if pool.have < (pool.need.keep + self.margin()).ceil() + self.machines_share(SURPLUS) {
                 continue;
             }
-            if let Some(machine) = self.empty_machine(&s, spare) {
+            let over = pool.have - (pool.need.keep + self.margin()).ceil() - self.machines_share(SURPLUS);
+            for _ in 0..=(over as usize) {
+                if self.pools.moving.len() as f64 >= self.machines_share(MOST_MOVES) {
+                    return;
+                }
+                let Some(machine) = self.empty_machine(&s, spare) else { break };
                 self.begin_move(machine, spare.clone());
             }
         }
