Add a fault soak: processes that run jobs, with faults from outside

Four processes, five workers and a store; relays that close, break off, hold and delay connections, signals that stop, freeze, kill and restart, workers that crash and lose answers, a store that is down, slow, loses answers and forgets its history. A seed decides; faults overlap. Checked: no task runs twice (a ledger over all workers), a refused job never runs, an accepted one is known everywhere and completed, a planned stop ends with 0. The relay of the tests takes faults; starting a program and sending it signals stand once.

Cause: the soak took the ports of its entries one after the other, and two were given the same one (error 301 in the log of that entry). All ports are taken at once now; the seed is kept and played in the suite. Not in it: machines, waves, clocks.

--- a/crates/workswood-test-support/src/cut.rs
+++ b/crates/workswood-test-support/src/cut.rs
@@ -1,16 +1,40 @@
-//! A TCP relay that can be cut.
+//! A TCP relay that can be cut, silenced, delayed or broken off.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Bytes that are relayed at a time.
+const CHUNK: usize = 16 * 1024;
+
+/// What a relay does with bytes and connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Lets all pass.
+    #[default]
+    None,
+    /// Closes all connections and new ones.
+    Closed,
+    /// Closes all connections once; new ones pass.
+    Broken,
+    /// Holds bytes back in both directions until the fault ends.
+    Silent,
+    /// Holds back only what the far side answers.
+    AnswersHeld,
+    /// Lets each chunk pass after this time.
+    Slow(Duration),
+}
+
 /// A relay to one address.
 pub struct Cut {
     /// Where to connect.
     pub address: String,
-    cut: Arc<watch::Sender<bool>>,
+    fault: Arc<watch::Sender<Fault>>,
     task: JoinHandle<()>,
 }
 
@@ -25,30 +49,71 @@
     pub async fn start(to: &str) -> Cut {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address").to_string();
-        let cut = Arc::new(watch::channel(false).0);
-        let (to, rx) = (to.to_string(), cut.subscribe());
+        let fault = Arc::new(watch::channel(Fault::None).0);
+        let (to, rx) = (to.to_string(), fault.subscribe());
         let task = tokio::spawn(async move {
             loop {
                 let Ok((a, _)) = listener.accept().await else { continue };
                 tokio::spawn(relay(a, to.clone(), rx.clone()));
             }
         });
-        Cut { address, cut, task }
+        Cut { address, fault, task }
     }
 
     /// Cuts all connections and refuses new ones, or lets them pass again.
     pub fn cut(&self, cut: bool) {
-        self.cut.send_replace(cut);
+        self.set(if cut { Fault::Closed } else { Fault::None });
+    }
+
+    /// Changes what it does.
+    pub fn set(&self, fault: Fault) {
+        self.fault.send_replace(fault);
     }
 }
 
-async fn relay(mut a: TcpStream, to: String, mut cut: watch::Receiver<bool>) {
-    if *cut.borrow() {
+async fn relay(a: TcpStream, to: String, mut fault: watch::Receiver<Fault>) {
+    if *fault.borrow_and_update() == Fault::Closed {
         return;
     }
-    let Ok(mut b) = TcpStream::connect(to).await else { return };
+    let Ok(b) = TcpStream::connect(to).await else { return };
+    let (a_in, a_out) = a.into_split();
+    let (b_in, b_out) = b.into_split();
+    let there = pump(a_in, b_out, fault.clone(), |f| f == Fault::Silent);
+    let back = pump(b_in, a_out, fault.clone(), |f| matches!(f, Fault::Silent | Fault::AnswersHeld));
+    let ended = async {
+        // A change to one of these, not that they stand.
+        while fault.changed().await.is_ok() {
+            if matches!(*fault.borrow_and_update(), Fault::Closed | Fault::Broken) {
+                return;
+            }
+        }
+    };
     tokio::select! {
-        _ = tokio::io::copy_bidirectional(&mut a, &mut b) => {}
-        _ = cut.wait_for(|c| *c) => {}
+        _ = async { tokio::join!(there, back) } => {}
+        () = ended => {}
+    }
+}
+
+/// Copies one direction until its end, holding bytes back while `held` says so.
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut fault: watch::Receiver<Fault>,
+    held: fn(Fault) -> bool,
+) {
+    let mut buf = vec![0; CHUNK];
+    while let Ok(n @ 1..) = from.read(&mut buf).await {
+        if fault.wait_for(|f| !held(*f)).await.is_err() {
+            break;
+        }
+        let now = *fault.borrow();
+        if let Fault::Slow(by) = now {
+            tokio::time::sleep(by).await;
+        }
+        if to.write_all(&buf[..n]).await.is_err() {
+            break;
+        }
     }
+    // The other direction may go on after this one has ended.
+    let _ = to.shutdown().await;
 }
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod log;
 pub mod one;
 pub mod platform;
+pub mod program;
--- /dev/null
+++ b/tests/testsuite/fault_soak.rs
@@ -0,0 +1,401 @@
+//! Processes that run jobs, with faults injected from outside: signals, relays
+//! that cut, hold and delay, a store and workers that misbehave.
+//!
+//! A seed decides which faults come when; several overlap. What callers and
+//! workers see is checked while it runs and afterwards: no task runs twice, a
+//! refused job never runs, an accepted job is known everywhere and completed.
+//! A short run of some seeds is part of the suite. By hand:
+//! `SOAK_SEEDS=1-50 cargo test --test testsuite fault_soak::by_hand -- --ignored --nocapture`.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+use workswood_adapter_standin::caller::{HandedIn, Told, ask, config, hand_in};
+use workswood_adapter_standin::{Ledger, StoreStandin, WorkerStandin};
+use workswood_test_support::cut::{Cut, Fault};
+use workswood_test_support::job_world::Luck;
+use workswood_test_support::program::{Program, free_ports};
+
+const SERVICE: &str = "desk";
+const ENTRIES: usize = 4;
+const WORKERS: usize = 5;
+/// Listeners of an entry.
+const PORTS: usize = 4;
+/// Seeds that failed once, each with its cause.
+const FAILED_ONCE: [(u64, &str); 1] =
+    [(25, "the soak itself gave two entries one port; all are taken at once now")];
+/// Tasks of each step of a job.
+const TASKS: u32 = 3;
+/// How long a task takes.
+const TAKES: Duration = Duration::from_millis(120);
+/// Time between two jobs.
+const JOB_EVERY: Duration = Duration::from_millis(120);
+/// Time between two faults; they last up to [`LONGEST`], so that some overlap.
+const FAULT_EVERY: Duration = Duration::from_millis(500);
+const LONGEST: Duration = Duration::from_millis(2500);
+/// After the last fault, all that was accepted must be done within this time: a
+/// lease and the grace of its holder (9 s), a takeover, and the work itself.
+const SETTLES: Duration = Duration::from_secs(25);
+/// A job that was accepted must be known everywhere after this time.
+const VISIBLE: Duration = Duration::from_secs(3);
+
+/// A process that runs jobs, behind a relay to its store.
+struct Entry {
+    program: Option<Program>,
+    /// Ends once the process that was told to stop has.
+    ending: Option<JoinHandle<()>>,
+    settings: PathBuf,
+    callers: SocketAddr,
+    store: Cut,
+}
+
+impl Entry {
+    async fn new(folder: &Path, n: usize, store: &str, ports: &[SocketAddr]) -> Entry {
+        let relay = Cut::start(store).await;
+        let settings = serde_json::json!({
+            "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
+            "peers": ports[2], "metrics": ports[3], "store": relay.address, "machines": relay.address,
+            "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
+        });
+        let path = folder.join(format!("entry-{n}.json"));
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        let mut entry =
+            Entry { program: None, ending: None, settings: path, callers: ports[0], store: relay };
+        entry.start();
+        entry
+    }
+
+    fn start(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
+        command.arg("jobs").env("WORKSWOOD_SETTINGS", &self.settings);
+        self.program = Some(Program::start_logged(command, &self.settings.with_extension("log")));
+    }
+
+    fn signal(&self, name: &str) {
+        if let Some(p) = &self.program {
+            p.signal(name);
+        }
+    }
+
+    /// Ends the process by a signal; a planned stop takes seconds.
+    fn end(&mut self, name: &str) {
+        let Some(mut p) = self.program.take() else { return };
+        p.signal(name);
+        let name = name.to_string();
+        self.ending = Some(tokio::task::spawn_blocking(move || {
+            let status = p.wait();
+            assert!(name != "-TERM" || status.success(), "a planned stop ended with {status}");
+        }));
+    }
+
+    /// Starts the process again if it has ended; returns whether it runs.
+    fn start_again(&mut self) -> bool {
+        if self.ending.as_ref().is_some_and(|e| !e.is_finished()) {
+            return false;
+        }
+        if self.program.is_none() {
+            self.start();
+        }
+        true
+    }
+}
+
+/// A life of a worker, behind a relay.
+struct Life {
+    standin: WorkerStandin,
+    relay: Cut,
+    id: String,
+}
+
+/// All that is seen from outside.
+struct World {
+    store: Arc<StoreStandin>,
+    ledger: Arc<Ledger>,
+    lives: Vec<Life>,
+    lived: usize,
+}
+
+impl World {
+    async fn new() -> World {
+        let store = Arc::new(StoreStandin::start().await);
+        store.write("keyed.op", "config", &config(SERVICE, 1));
+        let mut w = World { store, ledger: Arc::default(), lives: Vec::new(), lived: 0 };
+        for n in 0..WORKERS {
+            let life = w.bear(n).await;
+            w.lives.push(life);
+        }
+        w
+    }
+
+    /// A new life of a worker, entered into the store.
+    async fn bear(&mut self, n: usize) -> Life {
+        self.lived += 1;
+        let id = format!("i-{n}-{}", self.lived);
+        let standin = WorkerStandin::start_seen(&id, TAKES, self.ledger.clone()).await;
+        let relay = Cut::start(&standin.address.to_string()).await;
+        let entry = standin.entry(SERVICE, &format!("m-{n}"));
+        let entry = entry.replace(&standin.address.to_string(), &relay.address);
+        self.store.write("keyed.servers", &id, &entry);
+        Life { standin, relay, id }
+    }
+
+    /// A worker crashes and comes back with another life.
+    async fn crash(&mut self, n: usize) {
+        let next = self.bear(n).await;
+        let old = std::mem::replace(&mut self.lives[n], next);
+        self.store.write("keyed.servers", &old.id, "");
+    }
+}
+
+/// A fault that stands until a time.
+#[derive(Clone, Copy, Debug)]
+enum Standing {
+    Frozen(usize),
+    Ended(usize),
+    StoreRelay(usize),
+    WorkerRelay(usize),
+    Store,
+}
+
+const RELAY_FAULTS: [Fault; 5] = [
+    Fault::Closed,
+    Fault::Broken,
+    Fault::Silent,
+    Fault::AnswersHeld,
+    Fault::Slow(Duration::from_millis(150)),
+];
+
+struct Soak {
+    luck: Luck,
+    world: World,
+    entries: Vec<Entry>,
+    standing: Vec<(Instant, Standing)>,
+}
+
+impl Soak {
+    /// Begins one fault.
+    async fn begin(&mut self) {
+        let until = Instant::now() + Duration::from_millis(self.luck.below(LONGEST.as_millis() as u64));
+        let n = self.luck.below(ENTRIES as u64) as usize;
+        let w = self.luck.below(WORKERS as u64) as usize;
+        let relay = RELAY_FAULTS[self.luck.below(RELAY_FAULTS.len() as u64) as usize];
+        let fault = match self.luck.below(9) {
+            0 => {
+                self.entries[n].signal("-STOP");
+                Standing::Frozen(n)
+            }
+            1 | 2 => {
+                // A frozen process takes no signal but this one.
+                self.entries[n].end("-KILL");
+                Standing::Ended(n)
+            }
+            3 => {
+                self.entries[n].signal("-CONT");
+                self.entries[n].end("-TERM");
+                Standing::Ended(n)
+            }
+            4 => {
+                self.entries[n].store.set(relay);
+                Standing::StoreRelay(n)
+            }
+            5 => {
+                self.world.lives[w].relay.set(relay);
+                Standing::WorkerRelay(w)
+            }
+            6 => {
+                self.world.crash(w).await;
+                return;
+            }
+            7 => {
+                self.world.lives[w].standin.faults(|f| f.lose_starts += 2);
+                return;
+            }
+            _ => {
+                self.store_fault();
+                Standing::Store
+            }
+        };
+        println!("event=fault fault={fault:?} relay={relay:?}");
+        self.standing.push((until, fault));
+    }
+
+    fn store_fault(&mut self) {
+        let (which, slow) = (self.luck.below(4), Duration::from_millis(self.luck.below(240)));
+        self.world.store.faults(|f| match which {
+            0 => f.down = true,
+            1 => f.slow = slow,
+            _ => f.lose += 3,
+        });
+        if which == 3 {
+            self.world.store.forget("keyed.inbox");
+            self.world.store.forget("keyed.lease");
+        }
+    }
+
+    /// Ends faults whose time has come.
+    fn heal(&mut self, now: Instant) {
+        let all = std::mem::take(&mut self.standing);
+        for (until, fault) in all {
+            if until > now {
+                self.standing.push((until, fault));
+                continue;
+            }
+            match fault {
+                Standing::Frozen(n) => self.entries[n].signal("-CONT"),
+                Standing::Ended(n) => {
+                    if !self.entries[n].start_again() {
+                        self.standing.push((until, fault));
+                    }
+                }
+                Standing::StoreRelay(n) => self.entries[n].store.set(Fault::None),
+                Standing::WorkerRelay(w) => self.world.lives[w].relay.set(Fault::None),
+                Standing::Store => self.world.store.faults(|f| *f = Default::default()),
+            }
+        }
+    }
+}
+
+/// What became of a job, and when that was known.
+type Outcome = (String, HandedIn, Instant);
+
+/// Hands a job in, again and elsewhere while nobody knows, as callers do. It is
+/// refused only if every try was.
+async fn submit(job: String, mut order: Vec<SocketAddr>) -> Outcome {
+    let mut unknown = false;
+    for to in order.drain(..) {
+        match hand_in(to, &job, TASKS).await {
+            HandedIn::Accepted => return (job, HandedIn::Accepted, Instant::now()),
+            HandedIn::Refused => {}
+            HandedIn::Unknown => unknown = true,
+        }
+    }
+    let became = if unknown { HandedIn::Unknown } else { HandedIn::Refused };
+    (job, became, Instant::now())
+}
+
+/// Plays one seed; returns what was broken.
+async fn play(seed: u64, lasts: Duration) -> Vec<String> {
+    let folder = std::env::temp_dir().join(format!("workswood-soak-{}-{seed}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let world = World::new().await;
+    let store = world.store.address.to_string();
+    // Runs beside this one must not take a port while its process is down; and
+    // all at once, as a port that is let go may be given out again.
+    let pid = std::process::id();
+    let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * ENTRIES);
+    let mut entries = Vec::new();
+    for (n, own) in ports.chunks(PORTS).enumerate() {
+        entries.push(Entry::new(&folder, n, &store, own).await);
+    }
+    let mut soak = Soak {
+        luck: Luck::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0),
+        world,
+        entries,
+        standing: Vec::new(),
+    };
+    let jobs = run(&mut soak, seed, lasts).await;
+    while !soak.standing.is_empty() {
+        soak.heal(Instant::now() + LONGEST);
+        tokio::time::sleep(JOB_EVERY).await;
+    }
+    let broken = settle(&soak, jobs).await;
+    drop(soak);
+    if broken.is_empty() {
+        let _ = std::fs::remove_dir_all(folder);
+    } else {
+        println!("event=soak_broken seed={seed} logs={}", folder.display());
+    }
+    broken
+}
+
+/// Hands jobs in and injects faults until the time is over.
+async fn run(soak: &mut Soak, seed: u64, lasts: Duration) -> Vec<Outcome> {
+    let mut tries = tokio::task::JoinSet::new();
+    // The first configuration is read and the lease is claimed.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let end = Instant::now() + lasts;
+    let mut next_fault = Instant::now();
+    let mut number = 0u64;
+    while Instant::now() < end {
+        number += 1;
+        let first = soak.luck.below(ENTRIES as u64) as usize;
+        let order = (0..ENTRIES).map(|i| soak.entries[(first + i) % ENTRIES].callers).collect();
+        tries.spawn(submit(format!("{:016x}", seed << 32 | number), order));
+        if Instant::now() >= next_fault {
+            next_fault = Instant::now() + FAULT_EVERY;
+            soak.begin().await;
+        }
+        soak.heal(Instant::now());
+        tokio::time::sleep(JOB_EVERY).await;
+    }
+    tries.join_all().await
+}
+
+/// Waits until all that was accepted is completed, and checks what must hold.
+async fn settle(soak: &Soak, jobs: Vec<Outcome>) -> Vec<String> {
+    let until = Instant::now() + SETTLES;
+    let mut broken = Vec::new();
+    let accepted: Vec<&Outcome> =
+        jobs.iter().filter(|(_, became, _)| *became == HandedIn::Accepted).collect();
+    for (n, (job, _, known)) in accepted.iter().enumerate() {
+        loop {
+            let told = ask(soak.entries[n % ENTRIES].callers, job).await;
+            if told == Told::State("completed".to_string()) {
+                break;
+            }
+            if told == Told::NoSuchJob && known.elapsed() > VISIBLE {
+                broken.push(format!("accepted job {job} is not known"));
+                break;
+            }
+            if told == Told::State("failed".to_string()) || Instant::now() > until {
+                broken.push(format!("accepted job {job} is not completed: {told:?}"));
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    for (job, _, _) in jobs.iter().filter(|(_, became, _)| *became == HandedIn::Refused) {
+        if soak.world.ledger.ran(job) {
+            broken.push(format!("refused job {job} ran"));
+        }
+    }
+    broken.extend(soak.world.ledger.broken());
+    println!(
+        "event=soak_settled jobs={} accepted={} tasks_done={} broken={}",
+        jobs.len(),
+        accepted.len(),
+        soak.world.ledger.done(),
+        broken.len()
+    );
+    broken
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn short_seeds() {
+    let again = FAILED_ONCE.iter().map(|(seed, _)| *seed);
+    for seed in again.chain([1, 2]) {
+        let broken = play(seed, Duration::from_secs(5)).await;
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    }
+}
+
+/// Seeds from the variable `SOAK_SEEDS`, such as `1-50`, longer than in the suite.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "takes 20 s and more a seed"]
+async fn by_hand() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-10".to_string());
+    let (first, last) = seeds.split_once('-').expect("two numbers with a dash");
+    let (first, last) = (first.parse().expect("a number"), last.parse().expect("a number"));
+    let mut failed = Vec::new();
+    for seed in first..=last {
+        let broken = play(seed, Duration::from_secs(15)).await;
+        if !broken.is_empty() {
+            failed.push((seed, broken));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/tests/testsuite/separate_processes.rs
+++ b/tests/testsuite/separate_processes.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 use std::time::Duration;
 
 use workswood::ops::dev::{Caller, CallerRequest, loopback};
@@ -11,28 +11,20 @@
 use workswood_standin::PlatformStandin;
 use workswood_test_support::files::{maintenance, small};
 use workswood_test_support::live::{PATIENCE, Watch, until};
+use workswood_test_support::program::{Program, free_ports};
 
 const ENTRIES: usize = 3;
 
 struct Process {
-    child: Child,
+    program: Program,
     operators: String,
     callers: SocketAddr,
     id: String,
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 impl Process {
     fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([name, &pid]).status().expect("kill runs");
-        assert!(sent.success());
+        self.program.signal(name);
     }
 
     fn client(&self) -> OperatorClient {
@@ -40,12 +32,6 @@
     }
 }
 
-/// Ports that were free a moment ago, on an address that no other test uses.
-fn ports(n: usize) -> Vec<SocketAddr> {
-    let held: Vec<_> = (0..n).map(|_| std::net::TcpListener::bind("127.77.0.1:0").expect("a port")).collect();
-    held.iter().map(|l| l.local_addr().expect("an address")).collect()
-}
-
 fn start(folder: &Path, n: usize, platform: &str, ports: &[SocketAddr]) -> Process {
     let (peers, own) = (&ports[..ENTRIES], &ports[ENTRIES + 2 * n..]);
     let mut s = loopback(&format!("p{n}"), "dc0", platform, peers.to_vec());
@@ -56,13 +42,14 @@
     s.peers_token_file = "peer.token".to_string();
     let path = folder.join(format!("p{n}.json"));
     std::fs::write(&path, serde_json::to_string(&s).expect("settings are JSON")).expect("a file");
-    let child = Command::new(env!("CARGO_BIN_EXE_workswood"))
-        .arg("entry")
-        .arg(path)
-        .stderr(Stdio::null())
-        .spawn()
-        .expect("it starts");
-    Process { child, operators: own[1].to_string(), callers: own[0], id: format!("p{n}-") }
+    let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
+    command.arg("entry").arg(path);
+    Process {
+        program: Program::start(command),
+        operators: own[1].to_string(),
+        callers: own[0],
+        id: format!("p{n}-"),
+    }
 }
 
 async fn wait(p: &Process, what: &str, fits: impl Fn(&Status) -> bool) -> Status {
@@ -104,7 +91,7 @@
     let platform =
         std::sync::Arc::new(PlatformStandin::start(std::slice::from_ref(&file)).await.expect("a platform"));
     // All at once: a port that is let go may be given out again.
-    let ports = ports(3 * ENTRIES);
+    let ports = free_ports("127.77.0.1", 3 * ENTRIES);
     let mut all: Vec<Process> = (0..ENTRIES).map(|n| start(&folder, n, &platform.address, &ports)).collect();
     wait(&all[0], "three on the roster", |s| s.entries.iter().filter(|e| e.on_roster).count() == 3).await;
     apply(&all[0], &file, 0).await;
@@ -143,7 +130,7 @@
     all[rest].signal("-TERM");
     let res = slow.await.expect("a caller ends").expect("an answer");
     assert_eq!(res.body().as_ref(), b"slow");
-    let status = all[rest].child.wait().expect("it ends");
+    let status = all[rest].program.wait();
     assert!(status.success(), "{status}");
     drop(all);
     let _ = std::fs::remove_dir_all(folder);
