Let filling tasks share machines with each other

Change: a filling task goes to a machine that has one already and serves nobody.

Test machine_orders::filling_tasks_share_machine, which failed before.

--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -145,7 +145,8 @@
             !labels.contains(rack)
         });
         let crowd = if step.fills {
-            2 * w.serves.len() + w.fills.len()
+            // Beside others that fill: a machine with one of them is never empty.
+            2 * w.serves.len() + usize::from(w.fills.is_empty())
         } else if step.target.is_some() {
             w.fills.len()
         } else if step.lasting {
--- a/tests/testsuite/machine_orders.rs
+++ b/tests/testsuite/machine_orders.rs
@@ -345,3 +345,24 @@
     b.tick();
     assert_eq!(upkeeps(&b.actions), ["m-1"]);
 }
+
+#[test]
+fn filling_tasks_share_machine() {
+    let mut b = Bench::new(3);
+    for n in 1..4 {
+        let mut fills = step(1, vec![]);
+        (fills.lasting, fills.fills) = (true, true);
+        b.sched.handle(Event::Submitted(n, Arc::new(job(vec![fills], 0))));
+    }
+    let starts = b.sched.take_batch().actions;
+    let mut used: Vec<String> = starts
+        .iter()
+        .filter_map(|a| match a {
+            Action::Start { worker, .. } => Some(worker.to_string()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(used.len(), 3);
+    used.dedup();
+    assert_eq!(used.len(), 1, "each machine with one of them is never empty: {used:?}");
+}
