--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`job_world`] is workers, a store and lease holders on injected time.
 //! * [`keys`] draws random schedules of requests that may not be repeated.
 //! * [`live`] starts entries over sockets.
+//! * [`machine_world`] is one scheduler with machines, event by event.
 
 pub mod cut;
 pub mod files;
@@ -17,5 +18,6 @@
 pub mod keys;
 pub mod live;
 pub mod log;
+pub mod machine_world;
 pub mod one;
 pub mod platform;
--- /dev/null
+++ b/crates/workswood-test-support/src/machine_world.rs
@@ -0,0 +1,160 @@
+//! A scheduler with machines and their workers, event by event.
+//!
+//! The real [`Scheduler`] decides; a test hands it lists, reports and ticks at
+//! times of its choice, and looks at the orders to machines that come out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{
+    Action, Event, Limits, Machine, MachineState, Record, Report, ReportedRun, Scheduler, ServiceConfig,
+    Wave, WorkerInfo,
+};
+
+use crate::job_world::{SERVICE, config};
+
+/// Service whose machines are off.
+pub const SPARE: &str = "spare";
+
+/// A scheduler, and what came out of it.
+pub struct MachineWorld {
+    /// The scheduler.
+    pub sched: Scheduler,
+    /// All actions that ticks told.
+    pub actions: Vec<Action>,
+    /// Machines on record as ordered about lately.
+    pub ordered: Vec<String>,
+}
+
+/// Room of each machine and its worker.
+fn room() -> Room {
+    Room { cpu_millis: 4000, mem_mb: 8000, gpus: 0 }
+}
+
+/// Limits with which a new holder waits for no machine.
+fn limits() -> Limits {
+    Limits {
+        lease: Duration::from_secs(5),
+        grace: Duration::from_secs(4),
+        drift: 0.02,
+        machine_handover: Duration::ZERO,
+        keep_ended: Duration::from_secs(60),
+        early: Duration::ZERO,
+    }
+}
+
+/// A life of the worker on machine `m-n`.
+pub fn worker(n: usize, life: usize) -> WorkerInfo {
+    WorkerInfo {
+        id: format!("w-{n}-{life}").as_str().into(),
+        service: SERVICE.to_string(),
+        address: format!("10.0.0.{n}:80"),
+        data_centre: "north".to_string(),
+        machine: format!("m-{n}"),
+        capacity: room(),
+        labels: Vec::new(),
+        draining: false,
+    }
+}
+
+/// Machine `m-n`, up in a pool, with a life of its worker if it has one.
+pub fn machine(n: usize, pool: &str, life: Option<usize>) -> Machine {
+    Machine {
+        name: format!("m-{n}"),
+        pool: pool.to_string(),
+        state: MachineState::Up,
+        data_centre: "north".to_string(),
+        labels: Vec::new(),
+        capacity: room(),
+        worker: life.map(|l| worker(n, l).id),
+    }
+}
+
+impl MachineWorld {
+    /// A scheduler that knows this many workers, each idle in its first life.
+    pub fn new(workers: usize) -> MachineWorld {
+        let mut cfg = config();
+        let spare = ServiceConfig { name: SPARE.to_string(), guards_room: true, spare: true };
+        cfg.services.insert(SPARE.to_string(), spare);
+        let mut world = MachineWorld {
+            sched: Scheduler::new(1, limits(), Duration::ZERO, 0),
+            actions: Vec::new(),
+            ordered: Vec::new(),
+        };
+        world.sched.handle(Event::Config(Arc::new(cfg)));
+        for n in 0..workers {
+            world.sched.handle(Event::WorkerListed(worker(n, 0)));
+            world.report(n, 0, &[]);
+        }
+        world
+    }
+
+    /// Sets the time, in milliseconds.
+    pub fn at(&mut self, ms: u64) {
+        self.sched.now = Duration::from_millis(ms);
+        self.sched.wall = ms;
+    }
+
+    /// A worker answers a look and lists what it was told to start.
+    pub fn report(&mut self, n: usize, life: usize, runs: &[Action]) {
+        let listed = runs.iter().filter_map(|a| match a {
+            Action::Start { task, attempt, .. } => Some(ReportedRun {
+                task: *task,
+                attempt: *attempt,
+                checkpoint: String::new(),
+                percent: 100,
+                figure: 0,
+            }),
+            _ => None,
+        });
+        let report = Report { asked: self.sched.now, running: listed.collect(), ended: Vec::new() };
+        let end = self.sched.now + Duration::from_secs(6);
+        self.sched.handle(Event::Reported(worker(n, life).id, report, end));
+    }
+
+    /// Ticks once; returns what the scheduler told to do.
+    pub fn tick(&mut self) -> Vec<Action> {
+        self.sched.handle(Event::Tick);
+        let batch = self.sched.take_batch();
+        for rec in &batch.records {
+            match rec {
+                Record::Ordered(machine, true) => self.ordered.push(machine.clone()),
+                Record::Ordered(machine, false) => self.ordered.retain(|m| m != machine),
+                _ => {}
+            }
+        }
+        self.actions.extend(batch.actions.clone());
+        batch.actions
+    }
+
+    /// The list of machines is asked for and read at this time.
+    pub fn list(&mut self, machines: Vec<Machine>) {
+        let now = self.sched.now;
+        self.sched.handle(Event::Machines(machines, now));
+    }
+}
+
+/// Machines that are ordered down.
+pub fn upkeeps(actions: &[Action]) -> Vec<String> {
+    let name = |a: &Action| match a {
+        Action::Upkeep(m, _) => Some(m.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(name).collect()
+}
+
+/// Machines that are ordered to move, each with the pool that gets it.
+pub fn moves(actions: &[Action]) -> Vec<(String, String)> {
+    let of = |a: &Action| match a {
+        Action::Move(m, pool) => Some((m.clone(), pool.clone())),
+        _ => None,
+    };
+    actions.iter().filter_map(of).collect()
+}
+
+/// Wave 1, of machines by their numbers, within 20 s.
+pub fn wave(machines: &[usize], most_at_once: usize) -> Wave {
+    let machines = machines.iter().map(|n| format!("m-{n}")).collect();
+    Wave { number: 1, machines, within: Duration::from_secs(20), most_at_once }
+}
--- /dev/null
+++ b/tests/testsuite/order_marks.rs
@@ -0,0 +1,48 @@
+//! Marks of machines that were ordered about lately.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::{Event, MachineReply};
+use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::machine_world::{MachineWorld, SPARE, machine, moves};
+
+#[test]
+fn order_on_record_before() {
+    let mut world = MachineWorld::new(1);
+    world.list(vec![machine(0, SERVICE, Some(0)), machine(7, SPARE, None)]);
+    world.at(150);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(12, vec![])], 100))));
+    world.tick();
+    assert_eq!(moves(&world.actions).len(), 1);
+    assert_eq!(world.ordered, ["m-7"], "in the batch whose records are stored before the order is sent");
+    world.sched.handle(Event::MachineOrdered("m-7".to_string(), MachineReply::Done));
+    world.at(300);
+    world.tick();
+    assert_eq!(world.ordered, [""; 0], "with no time to wait, the mark is dropped");
+}
+
+#[test]
+fn new_holder_waits_for_ordered() {
+    let mut world = MachineWorld::new(1);
+    world.sched.limits.machine_handover = Duration::from_secs(3);
+    world.sched.restore_mark("m-7".to_string());
+    let list = || vec![machine(0, SERVICE, Some(0)), machine(7, SPARE, None), machine(8, SPARE, None)];
+    world.list(list());
+    world.at(150);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(30, vec![])], 100))));
+    world.tick();
+    assert_eq!(
+        moves(&world.actions),
+        [("m-8".to_string(), SERVICE.to_string())],
+        "nobody ordered m-8 lately"
+    );
+    world.at(2900);
+    world.tick();
+    assert!(moves(&world.actions).iter().all(|(m, _)| m == "m-8"), "a predecessor may have ordered m-7");
+    world.sched.handle(Event::MachineOrdered("m-8".to_string(), MachineReply::Done));
+    world.at(3050);
+    world.sched.handle(Event::Submitted(2, Arc::new(job(vec![step(30, vec![])], 3000))));
+    world.tick();
+    assert!(moves(&world.actions).iter().any(|(m, _)| m == "m-7"));
+}
--- /dev/null
+++ b/tests/testsuite/wave_orders.rs
@@ -0,0 +1,95 @@
+//! Which machines a wave of maintenance orders down, and when.
+
+use std::sync::Arc;
+
+use workswood_core::jobs::{Action, Event, MachineReply, MachineState};
+use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::machine_world::{MachineWorld, machine, upkeeps, wave, worker};
+
+#[test]
+fn most_at_once() {
+    let mut world = MachineWorld::new(6);
+    world.list((0..6).map(|n| machine(n, SERVICE, Some(0))).collect());
+    world.sched.handle(Event::Wave(wave(&[0, 1, 2, 3, 4, 5], 2), None));
+    let mut down = Vec::new();
+    for t in 1..40 {
+        world.at(t * 150);
+        let actions = world.tick();
+        for m in upkeeps(&actions) {
+            if !down.contains(&m) {
+                down.push(m.clone());
+            }
+            world.sched.handle(Event::MachineOrdered(m, MachineReply::Done));
+        }
+    }
+    assert_eq!(down.len(), 2, "none has come back yet: {down:?}");
+}
+
+#[test]
+fn earlier_list_finishes_nothing() {
+    let mut world = MachineWorld::new(1);
+    // The workers that stand on these machines are not known yet.
+    world.list(vec![machine(1, SERVICE, None), machine(2, SERVICE, None)]);
+    world.sched.handle(Event::Wave(wave(&[1, 2], 1), None));
+    world.at(150);
+    world.tick();
+    world.at(300);
+    world.tick();
+    assert_eq!(upkeeps(&world.actions), ["m-1"]);
+    // Asked for before the order was carried out, answered after it.
+    let asked = world.sched.now;
+    world.at(400);
+    world.sched.handle(Event::MachineOrdered("m-1".to_string(), MachineReply::Done));
+    let list = vec![machine(1, SERVICE, Some(3)), machine(2, SERVICE, None)];
+    world.sched.handle(Event::Machines(list, asked));
+    for t in 0..10 {
+        world.at(500 + t * 150);
+        world.tick();
+    }
+    let ordered = upkeeps(&world.actions);
+    assert!(!ordered.contains(&"m-2".to_string()), "one may be down at once: {ordered:?}");
+}
+
+#[test]
+fn busy_machine() {
+    let mut world = MachineWorld::new(2);
+    world.list(vec![machine(0, SERVICE, Some(0)), machine(1, SERVICE, Some(0))]);
+    world.sched.handle(Event::Wave(wave(&[0], 1), None));
+    world.at(150);
+    world.tick();
+    world.at(300);
+    world.tick();
+    assert_eq!(upkeeps(&world.actions), ["m-0"]);
+    world.sched.handle(Event::MachineOrdered("m-0".to_string(), MachineReply::Busy));
+    // The machine is back with another life, which takes no work meanwhile.
+    world.sched.handle(Event::LifeOver(worker(0, 0).id));
+    world.sched.handle(Event::WorkerListed(worker(0, 1)));
+    world.report(0, 1, &[]);
+    let mut lasting = step(2, vec![]);
+    lasting.lasting = true;
+    lasting.most_per_worker = 1;
+    lasting.may_miss = 1;
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let starts = world.sched.take_batch().actions;
+    let on_first =
+        starts.iter().any(|a| matches!(a, Action::Start { worker: w, .. } if *w == worker(0, 1).id));
+    assert!(!on_first, "a machine that is to go down gets no new work: {starts:?}");
+}
+
+#[test]
+fn moving_machine_not_ordered_down() {
+    let mut world = MachineWorld::new(1);
+    let mut moving = machine(1, SERVICE, None);
+    moving.state = MachineState::Moving;
+    world.list(vec![machine(0, SERVICE, Some(0)), moving]);
+    world.sched.handle(Event::Wave(wave(&[1], 1), None));
+    for t in 1..10 {
+        world.at(t * 150);
+        world.tick();
+    }
+    assert_eq!(upkeeps(&world.actions), [""; 0], "it would be turned down every time");
+    world.list(vec![machine(0, SERVICE, Some(0)), machine(1, SERVICE, None)]);
+    world.at(2000);
+    world.tick();
+    assert_eq!(upkeeps(&world.actions), ["m-1"]);
+}
