Split the decision and the reading of the lease into short functions

`reason_to_claim` now asks `reason_free` and `replaces`; reading the lease anew, what a process knows of the holder and the line of the log on it have functions of their own, and the newest record is read in one place. READ_WAIT is called SHORTEST_READ, beside LONGEST_READ. No condition or value changes.

--- a/crates/workswood-core/src/jobs/claim.rs
+++ b/crates/workswood-core/src/jobs/claim.rs
@@ -33,7 +33,8 @@
 /// restarts again and again must not take the lease each time.
 const SETTLED: Duration = Duration::from_secs(4);
 
-/// Workers that a host can look after.
+/// Workers that a host can look after with this many cores and a link of this
+/// many Mbit/s.
 pub fn strength(cores: f64, link_mbps: f64) -> Strength {
     (cores * WORKERS_PER_CORE).min(link_mbps * WORKERS_PER_MBPS) as Strength
 }
@@ -117,24 +118,37 @@
 
     /// Why this process, which does not lead now, may claim the lease.
     pub fn reason_to_claim(&self, holder: Option<&HolderSeen>, ages: Ages) -> Option<Reason> {
-        let Some(h) = holder else { return (ages.heard >= self.delay()).then_some(Reason::NeverHeld) };
-        let free = if h.released {
+        let delay = self.delay();
+        let waited = ages.heard >= delay;
+        let Some(holder) = holder else { return waited.then_some(Reason::NeverHeld) };
+        let free = self.reason_free(holder).filter(|_| waited);
+        if free.is_some() {
+            return free;
+        }
+        if ages.heard > EXPIRES + delay {
+            return Some(Reason::Expired);
+        }
+        self.replaces(holder, ages).then_some(Reason::FarStronger)
+    }
+
+    /// Why the lease is free though its holder may have been heard of just now.
+    fn reason_free(&self, holder: &HolderSeen) -> Option<Reason> {
+        if holder.released {
             Some(Reason::Released)
-        } else if h.name == self.name && h.id != self.id {
+        } else if holder.name == self.name && holder.id != self.id {
             Some(Reason::OwnFormerLife)
-        } else if h.id == self.id && self.led >= h.term {
+        } else if holder.id == self.id && self.led >= holder.term {
             Some(Reason::GivenUpHere)
         } else {
             None
-        };
-        if free.is_some() && ages.heard >= self.delay() {
-            return free;
-        }
-        if ages.heard > EXPIRES + self.delay() {
-            return Some(Reason::Expired);
         }
-        let weaker = h.strength.is_some_and(|s| s.saturating_mul(FAR_STRONGER) <= self.strength);
+    }
+
+    /// Whether this process takes the lease from a holder that renews it.
+    fn replaces(&self, holder: &HolderSeen, ages: Ages) -> bool {
+        let other = holder.id != self.id;
+        let weaker = holder.strength.is_some_and(|s| s.saturating_mul(FAR_STRONGER) <= self.strength);
         let settled = ages.term >= SETTLED && ages.up >= SETTLED;
-        (h.id != self.id && weaker && settled).then_some(Reason::FarStronger)
+        other && weaker && settled
     }
 }
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -12,7 +12,7 @@
 
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::{Incarnation, Offset, Term};
-use workswood_core::jobs::claim::{Ages, Candidate, EXPIRES, HolderSeen, Strength};
+use workswood_core::jobs::claim::{Ages, Candidate, EXPIRES, HolderSeen, Reason, Strength};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
 use super::lead;
@@ -20,11 +20,11 @@
 
 /// Longest time that one read waits for a record: longer than between two
 /// renewals, so that one read each is enough, and short enough to notice a
-/// connection that was cut in silence.
+/// connection that was cut in silence (with 1.8 s it was noticed too late).
 const LONGEST_READ: Duration = Duration::from_millis(700);
 /// Shortest time that one read waits for a record: how late a claim may be made
 /// once it is due.
-const READ_WAIT: Duration = Duration::from_millis(300);
+const SHORTEST_READ: Duration = Duration::from_millis(300);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Key of the lease.
@@ -50,6 +50,7 @@
 }
 
 impl LeaseRecord {
+    /// The record with which a process claims, renews or releases the lease.
     pub(super) fn of(node: &Node, term: Term, released: bool) -> LeaseRecord {
         LeaseRecord {
             id: node.id.clone(),
@@ -61,6 +62,18 @@
         }
     }
 
+    /// The holder, as other processes know it.
+    fn holder_seen(&self) -> HolderSeen {
+        HolderSeen {
+            id: self.id.clone(),
+            name: self.name.clone(),
+            term: self.term,
+            released: self.released,
+            strength: self.strength,
+        }
+    }
+
+    /// The record under the key of the lease.
     pub(super) fn keyed(&self) -> KeyedRecord {
         let value = serde_json::to_vec(self).unwrap_or_default();
         KeyedRecord { key: KEY.to_string(), value: Some(value.into()) }
@@ -69,7 +82,9 @@
 
 /// What a process knows of the lease.
 struct View {
+    /// Offset of the first record that was not read yet.
     next: Offset,
+    /// The holder, once one is known.
     holder: Option<HolderSeen>,
     /// When the holder was last heard of, or could not have been heard of.
     heard: Duration,
@@ -90,9 +105,22 @@
     /// no renewal comes. Shorter reads would tell nothing new, and are paid for.
     fn read_wait(&self, now: Duration) -> Duration {
         if self.holder.as_ref().is_none_or(|h| h.released) {
-            return READ_WAIT;
+            return SHORTEST_READ;
         }
-        EXPIRES.saturating_sub(now - self.heard).clamp(READ_WAIT, LONGEST_READ)
+        EXPIRES.saturating_sub(now - self.heard).clamp(SHORTEST_READ, LONGEST_READ)
+    }
+
+    /// Why this process, which does not lead now, may claim the lease.
+    fn reason_to_claim(&self, node: &Node) -> Option<Reason> {
+        let candidate = Candidate {
+            id: node.id.clone(),
+            name: node.settings.name.clone(),
+            strength: node.settings.strength(),
+            led: self.led,
+        };
+        let now = node.now();
+        let ages = Ages { heard: now - self.heard, term: now - self.term_seen, up: now };
+        candidate.reason_to_claim(self.holder.as_ref(), ages)
     }
 }
 
@@ -101,9 +129,7 @@
     let mut view: Option<View> = None;
     loop {
         let res = match &view {
-            None => {
-                node.platform.newest(Topic::Lease).await.map(|n| Tail { records: n.records, next: n.next })
-            }
+            None => newest(&node).await,
             Some(v) => node.platform.tail(Topic::Lease, v.next, v.read_wait(node.now())).await,
         };
         match res {
@@ -115,15 +141,7 @@
                 claim_if_free(&node, v).await;
                 lead_if_mine(&node, v);
             }
-            Err(StoreError::Gone) => {
-                let led = view.as_ref().map_or(0, |v| v.led);
-                view = None;
-                if let Ok(n) = node.platform.newest(Topic::Lease).await {
-                    let mut v = View::new(&node, led);
-                    take(&node, &mut v, Tail { records: n.records, next: n.next });
-                    view = Some(v);
-                }
-            }
+            Err(StoreError::Gone) => view = read_anew(&node, view.as_ref()).await,
             Err(_) => {
                 // The holder can't be heard while the store is away; it gets
                 // its full time again afterwards.
@@ -136,12 +154,29 @@
     }
 }
 
+/// The newest record of the lease, and where to read on.
+async fn newest(node: &Node) -> Result<Tail, StoreError> {
+    let newest = node.platform.newest(Topic::Lease).await?;
+    Ok(Tail { records: newest.records, next: newest.next })
+}
+
+/// A view from the newest record, where the store no longer has what followed
+/// the one before.
+async fn read_anew(node: &Node, before: Option<&View>) -> Option<View> {
+    let led = before.map_or(0, |v| v.led);
+    let tail = newest(node).await.ok()?;
+    let mut view = View::new(node, led);
+    take(node, &mut view, tail);
+    Some(view)
+}
+
 /// Takes records in.
 fn take(node: &Node, v: &mut View, tail: Tail) {
     v.next = tail.next;
     tail.records.iter().for_each(|rec| take_one(node, v, rec));
 }
 
+/// Takes one record in, unless a later term is known.
 fn take_one(node: &Node, v: &mut View, rec: &KeyedRecord) {
     let value = rec.value.as_deref().unwrap_or_default();
     let Ok(l) = serde_json::from_slice::<LeaseRecord>(value) else {
@@ -152,13 +187,7 @@
     if v.holder.as_ref().is_some_and(|h| l.term < h.term) {
         return;
     }
-    let seen = HolderSeen {
-        id: l.id.clone(),
-        name: l.name.clone(),
-        term: l.term,
-        released: l.released,
-        strength: l.strength,
-    };
+    let seen = l.holder_seen();
     v.heard = node.now();
     if v.holder.as_ref() == Some(&seen) {
         return;
@@ -166,6 +195,13 @@
     if v.holder.as_ref().is_none_or(|h| h.term != seen.term) {
         v.term_seen = v.heard;
     }
+    log_holder(&seen);
+    let holder = Holder { id: l.id, peers: l.peers, term: l.term, released: l.released };
+    node.holder.store(Some(Arc::new(holder)));
+    v.holder = Some(seen);
+}
+
+fn log_holder(seen: &HolderSeen) {
     log::info!(
         "event=lease_holder name={} id={} term={} released={} strength={}",
         seen.name,
@@ -174,24 +210,14 @@
         seen.released,
         seen.strength.unwrap_or_default()
     );
-    let holder = Holder { id: l.id, peers: l.peers, term: l.term, released: l.released };
-    node.holder.store(Some(Arc::new(holder)));
-    v.holder = Some(seen);
 }
 
+/// Claims the lease if this process may; the answer only shows in later reads.
 async fn claim_if_free(node: &Arc<Node>, v: &mut View) {
     if node.is_stopping() || node.leading.load().is_some() || node.config.load().is_none() {
         return;
     }
-    let candidate = Candidate {
-        id: node.id.clone(),
-        name: node.settings.name.clone(),
-        strength: node.settings.strength(),
-        led: v.led,
-    };
-    let now = node.now();
-    let ages = Ages { heard: now - v.heard, term: now - v.term_seen, up: now };
-    let Some(why) = candidate.reason_to_claim(v.holder.as_ref(), ages) else { return };
+    let Some(why) = v.reason_to_claim(node) else { return };
     let why = why.label();
     let term = v.next + 1;
     let rec = LeaseRecord::of(node, term, false).keyed();
