Split the need of pools and the marks of machines into short functions

The need of one service and the end of one mark have functions of their own; the inner map of marks is called by_machine. The comment on LEND_PER_S says what was seen with a slower rate. No condition or value changes.

--- a/crates/workswood-core/src/jobs/handover.rs
+++ b/crates/workswood-core/src/jobs/handover.rs
@@ -17,14 +17,16 @@
 enum Mark {
     /// A predecessor may have, until it was overtaken.
     Inherited,
-    /// We did, at this time.
+    /// This holder did, at this time.
     Own(Duration),
 }
 
 /// Marks of machines, and which of them changed since the last batch.
 #[derive(Debug, Default)]
 pub(super) struct OrderMarks {
-    marks: BTreeMap<HostId, Mark>,
+    /// Machines that were ordered about lately.
+    by_machine: BTreeMap<HostId, Mark>,
+    /// Machines whose record has to be written or dropped.
     dirty: BTreeSet<HostId>,
 }
 
@@ -32,45 +34,50 @@
     /// Machines whose mark changed, with whether they are marked now.
     pub(super) fn take_changes(&mut self) -> Vec<(HostId, bool)> {
         let changed = std::mem::take(&mut self.dirty);
-        changed.into_iter().map(|m| (m.clone(), self.marks.contains_key(&m))).collect()
+        changed.into_iter().map(|m| (m.clone(), self.by_machine.contains_key(&m))).collect()
     }
 }
 
 impl Scheduler {
     /// Takes over a mark that a predecessor recorded.
     pub fn restore_mark(&mut self, machine: HostId) {
-        self.marks.marks.insert(machine, Mark::Inherited);
+        self.marks.by_machine.insert(machine, Mark::Inherited);
     }
 
     /// Whether a machine may be given an order now.
     pub(super) fn may_order(&self, machine: &HostId) -> bool {
-        let inherited = self.marks.marks.get(machine) == Some(&Mark::Inherited);
+        let inherited = self.marks.by_machine.get(machine) == Some(&Mark::Inherited);
         !inherited || self.now >= self.since + self.limits.machine_handover
     }
 
     /// Marks a machine that is about to be given an order.
     pub(super) fn mark_order(&mut self, machine: &HostId) {
         let own = Mark::Own(self.now);
-        if self.marks.marks.insert(machine.clone(), own).is_none() {
+        if self.marks.by_machine.insert(machine.clone(), own).is_none() {
             self.marks.dirty.insert(machine.clone());
         }
     }
 
     /// Drops marks of machines that no holder has ordered anything about lately.
     pub(super) fn drop_marks(&mut self) {
-        let (now, handover) = (self.now, self.limits.machine_handover);
-        let old = |m: &HostId, mark: &Mark| match mark {
-            Mark::Inherited => now > self.since + handover,
-            Mark::Own(at) => now > *at + handover && !self.order_open(m),
-        };
-        let old: Vec<HostId> =
-            self.marks.marks.iter().filter(|(m, mark)| old(m, mark)).map(|(m, _)| m.clone()).collect();
-        for m in old {
-            self.marks.marks.remove(&m);
+        let marks = self.marks.by_machine.iter();
+        let over: Vec<HostId> =
+            marks.filter(|(m, mark)| self.is_over(m, **mark)).map(|(m, _)| m.clone()).collect();
+        for m in over {
+            self.marks.by_machine.remove(&m);
             self.marks.dirty.insert(m);
         }
     }
 
+    /// Whether nothing of the order that a mark stands for can follow any more.
+    fn is_over(&self, machine: &HostId, mark: Mark) -> bool {
+        let handover = self.limits.machine_handover;
+        match mark {
+            Mark::Inherited => self.now > self.since + handover,
+            Mark::Own(at) => self.now > at + handover && !self.order_open(machine),
+        }
+    }
+
     /// Whether an order for a machine has no outcome yet, so that it is repeated.
     fn order_open(&self, machine: &HostId) -> bool {
         self.pools.moving.contains_key(machine) || self.wave_of_order(machine).is_some()
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -20,11 +20,13 @@
 /// before it shows in what runs: tasks of later steps are not waiting yet.
 const ARRIVALS: Duration = Duration::from_millis(1500);
 /// How fast the need falls that counts when another pool is short, as a share of
-/// all machines a second: a machine that is idle here is wanted there.
+/// all machines a second: a machine that is idle here is wanted there. At 0.11,
+/// 147 machines were kept for a load of 32.
 const LEND_PER_S: f64 = 0.3;
 /// How fast the need falls that counts when machines are turned off, likewise:
 /// the next turn of demand may come soon.
 const FORGET_PER_S: f64 = 0.08;
+
 /// Need of a service in machines, falling from its peaks at two speeds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Need {
@@ -47,20 +49,25 @@
         let (lend_falls, keep_falls) = (passed * LEND_PER_S * all, passed * FORGET_PER_S * all);
         let services: Vec<ServiceId> = self.config.services.keys().cloned().collect();
         for s in services {
-            let now = self.need_now(&s);
-            let before = self.pools.need.get(&s).copied().unwrap_or_default();
-            // Before its first work, a pool is taken to be of the right size.
-            let known = self.pools.worked.contains(&s) || now > 0.0;
-            let keep = if known { before.keep - keep_falls } else { self.pool(&s).have };
-            let lend = before.lend - lend_falls;
-            let need = Need { now, lend: lend.max(now), keep: keep.max(now) };
-            if known {
-                self.pools.worked.insert(s.clone());
-            }
+            let need = self.need_after(&s, lend_falls, keep_falls);
             self.pools.need.insert(s, need);
         }
     }
 
+    /// Need of a service, when it falls by so many machines at most.
+    fn need_after(&mut self, service: &ServiceId, lend_falls: f64, keep_falls: f64) -> Need {
+        let now = self.need_now(service);
+        let before = self.pools.need.get(service).copied().unwrap_or_default();
+        // Before its first work, a pool is taken to be of the right size.
+        let known = self.pools.worked.contains(service) || now > 0.0;
+        let keep = if known { before.keep - keep_falls } else { self.pool(service).have };
+        let lend = before.lend - lend_falls;
+        if known {
+            self.pools.worked.insert(service.clone());
+        }
+        Need { now, lend: lend.max(now), keep: keep.max(now) }
+    }
+
     /// Machines that a service could use at this moment.
     fn need_now(&self, service: &ServiceId) -> f64 {
         let (mut wanted, size) = self.room_in_use(service);
