Split the orders of waves off the choice of machines

`wave` decides which machine is maintained next; the new `upkeep` orders it down, repeats the order and takes its outcome. Sending an order was written twice and is in one place; the time after which it is repeated is that of moves, in `machine`. Log lines, conditions and values are the same.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -24,7 +24,7 @@
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
 //! * [`claim`] decides which process runs the scheduler.
-//! * [`wave`] decides which machine is maintained next.
+//! * [`wave`] decides which machine is maintained next, and [`upkeep`] orders it down.
 //! * [`handover`] keeps a new holder off machines that were just ordered.
 //! * [`need`] works out how many machines each pool needs, and [`pools`]
 //!   decides which machine changes its pool; [`moves`] brings it there.
@@ -46,6 +46,7 @@
 pub mod share;
 pub mod spec;
 pub mod types;
+pub mod upkeep;
 pub mod wave;
 pub mod worker;
 
--- /dev/null
+++ b/crates/workswood-core/src/jobs/upkeep.rs
@@ -0,0 +1,125 @@
+//! Orders to machines that a wave takes down, and their outcomes.
+//!
+//! An order is on record before it is sent. One without an answer is repeated;
+//! the platform answers alike when it has been carried out already.
+
+use std::time::Duration;
+
+use super::job::WorkerId;
+use super::machine::{MachineReply, MachineState, ORDER_AGAIN};
+use super::sched::Scheduler;
+use super::types::Action;
+use super::wave::WaveState;
+use crate::ids::HostId;
+
+/// Longest time that short tasks are given to end before a machine goes down.
+const EMPTY_FOR: Duration = Duration::from_millis(3500);
+
+impl Scheduler {
+    /// Sends orders again that have had no outcome.
+    pub(super) fn order_again(&mut self, n: u64) {
+        let now = self.now;
+        let Some(w) = self.waves.get(&n) else { return };
+        let open = w.record.ordered.keys().filter(|m| !w.record.down.contains(*m));
+        let due: Vec<HostId> =
+            open.filter(|m| w.sent.get(*m).is_none_or(|at| *at + ORDER_AGAIN < now)).cloned().collect();
+        let due: Vec<HostId> = due.into_iter().filter(|m| self.may_order(m)).collect();
+        for m in due {
+            self.send_upkeep(n, m);
+        }
+    }
+
+    /// Orders machines down that are empty, or were given enough time.
+    pub(super) fn order_empty(&mut self, n: u64) {
+        let Some(w) = self.waves.get(&n) else { return };
+        let mut room = w.wave.most_at_once.max(1).saturating_sub(w.down_now());
+        let emptying: Vec<(HostId, Duration)> = w.emptying.iter().map(|(m, at)| (m.clone(), *at)).collect();
+        for (m, at) in emptying {
+            let worker = self.worker_on(&m);
+            let lasting = worker.as_ref().map_or(0, |id| self.evict_within_budget(id));
+            let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
+            let waited = self.now >= at + EMPTY_FOR;
+            let ready = self.takes_orders(&m) && self.may_order(&m);
+            if room == 0 || lasting > 0 || (runs > 0 && !waited) || !ready {
+                continue;
+            }
+            room -= 1;
+            self.notes.push(format!("event=machine_ordered_down wave={n} machine={m} runs={runs}"));
+            self.order_down(n, m, worker);
+        }
+    }
+
+    /// Orders a machine down for the first time, with the life of its worker.
+    fn order_down(&mut self, n: u64, machine: HostId, worker: Option<WorkerId>) {
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        w.emptying.remove(&machine);
+        w.record.ordered.insert(machine.clone(), worker.map(|id| id.to_string()));
+        self.dirty_waves.insert(n);
+        self.send_upkeep(n, machine);
+    }
+
+    /// Sends the order for the maintenance of a machine.
+    fn send_upkeep(&mut self, n: u64, machine: HostId) {
+        if let Some(w) = self.waves.get_mut(&n) {
+            w.sent.insert(machine.clone(), self.now);
+        }
+        self.mark_order(&machine);
+        self.actions.push(Action::Upkeep(machine, n));
+    }
+
+    /// Whether a machine would not turn an order down at once: one that is on its
+    /// way to a pool, or being maintained, does so until it is up again.
+    fn takes_orders(&self, machine: &HostId) -> bool {
+        let state = self.machines.get(machine).map(|m| m.state);
+        !matches!(state, Some(MachineState::Moving | MachineState::Upkeep))
+    }
+
+    /// The wave that has ordered a machine down and waits for the outcome.
+    pub(super) fn wave_of_order(&self, machine: &HostId) -> Option<u64> {
+        let waits =
+            |w: &WaveState| w.record.ordered.contains_key(machine) && !w.record.down.contains(machine);
+        self.waves.iter().find(|(_, w)| waits(w)).map(|(n, _)| *n)
+    }
+
+    /// The outcome of an order to a machine, of a move or of a wave.
+    pub(super) fn machine_ordered(&mut self, machine: &HostId, reply: MachineReply) {
+        if self.machine_moved(machine, reply) {
+            return;
+        }
+        let Some(n) = self.wave_of_order(machine) else { return };
+        self.notes.push(format!("event=machine_answer wave={n} machine={machine} reply={reply:?}"));
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        match reply {
+            MachineReply::Done => self.upkeep_done(n, machine),
+            MachineReply::Impossible => {
+                w.record.down.insert(machine.clone());
+                w.record.finished.insert(machine.clone());
+                self.dirty_waves.insert(n);
+            }
+            MachineReply::NoAnswer => {
+                w.unsure.insert(machine.clone());
+            }
+            // Nothing was done. Unless an earlier try may yet be, the machine
+            // is emptied anew: it may come back with other work on it.
+            MachineReply::Busy | MachineReply::Later | MachineReply::Fenced => {
+                if !w.unsure.contains(machine) {
+                    w.record.ordered.remove(machine);
+                    w.emptying.insert(machine.clone(), self.now);
+                    self.dirty_waves.insert(n);
+                }
+            }
+        }
+    }
+
+    /// A machine was ordered down, and the life of its worker ended with that.
+    fn upkeep_done(&mut self, n: u64, machine: &HostId) {
+        let Some(w) = self.waves.get_mut(&n) else { return };
+        w.record.down.insert(machine.clone());
+        w.confirmed.insert(machine.clone(), self.now);
+        let life = w.record.ordered.get(machine).cloned().flatten();
+        self.dirty_waves.insert(n);
+        if let Some(life) = life {
+            self.life_over(&life.as_str().into(), "upkeep");
+        }
+    }
+}
