--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -19,7 +19,6 @@
 const WAVE: &str = "wave-";
 /// Start of the key of a life of a worker.
 const WORKER: &str = "worker-";
-
 /// Start of the key of a machine that was ordered about lately.
 const ORDERED: &str = "ordered-";
 
@@ -81,26 +80,28 @@
     KeyedRecord { key, value: Some(value.into()) }
 }
 
+/// The record that drops what is stored under a key.
+fn drop_record(key: String) -> KeyedRecord {
+    KeyedRecord { key, value: None }
+}
+
 /// A record of the scheduler's state as it is stored.
 pub fn state_record(rec: &Record) -> KeyedRecord {
     match rec {
         Record::Job(job, state) => value_record(job_key(*job), state),
-        Record::DropJob(job) => KeyedRecord { key: job_key(*job), value: None },
+        Record::DropJob(job) => drop_record(job_key(*job)),
         Record::Wave(n, progress) => value_record(format!("{WAVE}{n}"), progress),
         Record::Worker(id, worker) => value_record(format!("{WORKER}{id}"), worker),
         Record::Ordered(machine, true) => value_record(format!("{ORDERED}{machine}"), &true),
-        Record::Ordered(machine, false) => KeyedRecord { key: format!("{ORDERED}{machine}"), value: None },
-        Record::DropWorker(id) => KeyedRecord { key: format!("{WORKER}{id}"), value: None },
+        Record::Ordered(machine, false) => drop_record(format!("{ORDERED}{machine}")),
+        Record::DropWorker(id) => drop_record(format!("{WORKER}{id}")),
     }
 }
 
 /// Records that take a forgotten job out of the inbox.
 pub fn inbox_drops(rec: &Record) -> Vec<KeyedRecord> {
     match rec {
-        Record::DropJob(job) => vec![
-            KeyedRecord { key: job_key(*job), value: None },
-            KeyedRecord { key: cancel_key(*job), value: None },
-        ],
+        Record::DropJob(job) => vec![drop_record(job_key(*job)), drop_record(cancel_key(*job))],
         Record::Job(..)
         | Record::Wave(..)
         | Record::Worker(..)
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -59,10 +59,12 @@
     pub log_level: log::LevelFilter,
 }
 
+/// A whole core: a host that does not say is taken to be a large one.
 fn default_cores() -> f64 {
     1.0
 }
 
+/// 1 Gbit/s, in Mbit/s; likewise.
 fn default_link() -> f64 {
     1000.0
 }
