--- a/crates/workswood-test-support/src/machine_world.rs
+++ b/crates/workswood-test-support/src/machine_world.rs
@@ -33,7 +33,7 @@
 }
 
 /// Limits with which a new holder waits for no machine.
-fn limits() -> Limits {
+pub fn limits() -> Limits {
     Limits {
         lease: Duration::from_secs(5),
         grace: Duration::from_secs(4),
--- a/tests/testsuite/job_limits.rs
+++ b/tests/testsuite/job_limits.rs
@@ -4,21 +4,9 @@
 use std::time::Duration;
 
 use workswood_adapter::callers::read_job;
-use workswood_core::jobs::{
-    Action, Event, Job, JobSpec, Limits, Outcome, Repeat, Scheduler, Shown, WorkerInfo,
-};
+use workswood_core::jobs::{Action, Event, Job, JobSpec, Outcome, Repeat, Scheduler, Shown, WorkerInfo};
 use workswood_test_support::job_world::{SERVICE, config, job, step};
-
-fn limits() -> Limits {
-    Limits {
-        lease: Duration::from_secs(5),
-        grace: Duration::from_secs(4),
-        drift: 0.02,
-        machine_handover: Duration::ZERO,
-        keep_ended: Duration::from_secs(60),
-        early: Duration::ZERO,
-    }
-}
+use workswood_test_support::machine_world::limits;
 
 fn scheduler() -> Scheduler {
     let mut s = Scheduler::new(1, limits(), Duration::from_secs(1), 1000);
