--- /dev/null
+++ b/tests/testsuite/task_packing.rs
@@ -0,0 +1,40 @@
+//! Tasks fill up one machine before the next.
+
+use std::sync::Arc;
+
+use workswood_core::jobs::{Action, Event, StepSpec};
+use workswood_test_support::job_world::{job, step};
+use workswood_test_support::machine_world::MachineWorld;
+
+/// Workers on which three jobs of one task each are started, one after the other.
+fn workers_used(task: &StepSpec) -> Vec<String> {
+    let mut world = MachineWorld::new(3);
+    for n in 1..4 {
+        world.sched.handle(Event::Submitted(n, Arc::new(job(vec![task.clone()], 100))));
+    }
+    let starts = world.sched.take_batch().actions;
+    let mut used: Vec<String> = starts
+        .iter()
+        .filter_map(|a| match a {
+            Action::Start { worker, .. } => Some(worker.to_string()),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(used.len(), 3);
+    used.dedup();
+    used
+}
+
+#[test]
+fn tasks_fill_one_machine() {
+    let used = workers_used(&step(1, vec![]));
+    assert_eq!(used.len(), 1, "the others stay empty, and can go where they are needed: {used:?}");
+}
+
+#[test]
+fn filling_tasks_share_machine() {
+    let mut fills = step(1, vec![]);
+    (fills.lasting, fills.fills) = (true, true);
+    let used = workers_used(&fills);
+    assert_eq!(used.len(), 1, "each machine with one of them is never empty: {used:?}");
+}
