Count a lasting task as at work only while its worker is heard

Cause: an eviction for maintenance counted other tasks of the step by their phase alone. A worker that had answered nothing for seconds, and had lost what it ran, counted as at work, so that two tasks of a step with one that may be away were away by our doing.

Change: what counts as at work is one function, which asks when the worker was last heard. Tests first: two of eviction_budget's three failed before.

--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -96,8 +96,8 @@
         self.phase_at = now;
     }
 
-    /// Whether a lasting task is past its warm-up.
-    pub fn at_work(&self) -> bool {
+    /// Whether a lasting task was past its warm-up when its worker was last heard.
+    pub fn warm(&self) -> bool {
         self.phase == Phase::Running && self.percent >= 100
     }
 }
@@ -194,12 +194,13 @@
         after.is_some_and(|after| after.iter().all(|a| self.step_done(round, *a)))
     }
 
-    /// How many tasks of a lasting step, other than `id`, are not at work.
-    pub fn others_away(&self, id: &TaskId) -> u32 {
+    /// How many tasks of a step, other than `id`, have no run that is at work
+    /// by `at_work`.
+    pub fn others_away(&self, id: &TaskId, at_work: impl Fn(&Run) -> bool) -> u32 {
         let step = self.rounds.get(id.round as usize).and_then(|r| r.get(usize::from(id.step)));
         let tasks = step.map(Vec::as_slice).unwrap_or_default().iter().enumerate();
         let others = tasks.filter(|(n, _)| *n != id.index as usize);
-        others.filter(|(_, t)| !t.runs.iter().any(|r| r.at_work() && !r.evicted)).count() as u32
+        others.filter(|(_, t)| !t.runs.iter().any(&at_work)).count() as u32
     }
 
     /// Whether every task of every round is done.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod body_limits;
 mod deferred_requests;
 mod entry_stop;
+mod eviction_budget;
 mod fault_soak;
 mod fleet_files;
 mod fold_rules;
