Make what the scheduler's decisions are tuned by values of one type

Limits, weights and thresholds of the decisions were constants in ten modules; to take one out, or to try another value, meant a change of the code. They are fields of one Policy now, with the same values as defaults, checked with the settings. No decision changes.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -9,16 +9,6 @@
 use super::types::Action;
 use super::worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker};
 
-/// Faults of different jobs, with nothing done in between, after which a
-/// worker is shunned. One alone is more often the job's own.
-const FAULTS_TO_SHUN: u32 = 2;
-/// How long a worker is shunned for each fault in a row.
-const SHUN_FOR: Duration = Duration::from_millis(2500);
-/// Longest time that a worker is shunned before it is tried again.
-const SHUN_AT_MOST: Duration = Duration::from_secs(15);
-/// At most one of this many workers of a service is shunned at a time.
-const SHUN_ONE_OF: usize = 3;
-
 impl Scheduler {
     /// Takes the answer of a worker in.
     pub(super) fn reported(&mut self, id: &WorkerId, report: &Report, lease_end: Duration) {
@@ -156,7 +146,7 @@
         let run = run.map(|n| task.runs.remove(n));
         let known = run.is_some();
         if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
-            self.durations.observe(&spec.queue, now.saturating_sub(run.phase_at));
+            self.durations.observe(&spec.queue, now.saturating_sub(run.phase_at), &self.policy.order);
         }
         // An end that is listed again may be older than the checkpoint we have.
         if known && step.checkpointing && !end.checkpoint.is_empty() {
@@ -240,10 +230,10 @@
         let Some(w) = self.workers.get_mut(id) else { return };
         w.faults += 1;
         let faults = w.faults;
-        if faults < FAULTS_TO_SHUN || !self.may_shun(id) {
+        if faults < self.policy.health.faults_to_shun || !self.may_shun(id) {
             return;
         }
-        let until = now + (SHUN_FOR * faults).min(SHUN_AT_MOST);
+        let until = now + (self.policy.health.shun_for * faults).min(self.policy.health.shun_at_most);
         if let Some(w) = self.workers.get_mut(id) {
             w.shunned_until = until;
         }
@@ -256,7 +246,7 @@
         let same = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
         let all = self.workers.values().filter(same).count();
         let shunned = self.workers.values().filter(same).filter(|w| w.shunned_until > self.now).count();
-        (shunned + 1) * SHUN_ONE_OF <= all
+        (shunned + 1) * self.policy.health.shun_one_of <= all
     }
 }
 
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -1,17 +1,10 @@
 //! Ending lasting tasks by our own order, within their availability budget.
 
-use std::time::Duration;
-
 use super::job::{Phase, Run, WorkerId};
 use super::sched::Scheduler;
 use super::spec::TaskId;
 use super::types::Action;
 
-/// What a worker said last is believed for this long: a look waits 0.9 s for
-/// news, and an answer needs some time on a busy host. A worker that has been
-/// silent for longer may have lost what it ran.
-const BELIEVED_FOR: Duration = Duration::from_millis(1500);
-
 impl Scheduler {
     /// Moves lasting tasks off workers that are leaving. Such a worker ends
     /// in any case, so the budget does not bind here.
@@ -53,7 +46,7 @@
     /// said so lately, and it is not about to end by our order.
     fn is_at_work(&self, run: &Run) -> bool {
         let Some(w) = self.workers.get(&run.worker) else { return false };
-        let believed = w.reachable && self.now <= w.heard + BELIEVED_FOR;
+        let believed = w.reachable && self.now <= w.heard + self.policy.health.believed_for;
         run.warm() && !run.evicted && believed
     }
 
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 //! * [`claim`] decides which process runs the scheduler.
 //! * [`wave`] decides which machine is maintained next, and [`upkeep`] orders it down.
 //! * [`handover`] keeps a new holder off machines that were just ordered.
+//! * [`policy`] holds what these decisions are tuned by.
 //! * [`need`] works out how many machines each pool needs, and [`pools`]
 //!   decides which machine changes its pool; [`moves`] brings it there.
 
@@ -40,6 +41,7 @@
 pub mod need;
 pub mod order;
 pub mod place;
+pub mod policy;
 pub mod pools;
 pub mod sched;
 pub mod settle;
@@ -53,6 +55,7 @@
 pub use config::{QueueConfig, SchedConfig, ServiceConfig};
 pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
 pub use machine::{Machine, MachineReply, MachineState};
+pub use policy::Policy;
 pub use sched::Scheduler;
 pub use spec::{JobKey, JobSpec, Repeat, StepSpec, TaskId};
 pub use types::{Action, Batch, Event, Limits, Record, ShownJob, StartReply, StopReply};
--- a/crates/workswood-core/src/jobs/moves.rs
+++ b/crates/workswood-core/src/jobs/moves.rs
@@ -12,8 +12,6 @@
 use super::types::Action;
 use crate::ids::{HostId, ServiceId};
 
-/// Longest time that a machine is kept from new work before its move is given up.
-const EMPTY_FOR: Duration = Duration::from_millis(2500);
 /// A list of machines may have been asked for this long ago.
 const LIST_LAG: Duration = Duration::from_millis(1200);
 
@@ -76,7 +74,7 @@
         let empty = worker.is_none_or(|w| w.runs.is_empty());
         match v.sent {
             None if empty => Some(Due::Order),
-            None => (self.now > v.since + EMPTY_FOR).then_some(Due::GiveUp),
+            None => (self.now > v.since + self.policy.pools.empty_for).then_some(Due::GiveUp),
             Some(at) => (at + ORDER_AGAIN < self.now).then_some(Due::Order),
         }
     }
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -3,30 +3,12 @@
 //! The need comes from what runs, what waits and what came in lately. It rises
 //! at once and falls slowly, at two speeds: demand that fell often comes back.
 
-use std::time::Duration;
-
 use super::job::Job;
 use super::order::{Standing, Waiting, work_left};
 use super::sched::Scheduler;
 use super::spec::{Room, StepSpec};
 use crate::ids::ServiceId;
 
-/// Share of a machine's room that is planned to be in use.
-const FULL: f64 = 0.85;
-/// How much a waiting task counts whose job is late: it is worth little, but
-/// it was accepted.
-const LATE: f64 = 0.3;
-/// Work that came in within this time tells how much there will be to do,
-/// before it shows in what runs: tasks of later steps are not waiting yet.
-const ARRIVALS: Duration = Duration::from_millis(1500);
-/// How fast the need falls that counts when another pool is short, as a share of
-/// all machines a second: a machine that is idle here is wanted there. At 0.11,
-/// 147 machines were kept for a load of 32.
-const LEND_PER_S: f64 = 0.3;
-/// How fast the need falls that counts when machines are turned off, likewise:
-/// the next turn of demand may come soon.
-const FORGET_PER_S: f64 = 0.08;
-
 /// Need of a service in machines, falling from its peaks at two speeds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Need {
@@ -43,10 +25,11 @@
     pub(super) fn work_out_need(&mut self) {
         let passed = self.now.saturating_sub(self.pools.worked_out).as_secs_f64();
         self.pools.worked_out = self.now;
-        let since = self.now.saturating_sub(ARRIVALS);
+        let since = self.now.saturating_sub(self.policy.need.arrivals);
         self.pools.arrivals.values_mut().for_each(|list| list.retain(|(at, _)| *at >= since));
         let all = self.machines.len() as f64;
-        let (lend_falls, keep_falls) = (passed * LEND_PER_S * all, passed * FORGET_PER_S * all);
+        let policy = &self.policy.need;
+        let (lend_falls, keep_falls) = (passed * policy.lend_per_s * all, passed * policy.forget_per_s * all);
         let services: Vec<ServiceId> = self.config.services.keys().cloned().collect();
         for s in services {
             let need = self.need_after(&s, lend_falls, keep_falls);
@@ -77,10 +60,11 @@
         if size.cpu_millis == 0 {
             return if wanted == Room::default() { f64::from(apart) } else { f64::from(apart.max(1)) };
         }
-        let cpu = (wanted.cpu_millis as f64 + late.cpu_millis as f64 * LATE) / size.cpu_millis as f64;
-        let mem = (wanted.mem_mb as f64 + late.mem_mb as f64 * LATE) / size.mem_mb.max(1) as f64;
+        let policy = &self.policy.need;
+        let cpu = (wanted.cpu_millis as f64 + late.cpu_millis as f64 * policy.late) / size.cpu_millis as f64;
+        let mem = (wanted.mem_mb as f64 + late.mem_mb as f64 * policy.late) / size.mem_mb.max(1) as f64;
         let offered = self.offered(service) * 1000.0 / size.cpu_millis as f64;
-        (cpu.max(mem).max(offered) / FULL).max(f64::from(apart))
+        (cpu.max(mem).max(offered) / policy.full).max(f64::from(apart))
     }
 
     /// Room that runs take in a service, and the room of its largest worker.
@@ -124,7 +108,8 @@
         if job.spec.lasts() || job.rounds.is_empty() {
             return;
         }
-        let took = |n: usize| self.durations.expect(&job.spec.queue, job.spec.steps[n].estimate);
+        let took =
+            |n: usize| self.durations.expect(&job.spec.queue, job.spec.steps[n].estimate, &self.policy.order);
         let work = work_left(job, 0, &took);
         let list = self.pools.arrivals.entry(job.spec.service.clone()).or_default();
         list.push_back((self.now, work));
@@ -132,9 +117,10 @@
 
     /// Cores that would be busy if work came in as it did lately.
     fn offered(&self, service: &ServiceId) -> f64 {
+        let window = self.policy.need.arrivals;
         let list = self.pools.arrivals.get(service);
-        let recent = list.into_iter().flatten().filter(|(at, _)| *at + ARRIVALS > self.now);
+        let recent = list.into_iter().flatten().filter(|(at, _)| *at + window > self.now);
         let work: u64 = recent.map(|(_, work)| work).sum();
-        work as f64 / ARRIVALS.as_millis() as f64
+        work as f64 / window.as_millis() as f64
     }
 }
--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -14,20 +14,10 @@
 
 use super::config::QueueConfig;
 use super::job::Job;
+use super::policy::OrderPolicy;
 use super::spec::{JobSpec, QueueId, TaskId};
 use crate::ids::UnixMs;
 
-/// A task that is done this many multiples of its time after it was owed is
-/// worth nothing.
-const LATE_UNTIL: f64 = 3.0;
-/// Ends after which the mean of a queue is trusted as much as an estimate.
-const ENOUGH_ENDS: u32 = 8;
-/// Weight of the newest end in the mean of a queue: about the last 30 count.
-const NEWEST: f64 = 1.0 / 30.0;
-/// By how many milliseconds a core-millisecond of work left puts a job off
-/// that is in time. With more, more jobs are in time when there is too much to
-/// do; with less, large jobs are served as often as small ones.
-const SIZE_WEIGHT: f64 = 0.6;
 /// Guess for a step without an estimate, before any task has ended.
 const NO_ESTIMATE: Duration = Duration::from_millis(1000);
 
@@ -135,20 +125,20 @@
 
 impl Durations {
     /// Takes in how long a task took that is done.
-    pub fn observe(&mut self, queue: &str, took: Duration) {
+    pub fn observe(&mut self, queue: &str, took: Duration, policy: &OrderPolicy) {
         let ms = took.as_secs_f64() * 1000.0;
         let (n, mean) = self.by_queue.entry(queue.to_string()).or_insert((0, ms));
         *n += 1;
-        let weight = NEWEST.max(1.0 / f64::from(*n));
+        let weight = policy.newest.max(1.0 / f64::from(*n));
         *mean += (ms - *mean) * weight;
     }
 
     /// How long a task with this estimate will take: between what the caller
     /// guessed and what the queue has shown, since both are far off at times.
-    pub fn expect(&self, queue: &str, estimate: Duration) -> Duration {
+    pub fn expect(&self, queue: &str, estimate: Duration, policy: &OrderPolicy) -> Duration {
         let guess = if estimate.is_zero() { NO_ESTIMATE } else { estimate };
         match self.by_queue.get(queue) {
-            Some((n, mean)) if *n >= ENOUGH_ENDS => {
+            Some((n, mean)) if *n >= policy.enough_ends => {
                 let guess = guess.as_secs_f64() * 1000.0;
                 Duration::from_secs_f64((guess * mean).sqrt() / 1000.0)
             }
@@ -181,16 +171,17 @@
     id: &TaskId,
     queue: Option<&QueueConfig>,
     known: &Durations,
+    policy: &OrderPolicy,
     now: UnixMs,
 ) -> (Place, Dues) {
     let spec = &job.spec;
-    let took = |n: usize| known.expect(&spec.queue, spec.steps[n].estimate);
+    let took = |n: usize| known.expect(&spec.queue, spec.steps[n].estimate, policy);
     let lasting = job.step(id).is_some_and(|s| s.lasting);
     let begin = spec.accepted.max(spec.due(id.round));
     let owed = owed_after(spec, queue, &took);
     let left = chain_from(spec, usize::from(id.step), &took).as_millis() as u64;
     let end = begin + owed.as_millis() as u64;
-    let end_late = begin + owed.mul_f64(LATE_UNTIL).as_millis() as u64;
+    let end_late = begin + owed.mul_f64(policy.late_until).as_millis() as u64;
     let dues = if lasting {
         Dues { begin, in_time: UnixMs::MAX, late: UnixMs::MAX }
     } else {
@@ -200,7 +191,7 @@
     let rank = match standing {
         _ if lasting => 0,
         Standing::InTime => {
-            let size = work_left(job, id.round, &took) as f64 * SIZE_WEIGHT;
+            let size = work_left(job, id.round, &took) as f64 * policy.size_weight;
             dues.in_time + size as u64
         }
         Standing::Late | Standing::Void => begin,
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -11,11 +11,6 @@
 use crate::ids::ServiceId;
 use crate::invariant;
 
-/// Steps without a place that are looked at before a pass gives up, lasting
-/// ones apart. Smaller tasks behind may fit where larger ones don't; with many
-/// of them the large ones would never find room.
-const MOST_MISSES: usize = 8;
-
 impl Scheduler {
     /// Places waiting tasks of a service, most urgent first.
     pub(super) fn place(&mut self, service: &ServiceId) {
@@ -29,7 +24,7 @@
         let mut missed: HashSet<(JobKey, u32, u16)> = HashSet::new();
         let mut misses = 0;
         for id in ids {
-            if misses >= MOST_MISSES || workers.is_empty() {
+            if misses >= self.policy.placement.most_misses || workers.is_empty() {
                 break;
             }
             let alike = (id.job, id.round, id.step);
--- /dev/null
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -0,0 +1,315 @@
+//! What the scheduler's decisions are tuned by.
+//!
+//! Each mechanism that decides reads its limits, weights and thresholds from a
+//! [`Policy`]. The defaults are what was measured to serve callers best; a
+//! settings file may change single values, to try them out or to switch a
+//! mechanism off.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// All that the scheduler's decisions are tuned by.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Which waiting task is next.
+    pub order: OrderPolicy,
+    /// Which worker a task is started on.
+    pub placement: PlacementPolicy,
+    /// How many machines a pool needs.
+    pub need: NeedPolicy,
+    /// Which machines change their pool.
+    pub pools: PoolPolicy,
+    /// When machines are maintained.
+    pub waves: WavePolicy,
+    /// Which workers are believed and used.
+    pub health: HealthPolicy,
+    /// How fast filling tasks work.
+    pub pace: PacePolicy,
+}
+
+/// Which waiting task is next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OrderPolicy {
+    /// A job that is done this many multiples of its time after it was owed is
+    /// worth nothing.
+    pub late_until: f64,
+    /// Ends after which the mean of a queue is trusted as much as an estimate.
+    pub enough_ends: u32,
+    /// Weight of the newest end in the mean of a queue: about the last 30 count.
+    pub newest: f64,
+    /// By how many milliseconds a core-millisecond of work left puts a job off
+    /// that is in time. With more, more jobs are in time when there is too much
+    /// to do; with less, large jobs are served as often as small ones.
+    pub size_weight: f64,
+}
+
+impl Default for OrderPolicy {
+    fn default() -> OrderPolicy {
+        OrderPolicy { late_until: 3.0, enough_ends: 8, newest: 1.0 / 30.0, size_weight: 0.6 }
+    }
+}
+
+/// Which worker a task is started on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacementPolicy {
+    /// Steps without a place that are looked at before a pass gives up, lasting
+    /// ones apart. Smaller tasks behind may fit where larger ones don't; with
+    /// many of them the large ones would never find room.
+    pub most_misses: usize,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> PlacementPolicy {
+        PlacementPolicy { most_misses: 8 }
+    }
+}
+
+/// How many machines a pool needs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NeedPolicy {
+    /// Share of a machine's room that is planned to be in use.
+    pub full: f64,
+    /// How much a waiting task counts whose job is late: it is worth little,
+    /// but it was accepted.
+    pub late: f64,
+    /// Work that came in within this time tells how much there will be to do,
+    /// before it shows in what runs: tasks of later steps are not waiting yet.
+    #[serde(with = "humantime_serde")]
+    pub arrivals: Duration,
+    /// How fast the need falls that counts when another pool is short, as a
+    /// share of all machines a second: a machine that is idle here is wanted
+    /// there. At 0.11, 147 machines were kept for a load of 32.
+    pub lend_per_s: f64,
+    /// How fast the need falls that counts when machines are turned off,
+    /// likewise: the next turn of demand may come soon.
+    pub forget_per_s: f64,
+}
+
+impl Default for NeedPolicy {
+    fn default() -> NeedPolicy {
+        NeedPolicy {
+            full: 0.85,
+            late: 0.3,
+            arrivals: Duration::from_millis(1500),
+            lend_per_s: 0.3,
+            forget_per_s: 0.08,
+        }
+    }
+}
+
+/// Which machines change their pool.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PoolPolicy {
+    /// Machines that a pool keeps above its need, as a share of all machines.
+    pub margin: f64,
+    /// A pool gives machines up only when it has more than it needs by this
+    /// share of all machines.
+    pub surplus: f64,
+    /// A machine that has come to a pool stays there for this long.
+    #[serde(with = "humantime_serde")]
+    pub stays: Duration,
+    /// Share of all machines that may be under way at a time. A turn of demand
+    /// wants several times a pool's machines within a task's time; found as 12
+    /// on 50 machines.
+    pub most_moves: f64,
+    /// Longest time that a machine is kept from new work before its move is
+    /// given up.
+    #[serde(with = "humantime_serde")]
+    pub empty_for: Duration,
+}
+
+impl Default for PoolPolicy {
+    fn default() -> PoolPolicy {
+        PoolPolicy {
+            margin: 0.02,
+            surplus: 0.04,
+            stays: Duration::from_millis(2500),
+            most_moves: 0.25,
+            empty_for: Duration::from_millis(2500),
+        }
+    }
+}
+
+/// When machines are maintained.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WavePolicy {
+    /// Share of a wave's time that is planned for; the rest is for machines
+    /// that come back late.
+    pub use_of_time: f64,
+    /// A machine is begun this long before it has to be finished: emptying, and
+    /// the maintenance itself.
+    #[serde(with = "humantime_serde")]
+    pub ahead: Duration,
+    /// Longest time that short tasks are given to end before a machine goes down.
+    #[serde(with = "humantime_serde")]
+    pub empty_for: Duration,
+}
+
+impl Default for WavePolicy {
+    fn default() -> WavePolicy {
+        WavePolicy {
+            use_of_time: 0.35,
+            ahead: Duration::from_millis(4000),
+            empty_for: Duration::from_millis(3500),
+        }
+    }
+}
+
+/// Which workers are believed and used.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HealthPolicy {
+    /// What a worker said last is believed for this long when budgets are
+    /// counted: a look waits 0.9 s for news, and an answer needs some time on a
+    /// busy host. A worker that has been silent for longer may have lost what
+    /// it ran.
+    #[serde(with = "humantime_serde")]
+    pub believed_for: Duration,
+    /// A running task whose progress stands still for this long is taken to be
+    /// stuck. Twice the look interval plus a second for slow workers.
+    #[serde(with = "humantime_serde")]
+    pub stuck_after: Duration,
+    /// Share of its estimated time that a task may go without progress beyond
+    /// that: three times what a percent takes.
+    pub stuck_share: f64,
+    /// A worker that turned a start down as unwell gets no work for this long;
+    /// about one look.
+    #[serde(with = "humantime_serde")]
+    pub unwell_for: Duration,
+    /// A worker that refused a start gets no work for this long; a few looks.
+    #[serde(with = "humantime_serde")]
+    pub refused_for: Duration,
+    /// Faults of different jobs, with nothing done in between, after which a
+    /// worker is shunned. One alone is more often the job's own.
+    pub faults_to_shun: u32,
+    /// How long a worker is shunned for each fault in a row.
+    #[serde(with = "humantime_serde")]
+    pub shun_for: Duration,
+    /// Longest time that a worker is shunned before it is tried again.
+    #[serde(with = "humantime_serde")]
+    pub shun_at_most: Duration,
+    /// At most one of this many workers of a service is shunned at a time.
+    pub shun_one_of: usize,
+}
+
+impl Default for HealthPolicy {
+    fn default() -> HealthPolicy {
+        HealthPolicy {
+            believed_for: Duration::from_millis(1500),
+            stuck_after: Duration::from_millis(2500),
+            stuck_share: 0.03,
+            unwell_for: Duration::from_millis(1000),
+            refused_for: Duration::from_millis(400),
+            faults_to_shun: 2,
+            shun_for: Duration::from_millis(2500),
+            shun_at_most: Duration::from_secs(15),
+            shun_one_of: 3,
+        }
+    }
+}
+
+/// How fast filling tasks work beside tasks that serve users.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PacePolicy {
+    /// Above this share of its target a serving task is in danger.
+    pub danger: f64,
+    /// Below this share of its target a serving task has room to spare.
+    pub ease: f64,
+    /// By how much the pace rises a look, in percent.
+    pub step: u32,
+    /// A pace below this, in percent, is no pace: the task waits.
+    pub least: u32,
+}
+
+impl Default for PacePolicy {
+    fn default() -> PacePolicy {
+        PacePolicy { danger: 0.85, ease: 0.55, step: 15, least: 15 }
+    }
+}
+
+/// Longest time that a policy may name; more is a slip of the pen.
+const LONGEST: Duration = Duration::from_secs(600);
+
+impl Policy {
+    /// Checks that each value is one that the scheduler can work with.
+    pub fn check(&self) -> Result<(), String> {
+        self.check_shares()?;
+        self.check_factors()?;
+        self.check_counts()?;
+        self.check_times()
+    }
+
+    /// Shares lie above 0, and at 1 at most.
+    fn check_shares(&self) -> Result<(), String> {
+        let shares = [
+            ("order.newest", self.order.newest),
+            ("need.full", self.need.full),
+            ("pools.most_moves", self.pools.most_moves),
+            ("waves.use_of_time", self.waves.use_of_time),
+            ("pace.danger", self.pace.danger),
+            ("pace.ease", self.pace.ease),
+        ];
+        let bad = shares.into_iter().find(|(_, v)| !(*v > 0.0 && *v <= 1.0));
+        bad.map_or(Ok(()), |(name, v)| Err(format!("`policy.{name}` must be above 0 and at most 1, not {v}")))
+    }
+
+    /// Factors and rates are not negative.
+    fn check_factors(&self) -> Result<(), String> {
+        let factors = [
+            ("order.late_until", self.order.late_until),
+            ("order.size_weight", self.order.size_weight),
+            ("need.late", self.need.late),
+            ("need.lend_per_s", self.need.lend_per_s),
+            ("need.forget_per_s", self.need.forget_per_s),
+            ("pools.margin", self.pools.margin),
+            ("pools.surplus", self.pools.surplus),
+            ("health.stuck_share", self.health.stuck_share),
+        ];
+        let bad = factors.into_iter().find(|(_, v)| !(*v >= 0.0 && v.is_finite()));
+        bad.map_or(Ok(()), |(name, v)| Err(format!("`policy.{name}` must not be negative, as {v} is")))
+    }
+
+    /// Counts are at least one.
+    fn check_counts(&self) -> Result<(), String> {
+        let counts = [
+            ("order.enough_ends", self.order.enough_ends as usize),
+            ("placement.most_misses", self.placement.most_misses),
+            ("health.faults_to_shun", self.health.faults_to_shun as usize),
+            ("health.shun_one_of", self.health.shun_one_of),
+        ];
+        let bad = counts.into_iter().find(|(_, v)| *v == 0);
+        bad.map_or(Ok(()), |(name, _)| Err(format!("`policy.{name}` must be at least 1")))
+    }
+
+    /// Times are below a bound.
+    fn check_times(&self) -> Result<(), String> {
+        let times = [
+            ("need.arrivals", self.need.arrivals),
+            ("pools.stays", self.pools.stays),
+            ("pools.empty_for", self.pools.empty_for),
+            ("waves.ahead", self.waves.ahead),
+            ("waves.empty_for", self.waves.empty_for),
+            ("health.believed_for", self.health.believed_for),
+            ("health.stuck_after", self.health.stuck_after),
+            ("health.unwell_for", self.health.unwell_for),
+            ("health.refused_for", self.health.refused_for),
+            ("health.shun_for", self.health.shun_for),
+            ("health.shun_at_most", self.health.shun_at_most),
+        ];
+        if self.need.arrivals.is_zero() {
+            return Err("`policy.need.arrivals` must be above 0".to_string());
+        }
+        let bad = times.into_iter().find(|(_, v)| *v > LONGEST);
+        bad.map_or(Ok(()), |(name, _)| {
+            Err(format!("`policy.{name}` must be at most {} s", LONGEST.as_secs()))
+        })
+    }
+}
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -17,16 +17,6 @@
 use super::sched::Scheduler;
 use crate::ids::{HostId, ServiceId};
 
-/// Machines that a pool keeps above its need, as a share of all machines.
-const MARGIN: f64 = 0.02;
-/// A pool gives machines up only when it has more than it needs by this share
-/// of all machines.
-const SURPLUS: f64 = 0.04;
-/// A machine that has come to a pool stays there for this long.
-const STAYS: Duration = Duration::from_millis(2500);
-/// Share of all machines that may be under way at a time. A turn of demand wants
-/// several times a pool's machines within a task's time; found as 12 on 50 machines.
-const MOST_MOVES: f64 = 0.25;
 /// Time between two lines of the log on each pool.
 const NOTE_EVERY: Duration = Duration::from_secs(1);
 
@@ -80,7 +70,7 @@
 
     /// Machines that a pool keeps above its need.
     fn margin(&self) -> f64 {
-        self.machines_share(MARGIN)
+        self.machines_share(self.policy.pools.margin)
     }
 
     /// Goes on with moves, and decides on new ones.
@@ -163,7 +153,7 @@
 
     /// Whether as many machines are under way as may be.
     fn most_moves_begun(&self) -> bool {
-        self.pools.moving.len() as f64 >= self.machines_share(MOST_MOVES)
+        self.pools.moving.len() as f64 >= self.machines_share(self.policy.pools.most_moves)
     }
 
     /// Brings machines to pools that are short of them.
@@ -212,14 +202,17 @@
     /// some time.
     fn stands_empty(&self, m: &Machine) -> bool {
         let worker = self.worker_on(&m.name).and_then(|id| self.workers.get(&id));
-        worker.is_some_and(|w| w.known_since + STAYS <= self.now && w.reachable && w.runs.is_empty())
+        worker.is_some_and(|w| {
+            w.known_since + self.policy.pools.stays <= self.now && w.reachable && w.runs.is_empty()
+        })
     }
 
     /// Sends machines off that their pools have not needed for some time.
     fn trim_pools(&mut self, spare: &ServiceId) {
         for s in self.working_services() {
             let pool = self.pool(&s);
-            let keeps = (pool.need.keep + self.margin()).ceil() + self.machines_share(SURPLUS);
+            let keeps =
+                (pool.need.keep + self.margin()).ceil() + self.machines_share(self.policy.pools.surplus);
             if pool.have < keeps {
                 continue;
             }
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -9,6 +9,7 @@
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
 use super::machine::Machine;
 use super::order::{Durations, Waiting, place_of};
+use super::policy::Policy;
 use super::pools::PoolState;
 use super::spec::{JobKey, JobSpec, QueueId, TaskId};
 use super::types::{Action, Batch, Event, LEASE_SLACK, Limits, Record, ShownJob};
@@ -29,6 +30,8 @@
     pub token: Term,
     /// Bounds.
     pub limits: Limits,
+    /// What decisions are tuned by.
+    pub policy: Policy,
     /// What is in force.
     pub config: Arc<SchedConfig>,
     /// Jobs that are known.
@@ -82,6 +85,7 @@
             since,
             token,
             limits,
+            policy: Policy::default(),
             config: Arc::default(),
             jobs: HashMap::new(),
             workers: HashMap::new(),
@@ -278,7 +282,7 @@
         let service = job.spec.service.clone();
         let waiting = self.ready.entry(service.clone()).or_default();
         for id in ids {
-            let (place, dues) = place_of(job, id, queue, &self.durations, self.wall);
+            let (place, dues) = place_of(job, id, queue, &self.durations, &self.policy.order, self.wall);
             waiting.insert(place, dues);
         }
         self.place_again.insert(service);
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -14,16 +14,8 @@
 use super::types::{Action, StartReply, StopReply};
 use super::worker::{Worker, WorkerInfo};
 
-/// A running task whose progress stands still for this long is taken to be
-/// stuck. Twice the look interval plus a second for slow workers.
-const STUCK_AFTER: Duration = Duration::from_millis(2500);
 /// A stop without an effect is sent again after this time.
 const STOP_AGAIN: Duration = Duration::from_millis(1000);
-/// A worker that turned a start down as unwell gets no work for this long;
-/// about one look.
-const UNWELL_FOR: Duration = Duration::from_millis(1000);
-/// A worker that refused a start gets no work for this long; a few looks.
-const REFUSED_FOR: Duration = Duration::from_millis(400);
 
 /// Worker, task and number of a run.
 type RunName = (WorkerId, TaskId, u32);
@@ -31,9 +23,6 @@
 /// Looks that may be under way when a stop is taken; the stop is sent again
 /// only after as many looks without an effect.
 const LOOKS_AFTER_STOP: u32 = 4;
-/// Share of its estimated time that a task may go without progress: three
-/// times what a percent takes.
-const STUCK_SHARE: f64 = 0.03;
 
 impl Scheduler {
     /// Takes a worker in that is listed, new or changed.
@@ -206,9 +195,9 @@
     /// Keeps new work away for a while from a worker that refused a start.
     fn shun_after_refusal(&mut self, id: &WorkerId, reply: StartReply) {
         let shun_for = match reply {
-            StartReply::Unwell => UNWELL_FOR,
+            StartReply::Unwell => self.policy.health.unwell_for,
             // Its room is not what we think: a look will tell.
-            StartReply::Refused => REFUSED_FOR,
+            StartReply::Refused => self.policy.health.refused_for,
             StartReply::Taken
             | StartReply::Unsure
             | StartReply::NoAnswer
@@ -291,7 +280,7 @@
                     Phase::Stopped if run.phase_at + STOP_AGAIN * LOOKS_AFTER_STOP < self.now => {
                         stops.push((id.clone(), *task, *attempt));
                     }
-                    Phase::Running if stands_still(w, step, run, self.now) => {
+                    Phase::Running if self.stands_still(w, step, run) => {
                         stuck.push((id.clone(), *task, *attempt));
                     }
                     _ => {}
@@ -300,15 +289,16 @@
         }
         (stops, stuck)
     }
-}
 
-/// Whether a run makes no progress although its worker answers. Members of a
-/// gang wait for each other, and a lasting task past its warm-up has no more
-/// progress to make.
-fn stands_still(w: &Worker, step: &StepSpec, run: &Run, now: Duration) -> bool {
-    // Progress is told in whole percent: a long task shows none for a while.
-    let limit = run.progressed + STUCK_AFTER + step.estimate.mul_f64(STUCK_SHARE);
-    let slowed = run.pace < FULL_PACE;
-    let working = slowed || step.lasting && run.percent >= 100;
-    limit < now && !working && !step.gang && w.heard > limit
+    /// Whether a run makes no progress although its worker answers. Members of a
+    /// gang wait for each other, and a lasting task past its warm-up has no more
+    /// progress to make.
+    fn stands_still(&self, w: &Worker, step: &StepSpec, run: &Run) -> bool {
+        let policy = &self.policy.health;
+        // Progress is told in whole percent: a long task shows none for a while.
+        let limit = run.progressed + policy.stuck_after + step.estimate.mul_f64(policy.stuck_share);
+        let slowed = run.pace < FULL_PACE;
+        let working = slowed || step.lasting && run.percent >= 100;
+        limit < self.now && !working && !step.gang && w.heard > limit
+    }
 }
--- a/crates/workswood-core/src/jobs/share.rs
+++ b/crates/workswood-core/src/jobs/share.rs
@@ -6,19 +6,11 @@
 //! figures are far below.
 
 use super::job::{FULL_PACE, Phase, Run, WorkerId};
+use super::policy::PacePolicy;
 use super::sched::Scheduler;
 use super::spec::TaskId;
 use super::types::Action;
 
-/// Above this share of its target a serving task is in danger.
-const DANGER: f64 = 0.85;
-/// Below this share of its target a serving task has room to spare.
-const EASE: f64 = 0.55;
-/// By how much the pace rises a look, in percent.
-const PACE_STEP: u32 = 15;
-/// A pace below this is no pace: the task waits.
-const LEAST_PACE: u32 = 15;
-
 impl Scheduler {
     /// Sets the pace of the filling tasks of a worker after a look.
     pub(super) fn share_worker(&mut self, id: &WorkerId) {
@@ -32,7 +24,7 @@
             let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(&task)) else { continue };
             let running = |r: &&mut Run| r.worker == *id && r.phase == Phase::Running;
             let Some(run) = t.runs.iter_mut().find(running) else { continue };
-            let pace = next_pace(run.pace, load);
+            let pace = next_pace(run.pace, load, &self.policy.pace);
             if pace != run.pace {
                 run.pace = pace;
                 let attempt = run.attempt;
@@ -54,14 +46,14 @@
 }
 
 /// The next pace of a filling task, from the largest load of a neighbour.
-fn next_pace(pace: u32, load: f64) -> u32 {
+fn next_pace(pace: u32, load: f64, policy: &PacePolicy) -> u32 {
     if load > 1.0 {
         let less = pace / 3;
-        return if less < LEAST_PACE { 0 } else { less };
+        return if less < policy.least { 0 } else { less };
     }
-    if load > DANGER {
+    if load > policy.danger {
         let less = pace * 2 / 3;
-        return if less < LEAST_PACE { 0 } else { less };
+        return if less < policy.least { 0 } else { less };
     }
-    if load < EASE { (pace + PACE_STEP).min(FULL_PACE) } else { pace }
+    if load < policy.ease { (pace + policy.step).min(FULL_PACE) } else { pace }
 }
--- a/crates/workswood-core/src/jobs/upkeep.rs
+++ b/crates/workswood-core/src/jobs/upkeep.rs
@@ -12,9 +12,6 @@
 use super::wave::WaveState;
 use crate::ids::HostId;
 
-/// Longest time that short tasks are given to end before a machine goes down.
-const EMPTY_FOR: Duration = Duration::from_millis(3500);
-
 impl Scheduler {
     /// Sends orders again that have had no outcome.
     pub(super) fn order_again(&mut self, n: u64) {
@@ -38,7 +35,7 @@
             let worker = self.worker_on(&m);
             let lasting = worker.as_ref().map_or(0, |id| self.evict_within_budget(id));
             let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
-            let waited = self.now >= at + EMPTY_FOR;
+            let waited = self.now >= at + self.policy.waves.empty_for;
             let ready = self.takes_orders(n, &m) && self.may_order(&m);
             if room == 0 || lasting > 0 || (runs > 0 && !waited) || !ready {
                 continue;
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -12,6 +12,7 @@
 
 use super::job::WorkerId;
 use super::machine::{Machine, MachineState};
+use super::policy::WavePolicy;
 use super::sched::Scheduler;
 use super::worker::Worker;
 use crate::ids::HostId;
@@ -19,12 +20,6 @@
 /// A machine that is off is listed as under maintenance within this time
 /// after its order was confirmed, if it is at all.
 const OFF_SETTLES: Duration = Duration::from_millis(1500);
-/// Share of a wave's time that is planned for; the rest is for machines that
-/// come back late.
-const USE_OF_TIME: f64 = 0.35;
-/// A machine is begun this long before it has to be finished: emptying, and the
-/// maintenance itself.
-const AHEAD: Duration = Duration::from_millis(4000);
 
 /// A wave, as operators ask for it.
 #[derive(Clone, Debug, PartialEq)]
@@ -93,9 +88,9 @@
     }
 
     /// How many machines should be finished or under way by now.
-    fn planned(&self, now: Duration) -> usize {
-        let passed = now.saturating_sub(self.heard).as_secs_f64() + AHEAD.as_secs_f64();
-        let within = self.wave.within.as_secs_f64() * USE_OF_TIME;
+    fn planned(&self, now: Duration, policy: &WavePolicy) -> usize {
+        let passed = now.saturating_sub(self.heard).as_secs_f64() + policy.ahead.as_secs_f64();
+        let within = self.wave.within.as_secs_f64() * policy.use_of_time;
         let share = if within > 0.0 { (passed / within).min(1.0) } else { 1.0 };
         (self.wave.machines.len() as f64 * share).ceil() as usize
     }
@@ -252,7 +247,8 @@
         let Some(w) = self.waves.get(&n) else { return };
         let begun = w.emptying.len() + w.down_now();
         let mut room = w.wave.most_at_once.max(1).saturating_sub(begun);
-        let mut behind = w.planned(self.now).saturating_sub(w.record.finished.len() + begun);
+        let mut behind =
+            w.planned(self.now, &self.policy.waves).saturating_sub(w.record.finished.len() + begun);
         let waiting = w.wave.machines.iter().filter(|m| w.waits(m) && !self.pools.moving.contains_key(*m));
         let mut waiting: Vec<(usize, u64, HostId)> = waiting.map(|m| self.load_on(m)).collect();
         waiting.sort();
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -52,6 +52,7 @@
     node.store_is_up();
     let inbox_next = inbox.next;
     let mut sched = Scheduler::new(term, limits(node), since, node.wall());
+    sched.policy = node.settings.policy.clone();
     sched.now = node.now();
     if let Some(cfg) = node.config.load_full() {
         sched.handle(Event::Config(cfg));
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::DataCentre;
+use workswood_core::jobs::Policy;
 use workswood_core::jobs::claim::{self, Strength};
 
 use super::errors::Result;
@@ -57,6 +58,9 @@
     /// Least level of log lines: `error`, `warn`, `info` or `debug`.
     #[serde(default = "default_level")]
     pub log_level: log::LevelFilter,
+    /// What the scheduler's decisions are tuned by.
+    #[serde(default)]
+    pub policy: Policy,
 }
 
 /// A whole core: a host that does not say is taken to be a large one.
@@ -106,7 +110,7 @@
         if !(0.0..=86_400.0).contains(&self.keep_ended_s) {
             return Err("`keep_ended_s` must be between 0 and 86400".to_string());
         }
-        Ok(())
+        self.policy.check()
     }
 
     /// Workers that this host can look after as lease holder.
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use workswood::util::job_settings::JobSettings;
+use workswood_core::jobs::Policy;
 
 const GOOD: &str = r#"{
   "name": "entry-1", "data_centre": "north", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
@@ -49,6 +50,29 @@
     assert!(report.starts_with("error 200"), "{report}");
 }
 
+#[test]
+fn policy_values() {
+    let with = |table: &str| {
+        GOOD.replace("\"stop_within_s\": 6", &format!("\"stop_within_s\": 6, \"policy\": {table}"))
+    };
+    let s = read("policy", &with(r#"{"need": {"full": 0.5, "arrivals": "2s"}}"#)).expect("the file is good");
+    assert_eq!(s.policy.need.full, 0.5);
+    assert_eq!(s.policy.need.arrivals.as_secs(), 2);
+    assert_eq!(s.policy.order, Policy::default().order, "what is not named keeps its default");
+    let cases = [
+        (r#"{"need": {"full": 0}}"#, "policy.need.full"),
+        (r#"{"pools": {"margin": -0.1}}"#, "policy.pools.margin"),
+        (r#"{"health": {"shun_one_of": 0}}"#, "policy.health.shun_one_of"),
+        (r#"{"waves": {"ahead": "3h"}}"#, "policy.waves.ahead"),
+        (r#"{"need": {"arrivals": "0s"}}"#, "policy.need.arrivals"),
+        (r#"{"need": {"colour": 1}}"#, "colour"),
+    ];
+    for (n, (table, named)) in cases.into_iter().enumerate() {
+        let report = read(&format!("policy{n}"), &with(table)).expect_err("the table is bad");
+        assert!(report.starts_with("error 300") && report.contains(named), "{report}");
+    }
+}
+
 #[test]
 fn template_names_known_fields() {
     let template = include_str!("../../deploy/settings.json");
--- a/tests/testsuite/queue_order.rs
+++ b/tests/testsuite/queue_order.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::order::{Durations, Place, Standing, Waiting, place_of};
+use workswood_core::jobs::policy::OrderPolicy;
 use workswood_core::jobs::{Job, JobSpec};
 use workswood_test_support::job_world::{QUEUE, config, job, step};
 
@@ -16,7 +17,7 @@
 fn first_place(j: &Job, now: u64) -> Place {
     let cfg = config();
     let id = j.task_ids()[0];
-    place_of(j, &id, cfg.queues.get(QUEUE), &Durations::default(), now).0
+    place_of(j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), now).0
 }
 
 /// Steps are estimated at 500 ms: one is owed within 1.6 x 500 + 600 ms.
@@ -56,7 +57,8 @@
     let j = opened(1, job(vec![step(1, vec![])], 0));
     let id = j.task_ids()[0];
     let mut waiting = Waiting::default();
-    let (place, dues) = place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), 0);
+    let (place, dues) =
+        place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), 0);
     waiting.insert(place, dues);
     waiting.age(OWED);
     let standings: Vec<Standing> = waiting.places().map(|p| p.standing).collect();
@@ -68,8 +70,9 @@
 #[test]
 fn durations_learned() {
     let mut known = Durations::default();
+    let policy = OrderPolicy::default();
     let guess = Duration::from_millis(400);
-    assert_eq!(known.expect(QUEUE, guess), guess);
-    (0..8).for_each(|_| known.observe(QUEUE, Duration::from_millis(1600)));
-    assert_eq!(known.expect(QUEUE, guess), Duration::from_millis(800), "between both");
+    assert_eq!(known.expect(QUEUE, guess, &policy), guess);
+    (0..8).for_each(|_| known.observe(QUEUE, Duration::from_millis(1600), &policy));
+    assert_eq!(known.expect(QUEUE, guess, &policy), Duration::from_millis(800), "between both");
 }
