Tell from the logs why jobs were late: workswood late

It follows each job from its hand-in to its end and names what it lost most time by: handing it in, no lease holder, no room, waits of later steps, lost runs. The line of a job that becomes known tells what it is owed.

With it, in the tree but switched off until measured: a history of the work that came in for each service, which a new lease holder has from the records, a need that looks ahead, and where lasting tasks are put.

--- /dev/null
+++ b/crates/workswood-core/src/jobs/demand.rs
@@ -0,0 +1,84 @@
+//! How much work came in for a service lately.
+//!
+//! Demand turns among services: one asks for several times its mean for some
+//! seconds, then for next to nothing. What came in is known from the jobs on
+//! record, so a new lease holder knows the history of its predecessors.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// A moment in milliseconds on the scheduler's steady clock; below zero for what
+/// came in before the process began.
+type AtMs = i64;
+
+/// What came in is remembered for this long: as long as ended jobs are kept for
+/// questions on the deployments known to us.
+const REMEMBERED: Duration = Duration::from_secs(120);
+
+/// Work that came in for one service, in the order of its coming.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    /// When, and how many core-milliseconds.
+    came: VecDeque<(AtMs, u64)>,
+    /// The highest rate that any window showed, in cores.
+    highest: f64,
+}
+
+fn to_ms(at: Duration) -> AtMs {
+    at.as_millis() as AtMs
+}
+
+impl Demand {
+    /// Takes in work that came in now; `window` is that of the highest rate.
+    pub fn add(&mut self, now: Duration, work: u64, window: Duration) {
+        let now = to_ms(now);
+        self.came.push_back((now, work));
+        self.note_highest(now, window);
+        self.forget(now);
+    }
+
+    /// Takes in work that came in before this holder began, in any order:
+    /// `ago` before `now`.
+    pub fn restore(&mut self, now: Duration, ago: Duration, work: u64) {
+        self.came.push_back((to_ms(now) - to_ms(ago), work));
+    }
+
+    /// Orders what was restored, and finds the highest rate that it shows.
+    pub fn finish_restore(&mut self, now: Duration, window: Duration) {
+        self.came.make_contiguous().sort_unstable();
+        let ends: Vec<AtMs> = self.came.iter().map(|(at, _)| *at).collect();
+        ends.into_iter().for_each(|at| self.note_highest(at, window));
+        self.forget(to_ms(now));
+    }
+
+    fn note_highest(&mut self, at: AtMs, window: Duration) {
+        self.highest = self.highest.max(self.rate_ms(at - to_ms(window), at));
+    }
+
+    fn forget(&mut self, now: AtMs) {
+        let oldest = now - to_ms(REMEMBERED);
+        while self.came.front().is_some_and(|(at, _)| *at < oldest) {
+            self.came.pop_front();
+        }
+    }
+
+    /// Cores that the work keeps busy that came in for `span` until `ago` before
+    /// now.
+    pub fn rate(&self, now: Duration, ago: Duration, span: Duration) -> f64 {
+        let to = to_ms(now) - to_ms(ago);
+        self.rate_ms(to - to_ms(span), to)
+    }
+
+    /// The highest rate that any window showed, in cores.
+    pub fn highest(&self) -> f64 {
+        self.highest
+    }
+
+    /// Cores that the work keeps busy that came in after `from` until `to`.
+    fn rate_ms(&self, from: AtMs, to: AtMs) -> f64 {
+        let newest_first = self.came.iter().rev().skip_while(|(at, _)| *at > to);
+        let within = newest_first.take_while(|(at, _)| *at > from);
+        let work: u64 = within.map(|(_, work)| work).sum();
+        work as f64 / (to - from).max(1) as f64
+    }
+}
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -32,6 +32,7 @@
 
 pub mod claim;
 pub mod config;
+pub mod demand;
 pub mod ends;
 pub mod evict;
 pub mod handover;
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -3,8 +3,11 @@
 //! The need comes from what runs, what waits and what came in lately. It rises
 //! at once and falls slowly, at two speeds: demand that fell often comes back.
 
+use std::time::Duration;
+
+use super::demand::Demand;
 use super::job::Job;
-use super::order::{Standing, Waiting, work_left};
+use super::order::{Standing, Waiting, whole_work};
 use super::sched::Scheduler;
 use super::spec::{Room, StepSpec};
 use crate::ids::ServiceId;
@@ -14,6 +17,8 @@
 pub struct Need {
     /// What it could use now.
     pub now: f64,
+    /// What it will be able to use when a machine that is sent for now has come.
+    pub soon: f64,
     /// What it keeps when another pool is short.
     pub lend: f64,
     /// What it keeps before machines are turned off.
@@ -25,8 +30,6 @@
     pub(super) fn work_out_need(&mut self) {
         let passed = self.now.saturating_sub(self.pools.worked_out).as_secs_f64();
         self.pools.worked_out = self.now;
-        let since = self.now.saturating_sub(self.policy.need.arrivals);
-        self.pools.arrivals.values_mut().for_each(|list| list.retain(|(at, _)| *at >= since));
         let all = self.machines.len() as f64;
         let policy = &self.policy.need;
         let (lend_falls, keep_falls) = (passed * policy.lend_per_s * all, passed * policy.forget_per_s * all);
@@ -39,7 +42,8 @@
 
     /// Need of a service, when it falls by so many machines at most.
     fn need_after(&mut self, service: &ServiceId, lend_falls: f64, keep_falls: f64) -> Need {
-        let now = self.need_now(service);
+        let now = self.need_with(service, self.offered(service));
+        let soon = self.need_with(service, self.offered_soon(service));
         let before = self.pools.need.get(service).copied().unwrap_or_default();
         // Before its first work, a pool is taken to be of the right size.
         let known = self.pools.worked.contains(service) || now > 0.0;
@@ -48,11 +52,12 @@
         if known {
             self.pools.worked.insert(service.clone());
         }
-        Need { now, lend: lend.max(now), keep: keep.max(now) }
+        Need { now, soon: soon.max(now), lend: lend.max(now), keep: keep.max(now) }
     }
 
-    /// Machines that a service could use at this moment.
-    fn need_now(&self, service: &ServiceId) -> f64 {
+    /// Machines that a service can use while the work that comes in keeps so
+    /// many cores busy.
+    fn need_with(&self, service: &ServiceId, offered: f64) -> f64 {
         let (mut wanted, size) = self.room_in_use(service);
         let (in_time, late) = self.room_waited_for(service);
         wanted.add(&in_time);
@@ -63,7 +68,7 @@
         let policy = &self.policy.need;
         let cpu = (wanted.cpu_millis as f64 + late.cpu_millis as f64 * policy.late) / size.cpu_millis as f64;
         let mem = (wanted.mem_mb as f64 + late.mem_mb as f64 * policy.late) / size.mem_mb.max(1) as f64;
-        let offered = self.offered(service) * 1000.0 / size.cpu_millis as f64;
+        let offered = offered * 1000.0 / size.cpu_millis as f64;
         (cpu.max(mem).max(offered) / policy.full).max(f64::from(apart))
     }
 
@@ -105,22 +110,75 @@
 
     /// Takes in the work of a job that was handed in.
     pub(super) fn work_arrived(&mut self, job: &Job) {
+        let Some(work) = self.work_of(job) else { return };
+        let window = self.policy.need.arrivals;
+        let demand = self.pools.demand.entry(job.spec.service.clone()).or_default();
+        demand.add(self.now, work, window);
+    }
+
+    /// Takes in the work of all jobs on record, which predecessors accepted.
+    pub fn restore_demand(&mut self) {
+        let came: Vec<(ServiceId, Duration, u64)> = self
+            .jobs
+            .values()
+            .filter_map(|j| {
+                let ago = Duration::from_millis(self.wall.saturating_sub(j.spec.accepted));
+                Some((j.spec.service.clone(), ago, self.work_of(j)?))
+            })
+            .collect();
+        let (now, window) = (self.now, self.policy.need.arrivals);
+        for (service, ago, work) in came {
+            self.pools.demand.entry(service).or_default().restore(now, ago, work);
+        }
+        self.pools.demand.values_mut().for_each(|d| d.finish_restore(now, window));
+    }
+
+    /// Work of a job that ends by itself, in core-milliseconds.
+    fn work_of(&self, job: &Job) -> Option<u64> {
         if job.spec.lasts() || job.rounds.is_empty() {
-            return;
+            return None;
         }
         let took =
             |n: usize| self.durations.expect(&job.spec.queue, job.spec.steps[n].estimate, &self.policy.order);
-        let work = work_left(job, 0, &took);
-        let list = self.pools.arrivals.entry(job.spec.service.clone()).or_default();
-        list.push_back((self.now, work));
+        Some(whole_work(&job.spec, &took))
     }
 
-    /// Cores that would be busy if work came in as it did lately.
+    /// Cores that are busy if work goes on coming in as it did lately.
     fn offered(&self, service: &ServiceId) -> f64 {
-        let window = self.policy.need.arrivals;
-        let list = self.pools.arrivals.get(service);
-        let recent = list.into_iter().flatten().filter(|(at, _)| *at + window > self.now);
-        let work: u64 = recent.map(|(_, work)| work).sum();
-        work as f64 / window.as_millis() as f64
+        let demand = self.pools.demand.get(service);
+        demand.map_or(0.0, |d| d.rate(self.now, Duration::ZERO, self.policy.need.arrivals))
+    }
+
+    /// Cores that will be busy if the work that comes in goes on rising, or a
+    /// turn of demand has begun.
+    fn offered_soon(&self, service: &ServiceId) -> f64 {
+        let Some(demand) = self.pools.demand.get(service) else { return 0.0 };
+        let policy = &self.policy.need;
+        let window = policy.arrivals;
+        let recent = self.offered(service);
+        let before = demand.rate(self.now, window, window);
+        // The mean of a window stands for its middle.
+        let ahead = if policy.ahead.is_zero() { 0.0 } else { (policy.ahead + window / 2).as_secs_f64() };
+        let rise = (recent - before).max(0.0) / window.as_secs_f64();
+        let drawn_out = (recent + rise * ahead).min(recent * policy.most_rise);
+        drawn_out.max(self.turn_begun(demand, recent))
+    }
+
+    /// Cores that a turn of demand will ask for that has just begun: a share of
+    /// the highest that this service, or else any, has asked for.
+    fn turn_begun(&self, demand: &Demand, recent: f64) -> f64 {
+        let policy = &self.policy.need;
+        let calm = demand.rate(self.now, policy.arrivals, policy.turn_after);
+        if policy.turn_share == 0.0 || recent < calm * policy.turn_rise {
+            return 0.0;
+        }
+        let size = self.machines.values().map(|m| m.capacity.cpu_millis).max().unwrap_or(0) as f64 / 1000.0;
+        if recent < size * self.machines_share(policy.turn_least) {
+            return 0.0;
+        }
+        let any = self.pools.demand.values().map(Demand::highest).fold(0.0, f64::max);
+        let own = demand.highest();
+        let known = if own >= any * policy.turn_share { own } else { any };
+        known * policy.turn_share
     }
 }
--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -206,6 +206,12 @@
     longest_chain(spec, took).mul_f64(stretch) + target
 }
 
+/// Work of one round of a job, in core-milliseconds.
+pub fn whole_work(spec: &JobSpec, took: &dyn Fn(usize) -> Duration) -> u64 {
+    let steps = spec.steps.iter().enumerate();
+    steps.map(|(n, s)| u64::from(s.count) * s.room.cpu_millis * took(n).as_millis() as u64 / 1000).sum()
+}
+
 /// Work left in a round of a job, in core-milliseconds.
 pub fn work_left(job: &Job, round: u32, took: &dyn Fn(usize) -> Duration) -> u64 {
     let Some(steps) = job.rounds.get(round as usize) else { return 0 };
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -139,7 +139,12 @@
             let labels = w.info.as_ref().map(|i| i.labels.as_slice()).unwrap_or_default();
             !labels.contains(rack)
         });
-        let crowd = if step.fills {
+        let policy = &self.policy.placement;
+        let crowd = if step.fills && policy.fills_beside {
+            usize::from(w.fills.is_empty() && w.serves.is_empty())
+        } else if step.target.is_some() && policy.pack_serving {
+            2 * w.fills.len() + usize::from(w.serves.is_empty())
+        } else if step.fills {
             // Beside others that fill: a machine with one of them is never empty.
             2 * w.serves.len() + usize::from(w.fills.is_empty())
         } else if step.target.is_some() {
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -60,11 +60,15 @@
     /// ones apart. Smaller tasks behind may fit where larger ones don't; with
     /// many of them the large ones would never find room.
     pub most_misses: usize,
+    /// Whether serving tasks go to machines that serve already.
+    pub pack_serving: bool,
+    /// Whether filling tasks go to machines that serve.
+    pub fills_beside: bool,
 }
 
 impl Default for PlacementPolicy {
     fn default() -> PlacementPolicy {
-        PlacementPolicy { most_misses: 8 }
+        PlacementPolicy { most_misses: 8, pack_serving: false, fills_beside: false }
     }
 }
 
@@ -81,6 +85,24 @@
     /// before it shows in what runs: tasks of later steps are not waiting yet.
     #[serde(with = "humantime_serde")]
     pub arrivals: Duration,
+    /// How far ahead a rise of the work that comes in is drawn out: the time
+    /// that a machine needs to get to another pool.
+    #[serde(with = "humantime_serde")]
+    pub ahead: Duration,
+    /// The work that comes in is taken to rise to this multiple at most.
+    pub most_rise: f64,
+    /// A turn of demand has begun when work comes in at this multiple of what
+    /// it did before.
+    pub turn_rise: f64,
+    /// How long that time before is.
+    #[serde(with = "humantime_serde")]
+    pub turn_after: Duration,
+    /// It has to keep this share of all machines busy, lest a single job counts
+    /// as a turn.
+    pub turn_least: f64,
+    /// Share of the highest rate seen that a turn is taken to come to; 0 takes
+    /// none to come.
+    pub turn_share: f64,
     /// How fast the need falls that counts when another pool is short, as a
     /// share of all machines a second: a machine that is idle here is wanted
     /// there. At 0.11, 147 machines were kept for a load of 32.
@@ -96,6 +118,12 @@
             full: 0.85,
             late: 0.3,
             arrivals: Duration::from_millis(1500),
+            ahead: Duration::ZERO,
+            most_rise: 3.0,
+            turn_rise: 3.0,
+            turn_after: Duration::from_secs(8),
+            turn_least: 0.04,
+            turn_share: 0.0,
             lend_per_s: 0.3,
             forget_per_s: 0.08,
         }
@@ -123,12 +151,7 @@
 
 impl Default for PoolPolicy {
     fn default() -> PoolPolicy {
-        PoolPolicy {
-            margin: 0.02,
-            surplus: 0.04,
-            most_moves: 0.25,
-            empty_for: Duration::from_millis(2500),
-        }
+        PoolPolicy { margin: 0.02, surplus: 0.04, most_moves: 0.25, empty_for: Duration::from_millis(2500) }
     }
 }
 
@@ -265,6 +288,10 @@
             ("need.late", self.need.late),
             ("need.lend_per_s", self.need.lend_per_s),
             ("need.forget_per_s", self.need.forget_per_s),
+            ("need.most_rise", self.need.most_rise),
+            ("need.turn_rise", self.need.turn_rise),
+            ("need.turn_least", self.need.turn_least),
+            ("need.turn_share", self.need.turn_share),
             ("pools.margin", self.pools.margin),
             ("pools.surplus", self.pools.surplus),
             ("health.stuck_share", self.health.stuck_share),
@@ -289,6 +316,8 @@
     fn check_times(&self) -> Result<(), String> {
         let times = [
             ("need.arrivals", self.need.arrivals),
+            ("need.ahead", self.need.ahead),
+            ("need.turn_after", self.need.turn_after),
             ("pools.empty_for", self.pools.empty_for),
             ("waves.ahead", self.waves.ahead),
             ("waves.empty_for", self.waves.empty_for),
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -8,9 +8,10 @@
 //! on is in [`moves`](super::moves).
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use super::demand::Demand;
 use super::machine::{Machine, MachineState};
 use super::moves::Moving;
 use super::need::Need;
@@ -31,9 +32,8 @@
     pub(super) impossible: BTreeSet<(HostId, ServiceId)>,
     /// Pools of machines that moved lately; the list may be older than that.
     pub(super) moved: BTreeMap<HostId, (Duration, ServiceId)>,
-    /// Work that came in lately, by service: when, and how many
-    /// core-milliseconds.
-    pub(super) arrivals: BTreeMap<ServiceId, VecDeque<(Duration, u64)>>,
+    /// Work that came in lately, by service.
+    pub(super) demand: BTreeMap<ServiceId, Demand>,
     /// Services that have had work.
     pub(super) worked: BTreeSet<ServiceId>,
     /// When the pools were last noted in the log.
@@ -105,10 +105,10 @@
         let (used, size) = self.room_in_use(service);
         let busy = used.cpu_millis as f64 / size.cpu_millis.max(1) as f64;
         let waiting = self.ready.get(service).map_or(0, |w| w.places().count());
-        let Need { now, lend, keep } = need;
+        let Need { now, soon, lend, keep } = need;
         let moving = self.pools.moving.len();
         format!(
-            "event=pool_state service={service} have={have} busy={busy:.1} need_now={now:.1} \
+            "event=pool_state service={service} have={have} busy={busy:.1} need_now={now:.1} need_soon={soon:.1} \
              need_lend={lend:.1} need_keep={keep:.1} waiting={waiting} moving={moving}"
         )
     }
@@ -148,7 +148,7 @@
     /// Whether a pool has fewer machines than it could use now.
     fn is_short(&self, service: &ServiceId) -> bool {
         let pool = self.pool(service);
-        pool.have < (pool.need.now + self.margin()).ceil()
+        pool.have < (pool.need.soon + self.margin()).ceil()
     }
 
     /// Whether as many machines are under way as may be.
@@ -160,7 +160,7 @@
     fn fill_pools(&mut self, spare: &ServiceId) {
         let mut services = self.working_services();
         // The one that lacks most first, by tenths of a machine.
-        let short = |p: &Pool| ((p.need.now - p.have) * 10.0) as i64;
+        let short = |p: &Pool| ((p.need.soon - p.have) * 10.0) as i64;
         services.sort_by_key(|s| (Reverse(short(&self.pool(s))), s.clone()));
         for s in &services {
             while self.is_short(s) && !self.most_moves_begun() {
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -196,7 +196,12 @@
         if self.jobs.contains_key(&key) {
             return;
         }
-        self.notes.push(format!("event=job_known job={key:016x} queue={}", spec.queue));
+        let (stretch, target) =
+            self.config.queues.get(&spec.queue).map_or((1.0, 0), |q| (q.stretch, q.target.as_millis()));
+        self.notes.push(format!(
+            "event=job_known job={key:016x} queue={} stretch={stretch} target_ms={target}",
+            spec.queue
+        ));
         self.jobs.insert(key, Job::new(key, spec));
         self.dirty.insert(key);
         self.open_due_rounds(key);
--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod explain;
 pub mod jobs;
+pub mod late;
 pub mod plan;
 pub mod soak;
 pub mod status;
@@ -34,6 +35,7 @@
         Entry { cli: apply::cli, exec: apply::exec },
         Entry { cli: status::cli, exec: status::exec },
         Entry { cli: explain::cli, exec: explain::exec },
+        Entry { cli: late::cli, exec: late::exec },
         Entry { cli: dev::cli, exec: dev::exec },
         Entry { cli: bench::cli, exec: bench::exec },
         Entry { cli: soak::cli, exec: soak::exec },
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -65,6 +65,7 @@
         sched.restore_mark(machine);
     }
     restore(&mut sched, inbox, state.jobs);
+    sched.restore_demand();
     for (n, wave) in node.waves.lock().iter() {
         sched.handle(Event::Wave(wave.clone(), state.waves.get(n).cloned()));
     }
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod explain;
 pub mod jobs;
+pub mod late;
 pub mod plan;
 pub mod soak;
 pub mod status;
