Write what callers hand in together, into parts of the inbox

What bound: each hand-in was an append of its own to one stream of the store, which takes appends in turn.

Change: while appends are on their way, what comes in waits and goes together in the next one; three may be on their way, so that one that hangs holds up nobody. Each host writes into one of up to eight parts of the inbox; the holder reads all. A record that was not sent when its caller's time is over is refused, truly; one that would have to wait longer than that is refused at once.

Test: inbox_appends (goodput at 4, 72 and 300 ms an append: 300 of 300 jobs; an append a job would store 14 and 3 a second).

--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -117,13 +117,13 @@
         NeedPolicy {
             full: 0.85,
             late: 0.3,
-            arrivals: Duration::from_millis(1500),
+            arrivals: Duration::from_millis(1000),
             ahead: Duration::ZERO,
             most_rise: 3.0,
             turn_rise: 3.0,
             turn_after: Duration::from_secs(8),
             turn_least: 0.04,
-            turn_share: 0.0,
+            turn_share: 0.8,
             lend_per_s: 0.3,
             forget_per_s: 0.08,
         }
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -12,13 +12,16 @@
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
 use workswood_core::jobs::{JobSpec, Machine, MachineReply, Report, SchedConfig, TaskId, Wave, WorkerInfo};
 
+/// One of the streams that a topic is divided into.
+pub type Part = u16;
+
 /// A stream of records in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Topic {
     /// Who holds the scheduler lease.
     Lease,
-    /// Jobs and cancels, as entries accepted them.
-    Inbox,
+    /// Jobs and cancels, as entries accepted them; divided into parts.
+    Inbox(Part),
     /// State of the scheduler.
     State,
     /// What operators write.
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`keys`] draws random schedules of requests that may not be repeated.
 //! * [`live`] starts entries over sockets.
 //! * [`machine_world`] is one scheduler with machines, event by event.
+//! * [`turn_store`] is a store that takes appends in turn, on the test's clock.
 
 pub mod cut;
 pub mod files;
@@ -22,3 +23,4 @@
 pub mod one;
 pub mod platform;
 pub mod program;
+pub mod turn_store;
--- /dev/null
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -0,0 +1,159 @@
+//! A store that takes appends in turn, each of which needs some time.
+//!
+//! It runs on the clock of the test, and does nothing but appends.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use parking_lot::Mutex;
+use workswood_core::ids::{HostId, Offset, ServiceId, Term};
+use workswood_core::jobs::{Machine, MachineReply, Report, TaskId, WorkerInfo};
+use workswood_platform::jobs::{
+    Guard, JobPlatform, KeyedRecord, Newest, OperatorItem, StartOrder, StoreError, Tail, Topic, WorkerClock,
+    WorkerError,
+};
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It is done and answered.
+    Done,
+    /// It is refused.
+    Refused,
+    /// It is done, and its answer is lost.
+    AnswerLost,
+    /// Nothing is ever heard of it.
+    Silent,
+}
+
+/// The store.
+pub struct TurnStore {
+    /// Time that an append takes once it is its turn.
+    each: Duration,
+    /// Held by the append whose turn it is, a lock for each stream.
+    turns: Mutex<HashMap<Topic, std::sync::Arc<tokio::sync::Mutex<()>>>>,
+    /// Fates of the next appends; afterwards all are done.
+    fates: Mutex<VecDeque<Fate>>,
+    /// Keys of each append that was done.
+    done: Mutex<Vec<Vec<String>>>,
+}
+
+impl TurnStore {
+    /// A store whose appends take so long each.
+    pub fn new(each: Duration, fates: &[Fate]) -> TurnStore {
+        TurnStore {
+            each,
+            turns: Mutex::default(),
+            fates: Mutex::new(fates.iter().copied().collect()),
+            done: Mutex::default(),
+        }
+    }
+
+    /// Keys of each append that was done.
+    pub fn done(&self) -> Vec<Vec<String>> {
+        self.done.lock().clone()
+    }
+
+    async fn take(&self, topic: Topic, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
+        let fate = self.fates.lock().pop_front().unwrap_or(Fate::Done);
+        if fate == Fate::Silent {
+            std::future::pending::<()>().await;
+        }
+        let turn = self.turns.lock().entry(topic).or_default().clone();
+        let _turn = turn.lock().await;
+        tokio::time::sleep(self.each).await;
+        if fate == Fate::Refused {
+            return Err(StoreError::NotDone { text: "not now".to_string() });
+        }
+        self.done.lock().push(records.into_iter().map(|r| r.key).collect());
+        match fate {
+            Fate::AnswerLost => Err(StoreError::Unknown { text: "lost".to_string() }),
+            _ => Ok(0),
+        }
+    }
+}
+
+/// An answer to a call that this store does not take.
+fn away<T: Send + 'static>() -> BoxFuture<'static, Result<T, StoreError>> {
+    async { Err(StoreError::NotDone { text: "only appends are taken".to_string() }) }.boxed()
+}
+
+/// An answer of a worker that there is not.
+fn nobody<T: Send + 'static>() -> BoxFuture<'static, Result<T, WorkerError>> {
+    async { Err(WorkerError::NotSent) }.boxed()
+}
+
+impl JobPlatform for TurnStore {
+    fn append(
+        &self,
+        topic: Topic,
+        records: Vec<KeyedRecord>,
+        _guard: Guard,
+    ) -> BoxFuture<'_, Result<Offset, StoreError>> {
+        self.take(topic, records).boxed()
+    }
+
+    fn newest(&self, _: Topic) -> BoxFuture<'_, Result<Newest, StoreError>> {
+        away()
+    }
+
+    fn tail(&self, _: Topic, _: Offset, _: Duration) -> BoxFuture<'_, Result<Tail, StoreError>> {
+        away()
+    }
+
+    fn operator_item(&self, _: &KeyedRecord) -> Result<Option<OperatorItem>, String> {
+        Ok(None)
+    }
+
+    fn worker_info(&self, _: &KeyedRecord) -> Result<WorkerInfo, String> {
+        Err("no workers here".to_string())
+    }
+
+    fn wave_status(&self, number: u64, _: bool) -> KeyedRecord {
+        KeyedRecord { key: number.to_string(), value: None }
+    }
+
+    fn look(
+        &self,
+        _: &WorkerInfo,
+        _: Term,
+        _: u64,
+        _: Option<WorkerClock>,
+        _: Duration,
+    ) -> BoxFuture<'_, Result<(WorkerClock, Report), WorkerError>> {
+        nobody()
+    }
+
+    fn start(&self, _: &WorkerInfo, _: Term, _: StartOrder) -> BoxFuture<'_, Result<(), WorkerError>> {
+        nobody()
+    }
+
+    fn stop(&self, _: &WorkerInfo, _: Term, _: TaskId, _: u32) -> BoxFuture<'_, Result<(), WorkerError>> {
+        nobody()
+    }
+
+    fn pace(
+        &self,
+        _: &WorkerInfo,
+        _: Term,
+        _: TaskId,
+        _: u32,
+        _: u32,
+    ) -> BoxFuture<'_, Result<(), WorkerError>> {
+        nobody()
+    }
+
+    fn machines(&self) -> BoxFuture<'_, Result<Vec<Machine>, StoreError>> {
+        away()
+    }
+
+    fn upkeep(&self, _: &str, _: Term, _: HostId, _: u64) -> BoxFuture<'_, MachineReply> {
+        async { MachineReply::Later }.boxed()
+    }
+
+    fn move_machine(&self, _: &str, _: Term, _: HostId, _: ServiceId) -> BoxFuture<'_, MachineReply> {
+        async { MachineReply::Later }.boxed()
+    }
+}
--- a/src/workswood/ops/jobs/feeds.rs
+++ b/src/workswood/ops/jobs/feeds.rs
@@ -8,13 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::sync::watch;
 use workswood_core::ids::Offset;
 use workswood_core::jobs::Event;
-use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+use workswood_platform::jobs::{Guard, KeyedRecord, Part, StoreError, Topic};
 
 use super::follow::{Heard, topic};
-use super::load::inbox_event;
+use super::load::{inbox_event, note_kept};
 use super::node::{Leading, Node};
 
 /// Pause after a failed read or append.
@@ -22,37 +23,71 @@
 /// How long one read of the inbox waits.
 const INBOX_WAIT: Duration = Duration::from_millis(1000);
 
-/// Hands jobs and cancels from the inbox to the scheduler.
-pub(super) async fn read_inbox(node: Arc<Node>, l: Arc<Leading>, mut next: Offset) {
+/// How far each part of the inbox was read.
+pub(super) struct InboxProgress {
+    read_at: Mutex<Vec<Duration>>,
+}
+
+impl InboxProgress {
+    /// Nothing was read yet of so many parts.
+    pub(super) fn new(parts: usize) -> InboxProgress {
+        InboxProgress { read_at: Mutex::new(vec![Duration::ZERO; parts]) }
+    }
+
+    /// Notes that a part was read to its end; returns when all parts were at the
+    /// earliest.
+    fn note(&self, part: Part, at: Duration) -> Duration {
+        let mut read_at = self.read_at.lock();
+        if let Some(mine) = read_at.get_mut(usize::from(part)) {
+            *mine = at;
+        }
+        read_at.iter().min().copied().unwrap_or_default()
+    }
+}
+
+/// Hands jobs and cancels from a part of the inbox to the scheduler.
+pub(super) async fn read_inbox(
+    node: Arc<Node>,
+    l: Arc<Leading>,
+    progress: Arc<InboxProgress>,
+    part: Part,
+    mut next: Offset,
+) {
+    let topic = Topic::Inbox(part);
     loop {
-        match node.platform.tail(Topic::Inbox, next, INBOX_WAIT).await {
+        match node.platform.tail(topic, next, INBOX_WAIT).await {
             Ok(tail) => {
                 node.store_is_up();
                 next = tail.next;
-                hand_over(&l, &tail.records);
-                let _ = l.tx.send(Event::InboxRead(node.now()));
+                hand_over(&l, part, &tail.records);
+                // What other parts held until then was handed over before.
+                let all = progress.note(part, node.now());
+                let _ = l.tx.send(Event::InboxRead(all));
             }
-            Err(StoreError::Gone) => match node.platform.newest(Topic::Inbox).await {
+            Err(StoreError::Gone) => match node.platform.newest(topic).await {
                 Ok(n) => {
                     next = n.next;
-                    hand_over(&l, &n.records);
+                    hand_over(&l, part, &n.records);
                 }
                 Err(e) => {
-                    log::warn!("event=inbox_not_read error=\"{e}\"");
+                    log::warn!("event=inbox_not_read part={part} error=\"{e}\"");
                     tokio::time::sleep(PAUSE).await;
                 }
             },
             Err(e) => {
-                log::warn!("event=inbox_not_read error=\"{e}\"");
+                log::warn!("event=inbox_not_read part={part} error=\"{e}\"");
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
 }
 
-fn hand_over(l: &Leading, records: &[KeyedRecord]) {
-    for ev in records.iter().filter_map(inbox_event) {
-        let _ = l.tx.send(ev);
+fn hand_over(l: &Leading, part: Part, records: &[KeyedRecord]) {
+    for rec in records {
+        note_kept(&mut l.kept.lock(), part, rec);
+        if let Some(ev) = inbox_event(rec) {
+            let _ = l.tx.send(ev);
+        }
     }
 }
 
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -12,19 +12,23 @@
 use workswood_core::code::{Code, Ran};
 use workswood_core::jobs::spec::parse_job;
 use workswood_core::jobs::{JobKey, JobSpec, QueueConfig, SchedConfig};
-use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+use workswood_platform::jobs::KeyedRecord;
 
 use super::ask::{self, Told};
+use super::inbox::Stored;
 use super::node::Node;
 use super::record::{cancel_key, job_key, value_record};
 
 /// When to come back after a refusal: a store or lease holder that is away is
 /// mostly back or replaced within a few seconds.
 const COME_BACK: Duration = Duration::from_secs(1);
-/// How often a record for the inbox is sent.
-const APPEND_TRIES: u32 = 3;
-/// Pause before a record that was refused is sent again.
-const APPEND_PAUSE: Duration = Duration::from_millis(30);
+/// How long a caller is taken to wait that does not say.
+const WAITS_UNSAID: Duration = Duration::from_secs(3);
+/// Longest time that a caller is kept waiting: a store that needs longer for an
+/// append is as good as away.
+const LONGEST_WAIT: Duration = Duration::from_secs(5);
+/// Time kept free for the answer's way to the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// A store that has been silent for this long is not asked on a caller's time.
 const STORE_SILENT: Duration = Duration::from_millis(1700);
 
@@ -56,7 +60,7 @@
     match *req.method() {
         Method::POST => submit(node, &cfg, queue, job, req).await,
         Method::GET => state(node, job).await,
-        Method::DELETE => cancel(node, job).await,
+        Method::DELETE => cancel(node, job, &req).await,
         _ => refusal(Code::MethodUnknown, Ran::NotRun, None),
     }
 }
@@ -92,12 +96,12 @@
     }
 }
 
-async fn cancel(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
+async fn cancel(node: &Arc<Node>, job: JobKey, req: &Request<Incoming>) -> Response<ReplyBody> {
     // A job that was accepted a moment ago may not be known yet: the cancel is
     // kept in any case.
     let unknown = ask::job(node, job).await == Told::Unknown;
     let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
-    let stored = store(node, rec).await;
+    let stored = store(node, rec, within(req)).await;
     if stored == Stored::Yes {
         log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
         if unknown {
@@ -114,6 +118,7 @@
     job: JobKey,
     req: Request<Incoming>,
 ) -> Response<ReplyBody> {
+    let within = within(&req);
     let body = match read_body(req.into_body(), cfg.max_body_bytes).await {
         Ok(b) => b,
         Err(e) => {
@@ -129,7 +134,7 @@
         }
     };
     let begun = node.now();
-    let stored = store(node, value_record(job_key(job), &spec)).await;
+    let stored = store(node, value_record(job_key(job), &spec), within).await;
     log::info!(
         "event=job_handed_in job={job:016x} queue={} version={} stored={stored:?} took_ms={} store_silence_ms={}",
         queue.name,
@@ -158,17 +163,6 @@
     Ok(spec)
 }
 
-/// Whether a record is in the store.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Stored {
-    /// It is.
-    Yes,
-    /// It is not, and will not be.
-    No,
-    /// It may be, or may come to be.
-    Unknown,
-}
-
 impl Stored {
     /// What the caller is told.
     fn answer(self) -> Response<ReplyBody> {
@@ -189,28 +183,18 @@
     }
 }
 
+/// How long a caller of this request may be kept waiting for its answer.
+fn within(req: &Request<Incoming>) -> Duration {
+    let header = req.headers().get(wire::WAITS).and_then(|h| h.to_str().ok());
+    let waits = header.and_then(|text| text.parse().ok()).map_or(WAITS_UNSAID, Duration::from_millis);
+    waits.min(LONGEST_WAIT).saturating_sub(ANSWER_MARGIN)
+}
+
 /// Writes a record of a caller into the inbox. The key is the caller's own,
 /// so sending it again changes nothing.
-async fn store(node: &Arc<Node>, rec: KeyedRecord) -> Stored {
+async fn store(node: &Arc<Node>, rec: KeyedRecord, within: Duration) -> Stored {
     if node.store_silence() > STORE_SILENT {
         return Stored::No;
     }
-    let mut unknown = false;
-    for n in 0..APPEND_TRIES {
-        if n > 0 {
-            tokio::time::sleep(APPEND_PAUSE).await;
-        }
-        match node.platform.append(Topic::Inbox, vec![rec.clone()], Guard::None).await {
-            Ok(_) => {
-                node.store_is_up();
-                return Stored::Yes;
-            }
-            Err(StoreError::Unknown { text }) => {
-                log::warn!("event=inbox_append_unanswered key={} error=\"{text}\"", rec.key);
-                unknown = true;
-            }
-            Err(e) => log::warn!("event=inbox_append_refused key={} error=\"{e}\"", rec.key),
-        }
-    }
-    if unknown { Stored::Unknown } else { Stored::No }
+    node.inbox.store(rec, within).await
 }
--- /dev/null
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -0,0 +1,249 @@
+//! Writes jobs and cancels into the store's inbox.
+//!
+//! Each append takes its turn at the store, whatever it holds, and with a slow
+//! store an append a job would take far longer than jobs come. So all records
+//! that come in while appends are on their way wait and go together in the next
+//! one. Several appends may be on their way, so that one that hangs does not
+//! hold up the others. Each host writes into one part of the inbox, given by its
+//! name; a caller that asks again at another host may write the same job into
+//! another part, which changes nothing.
+//!
+//! What a caller is told: accepted once the store has acknowledged the record;
+//! refused only if no append with the record can have been done; otherwise that
+//! it is not known.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+use workswood_platform::jobs::{Guard, KeyedRecord, Part, StoreError, Topic};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::node::Node;
+use super::record::InboxKey;
+
+/// Appends on their way at a time: one that hangs leaves two.
+const LANES: usize = 3;
+/// Most records of one append; with a job's text of 4 KB and its steps, about
+/// a quarter of what the store takes in one call.
+const MOST_RECORDS: usize = 100;
+/// Records that may wait; more would not be stored in any caller's time.
+const MOST_WAITING: usize = 2000;
+/// How often a record is sent that the store refuses.
+const MOST_REFUSALS: u32 = 3;
+/// Pause after the store refused an append.
+const REFUSED_PAUSE: Duration = Duration::from_millis(30);
+/// Weight of the newest append in the mean time that appends take.
+const NEWEST: f64 = 0.3;
+/// Parts of the inbox that are used. Each is read by the lease holder all the
+/// time, about one call a second; with eight, 32 hosts wait for three others.
+const MOST_PARTS: Part = 8;
+
+/// Whether a record is in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stored {
+    /// It is.
+    Yes,
+    /// It is not, and will not be.
+    No,
+    /// It may be, or may come to be.
+    Unknown,
+}
+
+/// How far a record has come: it waits, it has been sent, or its caller has
+/// given up before that.
+#[derive(Debug, Default)]
+struct Stage(AtomicU8);
+
+impl Stage {
+    const WAITS: u8 = 0;
+    const SENT: u8 = 1;
+    const GIVEN_UP: u8 = 2;
+
+    fn leave_queue(&self, to: u8) -> bool {
+        self.0.compare_exchange(Self::WAITS, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    /// Notes that it is about to be sent; returns whether it may be.
+    fn send(&self) -> bool {
+        self.leave_queue(Self::SENT) || self.0.load(Ordering::Acquire) == Self::SENT
+    }
+
+    /// Takes it out of the queue; returns whether it had not been sent.
+    fn give_up(&self) -> bool {
+        self.leave_queue(Self::GIVEN_UP)
+    }
+}
+
+/// A record that waits to be stored.
+struct Waiting {
+    rec: KeyedRecord,
+    stage: Arc<Stage>,
+    /// Appends with it that were refused.
+    refusals: u32,
+    /// Whether an append with it had no answer.
+    unsure: bool,
+    reply: oneshot::Sender<Stored>,
+}
+
+/// Where callers' records wait for the writer.
+pub struct Inbox {
+    tx: mpsc::Sender<Waiting>,
+    rx: Mutex<Option<mpsc::Receiver<Waiting>>>,
+    /// Mean time that an append takes, in microseconds.
+    append_us: AtomicU64,
+}
+
+impl Default for Inbox {
+    fn default() -> Inbox {
+        let (tx, rx) = mpsc::channel(MOST_WAITING);
+        Inbox { tx, rx: Mutex::new(Some(rx)), append_us: AtomicU64::new(0) }
+    }
+}
+
+/// The parts of the inbox, of a store whose topics have so many.
+pub fn parts(of_store: Part) -> impl Iterator<Item = Part> + Clone {
+    0..of_store.clamp(1, MOST_PARTS)
+}
+
+/// The part that a host writes into.
+pub fn part_of(host: &str, of_store: Part) -> Part {
+    let count = u64::from(of_store.clamp(1, MOST_PARTS));
+    (xxh3_64(host.as_bytes()) % count) as Part
+}
+
+/// Which parts of the inbox hold which keys; what has to be dropped there once a
+/// job is forgotten.
+#[derive(Debug, Default)]
+pub struct Kept(HashMap<InboxKey, u64>);
+
+impl Kept {
+    /// Notes that a part holds a key.
+    pub fn note(&mut self, part: Part, key: InboxKey) {
+        *self.0.entry(key).or_insert(0) |= 1 << part;
+    }
+
+    /// Whether a part holds a key.
+    pub fn holds(&self, part: Part, key: InboxKey) -> bool {
+        self.0.get(&key).is_some_and(|parts| parts & (1 << part) != 0)
+    }
+
+    /// Notes that no part holds a key any more.
+    pub fn dropped(&mut self, key: InboxKey) {
+        self.0.remove(&key);
+    }
+}
+
+impl Inbox {
+    /// Stores a record within a time. A record that can't be stored in that time
+    /// is refused at once.
+    pub async fn store(&self, rec: KeyedRecord, within: Duration) -> Stored {
+        // It waits for an append on its way, then for its own.
+        if self.append_time() * 2 > within {
+            return Stored::No;
+        }
+        let stage = Arc::new(Stage::default());
+        let (reply, answer) = oneshot::channel();
+        let waiting = Waiting { rec, stage: stage.clone(), refusals: 0, unsure: false, reply };
+        if self.tx.try_send(waiting).is_err() {
+            return Stored::No;
+        }
+        match tokio::time::timeout(within, answer).await {
+            Ok(Ok(stored)) => stored,
+            Ok(Err(_)) | Err(_) if stage.give_up() => Stored::No,
+            Ok(Err(_)) | Err(_) => Stored::Unknown,
+        }
+    }
+
+    /// Mean time that an append takes.
+    fn append_time(&self) -> Duration {
+        Duration::from_micros(self.append_us.load(Ordering::Relaxed))
+    }
+
+    fn note_append(&self, took: Duration) {
+        let before = self.append_us.load(Ordering::Relaxed) as f64;
+        let mean = before + (took.as_micros() as f64 - before) * NEWEST;
+        self.append_us.store(mean as u64, Ordering::Relaxed);
+    }
+}
+
+/// Writes what waits, for ever.
+pub async fn run(node: Arc<Node>) {
+    let Some(mut rx) = node.inbox.rx.lock().take() else { return };
+    let part = part_of(&node.settings.name, node.settings.store_parts);
+    let mut queue: Vec<Waiting> = Vec::new();
+    let mut lanes: JoinSet<Vec<Waiting>> = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(done) = lanes.join_next() => match done {
+                Ok(again) => queue.extend(again),
+                Err(e) => log::error!("event=inbox_append_failed error=\"{e}\""),
+            },
+            n = rx.recv_many(&mut queue, MOST_RECORDS), if queue.len() < MOST_RECORDS => {
+                if n == 0 {
+                    return;
+                }
+            }
+        }
+        while lanes.len() < LANES && !queue.is_empty() {
+            let count = queue.len().min(MOST_RECORDS);
+            let batch: Vec<Waiting> = queue.drain(..count).filter(|w| w.stage.send()).collect();
+            if !batch.is_empty() {
+                lanes.spawn(append(node.clone(), part, batch));
+            }
+        }
+    }
+}
+
+/// Sends records in one append; returns those that are to be sent again.
+async fn append(node: Arc<Node>, part: Part, mut batch: Vec<Waiting>) -> Vec<Waiting> {
+    let records: Vec<KeyedRecord> = batch.iter().map(|w| w.rec.clone()).collect();
+    let begun = node.now();
+    let res = node.platform.append(Topic::Inbox(part), records, Guard::None).await;
+    node.inbox.note_append(node.now() - begun);
+    match res {
+        Ok(_) => {
+            node.store_is_up();
+            batch.into_iter().for_each(|w| w.answer(Stored::Yes));
+            return Vec::new();
+        }
+        Err(StoreError::Unknown { text }) => {
+            log_failed("inbox_append_unanswered", &batch, &text);
+            batch.iter_mut().for_each(|w| w.unsure = true);
+        }
+        Err(e) => {
+            log_failed("inbox_append_refused", &batch, &e.to_string());
+            batch.iter_mut().for_each(|w| w.refusals += 1);
+            tokio::time::sleep(REFUSED_PAUSE).await;
+        }
+    }
+    let (over, again): (Vec<_>, Vec<_>) = batch.into_iter().partition(Waiting::is_over);
+    over.into_iter().for_each(|w| {
+        let stored = if w.unsure { Stored::Unknown } else { Stored::No };
+        w.answer(stored);
+    });
+    again
+}
+
+fn log_failed(event: &str, batch: &[Waiting], error: &str) {
+    for w in batch {
+        log::warn!("event={event} key={} error=\"{error}\"", w.rec.key);
+    }
+}
+
+impl Waiting {
+    /// Whether it is not sent again: it was refused too often, or its caller no
+    /// longer waits for the answer.
+    fn is_over(&self) -> bool {
+        self.refusals >= MOST_REFUSALS || self.reply.is_closed()
+    }
+
+    fn answer(self, stored: Stored) {
+        // A caller that has given up has its answer already.
+        let _ = self.reply.send(stored);
+    }
+}
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -9,18 +9,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use parking_lot::RwLock;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Batch, Event, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
-use super::feeds::{publish_waves, read_inbox, read_machines, read_workers};
+use super::feeds::{InboxProgress, publish_waves, read_inbox, read_machines, read_workers};
+use super::inbox;
 use super::load::{Loaded, load};
 use super::node::{Leading, Node};
 use super::orders::Orders;
-use super::record::{inbox_drops, state_record};
+use super::record::{InboxKey, inbox_drops, state_record};
 use super::renew;
 use super::watch::WorkerLink;
 
@@ -44,6 +45,7 @@
         tx,
         shown: RwLock::default(),
         inbox_read: AtomicU64::new(0),
+        kept: Mutex::default(),
         extend_until: AtomicU64::new(until),
         end,
     });
@@ -102,8 +104,12 @@
     tasks: &mut JoinSet<()>,
 ) {
     let Some(loaded) = load_until_done(&node, l.term, l.since).await else { return };
+    *l.kept.lock() = loaded.kept;
     log::info!("event=state_loaded term={} jobs={}", l.term, loaded.sched.jobs.len());
-    tasks.spawn(read_inbox(node.clone(), l.clone(), loaded.inbox_next));
+    let progress = Arc::new(InboxProgress::new(loaded.inbox_next.len()));
+    for (part, next) in loaded.inbox_next {
+        tasks.spawn(read_inbox(node.clone(), l.clone(), progress.clone(), part, next));
+    }
     tasks.spawn(read_workers(node.clone(), l.clone()));
     let (status_tx, status_rx) = watch::channel(BTreeMap::new());
     tasks.spawn(publish_waves(node.clone(), status_rx));
@@ -193,7 +199,7 @@
         }
         let number = self.number;
         self.number += 1;
-        writing.spawn(write(self.node.clone(), self.l.term, number, batch));
+        writing.spawn(write(self.node.clone(), self.l.clone(), number, batch));
     }
 
     /// Sets the scheduler's clocks.
@@ -268,8 +274,9 @@
 }
 
 /// Writes a batch until it is stored; `None` if another term has begun.
-async fn write(node: Arc<Node>, term: u64, number: u64, batch: Batch) -> Option<Batch> {
-    drop_from_inbox(&node, batch.records.iter().flat_map(inbox_drops).collect()).await;
+async fn write(node: Arc<Node>, l: Arc<Leading>, number: u64, batch: Batch) -> Option<Batch> {
+    let term = l.term;
+    drop_from_inbox(&node, &l, batch.records.iter().flat_map(inbox_drops).collect()).await;
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
     let _timer = node.metrics.batch_seconds.start_timer();
     loop {
@@ -292,12 +299,23 @@
 
 /// Takes forgotten jobs out of the inbox. Their state is dropped only after
 /// that: a job in the inbox without a state would be taken for a new one.
-async fn drop_from_inbox(node: &Node, drops: Vec<KeyedRecord>) {
+async fn drop_from_inbox(node: &Node, l: &Leading, drops: Vec<InboxKey>) {
     if drops.is_empty() {
         return;
     }
-    while let Err(e) = node.platform.append(Topic::Inbox, drops.clone(), Guard::None).await {
-        log::warn!("event=inbox_not_trimmed error=\"{e}\"");
-        tokio::time::sleep(PAUSE).await;
+    for part in inbox::parts(node.settings.store_parts) {
+        let here: Vec<KeyedRecord> = {
+            let kept = l.kept.lock();
+            drops.iter().filter(|k| kept.holds(part, **k)).map(|k| k.drop_record()).collect()
+        };
+        if here.is_empty() {
+            continue;
+        }
+        while let Err(e) = node.platform.append(Topic::Inbox(part), here.clone(), Guard::None).await {
+            log::warn!("event=inbox_not_trimmed part={part} error=\"{e}\"");
+            tokio::time::sleep(PAUSE).await;
+        }
     }
+    let mut kept = l.kept.lock();
+    drops.into_iter().for_each(|k| kept.dropped(k));
 }
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -4,11 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::try_join_all;
 use workswood_core::ids::{HostId, Offset};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Limits, Scheduler, WaveRecord, WorkerRecord};
-use workswood_platform::jobs::{Guard, KeyedRecord, Newest, StoreError, Topic};
+use workswood_platform::jobs::{Guard, KeyedRecord, Newest, Part, StoreError, Topic};
 
+use super::inbox::{self, Kept};
 use super::node::Node;
 use super::record::{InboxKey, StateKey, inbox_key, state_key};
 use super::renew::GRACE;
@@ -27,8 +29,10 @@
 pub struct Loaded {
     /// The scheduler.
     pub sched: Scheduler,
-    /// Where to go on reading the inbox.
-    pub inbox_next: Offset,
+    /// Where to go on reading each part of the inbox.
+    pub inbox_next: Vec<(Part, Offset)>,
+    /// Where the inbox holds what is known.
+    pub kept: Kept,
 }
 
 fn limits(node: &Node) -> Limits {
@@ -46,11 +50,17 @@
 /// Keeps all earlier holders from writing state, then reads it.
 pub async fn load(node: &Arc<Node>, term: u64, since: Duration) -> Result<Loaded, StoreError> {
     node.platform.append(Topic::State, Vec::new(), Guard::Term(term, 0)).await?;
-    // Nobody else writes state from here on, so the two need no order.
-    let (inbox, state) =
-        tokio::try_join!(node.platform.newest(Topic::Inbox), node.platform.newest(Topic::State))?;
+    // Nobody else writes state from here on, so these need no order.
+    let parts: Vec<Part> = inbox::parts(node.settings.store_parts).collect();
+    let inbox = try_join_all(parts.iter().map(|p| node.platform.newest(Topic::Inbox(*p))));
+    let (inbox, state) = tokio::try_join!(inbox, node.platform.newest(Topic::State))?;
     node.store_is_up();
-    let inbox_next = inbox.next;
+    let inbox: Vec<(Part, Newest)> = parts.into_iter().zip(inbox).collect();
+    let inbox_next = inbox.iter().map(|(part, n)| (*part, n.next)).collect();
+    let mut kept = Kept::default();
+    for (part, n) in &inbox {
+        n.records.iter().for_each(|rec| note_kept(&mut kept, *part, rec));
+    }
     let mut sched = Scheduler::new(term, limits(node), since, node.wall());
     sched.policy = node.settings.policy.clone();
     sched.now = node.now();
@@ -64,12 +74,13 @@
     for machine in state.ordered {
         sched.restore_mark(machine);
     }
-    restore(&mut sched, inbox, state.jobs);
+    let records = inbox.into_iter().flat_map(|(_, n)| n.records).collect();
+    restore(&mut sched, records, state.jobs);
     sched.restore_demand();
     for (n, wave) in node.waves.lock().iter() {
         sched.handle(Event::Wave(wave.clone(), state.waves.get(n).cloned()));
     }
-    Ok(Loaded { sched, inbox_next })
+    Ok(Loaded { sched, inbox_next, kept })
 }
 
 /// The state as it is stored.
@@ -116,23 +127,44 @@
 
 /// Hands jobs, their state and cancels to the scheduler. State whose job is no
 /// longer in the inbox is left from a job that was being forgotten.
-fn restore(sched: &mut Scheduler, inbox: Newest, mut records: HashMap<JobKey, JobRecord>) {
+fn restore(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, mut records: HashMap<JobKey, JobRecord>) {
     let mut cancels = BTreeSet::new();
-    for rec in inbox.records {
+    let mut jobs: HashMap<JobKey, Arc<JobSpec>> = HashMap::new();
+    for rec in inbox {
         match inbox_event(&rec) {
-            Some(Event::Submitted(key, spec)) => sched.restore(key, spec, records.remove(&key)),
+            Some(Event::Submitted(key, spec)) => keep_earliest(&mut jobs, key, spec),
             Some(Event::Cancelled(key)) => {
                 cancels.insert(key);
             }
             _ => {}
         }
     }
+    for (key, spec) in jobs {
+        sched.restore(key, spec, records.remove(&key));
+    }
     records.into_keys().for_each(|key| sched.drop_record(key));
     for key in cancels {
         sched.handle(Event::Cancelled(key));
     }
 }
 
+/// Of a job that was handed in at several hosts, the first one counts.
+fn keep_earliest(jobs: &mut HashMap<JobKey, Arc<JobSpec>>, key: JobKey, spec: Arc<JobSpec>) {
+    match jobs.get(&key) {
+        Some(known) if known.accepted <= spec.accepted => {}
+        _ => {
+            jobs.insert(key, spec);
+        }
+    }
+}
+
+/// Notes where the inbox holds the key of a record.
+pub fn note_kept(kept: &mut Kept, part: Part, rec: &KeyedRecord) {
+    if let Some(key) = inbox_key(&rec.key).filter(|_| rec.value.is_some()) {
+        kept.note(part, key);
+    }
+}
+
 /// What a record of the inbox means.
 pub fn inbox_event(rec: &KeyedRecord) -> Option<Event> {
     let value = rec.value.as_deref()?;
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -5,7 +5,8 @@
 //! lease decides where their tasks run. A [`Node`] is what the tasks of a
 //! process share:
 //!
-//! * [`front`] answers callers, and [`probe`] the balancer;
+//! * [`front`] answers callers, [`inbox`] keeps what they hand in, and [`probe`]
+//!   answers the balancer;
 //! * [`follow`] keeps up with what operators write;
 //! * [`lease`] watches the scheduler lease and claims it;
 //! * [`lead`] runs the scheduler while this process holds the lease, with
@@ -19,6 +20,7 @@
 mod feeds;
 mod follow;
 mod front;
+pub mod inbox;
 mod lead;
 mod lease;
 mod load;
@@ -76,6 +78,7 @@
     tokio::spawn(probe::readiness(readiness, node.clone()));
     tokio::spawn(probe::metrics(metrics, node.clone()));
     tokio::spawn(workswood_peers::serve(peers, ask::TOKEN.to_string(), ask::handler(node.clone())));
+    tokio::spawn(inbox::run(node.clone()));
     tokio::spawn(follow::run(node.clone()));
     tokio::spawn(lease::run(node.clone()));
     tokio::spawn(stop::watch_reload(path));
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -14,6 +14,7 @@
 use workswood_peers::Link;
 use workswood_platform::jobs::JobPlatform;
 
+use super::inbox::{Inbox, Kept};
 use crate::util::job_metrics::JobMetrics;
 use crate::util::job_settings::JobSettings;
 
@@ -43,6 +44,8 @@
     /// All that was in the inbox at this time is in `shown`; ms since the
     /// start, 0 before the first time.
     pub inbox_read: AtomicU64,
+    /// Where the inbox holds what is known.
+    pub kept: Mutex<Kept>,
     /// Until when workers' leases may be extended, in ms since the start.
     pub extend_until: AtomicU64,
     /// Turns true when the scheduler has to end.
@@ -67,6 +70,8 @@
     pub leading: ArcSwapOption<Leading>,
     /// Connections to peers by address.
     pub links: Mutex<HashMap<String, Link>>,
+    /// Where callers' jobs and cancels wait to be stored.
+    pub inbox: Inbox,
     /// Its metrics.
     pub metrics: JobMetrics,
     /// Whether a planned stop has begun.
@@ -87,6 +92,7 @@
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
             links: Mutex::default(),
+            inbox: Inbox::default(),
             metrics: JobMetrics::default(),
             stopping: AtomicBool::new(false),
             started: Instant::now(),
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -23,6 +23,7 @@
 const ORDERED: &str = "ordered-";
 
 /// A key of the inbox.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum InboxKey {
     /// A job.
     Job(JobKey),
@@ -80,6 +81,16 @@
     KeyedRecord { key, value: Some(value.into()) }
 }
 
+impl InboxKey {
+    /// The record that drops what the inbox holds under this key.
+    pub fn drop_record(self) -> KeyedRecord {
+        drop_record(match self {
+            InboxKey::Job(job) => job_key(job),
+            InboxKey::Cancel(job) => cancel_key(job),
+        })
+    }
+}
+
 /// The record that drops what is stored under a key.
 fn drop_record(key: String) -> KeyedRecord {
     KeyedRecord { key, value: None }
@@ -98,10 +109,10 @@
     }
 }
 
-/// Records that take a forgotten job out of the inbox.
-pub fn inbox_drops(rec: &Record) -> Vec<KeyedRecord> {
+/// Keys that leave the inbox with a record of the state.
+pub fn inbox_drops(rec: &Record) -> Vec<InboxKey> {
     match rec {
-        Record::DropJob(job) => vec![drop_record(job_key(*job)), drop_record(cancel_key(*job))],
+        Record::DropJob(job) => vec![InboxKey::Job(*job), InboxKey::Cancel(*job)],
         Record::Job(..)
         | Record::Wave(..)
         | Record::Worker(..)
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -32,6 +32,10 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: String,
+    /// Streams that a topic of the store may be divided into; the same on all
+    /// hosts.
+    #[serde(default = "default_parts")]
+    pub store_parts: u16,
     /// The platform's machine service.
     pub machines: String,
     /// The service that says which workers may run a step, if there is one; the
@@ -63,6 +67,11 @@
     pub policy: Policy,
 }
 
+/// One stream, as every store has.
+fn default_parts() -> u16 {
+    1
+}
+
 /// A whole core: a host that does not say is taken to be a large one.
 fn default_cores() -> f64 {
     1.0
@@ -101,6 +110,9 @@
         if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
             return Err("`link_mbps` must be above 0".to_string());
         }
+        if self.store_parts == 0 {
+            return Err("`store_parts` must be at least 1".to_string());
+        }
         if self.longest_lease_ms < 1_000 {
             return Err("`longest_lease_ms` must be at least 1000".to_string());
         }
--- /dev/null
+++ b/tests/testsuite/inbox_appends.rs
@@ -0,0 +1,144 @@
+//! How what callers hand in gets into the store's inbox.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use workswood::ops::jobs::Node;
+use workswood::ops::jobs::inbox::{self, Stored, part_of};
+use workswood::util::job_settings::JobSettings;
+use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::turn_store::{Fate, TurnStore};
+
+/// Time that callers wait.
+const WAITS: Duration = Duration::from_millis(2800);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn settings(name: &str) -> JobSettings {
+    let text = serde_json::json!({
+        "name": name, "data_centre": "north", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+        "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0", "store": "127.0.0.1:9", "machines": "127.0.0.1:9",
+        "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
+    });
+    serde_json::from_value(text).expect("good settings")
+}
+
+/// A process whose inbox is written to a store.
+fn process(store: &Arc<TurnStore>) -> Arc<Node> {
+    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
+    tokio::spawn(inbox::run(node.clone()));
+    node
+}
+
+fn rec(key: &str) -> KeyedRecord {
+    KeyedRecord { key: key.to_string(), value: Some("job".into()) }
+}
+
+/// Hands in one record every `gap`; returns what each caller is told, and after
+/// how long.
+async fn hand_in(node: &Arc<Node>, count: usize, gap: Duration) -> Vec<(Stored, Duration)> {
+    let mut callers = JoinSet::new();
+    for n in 0..count {
+        let node = node.clone();
+        callers.spawn(async move {
+            let begun = node.now();
+            let stored = node.inbox.store(rec(&format!("job-{n}")), WAITS).await;
+            (stored, node.now() - begun)
+        });
+        tokio::time::sleep(gap).await;
+    }
+    callers.join_all().await
+}
+
+/// How many of 300 jobs, handed in at 100 a second, are stored in a caller's
+/// time when each append takes this long: all of them with one append for what
+/// has come meanwhile; with an append a job 14 a second at 72 ms, 3 at 300 ms.
+#[tokio::test(start_paused = true)]
+async fn goodput_at_slow_store() {
+    for (each, longest) in [(4, 20), (72, 500), (300, 1500)] {
+        let store = Arc::new(TurnStore::new(ms(each), &[]));
+        let node = process(&store);
+        let told = hand_in(&node, 300, ms(10)).await;
+        let stored = told.iter().filter(|(s, _)| *s == Stored::Yes).count();
+        assert_eq!(stored, 300, "at {each} ms an append");
+        let slowest = told.iter().map(|(_, took)| *took).max().unwrap_or_default();
+        assert!(slowest <= ms(longest), "{slowest:?} at {each} ms an append");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn too_slow_is_refused_at_once() {
+    let store = Arc::new(TurnStore::new(ms(3000), &[]));
+    let node = process(&store);
+    let told = hand_in(&node, 40, ms(300)).await;
+    let refused = told.iter().filter(|(s, took)| *s == Stored::No && *took < ms(5)).count();
+    assert!(refused > 15, "once it is known that an append takes 3 s: {told:?}");
+    assert!(told.iter().all(|(s, _)| *s != Stored::Yes), "{told:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_has_not_been_sent() {
+    let store = Arc::new(TurnStore::new(ms(1600), &[]));
+    let node = process(&store);
+    let told = hand_in(&node, 400, ms(5)).await;
+    tokio::time::sleep(ms(60_000)).await;
+    let done: BTreeSet<String> = store.done().into_iter().flatten().collect();
+    for (n, (stored, _)) in told.iter().enumerate() {
+        let kept = done.contains(&format!("job-{n}"));
+        match stored {
+            Stored::Yes => assert!(kept, "job-{n} was accepted and is not there"),
+            Stored::No => assert!(!kept, "job-{n} was refused and is there"),
+            Stored::Unknown => {}
+        }
+    }
+    let unknown = told.iter().filter(|(s, _)| *s == Stored::Unknown).count();
+    assert!(unknown < 400, "some never left the queue");
+}
+
+#[tokio::test(start_paused = true)]
+async fn silent_append_holds_nobody_up() {
+    let store = Arc::new(TurnStore::new(ms(4), &[Fate::Silent]));
+    let node = process(&store);
+    let told = hand_in(&node, 50, ms(10)).await;
+    assert_eq!(told.iter().filter(|(s, _)| *s == Stored::Yes).count(), 49);
+    assert_eq!(told.iter().filter(|(s, _)| *s == Stored::Unknown).count(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answer_is_asked_for_again() {
+    let store = Arc::new(TurnStore::new(ms(4), &[Fate::AnswerLost]));
+    let node = process(&store);
+    assert_eq!(node.inbox.store(rec("a"), WAITS).await, Stored::Yes);
+    assert_eq!(store.done().len(), 2, "the same key twice changes nothing");
+}
+
+#[tokio::test(start_paused = true)]
+async fn unknown_stays_unknown() {
+    let fates = [Fate::AnswerLost, Fate::Refused, Fate::Refused, Fate::Refused];
+    let store = Arc::new(TurnStore::new(ms(4), &fates));
+    let node = process(&store);
+    assert_eq!(node.inbox.store(rec("a"), WAITS).await, Stored::Unknown);
+    assert_eq!(node.inbox.store(rec("b"), WAITS).await, Stored::Yes);
+}
+
+#[tokio::test(start_paused = true)]
+async fn refused_three_times() {
+    let fates = [Fate::Refused; 3];
+    let store = Arc::new(TurnStore::new(ms(4), &fates));
+    let node = process(&store);
+    assert_eq!(node.inbox.store(rec("a"), WAITS).await, Stored::No);
+    assert!(store.done().is_empty());
+}
+
+#[test]
+fn hosts_spread_over_parts() {
+    let used: BTreeSet<_> = (0..32).map(|n| part_of(&format!("entry-{n}"), 12)).collect();
+    assert!(used.len() >= 6, "{used:?}");
+    assert!(used.iter().all(|p| *p < 8), "{used:?}");
+    assert_eq!(part_of("entry-1", 1), 0);
+    assert_eq!(inbox::parts(0).collect::<Vec<_>>(), [0], "a store has one at least");
+}
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -82,7 +82,7 @@
         let filled = match line.split_once(": ") {
             Some((field, value)) if value.contains("{{") => {
                 let comma = if value.ends_with(',') { "," } else { "" };
-                let number = ["_ms", "_s\"", "cores", "_mbps"].iter().any(|n| field.contains(n));
+                let number = ["_ms", "_s\"", "cores", "_mbps", "_parts"].iter().any(|n| field.contains(n));
                 let address = !field.contains("\"name\"") && !field.contains("data_centre");
                 let value = if number {
                     "2000"
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod fault_soak;
 mod fleet_files;
 mod fold_rules;
+mod inbox_appends;
 mod job_limits;
 mod job_placement;
 mod job_settings;
--- a/tests/testsuite/store_protocol.rs
+++ b/tests/testsuite/store_protocol.rs
@@ -26,19 +26,19 @@
     let c = client(&store);
     for n in 0..8 {
         let one = vec![rec(&format!("k{n}"), "v")];
-        c.append(Topic::Inbox, one, Guard::None).await.expect("the store takes it");
+        c.append(Topic::Inbox(0), one, Guard::None).await.expect("the store takes it");
     }
-    c.append(Topic::Inbox, vec![rec("k3", "")], Guard::None).await.expect("a drop is taken");
-    let all = c.newest(Topic::Inbox).await.expect("all pages are read");
+    c.append(Topic::Inbox(0), vec![rec("k3", "")], Guard::None).await.expect("a drop is taken");
+    let all = c.newest(Topic::Inbox(0)).await.expect("all pages are read");
     assert_eq!(keys(&all.records), ["k0", "k1", "k2", "k4", "k5", "k6", "k7"]);
     let two = vec![rec("a", "1"), rec("b", "2")];
-    c.append(Topic::Inbox, two, Guard::None).await.expect("a batch is taken");
-    let tail = c.tail(Topic::Inbox, all.next, Duration::ZERO).await.expect("the tail is read");
+    c.append(Topic::Inbox(0), two, Guard::None).await.expect("a batch is taken");
+    let tail = c.tail(Topic::Inbox(0), all.next, Duration::ZERO).await.expect("the tail is read");
     assert_eq!(keys(&tail.records), ["a", "b"]);
     assert_eq!(tail.next, all.next + 2);
     store.forget("keyed.inbox");
-    assert!(matches!(c.tail(Topic::Inbox, all.next, Duration::ZERO).await, Err(StoreError::Gone)));
-    assert_eq!(c.newest(Topic::Inbox).await.expect("the newest stay").records.len(), 9);
+    assert!(matches!(c.tail(Topic::Inbox(0), all.next, Duration::ZERO).await, Err(StoreError::Gone)));
+    assert_eq!(c.newest(Topic::Inbox(0)).await.expect("the newest stay").records.len(), 9);
 }
 
 #[tokio::test]
@@ -84,7 +84,7 @@
     let store = StoreStandin::start().await;
     let c = client(&store);
     store.faults(|f| f.down = true);
-    let down = c.append(Topic::Inbox, vec![rec("x", "1")], Guard::None).await;
+    let down = c.append(Topic::Inbox(0), vec![rec("x", "1")], Guard::None).await;
     assert!(matches!(down, Err(StoreError::NotDone { .. })), "{down:?}");
     store.faults(|f| f.down = false);
     assert_eq!(store.newest("keyed.inbox", "x"), None);
@@ -98,6 +98,6 @@
     };
     tokio::task::yield_now().await;
     let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
-    let gone = c.append(Topic::Inbox, vec![rec("x", "1")], Guard::None).await;
+    let gone = c.append(Topic::Inbox(0), vec![rec("x", "1")], Guard::None).await;
     assert!(matches!(gone, Err(StoreError::NotDone { .. } | StoreError::Unknown { .. })), "{gone:?}");
 }
