Help hosts that the store turns away

Change: every process keeps a record of its peer listener in the store and knows the others. An append that is refused, or takes four times the usual, is tried by the lease holder or another process too; until the store takes appends from the host again both are tried at once. A holder whose renewals have failed for 0.9 s has another process give the lease back, if that one can write. A connection to a peer that gave no answer in time is given up: it may have been cut in silence.

--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -70,7 +70,6 @@
         let offered = self.offered(service);
         let now = wanted.machines(offered, policy.full);
         let soon = wanted.machines(self.offered_soon(service), policy.full);
-        let least = wanted.machines(offered, policy.lend_full);
         let before = self.pools.need.get(service).copied().unwrap_or_default();
         // Before its first work, a pool is taken to be of the right size.
         let known = self.pools.worked.contains(service) || now > 0.0;
@@ -79,7 +78,7 @@
         if known {
             self.pools.worked.insert(service.clone());
         }
-        Need { now, soon: soon.max(now), lend: lend.max(least), keep: keep.max(now) }
+        Need { now, soon: soon.max(now), lend: lend.max(now), keep: keep.max(now) }
     }
 
     /// What runs and waits in a service.
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -81,8 +81,6 @@
 pub struct NeedPolicy {
     /// Share of a machine's room that is planned to be in use.
     pub full: f64,
-    /// The same when another pool is short of machines.
-    pub lend_full: f64,
     /// How much a waiting task counts whose job is late: it is worth little,
     /// but it was accepted.
     pub late: f64,
@@ -124,7 +122,6 @@
     fn default() -> NeedPolicy {
         NeedPolicy {
             full: 0.85,
-            lend_full: 0.85,
             late: 0.3,
             arrivals: Duration::from_millis(1000),
             ahead: Duration::ZERO,
@@ -284,7 +281,6 @@
         let shares = [
             ("order.newest", self.order.newest),
             ("need.full", self.need.full),
-            ("need.lend_full", self.need.lend_full),
             ("pools.most_moves", self.pools.most_moves),
             ("waves.use_of_time", self.waves.use_of_time),
             ("waves.use_when_short", self.waves.use_when_short),
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -7,7 +7,7 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// The message.
-    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
     pub msg: Option<Msg>,
 }
 
@@ -62,6 +62,65 @@
     /// How many jobs of a queue have not begun.
     #[prost(message, tag = "17")]
     PendingReply(PendingReply),
+    /// Asks a process to write what callers handed in into its store.
+    #[prost(message, tag = "18")]
+    HandIn(HandIn),
+    /// What became of it.
+    #[prost(message, tag = "19")]
+    HandInReply(HandInReply),
+    /// Asks a process to give back a scheduler lease for its holder, which the
+    /// store turns away.
+    #[prost(message, tag = "20")]
+    Release(Release),
+}
+
+/// Asks a process to write what callers handed in into its store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HandIn {
+    /// The records.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<InboxRecord>,
+    /// How long the asking process waits for the answer, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub within_ms: u32,
+}
+
+/// A record of the inbox.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct InboxRecord {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: bytes::Bytes,
+}
+
+/// What became of records, in the order in which they were sent.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct HandInReply {
+    /// An outcome for each record.
+    #[prost(enumeration = "HandInOutcome", repeated, tag = "1")]
+    pub outcomes: Vec<i32>,
+}
+
+/// What became of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum HandInOutcome {
+    /// It may be stored, or may come to be.
+    Unknown = 0,
+    /// It is stored.
+    Stored = 1,
+    /// It is not, and will not be.
+    NotStored = 2,
+}
+
+/// Asks a process to give back a scheduler lease for its holder.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Release {
+    /// The record of the lease that says so.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub record: bytes::Bytes,
 }
 
 /// Asks for the state of a job.
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -30,6 +30,8 @@
     Workers,
     /// What operators read.
     Status,
+    /// Where the processes of the system reach each other.
+    Peers,
 }
 
 /// A record: the newest of each key is kept for good.
--- /dev/null
+++ b/crates/workswood-test-support/src/job_node.rs
@@ -0,0 +1,13 @@
+//! Settings of a process that runs jobs, for tests within one process.
+
+use workswood::util::job_settings::JobSettings;
+
+/// Good settings for a host of this name.
+pub fn settings(name: &str) -> JobSettings {
+    let text = serde_json::json!({
+        "name": name, "data_centre": "north", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
+        "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0", "store": "127.0.0.1:9", "machines": "127.0.0.1:9",
+        "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
+    });
+    serde_json::from_value(text).expect("good settings")
+}
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`one`] is one planner, round by round.
 //! * [`platform`] is a platform on injected time, without sockets.
 //! * [`history`] draws random histories of planners against that platform.
+//! * [`job_node`] is settings of a process that runs jobs.
 //! * [`job_world`] is workers, a store and lease holders on injected time.
 //! * [`keys`] draws random schedules of requests that may not be repeated.
 //! * [`live`] starts entries over sockets.
@@ -15,6 +16,7 @@
 pub mod cut;
 pub mod files;
 pub mod history;
+pub mod job_node;
 pub mod job_world;
 pub mod keys;
 pub mod live;
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -151,6 +151,7 @@
         // Answers, and questions that only processes that run jobs are asked.
         Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
         Msg::JobAsk(_) | Msg::JobReply(_) | Msg::PendingAsk(_) | Msg::PendingReply(_) => {}
+        Msg::HandIn(_) | Msg::HandInReply(_) | Msg::Release(_) => {}
     }
     None
 }
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -4,14 +4,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use futures::FutureExt;
 use workswood_core::jobs::{JobKey, Outcome, Shown, ShownJob};
-use workswood_peers::{Handler, JobAsk, JobReply, JobState, Link, Msg, PendingAsk, PendingReply};
+use workswood_peers::{JobAsk, JobReply, JobState, Msg, PendingAsk, PendingReply};
 
 use super::node::{Leading, Node};
 
-/// Peers on the prepared platform share no secret: their network is their own.
-pub const TOKEN: &str = "";
 /// Longest wait for the holder's answer; a few times the way there and back on
 /// a busy host.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
@@ -92,47 +89,28 @@
     if holder.released || holder.id == node.id {
         return None;
     }
-    let link = {
-        let mut links = node.links.lock();
-        if links.len() > 1 {
-            links.retain(|address, _| *address == holder.peers);
-        }
-        let open = || Link::open(holder.peers.clone(), TOKEN.to_string(), node.id.clone());
-        links.entry(holder.peers.clone()).or_insert_with(open).clone()
-    };
-    link.call(msg, CALL_TIMEOUT).await
+    node.peers.call(&node.id, &holder.peers, msg, CALL_TIMEOUT).await
 }
 
-/// Answers peers' questions.
-pub fn handler(node: Arc<Node>) -> Handler {
-    Arc::new(move |msg| {
-        let node = node.clone();
-        async move { answer(&node, msg) }.boxed()
-    })
+/// Answers a process that asks for the state of a job.
+pub fn answer_job(node: &Node, ask: &JobAsk) -> JobReply {
+    let l = node.leading.load_full();
+    let (current, state) = match l.map_or(Told::Unreachable, |l| own_job(node, &l, ask.job)) {
+        Told::Known(s) => (true, Some(state(s) as i32)),
+        Told::Unknown => (true, None),
+        Told::Unreachable => (false, None),
+    };
+    JobReply { current, state }
 }
 
-fn answer(node: &Node, msg: Msg) -> Option<Msg> {
+/// Answers a process that asks for the jobs of a queue that have not begun.
+pub fn answer_pending(node: &Node, ask: &PendingAsk) -> PendingReply {
     let l = node.leading.load_full();
-    match msg {
-        Msg::JobAsk(ask) => {
-            let told = l.map_or(Told::Unreachable, |l| own_job(node, &l, ask.job));
-            let (current, state) = match told {
-                Told::Known(s) => (true, Some(state(s) as i32)),
-                Told::Unknown => (true, None),
-                Told::Unreachable => (false, None),
-            };
-            Some(Msg::JobReply(JobReply { current, state }))
-        }
-        Msg::PendingAsk(ask) => {
-            let told = l.map_or(Told::Unreachable, |l| own_pending(node, &l, &ask.queue));
-            let (current, pending) = match told {
-                Told::Known(n) => (true, n),
-                Told::Unknown | Told::Unreachable => (false, 0),
-            };
-            Some(Msg::PendingReply(PendingReply { current, pending }))
-        }
-        _ => None,
-    }
+    let (current, pending) = match l.map_or(Told::Unreachable, |l| own_pending(node, &l, &ask.queue)) {
+        Told::Known(n) => (true, n),
+        Told::Unknown | Told::Unreachable => (false, 0),
+    };
+    PendingReply { current, pending }
 }
 
 fn state(s: Shown) -> JobState {
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -29,8 +29,6 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(5);
 /// Time kept free for the answer's way to the caller.
 const ANSWER_MARGIN: Duration = Duration::from_millis(200);
-/// A store that has been silent for this long is not asked on a caller's time.
-const STORE_SILENT: Duration = Duration::from_millis(1700);
 
 /// Answers one request each.
 pub fn handler(node: Arc<Node>) -> Handler {
@@ -101,7 +99,7 @@
     // kept in any case.
     let unknown = ask::job(node, job).await == Told::Unknown;
     let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
-    let stored = store(node, rec, within(req)).await;
+    let stored = node.inbox.store(rec, within(req)).await;
     if stored == Stored::Yes {
         log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
         if unknown {
@@ -134,7 +132,7 @@
         }
     };
     let begun = node.now();
-    let stored = store(node, value_record(job_key(job), &spec), within).await;
+    let stored = node.inbox.store(value_record(job_key(job), &spec), within).await;
     log::info!(
         "event=job_handed_in job={job:016x} queue={} version={} stored={stored:?} took_ms={} store_silence_ms={}",
         queue.name,
@@ -189,12 +187,3 @@
     let waits = header.and_then(|text| text.parse().ok()).map_or(WAITS_UNSAID, Duration::from_millis);
     waits.min(LONGEST_WAIT).saturating_sub(ANSWER_MARGIN)
 }
-
-/// Writes a record of a caller into the inbox. The key is the caller's own,
-/// so sending it again changes nothing.
-async fn store(node: &Arc<Node>, rec: KeyedRecord, within: Duration) -> Stored {
-    if node.store_silence() > STORE_SILENT {
-        return Stored::No;
-    }
-    node.inbox.store(rec, within).await
-}
--- /dev/null
+++ b/src/workswood/ops/jobs/help.rs
@@ -0,0 +1,145 @@
+//! What processes do for each other while the store turns some of them away.
+//!
+//! A host that can't write into the store has another one write what its callers
+//! hand in. A lease holder that can't has another one give the lease back, so
+//! that its successor need not wait until the lease expires.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::join_all;
+use workswood_peers::{HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release};
+use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
+
+use super::ask;
+use super::inbox::Stored;
+use super::lease::{self, LeaseRecord};
+use super::node::Node;
+
+/// How many other processes are asked, one after the other.
+const MOST_HELPERS: usize = 2;
+/// How long one of them is waited for: a few times the way there and back and an
+/// append on a busy host.
+const HELP_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Answers what other processes ask for.
+pub fn handler(node: Arc<Node>) -> Handler {
+    Arc::new(move |msg| {
+        let node = node.clone();
+        async move { answer(&node, msg).await }.boxed()
+    })
+}
+
+async fn answer(node: &Node, msg: Msg) -> Option<Msg> {
+    match msg {
+        Msg::JobAsk(ask) => Some(Msg::JobReply(ask::answer_job(node, &ask))),
+        Msg::PendingAsk(ask) => Some(Msg::PendingReply(ask::answer_pending(node, &ask))),
+        Msg::HandIn(asked) => Some(Msg::HandInReply(store_for(node, asked).await)),
+        Msg::Release(asked) => release_for(node, asked).await,
+        _ => None,
+    }
+}
+
+/// Writes what another process was handed in.
+async fn store_for(node: &Node, asked: HandIn) -> HandInReply {
+    let within = Duration::from_millis(u64::from(asked.within_ms));
+    let store = |rec: InboxRecord| {
+        let rec = KeyedRecord { key: rec.key, value: Some(rec.value) };
+        node.inbox.store_here(rec, within)
+    };
+    let stored = join_all(asked.records.into_iter().map(store)).await;
+    log::info!("event=helped_hand_in records={} stored={}", stored.len(), count(&stored));
+    HandInReply { outcomes: stored.into_iter().map(|s| outcome(s) as i32).collect() }
+}
+
+fn count(stored: &[Stored]) -> usize {
+    stored.iter().filter(|s| **s == Stored::Yes).count()
+}
+
+fn outcome(stored: Stored) -> HandInOutcome {
+    match stored {
+        Stored::Yes => HandInOutcome::Stored,
+        Stored::No => HandInOutcome::NotStored,
+        Stored::Unknown => HandInOutcome::Unknown,
+    }
+}
+
+/// Has another process write records; tells what became of each. Records that
+/// nobody could be asked for are not stored.
+pub async fn hand_in(node: &Node, records: &[KeyedRecord]) -> Vec<Stored> {
+    let mut told = vec![Stored::No; records.len()];
+    for address in helpers(node) {
+        let wire =
+            |r: &KeyedRecord| InboxRecord { key: r.key.clone(), value: r.value.clone().unwrap_or_default() };
+        let records = records.iter().map(wire).collect();
+        let within_ms = (HELP_TIMEOUT * 3 / 4).as_millis() as u32;
+        let msg = Msg::HandIn(HandIn { records, within_ms });
+        let reply = node.peers.call(&node.id, &address, msg, HELP_TIMEOUT).await;
+        take_reply(&mut told, reply);
+        if told.iter().all(|s| *s == Stored::Yes) {
+            break;
+        }
+    }
+    log::info!("event=handed_in_by_helper records={} stored={}", told.len(), count(&told));
+    told
+}
+
+/// Takes in what a helper told. A record stays unknown once one try with it is;
+/// only a helper that stored it changes that.
+fn take_reply(told: &mut [Stored], reply: Option<Msg>) {
+    let outcomes = match reply {
+        Some(Msg::HandInReply(r)) => r.outcomes,
+        _ => Vec::new(),
+    };
+    for (n, stored) in told.iter_mut().enumerate() {
+        let outcome = outcomes.get(n).and_then(|o| HandInOutcome::try_from(*o).ok());
+        match outcome.unwrap_or(HandInOutcome::Unknown) {
+            HandInOutcome::Stored => *stored = Stored::Yes,
+            HandInOutcome::Unknown if *stored != Stored::Yes => *stored = Stored::Unknown,
+            HandInOutcome::Unknown | HandInOutcome::NotStored => {}
+        }
+    }
+}
+
+/// Processes that may help: the lease holder first, which needs the records.
+fn helpers(node: &Node) -> Vec<String> {
+    let own = node.settings.peers.to_string();
+    let holder = node.holder.load_full().filter(|h| !h.released && h.id != node.id);
+    let mut addresses: Vec<String> = holder.map(|h| h.peers.clone()).into_iter().collect();
+    for other in node.peers.helpers(&own, MOST_HELPERS + 1) {
+        if !addresses.contains(&other) {
+            addresses.push(other);
+        }
+    }
+    addresses.truncate(MOST_HELPERS);
+    addresses
+}
+
+/// Writes for another process that it gives the scheduler lease back; answers
+/// once that is stored.
+async fn release_for(node: &Node, asked: Release) -> Option<Msg> {
+    let rec = KeyedRecord { key: lease::KEY.to_string(), value: Some(asked.record) };
+    match node.platform.append(Topic::Lease, vec![rec], Guard::None).await {
+        Ok(_) => {
+            log::info!("event=helped_release");
+            Some(Msg::Done(workswood_peers::Done {}))
+        }
+        Err(e) => {
+            log::warn!("event=help_failed what=release error=\"{e}\"");
+            None
+        }
+    }
+}
+
+/// Has another process give this process's lease back; returns whether it is.
+pub async fn release(node: &Node, term: u64) -> bool {
+    let record = LeaseRecord::of(node, term, true).keyed().value.unwrap_or_default();
+    for address in helpers(node) {
+        let msg = Msg::Release(Release { record: record.clone() });
+        if node.peers.call(&node.id, &address, msg, HELP_TIMEOUT).await.is_some() {
+            return true;
+        }
+    }
+    false
+}
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -8,13 +8,19 @@
 //! name; a caller that asks again at another host may write the same job into
 //! another part, which changes nothing.
 //!
+//! A store may turn this host away while it serves others. An append that is
+//! refused, or that takes far longer than usual, is therefore tried by another
+//! process as well; until the store takes appends from here again, both are tried
+//! at once.
+//!
 //! What a caller is told: accepted once the store has acknowledged the record;
 //! refused only if no append with the record can have been done; otherwise that
 //! it is not known.
 
 use std::collections::HashMap;
+use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -23,6 +29,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, Part, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::help;
 use super::node::Node;
 use super::record::InboxKey;
 
@@ -39,6 +46,14 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
 /// Weight of the newest append in the mean time that appends take.
 const NEWEST: f64 = 0.3;
+/// An append that takes this many times the mean is taken to hang,
+const HANGS_AFTER: u32 = 4;
+/// but not before this time: the store answers in 4 ms when it is well, and the
+/// answers of a busy host come some ten milliseconds late.
+const HANGS_NOT_BEFORE: Duration = Duration::from_millis(150);
+/// A store that has been silent for this long is not asked on a caller's time;
+/// the process's reads tell when it is back.
+const STORE_SILENT: Duration = Duration::from_millis(1700);
 /// Parts of the inbox that are used. Each is read by the lease holder all the
 /// time, about one call a second; with eight, 32 hosts wait for three others.
 const MOST_PARTS: Part = 8;
@@ -87,6 +102,10 @@
     refusals: u32,
     /// Whether an append with it had no answer.
     unsure: bool,
+    /// Whether another process asked for it, which is not asked back.
+    for_peer: bool,
+    /// Whether another process has stored it.
+    helped: bool,
     reply: oneshot::Sender<Stored>,
 }
 
@@ -96,12 +115,14 @@
     rx: Mutex<Option<mpsc::Receiver<Waiting>>>,
     /// Mean time that an append takes, in microseconds.
     append_us: AtomicU64,
+    /// Whether the last append from here failed or hung.
+    failing: AtomicBool,
 }
 
 impl Default for Inbox {
     fn default() -> Inbox {
         let (tx, rx) = mpsc::channel(MOST_WAITING);
-        Inbox { tx, rx: Mutex::new(Some(rx)), append_us: AtomicU64::new(0) }
+        Inbox { tx, rx: Mutex::new(Some(rx)), append_us: AtomicU64::new(0), failing: AtomicBool::new(false) }
     }
 }
 
@@ -139,16 +160,27 @@
 }
 
 impl Inbox {
-    /// Stores a record within a time. A record that can't be stored in that time
-    /// is refused at once.
+    /// Stores a record of a caller within a time, with the help of other
+    /// processes if need be. A record that can't be stored in that time is refused
+    /// at once.
     pub async fn store(&self, rec: KeyedRecord, within: Duration) -> Stored {
+        self.queue(rec, within, false).await
+    }
+
+    /// Stores a record that another process asks for, without help.
+    pub async fn store_here(&self, rec: KeyedRecord, within: Duration) -> Stored {
+        self.queue(rec, within, true).await
+    }
+
+    async fn queue(&self, rec: KeyedRecord, within: Duration, for_peer: bool) -> Stored {
         // It waits for an append on its way, then for its own.
         if self.append_time() * 2 > within {
             return Stored::No;
         }
         let stage = Arc::new(Stage::default());
         let (reply, answer) = oneshot::channel();
-        let waiting = Waiting { rec, stage: stage.clone(), refusals: 0, unsure: false, reply };
+        let waiting =
+            Waiting { rec, stage: stage.clone(), refusals: 0, unsure: false, for_peer, helped: false, reply };
         if self.tx.try_send(waiting).is_err() {
             return Stored::No;
         }
@@ -164,6 +196,11 @@
         Duration::from_micros(self.append_us.load(Ordering::Relaxed))
     }
 
+    /// How long an append may take before it is taken to hang.
+    fn hangs_after(&self) -> Duration {
+        (self.append_time() * HANGS_AFTER).max(HANGS_NOT_BEFORE)
+    }
+
     fn note_append(&self, took: Duration) {
         let before = self.append_us.load(Ordering::Relaxed) as f64;
         let mean = before + (took.as_micros() as f64 - before) * NEWEST;
@@ -201,6 +238,77 @@
 
 /// Sends records in one append; returns those that are to be sent again.
 async fn append(node: Arc<Node>, part: Part, mut batch: Vec<Waiting>) -> Vec<Waiting> {
+    let tried = try_append(&node, part, &batch).await;
+    for (w, told) in batch.iter_mut().zip(&tried.helped) {
+        w.helped = *told == Some(Stored::Yes);
+        w.unsure |= *told == Some(Stored::Unknown);
+    }
+    match tried.own {
+        Own::Done => {
+            batch.into_iter().for_each(|w| w.answer(Stored::Yes));
+            return Vec::new();
+        }
+        Own::Unsure => batch.iter_mut().for_each(|w| w.unsure = true),
+        Own::Refused => {
+            batch.iter_mut().for_each(|w| w.refusals += 1);
+            if batch.iter().any(|w| !w.helped) {
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+        }
+    }
+    let (over, again): (Vec<_>, Vec<_>) = batch.into_iter().partition(Waiting::is_over);
+    over.into_iter().for_each(Waiting::answer_as_known);
+    again
+}
+
+/// What came of an append from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Own {
+    Done,
+    Refused,
+    Unsure,
+}
+
+/// What came of an append from here, and of help with its records; `None` where
+/// nobody was asked.
+struct Tried {
+    own: Own,
+    helped: Vec<Option<Stored>>,
+}
+
+/// Sends an append, and asks for help with it if it is refused or hangs.
+async fn try_append(node: &Node, part: Part, batch: &[Waiting]) -> Tried {
+    let mut own = pin!(append_here(node, part, batch));
+    let nobody = vec![None; batch.len()];
+    let patience =
+        if node.inbox.failing.load(Ordering::Relaxed) { Duration::ZERO } else { node.inbox.hangs_after() };
+    let first = tokio::time::timeout(patience, &mut own).await.ok();
+    if first == Some(Own::Done) {
+        return Tried { own: Own::Done, helped: nobody };
+    }
+    node.inbox.failing.store(true, Ordering::Relaxed);
+    let mut help = pin!(ask_for_help(node, batch));
+    let Some(first) = first else {
+        return tokio::select! {
+            own = &mut own => match own {
+                Own::Done => Tried { own, helped: nobody },
+                Own::Refused | Own::Unsure => Tried { own, helped: help.await },
+            },
+            helped = &mut help => {
+                let all = helped.iter().all(|h| *h == Some(Stored::Yes));
+                let own = if all { Own::Unsure } else { own.await };
+                Tried { own, helped }
+            }
+        };
+    };
+    Tried { own: first, helped: help.await }
+}
+
+/// Sends an append from here, unless the store has been silent.
+async fn append_here(node: &Node, part: Part, batch: &[Waiting]) -> Own {
+    if node.store_silence() > STORE_SILENT {
+        return Own::Refused;
+    }
     let records: Vec<KeyedRecord> = batch.iter().map(|w| w.rec.clone()).collect();
     let begun = node.now();
     let res = node.platform.append(Topic::Inbox(part), records, Guard::None).await;
@@ -208,25 +316,28 @@
     match res {
         Ok(_) => {
             node.store_is_up();
-            batch.into_iter().for_each(|w| w.answer(Stored::Yes));
-            return Vec::new();
+            node.inbox.failing.store(false, Ordering::Relaxed);
+            Own::Done
         }
         Err(StoreError::Unknown { text }) => {
-            log_failed("inbox_append_unanswered", &batch, &text);
-            batch.iter_mut().for_each(|w| w.unsure = true);
+            log_failed("inbox_append_unanswered", batch, &text);
+            Own::Unsure
         }
         Err(e) => {
-            log_failed("inbox_append_refused", &batch, &e.to_string());
-            batch.iter_mut().for_each(|w| w.refusals += 1);
-            tokio::time::sleep(REFUSED_PAUSE).await;
+            log_failed("inbox_append_refused", batch, &e.to_string());
+            Own::Refused
         }
     }
-    let (over, again): (Vec<_>, Vec<_>) = batch.into_iter().partition(Waiting::is_over);
-    over.into_iter().for_each(|w| {
-        let stored = if w.unsure { Stored::Unknown } else { Stored::No };
-        w.answer(stored);
-    });
-    again
+}
+
+/// Asks other processes to store the records of callers.
+async fn ask_for_help(node: &Node, batch: &[Waiting]) -> Vec<Option<Stored>> {
+    let records: Vec<KeyedRecord> = batch.iter().filter(|w| !w.for_peer).map(|w| w.rec.clone()).collect();
+    if records.is_empty() {
+        return vec![None; batch.len()];
+    }
+    let mut told = help::hand_in(node, &records).await.into_iter();
+    batch.iter().map(|w| if w.for_peer { None } else { told.next() }).collect()
 }
 
 fn log_failed(event: &str, batch: &[Waiting], error: &str) {
@@ -236,10 +347,19 @@
 }
 
 impl Waiting {
-    /// Whether it is not sent again: it was refused too often, or its caller no
-    /// longer waits for the answer.
+    /// Whether it is not sent again: it is stored, was refused too often, or its
+    /// caller no longer waits for the answer.
     fn is_over(&self) -> bool {
-        self.refusals >= MOST_REFUSALS || self.reply.is_closed()
+        self.helped || self.refusals >= MOST_REFUSALS || self.reply.is_closed()
+    }
+
+    fn answer_as_known(self) {
+        let stored = match (self.helped, self.unsure) {
+            (true, _) => Stored::Yes,
+            (false, true) => Stored::Unknown,
+            (false, false) => Stored::No,
+        };
+        self.answer(stored);
     }
 
     fn answer(self, stored: Stored) {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -13,19 +13,22 @@
 //!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`]
 //!   (the stored form), [`renew`] (the lease), [`watch`] (looks at workers) and
 //!   [`orders`];
-//! * [`ask`] puts callers' questions to the lease holder;
+//! * [`ask`] puts callers' questions to the lease holder, and [`help`] does what
+//!   other processes ask for, whose listeners are in [`peers`];
 //! * [`stop`] ends the process without cutting anything off.
 
 mod ask;
 mod feeds;
 mod follow;
 mod front;
+pub mod help;
 pub mod inbox;
 mod lead;
 mod lease;
 mod load;
-mod node;
+pub mod node;
 mod orders;
+pub mod peers;
 mod probe;
 mod record;
 mod renew;
@@ -62,7 +65,7 @@
     let callers = listen(settings.callers).await?;
     let readiness = listen(settings.readiness).await?;
     let metrics = listen(settings.metrics).await?;
-    let peers = listen(settings.peers).await?;
+    let peer_listener = listen(settings.peers).await?;
     let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
     let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::new(addresses));
     let node = Arc::new(Node::new(settings, platform));
@@ -77,10 +80,15 @@
     let (stop_callers, stopped) = channel::channel(false);
     tokio::spawn(probe::readiness(readiness, node.clone()));
     tokio::spawn(probe::metrics(metrics, node.clone()));
-    tokio::spawn(workswood_peers::serve(peers, ask::TOKEN.to_string(), ask::handler(node.clone())));
+    tokio::spawn(workswood_peers::serve(
+        peer_listener,
+        peers::TOKEN.to_string(),
+        help::handler(node.clone()),
+    ));
     tokio::spawn(inbox::run(node.clone()));
     tokio::spawn(follow::run(node.clone()));
     tokio::spawn(lease::run(node.clone()));
+    tokio::spawn(peers::run(node.clone()));
     tokio::spawn(stop::watch_reload(path));
     let callers = tokio::spawn(workswood_callers::serve(callers, front::handler(node.clone()), stopped));
     signals::stop().await;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 use workswood_core::ids::{Incarnation, Term, UnixMs};
 use workswood_core::jobs::{Event, JobKey, SchedConfig, ShownJob, Wave};
-use workswood_peers::Link;
 use workswood_platform::jobs::JobPlatform;
 
 use super::inbox::{Inbox, Kept};
+use super::peers::Peers;
 use crate::util::job_metrics::JobMetrics;
 use crate::util::job_settings::JobSettings;
 
@@ -68,8 +68,8 @@
     pub holder: ArcSwapOption<Holder>,
     /// The scheduler, while it runs here.
     pub leading: ArcSwapOption<Leading>,
-    /// Connections to peers by address.
-    pub links: Mutex<HashMap<String, Link>>,
+    /// Other processes that run jobs.
+    pub peers: Peers,
     /// Where callers' jobs and cancels wait to be stored.
     pub inbox: Inbox,
     /// Its metrics.
@@ -93,7 +93,7 @@
             waves: Mutex::default(),
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
-            links: Mutex::default(),
+            peers: Peers::default(),
             inbox: Inbox::default(),
             metrics: JobMetrics::default(),
             stopping: AtomicBool::new(false),
--- /dev/null
+++ b/src/workswood/ops/jobs/peers.rs
@@ -0,0 +1,137 @@
+//! Other processes that run jobs, and calls to them.
+//!
+//! Every process keeps a record in the store of where its peers reach it, and
+//! reads those of the others now and then: by the time that the store turns a
+//! host away, it is too late to ask there who could help.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use workswood_core::ids::UnixMs;
+use workswood_peers::{Link, Msg};
+use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+
+use super::node::Node;
+use super::record::{drop_record, value_record};
+
+/// Peers on the prepared platform share no secret: their network is their own.
+pub const TOKEN: &str = "";
+/// Connections that are kept: one to the lease holder, and a few to helpers.
+const MOST_LINKS: usize = 6;
+/// Time between two readings of the records.
+const READ_EVERY: Duration = Duration::from_secs(10);
+/// Time between two renewals of a process's own record.
+const RENEW_EVERY: Duration = Duration::from_secs(60);
+/// A process whose record is older is not asked: five renewals failed.
+const FRESH_FOR: Duration = Duration::from_secs(300);
+/// A record that is older is dropped.
+const KEPT_FOR: Duration = Duration::from_secs(24 * 3600);
+/// Pause after a failed read or append.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Stored form of a process, under the name of its host.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct PeerRecord {
+    /// Its peer listener.
+    peers: String,
+    /// When the record was written.
+    at: UnixMs,
+}
+
+/// Other processes, and connections to some of them.
+#[derive(Default)]
+pub struct Peers {
+    /// Peer listeners by host.
+    roster: Mutex<BTreeMap<String, String>>,
+    links: Mutex<HashMap<String, Link>>,
+    /// Whose turn it is to be asked for help.
+    turn: AtomicUsize,
+}
+
+impl Peers {
+    /// Asks a process. A connection that gave no answer in time is given up: it
+    /// may have been cut in silence.
+    pub async fn call(&self, from: &str, address: &str, msg: Msg, timeout: Duration) -> Option<Msg> {
+        let link = self.link(from, address);
+        let answer = link.call(msg, timeout).await;
+        if answer.is_none() {
+            self.links.lock().remove(address);
+        }
+        answer
+    }
+
+    fn link(&self, from: &str, address: &str) -> Link {
+        let mut links = self.links.lock();
+        if links.len() >= MOST_LINKS && !links.contains_key(address) {
+            links.clear();
+        }
+        let open = || Link::open(address.to_string(), TOKEN.to_string(), from.to_string());
+        links.entry(address.to_string()).or_insert_with(open).clone()
+    }
+
+    /// Up to `count` other processes that may help, by their listeners; another
+    /// one comes first each time.
+    pub fn helpers(&self, own: &str, count: usize) -> Vec<String> {
+        let roster = self.roster.lock();
+        let others: Vec<&String> = roster.values().filter(|a| *a != own).collect();
+        let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+        (0..others.len().min(count)).map(|n| others[(turn + n) % others.len()].clone()).collect()
+    }
+}
+
+/// Keeps the process's own record, and reads those of others, for ever.
+pub async fn run(node: Arc<Node>) {
+    let mut renewed: Option<Duration> = None;
+    loop {
+        match read(&node).await {
+            Ok(()) => node.store_is_up(),
+            Err(e) => {
+                log::debug!("event=peers_not_read error=\"{e}\"");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        }
+        if renewed.is_none_or(|at| node.now() > at + RENEW_EVERY) && renew(&node).await {
+            renewed = Some(node.now());
+        }
+        tokio::time::sleep(READ_EVERY).await;
+    }
+}
+
+/// Writes the process's own record; returns whether it is stored.
+async fn renew(node: &Node) -> bool {
+    let own = PeerRecord { peers: node.settings.peers.to_string(), at: node.wall() };
+    let rec = value_record(node.settings.name.clone(), &own);
+    let res = node.platform.append(Topic::Peers, vec![rec], Guard::None).await;
+    res.inspect_err(|e| log::warn!("event=peer_record_not_written error=\"{e}\"")).is_ok()
+}
+
+/// Reads the records of all processes.
+async fn read(node: &Node) -> Result<(), StoreError> {
+    let newest = node.platform.newest(Topic::Peers).await?;
+    let now = node.wall();
+    let mut roster = BTreeMap::new();
+    let mut old: Vec<KeyedRecord> = Vec::new();
+    for rec in newest.records {
+        let value = rec.value.as_deref().unwrap_or_default();
+        let Ok(peer) = serde_json::from_slice::<PeerRecord>(value) else {
+            log::error!("event=record_not_read code=203 key={}", rec.key);
+            continue;
+        };
+        let age = Duration::from_millis(now.saturating_sub(peer.at));
+        if age < FRESH_FOR {
+            roster.insert(rec.key, peer.peers);
+        } else if age > KEPT_FOR {
+            old.push(drop_record(rec.key));
+        }
+    }
+    *node.peers.roster.lock() = roster;
+    if old.is_empty() {
+        return Ok(());
+    }
+    node.platform.append(Topic::Peers, old, Guard::None).await.map(|_| ())
+}
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -92,7 +92,7 @@
 }
 
 /// The record that drops what is stored under a key.
-fn drop_record(key: String) -> KeyedRecord {
+pub fn drop_record(key: String) -> KeyedRecord {
     KeyedRecord { key, value: None }
 }
 
--- a/src/workswood/ops/jobs/renew.rs
+++ b/src/workswood/ops/jobs/renew.rs
@@ -6,6 +6,7 @@
 
 use workswood_platform::jobs::{Guard, StoreError, Topic};
 
+use super::help;
 use super::lease::LeaseRecord;
 use super::node::{Leading, Node};
 
@@ -20,9 +21,15 @@
 /// nobody has claimed the lease meanwhile, it is still its own.
 pub const GRACE: Duration = Duration::from_secs(4);
 
+/// A holder that has not renewed for this long, while another process can write
+/// into the store, gives the lease back: a renewal and two more tries. Its
+/// successor would wait for 1.8 s.
+const HOPELESS_AFTER: Duration = Duration::from_millis(900);
+
 /// Renews until the scheduler ends.
 pub async fn run(node: Arc<Node>, l: Arc<Leading>) {
     let mut number = 1;
+    let mut renewed = node.now();
     loop {
         let sent = node.now();
         let rec = LeaseRecord::of(&node, l.term, false).keyed();
@@ -30,6 +37,7 @@
             Ok(_) => {
                 node.store_is_up();
                 number += 1;
+                renewed = sent;
                 let until = (sent + GRACE).as_millis() as u64;
                 l.extend_until.store(until, Ordering::Release);
                 tokio::time::sleep(EVERY).await;
@@ -41,6 +49,11 @@
             }
             Err(e) => {
                 log::warn!("event=lease_not_renewed term={} error=\"{e}\"", l.term);
+                if node.now() > renewed + HOPELESS_AFTER && help::release(&node, l.term).await {
+                    log::warn!("event=lease_released term={} by=helper", l.term);
+                    let _ = l.end.send(true);
+                    return;
+                }
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/tests/testsuite/inbox_appends.rs
+++ b/tests/testsuite/inbox_appends.rs
@@ -7,8 +7,8 @@
 use tokio::task::JoinSet;
 use workswood::ops::jobs::Node;
 use workswood::ops::jobs::inbox::{self, Stored, part_of};
-use workswood::util::job_settings::JobSettings;
 use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
 
 /// Time that callers wait.
@@ -18,15 +18,6 @@
     Duration::from_millis(n)
 }
 
-fn settings(name: &str) -> JobSettings {
-    let text = serde_json::json!({
-        "name": name, "data_centre": "north", "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0",
-        "peers": "127.0.0.1:0", "metrics": "127.0.0.1:0", "store": "127.0.0.1:9", "machines": "127.0.0.1:9",
-        "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
-    });
-    serde_json::from_value(text).expect("good settings")
-}
-
 /// A process whose inbox is written to a store.
 fn process(store: &Arc<TurnStore>) -> Arc<Node> {
     let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod maintenance_waves;
 mod operator_changes;
 mod order_marks;
+mod peer_help;
 mod peer_members;
 mod pool_moves;
 mod queue_order;
--- /dev/null
+++ b/tests/testsuite/peer_help.rs
@@ -0,0 +1,105 @@
+//! What processes do for each other while the store turns some of them away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use workswood::ops::jobs::inbox::{self, Stored};
+use workswood::ops::jobs::node::Holder;
+use workswood::ops::jobs::{Node, help, peers};
+use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::job_node::settings;
+use workswood_test_support::turn_store::{Fate, TurnStore};
+
+/// Time that callers wait.
+const WAITS: Duration = Duration::from_millis(2800);
+
+/// A process that serves its peers and writes its inbox to a store.
+async fn process(name: &str, store: &Arc<TurnStore>) -> Arc<Node> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let mut settings = settings(name);
+    settings.peers = listener.local_addr().expect("an address");
+    let node = Arc::new(Node::new(settings, store.clone()));
+    tokio::spawn(inbox::run(node.clone()));
+    tokio::spawn(workswood_peers::serve(listener, peers::TOKEN.to_string(), help::handler(node.clone())));
+    node
+}
+
+/// Makes a process know who holds the lease.
+fn tell_holder(node: &Node, holder: &Node) {
+    let (id, peers) = (holder.id.clone(), holder.settings.peers.to_string());
+    node.holder.store(Some(Arc::new(Holder { id, peers, term: 7, released: false })));
+}
+
+fn store(fates: &[Fate]) -> Arc<TurnStore> {
+    Arc::new(TurnStore::new(Duration::from_millis(2), fates))
+}
+
+fn rec(key: &str) -> KeyedRecord {
+    KeyedRecord { key: key.to_string(), value: Some("job".into()) }
+}
+
+#[tokio::test]
+async fn turned_away_host_serves() {
+    let (away, well) = (store(&[Fate::Refused; 100]), store(&[]));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &well).await);
+    tell_holder(&a, &b);
+    for n in 0..5 {
+        assert_eq!(a.inbox.store(rec(&format!("job-{n}")), WAITS).await, Stored::Yes);
+    }
+    assert_eq!(well.done().into_iter().flatten().count(), 5);
+    assert!(away.done().is_empty());
+}
+
+#[tokio::test]
+async fn hanging_store_is_gone_round() {
+    let (away, well) = (store(&[Fate::Silent; 100]), store(&[]));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &well).await);
+    tell_holder(&a, &b);
+    let begun = a.now();
+    assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::Yes);
+    assert!(a.now() - begun < Duration::from_millis(900), "no call to the store has timed out yet");
+}
+
+#[tokio::test]
+async fn nobody_can_store() {
+    let (away, down) = (store(&[Fate::Refused; 100]), store(&[Fate::Refused; 100]));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &down).await);
+    tell_holder(&a, &b);
+    assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::No, "and it is not there");
+    assert!(away.done().is_empty() && down.done().is_empty());
+}
+
+#[tokio::test]
+async fn helper_asks_nobody_back() {
+    let (x, y) = (store(&[Fate::Refused; 100]), store(&[Fate::Refused; 100]));
+    let (a, b) = (process("entry-1", &x).await, process("entry-2", &y).await);
+    tell_holder(&a, &b);
+    tell_holder(&b, &a);
+    assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::No);
+}
+
+#[tokio::test]
+async fn lost_answer_of_helper_is_unknown() {
+    // The helper stores it and can't tell: its own tries after that are refused.
+    let fates: Vec<Fate> =
+        std::iter::once(Fate::AnswerLost).chain(std::iter::repeat_n(Fate::Refused, 100)).collect();
+    let (away, half) = (store(&[Fate::Refused; 100]), store(&fates));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &half).await);
+    tell_holder(&a, &b);
+    assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::Unknown, "a refusal would not be true");
+    assert_eq!(half.done().len(), 1);
+}
+
+#[tokio::test]
+async fn lease_is_given_back_for_holder() {
+    let (away, well) = (store(&[Fate::Refused; 100]), store(&[]));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &well).await);
+    tell_holder(&a, &b);
+    assert!(help::release(&a, 7).await);
+    assert_eq!(well.done(), [["holder"]]);
+    let down = store(&[Fate::Refused; 100]);
+    let c = process("entry-3", &down).await;
+    tell_holder(&a, &c);
+    assert!(!help::release(&a, 7).await, "nobody can write");
+}
