Ask again soon when a look or a start is lost; one append at a time

A lost start was sent again after 0.6 s.

Change: a look that takes four times the mean of its worker (0.25 s at least) is sent again; starts are sent again after 0.2, 0.4 and 0.6 s. There is one append on its way at a time, others only while it hangs, and up to twelve parts.

--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -143,6 +143,8 @@
     pub ticket: Option<Arc<str>>,
     /// End of the worker's lease, on its clock.
     pub lease_end: WorkerClock,
+    /// How long an answer is waited for.
+    pub patience: Duration,
 }
 
 /// What running jobs needs of a platform.
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -1,6 +1,7 @@
 //! A store that takes appends in turn, each of which needs some time.
 //!
-//! It runs on the clock of the test, and does nothing but appends.
+//! It runs on the clock of the test. Beside appends it answers looks at workers,
+//! each of which is at a busy worker or is lost.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -38,8 +39,17 @@
     fates: Mutex<VecDeque<Fate>>,
     /// Keys of each append that was done.
     done: Mutex<Vec<Vec<String>>>,
+    /// Looks so far.
+    looks: Mutex<u64>,
 }
 
+/// Every so many looks, one is lost.
+const LOST_LOOK: u64 = 10;
+/// Time after which a task of the busy worker ends.
+const BUSY: Duration = Duration::from_millis(60);
+/// Longest wait for the answer to a look beyond what it asks for.
+const LOOK_SLACK: Duration = Duration::from_millis(700);
+
 impl TurnStore {
     /// A store whose appends take so long each.
     pub fn new(each: Duration, fates: &[Fate]) -> TurnStore {
@@ -48,6 +58,7 @@
             turns: Mutex::default(),
             fates: Mutex::new(fates.iter().copied().collect()),
             done: Mutex::default(),
+            looks: Mutex::default(),
         }
     }
 
@@ -121,9 +132,22 @@
         _: Term,
         _: u64,
         _: Option<WorkerClock>,
-        _: Duration,
+        wait: Duration,
     ) -> BoxFuture<'_, Result<(WorkerClock, Report), WorkerError>> {
-        nobody()
+        let n = {
+            let mut looks = self.looks.lock();
+            *looks += 1;
+            *looks
+        };
+        async move {
+            if n.is_multiple_of(LOST_LOOK) {
+                tokio::time::sleep(wait + LOOK_SLACK).await;
+                return Err(WorkerError::NoAnswer);
+            }
+            tokio::time::sleep(wait.min(BUSY)).await;
+            Ok((Duration::from_millis(n), Report::default()))
+        }
+        .boxed()
     }
 
     fn start(&self, _: &WorkerInfo, _: Term, _: StartOrder) -> BoxFuture<'_, Result<(), WorkerError>> {
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -33,7 +33,8 @@
 use super::node::Node;
 use super::record::InboxKey;
 
-/// Appends on their way at a time: one that hangs leaves two.
+/// Appends on their way at a time. The store takes appends in turn, so there is
+/// one, and two more only while it hangs.
 const LANES: usize = 3;
 /// Most records of one append; with a job's text of 4 KB and its steps, about
 /// a quarter of what the store takes in one call.
@@ -55,8 +56,8 @@
 /// the process's reads tell when it is back.
 const STORE_SILENT: Duration = Duration::from_millis(1700);
 /// Parts of the inbox that are used. Each is read by the lease holder all the
-/// time, about one call a second; with eight, 32 hosts wait for three others.
-const MOST_PARTS: Part = 8;
+/// time, about one call a second; with twelve, 32 hosts wait for two others.
+const MOST_PARTS: Part = 12;
 
 /// Whether a record is in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -214,7 +215,9 @@
     let part = part_of(&node.settings.name, node.settings.store_parts);
     let mut queue: Vec<Waiting> = Vec::new();
     let mut lanes: JoinSet<Vec<Waiting>> = JoinSet::new();
+    let mut begun = node.now();
     loop {
+        let next_lane = begun + node.inbox.hangs_after();
         tokio::select! {
             Some(done) = lanes.join_next() => match done {
                 Ok(again) => queue.extend(again),
@@ -225,12 +228,17 @@
                     return;
                 }
             }
+            () = tokio::time::sleep(next_lane.saturating_sub(node.now())),
+                if !queue.is_empty() && lanes.len() < LANES => {}
         }
-        while lanes.len() < LANES && !queue.is_empty() {
+        let free = |lanes: usize| lanes == 0 || lanes < LANES && node.now() >= next_lane;
+        while free(lanes.len()) && !queue.is_empty() {
             let count = queue.len().min(MOST_RECORDS);
             let batch: Vec<Waiting> = queue.drain(..count).filter(|w| w.stage.send()).collect();
             if !batch.is_empty() {
                 lanes.spawn(append(node.clone(), part, batch));
+                begun = node.now();
+                break;
             }
         }
     }
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -6,10 +6,9 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use parking_lot::{Mutex, RwLock};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use workswood_core::jobs::job::WorkerId;
@@ -38,17 +37,7 @@
 pub fn start(node: &Arc<Node>, term: u64) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (end, ended) = watch::channel(false);
-    let until = (node.now() + renew::GRACE).as_millis() as u64;
-    let leading = Arc::new(Leading {
-        term,
-        since: node.now(),
-        tx,
-        shown: RwLock::default(),
-        inbox_read: AtomicU64::new(0),
-        kept: Mutex::default(),
-        extend_until: AtomicU64::new(until),
-        end,
-    });
+    let leading = Arc::new(Leading::new(term, node.now(), renew::GRACE, tx, end));
     node.leading.store(Some(leading.clone()));
     node.metrics.terms.inc();
     log::info!("event=scheduler_started term={term}");
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -33,7 +33,7 @@
 mod record;
 mod renew;
 mod stop;
-mod watch;
+pub mod watch;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -52,6 +52,29 @@
     pub end: watch::Sender<bool>,
 }
 
+impl Leading {
+    /// A scheduler that has just got its lease, and may extend workers' leases for
+    /// some time before it renews it.
+    pub fn new(
+        term: Term,
+        since: Duration,
+        grace: Duration,
+        tx: mpsc::UnboundedSender<Event>,
+        end: watch::Sender<bool>,
+    ) -> Leading {
+        Leading {
+            term,
+            since,
+            tx,
+            shown: RwLock::default(),
+            inbox_read: AtomicU64::new(0),
+            kept: Mutex::default(),
+            extend_until: AtomicU64::new((since + grace).as_millis() as u64),
+            end,
+        }
+    }
+}
+
 /// What the tasks of one process share.
 pub struct Node {
     /// Its settings.
--- a/src/workswood/ops/jobs/orders.rs
+++ b/src/workswood/ops/jobs/orders.rs
@@ -14,8 +14,12 @@
 use super::node::{Leading, Node};
 use super::watch::{self, WorkerLink};
 
-/// How often a start is sent before its outcome is left to a stop.
-const START_TRIES: u32 = 3;
+/// How long the answer to each try of a start is waited for; then its outcome is
+/// left to a stop. The way there and back takes some ten milliseconds, on a busy
+/// host a hundred; a worker that has lost an order is asked again soon, and one
+/// that is slow gets its time in the end.
+const START_PATIENCE: [Duration; 3] =
+    [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(600)];
 /// How often a stop is sent before the scheduler is told of it.
 const STOP_TRIES: u32 = 2;
 
@@ -115,7 +119,7 @@
     sent_until: &mut Duration,
 ) -> StartReply {
     let mut unanswered = false;
-    for _ in 0..START_TRIES {
+    for patience in START_PATIENCE {
         // The end of the lease is worked out before the right to send is
         // checked: a process that is paused in between sends a lease that has
         // ended, which the worker refuses.
@@ -133,6 +137,7 @@
             checkpoint: s.checkpoint.clone(),
             ticket: s.ticket.clone(),
             lease_end,
+            patience,
         };
         match node.platform.start(&link.info, l.term, order).await {
             Ok(()) => return StartReply::Taken,
--- a/src/workswood/ops/jobs/watch.rs
+++ b/src/workswood/ops/jobs/watch.rs
@@ -6,7 +6,7 @@
 
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, watch};
-use workswood_core::jobs::{Event, WorkerInfo};
+use workswood_core::jobs::{Event, Report, WorkerInfo};
 use workswood_platform::jobs::{WorkerClock, WorkerError};
 
 use super::node::{Leading, Node};
@@ -15,6 +15,14 @@
 const LOOK_WAIT: Duration = Duration::from_millis(900);
 /// Least time between two looks: ends that come together are taken together.
 const LOOK_GAP: Duration = Duration::from_millis(20);
+/// A look that takes this many times the mean of its worker is taken to be lost,
+const LOST_AFTER: f64 = 4.0;
+/// but not before this time,
+const LOST_NOT_BEFORE: Duration = Duration::from_millis(250);
+/// and in any case when the worker should have answered for so long.
+const LOST_AT_LAST: Duration = Duration::from_millis(200);
+/// Weight of the newest look in the mean time that looks take.
+const NEWEST: f64 = 0.3;
 /// Pause after a look without an answer.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Orders on their way to one worker at a time; with the look, connections
@@ -81,50 +89,115 @@
 
 /// Looks at a worker until the link is closed.
 pub async fn run(node: Arc<Node>, l: Arc<Leading>, link: Arc<WorkerLink>, lease: Duration, span: Duration) {
-    let id = link.info.id.clone();
-    // Until when the lease lasts that was last sent.
-    let mut sent_until = node.now();
-    while !link.is_closed() {
-        let sent = node.now();
-        let may_extend = !link.is_silent() && node.now_ms() < l.extend_until.load(Ordering::Acquire);
-        let lease_end = if may_extend { link.lease_end(sent, lease) } else { None };
-        let mut wait = Duration::ZERO;
-        if lease_end.is_some() {
-            sent_until = sent + span;
-            wait = LOOK_WAIT;
-        }
-        let forget = *link.forget.borrow();
-        let res = node.platform.look(&link.info, l.term, forget, lease_end, wait).await;
-        if link.is_closed() {
+    let mut looker = Looker { node, l, link, lease, span, sent_until: Duration::ZERO, mean: LOOK_WAIT };
+    looker.sent_until = looker.node.now();
+    while !looker.link.is_closed() {
+        if !looker.look().await {
             return;
         }
+    }
+}
+
+/// What looks at one worker.
+struct Looker {
+    node: Arc<Node>,
+    l: Arc<Leading>,
+    link: Arc<WorkerLink>,
+    /// Length of a worker's lease.
+    lease: Duration,
+    /// The longest real time that a lease may last.
+    span: Duration,
+    /// Until when the lease lasts that was last sent.
+    sent_until: Duration,
+    /// Mean time that looks at this worker take.
+    mean: Duration,
+}
+
+/// An answered look.
+struct Seen {
+    sent: Duration,
+    clock: WorkerClock,
+    report: Report,
+}
+
+impl Looker {
+    /// Looks once and tells the scheduler; returns whether to go on.
+    async fn look(&mut self) -> bool {
+        let begun = self.node.now();
+        let res = self.ask_twice().await;
+        if self.link.is_closed() {
+            return false;
+        }
+        let id = self.link.info.id.clone();
         match res {
-            Ok((clock, mut report)) => {
-                link.answered(clock, node.now());
-                report.asked = sent;
-                let last = report.ended.iter().map(|e| e.number).max().unwrap_or(0);
-                let _ = l.tx.send(Event::Reported(id.clone(), report, sent_until));
-                if last > forget {
-                    wait_recorded(&link, last).await;
-                }
-                tokio::time::sleep(LOOK_GAP.saturating_sub(node.now() - sent)).await;
-            }
+            Ok(seen) => self.seen(seen, begun).await,
             Err(WorkerError::OtherLife) => {
-                let _ = l.tx.send(Event::LifeOver(id.clone()));
-                return;
+                let _ = self.l.tx.send(Event::LifeOver(id));
+                return false;
             }
             Err(WorkerError::Fenced) => {
-                log::warn!("event=fenced_by_worker worker={id} term={}", l.term);
-                let _ = l.end.send(true);
-                return;
+                log::warn!("event=fenced_by_worker worker={id} term={}", self.l.term);
+                let _ = self.l.end.send(true);
+                return false;
             }
             Err(e) => {
-                link.silent.store(true, Ordering::Release);
+                self.link.silent.store(true, Ordering::Release);
                 log::debug!("event=look_failed worker={id} error={e:?}");
-                let _ = l.tx.send(Event::Unanswered(id.clone(), sent_until));
+                let _ = self.l.tx.send(Event::Unanswered(id, self.sent_until));
                 tokio::time::sleep(PAUSE).await;
             }
         }
+        true
+    }
+
+    /// Looks, and once more if the first look seems to be lost. A busy worker
+    /// answers within a tenth of a second, since some task ends; until the answer
+    /// that does not come is given up, nobody would hear of its ends.
+    async fn ask_twice(&mut self) -> Result<Seen, WorkerError> {
+        let may_extend = self.may_extend();
+        let wait = if may_extend { LOOK_WAIT } else { Duration::ZERO };
+        let lost_after = self.mean.mul_f64(LOST_AFTER).max(LOST_NOT_BEFORE).min(wait + LOST_AT_LAST);
+        match tokio::time::timeout(lost_after, self.ask(wait)).await {
+            Ok(res) => res,
+            Err(_) => self.ask(Duration::ZERO).await,
+        }
+    }
+
+    /// Whether the worker's lease may be extended now.
+    fn may_extend(&self) -> bool {
+        let until = self.l.extend_until.load(Ordering::Acquire);
+        !self.link.is_silent() && self.node.now_ms() < until
+    }
+
+    /// Sends a look that waits for an end for some time.
+    async fn ask(&mut self, wait: Duration) -> Result<Seen, WorkerError> {
+        let sent = self.node.now();
+        let lease_end = if self.may_extend() { self.link.lease_end(sent, self.lease) } else { None };
+        let mut wait = wait;
+        match lease_end {
+            Some(_) => self.sent_until = sent + self.span,
+            None => wait = Duration::ZERO,
+        }
+        let forget = *self.link.forget.borrow();
+        let (clock, report) =
+            self.node.platform.look(&self.link.info, self.l.term, forget, lease_end, wait).await?;
+        Ok(Seen { sent, clock, report })
+    }
+
+    /// Tells the scheduler what an answered look says.
+    async fn seen(&mut self, seen: Seen, begun: Duration) {
+        let Seen { sent, clock, mut report } = seen;
+        let now = self.node.now();
+        self.mean = self.mean.mul_f64(1.0 - NEWEST) + (now - begun).mul_f64(NEWEST);
+        self.link.answered(clock, now);
+        report.asked = sent;
+        let last = report.ended.iter().map(|e| e.number).max().unwrap_or(0);
+        let news = last > *self.link.forget.borrow();
+        let _ = self.l.tx.send(Event::Reported(self.link.info.id.clone(), report, self.sent_until));
+        if news {
+            wait_recorded(&self.link, last).await;
+        }
+        tokio::time::sleep(LOOK_GAP.saturating_sub(self.node.now() - begun)).await;
     }
 }
 
--- a/tests/testsuite/inbox_appends.rs
+++ b/tests/testsuite/inbox_appends.rs
@@ -128,8 +128,8 @@
 #[test]
 fn hosts_spread_over_parts() {
     let used: BTreeSet<_> = (0..32).map(|n| part_of(&format!("entry-{n}"), 12)).collect();
-    assert!(used.len() >= 6, "{used:?}");
-    assert!(used.iter().all(|p| *p < 8), "{used:?}");
+    assert!(used.len() >= 9, "{used:?}");
+    assert!(used.iter().all(|p| *p < 12), "{used:?}");
     assert_eq!(part_of("entry-1", 1), 0);
     assert_eq!(inbox::parts(0).collect::<Vec<_>>(), [0], "a store has one at least");
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod lease_claims;
 mod log_faults;
 mod log_retention;
+mod lost_looks;
 mod maintenance_waves;
 mod operator_changes;
 mod order_marks;
--- a/tests/testsuite/worker_protocol.rs
+++ b/tests/testsuite/worker_protocol.rs
@@ -23,7 +23,15 @@
 
 fn order(attempt: u32, lease_end: Duration) -> StartOrder {
     let job = Arc::new(job(vec![step(1, vec![])], 0));
-    StartOrder { task: TASK, attempt, job, checkpoint: String::new(), ticket: None, lease_end }
+    StartOrder {
+        task: TASK,
+        attempt,
+        job,
+        checkpoint: String::new(),
+        ticket: None,
+        lease_end,
+        patience: Duration::from_millis(600),
+    }
 }
 
 #[tokio::test]
