--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -27,6 +27,8 @@
     pub health: HealthPolicy,
     /// How fast filling tasks work.
     pub pace: PacePolicy,
+    /// What is done about calls that fail or are lost.
+    pub calls: CallPolicy,
 }
 
 /// Which waiting task is next.
@@ -267,6 +269,25 @@
     }
 }
 
+/// What is done about calls that fail or are lost.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CallPolicy {
+    /// Whether hosts that the store turns away have others write for them: worth
+    /// earned less prices 0.568 without and 0.591 with it (mean of 50 simulated
+    /// days with faults on 49 machines).
+    pub help: bool,
+    /// Whether a look that seems to be lost is sent again before it is given up:
+    /// likewise, with faster tries of starts, 0.591 and 0.604.
+    pub look_again: bool,
+}
+
+impl Default for CallPolicy {
+    fn default() -> CallPolicy {
+        CallPolicy { help: true, look_again: true }
+    }
+}
+
 /// Longest time that a policy may name; more is a slip of the pen.
 const LONGEST: Duration = Duration::from_secs(600);
 
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -315,6 +315,9 @@
 
 /// Sends an append, and asks for help with it if it is refused or hangs.
 async fn try_append(node: &Node, part: Part, batch: &[Waiting]) -> Tried {
+    if !node.settings.policy.calls.help {
+        return Tried { own: append_here(node, part, batch).await, helped: vec![None; batch.len()] };
+    }
     let mut own = pin!(append_here(node, part, batch));
     let nobody = vec![None; batch.len()];
     let patience =
--- a/src/workswood/ops/jobs/renew.rs
+++ b/src/workswood/ops/jobs/renew.rs
@@ -49,7 +49,8 @@
             }
             Err(e) => {
                 log::warn!("event=lease_not_renewed term={} error=\"{e}\"", l.term);
-                if node.now() > renewed + HOPELESS_AFTER && help::release(&node, l.term).await {
+                let hopeless = node.now() > renewed + HOPELESS_AFTER && node.settings.policy.calls.help;
+                if hopeless && help::release(&node, l.term).await {
                     log::warn!("event=lease_released term={} by=helper", l.term);
                     let _ = l.end.send(true);
                     return;
--- a/src/workswood/ops/jobs/watch.rs
+++ b/src/workswood/ops/jobs/watch.rs
@@ -156,6 +156,9 @@
     async fn ask_twice(&mut self) -> Result<Seen, WorkerError> {
         let may_extend = self.may_extend();
         let wait = if may_extend { LOOK_WAIT } else { Duration::ZERO };
+        if !self.node.settings.policy.calls.look_again {
+            return self.ask(wait).await;
+        }
         let lost_after = self.mean.mul_f64(LOST_AFTER).max(LOST_NOT_BEFORE).min(wait + LOST_AT_LAST);
         match tokio::time::timeout(lost_after, self.ask(wait)).await {
             Ok(res) => res,
