Count machines that were taken away as done; hear at once that the store is back

One that no list has shown for 4 s counts as done, and one that is not listed gets no order. The line of a machine's answer says in which state and pool it is listed. - After a failed read the next one asks for an answer at once. - A call to a peer that was never sent leaves nothing open: the caller is refused instead of told that it is not known.

Removed: up to three lasting tasks of a step together.

--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -157,12 +157,9 @@
             (false, Some(_)) => w.fills.len(),
             _ => 0,
         };
-        let alike = same_step(w, id);
-        let together = match alike {
-            _ if step.fills => usize::from(w.lasting.is_empty()),
-            _ if alike >= policy.lasting_together => 1 + alike,
-            _ => usize::from(w.lasting.is_empty()),
-        };
+        // Apart from tasks that are alike, on machines where some task lasts already.
+        let alike = if step.fills { 0 } else { same_step(w, id) };
+        let together = 2 * alike + usize::from(w.lasting.is_empty());
         beside * MOST_ALIKE + together
     }
 
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -62,18 +62,13 @@
     /// ones apart. Smaller tasks behind may fit where larger ones don't; with
     /// many of them the large ones would never find room.
     pub most_misses: usize,
-    /// So many tasks of a lasting step may share a worker before they take a
-    /// worker on which none lasts: the fewer workers lasting tasks stand on, the
-    /// more can go where they are needed; with all on one, its loss would end the
-    /// whole step.
-    pub lasting_together: usize,
     /// Whether filling tasks go to machines that serve.
     pub fills_beside: bool,
 }
 
 impl Default for PlacementPolicy {
     fn default() -> PlacementPolicy {
-        PlacementPolicy { most_misses: 8, lasting_together: 3, fills_beside: false }
+        PlacementPolicy { most_misses: 8, fills_beside: false }
     }
 }
 
@@ -341,7 +336,6 @@
         let counts = [
             ("order.enough_ends", self.order.enough_ends as usize),
             ("placement.most_misses", self.placement.most_misses),
-            ("placement.lasting_together", self.placement.lasting_together),
             ("need.turn_jobs", self.need.turn_jobs),
             ("health.faults_to_shun", self.health.faults_to_shun as usize),
             ("health.shun_one_of", self.health.shun_one_of),
--- a/crates/workswood-core/src/jobs/upkeep.rs
+++ b/crates/workswood-core/src/jobs/upkeep.rs
@@ -65,15 +65,15 @@
     }
 
     /// Whether a machine is likely to take an order. One that is on its way to a
-    /// pool, or being maintained, turns it down until it is up again; so does,
-    /// for unknown reasons, one that has just turned one down.
+    /// pool, or being maintained, turns it down until it is up again; so does one
+    /// that is not listed, and one that has just turned one down.
     fn takes_orders(&self, n: u64, machine: &HostId) -> bool {
         let sent = self.waves.get(&n).and_then(|w| w.sent.get(machine));
         if sent.is_some_and(|at| self.now < *at + ORDER_AGAIN) {
             return false;
         }
         let state = self.machines.get(machine).map(|m| m.state);
-        !matches!(state, Some(MachineState::Moving | MachineState::Upkeep))
+        matches!(state, Some(MachineState::Up | MachineState::Down))
     }
 
     /// The wave that has ordered a machine down and waits for the outcome.
@@ -89,7 +89,11 @@
             return;
         }
         let Some(n) = self.wave_of_order(machine) else { return };
-        self.notes.push(format!("event=machine_answer wave={n} machine={machine} reply={reply:?}"));
+        let listed = self.machines.get(machine);
+        let (pool, state) = listed.map_or(("none", None), |m| (m.pool.as_str(), Some(m.state)));
+        self.notes.push(format!(
+            "event=machine_answer wave={n} machine={machine} reply={reply:?} pool={pool} listed={state:?}"
+        ));
         let Some(w) = self.waves.get_mut(&n) else { return };
         match reply {
             MachineReply::Done => self.upkeep_done(n, machine),
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -5,7 +5,7 @@
 //! record first), down, and finished when it is up again with another life of
 //! its worker. The orders themselves are in [`upkeep`](super::upkeep).
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,11 @@
 /// after its order was confirmed, if it is at all.
 const OFF_SETTLES: Duration = Duration::from_millis(1500);
 
+/// A machine that no list has shown for this long was taken away for good: lists
+/// are asked for every 0.6 s, and a machine that changes its pool or is maintained
+/// stays listed.
+const GONE_AFTER: Duration = Duration::from_millis(4000);
+
 /// A wave, as operators ask for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Wave {
@@ -63,6 +68,10 @@
     pub confirmed: BTreeMap<HostId, Duration>,
     /// Machines whose order may yet be carried out though it was not answered.
     pub unsure: BTreeSet<HostId>,
+    /// Machines that the list does not show, and since when.
+    pub absent: BTreeMap<HostId, Duration>,
+    /// Machines that were taken away; they need no maintenance.
+    pub gone: BTreeSet<HostId>,
     /// When we heard of it.
     pub heard: Duration,
 }
@@ -90,9 +99,21 @@
 }
 
 impl WaveState {
-    /// Whether every machine of it has been maintained.
+    /// Whether every machine of it has been maintained, or was taken away.
     pub fn complete(&self) -> bool {
-        self.wave.machines.iter().all(|m| self.record.finished.contains(m))
+        self.wave.machines.iter().all(|m| self.record.finished.contains(m) || self.gone.contains(m))
+    }
+
+    /// Takes in which machines a list shows; returns whether some count as taken
+    /// away now that did not before, or the other way round.
+    fn note_absent(&mut self, machines: &HashMap<HostId, Machine>, asked: Duration) -> bool {
+        let before = self.gone.len();
+        let absent = self.wave.machines.iter().filter(|m| !machines.contains_key(*m));
+        let absent = absent.map(|m| (m.clone(), self.absent.get(m).copied().unwrap_or(asked)));
+        self.absent = absent.collect();
+        let gone = self.absent.iter().filter(|(_, since)| **since + GONE_AFTER <= asked);
+        self.gone = gone.map(|(m, _)| m.clone()).collect();
+        self.gone.len() != before
     }
 
     /// How many machines should be finished or under way by now.
@@ -146,6 +167,8 @@
             sent: BTreeMap::new(),
             confirmed,
             unsure,
+            absent: BTreeMap::new(),
+            gone: BTreeSet::new(),
             heard: now,
         };
         self.waves.insert(number, state);
@@ -175,6 +198,9 @@
     fn finish_machines(&mut self, asked: Duration) {
         let spare = self.spare_pool();
         for (number, w) in &mut self.waves {
+            if !self.machines.is_empty() && w.note_absent(&self.machines, asked) {
+                self.dirty_waves.insert(*number);
+            }
             let waiting: Vec<HostId> =
                 w.record.down.iter().filter(|m| !w.record.finished.contains(*m)).cloned().collect();
             for name in waiting {
@@ -265,7 +291,8 @@
         let mut behind = w
             .planned(self.now, !short.is_empty(), &self.policy.waves)
             .saturating_sub(w.record.finished.len() + begun);
-        let waiting = w.wave.machines.iter().filter(|m| w.waits(m) && !self.pools.moving.contains_key(*m));
+        let free = |m: &&HostId| self.machines.contains_key(*m) && !self.pools.moving.contains_key(*m);
+        let waiting = w.wave.machines.iter().filter(|m| w.waits(m)).filter(free);
         let mut waiting: Vec<(bool, (usize, u64, HostId))> =
             waiting.map(|m| (self.stands_in(m, &short), self.load_on(m))).collect();
         waiting.sort();
--- a/crates/workswood-peers/src/lib.rs
+++ b/crates/workswood-peers/src/lib.rs
@@ -9,7 +9,7 @@
 mod message;
 mod server;
 
-pub use link::Link;
+pub use link::{CallError, Link};
 pub use message::*;
 pub use server::{Handler, serve};
 
--- a/crates/workswood-peers/src/link.rs
+++ b/crates/workswood-peers/src/link.rs
@@ -18,7 +18,23 @@
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
 const QUEUE: usize = 256;
 
-type Calls = Arc<Mutex<HashMap<u64, oneshot::Sender<Msg>>>>;
+/// A question that waits for its answer.
+struct Waiting {
+    tx: oneshot::Sender<Msg>,
+    /// Whether it is on its way, or may be.
+    sent: bool,
+}
+
+type Calls = Arc<Mutex<HashMap<u64, Waiting>>>;
+
+/// Why a question has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// It was not sent, and will not be.
+    NotSent,
+    /// It may have reached the peer.
+    NoAnswer,
+}
 
 /// A connection to one peer. Dropping the last clone closes it.
 #[derive(Clone)]
@@ -46,23 +62,45 @@
 
     /// Asks the peer; `None` if no answer comes in time.
     pub async fn call(&self, msg: Msg, timeout: Duration) -> Option<Msg> {
+        self.ask(msg, timeout).await.ok()
+    }
+
+    /// Asks the peer; tells whether a question without an answer was sent.
+    pub async fn ask(&self, msg: Msg, timeout: Duration) -> Result<Msg, CallError> {
         let call = self.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = oneshot::channel();
-        self.lock().insert(call, tx);
+        lock(&self.calls).insert(call, Waiting { tx, sent: false });
+        // A queue that is full takes nothing, and the question is not sent.
         let _ = self.tx.try_send((call, msg));
         let answer = tokio::time::timeout(timeout, rx).await;
-        self.lock().remove(&call);
-        answer.ok()?.ok()
+        // Once it is out of the list, it is not sent any more.
+        let unsent = lock(&self.calls).remove(&call).is_some_and(|w| !w.sent);
+        match answer {
+            Ok(Ok(msg)) => Ok(msg),
+            _ if unsent => Err(CallError::NotSent),
+            _ => Err(CallError::NoAnswer),
+        }
     }
 
     /// Bytes sent so far.
     pub fn bytes_sent(&self) -> u64 {
         self.sent.load(Ordering::Relaxed)
     }
+}
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<Msg>>> {
-        self.calls.lock().unwrap_or_else(|e| e.into_inner())
+fn lock(calls: &Calls) -> std::sync::MutexGuard<'_, HashMap<u64, Waiting>> {
+    calls.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Whether a message is still to be sent; a question whose caller has given up is
+/// not. Notes that it is.
+fn is_wanted(calls: &Calls, call: u64) -> bool {
+    if call == 0 {
+        return true;
     }
+    let mut calls = lock(calls);
+    let waiting = calls.get_mut(&call);
+    waiting.map(|w| w.sent = true).is_some()
 }
 
 async fn run(
@@ -107,6 +145,9 @@
         tokio::select! {
             out = rx.recv() => {
                 let (call, msg) = out?;
+                if !is_wanted(calls, call) {
+                    continue;
+                }
                 let buf = encode(call, msg);
                 sent.fetch_add(buf.len() as u64 + 4, Ordering::Relaxed);
                 if framed.send(buf).await.is_err() {
@@ -116,9 +157,9 @@
             answer = framed.next() => {
                 let Some(Ok(buf)) = answer else { return Some(()) };
                 let Ok(Frame { call, msg: Some(msg) }) = Frame::decode(buf) else { return Some(()) };
-                let waiting = calls.lock().unwrap_or_else(|e| e.into_inner()).remove(&call);
-                if let Some(tx) = waiting {
-                    let _ = tx.send(msg);
+                let waiting = lock(calls).remove(&call);
+                if let Some(w) = waiting {
+                    let _ = w.tx.send(msg);
                 }
             }
         }
--- a/src/workswood/ops/jobs/feeds.rs
+++ b/src/workswood/ops/jobs/feeds.rs
@@ -54,10 +54,13 @@
     mut next: Offset,
 ) {
     let topic = Topic::Inbox(part);
+    // After a failure the answer is wanted at once.
+    let mut wait = INBOX_WAIT;
     loop {
-        match node.platform.tail(topic, next, INBOX_WAIT).await {
+        match node.platform.tail(topic, next, wait).await {
             Ok(tail) => {
                 node.store_is_up();
+                wait = INBOX_WAIT;
                 next = tail.next;
                 hand_over(&l, part, &tail.records);
                 // What other parts held until then was handed over before.
@@ -76,6 +79,7 @@
             },
             Err(e) => {
                 log::warn!("event=inbox_not_read part={part} error=\"{e}\"");
+                wait = Duration::ZERO;
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/src/workswood/ops/jobs/follow.rs
+++ b/src/workswood/ops/jobs/follow.rs
@@ -32,7 +32,10 @@
         let res = match next {
             None => node.platform.newest(topic).await.map(|n| (Heard::Reset(n.records), n.next)),
             Some(from) => {
-                node.platform.tail(topic, from, READ_WAIT).await.map(|t| (Heard::Changes(t.records), t.next))
+                // After a failure the answer is wanted at once: a read that waits
+                // for a record tells only after its wait that the store is back.
+                let wait = if failing { Duration::ZERO } else { READ_WAIT };
+                node.platform.tail(topic, from, wait).await.map(|t| (Heard::Changes(t.records), t.next))
             }
         };
         match res {
--- a/src/workswood/ops/jobs/help.rs
+++ b/src/workswood/ops/jobs/help.rs
@@ -9,7 +9,7 @@
 
 use futures::FutureExt;
 use futures::future::join_all;
-use workswood_peers::{HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release};
+use workswood_peers::{CallError, HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release};
 use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
 
 use super::ask;
@@ -92,10 +92,11 @@
 
 /// Takes in what a helper told. A record stays unknown once one try with it is;
 /// only a helper that stored it changes that.
-fn take_reply(told: &mut [Stored], reply: Option<Msg>) {
+fn take_reply(told: &mut [Stored], reply: Result<Msg, CallError>) {
     let outcomes = match reply {
-        Some(Msg::HandInReply(r)) => r.outcomes,
-        _ => Vec::new(),
+        Ok(Msg::HandInReply(r)) => r.outcomes,
+        Err(CallError::NotSent) => return,
+        Ok(_) | Err(CallError::NoAnswer) => Vec::new(),
     };
     for (n, stored) in told.iter_mut().enumerate() {
         let outcome = outcomes.get(n).and_then(|o| HandInOutcome::try_from(*o).ok());
@@ -142,7 +143,7 @@
     let record = LeaseRecord::of(node, term, true).keyed().value.unwrap_or_default();
     for address in helpers(node) {
         let msg = Msg::Release(Release { record: record.clone() });
-        if node.peers.call(&node.id, &address, msg, HELP_TIMEOUT).await.is_some() {
+        if node.peers.call(&node.id, &address, msg, HELP_TIMEOUT).await.is_ok() {
             return true;
         }
     }
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -130,11 +130,17 @@
 pub async fn run(node: Arc<Node>) {
     node.until_configured().await;
     let mut view: Option<View> = None;
+    let mut failing = false;
     loop {
         let res = match &view {
             None => newest(&node).await,
-            Some(v) => node.platform.tail(Topic::Lease, v.next, v.read_wait(node.now())).await,
+            Some(v) => {
+                // After a failure the answer is wanted at once.
+                let wait = if failing { Duration::ZERO } else { v.read_wait(node.now()) };
+                node.platform.tail(Topic::Lease, v.next, wait).await
+            }
         };
+        failing = res.is_err();
         match res {
             Ok(tail) => {
                 node.store_is_up();
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -12,7 +12,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::UnixMs;
-use workswood_peers::{Link, Msg};
+use workswood_peers::{CallError, Link, Msg};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
 use super::node::Node;
@@ -55,10 +55,16 @@
 impl Peers {
     /// Asks a process. A connection that gave no answer in time is given up: it
     /// may have been cut in silence.
-    pub async fn call(&self, from: &str, address: &str, msg: Msg, timeout: Duration) -> Option<Msg> {
+    pub async fn call(
+        &self,
+        from: &str,
+        address: &str,
+        msg: Msg,
+        timeout: Duration,
+    ) -> Result<Msg, CallError> {
         let link = self.link(from, address);
-        let answer = link.call(msg, timeout).await;
-        if answer.is_none() {
+        let answer = link.ask(msg, timeout).await;
+        if answer.is_err() {
             self.links.lock().remove(address);
         }
         answer
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -129,3 +129,14 @@
     let slowest = told.iter().map(|(_, took)| *took).max().unwrap_or_default();
     assert!(slowest < Duration::from_millis(1500), "{slowest:?}");
 }
+
+#[tokio::test]
+async fn helper_that_is_gone_leaves_nothing_open() {
+    let away = store(&[Fate::Refused; 100]);
+    let a = process("entry-1", &away).await;
+    let gone = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let peers = gone.local_addr().expect("an address").to_string();
+    drop(gone);
+    a.holder.store(Some(Arc::new(Holder { id: "gone".to_string(), peers, term: 7, released: false })));
+    assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::No, "nothing was sent to it");
+}
--- a/tests/testsuite/wave_orders.rs
+++ b/tests/testsuite/wave_orders.rs
@@ -169,3 +169,45 @@
     assert_eq!(upkeeps(&world.actions), ["m-1"]);
     assert!(world.sched.waves[&1].complete(), "it is off, before and after");
 }
+
+#[test]
+fn machine_taken_away_needs_none() {
+    let mut world = MachineWorld::new(2);
+    let both = || (0..2).map(|n| machine(n, SERVICE, Some(0))).collect::<Vec<_>>();
+    let one = || vec![machine(0, SERVICE, Some(0))];
+    world.list(both());
+    // Machine 1 is emptied, and turns its order down; then no list shows it.
+    world.sched.handle(Event::Wave(wave(&[1], 1), None));
+    for t in 1..40 {
+        world.at(t * 150);
+        for m in upkeeps(&world.tick()) {
+            world.sched.handle(Event::MachineOrdered(m, MachineReply::Busy));
+        }
+        world.list(if t < 4 { both() } else { one() });
+        if t == 20 {
+            assert!(!world.sched.waves[&1].complete(), "it may yet be listed again");
+        }
+    }
+    assert!(world.sched.waves[&1].complete(), "nobody can maintain it");
+}
+
+#[test]
+fn machine_that_is_back_is_maintained() {
+    let mut world = MachineWorld::new(2);
+    let both = || (0..2).map(|n| machine(n, SERVICE, Some(0))).collect::<Vec<_>>();
+    world.list(both());
+    world.at(100);
+    world.list(vec![machine(0, SERVICE, Some(0))]);
+    world.sched.handle(Event::Wave(wave(&[1], 1), None));
+    for t in 1..6 {
+        world.at(100 + t * 150);
+        world.tick();
+    }
+    assert_eq!(upkeeps(&world.actions), [""; 0], "it is not there");
+    world.list(both());
+    for t in 6..10 {
+        world.at(100 + t * 150);
+        world.tick();
+    }
+    assert_eq!(upkeeps(&world.actions), ["m-1"]);
+}
