--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
 use tokio::task::JoinHandle;
 use workswood_adapter_standin::caller::{HandedIn, Told, ask, config, hand_in};
 use workswood_adapter_standin::{Ledger, StoreStandin, WorkerStandin};
@@ -58,7 +59,7 @@
         let relay = Cut::start(store).await;
         let settings = serde_json::json!({
             "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
-            "peers": ports[2], "metrics": ports[3], "store": relay.address, "machines": relay.address,
+            "peers": ports[2], "metrics": ports[3], "store": relay.address, "machines": relay.address, "store_parts": 4,
             "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
         });
         let path = folder.join(format!("entry-{n}.json"));
@@ -92,11 +93,19 @@
         }));
     }
 
+    /// Fails if the process that was told to stop has ended in another way.
+    fn check_ended(&mut self) {
+        if let Some(Err(e)) = self.ending.take().and_then(FutureExt::now_or_never) {
+            std::panic::resume_unwind(e.into_panic());
+        }
+    }
+
     /// Starts the process again if it has ended; returns whether it runs.
     fn start_again(&mut self) -> bool {
         if self.ending.as_ref().is_some_and(|e| !e.is_finished()) {
             return false;
         }
+        self.check_ended();
         if self.program.is_none() {
             self.start();
         }
