Show what connections that go silent cost, in tests that fail

Connections that are open may stop passing bytes without being closed, while new ones work. A call to the store or to a worker then waits out its whole time, the next one does so on the next idle connection, and a question to a peer waits as long as its caller allows.

--- a/crates/workswood-test-support/src/cut.rs
+++ b/crates/workswood-test-support/src/cut.rs
@@ -1,5 +1,6 @@
 //! A TCP relay that can be cut, silenced, delayed or broken off.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -26,6 +27,9 @@
     Silent,
     /// Holds back only what the far side answers.
     AnswersHeld,
+    /// Passes nothing more on the connections that are open now, and never closes
+    /// them; new ones pass.
+    HalfOpen,
     /// Lets each chunk pass after this time.
     Slow(Duration),
 }
@@ -80,17 +84,27 @@
     let (b_in, b_out) = b.into_split();
     let there = pump(a_in, b_out, fault.clone(), |f| f == Fault::Silent);
     let back = pump(b_in, a_out, fault.clone(), |f| matches!(f, Fault::Silent | Fault::AnswersHeld));
+    let mut both = pin!(async { tokio::join!(there, back) });
     let ended = async {
         // A change to one of these, not that they stand.
         while fault.changed().await.is_ok() {
-            if matches!(*fault.borrow_and_update(), Fault::Closed | Fault::Broken) {
-                return;
+            let now = *fault.borrow_and_update();
+            if matches!(now, Fault::Closed | Fault::Broken | Fault::HalfOpen) {
+                return now;
             }
         }
+        Fault::Closed
     };
     tokio::select! {
-        _ = async { tokio::join!(there, back) } => {}
-        () = ended => {}
+        // A change goes before bytes that came at the same moment.
+        biased;
+        now = ended => {
+            if now == Fault::HalfOpen {
+                // Both sides are held open, and nothing is read from either.
+                std::future::pending::<()>().await;
+            }
+        }
+        _ = &mut both => {}
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -32,6 +32,7 @@
 mod random_keys;
 mod result_codes;
 mod separate_processes;
+mod silent_connections;
 mod slot_dispatch;
 mod state_checkpoints;
 mod store_protocol;
--- /dev/null
+++ b/tests/testsuite/silent_connections.rs
@@ -0,0 +1,124 @@
+//! Connections that go silent: nothing passes on them any more, nobody closes them,
+//! and new ones work.
+//!
+//! What users saw: jobs that had been accepted could not be asked about, and fewer
+//! were done in time. A firewall had forgotten the connections that were open. Each
+//! call on one of them waited out its whole time, up to 1.9 s, and so did the next
+//! one on the next idle connection; looks at workers, orders, the lease and the
+//! inbox stood still meanwhile, on every host.
+//!
+//! The cause: nothing that a call learned about its connection was used for another.
+//! Evidence: in the log, every failed call ended with `timed out` after its whole
+//! time, while hosts with a new connection were answered within 5 ms.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::timeout;
+use workswood::ops::jobs::{Node, help, peers};
+use workswood_adapter::{Addresses, PlatformClient};
+use workswood_adapter_standin::{StoreStandin, WorkerStandin};
+use workswood_core::jobs::WorkerInfo;
+use workswood_peers::{JobAsk, Msg};
+use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, Topic, WorkerClock};
+use workswood_test_support::cut::{Cut, Fault};
+use workswood_test_support::job_node::settings;
+use workswood_test_support::turn_store::TurnStore;
+
+/// Far more than anything here takes, far less than what a call may wait that is
+/// stuck.
+const SOON: Duration = Duration::from_secs(10);
+/// What a call may wait that is stuck.
+const LONG: Duration = Duration::from_secs(60);
+
+fn rec(key: &str) -> KeyedRecord {
+    KeyedRecord { key: key.to_string(), value: Some("v".into()) }
+}
+
+fn client(store: &str) -> PlatformClient {
+    PlatformClient::new(Addresses { store: store.to_string(), machines: store.to_string() })
+}
+
+/// Leaves several idle connections to the store behind.
+async fn warm_up(c: &PlatformClient) {
+    let reads = (0..3).map(|_| c.newest(Topic::Operators));
+    futures::future::try_join_all(reads).await.expect("the store answers");
+}
+
+#[tokio::test]
+async fn store_call_answered() {
+    let store = StoreStandin::start().await;
+    let cut = Cut::start(&store.address.to_string()).await;
+    let c = client(&cut.address);
+    warm_up(&c).await;
+    cut.set(Fault::HalfOpen);
+    c.append(Topic::State, vec![rec("a")], Guard::Term(3, 1)).await.expect("a state append is answered");
+    cut.set(Fault::HalfOpen);
+    c.append(Topic::Inbox(0), vec![rec("b")], Guard::None).await.expect("an inbox append is answered");
+    cut.set(Fault::HalfOpen);
+    let tail = c.tail(Topic::State, 0, Duration::ZERO).await.expect("a read is answered");
+    assert_eq!(tail.records.len(), 1, "an append that was sent twice is done once");
+
+    // A read that waits for a record hears of it once another call has found out.
+    let waiting = c.tail(Topic::State, tail.next, LONG);
+    let found_out = async {
+        store.calls_reach(store.calls() + 1).await;
+        cut.set(Fault::HalfOpen);
+        c.append(Topic::State, vec![rec("c")], Guard::Term(3, 2)).await
+    };
+    let both = timeout(SOON, async { tokio::join!(waiting, found_out) }).await;
+    let (waiting, found_out) = both.expect("the read does not wait out its time");
+    found_out.expect("the append is answered");
+    assert_eq!(waiting.expect("the read is answered").records.len(), 1);
+}
+
+async fn look(c: &PlatformClient, w: &WorkerInfo, wait: Duration) -> WorkerClock {
+    let lease_end = (wait > Duration::ZERO).then_some(LONG);
+    c.look(w, 7, 0, lease_end, wait).await.expect("the worker answers").0
+}
+
+#[tokio::test]
+async fn waiting_look_repeated() {
+    let c = client("127.0.0.1:1");
+    let (mut workers, mut cuts, mut infos) = (Vec::new(), Vec::new(), Vec::new());
+    for n in 0..3 {
+        let id = format!("i-{n}");
+        let w = WorkerStandin::start(&id, LONG).await;
+        let cut = Cut::start(&w.address.to_string()).await;
+        let value = Some(w.entry("desk", "m-1").into());
+        let mut info = c.worker_info(&KeyedRecord { key: id, value }).expect("the entry is read");
+        info.address = cut.address.clone();
+        look(&c, &info, Duration::ZERO).await;
+        (workers.push(w), cuts.push(cut), infos.push(info));
+    }
+    // A look at the third waits for an end that does not come.
+    let waiting = look(&c, &infos[2], LONG);
+    let found_out = async {
+        workers[2].looks_reach(2).await;
+        cuts.iter().for_each(|cut| cut.set(Fault::HalfOpen));
+        // The first look at a worker is lost, and tells that it was the connection's fault.
+        for info in &infos[..2] {
+            let _lost = c.look(info, 7, 0, None, Duration::ZERO).await;
+            look(&c, info, Duration::ZERO).await;
+        }
+    };
+    let both = timeout(SOON, async { tokio::join!(waiting, found_out) }).await;
+    both.expect("two workers with silent connections make the third one's suspect");
+}
+
+#[tokio::test]
+async fn peer_asked_again() {
+    let store = Arc::new(TurnStore::new(Duration::from_millis(2), &[]));
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let cut = Cut::start(&listener.local_addr().expect("an address").to_string()).await;
+    let holder = Arc::new(Node::new(settings("entry-2"), store.clone()));
+    tokio::spawn(workswood_peers::serve(listener, peers::TOKEN.to_string(), help::handler(holder)));
+    let node = Node::new(settings("entry-1"), store);
+    let ask = || node.peers.call(&node.id, &cut.address, Msg::JobAsk(JobAsk { job: 1 }), LONG);
+    assert!(ask().await.is_ok());
+    cut.set(Fault::HalfOpen);
+    let lost = timeout(SOON, ask()).await.expect("the connection is given up before the call's time is over");
+    assert!(lost.is_err(), "whether the question arrived is not known");
+    assert!(timeout(SOON, ask()).await.is_ok_and(|r| r.is_ok()), "the next one goes over a new connection");
+}
