Find half-open connections by late answers, and tell all who use others

Cause: a call learned that its connection passes nothing only when its whole time was over, and nothing that it learned was used for another. Each idle connection to an address cost a call its time; reads and looks that waited stood still for up to 1.9 s; a question to a peer waited as long as its caller allowed; appends that were given up raised the mean by which the next one counts as late.

Change: - workswood-liveness: when an answer is late (only answers count), and what one user of connections has found out. Two addresses within a second make all suspect. - workswood-http: the one HTTP client, moved out of the adapter, and the pool that the endpoints' client uses as well (their two connectors were twins). What may be done twice is sent again over a new connection when its answer is late; a new connection that answers where another did not makes those as old as that suspect. - Links between processes ask for a sign of life when nothing comes for 100 ms, and give the connection up after 150 ms more; questions on it end at once. - A look whose connection broke or is suspect is made again at once.

Two of the tests were wrong in a detail: one left no idle connection behind on which anything could be found out, and its waiting read would not have been expected to hear; that one now warms connections up first.

--- a/crates/workswood-endpoints/src/lib.rs
+++ b/crates/workswood-endpoints/src/lib.rs
@@ -11,18 +11,18 @@
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::{Request, Response};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use snafu::Snafu;
-
-/// Longest wait for a connection to an endpoint.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// How long an idle connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Idle connections kept to one endpoint. With the slots that an entry host
-/// holds, all entry hosts together stay under an endpoint's limit.
-const MOST_IDLE: usize = 3;
+use workswood_http::{Limits, Pool};
+use workswood_liveness::HalfOpen;
+
+/// Bounds of connections to endpoints.
+const LIMITS: Limits = Limits {
+    connect: Duration::from_millis(500),
+    idle: Duration::from_secs(5),
+    // With the slots that an entry host holds, all entry hosts together stay under
+    // an endpoint's limit.
+    most_idle: 3,
+};
 
 /// A body sent to an endpoint or taken from one.
 pub type AnyBody = BoxBody<Bytes, BodyError>;
@@ -63,32 +63,26 @@
 /// Client of all endpoints of one entry host.
 #[derive(Clone)]
 pub struct EndpointClient {
-    client: Client<HttpConnector, AnyBody>,
-}
-
-impl Default for EndpointClient {
-    fn default() -> Self {
-        EndpointClient::new()
-    }
+    pool: Pool<AnyBody>,
 }
 
 impl EndpointClient {
-    /// A client without connections yet.
-    pub fn new() -> EndpointClient {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(MOST_IDLE)
-            .build(connector);
-        EndpointClient { client }
+    /// A client without connections yet. It drops idle ones when others have found
+    /// that connections have gone silent.
+    pub fn new(half_open: HalfOpen) -> EndpointClient {
+        EndpointClient { pool: Pool::new(LIMITS, half_open) }
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. After a request that its
+    /// caller gave up, the next one to the endpoint goes over a new connection: the
+    /// idle ones may have gone silent, and each would cost a request. Endpoints may
+    /// need long, so a late answer says nothing of other connections.
     pub async fn send(&self, req: Request<AnyBody>) -> Result<Response<Incoming>, SendError> {
-        self.client.request(req).await.map_err(|e| {
+        let address = req.uri().authority().map(|a| a.to_string()).unwrap_or_default();
+        let attempt = self.pool.attempt(&address);
+        let res = attempt.send(req).await;
+        attempt.abandon();
+        res.map_err(|e| {
             let text = e.to_string();
             if e.is_connect() { SendError::NotSent { text } } else { SendError::Broke { text } }
         })
--- /dev/null
+++ b/crates/workswood-liveness/src/lib.rs
@@ -0,0 +1,13 @@
+//! Whether connections still pass bytes, as a process finds out.
+//!
+//! A connection may be half-open: a firewall or a host on its way has forgotten it,
+//! nothing passes any more and nobody closes it. Only an answer that does not come
+//! tells, and each connection by itself would cost one call its whole time. So
+//! * [`Patience`] says when an answer is late, by how long answers take, and
+//! * [`HalfOpen`] tells all users of connections what one of them has found out.
+
+mod half_open;
+mod patience;
+
+pub use half_open::{HalfOpen, Round, Suspicion};
+pub use patience::Patience;
--- a/crates/workswood-peers/src/link.rs
+++ b/crates/workswood-peers/src/link.rs
@@ -1,18 +1,17 @@
-//! The connecting side: one connection to one peer, made again when it breaks.
+//! The connecting side: one connection to one peer, made again when it breaks or
+//! goes silent.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use futures::{SinkExt, StreamExt};
-use prost::Message;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tokio_util::codec::Framed;
+use workswood_liveness::HalfOpen;
 
-use crate::server::{VERSION, codec, encode};
-use crate::{Frame, Hello, Msg};
+use crate::exchange::{End, Exchange};
+use crate::{Hello, Msg};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
@@ -20,12 +19,14 @@
 
 /// A question that waits for its answer.
 struct Waiting {
-    tx: oneshot::Sender<Msg>,
+    tx: oneshot::Sender<Result<Msg, CallError>>,
     /// Whether it is on its way, or may be.
     sent: bool,
 }
 
-type Calls = Arc<Mutex<HashMap<u64, Waiting>>>;
+/// Questions that wait for their answers, by number.
+#[derive(Clone, Default)]
+pub(crate) struct Calls(Arc<Mutex<HashMap<u64, Waiting>>>);
 
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,12 +47,15 @@
 }
 
 impl Link {
-    /// Keeps a connection to a peer; `from` is our incarnation.
-    pub fn open(address: String, token: String, from: String) -> Link {
+    /// Keeps a connection to a peer; `from` is our incarnation. What it finds out of
+    /// connections is shared with others.
+    pub fn open(address: String, token: String, from: String, half_open: HalfOpen) -> Link {
         let (tx, rx) = mpsc::channel(QUEUE);
         let calls = Calls::default();
         let sent = Arc::new(AtomicU64::new(0));
-        tokio::spawn(run(address, token, from, rx, calls.clone(), sent.clone()));
+        let hello = Hello { version: crate::server::VERSION, token, from };
+        let exchange = Exchange { rx, calls: calls.clone(), sent: sent.clone(), half_open, hello };
+        tokio::spawn(run(address, exchange));
         Link { tx, calls, next: Arc::new(AtomicU64::new(1)), sent }
     }
 
@@ -65,20 +69,18 @@
         self.ask(msg, timeout).await.ok()
     }
 
-    /// Asks the peer; tells whether a question without an answer was sent.
+    /// Asks the peer; tells whether a question without an answer was sent. It is
+    /// given up before its time if the connection breaks or goes silent.
     pub async fn ask(&self, msg: Msg, timeout: Duration) -> Result<Msg, CallError> {
         let call = self.next.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        lock(&self.calls).insert(call, Waiting { tx, sent: false });
+        let answer = self.calls.wait_for(call);
+        let asked = Asked { calls: &self.calls, call };
         // A queue that is full takes nothing, and the question is not sent.
         let _ = self.tx.try_send((call, msg));
-        let answer = tokio::time::timeout(timeout, rx).await;
-        // Once it is out of the list, it is not sent any more.
-        let unsent = lock(&self.calls).remove(&call).is_some_and(|w| !w.sent);
-        match answer {
-            Ok(Ok(msg)) => Ok(msg),
-            _ if unsent => Err(CallError::NotSent),
-            _ => Err(CallError::NoAnswer),
+        match tokio::time::timeout(timeout, answer).await {
+            Ok(Ok(answer)) => answer,
+            // Once it is out of the list, it is not sent any more.
+            Ok(Err(_)) | Err(_) => Err(asked.give_up()),
         }
     }
 
@@ -88,80 +90,99 @@
     }
 }
 
-fn lock(calls: &Calls) -> std::sync::MutexGuard<'_, HashMap<u64, Waiting>> {
-    calls.lock().unwrap_or_else(|e| e.into_inner())
+/// A question whose caller waits. It is taken out when its caller no longer does.
+struct Asked<'a> {
+    calls: &'a Calls,
+    call: u64,
 }
 
-/// Whether a message is still to be sent; a question whose caller has given up is
-/// not. Notes that it is.
-fn is_wanted(calls: &Calls, call: u64) -> bool {
-    if call == 0 {
-        return true;
+impl Asked<'_> {
+    /// Takes the question out; tells how it counts.
+    fn give_up(self) -> CallError {
+        self.calls.take(self.call).map_or(CallError::NoAnswer, |w| w.why())
     }
-    let mut calls = lock(calls);
-    let waiting = calls.get_mut(&call);
-    waiting.map(|w| w.sent = true).is_some()
 }
 
-async fn run(
-    address: String,
-    token: String,
-    from: String,
-    mut rx: mpsc::Receiver<(u64, Msg)>,
-    calls: Calls,
-    sent: Arc<AtomicU64>,
-) {
-    loop {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&address)).await;
-        if let Ok(Ok(stream)) = connect {
-            let hello = Hello { version: VERSION, token: token.clone(), from: from.clone() };
-            if exchange(stream, hello, &mut rx, &calls, &sent).await.is_none() {
-                return;
-            }
+impl Drop for Asked<'_> {
+    fn drop(&mut self) {
+        self.calls.take(self.call);
+    }
+}
+
+impl Calls {
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<u64, Waiting>> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    fn wait_for(&self, call: u64) -> oneshot::Receiver<Result<Msg, CallError>> {
+        let (tx, rx) = oneshot::channel();
+        self.lock().insert(call, Waiting { tx, sent: false });
+        rx
+    }
+
+    fn take(&self, call: u64) -> Option<Waiting> {
+        self.lock().remove(&call)
+    }
+
+    /// Whether a message is still to be sent; a question whose caller has given up is
+    /// not. Notes that it is.
+    pub(crate) fn is_wanted(&self, call: u64) -> bool {
+        if call == 0 {
+            return true;
         }
-        // What waits now is old news by the time the peer is back.
-        while rx.try_recv().is_ok() {}
-        if rx.is_closed() {
-            return;
+        let mut calls = self.lock();
+        let waiting = calls.get_mut(&call);
+        waiting.map(|w| w.sent = true).is_some()
+    }
+
+    /// Whether a question was sent whose answer has not come.
+    pub(crate) fn is_any_sent(&self) -> bool {
+        self.lock().values().any(|w| w.sent)
+    }
+
+    /// Hands an answer to who waits for it.
+    pub(crate) fn answer(&self, call: u64, msg: Msg) {
+        if let Some(w) = self.take(call) {
+            // Who has given up meanwhile needs no answer.
+            let _ = w.tx.send(Ok(msg));
+        }
+    }
+
+    /// Tells all who wait that no answer will come.
+    fn fail(&self) {
+        let waiting: Vec<Waiting> = self.lock().drain().map(|(_, w)| w).collect();
+        for w in waiting {
+            let why = w.why();
+            let _ = w.tx.send(Err(why));
         }
-        tokio::time::sleep(RECONNECT_AFTER).await;
     }
 }
 
-/// Runs one connection; `None` when the link is no longer wanted.
-async fn exchange(
-    stream: TcpStream,
-    hello: Hello,
-    rx: &mut mpsc::Receiver<(u64, Msg)>,
-    calls: &Calls,
-    sent: &AtomicU64,
-) -> Option<()> {
-    let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, codec());
-    if framed.send(encode(0, Msg::Hello(hello))).await.is_err() {
-        return Some(());
+impl Waiting {
+    /// What it means that no answer comes.
+    fn why(&self) -> CallError {
+        if self.sent { CallError::NoAnswer } else { CallError::NotSent }
     }
+}
+
+/// Keeps a connection until the link is no longer wanted.
+async fn run(address: String, mut exchange: Exchange) {
+    let mut silent = false;
     loop {
-        tokio::select! {
-            out = rx.recv() => {
-                let (call, msg) = out?;
-                if !is_wanted(calls, call) {
-                    continue;
-                }
-                let buf = encode(call, msg);
-                sent.fetch_add(buf.len() as u64 + 4, Ordering::Relaxed);
-                if framed.send(buf).await.is_err() {
-                    return Some(());
-                }
-            }
-            answer = framed.next() => {
-                let Some(Ok(buf)) = answer else { return Some(()) };
-                let Ok(Frame { call, msg: Some(msg) }) = Frame::decode(buf) else { return Some(()) };
-                let waiting = lock(calls).remove(&call);
-                if let Some(w) = waiting {
-                    let _ = w.tx.send(msg);
-                }
-            }
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&address)).await;
+        let end = match connect {
+            Ok(Ok(stream)) => exchange.run(stream, &address, silent).await,
+            Ok(Err(_)) | Err(_) => End::Broken,
+        };
+        // What waits now is old news by the time the peer is back.
+        exchange.drop_queue();
+        exchange.calls.fail();
+        if end == End::Unwanted || exchange.rx.is_closed() {
+            return;
+        }
+        silent = end == End::Silent;
+        if end == End::Broken {
+            tokio::time::sleep(RECONNECT_AFTER).await;
         }
     }
 }
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -7,7 +7,10 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// The message.
-    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    #[prost(
+        oneof = "Msg",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+    )]
     pub msg: Option<Msg>,
 }
 
@@ -72,6 +75,12 @@
     /// store turns away.
     #[prost(message, tag = "20")]
     Release(Release),
+    /// Asks whether the connection still passes bytes.
+    #[prost(message, tag = "21")]
+    Ping(Ping),
+    /// Says that it does.
+    #[prost(message, tag = "22")]
+    Pong(Pong),
 }
 
 /// Asks a process to write what callers handed in into its store.
@@ -176,6 +185,15 @@
     pub pending: u64,
 }
 
+/// A question that is answered at once, whatever else the process does. A process of
+/// a version that does not know it closes the connection, which is then made again.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ping {}
+
+/// Its answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pong {}
+
 /// Opens a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Hello {
--- a/crates/workswood-peers/src/server.rs
+++ b/crates/workswood-peers/src/server.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{Frame, MAX_FRAME, Msg};
+use crate::{Frame, MAX_FRAME, Msg, Pong};
 
 /// Version of the protocol.
 pub(crate) const VERSION: u32 = 1;
@@ -75,6 +75,11 @@
     });
     while let Ok(Some(Ok(buf))) = tokio::time::timeout(SILENCE, stream.next()).await {
         let Ok(Frame { call, msg: Some(msg) }) = Frame::decode(buf) else { break };
+        if let Msg::Ping(_) = msg {
+            // With a full queue there are answers on their way, which tell as much.
+            let _ = tx.try_send(encode(call, Msg::Pong(Pong {})));
+            continue;
+        }
         let answer = handler(msg);
         let tx = tx.clone();
         tokio::spawn(async move {
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -114,9 +114,9 @@
     let mut links = node.links.lock();
     links.retain(|address, _| want.contains(address));
     for address in want {
-        links
-            .entry(address.clone())
-            .or_insert_with(|| Link::open(address, node.tokens.peers.clone(), node.id.clone()));
+        links.entry(address.clone()).or_insert_with(|| {
+            Link::open(address, node.tokens.peers.clone(), node.id.clone(), node.half_open.clone())
+        });
     }
     links.values().cloned().collect()
 }
@@ -152,6 +152,8 @@
         Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
         Msg::JobAsk(_) | Msg::JobReply(_) | Msg::PendingAsk(_) | Msg::PendingReply(_) => {}
         Msg::HandIn(_) | Msg::HandInReply(_) | Msg::Release(_) => {}
+        // Answered where the connection is served.
+        Msg::Ping(_) | Msg::Pong(_) => {}
     }
     None
 }
--- a/src/workswood/ops/entry/node.rs
+++ b/src/workswood/ops/entry/node.rs
@@ -15,6 +15,7 @@
 use workswood_core::member::Members;
 use workswood_core::route::RouteTable;
 use workswood_endpoints::EndpointClient;
+use workswood_liveness::HalfOpen;
 use workswood_peers::Link;
 use workswood_platform::Platform;
 
@@ -40,6 +41,8 @@
     pub tokens: Tokens,
     /// The platform.
     pub platform: Arc<dyn Platform>,
+    /// What has been found out of connections to peers and endpoints.
+    pub half_open: HalfOpen,
     /// Client of all endpoints.
     pub endpoints: EndpointClient,
     /// The folded state.
@@ -101,12 +104,14 @@
         platform: Arc<dyn Platform>,
     ) -> (Arc<Node>, mpsc::Receiver<Job>) {
         let (tx, rx) = mpsc::channel(8 * 1024);
+        let half_open = HalfOpen::default();
         let node = Node {
             id: incarnation(&settings.name),
             settings,
             tokens,
             platform,
-            endpoints: EndpointClient::new(),
+            endpoints: EndpointClient::new(half_open.clone()),
+            half_open,
             state: RwLock::default(),
             table: ArcSwap::default(),
             folded: watch::channel(0).0,
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -89,7 +89,7 @@
     if holder.released || holder.id == node.id {
         return None;
     }
-    node.peers.call(&node.id, &holder.peers, msg, CALL_TIMEOUT).await.ok()
+    node.peers.call_again(&node.id, &holder.peers, msg, CALL_TIMEOUT).await.ok()
 }
 
 /// Answers a process that asks for the state of a job.
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -26,6 +26,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
+use workswood_liveness::Patience;
 use workswood_platform::jobs::{Guard, KeyedRecord, Part, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -45,13 +46,12 @@
 const MOST_REFUSALS: u32 = 3;
 /// Pause after the store refused an append.
 const REFUSED_PAUSE: Duration = Duration::from_millis(30);
-/// Weight of the newest append in the mean time that appends take.
-const NEWEST: f64 = 0.3;
 /// An append that takes this many times the mean is taken to hang,
-const HANGS_AFTER: u32 = 4;
-/// but not before this time: the store answers in 4 ms when it is well, and the
-/// answers of a busy host come some ten milliseconds late.
-const HANGS_NOT_BEFORE: Duration = Duration::from_millis(150);
+const HANGS_TIMES: f64 = 4.0;
+/// but not before this time: the store answers in 4 ms when it is well, the answers
+/// of a busy host come some ten milliseconds late, and after 150 ms the append was
+/// sent again over a new connection.
+const HANGS_NOT_BEFORE: Duration = Duration::from_millis(250);
 /// A store that has been silent for this long is not asked on a caller's time;
 /// the process's reads tell when it is back.
 const STORE_SILENT: Duration = Duration::from_millis(1700);
@@ -116,8 +116,8 @@
 pub struct Inbox {
     tx: mpsc::Sender<Waiting>,
     rx: Mutex<Option<mpsc::Receiver<Waiting>>>,
-    /// Mean time that an append takes, in microseconds.
-    append_us: AtomicU64,
+    /// How long appends take.
+    patience: Patience,
     /// Appends from here that are on their way.
     on_the_way: AtomicUsize,
     /// Whether the last append from here failed or hung.
@@ -132,7 +132,7 @@
         Inbox {
             tx,
             rx: Mutex::new(Some(rx)),
-            append_us: AtomicU64::new(0),
+            patience: Patience::new(HANGS_TIMES, HANGS_NOT_BEFORE),
             on_the_way: AtomicUsize::new(0),
             failing: AtomicBool::new(false),
             failed_at: AtomicU64::new(0),
@@ -190,7 +190,7 @@
         // It waits for an append on its way, then for its own. With none on its
         // way, it is the one that tells whether the store is still so slow.
         let waits = self.on_the_way.load(Ordering::Relaxed) > 0;
-        if waits && self.append_time() * 2 > within {
+        if waits && self.patience.mean() * 2 > within {
             return Stored::No;
         }
         let stage = Arc::new(Stage::default());
@@ -207,11 +207,6 @@
         }
     }
 
-    /// Mean time that an append takes.
-    fn append_time(&self) -> Duration {
-        Duration::from_micros(self.append_us.load(Ordering::Relaxed))
-    }
-
     /// Whether an append from here has failed or hung lately, and none has been done
     /// since.
     pub fn fails(&self, now: Duration) -> bool {
@@ -223,17 +218,6 @@
         self.failed_at.store(now.as_millis() as u64, Ordering::Relaxed);
         self.failing.store(true, Ordering::Relaxed);
     }
-
-    /// How long an append may take before it is taken to hang.
-    fn hangs_after(&self) -> Duration {
-        (self.append_time() * HANGS_AFTER).max(HANGS_NOT_BEFORE)
-    }
-
-    fn note_append(&self, took: Duration) {
-        let before = self.append_us.load(Ordering::Relaxed) as f64;
-        let mean = before + (took.as_micros() as f64 - before) * NEWEST;
-        self.append_us.store(mean as u64, Ordering::Relaxed);
-    }
 }
 
 /// Writes what waits, for ever.
@@ -244,7 +228,7 @@
     let mut lanes: JoinSet<Vec<Waiting>> = JoinSet::new();
     let mut begun = node.now();
     loop {
-        let next_lane = begun + node.inbox.hangs_after();
+        let next_lane = begun + node.inbox.patience.late_after();
         tokio::select! {
             Some(done) = lanes.join_next() => match done {
                 Ok(again) => queue.extend(again),
@@ -320,8 +304,11 @@
     }
     let mut own = pin!(append_here(node, part, batch));
     let nobody = vec![None; batch.len()];
-    let patience =
-        if node.inbox.failing.load(Ordering::Relaxed) { Duration::ZERO } else { node.inbox.hangs_after() };
+    let patience = if node.inbox.failing.load(Ordering::Relaxed) {
+        Duration::ZERO
+    } else {
+        node.inbox.patience.late_after()
+    };
     let first = tokio::time::timeout(patience, &mut own).await.ok();
     if first == Some(Own::Done) {
         return Tried { own: Own::Done, helped: nobody };
@@ -352,9 +339,9 @@
     let records: Vec<KeyedRecord> = batch.iter().map(|w| w.rec.clone()).collect();
     let begun = node.now();
     let res = node.platform.append(Topic::Inbox(part), records, Guard::None).await;
-    node.inbox.note_append(node.now() - begun);
     match res {
         Ok(_) => {
+            node.inbox.patience.note(node.now() - begun);
             node.store_is_up();
             node.inbox.failing.store(false, Ordering::Relaxed);
             Own::Done
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -42,6 +42,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch as channel;
 use workswood_adapter::{Addresses, PlatformClient};
+use workswood_liveness::HalfOpen;
 use workswood_platform::jobs::JobPlatform;
 
 pub use node::Node;
@@ -67,8 +68,9 @@
     let metrics = listen(settings.metrics).await?;
     let peer_listener = listen(settings.peers).await?;
     let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
-    let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::new(addresses));
-    let node = Arc::new(Node::new(settings, platform));
+    let half_open = HalfOpen::default();
+    let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::sharing(addresses, half_open.clone()));
+    let node = Arc::new(Node::sharing(settings, platform, half_open));
     log::info!(
         "event=started id={} name={} data_centre={} callers={} peers={}",
         node.id,
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use workswood_core::ids::{Incarnation, Term, UnixMs};
 use workswood_core::jobs::{Event, JobKey, SchedConfig, ShownJob, Wave};
+use workswood_liveness::HalfOpen;
 use workswood_platform::jobs::JobPlatform;
 
 use super::inbox::{Inbox, Kept};
@@ -95,6 +96,8 @@
     pub peers: Peers,
     /// Where callers' jobs and cancels wait to be stored.
     pub inbox: Inbox,
+    /// What its tasks have found out of their connections.
+    pub half_open: HalfOpen,
     /// Its metrics.
     pub metrics: JobMetrics,
     /// Whether a planned stop has begun.
@@ -108,6 +111,11 @@
 impl Node {
     /// A process that has not read anything yet.
     pub fn new(settings: JobSettings, platform: Arc<dyn JobPlatform>) -> Node {
+        Node::sharing(settings, platform, HalfOpen::default())
+    }
+
+    /// Likewise; what the platform's client finds out of connections is shared.
+    pub fn sharing(settings: JobSettings, platform: Arc<dyn JobPlatform>, half_open: HalfOpen) -> Node {
         Node {
             settings,
             platform,
@@ -116,8 +124,9 @@
             waves: Mutex::default(),
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
-            peers: Peers::default(),
+            peers: Peers::sharing(half_open.clone()),
             inbox: Inbox::default(),
+            half_open,
             metrics: JobMetrics::default(),
             stopping: AtomicBool::new(false),
             configured: watch::Sender::new(false),
@@ -170,6 +179,7 @@
         m.leading.set(i64::from(self.leading.load().is_some()));
         m.lease_term.set(self.holder.load().as_ref().map_or(0, |h| h.term as i64));
         m.config_version.set(self.config.load().as_ref().map_or(0, |c| c.version as i64));
+        m.half_open.set(self.half_open.count() as i64);
         m.store_silence_ms.set(self.store_silence().as_millis() as i64);
         m.text()
     }
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -11,7 +11,9 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 use workswood_core::ids::UnixMs;
+use workswood_liveness::HalfOpen;
 use workswood_peers::{CallError, Link, Msg};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
@@ -48,13 +50,19 @@
     /// Peer listeners by host.
     roster: Mutex<BTreeMap<String, String>>,
     links: Mutex<HashMap<String, Link>>,
+    half_open: HalfOpen,
     /// Whose turn it is to be asked for help.
     turn: AtomicUsize,
 }
 
 impl Peers {
-    /// Asks a process. A connection that gave no answer in time is given up: it
-    /// may have been cut in silence.
+    /// Connections to nobody yet; what is found out of them is shared with others.
+    pub fn sharing(half_open: HalfOpen) -> Peers {
+        Peers { half_open, ..Peers::default() }
+    }
+
+    /// Asks a process. A link that gave no answer is given up: there may be nobody
+    /// there any more to connect to.
     pub async fn call(
         &self,
         from: &str,
@@ -70,12 +78,31 @@
         answer
     }
 
+    /// Asks a process what can be asked twice: once more in the same time if the
+    /// connection broke or went silent.
+    pub async fn call_again(
+        &self,
+        from: &str,
+        address: &str,
+        msg: Msg,
+        timeout: Duration,
+    ) -> Result<Msg, CallError> {
+        let until = Instant::now() + timeout;
+        let answer = self.call(from, address, msg.clone(), timeout).await;
+        let left = until.saturating_duration_since(Instant::now());
+        if answer.is_ok() || left.is_zero() {
+            return answer;
+        }
+        self.call(from, address, msg, left).await
+    }
+
     fn link(&self, from: &str, address: &str) -> Link {
         let mut links = self.links.lock();
         if links.len() >= MOST_LINKS && !links.contains_key(address) {
             links.clear();
         }
-        let open = || Link::open(address.to_string(), TOKEN.to_string(), from.to_string());
+        let half_open = self.half_open.clone();
+        let open = || Link::open(address.to_string(), TOKEN.to_string(), from.to_string(), half_open);
         links.entry(address.to_string()).or_insert_with(open).clone()
     }
 
--- a/src/workswood/ops/jobs/watch.rs
+++ b/src/workswood/ops/jobs/watch.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, watch};
 use workswood_core::jobs::{Event, Report, WorkerInfo};
+use workswood_liveness::Patience;
 use workswood_platform::jobs::{WorkerClock, WorkerError};
 
 use super::node::{Leading, Node};
@@ -15,14 +16,12 @@
 const LOOK_WAIT: Duration = Duration::from_millis(900);
 /// Least time between two looks: ends that come together are taken together.
 const LOOK_GAP: Duration = Duration::from_millis(20);
-/// A look that takes this many times the mean of its worker is taken to be lost,
-const LOST_AFTER: f64 = 4.0;
+/// A look that takes this many times the mean of its worker is late,
+const LATE_TIMES: f64 = 4.0;
 /// but not before this time,
-const LOST_NOT_BEFORE: Duration = Duration::from_millis(250);
+const LATE_NOT_BEFORE: Duration = Duration::from_millis(250);
 /// and in any case when the worker should have answered for so long.
-const LOST_AT_LAST: Duration = Duration::from_millis(200);
-/// Weight of the newest look in the mean time that looks take.
-const NEWEST: f64 = 0.3;
+const LATE_AT_LAST: Duration = Duration::from_millis(200);
 /// Pause after a look without an answer.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Orders on their way to one worker at a time; with the look, connections
@@ -89,7 +88,8 @@
 
 /// Looks at a worker until the link is closed.
 pub async fn run(node: Arc<Node>, l: Arc<Leading>, link: Arc<WorkerLink>, lease: Duration, span: Duration) {
-    let mut looker = Looker { node, l, link, lease, span, sent_until: Duration::ZERO, mean: LOOK_WAIT };
+    let patience = Patience::new(LATE_TIMES, LATE_NOT_BEFORE).beginning_with(LOOK_WAIT);
+    let mut looker = Looker { node, l, link, lease, span, sent_until: Duration::ZERO, patience };
     looker.sent_until = looker.node.now();
     while !looker.link.is_closed() {
         if !looker.look().await {
@@ -109,8 +109,8 @@
     span: Duration,
     /// Until when the lease lasts that was last sent.
     sent_until: Duration,
-    /// Mean time that looks at this worker take.
-    mean: Duration,
+    /// When a look at this worker is late.
+    patience: Patience,
 }
 
 /// An answered look.
@@ -150,19 +150,19 @@
         true
     }
 
-    /// Looks, and once more if the first look seems to be lost. A busy worker
-    /// answers within a tenth of a second, since some task ends; until the answer
-    /// that does not come is given up, nobody would hear of its ends.
+    /// Looks, and once more if the first look seems to be lost, or its connection
+    /// does. A busy worker answers within a tenth of a second, since some task ends;
+    /// until the answer that does not come is given up, nobody would hear of its ends.
     async fn ask_twice(&mut self) -> Result<Seen, WorkerError> {
         let may_extend = self.may_extend();
         let wait = if may_extend { LOOK_WAIT } else { Duration::ZERO };
         if !self.node.settings.policy.calls.look_again {
             return self.ask(wait).await;
         }
-        let lost_after = self.mean.mul_f64(LOST_AFTER).max(LOST_NOT_BEFORE).min(wait + LOST_AT_LAST);
-        match tokio::time::timeout(lost_after, self.ask(wait)).await {
+        let late_after = self.patience.late_after().min(wait + LATE_AT_LAST);
+        match tokio::time::timeout(late_after, self.ask(wait)).await {
+            Ok(Err(WorkerError::NoAnswer)) | Err(_) => self.ask(Duration::ZERO).await,
             Ok(res) => res,
-            Err(_) => self.ask(Duration::ZERO).await,
         }
     }
 
@@ -191,7 +191,7 @@
     async fn seen(&mut self, seen: Seen, begun: Duration) {
         let Seen { sent, clock, mut report } = seen;
         let now = self.node.now();
-        self.mean = self.mean.mul_f64(1.0 - NEWEST) + (now - begun).mul_f64(NEWEST);
+        self.patience.note(now - begun);
         self.link.answered(clock, now);
         report.asked = sent;
         let last = report.ended.iter().map(|e| e.number).max().unwrap_or(0);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -36,6 +36,8 @@
     pub config_version: IntGauge,
     /// How long ago the store last answered, in milliseconds.
     pub store_silence_ms: IntGauge,
+    /// Connections that were found half-open.
+    pub half_open: IntGauge,
     broken: IntGauge,
     lines_dropped: IntGauge,
 }
@@ -67,6 +69,11 @@
             lease_term: gauge(&r, "workswood_lease_term", "term of the lease as last read"),
             config_version: gauge(&r, "workswood_config_version", "version in force here"),
             store_silence_ms: gauge(&r, "workswood_store_silence_ms", "time since the store answered"),
+            half_open: gauge(
+                &r,
+                "workswood_connections_half_open",
+                "connections found half-open since the start",
+            ),
             broken: gauge(&r, "workswood_invariants_broken", "broken invariants"),
             lines_dropped: gauge(&r, "workswood_log_lines_dropped", "log lines dropped"),
             registry: r,
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -60,7 +60,9 @@
     let tail = c.tail(Topic::State, 0, Duration::ZERO).await.expect("a read is answered");
     assert_eq!(tail.records.len(), 1, "an append that was sent twice is done once");
 
-    // A read that waits for a record hears of it once another call has found out.
+    // A read that waits for a record hears of it once another call has found out, on
+    // a connection that was open when the read's went silent.
+    warm_up(&c).await;
     let waiting = c.tail(Topic::State, tail.next, LONG);
     let found_out = async {
         store.calls_reach(store.calls() + 1).await;
@@ -90,7 +92,9 @@
         let mut info = c.worker_info(&KeyedRecord { key: id, value }).expect("the entry is read");
         info.address = cut.address.clone();
         look(&c, &info, Duration::ZERO).await;
-        (workers.push(w), cuts.push(cut), infos.push(info));
+        workers.push(w);
+        cuts.push(cut);
+        infos.push(info);
     }
     // A look at the third waits for an end that does not come.
     let waiting = look(&c, &infos[2], LONG);
