Judge a connection only by answers that were due

Cause: a look that waits for an end was dropped after 250 ms to ask again, and its connection counted as doubtful. Change: an attempt knows when its answer is due, and says nothing before.

--- a/crates/workswood-endpoints/src/lib.rs
+++ b/crates/workswood-endpoints/src/lib.rs
@@ -79,7 +79,7 @@
     /// need long, so a late answer says nothing of other connections.
     pub async fn send(&self, req: Request<AnyBody>) -> Result<Response<Incoming>, SendError> {
         let address = req.uri().authority().map(|a| a.to_string()).unwrap_or_default();
-        let attempt = self.pool.attempt(&address);
+        let attempt = self.pool.attempt(&address, Duration::ZERO);
         let res = attempt.send(req).await;
         attempt.abandon();
         res.map_err(|e| {
--- a/crates/workswood-http/src/attempt.rs
+++ b/crates/workswood-http/src/attempt.rs
@@ -8,12 +8,13 @@
 use hyper::{Request, Response};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client, Error};
+use tokio::time::Instant;
 use workswood_liveness::Round;
 
 use crate::pool::{Peer, Pool};
 
-/// One attempt at a call. Dropped before its end is told, it counts as one without
-/// an answer, as when its caller no longer waits.
+/// One attempt at a call. Dropped before its end is told, when its caller no longer
+/// waits, it counts as one without an answer if the answer was due.
 pub struct Attempt<B>
 where
     B: Body + Send + Unpin + 'static,
@@ -26,6 +27,9 @@
     /// Number of the client.
     number: u64,
     round: Round,
+    /// When its answer is late. Until then nothing is wrong with a connection on which
+    /// nothing comes: a call that waits for something to happen says nothing of it.
+    late_at: Instant,
     /// Whether its end was told.
     told: AtomicBool,
     /// Whether its connection is doubted because of it.
@@ -44,13 +48,16 @@
         client: Client<HttpConnector, B>,
         number: u64,
         round: Round,
+        waits: Duration,
     ) -> Attempt<B> {
+        let late_at = Instant::now() + waits + peer.patience.late_after();
         Attempt {
             pool,
             peer,
             client,
             number,
             round,
+            late_at,
             told: AtomicBool::new(false),
             doubts: AtomicBool::new(false),
         }
@@ -71,9 +78,9 @@
         }
     }
 
-    /// The time after which an answer is late that needs no waiting.
-    pub fn late_after(&self) -> Duration {
-        self.peer.patience.late_after()
+    /// When its answer is late.
+    pub fn late_at(&self) -> Instant {
+        self.late_at
     }
 
     /// Notes how long an answer took that needed no waiting.
@@ -124,7 +131,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     fn drop(&mut self) {
-        if !self.told.load(Ordering::Relaxed) {
+        if !self.told.load(Ordering::Relaxed) && Instant::now() >= self.late_at {
             self.doubt();
         }
     }
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -98,17 +98,17 @@
     /// Makes a call. A connection whose answer did not come in time is closed.
     pub async fn call(&self, call: &Call<'_>, timeout: Duration) -> Result<Answer, Failure> {
         let until = Instant::now() + timeout;
-        let first = self.pool.attempt(call.address);
-        let late_after = call.late_after(&first).map_or(until, |t| until.min(Instant::now() + t));
+        let first = self.pool.attempt(call.address, call.waits());
+        let may_repeat = call.repeat != Repeat::Never;
+        let patient_until = if may_repeat { until.min(first.late_at()) } else { until };
         let req = request(call, call.path, &call.body)?;
         let begun = Instant::now();
         let mut exchange = pin!(self.exchange(&first, req));
         let end = tokio::select! {
             res = &mut exchange => First::Ended(res),
             () = first.suspected() => First::Suspected,
-            () = tokio::time::sleep_until(late_after) => First::Late,
+            () = tokio::time::sleep_until(patient_until) => First::Late,
         };
-        let may_repeat = call.repeat != Repeat::Never;
         match end {
             First::Ended(Ok(answer)) => {
                 if call.is_quick() {
@@ -165,7 +165,7 @@
             Repeat::Waits { path, body, .. } => (path.as_str(), body),
             Repeat::Same | Repeat::Never => (call.path, &call.body),
         };
-        let second = self.pool.attempt(call.address);
+        let second = self.pool.attempt(call.address, Duration::ZERO);
         let req = request(call, path, body)?;
         let res = tokio::time::timeout_at(until, self.exchange(&second, req)).await;
         match res {
@@ -198,13 +198,11 @@
 }
 
 impl Call<'_> {
-    /// The time after which the answer to a first attempt is late; none for a call
-    /// that is sent once.
-    fn late_after(&self, first: &Attempt<Full<Bytes>>) -> Option<Duration> {
+    /// How long its answer may wait for something to happen.
+    fn waits(&self) -> Duration {
         match &self.repeat {
-            Repeat::Never => None,
-            Repeat::Same => Some(first.late_after()),
-            Repeat::Waits { wait, .. } => Some(*wait + first.late_after()),
+            Repeat::Never | Repeat::Same => Duration::ZERO,
+            Repeat::Waits { wait, .. } => *wait,
         }
     }
 
--- a/crates/workswood-http/src/pool.rs
+++ b/crates/workswood-http/src/pool.rs
@@ -85,8 +85,9 @@
         Pool { shared: Arc::new(shared) }
     }
 
-    /// Begins an attempt at a call to an address.
-    pub fn attempt(&self, address: &str) -> Attempt<B> {
+    /// Begins an attempt at a call to an address, which may let its answer wait for
+    /// some time.
+    pub fn attempt(&self, address: &str, waits: Duration) -> Attempt<B> {
         let peer = self.peer(address);
         let round = self.half_open().round();
         let mut now = peer.now.lock();
@@ -96,7 +97,7 @@
         now.used = Instant::now();
         let (client, number, round) = (now.client.clone(), now.number, now.round);
         drop(now);
-        Attempt::new(self.clone(), peer, client, number, round)
+        Attempt::new(self.clone(), peer, client, number, round, waits)
     }
 
     pub(crate) fn half_open(&self) -> &HalfOpen {
