Take a refusal for the truth only if the call was sent once

Cause: an append whose answer is late is sent again over a new connection. Change: an answer says whether the call had been sent before; a refused append then is not known to be undone. Answers that came late, and a new connection without an answer in time, count for how long the peer takes, so that a slow store is not asked twice for long. Test: silent_connections::refusal_of_copy_proves_nothing, which failed before.

--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -61,6 +61,9 @@
     pub status: StatusCode,
     /// Its body.
     pub body: Bytes,
+    /// Whether the call was sent before, and what came of that is not known. Then a
+    /// refusal says nothing of the call: the copy sent first may be carried out.
+    pub repeated: bool,
 }
 
 /// Why there is no whole answer.
@@ -141,6 +144,9 @@
                 };
                 match (first_ended, res) {
                     (true, Ok(answer)) => {
+                        if call.is_quick() {
+                            first.took(begun.elapsed());
+                        }
                         first.answered();
                         Ok(answer)
                     }
@@ -167,18 +173,23 @@
         };
         let second = self.pool.attempt(call.address, Duration::ZERO);
         let req = request(call, path, body)?;
+        let begun = Instant::now();
         let res = tokio::time::timeout_at(until, self.exchange(&second, req)).await;
         match res {
             Ok(Ok(answer)) => {
                 second.answered();
-                Ok(answer)
+                Ok(Answer { repeated: true, ..answer })
             }
             Ok(Err(e)) => {
                 second.abandon();
                 // What was sent first may have arrived.
                 Err(Failure::NoAnswer(text_of(e)))
             }
-            Err(_) => Err(timed_out()),
+            Err(_) => {
+                // Over a connection that was new: the peer itself is slow.
+                second.took(begun.elapsed());
+                Err(timed_out())
+            }
         }
     }
 
@@ -193,7 +204,7 @@
         let status = res.status();
         let body = Limited::new(res.into_body(), self.most_bytes).collect().await;
         let body = body.map_err(|e| Failure::NoAnswer(e.to_string()))?.to_bytes();
-        Ok(Answer { status, body })
+        Ok(Answer { status, body, repeated: false })
     }
 }
 
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -26,7 +26,7 @@
 use workswood_core::jobs::{Shown, ShownJob, WorkerInfo};
 use workswood_liveness::HalfOpen;
 use workswood_peers::{Done, Handler, JobAsk, Link, Msg};
-use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, Topic, WorkerClock};
+use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, StoreError, Topic, WorkerClock};
 use workswood_test_support::cut::{Cut, Fault};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::TurnStore;
@@ -80,6 +80,23 @@
     assert_eq!(waiting.expect("the read is answered").records.len(), 1);
 }
 
+#[tokio::test]
+async fn refusal_of_copy_proves_nothing() {
+    let store = StoreStandin::start().await;
+    let cut = Cut::start(&store.address.to_string()).await;
+    let c = client(&cut.address);
+    warm_up(&c).await;
+    store.faults(|f| f.down = true);
+    cut.set(Fault::HalfOpen);
+    let refused = c.append(Topic::Inbox(0), vec![rec("a")], Guard::None).await;
+    assert!(
+        matches!(refused, Err(StoreError::Unknown { .. })),
+        "the first copy may be done yet: {refused:?}"
+    );
+    let refused = c.append(Topic::Inbox(0), vec![rec("a")], Guard::None).await;
+    assert!(matches!(refused, Err(StoreError::NotDone { .. })), "this one was sent once: {refused:?}");
+}
+
 async fn look(c: &PlatformClient, w: &WorkerInfo, wait: Duration) -> WorkerClock {
     let lease_end = (wait > Duration::ZERO).then_some(LONG);
     c.look(w, 7, 0, lease_end, wait).await.expect("the worker answers").0
