Probe before a late append is sent again

Change: a late append is sent again only once a cheap read over the new connection was answered soon; a slow peer is left its time. Each attempt's end is told in one place.

--- a/crates/workswood-http/src/attempt.rs
+++ b/crates/workswood-http/src/attempt.rs
@@ -32,8 +32,6 @@
     late_at: Instant,
     /// Whether its end was told.
     told: AtomicBool,
-    /// Whether its connection is doubted because of it.
-    doubts: AtomicBool,
 }
 
 impl<B> Attempt<B>
@@ -51,16 +49,7 @@
         waits: Duration,
     ) -> Attempt<B> {
         let late_at = Instant::now() + waits + peer.patience.late_after();
-        Attempt {
-            pool,
-            peer,
-            client,
-            number,
-            round,
-            late_at,
-            told: AtomicBool::new(false),
-            doubts: AtomicBool::new(false),
-        }
+        Attempt { pool, peer, client, number, round, late_at, told: AtomicBool::new(false) }
     }
 
     /// Sends the request; returns with the head of the answer.
@@ -88,27 +77,32 @@
         self.peer.patience.note(took);
     }
 
-    /// Has the next attempt open a new connection, since this one's answer is late.
-    /// Whether its connection is at fault shows with the next one's answer.
-    pub fn doubt(&self) {
-        let mut now = self.peer.now.lock();
-        if now.number == self.number {
-            let round = now.round;
-            now.renew(self.pool.client(), round);
-            now.doubted = true;
-            self.doubts.store(true, Ordering::Relaxed);
-        }
+    /// The time after which an answer is late that needs no waiting.
+    pub fn late_after(&self) -> Duration {
+        self.peer.patience.late_after()
+    }
+
+    /// Has the next attempt open a new connection: this one's may be at fault.
+    pub fn distrust(&self) {
+        self.renew(false);
     }
 
-    /// Ends the attempt: it was answered, in whatever way. If an earlier connection
-    /// was doubted, that one was half-open, and so may be all that are as old.
+    /// Tells that the connection of this attempt was half-open: it had no answer, and a
+    /// new one had. All that are as old may be.
+    pub fn was_silent(&self) {
+        self.peer.suspect_below.send_if_modified(|below| {
+            let later = *below <= self.number;
+            *below = (*below).max(self.number + 1);
+            later
+        });
+        self.pool.half_open().found(&self.peer.address);
+    }
+
+    /// Ends the attempt: it was answered, in whatever way. If an earlier one was given
+    /// up unanswered, its connection was half-open.
     pub fn answered(&self) {
         self.told.store(true, Ordering::Relaxed);
         let mut now = self.peer.now.lock();
-        if self.doubts.load(Ordering::Relaxed) {
-            // It was only late.
-            now.doubted = false;
-        }
         if now.number != self.number || !std::mem::take(&mut now.doubted) {
             return;
         }
@@ -117,6 +111,15 @@
         self.pool.half_open().found(&self.peer.address);
     }
 
+    fn renew(&self, doubted: bool) {
+        let mut now = self.peer.now.lock();
+        if now.number == self.number {
+            let round = now.round;
+            now.renew(self.pool.client(), round);
+            now.doubted = doubted;
+        }
+    }
+
     /// Ends the attempt without a verdict: another one was faster, or the connection
     /// broke.
     pub fn abandon(&self) {
@@ -132,7 +135,7 @@
 {
     fn drop(&mut self) {
         if !self.told.load(Ordering::Relaxed) && Instant::now() >= self.late_at {
-            self.doubt();
+            self.renew(true);
         }
     }
 }
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -22,11 +22,17 @@
     /// It is sent once.
     #[default]
     Never,
-    /// If its answer is late, or its connection becomes suspect, the same is sent
-    /// over a new connection.
+    /// If its answer is late, or its connection breaks or becomes suspect, the same is
+    /// sent over a new connection.
     Same,
-    /// Likewise. The call may wait for its answer; what is sent again is a request for
-    /// an answer at once.
+    /// Likewise, but with a late answer only once a cheap read over the new connection was answered: the
+    /// call takes its turn at the peer, and sent twice it would take two.
+    Probed {
+        /// Path and query of the read.
+        path: String,
+    },
+    /// Like [`Repeat::Same`]; the call may wait for its answer, and what is sent again
+    /// is a request for an answer at once.
     Waits {
         /// Longest time that the call asks to wait.
         wait: Duration,
@@ -101,90 +107,115 @@
     /// Makes a call. A connection whose answer did not come in time is closed.
     pub async fn call(&self, call: &Call<'_>, timeout: Duration) -> Result<Answer, Failure> {
         let until = Instant::now() + timeout;
+        match call.repeat {
+            Repeat::Never => self.once(call, until).await,
+            Repeat::Same | Repeat::Probed { .. } | Repeat::Waits { .. } => self.repeatable(call, until).await,
+        }
+    }
+
+    /// Makes a call that is sent once.
+    async fn once(&self, call: &Call<'_>, until: Instant) -> Result<Answer, Failure> {
+        let attempt = self.pool.attempt(call.address, Duration::ZERO);
+        let req = request(call, call.path, &call.body)?;
+        tokio::select! {
+            res = self.exchange(&attempt, req, false) => res,
+            () = attempt.suspected() => {
+                attempt.abandon();
+                Err(Failure::NoAnswer("the connection went silent".to_string()))
+            }
+            // Dropped without an end, the attempt counts as unanswered.
+            () = tokio::time::sleep_until(until) => Err(timed_out()),
+        }
+    }
+
+    /// Makes a call that may be sent twice.
+    async fn repeatable(&self, call: &Call<'_>, until: Instant) -> Result<Answer, Failure> {
         let first = self.pool.attempt(call.address, call.waits());
-        let may_repeat = call.repeat != Repeat::Never;
-        let patient_until = if may_repeat { until.min(first.late_at()) } else { until };
         let req = request(call, call.path, &call.body)?;
-        let begun = Instant::now();
-        let mut exchange = pin!(self.exchange(&first, req));
+        let mut sent = pin!(self.exchange(&first, req, call.is_quick()));
         let end = tokio::select! {
-            res = &mut exchange => First::Ended(res),
+            res = &mut sent => First::Ended(res),
             () = first.suspected() => First::Suspected,
-            () = tokio::time::sleep_until(patient_until) => First::Late,
+            () = tokio::time::sleep_until(until.min(first.late_at())) => First::Late,
         };
         match end {
-            First::Ended(Ok(answer)) => {
-                if call.is_quick() {
-                    first.took(begun.elapsed());
-                }
-                first.answered();
-                Ok(answer)
-            }
-            First::Ended(Err(Failure::NoAnswer(_))) if may_repeat => {
-                first.abandon();
-                self.again(call, until).await
-            }
-            First::Ended(Err(e)) => {
-                first.abandon();
-                Err(e)
-            }
+            First::Ended(Err(Failure::NoAnswer(_))) => self.again(call, until).await,
+            First::Ended(res) => res,
             First::Suspected => {
                 first.abandon();
-                if may_repeat {
-                    return self.again(call, until).await;
-                }
-                Err(Failure::NoAnswer("the connection went silent".to_string()))
+                self.again(call, until).await
             }
-            First::Late if may_repeat => {
-                first.doubt();
-                let mut again = pin!(self.again(call, until));
-                let (first_ended, res) = tokio::select! {
-                    res = &mut again => (false, res),
-                    res = &mut exchange => (true, res),
-                };
-                match (first_ended, res) {
-                    (true, Ok(answer)) => {
-                        if call.is_quick() {
-                            first.took(begun.elapsed());
-                        }
-                        first.answered();
-                        Ok(answer)
-                    }
-                    (true, Err(_)) => {
-                        first.abandon();
-                        again.await
-                    }
-                    (false, res) => {
+            First::Late => {
+                first.distrust();
+                let mut again = pin!(self.again_if_silent(call, &first, until));
+                tokio::select! {
+                    res = &mut again => {
                         first.abandon();
                         res
                     }
+                    res = &mut sent => match res {
+                        Err(Failure::NoAnswer(_)) => again.await,
+                        res => res,
+                    }
                 }
             }
-            // Dropped without an end, the attempt counts as unanswered.
-            First::Late => Err(timed_out()),
         }
     }
 
+    /// Sends a call again whose answer is late, and tells if the connection was at
+    /// fault.
+    async fn again_if_silent(
+        &self,
+        call: &Call<'_>,
+        first: &Attempt<Full<Bytes>>,
+        until: Instant,
+    ) -> Result<Answer, Failure> {
+        if let Repeat::Probed { path } = &call.repeat
+            && !self.is_quick(call.address, path, first.late_after(), until).await
+        {
+            // Only the first one can be answered.
+            tokio::time::sleep_until(until).await;
+            return Err(timed_out());
+        }
+        let res = self.again(call, until).await;
+        if res.is_ok() {
+            first.was_silent();
+        }
+        res
+    }
+
+    /// Whether a cheap read over a new connection is answered so soon that the peer is
+    /// not slow: in half of the time after which an answer is late.
+    async fn is_quick(&self, address: &str, path: &str, late_after: Duration, until: Instant) -> bool {
+        let read = Call {
+            method: Method::GET,
+            address,
+            path,
+            headers: &[],
+            body: Bytes::new(),
+            repeat: Repeat::Never,
+        };
+        let begun = Instant::now();
+        let Ok(req) = request(&read, path, &read.body) else { return false };
+        let attempt = self.pool.attempt(address, Duration::ZERO);
+        let res = tokio::time::timeout_at(until, self.exchange(&attempt, req, true)).await;
+        attempt.abandon();
+        matches!(res, Ok(Ok(_))) && begun.elapsed() < late_after / 2
+    }
+
     /// Sends what may be done twice over a connection that is not suspect.
     async fn again(&self, call: &Call<'_>, until: Instant) -> Result<Answer, Failure> {
         let (path, body) = match &call.repeat {
             Repeat::Waits { path, body, .. } => (path.as_str(), body),
-            Repeat::Same | Repeat::Never => (call.path, &call.body),
+            Repeat::Never | Repeat::Same | Repeat::Probed { .. } => (call.path, &call.body),
         };
         let second = self.pool.attempt(call.address, Duration::ZERO);
         let req = request(call, path, body)?;
         let begun = Instant::now();
-        let res = tokio::time::timeout_at(until, self.exchange(&second, req)).await;
-        match res {
-            Ok(Ok(answer)) => {
-                second.answered();
-                Ok(Answer { repeated: true, ..answer })
-            }
-            Ok(Err(e)) => {
-                second.abandon();
-                // What was sent first may have arrived.
-                Err(Failure::NoAnswer(text_of(e)))
-            }
+        match tokio::time::timeout_at(until, self.exchange(&second, req, false)).await {
+            Ok(Ok(answer)) => Ok(Answer { repeated: true, ..answer }),
+            // What was sent first may have arrived.
+            Ok(Err(e)) => Err(Failure::NoAnswer(text_of(e))),
             Err(_) => {
                 // Over a connection that was new: the peer itself is slow.
                 second.took(begun.elapsed());
@@ -193,10 +224,32 @@
         }
     }
 
+    /// Sends a request and tells the attempt how it ended; `quick` if the time that the
+    /// answer takes is the peer's own.
     async fn exchange(
         &self,
         attempt: &Attempt<Full<Bytes>>,
         req: Request<Full<Bytes>>,
+        quick: bool,
+    ) -> Result<Answer, Failure> {
+        let begun = Instant::now();
+        let res = self.send(attempt, req).await;
+        match &res {
+            Ok(_) => {
+                if quick {
+                    attempt.took(begun.elapsed());
+                }
+                attempt.answered();
+            }
+            Err(_) => attempt.abandon(),
+        }
+        res
+    }
+
+    async fn send(
+        &self,
+        attempt: &Attempt<Full<Bytes>>,
+        req: Request<Full<Bytes>>,
     ) -> Result<Answer, Failure> {
         let res = attempt.send(req).await.map_err(|e| {
             if e.is_connect() { Failure::NotSent(e.to_string()) } else { Failure::NoAnswer(e.to_string()) }
@@ -212,14 +265,17 @@
     /// How long its answer may wait for something to happen.
     fn waits(&self) -> Duration {
         match &self.repeat {
-            Repeat::Never | Repeat::Same => Duration::ZERO,
+            Repeat::Never | Repeat::Same | Repeat::Probed { .. } => Duration::ZERO,
             Repeat::Waits { wait, .. } => *wait,
         }
     }
 
     /// Whether the time that its answer takes is the peer's own.
     fn is_quick(&self) -> bool {
-        self.repeat == Repeat::Same
+        match self.repeat {
+            Repeat::Same | Repeat::Probed { .. } => true,
+            Repeat::Never | Repeat::Waits { .. } => false,
+        }
     }
 }
 
