Mute open connections in the fault soak; keep the platform's words in platform/

The soak had no fault in which a connection stays open and passes nothing more. The relay can do that now: what was open passes no byte for good and is not closed, new connections pass.

The soak and store_protocol named topics of the platform, job_limits a body of its protocol. The stand-ins say these now; platform_words fails when a source outside platform/ names one (on the tree before it names fault_soak, store_protocol and job_limits). No assertion of these tests is changed.

--- a/crates/workswood-test-support/src/cut.rs
+++ b/crates/workswood-test-support/src/cut.rs
@@ -22,6 +22,9 @@
     Closed,
     /// Closes all connections once; new ones pass.
     Broken,
+    /// Passes no further byte of the open connections, for good and without
+    /// closing them, as a path that lost its state does; new ones pass.
+    Muted,
     /// Holds bytes back in both directions until the fault ends.
     Silent,
     /// Holds back only what the far side answers.
@@ -80,18 +83,28 @@
     let (b_in, b_out) = b.into_split();
     let there = pump(a_in, b_out, fault.clone(), |f| f == Fault::Silent);
     let back = pump(b_in, a_out, fault.clone(), |f| matches!(f, Fault::Silent | Fault::AnswersHeld));
-    let ended = async {
-        // A change to one of these, not that they stand.
-        while fault.changed().await.is_ok() {
-            if matches!(*fault.borrow_and_update(), Fault::Closed | Fault::Broken) {
-                return;
-            }
-        }
+    let mut pumps = std::pin::pin!(async { tokio::join!(there, back) });
+    let muted = tokio::select! {
+        _ = &mut pumps => false,
+        muted = ended(&mut fault) => muted,
     };
-    tokio::select! {
-        _ = async { tokio::join!(there, back) } => {}
-        () = ended => {}
+    if muted {
+        // The sockets stay open as long as the pumps are there.
+        while fault.changed().await.is_ok() {}
+    }
+}
+
+/// Waits until an open connection passes nothing more; returns whether it stays
+/// open. What counts is a change to such a fault, not that it stands.
+async fn ended(fault: &mut watch::Receiver<Fault>) -> bool {
+    while fault.changed().await.is_ok() {
+        match *fault.borrow_and_update() {
+            Fault::Muted => return true,
+            Fault::Closed | Fault::Broken => return false,
+            Fault::None | Fault::Silent | Fault::AnswersHeld | Fault::Slow(_) => {}
+        }
     }
+    false
 }
 
 /// Copies one direction until its end, holding bytes back while `held` says so.
--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -16,7 +16,7 @@
 use futures::FutureExt;
 use tokio::task::JoinHandle;
 use workswood_adapter_standin::caller::{HandedIn, Told, ask, config, hand_in};
-use workswood_adapter_standin::{Ledger, StoreStandin, WorkerStandin};
+use workswood_adapter_standin::{Kept, Ledger, StoreStandin, WorkerStandin};
 use workswood_test_support::cut::{Cut, Fault};
 use workswood_test_support::job_world::Luck;
 use workswood_test_support::program::{Program, free_ports};
@@ -131,7 +131,7 @@
 impl World {
     async fn new() -> World {
         let store = Arc::new(StoreStandin::start().await);
-        store.write("keyed.op", "config", &config(SERVICE, 1));
+        store.declare(&config(SERVICE, 1));
         let mut w = World { store, ledger: Arc::default(), lives: Vec::new(), lived: 0 };
         for n in 0..WORKERS {
             let life = w.bear(n).await;
@@ -148,7 +148,7 @@
         let relay = Cut::start(&standin.address.to_string()).await;
         let entry = standin.entry(SERVICE, &format!("m-{n}"));
         let entry = entry.replace(&standin.address.to_string(), &relay.address);
-        self.store.write("keyed.servers", &id, &entry);
+        self.store.enter_worker(&id, &entry);
         Life { standin, relay, id }
     }
 
@@ -156,7 +156,7 @@
     async fn crash(&mut self, n: usize) {
         let next = self.bear(n).await;
         let old = std::mem::replace(&mut self.lives[n], next);
-        self.store.write("keyed.servers", &old.id, "");
+        self.store.drop_worker(&old.id);
     }
 }
 
@@ -192,7 +192,7 @@
         let n = self.luck.below(ENTRIES as u64) as usize;
         let w = self.luck.below(WORKERS as u64) as usize;
         let relay = RELAY_FAULTS[self.luck.below(RELAY_FAULTS.len() as u64) as usize];
-        let fault = match self.luck.below(9) {
+        let fault = match self.luck.below(11) {
             0 => {
                 self.entries[n].signal("-STOP");
                 Standing::Frozen(n)
@@ -223,6 +223,16 @@
                 self.world.lives[w].standin.faults(|f| f.lose_starts += 2);
                 return;
             }
+            8 => {
+                println!("event=fault fault=StoreRelay({n}) relay={:?}", Fault::Muted);
+                self.entries[n].store.set(Fault::Muted);
+                return;
+            }
+            9 => {
+                println!("event=fault fault=WorkerRelay({w}) relay={:?}", Fault::Muted);
+                self.world.lives[w].relay.set(Fault::Muted);
+                return;
+            }
             _ => {
                 self.store_fault();
                 Standing::Store
@@ -240,8 +250,8 @@
             _ => f.lose += 3,
         });
         if which == 3 {
-            self.world.store.forget("keyed.inbox");
-            self.world.store.forget("keyed.lease");
+            self.world.store.forget(Kept::Inbox);
+            self.world.store.forget(Kept::Lease);
         }
     }
 
--- a/tests/testsuite/job_limits.rs
+++ b/tests/testsuite/job_limits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use workswood_adapter::callers::read_job;
+use workswood_adapter_standin::caller::one_task;
 use workswood_core::jobs::{Action, Event, Job, JobSpec, Outcome, Repeat, Scheduler, Shown, WorkerInfo};
 use workswood_test_support::job_world::{SERVICE, config, job, step};
 use workswood_test_support::machine_world::limits;
@@ -58,13 +59,11 @@
 #[test]
 fn wild_numbers_read() {
     for n in ["1e22", "1e300", "-5", "0"] {
-        let body = format!(r#"{{"spec":"x","task_groups":[{{"count":1,"cpu":1,"estimate_ms":{n}}}]}}"#);
-        let read = read_job(body.as_bytes()).expect("the body is read without a panic");
+        let read = read_job(one_task("x", n).as_bytes()).expect("the body is read without a panic");
         assert_eq!(read.steps.len(), 1);
     }
     assert!(read_job(b"{").is_err());
-    let text = "x".repeat(4001);
-    assert!(read_job(format!(r#"{{"spec":"{text}"}}"#).as_bytes()).is_err());
+    assert!(read_job(one_task(&"x".repeat(4001), "1").as_bytes()).is_err());
 }
 
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod order_marks;
 mod peer_help;
 mod peer_members;
+mod platform_words;
 mod pool_moves;
 mod queue_order;
 mod random_fleet;
