--- a/tests/testsuite/store_protocol.rs
+++ b/tests/testsuite/store_protocol.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use workswood_adapter::{Addresses, PlatformClient};
-use workswood_adapter_standin::{Kept, StoreStandin};
+use workswood_adapter_standin::{Kept, MachinesStandin, StoreStandin};
 use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, StoreError, Topic};
 
 fn client(store: &StoreStandin) -> PlatformClient {
@@ -101,3 +101,56 @@
     let gone = c.append(Topic::Inbox(0), vec![rec("x", "1")], Guard::None).await;
     assert!(matches!(gone, Err(StoreError::NotDone { .. } | StoreError::Unknown { .. })), "{gone:?}");
 }
+
+/// Keys of a topic that are read again after they were written; the pages of the
+/// stand-in are small, so that each of them is continued after.
+async fn read_back(written: &[String]) -> Vec<String> {
+    let store = StoreStandin::start().await;
+    let c = client(&store);
+    for key in written {
+        c.append(Topic::State, vec![rec(key, key)], Guard::None).await.expect("the store takes it");
+    }
+    let newest = tokio::time::timeout(Duration::from_secs(5), c.newest(Topic::State)).await;
+    let newest = newest.expect("the pages come to an end").expect("all pages are read");
+    let same = |r: &KeyedRecord| r.value.as_deref() == Some(r.key.as_bytes());
+    assert!(newest.records.iter().all(same), "{:?}", newest.records);
+    newest.records.into_iter().map(|r| r.key).collect()
+}
+
+#[tokio::test]
+async fn any_sign_in_keys() {
+    let written =
+        ["a&part=1", "b+c", "d%2Fe", "f g", "h/i", "j#k", "l?m", "n=o", "\u{f6}l"].map(String::from);
+    assert_eq!(read_back(&written).await, written);
+}
+
+#[tokio::test]
+async fn keys_of_any_length() {
+    let written = [254, 255, 256, 257, 511, 512, 600].map(|n| format!("worker-{}", "x".repeat(n - 7)));
+    let mut read = read_back(&written).await;
+    read.sort();
+    assert_eq!(read, written);
+}
+
+#[tokio::test]
+async fn long_key_dropped() {
+    let store = StoreStandin::start().await;
+    let c = client(&store);
+    let long = "ordered-".repeat(50);
+    c.append(Topic::State, vec![rec(&long, "1"), rec("b", "2")], Guard::None).await.expect("it is taken");
+    let tail = c.tail(Topic::State, 0, Duration::ZERO).await.expect("the topic is read");
+    assert_eq!(keys(&tail.records), [long.as_str(), "b"]);
+    c.append(Topic::State, vec![rec(&long, "")], Guard::None).await.expect("a drop is taken");
+    let newest = c.newest(Topic::State).await.expect("the topic is read");
+    assert_eq!(keys(&newest.records), ["b"]);
+}
+
+#[tokio::test]
+async fn any_sign_in_page_names() {
+    let machines = MachinesStandin::start(&["m-1", "m-2", "m-3", "m-4", "m-5"]).await;
+    let address = machines.address.to_string();
+    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
+    let list = c.machines().await.expect("all pages are read");
+    let names: Vec<&str> = list.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!(names, ["m-1", "m-2", "m-3", "m-4", "m-5"]);
+}
