Let a command's reader close the pipe

Commands write through util::print: what nobody reads is dropped, and the exit status says how the command ended. Clippy's lints keep print! and eprint! out of the program. Test closed_pipes, red before.

--- a/src/bin/workswood/commands/apply.rs
+++ b/src/bin/workswood/commands/apply.rs
@@ -51,7 +51,7 @@
     for path in super::texts(args, "files") {
         let reply = super::block_on(run(&path, &opts))?;
         let ApplyReply::Accepted { version, offset, behind } = reply else { continue };
-        println!("{path}: accepted version={version} offset={offset}");
+        workswood::outln!("{path}: accepted version={version} offset={offset}");
         if !behind.is_empty() {
             let message = format!("accepted, but not confirmed by: {}", behind.join(", "));
             return Err(Error::Refused { code: Code::NotEverywhere, message });
--- a/src/bin/workswood/commands/check.rs
+++ b/src/bin/workswood/commands/check.rs
@@ -23,13 +23,15 @@
     if args.get_flag("jobs") {
         let (settings, errors) = ops::check::job_settings(&paths);
         all_good(errors)?;
-        settings.iter().for_each(|s| println!("{}: {}, callers at {}", s.name, s.data_centre, s.callers));
+        settings
+            .iter()
+            .for_each(|s| workswood::outln!("{}: {}, callers at {}", s.name, s.data_centre, s.callers));
         return Ok(());
     }
     let (files, errors) = ops::check::run(&paths);
     all_good(errors)?;
     for f in files {
-        println!(
+        workswood::outln!(
             "{}: {} hosts, {} pools, {} services",
             f.file,
             f.hosts.len(),
@@ -44,7 +46,7 @@
 fn all_good(mut errors: Vec<Error>) -> Result<()> {
     let last = errors.pop();
     for e in &errors {
-        eprint!("{}", e.report());
+        workswood::errout!("{}", e.report());
     }
     last.map_or(Ok(()), Err)
 }
--- a/src/bin/workswood/commands/explain.rs
+++ b/src/bin/workswood/commands/explain.rs
@@ -15,9 +15,9 @@
 /// Runs it.
 pub fn exec(args: &ArgMatches) -> Result<()> {
     if args.get_flag("all") {
-        print!("{}", ops::explain::page());
+        workswood::out!("{}", ops::explain::page());
         return Ok(());
     }
-    print!("{}", ops::explain::run(&super::text(args, "code"))?);
+    workswood::out!("{}", ops::explain::run(&super::text(args, "code"))?);
     Ok(())
 }
--- a/src/bin/workswood/commands/late.rs
+++ b/src/bin/workswood/commands/late.rs
@@ -25,6 +25,6 @@
 pub fn exec(args: &ArgMatches) -> Result<()> {
     let seconds = args.get_one::<f64>("span").copied().unwrap_or(2.0).clamp(0.1, 3600.0);
     let account = ops::late::run(&super::texts(args, "logs"), Duration::from_secs_f64(seconds))?;
-    print!("{}", account.table());
+    workswood::out!("{}", account.table());
     Ok(())
 }
--- a/src/bin/workswood/commands/plan.rs
+++ b/src/bin/workswood/commands/plan.rs
@@ -28,6 +28,6 @@
         })?,
     };
     let (state, plans) = ops::plan::run(&files, at);
-    print!("{}", ops::plan::text(&state, &plans));
+    workswood::out!("{}", ops::plan::text(&state, &plans));
     ops::plan::refuse_impossible(&files, at)
 }
--- a/src/bin/workswood/commands/status.rs
+++ b/src/bin/workswood/commands/status.rs
@@ -17,9 +17,9 @@
     let token = super::token(args)?;
     let status = super::block_on(ops::status::run(&super::text(args, "entry"), &token))?;
     if args.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
+        workswood::outln!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
     } else {
-        print!("{}", ops::status::text(&status));
+        workswood::out!("{}", ops::status::text(&status));
     }
     Ok(())
 }
--- a/src/bin/workswood/main.rs
+++ b/src/bin/workswood/main.rs
@@ -1,5 +1,7 @@
 //! The `workswood` program: parses the command line and calls an operation.
 
+#![warn(clippy::print_stdout, clippy::print_stderr)]
+
 mod cli;
 mod commands;
 
@@ -10,7 +12,7 @@
     match cli::exec(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprint!("{}", e.report());
+            workswood::errout!("{}", e.report());
             ExitCode::from(e.exit_status())
         }
     }
--- a/src/workswood/lib.rs
+++ b/src/workswood/lib.rs
@@ -15,6 +15,8 @@
 //! `docs/ARCHITECTURE.md` follows one request and one applied file through the
 //! files of the program.
 
+#![warn(clippy::print_stdout, clippy::print_stderr)]
+
 pub mod ops;
 pub mod util;
 
--- a/src/workswood/ops/bench/fold.rs
+++ b/src/workswood/ops/bench/fold.rs
@@ -71,7 +71,7 @@
 
 /// Prints bytes of state by hosts and keys, and the time of folding claims.
 pub fn run() {
-    println!("hosts services state_bytes bytes_per_host text_ms resident_mib_with_two_copies");
+    crate::outln!("hosts services state_bytes bytes_per_host text_ms resident_mib_with_two_copies");
     for (hosts, pools) in [(50, 2), (500, 4), (5_000, 12), (24_000, 52)] {
         let state = settled(&[fleet(hosts, pools)], 1_000_000);
         let started = Instant::now();
@@ -79,10 +79,10 @@
         let ms = started.elapsed().as_secs_f64() * 1e3;
         let copy = State::from_text(&state.text());
         let resident = resident_mib();
-        println!("{hosts} {} {bytes} {} {ms:.1} {resident:.1}", state.services().count(), bytes / hosts);
+        crate::outln!("{hosts} {} {bytes} {} {ms:.1} {resident:.1}", state.services().count(), bytes / hosts);
         drop(copy);
     }
-    println!("keys claim_and_finish_ns_per_record bytes_per_key");
+    crate::outln!("keys claim_and_finish_ns_per_record bytes_per_key");
     for keys in [1_000u64, 10_000, 100_000] {
         let mut bytes = 0;
         let times = (0..RUNS).map(|_| {
@@ -91,9 +91,9 @@
             ns
         });
         let ns = median(times.collect());
-        println!("{keys} {ns:.0} {bytes}");
+        crate::outln!("{keys} {ns:.0} {bytes}");
     }
-    println!("log_records catch_up_ms (decode and fold, 10 records an envelope)");
+    crate::outln!("log_records catch_up_ms (decode and fold, 10 records an envelope)");
     for envelopes in [1_000usize, 10_000] {
         let texts = log_texts(envelopes);
         let times = (0..RUNS).map(|_| {
@@ -106,7 +106,7 @@
             }
             started.elapsed().as_secs_f64() * 1e3
         });
-        println!("{} {:.1}", envelopes * 10, median(times.collect()));
+        crate::outln!("{} {:.1}", envelopes * 10, median(times.collect()));
     }
 }
 
--- a/src/workswood/ops/bench/live.rs
+++ b/src/workswood/ops/bench/live.rs
@@ -67,15 +67,15 @@
     };
     let direct = Caller::to(endpoint.address);
     let over = dev.caller(0);
-    println!("run direct_p50_ms direct_per_s over_entry_p50_ms over_entry_per_s added_p50_ms");
+    crate::outln!("run direct_p50_ms direct_per_s over_entry_p50_ms over_entry_per_s added_p50_ms");
     let mut added = Vec::new();
     for run in 1..=5 {
         let (d, dr) = without_pause(vec![direct.clone(); 4], "/house-a/verify?ms=0", 2.0).await;
         let (o, or) = without_pause(vec![over.clone(); 4], "/house-a/verify?ms=0", 2.0).await;
         added.push(o.ms(0.5) - d.ms(0.5));
-        println!("{run} {:.3} {dr:.0} {:.3} {or:.0} {:.3}", d.ms(0.5), o.ms(0.5), o.ms(0.5) - d.ms(0.5));
+        crate::outln!("{run} {:.3} {dr:.0} {:.3} {or:.0} {:.3}", d.ms(0.5), o.ms(0.5), o.ms(0.5) - d.ms(0.5));
     }
-    println!("median added_p50_ms {:.3}", median(added));
+    crate::outln!("median added_p50_ms {:.3}", median(added));
     Ok(())
 }
 
@@ -85,8 +85,8 @@
     let before = dev.platform.counters().appends;
     tokio::time::sleep(Duration::from_secs(5)).await;
     let rest = (dev.platform.counters().appends - before) as f64 / 5.0;
-    println!("appends_per_s at rest {rest:.1}");
-    println!(
+    crate::outln!("appends_per_s at rest {rest:.1}");
+    crate::outln!(
         "keyed_per_s plain_p50_ms keyed_p50_ms keyed_p99_ms added_p50_ms added_p99_ms appends_per_s not_ok"
     );
     for rate in [10.0, 100.0, 1_000.0] {
@@ -95,7 +95,7 @@
         let started = Instant::now();
         let keyed = paced(&dev, rate, true).await?;
         let appends = (dev.platform.counters().appends - before) as f64 / started.elapsed().as_secs_f64();
-        println!(
+        crate::outln!(
             "{rate:.0} {:.1} {:.1} {:.1} {:.1} {:.1} {appends:.1} {}",
             plain.0.ms(0.5),
             keyed.0.ms(0.5),
@@ -106,7 +106,7 @@
         );
     }
     let doubled = dev.platform.ledger.doubled().len();
-    println!("keys that ran twice: {doubled}");
+    crate::outln!("keys that ran twice: {doubled}");
     Ok(())
 }
 
@@ -161,14 +161,16 @@
         times.add(started.elapsed().as_secs_f64());
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    println!("changes entries p50_ms p99_ms max_ms");
-    println!("{CHANGES} {ENTRIES} {:.1} {:.1} {:.1}", times.ms(0.5), times.ms(0.99), times.ms(1.0));
+    crate::outln!("changes entries p50_ms p99_ms max_ms");
+    crate::outln!("{CHANGES} {ENTRIES} {:.1} {:.1} {:.1}", times.ms(0.5), times.ms(0.99), times.ms(1.0));
     Ok(())
 }
 
 /// Bytes a second between entries at rest, by their number.
 pub async fn peers() -> Result<()> {
-    println!("entries data_centres links_per_entry bytes_per_s_per_entry cpu_percent_of_a_core_per_entry");
+    crate::outln!(
+        "entries data_centres links_per_entry bytes_per_s_per_entry cpu_percent_of_a_core_per_entry"
+    );
     for entries in [6usize, 12, 24, 48, 96] {
         let mut file = read_text("factoring.json", DEFAULT_FILE)?;
         file.maintenance.clear();
@@ -182,7 +184,7 @@
         tokio::time::sleep(Duration::from_secs(10)).await;
         let used = 100.0 * (cpu_seconds() - cpu) / 10.0 / entries as f64;
         let rate = (totals(&dev).0 - bytes) as f64 / 10.0 / entries as f64;
-        println!("{entries} 4 {:.1} {rate:.0} {used:.2}", links as f64 / entries as f64);
+        crate::outln!("{entries} 4 {:.1} {rate:.0} {used:.2}", links as f64 / entries as f64);
     }
     Ok(())
 }
@@ -230,8 +232,8 @@
         records += count;
         bytes += if count > 0 { r.body.len() } else { 0 };
     }
-    println!("hosts seconds envelopes records records_per_host bytes_per_host");
-    println!(
+    crate::outln!("hosts seconds envelopes records records_per_host bytes_per_host");
+    crate::outln!(
         "{hosts} {:.1} {envelopes} {records} {:.1} {:.0}",
         started.elapsed().as_secs_f64(),
         records as f64 / hosts as f64,
--- a/src/workswood/ops/bench/plan.rs
+++ b/src/workswood/ops/bench/plan.rs
@@ -20,7 +20,7 @@
 
 /// Prints the time of planning by hosts, then the measures.
 pub fn run() {
-    println!("hosts pools first_plan_ms quiet_round_ms replan_after_loss_ms wave_choice_ms");
+    crate::outln!("hosts pools first_plan_ms quiet_round_ms replan_after_loss_ms wave_choice_ms");
     for (hosts, pools) in [(50, 2), (500, 4), (5_000, 12), (24_000, 52)] {
         let file = fleet(hosts, pools);
         let started = Instant::now();
@@ -33,9 +33,9 @@
         let started = Instant::now();
         let rounds = measure(&state, &m, Strategy::Waves, NOW).rounds.len();
         let wave = started.elapsed().as_secs_f64() * 1e3 / rounds.max(1) as f64;
-        println!("{hosts} {pools} {first:.0} {quiet:.1} {loss:.1} {wave:.1}");
+        crate::outln!("{hosts} {pools} {first:.0} {quiet:.1} {loss:.1} {wave:.1}");
     }
-    println!(
+    crate::outln!(
         "fleet maintenance way rollout_min ratio_to_bound host_moves instance_moves spare_instances undone"
     );
     for (name, text) in [("factoring", DEFAULT_FILE), ("gridlark", GRIDLARK)] {
@@ -123,7 +123,7 @@
         let bound = Bound::of(&state, &m);
         for (way, strategy) in [("waves", Strategy::Waves), ("rack_by_rack", Strategy::RackByRack)] {
             let x = measure(&state, &m, strategy, NOW);
-            println!(
+            crate::outln!(
                 "{name} {} {way} {:.0} {:.2} {} {} {} {}",
                 m.name,
                 x.rollout.as_secs_f64() / 60.0,
--- a/src/workswood/ops/bench/route.rs
+++ b/src/workswood/ops/bench/route.rs
@@ -422,14 +422,14 @@
 
 /// Compares all ways at several loads.
 pub fn compare() {
-    println!(
+    crate::outln!(
         "load policy p50_ms p99_ms p999_ms over_slots% idle_while_waiting_slots goodput% messages_per_s"
     );
     let capacity = f64::from(SLOTS) * ENDPOINTS as f64 / MEAN;
     for load in [0.5, 0.8, 0.95, 1.2] {
         for policy in ALL {
             let all = runs(policy, &[(Class::Urgent, load)]);
-            println!(
+            crate::outln!(
                 "{load:.2} {policy:?} {:.1} {:.1} {:.1} {:.2} {:.2} {:.1} {:.0}",
                 mid(&all, |s| s.urgent.ms(0.5)),
                 mid(&all, |s| s.urgent.ms(0.99)),
@@ -446,12 +446,12 @@
 /// Compares windows of leased slots: more than the slots of an endpoint fill
 /// the time that requests spend on the wire.
 pub fn window() {
-    println!("load window p50_ms p99_ms p999_ms over_slots% goodput%");
+    crate::outln!("load window p50_ms p99_ms p999_ms over_slots% goodput%");
     let capacity = f64::from(SLOTS) * ENDPOINTS as f64 / MEAN;
     for load in [0.5, 0.8, 0.95, 1.2] {
         for window in 8..=13 {
             let all = runs_with(Policy::Lending, window, &[(Class::Urgent, load)]);
-            println!(
+            crate::outln!(
                 "{load:.2} {window} {:.1} {:.1} {:.1} {:.2} {:.1}",
                 mid(&all, |s| s.urgent.ms(0.5)),
                 mid(&all, |s| s.urgent.ms(0.99)),
@@ -466,14 +466,14 @@
 /// Compares leased slots with and without lending while one entry gets more
 /// than its part of the requests.
 pub fn skew() {
-    println!("load to_one_entry% policy p50_ms p99_ms refused% goodput% messages_per_s");
+    crate::outln!("load to_one_entry% policy p50_ms p99_ms refused% goodput% messages_per_s");
     let capacity = f64::from(SLOTS) * ENDPOINTS as f64 / MEAN;
     for (load, skew) in [(0.5, 0.2), (0.5, 0.5), (0.8, 0.1), (0.8, 0.3)] {
         for policy in [Policy::LeastLocal, Policy::Leased, Policy::Lending] {
             let model = |seed| Model { skew, ..Model::new(policy, WINDOW, seed) };
             let all: Vec<Shown> =
                 (1..=RUNS).map(|s| model(s).run(&[(Class::Urgent, load)], SECONDS)).collect();
-            println!(
+            crate::outln!(
                 "{load:.2} {:.0} {policy:?} {:.1} {:.1} {:.2} {:.1} {:.0}",
                 100.0 * (skew + (1.0 - skew) / ENTRIES as f64),
                 mid(&all, |s| s.urgent.ms(0.5)),
@@ -488,7 +488,7 @@
 
 /// Compares refusing at once with waiting in a bounded queue.
 pub fn front_door() {
-    println!("load queue_per_entry p50_ms p99_ms refused% goodput%");
+    crate::outln!("load queue_per_entry p50_ms p99_ms refused% goodput%");
     let capacity = f64::from(SLOTS) * ENDPOINTS as f64 / MEAN;
     for load in [0.8, 0.95, 1.2] {
         for queued in [0, 3, 30, 300, 1_000] {
@@ -496,7 +496,7 @@
             let model = |seed| Model::with_limits(Policy::Lending, WINDOW, seed, limits);
             let all: Vec<Shown> =
                 (1..=RUNS).map(|s| model(s).run(&[(Class::Urgent, load)], SECONDS)).collect();
-            println!(
+            crate::outln!(
                 "{load:.2} {queued} {:.1} {:.1} {:.2} {:.1}",
                 mid(&all, |s| s.urgent.ms(0.5)),
                 mid(&all, |s| s.urgent.ms(0.99)),
@@ -509,7 +509,9 @@
 
 /// Urgent requests alone, beside a flood of normal ones, and beside long ones.
 pub fn flood() {
-    println!("case policy window urgent_p50_ms urgent_p99_ms urgent_p999_ms others_done_per_s refused_per_s");
+    crate::outln!(
+        "case policy window urgent_p50_ms urgent_p99_ms urgent_p999_ms others_done_per_s refused_per_s"
+    );
     let cases: [(&str, &[(Class, f64)]); 4] = [
         ("unloaded", &[(Class::Urgent, 0.05)]),
         ("urgent_80%", &[(Class::Urgent, 0.80)]),
@@ -526,7 +528,7 @@
         ];
         for (policy, window) in ways {
             let all = runs_with(policy, window, load);
-            println!(
+            crate::outln!(
                 "{name} {policy:?} {window} {:.1} {:.1} {:.1} {:.0} {:.0}",
                 mid(&all, |s| s.urgent.ms(0.5)),
                 mid(&all, |s| s.urgent.ms(0.99)),
@@ -541,7 +543,7 @@
 /// Time of one decision, offer and end together.
 pub fn decision() {
     const ROUNDS: u64 = 20_000;
-    println!("endpoints ns_per_request");
+    crate::outln!("endpoints ns_per_request");
     for n in [10usize, 50, 500] {
         let mut v = view(SLOTS);
         v.endpoints =
@@ -559,6 +561,6 @@
             }
             started.elapsed().as_nanos() as f64 / ROUNDS as f64
         });
-        println!("{n} {:.0}", median(times.collect()));
+        crate::outln!("{n} {:.0}", median(times.collect()));
     }
 }
--- a/src/workswood/ops/dev.rs
+++ b/src/workswood/ops/dev.rs
@@ -285,18 +285,23 @@
     dev.wait(0, "the entry catches up", |s| s.ready).await?;
     for e in &dev.entries {
         let s = &e.node.settings;
-        println!("entry {} callers={} operators={} token={OPERATOR_TOKEN}", s.name, s.callers, s.operators);
+        crate::outln!(
+            "entry {} callers={} operators={} token={OPERATOR_TOKEN}",
+            s.name,
+            s.callers,
+            s.operators
+        );
     }
     for f in &files {
         match dev.apply(0, f, 0).await? {
             ApplyReply::Accepted { version, behind, .. } => {
-                println!("applied {} version={version} behind={}", f.file, behind.len());
+                crate::outln!("applied {} version={version} behind={}", f.file, behind.len());
             }
             other => return Err(Error::Broken { message: format!("{other:?}") }),
         }
     }
     dev.settle().await?;
-    println!("all instances are ready");
+    crate::outln!("all instances are ready");
     for f in &files {
         for path in f.services.iter().flat_map(|s| &s.routes).map(|r| &r.path) {
             let key = uuid::Uuid::new_v4().simple().to_string();
@@ -304,12 +309,12 @@
             let req = CallerRequest::to(path).with_body("hello").with_key(&key, last_moment);
             let res = dev.call(0, req).await?;
             let ran = res.headers().get(workswood_callers::RAN).and_then(|v| v.to_str().ok()).unwrap_or("-");
-            println!("request {path} status={} ran={ran}", res.status().as_u16());
+            crate::outln!("request {path} status={} ran={ran}", res.status().as_u16());
         }
     }
     follow(&dev).await?;
     if keep {
-        println!("serving until interrupted");
+        crate::outln!("serving until interrupted");
         let _ = tokio::signal::ctrl_c().await;
     }
     Ok(())
@@ -323,8 +328,8 @@
     };
     let started = Instant::now();
     let status = dev.wait(0, "maintenance finishes", finished).await?;
-    println!("maintenance finished after {:.1}s of stand-in time", started.elapsed().as_secs_f64());
-    print!("{}", crate::ops::status::text(&status));
+    crate::outln!("maintenance finished after {:.1}s of stand-in time", started.elapsed().as_secs_f64());
+    crate::out!("{}", crate::ops::status::text(&status));
     let cut = dev.platform.ledger.cut_off.load(std::sync::atomic::Ordering::Relaxed);
     if status.invariants_broken > 0 || cut > 0 {
         let message = format!("{} invariant(s) broken, {cut} request(s) cut off", status.invariants_broken);
--- a/src/workswood/ops/soak.rs
+++ b/src/workswood/ops/soak.rs
@@ -121,7 +121,7 @@
         }
         tokio::time::sleep(Duration::from_millis(rng.random_range(100..1_500))).await;
         if round % 50 == 0 {
-            println!("t={:.0}s {}", started.elapsed().as_secs_f64(), soak.line());
+            crate::outln!("t={:.0}s {}", started.elapsed().as_secs_f64(), soak.line());
         }
     }
     soak.stop.store(true, Ordering::Relaxed);
@@ -390,7 +390,7 @@
             self.tally.violation(format!("{broken} invariant(s) broken, first: {:?}", invariant::first()));
         }
         let c = self.platform.counters();
-        println!(
+        crate::outln!(
             "end {} accepted_deferred={} appends={} acts={} fenced={} reboots={} most_connections={} over_slots={}",
             self.line(),
             accepted.len(),
--- a/src/workswood/util/mod.rs
+++ b/src/workswood/util/mod.rs
@@ -5,6 +5,7 @@
 pub mod job_settings;
 pub mod logs;
 pub mod metrics;
+pub mod print;
 pub mod settings;
 pub mod signals;
 pub mod table;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod act_tokens;
 mod bad_endpoints;
 mod body_limits;
+mod closed_pipes;
 mod deferred_requests;
 mod demand_history;
 mod entry_stop;
