Show that two open waves maintain a machine twice; late looks and poor jobs in the model; cargo doc clean

The test machine_in_two_waves holds that each wave orders each of its machines once, and never while it is down for the other.

The model's looks were answered within a step, so that a look sent before a change was never late. One of eight is on its way for up to 0.5 s now. Every sixth job fails mostly, so that tasks run out of tries.

--- a/crates/workswood-core/src/fleet/parse.rs
+++ b/crates/workswood-core/src/fleet/parse.rs
@@ -35,7 +35,7 @@
 const NEAR: f64 = 0.6;
 
 /// Reads the text of a file. All errors of form are returned together; errors
-/// of meaning are found by [`super::check`].
+/// of meaning are found by [`super::check()`].
 pub fn parse(text: &str) -> Result<FleetFile, Vec<Issue>> {
     let mut value: Value = match serde_json::from_str(text) {
         Ok(v) => v,
--- a/crates/workswood-core/src/plan/mod.rs
+++ b/crates/workswood-core/src/plan/mod.rs
@@ -5,7 +5,7 @@
 //! that is replaced in the middle of anything goes on from the log. The fold
 //! checks each record again at its offset.
 //!
-//! [`acts`] compares the state with the list and returns the calls on the
+//! [`acts()`] compares the state with the list and returns the calls on the
 //! platform that bring the list nearer to the state. A call is repeated only
 //! while the list does not show its effect, and carries the generation of the
 //! host as its token.
--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -27,6 +27,17 @@
 const GRACE: Duration = Duration::from_millis(4000);
 /// Time between two looks at a worker.
 const LOOK_EVERY: Duration = Duration::from_millis(200);
+/// Runs that fail, of 100.
+const FAILS: u64 = 4;
+/// Every so many jobs one fails more often than not, so that tasks run out of
+/// tries.
+const POOR_JOBS: u64 = 6;
+const POOR_FAILS: u64 = 70;
+/// Of so many answers to looks one is on its way for up to [`LATE_LOOK`], while
+/// orders to the same worker are answered.
+const LOOKS_A_LATE_ONE: u64 = 8;
+/// Longest way of an answer to a look: most of what it is waited for.
+const LATE_LOOK: Duration = Duration::from_millis(500);
 /// How long an answer is waited for.
 const PATIENCE: Duration = Duration::from_millis(600);
 /// Time between two ticks.
@@ -544,7 +555,8 @@
         } else {
             Duration::from_millis(200 + self.luck.below(900))
         };
-        let kind = if self.luck.below(100) < 4 { EndKind::Failed } else { EndKind::Done };
+        let fails = if task.job % POOR_JOBS == 0 { POOR_FAILS } else { FAILS };
+        let kind = if self.luck.below(100) < fails { EndKind::Failed } else { EndKind::Done };
         let w = &mut self.workers[at];
         w.running.insert(task, Running { attempt, began: now, ends: now + took, kind, stopping: None });
     }
@@ -735,6 +747,15 @@
         }
     }
 
+    /// How long the answer to a look is on its way; it tells what was so when the
+    /// worker gave it.
+    fn look_takes(&mut self) -> Duration {
+        if self.luck.below(LOOKS_A_LATE_ONE) > 0 {
+            return STEP;
+        }
+        Duration::from_millis(self.luck.below(LATE_LOOK.as_millis() as u64)).max(STEP)
+    }
+
     fn look_at(&mut self, n: usize, id: WorkerId) {
         let term = self.holders[n].sched.token;
         let span = self.holders[n].sched.lease_span();
@@ -749,7 +770,7 @@
         let gone = !self.workers.iter().any(|s| s.id == id);
         let answer = self.deliver(&id, Order::Look { term, forget, lease_end });
         let (ev, wait, silent) = match answer {
-            Some(Ok(report)) => (Event::Reported(id.clone(), report, until), STEP, false),
+            Some(Ok(report)) => (Event::Reported(id.clone(), report, until), self.look_takes(), false),
             Some(Err(_)) => {
                 self.holders[n].sched.deposed = true;
                 return;
--- a/src/workswood/ops/late/mod.rs
+++ b/src/workswood/ops/late/mod.rs
@@ -1,6 +1,6 @@
 //! `late`: why jobs were late, told from the log lines of one or more hosts.
 //!
-//! [`line`] reads lines, [`job`] follows the way of one job and names what it
+//! [`mod@line`] reads lines, [`job`] follows the way of one job and names what it
 //! lost most time by, and [`account`] sums that up by the second in which jobs
 //! were handed in.
 
--- a/tests/testsuite/wave_orders.rs
+++ b/tests/testsuite/wave_orders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use workswood_core::jobs::{Action, Event, MachineReply, MachineState};
+use workswood_core::jobs::{Action, Event, MachineReply, MachineState, Wave};
 use workswood_test_support::job_world::{SERVICE, job, step};
 use workswood_test_support::machine_world::{MachineWorld, OTHER, SPARE, machine, upkeeps, wave, worker};
 
@@ -211,3 +211,51 @@
     }
     assert_eq!(upkeeps(&world.actions), ["m-1"]);
 }
+
+/// Orders down so far, each with its wave.
+fn orders(actions: &[Action]) -> Vec<(String, u64)> {
+    let of = |a: &Action| match a {
+        Action::Upkeep(m, wave) => Some((m.clone(), *wave)),
+        _ => None,
+    };
+    actions.iter().filter_map(of).collect()
+}
+
+/// Both waves ask for a maintenance of their own: an order names its wave, and a
+/// machine that is down for one turns the order of the other down.
+#[test]
+fn machine_in_two_waves() {
+    let mut world = MachineWorld::new(2);
+    world.list(vec![machine(0, SERVICE, Some(0)), machine(1, SERVICE, Some(0))]);
+    let second = Wave { number: 2, ..wave(&[0, 1], 2) };
+    world.sched.handle(Event::Wave(wave(&[0], 1), None));
+    world.sched.handle(Event::Wave(second, None));
+    let mut life = 0;
+    let mut back_at = None;
+    for t in 1..200 {
+        world.at(t * 150);
+        for (name, n) in orders(&world.tick()) {
+            if name == "m-0" {
+                assert!(back_at.is_none(), "wave {n} orders it while it is down");
+                back_at = Some(t + 20);
+            }
+            world.sched.handle(Event::MachineOrdered(name, MachineReply::Done));
+        }
+        if back_at == Some(t) {
+            back_at = None;
+            life += 1;
+            world.sched.handle(Event::WorkerListed(worker(0, life)));
+            world.report(0, life, &[]);
+        }
+        let mut first = machine(0, SERVICE, Some(life));
+        if back_at.is_some() {
+            (first.state, first.worker) = (MachineState::Upkeep, None);
+        }
+        world.list(vec![first, machine(1, SERVICE, Some(1))]);
+    }
+    let mut ordered = orders(&world.actions);
+    ordered.sort();
+    let wanted = [("m-0", 1), ("m-0", 2), ("m-1", 2)].map(|(m, n)| (m.to_string(), n));
+    assert_eq!(ordered, wanted, "each wave orders each of its machines once");
+    assert!(world.sched.waves.values().all(|w| w.complete()), "{:?}", world.sched.waves);
+}
