--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -12,7 +12,8 @@
 pub mod soak;
 pub mod status;
 
-use clap::{Arg, ArgMatches, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use serde::Serialize;
 use snafu::ResultExt;
 use workswood::Result;
 use workswood::util::errors::ReadFileSnafu;
@@ -58,6 +59,20 @@
     ]
 }
 
+/// The argument that asks for JSON.
+fn json_arg() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("print JSON")
+}
+
+/// Prints a value as JSON if that was asked for, else as text.
+fn show<T: Serialize>(args: &ArgMatches, value: &T, text: impl Fn() -> String) {
+    if args.get_flag("json") {
+        workswood::outln!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+    } else {
+        workswood::out!("{}", text());
+    }
+}
+
 fn text(args: &ArgMatches, name: &str) -> String {
     args.get_one::<String>(name).cloned().unwrap_or_default()
 }
--- a/src/workswood/ops/explain.rs
+++ b/src/workswood/ops/explain/mod.rs
@@ -1,4 +1,7 @@
-//! `explain`: what a code means, and the table of all codes.
+//! `explain`: what a code means, the table of all codes, and in [`job`] the way of
+//! a job through the logs.
+
+pub mod job;
 
 use workswood_core::code::Code;
 
--- /dev/null
+++ b/src/workswood/ops/job_status/sum.rs
@@ -0,0 +1,282 @@
+//! Makes the status of what was read.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use workswood_core::ids::{HostId, Term, UnixMs};
+use workswood_core::jobs::spec::parse_job;
+use workswood_core::jobs::{
+    JobKey, JobRecord, JobSpec, Machine, MachineState, Outcome, SchedConfig, Wave, WaveRecord,
+};
+use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorItem};
+
+use super::Seen;
+
+/// Start of the key under which the scheduler keeps the progress of a wave.
+const WAVE: &str = "wave-";
+
+/// How jobs, pools and waves stand.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct JobsStatus {
+    /// When it was read, in milliseconds since 1970.
+    pub at: UnixMs,
+    /// Version of the configuration in force; 0 for none.
+    pub config_version: u64,
+    /// Who holds the scheduler lease.
+    pub holder: Option<HolderStatus>,
+    /// Jobs by queue.
+    pub queues: Vec<QueueStatus>,
+    /// Machines and workers by pool.
+    pub pools: Vec<PoolStatus>,
+    /// Why machines are not known, if they are not.
+    pub machines_error: Option<String>,
+    /// Waves that operators asked for.
+    pub waves: Vec<WaveStatus>,
+    /// Records that can't be read.
+    pub unread: usize,
+}
+
+/// The lease holder, as the store has it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HolderStatus {
+    /// Name of its host.
+    pub name: String,
+    /// This life of its process.
+    pub id: String,
+    /// Its peer listener.
+    pub peers: String,
+    /// Its term.
+    pub term: Term,
+    /// Whether it gave the lease back.
+    #[serde(default)]
+    pub released: bool,
+    /// Whether it renewed the lease while the status was read.
+    #[serde(default)]
+    pub renewing: bool,
+}
+
+/// Jobs of a queue.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct QueueStatus {
+    /// The queue; one that is no longer in force may still have jobs.
+    pub queue: String,
+    /// Service whose workers run its jobs.
+    pub service: String,
+    /// Accepted jobs that no lease holder has taken in.
+    pub not_taken_in: usize,
+    /// Jobs of which nothing has begun.
+    pub queued: usize,
+    /// Jobs of which something has begun.
+    pub running: usize,
+    /// Ended jobs that are still kept.
+    pub completed: usize,
+    /// Likewise, failed ones.
+    pub failed: usize,
+    /// Likewise, cancelled ones.
+    pub canceled: usize,
+    /// Tasks of open jobs that run somewhere.
+    pub tasks_running: usize,
+    /// Tasks of open jobs, of the rounds that are due, that are not done.
+    pub tasks_open: usize,
+    /// How long ago the oldest job that has not begun was accepted.
+    pub longest_wait_ms: u64,
+}
+
+/// Machines and workers of a pool.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct PoolStatus {
+    /// The service whose pool it is.
+    pub pool: String,
+    /// Whether its machines are off.
+    pub spare: bool,
+    /// Machines that are up.
+    pub up: usize,
+    /// Machines that change their pool.
+    pub moving: usize,
+    /// Machines that are being maintained.
+    pub upkeep: usize,
+    /// Machines that are down.
+    pub down: usize,
+    /// Workers that are listed.
+    pub workers: usize,
+    /// Of these, workers that are leaving.
+    pub draining: usize,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct WaveStatus {
+    /// Its number.
+    pub wave: u64,
+    /// Machines to maintain.
+    pub machines: usize,
+    /// How many may be down at once.
+    pub most_at_once: usize,
+    /// Time allowed for all of them.
+    pub within_ms: u64,
+    /// Machines with which nothing has begun that is on record.
+    pub waiting: Vec<HostId>,
+    /// Machines that are, or may be, down for it.
+    pub down: Vec<HostId>,
+    /// How many are up again.
+    pub finished: usize,
+    /// Whether operators were told that it is complete.
+    pub complete: bool,
+}
+
+/// What is told by the records of one kind.
+struct Reader {
+    unread: usize,
+}
+
+impl Reader {
+    fn read<T: for<'a> Deserialize<'a>>(&mut self, rec: &KeyedRecord) -> Option<T> {
+        let value = rec.value.as_deref()?;
+        let read = serde_json::from_slice(value).ok();
+        self.unread += usize::from(read.is_none());
+        read
+    }
+
+    fn items(&mut self, platform: &dyn JobPlatform, records: &[KeyedRecord]) -> (SchedConfig, Vec<Wave>) {
+        let (mut cfg, mut waves) = (SchedConfig::default(), Vec::new());
+        for rec in records {
+            match platform.operator_item(rec) {
+                Ok(Some(OperatorItem::Config(c))) => cfg = c,
+                Ok(Some(OperatorItem::Wave(w))) => waves.push(w),
+                Ok(None) => {}
+                Err(_) => self.unread += 1,
+            }
+        }
+        waves.sort_by_key(|w| w.number);
+        (cfg, waves)
+    }
+}
+
+/// Makes the status of what was read.
+pub fn sum(platform: &dyn JobPlatform, seen: &Seen) -> JobsStatus {
+    let mut reader = Reader { unread: 0 };
+    let holder = seen.lease.as_ref().and_then(|rec| reader.read::<HolderStatus>(rec));
+    let (cfg, waves) = reader.items(platform, &seen.operators);
+    let mut jobs: BTreeMap<JobKey, JobRecord> = BTreeMap::new();
+    let mut progress: BTreeMap<u64, WaveRecord> = BTreeMap::new();
+    for rec in &seen.state {
+        if let Some(key) = parse_job(&rec.key) {
+            jobs.extend(reader.read(rec).map(|j| (key, j)));
+        } else if let Some(n) = rec.key.strip_prefix(WAVE).and_then(|n| n.parse().ok()) {
+            progress.extend(reader.read(rec).map(|w| (n, w)));
+        }
+    }
+    let queues = queues(&mut reader, &cfg, seen, &jobs);
+    let pools = pools(&mut reader, platform, &cfg, seen);
+    let wave = |w: Wave| {
+        let told = seen.published.contains(&platform.wave_status(w.number, true));
+        wave_status(&w, progress.get(&w.number).cloned().unwrap_or_default(), told)
+    };
+    JobsStatus {
+        at: seen.at,
+        config_version: cfg.version,
+        holder: holder.map(|h| HolderStatus { renewing: seen.renewed && !h.released, ..h }),
+        queues,
+        pools,
+        machines_error: seen.machines.as_ref().err().cloned(),
+        waves: waves.into_iter().map(wave).collect(),
+        unread: reader.unread,
+    }
+}
+
+fn queues(
+    reader: &mut Reader,
+    cfg: &SchedConfig,
+    seen: &Seen,
+    jobs: &BTreeMap<JobKey, JobRecord>,
+) -> Vec<QueueStatus> {
+    let empty = |queue: &String, service: &String| QueueStatus {
+        queue: queue.clone(),
+        service: service.clone(),
+        ..QueueStatus::default()
+    };
+    let mut all: BTreeMap<String, QueueStatus> =
+        cfg.queues.values().map(|q| (q.name.clone(), empty(&q.name, &q.service))).collect();
+    // A caller that asked again at another host may have a job in two parts.
+    let mut counted = BTreeSet::new();
+    for rec in &seen.inbox {
+        let Some(key) = parse_job(&rec.key) else { continue };
+        let Some(spec) = reader.read::<JobSpec>(rec) else { continue };
+        if counted.insert(key) {
+            let q = all.entry(spec.queue.clone()).or_insert_with(|| empty(&spec.queue, &spec.service));
+            q.count(&spec, jobs.get(&key), seen.at);
+        }
+    }
+    all.into_values().collect()
+}
+
+impl QueueStatus {
+    fn count(&mut self, spec: &JobSpec, rec: Option<&JobRecord>, now: UnixMs) {
+        if rec.is_none_or(|r| r.outcome.is_none() && !r.begun) {
+            self.longest_wait_ms = self.longest_wait_ms.max(now.saturating_sub(spec.accepted));
+        }
+        let Some(rec) = rec else {
+            self.not_taken_in += 1;
+            return;
+        };
+        match rec.outcome {
+            Some(Outcome::Completed) => self.completed += 1,
+            Some(Outcome::Failed) => self.failed += 1,
+            Some(Outcome::Canceled) => self.canceled += 1,
+            None if rec.begun => self.running += 1,
+            None => self.queued += 1,
+        }
+        if rec.outcome.is_none() {
+            let tasks = || rec.rounds.iter().flatten().flatten();
+            self.tasks_running += tasks().filter(|t| !t.done && !t.runs.is_empty()).count();
+            self.tasks_open += tasks().filter(|t| !t.done).count();
+        }
+    }
+}
+
+fn pools(reader: &mut Reader, platform: &dyn JobPlatform, cfg: &SchedConfig, seen: &Seen) -> Vec<PoolStatus> {
+    let mut all: BTreeMap<String, PoolStatus> = BTreeMap::new();
+    for s in cfg.services.values() {
+        all.entry(s.name.clone()).or_default().spare = s.spare;
+    }
+    for m in seen.machines.iter().flatten() {
+        all.entry(m.pool.clone()).or_default().count(m);
+    }
+    for rec in &seen.workers {
+        let Ok(w) = platform.worker_info(rec) else {
+            reader.unread += 1;
+            continue;
+        };
+        let p = all.entry(w.service).or_default();
+        p.workers += 1;
+        p.draining += usize::from(w.draining);
+    }
+    all.into_iter().map(|(pool, p)| PoolStatus { pool, ..p }).collect()
+}
+
+impl PoolStatus {
+    fn count(&mut self, m: &Machine) {
+        match m.state {
+            MachineState::Up => self.up += 1,
+            MachineState::Moving => self.moving += 1,
+            MachineState::Upkeep => self.upkeep += 1,
+            MachineState::Down => self.down += 1,
+        }
+    }
+}
+
+fn wave_status(w: &Wave, rec: WaveRecord, complete: bool) -> WaveStatus {
+    let finished = |m: &&HostId| rec.finished.contains(*m);
+    let down = rec.ordered.keys().filter(|m| !rec.finished.contains(*m));
+    let waiting = w.machines.iter().filter(|m| !rec.ordered.contains_key(*m) && !finished(m));
+    WaveStatus {
+        wave: w.number,
+        machines: w.machines.len(),
+        most_at_once: w.most_at_once,
+        within_ms: w.within.as_millis() as u64,
+        waiting: waiting.cloned().collect(),
+        down: down.cloned().collect(),
+        finished: w.machines.iter().filter(finished).count(),
+        complete,
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/job_status/text.rs
@@ -0,0 +1,86 @@
+//! The status for terminals.
+
+use super::sum::{HolderStatus, JobsStatus, PoolStatus, QueueStatus, WaveStatus};
+use crate::util::table::columns;
+
+/// Names of machines that are shown of each wave.
+const SHOWN: usize = 6;
+
+fn head(names: &[&str]) -> Vec<String> {
+    names.iter().map(|n| n.to_string()).collect()
+}
+
+/// The status as text.
+pub fn text(s: &JobsStatus) -> String {
+    let mut out = format!("lease    {}\n", s.holder.as_ref().map_or("nobody holds it".to_string(), holder));
+    out += &format!("config   version {}\n", s.config_version);
+    if s.unread > 0 {
+        out += &format!("unread   {} records can't be read; see the logs of the lease holder\n", s.unread);
+    }
+    let mut queues = vec![head(&[
+        "queue",
+        "service",
+        "new",
+        "queued",
+        "running",
+        "completed",
+        "failed",
+        "canceled",
+        "tasks",
+        "at work",
+        "longest wait",
+    ])];
+    queues.extend(s.queues.iter().map(queue));
+    out += &format!("\n{}", columns(&queues));
+    let mut pools = vec![head(&["pool", "up", "moving", "upkeep", "down", "workers", "leaving"])];
+    pools.extend(s.pools.iter().map(pool));
+    out += &format!("\n{}", columns(&pools));
+    if let Some(e) = &s.machines_error {
+        out += &format!("machines are not known: {e}\n");
+    }
+    if s.waves.is_empty() {
+        return out + "\nno waves\n";
+    }
+    let mut waves = vec![head(&["wave", "machines", "at once", "within s", "waiting", "down", "done", ""])];
+    waves.extend(s.waves.iter().map(wave));
+    out + &format!("\n{}", columns(&waves))
+}
+
+fn holder(h: &HolderStatus) -> String {
+    let how = match (h.released, h.renewing) {
+        (true, _) => "given back",
+        (false, true) => "renewing",
+        (false, false) => "NOT renewed while we watched",
+    };
+    format!("{}, term {}, peers {}: {how}", h.name, h.term, h.peers)
+}
+
+fn queue(q: &QueueStatus) -> Vec<String> {
+    let counts = [q.not_taken_in, q.queued, q.running, q.completed, q.failed, q.canceled, q.tasks_open];
+    let mut row = vec![q.queue.clone(), q.service.clone()];
+    row.extend(counts.iter().map(usize::to_string));
+    row.push(q.tasks_running.to_string());
+    row.push(format!("{:.1} s", q.longest_wait_ms as f64 / 1000.0));
+    row
+}
+
+fn pool(p: &PoolStatus) -> Vec<String> {
+    let name = if p.spare { format!("{} (off)", p.pool) } else { p.pool.clone() };
+    let counts = [p.up, p.moving, p.upkeep, p.down, p.workers, p.draining];
+    std::iter::once(name).chain(counts.iter().map(usize::to_string)).collect()
+}
+
+fn wave(w: &WaveStatus) -> Vec<String> {
+    let named = |names: &[String]| names.iter().take(SHOWN).cloned().collect::<Vec<_>>().join(" ");
+    let note = match (w.complete, w.down.is_empty()) {
+        (true, _) => "complete".to_string(),
+        (false, false) => format!("down: {}", named(&w.down)),
+        (false, true) if w.waiting.is_empty() => String::new(),
+        (false, true) => format!("waiting: {}", named(&w.waiting)),
+    };
+    let counts = [w.machines, w.most_at_once, (w.within_ms / 1000) as usize, w.waiting.len(), w.down.len()];
+    let mut row = vec![w.wave.to_string()];
+    row.extend(counts.iter().map(usize::to_string));
+    row.extend([w.finished.to_string(), note]);
+    row
+}
--- a/src/workswood/ops/late/account.rs
+++ b/src/workswood/ops/late/account.rs
@@ -48,8 +48,7 @@
             self.take_pool(line);
             return;
         }
-        let name = line.text("job").or_else(|| line.text("task").and_then(|t| t.split('.').next()));
-        if let Some(key) = name.and_then(parse_job) {
+        if let Some(key) = line.job().and_then(parse_job) {
             self.jobs.entry(key).or_default().take(line);
         }
     }
--- a/src/workswood/ops/late/job.rs
+++ b/src/workswood/ops/late/job.rs
@@ -158,23 +158,33 @@
         let (Some(completed), Some((stretch, target))) = (self.completed, self.owed) else {
             return Verdict::Open;
         };
-        let Some((times, last_done)) = self.times() else { return Verdict::Open };
-        let owed = times.work as f64 * stretch + target.as_millis() as f64;
+        let Some(spent) = self.spent() else { return Verdict::Open };
+        let (work, lost): (Vec<_>, Vec<_>) = spent.into_iter().partition(|(on, _)| *on == Cause::Work);
+        let work: u64 = work.iter().map(|(_, ms)| ms).sum();
+        let owed = work as f64 * stretch + target.as_millis() as f64;
         if (completed.saturating_sub(handed_in)) as f64 <= owed {
             return Verdict::InTime;
         }
+        let most = lost.into_iter().filter(|(_, ms)| *ms > 0).max_by_key(|(_, ms)| *ms);
+        Verdict::Late(most.map_or(Cause::Work, |(cause, _)| cause))
+    }
+
+    /// What the time of a done job went into along its longest chain, in
+    /// milliseconds.
+    pub fn spent(&self) -> Option<Vec<(Cause, u64)>> {
+        let (handed_in, completed) = (self.handed_in?, self.completed?);
+        let (times, last_done) = self.times()?;
         let accepted = self.accepted.or(self.known).unwrap_or(handed_in);
         let known = self.known.unwrap_or(accepted);
-        let lost = [
-            (accepted.saturating_sub(handed_in), Cause::HandIn),
-            (known.saturating_sub(accepted), Cause::Holder),
-            (times.room, Cause::Room),
-            (times.later_steps, Cause::LaterSteps),
-            (times.lost_runs, Cause::LostRuns),
-            (completed.saturating_sub(last_done), Cause::Shown),
-        ];
-        let most = lost.into_iter().filter(|(ms, _)| *ms > 0).max_by_key(|(ms, _)| *ms);
-        Verdict::Late(most.map_or(Cause::Work, |(_, cause)| cause))
+        Some(vec![
+            (Cause::HandIn, accepted.saturating_sub(handed_in)),
+            (Cause::Holder, known.saturating_sub(accepted)),
+            (Cause::Room, times.room),
+            (Cause::LaterSteps, times.later_steps),
+            (Cause::LostRuns, times.lost_runs),
+            (Cause::Shown, completed.saturating_sub(last_done)),
+            (Cause::Work, times.work),
+        ])
     }
 
     /// Follows the tasks back from the one that was done last; also tells when
--- a/src/workswood/ops/late/line.rs
+++ b/src/workswood/ops/late/line.rs
@@ -21,6 +21,11 @@
         self.fields.get(field).copied()
     }
 
+    /// The number of the job that it is about, itself or one of its tasks.
+    pub fn job(&self) -> Option<&str> {
+        self.text("job").or_else(|| self.text("task").and_then(|t| t.split('.').next()))
+    }
+
     /// The value of a field that can be read as a `T`.
     pub fn value<T: std::str::FromStr>(&self, field: &str) -> Option<T> {
         self.text(field)?.parse().ok()
--- a/src/workswood/ops/late/mod.rs
+++ b/src/workswood/ops/late/mod.rs
@@ -20,9 +20,13 @@
 pub fn run(paths: &[String], span: Duration) -> Result<Account> {
     let mut account = Account::new(span);
     for path in paths {
-        let bytes = std::fs::read(path).context(ReadFileSnafu { path: path.clone() })?;
-        // Lines of other programs may stand between ours.
-        String::from_utf8_lossy(&bytes).lines().filter_map(line::parse).for_each(|l| account.take(&l));
+        read_log(path)?.lines().filter_map(line::parse).for_each(|l| account.take(&l));
     }
     Ok(account)
 }
+
+/// Reads the log of a host; lines of other programs may stand between ours.
+pub fn read_log(path: &str) -> Result<String> {
+    let bytes = std::fs::read(path).context(ReadFileSnafu { path })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -6,6 +6,7 @@
 pub mod dev;
 pub mod entry;
 pub mod explain;
+pub mod job_status;
 pub mod jobs;
 pub mod late;
 pub mod plan;
--- a/src/workswood/util/errors.rs
+++ b/src/workswood/util/errors.rs
@@ -4,6 +4,7 @@
 use workswood_core::code::Code;
 use workswood_core::fleet::Issue;
 use workswood_operators::ClientError;
+use workswood_platform::jobs::StoreError;
 
 /// Result of an operation.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
@@ -50,6 +51,14 @@
         /// The reason.
         source: ClientError,
     },
+    /// The platform's store can't be read.
+    #[snafu(display("the store at {address} can't be read"))]
+    Store {
+        /// Its address.
+        address: String,
+        /// The reason.
+        source: StoreError,
+    },
     /// A change was refused.
     #[snafu(display("refused: {message}"))]
     Refused {
@@ -76,6 +85,12 @@
         /// What was asked for.
         text: String,
     },
+    /// Logs do not tell what was asked for.
+    #[snafu(display("{message}"))]
+    Logs {
+        /// What is missing.
+        message: String,
+    },
     /// The run found something broken.
     #[snafu(display("{message}"))]
     Broken {
@@ -92,20 +107,20 @@
             Error::BadFile { issues, .. } => issues.first().map_or(Code::BadValue, |i| i.code),
             Error::Settings { .. } => Code::SettingsInvalid,
             Error::Listen { .. } => Code::ListenFailed,
-            Error::Call { .. } => Code::PlatformUnreachable,
+            Error::Call { .. } | Error::Store { .. } => Code::PlatformUnreachable,
             Error::Refused { code, .. } | Error::Unknown { code } => *code,
             Error::PlanImpossible { .. } => Code::PlanImpossible,
-            Error::NoCode { .. } | Error::Broken { .. } => Code::BadRequest,
+            Error::NoCode { .. } | Error::Logs { .. } | Error::Broken { .. } => Code::BadRequest,
         }
     }
 
     /// The exit status of the process; see `docs/OPERATIONS.md`.
     pub fn exit_status(&self) -> u8 {
         match self {
-            Error::BadFile { .. } | Error::Settings { .. } | Error::NoCode { .. } => 2,
+            Error::BadFile { .. } | Error::Settings { .. } | Error::NoCode { .. } | Error::Logs { .. } => 2,
             Error::Refused { .. } | Error::PlanImpossible { .. } => 3,
             Error::Unknown { .. } => 4,
-            Error::Call { .. } => 5,
+            Error::Call { .. } | Error::Store { .. } => 5,
             Error::Broken { .. } => 6,
             Error::ReadFile { .. } | Error::Listen { .. } => 1,
         }
--- a/tests/testsuite/store_protocol.rs
+++ b/tests/testsuite/store_protocol.rs
@@ -147,7 +147,7 @@
 
 #[tokio::test]
 async fn any_sign_in_page_names() {
-    let machines = MachinesStandin::start(&["m-1", "m-2", "m-3", "m-4", "m-5"]).await;
+    let machines = MachinesStandin::start("desk", &["m-1", "m-2", "m-3", "m-4", "m-5"]).await;
     let address = machines.address.to_string();
     let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
     let list = c.machines().await.expect("all pages are read");
