--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -27,8 +27,10 @@
 /// Listeners of an entry.
 const PORTS: usize = 4;
 /// Seeds that failed once, each with its cause.
-const FAILED_ONCE: [(u64, &str); 1] =
-    [(25, "the soak itself gave two entries one port; all are taken at once now")];
+const FAILED_ONCE: [(u64, &str); 2] = [
+    (25, "the soak itself gave two entries one port; all are taken at once now"),
+    (15, "its worker forgot with the end that a run was over, and took a try that was late"),
+];
 /// Tasks of each step of a job.
 const TASKS: u32 = 3;
 /// How long a task takes.
--- a/tests/testsuite/worker_protocol.rs
+++ b/tests/testsuite/worker_protocol.rs
@@ -75,6 +75,25 @@
     assert_eq!(w.starts().len(), 1, "a repeated start is one start");
 }
 
+#[tokio::test]
+async fn late_starts_kept_out() {
+    let w = WorkerStandin::start("i-1", Duration::from_millis(5)).await;
+    let c = client();
+    let info = info(&c, &w, "i-1");
+    let (clock, _) = c.look(&info, 7, 0, None, Duration::ZERO).await.expect("it is looked at");
+    let end = clock + Duration::from_secs(5);
+    c.start(&info, 7, order(1, end)).await.expect("it starts");
+    let wait = Duration::from_millis(1000);
+    c.look(&info, 7, 0, Some(end), wait).await.expect("it ends");
+    c.look(&info, 7, 1, Some(end), Duration::ZERO).await.expect("the end is forgotten");
+    let late = c.start(&info, 7, order(1, end)).await;
+    assert_eq!(late, Err(WorkerError::Refused), "a try that arrives after the run has ended");
+    c.stop(&info, 7, TASK, 3).await.expect("it is stopped before it is there");
+    assert_eq!(c.start(&info, 7, order(3, end)).await, Err(WorkerError::Refused));
+    assert_eq!(c.start(&info, 7, order(4, end)).await, Ok(()));
+    assert_eq!(w.starts().len(), 2);
+}
+
 #[tokio::test]
 async fn dead_port_not_sent() {
     let c = client();
