--- a/src/workswood/ops/job_status/mod.rs
+++ b/src/workswood/ops/job_status/mod.rs
@@ -73,7 +73,7 @@
         platform.newest(Topic::Status),
     )?;
     // The store may do without the machine service; the rest is told all the same.
-    let machines = platform.machines().await.map_err(|e| e.to_string());
+    let machines = platform.machines().await.map_err(why_unknown);
     Ok(Seen {
         at: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64,
         lease: lease.records.into_iter().next_back(),
@@ -86,3 +86,12 @@
         machines,
     })
 }
+
+/// Why the machine service told nothing.
+fn why_unknown(e: StoreError) -> String {
+    match e {
+        StoreError::NotDone { text } => format!("refused: {text}"),
+        StoreError::Unknown { text } => format!("no answer: {text}"),
+        StoreError::Overtaken | StoreError::Gone => e.to_string(),
+    }
+}
--- a/src/workswood/ops/job_status/text.rs
+++ b/src/workswood/ops/job_status/text.rs
@@ -33,7 +33,7 @@
     queues.extend(s.queues.iter().map(queue));
     out += &format!("\n{}", columns(&queues));
     let mut pools = vec![head(&["pool", "up", "moving", "upkeep", "down", "workers", "leaving"])];
-    pools.extend(s.pools.iter().map(pool));
+    pools.extend(s.pools.iter().map(|p| pool(p, s.machines_error.is_none())));
     out += &format!("\n{}", columns(&pools));
     if let Some(e) = &s.machines_error {
         out += &format!("machines are not known: {e}\n");
@@ -64,10 +64,12 @@
     row
 }
 
-fn pool(p: &PoolStatus) -> Vec<String> {
-    let name = if p.spare { format!("{} (off)", p.pool) } else { p.pool.clone() };
-    let counts = [p.up, p.moving, p.upkeep, p.down, p.workers, p.draining];
-    std::iter::once(name).chain(counts.iter().map(usize::to_string)).collect()
+fn pool(p: &PoolStatus, known: bool) -> Vec<String> {
+    let mut row = vec![if p.spare { format!("{} (off)", p.pool) } else { p.pool.clone() }];
+    let machines = [p.up, p.moving, p.upkeep, p.down];
+    row.extend(machines.iter().map(|n| if known { n.to_string() } else { "-".to_string() }));
+    row.extend([p.workers.to_string(), p.draining.to_string()]);
+    row
 }
 
 fn wave(w: &WaveStatus) -> Vec<String> {
--- a/tests/testsuite/job_status.rs
+++ b/tests/testsuite/job_status.rs
@@ -71,6 +71,8 @@
     let pool = &done["pools"][0];
     assert_eq!((&pool["pool"], &pool["up"], &pool["workers"]), (&SERVICE.into(), &3.into(), &1.into()));
     store.declare_wave(4, &["m-2", "m-3"], 5, 1);
+    let open = String::from_utf8(status(&path, &[]).stdout).expect("it is text");
+    assert!(open.contains("\nwave  machines  at once  within s"), "{open}");
     let wave = until(&path, |s| s["waves"][0]["complete"] == true);
     assert_eq!((&wave["waves"][0]["wave"], &wave["waves"][0]["finished"]), (&4.into(), &2.into()));
     let text = String::from_utf8(status(&path, &[]).stdout).expect("it is text");
@@ -95,7 +97,8 @@
     });
     let told = told.await.expect("it is asked");
     let text = String::from_utf8_lossy(&told.stdout).into_owned();
-    assert!(told.status.success() && text.contains("machines are not known: "), "{text}");
+    assert!(told.status.success() && text.contains("\ndesk  -   -"), "{text}");
+    assert!(text.contains("machines are not known: refused: "), "{text}");
     drop(store);
     std::fs::remove_dir_all(folder).expect("the folder is ours");
 }
--- a/tests/testsuite/task_packing.rs
+++ b/tests/testsuite/task_packing.rs
@@ -12,19 +12,21 @@
     for n in 1..4 {
         world.sched.handle(Event::Submitted(n, Arc::new(job(vec![task.clone()], 100))));
     }
-    let starts = world.sched.take_batch().actions;
-    let mut used: Vec<String> = starts
-        .iter()
-        .filter_map(|a| match a {
-            Action::Start { worker, .. } => Some(worker.to_string()),
-            _ => None,
-        })
-        .collect();
+    let mut used = started_on(&world.sched.take_batch().actions);
     assert_eq!(used.len(), 3);
     used.dedup();
     used
 }
 
+/// The worker of each start.
+fn started_on(actions: &[Action]) -> Vec<String> {
+    let worker = |a: &Action| match a {
+        Action::Start { worker, .. } => Some(worker.to_string()),
+        _ => None,
+    };
+    actions.iter().filter_map(worker).collect()
+}
+
 #[test]
 fn tasks_fill_one_machine() {
     let used = workers_used(&step(1, vec![]));
@@ -48,13 +50,7 @@
         world.sched.handle(Event::Submitted(n, Arc::new(job(vec![lasting], 100))));
     }
     let starts = world.sched.take_batch().actions;
-    let mut used: Vec<String> = starts
-        .iter()
-        .filter_map(|a| match a {
-            Action::Start { worker, .. } => Some(worker.to_string()),
-            _ => None,
-        })
-        .collect();
+    let mut used = started_on(&starts);
     used.sort();
     used.dedup();
     assert_eq!(used.len(), 2, "{starts:?}");
