--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -555,7 +555,7 @@
         } else {
             Duration::from_millis(200 + self.luck.below(900))
         };
-        let fails = if task.job % POOR_JOBS == 0 { POOR_FAILS } else { FAILS };
+        let fails = if task.job.is_multiple_of(POOR_JOBS) { POOR_FAILS } else { FAILS };
         let kind = if self.luck.below(100) < fails { EndKind::Failed } else { EndKind::Done };
         let w = &mut self.workers[at];
         w.running.insert(task, Running { attempt, began: now, ends: now + took, kind, stopping: None });
--- a/crates/workswood-test-support/src/live.rs
+++ b/crates/workswood-test-support/src/live.rs
@@ -39,6 +39,29 @@
     dev
 }
 
+/// Sends so many requests over all entries and waits until these endpoints of the
+/// service `shop` work on enough of them; returns the requests.
+pub async fn take_slots(
+    dev: &Dev,
+    requests: usize,
+    path: &str,
+    endpoints: usize,
+    least: u32,
+) -> Vec<JoinHandle<()>> {
+    let mut busy = Vec::new();
+    for n in 0..requests {
+        let (caller, req) = (dev.caller(n % dev.entries.len()), CallerRequest::to(path));
+        // What becomes of them is not looked at: they only keep others waiting.
+        busy.push(tokio::spawn(async move { drop(caller.call(req).await) }));
+    }
+    until("slots are taken", || {
+        let load = |i: usize| dev.platform.endpoint(&format!("shop/{i}")).map_or(0, |e| e.in_flight());
+        (0..endpoints).map(load).sum::<u32>() >= least
+    })
+    .await;
+    busy
+}
+
 /// Waits until something holds.
 pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
--- a/src/workswood/ops/job_status/mod.rs
+++ b/src/workswood/ops/job_status/mod.rs
@@ -2,7 +2,7 @@
 //! stand.
 //!
 //! It is read from the store and the machine service, not from a process: it tells
-//! as much while no process holds the lease. Nothing is written. [`sum`] makes the
+//! as much while no process holds the lease. Nothing is written. [`sum()`] makes the
 //! status of what was read.
 
 mod sum;
--- a/tests/testsuite/deferred_requests.rs
+++ b/tests/testsuite/deferred_requests.rs
@@ -2,23 +2,14 @@
 
 use workswood::ops::dev::CallerRequest;
 use workswood_test_support::files::small;
-use workswood_test_support::live::{fleet, ran, until};
+use workswood_test_support::live::{fleet, ran, take_slots, until};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn all_entries_lost() {
     let mut dev = fleet(&small(6, 4, 2), 3).await;
     let last = dev.entries[0].node.wall() + 600_000;
     // Without slots nothing deferred runs before the entries are lost.
-    let mut busy = Vec::new();
-    for n in 0..120 {
-        let caller = dev.caller(n % 3);
-        busy.push(tokio::spawn(async move { caller.call(CallerRequest::to("/shop/get?ms=6000")).await }));
-    }
-    until("slots are taken", || {
-        let load = |i: usize| dev.platform.endpoint(&format!("shop/{i}")).map_or(0, |e| e.in_flight());
-        (0..4).map(load).sum::<u32>() >= 30
-    })
-    .await;
+    let busy = take_slots(&dev, 120, "/shop/get?ms=6000", 4, 30).await;
     let keys: Vec<String> = (0..10).map(|i| format!("keep-{i}")).collect();
     for (i, key) in keys.iter().enumerate() {
         let path = if i % 2 == 0 { "/shop/later" } else { "/shop/later-once" };
--- a/tests/testsuite/keyed_requests.rs
+++ b/tests/testsuite/keyed_requests.rs
@@ -5,7 +5,7 @@
 use workswood::ops::dev::CallerRequest;
 use workswood_standin::Behaviour;
 use workswood_test_support::files::small;
-use workswood_test_support::live::{code, fleet, ran, until};
+use workswood_test_support::live::{code, fleet, ran, take_slots, until};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn copies_at_once() {
@@ -113,16 +113,7 @@
         .with_body("pay")
         .with_key("frees", last)
         .within(Duration::from_millis(800));
-    let mut busy = Vec::new();
-    for n in 0..40 {
-        let caller = dev.caller(n % 2);
-        busy.push(tokio::spawn(async move { caller.call(CallerRequest::to("/shop/get?ms=2500")).await }));
-    }
-    until("all slots are taken", || {
-        let load = |i: usize| dev.platform.endpoint(&format!("shop/{i}")).map_or(0, |e| e.in_flight());
-        load(0) + load(1) >= 16
-    })
-    .await;
+    let busy = take_slots(&dev, 40, "/shop/get?ms=2500", 2, 16).await;
     let res = dev.call(0, req.clone()).await.expect("an answer");
     assert_eq!(ran(&res), "not-run", "{res:?}");
     assert_eq!(dev.platform.ledger.runs("frees"), 0);
--- a/tests/testsuite/maintenance_waves.rs
+++ b/tests/testsuite/maintenance_waves.rs
@@ -16,6 +16,18 @@
     assert!(matches!(reply, ApplyReply::Accepted { .. }), "{reply:?}");
 }
 
+/// Waits until an entry says that the wave has ended.
+async fn wave_ends(dev: &Dev, entry: usize) {
+    dev.wait(entry, "the wave ends", |s| s.waves[0]["stop"]["stop"] == "finished").await.expect("status");
+}
+
+/// The wave ends, with every host maintained once and the budget kept.
+async fn all_maintained(dev: &Dev, watch: &Watch) {
+    wave_ends(dev, 0).await;
+    assert!(watch.least() >= 4, "only {} were available", watch.least());
+    assert_eq!(dev.platform.counters().reboots, 8, "a host was rebooted twice or not at all");
+}
+
 fn planner(dev: &Dev) -> Option<usize> {
     let holder = dev.entries[0].node.state.read().lease(Duty::Planner).holder?;
     dev.entries.iter().position(|e| e.node.id == holder)
@@ -29,7 +41,7 @@
     let callers = (0..3).map(|i| dev.caller(i)).collect();
     let mut load = Load::start(callers, 4, "/shop/get?ms=20");
     start_wave(&dev, &mut file).await;
-    dev.wait(1, "the wave ends", |s| s.waves[0]["stop"]["stop"] == "finished").await.expect("status");
+    wave_ends(&dev, 1).await;
     load.stop().await;
     assert_eq!(load.bad(), Vec::<String>::new());
     assert!(watch.least() >= 4, "only {} were available", watch.least());
@@ -54,9 +66,7 @@
         let before = term(&dev);
         until("another takes over", || term(&dev) > before).await;
     }
-    dev.wait(0, "the wave ends", |s| s.waves[0]["stop"]["stop"] == "finished").await.expect("status");
-    assert!(watch.least() >= 4, "only {} were available", watch.least());
-    assert_eq!(dev.platform.counters().reboots, 8, "a host was rebooted twice or not at all");
+    all_maintained(&dev, &watch).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -70,9 +80,7 @@
         f.list_lag = Duration::from_millis(800);
     });
     start_wave(&dev, &mut file).await;
-    dev.wait(0, "the wave ends", |s| s.waves[0]["stop"]["stop"] == "finished").await.expect("status");
-    assert!(watch.least() >= 4, "only {} were available", watch.least());
-    assert_eq!(dev.platform.counters().reboots, 8, "a host was rebooted twice or not at all");
+    all_maintained(&dev, &watch).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -180,6 +188,6 @@
         let res = l.await.expect("a caller ends").expect("an answer");
         assert_eq!(res.body().as_ref(), b"slow");
     }
-    dev.wait(0, "the wave ends", |s| s.waves[0]["stop"]["stop"] == "finished").await.expect("status");
+    wave_ends(&dev, 0).await;
     assert_eq!(dev.platform.ledger.cut_off.load(std::sync::atomic::Ordering::Relaxed), 0);
 }
--- a/tests/testsuite/order_marks.rs
+++ b/tests/testsuite/order_marks.rs
@@ -7,6 +7,15 @@
 use workswood_test_support::job_world::{SERVICE, job, step};
 use workswood_test_support::machine_world::{MachineWorld, SPARE, machine, moves};
 
+/// A new holder of this name, after one that ordered machine 7 about lately.
+fn holder_after_entry_1(name: &str) -> MachineWorld {
+    let mut world = MachineWorld::new(1);
+    world.sched.limits.machine_handover = Duration::from_secs(3);
+    world.sched.holder = name.to_string();
+    world.sched.restore_mark("m-7".to_string(), "entry-1");
+    world
+}
+
 #[test]
 fn order_on_record_before() {
     let mut world = MachineWorld::new(1);
@@ -24,10 +33,7 @@
 
 #[test]
 fn new_holder_waits_for_ordered() {
-    let mut world = MachineWorld::new(1);
-    world.sched.limits.machine_handover = Duration::from_secs(3);
-    world.sched.holder = "entry-2".to_string();
-    world.sched.restore_mark("m-7".to_string(), "entry-1");
+    let mut world = holder_after_entry_1("entry-2");
     let list = || vec![machine(0, SERVICE, Some(0)), machine(7, SPARE, None), machine(8, SPARE, None)];
     world.list(list());
     world.at(150);
@@ -50,10 +56,7 @@
 
 #[test]
 fn own_former_life_waits_for_nothing() {
-    let mut world = MachineWorld::new(1);
-    world.sched.limits.machine_handover = Duration::from_secs(3);
-    world.sched.holder = "entry-1".to_string();
-    world.sched.restore_mark("m-7".to_string(), "entry-1");
+    let mut world = holder_after_entry_1("entry-1");
     world.list(vec![machine(0, SERVICE, Some(0)), machine(7, SPARE, None)]);
     world.at(150);
     world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(30, vec![])], 100))));
@@ -63,10 +66,7 @@
 
 #[test]
 fn order_names_its_holder() {
-    let mut world = MachineWorld::new(1);
-    world.sched.limits.machine_handover = Duration::from_secs(3);
-    world.sched.holder = "entry-2".to_string();
-    world.sched.restore_mark("m-7".to_string(), "entry-1");
+    let mut world = holder_after_entry_1("entry-2");
     world.list(vec![machine(0, SERVICE, Some(0)), machine(7, SPARE, None)]);
     world.at(3050);
     world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(30, vec![])], 3000))));
