--- a/crates/workswood-test-support/src/cut.rs
+++ b/crates/workswood-test-support/src/cut.rs
@@ -22,13 +22,13 @@
     Closed,
     /// Closes all connections once; new ones pass.
     Broken,
-    /// Passes no further byte of the open connections, for good and without
-    /// closing them, as a path that lost its state does; new ones pass.
-    Muted,
     /// Holds bytes back in both directions until the fault ends.
     Silent,
     /// Holds back only what the far side answers.
     AnswersHeld,
+    /// Passes nothing more on the connections that are open now, and never closes
+    /// them; new ones pass.
+    HalfOpen,
     /// Lets each chunk pass after this time.
     Slow(Duration),
 }
@@ -84,12 +84,14 @@
     let there = pump(a_in, b_out, fault.clone(), |f| f == Fault::Silent);
     let back = pump(b_in, a_out, fault.clone(), |f| matches!(f, Fault::Silent | Fault::AnswersHeld));
     let mut pumps = std::pin::pin!(async { tokio::join!(there, back) });
-    let muted = tokio::select! {
+    let stays_open = tokio::select! {
+        // A change goes before bytes that came at the same moment.
+        biased;
+        stays_open = ended(&mut fault) => stays_open,
         _ = &mut pumps => false,
-        muted = ended(&mut fault) => muted,
     };
-    if muted {
-        // The sockets stay open as long as the pumps are there.
+    if stays_open {
+        // The sockets stay open as long as the pumps are there, until the relay ends.
         while fault.changed().await.is_ok() {}
     }
 }
@@ -99,7 +101,7 @@
 async fn ended(fault: &mut watch::Receiver<Fault>) -> bool {
     while fault.changed().await.is_ok() {
         match *fault.borrow_and_update() {
-            Fault::Muted => return true,
+            Fault::HalfOpen => return true,
             Fault::Closed | Fault::Broken => return false,
             Fault::None | Fault::Silent | Fault::AnswersHeld | Fault::Slow(_) => {}
         }
