--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -1,13 +1,11 @@
 //! Metrics of a process that queues and runs jobs. The names are the ones in
 //! `docs/OPERATIONS.md`.
 
-use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
 use workswood_core::invariant;
 
 use super::logs;
-use super::metrics::{counter, gauge};
+use super::metrics::{counter, counters, gauge, histogram, text};
 
 /// Bounds of the histograms, in seconds: from one store call to the longest
 /// wait of a caller.
@@ -42,28 +40,35 @@
     lines_dropped: IntGauge,
 }
 
-fn by(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let c = IntCounterVec::new(Opts::new(name, help), &[label]).expect("metric names are constants");
-    registry.register(Box::new(c.clone())).expect("each metric is registered once");
-    c
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str) -> Histogram {
-    let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
-    let h = Histogram::with_opts(opts).expect("metric names are constants");
-    registry.register(Box::new(h.clone())).expect("each metric is registered once");
-    h
-}
-
 impl Default for JobMetrics {
     fn default() -> JobMetrics {
         let r = Registry::new();
         JobMetrics {
-            handed_in: by(&r, "workswood_jobs_handed_in_total", "jobs handed in, by result", "result"),
-            hand_in_seconds: histogram(&r, "workswood_hand_in_seconds", "time to answer a job handed in"),
-            asked: by(&r, "workswood_jobs_asked_total", "questions for the state of a job", "result"),
-            starts: by(&r, "workswood_task_starts_total", "starts of tasks, by outcome", "outcome"),
-            batch_seconds: histogram(&r, "workswood_batch_seconds", "time to store a batch of the scheduler"),
+            handed_in: counters(
+                &r,
+                "workswood_jobs_handed_in_total",
+                "jobs handed in, by result",
+                &["result"],
+            ),
+            hand_in_seconds: histogram(
+                &r,
+                "workswood_hand_in_seconds",
+                "time to answer a job handed in",
+                &SECONDS,
+            ),
+            asked: counters(
+                &r,
+                "workswood_jobs_asked_total",
+                "questions for the state of a job",
+                &["result"],
+            ),
+            starts: counters(&r, "workswood_task_starts_total", "starts of tasks, by outcome", &["outcome"]),
+            batch_seconds: histogram(
+                &r,
+                "workswood_batch_seconds",
+                "time to store a batch of the scheduler",
+                &SECONDS,
+            ),
             terms: counter(&r, "workswood_lease_terms_total", "terms of the lease that began here"),
             leading: gauge(&r, "workswood_leading", "1 while the scheduler runs here"),
             lease_term: gauge(&r, "workswood_lease_term", "term of the lease as last read"),
@@ -86,10 +91,6 @@
     pub fn text(&self) -> String {
         self.broken.set(invariant::total() as i64);
         self.lines_dropped.set(logs::dropped() as i64);
-        let mut buf = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
-            Err(e) => format!("# metrics can't be encoded: {e}\n"),
-        }
+        text(&self.registry)
     }
 }
--- a/src/workswood/util/metrics.rs
+++ b/src/workswood/util/metrics.rs
@@ -4,6 +4,10 @@
     Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
+/// Bounds of the times of urgent requests, in seconds: from a call within a data
+/// centre to several seconds.
+const URGENT_SECONDS: [f64; 12] = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0];
+
 /// All metrics; the names are the ones in `docs/OPERATIONS.md`.
 pub struct Metrics {
     registry: Registry,
@@ -47,20 +51,44 @@
     g
 }
 
+pub(super) fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let c = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are constants");
+    registry.register(Box::new(c.clone())).expect("each metric is registered once");
+    c
+}
+
+pub(super) fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Histogram {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    let h = Histogram::with_opts(opts).expect("metric names are constants");
+    registry.register(Box::new(h.clone())).expect("each metric is registered once");
+    h
+}
+
+/// All metrics of a registry as text.
+pub(super) fn text(registry: &Registry) -> String {
+    let mut buf = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut buf) {
+        Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+        Err(e) => format!("# metrics can't be encoded: {e}\n"),
+    }
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
-        let opts = Opts::new("workswood_requests_total", "requests by service, class and result");
-        let requests =
-            IntCounterVec::new(opts, &["service", "class", "result"]).expect("metric names are constants");
-        registry.register(Box::new(requests.clone())).expect("each metric is registered once");
-        let opts = HistogramOpts::new("workswood_urgent_seconds", "time to answer urgent requests")
-            .buckets(vec![0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0]);
-        let urgent_seconds = Histogram::with_opts(opts).expect("metric names are constants");
-        registry.register(Box::new(urgent_seconds.clone())).expect("each metric is registered once");
         Metrics {
-            requests,
-            urgent_seconds,
+            requests: counters(
+                &registry,
+                "workswood_requests_total",
+                "requests by service, class and result",
+                &["service", "class", "result"],
+            ),
+            urgent_seconds: histogram(
+                &registry,
+                "workswood_urgent_seconds",
+                "time to answer urgent requests",
+                &URGENT_SECONDS,
+            ),
             sends: counter(&registry, "workswood_sends_total", "requests sent to endpoints"),
             retries: counter(&registry, "workswood_retries_total", "requests sent again"),
             loans: counter(&registry, "workswood_loans_total", "slots borrowed from peers"),
@@ -80,11 +108,6 @@
 impl Metrics {
     /// All metrics as text.
     pub fn text(&self) -> String {
-        let mut buf = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        match encoded {
-            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
-            Err(e) => format!("# metrics can't be encoded: {e}\n"),
-        }
+        text(&self.registry)
     }
 }
