--- a/crates/workswood-test-support/src/cut.rs
+++ b/crates/workswood-test-support/src/cut.rs
@@ -1,6 +1,5 @@
 //! A TCP relay that can be cut, silenced, delayed or broken off.
 
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -84,28 +83,30 @@
     let (b_in, b_out) = b.into_split();
     let there = pump(a_in, b_out, fault.clone(), |f| f == Fault::Silent);
     let back = pump(b_in, a_out, fault.clone(), |f| matches!(f, Fault::Silent | Fault::AnswersHeld));
-    let mut both = pin!(async { tokio::join!(there, back) });
-    let ended = async {
-        // A change to one of these, not that they stand.
-        while fault.changed().await.is_ok() {
-            let now = *fault.borrow_and_update();
-            if matches!(now, Fault::Closed | Fault::Broken | Fault::HalfOpen) {
-                return now;
-            }
-        }
-        Fault::Closed
-    };
-    tokio::select! {
+    let mut pumps = std::pin::pin!(async { tokio::join!(there, back) });
+    let stays_open = tokio::select! {
         // A change goes before bytes that came at the same moment.
         biased;
-        now = ended => {
-            if now == Fault::HalfOpen {
-                // Both sides are held open, and nothing is read from either.
-                std::future::pending::<()>().await;
-            }
+        stays_open = ended(&mut fault) => stays_open,
+        _ = &mut pumps => false,
+    };
+    if stays_open {
+        // The sockets stay open as long as the pumps are there, until the relay ends.
+        while fault.changed().await.is_ok() {}
+    }
+}
+
+/// Waits until an open connection passes nothing more; returns whether it stays
+/// open. What counts is a change to such a fault, not that it stands.
+async fn ended(fault: &mut watch::Receiver<Fault>) -> bool {
+    while fault.changed().await.is_ok() {
+        match *fault.borrow_and_update() {
+            Fault::HalfOpen => return true,
+            Fault::Closed | Fault::Broken => return false,
+            Fault::None | Fault::Silent | Fault::AnswersHeld | Fault::Slow(_) => {}
         }
-        _ = &mut both => {}
     }
+    false
 }
 
 /// Copies one direction until its end, holding bytes back while `held` says so.
