Ask the adviser which workers may run a step, and start with its tickets

Cause: a queue with advice was decoded and never asked for, so every start was without a ticket and nothing of it was served.

A module of the core says which steps want advice and whom to ask about: those that wait in the order of their tasks, then those that open soon; of the workers, those that the placement would take next, as many as pay against another call. Tickets and refusals are kept with the life of the worker. Each host has a turn of its own at the adviser, so up to three others call for the lease holder.

--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -25,9 +25,20 @@
     pub stretch: f64,
     /// plus this much.
     pub target: Duration,
-    /// Whether only some workers may run its steps, known to the adviser. The
-    /// scheduler does not read it yet.
-    pub advised: bool,
+    /// How the adviser works that knows which workers may run its steps; `None`
+    /// if all may.
+    pub advice: Option<AdviceConfig>,
+}
+
+/// What asking the adviser about a step takes, and how long its tickets hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdviceConfig {
+    /// Time of a call.
+    pub decide: Duration,
+    /// Time of a call for each worker that it names.
+    pub each: Duration,
+    /// How long a ticket holds.
+    pub valid: Duration,
 }
 
 /// A service: a pool of workers.
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -23,6 +23,8 @@
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
+//! * [`advice`] asks ahead which workers may run a step, where only some may:
+//!   `advice_need` says which steps want it, [`advice_batch`] whom to ask about.
 //! * [`claim`] decides which process runs the scheduler.
 //! * [`wave`] decides which machine is maintained next, and [`upkeep`] orders it down.
 //! * [`handover`] keeps a new holder off machines that were just ordered.
@@ -30,6 +32,9 @@
 //! * [`need`] works out how many machines each pool needs, and [`pools`]
 //!   decides which machine changes its pool; [`moves`] brings it there.
 
+pub mod advice;
+pub mod advice_batch;
+mod advice_need;
 pub mod claim;
 pub mod config;
 pub mod demand;
@@ -53,12 +58,15 @@
 pub mod wave;
 pub mod worker;
 
-pub use config::{QueueConfig, SchedConfig, ServiceConfig};
+pub use advice::AdvicePolicy;
+pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
 pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
 pub use machine::{Machine, MachineReply, MachineState};
 pub use policy::Policy;
 pub use sched::Scheduler;
-pub use spec::{JobKey, JobSpec, Repeat, StepSpec, TaskId};
-pub use types::{Action, Batch, Event, Limits, Record, ShownJob, StartReply, StopReply};
+pub use spec::{JobKey, JobSpec, Repeat, StepId, StepSpec, TaskId};
+pub use types::{
+    Action, Advice, AdviceReply, Advised, Batch, Event, Limits, Record, ShownJob, StartReply, StopReply,
+};
 pub use wave::{Wave, WaveRecord};
-pub use worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker, WorkerInfo, WorkerRecord};
+pub use worker::{EndKind, Report, ReportedEnd, ReportedRun, Verdict, Worker, WorkerInfo, WorkerRecord};
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -33,7 +33,7 @@
             let alike = (id.job, id.round, id.step);
             if !missed.contains(&alike) && !self.place_one(&id, &workers) {
                 missed.insert(alike);
-                misses += usize::from(!self.lasts(&id));
+                misses += usize::from(!self.lasts(&id) && !self.is_advised(&id));
             }
         }
     }
@@ -45,7 +45,7 @@
     }
 
     /// Workers of a service that take work.
-    fn takers(&self, service: &ServiceId) -> Vec<WorkerId> {
+    pub(super) fn takers(&self, service: &ServiceId) -> Vec<WorkerId> {
         let takes = |w: &Worker| {
             let same = w.info.as_ref().is_some_and(|i| i.service == *service);
             same && w.takes_work(self.now)
@@ -109,10 +109,13 @@
     fn choose(&self, job: &Job, step: &StepSpec, id: &TaskId, workers: &[WorkerId]) -> Option<WorkerId> {
         let room = step.reserved();
         let avoid = job.task(id).and_then(|t| t.avoid.as_ref());
+        let advised = self.is_advised(id);
+        let others = if advised { self.may_be_good(workers, &id.step_id()) } else { workers.len() };
         let fits = |wid: &&WorkerId| {
             let Some(w) = self.workers.get(*wid) else { return false };
-            let avoided = avoid == Some(*wid) && workers.len() > 1;
-            !avoided && w.free().holds(&room) && self.allowed(w, step, id)
+            let avoided = avoid == Some(*wid) && others > 1;
+            let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
+            ticket && !avoided && w.free().holds(&room) && self.allowed(w, step, id)
         };
         let fitting = workers.iter().filter(fits);
         let best = fitting.min_by_key(|wid| {
@@ -123,7 +126,7 @@
     }
 
     /// Whether label and spread let a task of the step run there.
-    fn allowed(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
+    pub(super) fn allowed(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
         let Some(info) = &w.info else { return false };
         if let Some(label) = &step.label
             && !info.labels.contains(label)
@@ -137,7 +140,7 @@
     /// with the least room left is filled up: tasks spread over all machines
     /// would leave none empty, and only an empty machine can go to a pool that is
     /// short of them, be turned off or be maintained without a loss.
-    fn cost(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> (bool, usize, u32, u64) {
+    pub(super) fn cost(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> (bool, usize, u32, u64) {
         let far = step.near.as_ref().is_some_and(|rack| {
             let labels = w.info.as_ref().map(|i| i.labels.as_slice()).unwrap_or_default();
             !labels.contains(rack)
@@ -190,19 +193,20 @@
             w.mark(id, step);
         }
         self.notes.push(format!("event=task_placed worker={worker} task={id} attempt={attempt}"));
+        let ticket = self.workers.get(worker).and_then(|w| w.ticket(&id.step_id(), now));
         self.actions.push(Action::Start {
             worker: worker.clone(),
             task: *id,
             attempt,
             text: Arc::clone(&spec),
             checkpoint,
-            ticket: None,
+            ticket,
         });
     }
 }
 
 /// How many tasks of the same step and round run on a worker.
-fn same_step(w: &Worker, id: &TaskId) -> usize {
+pub(super) fn same_step(w: &Worker, id: &TaskId) -> usize {
     let same = |t: &TaskId| t.job == id.job && t.round == id.round && t.step == id.step;
     w.runs.keys().filter(|(t, _)| same(t)).count()
 }
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -9,6 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::advice::AdvicePolicy;
+
 /// All that the scheduler's decisions are tuned by.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -29,6 +31,8 @@
     pub pace: PacePolicy,
     /// What is done about calls that fail or are lost.
     pub calls: CallPolicy,
+    /// When the adviser is asked.
+    pub advice: AdvicePolicy,
 }
 
 /// Which waiting task is next.
@@ -359,6 +363,7 @@
             ("health.refused_for", self.health.refused_for),
             ("health.shun_for", self.health.shun_for),
             ("health.shun_at_most", self.health.shun_at_most),
+            ("advice.margin", self.advice.margin),
         ];
         if self.need.arrivals.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::advice::AdviceState;
 use super::config::SchedConfig;
 use super::handover::OrderMarks;
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
@@ -54,6 +55,8 @@
     pub waves: BTreeMap<u64, WaveState>,
     /// Moves of machines, and what pools need.
     pub(super) pools: PoolState,
+    /// Calls to the adviser.
+    pub(super) advice: AdviceState,
     /// Whether a worker has shown a higher token than ours.
     pub deposed: bool,
     /// Jobs whose record changed since the last batch.
@@ -99,6 +102,7 @@
             marks: OrderMarks::default(),
             waves: BTreeMap::new(),
             pools: PoolState::default(),
+            advice: AdviceState::default(),
             deposed: false,
             dirty: BTreeSet::new(),
             dirty_waves: BTreeSet::new(),
@@ -151,6 +155,7 @@
             }
         }
         self.jobs.insert(key, job);
+        self.watch_advised(key);
         self.open_due_rounds(key);
         self.queue_job(key);
         self.dirty.insert(key);
@@ -186,6 +191,7 @@
                 self.started(&id, task, attempt, reply, lease_end);
             }
             Event::Stopped(id, task, attempt, reply) => self.stopped(&id, task, attempt, reply),
+            Event::Advised(a) => self.advised(a),
             Event::Machines(list, asked) => self.machines_listed(list, asked),
             Event::Wave(wave, rec) => self.wave_asked(wave, rec),
             Event::MachineOrdered(machine, reply) => self.machine_ordered(&machine, reply),
@@ -206,6 +212,7 @@
             spec.queue
         ));
         self.jobs.insert(key, Job::new(key, spec));
+        self.watch_advised(key);
         self.dirty.insert(key);
         self.open_due_rounds(key);
         if let Some(job) = self.jobs.remove(&key) {
@@ -237,6 +244,7 @@
             return;
         }
         self.config = cfg;
+        self.watch_all_advised();
         self.place_again.extend(self.ready.keys().cloned());
     }
 
@@ -323,6 +331,7 @@
             self.wall.saturating_sub(job.spec.accepted)
         ));
         self.dirty.insert(key);
+        self.drop_advice(key);
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
         for id in ids {
             self.unqueue(&id);
@@ -394,6 +403,7 @@
         for service in services {
             self.place(&service);
         }
+        self.ask_adviser();
         let mut batch = Batch::default();
         for key in std::mem::take(&mut self.dirty) {
             let Some(job) = self.jobs.get(&key) else { continue };
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -171,6 +171,9 @@
             ));
         }
         self.shun_after_refusal(id, reply);
+        if reply == StartReply::Ticket {
+            self.ticket_turned_down(id, &task);
+        }
         let job = self.jobs.get(&task.job);
         let wanted = job.is_some_and(|j| j.open() && j.task(&task).is_some_and(|t| !t.done));
         let Some(run) = self.run_mut(id, &task, attempt) else { return };
@@ -187,7 +190,7 @@
                     self.actions.push(Action::Stop(id.clone(), task, attempt));
                 }
             }
-            StartReply::Refused | StartReply::Unwell | StartReply::NotSent => {
+            StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent => {
                 self.settle(id, &task, attempt, "start_refused");
             }
             StartReply::Deposed => self.deposed = true,
@@ -201,6 +204,7 @@
             // Its room is not what we think: a look will tell.
             StartReply::Refused => self.policy.health.refused_for,
             StartReply::Taken
+            | StartReply::Ticket
             | StartReply::Unsure
             | StartReply::NoAnswer
             | StartReply::NotSent
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -215,6 +215,30 @@
     pub index: u32,
 }
 
+impl TaskId {
+    /// The step that it belongs to, in its round.
+    pub fn step_id(&self) -> StepId {
+        StepId { job: self.job, round: self.round, step: self.step }
+    }
+}
+
+/// Name of a step in one round of its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StepId {
+    /// Its job.
+    pub job: JobKey,
+    /// Round of the job.
+    pub round: u32,
+    /// Number of the step.
+    pub step: u16,
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}.{}.{}", self.job, self.round, self.step)
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}.{}.{}.{}", self.job, self.round, self.step, self.index)
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -9,7 +9,7 @@
 use super::config::SchedConfig;
 use super::job::{JobRecord, Shown, WorkerId};
 use super::machine::{Machine, MachineReply};
-use super::spec::{JobKey, JobSpec, QueueId, TaskId};
+use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::wave::{Wave, WaveRecord};
 use super::worker::{Report, WorkerInfo, WorkerRecord};
 use crate::ids::{HostId, ServiceId};
@@ -58,6 +58,8 @@
     Started(WorkerId, TaskId, u32, StartReply, Duration),
     /// The outcome of a stop.
     Stopped(WorkerId, TaskId, u32, StopReply),
+    /// The outcome of a call to the adviser.
+    Advised(Advised),
     /// The list of machines, and when it was asked for.
     Machines(Vec<Machine>, Duration),
     /// An operator asks for maintenance, or a predecessor's progress with it.
@@ -77,6 +79,8 @@
     Taken,
     /// The worker refused every try, and has done nothing.
     Refused,
+    /// Its ticket did not hold, and the worker has done nothing.
+    Ticket,
     /// The worker is not well and has done nothing.
     Unwell,
     /// It refused the last try, but an earlier one had no answer.
@@ -89,6 +93,45 @@
     Deposed,
 }
 
+/// A call to the adviser, and what came of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Advised {
+    /// Which host called; 0 is this one.
+    pub lane: usize,
+    /// The step that it was about.
+    pub step: StepId,
+    /// The workers that it named.
+    pub asked: Vec<WorkerId>,
+    /// When it was sent.
+    pub sent: Duration,
+    /// What came of it.
+    pub reply: AdviceReply,
+}
+
+/// What came of a call to the adviser.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AdviceReply {
+    /// It answered.
+    Answered(Advice),
+    /// It has too many calls waiting and has not taken this one.
+    Busy,
+    /// It refused the call, or its answer can't be read.
+    Refused,
+    /// No answer; it may be at work on it.
+    NoAnswer,
+    /// Nothing was sent.
+    NotSent,
+}
+
+/// What the adviser answers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Advice {
+    /// Workers that may run the step, each with its ticket.
+    pub good: Vec<(WorkerId, Arc<str>)>,
+    /// How long the tickets hold, if it says so.
+    pub valid: Option<Duration>,
+}
+
 /// What came of a stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopReply {
@@ -119,9 +162,20 @@
         text: Arc<JobSpec>,
         /// Checkpoint to go on from; empty for none.
         checkpoint: String,
-        /// Ticket of the adviser, where one is needed; always `None` so far.
+        /// Ticket of the adviser, where one is needed.
         ticket: Option<Arc<str>>,
     },
+    /// Ask the adviser which of these workers may run a step.
+    Advise {
+        /// Which host calls; 0 is this one.
+        lane: usize,
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<WorkerId>,
+        /// How long the answer is waited for.
+        patience: Duration,
+    },
     /// Stop a task.
     Stop(WorkerId, TaskId, u32),
     /// Let a task work at a share, in percent.
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -1,13 +1,13 @@
 //! What is known of one worker: its room, its lease and its health.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
-use super::spec::{Room, StepSpec, TaskId};
+use super::spec::{Room, StepId, StepSpec, TaskId};
 use crate::ids::{DataCentre, HostId, ServiceId};
 
 /// What a worker says of itself.
@@ -158,9 +158,19 @@
     pub shunned_until: Duration,
     /// Whether maintenance or a move keeps new work away.
     pub cordoned: bool,
-    /// Tickets by job, round and step, and until when they hold; none is asked
-    /// for so far.
-    pub tickets: BTreeMap<(u64, u32, u16), (Arc<str>, Duration)>,
+    /// What the adviser has said of this life, by step.
+    pub advice: HashMap<StepId, Verdict>,
+}
+
+/// What the adviser has said of a worker and a step.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// It may run the step: with this ticket, for starts sent before this time.
+    Good(Arc<str>, Duration),
+    /// It may not; that does not change.
+    Bad,
+    /// Its ticket was turned down; it is not asked about before this time.
+    TurnedDown(Duration),
 }
 
 impl Worker {
@@ -183,7 +193,7 @@
             faults: 0,
             shunned_until: Duration::ZERO,
             cordoned: false,
-            tickets: BTreeMap::new(),
+            advice: HashMap::new(),
         }
     }
 
@@ -198,6 +208,14 @@
             && self.shunned_until <= now
     }
 
+    /// The ticket with which a task of the step may be started now.
+    pub fn ticket(&self, step: &StepId, now: Duration) -> Option<Arc<str>> {
+        match self.advice.get(step) {
+            Some(Verdict::Good(ticket, until)) if now < *until => Some(ticket.clone()),
+            _ => None,
+        }
+    }
+
     /// Room that is free.
     pub fn free(&self) -> Room {
         self.info.as_ref().map(|i| i.capacity.minus(&self.used)).unwrap_or_default()
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -7,7 +7,10 @@
     #[prost(uint64, tag = "1")]
     pub call: u64,
     /// The message.
-    #[prost(oneof = "Msg", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    #[prost(
+        oneof = "Msg",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+    )]
     pub msg: Option<Msg>,
 }
 
@@ -72,6 +75,72 @@
     /// store turns away.
     #[prost(message, tag = "20")]
     Release(Release),
+    /// Asks a process to call the adviser.
+    #[prost(message, tag = "21")]
+    AdviceAsk(AdviceAsk),
+    /// What the adviser answered.
+    #[prost(message, tag = "22")]
+    AdviceReply(AdviceReply),
+}
+
+/// Asks a process to call the adviser for the lease holder.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdviceAsk {
+    /// Job of the step.
+    #[prost(uint64, tag = "1")]
+    pub job: u64,
+    /// Round of the job.
+    #[prost(uint32, tag = "2")]
+    pub round: u32,
+    /// Number of the step.
+    #[prost(uint32, tag = "3")]
+    pub step: u32,
+    /// Workers to ask about.
+    #[prost(string, repeated, tag = "4")]
+    pub workers: Vec<String>,
+    /// How long the adviser's answer is waited for, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub within_ms: u32,
+}
+
+/// What came of a call to the adviser.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdviceReply {
+    /// Its outcome.
+    #[prost(enumeration = "AdviceOutcome", tag = "1")]
+    pub outcome: i32,
+    /// Workers that may run the step, with their tickets.
+    #[prost(message, repeated, tag = "2")]
+    pub good: Vec<AdviceTicket>,
+    /// How long the tickets hold, in milliseconds, if it says so.
+    #[prost(uint64, optional, tag = "3")]
+    pub valid_ms: Option<u64>,
+}
+
+/// A worker that may run a step.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdviceTicket {
+    /// The worker.
+    #[prost(string, tag = "1")]
+    pub worker: String,
+    /// Its ticket.
+    #[prost(string, tag = "2")]
+    pub ticket: String,
+}
+
+/// What came of a call to the adviser.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum AdviceOutcome {
+    /// No answer; it may be at work on it.
+    NoAnswer = 0,
+    /// It answered.
+    Answered = 1,
+    /// It has too many calls waiting.
+    Busy = 2,
+    /// It refused the call, or its answer can't be read.
+    Refused = 3,
+    /// Nothing was sent.
+    NotSent = 4,
 }
 
 /// Asks a process to write what callers handed in into its store.
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -10,7 +10,10 @@
 use futures::future::BoxFuture;
 use snafu::Snafu;
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
-use workswood_core::jobs::{JobSpec, Machine, MachineReply, Report, SchedConfig, TaskId, Wave, WorkerInfo};
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::{
+    AdviceReply, JobSpec, Machine, MachineReply, Report, SchedConfig, StepId, TaskId, Wave, WorkerInfo,
+};
 
 /// One of the streams that a topic is divided into.
 pub type Part = u16;
@@ -203,6 +206,14 @@
         percent: u32,
     ) -> BoxFuture<'_, Result<(), WorkerError>>;
 
+    /// Asks the adviser which of these workers may run a step.
+    fn advise<'a>(
+        &'a self,
+        step: StepId,
+        workers: &'a [WorkerId],
+        patience: Duration,
+    ) -> BoxFuture<'a, AdviceReply>;
+
     /// Lists all machines.
     fn machines(&self) -> BoxFuture<'_, Result<Vec<Machine>, StoreError>>;
     /// Maintains a machine as part of a wave.
--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -196,7 +196,7 @@
         max_attempts: ATTEMPTS,
         stretch: 1.6,
         target: Duration::from_millis(600),
-        advised: false,
+        advice: None,
     };
     let service = ServiceConfig { name: SERVICE.to_string(), guards_room: true, spare: false };
     SchedConfig {
@@ -650,7 +650,7 @@
                 }
                 Action::Start { worker, task, attempt, .. } => self.send_start(n, worker, task, attempt),
                 Action::Stop(worker, task, attempt) => self.send_stop(n, worker, task, attempt),
-                Action::Pace(..) | Action::Upkeep(..) | Action::Move(..) => {}
+                Action::Pace(..) | Action::Upkeep(..) | Action::Move(..) | Action::Advise { .. } => {}
             }
         }
     }
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small fakes for the test suite.
 //!
+//! * [`advised_world`] is one scheduler whose queue has advice, event by event.
 //! * [`cut`] is a relay that can be cut.
 //! * [`files`] makes small fleet files.
 //! * [`log`] is a log in memory with readers that lag.
@@ -13,6 +14,7 @@
 //! * [`machine_world`] is one scheduler with machines, event by event.
 //! * [`turn_store`] is a store that takes appends in turn, on the test's clock.
 
+pub mod advised_world;
 pub mod cut;
 pub mod files;
 pub mod history;
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -10,7 +10,8 @@
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
-use workswood_core::jobs::{Machine, MachineReply, Report, TaskId, WorkerInfo};
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::{AdviceReply, Machine, MachineReply, Report, StepId, TaskId, WorkerInfo};
 use workswood_platform::jobs::{
     Guard, JobPlatform, KeyedRecord, Newest, OperatorItem, StartOrder, StoreError, Tail, Topic, WorkerClock,
     WorkerError,
@@ -175,6 +176,10 @@
         nobody()
     }
 
+    fn advise<'a>(&'a self, _: StepId, _: &'a [WorkerId], _: Duration) -> BoxFuture<'a, AdviceReply> {
+        async { AdviceReply::NotSent }.boxed()
+    }
+
     fn machines(&self) -> BoxFuture<'_, Result<Vec<Machine>, StoreError>> {
         away()
     }
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -152,6 +152,7 @@
         Msg::Hello(_) | Msg::SlotLoan(_) | Msg::StateReply(_) | Msg::KeyReply(_) | Msg::Done(_) => {}
         Msg::JobAsk(_) | Msg::JobReply(_) | Msg::PendingAsk(_) | Msg::PendingReply(_) => {}
         Msg::HandIn(_) | Msg::HandInReply(_) | Msg::Release(_) => {}
+        Msg::AdviceAsk(_) | Msg::AdviceReply(_) => {}
     }
     None
 }
--- a/src/workswood/ops/jobs/help.rs
+++ b/src/workswood/ops/jobs/help.rs
@@ -12,10 +12,10 @@
 use workswood_peers::{CallError, HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release};
 use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
 
-use super::ask;
 use super::inbox::Stored;
 use super::lease::{self, LeaseRecord};
 use super::node::Node;
+use super::{advice, ask};
 
 /// How many other processes are asked, one after the other.
 const MOST_HELPERS: usize = 2;
@@ -36,6 +36,7 @@
         Msg::JobAsk(ask) => Some(Msg::JobReply(ask::answer_job(node, &ask))),
         Msg::PendingAsk(ask) => Some(Msg::PendingReply(ask::answer_pending(node, &ask))),
         Msg::HandIn(asked) => Some(Msg::HandInReply(store_for(node, asked).await)),
+        Msg::AdviceAsk(asked) => Some(Msg::AdviceReply(advice::ask_for(node, asked).await)),
         Msg::Release(asked) => release_for(node, asked).await,
         _ => None,
     }
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -183,6 +183,8 @@
     /// needs them.
     fn tick(&mut self, tasks: &mut JoinSet<()>) {
         self.clock();
+        let own = self.node.settings.peers.to_string();
+        self.sched.set_advice_hosts(1 + self.node.peers.others(&own).len());
         self.sched.handle(Event::Tick);
         if self.sched.wants_machines() && self.node.now() > self.machines_read + MACHINES_EVERY {
             self.machines_read = self.node.now();
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -12,11 +12,12 @@
 //! * [`lead`] runs the scheduler while this process holds the lease, with
 //!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`]
 //!   (the stored form), [`renew`] (the lease), [`watch`] (looks at workers) and
-//!   [`orders`];
+//!   [`orders`], with [`advice`] for those to the adviser;
 //! * [`ask`] puts callers' questions to the lease holder, and [`help`] does what
 //!   other processes ask for, whose listeners are in [`peers`];
 //! * [`stop`] ends the process without cutting anything off.
 
+pub mod advice;
 mod ask;
 mod feeds;
 mod follow;
@@ -66,7 +67,11 @@
     let readiness = listen(settings.readiness).await?;
     let metrics = listen(settings.metrics).await?;
     let peer_listener = listen(settings.peers).await?;
-    let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
+    let addresses = Addresses {
+        store: settings.store.clone(),
+        machines: settings.machines.clone(),
+        adviser: settings.adviser().map(str::to_string),
+    };
     let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::new(addresses));
     let node = Arc::new(Node::new(settings, platform));
     log::info!(
--- a/src/workswood/ops/jobs/orders.rs
+++ b/src/workswood/ops/jobs/orders.rs
@@ -11,6 +11,7 @@
 use workswood_core::jobs::{Action, Event, JobSpec, StartReply, StopReply, TaskId, WorkerInfo};
 use workswood_platform::jobs::{StartOrder, WorkerError};
 
+use super::advice::{self, AdviceCall};
 use super::node::{Leading, Node};
 use super::watch::{self, WorkerLink};
 
@@ -94,6 +95,9 @@
                     let _ = l.tx.send(Event::MachineOrdered(machine, reply));
                 });
             }
+            Action::Advise { lane, step, workers, patience } => {
+                self.tasks.spawn(advice::ask(node, l, AdviceCall { lane, step, workers, patience }));
+            }
             // Handled by the owner, which keeps the links.
             Action::Watch(_) | Action::Unwatch(_) => {}
         }
@@ -147,7 +151,8 @@
                 return StartReply::NoAnswer;
             }
             Err(WorkerError::Refused | WorkerError::Ticket) if unanswered => return StartReply::Unsure,
-            Err(WorkerError::Refused | WorkerError::Ticket) => return StartReply::Refused,
+            Err(WorkerError::Refused) => return StartReply::Refused,
+            Err(WorkerError::Ticket) => return StartReply::Ticket,
             Err(WorkerError::Unwell) if unanswered => return StartReply::Unsure,
             Err(WorkerError::Unwell) => return StartReply::Unwell,
             Err(WorkerError::NotSent) => {}
@@ -162,6 +167,7 @@
     match reply {
         StartReply::Taken => "taken",
         StartReply::Refused => "refused",
+        StartReply::Ticket => "ticket",
         StartReply::Unwell => "unwell",
         StartReply::Unsure => "unsure",
         StartReply::NoAnswer => "no_answer",
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -79,6 +79,16 @@
         links.entry(address.to_string()).or_insert_with(open).clone()
     }
 
+    /// Notes where the process of a host listens for its peers.
+    pub fn know(&self, host: &str, peers: &str) {
+        self.roster.lock().insert(host.to_string(), peers.to_string());
+    }
+
+    /// All other processes by their listeners, always in the same order.
+    pub fn others(&self, own: &str) -> Vec<String> {
+        self.roster.lock().values().filter(|a| *a != own).cloned().collect()
+    }
+
     /// Up to `count` other processes that may help, by their listeners; another
     /// one comes first each time.
     pub fn helpers(&self, own: &str, count: usize) -> Vec<String> {
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -24,6 +24,8 @@
     pub asked: IntCounterVec,
     /// Starts of tasks, by outcome.
     pub starts: IntCounterVec,
+    /// Calls to the adviser, by outcome.
+    pub advice: IntCounterVec,
     /// Time from closing a batch of the scheduler to its being stored, in seconds.
     pub batch_seconds: Histogram,
     /// Terms of the scheduler lease that began here.
@@ -61,6 +63,7 @@
             hand_in_seconds: histogram(&r, "workswood_hand_in_seconds", "time to answer a job handed in"),
             asked: by(&r, "workswood_jobs_asked_total", "questions for the state of a job", "result"),
             starts: by(&r, "workswood_task_starts_total", "starts of tasks, by outcome", "outcome"),
+            advice: by(&r, "workswood_advice_calls_total", "calls to the adviser, by outcome", "outcome"),
             batch_seconds: histogram(&r, "workswood_batch_seconds", "time to store a batch of the scheduler"),
             terms: counter(&r, "workswood_lease_terms_total", "terms of the lease that began here"),
             leading: gauge(&r, "workswood_leading", "1 while the scheduler runs here"),
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -38,8 +38,7 @@
     pub store_parts: u16,
     /// The platform's machine service.
     pub machines: String,
-    /// The service that says which workers may run a step, if there is one; the
-    /// process does not ask it yet.
+    /// The service that says which workers may run a step, if there is one.
     #[serde(default)]
     pub adviser: Option<String>,
     /// Share of a core that the host gives the process.
@@ -104,6 +103,9 @@
                 return Err(format!("`{field}` must be an IP address and port, not `{value}`"));
             }
         }
+        if let Some(value) = self.adviser().filter(|a| a.parse::<SocketAddr>().is_err()) {
+            return Err(format!("`adviser` must be an IP address and port, not `{value}`"));
+        }
         if !(self.cores > 0.0 && self.cores.is_finite()) {
             return Err("`cores` must be above 0".to_string());
         }
@@ -125,6 +127,11 @@
         self.policy.check()
     }
 
+    /// The adviser; an empty address is none.
+    pub fn adviser(&self) -> Option<&str> {
+        self.adviser.as_deref().filter(|a| !a.is_empty())
+    }
+
     /// Workers that this host can look after as lease holder.
     pub fn strength(&self) -> Strength {
         claim::strength(self.cores, self.link_mbps)
--- /dev/null
+++ b/tests/testsuite/advised_queue.rs
@@ -0,0 +1,157 @@
+//! A queue with advice, from a caller to the end of its jobs: real processes,
+//! and an adviser that fails now and then.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use workswood_adapter_standin::caller::{HandedIn, Told, advised_config, ask, hand_in};
+use workswood_adapter_standin::{AdviserStandin, Ledger, StoreStandin, WorkerStandin};
+use workswood_test_support::program::{Program, free_ports};
+
+const SERVICE: &str = "desk";
+const ENTRIES: usize = 2;
+/// Listeners of an entry.
+const PORTS: usize = 4;
+/// How long a task takes.
+const TAKES: Duration = Duration::from_millis(100);
+/// How long a ticket holds; a step with its call takes a third of it.
+const VALID_MS: u64 = 1000;
+/// All of a test's jobs are done within this time: some seconds for the lease,
+/// and many times the work.
+const WITHIN: Duration = Duration::from_secs(20);
+/// Time between two questions.
+const PAUSE: Duration = Duration::from_millis(50);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// All that stands around a queue with advice.
+struct Stage {
+    adviser: AdviserStandin,
+    workers: Vec<WorkerStandin>,
+    store: StoreStandin,
+    ledger: Arc<Ledger>,
+    entries: Vec<(SocketAddr, Program)>,
+    folder: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Stage {
+    /// Four workers, two of which may run nothing, and two processes.
+    async fn new(name: &str) -> Stage {
+        let folder = std::env::temp_dir().join(format!("workswood-advice-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let store = StoreStandin::start().await;
+        let adviser = AdviserStandin::start(ms(40), ms(2), ms(VALID_MS)).await;
+        store.write("keyed.op", "config", &advised_config(SERVICE, 1, 40, 2, VALID_MS));
+        let ledger: Arc<Ledger> = Arc::default();
+        let mut workers = Vec::new();
+        for n in 0..4 {
+            let id = format!("i-{n}");
+            let w = WorkerStandin::start_seen(&id, TAKES, ledger.clone()).await;
+            w.require(&adviser.tickets);
+            store.write("keyed.servers", &id, &w.entry(SERVICE, &format!("m-{n}")));
+            workers.push(w);
+        }
+        adviser.refuse("i-0");
+        adviser.refuse("i-2");
+        let mut stage = Stage { adviser, workers, store, ledger, entries: Vec::new(), folder };
+        let pid = std::process::id();
+        let address = format!("127.79.{}.{}", pid >> 8 & 255, pid & 255);
+        for (n, ports) in free_ports(&address, PORTS * ENTRIES).chunks(PORTS).enumerate() {
+            let program = stage.start(n, ports);
+            stage.entries.push((ports[0], program));
+        }
+        stage
+    }
+
+    fn start(&self, n: usize, ports: &[SocketAddr]) -> Program {
+        let store = self.store.address;
+        let settings = serde_json::json!({
+            "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
+            "peers": ports[2], "metrics": ports[3], "store": store, "machines": store,
+            "adviser": self.adviser.address, "longest_lease_ms": 10000, "machine_handover_ms": 3000,
+            "keep_ended_s": 120, "stop_within_s": 6,
+        });
+        let path = self.folder.join(format!("entry-{n}.json"));
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
+        command.arg("jobs").env("WORKSWOOD_SETTINGS", &path);
+        Program::start_logged(command, &path.with_extension("log"))
+    }
+
+    /// Hands jobs in, each until it is accepted.
+    async fn hand_in(&self, numbers: std::ops::Range<u64>) -> Vec<String> {
+        let until = Instant::now() + WITHIN;
+        let mut jobs = Vec::new();
+        for n in numbers {
+            let job = format!("{n:016x}");
+            let to = self.entries[n as usize % ENTRIES].0;
+            while hand_in(to, &job, 3).await != HandedIn::Accepted {
+                assert!(Instant::now() < until, "{job} is not accepted");
+                tokio::time::sleep(PAUSE).await;
+            }
+            jobs.push(job);
+        }
+        jobs
+    }
+
+    /// Waits until jobs are done, as any process tells.
+    async fn completed(&self, jobs: &[String]) {
+        let until = Instant::now() + WITHIN;
+        for (n, job) in jobs.iter().enumerate() {
+            let done = Told::State("completed".to_string());
+            loop {
+                let told = ask(self.entries[n % ENTRIES].0, job).await;
+                if told == done {
+                    break;
+                }
+                assert!(Instant::now() < until, "{job}: {told:?}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+        assert_eq!(self.ledger.broken(), Vec::<String>::new());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn advised_jobs_are_served() {
+    let stage = Stage::new("served").await;
+    let jobs = stage.hand_in(1..9).await;
+    stage.completed(&jobs).await;
+    let starts: Vec<usize> = stage.workers.iter().map(|w| w.starts().len()).collect();
+    assert_eq!((starts[0], starts[2]), (0, 0), "they may run nothing: {starts:?}");
+    assert_eq!(starts[1] + starts[3], 8 * 2 * 3);
+    let rejected: u64 = stage.workers.iter().map(WorkerStandin::without_ticket).sum();
+    assert_eq!(rejected, 0, "no start without a ticket that holds");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adviser_in_trouble() {
+    let stage = Stage::new("trouble").await;
+    let jobs = stage.hand_in(1..4).await;
+    stage.completed(&jobs).await;
+    for (n, fault) in ["busy", "silent", "late", "void"].into_iter().enumerate() {
+        stage.adviser.faults(|f| match fault {
+            "busy" => f.busy = 5,
+            "silent" => f.silent = 2,
+            "late" => f.late = ms(700),
+            _ => f.void_tickets = 3,
+        });
+        let first = 10 * (n as u64 + 1);
+        let jobs = stage.hand_in(first..first + 3).await;
+        stage.completed(&jobs).await;
+        stage.adviser.faults(|f| f.late = Duration::ZERO);
+    }
+    let rejected: u64 = stage.workers.iter().map(WorkerStandin::without_ticket).sum();
+    assert!(rejected >= 1, "void tickets were tried, and asked for again");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,10 @@
 //! The test suite: one module for each feature.
 
 mod act_tokens;
+mod advice_batches;
+mod advice_protocol;
+mod advice_tickets;
+mod advised_queue;
 mod bad_endpoints;
 mod body_limits;
 mod deferred_requests;
--- a/tests/testsuite/store_protocol.rs
+++ b/tests/testsuite/store_protocol.rs
@@ -8,7 +8,7 @@
 
 fn client(store: &StoreStandin) -> PlatformClient {
     let address = store.address.to_string();
-    PlatformClient::new(Addresses { store: address.clone(), machines: address })
+    PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None })
 }
 
 fn rec(key: &str, value: &str) -> KeyedRecord {
@@ -97,7 +97,7 @@
         store.address.to_string()
     };
     tokio::task::yield_now().await;
-    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
+    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None });
     let gone = c.append(Topic::Inbox(0), vec![rec("x", "1")], Guard::None).await;
     assert!(matches!(gone, Err(StoreError::NotDone { .. } | StoreError::Unknown { .. })), "{gone:?}");
 }
--- a/tests/testsuite/worker_protocol.rs
+++ b/tests/testsuite/worker_protocol.rs
@@ -13,7 +13,7 @@
 
 fn client() -> PlatformClient {
     let nowhere = "127.0.0.1:1".to_string();
-    PlatformClient::new(Addresses { store: nowhere.clone(), machines: nowhere })
+    PlatformClient::new(Addresses { store: nowhere.clone(), machines: nowhere, adviser: None })
 }
 
 fn info(c: &PlatformClient, w: &WorkerStandin, id: &str) -> WorkerInfo {
