--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -77,6 +77,8 @@
     busy_until: Duration,
     /// Failed calls in a row.
     failures: u32,
+    /// By how much answers were late; the latest counts, older ones halve.
+    late: Duration,
 }
 
 impl Lane {
@@ -90,9 +92,14 @@
         self.failures += 1;
     }
 
+    /// Takes in an answer that was late by this much.
+    fn answered(&mut self, late: Duration) {
+        *self = Lane { late: late.max(self.late / 2), ..Lane::default() };
+    }
+
     /// How long the answer to a call is waited for that should take `work`.
     fn patience(&self, work: Duration) -> Duration {
-        let slack = PATIENCE * (1 << self.failures.min(MOST_DOUBLINGS));
+        let slack = PATIENCE * (1 << self.failures.min(MOST_DOUBLINGS)) + self.late;
         work + slack.min(MOST_PATIENCE)
     }
 }
@@ -201,9 +208,9 @@
         let Some(call) = lane.call.take() else { return };
         match a.reply {
             AdviceReply::Answered(answer) => {
-                *lane = Lane::default();
+                lane.answered(now.saturating_sub(call.due));
                 self.advice.failed = self.advice.failed.filter(|step| *step != call.step);
-                self.take_advice(a.step, &a.asked, a.sent, answer);
+                self.take_advice(a.step, &a.asked, now.saturating_sub(call.due), answer);
                 return;
             }
             AdviceReply::NoAnswer => lane.failed(&call, now, true),
@@ -214,17 +221,18 @@
         self.advice.failed = Some(call.step);
     }
 
-    /// Keeps tickets and refusals with the lives that they are about.
-    fn take_advice(&mut self, step: StepId, asked: &[WorkerId], sent: Duration, answer: Advice) {
+    /// Keeps tickets and refusals with the lives that they are about; the answer was
+    /// late by so much.
+    fn take_advice(&mut self, step: StepId, asked: &[WorkerId], late: Duration, answer: Advice) {
         if !self.advice.jobs.contains(&step.job) {
             return;
         }
         let Some(cfg) = self.advice_of(step.job).copied() else { return };
         let valid = answer.valid.unwrap_or(cfg.valid);
         let margin = self.policy.advice.margin.min(valid / 5);
-        // Tickets count from when they can have been made at the earliest.
-        let made = sent + cfg.decide + cfg.each * asked.len() as u32;
-        let until = made.min(self.now) + valid - margin;
+        // An answer may have been late on its way, so that its tickets are as old. Were
+        // they always taken to be, a slow adviser's would never be used.
+        let until = self.now + valid - margin - late.min(valid / 2);
         let good: HashMap<WorkerId, _> = answer.good.into_iter().collect();
         if let Some(job) = self.jobs.get(&step.job) {
             let share = self.advice.shares.entry(job.spec.queue.clone()).or_default();
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -102,8 +102,6 @@
     pub step: StepId,
     /// The workers that it named.
     pub asked: Vec<WorkerId>,
-    /// When it was sent.
-    pub sent: Duration,
     /// What came of it.
     pub reply: AdviceReply,
 }
--- a/src/workswood/ops/jobs/advice.rs
+++ b/src/workswood/ops/jobs/advice.rs
@@ -48,7 +48,7 @@
         (node.now() - sent).as_millis(),
         call.patience.as_millis()
     );
-    let advised = Advised { lane: call.lane, step: call.step, asked: call.workers, sent, reply };
+    let advised = Advised { lane: call.lane, step: call.step, asked: call.workers, reply };
     // A scheduler that has just ended takes no more events.
     let _ = l.tx.send(Event::Advised(advised));
 }
--- a/tests/testsuite/advised_queue.rs
+++ b/tests/testsuite/advised_queue.rs
@@ -41,7 +41,9 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
