Try hosts that fail rarely while others are answered; random histories with advice; docs

A host that is gone kept a step waiting for up to 5 s each second: the wait grows now only with failures that all hosts have, and such a host is tried after 8 s at most. The random histories are played with an adviser too.

--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::advice_batch::{Share, choose_batch};
-use super::advice_need::Wanted;
+use super::advice_need::{Pools, Wanted};
 use super::config::AdviceConfig;
 use super::job::WorkerId;
 use super::sched::Scheduler;
@@ -29,10 +29,13 @@
 const MOST_PATIENCE: Duration = Duration::from_secs(5);
 /// Pause after a call that failed; it doubles with each one in a row,
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-/// up to this: an adviser that is back is heard of soon.
+/// up to this: an adviser that is back is heard of soon;
 const MOST_PAUSE: Duration = Duration::from_secs(1);
+/// or up to this for a host that fails while others are answered: each try with a
+/// host that is gone delays a step.
+const MOST_PAUSE_BESIDE: Duration = Duration::from_secs(8);
 /// Doublings after which waits and pauses are at their longest.
-const MOST_DOUBLINGS: u32 = 6;
+const MOST_DOUBLINGS: u32 = 8;
 /// A worker whose ticket was turned down is not asked about for so long: were
 /// tickets turned down always, starts would be lost at this rate.
 const TURNED_DOWN_FOR: Duration = Duration::from_millis(500);
@@ -55,7 +58,7 @@
 
 impl Default for AdvicePolicy {
     fn default() -> AdvicePolicy {
-        AdvicePolicy { ahead: true, helpers: 3, margin: Duration::from_millis(250) }
+        AdvicePolicy { ahead: true, helpers: 5, margin: Duration::from_millis(250) }
     }
 }
 
@@ -77,29 +80,33 @@
     busy_until: Duration,
     /// Failed calls in a row.
     failures: u32,
+    /// Whether the last call was answered.
+    answered: bool,
     /// By how much answers were late; the latest counts, older ones halve.
     late: Duration,
 }
 
 impl Lane {
-    /// Takes in that a call failed.
-    fn failed(&mut self, call: &Call, now: Duration, at_work: bool) {
+    /// Takes in that a call failed; `most_pause` bounds the time until the next.
+    fn failed(&mut self, call: &Call, now: Duration, at_work: bool, most_pause: Duration) {
         if at_work {
             self.busy_until = self.busy_until.max(call.due);
         }
         let pause = FIRST_PAUSE * (1 << self.failures.min(MOST_DOUBLINGS));
-        self.next_call = now + pause.min(MOST_PAUSE);
+        self.next_call = now + pause.min(most_pause);
+        self.answered = false;
         self.failures += 1;
     }
 
     /// Takes in an answer that was late by this much.
     fn answered(&mut self, late: Duration) {
-        *self = Lane { late: late.max(self.late / 2), ..Lane::default() };
+        *self = Lane { answered: true, late: late.max(self.late / 2), ..Lane::default() };
     }
 
-    /// How long the answer to a call is waited for that should take `work`.
-    fn patience(&self, work: Duration) -> Duration {
-        let slack = PATIENCE * (1 << self.failures.min(MOST_DOUBLINGS)) + self.late;
+    /// How long the answer to a call is waited for that should take `work`, when
+    /// every host has had so many failures in a row.
+    fn patience(&self, work: Duration, failures: u32) -> Duration {
+        let slack = PATIENCE * (1 << failures.min(MOST_DOUBLINGS)) + self.late;
         work + slack.min(MOST_PATIENCE)
     }
 }
@@ -127,6 +134,17 @@
         free.min_by_key(|(n, l)| (l.failures, *n)).map(|(n, _)| n)
     }
 
+    /// Whether the last call of some other host was answered.
+    fn others_answered(&self, lane: usize) -> bool {
+        self.lanes.iter().enumerate().any(|(n, l)| n != lane && l.answered)
+    }
+
+    /// Failures in a row that every host has had: with more, it is the adviser that
+    /// is slow or away.
+    fn common_failures(&self) -> u32 {
+        self.lanes.iter().map(|l| l.failures).min().unwrap_or(0)
+    }
+
     /// Whether a step is being asked about.
     fn is_asked(&self, step: &StepId) -> bool {
         self.lanes.iter().filter_map(|l| l.call.as_ref()).any(|c| c.step == *step)
@@ -204,6 +222,10 @@
     /// Takes the outcome of a call in.
     pub(super) fn advised(&mut self, a: Advised) {
         let now = self.now;
+        let most_pause = match self.advice.others_answered(a.lane) {
+            true => MOST_PAUSE_BESIDE,
+            false => MOST_PAUSE,
+        };
         let Some(lane) = self.advice.lanes.get_mut(a.lane) else { return };
         let Some(call) = lane.call.take() else { return };
         match a.reply {
@@ -213,9 +235,9 @@
                 self.take_advice(a.step, &a.asked, now.saturating_sub(call.due), answer);
                 return;
             }
-            AdviceReply::NoAnswer => lane.failed(&call, now, true),
+            AdviceReply::NoAnswer => lane.failed(&call, now, true, most_pause),
             AdviceReply::Busy | AdviceReply::Refused | AdviceReply::NotSent => {
-                lane.failed(&call, now, false);
+                lane.failed(&call, now, false, most_pause);
             }
         }
         self.advice.failed = Some(call.step);
@@ -263,13 +285,15 @@
         if self.advice.free_lane(self.now, most_calls).is_none() {
             return;
         }
-        let mut steps = self.steps_to_ask().into_iter();
+        let pools = self.advised_pools();
+        let mut steps = self.steps_to_ask(&pools).into_iter();
         while let Some(lane) = self.advice.free_lane(self.now, most_calls) {
-            let Some((step, workers, cfg)) = steps.find_map(|w| self.call_for(&w)) else { return };
+            let Some((step, workers, cfg)) = steps.find_map(|w| self.call_for(&w, &pools)) else { return };
+            let failures = self.advice.common_failures();
             let host = &mut self.advice.lanes[lane];
             let before = host.busy_until.saturating_sub(self.now);
             let work = before + cfg.decide + cfg.each * workers.len() as u32;
-            let patience = host.patience(work);
+            let patience = host.patience(work, failures);
             host.call = Some(Call { step, due: self.now + work });
             self.actions.push(Action::Advise { lane, step, workers, patience });
         }
@@ -277,8 +301,8 @@
 
     /// Steps that want advice, the next one first: those that wait, then those that
     /// open soon, and the one whose last call failed.
-    fn steps_to_ask(&self) -> Vec<Wanted> {
-        let mut steps = self.waiting_for_advice();
+    fn steps_to_ask(&self, pools: &Pools) -> Vec<Wanted> {
+        let mut steps = self.waiting_for_advice(pools);
         if self.policy.advice.ahead {
             steps.extend(self.opening_soon());
         }
@@ -289,9 +313,9 @@
 
     /// Workers to ask about for a step; `None` if its tickets are enough, or
     /// nobody is left to ask about.
-    fn call_for(&self, wanted: &Wanted) -> Option<(StepId, Vec<WorkerId>, AdviceConfig)> {
+    fn call_for(&self, wanted: &Wanted, pools: &Pools) -> Option<(StepId, Vec<WorkerId>, AdviceConfig)> {
         let cfg = self.advice_of(wanted.step.job).copied()?;
-        let (need, candidates) = self.need_and_candidates(wanted, &cfg)?;
+        let (need, candidates) = self.need_and_candidates(wanted, &cfg, pools)?;
         let queue = &self.jobs.get(&wanted.step.job)?.spec.queue;
         let share = self.advice.shares.get(queue).copied().unwrap_or_default().value();
         let ids = choose_batch(&candidates, need, share, &cfg);
--- a/crates/workswood-core/src/jobs/advice_need.rs
+++ b/crates/workswood-core/src/jobs/advice_need.rs
@@ -1,5 +1,6 @@
 //! Which steps want advice, and what they lack.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::advice_batch::Candidate;
@@ -10,6 +11,7 @@
 use super::sched::Scheduler;
 use super::spec::{Room, StepId, StepSpec, TaskId};
 use super::worker::{Verdict, Worker};
+use crate::ids::ServiceId;
 
 /// Share of the room in use that is taken to be free again while tickets hold.
 /// More asks about steps whose turn comes after their tickets have ended.
@@ -39,12 +41,23 @@
     others: usize,
 }
 
+/// Workers that take work, by service.
+pub(super) type Pools = BTreeMap<ServiceId, Vec<WorkerId>>;
+
 impl Scheduler {
+    /// Services with open jobs that need advice, and their workers.
+    pub(super) fn advised_pools(&self) -> Pools {
+        let jobs = self.advice.jobs.iter().filter_map(|key| self.jobs.get(key));
+        let services: BTreeSet<&ServiceId> = jobs.map(|j| &j.spec.service).collect();
+        services.into_iter().map(|s| (s.clone(), self.takers(s))).collect()
+    }
+
     /// Steps whose tasks wait, most urgent first, as far as there will be room.
-    pub(super) fn waiting_for_advice(&self) -> Vec<Wanted> {
+    pub(super) fn waiting_for_advice(&self, pools: &Pools) -> Vec<Wanted> {
         let mut found: Vec<(Place, Wanted)> = Vec::new();
-        for (service, waiting) in &self.ready {
-            let mut room = self.room_soon(&self.takers(service));
+        for (service, workers) in pools {
+            let Some(waiting) = self.ready.get(service) else { continue };
+            let mut room = self.room_soon(workers);
             let first = found.len();
             for place in waiting.places() {
                 let Some(step) = self.jobs.get(&place.task.job).and_then(|j| j.step(&place.task)) else {
@@ -129,19 +142,20 @@
         &self,
         wanted: &Wanted,
         cfg: &AdviceConfig,
+        pools: &Pools,
     ) -> Option<(u32, Vec<Candidate>)> {
         let job = self.jobs.get(&wanted.step.job)?;
         let spec = job.spec.steps.get(usize::from(wanted.step.step))?;
         let first = wanted.tasks.first()?;
-        let workers = self.takers(&job.spec.service);
-        let others = self.may_be_good(&workers, &wanted.step);
+        let workers = pools.get(&job.spec.service)?;
+        let others = self.may_be_good(workers, &wanted.step);
         let wish = Wish { job, spec, wanted, others };
         // What ends before another answer would be there is asked for now.
         let ahead = (cfg.decide + cfg.each * USUAL_IDS).min(cfg.valid / 4);
         let holds_until = wanted.opens + ahead;
         let mut covered = 0;
         let mut candidates = Vec::new();
-        for id in &workers {
+        for id in workers {
             let Some(w) = self.workers.get(id) else { continue };
             let (free, whole) = self.places_on(&wish, id, w);
             // A full worker has a place when one of its tasks has ended.
--- a/crates/workswood-test-support/src/job_world.rs
+++ b/crates/workswood-test-support/src/job_world.rs
@@ -14,11 +14,13 @@
 use workswood_core::jobs::spec::Room;
 use workswood_core::jobs::types::{Record, ShownJob};
 use workswood_core::jobs::{
-    Action, Batch, EndKind, Event, JobKey, JobRecord, JobSpec, Limits, Outcome, QueueConfig, Report,
-    ReportedEnd, ReportedRun, SchedConfig, Scheduler, ServiceConfig, Shown, StartReply, StepSpec, StopReply,
-    TaskId, WorkerInfo, WorkerRecord,
+    Action, Advice, AdviceReply, Advised, Batch, EndKind, Event, JobKey, JobRecord, JobSpec, Limits, Outcome,
+    QueueConfig, Report, ReportedEnd, ReportedRun, SchedConfig, Scheduler, ServiceConfig, Shown, StartReply,
+    StepId, StepSpec, StopReply, TaskId, WorkerInfo, WorkerRecord,
 };
 
+use crate::world_adviser::{self, ADVICE, may_run};
+
 /// Length of one step.
 pub const STEP: Duration = Duration::from_millis(20);
 /// Length of a worker's lease.
@@ -79,7 +81,7 @@
 #[derive(Clone, Debug)]
 enum Order {
     Look { term: Term, forget: u64, lease_end: Option<Duration> },
-    Start { term: Term, task: TaskId, attempt: u32, lease_end: Duration },
+    Start { term: Term, task: TaskId, attempt: u32, lease_end: Duration, ticket: Option<Arc<str>> },
     Stop { term: Term, task: TaskId, attempt: u32 },
 }
 
@@ -112,6 +114,8 @@
     pub starts: u64,
     /// Ends listed as done.
     pub done: u64,
+    /// Starts that were refused for want of a ticket.
+    pub without_ticket: u64,
     /// Rules that were broken.
     pub broken: Vec<String>,
     /// Takeovers.
@@ -134,6 +138,8 @@
     /// Tasks whose `done` end was acknowledged.
     noted: BTreeSet<TaskId>,
     failed: HashMap<TaskId, u32>,
+    /// Whether the queue has advice.
+    advised: bool,
     /// What the oracle saw.
     pub seen: Seen,
     /// Draws the fate of a message, and how a run goes.
@@ -235,6 +241,15 @@
 impl World {
     /// A world with some workers of four cores each, and one holder.
     pub fn new(workers: usize, luck: Luck) -> World {
+        World::build(workers, luck, false)
+    }
+
+    /// Likewise; only some workers may run a step, and the adviser tells which.
+    pub fn advised(workers: usize, luck: Luck) -> World {
+        World::build(workers, luck, true)
+    }
+
+    fn build(workers: usize, luck: Luck, advised: bool) -> World {
         let mut w = World {
             now: Duration::from_secs(1),
             workers: Vec::new(),
@@ -248,6 +263,7 @@
             lives: 0,
             noted: BTreeSet::new(),
             failed: HashMap::new(),
+            advised,
             seen: Seen::default(),
             luck,
         };
@@ -292,7 +308,11 @@
         self.term += 1;
         self.seen.takeovers += 1;
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
-        sched.handle(Event::Config(Arc::new(config())));
+        let mut cfg = config();
+        if self.advised {
+            cfg.queues.values_mut().for_each(|q| q.advice = Some(ADVICE));
+        }
+        sched.handle(Event::Config(Arc::new(cfg)));
         for (id, rec) in &self.stored_workers {
             sched.restore_worker(id.clone(), rec.clone());
         }
@@ -468,7 +488,7 @@
                 let running = running.collect();
                 Some(Ok(Report { asked: now, running, ended: w.ended.clone() }))
             }
-            Order::Start { term, task, attempt, lease_end } => {
+            Order::Start { term, task, attempt, lease_end, ticket } => {
                 let w = &mut self.workers[at];
                 if *term < w.fence {
                     return Some(Err(StartReply::Deposed));
@@ -481,6 +501,10 @@
                 if w.running.contains_key(task) {
                     return Some(Err(StartReply::Taken));
                 }
+                if self.advised && !world_adviser::holds(ticket.as_deref(), &task.step_id(), id, now) {
+                    self.seen.without_ticket += 1;
+                    return Some(Err(StartReply::Ticket));
+                }
                 if w.running.len() >= 4 {
                     return Some(Err(StartReply::Refused));
                 }
@@ -648,9 +672,14 @@
                 Action::Unwatch(id) => {
                     self.holders[n].watched.remove(&id);
                 }
-                Action::Start { worker, task, attempt, .. } => self.send_start(n, worker, task, attempt),
+                Action::Start { worker, task, attempt, ticket, .. } => {
+                    self.send_start(n, worker, task, attempt, &ticket);
+                }
+                Action::Advise { lane, step, workers, patience } => {
+                    self.advise(n, lane, step, workers, patience);
+                }
                 Action::Stop(worker, task, attempt) => self.send_stop(n, worker, task, attempt),
-                Action::Pace(..) | Action::Upkeep(..) | Action::Move(..) | Action::Advise { .. } => {}
+                Action::Pace(..) | Action::Upkeep(..) | Action::Move(..) => {}
             }
         }
     }
@@ -691,15 +720,38 @@
         (self.now < self.holders[n].renewed + GRACE).then(|| self.now + LEASE)
     }
 
-    fn send_start(&mut self, n: usize, id: WorkerId, task: TaskId, attempt: u32) {
+    /// Carries a call to the adviser out, unless it is lost.
+    fn advise(&mut self, n: usize, lane: usize, step: StepId, asked: Vec<WorkerId>, patience: Duration) {
+        let takes = ADVICE.decide + ADVICE.each * asked.len() as u32;
+        let place = |id: &&WorkerId| self.workers.iter().position(|w| w.id == **id);
+        let good = asked.iter().filter(|id| place(id).is_some_and(|at| may_run(&step, at)));
+        let made = self.now + takes;
+        let good = good.map(|id| (id.clone(), world_adviser::ticket(&step, id, made))).collect();
+        let answer = AdviceReply::Answered(Advice { good, valid: Some(ADVICE.valid) });
+        let (reply, wait) = match (self.luck.fate(), self.luck.below(8)) {
+            (Fate::Fine, _) => (answer, takes),
+            (_, 0 | 1) => (AdviceReply::Busy, STEP),
+            (_, 2 | 3) => (AdviceReply::NotSent, STEP),
+            // Late, as long as it is waited for; the ticket is as old.
+            (_, 4 | 5) => (answer, patience),
+            _ => (AdviceReply::NoAnswer, patience),
+        };
+        let advised = Event::Advised(Advised { lane, step, asked, reply });
+        self.holders[n].inbox.push((self.now + wait, advised));
+    }
+
+    fn send_start(&mut self, n: usize, id: WorkerId, task: TaskId, attempt: u32, ticket: &Option<Arc<str>>) {
         let term = self.holders[n].sched.token;
         let span = self.holders[n].sched.lease_span();
         let mut reply = StartReply::NotSent;
         for _ in 0..1 + self.luck.below(3) {
             let Some(lease_end) = self.lease_from(n) else { break };
-            let answer = self.deliver(&id, Order::Start { term, task, attempt, lease_end });
+            let answer =
+                self.deliver(&id, Order::Start { term, task, attempt, lease_end, ticket: ticket.clone() });
             reply = match (answer, reply) {
-                (Some(Err(StartReply::Refused)), StartReply::NoAnswer) => StartReply::Unsure,
+                (Some(Err(StartReply::Refused | StartReply::Ticket)), StartReply::NoAnswer) => {
+                    StartReply::Unsure
+                }
                 (Some(Err(r)), _) => r,
                 (Some(Ok(_)), _) => StartReply::Taken,
                 (None, _) => StartReply::NoAnswer,
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`live`] starts entries over sockets.
 //! * [`machine_world`] is one scheduler with machines, event by event.
 //! * [`turn_store`] is a store that takes appends in turn, on the test's clock.
+//! * [`world_adviser`] is the adviser of the world of jobs.
 
 pub mod advised_world;
 pub mod cut;
@@ -28,3 +29,4 @@
 pub mod platform;
 pub mod program;
 pub mod turn_store;
+pub mod world_adviser;
--- a/tests/testsuite/advice_tickets.rs
+++ b/tests/testsuite/advice_tickets.rs
@@ -287,6 +287,38 @@
     assert!(calls(&world.tick()).is_empty());
 }
 
+#[test]
+fn host_that_is_gone_delays_little() {
+    let mut world = advised(4, cfg());
+    world.sched.set_advice_hosts(2);
+    for n in 1..200 {
+        world.sched.handle(Event::Submitted(n, Arc::new(job(vec![step(1, vec![])], n))));
+    }
+    let mut at = 0;
+    let (mut lost, mut waited) = (0, ms(0));
+    // The first host is always answered, with nobody good; the second one never.
+    for _ in 0..200 {
+        at += 150;
+        world.at(at);
+        let actions = world.tick();
+        for (lane, step_id, ids) in calls(&actions) {
+            if lane == 0 {
+                world.sched.handle(advice(step_id, &ids, &[], ms(3000)));
+            } else {
+                let patience = actions.iter().find_map(|a| match a {
+                    Action::Advise { lane: 1, patience, .. } => Some(*patience),
+                    _ => None,
+                });
+                waited = waited.max(patience.unwrap_or_default());
+                world.sched.handle(failed(1, step_id, &ids, AdviceReply::NoAnswer));
+                lost += 1;
+            }
+        }
+    }
+    assert!((3..14).contains(&lost), "{lost} calls lost in 30 s");
+    assert!(waited <= ms(1000), "the adviser itself is well: {waited:?}");
+}
+
 #[test]
 fn failed_task_goes_elsewhere_if_it_may() {
     for others in [true, false] {
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::invariant;
 use workswood_core::jobs::Shown;
-use workswood_test_support::job_world::{Luck, World, job, step};
+use workswood_test_support::job_world::{Luck, Seen, World, job, step};
 
 /// Histories in one run of the suite.
 const HISTORIES: u64 = 250;
@@ -14,11 +14,17 @@
 
 /// Plays one history; returns starts and takeovers.
 fn history(seed: u64) -> (u64, u64) {
+    let seen = play(seed, World::new);
+    (seen.starts, seen.takeovers)
+}
+
+/// Plays one history in a world.
+fn play(seed: u64, world: fn(usize, Luck) -> World) -> Seen {
     let mut luck = Luck::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
     for _ in 0..8 {
         luck.below(2);
     }
-    let mut w = World::new(4, luck);
+    let mut w = world(4, luck);
     w.play(Duration::from_millis(600));
     w.luck.trouble = 60;
     let mut keys = Vec::new();
@@ -66,7 +72,7 @@
     for key in keys {
         assert!(w.over(key), "seed {seed}: job {key} is still {:?}", w.shown(key));
     }
-    (w.seen.starts, w.seen.takeovers)
+    w.seen
 }
 
 #[test]
@@ -81,6 +87,19 @@
     assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
 }
 
+#[test]
+fn short_histories_with_advice() {
+    let (mut starts, mut without) = (0, 0);
+    for seed in 1..=HISTORIES / 2 {
+        let seen = play(seed, World::advised);
+        starts += seen.starts;
+        without += seen.without_ticket;
+    }
+    assert!(starts > HISTORIES, "{starts} starts");
+    assert!(without * 20 < starts, "{without} starts without a ticket that holds, beside {starts}");
+    assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
+}
+
 #[test]
 #[ignore = "by hand: 10,000 histories"]
 fn many_histories_of_jobs() {
