--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small fakes for the test suite.
 //!
+//! * [`advised_world`] is one scheduler whose queue has advice, event by event.
 //! * [`cut`] is a relay that can be cut.
 //! * [`files`] makes small fleet files.
 //! * [`log`] is a log in memory with readers that lag.
@@ -12,7 +13,9 @@
 //! * [`live`] starts entries over sockets.
 //! * [`machine_world`] is one scheduler with machines, event by event.
 //! * [`turn_store`] is a store that takes appends in turn, on the test's clock.
+//! * [`world_adviser`] is the adviser of the world of jobs.
 
+pub mod advised_world;
 pub mod cut;
 pub mod files;
 pub mod history;
@@ -26,3 +29,4 @@
 pub mod platform;
 pub mod program;
 pub mod turn_store;
+pub mod world_adviser;
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -154,6 +154,7 @@
         Msg::HandIn(_) | Msg::HandInReply(_) | Msg::Release(_) => {}
         // Answered where the connection is served.
         Msg::Ping(_) | Msg::Pong(_) => {}
+        Msg::AdviceAsk(_) | Msg::AdviceReply(_) => {}
     }
     None
 }
--- a/src/workswood/ops/job_status/mod.rs
+++ b/src/workswood/ops/job_status/mod.rs
@@ -53,7 +53,8 @@
 /// Reads the status with the settings of any host.
 pub async fn run(path: &str) -> Result<JobsStatus> {
     let settings = JobSettings::read(path)?;
-    let addresses = Addresses { store: settings.store.clone(), machines: settings.machines.clone() };
+    let addresses =
+        Addresses { store: settings.store.clone(), machines: settings.machines.clone(), adviser: None };
     let platform = PlatformClient::new(addresses);
     let parts: Vec<Part> = inbox::parts(settings.store_parts).collect();
     let seen = read(&platform, &parts).await.context(StoreSnafu { address: &settings.store })?;
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -22,6 +22,8 @@
     pub asked: IntCounterVec,
     /// Starts of tasks, by outcome.
     pub starts: IntCounterVec,
+    /// Calls to the adviser, by outcome.
+    pub advice: IntCounterVec,
     /// Time from closing a batch of the scheduler to its being stored, in seconds.
     pub batch_seconds: Histogram,
     /// Terms of the scheduler lease that began here.
@@ -69,6 +71,12 @@
                 "time to store a batch of the scheduler",
                 &SECONDS,
             ),
+            advice: counters(
+                &r,
+                "workswood_advice_calls_total",
+                "calls to the adviser, by outcome",
+                &["outcome"],
+            ),
             terms: counter(&r, "workswood_lease_terms_total", "terms of the lease that began here"),
             leading: gauge(&r, "workswood_leading", "1 while the scheduler runs here"),
             lease_term: gauge(&r, "workswood_lease_term", "term of the lease as last read"),
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -42,7 +42,7 @@
 }
 
 fn client(store: &str) -> PlatformClient {
-    PlatformClient::new(Addresses { store: store.to_string(), machines: store.to_string() })
+    PlatformClient::new(Addresses { store: store.to_string(), machines: store.to_string(), adviser: None })
 }
 
 /// Leaves several idle connections to the store behind.
--- a/tests/testsuite/store_protocol.rs
+++ b/tests/testsuite/store_protocol.rs
@@ -8,7 +8,7 @@
 
 fn client(store: &StoreStandin) -> PlatformClient {
     let address = store.address.to_string();
-    PlatformClient::new(Addresses { store: address.clone(), machines: address })
+    PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None })
 }
 
 fn rec(key: &str, value: &str) -> KeyedRecord {
@@ -97,7 +97,7 @@
         store.address.to_string()
     };
     tokio::task::yield_now().await;
-    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
+    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None });
     let gone = c.append(Topic::Inbox(0), vec![rec("x", "1")], Guard::None).await;
     assert!(matches!(gone, Err(StoreError::NotDone { .. } | StoreError::Unknown { .. })), "{gone:?}");
 }
@@ -149,7 +149,7 @@
 async fn any_sign_in_page_names() {
     let machines = MachinesStandin::start("desk", &["m-1", "m-2", "m-3", "m-4", "m-5"]).await;
     let address = machines.address.to_string();
-    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address });
+    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None });
     let list = c.machines().await.expect("all pages are read");
     let names: Vec<&str> = list.iter().map(|m| m.name.as_str()).collect();
     assert_eq!(names, ["m-1", "m-2", "m-3", "m-4", "m-5"]);
