Let the scheduler's maps list in an order that follows from its events

Cause: jobs, workers, machines and queues lay in maps that draw an order of their own in each process.

Change: what callers name is kept in trees, what the platform names in a map with a fixed hash. No choice between unequal things changes.

--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -1,6 +1,6 @@
 //! Queues and services in force.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::spec::QueueId;
@@ -48,9 +48,9 @@
     /// Version; higher is newer.
     pub version: u64,
     /// Queues by name.
-    pub queues: HashMap<QueueId, QueueConfig>,
+    pub queues: BTreeMap<QueueId, QueueConfig>,
     /// Services by name.
-    pub services: HashMap<ServiceId, ServiceConfig>,
+    pub services: BTreeMap<ServiceId, ServiceConfig>,
     /// Most bytes of a request's body.
     pub max_body_bytes: usize,
 }
--- /dev/null
+++ b/crates/workswood-core/src/jobs/map.rs
@@ -0,0 +1,12 @@
+//! Maps whose order is the same in every run.
+
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, DefaultHasher};
+
+/// A map that lists its entries in an order that follows from what was put in
+/// and taken out. The standard map draws an order of its own in each process;
+/// where two choices are as good, the same events would decide differently.
+///
+/// For keys that the platform or this system gave. What callers name is kept in
+/// trees, lest one picks many that collide.
+pub type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -19,6 +19,7 @@
 //! * [`job`] holds the state of one job and its stored form.
 //! * [`worker`] holds what is known of one worker, its room and its lease.
 //! * [`machine`] holds what is known of one machine.
+//! * [`map`] is a map whose order is the same in every run.
 //! * [`order`] decides which waiting task is next.
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
@@ -38,6 +39,7 @@
 pub mod handover;
 pub mod job;
 pub mod machine;
+pub mod map;
 pub mod moves;
 pub mod need;
 pub mod order;
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -8,6 +8,7 @@
 use super::handover::OrderMarks;
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
 use super::machine::Machine;
+use super::map::Map;
 use super::order::{Durations, Waiting, place_of};
 use super::policy::Policy;
 use super::pools::PoolState;
@@ -37,15 +38,15 @@
     /// What is in force.
     pub config: Arc<SchedConfig>,
     /// Jobs that are known.
-    pub jobs: HashMap<JobKey, Job>,
+    pub jobs: BTreeMap<JobKey, Job>,
     /// Lives of workers that are known.
-    pub workers: HashMap<WorkerId, Worker>,
+    pub workers: Map<WorkerId, Worker>,
     /// Tasks that wait for a worker, by service.
-    pub(super) ready: HashMap<ServiceId, Waiting>,
+    pub(super) ready: Map<ServiceId, Waiting>,
     /// How long tasks take.
     pub(super) durations: Durations,
     /// Machines, as last listed.
-    pub machines: HashMap<HostId, Machine>,
+    pub machines: Map<HostId, Machine>,
     /// When that list was asked for.
     pub(super) machines_asked: Duration,
     /// Machines that were ordered about lately.
@@ -90,11 +91,11 @@
             limits,
             policy: Policy::default(),
             config: Arc::default(),
-            jobs: HashMap::new(),
-            workers: HashMap::new(),
-            ready: HashMap::new(),
+            jobs: BTreeMap::new(),
+            workers: Map::default(),
+            ready: Map::default(),
             durations: Durations::default(),
-            machines: HashMap::new(),
+            machines: Map::default(),
             machines_asked: Duration::ZERO,
             marks: OrderMarks::default(),
             waves: BTreeMap::new(),
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -5,13 +5,14 @@
 //! record first), down, and finished when it is up again with another life of
 //! its worker. The orders themselves are in [`upkeep`](super::upkeep).
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
 use super::machine::{Machine, MachineState};
+use super::map::Map;
 use super::policy::WavePolicy;
 use super::sched::Scheduler;
 use super::worker::Worker;
@@ -106,7 +107,7 @@
 
     /// Takes in which machines a list shows; returns whether some count as taken
     /// away now that did not before, or the other way round.
-    fn note_absent(&mut self, machines: &HashMap<HostId, Machine>, asked: Duration) -> bool {
+    fn note_absent(&mut self, machines: &Map<HostId, Machine>, asked: Duration) -> bool {
         let before = self.gone.len();
         let absent = self.wave.machines.iter().filter(|m| !machines.contains_key(*m));
         let absent = absent.map(|m| (m.clone(), self.absent.get(m).copied().unwrap_or(asked)));
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -1,12 +1,13 @@
 //! What is known of one worker: its room, its lease and its health.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use super::job::WorkerId;
+use super::map::Map;
 use super::spec::{Room, StepSpec, TaskId};
 use crate::ids::{DataCentre, HostId, ServiceId};
 
@@ -141,7 +142,7 @@
     /// When everything on it must have ended if we stop extending its lease.
     pub lease_end: Duration,
     /// Runs that may exist there, with the room that each takes.
-    pub runs: HashMap<(TaskId, u32), Room>,
+    pub runs: Map<(TaskId, u32), Room>,
     /// Tasks of these runs that last.
     pub lasting: BTreeSet<TaskId>,
     /// Tasks of these runs that fill.
@@ -174,7 +175,7 @@
             heard: Duration::ZERO,
             known_since,
             lease_end,
-            runs: HashMap::new(),
+            runs: Map::default(),
             lasting: BTreeSet::new(),
             fills: BTreeSet::new(),
             serves: BTreeSet::new(),
