Play the scheduler against a simulated fleet: workswood model

The real scheduler on injected time, with load by turns, lasting jobs, a wave and faults from a JSON file; it varies a field of Policy on the same seeds and prints what was in time, the worst seconds, machines in pools, moves, the gain over the first variant with its error, and how few machines the run's own jobs need (all room over time, and a perfect forecast).

Cause of a test that failed while this was being written (calm_fleet_is_in_time, 0.951 in time, worst seconds 0.673): the model was at fault. Its workers told "100% done" from the start of a task on, so every task longer than 2.5 s made no progress in the scheduler's eyes, was stopped as stuck and begun anew, some four times. They tell the share that is done now.

Load: a queue asked for 7.6 times its mean at the height of a sine, which held its mean for four services only. It asks for five times its mean through its turn and a twentieth in between; the time between turns follows, for any number of services. Both are fields of the file. Test: load_by_turns.

The same seed gives the same figures.

--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod jobs;
 pub mod late;
+pub mod model;
 pub mod plan;
 pub mod soak;
 pub mod status;
@@ -36,6 +37,7 @@
         Entry { cli: status::cli, exec: status::exec },
         Entry { cli: explain::cli, exec: explain::exec },
         Entry { cli: late::cli, exec: late::exec },
+        Entry { cli: model::cli, exec: model::exec },
         Entry { cli: dev::cli, exec: dev::exec },
         Entry { cli: bench::cli, exec: bench::exec },
         Entry { cli: soak::cli, exec: soak::exec },
--- /dev/null
+++ b/src/bin/workswood/commands/model.rs
@@ -0,0 +1,56 @@
+//! `workswood model`
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use workswood::Result;
+use workswood::ops::model::{self, Vary};
+
+/// Its command line.
+pub fn cli() -> Command {
+    Command::new("model")
+        .about("Play the scheduler against simulated machines and callers, and compare policies")
+        .arg(Arg::new("file").value_name("FILE").required(true).help("the fleet, its load and its faults"))
+        .arg(
+            Arg::new("vary")
+                .long("vary")
+                .value_name("FIELD=V1,V2")
+                .help("a field of the policy, and values to compare"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_name("COUNT")
+                .value_parser(value_parser!(u64).range(1..=10_000))
+                .default_value("10")
+                .help("how many runs of each variant"),
+        )
+        .arg(
+            Arg::new("first-seed")
+                .long("first-seed")
+                .value_name("SEED")
+                .value_parser(value_parser!(u64).range(..=u64::MAX - 10_000))
+                .default_value("1")
+                .help("seed of the first run; the others follow it"),
+        )
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("print JSON, with each run"))
+        .after_help(
+            "Example: workswood model examples/model-turns.json --vary need.turn_share=0,0.8 --seeds 20",
+        )
+}
+
+/// Runs it.
+pub fn exec(args: &ArgMatches) -> Result<()> {
+    let spec = model::read(&super::text(args, "file"))?;
+    let vary = args.get_one::<String>("vary").map(|text| Vary::parse(text)).transpose()?;
+    let count = args.get_one::<u64>("seeds").copied().unwrap_or(10);
+    let first = args.get_one::<u64>("first-seed").copied().unwrap_or(1);
+    let found = model::run(&spec, vary.as_ref(), first..first + count, |name, seed| {
+        eprint!("\r{name}: {} of {count}   ", seed - first + 1);
+    })?;
+    eprintln!();
+    if args.get_flag("json") {
+        println!("{}", found.json());
+    } else {
+        print!("{}", found.table());
+    }
+    Ok(())
+}
--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod jobs;
 pub mod late;
+pub mod model;
 pub mod plan;
 pub mod soak;
 pub mod status;
--- /dev/null
+++ b/src/workswood/ops/model/carry.rs
@@ -0,0 +1,97 @@
+//! What follows from the scheduler's batches: records, and orders on their way.
+
+use std::collections::BTreeMap;
+
+use workswood_core::ids::HostId;
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::{
+    Action, Batch, JobKey, JobRecord, Outcome, Record, Shown, ShownJob, WaveRecord, WorkerRecord,
+};
+
+use super::agenda::{Happening, Order};
+use super::deployment::{APPEND, WAY};
+use super::world::World;
+
+/// What the scheduler has on record.
+#[derive(Default)]
+pub(super) struct Stored {
+    /// States of jobs.
+    pub jobs: BTreeMap<JobKey, JobRecord>,
+    /// Lives of workers.
+    pub workers: BTreeMap<WorkerId, WorkerRecord>,
+    /// Progress of waves.
+    pub waves: BTreeMap<u64, WaveRecord>,
+    /// Who ordered machines lately.
+    pub ordered: BTreeMap<HostId, String>,
+}
+
+impl Stored {
+    fn take(&mut self, rec: Record) {
+        match rec {
+            Record::Job(key, job) => drop(self.jobs.insert(key, job)),
+            Record::DropJob(key) => drop(self.jobs.remove(&key)),
+            Record::Wave(n, wave) => drop(self.waves.insert(n, wave)),
+            Record::Worker(id, w) => drop(self.workers.insert(id, w)),
+            Record::DropWorker(id) => drop(self.workers.remove(&id)),
+            Record::Ordered(machine, Some(holder)) => drop(self.ordered.insert(machine, holder)),
+            Record::Ordered(machine, None) => drop(self.ordered.remove(&machine)),
+        }
+    }
+}
+
+impl World<'_> {
+    /// Has the scheduler decide, if nothing is being written.
+    pub(super) fn decide(&mut self) {
+        if self.writing {
+            return;
+        }
+        let Some(s) = &mut self.sched else { return };
+        let batch = s.take_batch();
+        s.notes.clear();
+        if batch.records.is_empty() {
+            self.carry_out(batch);
+            return;
+        }
+        self.writing = true;
+        self.after(APPEND.mul_f64(self.store_factor), Happening::Stored(batch));
+    }
+
+    /// Carries out what a batch says whose records are stored.
+    pub(super) fn carry_out(&mut self, batch: Batch) {
+        batch.records.into_iter().for_each(|r| self.stored.take(r));
+        batch.shown.iter().for_each(|shown| self.show(shown));
+        for (worker, number) in batch.forget {
+            if let Some(n) = self.machine_of(&worker) {
+                self.machines[n].forget(number);
+            }
+        }
+        batch.actions.into_iter().for_each(|action| self.act(action));
+    }
+
+    fn show(&mut self, shown: &ShownJob) {
+        if shown.state == Some(Shown::Ended(Outcome::Completed)) {
+            self.done.entry(shown.key).or_insert(self.now);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Start { worker, task, attempt, .. } => {
+                self.after(WAY, Happening::Starts(worker, task, attempt));
+            }
+            Action::Stop(worker, task, attempt) => {
+                self.after(WAY, Happening::Stops(worker, task, attempt));
+            }
+            Action::Watch(info) => {
+                if let Some(n) = self.machine_of(&info.id) {
+                    self.after(WAY, Happening::Look(n, info.id, true));
+                }
+            }
+            Action::Move(machine, pool) => {
+                self.after(WAY, Happening::Ordered(machine, Order::Move(pool)));
+            }
+            Action::Upkeep(machine, _) => self.after(WAY, Happening::Ordered(machine, Order::Upkeep)),
+            Action::Unwatch(_) | Action::Pace(..) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/model/faults.rs
@@ -0,0 +1,85 @@
+//! What goes wrong in a run, and how a scheduler takes over.
+
+use std::cmp::Reverse;
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::{Event, MachineState, Scheduler};
+
+use super::agenda::Happening;
+use super::deployment::{LEASE, TAKEOVER, config, limits};
+use super::spec::FaultKind;
+use super::world::World;
+
+impl World<'_> {
+    /// A scheduler takes over with what is on record.
+    pub(super) fn take_over(&mut self) {
+        self.term += 1;
+        self.writing = false;
+        let wall = self.now.as_millis() as u64;
+        let mut s = Scheduler::new(self.term, limits(), self.now, wall);
+        s.policy = self.policy.clone();
+        s.holder = format!("entry-{}", self.term);
+        s.handle(Event::Config(Arc::new(config(self.spec))));
+        self.restore(&mut s);
+        self.sched = Some(s);
+        for n in 0..self.machines.len() {
+            if self.machines[n].serves() {
+                self.list_worker(n);
+            }
+        }
+    }
+
+    fn restore(&self, s: &mut Scheduler) {
+        for (id, rec) in &self.stored.workers {
+            s.restore_worker(id.clone(), rec.clone());
+        }
+        for (machine, holder) in &self.stored.ordered {
+            s.restore_mark(machine.clone(), holder);
+        }
+        for j in self.jobs.iter().filter(|j| j.at <= self.now) {
+            s.restore(j.key, Arc::clone(&j.spec), self.stored.jobs.get(&j.key).cloned());
+        }
+        s.restore_demand();
+        if let Some(wave) = self.wave.clone() {
+            let rec = self.stored.waves.get(&wave.number).cloned();
+            s.handle(Event::Wave(wave, rec));
+        }
+    }
+
+    pub(super) fn fault_begins(&mut self, n: usize) {
+        match self.spec.faults[n].kind {
+            FaultKind::HolderDies => {
+                self.sched = None;
+                // What it was writing is stored or not; here it is not.
+                let lost = |what: &Happening| matches!(what, Happening::Stored(_) | Happening::Look(..));
+                self.agenda.retain(|what| !lost(what));
+                self.after(TAKEOVER, Happening::TakesOver);
+            }
+            FaultKind::StoreSlow(x) => self.store_factor = x,
+            FaultKind::ReportsLate(share) => self.late_reports = share,
+            FaultKind::MachinesDark(count) => self.darken(count, self.spec.faults[n].lasts),
+        }
+    }
+
+    pub(super) fn fault_ends(&mut self, n: usize) {
+        match self.spec.faults[n].kind {
+            FaultKind::StoreSlow(_) => self.store_factor = 1.0,
+            FaultKind::ReportsLate(_) => self.late_reports = 0.0,
+            FaultKind::HolderDies | FaultKind::MachinesDark(_) => {}
+        }
+    }
+
+    /// The machines on which most runs fall silent, and come back as another life.
+    fn darken(&mut self, count: usize, lasts: Duration) {
+        let mut busiest: Vec<usize> =
+            (0..self.machines.len()).filter(|n| self.machines[*n].serves()).collect();
+        busiest.sort_by_key(|n| Reverse(self.machines[*n].running.len()));
+        for n in busiest.into_iter().take(count) {
+            let worker = self.machines[n].worker();
+            self.machines[n].end_life(MachineState::Down);
+            self.tell(Event::Unanswered(worker, self.now + LEASE));
+            self.after(lasts, Happening::Arrives(n));
+        }
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/model/fleet.rs
@@ -0,0 +1,150 @@
+//! Machines, and the tasks that run on them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use workswood_core::ids::ServiceId;
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{
+    EndKind, Machine, MachineState, Report, ReportedEnd, ReportedRun, TaskId, WorkerInfo,
+};
+
+use super::deployment::SPARE;
+
+/// A task that runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ModelRun {
+    /// Number of its try.
+    pub attempt: u32,
+    /// Room that it takes, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// When it began.
+    pub since: Duration,
+    /// How long its work takes, or the warm-up of a task that lasts.
+    pub takes: Duration,
+}
+
+impl ModelRun {
+    /// Share of its work that is done, in whole percent.
+    pub fn percent(&self, now: Duration) -> u32 {
+        let done = (now - self.since).as_secs_f64() / self.takes.as_secs_f64().max(f64::MIN_POSITIVE);
+        (done * 100.0).min(100.0) as u32
+    }
+}
+
+/// A machine of the model, with the present life of its worker.
+pub struct ModelMachine {
+    number: usize,
+    /// Its pool.
+    pub pool: ServiceId,
+    /// Its state.
+    pub state: MachineState,
+    /// Its worker has had so many lives.
+    life: u32,
+    /// Tasks that run.
+    pub running: BTreeMap<TaskId, ModelRun>,
+    /// Ends that were not reported yet.
+    ended: Vec<ReportedEnd>,
+    ends: u64,
+}
+
+impl ModelMachine {
+    /// A machine that is up.
+    pub fn new(number: usize, pool: ServiceId) -> ModelMachine {
+        ModelMachine {
+            number,
+            pool,
+            state: MachineState::Up,
+            life: 0,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            ends: 0,
+        }
+    }
+
+    /// Its name.
+    pub fn name(&self) -> String {
+        format!("m-{:05}", self.number)
+    }
+
+    /// The present life of its worker.
+    pub fn worker(&self) -> WorkerId {
+        format!("w-{:05}-{}", self.number, self.life).as_str().into()
+    }
+
+    /// What its worker says of itself.
+    pub fn info(&self, room: Room) -> WorkerInfo {
+        WorkerInfo {
+            id: self.worker(),
+            service: self.pool.clone(),
+            address: self.name(),
+            data_centre: "model".to_string(),
+            machine: self.name(),
+            capacity: room,
+            labels: Vec::new(),
+            draining: false,
+        }
+    }
+
+    /// Whether its worker is there: it is up, and on.
+    pub fn serves(&self) -> bool {
+        self.state == MachineState::Up && self.pool != SPARE
+    }
+
+    /// Room that its tasks take, in thousandths of a core.
+    pub fn used(&self) -> u64 {
+        self.running.values().map(|r| r.cpu_millis).sum()
+    }
+
+    /// How the platform lists it.
+    pub fn listed(&self, room: Room) -> Machine {
+        Machine {
+            name: self.name(),
+            pool: self.pool.clone(),
+            state: self.state,
+            data_centre: "model".to_string(),
+            labels: Vec::new(),
+            capacity: room,
+            worker: self.serves().then(|| self.worker()),
+        }
+    }
+
+    /// Its worker's life is over, with all that ran.
+    pub fn end_life(&mut self, state: MachineState) {
+        self.state = state;
+        self.life += 1;
+        self.running.clear();
+        self.ended.clear();
+        self.ends = 0;
+    }
+
+    /// A task ends; returns whether it still ran.
+    pub fn end_task(&mut self, task: TaskId, attempt: u32, kind: EndKind) -> bool {
+        if self.running.get(&task).is_none_or(|r| r.attempt != attempt) {
+            return false;
+        }
+        self.running.remove(&task);
+        self.ends += 1;
+        self.ended.push(ReportedEnd { number: self.ends, task, attempt, kind, checkpoint: String::new() });
+        true
+    }
+
+    /// What its worker answers when it is looked at: all ends that it has not been
+    /// told to forget, too.
+    pub fn report(&self, asked: Duration) -> Report {
+        let running = self.running.iter().map(|(task, run)| ReportedRun {
+            task: *task,
+            attempt: run.attempt,
+            checkpoint: String::new(),
+            percent: run.percent(asked),
+            figure: 0,
+        });
+        Report { asked, running: running.collect(), ended: self.ended.clone() }
+    }
+
+    /// The scheduler has on record all ends up to a number.
+    pub fn forget(&mut self, number: u64) {
+        self.ended.retain(|e| e.number > number);
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/model/machines.rs
@@ -0,0 +1,122 @@
+//! What machines and their workers do in a run.
+
+use rand::Rng;
+use workswood_core::ids::HostId;
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{EndKind, Event, MachineReply, MachineState, StartReply, StopReply, TaskId};
+
+use super::agenda::{Happening, Order};
+use super::deployment::{LATE_REPORT, LEASE, LIST, LOOK, MOVE, SPARE, UPKEEP, WARM_UP, WAY};
+use super::fleet::{ModelMachine, ModelRun};
+use super::world::World;
+
+impl World<'_> {
+    pub(super) fn make_machines(&mut self) {
+        let pools = self.spec.services.iter().map(|s| (s.name.clone(), s.machines));
+        let pools = pools.chain([(SPARE.to_string(), self.spec.spare)]);
+        for pool in pools.flat_map(|(name, count)| std::iter::repeat_n(name, count)) {
+            self.machines.push(ModelMachine::new(self.machines.len(), pool));
+        }
+    }
+
+    fn room(&self) -> Room {
+        Room { cpu_millis: self.spec.cpu_millis, mem_mb: self.spec.mem_mb, gpus: 0 }
+    }
+
+    /// The machine on which a life of a worker runs, if it still does.
+    pub(super) fn machine_of(&self, worker: &WorkerId) -> Option<usize> {
+        let number = worker.split('-').nth(1)?.parse::<usize>().ok()?;
+        let m = self.machines.get(number)?;
+        (m.worker() == *worker && m.serves()).then_some(number)
+    }
+
+    /// A worker that is up is listed, and looked at from then on.
+    pub(super) fn list_worker(&mut self, n: usize) {
+        let info = self.machines[n].info(self.room());
+        self.tell(Event::WorkerListed(info));
+    }
+
+    pub(super) fn list(&mut self) {
+        let room = self.room();
+        let list = self.machines.iter().map(|m| m.listed(room)).collect();
+        self.tell(Event::Machines(list, self.now));
+        self.after(LIST, Happening::List);
+    }
+
+    pub(super) fn arrives(&mut self, n: usize) {
+        self.machines[n].state = MachineState::Up;
+        if self.machines[n].serves() {
+            self.list_worker(n);
+        }
+    }
+
+    pub(super) fn look(&mut self, n: usize, worker: WorkerId, again: bool) {
+        if self.machine_of(&worker) != Some(n) {
+            return;
+        }
+        let report = self.machines[n].report(self.now);
+        self.tell(Event::Reported(worker.clone(), report, self.now + LEASE));
+        if again && self.sched.is_some() {
+            self.after(LOOK, Happening::Look(n, worker, true));
+        }
+    }
+
+    pub(super) fn starts(&mut self, worker: WorkerId, task: TaskId, attempt: u32) {
+        let reply = match self.machine_of(&worker) {
+            Some(n) => {
+                self.run(n, worker.clone(), task, attempt);
+                StartReply::Taken
+            }
+            None => StartReply::NotSent,
+        };
+        self.tell(Event::Started(worker, task, attempt, reply, self.now + LEASE));
+    }
+
+    /// A task runs on a machine, and ends when it really does.
+    fn run(&mut self, n: usize, worker: WorkerId, task: TaskId, attempt: u32) {
+        // Jobs are numbered from 1 on, in the order in which they are kept.
+        let job = &self.jobs[task.job as usize - 1];
+        let step = usize::from(task.step);
+        let asked = &job.spec.steps[step];
+        let ends_after = job.takes[step];
+        let takes = if asked.lasting { WARM_UP } else { ends_after };
+        let run = ModelRun { attempt, cpu_millis: asked.room.cpu_millis, since: self.now, takes };
+        self.machines[n].running.insert(task, run);
+        self.after(ends_after, Happening::Ends(worker, task, attempt));
+    }
+
+    pub(super) fn ends(&mut self, worker: WorkerId, task: TaskId, attempt: u32, kind: EndKind) {
+        let Some(n) = self.machine_of(&worker) else { return };
+        if !self.machines[n].end_task(task, attempt, kind) {
+            return;
+        }
+        let late = self.luck.random::<f64>() < self.late_reports;
+        let wait = if late { WAY + LATE_REPORT } else { WAY };
+        self.after(wait, Happening::Look(n, worker, false));
+    }
+
+    pub(super) fn stops(&mut self, worker: WorkerId, task: TaskId, attempt: u32) {
+        self.ends(worker.clone(), task, attempt, EndKind::Stopped);
+        self.tell(Event::Stopped(worker, task, attempt, StopReply::Taken));
+    }
+
+    pub(super) fn ordered(&mut self, machine: HostId, order: Order) {
+        let Some(n) = self.machines.iter().position(|m| m.name() == machine) else { return };
+        if self.machines[n].state != MachineState::Up {
+            self.tell(Event::MachineOrdered(machine, MachineReply::Busy));
+            return;
+        }
+        let (state, takes) = match &order {
+            Order::Move(_) => (MachineState::Moving, MOVE),
+            Order::Upkeep => (MachineState::Upkeep, UPKEEP),
+        };
+        self.machines[n].end_life(state);
+        if let Order::Move(pool) = order {
+            self.machines[n].pool = pool;
+            self.moves += 1;
+        }
+        self.after(takes, Happening::Arrives(n));
+        self.tell(Event::MachineOrdered(machine, MachineReply::Done));
+    }
+}
--- /dev/null
+++ b/src/workswood/ops/model/spec.rs
@@ -0,0 +1,216 @@
+//! The file that describes a fleet, its load and its faults.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use workswood_core::ids::ServiceId;
+use workswood_core::jobs::Policy;
+
+/// Longest time that may be played.
+const LONGEST: Duration = Duration::from_secs(3600);
+/// Most machines.
+const MOST_MACHINES: usize = 10_000;
+
+/// As on the deployments known to us.
+fn default_peak() -> f64 {
+    5.0
+}
+
+/// Likewise.
+fn default_rest() -> f64 {
+    0.05
+}
+
+/// A fleet, its load and its faults.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    /// How long callers hand jobs in.
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    /// How long the turn of one service lasts.
+    #[serde(with = "humantime_serde")]
+    pub turn: Duration,
+    /// In its turn a service asks for this many times its mean.
+    #[serde(default = "default_peak")]
+    pub peak: f64,
+    /// Outside its turn it asks for this share of its mean.
+    #[serde(default = "default_rest")]
+    pub rest: f64,
+    /// Thousandths of a core of each machine.
+    pub cpu_millis: u64,
+    /// Memory of each machine in MB.
+    pub mem_mb: u64,
+    /// Machines that are off at the beginning.
+    pub spare: usize,
+    /// Services, in the order of their turns.
+    pub services: Vec<ServiceSpec>,
+    /// A maintenance wave, if there is one.
+    #[serde(default)]
+    pub wave: Option<WaveSpec>,
+    /// What goes wrong.
+    #[serde(default)]
+    pub faults: Vec<FaultSpec>,
+    /// What the scheduler's decisions are tuned by.
+    #[serde(default)]
+    pub policy: Policy,
+}
+
+/// A service, and the jobs of its queue.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: ServiceId,
+    /// Machines of its pool at the beginning.
+    pub machines: usize,
+    /// Mean number of jobs a second over all turns.
+    pub jobs_per_s: f64,
+    /// Mean number of steps of a job.
+    pub steps: f64,
+    /// Mean number of tasks of a step.
+    pub tasks: f64,
+    /// Mean time that a task takes.
+    #[serde(with = "humantime_serde")]
+    pub takes: Duration,
+    /// Mean room of a task in thousandths of a core.
+    pub task_cpu_millis: u64,
+    /// A job is owed within this multiple of its longest chain of work.
+    pub stretch: f64,
+    /// Plus this much.
+    #[serde(with = "humantime_serde")]
+    pub target: Duration,
+    /// Tasks of a job that lasts.
+    #[serde(default)]
+    pub lasting: u32,
+}
+
+/// A maintenance wave.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WaveSpec {
+    /// When it is asked for.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// Share of all machines.
+    pub share: f64,
+    /// Time allowed for all of them.
+    #[serde(with = "humantime_serde")]
+    pub within: Duration,
+    /// How many may be down at once.
+    pub most_at_once: usize,
+}
+
+/// What goes wrong.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FaultSpec {
+    /// When it begins.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// How long it lasts.
+    #[serde(with = "humantime_serde", default)]
+    pub lasts: Duration,
+    /// What it is.
+    pub kind: FaultKind,
+}
+
+/// Kinds of faults.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum FaultKind {
+    /// The lease holder dies; another one takes over.
+    HolderDies,
+    /// The store takes this many times as long for an append.
+    StoreSlow(f64),
+    /// So many of the busiest machines fall silent, with what runs there.
+    MachinesDark(usize),
+    /// This share of the workers' reports is heard half a second late.
+    ReportsLate(f64),
+}
+
+impl ModelSpec {
+    /// Time from the beginning of a service's turn to that of its next one: what
+    /// makes its mean over both what the file says.
+    pub fn period(&self) -> Duration {
+        self.turn.mul_f64((self.peak - self.rest) / (1.0 - self.rest))
+    }
+
+    /// Checks what the model relies on.
+    pub fn check(&self) -> Result<(), String> {
+        let machines = self.spare + self.services.iter().map(|s| s.machines).sum::<usize>();
+        if self.services.is_empty() {
+            return Err("name at least one service under `services`".to_string());
+        }
+        if machines == 0 || machines > MOST_MACHINES {
+            return Err(format!("`spare` and `machines` must come to 1 to {MOST_MACHINES}, not {machines}"));
+        }
+        if self.cpu_millis == 0 {
+            return Err("`cpu_millis` must be above 0".to_string());
+        }
+        self.check_turns()?;
+        self.services.iter().try_for_each(ServiceSpec::check)?;
+        self.wave.as_ref().map_or(Ok(()), WaveSpec::check)?;
+        self.faults.iter().try_for_each(FaultSpec::check)?;
+        self.policy.check()
+    }
+
+    fn check_turns(&self) -> Result<(), String> {
+        if self.lasts > LONGEST || self.turn > LONGEST || self.turn.is_zero() {
+            return Err(format!(
+                "`lasts` must be at most {0} s, and `turn` above 0 and at most {0} s",
+                LONGEST.as_secs()
+            ));
+        }
+        if !(self.peak > 1.0 && self.peak.is_finite()) {
+            return Err(format!("`peak` must be above 1, not {}", self.peak));
+        }
+        if !(0.0..1.0).contains(&self.rest) {
+            return Err(format!("`rest` must be at least 0 and below 1, not {}", self.rest));
+        }
+        Ok(())
+    }
+}
+
+impl ServiceSpec {
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("jobs_per_s", self.jobs_per_s),
+            ("steps", self.steps),
+            ("tasks", self.tasks),
+            ("stretch", self.stretch),
+        ];
+        for (field, v) in positive {
+            if !(v > 0.0 && v.is_finite()) {
+                return Err(format!("`{field}` of service `{}` must be above 0", self.name));
+            }
+        }
+        Ok(())
+    }
+}
+
+impl WaveSpec {
+    fn check(&self) -> Result<(), String> {
+        if !(0.0..=1.0).contains(&self.share) {
+            return Err(format!("`wave.share` must lie between 0 and 1, not {}", self.share));
+        }
+        if self.most_at_once == 0 {
+            return Err("`wave.most_at_once` must be at least 1".to_string());
+        }
+        Ok(())
+    }
+}
+
+impl FaultSpec {
+    fn check(&self) -> Result<(), String> {
+        match self.kind {
+            FaultKind::StoreSlow(x) if !(x >= 1.0 && x.is_finite()) => {
+                Err(format!("`store_slow` must be at least 1, not {x}"))
+            }
+            FaultKind::ReportsLate(x) if !(0.0..=1.0).contains(&x) => {
+                Err(format!("`reports_late` must lie between 0 and 1, not {x}"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
--- a/src/workswood/util/errors.rs
+++ b/src/workswood/util/errors.rs
@@ -76,6 +76,12 @@
         /// What was asked for.
         text: String,
     },
+    /// A field of a policy and its values can't be read.
+    #[snafu(display("`{text}` is not of the form FIELD=VALUE,VALUE, as need.full=0.7,0.85"))]
+    BadVary {
+        /// What was given.
+        text: String,
+    },
     /// The run found something broken.
     #[snafu(display("{message}"))]
     Broken {
@@ -95,14 +101,16 @@
             Error::Call { .. } => Code::PlatformUnreachable,
             Error::Refused { code, .. } | Error::Unknown { code } => *code,
             Error::PlanImpossible { .. } => Code::PlanImpossible,
-            Error::NoCode { .. } | Error::Broken { .. } => Code::BadRequest,
+            Error::NoCode { .. } | Error::BadVary { .. } | Error::Broken { .. } => Code::BadRequest,
         }
     }
 
     /// The exit status of the process; see `docs/OPERATIONS.md`.
     pub fn exit_status(&self) -> u8 {
         match self {
-            Error::BadFile { .. } | Error::Settings { .. } | Error::NoCode { .. } => 2,
+            Error::BadFile { .. } | Error::Settings { .. } | Error::NoCode { .. } | Error::BadVary { .. } => {
+                2
+            }
             Error::Refused { .. } | Error::PlanImpossible { .. } => 3,
             Error::Unknown { .. } => 4,
             Error::Call { .. } => 5,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod order_marks;
 mod peer_help;
 mod peer_members;
+mod policy_model;
 mod pool_moves;
 mod queue_order;
 mod random_fleet;
--- /dev/null
+++ b/tests/testsuite/policy_model.rs
@@ -0,0 +1,229 @@
+//! The model of a fleet, in which policies are compared.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood::ops::model::compare::Gain;
+use workswood::ops::model::load::{self, ModelJob};
+use workswood::ops::model::spec::{FaultKind, FaultSpec};
+use workswood::ops::model::{Figures, ModelSpec, Vary, bound, read, run, world};
+use workswood_core::invariant;
+use workswood_core::jobs::Policy;
+use workswood_test_support::job_world::{job, step};
+
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/model-turns.json");
+
+fn example() -> ModelSpec {
+    read(EXAMPLE).expect("the example is good")
+}
+
+/// The example without a wave, faults, and most of its load.
+fn calm() -> ModelSpec {
+    let mut spec = example();
+    (spec.wave, spec.faults) = (None, Vec::new());
+    spec.services.iter_mut().for_each(|s| s.jobs_per_s /= 4.0);
+    spec
+}
+
+/// Mean of some runs of a spec.
+fn mean(spec: &ModelSpec, seeds: u64) -> Figures {
+    let found = run(spec, None, 1..seeds + 1, |_, _| {}).expect("one variant");
+    found.variants[0].mean
+}
+
+#[test]
+fn calm_fleet_is_in_time() {
+    let f = mean(&calm(), 3);
+    assert!(f.in_time > 0.99, "{f:?}");
+    assert!(f.jobs > 50.0 && f.machines < 41.0, "{f:?}");
+    assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
+}
+
+#[test]
+fn faults_cost_time() {
+    let calm = mean(&calm(), 3);
+    for kind in [FaultKind::HolderDies, FaultKind::MachinesDark(4), FaultKind::StoreSlow(150.0)] {
+        let mut spec = self::calm();
+        let lasts = Duration::from_secs(6);
+        spec.faults = vec![FaultSpec { at: Duration::from_secs(4), lasts, kind }];
+        let f = mean(&spec, 3);
+        assert!(f.in_time < calm.in_time, "{kind:?}: {f:?} against {calm:?}");
+        assert!(f.in_time > 0.5, "{kind:?}: {f:?}, it has to come back");
+    }
+    assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
+}
+
+#[test]
+fn turns_known_or_not() {
+    let vary = Vary::parse("need.turn_share=0,0.8").expect("a field and values");
+    let found = run(&example(), Some(&vary), 1..7, |_, _| {}).expect("both are good");
+    let [without, with] = &found.variants[..] else { panic!("{found:?}") };
+    assert_eq!(without.name, "need.turn_share=0");
+    let gain = with.gain.expect("it is the second");
+    assert!(gain.in_time > 0.01, "{gain:?}: {:?} against {:?}", with.mean, without.mean);
+}
+
+#[test]
+fn same_seed_same_run() {
+    let spec = example();
+    let once = |seed| world::play(&spec, &Policy::default(), seed);
+    assert_eq!(once(3), once(3));
+    assert_ne!(once(3), once(4));
+}
+
+#[test]
+fn load_by_turns() {
+    let mut spec = example();
+    spec.lasts = spec.period() * 20;
+    let jobs = load::jobs(&spec, 1);
+    let (period, turn) = (spec.period().as_secs_f64(), spec.turn.as_secs_f64());
+    for (n, s) in spec.services.iter().enumerate() {
+        let begins = period * n as f64 / spec.services.len() as f64;
+        let own = jobs.iter().filter(|j| j.spec.queue == s.name && j.worth > 0.0);
+        let since = |j: &ModelJob| ((j.at - load::BEFORE).as_secs_f64() - begins).rem_euclid(period);
+        let (within, between): (Vec<f64>, Vec<f64>) = own.map(since).partition(|at| *at < turn);
+        let (in_turn, out) = (within.len() as f64 / turn, between.len() as f64 / (period - turn));
+        let (peak, rest) = (in_turn / 20.0 / s.jobs_per_s, out / 20.0 / s.jobs_per_s);
+        assert!((4.5..5.5).contains(&peak), "{}: {peak} times its mean in its turn", s.name);
+        assert!((0.02..0.09).contains(&rest), "{}: {rest} times its mean in between", s.name);
+        let mean = own_mean(&jobs, s.name.as_str(), &spec) / s.jobs_per_s;
+        assert!((0.9..1.1).contains(&mean), "{}: {mean} times its mean in all", s.name);
+    }
+}
+
+/// Jobs a second of a queue.
+fn own_mean(jobs: &[ModelJob], queue: &str, spec: &ModelSpec) -> f64 {
+    let own = jobs.iter().filter(|j| j.spec.queue == *queue && j.worth > 0.0);
+    own.count() as f64 / spec.lasts.as_secs_f64()
+}
+
+/// A job of two steps, one after the other, of so many thousandths of a core each.
+fn two_steps(key: u64, handed_in: u64, cpu_millis: u64, takes: [u64; 2]) -> ModelJob {
+    let mut spec = job(vec![step(2, vec![]), step(1, vec![0])], handed_in);
+    spec.steps.iter_mut().for_each(|s| s.room.cpu_millis = cpu_millis);
+    ModelJob {
+        key,
+        at: Duration::from_millis(handed_in),
+        spec: Arc::new(spec),
+        takes: takes.map(Duration::from_millis).to_vec(),
+        owed: Duration::from_secs(3600),
+        worth: 1.0,
+    }
+}
+
+#[test]
+fn bound_of_jobs() {
+    let mut spec = example();
+    spec.cpu_millis = 1000;
+    let end = Duration::from_secs(10);
+    // Two tasks of 0.8 cores for two seconds, then one for a second: 4 core-seconds.
+    let one = bound::of(&spec, &[two_steps(1, 4000, 800, [2000, 1000])], end);
+    assert!((one.least - 0.4).abs() < 1e-9, "{one:?}");
+    // 1.6 cores take two machines, sent for 1.5 s ahead; then one for a second.
+    assert!((one.forecast - (2.0 * 3.5 + 1.0) / 10.0).abs() < 1e-9, "{one:?}");
+    // What goes on at the end of the run counts up to it.
+    let cut = bound::of(&spec, &[two_steps(1, 9000, 500, [2000, 1000])], end);
+    assert!((cut.least - 0.1).abs() < 1e-9 && (cut.forecast - 0.25).abs() < 1e-9, "{cut:?}");
+}
+
+#[test]
+fn bound_below_run() {
+    for seed in 1..4 {
+        let f = world::play(&calm(), &Policy::default(), seed);
+        assert!(f.least <= f.busy && f.least <= f.forecast && f.forecast <= f.machines, "{f:?}");
+    }
+}
+
+#[test]
+fn gain_on_same_seeds() {
+    let runs = |shares: [f64; 4]| shares.map(|in_time| Figures { in_time, ..Figures::default() });
+    let gain = Gain::of(&runs([0.9, 0.8, 0.7, 0.6]), &runs([0.8, 0.7, 0.6, 0.5]));
+    assert!((gain.in_time - 0.1).abs() < 1e-9 && gain.error < 1e-9, "{gain:?}");
+    let gain = Gain::of(&runs([0.9, 0.7, 0.9, 0.7]), &runs([0.8, 0.8, 0.8, 0.8]));
+    assert!(gain.in_time.abs() < 1e-9 && (gain.error - 0.0577).abs() < 1e-4, "{gain:?}");
+}
+
+#[test]
+fn table_and_json() {
+    let vary = Vary::parse("need.full=0.7,0.85").expect("a field and values");
+    let mut told = Vec::new();
+    let found = run(&calm(), Some(&vary), 5..7, |name, seed| told.push((name.to_string(), seed)));
+    let found = found.expect("both are good");
+    let seeds: Vec<u64> = told.iter().map(|(_, seed)| *seed).collect();
+    assert_eq!(seeds, [5, 6, 5, 6]);
+    let table = found.table();
+    assert_eq!(table.lines().count(), 3, "{table}");
+    assert!(table.contains("need.full=0.85"), "{table}");
+    let json: serde_json::Value = serde_json::from_str(&found.json()).expect("it is JSON");
+    assert_eq!(json["first_seed"], 5);
+    assert_eq!(json["variants"][1]["runs"].as_array().map(Vec::len), Some(2));
+    assert!(json["variants"][0]["mean"]["in_time"].is_number() && json["variants"][1]["gain"].is_object());
+}
+
+#[test]
+fn values_of_a_field() {
+    let vary = Vary::parse("need.arrivals=1s,1500ms").expect("a field and values");
+    let policies = vary.policies(&Policy::default()).expect("both are good");
+    let spans: Vec<Duration> = policies.iter().map(|(_, p)| p.need.arrivals).collect();
+    assert_eq!(spans, [Duration::from_secs(1), Duration::from_millis(1500)]);
+    for bad in ["need.full", "=1", "need.full="] {
+        let report = Vary::parse(bad).expect_err("not of that form").report();
+        assert!(report.starts_with("error ") && report.contains("FIELD=VALUE"), "{report}");
+    }
+    for bad in ["need.colour=1", "need.full=2", "need.full=\"much\""] {
+        let report = Vary::parse(bad).expect("the form is good").policies(&Policy::default());
+        let report = report.expect_err("no such policy").report();
+        assert!(report.starts_with("error 300"), "{report}");
+    }
+}
+
+#[test]
+fn bad_files_refused() {
+    let good = std::fs::read_to_string(EXAMPLE).expect("the example");
+    let cases = [
+        ("\"cpu_millis\": 16000", "\"cpu_millis\": 0", "cpu_millis"),
+        ("\"turn\": \"8s\"", "\"turn\": \"0s\"", "turn"),
+        ("\"turn\": \"8s\"", "\"turn\": \"8s\", \"peak\": 1", "peak"),
+        ("\"turn\": \"8s\"", "\"turn\": \"8s\", \"rest\": 1", "rest"),
+        ("\"most_at_once\": 8", "\"most_at_once\": 0", "wave.most_at_once"),
+        ("\"reports_late\": 0.055", "\"reports_late\": 55", "reports_late"),
+        ("\"jobs_per_s\": 7.2", "\"jobs_per_s\": -1", "jobs_per_s"),
+        ("\"share\": 0.5", "\"share\": 1.5", "wave.share"),
+        ("\"spare\": 8", "\"spare\": 8, \"colour\": 1", "colour"),
+    ];
+    for (n, (from, to, named)) in cases.into_iter().enumerate() {
+        let path = std::env::temp_dir().join(format!("workswood-model-{}-{n}.json", std::process::id()));
+        std::fs::write(&path, good.replacen(from, to, 1)).expect("a file");
+        let report = read(&path.to_string_lossy()).expect_err("the file is bad").report();
+        std::fs::remove_file(&path).expect("the file is there");
+        assert!(report.starts_with("error 300") && report.contains(named), "{report}");
+    }
+}
+
+#[test]
+fn worst_spans_count() {
+    let at = |ms: u64| Duration::from_millis(ms);
+    let one = |key: u64, handed_in: u64| ModelJob {
+        key,
+        at: at(handed_in),
+        spec: Arc::new(job(vec![step(1, vec![])], handed_in)),
+        takes: vec![at(500)],
+        owed: at(handed_in + 1000),
+        worth: 1.0,
+    };
+    // Two in each of three spans; one of the first is late, both of the last.
+    let jobs: Vec<ModelJob> = (0..6).map(|n| one(n, n / 2 * 2000)).collect();
+    let done: BTreeMap<u64, Duration> = jobs
+        .iter()
+        .map(|j| (j.key, j.at + at(if [0, 4, 5].contains(&j.key) { 1001 } else { 999 })))
+        .collect();
+    let f = Figures::of(&jobs, &done);
+    assert_eq!((f.jobs, f.in_time, f.worst), (6.0, 0.5, 0.25));
+}
+
+#[test]
+fn one_run_plays() {
+    let f = world::play(&example(), &Policy::default(), 1);
+    assert!(f.moves > 10.0 && f.busy > 5.0 && f.busy < f.machines, "{f:?}");
+}
