Remove the handicap for size from the order of tasks

It came when less was in time; it put off large jobs until they were late.

Conclusion: gone with its field and `work_left`.

--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -4,10 +4,8 @@
 //! time; done later it is worth little, and much later nothing. A queue that
 //! serves jobs in the order of their coming makes every job late once it is
 //! behind. So tasks whose job can still be in time go first; among them those
-//! that must begin first, with a handicap for the work left in their job: with
-//! small jobs first, more of them are in time with the same cores. Jobs that are
-//! late anyway get what is left over, in the order of their coming, so that
-//! large ones have their turn too.
+//! that must begin first. Jobs that are late anyway get what is left over, in the
+//! order of their coming.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -39,7 +37,7 @@
     pub priority: u32,
     /// Standing of the job when it was last looked at.
     pub standing: Standing,
-    /// In time: when the task must begin, put off by the size of its job.
+    /// In time: when the task must begin.
     /// Later: when the job was handed in.
     pub rank: u64,
     /// The task.
@@ -190,10 +188,7 @@
     let standing = dues.standing(now);
     let rank = match standing {
         _ if lasting => 0,
-        Standing::InTime => {
-            let size = work_left(job, id.round, &took) as f64 * policy.size_weight;
-            dues.in_time + size as u64
-        }
+        Standing::InTime => dues.in_time,
         Standing::Late | Standing::Void => begin,
     };
     let place = Place { priority: spec.priority, standing, rank, task: *id };
@@ -211,14 +206,3 @@
     let steps = spec.steps.iter().enumerate();
     steps.map(|(n, s)| u64::from(s.count) * s.room.cpu_millis * took(n).as_millis() as u64 / 1000).sum()
 }
-
-/// Work left in a round of a job, in core-milliseconds.
-pub fn work_left(job: &Job, round: u32, took: &dyn Fn(usize) -> Duration) -> u64 {
-    let Some(steps) = job.rounds.get(round as usize) else { return 0 };
-    let left = steps.iter().enumerate().map(|(n, tasks)| {
-        let open = tasks.iter().filter(|t| !t.done).count() as u64;
-        let per_task = job.spec.steps[n].room.cpu_millis * took(n).as_millis() as u64 / 1000;
-        open * per_task
-    });
-    left.sum()
-}
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -42,15 +42,11 @@
     pub enough_ends: u32,
     /// Weight of the newest end in the mean of a queue: about the last 30 count.
     pub newest: f64,
-    /// By how many milliseconds a core-millisecond of work left puts a job off
-    /// that is in time. With more, more jobs are in time when there is too much
-    /// to do; with less, large jobs are served as often as small ones.
-    pub size_weight: f64,
 }
 
 impl Default for OrderPolicy {
     fn default() -> OrderPolicy {
-        OrderPolicy { late_until: 3.0, enough_ends: 8, newest: 1.0 / 30.0, size_weight: 0.6 }
+        OrderPolicy { late_until: 3.0, enough_ends: 8, newest: 1.0 / 30.0 }
     }
 }
 
@@ -314,7 +310,6 @@
     fn check_factors(&self) -> Result<(), String> {
         let factors = [
             ("order.late_until", self.order.late_until),
-            ("order.size_weight", self.order.size_weight),
             ("need.late", self.need.late),
             ("need.lend_per_s", self.need.lend_per_s),
             ("need.forget_per_s", self.need.forget_per_s),
