--- a/src/workswood/ops/mod.rs
+++ b/src/workswood/ops/mod.rs
@@ -9,6 +9,7 @@
 pub mod job_status;
 pub mod jobs;
 pub mod late;
+pub mod model;
 pub mod plan;
 pub mod soak;
 pub mod status;
--- a/src/workswood/util/errors.rs
+++ b/src/workswood/util/errors.rs
@@ -91,6 +91,12 @@
         /// What is missing.
         message: String,
     },
+    /// A field of a policy and its values can't be read.
+    #[snafu(display("`{text}` is not of the form FIELD=VALUE,VALUE, as need.full=0.7,0.85"))]
+    BadVary {
+        /// What was given.
+        text: String,
+    },
     /// The run found something broken.
     #[snafu(display("{message}"))]
     Broken {
@@ -110,14 +116,20 @@
             Error::Call { .. } | Error::Store { .. } => Code::PlatformUnreachable,
             Error::Refused { code, .. } | Error::Unknown { code } => *code,
             Error::PlanImpossible { .. } => Code::PlanImpossible,
-            Error::NoCode { .. } | Error::Logs { .. } | Error::Broken { .. } => Code::BadRequest,
+            Error::NoCode { .. } | Error::BadVary { .. } | Error::Logs { .. } | Error::Broken { .. } => {
+                Code::BadRequest
+            }
         }
     }
 
     /// The exit status of the process; see `docs/OPERATIONS.md`.
     pub fn exit_status(&self) -> u8 {
         match self {
-            Error::BadFile { .. } | Error::Settings { .. } | Error::NoCode { .. } | Error::Logs { .. } => 2,
+            Error::BadFile { .. }
+            | Error::Settings { .. }
+            | Error::NoCode { .. }
+            | Error::BadVary { .. }
+            | Error::Logs { .. } => 2,
             Error::Refused { .. } | Error::PlanImpossible { .. } => 3,
             Error::Unknown { .. } => 4,
             Error::Call { .. } | Error::Store { .. } => 5,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -33,6 +33,7 @@
 mod peer_help;
 mod peer_members;
 mod platform_words;
+mod policy_model;
 mod pool_moves;
 mod queue_order;
 mod random_fleet;
