Tell the truth of copies; judge links by bytes and connections by their age

Bytes count now, messages have time by their length, and pings time by how long they take. - To a peer that accepts and says nothing, 20 connections were made in 4 s; now there are pauses, and nothing is asked on behalf of nobody. - An alarm also took connections that were opened after the silence. It now says since when connections are suspect, by the first call that was lost. Tests: silent_connections::{busy_peer_is_waited_for,long_answer_is_coming}, connection_suspicion.

--- a/crates/workswood-http/src/attempt.rs
+++ b/crates/workswood-http/src/attempt.rs
@@ -9,10 +9,19 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client, Error};
 use tokio::time::Instant;
-use workswood_liveness::Round;
+use workswood_liveness::Finding;
 
 use crate::pool::{Peer, Pool};
 
+/// The connections that an attempt goes over.
+pub(crate) struct Over<B> {
+    pub(crate) client: Client<HttpConnector, B>,
+    /// Number of the client.
+    pub(crate) number: u64,
+    /// When the first of its connections may have been opened.
+    pub(crate) opened: Instant,
+}
+
 /// One attempt at a call. Dropped before its end is told, when its caller no longer
 /// waits, it counts as one without an answer if the answer was due.
 pub struct Attempt<B>
@@ -23,10 +32,8 @@
 {
     pool: Pool<B>,
     peer: Arc<Peer<B>>,
-    client: Client<HttpConnector, B>,
-    /// Number of the client.
-    number: u64,
-    round: Round,
+    over: Over<B>,
+    begun: Instant,
     /// When its answer is late. Until then nothing is wrong with a connection on which
     /// nothing comes: a call that waits for something to happen says nothing of it.
     late_at: Instant,
@@ -40,21 +47,15 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    pub(crate) fn new(
-        pool: Pool<B>,
-        peer: Arc<Peer<B>>,
-        client: Client<HttpConnector, B>,
-        number: u64,
-        round: Round,
-        waits: Duration,
-    ) -> Attempt<B> {
-        let late_at = Instant::now() + waits + peer.patience.late_after();
-        Attempt { pool, peer, client, number, round, late_at, told: AtomicBool::new(false) }
+    pub(crate) fn new(pool: Pool<B>, peer: Arc<Peer<B>>, over: Over<B>, waits: Duration) -> Attempt<B> {
+        let begun = Instant::now();
+        let late_at = begun + waits + peer.patience.late_after();
+        Attempt { pool, peer, over, begun, late_at, told: AtomicBool::new(false) }
     }
 
     /// Sends the request; returns with the head of the answer.
     pub async fn send(&self, req: Request<B>) -> Result<Response<Incoming>, Error> {
-        self.client.request(req).await
+        self.over.client.request(req).await
     }
 
     /// Waits until the connection of this attempt has become suspect.
@@ -62,8 +63,8 @@
         let mut below = self.peer.suspect_below.subscribe();
         tokio::select! {
             // The sender lives as long as the peer.
-            _ = below.wait_for(|n| self.number < *n) => {}
-            () = self.pool.half_open().suspected(self.round) => {}
+            _ = below.wait_for(|n| self.over.number < *n) => {}
+            () = self.pool.half_open().suspected(self.over.opened) => {}
         }
     }
 
@@ -84,18 +85,13 @@
 
     /// Has the next attempt open a new connection: this one's may be at fault.
     pub fn distrust(&self) {
-        self.renew(false);
+        self.renew(None);
     }
 
     /// Tells that the connection of this attempt was half-open: it had no answer, and a
     /// new one had. All that are as old may be.
     pub fn was_silent(&self) {
-        self.peer.suspect_below.send_if_modified(|below| {
-            let later = *below <= self.number;
-            *below = (*below).max(self.number + 1);
-            later
-        });
-        self.pool.half_open().found(&self.peer.address);
+        self.tell_silent(self.over.number + 1, self.begun);
     }
 
     /// Ends the attempt: it was answered, in whatever way. If an earlier one was given
@@ -103,19 +99,23 @@
     pub fn answered(&self) {
         self.told.store(true, Ordering::Relaxed);
         let mut now = self.peer.now.lock();
-        if now.number != self.number || !std::mem::take(&mut now.doubted) {
+        if now.number != self.over.number {
             return;
         }
+        let Some(silent_since) = now.doubted.take() else { return };
         drop(now);
-        self.peer.suspect_below.send_replace(self.number);
-        self.pool.half_open().found(&self.peer.address);
+        self.tell_silent(self.over.number, silent_since);
+    }
+
+    fn tell_silent(&self, suspect_below: u64, silent_since: Instant) {
+        self.peer.suspect_below.send_modify(|below| *below = suspect_below.max(*below));
+        self.pool.half_open().found(Finding { address: self.peer.address.clone(), silent_since });
     }
 
-    fn renew(&self, doubted: bool) {
+    fn renew(&self, doubted: Option<Instant>) {
         let mut now = self.peer.now.lock();
-        if now.number == self.number {
-            let round = now.round;
-            now.renew(self.pool.client(), round);
+        if now.number == self.over.number {
+            now.renew(self.pool.client());
             now.doubted = doubted;
         }
     }
@@ -135,7 +135,7 @@
 {
     fn drop(&mut self) {
         if !self.told.load(Ordering::Relaxed) && Instant::now() >= self.late_at {
-            self.renew(true);
+            self.renew(Some(self.begun));
         }
     }
 }
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -1,6 +1,7 @@
 //! Calls whose answers are held whole.
 
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -72,6 +73,14 @@
     pub repeated: bool,
 }
 
+impl Answer {
+    /// Whether the peer has dealt with the call. One that is busy turns a copy away
+    /// while the first waits for its turn.
+    fn is_final(&self) -> bool {
+        self.status != StatusCode::TOO_MANY_REQUESTS && !self.status.is_server_error()
+    }
+}
+
 /// Why there is no whole answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -147,16 +156,24 @@
             }
             First::Late => {
                 first.distrust();
-                let mut again = pin!(self.again_if_silent(call, &first, until));
-                tokio::select! {
-                    res = &mut again => {
-                        first.abandon();
-                        res
-                    }
-                    res = &mut sent => match res {
-                        Err(Failure::NoAnswer(_)) => again.await,
+                let copied = AtomicBool::new(false);
+                let mut again = pin!(self.again_if_silent(call, &first, &copied, until));
+                let copy = tokio::select! {
+                    res = &mut again => res,
+                    res = &mut sent => return match res {
+                        // With a copy on its way, "not sent" would not be true.
+                        Err(e) if matches!(e, Failure::NoAnswer(_)) || copied.load(Ordering::Relaxed) => again.await,
                         res => res,
-                    }
+                    },
+                };
+                if copy.as_ref().is_ok_and(Answer::is_final) {
+                    first.abandon();
+                    return copy;
+                }
+                // What became of the copy says nothing of the first.
+                match tokio::time::timeout_at(until, sent).await {
+                    Ok(Ok(answer)) => Ok(answer),
+                    Ok(Err(_)) | Err(_) => copy,
                 }
             }
         }
@@ -168,6 +185,7 @@
         &self,
         call: &Call<'_>,
         first: &Attempt<Full<Bytes>>,
+        copied: &AtomicBool,
         until: Instant,
     ) -> Result<Answer, Failure> {
         if let Repeat::Probed { path } = &call.repeat
@@ -177,8 +195,9 @@
             tokio::time::sleep_until(until).await;
             return Err(timed_out());
         }
+        copied.store(true, Ordering::Relaxed);
         let res = self.again(call, until).await;
-        if res.is_ok() {
+        if res.as_ref().is_ok_and(Answer::is_final) {
             first.was_silent();
         }
         res
@@ -217,7 +236,7 @@
             // What was sent first may have arrived.
             Ok(Err(e)) => Err(Failure::NoAnswer(text_of(e))),
             Err(_) => {
-                // Over a connection that was new: the peer itself is slow.
+                // The connection was new: the peer needs at least this long.
                 second.took(begun.elapsed());
                 Err(timed_out())
             }
--- a/crates/workswood-http/src/pool.rs
+++ b/crates/workswood-http/src/pool.rs
@@ -11,9 +11,9 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use workswood_liveness::{HalfOpen, Patience, Round};
+use workswood_liveness::{HalfOpen, Patience};
 
-use crate::attempt::Attempt;
+use crate::attempt::{Attempt, Over};
 
 /// A call without an answer for this many times the mean of its address is late,
 const LATE_TIMES: f64 = 4.0;
@@ -63,10 +63,11 @@
     pub(crate) client: Client<HttpConnector, B>,
     /// Counts the clients of this address.
     pub(crate) number: u64,
-    pub(crate) round: Round,
-    /// Whether a call over an earlier connection had no answer, and none over a
-    /// present one has had one since.
-    pub(crate) doubted: bool,
+    /// When the first of its connections may have been opened.
+    opened: Instant,
+    /// When a call was sent over an earlier connection that had no answer, if none
+    /// over a present one has had one since.
+    pub(crate) doubted: Option<Instant>,
     used: Instant,
 }
 
@@ -89,15 +90,14 @@
     /// some time.
     pub fn attempt(&self, address: &str, waits: Duration) -> Attempt<B> {
         let peer = self.peer(address);
-        let round = self.half_open().round();
         let mut now = peer.now.lock();
-        if now.round < round {
-            now.renew(self.client(), round);
+        if self.half_open().is_suspect(now.opened) {
+            now.renew(self.client());
         }
         now.used = Instant::now();
-        let (client, number, round) = (now.client.clone(), now.number, now.round);
+        let over = Over { client: now.client.clone(), number: now.number, opened: now.opened };
         drop(now);
-        Attempt::new(self.clone(), peer, client, number, round, waits)
+        Attempt::new(self.clone(), peer, over, waits)
     }
 
     pub(crate) fn half_open(&self) -> &HalfOpen {
@@ -118,8 +118,7 @@
     }
 
     fn new_peer(&self, address: &str, used: Instant) -> Peer<B> {
-        let round = self.half_open().round();
-        let now = Now { client: self.client(), number: 1, round, doubted: false, used };
+        let now = Now { client: self.client(), number: 1, opened: used, doubted: None, used };
         Peer {
             address: address.to_string(),
             now: Mutex::new(now),
@@ -141,10 +140,10 @@
 
 impl<B> Now<B> {
     /// Uses new connections from here on; idle ones are closed.
-    pub(crate) fn renew(&mut self, client: Client<HttpConnector, B>, round: Round) {
+    pub(crate) fn renew(&mut self, client: Client<HttpConnector, B>) {
         self.client = client;
         self.number += 1;
-        self.round = round;
-        self.doubted = false;
+        self.opened = Instant::now();
+        self.doubted = None;
     }
 }
--- a/crates/workswood-liveness/src/half_open.rs
+++ b/crates/workswood-liveness/src/half_open.rs
@@ -12,41 +12,47 @@
 /// something in common, which is this host's way to them. Longer than between two
 /// calls to a worker, shorter than between two workers that are lost by chance.
 const WINDOW: Duration = Duration::from_secs(1);
-/// Time for which connections are left alone after all of them were suspected. With
+/// Time for which connections are left alone after many of them were suspected. With
 /// workers that lose orders, each lost one looks like a half-open connection; opening
 /// new ones and asking again is then done once in this time.
 const PAUSE: Duration = Duration::from_millis(500);
 
-/// How often all connections of the process have become suspect. A connection
-/// belongs to the round in which it was opened.
-pub type Round = u64;
+/// A connection that was found half-open.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The address it led to.
+    pub address: String,
+    /// When the call was sent on it that had no answer.
+    pub silent_since: Instant,
+}
 
-/// Decides whether findings concern single addresses or all of them.
+/// Decides whether findings concern single addresses or this host.
 #[derive(Debug, Default)]
 pub struct Suspicion {
-    last: Option<(String, Instant)>,
+    last: Option<(Finding, Instant)>,
     raised: Option<Instant>,
 }
 
 impl Suspicion {
-    /// Takes in that a connection to an address was half-open; returns whether all
-    /// connections, to whatever address, are suspect now.
-    pub fn found(&mut self, address: &str, now: Instant) -> bool {
-        let other = self.last.as_ref().is_some_and(|(a, at)| a != address && now < *at + WINDOW);
-        self.last = Some((address.to_string(), now));
-        let paused = self.raised.is_some_and(|at| now < at + PAUSE);
-        if !other || paused {
-            return false;
+    /// Takes a finding in. Returns the moment before which a connection was opened that
+    /// is suspect now, to whatever address it leads; none if only this address is.
+    pub fn found(&mut self, f: Finding, now: Instant) -> Option<Instant> {
+        let since = f.silent_since;
+        let before = self.last.replace((f.clone(), now));
+        let (other, _) = before.filter(|(o, at)| o.address != f.address && now < *at + WINDOW)?;
+        if self.raised.is_some_and(|at| now < at + PAUSE) {
+            return None;
         }
         self.raised = Some(now);
-        true
+        Some(since.min(other.silent_since))
     }
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     suspicion: Mutex<Suspicion>,
-    round: watch::Sender<Round>,
+    /// Connections that were opened before this are suspect.
+    suspect_before: watch::Sender<Option<Instant>>,
     found: AtomicU64,
 }
 
@@ -58,27 +64,31 @@
 }
 
 impl HalfOpen {
-    /// Takes in that a connection to an address was half-open: a call on it had no
-    /// answer, and one on a new connection had.
-    pub fn found(&self, address: &str) {
+    /// Takes in that a connection was half-open: a call on it had no answer, and one on
+    /// a new connection had.
+    pub fn found(&self, f: Finding) {
         self.inner.found.fetch_add(1, Ordering::Relaxed);
-        log::info!("event=connection_half_open address={address}");
-        if self.inner.suspicion.lock().found(address, Instant::now()) {
-            self.inner.round.send_modify(|r| *r += 1);
-            log::warn!("event=connections_suspected round={} by={address}", self.round());
+        let now = Instant::now();
+        let silent_ms = (now - f.silent_since).as_millis();
+        log::info!("event=connection_half_open address={} silent_ms={silent_ms}", f.address);
+        let address = f.address.clone();
+        if let Some(before) = self.inner.suspicion.lock().found(f, now) {
+            let ago = (now - before).as_millis();
+            log::warn!("event=connections_suspected opened_before_ms={ago} by={address}");
+            self.inner.suspect_before.send_replace(Some(before));
         }
     }
 
-    /// The present round.
-    pub fn round(&self) -> Round {
-        *self.inner.round.borrow()
+    /// Whether a connection that was opened then is suspect.
+    pub fn is_suspect(&self, opened: Instant) -> bool {
+        self.inner.suspect_before.borrow().is_some_and(|before| opened < before)
     }
 
-    /// Waits until connections of a round have become suspect.
-    pub async fn suspected(&self, opened: Round) {
-        let mut round = self.inner.round.subscribe();
+    /// Waits until a connection that was opened then is suspect.
+    pub async fn suspected(&self, opened: Instant) {
+        let mut before = self.inner.suspect_before.subscribe();
         // The sender lives as long as this.
-        let _ = round.wait_for(|r| *r > opened).await;
+        let _ = before.wait_for(|b| b.is_some_and(|before| opened < before)).await;
     }
 
     /// Half-open connections found so far.
--- a/crates/workswood-liveness/src/lib.rs
+++ b/crates/workswood-liveness/src/lib.rs
@@ -9,5 +9,5 @@
 mod half_open;
 mod patience;
 
-pub use half_open::{HalfOpen, Round, Suspicion};
+pub use half_open::{Finding, HalfOpen, Suspicion};
 pub use patience::Patience;
--- a/crates/workswood-liveness/src/patience.rs
+++ b/crates/workswood-liveness/src/patience.rs
@@ -8,9 +8,10 @@
 
 /// Knows how long answers take, and so when one is late.
 ///
-/// Only answers count: a call that was given up says how long its caller waited, and
-/// with it the mean would rise each time a connection goes silent, so that the next
-/// one is noticed later.
+/// Only answers count, and calls without one over a connection that was new. Any
+/// other call that was given up says how long its caller waited; with it the mean
+/// would rise each time a connection goes silent, so that the next one is noticed
+/// later.
 #[derive(Debug)]
 pub struct Patience {
     mean_us: AtomicU64,
--- a/crates/workswood-peers/src/lib.rs
+++ b/crates/workswood-peers/src/lib.rs
@@ -5,6 +5,7 @@
 //! then frames of [`Frame`] go both ways, each with the length in front. A
 //! frame with a `call` number other than 0 is a question or its answer.
 
+mod counted;
 mod exchange;
 mod link;
 mod message;
--- a/crates/workswood-peers/src/link.rs
+++ b/crates/workswood-peers/src/link.rs
@@ -8,6 +8,7 @@
 
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 use workswood_liveness::HalfOpen;
 
 use crate::exchange::{End, Exchange};
@@ -15,6 +16,8 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
+/// Longest pause after connections on which nothing was heard.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 const QUEUE: usize = 256;
 
 /// A question that waits for its answer.
@@ -54,7 +57,8 @@
         let calls = Calls::default();
         let sent = Arc::new(AtomicU64::new(0));
         let hello = Hello { version: crate::server::VERSION, token, from };
-        let exchange = Exchange { rx, calls: calls.clone(), sent: sent.clone(), half_open, hello };
+        let (calls_here, sent_here) = (calls.clone(), sent.clone());
+        let exchange = Exchange::new(rx, calls_here, sent_here, half_open, hello);
         tokio::spawn(run(address, exchange));
         Link { tx, calls, next: Arc::new(AtomicU64::new(1)), sent }
     }
@@ -172,11 +176,12 @@
 
 /// Keeps a connection until the link is no longer wanted.
 async fn run(address: String, mut exchange: Exchange) {
-    let mut silent = false;
+    let mut failed = 0;
     loop {
+        let begun = Instant::now();
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(&address)).await;
         let end = match connect {
-            Ok(Ok(stream)) => exchange.run(stream, &address, silent).await,
+            Ok(Ok(stream)) => exchange.run(stream, begun.elapsed(), &address).await,
             Ok(Err(_)) | Err(_) => End::Broken,
         };
         // What waits now is old news by the time the peer is back.
@@ -185,9 +190,11 @@
         if end == End::Unwanted || exchange.rx.is_closed() {
             return;
         }
-        silent = end == End::Silent;
-        if end == End::Broken {
-            tokio::time::sleep(RECONNECT_AFTER).await;
+        // After a connection that worked, the next one is made at once unless the peer
+        // broke it off.
+        failed = if exchange.take_heard() { 0 } else { failed + 1 };
+        if end == End::Broken || failed > 1 {
+            tokio::time::sleep((RECONNECT_AFTER * failed.max(1)).min(LONGEST_PAUSE)).await;
         }
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod bad_endpoints;
 mod body_limits;
 mod closed_pipes;
+mod connection_suspicion;
 mod deferred_requests;
 mod demand_history;
 mod entry_stop;
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -25,7 +25,7 @@
 use workswood_adapter_standin::{StoreStandin, WorkerStandin};
 use workswood_core::jobs::{Shown, ShownJob, WorkerInfo};
 use workswood_liveness::HalfOpen;
-use workswood_peers::{Done, Handler, JobAsk, Link, Msg};
+use workswood_peers::{Done, Handler, JobAsk, Link, Msg, StateAsk, StateReply};
 use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, StoreError, Topic, WorkerClock};
 use workswood_test_support::cut::{Cut, Fault};
 use workswood_test_support::job_node::settings;
@@ -97,6 +97,40 @@
     assert!(matches!(refused, Err(StoreError::NotDone { .. })), "this one was sent once: {refused:?}");
 }
 
+#[tokio::test]
+async fn busy_peer_is_waited_for() {
+    let store = StoreStandin::start().await;
+    let c = client(&store.address.to_string());
+    warm_up(&c).await;
+    let calls = store.calls();
+    // The first request is answered late, and whatever comes after it is turned away.
+    store.faults(|f| f.slow = Duration::from_millis(400));
+    let read = c.newest(Topic::Operators);
+    let turn_away = async {
+        store.calls_reach(calls + 1).await;
+        store.faults(|f| (f.slow, f.down) = (Duration::ZERO, true));
+    };
+    let (read, ()) = tokio::join!(read, turn_away);
+    assert!(read.is_ok(), "a copy that was turned away says nothing of the first: {read:?}");
+}
+
+#[tokio::test]
+async fn long_answer_is_coming() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let cut = Cut::start(&listener.local_addr().expect("an address").to_string()).await;
+    let text = "x".repeat(200_000);
+    let handler: Handler = Arc::new(move |_| {
+        let reply = Msg::StateReply(StateReply { text: text.clone() });
+        async { Some(reply) }.boxed()
+    });
+    tokio::spawn(workswood_peers::serve(listener, String::new(), handler));
+    let link = Link::open(cut.address.clone(), String::new(), "entry-1".to_string(), HalfOpen::default());
+    // A dozen pieces, of which none is late by itself.
+    cut.set(Fault::Slow(Duration::from_millis(60)));
+    let answer = link.ask(Msg::StateAsk(StateAsk {}), SOON).await;
+    assert!(matches!(answer, Ok(Msg::StateReply(_))), "bytes come all the time");
+}
+
 async fn look(c: &PlatformClient, w: &WorkerInfo, wait: Duration) -> WorkerClock {
     let lease_end = (wait > Duration::ZERO).then_some(LONG);
     c.look(w, 7, 0, lease_end, wait).await.expect("the worker answers").0
@@ -123,11 +157,9 @@
     let found_out = async {
         workers[2].looks_reach(2).await;
         cuts.iter().for_each(|cut| cut.set(Fault::HalfOpen));
-        // The first look at a worker is lost, and tells that it was the connection's fault.
-        for info in &infos[..2] {
-            let _lost = c.look(info, 7, 0, None, Duration::ZERO).await;
-            look(&c, info, Duration::ZERO).await;
-        }
+        // Each is answered over a new connection, and tells that the one before was at
+        // fault.
+        tokio::join!(look(&c, &infos[0], Duration::ZERO), look(&c, &infos[1], Duration::ZERO));
     };
     let both = timeout(SOON, async { tokio::join!(waiting, found_out) }).await;
     both.expect("two workers with silent connections make the third one's suspect");
