--- /dev/null
+++ b/src/workswood/ops/bench/pools.rs
@@ -0,0 +1,197 @@
+//! Time of a round of the scheduler by machines, while demand turns and a wave
+//! goes on.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use workswood_core::ids::{HostId, ServiceId};
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{
+    Action, Event, JobSpec, Limits, Machine, MachineReply, MachineState, QueueConfig, Report, SchedConfig,
+    Scheduler, ServiceConfig, StepSpec, Wave, WorkerInfo,
+};
+
+use super::stats::median;
+
+/// The service whose machines are off.
+const SPARE: &str = "off";
+/// Services whose machines are on.
+const WORKING: [&str; 3] = ["a", "b", "c"];
+/// The queue that jobs come in by.
+const QUEUE: &str = "queue";
+/// Time between two rounds, as `workswood jobs` ticks.
+const TICK: Duration = Duration::from_millis(160);
+/// Rounds without work before demand turns.
+const QUIET: usize = 20;
+/// Rounds from when demand turns.
+const TURN: usize = 25;
+/// Room of a machine.
+const MACHINE: Room = Room { cpu_millis: 4000, mem_mb: 8000, gpus: 0 };
+
+/// A scheduler with machines whose orders are all carried out at once.
+struct Fleet {
+    sched: Scheduler,
+    machines: BTreeMap<HostId, Machine>,
+    /// Moves and maintenance that were ordered.
+    orders: usize,
+}
+
+/// Prints the time of a round by machines.
+pub fn run() {
+    println!("machines quiet_round_ms turn_round_median_ms turn_round_worst_ms orders");
+    for machines in [50, 350, 3_000] {
+        let mut fleet = Fleet::new(machines);
+        let quiet: Vec<f64> = (0..QUIET).map(|_| fleet.round()).collect();
+        fleet.turn(machines);
+        let turn: Vec<f64> = (0..TURN).map(|_| fleet.round()).collect();
+        let worst = turn.iter().copied().fold(0.0, f64::max);
+        let (quiet, turn) = (median(quiet), median(turn));
+        println!("{machines} {quiet:.2} {turn:.2} {worst:.2} {}", fleet.orders);
+    }
+}
+
+impl Fleet {
+    /// Idle machines, a quarter of them off, and a wave over all of them.
+    fn new(count: usize) -> Fleet {
+        let mut sched = Scheduler::new(1, limits(), Duration::ZERO, 0);
+        sched.handle(Event::Config(Arc::new(config())));
+        let machines: BTreeMap<HostId, Machine> =
+            (0..count).map(|n| machine(n)).map(|m| (m.name.clone(), m)).collect();
+        let mut fleet = Fleet { sched, machines, orders: 0 };
+        fleet.list();
+        let names = fleet.machines.keys().cloned().collect();
+        let within = Duration::from_secs(600);
+        let wave = Wave { number: 1, machines: names, within, most_at_once: count / 20 };
+        fleet.sched.handle(Event::Wave(wave, None));
+        fleet
+    }
+
+    /// Shows the scheduler all machines, and workers that are new, as idle.
+    fn list(&mut self) {
+        let now = self.sched.now;
+        for m in self.machines.values() {
+            let Some(info) = worker(m) else { continue };
+            let id = info.id.clone();
+            if self.sched.workers.contains_key(&id) {
+                continue;
+            }
+            self.sched.handle(Event::WorkerListed(info));
+            let report = Report { asked: now, ..Report::default() };
+            self.sched.handle(Event::Reported(id, report, now + Duration::from_secs(6)));
+        }
+        self.sched.handle(Event::Machines(self.machines.values().cloned().collect(), now));
+    }
+
+    /// Jobs for one service that fill half of all machines.
+    fn turn(&mut self, machines: usize) {
+        let step = StepSpec {
+            count: 4,
+            room: Room { cpu_millis: 2000, mem_mb: 100, gpus: 0 },
+            estimate: Duration::from_secs(2),
+            ..StepSpec::default()
+        };
+        for key in 1..=(machines as u64 / 4) {
+            let spec = JobSpec {
+                queue: QUEUE.to_string(),
+                service: WORKING[0].to_string(),
+                priority: 0,
+                max_attempts: 3,
+                text: String::new(),
+                steps: vec![step.clone()],
+                repeat: None,
+                accepted: self.sched.wall,
+            };
+            self.sched.handle(Event::Submitted(key, Arc::new(spec)));
+        }
+    }
+
+    /// One round; returns its time in milliseconds.
+    fn round(&mut self) -> f64 {
+        self.sched.now += TICK;
+        self.sched.wall += TICK.as_millis() as u64;
+        let started = Instant::now();
+        self.sched.handle(Event::Tick);
+        let batch = self.sched.take_batch();
+        let took = started.elapsed().as_secs_f64() * 1e3;
+        batch.actions.into_iter().for_each(|a| self.carry_out(a));
+        self.list();
+        took
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let (name, pool) = match action {
+            Action::Move(name, pool) => (name, Some(pool)),
+            Action::Upkeep(name, _) => (name, None),
+            _ => return,
+        };
+        self.orders += 1;
+        if let Some(m) = self.machines.get_mut(&name) {
+            let life = self.orders;
+            m.pool = pool.unwrap_or_else(|| m.pool.clone());
+            m.worker = (m.pool != SPARE).then(|| format!("w-{name}-{life}").as_str().into());
+        }
+        self.sched.handle(Event::MachineOrdered(name, MachineReply::Done));
+    }
+}
+
+fn limits() -> Limits {
+    Limits {
+        lease: Duration::from_secs(5),
+        grace: Duration::from_secs(4),
+        drift: 0.02,
+        machine_handover: Duration::ZERO,
+        keep_ended: Duration::from_secs(60),
+        early: Duration::ZERO,
+    }
+}
+
+fn config() -> SchedConfig {
+    let service =
+        |name: &str| ServiceConfig { name: name.to_string(), guards_room: true, spare: name == SPARE };
+    let names = WORKING.into_iter().chain([SPARE]);
+    let services = names.map(|n| (n.to_string(), service(n))).collect();
+    let queue = QueueConfig {
+        name: QUEUE.to_string(),
+        host: String::new(),
+        path_prefix: String::new(),
+        service: WORKING[0].to_string(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 4.0,
+        target: Duration::from_secs(5),
+        advised: false,
+    };
+    let queues = [(QUEUE.to_string(), queue)].into();
+    SchedConfig { version: 1, queues, services, ..SchedConfig::default() }
+}
+
+fn machine(n: usize) -> Machine {
+    let pools: Vec<ServiceId> = WORKING.into_iter().chain([SPARE]).map(str::to_string).collect();
+    let pool = pools[n % pools.len()].clone();
+    let name = format!("m-{n:05}");
+    let worker = (pool != SPARE).then(|| format!("w-{name}-0").as_str().into());
+    Machine {
+        name,
+        pool,
+        state: MachineState::Up,
+        data_centre: "north".to_string(),
+        labels: Vec::new(),
+        capacity: MACHINE,
+        worker,
+    }
+}
+
+/// The worker of a machine, if it has one.
+fn worker(m: &Machine) -> Option<WorkerInfo> {
+    Some(WorkerInfo {
+        id: m.worker.clone()?,
+        service: m.pool.clone(),
+        address: String::new(),
+        data_centre: m.data_centre.clone(),
+        machine: m.name.clone(),
+        capacity: m.capacity,
+        labels: Vec::new(),
+        draining: false,
+    })
+}
