Take the life of a worker that answers for the one on its machine

Cause: the list of workers shows former lives for a while.

Change: the life that answers counts, then the one that is listed. Test: wave_orders::lingering_life_hides_nothing.

--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -10,7 +10,6 @@
 use super::job::WorkerId;
 use super::machine::{Machine, MachineState};
 use super::sched::Scheduler;
-use super::worker::Worker;
 use crate::ids::{HostId, ServiceId};
 
 /// Machines of one pool that may go to another now, with their workers.
@@ -108,16 +107,18 @@
     }
 
     /// The workers of all machines by their own statements. A life that is not
-    /// listed may be cut off and still run tasks.
+    /// listed may be cut off and still run tasks; one that is over may be listed for
+    /// a while, but does not answer. A new lease holder is told of both, and a
+    /// machine would be taken for empty whose present life is busy.
     pub(super) fn workers_by_machine(&self) -> BTreeMap<&HostId, &WorkerId> {
-        let mut on: BTreeMap<&HostId, (&WorkerId, &Worker)> = BTreeMap::new();
+        let mut on: BTreeMap<&HostId, (bool, bool, &WorkerId)> = BTreeMap::new();
         for (id, w) in &self.workers {
             let Some(info) = w.info.as_ref().filter(|_| w.listed || !w.runs.is_empty()) else { continue };
-            let other = on.get(&info.machine);
-            if other.is_none_or(|(other_id, other)| (other.listed, *other_id) < (w.listed, id)) {
-                on.insert(&info.machine, (id, w));
+            let life = (w.reachable, w.listed, id);
+            if on.get(&info.machine).is_none_or(|other| *other < life) {
+                on.insert(&info.machine, life);
             }
         }
-        on.into_iter().map(|(m, (id, _))| (m, id)).collect()
+        on.into_iter().map(|(m, (_, _, id))| (m, id)).collect()
     }
 }
--- a/tests/testsuite/wave_orders.rs
+++ b/tests/testsuite/wave_orders.rs
@@ -1,8 +1,9 @@
 //! Which machines a wave of maintenance orders down, and when.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use workswood_core::jobs::{Action, Event, MachineReply, MachineState};
+use workswood_core::jobs::{Action, Event, MachineReply, MachineState, StartReply};
 use workswood_test_support::job_world::{SERVICE, job, step};
 use workswood_test_support::machine_world::{MachineWorld, OTHER, SPARE, machine, upkeeps, wave, worker};
 
@@ -211,3 +212,35 @@
     }
     assert_eq!(upkeeps(&world.actions), ["m-1"]);
 }
+
+#[test]
+fn lingering_life_hides_nothing() {
+    let mut world = MachineWorld::new(0);
+    // Each machine's former life, idle and never heard of again, is still listed
+    // beside its present one, which is busy.
+    for (n, former, present) in [(1, 0, 1), (2, 1, 0)] {
+        world.sched.handle(Event::WorkerListed(worker(n, former)));
+        world.sched.handle(Event::WorkerListed(worker(n, present)));
+        world.report(n, present, &[]);
+    }
+    world.at(100);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(8, vec![])], 100))));
+    let starts = world.sched.take_batch().actions;
+    for a in &starts {
+        if let Action::Start { worker, task, attempt, .. } = a {
+            let end = Duration::from_secs(6);
+            world.sched.handle(Event::Started(worker.clone(), *task, *attempt, StartReply::Taken, end));
+        }
+    }
+    world.sched.handle(Event::WorkerListed(worker(3, 0)));
+    world.report(3, 0, &[]);
+    world.list(vec![
+        machine(1, SERVICE, Some(1)),
+        machine(2, SERVICE, Some(0)),
+        machine(3, SERVICE, Some(0)),
+    ]);
+    world.sched.handle(Event::Wave(wave(&[1, 2, 3], 1), None));
+    world.at(150);
+    world.tick();
+    assert_eq!(upkeeps(&world.actions), ["m-3"], "the idle one goes first");
+}
