--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod state_checkpoints;
 mod store_protocol;
 mod task_packing;
+mod unsent_starts;
 mod wave_orders;
 mod whole_path;
 mod worker_lives;
