Know the first turn of a service by what other services' turns came to

A service that has had no turn yet has shown what it asks for in between, which told that nothing more would come.

Change: what the service showed counts only if it is more than what it asks for now; else what other services' turns came to, as before any work came in. need.turn_any switches it off. Test: demand_history::little_work_tells_no_turn.

--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -212,7 +212,8 @@
         }
         // What this turn has shown so far tells nothing about the rest of it.
         let own = demand.highest_before(self.now, policy.turn_after);
-        if own > 0.0 {
+        let told = if policy.turn_any { own * policy.turn_share > recent } else { own > 0.0 };
+        if told {
             return own * policy.turn_share;
         }
         let any = self.pools.demand.values().map(Demand::highest).fold(0.0, f64::max);
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -108,6 +108,10 @@
     /// A turn is taken to want this many times the machines that operators gave
     /// the pool, until more is known.
     pub turn_first: f64,
+    /// Whether a turn that asks for more than its service's earlier ones is taken to
+    /// come to what turns of other services did. Before its first turn a service has
+    /// only shown how little it asks for in between.
+    pub turn_any: bool,
     /// How fast the need falls that counts when another pool is short, as a
     /// share of all machines a second: a machine that is idle here is wanted
     /// there. At 0.11, 147 machines were kept for a load of 32.
@@ -131,6 +135,7 @@
             turn_jobs: 3,
             turn_share: 0.8,
             turn_first: 2.0,
+            turn_any: true,
             lend_per_s: 0.3,
             forget_per_s: 0.08,
         }
--- a/tests/testsuite/demand_history.rs
+++ b/tests/testsuite/demand_history.rs
@@ -137,3 +137,29 @@
     let sent_off = moves(&world.actions).len();
     assert!(sent_off * 2 < moved, "{sent_off} of {moved} machines sent off again as soon as they have come");
 }
+
+/// Machines that move to a pool that operators gave four at its first turn, after
+/// one small job 40 s before.
+fn moved_after_little(turn_any: bool) -> usize {
+    let mut world = MachineWorld::new(1);
+    world.sched.policy.need.turn_any = turn_any;
+    world.sched.policy.need.turn_least = 0.01;
+    world.sched.policy.need.turn_first = 3.0;
+    let mut machines: Vec<_> = (0..4).map(|n| machine(n, SERVICE, Some(0))).collect();
+    machines.extend((4..40).map(|n| machine(n, "spare", None)));
+    world.list(machines);
+    world.at(1000);
+    world.sched.wall = 60_000;
+    world.sched.restore(7, work(1, 20_000), None);
+    world.sched.restore_demand();
+    world.sched.handle(Event::Cancelled(7));
+    hand_in(&mut world, 4, 4);
+    world.tick();
+    moves(&world.actions).len()
+}
+
+#[test]
+fn little_work_tells_no_turn() {
+    let (with, without) = (moved_after_little(true), moved_after_little(false));
+    assert!(with > without, "{with} and {without} machines");
+}
