Let the test of lingering lives list machines before they are known

As first written it passed before the change as well: the list of machines ended the former lives. Now it fails on the code before (m-2, which is busy, goes down first).

--- a/tests/testsuite/wave_orders.rs
+++ b/tests/testsuite/wave_orders.rs
@@ -216,6 +216,7 @@
 #[test]
 fn lingering_life_hides_nothing() {
     let mut world = MachineWorld::new(0);
+    world.at(50);
     // Each machine's former life, idle and never heard of again, is still listed
     // beside its present one, which is busy.
     for (n, former, present) in [(1, 0, 1), (2, 1, 0)] {
@@ -234,11 +235,9 @@
     }
     world.sched.handle(Event::WorkerListed(worker(3, 0)));
     world.report(3, 0, &[]);
-    world.list(vec![
-        machine(1, SERVICE, Some(1)),
-        machine(2, SERVICE, Some(0)),
-        machine(3, SERVICE, Some(0)),
-    ]);
+    // Asked for before the lives were known, so that it ends none of them.
+    let listed = [(1, 1), (2, 0), (3, 0)].map(|(n, life)| machine(n, SERVICE, Some(life)));
+    world.sched.handle(Event::Machines(listed.to_vec(), Duration::from_millis(40)));
     world.sched.handle(Event::Wave(wave(&[1, 2, 3], 1), None));
     world.at(150);
     world.tick();
