--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -220,10 +220,6 @@
     /// A worker that refused a start gets no work for this long; a few looks.
     #[serde(with = "humantime_serde")]
     pub refused_for: Duration,
-    /// A worker that a start could not be sent to gets no work for this long: it
-    /// may have fallen silent, and a look will tell. About five batches.
-    #[serde(with = "humantime_serde")]
-    pub unsent_for: Duration,
     /// Faults of different jobs, with nothing done in between, after which a
     /// worker is shunned. One alone is more often the job's own.
     pub faults_to_shun: u32,
@@ -245,7 +241,6 @@
             stuck_share: 0.03,
             unwell_for: Duration::from_millis(1000),
             refused_for: Duration::from_millis(400),
-            unsent_for: Duration::from_millis(100),
             faults_to_shun: 2,
             shun_for: Duration::from_millis(2500),
             shun_at_most: Duration::from_secs(15),
@@ -367,7 +362,6 @@
             ("health.stuck_after", self.health.stuck_after),
             ("health.unwell_for", self.health.unwell_for),
             ("health.refused_for", self.health.refused_for),
-            ("health.unsent_for", self.health.unsent_for),
             ("health.shun_for", self.health.shun_for),
             ("health.shun_at_most", self.health.shun_at_most),
         ];
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -194,15 +194,17 @@
         }
     }
 
-    /// Keeps new work away for a while from a worker that a start did not reach, or
-    /// that refused it.
+    /// Keeps new work away for a while from a worker that refused a start.
     fn shun_after_refusal(&mut self, id: &WorkerId, reply: StartReply) {
         let shun_for = match reply {
             StartReply::Unwell => self.policy.health.unwell_for,
             // Its room is not what we think: a look will tell.
             StartReply::Refused => self.policy.health.refused_for,
-            StartReply::NotSent => self.policy.health.unsent_for,
-            StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer | StartReply::Deposed => return,
+            StartReply::Taken
+            | StartReply::Unsure
+            | StartReply::NoAnswer
+            | StartReply::NotSent
+            | StartReply::Deposed => return,
         };
         let until = self.now + shun_for;
         if let Some(w) = self.workers.get_mut(id) {
