Read the log over connections that may have gone silent

Cause: the client of the log of an entry host had a pool of its own without a bound on idle connections, and a read that timed out told nothing to the next one. With six idle connections gone silent, each of the next six reads failed after 1 s; the follower takes the log as down after two.

Change: HttpPlatform is built on HttpClient. Reads of the log and the list are repeated over a new connection when late; appends and acts are sent once (a copy of a record is another record, a copy of an act that was done is refused) and end early when a read has found their connection silent. A refusal of a copy counts as no answer. Three idle connections at most; a connect takes 500 ms at most and then says that nothing was sent. What is found out is shared with peers and endpoints of the process (HttpPlatform::sharing).

--- a/crates/workswood-platform/src/http.rs
+++ b/crates/workswood-platform/src/http.rs
@@ -1,25 +1,39 @@
 //! The platform over HTTP.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::Method;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 use workswood_core::ids::Offset;
 use workswood_core::plan::{Act, Seen};
+use workswood_http::{Answer, Call, Failure, HttpClient, Limits, Repeat};
+use workswood_liveness::HalfOpen;
 
 use crate::{CALL_TIMEOUT, Error, GarbledSnafu, Platform, ReadReply};
 
+/// Bounds of connections to the platform.
+const LIMITS: Limits = Limits {
+    // A dead port refuses at once; a cut link says nothing. Half of a call's time, so that
+    // the call ends by saying that nothing was sent.
+    connect: Duration::from_millis(500),
+    // Longer than any gap between reads of the log.
+    idle: Duration::from_secs(30),
+    // One each for the reads of the log, its appends, and the planner's lists and acts.
+    most_idle: 3,
+};
+/// Largest answer that is read. A read of the log brings 512 records of about 1 MiB at
+/// most, and as text within JSON they are up to twice as long.
+const MOST_BYTES: usize = 1024 * 1024 * 1024;
+
 /// Client of a platform that speaks JSON over HTTP/1.1.
 pub struct HttpPlatform {
     address: String,
-    client: Client<HttpConnector, Full<Bytes>>,
+    http: HttpClient,
 }
 
 #[derive(Deserialize)]
@@ -30,67 +44,85 @@
 impl HttpPlatform {
     /// A client of the platform at an IP address and port.
     pub fn new(address: &str) -> HttpPlatform {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CALL_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new()).build(connector);
-        HttpPlatform { address: address.to_string(), client }
+        HttpPlatform::sharing(address, HalfOpen::default())
+    }
+
+    /// A client that shares what is found out of connections with the process's other
+    /// clients.
+    pub fn sharing(address: &str, half_open: HalfOpen) -> HttpPlatform {
+        let http = HttpClient::new(LIMITS, MOST_BYTES, half_open);
+        HttpPlatform { address: address.to_string(), http }
     }
 
-    async fn call<T: DeserializeOwned>(&self, method: Method, path: &str, body: String) -> Result<T, Error> {
-        let req = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|e| Error::NoAnswer { text: e.to_string() })?;
-        let answer = tokio::time::timeout(CALL_TIMEOUT, self.exchange(req)).await;
-        answer.unwrap_or_else(|_| Err(Error::NoAnswer { text: "timed out".to_string() }))
+    /// Reads something; a read may be done twice.
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.call(Method::GET, path, String::new(), Repeat::Same).await
     }
 
-    async fn exchange<T: DeserializeOwned>(&self, req: Request<Full<Bytes>>) -> Result<T, Error> {
-        let res = self.client.request(req).await.map_err(|e| {
-            if e.is_connect() {
+    /// Has something done. It is sent once: the log takes a copy of a record as another
+    /// record, and a copy of an act may be refused because the act was done.
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: String) -> Result<T, Error> {
+        self.call(Method::POST, path, body, Repeat::Never).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        repeat: Repeat,
+    ) -> Result<T, Error> {
+        let body = Bytes::from(body);
+        let call = Call { method, address: &self.address, path, headers: &[], body, repeat };
+        let answer = self.http.call(&call, CALL_TIMEOUT).await.map_err(|f| self.failed(f))?;
+        read(&answer)
+    }
+
+    fn failed(&self, f: Failure) -> Error {
+        match f {
+            Failure::NotSent(text) => {
+                log::debug!("event=platform_unreachable address={} error={text:?}", self.address);
                 Error::Unreachable { address: self.address.clone() }
-            } else {
-                Error::NoAnswer { text: e.to_string() }
             }
-        })?;
-        let status = res.status();
-        let body = res.into_body().collect().await.map_err(|e| Error::NoAnswer { text: e.to_string() })?;
-        let body = body.to_bytes();
-        if status.is_server_error() {
-            return Err(Error::NoAnswer { text: status.to_string() });
-        }
-        if !status.is_success() {
-            let text = String::from_utf8_lossy(&body).into_owned();
-            return Err(Error::Refused { status: status.as_u16(), text });
+            Failure::NoAnswer(text) => Error::NoAnswer { text },
         }
-        serde_json::from_slice(&body).context(GarbledSnafu)
     }
 }
 
+/// What an answer says.
+fn read<T: DeserializeOwned>(a: &Answer) -> Result<T, Error> {
+    if a.status.is_success() {
+        return serde_json::from_slice(&a.body).context(GarbledSnafu);
+    }
+    // What was sent first may have had its effect although the copy is refused.
+    if a.status.is_server_error() || a.repeated {
+        return Err(Error::NoAnswer { text: a.status.to_string() });
+    }
+    let text = String::from_utf8_lossy(&a.body).into_owned();
+    Err(Error::Refused { status: a.status.as_u16(), text })
+}
+
 impl Platform for HttpPlatform {
     fn append(&self, body: String) -> BoxFuture<'_, Result<Offset, Error>> {
         async move {
-            let a: Appended = self.call(Method::POST, "/log", body).await?;
+            let a: Appended = self.post("/log", body).await?;
             Ok(a.offset)
         }
         .boxed()
     }
 
     fn read(&self, from: Offset, max: usize) -> BoxFuture<'_, Result<ReadReply, Error>> {
-        async move { self.call(Method::GET, &format!("/log?from={from}&max={max}"), String::new()).await }
-            .boxed()
+        async move { self.get(&format!("/log?from={from}&max={max}")).await }.boxed()
     }
 
     fn hosts(&self) -> BoxFuture<'_, Result<Seen, Error>> {
-        async move { self.call(Method::GET, "/hosts", String::new()).await }.boxed()
+        async move { self.get("/hosts").await }.boxed()
     }
 
     fn act(&self, act: &Act) -> BoxFuture<'_, Result<(), Error>> {
         let body = serde_json::to_string(act).unwrap_or_default();
         async move {
-            let _: serde_json::Value = self.call(Method::POST, "/acts", body).await?;
+            let _: serde_json::Value = self.post("/acts", body).await?;
             Ok(())
         }
         .boxed()
--- a/src/workswood/ops/entry/mod.rs
+++ b/src/workswood/ops/entry/mod.rs
@@ -31,7 +31,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use workswood_platform::{HttpPlatform, Platform};
+use workswood_liveness::HalfOpen;
+use workswood_platform::HttpPlatform;
 
 pub use node::Node;
 
@@ -60,8 +61,9 @@
         let callers = listen(&mut settings.callers).await?;
         let operators = listen(&mut settings.operators).await?;
         let peers = listen(&mut settings.peers).await?;
-        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(&settings.platform.to_string()));
-        let (node, appends) = Node::new(settings, tokens, platform);
+        let half_open = HalfOpen::default();
+        let platform = HttpPlatform::sharing(&settings.platform.to_string(), half_open.clone());
+        let (node, appends) = Node::new(settings, tokens, Arc::new(platform), half_open);
         log::info!(
             "event=entry_started id={} name={} data_centre={} callers={} operators={} peers={}",
             node.id,
--- a/src/workswood/ops/entry/node.rs
+++ b/src/workswood/ops/entry/node.rs
@@ -41,7 +41,7 @@
     pub tokens: Tokens,
     /// The platform.
     pub platform: Arc<dyn Platform>,
-    /// What has been found out of connections to peers and endpoints.
+    /// What has been found out of connections to the platform, peers and endpoints.
     pub half_open: HalfOpen,
     /// Client of all endpoints.
     pub endpoints: EndpointClient,
@@ -97,14 +97,15 @@
 }
 
 impl Node {
-    /// A process that has read nothing yet, and the queue of its appender.
+    /// A process that has read nothing yet, and the queue of its appender. `half_open` is
+    /// what its client of the platform shares.
     pub fn new(
         settings: Settings,
         tokens: Tokens,
         platform: Arc<dyn Platform>,
+        half_open: HalfOpen,
     ) -> (Arc<Node>, mpsc::Receiver<Job>) {
         let (tx, rx) = mpsc::channel(8 * 1024);
-        let half_open = HalfOpen::default();
         let node = Node {
             id: incarnation(&settings.name),
             settings,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod closed_pipes;
 mod deferred_requests;
 mod demand_history;
+mod entry_silence;
 mod entry_stop;
 mod eviction_budget;
 mod fault_soak;
