Give up bodies of callers that go silent

Cause: only the head of a request had a time-out. A caller that went silent within its body held its connection, a descriptor and one of 16,384 places for ever.

Change: read_body waits 10 s at most for the next byte, as long as for a head. Then the answer is code 110 (BodySilent, status 408, not-run where nothing can have run) and the connection is closed. A body that comes slowly but steadily is read whole. BodyError::code names the code of each error; the entry host uses it.

Left: the listener for queues still tells 107 for every body that was not read.

--- a/crates/workswood-callers/src/body.rs
+++ b/crates/workswood-callers/src/body.rs
@@ -8,7 +8,10 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Body;
+use hyper::body::{Body, Frame};
+use workswood_core::code::Code;
+
+use crate::HEADER_TIMEOUT;
 
 /// Most bytes that are thrown away before a refusal; several times the largest
 /// body that any route takes whole.
@@ -16,6 +19,11 @@
 /// Longest time that is spent on throwing bytes away.
 const DISCARD_FOR: Duration = Duration::from_millis(1000);
 
+/// Longest time without any byte of a body: as long as for the head of a request. The
+/// connection of a caller that went silent would else be held for ever. A body that comes
+/// slowly, but comes, may take as long as it needs.
+pub const BODY_SILENCE: Duration = HEADER_TIMEOUT;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -23,16 +31,28 @@
     TooLarge,
     /// The caller broke off.
     Broken,
+    /// The caller sent nothing for [`BODY_SILENCE`].
+    Silent,
 }
 
-/// Reads a whole body of at most `most` bytes.
+impl BodyError {
+    /// The code that the caller is told.
+    pub fn code(self) -> Code {
+        match self {
+            BodyError::TooLarge | BodyError::Broken => Code::BodyTooLarge,
+            BodyError::Silent => Code::BodySilent,
+        }
+    }
+}
+
+/// Reads a whole body of at most `most` bytes. One that is not read to its end has its
+/// connection closed after the answer.
 pub async fn read_body<B>(mut body: B, most: usize) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
     let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BodyError::Broken)?;
+    while let Some(frame) = next(&mut body, buf.len()).await? {
         let Ok(data) = frame.into_data() else { continue };
         if buf.len() + data.len() > most {
             discard(body).await;
@@ -43,6 +63,24 @@
     Ok(buf.freeze())
 }
 
+/// The next part of a body; `have` bytes came before.
+async fn next<B>(body: &mut B, have: usize) -> Result<Option<Frame<Bytes>>, BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    match tokio::time::timeout(BODY_SILENCE, body.frame()).await {
+        Ok(frame) => frame.transpose().map_err(|_| BodyError::Broken),
+        Err(_) => {
+            log::info!(
+                "event=body_cut reason=silent limit_ms={} bytes={have} code={}",
+                BODY_SILENCE.as_millis(),
+                Code::BodySilent.number()
+            );
+            Err(BodyError::Silent)
+        }
+    }
+}
+
 async fn discard<B>(mut body: B)
 where
     B: Body<Data = Bytes> + Unpin,
--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{Semaphore, watch};
 use workswood_core::code::{Code, Ran};
 
-pub use body::{BodyError, read_body};
+pub use body::{BODY_SILENCE, BodyError, read_body};
 
 /// Longest time for the head of a request to arrive.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -52,6 +52,7 @@
         Code::BodyTooLarge | Code::PayloadTooLarge => 413,
         Code::KeyMissing | Code::KeyMalformed | Code::JobMalformed => 400,
         Code::MethodUnknown => 405,
+        Code::BodySilent => 408,
         Code::JobUnknown => 410,
         Code::KeyConflict | Code::KeyRunning | Code::KeyUnknownOutcome | Code::KeyExpired => 409,
         Code::EndpointBroke | Code::ConnectFailed => 502,
--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -67,6 +67,7 @@
     107 BodyTooLarge "the request's body is larger than the class allows" "send less, or use a route of class `long`";
     108 EndpointTimeout "the endpoint did not answer before the deadline" "as for code 106";
     109 Stopping "this entry host is stopping and takes no new requests" "send the request to another entry host";
+    110 BodySilent "the request's body stopped before its end: no byte of it came for too long" "send the request again, without such a pause in its body";
     120 KeyMissing "the route may not be repeated and the request names no key" "send the headers `x-workswood-key` and `x-workswood-last-moment`";
     121 KeyMalformed "the key or the last moment can't be read or is out of range" "use 1 to 128 visible characters and milliseconds since 1970 within the window";
     122 KeyConflict "the key is known with another request or last moment" "use a new key for a new request";
--- a/src/workswood/ops/entry/serve.rs
+++ b/src/workswood/ops/entry/serve.rs
@@ -12,7 +12,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use workswood_callers::{
-    CODE, DEADLINE, Handler, KEY, LAST_MOMENT, RAN, ReplyBody, read_body, refusal, whole,
+    BodyError, CODE, DEADLINE, Handler, KEY, LAST_MOMENT, RAN, ReplyBody, read_body, refusal, whole,
 };
 use workswood_core::code::{Code, Ran};
 use workswood_core::fleet::{Class, Route};
@@ -182,7 +182,7 @@
 }
 
 async fn held(body: Incoming) -> Result<Bytes, Code> {
-    read_body(body, MOST_HELD).await.map_err(|_| Code::BodyTooLarge)
+    read_body(body, MOST_HELD).await.map_err(BodyError::code)
 }
 
 /// Turns an end into an answer.
--- a/tests/testsuite/body_limits.rs
+++ b/tests/testsuite/body_limits.rs
@@ -1,14 +1,22 @@
-//! Bodies that are too large are read on before they are refused.
+//! Bodies that are too large are read on before they are refused; those that stop before
+//! their end are given up.
 
-use bytes::Bytes;
-use futures::{StreamExt, stream};
-use http_body_util::StreamBody;
-use hyper::body::Frame;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
-use workswood_callers::{BodyError, read_body};
+use bytes::Bytes;
+use futures::{FutureExt, StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Request;
+use hyper::body::{Frame, Incoming};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use workswood_callers::{BODY_SILENCE, BodyError, Handler, read_body, refusal, whole};
+use workswood_core::code::{Code, Ran};
 
 #[tokio::test]
 async fn rest_is_taken() {
@@ -29,3 +37,64 @@
     let read = read_body(StreamBody::new(frames), 16).await;
     assert_eq!(read.as_deref(), Ok(&b"abcdabcdabcdabcd"[..]));
 }
+
+#[tokio::test(start_paused = true)]
+async fn silent_body_given_up() {
+    let begun = Instant::now();
+    let first = stream::iter([Ok::<_, Infallible>(Frame::data(Bytes::from_static(b"ab")))]);
+    let read = read_body(StreamBody::new(first.chain(stream::pending())), 16).await;
+    assert_eq!(read, Err(BodyError::Silent));
+    assert_eq!(begun.elapsed(), BODY_SILENCE);
+}
+
+#[tokio::test(start_paused = true)]
+async fn steady_body_read() {
+    let pause = BODY_SILENCE - Duration::from_millis(10);
+    let frames = stream::iter(0..20).then(|_| async move {
+        tokio::time::sleep(pause).await;
+        Ok::<_, Infallible>(Frame::data(Bytes::from_static(b"a")))
+    });
+    let read = read_body(StreamBody::new(Box::pin(frames)), 20).await;
+    assert_eq!(read.map(|b| b.len()), Ok(20));
+}
+
+/// A handler that tells of the first byte of each body and then reads the whole.
+fn reader(begun: mpsc::UnboundedSender<()>) -> Handler {
+    Arc::new(move |req: Request<Incoming>| {
+        let begun = begun.clone();
+        let body = req.into_body().map_frame(move |f| {
+            // Nobody may wait for it any more.
+            let _ = begun.send(());
+            f
+        });
+        async move {
+            match read_body(body, 1024).await {
+                Ok(b) => hyper::Response::new(whole(b)),
+                Err(e) => refusal(e.code(), Ran::NotRun, None),
+            }
+        }
+        .boxed()
+    })
+}
+
+#[tokio::test]
+async fn silent_caller_cut_off() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (begun, mut reads) = mpsc::unbounded_channel();
+    let (_stop, stopped) = watch::channel(false);
+    tokio::spawn(workswood_callers::serve(listener, reader(begun), stopped));
+    let mut caller = TcpStream::connect(address).await.expect("a connection");
+    let part = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\nfour";
+    caller.write_all(part).await.expect("bytes are taken");
+    reads.recv().await.expect("the body is read");
+    // All that was sent has arrived: from here on, only time passes.
+    tokio::time::pause();
+    let paused = Instant::now();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).await.expect("the connection is closed after the answer");
+    assert!(paused.elapsed() <= BODY_SILENCE + Duration::from_millis(10), "{:?}", paused.elapsed());
+    let code = format!("x-workswood-code: {}\r\n", Code::BodySilent.number());
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(answer.contains(&code) && answer.contains("x-workswood-ran: not-run\r\n"), "{answer}");
+}
