--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -121,7 +121,7 @@
         Ok(b) => b,
         Err(e) => {
             log::info!("event=job_refused job={job:016x} reason=body error={e:?}");
-            return refusal(Code::BodyTooLarge, Ran::NotRun, None);
+            return refusal(e.code(), Ran::NotRun, None);
         }
     };
     let spec = match read_spec(node, queue, &body) {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod connection_suspicion;
 mod deferred_requests;
 mod demand_history;
+mod entry_silence;
 mod entry_stop;
 mod eviction_budget;
 mod fault_soak;
