Put evictions on record, so that a new holder counts them as away

Cause: an eviction under way was known to the holder only, and a worker lists a task until it has stopped. Change: TaskRecord lists the attempts that our own order ends; the stop waits for that record. The next holder counts them as away, and stops what is still listed again within the budget, since the first stop may not have been sent. Records without the field are read as before.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -64,6 +64,8 @@
         if run.phase == Phase::Running && (!wanted || done) {
             run.enter(Phase::Stopping, now);
             self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
+        } else if run.phase == Phase::Running && run.evicted {
+            self.evict_again(id, &listed.task, listed.attempt);
         }
     }
 
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -1,4 +1,8 @@
 //! Ending lasting tasks by our own order, within their availability budget.
+//!
+//! A worker lists a task until it has stopped. So an eviction is on record
+//! before its stop is sent: a new holder would otherwise count a task that its
+//! predecessor has just stopped as at work, and evict others beyond the budget.
 
 use super::job::{Phase, Run, WorkerId};
 use super::sched::Scheduler;
@@ -62,6 +66,15 @@
         runs.len()
     }
 
+    /// Stops a run again that a predecessor evicted and its worker still lists:
+    /// the first stop may not have been sent. Until the budget allows that, the
+    /// run counts as away.
+    pub(super) fn evict_again(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) {
+        if self.may_evict(task) {
+            self.evict(id, task, attempt, "by_predecessor");
+        }
+    }
+
     fn evict(&mut self, id: &WorkerId, task: &TaskId, attempt: u32, why: &str) {
         let now = self.now;
         let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(task)) else { return };
@@ -69,8 +82,11 @@
         if run.phase != Phase::Running {
             return;
         }
-        run.evicted = true;
+        let recorded = std::mem::replace(&mut run.evicted, true);
         run.enter(Phase::Stopping, now);
+        if !recorded {
+            self.dirty.insert(task.job);
+        }
         self.notes.push(format!("event=task_evicted worker={id} task={task} attempt={attempt} reason={why}"));
         self.actions.push(Action::Stop(id.clone(), *task, attempt));
     }
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -70,7 +70,8 @@
     pub figure: u64,
     /// Pace that we asked for, in percent.
     pub pace: u32,
-    /// Whether our own order ends it, for the availability budget.
+    /// Whether our own order ends it, or one of a predecessor, for the
+    /// availability budget.
     pub evicted: bool,
 }
 
@@ -250,6 +251,7 @@
             attempt: t.attempt,
             checkpoint: t.checkpoint.clone(),
             runs: t.runs.iter().map(|r| (r.worker.to_string(), r.attempt)).collect(),
+            evicted: t.runs.iter().filter(|r| r.evicted).map(|r| r.attempt).collect(),
         };
         let step = |tasks: &Vec<Task>| tasks.iter().map(task).collect();
         JobRecord {
@@ -319,6 +321,10 @@
     /// Worker and attempt of each run that may exist.
     #[serde(default, rename = "w", skip_serializing_if = "Vec::is_empty")]
     pub runs: Vec<(String, u32)>,
+    /// Attempts of those runs that are ended by our own order. Their workers
+    /// list them until they have stopped.
+    #[serde(default, rename = "e", skip_serializing_if = "BTreeSet::is_empty")]
+    pub evicted: BTreeSet<u32>,
 }
 
 fn is_false(b: &bool) -> bool {
@@ -331,7 +337,11 @@
 
 impl TaskRecord {
     fn restore(self, now: Duration) -> Task {
-        let run = |(worker, attempt): (String, u32)| Run::new(worker.into(), attempt, Phase::Inherited, now);
+        let evicted = self.evicted;
+        let run = |(worker, attempt): (String, u32)| {
+            let run = Run::new(worker.into(), attempt, Phase::Inherited, now);
+            Run { evicted: evicted.contains(&attempt), ..run }
+        };
         Task {
             done: self.done,
             failed: self.failed,
--- /dev/null
+++ b/tests/testsuite/eviction_handover.rs
@@ -0,0 +1,226 @@
+//! A new holder counts what its predecessor evicted as away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::types::Record;
+use workswood_core::jobs::{
+    Action, EndKind, Event, JobRecord, JobSpec, Report, ReportedEnd, ReportedRun, StartReply, TaskId,
+};
+use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::machine_world::{MachineWorld, machine, wave, worker};
+
+/// Workers; the lasting tasks stand on all but the last.
+const WORKERS: usize = 4;
+/// Time between two ticks, in milliseconds.
+const TICK: u64 = 150;
+/// When the first holder is followed by the next, in milliseconds.
+const TAKEN_OVER: u64 = 2000;
+
+/// A job of three lasting tasks, of which one may be away.
+fn spec() -> Arc<JobSpec> {
+    let mut lasting = step(3, vec![]);
+    lasting.lasting = true;
+    lasting.most_per_worker = 1;
+    lasting.may_miss = 1;
+    Arc::new(job(vec![lasting], 0))
+}
+
+/// A run as its worker lists it: past its warm-up.
+fn listed(task: TaskId) -> ReportedRun {
+    ReportedRun { task, attempt: 1, checkpoint: String::new(), percent: 100, figure: 0 }
+}
+
+/// A holder that has heard of all machines and their idle workers.
+fn holder(at: u64) -> MachineWorld {
+    let mut world = MachineWorld::new(WORKERS);
+    world.at(at);
+    world.sched.since = world.sched.now;
+    world.list((0..WORKERS).map(|n| machine(n, SERVICE, Some(0))).collect());
+    world
+}
+
+/// Worker `n` answers with these runs and ends.
+fn answer(world: &mut MachineWorld, n: usize, running: Vec<ReportedRun>, ended: Vec<ReportedEnd>) {
+    let report = Report { asked: world.sched.now, running, ended };
+    let lease_end = world.sched.now + Duration::from_secs(6);
+    world.sched.handle(Event::Reported(worker(n, 0).id, report, lease_end));
+}
+
+/// Every worker lists the task that it was first given.
+fn answer_all(world: &mut MachineWorld, tasks: &[Option<TaskId>]) {
+    for (n, task) in tasks.iter().enumerate() {
+        answer(world, n, task.iter().copied().map(listed).collect(), Vec::new());
+    }
+}
+
+/// The job's record, if it is among these.
+fn job_record(records: Vec<Record>) -> Option<JobRecord> {
+    records.into_iter().find_map(|r| match r {
+        Record::Job(1, record) => Some(record),
+        _ => None,
+    })
+}
+
+/// A first holder whose tasks are at work, the task of each worker, and the
+/// record of the job.
+fn first_holder() -> (MachineWorld, Vec<Option<TaskId>>, JobRecord) {
+    let mut world = holder(100);
+    world.sched.handle(Event::Submitted(1, spec()));
+    let mut tasks = vec![None; WORKERS];
+    let batch = world.sched.take_batch();
+    for a in batch.actions {
+        let Action::Start { worker: id, task, attempt, .. } = a else { continue };
+        let n = (0..WORKERS).find(|n| worker(*n, 0).id == id).expect("a worker of the world");
+        tasks[n] = Some(task);
+        let end = world.sched.now + Duration::from_secs(6);
+        world.sched.handle(Event::Started(id, task, attempt, StartReply::Taken, end));
+    }
+    assert_eq!(tasks.iter().flatten().count(), 3, "{tasks:?}");
+    answer_all(&mut world, &tasks);
+    (world, tasks, job_record(batch.records).expect("starts are on record"))
+}
+
+/// A holder that evicts for a wave over one machine. Returns the tasks, the
+/// number of that machine, and what is stored when the stop is sent.
+fn evict_one() -> (Vec<Option<TaskId>>, usize, JobRecord) {
+    let (mut world, tasks, mut stored) = first_holder();
+    let over = first(&tasks);
+    world.sched.handle(Event::Wave(wave(&[over], 1), None));
+    for t in 1..10 {
+        world.at(100 + t * TICK);
+        answer_all(&mut world, &tasks);
+        world.sched.handle(Event::Tick);
+        let batch = world.sched.take_batch();
+        stored = job_record(batch.records).unwrap_or(stored);
+        if !stops(&batch.actions).is_empty() {
+            assert_eq!(stops(&batch.actions), [tasks[over].expect("a task stands there")]);
+            return (tasks, over, stored);
+        }
+    }
+    panic!("nothing was evicted");
+}
+
+/// Tasks that are stopped.
+fn stops(actions: &[Action]) -> Vec<TaskId> {
+    let stopped = |a: &Action| match a {
+        Action::Stop(_, task, _) => Some(*task),
+        _ => None,
+    };
+    actions.iter().filter_map(stopped).collect()
+}
+
+/// The next holder, from what is stored.
+fn next_holder(record: &JobRecord) -> MachineWorld {
+    let stored = serde_json::to_string(record).expect("a record is JSON");
+    let mut next = holder(TAKEN_OVER);
+    next.sched.restore(1, spec(), Some(serde_json::from_str(&stored).expect("it is read back")));
+    next
+}
+
+/// Two workers with a task each, other than `not`.
+fn others(tasks: &[Option<TaskId>], not: usize) -> Vec<usize> {
+    (0..WORKERS).filter(|n| *n != not && tasks[*n].is_some()).collect()
+}
+
+/// First worker with a task.
+fn first(tasks: &[Option<TaskId>]) -> usize {
+    tasks.iter().position(Option::is_some).expect("a task")
+}
+
+/// Ticks of the next holder, each after all workers answered; returns all tasks
+/// that it stops.
+fn run_next(next: &mut MachineWorld, tasks: &[Option<TaskId>], from: u64, ticks: u64) -> Vec<TaskId> {
+    let mut stopped = Vec::new();
+    for t in 0..ticks {
+        next.at(from + t * TICK);
+        answer_all(next, tasks);
+        stopped.extend(stops(&next.tick()));
+    }
+    stopped
+}
+
+#[test]
+fn stop_under_way_counts_as_away() {
+    let (tasks, gone, record) = evict_one();
+    // Its worker lists the task until it has stopped.
+    let mut next = next_holder(&record);
+    let other = others(&tasks, gone)[0];
+    next.sched.handle(Event::Wave(wave(&[other], 1), None));
+    let stopped = run_next(&mut next, &tasks, TAKEN_OVER, 10);
+    assert!(!stopped.contains(&tasks[other].expect("a task")), "a second one is away: {stopped:?}");
+}
+
+#[test]
+fn next_holder_stops_again() {
+    let (tasks, gone, record) = evict_one();
+    let mut next = next_holder(&record);
+    // Its worker answers before the others do; the second answer finds them at work.
+    let stopped = run_next(&mut next, &tasks, TAKEN_OVER, 2);
+    assert_eq!(stopped, [tasks[gone].expect("a task")], "the first stop may not have been sent");
+}
+
+#[test]
+fn stop_again_waits_for_budget() {
+    let (mut tasks, gone, record) = evict_one();
+    let mut next = next_holder(&record);
+    // Another task has come to an end meanwhile, and is started anew.
+    let other = others(&tasks, gone)[0];
+    let task = tasks[other].take().expect("a task");
+    assert!(run_next(&mut next, &tasks, TAKEN_OVER, 10).is_empty(), "another one is away");
+    let (at, run) = begun(&mut next, task);
+    next.at(TAKEN_OVER + 10 * TICK);
+    answer(&mut next, at, vec![run], Vec::new());
+    let here = tasks[gone].expect("a task");
+    answer(&mut next, gone, vec![listed(here)], Vec::new());
+    assert_eq!(stops(&next.tick()), [here], "both others are at work");
+}
+
+/// The latest start of a task is taken; returns the number of the worker, and
+/// the run as it lists it.
+fn begun(next: &mut MachineWorld, task: TaskId) -> (usize, ReportedRun) {
+    let start = next.actions.iter().rev().find_map(|a| match a {
+        Action::Start { worker: id, task: t, attempt, .. } if *t == task => Some((id.clone(), *attempt)),
+        _ => None,
+    });
+    let (id, attempt) = start.expect("it was started");
+    let lease_end = next.sched.now + Duration::from_secs(6);
+    next.sched.handle(Event::Started(id.clone(), task, attempt, StartReply::Taken, lease_end));
+    let at = (0..WORKERS).find(|n| worker(*n, 0).id == id).expect("a worker of the world");
+    (at, ReportedRun { attempt, ..listed(task) })
+}
+
+#[test]
+fn ended_eviction_frees_budget() {
+    let (tasks, gone, record) = evict_one();
+    let mut next = next_holder(&record);
+    run_next(&mut next, &tasks, TAKEN_OVER, 2);
+    let task = tasks[gone].expect("a task");
+    let end = ReportedEnd { number: 1, task, attempt: 1, kind: EndKind::Stopped, checkpoint: String::new() };
+    answer(&mut next, gone, Vec::new(), vec![end]);
+    assert!(next.sched.jobs[&1].record().rounds[0][0].iter().all(|t| t.evicted.is_empty()));
+    next.tick();
+    let (at, run) = begun(&mut next, task);
+    let other = others(&tasks, gone)[0];
+    next.sched.handle(Event::Wave(wave(&[other], 1), None));
+    let mut stopped = Vec::new();
+    for t in 1..10 {
+        next.at(TAKEN_OVER + t * TICK);
+        for n in others(&tasks, gone) {
+            answer(&mut next, n, tasks[n].into_iter().map(listed).collect(), Vec::new());
+        }
+        answer(&mut next, at, vec![run.clone()], Vec::new());
+        stopped.extend(stops(&next.tick()));
+    }
+    assert_eq!(stopped.first(), tasks[other].as_ref(), "the budget allows the next one");
+}
+
+#[test]
+fn older_record_is_read() {
+    let text = r#"{"b":true,"r":[[[{"a":1,"w":[["w-0-0",1]]},{"a":1,"w":[["w-1-0",1]]},{}]]]}"#;
+    let record: JobRecord = serde_json::from_str(text).expect("a record without evictions");
+    assert!(record.rounds[0][0].iter().all(|t| t.evicted.is_empty()));
+    assert_eq!(record.rounds[0][0][0].runs, [("w-0-0".to_string(), 1)]);
+    let again = serde_json::to_string(&record).expect("a record is JSON");
+    assert!(!again.contains("\"e\""), "nothing is written where nothing is evicted: {again}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod demand_history;
 mod entry_stop;
 mod eviction_budget;
+mod eviction_handover;
 mod fault_soak;
 mod fleet_files;
 mod fold_rules;
