Of several lives listed for a machine, take the one that answers

Cause: entries of lives that are over linger in the list of workers. Where the list of machines was older than the entry, the idle lingering life was taken for the machine's worker, and the machine was ordered down (or moved) as empty while a task ran on its present life. Tests: lingering_lives; both failed without the change.

--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -268,7 +268,9 @@
             here && (w.listed || !w.runs.is_empty())
         };
         let here = self.workers.iter().filter(|(_, w)| says(w));
-        let own = here.max_by_key(|(_, w)| w.listed).map(|(id, _)| id.clone());
+        // Entries of lives that are over linger: of several, the one that answers.
+        let present = |w: &Worker| (w.reachable, w.listed, !w.runs.is_empty());
+        let own = here.max_by_key(|(_, w)| present(w)).map(|(id, _)| id.clone());
         own.or_else(|| self.machines.get(machine).and_then(|m| m.worker.clone()))
     }
 
--- /dev/null
+++ b/tests/testsuite/lingering_lives.rs
@@ -0,0 +1,55 @@
+//! Entries of lives that are over hide nothing of what runs on a machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::{Action, Event, StartReply};
+use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::machine_world::{MachineWorld, machine, upkeeps, wave, worker};
+
+/// Number of the machine.
+const M: usize = 0;
+
+/// A lasting task that must not be missed runs on one life of the machine's
+/// worker, and the entry of another is listed still. Returns the machines that a
+/// wave orders down within some seconds.
+fn ordered_down(life: usize, lingering: usize) -> Vec<String> {
+    let mut world = MachineWorld::new(0);
+    world.sched.handle(Event::WorkerListed(worker(M, life)));
+    world.report(M, life, &[]);
+    world.list(vec![machine(M, SERVICE, Some(life))]);
+    let mut lasting = step(1, vec![]);
+    lasting.lasting = true;
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let starts = world.tick();
+    for a in &starts {
+        let Action::Start { worker: id, task, attempt, .. } = a else { continue };
+        let end = world.sched.now + Duration::from_secs(6);
+        world.sched.handle(Event::Started(id.clone(), *task, *attempt, StartReply::Taken, end));
+    }
+    assert_eq!(starts.iter().filter(|a| matches!(a, Action::Start { .. })).count(), 1, "{starts:?}");
+    // The latest list of machines is older, and tells nothing of that entry.
+    world.at(100);
+    world.sched.handle(Event::WorkerListed(worker(M, lingering)));
+    world.sched.handle(Event::Wave(wave(&[M], 1), None));
+    for t in 1..30 {
+        world.at(t * 150);
+        world.report(M, life, &starts);
+        world.tick();
+    }
+    upkeeps(&world.actions)
+}
+
+#[test]
+fn earlier_life_lingers() {
+    for life in 1..8 {
+        assert!(ordered_down(life, life - 1).is_empty(), "life {life} runs a task");
+    }
+}
+
+#[test]
+fn later_life_is_listed_early() {
+    for life in 0..7 {
+        assert!(ordered_down(life, life + 1).is_empty(), "life {life} answers, and runs a task");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod keyed_requests;
 mod late_jobs;
 mod lease_claims;
+mod lingering_lives;
 mod log_faults;
 mod log_retention;
 mod lost_looks;
