--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -111,14 +111,14 @@
     /// a while, but does not answer. A new lease holder is told of both, and a
     /// machine would be taken for empty whose present life is busy.
     pub(super) fn workers_by_machine(&self) -> BTreeMap<&HostId, &WorkerId> {
-        let mut on: BTreeMap<&HostId, (bool, bool, &WorkerId)> = BTreeMap::new();
+        let mut on: BTreeMap<&HostId, (bool, bool, bool, &WorkerId)> = BTreeMap::new();
         for (id, w) in &self.workers {
             let Some(info) = w.info.as_ref().filter(|_| w.listed || !w.runs.is_empty()) else { continue };
-            let life = (w.reachable, w.listed, id);
+            let life = (w.reachable, w.listed, !w.runs.is_empty(), id);
             if on.get(&info.machine).is_none_or(|other| *other < life) {
                 on.insert(&info.machine, life);
             }
         }
-        on.into_iter().map(|(m, (_, _, id))| (m, id)).collect()
+        on.into_iter().map(|(m, (.., id))| (m, id)).collect()
     }
 }
