--- a/src/workswood/ops/model/load.rs
+++ b/src/workswood/ops/model/load.rs
@@ -19,8 +19,12 @@
 const LARGEST: f64 = 3.0;
 /// Time before the first turn, in which lasting jobs begin.
 pub const BEFORE: Duration = Duration::from_secs(8);
-/// Jobs come at most one a service in this time.
+/// Jobs come at most one a service in this time, or in a part of it where they come
+/// faster.
 const STEP: Duration = Duration::from_millis(10);
+/// Jobs that come in a step of a turn, at most: with more, too many would fall together
+/// in one step, of which only one comes.
+const MOST_A_STEP: f64 = 0.5;
 /// Memory that a task takes, in MB; cores are what is short.
 const TASK_MEM_MB: u64 = 100;
 /// Time that a lasting task takes: longer than any run.
@@ -86,18 +90,26 @@
         }
     }
     let mut at = BEFORE;
+    let step = step_of(spec);
     while at < BEFORE + spec.lasts {
         for (n, s) in spec.services.iter().enumerate() {
-            if draw.happens(rate(spec, n, s, at - BEFORE) * STEP.as_secs_f64()) {
+            if draw.happens(rate(spec, n, s, at - BEFORE) * step.as_secs_f64()) {
                 let key = jobs.len() as JobKey + 1;
                 jobs.push(job(&mut draw, key, s, at));
             }
         }
-        at += STEP;
+        at += step;
     }
     jobs
 }
 
+/// The time in which one job a service comes at most.
+fn step_of(spec: &ModelSpec) -> Duration {
+    let highest = spec.services.iter().map(|s| s.jobs_per_s * spec.peak).fold(0.0, f64::max);
+    let cuts = highest * STEP.as_secs_f64() / MOST_A_STEP;
+    STEP / (cuts.ceil() as u32).max(1)
+}
+
 /// Jobs a second of a service at a time: in its turn several times its mean, and
 /// next to nothing in between. Turns of services begin evenly spaced.
 fn rate(spec: &ModelSpec, n: usize, s: &ServiceSpec, at: Duration) -> f64 {
