Keep what is asked of all workers; tasks of a step wait as one

Cause: whenever a batch was taken, place() copied all waiting ids, walked all workers of all services, cloned and sorted their ids, and walked that list for each task; tick() walked all waiting tasks and all workers several times. Change: Workers keeps, for each service, its workers by faults and free room, room in use and capacities, lives by machine, and who is silent or leaving; Waiting keeps one place a step and the sums of room. Names of workers compare by place in memory first, maps hash with rustc-hash.

--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -158,8 +158,8 @@
         self.config.queues.get(&job.spec.queue)?.advice.as_ref()
     }
 
-    /// Whether a task needs a ticket.
-    pub(super) fn is_advised(&self, id: &TaskId) -> bool {
+    /// Whether tasks of a step need a ticket.
+    pub(super) fn is_advised(&self, id: &StepId) -> bool {
         self.advice.jobs.contains(&id.job)
     }
 
@@ -188,15 +188,13 @@
         if !self.advice.jobs.remove(&key) {
             return;
         }
-        for w in self.workers.values_mut() {
-            w.advice.retain(|step, _| step.job != key);
-        }
+        self.workers.for_each_mut(|w| w.advice.retain(|step, _| step.job != key));
     }
 
     /// Workers of a list that may run a step, as far as is known.
     pub(super) fn may_be_good(&self, workers: &[WorkerId], step: &StepId) -> usize {
         let bad =
-            |id: &&WorkerId| self.workers.get(*id).is_some_and(|w| w.advice.get(step) == Some(&Verdict::Bad));
+            |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.advice.get(step) == Some(&Verdict::Bad));
         workers.len() - workers.iter().filter(bad).count()
     }
 
@@ -206,7 +204,7 @@
         if !self.advice.jobs.contains(&task.job) {
             return;
         }
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.advice.insert(task.step_id(), Verdict::TurnedDown(until));
         }
     }
@@ -258,13 +256,13 @@
         let good: HashMap<WorkerId, _> = answer.good.into_iter().collect();
         if let Some(job) = self.jobs.get(&step.job) {
             let share = self.advice.shares.entry(job.spec.queue.clone()).or_default();
-            let known = |id: &&WorkerId| self.workers.get(*id).is_some_and(|w| w.advice.contains_key(&step));
+            let known = |id: &&WorkerId| self.workers.get(id).is_some_and(|w| w.advice.contains_key(&step));
             let fresh: Vec<&WorkerId> = asked.iter().filter(|id| !known(id)).collect();
             share.observe(fresh.len(), fresh.iter().filter(|id| good.contains_key(**id)).count());
             self.place_again.insert(job.spec.service.clone());
         }
         for id in asked {
-            let Some(w) = self.workers.get_mut(id) else { continue };
+            let Some(mut w) = self.workers.get_mut(id) else { continue };
             let verdict = match good.get(id) {
                 Some(ticket) => Verdict::Good(ticket.clone(), until),
                 None => Verdict::Bad,
--- a/crates/workswood-core/src/jobs/advice_need.rs
+++ b/crates/workswood-core/src/jobs/advice_need.rs
@@ -58,17 +58,25 @@
         for (service, workers) in pools {
             let Some(waiting) = self.ready.get(service) else { continue };
             let mut room = self.room_soon(workers);
-            let first = found.len();
             for place in waiting.places() {
-                let Some(step) = self.jobs.get(&place.task.job).and_then(|j| j.step(&place.task)) else {
+                let spec = self.jobs.get(&place.step.job).map(|j| &j.spec);
+                let Some(step) = spec.and_then(|s| s.steps.get(usize::from(place.step.step))) else {
                     continue;
                 };
                 if room <= 0.0 {
                     break;
                 }
-                room -= step.reserved().cpu_millis as f64;
-                if self.is_advised(&place.task) {
-                    add(&mut found, first, *place, self.now);
+                let each = step.reserved().cpu_millis as f64;
+                let mut tasks: Vec<TaskId> = Vec::new();
+                for task in waiting.tasks_of(&place.step) {
+                    if room <= 0.0 {
+                        break;
+                    }
+                    room -= each;
+                    tasks.push(task);
+                }
+                if self.is_advised(&place.step) {
+                    found.push((*place, Wanted { step: place.step, tasks, opens: self.now }));
                 }
             }
         }
@@ -203,15 +211,6 @@
     }
 }
 
-/// Adds a waiting task to its step, among those found since `first`.
-fn add(found: &mut Vec<(Place, Wanted)>, first: usize, place: Place, now: Duration) {
-    let step = place.task.step_id();
-    match found[first..].iter_mut().find(|(_, w)| w.step == step) {
-        Some((_, w)) => w.tasks.push(place.task),
-        None => found.push((place, Wanted { step, tasks: vec![place.task], opens: now })),
-    }
-}
-
 /// How many times a room holds another.
 fn times(whole: &Room, part: &Room) -> u32 {
     let fit = |whole: u64, part: u64| whole.checked_div(part).unwrap_or(u64::MAX);
--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -24,7 +24,7 @@
     /// Notes that a worker answered, and so knows our token.
     fn answered(&mut self, id: &WorkerId, lease_end: Duration) {
         let now = self.now;
-        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(lease_end, now));
+        let mut w = self.workers.get_or_insert_with(id, || Worker::unknown(lease_end, now));
         let back = !w.reachable || !w.fenced;
         w.heard = now;
         w.reachable = true;
@@ -44,7 +44,7 @@
             last = last.max(end.number);
             self.run_ended(id, end);
         }
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.recorded_ends = last;
         }
         if !ended.is_empty() {
@@ -92,7 +92,7 @@
         }
         task.attempt = listed.attempt;
         task.runs.push(Run::new(id.clone(), listed.attempt, Phase::Running, now));
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.take(listed.task, listed.attempt, step.reserved());
             w.mark(&listed.task, step);
         }
@@ -130,7 +130,7 @@
     /// Takes one end in.
     fn run_ended(&mut self, id: &WorkerId, end: &ReportedEnd) {
         let (now, task_id) = (self.now, end.task);
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.release(task_id, end.attempt);
             if let Some(info) = &w.info {
                 self.place_again.insert(info.service.clone());
@@ -165,7 +165,7 @@
 
     /// A task is done, and with it all members of its gang.
     fn task_done(&mut self, id: &WorkerId, task_id: &TaskId, gang: bool, lasting: bool) {
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.faults = 0;
         }
         if lasting {
@@ -221,7 +221,7 @@
         match job.blamed.clone() {
             Some(first) if first == *id => return,
             Some(first) => {
-                if let Some(w) = self.workers.get_mut(&first) {
+                if let Some(mut w) = self.workers.get_mut(&first) {
                     w.faults = w.faults.saturating_sub(1);
                 }
                 return;
@@ -229,14 +229,15 @@
             None => job.blamed = Some(id.clone()),
         }
         let now = self.now;
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let Some(mut w) = self.workers.get_mut(id) else { return };
         w.faults += 1;
         let faults = w.faults;
+        drop(w);
         if faults < self.policy.health.faults_to_shun || !self.may_shun(id) {
             return;
         }
         let until = now + (self.policy.health.shun_for * faults).min(self.policy.health.shun_at_most);
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.shunned_until = until;
         }
         self.notes.push(format!("event=worker_shunned worker={id} faults={faults}"));
@@ -247,7 +248,7 @@
         let service = self.workers.get(id).and_then(|w| w.info.as_ref()).map(|i| &i.service);
         let same = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
         let all = self.workers.values().filter(same).count();
-        let shunned = self.workers.values().filter(same).filter(|w| w.shunned_until > self.now).count();
+        let shunned = self.workers.values().filter(same).filter(|w| w.is_shunned(self.now)).count();
         (shunned + 1) * self.policy.health.shun_one_of <= all
     }
 }
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -13,9 +13,8 @@
     /// Moves lasting tasks off workers that are leaving. Such a worker ends
     /// in any case, so the budget does not bind here.
     pub(super) fn evict_leaving(&mut self) {
-        let leaving = self.workers.iter().filter(|(_, w)| {
-            w.reachable && w.listed && w.info.as_ref().is_some_and(|i| i.draining) && !w.runs.is_empty()
-        });
+        let leaving = self.workers.leaving();
+        let leaving = leaving.filter(|(_, w)| w.reachable && w.listed && !w.runs.is_empty());
         let leaving: Vec<WorkerId> = leaving.map(|(id, _)| id.clone()).collect();
         for id in leaving {
             for (task, attempt) in self.lasting_runs(&id) {
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -6,10 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::spec::{JobKey, JobSpec, StepSpec, TaskId};
+use super::spec::{JobKey, JobSpec, StepId, StepSpec, TaskId};
 
-/// One life of a worker process; a restarted one has another.
-pub type WorkerId = Arc<str>;
+pub use super::worker_id::WorkerId;
 
 /// Pace of a task that nothing holds back, in percent.
 pub const FULL_PACE: u32 = 100;
@@ -220,6 +219,21 @@
         !self.cancelled && self.outcome.is_none()
     }
 
+    /// Names of all steps of opened rounds.
+    pub fn step_ids(&self) -> impl Iterator<Item = StepId> {
+        let steps = self.spec.steps.len() as u16;
+        let rounds = 0..self.rounds.len() as u32;
+        rounds.flat_map(move |round| (0..steps).map(move |step| StepId { job: self.key, round, step }))
+    }
+
+    /// Numbers of the tasks of a step that are neither done nor run anywhere.
+    pub fn idle_tasks(&self, id: &StepId) -> Vec<u32> {
+        let step = self.rounds.get(id.round as usize).and_then(|r| r.get(usize::from(id.step)));
+        let tasks = step.map(Vec::as_slice).unwrap_or_default().iter().enumerate();
+        let idle = tasks.filter(|(_, t)| !t.done && t.runs.is_empty());
+        idle.map(|(index, _)| index as u32).collect()
+    }
+
     /// Names of all tasks of opened rounds.
     pub fn task_ids(&self) -> Vec<TaskId> {
         let mut ids = Vec::new();
--- a/crates/workswood-core/src/jobs/map.rs
+++ b/crates/workswood-core/src/jobs/map.rs
@@ -1,7 +1,9 @@
 //! Maps whose order is the same in every run.
 
 use std::collections::HashMap;
-use std::hash::{BuildHasherDefault, DefaultHasher};
+use std::hash::BuildHasherDefault;
+
+use rustc_hash::FxHasher;
 
 /// A map that lists its entries in an order that follows from what was put in
 /// and taken out. The standard map draws an order of its own in each process;
@@ -9,4 +11,4 @@
 ///
 /// For keys that the platform or this system gave. What callers name is kept in
 /// trees, lest one picks many that collide.
-pub type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
+pub type Map<K, V> = HashMap<K, V, BuildHasherDefault<FxHasher>>;
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -17,10 +17,11 @@
 //! * [`spec`] holds what callers ask for, and its checks.
 //! * [`config`] holds queues and services in force.
 //! * [`job`] holds the state of one job and its stored form.
-//! * [`worker`] holds what is known of one worker, its room and its lease.
+//! * [`worker`] holds what is known of one worker, its room and its lease;
+//!   [`worker_id`] is its name, and [`workers`] holds all of them.
 //! * [`machine`] holds what is known of one machine.
 //! * [`map`] is a map whose order is the same in every run.
-//! * [`order`] decides which waiting task is next.
+//! * [`order`] decides which waiting task is next, and [`waiting`] keeps them.
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
@@ -58,8 +59,11 @@
 pub mod spec;
 pub mod types;
 pub mod upkeep;
+pub mod waiting;
 pub mod wave;
 pub mod worker;
+pub mod worker_id;
+pub mod workers;
 
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
--- a/crates/workswood-core/src/jobs/moves.rs
+++ b/crates/workswood-core/src/jobs/moves.rs
@@ -44,7 +44,7 @@
         let from = self.machines.get(&machine).map(|m| m.pool.clone()).unwrap_or_default();
         let need = self.pools.need.get(&to).map_or(0.0, |n| n.now);
         self.notes.push(format!("event=machine_moving machine={machine} from={from} to={to} need={need:.1}"));
-        if let Some(w) = worker.as_ref().and_then(|id| self.workers.get_mut(id)) {
+        if let Some(mut w) = worker.as_ref().and_then(|id| self.workers.get_mut(id)) {
             w.cordoned = true;
         }
         let moving = Moving { to, since: self.now, sent: None, unsure: false, worker };
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -7,10 +7,11 @@
 
 use super::demand::Demand;
 use super::job::Job;
-use super::order::{Standing, Waiting, whole_work};
+use super::order::whole_work;
 use super::pool_count::PoolCount;
 use super::sched::Scheduler;
-use super::spec::{Room, StepSpec};
+use super::spec::Room;
+use super::waiting::Waiting;
 use crate::ids::ServiceId;
 
 /// Need of a service in machines, falling from its peaks at two speeds.
@@ -90,8 +91,8 @@
 
     /// What runs and waits in a service.
     fn wanted(&self, service: &ServiceId) -> Wanted {
-        let (mut room, size) = self.room_in_use(service);
-        let (in_time, late) = self.room_waited_for(service);
+        let (mut room, size) = (self.workers.room_in_use(service), self.workers.largest(service));
+        let (in_time, late) = self.ready.get(service).map(Waiting::room).unwrap_or_default();
         room.add(&in_time);
         let policy = &self.policy.need;
         let cpu = (room.cpu_millis as f64 + late.cpu_millis as f64 * policy.late) / size.cpu_millis as f64;
@@ -104,35 +105,6 @@
         }
     }
 
-    /// Room that runs take in a service, and the room of its largest worker.
-    pub(super) fn room_in_use(&self, service: &ServiceId) -> (Room, Room) {
-        let mut used = Room::default();
-        let mut size = Room::default();
-        for w in self.workers.values() {
-            let Some(info) = w.info.as_ref().filter(|i| i.service == *service) else { continue };
-            used.add(&w.used);
-            if w.listed && info.capacity.cpu_millis > size.cpu_millis {
-                size = info.capacity;
-            }
-        }
-        (used, size)
-    }
-
-    /// Room that waiting tasks ask for: those in time, and those that are late.
-    fn room_waited_for(&self, service: &ServiceId) -> (Room, Room) {
-        let mut in_time = Room::default();
-        let mut late = Room::default();
-        for place in self.ready.get(service).into_iter().flat_map(Waiting::places) {
-            let step = self.jobs.get(&place.task.job).and_then(|j| j.step(&place.task));
-            let Some(room) = step.map(StepSpec::reserved) else { continue };
-            match place.standing {
-                Standing::InTime => in_time.add(&room),
-                Standing::Late | Standing::Void => late.add(&room),
-            }
-        }
-        (in_time, late)
-    }
-
     /// Machines that lasting tasks need because only so many may share one.
     fn machines_apart(&self, service: &ServiceId) -> u32 {
         let jobs = self.jobs.values().filter(|j| j.open() && j.spec.service == *service);
--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -7,13 +7,13 @@
 //! that must begin first. Jobs that are late anyway get what is left over, in the
 //! order of their coming.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use super::config::QueueConfig;
 use super::job::Job;
 use super::policy::OrderPolicy;
-use super::spec::{JobSpec, QueueId, TaskId};
+use super::spec::{JobSpec, QueueId, StepId};
 use crate::ids::UnixMs;
 
 /// Guess for a step without an estimate, before any task has ended.
@@ -30,18 +30,18 @@
     Void,
 }
 
-/// Place of a task in its queue: the least goes first.
+/// Place of a step's waiting tasks in their queue: the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
     /// Urgency of the queue; 0 is the most urgent.
     pub priority: u32,
     /// Standing of the job when it was last looked at.
     pub standing: Standing,
-    /// In time: when the task must begin.
+    /// In time: when the step's tasks must begin.
     /// Later: when the job was handed in.
     pub rank: u64,
-    /// The task.
-    pub task: TaskId,
+    /// The step.
+    pub step: StepId,
 }
 
 /// When the standing of a job gets worse.
@@ -49,9 +49,9 @@
 pub struct Dues {
     /// When the job was handed in, or its round was due.
     pub begin: UnixMs,
-    /// The task must begin by then for its job to be in time.
+    /// A task must begin by then for its job to be in time.
     pub in_time: UnixMs,
-    /// The task must begin by then for its job to be worth anything.
+    /// A task must begin by then for its job to be worth anything.
     pub late: UnixMs,
 }
 
@@ -68,53 +68,6 @@
     }
 }
 
-/// Tasks of one service that wait for a worker.
-#[derive(Debug, Default)]
-pub struct Waiting {
-    order: BTreeSet<Place>,
-    places: HashMap<TaskId, (Place, Dues)>,
-}
-
-impl Waiting {
-    /// Adds a task, or moves it to its new place.
-    pub fn insert(&mut self, place: Place, dues: Dues) {
-        self.remove(&place.task);
-        self.order.insert(place);
-        self.places.insert(place.task, (place, dues));
-    }
-
-    /// Takes a task out.
-    pub fn remove(&mut self, task: &TaskId) {
-        if let Some((place, _)) = self.places.remove(task) {
-            self.order.remove(&place);
-        }
-    }
-
-    /// Whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.order.is_empty()
-    }
-
-    /// Tasks in their order.
-    pub fn tasks(&self) -> impl Iterator<Item = &TaskId> {
-        self.order.iter().map(|p| &p.task)
-    }
-
-    /// Tasks in their order, with their standing.
-    pub fn places(&self) -> impl Iterator<Item = &Place> {
-        self.order.iter()
-    }
-
-    /// Moves tasks back whose standing got worse.
-    pub fn age(&mut self, now: UnixMs) {
-        let worse = |(place, dues): &&(Place, Dues)| dues.standing(now) > place.standing;
-        let moved: Vec<(Place, Dues)> = self.places.values().filter(worse).copied().collect();
-        for (place, dues) in moved {
-            self.insert(Place { standing: dues.standing(now), rank: dues.begin, ..place }, dues);
-        }
-    }
-}
-
 /// How long tasks of each queue have taken lately.
 #[derive(Debug, Default)]
 pub struct Durations {
@@ -163,10 +116,10 @@
     (0..spec.steps.len()).map(|n| chain_from(spec, n, took)).max().unwrap_or_default()
 }
 
-/// Where a task stands, and when it will stand worse.
+/// Where the tasks of a step stand, and when they will stand worse.
 pub fn place_of(
     job: &Job,
-    id: &TaskId,
+    id: &StepId,
     queue: Option<&QueueConfig>,
     known: &Durations,
     policy: &OrderPolicy,
@@ -174,7 +127,7 @@
 ) -> (Place, Dues) {
     let spec = &job.spec;
     let took = |n: usize| known.expect(&spec.queue, spec.steps[n].estimate, policy);
-    let lasting = job.step(id).is_some_and(|s| s.lasting);
+    let lasting = spec.steps.get(usize::from(id.step)).is_some_and(|s| s.lasting);
     let begin = spec.accepted.max(spec.due(id.round));
     let owed = owed_after(spec, queue, &took);
     let left = chain_from(spec, usize::from(id.step), &took).as_millis() as u64;
@@ -191,7 +144,7 @@
         Standing::InTime => dues.in_time,
         Standing::Late | Standing::Void => begin,
     };
-    let place = Place { priority: spec.priority, standing, rank, task: *id };
+    let place = Place { priority: spec.priority, standing, rank, step: *id };
     (place, dues)
 }
 
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -1,11 +1,11 @@
 //! Which worker a task is started on.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::job::{Job, Phase, Run, WorkerId};
+use super::order::Place;
 use super::sched::Scheduler;
-use super::spec::{JobKey, Room, StepSpec, TaskId};
+use super::spec::{Room, StepId, StepSpec, TaskId};
 use super::types::Action;
 use super::worker::Worker;
 use crate::ids::ServiceId;
@@ -17,60 +17,60 @@
 impl Scheduler {
     /// Places waiting tasks of a service, most urgent first.
     pub(super) fn place(&mut self, service: &ServiceId) {
-        let Some(waiting) = self.ready.get(service) else { return };
-        if waiting.is_empty() {
-            return;
-        }
-        let ids: Vec<TaskId> = waiting.tasks().copied().collect();
-        let workers = self.takers(service);
-        // Tasks of one step are alike: where one finds no room, none does.
-        let mut missed: HashSet<(JobKey, u32, u16)> = HashSet::new();
         let mut misses = 0;
-        for id in ids {
-            if misses >= self.policy.placement.most_misses || workers.is_empty() {
-                break;
-            }
-            let alike = (id.job, id.round, id.step);
-            if !missed.contains(&alike) && !self.place_one(&id, &workers) {
-                missed.insert(alike);
-                misses += usize::from(!self.lasts(&id) && !self.is_advised(&id));
+        let mut last: Option<Place> = None;
+        while misses < self.policy.placement.most_misses {
+            let Some(waiting) = self.ready.get(service) else { return };
+            let Some(next) = waiting.next_after(last.as_ref()) else { return };
+            last = Some(next);
+            if !self.place_step(service, &next.step) {
+                misses += usize::from(!self.lasts(&next.step) && !self.is_advised(&next.step));
             }
         }
     }
 
-    /// Whether a task runs until its job is cancelled; one that has no place
+    /// Whether tasks of a step run until their job is cancelled; one that has no place
     /// may have none for hours.
-    fn lasts(&self, id: &TaskId) -> bool {
-        self.jobs.get(&id.job).and_then(|j| j.step(id)).is_some_and(|s| s.lasting)
+    fn lasts(&self, id: &StepId) -> bool {
+        let steps = self.jobs.get(&id.job).map(|j| &j.spec.steps);
+        steps.and_then(|s| s.get(usize::from(id.step))).is_some_and(|s| s.lasting)
     }
 
-    /// Workers of a service that take work.
-    pub(super) fn takers(&self, service: &ServiceId) -> Vec<WorkerId> {
-        let takes = |w: &Worker| {
-            let same = w.info.as_ref().is_some_and(|i| i.service == *service);
-            same && w.takes_work(self.now)
-        };
-        let mut ids: Vec<WorkerId> =
-            self.workers.iter().filter(|(_, w)| takes(w)).map(|(id, _)| id.clone()).collect();
+    /// Workers of a service that take work, by name.
+    pub(super) fn takers(&self, service: &str) -> Vec<WorkerId> {
+        let takers = self.workers.takers(service, 0).filter(|(_, w)| !w.is_shunned(self.now));
+        let mut ids: Vec<WorkerId> = takers.map(|(id, _)| id.clone()).collect();
         ids.sort();
         ids
     }
 
-    /// Places a task, or its gang; returns whether it found room or is gone.
-    fn place_one(&mut self, id: &TaskId, workers: &[WorkerId]) -> bool {
+    /// Places the waiting tasks of a step; returns whether each found room or is gone.
+    /// They are alike: where one finds no room, none does.
+    fn place_step(&mut self, service: &str, id: &StepId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else { return true };
-        let Some(step) = job.step(id) else { return true };
-        if step.gang {
-            let spec = job.spec.clone();
-            return self.place_gang(id, &spec.steps[usize::from(id.step)], workers);
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(id.step)) else { return true };
+        while let Some(task) = self.ready.get(service).and_then(|w| w.tasks_of(id).next()) {
+            let placed = match step.gang {
+                true => self.place_gang(&task, step, service),
+                false => self.place_task(&task, step, service),
+            };
+            if !placed {
+                return false;
+            }
         }
-        let Some(worker) = self.choose(job, step, id, workers) else { return false };
+        true
+    }
+
+    fn place_task(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return true };
+        let Some(worker) = self.choose(job, step, id, service) else { return false };
         self.start(id, &worker, None);
         true
     }
 
     /// Places all members of a gang, or none.
-    fn place_gang(&mut self, id: &TaskId, step: &StepSpec, workers: &[WorkerId]) -> bool {
+    fn place_gang(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
         let members: Vec<TaskId> = (0..step.count).map(|index| TaskId { index, ..*id }).collect();
         let Some(job) = self.jobs.get(&id.job) else { return true };
         let idle = members.iter().all(|m| job.task(m).is_some_and(|t| !t.done && t.runs.is_empty()));
@@ -81,14 +81,14 @@
         let mut places = Vec::new();
         for m in &members {
             let Some(job) = self.jobs.get(&id.job) else { break };
-            let Some(worker) = self.choose(job, step, m, workers) else { break };
-            if let Some(w) = self.workers.get_mut(&worker) {
+            let Some(worker) = self.choose(job, step, m, service) else { break };
+            if let Some(mut w) = self.workers.get_mut(&worker) {
                 w.take(*m, attempt, step.reserved());
             }
             places.push((*m, worker));
         }
         for (m, worker) in &places {
-            if let Some(w) = self.workers.get_mut(worker) {
+            if let Some(mut w) = self.workers.get_mut(worker) {
                 w.release(*m, attempt);
             }
         }
@@ -105,24 +105,36 @@
         true
     }
 
-    /// The best worker with room, if there is one.
-    fn choose(&self, job: &Job, step: &StepSpec, id: &TaskId, workers: &[WorkerId]) -> Option<WorkerId> {
+    /// The best worker with room, if there is one. For tasks that neither last nor
+    /// have their data in some rack it is the first one of the index that fits.
+    fn choose(&self, job: &Job, step: &StepSpec, id: &TaskId, service: &str) -> Option<WorkerId> {
         let room = step.reserved();
         let avoid = job.task(id).and_then(|t| t.avoid.as_ref());
-        let advised = self.is_advised(id);
-        let others = if advised { self.may_be_good(workers, &id.step_id()) } else { workers.len() };
-        let fits = |wid: &&WorkerId| {
-            let Some(w) = self.workers.get(*wid) else { return false };
-            let avoided = avoid == Some(*wid) && others > 1;
+        let advised = self.is_advised(&id.step_id());
+        let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            ticket && !avoided && w.free().holds(&room) && self.allowed(w, step, id)
+            ticket && !w.is_shunned(self.now) && w.free().holds(&room) && self.allowed(w, step, id)
         };
-        let fitting = workers.iter().filter(fits);
-        let best = fitting.min_by_key(|wid| {
-            let w = &self.workers[*wid];
-            self.cost(w, step, id)
-        });
-        best.cloned()
+        let takers = || self.workers.takers(service, room.cpu_millis).filter(|(_, w)| fits(w));
+        let best = |skip: Option<&WorkerId>| {
+            let mut open = takers().filter(|(wid, _)| skip != Some(*wid));
+            let found = match step.lasting || step.near.is_some() {
+                true => open.min_by_key(|(_, w)| self.cost(w, step, id)),
+                false => open.next(),
+            };
+            found.map(|(wid, _)| wid.clone())
+        };
+        let found = best(avoid);
+        if found.is_some() || avoid.is_none() {
+            return found;
+        }
+        // The one to be avoided is taken only where no other may ever be.
+        let others = if advised {
+            self.may_be_good(&self.takers(service), &id.step_id())
+        } else {
+            self.workers.takers(service, 0).filter(|(_, w)| !w.is_shunned(self.now)).take(2).count()
+        };
+        if others > 1 { None } else { best(None) }
     }
 
     /// Whether label and spread let a task of the step run there.
@@ -185,7 +197,7 @@
         let checkpoint = task.checkpoint.clone();
         job.begun = true;
         self.dirty.insert(id.job);
-        if let Some(w) = self.workers.get_mut(worker) {
+        if let Some(mut w) = self.workers.get_mut(worker) {
             let room: Room = step.reserved();
             let fits = w.free().holds(&room);
             invariant::check(fits, || format!("start of {id} on {worker} does not fit"));
--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -82,10 +82,9 @@
     /// on 49 machines).
     fn free_machines(&self) -> BTreeMap<ServiceId, Free> {
         let spare = self.spare_pool();
-        let on = self.workers_by_machine();
         let mut free: BTreeMap<ServiceId, Free> = BTreeMap::new();
         for m in self.machines.values().filter(|m| self.may_move(m)) {
-            let worker = on.get(&m.name).copied().or(m.worker.as_ref());
+            let worker = self.worker_on(&m.name).or(m.worker.as_ref());
             if spare.as_ref() == Some(&m.pool) || worker.is_some_and(|id| self.stands_empty(id)) {
                 free.entry(m.pool.clone()).or_default().insert(m.name.clone(), worker.cloned());
             }
@@ -106,19 +105,15 @@
         self.workers.get(id).is_some_and(|w| w.reachable && w.runs.is_empty())
     }
 
-    /// The workers of all machines by their own statements. A life that is not
+    /// The worker of a machine by the workers' own statements. A life that is not
     /// listed may be cut off and still run tasks; one that is over may be listed for
     /// a while, but does not answer. A new lease holder is told of both, and a
     /// machine would be taken for empty whose present life is busy.
-    pub(super) fn workers_by_machine(&self) -> BTreeMap<&HostId, &WorkerId> {
-        let mut on: BTreeMap<&HostId, (bool, bool, bool, &WorkerId)> = BTreeMap::new();
-        for (id, w) in &self.workers {
-            let Some(info) = w.info.as_ref().filter(|_| w.listed || !w.runs.is_empty()) else { continue };
-            let life = (w.reachable, w.listed, !w.runs.is_empty(), id);
-            if on.get(&info.machine).is_none_or(|other| *other < life) {
-                on.insert(&info.machine, life);
-            }
-        }
-        on.into_iter().map(|(m, (.., id))| (m, id)).collect()
+    pub(super) fn worker_on(&self, machine: &HostId) -> Option<&WorkerId> {
+        let lives = self.workers.on_machine(machine).iter();
+        let known = lives.filter_map(|id| Some((id, self.workers.get(id)?)));
+        let counts = known.filter(|(_, w)| w.listed || !w.runs.is_empty());
+        let best = counts.max_by_key(|(id, w)| (w.reachable, w.listed, !w.runs.is_empty(), *id));
+        best.map(|(id, _)| id)
     }
 }
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -1,6 +1,6 @@
 //! The scheduler: events in, records and actions out.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,13 +10,15 @@
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
 use super::machine::Machine;
 use super::map::Map;
-use super::order::{Durations, Waiting, place_of};
+use super::order::{Durations, place_of};
 use super::policy::Policy;
 use super::pools::PoolState;
-use super::spec::{JobKey, JobSpec, QueueId, TaskId};
+use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::types::{Action, Batch, Event, LEASE_SLACK, Limits, Record, ShownJob};
+use super::waiting::Waiting;
 use super::wave::WaveState;
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
+use super::workers::Workers;
 use crate::ids::{HostId, ServiceId, Term, UnixMs};
 use crate::invariant;
 
@@ -41,7 +43,7 @@
     /// Jobs that are known.
     pub jobs: BTreeMap<JobKey, Job>,
     /// Lives of workers that are known.
-    pub workers: Map<WorkerId, Worker>,
+    pub workers: Workers,
     /// Tasks that wait for a worker, by service.
     pub(super) ready: Map<ServiceId, Waiting>,
     /// How long tasks take.
@@ -95,7 +97,7 @@
             policy: Policy::default(),
             config: Arc::default(),
             jobs: BTreeMap::new(),
-            workers: Map::default(),
+            workers: Workers::default(),
             ready: Map::default(),
             durations: Durations::default(),
             machines: Map::default(),
@@ -121,9 +123,10 @@
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
         let info = WorkerInfo::restore(id.clone(), rec);
-        let mut w = Worker::unknown(self.inherited_lease_end(), self.since);
-        w.info = Some(info.clone());
-        self.workers.insert(id, w);
+        let (lease_end, since) = (self.inherited_lease_end(), self.since);
+        let mut w = self.workers.get_or_insert_with(&id, || Worker::unknown(lease_end, since));
+        w.info = Some(Arc::new(info.clone()));
+        drop(w);
         // Its address tells whether that life is over.
         self.actions.push(Action::Watch(info));
     }
@@ -147,8 +150,8 @@
         for id in job.task_ids() {
             let Some(task) = job.task(&id) else { continue };
             for run in &task.runs {
-                let w = self.workers.entry(run.worker.clone());
-                let w = w.or_insert_with(|| Worker::unknown(bound, self.since));
+                let since = self.since;
+                let mut w = self.workers.get_or_insert_with(&run.worker, || Worker::unknown(bound, since));
                 if let Some(step) = job.step(&id) {
                     w.take(id, run.attempt, step.reserved());
                     w.mark(&id, step);
@@ -268,17 +271,11 @@
         if !job.open() {
             return;
         }
-        let ids: Vec<TaskId> = job.task_ids();
-        let mut open: HashMap<(u32, u16), bool> = HashMap::new();
-        let mut waiting = Vec::new();
-        for id in ids {
-            let open = *open.entry((id.round, id.step)).or_insert_with(|| job.step_open(id.round, id.step));
-            let idle = job.task(&id).is_some_and(|t| !t.done && t.runs.is_empty());
-            if open && idle {
-                waiting.push(id);
-            }
+        let open = job.step_ids().filter(|id| job.step_open(id.round, id.step));
+        let waiting: Vec<(StepId, Vec<u32>)> = open.map(|id| (id, job.idle_tasks(&id))).collect();
+        for (step, tasks) in waiting {
+            self.enqueue(step, tasks);
         }
-        self.enqueue(key, &waiting);
         self.finish_if_done(key);
     }
 
@@ -289,19 +286,19 @@
         if !job.open() || !idle || !job.step_open(id.round, id.step) {
             return;
         }
-        self.enqueue(id.job, &[*id]);
+        self.enqueue(id.step_id(), vec![id.index]);
     }
 
-    /// Adds tasks to the queue of their service.
-    fn enqueue(&mut self, key: JobKey, ids: &[TaskId]) {
-        let Some(job) = self.jobs.get(&key) else { return };
+    /// Adds tasks of a step to the queue of their service.
+    fn enqueue(&mut self, id: StepId, tasks: Vec<u32>) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(id.step)).filter(|_| !tasks.is_empty()) else {
+            return;
+        };
         let queue = self.config.queues.get(&job.spec.queue);
+        let (place, dues) = place_of(job, &id, queue, &self.durations, &self.policy.order, self.wall);
         let service = job.spec.service.clone();
-        let waiting = self.ready.entry(service.clone()).or_default();
-        for id in ids {
-            let (place, dues) = place_of(job, id, queue, &self.durations, &self.policy.order, self.wall);
-            waiting.insert(place, dues);
-        }
+        self.ready.entry(service.clone()).or_default().insert(place, dues, step.reserved(), tasks);
         self.place_again.insert(service);
     }
 
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -5,6 +5,7 @@
 //! no earlier try of it; a report that was asked for later does not list it;
 //! that life of the worker is over; or the worker's lease has ended.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use super::job::{FULL_PACE, Phase, Run, WorkerId};
@@ -30,12 +31,12 @@
         let id = info.id.clone();
         let now = self.now;
         let cordoned = self.is_cordoned(&info.machine);
-        let w = self.workers.entry(id.clone()).or_insert_with(|| Worker::unknown(now, now));
+        let mut w = self.workers.get_or_insert_with(&id, || Worker::unknown(now, now));
         w.cordoned = cordoned;
         let fresh = w.info.is_none() || !w.listed;
         let draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
         self.place_again.insert(info.service.clone());
-        w.info = Some(info.clone());
+        w.info = Some(Arc::new(info.clone()));
         w.listed = true;
         if fresh {
             // Nothing is sent before it has answered anew.
@@ -78,9 +79,10 @@
 
     /// A worker is no longer listed. It may live on, cut off from the store.
     pub(super) fn worker_unlisted(&mut self, id: &WorkerId) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let Some(mut w) = self.workers.get_mut(id) else { return };
         w.listed = false;
         self.notes.push(format!("event=worker_unlisted worker={id} runs={}", w.runs.len()));
+        drop(w);
         self.drop_if_idle(id);
     }
 
@@ -96,7 +98,7 @@
 
     /// A worker did not answer a look.
     pub(super) fn unanswered(&mut self, id: &WorkerId, lease_end: Duration) {
-        let Some(w) = self.workers.get_mut(id) else { return };
+        let Some(mut w) = self.workers.get_mut(id) else { return };
         if w.reachable {
             self.notes.push(format!("event=worker_unreachable worker={id} runs={}", w.runs.len()));
         }
@@ -127,7 +129,7 @@
 
     /// A run is over without an end of its own.
     pub(super) fn settle(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, why: &str) {
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.release(*task_id, attempt);
         }
         let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id)) else { return };
@@ -162,7 +164,7 @@
         lease_end: Duration,
     ) {
         let now = self.now;
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.lease_end = w.lease_end.max(lease_end);
         }
         if reply != StartReply::Taken {
@@ -211,7 +213,7 @@
             | StartReply::Deposed => return,
         };
         let until = self.now + shun_for;
-        if let Some(w) = self.workers.get_mut(id) {
+        if let Some(mut w) = self.workers.get_mut(id) {
             w.shunned_until = w.shunned_until.max(until);
         }
     }
@@ -236,7 +238,7 @@
     /// Settles what ran on workers whose lease has ended.
     pub(super) fn settle_lapsed(&mut self) {
         let now = self.now;
-        let lapsed = self.workers.iter().filter(|(_, w)| !w.reachable && w.lease_end < now);
+        let lapsed = self.workers.silent().filter(|(_, w)| w.lease_end < now);
         let lapsed: Vec<WorkerId> = lapsed.map(|(id, _)| id.clone()).collect();
         for id in lapsed {
             for (task, attempt) in self.runs_on(&id) {
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -51,6 +51,12 @@
         self.gpus += other.gpus;
     }
 
+    /// This room so many times.
+    pub fn times(&self, count: u64) -> Room {
+        let times = |n: u64| n.saturating_mul(count);
+        Room { cpu_millis: times(self.cpu_millis), mem_mb: times(self.mem_mb), gpus: times(self.gpus) }
+    }
+
     /// What is left after taking `other` out; nothing goes below zero.
     pub fn minus(&self, other: &Room) -> Room {
         Room {
@@ -233,6 +239,13 @@
     pub step: u16,
 }
 
+impl StepId {
+    /// A task of the step, by its number.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId { job: self.job, round: self.round, step: self.step, index }
+    }
+}
+
 impl fmt::Display for StepId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}.{}.{}", self.job, self.round, self.step)
--- a/crates/workswood-core/src/jobs/upkeep.rs
+++ b/crates/workswood-core/src/jobs/upkeep.rs
@@ -33,10 +33,9 @@
         if w.emptying.is_empty() {
             return;
         }
-        let on = self.workers_by_machine();
         let worker = |m: &HostId| {
             let listed = || self.machines.get(m).and_then(|m| m.worker.clone());
-            on.get(m).map(|id| (*id).clone()).or_else(listed)
+            self.worker_on(m).cloned().or_else(listed)
         };
         let emptying: Vec<(HostId, Duration, Option<WorkerId>)> =
             w.emptying.iter().map(|(m, at)| (m.clone(), *at, worker(m))).collect();
--- /dev/null
+++ b/crates/workswood-core/src/jobs/waiting.rs
@@ -0,0 +1,161 @@
+//! Tasks of one service that wait for a worker, by steps.
+//!
+//! Tasks of a step are alike: they ask for the same room and stand alike. So a step
+//! has one place in the queue however many of its tasks wait, and what all of them
+//! ask for is a sum that is kept.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use super::order::{Dues, Place, Standing};
+use super::spec::{Room, StepId, TaskId};
+use crate::ids::UnixMs;
+
+/// Waiting tasks of one step.
+#[derive(Debug)]
+struct WaitingStep {
+    place: Place,
+    dues: Dues,
+    /// Room that each task asks for.
+    room: Room,
+    /// Numbers of the tasks.
+    tasks: BTreeSet<u32>,
+}
+
+/// What waiting tasks ask for.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    tasks: usize,
+    room: Room,
+}
+
+/// Tasks of one service that wait for a worker.
+#[derive(Debug, Default)]
+pub struct Waiting {
+    order: BTreeSet<Place>,
+    steps: BTreeMap<StepId, WaitingStep>,
+    /// When steps stand worse.
+    worse_at: BTreeSet<(UnixMs, StepId)>,
+    in_time: Sum,
+    late: Sum,
+}
+
+impl Waiting {
+    /// Adds tasks of a step, which all take this place; each asks for so much room.
+    pub fn insert(&mut self, place: Place, dues: Dues, room: Room, tasks: impl IntoIterator<Item = u32>) {
+        let before = self.take(&place.step);
+        let mut all = before.map(|s| s.tasks).unwrap_or_default();
+        all.extend(tasks);
+        self.put(WaitingStep { place, dues, room, tasks: all });
+    }
+
+    /// Takes a task out.
+    pub fn remove(&mut self, task: &TaskId) {
+        let step = task.step_id();
+        let Some(s) = self.steps.get_mut(&step) else { return };
+        if !s.tasks.remove(&task.index) {
+            return;
+        }
+        let (place, room, empty) = (s.place, s.room, s.tasks.is_empty());
+        self.sum_mut(place.standing).remove(1, &room);
+        if empty {
+            self.take(&step);
+        }
+    }
+
+    /// Takes all tasks of a step out.
+    pub fn remove_step(&mut self, step: &StepId) {
+        self.take(step);
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    /// How many tasks wait.
+    pub fn count(&self) -> usize {
+        self.in_time.tasks + self.late.tasks
+    }
+
+    /// Room that is waited for: by tasks whose job can be in time, and by others.
+    pub fn room(&self) -> (Room, Room) {
+        (self.in_time.room, self.late.room)
+    }
+
+    /// Places of steps in their order.
+    pub fn places(&self) -> impl Iterator<Item = &Place> {
+        self.order.iter()
+    }
+
+    /// The step that comes after a place, or the first one.
+    pub fn next_after(&self, place: Option<&Place>) -> Option<Place> {
+        let from = place.map_or(Bound::Unbounded, Bound::Excluded);
+        self.order.range((from, Bound::Unbounded)).next().copied()
+    }
+
+    /// Waiting tasks of a step, the first by number first.
+    pub fn tasks_of(&self, step: &StepId) -> impl Iterator<Item = TaskId> {
+        let tasks = self.steps.get(step).into_iter().flat_map(|s| &s.tasks);
+        tasks.map(|index| step.task(*index))
+    }
+
+    /// Moves steps back that stand worse by now.
+    pub fn age(&mut self, now: UnixMs) {
+        while let Some((_, step)) = self.worse_at.first().copied().filter(|(at, _)| *at < now) {
+            let Some(mut s) = self.take(&step) else { return };
+            s.place = Place { standing: s.dues.standing(now), rank: s.dues.begin, ..s.place };
+            self.put(s);
+        }
+    }
+
+    fn put(&mut self, s: WaitingStep) {
+        if s.tasks.is_empty() {
+            return;
+        }
+        self.order.insert(s.place);
+        self.worse_at.extend(s.worse_at().map(|at| (at, s.place.step)));
+        self.sum_mut(s.place.standing).add(s.tasks.len(), &s.room);
+        self.steps.insert(s.place.step, s);
+    }
+
+    fn take(&mut self, step: &StepId) -> Option<WaitingStep> {
+        let s = self.steps.remove(step)?;
+        self.order.remove(&s.place);
+        if let Some(at) = s.worse_at() {
+            self.worse_at.remove(&(at, *step));
+        }
+        self.sum_mut(s.place.standing).remove(s.tasks.len(), &s.room);
+        Some(s)
+    }
+
+    fn sum_mut(&mut self, standing: Standing) -> &mut Sum {
+        match standing {
+            Standing::InTime => &mut self.in_time,
+            Standing::Late | Standing::Void => &mut self.late,
+        }
+    }
+}
+
+impl WaitingStep {
+    /// The last moment at which it stands as it does.
+    fn worse_at(&self) -> Option<UnixMs> {
+        match self.place.standing {
+            Standing::InTime => Some(self.dues.in_time),
+            Standing::Late => Some(self.dues.late),
+            Standing::Void => None,
+        }
+    }
+}
+
+impl Sum {
+    fn add(&mut self, tasks: usize, room: &Room) {
+        self.tasks += tasks;
+        self.room.add(&room.times(tasks as u64));
+    }
+
+    fn remove(&mut self, tasks: usize, room: &Room) {
+        self.tasks -= tasks;
+        self.room = self.room.minus(&room.times(tasks as u64));
+    }
+}
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -253,7 +253,7 @@
             .map(|(id, _, now)| (id.clone(), now))
             .collect();
         for (id, cordoned) in changed {
-            let Some(w) = self.workers.get_mut(&id) else { continue };
+            let Some(mut w) = self.workers.get_mut(&id) else { continue };
             w.cordoned = cordoned;
             if let Some(info) = &w.info {
                 self.place_again.insert(info.service.clone());
@@ -309,11 +309,10 @@
     /// with the least on them first; each with its lasting tasks and processor
     /// use.
     fn next_to_empty(&self, w: &WaveState, short: &[ServiceId]) -> Vec<(usize, u64, HostId)> {
-        let on = self.workers_by_machine();
         let free = |m: &&HostId| self.machines.contains_key(*m) && !self.pools.moving.contains_key(*m);
         let waiting = w.wave.machines.iter().filter(|m| w.waits(m)).filter(free);
         let mut waiting: Vec<(bool, (usize, u64, HostId))> =
-            waiting.map(|m| (self.stands_in(m, short), self.load_on(m, on.get(m).copied()))).collect();
+            waiting.map(|m| (self.stands_in(m, short), self.load_on(m, self.worker_on(m)))).collect();
         waiting.sort();
         waiting.into_iter().map(|(_, load)| load).collect()
     }
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -128,7 +128,7 @@
 #[derive(Clone, Debug)]
 pub struct Worker {
     /// What it says of itself; `None` when only records speak of it.
-    pub info: Option<WorkerInfo>,
+    pub info: Option<Arc<WorkerInfo>>,
     /// Whether it was listed when we last heard of the list.
     pub listed: bool,
     /// Whether our token is known to it.
@@ -198,15 +198,15 @@
         }
     }
 
-    /// Whether it may be given new work.
-    pub fn takes_work(&self, now: Duration) -> bool {
+    /// Whether it may be given new work, unless it is shunned.
+    pub fn takes_work(&self) -> bool {
         let Some(info) = &self.info else { return false };
-        self.listed
-            && self.fenced
-            && self.reachable
-            && !self.cordoned
-            && !info.draining
-            && self.shunned_until <= now
+        self.listed && self.fenced && self.reachable && !self.cordoned && !info.draining
+    }
+
+    /// Whether it is kept from new work for a while.
+    pub fn is_shunned(&self, now: Duration) -> bool {
+        self.shunned_until > now
     }
 
     /// The ticket with which a task of the step may be started now.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,5 +52,6 @@
 mod task_packing;
 mod wave_orders;
 mod whole_path;
+mod worker_index;
 mod worker_lives;
 mod worker_protocol;
--- a/tests/testsuite/queue_order.rs
+++ b/tests/testsuite/queue_order.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::order::{Durations, Place, Standing, Waiting, place_of};
+use workswood_core::jobs::order::{Durations, Place, Standing, place_of};
 use workswood_core::jobs::policy::OrderPolicy;
-use workswood_core::jobs::{Job, JobSpec};
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::waiting::Waiting;
+use workswood_core::jobs::{Job, JobSpec, StepId};
 use workswood_test_support::job_world::{QUEUE, config, job, step};
 
 fn opened(key: u64, spec: JobSpec) -> Job {
@@ -14,14 +16,20 @@
     j
 }
 
+fn first_step(j: &Job) -> StepId {
+    StepId { job: j.key, round: 0, step: 0 }
+}
+
 fn first_place(j: &Job, now: u64) -> Place {
     let cfg = config();
-    let id = j.task_ids()[0];
+    let id = first_step(j);
     place_of(j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), now).0
 }
 
 /// Steps are estimated at 500 ms: one is owed within 1.6 x 500 + 600 ms.
 const OWED: u64 = 1400;
+/// Room of a task.
+const ROOM: Room = Room { cpu_millis: 1000, mem_mb: 100, gpus: 0 };
 
 #[test]
 fn late_behind_in_time() {
@@ -56,18 +64,40 @@
 fn standing_gets_worse() {
     let cfg = config();
     let j = opened(1, job(vec![step(1, vec![])], 0));
-    let id = j.task_ids()[0];
+    let id = first_step(&j);
     let mut waiting = Waiting::default();
     let (place, dues) =
         place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), 0);
-    waiting.insert(place, dues);
+    waiting.insert(place, dues, ROOM, [0]);
     waiting.age(OWED);
     let standings: Vec<Standing> = waiting.places().map(|p| p.standing).collect();
     assert_eq!(standings, [Standing::Late]);
-    waiting.remove(&id);
+    waiting.remove(&id.task(0));
     assert!(waiting.is_empty());
 }
 
+/// What waits is counted by standing, whatever happens to it.
+#[test]
+fn room_waited_for() {
+    let cfg = config();
+    let j = opened(1, job(vec![step(3, vec![])], 0));
+    let id = first_step(&j);
+    let mut waiting = Waiting::default();
+    let (place, dues) =
+        place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), 0);
+    waiting.insert(place, dues, ROOM, [0, 1]);
+    waiting.insert(place, dues, ROOM, [1, 2]);
+    assert_eq!((waiting.count(), waiting.room()), (3, (ROOM.times(3), Room::default())));
+    waiting.remove(&id.task(1));
+    assert_eq!(waiting.tasks_of(&id).collect::<Vec<_>>(), [id.task(0), id.task(2)]);
+    waiting.age(OWED);
+    assert_eq!((waiting.count(), waiting.room()), (2, (Room::default(), ROOM.times(2))));
+    assert_eq!(waiting.next_after(None).map(|p| p.standing), Some(Standing::Late));
+    waiting.remove_step(&id);
+    assert_eq!((waiting.count(), waiting.room()), (0, (Room::default(), Room::default())));
+    assert_eq!(waiting.next_after(None), None);
+}
+
 #[test]
 fn durations_learned() {
     let mut known = Durations::default();
