--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -121,6 +121,11 @@
 }
 
 impl Scheduler {
+    /// The token with which a worker is attended now; `None` if it is not known.
+    pub fn token_of(&self, id: &WorkerId) -> Option<Term> {
+        self.workers.get(id).map(|w| self.worker_token(w.relays))
+    }
+
     /// The token of a worker's relay, the first of a term being 1.
     pub(super) fn worker_token(&self, relay: u32) -> Term {
         (self.token << RELAY_BITS) | u64::from(relay)
@@ -313,10 +318,12 @@
         least.map_or_else(|| self.holder.clone(), |(name, _)| name.clone())
     }
 
-    /// Takes in what the relay of a worker tells. A worker that is about to get another
-    /// relay has none: what the one before still tells is told anew by the next.
-    pub(super) fn relayed(&mut self, id: &WorkerId, news: News) {
-        if self.workers.get(id).is_none_or(|w| w.relay.is_none()) {
+    /// Takes in what the relay of a worker tells. What an earlier one still tells is told
+    /// anew by the present one; taken in, it would let work be sent before that has looked
+    /// at the worker.
+    pub(super) fn relayed(&mut self, id: &WorkerId, token: Term, news: News) {
+        let present = self.workers.get(id).filter(|w| w.relay.is_some());
+        if present.is_none_or(|w| self.worker_token(w.relays) != token) {
             return;
         }
         match news {
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -200,7 +200,7 @@
             Event::WorkerListed(info) => self.worker_listed(info),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
             Event::LifeOver(id) => self.life_over(&id, "other_life"),
-            Event::Relayed(id, news) => self.relayed(&id, news),
+            Event::Relayed(id, token, news) => self.relayed(&id, token, news),
             Event::Advised(a) => self.advised(a),
             Event::Machines(list, asked) => self.machines_listed(list, asked),
             Event::Wave(wave, rec) => self.wave_asked(wave, rec),
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -54,8 +54,8 @@
     WorkerListed(WorkerInfo),
     /// The list no longer shows a worker.
     WorkerUnlisted(WorkerId),
-    /// What the relay of a worker tells of it.
-    Relayed(WorkerId, News),
+    /// What the relay of a worker tells of it, which attends it with this token.
+    Relayed(WorkerId, Term, News),
     /// A worker's address is answered by another life: this one is over.
     LifeOver(WorkerId),
     /// The outcome of a call to the adviser.
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -162,15 +162,11 @@
             ToHolder::LifeOver(id) => h.sched.handle(Event::LifeOver(id)),
             ToHolder::Leaving => h.sched.handle(Event::RelayLeaving(host.clone())),
             ToHolder::News(id, token, news) => {
-                // Of a worker that has another relay by now nothing is heard.
-                if h.attended.get(&id) != Some(&(host.clone(), token)) {
-                    return;
-                }
                 let news = match news {
                     News::Unanswered(left) => News::Unanswered(now + left),
                     other => other,
                 };
-                h.sched.handle(Event::Relayed(id, news));
+                h.sched.handle(Event::Relayed(id, token, news));
             }
         }
     }
--- a/crates/workswood-test-support/src/machine_world.rs
+++ b/crates/workswood-test-support/src/machine_world.rs
@@ -112,7 +112,7 @@
         self.sched.handle(Event::RelayHeard(own));
         let late = self.attended.iter().filter(|(_, (_, heard))| *heard + LATE < now);
         let late: Vec<WorkerId> = late.map(|(id, _)| id.clone()).collect();
-        late.into_iter().for_each(|id| self.sched.handle(Event::Relayed(id, News::Doubted)));
+        late.into_iter().for_each(|id| self.tells(&id, News::Doubted));
     }
 
     /// The workers are attended from now on: their next answers list all.
@@ -120,12 +120,18 @@
         self.attended.values_mut().for_each(|(follow, _)| *follow = Follow::default());
     }
 
+    /// Whoever attends a worker tells something of it.
+    pub fn tells(&mut self, id: &WorkerId, news: News) {
+        let token = self.sched.token_of(id).unwrap_or(0);
+        self.sched.handle(Event::Relayed(id.clone(), token, news));
+    }
+
     /// A worker took a start.
     pub fn taken(&mut self, id: &WorkerId, task: TaskId, attempt: u32) {
         let now = self.sched.now;
         let (follow, _) = self.attended.entry(id.clone()).or_default();
         follow.started(task, attempt, StartReply::Taken, now);
-        self.sched.handle(Event::Relayed(id.clone(), News::Started(task, attempt, StartReply::Taken)));
+        self.tells(id, News::Started(task, attempt, StartReply::Taken));
     }
 
     /// A worker answers a look that is sent now.
@@ -139,7 +145,7 @@
         let (follow, heard) = self.attended.entry(id.clone()).or_default();
         *heard = now;
         let report = follow.listed(listing, now, now);
-        self.sched.handle(Event::Relayed(id.clone(), News::Reported(report)));
+        self.tells(id, News::Reported(report));
     }
 
     /// A worker answers a look and lists what it was told to start.
--- a/src/workswood/ops/bench/pools.rs
+++ b/src/workswood/ops/bench/pools.rs
@@ -80,7 +80,8 @@
             // Who attends it is told at once, and answers below.
             self.sched.take_attendance();
             let report = Report { whole: true, ..Report::default() };
-            self.sched.handle(Event::Relayed(id, News::Reported(report)));
+            let token = self.sched.token_of(&id).unwrap_or(0);
+            self.sched.handle(Event::Relayed(id, token, News::Reported(report)));
         }
         self.sched.handle(Event::Machines(self.machines.values().cloned().collect(), now));
     }
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -116,6 +116,7 @@
         machines_read: Duration::ZERO,
         hosts_seen: 0,
     };
+    owner.know_hosts();
     owner.run(&mut rx, tasks).await;
 }
 
@@ -189,9 +190,7 @@
         self.clock();
         let own = self.node.settings.peers.to_string();
         self.sched.set_advice_hosts(1 + self.node.peers.others(&own).len());
-        if let Some(hosts) = self.node.peers.news_of_hosts(&mut self.hosts_seen) {
-            self.sched.set_relay_hosts(hosts);
-        }
+        self.know_hosts();
         self.sched.handle(Event::Tick);
         if self.sched.wants_machines() && self.node.now() > self.machines_read + MACHINES_EVERY {
             self.machines_read = self.node.now();
@@ -199,6 +198,13 @@
         }
     }
 
+    /// Tells the scheduler which hosts may be relays.
+    fn know_hosts(&mut self) {
+        if let Some(hosts) = self.node.peers.news_of_hosts(&mut self.hosts_seen) {
+            self.sched.set_relay_hosts(hosts);
+        }
+    }
+
     /// Takes the next batch from the scheduler and begins to write it; one
     /// without records is carried out at once.
     fn next_batch(&mut self, writing: &mut Writing, tasks: &mut JoinSet<()>) {
--- a/src/workswood/ops/jobs/relay/order.rs
+++ b/src/workswood/ops/jobs/relay/order.rs
@@ -95,8 +95,9 @@
 }
 
 impl What {
-    /// What it means to the scheduler, heard at a time on its clock.
-    pub fn event(self, id: WorkerId, now: Duration) -> Event {
+    /// What it means to the scheduler, heard at a time on its clock of a worker that is
+    /// attended with this token.
+    pub fn event(self, id: WorkerId, token: Term, now: Duration) -> Event {
         let news = match self {
             What::LifeOver => return Event::LifeOver(id),
             What::Reported(report) => News::Reported(report),
@@ -106,6 +107,6 @@
             What::Started { task, attempt, reply } => News::Started(task, attempt, reply),
             What::Stopped { task, attempt, reply } => News::Stopped(task, attempt, reply),
         };
-        Event::Relayed(id, news)
+        Event::Relayed(id, token, news)
     }
 }
--- a/src/workswood/ops/jobs/relay/outbox.rs
+++ b/src/workswood/ops/jobs/relay/outbox.rs
@@ -56,7 +56,7 @@
         match (self, link) {
             (Sink::Here(tx), Some((node, link))) => {
                 // A scheduler that has just ended takes no more events.
-                let _ = tx.send(what.event(link.worker.id.clone(), node.now()));
+                let _ = tx.send(what.event(link.worker.id.clone(), link.token, node.now()));
             }
             // The scheduler here keeps to what it has its own relay attend.
             (Sink::Here(_), None) => {}
--- a/src/workswood/ops/jobs/sessions.rs
+++ b/src/workswood/ops/jobs/sessions.rs
@@ -27,8 +27,8 @@
 /// A relay that was not heard of for this long is lost: five heartbeats.
 const RELAY_SILENT: Duration = BEAT_EVERY.saturating_mul(5);
 
-/// Workers of one session by their numbers.
-type Names = Arc<Mutex<HashMap<Number, WorkerId>>>;
+/// Workers of one session by their numbers, with the tokens of their orders.
+type Names = Arc<Mutex<HashMap<Number, (WorkerId, Term)>>>;
 
 /// A session with a relay elsewhere.
 struct Session {
@@ -112,7 +112,7 @@
         self.next += 1;
         let number = self.next;
         if let Some(s) = self.sessions.get(&relay) {
-            s.names.lock().insert(number, info.id.clone());
+            s.names.lock().insert(number, (info.id.clone(), token));
         }
         let worker = info.reached_at();
         if let Some(before) = self.attended.insert(info.id.clone(), Attended { relay, number, token }) {
@@ -284,9 +284,9 @@
 
     fn take(&self, item: wire::WorkerNews) {
         let number = item.worker;
-        let Some(id) = self.names.lock().get(&number).cloned() else { return };
+        let Some((id, token)) = self.names.lock().get(&number).cloned() else { return };
         match form::read_news(item) {
-            Some((_, what)) => self.tell(what.event(id, self.node.now())),
+            Some((_, what)) => self.tell(what.event(id, token, self.node.now())),
             None => log::error!("event=relay_news_not_read code=203 relay={} worker={id}", self.host),
         }
     }
--- a/src/workswood/ops/model/faults.rs
+++ b/src/workswood/ops/model/faults.rs
@@ -78,7 +78,7 @@
         for n in busiest.into_iter().take(count) {
             let worker = self.machines[n].worker();
             self.machines[n].end_life(MachineState::Down);
-            self.tell(Event::Relayed(worker, News::Unanswered(self.now + LEASE)));
+            self.tell_of(worker, News::Unanswered(self.now + LEASE));
             self.after(lasts, Happening::Arrives(n));
         }
     }
--- a/src/workswood/ops/model/machines.rs
+++ b/src/workswood/ops/model/machines.rs
@@ -56,7 +56,7 @@
             return;
         }
         let report = self.machines[n].report(self.now);
-        self.tell(Event::Relayed(worker.clone(), News::Reported(report)));
+        self.tell_of(worker.clone(), News::Reported(report));
         if again && self.sched.is_some() {
             self.after(LOOK, Happening::Look(n, worker, true));
         }
@@ -74,7 +74,7 @@
         if let Some(n) = self.machine_of(&worker) {
             self.machines[n].follow.started(task, attempt, reply, now);
         }
-        self.tell(Event::Relayed(worker, News::Started(task, attempt, reply)));
+        self.tell_of(worker, News::Started(task, attempt, reply));
     }
 
     /// A task runs on a machine, and ends when it really does.
@@ -106,7 +106,7 @@
         if let Some(n) = self.machine_of(&worker) {
             self.machines[n].follow.stop_taken(task, attempt, now);
         }
-        self.tell(Event::Relayed(worker, News::Stopped(task, attempt, StopReply::Taken)));
+        self.tell_of(worker, News::Stopped(task, attempt, StopReply::Taken));
     }
 
     pub(super) fn ordered(&mut self, machine: HostId, order: Order) {
--- a/src/workswood/ops/model/world.rs
+++ b/src/workswood/ops/model/world.rs
@@ -7,7 +7,8 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use workswood_core::ids::Term;
-use workswood_core::jobs::{EndKind, Event, JobKey, Policy, Scheduler, Wave};
+use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::{EndKind, Event, JobKey, News, Policy, Scheduler, Wave};
 
 use super::agenda::{Agenda, Happening};
 use super::bound;
@@ -133,6 +134,12 @@
         }
     }
 
+    /// Tells what is new of a worker.
+    pub(super) fn tell_of(&mut self, id: WorkerId, news: News) {
+        let token = self.sched.as_ref().and_then(|s| s.token_of(&id)).unwrap_or(0);
+        self.tell(Event::Relayed(id, token, news));
+    }
+
     fn happens(&mut self, what: Happening) {
         match what {
             Happening::Tick => self.tick(),
--- a/tests/testsuite/advice_tickets.rs
+++ b/tests/testsuite/advice_tickets.rs
@@ -139,7 +139,7 @@
     world.sched.handle(advice(STEP, &ids, &ids, ms(3000)));
     assert_eq!(started(&world.tick()).len(), 1);
     let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
-    world.sched.handle(Event::Relayed(ids[0].clone(), News::Started(task, 1, StartReply::Ticket)));
+    world.tells(&ids[0], News::Started(task, 1, StartReply::Ticket));
     let actions = world.tick();
     assert!(started(&actions).is_empty() && asked(&actions).is_none(), "not in a hurry");
     world.at(620);
--- a/tests/testsuite/job_limits.rs
+++ b/tests/testsuite/job_limits.rs
@@ -32,7 +32,8 @@
     s.handle(Event::WorkerListed(info));
     let report = workswood_core::jobs::Report { whole: true, ..Default::default() };
     s.take_attendance();
-    s.handle(Event::Relayed("w".into(), News::Reported(report)));
+    let token = s.token_of(&"w".into()).expect("it is known");
+    s.handle(Event::Relayed("w".into(), token, News::Reported(report)));
     s
 }
 
--- a/tests/testsuite/lost_looks.rs
+++ b/tests/testsuite/lost_looks.rs
@@ -33,7 +33,7 @@
     while node.now() < Duration::from_secs(10) {
         match rx.recv().await {
             // Told at once, so that nothing is evicted elsewhere on its account.
-            Some(Event::Relayed(_, News::Reported(_) | News::Doubted)) => {}
+            Some(Event::Relayed(_, _, News::Reported(_) | News::Doubted)) => {}
             other => panic!("the worker answers: {other:?}"),
         }
         longest = longest.max(node.now() - last);
