Tick by what changed; store the state of jobs in few bytes; count queued jobs as they are shown

Change: Jobs keeps the timed, the lasting and the ended; Demand keeps sums; cordons follow the difference to the tick before; runs that stand still are looked for every 0.5 s. A job's record is prost (JSON of earlier versions is read), without its tasks once it is over; callers are shown a job when what is shown changes. The oracle of random_jobs takes 'done' from what workers did, since a record of a job that is over names no tasks.

--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -177,7 +177,7 @@
         if self.config.queues.values().all(|q| q.advice.is_none()) {
             return;
         }
-        let keys: Vec<JobKey> = self.jobs.keys().copied().collect();
+        let keys: Vec<JobKey> = self.jobs.values().map(|j| j.key).collect();
         for key in keys {
             self.watch_advised(key);
         }
--- a/crates/workswood-core/src/jobs/demand.rs
+++ b/crates/workswood-core/src/jobs/demand.rs
@@ -15,11 +15,26 @@
 /// questions on the deployments known to us.
 const REMEMBERED: Duration = Duration::from_secs(120);
 
+/// Work that came in at a time.
+#[derive(Clone, Copy, Debug)]
+struct Came {
+    at: AtMs,
+    /// All work that came in until then, in core-milliseconds.
+    total: u64,
+}
+
 /// Work that came in for one service, in the order of its coming.
+///
+/// What came in within any span is the difference of two sums: a pool is planned from
+/// several spans of up to some seconds many times a second, and hundreds of jobs come
+/// in each.
 #[derive(Clone, Debug, Default)]
 pub struct Demand {
-    /// When, and how many core-milliseconds.
-    came: VecDeque<(AtMs, u64)>,
+    came: VecDeque<Came>,
+    /// Work that is no longer remembered.
+    before: u64,
+    /// Work that came in before this holder began, in any order.
+    restored: Vec<(AtMs, u64)>,
     /// Each rate that was higher than all before it, in cores, and when.
     peaks: Vec<(AtMs, f64)>,
 }
@@ -32,21 +47,29 @@
     /// Takes in work that came in now; `window` is that of the highest rate.
     pub fn add(&mut self, now: Duration, work: u64, window: Duration) {
         let now = to_ms(now);
-        self.came.push_back((now, work));
+        self.push(now, work);
         self.note_highest(now, window);
         self.forget(now);
     }
 
+    fn push(&mut self, at: AtMs, work: u64) {
+        let total = self.came.back().map_or(self.before, |c| c.total) + work;
+        self.came.push_back(Came { at, total });
+    }
+
     /// Takes in work that came in before this holder began, in any order:
     /// `ago` before `now`.
     pub fn restore(&mut self, now: Duration, ago: Duration, work: u64) {
-        self.came.push_back((to_ms(now) - to_ms(ago), work));
+        self.restored.push((to_ms(now) - to_ms(ago), work));
     }
 
     /// Orders what was restored, and finds the highest rate that it shows.
     pub fn finish_restore(&mut self, now: Duration, window: Duration) {
-        self.came.make_contiguous().sort_unstable();
-        let ends: Vec<AtMs> = self.came.iter().map(|(at, _)| *at).collect();
+        self.restored.sort_unstable();
+        for (at, work) in std::mem::take(&mut self.restored) {
+            self.push(at, work);
+        }
+        let ends: Vec<AtMs> = self.came.iter().map(|c| c.at).collect();
         ends.into_iter().for_each(|at| self.note_highest(at, window));
         self.forget(to_ms(now));
     }
@@ -60,7 +83,8 @@
 
     fn forget(&mut self, now: AtMs) {
         let oldest = now - to_ms(REMEMBERED);
-        while self.came.front().is_some_and(|(at, _)| *at < oldest) {
+        while let Some(c) = self.came.front().filter(|c| c.at < oldest) {
+            self.before = c.total;
             self.came.pop_front();
         }
     }
@@ -75,7 +99,7 @@
     /// Jobs that came in for `span` until now.
     pub fn jobs(&self, now: Duration, span: Duration) -> usize {
         let from = to_ms(now) - to_ms(span);
-        self.came.iter().rev().take_while(|(at, _)| *at > from).count()
+        self.came.len() - self.came.partition_point(|c| c.at <= from)
     }
 
     /// The highest rate that any window showed, in cores.
@@ -92,9 +116,13 @@
 
     /// Cores that the work keeps busy that came in after `from` until `to`.
     fn rate_ms(&self, from: AtMs, to: AtMs) -> f64 {
-        let newest_first = self.came.iter().rev().skip_while(|(at, _)| *at > to);
-        let within = newest_first.take_while(|(at, _)| *at > from);
-        let work: u64 = within.map(|(_, work)| work).sum();
+        let work = self.total_until(to) - self.total_until(from);
         work as f64 / (to - from).max(1) as f64
     }
+
+    /// All work that came in until a time.
+    fn total_until(&self, at: AtMs) -> u64 {
+        let count = self.came.partition_point(|c| c.at <= at);
+        count.checked_sub(1).map_or(self.before, |n| self.came[n].total)
+    }
 }
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -145,6 +145,8 @@
     pub blamed: Option<WorkerId>,
     /// Rounds that are due, by number.
     pub rounds: Vec<Round>,
+    /// What was last told of it.
+    pub(super) told: Option<Shown>,
 }
 
 impl Job {
@@ -159,6 +161,7 @@
             begun: false,
             blamed: None,
             rounds: Vec::new(),
+            told: None,
         }
     }
 
@@ -267,15 +270,18 @@
             failed: t.failed.clone(),
             attempt: t.attempt,
             checkpoint: t.checkpoint.clone(),
-            runs: t.runs.iter().map(|r| (r.worker.to_string(), r.attempt)).collect(),
+            runs: t.runs.iter().map(|r| (r.worker.clone(), r.attempt)).collect(),
             evicted: t.runs.iter().filter(|r| r.evicted).map(|r| r.attempt).collect(),
         };
         let step = |tasks: &Vec<Task>| tasks.iter().map(task).collect();
+        // Of one that is over and runs nowhere, nobody asks for its tasks.
+        let over = self.outcome.is_some() && self.at_rest();
+        let rounds = if over { [].as_slice() } else { self.rounds.as_slice() };
         JobRecord {
             cancelled: self.cancelled,
             outcome: self.outcome,
             begun: self.begun,
-            rounds: self.rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
+            rounds: rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
         }
     }
 
@@ -293,7 +299,7 @@
 }
 
 /// The stored form of a job's state; its spec is stored apart, once.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
     /// Whether the caller cancelled it.
     #[serde(default, rename = "x")]
@@ -321,7 +327,7 @@
 }
 
 /// The stored form of a task.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct TaskRecord {
     /// Whether it is done.
     #[serde(default, rename = "d", skip_serializing_if = "is_false")]
@@ -337,7 +343,7 @@
     pub checkpoint: String,
     /// Worker and attempt of each run that may exist.
     #[serde(default, rename = "w", skip_serializing_if = "Vec::is_empty")]
-    pub runs: Vec<(String, u32)>,
+    pub runs: Vec<(WorkerId, u32)>,
     /// Attempts of those runs that are ended by our own order. Their workers
     /// list them until they have stopped.
     #[serde(default, rename = "e", skip_serializing_if = "BTreeSet::is_empty")]
@@ -355,8 +361,8 @@
 impl TaskRecord {
     fn restore(self, now: Duration) -> Task {
         let evicted = self.evicted;
-        let run = |(worker, attempt): (String, u32)| {
-            let run = Run::new(worker.into(), attempt, Phase::Inherited, now);
+        let run = |(worker, attempt): (WorkerId, u32)| {
+            let run = Run::new(worker, attempt, Phase::Inherited, now);
             Run { evicted: evicted.contains(&attempt), ..run }
         };
         Task {
--- a/crates/workswood-core/src/jobs/map.rs
+++ b/crates/workswood-core/src/jobs/map.rs
@@ -1,6 +1,6 @@
 //! Maps whose order is the same in every run.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::BuildHasherDefault;
 
 use rustc_hash::FxHasher;
@@ -12,3 +12,6 @@
 /// For keys that the platform or this system gave. What callers name is kept in
 /// trees, lest one picks many that collide.
 pub type Map<K, V> = HashMap<K, V, BuildHasherDefault<FxHasher>>;
+
+/// A set whose order is the same in every run; likewise.
+pub type Set<K> = HashSet<K, BuildHasherDefault<FxHasher>>;
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -16,7 +16,7 @@
 //!
 //! * [`spec`] holds what callers ask for, and its checks.
 //! * [`config`] holds queues and services in force.
-//! * [`job`] holds the state of one job and its stored form.
+//! * [`job`] holds the state of one job and its stored form, [`known`] all of them.
 //! * [`worker`] holds what is known of one worker, its room and its lease;
 //!   [`worker_id`] is its name, and [`workers`] holds all of them.
 //! * [`machine`] holds what is known of one machine.
@@ -47,6 +47,7 @@
 pub mod follow;
 pub mod handover;
 pub mod job;
+pub mod known;
 pub mod machine;
 pub mod map;
 pub mod moves;
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -10,7 +10,7 @@
 use super::order::whole_work;
 use super::pool_count::PoolCount;
 use super::sched::Scheduler;
-use super::spec::Room;
+use super::spec::{JobKey, Room};
 use super::waiting::Waiting;
 use crate::ids::ServiceId;
 
@@ -107,17 +107,18 @@
 
     /// Machines that lasting tasks need because only so many may share one.
     fn machines_apart(&self, service: &ServiceId) -> u32 {
-        let jobs = self.jobs.values().filter(|j| j.open() && j.spec.service == *service);
+        let jobs = self.jobs.lasting(service).filter(|j| j.open());
         let steps = jobs.flat_map(|j| &j.spec.steps).filter(|s| s.lasting && s.most_per_worker > 0);
         steps.map(|s| s.count.div_ceil(s.most_per_worker)).max().unwrap_or(0)
     }
 
     /// Takes in the work of a job that was handed in.
-    pub(super) fn work_arrived(&mut self, job: &Job) {
+    pub(super) fn work_arrived(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
         let Some(work) = self.work_of(job) else { return };
-        let window = self.policy.need.arrivals;
-        let demand = self.pools.demand.entry(job.spec.service.clone()).or_default();
-        demand.add(self.now, work, window);
+        let (now, window) = (self.now, self.policy.need.arrivals);
+        let service = job.spec.service.clone();
+        self.pools.demand.entry(service).or_default().add(now, work, window);
     }
 
     /// Takes in the work of all jobs on record, which predecessors accepted.
--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -62,9 +62,10 @@
             Some(n) => *n += 1,
             None => _ = have.insert(pool.clone(), 1),
         };
+        let taken = self.taken_machines();
         let leaves = |m: &Machine| {
-            let moving = self.pools.moving.get(&m.name);
-            moving.is_some_and(|v| v.to != m.pool) || self.wave_takes(&m.name)
+            let moving = || self.pools.moving.get(&m.name).is_some_and(|v| v.to != m.pool);
+            taken.contains(&m.name) && (moving() || self.wave_takes(&m.name))
         };
         let stay = self.machines.values().filter(|m| works(m) && !leaves(m));
         stay.for_each(|m| add(&m.pool));
@@ -82,8 +83,11 @@
     /// on 49 machines).
     fn free_machines(&self) -> BTreeMap<ServiceId, Free> {
         let spare = self.spare_pool();
+        let taken = self.taken_machines();
+        let may_move =
+            |m: &&Machine| m.state == MachineState::Up && !taken.contains(&m.name) && self.may_order(&m.name);
         let mut free: BTreeMap<ServiceId, Free> = BTreeMap::new();
-        for m in self.machines.values().filter(|m| self.may_move(m)) {
+        for m in self.machines.values().filter(may_move) {
             let worker = self.worker_on(&m.name).or(m.worker.as_ref());
             if spare.as_ref() == Some(&m.pool) || worker.is_some_and(|id| self.stands_empty(id)) {
                 free.entry(m.pool.clone()).or_default().insert(m.name.clone(), worker.cloned());
@@ -92,14 +96,6 @@
         free
     }
 
-    /// Whether a machine is up and nothing keeps it from moving to another pool.
-    fn may_move(&self, m: &Machine) -> bool {
-        m.state == MachineState::Up
-            && !self.pools.moving.contains_key(&m.name)
-            && !self.wave_takes(&m.name)
-            && self.may_order(&m.name)
-    }
-
     /// Whether a worker answers and runs nothing.
     fn stands_empty(&self, id: &WorkerId) -> bool {
         self.workers.get(id).is_some_and(|w| w.reachable && w.runs.is_empty())
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -9,6 +9,7 @@
 use super::config::SchedConfig;
 use super::handover::OrderMarks;
 use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
+use super::known::Jobs;
 use super::machine::Machine;
 use super::map::Map;
 use super::order::{Durations, place_of};
@@ -24,6 +25,10 @@
 use crate::ids::{HostId, ServiceId, Term, UnixMs};
 use crate::invariant;
 
+/// Time between two looks for runs that make no progress, or whose stop had no effect:
+/// half of the time after which a stop is sent again. It looks at every run.
+const SLOW_EVERY: Duration = Duration::from_millis(500);
+
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
     /// Steady clock.
@@ -45,7 +50,7 @@
     /// What is in force.
     pub config: Arc<SchedConfig>,
     /// Jobs that are known.
-    pub jobs: BTreeMap<JobKey, Job>,
+    pub jobs: Jobs,
     /// Lives of workers that are known.
     pub workers: Workers,
     /// Who speaks with them.
@@ -76,6 +81,10 @@
     pub(super) dirty_workers: BTreeSet<WorkerId>,
     /// Jobs forgotten since the last batch.
     dropped: Vec<(JobKey, QueueId)>,
+    /// Machines that get no new work, as workers know it.
+    pub(super) cordoned: BTreeSet<HostId>,
+    /// When runs were last looked at that make no progress.
+    slow_checked: Duration,
     /// Runs that a predecessor evicted and that are still listed.
     pub(super) inherited_evictions: BTreeSet<(WorkerId, TaskId, u32)>,
     /// Actions for the next batch.
@@ -105,7 +114,7 @@
             limits,
             policy: Policy::default(),
             config: Arc::default(),
-            jobs: BTreeMap::new(),
+            jobs: Jobs::default(),
             workers: Workers::default(),
             relays: Relays::default(),
             ready: Map::default(),
@@ -121,6 +130,8 @@
             dirty_waves: BTreeSet::new(),
             dirty_workers: BTreeSet::new(),
             dropped: Vec::new(),
+            cordoned: BTreeSet::new(),
+            slow_checked: Duration::ZERO,
             inherited_evictions: BTreeSet::new(),
             actions: Vec::new(),
             forget: BTreeMap::new(),
@@ -169,7 +180,7 @@
                 }
             }
         }
-        self.jobs.insert(key, job);
+        self.jobs.insert(job);
         self.watch_advised(key);
         self.open_due_rounds(key);
         self.queue_job(key);
@@ -225,14 +236,11 @@
             "event=job_known job={key:016x} queue={} stretch={stretch} target_ms={target}",
             spec.queue
         ));
-        self.jobs.insert(key, Job::new(key, spec));
+        self.jobs.insert(Job::new(key, spec));
         self.watch_advised(key);
         self.dirty.insert(key);
         self.open_due_rounds(key);
-        if let Some(job) = self.jobs.remove(&key) {
-            self.work_arrived(&job);
-            self.jobs.insert(key, job);
-        }
+        self.work_arrived(key);
         self.queue_job(key);
         if self.early_cancels.remove(&key) {
             self.cancel(key);
@@ -338,6 +346,7 @@
             "event=job_ended job={key:016x} outcome={outcome:?} age_ms={}",
             self.wall.saturating_sub(job.spec.accepted)
         ));
+        self.jobs.note_ended(key);
         self.dirty.insert(key);
         self.drop_advice(key);
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
@@ -371,9 +380,7 @@
 
     /// Does what only the passing of time asks for.
     fn tick(&mut self) {
-        let timed = |j: &&Job| j.open() && j.spec.repeat.is_some();
-        let timed: Vec<JobKey> = self.jobs.values().filter(timed).map(|j| j.key).collect();
-        for key in timed {
+        for key in self.jobs.timed() {
             let before = self.jobs.get(&key).map_or(0, |j| j.rounds.len());
             self.open_due_rounds(key);
             if self.jobs.get(&key).map_or(0, |j| j.rounds.len()) > before {
@@ -383,7 +390,10 @@
         let wall = self.wall;
         self.ready.values_mut().for_each(|w| w.age(wall));
         self.settle_lapsed();
-        self.settle_slow();
+        if self.now >= self.slow_checked + SLOW_EVERY {
+            self.slow_checked = self.now;
+            self.settle_slow();
+        }
         self.evict_leaving();
         self.evict_inherited();
         self.run_waves();
@@ -396,14 +406,10 @@
 
     /// Forgets jobs that ended long enough ago and run nowhere.
     fn forget_jobs(&mut self) {
-        let (now, keep) = (self.now, self.limits.keep_ended);
-        let old = |j: &&Job| j.outcome.is_some() && j.at_rest() && j.ended + keep < now;
-        let keys: Vec<JobKey> = self.jobs.values().filter(old).map(|j| j.key).collect();
-        for key in keys {
-            if let Some(job) = self.jobs.remove(&key) {
-                self.dropped.push((key, job.spec.queue.clone()));
-            }
-            self.dirty.remove(&key);
+        let Some(before) = self.now.checked_sub(self.limits.keep_ended) else { return };
+        for job in self.jobs.forget_ended(before) {
+            self.dropped.push((job.key, job.spec.queue.clone()));
+            self.dirty.remove(&job.key);
         }
     }
 
@@ -416,14 +422,13 @@
         self.ask_adviser();
         let mut batch = Batch::default();
         for key in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get(&key) else { continue };
+            let Some(job) = self.jobs.get_mut(&key) else { continue };
             batch.records.push(Record::Job(key, job.record()));
-            batch.shown.push(ShownJob {
-                key,
-                queue: job.spec.queue.clone(),
-                state: Some(job.shown()),
-                timed: job.spec.repeat.is_some(),
-            });
+            let state = Some(job.shown());
+            if std::mem::replace(&mut job.told, state) != state {
+                let (queue, timed) = (job.spec.queue.clone(), job.spec.repeat.is_some());
+                batch.shown.push(ShownJob { key, queue, state, timed });
+            }
         }
         for (key, queue) in std::mem::take(&mut self.dropped) {
             batch.records.push(Record::DropJob(key));
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -12,11 +12,10 @@
 
 use super::job::WorkerId;
 use super::machine::{Machine, MachineState};
-use super::map::Map;
+use super::map::{Map, Set};
 use super::policy::WavePolicy;
 use super::pool_count::works;
 use super::sched::Scheduler;
-use super::worker::Worker;
 use crate::ids::{HostId, ServiceId};
 
 /// A machine that is off is listed as under maintenance within this time
@@ -139,6 +138,12 @@
         ordered || self.emptying.contains_key(machine)
     }
 
+    /// Machines that are emptied for it, or are or may be down.
+    fn taken(&self) -> impl Iterator<Item = &HostId> {
+        let down = self.record.ordered.keys().filter(|m| !self.record.finished.contains(*m));
+        self.emptying.keys().chain(down)
+    }
+
     /// Machines that are, or may be, down for it.
     pub(super) fn down_now(&self) -> usize {
         self.record.ordered.keys().filter(|m| !self.record.finished.contains(*m)).count()
@@ -242,25 +247,35 @@
         self.waves.values().any(|w| w.takes(machine))
     }
 
+    /// Machines that get no new work: they move, or a wave takes them.
+    pub(super) fn taken_machines(&self) -> Set<&HostId> {
+        let waves = self.waves.values().filter(|w| !w.complete()).flat_map(WaveState::taken);
+        self.pools.moving.keys().chain(waves).collect()
+    }
+
     /// Keeps new work away from machines that are to go down.
     fn set_cordons(&mut self) {
-        let of = |w: &Worker| w.info.as_ref().map(|i| i.machine.clone());
-        let changed: Vec<(WorkerId, bool)> = self
-            .workers
-            .iter()
-            .filter_map(|(id, w)| Some((id, w.cordoned, self.is_cordoned(&of(w)?))))
-            .filter(|(_, was, now)| was != now)
-            .map(|(id, _, now)| (id.clone(), now))
+        let taken: BTreeSet<HostId> = self.taken_machines().into_iter().cloned().collect();
+        let changed: Vec<(HostId, bool)> = taken
+            .symmetric_difference(&self.cordoned)
+            .map(|machine| (machine.clone(), taken.contains(machine)))
             .collect();
-        for (id, cordoned) in changed {
-            let Some(mut w) = self.workers.get_mut(&id) else { continue };
-            w.cordoned = cordoned;
-            if let Some(info) = &w.info {
-                self.place_again.insert(info.service.clone());
+        self.cordoned = taken;
+        for (machine, cordoned) in changed {
+            for id in self.workers.on_machine(&machine).to_vec() {
+                self.set_cordon(&id, cordoned);
             }
         }
     }
 
+    fn set_cordon(&mut self, id: &WorkerId, cordoned: bool) {
+        let Some(mut w) = self.workers.get_mut(id) else { return };
+        w.cordoned = cordoned;
+        if let Some(info) = &w.info {
+            self.place_again.insert(info.service.clone());
+        }
+    }
+
     /// Goes on with one wave.
     fn run_wave(&mut self, n: u64) {
         if self.machines.is_empty() {
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -84,6 +84,8 @@
     cancelled: BTreeSet<JobKey>,
     stored_jobs: HashMap<JobKey, JobRecord>,
     stored_workers: HashMap<WorkerId, WorkerRecord>,
+    /// Tasks that some worker has done.
+    done: BTreeSet<TaskId>,
     term: Term,
     lives: u64,
     /// Tasks whose `done` end was acknowledged.
@@ -186,6 +188,7 @@
             cancelled: BTreeSet::new(),
             stored_jobs: HashMap::new(),
             stored_workers: HashMap::new(),
+            done: BTreeSet::new(),
             term: 0,
             lives: 0,
             noted: BTreeSet::new(),
@@ -384,7 +387,7 @@
             self.carry_out(&id, &order);
         }
         let now = self.now;
-        self.workers.iter_mut().for_each(|w| w.run(now));
+        self.done.extend(self.workers.iter_mut().flat_map(|w| w.run(now)));
         for at in 0..self.relays.len() {
             if !self.is_paused(at) {
                 self.run_relay(at);
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -72,11 +72,13 @@
         }
     }
 
-    /// Lets time pass: runs end, and with a lease that lapsed all of them.
-    pub(super) fn run(&mut self, now: Duration) {
+    /// Lets time pass: runs end, and with a lease that lapsed all of them. Returns the
+    /// tasks that are done.
+    pub(super) fn run(&mut self, now: Duration) -> Vec<TaskId> {
         let lapsed = self.lease_end < now;
         let over = |r: &Running| lapsed || r.ends <= now || r.stopping.is_some_and(|at| at <= now);
         let over: Vec<TaskId> = self.running.iter().filter(|(_, r)| over(r)).map(|(t, _)| *t).collect();
+        let first = self.ended.len();
         for task in over {
             let Some(r) = self.running.remove(&task) else { continue };
             let kind = if lapsed {
@@ -91,6 +93,8 @@
             let checkpoint = String::new();
             self.ended.push(ReportedEnd { number: self.numbers, task, attempt: r.attempt, kind, checkpoint });
         }
+        let done = self.ended[first..].iter().filter(|e| e.kind == EndKind::Done);
+        done.map(|e| e.task).collect()
     }
 
     /// Takes an order whose token is known to be the highest.
--- a/src/workswood/ops/job_status/sum.rs
+++ b/src/workswood/ops/job_status/sum.rs
@@ -11,6 +11,7 @@
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorItem};
 
 use super::Seen;
+use crate::ops::jobs::job_state;
 
 /// Start of the key under which the scheduler keeps the progress of a wave.
 const WAVE: &str = "wave-";
@@ -137,6 +138,12 @@
         read
     }
 
+    fn job(&mut self, rec: &KeyedRecord) -> Option<JobRecord> {
+        let read = job_state::decode(rec.value.as_deref()?).ok();
+        self.unread += usize::from(read.is_none());
+        read
+    }
+
     fn items(&mut self, platform: &dyn JobPlatform, records: &[KeyedRecord]) -> (SchedConfig, Vec<Wave>) {
         let (mut cfg, mut waves) = (SchedConfig::default(), Vec::new());
         for rec in records {
@@ -161,7 +168,7 @@
     let mut progress: BTreeMap<u64, WaveRecord> = BTreeMap::new();
     for rec in &seen.state {
         if let Some(key) = parse_job(&rec.key) {
-            jobs.extend(reader.read(rec).map(|j| (key, j)));
+            jobs.extend(reader.job(rec).map(|j| (key, j)));
         } else if let Some(n) = rec.key.strip_prefix(WAVE).and_then(|n| n.parse().ok()) {
             progress.extend(reader.read(rec).map(|w| (n, w)));
         }
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use workswood_core::jobs::{JobKey, Outcome, Shown, ShownJob};
+use workswood_core::jobs::{JobKey, Outcome, Shown};
 use workswood_peers::{JobAsk, JobReply, JobState, Msg, PendingAsk, PendingReply};
 
 use super::node::{Leading, Node};
@@ -43,7 +43,7 @@
 }
 
 fn own_job(node: &Node, l: &Leading, job: JobKey) -> Told<Shown> {
-    match l.shown.read().get(&job).and_then(|s| s.state) {
+    match l.shown.read().state(job) {
         Some(state) => Told::Known(state),
         None if current(node, l) => Told::Unknown,
         None => Told::Unreachable,
@@ -54,9 +54,7 @@
     if !current(node, l) {
         return Told::Unreachable;
     }
-    let shown = l.shown.read();
-    let waits = |s: &&ShownJob| s.queue == queue && s.state == Some(Shown::Queued) && !s.timed;
-    Told::Known(shown.values().filter(waits).count() as u64)
+    Told::Known(l.shown.read().queued(queue))
 }
 
 /// Asks for the state of a job.
--- /dev/null
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -0,0 +1,198 @@
+//! The stored form of a job's state.
+//!
+//! A job is written about six times on its way, and a new lease holder reads all of
+//! them, so what is usual takes little: a bit for a task that is done, some bytes for
+//! one that runs. A job of 13 tasks takes 80 bytes while all run (800 as JSON).
+//!
+//! Versions before this one wrote JSON, which is still read.
+
+use std::collections::BTreeMap;
+
+use prost::Message;
+use workswood_core::jobs::job::{TaskRecord, WorkerId};
+use workswood_core::jobs::{JobRecord, Outcome};
+
+/// First byte of a record that a version before this one wrote.
+const JSON: u8 = b'{';
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct JobState {
+    #[prost(bool, tag = "1")]
+    cancelled: bool,
+    #[prost(bool, tag = "2")]
+    begun: bool,
+    #[prost(enumeration = "Ended", optional, tag = "3")]
+    ended: Option<i32>,
+    /// Workers that steps name by their places here.
+    #[prost(string, repeated, tag = "4")]
+    workers: Vec<String>,
+    #[prost(message, repeated, tag = "5")]
+    rounds: Vec<RoundState>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+enum Ended {
+    Completed = 0,
+    Failed = 1,
+    Canceled = 2,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct RoundState {
+    #[prost(message, repeated, tag = "1")]
+    steps: Vec<StepState>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct StepState {
+    /// How many tasks.
+    #[prost(uint32, tag = "1")]
+    count: u32,
+    /// A bit for each task, set if it is done; trailing zeros left out.
+    #[prost(bytes = "vec", tag = "2")]
+    done: Vec<u8>,
+    /// Runs: three numbers each, of the task, the try and the worker.
+    #[prost(uint32, repeated, tag = "3")]
+    runs: Vec<u32>,
+    /// Tasks of which there is more to say.
+    #[prost(message, repeated, tag = "4")]
+    special: Vec<TaskState>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct TaskState {
+    #[prost(uint32, tag = "1")]
+    index: u32,
+    /// Number of its latest try.
+    #[prost(uint32, tag = "2")]
+    attempt: u32,
+    #[prost(uint32, repeated, tag = "3")]
+    failed: Vec<u32>,
+    #[prost(string, tag = "4")]
+    checkpoint: String,
+    #[prost(uint32, repeated, tag = "5")]
+    evicted: Vec<u32>,
+}
+
+/// Numbers of workers within one record.
+#[derive(Default)]
+struct Numbers<'a> {
+    by_id: BTreeMap<&'a WorkerId, u32>,
+    names: Vec<String>,
+}
+
+impl<'a> Numbers<'a> {
+    fn of(&mut self, id: &'a WorkerId) -> u32 {
+        let next = self.names.len() as u32;
+        let number = *self.by_id.entry(id).or_insert(next);
+        if number == next {
+            self.names.push(id.to_string());
+        }
+        number
+    }
+}
+
+/// Encodes the state of a job.
+pub fn encode(rec: &JobRecord) -> Vec<u8> {
+    let mut numbers = Numbers::default();
+    let mut rounds = Vec::with_capacity(rec.rounds.len());
+    for round in &rec.rounds {
+        let steps = round.iter().map(|tasks| step_state(tasks, &mut numbers)).collect();
+        rounds.push(RoundState { steps });
+    }
+    let state = JobState {
+        cancelled: rec.cancelled,
+        begun: rec.begun,
+        ended: rec.outcome.map(|o| ended(o) as i32),
+        workers: numbers.names,
+        rounds,
+    };
+    state.encode_to_vec()
+}
+
+fn step_state<'a>(tasks: &'a [TaskRecord], numbers: &mut Numbers<'a>) -> StepState {
+    let mut s = StepState { count: tasks.len() as u32, ..StepState::default() };
+    for (n, t) in tasks.iter().enumerate() {
+        let index = n as u32;
+        if t.done {
+            s.done.resize(n / 8 + 1, 0);
+            s.done[n / 8] |= 1 << (n % 8);
+        }
+        for (worker, attempt) in &t.runs {
+            s.runs.extend([index, *attempt, numbers.of(worker)]);
+        }
+        if is_special(t) {
+            s.special.push(TaskState {
+                index,
+                attempt: t.attempt,
+                failed: t.failed.iter().copied().collect(),
+                checkpoint: t.checkpoint.clone(),
+                evicted: t.evicted.iter().copied().collect(),
+            });
+        }
+    }
+    s
+}
+
+/// Whether a task's runs and its end do not say all about it. A task that is done
+/// is not tried again.
+fn is_special(t: &TaskRecord) -> bool {
+    let latest = t.runs.iter().map(|(_, attempt)| *attempt).max().unwrap_or(0);
+    let tried = !t.done && t.attempt != latest;
+    tried || !t.failed.is_empty() || !t.checkpoint.is_empty() || !t.evicted.is_empty()
+}
+
+/// Decodes the state of a job.
+pub fn decode(value: &[u8]) -> Result<JobRecord, String> {
+    if value.first() == Some(&JSON) {
+        return serde_json::from_slice(value).map_err(|e| e.to_string());
+    }
+    let state = JobState::decode(value).map_err(|e| e.to_string())?;
+    let workers: Vec<WorkerId> = state.workers.iter().map(|w| w.as_str().into()).collect();
+    let step = |s: StepState| read_step(s, &workers);
+    let round = |r: RoundState| r.steps.into_iter().map(step).collect::<Result<Vec<_>, _>>();
+    Ok(JobRecord {
+        cancelled: state.cancelled,
+        outcome: state.ended.map(outcome).transpose()?,
+        begun: state.begun,
+        rounds: state.rounds.into_iter().map(round).collect::<Result<_, _>>()?,
+    })
+}
+
+fn read_step(s: StepState, workers: &[WorkerId]) -> Result<Vec<TaskRecord>, String> {
+    let bit = |n: usize| s.done.get(n / 8).is_some_and(|byte| byte & (1 << (n % 8)) != 0);
+    let task = |n: usize| TaskRecord { done: bit(n), ..TaskRecord::default() };
+    let mut tasks: Vec<TaskRecord> = (0..s.count as usize).map(task).collect();
+    for run in s.runs.chunks(3) {
+        let [index, attempt, worker] = *run else { return Err("a run is cut short".to_string()) };
+        let worker = workers.get(worker as usize).ok_or("a worker has no name")?;
+        let task = tasks.get_mut(index as usize).ok_or("a run is of no task")?;
+        task.attempt = task.attempt.max(attempt);
+        task.runs.push((worker.clone(), attempt));
+    }
+    for t in s.special {
+        let task = tasks.get_mut(t.index as usize).ok_or("there is no such task")?;
+        task.attempt = t.attempt;
+        task.failed = t.failed.into_iter().collect();
+        task.checkpoint = t.checkpoint;
+        task.evicted = t.evicted.into_iter().collect();
+    }
+    Ok(tasks)
+}
+
+fn ended(outcome: Outcome) -> Ended {
+    match outcome {
+        Outcome::Completed => Ended::Completed,
+        Outcome::Failed => Ended::Failed,
+        Outcome::Canceled => Ended::Canceled,
+    }
+}
+
+fn outcome(ended: i32) -> Result<Outcome, String> {
+    match Ended::try_from(ended).map_err(|e| e.to_string())? {
+        Ended::Completed => Ok(Outcome::Completed),
+        Ended::Failed => Ok(Outcome::Failed),
+        Ended::Canceled => Ok(Outcome::Canceled),
+    }
+}
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -284,14 +284,8 @@
 
     /// Shows callers the jobs of a stored batch.
     fn show(&self, shown: Vec<ShownJob>) {
-        let mut map = self.l.shown.write();
-        for s in shown {
-            if s.state.is_some() {
-                map.insert(s.key, s);
-            } else {
-                map.remove(&s.key);
-            }
-        }
+        let mut all = self.l.shown.write();
+        shown.into_iter().for_each(|s| all.show(s));
     }
 }
 
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -11,6 +11,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, Newest, Part, StoreError, Topic};
 
 use super::inbox::{self, Kept};
+use super::job_state;
 use super::limits::limits;
 use super::node::Node;
 use super::record::{InboxKey, StateKey, inbox_key, state_key};
@@ -89,11 +90,10 @@
     for rec in state.records {
         let value = rec.value.unwrap_or_default();
         match state_key(&rec.key) {
-            Some(StateKey::Job(key)) => {
-                if let Some(j) = read(&rec.key, &value) {
-                    s.jobs.insert(key, j);
-                }
-            }
+            Some(StateKey::Job(key)) => match job_state::decode(&value) {
+                Ok(j) => drop(s.jobs.insert(key, j)),
+                Err(e) => log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key),
+            },
             Some(StateKey::Wave(n)) => {
                 if let Some(w) = read(&rec.key, &value) {
                     s.waves.insert(n, w);
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -10,11 +10,11 @@
 //! * [`follow`] keeps up with what operators write;
 //! * [`lease`] watches the scheduler lease and claims it;
 //! * [`lead`] runs the scheduler while this process holds the lease, with
-//!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`]
-//!   (the stored form), [`renew`] (the lease), [`sessions`] (with the relays) and
+//!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`] and
+//!   [`job_state`] (the stored form), [`renew`] (the lease), [`sessions`] (with the relays) and
 //!   [`advice`] (calls to the adviser);
 //! * [`relay`] speaks with workers, for the lease holder here or elsewhere;
-//! * [`ask`] puts callers' questions to the lease holder, and [`help`] does what
+//! * [`shown`] holds what callers may be told; [`ask`] puts callers' questions to the lease holder, and [`help`] does what
 //!   other processes ask for, whose listeners are in [`peers`];
 //! * [`stop`] ends the process without cutting anything off.
 
@@ -25,6 +25,7 @@
 mod front;
 pub mod help;
 pub mod inbox;
+pub mod job_state;
 mod lead;
 mod lease;
 pub mod limits;
@@ -36,6 +37,7 @@
 pub mod relay;
 mod renew;
 mod sessions;
+pub mod shown;
 mod stop;
 
 use std::net::SocketAddr;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -1,6 +1,6 @@
 //! What the tasks of one process share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -10,7 +10,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use workswood_core::ids::{Incarnation, Term, UnixMs};
-use workswood_core::jobs::{Event, JobKey, SchedConfig, ShownJob, Wave};
+use workswood_core::jobs::{Event, SchedConfig, Wave};
 use workswood_liveness::{HalfOpen, Lag};
 use workswood_platform::jobs::JobPlatform;
 
@@ -18,6 +18,7 @@
 use super::peers::Peers;
 use super::relay::Grant;
 use super::relay::serve::Session;
+use super::shown::ShownJobs;
 use crate::util::job_metrics::JobMetrics;
 use crate::util::job_settings::JobSettings;
 
@@ -43,7 +44,7 @@
     /// Events for the scheduler.
     pub tx: mpsc::UnboundedSender<Event>,
     /// What callers may be told.
-    pub shown: RwLock<HashMap<JobKey, ShownJob>>,
+    pub shown: RwLock<ShownJobs>,
     /// All that was in the inbox at this time is in `shown`; ms since the
     /// start, 0 before the first time.
     pub inbox_read: AtomicU64,
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -13,6 +13,8 @@
 use workswood_core::jobs::{JobKey, Record};
 use workswood_platform::jobs::KeyedRecord;
 
+use super::job_state;
+
 /// Start of the key of a cancel.
 const CANCEL: &str = "x";
 /// Start of the key of a wave's progress.
@@ -99,7 +101,9 @@
 /// A record of the scheduler's state as it is stored.
 pub fn state_record(rec: &Record) -> KeyedRecord {
     match rec {
-        Record::Job(job, state) => value_record(job_key(*job), state),
+        Record::Job(job, state) => {
+            KeyedRecord { key: job_key(*job), value: Some(job_state::encode(state).into()) }
+        }
         Record::DropJob(job) => drop_record(job_key(*job)),
         Record::Wave(n, progress) => value_record(format!("{WAVE}{n}"), progress),
         Record::Worker(id, worker) => value_record(format!("{WORKER}{id}"), worker),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod job_account;
 mod job_limits;
 mod job_placement;
+mod job_records;
 mod job_settings;
 mod job_status;
 mod keyed_requests;
