Tell what fills a host's link; write log lines together

Bytes over the link are counted by purpose (workswood-traffic): metrics, and a line event=host_use every 5 s on hosts that lead or relay, with how long the process stood still. Lines of one moment go to the writing thread as one text, which waits 20 ms for more; the end of the process flushes. Notes of the scheduler share one buffer, runs of a task's record stand inline.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -31,7 +31,7 @@
         w.fenced = true;
         if back {
             self.place_again.extend(w.info.as_ref().map(|i| i.service.clone()));
-            self.notes.push(format!("event=worker_reached worker={id} token={}", self.token));
+            self.notes.push(format_args!("event=worker_reached worker={id} token={}", self.token));
         }
     }
 
@@ -74,8 +74,10 @@
         if wanted && self.adopt(id, listed) {
             return;
         }
-        self.notes
-            .push(format!("event=stray_run worker={id} task={} attempt={}", listed.task, listed.attempt));
+        self.notes.push(format_args!(
+            "event=stray_run worker={id} task={} attempt={}",
+            listed.task, listed.attempt
+        ));
         self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
     }
 
@@ -98,8 +100,10 @@
         }
         self.unqueue(&listed.task);
         self.dirty.insert(listed.task.job);
-        self.notes
-            .push(format!("event=run_adopted worker={id} task={} attempt={}", listed.task, listed.attempt));
+        self.notes.push(format_args!(
+            "event=run_adopted worker={id} task={} attempt={}",
+            listed.task, listed.attempt
+        ));
         true
     }
 
@@ -125,13 +129,14 @@
     /// Takes one end in.
     fn run_ended(&mut self, id: &WorkerId, end: &ReportedEnd) {
         let (now, task_id) = (self.now, end.task);
-        if let Some(mut w) = self.workers.get_mut(id) {
+        let info = self.workers.get_mut(id).and_then(|mut w| {
             w.release(task_id, end.attempt);
-            if let Some(info) = &w.info {
-                self.place_again.insert(info.service.clone());
-            }
+            w.info.clone()
+        });
+        if let Some(info) = info {
+            self.place_soon(&info.service);
         }
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=run_ended worker={id} task={task_id} attempt={} how={:?} number={}",
             end.attempt, end.kind, end.number
         ));
@@ -235,7 +240,7 @@
         if let Some(mut w) = self.workers.get_mut(id) {
             w.shunned_until = until;
         }
-        self.notes.push(format!("event=worker_shunned worker={id} faults={faults}"));
+        self.notes.push(format_args!("event=worker_shunned worker={id} faults={faults}"));
     }
 
     /// Whether few enough workers of the service are shunned for one more.
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -97,7 +97,8 @@
         if !recorded {
             self.dirty.insert(task.job);
         }
-        self.notes.push(format!("event=task_evicted worker={id} task={task} attempt={attempt} reason={why}"));
+        self.notes
+            .push(format_args!("event=task_evicted worker={id} task={task} attempt={attempt} reason={why}"));
         self.actions.push(Action::Stop(id.clone(), *task, attempt));
     }
 }
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use super::spec::{JobKey, JobSpec, StepId, StepSpec, TaskId};
 
@@ -342,8 +343,8 @@
     #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
     /// Worker and attempt of each run that may exist.
-    #[serde(default, rename = "w", skip_serializing_if = "Vec::is_empty")]
-    pub runs: Vec<(WorkerId, u32)>,
+    #[serde(default, rename = "w", skip_serializing_if = "SmallVec::is_empty")]
+    pub runs: SmallVec<[(WorkerId, u32); 1]>,
     /// Attempts of those runs that are ended by our own order. Their workers
     /// list them until they have stopped.
     #[serde(default, rename = "e", skip_serializing_if = "BTreeSet::is_empty")]
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -52,6 +52,7 @@
 pub mod map;
 pub mod moves;
 pub mod need;
+mod notes;
 pub mod order;
 pub mod place;
 pub mod policy;
--- a/crates/workswood-core/src/jobs/moves.rs
+++ b/crates/workswood-core/src/jobs/moves.rs
@@ -43,7 +43,8 @@
     pub(super) fn begin_move(&mut self, machine: HostId, to: ServiceId, worker: Option<WorkerId>) {
         let from = self.machines.get(&machine).map(|m| m.pool.clone()).unwrap_or_default();
         let need = self.pools.need.get(&to).map_or(0.0, |n| n.now);
-        self.notes.push(format!("event=machine_moving machine={machine} from={from} to={to} need={need:.1}"));
+        self.notes
+            .push(format_args!("event=machine_moving machine={machine} from={from} to={to} need={need:.1}"));
         if let Some(mut w) = worker.as_ref().and_then(|id| self.workers.get_mut(id)) {
             w.cordoned = true;
         }
@@ -102,7 +103,7 @@
     pub(super) fn machine_moved(&mut self, machine: &HostId, reply: MachineReply) -> bool {
         let Some(v) = self.pools.moving.get_mut(machine) else { return false };
         let (to, worker, unsure) = (v.to.clone(), v.worker.clone(), v.unsure);
-        self.notes.push(format!("event=machine_moved machine={machine} to={to} reply={reply:?}"));
+        self.notes.push(format_args!("event=machine_moved machine={machine} to={to} reply={reply:?}"));
         match reply {
             MachineReply::Done => self.move_done(machine, to, worker),
             MachineReply::Impossible => {
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -205,7 +205,7 @@
             w.mark(id, step);
         }
         self.want_figures(worker);
-        self.notes.push(format!("event=task_placed worker={worker} task={id} attempt={attempt}"));
+        self.notes.push(format_args!("event=task_placed worker={worker} task={id} attempt={attempt}"));
         let w = self.workers.get(worker);
         let ticket = w.and_then(|w| w.ticket(&id.step_id(), now));
         self.actions.push(Action::Start {
--- a/crates/workswood-core/src/jobs/pools.rs
+++ b/crates/workswood-core/src/jobs/pools.rs
@@ -112,7 +112,7 @@
         let count = self.count_pools();
         for s in self.working_services() {
             let note = self.pool_note(&count, &s);
-            self.notes.push(note);
+            self.notes.push(format_args!("{note}"));
         }
     }
 
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -261,7 +261,7 @@
         };
         self.relays.active.insert(host.clone(), relay);
         if !own {
-            self.notes.push(format!("event=relay_opened relay={host}"));
+            self.notes.push(format_args!("event=relay_opened relay={host}"));
             self.relays.orders.push(Action::OpenRelay(host.clone()));
         }
     }
@@ -342,7 +342,7 @@
         r.up = true;
         r.heard = self.now;
         let workers: Vec<WorkerId> = r.workers.iter().cloned().collect();
-        self.notes.push(format!("event=relay_up relay={host} workers={}", workers.len()));
+        self.notes.push(format_args!("event=relay_up relay={host} workers={}", workers.len()));
         for id in workers {
             let Some(w) = self.workers.get(&id) else { continue };
             let Some(info) = &w.info else { continue };
@@ -361,7 +361,7 @@
     /// A relay is lost, or could not be reached. Leases that it extended end by a time.
     pub(super) fn relay_down(&mut self, host: &HostId, lease_end: Duration, may_return: bool) {
         let Some(r) = self.relays.active.remove(host) else { return };
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=relay_lost relay={host} workers={} was_up={} may_return={may_return}",
             r.workers.len(),
             r.up
@@ -381,7 +381,7 @@
     pub(super) fn relay_leaving(&mut self, host: &HostId) {
         let Some(r) = self.relays.active.get(host) else { return };
         let workers: Vec<WorkerId> = r.workers.iter().cloned().collect();
-        self.notes.push(format!("event=relay_leaving relay={host} workers={}", workers.len()));
+        self.notes.push(format_args!("event=relay_leaving relay={host} workers={}", workers.len()));
         let until = self.now + self.policy.relays.shun_for;
         self.relays.shunned.insert(host.clone(), until);
         workers.iter().for_each(|id| self.attend(id));
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -12,6 +12,7 @@
 use super::known::Jobs;
 use super::machine::Machine;
 use super::map::Map;
+use super::notes::Notes;
 use super::order::{Durations, place_of};
 use super::policy::Policy;
 use super::pools::PoolState;
@@ -98,7 +99,7 @@
     /// Cancels of jobs that are not known yet.
     early_cancels: BTreeSet<JobKey>,
     /// Decisions worth a log line, drained by the process.
-    pub notes: Vec<String>,
+    pub notes: Notes,
 }
 
 impl Scheduler {
@@ -138,7 +139,7 @@
             place_again: BTreeSet::new(),
             inbox_read: Duration::ZERO,
             early_cancels: BTreeSet::new(),
-            notes: Vec::new(),
+            notes: Notes::default(),
         }
     }
 
@@ -164,7 +165,7 @@
         if !fits {
             // Handed in again with other steps: what was begun does not match
             // what is asked for, and must not be begun anew.
-            self.notes.push(format!("event=job_changed job={key:016x} outcome=Failed"));
+            self.notes.push(format_args!("event=job_changed job={key:016x} outcome=Failed"));
             job.outcome = Some(Outcome::Failed);
             job.ended = now;
         }
@@ -232,7 +233,7 @@
         }
         let (stretch, target) =
             self.config.queues.get(&spec.queue).map_or((1.0, 0), |q| (q.stretch, q.target.as_millis()));
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=job_known job={key:016x} queue={} stretch={stretch} target_ms={target}",
             spec.queue
         ));
@@ -283,6 +284,13 @@
         }
     }
 
+    /// Has the waiting tasks of a service placed before the next batch.
+    pub(super) fn place_soon(&mut self, service: &str) {
+        if !self.place_again.contains(service) {
+            self.place_again.insert(service.to_string());
+        }
+    }
+
     /// Queues all tasks of a job that may be started now.
     pub(super) fn queue_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(&key) else { return };
@@ -315,9 +323,13 @@
         };
         let queue = self.config.queues.get(&job.spec.queue);
         let (place, dues) = place_of(job, &id, queue, &self.durations, &self.policy.order, self.wall);
-        let service = job.spec.service.clone();
-        self.ready.entry(service.clone()).or_default().insert(place, dues, step.reserved(), tasks);
-        self.place_again.insert(service);
+        let spec = job.spec.clone();
+        let room = step.reserved();
+        match self.ready.get_mut(&spec.service) {
+            Some(waiting) => waiting.insert(place, dues, room, tasks),
+            None => self.ready.entry(spec.service.clone()).or_default().insert(place, dues, room, tasks),
+        }
+        self.place_soon(&spec.service);
     }
 
     /// Takes a task out of the queue.
@@ -342,7 +354,7 @@
         }
         job.outcome = Some(outcome);
         job.ended = self.now;
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=job_ended job={key:016x} outcome={outcome:?} age_ms={}",
             self.wall.saturating_sub(job.spec.accepted)
         ));
--- a/crates/workswood-core/src/jobs/settle.rs
+++ b/crates/workswood-core/src/jobs/settle.rs
@@ -43,7 +43,7 @@
         w.listed = true;
         if fresh {
             drop(w);
-            self.notes.push(format!(
+            self.notes.push(format_args!(
                 "event=worker_listed worker={id} service={} address={} machine={}",
                 info.service, info.address, info.machine
             ));
@@ -54,7 +54,7 @@
                 self.attend(&id);
             }
         } else if draining {
-            self.notes.push(format!("event=worker_draining worker={id} service={}", info.service));
+            self.notes.push(format_args!("event=worker_draining worker={id} service={}", info.service));
         }
     }
 
@@ -86,7 +86,7 @@
     pub(super) fn worker_unlisted(&mut self, id: &WorkerId) {
         let Some(mut w) = self.workers.get_mut(id) else { return };
         w.listed = false;
-        self.notes.push(format!("event=worker_unlisted worker={id} runs={}", w.runs.len()));
+        self.notes.push(format_args!("event=worker_unlisted worker={id} runs={}", w.runs.len()));
         drop(w);
         self.drop_if_idle(id);
     }
@@ -111,7 +111,7 @@
     pub(super) fn unanswered(&mut self, id: &WorkerId, lease_end: Duration) {
         let Some(mut w) = self.workers.get_mut(id) else { return };
         if w.reachable {
-            self.notes.push(format!("event=worker_unreachable worker={id} runs={}", w.runs.len()));
+            self.notes.push(format_args!("event=worker_unreachable worker={id} runs={}", w.runs.len()));
         }
         w.reachable = false;
         w.lease_end = w.lease_end.max(lease_end);
@@ -128,7 +128,7 @@
     pub(super) fn life_over(&mut self, id: &WorkerId, why: &str) {
         self.settle_all(id, why);
         if self.drop_worker(id) {
-            self.notes.push(format!("event=worker_life_over worker={id} reason={why}"));
+            self.notes.push(format_args!("event=worker_life_over worker={id} reason={why}"));
         }
     }
 
@@ -154,8 +154,9 @@
         if task.runs.len() == before {
             return;
         }
-        self.notes
-            .push(format!("event=run_settled worker={id} task={task_id} attempt={attempt} reason={why}"));
+        self.notes.push(format_args!(
+            "event=run_settled worker={id} task={task_id} attempt={attempt} reason={why}"
+        ));
         self.dirty.insert(task_id.job);
         self.queue_task(task_id);
     }
@@ -174,7 +175,7 @@
     pub(super) fn started(&mut self, id: &WorkerId, task: TaskId, attempt: u32, reply: StartReply) {
         let now = self.now;
         if reply != StartReply::Taken {
-            self.notes.push(format!(
+            self.notes.push(format_args!(
                 "event=start_not_taken worker={id} task={task} attempt={attempt} reply={reply:?}"
             ));
         }
@@ -266,7 +267,7 @@
     pub(super) fn settle_slow(&mut self) {
         let (mut stops, stuck) = self.slow_runs();
         for (id, task, attempt) in stuck {
-            self.notes.push(format!("event=run_stuck worker={id} task={task} attempt={attempt}"));
+            self.notes.push(format_args!("event=run_stuck worker={id} task={task} attempt={attempt}"));
             self.blame(&id, &task);
             if let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(&task)) {
                 t.avoid = Some(id.clone());
--- a/crates/workswood-core/src/jobs/share.rs
+++ b/crates/workswood-core/src/jobs/share.rs
@@ -28,7 +28,7 @@
             if pace != run.pace {
                 run.pace = pace;
                 let attempt = run.attempt;
-                self.notes.push(format!(
+                self.notes.push(format_args!(
                     "event=pace worker={id} task={task} attempt={attempt} pace={pace} load={load:.2}"
                 ));
                 self.actions.push(Action::Pace(id.clone(), task, attempt, pace));
--- a/crates/workswood-core/src/jobs/upkeep.rs
+++ b/crates/workswood-core/src/jobs/upkeep.rs
@@ -48,7 +48,7 @@
                 continue;
             }
             room -= 1;
-            self.notes.push(format!("event=machine_ordered_down wave={n} machine={m} runs={runs}"));
+            self.notes.push(format_args!("event=machine_ordered_down wave={n} machine={m} runs={runs}"));
             self.order_down(n, m, worker);
         }
     }
@@ -98,7 +98,7 @@
         let Some(n) = self.wave_of_order(machine) else { return };
         let listed = self.machines.get(machine);
         let (pool, state) = listed.map_or(("none", None), |m| (m.pool.as_str(), Some(m.state)));
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=machine_answer wave={n} machine={machine} reply={reply:?} pool={pool} listed={state:?}"
         ));
         let Some(w) = self.waves.get_mut(&n) else { return };
--- a/crates/workswood-core/src/jobs/wave.rs
+++ b/crates/workswood-core/src/jobs/wave.rs
@@ -157,7 +157,7 @@
         if self.waves.contains_key(&number) {
             return;
         }
-        self.notes.push(format!(
+        self.notes.push(format_args!(
             "event=wave_known wave={number} machines={} most_at_once={}",
             wave.machines.len(),
             wave.most_at_once
@@ -309,7 +309,7 @@
             }
             room -= 1;
             behind = behind.saturating_sub(1);
-            self.notes.push(format!("event=machine_emptying wave={n} machine={m} spared={spared}"));
+            self.notes.push(format_args!("event=machine_emptying wave={n} machine={m} spared={spared}"));
             if let Some(m) = self.machines.get(&m).filter(|m| works(m)) {
                 count.leaves(&m.pool);
             }
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -10,6 +10,7 @@
 use hyper::{Method, Request, StatusCode};
 use tokio::time::Instant;
 use workswood_liveness::HalfOpen;
+use workswood_traffic::{Purpose, Traffic};
 
 use crate::attempt::Attempt;
 use crate::pool::{Limits, Pool};
@@ -59,6 +60,8 @@
     pub body: Bytes,
     /// Whether it may be done twice.
     pub repeat: Repeat,
+    /// What it is for.
+    pub purpose: Purpose,
 }
 
 /// A whole answer.
@@ -95,8 +98,12 @@
 pub struct HttpClient {
     pool: Pool<Full<Bytes>>,
     most_bytes: usize,
+    traffic: Traffic,
 }
 
+/// Bytes of the head of a request, or of an answer, as the platform's parts send them.
+const HEAD: usize = 160;
+
 /// How the first attempt at a call went.
 enum First {
     Ended(Result<Answer, Failure>),
@@ -108,9 +115,9 @@
 
 impl HttpClient {
     /// A client without connections that reads answers up to a size. What it finds
-    /// out of connections is shared with others.
-    pub fn new(limits: Limits, most_bytes: usize, half_open: HalfOpen) -> HttpClient {
-        HttpClient { pool: Pool::new(limits, half_open), most_bytes }
+    /// out of connections, and what goes over them, is shared with others.
+    pub fn new(limits: Limits, most_bytes: usize, half_open: HalfOpen, traffic: Traffic) -> HttpClient {
+        HttpClient { pool: Pool::new(limits, half_open), most_bytes, traffic }
     }
 
     /// Makes a call. A connection whose answer did not come in time is closed.
@@ -127,7 +134,7 @@
         let attempt = self.pool.attempt(call.address, Duration::ZERO);
         let req = request(call, call.path, &call.body)?;
         tokio::select! {
-            res = self.exchange(&attempt, req, false) => res,
+            res = self.exchange(call, &attempt, req, false) => res,
             () = attempt.suspected() => {
                 attempt.abandon();
                 Err(Failure::NoAnswer("the connection went silent".to_string()))
@@ -141,7 +148,7 @@
     async fn repeatable(&self, call: &Call<'_>, until: Instant) -> Result<Answer, Failure> {
         let first = self.pool.attempt(call.address, call.waits());
         let req = request(call, call.path, &call.body)?;
-        let mut sent = pin!(self.exchange(&first, req, call.is_quick()));
+        let mut sent = pin!(self.exchange(call, &first, req, call.is_quick()));
         let end = tokio::select! {
             res = &mut sent => First::Ended(res),
             () = first.suspected() => First::Suspected,
@@ -189,7 +196,7 @@
         until: Instant,
     ) -> Result<Answer, Failure> {
         if let Repeat::Probed { path } = &call.repeat
-            && !self.is_quick(call.address, path, first.late_after(), until).await
+            && !self.is_quick(call, path, first.late_after(), until).await
         {
             // Only the first one can be answered.
             tokio::time::sleep_until(until).await;
@@ -205,7 +212,8 @@
 
     /// Whether a cheap read over a new connection is answered so soon that the peer is
     /// not slow: in half of the time after which an answer is late.
-    async fn is_quick(&self, address: &str, path: &str, late_after: Duration, until: Instant) -> bool {
+    async fn is_quick(&self, call: &Call<'_>, path: &str, late_after: Duration, until: Instant) -> bool {
+        let address = call.address;
         let read = Call {
             method: Method::GET,
             address,
@@ -213,11 +221,12 @@
             headers: &[],
             body: Bytes::new(),
             repeat: Repeat::Never,
+            purpose: call.purpose,
         };
         let begun = Instant::now();
         let Ok(req) = request(&read, path, &read.body) else { return false };
         let attempt = self.pool.attempt(address, Duration::ZERO);
-        let res = tokio::time::timeout_at(until, self.exchange(&attempt, req, true)).await;
+        let res = tokio::time::timeout_at(until, self.exchange(&read, &attempt, req, true)).await;
         attempt.abandon();
         matches!(res, Ok(Ok(_))) && begun.elapsed() < late_after / 2
     }
@@ -231,7 +240,7 @@
         let second = self.pool.attempt(call.address, Duration::ZERO);
         let req = request(call, path, body)?;
         let begun = Instant::now();
-        match tokio::time::timeout_at(until, self.exchange(&second, req, false)).await {
+        match tokio::time::timeout_at(until, self.exchange(call, &second, req, false)).await {
             Ok(Ok(answer)) => Ok(Answer { repeated: true, ..answer }),
             // What was sent first may have arrived.
             Ok(Err(e)) => Err(Failure::NoAnswer(text_of(e))),
@@ -247,12 +256,15 @@
     /// answer takes is the peer's own.
     async fn exchange(
         &self,
+        call: &Call<'_>,
         attempt: &Attempt<Full<Bytes>>,
         req: Request<Full<Bytes>>,
         quick: bool,
     ) -> Result<Answer, Failure> {
         let begun = Instant::now();
         let res = self.send(attempt, req).await;
+        let received = res.as_ref().map_or(0, |a| HEAD + a.body.len());
+        self.traffic.note(call.purpose, HEAD + call.path.len() + call.body.len(), received);
         match &res {
             Ok(_) => {
                 if quick {
--- a/crates/workswood-peers/src/exchange.rs
+++ b/crates/workswood-peers/src/exchange.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use workswood_liveness::{Finding, HalfOpen, Patience};
+use workswood_traffic::Traffic;
 
 use crate::counted::Counted;
 use crate::link::Calls;
@@ -54,6 +55,7 @@
     /// Bytes sent.
     sent: Arc<AtomicU64>,
     half_open: HalfOpen,
+    traffic: Traffic,
     hello: Hello,
     /// Since when the connection before this one was silent, if that was its end.
     silent_since: Option<Instant>,
@@ -126,8 +128,9 @@
         sent: Arc<AtomicU64>,
         half_open: HalfOpen,
         hello: Hello,
+        traffic: Traffic,
     ) -> Exchange {
-        Exchange { rx, calls, sent, half_open, hello, silent_since: None, heard: false }
+        Exchange { rx, calls, sent, half_open, traffic, hello, silent_since: None, heard: false }
     }
 
     /// Whether something was heard on the last connection; forgets it.
@@ -159,7 +162,9 @@
                 }
                 answer = framed.next() => {
                     let Some(Ok(buf)) = answer else { return End::Broken };
+                    let len = buf.len();
                     let Ok(Frame { call, msg: Some(msg) }) = Frame::decode(buf) else { return End::Broken };
+                    self.traffic.note(msg.purpose(), 0, len);
                     self.calls.answer(call, msg);
                     self.heard = true;
                     hearing.heard(self.calls.is_any_sent());
@@ -198,8 +203,10 @@
 
     /// Hands a message to the network; returns its length in bytes.
     async fn write(&self, framed: &mut Stream, call: u64, msg: Msg) -> Result<usize, ()> {
+        let purpose = msg.purpose();
         let buf = encode(call, msg);
         let len = buf.len();
+        self.traffic.note(purpose, len, 0);
         self.sent.fetch_add(len as u64 + 4, Ordering::Relaxed);
         match tokio::time::timeout(SEND_TIMEOUT, framed.send(buf)).await {
             Ok(Ok(())) => Ok(len),
--- a/crates/workswood-peers/src/link.rs
+++ b/crates/workswood-peers/src/link.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use workswood_liveness::HalfOpen;
+use workswood_traffic::Traffic;
 
 use crate::exchange::{End, Exchange};
 use crate::{Hello, Msg};
@@ -51,14 +52,14 @@
 
 impl Link {
     /// Keeps a connection to a peer; `from` is our incarnation. What it finds out of
-    /// connections is shared with others.
-    pub fn open(address: String, token: String, from: String, half_open: HalfOpen) -> Link {
+    /// connections, and what goes over them, is shared with others.
+    pub fn open(address: String, token: String, from: String, half_open: HalfOpen, traffic: Traffic) -> Link {
         let (tx, rx) = mpsc::channel(QUEUE);
         let calls = Calls::default();
         let sent = Arc::new(AtomicU64::new(0));
         let hello = Hello { version: crate::server::VERSION, token, from };
         let (calls_here, sent_here) = (calls.clone(), sent.clone());
-        let exchange = Exchange::new(rx, calls_here, sent_here, half_open, hello);
+        let exchange = Exchange::new(rx, calls_here, sent_here, half_open, hello, traffic);
         tokio::spawn(run(address, exchange));
         Link { tx, calls, next: Arc::new(AtomicU64::new(1)), sent }
     }
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -1,5 +1,7 @@
 //! The messages, as `prost` types.
 
+use workswood_traffic::Purpose;
+
 use crate::relay::{RelayNews, RelayOpen, RelayOrders, RelayReady};
 
 /// One frame.
@@ -437,3 +439,21 @@
 /// Nothing to say.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Done {}
+
+impl Msg {
+    /// What the message is for, in metrics.
+    pub fn purpose(&self) -> Purpose {
+        match self {
+            Msg::JobAsk(_) | Msg::JobReply(_) => "job_questions",
+            Msg::PendingAsk(_) | Msg::PendingReply(_) => "pending_questions",
+            Msg::HandIn(_) | Msg::HandInReply(_) => "hand_ins_for_peers",
+            Msg::AdviceAsk(_) | Msg::AdviceReply(_) => "advice_for_peers",
+            Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) => "relay_orders",
+            Msg::RelayNews(_) => "relay_news",
+            Msg::Beats(_) | Msg::Head(_) | Msg::Ping(_) | Msg::Pong(_) | Msg::Hello(_) => "heartbeats",
+            Msg::SlotAsk(_) | Msg::SlotLoan(_) | Msg::SlotState(_) => "slots",
+            Msg::StateAsk(_) | Msg::StateReply(_) | Msg::KeyAsk(_) | Msg::KeyReply(_) => "state_questions",
+            Msg::Leaving(_) | Msg::Done(_) | Msg::Release(_) => "other_messages",
+        }
+    }
+}
--- a/crates/workswood-peers/src/server.rs
+++ b/crates/workswood-peers/src/server.rs
@@ -10,6 +10,7 @@
 use subtle::ConstantTimeEq;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use workswood_traffic::Traffic;
 
 use crate::duplex::{self, DuplexRx, DuplexTx, Frames};
 use crate::relay::RelayOpen;
@@ -45,16 +46,24 @@
     token: String,
     handler: Handler,
     streams: Option<StreamHandler>,
+    traffic: Traffic,
 }
 
 /// Serves peers on a listener until the task is dropped.
 pub async fn serve(listener: TcpListener, token: String, handler: Handler) {
-    accept(listener, Served { token, handler, streams: None }).await;
+    accept(listener, Served { token, handler, streams: None, traffic: Traffic::default() }).await;
 }
 
-/// Likewise, and lets lease holders use this process as a relay.
-pub async fn serve_streams(listener: TcpListener, token: String, handler: Handler, streams: StreamHandler) {
-    accept(listener, Served { token, handler, streams: Some(streams) }).await;
+/// Likewise, and lets lease holders use this process as a relay. What goes over the
+/// connections is counted.
+pub async fn serve_streams(
+    listener: TcpListener,
+    token: String,
+    handler: Handler,
+    streams: StreamHandler,
+    traffic: Traffic,
+) {
+    accept(listener, Served { token, handler, streams: Some(streams), traffic }).await;
 }
 
 async fn accept(listener: TcpListener, served: Served) {
@@ -89,15 +98,15 @@
     if let Some(streams) = &served.streams
         && let Ok(Frame { msg: Some(Msg::RelayOpen(open)), .. }) = Frame::decode(first.clone())
     {
-        let (tx, rx) = duplex::halves(framed);
+        let (tx, rx) = duplex::halves(framed, served.traffic);
         streams(open, tx, rx).await;
         return;
     }
-    answer_all(framed, first, served.handler).await;
+    answer_all(framed, first, served).await;
 }
 
 /// Answers one message after the other, each when its answer is ready.
-async fn answer_all(framed: Frames, first: BytesMut, handler: Handler) {
+async fn answer_all(framed: Frames, first: BytesMut, served: Served) {
     let (mut sink, mut stream) = framed.split();
     let (tx, mut rx) = tokio::sync::mpsc::channel::<bytes::Bytes>(256);
     let writer = tokio::spawn(async move {
@@ -109,17 +118,23 @@
     });
     let mut next = Ok(Some(Ok(first)));
     while let Ok(Some(Ok(buf))) = next {
+        let len = buf.len();
         let Ok(Frame { call, msg: Some(msg) }) = Frame::decode(buf) else { break };
+        served.traffic.note(msg.purpose(), 0, len);
         if let Msg::Ping(_) = msg {
             // With a full queue there are answers on their way, which tell as much.
             let _ = tx.try_send(encode(call, Msg::Pong(Pong {})));
         } else {
-            let (answer, tx) = (handler(msg), tx.clone());
+            let (answer, tx, traffic) = ((served.handler)(msg), tx.clone(), served.traffic.clone());
             tokio::spawn(async move {
                 if let Some(msg) = answer.await
                     && call != 0
                 {
-                    let _ = tx.send(encode(call, msg)).await;
+                    let purpose = msg.purpose();
+                    let buf = encode(call, msg);
+                    traffic.note(purpose, buf.len(), 0);
+                    // The connection has ended if nobody takes it.
+                    let _ = tx.send(buf).await;
                 }
             });
         }
--- a/crates/workswood-platform/src/http.rs
+++ b/crates/workswood-platform/src/http.rs
@@ -13,6 +13,7 @@
 use workswood_core::plan::{Act, Seen};
 use workswood_http::{Answer, Call, Failure, HttpClient, Limits, Repeat};
 use workswood_liveness::HalfOpen;
+use workswood_traffic::Traffic;
 
 use crate::{CALL_TIMEOUT, Error, GarbledSnafu, Platform, ReadReply};
 
@@ -50,7 +51,7 @@
     /// A client that shares what is found out of connections with the process's other
     /// clients.
     pub fn sharing(address: &str, half_open: HalfOpen) -> HttpPlatform {
-        let http = HttpClient::new(LIMITS, MOST_BYTES, half_open);
+        let http = HttpClient::new(LIMITS, MOST_BYTES, half_open, Traffic::default());
         HttpPlatform { address: address.to_string(), http }
     }
 
@@ -73,7 +74,8 @@
         repeat: Repeat,
     ) -> Result<T, Error> {
         let body = Bytes::from(body);
-        let call = Call { method, address: &self.address, path, headers: &[], body, repeat };
+        let call =
+            Call { method, address: &self.address, path, headers: &[], body, repeat, purpose: "platform" };
         let answer = self.http.call(&call, CALL_TIMEOUT).await.map_err(|f| self.failed(f))?;
         read(&answer)
     }
--- a/src/bin/workswood/main.rs
+++ b/src/bin/workswood/main.rs
@@ -9,7 +9,9 @@
 
 fn main() -> ExitCode {
     let matches = cli::cli().get_matches();
-    match cli::exec(&matches) {
+    let res = cli::exec(&matches);
+    workswood::util::logs::flush();
+    match res {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             workswood::errout!("{}", e.report());
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -11,6 +11,7 @@
     Beat as WireBeat, Beats, Handler, KeyAsk, KeyReply, Leaving, Lent, Link, Msg, Open, SlotAsk, SlotLoan,
     SlotState, StateReply,
 };
+use workswood_traffic::Traffic;
 
 use super::node::{Node, PeerView};
 use super::{keys, lanes};
@@ -115,7 +116,13 @@
     links.retain(|address, _| want.contains(address));
     for address in want {
         links.entry(address.clone()).or_insert_with(|| {
-            Link::open(address, node.tokens.peers.clone(), node.id.clone(), node.half_open.clone())
+            Link::open(
+                address,
+                node.tokens.peers.clone(),
+                node.id.clone(),
+                node.half_open.clone(),
+                Traffic::default(),
+            )
         });
     }
     links.values().cloned().collect()
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -6,8 +6,6 @@
 //!
 //! Versions before this one wrote JSON, which is still read.
 
-use std::collections::BTreeMap;
-
 use prost::Message;
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
 use workswood_core::jobs::{JobRecord, Outcome};
@@ -75,21 +73,18 @@
     evicted: Vec<u32>,
 }
 
-/// Numbers of workers within one record.
+/// Numbers of workers within one record: those of a job are few.
 #[derive(Default)]
-struct Numbers<'a> {
-    by_id: BTreeMap<&'a WorkerId, u32>,
-    names: Vec<String>,
-}
+struct Numbers<'a>(Vec<&'a WorkerId>);
 
 impl<'a> Numbers<'a> {
     fn of(&mut self, id: &'a WorkerId) -> u32 {
-        let next = self.names.len() as u32;
-        let number = *self.by_id.entry(id).or_insert(next);
-        if number == next {
-            self.names.push(id.to_string());
+        let known = self.0.iter().position(|other| *other == id);
+        let number = known.unwrap_or(self.0.len());
+        if known.is_none() {
+            self.0.push(id);
         }
-        number
+        number as u32
     }
 }
 
@@ -105,7 +100,7 @@
         cancelled: rec.cancelled,
         begun: rec.begun,
         ended: rec.outcome.map(|o| ended(o) as i32),
-        workers: numbers.names,
+        workers: numbers.0.into_iter().map(|id| id.to_string()).collect(),
         rounds,
     };
     state.encode_to_vec()
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -23,6 +23,7 @@
 use super::record::{InboxKey, inbox_drops, state_record};
 use super::renew;
 use super::sessions::Sessions;
+use crate::util::logs;
 
 /// Time between two ticks of the scheduler.
 const TICK: Duration = Duration::from_millis(150);
@@ -226,9 +227,8 @@
     }
 
     fn log_notes(&mut self) {
-        for note in self.sched.notes.drain(..) {
-            log::info!("{note}");
-        }
+        logs::info_lines(self.sched.notes.iter());
+        self.sched.notes.clear();
     }
 
     /// Does what a stored batch asks for.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -16,6 +16,7 @@
 //! * [`relay`] speaks with workers, for the lease holder here or elsewhere;
 //! * [`shown`] holds what callers may be told; [`ask`] puts callers' questions to the lease holder, and [`help`] does what
 //!   other processes ask for, whose listeners are in [`peers`];
+//! * [`usage`] tells in the log what a busy host is used for;
 //! * [`stop`] ends the process without cutting anything off.
 
 pub mod advice;
@@ -39,6 +40,7 @@
 mod sessions;
 pub mod shown;
 mod stop;
+mod usage;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -49,6 +51,7 @@
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_liveness::HalfOpen;
 use workswood_platform::jobs::JobPlatform;
+use workswood_traffic::Traffic;
 
 pub use node::Node;
 
@@ -77,9 +80,10 @@
         machines: settings.machines.clone(),
         adviser: settings.adviser().map(str::to_string),
     };
-    let half_open = HalfOpen::default();
-    let platform: Arc<dyn JobPlatform> = Arc::new(PlatformClient::sharing(addresses, half_open.clone()));
-    let node = Arc::new(Node::sharing(settings, platform, half_open));
+    let (half_open, traffic) = (HalfOpen::default(), Traffic::default());
+    let platform: Arc<dyn JobPlatform> =
+        Arc::new(PlatformClient::sharing(addresses, half_open.clone(), traffic.clone()));
+    let node = Arc::new(Node::sharing(settings, platform, half_open, traffic));
     log::info!(
         "event=started id={} name={} data_centre={} callers={} peers={}",
         node.id,
@@ -91,17 +95,18 @@
     let (stop_callers, stopped) = channel::channel(false);
     tokio::spawn(probe::readiness(readiness, node.clone()));
     tokio::spawn(probe::metrics(metrics, node.clone()));
-    tokio::spawn(node.lag.clone().watch());
     tokio::spawn(workswood_peers::serve_streams(
         peer_listener,
         peers::TOKEN.to_string(),
         help::handler(node.clone()),
         relay::serve::handler(node.clone()),
+        node.traffic.clone(),
     ));
     tokio::spawn(inbox::run(node.clone()));
     tokio::spawn(follow::run(node.clone()));
     tokio::spawn(lease::run(node.clone()));
     tokio::spawn(peers::run(node.clone()));
+    tokio::spawn(usage::run(node.clone()));
     tokio::spawn(stop::watch_reload(path));
     let callers = tokio::spawn(workswood_callers::serve(callers, front::handler(node.clone()), stopped));
     signals::stop().await;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -13,6 +13,7 @@
 use workswood_core::jobs::{Event, SchedConfig, Wave};
 use workswood_liveness::{HalfOpen, Lag};
 use workswood_platform::jobs::JobPlatform;
+use workswood_traffic::Traffic;
 
 use super::inbox::{Inbox, Kept};
 use super::peers::Peers;
@@ -101,6 +102,8 @@
     pub inbox: Inbox,
     /// What its tasks have found out of their connections.
     pub half_open: HalfOpen,
+    /// What goes over its link.
+    pub traffic: Traffic,
     /// How late this process itself is.
     pub lag: Lag,
     /// The newest session of a lease holder that it serves as a relay.
@@ -118,11 +121,17 @@
 impl Node {
     /// A process that has not read anything yet.
     pub fn new(settings: JobSettings, platform: Arc<dyn JobPlatform>) -> Node {
-        Node::sharing(settings, platform, HalfOpen::default())
+        Node::sharing(settings, platform, HalfOpen::default(), Traffic::default())
     }
 
-    /// Likewise; what the platform's client finds out of connections is shared.
-    pub fn sharing(settings: JobSettings, platform: Arc<dyn JobPlatform>, half_open: HalfOpen) -> Node {
+    /// Likewise; what the platform's client finds out of connections, and what goes over
+    /// them, is shared.
+    pub fn sharing(
+        settings: JobSettings,
+        platform: Arc<dyn JobPlatform>,
+        half_open: HalfOpen,
+        traffic: Traffic,
+    ) -> Node {
         Node {
             settings,
             platform,
@@ -131,9 +140,10 @@
             waves: Mutex::default(),
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
-            peers: Peers::sharing(half_open.clone()),
+            peers: Peers::sharing(half_open.clone(), traffic.clone()),
             inbox: Inbox::default(),
             half_open,
+            traffic,
             lag: Lag::default(),
             relay_session: watch::Sender::new((0, 0)),
             metrics: JobMetrics::default(),
@@ -190,6 +200,8 @@
         m.config_version.set(self.config.load().as_ref().map_or(0, |c| c.version as i64));
         m.half_open.set(self.half_open.count() as i64);
         m.store_silence_ms.set(self.store_silence().as_millis() as i64);
+        m.stood_still_ms.set(self.lag.total().as_millis() as i64);
+        m.set_traffic(&self.traffic);
         m.text()
     }
 
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -19,6 +19,7 @@
 use workswood_liveness::HalfOpen;
 use workswood_peers::{CallError, Link, Msg};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+use workswood_traffic::Traffic;
 
 use super::node::Node;
 use super::record::{drop_record, value_record};
@@ -78,6 +79,7 @@
     wanted: Notify,
     links: Mutex<HashMap<String, Kept>>,
     half_open: HalfOpen,
+    traffic: Traffic,
     /// Whose turn it is to be asked for help.
     turn: AtomicUsize,
 }
@@ -90,9 +92,10 @@
 }
 
 impl Peers {
-    /// Connections to nobody yet; what is found out of them is shared with others.
-    pub fn sharing(half_open: HalfOpen) -> Peers {
-        Peers { half_open, ..Peers::default() }
+    /// Connections to nobody yet; what is found out of them, and what goes over them, is
+    /// shared with others.
+    pub fn sharing(half_open: HalfOpen, traffic: Traffic) -> Peers {
+        Peers { half_open, traffic, ..Peers::default() }
     }
 
     /// Asks a process. A link that gave no answer is given up: there may be nobody
@@ -146,7 +149,9 @@
         }
         let open = || {
             let half_open = self.half_open.clone();
-            let link = Link::open(address.to_string(), TOKEN.to_string(), from.to_string(), half_open);
+            let traffic = self.traffic.clone();
+            let link =
+                Link::open(address.to_string(), TOKEN.to_string(), from.to_string(), half_open, traffic);
             Kept { link, used: Instant::now() }
         };
         let kept = links.entry(address.to_string()).or_insert_with(open);
--- a/src/workswood/ops/jobs/sessions.rs
+++ b/src/workswood/ops/jobs/sessions.rs
@@ -62,6 +62,7 @@
     pub(super) fn new(node: Arc<Node>, l: Arc<Leading>, tasks: &mut JoinSet<()>) -> Sessions {
         let own = Relay::new(node.clone(), l.grant.clone(), Sink::Here(l.tx.clone()));
         tasks.spawn(beat(node.settings.name.clone(), l.clone()));
+        tasks.spawn(node.lag.clone().watch());
         let (sessions, attended) = (HashMap::new(), HashMap::new());
         Sessions { node, l, own, sessions, attended, next: 0, opened: 0 }
     }
@@ -240,8 +241,9 @@
         };
         let opening = async {
             let first = Msg::RelayOpen(open);
+            let traffic = self.node.traffic.clone();
             let (out, mut news) =
-                workswood_peers::connect(&address, TOKEN, &self.node.id, first, OPEN_WITHIN).await?;
+                workswood_peers::connect(&address, TOKEN, &self.node.id, first, OPEN_WITHIN, traffic).await?;
             match news.next().await? {
                 Msg::RelayReady(_) => Ok((out, news)),
                 _ => Err(Closed),
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -1,11 +1,12 @@
 //! Metrics of a process that queues and runs jobs. The names are the ones in
 //! `docs/OPERATIONS.md`.
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use workswood_core::invariant;
+use workswood_traffic::Traffic;
 
 use super::logs;
-use super::metrics::{counter, counters, gauge, histogram, text};
+use super::metrics::{counter, counters, gauge, gauges, histogram, text};
 
 /// Bounds of the histograms, in seconds: from one store call to the longest
 /// wait of a caller.
@@ -42,6 +43,12 @@
     pub store_silence_ms: IntGauge,
     /// Connections that were found half-open.
     pub half_open: IntGauge,
+    /// How long this process has stood still, in milliseconds, while it led or relayed.
+    pub stood_still_ms: IntGauge,
+    /// Bytes over the link, by purpose and direction.
+    bytes: IntGaugeVec,
+    /// Calls and messages over the link, by purpose.
+    calls: IntGaugeVec,
     broken: IntGauge,
     lines_dropped: IntGauge,
 }
@@ -97,6 +104,23 @@
                 "workswood_connections_half_open",
                 "connections found half-open since the start",
             ),
+            stood_still_ms: gauge(
+                &r,
+                "workswood_stood_still_ms",
+                "time in which this process stood still while it led or relayed",
+            ),
+            bytes: gauges(
+                &r,
+                "workswood_link_bytes",
+                "bytes over the link since the start, without heads of lower layers",
+                &["purpose", "direction"],
+            ),
+            calls: gauges(
+                &r,
+                "workswood_link_calls",
+                "calls and messages over the link since the start",
+                &["purpose"],
+            ),
             broken: gauge(&r, "workswood_invariants_broken", "broken invariants"),
             lines_dropped: gauge(&r, "workswood_log_lines_dropped", "log lines dropped"),
             registry: r,
@@ -105,6 +129,15 @@
 }
 
 impl JobMetrics {
+    /// Takes in what went over the link so far.
+    pub fn set_traffic(&self, traffic: &Traffic) {
+        for (purpose, amount) in traffic.amounts() {
+            self.bytes.with_label_values(&[purpose, "sent"]).set(amount.sent as i64);
+            self.bytes.with_label_values(&[purpose, "received"]).set(amount.received as i64);
+            self.calls.with_label_values(&[purpose]).set(amount.count as i64);
+        }
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> String {
         self.broken.set(invariant::total() as i64);
--- a/src/workswood/util/metrics.rs
+++ b/src/workswood/util/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of one process.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Bounds of the times of urgent requests, in seconds: from a call within a data
@@ -51,6 +52,12 @@
     g
 }
 
+pub(super) fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let g = IntGaugeVec::new(Opts::new(name, help), labels).expect("metric names are constants");
+    registry.register(Box::new(g.clone())).expect("each metric is registered once");
+    g
+}
+
 pub(super) fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let c = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are constants");
     registry.register(Box::new(c.clone())).expect("each metric is registered once");
--- a/tests/testsuite/eviction_handover.rs
+++ b/tests/testsuite/eviction_handover.rs
@@ -224,7 +224,7 @@
     let text = r#"{"b":true,"r":[[[{"a":1,"w":[["w-0-0",1]]},{"a":1,"w":[["w-1-0",1]]},{}]]]}"#;
     let record: JobRecord = serde_json::from_str(text).expect("a record without evictions");
     assert!(record.rounds[0][0].iter().all(|t| t.evicted.is_empty()));
-    assert_eq!(record.rounds[0][0][0].runs, [("w-0-0".into(), 1)]);
+    assert_eq!(record.rounds[0][0][0].runs, [("w-0-0".into(), 1)].into());
     let again = serde_json::to_string(&record).expect("a record is JSON");
     assert!(!again.contains("\"e\""), "nothing is written where nothing is evicted: {again}");
 }
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -64,7 +64,7 @@
     let text = r#"{"x":false,"o":null,"b":true,"r":[[[{"d":true},{"a":2,"w":[["i-1",2]],"f":[1]}]]]}"#;
     let rec = decode(text.as_bytes()).expect("JSON of the version before");
     assert!(rec.begun && rec.rounds[0][0][0].done);
-    assert_eq!(rec.rounds[0][0][1].runs, [("i-1".into(), 2)]);
+    assert_eq!(rec.rounds[0][0][1].runs, [("i-1".into(), 2)].into());
     assert_eq!(rec.rounds[0][0][1].failed.iter().copied().collect::<Vec<_>>(), [1]);
 }
 
@@ -80,7 +80,7 @@
 #[test]
 fn running_job_takes_little() {
     let id = |n: u32| WorkerId::from(format!("i-29451fa6c{}", n % 3));
-    let run = |n: u32| TaskRecord { attempt: 1, runs: vec![(id(n), 1)], ..TaskRecord::default() };
+    let run = |n: u32| TaskRecord { attempt: 1, runs: [(id(n), 1)].into(), ..TaskRecord::default() };
     let tasks: Vec<TaskRecord> = (0..13).map(run).collect();
     let rec = JobRecord { begun: true, rounds: vec![vec![tasks]], ..JobRecord::default() };
     let (now, before) = (encode(&rec).len(), serde_json::to_vec(&rec).expect("JSON").len());
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -30,6 +30,7 @@
 use workswood_test_support::cut::{Cut, Fault};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::TurnStore;
+use workswood_traffic::Traffic;
 
 /// Far more than anything here takes, far less than what a call may wait that is
 /// stuck.
@@ -124,7 +125,13 @@
         async { Some(reply) }.boxed()
     });
     tokio::spawn(workswood_peers::serve(listener, String::new(), handler));
-    let link = Link::open(cut.address.clone(), String::new(), "entry-1".to_string(), HalfOpen::default());
+    let link = Link::open(
+        cut.address.clone(),
+        String::new(),
+        "entry-1".to_string(),
+        HalfOpen::default(),
+        Traffic::default(),
+    );
     // A dozen pieces, of which none is late by itself.
     cut.set(Fault::Slow(Duration::from_millis(60)));
     let answer = link.ask(Msg::StateAsk(StateAsk {}), SOON).await;
@@ -217,7 +224,13 @@
         async { None }.boxed()
     });
     tokio::spawn(workswood_peers::serve(listener, String::new(), handler));
-    let link = Link::open(cut.address.clone(), String::new(), "entry-1".to_string(), HalfOpen::default());
+    let link = Link::open(
+        cut.address.clone(),
+        String::new(),
+        "entry-1".to_string(),
+        HalfOpen::default(),
+        Traffic::default(),
+    );
     let beat = || link.send(Msg::Done(Done {}));
     beat();
     assert!(timeout(SOON, heard.recv()).await.is_ok_and(|m| m.is_some()));
--- a/tests/testsuite/wave_orders.rs
+++ b/tests/testsuite/wave_orders.rs
@@ -133,8 +133,8 @@
     world.sched.handle(Event::Wave(wave(&[0, 1, 2, 3], 4), None));
     world.at(300);
     world.tick();
-    let emptied = |line: &&String| line.contains("event=machine_emptying");
-    world.sched.notes.iter().filter(emptied).cloned().collect()
+    let emptied = |line: &&str| line.contains("event=machine_emptying");
+    world.sched.notes.iter().filter(emptied).map(str::to_string).collect()
 }
 
 #[test]
