--- a/src/workswood/ops/model/faults.rs
+++ b/src/workswood/ops/model/faults.rs
@@ -74,9 +74,9 @@
     fn darken(&mut self, count: usize, lasts: Duration) {
         let mut busiest: Vec<usize> =
             (0..self.machines.len()).filter(|n| self.machines[*n].serves()).collect();
-        busiest.sort_by_key(|n| Reverse(self.machines[*n].running.len()));
+        busiest.sort_by_key(|n| Reverse(self.machines[*n].runs()));
         for n in busiest.into_iter().take(count) {
-            let worker = self.machines[n].worker();
+            let worker = self.machines[n].worker().clone();
             self.machines[n].end_life(MachineState::Down);
             self.tell_of(worker, News::Unanswered(self.now + LEASE));
             self.after(lasts, Happening::Arrives(n));
--- a/src/workswood/ops/model/fleet.rs
+++ b/src/workswood/ops/model/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use workswood_core::ids::ServiceId;
+use workswood_core::ids::{HostId, ServiceId};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::Room;
 use workswood_core::jobs::{
@@ -36,6 +36,8 @@
 /// A machine of the model, with the present life of its worker.
 pub struct ModelMachine {
     number: usize,
+    name: HostId,
+    worker: WorkerId,
     /// Its pool.
     pub pool: ServiceId,
     /// Its state.
@@ -43,7 +45,9 @@
     /// Its worker has had so many lives.
     life: u32,
     /// Tasks that run.
-    pub running: BTreeMap<TaskId, ModelRun>,
+    running: BTreeMap<TaskId, ModelRun>,
+    /// Room that they take, in thousandths of a core.
+    used: u64,
     /// Ends that were not reported yet.
     ended: Vec<ReportedEnd>,
     ends: u64,
@@ -56,10 +60,13 @@
     pub fn new(number: usize, pool: ServiceId) -> ModelMachine {
         ModelMachine {
             number,
+            name: format!("m-{number:05}"),
+            worker: worker_of(number, 0),
             pool,
             state: MachineState::Up,
             life: 0,
             running: BTreeMap::new(),
+            used: 0,
             ended: Vec::new(),
             ends: 0,
             follow: Follow::default(),
@@ -67,23 +74,23 @@
     }
 
     /// Its name.
-    pub fn name(&self) -> String {
-        format!("m-{:05}", self.number)
+    pub fn name(&self) -> &HostId {
+        &self.name
     }
 
     /// The present life of its worker.
-    pub fn worker(&self) -> WorkerId {
-        format!("w-{:05}-{}", self.number, self.life).as_str().into()
+    pub fn worker(&self) -> &WorkerId {
+        &self.worker
     }
 
     /// What its worker says of itself.
     pub fn info(&self, room: Room) -> WorkerInfo {
         WorkerInfo {
-            id: self.worker(),
+            id: self.worker.clone(),
             service: self.pool.clone(),
-            address: self.name(),
+            address: self.name.clone(),
             data_centre: "model".to_string(),
-            machine: self.name(),
+            machine: self.name.clone(),
             capacity: room,
             labels: Vec::new(),
             draining: false,
@@ -97,19 +104,19 @@
 
     /// Room that its tasks take, in thousandths of a core.
     pub fn used(&self) -> u64 {
-        self.running.values().map(|r| r.cpu_millis).sum()
+        self.used
     }
 
     /// How the platform lists it.
     pub fn listed(&self, room: Room) -> Machine {
         Machine {
-            name: self.name(),
+            name: self.name.clone(),
             pool: self.pool.clone(),
             state: self.state,
             data_centre: "model".to_string(),
             labels: Vec::new(),
             capacity: room,
-            worker: self.serves().then(|| self.worker()),
+            worker: self.serves().then(|| self.worker.clone()),
         }
     }
 
@@ -117,17 +124,31 @@
     pub fn end_life(&mut self, state: MachineState) {
         self.state = state;
         self.life += 1;
+        self.worker = worker_of(self.number, self.life);
         self.running.clear();
+        self.used = 0;
         self.ended.clear();
         self.ends = 0;
         self.follow = Follow::default();
     }
 
+    /// How many tasks run.
+    pub fn runs(&self) -> usize {
+        self.running.len()
+    }
+
+    /// A task begins.
+    pub fn begin_task(&mut self, task: TaskId, run: ModelRun) {
+        self.used += run.cpu_millis;
+        if let Some(before) = self.running.insert(task, run) {
+            self.used -= before.cpu_millis;
+        }
+    }
+
     /// A task ends; returns whether it still ran.
     pub fn end_task(&mut self, task: TaskId, attempt: u32, kind: EndKind) -> bool {
-        if self.running.get(&task).is_none_or(|r| r.attempt != attempt) {
-            return false;
-        }
+        let Some(run) = self.running.get(&task).filter(|r| r.attempt == attempt) else { return false };
+        self.used -= run.cpu_millis;
         self.running.remove(&task);
         self.ends += 1;
         self.ended.push(ReportedEnd { number: self.ends, task, attempt, kind, checkpoint: String::new() });
@@ -158,3 +179,8 @@
         self.ended.retain(|e| e.number > number);
     }
 }
+
+/// A life of the worker on a machine.
+fn worker_of(machine: usize, life: u32) -> WorkerId {
+    format!("w-{machine:05}-{life}").into()
+}
--- a/src/workswood/ops/model/machines.rs
+++ b/src/workswood/ops/model/machines.rs
@@ -28,7 +28,7 @@
     pub(super) fn machine_of(&self, worker: &WorkerId) -> Option<usize> {
         let number = worker.split('-').nth(1)?.parse::<usize>().ok()?;
         let m = self.machines.get(number)?;
-        (m.worker() == *worker && m.serves()).then_some(number)
+        (m.worker() == worker && m.serves()).then_some(number)
     }
 
     /// A worker that is up is listed, and looked at from then on.
@@ -86,7 +86,7 @@
         let ends_after = job.takes[step];
         let takes = if asked.lasting { WARM_UP } else { ends_after };
         let run = ModelRun { attempt, cpu_millis: asked.room.cpu_millis, since: self.now, takes };
-        self.machines[n].running.insert(task, run);
+        self.machines[n].begin_task(task, run);
         self.after(ends_after, Happening::Ends(worker, task, attempt));
     }
 
@@ -110,7 +110,7 @@
     }
 
     pub(super) fn ordered(&mut self, machine: HostId, order: Order) {
-        let Some(n) = self.machines.iter().position(|m| m.name() == machine) else { return };
+        let Some(n) = self.machines.iter().position(|m| *m.name() == machine) else { return };
         if self.machines[n].state != MachineState::Up {
             self.tell(Event::MachineOrdered(machine, MachineReply::Busy));
             return;
--- a/src/workswood/ops/model/world.rs
+++ b/src/workswood/ops/model/world.rs
@@ -182,7 +182,7 @@
         let count = (self.machines.len() as f64 * w.share) as usize;
         // Every so many machines, so that each pool has some.
         let stride = self.machines.len() / count.max(1);
-        let machines = self.machines.iter().step_by(stride.max(1)).take(count).map(ModelMachine::name);
+        let machines = self.machines.iter().step_by(stride.max(1)).take(count).map(|m| m.name().clone());
         let wave =
             Wave { number: 1, machines: machines.collect(), within: w.within, most_at_once: w.most_at_once };
         self.wave = Some(wave.clone());
