Pass over answers to looks that a later one has overtaken

Cause: a start whose answer was lost is known by the next look; when the answer to an earlier look came after that, the run was taken to be over, though it was at work. Change: what a look lists that was sent before one already taken in tells nothing new. Test: overtaking_looks.

--- a/crates/workswood-core/src/jobs/follow.rs
+++ b/crates/workswood-core/src/jobs/follow.rs
@@ -50,6 +50,8 @@
     last_end: u64,
     /// Whether rows with figures are wanted each time.
     figures: bool,
+    /// When the newest look was sent whose answer was taken in.
+    asked: Duration,
 }
 
 impl Follow {
@@ -86,7 +88,12 @@
     }
 
     /// Takes in what a look that was sent at `asked` lists; returns what is new of it.
+    /// Answers may overtake each other: there is nothing new in one to an earlier look.
     pub fn listed(&mut self, listing: Listing, asked: Duration, now: Duration) -> Report {
+        if asked < self.asked {
+            return Report::default();
+        }
+        self.asked = asked;
         let whole = !std::mem::replace(&mut self.begun, true);
         let here: HashSet<RunKey> = listing.running.iter().map(|r| (r.task, r.attempt)).collect();
         for end in &listing.ended {
--- /dev/null
+++ b/tests/testsuite/overtaking_looks.rs
@@ -0,0 +1,37 @@
+//! Answers to looks at a worker that overtake each other.
+
+use std::time::Duration;
+
+use workswood_core::jobs::{Follow, Listing, ReportedRun, StartReply, TaskId};
+
+const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn listing(runs: &[TaskId]) -> Listing {
+    let run = |task: &TaskId| ReportedRun {
+        task: *task,
+        attempt: 1,
+        checkpoint: String::new(),
+        percent: 10,
+        figure: 0,
+        still: Duration::ZERO,
+    };
+    Listing { running: runs.iter().map(run).collect(), ended: Vec::new() }
+}
+
+/// The run began between two looks, and the answer to the second came first.
+#[test]
+fn earlier_look_tells_nothing() {
+    let mut follow = Follow::default();
+    follow.listed(listing(&[]), ms(100), ms(110));
+    follow.started(TASK, 1, StartReply::NoAnswer, ms(300));
+    let report = follow.listed(listing(&[TASK]), ms(320), ms(340));
+    assert_eq!(report.running.len(), 1);
+    let report = follow.listed(listing(&[]), ms(200), ms(360));
+    assert!(report.is_empty(), "{report:?}");
+    let report = follow.listed(listing(&[]), ms(380), ms(400));
+    assert_eq!(report.gone, [(TASK, 1)], "a later look tells that it is over");
+}
