Keep only the end of jobs that are over; store jobs in few bytes

Cause: a new lease holder read every job of the last minutes with its text and its tasks; on weak hosts it gave up before it had read them, one after the other. Change: of a job that has ended and runs nowhere, its outcome, queue and work are kept; the inbox is trimmed of it; jobs are stored as messages instead of JSON (both are read). Test: over_jobs, job_records.

--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -5,7 +5,7 @@
 
 use super::job::{Job, Outcome, Phase, Run, WorkerId};
 use super::sched::Scheduler;
-use super::spec::{StepSpec, TaskId};
+use super::spec::TaskId;
 use super::types::Action;
 use super::worker::{EndKind, Report, ReportedEnd, ReportedRun, Worker};
 
@@ -80,8 +80,7 @@
             "event=stray_run worker={id} task={} attempt={}",
             listed.task, listed.attempt
         ));
-        let step = self.jobs.get(&listed.task.job).and_then(|j| j.step(&listed.task));
-        if let Some(room) = step.map(StepSpec::reserved)
+        if let Some(room) = self.jobs.room_of(&listed.task)
             && let Some(mut w) = self.workers.get_mut(id)
         {
             w.take(listed.task, listed.attempt, room);
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -8,9 +8,10 @@
 use smallvec::SmallVec;
 
 use super::crash::{Crashes, Suspicion};
-use super::spec::{JobKey, JobSpec, StepId, StepSpec, TaskId};
+use super::spec::{JobKey, JobSpec, QueueId, Room, StepId, StepSpec, TaskId};
 
 pub use super::worker_id::WorkerId;
+use crate::ids::{ServiceId, UnixMs};
 
 /// Pace of a task that nothing holds back, in percent.
 pub const FULL_PACE: u32 = 100;
@@ -293,14 +294,12 @@
             evicted: t.runs.iter().filter(|r| r.evicted).map(|r| r.attempt).collect(),
         };
         let step = |tasks: &Vec<Task>| tasks.iter().map(task).collect();
-        // Of one that is over and runs nowhere, nobody asks for its tasks.
-        let over = self.outcome.is_some() && self.at_rest();
-        let rounds = if over { [].as_slice() } else { self.rounds.as_slice() };
         JobRecord {
             cancelled: self.cancelled,
             outcome: self.outcome,
             begun: self.begun,
-            rounds: rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
+            rounds: self.rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
+            over: None,
         }
     }
 
@@ -329,9 +328,27 @@
     /// Whether any task has begun.
     #[serde(default, rename = "b")]
     pub begun: bool,
-    /// Tasks by round and step.
+    /// Tasks by round and step; none of a job that is over.
     #[serde(default, rename = "r")]
     pub rounds: Vec<Vec<Vec<TaskRecord>>>,
+    /// What is kept of a job that is over. Then its spec is stored no longer.
+    #[serde(skip)]
+    pub over: Option<OverRecord>,
+}
+
+/// What is kept of a job that has ended and runs nowhere.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OverRecord {
+    /// The queue that it was handed in to.
+    pub queue: QueueId,
+    /// The service whose workers ran it.
+    pub service: ServiceId,
+    /// When an entry accepted it.
+    pub accepted: UnixMs,
+    /// Its work, if it was one that ends by itself, in core-milliseconds.
+    pub work: Option<u64>,
+    /// Room that holds any of its tasks: a start may be carried out late.
+    pub room: Room,
 }
 
 impl JobRecord {
--- a/crates/workswood-core/src/jobs/known.rs
+++ b/crates/workswood-core/src/jobs/known.rs
@@ -1,12 +1,16 @@
 //! All jobs that are known, with those that time alone concerns.
+//!
+//! A job that has ended and runs nowhere is *over*: callers may still ask for its state,
+//! and what it asked for tells how much work comes in, but its tasks and its text are
+//! forgotten. Most jobs that are known are over, since they are kept for some minutes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::Index;
 use std::time::Duration;
 
-use super::job::Job;
+use super::job::{Job, Outcome, OverRecord, Shown};
 use super::map::Map;
-use super::spec::JobKey;
+use super::spec::{JobKey, Room, StepSpec, TaskId};
 use crate::ids::ServiceId;
 
 /// All jobs that are known. Callers name them, so they are kept in a tree.
@@ -17,8 +21,18 @@
     timed: BTreeSet<JobKey>,
     /// Jobs with tasks that last, by service; likewise.
     lasting: Map<ServiceId, BTreeSet<JobKey>>,
-    /// Jobs that have ended, and when, in the order of their ends.
-    ended: VecDeque<(Duration, JobKey)>,
+    over: BTreeMap<JobKey, OverJob>,
+    /// When jobs became over, in that order.
+    over_since: VecDeque<(Duration, JobKey)>,
+}
+
+/// A job that has ended and runs nowhere.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OverJob {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// What is on record of it.
+    pub record: OverRecord,
 }
 
 impl Index<&JobKey> for Jobs {
@@ -42,20 +56,44 @@
 
     /// Whether a job is known.
     pub fn contains_key(&self, key: &JobKey) -> bool {
-        self.by_key.contains_key(key)
+        self.by_key.contains_key(key) || self.over.contains_key(key)
     }
 
-    /// How many there are.
+    /// How many there are, those that are over apart.
     pub fn len(&self) -> usize {
         self.by_key.len()
     }
 
-    /// Whether none is known.
+    /// Whether none is known but those that are over.
     pub fn is_empty(&self) -> bool {
         self.by_key.is_empty()
     }
 
-    /// All jobs.
+    /// Whether a job is over.
+    pub fn is_over(&self, key: &JobKey) -> bool {
+        self.over.contains_key(key)
+    }
+
+    /// Jobs that are over.
+    pub fn over(&self) -> impl Iterator<Item = &OverJob> {
+        self.over.values()
+    }
+
+    /// What callers are told of a job.
+    pub fn shown(&self, key: &JobKey) -> Option<Shown> {
+        let over = || self.over.get(key).map(|over| Shown::Ended(over.outcome));
+        self.by_key.get(key).map(Job::shown).or_else(over)
+    }
+
+    /// Room that a task takes; at most that, if its job is over.
+    pub fn room_of(&self, task: &TaskId) -> Option<Room> {
+        match self.by_key.get(&task.job) {
+            Some(job) => job.step(task).map(StepSpec::reserved),
+            None => self.over.get(&task.job).map(|over| over.record.room),
+        }
+    }
+
+    /// All jobs but those that are over.
     pub fn values(&self) -> impl Iterator<Item = &Job> {
         self.by_key.values()
     }
@@ -63,9 +101,7 @@
     /// Adds a job.
     pub fn insert(&mut self, job: Job) {
         let key = job.key;
-        if job.outcome.is_some() {
-            self.ended.push_back((job.ended, key));
-        } else {
+        if job.outcome.is_none() {
             if job.spec.repeat.is_some() {
                 self.timed.insert(key);
             }
@@ -79,13 +115,20 @@
     /// Notes that a job has ended.
     pub fn note_ended(&mut self, key: JobKey) {
         let Some(job) = self.by_key.get(&key) else { return };
-        self.ended.push_back((job.ended, key));
         self.timed.remove(&key);
         if let Some(jobs) = self.lasting.get_mut(&job.spec.service) {
             jobs.remove(&key);
         }
     }
 
+    /// Adds a job that is over, or takes its tasks and its text from one that is known.
+    pub fn set_over(&mut self, key: JobKey, over: OverJob, since: Duration) {
+        self.by_key.remove(&key);
+        if self.over.insert(key, over).is_none() {
+            self.over_since.push_back((since, key));
+        }
+    }
+
     /// Open jobs whose rounds have times of their own.
     pub fn timed(&self) -> Vec<JobKey> {
         self.timed.iter().copied().collect()
@@ -97,19 +140,13 @@
         keys.filter_map(|key| self.by_key.get(key))
     }
 
-    /// Takes out jobs that ended before a time and run nowhere.
-    pub fn forget_ended(&mut self, before: Duration) -> Vec<Job> {
+    /// Takes out jobs that were over before a time.
+    pub fn forget_over(&mut self, before: Duration) -> Vec<(JobKey, OverJob)> {
         let mut forgotten = Vec::new();
-        let mut busy = Vec::new();
-        while let Some((_, key)) = self.ended.front().copied().filter(|(at, _)| *at < before) {
-            self.ended.pop_front();
-            match self.by_key.get(&key) {
-                Some(job) if job.at_rest() => forgotten.extend(self.by_key.remove(&key)),
-                Some(job) => busy.push((job.ended, key)),
-                None => {}
-            }
+        while let Some((_, key)) = self.over_since.front().copied().filter(|(at, _)| *at < before) {
+            self.over_since.pop_front();
+            forgotten.extend(self.over.remove(&key).map(|over| (key, over)));
         }
-        busy.into_iter().rev().for_each(|b| self.ended.push_front(b));
         forgotten
     }
 }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -75,7 +75,7 @@
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
 pub use follow::Follow;
-pub use job::{Job, JobRecord, Outcome, Phase, Run, Shown, Task};
+pub use job::{Job, JobRecord, Outcome, OverRecord, Phase, Run, Shown, Task};
 pub use machine::{Machine, MachineReply, MachineState};
 pub use policy::Policy;
 pub use relays::{RelayHost, RelayPolicy};
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -130,6 +130,10 @@
                 let ago = Duration::from_millis(self.wall.saturating_sub(j.spec.accepted));
                 Some((j.spec.service.clone(), ago, self.work_of(j)?))
             })
+            .chain(self.jobs.over().filter_map(|over| {
+                let ago = Duration::from_millis(self.wall.saturating_sub(over.record.accepted));
+                Some((over.record.service.clone(), ago, over.record.work?))
+            }))
             .collect();
         let (now, window) = (self.now, self.policy.need.arrivals);
         for (service, ago, work) in came {
@@ -139,7 +143,7 @@
     }
 
     /// Work of a job that ends by itself, in core-milliseconds.
-    fn work_of(&self, job: &Job) -> Option<u64> {
+    pub(super) fn work_of(&self, job: &Job) -> Option<u64> {
         if job.spec.lasts() || job.rounds.is_empty() {
             return None;
         }
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -8,8 +8,8 @@
 use super::claim::Strength;
 use super::config::SchedConfig;
 use super::handover::OrderMarks;
-use super::job::{Job, JobRecord, Outcome, Phase, WorkerId};
-use super::known::Jobs;
+use super::job::{Job, JobRecord, Outcome, OverRecord, Phase, Shown, WorkerId};
+use super::known::{Jobs, OverJob};
 use super::machine::Machine;
 use super::map::Map;
 use super::notes::Notes;
@@ -84,6 +84,10 @@
     pub(super) dirty_waves: BTreeSet<u64>,
     /// Workers whose record changed since the last batch.
     pub(super) dirty_workers: BTreeSet<WorkerId>,
+    /// What callers may be told with the next batch, beside jobs whose record changed.
+    shown: Vec<ShownJob>,
+    /// Jobs that are over since the last batch.
+    over: Vec<JobKey>,
     /// Jobs forgotten since the last batch.
     dropped: Vec<(JobKey, QueueId)>,
     /// Machines that get no new work, as workers know it.
@@ -149,6 +153,8 @@
             dirty: BTreeSet::new(),
             dirty_waves: BTreeSet::new(),
             dirty_workers: BTreeSet::new(),
+            shown: Vec::new(),
+            over: Vec::new(),
             dropped: Vec::new(),
             cordoned: BTreeSet::new(),
             slow_checked: Duration::ZERO,
@@ -174,8 +180,19 @@
         self.attend(&id);
     }
 
-    /// Takes over a job with the state that a predecessor recorded.
-    pub fn restore(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
+    /// Takes over a job as the inbox holds it, with the state that a predecessor recorded.
+    /// Of a job that is over, only the state is stored.
+    pub fn restore(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
+        let over = rec.as_ref().and_then(|rec| rec.outcome.zip(rec.over.clone()));
+        match (spec, over) {
+            (spec, Some((outcome, over))) => self.restore_over(key, outcome, over, spec.is_some()),
+            (Some(spec), None) => self.restore_open(key, spec, rec),
+            // It is left from a job that was being forgotten.
+            (None, None) => self.dropped.push((key, QueueId::new())),
+        }
+    }
+
+    fn restore_open(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
         let now = self.now;
         let fits = rec.as_ref().is_none_or(|rec| rec.fits(&spec));
         let mut job = match rec {
@@ -209,9 +226,13 @@
         self.dirty.insert(key);
     }
 
-    /// Drops a job's state whose job is no longer in the inbox.
-    pub fn drop_record(&mut self, key: JobKey) {
-        self.dropped.push((key, QueueId::new()));
+    fn restore_over(&mut self, key: JobKey, outcome: Outcome, record: OverRecord, in_inbox: bool) {
+        let (queue, state) = (record.queue.clone(), Some(Shown::Ended(outcome)));
+        self.jobs.set_over(key, OverJob { outcome, record }, self.now);
+        self.shown.push(ShownJob { key, queue, state, timed: false });
+        if in_inbox {
+            self.over.push(key);
+        }
     }
 
     /// When the last lease that a predecessor may have extended has ended.
@@ -271,6 +292,9 @@
 
     /// The caller cancelled a job.
     fn cancel(&mut self, key: JobKey) {
+        if self.jobs.is_over(&key) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&key) else {
             self.early_cancels.insert(key);
             return;
@@ -454,10 +478,38 @@
     /// Forgets jobs that ended long enough ago and run nowhere.
     fn forget_jobs(&mut self) {
         let Some(before) = self.now.checked_sub(self.limits.keep_ended) else { return };
-        for job in self.jobs.forget_ended(before) {
-            self.dropped.push((job.key, job.spec.queue.clone()));
-            self.dirty.remove(&job.key);
+        for (key, over) in self.jobs.forget_over(before) {
+            self.dropped.push((key, over.record.queue));
+        }
+    }
+
+    /// Adds the record of a job to a batch, and what callers are shown of it. One that has
+    /// come to rest is over with that.
+    fn record_job(&mut self, key: JobKey, batch: &mut Batch) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let state = Some(job.shown());
+        if std::mem::replace(&mut job.told, state) != state {
+            let (queue, timed) = (job.spec.queue.clone(), job.spec.repeat.is_some());
+            batch.shown.push(ShownJob { key, queue, state, timed });
         }
+        let Some(outcome) = job.outcome.filter(|_| job.at_rest()) else {
+            batch.records.push(Record::Job(key, job.record()));
+            return;
+        };
+        let (cancelled, begun, spec) = (job.cancelled, job.begun, job.spec.clone());
+        let work = self.jobs.get(&key).and_then(|j| self.work_of(j));
+        let record = OverRecord {
+            queue: spec.queue.clone(),
+            service: spec.service.clone(),
+            accepted: spec.accepted,
+            work,
+            room: spec.largest_room(),
+        };
+        let over = Some(record.clone());
+        let stored = JobRecord { cancelled, begun, outcome: Some(outcome), over, ..JobRecord::default() };
+        batch.records.push(Record::Job(key, stored));
+        self.jobs.set_over(key, OverJob { outcome, record }, self.now);
+        self.over.push(key);
     }
 
     /// Decides what can be decided, and hands over all that changed.
@@ -467,16 +519,11 @@
             self.place(&service);
         }
         self.ask_adviser();
-        let mut batch = Batch::default();
+        let mut batch = Batch { shown: std::mem::take(&mut self.shown), ..Batch::default() };
         for key in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get_mut(&key) else { continue };
-            batch.records.push(Record::Job(key, job.record()));
-            let state = Some(job.shown());
-            if std::mem::replace(&mut job.told, state) != state {
-                let (queue, timed) = (job.spec.queue.clone(), job.spec.repeat.is_some());
-                batch.shown.push(ShownJob { key, queue, state, timed });
-            }
+            self.record_job(key, &mut batch);
         }
+        batch.over = std::mem::take(&mut self.over);
         for (key, queue) in std::mem::take(&mut self.dropped) {
             batch.records.push(Record::DropJob(key));
             batch.shown.push(ShownJob { key, queue, state: None, timed: false });
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -52,6 +52,15 @@
         self.gpus += other.gpus;
     }
 
+    /// The least room that holds both.
+    pub fn max(&self, other: &Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            mem_mb: self.mem_mb.max(other.mem_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
     /// This room so many times.
     pub fn times(&self, count: u64) -> Room {
         let times = |n: u64| n.saturating_mul(count);
@@ -164,6 +173,11 @@
 }
 
 impl JobSpec {
+    /// Room that holds any of its tasks.
+    pub fn largest_room(&self) -> Room {
+        self.steps.iter().map(StepSpec::reserved).fold(Room::default(), |most, room| most.max(&room))
+    }
+
     /// Checks what the scheduler relies on.
     pub fn check(&self) -> Result<(), String> {
         if self.steps.is_empty() {
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -289,6 +289,8 @@
     pub forget: Vec<(WorkerId, u64)>,
     /// What callers may be told.
     pub shown: Vec<ShownJob>,
+    /// Jobs that are over with these records: the inbox need not hold them any more.
+    pub over: Vec<JobKey>,
     /// Waves whose status is to be published, with whether they are complete.
     pub waves: Vec<(u64, bool)>,
     /// Everything that was in the inbox at this time is shown with this batch.
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -232,6 +232,7 @@
     }
 
     fn act(&mut self, n: usize, batch: Batch) {
+        self.trimmed.extend(batch.over);
         for s in batch.shown {
             match s.state {
                 Some(Shown::Ended(Outcome::Completed)) => self.check_completed(s.key),
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -83,6 +83,8 @@
     holders: Vec<Holder>,
     late: Vec<(Duration, WorkerId, Order)>,
     jobs: BTreeMap<JobKey, Arc<JobSpec>>,
+    /// Jobs that the inbox holds no longer.
+    trimmed: BTreeSet<JobKey>,
     cancelled: BTreeSet<JobKey>,
     stored_jobs: HashMap<JobKey, JobRecord>,
     stored_workers: HashMap<WorkerId, WorkerRecord>,
@@ -191,6 +193,7 @@
             late: Vec::new(),
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            trimmed: BTreeSet::new(),
             stored_jobs: HashMap::new(),
             stored_workers: HashMap::new(),
             done: BTreeSet::new(),
@@ -247,7 +250,8 @@
             sched.restore_worker(id.clone(), rec.clone());
         }
         for (key, spec) in &self.jobs {
-            sched.restore(*key, spec.clone(), self.stored_jobs.get(key).cloned());
+            let spec = Some(spec.clone()).filter(|_| !self.trimmed.contains(key));
+            sched.restore(*key, spec, self.stored_jobs.get(key).cloned());
         }
         for key in &self.cancelled {
             sched.handle(Event::Cancelled(*key));
@@ -322,10 +326,20 @@
     pub fn submit(&mut self, key: JobKey, spec: JobSpec) {
         let spec = Arc::new(spec);
         self.jobs.insert(key, spec.clone());
+        self.trimmed.remove(&key);
         let now = self.now;
         self.holders.iter_mut().for_each(|h| h.hears(now, Event::Submitted(key, spec.clone())));
     }
 
+    /// Hands any job in again, as a caller does that had no answer.
+    pub fn submit_again(&mut self) {
+        let Some(most) = self.jobs.len().checked_sub(1) else { return };
+        let at = self.luck.below(most as u64 + 1) as usize;
+        if let Some((key, spec)) = self.jobs.iter().nth(at) {
+            self.submit(*key, JobSpec::clone(spec));
+        }
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, key: JobKey) {
         self.cancelled.insert(key);
--- a/src/workswood/ops/job_status/sum.rs
+++ b/src/workswood/ops/job_status/sum.rs
@@ -11,7 +11,7 @@
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorItem};
 
 use super::Seen;
-use crate::ops::jobs::job_state;
+use crate::ops::jobs::{job_spec, job_state};
 
 /// Start of the key under which the scheduler keeps the progress of a wave.
 const WAVE: &str = "wave-";
@@ -138,6 +138,12 @@
         read
     }
 
+    fn spec(&mut self, rec: &KeyedRecord) -> Option<JobSpec> {
+        let read = job_spec::decode(rec.value.as_deref()?).ok();
+        self.unread += usize::from(read.is_none());
+        read
+    }
+
     fn job(&mut self, rec: &KeyedRecord) -> Option<JobRecord> {
         let read = job_state::decode(rec.value.as_deref()?).ok();
         self.unread += usize::from(read.is_none());
@@ -208,16 +214,31 @@
     let mut counted = BTreeSet::new();
     for rec in &seen.inbox {
         let Some(key) = parse_job(&rec.key) else { continue };
-        let Some(spec) = reader.read::<JobSpec>(rec) else { continue };
+        let Some(spec) = reader.spec(rec) else { continue };
         if counted.insert(key) {
             let q = all.entry(spec.queue.clone()).or_insert_with(|| empty(&spec.queue, &spec.service));
             q.count(&spec, jobs.get(&key), seen.at);
         }
     }
+    // Of jobs that are over, only their state is stored.
+    let over = jobs.iter().filter(|(key, _)| !counted.contains(*key));
+    for (rec, over) in over.filter_map(|(_, rec)| Some((rec, rec.over.as_ref()?))) {
+        let q = all.entry(over.queue.clone()).or_insert_with(|| empty(&over.queue, &over.service));
+        q.count_end(rec.outcome);
+    }
     all.into_values().collect()
 }
 
 impl QueueStatus {
+    fn count_end(&mut self, outcome: Option<Outcome>) {
+        match outcome {
+            Some(Outcome::Completed) => self.completed += 1,
+            Some(Outcome::Failed) => self.failed += 1,
+            Some(Outcome::Canceled) => self.canceled += 1,
+            None => {}
+        }
+    }
+
     fn count(&mut self, spec: &JobSpec, rec: Option<&JobRecord>, now: UnixMs) {
         if rec.is_none_or(|r| r.outcome.is_none() && !r.begun) {
             self.longest_wait_ms = self.longest_wait_ms.max(now.saturating_sub(spec.accepted));
@@ -226,14 +247,10 @@
             self.not_taken_in += 1;
             return;
         };
-        match rec.outcome {
-            Some(Outcome::Completed) => self.completed += 1,
-            Some(Outcome::Failed) => self.failed += 1,
-            Some(Outcome::Canceled) => self.canceled += 1,
-            None if rec.begun => self.running += 1,
-            None => self.queued += 1,
-        }
+        self.count_end(rec.outcome);
         if rec.outcome.is_none() {
+            let begun = if rec.begun { &mut self.running } else { &mut self.queued };
+            *begun += 1;
             let tasks = || rec.rounds.iter().flatten().flatten();
             self.tasks_running += tasks().filter(|t| !t.done && !t.runs.is_empty()).count();
             self.tasks_open += tasks().filter(|t| !t.done).count();
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -17,7 +17,7 @@
 use super::ask::{self, Told};
 use super::inbox::Stored;
 use super::node::Node;
-use super::record::{cancel_key, job_key, value_record};
+use super::record::{cancel_key, job_record};
 
 /// When to come back after a refusal: a store or lease holder that is away is
 /// mostly back or replaced within a few seconds.
@@ -132,7 +132,7 @@
         }
     };
     let begun = node.now();
-    let stored = node.inbox.store(value_record(job_key(job), &spec), within).await;
+    let stored = node.inbox.store(job_record(job, &spec), within).await;
     log::info!(
         "event=job_handed_in job={job:016x} queue={} version={} stored={stored:?} took_ms={} store_silence_ms={}",
         queue.name,
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -167,9 +167,13 @@
         self.0.get(&key).is_some_and(|parts| parts & (1 << part) != 0)
     }
 
-    /// Notes that no part holds a key any more.
-    pub fn dropped(&mut self, key: InboxKey) {
-        self.0.remove(&key);
+    /// Notes that a part holds a key no longer.
+    pub fn dropped(&mut self, part: Part, key: InboxKey) {
+        let Some(parts) = self.0.get_mut(&key) else { return };
+        *parts &= !(1 << part);
+        if *parts == 0 {
+            self.0.remove(&key);
+        }
     }
 }
 
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -9,7 +9,8 @@
 use prost::Message;
 use workswood_core::jobs::crash::Evidence;
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
-use workswood_core::jobs::{JobRecord, Outcome};
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{JobRecord, Outcome, OverRecord};
 
 /// First byte of a record that a version before this one wrote.
 const JSON: u8 = b'{';
@@ -27,6 +28,30 @@
     workers: Vec<String>,
     #[prost(message, repeated, tag = "5")]
     rounds: Vec<RoundState>,
+    #[prost(message, optional, tag = "6")]
+    over: Option<OverState>,
+}
+
+/// A job that has ended and runs nowhere.
+#[derive(Clone, PartialEq, prost::Message)]
+struct OverState {
+    #[prost(string, tag = "1")]
+    queue: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    /// When it was accepted, in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    accepted: u64,
+    /// Its work in core-milliseconds.
+    #[prost(uint64, optional, tag = "4")]
+    work: Option<u64>,
+    /// Room of its largest task: thousandths of a core, MB, accelerators.
+    #[prost(uint64, tag = "5")]
+    cpu_millis: u64,
+    #[prost(uint64, tag = "6")]
+    mem_mb: u64,
+    #[prost(uint64, tag = "7")]
+    gpus: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -106,6 +131,15 @@
         ended: rec.outcome.map(|o| ended(o) as i32),
         workers: numbers.0.into_iter().map(|id| id.to_string()).collect(),
         rounds,
+        over: rec.over.clone().map(|o| OverState {
+            queue: o.queue,
+            service: o.service,
+            accepted: o.accepted,
+            work: o.work,
+            cpu_millis: o.room.cpu_millis,
+            mem_mb: o.room.mem_mb,
+            gpus: o.room.gpus,
+        }),
     };
     state.encode_to_vec()
 }
@@ -158,6 +192,13 @@
         outcome: state.ended.map(outcome).transpose()?,
         begun: state.begun,
         rounds: state.rounds.into_iter().map(round).collect::<Result<_, _>>()?,
+        over: state.over.map(|o| OverRecord {
+            queue: o.queue,
+            service: o.service,
+            accepted: o.accepted,
+            work: o.work,
+            room: Room { cpu_millis: o.cpu_millis, mem_mb: o.mem_mb, gpus: o.gpus },
+        }),
     })
 }
 
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -12,18 +12,18 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
-use workswood_core::jobs::{Action, Batch, Event, Scheduler, ShownJob};
+use workswood_core::jobs::{Action, Batch, Event, JobKey, Scheduler, ShownJob};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
 use super::advice::{self, AdviceCall};
 use super::feeds::{InboxProgress, publish_waves, read_inbox, read_machines, read_workers};
-use super::inbox;
 use super::load::{Loaded, load};
 use super::machine_orders::{self, MachineOrder};
 use super::node::{Leading, Node};
-use super::record::{InboxKey, inbox_drops, state_record};
+use super::record::{inbox_drops, state_record};
 use super::renew;
 use super::sessions::Sessions;
+use super::trim;
 use crate::util::logs;
 
 /// Time between two ticks of the scheduler.
@@ -108,6 +108,8 @@
     tasks.spawn(read_workers(node.clone(), l.clone()));
     let (status_tx, status_rx) = watch::channel(BTreeMap::new());
     tasks.spawn(publish_waves(node.clone(), status_rx));
+    let (over_tx, over_rx) = mpsc::unbounded_channel();
+    tasks.spawn(trim::run(node.clone(), l.clone(), over_rx));
     let mut owner = Owner {
         node: node.clone(),
         l: l.clone(),
@@ -115,6 +117,7 @@
         sessions: Sessions::new(node.clone(), l.clone(), tasks),
         number: 1,
         status: status_tx,
+        over: over_tx,
         machines_read: Duration::ZERO,
         hosts_seen: 0,
     };
@@ -137,6 +140,8 @@
     number: u64,
     /// Waves to publish, with whether they are complete.
     status: watch::Sender<BTreeMap<u64, bool>>,
+    /// Jobs that the inbox need not hold any more.
+    over: mpsc::UnboundedSender<Vec<JobKey>>,
     /// When the list of machines was last asked for.
     machines_read: Duration,
     /// The list of hosts that the scheduler knows.
@@ -245,6 +250,10 @@
         for (id, number) in batch.forget {
             self.sessions.forget(&id, number);
         }
+        if !batch.over.is_empty() {
+            // Who takes them out ends with the scheduler.
+            let _ = self.over.send(batch.over);
+        }
         if !batch.waves.is_empty() {
             self.status.send_modify(|s| s.extend(batch.waves));
         }
@@ -297,7 +306,7 @@
 /// Writes a batch until it is stored; `None` if another term has begun.
 async fn write(node: Arc<Node>, l: Arc<Leading>, number: u64, batch: Batch) -> Option<Batch> {
     let term = l.term;
-    drop_from_inbox(&node, &l, batch.records.iter().flat_map(inbox_drops).collect()).await;
+    trim::drop_from_inbox(&node, &l, batch.records.iter().flat_map(inbox_drops).collect()).await;
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
     let _timer = node.metrics.batch_seconds.start_timer();
     loop {
@@ -317,26 +326,3 @@
         }
     }
 }
-
-/// Takes forgotten jobs out of the inbox. Their state is dropped only after
-/// that: a job in the inbox without a state would be taken for a new one.
-async fn drop_from_inbox(node: &Node, l: &Leading, drops: Vec<InboxKey>) {
-    if drops.is_empty() {
-        return;
-    }
-    for part in inbox::parts(node.settings.store_parts) {
-        let here: Vec<KeyedRecord> = {
-            let kept = l.kept.lock();
-            drops.iter().filter(|k| kept.holds(part, **k)).map(|k| k.drop_record()).collect()
-        };
-        if here.is_empty() {
-            continue;
-        }
-        while let Err(e) = node.platform.append(Topic::Inbox(part), here.clone(), Guard::None).await {
-            log::warn!("event=inbox_not_trimmed part={part} error=\"{e}\"");
-            tokio::time::sleep(PAUSE).await;
-        }
-    }
-    let mut kept = l.kept.lock();
-    drops.into_iter().for_each(|k| kept.dropped(k));
-}
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -11,10 +11,10 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, Newest, Part, StoreError, Topic};
 
 use super::inbox::{self, Kept};
-use super::job_state;
 use super::limits::limits;
 use super::node::Node;
 use super::record::{InboxKey, StateKey, inbox_key, state_key};
+use super::{job_spec, job_state};
 
 /// A scheduler with its predecessors' state.
 pub struct Loaded {
@@ -120,7 +120,7 @@
 }
 
 /// Hands jobs, their state and cancels to the scheduler. State whose job is no
-/// longer in the inbox is left from a job that was being forgotten.
+/// longer in the inbox is of one that is over, or left from one that was being forgotten.
 fn restore(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, mut records: HashMap<JobKey, JobRecord>) {
     let mut cancels = BTreeSet::new();
     let mut jobs: HashMap<JobKey, Arc<JobSpec>> = HashMap::new();
@@ -134,9 +134,9 @@
         }
     }
     for (key, spec) in jobs {
-        sched.restore(key, spec, records.remove(&key));
+        sched.restore(key, Some(spec), records.remove(&key));
     }
-    records.into_keys().for_each(|key| sched.drop_record(key));
+    records.into_iter().for_each(|(key, rec)| sched.restore(key, None, Some(rec)));
     for key in cancels {
         sched.handle(Event::Cancelled(key));
     }
@@ -152,10 +152,13 @@
     }
 }
 
-/// Notes where the inbox holds the key of a record.
+/// Notes whether the inbox holds the key of a record.
 pub fn note_kept(kept: &mut Kept, part: Part, rec: &KeyedRecord) {
-    if let Some(key) = inbox_key(&rec.key).filter(|_| rec.value.is_some()) {
-        kept.note(part, key);
+    match (inbox_key(&rec.key), &rec.value) {
+        (Some(key), Some(_)) => kept.note(part, key),
+        (Some(key), None) => kept.dropped(part, key),
+        // Logged where it is read as an event.
+        (None, _) => {}
     }
 }
 
@@ -164,8 +167,11 @@
     let value = rec.value.as_deref()?;
     match inbox_key(&rec.key) {
         Some(InboxKey::Job(key)) => {
-            let spec: JobSpec = read(&rec.key, value)?;
-            Some(Event::Submitted(key, Arc::new(spec)))
+            let spec = job_spec::decode(value);
+            let logged = spec.inspect_err(|e| {
+                log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key);
+            });
+            Some(Event::Submitted(key, Arc::new(logged.ok()?)))
         }
         Some(InboxKey::Cancel(key)) => Some(Event::Cancelled(key)),
         None => {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -10,8 +10,8 @@
 //! * [`follow`] keeps up with what operators write;
 //! * [`lease`] watches the scheduler lease and claims it;
 //! * [`lead`] runs the scheduler while this process holds the lease, with
-//!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`] and
-//!   [`job_state`] (the stored form), [`renew`] (the lease), [`sessions`] (with the relays) and
+//!   [`load`] (a predecessor's state), [`feeds`] (what it reads), [`record`],
+//!   [`job_spec`] and [`job_state`] (the stored form), [`trim`] (takes out what is over), [`renew`] (the lease), [`sessions`] (with the relays) and
 //!   [`advice`] (calls to the adviser);
 //! * [`relay`] speaks with workers, for the lease holder here or elsewhere;
 //! * [`shown`] holds what callers may be told; [`ask`] puts callers' questions to the lease holder, and [`help`] does what
@@ -26,6 +26,7 @@
 mod front;
 pub mod help;
 pub mod inbox;
+pub mod job_spec;
 pub mod job_state;
 mod lead;
 mod lease;
@@ -35,12 +36,13 @@
 pub mod node;
 pub mod peers;
 mod probe;
-mod record;
+pub mod record;
 pub mod relay;
 mod renew;
 mod sessions;
 pub mod shown;
 mod stop;
+mod trim;
 mod usage;
 pub mod worker_list;
 
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -10,10 +10,10 @@
 use workswood_core::ids::HostId;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::{parse_job, show_job};
-use workswood_core::jobs::{JobKey, Record};
+use workswood_core::jobs::{JobKey, JobSpec, Record};
 use workswood_platform::jobs::KeyedRecord;
 
-use super::job_state;
+use super::{job_spec, job_state};
 
 /// Start of the key of a cancel.
 const CANCEL: &str = "x";
@@ -77,6 +77,11 @@
     format!("{CANCEL}{}", show_job(job))
 }
 
+/// A job as a record of the inbox.
+pub fn job_record(job: JobKey, spec: &JobSpec) -> KeyedRecord {
+    KeyedRecord { key: job_key(job), value: Some(job_spec::encode(spec).into()) }
+}
+
 /// Any value as a record.
 pub fn value_record<T: Serialize>(key: String, value: &T) -> KeyedRecord {
     let value = serde_json::to_vec(value).unwrap_or_default();
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -125,7 +125,7 @@
         actions = lose(&mut world, at, &mut lives, heard);
         if world.sched.tally.given_up > 0 {
             assert_eq!(starts(&actions), Vec::new());
-            assert_eq!(world.sched.jobs[&1].shown(), Shown::Ended(Outcome::Failed));
+            assert_eq!(world.sched.jobs.shown(&1), Some(Shown::Ended(Outcome::Failed)));
             assert_eq!(world.sched.tally.lives_lost, crashes as u64);
             return crashes;
         }
--- a/tests/testsuite/demand_history.rs
+++ b/tests/testsuite/demand_history.rs
@@ -56,7 +56,7 @@
     let mut machines = vec![machine(0, SERVICE, Some(0))];
     machines.extend((1..30).map(|n| machine(n, "spare", None)));
     if turn_before {
-        world.sched.restore(7, work(80, 20_000), None);
+        world.sched.restore(7, Some(work(80, 20_000)), None);
         world.sched.restore_demand();
         world.sched.handle(Event::Cancelled(7));
         world.sched.take_batch();
@@ -150,7 +150,7 @@
     world.list(machines);
     world.at(1000);
     world.sched.wall = 60_000;
-    world.sched.restore(7, work(1, 20_000), None);
+    world.sched.restore(7, Some(work(1, 20_000)), None);
     world.sched.restore_demand();
     world.sched.handle(Event::Cancelled(7));
     hand_in(&mut world, 4, 4);
--- a/tests/testsuite/eviction_handover.rs
+++ b/tests/testsuite/eviction_handover.rs
@@ -118,7 +118,7 @@
 fn next_holder(record: &JobRecord) -> MachineWorld {
     let stored = serde_json::to_string(record).expect("a record is JSON");
     let mut next = holder(TAKEN_OVER);
-    next.sched.restore(1, spec(), Some(serde_json::from_str(&stored).expect("it is read back")));
+    next.sched.restore(1, Some(spec()), Some(serde_json::from_str(&stored).expect("it is read back")));
     next.attend_anew();
     next
 }
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -1,12 +1,17 @@
 //! The stored form of jobs, and what callers are told from it.
 
+use std::time::Duration;
+
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
+use workswood::ops::jobs::job_spec;
 use workswood::ops::jobs::job_state::{decode, encode};
 use workswood::ops::jobs::shown::ShownJobs;
 use workswood_core::jobs::crash::Evidence;
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
-use workswood_core::jobs::{JobRecord, Outcome, Shown, ShownJob};
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{JobRecord, JobSpec, Outcome, OverRecord, Repeat, Shown, ShownJob, StepSpec};
+use workswood_test_support::job_world::{job, step};
 
 fn worker(u: &mut Unstructured<'_>) -> Result<WorkerId> {
     Ok(format!("i-{}", u.int_in_range(0..=3)?).into())
@@ -51,7 +56,15 @@
     }
     let outcome =
         *u.choose(&[None, Some(Outcome::Completed), Some(Outcome::Failed), Some(Outcome::Canceled)])?;
-    Ok(JobRecord { cancelled: u.arbitrary()?, outcome, begun: u.arbitrary()?, rounds })
+    let over = OverRecord {
+        queue: "desk".to_string(),
+        service: "till".to_string(),
+        accepted: u.arbitrary()?,
+        work: u.arbitrary()?,
+        room: Room { cpu_millis: u.arbitrary()?, mem_mb: u.arbitrary()?, gpus: u.arbitrary()? },
+    };
+    let over = outcome.is_some().then_some(over);
+    Ok(JobRecord { cancelled: u.arbitrary()?, outcome, begun: u.arbitrary()?, rounds, over })
 }
 
 #[test]
@@ -94,6 +107,66 @@
     assert!(now <= 100 && before > 400, "{now} bytes, {before} as JSON");
 }
 
+fn any_step(u: &mut Unstructured<'_>) -> Result<StepSpec> {
+    let span = |u: &mut Unstructured<'_>| Ok(Duration::from_millis(u.arbitrary::<u32>()?.into()));
+    Ok(StepSpec {
+        count: u.arbitrary()?,
+        room: Room { cpu_millis: u.arbitrary()?, mem_mb: u.arbitrary()?, gpus: u.arbitrary()? },
+        estimate: span(u)?,
+        after: u.arbitrary()?,
+        checkpointing: u.arbitrary()?,
+        gang: u.arbitrary()?,
+        same_rack: u.arbitrary()?,
+        label: u.arbitrary()?,
+        near: u.arbitrary()?,
+        most_per_worker: u.arbitrary()?,
+        speculative: u.arbitrary()?,
+        lasting: u.arbitrary()?,
+        image: u.arbitrary()?,
+        target: if u.arbitrary()? { Some(span(u)?) } else { None },
+        fills: u.arbitrary()?,
+        may_miss: u.arbitrary()?,
+    })
+}
+
+fn any_spec(u: &mut Unstructured<'_>) -> Result<JobSpec> {
+    let every = Duration::from_millis(u.arbitrary::<u32>()?.into());
+    let repeat = Repeat { count: u.arbitrary()?, start: u.arbitrary()?, every };
+    let steps = (0..u.int_in_range(0..=3)?).map(|_| any_step(u)).collect::<Result<_>>()?;
+    Ok(JobSpec {
+        queue: u.arbitrary()?,
+        service: u.arbitrary()?,
+        priority: u.arbitrary()?,
+        max_attempts: u.arbitrary()?,
+        text: u.arbitrary::<String>()?.into(),
+        steps,
+        repeat: if u.arbitrary()? { Some(repeat) } else { None },
+        accepted: u.arbitrary()?,
+    })
+}
+
+#[test]
+fn any_job_read_back() {
+    for i in 0..200u64 {
+        arbtest(|u| {
+            let spec = any_spec(u)?;
+            assert_eq!(job_spec::decode(&job_spec::encode(&spec)).expect("it is read back"), spec);
+            Ok(())
+        })
+        .seed((1_700 + i) << 32 | 4_096);
+    }
+}
+
+#[test]
+fn job_of_earlier_version_read() {
+    let spec = job(vec![step(2, vec![]), step(1, vec![0])], 17);
+    let json = serde_json::to_vec(&spec).expect("JSON");
+    assert_eq!(job_spec::decode(&json).expect("JSON of the version before"), spec);
+    assert!(job_spec::decode(&json[..9]).is_err());
+    let bytes = job_spec::encode(&spec);
+    assert!(job_spec::decode(&bytes[..bytes.len() - 1]).is_err());
+}
+
 fn shown(key: u64, queue: &str, state: Option<Shown>) -> ShownJob {
     ShownJob { key, queue: queue.to_string(), state, timed: false }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,8 @@
 mod maintenance_waves;
 mod operator_changes;
 mod order_marks;
+mod over_jobs;
+mod overtaking_looks;
 mod peer_help;
 mod peer_members;
 mod platform_words;
