Weigh crashes under a task against those of other workers; keep sessions without their crashing task

Change: each lost run is on record with how long it may have lasted; a task is suspected, and given up, when its crashes come so soon after its starts that the rate of crashes elsewhere does not explain them. A start without an answer explains a crash that came at once. A job that lasts goes on without a task that is given up; a job that fails ends its lasting tasks within their budget. crash.rs is split: crash_rate.rs (the rate), trials.rs (who is tried where).

--- a/crates/workswood-core/src/jobs/crash.rs
+++ b/crates/workswood-core/src/jobs/crash.rs
@@ -4,25 +4,27 @@
 //! chance, and are started again; but where one of them has brought the worker down, it would bring
 //! the next one down, and all that runs there, without end.
 //!
-//! * Each run that is lost with a crashed worker is on record.
+//! * Each run that is lost with a crashed worker is on record, with how long it may have lasted.
+//! * How well a task explains the crashes under it is weighed against the rate at which workers
+//!   crash that did not run it ([`crash_rate`](super::crash_rate)). So on a day on which workers
+//!   crash by themselves, sound work neither waits nor fails for that.
 //! * Suspected are the runs that had begun just before the worker was last heard; if there is none,
 //!   those that may never have begun. Others fall under suspicion when they are lost several
 //!   times.
-//! * A suspected task is started as a *trial*, on a worker in *quarantine*: nothing else begins there
-//!   until the trial has lasted longer than its earlier runs. So when that worker crashes,
-//!   it is known what it crashed under, and the job fails.
-//! * Workers in quarantine are few, so that the rest of a service goes on.
+//! * A suspected task is started as a *trial* ([`trials`](super::trials)): nothing else begins beside
+//!   it. Where the worker crashes under it nevertheless, and chance does not explain it, the task is
+//!   given up. Its job fails; but a job that lasts goes on without it.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_rate::blame;
 use super::job::{Job, Outcome, Phase, Run, Task, WorkerId};
 use super::sched::Scheduler;
-use super::spec::{StepSpec, TaskId};
+use super::spec::TaskId;
 use super::worker::Worker;
-use crate::ids::ServiceId;
 
 /// How crashes of workers are put down to tasks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -35,17 +37,19 @@
     pub young: Duration,
     /// A task that was lost with so many workers is suspected however long it had run.
     pub suspect_after: usize,
-    /// A task whose trial crashes its worker is given up when it explains so many crashes that
-    /// came at once. On 49 machines, where for 8 s a twentieth of the jobs has a task that crashes its
-    /// worker, 0.886 of all work was in time with 2 and 0.828 with 3 (0.994 without such tasks; 20
-    /// runs of `workswood model examples/model-crashes.json`, error 0.007); without giving up 0.670.
-    pub prompt: usize,
-    /// It is given up, too, when it explains so many, whose time is not known well.
-    pub blamed: usize,
-    /// Longest time that a task waits for a trial that was lost once. Some workers crash by
-    /// themselves, and many at once; what ran there must not wait for long. In the runs named above
-    /// 0.859 of all work was in time with 1 s, 0.876 with 2 s, 0.886 with 4 s and 0.889 with 10 s; with 24 of 49
-    /// machines dark for 4 s each, and no such tasks, 0.954 to 0.958 (error 0.003).
+    /// A task is tried alone when its crashes are explained better by itself than by chance by
+    /// this much, as a logarithm: after one crash within 100 ms of the start where workers crash
+    /// less than once in 25 s each, after two where they crash less than once in 3 s.
+    pub suspicious: f64,
+    /// It is given up when they are by so much, and its trial alone explains the last one. Of a
+    /// million sound tasks about five are lost so often within so short a time, whatever the rate
+    /// is. Two crashes within 50 ms of the start are enough where workers crash less than once in
+    /// 33 s each, three where they crash less than once in 6 s.
+    pub sure: f64,
+    /// Longest time that a task waits for a trial that was lost once. With 49 machines, where for 8 s
+    /// a twentieth of the jobs has a task that crashes its worker, 0.859 of all work was in time with
+    /// 1 s, 0.876 with 2 s, 0.886 with 4 s and 0.889 with 10 s (20 runs of `workswood model
+    /// examples/model-crashes.json`, error 0.007).
     #[serde(with = "humantime_serde")]
     pub first_wait: Duration,
     /// Share of a service's workers that are in quarantine at most.
@@ -57,53 +61,71 @@
         CrashPolicy {
             young: Duration::from_millis(150),
             suspect_after: 3,
-            prompt: 2,
-            blamed: 3,
+            suspicious: 4.5,
+            sure: 11.0,
             first_wait: Duration::from_secs(4),
             most_quarantined: 0.25,
         }
     }
 }
 
-/// A crash comes at once if the worker is found silent within this time after the start: a refused
-/// connection is noticed within some milliseconds, a task that crashes its worker does so within some
-/// ten, and a busy host takes a few times that to see it.
+impl CrashPolicy {
+    /// How sure one must be after so many tasks were given up lately: where there are some,
+    /// another one is likelier.
+    fn sure_after(&self, given_up: usize) -> f64 {
+        self.sure - SURER_EACH * given_up.min(MOST_SURER) as f64
+    }
+}
+
+/// By how much each task that was given up makes the next one likelier, as a logarithm,
+const SURER_EACH: f64 = 1.5;
+/// and how many do.
+const MOST_SURER: usize = 2;
+/// A start without an answer explains a crash that was noticed within this time: a task that
+/// crashes its worker does so within some ten milliseconds, a refused connection is
+/// noticed within some more, and a busy host takes a few times that to see it.
 const PROMPT: Duration = Duration::from_millis(300);
 /// A worker that leaves without a word answers for longer than this after it was taken from the list
 /// (2 s at least on the prepared platform); an answer of one that crashed may be on its way for as long.
 const ANSWERS_ON: Duration = Duration::from_secs(1);
-/// A trial lasts this many times as long as the run that was lost last.
-const TRIAL_TIMES: u32 = 2;
-/// Longest trial of a task that was lost fewer times than make it suspect by themselves.
-const LONGEST_TRIAL: Duration = Duration::from_secs(3);
-/// Length of a trial where it isn't known how long earlier runs lasted: they were lost
-/// under an earlier lease holder.
-const UNKNOWN_TRIAL: Duration = Duration::from_secs(1);
 /// A task is suspected after so many crashes of which it isn't known how long its runs had lasted.
 const SUSPECT_INHERITED: usize = 2;
-/// A task is given up when so many workers may have crashed under it, the last one under it
-/// alone, although that was seen of one trial at most: the holder changed each time, or the crashes
-/// came late. The platform allows two starts after the third crash.
+/// A task that was lost so often is held to less, whether it was seen to run or not: the platform
+/// allows two starts after the third crash.
 const MOST_CRASHES: usize = 5;
+/// Share of [`CrashPolicy::sure`] that is asked for then.
+const LESS_SURE: f64 = 0.7;
+/// What a crash adds to that of which it isn't known how long the run had lasted.
+const UNTIMED_EACH: f64 = 1.0;
+/// Share of it from which a task is suspected that was lost several times.
+const DOUBTFUL: f64 = 0.15;
 /// A lasting task that has been at work for this long does not crash its worker.
-const PROVEN_AFTER: Duration = Duration::from_secs(10);
+pub(super) const PROVEN_AFTER: Duration = Duration::from_secs(10);
 
 /// What is known of a run under which a worker crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Evidence {
-    /// It explains the crash, which came at once: it was silent soon after its start.
-    Prompt,
-    /// It explains the crash, whose time is not known well.
-    Blamed,
+    /// It explains the crash.
+    Explains,
     /// It was there, by chance as far as is known.
     Beside,
     /// It may never have begun: its start had no answer, or an earlier holder sent it.
     Supposed,
 }
 
+/// A crash of a worker under a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// What the run has to do with it.
+    pub evidence: Evidence,
+    /// The longest time after its start at which the worker may have crashed; `None` if it isn't
+    /// known when the run began.
+    pub within: Option<Duration>,
+}
+
 /// Crashes of workers under one task, by the numbers of its runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Crashes(pub BTreeMap<u32, Evidence>);
+pub struct Crashes(pub BTreeMap<u32, Crash>);
 
 impl Crashes {
     /// Whether there is none.
@@ -116,25 +138,50 @@
         self.0.len()
     }
 
-    fn of(&self, kind: Evidence) -> usize {
-        self.0.values().filter(|e| **e == kind).count()
+    /// How long runs had lasted, at most, of which it is known when they began.
+    fn timed(&self) -> impl Iterator<Item = Duration> {
+        self.0.values().filter_map(|c| c.within)
     }
 
-    /// How many there were while it was known to run.
+    /// How many there were while the task was known to run.
     fn seen(&self) -> usize {
-        self.count() - self.of(Evidence::Supposed)
+        self.0.values().filter(|c| c.evidence != Evidence::Supposed).count()
+    }
+
+    /// How much better the task explains them than chance does, those counted too of which it
+    /// is only supposed that it ran.
+    fn suspicion(&self, rate: f64) -> f64 {
+        blame(self.timed().count(), self.timed().sum(), rate)
     }
 
-    /// Whether they prove that the task crashes its workers.
-    fn prove(&self, policy: &CrashPolicy) -> bool {
-        let (prompt, blamed) = (self.of(Evidence::Prompt), self.of(Evidence::Blamed));
-        prompt >= policy.prompt || prompt + blamed >= policy.blamed || self.seen() > policy.blamed
+    /// Whether they prove that the task crashes its workers, the last one being explained
+    /// by its trial.
+    fn prove(&self, sure: f64, rate: f64) -> bool {
+        self.seen() >= 2 && self.suspicion(rate) >= sure
+    }
+
+    /// Whether they are too many to go on, although the proof is weaker. Where it isn't known of
+    /// any run when it began, with a new lease holder after each crash, their number is all there is.
+    fn exhaust(&self, policy: &CrashPolicy, rate: f64) -> bool {
+        let (count, timed) = (self.count(), self.timed().count());
+        if count < MOST_CRASHES || timed == 0 {
+            return count >= MOST_CRASHES;
+        }
+        let untimed = (count - timed) as f64 * UNTIMED_EACH;
+        self.suspicion(rate) + untimed >= policy.sure * LESS_SURE
+    }
+
+    /// Whether the task is suspected for their number.
+    fn are_many(&self, policy: &CrashPolicy, rate: f64) -> bool {
+        let (count, timed) = (self.count(), self.timed().count());
+        let doubtful = timed < 2 || self.suspicion(rate) >= policy.sure * DOUBTFUL;
+        doubtful && (count >= policy.suspect_after || count >= SUSPECT_INHERITED && timed < 2)
     }
 
     /// Notes a crash under a run; returns whether it is new.
-    fn note(&mut self, attempt: u32, evidence: Evidence) -> bool {
+    fn note(&mut self, attempt: u32, crash: Crash) -> bool {
         let new = !self.0.contains_key(&attempt);
-        self.0.entry(attempt).or_insert(evidence);
+        self.0.entry(attempt).or_insert(crash);
         new
     }
 }
@@ -148,15 +195,6 @@
     pub lasted: Option<Duration>,
 }
 
-/// A worker that takes no work but a trial.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Quarantine {
-    /// The trial; before one has begun, the worker waits for one.
-    pub trial: Option<(TaskId, u32)>,
-    /// When it ends.
-    pub until: Duration,
-}
-
 /// How a life of a worker was found to be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LifeEnd {
@@ -210,8 +248,8 @@
     attempt: u32,
     /// How long it was known to be there; `None` if it may never have begun.
     lasted: Option<Duration>,
-    /// Whether its worker was silent soon after it had begun.
-    prompt: bool,
+    /// How long it had lasted at most; `None` if it isn't known when it began.
+    within: Option<Duration>,
     part: Part,
 }
 
@@ -226,7 +264,10 @@
         let mut lost: Vec<Lost> = w.lapsed.iter().cloned().chain(here).collect();
         lost.sort_by_key(|l| (l.task, l.attempt));
         // The first of these parts explains the crash; other runs are lost by chance.
-        let Some(part) = lost.iter().map(|l| l.part).min() else { return };
+        let part = lost.iter().map(|l| l.part).min();
+        let chance = if part.is_some_and(|p| p != Part::Old) { self.share_with_suspects() } else { 1.0 };
+        self.crash_rate.note(self.now, lost.iter().map(|l| l.task).collect(), chance);
+        let Some(part) = part else { return };
         let alike = lost.iter().filter(|l| l.part == part).count();
         self.notes.push(format_args!(
             "event=worker_crashed worker={id} runs={} part={part:?} alike={alike}",
@@ -252,193 +293,126 @@
         let w = self.workers.get(id)?;
         let run = self.run(id, task, attempt)?;
         let lasted = run.ran(w.heard);
-        let prompt = lasted.is_some_and(|ran| ran + w.silent_for < PROMPT);
-        Some(Lost { task: *task, attempt, lasted, prompt, part: self.part(run, lasted) })
+        // It crashed between its last answer and when it was found to be silent.
+        let found = w.heard + w.silent_for;
+        let within = run.placed_at.map(|at| found.saturating_sub(at));
+        Some(Lost { task: *task, attempt, lasted, within, part: self.part(run, lasted, within) })
     }
 
-    fn part(&self, run: &Run, lasted: Option<Duration>) -> Part {
+    fn part(&self, run: &Run, lasted: Option<Duration>, within: Option<Duration>) -> Part {
         let unheard = lasted.is_none() && run.phase != Phase::Inherited;
         if !unheard && run.trial.is_some_and(|trial| lasted.is_none_or(|ran| ran < trial)) {
             return Part::OnTrial;
         }
         match lasted {
-            Some(ran) if ran < self.policy.crashes.young => Part::Young,
+            Some(ran) if ran < self.policy.crashes.young && run.placed_at.is_some() => Part::Young,
+            // The answer to its start, too, was lost with the worker.
+            None if unheard && within.is_some_and(|w| w < PROMPT) => Part::Young,
             None if unheard => Part::Unheard,
             _ => Part::Old,
         }
     }
 
+    /// Share of the workers that have a run now to which a crash would be put down.
+    fn share_with_suspects(&self) -> f64 {
+        let young = |w: &Worker| w.last_start.is_some_and(|at| at + self.policy.crashes.young > self.now);
+        let trial = |w: &Worker| w.quarantine.is_some_and(|q| q.trial.is_some() && q.until > self.now);
+        let all = self.workers.len().max(1);
+        self.workers.values().filter(|w| young(w) || trial(w)).count() as f64 / all as f64
+    }
+
+    /// Crashes a second of one worker, those under a task left out.
+    fn rate_without(&self, task: &TaskId) -> f64 {
+        self.crash_rate.without(task, self.now, self.workers.len(), self.now.saturating_sub(self.since))
+    }
+
     /// A run was lost with a worker that crashed; `part` explains that, for so many runs.
     fn take_lost(&mut self, id: &WorkerId, l: &Lost, part: Part, alike: usize) {
+        let rate = self.rate_without(&l.task);
         let Some(job) = self.jobs.get_mut(&l.task.job).filter(|j| j.open()) else { return };
         let Some(task) = job.task_mut(&l.task).filter(|t| !t.done) else { return };
         let policy = &self.policy.crashes;
+        let sure = policy.sure_after(self.crash_rate.found_lately(self.now));
         let explains = l.part == part && l.part != Part::Old;
         let evidence = match l.lasted {
-            Some(_) if explains && l.prompt => Evidence::Prompt,
-            Some(_) if explains => Evidence::Blamed,
+            Some(_) if explains => Evidence::Explains,
             Some(_) => Evidence::Beside,
             None => Evidence::Supposed,
         };
-        if task.crashes.note(l.attempt, evidence) {
+        if task.crashes.note(l.attempt, Crash { evidence, within: l.within }) {
             self.dirty.insert(l.task.job);
         }
         let count = task.crashes.count();
-        let proved = l.part == Part::OnTrial && l.lasted.is_some() && task.crashes.prove(policy);
-        if l.part == part && alike == 1 && (proved || count >= MOST_CRASHES) {
-            self.give_up(id, &l.task, count);
+        let suspicion = task.crashes.suspicion(rate);
+        let proved = l.part == Part::OnTrial && l.lasted.is_some() && task.crashes.prove(sure, rate);
+        if l.part == part && alike == 1 && (proved || task.crashes.exhaust(policy, rate)) {
+            self.give_up(id, &l.task, count, suspicion);
             return;
         }
-        // Under an earlier holder it may have just begun.
-        let often = count >= policy.suspect_after || l.lasted.is_none() && count >= SUSPECT_INHERITED;
-        if explains || often {
+        if explains && suspicion >= policy.suspicious || task.crashes.are_many(policy, rate) {
             suspect(task, l.lasted, self.now);
             self.notes.push(format_args!(
-                "event=task_suspected worker={id} task={} attempt={} part={:?} crashes={count}",
+                "event=task_suspected worker={id} task={} attempt={} part={:?} crashes={count} \
+                 suspicion={suspicion:.1} crashes_per_s={rate:.4}",
                 l.task, l.attempt, l.part
             ));
         }
     }
 
-    fn give_up(&mut self, id: &WorkerId, task: &TaskId, crashes: usize) {
-        self.notes.push(format_args!("event=task_given_up worker={id} task={task} crashes={crashes}"));
+    /// Gives a task up. A job that lasts goes on without it: what is at work of it serves its
+    /// users, and to stop all of that at once would break its availability budget.
+    fn give_up(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, suspicion: f64) {
+        self.notes.push(format_args!(
+            "event=task_given_up worker={id} task={task} crashes={crashes} suspicion={suspicion:.1}"
+        ));
         self.tally.given_up += 1;
-        self.end_job(task.job, Outcome::Failed);
+        self.crash_rate.explain(task, self.now);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if !job.step(task).is_some_and(|s| s.lasting) {
+            self.end_job(task.job, Outcome::Failed);
+            return;
+        }
+        if let Some(t) = job.task_mut(task) {
+            t.given_up = true;
+        }
+        self.dirty.insert(task.job);
+        if job.nothing_left() {
+            self.end_job(task.job, Outcome::Failed);
+        }
     }
 
     /// A run is over since the lease of its worker has ended. Whether that has crashed or is
     /// cut off shows later; until then young runs are suspected.
     pub(super) fn take_lapsed(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32) {
         let Some(l) = self.lost(id, task_id, attempt) else { return };
+        let rate = self.rate_without(task_id);
+        let threshold = self.policy.crashes.suspicious;
         if l.part < Part::Unheard
             && let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id))
         {
-            suspect(task, l.lasted, self.now);
+            let timed: Vec<Duration> = task.crashes.timed().chain(l.within).collect();
+            if blame(timed.len(), timed.iter().sum(), rate) >= threshold {
+                suspect(task, l.lasted, self.now);
+            }
         }
         if let Some(mut w) = self.workers.get_mut(id) {
             w.lapsed.push(l);
         }
     }
 
-    /// Whether a task is started as a trial only.
-    fn wants_trial(&self, id: &TaskId) -> bool {
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        task.is_some_and(|t| t.wants_trial(&self.policy.crashes, self.now))
-    }
-
     /// Suspects tasks that were lost with several workers under earlier lease holders.
     pub(super) fn suspect_inherited(&self, job: &mut Job) {
+        let rate = self.rate_without(&TaskId { job: job.key, round: 0, step: 0, index: 0 });
         for task in job.rounds.iter_mut().flatten().flatten() {
-            if task.crashes.count() >= SUSPECT_INHERITED {
+            let many = task.crashes.count() >= SUSPECT_INHERITED;
+            let timed = task.crashes.timed().count();
+            let chance = timed >= 2 && task.crashes.suspicion(rate) < self.policy.crashes.suspicious;
+            if many && !chance {
                 suspect(task, None, self.now);
             }
         }
     }
 
-    /// A task waits; a suspected one waits for a trial.
-    pub(super) fn queue_trial(&mut self, id: &TaskId, service: &ServiceId) {
-        let Some(task) = self.jobs.get(&id.job).and_then(|j| j.task(id)) else { return };
-        let Some(s) = task.suspicion else { return };
-        self.trials.entry(service.clone()).or_default().insert((s.since, *id));
-    }
-
-    /// Whether a waiting task waits for a trial.
-    pub(super) fn waits_for_trial(&self, id: &TaskId, service: &str) -> bool {
-        self.trials.get(service).is_some_and(|t| !t.is_empty()) && self.wants_trial(id)
-    }
-
-    /// Starts suspected tasks of a service that wait, each on a worker of its own.
-    pub(super) fn place_trials(&mut self, service: &ServiceId) {
-        let Some(waiting) = self.trials.get(service).filter(|t| !t.is_empty()) else { return };
-        let waiting: Vec<(Duration, TaskId)> = waiting.iter().copied().collect();
-        let (on_trial, mut kept) = self.quarantined(service);
-        let mut room = self.most_quarantined(service).saturating_sub(on_trial);
-        let mut unplaced = 0;
-        for (since, id) in waiting {
-            if unplaced >= room {
-                return;
-            }
-            match self.place_trial(service, &id) {
-                Placed::Started => room -= 1,
-                Placed::Nowhere => {
-                    unplaced += 1;
-                    if kept < unplaced && self.keep_for_trial(service, &id) {
-                        kept += 1;
-                    }
-                    continue;
-                }
-                Placed::Gone => {}
-            }
-            if let Some(t) = self.trials.get_mut(service) {
-                t.remove(&(since, id));
-            }
-        }
-    }
-
-    /// How many workers of a service may be in quarantine: any while it has little to do.
-    fn most_quarantined(&self, service: &str) -> usize {
-        let takers = || self.workers.takers(service, 0).map(|(_, w)| w);
-        let room: u64 = takers().filter_map(|w| w.info.as_ref()).map(|i| i.capacity.cpu_millis).sum();
-        let light = self.workers.room_in_use(service).cpu_millis * 2 < room;
-        let share = if light { 1.0 } else { self.policy.crashes.most_quarantined };
-        (takers().count() as f64 * share).ceil() as usize
-    }
-
-    /// How many workers of a service have a trial in quarantine, and how many wait for one.
-    fn quarantined(&self, service: &str) -> (usize, usize) {
-        let all = self.workers.takers(service, 0).filter_map(|(_, w)| w.quarantine);
-        let (on_trial, kept): (Vec<Quarantine>, Vec<Quarantine>) =
-            all.filter(|q| q.until > self.now).partition(|q| q.trial.is_some());
-        (on_trial.len(), kept.len())
-    }
-
-    fn place_trial(&mut self, service: &ServiceId, id: &TaskId) -> Placed {
-        let idle = self.jobs.get(&id.job).filter(|j| j.open());
-        let idle = idle.and_then(|j| j.task(id)).is_some_and(|t| !t.done && t.runs.is_empty());
-        let idle = idle && self.wants_trial(id);
-        let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)).filter(|_| idle) else {
-            return Placed::Gone;
-        };
-        let Some(worker) = self.worker_for_trial(service, id, step) else { return Placed::Nowhere };
-        self.start(id, &worker, None);
-        Placed::Started
-    }
-
-    /// The worker with the least to lose where a trial can begin now.
-    fn worker_for_trial(&self, service: &str, id: &TaskId, step: &StepSpec) -> Option<WorkerId> {
-        let room = step.reserved();
-        let young = self.policy.crashes.young;
-        let quiet = |w: &Worker| w.last_start.is_none_or(|at| at + young <= self.now);
-        let free = |w: &Worker| !w.in_quarantine(self.now) || w.quarantine.is_some_and(|q| q.trial.is_none());
-        let fits = |w: &Worker| quiet(w) && free(w) && w.free().holds(&room) && self.may_try(w, step, id);
-        let open = self.workers.takers(service, room.cpu_millis).filter(|(_, w)| fits(w));
-        open.min_by_key(|(_, w)| (self.cost(w, step, id).0, w.runs.len())).map(|(id, _)| id.clone())
-    }
-
-    /// Keeps new work from a worker until a trial can begin there; returns whether one
-    /// could be found.
-    fn keep_for_trial(&mut self, service: &str, id: &TaskId) -> bool {
-        let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)) else { return false };
-        let room = step.reserved();
-        let large = |w: &Worker| w.info.as_ref().is_some_and(|i| i.capacity.holds(&room));
-        let open = |w: &Worker| !w.in_quarantine(self.now) && large(w) && self.may_try(w, step, id);
-        let open = self.workers.takers(service, 0).filter(|(_, w)| open(w));
-        let Some(worker) = open.min_by_key(|(_, w)| w.runs.len()).map(|(id, _)| id.clone()) else {
-            return false;
-        };
-        let until = self.now + self.policy.crashes.young + KEPT_FOR;
-        if let Some(mut w) = self.workers.get_mut(&worker) {
-            w.quarantine = Some(Quarantine { trial: None, until });
-        }
-        true
-    }
-
-    /// Whether a task may be tried on a worker, but for its room.
-    fn may_try(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
-        let ticket = !self.is_advised(&id.step_id()) || w.ticket(&id.step_id(), self.now).is_some();
-        ticket && !w.is_shunned(self.now) && self.allowed(w, step, id)
-    }
-
     /// Forgets crashes under lasting tasks that have been at work for long since.
     pub(super) fn clear_proven(&mut self) {
         let lasting = self.workers.values().filter(|w| w.reachable).flat_map(|w| &w.lasting);
@@ -459,46 +433,6 @@
     }
 }
 
-/// Time that a worker is kept from new work, beyond that after which its youngest run is no
-/// longer suspected, so that a trial finds it: a few passes of the scheduler.
-const KEPT_FOR: Duration = Duration::from_millis(500);
-
-/// What came of placing a trial.
-enum Placed {
-    Started,
-    /// No worker may run it now.
-    Nowhere,
-    /// It doesn't wait any more.
-    Gone,
-}
-
-impl Task {
-    /// Whether it is started as a trial only. One that was lost once does not wait for that
-    /// for long: it is more often lost by chance.
-    fn wants_trial(&self, policy: &CrashPolicy, now: Duration) -> bool {
-        let Some(s) = self.suspicion else { return false };
-        self.crashes.count() > 1 || now < s.since + policy.first_wait
-    }
-
-    /// A trial of it has ended, and its worker is still there.
-    pub(super) fn passed_trial(&mut self, policy: &CrashPolicy) {
-        if self.crashes.count() < policy.suspect_after {
-            self.suspicion = None;
-        }
-    }
-
-    /// How long a trial of it lasts; `None` if it needs none.
-    pub(super) fn trial(&self, step: &StepSpec, policy: &CrashPolicy, now: Duration) -> Option<Duration> {
-        let s = self.suspicion.filter(|_| self.wants_trial(policy, now))?;
-        if self.crashes.count() >= policy.suspect_after {
-            // Until it ends: no length of a run is known to be harmless.
-            return Some(if step.lasting { PROVEN_AFTER } else { Duration::MAX });
-        }
-        let lasted = s.lasted.map_or(UNKNOWN_TRIAL, |d| d * TRIAL_TIMES);
-        Some(lasted.clamp(policy.young * TRIAL_TIMES, LONGEST_TRIAL))
-    }
-}
-
 /// Puts a task under suspicion, whose run had lasted for so long.
 fn suspect(task: &mut Task, lasted: Option<Duration>, now: Duration) {
     let longest = task.suspicion.and_then(|s| s.lasted).max(lasted);
--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -61,10 +61,14 @@
             self.stray_run(id, listed, wanted);
             return;
         };
-        if run.phase == Phase::Running && (!wanted || done) {
-            run.enter(Phase::Stopping, now);
+        let (runs, evicted) = (run.phase == Phase::Running, run.evicted);
+        let stays = wanted && !done || self.outlives_job(&listed.task);
+        if runs && !stays {
+            if let Some(run) = self.run_mut(id, &listed.task, listed.attempt) {
+                run.enter(Phase::Stopping, now);
+            }
             self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
-        } else if run.phase == Phase::Running && run.evicted {
+        } else if runs && evicted {
             self.inherited_evictions.insert((id.clone(), listed.task, listed.attempt));
             self.evict_inherited();
         }
--- a/crates/workswood-core/src/jobs/evict.rs
+++ b/crates/workswood-core/src/jobs/evict.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::job::{Phase, Run, WorkerId};
+use super::job::{Outcome, Phase, Run, WorkerId};
 use super::sched::Scheduler;
 use super::spec::TaskId;
 use super::types::Action;
@@ -40,13 +40,27 @@
     /// Whether ending this task keeps the availability budget of its step.
     pub(super) fn may_evict(&self, id: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else { return true };
-        if !job.open() {
+        if job.cancelled || job.outcome.is_some_and(|o| o != Outcome::Failed) {
             return true;
         }
         let Some(step) = job.step(id) else { return true };
         job.others_away(id, |run| self.is_at_work(run)) < step.may_miss
     }
 
+    /// Whether a task goes on although its job has ended: one that we have ended ourselves still
+    /// serves its users, so what is at work of it is ended within the budget only, and the rest
+    /// once the caller cancels it. A job of four lasting tasks that was ended while one was away, and
+    /// one more might be, had the three others stopped at once.
+    pub(super) fn outlives_job(&self, id: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        if job.cancelled || job.outcome != Some(Outcome::Failed) {
+            return false;
+        }
+        let lasting = job.step(id).is_some_and(|s| s.lasting);
+        let at_work = || job.task(id).is_some_and(|t| t.runs.iter().any(Run::warm));
+        lasting && at_work() && !self.may_evict(id)
+    }
+
     /// Whether a run counts as at work for the availability budget: its worker
     /// said so lately, and it is not about to end by our order.
     fn is_at_work(&self, run: &Run) -> bool {
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -64,6 +64,8 @@
     pub phase: Phase,
     /// When `phase` last changed.
     pub phase_at: Duration,
+    /// When this lease holder decided to start it; `None` if an earlier one did.
+    pub placed_at: Option<Duration>,
     /// When it was first known to be there: its worker took the start, or listed it.
     pub known_at: Option<Duration>,
     /// Latest share of the work done, in percent.
@@ -91,6 +93,7 @@
             attempt,
             phase,
             phase_at: now,
+            placed_at: None,
             known_at: None,
             percent: 0,
             progressed: now,
@@ -130,6 +133,8 @@
     pub failed: BTreeSet<u32>,
     /// Workers that have crashed under it.
     pub crashes: Crashes,
+    /// Whether it is never started again, since it crashes its workers; its job goes on.
+    pub given_up: bool,
     /// Why it is started as a trial only, if it is.
     pub suspicion: Option<Suspicion>,
     /// Number of its latest run.
@@ -142,6 +147,13 @@
     pub avoid: Option<WorkerId>,
 }
 
+impl Task {
+    /// Whether it is to be started, as far as only itself is concerned.
+    pub fn is_idle(&self) -> bool {
+        !self.done && !self.given_up && self.runs.is_empty()
+    }
+}
+
 /// One round of a job: its steps and their tasks.
 pub type Round = Vec<Vec<Task>>;
 
@@ -228,6 +240,11 @@
         others.filter(|(_, t)| !t.runs.iter().any(&at_work)).count() as u32
     }
 
+    /// Whether no task of it is left but those that are done or given up.
+    pub fn nothing_left(&self) -> bool {
+        self.rounds.iter().flatten().flatten().all(|t| t.done || t.given_up)
+    }
+
     /// Whether every task of every round is done.
     pub fn all_done(&self) -> bool {
         let opened = self.rounds.len() as u32 == self.spec.rounds();
@@ -251,11 +268,12 @@
         rounds.flat_map(move |round| (0..steps).map(move |step| StepId { job: self.key, round, step }))
     }
 
-    /// Numbers of the tasks of a step that are neither done nor run anywhere.
+    /// Numbers of the tasks of a step that are to be started: they are neither done nor given
+    /// up, and run nowhere.
     pub fn idle_tasks(&self, id: &StepId) -> Vec<u32> {
         let step = self.rounds.get(id.round as usize).and_then(|r| r.get(usize::from(id.step)));
         let tasks = step.map(Vec::as_slice).unwrap_or_default().iter().enumerate();
-        let idle = tasks.filter(|(_, t)| !t.done && t.runs.is_empty());
+        let idle = tasks.filter(|(_, t)| t.is_idle());
         idle.map(|(index, _)| index as u32).collect()
     }
 
@@ -288,6 +306,7 @@
             done: t.done,
             failed: t.failed.clone(),
             crashes: if t.done { Crashes::default() } else { t.crashes.clone() },
+            given_up: t.given_up,
             attempt: t.attempt,
             checkpoint: t.checkpoint.clone(),
             runs: t.runs.iter().map(|r| (r.worker.clone(), r.attempt)).collect(),
@@ -374,6 +393,9 @@
     /// Workers that have crashed under it.
     #[serde(default, rename = "k", skip_serializing_if = "Crashes::is_empty")]
     pub crashes: Crashes,
+    /// Whether it is never started again.
+    #[serde(default, rename = "g", skip_serializing_if = "is_false")]
+    pub given_up: bool,
     /// Number of its latest run.
     #[serde(default, rename = "a", skip_serializing_if = "is_zero")]
     pub attempt: u32,
@@ -408,6 +430,7 @@
             done: self.done,
             failed: self.failed,
             crashes: self.crashes,
+            given_up: self.given_up,
             suspicion: None,
             attempt: self.attempt,
             checkpoint: self.checkpoint,
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -27,6 +27,8 @@
 //! * [`types`] holds the events that go in and the batches that come out.
 //! * [`sched`] takes events in; [`ends`], [`settle`], [`place`], [`share`] and
 //!   [`evict`] are its decisions.
+//! * [`crash`] tells which task crashes its workers, against [`crash_rate`], and [`trials`]
+//!   tries those that are suspected.
 //! * [`advice`] asks ahead which workers may run a step, where only some may:
 //!   `advice_need` says which steps want it, [`advice_batch`] whom to ask about.
 //! * [`claim`] decides which process runs the scheduler.
@@ -42,6 +44,7 @@
 pub mod claim;
 pub mod config;
 pub mod crash;
+pub mod crash_rate;
 pub mod demand;
 pub mod ends;
 pub mod evict;
@@ -64,6 +67,7 @@
 pub mod settle;
 pub mod share;
 pub mod spec;
+pub mod trials;
 pub mod types;
 pub mod upkeep;
 pub mod waiting;
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::job::{Job, Phase, Run, WorkerId};
+use super::job::{Job, Phase, Run, Task, WorkerId};
 use super::order::Place;
 use super::sched::Scheduler;
 use super::spec::{Room, StepId, StepSpec, TaskId};
@@ -76,7 +76,7 @@
     fn place_gang(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
         let members: Vec<TaskId> = (0..step.count).map(|index| TaskId { index, ..*id }).collect();
         let Some(job) = self.jobs.get(&id.job) else { return true };
-        let idle = members.iter().all(|m| job.task(m).is_some_and(|t| !t.done && t.runs.is_empty()));
+        let idle = members.iter().all(|m| job.task(m).is_some_and(Task::is_idle));
         if !idle {
             return false;
         }
@@ -198,7 +198,8 @@
         task.attempt = attempt.unwrap_or(task.attempt + 1);
         let attempt = task.attempt;
         let trial = task.trial(step, &self.policy.crashes, now);
-        task.runs.push(Run { trial, ..Run::new(worker.clone(), attempt, Phase::Starting, now) });
+        let run = Run::new(worker.clone(), attempt, Phase::Starting, now);
+        task.runs.push(Run { trial, placed_at: Some(now), ..run });
         let checkpoint = task.checkpoint.clone();
         job.begun = true;
         self.dirty.insert(id.job);
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -338,6 +338,8 @@
             ("pools.margin", self.pools.margin),
             ("pools.surplus", self.pools.surplus),
             ("health.stuck_share", self.health.stuck_share),
+            ("crashes.suspicious", self.crashes.suspicious),
+            ("crashes.sure", self.crashes.sure),
             ("relays.spare", self.relays.spare),
         ];
         let bad = factors.into_iter().find(|(_, v)| !(*v >= 0.0 && v.is_finite()));
@@ -354,8 +356,6 @@
             ("health.shun_one_of", self.health.shun_one_of),
             ("relays.most_workers", self.relays.most_workers),
             ("crashes.suspect_after", self.crashes.suspect_after),
-            ("crashes.prompt", self.crashes.prompt),
-            ("crashes.blamed", self.crashes.blamed),
         ];
         let bad = counts.into_iter().find(|(_, v)| *v == 0);
         bad.map_or(Ok(()), |(name, _)| Err(format!("`policy.{name}` must be at least 1")))
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -7,8 +7,9 @@
 use super::advice::AdviceState;
 use super::claim::Strength;
 use super::config::SchedConfig;
+use super::crash_rate::CrashRate;
 use super::handover::OrderMarks;
-use super::job::{Job, JobRecord, Outcome, OverRecord, Phase, Shown, WorkerId};
+use super::job::{Job, JobRecord, Outcome, OverRecord, Phase, Shown, Task, WorkerId};
 use super::known::{Jobs, OverJob};
 use super::machine::Machine;
 use super::map::Map;
@@ -62,6 +63,8 @@
     pub(super) ready: Map<ServiceId, Waiting>,
     /// Those of them that wait for a trial, by since when they are suspected.
     pub(super) trials: Map<ServiceId, BTreeSet<(Duration, TaskId)>>,
+    /// How often workers crash by themselves.
+    pub(super) crash_rate: CrashRate,
     /// How long tasks take.
     pub(super) durations: Durations,
     /// Machines, as last listed.
@@ -142,6 +145,7 @@
             relays: Relays::default(),
             ready: Map::default(),
             trials: Map::default(),
+            crash_rate: CrashRate::default(),
             durations: Durations::default(),
             machines: Map::default(),
             machines_asked: Duration::ZERO,
@@ -299,11 +303,18 @@
             self.early_cancels.insert(key);
             return;
         };
-        if job.cancelled || job.outcome.is_some() {
+        if job.cancelled {
             return;
         }
         job.cancelled = true;
-        self.end_job(key, Outcome::Canceled);
+        if job.outcome.is_none() {
+            self.end_job(key, Outcome::Canceled);
+            return;
+        }
+        // What the budget kept at work when it failed ends now.
+        let ids = job.task_ids();
+        self.dirty.insert(key);
+        ids.iter().for_each(|id| self.stop_runs(id));
     }
 
     /// Puts a configuration in force unless a newer one is.
@@ -356,7 +367,7 @@
     /// Queues one task if it may be started now.
     pub(super) fn queue_task(&mut self, id: &TaskId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
-        let idle = job.task(id).is_some_and(|t| !t.done && t.runs.is_empty());
+        let idle = job.task(id).is_some_and(Task::is_idle);
         if !job.open() || !idle || !job.step_open(id.round, id.step) {
             return;
         }
@@ -422,7 +433,9 @@
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
         for id in ids {
             self.unqueue(&id);
-            self.stop_runs(&id);
+            if !self.outlives_job(&id) {
+                self.stop_runs(&id);
+            }
         }
     }
 
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -6,10 +6,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crash::{Lost, Quarantine};
+use super::crash::Lost;
 use super::job::WorkerId;
 use super::map::Map;
 use super::spec::{Room, StepId, StepSpec, TaskId};
+use super::trials::Quarantine;
 use crate::ids::{DataCentre, HostId, ServiceId};
 
 /// What a worker says of itself.
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -94,10 +94,15 @@
         self.done.contains(task)
     }
 
+    /// Whether some task of a job has failed too often.
+    pub fn fails_by_itself(&self, key: JobKey) -> bool {
+        self.fails.iter().any(|(t, n)| t.job == key && *n >= ATTEMPTS)
+    }
+
     /// A job that is shown as failed has a task that failed too often, or under which two
     /// workers have crashed.
     pub(super) fn check_failed(&mut self, key: JobKey) {
-        let failed = self.fails.iter().any(|(t, n)| t.job == key && *n >= ATTEMPTS);
+        let failed = self.fails_by_itself(key);
         if !failed && !self.lost_twice(key) {
             self.seen.broken.push(format!("LOST: job {key} failed without a cause at {:?}", self.now));
         }
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -6,8 +6,10 @@
 //!
 //! Versions before this one wrote JSON, which is still read.
 
+use std::time::Duration;
+
 use prost::Message;
-use workswood_core::jobs::crash::Evidence;
+use workswood_core::jobs::crash::{Crash, Evidence};
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Room;
 use workswood_core::jobs::{JobRecord, Outcome, OverRecord};
@@ -100,6 +102,13 @@
     /// Tries under which workers crashed: two numbers each, of the try and what is known of it.
     #[prost(uint32, repeated, tag = "6")]
     crashes: Vec<u32>,
+    /// For each of them the longest time after the start, in milliseconds, and one more; 0 if that is
+    /// not known.
+    #[prost(uint32, repeated, tag = "7")]
+    crashed_within: Vec<u32>,
+    /// Whether it is never started again.
+    #[prost(bool, tag = "8")]
+    given_up: bool,
 }
 
 /// Numbers of workers within one record: those of a job are few.
@@ -162,7 +171,9 @@
                 failed: t.failed.iter().copied().collect(),
                 checkpoint: t.checkpoint.clone(),
                 evicted: t.evicted.iter().copied().collect(),
-                crashes: t.crashes.0.iter().flat_map(|(n, e)| [*n, evidence(*e) as u32]).collect(),
+                crashes: t.crashes.0.iter().flat_map(|(n, c)| [*n, evidence(c.evidence) as u32]).collect(),
+                crashed_within: t.crashes.0.values().map(|c| write_within(c.within)).collect(),
+                given_up: t.given_up,
             });
         }
     }
@@ -174,7 +185,7 @@
 fn is_special(t: &TaskRecord) -> bool {
     let latest = t.runs.iter().map(|(_, attempt)| *attempt).max().unwrap_or(0);
     let tried = !t.done && t.attempt != latest;
-    let tried = tried || !t.failed.is_empty() || !t.crashes.is_empty();
+    let tried = tried || !t.failed.is_empty() || !t.crashes.is_empty() || t.given_up;
     tried || !t.checkpoint.is_empty() || !t.evicted.is_empty()
 }
 
@@ -219,28 +230,41 @@
         task.failed = t.failed.into_iter().collect();
         task.checkpoint = t.checkpoint;
         task.evicted = t.evicted.into_iter().collect();
-        for crash in t.crashes.chunks(2) {
+        task.given_up = t.given_up;
+        for (n, crash) in t.crashes.chunks(2).enumerate() {
             let [attempt, known] = *crash else { return Err("a crash is cut short".to_string()) };
-            task.crashes.0.insert(attempt, read_evidence(known)?);
+            let within = t.crashed_within.get(n).and_then(|ms| read_within(*ms));
+            task.crashes.0.insert(attempt, Crash { evidence: read_evidence(known)?, within });
         }
     }
     Ok(tasks)
 }
 
+/// Longest time after a start that is stored; a run that lasted for longer says no more.
+const LONGEST_WITHIN: u128 = 3_600_000;
+
+fn write_within(within: Option<Duration>) -> u32 {
+    within.map_or(0, |d| d.as_millis().min(LONGEST_WITHIN) as u32 + 1)
+}
+
+fn read_within(stored: u32) -> Option<Duration> {
+    stored.checked_sub(1).map(|ms| Duration::from_millis(ms.into()))
+}
+
 /// What is known of a crash, as it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
 #[repr(i32)]
 enum Known {
-    Prompt = 0,
-    Blamed = 1,
+    Explains = 0,
+    /// Written by a version before this one.
+    ExplainsLate = 1,
     Beside = 2,
     Supposed = 3,
 }
 
 fn evidence(e: Evidence) -> Known {
     match e {
-        Evidence::Prompt => Known::Prompt,
-        Evidence::Blamed => Known::Blamed,
+        Evidence::Explains => Known::Explains,
         Evidence::Beside => Known::Beside,
         Evidence::Supposed => Known::Supposed,
     }
@@ -248,8 +272,7 @@
 
 fn read_evidence(known: u32) -> Result<Evidence, String> {
     match Known::try_from(known as i32).map_err(|e| e.to_string())? {
-        Known::Prompt => Ok(Evidence::Prompt),
-        Known::Blamed => Ok(Evidence::Blamed),
+        Known::Explains | Known::ExplainsLate => Ok(Evidence::Explains),
         Known::Beside => Ok(Evidence::Beside),
         Known::Supposed => Ok(Evidence::Supposed),
     }
