--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use futures::future::BoxFuture;
 use http_body_util::combinators::BoxBody;
+use hyper::HeaderMap;
 use hyper::body::Incoming;
+use hyper::header::{AUTHORIZATION, WWW_AUTHENTICATE};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -54,6 +56,7 @@
         Code::MethodUnknown => 405,
         Code::BodySilent => 408,
         Code::JobUnknown => 410,
+        Code::ApiKey => 401,
         Code::KeyConflict | Code::KeyRunning | Code::KeyUnknownOutcome | Code::KeyExpired => 409,
         Code::EndpointBroke | Code::ConnectFailed => 502,
         Code::EndpointTimeout | Code::OutcomeUnknown => 504,
@@ -74,10 +77,21 @@
         res = res.header("retry-after", seconds);
         res = res.header("x-workswood-retry-after-ms", after.as_millis() as u64);
     }
+    if code == Code::ApiKey {
+        res = res.header(WWW_AUTHENTICATE, "Bearer");
+    }
     let body = whole(Bytes::from(text));
     res.body(body).unwrap_or_else(|_| Response::new(whole(Bytes::new())))
 }
 
+/// The key that a call carries as `authorization: Bearer KEY`.
+pub fn bearer(headers: &HeaderMap) -> Option<&str> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = text.split_once(' ')?;
+    let key = key.trim();
+    (scheme.eq_ignore_ascii_case("bearer") && !key.is_empty()).then_some(key)
+}
+
 /// A body that is here.
 pub fn whole(b: Bytes) -> ReplyBody {
     use http_body_util::BodyExt;
--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -83,6 +83,7 @@
     142 HolderAway "the process that knows the jobs can't be asked now" "come back after the time in retry-after";
     143 OutcomeUnknown "the store did not answer: the request may have been accepted" "send the same job number again; it stays one job";
     144 MethodUnknown "the method is not one that queues know" "use POST, GET or DELETE";
+    145 ApiKey "the call carries no key, or none that is in force" "send `authorization: Bearer KEY` with a key of your workspace that its operators have not taken away";
     200 FileUnreadable "the file can't be read" "check the path and its permissions";
     201 FileNotJson "the file is not valid JSON" "mend the place named";
     202 UnknownField "a field is not known" "use the name suggested, or see docs/FLEET.md";
--- a/crates/workswood-core/src/ids.rs
+++ b/crates/workswood-core/src/ids.rs
@@ -18,6 +18,8 @@
 pub type Rack = String;
 /// Name of a team that submits jobs.
 pub type TeamId = String;
+/// Name of a workspace: a team whose calls carry its keys.
+pub type WorkspaceId = String;
 /// Name of a job.
 pub type JobId = String;
 /// The caller's key of a request that may not be repeated.
--- /dev/null
+++ b/crates/workswood-core/src/jobs/accounts.rs
@@ -0,0 +1,86 @@
+//! What each workspace has at work, over all services, against what it may.
+//!
+//! An account is told of each run that may exist on some worker, from when its start is decided
+//! until it is known to be over. So it counts what runs, what is being stopped, what was ordered
+//! and not answered, what an earlier lease holder ordered, and what a worker may run
+//! that is cut off.
+
+use super::map::Map;
+use super::spec::Room;
+use super::workspace::Owner;
+
+/// Room that a run takes of its worker, and that is charged to its workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Held {
+    /// Room that it takes of its worker's.
+    pub room: Room,
+    /// Room that it is charged for: that of tasks which live on what others leave unused
+    /// counts in full.
+    pub charged: Room,
+    /// Whose it is.
+    pub owner: Owner,
+}
+
+impl From<Room> for Held {
+    /// A run of nobody's.
+    fn from(room: Room) -> Held {
+        Held { room, charged: room, owner: Owner::PUBLIC }
+    }
+}
+
+/// A run that began to exist, or is over.
+#[derive(Clone, Copy, Debug)]
+pub enum Change {
+    /// It may exist from now on.
+    Taken(Held),
+    /// It is over.
+    GivenBack(Held),
+}
+
+/// What each owner has at work.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts(Map<Owner, Room>);
+
+impl Accounts {
+    /// Takes a change in.
+    pub fn take(&mut self, change: Change) {
+        match change {
+            Change::Taken(held) if !held.owner.is_public() => {
+                self.0.entry(held.owner).or_default().add(&held.charged);
+            }
+            Change::GivenBack(held) => {
+                let Some(at_work) = self.0.get_mut(&held.owner) else { return };
+                *at_work = at_work.minus(&held.charged);
+            }
+            Change::Taken(_) => {}
+        }
+    }
+
+    /// What an owner has at work.
+    pub fn at_work(&self, owner: Owner) -> Room {
+        self.0.get(&owner).copied().unwrap_or_default()
+    }
+
+    /// What each owner has at work, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = (Owner, Room)> {
+        self.0.iter().map(|(owner, room)| (*owner, *room))
+    }
+}
+
+/// Whether one more task may begin of an owner that has so much at work.
+///
+/// One that is under half of its limit is not kept from it by the size of a task: a task
+/// larger than the limit would never begin.
+pub fn admits(at_work: &Room, limit: &Room, task: &Room) -> bool {
+    let within = |used: u64, most: u64, more: u64| most == 0 || used + more <= most || used * 2 < most;
+    within(at_work.cpu_millis, limit.cpu_millis, task.cpu_millis)
+        && within(at_work.mem_mb, limit.mem_mb, task.mem_mb)
+        && within(at_work.gpus, limit.gpus, task.gpus)
+}
+
+/// The largest share of its limit that an owner uses of any kind of room; 0 without a limit.
+pub fn used_share(at_work: &Room, limit: &Room) -> f64 {
+    let share = |used: u64, most: u64| if most == 0 { 0.0 } else { used as f64 / most as f64 };
+    let cpu = share(at_work.cpu_millis, limit.cpu_millis);
+    cpu.max(share(at_work.mem_mb, limit.mem_mb)).max(share(at_work.gpus, limit.gpus))
+}
--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::spec::QueueId;
+use super::workspace::Workspaces;
 use crate::ids::ServiceId;
 
 /// A queue that callers hand jobs in to.
@@ -17,6 +18,8 @@
     pub path_prefix: String,
     /// Service whose workers run its jobs.
     pub service: ServiceId,
+    /// Whether only workspaces may use it, with a key of theirs.
+    pub keyed: bool,
     /// 0 is the most urgent.
     pub priority: u32,
     /// How many failed runs a task may have.
@@ -62,6 +65,8 @@
     pub queues: BTreeMap<QueueId, QueueConfig>,
     /// Services by name.
     pub services: BTreeMap<ServiceId, ServiceConfig>,
+    /// Workspaces, and their keys.
+    pub workspaces: Workspaces,
     /// Most bytes of a request's body.
     pub max_body_bytes: usize,
 }
--- a/crates/workswood-core/src/jobs/ends.rs
+++ b/crates/workswood-core/src/jobs/ends.rs
@@ -84,10 +84,10 @@
             "event=stray_run worker={id} task={} attempt={}",
             listed.task, listed.attempt
         ));
-        if let Some(room) = self.jobs.room_of(&listed.task)
+        if let Some(held) = self.jobs.held_by(&listed.task)
             && let Some(mut w) = self.workers.get_mut(id)
         {
-            w.take(listed.task, listed.attempt, room);
+            w.take(listed.task, listed.attempt, held);
         }
         self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
     }
@@ -107,7 +107,7 @@
         let run = Run::new(id.clone(), listed.attempt, Phase::Running, now);
         task.runs.push(Run { known_at: Some(now), ..run });
         if let Some(mut w) = self.workers.get_mut(id) {
-            w.take(listed.task, listed.attempt, step.reserved());
+            w.take(listed.task, listed.attempt, spec.held(step));
             w.mark(&listed.task, step);
         }
         self.unqueue(&listed.task);
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -9,6 +9,7 @@
 
 use super::crash::{Crashes, Suspicion};
 use super::spec::{JobKey, JobSpec, QueueId, Room, StepId, StepSpec, TaskId};
+use super::workspace::Owner;
 
 pub use super::worker_id::WorkerId;
 use crate::ids::{ServiceId, UnixMs};
@@ -172,6 +173,10 @@
     pub ended: Duration,
     /// Whether any task has begun.
     pub begun: bool,
+    /// Whether it came beyond what its workspace may count on.
+    pub excess: bool,
+    /// Most processor room, in thousandths of a core, that its workspace may have at work; 0 for no limit.
+    pub most_cpu: u64,
     /// First worker that a task of it failed on.
     pub blamed: Option<WorkerId>,
     /// Rounds that are due, by number.
@@ -190,6 +195,8 @@
             outcome: None,
             ended: Duration::ZERO,
             begun: false,
+            excess: false,
+            most_cpu: 0,
             blamed: None,
             rounds: Vec::new(),
             told: None,
@@ -261,6 +268,15 @@
         !self.cancelled && self.outcome.is_none()
     }
 
+    /// In how many waves a step runs, being wider than its workspace may run at once.
+    pub fn waves(&self, step: &StepSpec) -> u32 {
+        if self.most_cpu == 0 {
+            return 1;
+        }
+        let wide = u64::from(step.count).saturating_mul(step.room.cpu_millis);
+        u32::try_from(wide.div_ceil(self.most_cpu)).unwrap_or(u32::MAX).clamp(1, step.count.max(1))
+    }
+
     /// Names of all steps of opened rounds.
     pub fn step_ids(&self) -> impl Iterator<Item = StepId> {
         let steps = self.spec.steps.len() as u16;
@@ -368,6 +384,8 @@
     pub work: Option<u64>,
     /// Room that holds any of its tasks: a start may be carried out late.
     pub room: Room,
+    /// Whose it was.
+    pub owner: Owner,
 }
 
 impl JobRecord {
--- a/crates/workswood-core/src/jobs/known.rs
+++ b/crates/workswood-core/src/jobs/known.rs
@@ -8,9 +8,11 @@
 use std::ops::Index;
 use std::time::Duration;
 
+use super::accounts::Held;
 use super::job::{Job, Outcome, OverRecord, Shown};
 use super::map::Map;
-use super::spec::{JobKey, Room, StepSpec, TaskId};
+use super::spec::{JobKey, TaskId};
+use super::workspace::Owner;
 use crate::ids::ServiceId;
 
 /// All jobs that are known. Callers name them, so they are kept in a tree.
@@ -85,14 +87,24 @@
         self.by_key.get(key).map(Job::shown).or_else(over)
     }
 
-    /// Room that a task takes; at most that, if its job is over.
-    pub fn room_of(&self, task: &TaskId) -> Option<Room> {
+    /// What a task takes; at most that, if its job is over.
+    pub fn held_by(&self, task: &TaskId) -> Option<Held> {
+        let over = |over: &OverJob| {
+            let (room, owner) = (over.record.room, over.record.owner);
+            Held { room, charged: room, owner }
+        };
         match self.by_key.get(&task.job) {
-            Some(job) => job.step(task).map(StepSpec::reserved),
-            None => self.over.get(&task.job).map(|over| over.record.room),
+            Some(job) => job.step(task).map(|step| job.spec.held(step)),
+            None => self.over.get(&task.job).map(over),
         }
     }
 
+    /// Whose a job is.
+    pub fn owner(&self, key: &JobKey) -> Option<Owner> {
+        let over = || self.over.get(key).map(|over| over.record.owner);
+        self.by_key.get(key).map(|j| j.spec.owner()).or_else(over)
+    }
+
     /// All jobs but those that are over.
     pub fn values(&self) -> impl Iterator<Item = &Job> {
         self.by_key.values()
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -15,7 +15,8 @@
 //! How the pieces meet:
 //!
 //! * [`spec`] holds what callers ask for, and its checks.
-//! * [`config`] holds queues and services in force.
+//! * [`config`] holds queues and services in force, [`workspace`] whose calls are taken.
+//! * [`accounts`] holds what each workspace has at work, and [`shares`] who sends more than its share.
 //! * [`job`] holds the state of one job and its stored form, [`known`] all of them.
 //! * [`worker`] holds what is known of one worker, its room and its lease;
 //!   [`worker_id`] is its name, and [`workers`] holds all of them.
@@ -38,6 +39,7 @@
 //! * [`need`] works out how many machines each pool needs, and [`pools`]
 //!   decides which machine changes its pool; [`moves`] brings it there.
 
+pub mod accounts;
 pub mod advice;
 pub mod advice_batch;
 mod advice_need;
@@ -66,6 +68,7 @@
 pub mod sched;
 pub mod settle;
 pub mod share;
+pub mod shares;
 pub mod spec;
 pub mod trials;
 pub mod types;
@@ -75,6 +78,7 @@
 pub mod worker;
 pub mod worker_id;
 pub mod workers;
+pub mod workspace;
 
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
@@ -93,3 +97,4 @@
     EndKind, Listing, Report, ReportedEnd, ReportedRun, Verdict, Worker, WorkerAddress, WorkerInfo,
     WorkerRecord,
 };
+pub use workspace::{Owner, Workspace, Workspaces};
--- a/crates/workswood-core/src/jobs/need.rs
+++ b/crates/workswood-core/src/jobs/need.rs
@@ -11,7 +11,6 @@
 use super::pool_count::PoolCount;
 use super::sched::Scheduler;
 use super::spec::{JobKey, Room};
-use super::waiting::Waiting;
 use crate::ids::ServiceId;
 
 /// Need of a service in machines, falling from its peaks at two speeds.
@@ -91,9 +90,8 @@
 
     /// What runs and waits in a service.
     fn wanted(&self, service: &ServiceId) -> Wanted {
-        let (mut room, size) = (self.workers.room_in_use(service), self.workers.largest(service));
-        let (in_time, late) = self.ready.get(service).map(Waiting::room).unwrap_or_default();
-        room.add(&in_time);
+        let size = self.workers.largest(service);
+        let (room, late) = (self.room_wanted(service), self.waiting_room(service).1);
         let policy = &self.policy.need;
         let cpu = (room.cpu_millis as f64 + late.cpu_millis as f64 * policy.late) / size.cpu_millis as f64;
         let mem = (room.mem_mb as f64 + late.mem_mb as f64 * policy.late) / size.mem_mb.max(1) as f64;
@@ -105,6 +103,21 @@
         }
     }
 
+    /// Room that runs take in a service, and that is waited for by tasks which may begin and can
+    /// be in time.
+    pub fn room_wanted(&self, service: &ServiceId) -> Room {
+        let mut room = self.workers.room_in_use(service);
+        room.add(&self.waiting_room(service).0);
+        room
+    }
+
+    /// Room that is waited for by tasks whose job can be in time, and by others. What a limit
+    /// keeps from beginning asks for no machines.
+    fn waiting_room(&self, service: &ServiceId) -> (Room, Room) {
+        let waiting = self.ready.get(service);
+        waiting.map(|w| w.room_within(|owner| self.left_of_limit(owner))).unwrap_or_default()
+    }
+
     /// Machines that lasting tasks need because only so many may share one.
     fn machines_apart(&self, service: &ServiceId) -> u32 {
         let jobs = self.jobs.lasting(service).filter(|j| j.open());
--- a/crates/workswood-core/src/jobs/order.rs
+++ b/crates/workswood-core/src/jobs/order.rs
@@ -14,6 +14,7 @@
 use super::job::Job;
 use super::policy::OrderPolicy;
 use super::spec::{JobSpec, QueueId, StepId};
+use super::workspace::Owner;
 use crate::ids::UnixMs;
 
 /// Guess for a step without an estimate, before any task has ended.
@@ -37,11 +38,15 @@
     pub priority: u32,
     /// Standing of the job when it was last looked at.
     pub standing: Standing,
+    /// Whether it is beyond what its workspace may count on.
+    pub excess: bool,
     /// In time: when the step's tasks must begin.
     /// Later: when the job was handed in.
     pub rank: u64,
     /// The step.
     pub step: StepId,
+    /// Whose it is.
+    pub owner: Owner,
 }
 
 /// When the standing of a job gets worse.
@@ -126,7 +131,10 @@
     now: UnixMs,
 ) -> (Place, Dues) {
     let spec = &job.spec;
-    let took = |n: usize| known.expect(&spec.queue, spec.steps[n].estimate, policy);
+    let took = |n: usize| {
+        let step = &spec.steps[n];
+        known.expect(&spec.queue, step.estimate, policy) * job.waves(step)
+    };
     let lasting = spec.steps.get(usize::from(id.step)).is_some_and(|s| s.lasting);
     let begin = spec.accepted.max(spec.due(id.round));
     let owed = owed_after(spec, queue, &took);
@@ -144,7 +152,8 @@
         Standing::InTime => dues.in_time,
         Standing::Late | Standing::Void => begin,
     };
-    let place = Place { priority: spec.priority, standing, rank, step: *id };
+    let (excess, owner) = (job.excess, spec.owner());
+    let place = Place { priority: spec.priority, standing, excess, rank, step: *id, owner };
     (place, dues)
 }
 
--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -1,13 +1,19 @@
 //! Which worker a task is started on.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 
+use super::accounts::{admits, used_share};
 use super::job::{Job, Phase, Run, Task, WorkerId};
-use super::order::Place;
+use super::order::{Place, Standing};
+use super::policy::ShareOrder;
 use super::sched::Scheduler;
+use super::shares::use_by_share;
 use super::spec::{Room, StepId, StepSpec, TaskId};
 use super::types::Action;
 use super::worker::Worker;
+use super::workspace::Owner;
 use crate::ids::ServiceId;
 use crate::invariant;
 
@@ -19,17 +25,59 @@
     pub(super) fn place(&mut self, service: &ServiceId) {
         self.place_trials(service);
         let mut misses = 0;
-        let mut last: Option<Place> = None;
+        let mut turns = Turns::default();
+        let owners: Vec<Owner> = self.ready.get(service).map(|w| w.owners().collect()).unwrap_or_default();
+        owners.into_iter().for_each(|owner| self.give_turn(&mut turns, service, owner, None));
         while misses < self.policy.placement.most_misses {
-            let Some(waiting) = self.ready.get(service) else { return };
-            let Some(next) = waiting.next_after(last.as_ref()) else { return };
-            last = Some(next);
-            if !self.place_step(service, &next.step) {
-                misses += usize::from(!self.lasts(&next.step) && !self.is_advised(&next.step));
+            let Some(next) = turns.next() else { return };
+            match self.place_step(service, &next.step) {
+                Placing::Done => {}
+                Placing::NoRoom => {
+                    misses += usize::from(!self.lasts(&next.step) && !self.is_advised(&next.step));
+                }
+                // Nothing else of its workspace may begin either.
+                Placing::OverLimit => continue,
             }
+            self.give_turn(&mut turns, service, next.owner, Some(&next));
         }
     }
 
+    /// Lets the step of an owner have a turn that comes after a place.
+    fn give_turn(&self, turns: &mut Turns, service: &str, owner: Owner, after: Option<&Place>) {
+        let Some(place) = self.ready.get(service).and_then(|w| w.next_of(owner, after)) else { return };
+        let used = match self.policy.order.shares {
+            ShareOrder::Plain | ShareOrder::Excess => 0,
+            ShareOrder::Dominant => {
+                let at_work = self.workers.accounts().at_work(owner);
+                use_by_share(owner, &at_work, self.config.workspaces.weight(owner))
+            }
+        };
+        turns.push(place, used);
+    }
+
+    /// Whether so much more of an owner may begin.
+    pub(super) fn may_begin(&self, owner: Owner, room: &Room) -> bool {
+        let limit = self.config.workspaces.limit(owner);
+        limit == Room::default() || admits(&self.workers.accounts().at_work(owner), &limit, room)
+    }
+
+    /// The largest share of its limit that a workspace has at work, and how many have
+    /// something at work.
+    pub fn use_of_limits(&self) -> (f64, usize) {
+        let at_work = || self.workers.accounts().iter().filter(|(_, room)| *room != Room::default());
+        let share = |(owner, room): (Owner, Room)| used_share(&room, &self.config.workspaces.limit(owner));
+        (at_work().map(share).fold(0.0, f64::max), at_work().count())
+    }
+
+    /// What an owner may still use; `None` without a limit.
+    pub(super) fn left_of_limit(&self, owner: Owner) -> Option<Room> {
+        let limit = self.config.workspaces.limit(owner);
+        let open = |most: u64| if most == 0 { u64::MAX } else { most };
+        let most =
+            Room { cpu_millis: open(limit.cpu_millis), mem_mb: open(limit.mem_mb), gpus: open(limit.gpus) };
+        (limit != Room::default()).then(|| most.minus(&self.workers.accounts().at_work(owner)))
+    }
+
     /// Whether tasks of a step run until their job is cancelled; one that has no place
     /// may have none for hours.
     fn lasts(&self, id: &StepId) -> bool {
@@ -45,24 +93,28 @@
         ids
     }
 
-    /// Places the waiting tasks of a step; returns whether each found room or is gone.
-    /// They are alike: where one finds no room, none does.
-    fn place_step(&mut self, service: &str, id: &StepId) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return true };
+    /// Places the waiting tasks of a step. They are alike: where one finds no room, none does.
+    fn place_step(&mut self, service: &str, id: &StepId) -> Placing {
+        let Some(job) = self.jobs.get(&id.job) else { return Placing::Done };
         let spec = job.spec.clone();
-        let Some(step) = spec.steps.get(usize::from(id.step)) else { return true };
+        let Some(step) = spec.steps.get(usize::from(id.step)) else { return Placing::Done };
+        let held = spec.held(step);
+        let at_once = if step.gang { held.charged.times(step.count.into()) } else { held.charged };
         // Members of a gang start together, each on trial where it is suspected.
         let open = |s: &Scheduler, task: &TaskId| step.gang || !s.waits_for_trial(task, service);
         while let Some(task) = self.ready.get(service).and_then(|w| w.tasks_of(id).find(|t| open(self, t))) {
+            if !self.may_begin(held.owner, &at_once) {
+                return Placing::OverLimit;
+            }
             let placed = match step.gang {
                 true => self.place_gang(&task, step, service),
                 false => self.place_task(&task, step, service),
             };
             if !placed {
-                return false;
+                return Placing::NoRoom;
             }
         }
-        true
+        Placing::Done
     }
 
     fn place_task(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
@@ -204,10 +256,10 @@
         job.begun = true;
         self.dirty.insert(id.job);
         if let Some(mut w) = self.workers.get_mut(worker) {
-            let room: Room = step.reserved();
-            let fits = w.free().holds(&room);
+            let held = spec.held(step);
+            let fits = w.free().holds(&held.room);
             invariant::check(fits, || format!("start of {id} on {worker} does not fit"));
-            w.take(*id, attempt, room);
+            w.take(*id, attempt, held);
             w.mark(id, step);
             w.last_start = Some(now);
             if let Some(lasts) = trial {
@@ -230,6 +282,41 @@
     }
 }
 
+/// What came of placing a step.
+enum Placing {
+    /// Each of its tasks found room, or is gone.
+    Done,
+    /// One of them found none.
+    NoRoom,
+    /// Its workspace has as much at work as it may.
+    OverLimit,
+}
+
+/// The next step of each owner, in the order in which they are placed.
+#[derive(Default)]
+struct Turns(BinaryHeap<Reverse<Turn>>);
+
+/// A step, before it what compares owners that stand alike.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    priority: u32,
+    standing: Standing,
+    excess: bool,
+    used: u64,
+    place: Place,
+}
+
+impl Turns {
+    fn push(&mut self, place: Place, used: u64) {
+        let Place { priority, standing, excess, .. } = place;
+        self.0.push(Reverse(Turn { priority, standing, excess, used, place }));
+    }
+
+    fn next(&mut self) -> Option<Place> {
+        self.0.pop().map(|Reverse(turn)| turn.place)
+    }
+}
+
 /// How many tasks of the same step and round run on a worker.
 pub(super) fn same_step(w: &Worker, id: &TaskId) -> usize {
     let same = |t: &TaskId| t.job == id.job && t.round == id.round && t.step == id.step;
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -52,11 +52,25 @@
     pub enough_ends: u32,
     /// Weight of the newest end in the mean of a queue: about the last 30 count.
     pub newest: f64,
+    /// Whose waiting tasks go first when all is full.
+    pub shares: ShareOrder,
+}
+
+/// Whose waiting tasks go first when all is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ShareOrder {
+    /// Whoever must begin first.
+    Plain,
+    /// Likewise, but what a workspace sends beyond its share goes behind.
+    Excess,
+    /// Likewise; before that, the workspace with the least at work by its share.
+    Dominant,
 }
 
 impl Default for OrderPolicy {
     fn default() -> OrderPolicy {
-        OrderPolicy { late_until: 3.0, enough_ends: 8, newest: 1.0 / 30.0 }
+        OrderPolicy { late_until: 3.0, enough_ends: 8, newest: 1.0 / 30.0, shares: ShareOrder::Excess }
     }
 }
 
--- a/crates/workswood-core/src/jobs/sched.rs
+++ b/crates/workswood-core/src/jobs/sched.rs
@@ -18,12 +18,14 @@
 use super::policy::Policy;
 use super::pools::PoolState;
 use super::relays::Relays;
+use super::shares::Shares;
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::types::{Action, Batch, Event, Limits, Record, ShownJob, lease_span};
 use super::waiting::Waiting;
 use super::wave::WaveState;
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
 use super::workers::Workers;
+use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId, Term, UnixMs};
 use crate::invariant;
 
@@ -63,6 +65,8 @@
     pub(super) ready: Map<ServiceId, Waiting>,
     /// Those of them that wait for a trial, by since when they are suspected.
     pub(super) trials: Map<ServiceId, BTreeSet<(Duration, TaskId)>>,
+    /// What workspaces have sent lately, against their shares.
+    shares: Shares,
     /// How often workers crash by themselves.
     pub(super) crash_rate: CrashRate,
     /// How long tasks take.
@@ -92,7 +96,7 @@
     /// Jobs that are over since the last batch.
     over: Vec<JobKey>,
     /// Jobs forgotten since the last batch.
-    dropped: Vec<(JobKey, QueueId)>,
+    dropped: Vec<(JobKey, QueueId, Owner)>,
     /// Machines that get no new work, as workers know it.
     pub(super) cordoned: BTreeSet<HostId>,
     /// When runs were last looked at that make no progress.
@@ -108,7 +112,7 @@
     /// When the inbox was last read to its end.
     inbox_read: Duration,
     /// Cancels of jobs that are not known yet.
-    early_cancels: BTreeSet<JobKey>,
+    early_cancels: BTreeSet<(JobKey, Owner)>,
     /// Decisions worth a log line, drained by the process.
     pub notes: Notes,
     /// What is counted for metrics, since this term began.
@@ -145,6 +149,7 @@
             relays: Relays::default(),
             ready: Map::default(),
             trials: Map::default(),
+            shares: Shares::default(),
             crash_rate: CrashRate::default(),
             durations: Durations::default(),
             machines: Map::default(),
@@ -192,7 +197,7 @@
             (spec, Some((outcome, over))) => self.restore_over(key, outcome, over, spec.is_some()),
             (Some(spec), None) => self.restore_open(key, spec, rec),
             // It is left from a job that was being forgotten.
-            (None, None) => self.dropped.push((key, QueueId::new())),
+            (None, None) => self.dropped.push((key, QueueId::new(), Owner::PUBLIC)),
         }
     }
 
@@ -210,6 +215,7 @@
             job.outcome = Some(Outcome::Failed);
             job.ended = now;
         }
+        job.most_cpu = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.suspect_inherited(&mut job);
         let bound = self.inherited_lease_end();
         for id in job.task_ids() {
@@ -218,7 +224,7 @@
                 let since = self.since;
                 let mut w = self.workers.get_or_insert_with(&run.worker, || Worker::unknown(bound, since));
                 if let Some(step) = job.step(&id) {
-                    w.take(id, run.attempt, step.reserved());
+                    w.take(id, run.attempt, job.spec.held(step));
                     w.mark(&id, step);
                 }
             }
@@ -231,9 +237,9 @@
     }
 
     fn restore_over(&mut self, key: JobKey, outcome: Outcome, record: OverRecord, in_inbox: bool) {
-        let (queue, state) = (record.queue.clone(), Some(Shown::Ended(outcome)));
+        let (queue, owner, state) = (record.queue.clone(), record.owner, Some(Shown::Ended(outcome)));
         self.jobs.set_over(key, OverJob { outcome, record }, self.now);
-        self.shown.push(ShownJob { key, queue, state, timed: false });
+        self.shown.push(ShownJob { key, queue, owner, state, timed: false });
         if in_inbox {
             self.over.push(key);
         }
@@ -253,7 +259,7 @@
     pub fn handle(&mut self, ev: Event) {
         match ev {
             Event::Submitted(key, spec) => self.submitted(key, spec),
-            Event::Cancelled(key) => self.cancel(key),
+            Event::Cancelled(key, owner) => self.cancel(key, owner),
             Event::Config(cfg) => self.set_config(cfg),
             Event::WorkerListed(info) => self.worker_listed(info),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
@@ -274,7 +280,13 @@
 
     /// A job is new, or known already from an earlier read.
     fn submitted(&mut self, key: JobKey, spec: Arc<JobSpec>) {
-        if self.jobs.contains_key(&key) {
+        let owner = spec.owner();
+        if let Some(known) = self.jobs.owner(&key) {
+            if known != owner {
+                self.notes.push(format_args!(
+                    "event=job_not_taken job={key:016x} reason=number_of_other_workspace"
+                ));
+            }
             return;
         }
         let (stretch, target) =
@@ -283,24 +295,32 @@
             "event=job_known job={key:016x} queue={} stretch={stretch} target_ms={target}",
             spec.queue
         ));
-        self.jobs.insert(Job::new(key, spec));
+        let excess = self.shares.is_excess(owner, self.config.workspaces.weight(owner), spec.accepted);
+        let most_cpu = self.config.workspaces.limit(owner).cpu_millis;
+        self.jobs.insert(Job { excess, most_cpu, ..Job::new(key, spec) });
         self.watch_advised(key);
         self.dirty.insert(key);
         self.open_due_rounds(key);
         self.work_arrived(key);
         self.queue_job(key);
-        if self.early_cancels.remove(&key) {
-            self.cancel(key);
+        if self.early_cancels.remove(&(key, owner)) {
+            self.cancel(key, owner);
         }
     }
 
     /// The caller cancelled a job.
-    fn cancel(&mut self, key: JobKey) {
+    fn cancel(&mut self, key: JobKey, owner: Owner) {
+        let known = self.jobs.owner(&key);
+        if known.is_some_and(|known| known != owner) {
+            self.notes
+                .push(format_args!("event=cancel_not_taken job={key:016x} reason=job_of_other_workspace"));
+            return;
+        }
         if self.jobs.is_over(&key) {
             return;
         }
         let Some(job) = self.jobs.get_mut(&key) else {
-            self.early_cancels.insert(key);
+            self.early_cancels.insert((key, owner));
             return;
         };
         if job.cancelled {
@@ -492,7 +512,7 @@
     fn forget_jobs(&mut self) {
         let Some(before) = self.now.checked_sub(self.limits.keep_ended) else { return };
         for (key, over) in self.jobs.forget_over(before) {
-            self.dropped.push((key, over.record.queue));
+            self.dropped.push((key, over.record.queue, over.record.owner));
         }
     }
 
@@ -503,7 +523,7 @@
         let state = Some(job.shown());
         if std::mem::replace(&mut job.told, state) != state {
             let (queue, timed) = (job.spec.queue.clone(), job.spec.repeat.is_some());
-            batch.shown.push(ShownJob { key, queue, state, timed });
+            batch.shown.push(ShownJob { key, queue, owner: job.spec.owner(), state, timed });
         }
         let Some(outcome) = job.outcome.filter(|_| job.at_rest()) else {
             batch.records.push(Record::Job(key, job.record()));
@@ -517,6 +537,7 @@
             accepted: spec.accepted,
             work,
             room: spec.largest_room(),
+            owner: spec.owner(),
         };
         let over = Some(record.clone());
         let stored = JobRecord { cancelled, begun, outcome: Some(outcome), over, ..JobRecord::default() };
@@ -537,9 +558,9 @@
             self.record_job(key, &mut batch);
         }
         batch.over = std::mem::take(&mut self.over);
-        for (key, queue) in std::mem::take(&mut self.dropped) {
+        for (key, queue, owner) in std::mem::take(&mut self.dropped) {
             batch.records.push(Record::DropJob(key));
-            batch.shown.push(ShownJob { key, queue, state: None, timed: false });
+            batch.shown.push(ShownJob { key, queue, owner, state: None, timed: false });
         }
         for id in std::mem::take(&mut self.dirty_workers) {
             batch.records.push(match self.workers.get(&id).and_then(|w| w.info.as_ref()) {
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -7,7 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Rack, ServiceId, UnixMs};
+use super::accounts::Held;
+use super::workspace::Owner;
+use crate::ids::{Rack, ServiceId, UnixMs, WorkspaceId};
 
 /// Number of a job, chosen by its caller; shown as 16 hex digits.
 pub type JobKey = u64;
@@ -61,6 +63,15 @@
         }
     }
 
+    /// What both hold.
+    pub fn min(&self, other: &Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            mem_mb: self.mem_mb.min(other.mem_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// This room so many times.
     pub fn times(&self, count: u64) -> Room {
         let times = |n: u64| n.saturating_mul(count);
@@ -156,6 +167,9 @@
     pub queue: QueueId,
     /// The service whose workers run it.
     pub service: ServiceId,
+    /// The workspace whose it is; none if its queue is open to all.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
     /// Urgency of its queue when it was accepted; 0 is the most urgent.
     #[serde(default)]
     pub priority: u32,
@@ -173,6 +187,16 @@
 }
 
 impl JobSpec {
+    /// Whose it is.
+    pub fn owner(&self) -> Owner {
+        Owner::of(self.workspace.as_deref())
+    }
+
+    /// What a task of one of its steps takes of a worker, and of its workspace's limit.
+    pub fn held(&self, step: &StepSpec) -> Held {
+        Held { room: step.reserved(), charged: step.room, owner: self.owner() }
+    }
+
     /// Room that holds any of its tasks.
     pub fn largest_room(&self) -> Room {
         self.steps.iter().map(StepSpec::reserved).fold(Room::default(), |most, room| most.max(&room))
--- a/crates/workswood-core/src/jobs/trials.rs
+++ b/crates/workswood-core/src/jobs/trials.rs
@@ -38,6 +38,8 @@
     Started,
     /// No worker may run it now.
     Nowhere,
+    /// Its workspace has as much at work as it may.
+    Limited,
     /// It doesn't wait any more.
     Gone,
 }
@@ -81,6 +83,7 @@
                     }
                     continue;
                 }
+                Placed::Limited => continue,
                 Placed::Gone => {}
             }
             if let Some(t) = self.trials.get_mut(service) {
@@ -113,6 +116,9 @@
         let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)).filter(|_| idle) else {
             return Placed::Gone;
         };
+        if self.jobs.held_by(id).is_some_and(|h| !self.may_begin(h.owner, &h.charged)) {
+            return Placed::Limited;
+        }
         let Some(worker) = self.worker_for_trial(service, id, step) else { return Placed::Nowhere };
         self.start(id, &worker, None);
         Placed::Started
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -12,6 +12,7 @@
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::wave::{Wave, WaveRecord};
 use super::worker::{Report, WorkerInfo, WorkerRecord};
+use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId, Term};
 
 /// Bounds of the platform that the scheduler works with, and its own limits.
@@ -46,8 +47,8 @@
 pub enum Event {
     /// A caller handed a job in, and it is on record.
     Submitted(JobKey, Arc<JobSpec>),
-    /// A caller cancelled a job, and that is on record.
-    Cancelled(JobKey),
+    /// A caller cancelled a job, and that is on record; with whose key.
+    Cancelled(JobKey, Owner),
     /// What is in force changed.
     Config(Arc<SchedConfig>),
     /// The list shows a worker, new or changed.
@@ -272,6 +273,8 @@
     pub key: JobKey,
     /// Its queue.
     pub queue: QueueId,
+    /// Whose it is.
+    pub owner: Owner,
     /// Its state; `None` when it is forgotten.
     pub state: Option<Shown>,
     /// Whether its rounds have times of their own.
--- a/crates/workswood-core/src/jobs/waiting.rs
+++ b/crates/workswood-core/src/jobs/waiting.rs
@@ -9,6 +9,7 @@
 
 use super::order::{Dues, Place, Standing};
 use super::spec::{Room, StepId, TaskId};
+use super::workspace::Owner;
 use crate::ids::UnixMs;
 
 /// Waiting tasks of one step.
@@ -29,15 +30,22 @@
     room: Room,
 }
 
+/// Waiting steps of one owner.
+#[derive(Debug, Default)]
+struct OwnerQueue {
+    order: BTreeSet<Place>,
+    in_time: Sum,
+    late: Sum,
+}
+
 /// Tasks of one service that wait for a worker.
 #[derive(Debug, Default)]
 pub struct Waiting {
     order: BTreeSet<Place>,
+    by_owner: BTreeMap<Owner, OwnerQueue>,
     steps: BTreeMap<StepId, WaitingStep>,
     /// When steps stand worse.
     worse_at: BTreeSet<(UnixMs, StepId)>,
-    in_time: Sum,
-    late: Sum,
 }
 
 impl Waiting {
@@ -57,7 +65,9 @@
             return;
         }
         let (place, room, empty) = (s.place, s.room, s.tasks.is_empty());
-        self.sum_mut(place.standing).remove(1, &room);
+        if let Some(queue) = self.by_owner.get_mut(&place.owner) {
+            queue.sum_mut(place.standing).remove(1, &room);
+        }
         if empty {
             self.take(&step);
         }
@@ -75,12 +85,29 @@
 
     /// How many tasks wait.
     pub fn count(&self) -> usize {
-        self.in_time.tasks + self.late.tasks
+        self.by_owner.values().map(|q| q.in_time.tasks + q.late.tasks).sum()
     }
 
     /// Room that is waited for: by tasks whose job can be in time, and by others.
     pub fn room(&self) -> (Room, Room) {
-        (self.in_time.room, self.late.room)
+        self.room_within(|_| None)
+    }
+
+    /// Likewise, of each owner no more than what it may still use, if that is limited.
+    pub fn room_within(&self, left: impl Fn(Owner) -> Option<Room>) -> (Room, Room) {
+        let (mut in_time, mut late) = (Room::default(), Room::default());
+        for (owner, queue) in &self.by_owner {
+            let (first, second) = (queue.in_time.room, queue.late.room);
+            let Some(left) = left(*owner) else {
+                in_time.add(&first);
+                late.add(&second);
+                continue;
+            };
+            let first = first.min(&left);
+            in_time.add(&first);
+            late.add(&second.min(&left.minus(&first)));
+        }
+        (in_time, late)
     }
 
     /// Places of steps in their order.
@@ -94,6 +121,17 @@
         self.order.range((from, Bound::Unbounded)).next().copied()
     }
 
+    /// The step of an owner that comes after a place, or its first one.
+    pub fn next_of(&self, owner: Owner, place: Option<&Place>) -> Option<Place> {
+        let from = place.map_or(Bound::Unbounded, Bound::Excluded);
+        self.by_owner.get(&owner)?.order.range((from, Bound::Unbounded)).next().copied()
+    }
+
+    /// Owners of what waits.
+    pub fn owners(&self) -> impl Iterator<Item = Owner> {
+        self.by_owner.keys().copied()
+    }
+
     /// Waiting tasks of a step, the first by number first.
     pub fn tasks_of(&self, step: &StepId) -> impl Iterator<Item = TaskId> {
         let tasks = self.steps.get(step).into_iter().flat_map(|s| &s.tasks);
@@ -115,7 +153,9 @@
         }
         self.order.insert(s.place);
         self.worse_at.extend(s.worse_at().map(|at| (at, s.place.step)));
-        self.sum_mut(s.place.standing).add(s.tasks.len(), &s.room);
+        let queue = self.by_owner.entry(s.place.owner).or_default();
+        queue.order.insert(s.place);
+        queue.sum_mut(s.place.standing).add(s.tasks.len(), &s.room);
         self.steps.insert(s.place.step, s);
     }
 
@@ -125,10 +165,18 @@
         if let Some(at) = s.worse_at() {
             self.worse_at.remove(&(at, *step));
         }
-        self.sum_mut(s.place.standing).remove(s.tasks.len(), &s.room);
+        if let Some(queue) = self.by_owner.get_mut(&s.place.owner) {
+            queue.order.remove(&s.place);
+            queue.sum_mut(s.place.standing).remove(s.tasks.len(), &s.room);
+            if queue.order.is_empty() {
+                self.by_owner.remove(&s.place.owner);
+            }
+        }
         Some(s)
     }
+}
 
+impl OwnerQueue {
     fn sum_mut(&mut self, standing: Standing) -> &mut Sum {
         match standing {
             Standing::InTime => &mut self.in_time,
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -1,11 +1,13 @@
 //! What is known of one worker: its room, its lease and its health.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::accounts::{Change, Held};
 use super::crash::Lost;
 use super::job::WorkerId;
 use super::map::Map;
@@ -196,8 +198,10 @@
     pub silent_for: Duration,
     /// When everything on it must have ended if we stop extending its lease.
     pub lease_end: Duration,
-    /// Runs that may exist there, with the room that each takes.
-    pub runs: Map<(TaskId, u32), Room>,
+    /// Runs that may exist there, with what each takes.
+    pub runs: Map<(TaskId, u32), Held>,
+    /// What began or ended since the accounts of workspaces were told.
+    pub(super) changes: Vec<Change>,
     /// Tasks of these runs that last.
     pub lasting: BTreeSet<TaskId>,
     /// Tasks of these runs that fill.
@@ -254,6 +258,7 @@
             silent_for: Duration::ZERO,
             lease_end,
             runs: Map::default(),
+            changes: Vec::new(),
             lasting: BTreeSet::new(),
             fills: BTreeSet::new(),
             serves: BTreeSet::new(),
@@ -306,9 +311,12 @@
     }
 
     /// Takes room for a run.
-    pub fn take(&mut self, task: TaskId, attempt: u32, room: Room) {
-        if self.runs.insert((task, attempt), room).is_none() {
-            self.used.add(&room);
+    pub fn take(&mut self, task: TaskId, attempt: u32, held: impl Into<Held>) {
+        let held = held.into();
+        if let Entry::Vacant(entry) = self.runs.entry((task, attempt)) {
+            entry.insert(held);
+            self.used.add(&held.room);
+            self.changes.push(Change::Taken(held));
         }
     }
 
@@ -326,8 +334,9 @@
 
     /// Gives the room of a run back.
     pub fn release(&mut self, task: TaskId, attempt: u32) {
-        if let Some(room) = self.runs.remove(&(task, attempt)) {
-            self.used = self.used.minus(&room);
+        if let Some(held) = self.runs.remove(&(task, attempt)) {
+            self.used = self.used.minus(&held.room);
+            self.changes.push(Change::GivenBack(held));
         }
         if self.quarantine.is_some_and(|q| q.trial == Some((task, attempt))) {
             self.quarantine = None;
--- a/crates/workswood-core/src/jobs/workers.rs
+++ b/crates/workswood-core/src/jobs/workers.rs
@@ -9,6 +9,7 @@
 use std::ops::{Deref, DerefMut};
 use std::sync::Arc;
 
+use super::accounts::{Accounts, Change};
 use super::map::Map;
 use super::spec::Room;
 use super::worker::{Worker, WorkerInfo};
@@ -54,6 +55,7 @@
     by_data_centre: Map<DataCentre, usize>,
     silent: BTreeSet<WorkerId>,
     leaving: BTreeSet<WorkerId>,
+    accounts: Accounts,
 }
 
 /// All lives of workers that are known.
@@ -117,6 +119,9 @@
     pub fn remove(&mut self, id: &WorkerId) -> Option<Worker> {
         let mut entry = self.by_id.remove(id)?;
         self.index.forget(&mut entry);
+        let runs = std::mem::take(&mut entry.worker.runs);
+        runs.values().for_each(|held| self.index.accounts.take(Change::GivenBack(*held)));
+        entry.worker.runs = runs;
         Some(entry.worker)
     }
 
@@ -152,6 +157,11 @@
         self.index.pools.get(service).map(|p| p.used).unwrap_or_default()
     }
 
+    /// What each workspace has at work.
+    pub fn accounts(&self) -> &Accounts {
+        &self.index.accounts
+    }
+
     /// Room of the largest worker that is listed for a service.
     pub fn largest(&self, service: &str) -> Room {
         let pool = self.index.pools.get(service);
@@ -197,6 +207,7 @@
 impl Index {
     /// Takes in what changed of a worker.
     fn update(&mut self, e: &mut Entry) {
+        e.worker.changes.drain(..).for_each(|change| self.accounts.take(change));
         let w = &e.worker;
         let same_info = match (&e.kept.info, &w.info) {
             (Some(a), Some(b)) => Arc::ptr_eq(a, b),
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -14,7 +14,7 @@
     #[prost(
         oneof = "Msg",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, \
-                28"
+                28, 29, 30"
     )]
     pub msg: Option<Msg>,
 }
@@ -104,6 +104,12 @@
     /// What a relay has to tell of workers.
     #[prost(message, tag = "28")]
     RelayNews(RelayNews),
+    /// Asks for a configuration newer than one.
+    #[prost(message, tag = "29")]
+    ConfigAsk(ConfigAsk),
+    /// The newest configuration known.
+    #[prost(message, tag = "30")]
+    ConfigReply(ConfigReply),
 }
 
 /// Asks a process to call the adviser for the lease holder.
@@ -215,12 +221,33 @@
     pub record: bytes::Bytes,
 }
 
+/// Asks for a configuration newer than one: the store turns this host away, and what operators
+/// change is in force here too.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigAsk {
+    /// Version in force at the asking process; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+}
+
+/// The newest configuration that a process knows, as operators wrote it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ConfigReply {
+    /// Empty if it is not newer.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub record: bytes::Bytes,
+}
+
 /// Asks for the state of a job.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct JobAsk {
     /// The job.
     #[prost(uint64, tag = "1")]
     pub job: u64,
+    /// Number of the owner whose key the caller has; 0 for nobody. Processes of versions before
+    /// this one don't say.
+    #[prost(fixed64, optional, tag = "2")]
+    pub owner: Option<u64>,
 }
 
 /// The state of a job.
@@ -445,6 +472,7 @@
     pub fn purpose(&self) -> Purpose {
         match self {
             Msg::JobAsk(_) | Msg::JobReply(_) => "job_questions",
+            Msg::ConfigAsk(_) | Msg::ConfigReply(_) => "config_questions",
             Msg::PendingAsk(_) | Msg::PendingReply(_) => "pending_questions",
             Msg::HandIn(_) | Msg::HandInReply(_) => "hand_ins_for_peers",
             Msg::AdviceAsk(_) | Msg::AdviceReply(_) => "advice_for_peers",
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -22,8 +22,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::Room;
 use workswood_core::jobs::{
-    EndKind, Event, JobKey, JobRecord, JobSpec, Limits, QueueConfig, RelayHost, SchedConfig, Scheduler,
-    ServiceConfig, Shown, StepSpec, TaskId, WorkerInfo, WorkerRecord,
+    EndKind, Event, JobKey, JobRecord, JobSpec, Limits, Owner, QueueConfig, RelayHost, SchedConfig,
+    Scheduler, ServiceConfig, Shown, StepSpec, TaskId, WorkerInfo, WorkerRecord, Workspace, Workspaces,
 };
 
 pub use self::luck::{Fate, Luck};
@@ -47,6 +47,10 @@
 pub const SERVICE: &str = "desk";
 /// Name of the queue.
 pub const QUEUE: &str = "desk-queue";
+/// The workspace of all jobs, where there is one,
+const WORKSPACE: &str = "north";
+/// and tasks of one core that it may have at work.
+const LIMIT: usize = 3;
 /// Most failed runs of a task.
 pub const ATTEMPTS: u32 = 3;
 /// Workers that a relay of the world attends.
@@ -100,6 +104,8 @@
     crashes: Crashes,
     /// Whether the queue has advice.
     advised: bool,
+    /// Whether all jobs are of one workspace, which has a limit.
+    limited: bool,
     /// What the oracle saw.
     pub seen: Seen,
     /// Draws the fate of a message, and how a run goes.
@@ -124,6 +130,7 @@
         host: "desk.example".to_string(),
         path_prefix: "/desk/".to_string(),
         service: SERVICE.to_string(),
+        keyed: false,
         priority: 0,
         max_attempts: ATTEMPTS,
         stretch: 1.6,
@@ -135,6 +142,7 @@
         version: 1,
         queues: [(QUEUE.to_string(), queue)].into(),
         services: [(SERVICE.to_string(), service)].into(),
+        workspaces: Workspaces::default(),
         max_body_bytes: 1 << 18,
     }
 }
@@ -144,6 +152,7 @@
     JobSpec {
         queue: QUEUE.to_string(),
         service: SERVICE.to_string(),
+        workspace: None,
         priority: 0,
         max_attempts: ATTEMPTS,
         text: "text".into(),
@@ -181,6 +190,15 @@
         World::build(workers, 4, luck, false)
     }
 
+    /// Likewise without an adviser; all jobs are of one workspace, which may have a few tasks
+    /// at work.
+    pub fn limited(workers: usize, luck: Luck) -> World {
+        let mut w = World::build(workers, 0, luck, false);
+        w.limited = true;
+        w.take_over();
+        w
+    }
+
     fn build(workers: usize, relays: usize, luck: Luck, advised: bool) -> World {
         let mut w = World {
             now: Duration::from_secs(1),
@@ -204,6 +222,7 @@
             failed: HashMap::new(),
             crashes: Crashes::default(),
             advised,
+            limited: false,
             seen: Seen::default(),
             luck,
         };
@@ -245,6 +264,11 @@
         if self.advised {
             cfg.queues.values_mut().for_each(|q| q.advice = Some(ADVICE));
         }
+        if self.limited {
+            let room = Room { cpu_millis: 1000 * LIMIT as u64, ..Room::default() };
+            let workspace = Workspace { name: WORKSPACE.to_string(), weight: 1.0, limit: room };
+            cfg.workspaces.add(workspace, []);
+        }
         sched.handle(Event::Config(Arc::new(cfg)));
         for (id, rec) in &self.stored_workers {
             sched.restore_worker(id.clone(), rec.clone());
@@ -254,7 +278,7 @@
             sched.restore(*key, spec, self.stored_jobs.get(key).cloned());
         }
         for key in &self.cancelled {
-            sched.handle(Event::Cancelled(*key));
+            sched.handle(Event::Cancelled(*key, self.owner()));
         }
         for (n, w) in self.workers.iter().enumerate() {
             sched.handle(Event::WorkerListed(World::info(n, &w.id)));
@@ -323,7 +347,8 @@
     }
 
     /// Hands a job in.
-    pub fn submit(&mut self, key: JobKey, spec: JobSpec) {
+    pub fn submit(&mut self, key: JobKey, mut spec: JobSpec) {
+        spec.workspace = self.limited.then(|| WORKSPACE.to_string());
         let spec = Arc::new(spec);
         self.jobs.insert(key, spec.clone());
         self.trimmed.remove(&key);
@@ -340,11 +365,16 @@
         }
     }
 
+    /// Whose all jobs are.
+    fn owner(&self) -> Owner {
+        Owner::of(self.limited.then_some(WORKSPACE))
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, key: JobKey) {
         self.cancelled.insert(key);
-        let now = self.now;
-        self.holders.iter_mut().for_each(|h| h.hears(now, Event::Cancelled(key)));
+        let (now, owner) = (self.now, self.owner());
+        self.holders.iter_mut().for_each(|h| h.hears(now, Event::Cancelled(key, owner)));
     }
 
     /// Ends a worker's life; another one comes at the same place.
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -5,7 +5,7 @@
 use workswood_core::jobs::{EndKind, JobKey, TaskId};
 
 use super::worker::Running;
-use super::{ATTEMPTS, World};
+use super::{ATTEMPTS, LIMIT, World};
 
 /// Runs that fail, of 100.
 const FAILS: u64 = 4;
@@ -69,6 +69,10 @@
                 }
             }
         }
+        let at_work = self.workers.iter().filter(|w| w.up).map(|w| w.running.len()).sum::<usize>();
+        if self.limited && at_work > LIMIT {
+            wrong.push("QUOTA: beyond the limit of its workspace and one task");
+        }
         if self.started_beyond_crashes(&task) {
             wrong.push("BUDGET: started three times more after three workers had crashed under it");
         }
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cut;
 pub mod files;
 pub mod history;
+pub mod job_entry;
 pub mod job_node;
 pub mod job_world;
 pub mod keys;
--- a/crates/workswood-test-support/src/machine_world.rs
+++ b/crates/workswood-test-support/src/machine_world.rs
@@ -80,6 +80,19 @@
     }
 }
 
+/// How a worker lists a run that it was told to start.
+pub fn listed(start: &Action) -> Option<ReportedRun> {
+    let Action::Start { task, attempt, .. } = start else { return None };
+    Some(ReportedRun {
+        task: *task,
+        attempt: *attempt,
+        checkpoint: String::new(),
+        percent: 100,
+        figure: 0,
+        still: Duration::ZERO,
+    })
+}
+
 impl MachineWorld {
     /// A scheduler that knows this many workers, each idle in its first life.
     pub fn new(workers: usize) -> MachineWorld {
@@ -150,19 +163,15 @@
 
     /// A worker answers a look and lists what it was told to start.
     pub fn report(&mut self, n: usize, life: usize, runs: &[Action]) {
-        let listed = runs.iter().filter_map(|a| match a {
-            Action::Start { task, attempt, .. } => Some(ReportedRun {
-                task: *task,
-                attempt: *attempt,
-                checkpoint: String::new(),
-                percent: 100,
-                figure: 0,
-                still: Duration::ZERO,
-            }),
-            _ => None,
-        });
-        let listing = Listing { running: listed.collect(), ended: Vec::new() };
-        self.answers(&worker(n, life).id, listing);
+        let running = runs.iter().filter_map(listed).collect();
+        self.answers(&worker(n, life).id, Listing { running, ended: Vec::new() });
+    }
+
+    /// What a worker lists of all that was started anywhere, but for tasks that have ended.
+    pub fn listing(&self, id: &WorkerId, started: &[Action], ended: &[TaskId]) -> Listing {
+        let here = started.iter().filter(|a| matches!(a, Action::Start { worker, .. } if worker == id));
+        let running = here.filter_map(listed).filter(|r| !ended.contains(&r.task)).collect();
+        Listing { running, ended: Vec::new() }
     }
 
     /// Ticks once; returns what the scheduler told to do.
--- a/src/workswood/ops/bench/pools.rs
+++ b/src/workswood/ops/bench/pools.rs
@@ -98,6 +98,7 @@
             let spec = JobSpec {
                 queue: QUEUE.to_string(),
                 service: WORKING[0].to_string(),
+                workspace: None,
                 priority: 0,
                 max_attempts: 3,
                 text: "".into(),
@@ -159,6 +160,7 @@
         host: String::new(),
         path_prefix: String::new(),
         service: WORKING[0].to_string(),
+        keyed: false,
         priority: 0,
         max_attempts: 3,
         stretch: 4.0,
--- a/src/workswood/ops/entry/gossip.rs
+++ b/src/workswood/ops/entry/gossip.rs
@@ -161,7 +161,7 @@
         Msg::HandIn(_) | Msg::HandInReply(_) | Msg::Release(_) => {}
         // Answered where the connection is served.
         Msg::Ping(_) | Msg::Pong(_) => {}
-        Msg::AdviceAsk(_) | Msg::AdviceReply(_) => {}
+        Msg::AdviceAsk(_) | Msg::AdviceReply(_) | Msg::ConfigAsk(_) | Msg::ConfigReply(_) => {}
         Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) | Msg::RelayNews(_) => {}
     }
     None
--- a/src/workswood/ops/job_status/sum.rs
+++ b/src/workswood/ops/job_status/sum.rs
@@ -1,16 +1,17 @@
 //! Makes the status of what was read.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use workswood_core::ids::{HostId, Term, UnixMs};
-use workswood_core::jobs::spec::parse_job;
+use workswood_core::ids::{HostId, Term, UnixMs, WorkspaceId};
+use workswood_core::jobs::spec::{Room, parse_job};
 use workswood_core::jobs::{
     JobKey, JobRecord, JobSpec, Machine, MachineState, Outcome, SchedConfig, Wave, WaveRecord,
 };
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorItem};
 
 use super::Seen;
+use crate::ops::jobs::record::{InboxItem, InboxKey, inbox_key};
 use crate::ops::jobs::{job_spec, job_state};
 
 /// Start of the key under which the scheduler keeps the progress of a wave.
@@ -27,6 +28,8 @@
     pub holder: Option<HolderStatus>,
     /// Jobs by queue.
     pub queues: Vec<QueueStatus>,
+    /// Workspaces in force.
+    pub workspaces: Vec<WorkspaceStatus>,
     /// Machines and workers by pool.
     pub pools: Vec<PoolStatus>,
     /// Why machines are not known, if they are not.
@@ -83,6 +86,23 @@
     pub longest_wait_ms: u64,
 }
 
+/// A workspace that is in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct WorkspaceStatus {
+    /// Its name.
+    pub workspace: WorkspaceId,
+    /// Jobs a second that it may count on.
+    pub weight: f64,
+    /// Its jobs that are not over.
+    pub open: usize,
+    /// Tasks of them that run somewhere.
+    pub tasks_running: usize,
+    /// What those take.
+    pub at_work: Room,
+    /// What they may take; what is 0 has no limit.
+    pub limit: Room,
+}
+
 /// Machines and workers of a pool.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct PoolStatus {
@@ -179,7 +199,9 @@
             progress.extend(reader.read(rec).map(|w| (n, w)));
         }
     }
-    let queues = queues(&mut reader, &cfg, seen, &jobs);
+    let handed_in = handed_in(&mut reader, seen);
+    let queues = queues(&cfg, seen.at, &handed_in, &jobs);
+    let workspaces = workspaces(&cfg, &handed_in, &jobs);
     let pools = pools(&mut reader, platform, &cfg, seen);
     let wave = |w: Wave| {
         let told = seen.published.contains(&platform.wave_status(w.number, true));
@@ -190,6 +212,7 @@
         config_version: cfg.version,
         holder: holder.map(|h| HolderStatus { renewing: seen.renewed && !h.released, ..h }),
         queues,
+        workspaces,
         pools,
         machines_error: seen.machines.as_ref().err().cloned(),
         waves: waves.into_iter().map(wave).collect(),
@@ -197,10 +220,54 @@
     }
 }
 
+/// Jobs as they were handed in; of several under one number, that which came first.
+fn handed_in(reader: &mut Reader, seen: &Seen) -> BTreeMap<JobKey, JobSpec> {
+    let mut all: BTreeMap<JobKey, JobSpec> = BTreeMap::new();
+    for rec in &seen.inbox {
+        let Some(InboxKey { job, what: InboxItem::Job, .. }) = inbox_key(&rec.key) else { continue };
+        let Some(spec) = reader.spec(rec) else { continue };
+        if all.get(&job).is_none_or(|first| spec.accepted < first.accepted) {
+            all.insert(job, spec);
+        }
+    }
+    all
+}
+
+fn workspaces(
+    cfg: &SchedConfig,
+    handed_in: &BTreeMap<JobKey, JobSpec>,
+    jobs: &BTreeMap<JobKey, JobRecord>,
+) -> Vec<WorkspaceStatus> {
+    let declared = cfg.workspaces.by_owner.values().map(|w| WorkspaceStatus {
+        workspace: w.name.clone(),
+        weight: w.weight,
+        limit: w.limit,
+        ..WorkspaceStatus::default()
+    });
+    let mut all: BTreeMap<WorkspaceId, WorkspaceStatus> =
+        declared.map(|w| (w.workspace.clone(), w)).collect();
+    for (key, spec) in handed_in {
+        let Some(w) = spec.workspace.as_ref().and_then(|name| all.get_mut(name)) else { continue };
+        w.count(spec, jobs.get(key));
+    }
+    all.into_values().collect()
+}
+
+impl WorkspaceStatus {
+    fn count(&mut self, spec: &JobSpec, rec: Option<&JobRecord>) {
+        self.open += usize::from(rec.is_none_or(|r| r.outcome.is_none()));
+        for (step, tasks) in rec.into_iter().flat_map(|r| &r.rounds).flat_map(|r| spec.steps.iter().zip(r)) {
+            let running = tasks.iter().filter(|t| !t.done && !t.runs.is_empty()).count();
+            self.tasks_running += running;
+            self.at_work.add(&step.room.times(running as u64));
+        }
+    }
+}
+
 fn queues(
-    reader: &mut Reader,
     cfg: &SchedConfig,
-    seen: &Seen,
+    now: UnixMs,
+    handed_in: &BTreeMap<JobKey, JobSpec>,
     jobs: &BTreeMap<JobKey, JobRecord>,
 ) -> Vec<QueueStatus> {
     let empty = |queue: &String, service: &String| QueueStatus {
@@ -210,18 +277,12 @@
     };
     let mut all: BTreeMap<String, QueueStatus> =
         cfg.queues.values().map(|q| (q.name.clone(), empty(&q.name, &q.service))).collect();
-    // A caller that asked again at another host may have a job in two parts.
-    let mut counted = BTreeSet::new();
-    for rec in &seen.inbox {
-        let Some(key) = parse_job(&rec.key) else { continue };
-        let Some(spec) = reader.spec(rec) else { continue };
-        if counted.insert(key) {
-            let q = all.entry(spec.queue.clone()).or_insert_with(|| empty(&spec.queue, &spec.service));
-            q.count(&spec, jobs.get(&key), seen.at);
-        }
+    for (key, spec) in handed_in {
+        let q = all.entry(spec.queue.clone()).or_insert_with(|| empty(&spec.queue, &spec.service));
+        q.count(spec, jobs.get(key), now);
     }
     // Of jobs that are over, only their state is stored.
-    let over = jobs.iter().filter(|(key, _)| !counted.contains(*key));
+    let over = jobs.iter().filter(|(key, _)| !handed_in.contains_key(*key));
     for (rec, over) in over.filter_map(|(_, rec)| Some((rec, rec.over.as_ref()?))) {
         let q = all.entry(over.queue.clone()).or_insert_with(|| empty(&over.queue, &over.service));
         q.count_end(rec.outcome);
--- a/src/workswood/ops/job_status/text.rs
+++ b/src/workswood/ops/job_status/text.rs
@@ -1,6 +1,6 @@
 //! The status for terminals.
 
-use super::sum::{HolderStatus, JobsStatus, PoolStatus, QueueStatus, WaveStatus};
+use super::sum::{HolderStatus, JobsStatus, PoolStatus, QueueStatus, WaveStatus, WorkspaceStatus};
 use crate::util::table::columns;
 
 /// Names of machines that are shown of each wave.
@@ -32,6 +32,11 @@
     ])];
     queues.extend(s.queues.iter().map(queue));
     out += &format!("\n{}", columns(&queues));
+    if !s.workspaces.is_empty() {
+        let mut rows = vec![head(&["workspace", "jobs/s", "open", "tasks", "cores", "of", "MB", "of"])];
+        rows.extend(s.workspaces.iter().map(workspace));
+        out += &format!("\n{}", columns(&rows));
+    }
     let mut pools = vec![head(&["pool", "up", "moving", "upkeep", "down", "workers", "leaving"])];
     pools.extend(s.pools.iter().map(|p| pool(p, s.machines_error.is_none())));
     out += &format!("\n{}", columns(&pools));
@@ -64,6 +69,22 @@
     row
 }
 
+fn workspace(w: &WorkspaceStatus) -> Vec<String> {
+    let cores = |millis: u64| format!("{:.1}", millis as f64 / 1000.0);
+    let limit = |text: String, most: u64| if most == 0 { "-".to_string() } else { text };
+    let (cpu, mem) = (w.limit.cpu_millis, w.limit.mem_mb);
+    vec![
+        w.workspace.clone(),
+        format!("{:.1}", w.weight),
+        w.open.to_string(),
+        w.tasks_running.to_string(),
+        cores(w.at_work.cpu_millis),
+        limit(cores(cpu), cpu),
+        w.at_work.mem_mb.to_string(),
+        limit(mem.to_string(), mem),
+    ]
+}
+
 fn pool(p: &PoolStatus, known: bool) -> Vec<String> {
     let mut row = vec![if p.spare { format!("{} (off)", p.pool) } else { p.pool.clone() }];
     let machines = [p.up, p.moving, p.upkeep, p.down];
--- a/src/workswood/ops/jobs/ask.rs
+++ b/src/workswood/ops/jobs/ask.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use workswood_core::jobs::{JobKey, Outcome, Shown};
+use workswood_core::jobs::{JobKey, Outcome, Owner, Shown};
 use workswood_peers::{JobAsk, JobReply, JobState, Msg, PendingAsk, PendingReply};
 
 use super::node::{Leading, Node};
@@ -42,8 +42,8 @@
     read > 0 && node.now_ms() < read + INBOX_AGE.as_millis() as u64
 }
 
-fn own_job(node: &Node, l: &Leading, job: JobKey) -> Told<Shown> {
-    match l.shown.read().state(job) {
+fn own_job(node: &Node, l: &Leading, job: JobKey, asks: Option<Owner>) -> Told<Shown> {
+    match l.shown.read().state(job, asks) {
         Some(state) => Told::Known(state),
         None if current(node, l) => Told::Unknown,
         None => Told::Unreachable,
@@ -57,12 +57,13 @@
     Told::Known(l.shown.read().queued(queue))
 }
 
-/// Asks for the state of a job.
-pub async fn job(node: &Arc<Node>, job: JobKey) -> Told<Shown> {
+/// Asks for the state of a job; to another owner than its own it is not known.
+pub async fn job(node: &Arc<Node>, job: JobKey, owner: Owner) -> Told<Shown> {
     if let Some(l) = node.leading.load_full() {
-        return own_job(node, &l, job);
+        return own_job(node, &l, job, Some(owner));
     }
-    match call(node, Msg::JobAsk(JobAsk { job }), || format!("job job={job:016x}")).await {
+    let ask = JobAsk { job, owner: Some(owner.number()) };
+    match call(node, Msg::JobAsk(ask), || format!("job job={job:016x}")).await {
         Some(Msg::JobReply(r)) if r.current => match r.state {
             Some(s) => JobState::try_from(s).map_or(Told::Unreachable, |s| Told::Known(shown(s))),
             None => Told::Unknown,
@@ -107,7 +108,8 @@
 /// Answers a process that asks for the state of a job.
 pub fn answer_job(node: &Node, ask: &JobAsk) -> JobReply {
     let l = node.leading.load_full();
-    let (current, state) = match l.map_or(Told::Unreachable, |l| own_job(node, &l, ask.job)) {
+    let asks = ask.owner.map(Owner::from_number);
+    let (current, state) = match l.map_or(Told::Unreachable, |l| own_job(node, &l, ask.job, asks)) {
         Told::Known(s) => (true, Some(state(s) as i32)),
         Told::Unknown => (true, None),
         Told::Unreachable => (false, None),
--- a/src/workswood/ops/jobs/follow.rs
+++ b/src/workswood/ops/jobs/follow.rs
@@ -7,12 +7,21 @@
 use workswood_core::jobs::Event;
 use workswood_platform::jobs::{KeyedRecord, OperatorItem, StoreError, Topic};
 
+use super::help;
 use super::node::Node;
 
 /// How long one read waits for a record. A connection that has gone silent is
 /// noticed 150 ms after this at the latest, well inside the 2 s in which a change has
 /// to be in force.
 const READ_WAIT: Duration = Duration::from_millis(1000);
+/// A read that has not been answered for this long is late: it waits for news for a second,
+/// and answers come some ten milliseconds after that.
+const READ_LATE: Duration = Duration::from_millis(1200);
+/// Time between two questions to other processes meanwhile: several within the 2 s in which a change
+/// has to be in force, since those that are asked may be turned away as well.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Key under which operators write the configuration.
+const CONFIG: &str = "config";
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -64,12 +73,30 @@
 pub async fn run(node: Arc<Node>) {
     let n = node.clone();
     topic(node, Topic::Operators, move |heard| {
+        n.operators_are_read();
         let (Heard::Reset(records) | Heard::Changes(records)) = heard;
         records.iter().for_each(|r| take_item(&n, r));
     })
     .await;
 }
 
+/// Asks other processes for what operators changed while the store turns this one away, for
+/// ever. A key that was taken away, or a limit that was lowered, is in force here too
+/// within the time that the platform allows (2 s at least), as long as any host that is asked
+/// reaches the store.
+pub async fn ask_peers(node: Arc<Node>) {
+    loop {
+        tokio::time::sleep(ASK_EVERY).await;
+        if node.operators_silence() < READ_LATE {
+            continue;
+        }
+        let known = node.config.load().as_ref().map_or(0, |c| c.version);
+        for value in help::newer_configs(&node, known).await {
+            take_item(&node, &KeyedRecord { key: CONFIG.to_string(), value: Some(value) });
+        }
+    }
+}
+
 fn take_item(node: &Node, rec: &KeyedRecord) {
     match node.platform.operator_item(rec) {
         Ok(Some(OperatorItem::Config(cfg))) => {
@@ -80,7 +107,7 @@
             }
             log::info!("event=config_in_force version={} queues={}", cfg.version, cfg.queues.len());
             let cfg = Arc::new(cfg);
-            node.configure(cfg.clone());
+            node.configure(cfg.clone(), rec.value.clone().unwrap_or_default());
             node.tell_scheduler(Event::Config(cfg));
         }
         Ok(Some(OperatorItem::Wave(wave))) => {
--- a/src/workswood/ops/jobs/front.rs
+++ b/src/workswood/ops/jobs/front.rs
@@ -8,16 +8,16 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use workswood_adapter::callers as wire;
-use workswood_callers::{Handler, ReplyBody, read_body, refusal, whole};
+use workswood_callers::{Handler, ReplyBody, bearer, read_body, refusal, whole};
 use workswood_core::code::{Code, Ran};
+use workswood_core::ids::WorkspaceId;
 use workswood_core::jobs::spec::parse_job;
-use workswood_core::jobs::{JobKey, JobSpec, QueueConfig, SchedConfig};
-use workswood_platform::jobs::KeyedRecord;
+use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig};
 
 use super::ask::{self, Told};
 use super::inbox::Stored;
 use super::node::Node;
-use super::record::{cancel_key, job_record};
+use super::record::{cancel_record, job_record};
 
 /// When to come back after a refusal: a store or lease holder that is away is
 /// mostly back or replaced within a few seconds.
@@ -48,6 +48,21 @@
         log::info!("event=no_route host={host} path={path} version={}", cfg.version);
         return refusal(Code::UnknownRoute, Ran::NotRun, None);
     };
+    let workspace = match caller(&cfg, queue, &req) {
+        Ok(workspace) => workspace,
+        Err(why) => {
+            node.metrics.keys_refused.with_label_values(&[why.label()]).inc();
+            log::info!(
+                "event=key_refused code={} reason={} queue={} version={}",
+                Code::ApiKey.number(),
+                why.label(),
+                queue.name,
+                cfg.version
+            );
+            return refusal(Code::ApiKey, Ran::NotRun, None);
+        }
+    };
+    let owner = Owner::of(workspace.as_deref());
     let rest = path[queue.path_prefix.len()..].trim_matches('/');
     if rest.is_empty() {
         return pending(node, &req, queue).await;
@@ -56,13 +71,45 @@
         return refusal(Code::JobMalformed, Ran::NotRun, None);
     };
     match *req.method() {
-        Method::POST => submit(node, &cfg, queue, job, req).await,
-        Method::GET => state(node, job).await,
-        Method::DELETE => cancel(node, job, &req).await,
+        Method::POST => submit(node, &cfg, queue, job, workspace, req).await,
+        Method::GET => state(node, job, owner).await,
+        Method::DELETE => cancel(node, job, owner, &req).await,
         _ => refusal(Code::MethodUnknown, Ran::NotRun, None),
     }
 }
 
+/// Why a call to a queue of workspaces is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeyRefusal {
+    /// It carries no key.
+    Missing,
+    /// No workspace in force has that key.
+    Unknown,
+}
+
+impl KeyRefusal {
+    /// Its name in the log and in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            KeyRefusal::Missing => "missing",
+            KeyRefusal::Unknown => "unknown",
+        }
+    }
+}
+
+/// The workspace whose key a call carries; none on a queue that is open to all.
+fn caller(
+    cfg: &SchedConfig,
+    queue: &QueueConfig,
+    req: &Request<Incoming>,
+) -> Result<Option<WorkspaceId>, KeyRefusal> {
+    if !queue.keyed {
+        return Ok(None);
+    }
+    let key = bearer(req.headers()).ok_or(KeyRefusal::Missing)?;
+    cfg.workspaces.keys.owner(key).cloned().map(Some).ok_or(KeyRefusal::Unknown)
+}
+
 fn host_of(req: &Request<Incoming>) -> String {
     let header = req.headers().get(hyper::header::HOST).and_then(|h| h.to_str().ok());
     let host = header.or_else(|| req.uri().host()).unwrap_or_default();
@@ -84,8 +131,8 @@
     }
 }
 
-async fn state(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
-    let told = ask::job(node, job).await;
+async fn state(node: &Arc<Node>, job: JobKey, owner: Owner) -> Response<ReplyBody> {
+    let told = ask::job(node, job, owner).await;
     node.metrics.asked.with_label_values(&[told.label()]).inc();
     match told {
         Told::Known(s) => json(wire::state_body(s)),
@@ -94,12 +141,11 @@
     }
 }
 
-async fn cancel(node: &Arc<Node>, job: JobKey, req: &Request<Incoming>) -> Response<ReplyBody> {
+async fn cancel(node: &Arc<Node>, job: JobKey, owner: Owner, req: &Request<Incoming>) -> Response<ReplyBody> {
     // A job that was accepted a moment ago may not be known yet: the cancel is
     // kept in any case.
-    let unknown = ask::job(node, job).await == Told::Unknown;
-    let rec = KeyedRecord { key: cancel_key(job), value: Some(Bytes::from_static(b"1")) };
-    let stored = node.inbox.store(rec, within(req)).await;
+    let unknown = ask::job(node, job, owner).await == Told::Unknown;
+    let stored = node.inbox.store(cancel_record(job, owner), within(req)).await;
     if stored == Stored::Yes {
         log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
         if unknown {
@@ -114,6 +160,7 @@
     cfg: &SchedConfig,
     queue: &QueueConfig,
     job: JobKey,
+    workspace: Option<WorkspaceId>,
     req: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let within = within(&req);
@@ -124,7 +171,7 @@
             return refusal(e.code(), Ran::NotRun, None);
         }
     };
-    let spec = match read_spec(node, queue, &body) {
+    let spec = match read_spec(node, queue, workspace, &body) {
         Ok(spec) => spec,
         Err(e) => {
             log::info!("event=job_refused job={job:016x} reason=malformed error=\"{e}\"");
@@ -134,8 +181,10 @@
     let begun = node.now();
     let stored = node.inbox.store(job_record(job, &spec), within).await;
     log::info!(
-        "event=job_handed_in job={job:016x} queue={} version={} stored={stored:?} took_ms={} store_silence_ms={}",
+        "event=job_handed_in job={job:016x} queue={} workspace={} version={} stored={stored:?} took_ms={} \
+         store_silence_ms={}",
         queue.name,
+        spec.workspace.as_deref().unwrap_or("-"),
         cfg.version,
         (node.now() - begun).as_millis(),
         node.store_silence().as_millis()
@@ -145,11 +194,17 @@
     stored.answer()
 }
 
-fn read_spec(node: &Node, queue: &QueueConfig, body: &[u8]) -> Result<JobSpec, String> {
+fn read_spec(
+    node: &Node,
+    queue: &QueueConfig,
+    workspace: Option<WorkspaceId>,
+    body: &[u8],
+) -> Result<JobSpec, String> {
     let handed = wire::read_job(body)?;
     let spec = JobSpec {
         queue: queue.name.clone(),
         service: queue.service.clone(),
+        workspace,
         priority: queue.priority,
         max_attempts: queue.max_attempts,
         text: handed.text.into(),
--- a/src/workswood/ops/jobs/help.rs
+++ b/src/workswood/ops/jobs/help.rs
@@ -7,9 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::FutureExt;
 use futures::future::join_all;
-use workswood_peers::{CallError, HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release};
+use workswood_peers::{
+    CallError, ConfigAsk, ConfigReply, HandIn, HandInOutcome, HandInReply, Handler, InboxRecord, Msg, Release,
+};
 use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
 
 use super::inbox::Stored;
@@ -38,6 +41,7 @@
         Msg::HandIn(asked) => Some(Msg::HandInReply(store_for(node, asked).await)),
         Msg::AdviceAsk(asked) => Some(Msg::AdviceReply(advice::ask_for(node, asked).await)),
         Msg::Release(asked) => release_for(node, asked).await,
+        Msg::ConfigAsk(asked) => Some(Msg::ConfigReply(newer_config(node, &asked))),
         _ => None,
     }
 }
@@ -139,6 +143,30 @@
     }
 }
 
+/// What operators wrote last, if it is newer than what the asking process has.
+fn newer_config(node: &Node, asked: &ConfigAsk) -> ConfigReply {
+    let known = node.config.load().as_ref().map_or(0, |c| c.version);
+    let newer = node.config_text.load_full().filter(|_| known > asked.version);
+    ConfigReply { record: newer.map(|text| Bytes::clone(&text)).unwrap_or_default() }
+}
+
+/// Asks some other processes for a configuration newer than a version.
+pub async fn newer_configs(node: &Node, version: u64) -> Vec<Bytes> {
+    let ask = |address: String| async move {
+        let msg = Msg::ConfigAsk(ConfigAsk { version });
+        match node.peers.call(&node.id, &address, msg, HELP_TIMEOUT).await {
+            Ok(Msg::ConfigReply(reply)) if !reply.record.is_empty() => Some(reply.record),
+            Ok(_) | Err(_) => None,
+        }
+    };
+    let found: Vec<Bytes> =
+        join_all(helpers(node).into_iter().map(ask)).await.into_iter().flatten().collect();
+    if !found.is_empty() {
+        log::info!("event=config_from_peer version_before={version} answers={}", found.len());
+    }
+    found
+}
+
 /// Has another process give this process's lease back; returns whether it is.
 pub async fn release(node: &Node, term: u64) -> bool {
     let record = LeaseRecord::of(node, term, true).keyed().value.unwrap_or_default();
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -17,7 +17,7 @@
 //! refused only if no append with the record can have been done; otherwise that
 //! it is not known.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
@@ -26,13 +26,14 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
+use workswood_core::jobs::{JobKey, Owner};
 use workswood_liveness::Patience;
 use workswood_platform::jobs::{Guard, KeyedRecord, Part, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::help;
 use super::node::Node;
-use super::record::InboxKey;
+use super::record::{InboxItem, InboxKey};
 
 /// Appends on their way at a time. The store takes appends in turn, so there is
 /// one, and two more only while it hangs.
@@ -154,7 +155,7 @@
 /// Which parts of the inbox hold which keys; what has to be dropped there once a
 /// job is forgotten.
 #[derive(Debug, Default)]
-pub struct Kept(HashMap<InboxKey, u64>);
+pub struct Kept(BTreeMap<InboxKey, u64>);
 
 impl Kept {
     /// Notes that a part holds a key.
@@ -167,6 +168,13 @@
         self.0.get(&key).is_some_and(|parts| parts & (1 << part) != 0)
     }
 
+    /// Keys of a job that a part holds, whoever wrote them.
+    pub fn keys_of(&self, part: Part, job: JobKey) -> Vec<InboxKey> {
+        let first = InboxKey { job, owner: Owner::PUBLIC, what: InboxItem::Job };
+        let of_job = self.0.range(first..).take_while(|(key, _)| key.job == job);
+        of_job.filter(|(_, parts)| **parts & (1 << part) != 0).map(|(key, _)| *key).collect()
+    }
+
     /// Notes that a part holds a key no longer.
     pub fn dropped(&mut self, part: Part, key: InboxKey) {
         let Some(parts) = self.0.get_mut(&key) else { return };
--- a/src/workswood/ops/jobs/job_spec.rs
+++ b/src/workswood/ops/jobs/job_spec.rs
@@ -32,6 +32,9 @@
     /// In milliseconds since 1970.
     #[prost(uint64, tag = "8")]
     accepted: u64,
+    /// None where the queue is open to all, and in records of versions before this one.
+    #[prost(string, optional, tag = "9")]
+    workspace: Option<String>,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -95,6 +98,7 @@
         steps: spec.steps.iter().map(write_step).collect(),
         repeat: spec.repeat.map(|r| Rounds { count: r.count, start: r.start, every_ms: millis(r.every) }),
         accepted: spec.accepted,
+        workspace: spec.workspace.clone(),
     };
     handed.encode_to_vec()
 }
@@ -145,6 +149,7 @@
         steps: handed.steps.into_iter().map(read_step).collect::<Result<_, _>>()?,
         repeat: handed.repeat.map(|r| Repeat { count: r.count, start: r.start, every: every(r) }),
         accepted: handed.accepted,
+        workspace: handed.workspace,
     })
 }
 
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -12,7 +12,7 @@
 use workswood_core::jobs::crash::{Crash, Evidence};
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Room;
-use workswood_core::jobs::{JobRecord, Outcome, OverRecord};
+use workswood_core::jobs::{JobRecord, Outcome, OverRecord, Owner};
 
 /// First byte of a record that a version before this one wrote.
 const JSON: u8 = b'{';
@@ -54,6 +54,9 @@
     mem_mb: u64,
     #[prost(uint64, tag = "7")]
     gpus: u64,
+    /// Number of its owner; 0 for nobody.
+    #[prost(fixed64, tag = "8")]
+    owner: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
@@ -148,6 +151,7 @@
             cpu_millis: o.room.cpu_millis,
             mem_mb: o.room.mem_mb,
             gpus: o.room.gpus,
+            owner: o.owner.number(),
         }),
     };
     state.encode_to_vec()
@@ -209,6 +213,7 @@
             accepted: o.accepted,
             work: o.work,
             room: Room { cpu_millis: o.cpu_millis, mem_mb: o.mem_mb, gpus: o.gpus },
+            owner: Owner::from_number(o.owner),
         }),
     })
 }
--- a/src/workswood/ops/jobs/lead.rs
+++ b/src/workswood/ops/jobs/lead.rs
@@ -20,7 +20,7 @@
 use super::load::{Loaded, load};
 use super::machine_orders::{self, MachineOrder};
 use super::node::{Leading, Node};
-use super::record::{inbox_drops, state_record};
+use super::record::{inbox_drop, state_record};
 use super::renew;
 use super::sessions::Sessions;
 use super::trim;
@@ -203,6 +203,9 @@
         m.lives_lost.set(tally.lives_lost as i64);
         m.runs_lost.set(tally.runs_lost as i64);
         m.given_up.set(tally.given_up as i64);
+        let (fullest, at_work) = self.sched.use_of_limits();
+        m.fullest_workspace.set((fullest * 100.0) as i64);
+        m.workspaces_at_work.set(at_work as i64);
         if self.sched.wants_machines() && self.node.now() > self.machines_read + MACHINES_EVERY {
             self.machines_read = self.node.now();
             tasks.spawn(read_machines(self.node.clone(), self.l.clone()));
@@ -306,7 +309,7 @@
 /// Writes a batch until it is stored; `None` if another term has begun.
 async fn write(node: Arc<Node>, l: Arc<Leading>, number: u64, batch: Batch) -> Option<Batch> {
     let term = l.term;
-    trim::drop_from_inbox(&node, &l, batch.records.iter().flat_map(inbox_drops).collect()).await;
+    trim::drop_from_inbox(&node, &l, batch.records.iter().filter_map(inbox_drop).collect()).await;
     let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
     let _timer = node.metrics.batch_seconds.start_timer();
     loop {
--- a/src/workswood/ops/jobs/load.rs
+++ b/src/workswood/ops/jobs/load.rs
@@ -13,7 +13,7 @@
 use super::inbox::{self, Kept};
 use super::limits::limits;
 use super::node::Node;
-use super::record::{InboxKey, StateKey, inbox_key, state_key};
+use super::record::{InboxItem, InboxKey, StateKey, inbox_key, state_key};
 use super::{job_spec, job_state};
 
 /// A scheduler with its predecessors' state.
@@ -127,8 +127,8 @@
     for rec in inbox {
         match inbox_event(&rec) {
             Some(Event::Submitted(key, spec)) => keep_earliest(&mut jobs, key, spec),
-            Some(Event::Cancelled(key)) => {
-                cancels.insert(key);
+            Some(Event::Cancelled(key, owner)) => {
+                cancels.insert((key, owner));
             }
             _ => {}
         }
@@ -137,8 +137,8 @@
         sched.restore(key, Some(spec), records.remove(&key));
     }
     records.into_iter().for_each(|(key, rec)| sched.restore(key, None, Some(rec)));
-    for key in cancels {
-        sched.handle(Event::Cancelled(key));
+    for (key, owner) in cancels {
+        sched.handle(Event::Cancelled(key, owner));
     }
 }
 
@@ -166,14 +166,14 @@
 pub fn inbox_event(rec: &KeyedRecord) -> Option<Event> {
     let value = rec.value.as_deref()?;
     match inbox_key(&rec.key) {
-        Some(InboxKey::Job(key)) => {
+        Some(InboxKey { job, what: InboxItem::Job, .. }) => {
             let spec = job_spec::decode(value);
             let logged = spec.inspect_err(|e| {
                 log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key);
             });
-            Some(Event::Submitted(key, Arc::new(logged.ok()?)))
+            Some(Event::Submitted(job, Arc::new(logged.ok()?)))
         }
-        Some(InboxKey::Cancel(key)) => Some(Event::Cancelled(key)),
+        Some(InboxKey { job, owner, what: InboxItem::Cancel }) => Some(Event::Cancelled(job, owner)),
         None => {
             log::error!("event=record_not_read code=203 key={}", rec.key);
             None
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -111,6 +111,7 @@
     ));
     tokio::spawn(inbox::run(node.clone()));
     tokio::spawn(follow::run(node.clone()));
+    tokio::spawn(follow::ask_peers(node.clone()));
     tokio::spawn(lease::run(node.clone()));
     tokio::spawn(peers::run(node.clone()));
     tokio::spawn(usage::run(node.clone()));
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{mpsc, watch};
 use workswood_core::ids::{Incarnation, Term, UnixMs};
@@ -90,6 +91,9 @@
     pub id: Incarnation,
     /// What is in force.
     pub config: ArcSwapOption<SchedConfig>,
+    /// The same as operators wrote it, for hosts that the store turns away. It holds keys:
+    /// it is neither logged nor stored.
+    pub config_text: ArcSwapOption<Bytes>,
     /// Maintenance waves that operators asked for.
     pub waves: Mutex<BTreeMap<u64, Wave>>,
     /// Who holds the lease.
@@ -116,6 +120,7 @@
     configured: watch::Sender<bool>,
     clock: Clock,
     store_answered: AtomicU64,
+    operators_read: AtomicU64,
 }
 
 impl Node {
@@ -138,6 +143,7 @@
             platform,
             id: uuid::Uuid::new_v4().simple().to_string(),
             config: ArcSwapOption::empty(),
+            config_text: ArcSwapOption::empty(),
             waves: Mutex::default(),
             holder: ArcSwapOption::empty(),
             leading: ArcSwapOption::empty(),
@@ -152,6 +158,7 @@
             configured: watch::Sender::new(false),
             clock,
             store_answered: AtomicU64::new(0),
+            operators_read: AtomicU64::new(0),
         }
     }
 
@@ -176,8 +183,10 @@
     }
 
     /// Puts a configuration in force.
-    pub fn configure(&self, cfg: Arc<SchedConfig>) {
+    /// `text` is what operators wrote.
+    pub fn configure(&self, cfg: Arc<SchedConfig>, text: Bytes) {
         self.config.store(Some(cfg));
+        self.config_text.store(Some(Arc::new(text)));
         self.configured.send_replace(true);
     }
 
@@ -193,6 +202,16 @@
         self.store_answered.store(self.now_ms(), Ordering::Relaxed);
     }
 
+    /// Notes that all that operators wrote until now was read.
+    pub fn operators_are_read(&self) {
+        self.operators_read.store(self.now_ms(), Ordering::Relaxed);
+    }
+
+    /// How long ago that was.
+    pub fn operators_silence(&self) -> Duration {
+        Duration::from_millis(self.now_ms().saturating_sub(self.operators_read.load(Ordering::Relaxed)))
+    }
+
     /// How long ago the store last answered.
     pub fn store_silence(&self) -> Duration {
         Duration::from_millis(self.now_ms().saturating_sub(self.store_answered.load(Ordering::Relaxed)))
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -1,22 +1,28 @@
 //! The stored form of what the scheduler and the entries keep.
 //!
 //! The inbox holds a job under its 16 hex digits, and a cancel under `x` and
-//! the digits. The state holds a job's state under its digits and a wave's
+//! the digits; `-` and 16 hex digits for its owner follow where a workspace owns the job, so that
+//! what another workspace writes of the same number replaces nothing. The state holds a job's state under its digits and a wave's
 //! progress under `wave-` and its number, and a life of a worker under
 //! `worker-` and its id. A machine that was ordered about lately has a record
 //! under `ordered-` and its name.
 
+use std::fmt;
+
+use bytes::Bytes;
 use serde::Serialize;
 use workswood_core::ids::HostId;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::{parse_job, show_job};
-use workswood_core::jobs::{JobKey, JobSpec, Record};
+use workswood_core::jobs::{JobKey, JobSpec, Owner, Record};
 use workswood_platform::jobs::KeyedRecord;
 
 use super::{job_spec, job_state};
 
 /// Start of the key of a cancel.
 const CANCEL: &str = "x";
+/// What stands between a job's number and its owner's.
+const OWNER: char = '-';
 /// Start of the key of a wave's progress.
 const WAVE: &str = "wave-";
 /// Start of the key of a life of a worker.
@@ -24,13 +30,24 @@
 /// Start of the key of a machine that was ordered about lately.
 const ORDERED: &str = "ordered-";
 
-/// A key of the inbox.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum InboxKey {
-    /// A job.
-    Job(JobKey),
-    /// A cancel.
-    Cancel(JobKey),
+/// A key of the inbox. Keys of one job stand together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct InboxKey {
+    /// The job.
+    pub job: JobKey,
+    /// Who wrote it.
+    pub owner: Owner,
+    /// What is held under it.
+    pub what: InboxItem,
+}
+
+/// What the inbox holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum InboxItem {
+    /// A job as it was handed in.
+    Job,
+    /// That it was cancelled.
+    Cancel,
 }
 
 /// A key of the state.
@@ -47,10 +64,16 @@
 
 /// Reads a key of the inbox.
 pub fn inbox_key(key: &str) -> Option<InboxKey> {
-    if let Some(digits) = key.strip_prefix(CANCEL) {
-        return parse_job(digits).map(InboxKey::Cancel);
-    }
-    parse_job(key).map(InboxKey::Job)
+    let (what, name) = match key.strip_prefix(CANCEL) {
+        Some(name) => (InboxItem::Cancel, name),
+        None => (InboxItem::Job, key),
+    };
+    let (job, owner) = name.split_once(OWNER).map_or((name, None), |(job, owner)| (job, Some(owner)));
+    let owner = match owner {
+        Some(digits) => Owner::from_number(parse_job(digits)?),
+        None => Owner::PUBLIC,
+    };
+    Some(InboxKey { job: parse_job(job)?, owner, what })
 }
 
 /// Reads a key of the state.
@@ -67,19 +90,21 @@
     parse_job(key).map(StateKey::Job)
 }
 
-/// Key of a job in inbox and state.
+/// Key of a job in the state.
 pub fn job_key(job: JobKey) -> String {
     show_job(job)
 }
 
-/// Key of a cancel in the inbox.
-pub fn cancel_key(job: JobKey) -> String {
-    format!("{CANCEL}{}", show_job(job))
+/// A cancel as a record of the inbox.
+pub fn cancel_record(job: JobKey, owner: Owner) -> KeyedRecord {
+    let key = InboxKey { job, owner, what: InboxItem::Cancel };
+    KeyedRecord { key: key.to_string(), value: Some(Bytes::from_static(b"1")) }
 }
 
 /// A job as a record of the inbox.
 pub fn job_record(job: JobKey, spec: &JobSpec) -> KeyedRecord {
-    KeyedRecord { key: job_key(job), value: Some(job_spec::encode(spec).into()) }
+    let key = InboxKey { job, owner: spec.owner(), what: InboxItem::Job };
+    KeyedRecord { key: key.to_string(), value: Some(job_spec::encode(spec).into()) }
 }
 
 /// Any value as a record.
@@ -91,10 +116,18 @@
 impl InboxKey {
     /// The record that drops what the inbox holds under this key.
     pub fn drop_record(self) -> KeyedRecord {
-        drop_record(match self {
-            InboxKey::Job(job) => job_key(job),
-            InboxKey::Cancel(job) => cancel_key(job),
-        })
+        drop_record(self.to_string())
+    }
+}
+
+impl fmt::Display for InboxKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let start = match self.what {
+            InboxItem::Job => "",
+            InboxItem::Cancel => CANCEL,
+        };
+        write!(f, "{start}{}", show_job(self.job))?;
+        if self.owner.is_public() { Ok(()) } else { write!(f, "{OWNER}{}", show_job(self.owner.number())) }
     }
 }
 
@@ -118,14 +151,14 @@
     }
 }
 
-/// Keys that leave the inbox with a record of the state.
-pub fn inbox_drops(rec: &Record) -> Vec<InboxKey> {
+/// The job that leaves the inbox with a record of the state.
+pub fn inbox_drop(rec: &Record) -> Option<JobKey> {
     match rec {
-        Record::DropJob(job) => vec![InboxKey::Job(*job), InboxKey::Cancel(*job)],
+        Record::DropJob(job) => Some(*job),
         Record::Job(..)
         | Record::Wave(..)
         | Record::Worker(..)
         | Record::DropWorker(..)
-        | Record::Ordered(..) => Vec::new(),
+        | Record::Ordered(..) => None,
     }
 }
--- a/src/workswood/ops/jobs/shown.rs
+++ b/src/workswood/ops/jobs/shown.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use workswood_core::jobs::spec::QueueId;
-use workswood_core::jobs::{JobKey, Shown, ShownJob};
+use workswood_core::jobs::{JobKey, Owner, Shown, ShownJob};
 
 /// What callers may be told of jobs, with what is asked of a whole queue.
 #[derive(Debug, Default)]
@@ -18,9 +18,11 @@
 }
 
 impl ShownJobs {
-    /// The state of a job, if it is known.
-    pub fn state(&self, job: JobKey) -> Option<Shown> {
-        self.by_key.get(&job).and_then(|s| s.state)
+    /// The state of a job, if it is known and belongs to who asks; a process of a version
+    /// before this one doesn't say who does.
+    pub fn state(&self, job: JobKey, asks: Option<Owner>) -> Option<Shown> {
+        let shown = self.by_key.get(&job)?;
+        shown.state.filter(|_| asks.is_none_or(|owner| owner == shown.owner))
     }
 
     /// Jobs of a queue that have not begun.
--- a/src/workswood/ops/jobs/trim.rs
+++ b/src/workswood/ops/jobs/trim.rs
@@ -28,22 +28,22 @@
         while let Ok(more) = rx.try_recv() {
             over.extend(more);
         }
-        let keys = over.into_iter().flat_map(|job| [InboxKey::Job(job), InboxKey::Cancel(job)]);
-        drop_from_inbox(&node, &l, keys.collect()).await;
+        drop_from_inbox(&node, &l, over.into_iter().collect()).await;
     }
 }
 
-/// Takes keys out of the inbox. State is dropped only after that: a job in the inbox
+/// Takes jobs out of the inbox, with all that was written of them. State is dropped only after that: a job in the inbox
 /// without a state would be taken for a new one. That they are gone is noted when the
 /// inbox is read: a caller may hand the same job in again meanwhile.
-pub(super) async fn drop_from_inbox(node: &Node, l: &Leading, drops: Vec<InboxKey>) {
+pub(super) async fn drop_from_inbox(node: &Node, l: &Leading, drops: Vec<JobKey>) {
     if drops.is_empty() {
         return;
     }
     for part in inbox::parts(node.settings.store_parts) {
         let here: Vec<KeyedRecord> = {
             let kept = l.kept.lock();
-            drops.iter().filter(|k| kept.holds(part, **k)).map(|k| k.drop_record()).collect()
+            let keys = drops.iter().flat_map(|job| kept.keys_of(part, *job));
+            keys.map(InboxKey::drop_record).collect()
         };
         if here.is_empty() {
             continue;
--- a/src/workswood/ops/model/deployment.rs
+++ b/src/workswood/ops/model/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{Limits, QueueConfig, SchedConfig, ServiceConfig};
+use workswood_core::jobs::{Limits, QueueConfig, SchedConfig, ServiceConfig, Workspaces};
 
 use super::spec::{ModelSpec, ServiceSpec};
 
@@ -66,6 +66,7 @@
         host: "model".to_string(),
         path_prefix: format!("/{}", s.name),
         service: s.name.clone(),
+        keyed: false,
         priority: 0,
         max_attempts: MAX_ATTEMPTS,
         stretch: s.stretch,
@@ -81,6 +82,7 @@
             .map(|s| service(&s.name, false))
             .chain([service(SPARE, true)])
             .collect(),
+        workspaces: Workspaces::default(),
         max_body_bytes: MAX_BODY_BYTES,
     }
 }
--- a/src/workswood/ops/model/load.rs
+++ b/src/workswood/ops/model/load.rs
@@ -197,6 +197,7 @@
     JobSpec {
         queue: s.name.clone(),
         service: s.name.clone(),
+        workspace: None,
         priority: 0,
         max_attempts: MAX_ATTEMPTS,
         text: "".into(),
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -21,6 +21,12 @@
     pub hand_in_seconds: Histogram,
     /// Questions for the state of a job, by answer: `known`, `unknown`, `unreachable`.
     pub asked: IntCounterVec,
+    /// Calls refused for their key, by reason: `missing`, `unknown`.
+    pub keys_refused: IntCounterVec,
+    /// What workspaces have at work as a share of their limits, in percent: the largest.
+    pub fullest_workspace: IntGauge,
+    /// Workspaces that have something at work.
+    pub workspaces_at_work: IntGauge,
     /// Starts of tasks, by outcome.
     pub starts: IntCounterVec,
     /// Workers that this process attends for a lease holder elsewhere.
@@ -81,6 +87,22 @@
                 "questions for the state of a job",
                 &["result"],
             ),
+            keys_refused: counters(
+                &r,
+                "workswood_keys_refused_total",
+                "calls refused for their key, by reason",
+                &["reason"],
+            ),
+            fullest_workspace: gauge(
+                &r,
+                "workswood_fullest_workspace_percent",
+                "largest share of its limit that a workspace has at work",
+            ),
+            workspaces_at_work: gauge(
+                &r,
+                "workswood_workspaces_at_work",
+                "workspaces that have something at work",
+            ),
             starts: counters(&r, "workswood_task_starts_total", "starts of tasks, by outcome", &["outcome"]),
             batch_seconds: histogram(
                 &r,
--- a/tests/testsuite/advice_tickets.rs
+++ b/tests/testsuite/advice_tickets.rs
@@ -6,7 +6,8 @@
 
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, AdviceConfig, AdviceReply, EndKind, Event, Listing, News, ReportedEnd, StartReply, StepId, TaskId,
+    Action, AdviceConfig, AdviceReply, EndKind, Event, Listing, News, Owner, ReportedEnd, StartReply, StepId,
+    TaskId,
 };
 use workswood_test_support::advised_world::{
     PLAIN, advice, advised, advised_config, asked, calls, failed, started,
@@ -380,7 +381,7 @@
 #[test]
 fn ended_job_is_asked_about_no_more() {
     let (mut world, ids) = waiting(2, 1);
-    world.sched.handle(Event::Cancelled(1));
+    world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
     world.sched.handle(advice(STEP, &ids, &ids, ms(3000)));
     let actions = world.tick();
     assert!(asked(&actions).is_none() && started(&actions).is_empty());
--- a/tests/testsuite/advised_queue.rs
+++ b/tests/testsuite/advised_queue.rs
@@ -3,18 +3,16 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use workswood_adapter_standin::caller::{HandedIn, Told, advised_config, ask, hand_in};
 use workswood_adapter_standin::{AdviserStandin, Ledger, StoreStandin, WorkerStandin};
+use workswood_test_support::job_entry::{PORTS, start_entry};
 use workswood_test_support::program::{Program, free_ports};
 
 const SERVICE: &str = "desk";
 const ENTRIES: usize = 2;
-/// Listeners of an entry.
-const PORTS: usize = 4;
 /// How long a task takes.
 const TAKES: Duration = Duration::from_millis(100);
 /// How long a ticket holds; a step with its call takes a third of it.
@@ -77,18 +75,8 @@
     }
 
     fn start(&self, n: usize, ports: &[SocketAddr]) -> Program {
-        let store = self.store.address;
-        let settings = serde_json::json!({
-            "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
-            "peers": ports[2], "metrics": ports[3], "store": store, "machines": store,
-            "adviser": self.adviser.address, "longest_lease_ms": 10000, "machine_handover_ms": 3000,
-            "keep_ended_s": 120, "stop_within_s": 6,
-        });
-        let path = self.folder.join(format!("entry-{n}.json"));
-        std::fs::write(&path, settings.to_string()).expect("a settings file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
-        command.arg("jobs").env("WORKSWOOD_SETTINGS", &path);
-        Program::start_logged(command, &path.with_extension("log"))
+        let (store, adviser) = (self.store.address, self.adviser.address);
+        start_entry(env!("CARGO_BIN_EXE_workswood"), &self.folder, n, ports, store, adviser)
     }
 
     /// Hands jobs in, each until it is accepted.
--- a/tests/testsuite/chance_crashes.rs
+++ b/tests/testsuite/chance_crashes.rs
@@ -14,11 +14,11 @@
 use std::time::Duration;
 
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobSpec, Listing, News, Outcome, ReportedEnd, ReportedRun, Shown, StepSpec,
-    TaskId,
+    Action, EndKind, Event, JobSpec, Listing, News, Outcome, Owner, ReportedEnd, ReportedRun, Shown,
+    StepSpec, TaskId,
 };
 use workswood_test_support::job_world::{ATTEMPTS, SERVICE, job, step};
-use workswood_test_support::machine_world::{MachineWorld, machine, worker};
+use workswood_test_support::machine_world::{MachineWorld, listed, machine, worker};
 
 const MACHINES: usize = 12;
 
@@ -117,18 +117,7 @@
 
     /// What a worker lists.
     fn listed_on(&self, n: usize) -> Vec<ReportedRun> {
-        let run = |a: &Action| match a {
-            Action::Start { task, attempt, .. } => Some(ReportedRun {
-                task: *task,
-                attempt: *attempt,
-                checkpoint: String::new(),
-                percent: 100,
-                figure: 0,
-                still: Duration::ZERO,
-            }),
-            _ => None,
-        };
-        self.runs.values().filter(|(on, _)| *on == n).filter_map(|(_, a)| run(a)).collect()
+        self.runs.values().filter(|(on, _)| *on == n).filter_map(|(_, a)| listed(a)).collect()
     }
 
     fn stops(&self) -> usize {
@@ -191,7 +180,7 @@
     let stored = workswood::ops::jobs::job_state::encode(&record);
     let read = workswood::ops::jobs::job_state::decode(&stored).expect("it is read back");
     assert!(read.rounds[0][0][0].given_up, "the next holder doesn't start it either");
-    site.world.sched.handle(Event::Cancelled(1));
+    site.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
     site.go_on(200);
     assert_eq!(site.stops(), 3);
 }
@@ -215,7 +204,7 @@
     site.go_on(3000);
     assert_eq!(site.world.sched.jobs.shown(&1), Some(Shown::Ended(Outcome::Failed)));
     assert_eq!((site.stops(), site.runs.len()), (1, 2));
-    site.world.sched.handle(Event::Cancelled(1));
+    site.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
     site.go_on(500);
     assert_eq!((site.stops(), site.runs.len()), (3, 0));
 }
--- a/tests/testsuite/changing_room.rs
+++ b/tests/testsuite/changing_room.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::spec::Room;
 use workswood_core::jobs::{
-    Action, EndKind, Event, Listing, News, ReportedEnd, ReportedRun, StopReply, TaskId, WorkerInfo,
+    Action, EndKind, Event, Listing, News, Owner, ReportedEnd, ReportedRun, StopReply, TaskId, WorkerInfo,
 };
 use workswood_test_support::job_world::{job, step};
 use workswood_test_support::machine_world::{MachineWorld, worker};
@@ -85,7 +85,7 @@
     take(&mut world, &runs);
     world.at(300);
     list(&mut world, runs.iter().copied().map(running).collect(), vec![]);
-    world.sched.handle(Event::Cancelled(1));
+    world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
     assert_eq!(starts(&submit(&mut world, 2, 4)), [], "they are only told to stop");
     for (task, attempt) in &runs {
         world.tells(&worker(0, 0).id, News::Stopped(*task, *attempt, StopReply::Taken));
--- a/tests/testsuite/demand_history.rs
+++ b/tests/testsuite/demand_history.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::demand::Demand;
-use workswood_core::jobs::{Event, JobSpec, MachineReply};
+use workswood_core::jobs::{Event, JobSpec, MachineReply, Owner};
 use workswood_test_support::job_world::{SERVICE, job, step};
 use workswood_test_support::machine_world::{MachineWorld, machine, moves, worker};
 
@@ -58,7 +58,7 @@
     if turn_before {
         world.sched.restore(7, Some(work(80, 20_000)), None);
         world.sched.restore_demand();
-        world.sched.handle(Event::Cancelled(7));
+        world.sched.handle(Event::Cancelled(7, Owner::PUBLIC));
         world.sched.take_batch();
     }
     world.sched.now = Duration::from_secs(1);
@@ -127,7 +127,7 @@
             world.report(n, 0, &[]);
         }
     }
-    (0..4).for_each(|n| world.sched.handle(Event::Cancelled(100 + n)));
+    (0..4).for_each(|n| world.sched.handle(Event::Cancelled(100 + n, Owner::PUBLIC)));
     world.actions.clear();
     for t in 0..3 {
         world.at(2400 + t * 150);
@@ -152,7 +152,7 @@
     world.sched.wall = 60_000;
     world.sched.restore(7, Some(work(1, 20_000)), None);
     world.sched.restore_demand();
-    world.sched.handle(Event::Cancelled(7));
+    world.sched.handle(Event::Cancelled(7, Owner::PUBLIC));
     hand_in(&mut world, 4, 4);
     world.tick();
     moves(&world.actions).len()
--- a/tests/testsuite/job_limits.rs
+++ b/tests/testsuite/job_limits.rs
@@ -6,7 +6,7 @@
 use workswood_adapter::callers::read_job;
 use workswood_adapter_standin::caller::one_task;
 use workswood_core::jobs::{
-    Action, Event, Job, JobSpec, News, Outcome, Repeat, Scheduler, Shown, WorkerInfo,
+    Action, Event, Job, JobSpec, News, Outcome, Owner, Repeat, Scheduler, Shown, WorkerInfo,
 };
 use workswood_test_support::job_world::{SERVICE, config, job, step};
 use workswood_test_support::machine_world::limits;
@@ -88,7 +88,7 @@
 #[test]
 fn early_cancel_kept() {
     let mut s = with_worker(4);
-    s.handle(Event::Cancelled(9));
+    s.handle(Event::Cancelled(9, Owner::PUBLIC));
     s.handle(Event::Submitted(9, Arc::new(job(vec![step(1, vec![])], 0))));
     let batch = s.take_batch();
     assert!(!batch.actions.iter().any(|a| matches!(a, Action::Start { .. })), "{:?}", batch.actions);
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -10,7 +10,9 @@
 use workswood_core::jobs::crash::{Crash, Evidence};
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Room;
-use workswood_core::jobs::{JobRecord, JobSpec, Outcome, OverRecord, Repeat, Shown, ShownJob, StepSpec};
+use workswood_core::jobs::{
+    JobRecord, JobSpec, Outcome, OverRecord, Owner, Repeat, Shown, ShownJob, StepSpec,
+};
 use workswood_test_support::job_world::{job, step};
 
 fn worker(u: &mut Unstructured<'_>) -> Result<WorkerId> {
@@ -64,6 +66,7 @@
         accepted: u.arbitrary()?,
         work: u.arbitrary()?,
         room: Room { cpu_millis: u.arbitrary()?, mem_mb: u.arbitrary()?, gpus: u.arbitrary()? },
+        owner: Owner::from_number(u.arbitrary()?),
     };
     let over = outcome.is_some().then_some(over);
     Ok(JobRecord { cancelled: u.arbitrary()?, outcome, begun: u.arbitrary()?, rounds, over })
@@ -138,6 +141,7 @@
     Ok(JobSpec {
         queue: u.arbitrary()?,
         service: u.arbitrary()?,
+        workspace: u.arbitrary()?,
         priority: u.arbitrary()?,
         max_attempts: u.arbitrary()?,
         text: u.arbitrary::<String>()?.into(),
@@ -170,7 +174,7 @@
 }
 
 fn shown(key: u64, queue: &str, state: Option<Shown>) -> ShownJob {
-    ShownJob { key, queue: queue.to_string(), state, timed: false }
+    ShownJob { key, queue: queue.to_string(), owner: Owner::PUBLIC, state, timed: false }
 }
 
 #[test]
@@ -185,5 +189,6 @@
     all.show(shown(1, "a", Some(Shown::Running)));
     all.show(shown(2, "a", None));
     assert_eq!(all.queued("a"), 0);
-    assert_eq!((all.state(1), all.state(2)), (Some(Shown::Running), None));
+    let asks = Some(Owner::PUBLIC);
+    assert_eq!((all.state(1, asks), all.state(2, asks)), (Some(Shown::Running), None));
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -65,3 +65,5 @@
 mod worker_index;
 mod worker_lives;
 mod worker_protocol;
+mod workspace_keys;
+mod workspace_limits;
--- a/tests/testsuite/over_jobs.rs
+++ b/tests/testsuite/over_jobs.rs
@@ -13,10 +13,12 @@
 use std::time::Duration;
 
 use workswood::ops::jobs::inbox::Kept;
-use workswood::ops::jobs::record::InboxKey;
+use workswood::ops::jobs::record::{InboxItem, InboxKey};
 use workswood_core::jobs::known::{Jobs, OverJob};
 use workswood_core::jobs::types::Record;
-use workswood_core::jobs::{Batch, Event, Job, JobRecord, JobSpec, Outcome, OverRecord, Scheduler, Shown};
+use workswood_core::jobs::{
+    Batch, Event, Job, JobRecord, JobSpec, Outcome, OverRecord, Owner, Scheduler, Shown,
+};
 use workswood_test_support::job_world::{QUEUE, SERVICE, config, job, step};
 use workswood_test_support::machine_world::limits;
 
@@ -44,7 +46,7 @@
 fn over_record() -> JobRecord {
     let mut s = scheduler();
     s.handle(Event::Submitted(1, spec()));
-    s.handle(Event::Cancelled(1));
+    s.handle(Event::Cancelled(1, Owner::PUBLIC));
     recorded(&s.take_batch(), 1).expect("it changed")
 }
 
@@ -53,7 +55,7 @@
     let mut s = scheduler();
     s.handle(Event::Submitted(1, spec()));
     s.handle(Event::Submitted(2, spec()));
-    s.handle(Event::Cancelled(1));
+    s.handle(Event::Cancelled(1, Owner::PUBLIC));
     let batch = s.take_batch();
     assert_eq!(batch.over, [1], "the inbox need not hold it");
     assert!(s.jobs.is_over(&1) && !s.jobs.is_over(&2));
@@ -89,7 +91,7 @@
     next.restore(1, None, Some(over_record()));
     next.take_batch();
     next.handle(Event::Submitted(1, spec()));
-    next.handle(Event::Cancelled(1));
+    next.handle(Event::Cancelled(1, Owner::PUBLIC));
     let batch = next.take_batch();
     assert!(batch.records.is_empty() && batch.shown.is_empty(), "it is not begun again");
 }
@@ -121,7 +123,7 @@
 
 #[test]
 fn kept_where_it_was_read() {
-    let key = InboxKey::Job(7);
+    let key = InboxKey { job: 7, owner: Owner::PUBLIC, what: InboxItem::Job };
     let mut kept = Kept::default();
     kept.note(0, key);
     kept.note(3, key);
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -7,6 +7,7 @@
 use workswood::ops::jobs::inbox::{self, Stored};
 use workswood::ops::jobs::node::Holder;
 use workswood::ops::jobs::{Node, help, peers};
+use workswood_core::jobs::SchedConfig;
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
@@ -140,3 +141,19 @@
     a.holder.store(Some(Arc::new(Holder { id: "gone".to_string(), peers, term: 7, released: false })));
     assert_eq!(a.inbox.store(rec("job-1"), WAITS).await, Stored::No, "nothing was sent to it");
 }
+
+fn declared(version: u64) -> Arc<SchedConfig> {
+    Arc::new(SchedConfig { version, ..SchedConfig::default() })
+}
+
+/// The store turns one host away: what operators change is in force there as well.
+#[tokio::test]
+async fn configuration_of_a_peer() {
+    let (away, well) = (store(&[Fate::Refused; 100]), store(&[]));
+    let (a, b) = (process("entry-1", &away).await, process("entry-2", &well).await);
+    tell_holder(&a, &b);
+    assert!(help::newer_configs(&a, 0).await.is_empty(), "the other one has none either");
+    b.configure(declared(7), "version seven".into());
+    assert_eq!(help::newer_configs(&a, 6).await, ["version seven"]);
+    assert!(help::newer_configs(&a, 7).await.is_empty(), "it is not newer");
+}
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -174,6 +174,13 @@
     assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
 }
 
+#[test]
+fn short_histories_with_limit() {
+    let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::limited, With::Nothing).starts).sum();
+    assert!(starts > HISTORIES, "{starts} starts");
+    assert_eq!(invariant::total(), 0, "{:?}", invariant::first());
+}
+
 #[test]
 fn short_histories_with_crashes() {
     let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::new, With::Crashes).starts).sum();
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -187,7 +187,7 @@
     let store = Arc::new(TurnStore::new(Duration::from_millis(2), &[]));
     let (_holder, cut) = holder(&store).await;
     let node = Node::new(settings("entry-1"), store);
-    let ask = || node.peers.call(&node.id, &cut.address, Msg::JobAsk(JobAsk { job: 1 }), LONG);
+    let ask = || node.peers.call(&node.id, &cut.address, Msg::JobAsk(JobAsk { job: 1, owner: None }), LONG);
     assert!(ask().await.is_ok());
     cut.set(Fault::HalfOpen);
     let lost = timeout(SOON, ask()).await.expect("the connection is given up before the call's time is over");
@@ -202,14 +202,24 @@
     let (tx, _events) = mpsc::unbounded_channel();
     let (end, _ended) = watch::channel(false);
     let l = Leading::new(7, holder.now(), LONG, tx, end);
-    let shown = ShownJob { key: 1, queue: "q".into(), state: Some(Shown::Running), timed: false };
+    let shown = ShownJob {
+        key: 1,
+        queue: "q".into(),
+        owner: workswood_core::jobs::Owner::PUBLIC,
+        state: Some(Shown::Running),
+        timed: false,
+    };
     l.shown.write().show(shown);
     holder.leading.store(Some(Arc::new(l)));
     let node = Arc::new(Node::new(settings("entry-1"), store));
     let seen = Holder { id: holder.id.clone(), peers: cut.address.clone(), term: 7, released: false };
     node.holder.store(Some(Arc::new(seen)));
     for _ in 0..3 {
-        assert_eq!(ask::job(&node, 1).await, Told::Known(Shown::Running), "each question is answered");
+        assert_eq!(
+            ask::job(&node, 1, workswood_core::jobs::Owner::PUBLIC).await,
+            Told::Known(Shown::Running),
+            "each question is answered"
+        );
         cut.set(Fault::HalfOpen);
     }
 }
--- /dev/null
+++ b/tests/testsuite/workspace_limits.rs
@@ -0,0 +1,264 @@
+//! What a workspace has at work stays within its limit, and what it sends beyond its share yields.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::accounts::{Accounts, Change, Held, admits};
+use workswood_core::jobs::order::{Durations, place_of};
+use workswood_core::jobs::policy::OrderPolicy;
+use workswood_core::jobs::shares::{Shares, use_by_share};
+use workswood_core::jobs::spec::Room;
+use workswood_core::jobs::{
+    Action, EndKind, Event, Job, JobSpec, Listing, News, Owner, Report, ReportedEnd, SchedConfig, StartReply,
+    StepId, TaskId, Workspace, Workspaces,
+};
+use workswood_test_support::job_world::{QUEUE, config, job, step};
+use workswood_test_support::machine_world::MachineWorld;
+
+/// Thousandths of a core.
+fn cpu(millis: u64) -> Room {
+    Room { cpu_millis: millis, mem_mb: 0, gpus: 0 }
+}
+
+fn workspaces(limits: &[(&str, u64)]) -> Workspaces {
+    let mut all = Workspaces::default();
+    for (name, millis) in limits {
+        all.add(Workspace { name: name.to_string(), weight: 2.0, limit: cpu(*millis) }, []);
+    }
+    all
+}
+
+fn configured(version: u64, limits: &[(&str, u64)]) -> Event {
+    Event::Config(Arc::new(SchedConfig { version, workspaces: workspaces(limits), ..config() }))
+}
+
+/// A job of a workspace, of tasks of one core each.
+fn of(workspace: &str, tasks: u32) -> JobSpec {
+    JobSpec { workspace: Some(workspace.to_string()), ..job(vec![step(tasks, vec![])], 100) }
+}
+
+/// Eight workers of four cores each, and workspaces with limits.
+fn world(limits: &[(&str, u64)]) -> MachineWorld {
+    let mut world = MachineWorld::new(8);
+    world.sched.handle(configured(2, limits));
+    world.at(100);
+    world
+}
+
+fn submit(world: &mut MachineWorld, key: u64, spec: JobSpec) -> Vec<Action> {
+    world.sched.handle(Event::Submitted(key, Arc::new(spec)));
+    starts(world.sched.take_batch().actions)
+}
+
+fn starts(actions: Vec<Action>) -> Vec<Action> {
+    actions.into_iter().filter(|a| matches!(a, Action::Start { .. })).collect()
+}
+
+fn taken(world: &mut MachineWorld, starts: &[Action]) {
+    for a in starts {
+        if let Action::Start { worker, task, attempt, .. } = a {
+            world.taken(worker, *task, *attempt);
+        }
+    }
+}
+
+/// Jobs whose tasks are started.
+fn jobs_of(starts: &[Action]) -> Vec<u64> {
+    let of = |a: &Action| match a {
+        Action::Start { task, .. } => Some(task.job),
+        _ => None,
+    };
+    starts.iter().filter_map(of).collect()
+}
+
+#[test]
+fn no_more_than_its_limit() {
+    let mut world = world(&[("north", 5000), ("south", 0)]);
+    assert_eq!(submit(&mut world, 1, of("north", 9)).len(), 5);
+    assert_eq!(submit(&mut world, 2, of("north", 2)).len(), 0);
+    assert_eq!(submit(&mut world, 3, of("south", 9)).len(), 9, "others are not held up");
+    assert_eq!(submit(&mut world, 4, job(vec![step(2, vec![])], 100)).len(), 2, "nor what nobody owns");
+}
+
+/// A start that was not answered may run, and what is being stopped runs until it is over.
+#[test]
+fn unanswered_and_stopping_count() {
+    let mut world = world(&[("north", 3000)]);
+    let first = submit(&mut world, 1, of("north", 3));
+    let [Action::Start { worker: w, task, attempt, .. }, ..] = first.as_slice() else { panic!("a start") };
+    world.tells(w, News::Started(*task, *attempt, StartReply::NoAnswer));
+    assert_eq!(submit(&mut world, 2, of("north", 3)).len(), 0);
+    world.sched.handle(Event::Cancelled(1, Owner::of(Some("north"))));
+    assert_eq!(submit(&mut world, 3, of("north", 3)).len(), 0, "what is stopped may still run");
+    // Its worker lists nothing of it any more.
+    world.tells(w, News::Reported(Report { whole: true, ..Report::default() }));
+    assert_eq!(starts(world.tick()).len(), 3);
+}
+
+/// Whoever takes over counts what is on record as ordered.
+#[test]
+fn predecessor_s_orders_count() {
+    let mut before = world(&[("north", 3000)]);
+    let first = submit(&mut before, 1, of("north", 4));
+    assert_eq!(first.len(), 3);
+    let record = before.sched.jobs[&1].record();
+    let mut next = world(&[("north", 3000)]);
+    next.sched.restore(1, Some(Arc::new(of("north", 4))), Some(record));
+    assert_eq!(starts(next.sched.take_batch().actions).len(), 0);
+    assert_eq!(submit(&mut next, 2, of("north", 2)).len(), 0);
+}
+
+/// A worker that is cut off runs what it runs until its lease has ended.
+#[test]
+fn cut_off_worker_counts() {
+    let mut world = world(&[("north", 4000)]);
+    let first = submit(&mut world, 1, of("north", 4));
+    taken(&mut world, &first);
+    let [Action::Start { worker: w, .. }, ..] = first.as_slice() else { panic!("a start") };
+    let lease_end = Duration::from_millis(6000);
+    world.tells(w, News::Unanswered { lease_end, heard: Duration::from_millis(200) });
+    world.sched.handle(Event::WorkerUnlisted(w.clone()));
+    world.at(5900);
+    assert_eq!(starts(world.tick()).len(), 0);
+    world.at(6100);
+    assert_eq!(starts(world.tick()).len(), 4, "it runs no longer");
+}
+
+#[test]
+fn newest_limit_counts() {
+    let mut world = world(&[("north", 2000)]);
+    let first = submit(&mut world, 1, of("north", 8));
+    assert_eq!(first.len(), 2);
+    taken(&mut world, &first);
+    world.sched.handle(configured(3, &[("north", 4000)]));
+    let more = starts(world.sched.take_batch().actions);
+    assert_eq!(more.len(), 2, "what was raised is used at once");
+    taken(&mut world, &more);
+    world.sched.handle(configured(4, &[("north", 3000)]));
+    let [Action::Start { worker: w, task, attempt, .. }, ..] = first.as_slice() else { panic!("a start") };
+    let end = ReportedEnd {
+        number: 1,
+        task: *task,
+        attempt: *attempt,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    };
+    let listed = world.listing(w, &[first.clone(), more.clone()].concat(), &[*task]);
+    world.answers(w, Listing { ended: vec![end], ..listed });
+    assert_eq!(starts(world.tick()).len(), 0, "three of three are left");
+}
+
+/// A task larger than half of the limit, and even than all of it, is not kept waiting for ever.
+#[test]
+fn large_task_begins() {
+    let mut wide = of("north", 3);
+    wide.steps[0].room = cpu(3000);
+    let mut world = world(&[("north", 2000)]);
+    assert_eq!(submit(&mut world, 1, wide).len(), 1);
+}
+
+#[test]
+fn half_of_the_limit_is_free() {
+    assert!(admits(&cpu(3999), &cpu(8000), &cpu(9000)), "under half, any task may begin");
+    assert!(!admits(&cpu(4000), &cpu(8000), &cpu(4001)));
+    assert!(admits(&cpu(4000), &cpu(8000), &cpu(4000)));
+    assert!(admits(&cpu(4000), &Room::default(), &cpu(4000)), "no limit");
+    let gpus = |gpus| Room { gpus, ..Room::default() };
+    assert!(!admits(&gpus(2), &gpus(2), &gpus(1)));
+    assert!(admits(&gpus(2), &cpu(100), &gpus(1)), "only what is declared is limited");
+}
+
+#[test]
+fn account_is_even() {
+    let (north, mut all) = (Owner::of(Some("north")), Accounts::default());
+    let held = Held { room: cpu(0), charged: cpu(500), owner: north };
+    all.take(Change::Taken(held));
+    all.take(Change::Taken(held));
+    assert_eq!(all.at_work(north), cpu(1000), "what lives on what others leave counts in full");
+    all.take(Change::Taken(Held::from(cpu(700))));
+    assert_eq!(all.at_work(Owner::PUBLIC), Room::default());
+    all.take(Change::GivenBack(held));
+    assert_eq!(all.iter().collect::<Vec<_>>(), [(north, cpu(500))]);
+}
+
+#[test]
+fn excess_by_rate() {
+    let (north, mut shares) = (Owner::of(Some("north")), Shares::default());
+    let excess = |shares: &mut Shares, at| shares.is_excess(north, Some(2.0), at);
+    assert_eq!([0, 0, 0, 0].map(|at| excess(&mut shares, at)), [false, false, true, true]);
+    assert!(!excess(&mut shares, 500), "half a second brings one more");
+    assert!(excess(&mut shares, 500));
+    assert!(!shares.is_excess(north, None, 500), "nothing is declared");
+}
+
+/// All is full, and one workspace has sent ten jobs for one of the other's. What it sent within its
+/// share, two jobs a second, goes first as it came; the rest goes behind the other's.
+#[test]
+fn flood_yields() {
+    let mut world = world(&[("north", 0), ("south", 0)]);
+    let full = submit(&mut world, 1, job(vec![step(32, vec![])], 100));
+    assert_eq!(full.len(), 32);
+    taken(&mut world, &full);
+    for key in 10..20 {
+        submit(&mut world, key, of("north", 1));
+    }
+    submit(&mut world, 30, of("south", 1));
+    let ended: Vec<TaskId> = (0..4).map(|index| TaskId { job: 1, round: 0, step: 0, index }).collect();
+    let Some(Action::Start { worker: w, .. }) = full.first() else { panic!("a start") };
+    let ends = ended.iter().zip(1..).map(|(task, number)| ReportedEnd {
+        number,
+        task: *task,
+        attempt: 1,
+        kind: EndKind::Done,
+        checkpoint: String::new(),
+    });
+    let listed = world.listing(w, &full, &ended);
+    world.answers(w, Listing { ended: ends.collect(), ..listed });
+    assert_eq!(jobs_of(&starts(world.tick())), [10, 11, 30, 12]);
+}
+
+#[test]
+fn least_used_share_first() {
+    let (north, south) = (Owner::of(Some("north")), Owner::of(Some("south")));
+    assert!(use_by_share(north, &cpu(4000), Some(4.0)) < use_by_share(south, &cpu(3000), Some(2.0)));
+    assert_eq!(use_by_share(Owner::PUBLIC, &cpu(4000), None), 0);
+}
+
+/// Machines are not asked for by what a limit keeps from beginning.
+#[test]
+fn limited_work_needs_no_machines() {
+    let mut world = world(&[("north", 2000)]);
+    submit(&mut world, 1, of("north", 40));
+    let waiting = world.sched.room_wanted(&workswood_test_support::job_world::SERVICE.to_string());
+    assert_eq!(waiting.cpu_millis, 2000, "the two that run");
+}
+
+/// Eight tasks of one core for a workspace of two cores: four waves.
+#[test]
+fn owed_by_waves() {
+    let cfg = config();
+    let spec = Arc::new(of("north", 8));
+    let dues = |most_cpu| {
+        let mut j = Job::new(1, spec.clone());
+        j.most_cpu = most_cpu;
+        j.open_round();
+        let id = StepId { job: 1, round: 0, step: 0 };
+        place_of(&j, &id, cfg.queues.get(QUEUE), &Durations::default(), &OrderPolicy::default(), 100).1
+    };
+    // A task is estimated at 500 ms; a job is owed within 1.6 chains and 600 ms.
+    assert_eq!(dues(0).in_time, 100 + 800 + 600 - 500);
+    assert_eq!(dues(2000).in_time, 100 + 4 * 800 + 600 - 4 * 500);
+}
+
+#[test]
+fn other_workspace_s_job() {
+    let mut world = world(&[("north", 0), ("south", 0)]);
+    submit(&mut world, 1, of("north", 1));
+    assert_eq!(submit(&mut world, 1, of("south", 5)).len(), 0, "the number is taken");
+    world.sched.handle(Event::Cancelled(1, Owner::of(Some("south"))));
+    assert!(world.sched.jobs[&1].open());
+    world.sched.handle(Event::Cancelled(2, Owner::of(Some("south"))));
+    assert_eq!(submit(&mut world, 2, of("north", 1)).len(), 1, "a cancel that came early was not its own");
+    world.sched.handle(Event::Cancelled(1, Owner::of(Some("north"))));
+    assert!(!world.sched.jobs[&1].open());
+}
