--- a/crates/workswood-core/src/jobs/place.rs
+++ b/crates/workswood-core/src/jobs/place.rs
@@ -58,9 +58,9 @@
         let Some(place) = self.ready.get(service).and_then(|w| w.next_of(owner, after, turns.rank)) else {
             return;
         };
-        let used = match self.policy.order.shares {
-            ShareOrder::Plain | ShareOrder::Excess => 0,
-            ShareOrder::Dominant => {
+        let used = match (self.policy.order.shares, turns.rank) {
+            (ShareOrder::Plain | ShareOrder::Excess, _) | (_, Rank::Due) => 0,
+            (ShareOrder::Dominant, Rank::LeastWork) => {
                 let at_work = self.workers.accounts().at_work(owner);
                 use_by_share(owner, &at_work, self.config.workspaces.weight(owner))
             }
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -72,7 +72,8 @@
     Plain,
     /// Likewise, but what a workspace sends beyond its share goes behind.
     Excess,
-    /// Likewise; before that, the workspace with the least at work by its share.
+    /// Likewise; and while not all can be in time, the workspace with the least at work by its share
+    /// goes first. Before that, taking turns would make late what could be in time.
     Dominant,
 }
 
