--- a/crates/workswood-core/src/jobs/advice_candidates.rs
+++ b/crates/workswood-core/src/jobs/advice_candidates.rs
@@ -197,7 +197,7 @@
     fn task_slots_on(&self, context: &RequestContext<'_>, id: &WorkerId, w: &Worker) -> (u32, u32) {
         let task = |t: &TaskId| context.job.task(t);
         let avoids = |t: &&TaskId| {
-            context.possible_workers > 1 && task(t).is_some_and(|t| t.avoid_worker.as_ref() == Some(id))
+            context.possible_workers > 1 && task(t).is_some_and(|t| t.worker_to_avoid(self.now) == Some(id))
         };
         let mut most = context.request.tasks.iter().filter(|t| !avoids(t)).count() as u32;
         if context.spec.max_per_worker > 0 {
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -202,6 +202,7 @@
             return Some(if step.long_running { PROVEN_SAFE_AFTER } else { Duration::MAX });
         }
         let length = s.run_time.map_or(DEFAULT_TRIAL_LENGTH, |d| d * TRIAL_LENGTH_FACTOR);
-        Some(length.clamp(policy.suspect_age * TRIAL_LENGTH_FACTOR, MAX_TRIAL_LENGTH))
+        let min_length = policy.suspect_age * TRIAL_LENGTH_FACTOR;
+        Some(length.clamp(min_length, MAX_TRIAL_LENGTH.max(min_length)))
     }
 }
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -16,6 +16,9 @@
 
 /// Pace of a task that is not throttled, in percent of full speed.
 pub const FULL_PACE_PERCENT: u32 = 100;
+/// How long a task is placed elsewhere after a run failed or stalled on a worker. Afterwards it need
+/// not wait for workers that stay full.
+const AVOID_WORKER_FOR: Duration = Duration::from_secs(10);
 
 /// The status of a job as shown to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -146,7 +149,16 @@
     /// Runs that may exist on some worker.
     pub runs: Vec<Run>,
     /// Worker of the latest failed or stalled run; the next run is placed elsewhere if possible.
-    pub avoid_worker: Option<WorkerId>,
+    pub avoided_worker: Option<AvoidedWorker>,
+}
+
+/// A worker on which a task failed or stalled.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AvoidedWorker {
+    /// The worker.
+    pub id: WorkerId,
+    /// Until when it is avoided.
+    pub until: Duration,
 }
 
 impl Task {
@@ -155,6 +167,16 @@
     pub fn is_idle(&self) -> bool {
         !self.done && !self.given_up && self.runs.is_empty()
     }
+
+    /// Has the next runs placed elsewhere for a while, if possible.
+    pub fn avoid_worker(&mut self, id: &WorkerId, now: Duration) {
+        self.avoided_worker = Some(AvoidedWorker { id: id.clone(), until: now + AVOID_WORKER_FOR });
+    }
+
+    /// The worker to avoid now.
+    pub fn worker_to_avoid(&self, now: Duration) -> Option<&WorkerId> {
+        self.avoided_worker.as_ref().filter(|avoided| now < avoided.until).map(|avoided| &avoided.id)
+    }
 }
 
 /// One round of a job: the tasks of each step.
@@ -459,7 +481,7 @@
             latest_attempt: self.latest_attempt,
             checkpoint: self.checkpoint,
             runs: self.runs.into_iter().map(run).collect(),
-            avoid_worker: None,
+            avoided_worker: None,
         }
     }
 }
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -205,7 +205,7 @@
     /// rack of their data, it is the first fit in the order of the index.
     fn choose_worker(&self, job: &Job, step: &StepSpec, id: &TaskId, service: &str) -> Option<WorkerId> {
         let needed = step.reserved_resources();
-        let avoid = job.task(id).and_then(|t| t.avoid_worker.as_ref());
+        let avoid = job.task(id).and_then(|t| t.worker_to_avoid(self.now));
         let advised = self.needs_ticket(&id.step_id());
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
@@ -229,7 +229,11 @@
         let candidates = if advised {
             self.count_possible_workers(&self.available_workers(service), &id.step_id())
         } else {
-            self.workers.available(service, 0).filter(|(_, w)| !w.in_backoff(self.now)).take(2).count()
+            let large_enough = |w: &Worker| w.info.as_ref().is_some_and(|i| i.capacity.contains(&needed));
+            let could_run = |w: &Worker| {
+                !w.in_backoff(self.now) && large_enough(w) && self.meets_constraints(w, step, id)
+            };
+            self.workers.available(service, 0).filter(|(_, w)| could_run(w)).take(2).count()
         };
         if candidates > 1 { None } else { best(None) }
     }
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -350,7 +350,7 @@
             self.notes.push(format_args!("event=run_stuck worker={id} task={task} attempt={attempt}"));
             self.record_fault(&id, &task);
             if let Some(t) = self.jobs.get_mut(&task.job).and_then(|j| j.task_mut(&task)) {
-                t.avoid_worker = Some(id.clone());
+                t.avoid_worker(&id, self.now);
             }
             stops.push((id, task, attempt));
         }
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -219,6 +219,7 @@
     /// Records a failed run of a task; fails the job when its attempts are used up, unless the task
     /// is long-running.
     fn record_failure(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, long_running: bool) {
+        let now = self.now;
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
         let max_attempts = job.spec.max_attempts.max(1);
         let gang = job.step(task_id).is_some_and(|s| s.gang);
@@ -226,7 +227,7 @@
         if !task.failed_attempts.insert(attempt) {
             return;
         }
-        task.avoid_worker = Some(id.clone());
+        task.avoid_worker(id, now);
         let mut failed = task.failed_attempts.len() as u32;
         if gang {
             let step = job.rounds.get(task_id.round as usize).and_then(|r| r.get(usize::from(task_id.step)));
--- a/crates/workswood-core/src/route/dispatch.rs
+++ b/crates/workswood-core/src/route/dispatch.rs
@@ -109,6 +109,8 @@
     endpoint: InstanceId,
     class: PriorityClass,
     sent_at: Duration,
+    /// Whether it probes an ejected endpoint.
+    is_probe: bool,
 }
 
 /// The dispatcher of one service on one entry.
@@ -288,6 +290,7 @@
             match outcome {
                 Outcome::Success => e.health.record_success(now, took),
                 Outcome::Failure => eject = e.health.record_failure(now),
+                Outcome::Neutral if request.is_probe => e.health.record_lost_probe(now),
                 Outcome::Neutral => {}
             }
         }
@@ -468,11 +471,12 @@
     fn send(&mut self, now: Duration, request_id: RequestId, class: PriorityClass, id: InstanceId) -> Action {
         let passed_over = self.endpoints.values().filter(|e| e.open && !e.health.may_send(now)).count();
         let mut action = Action::Refuse { request_id, code: Code::NoEndpoint, retry_after: Duration::ZERO };
+        let mut is_probe = false;
         if let Some(e) = self.endpoints.get_mut(&id) {
             invariant::check(e.free_slots(now) > 0, || {
                 format!("a request is sent to {id} without a free slot")
             });
-            e.health.record_send(now, e.in_flight);
+            is_probe = e.health.record_send(now, e.in_flight);
             e.in_flight += 1;
             action = Action::Send {
                 request_id,
@@ -483,7 +487,7 @@
             };
         }
         self.queues.slot_taken(class);
-        self.in_flight.insert(request_id, InFlightRequest { endpoint: id, class, sent_at: now });
+        self.in_flight.insert(request_id, InFlightRequest { endpoint: id, class, sent_at: now, is_probe });
         action
     }
 
--- a/crates/workswood-core/src/route/health.rs
+++ b/crates/workswood-core/src/route/health.rs
@@ -34,7 +34,7 @@
     /// It gets no requests before the given time, measured from the start of the process.
     Ejected(Duration),
     /// A probe request was sent, and no others are sent until a request has ended with success
-    /// or failure. The state stays if the probe ends with [`Outcome::Neutral`](super::Outcome::Neutral).
+    /// or failure. If the probe ends without a result, the next request is the probe.
     Probing,
 }
 
@@ -83,14 +83,23 @@
     }
 
     /// Records that a request is sent while `in_flight` others are in flight. The first
-    /// request to an ejected endpoint is its probe.
-    pub fn record_send(&mut self, now: Duration, in_flight: u32) {
+    /// request to an ejected endpoint is its probe; returns whether this one is.
+    pub fn record_send(&mut self, now: Duration, in_flight: u32) -> bool {
         if in_flight == 0 {
             self.last_progress = now;
         }
-        if let HealthState::Ejected(_) = self.state {
+        let is_probe = matches!(self.state, HealthState::Ejected(_));
+        if is_probe {
             self.state = HealthState::Probing;
         }
+        is_probe
+    }
+
+    /// Records that the probe ended without a result, so that the next request is the probe.
+    pub fn record_lost_probe(&mut self, now: Duration) {
+        if self.state == HealthState::Probing {
+            self.state = HealthState::Ejected(now);
+        }
     }
 
     /// Records a success and its response time.
--- a/src/workswood/ops/entry/deferred_requests.rs
+++ b/src/workswood/ops/entry/deferred_requests.rs
@@ -16,7 +16,7 @@
 use workswood_core::record::{AttemptOutcome, DeferredRequest, Record};
 
 use super::dispatch::{self, AcquireRequest};
-use super::keyed_requests::{self, ClaimGuard};
+use super::keyed_requests::{self, ClaimGuard, LOG_RETRY_AFTER};
 use super::log_appender::AppendError;
 use super::node::Node;
 use super::proxy::{self, Reply, RequestHead, RoutedRequest};
@@ -54,7 +54,7 @@
             node,
             Some(&identity.key),
             Code::LogUnavailable,
-            Some(Duration::from_secs(1)),
+            Some(LOG_RETRY_AFTER),
         )
         .await;
     }
@@ -82,21 +82,21 @@
                 keyed_requests::recorded_reply(node, &identity)
                     .unwrap_or_else(|| refusal(Code::KeyExpired, ExecutionStatus::Unknown, None))
             }
-            _ => refusal(Code::LogUnavailable, ExecutionStatus::NotRun, Some(Duration::from_secs(1))),
+            // Another copy may have run on a peer, so `refuse` asks them.
+            _ => {
+                drop(claim_guard);
+                keyed_requests::refuse(node, Some(&identity.key), Code::LogUnavailable, Some(LOG_RETRY_AFTER))
+                    .await
+            }
         },
         Err(AppendError::NotSent) => {
             drop(claim_guard);
-            keyed_requests::refuse(
-                node,
-                Some(&identity.key),
-                Code::LogUnavailable,
-                Some(Duration::from_secs(1)),
-            )
-            .await
+            keyed_requests::refuse(node, Some(&identity.key), Code::LogUnavailable, Some(LOG_RETRY_AFTER))
+                .await
         }
         // The request may still reach the log and run; the caller can ask for the outcome of its key.
         Err(AppendError::Unknown) => {
-            refusal(Code::LogUnavailable, ExecutionStatus::Unknown, Some(Duration::from_secs(1)))
+            refusal(Code::LogUnavailable, ExecutionStatus::Unknown, Some(LOG_RETRY_AFTER))
         }
     }
 }
--- a/src/workswood/ops/entry/keyed_requests.rs
+++ b/src/workswood/ops/entry/keyed_requests.rs
@@ -33,7 +33,7 @@
 /// Maximum length of a key, in bytes.
 const MAX_KEY_BYTES: usize = 128;
 /// Time after which a caller may retry while the log is down.
-const LOG_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(super) const LOG_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may ask again about a running request.
 const RUNNING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -101,6 +101,16 @@
     assert!(world.sched.jobs[&1].task(&old).expect("it is known").suspicion.is_none());
 }
 
+/// Settings allow longer times than a trial may last by default.
+#[test]
+fn long_suspect_age() {
+    let (mut world, mut lives) = world();
+    world.sched.policy.crashes.suspect_age = Duration::from_secs(2);
+    let (_, young, at) = old_and_young(&mut world);
+    let again = crash(&mut world, at, &mut lives);
+    assert!(starts(&again).iter().any(|(t, _)| *t == young), "a trial begins: {again:?}");
+}
+
 #[test]
 fn trial_alone_on_its_worker() {
     let (mut world, mut lives) = world();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod advice_protocol;
 mod advice_tickets;
 mod advised_queue;
+mod avoided_workers;
 mod bad_endpoints;
 mod body_limits;
 mod chance_crashes;
--- a/tests/testsuite/slot_dispatch.rs
+++ b/tests/testsuite/slot_dispatch.rs
@@ -239,6 +239,32 @@
     assert!((3..20).contains(&to_bad), "{to_bad} of 2,000 went to the endpoint that fails fast");
 }
 
+/// A probe whose caller leaves tells nothing of its endpoint, which is probed again.
+#[test]
+fn probe_without_result() {
+    let mut d = alone(10);
+    let mut now = ms(6_000);
+    let mut id = 0;
+    let mut send_all = |d: &mut Dispatcher, now: Duration, bad: Outcome| {
+        id += 1;
+        let sends = sent(&d.submit(now, id, PriorityClass::Urgent, now + ms(1_000)));
+        for (request, endpoint) in &sends {
+            d.finish(now, *request, if endpoint == "s/4" { bad } else { Outcome::Success });
+        }
+        sends.iter().any(|(_, endpoint)| endpoint == "s/4")
+    };
+    for _ in 0..200 {
+        now += ms(1);
+        send_all(&mut d, now, Outcome::Failure);
+    }
+    now += ms(1_000);
+    let probed = (0..200).any(|_| send_all(&mut d, now, Outcome::Neutral));
+    assert!(probed, "the ejected endpoint is probed after its back-off");
+    now += ms(1_000);
+    let probed_again = (0..200).any(|_| send_all(&mut d, now, Outcome::Success));
+    assert!(probed_again, "the endpoint is left out for good");
+}
+
 #[test]
 fn shared_trouble() {
     let mut d = alone(9);
