--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -35,6 +35,7 @@
 //!   its decisions about tasks.
 //! * [`crash_attribution`] finds tasks that crash their workers more often than the usual
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
+//! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
 //! * [`lease_claim`] decides which process runs the scheduler.
@@ -78,6 +79,7 @@
 pub mod relays;
 pub mod run_tracker;
 pub mod scheduler;
+mod second_runs;
 pub mod spec;
 pub mod stable_map;
 pub mod task_queue;
@@ -100,6 +102,7 @@
 pub use relays::{RelayCandidate, RelayPolicy};
 pub use run_tracker::RunTracker;
 pub use scheduler::Scheduler;
+pub use second_runs::SecondRunPolicy;
 pub use spec::{JobKey, JobSpec, Repeat, StepId, StepSpec, TaskId};
 pub use types::{
     Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobStatusUpdate, Limits, Record, StartReply,
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -204,15 +204,31 @@
     /// The best worker with enough room. For tasks that are neither long-running nor tied to the
     /// rack of their data, it is the first fit in the order of the index.
     fn choose_worker(&self, job: &Job, step: &StepSpec, id: &TaskId, service: &str) -> Option<WorkerId> {
+        self.choose_worker_except(job, step, id, service, &|_| false)
+    }
+
+    /// As [`Self::choose_worker`], but never a worker for which `excluded` is true.
+    pub(super) fn choose_worker_except(
+        &self,
+        job: &Job,
+        step: &StepSpec,
+        id: &TaskId,
+        service: &str,
+        excluded: &dyn Fn(&WorkerId) -> bool,
+    ) -> Option<WorkerId> {
         let needed = step.reserved_resources();
         let avoid = job.task(id).and_then(|t| t.worker_to_avoid(self.now));
         let advised = self.needs_ticket(&id.step_id());
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            let excluded = w.in_backoff(self.now) || w.in_quarantine(self.now);
-            ticket && !excluded && w.free_resources().contains(&needed) && self.meets_constraints(w, step, id)
+            let kept_free = w.in_backoff(self.now) || w.in_quarantine(self.now);
+            ticket
+                && !kept_free
+                && w.free_resources().contains(&needed)
+                && self.meets_constraints(w, step, id)
         };
-        let available = || self.workers.available(service, needed.cpu_millis).filter(|(_, w)| fits(w));
+        let with_room = || self.workers.available(service, needed.cpu_millis);
+        let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
         let best = |skip: Option<&WorkerId>| {
             let mut open = available().filter(|(wid, _)| skip != Some(*wid));
             let found = match step.long_running || step.data_rack.is_some() {
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -10,6 +10,7 @@
 use super::advice::AdvicePolicy;
 use super::crash_attribution::CrashPolicy;
 use super::relays::RelayPolicy;
+use super::second_runs::SecondRunPolicy;
 
 /// All parameters of the scheduler's decisions.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -37,6 +38,8 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
+    /// Second runs of tasks whose steps allow copies.
+    pub second_runs: SecondRunPolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -357,6 +360,7 @@
         self.check_shares()?;
         self.check_factors()?;
         self.check_counts()?;
+        self.second_runs.check()?;
         self.check_times()
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -19,6 +19,7 @@
 use super::pool_planning::PoolState;
 use super::queue_order::{TaskDurations, queue_position};
 use super::relays::Relays;
+use super::second_runs::SecondRuns;
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::stable_map::StableMap;
 use super::task_queue::TaskQueue;
@@ -76,6 +77,8 @@
     pub(super) crash_rate: CrashRate,
     /// Durations of tasks.
     pub(super) durations: TaskDurations,
+    /// Open jobs whose tasks may get second runs.
+    pub(super) second_runs: SecondRuns,
     /// Hosts, as last listed.
     pub hosts: StableMap<HostId, Host>,
     /// When that list was requested.
@@ -134,6 +137,10 @@
     pub runs_lost: u64,
     /// Tasks that were given up because they crash their workers.
     pub tasks_given_up: u64,
+    /// Second runs that were started.
+    pub second_runs: u64,
+    /// Second runs that completed their task before the first run did.
+    pub second_runs_first: u64,
 }
 
 impl Scheduler {
@@ -160,6 +167,7 @@
             submission_rates: SubmissionRates::default(),
             crash_rate: CrashRate::default(),
             durations: TaskDurations::default(),
+            second_runs: SecondRuns::default(),
             hosts: StableMap::default(),
             hosts_requested_at: Duration::ZERO,
             order_marks: OrderMarks::default(),
@@ -227,6 +235,7 @@
             job.ended_at = now;
         }
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
+        self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
@@ -328,6 +337,7 @@
             spec.accepted_at,
         );
         let most_cpu = self.config.workspaces.limit(owner).cpu_millis;
+        self.second_runs.track(key, &spec);
         self.jobs.insert(Job { over_rate: excess, max_cpu_millis: most_cpu, ..Job::new(key, spec) });
         self.track_advised_job(key);
         self.dirty_jobs.insert(key);
@@ -482,6 +492,7 @@
         self.jobs.note_ended(key);
         self.dirty_jobs.insert(key);
         self.drop_advice(key);
+        self.second_runs.forget(key);
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
         for id in ids {
             self.dequeue(&id);
@@ -592,6 +603,7 @@
         for service in services {
             self.place_waiting_tasks(&service);
         }
+        self.start_second_runs();
         self.ask_adviser();
         let mut batch =
             Batch { status_updates: std::mem::take(&mut self.status_updates), ..Batch::default() };
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -171,6 +171,8 @@
         }
         if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
             self.durations.observe(&spec.queue, now.saturating_sub(run.phase_since), &self.policy.order);
+            let placed_at = run.placed_at.unwrap_or(run.phase_since);
+            self.second_runs.note_completed(task_id.step_id(), now.saturating_sub(placed_at));
         }
         // An end that is reported again may be older than the known checkpoint.
         if known && step.checkpointing && !end.checkpoint.is_empty() {
@@ -178,7 +180,10 @@
         }
         self.dirty_jobs.insert(task_id.job);
         match end.kind {
-            EndKind::Done => self.complete_task(id, &task_id, step.gang, step.long_running),
+            EndKind::Done => {
+                self.count_second_run_win(&task_id, end.attempt);
+                self.complete_task(id, &task_id, step.gang, step.long_running);
+            }
             EndKind::Failed => self.record_failure(id, &task_id, end.attempt, step.long_running),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
@@ -228,13 +233,15 @@
             return;
         }
         task.avoid_worker(id, now);
+        let done = task.done;
         let mut failed = task.failed_attempts.len() as u32;
         if gang {
             let step = job.rounds.get(task_id.round as usize).and_then(|r| r.get(usize::from(task_id.step)));
             failed = step.map_or(failed, |tasks| tasks.iter().map(|t| t.failed_attempts.len() as u32).sum());
         }
         self.record_fault(id, task_id);
-        if !long_running && failed >= max_attempts {
+        // A second run may fail after the first one has completed the task.
+        if !long_running && !done && failed >= max_attempts {
             self.end_job(task_id.job, Outcome::Failed);
         }
     }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -128,6 +128,8 @@
     limited: bool,
     /// Whether workers report when they started and restart under the same name.
     restarts: bool,
+    /// Whether holders start late tasks a second time where their step allows copies.
+    second_runs: bool,
     /// What the oracle has recorded.
     pub seen: Seen,
     /// Draws the fate of messages and the duration and outcome of runs.
@@ -221,6 +223,14 @@
         w
     }
 
+    /// Creates a world in which late tasks get second runs.
+    pub fn with_second_runs(workers: usize, rng: FaultRng) -> World {
+        let mut w = World::build(workers, 0, rng, false);
+        w.second_runs = true;
+        w.take_over();
+        w
+    }
+
     /// Creates a world with every other worker in a second data centre.
     pub fn two_centres(workers: usize, rng: FaultRng) -> World {
         let mut w = World::build(workers, 0, rng, false);
@@ -255,6 +265,7 @@
             advised,
             limited: false,
             restarts: false,
+            second_runs: false,
             seen: Seen::default(),
             rng,
         };
@@ -300,6 +311,7 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
+        sched.policy.second_runs.enabled = self.second_runs;
         self.set_relays(&mut sched);
         let mut cfg = config();
         if self.advised {
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -209,6 +209,8 @@
         m.lost_workers.set(counters.incarnations_lost as i64);
         m.lost_runs.set(counters.runs_lost as i64);
         m.abandoned_tasks.set(counters.tasks_given_up as i64);
+        m.second_runs.set(counters.second_runs as i64);
+        m.second_runs_first.set(counters.second_runs_first as i64);
         let (largest_share, active) = self.sched.workspace_limit_usage();
         m.max_workspace_usage_percent.set((largest_share * 100.0) as i64);
         m.active_workspaces.set(active as i64);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -60,6 +60,10 @@
     pub lost_runs: IntGauge,
     /// Tasks that are not started again because they crash their workers, in this term.
     pub abandoned_tasks: IntGauge,
+    /// Second runs that were started, in this term.
+    pub second_runs: IntGauge,
+    /// Second runs that completed their task first, in this term.
+    pub second_runs_first: IntGauge,
     /// Bytes sent and received over the network link, by purpose and direction.
     link_bytes: IntGaugeVec,
     /// Calls and messages over the network link, by purpose.
@@ -189,6 +193,16 @@
                 "workswood_tasks_given_up",
                 "tasks not started again because they crash their workers, in this term",
             ),
+            second_runs: register_gauge(
+                &registry,
+                "workswood_second_runs",
+                "second runs of late tasks that were started, in this term",
+            ),
+            second_runs_first: register_gauge(
+                &registry,
+                "workswood_second_runs_first",
+                "second runs that completed their task before the first run, in this term",
+            ),
             link_bytes: register_gauge_vec(
                 &registry,
                 "workswood_link_bytes",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -57,6 +57,7 @@
 mod random_keys;
 mod restarted_workers;
 mod result_codes;
+mod second_runs;
 mod separate_processes;
 mod silent_connections;
 mod slot_dispatch;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -63,6 +63,8 @@
     Crashes,
     /// Data centres that are evacuated and taken back.
     Evacuations,
+    /// Steps that allow copies, most of them.
+    Copies,
 }
 
 /// Plays one history in a world, in which nothing may be broken.
@@ -98,7 +100,7 @@
                 if w.rng.below(2) == 0 {
                     steps.push(step(1 + w.rng.below(3) as u32, vec![0]));
                 }
-                steps[0].speculative = w.rng.below(6) == 0;
+                steps[0].speculative = with == With::Copies || w.rng.below(6) == 0;
                 if with == With::Crashes && w.rng.below(JOBS_A_CRASHING_ONE) == 0 {
                     make_crashing(&mut w, n + 1);
                 }
@@ -187,6 +189,15 @@
     assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
+/// Tasks whose steps allow copies get second runs; the others run once.
+#[test]
+fn short_histories_with_second_runs() {
+    let starts: u64 =
+        (1..=HISTORIES).map(|seed| play(seed, World::with_second_runs, With::Copies).starts).sum();
+    assert!(starts > HISTORIES, "{starts} starts");
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+}
+
 #[test]
 fn short_histories_with_crashes() {
     let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::new, With::Crashes).starts).sum();
