--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -17,6 +17,8 @@
 
 /// Interval between two searches for late runs.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
+/// A run whose worker does not answer is late after this multiple of its usual duration.
+const MUTE_FACTOR: f64 = 1.2;
 /// Most runs of one task at a time.
 const MAX_RUNS: usize = 2;
 
@@ -26,10 +28,10 @@
 pub struct SecondRunPolicy {
     /// Whether tasks get second runs.
     pub enabled: bool,
-    /// A run is late after this multiple of what its siblings took on average.
+    /// A run is slow after this multiple of what its siblings took on average.
     pub late_factor: f64,
-    /// Number of siblings that have completed before their average is used; until then, the
-    /// expected duration of the queue's tasks is.
+    /// Number of siblings that have completed before a run is called slow. One whose worker is mute
+    /// is compared with the expected duration of the queue's tasks until then.
     pub min_siblings: u32,
     /// Largest share of a service's processor capacity in use that second runs may add.
     pub max_share: f64,
@@ -37,7 +39,7 @@
 
 impl Default for SecondRunPolicy {
     fn default() -> SecondRunPolicy {
-        SecondRunPolicy { enabled: false, late_factor: 1.6, min_siblings: 3, max_share: 0.05 }
+        SecondRunPolicy { enabled: false, late_factor: 2.5, min_siblings: 3, max_share: 0.05 }
     }
 }
 
@@ -184,8 +186,10 @@
         let age = self.now.saturating_sub(run.placed_at.unwrap_or(self.claimed_at));
         let why = self.lateness(run);
         let late_after = match why {
+            // A whole step may take longer than expected.
+            Lateness::Slow if siblings.is_none() => return None,
             Lateness::Slow => usual.mul_f64(policy.late_factor),
-            Lateness::Mute => usual,
+            Lateness::Mute => usual.mul_f64(MUTE_FACTOR),
             Lateness::Stopping => Duration::ZERO,
         };
         (age > late_after).then_some(LateTask { id, why, age, usual })
