--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -35,6 +35,8 @@
 //!   its decisions about tasks.
 //! * [`crash_attribution`] finds tasks that crash their workers more often than the usual
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
+//! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
+//!   workers whose runs take much longer.
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
@@ -80,6 +82,8 @@
 pub mod run_tracker;
 pub mod scheduler;
 mod second_runs;
+mod sibling_times;
+mod slow_workers;
 pub mod spec;
 pub mod stable_map;
 pub mod task_queue;
@@ -103,6 +107,7 @@
 pub use run_tracker::RunTracker;
 pub use scheduler::Scheduler;
 pub use second_runs::SecondRunPolicy;
+pub use slow_workers::SlowWorkerPolicy;
 pub use spec::{JobKey, JobSpec, Repeat, StepId, StepSpec, TaskId};
 pub use types::{
     Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobStatusUpdate, Limits, Record, StartReply,
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -11,6 +11,7 @@
 use super::crash_attribution::CrashPolicy;
 use super::relays::RelayPolicy;
 use super::second_runs::SecondRunPolicy;
+use super::slow_workers::SlowWorkerPolicy;
 
 /// All parameters of the scheduler's decisions.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -40,6 +41,8 @@
     pub relays: RelayPolicy,
     /// Second runs of tasks whose steps allow copies.
     pub second_runs: SecondRunPolicy,
+    /// Workers that are slow.
+    pub slow_workers: SlowWorkerPolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -361,6 +364,7 @@
         self.check_factors()?;
         self.check_counts()?;
         self.second_runs.check()?;
+        self.slow_workers.check()?;
         self.check_times()
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -20,6 +20,7 @@
 use super::queue_order::{TaskDurations, queue_position};
 use super::relays::Relays;
 use super::second_runs::SecondRuns;
+use super::sibling_times::SiblingTimes;
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::stable_map::StableMap;
 use super::task_queue::TaskQueue;
@@ -77,6 +78,8 @@
     pub(super) crash_rate: CrashRate,
     /// Durations of tasks.
     pub(super) durations: TaskDurations,
+    /// Times of completed tasks of open jobs.
+    pub(super) sibling_times: SiblingTimes,
     /// Open jobs whose tasks may get second runs.
     pub(super) second_runs: SecondRuns,
     /// Hosts, as last listed.
@@ -137,6 +140,8 @@
     pub runs_lost: u64,
     /// Tasks that were given up because they crash their workers.
     pub tasks_given_up: u64,
+    /// Workers that were kept from new work because they were slow.
+    pub workers_slow: u64,
     /// Second runs that were started.
     pub second_runs: u64,
     /// Second runs that completed their task before the first run did.
@@ -167,6 +172,7 @@
             submission_rates: SubmissionRates::default(),
             crash_rate: CrashRate::default(),
             durations: TaskDurations::default(),
+            sibling_times: SiblingTimes::default(),
             second_runs: SecondRuns::default(),
             hosts: StableMap::default(),
             hosts_requested_at: Duration::ZERO,
@@ -493,6 +499,7 @@
         self.dirty_jobs.insert(key);
         self.drop_advice(key);
         self.second_runs.forget(key);
+        self.sibling_times.forget(key);
         let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
         for id in ids {
             self.dequeue(&id);
@@ -539,6 +546,7 @@
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
             self.send_due_stops();
+            self.shun_slow_workers();
             self.clear_proven_tasks();
         }
         self.evict_from_draining();
--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -12,7 +12,7 @@
 
 use super::job::{Phase, Run, Task, WorkerId};
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, JobSpec, StepId, StepSpec, TaskId};
+use super::spec::{JobKey, JobSpec, StepSpec, TaskId};
 use crate::ids::ServiceId;
 
 /// Interval between two searches for late runs.
@@ -30,16 +30,13 @@
     pub enabled: bool,
     /// A run is slow after this multiple of what its siblings took on average.
     pub late_factor: f64,
-    /// Number of siblings that have completed before a run is called slow. One whose worker is mute
-    /// is compared with the expected duration of the queue's tasks until then.
-    pub min_siblings: u32,
     /// Largest share of a service's processor capacity in use that second runs may add.
     pub max_share: f64,
 }
 
 impl Default for SecondRunPolicy {
     fn default() -> SecondRunPolicy {
-        SecondRunPolicy { enabled: false, late_factor: 2.5, min_siblings: 3, max_share: 0.05 }
+        SecondRunPolicy { enabled: false, late_factor: 2.5, max_share: 0.05 }
     }
 }
 
@@ -56,18 +53,10 @@
     }
 }
 
-/// Number and total time of the tasks of a step that have completed.
-#[derive(Clone, Copy, Debug, Default)]
-struct Completed {
-    count: u32,
-    total: Duration,
-}
-
 /// The open jobs that may get second runs.
 #[derive(Debug, Default)]
 pub(super) struct SecondRuns {
     jobs: BTreeSet<JobKey>,
-    completed: BTreeMap<StepId, Completed>,
     searched_at: Duration,
 }
 
@@ -81,24 +70,7 @@
 
     /// Removes a job that has ended.
     pub(super) fn forget(&mut self, key: JobKey) {
-        if self.jobs.remove(&key) {
-            self.completed.retain(|step, _| step.job != key);
-        }
-    }
-
-    /// Records how long a task took that has completed.
-    pub(super) fn note_completed(&mut self, step: StepId, took: Duration) {
-        if self.jobs.contains(&step.job) {
-            let completed = self.completed.entry(step).or_default();
-            completed.count += 1;
-            completed.total += took;
-        }
-    }
-
-    /// Average duration of the tasks of a step, once enough of them have completed.
-    fn siblings_took(&self, step: &StepId, min_siblings: u32) -> Option<Duration> {
-        let completed = self.completed.get(step).filter(|c| c.count >= min_siblings.max(1))?;
-        Some(completed.total / completed.count)
+        self.jobs.remove(&key);
     }
 }
 
@@ -179,7 +151,7 @@
             return None;
         }
         let [run] = task.runs.as_slice() else { return None };
-        let siblings = self.second_runs.siblings_took(&id.step_id(), policy.min_siblings);
+        let siblings = self.sibling_times.average(&id.step_id());
         let usual =
             siblings.unwrap_or_else(|| self.durations.expect(&spec.queue, step.estimate, &self.policy.order));
         // Of a run that a predecessor placed, only the time since the takeover is known.
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -172,7 +172,7 @@
         if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
             self.durations.observe(&spec.queue, now.saturating_sub(run.phase_since), &self.policy.order);
             let placed_at = run.placed_at.unwrap_or(run.phase_since);
-            self.second_runs.note_completed(task_id.step_id(), now.saturating_sub(placed_at));
+            self.sibling_times.note_completed(task_id.step_id(), now.saturating_sub(placed_at));
         }
         // An end that is reported again may be older than the known checkpoint.
         if known && step.checkpointing && !end.checkpoint.is_empty() {
@@ -277,7 +277,7 @@
 
     /// Whether one more worker of the same service may be put into backoff without exceeding the
     /// allowed fraction.
-    fn may_back_off(&self, id: &WorkerId) -> bool {
+    pub(super) fn may_back_off(&self, id: &WorkerId) -> bool {
         let service = self.workers.get(id).and_then(|w| w.info.as_ref()).map(|i| &i.service);
         let same_service = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
         let all = self.workers.values().filter(same_service).count();
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -60,6 +60,8 @@
     pub lost_runs: IntGauge,
     /// Tasks that are not started again because they crash their workers, in this term.
     pub abandoned_tasks: IntGauge,
+    /// Workers that were kept from new work because they were slow, in this term.
+    pub slow_workers: IntGauge,
     /// Second runs that were started, in this term.
     pub second_runs: IntGauge,
     /// Second runs that completed their task first, in this term.
@@ -193,6 +195,11 @@
                 "workswood_tasks_given_up",
                 "tasks not started again because they crash their workers, in this term",
             ),
+            slow_workers: register_gauge(
+                &registry,
+                "workswood_workers_slow",
+                "times that a worker was kept from new work because it was slow, in this term",
+            ),
             second_runs: register_gauge(
                 &registry,
                 "workswood_second_runs",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -61,6 +61,7 @@
 mod separate_processes;
 mod silent_connections;
 mod slot_dispatch;
+mod slow_workers;
 mod state_checkpoints;
 mod store_protocol;
 mod stored_formats;
