--- a/crates/workswood-core/src/jobs/maintenance_orders.rs
+++ b/crates/workswood-core/src/jobs/maintenance_orders.rs
@@ -33,7 +33,7 @@
     pub(super) fn order_drained_hosts(&mut self, number: u64) {
         let Some(wave) = self.waves.get(&number) else { return };
         let mut slots = wave.request.max_down.max(1).saturating_sub(wave.down_count());
-        if wave.draining.is_empty() {
+        if wave.draining_since.is_empty() {
             return;
         }
         let worker = |host: &HostId| {
@@ -41,7 +41,7 @@
             self.current_worker_on(host).cloned().or_else(listed)
         };
         let draining: Vec<(HostId, Duration, Option<WorkerId>)> =
-            wave.draining.iter().map(|(host, at)| (host.clone(), *at, worker(host))).collect();
+            wave.draining_since.iter().map(|(host, at)| (host.clone(), *at, worker(host))).collect();
         for (host, at, worker) in draining {
             let long_running = worker.as_ref().map_or(0, |id| self.evict_within_budget(id));
             let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
@@ -60,7 +60,7 @@
     /// Sends the first maintenance order to a host and records the incarnation of its worker.
     fn order_maintenance(&mut self, number: u64, host: HostId, worker: Option<WorkerId>) {
         let Some(wave) = self.waves.get_mut(&number) else { return };
-        wave.draining.remove(&host);
+        wave.end_draining(&host);
         wave.record.ordered.insert(host.clone(), worker.map(|id| id.to_string()));
         self.dirty_waves.insert(number);
         self.send_maintenance_order(number, host);
@@ -121,7 +121,7 @@
             HostReply::Busy | HostReply::Later | HostReply::Fenced => {
                 if !wave.unconfirmed.contains(host) {
                     wave.record.ordered.remove(host);
-                    wave.draining.insert(host.clone(), self.now);
+                    wave.begin_draining(host.clone(), self.now);
                     self.dirty_waves.insert(number);
                 }
             }
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -12,19 +12,18 @@
 
 use super::host::{Host, HostState};
 use super::job::WorkerId;
-use super::policy::WavePolicy;
 use super::pool_count::is_up_or_moving;
 use super::scheduler::Scheduler;
 use super::stable_map::{StableMap, StableSet};
-use crate::ids::{HostId, ServiceId};
+use super::wave_plan::{Clocks, RequestTime, planned_hosts};
+use crate::ids::{HostId, ServiceId, UnixMs};
 
 /// Time after the confirmation of a maintenance within which the list shows it, if it shows it at
 /// all.
 const MAINTENANCE_LIST_DELAY: Duration = Duration::from_millis(1500);
 
 /// A host that no list has shown for this long was removed for good; a host that moves or is
-/// maintained stays listed. A host that is down for a wave counts as removed with the first list
-/// that does not show it.
+/// maintained stays listed. Until then, a host that is down for a wave counts as down.
 const REMOVED_HOST_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// A maintenance wave as an operator requests it.
@@ -52,6 +51,13 @@
     /// Hosts that need nothing more: up again, removed, or not part of the wave.
     #[serde(default)]
     pub finished: BTreeSet<HostId>,
+    /// Hosts that are being drained. Records of earlier versions hold none.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub draining: BTreeSet<HostId>,
+    /// Time of day at which the first lease holder knew of the wave. Records of earlier versions do
+    /// not have it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requested_at_ms: Option<UnixMs>,
 }
 
 /// The state of a wave.
@@ -61,8 +67,8 @@
     pub request: Wave,
     /// The stored progress.
     pub record: WaveRecord,
-    /// Hosts that are being drained, and since when.
-    pub draining: BTreeMap<HostId, Duration>,
+    /// Since when this scheduler has drained each host of `record.draining`.
+    pub draining_since: BTreeMap<HostId, Duration>,
     /// When each order was last sent.
     pub order_sent_at: BTreeMap<HostId, Duration>,
     /// When each order was confirmed, as far as this scheduler received the reply.
@@ -73,8 +79,8 @@
     pub absent_since: BTreeMap<HostId, Duration>,
     /// Hosts that were removed; they need no maintenance.
     pub removed: BTreeSet<HostId>,
-    /// When this scheduler first knew of the wave.
-    pub known_since: Duration,
+    /// When the wave was requested.
+    requested_at: RequestTime,
 }
 
 /// Whether a host is back from maintenance: its worker has another incarnation.
@@ -128,34 +134,42 @@
         let removed =
             self.absent_since.iter().filter(|(_, since)| **since + REMOVED_HOST_TIMEOUT <= requested_at);
         self.removed = removed.map(|(host, _)| host.clone()).collect();
+        // A removed host takes no slot.
+        for host in &self.removed {
+            self.record.draining.remove(host);
+            self.draining_since.remove(host);
+        }
         self.removed.len() != before
     }
 
-    /// How many hosts should be finished or begun by now.
-    fn planned_by(&self, now: Duration, short: bool, policy: &WavePolicy) -> usize {
-        let used = if short { policy.planned_time_share_when_short } else { policy.planned_time_share };
-        let passed = now.saturating_sub(self.known_since).as_secs_f64() + policy.lead_time.as_secs_f64();
-        let within = self.request.time_allowed.as_secs_f64() * used;
-        let share = if within > 0.0 { (passed / within).min(1.0) } else { 1.0 };
-        (self.request.hosts.len() as f64 * share).ceil() as usize
+    /// Begins to drain a host.
+    pub(super) fn begin_draining(&mut self, host: HostId, now: Duration) {
+        self.record.draining.insert(host.clone());
+        self.draining_since.insert(host, now);
+    }
+
+    /// Ends the draining of a host, which is ordered down.
+    pub(super) fn end_draining(&mut self, host: &HostId) {
+        self.record.draining.remove(host);
+        self.draining_since.remove(host);
     }
 
     /// Whether the maintenance of a host has not begun.
     fn is_pending(&self, host: &HostId) -> bool {
-        let begun = self.record.ordered.contains_key(host) || self.draining.contains_key(host);
+        let begun = self.record.ordered.contains_key(host) || self.record.draining.contains(host);
         !begun && !self.record.finished.contains(host)
     }
 
     /// Whether a host is being drained for the wave, or is or may be down.
     fn occupies(&self, host: &HostId) -> bool {
         let ordered = self.record.ordered.contains_key(host) && !self.record.finished.contains(host);
-        ordered || self.draining.contains_key(host)
+        ordered || self.record.draining.contains(host)
     }
 
     /// Hosts that are being drained for the wave, or are or may be down.
     fn occupied(&self) -> impl Iterator<Item = &HostId> {
         let down = self.record.ordered.keys().filter(|host| !self.record.finished.contains(*host));
-        self.draining.keys().chain(down)
+        self.record.draining.iter().chain(down)
     }
 
     /// Number of hosts that are, or may be, down for the wave.
@@ -171,29 +185,35 @@
         if self.waves.contains_key(&number) {
             return;
         }
+        let mut record = rec.unwrap_or_default();
+        let now = self.now;
+        let recorded = *record.requested_at_ms.get_or_insert(self.wall);
         self.notes.push(format_args!(
-            "event=wave_known wave={number} machines={} most_at_once={}",
+            "event=wave_known wave={number} machines={} most_at_once={} finished={} emptying={} age_ms={}",
             wave.hosts.len(),
-            wave.max_down
+            wave.max_down,
+            record.finished.len(),
+            record.draining.len(),
+            self.wall.saturating_sub(recorded)
         ));
-        let record = rec.unwrap_or_default();
-        let now = self.now;
         let open = record.ordered.keys().filter(|host| !record.settled.contains(*host));
         let unconfirmed = open.cloned().collect();
+        let draining_since = record.draining.iter().map(|host| (host.clone(), now)).collect();
         let confirmed_at = record.settled.iter().map(|host| (host.clone(), now)).collect();
         let state = WaveState {
             request: wave,
             record,
-            draining: BTreeMap::new(),
+            draining_since,
             order_sent_at: BTreeMap::new(),
             confirmed_at,
             unconfirmed,
             absent_since: BTreeMap::new(),
             removed: BTreeSet::new(),
-            known_since: now,
+            requested_at: RequestTime { known_since: now, recorded },
         };
         self.waves.insert(number, state);
         self.dirty_waves.insert(number);
+        self.update_cordons();
     }
 
     /// Takes over a list of hosts that was requested at `requested_at`.
@@ -245,7 +265,7 @@
                         )
                     }
                     // A removed host needs no maintenance.
-                    None => !self.hosts.is_empty(),
+                    None => wave.removed.contains(&name),
                 };
                 if back {
                     wave.record.finished.insert(name);
@@ -318,14 +338,17 @@
     /// the wave is behind its plan.
     fn start_draining(&mut self, number: u64) {
         let Some(wave) = self.waves.get(&number) else { return };
-        let begun = wave.draining.len() + wave.down_count();
+        let begun = wave.record.draining.len() + wave.down_count();
         let mut slots = wave.request.max_down.max(1).saturating_sub(begun);
         if slots == 0 {
             return;
         }
         let mut count = self.count_pools();
         let short = self.short_pools(&count);
-        let planned = wave.planned_by(self.now, !short.is_empty(), &self.policy.waves);
+        let elapsed = wave.requested_at.elapsed(Clocks { now: self.now, wall: self.wall });
+        let Wave { hosts, time_allowed, .. } = &wave.request;
+        let planned =
+            planned_hosts(hosts.len(), *time_allowed, elapsed, !short.is_empty(), &self.policy.waves);
         let mut behind = planned.saturating_sub(wave.record.finished.len() + begun);
         for (long_running, used, host) in self.drain_candidates(wave, &short) {
             let is_surplus = long_running == 0 && used == 0 && self.can_spare(&count, &host);
@@ -347,7 +370,8 @@
             }
             let now = self.now;
             if let Some(wave) = self.waves.get_mut(&number) {
-                wave.draining.insert(host, now);
+                wave.begin_draining(host, now);
+                self.dirty_waves.insert(number);
             }
         }
     }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -82,6 +82,7 @@
 pub mod stable_map;
 pub mod task_queue;
 pub mod types;
+mod wave_plan;
 pub mod worker;
 pub mod worker_events;
 pub mod worker_id;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -64,6 +64,7 @@
 mod stored_formats;
 mod suspended_host;
 mod task_packing;
+mod wave_handover;
 mod wave_orders;
 mod whole_path;
 mod worker_lives;
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -346,7 +346,7 @@
 #[test]
 fn scheduler_state() {
     let all = lines(SCHEDULER_STATE);
-    assert_eq!(all.len(), 10);
+    assert_eq!(all.len(), 11);
     for line in all {
         let stored = keyed(line);
         assert_eq!(state_record(&read_state(&stored)), stored, "{}", line.0);
@@ -354,6 +354,9 @@
     let Record::Wave(12, wave) = state_of("wave-12") else { panic!("another record") };
     assert_eq!((&wave.ordered["m-1"], &wave.ordered["m-2"]), (&Some("w-1@5".to_string()), &None));
     assert!(wave.settled.contains("m-1") && wave.finished.contains("m-3"));
+    assert!(wave.draining.is_empty() && wave.requested_at_ms.is_none(), "of a version before");
+    let Record::Wave(13, wave) = state_of("wave-13") else { panic!("another record") };
+    assert_eq!((wave.draining.contains("m-4"), wave.requested_at_ms), (true, Some(1_700_000_000_000)));
     let Record::Worker(id, worker) = state_of("worker-w-1@1700000000000") else { panic!("another record") };
     assert_eq!((id.name(), id.started_at()), ("w-1", Some(1_700_000_000_000)));
     assert_eq!((worker.address.as_str(), worker.service.as_str()), ("10.0.1.1:9000", "till"));
