--- /dev/null
+++ b/crates/workswood-core/src/jobs/drain_order.rs
@@ -0,0 +1,114 @@
+//! Which hosts of a maintenance wave are drained next.
+//!
+//! Long-running tasks are moved off only within the budgets of their steps, so on a wave of hosts that
+//! run some, the budgets decide how long it takes. Hosts with long-running tasks therefore go first,
+//! and only as many at a time as the budgets allow to be evicted from now: the others keep working.
+
+use std::collections::BTreeMap;
+
+use super::job::WorkerId;
+use super::maintenance_waves::WaveState;
+use super::scheduler::Scheduler;
+use super::spec::{StepId, TaskId};
+use crate::ids::{HostId, ServiceId};
+
+/// A host of a wave whose maintenance has not begun. Candidates are drained in their order.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct DrainCandidate {
+    /// Whether it runs no long-running tasks.
+    without_long_running: bool,
+    /// Whether its pool is short of hosts.
+    in_short_pool: bool,
+    /// Number of its long-running tasks.
+    long_running: usize,
+    /// Processor use of its worker, in thousandths of a core.
+    used_cpu_millis: u64,
+    /// The host.
+    pub(super) host: HostId,
+    /// Long-running tasks that have to be evicted from it.
+    to_evict: Vec<TaskId>,
+}
+
+impl DrainCandidate {
+    /// Whether nothing runs on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.long_running == 0 && self.used_cpu_millis == 0
+    }
+}
+
+/// Number of evictions that the budgets of steps allow at present, besides those that hosts which
+/// are being drained wait for; `None` where no budget applies.
+#[derive(Debug, Default)]
+pub(super) struct EvictionRoom(BTreeMap<StepId, Option<u32>>);
+
+impl EvictionRoom {
+    /// Takes the evictions that a host needs if at least one of them is allowed now; returns whether
+    /// the host may be drained.
+    pub(super) fn take(&mut self, sched: &Scheduler, candidate: &DrainCandidate) -> bool {
+        let tasks = &candidate.to_evict;
+        let is_allowed = |task: &TaskId| self.of_step(sched, task).is_none_or(|room| room > 0);
+        if !tasks.is_empty() && !tasks.iter().any(is_allowed) {
+            return false;
+        }
+        tasks.iter().for_each(|task| self.claim(sched, task));
+        true
+    }
+
+    /// Takes the eviction of one task, if it is allowed.
+    fn claim(&mut self, sched: &Scheduler, task: &TaskId) {
+        let room = self.of_step(sched, task);
+        self.0.insert(task.step_id(), room.map(|n| n.saturating_sub(1)));
+    }
+
+    fn of_step(&self, sched: &Scheduler, task: &TaskId) -> Option<u32> {
+        self.0.get(&task.step_id()).copied().unwrap_or_else(|| sched.evictions_allowed(task))
+    }
+}
+
+impl Scheduler {
+    /// The evictions that may begin now, besides those that hosts which are being drained wait for.
+    pub(super) fn eviction_room(&self) -> EvictionRoom {
+        let mut room = EvictionRoom::default();
+        let draining = self.waves.values().flat_map(|wave| &wave.record.draining);
+        for worker in draining.filter_map(|host| self.worker_of(host)) {
+            self.tasks_to_evict(worker).iter().for_each(|task| room.claim(self, task));
+        }
+        room
+    }
+
+    /// Hosts of a wave whose maintenance has not begun, in the order in which they are drained.
+    pub(super) fn drain_candidates(&self, wave: &WaveState, short: &[ServiceId]) -> Vec<DrainCandidate> {
+        let can_drain =
+            |host: &&HostId| self.hosts.contains_key(*host) && !self.pools.moves.contains_key(*host);
+        let waiting = wave.request.hosts.iter().filter(|host| wave.is_pending(host)).filter(can_drain);
+        let mut waiting: Vec<DrainCandidate> =
+            waiting.map(|host| self.drain_candidate(host, short)).collect();
+        waiting.sort();
+        waiting
+    }
+
+    fn drain_candidate(&self, host: &HostId, short: &[ServiceId]) -> DrainCandidate {
+        let worker = self.worker_of(host);
+        let long_running = self.long_running_on(host);
+        let used = worker.and_then(|id| self.workers.get(id)).map_or(0, |w| w.used_resources.cpu_millis);
+        DrainCandidate {
+            without_long_running: long_running == 0,
+            in_short_pool: self.hosts.get(host).is_some_and(|host| short.contains(&host.pool)),
+            long_running,
+            used_cpu_millis: used,
+            host: host.clone(),
+            to_evict: worker.map(|id| self.tasks_to_evict(id)).unwrap_or_default(),
+        }
+    }
+
+    /// Number of long-running tasks on a host.
+    pub(super) fn long_running_on(&self, host: &HostId) -> usize {
+        self.worker_of(host).map_or(0, |id| self.runs_of_long_running_tasks(id).len())
+    }
+
+    /// The worker of a host: the reported one, or else the one in the list of hosts.
+    pub(super) fn worker_of(&self, host: &HostId) -> Option<&WorkerId> {
+        let listed = || self.hosts.get(host).and_then(|host| host.worker.as_ref());
+        self.current_worker_on(host).or_else(listed)
+    }
+}
--- a/crates/workswood-core/src/jobs/eviction.rs
+++ b/crates/workswood-core/src/jobs/eviction.rs
@@ -37,14 +37,32 @@
         runs
     }
 
+    /// Long-running tasks on a worker that have not been evicted yet.
+    pub(super) fn tasks_to_evict(&self, id: &WorkerId) -> Vec<TaskId> {
+        let is_evicted = |task: &TaskId, attempt: u32| {
+            let runs = self.jobs.get(&task.job).and_then(|j| j.task(task)).map(|t| t.runs.as_slice());
+            let run = runs.unwrap_or_default().iter().find(|r| r.worker == *id && r.attempt == attempt);
+            run.is_none_or(|r| r.evicted || r.phase == Phase::Stopping)
+        };
+        let runs = self.runs_of_long_running_tasks(id).into_iter();
+        runs.filter(|(task, attempt)| !is_evicted(task, *attempt)).map(|(task, _)| task).collect()
+    }
+
     /// Whether evicting this task keeps the availability budget of its step.
     pub(super) fn eviction_keeps_budget(&self, id: &TaskId) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return true };
+        self.evictions_allowed(id).is_none_or(|room| room > 0)
+    }
+
+    /// How many tasks of this task's step may be evicted now, this one included; `None` if no budget
+    /// applies.
+    pub(super) fn evictions_allowed(&self, id: &TaskId) -> Option<u32> {
+        let job = self.jobs.get(&id.job)?;
         if job.cancelled || job.outcome.is_some_and(|o| o != Outcome::Failed) {
-            return true;
+            return None;
         }
-        let Some(step) = job.step(id) else { return true };
-        job.other_tasks_not_running(id, |run| self.counts_as_available(run)) < step.max_unavailable
+        let step = job.step(id)?;
+        let missing = job.other_tasks_not_running(id, |run| self.counts_as_available(run));
+        Some(step.max_unavailable.saturating_sub(missing))
     }
 
     /// Whether a task goes on although its job has ended. Running tasks of a long-running step
--- a/crates/workswood-core/src/jobs/maintenance_orders.rs
+++ b/crates/workswood-core/src/jobs/maintenance_orders.rs
@@ -36,13 +36,15 @@
         if wave.draining_since.is_empty() {
             return;
         }
-        let worker = |host: &HostId| {
-            let listed = || self.hosts.get(host).and_then(|host| host.worker.clone());
-            self.current_worker_on(host).cloned().or_else(listed)
-        };
-        let draining: Vec<(HostId, Duration, Option<WorkerId>)> =
-            wave.draining_since.iter().map(|(host, at)| (host.clone(), *at, worker(host))).collect();
-        for (host, at, worker) in draining {
+        let worker = |host: &HostId| self.worker_of(host).cloned();
+        let mut draining: Vec<(usize, Duration, HostId, Option<WorkerId>)> = wave
+            .draining_since
+            .iter()
+            .map(|(host, at)| (self.long_running_on(host), *at, host.clone(), worker(host)))
+            .collect();
+        // Those that need the fewest evictions are evicted from first, so that they are free soonest.
+        draining.sort();
+        for (_, at, host, worker) in draining {
             let long_running = worker.as_ref().map_or(0, |id| self.evict_within_budget(id));
             let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
             let waited = self.now >= at + self.policy.waves.drain_timeout;
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -16,7 +16,7 @@
 use super::scheduler::Scheduler;
 use super::stable_map::{StableMap, StableSet};
 use super::wave_plan::{Clocks, RequestTime, planned_hosts};
-use crate::ids::{HostId, ServiceId, UnixMs};
+use crate::ids::{HostId, UnixMs};
 
 /// Time after the confirmation of a maintenance within which the list shows it, if it shows it at
 /// all.
@@ -155,7 +155,7 @@
     }
 
     /// Whether the maintenance of a host has not begun.
-    fn is_pending(&self, host: &HostId) -> bool {
+    pub(super) fn is_pending(&self, host: &HostId) -> bool {
         let begun = self.record.ordered.contains_key(host) || self.record.draining.contains(host);
         !begun && !self.record.finished.contains(host)
     }
@@ -335,7 +335,7 @@
     }
 
     /// Picks hosts to drain: idle ones that their pool can spare at any time, others only as far as
-    /// the wave is behind its plan.
+    /// the wave is behind its plan and budgets allow to evict from them.
     fn start_draining(&mut self, number: u64) {
         let Some(wave) = self.waves.get(&number) else { return };
         let begun = wave.record.draining.len() + wave.down_count();
@@ -350,14 +350,19 @@
         let planned =
             planned_hosts(hosts.len(), *time_allowed, elapsed, !short.is_empty(), &self.policy.waves);
         let mut behind = planned.saturating_sub(wave.record.finished.len() + begun);
-        for (long_running, used, host) in self.drain_candidates(wave, &short) {
-            let is_surplus = long_running == 0 && used == 0 && self.can_spare(&count, &host);
+        let mut room = self.eviction_room();
+        for candidate in self.drain_candidates(wave, &short) {
+            let is_surplus = candidate.is_idle() && self.can_spare(&count, &candidate.host);
             if slots == 0 {
                 break;
             }
-            if (behind == 0 && !is_surplus) || self.in_maintenance(&host) {
+            if (behind == 0 && !is_surplus)
+                || self.in_maintenance(&candidate.host)
+                || !room.take(self, &candidate)
+            {
                 continue;
             }
+            let host = candidate.host;
             slots -= 1;
             behind = behind.saturating_sub(1);
             self.notes.push(format_args!(
@@ -375,32 +380,4 @@
             }
         }
     }
-
-    /// Hosts of a wave whose maintenance has not begun, with their number of long-running tasks and
-    /// their processor use. Sorted: hosts of pools that are not short first, and among them those
-    /// with the least load.
-    fn drain_candidates(&self, wave: &WaveState, short: &[ServiceId]) -> Vec<(usize, u64, HostId)> {
-        let can_drain =
-            |host: &&HostId| self.hosts.contains_key(*host) && !self.pools.moves.contains_key(*host);
-        let waiting = wave.request.hosts.iter().filter(|host| wave.is_pending(host)).filter(can_drain);
-        let mut waiting: Vec<(bool, (usize, u64, HostId))> = waiting
-            .map(|host| (self.is_in_pools(host, short), self.load_on(host, self.current_worker_on(host))))
-            .collect();
-        waiting.sort();
-        waiting.into_iter().map(|(_, load)| load).collect()
-    }
-
-    /// Whether a host is in one of these pools.
-    fn is_in_pools(&self, host: &HostId, pools: &[ServiceId]) -> bool {
-        self.hosts.get(host).is_some_and(|host| pools.contains(&host.pool))
-    }
-
-    /// Number of long-running tasks and processor use of a host's worker: the reported one, or else
-    /// the one in the list of hosts.
-    fn load_on(&self, host: &HostId, reported: Option<&WorkerId>) -> (usize, u64, HostId) {
-        let id = reported.or_else(|| self.hosts.get(host).and_then(|host| host.worker.as_ref()));
-        let long_running = id.map_or(0, |id| self.runs_of_long_running_tasks(id).len());
-        let used = id.and_then(|id| self.workers.get(id)).map_or(0, |w| w.used_resources.cpu_millis);
-        (long_running, used, host.clone())
-    }
 }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -38,8 +38,8 @@
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
 //! * [`lease_claim`] decides which process runs the scheduler.
-//! * [`maintenance_waves`] decides which host is maintained next, and [`maintenance_orders`] orders
-//!   it down.
+//! * [`maintenance_waves`] decides which host is maintained next: `wave_plan` how far the wave should be, and
+//!   `drain_order` which hosts go first. [`maintenance_orders`] orders them down.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`policy`] holds the parameters of the decisions.
@@ -55,6 +55,7 @@
 pub mod crash_rate;
 pub mod crash_trials;
 pub mod demand_history;
+mod drain_order;
 mod evacuation;
 pub mod eviction;
 pub mod fair_share;
--- /dev/null
+++ b/tests/testsuite/drain_order.rs
@@ -0,0 +1,62 @@
+//! Which hosts of a wave are drained first while budgets limit evictions.
+
+use std::sync::Arc;
+
+use workswood_core::jobs::{Action, Event};
+use workswood_test_support::host_world::{HostWorld, host, wave, worker};
+use workswood_test_support::job_world::{SERVICE, job, step};
+
+/// Hosts of the world.
+const HOSTS: usize = 5;
+
+/// Hosts with one long-running task each, of which one may be away, except for an idle host, whose name
+/// is returned.
+fn world_with_long_running_tasks() -> (HostWorld, String) {
+    let mut world = HostWorld::new(HOSTS);
+    (world.sched.policy.waves.planned_time_share, world.sched.policy.waves.planned_time_share_when_short) =
+        (0.1, 0.1);
+    world.list((0..HOSTS).map(|n| host(n, SERVICE, Some(0))).collect());
+    let mut lasting = step(HOSTS as u32 - 1, vec![]);
+    (lasting.long_running, lasting.max_per_worker, lasting.max_unavailable) = (true, 1, 1);
+    world.at(100);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let starts = world.sched.take_batch().actions;
+    for start in &starts {
+        if let Action::Start { worker, task, attempt, .. } = start {
+            world.taken(worker, *task, *attempt);
+        }
+    }
+    let mut idle = String::new();
+    for n in 0..HOSTS {
+        let here = |a: &&Action| matches!(a, Action::Start { worker: w, .. } if *w == worker(n, 0).id);
+        let here: Vec<Action> = starts.iter().filter(here).cloned().collect();
+        if here.is_empty() {
+            idle = worker(n, 0).host;
+        }
+        world.report(n, 0, &here);
+    }
+    (world, idle)
+}
+
+/// How many hosts a wave over all drains or orders down at once, and whether the idle one is among
+/// them.
+fn begun(max_down: usize) -> (usize, bool) {
+    let (mut world, idle) = world_with_long_running_tasks();
+    let hosts: Vec<usize> = (0..HOSTS).collect();
+    world.sched.handle(Event::WaveRequested(wave(&hosts, max_down), None));
+    world.at(250);
+    world.tick();
+    let record = &world.sched.waves[&1].record;
+    let begun: Vec<&String> = record.draining.iter().chain(record.ordered.keys()).collect();
+    (begun.len(), begun.contains(&&idle))
+}
+
+#[test]
+fn only_as_many_as_budgets_allow() {
+    assert_eq!(begun(HOSTS), (2, true), "the idle host, and one of those whose task may be away");
+}
+
+#[test]
+fn long_running_tasks_go_first() {
+    assert_eq!(begun(1), (1, false), "the idle one can be maintained at any time");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod crashing_tasks;
 mod deferred_requests;
 mod demand_history;
+mod drain_order;
 mod entry_silence;
 mod entry_stop;
 mod evacuated_centres;
