--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -301,6 +301,12 @@
         self.pools.moves.keys().chain(waves).collect()
     }
 
+    /// Hosts whose maintenance for some wave has not begun.
+    pub(super) fn hosts_due_for_maintenance(&self) -> StableSet<&HostId> {
+        let open = self.waves.values().filter(|wave| !wave.is_complete());
+        open.flat_map(|wave| wave.request.hosts.iter().filter(|host| wave.is_pending(host))).collect()
+    }
+
     /// Updates the cordons of workers after a change of the hosts to cordon.
     fn update_cordons(&mut self) {
         let to_cordon: BTreeSet<HostId> = self.hosts_to_cordon().into_iter().cloned().collect();
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -10,6 +10,7 @@
 use super::queue_order::{QueueOrder, QueuePosition, Timeliness};
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
+use super::stable_map::StableSet;
 use super::types::Action;
 use super::worker::Worker;
 use super::workspace::Owner;
@@ -17,8 +18,11 @@
 use crate::ids::ServiceId;
 use crate::invariant;
 
-/// Factor that makes interference outweigh the spread of a step's tasks in the cost of a placement.
+/// Factor that makes interference outweigh all else in the cost of the tasks on a worker.
 const INTERFERENCE_WEIGHT: usize = 1000;
+/// Cost of a host that a wave will drain: more than that of the spread of a step's tasks, less than
+/// that of interference. A task placed there would have to be evicted again.
+const DUE_MAINTENANCE_COST: usize = 100;
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
@@ -212,11 +216,17 @@
             let excluded = w.in_backoff(self.now) || w.in_quarantine(self.now);
             ticket && !excluded && w.free_resources().contains(&needed) && self.meets_constraints(w, step, id)
         };
+        let due = if step.long_running { self.hosts_due_for_maintenance() } else { StableSet::default() };
+        let cost = |w: &Worker| {
+            let is_due = w.info.as_ref().is_some_and(|info| due.contains(&info.host));
+            let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
+            (away_from_data, crowding + usize::from(is_due) * DUE_MAINTENANCE_COST, faults, free_cpu)
+        };
         let available = || self.workers.available(service, needed.cpu_millis).filter(|(_, w)| fits(w));
         let best = |skip: Option<&WorkerId>| {
             let mut open = available().filter(|(wid, _)| skip != Some(*wid));
             let found = match step.long_running || step.data_rack.is_some() {
-                true => open.min_by_key(|(_, w)| self.placement_cost(w, step, id)),
+                true => open.min_by_key(|(_, w)| cost(w)),
                 false => open.next(),
             };
             found.map(|(wid, _)| wid.clone())
--- a/tests/testsuite/drain_order.rs
+++ b/tests/testsuite/drain_order.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Event};
 use workswood_test_support::host_world::{HostWorld, host, wave, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -60,3 +61,24 @@
 fn long_running_tasks_go_first() {
     assert_eq!(begun(1), (1, false), "the idle one can be maintained at any time");
 }
+
+/// A task that is moved off goes where it can stay.
+#[test]
+fn evicted_task_avoids_hosts_of_the_wave() {
+    let mut world = HostWorld::new(3);
+    world.list((0..3).map(|n| host(n, SERVICE, Some(0))).collect());
+    world.sched.handle(Event::WaveRequested(wave(&[0, 1], 1), None));
+    let mut lasting = step(1, vec![]);
+    (lasting.long_running, lasting.max_unavailable) = (true, 1);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let starts = world.sched.take_batch().actions;
+    let on: Vec<_> = starts.iter().filter_map(started_on).collect();
+    assert_eq!(on, [worker(2, 0).id]);
+}
+
+fn started_on(action: &Action) -> Option<WorkerId> {
+    match action {
+        Action::Start { worker, .. } => Some(worker.clone()),
+        _ => None,
+    }
+}
