--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -37,7 +37,8 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
-//! * [`lease_claim`] decides which process runs the scheduler.
+//! * [`lease_claim`] decides which process runs the scheduler; [`lease_handover`] how a holder that the store
+//!   refuses, or that is told to stop, keeps it running.
 //! * [`maintenance_waves`] decides which host is maintained next, and [`maintenance_orders`] orders
 //!   it down.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
@@ -62,6 +63,7 @@
 pub mod job;
 pub mod job_table;
 pub mod lease_claim;
+pub mod lease_handover;
 mod log_lines;
 pub mod maintenance_orders;
 pub mod maintenance_waves;
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -9,6 +9,7 @@
 
 use super::advice::AdvicePolicy;
 use super::crash_attribution::CrashPolicy;
+use super::lease_handover::HandoverPolicy;
 use super::relays::RelayPolicy;
 
 /// All parameters of the scheduler's decisions.
@@ -37,6 +38,8 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
+    /// What a lease holder does that the store refuses to serve, or that is told to stop.
+    pub handover: HandoverPolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -437,12 +440,16 @@
             ("health.shun_at_most", self.health.max_shun),
             ("advice.margin", self.advice.ticket_margin),
             ("relays.shun_for", self.relays.backoff),
+            ("handover.late_after", self.handover.late_after),
             ("crashes.young", self.crashes.suspect_age),
             ("crashes.first_wait", self.crashes.max_first_trial_wait),
         ];
         if self.need.arrival_window.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
         }
+        if self.handover.late_after.is_zero() {
+            return Err("`policy.handover.late_after` must be above 0".to_string());
+        }
         let bad = times.into_iter().find(|(_, v)| *v > MAX_DURATION);
         bad.map_or(Ok(()), |(name, _)| {
             Err(format!("`policy.{name}` must be at most {} s", MAX_DURATION.as_secs()))
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -15,7 +15,7 @@
     #[prost(
         oneof = "Msg",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, \
-                28, 29, 30"
+                28, 29, 30, 31, 32"
     )]
     pub msg: Option<Msg>,
 }
@@ -111,6 +111,126 @@
     /// The newest configuration that the entry knows.
     #[prost(message, tag = "30")]
     ConfigReply(ConfigReply),
+    /// Asks an entry to call the store for the lease holder.
+    #[prost(message, tag = "31")]
+    StoreCallRequest(StoreCallRequest),
+    /// The outcome of a call to the store.
+    #[prost(message, tag = "32")]
+    StoreCallReply(StoreCallReply),
+}
+
+/// Asks an entry to call the store for the lease holder, because the store refuses to serve that one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreCallRequest {
+    /// The topic.
+    #[prost(enumeration = "StoreTopic", tag = "1")]
+    pub topic: i32,
+    /// The partition of the topic.
+    #[prost(uint32, tag = "2")]
+    pub partition: u32,
+    /// What to do.
+    #[prost(oneof = "StoreOperation", tags = "3, 4, 5")]
+    pub operation: Option<StoreOperation>,
+}
+
+/// What an entry does in the store for the lease holder.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum StoreOperation {
+    /// Appends records, guarded by the holder's term.
+    #[prost(message, tag = "3")]
+    Append(GuardedAppend),
+    /// Reads records from an offset on.
+    #[prost(message, tag = "4")]
+    Read(TopicRead),
+    /// Reads the latest record of every key.
+    #[prost(message, tag = "5")]
+    Latest(Latest),
+}
+
+/// An append that the store refuses once it has seen a higher term.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct GuardedAppend {
+    /// The records; may be empty.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<StoreRecord>,
+    /// The term.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Number of the append within the term.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+}
+
+/// A read of a topic.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TopicRead {
+    /// Offset of the first record.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// How long to wait for a record, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub wait_ms: u32,
+}
+
+/// A read of the latest record of every key.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Latest {}
+
+/// A record of the store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreRecord {
+    /// The key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// The value; unset if the record deletes the key.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub value: Option<bytes::Bytes>,
+}
+
+/// The outcome of a call to the store for the lease holder.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StoreCallReply {
+    /// What became of the call.
+    #[prost(enumeration = "StoreOutcome", tag = "1")]
+    pub outcome: i32,
+    /// Offset of the first appended record, or to continue reading from.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+    /// The records that were read.
+    #[prost(message, repeated, tag = "3")]
+    pub records: Vec<StoreRecord>,
+}
+
+/// What became of a call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum StoreOutcome {
+    /// It may have been carried out, or may be later.
+    Unknown = 0,
+    /// It was carried out.
+    Done = 1,
+    /// It was not carried out, and will not be.
+    NotDone = 2,
+    /// Another writer has appended before; nothing was done.
+    GuardFailed = 3,
+    /// The store no longer keeps the records.
+    RecordsGone = 4,
+}
+
+/// A topic of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum StoreTopic {
+    /// Not a known topic.
+    None = 0,
+    /// The scheduler lease.
+    Lease = 1,
+    /// Jobs and cancellations.
+    Inbox = 2,
+    /// The state of the scheduler.
+    State = 3,
+    /// Records of operators.
+    Operators = 4,
+    /// Registrations of workers.
+    Workers = 5,
 }
 
 /// Asks an entry to call the adviser for the lease holder.
@@ -512,6 +632,7 @@
             Msg::PendingJobsRequest(_) | Msg::PendingJobsReply(_) => "pending_questions",
             Msg::InboxAppendRequest(_) | Msg::InboxAppendReply(_) => "hand_ins_for_peers",
             Msg::AdviceRequest(_) | Msg::AdviceReply(_) => "advice_for_peers",
+            Msg::StoreCallRequest(_) | Msg::StoreCallReply(_) => "store_calls_for_peers",
             Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) => "relay_orders",
             Msg::RelayUpdate(_) => "relay_news",
             Msg::Heartbeat(_) | Msg::LogGrown(_) | Msg::Ping(_) | Msg::Pong(_) | Msg::Hello(_) => {
--- /dev/null
+++ b/src/workswood/ops/jobs/handover.rs
@@ -0,0 +1,79 @@
+//! Gives up the scheduler lease in a shutdown.
+//!
+//! [`workswood_core::jobs::lease_handover`] decides the steps. A release is sent only after the scheduler was
+//! stopped, since a successor may begin as soon as it is written.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::lease_handover::{StopStep, StoppingHolder};
+
+use super::node::{Node, SchedulerHandle};
+use super::{lease_renewal, peer_requests};
+
+/// Longest time between two steps.
+const STEP_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time that the scheduler takes to end once it was told to stop.
+const SCHEDULER_END_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Gives up the lease, if this process holds it, by `deadline`.
+pub async fn run(node: &Arc<Node>, deadline: Duration) {
+    let Some(handle) = node.scheduler.load_full() else { return };
+    if node.settings.policy.handover.decides_until_answered {
+        hand_over(node, &handle, deadline).await;
+    } else {
+        let _ = handle.stop.send(true);
+        lease_renewal::release(node, handle.term).await;
+    }
+}
+
+/// Decides until the store answers, and then releases the lease.
+async fn hand_over(node: &Arc<Node>, handle: &SchedulerHandle, deadline: Duration) {
+    let asked_at = node.now();
+    let mut renewals = handle.renewals.subscribe();
+    renewals.mark_unchanged();
+    let mut state = StoppingHolder {
+        decides: true,
+        succeeded: false,
+        renewed: false,
+        released: false,
+        time_left: Duration::ZERO,
+    };
+    loop {
+        state.time_left = deadline.saturating_sub(node.now());
+        // Only a later term stops the scheduler meanwhile, or it has ended by itself.
+        state.succeeded |= state.decides && *handle.stop.borrow();
+        state.decides &= !handle.stop.is_closed();
+        match state.next_step() {
+            StopStep::Decide => {
+                handle.renewal_requested.notify_one();
+                let renewed = tokio::time::timeout(STEP_INTERVAL, renewals.changed()).await;
+                state.renewed = matches!(renewed, Ok(Ok(())));
+            }
+            StopStep::StopDeciding => {
+                let _ = handle.stop.send(true);
+                let _ = tokio::time::timeout(SCHEDULER_END_TIMEOUT, handle.stop.closed()).await;
+                state.decides = false;
+            }
+            StopStep::Release => {
+                state.released = release(node, handle.term).await;
+                if !state.released {
+                    tokio::time::sleep(STEP_INTERVAL).await;
+                }
+            }
+            StopStep::End => break,
+        }
+    }
+    log::info!(
+        "event=lease_given_up term={} released={} succeeded={} took_ms={}",
+        handle.term,
+        state.released,
+        state.succeeded,
+        (node.now() - asked_at).as_millis()
+    );
+}
+
+/// Writes the release, from here or through a peer; returns whether it is written.
+async fn release(node: &Node, term: u64) -> bool {
+    lease_renewal::release(node, term).await || peer_requests::release_lease_through_peer(node, term).await
+}
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -34,7 +34,8 @@
                 next_append += 1;
                 renewed_at = sent;
                 handle.grant.extend(sent + EXTENSION_GRACE);
-                tokio::time::sleep(RENEWAL_INTERVAL).await;
+                handle.renewals.send_modify(|n| *n += 1);
+                let _ = tokio::time::timeout(RENEWAL_INTERVAL, handle.renewal_requested.notified()).await;
             }
             Err(StoreError::GuardFailed) => {
                 log::warn!("event=lease_overtaken term={}", handle.term);
@@ -43,9 +44,9 @@
             }
             Err(e) => {
                 log::warn!("event=lease_not_renewed term={} error=\"{e}\"", handle.term);
-                let release_due =
-                    node.now() > renewed_at + RELEASE_AFTER && node.settings.policy.calls.write_for_others;
-                if release_due && peer_requests::release_lease_through_peer(&node, handle.term).await {
+                if may_release(&node, renewed_at)
+                    && peer_requests::release_lease_through_peer(&node, handle.term).await
+                {
                     log::warn!("event=lease_released term={} by=helper", handle.term);
                     let _ = handle.stop.send(true);
                     return;
@@ -56,14 +57,22 @@
     }
 }
 
-/// Releases the lease, so that another process can claim it at once.
-pub async fn release(node: &Node, term: u64) {
+/// Whether a holder that last renewed its lease at `renewed_at` releases it through a peer. One that writes
+/// through peers does not: where the renewal failed, the release would fail too.
+fn may_release(node: &Node, renewed_at: Duration) -> bool {
+    let policy = &node.settings.policy;
+    node.now() > renewed_at + RELEASE_AFTER && policy.calls.write_for_others && !policy.handover.through_peers
+}
+
+/// Releases the lease, so that another process can claim it at once. Returns whether that is written.
+pub async fn release(node: &Node, term: u64) -> bool {
     let rec = LeaseRecord::of(node, term, true).keyed();
     // The store refuses a gap in the numbers of a term, and it is not known here which renewals
     // it has received. So this append has no number.
     let res = node.platform.append(Topic::Lease, vec![rec], Guard::None).await;
     match res {
         Ok(_) => log::info!("event=lease_released term={term}"),
-        Err(e) => log::warn!("event=lease_not_released term={term} error=\"{e}\""),
+        Err(ref e) => log::warn!("event=lease_not_released term={term} error=\"{e}\""),
     }
+    res.is_ok()
 }
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -21,10 +21,14 @@
 //!   queries to the lease holder.
 //! * [`peers`] holds the processes of other entries and the connections to them, and [`peer_requests`]
 //!   answers their requests.
+//! * [`helped_store`] has peers call the store for a lease holder that the store refuses to serve, and
+//!   [`store_calls`] makes such calls. [`handover`] gives the lease up in a shutdown.
 //! * [`usage_log`] logs the resource usage of a busy entry.
 //! * [`shutdown`] stops the process gracefully.
 
 pub mod advice;
+pub mod handover;
+pub mod helped_store;
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
@@ -34,7 +38,7 @@
 pub mod job_state;
 pub mod job_status_table;
 pub mod lease;
-mod lease_renewal;
+pub mod lease_renewal;
 pub mod limits;
 mod monitoring;
 pub mod node;
@@ -48,6 +52,7 @@
 mod scheduler_io;
 mod scheduler_task;
 mod shutdown;
+mod store_calls;
 pub mod topic_reader;
 mod usage_log;
 pub mod worker_list;
@@ -65,6 +70,7 @@
 
 pub use node::Node;
 
+use self::helped_store::HelpedStore;
 use crate::util::clock::Clock;
 use crate::util::errors::{Error, ListenSnafu, Result};
 use crate::util::job_settings::{JobSettings, PATH_ENV_VAR};
@@ -94,11 +100,13 @@
         adviser: settings.adviser().map(str::to_string),
     };
     let (half_open, traffic) = (HalfOpenDetector::default(), Traffic::default());
-    let platform: Arc<dyn JobPlatform> =
+    let client: Arc<dyn JobPlatform> =
         Arc::new(PlatformClient::sharing(addresses, half_open.clone(), traffic.clone()));
+    let platform = Arc::new(HelpedStore::new(client, &settings.policy.handover));
     let clock = Clock::since_boot();
     tokio::spawn(clock.clone().log_suspensions());
-    let node = Arc::new(Node::with_shared(settings, platform, clock, half_open, traffic));
+    let node = Arc::new(Node::with_shared(settings, platform.clone(), clock, half_open, traffic));
+    platform.attach(&node);
     log::info!(
         "event=started id={} name={} data_centre={} callers={} peers={}",
         node.id,
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -60,6 +60,10 @@
     pub grant: Grant,
     /// Set to true to stop the scheduler.
     pub stop: watch::Sender<bool>,
+    /// Number of times that the lease was renewed.
+    pub renewals: watch::Sender<u64>,
+    /// Requests a renewal at once.
+    pub renewal_requested: Notify,
 }
 
 impl SchedulerHandle {
@@ -81,6 +85,8 @@
             inbox_keys: Mutex::default(),
             grant: Grant::until(held_since + extension_grace),
             stop,
+            renewals: watch::Sender::new(0),
+            renewal_requested: Notify::new(),
         }
     }
 }
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -15,6 +15,7 @@
 use workswood_core::ids::{DataCentre, Offset, UnixMs};
 use workswood_core::jobs::RelayCandidate;
 use workswood_core::jobs::lease_claim::{self, EntryCapacity, PeerEntry};
+use workswood_core::jobs::lease_handover::rank_helpers;
 use workswood_liveness::HalfOpenDetector;
 use workswood_peers::{CallError, Link, Msg};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
@@ -216,6 +217,14 @@
         lease_claim::listens_for_renewals(own_entry, entries)
     }
 
+    /// Addresses of the entries that may call the store for `own_entry`, the best ones first.
+    pub fn helper_addresses(&self, own_entry: &str) -> Vec<String> {
+        let peer_list = self.peer_list.lock();
+        let entries = peer_list.by_entry.iter().map(|(name, rec)| rec.as_entry(name));
+        let ranked = rank_helpers(own_entry, entries);
+        ranked.into_iter().filter_map(|e| peer_list.by_entry.get(e)).map(|rec| rec.address.clone()).collect()
+    }
+
     /// Replaces the list with the records that were read.
     fn set_peers(&self, by_entry: BTreeMap<String, PeerRecord>) {
         let mut peer_list = self.peer_list.lock();
--- a/src/workswood/ops/jobs/shutdown.rs
+++ b/src/workswood/ops/jobs/shutdown.rs
@@ -10,7 +10,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use super::lease_renewal;
+use super::handover;
 use super::node::Node;
 use crate::util::job_settings::JobSettings;
 
@@ -37,15 +37,22 @@
     log::info!("event=stop_asked");
     let started = node.now();
     node.stopping.send_replace(true);
-    if let Some(handle) = node.scheduler.load_full() {
-        let _ = handle.stop.send(true);
-        lease_renewal::release(node, handle.term).await;
-    }
-    tokio::time::sleep(BALANCER_DELAY.saturating_sub(node.now() - started)).await;
+    let deadline = started + node.settings.stop_timeout().saturating_sub(SHUTDOWN_MARGIN);
+    tokio::join!(handover::run(node, deadline), finish_callers(node, deadline, stop_callers, callers));
+    log::info!("event=stopped took_ms={}", (node.now() - started).as_millis());
+}
+
+/// Answers callers until the balancer has noticed the shutdown, and then finishes the requests that are in
+/// progress.
+async fn finish_callers(
+    node: &Node,
+    deadline: Duration,
+    stop_callers: &watch::Sender<bool>,
+    callers: JoinHandle<()>,
+) {
+    tokio::time::sleep(BALANCER_DELAY).await;
     let _ = stop_callers.send(true);
-    let left = node.settings.stop_timeout().saturating_sub(SHUTDOWN_MARGIN + (node.now() - started));
-    if tokio::time::timeout(left, callers).await.is_err() {
+    if tokio::time::timeout(deadline.saturating_sub(node.now()), callers).await.is_err() {
         log::warn!("event=stop_limit");
     }
-    log::info!("event=stopped took_ms={}", (node.now() - started).as_millis());
 }
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -40,6 +40,10 @@
     pub batch_seconds: Histogram,
     /// Terms of the scheduler lease that this process has started.
     pub lease_terms: IntCounter,
+    /// Calls to the store that peers made for this lease holder.
+    pub store_calls_through_peers: IntCounter,
+    /// Calls to the store that this process made for a lease holder in another process.
+    pub store_calls_for_peers: IntCounter,
     /// Whether this process runs the scheduler.
     pub leading: IntGauge,
     /// Term of the lease as last read.
@@ -129,6 +133,16 @@
                 "workswood_lease_terms_total",
                 "terms of the scheduler lease that this process has started",
             ),
+            store_calls_through_peers: register_counter(
+                &registry,
+                "workswood_store_calls_through_peers_total",
+                "calls to the store that peers made for this lease holder",
+            ),
+            store_calls_for_peers: register_counter(
+                &registry,
+                "workswood_store_calls_for_peers_total",
+                "calls to the store made for a lease holder in another process",
+            ),
             relayed_workers: register_gauge(
                 &registry,
                 "workswood_relayed_workers",
