--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -129,7 +129,7 @@
     #[prost(uint32, tag = "2")]
     pub partition: u32,
     /// What to do.
-    #[prost(oneof = "StoreOperation", tags = "3, 4, 5")]
+    #[prost(oneof = "StoreOperation", tags = "3, 4, 5, 6")]
     pub operation: Option<StoreOperation>,
 }
 
@@ -145,6 +145,17 @@
     /// Reads the latest record of every key.
     #[prost(message, tag = "5")]
     Latest(Latest),
+    /// Deletes keys.
+    #[prost(message, tag = "6")]
+    Delete(Deletion),
+}
+
+/// A deletion of keys, which may be repeated.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Deletion {
+    /// The keys.
+    #[prost(string, repeated, tag = "1")]
+    pub keys: Vec<String>,
 }
 
 /// An append that the store refuses once it has seen a higher term.
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -31,6 +31,8 @@
     AnswerLost,
     /// Nothing is ever heard of it.
     Silent,
+    /// It is refused, since a later term has begun.
+    Overtaken,
 }
 
 /// The store.
@@ -54,6 +56,11 @@
     /// Records of the lease, if the store keeps them, and how often they were read.
     lease: Mutex<Option<Vec<KeyedRecord>>>,
     lease_reads: Mutex<u64>,
+    /// Whether the next read of the lease from an offset finds that the records are gone, and the one of its
+    /// newest record after that is refused.
+    lease_forgotten: Mutex<bool>,
+    /// Records of another topic, if the store keeps one.
+    kept: Mutex<Option<(Topic, Vec<KeyedRecord>)>>,
 }
 
 /// Every so many looks, one is lost.
@@ -79,6 +86,8 @@
             orders: Mutex::default(),
             lease: Mutex::default(),
             lease_reads: Mutex::default(),
+            lease_forgotten: Mutex::default(),
+            kept: Mutex::default(),
         }
     }
 
@@ -87,6 +96,27 @@
         *self.lease.lock() = Some(vec![rec]);
     }
 
+    /// From now on the store has these records of a topic.
+    pub fn keep(&self, topic: Topic, records: Vec<KeyedRecord>) {
+        *self.kept.lock() = Some((topic, records));
+    }
+
+    /// The next read of the lease from an offset finds that the records are gone, and the one of its newest
+    /// record after that is refused.
+    pub fn forget_lease(&self) {
+        *self.lease_forgotten.lock() = true;
+    }
+
+    /// Records of a topic other than the lease from an offset on.
+    fn kept_from(&self, topic: Topic, from: Offset) -> Option<Tail> {
+        let kept = self.kept.lock();
+        let (_, records) = kept.as_ref().filter(|(t, _)| *t == topic)?;
+        Some(Tail {
+            records: records.iter().skip(from as usize).cloned().collect(),
+            next: records.len() as u64,
+        })
+    }
+
     /// The holder writes once more.
     pub fn write_lease(&self, rec: KeyedRecord) {
         if let Some(records) = self.lease.lock().as_mut() {
@@ -105,13 +135,16 @@
     }
 
     /// Records of the lease from an offset on; waits for one for some time.
-    async fn lease_from(&self, from: Offset, wait: Duration) -> Tail {
+    async fn lease_from(&self, from: Offset, wait: Duration) -> Result<Tail, StoreError> {
         *self.lease_reads.lock() += 1;
         let until = Instant::now() + wait;
         loop {
+            if *self.lease_forgotten.lock() {
+                return Err(StoreError::RecordsGone);
+            }
             let records: Vec<KeyedRecord> = self.lease().into_iter().skip(from as usize).collect();
             if !records.is_empty() || Instant::now() >= until {
-                return Tail { next: from + records.len() as u64, records };
+                return Ok(Tail { next: from + records.len() as u64, records });
             }
             tokio::time::sleep(LEASE_POLL).await;
         }
@@ -154,6 +187,9 @@
         if fate == Fate::Refused {
             return Err(StoreError::NotDone { text: "not now".to_string() });
         }
+        if fate == Fate::Overtaken {
+            return Err(StoreError::GuardFailed);
+        }
         self.done.lock().push(records.into_iter().map(|r| r.key).collect());
         match fate {
             Fate::AnswerLost => Err(StoreError::Unknown { text: "lost".to_string() }),
@@ -196,16 +232,22 @@
         let lease = self.lease.lock().clone().filter(|_| topic == Topic::Lease);
         let Some(records) = lease else { return away() };
         *self.lease_reads.lock() += 1;
+        if std::mem::take(&mut *self.lease_forgotten.lock()) {
+            return away();
+        }
         let next = records.len() as Offset;
         async move { Ok(LatestRecords { records: records.into_iter().next_back().into_iter().collect(), next }) }
             .boxed()
     }
 
     fn tail(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<Tail, StoreError>> {
+        if let Some(tail) = self.kept_from(topic, from) {
+            return async { Ok(tail) }.boxed();
+        }
         if topic != Topic::Lease || self.lease.lock().is_none() {
             return away();
         }
-        async move { Ok(self.lease_from(from, wait).await) }.boxed()
+        self.lease_from(from, wait).boxed()
     }
 
     fn parse_operator_record(&self, _: &KeyedRecord) -> Result<Option<OperatorRecord>, String> {
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -1,9 +1,9 @@
 //! The platform as a lease holder uses it that the store may refuse to serve.
 //!
 //! The store may turn one process away while it serves all others. If that process holds the scheduler lease,
-//! peers then call the store for it: they append what is guarded by its term, and read what it follows. Such an
-//! append may be made several times and by several processes, since the store tells repeats and late copies by
-//! term and number. Calls of other processes, and all other calls, are made from here only.
+//! peers then call the store for it: they append what is guarded by its term, delete from the inbox and read what it
+//! follows. Such an append may be made several times and by several processes, since the store tells repeats and
+//! late copies by term and number. Calls of other processes, and all other calls, are made from here only.
 
 use std::future::Future;
 use std::pin::pin;
@@ -126,19 +126,17 @@
         res
     }
 
-    /// Appends records guarded by a term, from here or through a peer.
+    /// Appends records, from here or through a peer by `request`.
     async fn append_helped(
         &self,
         node: &Node,
+        request: Msg,
         topic: Topic,
         records: Vec<KeyedRecord>,
-        (term, number): (Term, u64),
+        guard: Guard,
     ) -> Result<Offset, StoreError> {
-        let Some(request) = store_calls::append_request(topic, &records, term, number) else {
-            return self.append_from_here(topic, records, Guard::Term(term, number)).await;
-        };
         let direct = async {
-            let offset = self.append_from_here(topic, records, Guard::Term(term, number)).await;
+            let offset = self.append_from_here(topic, records, guard).await;
             offset.map(|next| Tail { records: Vec::new(), next })
         };
         let answer = if *self.refused.borrow() {
@@ -307,9 +305,10 @@
         guard: Guard,
     ) -> BoxFuture<'_, Result<Offset, StoreError>> {
         async move {
-            match (guard, self.helped_node()) {
-                (Guard::Term(term, number), Some(node)) => {
-                    self.append_helped(&node, topic, records, (term, number)).await
+            let request = store_calls::append_request(topic, &records, guard);
+            match (request, self.helped_node()) {
+                (Some(request), Some(node)) => {
+                    self.append_helped(&node, request, topic, records, guard).await
                 }
                 _ => self.append_from_here(topic, records, guard).await,
             }
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -188,7 +188,11 @@
                 claim_if_free(&node, v).await;
                 update_scheduler(&node, v);
             }
-            Err(StoreError::RecordsGone) => view = restart_view(&node, view.as_ref()).await,
+            Err(StoreError::RecordsGone) => match restart_view(&node, view.as_ref()).await {
+                Some(restarted) => view = Some(restarted),
+                // The view keeps the last own term; the next read finds the records gone again.
+                None => tokio::time::sleep(retry_delay(failures)).await,
+            },
             // Logged above.
             Err(_) => {
                 // Renewals can't be read while the store is unreachable, so the full time to
--- a/src/workswood/ops/jobs/store_calls.rs
+++ b/src/workswood/ops/jobs/store_calls.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use workswood_peers::{
-    CallError, GuardedAppend, Latest, Msg, StoreCallReply, StoreCallRequest, StoreOperation, StoreOutcome,
-    StoreRecord, StoreTopic, TopicRead,
+    CallError, Deletion, GuardedAppend, Latest, Msg, StoreCallReply, StoreCallRequest, StoreOperation,
+    StoreOutcome, StoreRecord, StoreTopic, TopicRead,
 };
 use workswood_platform::jobs::{Guard, KeyedRecord, LatestRecords, Partition, StoreError, Tail, Topic};
 
 use super::node::Node;
+use super::record::deletion_record;
 
 /// Longest wait of a read for a peer.
 pub(super) const MAX_READ_WAIT: Duration = Duration::from_millis(500);
@@ -27,10 +28,20 @@
     }
 }
 
-/// A request to append records guarded by a term.
-pub(super) fn append_request(topic: Topic, records: &[KeyedRecord], term: u64, number: u64) -> Option<Msg> {
-    let records = records.iter().map(record_to_wire).collect();
-    request(topic, StoreOperation::Append(GuardedAppend { records, term, number }))
+/// A request to append records, if that may be done twice: they are guarded by a term, or delete keys of the
+/// inbox.
+pub(super) fn append_request(topic: Topic, records: &[KeyedRecord], guard: Guard) -> Option<Msg> {
+    match (guard, topic) {
+        (Guard::Term(term, number), _) => {
+            let records = records.iter().map(record_to_wire).collect();
+            request(topic, StoreOperation::Append(GuardedAppend { records, term, number }))
+        }
+        (Guard::None, Topic::Inbox(_)) if records.iter().all(|rec| rec.value.is_none()) => {
+            let keys = records.iter().map(|rec| rec.key.clone()).collect();
+            request(topic, StoreOperation::Delete(Deletion { keys }))
+        }
+        (Guard::None | Guard::EndsAt(_), _) => None,
+    }
 }
 
 /// A request to read records from an offset on.
@@ -97,6 +108,12 @@
             let offset = node.platform.append(topic, records, guard).await?;
             Ok(Tail { records: Vec::new(), next: offset })
         }
+        Some(StoreOperation::Delete(deletion)) if matches!(topic, Topic::Inbox(_)) => {
+            let records = deletion.keys.into_iter().map(deletion_record).collect();
+            let offset = node.platform.append(topic, records, Guard::None).await?;
+            Ok(Tail { records: Vec::new(), next: offset })
+        }
+        Some(StoreOperation::Delete(_)) => Err(not_done("not served")),
         Some(StoreOperation::Read(read)) => {
             let wait = Duration::from_millis(u64::from(read.wait_ms)).min(MAX_READ_WAIT);
             node.platform.tail(topic, read.from, wait).await
--- a/tests/testsuite/lease_looks.rs
+++ b/tests/testsuite/lease_looks.rs
@@ -100,3 +100,28 @@
         assert!(node.store_silence() < Duration::from_millis(1000), "{:?}", node.store_silence());
     }
 }
+
+/// The store has deleted what was not read yet, and the newest record can't be read at once: the process still
+/// knows that it gave up its term, and does not run the scheduler in it again.
+#[tokio::test(start_paused = true)]
+async fn own_term_is_not_forgotten() {
+    let store = Arc::new(TurnStore::new(Duration::from_millis(2), &[]));
+    store.keep_lease(holder(0));
+    let node = process(&store);
+    let running = async |after: u64| loop {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        if let Some(handle) = node.scheduler.load_full().filter(|h| h.term != after) {
+            return handle;
+        }
+    };
+    let first = tokio::time::timeout(Duration::from_secs(20), running(0)).await.expect("it claims");
+    let reads = store.lease_reads();
+    store.forget_lease();
+    while store.lease_reads() < reads + 3 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    first.stop.send(true).expect("it runs");
+    first.stop.closed().await;
+    let next = tokio::time::timeout(Duration::from_secs(20), running(first.term)).await;
+    assert!(next.expect("it claims again").term > first.term);
+}
