--- a/src/workswood/ops/jobs/handover.rs
+++ b/src/workswood/ops/jobs/handover.rs
@@ -20,7 +20,10 @@
 pub async fn run(node: &Arc<Node>, deadline: Duration) {
     let Some(handle) = node.scheduler.load_full() else { return };
     if node.settings.policy.handover.decides_until_answered {
-        hand_over(node, &handle, deadline).await;
+        let time_left = deadline.saturating_sub(node.now());
+        if tokio::time::timeout(time_left, hand_over(node, &handle, deadline)).await.is_err() {
+            log::warn!("event=lease_not_given_up term={}", handle.term);
+        }
     } else {
         let _ = handle.stop.send(true);
         lease_renewal::release(node, handle.term).await;
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -53,6 +53,8 @@
     append_latency: AdaptiveTimeout,
     /// Address of the peer that last made a call.
     helper: Mutex<Option<String>>,
+    /// Held by the call that looks for a peer that can help.
+    search: tokio::sync::Mutex<()>,
     /// Rank of the peer that is asked next if there is no helper.
     next_rank: AtomicUsize,
     /// Until when peers are left alone, in milliseconds since the process started.
@@ -69,6 +71,7 @@
             refused_since_ms: AtomicU64::new(0),
             append_latency: AdaptiveTimeout::new(LATE_APPEND_MULTIPLE, policy.late_after),
             helper: Mutex::default(),
+            search: tokio::sync::Mutex::default(),
             next_rank: AtomicUsize::new(0),
             peers_rest_until_ms: AtomicU64::new(0),
         }
@@ -231,22 +234,28 @@
         first_settled(direct, self.call_through_peers(node, &request, timeout)).await
     }
 
-    /// Has one of the best peers make a call. They are left alone for a while if none can.
+    /// Has one of the best peers make a call. One call at a time looks for a peer that can help; those that wait
+    /// for it then use the same one. If none can, peers are left alone for a while.
     async fn call_through_peers(&self, node: &Node, request: &Msg, timeout: Duration) -> StoreAnswer {
+        let search = self.search.lock().await;
+        let found = self.helper.lock().clone();
+        if let Some(address) = found {
+            drop(search);
+            return self.call_peer(node, &address, request.clone(), timeout).await;
+        }
+        let mut answer = Err(not_done("no peer can help"));
         let addresses = node.peers.helper_addresses(&node.settings.name);
         if addresses.is_empty() || node.now_ms() < self.peers_rest_until_ms.load(Ordering::Relaxed) {
-            return Err(not_done("no peer can help"));
+            return answer;
         }
-        let mut answer = Err(not_done("no peer can help"));
         for _ in 0..MAX_ASKED_PEERS {
-            let rank = self.next_rank.load(Ordering::Relaxed);
+            let rank = self.next_rank.fetch_add(1, Ordering::Relaxed);
             let address = &addresses[rank % addresses.len()];
             answer = worse(answer, self.call_peer(node, address, request.clone(), timeout).await);
             if is_settled(&answer) {
+                self.next_rank.store(rank, Ordering::Relaxed);
                 return answer;
             }
-            // Another call may have gone on to the next peer already.
-            let _ = self.next_rank.compare_exchange(rank, rank + 1, Ordering::Relaxed, Ordering::Relaxed);
         }
         let rest_until = node.now() + PEERS_REST;
         self.peers_rest_until_ms.store(rest_until.as_millis() as u64, Ordering::Relaxed);
--- a/src/workswood/ops/jobs/store_calls.rs
+++ b/src/workswood/ops/jobs/store_calls.rs
@@ -95,7 +95,10 @@
     };
     match &res {
         Ok(_) => node.metrics.store_calls_for_peers.inc(),
-        Err(e) => log::warn!("event=help_failed what=store_call error=\"{e}\""),
+        Err(e) => {
+            node.metrics.refused_store_calls.inc();
+            log::warn!("event=help_failed what=store_call error=\"{e}\"");
+        }
     }
     reply_to_wire(res)
 }
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -44,6 +44,8 @@
     pub store_calls_through_peers: IntCounter,
     /// Calls to the store that this process made for a lease holder in another process.
     pub store_calls_for_peers: IntCounter,
+    /// Calls to the store that this process could not make for a lease holder in another process.
+    pub refused_store_calls: IntCounter,
     /// Whether this process runs the scheduler.
     pub leading: IntGauge,
     /// Term of the lease as last read.
@@ -143,6 +145,11 @@
                 "workswood_store_calls_for_peers_total",
                 "calls to the store made for a lease holder in another process",
             ),
+            refused_store_calls: register_counter(
+                &registry,
+                "workswood_refused_store_calls_total",
+                "calls to the store that could not be made for a lease holder in another process",
+            ),
             relayed_workers: register_gauge(
                 &registry,
                 "workswood_relayed_workers",
--- a/tests/testsuite/holder_help.rs
+++ b/tests/testsuite/holder_help.rs
@@ -210,3 +210,19 @@
     assert!(append(rec("job-2")).await.is_err(), "what is handed in has a way of its own");
     assert_eq!(well.done().len(), 1);
 }
+
+/// The store refuses all. Calls that fail at the same time don't all look for a helper.
+#[tokio::test]
+async fn peers_are_not_flooded() {
+    let (away, down) = (refusing(), refusing());
+    let (holder, peers) = holder_with_peers(&away, &[&down]).await;
+    let reads = (0..12).map(|n| holder.platform.tail(Topic::Inbox(n), 0, Duration::ZERO));
+    let told = futures::future::join_all(reads).await;
+    assert!(told.iter().all(|t| matches!(t, Err(StoreError::NotDone { .. }))));
+    assert!(write(&holder, 1).await.is_err());
+    assert!(
+        peers[0].metrics.refused_store_calls.get() <= 2,
+        "{}",
+        peers[0].metrics.refused_store_calls.get()
+    );
+}
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -66,6 +66,8 @@
         (r#"{"waves": {"ahead": "3h"}}"#, "policy.waves.ahead"),
         (r#"{"need": {"arrivals": "0s"}}"#, "policy.need.arrivals"),
         (r#"{"need": {"colour": 1}}"#, "colour"),
+        (r#"{"handover": {"late_after": "0s"}}"#, "policy.handover.late_after"),
+        (r#"{"handover": {"late_after": "3h"}}"#, "policy.handover.late_after"),
     ];
     for (n, (table, named)) in cases.into_iter().enumerate() {
         let report = read(&format!("policy{n}"), &with(table)).expect_err("the table is bad");
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -54,7 +54,10 @@
 };
 use workswood_operators::{ApplyReply, ApplyRequest, Status};
 use workswood_peers::relay::{RelayOrders, RelayUpdate};
-use workswood_peers::{AdviceOutcome, CallError, Frame, HandInOutcome, JobState, Msg};
+use workswood_peers::{
+    AdviceOutcome, CallError, Frame, HandInOutcome, JobState, Msg, StoreCallRequest, StoreOperation,
+    StoreOutcome, StoreTopic,
+};
 use workswood_platform::ReadReply;
 use workswood_platform::jobs::{
     Guard, JobPlatform, KeyedRecord, LatestRecords, OperatorRecord, StartOrder, StoreError, Tail, Topic,
@@ -125,7 +128,7 @@
 #[test]
 fn peer_frames() {
     let all = lines(PEER_FRAMES);
-    assert_eq!(all.len(), 39);
+    assert_eq!(all.len(), 43);
     for (n, (name, hex)) in all.into_iter().enumerate() {
         let frame = Frame::decode(from_hex(hex).as_slice()).expect(name);
         assert!(frame.msg.is_some(), "{name}");
@@ -180,6 +183,25 @@
     );
 }
 
+/// Fields of a call to the store for a lease holder.
+#[test]
+fn store_call_fields() {
+    let operation = |m: StoreCallRequest| (m.topic, m.partition, m.operation.expect("an operation"));
+    let (topic, _, append) = operation(message!(StoreCallRequest "store-append"));
+    let StoreOperation::Append(append) = append else { panic!("{append:?}") };
+    assert_eq!((topic, append.term, append.number), (StoreTopic::State as i32, 52, 17));
+    assert_eq!((append.records[0].key.as_str(), append.records[1].value.as_ref()), ("job/1", None));
+    assert_eq!(append.records[0].value.as_deref(), Some(b"state".as_slice()));
+    let (topic, partition, read) = operation(message!(StoreCallRequest "store-read"));
+    let StoreOperation::Read(read) = read else { panic!("{read:?}") };
+    assert_eq!((topic, partition, read.from, read.wait_ms), (StoreTopic::Inbox as i32, 7, 91, 500));
+    let (_, partition, delete) = operation(message!(StoreCallRequest "store-delete"));
+    let StoreOperation::Delete(delete) = delete else { panic!("{delete:?}") };
+    assert_eq!((partition, delete.keys), (3, vec!["job-1".to_string()]));
+    let m = message!(StoreCallReply "store-reply");
+    assert_eq!((m.outcome(), m.offset, m.records[0].key.as_str()), (StoreOutcome::Done, 93, "job/1"));
+}
+
 /// Outcomes and states that are told by another number.
 #[test]
 fn peer_message_numbers() {
@@ -648,6 +670,8 @@
         (4, 16, false)
     );
     assert_eq!((p.advice.helpers, p.relays.max_workers), (6, 101));
+    assert_eq!((p.handover.through_peers, p.handover.decides_until_answered), (true, true));
+    assert_eq!(p.handover.late_after, millis(251));
     for (name, order) in [("plain", ShareOrder::Plain), ("dominant", ShareOrder::Dominant)] {
         let other = whole(JOB_SETTINGS).replace("\"excess\"", &format!("\"{name}\""));
         assert_eq!(read_back::<JobSettings>(&other).policy.order.share_order, order);
