--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -40,9 +40,10 @@
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
-//! * [`lease_claim`] decides which process runs the scheduler.
 //! * [`maintenance_waves`] decides which host is maintained next: `wave_plan` how far the wave should be, and
 //!   `drain_order` which hosts go first. [`maintenance_orders`] orders them down.
+//! * [`lease_claim`] decides which process runs the scheduler; [`lease_handover`] how a holder that the store
+//!   refuses, or that is told to stop, keeps it running.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`policy`] holds the parameters of the decisions.
@@ -66,6 +67,7 @@
 pub mod job;
 pub mod job_table;
 pub mod lease_claim;
+pub mod lease_handover;
 mod log_lines;
 pub mod maintenance_orders;
 pub mod maintenance_waves;
