--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -37,6 +37,7 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
+//! * [`bridges`] decides through which entry those of a data centre that is cut off are reached.
 //! * [`lease_claim`] decides which process runs the scheduler.
 //! * [`maintenance_waves`] decides which host is maintained next, and [`maintenance_orders`] orders
 //!   it down.
@@ -50,6 +51,7 @@
 pub mod advice;
 pub mod advice_batch;
 mod advice_candidates;
+pub mod bridges;
 pub mod config;
 pub mod crash_attribution;
 pub mod crash_rate;
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::advice::AdvicePolicy;
+use super::bridges::BridgePolicy;
 use super::crash_attribution::CrashPolicy;
 use super::relays::RelayPolicy;
 
@@ -37,6 +38,8 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
+    /// The use of entries that reach data centres which others can't.
+    pub bridges: BridgePolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -437,12 +440,24 @@
             ("health.shun_at_most", self.health.max_shun),
             ("advice.margin", self.advice.ticket_margin),
             ("relays.shun_for", self.relays.backoff),
+            ("bridges.hedge_after", self.bridges.hedge_after),
+            ("bridges.suspect_after", self.bridges.suspect_after),
+            ("bridges.direct_again", self.bridges.direct_interval),
+            ("bridges.shun_for", self.bridges.backoff),
             ("crashes.young", self.crashes.suspect_age),
             ("crashes.first_wait", self.crashes.max_first_trial_wait),
         ];
         if self.need.arrival_window.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
         }
+        let waits = [
+            ("bridges.hedge_after", self.bridges.hedge_after),
+            ("bridges.suspect_after", self.bridges.suspect_after),
+            ("bridges.direct_again", self.bridges.direct_interval),
+        ];
+        if let Some((name, _)) = waits.into_iter().find(|(_, v)| v.is_zero()) {
+            return Err(format!("`policy.{name}` must be above 0"));
+        }
         let bad = times.into_iter().find(|(_, v)| *v > MAX_DURATION);
         bad.map_or(Ok(()), |(name, _)| {
             Err(format!("`policy.{name}` must be at most {} s", MAX_DURATION.as_secs()))
--- a/crates/workswood-peers/src/lib.rs
+++ b/crates/workswood-peers/src/lib.rs
@@ -5,8 +5,10 @@
 //! side sends [`Frame`]s, each preceded by its length. A frame with a `call` number other
 //! than 0 is a request or the reply to it. A connection on which [`relay::RelayOpen`]
 //! follows the [`Hello`] is a relay connection: both sides send messages at any time, and
-//! none of them has a call number.
+//! none of them has a call number. [`bridge::BridgeOpen`] in its place opens such a connection to
+//! another entry through this one.
 
+pub mod bridge;
 mod connection;
 mod counting_stream;
 mod duplex;
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -2,6 +2,7 @@
 
 use workswood_traffic::Purpose;
 
+use crate::bridge::{BridgeOpen, BridgedCall, BridgedReply};
 use crate::relay::{RelayOpen, RelayOrders, RelayReady, RelayUpdate};
 
 /// A message with the number of the call that it belongs to.
@@ -15,7 +16,7 @@
     #[prost(
         oneof = "Msg",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, \
-                28, 29, 30"
+                28, 29, 30, 33, 34, 35"
     )]
     pub msg: Option<Msg>,
 }
@@ -111,6 +112,15 @@
     /// The newest configuration that the entry knows.
     #[prost(message, tag = "30")]
     ConfigReply(ConfigReply),
+    /// Asks an entry to connect the sender to another one.
+    #[prost(message, tag = "33")]
+    BridgeOpen(BridgeOpen),
+    /// Asks an entry to call another one.
+    #[prost(message, tag = "34")]
+    BridgedCall(BridgedCall),
+    /// The reply to a call through a bridge.
+    #[prost(message, tag = "35")]
+    BridgedReply(BridgedReply),
 }
 
 /// Asks an entry to call the adviser for the lease holder.
@@ -514,6 +524,7 @@
             Msg::AdviceRequest(_) | Msg::AdviceReply(_) => "advice_for_peers",
             Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) => "relay_orders",
             Msg::RelayUpdate(_) => "relay_news",
+            Msg::BridgeOpen(_) | Msg::BridgedCall(_) | Msg::BridgedReply(_) => "bridges",
             Msg::Heartbeat(_) | Msg::LogGrown(_) | Msg::Ping(_) | Msg::Pong(_) | Msg::Hello(_) => {
                 "heartbeats"
             }
--- a/crates/workswood-peers/src/server.rs
+++ b/crates/workswood-peers/src/server.rs
@@ -12,9 +12,10 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use workswood_traffic::Traffic;
 
+use crate::bridge;
 use crate::duplex::{self, DuplexRx, DuplexTx, FramedTcp};
 use crate::relay::RelayOpen;
-use crate::{Frame, MAX_FRAME_BYTES, Msg, Pong};
+use crate::{Frame, Hello, MAX_FRAME_BYTES, Msg, Pong};
 
 /// Version of the protocol.
 pub(crate) const PROTOCOL_VERSION: u32 = 1;
@@ -54,6 +55,14 @@
     traffic: Traffic,
 }
 
+impl ServerContext {
+    /// Whether a sender speaks this protocol and has the token.
+    fn accepts(&self, hello: &Hello) -> bool {
+        let same_token = bool::from(hello.token.as_bytes().ct_eq(self.token.as_bytes()));
+        hello.version == PROTOCOL_VERSION && same_token
+    }
+}
+
 /// Serves peers on a listener until the future is dropped.
 pub async fn serve(listener: TcpListener, token: String, handler: Handler) {
     accept(listener, ServerContext { token, handler, relay_handler: None, traffic: Traffic::default() })
@@ -91,24 +100,24 @@
     let mut framed = Framed::new(stream, codec());
     let hello = tokio::time::timeout(HELLO_TIMEOUT, framed.next()).await;
     let Ok(Some(Ok(buf))) = hello else { return };
-    let authenticated = matches!(
-        Frame::decode(buf),
-        Ok(Frame { msg: Some(Msg::Hello(h)), .. })
-            if h.version == PROTOCOL_VERSION && bool::from(h.token.as_bytes().ct_eq(server.token.as_bytes()))
-    );
-    if !authenticated {
-        log::warn!("event=peer_refused reason=bad_token code=225");
-        return;
-    }
+    let hello = match Frame::decode(buf) {
+        Ok(Frame { msg: Some(Msg::Hello(h)), .. }) if server.accepts(&h) => h,
+        _ => {
+            log::warn!("event=peer_refused reason=bad_token code=225");
+            return;
+        }
+    };
     let Ok(Some(Ok(first))) = tokio::time::timeout(IDLE_TIMEOUT, framed.next()).await else { return };
-    if let Some(relay_handler) = &server.relay_handler
-        && let Ok(Frame { msg: Some(Msg::RelayOpen(open)), .. }) = Frame::decode(first.clone())
-    {
-        let (tx, rx) = duplex::split(framed, server.traffic);
-        relay_handler(open, tx, rx).await;
-        return;
+    match (&server.relay_handler, Frame::decode(first.clone())) {
+        (Some(relay_handler), Ok(Frame { msg: Some(Msg::RelayOpen(open)), .. })) => {
+            let (tx, rx) = duplex::split(framed, server.traffic);
+            relay_handler(open, tx, rx).await;
+        }
+        (Some(_), Ok(Frame { msg: Some(Msg::BridgeOpen(open)), .. })) => {
+            bridge::serve(framed, hello, open, server.traffic).await;
+        }
+        _ => serve_messages(framed, first, server).await,
     }
-    serve_messages(framed, first, server).await;
 }
 
 /// Handles the messages of a connection concurrently. Replies are sent in the order in
--- a/src/workswood/ops/entry/peers.rs
+++ b/src/workswood/ops/entry/peers.rs
@@ -178,6 +178,7 @@
         Msg::InboxAppendRequest(_) | Msg::InboxAppendReply(_) | Msg::LeaseReleaseRequest(_) => {}
         Msg::AdviceRequest(_) | Msg::AdviceReply(_) | Msg::ConfigRequest(_) | Msg::ConfigReply(_) => {}
         Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) | Msg::RelayUpdate(_) => {}
+        Msg::BridgeOpen(_) | Msg::BridgedCall(_) | Msg::BridgedReply(_) => {}
         // Handled by the connection itself.
         Msg::Ping(_) | Msg::Pong(_) => {}
     }
--- /dev/null
+++ b/src/workswood/ops/jobs/bridges.rs
@@ -0,0 +1,318 @@
+//! Calls to other entries and sessions with relays, directly or through a bridge.
+//!
+//! Where the direct way to an entry of another data centre gives no answer, another entry is asked to
+//! pass the call on, or to connect to the relay. [`Routes`](workswood_core::jobs::bridges::Routes)
+//! decides which; what it knows is shared by all calls and sessions of the process.
+
+use std::future::{Future, pending};
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::{Either, select, select_ok};
+use tokio::sync::Notify;
+use workswood_core::jobs::bridges::{BridgeEntry, BridgePolicy, Way};
+use workswood_peers::bridge::{BridgedCall, BridgedReply, connect_through};
+use workswood_peers::relay::RelayOpen;
+use workswood_peers::{CallError, Closed, DuplexRx, DuplexTx, Msg, Ping, connect_duplex};
+
+use super::node::Node;
+use super::peers::TOKEN;
+
+/// Largest number of bridges that are tried for one call or session.
+const MAX_BRIDGES: usize = 2;
+/// Longest wait for the answer through one bridge.
+const BRIDGE_TIMEOUT: Duration = Duration::from_millis(250);
+/// By how much a bridge waits less than that for the entry that it calls.
+const REPLY_MARGIN: Duration = Duration::from_millis(50);
+/// Longest wait for the answer to a ping of the direct way.
+const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a session may still show that it works once its relay answers by another way. A relay
+/// that was only slow sends an update as soon as it answers pings.
+const GRACE: Duration = Duration::from_millis(60);
+
+/// A connection with a relay.
+pub type RelayConnection = (DuplexTx, DuplexRx);
+
+/// The ways to an entry of another data centre.
+struct Ways {
+    to: BridgeEntry,
+    /// The way to try first.
+    first: Way,
+    /// Whether to check the direct way beside it.
+    direct_due: bool,
+    /// Bridges, best first.
+    bridges: Vec<BridgeEntry>,
+}
+
+fn policy(node: &Node) -> &BridgePolicy {
+    &node.settings.policy.bridges
+}
+
+/// This process as an entry.
+fn own_entry(node: &Node) -> BridgeEntry {
+    let s = &node.settings;
+    BridgeEntry {
+        name: s.name.clone(),
+        address: s.peers.to_string(),
+        data_centre: s.data_centre.clone(),
+        capacity: s.strength(),
+    }
+}
+
+/// The ways to the entry that fits; `None` if only the direct one is to be used.
+fn ways_to(node: &Node, fits: impl Fn(&BridgeEntry) -> bool) -> Option<Ways> {
+    if !policy(node).enabled {
+        return None;
+    }
+    let (entries, now) = (node.peers.bridge_entries(), node.now());
+    let to = entries.iter().find(|e| fits(e))?.clone();
+    if to.data_centre == node.settings.data_centre {
+        return None;
+    }
+    let mut routes = node.routes.lock();
+    let first = routes.first_way(&to.data_centre, policy(node), now);
+    let mut bridges = routes.bridges(&own_entry(node), &to, &entries, now);
+    bridges.truncate(MAX_BRIDGES);
+    Some(Ways { to, first: first.way, direct_due: first.direct_due, bridges })
+}
+
+/// Calls the entry at an address with a message that may be sent twice, within a timeout.
+pub async fn call(node: &Arc<Node>, address: &str, msg: Msg, timeout: Duration) -> Result<Msg, CallError> {
+    let direct = node.peers.call_with_retry(&node.id, address, msg.clone(), timeout);
+    let Some(ways) = ways_to(node, |e| e.address == address) else { return direct.await };
+    check_direct_if_due(node, &ways);
+    let direct = direct.map(|reply| reply.map(|msg| (Way::Direct, msg)));
+    let attempt = |bridge| call_through(node, bridge, &ways.to, msg.clone());
+    let bridged = through_bridges(&ways, CallError::NotSent, attempt);
+    let answering = race(&ways.first, policy(node).hedge_after, direct, bridged);
+    let (way, reply) = tokio::time::timeout(timeout, answering).await.unwrap_or(Err(CallError::NoAnswer))?;
+    note_other_way(node, &ways, &way);
+    Ok(reply)
+}
+
+/// Opens a session with the relay of an entry, within a timeout. Returns the way of the session.
+pub async fn open_session(
+    node: &Arc<Node>,
+    entry: &str,
+    open: RelayOpen,
+    timeout: Duration,
+) -> Result<(Way, RelayConnection), Closed> {
+    let address = node.peers.address_of(entry).ok_or(Closed)?;
+    let direct = open_directly(node, &address, open.clone(), timeout);
+    let direct = direct.map(|opened| opened.map(|connection| (Way::Direct, connection)));
+    let Some(ways) = ways_to(node, |e| e.name == entry) else { return direct.await };
+    check_direct_if_due(node, &ways);
+    // The relay takes the session once, by the way on which it comes first.
+    let attempt = |bridge| open_through(node, bridge, &ways.to, open.clone());
+    let bridged = through_bridges(&ways, Closed, attempt);
+    let (way, connection) = race(&ways.first, policy(node).hedge_after, direct, bridged).await?;
+    note_other_way(node, &ways, &way);
+    if let Way::Bridge(bridge) = &way {
+        log::info!("event=session_bridged relay={entry} bridge={bridge}");
+    }
+    Ok((way, connection))
+}
+
+/// Waits until a relay whose session is silent has answered by another way than that of the session.
+/// Never returns if it does not, or if only the direct way is to be used.
+pub async fn until_other_way(node: &Arc<Node>, entry: &str, silent: &Way) {
+    if policy(node).enabled {
+        node.timer_lag.timeout(policy(node).suspect_after, pending::<()>()).await;
+        if let Some(ways) = ways_to(node, |e| e.name == entry)
+            && let Some(found) = find_other_way(node, &ways, silent).await
+        {
+            tokio::time::sleep(GRACE).await;
+            log::info!("event=relay_way_lost relay={entry} silent={silent} answered={found}");
+            session_lost(node, entry, silent);
+            note_answer(node, &ways.to, &found);
+            return;
+        }
+    }
+    pending().await
+}
+
+/// Pings an entry by all ways but one; returns the first that it answers by.
+async fn find_other_way(node: &Arc<Node>, ways: &Ways, except: &Way) -> Option<Way> {
+    let direct = ping_directly(node, &ways.to.address).map(|reply| reply.map(|_| Way::Direct));
+    let through = |bridge: &BridgeEntry| {
+        let way = Way::Bridge(bridge.name.clone());
+        let ping = Msg::Ping(Ping {});
+        call_through(node, bridge.clone(), &ways.to, ping).map(|reply| reply.map(|_| way)).boxed()
+    };
+    let others = ways.bridges.iter().filter(|b| !except.is_through(&b.name));
+    let mut pings: Vec<_> = others.map(through).collect();
+    if *except != Way::Direct {
+        pings.push(direct.boxed());
+    }
+    if pings.is_empty() {
+        return None;
+    }
+    select_ok(pings).await.ok().map(|(way, _)| way)
+}
+
+/// Notes that a session was lost: if it went through a bridge, that is not used again for a while.
+pub fn session_lost(node: &Node, entry: &str, way: &Way) {
+    let Way::Bridge(bridge) = way else { return };
+    let entries = node.peers.bridge_entries();
+    if let Some(to) = entries.iter().find(|e| e.name == entry) {
+        node.routes.lock().bridge_failed(bridge, Some(to), policy(node), node.now());
+    }
+}
+
+/// Passes a call on for an entry that can't reach the called one.
+pub async fn pass_on(node: &Node, call: BridgedCall) -> BridgedReply {
+    let (address, timeout) = (call.address.clone(), Duration::from_millis(u64::from(call.timeout_ms)));
+    let reply = match call.into_request() {
+        Some(msg) => node.peers.call(&node.id, &address, msg, timeout.min(BRIDGE_TIMEOUT)).await.ok(),
+        None => None,
+    };
+    let outcome = if reply.is_some() { "answered" } else { "no_answer" };
+    node.metrics.passed_on_calls.with_label_values(&[outcome]).inc();
+    BridgedReply::new(reply)
+}
+
+/// Notes by which way an entry answered, if it is not the one that was tried first. The direct way may
+/// be found again while the first one answers, and that must last.
+fn note_other_way(node: &Node, ways: &Ways, way: &Way) {
+    if *way != ways.first {
+        note_answer(node, &ways.to, way);
+    }
+}
+
+/// Uses a way to the data centre of an entry first from now on.
+fn note_answer(node: &Node, to: &BridgeEntry, way: &Way) {
+    if node.routes.lock().answered(&to.data_centre, way, policy(node), node.now()) {
+        log::info!("event=way_changed data_centre={} way={way} entry={}", to.data_centre, to.name);
+    }
+}
+
+/// Pings an entry directly if it is time to, beside what is sent through a bridge.
+fn check_direct_if_due(node: &Arc<Node>, ways: &Ways) {
+    if !ways.direct_due {
+        return;
+    }
+    let (node, to) = (node.clone(), ways.to.clone());
+    tokio::spawn(async move {
+        if ping_directly(&node, &to.address).await.is_ok() {
+            note_answer(&node, &to, &Way::Direct);
+        }
+    });
+}
+
+async fn ping_directly(node: &Node, address: &str) -> Result<Msg, CallError> {
+    node.peers.call(&node.id, address, Msg::Ping(Ping {}), PING_TIMEOUT).await
+}
+
+/// Calls an entry through a bridge.
+async fn call_through(
+    node: &Node,
+    bridge: BridgeEntry,
+    to: &BridgeEntry,
+    msg: Msg,
+) -> Result<Msg, CallError> {
+    let call = Msg::BridgedCall(BridgedCall::new(&to.address, msg, BRIDGE_TIMEOUT - REPLY_MARGIN));
+    let reply = node.peers.call(&node.id, &bridge.address, call, BRIDGE_TIMEOUT).await;
+    let failed_at = match reply {
+        Ok(Msg::BridgedReply(reply)) => match reply.into_reply() {
+            Some(msg) => return Ok(msg),
+            None => Some(to),
+        },
+        Ok(_) | Err(_) => None,
+    };
+    node.routes.lock().bridge_failed(&bridge.name, failed_at, policy(node), node.now());
+    Err(CallError::NoAnswer)
+}
+
+/// Opens a session directly.
+async fn open_directly(
+    node: &Node,
+    address: &str,
+    open: RelayOpen,
+    timeout: Duration,
+) -> Result<RelayConnection, Closed> {
+    let (first, traffic) = (Msg::RelayOpen(open), node.traffic.clone());
+    ready(connect_duplex(address, TOKEN, &node.id, first, timeout, traffic).await?).await
+}
+
+/// Opens a session through a bridge.
+async fn open_through(
+    node: &Node,
+    bridge: BridgeEntry,
+    to: &BridgeEntry,
+    open: RelayOpen,
+) -> Result<RelayConnection, Closed> {
+    let traffic = node.traffic.clone();
+    let opening = async {
+        let connection =
+            connect_through(&bridge.address, &to.address, TOKEN, &node.id, open, BRIDGE_TIMEOUT, traffic);
+        ready(connection.await?).await
+    };
+    let opened = tokio::time::timeout(BRIDGE_TIMEOUT, opening).await.unwrap_or(Err(Closed));
+    if opened.is_err() {
+        node.routes.lock().bridge_failed(&bridge.name, Some(to), policy(node), node.now());
+    }
+    opened
+}
+
+/// Waits until the relay takes orders.
+async fn ready((out, mut updates): RelayConnection) -> Result<RelayConnection, Closed> {
+    match updates.next().await? {
+        Msg::RelayReady(_) => Ok((out, updates)),
+        _ => Err(Closed),
+    }
+}
+
+/// Tries the bridges one after another; returns the first success and the way that led to it.
+async fn through_bridges<T, E, F: Future<Output = Result<T, E>>>(
+    ways: &Ways,
+    none: E,
+    attempt: impl Fn(BridgeEntry) -> F,
+) -> Result<(Way, T), E> {
+    let mut last = none;
+    for bridge in &ways.bridges {
+        match attempt(bridge.clone()).await {
+            Ok(x) => return Ok((Way::Bridge(bridge.name.clone()), x)),
+            Err(e) => last = e,
+        }
+    }
+    Err(last)
+}
+
+/// Runs the first way, and the other one as well after `hedge_after` or once the first has failed.
+/// Returns the first success, or the failure of the way that failed last.
+async fn race<T, E>(
+    first: &Way,
+    hedge_after: Duration,
+    direct: impl Future<Output = Result<T, E>>,
+    bridged: impl Future<Output = Result<T, E>>,
+) -> Result<T, E> {
+    let first_failed = Notify::new();
+    let (direct_delay, bridged_delay) = match first {
+        Way::Direct => (Duration::ZERO, hedge_after),
+        Way::Bridge(_) => (hedge_after, Duration::ZERO),
+    };
+    let direct = pin!(delayed(direct_delay, &first_failed, direct));
+    let bridged = pin!(delayed(bridged_delay, &first_failed, bridged));
+    match select(direct, bridged).await {
+        Either::Left((Ok(x), _)) | Either::Right((Ok(x), _)) => Ok(x),
+        Either::Left((Err(_), other)) => {
+            first_failed.notify_one();
+            other.await
+        }
+        Either::Right((Err(_), other)) => {
+            first_failed.notify_one();
+            other.await
+        }
+    }
+}
+
+/// Runs a future after a delay, or at once when notified.
+async fn delayed<T>(delay: Duration, start: &Notify, future: impl Future<Output = T>) -> T {
+    if !delay.is_zero() {
+        // Elapsed or notified; the future starts either way.
+        let _ = tokio::time::timeout(delay, start.notified()).await;
+    }
+    future.await
+}
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -7,6 +7,7 @@
 use workswood_core::jobs::{JobKey, JobStatus, Outcome, Owner};
 use workswood_peers::{JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest};
 
+use super::bridges;
 use super::node::{Holder, Node, SchedulerHandle};
 
 /// Longest wait for the holder's reply: a few round trips on a busy network.
@@ -134,7 +135,7 @@
         return None;
     }
     let start = node.now();
-    let reply = node.peers.call_with_retry(&node.id, &holder.peer_address, msg, HOLDER_TIMEOUT).await;
+    let reply = bridges::call(node, &holder.peer_address, msg, HOLDER_TIMEOUT).await;
     if let Err(e) = &reply {
         let took_ms = (node.now() - start).as_millis();
         log::info!(
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -21,10 +21,12 @@
 //!   queries to the lease holder.
 //! * [`peers`] holds the processes of other entries and the connections to them, and [`peer_requests`]
 //!   answers their requests.
+//! * [`bridges`] reaches entries of data centres that are cut off through entries of others.
 //! * [`usage_log`] logs the resource usage of a busy entry.
 //! * [`shutdown`] stops the process gracefully.
 
 pub mod advice;
+pub mod bridges;
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -10,6 +10,7 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
 use workswood_core::ids::{Incarnation, Term, UnixMs};
+use workswood_core::jobs::bridges::Routes;
 use workswood_core::jobs::{Event, SchedConfig, Wave};
 use workswood_liveness::{HalfOpenDetector, TimerLag};
 use workswood_platform::jobs::JobPlatform;
@@ -108,6 +109,8 @@
     pub scheduler: ArcSwapOption<SchedulerHandle>,
     /// The processes of other entries.
     pub peers: Peers,
+    /// Through which entries those of data centres that are cut off are reached.
+    pub routes: Mutex<Routes>,
     /// Submitted jobs and cancellations that wait to be stored.
     pub inbox_writer: InboxWriter,
     /// Detects half-open connections.
@@ -169,6 +172,7 @@
             holder: ArcSwapOption::empty(),
             scheduler: ArcSwapOption::empty(),
             peers: Peers::sharing(half_open.clone(), traffic.clone()),
+            routes: Mutex::default(),
             inbox_writer: InboxWriter::default(),
             half_open,
             traffic,
@@ -269,6 +273,7 @@
         m.lease_term.set(self.holder.load().as_ref().map_or(0, |h| h.term as i64));
         m.config_version.set(self.config.load().as_ref().map_or(0, |c| c.version as i64));
         m.evacuated_data_centres.set(self.operator_state.evacuations().data_centres.len() as i64);
+        m.bridged_data_centres.set(self.routes.lock().bridged_count() as i64);
         m.half_open_connections.set(self.half_open.count() as i64);
         m.store_silence_ms.set(self.store_silence().as_millis() as i64);
         m.stalled_ms.set(self.timer_lag.total().as_millis() as i64);
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -20,7 +20,7 @@
 use super::lease::{self, LeaseRecord};
 use super::node::{Holder, Node};
 use super::operator_state::Evacuations;
-use super::{advice, job_queries};
+use super::{advice, bridges, job_queries};
 
 /// Maximum number of peers that are called with a request.
 const MAX_CALLED_PEERS: usize = 2;
@@ -48,6 +48,7 @@
         }
         Msg::AdviceRequest(request) => Some(Msg::AdviceReply(advice::answer_peer(node, request).await)),
         Msg::LeaseReleaseRequest(request) => answer_lease_release(node, request).await,
+        Msg::BridgedCall(call) => Some(Msg::BridgedReply(bridges::pass_on(node, call).await)),
         Msg::ConfigRequest(request) => Some(Msg::ConfigReply(config_reply(node, &request))),
         _ => None,
     }
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use workswood_core::ids::{DataCentre, Offset, UnixMs};
 use workswood_core::jobs::RelayCandidate;
+use workswood_core::jobs::bridges::BridgeEntry;
 use workswood_core::jobs::lease_claim::{self, EntryCapacity, PeerEntry};
 use workswood_liveness::HalfOpenDetector;
 use workswood_peers::{CallError, Link, Msg};
@@ -173,10 +174,15 @@
     /// Adds the process of an entry, with the address of its peer listener and the number of workers that the
     /// entry can serve as lease holder. Used by tests.
     pub fn add_peer(&self, entry: &str, address: &str, strength: EntryCapacity) {
+        self.add_peer_in("", entry, address, strength);
+    }
+
+    /// Like [`Self::add_peer`], for an entry of a data centre.
+    pub fn add_peer_in(&self, data_centre: &str, entry: &str, address: &str, strength: EntryCapacity) {
         let rec = PeerRecord {
             address: address.to_string(),
             written_at: 0,
-            data_centre: DataCentre::new(),
+            data_centre: data_centre.to_string(),
             strength,
         };
         self.peer_list.lock().by_entry.insert(entry.to_string(), rec);
@@ -187,6 +193,18 @@
         self.peer_list.lock().by_entry.get(entry).map(|rec| rec.address.clone())
     }
 
+    /// All entries that are known, as the choice of a bridge sees them.
+    pub fn bridge_entries(&self) -> Vec<BridgeEntry> {
+        let peer_list = self.peer_list.lock();
+        let entry = |(name, rec): (&String, &PeerRecord)| BridgeEntry {
+            name: name.clone(),
+            address: rec.address.clone(),
+            data_centre: rec.data_centre.clone(),
+            capacity: rec.strength,
+        };
+        peer_list.by_entry.iter().map(entry).collect()
+    }
+
     /// Wakes [`run`] to read the records.
     pub fn request_read(&self) {
         self.read_requested.notify_one();
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -12,14 +12,15 @@
 use tokio::sync::mpsc;
 use tokio::task::{AbortHandle, JoinSet};
 use workswood_core::ids::{HostId, Term};
+use workswood_core::jobs::bridges::Way;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Event, WorkerInfo};
 use workswood_peers::relay as wire;
 use workswood_peers::{Closed, DuplexRx, DuplexTx, Msg};
 
+use super::bridges;
 use super::limits::WorkerLease;
 use super::node::{Node, SchedulerHandle};
-use super::peers::TOKEN;
 use super::relay::messages::{StartTask, WorkerNumber, WorkerOrder};
 use super::relay::session::HEARTBEAT_INTERVAL;
 use super::relay::{EventSink, Relay, codec};
@@ -216,6 +217,8 @@
     Broken,
     /// No message came from the relay for too long.
     Silent,
+    /// No message came from the relay, which answers by another way.
+    WayLost,
 }
 
 impl SessionTask {
@@ -233,7 +236,7 @@
         self.notify(Event::RelayDown {
             entry: self.entry.clone(),
             lease_end: leases_end,
-            may_return: reason == SessionEnd::Broken,
+            may_return: matches!(reason, SessionEnd::Broken | SessionEnd::WayLost),
         });
     }
 
@@ -242,12 +245,16 @@
         tx: mpsc::UnboundedSender<wire::RelayOrders>,
         rx: mpsc::UnboundedReceiver<wire::RelayOrders>,
     ) -> SessionEnd {
-        let Some((out, updates)) = self.connect().await else { return SessionEnd::NotOpened };
+        let Some((way, (out, updates))) = self.connect().await else { return SessionEnd::NotOpened };
         self.notify(Event::RelayUp(self.entry.clone()));
-        tokio::select! {
+        let reason = tokio::select! {
             _ = send_orders(out, rx) => SessionEnd::Broken,
-            reason = self.receive_updates(updates, tx) => reason,
+            reason = self.receive_updates(updates, tx, &way) => reason,
+        };
+        if reason != SessionEnd::WayLost {
+            bridges::session_lost(&self.node, &self.entry, &way);
         }
+        reason
     }
 
     fn notify(&self, ev: Event) {
@@ -255,24 +262,13 @@
         let _ = self.handle.tx.send(ev);
     }
 
-    async fn connect(&self) -> Option<(DuplexTx, DuplexRx)> {
-        let address = self.node.peers.address_of(&self.entry)?;
+    async fn connect(&self) -> Option<(Way, (DuplexTx, DuplexRx))> {
         let open = wire::RelayOpen {
             term: self.handle.term,
             session: self.session_number,
             holder: self.node.settings.name.clone(),
         };
-        let opening = async {
-            let first = Msg::RelayOpen(open);
-            let traffic = self.node.traffic.clone();
-            let (out, mut updates) =
-                workswood_peers::connect_duplex(&address, TOKEN, &self.node.id, first, OPEN_TIMEOUT, traffic)
-                    .await?;
-            match updates.next().await? {
-                Msg::RelayReady(_) => Ok((out, updates)),
-                _ => Err(Closed),
-            }
-        };
+        let opening = bridges::open_session(&self.node, &self.entry, open, OPEN_TIMEOUT);
         self.node.timer_lag.timeout(OPEN_TIMEOUT, opening).await?.ok()
     }
 
@@ -281,10 +277,16 @@
         &self,
         mut updates: DuplexRx,
         tx: mpsc::UnboundedSender<wire::RelayOrders>,
+        way: &Way,
     ) -> SessionEnd {
         let mut leaving = false;
         loop {
-            let frame = match self.node.timer_lag.timeout(SILENCE_TIMEOUT, updates.next()).await {
+            let next = self.node.timer_lag.timeout(SILENCE_TIMEOUT, updates.next());
+            let next = tokio::select! {
+                next = next => next,
+                () = bridges::until_other_way(&self.node, &self.entry, way) => return SessionEnd::WayLost,
+            };
+            let frame = match next {
                 Some(Ok(Msg::RelayUpdate(frame))) => frame,
                 Some(Ok(_) | Err(Closed)) => return SessionEnd::Broken,
                 None => return SessionEnd::Silent,
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -48,6 +48,10 @@
     pub config_version: IntGauge,
     /// Data centres that are evacuated, as known to this process.
     pub evacuated_data_centres: IntGauge,
+    /// Data centres that this process reaches through a bridge.
+    pub bridged_data_centres: IntGauge,
+    /// Calls passed on for entries that can't reach the called one, by outcome.
+    pub passed_on_calls: IntCounterVec,
     /// How long ago the store last answered, in milliseconds.
     pub store_silence_ms: IntGauge,
     /// Connections that were found half-open.
@@ -139,6 +143,17 @@
                 "workswood_relays",
                 "other entries that relay workers for this lease holder",
             ),
+            bridged_data_centres: register_gauge(
+                &registry,
+                "workswood_bridged_data_centres",
+                "data centres that are reached through a bridge",
+            ),
+            passed_on_calls: register_counter_vec(
+                &registry,
+                "workswood_passed_on_calls_total",
+                "calls passed on for entries that can't reach the called one, by outcome",
+                &["outcome"],
+            ),
             leading: register_gauge(
                 &registry,
                 "workswood_leading",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod advised_queue;
 mod bad_endpoints;
 mod body_limits;
+mod centre_bridges;
 mod chance_crashes;
 mod changing_room;
 mod closed_pipes;
