--- a/crates/workswood-core/src/jobs/bridges.rs
+++ b/crates/workswood-core/src/jobs/bridges.rs
@@ -26,7 +26,7 @@
     /// How long a relay may be silent before it is looked for by other ways.
     #[serde(with = "humantime_serde")]
     pub suspect_after: Duration,
-    /// Time between two tries of the direct way while a bridge is used.
+    /// Time between two checks of the direct way while a bridge is used.
     #[serde(rename = "direct_again", with = "humantime_serde")]
     pub direct_interval: Duration,
     /// Time for which an entry that failed as a bridge is not chosen again.
@@ -158,7 +158,8 @@
             Way::Bridge(bridge) => {
                 let before = self.bridged.get(data_centre);
                 let changed = before.is_none_or(|route| route.bridge != *bridge);
-                let direct_due = before.map_or(now + policy.direct_interval, |route| route.direct_due);
+                // The direct way may only have been slow, so it is checked soon.
+                let direct_due = before.map_or(now + policy.hedge_after, |route| route.direct_due);
                 let route = BridgedRoute { bridge: bridge.clone(), direct_due };
                 self.bridged.insert(data_centre.to_string(), route);
                 changed
--- a/src/workswood/ops/jobs/bridges.rs
+++ b/src/workswood/ops/jobs/bridges.rs
@@ -28,6 +28,8 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(50);
 /// Longest wait for the answer to a ping of the direct way.
 const PING_TIMEOUT: Duration = Duration::from_millis(400);
+/// After this many answers to pings of the direct way in a row, a session leaves its bridge.
+const DIRECT_ANSWERS: u32 = 3;
 /// How long a session may still show that it works once its relay answers by another way. A relay
 /// that was only slow sends an update as soon as it answers pings.
 const GRACE: Duration = Duration::from_millis(60);
@@ -40,52 +42,53 @@
     to: BridgeEntry,
     /// The way to try first.
     first: Way,
-    /// Whether to check the direct way beside it.
-    direct_due: bool,
-    /// Bridges, best first.
-    bridges: Vec<BridgeEntry>,
+    /// All entries that are known.
+    entries: Vec<BridgeEntry>,
 }
 
 fn policy(node: &Node) -> &BridgePolicy {
     &node.settings.policy.bridges
 }
 
-/// This process as an entry.
-fn own_entry(node: &Node) -> BridgeEntry {
-    let s = &node.settings;
-    BridgeEntry {
-        name: s.name.clone(),
-        address: s.peers.to_string(),
-        data_centre: s.data_centre.clone(),
-        capacity: s.strength(),
-    }
-}
-
-/// The ways to the entry that fits; `None` if only the direct one is to be used.
-fn ways_to(node: &Node, fits: impl Fn(&BridgeEntry) -> bool) -> Option<Ways> {
+/// The ways to the entry that fits; `None` if only the direct one is to be used. Has the direct way
+/// checked if that is due.
+fn ways_to(node: &Arc<Node>, fits: impl Fn(&BridgeEntry) -> bool) -> Option<Ways> {
     if !policy(node).enabled {
         return None;
     }
-    let (entries, now) = (node.peers.bridge_entries(), node.now());
+    let entries = node.peers.bridge_entries();
     let to = entries.iter().find(|e| fits(e))?.clone();
     if to.data_centre == node.settings.data_centre {
         return None;
     }
-    let mut routes = node.routes.lock();
-    let first = routes.first_way(&to.data_centre, policy(node), now);
-    let mut bridges = routes.bridges(&own_entry(node), &to, &entries, now);
+    let first = node.routes.lock().first_way(&to.data_centre, policy(node), node.now());
+    if first.direct_due {
+        tokio::spawn(check_direct(node.clone(), to.clone()));
+    }
+    Some(Ways { to, first: first.way, entries })
+}
+
+/// The bridges to try, best first.
+fn bridges(node: &Node, ways: &Ways) -> Vec<BridgeEntry> {
+    let s = &node.settings;
+    let from = BridgeEntry {
+        name: s.name.clone(),
+        address: s.peers.to_string(),
+        data_centre: s.data_centre.clone(),
+        capacity: s.strength(),
+    };
+    let mut bridges = node.routes.lock().bridges(&from, &ways.to, &ways.entries, node.now());
     bridges.truncate(MAX_BRIDGES);
-    Some(Ways { to, first: first.way, direct_due: first.direct_due, bridges })
+    bridges
 }
 
 /// Calls the entry at an address with a message that may be sent twice, within a timeout.
 pub async fn call(node: &Arc<Node>, address: &str, msg: Msg, timeout: Duration) -> Result<Msg, CallError> {
     let direct = node.peers.call_with_retry(&node.id, address, msg.clone(), timeout);
     let Some(ways) = ways_to(node, |e| e.address == address) else { return direct.await };
-    check_direct_if_due(node, &ways);
     let direct = direct.map(|reply| reply.map(|msg| (Way::Direct, msg)));
     let attempt = |bridge| call_through(node, bridge, &ways.to, msg.clone());
-    let bridged = through_bridges(&ways, CallError::NotSent, attempt);
+    let bridged = through_bridges(node, &ways, CallError::NotSent, attempt);
     let answering = race(&ways.first, policy(node).hedge_after, direct, bridged);
     let (way, reply) = tokio::time::timeout(timeout, answering).await.unwrap_or(Err(CallError::NoAnswer))?;
     note_other_way(node, &ways, &way);
@@ -103,10 +106,9 @@
     let direct = open_directly(node, &address, open.clone(), timeout);
     let direct = direct.map(|opened| opened.map(|connection| (Way::Direct, connection)));
     let Some(ways) = ways_to(node, |e| e.name == entry) else { return direct.await };
-    check_direct_if_due(node, &ways);
     // The relay takes the session once, by the way on which it comes first.
     let attempt = |bridge| open_through(node, bridge, &ways.to, open.clone());
-    let bridged = through_bridges(&ways, Closed, attempt);
+    let bridged = through_bridges(node, &ways, Closed, attempt);
     let (way, connection) = race(&ways.first, policy(node).hedge_after, direct, bridged).await?;
     note_other_way(node, &ways, &way);
     if let Way::Bridge(bridge) = &way {
@@ -133,15 +135,34 @@
     pending().await
 }
 
+/// Waits until a relay whose session goes through a bridge has answered directly several times in a
+/// row. Never returns for a session that is direct.
+pub async fn until_direct_again(node: &Arc<Node>, entry: &str, way: &Way) {
+    if *way == Way::Direct {
+        return pending().await;
+    }
+    let mut answers = 0;
+    while answers < DIRECT_ANSWERS {
+        tokio::time::sleep(policy(node).direct_interval).await;
+        let answered = match node.peers.address_of(entry) {
+            Some(address) => ping_directly(node, &address).await.is_ok(),
+            None => false,
+        };
+        answers = if answered { answers + 1 } else { 0 };
+    }
+    if let Some(to) = node.peers.bridge_entries().into_iter().find(|e| e.name == entry) {
+        note_answer(node, &to, &Way::Direct);
+    }
+}
+
 /// Pings an entry by all ways but one; returns the first that it answers by.
 async fn find_other_way(node: &Arc<Node>, ways: &Ways, except: &Way) -> Option<Way> {
     let direct = ping_directly(node, &ways.to.address).map(|reply| reply.map(|_| Way::Direct));
-    let through = |bridge: &BridgeEntry| {
+    let through = |bridge: BridgeEntry| {
         let way = Way::Bridge(bridge.name.clone());
-        let ping = Msg::Ping(Ping {});
-        call_through(node, bridge.clone(), &ways.to, ping).map(|reply| reply.map(|_| way)).boxed()
+        call_through(node, bridge, &ways.to, Msg::Ping(Ping {})).map(|reply| reply.map(|_| way)).boxed()
     };
-    let others = ways.bridges.iter().filter(|b| !except.is_through(&b.name));
+    let others = bridges(node, ways).into_iter().filter(|b| !except.is_through(&b.name));
     let mut pings: Vec<_> = others.map(through).collect();
     if *except != Way::Direct {
         pings.push(direct.boxed());
@@ -188,17 +209,11 @@
     }
 }
 
-/// Pings an entry directly if it is time to, beside what is sent through a bridge.
-fn check_direct_if_due(node: &Arc<Node>, ways: &Ways) {
-    if !ways.direct_due {
-        return;
+/// Pings an entry directly, and uses that way first again if it answers.
+async fn check_direct(node: Arc<Node>, to: BridgeEntry) {
+    if ping_directly(&node, &to.address).await.is_ok() {
+        note_answer(&node, &to, &Way::Direct);
     }
-    let (node, to) = (node.clone(), ways.to.clone());
-    tokio::spawn(async move {
-        if ping_directly(&node, &to.address).await.is_ok() {
-            note_answer(&node, &to, &Way::Direct);
-        }
-    });
 }
 
 async fn ping_directly(node: &Node, address: &str) -> Result<Msg, CallError> {
@@ -266,14 +281,16 @@
 
 /// Tries the bridges one after another; returns the first success and the way that led to it.
 async fn through_bridges<T, E, F: Future<Output = Result<T, E>>>(
+    node: &Node,
     ways: &Ways,
     none: E,
     attempt: impl Fn(BridgeEntry) -> F,
 ) -> Result<(Way, T), E> {
     let mut last = none;
-    for bridge in &ways.bridges {
-        match attempt(bridge.clone()).await {
-            Ok(x) => return Ok((Way::Bridge(bridge.name.clone()), x)),
+    for bridge in bridges(node, ways) {
+        let way = Way::Bridge(bridge.name.clone());
+        match attempt(bridge).await {
+            Ok(x) => return Ok((way, x)),
             Err(e) => last = e,
         }
     }
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -219,6 +219,18 @@
     Silent,
     /// No message came from the relay, which answers by another way.
     WayLost,
+    /// It went through a bridge, and the relay answers directly again.
+    DirectAgain,
+}
+
+impl SessionEnd {
+    /// Whether the relay may still be running and can be reached.
+    fn may_return(self) -> bool {
+        match self {
+            SessionEnd::Broken | SessionEnd::WayLost | SessionEnd::DirectAgain => true,
+            SessionEnd::NotOpened | SessionEnd::Silent => false,
+        }
+    }
 }
 
 impl SessionTask {
@@ -236,7 +248,7 @@
         self.notify(Event::RelayDown {
             entry: self.entry.clone(),
             lease_end: leases_end,
-            may_return: matches!(reason, SessionEnd::Broken | SessionEnd::WayLost),
+            may_return: reason.may_return(),
         });
     }
 
@@ -250,8 +262,9 @@
         let reason = tokio::select! {
             _ = send_orders(out, rx) => SessionEnd::Broken,
             reason = self.receive_updates(updates, tx, &way) => reason,
+            () = bridges::until_direct_again(&self.node, &self.entry, &way) => SessionEnd::DirectAgain,
         };
-        if reason != SessionEnd::WayLost {
+        if matches!(reason, SessionEnd::Broken | SessionEnd::Silent) {
             bridges::session_lost(&self.node, &self.entry, &way);
         }
         reason
--- a/tests/testsuite/centre_bridges.rs
+++ b/tests/testsuite/centre_bridges.rs
@@ -85,10 +85,12 @@
     let first = routes.first_way("b", &policy, millis(101));
     assert_eq!((first.way, first.direct_due), (bridge.clone(), false));
     assert_eq!(routes.first_way("c", &policy, millis(101)).way, Way::Direct, "others are reached");
-    let due = millis(100) + policy.direct_interval;
+    let due = millis(100) + policy.hedge_after;
     assert!(!routes.answered("b", &bridge, &policy, due - millis(1)), "nothing has changed");
     assert!(routes.first_way("b", &policy, due).direct_due, "answers by the bridge don't put that off");
     assert!(!routes.first_way("b", &policy, due).direct_due, "once");
+    let due = due + policy.direct_interval;
+    assert!(routes.first_way("b", &policy, due).direct_due);
     assert!(routes.answered("b", &Way::Direct, &policy, due));
     assert_eq!(routes.first_way("b", &policy, due).way, Way::Direct);
 }
@@ -341,6 +343,26 @@
     assert_eq!(way, Way::Bridge("between".to_string()));
 }
 
+#[tokio::test]
+async fn bridged_session_goes_back() {
+    let [_, relay, _between] = three().await;
+    let policy = BridgePolicy { enabled: true, direct_interval: millis(20), ..BridgePolicy::default() };
+    let holder = process_with("a", "asks", policy.clone()).await;
+    let cut = Cut::start(&relay.settings.peers.to_string()).await;
+    tell(&holder, &relay, &cut.address);
+    let bridge = Way::Bridge("between".to_string());
+    holder.routes.lock().answered("b", &bridge, &policy, holder.now());
+    cut.set(Fault::Closed);
+    let found = bridges::until_direct_again(&holder, "asked", &bridge);
+    assert!(tokio::time::timeout(millis(300), found).await.is_err(), "it does not answer directly");
+    cut.set(Fault::None);
+    let found = bridges::until_direct_again(&holder, "asked", &bridge);
+    assert!(tokio::time::timeout(PATIENCE, found).await.is_ok());
+    assert_eq!(first_way(&holder), Way::Direct);
+    let direct = bridges::until_direct_again(&holder, "asked", &Way::Direct);
+    assert!(tokio::time::timeout(millis(300), direct).await.is_err(), "it needs no other way");
+}
+
 #[tokio::test]
 async fn dead_relay_has_no_other_way() {
     let [holder, relay, _between] = three().await;
