--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -44,6 +44,7 @@
 //!   `drain_order` which hosts go first. [`maintenance_orders`] orders them down.
 //! * [`lease_claim`] decides which process runs the scheduler; [`lease_handover`] how a holder that the store
 //!   refuses, or that is told to stop, keeps it running.
+//! * [`bridges`] decides through which entry those of a data centre that is cut off are reached.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`policy`] holds the parameters of the decisions.
@@ -54,6 +55,7 @@
 pub mod advice;
 pub mod advice_batch;
 mod advice_candidates;
+pub mod bridges;
 pub mod config;
 pub mod crash_attribution;
 pub mod crash_rate;
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::advice::AdvicePolicy;
+use super::bridges::BridgePolicy;
 use super::crash_attribution::CrashPolicy;
 use super::lease_handover::HandoverPolicy;
 use super::relays::RelayPolicy;
@@ -46,6 +47,8 @@
     pub slow_workers: SlowWorkerPolicy,
     /// What a lease holder does that the store refuses to serve, or that is told to stop.
     pub handover: HandoverPolicy,
+    /// The use of entries that reach data centres which others can't.
+    pub bridges: BridgePolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -449,14 +452,24 @@
             ("advice.margin", self.advice.ticket_margin),
             ("relays.shun_for", self.relays.backoff),
             ("handover.late_after", self.handover.late_after),
+            ("bridges.hedge_after", self.bridges.hedge_after),
+            ("bridges.suspect_after", self.bridges.suspect_after),
+            ("bridges.direct_again", self.bridges.direct_interval),
+            ("bridges.shun_for", self.bridges.backoff),
             ("crashes.young", self.crashes.suspect_age),
             ("crashes.first_wait", self.crashes.max_first_trial_wait),
         ];
         if self.need.arrival_window.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
         }
-        if self.handover.late_after.is_zero() {
-            return Err("`policy.handover.late_after` must be above 0".to_string());
+        let waits = [
+            ("handover.late_after", self.handover.late_after),
+            ("bridges.hedge_after", self.bridges.hedge_after),
+            ("bridges.suspect_after", self.bridges.suspect_after),
+            ("bridges.direct_again", self.bridges.direct_interval),
+        ];
+        if let Some((name, _)) = waits.into_iter().find(|(_, v)| v.is_zero()) {
+            return Err(format!("`policy.{name}` must be above 0"));
         }
         let bad = times.into_iter().find(|(_, v)| *v > MAX_DURATION);
         bad.map_or(Ok(()), |(name, _)| {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -23,10 +23,12 @@
 //!   answers their requests.
 //! * [`helped_store`] has peers call the store for a lease holder that the store refuses to serve, and
 //!   [`store_calls`] makes such calls. [`handover`] gives the lease up in a shutdown.
+//! * [`bridges`] reaches entries of data centres that are cut off through entries of others.
 //! * [`usage_log`] logs the resource usage of a busy entry.
 //! * [`shutdown`] stops the process gracefully.
 
 pub mod advice;
+pub mod bridges;
 pub mod handover;
 pub mod helped_store;
 pub mod host_orders;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod avoided_workers;
 mod bad_endpoints;
 mod body_limits;
+mod centre_bridges;
 mod chance_crashes;
 mod changing_room;
 mod closed_pipes;
