Start tasks, show completed jobs and stop runs while the store is away; a successor holds back what may have begun

Called for by policy.outage; off by default. random_jobs plays outages of the store for the holder alone or for all, with holders replaced or killed within.

--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -119,6 +119,11 @@
         let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)).filter(|_| idle) else {
             return TrialPlacement::NotWaiting;
         };
+        let held_back =
+            self.jobs.get(&id.job).is_some_and(|j| self.is_held_back(&j.spec, step, &id.step_id()));
+        if held_back {
+            return TrialPlacement::NoWorker;
+        }
         if self.jobs.reservation(id).is_some_and(|h| !self.is_within_limit(h.owner, &h.charged)) {
             return TrialPlacement::OverLimit;
         }
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -185,6 +185,8 @@
     pub blamed_worker: Option<WorkerId>,
     /// Rounds opened so far, by number.
     pub rounds: Vec<Round>,
+    /// Number of rounds in the newest record that is known to be stored.
+    pub(super) recorded_rounds: u32,
     /// The status that was last published to callers.
     pub(super) published_status: Option<JobStatus>,
 }
@@ -203,6 +205,7 @@
             max_cpu_millis: 0,
             blamed_worker: None,
             rounds: Vec::new(),
+            recorded_rounds: 0,
             published_status: None,
         }
     }
@@ -352,6 +355,7 @@
         job.started = rec.started;
         job.ended_at = now;
         let step = |tasks: Vec<TaskRecord>| tasks.into_iter().map(|t| t.restore(now)).collect();
+        job.recorded_rounds = rec.rounds.len() as u32;
         job.rounds = rec.rounds.into_iter().map(|r| r.into_iter().map(step).collect()).collect();
         job
     }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -42,6 +42,8 @@
 //!   it down.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
+//! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
+//!   tasks a new lease holder holds back because its predecessor may have started them so; [`owed_batch`] merges the batches that wait.
 //! * [`policy`] holds the parameters of the decisions.
 //! * [`pool_need`] computes how many hosts each pool needs, from the [`demand_history`];
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
@@ -67,6 +69,8 @@
 pub mod maintenance_waves;
 
 pub mod order_marks;
+pub mod outage;
+pub mod owed_batch;
 pub mod pacing;
 pub mod placement;
 pub mod policy;
@@ -80,6 +84,7 @@
 pub mod scheduler;
 pub mod spec;
 pub mod stable_map;
+mod takeover_barrier;
 pub mod task_queue;
 pub mod types;
 pub mod worker;
@@ -96,6 +101,7 @@
 pub use host::{Host, HostReply, HostState};
 pub use job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Phase, Run, Task};
 pub use maintenance_waves::{Wave, WaveRecord};
+pub use outage::{OutagePolicy, StoreAccess};
 pub use policy::Policy;
 pub use relays::{RelayCandidate, RelayPolicy};
 pub use run_tracker::RunTracker;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -6,6 +6,7 @@
 
 use super::fair_share::weighted_usage;
 use super::job::{Job, Phase, Run, Task, WorkerId};
+use super::outage::StoreAccess;
 use super::policy::ShareOrder;
 use super::queue_order::{QueueOrder, QueuePosition, Timeliness};
 use super::scheduler::Scheduler;
@@ -23,7 +24,9 @@
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
     pub(super) fn place_waiting_tasks(&mut self, service: &ServiceId) {
-        self.place_trials(service);
+        if self.store_access == StoreAccess::Answering {
+            self.place_trials(service);
+        }
         // Steps that found no worker; see `PlacementPolicy::max_misses`.
         let mut misses = 0;
         let mut steps = StepQueue::new(self.placement_order(service));
@@ -88,8 +91,12 @@
     /// its limit may exceed it with one task.
     pub(super) fn is_within_limit(&self, owner: Owner, needed: &Resources) -> bool {
         let limit = self.config.workspaces.limit(owner);
-        limit == Resources::default()
-            || limit_admits(&self.workers.workspace_usage().in_use(owner), &limit, needed)
+        if limit == Resources::default() {
+            return true;
+        }
+        let mut in_use = self.workers.workspace_usage().in_use(owner);
+        in_use.add(&self.resources_behind_barrier());
+        limit_admits(&in_use, &limit, needed)
     }
 
     /// The largest share of its limit that a workspace uses, and the number of workspaces that use
@@ -138,6 +145,9 @@
         let Some(step) = spec.steps.get(usize::from(id.step)) else { return StepPlacement::Done };
         let held = spec.reservation(step);
         let needed_at_once = if step.gang { held.charged.times(step.count.into()) } else { held.charged };
+        if self.is_held_back(&spec, step, id) || !self.may_start_now(step, id) {
+            return StepPlacement::Done;
+        }
         // Members of a gang start together, each as a trial if it is suspected.
         let startable = |s: &Scheduler, task: &TaskId| step.gang || !s.waits_for_trial(task, service);
         while let Some(task) =
@@ -210,7 +220,12 @@
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
             let excluded = w.in_backoff(self.now) || w.in_quarantine(self.now);
-            ticket && !excluded && w.free_resources().contains(&needed) && self.meets_constraints(w, step, id)
+            let on_record = self.store_access == StoreAccess::Answering || w.open_on_record;
+            ticket
+                && !excluded
+                && on_record
+                && w.free_resources().contains(&needed)
+                && self.meets_constraints(w, step, id)
         };
         let available = || self.workers.available(service, needed.cpu_millis).filter(|(_, w)| fits(w));
         let best = |skip: Option<&WorkerId>| {
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -9,6 +9,7 @@
 
 use super::advice::AdvicePolicy;
 use super::crash_attribution::CrashPolicy;
+use super::outage::OutagePolicy;
 use super::relays::RelayPolicy;
 
 /// All parameters of the scheduler's decisions.
@@ -37,6 +38,8 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
+    /// What goes on while the store is away.
+    pub outage: OutagePolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -423,6 +426,8 @@
     /// Checks that durations are at most [`MAX_DURATION`], and that the arrival window is not zero.
     fn check_times(&self) -> Result<(), String> {
         let times = [
+            ("outage.write_stall", self.outage.write_stall),
+            ("outage.show_completed_after", self.outage.show_completed_after),
             ("need.arrivals", self.need.arrival_window),
             ("need.ahead", self.need.rise_lookahead),
             ("need.turn_after", self.need.calm_window),
@@ -443,6 +448,7 @@
         if self.need.arrival_window.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
         }
+        self.outage.check()?;
         let bad = times.into_iter().find(|(_, v)| *v > MAX_DURATION);
         bad.map_or(Ok(()), |(name, _)| {
             Err(format!("`policy.{name}` must be at most {} s", MAX_DURATION.as_secs()))
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -15,12 +15,14 @@
 use super::log_lines::LogLines;
 use super::maintenance_waves::WaveState;
 use super::order_marks::OrderMarks;
+use super::outage::StoreAccess;
 use super::policy::Policy;
 use super::pool_planning::PoolState;
 use super::queue_order::{TaskDurations, queue_position};
 use super::relays::Relays;
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::stable_map::StableMap;
+use super::takeover_barrier::TakeoverBarrier;
 use super::task_queue::TaskQueue;
 use super::types::{Action, Batch, Event, JobStatusUpdate, Limits, Record, lease_with_drift};
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
@@ -88,6 +90,10 @@
     pub(super) pools: PoolState,
     /// Calls to the adviser.
     pub(super) advice: AdviceState,
+    /// Whether the store takes records, and what is done while it does not.
+    pub(super) store_access: StoreAccess,
+    /// Tasks that a predecessor may have started without a record.
+    pub(super) barrier: TakeoverBarrier,
     /// Whether a worker reported a higher fencing token than this term's.
     pub deposed: bool,
     /// Jobs whose record changed since the last batch.
@@ -166,6 +172,8 @@
             waves: BTreeMap::new(),
             pools: PoolState::default(),
             advice: AdviceState::default(),
+            store_access: StoreAccess::default(),
+            barrier: TakeoverBarrier::default(),
             deposed: false,
             dirty_jobs: BTreeSet::new(),
             dirty_waves: BTreeSet::new(),
@@ -188,11 +196,14 @@
 
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
+        let open = rec.open;
         let info = WorkerInfo::from_record(id.clone(), rec);
         let (lease_end, since) = (self.inherited_lease_end(), self.claimed_at);
         let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
         w.info = Some(Arc::new(info));
+        (w.open_written, w.open_on_record) = (open, open);
         drop(w);
+        self.hold_back_for(&id, open);
         // A probe of its address shows whether that incarnation has ended.
         self.request_relay(&id);
         self.keep_latest_incarnation(&id);
@@ -215,6 +226,9 @@
     fn restore_unarchived_job(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
         let now = self.now;
         let fits = rec.as_ref().is_none_or(|rec| rec.matches_spec(&spec));
+        if rec.is_some() {
+            self.barrier.note_recorded_job(key);
+        }
         let mut job = match rec {
             Some(rec) if fits => Job::restore(key, spec, rec, now),
             _ => Job::new(key, spec),
@@ -525,6 +539,7 @@
         let wall = self.wall;
         self.ready.values_mut().for_each(|w| w.downgrade_late_steps(wall));
         self.settle_expired_leases();
+        self.settle_expired_barrier();
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
             self.send_due_stops();
@@ -588,9 +603,10 @@
 
     /// Places waiting tasks, asks the adviser, and returns all that changed since the last batch.
     pub fn take_batch(&mut self) -> Batch {
+        self.finish_barrier();
         let services = std::mem::take(&mut self.services_to_place);
-        for service in services {
-            self.place_waiting_tasks(&service);
+        if self.store_access != StoreAccess::AwayAndNoStarts {
+            services.iter().for_each(|service| self.place_waiting_tasks(service));
         }
         self.ask_adviser();
         let mut batch =
@@ -604,8 +620,9 @@
             batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
         }
         for id in std::mem::take(&mut self.dirty_workers) {
+            let open = self.take_open(&id);
             batch.records.push(match self.workers.get(&id).and_then(|w| w.info.as_ref()) {
-                Some(info) => Record::Worker(id, info.record()),
+                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, ..info.record() }),
                 None => Record::DropWorker(id),
             });
         }
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -60,6 +60,9 @@
     /// Data centre of the worker's host; empty in records of versions that did not store it.
     #[serde(default)]
     pub data_centre: DataCentre,
+    /// Whether the worker is open: its lease holder may start tasks there that are not on record.
+    #[serde(default, rename = "open", skip_serializing_if = "std::ops::Not::not")]
+    pub open: bool,
 }
 
 impl WorkerInfo {
@@ -79,6 +82,7 @@
             service: self.service.clone(),
             host: self.host.clone(),
             data_centre: self.data_centre.clone(),
+            open: false,
         }
     }
 
@@ -242,6 +246,10 @@
     pub superseded: bool,
     /// Whether the data centre is being evacuated, which keeps new work away too.
     pub evacuated: bool,
+    /// Whether the worker is open in the record that was last taken for the store.
+    pub open_written: bool,
+    /// Whether that record is known to be stored.
+    pub open_on_record: bool,
     /// Verdicts of the adviser on this incarnation, by step; see [`advice`](super::advice).
     pub advice: HashMap<StepId, AdviceVerdict>,
 }
@@ -289,6 +297,8 @@
             cordoned: false,
             superseded: false,
             evacuated: false,
+            open_written: false,
+            open_on_record: false,
             advice: HashMap::new(),
         }
     }
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -134,9 +134,9 @@
     }
 
     /// Forgets a worker that is neither listed nor has any runs, whether or not it is reachable.
-    fn forget_if_unlisted_and_idle(&mut self, id: &WorkerId) {
+    pub(super) fn forget_if_unlisted_and_idle(&mut self, id: &WorkerId) {
         let idle = self.workers.get(id).is_some_and(|w| !w.listed && w.runs.is_empty());
-        if idle {
+        if idle && self.is_settled(id) {
             self.attribute_crash(id, IncarnationEnd::UnreachableAndUnlisted);
             self.forget_worker(id);
         }
@@ -145,6 +145,7 @@
     /// Forgets a worker. Returns whether it was known.
     fn forget_worker(&mut self, id: &WorkerId) -> bool {
         let Some(w) = self.workers.remove(id) else { return false };
+        self.settle_barrier(id);
         self.dirty_workers.insert(id.clone());
         self.forget_relay_assignment(id, w.relay);
         true
@@ -163,6 +164,8 @@
         }
         w.reachable = false;
         w.lease_end = w.lease_end.max(lease_end);
+        drop(w);
+        self.update_open(id);
     }
 
     /// Marks that the answer of a worker is late.
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -21,6 +21,10 @@
             self.update_listed_run(id, run);
         }
         self.settle_unlisted_runs(id, report);
+        if report.full {
+            self.settle_barrier(id);
+        }
+        self.update_open(id);
         self.update_load_reporting(id);
         self.pace_best_effort_tasks(id);
     }
@@ -97,15 +101,18 @@
         self.actions.push(Action::Stop(id.clone(), listed.task, listed.attempt));
     }
 
-    /// Takes back a run that was believed to be over, if its task is not done, belongs to no gang,
-    /// has no other run, and was not started again with a later attempt. Returns whether it did.
+    /// Takes back a run that was believed to be over, or that a predecessor started without a record,
+    /// if its task is not done, belongs to no gang, has no other run, and was not started again with a
+    /// later attempt. Inherited runs of earlier attempts do not count: the predecessor knew that they
+    /// are over. Returns whether it did.
     fn adopt_run(&mut self, id: &WorkerId, listed: &ReportedRun) -> bool {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&listed.task.job) else { return false };
         let spec = job.spec.clone();
         let Some(step) = spec.steps.get(usize::from(listed.task.step)) else { return false };
         let Some(task) = job.task_mut(&listed.task) else { return false };
-        if task.done || step.gang || !task.runs.is_empty() || listed.attempt < task.latest_attempt {
+        let is_over = |r: &Run| r.phase == Phase::Inherited && r.attempt < listed.attempt;
+        if task.done || step.gang || !task.runs.iter().all(is_over) || listed.attempt < task.latest_attempt {
             return false;
         }
         task.latest_attempt = listed.attempt;
@@ -173,7 +180,9 @@
             self.durations.observe(&spec.queue, now.saturating_sub(run.phase_since), &self.policy.order);
         }
         // An end that is reported again may be older than the known checkpoint.
-        if known && step.checkpointing && !end.checkpoint.is_empty() {
+        let newer = end.attempt > task.latest_attempt;
+        task.latest_attempt = task.latest_attempt.max(end.attempt);
+        if (known || newer) && step.checkpointing && !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
         self.dirty_jobs.insert(task_id.job);
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -80,7 +80,7 @@
             self.record_relay_count(&id, relays);
             self.notes.push(format_args!("event=worker_restarted worker={later} before={id} runs={runs}"));
             self.withdraw_relay(&id);
-            if runs == 0 {
+            if runs == 0 && self.is_settled(&id) {
                 self.end_incarnation(&id, IncarnationEnd::OtherIncarnation);
             }
         }
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -6,10 +6,11 @@
 
 use workswood_core::ids::{DataCentre, HostId, Term};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
 use workswood_core::jobs::types::{JobStatusUpdate, Record, lease_with_drift};
 use workswood_core::jobs::{
     Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobKey, JobStatus, Outcome, Scheduler, StepId,
-    WorkerUpdate,
+    StoreAccess, WorkerUpdate,
 };
 
 use super::adviser::{self, ADVICE, may_run};
@@ -41,6 +42,12 @@
     pub paused_until: Duration,
     /// A batch that is being written to the store, and when the write finishes.
     writing: Option<(Duration, Batch)>,
+    /// Since when that batch is being written.
+    writing_since: Duration,
+    /// Batches that wait for that one while the store is away.
+    owed: OwedBatch,
+    /// Until when the store takes nothing from this holder.
+    pub store_away_until: Duration,
     next_tick: Duration,
     sessions: BTreeMap<HostId, RelaySession>,
     /// Relay and fencing token of each watched worker.
@@ -58,6 +65,9 @@
             renewed: now,
             paused_until: Duration::ZERO,
             writing: None,
+            writing_since: now,
+            owed: OwedBatch::default(),
+            store_away_until: Duration::ZERO,
             next_tick: now,
             sessions: BTreeMap::new(),
             watched: BTreeMap::new(),
@@ -84,7 +94,7 @@
         let now = self.now;
         let newest = n + 1 == self.holders.len();
         let h = &mut self.holders[n];
-        if newest {
+        if newest && h.store_away_until <= now {
             h.renewed = now;
         }
         h.sched.now = now;
@@ -105,18 +115,52 @@
             self.print_notes(n);
             return;
         }
+        let access = self.store_access(n);
+        self.holders[n].sched.set_store_access(access);
         if self.holders[n].writing.is_none() {
             let batch = self.holders[n].sched.take_batch();
             self.print_notes(n);
+            self.holders[n].owed.add(batch);
+            let batch = std::mem::take(&mut self.holders[n].owed).into_batch();
             if batch.records.is_empty() {
                 self.publish(n, batch);
             } else {
                 let at = now + Duration::from_millis(20 * (1 + self.rng.below(3)));
                 self.holders[n].writing = Some((at, batch));
+                self.holders[n].writing_since = now;
             }
+        } else if access != StoreAccess::Answering {
+            let batch = self.holders[n].sched.take_batch();
+            self.print_notes(n);
+            self.holders[n].owed.add(batch);
+            self.do_early_work(n);
         }
     }
 
+    /// Whether the store counts as away for a holder.
+    fn store_access(&self, n: usize) -> StoreAccess {
+        let h = &self.holders[n];
+        let policy = &h.sched.policy.outage;
+        let stalled = h.writing.is_some() && h.writing_since + policy.write_stall <= self.now;
+        match (stalled && policy.is_enabled(), h.renewed + EXTENSION_GRACE > self.now) {
+            (false, _) => StoreAccess::Answering,
+            (true, true) => StoreAccess::Away,
+            (true, false) => StoreAccess::AwayAndNoStarts,
+        }
+    }
+
+    /// Carries out what needs no record first.
+    fn do_early_work(&mut self, n: usize) {
+        let away_for = self.now - self.holders[n].writing_since;
+        let h = &mut self.holders[n];
+        let in_flight = h.writing.as_mut().map(|(_, batch)| batch);
+        let EarlyWork { actions, statuses } = h.owed.take_early_work(in_flight, &h.sched, away_for);
+        self.show(n, statuses);
+        let starts = actions.iter().filter(|a| matches!(a, Action::Start { .. })).count();
+        self.seen.unrecorded_starts += starts as u64;
+        actions.into_iter().for_each(|action| self.send(n, action));
+    }
+
     /// Prints the scheduler's notes if `WORKSWOOD_TEST_LOG` is set.
     fn print_notes(&mut self, n: usize) {
         let sched = &mut self.holders[n].sched;
@@ -222,16 +266,45 @@
     }
 
     fn finish_write(&mut self, n: usize, newest: bool) {
-        let due = self.holders[n].writing.as_ref().is_some_and(|(at, _)| *at <= self.now);
-        if !due {
+        let h = &mut self.holders[n];
+        let due = h.writing.as_ref().is_some_and(|(at, _)| *at <= self.now);
+        if !due || self.now < h.store_away_until {
             return;
         }
-        let Some((_, batch)) = self.holders[n].writing.take() else { return };
+        let Some((_, batch)) = h.writing.take() else { return };
         // The store rejects writes of earlier terms.
         if !newest {
-            self.holders[n].sched.deposed = true;
+            h.sched.deposed = true;
             return;
         }
+        self.store_records(&batch);
+        self.holders[n].sched.records_stored(&batch.records);
+        self.publish(n, batch);
+    }
+
+    /// Makes the store silent for the newest holder; it may have stored the batch that was being
+    /// written.
+    pub fn lose_store(&mut self, duration: Duration) {
+        let until = self.now + duration;
+        let stored = self.rng.below(2) == 0;
+        let Some(h) = self.holders.last_mut() else { return };
+        h.store_away_until = until;
+        if let Some((at, batch)) = h.writing.take() {
+            if stored {
+                self.store_records(&batch);
+            }
+            if let Some(h) = self.holders.last_mut() {
+                h.writing = Some((at, batch));
+            }
+        }
+    }
+
+    /// Makes the store available to all holders.
+    pub(super) fn regain_store(&mut self) {
+        self.holders.iter_mut().for_each(|h| h.store_away_until = Duration::ZERO);
+    }
+
+    fn store_records(&mut self, batch: &Batch) {
         for rec in &batch.records {
             match rec {
                 Record::Job(key, rec) => {
@@ -247,13 +320,23 @@
                 Record::DropJob(_) | Record::Wave(..) | Record::HostOrderMark(..) => {}
             }
         }
-        self.publish(n, batch);
     }
 
     /// Publishes a stored batch: job states, acknowledgements and actions.
     fn publish(&mut self, n: usize, batch: Batch) {
         self.trimmed.extend(batch.finished_jobs);
-        for s in batch.status_updates {
+        self.show(n, batch.status_updates);
+        for (id, number) in batch.acked_ends {
+            self.order(n, &id.clone(), ToRelay::Forget(id, number));
+        }
+        for action in batch.actions {
+            self.send(n, action);
+        }
+    }
+
+    /// Shows states of jobs to callers.
+    fn show(&mut self, n: usize, statuses: Vec<JobStatusUpdate>) {
+        for s in statuses {
             match s.state {
                 Some(JobStatus::Ended(Outcome::Completed)) => self.check_completed(s.key),
                 Some(JobStatus::Ended(Outcome::Failed)) => self.check_failed(s.key),
@@ -261,12 +344,6 @@
             }
             self.holders[n].shown.insert(s.key, s);
         }
-        for (id, number) in batch.acked_ends {
-            self.order(n, &id.clone(), ToRelay::Forget(id, number));
-        }
-        for action in batch.actions {
-            self.send(n, action);
-        }
     }
 
     /// Carries out an action, mostly by an order to a relay.
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -24,8 +24,9 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, Owner, QueueConfig, RelayCandidate,
-    SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo, WorkerRecord, Workspace, Workspaces,
+    EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, OutagePolicy, Owner, QueueConfig,
+    RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo, WorkerRecord,
+    Workspace, Workspaces,
 };
 
 pub use self::fault_rng::{Fate, FaultRng};
@@ -76,6 +77,8 @@
     pub takeovers: u64,
     /// Relay sessions that holders opened.
     pub sessions: u64,
+    /// Starts that holders sent before they were on record.
+    pub unrecorded_starts: u64,
 }
 
 /// An order whose delivery is delayed; it is dropped if the worker's life ends before.
@@ -128,6 +131,8 @@
     limited: bool,
     /// Whether workers report when they started and restart under the same name.
     restarts: bool,
+    /// What holders do while the store is away.
+    outage: OutagePolicy,
     /// What the oracle has recorded.
     pub seen: Seen,
     /// Draws the fate of messages and the duration and outcome of runs.
@@ -229,6 +234,14 @@
         w
     }
 
+    /// Has holders start tasks before their record, and show completed jobs, while the store is away.
+    #[must_use]
+    pub fn with_unrecorded_starts(mut self) -> World {
+        self.outage = OutagePolicy { unrecorded_starts: true, show_completed: true, ..self.outage };
+        self.take_over();
+        self
+    }
+
     fn build(workers: usize, relays: usize, rng: FaultRng, advised: bool) -> World {
         let mut w = World {
             now: Duration::from_secs(1),
@@ -255,6 +268,7 @@
             advised,
             limited: false,
             restarts: false,
+            outage: OutagePolicy::default(),
             seen: Seen::default(),
             rng,
         };
@@ -300,6 +314,7 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
+        sched.policy.outage = self.outage.clone();
         self.set_relays(&mut sched);
         let mut cfg = config();
         if self.advised {
@@ -343,6 +358,14 @@
         sched.set_relay_candidates(others.map(entry).collect());
     }
 
+    /// Ends the process of the current holder, with its relay, without a trace.
+    pub fn kill_holder(&mut self) {
+        let Some(h) = self.holders.pop() else { return };
+        let term = h.sched.token;
+        self.relays.retain(|r| r.own != Some(term));
+        self.sessions.values_mut().filter(|s| s.term == term).for_each(|s| s.kept_by_holder = false);
+    }
+
     /// Pauses the current holder.
     pub fn pause(&mut self, duration: Duration) {
         let until = self.now + duration;
@@ -454,6 +477,7 @@
         self.link_latency = STEP;
         self.workers.iter_mut().for_each(|w| w.partitioned = false);
         self.end_evacuations();
+        self.regain_store();
         for r in &mut self.relays {
             (r.partitioned, r.leaving) = (false, false);
         }
--- /dev/null
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -0,0 +1,160 @@
+//! Writes the scheduler's batches to the store, one append at a time.
+//!
+//! While a write is under way no further batch is taken, unless the store is away: when it has not
+//! acknowledged a write for [`OutagePolicy::write_stall`]. Batches that are taken then are merged and
+//! written as one when the write under way has succeeded.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
+use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Scheduler, StoreAccess};
+use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+
+use super::inbox_cleanup;
+use super::node::{Node, SchedulerHandle};
+use super::record::{deleted_job, state_record};
+
+/// Delay after a failed append.
+const RETRY_DELAY: Duration = Duration::from_millis(60);
+
+/// The batch that is being written.
+struct BatchInFlight {
+    batch: Batch,
+    since: Duration,
+}
+
+/// Writes batches in order. Dropping it, as when the scheduler stops, cancels the write.
+pub(super) struct BatchWriter {
+    node: Arc<Node>,
+    handle: Arc<SchedulerHandle>,
+    /// Number of the next append of this term.
+    next_append: u64,
+    in_flight: Option<BatchInFlight>,
+    /// Whether the batch in flight was stored; false if another term has begun.
+    write: JoinSet<bool>,
+    /// Batches that wait for the one in flight.
+    owed: OwedBatch,
+}
+
+impl BatchWriter {
+    /// Returns a writer for a term of the lease.
+    pub(super) fn new(node: Arc<Node>, handle: Arc<SchedulerHandle>) -> BatchWriter {
+        BatchWriter {
+            node,
+            handle,
+            next_append: 1,
+            in_flight: None,
+            write: JoinSet::new(),
+            owed: OwedBatch::default(),
+        }
+    }
+
+    fn policy(&self) -> &OutagePolicy {
+        &self.node.settings.policy.outage
+    }
+
+    /// Whether a write is under way.
+    pub(super) fn is_writing(&self) -> bool {
+        self.in_flight.is_some()
+    }
+
+    /// Whether a further batch may be taken.
+    pub(super) fn takes_batches(&self) -> bool {
+        self.in_flight.is_none() || self.away_for().is_some()
+    }
+
+    /// When the store counts as away unless it acknowledges the write under way; `None` if none is, or
+    /// if that changes nothing.
+    pub(super) fn away_at(&self) -> Option<Duration> {
+        let since = self.in_flight.as_ref()?.since;
+        self.policy().is_enabled().then(|| since + self.policy().write_stall)
+    }
+
+    /// For how long the store has been away.
+    pub(super) fn away_for(&self) -> Option<Duration> {
+        let away_at = self.away_at()?;
+        let now = self.node.now();
+        (now >= away_at).then(|| now - away_at + self.policy().write_stall)
+    }
+
+    /// Whether the store takes records, as the scheduler is to know it.
+    pub(super) fn store_access(&self) -> StoreAccess {
+        let may_start = || self.policy().unrecorded_starts && self.handle.grant.end() > self.node.now();
+        match self.away_for() {
+            None => StoreAccess::Answering,
+            Some(_) if may_start() => StoreAccess::Away,
+            Some(_) => StoreAccess::AwayAndNoStarts,
+        }
+    }
+
+    /// Takes a batch: writes it, together with what is owed, or owes it while a write is under way.
+    /// Returns it if there is nothing to write.
+    pub(super) fn take(&mut self, batch: Batch) -> Option<Batch> {
+        self.owed.add(batch);
+        if self.is_writing() {
+            return None;
+        }
+        let batch = std::mem::take(&mut self.owed).into_batch();
+        if batch.records.is_empty() {
+            return Some(batch);
+        }
+        let number = self.next_append;
+        self.next_append += 1;
+        let dropped = batch.records.iter().filter_map(deleted_job).collect();
+        let records = batch.records.iter().map(state_record).collect();
+        self.write.spawn(write_records(self.node.clone(), self.handle.clone(), number, dropped, records));
+        self.in_flight = Some(BatchInFlight { batch, since: self.node.now() });
+        None
+    }
+
+    /// Number of records that wait for the store, with those in flight.
+    pub(super) fn record_count(&self) -> usize {
+        self.owed.record_count() + self.in_flight.as_ref().map_or(0, |b| b.batch.records.len())
+    }
+
+    /// Takes out what may be done although the store is away.
+    pub(super) fn take_early_work(&mut self, sched: &Scheduler) -> EarlyWork {
+        let Some(away_for) = self.away_for() else { return EarlyWork::default() };
+        let in_flight = self.in_flight.as_mut().map(|in_flight| &mut in_flight.batch);
+        self.owed.take_early_work(in_flight, sched, away_for)
+    }
+
+    /// Waits until the batch in flight is stored and returns it; `None` if another term has begun or the
+    /// write failed. Never returns while no batch is being written.
+    pub(super) async fn next_written(&mut self) -> Option<Batch> {
+        let Some(written) = self.write.join_next().await else { return std::future::pending().await };
+        let in_flight = self.in_flight.take()?;
+        matches!(written, Ok(true)).then_some(in_flight.batch)
+    }
+}
+
+/// Writes records and retries until they are stored; returns false if another term has begun.
+async fn write_records(
+    node: Arc<Node>,
+    handle: Arc<SchedulerHandle>,
+    number: u64,
+    dropped: Vec<JobKey>,
+    records: Vec<KeyedRecord>,
+) -> bool {
+    let term = handle.term;
+    inbox_cleanup::delete_from_inbox(&node, &handle, dropped).await;
+    let _timer = node.metrics.batch_seconds.start_timer();
+    loop {
+        match node.platform.append(Topic::State, records.clone(), Guard::Term(term, number)).await {
+            Ok(_) => {
+                node.note_store_answer();
+                return true;
+            }
+            Err(StoreError::GuardFailed) => {
+                log::warn!("event=state_overtaken term={term} number={number}");
+                return false;
+            }
+            Err(e) => {
+                log::warn!("event=state_not_written term={term} number={number} error=\"{e}\"");
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -25,6 +25,7 @@
 //! * [`shutdown`] stops the process gracefully.
 
 pub mod advice;
+mod batch_writer;
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -1,7 +1,8 @@
 //! Runs the scheduler while this process holds the lease.
 //!
 //! One task owns the [`Scheduler`]. Events reach it through a channel. Its decisions are written to
-//! the store one batch at a time, and carried out once the store has acknowledged the batch.
+//! the store one batch at a time, and carried out once the store has acknowledged the batch. While the
+//! store is away, what needs no record first is carried out at once.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -11,15 +12,15 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
-use workswood_core::jobs::{Action, Batch, Event, JobKey, JobStatusUpdate, Scheduler};
-use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+use workswood_core::jobs::{Action, Batch, Event, JobKey, JobStatusUpdate, Scheduler, StoreAccess};
+use workswood_platform::jobs::StoreError;
 
 use super::advice::{self, AdviceCall};
+use super::batch_writer::BatchWriter;
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
 use super::lease_renewal;
 use super::node::{Node, SchedulerHandle};
-use super::record::{deleted_job, state_record};
 use super::relay_sessions::RelaySessions;
 use super::restore_state::{RestoredScheduler, restore};
 use super::scheduler_io::{
@@ -32,7 +33,7 @@
 /// Shortest interval between the starts of two batches. Each batch is a call to the store, so
 /// decisions within this interval are written together.
 const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(20);
-/// Delay after a failed restore or append.
+/// Delay after a failed restore.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Largest number of events that the scheduler handles before the next batch may be taken.
 const MAX_EVENTS_AT_ONCE: usize = 512;
@@ -119,7 +120,8 @@
         handle: handle.clone(),
         sched: restored.sched,
         sessions: RelaySessions::new(node.clone(), handle.clone(), tasks),
-        next_append: 1,
+        writer: BatchWriter::new(node.clone(), handle.clone()),
+        early_starts: 0,
         waves: waves_tx,
         finished_jobs: finished_tx,
         hosts_requested_at: Duration::ZERO,
@@ -129,10 +131,6 @@
     task.run(&mut rx, tasks).await;
 }
 
-/// The batch that is being written, if there is one; the result is `None` if another term has
-/// begun. Dropping it, as when the scheduler stops, cancels the write.
-type BatchWrite = JoinSet<Option<Batch>>;
-
 /// The task that owns the scheduler.
 struct SchedulerTask {
     node: Arc<Node>,
@@ -140,8 +138,10 @@
     sched: Scheduler,
     /// Sessions with the relays that serve workers.
     sessions: RelaySessions,
-    /// Number of the next append of this term.
-    next_append: u64,
+    /// Writes batches to the store.
+    writer: BatchWriter,
+    /// Number of starts that preceded their record since the store was last away.
+    early_starts: usize,
     /// Waves whose status is published, and whether they are complete.
     waves: watch::Sender<BTreeMap<u64, bool>>,
     /// Finished jobs, to be deleted from the inbox.
@@ -157,12 +157,12 @@
     async fn run(&mut self, rx: &mut mpsc::UnboundedReceiver<Event>, tasks: &mut JoinSet<()>) {
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut writing = BatchWrite::new();
         let mut events = Vec::with_capacity(MAX_EVENTS_AT_ONCE);
         let mut batch_due = Instant::now();
         // Whether events were handled since the last batch was taken.
         let mut batch_wanted = true;
         loop {
+            let until_away = self.until_away();
             tokio::select! {
                 n = rx.recv_many(&mut events, MAX_EVENTS_AT_ONCE) => {
                     if n == 0 {
@@ -176,20 +176,27 @@
                     self.tick(tasks);
                     batch_wanted = true;
                 }
-                () = tokio::time::sleep_until(batch_due), if batch_wanted && writing.is_empty() => {}
-                written = next_written(&mut writing) => {
+                () = tokio::time::sleep_until(batch_due), if batch_wanted && self.writer.takes_batches() => {}
+                () = tokio::time::sleep(until_away.unwrap_or_default()), if until_away.is_some() => {
+                    batch_wanted = true;
+                }
+                written = self.writer.next_written() => {
                     let Some(batch) = written else { return };
+                    self.sched.records_stored(&batch.records);
                     self.carry_out(batch, tasks);
+                    // Batches may be owed.
+                    batch_wanted = true;
                 }
             }
+            self.update_store_access();
             self.assign_relays(tasks);
             if self.sched.deposed {
                 self.log_notes();
                 log::warn!("event=deposed_by_worker term={}", self.handle.term);
                 return;
             }
-            if batch_wanted && writing.is_empty() && Instant::now() >= batch_due {
-                self.take_batch(&mut writing, tasks);
+            if batch_wanted && self.writer.takes_batches() && Instant::now() >= batch_due {
+                self.take_batch(tasks);
                 batch_due = Instant::now() + MIN_BATCH_INTERVAL;
                 batch_wanted = false;
             }
@@ -226,17 +233,50 @@
     }
 
     /// Takes the next batch from the scheduler and starts to write it. A batch without records is
-    /// carried out at once.
-    fn take_batch(&mut self, writing: &mut BatchWrite, tasks: &mut JoinSet<()>) {
+    /// carried out at once, and so is what needs no record while the store is away.
+    fn take_batch(&mut self, tasks: &mut JoinSet<()>) {
         let batch = self.sched.take_batch();
         self.log_notes();
-        if batch.records.is_empty() {
+        if let Some(batch) = self.writer.take(batch) {
             self.carry_out(batch, tasks);
+        }
+        let early = self.writer.take_early_work(&self.sched);
+        if !early.statuses.is_empty() {
+            self.node.metrics.early_completed_jobs.inc_by(early.statuses.len() as u64);
+            self.update_job_statuses(early.statuses);
+        }
+        let starts = early.actions.iter().filter(|a| matches!(a, Action::Start { .. })).count();
+        self.early_starts += starts;
+        self.node.metrics.unrecorded_starts.inc_by(starts as u64);
+        early.actions.into_iter().for_each(|action| self.carry_out_action(action, tasks));
+        self.sessions.flush();
+    }
+
+    /// Time until the store counts as away; `None` if it does already, or is not written to.
+    fn until_away(&self) -> Option<Duration> {
+        self.writer.away_at().and_then(|at| at.checked_sub(self.node.now())).filter(|left| !left.is_zero())
+    }
+
+    /// Tells the scheduler whether the store takes records, and logs when that changes.
+    fn update_store_access(&mut self) {
+        let (before, access) = (self.sched.store_access(), self.writer.store_access());
+        if before == access {
             return;
         }
-        let number = self.next_append;
-        self.next_append += 1;
-        writing.spawn(write_batch(self.node.clone(), self.handle.clone(), number, batch));
+        self.update_clocks();
+        self.sched.set_store_access(access);
+        self.node.metrics.store_away.set(i64::from(access != StoreAccess::Answering));
+        log::warn!(
+            "event=store_access access={access:?} before={before:?} term={} silent_ms={} owed_records={} \
+             unrecorded_starts={}",
+            self.handle.term,
+            self.node.store_silence().as_millis(),
+            self.writer.record_count(),
+            self.early_starts
+        );
+        if access == StoreAccess::Answering {
+            self.early_starts = 0;
+        }
     }
 
     /// Sets the scheduler's clocks.
@@ -308,43 +348,3 @@
         updates.into_iter().for_each(|u| statuses.update(u));
     }
 }
-
-/// Waits until a batch is stored and returns it; `None` if another term has begun or the write
-/// failed. Never returns
-/// while no batch is being written.
-async fn next_written(writing: &mut BatchWrite) -> Option<Batch> {
-    match writing.join_next().await {
-        Some(result) => result.ok().flatten(),
-        None => std::future::pending().await,
-    }
-}
-
-/// Writes a batch and retries until it is stored; `None` if another term has begun.
-async fn write_batch(
-    node: Arc<Node>,
-    handle: Arc<SchedulerHandle>,
-    number: u64,
-    batch: Batch,
-) -> Option<Batch> {
-    let term = handle.term;
-    inbox_cleanup::delete_from_inbox(&node, &handle, batch.records.iter().filter_map(deleted_job).collect())
-        .await;
-    let records: Vec<KeyedRecord> = batch.records.iter().map(state_record).collect();
-    let _timer = node.metrics.batch_seconds.start_timer();
-    loop {
-        match node.platform.append(Topic::State, records.clone(), Guard::Term(term, number)).await {
-            Ok(_) => {
-                node.note_store_answer();
-                return Some(batch);
-            }
-            Err(StoreError::GuardFailed) => {
-                log::warn!("event=state_overtaken term={term} number={number}");
-                return None;
-            }
-            Err(e) => {
-                log::warn!("event=state_not_written term={term} number={number} error=\"{e}\"");
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -58,6 +58,12 @@
     pub lost_workers: IntGauge,
     /// Task runs that were lost with their workers, in this term.
     pub lost_runs: IntGauge,
+    /// Whether the store takes no records from this lease holder.
+    pub store_away: IntGauge,
+    /// Starts that preceded their record.
+    pub unrecorded_starts: IntCounter,
+    /// Jobs that were shown as completed before that was on record.
+    pub early_completed_jobs: IntCounter,
     /// Tasks that are not started again because they crash their workers, in this term.
     pub abandoned_tasks: IntGauge,
     /// Bytes sent and received over the network link, by purpose and direction.
@@ -129,6 +135,21 @@
                 "workswood_lease_terms_total",
                 "terms of the scheduler lease that this process has started",
             ),
+            store_away: register_gauge(
+                &registry,
+                "workswood_store_away",
+                "whether the store takes no records from this lease holder",
+            ),
+            unrecorded_starts: register_counter(
+                &registry,
+                "workswood_unrecorded_starts_total",
+                "starts of tasks that preceded their record",
+            ),
+            early_completed_jobs: register_counter(
+                &registry,
+                "workswood_early_completed_jobs_total",
+                "jobs shown as completed before that was on record",
+            ),
             relayed_workers: register_gauge(
                 &registry,
                 "workswood_relayed_workers",
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -12,6 +12,23 @@
 /// Events of one history.
 const EVENTS: u64 = 45;
 
+/// Worlds whose holders start tasks before their record while the store is away.
+fn outages(workers: usize, luck: FaultRng) -> World {
+    World::new(workers, luck).with_unrecorded_starts()
+}
+
+fn outages_and_restarts(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_unrecorded_starts()
+}
+
+fn outages_and_limit(workers: usize, luck: FaultRng) -> World {
+    World::limited(workers, luck).with_unrecorded_starts()
+}
+
+fn outages_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::relayed(workers, luck).with_unrecorded_starts()
+}
+
 /// Plays one history; returns starts and takeovers.
 fn history(seed: u64) -> (u64, u64) {
     let seen = play(seed, World::new, With::Nothing);
@@ -63,6 +80,23 @@
     Crashes,
     /// Data centres that are evacuated and taken back.
     Evacuations,
+    /// Outages of the store, for the holder alone or for all.
+    Outages,
+}
+
+/// The store goes silent for the holder; a successor may claim the lease meanwhile, and the holder may
+/// be killed.
+fn lose_store(w: &mut World) {
+    let long = Duration::from_millis(200 + w.rng.below(6000));
+    w.lose_store(long);
+    if w.rng.below(2) == 0 {
+        let after = Duration::from_millis(w.rng.below(4000));
+        w.run_for(after);
+        if w.rng.below(2) == 0 {
+            w.kill_holder();
+        }
+        w.take_over();
+    }
 }
 
 /// Plays one history in a world, in which nothing may be broken.
@@ -92,6 +126,9 @@
             let (south, wanted) = (w.rng.below(2) == 0, w.rng.below(3) > 0);
             w.evacuate(if south { "south" } else { "north" }, wanted);
         }
+        if with == With::Outages && w.rng.below(4) == 0 {
+            lose_store(&mut w);
+        }
         match w.rng.below(12) {
             0..=4 => {
                 let mut steps = vec![step(1 + w.rng.below(3) as u32, vec![])];
@@ -210,6 +247,50 @@
     assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
+/// Holders start tasks before their record while the store is away, and are replaced or killed then.
+#[test]
+fn short_histories_with_outages() {
+    let (mut starts, mut unrecorded) = (0, 0);
+    for seed in 1..=HISTORIES {
+        let seen = play(seed, outages, With::Outages);
+        starts += seen.starts;
+        unrecorded += seen.unrecorded_starts;
+    }
+    assert!(starts > HISTORIES && unrecorded > HISTORIES, "{starts} starts, {unrecorded} without record");
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+}
+
+#[test]
+fn short_histories_with_outages_and_restarts() {
+    let starts: u64 =
+        (1..=HISTORIES).map(|seed| play(seed, outages_and_restarts, With::Outages).unrecorded_starts).sum();
+    assert!(starts > HISTORIES, "{starts} starts without record");
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+}
+
+#[test]
+fn short_histories_with_outages_and_limit() {
+    let starts: u64 =
+        (1..=HISTORIES).map(|seed| play(seed, outages_and_limit, With::Outages).unrecorded_starts).sum();
+    assert!(starts > HISTORIES, "{starts} starts without record");
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+}
+
+#[test]
+#[ignore = "by hand: 3,000 histories each"]
+fn many_histories_with_outages() {
+    let worlds: [fn(usize, FaultRng) -> World; 4] =
+        [outages, outages_and_restarts, outages_and_limit, outages_and_relays];
+    let seeds = || 5_000_000..5_003_000_u64;
+    let played = worlds
+        .iter()
+        .enumerate()
+        .flat_map(|(n, world)| seeds().map(move |seed| (n, seed, try_play(seed, *world, With::Outages))));
+    let broken: Vec<(usize, u64, String)> =
+        played.filter_map(|(n, seed, res)| Some((n, seed, res.err()?))).collect();
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
+}
+
 /// A task that crashes its workers, among workers that crash so often by themselves that chance
 /// explains it for too long.
 #[test]
@@ -245,6 +326,10 @@
     match world.as_str() {
         "relays" => play(seed, World::relayed, With::Relays),
         "evacuations" => play(seed, World::two_centres, With::Evacuations),
+        "outages" => play(seed, outages, With::Outages),
+        "outages-restarts" => play(seed, outages_and_restarts, With::Outages),
+        "outages-limit" => play(seed, outages_and_limit, With::Outages),
+        "outages-relays" => play(seed, outages_and_relays, With::Outages),
         "restarts" => play(seed, World::restarting, With::Nothing),
         "restarts-crashes" => play(seed, World::restarting, With::Crashes),
         "restarts-relays" => play(seed, World::restarting_relayed, With::Relays),
