--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -41,6 +41,9 @@
     /// replace a holder that the store turns away while it serves others.
     #[serde(with = "humantime_serde")]
     pub show_completed_after: Duration,
+    /// Whether an entry that has not heard from the store lately asks it whether it answers before it
+    /// sends jobs of callers, so that callers can be told for sure that a job was not taken.
+    pub probe_before_append: bool,
 }
 
 impl Default for OutagePolicy {
@@ -50,6 +53,7 @@
             write_stall: Duration::from_millis(250),
             show_completed: false,
             show_completed_after: Duration::from_millis(2500),
+            probe_before_append: false,
         }
     }
 }
@@ -67,6 +71,11 @@
 }
 
 impl OutagePolicy {
+    /// Whether nothing differs from the default, as in settings of versions without this policy.
+    pub(super) fn is_default(&self) -> bool {
+        *self == OutagePolicy::default()
+    }
+
     /// Checks the lower bounds of the times.
     pub(super) fn check(&self) -> Result<(), String> {
         let times = [
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -39,6 +39,7 @@
     /// The choice of relays.
     pub relays: RelayPolicy,
     /// What goes on while the store is away.
+    #[serde(skip_serializing_if = "OutagePolicy::is_default")]
     pub outage: OutagePolicy,
 }
 
--- a/src/workswood/ops/jobs/batch_writer.rs
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -12,10 +12,13 @@
 use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Scheduler, StoreAccess};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
+use super::hedged_call::hedged_call;
 use super::inbox_cleanup;
 use super::node::{Node, SchedulerHandle};
 use super::record::{deleted_job, state_record};
 
+/// An append without an answer is repeated after this time if the store answers other calls.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
 /// Delay after a failed append.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -142,7 +145,10 @@
     inbox_cleanup::delete_from_inbox(&node, &handle, dropped).await;
     let _timer = node.metrics.batch_seconds.start_timer();
     loop {
-        match node.platform.append(Topic::State, records.clone(), Guard::Term(term, number)).await {
+        let guard = Guard::Term(term, number);
+        let append = || node.platform.append(Topic::State, records.clone(), guard);
+        // The store takes a number only once.
+        match hedged_call(&node, HEDGE_AFTER, append).await {
             Ok(_) => {
                 node.note_store_answer();
                 return true;
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -20,6 +20,8 @@
 use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
@@ -48,6 +50,11 @@
 const MIN_LATE_APPEND_DELAY: Duration = Duration::from_millis(250);
 /// Maximum silence of the store at which appends are sent. A read that succeeds ends the silence.
 const APPEND_MAX_STORE_SILENCE: Duration = Duration::from_millis(1700);
+/// The store is asked whether it answers before an append, unless it has answered this recently.
+const PROBE_AFTER: Duration = Duration::from_millis(300);
+/// Interval between the reads with which it is asked, and the longest time that they take.
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long after a failed append this entry refuses records of peers.
 const RECENT_FAILURE_PERIOD: Duration = Duration::from_millis(1000);
 /// Maximum number of inbox partitions in use. The lease holder reads each of them continuously.
@@ -83,6 +90,16 @@
         self.transition(Self::SENT) || self.0.load(Ordering::Acquire) == Self::SENT
     }
 
+    /// Marks the record as queued, since it has not reached the store nor a peer that keeps it.
+    fn mark_not_sent(&self) {
+        let _ = self.0.compare_exchange(Self::SENT, Self::QUEUED, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    /// Whether the caller timed out before the record was sent.
+    fn is_abandoned(&self) -> bool {
+        self.0.load(Ordering::Acquire) == Self::ABANDONED
+    }
+
     /// Abandons the record; returns whether it had not been sent.
     fn abandon(&self) -> bool {
         self.transition(Self::ABANDONED)
@@ -257,7 +274,7 @@
         while may_append(appends.len()) && !queue.is_empty() {
             let count = queue.len().min(MAX_APPEND_RECORDS);
             let batch: Vec<QueuedRecord> =
-                queue.drain(..count).filter(|queued| queued.stage.mark_sent()).collect();
+                queue.drain(..count).filter(|queued| !queued.stage.is_abandoned()).collect();
             if !batch.is_empty() {
                 appends.spawn(append(node.clone(), partition, batch));
                 last_append_at = node.now();
@@ -273,6 +290,10 @@
     let result = append_with_fallback(&node, partition, &batch).await;
     node.inbox_writer.appends_in_flight.fetch_sub(1, Ordering::Relaxed);
     for (queued, by_peer) in batch.iter_mut().zip(&result.by_peers) {
+        let not_sent = matches!(by_peer, None | Some(Stored::No)) && result.local == LocalOutcome::Refused;
+        if not_sent && !queued.outcome_unknown {
+            queued.stage.mark_not_sent();
+        }
         queued.stored_by_peer = *by_peer == Some(Stored::Yes);
         queued.outcome_unknown |= *by_peer == Some(Stored::Unknown);
     }
@@ -356,7 +377,14 @@
     if node.store_silence() > APPEND_MAX_STORE_SILENCE {
         return LocalOutcome::Refused;
     }
-    let records: Vec<KeyedRecord> = batch.iter().map(|queued| queued.rec.clone()).collect();
+    if node.settings.policy.outage.probe_before_append && !store_answers(node).await {
+        return LocalOutcome::Refused;
+    }
+    let wanted = batch.iter().filter(|queued| queued.stage.mark_sent());
+    let records: Vec<KeyedRecord> = wanted.map(|queued| queued.rec.clone()).collect();
+    if records.is_empty() {
+        return LocalOutcome::Refused;
+    }
     let start = node.now();
     let res = node.platform.append(Topic::Inbox(partition), records, Guard::None).await;
     match res {
@@ -379,15 +407,44 @@
     }
 }
 
+/// Whether the store answers: it has answered lately, or answers a read now. Records that are appended
+/// while it is silent may be stored later, so their callers can't be told that they are not.
+pub(super) async fn store_answers(node: &Node) -> bool {
+    let started = node.now();
+    if started < node.store_answered_at() + PROBE_AFTER {
+        return true;
+    }
+    let mut reads = FuturesUnordered::new();
+    while node.now() < started + PROBE_TIMEOUT {
+        // What was sent while the store was silent stays without an answer when it is back.
+        reads.push(node.platform.latest(Topic::Lease));
+        match tokio::time::timeout(PROBE_INTERVAL, reads.next()).await {
+            Ok(Some(Ok(_))) => {
+                node.note_store_answer();
+                return true;
+            }
+            Ok(Some(Err(e))) => {
+                log::info!("event=store_probe_failed error=\"{e}\"");
+                return false;
+            }
+            Ok(None) | Err(_) if node.store_answered_at() >= started => return true,
+            Ok(None) | Err(_) => {}
+        }
+    }
+    log::info!("event=store_probe_failed error=\"no answer\"");
+    false
+}
+
 /// Sends the records of callers, but not those of peers, to peers that store them.
 async fn store_through_peers(node: &Node, batch: &[QueuedRecord]) -> Vec<Option<Stored>> {
-    let records: Vec<KeyedRecord> =
-        batch.iter().filter(|queued| !queued.for_peer).map(|queued| queued.rec.clone()).collect();
+    let sent: Vec<bool> = batch.iter().map(|queued| !queued.for_peer && queued.stage.mark_sent()).collect();
+    let wanted = batch.iter().zip(&sent).filter(|(_, sent)| **sent);
+    let records: Vec<KeyedRecord> = wanted.map(|(queued, _)| queued.rec.clone()).collect();
     if records.is_empty() {
         return vec![None; batch.len()];
     }
     let mut outcomes = peer_requests::store_through_peers(node, &records).await.into_iter();
-    batch.iter().map(|queued| if queued.for_peer { None } else { outcomes.next() }).collect()
+    sent.into_iter().map(|sent| if sent { outcomes.next() } else { None }).collect()
 }
 
 fn log_failed(event: &str, batch: &[QueuedRecord], error: &str) {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -26,6 +26,7 @@
 
 pub mod advice;
 mod batch_writer;
+mod hedged_call;
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -224,6 +224,11 @@
         self.store_answered_ms.store(self.now_ms(), Ordering::Relaxed);
     }
 
+    /// When the store last answered.
+    pub fn store_answered_at(&self) -> Duration {
+        Duration::from_millis(self.store_answered_ms.load(Ordering::Relaxed))
+    }
+
     /// How long the store has been silent: the time since its last answer or since polling began. While
     /// the store is not polled, an answer counts as due one long poll after the last one.
     pub fn store_silence(&self) -> Duration {
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -20,7 +20,7 @@
 use super::lease::{self, LeaseRecord};
 use super::node::{Holder, Node};
 use super::operator_state::Evacuations;
-use super::{advice, job_queries};
+use super::{advice, inbox, job_queries};
 
 /// Maximum number of peers that are called with a request.
 const MAX_CALLED_PEERS: usize = 2;
@@ -136,6 +136,14 @@
 
 /// Writes the release of the scheduler lease for the process that holds it; replies once it is stored.
 async fn answer_lease_release(node: &Node, request: LeaseReleaseRequest) -> Option<Msg> {
+    let asked_at = node.now();
+    let answers = !node.settings.policy.outage.probe_before_append || inbox::store_answers(node).await;
+    // What is sent while the store is silent may be done when it is back, and the requester may renew its
+    // lease then.
+    if !answers || node.now() >= asked_at + PEER_TIMEOUT {
+        log::info!("event=help_failed what=release error=\"the store does not answer here\"");
+        return None;
+    }
     let rec = KeyedRecord { key: lease::KEY.to_string(), value: Some(request.record) };
     match node.platform.append(Topic::Lease, vec![rec], Guard::None).await {
         Ok(_) => {
--- a/src/workswood/ops/jobs/scheduler_io.rs
+++ b/src/workswood/ops/jobs/scheduler_io.rs
@@ -14,6 +14,7 @@
 use workswood_core::jobs::Event;
 use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
 
+use super::hedged_call::hedged_call;
 use super::node::{Node, SchedulerHandle};
 use super::restore_state::{note_inbox_key, parse_inbox_event};
 use super::topic_reader::follow_topic;
@@ -21,6 +22,8 @@
 
 /// Delay after a failed read or append.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// A read without an answer is repeated after its wait and this time if the store answers other calls.
+const HEDGE_AFTER: Duration = Duration::from_millis(250);
 /// How long one read of the inbox waits for new records.
 const INBOX_READ_WAIT: Duration = Duration::from_millis(1000);
 
@@ -57,7 +60,8 @@
     // After a failure the read does not wait, so that it shows at once when the store is back.
     let mut wait = INBOX_READ_WAIT;
     loop {
-        match node.platform.tail(topic, next, wait).await {
+        let read = || node.platform.tail(topic, next, wait);
+        match hedged_call(&node, wait + HEDGE_AFTER, read).await {
             Ok(tail) => {
                 node.note_store_answer();
                 wait = INBOX_READ_WAIT;
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -66,6 +66,8 @@
         (r#"{"waves": {"ahead": "3h"}}"#, "policy.waves.ahead"),
         (r#"{"need": {"arrivals": "0s"}}"#, "policy.need.arrivals"),
         (r#"{"need": {"colour": 1}}"#, "colour"),
+        (r#"{"outage": {"write_stall": "0s"}}"#, "policy.outage.write_stall"),
+        (r#"{"outage": {"show_completed_after": "1s"}}"#, "policy.outage.show_completed_after"),
     ];
     for (n, (table, named)) in cases.into_iter().enumerate() {
         let report = read(&format!("policy{n}"), &with(table)).expect_err("the table is bad");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -60,6 +60,7 @@
 mod silent_connections;
 mod slot_dispatch;
 mod state_checkpoints;
+mod store_outages;
 mod store_protocol;
 mod stored_formats;
 mod suspended_host;
