--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -71,7 +71,8 @@
     Unknown,
 }
 
-/// Stage of a record: it is queued, it has been sent, or its caller timed out before it was sent.
+/// Stage of a record: it is queued, it has been sent to the store or only to a peer, or its caller timed
+/// out before it was sent.
 #[derive(Debug, Default)]
 struct Stage(AtomicU8);
 
@@ -79,30 +80,47 @@
     const QUEUED: u8 = 0;
     const SENT: u8 = 1;
     const ABANDONED: u8 = 2;
+    const SENT_TO_PEER: u8 = 3;
 
-    /// Moves a queued record to another stage; returns whether it was queued.
-    fn transition(&self, to: u8) -> bool {
-        self.0.compare_exchange(Self::QUEUED, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    /// Moves a record from one stage to another; returns whether it was in the first one.
+    fn transition(&self, from: u8, to: u8) -> bool {
+        self.0.compare_exchange(from, to, Ordering::AcqRel, Ordering::Acquire).is_ok()
     }
 
-    /// Marks the record as sent; returns false if it was abandoned.
+    fn is(&self, stage: u8) -> bool {
+        self.0.load(Ordering::Acquire) == stage
+    }
+
+    /// Marks the record as sent to the store; returns false if it was abandoned.
     fn mark_sent(&self) -> bool {
-        self.transition(Self::SENT) || self.0.load(Ordering::Acquire) == Self::SENT
+        self.transition(Self::QUEUED, Self::SENT)
+            || self.transition(Self::SENT_TO_PEER, Self::SENT)
+            || self.is(Self::SENT)
+    }
+
+    /// Marks the record as sent to a peer; returns false if it was abandoned.
+    fn mark_sent_to_peer(&self) -> bool {
+        self.transition(Self::QUEUED, Self::SENT_TO_PEER) || !self.is(Self::ABANDONED)
     }
 
-    /// Marks the record as queued, since it has not reached the store nor a peer that keeps it.
-    fn mark_not_sent(&self) {
-        let _ = self.0.compare_exchange(Self::SENT, Self::QUEUED, Ordering::AcqRel, Ordering::Acquire);
+    /// Marks the record as queued again, since the store has refused it.
+    fn mark_refused(&self) {
+        self.transition(Self::SENT, Self::QUEUED);
+    }
+
+    /// Marks the record as queued again, since peers have refused it.
+    fn mark_refused_by_peers(&self) {
+        self.transition(Self::SENT_TO_PEER, Self::QUEUED);
     }
 
     /// Whether the caller timed out before the record was sent.
     fn is_abandoned(&self) -> bool {
-        self.0.load(Ordering::Acquire) == Self::ABANDONED
+        self.is(Self::ABANDONED)
     }
 
     /// Abandons the record; returns whether it had not been sent.
     fn abandon(&self) -> bool {
-        self.transition(Self::ABANDONED)
+        self.transition(Self::QUEUED, Self::ABANDONED)
     }
 }
 
@@ -118,6 +136,9 @@
     for_peer: bool,
     /// Whether a peer has stored the record.
     stored_by_peer: bool,
+    /// Whether the peers that were asked have refused the record. It is not sent to peers again: its
+    /// caller may retry at another entry.
+    refused_by_peers: bool,
     reply: oneshot::Sender<Stored>,
 }
 
@@ -222,6 +243,7 @@
             outcome_unknown: false,
             for_peer,
             stored_by_peer: false,
+            refused_by_peers: false,
             reply,
         };
         if self.tx.try_send(queued).is_err() {
@@ -289,11 +311,13 @@
     node.inbox_writer.appends_in_flight.fetch_add(1, Ordering::Relaxed);
     let result = append_with_fallback(&node, partition, &batch).await;
     node.inbox_writer.appends_in_flight.fetch_sub(1, Ordering::Relaxed);
+    let probes = node.settings.policy.outage.probe_before_append;
     for (queued, by_peer) in batch.iter_mut().zip(&result.by_peers) {
         let not_sent = matches!(by_peer, None | Some(Stored::No)) && result.local == LocalOutcome::Refused;
         if not_sent && !queued.outcome_unknown {
-            queued.stage.mark_not_sent();
+            queued.stage.mark_refused();
         }
+        queued.refused_by_peers |= probes && *by_peer == Some(Stored::No);
         queued.stored_by_peer = *by_peer == Some(Stored::Yes);
         queued.outcome_unknown |= *by_peer == Some(Stored::Unknown);
     }
@@ -437,14 +461,21 @@
 
 /// Sends the records of callers, but not those of peers, to peers that store them.
 async fn store_through_peers(node: &Node, batch: &[QueuedRecord]) -> Vec<Option<Stored>> {
-    let sent: Vec<bool> = batch.iter().map(|queued| !queued.for_peer && queued.stage.mark_sent()).collect();
+    let sent: Vec<bool> = batch
+        .iter()
+        .map(|queued| queued.may_be_sent_to_peers() && queued.stage.mark_sent_to_peer())
+        .collect();
     let wanted = batch.iter().zip(&sent).filter(|(_, sent)| **sent);
     let records: Vec<KeyedRecord> = wanted.map(|(queued, _)| queued.rec.clone()).collect();
     if records.is_empty() {
         return vec![None; batch.len()];
     }
     let mut outcomes = peer_requests::store_through_peers(node, &records).await.into_iter();
-    sent.into_iter().map(|sent| if sent { outcomes.next() } else { None }).collect()
+    let by_peers: Vec<Option<Stored>> =
+        sent.into_iter().map(|sent| if sent { outcomes.next() } else { None }).collect();
+    let refused = batch.iter().zip(&by_peers).filter(|(_, by_peer)| **by_peer == Some(Stored::No));
+    refused.for_each(|(queued, _)| queued.stage.mark_refused_by_peers());
+    by_peers
 }
 
 fn log_failed(event: &str, batch: &[QueuedRecord], error: &str) {
@@ -454,6 +485,10 @@
 }
 
 impl QueuedRecord {
+    fn may_be_sent_to_peers(&self) -> bool {
+        !self.for_peer && !self.refused_by_peers
+    }
+
     /// Whether the record is not sent again: a peer has stored it, it was refused too often, or its caller
     /// no longer waits.
     fn is_finished(&self) -> bool {
