--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -11,6 +11,7 @@
 use super::bridges::BridgePolicy;
 use super::crash_attribution::CrashPolicy;
 use super::lease_handover::HandoverPolicy;
+use super::outage::OutagePolicy;
 use super::relays::RelayPolicy;
 use super::second_runs::SecondRunPolicy;
 use super::slow_workers::SlowWorkerPolicy;
@@ -49,6 +50,9 @@
     pub handover: HandoverPolicy,
     /// The use of entries that reach data centres which others can't.
     pub bridges: BridgePolicy,
+    /// What goes on while the store is away.
+    #[serde(skip_serializing_if = "OutagePolicy::is_default")]
+    pub outage: OutagePolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -437,6 +441,8 @@
     /// Checks that durations are at most [`MAX_DURATION`], and that the arrival window is not zero.
     fn check_times(&self) -> Result<(), String> {
         let times = [
+            ("outage.write_stall", self.outage.write_stall),
+            ("outage.show_completed_after", self.outage.show_completed_after),
             ("need.arrivals", self.need.arrival_window),
             ("need.ahead", self.need.rise_lookahead),
             ("need.turn_after", self.need.calm_window),
@@ -471,6 +477,7 @@
         if let Some((name, _)) = waits.into_iter().find(|(_, v)| v.is_zero()) {
             return Err(format!("`policy.{name}` must be above 0"));
         }
+        self.outage.check()?;
         let bad = times.into_iter().find(|(_, v)| *v > MAX_DURATION);
         bad.map_or(Ok(()), |(name, _)| {
             Err(format!("`policy.{name}` must be at most {} s", MAX_DURATION.as_secs()))
--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::{Phase, Run, Task, WorkerId};
+use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, JobSpec, StepSpec, TaskId};
 use crate::ids::ServiceId;
@@ -101,7 +102,9 @@
 impl Scheduler {
     /// Starts second runs of late tasks where workers are free.
     pub(super) fn start_second_runs(&mut self) {
-        if !self.policy.second_runs.enabled || self.now < self.second_runs.searched_at + SEARCH_INTERVAL {
+        // A successor could not tell a second run without a record from a stray one.
+        let off = !self.policy.second_runs.enabled || self.store_access() != StoreAccess::Answering;
+        if off || self.now < self.second_runs.searched_at + SEARCH_INTERVAL {
             return;
         }
         self.second_runs.searched_at = self.now;
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -31,6 +31,8 @@
 pub mod bridges;
 pub mod handover;
 pub mod helped_store;
+mod batch_writer;
+mod hedged_call;
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -68,6 +68,12 @@
     pub lost_workers: IntGauge,
     /// Task runs that were lost with their workers, in this term.
     pub lost_runs: IntGauge,
+    /// Whether the store takes no records from this lease holder.
+    pub store_away: IntGauge,
+    /// Starts that preceded their record.
+    pub unrecorded_starts: IntCounter,
+    /// Jobs that were shown as completed before that was on record.
+    pub early_completed_jobs: IntCounter,
     /// Tasks that are not started again because they crash their workers, in this term.
     pub abandoned_tasks: IntGauge,
     /// Workers that were kept from new work because they were slow, in this term.
@@ -160,6 +166,21 @@
                 "workswood_refused_store_calls_total",
                 "calls to the store that could not be made for a lease holder in another process",
             ),
+            store_away: register_gauge(
+                &registry,
+                "workswood_store_away",
+                "whether the store takes no records from this lease holder",
+            ),
+            unrecorded_starts: register_counter(
+                &registry,
+                "workswood_unrecorded_starts_total",
+                "starts of tasks that preceded their record",
+            ),
+            early_completed_jobs: register_counter(
+                &registry,
+                "workswood_early_completed_jobs_total",
+                "jobs shown as completed before that was on record",
+            ),
             relayed_workers: register_gauge(
                 &registry,
                 "workswood_relayed_workers",
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -68,6 +68,8 @@
         (r#"{"need": {"colour": 1}}"#, "colour"),
         (r#"{"handover": {"late_after": "0s"}}"#, "policy.handover.late_after"),
         (r#"{"handover": {"late_after": "3h"}}"#, "policy.handover.late_after"),
+        (r#"{"outage": {"write_stall": "0s"}}"#, "policy.outage.write_stall"),
+        (r#"{"outage": {"show_completed_after": "1s"}}"#, "policy.outage.show_completed_after"),
     ];
     for (n, (table, named)) in cases.into_iter().enumerate() {
         let report = read(&format!("policy{n}"), &with(table)).expect_err("the table is bad");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -67,6 +67,7 @@
 mod slow_workers;
 mod state_checkpoints;
 mod stopping_holder;
+mod store_outages;
 mod store_protocol;
 mod stored_formats;
 mod suspended_host;
