--- a/crates/workswood-core/src/jobs/fair_share.rs
+++ b/crates/workswood-core/src/jobs/fair_share.rs
@@ -36,6 +36,16 @@
         }
         exceeds
     }
+
+    /// Owners whose next job at `at` exceeds their guaranteed rate, which `jobs_per_s` tells.
+    pub fn owners_over_rate(&self, jobs_per_s: impl Fn(Owner) -> Option<f64>, at: UnixMs) -> Vec<Owner> {
+        let is_over = |(owner, bucket): &(&Owner, &TokenBucket)| {
+            let rate = jobs_per_s(**owner).filter(|rate| *rate > 0.0);
+            let elapsed_s = at.saturating_sub(bucket.refilled_at) as f64 / 1000.0;
+            rate.is_some_and(|rate| bucket.tokens + elapsed_s * rate < 1.0)
+        };
+        self.0.iter().filter(is_over).map(|(owner, _)| *owner).collect()
+    }
 }
 
 /// CPU in use by an owner, divided by its guaranteed rate, or by 1 without a rate; owners are
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -47,6 +47,8 @@
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
 //!   and [`pool_moves`] carries it out.
 
+pub mod admission;
+mod admission_load;
 pub mod advice;
 pub mod advice_batch;
 mod advice_candidates;
@@ -91,6 +93,7 @@
 pub mod workspace;
 pub mod workspace_usage;
 
+pub use admission::{Admission, AdmissionPolicy, Candidate, Verdict};
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
 pub use host::{Host, HostReply, HostState};
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -51,7 +51,7 @@
     /// While all jobs can be in time, the step that must start first goes first. In an overload
     /// that order would make every job late, since each waits until it must start and then a little
     /// longer. So under overload the steps that take the least from the others go first.
-    fn placement_order(&self, service: &str) -> QueueOrder {
+    pub(super) fn placement_order(&self, service: &str) -> QueueOrder {
         let waiting_cpu = self.ready.get(service).map_or(0, |w| w.requested().in_time.cpu_millis);
         let total_cpu = self.workers.listed_cpu(service).max(self.fleet_cpu_millis);
         if waiting_cpu as f64 > total_cpu as f64 * self.policy.order.overload_share {
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::admission::AdmissionPolicy;
 use super::advice::AdvicePolicy;
 use super::crash_attribution::CrashPolicy;
 use super::relays::RelayPolicy;
@@ -37,6 +38,8 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
+    /// The admission of jobs.
+    pub admission: AdmissionPolicy,
 }
 
 /// Parameters of the order of waiting tasks.
@@ -398,6 +401,8 @@
             ("crashes.suspicious", self.crashes.suspicion_threshold),
             ("crashes.sure", self.crashes.give_up_threshold),
             ("relays.spare", self.relays.spare_share),
+            ("admission.late", self.admission.late_share),
+            ("admission.wait", self.admission.wait_factor),
         ];
         let bad = factors.into_iter().find(|(_, v)| !(*v >= 0.0 && v.is_finite()));
         bad.map_or(Ok(()), |(name, v)| {
@@ -439,6 +444,7 @@
             ("relays.shun_for", self.relays.backoff),
             ("crashes.young", self.crashes.suspect_age),
             ("crashes.first_wait", self.crashes.max_first_trial_wait),
+            ("admission.moves_take", self.admission.move_time),
         ];
         if self.need.arrival_window.is_zero() {
             return Err("`policy.need.arrivals` must be above 0".to_string());
--- a/crates/workswood-core/src/jobs/pool_planning.rs
+++ b/crates/workswood-core/src/jobs/pool_planning.rs
@@ -74,7 +74,7 @@
     }
 
     /// Number of hosts that a pool keeps above its need.
-    fn margin(&self) -> f64 {
+    pub(super) fn margin(&self) -> f64 {
         self.share_of_hosts(self.policy.pools.margin)
     }
 
--- a/crates/workswood-core/src/jobs/queue_order.rs
+++ b/crates/workswood-core/src/jobs/queue_order.rs
@@ -100,13 +100,13 @@
 }
 
 /// Moving average of how long the tasks of each queue take.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct TaskDurations {
     by_queue: HashMap<QueueId, QueueAverage>,
 }
 
 /// Moving average of how long the tasks of one queue take.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct QueueAverage {
     /// Number of tasks that have completed.
     completed: u32,
@@ -212,7 +212,7 @@
 }
 
 /// Time from when a round of a job is available to its deadline.
-fn time_to_deadline(
+pub fn time_to_deadline(
     spec: &JobSpec,
     queue: Option<&QueueConfig>,
     duration: &dyn Fn(usize) -> Duration,
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -71,7 +71,7 @@
     /// Processor capacity, in thousandths of a core, of all listed hosts on which work may begin.
     pub(super) fleet_cpu_millis: u64,
     /// What each workspace submitted lately, compared with its share.
-    submission_rates: SubmissionRates,
+    pub(super) submission_rates: SubmissionRates,
     /// How often workers crash by themselves.
     pub(super) crash_rate: CrashRate,
     /// Durations of tasks.
--- a/src/workswood/ops/model/faults.rs
+++ b/src/workswood/ops/model/faults.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Event, HostState, Scheduler, WorkerUpdate};
+use workswood_core::jobs::{Admission, Event, HostState, Scheduler, WorkerUpdate};
 
 use super::event_queue::ModelEvent;
 use super::model_host::data_centre;
@@ -18,6 +18,7 @@
     pub(super) fn start_scheduler(&mut self) {
         self.term += 1;
         self.writing = false;
+        self.admission = Admission::default();
         let wall = self.now.as_millis() as u64;
         let mut s = Scheduler::new(self.term, limits(), self.now, wall);
         s.policy = self.policy.clone();
@@ -40,7 +41,7 @@
         for (host, holder) in &self.stored.ordered {
             s.restore_order_mark(host.clone(), holder);
         }
-        for j in self.jobs.iter().filter(|j| j.submitted_at <= self.now) {
+        for j in self.jobs.iter().filter(|j| self.accepted.contains(&j.key)) {
             s.restore_job(j.key, Some(Arc::clone(&j.spec)), self.stored.jobs.get(&j.key).cloned());
         }
         s.restore_demand();
--- a/src/workswood/ops/model/mod.rs
+++ b/src/workswood/ops/model/mod.rs
@@ -10,7 +10,7 @@
 //! * [`parameters`] holds the time constants and limits of the model.
 //! * [`model_host`] models a host and the tasks that run on it.
 //! * [`event_queue`] holds the pending events of a run.
-//! * [`simulation`] runs the event loop; [`batches`] applies the scheduler's batches,
+//! * [`simulation`] runs the event loop; [`callers`] models callers, [`batches`] applies the scheduler's batches,
 //!   [`host_events`] models the reactions of hosts and workers, and [`faults`] injects faults.
 //! * [`run_metrics`] computes the metrics of a run, and [`lower_bound`] the least number of hosts
 //!   for its workload.
@@ -18,6 +18,7 @@
 //!   metrics.
 
 mod batches;
+mod callers;
 pub mod compare;
 pub mod event_queue;
 mod faults;
--- a/src/workswood/ops/model/parameters.rs
+++ b/src/workswood/ops/model/parameters.rs
@@ -40,6 +40,10 @@
 pub const LATE_REPORT_DELAY: Duration = Duration::from_millis(500);
 /// Time that the lease of a worker lasts after its last answer.
 pub const WORKER_LEASE: Duration = Duration::from_secs(6);
+/// How long a caller tries to submit a job.
+pub const CALLER_PATIENCE: Duration = Duration::from_secs(3);
+/// How often a caller that was refused comes back.
+pub const MAX_RETRIES: u32 = 4;
 /// Time that a run continues after the last submission.
 pub const TAIL_TIME: Duration = Duration::from_secs(12);
 /// Most attempts of a task. No task of the model fails by itself.
--- a/src/workswood/ops/model/run_metrics.rs
+++ b/src/workswood/ops/model/run_metrics.rs
@@ -1,9 +1,10 @@
 //! Metrics of simulation runs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use serde::Serialize;
+use workswood_core::jobs::JobKey;
 
 use super::workload::ModelJob;
 
@@ -12,6 +13,9 @@
 /// Number of worst time windows that are averaged.
 const WORST_WINDOWS: usize = 2;
 
+/// A job that takes longer than this multiple of its time to the deadline is worth nothing.
+const LATE_FACTOR: u32 = 3;
+
 /// Metrics of one run, or their means over several runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct RunMetrics {
@@ -20,6 +24,13 @@
     /// Share of the total value that was completed by the deadline.
     #[serde(rename = "in_time")]
     pub on_time_share: f64,
+    /// Share of the total value that was completed late, but within [`LATE_FACTOR`] times the time to
+    /// the deadline.
+    #[serde(rename = "late")]
+    pub late_share: f64,
+    /// Share of the jobs that were never accepted.
+    #[serde(rename = "refused")]
+    pub refused_share: f64,
     /// Mean on-time share of the two worst windows of 2 s by submission.
     #[serde(rename = "worst")]
     pub worst_windows_share: f64,
@@ -58,7 +69,11 @@
 impl RunMetrics {
     /// Computes the metrics of a run from its jobs and their completion times. Metrics of hosts
     /// and workers are left at 0.
-    pub fn from_jobs(jobs: &[ModelJob], completed_at: &BTreeMap<u64, Duration>) -> RunMetrics {
+    pub fn from_jobs(
+        jobs: &[ModelJob],
+        completed_at: &BTreeMap<JobKey, Duration>,
+        accepted: &BTreeSet<JobKey>,
+    ) -> RunMetrics {
         let mut all: Value = (0.0, 0.0);
         let mut windows: BTreeMap<u128, Value> = BTreeMap::new();
         let counted = jobs.iter().filter(|j| j.value > 0.0);
@@ -71,12 +86,20 @@
                 sum.1 += j.value;
             }
         }
+        let is_late = |j: &&ModelJob| {
+            let worthless_at = j.submitted_at + (j.deadline - j.submitted_at) * LATE_FACTOR;
+            completed_at.get(&j.key).is_some_and(|at| *at > j.deadline && *at <= worthless_at)
+        };
+        let late: f64 = counted.clone().filter(is_late).map(|j| j.value).sum();
+        let refused = counted.clone().filter(|j| !accepted.contains(&j.key)).count();
         let mut shares: Vec<f64> = windows.into_values().map(on_time_share).collect();
         shares.sort_by(f64::total_cmp);
         let worst = &shares[..shares.len().min(WORST_WINDOWS)];
         RunMetrics {
-            jobs: counted.count() as f64,
+            jobs: counted.clone().count() as f64,
             on_time_share: on_time_share(all),
+            late_share: late / all.1.max(1.0),
+            refused_share: refused as f64 / counted.clone().count().max(1) as f64,
             worst_windows_share: if worst.is_empty() {
                 1.0
             } else {
@@ -95,6 +118,8 @@
         RunMetrics {
             jobs: mean(|f| f.jobs),
             on_time_share: mean(|f| f.on_time_share),
+            late_share: mean(|f| f.late_share),
+            refused_share: mean(|f| f.refused_share),
             worst_windows_share: worst,
             worst_windows_std_dev: variance.sqrt(),
             hosts: mean(|f| f.hosts),
--- a/src/workswood/ops/model/simulation.rs
+++ b/src/workswood/ops/model/simulation.rs
@@ -1,14 +1,13 @@
 //! The event loop of a simulation.
 
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use workswood_core::ids::{DataCentre, Term};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{EndKind, Event, JobKey, Policy, Scheduler, Wave, WorkerUpdate};
+use workswood_core::jobs::{Admission, EndKind, Event, JobKey, Policy, Scheduler, Wave, WorkerUpdate};
 
 use super::batches::StoredRecords;
 use super::event_queue::{EventQueue, ModelEvent};
@@ -36,6 +35,12 @@
     pub stored: StoredRecords,
     pub hosts: Vec<ModelHost>,
     pub jobs: Vec<ModelJob>,
+    /// What the lease holder knows for the admission of jobs.
+    pub admission: Admission,
+    /// Jobs that were accepted.
+    pub accepted: BTreeSet<JobKey>,
+    /// How often each job was refused.
+    pub refusals: BTreeMap<JobKey, u32>,
     /// Completion times of jobs, since the start of the run.
     pub completed_at: BTreeMap<JobKey, Duration>,
     pub wave: Option<Wave>,
@@ -78,7 +83,7 @@
         forecast_hosts: bound.perfect_forecast,
         host_moves: sim.host_moves as f64,
         worker_crashes: sim.worker_crashes as f64,
-        ..RunMetrics::from_jobs(&sim.jobs, &sim.completed_at)
+        ..RunMetrics::from_jobs(&sim.jobs, &sim.completed_at, &sim.accepted)
     }
 }
 
@@ -107,6 +112,9 @@
             host_seconds_busy: 0.0,
             integrated_until: Duration::ZERO,
             jobs,
+            admission: Admission::default(),
+            accepted: BTreeSet::new(),
+            refusals: BTreeMap::new(),
         };
         sim.make_hosts();
         sim.start_scheduler();
@@ -151,11 +159,7 @@
         match event {
             ModelEvent::Tick => self.tick(),
             ModelEvent::ListHosts => self.list_hosts(),
-            ModelEvent::SubmitJob(n) => {
-                let job = &self.jobs[n];
-                let ev = Event::Submitted(job.key, Arc::clone(&job.spec));
-                self.send_event(ev);
-            }
+            ModelEvent::SubmitJob(n) => self.submit(n),
             ModelEvent::HostUp(n) => self.host_up(n),
             ModelEvent::PollWorker(n, worker, repeat) => self.poll_worker(n, worker, repeat),
             ModelEvent::StartReachesWorker(worker, task, attempt) => {
@@ -185,6 +189,7 @@
             self.send_event(Event::RelayHeard(holder));
         }
         self.send_event(Event::Tick);
+        self.update_admission();
         self.schedule_after(TICK_INTERVAL, ModelEvent::Tick);
     }
 
