--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -15,7 +15,7 @@
     #[prost(
         oneof = "Msg",
         tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, \
-                28, 29, 30"
+                28, 29, 30, 36, 37"
     )]
     pub msg: Option<Msg>,
 }
@@ -111,6 +111,74 @@
     /// The newest configuration that the entry knows.
     #[prost(message, tag = "30")]
     ConfigReply(ConfigReply),
+    /// Asks whether a job can be done in time.
+    #[prost(message, tag = "36")]
+    AdmissionRequest(AdmissionRequest),
+    /// Whether a job can be done in time.
+    #[prost(message, tag = "37")]
+    AdmissionReply(AdmissionReply),
+}
+
+/// Asks the lease holder whether a job that is submitted can be done in time.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdmissionRequest {
+    /// The job.
+    #[prost(uint64, tag = "1")]
+    pub job: u64,
+    /// Number of its owner; 0 for none.
+    #[prost(fixed64, tag = "2")]
+    pub owner: u64,
+    /// The queue.
+    #[prost(string, tag = "3")]
+    pub queue: String,
+    /// What its steps take.
+    #[prost(message, repeated, tag = "4")]
+    pub steps: Vec<StepDemand>,
+}
+
+/// What a step of a submitted job takes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct StepDemand {
+    /// Number of tasks.
+    #[prost(uint32, tag = "1")]
+    pub tasks: u32,
+    /// Processor capacity that each task requests, in thousandths of a core.
+    #[prost(uint64, tag = "2")]
+    pub cpu_millis: u64,
+    /// The caller's estimate of how long a task takes, in milliseconds; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub estimate_ms: u64,
+    /// Numbers of the steps that must be done before.
+    #[prost(uint32, repeated, tag = "4")]
+    pub depends_on: Vec<u32>,
+}
+
+/// The reply to an [`AdmissionRequest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct AdmissionReply {
+    /// Whether the job is admitted.
+    #[prost(enumeration = "AdmissionOutcome", tag = "1")]
+    pub outcome: i32,
+    /// How long ago the job was first submitted, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// After what time the caller of a refused job should come back, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub retry_after_ms: u64,
+    /// The expected wait for which a job is refused, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub wait_ms: u64,
+}
+
+/// Whether a submitted job is admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+pub enum AdmissionOutcome {
+    /// The answering entry can't tell, or already knows the job.
+    NotWeighed = 0,
+    /// It is admitted.
+    Admitted = 1,
+    /// It can't be done in time.
+    Refused = 2,
 }
 
 /// Asks an entry to call the adviser for the lease holder.
@@ -512,6 +580,7 @@
             Msg::PendingJobsRequest(_) | Msg::PendingJobsReply(_) => "pending_questions",
             Msg::InboxAppendRequest(_) | Msg::InboxAppendReply(_) => "hand_ins_for_peers",
             Msg::AdviceRequest(_) | Msg::AdviceReply(_) => "advice_for_peers",
+            Msg::AdmissionRequest(_) | Msg::AdmissionReply(_) => "admission_questions",
             Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) => "relay_orders",
             Msg::RelayUpdate(_) => "relay_news",
             Msg::Heartbeat(_) | Msg::LogGrown(_) | Msg::Ping(_) | Msg::Pong(_) | Msg::Hello(_) => {
--- a/src/workswood/ops/entry/peers.rs
+++ b/src/workswood/ops/entry/peers.rs
@@ -177,6 +177,7 @@
         | Msg::PendingJobsReply(_) => {}
         Msg::InboxAppendRequest(_) | Msg::InboxAppendReply(_) | Msg::LeaseReleaseRequest(_) => {}
         Msg::AdviceRequest(_) | Msg::AdviceReply(_) | Msg::ConfigRequest(_) | Msg::ConfigReply(_) => {}
+        Msg::AdmissionRequest(_) | Msg::AdmissionReply(_) => {}
         Msg::RelayOpen(_) | Msg::RelayReady(_) | Msg::RelayOrders(_) | Msg::RelayUpdate(_) => {}
         // Handled by the connection itself.
         Msg::Ping(_) | Msg::Pong(_) => {}
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -12,8 +12,9 @@
 use workswood_core::code::{Code, ExecutionStatus};
 use workswood_core::ids::WorkspaceId;
 use workswood_core::jobs::spec::parse_job_key;
-use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig};
+use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig, Verdict};
 
+use super::admission_control;
 use super::inbox::Stored;
 use super::job_queries::{self, Lookup};
 use super::node::Node;
@@ -180,7 +181,7 @@
             return refusal(e.code(), ExecutionStatus::NotRun, None);
         }
     };
-    let spec = match parse_spec(node, queue, workspace, &body) {
+    let mut spec = match parse_spec(node, queue, workspace, &body) {
         Ok(spec) => spec,
         Err(e) => {
             log::info!("event=job_refused job={job:016x} reason=malformed error=\"{e}\"");
@@ -188,6 +189,27 @@
         }
     };
     let start = node.now();
+    match admission_control::weigh(node, job, &spec).await {
+        // What waits is ordered by when its callers first came.
+        Some(Verdict::Admitted { age }) => {
+            spec.accepted_at = spec.accepted_at.saturating_sub(age.as_millis() as u64);
+        }
+        Some(Verdict::Refused { retry_after, wait, age }) => {
+            log::info!(
+                "event=job_refused job={job:016x} reason=no_room queue={} workspace={} wait_ms={} age_ms={} \
+                 retry_after_ms={} took_ms={}",
+                queue.name,
+                spec.workspace.as_deref().unwrap_or("-"),
+                wait.as_millis(),
+                age.as_millis(),
+                retry_after.as_millis(),
+                (node.now() - start).as_millis()
+            );
+            node.metrics.submissions.with_label_values(&["no_room"]).inc();
+            return refusal(Code::NoRoom, ExecutionStatus::NotRun, Some(retry_after));
+        }
+        None => {}
+    }
     let stored = node.inbox_writer.store(job_record(job, &spec), timeout).await;
     log::info!(
         "event=job_handed_in job={job:016x} queue={} workspace={} version={} stored={stored:?} took_ms={} \
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -39,7 +39,7 @@
 }
 
 /// Whether everything that was in the inbox recently is known here.
-fn is_inbox_current(node: &Node, handle: &SchedulerHandle) -> bool {
+pub(super) fn is_inbox_current(node: &Node, handle: &SchedulerHandle) -> bool {
     let read_at = handle.inbox_read_ms.load(Ordering::Acquire);
     read_at > 0 && node.now_ms() < read_at + MAX_INBOX_AGE.as_millis() as u64
 }
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * [`job_api`] answers callers, [`inbox`] stores what they submit, and [`monitoring`] answers the
 //!   balancer and serves metrics.
+//! * [`admission_control`] asks the lease holder whether a submitted job can be done in time.
 //! * [`topic_reader`] follows the operators' records, and [`operator_state`] holds which data centres
 //!   they evacuated.
 //! * [`lease`] watches and claims the scheduler lease.
@@ -24,6 +25,7 @@
 //! * [`usage_log`] logs the resource usage of a busy entry.
 //! * [`shutdown`] stops the process gracefully.
 
+pub mod admission_control;
 pub mod advice;
 pub mod host_orders;
 pub mod inbox;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -10,11 +10,12 @@
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
 use workswood_core::ids::{Incarnation, Term, UnixMs};
-use workswood_core::jobs::{Event, SchedConfig, Wave};
+use workswood_core::jobs::{Admission, Event, SchedConfig, Wave};
 use workswood_liveness::{HalfOpenDetector, TimerLag};
 use workswood_platform::jobs::JobPlatform;
 use workswood_traffic::Traffic;
 
+use super::admission_control::HolderPause;
 use super::inbox::{InboxIndex, InboxWriter};
 use super::job_status_table::JobStatusTable;
 use super::operator_state::OperatorState;
@@ -58,6 +59,8 @@
     pub inbox_keys: Mutex<InboxIndex>,
     /// Until when this process may extend workers' leases and send orders to hosts.
     pub grant: Grant,
+    /// Decides which submitted jobs are admitted.
+    pub admission: Mutex<Admission>,
     /// Set to true to stop the scheduler.
     pub stop: watch::Sender<bool>,
 }
@@ -80,6 +83,7 @@
             inbox_read_ms: AtomicU64::new(0),
             inbox_keys: Mutex::default(),
             grant: Grant::until(held_since + extension_grace),
+            admission: Mutex::default(),
             stop,
         }
     }
@@ -110,6 +114,8 @@
     pub peers: Peers,
     /// Submitted jobs and cancellations that wait to be stored.
     pub inbox_writer: InboxWriter,
+    /// When the lease holder may be asked again whether a job is admitted.
+    pub admission_pause: HolderPause,
     /// Detects half-open connections.
     pub half_open: HalfOpenDetector,
     /// Counts the traffic over the entry's link.
@@ -170,6 +176,7 @@
             scheduler: ArcSwapOption::empty(),
             peers: Peers::sharing(half_open.clone(), traffic.clone()),
             inbox_writer: InboxWriter::default(),
+            admission_pause: HolderPause::default(),
             half_open,
             traffic,
             timer_lag: TimerLag::default(),
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -20,7 +20,7 @@
 use super::lease::{self, LeaseRecord};
 use super::node::{Holder, Node};
 use super::operator_state::Evacuations;
-use super::{advice, job_queries};
+use super::{admission_control, advice, job_queries};
 
 /// Maximum number of peers that are called with a request.
 const MAX_CALLED_PEERS: usize = 2;
@@ -47,6 +47,9 @@
             Some(Msg::InboxAppendReply(answer_inbox_append(node, request).await))
         }
         Msg::AdviceRequest(request) => Some(Msg::AdviceReply(advice::answer_peer(node, request).await)),
+        Msg::AdmissionRequest(request) => {
+            Some(Msg::AdmissionReply(admission_control::answer_request(node, &request)))
+        }
         Msg::LeaseReleaseRequest(request) => answer_lease_release(node, request).await,
         Msg::ConfigRequest(request) => Some(Msg::ConfigReply(config_reply(node, &request))),
         _ => None,
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -14,6 +14,7 @@
 use workswood_core::jobs::{Action, Batch, Event, JobKey, JobStatusUpdate, Scheduler};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
+use super::admission_control;
 use super::advice::{self, AdviceCall};
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
@@ -205,6 +206,7 @@
         self.sched.set_advice_entries(1 + self.node.peers.other_addresses(&own).len());
         self.update_relay_entries();
         self.sched.handle(Event::Tick);
+        admission_control::publish(&self.node, &self.handle, &self.sched);
         let (m, counters) = (&self.node.metrics, &self.sched.counters);
         m.lost_workers.set(counters.incarnations_lost as i64);
         m.lost_runs.set(counters.runs_lost as i64);
