--- a/crates/workswood-core/src/jobs/drain_order.rs
+++ b/crates/workswood-core/src/jobs/drain_order.rs
@@ -46,8 +46,8 @@
     /// the host may be drained.
     pub(super) fn take(&mut self, sched: &Scheduler, candidate: &DrainCandidate) -> bool {
         let tasks = &candidate.to_evict;
-        let is_allowed = |task: &TaskId| self.of_step(sched, task).is_none_or(|room| room > 0);
-        if !tasks.is_empty() && !tasks.iter().any(is_allowed) {
+        let mut is_allowed = |task: &TaskId| self.of_step(sched, task).is_none_or(|room| room > 0);
+        if !tasks.is_empty() && !tasks.iter().any(&mut is_allowed) {
             return false;
         }
         tasks.iter().for_each(|task| self.claim(sched, task));
@@ -57,11 +57,12 @@
     /// Takes the eviction of one task, if it is allowed.
     fn claim(&mut self, sched: &Scheduler, task: &TaskId) {
         let room = self.of_step(sched, task);
-        self.0.insert(task.step_id(), room.map(|n| n.saturating_sub(1)));
+        *room = room.map(|n| n.saturating_sub(1));
     }
 
-    fn of_step(&self, sched: &Scheduler, task: &TaskId) -> Option<u32> {
-        self.0.get(&task.step_id()).copied().unwrap_or_else(|| sched.evictions_allowed(task))
+    /// The evictions allowed in a task's step, computed once.
+    fn of_step(&mut self, sched: &Scheduler, task: &TaskId) -> &mut Option<u32> {
+        self.0.entry(task.step_id()).or_insert_with(|| sched.evictions_allowed(task))
     }
 }
 
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -65,6 +65,8 @@
 pub struct WaveState {
     /// The wave as requested.
     pub request: Wave,
+    /// Its hosts.
+    members: BTreeSet<HostId>,
     /// The stored progress.
     pub record: WaveRecord,
     /// Since when this scheduler has drained each host of `record.draining`.
@@ -201,6 +203,7 @@
         let draining_since = record.draining.iter().map(|host| (host.clone(), now)).collect();
         let confirmed_at = record.settled.iter().map(|host| (host.clone(), now)).collect();
         let state = WaveState {
+            members: wave.hosts.iter().cloned().collect(),
             request: wave,
             record,
             draining_since,
@@ -301,10 +304,9 @@
         self.pools.moves.keys().chain(waves).collect()
     }
 
-    /// Hosts whose maintenance for some wave has not begun.
-    pub(super) fn hosts_due_for_maintenance(&self) -> StableSet<&HostId> {
-        let open = self.waves.values().filter(|wave| !wave.is_complete());
-        open.flat_map(|wave| wave.request.hosts.iter().filter(|host| wave.is_pending(host))).collect()
+    /// Whether the maintenance of a host for some wave has not begun.
+    pub(super) fn is_due_for_maintenance(&self, host: &HostId) -> bool {
+        self.waves.values().any(|wave| wave.members.contains(host) && wave.is_pending(host))
     }
 
     /// Updates the cordons of workers after a change of the hosts to cordon.
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -10,9 +10,8 @@
 use super::queue_order::{QueueOrder, QueuePosition, Timeliness};
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
-use super::stable_map::StableSet;
 use super::types::Action;
-use super::worker::Worker;
+use super::worker::{Worker, WorkerInfo};
 use super::workspace::Owner;
 use super::workspace_usage::{limit_admits, limit_utilization};
 use crate::ids::ServiceId;
@@ -216,9 +215,9 @@
             let excluded = w.in_backoff(self.now) || w.in_quarantine(self.now);
             ticket && !excluded && w.free_resources().contains(&needed) && self.meets_constraints(w, step, id)
         };
-        let due = if step.long_running { self.hosts_due_for_maintenance() } else { StableSet::default() };
         let cost = |w: &Worker| {
-            let is_due = w.info.as_ref().is_some_and(|info| due.contains(&info.host));
+            let is_due = |info: &Arc<WorkerInfo>| self.is_due_for_maintenance(&info.host);
+            let is_due = step.long_running && w.info.as_ref().is_some_and(is_due);
             let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
             (away_from_data, crowding + usize::from(is_due) * DUE_MAINTENANCE_COST, faults, free_cpu)
         };
