--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -242,7 +242,12 @@
 
     fn tail(&self, topic: Topic, from: Offset, wait: Duration) -> BoxFuture<'_, Result<Tail, StoreError>> {
         if let Some(tail) = self.kept_from(topic, from) {
-            return async { Ok(tail) }.boxed();
+            let wait = if tail.records.is_empty() { wait } else { Duration::ZERO };
+            return async move {
+                tokio::time::sleep(wait).await;
+                Ok(tail)
+            }
+            .boxed();
         }
         if topic != Topic::Lease || self.lease.lock().is_none() {
             return away();
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -143,7 +143,7 @@
             offset.map(|next| Tail { records: Vec::new(), next })
         };
         let answer = if *self.refused.borrow() {
-            self.call_while_refused(node, request, PEER_TIMEOUT, direct).await
+            self.call_while_refused(node, (request.clone(), PEER_TIMEOUT), request, direct).await
         } else {
             self.append_in_time(node, topic, request, direct).await
         };
@@ -168,38 +168,55 @@
             }
             Ok(Err(e)) => {
                 self.note_refused(node, topic, &e.to_string());
-                let peer = self.call_through_peers(node, &request, PEER_TIMEOUT).await;
-                first_settled(std::future::ready(Err(e)), std::future::ready(peer)).await
+                worse(Err(e), self.call_through_peers(node, &request, PEER_TIMEOUT).await)
             }
             // A settled answer is returned above.
             Ok(res) => res,
-            Err(_) => {
+            Err(_) => self.append_late(node, topic, direct, &request).await,
+        }
+    }
+
+    /// Makes an append that is late through a peer as well. The store refuses this process only if the peer is
+    /// answered first; otherwise it is slow for all.
+    async fn append_late(
+        &self,
+        node: &Node,
+        topic: Topic,
+        mut direct: impl Future<Output = StoreAnswer> + Unpin,
+        request: &Msg,
+    ) -> StoreAnswer {
+        let mut peer = pin!(self.call_through_peers(node, request, PEER_TIMEOUT));
+        tokio::select! {
+            res = &mut direct => if is_settled(&res) { res } else { worse(res, peer.await) },
+            res = &mut peer => {
+                if !is_settled(&res) {
+                    return worse(res, direct.await);
+                }
                 self.note_refused(node, topic, "late");
-                first_settled(direct, self.call_through_peers(node, &request, PEER_TIMEOUT)).await
+                res
             }
         }
     }
 
     /// Reads records of a topic, from here or through a peer. A read that waits when the store begins to refuse
-    /// this process is begun anew through a peer.
+    /// this process is begun anew through a peer. A read that fails tells nothing about other calls.
     async fn tail_helped(&self, node: &Node, topic: Topic, from: Offset, wait: Duration) -> StoreAnswer {
+        let wait_with_helper = wait.min(MAX_READ_WAIT);
+        let read = |wait| store_calls::read_request(topic, from, wait);
+        let (Some(request), Some(search)) = (read(wait_with_helper), read(Duration::ZERO)) else {
+            return self.tail_from_here(topic, from, wait).await;
+        };
         let mut refused = self.refused.subscribe();
         if !*refused.borrow_and_update() {
             let mut direct = pin!(self.tail_from_here(topic, from, wait));
             tokio::select! {
-                res = &mut direct => match res {
-                    Err(ref e) if !is_settled(&res) => self.note_refused(node, topic, &e.to_string()),
-                    res => return res,
-                },
+                res = &mut direct => if is_settled(&res) { return res },
                 _ = refused.wait_for(|r| *r) => {}
             }
         }
-        let wait = wait.min(MAX_READ_WAIT);
         let direct = self.tail_from_here(topic, from, Duration::ZERO);
-        match store_calls::read_request(topic, from, wait) {
-            Some(request) => self.call_while_refused(node, request, wait + PEER_TIMEOUT, direct).await,
-            None => direct.await,
-        }
+        let timeout = wait_with_helper + PEER_TIMEOUT;
+        self.call_while_refused(node, (request, timeout), search, direct).await
     }
 
     /// Reads the latest records of a topic, from here or through a peer.
@@ -209,29 +226,32 @@
             Ok(Tail { records, next })
         };
         let answer = match store_calls::latest_request(topic).filter(|_| *self.refused.borrow()) {
-            Some(request) => self.call_while_refused(node, request, PEER_TIMEOUT, direct).await,
+            Some(request) => {
+                self.call_while_refused(node, (request.clone(), PEER_TIMEOUT), request, direct).await
+            }
             None => direct.await,
         };
         answer.map(|Tail { records, next }| LatestRecords { records, next })
     }
 
-    /// Makes a call while the store refuses this process: through the peer that helped last, or else from here
-    /// and through another peer at once.
+    /// Makes a call while the store refuses this process: through the peer that helped last within a timeout, or
+    /// else from here and by `search` through another peer at once. `search` must not wait at the store, since
+    /// other calls wait for its outcome.
     async fn call_while_refused(
         &self,
         node: &Node,
-        request: Msg,
-        timeout: Duration,
+        (request, timeout): (Msg, Duration),
+        search: Msg,
         direct: impl Future<Output = StoreAnswer>,
     ) -> StoreAnswer {
         let helper = self.helper.lock().clone();
         if let Some(address) = helper {
-            let answer = self.call_peer(node, &address, request.clone(), timeout).await;
+            let answer = self.call_peer(node, &address, request, timeout).await;
             if is_settled(&answer) {
                 return answer;
             }
         }
-        first_settled(direct, self.call_through_peers(node, &request, timeout)).await
+        first_settled(direct, self.call_through_peers(node, &search, PEER_TIMEOUT)).await
     }
 
     /// Has one of the best peers make a call. One call at a time looks for a peer that can help; those that wait
@@ -248,7 +268,7 @@
         if addresses.is_empty() || node.now_ms() < self.peers_rest_until_ms.load(Ordering::Relaxed) {
             return answer;
         }
-        for _ in 0..MAX_ASKED_PEERS {
+        for _ in 0..MAX_ASKED_PEERS.min(addresses.len()) {
             let rank = self.next_rank.fetch_add(1, Ordering::Relaxed);
             let address = &addresses[rank % addresses.len()];
             answer = worse(answer, self.call_peer(node, address, request.clone(), timeout).await);
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -94,6 +94,10 @@
     let readiness_listener = listen(settings.readiness).await?;
     let metrics_listener = listen(settings.metrics).await?;
     let peer_listener = listen(settings.peers).await?;
+    let seed_listener = match settings.seed_listener {
+        Some(address) => Some(listen(address).await?),
+        None => None,
+    };
     let addresses = Addresses {
         store: settings.store.clone(),
         machines: settings.hosts.clone(),
@@ -118,13 +122,15 @@
     let (stop_callers, callers_stopped) = watch::channel(false);
     tokio::spawn(monitoring::serve_readiness(readiness_listener, node.clone()));
     tokio::spawn(monitoring::serve_metrics(metrics_listener, node.clone()));
-    tokio::spawn(workswood_peers::serve_with_relay(
-        peer_listener,
-        peers::TOKEN.to_string(),
-        peer_requests::handler(node.clone()),
-        relay::session::handler(node.clone()),
-        node.traffic.clone(),
-    ));
+    for listener in std::iter::once(peer_listener).chain(seed_listener) {
+        tokio::spawn(workswood_peers::serve_with_relay(
+            listener,
+            peers::TOKEN.to_string(),
+            peer_requests::handler(node.clone()),
+            relay::session::handler(node.clone()),
+            node.traffic.clone(),
+        ));
+    }
     tokio::spawn(inbox::run(node.clone()));
     tokio::spawn(topic_reader::follow_operators(node.clone()));
     tokio::spawn(topic_reader::poll_peers_when_stale(node.clone()));
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -121,7 +121,8 @@
     }
 }
 
-/// Addresses of the peers to call: the lease holder first, then others in rotation.
+/// Addresses of the peers to call: the lease holder first, then others in rotation. A process that knows no
+/// other calls the seeds.
 fn addresses_to_call(node: &Node) -> Vec<String> {
     let own = node.settings.peers.to_string();
     let holder = node.holder.load_full().filter(|h| !h.released && h.id != node.id);
@@ -131,6 +132,15 @@
             addresses.push(other);
         }
     }
+    if addresses.is_empty() {
+        let own_seed = node.settings.seed_listener.map(|a| a.to_string());
+        return node
+            .settings
+            .seeds()
+            .filter(|a| Some(*a) != own_seed.as_deref())
+            .map(str::to_string)
+            .collect();
+    }
     addresses.truncate(MAX_CALLED_PEERS);
     addresses
 }
--- a/src/workswood/ops/jobs/topic_reader.rs
+++ b/src/workswood/ops/jobs/topic_reader.rs
@@ -129,7 +129,9 @@
     loop {
         tokio::time::sleep(PEER_POLL_INTERVAL).await;
         let age = node.operator_state.age(node.now());
-        let is_stale = node.operator_state.last_read_failed() && age > MAX_AGE_ON_FAILURE;
+        // A process that started while the store does not answer knows nothing yet.
+        let max_age = if node.operator_state.is_known() { MAX_AGE_ON_FAILURE } else { Duration::ZERO };
+        let is_stale = node.operator_state.last_read_failed() && age > max_age;
         if !is_stale && age < node.settings.long_poll_wait() + LATE_READ_SLACK {
             continue;
         }
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -33,6 +33,13 @@
     pub readiness: SocketAddr,
     /// Listener for peers; also the address that is published to them.
     pub peers: SocketAddr,
+    /// Second listener for peers, at the address that other entries know as a seed.
+    #[serde(default)]
+    pub seed_listener: Option<SocketAddr>,
+    /// Addresses of some entries' seed listeners, separated by commas. A process that knows no peers, since the
+    /// store does not answer, asks these.
+    #[serde(default)]
+    pub seeds: String,
     /// Listener for requests for metrics.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
@@ -131,6 +138,9 @@
         if let Some(value) = self.adviser().filter(|a| a.parse::<SocketAddr>().is_err()) {
             return Err(format!("`adviser` must be an IP address and port, not `{value}`"));
         }
+        if let Some(value) = self.seeds().find(|a| a.parse::<SocketAddr>().is_err()) {
+            return Err(format!("`seeds` must be IP addresses and ports, not `{value}`"));
+        }
         if !(self.cores > 0.0 && self.cores.is_finite()) {
             return Err("`cores` must be above 0".to_string());
         }
@@ -163,6 +173,11 @@
         self.adviser.as_deref().filter(|a| !a.is_empty())
     }
 
+    /// Addresses of the seed listeners of some entries; may include this one's.
+    pub fn seeds(&self) -> impl Iterator<Item = &str> {
+        self.seeds.split(',').map(str::trim).filter(|a| !a.is_empty())
+    }
+
     /// Number of workers that this entry can manage as lease holder.
     pub fn strength(&self) -> EntryCapacity {
         lease_claim::entry_capacity(self.cores, self.link_mbps)
--- a/tests/testsuite/holder_help.rs
+++ b/tests/testsuite/holder_help.rs
@@ -226,3 +226,38 @@
         peers[0].metrics.refused_store_calls.get()
     );
 }
+
+/// A read that waits for records does not hold up a write that looks for a helper at the same time.
+#[tokio::test]
+async fn search_does_not_wait_for_records() {
+    let (away, well) = (refusing(), store(&[]));
+    well.keep(Topic::Inbox(0), Vec::new());
+    let (holder, _peers) = holder_with_peers(&away, &[&well]).await;
+    let reading = holder.clone();
+    let read = tokio::spawn(async move {
+        reading.platform.tail(Topic::Inbox(0), 0, Duration::from_secs(1)).await.map(|tail| tail.next)
+    });
+    tokio::task::yield_now().await;
+    let began = holder.now();
+    write(&holder, 1).await.expect("a peer writes it");
+    assert!(holder.now() - began < Duration::from_millis(300), "{:?}", holder.now() - began);
+    read.abort();
+}
+
+/// A store that is slow for all is not taken to refuse the holder: reads that wait there go on.
+#[tokio::test]
+async fn slowness_is_no_refusal() {
+    let slow = Arc::new(TurnStore::new(Duration::from_millis(300), &[]));
+    slow.keep(Topic::Inbox(3), Vec::new());
+    let down = refusing();
+    let (holder, peers) = holder_with_peers(&slow, &[&down]).await;
+    let (began, wait) = (holder.now(), Duration::from_millis(600));
+    let read = async {
+        holder.platform.tail(Topic::Inbox(3), 0, wait).await.expect("it is read from here");
+        holder.now() - began
+    };
+    let (written, read_for) = tokio::join!(write(&holder, 1), read);
+    written.expect("it is written from here");
+    assert_eq!(peers[0].metrics.refused_store_calls.get(), 1, "it was late");
+    assert!(read_for >= wait, "{read_for:?}");
+}
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -41,6 +41,7 @@
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "cores": 0"#, "`cores`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "link_mbps": -1"#, "`link_mbps`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "colour": 1"#, "colour"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "seeds": "127.0.0.1:9,seed:9""#, "`seeds`"),
     ];
     for (n, (from, to, named)) in cases.into_iter().enumerate() {
         let report = read(&format!("bad{n}"), &GOOD.replace(from, to)).expect_err("the file is bad");
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -7,7 +7,7 @@
 use workswood::ops::jobs::inbox::{self, Stored};
 use workswood::ops::jobs::node::Holder;
 use workswood::ops::jobs::operator_state::Evacuations;
-use workswood::ops::jobs::{Node, peer_requests, peers};
+use workswood::ops::jobs::{Node, peer_requests, peers, topic_reader};
 use workswood_core::jobs::SchedConfig;
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::job_node::settings;
@@ -200,3 +200,24 @@
     let told = peer_requests::poll_peers(&a, 7).await.holder.map(|h| (h.id, h.term));
     assert_eq!(told, Some((a.id.clone(), 7)), "who holds the lease is told, too");
 }
+
+/// A process that starts while the store answers nobody knows no peers: it learns from a seed what operators have
+/// set, and who holds the lease.
+#[tokio::test]
+async fn start_without_store() {
+    let (away, down) = (store(&[Fate::Refused; 100]), store(&[Fate::Refused; 100]));
+    let b = process("entry-2", &down).await;
+    b.configure(declared(7), "version seven".into());
+    b.operator_state.set_evacuations(evacuated(&["north"], b.now()));
+    tell_holder(&b, &b);
+    let mut settings = settings("entry-1");
+    settings.seeds = format!("127.0.0.1:1, {}", b.settings.peers);
+    let a = Arc::new(Node::new(settings, away));
+    assert_eq!(peer_requests::poll_peers(&a, 0).await.configs, ["version seven"]);
+    tokio::spawn(topic_reader::follow_operators(a.clone()));
+    tokio::spawn(topic_reader::poll_peers_when_stale(a.clone()));
+    let known = tokio::time::timeout(Duration::from_millis(1100), a.operator_state.wait_until_known()).await;
+    assert!(known.is_ok(), "it does not wait until what it knows is old");
+    assert!(a.operator_state.is_evacuated("north", a.now()));
+    assert_eq!(a.holder.load().as_ref().map(|h| h.id.clone()), Some(b.id.clone()));
+}
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -657,6 +657,8 @@
     let ports = [s.callers, s.readiness, s.peers, s.metrics].map(|a| a.port());
     assert_eq!((ports, s.store_partitions), ([8011, 8012, 8013, 8014], 3));
     assert_eq!((s.store.as_str(), s.hosts.as_str()), ("10.0.0.2:9001", "10.0.0.2:9002"));
+    assert_eq!(s.seed_listener.map(|a| a.port()), Some(8015));
+    assert_eq!(s.seeds().collect::<Vec<_>>(), ["10.0.0.3:8015", "10.0.0.4:8015"]);
     assert_eq!((s.adviser(), s.cores, s.link_mbps), (Some("10.0.0.2:9003"), 0.125, 20.5));
     assert_eq!((s.max_lease_ms, s.host_handover_ms, s.catch_up_within_ms), (10_001, 3_002, 3_003));
     assert_eq!((s.host_orders_per_s, s.round_lead_ms), (65.5, 104));
