--- a/src/workswood/ops/jobs/store_calls.rs
+++ b/src/workswood/ops/jobs/store_calls.rs
@@ -32,7 +32,7 @@
 /// inbox.
 pub(super) fn append_request(topic: Topic, records: &[KeyedRecord], guard: Guard) -> Option<Msg> {
     match (guard, topic) {
-        (Guard::Term(term, number), _) => {
+        (Guard::Term(term, number), Topic::Lease | Topic::State) => {
             let records = records.iter().map(record_to_wire).collect();
             request(topic, StoreOperation::Append(GuardedAppend { records, term, number }))
         }
@@ -40,7 +40,7 @@
             let keys = records.iter().map(|rec| rec.key.clone()).collect();
             request(topic, StoreOperation::Delete(Deletion { keys }))
         }
-        (Guard::None | Guard::EndsAt(_), _) => None,
+        _ => None,
     }
 }
 
@@ -105,7 +105,7 @@
 
 async fn carry_out(node: &Node, topic: Topic, operation: Option<StoreOperation>) -> StoreAnswer {
     match operation {
-        Some(StoreOperation::Append(append)) => {
+        Some(StoreOperation::Append(append)) if matches!(topic, Topic::Lease | Topic::State) => {
             let records = append.records.into_iter().map(record_from_wire).collect();
             let guard = Guard::Term(append.term, append.number);
             let offset = node.platform.append(topic, records, guard).await?;
@@ -116,7 +116,7 @@
             let offset = node.platform.append(topic, records, Guard::None).await?;
             Ok(Tail { records: Vec::new(), next: offset })
         }
-        Some(StoreOperation::Delete(_)) => Err(not_done("not served")),
+        Some(StoreOperation::Append(_) | StoreOperation::Delete(_)) => Err(not_done("not served")),
         Some(StoreOperation::Read(read)) => {
             let wait = Duration::from_millis(u64::from(read.wait_ms)).min(MAX_READ_WAIT);
             node.platform.tail(topic, read.from, wait).await
--- a/tests/testsuite/holder_help.rs
+++ b/tests/testsuite/holder_help.rs
@@ -11,6 +11,7 @@
 use workswood::ops::jobs::{Node, peer_requests, peers};
 use workswood_core::jobs::lease_claim::PeerEntry;
 use workswood_core::jobs::lease_handover::{HandoverPolicy, rank_helpers};
+use workswood_peers::{GuardedAppend, Msg, StoreCallRequest, StoreOperation, StoreOutcome, StoreTopic};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
@@ -261,3 +262,20 @@
     assert_eq!(peers[0].metrics.refused_store_calls.get(), 1, "it was late");
     assert!(read_for >= wait, "{read_for:?}");
 }
+
+/// A peer writes only what a holder may write.
+#[tokio::test]
+async fn other_topics_are_not_written() {
+    let well = store(&[]);
+    let peer = process("entry-1", &well, true).await;
+    let append = GuardedAppend { records: Vec::new(), term: TERM, number: 1 };
+    let request = StoreCallRequest {
+        topic: StoreTopic::Operators as i32,
+        partition: 0,
+        operation: Some(StoreOperation::Append(append)),
+    };
+    let reply = peer_requests::handler(peer)(Msg::StoreCallRequest(request)).await;
+    let Some(Msg::StoreCallReply(reply)) = reply else { panic!("{reply:?}") };
+    assert_eq!(reply.outcome(), StoreOutcome::NotDone);
+    assert!(well.done().is_empty());
+}
