--- a/tests/testsuite/holder_help.rs
+++ b/tests/testsuite/holder_help.rs
@@ -11,6 +11,7 @@
 use workswood::ops::jobs::{Node, peer_requests, peers};
 use workswood_core::jobs::lease_claim::PeerEntry;
 use workswood_core::jobs::lease_handover::{HandoverPolicy, rank_helpers};
+use workswood_peers::{GuardedAppend, Msg, StoreCallRequest, StoreOperation, StoreOutcome, StoreTopic};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
@@ -226,3 +227,55 @@
         peers[0].metrics.refused_store_calls.get()
     );
 }
+
+/// A read that waits for records does not hold up a write that looks for a helper at the same time.
+#[tokio::test]
+async fn search_does_not_wait_for_records() {
+    let (away, well) = (refusing(), store(&[]));
+    well.keep(Topic::Inbox(0), Vec::new());
+    let (holder, _peers) = holder_with_peers(&away, &[&well]).await;
+    let reading = holder.clone();
+    let read = tokio::spawn(async move {
+        reading.platform.tail(Topic::Inbox(0), 0, Duration::from_secs(1)).await.map(|tail| tail.next)
+    });
+    tokio::task::yield_now().await;
+    let began = holder.now();
+    write(&holder, 1).await.expect("a peer writes it");
+    assert!(holder.now() - began < Duration::from_millis(300), "{:?}", holder.now() - began);
+    read.abort();
+}
+
+/// A store that is slow for all is not taken to refuse the holder: reads that wait there go on.
+#[tokio::test]
+async fn slowness_is_no_refusal() {
+    let slow = Arc::new(TurnStore::new(Duration::from_millis(300), &[]));
+    slow.keep(Topic::Inbox(3), Vec::new());
+    let down = refusing();
+    let (holder, peers) = holder_with_peers(&slow, &[&down]).await;
+    let (began, wait) = (holder.now(), Duration::from_millis(600));
+    let read = async {
+        holder.platform.tail(Topic::Inbox(3), 0, wait).await.expect("it is read from here");
+        holder.now() - began
+    };
+    let (written, read_for) = tokio::join!(write(&holder, 1), read);
+    written.expect("it is written from here");
+    assert_eq!(peers[0].metrics.refused_store_calls.get(), 1, "it was late");
+    assert!(read_for >= wait, "{read_for:?}");
+}
+
+/// A peer writes only what a holder may write.
+#[tokio::test]
+async fn other_topics_are_not_written() {
+    let well = store(&[]);
+    let peer = process("entry-1", &well, true).await;
+    let append = GuardedAppend { records: Vec::new(), term: TERM, number: 1 };
+    let request = StoreCallRequest {
+        topic: StoreTopic::Operators as i32,
+        partition: 0,
+        operation: Some(StoreOperation::Append(append)),
+    };
+    let reply = peer_requests::handler(peer)(Msg::StoreCallRequest(request)).await;
+    let Some(Msg::StoreCallReply(reply)) = reply else { panic!("{reply:?}") };
+    assert_eq!(reply.outcome(), StoreOutcome::NotDone);
+    assert!(well.done().is_empty());
+}
