--- a/crates/workswood-core/src/jobs/bridges.rs
+++ b/crates/workswood-core/src/jobs/bridges.rs
@@ -46,6 +46,13 @@
     }
 }
 
+impl BridgePolicy {
+    /// Whether all values are the defaults.
+    pub fn is_default(&self) -> bool {
+        *self == BridgePolicy::default()
+    }
+}
+
 /// An entry as the choice of a bridge sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BridgeEntry {
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -38,7 +38,9 @@
     pub advice: AdvicePolicy,
     /// The choice of relays.
     pub relays: RelayPolicy,
-    /// The use of entries that reach data centres which others can't.
+    /// The use of entries that reach data centres which others can't. Written only where it differs
+    /// from the default, so that versions without it read what is written.
+    #[serde(skip_serializing_if = "BridgePolicy::is_default")]
     pub bridges: BridgePolicy,
 }
 
--- a/tests/testsuite/centre_bridges.rs
+++ b/tests/testsuite/centre_bridges.rs
@@ -119,6 +119,20 @@
     assert!(check(r#"{"bridges": {"shun_for": "3h"}}"#).contains("policy.bridges.shun_for"));
 }
 
+#[test]
+fn settings_are_written_and_read() {
+    let text = r#"{"enabled":true,"hedge_after":"100ms","suspect_after":"300ms","direct_again":"1s","shun_for":"3s"}"#;
+    let bridges: BridgePolicy = serde_json::from_str(text).expect("known fields");
+    let set = Policy { bridges, ..Policy::default() };
+    let written = serde_json::to_value(&set).expect("it is JSON");
+    assert_eq!(
+        written["bridges"].to_string(),
+        serde_json::from_str::<serde_json::Value>(text).expect("it is JSON").to_string()
+    );
+    let plain = serde_json::to_value(Policy::default()).expect("it is JSON");
+    assert_eq!(plain.get("bridges"), None, "versions before read what is not set");
+}
+
 #[test]
 fn only_questions_are_passed_on() {
     let question = Msg::JobStateRequest(JobStateRequest { job: 1, owner: None });
