--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -49,7 +49,9 @@
     pub slow_workers: SlowWorkerPolicy,
     /// What a lease holder does that the store refuses to serve, or that is told to stop.
     pub handover: HandoverPolicy,
-    /// The use of entries that reach data centres which others can't.
+    /// The use of entries that reach data centres which others can't. Written only where it differs
+    /// from the default, so that versions without it read what is written.
+    #[serde(skip_serializing_if = "BridgePolicy::is_default")]
     pub bridges: BridgePolicy,
     /// What goes on while the store is away.
     #[serde(skip_serializing_if = "OutagePolicy::is_default")]
