--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -21,6 +21,8 @@
 
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(160);
+/// After a longer pause the store has the full time again to acknowledge a write.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
 /// Silence after which a holder closes the session with a relay.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -44,6 +46,8 @@
     writing: Option<(Duration, Batch)>,
     /// Since when that batch is being written.
     writing_since: Duration,
+    /// When the holder last ran.
+    last_awake: Duration,
     /// Batches that wait for that one while the store is away.
     owed: OwedBatch,
     /// Until when the store takes nothing from this holder.
@@ -66,6 +70,7 @@
             paused_until: Duration::ZERO,
             writing: None,
             writing_since: now,
+            last_awake: now,
             owed: OwedBatch::default(),
             store_away_until: Duration::ZERO,
             next_tick: now,
@@ -97,6 +102,9 @@
         if newest && h.store_away_until <= now {
             h.renewed = now;
         }
+        if std::mem::replace(&mut h.last_awake, now) + MAX_PAUSE <= now {
+            h.writing_since = now;
+        }
         h.sched.now = now;
         h.sched.wall = now.as_millis() as u64;
         let (due, waiting): (Vec<_>, Vec<_>) =
--- a/src/workswood/ops/jobs/batch_writer.rs
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -19,6 +19,8 @@
 
 /// An append without an answer is repeated after this time if the store answers other calls.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
+/// After a longer pause of the scheduler's task, which runs at each tick, its host was suspended.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
 /// Delay after a failed append.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
@@ -39,6 +41,8 @@
     write: JoinSet<bool>,
     /// Batches that wait for the one in flight.
     owed: OwedBatch,
+    /// When the scheduler's task last ran.
+    last_awake: Duration,
 }
 
 impl BatchWriter {
@@ -51,6 +55,7 @@
             in_flight: None,
             write: JoinSet::new(),
             owed: OwedBatch::default(),
+            last_awake: Duration::ZERO,
         }
     }
 
@@ -58,6 +63,16 @@
         &self.node.settings.policy.outage
     }
 
+    /// Notes that the scheduler's task runs. After a pause, as when the host was suspended, the store has
+    /// the full time again to acknowledge a write: another process may hold the lease by now.
+    pub(super) fn note_awake(&mut self) {
+        let now = self.node.now();
+        let paused = now.saturating_sub(std::mem::replace(&mut self.last_awake, now));
+        if let Some(in_flight) = self.in_flight.as_mut().filter(|_| paused >= MAX_PAUSE) {
+            in_flight.since = now;
+        }
+    }
+
     /// Whether a write is under way.
     pub(super) fn is_writing(&self) -> bool {
         self.in_flight.is_some()
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -188,6 +188,7 @@
                     batch_wanted = true;
                 }
             }
+            self.writer.note_awake();
             self.update_store_access();
             self.assign_relays(tasks);
             if self.sched.deposed {
