--- a/crates/workswood-core/src/jobs/admission.rs
+++ b/crates/workswood-core/src/jobs/admission.rs
@@ -15,7 +15,7 @@
 
 use super::policy::OrderPolicy;
 use super::queue_order::{QueueOrder, TaskDurations, critical_path, round_work, time_to_deadline};
-use super::spec::{JobKey, JobSpec};
+use super::spec::{JobKey, JobSpec, Resources};
 use super::workspace::Owner;
 use super::{QueueConfig, config::SchedConfig};
 use crate::ids::{ServiceId, UnixMs};
@@ -45,6 +45,10 @@
     /// Factor on the expected wait. It covers work that is submitted later and goes first.
     #[serde(rename = "wait")]
     pub wait_factor: f64,
+    /// Whether all waiting work of the same urgency counts as ahead of a job. Otherwise only that counts
+    /// which goes first as of now; what is submitted later and goes first is then left out.
+    #[serde(rename = "all")]
+    pub count_all: bool,
     /// Time until hosts that other pools can spare are at work.
     #[serde(rename = "moves_take", with = "humantime_serde")]
     pub move_time: Duration,
@@ -56,7 +60,8 @@
             enabled: false,
             late_share: 0.0,
             wait_factor: 1.0,
-            move_time: Duration::from_millis(2000),
+            count_all: false,
+            move_time: Duration::from_millis(1000),
         }
     }
 }
@@ -70,17 +75,20 @@
     pub over_rate: bool,
     /// Latest start that is in time.
     pub latest_start: UnixMs,
-    /// Work of the waiting step and of later ones, in core-milliseconds.
+    /// Work of the waiting step and of later ones, in core-milliseconds. The order goes by it.
+    pub job_work: u64,
+    /// Work of the waiting tasks, in core-milliseconds. Later steps wait for their turn themselves.
     pub work: u64,
 }
 
 impl WaitingWork {
-    /// Whether this goes before `other`.
-    fn goes_before(&self, other: &WaitingWork, order: QueueOrder) -> bool {
+    /// Whether this goes before `other`. Without an order, all work of the same urgency does.
+    fn goes_before(&self, other: &WaitingWork, order: Option<QueueOrder>) -> bool {
         let key = |w: &WaitingWork| {
             let last = match order {
-                QueueOrder::EarliestDeadline => w.latest_start,
-                QueueOrder::LeastWork => w.work,
+                Some(QueueOrder::EarliestDeadline) => w.latest_start,
+                Some(QueueOrder::LeastWork) => w.job_work,
+                None => 0,
             };
             (w.priority, w.over_rate, last)
         };
@@ -140,6 +148,8 @@
     pub priority: u32,
     /// Work in core-milliseconds.
     pub work: u64,
+    /// Of it, that of the steps that need not wait for others.
+    pub first_work: u64,
     /// Length of its critical path.
     pub path: Duration,
     /// Time from its first try to its deadline.
@@ -168,6 +178,13 @@
             owner: spec.owner(),
             priority: queue.priority,
             work: round_work(spec, &duration),
+            first_work: spec
+                .steps
+                .iter()
+                .enumerate()
+                .filter(|(_, s)| s.depends_on.is_empty())
+                .map(|(n, s)| work_of(u64::from(s.count), &s.resources, duration(n)))
+                .sum(),
             path: critical_path(spec, &duration),
             time_to_deadline,
             time_to_worthless: time_to_deadline.mul_f64(policy.worthless_after),
@@ -260,10 +277,12 @@
             over_rate: loads.owners_over_rate.contains(&job.owner),
             latest_start: (wall + job.time_to_deadline.as_millis() as u64)
                 .saturating_sub((age + job.path).as_millis() as u64),
-            work: job.work,
+            job_work: job.work,
+            work: job.first_work,
         };
         let waiting = || load.waiting.iter().chain(self.unknown_work(&job.service));
-        let ahead = waiting().filter(|w| w.goes_before(&work, load.order)).map(|w| w.work).sum();
+        let order = (!policy.count_all).then_some(load.order);
+        let ahead = waiting().filter(|w| w.goes_before(&work, order)).map(|w| w.work).sum();
         let wait = load.time_for(ahead, policy.move_time).mul_f64(policy.wait_factor);
         let bound = job.time_to_deadline
             + (job.time_to_worthless.saturating_sub(job.time_to_deadline)).mul_f64(policy.late_share);
@@ -316,6 +335,11 @@
     }
 }
 
+/// Work of this many tasks, in core-milliseconds.
+pub(super) fn work_of(tasks: u64, resources: &Resources, duration: Duration) -> u64 {
+    tasks * resources.cpu_millis * duration.as_millis() as u64 / 1000
+}
+
 /// A delay below `most` that differs by the number of the job, so that callers do not return together.
 pub fn spread(key: JobKey, most: Duration) -> Duration {
     const STEPS: u64 = 1024;
--- a/crates/workswood-core/src/jobs/admission_load.rs
+++ b/crates/workswood-core/src/jobs/admission_load.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::admission::{Loads, ServiceLoad, WaitingWork};
+use super::admission::{Loads, ServiceLoad, WaitingWork, work_of};
 use super::queue_order::{QueuePosition, Timeliness};
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepSpec};
@@ -33,7 +33,7 @@
             cores: cores(listed),
             cores_after_moves: cores(listed + elsewhere * per_host),
             order: self.placement_order(service),
-            waiting: self.ready.get(service).into_iter().flat_map(|w| w.positions()).filter_map(waiting_work).collect(),
+            waiting: self.waiting_work(service),
         }
     }
 
@@ -68,15 +68,23 @@
         let cpu = waiting.cpu_millis as f64 / size.cpu_millis.max(1) as f64;
         (mem / cpu).max(1.0)
     }
-}
 
-/// The work of a waiting step, unless it is late or long-running.
-fn waiting_work(position: &QueuePosition) -> Option<WaitingWork> {
-    let ends = position.timeliness == Timeliness::InTime && position.deadline_key > 0;
-    ends.then_some(WaitingWork {
-        priority: position.priority,
-        over_rate: position.over_rate,
-        latest_start: position.deadline_key,
-        work: position.work_key,
-    })
+    /// Work that waits in a service and can be in time, without long-running tasks.
+    fn waiting_work(&self, service: &ServiceId) -> Vec<WaitingWork> {
+        let steps = self.ready.get(service).into_iter().flat_map(|w| w.waiting_steps());
+        let in_time = |p: &QueuePosition| p.timeliness == Timeliness::InTime && p.deadline_key > 0;
+        let work = |(position, tasks): (&QueuePosition, usize)| {
+            let spec = &self.jobs.get(&position.step.job)?.spec;
+            let step = spec.steps.get(usize::from(position.step.step))?;
+            let duration = self.durations.expect(&spec.queue, step.estimate, &self.policy.order);
+            Some(WaitingWork {
+                priority: position.priority,
+                over_rate: position.over_rate,
+                latest_start: position.deadline_key,
+                job_work: position.work_key,
+                work: work_of(tasks as u64, &step.resources, duration),
+            })
+        };
+        steps.filter(|(position, _)| in_time(position)).filter_map(work).collect()
+    }
 }
--- a/crates/workswood-core/src/jobs/task_queue.rs
+++ b/crates/workswood-core/src/jobs/task_queue.rs
@@ -189,6 +189,11 @@
         self.by_owner.keys().copied()
     }
 
+    /// All steps with the number of their waiting tasks.
+    pub fn waiting_steps(&self) -> impl Iterator<Item = (&QueuePosition, usize)> {
+        self.steps.values().map(|s| (&s.position, s.tasks.len()))
+    }
+
     /// Waiting tasks of a step, by index.
     pub fn tasks_of(&self, step: &StepId) -> impl Iterator<Item = TaskId> {
         let tasks = self.steps.get(step).into_iter().flat_map(|s| &s.tasks);
