--- a/crates/workswood-core/src/jobs/admission.rs
+++ b/crates/workswood-core/src/jobs/admission.rs
@@ -38,6 +38,8 @@
 pub struct AdmissionPolicy {
     /// Whether jobs that can't be done soon enough are refused.
     pub enabled: bool,
+    /// Whether such jobs are accepted, but go behind all that can be in time, instead of being refused.
+    pub defer: bool,
     /// How late a job may be expected to be: 0 admits jobs that can be in time, 1 all whose result is
     /// still worth something.
     #[serde(rename = "late")]
@@ -58,6 +60,7 @@
     fn default() -> AdmissionPolicy {
         AdmissionPolicy {
             enabled: false,
+            defer: false,
             late_share: 0.0,
             wait_factor: 1.0,
             count_all: false,
@@ -66,6 +69,18 @@
     }
 }
 
+impl AdmissionPolicy {
+    /// Whether entries ask the lease holder before they accept a job.
+    pub fn refuses(&self) -> bool {
+        self.enabled && !self.defer
+    }
+
+    /// Whether the scheduler puts jobs behind others.
+    pub fn defers(&self) -> bool {
+        self.enabled && self.defer
+    }
+}
+
 /// Work that waits for workers, with its place in the order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WaitingWork {
@@ -337,7 +352,7 @@
 
 /// Work of this many tasks, in core-milliseconds.
 pub(super) fn work_of(tasks: u64, resources: &Resources, duration: Duration) -> u64 {
-    tasks * resources.cpu_millis * duration.as_millis() as u64 / 1000
+    tasks.saturating_mul(resources.cpu_millis).saturating_mul(duration.as_millis() as u64) / 1000
 }
 
 /// A delay below `most` that differs by the number of the job, so that callers do not return together.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod foreign_entries;
 mod inbox_appends;
 mod job_account;
+mod job_admission;
 mod job_limits;
 mod job_placement;
 mod job_records;
