--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -333,7 +333,12 @@
         );
         let most_cpu = self.config.workspaces.limit(owner).cpu_millis;
         let deferred = self.is_deferred(key, &spec);
-        self.jobs.insert(Job { over_rate: excess, deferred, max_cpu_millis: most_cpu, ..Job::new(key, spec) });
+        self.jobs.insert(Job {
+            over_rate: excess,
+            deferred,
+            max_cpu_millis: most_cpu,
+            ..Job::new(key, spec)
+        });
         self.track_advised_job(key);
         self.dirty_jobs.insert(key);
         self.open_due_rounds(key);
--- a/src/workswood/ops/model/callers.rs
+++ b/src/workswood/ops/model/callers.rs
@@ -28,8 +28,7 @@
             return None;
         }
         let job = &self.jobs[n];
-        let candidate =
-            self.admission.candidate(job.key, &job.spec, &scheduler.config, &policy.order)?;
+        let candidate = self.admission.candidate(job.key, &job.spec, &scheduler.config, &policy.order)?;
         let wall = self.now.as_millis() as u64;
         match self.admission.decide(&candidate, &policy.admission, self.now, wall) {
             Verdict::Admitted { .. } => None,
@@ -48,6 +47,13 @@
         }
     }
 
+    /// Share of the jobs with a value that were never accepted.
+    pub(super) fn refused_share(&self) -> f64 {
+        let counted = || self.jobs.iter().filter(|j| j.value > 0.0);
+        let refused = counted().filter(|j| !self.accepted.contains(&j.key)).count();
+        refused as f64 / counted().count().max(1) as f64
+    }
+
     /// Tells admission the loads of the scheduler.
     pub(super) fn update_admission(&mut self) {
         if let Some(s) = self.scheduler.as_ref().filter(|s| s.policy.admission.refuses()) {
--- a/src/workswood/ops/model/run_metrics.rs
+++ b/src/workswood/ops/model/run_metrics.rs
@@ -1,10 +1,9 @@
 //! Metrics of simulation runs.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::Serialize;
-use workswood_core::jobs::JobKey;
 
 use super::workload::ModelJob;
 
@@ -24,13 +23,6 @@
     /// Share of the total value that was completed by the deadline.
     #[serde(rename = "in_time")]
     pub on_time_share: f64,
-    /// Share of the total value that was completed late, but within [`LATE_FACTOR`] times the time to
-    /// the deadline.
-    #[serde(rename = "late")]
-    pub late_share: f64,
-    /// Share of the jobs that were never accepted.
-    #[serde(rename = "refused")]
-    pub refused_share: f64,
     /// Mean on-time share of the two worst windows of 2 s by submission.
     #[serde(rename = "worst")]
     pub worst_windows_share: f64,
@@ -57,6 +49,13 @@
     /// Number of worker crashes.
     #[serde(rename = "crashes")]
     pub worker_crashes: f64,
+    /// Share of the total value that was completed late, but within [`LATE_FACTOR`] times the time to
+    /// the deadline.
+    #[serde(rename = "late")]
+    pub late_share: f64,
+    /// Share of the jobs that were never accepted.
+    #[serde(rename = "refused")]
+    pub refused_share: f64,
 }
 
 /// Value completed by the deadline, and total value.
@@ -67,13 +66,9 @@
 }
 
 impl RunMetrics {
-    /// Computes the metrics of a run from its jobs and their completion times. Metrics of hosts
-    /// and workers are left at 0.
-    pub fn from_jobs(
-        jobs: &[ModelJob],
-        completed_at: &BTreeMap<JobKey, Duration>,
-        accepted: &BTreeSet<JobKey>,
-    ) -> RunMetrics {
+    /// Computes the metrics of a run from its jobs and their completion times. Metrics of hosts,
+    /// workers and refusals are left at 0.
+    pub fn from_jobs(jobs: &[ModelJob], completed_at: &BTreeMap<u64, Duration>) -> RunMetrics {
         let mut all: Value = (0.0, 0.0);
         let mut windows: BTreeMap<u128, Value> = BTreeMap::new();
         let counted = jobs.iter().filter(|j| j.value > 0.0);
@@ -91,15 +86,13 @@
             completed_at.get(&j.key).is_some_and(|at| *at > j.deadline && *at <= worthless_at)
         };
         let late: f64 = counted.clone().filter(is_late).map(|j| j.value).sum();
-        let refused = counted.clone().filter(|j| !accepted.contains(&j.key)).count();
         let mut shares: Vec<f64> = windows.into_values().map(on_time_share).collect();
         shares.sort_by(f64::total_cmp);
         let worst = &shares[..shares.len().min(WORST_WINDOWS)];
         RunMetrics {
-            jobs: counted.clone().count() as f64,
+            jobs: counted.count() as f64,
             on_time_share: on_time_share(all),
             late_share: late / all.1.max(1.0),
-            refused_share: refused as f64 / counted.clone().count().max(1) as f64,
             worst_windows_share: if worst.is_empty() {
                 1.0
             } else {
--- a/src/workswood/ops/model/simulation.rs
+++ b/src/workswood/ops/model/simulation.rs
@@ -83,7 +83,8 @@
         forecast_hosts: bound.perfect_forecast,
         host_moves: sim.host_moves as f64,
         worker_crashes: sim.worker_crashes as f64,
-        ..RunMetrics::from_jobs(&sim.jobs, &sim.completed_at, &sim.accepted)
+        refused_share: sim.refused_share(),
+        ..RunMetrics::from_jobs(&sim.jobs, &sim.completed_at)
     }
 }
 
--- a/tests/testsuite/job_admission.rs
+++ b/tests/testsuite/job_admission.rs
@@ -48,12 +48,8 @@
 }
 
 fn loads(waiting: Vec<WaitingWork>) -> Loads {
-    let load = ServiceLoad {
-        cores: CORES,
-        cores_after_moves: CORES,
-        order: QueueOrder::EarliestDeadline,
-        waiting,
-    };
+    let load =
+        ServiceLoad { cores: CORES, cores_after_moves: CORES, order: QueueOrder::EarliestDeadline, waiting };
     Loads { services: BTreeMap::from([(SERVICE.to_string(), load)]), ..Loads::default() }
 }
 
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -844,6 +844,8 @@
         forecast_hosts: n + 3.5,
         host_moves: n + 4.0,
         worker_crashes: n + 4.5,
+        late_share: n + 5.0,
+        refused_share: n + 5.5,
     };
     let gain = Some(Gain { on_time_share: 0.25, standard_error: 0.125 });
     let variant =
