--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod holder_help;
 mod inbox_appends;
 mod job_account;
+mod job_admission;
 mod job_limits;
 mod job_placement;
 mod job_records;
