--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -215,11 +215,28 @@
     }
 
     /// The best worker with enough room. For tasks that are neither long-running nor tied to the
-    /// rack of their data, it is the first fit in the order of the index.
+    /// rack of their data, it is the first fit in the order of the index. A slow worker is chosen only
+    /// if no other one could ever run the task.
     fn choose_worker(&self, job: &Job, step: &StepSpec, id: &TaskId, service: &str) -> Option<WorkerId> {
+        let is_slow = |w: &WorkerId| self.slow_workers.contains(w, self.now);
+        let found = self.choose_worker_except(job, step, id, service, &is_slow);
+        if found.is_some() || self.slow_workers.is_empty() {
+            return found;
+        }
+        let mut others = self.workers.available(service, 0).filter(|(wid, _)| !is_slow(wid));
+        if others.any(|(_, w)| self.could_run(w, step, id)) {
+            return None;
+        }
         self.choose_worker_except(job, step, id, service, &|_| false)
     }
 
+    /// Whether a worker outside of backoff could run a task if it were empty.
+    fn could_run(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
+        let needed = step.reserved_resources();
+        let large_enough = w.info.as_ref().is_some_and(|i| i.capacity.contains(&needed));
+        !w.in_backoff(self.now) && large_enough && self.meets_constraints(w, step, id)
+    }
+
     /// As [`Self::choose_worker`], but never a worker for which `excluded` is true.
     pub(super) fn choose_worker_except(
         &self,
@@ -266,11 +283,8 @@
         let candidates = if advised {
             self.count_possible_workers(&self.available_workers(service), &id.step_id())
         } else {
-            let large_enough = |w: &Worker| w.info.as_ref().is_some_and(|i| i.capacity.contains(&needed));
-            let could_run = |w: &Worker| {
-                !w.in_backoff(self.now) && large_enough(w) && self.meets_constraints(w, step, id)
-            };
-            self.workers.available(service, 0).filter(|(_, w)| could_run(w)).take(2).count()
+            let all = self.workers.available(service, 0);
+            all.filter(|(_, w)| self.could_run(w, step, id)).take(2).count()
         };
         if candidates > 1 { None } else { best(None) }
     }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -23,6 +23,7 @@
 use super::relays::Relays;
 use super::second_runs::SecondRuns;
 use super::sibling_times::SiblingTimes;
+use super::slow_workers::SlowWorkers;
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::stable_map::StableMap;
 use super::takeover_barrier::TakeoverBarrier;
@@ -85,6 +86,8 @@
     pub(super) durations: TaskDurations,
     /// Times of completed tasks of open jobs.
     pub(super) sibling_times: SiblingTimes,
+    /// Workers that get no new work because they are slow.
+    pub(super) slow_workers: SlowWorkers,
     /// Open jobs whose tasks may get second runs.
     pub(super) second_runs: SecondRuns,
     /// Hosts, as last listed.
@@ -183,6 +186,7 @@
             crash_rate: CrashRate::default(),
             durations: TaskDurations::default(),
             sibling_times: SiblingTimes::default(),
+            slow_workers: SlowWorkers::default(),
             second_runs: SecondRuns::default(),
             hosts: StableMap::default(),
             hosts_requested_at: Duration::ZERO,
--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -20,6 +20,9 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(100);
 /// A run whose worker does not answer is late after this multiple of its usual duration.
 const MUTE_FACTOR: f64 = 1.2;
+/// Shortest time after which it is late: starts wait for their record, and workers for the first
+/// poll of a new lease holder.
+const MIN_MUTE_TIME: Duration = Duration::from_millis(700);
 /// Most runs of one task at a time.
 const MAX_RUNS: usize = 2;
 
@@ -77,7 +80,7 @@
 
 /// Whether tasks of a step may have a second run.
 fn allows_second_runs(step: &StepSpec) -> bool {
-    step.speculative && !step.gang && !step.long_running
+    step.speculative && !step.gang && !step.long_running && !step.best_effort
 }
 
 /// Why a task gets a second run. The names of the variants are written to the log.
@@ -115,8 +118,12 @@
             self.collect_late_tasks(key, &mut added_cpu, &mut late);
         }
         late.sort_by_key(|t| Reverse(t.age.saturating_sub(t.usual)));
+        // All tasks of a step need the same resources: if one finds no worker, none does.
+        let mut unplaced = BTreeSet::new();
         for task in &late {
-            self.start_second_run(task, &mut added_cpu);
+            if !unplaced.contains(&task.id.step_id()) && !self.start_second_run(task, &mut added_cpu) {
+                unplaced.insert(task.id.step_id());
+            }
         }
     }
 
@@ -149,8 +156,9 @@
     /// The task as a late one; `None` if it is not late.
     fn late_task(&self, id: TaskId, task: &Task, step: &StepSpec, spec: &JobSpec) -> Option<LateTask> {
         let policy = &self.policy.second_runs;
-        // A suspected task would crash a second worker.
-        if task.done || task.given_up || task.suspicion.is_some() {
+        // A suspected task would crash a second worker, and a copy of one that fails by itself would
+        // use up its attempts.
+        if task.done || task.given_up || task.suspicion.is_some() || !task.failed_attempts.is_empty() {
             return None;
         }
         let [run] = task.runs.as_slice() else { return None };
@@ -164,7 +172,7 @@
             // A whole step may take longer than expected.
             Lateness::Slow if siblings.is_none() => return None,
             Lateness::Slow => usual.mul_f64(policy.late_factor),
-            Lateness::Mute => usual.mul_f64(MUTE_FACTOR),
+            Lateness::Mute => usual.mul_f64(MUTE_FACTOR).max(MIN_MUTE_TIME),
             Lateness::Stopping => Duration::ZERO,
         };
         (age > late_after).then_some(LateTask { id, why, age, usual })
@@ -181,9 +189,9 @@
     }
 
     /// Starts a second run of a task, if no other work waits for the room and second runs don't use
-    /// too much already.
-    fn start_second_run(&mut self, late: &LateTask, added_cpu: &mut BTreeMap<ServiceId, u64>) {
-        let Some(job) = self.jobs.get(&late.id.job) else { return };
+    /// too much already. Returns whether it did.
+    fn start_second_run(&mut self, late: &LateTask, added_cpu: &mut BTreeMap<ServiceId, u64>) -> bool {
+        let Some(job) = self.jobs.get(&late.id.job) else { return false };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(late.id.step)];
         let held = spec.reservation(step);
@@ -193,9 +201,9 @@
         let most = (in_use as f64 * self.policy.second_runs.max_share) as u64;
         let over = *added > 0 && *added + held.resources.cpu_millis > most;
         if waiting > 0 || over || !self.is_within_limit(held.owner, &held.charged) {
-            return;
+            return false;
         }
-        let Some(worker) = self.worker_for_second_run(&late.id, step, &spec.service) else { return };
+        let Some(worker) = self.worker_for_second_run(&late.id, step, &spec.service) else { return false };
         *added += held.resources.cpu_millis;
         self.counters.second_runs += 1;
         self.notes.push(format_args!(
@@ -206,13 +214,17 @@
             late.usual.as_millis()
         ));
         self.start_task(&late.id, &worker, None);
+        true
     }
 
     /// A worker that has room for the task and no run of it.
     fn worker_for_second_run(&self, id: &TaskId, step: &StepSpec, service: &str) -> Option<WorkerId> {
         let job = self.jobs.get(&id.job)?;
         let task = job.task(id)?;
-        self.choose_worker_except(job, step, id, service, &|w| task.runs.iter().any(|r| r.worker == *w))
+        let excluded = |w: &WorkerId| {
+            task.runs.iter().any(|r| r.worker == *w) || self.slow_workers.contains(w, self.now)
+        };
+        self.choose_worker_except(job, step, id, service, &excluded)
     }
 
     /// Counts a task that a second run has completed.
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -286,7 +286,7 @@
 
     /// Whether one more worker of the same service may be put into backoff without exceeding the
     /// allowed fraction.
-    pub(super) fn may_back_off(&self, id: &WorkerId) -> bool {
+    fn may_back_off(&self, id: &WorkerId) -> bool {
         let service = self.workers.get(id).and_then(|w| w.info.as_ref()).map(|i| &i.service);
         let same_service = |w: &&Worker| w.listed && w.info.as_ref().map(|i| &i.service) == service;
         let all = self.workers.values().filter(same_service).count();
--- a/crates/workswood-core/src/route/health.rs
+++ b/crates/workswood-core/src/route/health.rs
@@ -34,7 +34,7 @@
     /// It gets no requests before the given time, measured from the start of the process.
     Ejected(Duration),
     /// A probe request was sent, and no others are sent until a request has ended with success
-    /// or failure. If the probe ends without a result, the next request is the probe.
+    /// or failure. If the probe ends without a result, a later request is the probe.
     Probing,
 }
 
@@ -95,10 +95,10 @@
         is_probe
     }
 
-    /// Records that the probe ended without a result, so that the next request is the probe.
+    /// Records that the probe ended without a result, so that a later request is the probe.
     pub fn record_lost_probe(&mut self, now: Duration) {
         if self.state == HealthState::Probing {
-            self.state = HealthState::Ejected(now);
+            self.state = HealthState::Ejected(now + INITIAL_BACKOFF);
         }
     }
 
