--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -337,3 +337,16 @@
     let open = serde_json::to_string(&WorkerRecord { open: true, ..record.clone() }).expect("a record");
     assert!(serde_json::from_str::<WorkerRecord>(&open).expect("a record").open);
 }
+
+/// What was meant for the earlier life may run in the later one, which has the worker's name.
+#[test]
+fn restarted_worker_is_waited_for() {
+    let mut world = successor(true);
+    let (earlier, now) = (worker(1, 0).id, world.sched.now);
+    let later = WorkerId::new(earlier.name(), Some(5));
+    world.sched.handle(Event::WorkerRestarted(earlier, 5, now));
+    first_step_done(&mut world);
+    assert_eq!(starts(&store(&mut world).actions), []);
+    world.answers(&later, Listing { running: vec![listed(task(1, 0), 1)], ended: Vec::new() });
+    assert_eq!(starts(&store(&mut world).actions), [], "the run in the later life is adopted");
+}
