--- a/tests/testsuite/wave_handover.rs
+++ b/tests/testsuite/wave_handover.rs
@@ -50,7 +50,12 @@
 
 #[test]
 fn clock_set_back() {
-    assert_eq!(drained(&busy_world(10_000, requested_at(3_600_000))), 2, "as far as a new wave");
+    let mut world = busy_world(10_000, requested_at(3_600_000));
+    assert_eq!(drained(&world), 2, "as far as a new wave");
+    world.at(19_150);
+    world.tick();
+    let record = &world.sched.waves[&1].record;
+    assert_eq!(record.draining.len() + record.ordered.len(), 6, "the holder's own clock counts");
 }
 
 #[test]
