--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -71,11 +71,6 @@
 }
 
 impl OutagePolicy {
-    /// Whether nothing differs from the default, as in settings of versions without this policy.
-    pub(super) fn is_default(&self) -> bool {
-        *self == OutagePolicy::default()
-    }
-
     /// Checks the lower bounds of the times.
     pub(super) fn check(&self) -> Result<(), String> {
         let times = [
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -44,22 +44,31 @@
     /// The choice of relays.
     pub relays: RelayPolicy,
     /// Second runs of tasks whose steps allow copies.
+    #[serde(skip_serializing_if = "is_default")]
     pub second_runs: SecondRunPolicy,
     /// Workers that are slow.
+    #[serde(skip_serializing_if = "is_default")]
     pub slow_workers: SlowWorkerPolicy,
     /// What a lease holder does that the store refuses to serve, or that is told to stop.
+    #[serde(skip_serializing_if = "is_default")]
     pub handover: HandoverPolicy,
-    /// The use of entries that reach data centres which others can't. Written only where it differs
-    /// from the default, so that versions without it read what is written.
-    #[serde(skip_serializing_if = "BridgePolicy::is_default")]
+    /// The use of entries that reach data centres which others can't.
+    #[serde(skip_serializing_if = "is_default")]
     pub bridges: BridgePolicy,
     /// What goes on while the store is away.
-    #[serde(skip_serializing_if = "OutagePolicy::is_default")]
+    #[serde(skip_serializing_if = "is_default")]
     pub outage: OutagePolicy,
     /// The admission of jobs.
+    #[serde(skip_serializing_if = "is_default")]
     pub admission: AdmissionPolicy,
 }
 
+/// Whether parameters are the default ones. Those of newer mechanisms are then not written, so that
+/// earlier versions can read what is written.
+fn is_default<P: Default + PartialEq>(policy: &P) -> bool {
+    *policy == P::default()
+}
+
 /// Parameters of the order of waiting tasks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -75,6 +75,8 @@
 const ENTRY_SETTINGS: &str = include_str!("stored_formats/entry_settings.json");
 const JOB_SETTINGS: &str = include_str!("stored_formats/job_settings.json");
 const FLEET_FILE: &str = include_str!("stored_formats/fleet_file.json");
+const EARLIER_JOB_SETTINGS: &str = include_str!("stored_formats/earlier_job_settings.json");
+const EARLIER_MODEL_FILE: &str = include_str!("stored_formats/earlier_model_file.json");
 const MODEL_FILE: &str = include_str!("stored_formats/model_file.json");
 const MODEL_COMPARISON: &str = include_str!("stored_formats/model_comparison.json");
 const OPERATORS: &str = include_str!("stored_formats/operators.txt");
@@ -652,6 +654,16 @@
 }
 
 /// Likewise of a process that runs jobs; every value of the policy differs from its default.
+/// Settings and models of versions before seeds and newer policies are read, and what uses neither is
+/// written so that these versions can read it.
+#[test]
+fn earlier_settings() {
+    let settings: JobSettings = from_json(whole(EARLIER_JOB_SETTINGS));
+    assert_eq!(to_json(&settings), whole(EARLIER_JOB_SETTINGS));
+    let spec: model::ModelSpec = from_json(whole(EARLIER_MODEL_FILE));
+    assert_eq!(to_json(&spec), whole(EARLIER_MODEL_FILE));
+}
+
 #[test]
 fn job_settings() {
     let s =
