--- a/src/workswood/ops/jobs/bridges.rs
+++ b/src/workswood/ops/jobs/bridges.rs
@@ -95,7 +95,8 @@
     Ok(reply)
 }
 
-/// Opens a session with the relay of an entry, within a timeout. Returns the way of the session.
+/// Opens a session with the relay of an entry; returns the way of the session. A connection is made
+/// within a timeout; the caller limits how long the relay may take to answer.
 pub async fn open_session(
     node: &Arc<Node>,
     entry: &str,
