--- a/tests/testsuite/job_admission.rs
+++ b/tests/testsuite/job_admission.rs
@@ -122,7 +122,7 @@
     let mut admission = told(Duration::from_millis(1));
     (0..100).for_each(|key| _ = decide(&mut admission, &candidate(key), NOW));
     let later = NOW + Duration::from_secs(2);
-    admission.update(loads(vec![waiting(1)]), |_| false, later);
+    admission.update(loads(vec![waiting(1_000)]), |_| false, later);
     assert!(admits(decide(&mut admission, &candidate(200), later)));
 }
 
