A process claims the lease only after it has read the operators' records itself

What peers tell lacks the waves; it still unlocks answers to callers. The two test set-ups that follow the lease now say that the records were read.

A stopping holder's renewals end with the first that is answered after the stop was asked for, and the release is the next numbered append of the term. Before, a permit that was left over had one more renewal sent, which could be read after the release. The time kept for the release is 0.6 s, since the scheduler may take 0.2 s of it, and a release that was read is not repeated.

--- a/crates/workswood-core/src/jobs/lease_handover.rs
+++ b/crates/workswood-core/src/jobs/lease_handover.rs
@@ -10,8 +10,9 @@
 
 use super::lease_claim::PeerEntry;
 
-/// Time at the end of a stop in which the lease is released even if the store does not answer.
-const RELEASE_RESERVE: Duration = Duration::from_millis(200);
+/// Time at the end of a stop in which the scheduler ends and the lease is released even if the store does not
+/// answer.
+const RELEASE_RESERVE: Duration = Duration::from_millis(600);
 
 /// Parameters of a holder that the store refuses to serve, or that is told to stop.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -43,6 +43,8 @@
     turns: Mutex<HashMap<Topic, std::sync::Arc<tokio::sync::Mutex<()>>>>,
     /// Fates of the next appends; afterwards all are done.
     fates: Mutex<VecDeque<Fate>>,
+    /// Guard of each append that was begun.
+    begun: Mutex<Vec<Guard>>,
     /// Keys of each append that was done.
     done: Mutex<Vec<Vec<String>>>,
     /// Looks so far.
@@ -79,6 +81,7 @@
             each: Mutex::new(each),
             turns: Mutex::default(),
             fates: Mutex::new(fates.iter().copied().collect()),
+            begun: Mutex::default(),
             done: Mutex::default(),
             looks: Mutex::default(),
             leases: Mutex::default(),
@@ -170,6 +173,11 @@
         *self.orders.lock()
     }
 
+    /// Guard of each append that was begun, also of those that were not done.
+    pub fn begun(&self) -> Vec<Guard> {
+        self.begun.lock().clone()
+    }
+
     /// Keys of each append that was done.
     pub fn done(&self) -> Vec<Vec<String>> {
         self.done.lock().clone()
@@ -225,6 +233,7 @@
             lease.extend(records);
             return async move { Ok(end) }.boxed();
         }
+        self.begun.lock().push(guard);
         self.take(topic, records).boxed()
     }
 
--- a/src/workswood/ops/jobs/handover.rs
+++ b/src/workswood/ops/jobs/handover.rs
@@ -8,7 +8,7 @@
 
 use workswood_core::jobs::lease_handover::{StopStep, StoppingHolder};
 
-use super::node::{Node, SchedulerHandle};
+use super::node::{LastRenewal, Node, SchedulerHandle};
 use super::{lease_renewal, peer_requests};
 
 /// Longest time between two steps.
@@ -26,15 +26,15 @@
         }
     } else {
         let _ = handle.stop.send(true);
-        lease_renewal::release(node, handle.term).await;
+        lease_renewal::release(node, &handle).await;
     }
 }
 
 /// Decides until the store answers, and then releases the lease.
 async fn hand_over(node: &Arc<Node>, handle: &SchedulerHandle, deadline: Duration) {
     let asked_at = node.now();
-    let mut renewals = handle.renewals.subscribe();
-    renewals.mark_unchanged();
+    handle.last_renewal.send_replace(LastRenewal::Asked);
+    let mut last_renewal = handle.last_renewal.subscribe();
     let mut state = StoppingHolder {
         decides: true,
         succeeded: false,
@@ -47,11 +47,11 @@
         // Only a later term stops the scheduler meanwhile, or it has ended by itself.
         state.succeeded |= state.decides && *handle.stop.borrow();
         state.decides &= !handle.stop.is_closed();
+        state.released |= !state.decides && is_given_up(node, handle.term);
         match state.next_step() {
             StopStep::Decide => {
-                handle.renewal_requested.notify_one();
-                let renewed = tokio::time::timeout(STEP_INTERVAL, renewals.changed()).await;
-                state.renewed = matches!(renewed, Ok(Ok(())));
+                let written = last_renewal.wait_for(|r| matches!(r, LastRenewal::Written { .. }));
+                state.renewed = tokio::time::timeout(STEP_INTERVAL, written).await.is_ok();
             }
             StopStep::StopDeciding => {
                 let _ = handle.stop.send(true);
@@ -59,7 +59,7 @@
                 state.decides = false;
             }
             StopStep::Release => {
-                state.released = release(node, handle.term).await;
+                state.released = release(node, handle).await;
                 if !state.released {
                     tokio::time::sleep(STEP_INTERVAL).await;
                 }
@@ -77,6 +77,13 @@
 }
 
 /// Writes the release, from here or through a peer; returns whether it is written.
-async fn release(node: &Node, term: u64) -> bool {
-    lease_renewal::release(node, term).await || peer_requests::release_lease_through_peer(node, term).await
+async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
+    lease_renewal::release(node, handle).await
+        || peer_requests::release_lease_through_peer(node, handle.term).await
+}
+
+/// Whether the lease was read as released in a term, or as held in a later one.
+fn is_given_up(node: &Node, term: u64) -> bool {
+    let holder = node.holder.load();
+    holder.as_ref().is_some_and(|h| h.term > term || (h.term == term && h.released))
 }
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -153,12 +153,12 @@
 
 /// Watches the lease and claims it when it is free.
 ///
-/// A process without a configuration may not claim. It starts to read the lease only once it has
-/// one: if a read before that found the lease free, the claim would have to wait for the next read.
+/// A process may not claim before it has read the operators' records from the store. It starts to read
+/// the lease only then: if a read before that found the lease free, the claim would have to wait for the next read.
 pub async fn run(node: Arc<Node>) {
     node.wait_until_configured().await;
-    // Evacuations must be known before the scheduler starts tasks.
-    node.operator_state.wait_until_known().await;
+    // Waves and evacuations must be known before the scheduler starts.
+    node.operator_state.wait_until_read_here().await;
     let mut view: Option<LeaseView> = None;
     let mut failures = 0;
     loop {
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -6,7 +6,7 @@
 use workswood_platform::jobs::{Guard, StoreError, Topic};
 
 use super::lease::LeaseRecord;
-use super::node::{Node, SchedulerHandle};
+use super::node::{LastRenewal, Node, SchedulerHandle};
 use super::peer_requests;
 
 /// Interval between renewals.
@@ -21,10 +21,12 @@
 /// one can write to the store. A successor can then claim it before it expires.
 const RELEASE_AFTER: Duration = Duration::from_millis(900);
 
-/// Renews the lease until another process holds it or it is released.
+/// Renews the lease until another process holds it, it is released, or the last renewal that was asked for is
+/// answered.
 pub async fn run(node: Arc<Node>, handle: Arc<SchedulerHandle>) {
     let mut next_append = 1;
     let mut renewed_at = node.now();
+    let mut last_renewal = handle.last_renewal.subscribe();
     loop {
         let sent = node.now();
         let rec = LeaseRecord::of(&node, handle.term, false).keyed();
@@ -35,7 +37,12 @@
                 renewed_at = sent;
                 handle.grant.extend(sent + EXTENSION_GRACE);
                 handle.renewals.send_modify(|n| *n += 1);
-                let _ = tokio::time::timeout(RENEWAL_INTERVAL, handle.renewal_requested.notified()).await;
+                if *last_renewal.borrow_and_update() == LastRenewal::Asked {
+                    handle.last_renewal.send_replace(LastRenewal::Written { next_append });
+                    return;
+                }
+                // Elapsed, or the last renewal is asked for.
+                let _ = tokio::time::timeout(RENEWAL_INTERVAL, last_renewal.changed()).await;
             }
             Err(StoreError::GuardFailed) => {
                 log::warn!("event=lease_overtaken term={}", handle.term);
@@ -65,11 +72,16 @@
 }
 
 /// Releases the lease, so that another process can claim it at once. Returns whether that is written.
-pub async fn release(node: &Node, term: u64) -> bool {
+pub async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
+    let term = handle.term;
     let rec = LeaseRecord::of(node, term, true).keyed();
-    // The store refuses a gap in the numbers of a term, and it is not known here which renewals
-    // it has received. So this append has no number.
-    let res = node.platform.append(Topic::Lease, vec![rec], Guard::None).await;
+    let guard = match *handle.last_renewal.borrow() {
+        LastRenewal::Written { next_append } => Guard::Term(term, next_append),
+        // The store refuses a gap in the numbers of a term, and it is not known here which renewals
+        // it has received.
+        LastRenewal::NotAsked | LastRenewal::Asked => Guard::None,
+    };
+    let res = node.platform.append(Topic::Lease, vec![rec], guard).await;
     match res {
         Ok(_) => log::info!("event=lease_released term={term}"),
         Err(ref e) => log::warn!("event=lease_not_released term={term} error=\"{e}\""),
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -43,6 +43,20 @@
     pub released: bool,
 }
 
+/// Whether the lease is renewed once more and then no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastRenewal {
+    /// It is renewed until the scheduler ends.
+    NotAsked,
+    /// It is to be renewed at once, and then no longer.
+    Asked,
+    /// The store has answered the last renewal, so none is under way.
+    Written {
+        /// Number of the term's next append to the lease.
+        next_append: u64,
+    },
+}
+
 /// What other tasks use of the scheduler while this process runs it.
 pub struct SchedulerHandle {
     /// Term of the lease.
@@ -66,8 +80,8 @@
     pub stop: watch::Sender<bool>,
     /// Number of times that the lease was renewed.
     pub renewals: watch::Sender<u64>,
-    /// Requests a renewal at once.
-    pub renewal_requested: Notify,
+    /// Asks for the last renewal, and tells when it is written.
+    pub last_renewal: watch::Sender<LastRenewal>,
 }
 
 impl SchedulerHandle {
@@ -91,7 +105,7 @@
             admission: Mutex::default(),
             stop,
             renewals: watch::Sender::new(0),
-            renewal_requested: Notify::new(),
+            last_renewal: watch::Sender::new(LastRenewal::NotAsked),
         }
     }
 }
--- a/src/workswood/ops/jobs/operator_state.rs
+++ b/src/workswood/ops/jobs/operator_state.rs
@@ -30,6 +30,8 @@
     /// Set to true once all of the operators' records were read, here or by a peer that passed
     /// them on.
     known: watch::Sender<bool>,
+    /// Set to true once this process has read them from the store.
+    read_here: watch::Sender<bool>,
     /// Whether the last read failed.
     read_failed: AtomicBool,
     /// How long a read waits for new records.
@@ -40,10 +42,10 @@
     /// Returns a state that knows nothing yet. Reads of the operators' records wait for new ones
     /// for `read_wait`.
     pub fn new(read_wait: Duration) -> OperatorState {
-        let known = watch::Sender::new(false);
         OperatorState {
             evacuations: ArcSwap::default(),
-            known,
+            known: watch::Sender::new(false),
+            read_here: watch::Sender::new(false),
             read_failed: AtomicBool::new(false),
             read_wait,
         }
@@ -54,9 +56,10 @@
         self.read_failed.store(true, Ordering::Relaxed);
     }
 
-    /// Notes that a read has succeeded.
+    /// Notes that a read has succeeded and that what it returned is in force.
     pub fn note_read_success(&self) {
         self.read_failed.store(false, Ordering::Relaxed);
+        self.read_here.send_replace(true);
     }
 
     /// Whether the last read failed.
@@ -94,6 +97,14 @@
         let _ = known.wait_for(|k| *k).await;
     }
 
+    /// Waits until this process has read the operators' records from the store. What peers pass on is not
+    /// enough for a scheduler, since it lacks the waves.
+    pub async fn wait_until_read_here(&self) {
+        let mut read_here = self.read_here.subscribe();
+        // The sender lives as long as the process.
+        let _ = read_here.wait_for(|r| *r).await;
+    }
+
     /// Time since the operators' records were last read.
     pub fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.evacuations.load().read_at)
--- a/src/workswood/ops/jobs/topic_reader.rs
+++ b/src/workswood/ops/jobs/topic_reader.rs
@@ -116,8 +116,8 @@
             TopicUpdate::Changes(records) => records,
         };
         records.iter().for_each(|r| apply_record(&cx, r, &mut evacuated));
-        cx.operator_state.note_read_success();
         apply_evacuations(&cx, Evacuations { data_centres: evacuated.clone(), read_at: cx.now() });
+        cx.operator_state.note_read_success();
     })
     .await;
 }
--- a/tests/testsuite/lease_looks.rs
+++ b/tests/testsuite/lease_looks.rs
@@ -27,6 +27,7 @@
     node.peers.add_peer("entry-40", "127.0.0.1:9", 100);
     node.configure(Arc::new(SchedConfig { version: 1, ..SchedConfig::default() }), "config".into());
     node.operator_state.set_evacuations(Evacuations::default());
+    node.operator_state.note_read_success();
     tokio::spawn(lease::run(node.clone()));
     node
 }
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -7,7 +7,7 @@
 use workswood::ops::jobs::inbox::{self, Stored};
 use workswood::ops::jobs::node::Holder;
 use workswood::ops::jobs::operator_state::Evacuations;
-use workswood::ops::jobs::{Node, peer_requests, peers, topic_reader};
+use workswood::ops::jobs::{Node, lease, peer_requests, peers, topic_reader};
 use workswood_core::jobs::SchedConfig;
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::job_node::settings;
@@ -221,3 +221,19 @@
     assert!(a.operator_state.is_evacuated("north", a.now()));
     assert_eq!(a.holder.load().as_ref().map(|h| h.id.clone()), Some(b.id.clone()));
 }
+
+/// A process that knows the operators' records from peers only lacks the waves: it does not claim the lease.
+#[tokio::test(start_paused = true)]
+async fn told_process_does_not_claim() {
+    let store = store(&[]);
+    store.keep_lease(KeyedRecord { key: "none".to_string(), value: Some("{}".into()) });
+    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
+    node.configure(declared(7), "version seven".into());
+    node.operator_state.set_evacuations(evacuated(&[], node.now()));
+    tokio::spawn(lease::run(node.clone()));
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert_eq!(store.lease().len(), 1, "it has not read the operators' records");
+    node.operator_state.note_read_success();
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    assert!(store.lease().len() > 1, "it claims the lease");
+}
--- a/tests/testsuite/stopping_holder.rs
+++ b/tests/testsuite/stopping_holder.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, watch};
-use workswood::ops::jobs::node::SchedulerHandle;
+use workswood::ops::jobs::node::{Holder, SchedulerHandle};
 use workswood::ops::jobs::{Node, handover, lease_renewal};
 use workswood_core::jobs::lease_handover::{HandoverPolicy, StopStep, StoppingHolder};
+use workswood_platform::jobs::Guard;
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
 
@@ -19,7 +20,15 @@
     refused: usize,
     decides_until_answered: bool,
 ) -> (Arc<Node>, Arc<TurnStore>, watch::Receiver<bool>) {
-    let store = Arc::new(TurnStore::new(Duration::from_millis(2), &vec![Fate::Refused; refused]));
+    holder_in(&vec![Fate::Refused; refused], decides_until_answered)
+}
+
+/// The same with a store that treats the first appends so.
+fn holder_in(
+    fates: &[Fate],
+    decides_until_answered: bool,
+) -> (Arc<Node>, Arc<TurnStore>, watch::Receiver<bool>) {
+    let store = Arc::new(TurnStore::new(Duration::from_millis(2), fates));
     let mut settings = settings("entry-1");
     settings.policy.handover = HandoverPolicy { decides_until_answered, ..HandoverPolicy::default() };
     settings.policy.calls.write_for_others = false;
@@ -87,6 +96,44 @@
     assert!(store.done().is_empty(), "the release was refused");
 }
 
+/// A renewal that is begun after the last one may be written after the release, and the lease then seems held.
+#[tokio::test(start_paused = true)]
+async fn no_renewal_is_under_way_at_release() {
+    let (node, store, stopped) = holder(8, true);
+    stop(&node, stopped).await;
+    let first = vec![Guard::Term(7, 1); 9];
+    assert_eq!(store.begun(), [first, vec![Guard::Term(7, 2)]].concat(), "renewals, and the release");
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_renewal_follows_slow_answer() {
+    let (node, store, stopped) = holder(0, true);
+    store.takes(Duration::from_millis(250));
+    stop(&node, stopped).await;
+    assert_eq!(store.begun(), [Guard::Term(7, 1), Guard::Term(7, 2)], "a renewal, and the release");
+}
+
+/// A scheduler that does not end in time leaves time for the release.
+#[tokio::test(start_paused = true)]
+async fn slow_end_leaves_time_for_release() {
+    let (node, store, stopped) = holder_in(&[Fate::Silent], true);
+    let _ends_late = stopped.clone();
+    stop(&node, stopped).await;
+    assert_eq!(store.done().len(), 1, "the release");
+}
+
+/// What was read as released is not released again, even if no call told so.
+#[tokio::test(start_paused = true)]
+async fn released_lease_is_left() {
+    let (node, store, stopped) = holder_in(&[&[Fate::Done][..], &[Fate::Refused; 1000]].concat(), true);
+    let id = node.id.clone();
+    node.set_holder(Holder { id, peer_address: "127.0.0.1:1".to_string(), term: 7, released: true });
+    let began = node.now();
+    stop(&node, stopped).await;
+    assert!(node.now() - began < Duration::from_millis(500), "{:?}", node.now() - began);
+    assert_eq!(store.done().len(), 1, "a renewal");
+}
+
 const HOLDER: StoppingHolder = StoppingHolder {
     decides: true,
     succeeded: false,
@@ -102,6 +149,8 @@
     assert_eq!(renewed.next_step(), StopStep::StopDeciding);
     let last = StoppingHolder { time_left: Duration::from_millis(100), ..HOLDER };
     assert_eq!(last.next_step(), StopStep::StopDeciding, "the release is tried at all costs");
+    let late = StoppingHolder { time_left: Duration::from_millis(600), ..HOLDER };
+    assert_eq!(late.next_step(), StopStep::StopDeciding, "the scheduler takes some of the time to end");
     let silent = StoppingHolder { decides: false, ..renewed };
     assert_eq!(silent.next_step(), StopStep::Release);
     assert_eq!(StoppingHolder { released: true, ..silent }.next_step(), StopStep::End);
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -1025,6 +1025,7 @@
     let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
     node.configure(Arc::new(SchedConfig { version: 1, ..SchedConfig::default() }), "config".into());
     node.operator_state.set_evacuations(Evacuations::default());
+    node.operator_state.note_read_success();
     tokio::spawn(lease::run(node.clone()));
     (store, node)
 }
