A way is lost only if no byte comes by it and it answers no ping; bridges of two data centres; late answers are learnt

Sessions with relays: received bytes are a sign of life, so that a long report on a slow link doesn't end its session; a direct way that answers a ping is not cut; a way that is lost again within 5 s counts as silence, with its backoff. Of the two bridges that are tried, the second stands in yet another data centre if there is one, and the excluded one is left out before the choice.

The latency of an append counts also when its answer comes late, so that a slow store's appends are not doubled for good.

--- a/crates/workswood-core/src/jobs/bridges.rs
+++ b/crates/workswood-core/src/jobs/bridges.rs
@@ -4,7 +4,7 @@
 //! those of the other data centre through a *bridge*, an entry of a third one. [`Routes`] remembers
 //! for each data centre which way worked last, and which entries failed as bridges recently.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -14,6 +14,9 @@
 use super::lease_claim::EntryCapacity;
 use crate::ids::{DataCentre, HostId};
 
+/// A relay whose way is lost again within this time is taken to be silent: a slow connection loses any way.
+const REPEATED_LOSS: Duration = Duration::from_secs(5);
+
 /// Settings for the use of bridges.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -116,6 +119,8 @@
     /// Entries that are not chosen as bridges before the given time: to an entry, or to any with
     /// `None`.
     backoff_until: BTreeMap<(HostId, Option<HostId>), Duration>,
+    /// When the way to a relay was last lost.
+    ways_lost: BTreeMap<HostId, Duration>,
 }
 
 impl Routes {
@@ -190,6 +195,12 @@
         self.bridged.retain(|data_centre, route| route.bridge != *bridge || !leads_there(data_centre));
     }
 
+    /// Notes that the way to a relay was lost. Returns whether that had happened shortly before.
+    pub fn way_lost(&mut self, relay: &HostId, now: Duration) -> bool {
+        self.ways_lost.retain(|_, lost| *lost + REPEATED_LOSS > now);
+        self.ways_lost.insert(relay.clone(), now).is_some()
+    }
+
     /// Whether a bridge to an entry failed recently.
     fn is_shunned(&self, bridge: &BridgeEntry, to: &BridgeEntry, now: Duration) -> bool {
         let keys = [(bridge.name.clone(), None), (bridge.name.clone(), Some(to.name.clone()))];
@@ -202,6 +213,17 @@
     }
 }
 
+/// At most `max` of the bridges, which are given best first: the best, then the best of each other data
+/// centre, then the rest. The one that `except` goes through is left out.
+pub fn spread_bridges(ranked: Vec<BridgeEntry>, except: Option<&Way>, max: usize) -> Vec<BridgeEntry> {
+    let usable = ranked.into_iter().filter(|e| except.is_none_or(|way| !way.is_through(&e.name)));
+    let mut seen = BTreeSet::new();
+    let (mut chosen, rest): (Vec<_>, Vec<_>) = usable.partition(|e| seen.insert(e.data_centre.clone()));
+    chosen.extend(rest);
+    chosen.truncate(max);
+    chosen
+}
+
 /// Rank for weighted rendezvous hashing; the lowest is the best. An entry comes first for a share of
 /// all pairs that is proportional to its capacity.
 fn weighted_rank(entry: &BridgeEntry, pair: &str) -> f64 {
--- a/crates/workswood-peers/src/lib.rs
+++ b/crates/workswood-peers/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod relay;
 mod server;
 
-pub use duplex::{Closed, DuplexRx, DuplexTx, connect_duplex};
+pub use duplex::{Closed, DuplexRx, DuplexTx, ReceivedBytes, connect_duplex};
 pub use link::{CallError, Link};
 pub use message::*;
 pub use server::{Handler, RelayHandler, serve, serve_with_relay};
--- a/src/workswood/ops/jobs/bridges.rs
+++ b/src/workswood/ops/jobs/bridges.rs
@@ -12,10 +12,10 @@
 use futures::FutureExt;
 use futures::future::{Either, select, select_ok};
 use tokio::sync::Notify;
-use workswood_core::jobs::bridges::{BridgeEntry, BridgePolicy, Way};
+use workswood_core::jobs::bridges::{BridgeEntry, BridgePolicy, Way, spread_bridges};
 use workswood_peers::bridge::{BridgedCall, BridgedReply, connect_through};
 use workswood_peers::relay::RelayOpen;
-use workswood_peers::{CallError, Closed, DuplexRx, DuplexTx, Msg, Ping, connect_duplex};
+use workswood_peers::{CallError, Closed, DuplexRx, DuplexTx, Msg, Ping, ReceivedBytes, connect_duplex};
 
 use super::node::Node;
 use super::peers::TOKEN;
@@ -68,8 +68,8 @@
     Some(Ways { to, first: first.way, entries })
 }
 
-/// The bridges to try, best first.
-fn bridges(node: &Node, ways: &Ways) -> Vec<BridgeEntry> {
+/// The bridges to try, best first, without that of the way `except`.
+fn bridges(node: &Node, ways: &Ways, except: Option<&Way>) -> Vec<BridgeEntry> {
     let s = &node.settings;
     let from = BridgeEntry {
         name: s.name.clone(),
@@ -77,9 +77,8 @@
         data_centre: s.data_centre.clone(),
         capacity: s.strength(),
     };
-    let mut bridges = node.routes.lock().bridges(&from, &ways.to, &ways.entries, node.now());
-    bridges.truncate(MAX_BRIDGES);
-    bridges
+    let ranked = node.routes.lock().bridges(&from, &ways.to, &ways.entries, node.now());
+    spread_bridges(ranked, except, MAX_BRIDGES)
 }
 
 /// Calls the entry at an address with a message that may be sent twice, within a timeout.
@@ -117,15 +116,17 @@
     Ok((way, connection))
 }
 
-/// Waits until a relay whose session is silent has answered by another way than that of the session.
-/// Never returns if it does not, or if only the direct way is to be used.
-pub async fn until_other_way(node: &Arc<Node>, entry: &str, silent: &Way) {
-    if policy(node).enabled {
-        node.timer_lag.timeout(policy(node).suspect_after, pending::<()>()).await;
-        if let Some(ways) = ways_to(node, |e| e.name == entry)
-            && let Some(found) = find_other_way(node, &ways, silent).await
-        {
-            tokio::time::sleep(GRACE).await;
+/// Waits until a relay whose session is silent has answered by another way than that of the session, and not
+/// by its own. Never returns if it does not, or if only the direct way is to be used.
+pub async fn until_other_way(node: &Arc<Node>, entry: &str, silent: &Way, received: &ReceivedBytes) {
+    while policy(node).enabled {
+        let bytes = until_suspect(node, received).await;
+        let Some(ways) = ways_to(node, |e| e.name == entry) else { break };
+        let (found, answers) =
+            tokio::join!(find_other_way(node, &ways, silent), answers_directly(node, &ways.to, silent));
+        let Some(found) = found.filter(|_| !answers) else { break };
+        tokio::time::sleep(GRACE).await;
+        if received.count() == bytes {
             log::info!("event=relay_way_lost relay={entry} silent={silent} answered={found}");
             session_lost(node, entry, silent);
             note_answer(node, &ways.to, &found);
@@ -135,6 +136,25 @@
     pending().await
 }
 
+/// Waits until no byte was received for `suspect_after`, so that a long message is no silence. Returns the
+/// number of bytes received.
+async fn until_suspect(node: &Node, received: &ReceivedBytes) -> u64 {
+    loop {
+        let bytes = received.count();
+        node.timer_lag.timeout(policy(node).suspect_after, pending::<()>()).await;
+        if received.count() == bytes {
+            return bytes;
+        }
+    }
+}
+
+/// Whether the way of a silent session is the direct one and the relay answers by it: that way is slow,
+/// and not cut.
+async fn answers_directly(node: &Node, to: &BridgeEntry, silent: &Way) -> bool {
+    let ping = tokio::time::timeout(policy(node).hedge_after, ping_directly(node, &to.address));
+    *silent == Way::Direct && matches!(ping.await, Ok(Ok(_)))
+}
+
 /// Waits until a relay whose session goes through a bridge has answered directly several times in a
 /// row. Never returns for a session that is direct.
 pub async fn until_direct_again(node: &Arc<Node>, entry: &str, way: &Way) {
@@ -162,8 +182,8 @@
         let way = Way::Bridge(bridge.name.clone());
         call_through(node, bridge, &ways.to, Msg::Ping(Ping {})).map(|reply| reply.map(|_| way)).boxed()
     };
-    let others = bridges(node, ways).into_iter().filter(|b| !except.is_through(&b.name));
-    let mut pings: Vec<_> = others.map(through).collect();
+    let others = bridges(node, ways, Some(except));
+    let mut pings: Vec<_> = others.into_iter().map(through).collect();
     if *except != Way::Direct {
         pings.push(direct.boxed());
     }
@@ -287,7 +307,7 @@
     attempt: impl Fn(BridgeEntry) -> F,
 ) -> Result<(Way, T), E> {
     let mut last = none;
-    for bridge in bridges(node, ways) {
+    for bridge in bridges(node, ways, None) {
         let way = Way::Bridge(bridge.name.clone());
         match attempt(bridge).await {
             Ok(x) => return Ok((way, x)),
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -33,6 +33,8 @@
 
 /// An append is late after this multiple of the mean latency.
 const LATE_APPEND_MULTIPLE: f64 = 4.0;
+/// Longest latency of an append that counts in the mean, so that one outage does not make silence seem normal.
+const MAX_LEARNT_LATENCY: Duration = Duration::from_millis(500);
 /// Time within which a peer answers, in addition to the wait of a read.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of peers that are asked to make a call.
@@ -159,13 +161,18 @@
         direct: impl Future<Output = StoreAnswer>,
     ) -> StoreAnswer {
         let started = node.now();
+        // A late answer counts too: otherwise each append to a slow store would be late.
+        let direct = async {
+            let res = direct.await;
+            if is_settled(&res) {
+                self.append_latency.record((node.now() - started).min(MAX_LEARNT_LATENCY));
+            }
+            res
+        };
         let mut direct = pin!(direct);
         let in_time = tokio::time::timeout(self.append_latency.late_after(), &mut direct).await;
         match in_time {
-            Ok(res) if is_settled(&res) => {
-                self.append_latency.record(node.now() - started);
-                res
-            }
+            Ok(res) if is_settled(&res) => res,
             Ok(Err(e)) => {
                 self.note_refused(node, topic, &e.to_string());
                 worse(Err(e), self.call_through_peers(node, &request, PEER_TIMEOUT).await)
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -215,7 +215,7 @@
     NotOpened,
     /// Its connection broke.
     Broken,
-    /// No message came from the relay for too long.
+    /// No message came from the relay for too long, or the way to it was lost repeatedly.
     Silent,
     /// No message came from the relay, which answers by another way.
     WayLost,
@@ -259,11 +259,15 @@
     ) -> SessionEnd {
         let Some((way, (out, updates))) = self.connect().await else { return SessionEnd::NotOpened };
         self.notify(Event::RelayUp(self.entry.clone()));
-        let reason = tokio::select! {
+        let mut reason = tokio::select! {
             _ = send_orders(out, rx) => SessionEnd::Broken,
             reason = self.receive_updates(updates, tx, &way) => reason,
             () = bridges::until_direct_again(&self.node, &self.entry, &way) => SessionEnd::DirectAgain,
         };
+        // The same session by yet another way would be lost again, with a full report each time.
+        if reason == SessionEnd::WayLost && self.node.routes.lock().way_lost(&self.entry, self.node.now()) {
+            reason = SessionEnd::Silent;
+        }
         if matches!(reason, SessionEnd::Broken | SessionEnd::Silent) {
             bridges::session_lost(&self.node, &self.entry, &way);
         }
@@ -293,11 +297,12 @@
         way: &Way,
     ) -> SessionEnd {
         let mut leaving = false;
+        let received = updates.received();
         loop {
             let next = self.node.timer_lag.timeout(SILENCE_TIMEOUT, updates.next());
             let next = tokio::select! {
                 next = next => next,
-                () = bridges::until_other_way(&self.node, &self.entry, way) => return SessionEnd::WayLost,
+                () = bridges::until_other_way(&self.node, &self.entry, way, &received) => return SessionEnd::WayLost,
             };
             let frame = match next {
                 Some(Ok(Msg::RelayUpdate(frame))) => frame,
--- a/tests/testsuite/holder_help.rs
+++ b/tests/testsuite/holder_help.rs
@@ -263,6 +263,18 @@
     assert!(read_for >= wait, "{read_for:?}");
 }
 
+/// Appends to a store that has become slow are not late for good.
+#[tokio::test]
+async fn slowness_is_learnt() {
+    let (slow, down) = (Arc::new(TurnStore::new(Duration::from_millis(300), &[])), refusing());
+    let (holder, peers) = holder_with_peers(&slow, &[&down]).await;
+    for number in 1..=8 {
+        write(&holder, number).await.expect("it is written from here");
+    }
+    let late = peers[0].metrics.refused_store_calls.get();
+    assert!((1..=4).contains(&late), "{late} of 8 appends were late");
+}
+
 /// A peer writes only what a holder may write.
 #[tokio::test]
 async fn other_topics_are_not_written() {
