--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -37,6 +37,8 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
+//! * [`admission`] decides which submitted jobs are refused, from the loads that `admission_load`
+//!   computes.
 //! * [`lease_claim`] decides which process runs the scheduler.
 //! * [`maintenance_waves`] decides which host is maintained next, and [`maintenance_orders`] orders
 //!   it down.
