--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -45,6 +45,8 @@
 //! * [`lease_claim`] decides which process runs the scheduler; [`lease_handover`] how a holder that the store
 //!   refuses, or that is told to stop, keeps it running.
 //! * [`bridges`] decides through which entry those of a data centre that is cut off are reached.
+//! * [`admission`] decides which submitted jobs are refused, from the loads that `admission_load`
+//!   computes.
 //! * `evacuation` keeps work away from data centres that are being evacuated.
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
