Stored progress of a wave is kept until the wave is known

A successor that had not read the operators' topic yet dropped the stored records, and wrote empty ones once it read of the wave: hosts that were down no longer counted, and maintained ones were ordered again. Tests: wave_known_after_its_record; drain_on_record (the record is written when draining begins); clock_set_back lets 7 s pass, so that the holder's own clock shows.

--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -181,13 +181,22 @@
 }
 
 impl Scheduler {
-    /// Adds a wave that an operator requested.
+    /// Takes over the progress of a wave that a predecessor recorded. It is kept until the wave is
+    /// known, which may be later: the operators' topic may not have been read yet.
+    pub fn restore_wave_record(&mut self, number: u64, record: WaveRecord) {
+        if !self.waves.contains_key(&number) {
+            self.early_wave_records.insert(number, record);
+        }
+    }
+
+    /// Adds a wave that an operator requested. Without a record, the restored one counts.
     pub(super) fn wave_requested(&mut self, wave: Wave, rec: Option<WaveRecord>) {
         let number = wave.number;
         if self.waves.contains_key(&number) {
             return;
         }
-        let mut record = rec.unwrap_or_default();
+        let restored = self.early_wave_records.remove(&number);
+        let mut record = rec.or(restored).unwrap_or_default();
         let now = self.now;
         let recorded = *record.requested_at_ms.get_or_insert(self.wall);
         self.notes.push(format_args!(
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -14,7 +14,7 @@
 use super::job_table::{ArchivedJob, JobTable};
 use super::lease_claim::EntryCapacity;
 use super::log_lines::LogLines;
-use super::maintenance_waves::WaveState;
+use super::maintenance_waves::{WaveRecord, WaveState};
 use super::order_marks::OrderMarks;
 use super::outage::StoreAccess;
 use super::policy::Policy;
@@ -95,6 +95,8 @@
     pub(super) order_marks: OrderMarks,
     /// Waves by number.
     pub waves: BTreeMap<u64, WaveState>,
+    /// Stored progress of waves that are not known yet.
+    pub(super) early_wave_records: BTreeMap<u64, WaveRecord>,
     /// Moves of hosts between pools, and what pools need.
     pub(super) pools: PoolState,
     /// Calls to the adviser.
@@ -188,6 +190,7 @@
             hosts_requested_at: Duration::ZERO,
             order_marks: OrderMarks::default(),
             waves: BTreeMap::new(),
+            early_wave_records: BTreeMap::new(),
             pools: PoolState::default(),
             advice: AdviceState::default(),
             store_access: StoreAccess::default(),
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -66,8 +66,11 @@
     let records = inbox.into_iter().flat_map(|(_, latest)| latest.records).collect();
     restore_jobs(&mut sched, records, state.jobs);
     sched.restore_demand();
-    for (n, wave) in node.waves.lock().iter() {
-        sched.handle(Event::WaveRequested(wave.clone(), state.waves.get(n).cloned()));
+    for (n, rec) in state.waves {
+        sched.restore_wave_record(n, rec);
+    }
+    for wave in node.waves.lock().values() {
+        sched.handle(Event::WaveRequested(wave.clone(), None));
     }
     log::info!(
         "event=state_loaded term={term} jobs={} fence_ms={} read_ms={} restore_ms={}",
--- a/tests/testsuite/wave_handover.rs
+++ b/tests/testsuite/wave_handover.rs
@@ -11,6 +11,11 @@
 
 /// A holder whose hosts are all busy and whose wave is known since `now_ms`.
 fn busy_world(now_ms: u64, rec: Option<WaveRecord>) -> HostWorld {
+    busy_world_for(now_ms, 150, rec)
+}
+
+/// As [`busy_world`], `known_ms` after the holder learnt of the wave.
+fn busy_world_for(now_ms: u64, known_ms: u64, rec: Option<WaveRecord>) -> HostWorld {
     let mut world = HostWorld::new(HOSTS);
     (world.sched.policy.waves.planned_time_share, world.sched.policy.waves.planned_time_share_when_short) =
         (1.0, 1.0);
@@ -27,7 +32,7 @@
     }
     let hosts: Vec<usize> = (0..HOSTS).collect();
     world.sched.handle(Event::WaveRequested(wave(&hosts, HOSTS), rec));
-    world.at(now_ms + 150);
+    world.at(now_ms + known_ms);
     world.tick();
     world
 }
@@ -37,6 +42,14 @@
     world.sched.waves[&1].record.draining.len()
 }
 
+/// The record of the wave in a batch.
+fn wave_record(records: Vec<Record>) -> Option<WaveRecord> {
+    records.into_iter().find_map(|rec| match rec {
+        Record::Wave(1, progress) => Some(progress),
+        _ => None,
+    })
+}
+
 fn requested_at(ms: u64) -> Option<WaveRecord> {
     Some(WaveRecord { requested_at_ms: Some(ms), ..WaveRecord::default() })
 }
@@ -50,7 +63,10 @@
 
 #[test]
 fn clock_set_back() {
-    assert_eq!(drained(&busy_world(10_000, requested_at(3_600_000))), 2, "as far as a new wave");
+    let ahead = || requested_at(3_600_000);
+    assert_eq!(drained(&busy_world(10_000, ahead())), 2, "as far as a new wave");
+    // 7 s since this holder knows of it, and 4 s ahead: 11 s of 20 s.
+    assert_eq!(drained(&busy_world_for(10_000, 7_000, ahead())), 5, "the holder's own clock counts");
 }
 
 #[test]
@@ -59,21 +75,26 @@
     world.at(500);
     world.list(vec![host(0, SERVICE, Some(0))]);
     world.sched.handle(Event::WaveRequested(wave(&[0], 1), None));
-    let of_wave = |records: Vec<Record>| {
-        records.into_iter().find_map(|rec| match rec {
-            Record::Wave(1, progress) => Some(progress),
-            _ => None,
-        })
-    };
-    let stored = of_wave(world.sched.take_batch().records).expect("stored before anything is drained");
+    let stored = wave_record(world.sched.take_batch().records).expect("stored before anything is drained");
     assert_eq!(stored.requested_at_ms, Some(500));
     let mut next = HostWorld::new(1);
     next.at(2_000);
     next.sched.handle(Event::WaveRequested(wave(&[0], 1), Some(stored)));
-    let stored = of_wave(next.sched.take_batch().records).expect("a record");
+    let stored = wave_record(next.sched.take_batch().records).expect("a record");
     assert_eq!(stored.requested_at_ms, Some(500), "a third holder counts from the request, too");
 }
 
+#[test]
+fn drain_on_record() {
+    let mut world = busy_world(500, None);
+    // 1.2 s since the wave is known, and 4 s ahead: 5.2 s of 20 s.
+    world.at(1_700);
+    world.sched.handle(Event::Tick);
+    let stored = wave_record(world.sched.take_batch().records).expect("a record");
+    assert_eq!(stored.draining.len(), 3);
+    assert_eq!(stored.draining, world.sched.waves[&1].record.draining, "stored as soon as it is drained");
+}
+
 #[test]
 fn drained_host_gets_no_work_from_successor() {
     let mut world = busy_world(500, None);
@@ -99,6 +120,29 @@
     assert!(draining.iter().all(|host| ordered.contains(host)), "{draining:?}: {ordered:?}");
 }
 
+#[test]
+fn wave_known_after_its_record() {
+    let mut next = HostWorld::new(3);
+    let down = "m-0".to_string();
+    let record = WaveRecord {
+        ordered: [(down.clone(), Some(worker(0, 0).id.to_string()))].into(),
+        settled: [down].into(),
+        finished: ["m-1".to_string()].into(),
+        ..WaveRecord::default()
+    };
+    next.sched.restore_wave_record(1, record.clone());
+    assert!(wave_record(next.sched.take_batch().records).is_none(), "nothing is known of the wave");
+    next.sched.handle(Event::WaveRequested(wave(&[0, 1, 2], 1), None));
+    let stored = wave_record(next.sched.take_batch().records).expect("a record");
+    assert_eq!((stored.ordered, stored.finished), (record.ordered, record.finished));
+    for t in 1..10 {
+        next.at(t * 150);
+        next.list((0..3).map(|n| host(n, SERVICE, (n > 0).then_some(0))).collect());
+        next.tick();
+    }
+    assert_eq!(upkeeps(&next.actions), Vec::<String>::new(), "m-0 is down, m-1 was maintained");
+}
+
 #[test]
 fn down_host_missing_from_one_list() {
     let mut world = HostWorld::new(2);
