A host due for maintenance counts like one task of the same step

With a cost of 100 all tasks of a step gathered on the few hosts that a wave spares, where one crash takes many. Test: tasks_spread_over_hosts_of_the_wave.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -20,9 +20,12 @@
 
 /// Factor that makes interference outweigh all else in the cost of the tasks on a worker.
 const INTERFERENCE_WEIGHT: usize = 1000;
-/// Cost of a host that a wave will drain: more than that of the spread of a step's tasks, less than
-/// that of interference. A task placed there would have to be evicted again.
-const DUE_MAINTENANCE_COST: usize = 100;
+/// Cost of each task of the same step that a worker has already.
+const SAME_STEP_COST: usize = 2;
+/// Cost of a host that a wave will drain, from which a task would have to be evicted again. It counts
+/// as one task of the same step: with more, a wave over most hosts would gather a step's tasks on the
+/// few others, where one crash takes many of them.
+const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
@@ -314,7 +317,7 @@
         };
         // Keep tasks of the same step apart, but on hosts that have a long-running task already.
         let same_step = if step.best_effort { 0 } else { count_same_step(w, id) };
-        let spread = 2 * same_step + usize::from(w.long_running.is_empty());
+        let spread = SAME_STEP_COST * same_step + usize::from(w.long_running.is_empty());
         interfering * INTERFERENCE_WEIGHT + spread
     }
 
--- a/tests/testsuite/drain_order.rs
+++ b/tests/testsuite/drain_order.rs
@@ -76,6 +76,24 @@
     assert_eq!(on, [worker(2, 0).id]);
 }
 
+/// A wave over most hosts does not gather the tasks of a step on the few others.
+#[test]
+fn tasks_spread_over_hosts_of_the_wave() {
+    let mut world = HostWorld::new(4);
+    world.list((0..4).map(|n| host(n, SERVICE, Some(0))).collect());
+    world.sched.handle(Event::WaveRequested(wave(&[0, 1, 2], 1), None));
+    let mut lasting = step(4, vec![]);
+    (lasting.long_running, lasting.max_unavailable) = (true, 1);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let starts = world.sched.take_batch().actions;
+    let on: Vec<_> = starts.iter().filter_map(started_on).collect();
+    let tasks_on = |n: usize| on.iter().filter(|id| **id == worker(n, 0).id).count();
+    let tasks: Vec<usize> = (0..4).map(tasks_on).collect();
+    assert_eq!(tasks.iter().sum::<usize>(), 4);
+    assert!(tasks.iter().all(|n| *n <= 2), "one crash would take {tasks:?}");
+    assert_eq!(tasks[3], 2, "the host that the wave spares gets most: {tasks:?}");
+}
+
 fn started_on(action: &Action) -> Option<WorkerId> {
     match action {
         Action::Start { worker, .. } => Some(worker.clone()),
