--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -313,9 +313,13 @@
         self.pools.moves.keys().chain(waves).collect()
     }
 
-    /// Whether the maintenance of a host for some wave has not begun.
+    /// Whether the maintenance of a host for some wave has not begun. A host that was removed needs
+    /// none until a list shows it again; so no host of a complete wave is due.
     pub(super) fn is_due_for_maintenance(&self, host: &HostId) -> bool {
-        self.waves.values().any(|wave| wave.members.contains(host) && wave.is_pending(host))
+        let is_due = |wave: &WaveState| {
+            wave.members.contains(host) && wave.is_pending(host) && !wave.removed.contains(host)
+        };
+        self.waves.values().any(is_due)
     }
 
     /// Updates the cordons of workers after a change of the hosts to cordon.
--- a/tests/testsuite/drain_order.rs
+++ b/tests/testsuite/drain_order.rs
@@ -94,6 +94,25 @@
     assert_eq!(tasks[3], 2, "the host that the wave spares gets most: {tasks:?}");
 }
 
+/// The wave is complete without a host that was removed, and no more lists are needed for it.
+#[test]
+fn removed_host_is_not_due() {
+    let mut world = HostWorld::new(2);
+    world.sched.handle(Event::WaveRequested(wave(&[1], 1), None));
+    for t in 1..60 {
+        world.at(t * 100);
+        world.list(vec![host(0, SERVICE, Some(0))]);
+    }
+    assert!(world.sched.waves[&1].is_complete());
+    (0..2).for_each(|n| world.report(n, 0, &[]));
+    let mut lasting = step(2, vec![]);
+    (lasting.long_running, lasting.max_unavailable) = (true, 1);
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![lasting], 0))));
+    let mut on: Vec<_> = world.sched.take_batch().actions.iter().filter_map(started_on).collect();
+    on.sort();
+    assert_eq!(on, [worker(0, 0).id, worker(1, 0).id], "m-1 is back, and no wave will drain it");
+}
+
 fn started_on(action: &Action) -> Option<WorkerId> {
     match action {
         Action::Start { worker, .. } => Some(worker.clone()),
