--- a/crates/workswood-core/src/jobs/drain_order.rs
+++ b/crates/workswood-core/src/jobs/drain_order.rs
@@ -25,8 +25,6 @@
     used_cpu_millis: u64,
     /// The host.
     pub(super) host: HostId,
-    /// Long-running tasks that have to be evicted from it.
-    to_evict: Vec<TaskId>,
 }
 
 impl DrainCandidate {
@@ -44,8 +42,8 @@
 impl EvictionRoom {
     /// Takes the evictions that a host needs if at least one of them is allowed now; returns whether
     /// the host may be drained.
-    pub(super) fn take(&mut self, sched: &Scheduler, candidate: &DrainCandidate) -> bool {
-        let tasks = &candidate.to_evict;
+    pub(super) fn take(&mut self, sched: &Scheduler, host: &HostId) -> bool {
+        let tasks = sched.worker_of(host).map(|id| sched.tasks_to_evict(id)).unwrap_or_default();
         let mut is_allowed = |task: &TaskId| self.of_step(sched, task).is_none_or(|room| room > 0);
         if !tasks.is_empty() && !tasks.iter().any(&mut is_allowed) {
             return false;
@@ -98,7 +96,6 @@
             long_running,
             used_cpu_millis: used,
             host: host.clone(),
-            to_evict: worker.map(|id| self.tasks_to_evict(id)).unwrap_or_default(),
         }
     }
 
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -379,7 +379,7 @@
             }
             if (behind == 0 && !is_surplus)
                 || self.in_maintenance(&candidate.host)
-                || !room.take(self, &candidate)
+                || !room.take(self, &candidate.host)
             {
                 continue;
             }
