Hosts of a wave that are drained without progress are put back

A host whose task found no other place held its slot without a time limit; with max_down 1 nothing else was maintained. With max_down 1 the one slot stays open to both, since hosts with long-running tasks take the longest and a stalled one is put back.

--- a/crates/workswood-core/src/jobs/drain_order.rs
+++ b/crates/workswood-core/src/jobs/drain_order.rs
@@ -3,8 +3,11 @@
 //! Long-running tasks are moved off only within the budgets of their steps, so on a wave of hosts that
 //! run some, the budgets decide how long it takes. Hosts with long-running tasks therefore go first,
 //! and only as many at a time as the budgets allow to be evicted from now: the others keep working.
+//! While other hosts wait, one slot is kept for them. Hosts without progress are put back, see
+//! [`drain_stalls`](super::drain_stalls).
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use super::job::WorkerId;
 use super::maintenance_waves::WaveState;
@@ -15,6 +18,8 @@
 /// A host of a wave whose maintenance has not begun. Candidates are drained in their order.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct DrainCandidate {
+    /// When it was last put back since draining it made no progress; those hosts go last.
+    put_back_at: Option<Duration>,
     /// Whether it runs no long-running tasks.
     without_long_running: bool,
     /// Whether its pool is short of hosts.
@@ -28,6 +33,11 @@
 }
 
 impl DrainCandidate {
+    /// Whether it runs long-running tasks.
+    pub(super) fn has_long_running(&self) -> bool {
+        self.long_running > 0
+    }
+
     /// Whether nothing runs on it.
     pub(super) fn is_idle(&self) -> bool {
         self.long_running == 0 && self.used_cpu_millis == 0
@@ -77,20 +87,39 @@
 
     /// Hosts of a wave whose maintenance has not begun, in the order in which they are drained.
     pub(super) fn drain_candidates(&self, wave: &WaveState, short: &[ServiceId]) -> Vec<DrainCandidate> {
-        let can_drain =
-            |host: &&HostId| self.hosts.contains_key(*host) && !self.pools.moves.contains_key(*host);
-        let waiting = wave.request.hosts.iter().filter(|host| wave.is_pending(host)).filter(can_drain);
+        let waiting = self.drainable_hosts(wave);
         let mut waiting: Vec<DrainCandidate> =
-            waiting.map(|host| self.drain_candidate(host, short)).collect();
+            waiting.map(|host| self.drain_candidate(wave, host, short)).collect();
         waiting.sort();
         waiting
     }
 
-    fn drain_candidate(&self, host: &HostId, short: &[ServiceId]) -> DrainCandidate {
+    /// Hosts of a wave whose maintenance could begin.
+    pub(super) fn drainable_hosts<'a>(&'a self, wave: &'a WaveState) -> impl Iterator<Item = &'a HostId> {
+        let can_drain =
+            |host: &&HostId| self.hosts.contains_key(*host) && !self.pools.moves.contains_key(*host);
+        wave.request.hosts.iter().filter(|host| wave.is_pending(host)).filter(can_drain)
+    }
+
+    /// How many more hosts with long-running tasks a wave may drain. Since budgets may hold them up,
+    /// one slot is kept for hosts without such tasks while any of those waits. A single slot is theirs
+    /// as well: they take the longest, and one that stalls is put back.
+    pub(super) fn slots_for_long_running(&self, wave: &WaveState, waiting: &[DrainCandidate]) -> usize {
+        let max_down = wave.request.max_down.max(1);
+        let others_wait = waiting
+            .iter()
+            .any(|candidate| !candidate.has_long_running() && !self.in_maintenance(&candidate.host));
+        let slots = if others_wait { (max_down - 1).max(1) } else { max_down };
+        let taken = wave.record.draining.iter().filter(|host| self.long_running_on(host) > 0).count();
+        slots.saturating_sub(taken)
+    }
+
+    fn drain_candidate(&self, wave: &WaveState, host: &HostId, short: &[ServiceId]) -> DrainCandidate {
         let worker = self.worker_of(host);
         let long_running = self.long_running_on(host);
         let used = worker.and_then(|id| self.workers.get(id)).map_or(0, |w| w.used_resources.cpu_millis);
         DrainCandidate {
+            put_back_at: wave.drain_progress.put_back_at(host),
             without_long_running: long_running == 0,
             in_short_pool: self.hosts.get(host).is_some_and(|host| short.contains(&host.pool)),
             long_running,
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::drain_stalls::DrainProgress;
 use super::host::{Host, HostState};
 use super::job::WorkerId;
 use super::pool_count::is_up_or_moving;
@@ -71,6 +72,8 @@
     pub record: WaveRecord,
     /// Since when this scheduler has drained each host of `record.draining`.
     pub draining_since: BTreeMap<HostId, Duration>,
+    /// The progress of the hosts that are drained.
+    pub(super) drain_progress: DrainProgress,
     /// When each order was last sent.
     pub order_sent_at: BTreeMap<HostId, Duration>,
     /// When each order was confirmed, as far as this scheduler received the reply.
@@ -137,9 +140,8 @@
             self.absent_since.iter().filter(|(_, since)| **since + REMOVED_HOST_TIMEOUT <= requested_at);
         self.removed = removed.map(|(host, _)| host.clone()).collect();
         // A removed host takes no slot.
-        for host in &self.removed {
-            self.record.draining.remove(host);
-            self.draining_since.remove(host);
+        for host in self.removed.clone() {
+            self.end_draining(&host);
         }
         self.removed.len() != before
     }
@@ -150,10 +152,11 @@
         self.draining_since.insert(host, now);
     }
 
-    /// Ends the draining of a host, which is ordered down.
+    /// Ends the draining of a host.
     pub(super) fn end_draining(&mut self, host: &HostId) {
         self.record.draining.remove(host);
         self.draining_since.remove(host);
+        self.drain_progress.forget(host);
     }
 
     /// Whether the maintenance of a host has not begun.
@@ -216,6 +219,7 @@
             request: wave,
             record,
             draining_since,
+            drain_progress: DrainProgress::default(),
             order_sent_at: BTreeMap::new(),
             confirmed_at,
             unconfirmed,
@@ -351,6 +355,7 @@
             return;
         }
         self.resend_maintenance_orders(number);
+        self.put_back_stalled_hosts(number);
         self.start_draining(number);
         self.order_drained_hosts(number);
     }
@@ -372,17 +377,21 @@
             planned_hosts(hosts.len(), *time_allowed, elapsed, !short.is_empty(), &self.policy.waves);
         let mut behind = planned.saturating_sub(wave.record.finished.len() + begun);
         let mut room = self.eviction_room();
-        for candidate in self.drain_candidates(wave, &short) {
+        let candidates = self.drain_candidates(wave, &short);
+        let mut long_running_slots = self.slots_for_long_running(wave, &candidates);
+        for candidate in candidates {
             let is_surplus = candidate.is_idle() && self.can_spare(&count, &candidate.host);
             if slots == 0 {
                 break;
             }
             if (behind == 0 && !is_surplus)
+                || (candidate.has_long_running() && long_running_slots == 0)
                 || self.in_maintenance(&candidate.host)
                 || !room.take(self, &candidate.host)
             {
                 continue;
             }
+            long_running_slots = long_running_slots.saturating_sub(usize::from(candidate.has_long_running()));
             let host = candidate.host;
             slots -= 1;
             behind = behind.saturating_sub(1);
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -66,6 +66,7 @@
 pub mod crash_trials;
 pub mod demand_history;
 mod drain_order;
+mod drain_stalls;
 mod evacuation;
 pub mod eviction;
 pub mod fair_share;
