--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::drain_stalls::DrainProgress;
 use super::host::{Host, HostState};
 use super::job::WorkerId;
 use super::pool_count::is_up_or_moving;
@@ -71,6 +72,8 @@
     pub record: WaveRecord,
     /// Since when this scheduler has drained each host of `record.draining`.
     pub draining_since: BTreeMap<HostId, Duration>,
+    /// The progress of the hosts that are drained.
+    pub(super) drain_progress: DrainProgress,
     /// When each order was last sent.
     pub order_sent_at: BTreeMap<HostId, Duration>,
     /// When each order was confirmed, as far as this scheduler received the reply.
@@ -137,9 +140,8 @@
             self.absent_since.iter().filter(|(_, since)| **since + REMOVED_HOST_TIMEOUT <= requested_at);
         self.removed = removed.map(|(host, _)| host.clone()).collect();
         // A removed host takes no slot.
-        for host in &self.removed {
-            self.record.draining.remove(host);
-            self.draining_since.remove(host);
+        for host in self.removed.clone() {
+            self.end_draining(&host);
         }
         self.removed.len() != before
     }
@@ -150,10 +152,11 @@
         self.draining_since.insert(host, now);
     }
 
-    /// Ends the draining of a host, which is ordered down.
+    /// Ends the draining of a host.
     pub(super) fn end_draining(&mut self, host: &HostId) {
         self.record.draining.remove(host);
         self.draining_since.remove(host);
+        self.drain_progress.forget(host);
     }
 
     /// Whether the maintenance of a host has not begun.
@@ -181,13 +184,22 @@
 }
 
 impl Scheduler {
-    /// Adds a wave that an operator requested.
+    /// Takes over the progress of a wave that a predecessor recorded. It is kept until the wave is
+    /// known, which may be later: the operators' topic may not have been read yet.
+    pub fn restore_wave_record(&mut self, number: u64, record: WaveRecord) {
+        if !self.waves.contains_key(&number) {
+            self.early_wave_records.insert(number, record);
+        }
+    }
+
+    /// Adds a wave that an operator requested. Without a record, the restored one counts.
     pub(super) fn wave_requested(&mut self, wave: Wave, rec: Option<WaveRecord>) {
         let number = wave.number;
         if self.waves.contains_key(&number) {
             return;
         }
-        let mut record = rec.unwrap_or_default();
+        let restored = self.early_wave_records.remove(&number);
+        let mut record = rec.or(restored).unwrap_or_default();
         let now = self.now;
         let recorded = *record.requested_at_ms.get_or_insert(self.wall);
         self.notes.push(format_args!(
@@ -207,6 +219,7 @@
             request: wave,
             record,
             draining_since,
+            drain_progress: DrainProgress::default(),
             order_sent_at: BTreeMap::new(),
             confirmed_at,
             unconfirmed,
@@ -304,9 +317,13 @@
         self.pools.moves.keys().chain(waves).collect()
     }
 
-    /// Whether the maintenance of a host for some wave has not begun.
+    /// Whether the maintenance of a host for some wave has not begun. A host that was removed needs
+    /// none until a list shows it again; so no host of a complete wave is due.
     pub(super) fn is_due_for_maintenance(&self, host: &HostId) -> bool {
-        self.waves.values().any(|wave| wave.members.contains(host) && wave.is_pending(host))
+        let is_due = |wave: &WaveState| {
+            wave.members.contains(host) && wave.is_pending(host) && !wave.removed.contains(host)
+        };
+        self.waves.values().any(is_due)
     }
 
     /// Updates the cordons of workers after a change of the hosts to cordon.
@@ -338,6 +355,7 @@
             return;
         }
         self.resend_maintenance_orders(number);
+        self.put_back_stalled_hosts(number);
         self.start_draining(number);
         self.order_drained_hosts(number);
     }
@@ -359,17 +377,21 @@
             planned_hosts(hosts.len(), *time_allowed, elapsed, !short.is_empty(), &self.policy.waves);
         let mut behind = planned.saturating_sub(wave.record.finished.len() + begun);
         let mut room = self.eviction_room();
-        for candidate in self.drain_candidates(wave, &short) {
+        let candidates = self.drain_candidates(wave, &short);
+        let mut long_running_slots = self.slots_for_long_running(wave, &candidates);
+        for candidate in candidates {
             let is_surplus = candidate.is_idle() && self.can_spare(&count, &candidate.host);
             if slots == 0 {
                 break;
             }
             if (behind == 0 && !is_surplus)
+                || (candidate.has_long_running() && long_running_slots == 0)
                 || self.in_maintenance(&candidate.host)
-                || !room.take(self, &candidate)
+                || !room.take(self, &candidate.host)
             {
                 continue;
             }
+            long_running_slots = long_running_slots.saturating_sub(usize::from(candidate.has_long_running()));
             let host = candidate.host;
             slots -= 1;
             behind = behind.saturating_sub(1);
