--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -35,7 +35,9 @@
     /// The store counts as away when it has not acknowledged a write for this long.
     #[serde(with = "humantime_serde")]
     pub write_stall: Duration,
-    /// Whether callers are shown a job as completed before that is on record.
+    /// Whether callers are shown a job as completed before that is on record. A successor that can't
+    /// learn of the end any more, since its worker has restarted or can't be reached, starts the task
+    /// again after that.
     pub show_completed: bool,
     /// How long the store has to be away before that. Must be longer than a successor takes to
     /// replace a holder that the store turns away while it serves others.
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -114,6 +114,8 @@
     stored_workers: HashMap<WorkerId, WorkerRecord>,
     /// Tasks that some worker has run successfully.
     done: BTreeSet<TaskId>,
+    /// When each job was first shown as completed.
+    shown_completed: HashMap<JobKey, Duration>,
     /// Failed runs per task.
     failed_runs: HashMap<TaskId, u32>,
     term: Term,
@@ -244,10 +246,10 @@
         w
     }
 
-    /// Has holders start tasks before their record, and show completed jobs, while the store is away.
+    /// Has holders start tasks before their record while the store is away.
     #[must_use]
     pub fn with_unrecorded_starts(mut self) -> World {
-        self.outage = OutagePolicy { unrecorded_starts: true, show_completed: true, ..self.outage };
+        self.outage = OutagePolicy { unrecorded_starts: true, ..self.outage };
         self.take_over();
         self
     }
@@ -268,6 +270,7 @@
             stored_jobs: HashMap::new(),
             stored_workers: HashMap::new(),
             done: BTreeSet::new(),
+            shown_completed: HashMap::new(),
             failed_runs: HashMap::new(),
             term: 0,
             lives: 0,
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -14,6 +14,9 @@
 /// Percentage of runs of such jobs that fail.
 const FLAKY_FAILURE_PERCENT: u64 = 70;
 
+/// Longest time from the showing of a completed job to a start of one of its tasks that was sent before.
+const START_AFTER_SHOWING: Duration = Duration::from_secs(1);
+
 impl World {
     /// Removes a worker's ends up to a sequence number and records them as acknowledged.
     pub(super) fn record_acked_ends(&mut self, at: usize, forget: u64) {
@@ -56,6 +59,9 @@
                     if self.acked_done.contains(&task) {
                         violations.push("TWICE: started after its successful end was acknowledged");
                     }
+                    if self.shown_completed.get(&task.job).is_some_and(|at| *at + START_AFTER_SHOWING < now) {
+                        violations.push("TWICE: started after its job was shown as completed");
+                    }
                 }
                 let dependencies = step.depends_on.iter().flat_map(|s| {
                     let count = spec.steps[usize::from(*s)].count;
