--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -59,6 +59,8 @@
     /// Whether the next read of the lease from an offset finds that the records are gone, and the one of its
     /// newest record after that is refused.
     lease_forgotten: Mutex<bool>,
+    /// Whether reads of the newest record are never answered.
+    hanging: Mutex<bool>,
     /// Records of another topic, if the store keeps one.
     kept: Mutex<Option<(Topic, Vec<KeyedRecord>)>>,
 }
@@ -87,6 +89,7 @@
             lease: Mutex::default(),
             lease_reads: Mutex::default(),
             lease_forgotten: Mutex::default(),
+            hanging: Mutex::default(),
             kept: Mutex::default(),
         }
     }
@@ -96,6 +99,11 @@
         *self.lease.lock() = Some(vec![rec]);
     }
 
+    /// From now on reads of the newest record are never answered.
+    pub fn hang_on_reads(&self) {
+        *self.hanging.lock() = true;
+    }
+
     /// From now on the store has these records of a topic.
     pub fn keep(&self, topic: Topic, records: Vec<KeyedRecord>) {
         *self.kept.lock() = Some((topic, records));
@@ -229,6 +237,9 @@
     }
 
     fn latest(&self, topic: Topic) -> BoxFuture<'_, Result<LatestRecords, StoreError>> {
+        if *self.hanging.lock() {
+            return std::future::pending().boxed();
+        }
         let lease = self.lease.lock().clone().filter(|_| topic == Topic::Lease);
         let Some(records) = lease else { return away() };
         *self.lease_reads.lock() += 1;
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -108,7 +108,7 @@
         self.transition(Self::SENT, Self::QUEUED);
     }
 
-    /// Marks the record as queued again, since peers have refused it.
+    /// Marks the record as queued again, since all peers that it was sent to have refused it.
     fn mark_refused_by_peers(&self) {
         self.transition(Self::SENT_TO_PEER, Self::QUEUED);
     }
@@ -473,7 +473,11 @@
     let mut outcomes = peer_requests::store_through_peers(node, &records).await.into_iter();
     let by_peers: Vec<Option<Stored>> =
         sent.into_iter().map(|sent| if sent { outcomes.next() } else { None }).collect();
-    let refused = batch.iter().zip(&by_peers).filter(|(_, by_peer)| **by_peer == Some(Stored::No));
+    // A peer that was asked earlier and did not answer may yet store the record.
+    let refused = batch
+        .iter()
+        .zip(&by_peers)
+        .filter(|(queued, by_peer)| **by_peer == Some(Stored::No) && !queued.outcome_unknown);
     refused.for_each(|(queued, _)| queued.stage.mark_refused_by_peers());
     by_peers
 }
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -1,14 +1,17 @@
 //! What processes do for each other while the store turns some of them away.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use futures::FutureExt;
 use tokio::net::TcpListener;
 use workswood::ops::jobs::inbox::{self, Stored};
 use workswood::ops::jobs::node::Holder;
 use workswood::ops::jobs::operator_state::Evacuations;
 use workswood::ops::jobs::{Node, peer_requests, peers, topic_reader};
 use workswood_core::jobs::SchedConfig;
+use workswood_peers::{HandInOutcome, Handler, InboxAppendReply, Msg};
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::job_node::settings;
 use workswood_test_support::turn_store::{Fate, TurnStore};
@@ -101,6 +104,41 @@
     assert_eq!(half.done().len(), 1);
 }
 
+/// A peer that gives these answers to hand-ins, one after the other.
+async fn answering_peer(answers: &'static [HandInOutcome]) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let next = AtomicUsize::new(0);
+    let handler: Handler = Arc::new(move |_| {
+        let answer = answers.get(next.fetch_add(1, Ordering::Relaxed)).copied();
+        let answer = answer.unwrap_or(HandInOutcome::NotStored);
+        async move { Some(Msg::InboxAppendReply(InboxAppendReply { outcomes: vec![answer as i32] })) }.boxed()
+    });
+    tokio::spawn(workswood_peers::serve(listener, peers::TOKEN.to_string(), handler));
+    address
+}
+
+/// The first peer that was asked may have stored it; others refuse it later. The caller's time ends while
+/// the store is asked, for the second time, whether it answers.
+#[tokio::test]
+async fn refusal_after_unknown_stays_unknown() {
+    let away = store(&[Fate::Refused; 100]);
+    away.hang_on_reads();
+    let mut settings = settings("entry-1");
+    settings.policy.outage.probe_before_append = true;
+    let a = Arc::new(Node::new(settings, away.clone()));
+    tokio::spawn(inbox::run(a.clone()));
+    let peer_address = answering_peer(&[HandInOutcome::Unknown, HandInOutcome::NotStored]).await;
+    let holder = Holder { id: "peer".to_string(), peer_address, term: 7, released: false };
+    a.holder.store(Some(Arc::new(holder)));
+    // Once the entry has not heard from the store lately, each try asks it for 1 s.
+    let lately = Duration::from_millis(301).saturating_sub(a.now());
+    tokio::time::sleep(lately).await;
+    let told = a.inbox_writer.store(rec("job-1"), Duration::from_millis(1500)).await;
+    assert_eq!(told, Stored::Unknown, "a refusal might not be true");
+    assert!(away.done().is_empty());
+}
+
 #[tokio::test]
 async fn lease_is_given_back_for_holder() {
     let (away, well) = (store(&[Fate::Refused; 100]), store(&[]));
