--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -98,7 +98,7 @@
             return true;
         }
         let mut in_use = self.workers.workspace_usage().in_use(owner);
-        in_use.add(&self.resources_behind_barrier());
+        in_use.add(&self.hidden_use(owner));
         limit_admits(&in_use, &limit, needed)
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -244,9 +244,7 @@
     fn restore_unarchived_job(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
         let now = self.now;
         let fits = rec.as_ref().is_none_or(|rec| rec.matches_spec(&spec));
-        if rec.is_some() {
-            self.barrier.note_recorded_job(key);
-        }
+        let recorded = rec.is_some();
         let mut job = match rec {
             Some(rec) if fits => Job::restore(key, spec, rec, now),
             _ => Job::new(key, spec),
@@ -258,6 +256,9 @@
             job.outcome = Some(Outcome::Failed);
             job.ended_at = now;
         }
+        if recorded {
+            self.barrier.note_recorded_job(&job);
+        }
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
@@ -634,6 +635,7 @@
     /// Places waiting tasks, asks the adviser, and returns all that changed since the last batch.
     pub fn take_batch(&mut self) -> Batch {
         self.finish_barrier();
+        self.update_hidden_use();
         let services = std::mem::take(&mut self.services_to_place);
         if self.store_access != StoreAccess::AwayAndNoStarts {
             services.iter().for_each(|service| self.place_waiting_tasks(service));
--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -8,18 +8,63 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::job::WorkerId;
+use super::job::{Job, JobStatus, Outcome, Task, WorkerId};
 use super::outage::allows_unrecorded_starts;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec};
+use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec, TaskId};
 use super::worker::Worker;
+use super::workspace::Owner;
 use crate::ids::ServiceId;
 
 /// With more unsettled workers than this, they count as able to run everything that waits.
 const MAX_EXAMINED_WORKERS: usize = 16;
-/// More than any workspace may use, and little enough to be added to.
-const UNKNOWN_USE: Resources =
-    Resources { cpu_millis: u64::MAX / 4, mem_mb: u64::MAX / 4, gpus: u64::MAX / 4 };
+
+/// What tasks that may run without a record would use.
+#[derive(Clone, Copy, Debug, Default)]
+struct HiddenUse {
+    /// Resources that they would reserve on their workers.
+    reserved: Resources,
+    /// Resources that would be charged to their workspace.
+    charged: Resources,
+}
+
+impl HiddenUse {
+    /// The use of these tasks of a job.
+    fn of_tasks(job: &Job, counts: impl Fn(&TaskId, &StepSpec, &Task) -> bool) -> HiddenUse {
+        let mut total = HiddenUse::default();
+        for id in job.task_ids() {
+            let (Some(step), Some(task)) = (job.step(&id), job.task(&id)) else { continue };
+            if allows_unrecorded_starts(step) && counts(&id, step, task) {
+                total.reserved.add(&step.reserved_resources());
+                total.charged.add(&step.resources);
+            }
+        }
+        total
+    }
+
+    fn add(&mut self, other: &HiddenUse) {
+        self.reserved.add(&other.reserved);
+        self.charged.add(&other.charged);
+    }
+
+    /// What is charged at most if there is room for so much only; best-effort tasks need no room.
+    fn charged_within(&self, room: Option<Resources>) -> Resources {
+        let mut charged = room.map_or(self.reserved, |room| self.reserved.min(&room));
+        charged.add(&self.charged.saturating_sub(&self.reserved));
+        charged
+    }
+}
+
+/// A job that had a record at the takeover.
+#[derive(Debug)]
+struct RecordedJob {
+    owner: Owner,
+    service: ServiceId,
+    /// Whether some step allows copies, which may go on after the job is done.
+    has_copies: bool,
+    /// What its tasks could use that were not done at the takeover.
+    at_takeover: HiddenUse,
+}
 
 /// Workers that are not settled, and the jobs whose tasks may run on them.
 #[derive(Debug, Default)]
@@ -28,15 +73,23 @@
     /// Service of each unsettled worker.
     services: BTreeMap<WorkerId, ServiceId>,
     /// Jobs that had a record at the takeover.
-    recorded_jobs: BTreeSet<JobKey>,
+    recorded_jobs: BTreeMap<JobKey, RecordedJob>,
+    /// What tasks of each owner with a limit may use without a record.
+    hidden_use: BTreeMap<Owner, Resources>,
     /// Services all of whose workers are settled, since that was last logged.
     finished: BTreeSet<ServiceId>,
 }
 
 impl TakeoverBarrier {
     /// Notes that a job had a record at the takeover.
-    pub(super) fn note_recorded_job(&mut self, key: JobKey) {
-        self.recorded_jobs.insert(key);
+    pub(super) fn note_recorded_job(&mut self, job: &Job) {
+        let recorded = RecordedJob {
+            owner: job.spec.owner(),
+            service: job.spec.service.clone(),
+            has_copies: job.spec.steps.iter().any(|s| s.speculative),
+            at_takeover: HiddenUse::of_tasks(job, |_, step, task| step.speculative || !task.done),
+        };
+        self.recorded_jobs.insert(job.key, recorded);
     }
 
     fn remove(&mut self, id: &WorkerId) {
@@ -105,22 +158,61 @@
     /// Whether tasks of a step without a run may run somewhere, started without a record.
     pub(super) fn is_held_back(&self, spec: &JobSpec, step: &StepSpec, id: &StepId) -> bool {
         let Some(unsettled) = self.barrier.unsettled.get(&spec.service) else { return false };
-        if !self.barrier.recorded_jobs.contains(&id.job) || !allows_unrecorded_starts(step) {
+        if !self.barrier.recorded_jobs.contains_key(&id.job) || !allows_unrecorded_starts(step) {
             return false;
         }
         unsettled.len() > MAX_EXAMINED_WORKERS
             || unsettled.iter().filter_map(|id| self.workers.get(id)).any(|w| could_run(w, step))
     }
 
-    /// Resources that runs without a record may use on workers that are not settled, as far as known.
-    pub(super) fn resources_behind_barrier(&self) -> Resources {
+    /// Resources that tasks of an owner may use without a record, as of the last batch.
+    pub(super) fn hidden_use(&self, owner: Owner) -> Resources {
+        self.barrier.hidden_use.get(&owner).copied().unwrap_or_default()
+    }
+
+    /// Computes what the tasks that are held back may use, for each owner with a limit.
+    pub(super) fn update_hidden_use(&mut self) {
+        self.barrier.hidden_use.clear();
+        if self.barrier.services.is_empty() {
+            return;
+        }
+        let limited = |owner: Owner| self.config.workspaces.limit(owner) != Resources::default();
+        let mut total: BTreeMap<Owner, HiddenUse> = BTreeMap::new();
+        for (key, recorded) in self.barrier.recorded_jobs.iter().filter(|(_, r)| limited(r.owner)) {
+            if self.barrier.unsettled.contains_key(&recorded.service) {
+                total.entry(recorded.owner).or_default().add(&self.hidden_use_of_job(*key, recorded));
+            }
+        }
+        let room = self.room_behind_barrier();
+        self.barrier.hidden_use =
+            total.into_iter().map(|(owner, used)| (owner, used.charged_within(room))).collect();
+    }
+
+    /// What the tasks of a job may use without a record. A task with a recorded run is charged already.
+    fn hidden_use_of_job(&self, key: JobKey, recorded: &RecordedJob) -> HiddenUse {
+        if let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) {
+            return HiddenUse::of_tasks(job, |id, step, task| {
+                let may_run = step.speculative || task.is_idle();
+                may_run && self.is_held_back(&job.spec, step, &id.step_id())
+            });
+        }
+        // Runs of a job that was cancelled or failed since may still have to be stopped.
+        match self.jobs.status(&key) {
+            Some(JobStatus::Ended(Outcome::Completed)) if !recorded.has_copies => HiddenUse::default(),
+            _ => recorded.at_takeover,
+        }
+    }
+
+    /// Room for runs without a record on workers that are not settled; `None` if that is not known.
+    fn room_behind_barrier(&self) -> Option<Resources> {
         if self.barrier.services.len() > MAX_EXAMINED_WORKERS {
-            return UNKNOWN_USE;
+            return None;
         }
         let mut total = Resources::default();
-        let unsettled = self.barrier.services.keys().filter_map(|id| self.workers.get(id));
-        unsettled.for_each(|w| total.add(&self.largest_capacity_like(w)));
-        total
+        for id in self.barrier.services.keys() {
+            total.add(&self.largest_capacity_like(self.workers.get(id)?));
+        }
+        (total != Resources::default()).then_some(total)
     }
 
     /// Capacity of a worker; while it is not listed, the largest one of its service.
--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -5,13 +5,15 @@
 
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::owed_batch::OwedBatch;
+use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Action, Batch, EndKind, Event, JobRecord, JobSpec, JobStatus, Listing, OutagePolicy, Outcome,
-    ReportedEnd, ReportedRun, StepSpec, StoreAccess, TaskId, WorkerRecord, WorkerUpdate,
+    Action, Batch, EndKind, Event, JobRecord, JobSpec, JobStatus, Listing, OutagePolicy, Outcome, Owner,
+    ReportedEnd, ReportedRun, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerRecord, WorkerUpdate,
+    Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, host, worker};
-use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::job_world::{SERVICE, config, job, step};
 
 /// Workers of a world.
 const WORKERS: usize = 2;
@@ -220,14 +222,18 @@
 
 /// A successor of a holder that recorded both workers as open, or as closed.
 fn successor(open: bool) -> HostWorld {
-    let (_, at, record) = begin_first_step(two_steps());
+    successor_of(two_steps(), open)
+}
+
+fn successor_of(spec: Arc<JobSpec>, open: bool) -> HostWorld {
+    let (_, at, record) = begin_first_step(spec.clone());
     assert_eq!(at, 0, "workers are filled in order");
     let mut world = holder(TAKEN_OVER_AT, 0);
     for n in 0..WORKERS {
         let info = worker(n, 0);
         world.sched.restore_worker(info.id.clone(), WorkerRecord { open, ..info.record() });
     }
-    world.sched.restore_job(JOB, Some(two_steps()), Some(record));
+    world.sched.restore_job(JOB, Some(spec), Some(record));
     (0..WORKERS).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
     list(&mut world);
     world
@@ -263,6 +269,51 @@
     assert_eq!(begun, [2]);
 }
 
+/// A job of a workspace whose first step has one task and whose second step has three.
+fn job_of(workspace: &str) -> Arc<JobSpec> {
+    let steps = vec![step(1, vec![]), step(3, vec![0])];
+    Arc::new(JobSpec { workspace: Some(workspace.to_string()), ..job(steps, 0) })
+}
+
+/// Sets a limit of three cores for two workspaces.
+fn limit_workspaces(world: &mut HostWorld) {
+    let mut workspaces = Workspaces::default();
+    for name in ["one", "two"] {
+        let limit = Resources { cpu_millis: 3000, ..Resources::default() };
+        workspaces.add(Workspace { name: name.to_string(), jobs_per_s: 1.0, limit }, []);
+    }
+    world.sched.handle(Event::ConfigChanged(Arc::new(SchedConfig { workspaces, ..config() })));
+}
+
+/// One worker can't be reached. What may run there is charged to the workspace that it would belong to,
+/// and to no other.
+#[test]
+fn hidden_runs_count_for_their_workspace() {
+    let mut world = successor_of(job_of("one"), true);
+    limit_workspaces(&mut world);
+    first_step_done(&mut world);
+    world.sched.handle(Event::Submitted(2, job_of("two")));
+    world.sched.handle(Event::Submitted(3, job_of("one")));
+    let begun: Vec<u64> = starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job).collect();
+    assert_eq!(begun, [2], "three tasks of the first workspace may run on worker 1");
+    answer(&mut world, 1, Vec::new(), Vec::new());
+    let begun = starts(&store(&mut world).actions).len();
+    assert_eq!(begun, 3, "within the limit of the first workspace");
+}
+
+/// A job that was cancelled after the takeover may have runs on a worker that can't be reached.
+#[test]
+fn hidden_runs_of_cancelled_jobs_count() {
+    let mut world = successor_of(job_of("one"), true);
+    limit_workspaces(&mut world);
+    first_step_done(&mut world);
+    store(&mut world);
+    world.sched.handle(Event::Cancelled(JOB, Owner::of_workspace(Some("one"))));
+    store(&mut world);
+    world.sched.handle(Event::Submitted(3, job_of("one")));
+    assert_eq!(starts(&store(&mut world).actions), []);
+}
+
 #[test]
 fn lease_end_settles() {
     let mut world = successor(true);
