--- a/crates/workswood-core/src/jobs/maintenance_orders.rs
+++ b/crates/workswood-core/src/jobs/maintenance_orders.rs
@@ -49,7 +49,8 @@
             let runs = worker.as_ref().and_then(|id| self.workers.get(id)).map_or(0, |w| w.runs.len());
             let waited = self.now >= at + self.policy.waves.drain_timeout;
             let ready = self.accepts_orders(number, &host) && self.may_order(&host);
-            if slots == 0 || long_running > 0 || (runs > 0 && !waited) || !ready {
+            let empty = runs == 0 && !self.may_hide_runs(&host);
+            if slots == 0 || long_running > 0 || (!empty && !waited) || !ready {
                 continue;
             }
             slots -= 1;
--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -104,9 +104,9 @@
         free
     }
 
-    /// Whether a worker is reachable and runs nothing.
+    /// Whether a worker is reachable and is known to run nothing.
     fn is_idle_worker(&self, id: &WorkerId) -> bool {
-        self.workers.get(id).is_some_and(|w| w.reachable && w.runs.is_empty())
+        self.workers.get(id).is_some_and(|w| w.reachable && w.runs.is_empty()) && self.is_settled(id)
     }
 
     /// The current incarnation of the worker of a host, as reported by the workers. An unlisted
--- a/crates/workswood-core/src/jobs/pool_moves.rs
+++ b/crates/workswood-core/src/jobs/pool_moves.rs
@@ -66,8 +66,9 @@
     /// pools first. Gives up moves whose hosts did not become empty in time.
     pub(super) fn order_moves(&mut self) {
         let all = self.pools.moves.iter();
-        let due: Vec<(HostId, NextStep)> =
-            all.filter_map(|(name, pool_move)| Some((name.clone(), self.next_step(pool_move)?))).collect();
+        let due: Vec<(HostId, NextStep)> = all
+            .filter_map(|(name, pool_move)| Some((name.clone(), self.next_step(name, pool_move)?)))
+            .collect();
         let (orders, given_up): (Vec<_>, Vec<_>) =
             due.into_iter().partition(|(_, due)| matches!(due, NextStep::Order));
         for (name, _) in given_up {
@@ -104,9 +105,9 @@
     }
 
     /// The next step of a move, if one is due.
-    fn next_step(&self, pool_move: &PoolMove) -> Option<NextStep> {
+    fn next_step(&self, host: &HostId, pool_move: &PoolMove) -> Option<NextStep> {
         let worker = pool_move.worker.as_ref().and_then(|id| self.workers.get(id));
-        let empty = worker.is_none_or(|w| w.runs.is_empty());
+        let empty = worker.is_none_or(|w| w.runs.is_empty()) && !self.may_hide_runs(host);
         match pool_move.order_sent_at {
             None if empty => Some(NextStep::Order),
             None => {
--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -14,7 +14,7 @@
 use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec, TaskId};
 use super::worker::Worker;
 use super::workspace::Owner;
-use crate::ids::ServiceId;
+use crate::ids::{HostId, ServiceId};
 
 /// With more unsettled workers than this, they count as able to run everything that waits.
 const MAX_EXAMINED_WORKERS: usize = 16;
@@ -121,6 +121,11 @@
         !self.barrier.services.contains_key(id)
     }
 
+    /// Whether a host has a worker on which a predecessor may have started tasks without a record.
+    pub(super) fn may_hide_runs(&self, host: &HostId) -> bool {
+        self.workers.on_host(host).iter().any(|id| !self.is_settled(id))
+    }
+
     /// Number of workers that are not settled.
     pub fn unsettled_workers(&self) -> usize {
         self.barrier.services.len()
--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -12,7 +12,7 @@
     ReportedEnd, ReportedRun, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerRecord, WorkerUpdate,
     Workspace, Workspaces,
 };
-use workswood_test_support::host_world::{HostWorld, host, worker};
+use workswood_test_support::host_world::{HostWorld, SPARE, host, moves, upkeeps, wave, worker};
 use workswood_test_support::job_world::{SERVICE, config, job, step};
 
 /// Workers of a world.
@@ -314,6 +314,43 @@
     assert_eq!(starts(&store(&mut world).actions), []);
 }
 
+/// Ticks for a while; returns the actions.
+fn tick_until(world: &mut HostWorld, end: u64) -> Vec<Action> {
+    let from = world.sched.wall;
+    (from..end).step_by(150).flat_map(|at| tick_at(world, at)).collect()
+}
+
+fn tick_at(world: &mut HostWorld, at: u64) -> Vec<Action> {
+    world.at(at);
+    world.tick()
+}
+
+#[test]
+fn host_with_hidden_runs_is_not_empty() {
+    let mut world = successor(true);
+    world.sched.handle(Event::WaveRequested(wave(&[1], 1), None));
+    let ordered = upkeeps(&tick_until(&mut world, TAKEN_OVER_AT + 1500));
+    assert_eq!(ordered, Vec::<String>::new(), "a task may run there without a record");
+    answer(&mut world, 1, Vec::new(), Vec::new());
+    let ordered = upkeeps(&tick_until(&mut world, TAKEN_OVER_AT + 3500));
+    assert_eq!(ordered.first().map(String::as_str), Some("m-1"));
+}
+
+/// A host of the spare pool on which a worker of its last pool may still be.
+#[test]
+fn host_with_hidden_runs_does_not_move() {
+    let mut world = successor(true);
+    let hosts = [host(0, SERVICE, Some(0)), host(1, SPARE, Some(0))];
+    world.list(hosts.to_vec());
+    let wide = job(vec![step(12, vec![])], TAKEN_OVER_AT);
+    world.sched.handle(Event::Submitted(2, Arc::new(wide)));
+    let moved = moves(&tick_until(&mut world, TAKEN_OVER_AT + 1500));
+    assert_eq!(moved, [], "a task may run there without a record");
+    answer(&mut world, 1, Vec::new(), Vec::new());
+    let moved = moves(&tick_until(&mut world, TAKEN_OVER_AT + 3500));
+    assert_eq!(moved.first().map(|(name, _)| name.as_str()), Some("m-1"));
+}
+
 #[test]
 fn lease_end_settles() {
     let mut world = successor(true);
