--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -34,11 +34,11 @@
     /// Listener for peers; also the address that is published to them.
     pub peers: SocketAddr,
     /// Second listener for peers, at the address that other entries know as a seed.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub seed_listener: Option<SocketAddr>,
     /// Addresses of some entries' seed listeners, separated by commas. A process that knows no peers, since the
     /// store does not answer, asks these.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub seeds: String,
     /// Listener for requests for metrics.
     pub metrics: SocketAddr,
