--- a/crates/workswood-peers/src/bridge.rs
+++ b/crates/workswood-peers/src/bridge.rs
@@ -2,7 +2,7 @@
 //! reach.
 //!
 //! For a session, the sender connects to the bridge and sends a [`BridgeOpen`] after its
-//! [`Hello`](crate::Hello). The bridge connects to the other entry, presents the same `Hello` and
+//! [`Hello`]. The bridge connects to the other entry, presents the same `Hello` and
 //! opens the session; from then on it copies bytes both ways. For a call, it passes the message of a
 //! [`BridgedCall`] on and the reply back. A bridge passes on no message that uses a bridge itself.
 
--- a/crates/workswood-peers/src/server.rs
+++ b/crates/workswood-peers/src/server.rs
@@ -19,10 +19,10 @@
 
 /// Version of the protocol.
 pub(crate) const PROTOCOL_VERSION: u32 = 1;
-/// Longest wait for the [`Hello`](crate::Hello) of a new connection.
+/// Longest wait for the [`Hello`] of a new connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 /// A connection on which no frame arrives for this long is closed. For a relay connection, this
-/// limits only the wait for the first message after the [`Hello`](crate::Hello).
+/// limits only the wait for the first message after the [`Hello`].
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum number of encoded replies that wait to be written to one connection.
 const REPLY_QUEUE_LEN: usize = 256;
