Random histories: many seeds of a world by hand, with what became of sound work

No test by hand played many seeds of most worlds (`restarts-crashes` among them), and none told how many jobs were given up that no task of theirs was to blame for. `seeds_by_hand` plays the seeds of HISTORY_SEEDS in the world of HISTORY_WORLD, prints both counts and the broken seeds. Nothing that is checked changes.

--- a/crates/workswood-test-support/src/job_world/crashes.rs
+++ b/crates/workswood-test-support/src/job_world/crashes.rs
@@ -1,6 +1,6 @@
 //! Workers that crash, at random or because of a task.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use workswood_core::jobs::{JobKey, TaskId};
@@ -33,6 +33,8 @@
     lost_under: BTreeMap<TaskId, u32>,
     /// Starts of a task after the scheduler must have failed it.
     excess_starts: BTreeMap<TaskId, u32>,
+    /// Jobs that were published as failed because of crashes.
+    given_up: BTreeSet<JobKey>,
 }
 
 impl World {
@@ -52,6 +54,22 @@
         self.crashes.crashing_tasks.keys().map(|t| self.crashed_under(t)).sum()
     }
 
+    /// Records that a job was published as failed because of crashes.
+    pub(super) fn record_given_up(&mut self, key: JobKey) {
+        let crashes = |task: &TaskId| task.job == key && self.crashed_under(task) > 0;
+        let sound = !self.crashes.crashing_tasks.keys().any(crashes);
+        if self.crashes.given_up.insert(key) && sound {
+            self.seen.sound_jobs_given_up += 1;
+        }
+    }
+
+    /// Records in [`World::seen`] how often tasks crashed their workers that were made to.
+    pub fn count_crashes(&mut self) {
+        let crashed = self.crashes.crashing_tasks.keys().filter(|t| self.crashed_under(t) > 0);
+        self.seen.crashing_tasks = crashed.count() as u64;
+        self.seen.crashes_under_them = u64::from(self.crashed());
+    }
+
     /// Crashes a worker; it is replaced after a random downtime.
     pub fn crash(&mut self, n: usize) {
         let n = n % self.workers.len();
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -79,6 +79,28 @@
     pub sessions: u64,
     /// Starts that holders sent before they were on record.
     pub unrecorded_starts: u64,
+    /// Jobs published as failed although none of their tasks exhausted its attempts or crashes its
+    /// workers.
+    pub sound_jobs_given_up: u64,
+    /// Tasks that were made to crash their workers and that crashed one at least.
+    pub crashing_tasks: u64,
+    /// Crashes of workers that ran such a task.
+    pub crashes_under_them: u64,
+}
+
+impl Seen {
+    /// Adds what another history has seen, its violations aside.
+    pub fn add(&mut self, other: &Seen) {
+        self.starts += other.starts;
+        self.done += other.done;
+        self.without_ticket += other.without_ticket;
+        self.takeovers += other.takeovers;
+        self.sessions += other.sessions;
+        self.unrecorded_starts += other.unrecorded_starts;
+        self.sound_jobs_given_up += other.sound_jobs_given_up;
+        self.crashing_tasks += other.crashing_tasks;
+        self.crashes_under_them += other.crashes_under_them;
+    }
 }
 
 /// An order whose delivery is delayed; it is dropped if the worker's life ends before.
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -117,6 +117,9 @@
     /// that was running on two workers when they crashed or were replaced.
     pub(super) fn check_failed(&mut self, key: JobKey) {
         let failed = self.exhausted_attempts(key);
+        if !failed {
+            self.record_given_up(key);
+        }
         if !failed && !self.workers_lost_twice(key) {
             self.seen.violations.push(format!("LOST: job {key} failed without a reason at {:?}", self.now));
         }
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -173,6 +173,7 @@
     }
     w.heal();
     w.run_for(if with == With::Crashes { SETTLED_AFTER_CRASHES } else { SETTLED_AFTER });
+    w.count_crashes();
     if !w.seen.violations.is_empty() {
         return Err(format!("{:?}", w.seen.violations));
     }
@@ -333,19 +334,51 @@
 fn one_history() {
     let seed = std::env::var("HISTORY_SEED").ok().and_then(|s| s.parse().ok());
     let seed = seed.expect("a number in HISTORY_SEED");
-    let world = std::env::var("HISTORY_WORLD").unwrap_or_default();
-    match world.as_str() {
-        "relays" => play(seed, World::relayed, With::Relays),
-        "evacuations" => play(seed, World::two_centres, With::Evacuations),
-        "outages" => play(seed, outages, With::Outages),
-        "outages-restarts" => play(seed, outages_and_restarts, With::Outages),
-        "outages-limit" => play(seed, outages_and_limit, With::Outages),
-        "outages-relays" => play(seed, outages_and_relays, With::Outages),
-        "restarts" => play(seed, World::restarting, With::Nothing),
-        "restarts-crashes" => play(seed, World::restarting, With::Crashes),
-        "restarts-relays" => play(seed, World::restarting_relayed, With::Relays),
-        _ => play(seed, World::new, With::Crashes),
-    };
+    let (world, with) = named_world();
+    play(seed, world, with);
+}
+
+/// The world that HISTORY_WORLD names, and what its histories hold.
+fn named_world() -> (fn(usize, FaultRng) -> World, With) {
+    let name = std::env::var("HISTORY_WORLD").unwrap_or_default();
+    match name.as_str() {
+        "plain" => (World::new, With::Nothing),
+        "advised" => (World::advised, With::Nothing),
+        "limit" => (World::limited, With::Nothing),
+        "relays" => (World::relayed, With::Relays),
+        "evacuations" => (World::two_centres, With::Evacuations),
+        "outages" => (outages, With::Outages),
+        "outages-restarts" => (outages_and_restarts, With::Outages),
+        "outages-limit" => (outages_and_limit, With::Outages),
+        "outages-relays" => (outages_and_relays, With::Outages),
+        "restarts" => (World::restarting, With::Nothing),
+        "restarts-crashes" => (World::restarting, With::Crashes),
+        "restarts-relays" => (World::restarting_relayed, With::Relays),
+        _ => (World::new, With::Crashes),
+    }
+}
+
+/// Plays many histories, also where some are broken, and prints what became of sound jobs and of tasks
+/// that crash their workers.
+#[test]
+#[ignore = "by hand: the seeds FROM-TO in HISTORY_SEEDS, in the world that HISTORY_WORLD names"]
+fn seeds_by_hand() {
+    let seeds = std::env::var("HISTORY_SEEDS").unwrap_or_default();
+    let (from, to) = seeds.split_once('-').expect("FROM-TO in HISTORY_SEEDS");
+    let seeds = from.parse::<u64>().expect("a number")..=to.parse().expect("a number");
+    let (world, with) = named_world();
+    let (mut broken, mut total) = (Vec::new(), Seen::default());
+    for seed in seeds {
+        match try_play(seed, world, with) {
+            Ok(seen) => total.add(&seen),
+            Err(wrong) => broken.push((seed, wrong)),
+        }
+    }
+    println!(
+        "starts={} sound_jobs_given_up={} crashing_tasks={} crashes_under_them={}",
+        total.starts, total.sound_jobs_given_up, total.crashing_tasks, total.crashes_under_them
+    );
+    assert!(broken.is_empty(), "{} broken: {broken:#?}", broken.len());
 }
 
 #[test]
