A start that is sent late reaches no later incarnation of its worker

Cause: a call names a worker, not its incarnation. A holder decides to start a task and is paused for 3.7 s before its own relay sends it; a successor runs the job and shows it; the worker starts again under its name, and neither successor has polled the new process. The paused relay's grant holds for 4 s after its last renewal, so the start goes out, and the new process, which knows no token, takes it. Told apart from a successor that places the task anew, and from a call that the network delivers late: `task_placed` of term 6 has attempt 2, which is the one that the violation names, and later terms place attempt 3 only; the process that ran it began after the start was decided.

Now a start is sent, the wait for a connection included, before 500 ms have passed since the sending of a poll that the incarnation meant has answered. With less than 100 ms of that left the worker is polled first. Only for workers that tell when they have started. Log line `start_not_sent reason=incarnation_uncertain`, counter workswood_incarnation_checks_total. The relay's own report of a restart was dropped, since the assignment was ended before it was sent; it is sent first now.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -28,7 +28,8 @@
 //! * [`queue_order`] decides which waiting task is next, and [`task_queue`] holds the waiting tasks.
 //! * [`relays`] decides which entry polls which workers, and [`run_tracker`] finds what is new in a
 //!   worker's answers.
-//! * `worker_restart` handles workers that restart under the same name.
+//! * `worker_restart` handles workers that restart under the same name, and [`incarnation_check`] keeps
+//!   late starts from reaching the next incarnation.
 //! * `notes` collects log lines about decisions.
 //! * [`types`] defines events, actions, records and batches.
 //! * [`scheduler`] handles events; [`worker_reports`], [`worker_events`], [`placement`], [`pacing`] and [`eviction`] make
@@ -73,6 +74,7 @@
 pub mod eviction;
 pub mod fair_share;
 pub mod host;
+pub mod incarnation_check;
 pub mod job;
 pub mod job_table;
 pub mod lease_claim;
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use workswood_core::ids::{HostId, Term, UnixMs};
+use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::types::lease_with_drift;
 use workswood_core::jobs::{Listing, RunTracker, StartReply, StopReply, TaskId, WorkerUpdate};
@@ -100,6 +101,7 @@
     reported_silent: bool,
     leased_until: Duration,
     last_answer: Duration,
+    last_answered_poll: LastAnsweredPoll,
     runs: RunTracker,
 }
 
@@ -272,6 +274,7 @@
                     reported_silent: false,
                     leased_until: Duration::ZERO,
                     last_answer: Duration::ZERO,
+                    last_answered_poll: LastAnsweredPoll::default(),
                     runs: RunTracker::default(),
                 };
                 session.watched.insert(id, worker);
@@ -308,6 +311,9 @@
         let Some(token) = session.watched.get(&id).map(|w| w.token) else { return };
         let mut reply = StartReply::NotSent;
         for _ in 0..1 + self.rng.below(3) {
+            if !self.confirm_incarnation(session, &id) {
+                break;
+            }
             let lease = self.lease_from(session);
             let Some(w) = session.watched.get_mut(&id) else { return };
             let Some(lease_end) = lease.filter(|_| !w.silent) else { break };
@@ -330,6 +336,22 @@
         session.pending.push((self.now + wait, id, token, PendingAnswer::Started { task, attempt, reply }));
     }
 
+    /// Whether a start can reach the incarnation only that is meant; polls it if that is not known.
+    fn confirm_incarnation(&mut self, session: &mut HolderSession, id: &WorkerId) -> bool {
+        let now = self.now;
+        let Some(w) = session.watched.get(id) else { return false };
+        if !self.restarts || w.last_answered_poll.start_until(now).is_some() {
+            return true;
+        }
+        let probe = Order::Probe { token: w.token, forget: 0, lease_end: None };
+        let answered = matches!(self.deliver(id, probe), Some(Answer::Listing(_)));
+        let restarted = self.workers.iter().any(|s| s.id.supersedes(id));
+        if let Some(w) = session.watched.get_mut(id).filter(|_| answered && !restarted) {
+            w.last_answered_poll.record(now);
+        }
+        answered && !restarted
+    }
+
     fn send_stop(&mut self, session: &mut HolderSession, id: WorkerId, task: TaskId, attempt: u32) {
         let Some(token) = session.watched.get(&id).map(|w| w.token) else { return };
         let reply = match self.deliver(&id, Order::Stop { token, task, attempt }) {
@@ -392,6 +414,7 @@
                 w.forgotten = w.forgotten.max(forget);
                 w.silent = false;
                 w.last_answer = now;
+                w.last_answered_poll.record(sent);
                 let report = w.runs.diff_listing(listing, sent, now);
                 let nothing_new = report.is_empty() && !std::mem::take(&mut w.reported_silent);
                 if nothing_new {
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -6,6 +6,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Semaphore, watch};
 use workswood_core::ids::Term;
+use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::{RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
@@ -35,6 +36,7 @@
     leased_until_ms: AtomicU64,
     /// When the worker last answered anything, in milliseconds since this process started.
     heard_at_ms: AtomicU64,
+    last_answered_poll: Mutex<LastAnsweredPoll>,
     unassigned: AtomicBool,
     silent: AtomicBool,
 }
@@ -52,6 +54,7 @@
             clock: Mutex::new(None),
             leased_until_ms: AtomicU64::new(0),
             heard_at_ms: AtomicU64::new(0),
+            last_answered_poll: Mutex::default(),
             unassigned: AtomicBool::new(false),
             silent: AtomicBool::new(false),
         }
@@ -82,13 +85,29 @@
         now.saturating_sub(Duration::from_millis(self.heard_at_ms.load(Ordering::SeqCst)))
     }
 
-    /// Records the answer to a poll, with the clock of the worker.
-    pub(super) fn record_poll_answer(&self, clock: WorkerClock, now: Duration) {
+    /// Records the answer to a poll that was sent at `sent`, with the clock of the worker.
+    pub(super) fn record_poll_answer(&self, clock: WorkerClock, sent: Duration, now: Duration) {
         self.record_answer(now);
+        self.record_incarnation(sent);
         *self.clock.lock() = Some((clock, now));
         self.silent.store(false, Ordering::SeqCst);
     }
 
+    /// Records that this incarnation answered a poll that was sent at `sent`.
+    pub(super) fn record_incarnation(&self, sent: Duration) {
+        self.last_answered_poll.lock().record(sent);
+    }
+
+    /// Until when a start reaches this incarnation or none; `None` if the worker has to be polled
+    /// first. A worker that doesn't tell when it has started refuses what is meant for another
+    /// incarnation.
+    pub(super) fn start_until(&self, now: Duration) -> Option<Duration> {
+        match self.address.id.started_at() {
+            Some(_) => self.last_answered_poll.lock().start_until(now),
+            None => Some(Duration::MAX),
+        }
+    }
+
     /// Records that a poll had no answer. No lease is sent until another poll is answered.
     /// Returns the latest end of the leases that were sent.
     pub(super) fn record_poll_failure(&self) -> Duration {
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -87,22 +87,7 @@
         }
         match res {
             Ok(reply) => self.handle_reply(reply, started).await,
-            Err(WorkerError::OtherLife) => {
-                self.report(WorkerEvent::IncarnationEnded(self.worker.silent_for(self.now())));
-                return false;
-            }
-            Err(WorkerError::Restarted(restarted_at)) => {
-                // Pending orders were meant for the previous incarnation.
-                self.worker.unassign();
-                self.report(WorkerEvent::Restarted(restarted_at, self.worker.silent_for(self.now())));
-                return false;
-            }
-            Err(WorkerError::Fenced) => {
-                let (worker, token) = (&self.worker.address.id, self.worker.token);
-                log::warn!("event=fenced_by_worker worker={worker} token={token}");
-                self.report(WorkerEvent::Fenced);
-                return false;
-            }
+            Err(e) if report_end_of_assignment(&self.cx, &self.worker, e) => return false,
             Err(e) => {
                 log::debug!("event=look_failed worker={} error={e:?}", self.worker.address.id);
                 let leased_until = self.worker.record_poll_failure();
@@ -176,7 +161,7 @@
         self.last_answered = Some(sent);
         self.acked_end = self.acked_end.max(acked_end);
         self.late_timeout.record(now - started);
-        self.worker.record_poll_answer(clock, now);
+        self.worker.record_poll_answer(clock, sent, now);
         let last_end = listing.ended.iter().map(|e| e.sequence_number).max().unwrap_or(0);
         let report = self.worker.run_tracker.lock().diff_listing(listing, sent, now);
         if !self.reported_reachable || !report.is_empty() {
@@ -190,6 +175,32 @@
     }
 }
 
+/// Reports an answer to a poll after which the worker is not polled with this assignment any more;
+/// returns whether it is one.
+pub(super) fn report_end_of_assignment(cx: &RelayContext, worker: &AssignedWorker, e: WorkerError) -> bool {
+    let silent_for = worker.silent_for(cx.node.now());
+    let event = match e {
+        WorkerError::OtherLife => WorkerEvent::IncarnationEnded(silent_for),
+        WorkerError::Restarted(restarted_at) => WorkerEvent::Restarted(restarted_at, silent_for),
+        WorkerError::Fenced => {
+            let (worker, token) = (&worker.address.id, worker.token);
+            log::warn!("event=fenced_by_worker worker={worker} token={token}");
+            WorkerEvent::Fenced
+        }
+        WorkerError::Refused
+        | WorkerError::Ticket
+        | WorkerError::Unwell
+        | WorkerError::NotSent
+        | WorkerError::NoAnswer => return false,
+    };
+    cx.sink.report(&cx.node, worker, event);
+    if matches!(e, WorkerError::Restarted(_)) {
+        // Pending orders were meant for the previous incarnation.
+        worker.unassign();
+    }
+    true
+}
+
 /// Waits until ends up to a number are recorded, so that the next poll can acknowledge them.
 async fn wait_until_recorded(worker: &AssignedWorker, last_end: u64) {
     let mut recorded_end = worker.recorded_end.subscribe();
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -9,6 +9,7 @@
 use super::RelayContext;
 use super::assigned_worker::AssignedWorker;
 use super::messages::{StartTask, WorkerEvent};
+use super::poll::report_end_of_assignment;
 
 /// Timeouts of the attempts to send a start order. They grow, so that a lost order is soon sent
 /// again, and a slow worker can still answer the last attempt.
@@ -33,6 +34,7 @@
 async fn try_start(cx: &RelayContext, worker: &AssignedWorker, start: &StartTask) -> StartReply {
     let mut unanswered = false;
     for timeout in START_TIMEOUTS {
+        let Some(send_until) = confirm_incarnation(cx, worker, start.task).await else { break };
         // The end of the lease is computed before the permission to send it is checked. If the
         // process is paused in between, it sends a lease that has ended, which the worker refuses.
         let now = cx.node.now();
@@ -54,7 +56,7 @@
             checkpoint: start.checkpoint.clone(),
             ticket: start.ticket.clone(),
             lease_end,
-            timeout,
+            timeout: timeout.min(send_until.saturating_sub(now)),
         };
         match cx.node.platform.start_task(&worker.address, worker.token, order).await {
             Ok(()) => return StartReply::Taken,
@@ -78,6 +80,33 @@
     if unanswered { StartReply::NoAnswer } else { StartReply::NotSent }
 }
 
+/// Makes sure that a start reaches the incarnation that is meant and no later one; polls the worker
+/// if that is not certain. Returns until when the start may be sent, `None` if it may not.
+async fn confirm_incarnation(cx: &RelayContext, worker: &AssignedWorker, task: TaskId) -> Option<Duration> {
+    let sent = cx.node.now();
+    if let Some(until) = worker.start_until(sent) {
+        return Some(until);
+    }
+    let poll = cx.node.platform.poll_worker(&worker.address, worker.token, 0, None, Duration::ZERO);
+    let res = poll.await;
+    match res {
+        Ok(_) => worker.record_incarnation(sent),
+        Err(e) => {
+            report_end_of_assignment(cx, worker, e);
+        }
+    }
+    let until = worker.start_until(cx.node.now());
+    let outcome = if until.is_some() { "certain" } else { "uncertain" };
+    cx.node.metrics.incarnation_checks.with_label_values(&[outcome]).inc();
+    if until.is_none() {
+        let (worker, error) = (&worker.address.id, res.err());
+        log::info!(
+            "event=start_not_sent worker={worker} task={task} reason=incarnation_uncertain error={error:?}"
+        );
+    }
+    until
+}
+
 /// The label of the outcome of a start order in metrics.
 fn start_label(reply: StartReply) -> &'static str {
     match reply {
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -30,6 +30,8 @@
     pub active_workspaces: IntGauge,
     /// Start orders for tasks, by outcome.
     pub task_starts: IntCounterVec,
+    /// Polls before a start, to make sure that the worker has not restarted, by outcome.
+    pub incarnation_checks: IntCounterVec,
     /// Workers that this process relays for a lease holder in another process.
     pub relayed_workers: IntGauge,
     /// Other entries that relay workers for this lease holder.
@@ -134,6 +136,12 @@
                 "start orders for tasks, by outcome",
                 &["outcome"],
             ),
+            incarnation_checks: register_counter_vec(
+                &registry,
+                "workswood_incarnation_checks_total",
+                "polls before a start that make sure that the worker has not restarted, by outcome",
+                &["outcome"],
+            ),
             batch_seconds: register_histogram(
                 &registry,
                 "workswood_batch_seconds",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod job_status;
 mod keyed_requests;
 mod late_jobs;
+mod late_starts;
 mod lease_claims;
 mod lease_looks;
 mod lingering_lives;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -310,6 +310,14 @@
     play(3_000_167, World::new, With::Crashes);
 }
 
+/// A holder that was paused sends starts that it had decided before, to workers that have started again.
+#[test]
+fn late_starts_of_a_paused_holder() {
+    play(5_002_549, outages_and_restarts, With::Outages);
+    play(80_003_986, World::restarting, With::Nothing);
+    play(70_000_419, World::restarting, With::Crashes);
+}
+
 #[test]
 fn short_histories_with_restarts_and_relays() {
     let starts: u64 =
