--- a/review/1/case.py
+++ b/review/1/case.py
@@ -27,7 +27,7 @@
         case.minions.append(Minion(case.store, case.machines, case.ledger, f"i-{rng.getrandbits(32):08x}", f"m-{n}",
                                    SERVICE, ZONES[n], work_s))
     await case.open()
-    await case.submit(JOB, {"spec": "verify", "task_groups": [
+    await case.submit(JOB, {"spec": "credit", "task_groups": [
         {"count": TASKS, "cpu": CPU, "mem_mb": MEM_MB, "estimate_ms": int(WORK_S * 1000)}]}, (CPU, MEM_MB))
     await until("the first start", lambda: case.runs(), 10)
     first = case.runs()[0]["start"]
--- a/review/standin/case.py
+++ b/review/standin/case.py
@@ -11,8 +11,8 @@
 import entries as ent
 from standins import Ledger, Machines, Store, now
 
-SERVICE = "gorkha"
-PREFIX = "/verify/"
+SERVICE = "sagar"
+PREFIX = "/credit/"
 
 
 class Case:
--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+import random
 import struct
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -262,12 +263,15 @@
     FINISHED_AT_ONCE = 500
 
     def __init__(self, store, machines, ledger, name, machine, service, zone, duration_s, cpu=32000, mem_mb=131072,
-                 max_hold_ms=10000, save_s=0.5, checkpoint=None):
+                 max_hold_ms=10000, save_s=0.5, checkpoint=None, rack="r1-1"):
+        self.labels = ["a", rack]
         self.store, self.machines, self.ledger = store, machines, ledger
         self.id, self.machine, self.service, self.zone = name, machine, service, zone
         self.duration_s, self.cpu, self.mem_mb = duration_s, cpu, mem_mb
         self.max_hold_ms, self.save_s, self.checkpoint = max_hold_ms, save_s, checkpoint
         self.needs = {}
+        # Share of the orders that get no answer and are carried out 2 to 12 s later, and what decides which.
+        self.late_share, self.rng = 0.0, random.Random(name)
         self.server, self.up, self.seq = Server(self.handle), False, 0
         self.tasks = []
         self.most_pending = 0
@@ -282,11 +286,12 @@
         self.up = True
         self.tasks = [asyncio.ensure_future(self.work()), asyncio.ensure_future(self.heartbeat())]
         self.machines.rows[self.machine] = {
-            "machine": self.machine, "pool": self.service, "state": "up", "zone": self.zone, "labels": ["a", "r1-1"],
+            "machine": self.machine, "pool": self.service, "state": "up", "zone": self.zone, "labels": self.labels,
             "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpus": 0}, "id": self.id}
 
     def crash(self):
-        """Everything that runs here dies, and nothing is said."""
+        """Everything that runs here dies, and nothing is said. The entry goes after three silent pings."""
+        asyncio.get_running_loop().call_later(3 * self.HEARTBEAT_S, self.store.write, "keyed.servers", self.id, None)
         self.up = False
         for t in self.tasks:
             t.cancel()
@@ -302,7 +307,7 @@
     def entry(self):
         return {"backend": self.service, "address": self.server.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": "ready", "cold_remaining_ms": 0, "machine": self.machine,
-                "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpus": 0}, "labels": ["a", "r1-1"], "seq": self.seq}
+                "capacity": {"cpu": self.cpu, "mem_mb": self.mem_mb, "gpus": 0}, "labels": self.labels, "seq": self.seq}
 
     async def heartbeat(self):
         while True:
@@ -347,6 +352,18 @@
         if not self.up:
             return None
         b = json.loads(body)
+        if path != "/workswood/hold" and self.rng.random() < self.late_share:
+            delay_s = self.rng.uniform(2.0, 12.0)
+            asyncio.get_running_loop().call_later(delay_s, self.carry_out_late, path, headers, b)
+            return None
+        return await self.carry_out(path, headers, b)
+
+    def carry_out_late(self, path, headers, b):
+        """Carries out an order that was left without an answer."""
+        if self.up:
+            asyncio.ensure_future(self.carry_out(path, headers, {**b, "late": True}))
+
+    async def carry_out(self, path, headers, b):
         if headers.get("x-target-instance") != self.id:
             return 421, {"clock_ms": self.clock_ms()}
         token = b.get("fencing_token", 0)
@@ -382,6 +399,7 @@
             self.ledger.note(f"rejected minion={self.id} task={task} run={run} reason={reason}")
             return 409, {"clock_ms": self.clock_ms(), "reason": reason}
         row = self.ledger.start(self.id, task, run)
+        row["late"] = b.get("late", False)
         self.free = [free - need for free, need in zip(self.free, self.need(task))]
         self.running[task] = {"row": row, "until": row["start"] + self.duration_s(task, run)}
         return 200, {"clock_ms": self.clock_ms()}
