--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -8,6 +8,7 @@
 import random
 import struct
 import time
+import zlib
 from urllib.parse import parse_qs, urlsplit
 
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 409: "Conflict", 410: "Gone", 412: "Precondition Failed",
@@ -254,12 +255,15 @@
     FINISHED_AT_ONCE = 500
 
     def __init__(self, store, machines, ledger, name, machine, service, zone, duration_s, cpu=32000, mem_mb=131072,
-                 max_hold_ms=10000, save_s=0.5, checkpoint=None, rack="r1-1"):
+                 max_hold_ms=10000, save_s=0.5, restore_ms=250, checkpointing=(), rack="r1-1"):
         self.labels = ["a", rack]
         self.store, self.machines, self.ledger = store, machines, ledger
         self.id, self.machine, self.service, self.zone = name, machine, service, zone
         self.duration_s, self.cpu, self.mem_mb = duration_s, cpu, mem_mb
-        self.max_hold_ms, self.save_s, self.checkpoint = max_hold_ms, save_s, checkpoint
+        self.max_hold_ms, self.save_s = max_hold_ms, save_s
+        self.restore_s = restore_ms / 1000
+        # The jobs whose tasks keep their progress.
+        self.checkpointing = checkpointing
         self.needs = {}
         # Share of the orders that get no answer and are carried out 2 to 12 s later, and what decides which.
         self.late_share, self.rng = 0.0, random.Random(name)
@@ -328,16 +332,22 @@
         self.last_number += 1
         self.barred[task] = max(self.barred.get(task, 0), r["row"]["run"])
         self.ledger.end(r["row"], how)
-        self.finished.append((self.last_number, r["row"], self.saved(r)))
+        self.finished.append((self.last_number, r["row"], self.saved(r, at_stop=how == "stopped")))
         self.most_pending = max(self.most_pending, len(self.finished))
         self.ended.set()
         self.ended = asyncio.Event()
 
-    def saved(self, r):
-        """The checkpoint, which is renewed with every `save_s` of work."""
-        if self.checkpoint is None or now() - r["row"]["start"] < self.save_s:
+    def saved(self, r, at_stop=False):
+        """The checkpoint: 8 hex digits of the work that it holds, in ms, and 8 of the task. It is renewed with
+        every `save_s` of work, and at a stop."""
+        if r["row"]["task"].split(".")[0] not in self.checkpointing:
             return ""
-        return self.checkpoint(r["row"]["task"])
+        worked = max(0.0, now() - r["works_from"])
+        if not at_stop:
+            worked -= worked % self.save_s
+        if worked < self.save_s and not at_stop:
+            return r["brought"]
+        return "%08x%08x" % (int(1000 * (r["done_before"] + worked)), zlib.crc32(r["row"]["task"].encode()))
 
     async def handle(self, method, path, query, headers, body):
         if not self.up:
@@ -392,7 +402,11 @@
         row = self.ledger.start(self.id, task, run)
         row["late"] = b.get("late", False)
         self.free = [free - need for free, need in zip(self.free, self.need(task))]
-        self.running[task] = {"row": row, "until": row["start"] + self.duration_s(task, run)}
+        brought = b.get("checkpoint", "")
+        done_before = int(brought[:8], 16) / 1000 if brought else 0.0
+        works_from = row["start"] + (self.restore_s if brought else 0.0)
+        self.running[task] = {"row": row, "brought": brought, "done_before": done_before, "works_from": works_from,
+                              "until": works_from + max(0.0, self.duration_s(task, run) - done_before)}
         return 200, {"clock_ms": self.clock_ms()}
 
     def need(self, task):
@@ -418,5 +432,6 @@
         return 200, {"clock_ms": self.clock_ms(), "running": running, "finished": finished}
 
     def percent(self, r):
-        whole = max(0.001, r["until"] - r["row"]["start"])
-        return min(99, int((now() - r["row"]["start"]) * 100 / whole))
+        whole = max(0.001, r["done_before"] + r["until"] - r["works_from"])
+        worked = r["done_before"] + max(0.0, now() - r["works_from"])
+        return min(99, int(worked * 100 / whole))
