Test the first answer of a restarted worker that lacks ends

The run that the later incarnation lists is carried over with the answer that lacks ends, and the earlier incarnation is over with the one that has all.

--- a/tests/testsuite/restarted_workers.rs
+++ b/tests/testsuite/restarted_workers.rs
@@ -9,7 +9,8 @@
 use workswood::ops::jobs::worker_list::WorkerList;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, EndKind, Event, Listing, Report, ReportedEnd, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
+    Action, EndCoverage, EndKind, Event, Listing, Report, ReportedEnd, TaskId, WorkerAddress, WorkerInfo,
+    WorkerUpdate,
 };
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::host_world::{HostWorld, host, listed, upkeeps, wave, worker};
@@ -97,6 +98,24 @@
     assert!(world.sched.jobs.is_archived(&1) || world.sched.jobs.get(&1).is_some_and(|j| !j.is_open()));
 }
 
+/// Likewise, and the first answer lacks ends: the run is not stopped, and the earlier life is over only once
+/// all ends are known.
+#[test]
+fn start_taken_and_ends_lacking() {
+    let (mut world, begun) = one_task();
+    world.at(100);
+    world.sched.handle(Event::WorkerRestarted(life(10).id, 20, Duration::ZERO));
+    world.tick();
+    let running: Vec<_> = begun.iter().filter_map(listed).collect();
+    let listing = Listing { running, ..Listing::default() };
+    world.answers(&life(20).id, Listing { coverage: EndCoverage::Earliest, ..listing.clone() });
+    assert!(world.sched.workers.contains_key(&life(10).id));
+    world.answers(&life(20).id, listing);
+    let told = world.tick();
+    assert!(!told.iter().any(|a| matches!(a, Action::Start { .. } | Action::Stop(..))), "{told:?}");
+    assert!(!world.sched.workers.contains_key(&life(10).id));
+}
+
 /// Likewise, and its end is in the first answer already.
 #[test]
 fn end_in_the_first_answer() {
