Take starts back that are not wanted any more when they are to be sent

While workers leave some orders without an answer, a job is cancelled and acknowledged; its tasks go on to be started for seconds.

Hypotheses: (a) starts wait for one of the two permits of their worker behind orders without an answer, (b) starts wait to be handed to the relay, (c) the cancelling waits. From now on workswood_order_wait_seconds{order} and order_waited tell this.

Cause: a start was sent whatever became of the wish for it. Neither the scheduler nor the relay could take back one that waited.

Change: a start is checked when the holder hands it to the relay, after its record; the relay drops one that waits when its task is to be stopped, or its worker drains, and reports it as not sent; one that is under way is not sent again; stops of runs whose start waits are ordered at once; starts take turns with all other orders to a worker. On the wire the new order is a stop with a mark that older relays don't read: they stop the task.

Same cause elsewhere: starts on a worker that has begun to drain, starts held back by the store whose job was cancelled meanwhile, starts of copies of done tasks: mended with it. Evacuations, and changes of holder or relay: checked at each sending before.

--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -57,6 +57,19 @@
     Stopped,
 }
 
+/// How far the start of a run has got, while the run is in [`Phase::Starting`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartOrder {
+    /// It is decided, and its record may not be stored yet.
+    Decided,
+    /// The relay of the worker has it.
+    HandedOn,
+    /// It is not wanted any more, and the relay does not get it.
+    Withdrawn,
+    /// It is not wanted any more, and the relay was told so.
+    Recalled,
+}
+
 /// One attempt to run a task on one worker.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -68,6 +81,8 @@
     pub phase: Phase,
     /// When `phase` last changed.
     pub phase_since: Duration,
+    /// How far its start has got.
+    pub start_order: StartOrder,
     /// When this lease holder placed the run; `None` if an earlier one did.
     pub placed_at: Option<Duration>,
     /// When the worker first confirmed the run, by accepting the start or by listing it.
@@ -97,6 +112,7 @@
             attempt,
             phase,
             phase_since: now,
+            start_order: StartOrder::Decided,
             placed_at: None,
             confirmed_at: None,
             progress_percent: 0,
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 //! * [`host`] defines hosts and replies to orders.
 //! * [`stable_map`] is a map with the same iteration order in every run.
 //! * [`queue_order`] decides which waiting task is next, and [`task_queue`] holds the waiting tasks.
+//! * `start_orders` withdraws starts that are not wanted any more before they are sent.
 //! * [`relays`] decides which entry polls which workers, and [`run_tracker`] finds what is new in a
 //!   worker's answers.
 //! * `worker_restart` handles workers that restart under the same name, and [`incarnation_check`] keeps
@@ -102,6 +103,7 @@
 mod slow_workers;
 pub mod spec;
 pub mod stable_map;
+mod start_orders;
 mod takeover_barrier;
 pub mod task_queue;
 pub mod types;
--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -140,7 +140,7 @@
                 let step = self.jobs.get(&task.job).and_then(|j| j.step(task));
                 step.is_some_and(|s| !s.long_running && !s.gang)
             }
-            Action::Advise { .. } | Action::SetPace { .. } => true,
+            Action::Advise { .. } | Action::SetPace { .. } | Action::WithdrawStart(..) => true,
             Action::MaintainHost(..) | Action::MoveHost(..) => false,
             // These are never part of a batch.
             Action::OpenRelay(_)
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -544,12 +544,18 @@
         let now = self.now;
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
         for run in &mut task.runs {
-            // A start in flight is stopped once its outcome is known.
-            if matches!(run.phase, Phase::Starting | Phase::Stopping | Phase::Stopped) {
-                continue;
+            let order_stop = match run.phase {
+                // What it becomes is known with the outcome of the start.
+                Phase::Starting => run.recall_start(),
+                Phase::Stopping | Phase::Stopped => false,
+                Phase::Inherited | Phase::Running => {
+                    run.set_phase(Phase::Stopping, now);
+                    true
+                }
+            };
+            if order_stop {
+                self.actions.push(Action::Stop(run.worker.clone(), *id, run.attempt));
             }
-            run.set_phase(Phase::Stopping, now);
-            self.actions.push(Action::Stop(run.worker.clone(), *id, run.attempt));
         }
     }
 
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -257,8 +257,10 @@
         /// How long to wait for the answer.
         timeout: Duration,
     },
-    /// Stop an attempt of a task.
+    /// Stop an attempt of a task. If its start has not been sent, it is not sent any more.
     Stop(WorkerId, TaskId, u32),
+    /// Have the start of an attempt of a task not sent any more, unless it has been sent.
+    WithdrawStart(WorkerId, TaskId, u32),
     /// Limit the pace of an attempt of a task.
     SetPace {
         /// The worker that runs it.
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -12,7 +12,7 @@
 
 use super::crash_attribution::IncarnationEnd;
 use super::host::HostState;
-use super::job::{FULL_PACE_PERCENT, Phase, Run, WorkerId};
+use super::job::{FULL_PACE_PERCENT, Phase, Run, StartOrder, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::{StepSpec, TaskId};
 use super::types::{Action, StartReply, StopReply};
@@ -92,6 +92,7 @@
             }
         } else if starts_draining {
             self.notes.push(format_args!("event=worker_draining worker={id} service={}", info.service));
+            self.withdraw_starts_on(&id);
         }
         self.keep_latest_incarnation(&id);
     }
@@ -260,7 +261,11 @@
                 "event=start_not_taken worker={id} task={task} attempt={attempt} reply={reply:?}"
             ));
         }
-        self.back_off_after_refusal(id, reply);
+        let recalled = self.run(id, &task, attempt).is_some_and(|r| r.start_order == StartOrder::Recalled);
+        // A worker that has accepted the stop refuses the start.
+        if !recalled {
+            self.back_off_after_refusal(id, reply);
+        }
         if reply == StartReply::Ticket {
             self.ticket_rejected(id, &task);
         }
@@ -278,7 +283,9 @@
             StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer => {
                 if !matches!(run.phase, Phase::Stopping | Phase::Stopped) {
                     run.set_phase(Phase::Stopping, now);
-                    self.actions.push(Action::Stop(id.clone(), task, attempt));
+                    if !recalled {
+                        self.actions.push(Action::Stop(id.clone(), task, attempt));
+                    }
                 }
             }
             StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent => {
--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -55,6 +55,10 @@
     /// The order.
     #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8")]
     pub order: Option<Order>,
+    /// With a stop: whether only the start of the task is to be dropped, if it has not been sent.
+    /// Versions that do not read this stop the task.
+    #[prost(bool, tag = "9")]
+    pub unless_sent: bool,
 }
 
 /// What a relay has to do with a worker.
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -39,7 +39,12 @@
 
     /// Draws the fate of the next message.
     pub(super) fn fate(&mut self) -> Fate {
-        if self.below(1000) >= self.faults_per_mille {
+        self.fate_with(self.faults_per_mille)
+    }
+
+    /// Draws the fate of a message of a kind of which so many in 1,000 meet a fault.
+    pub(super) fn fate_with(&mut self, faults_per_mille: u64) -> Fate {
+        if self.below(1000) >= faults_per_mille {
             return Fate::Fine;
         }
         match self.below(3) {
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -378,6 +378,9 @@
                 self.holders[n].watched.remove(&id);
             }
             Action::Start { worker, token, task, attempt, ticket, .. } => {
+                if !self.holders[n].sched.hand_on_start(&worker, &task, attempt) {
+                    return;
+                }
                 if self.holders[n].watched.get(&worker).is_some_and(|(_, t)| *t == token) {
                     let id = worker.clone();
                     self.order(n, &worker, ToRelay::Start { id, task, attempt, ticket });
@@ -389,6 +392,9 @@
             Action::Stop(worker, task, attempt) => {
                 self.order(n, &worker.clone(), ToRelay::Stop(worker, task, attempt));
             }
+            Action::WithdrawStart(worker, task, attempt) => {
+                self.order(n, &worker.clone(), ToRelay::WithdrawStart(worker, task, attempt));
+            }
             Action::SetPace { .. }
             | Action::MaintainHost(..)
             | Action::MoveHost(..)
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -12,6 +12,7 @@
 mod fault_rng;
 mod holder;
 mod oracle;
+mod order_queue;
 mod relay;
 mod restarts;
 mod worker;
@@ -61,6 +62,10 @@
 pub const ATTEMPTS: u32 = 3;
 /// Most ends that a worker lists at once in a world with short lists.
 const SHORT_END_LIST: usize = 2;
+/// Most tasks that run on a worker at once in a world whose relays queue orders.
+const MANY_RUNS: usize = 40;
+/// Processor that such a task uses, in thousandths of a core.
+const SMALL_TASK_CPU: u64 = 100;
 /// Maximum number of workers per relay.
 const MAX_WORKERS_PER_RELAY: usize = 2;
 
@@ -161,6 +166,15 @@
     second_runs: bool,
     /// Most ends that a worker lists at once.
     max_listed_ends: usize,
+    /// Most tasks that run on a worker at once.
+    max_runs: Option<usize>,
+    /// Whether few orders at a time are under way to a worker, and the others wait in its relay.
+    order_queues: bool,
+    /// Starts and stops in 1,000 that are lost, delayed or not answered, if these are more than other
+    /// messages.
+    pub order_faults_per_mille: u64,
+    /// When each job was cancelled, in a world in which holders and relays are always in touch.
+    cancelled_at: Option<BTreeMap<JobKey, Duration>>,
     /// What holders do while the store is away.
     outage: OutagePolicy,
     /// What the oracle has recorded.
@@ -232,6 +246,12 @@
     }
 }
 
+/// Creates a step of `count` tasks, many of which fit on a worker.
+pub fn small_step(count: u32) -> StepSpec {
+    let resources = Resources { cpu_millis: SMALL_TASK_CPU, mem_mb: 10, gpus: 0 };
+    StepSpec { resources, ..step(count, vec![]) }
+}
+
 impl World {
     /// Creates a world with `workers` four-core workers and one holder.
     pub fn new(workers: usize, rng: FaultRng) -> World {
@@ -280,6 +300,24 @@
         self
     }
 
+    /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
+    /// many tasks, such as those of [`small_step`].
+    #[must_use]
+    pub fn with_order_queues(mut self) -> World {
+        self.order_queues = true;
+        self.max_runs = Some(MANY_RUNS);
+        self.workers.iter_mut().for_each(|w| w.max_runs = MANY_RUNS);
+        self
+    }
+
+    /// Checks the time from the cancellation of a job, or from the statement of a worker that it
+    /// drains, to the last start. Holders and relays must be in touch at all times.
+    #[must_use]
+    pub fn with_time_bounds(mut self) -> World {
+        self.cancelled_at = Some(BTreeMap::new());
+        self
+    }
+
     /// Has workers list few ends at once, and the others once these are acknowledged.
     #[must_use]
     pub fn with_short_end_lists(mut self) -> World {
@@ -317,6 +355,10 @@
             restarts: false,
             second_runs: false,
             max_listed_ends: usize::MAX,
+            max_runs: None,
+            order_queues: false,
+            order_faults_per_mille: 0,
+            cancelled_at: None,
             outage: OutagePolicy::default(),
             seen: Seen::default(),
             rng,
@@ -335,7 +377,9 @@
     }
 
     fn life_of(&self, id: WorkerId) -> SimWorker {
-        SimWorker { max_listed_ends: self.max_listed_ends, ..SimWorker::new(id) }
+        let w = SimWorker::new(id);
+        let max_runs = self.max_runs.unwrap_or(w.max_runs);
+        SimWorker { max_listed_ends: self.max_listed_ends, max_runs, ..w }
     }
 
     /// Creates the next life of worker `n`: under the same name if workers restart, else a new one.
@@ -356,10 +400,19 @@
             host: format!("m-{n}"),
             capacity: Resources { cpu_millis: 4000, mem_mb: 8000, gpus: 0 },
             labels: Vec::new(),
-            draining: false,
+            draining: self.workers.iter().any(|w| w.id == *id && w.draining_since.is_some()),
         }
     }
 
+    /// Has worker `n` state that it drains.
+    pub fn drain(&mut self, n: usize) {
+        let n = n % self.workers.len();
+        self.workers[n].draining_since = Some(self.now);
+        let info = self.info(n, &self.workers[n].id);
+        let at = self.now + self.listing_delay();
+        self.holders.iter_mut().for_each(|h| h.enqueue_event(at, Event::WorkerListed(info.clone())));
+    }
+
     /// Lets a new holder claim the lease; earlier holders do not know of it yet.
     pub fn take_over(&mut self) {
         self.term += 1;
@@ -493,6 +546,9 @@
     /// Cancels a job.
     pub fn cancel(&mut self, key: JobKey) {
         self.cancelled.insert(key);
+        if let Some(cancelled_at) = &mut self.cancelled_at {
+            cancelled_at.entry(key).or_insert(self.now);
+        }
         let (now, owner) = (self.now, self.owner());
         self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Cancelled(key, owner)));
     }
@@ -528,6 +584,7 @@
     /// Ends all injected faults, partitions and evacuations.
     pub fn heal(&mut self) {
         self.rng.faults_per_mille = 0;
+        self.order_faults_per_mille = 0;
         self.link_latency = STEP;
         self.workers.iter_mut().for_each(|w| w.partitioned = false);
         self.end_evacuations();
@@ -607,7 +664,11 @@
 
     /// Sends an order to a worker; returns the answer unless the order or the answer is lost.
     fn deliver(&mut self, id: &WorkerId, order: Order) -> Option<Answer> {
-        match self.rng.fate() {
+        let faults_per_mille = match order.is_command() {
+            true => self.rng.faults_per_mille.max(self.order_faults_per_mille),
+            false => self.rng.faults_per_mille,
+        };
+        match self.rng.fate_with(faults_per_mille) {
             Fate::Fine => self.carry_out(id, &order, false),
             Fate::Lost => None,
             Fate::AnswerLost => {
@@ -644,6 +705,7 @@
             Answer::Accepted(task, attempt) => {
                 if !late {
                     self.check_evacuated(at, task);
+                    self.check_time_bounds(at, task);
                 }
                 self.begin_task(at, *task, *attempt);
             }
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -17,7 +17,28 @@
 /// Longest time from the showing of a completed job to a start of one of its tasks that was sent before.
 const START_AFTER_SHOWING: Duration = Duration::from_secs(1);
 
+/// Longest time from the cancellation of a job to a start of one of its tasks.
+const CANCEL_BOUND: Duration = Duration::from_secs(3);
+/// Longest time from the statement of a worker that it drains to a start there.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+
 impl World {
+    /// Checks that a start, which was not delayed on its way, is not later than what ended the wish
+    /// for it allows.
+    pub(super) fn check_time_bounds(&mut self, at: usize, task: &TaskId) {
+        let Some(cancelled_at) = &self.cancelled_at else { return };
+        let now = self.now;
+        let too_late = |since: Option<Duration>, bound| since.filter(|since| *since + bound < now);
+        let cancelled = too_late(cancelled_at.get(&task.job).copied(), CANCEL_BOUND);
+        let draining = too_late(self.workers[at].draining_since, DRAIN_BOUND);
+        let id = &self.workers[at].id;
+        let cancelled = cancelled
+            .map(|since| format!("UNASKED: {task} started on {id} at {now:?}, cancelled at {since:?}"));
+        let draining = draining
+            .map(|since| format!("DRAIN: {task} started on {id} at {now:?}, draining since {since:?}"));
+        self.seen.violations.extend(cancelled.into_iter().chain(draining));
+    }
+
     /// Removes a worker's ends up to a sequence number and records them as acknowledged.
     pub(super) fn record_acked_ends(&mut self, at: usize, forget: u64) {
         let w = &mut self.workers[at];
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -14,6 +14,7 @@
 use workswood_core::jobs::types::lease_with_drift;
 use workswood_core::jobs::{Listing, RunTracker, StartReply, StopReply, TaskId, WorkerUpdate};
 
+use super::order_queue::{OrderQueue, QueuedOrder};
 use super::worker::{Answer, Order};
 use super::{LEASE, STEP, World, limits};
 
@@ -54,6 +55,7 @@
         ticket: Option<Arc<str>>,
     },
     Stop(WorkerId, TaskId, u32),
+    WithdrawStart(WorkerId, TaskId, u32),
 }
 
 /// A message from a relay to a holder.
@@ -103,6 +105,8 @@
     last_answer: Duration,
     last_answered_poll: LastAnsweredPoll,
     runs: RunTracker,
+    /// Orders that wait, in a world whose relays queue them.
+    orders: OrderQueue,
 }
 
 /// An answer of a worker, or a timeout, that a relay has not received yet.
@@ -211,6 +215,7 @@
             session.last_message = now;
             self.handle_holder_message(&mut session, msg);
         }
+        self.send_waiting_orders(&mut session);
         self.send_heartbeat(at, &mut session);
         let (due, pending): (Vec<_>, Vec<_>) =
             std::mem::take(&mut session.pending).into_iter().partition(|(t, ..)| *t <= now);
@@ -276,6 +281,7 @@
                     last_answer: Duration::ZERO,
                     last_answered_poll: LastAnsweredPoll::default(),
                     runs: RunTracker::default(),
+                    orders: OrderQueue::default(),
                 };
                 session.watched.insert(id, worker);
             }
@@ -288,10 +294,53 @@
                     w.next_probe = now;
                 }
             }
+            ToRelay::Start { id, task, attempt, ticket } if self.order_queues => {
+                if let Some(w) = session.watched.get_mut(&id) {
+                    w.orders.push_start(task, attempt, ticket);
+                }
+            }
             ToRelay::Start { id, task, attempt, ticket } => {
-                self.send_start(session, id, task, attempt, &ticket);
+                self.send_start(session, &id, task, attempt, &ticket);
+            }
+            ToRelay::Stop(id, task, attempt) if self.order_queues => {
+                let withdrawn = self.withdraw_start(session, &id, task, attempt);
+                if let Some(w) = session.watched.get_mut(&id).filter(|_| !withdrawn) {
+                    w.orders.push_stop(task, attempt);
+                }
+            }
+            ToRelay::Stop(id, task, attempt) => _ = self.send_stop(session, &id, task, attempt),
+            ToRelay::WithdrawStart(id, task, attempt) => {
+                self.withdraw_start(session, &id, task, attempt);
+            }
+        }
+    }
+
+    /// Drops a start that waits; returns whether there was one.
+    fn withdraw_start(&self, session: &mut HolderSession, id: &WorkerId, task: TaskId, attempt: u32) -> bool {
+        let Some(w) = session.watched.get_mut(id) else { return false };
+        let withdrawn = w.orders.withdraw(task, attempt);
+        if withdrawn {
+            let answer = PendingAnswer::Started { task, attempt, reply: StartReply::NotSent };
+            session.pending.push((self.now, id.clone(), w.token, answer));
+        }
+        withdrawn
+    }
+
+    /// Sends the orders that wait and may be sent now.
+    fn send_waiting_orders(&mut self, session: &mut HolderSession) {
+        let ids: Vec<WorkerId> = session.watched.keys().cloned().collect();
+        for id in ids {
+            while let Some(order) = session.watched.get_mut(&id).and_then(|w| w.orders.next(self.now)) {
+                let wait = match order {
+                    QueuedOrder::Start { task, attempt, ticket } => {
+                        self.send_start(session, &id, task, attempt, &ticket)
+                    }
+                    QueuedOrder::Stop { task, attempt } => self.send_stop(session, &id, task, attempt),
+                };
+                if let Some(w) = session.watched.get_mut(&id) {
+                    w.orders.note_sent(self.now + wait);
+                }
             }
-            ToRelay::Stop(id, task, attempt) => self.send_stop(session, id, task, attempt),
         }
     }
 
@@ -300,26 +349,27 @@
         (self.now < session.extends_until).then(|| self.now + LEASE)
     }
 
+    /// Sends a start; returns how long it is under way.
     fn send_start(
         &mut self,
         session: &mut HolderSession,
-        id: WorkerId,
+        id: &WorkerId,
         task: TaskId,
         attempt: u32,
         ticket: &Option<Arc<str>>,
-    ) {
-        let Some(token) = session.watched.get(&id).map(|w| w.token) else { return };
+    ) -> Duration {
+        let Some(token) = session.watched.get(id).map(|w| w.token) else { return Duration::ZERO };
         let mut reply = StartReply::NotSent;
         for _ in 0..1 + self.rng.below(3) {
-            if !self.confirm_incarnation(session, &id) {
+            if !self.confirm_incarnation(session, id) {
                 break;
             }
             let lease = self.lease_from(session);
-            let Some(w) = session.watched.get_mut(&id) else { return };
+            let Some(w) = session.watched.get_mut(id) else { return Duration::ZERO };
             let Some(lease_end) = lease.filter(|_| !w.silent) else { break };
             w.leased_until = self.now + lease_with_drift(LEASE, limits().clock_drift);
             let order = Order::Start { token, task, attempt, lease_end, ticket: ticket.clone() };
-            let answer = self.deliver(&id, order).map(|a| match a {
+            let answer = self.deliver(id, order).map(|a| match a {
                 Answer::Reply(reply) => reply,
                 Answer::Accepted(..) | Answer::Listing(_) => StartReply::Taken,
             });
@@ -333,7 +383,9 @@
             }
         }
         let wait = if reply == StartReply::NoAnswer { ANSWER_TIMEOUT * 3 } else { STEP };
-        session.pending.push((self.now + wait, id, token, PendingAnswer::Started { task, attempt, reply }));
+        let answer = PendingAnswer::Started { task, attempt, reply };
+        session.pending.push((self.now + wait, id.clone(), token, answer));
+        wait
     }
 
     /// Whether a start can reach the incarnation only that is meant; polls it if that is not known.
@@ -352,14 +404,28 @@
         answered && !restarted
     }
 
-    fn send_stop(&mut self, session: &mut HolderSession, id: WorkerId, task: TaskId, attempt: u32) {
-        let Some(token) = session.watched.get(&id).map(|w| w.token) else { return };
-        let reply = match self.deliver(&id, Order::Stop { token, task, attempt }) {
-            Some(Answer::Reply(StartReply::Deposed)) => StopReply::Deposed,
-            Some(_) => StopReply::Taken,
-            None => StopReply::NoAnswer,
+    /// Sends a stop; returns how long it is under way.
+    fn send_stop(
+        &mut self,
+        session: &mut HolderSession,
+        id: &WorkerId,
+        task: TaskId,
+        attempt: u32,
+    ) -> Duration {
+        let Some(token) = session.watched.get(id).map(|w| w.token) else { return Duration::ZERO };
+        let (reply, wait) = match self.deliver(id, Order::Stop { token, task, attempt }) {
+            Some(Answer::Reply(StartReply::Deposed)) => (StopReply::Deposed, STEP),
+            Some(_) => (StopReply::Taken, STEP),
+            None => (StopReply::NoAnswer, self.lost_stop_wait()),
         };
-        session.pending.push((self.now + STEP, id, token, PendingAnswer::Stopped { task, attempt, reply }));
+        let answer = PendingAnswer::Stopped { task, attempt, reply };
+        session.pending.push((self.now + wait, id.clone(), token, answer));
+        wait
+    }
+
+    /// How long a stop without an answer is under way.
+    fn lost_stop_wait(&self) -> Duration {
+        if self.order_queues { ANSWER_TIMEOUT } else { STEP }
     }
 
     /// Draws the latency of an answer to a probe; the answer has the worker's state when it was sent.
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -45,6 +45,10 @@
     pub partitioned: bool,
     /// Most ends that the worker lists at once.
     pub max_listed_ends: usize,
+    /// Most tasks that run on the worker at once.
+    pub max_runs: usize,
+    /// Since when the worker has stated that it drains.
+    pub draining_since: Option<Duration>,
 }
 
 /// An order to a worker.
@@ -78,6 +82,8 @@
             finished_attempts: HashMap::new(),
             partitioned: false,
             max_listed_ends: usize::MAX,
+            max_runs: MAX_RUNS,
+            draining_since: None,
         }
     }
 
@@ -135,7 +141,7 @@
                     Answer::Reply(StartReply::Taken)
                 } else if !ticket_valid {
                     Answer::Reply(StartReply::Ticket)
-                } else if self.running.len() >= MAX_RUNS {
+                } else if self.running.len() >= self.max_runs {
                     Answer::Reply(StartReply::Refused)
                 } else {
                     Answer::Accepted(*task, *attempt)
@@ -178,6 +184,11 @@
 }
 
 impl Order {
+    /// Whether the order is a start or a stop.
+    pub(super) fn is_command(&self) -> bool {
+        matches!(self, Order::Start { .. } | Order::Stop { .. })
+    }
+
     fn token(&self) -> Term {
         match self {
             Order::Probe { token, .. } | Order::Start { token, .. } | Order::Stop { token, .. } => *token,
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -35,6 +35,15 @@
     Overtaken,
 }
 
+/// An order that was sent to a worker: the attempt of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SentOrder {
+    /// To start it.
+    Start(TaskId, u32),
+    /// To stop it.
+    Stop(TaskId, u32),
+}
+
 /// The store.
 pub struct TurnStore {
     /// Time that an append takes once it is its turn.
@@ -53,6 +62,10 @@
     leases: Mutex<u64>,
     /// Starts of tasks that were sent.
     starts: Mutex<u64>,
+    /// Starts and stops in the order in which they were sent.
+    sent: Mutex<Vec<SentOrder>>,
+    /// For how long a start or stop is under way without an answer; `None` if none is sent.
+    order_wait: Mutex<Option<Duration>>,
     /// Orders to hosts.
     orders: Mutex<u64>,
     /// Records of the lease, if the store keeps them, and how often they were read.
@@ -88,6 +101,8 @@
             looks: Mutex::default(),
             leases: Mutex::default(),
             starts: Mutex::default(),
+            sent: Mutex::default(),
+            order_wait: Mutex::default(),
             orders: Mutex::default(),
             lease: Mutex::default(),
             lease_reads: Mutex::default(),
@@ -176,6 +191,24 @@
         *self.starts.lock()
     }
 
+    /// From now on starts and stops are sent, and each is given up without an answer after this time.
+    pub fn holds_orders(&self, wait: Duration) {
+        *self.order_wait.lock() = Some(wait);
+    }
+
+    /// The starts and stops that were sent while orders are held.
+    pub fn sent(&self) -> Vec<SentOrder> {
+        self.sent.lock().clone()
+    }
+
+    async fn order(&self, order: SentOrder) -> Result<(), WorkerError> {
+        let wait = *self.order_wait.lock();
+        let Some(wait) = wait else { return Err(WorkerError::NotSent) };
+        self.sent.lock().push(order);
+        tokio::time::sleep(wait).await;
+        Err(WorkerError::NoAnswer)
+    }
+
     /// Orders to hosts so far.
     pub fn orders(&self) -> u64 {
         *self.orders.lock()
@@ -316,20 +349,20 @@
         &'a self,
         _: &'a WorkerAddress,
         _: Term,
-        _: StartOrder,
+        order: StartOrder,
     ) -> BoxFuture<'a, Result<(), WorkerError>> {
         *self.starts.lock() += 1;
-        nobody()
+        self.order(SentOrder::Start(order.task, order.attempt)).boxed()
     }
 
     fn stop_task<'a>(
         &'a self,
         _: &'a WorkerAddress,
         _: Term,
-        _: TaskId,
-        _: u32,
+        task: TaskId,
+        attempt: u32,
     ) -> BoxFuture<'a, Result<(), WorkerError>> {
-        nobody()
+        self.order(SentOrder::Stop(task, attempt)).boxed()
     }
 
     fn throttle_task<'a>(
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -4,17 +4,15 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use workswood_core::ids::Term;
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::{RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
 use super::messages::WorkerNumber;
-
-/// Orders under way to one worker at a time. Together with the poll this bounds the number of
-/// connections to the worker.
-const MAX_CONCURRENT_ORDERS: usize = 2;
+use super::order_permits::OrderPermits;
+use super::pending_starts::PendingStarts;
 
 /// A worker that is assigned to this relay.
 pub struct AssignedWorker {
@@ -26,8 +24,12 @@
     pub token: Term,
     /// Highest number of an ended task that is recorded and may be acknowledged to the worker.
     pub recorded_end: watch::Sender<u64>,
+    /// Starts whose outcome is not known yet.
+    pub pending_starts: PendingStarts,
     /// Limits the number of concurrent orders.
-    pub order_permits: Semaphore,
+    pub(super) order_permits: OrderPermits,
+    /// When a long wait of an order was last logged, in milliseconds since this process started.
+    wait_logged_ms: AtomicU64,
     /// The runs as they were last reported to the scheduler.
     pub run_tracker: Mutex<RunTracker>,
     /// The worker's clock, and the clock of this process when the worker sent it.
@@ -49,7 +51,9 @@
             address,
             token,
             recorded_end: watch::Sender::new(0),
-            order_permits: Semaphore::new(MAX_CONCURRENT_ORDERS),
+            pending_starts: PendingStarts::default(),
+            order_permits: OrderPermits::default(),
+            wait_logged_ms: AtomicU64::new(0),
             run_tracker: Mutex::default(),
             clock: Mutex::new(None),
             leased_until_ms: AtomicU64::new(0),
@@ -60,6 +64,13 @@
         }
     }
 
+    /// Whether a long wait of an order may be logged now: not sooner than this after the last one.
+    pub(super) fn may_log_wait(&self, now: Duration, interval: Duration) -> bool {
+        let now_ms = now.as_millis() as u64;
+        let due = |last: u64| (last == 0 || now_ms >= last + interval.as_millis() as u64).then_some(now_ms);
+        self.wait_logged_ms.fetch_update(Ordering::SeqCst, Ordering::SeqCst, due).is_ok()
+    }
+
     /// Ends the assignment: the worker is no longer polled, and its events are dropped.
     pub fn unassign(&self) {
         self.unassigned.store(true, Ordering::SeqCst);
--- a/src/workswood/ops/jobs/relay/codec.rs
+++ b/src/workswood/ops/jobs/relay/codec.rs
@@ -25,6 +25,7 @@
 pub fn write_orders(orders: Vec<(WorkerNumber, WorkerOrder)>) -> Vec<wire::RelayOrder> {
     let mut last_spec: Option<Arc<str>> = None;
     let write = |(worker, order): (WorkerNumber, WorkerOrder)| {
+        let unless_sent = matches!(order, WorkerOrder::WithdrawStart { .. });
         let order = match order {
             WorkerOrder::Start(s) => {
                 let same = last_spec.as_ref().is_some_and(|t| Arc::ptr_eq(t, &s.spec));
@@ -39,7 +40,7 @@
             }
             other => write_order(other),
         };
-        wire::RelayOrder { worker, order: Some(order) }
+        wire::RelayOrder { worker, unless_sent, order: Some(order) }
     };
     orders.into_iter().map(write).collect()
 }
@@ -62,7 +63,9 @@
             checkpoint: s.checkpoint,
             ticket: s.ticket.map(|t| t.to_string()),
         }),
-        WorkerOrder::Stop { task, attempt } => wire::Order::Stop(write_run(task, attempt)),
+        WorkerOrder::Stop { task, attempt } | WorkerOrder::WithdrawStart { task, attempt } => {
+            wire::Order::Stop(write_run(task, attempt))
+        }
         WorkerOrder::Throttle { task, attempt, percent } => {
             wire::Order::Throttle(wire::ThrottleTask { run: Some(write_run(task, attempt)), percent })
         }
@@ -101,7 +104,10 @@
             }
             wire::Order::Stop(run) => {
                 let (task, attempt) = read_run(&run)?;
-                WorkerOrder::Stop { task, attempt }
+                match o.unless_sent {
+                    true => WorkerOrder::WithdrawStart { task, attempt },
+                    false => WorkerOrder::Stop { task, attempt },
+                }
             }
             wire::Order::Throttle(p) => {
                 let (task, attempt) = read_run(&p.run?)?;
--- a/src/workswood/ops/jobs/relay/messages.rs
+++ b/src/workswood/ops/jobs/relay/messages.rs
@@ -44,13 +44,20 @@
     ReportLoad(bool),
     /// Start a task.
     Start(StartTask),
-    /// Stop a task.
+    /// Stop a task. A start of this attempt that has not been sent is dropped instead.
     Stop {
         /// The task.
         task: TaskId,
         /// Number of the attempt.
         attempt: u32,
     },
+    /// Drop the start of a task if it has not been sent.
+    WithdrawStart {
+        /// The task.
+        task: TaskId,
+        /// Number of the attempt.
+        attempt: u32,
+    },
     /// Limit the pace of a task.
     Throttle {
         /// The task.
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -7,12 +7,15 @@
 //!
 //! * [`messages`] defines orders and events; [`event_sink`] delivers events to the scheduler.
 //! * [`assigned_worker`] is the state that the tasks for one worker share: [`poll`] polls the
-//!   worker, and [`send`] sends orders to it.
+//!   worker, and [`send`] sends orders to it, few at a time ([`order_permits`]). [`pending_starts`]
+//!   holds the starts, which can be taken back until they are sent.
 
 pub mod assigned_worker;
 pub mod codec;
 mod event_sink;
 pub mod messages;
+mod order_permits;
+pub mod pending_starts;
 pub mod poll;
 mod send;
 pub mod session;
@@ -28,6 +31,7 @@
 use self::assigned_worker::AssignedWorker;
 pub use self::event_sink::{EventQueue, EventSink};
 use self::messages::{WorkerEvent, WorkerNumber, WorkerOrder};
+use self::pending_starts::Recall;
 use super::limits::WorkerLease;
 use super::node::Node;
 
@@ -112,6 +116,7 @@
             }
             WorkerOrder::Start(s) => match self.workers.get(&number) {
                 Some(worker) => {
+                    worker.pending_starts.add((s.task, s.attempt));
                     self.tasks.spawn(send::start(self.cx.clone(), worker.clone(), s));
                 }
                 None => self.cx.sink.report_by_number(
@@ -121,8 +126,18 @@
                 ),
             },
             WorkerOrder::Stop { task, attempt } => {
-                if let Some(worker) = self.workers.get(&number) {
-                    self.tasks.spawn(send::stop(self.cx.clone(), worker.clone(), task, attempt));
+                let Some(worker) = self.workers.get(&number) else { return };
+                match worker.pending_starts.recall((task, attempt)) {
+                    Recall::NotSent => send::report_withdrawn(&self.cx, worker, task, attempt),
+                    Recall::MayBeSent => {
+                        self.tasks.spawn(send::stop(self.cx.clone(), worker.clone(), task, attempt));
+                    }
+                }
+            }
+            WorkerOrder::WithdrawStart { task, attempt } => {
+                let Some(worker) = self.workers.get(&number) else { return };
+                if worker.pending_starts.withdraw((task, attempt)) == Recall::NotSent {
+                    send::report_withdrawn(&self.cx, worker, task, attempt);
                 }
             }
             WorkerOrder::Throttle { task, attempt, percent } => {
--- /dev/null
+++ b/src/workswood/ops/jobs/relay/pending_starts.rs
@@ -0,0 +1,89 @@
+//! Starts on one worker whose outcome is not known yet.
+//!
+//! Starts wait while others are under way to the worker. The lease holder may take one back
+//! meanwhile: it is then never sent.
+
+use std::collections::HashMap;
+
+use parking_lot::Mutex;
+use workswood_core::jobs::run_tracker::RunKey;
+
+/// State of a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PendingStart {
+    /// It has not been sent.
+    Waiting,
+    /// It is being sent, perhaps repeatedly.
+    Sending,
+    /// It has been sent, and must not be sent again.
+    Recalled,
+}
+
+/// What a start that was recalled has become.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Recall {
+    /// It had not been sent, and never will be.
+    NotSent,
+    /// It may have been sent, or none of this run is pending.
+    MayBeSent,
+}
+
+/// The pending starts of a worker, by run.
+#[derive(Debug, Default)]
+pub struct PendingStarts(Mutex<HashMap<RunKey, PendingStart>>);
+
+impl PendingStarts {
+    /// Adds a start, which waits.
+    pub fn add(&self, run: RunKey) {
+        self.0.lock().insert(run, PendingStart::Waiting);
+    }
+
+    /// Begins to send a start; returns false if it was taken back.
+    pub fn begin(&self, run: RunKey) -> bool {
+        match self.0.lock().get_mut(&run) {
+            Some(state) => {
+                *state = PendingStart::Sending;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Whether a start that is being sent may be sent once more.
+    pub fn may_send(&self, run: RunKey) -> bool {
+        self.0.lock().get(&run) == Some(&PendingStart::Sending)
+    }
+
+    /// Removes a start, whose outcome is known.
+    pub fn end(&self, run: RunKey) {
+        self.0.lock().remove(&run);
+    }
+
+    /// Takes a start back if it has not been sent.
+    pub fn withdraw(&self, run: RunKey) -> Recall {
+        let mut starts = self.0.lock();
+        match starts.get(&run) {
+            Some(PendingStart::Waiting) => {
+                starts.remove(&run);
+                Recall::NotSent
+            }
+            Some(PendingStart::Sending | PendingStart::Recalled) | None => Recall::MayBeSent,
+        }
+    }
+
+    /// Takes a start back if it has not been sent; otherwise it is not sent again.
+    pub fn recall(&self, run: RunKey) -> Recall {
+        let mut starts = self.0.lock();
+        match starts.get_mut(&run) {
+            Some(PendingStart::Waiting) => {
+                starts.remove(&run);
+                Recall::NotSent
+            }
+            Some(state) => {
+                *state = PendingStart::Recalled;
+                Recall::MayBeSent
+            }
+            None => Recall::MayBeSent,
+        }
+    }
+}
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -17,11 +17,45 @@
     [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(600)];
 /// Number of attempts to send a stop order.
 const STOP_ATTEMPTS: u32 = 2;
+/// An order that has waited for this long is logged.
+const LONG_WAIT: Duration = Duration::from_millis(500);
+/// Shortest time between two such log lines of one worker.
+const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// Logs and counts how long an order waited in the relay before it was sent.
+struct OrderWait {
+    kind: &'static str,
+    received: Duration,
+}
+
+impl OrderWait {
+    fn begin(cx: &RelayContext, kind: &'static str) -> OrderWait {
+        OrderWait { kind, received: cx.node.now() }
+    }
+
+    fn end(self, cx: &RelayContext, worker: &AssignedWorker, task: TaskId) {
+        let now = cx.node.now();
+        let (kind, waited) = (self.kind, now.saturating_sub(self.received));
+        cx.node.metrics.order_wait_seconds.with_label_values(&[kind]).observe(waited.as_secs_f64());
+        if waited >= LONG_WAIT && worker.may_log_wait(now, WAIT_LOG_INTERVAL) {
+            let worker = &worker.address.id;
+            let waited_ms = waited.as_millis();
+            log::info!("event=order_waited worker={worker} order={kind} task={task} waited_ms={waited_ms}");
+        }
+    }
+}
+
+/// Sends a start order once other orders allow it, unless it is taken back before.
 pub(super) async fn start(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, start: StartTask) {
-    let _permit = worker.order_permits.acquire().await;
-    let reply = try_start(&cx, &worker, &start).await;
+    let wait = OrderWait::begin(&cx, "start");
+    let _permit = worker.order_permits.for_start().await;
     let (task, attempt) = (start.task, start.attempt);
+    if !worker.pending_starts.begin((task, attempt)) {
+        return;
+    }
+    wait.end(&cx, &worker, task);
+    let reply = try_start(&cx, &worker, &start).await;
+    worker.pending_starts.end((task, attempt));
     cx.node.metrics.task_starts.with_label_values(&[start_label(reply)]).inc();
     if reply.is_answer() {
         worker.record_answer(cx.node.now());
@@ -44,6 +78,9 @@
             break;
         }
         let Some(lease_end) = worker.lease_end(now, cx.worker_lease.duration) else { break };
+        if !worker.pending_starts.may_send((start.task, start.attempt)) {
+            break;
+        }
         if !cx.grant.holds(cx.node.now())
             || !worker.may_lease_until(now + cx.worker_lease.max_duration_with_drift())
         {
@@ -128,7 +165,9 @@
     attempt: u32,
     percent: u32,
 ) {
-    let _permit = worker.order_permits.acquire().await;
+    let wait = OrderWait::begin(&cx, "throttle");
+    let _permit = worker.order_permits.for_other().await;
+    wait.end(&cx, &worker, task);
     let res = cx.node.platform.throttle_task(&worker.address, worker.token, task, attempt, percent).await;
     if let Err(e) = res {
         // The next poll reports the load again, from which the pace is decided anew.
@@ -136,8 +175,17 @@
     }
 }
 
+/// Reports the outcome of a start that was taken back before it was sent.
+pub(super) fn report_withdrawn(cx: &RelayContext, worker: &AssignedWorker, task: TaskId, attempt: u32) {
+    cx.node.metrics.task_starts.with_label_values(&["withdrawn"]).inc();
+    let reply = StartReply::NotSent;
+    cx.sink.report(&cx.node, worker, WorkerEvent::Started { task, attempt, reply });
+}
+
 pub(super) async fn stop(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, task: TaskId, attempt: u32) {
-    let _permit = worker.order_permits.acquire().await;
+    let wait = OrderWait::begin(&cx, "stop");
+    let _permit = worker.order_permits.for_other().await;
+    wait.end(&cx, &worker, task);
     let mut reply = StopReply::NoAnswer;
     for _ in 0..STOP_ATTEMPTS {
         reply = match cx.node.platform.stop_task(&worker.address, worker.token, task, attempt).await {
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -94,6 +94,9 @@
             }
             Action::ReportFigures(id, wanted) => self.order(&id, WorkerOrder::ReportLoad(wanted)),
             Action::Stop(id, task, attempt) => self.order(&id, WorkerOrder::Stop { task, attempt }),
+            Action::WithdrawStart(id, task, attempt) => {
+                self.order(&id, WorkerOrder::WithdrawStart { task, attempt });
+            }
             Action::SetPace { worker: id, task, attempt, percent } => {
                 self.order(&id, WorkerOrder::Throttle { task, attempt, percent });
             }
--- a/src/workswood/ops/model/batches.rs
+++ b/src/workswood/ops/model/batches.rs
@@ -105,8 +105,9 @@
             Action::MaintainHost(host, _) => {
                 self.schedule_after(MESSAGE_DELAY, ModelEvent::OrderReachesHost(host, HostOrder::Maintain))
             }
-            // The model has no advice, pacing or relays.
+            // The model has no advice, pacing or relays, and its starts do not wait.
             Action::StopPolling(_)
+            | Action::WithdrawStart(..)
             | Action::SetPace { .. }
             | Action::Advise { .. }
             | Action::ReportFigures(..)
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -1,12 +1,13 @@
 //! Metrics of the `jobs` process. `docs/OPERATIONS.md` lists them.
 
-use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use workswood_core::invariant;
 use workswood_traffic::Traffic;
 
 use super::logs;
 use super::metrics::{
     encode, register_counter, register_counter_vec, register_gauge, register_gauge_vec, register_histogram,
+    register_histogram_vec,
 };
 
 /// Bucket bounds of the histograms, in seconds: from one call to the store to the longest wait of
@@ -30,6 +31,9 @@
     pub active_workspaces: IntGauge,
     /// Start orders for tasks, by outcome.
     pub task_starts: IntCounterVec,
+    /// Time that orders to workers waited in the relay before they were sent, in seconds, by order:
+    /// `start`, `stop`, `throttle`.
+    pub order_wait_seconds: HistogramVec,
     /// Polls before a start, to make sure that the worker has not restarted, by outcome.
     pub incarnation_checks: IntCounterVec,
     /// Answers to polls that may lack ends.
@@ -138,6 +142,13 @@
                 "start orders for tasks, by outcome",
                 &["outcome"],
             ),
+            order_wait_seconds: register_histogram_vec(
+                &registry,
+                "workswood_order_wait_seconds",
+                "time that orders to workers waited before they were sent, by order",
+                &BUCKETS_S,
+                &["order"],
+            ),
             incarnation_checks: register_counter_vec(
                 &registry,
                 "workswood_incarnation_checks_total",
--- a/src/workswood/util/metrics.rs
+++ b/src/workswood/util/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics of the `entry` process, and functions to register metrics.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Bucket bounds for the response times of urgent requests, in seconds.
@@ -80,6 +80,19 @@
     h
 }
 
+pub(super) fn register_histogram_vec(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    buckets: &[f64],
+    labels: &[&str],
+) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    let h = HistogramVec::new(opts, labels).expect("metric names are constants");
+    registry.register(Box::new(h.clone())).expect("each metric is registered once");
+    h
+}
+
 /// All metrics of a registry in the Prometheus text format.
 pub(super) fn encode(registry: &Registry) -> String {
     let mut buf = Vec::new();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -78,6 +78,7 @@
 mod wave_handover;
 mod wave_orders;
 mod whole_path;
+mod withdrawn_starts;
 mod worker_lives;
 mod worker_protocol;
 mod worker_table;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -42,6 +42,19 @@
     World::restarting(workers, luck).with_unrecorded_starts().with_short_end_lists()
 }
 
+/// Worlds whose relays send few orders at a time to a worker.
+fn order_queues(workers: usize, luck: FaultRng) -> World {
+    World::new(workers, luck).with_order_queues()
+}
+
+fn order_queues_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::restarting_relayed(workers, luck).with_order_queues()
+}
+
+fn order_queues_and_outages(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_unrecorded_starts().with_order_queues()
+}
+
 /// Plays one history; returns starts and takeovers.
 fn history(seed: u64) -> (u64, u64) {
     let seen = play(seed, World::new, With::Nothing);
@@ -354,6 +367,28 @@
     play_short_lists(short_lists_and_outages, With::Outages);
 }
 
+/// Starts and stops wait behind others without an answer, and starts are taken back meanwhile.
+fn play_order_queues(world: fn(usize, FaultRng) -> World, with: With) {
+    let starts: u64 = (1..=HISTORIES / 2).map(|seed| play(seed, world, with).starts).sum();
+    assert!(starts > HISTORIES, "{starts} starts");
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+}
+
+#[test]
+fn short_histories_with_order_queues() {
+    play_order_queues(order_queues, With::Copies);
+}
+
+#[test]
+fn short_histories_with_order_queues_and_relays() {
+    play_order_queues(order_queues_and_relays, With::Relays);
+}
+
+#[test]
+fn short_histories_with_order_queues_and_outages() {
+    play_order_queues(order_queues_and_outages, With::Outages);
+}
+
 #[test]
 fn short_histories_with_restarts_and_relays() {
     let starts: u64 =
@@ -395,6 +430,9 @@
         "outages-restarts" => (outages_and_restarts, With::Outages),
         "outages-limit" => (outages_and_limit, With::Outages),
         "outages-relays" => (outages_and_relays, With::Outages),
+        "order-queues" => (order_queues, With::Copies),
+        "order-queues-relays" => (order_queues_and_relays, With::Relays),
+        "order-queues-outages" => (order_queues_and_outages, With::Outages),
         "short-lists" => (short_lists, With::Nothing),
         "short-lists-relays" => (short_lists_and_relays, With::Relays),
         "short-lists-outages" => (short_lists_and_outages, With::Outages),
