Give the end of jobs, and the wait of orders, modules of their own

The scheduler's functions that end a job move to job_end.rs, the relay's count of how long orders wait to order_wait.rs, with an enum for the kinds of orders. Pending starts are private to the relay. The simulated relay takes turns between starts and stops, as the real one does.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -20,7 +20,7 @@
 //!   are accepted.
 //! * [`workspace_usage`] holds the resources that each workspace uses, and [`fair_share`] who
 //!   submits more than its share.
-//! * [`job`] holds the state of one job and its stored form, [`job_table`] all jobs.
+//! * [`job`] holds the state of one job and its stored form, [`job_table`] all jobs; `job_end` ends jobs.
 //! * [`worker`] holds the state of one worker, its capacity and its lease; [`worker_id`] is its
 //!   name, and [`worker_table`] holds all workers.
 //! * [`host`] defines hosts and replies to orders.
@@ -77,6 +77,7 @@
 pub mod host;
 pub mod incarnation_check;
 pub mod job;
+mod job_end;
 pub mod job_table;
 pub mod lease_claim;
 pub mod lease_handover;
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -9,7 +9,7 @@
 use super::crash_rate::CrashRate;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
-use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Phase, Task, WorkerId};
+use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Task, WorkerId};
 use super::job_table::{ArchivedJob, JobTable};
 use super::lease_claim::EntryCapacity;
 use super::log_lines::LogLines;
@@ -32,7 +32,6 @@
 use super::worker_table::WorkerTable;
 use super::workspace::Owner;
 use crate::ids::{DataCentre, HostId, ServiceId, Term, UnixMs};
-use crate::invariant;
 
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
 /// The check visits every run.
@@ -135,7 +134,7 @@
     /// When the inbox was last read to its end.
     inbox_read_at: Duration,
     /// Cancellations of jobs that are not known yet.
-    early_cancels: BTreeSet<(JobKey, Owner)>,
+    pub(super) early_cancels: BTreeSet<(JobKey, Owner)>,
     /// Log lines about decisions; the process drains them.
     pub notes: LogLines,
     /// Counters for metrics since this term began.
@@ -377,35 +376,6 @@
         }
     }
 
-    /// Cancels a job, or notes the cancellation until the job is known.
-    fn cancel(&mut self, key: JobKey, owner: Owner) {
-        let known = self.jobs.owner(&key);
-        if known.is_some_and(|known| known != owner) {
-            self.notes
-                .push(format_args!("event=cancel_not_taken job={key:016x} reason=job_of_other_workspace"));
-            return;
-        }
-        if self.jobs.is_archived(&key) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&key) else {
-            self.early_cancels.insert((key, owner));
-            return;
-        };
-        if job.cancelled {
-            return;
-        }
-        job.cancelled = true;
-        if job.outcome.is_none() {
-            self.end_job(key, Outcome::Canceled);
-            return;
-        }
-        // Tasks that the availability budget kept running after the job failed are stopped now.
-        let ids = job.task_ids();
-        self.dirty_jobs.insert(key);
-        ids.iter().for_each(|id| self.stop_runs(id));
-    }
-
     /// Applies a configuration unless a newer one is in force.
     fn set_config(&mut self, cfg: Arc<SchedConfig>) {
         if cfg.version < self.config.version {
@@ -499,66 +469,6 @@
         }
     }
 
-    /// Ends a job: nothing of it is started any more, and what runs is stopped.
-    pub(super) fn end_job(&mut self, key: JobKey, outcome: Outcome) {
-        let Some(job) = self.jobs.get_mut(&key) else { return };
-        if job.outcome.is_some() {
-            return;
-        }
-        if outcome == Outcome::Completed {
-            let done = job.all_done();
-            if !invariant::check(done, || format!("job {key:016x} completed with open tasks")) {
-                return;
-            }
-        }
-        job.outcome = Some(outcome);
-        job.ended_at = self.now;
-        self.notes.push(format_args!(
-            "event=job_ended job={key:016x} outcome={outcome:?} age_ms={}",
-            self.wall.saturating_sub(job.spec.accepted_at)
-        ));
-        self.jobs.note_ended(key);
-        self.dirty_jobs.insert(key);
-        self.drop_advice(key);
-        self.second_runs.forget(key);
-        self.sibling_times.forget(key);
-        let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
-        for id in ids {
-            self.dequeue(&id);
-            if !self.outlives_job(&id) {
-                self.stop_runs(&id);
-            }
-        }
-    }
-
-    /// Completes a job once all its tasks are done.
-    pub(super) fn complete_if_done(&mut self, key: JobKey) {
-        let done = self.jobs.get(&key).is_some_and(|j| j.is_open() && j.all_done());
-        if done {
-            self.end_job(key, Outcome::Completed);
-        }
-    }
-
-    /// Stops the runs of a task.
-    pub(super) fn stop_runs(&mut self, id: &TaskId) {
-        let now = self.now;
-        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
-        for run in &mut task.runs {
-            let order_stop = match run.phase {
-                // What it becomes is known with the outcome of the start.
-                Phase::Starting => run.recall_start(),
-                Phase::Stopping | Phase::Stopped => false,
-                Phase::Inherited | Phase::Running => {
-                    run.set_phase(Phase::Stopping, now);
-                    true
-                }
-            };
-            if order_stop {
-                self.actions.push(Action::Stop(run.worker.clone(), *id, run.attempt));
-            }
-        }
-    }
-
     /// Does the work that depends only on the time.
     fn tick(&mut self) {
         for key in self.jobs.repeating() {
--- a/crates/workswood-core/src/jobs/start_orders.rs
+++ b/crates/workswood-core/src/jobs/start_orders.rs
@@ -49,7 +49,7 @@
                 run.start_order = StartOrder::HandedOn;
                 true
             }
-            // The worker has another relay since, whose first full report settles the run.
+            // The worker has another relay since the decision, whose full report settles the run.
             (Phase::Inherited | Phase::Running | Phase::Stopping | Phase::Stopped, _) => false,
         }
     }
--- a/crates/workswood-test-support/src/job_world/order_queue.rs
+++ b/crates/workswood-test-support/src/job_world/order_queue.rs
@@ -20,6 +20,8 @@
 pub(super) struct OrderQueue {
     starts: VecDeque<QueuedOrder>,
     stops: VecDeque<QueuedOrder>,
+    /// Whether the order that was sent last is a stop.
+    stop_sent_last: bool,
     /// When the orders that are under way are answered, or given up.
     under_way: Vec<Duration>,
 }
@@ -41,13 +43,19 @@
         self.starts.len() < before
     }
 
-    /// The next order, if it may be sent now. Stops pass starts.
+    /// The next order, if it may be sent now. Starts and stops take turns.
     pub(super) fn next(&mut self, now: Duration) -> Option<QueuedOrder> {
         self.under_way.retain(|until| *until > now);
         if self.under_way.len() >= MAX_UNDER_WAY {
             return None;
         }
-        self.stops.pop_front().or_else(|| self.starts.pop_front())
+        let (first, second) = match self.stop_sent_last {
+            true => (&mut self.starts, &mut self.stops),
+            false => (&mut self.stops, &mut self.starts),
+        };
+        let next = first.pop_front().or_else(|| second.pop_front())?;
+        self.stop_sent_last = matches!(next, QueuedOrder::Stop { .. });
+        Some(next)
     }
 
     /// Notes that an order was sent which is over at a time.
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -25,7 +25,7 @@
     /// Highest number of an ended task that is recorded and may be acknowledged to the worker.
     pub recorded_end: watch::Sender<u64>,
     /// Starts whose outcome is not known yet.
-    pub pending_starts: PendingStarts,
+    pub(super) pending_starts: PendingStarts,
     /// Limits the number of concurrent orders.
     pub(super) order_permits: OrderPermits,
     /// When a long wait of an order was last logged, in milliseconds since this process started.
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Whether a long wait of an order may be logged now: not sooner than this after the last one.
+    /// Whether a long wait of an order may be logged now. At most one of the worker is logged in each
+    /// interval.
     pub(super) fn may_log_wait(&self, now: Duration, interval: Duration) -> bool {
         let now_ms = now.as_millis() as u64;
         let due = |last: u64| (last == 0 || now_ms >= last + interval.as_millis() as u64).then_some(now_ms);
--- a/src/workswood/ops/jobs/relay/pending_starts.rs
+++ b/src/workswood/ops/jobs/relay/pending_starts.rs
@@ -21,7 +21,7 @@
 
 /// What a start that was recalled has become.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Recall {
+pub(super) enum Recall {
     /// It had not been sent, and never will be.
     NotSent,
     /// It may have been sent, or none of this run is pending.
@@ -30,16 +30,16 @@
 
 /// The pending starts of a worker, by run.
 #[derive(Debug, Default)]
-pub struct PendingStarts(Mutex<HashMap<RunKey, PendingStart>>);
+pub(super) struct PendingStarts(Mutex<HashMap<RunKey, PendingStart>>);
 
 impl PendingStarts {
     /// Adds a start, which waits.
-    pub fn add(&self, run: RunKey) {
+    pub(super) fn add(&self, run: RunKey) {
         self.0.lock().insert(run, PendingStart::Waiting);
     }
 
     /// Begins to send a start; returns false if it was taken back.
-    pub fn begin(&self, run: RunKey) -> bool {
+    pub(super) fn begin(&self, run: RunKey) -> bool {
         match self.0.lock().get_mut(&run) {
             Some(state) => {
                 *state = PendingStart::Sending;
@@ -50,17 +50,17 @@
     }
 
     /// Whether a start that is being sent may be sent once more.
-    pub fn may_send(&self, run: RunKey) -> bool {
+    pub(super) fn may_send(&self, run: RunKey) -> bool {
         self.0.lock().get(&run) == Some(&PendingStart::Sending)
     }
 
     /// Removes a start, whose outcome is known.
-    pub fn end(&self, run: RunKey) {
+    pub(super) fn end(&self, run: RunKey) {
         self.0.lock().remove(&run);
     }
 
     /// Takes a start back if it has not been sent.
-    pub fn withdraw(&self, run: RunKey) -> Recall {
+    pub(super) fn withdraw(&self, run: RunKey) -> Recall {
         let mut starts = self.0.lock();
         match starts.get(&run) {
             Some(PendingStart::Waiting) => {
@@ -72,7 +72,7 @@
     }
 
     /// Takes a start back if it has not been sent; otherwise it is not sent again.
-    pub fn recall(&self, run: RunKey) -> Recall {
+    pub(super) fn recall(&self, run: RunKey) -> Recall {
         let mut starts = self.0.lock();
         match starts.get_mut(&run) {
             Some(PendingStart::Waiting) => {
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -9,6 +9,7 @@
 use super::RelayContext;
 use super::assigned_worker::AssignedWorker;
 use super::messages::{StartTask, WorkerEvent};
+use super::order_wait::{OrderKind, OrderWait};
 use super::poll::report_end_of_assignment;
 
 /// Timeouts of the attempts to send a start order. They grow, so that a lost order is soon sent
@@ -17,37 +18,9 @@
     [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(600)];
 /// Number of attempts to send a stop order.
 const STOP_ATTEMPTS: u32 = 2;
-/// An order that has waited for this long is logged.
-const LONG_WAIT: Duration = Duration::from_millis(500);
-/// Shortest time between two such log lines of one worker.
-const WAIT_LOG_INTERVAL: Duration = Duration::from_millis(1000);
-
-/// Logs and counts how long an order waited in the relay before it was sent.
-struct OrderWait {
-    kind: &'static str,
-    received: Duration,
-}
-
-impl OrderWait {
-    fn begin(cx: &RelayContext, kind: &'static str) -> OrderWait {
-        OrderWait { kind, received: cx.node.now() }
-    }
-
-    fn end(self, cx: &RelayContext, worker: &AssignedWorker, task: TaskId) {
-        let now = cx.node.now();
-        let (kind, waited) = (self.kind, now.saturating_sub(self.received));
-        cx.node.metrics.order_wait_seconds.with_label_values(&[kind]).observe(waited.as_secs_f64());
-        if waited >= LONG_WAIT && worker.may_log_wait(now, WAIT_LOG_INTERVAL) {
-            let worker = &worker.address.id;
-            let waited_ms = waited.as_millis();
-            log::info!("event=order_waited worker={worker} order={kind} task={task} waited_ms={waited_ms}");
-        }
-    }
-}
-
 /// Sends a start order once other orders allow it, unless it is taken back before.
 pub(super) async fn start(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, start: StartTask) {
-    let wait = OrderWait::begin(&cx, "start");
+    let wait = OrderWait::begin(&cx, OrderKind::Start);
     let _permit = worker.order_permits.for_start().await;
     let (task, attempt) = (start.task, start.attempt);
     if !worker.pending_starts.begin((task, attempt)) {
@@ -165,7 +138,7 @@
     attempt: u32,
     percent: u32,
 ) {
-    let wait = OrderWait::begin(&cx, "throttle");
+    let wait = OrderWait::begin(&cx, OrderKind::Throttle);
     let _permit = worker.order_permits.for_other().await;
     wait.end(&cx, &worker, task);
     let res = cx.node.platform.throttle_task(&worker.address, worker.token, task, attempt, percent).await;
@@ -183,7 +156,7 @@
 }
 
 pub(super) async fn stop(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, task: TaskId, attempt: u32) {
-    let wait = OrderWait::begin(&cx, "stop");
+    let wait = OrderWait::begin(&cx, OrderKind::Stop);
     let _permit = worker.order_permits.for_other().await;
     wait.end(&cx, &worker, task);
     let mut reply = StopReply::NoAnswer;
