List a history in which a sound task is given up

Three workers are replaced under a task: under attempt 1 while it ran, under attempt 2 while its start had no answer (worker_crashed part=Unheard, ran_ms=unknown), and under attempt 3 on trial (ran_ms=0), where the oracle saw a run lost on fewer than two. The task is given up (crashes=3, suspicion=12.3) and the job is shown as failed.

--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -336,6 +336,12 @@
     play(3_000_167, World::new, With::Crashes);
 }
 
+/// LOST: a task is given up since three workers were lost under it, on one of which it may never have begun.
+#[test]
+fn sound_task_among_unanswered_starts() {
+    play(7_001_719, order_queues, With::Copies);
+}
+
 /// A holder that was paused sends starts that it had decided before, to workers that have started again.
 #[test]
 fn late_starts_of_a_paused_holder() {
