Put back reasons that the rewording of the comments left out

Comments only. Taken from the doc comments of constants before, where the fact still holds and today's comment lacks it: reasons, relations to other constants, and limits of the platform.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -90,6 +90,7 @@
 const SUSPECT_AFTER_UNTIMED_CRASHES: usize = 2;
 /// After this many crashes a lower score suffices to give a task up, whether its runs were
 /// confirmed or not.
+/// The platform allows two starts after the third crash.
 const EXHAUSTED_AFTER_CRASHES: usize = 5;
 /// Share of [`CrashPolicy::give_up_threshold`] that suffices then.
 const EXHAUSTED_THRESHOLD_SHARE: f64 = 0.7;
--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -18,6 +18,7 @@
 /// seconds of a term from looking like a high rate.
 const PRIOR_WORKER_SECONDS: f64 = 60.0;
 /// How long a task that was given up counts as recent.
+/// Tasks that crash their workers come in groups, of one queue or one caller.
 const RECENTLY_GIVEN_UP_AGE: Duration = Duration::from_secs(30);
 /// Shortest run time that enters a score, since the reported times are late by a few milliseconds.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
--- a/crates/workswood-core/src/jobs/fair_share.rs
+++ b/crates/workswood-core/src/jobs/fair_share.rs
@@ -7,6 +7,7 @@
 use crate::ids::UnixMs;
 
 /// Capacity of the token bucket, in seconds at the guaranteed rate.
+/// Callers submit in bursts of some hundred milliseconds, while a rate is declared in jobs a second.
 const BURST_S: f64 = 1.0;
 
 /// Token bucket with one token for each job that the owner may submit.
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -25,6 +25,7 @@
 
 /// A host that no list has shown for this long was removed for good; a host that moves or is
 /// maintained stays listed. Until then, a host that is down for a wave counts as down.
+/// Lists are requested every 0.6 s.
 const REMOVED_HOST_TIMEOUT: Duration = Duration::from_millis(4000);
 
 /// A maintenance wave as an operator requests it.
--- a/crates/workswood-core/src/jobs/pool_moves.rs
+++ b/crates/workswood-core/src/jobs/pool_moves.rs
@@ -23,6 +23,7 @@
 /// kind, are under way, since they can wait.
 const SPARE_MOVES_SHARE: f64 = 0.5;
 /// After a pause, as many orders may be sent at once as the platform accepts in this time.
+/// It counts them by the second, and a rise of demand needs its hosts at once.
 const ORDER_BURST_TIME: Duration = Duration::from_millis(1000);
 
 /// A move that is under way.
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -104,6 +104,7 @@
 }
 
 /// A response of which no more arrives for this long is given up.
+/// On a link of 2 Mbit/s, a dozen responses that share it get some 16 KB each in this time.
 const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Estimated size in bytes of the head of a request or response, for counting traffic.
 const ESTIMATED_HEAD_BYTES: usize = 160;
--- a/crates/workswood-liveness/src/half_open_detector.rs
+++ b/crates/workswood-liveness/src/half_open_detector.rs
@@ -13,6 +13,7 @@
 const CORRELATION_WINDOW: Duration = Duration::from_secs(1);
 /// Minimum time between two suspicions against all connections. Bounds how often false reports
 /// make them all reopen.
+/// With workers that lose orders, each lost order looks like a half-open connection.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A connection that was found half-open.
--- a/crates/workswood-peers/src/connection.rs
+++ b/crates/workswood-peers/src/connection.rs
@@ -26,11 +26,13 @@
 /// A pong is late after this many times the mean round trip of pings.
 const PONG_MEAN_MULTIPLE: f64 = 4.0;
 /// A pong is never late before this time.
+/// It needs no work, but comes some ten milliseconds late from a busy host.
 const MIN_PONG_TIMEOUT: Duration = Duration::from_millis(150);
 /// Throughput of the slowest supported link, in bytes a second. The deadline of a reply is
 /// extended by the time that sending the earlier messages takes at this rate.
 const MIN_BYTES_PER_SEC: f64 = 125_000.0;
 /// Longest time in which one message is written to the socket.
+/// Three times what the largest submission, of 400 KB, takes at 2 Mbit/s.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Why a connection has ended.
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -36,6 +36,7 @@
 /// Longest latency of an append that counts in the mean, so that one outage does not make silence seem normal.
 const MAX_LEARNT_LATENCY: Duration = Duration::from_millis(500);
 /// Time within which a peer answers, in addition to the wait of a read.
+/// A few times the round trip and an append on a busy host.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of peers that are asked to make a call.
 const MAX_ASKED_PEERS: usize = 2;
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -35,6 +35,8 @@
 use super::record::{InboxKey, InboxRecordKind};
 
 /// Maximum number of appends in flight. The second and the third are sent only while others are late.
+/// The store carries out the appends to a partition one after the other, so that more gain nothing while
+/// it answers.
 const MAX_CONCURRENT_APPENDS: usize = 3;
 /// Maximum number of records in one append.
 const MAX_APPEND_RECORDS: usize = 100;
@@ -47,6 +49,7 @@
 /// An append is late after this multiple of the mean latency.
 const LATE_APPEND_MULTIPLE: f64 = 4.0;
 /// Lower bound of the time after which an append is late.
+/// By then the HTTP client has sent the append again over a new connection.
 const MIN_LATE_APPEND_DELAY: Duration = Duration::from_millis(250);
 /// Maximum silence of the store at which appends are sent. A read that succeeds ends the silence.
 const APPEND_MAX_STORE_SILENCE: Duration = Duration::from_millis(1700);
@@ -58,6 +61,7 @@
 /// How long after a failed append this entry refuses records of peers.
 const RECENT_FAILURE_PERIOD: Duration = Duration::from_millis(1000);
 /// Maximum number of inbox partitions in use. The lease holder reads each of them continuously.
+/// That is about one call a second for each.
 const MAX_PARTITIONS: Partition = 12;
 
 /// Whether a record is in the store.
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -22,12 +22,14 @@
 use super::record::{cancel_record, job_record};
 
 /// When a caller should retry after a refusal.
+/// A store or lease holder that is away is mostly back or replaced within a few seconds.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Longest outage of the store that callers are told to wait out.
 const MAX_EXPECTED_OUTAGE: Duration = Duration::from_secs(8);
 /// Timeout of a caller that does not state one.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest time that a caller is kept waiting.
+/// A store that needs longer for an append is as good as away.
 const MAX_CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Part of the caller's timeout that is reserved for sending the response.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(200);
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -13,6 +13,7 @@
 /// Longest wait for the holder's reply: a few round trips on a busy network.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(700);
 /// How long to wait for a holder of a later term if the known one gives no authoritative reply.
+/// A read of the store takes this long on a busy host.
 const NEXT_HOLDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The holder's knowledge of the inbox is authoritative only if it was read this recently.
 const MAX_INBOX_AGE: Duration = Duration::from_millis(2500);
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -15,10 +15,12 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How long after its last renewal a lease holder may still extend workers' leases. A successor
 /// waits for the same time before it gives up workers that it can't reach.
+/// With the workers' lease, what runs survives nine seconds without the store.
 pub const EXTENSION_GRACE: Duration = Duration::from_secs(4);
 
 /// A holder that has not renewed its lease for this long releases it through another process, if
 /// one can write to the store. A successor can then claim it before it expires.
+/// That is one renewal without an answer over two connections, or several that were refused.
 const RELEASE_AFTER: Duration = Duration::from_millis(900);
 
 /// Renews the lease until another process holds it, it is released, or the last renewal that was asked for is
--- a/src/workswood/ops/jobs/monitoring.rs
+++ b/src/workswood/ops/jobs/monitoring.rs
@@ -13,6 +13,7 @@
 use super::node::Node;
 
 /// Maximum silence of the store at which a process is ready.
+/// That is two reads and their slack.
 const READY_MAX_STORE_SILENCE: Duration = Duration::from_millis(2500);
 
 /// Whether the load balancer may send callers to this process.
--- a/src/workswood/ops/jobs/peers.rs
+++ b/src/workswood/ops/jobs/peers.rs
@@ -28,6 +28,7 @@
 /// Token of peers; empty, since their network is private.
 pub const TOKEN: &str = "";
 /// Maximum number of open links.
+/// One leads to the lease holder, the others to helpers.
 const MAX_LINKS: usize = 6;
 /// Time between two reads of the records.
 const READ_INTERVAL: Duration = Duration::from_secs(30);
@@ -40,6 +41,7 @@
 /// Time between two renewals of the process's own record.
 const RENEW_INTERVAL: Duration = Duration::from_secs(60);
 /// Maximum age of the record of a peer that is still called.
+/// Five renewals have failed by then.
 const MAX_PEER_AGE: Duration = Duration::from_secs(300);
 /// Age after which a record is removed from the store.
 const RECORD_RETENTION: Duration = Duration::from_secs(24 * 3600);
