--- a/crates/workswood-core/src/jobs/start_orders.rs
+++ b/crates/workswood-core/src/jobs/start_orders.rs
@@ -4,7 +4,7 @@
 //! there it waits until fewer other orders are under way to the worker. It may be unwanted by then,
 //! since its job was cancelled, its task is done by another run, or its worker has begun to drain.
 //!
-//! * A start that the lease holder has not handed to the relay is dropped when it is about to.
+//! * A start that the lease holder has not handed to the relay yet is dropped when its turn comes.
 //! * A start that the relay has is dropped there, unless it is under way. The relay reports it as
 //!   not sent.
 //! * A start that is under way has an outcome, after which its run goes on or is stopped.
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -259,7 +259,7 @@
     },
     /// Stop an attempt of a task. If its start has not been sent, it is not sent any more.
     Stop(WorkerId, TaskId, u32),
-    /// Have the start of an attempt of a task not sent any more, unless it has been sent.
+    /// Take back the start of an attempt of a task, unless it has been sent.
     WithdrawStart(WorkerId, TaskId, u32),
     /// Limit the pace of an attempt of a task.
     SetPace {
--- a/src/workswood/ops/jobs/relay/order_permits.rs
+++ b/src/workswood/ops/jobs/relay/order_permits.rs
@@ -1,7 +1,7 @@
 //! Limits the orders that are under way to one worker.
 //!
-//! Starts take turns with all other orders, so that neither wait until all of the others are sent:
-//! a stop does not wait behind the starts of a whole job.
+//! Starts take turns with all other orders, so that neither kind waits until all orders of the other
+//! are sent: a stop does not wait behind the starts of a whole job.
 
 use tokio::sync::{Semaphore, SemaphorePermit};
 
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -18,6 +18,7 @@
     [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(600)];
 /// Number of attempts to send a stop order.
 const STOP_ATTEMPTS: u32 = 2;
+
 /// Sends a start order once other orders allow it, unless it is taken back before.
 pub(super) async fn start(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, start: StartTask) {
     let wait = OrderWait::begin(&cx, OrderKind::Start);
