One piece of code for taking a start back, and for the runs of a worker

No behaviour changes. PendingStarts::withdraw and ::recall shared the removal of a start that waits; both call remove_waiting now. withdraw_starts_on and reset_run_phases read the runs of a worker by Scheduler::runs_on, which was there. The check of a start before it is handed on stood in the guard of a match arm, where a reader expects no change of state; it is a step of its own. The label of starts that are taken back stands in JobMetrics alone.

--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -199,10 +199,8 @@
 
     /// Resets the phases of runs whose orders an earlier relay may have sent without effect.
     fn reset_run_phases(&mut self, id: &WorkerId) {
-        let Some(w) = self.workers.get(id) else { return };
-        let runs: Vec<_> = w.runs.keys().copied().collect();
         let now = self.now;
-        for (task, attempt) in runs {
+        for (task, attempt) in self.runs_on(id) {
             let Some(run) = self.run_mut(id, &task, attempt) else { continue };
             match run.phase {
                 // The new token blocks the start, or the first report lists the run.
--- a/crates/workswood-core/src/jobs/start_orders.rs
+++ b/crates/workswood-core/src/jobs/start_orders.rs
@@ -56,8 +56,7 @@
 
     /// Withdraws the starts on a worker that have not been sent. Those that are under way go on.
     pub(super) fn withdraw_starts_on(&mut self, id: &WorkerId) {
-        let Some(w) = self.workers.get(id) else { return };
-        let mut runs: Vec<(TaskId, u32)> = w.runs.keys().copied().collect();
+        let mut runs = self.runs_on(id);
         runs.sort_unstable();
         for (task, attempt) in runs {
             let Some(run) = self.run_mut(id, &task, attempt) else { continue };
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -206,7 +206,7 @@
     }
 
     /// Runs that may exist on a worker.
-    fn runs_on(&self, id: &WorkerId) -> Vec<(TaskId, u32)> {
+    pub(super) fn runs_on(&self, id: &WorkerId) -> Vec<(TaskId, u32)> {
         self.workers.get(id).map(|w| w.runs.keys().copied().collect()).unwrap_or_default()
     }
 
--- a/src/workswood/ops/jobs/relay/pending_starts.rs
+++ b/src/workswood/ops/jobs/relay/pending_starts.rs
@@ -61,29 +61,25 @@
 
     /// Takes a start back if it has not been sent.
     pub(super) fn withdraw(&self, run: RunKey) -> Recall {
-        let mut starts = self.0.lock();
-        match starts.get(&run) {
-            Some(PendingStart::Waiting) => {
-                starts.remove(&run);
-                Recall::NotSent
-            }
-            Some(PendingStart::Sending | PendingStart::Recalled) | None => Recall::MayBeSent,
-        }
+        remove_waiting(&mut self.0.lock(), run)
     }
 
     /// Takes a start back if it has not been sent; otherwise it is not sent again.
     pub(super) fn recall(&self, run: RunKey) -> Recall {
         let mut starts = self.0.lock();
-        match starts.get_mut(&run) {
-            Some(PendingStart::Waiting) => {
-                starts.remove(&run);
-                Recall::NotSent
-            }
-            Some(state) => {
-                *state = PendingStart::Recalled;
-                Recall::MayBeSent
-            }
-            None => Recall::MayBeSent,
+        let recall = remove_waiting(&mut starts, run);
+        if let Some(state) = starts.get_mut(&run) {
+            *state = PendingStart::Recalled;
         }
+        recall
+    }
+}
+
+/// Removes a start if it waits.
+fn remove_waiting(starts: &mut HashMap<RunKey, PendingStart>, run: RunKey) -> Recall {
+    if starts.get(&run) != Some(&PendingStart::Waiting) {
+        return Recall::MayBeSent;
     }
+    starts.remove(&run);
+    Recall::NotSent
 }
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -151,7 +151,7 @@
 
 /// Reports the outcome of a start that was taken back before it was sent.
 pub(super) fn report_withdrawn(cx: &RelayContext, worker: &AssignedWorker, task: TaskId, attempt: u32) {
-    cx.node.metrics.task_starts.with_label_values(&["withdrawn"]).inc();
+    cx.node.metrics.count_withdrawn_start();
     let reply = StartReply::NotSent;
     cx.sink.report(&cx.node, worker, WorkerEvent::Started { task, attempt, reply });
 }
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -329,13 +329,14 @@
 
     /// Carries out one action.
     fn carry_out_action(&mut self, action: Action, tasks: &mut JoinSet<()>) {
+        if let Action::Start { worker, task, attempt, .. } = &action
+            && !self.sched.hand_on_start(worker, task, *attempt)
+        {
+            self.node.metrics.count_withdrawn_start();
+            return;
+        }
         let (node, handle) = (self.node.clone(), self.handle.clone());
         match action {
-            Action::Start { ref worker, ref task, attempt, .. }
-                if !self.sched.hand_on_start(worker, task, attempt) =>
-            {
-                node.metrics.task_starts.with_label_values(&["withdrawn"]).inc();
-            }
             Action::MaintainHost(host, wave) => {
                 tasks.spawn(host_orders::send_order(node, handle, host, HostOrder::Maintain(wave)));
             }
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -321,6 +321,11 @@
 }
 
 impl JobMetrics {
+    /// Counts a start that was taken back before it was sent.
+    pub fn count_withdrawn_start(&self) {
+        self.task_starts.with_label_values(&["withdrawn"]).inc();
+    }
+
     /// Updates the metrics of the network link.
     pub fn set_traffic(&self, traffic: &Traffic) {
         for (purpose, amount) in traffic.totals() {
