One copy of the worlds' limits, seeds, relay site and loops over histories

Tests only; every check and bound stays. The times of cancellations replace the set of cancelled jobs beside them; what workers do at most is one value, WorkerLimits, in place of fields with two defaults; the number of starts of TurnStore is counted from the orders that it keeps; the oracle's two bounds are one loop. RelaySite serves late_starts and withdrawn_starts, which each had its own; FaultRng::mixed the seeds of both; play_all the loops of random_jobs, old ones included, with the check of invariants after each.

--- /dev/null
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -0,0 +1,140 @@
+//! The kinds of worlds.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use workswood_core::jobs::OutagePolicy;
+
+use super::crashes::Crashes;
+use super::evacuations::Evacuations;
+use super::fault_rng::FaultRng;
+use super::relay::SimRelay;
+use super::worker::WorkerLimits;
+use super::{STEP, Seen, World};
+
+/// Most ends that a worker lists at once in a world with short lists.
+const SHORT_END_LIST: usize = 2;
+/// Most tasks that run on a worker at once in a world whose relays queue orders.
+const MANY_RUNS: usize = 40;
+
+impl World {
+    /// Creates a world with `workers` four-core workers and one holder.
+    pub fn new(workers: usize, rng: FaultRng) -> World {
+        World::build(workers, 0, rng, false)
+    }
+
+    /// Creates a world whose adviser allows only some workers to run a step.
+    pub fn advised(workers: usize, rng: FaultRng) -> World {
+        World::build(workers, 0, rng, true)
+    }
+
+    /// Creates a world in which four entries relay for the holder, each to at most two workers.
+    pub fn relayed(workers: usize, rng: FaultRng) -> World {
+        World::build(workers, 4, rng, false)
+    }
+
+    /// Creates a world in which all jobs belong to one workspace with a low limit of running tasks.
+    pub fn limited(workers: usize, rng: FaultRng) -> World {
+        let mut w = World::build(workers, 0, rng, false);
+        w.limited = true;
+        w.take_over();
+        w
+    }
+
+    /// Creates a world in which late tasks get second runs.
+    pub fn with_second_runs(workers: usize, rng: FaultRng) -> World {
+        let mut w = World::build(workers, 0, rng, false);
+        w.second_runs = true;
+        w.take_over();
+        w
+    }
+
+    /// Creates a world with every other worker in a second data centre.
+    pub fn two_centres(workers: usize, rng: FaultRng) -> World {
+        let mut w = World::build(workers, 0, rng, false);
+        w.evacuations.two_centres = true;
+        w.take_over();
+        w
+    }
+
+    /// Has holders start tasks before their record while the store is away.
+    #[must_use]
+    pub fn with_unrecorded_starts(mut self) -> World {
+        self.outage = OutagePolicy { unrecorded_starts: true, ..self.outage };
+        self.take_over();
+        self
+    }
+
+    /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
+    /// many tasks, such as those of [`small_step`].
+    #[must_use]
+    pub fn with_order_queues(mut self) -> World {
+        self.order_queues = true;
+        self.set_worker_limits(WorkerLimits { runs: MANY_RUNS, ..self.worker_limits });
+        self
+    }
+
+    /// Checks the time from the cancellation of a job, or from the statement of a worker that it
+    /// drains, to the last start. Holders and relays must be in touch at all times.
+    #[must_use]
+    pub fn with_time_bounds(mut self) -> World {
+        self.time_bounds = true;
+        self
+    }
+
+    /// Has workers list few ends at once, and the others once these are acknowledged.
+    #[must_use]
+    pub fn with_short_end_lists(mut self) -> World {
+        self.set_worker_limits(WorkerLimits { listed_ends: SHORT_END_LIST, ..self.worker_limits });
+        self
+    }
+
+    fn set_worker_limits(&mut self, limits: WorkerLimits) {
+        self.worker_limits = limits;
+        self.workers.iter_mut().for_each(|w| w.limits = limits);
+    }
+
+    fn build(workers: usize, relays: usize, rng: FaultRng, advised: bool) -> World {
+        let mut w = World {
+            now: Duration::from_secs(1),
+            workers: Vec::new(),
+            relays: (0..relays).map(|n| SimRelay::new(format!("relay-{n}"), None)).collect(),
+            sessions: BTreeMap::new(),
+            last_session: 0,
+            link_latency: STEP,
+            holders: Vec::new(),
+            delayed_orders: Vec::new(),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            trimmed: BTreeSet::new(),
+            stored_jobs: HashMap::new(),
+            stored_workers: HashMap::new(),
+            done: BTreeSet::new(),
+            shown_completed: HashMap::new(),
+            failed_runs: HashMap::new(),
+            term: 0,
+            lives: 0,
+            acked_done: BTreeSet::new(),
+            acked_failures: HashMap::new(),
+            crashes: Crashes::default(),
+            evacuations: Evacuations::default(),
+            advised,
+            limited: false,
+            restarts: false,
+            second_runs: false,
+            worker_limits: WorkerLimits::default(),
+            order_queues: false,
+            order_faults_per_mille: 0,
+            time_bounds: false,
+            outage: OutagePolicy::default(),
+            seen: Seen::default(),
+            rng,
+        };
+        for _ in 0..workers {
+            let worker = w.new_life();
+            w.workers.push(worker);
+        }
+        w.take_over();
+        w
+    }
+}
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -29,6 +29,16 @@
         FaultRng { state: seed | 1, faults_per_mille }
     }
 
+    /// Creates a generator without faults whose draws differ from the first one on, also for seeds
+    /// that are close to each other.
+    pub fn mixed(seed: u64) -> FaultRng {
+        let mut rng = FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
+        for _ in 0..8 {
+            rng.below(2);
+        }
+        rng
+    }
+
     /// Draws a number below `n`; zero if `n` is zero.
     pub fn below(&mut self, n: u64) -> u64 {
         self.state ^= self.state << 13;
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -7,6 +7,7 @@
 //! each final job state that a holder publishes.
 
 mod adviser;
+mod builders;
 mod crashes;
 mod evacuations;
 mod fault_rng;
@@ -37,7 +38,7 @@
 use self::evacuations::Evacuations;
 use self::holder::Holder;
 use self::relay::{Session, SimRelay};
-use self::worker::{Answer, Order, SimWorker};
+use self::worker::{Answer, Order, SimWorker, WorkerLimits};
 
 /// Simulated time of one step.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -60,10 +61,6 @@
 const WORKSPACE_TASK_LIMIT: usize = 3;
 /// Number of failed runs after which a task is not retried.
 pub const ATTEMPTS: u32 = 3;
-/// Most ends that a worker lists at once in a world with short lists.
-const SHORT_END_LIST: usize = 2;
-/// Most tasks that run on a worker at once in a world whose relays queue orders.
-const MANY_RUNS: usize = 40;
 /// Processor that such a task uses, in thousandths of a core.
 const SMALL_TASK_CPU: u64 = 100;
 /// Maximum number of workers per relay.
@@ -138,7 +135,8 @@
     jobs: BTreeMap<JobKey, Arc<JobSpec>>,
     /// Jobs that have been removed from the inbox.
     trimmed: BTreeSet<JobKey>,
-    cancelled: BTreeSet<JobKey>,
+    /// Jobs that were cancelled, and when they first were.
+    cancelled: BTreeMap<JobKey, Duration>,
     stored_jobs: HashMap<JobKey, JobRecord>,
     stored_workers: HashMap<WorkerId, WorkerRecord>,
     /// Tasks that some worker has run successfully.
@@ -164,17 +162,14 @@
     restarts: bool,
     /// Whether holders start late tasks a second time where their step allows copies.
     second_runs: bool,
-    /// Most ends that a worker lists at once.
-    max_listed_ends: usize,
-    /// Most tasks that run on a worker at once.
-    max_runs: Option<usize>,
+    worker_limits: WorkerLimits,
     /// Whether few orders at a time are under way to a worker, and the others wait in its relay.
     order_queues: bool,
     /// Starts and stops in 1,000 that are lost, delayed or not answered, if these are more than other
     /// messages.
     pub order_faults_per_mille: u64,
-    /// When each job was cancelled, in a world in which holders and relays are always in touch.
-    cancelled_at: Option<BTreeMap<JobKey, Duration>>,
+    /// Whether holders and relays are always in touch, so that the oracle checks how late starts are.
+    time_bounds: bool,
     /// What holders do while the store is away.
     outage: OutagePolicy,
     /// What the oracle has recorded.
@@ -253,133 +248,9 @@
 }
 
 impl World {
-    /// Creates a world with `workers` four-core workers and one holder.
-    pub fn new(workers: usize, rng: FaultRng) -> World {
-        World::build(workers, 0, rng, false)
-    }
-
-    /// Creates a world whose adviser allows only some workers to run a step.
-    pub fn advised(workers: usize, rng: FaultRng) -> World {
-        World::build(workers, 0, rng, true)
-    }
-
-    /// Creates a world in which four entries relay for the holder, each to at most two workers.
-    pub fn relayed(workers: usize, rng: FaultRng) -> World {
-        World::build(workers, 4, rng, false)
-    }
-
-    /// Creates a world in which all jobs belong to one workspace with a low limit of running tasks.
-    pub fn limited(workers: usize, rng: FaultRng) -> World {
-        let mut w = World::build(workers, 0, rng, false);
-        w.limited = true;
-        w.take_over();
-        w
-    }
-
-    /// Creates a world in which late tasks get second runs.
-    pub fn with_second_runs(workers: usize, rng: FaultRng) -> World {
-        let mut w = World::build(workers, 0, rng, false);
-        w.second_runs = true;
-        w.take_over();
-        w
-    }
-
-    /// Creates a world with every other worker in a second data centre.
-    pub fn two_centres(workers: usize, rng: FaultRng) -> World {
-        let mut w = World::build(workers, 0, rng, false);
-        w.evacuations.two_centres = true;
-        w.take_over();
-        w
-    }
-
-    /// Has holders start tasks before their record while the store is away.
-    #[must_use]
-    pub fn with_unrecorded_starts(mut self) -> World {
-        self.outage = OutagePolicy { unrecorded_starts: true, ..self.outage };
-        self.take_over();
-        self
-    }
-
-    /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
-    /// many tasks, such as those of [`small_step`].
-    #[must_use]
-    pub fn with_order_queues(mut self) -> World {
-        self.order_queues = true;
-        self.max_runs = Some(MANY_RUNS);
-        self.workers.iter_mut().for_each(|w| w.max_runs = MANY_RUNS);
-        self
-    }
-
-    /// Checks the time from the cancellation of a job, or from the statement of a worker that it
-    /// drains, to the last start. Holders and relays must be in touch at all times.
-    #[must_use]
-    pub fn with_time_bounds(mut self) -> World {
-        self.cancelled_at = Some(BTreeMap::new());
-        self
-    }
-
-    /// Has workers list few ends at once, and the others once these are acknowledged.
-    #[must_use]
-    pub fn with_short_end_lists(mut self) -> World {
-        self.max_listed_ends = SHORT_END_LIST;
-        self.workers.iter_mut().for_each(|w| w.max_listed_ends = SHORT_END_LIST);
-        self
-    }
-
-    fn build(workers: usize, relays: usize, rng: FaultRng, advised: bool) -> World {
-        let mut w = World {
-            now: Duration::from_secs(1),
-            workers: Vec::new(),
-            relays: (0..relays).map(|n| SimRelay::new(format!("relay-{n}"), None)).collect(),
-            sessions: BTreeMap::new(),
-            last_session: 0,
-            link_latency: STEP,
-            holders: Vec::new(),
-            delayed_orders: Vec::new(),
-            jobs: BTreeMap::new(),
-            cancelled: BTreeSet::new(),
-            trimmed: BTreeSet::new(),
-            stored_jobs: HashMap::new(),
-            stored_workers: HashMap::new(),
-            done: BTreeSet::new(),
-            shown_completed: HashMap::new(),
-            failed_runs: HashMap::new(),
-            term: 0,
-            lives: 0,
-            acked_done: BTreeSet::new(),
-            acked_failures: HashMap::new(),
-            crashes: Crashes::default(),
-            evacuations: Evacuations::default(),
-            advised,
-            limited: false,
-            restarts: false,
-            second_runs: false,
-            max_listed_ends: usize::MAX,
-            max_runs: None,
-            order_queues: false,
-            order_faults_per_mille: 0,
-            cancelled_at: None,
-            outage: OutagePolicy::default(),
-            seen: Seen::default(),
-            rng,
-        };
-        for _ in 0..workers {
-            let worker = w.new_life();
-            w.workers.push(worker);
-        }
-        w.take_over();
-        w
-    }
-
     fn new_life(&mut self) -> SimWorker {
         self.lives += 1;
-        self.life_of(WorkerId::from(format!("w-{}", self.lives)))
-    }
-
-    fn life_of(&self, id: WorkerId) -> SimWorker {
-        let w = SimWorker::new(id);
-        let max_runs = self.max_runs.unwrap_or(w.max_runs);
-        SimWorker { max_listed_ends: self.max_listed_ends, max_runs, ..w }
+        SimWorker::new(WorkerId::from(format!("w-{}", self.lives)), self.worker_limits)
     }
 
     /// Creates the next life of worker `n`: under the same name if workers restart, else a new one.
@@ -388,7 +259,7 @@
             return self.new_life();
         }
         let started = self.now.as_millis() as u64;
-        self.life_of(WorkerId::new(self.workers[n].id.name(), Some(started)))
+        SimWorker::new(WorkerId::new(self.workers[n].id.name(), Some(started)), self.worker_limits)
     }
 
     fn info(&self, n: usize, id: &WorkerId) -> WorkerInfo {
@@ -441,7 +312,7 @@
             let spec = Some(spec.clone()).filter(|_| !self.trimmed.contains(key));
             sched.restore_job(*key, spec, self.stored_jobs.get(key).cloned());
         }
-        for key in &self.cancelled {
+        for key in self.cancelled.keys() {
             sched.handle(Event::Cancelled(*key, self.owner()));
         }
         for (n, w) in self.workers.iter().enumerate() {
@@ -545,10 +416,7 @@
 
     /// Cancels a job.
     pub fn cancel(&mut self, key: JobKey) {
-        self.cancelled.insert(key);
-        if let Some(cancelled_at) = &mut self.cancelled_at {
-            cancelled_at.entry(key).or_insert(self.now);
-        }
+        self.cancelled.entry(key).or_insert(self.now);
         let (now, owner) = (self.now, self.owner());
         self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Cancelled(key, owner)));
     }
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -26,17 +26,22 @@
     /// Checks that a start, which was not delayed on its way, is not later than what ended the wish
     /// for it allows.
     pub(super) fn check_time_bounds(&mut self, at: usize, task: &TaskId) {
-        let Some(cancelled_at) = &self.cancelled_at else { return };
-        let now = self.now;
-        let too_late = |since: Option<Duration>, bound| since.filter(|since| *since + bound < now);
-        let cancelled = too_late(cancelled_at.get(&task.job).copied(), CANCEL_BOUND);
-        let draining = too_late(self.workers[at].draining_since, DRAIN_BOUND);
-        let id = &self.workers[at].id;
-        let cancelled = cancelled
-            .map(|since| format!("UNASKED: {task} started on {id} at {now:?}, cancelled at {since:?}"));
-        let draining = draining
-            .map(|since| format!("DRAIN: {task} started on {id} at {now:?}, draining since {since:?}"));
-        self.seen.violations.extend(cancelled.into_iter().chain(draining));
+        if !self.time_bounds {
+            return;
+        }
+        let (now, worker) = (self.now, &self.workers[at]);
+        let cancelled = self.cancelled.get(&task.job).copied();
+        let bounds = [
+            ("UNASKED", "cancelled", cancelled, CANCEL_BOUND),
+            ("DRAIN", "draining", worker.draining_since, DRAIN_BOUND),
+        ];
+        for (rule, what, since, bound) in bounds {
+            if let Some(since) = since.filter(|since| *since + bound < now) {
+                let id = &worker.id;
+                let text = format!("{rule}: {task} started on {id} at {now:?}, {what} since {since:?}");
+                self.seen.violations.push(text);
+            }
+        }
     }
 
     /// Removes a worker's ends up to a sequence number and records them as acknowledged.
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -10,7 +10,7 @@
 
 use super::adviser;
 
-/// Maximum number of tasks that run on a worker at once.
+/// Tasks that run on a worker at once, unless the world allows more.
 const MAX_RUNS: usize = 4;
 /// Time that a task takes to stop.
 const STOP_DURATION: Duration = Duration::from_millis(300);
@@ -27,6 +27,21 @@
     pub stops_at: Option<Duration>,
 }
 
+/// What workers of a world do at most.
+#[derive(Clone, Copy)]
+pub(super) struct WorkerLimits {
+    /// Ends that a worker lists at once.
+    pub listed_ends: usize,
+    /// Tasks that run on a worker at once.
+    pub runs: usize,
+}
+
+impl Default for WorkerLimits {
+    fn default() -> WorkerLimits {
+        WorkerLimits { listed_ends: usize::MAX, runs: MAX_RUNS }
+    }
+}
+
 /// A life of a simulated worker.
 pub(super) struct SimWorker {
     pub id: WorkerId,
@@ -43,10 +58,7 @@
     pub finished_attempts: HashMap<TaskId, u32>,
     /// Whether no order reaches the worker.
     pub partitioned: bool,
-    /// Most ends that the worker lists at once.
-    pub max_listed_ends: usize,
-    /// Most tasks that run on the worker at once.
-    pub max_runs: usize,
+    pub limits: WorkerLimits,
     /// Since when the worker has stated that it drains.
     pub draining_since: Option<Duration>,
 }
@@ -70,7 +82,7 @@
 }
 
 impl SimWorker {
-    pub(super) fn new(id: WorkerId) -> SimWorker {
+    pub(super) fn new(id: WorkerId, limits: WorkerLimits) -> SimWorker {
         SimWorker {
             id,
             up: true,
@@ -81,8 +93,7 @@
             last_end: 0,
             finished_attempts: HashMap::new(),
             partitioned: false,
-            max_listed_ends: usize::MAX,
-            max_runs: MAX_RUNS,
+            limits,
             draining_since: None,
         }
     }
@@ -141,7 +152,7 @@
                     Answer::Reply(StartReply::Taken)
                 } else if !ticket_valid {
                     Answer::Reply(StartReply::Ticket)
-                } else if self.running.len() >= self.max_runs {
+                } else if self.running.len() >= self.limits.runs {
                     Answer::Reply(StartReply::Refused)
                 } else {
                     Answer::Accepted(*task, *attempt)
@@ -177,8 +188,9 @@
                 stalled_for: Duration::ZERO,
             }
         });
-        let listed = self.ended.len().min(self.max_listed_ends);
-        let coverage = if listed < self.max_listed_ends { EndCoverage::All } else { EndCoverage::Earliest };
+        let listed = self.ended.len().min(self.limits.listed_ends);
+        let coverage =
+            if listed < self.limits.listed_ends { EndCoverage::All } else { EndCoverage::Earliest };
         Listing { running: running.collect(), ended: self.ended[..listed].to_vec(), coverage }
     }
 }
--- a/crates/workswood-test-support/src/lib.rs
+++ b/crates/workswood-test-support/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`live`] starts entries that communicate over sockets.
 //! * [`host_world`] drives one scheduler with hosts, event by event.
 //! * [`program`] runs a program as a child process.
+//! * [`relay_site`] runs a relay with one worker within the test process.
 //! * [`turn_store`] is a store that processes appends one at a time, on the test's clock.
 
 pub mod advised_world;
@@ -30,4 +31,5 @@
 pub mod one;
 pub mod platform;
 pub mod program;
+pub mod relay_site;
 pub mod turn_store;
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -60,11 +60,9 @@
     looks: Mutex<u64>,
     /// Looks that extended a lease.
     leases: Mutex<u64>,
-    /// Starts of tasks that were sent.
-    starts: Mutex<u64>,
     /// Starts and stops in the order in which they were sent.
     sent: Mutex<Vec<SentOrder>>,
-    /// For how long a start or stop is under way without an answer; `None` if none is sent.
+    /// For how long a start or stop is under way without an answer; `None` if it fails at once.
     order_wait: Mutex<Option<Duration>>,
     /// Orders to hosts.
     orders: Mutex<u64>,
@@ -100,7 +98,6 @@
             done: Mutex::default(),
             looks: Mutex::default(),
             leases: Mutex::default(),
-            starts: Mutex::default(),
             sent: Mutex::default(),
             order_wait: Mutex::default(),
             orders: Mutex::default(),
@@ -188,23 +185,23 @@
 
     /// Starts of tasks so far.
     pub fn starts(&self) -> u64 {
-        *self.starts.lock()
+        self.sent.lock().iter().filter(|order| matches!(order, SentOrder::Start(..))).count() as u64
     }
 
-    /// From now on starts and stops are sent, and each is given up without an answer after this time.
+    /// From now on each start and stop is given up without an answer after this time.
     pub fn holds_orders(&self, wait: Duration) {
         *self.order_wait.lock() = Some(wait);
     }
 
-    /// The starts and stops that were sent while orders are held.
+    /// The starts and stops so far.
     pub fn sent(&self) -> Vec<SentOrder> {
         self.sent.lock().clone()
     }
 
     async fn order(&self, order: SentOrder) -> Result<(), WorkerError> {
+        self.sent.lock().push(order);
         let wait = *self.order_wait.lock();
         let Some(wait) = wait else { return Err(WorkerError::NotSent) };
-        self.sent.lock().push(order);
         tokio::time::sleep(wait).await;
         Err(WorkerError::NoAnswer)
     }
@@ -351,7 +348,6 @@
         _: Term,
         order: StartOrder,
     ) -> BoxFuture<'a, Result<(), WorkerError>> {
-        *self.starts.lock() += 1;
         self.order(SentOrder::Start(order.task, order.attempt)).boxed()
     }
 
--- a/tests/testsuite/late_starts.rs
+++ b/tests/testsuite/late_starts.rs
@@ -3,17 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use workswood::ops::jobs::Node;
-use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
-use workswood::ops::jobs::relay::{EventSink, Grant, Relay};
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::WorkerStandin;
-use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Event, TaskId, WorkerAddress, WorkerUpdate};
+use workswood_core::jobs::{Event, TaskId, WorkerUpdate};
 use workswood_platform::jobs::JobPlatform;
-use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{FaultRng, STEP, World, job, step};
+use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::TurnStore;
 
 /// How long the lease holder is paused: long enough for a successor to run the job.
@@ -60,28 +55,12 @@
 const SUSPENDED: Duration = Duration::from_millis(3000);
 
 /// A relay that polls one worker.
-struct Site {
-    node: Arc<Node>,
-    relay: Relay,
-    events: mpsc::UnboundedReceiver<Event>,
-}
+struct Site(RelaySite);
 
 impl Site {
     /// The relay has polled the worker, which tells when it has started if `started` is given.
     async fn new(platform: Arc<dyn JobPlatform>, address: &str, started: Option<u64>) -> Site {
-        let node = Arc::new(Node::new(settings("entry-1"), platform));
-        let (tx, events) = mpsc::unbounded_channel();
-        let relay = Relay::new(node.clone(), Grant::until(Duration::from_secs(60)), EventSink::Local(tx));
-        let worker = WorkerAddress {
-            id: WorkerId::new("w", started),
-            address: address.to_string(),
-            data_centre: "north".to_string(),
-        };
-        let mut site = Site { node, relay, events };
-        site.relay.execute(1, WorkerOrder::Assign { worker, token: 7 });
-        site.event(|ev| matches!(ev, Event::WorkerUpdate(_, _, WorkerUpdate::Reported(_))).then_some(()))
-            .await;
-        site
+        Site(RelaySite::new(platform, address, started).await)
     }
 
     /// The relay has polled a stand-in of a worker that started at [`STARTED`].
@@ -94,42 +73,31 @@
 
     /// Waits until the relay reports that the worker has started again; returns when.
     async fn restarted_at(&mut self) -> u64 {
-        let restarted = self.event(|ev| match ev {
+        let restarted = self.0.event(|ev| match ev {
             Event::WorkerRestarted(_, started, _) => Some(*started),
             _ => None,
         });
         tokio::time::timeout(GUARD, restarted).await.expect("the restart is reported")
     }
 
-    /// Waits for an event.
-    async fn event<T>(&mut self, wanted: impl Fn(&Event) -> Option<T>) -> T {
-        loop {
-            let ev = self.events.recv().await.expect("the relay runs");
-            if let Some(found) = wanted(&ev) {
-                return found;
-            }
-        }
-    }
-
     fn order_start(&mut self, attempt: u32) {
-        let (spec, checkpoint) = ("text".into(), String::new());
-        let start = StartTask { task: TASK, attempt, spec, checkpoint, ticket: None };
-        self.relay.execute(1, WorkerOrder::Start(start));
+        self.0.order_start(TASK, attempt);
     }
 
     /// Sends a start, and waits for its outcome.
     async fn start(&mut self, attempt: u32) {
         self.order_start(attempt);
-        self.event(|ev| match ev {
-            Event::WorkerUpdate(_, _, WorkerUpdate::Started(_, n, _)) if *n == attempt => Some(()),
-            _ => None,
-        })
-        .await;
+        self.0
+            .event(|ev| match ev {
+                Event::WorkerUpdate(_, _, WorkerUpdate::Started(_, n, _)) if *n == attempt => Some(()),
+                _ => None,
+            })
+            .await;
     }
 
     /// Polls that were made to be certain of the incarnation.
     fn checks(&self) -> u64 {
-        let checks = &self.node.metrics.incarnation_checks;
+        let checks = &self.0.node.metrics.incarnation_checks;
         ["certain", "uncertain"].iter().map(|outcome| checks.with_label_values(&[*outcome]).get()).sum()
     }
 }
@@ -157,11 +125,11 @@
     let platform =
         PlatformClient::new(Addresses { store: nowhere.clone(), machines: nowhere, adviser: None });
     let mut site = Site::new(Arc::new(platform), &worker.address.to_string(), Some(STARTED)).await;
-    site.node.clock().simulate_suspension(SUSPENDED);
+    site.0.node.clock().simulate_suspension(SUSPENDED);
     worker.restart(STARTED_AGAIN);
     site.order_start(1);
     assert_eq!(site.restarted_at().await, STARTED_AGAIN);
-    let not_sent = site.node.metrics.task_starts.with_label_values(&["not_sent"]);
+    let not_sent = site.0.node.metrics.task_starts.with_label_values(&["not_sent"]);
     while not_sent.get() == 0 {
         tokio::task::yield_now().await;
         assert_eq!(worker.starts(), []);
@@ -177,7 +145,7 @@
     assert_eq!(site.checks(), 0);
     let sent = store.starts();
     assert!(sent > 0);
-    site.node.clock().simulate_suspension(SUSPENDED);
+    site.0.node.clock().simulate_suspension(SUSPENDED);
     site.start(2).await;
     assert_eq!((store.starts(), site.checks()), (2 * sent, 1));
     site.start(3).await;
@@ -189,7 +157,7 @@
 async fn name_for_each_incarnation() {
     let store = Arc::new(TurnStore::new(Duration::from_millis(4), &[]));
     let mut site = Site::new(store.clone(), "10.0.0.1:80", None).await;
-    site.node.clock().simulate_suspension(SUSPENDED);
+    site.0.node.clock().simulate_suspension(SUSPENDED);
     site.start(1).await;
     assert_eq!(site.checks(), 0);
     assert!(store.starts() > 0);
--- a/tests/testsuite/partial_end_lists.rs
+++ b/tests/testsuite/partial_end_lists.rs
@@ -54,8 +54,12 @@
     world.answers(&worker(0, 0).id, listing);
 }
 
-fn is_completed(world: &HostWorld) -> bool {
-    world.sched.jobs.is_archived(&1) || world.sched.jobs.get(&1).is_some_and(|j| j.all_done())
+/// The worker answers with the remaining ends: nothing is started, and the job is completed.
+fn answer_rest(world: &mut HostWorld, rest: &[ReportedEnd]) {
+    world.answers(&worker(0, 0).id, Listing { ended: rest.to_vec(), ..Listing::default() });
+    assert_eq!(starts(&world.tick()), []);
+    let completed = world.sched.jobs.get(&1).is_some_and(|j| j.all_done());
+    assert!(completed || world.sched.jobs.is_archived(&1));
 }
 
 /// TWICE: the first answer to a new relay or lease holder lacks the ends of tasks that are done.
@@ -68,9 +72,7 @@
     answer_partly(&mut world, &ends, 1, 2);
     assert_eq!(starts(&world.tick()), [], "the others may be done too");
     world.at(300);
-    world.answers(&worker(0, 0).id, Listing { ended: ends[2..].to_vec(), ..Listing::default() });
-    assert_eq!(starts(&world.tick()), []);
-    assert!(is_completed(&world));
+    answer_rest(&mut world, &ends[2..]);
 }
 
 /// TWICE: a later answer to the same relay lacks the ends of tasks that are done, as when they pile up
@@ -85,9 +87,7 @@
         assert_eq!(starts(&world.tick()), [], "the others may be done too");
     }
     world.at(500);
-    world.answers(&worker(0, 0).id, Listing { ended: ends[3..].to_vec(), ..Listing::default() });
-    assert_eq!(starts(&world.tick()), []);
-    assert!(is_completed(&world));
+    answer_rest(&mut world, &ends[3..]);
 }
 
 /// A task that is neither running nor among all ends is started again, once all ends are listed.
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -55,12 +55,6 @@
     World::restarting(workers, luck).with_unrecorded_starts().with_order_queues()
 }
 
-/// Plays one history; returns starts and takeovers.
-fn history(seed: u64) -> (u64, u64) {
-    let seen = play(seed, World::new, With::Nothing);
-    (seen.starts, seen.takeovers)
-}
-
 /// Relays of a world.
 const RELAYS: u64 = 4;
 
@@ -132,13 +126,23 @@
     try_play(seed, world, with).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"))
 }
 
+/// Plays so many histories in a world, in which nothing may be broken; returns what all have seen.
+fn play_all(histories: u64, world: fn(usize, FaultRng) -> World, with: With) -> Seen {
+    let mut total = Seen::default();
+    (1..=histories).for_each(|seed| total.add(&play(seed, world, with)));
+    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    total
+}
+
+/// Plays so many histories, in which tasks are started.
+fn play_with_starts(histories: u64, world: fn(usize, FaultRng) -> World, with: With) {
+    let starts = play_all(histories, world, with).starts;
+    assert!(starts > HISTORIES, "{starts} starts");
+}
+
 /// Plays one history in a world; tells what was broken.
 fn try_play(seed: u64, world: fn(usize, FaultRng) -> World, with: With) -> Result<Seen, String> {
-    let mut luck = FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
-    for _ in 0..8 {
-        luck.below(2);
-    }
-    let mut w = world(4, luck);
+    let mut w = world(4, FaultRng::mixed(seed));
     w.run_for(Duration::from_millis(600));
     w.rng.faults_per_mille = 60;
     let mut keys = Vec::new();
@@ -211,107 +215,67 @@
 
 #[test]
 fn short_histories() {
-    let (mut starts, mut takeovers) = (0, 0);
-    for seed in 1..=HISTORIES {
-        let (s, t) = history(seed);
-        starts += s;
-        takeovers += t;
-    }
+    let Seen { starts, takeovers, .. } = play_all(HISTORIES, World::new, With::Nothing);
     assert!(starts > HISTORIES && takeovers > HISTORIES, "{starts} starts, {takeovers} takeovers");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
 fn short_histories_with_advice() {
-    let (mut starts, mut without) = (0, 0);
-    for seed in 1..=HISTORIES / 2 {
-        let seen = play(seed, World::advised, With::Nothing);
-        starts += seen.starts;
-        without += seen.without_ticket;
-    }
+    let Seen { starts, without_ticket: without, .. } = play_all(HISTORIES / 2, World::advised, With::Nothing);
     assert!(starts > HISTORIES, "{starts} starts");
     assert!(without * 20 < starts, "{without} starts without a ticket that holds, beside {starts}");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
 fn short_histories_with_relays() {
-    let (mut starts, mut sessions) = (0, 0);
-    for seed in 1..=HISTORIES {
-        let seen = play(seed, World::relayed, With::Relays);
-        starts += seen.starts;
-        sessions += seen.sessions;
-    }
+    let Seen { starts, sessions, .. } = play_all(HISTORIES, World::relayed, With::Relays);
     assert!(starts > HISTORIES && sessions > 10 * HISTORIES, "{starts} starts, {sessions} sessions");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
 fn short_histories_with_limit() {
-    let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::limited, With::Nothing).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::limited, With::Nothing);
 }
 
 /// Tasks whose steps allow copies get second runs; the others run once.
 #[test]
 fn short_histories_with_second_runs() {
-    let starts: u64 =
-        (1..=HISTORIES).map(|seed| play(seed, World::with_second_runs, With::Copies).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::with_second_runs, With::Copies);
 }
 
 #[test]
 fn short_histories_with_crashes() {
-    let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::new, With::Crashes).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::new, With::Crashes);
 }
 
 #[test]
 fn short_histories_with_evacuations() {
-    let starts: u64 =
-        (1..=HISTORIES).map(|seed| play(seed, World::two_centres, With::Evacuations).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::two_centres, With::Evacuations);
 }
 
 /// Workers start again under their names: what was meant for one life reaches the next one.
 #[test]
 fn short_histories_with_restarts() {
-    let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, World::restarting, With::Nothing).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::restarting, With::Nothing);
 }
 
 /// Holders start tasks before their record while the store is away, and are replaced or killed then.
 #[test]
 fn short_histories_with_outages() {
-    let (mut starts, mut unrecorded) = (0, 0);
-    for seed in 1..=HISTORIES {
-        let seen = play(seed, outages, With::Outages);
-        starts += seen.starts;
-        unrecorded += seen.unrecorded_starts;
-    }
+    let Seen { starts, unrecorded_starts: unrecorded, .. } = play_all(HISTORIES, outages, With::Outages);
     assert!(starts > HISTORIES && unrecorded > HISTORIES, "{starts} starts, {unrecorded} without record");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
 fn short_histories_with_outages_and_restarts() {
-    let starts: u64 =
-        (1..=HISTORIES).map(|seed| play(seed, outages_and_restarts, With::Outages).unrecorded_starts).sum();
+    let starts = play_all(HISTORIES, outages_and_restarts, With::Outages).unrecorded_starts;
     assert!(starts > HISTORIES, "{starts} starts without record");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
 fn short_histories_with_outages_and_limit() {
-    let starts: u64 =
-        (1..=HISTORIES).map(|seed| play(seed, outages_and_limit, With::Outages).unrecorded_starts).sum();
+    let starts = play_all(HISTORIES, outages_and_limit, With::Outages).unrecorded_starts;
     assert!(starts > HISTORIES, "{starts} starts without record");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
 }
 
 #[test]
@@ -352,55 +316,40 @@
 
 /// TWICE: workers list few ends at once, so that tasks that are done may be neither running nor among
 /// the listed ends.
-fn play_short_lists(world: fn(usize, FaultRng) -> World, with: With) {
-    let starts: u64 = (1..=HISTORIES).map(|seed| play(seed, world, with).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
-}
-
 #[test]
 fn short_histories_with_short_lists() {
-    play_short_lists(short_lists, With::Nothing);
+    play_with_starts(HISTORIES, short_lists, With::Nothing);
 }
 
 #[test]
 fn short_histories_with_short_lists_and_relays() {
-    play_short_lists(short_lists_and_relays, With::Relays);
+    play_with_starts(HISTORIES, short_lists_and_relays, With::Relays);
 }
 
 #[test]
 fn short_histories_with_short_lists_and_outages() {
-    play_short_lists(short_lists_and_outages, With::Outages);
+    play_with_starts(HISTORIES, short_lists_and_outages, With::Outages);
 }
 
 /// Starts and stops wait behind others without an answer, and starts are taken back meanwhile.
-fn play_order_queues(world: fn(usize, FaultRng) -> World, with: With) {
-    let starts: u64 = (1..=HISTORIES / 2).map(|seed| play(seed, world, with).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
-}
-
 #[test]
 fn short_histories_with_order_queues() {
-    play_order_queues(order_queues, With::Copies);
+    play_with_starts(HISTORIES / 2, order_queues, With::Copies);
 }
 
 #[test]
 fn short_histories_with_order_queues_and_relays() {
-    play_order_queues(order_queues_and_relays, With::Relays);
+    play_with_starts(HISTORIES / 2, order_queues_and_relays, With::Relays);
 }
 
 #[test]
 fn short_histories_with_order_queues_and_outages() {
-    play_order_queues(order_queues_and_outages, With::Outages);
+    play_with_starts(HISTORIES / 2, order_queues_and_outages, With::Outages);
 }
 
 #[test]
 fn short_histories_with_restarts_and_relays() {
-    let starts: u64 =
-        (1..=HISTORIES).map(|seed| play(seed, World::restarting_relayed, With::Relays).starts).sum();
-    assert!(starts > HISTORIES, "{starts} starts");
-    assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
+    play_with_starts(HISTORIES, World::restarting_relayed, With::Relays);
 }
 
 #[test]
@@ -494,7 +443,7 @@
 fn many_histories_of_jobs() {
     let mut starts = 0;
     for seed in 1_000_000..1_010_000 {
-        starts += history(seed).0;
+        starts += play(seed, World::new, With::Nothing).starts;
     }
     println!("histories=10000 starts={starts}");
 }
--- a/tests/testsuite/withdrawn_starts.rs
+++ b/tests/testsuite/withdrawn_starts.rs
@@ -3,18 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use workswood::ops::jobs::Node;
 use workswood::ops::jobs::relay::codec;
-use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
-use workswood::ops::jobs::relay::{EventSink, Grant, Relay};
-use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{
-    Action, Event, Owner, StartReply, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
-};
+use workswood::ops::jobs::relay::messages::WorkerOrder;
+use workswood_core::jobs::{Action, Event, Owner, StartReply, TaskId, WorkerInfo, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, worker};
-use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{FaultRng, World, job, small_step, step};
+use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::{SentOrder, TurnStore};
 
 fn task(index: u32) -> TaskId {
@@ -135,50 +129,36 @@
 
 /// A relay with one worker, which answers polls but no orders.
 struct Site {
-    relay: Relay,
+    relay: RelaySite,
     store: Arc<TurnStore>,
-    events: mpsc::UnboundedReceiver<Event>,
 }
 
 impl Site {
     async fn new() -> Site {
         let store = Arc::new(TurnStore::new(Duration::from_millis(4), &[]));
         store.holds_orders(ORDER_WAIT);
-        let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
-        let (tx, mut events) = mpsc::unbounded_channel();
-        let mut relay = Relay::new(node, Grant::until(Duration::from_secs(60)), EventSink::Local(tx));
-        let worker = WorkerAddress {
-            id: WorkerId::from("w"),
-            address: "10.0.0.1:80".to_string(),
-            data_centre: "north".to_string(),
-        };
-        relay.execute(1, WorkerOrder::Assign { worker, token: 7 });
-        events.recv().await.expect("the worker is polled");
-        Site { relay, store, events }
+        let relay = RelaySite::new(store.clone(), "10.0.0.1:80", None).await;
+        Site { relay, store }
     }
 
     /// Orders a start, and lets it be sent if nothing holds it back.
     async fn start(&mut self, index: u32) {
-        let (spec, checkpoint) = ("text".into(), String::new());
-        let start = StartTask { task: task(index), attempt: 1, spec, checkpoint, ticket: None };
-        self.order(WorkerOrder::Start(start)).await;
+        self.relay.order_start(task(index), 1);
+        let_run().await;
     }
 
     async fn order(&mut self, order: WorkerOrder) {
-        self.relay.execute(1, order);
-        for _ in 0..10 {
-            tokio::task::yield_now().await;
-        }
+        self.relay.order(order);
+        let_run().await;
     }
 
     /// The outcome of the next start that has one.
     async fn outcome(&mut self) -> (TaskId, StartReply) {
-        loop {
-            let ev = self.events.recv().await.expect("the relay runs");
-            if let Event::WorkerUpdate(_, _, WorkerUpdate::Started(task, _, reply)) = ev {
-                return (task, reply);
-            }
-        }
+        let outcome = |ev: &Event| match ev {
+            Event::WorkerUpdate(_, _, WorkerUpdate::Started(task, _, reply)) => Some((*task, *reply)),
+            _ => None,
+        };
+        self.relay.event(outcome).await
     }
 
     fn sent(&self) -> Vec<SentOrder> {
@@ -186,6 +166,13 @@
     }
 }
 
+/// Lets the tasks of the relay run until they wait.
+async fn let_run() {
+    for _ in 0..10 {
+        tokio::task::yield_now().await;
+    }
+}
+
 fn started(index: u32) -> SentOrder {
     SentOrder::Start(task(index), 1)
 }
@@ -269,11 +256,7 @@
 
 /// A world in which orders to workers wait, and half of them meet a fault.
 fn queues(workers: usize, seed: u64) -> World {
-    let mut luck = FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
-    for _ in 0..8 {
-        luck.below(2);
-    }
-    let mut w = World::new(workers, luck).with_order_queues().with_time_bounds();
+    let mut w = World::new(workers, FaultRng::mixed(seed)).with_order_queues().with_time_bounds();
     w.run_for(Duration::from_millis(600));
     w.order_faults_per_mille = 500;
     w
