--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -66,7 +66,7 @@
     }
 
     /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
-    /// many tasks, such as those of [`small_step`].
+    /// many tasks, such as those of [`small_step`](super::small_step).
     #[must_use]
     pub fn with_order_queues(mut self) -> World {
         self.order_queues = true;
