--- a/crates/workswood-core/src/jobs/job_table.rs
+++ b/crates/workswood-core/src/jobs/job_table.rs
@@ -155,6 +155,11 @@
         keys.filter_map(|key| self.by_key.get(key))
     }
 
+    /// Open jobs of all services with long-running tasks.
+    pub fn all_long_running(&self) -> impl Iterator<Item = &Job> {
+        self.long_running.values().flatten().filter_map(|key| self.by_key.get(key))
+    }
+
     /// Removes and returns jobs that were archived before the given time.
     pub fn forget_archived(&mut self, before: Duration) -> Vec<(JobKey, ArchivedJob)> {
         let mut forgotten = Vec::new();
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -39,6 +39,7 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
+//! * `absent_tasks` logs long-running tasks that run nowhere, with the reason.
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
@@ -58,6 +59,7 @@
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
 //!   and [`pool_moves`] carries it out.
 
+mod absent_tasks;
 pub mod admission;
 mod admission_load;
 pub mod advice;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -220,7 +220,13 @@
     /// The best worker with enough room. For tasks that are neither long-running nor tied to the
     /// rack of their data, it is the first fit in the order of the index. A slow worker is chosen only
     /// if no other one could ever run the task.
-    fn choose_worker(&self, job: &Job, step: &StepSpec, id: &TaskId, service: &str) -> Option<WorkerId> {
+    pub(super) fn choose_worker(
+        &self,
+        job: &Job,
+        step: &StepSpec,
+        id: &TaskId,
+        service: &str,
+    ) -> Option<WorkerId> {
         let is_slow = |w: &WorkerId| self.slow_workers.contains(w, self.now);
         let found = self.choose_worker_except(job, step, id, service, &is_slow);
         if found.is_some() || self.slow_workers.is_empty() {
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::absent_tasks::AbsentTasks;
 use super::advice::AdviceState;
 use super::config::SchedConfig;
 use super::crash_rate::CrashRate;
@@ -84,6 +85,8 @@
     pub(super) sibling_times: SiblingTimes,
     /// Workers that get no new work because they are slow.
     pub(super) slow_workers: SlowWorkers,
+    /// Long-running tasks that run nowhere.
+    pub(super) absent_tasks: AbsentTasks,
     /// Open jobs whose tasks may get second runs.
     pub(super) second_runs: SecondRuns,
     /// Hosts, as last listed.
@@ -184,6 +187,7 @@
             durations: TaskDurations::default(),
             sibling_times: SiblingTimes::default(),
             slow_workers: SlowWorkers::default(),
+            absent_tasks: AbsentTasks::default(),
             second_runs: SecondRuns::default(),
             hosts: StableMap::default(),
             hosts_requested_at: Duration::ZERO,
@@ -487,6 +491,7 @@
             self.send_due_stops();
             self.shun_slow_workers();
             self.clear_proven_tasks();
+            self.watch_absent_tasks();
         }
         self.evict_from_draining();
         self.evict_inherited();
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -84,6 +84,8 @@
     pub early_completed_jobs: IntCounter,
     /// Tasks that are not started again because they crash their workers, in this term.
     pub abandoned_tasks: IntGauge,
+    /// Long-running tasks that have had no known run for a second or longer.
+    pub absent_tasks: IntGauge,
     /// Workers that were kept from new work because they were slow, in this term.
     pub slow_workers: IntGauge,
     /// Second runs that were started, in this term.
@@ -278,6 +280,11 @@
                 "workswood_tasks_given_up",
                 "tasks not started again because they crash their workers, in this term",
             ),
+            absent_tasks: register_gauge(
+                &registry,
+                "workswood_long_running_tasks_absent",
+                "long-running tasks that have had no known run for a second or longer",
+            ),
             slow_workers: register_gauge(
                 &registry,
                 "workswood_workers_slow",
