Try long-running tasks behind steps that find no worker

What callers saw: a long-running task waits although workers have room for it, for as long as eight or more steps in front of it find no worker, or a larger step of its workspace exceeds the limit. While demand rises, that is for as long as the large steps wait.

Cause: a placement pass ends after `max_misses` steps without a worker, and looks at no further step of a workspace whose step exceeds the limit. A long-running step doesn't count as a miss, but the steps in front of it do. It stands behind others if its queue has a lower priority, its job was sent beyond the rate of its workspace, or its workspace uses more than others under overload. (In a queue of the same priority, without workspaces, it comes first and isn't affected.)

Evidence: long_running_placement, HostWorld, before the change: not_reached_* (4 tests) fail, with `event=long_running_task_absent ... reason=not_reached`. After: 5 of 5 pass. room_kept_for_urgent_steps passed before and after: a step of higher priority that the pass reaches is still placed first.

Why it works: after the steps in the order of placement, the pass tries the long-running steps that it did not reach, 32 at most and from where the last pass ended, so its cost stays bounded however many wait. The order among ordinary steps, their misses and the limits are as they were.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: chooses the worker that a task is started on.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
 
 use super::fair_share::weighted_usage;
@@ -26,6 +26,8 @@
 /// as one task of the same step: with more, a wave over most hosts would gather a step's tasks on the
 /// few others, where one crash takes many of them.
 const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
+/// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
+const MAX_UNREACHED_STEPS: usize = 32;
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
@@ -33,26 +35,51 @@
         if self.store_access == StoreAccess::Answering {
             self.place_trials(service);
         }
+        let reached = self.place_in_order(service);
+        self.place_unreached_long_running(service, &reached);
+    }
+
+    /// Places steps in the order of placement until too many found no worker; returns the
+    /// long-running ones that were tried.
+    fn place_in_order(&mut self, service: &ServiceId) -> BTreeSet<StepId> {
         // Steps that found no worker; see `PlacementPolicy::max_misses`.
         let mut misses = 0;
+        let mut reached = BTreeSet::new();
         let mut steps = StepQueue::new(self.placement_order(service));
         let owners: Vec<Owner> = self.ready.get(service).map(|w| w.owners().collect()).unwrap_or_default();
         owners.into_iter().for_each(|owner| self.queue_next_step(&mut steps, service, owner, None));
         while misses < self.policy.placement.max_misses {
-            let Some(next) = steps.next() else { return };
+            let Some(next) = steps.next() else { break };
+            let long_running = self.is_long_running(&next.step);
+            if long_running {
+                reached.insert(next.step);
+            }
             match self.place_step(service, &next.step) {
                 StepPlacement::Done => {}
                 StepPlacement::NoWorker => {
                     // Long-running tasks, which may find no worker for hours, and tasks that need a
                     // ticket do not count as misses.
-                    misses +=
-                        usize::from(!self.is_long_running(&next.step) && !self.needs_ticket(&next.step));
+                    misses += usize::from(!long_running && !self.needs_ticket(&next.step));
                 }
-                // Nothing else of this workspace can start either, so its next step is not queued.
+                // The workspace keeps what is left of its limit for this step, so its next step is not
+                // queued.
                 StepPlacement::OverLimit => continue,
             }
             self.queue_next_step(&mut steps, service, next.owner, Some(&next));
         }
+        reached
+    }
+
+    /// Places long-running tasks behind steps that find no worker or exceed the limit of their
+    /// workspace. Those may be waiting for long, and users miss a long-running task at once.
+    fn place_unreached_long_running(&mut self, service: &ServiceId, reached: &BTreeSet<StepId>) {
+        let Some(waiting) = self.ready.get_mut(service) else { return };
+        if waiting.long_running_steps() == 0 {
+            return;
+        }
+        for step in waiting.next_long_running(MAX_UNREACHED_STEPS, reached) {
+            self.place_step(service, &step);
+        }
     }
 
     /// Order of placement among steps with the same priority and timeliness.
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -125,7 +125,8 @@
 pub struct PlacementPolicy {
     /// Number of steps without a fitting worker after which a placement pass stops, not counting
     /// steps of long-running tasks and steps that need a ticket. Smaller tasks further back would
-    /// otherwise always fill the room that larger ones wait for.
+    /// otherwise always fill the room that larger ones wait for. Long-running steps further back are
+    /// tried nevertheless.
     #[serde(rename = "most_misses")]
     pub max_misses: usize,
     /// Whether best-effort tasks are placed on hosts with serving tasks as readily as on others.
--- a/crates/workswood-core/src/jobs/queue_order.rs
+++ b/crates/workswood-core/src/jobs/queue_order.rs
@@ -97,6 +97,11 @@
             Timeliness::Worthless
         }
     }
+
+    /// Whether the task is in time whenever it starts, as a long-running one is.
+    pub fn is_unlimited(&self) -> bool {
+        self.in_time_until == UnixMs::MAX
+    }
 }
 
 /// Moving average of how long the tasks of each queue take.
--- a/crates/workswood-core/src/jobs/task_queue.rs
+++ b/crates/workswood-core/src/jobs/task_queue.rs
@@ -81,6 +81,10 @@
     /// Steps by the last moment at which they keep their timeliness, without those whose timeliness
     /// cannot become worse.
     timely_until: BTreeSet<(UnixMs, StepId)>,
+    /// Long-running steps, which are those without a deadline.
+    long_running: BTreeSet<QueuePosition>,
+    /// Where the next look at long-running steps that the placement order does not reach begins.
+    long_running_cursor: Option<QueuePosition>,
 }
 
 impl TaskQueue {
@@ -184,6 +188,22 @@
         }
     }
 
+    /// Long-running steps that follow those of the last call, at most `max` of them and without those
+    /// of `reached`; after the last step, the next call begins anew.
+    pub fn next_long_running(&mut self, max: usize, reached: &BTreeSet<StepId>) -> Vec<StepId> {
+        let from = self.long_running_cursor.as_ref().map_or(Bound::Unbounded, Bound::Excluded);
+        let rest = self.long_running.range((from, Bound::Unbounded));
+        let found: Vec<QueuePosition> =
+            rest.filter(|p| !reached.contains(&p.step)).take(max).copied().collect();
+        self.long_running_cursor = found.last().filter(|_| found.len() == max).copied();
+        found.into_iter().map(|p| p.step).collect()
+    }
+
+    /// Number of long-running steps.
+    pub fn long_running_steps(&self) -> usize {
+        self.long_running.len()
+    }
+
     /// Owners that have waiting tasks.
     pub fn owners(&self) -> impl Iterator<Item = Owner> {
         self.by_owner.keys().copied()
@@ -221,6 +241,9 @@
         }
         self.by_position.insert(s.position);
         self.timely_until.extend(s.timely_until().map(|at| (at, s.position.step)));
+        if s.deadlines.is_unlimited() {
+            self.long_running.insert(s.position);
+        }
         let queue = self.by_owner.entry(s.position.owner).or_default();
         queue.by_position.insert(s.position);
         queue.by_work.insert(ByRemainingWork(s.position));
@@ -231,6 +254,7 @@
     fn take_step(&mut self, step: &StepId) -> Option<WaitingStep> {
         let s = self.steps.remove(step)?;
         self.by_position.remove(&s.position);
+        self.long_running.remove(&s.position);
         if let Some(at) = s.timely_until() {
             self.timely_until.remove(&(at, *step));
         }
--- /dev/null
+++ b/tests/testsuite/long_running_placement.rs
@@ -0,0 +1,196 @@
+//! A long-running task starts soon wherever a worker has room for it.
+
+use std::sync::Arc;
+
+use workswood_core::jobs::spec::Resources;
+use workswood_core::jobs::{
+    Action, Event, JobSpec, Listing, ReportedRun, SchedConfig, StepSpec, TaskId, Workspace, Workspaces,
+};
+use workswood_test_support::host_world::{HostWorld, listed, worker};
+use workswood_test_support::job_world::{config, job, step};
+
+/// Time between two ticks.
+const TICK_MS: u64 = 100;
+/// A long-running task is to start within this time if there is room.
+const START_WITHIN_MS: u64 = 2000;
+/// Jobs of one step each, more than the misses that end a placement pass.
+const LARGE_JOBS: u64 = 12;
+/// More long-running jobs than a placement pass tries.
+const MANY_JOBS: u64 = 80;
+/// Name of a workspace.
+const TEAM: &str = "team-a";
+
+/// Workers that answer at each tick, and what runs on them.
+struct Pool {
+    world: HostWorld,
+    now_ms: u64,
+    workers: usize,
+    /// Orders of the runs that have not ended.
+    runs: Vec<Action>,
+}
+
+fn task_of(a: &Action) -> Option<TaskId> {
+    if let Action::Start { task, .. } = a { Some(*task) } else { None }
+}
+
+fn is_on(a: &Action, n: usize) -> bool {
+    matches!(a, Action::Start { worker: id, .. } if *id == worker(n, 0).id)
+}
+
+impl Pool {
+    fn new(workers: usize) -> Pool {
+        let mut world = HostWorld::new(workers);
+        world.at(TICK_MS);
+        Pool { world, now_ms: TICK_MS, workers, runs: Vec::new() }
+    }
+
+    /// Has a worker list its runs.
+    fn answer(&mut self, n: usize) {
+        let running: Vec<ReportedRun> = self.runs.iter().filter(|a| is_on(a, n)).filter_map(listed).collect();
+        self.world.answers(&worker(n, 0).id, Listing { running, ..Listing::default() });
+    }
+
+    /// Ticks once; the starts are accepted and returned.
+    fn tick(&mut self) -> Vec<Action> {
+        let actions = self.world.tick();
+        let starts: Vec<Action> = actions.into_iter().filter(|a| matches!(a, Action::Start { .. })).collect();
+        for a in &starts {
+            let Action::Start { worker, task, attempt, .. } = a else { continue };
+            self.world.taken(worker, *task, *attempt);
+        }
+        self.runs.extend(starts.clone());
+        starts
+    }
+
+    fn submit(&mut self, key: u64, spec: JobSpec) -> Vec<Action> {
+        self.world.sched.handle(Event::Submitted(key, Arc::new(spec)));
+        self.tick()
+    }
+
+    /// Lets some time pass; returns the starts.
+    fn wait(&mut self, ms: u64) -> Vec<Action> {
+        let until = self.now_ms + ms;
+        let mut starts = Vec::new();
+        while self.now_ms < until {
+            self.now_ms += TICK_MS;
+            self.world.at(self.now_ms);
+            (0..self.workers).for_each(|n| self.answer(n));
+            starts.extend(self.tick());
+        }
+        starts
+    }
+
+    /// Log lines about long-running tasks that run nowhere.
+    fn absences(&self) -> Vec<&str> {
+        self.world.sched.notes.iter().filter(|l| l.contains("event=long_running_task_absent")).collect()
+    }
+
+    /// Workers of the starts of a job.
+    fn workers_of(&self, starts: &[Action], key: u64) -> Vec<usize> {
+        let of_job = starts.iter().filter(|a| task_of(a).is_some_and(|t| t.job == key));
+        of_job.filter_map(|a| (0..self.workers).find(|n| is_on(a, *n))).collect()
+    }
+}
+
+/// A step of tasks that take much longer than a test.
+fn ordinary(count: u32) -> StepSpec {
+    StepSpec { estimate: std::time::Duration::from_secs(600), ..step(count, vec![]) }
+}
+
+fn sized(mut step: StepSpec, cpu_millis: u64) -> StepSpec {
+    step.resources.cpu_millis = cpu_millis;
+    step
+}
+
+fn long_running(count: u32, cpu_millis: u64) -> StepSpec {
+    sized(StepSpec { long_running: true, ..step(count, vec![]) }, cpu_millis)
+}
+
+/// Four workers with half of their room left, and many steps that need more than that.
+fn pool_with_large_steps() -> Pool {
+    let mut pool = Pool::new(4);
+    let half = StepSpec { max_per_worker: 1, ..sized(ordinary(4), 2000) };
+    assert_eq!(pool.submit(1, job(vec![half], 100)).len(), 4);
+    for key in 0..LARGE_JOBS {
+        let large = job(vec![sized(ordinary(1), 4000)], 100);
+        assert!(pool.submit(10 + key, large).is_empty(), "no worker has this much room");
+    }
+    pool
+}
+
+/// Configuration with a workspace.
+fn with_workspace(version: u64, jobs_per_s: f64, cpu_millis: u64) -> Event {
+    let mut workspaces = Workspaces::default();
+    let limit = Resources { cpu_millis, mem_mb: 0, gpus: 0 };
+    workspaces.add(Workspace { name: TEAM.to_string(), jobs_per_s, limit }, []);
+    Event::ConfigChanged(Arc::new(SchedConfig { version, workspaces, ..config() }))
+}
+
+#[test]
+fn not_reached_behind_urgent_steps() {
+    let mut pool = pool_with_large_steps();
+    let lasting = JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 200) };
+    let mut starts = pool.submit(2, lasting);
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(
+        pool.workers_of(&starts, 2).len(),
+        1,
+        "each worker has two cores free: {:#?}",
+        pool.absences()
+    );
+}
+
+#[test]
+fn not_reached_over_rate() {
+    let mut pool = Pool::new(4);
+    pool.world.sched.handle(with_workspace(2, 0.1, 0));
+    let of_team = |spec| JobSpec { workspace: Some(TEAM.to_string()), ..spec };
+    let half = StepSpec { max_per_worker: 1, ..sized(ordinary(4), 2000) };
+    assert_eq!(pool.submit(1, of_team(job(vec![half], 100))).len(), 4);
+    for key in 0..LARGE_JOBS {
+        assert!(pool.submit(10 + key, job(vec![sized(ordinary(1), 4000)], 100)).is_empty());
+    }
+    let mut starts = pool.submit(2, of_team(job(vec![long_running(1, 1000)], 200)));
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(
+        pool.workers_of(&starts, 2).len(),
+        1,
+        "each worker has two cores free: {:#?}",
+        pool.absences()
+    );
+}
+
+#[test]
+fn not_reached_behind_large_step_over_limit() {
+    let mut pool = Pool::new(4);
+    pool.world.sched.handle(with_workspace(2, 100.0, 8000));
+    let of_team = |spec| JobSpec { workspace: Some(TEAM.to_string()), ..spec };
+    assert_eq!(pool.submit(1, of_team(job(vec![ordinary(5)], 100))).len(), 5);
+    assert!(pool.submit(2, of_team(job(vec![long_running(1, 4000)], 100))).is_empty(), "over the limit");
+    let mut starts = pool.submit(3, of_team(job(vec![long_running(1, 1000)], 200)));
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(pool.workers_of(&starts, 3).len(), 1, "it is within the limit: {:#?}", pool.absences());
+}
+
+#[test]
+fn not_reached_behind_many_large_long_running() {
+    let mut pool = pool_with_large_steps();
+    for key in 0..MANY_JOBS {
+        let large = JobSpec { priority: 1, ..job(vec![long_running(1, 4000)], 200) };
+        assert!(pool.submit(100 + key, large).is_empty(), "no worker has this much room");
+    }
+    let last = 100 + MANY_JOBS;
+    let mut starts = pool.submit(last, JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 200) });
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(pool.workers_of(&starts, last).len(), 1, "each worker has two cores free");
+}
+
+#[test]
+fn room_kept_for_urgent_steps() {
+    let mut pool = pool_with_large_steps();
+    let lasting = JobSpec { priority: 1, ..job(vec![long_running(8, 1000)], 200) };
+    pool.world.sched.handle(Event::Submitted(2, Arc::new(lasting)));
+    let starts = pool.submit(3, job(vec![sized(step(4, vec![]), 2000)], 100));
+    assert_eq!(pool.workers_of(&starts, 3).len(), 4, "its priority is higher, and it is reached");
+    assert!(pool.workers_of(&starts, 2).is_empty());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod lingering_lives;
 mod log_faults;
 mod log_retention;
+mod long_running_placement;
 mod lost_attempts;
 mod lost_looks;
 mod maintenance_waves;
