Place long-running tasks on the worker they failed on if nothing else has room

What callers saw: a long-running task whose run failed is not started for ten seconds, although the worker it failed on has room for it.

Cause: a task avoids the worker of its last failure for ten seconds as long as any other one could run it if it were empty. When the others stay full, only the avoided worker has room. A long-running task is missed for all that time.

Evidence: long_running_placement::avoids_only_worker_with_room, HostWorld, before: no start within 2 s, and `event=long_running_task_absent ... reason=no_worker with_room=1 backoff=0 quarantined=0 slow=0`. After: it passes. That it is ten seconds is read from AVOID_WORKER_FOR; avoided_workers:: others_stay_full shows it for an ordinary task, for which nothing changes.

Why it works: a long-running task that has been absent for a second takes the avoided worker if no other one has room at that moment. A second since the last failure has to pass as well, so a task that fails at once isn't started over and over (pause_between_failures; it fails without that condition).

--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -97,6 +97,13 @@
     }
 }
 
+impl AbsentTasks {
+    /// Whether a task has been absent for at least this long.
+    pub(super) fn is_absent_for(&self, id: &TaskId, least: Duration, now: Duration) -> bool {
+        self.by_task.get(id).is_some_and(|a| a.since + least <= now)
+    }
+}
+
 impl Scheduler {
     /// Number of long-running tasks that have run nowhere for a second or longer.
     pub fn absent_long_running_tasks(&self) -> usize {
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -173,8 +173,8 @@
 pub struct AvoidedWorker {
     /// The worker.
     pub id: WorkerId,
-    /// Until when it is avoided.
-    pub until: Duration,
+    /// When the run failed or stalled.
+    pub since: Duration,
 }
 
 impl Task {
@@ -186,12 +186,18 @@
 
     /// Has the next runs placed elsewhere for a while, if possible.
     pub fn avoid_worker(&mut self, id: &WorkerId, now: Duration) {
-        self.avoided_worker = Some(AvoidedWorker { id: id.clone(), until: now + AVOID_WORKER_FOR });
+        self.avoided_worker = Some(AvoidedWorker { id: id.clone(), since: now });
     }
 
     /// The worker to avoid now.
     pub fn worker_to_avoid(&self, now: Duration) -> Option<&WorkerId> {
-        self.avoided_worker.as_ref().filter(|avoided| now < avoided.until).map(|avoided| &avoided.id)
+        let avoided = self.avoided_worker.as_ref();
+        avoided.filter(|a| now < a.since + AVOID_WORKER_FOR).map(|a| &a.id)
+    }
+
+    /// Whether a run failed or stalled less than `time` ago.
+    pub fn failed_within(&self, time: Duration, now: Duration) -> bool {
+        self.avoided_worker.as_ref().is_some_and(|a| now < a.since + time)
     }
 }
 
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::fair_share::weighted_usage;
 use super::job::{Job, Phase, Run, Task, WorkerId};
@@ -28,6 +29,8 @@
 const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
 /// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
 const MAX_UNREACHED_STEPS: usize = 32;
+/// After this time without a run or a failure, a long-running task is placed on any worker with room.
+const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
@@ -266,6 +269,14 @@
         self.choose_worker_except(job, step, id, service, &|_| false)
     }
 
+    /// Whether a task is placed on any worker with room, also on one that is rather avoided. While a
+    /// long-running task waits for a better one, its users are not served. One that has just failed
+    /// waits nevertheless, so that it is not started over and over on a faulty worker.
+    fn takes_any_worker(&self, job: &Job, id: &TaskId) -> bool {
+        let just_failed = job.task(id).is_some_and(|t| t.failed_within(LONG_RUNNING_PATIENCE, self.now));
+        !just_failed && self.absent_tasks.is_absent_for(id, LONG_RUNNING_PATIENCE, self.now)
+    }
+
     /// Whether a worker outside of backoff could run a task if it were empty.
     fn could_run(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
         let needed = step.reserved_resources();
@@ -315,7 +326,10 @@
         if found.is_some() || avoid.is_none() {
             return found;
         }
-        // The worker to avoid is used only if there is no other candidate.
+        // The worker to avoid is used only if there is no other candidate, or if the task is missed.
+        if self.takes_any_worker(job, id) {
+            return best(None);
+        }
         let candidates = if advised {
             self.count_possible_workers(&self.available_workers(service), &id.step_id())
         } else {
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -4,7 +4,8 @@
 
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, Event, JobSpec, Listing, ReportedRun, SchedConfig, StepSpec, TaskId, Workspace, Workspaces,
+    Action, EndKind, Event, JobSpec, Listing, ReportedEnd, ReportedRun, SchedConfig, StepSpec, TaskId,
+    WorkerInfo, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{config, job, step};
@@ -13,12 +14,16 @@
 const TICK_MS: u64 = 100;
 /// A long-running task is to start within this time if there is room.
 const START_WITHIN_MS: u64 = 2000;
+/// A long-running task that failed waits this long for another worker.
+const PAUSE_MS: u64 = 1000;
 /// Jobs of one step each, more than the misses that end a placement pass.
 const LARGE_JOBS: u64 = 12;
 /// More long-running jobs than a placement pass tries.
 const MANY_JOBS: u64 = 80;
 /// Name of a workspace.
 const TEAM: &str = "team-a";
+/// Label of the workers that are filled up.
+const OTHERS: &str = "narrow";
 
 /// Workers that answer at each tick, and what runs on them.
 struct Pool {
@@ -27,6 +32,8 @@
     workers: usize,
     /// Orders of the runs that have not ended.
     runs: Vec<Action>,
+    /// Sequence number of the last reported end.
+    ends: u64,
 }
 
 fn task_of(a: &Action) -> Option<TaskId> {
@@ -41,13 +48,13 @@
     fn new(workers: usize) -> Pool {
         let mut world = HostWorld::new(workers);
         world.at(TICK_MS);
-        Pool { world, now_ms: TICK_MS, workers, runs: Vec::new() }
+        Pool { world, now_ms: TICK_MS, workers, runs: Vec::new(), ends: 0 }
     }
 
-    /// Has a worker list its runs.
-    fn answer(&mut self, n: usize) {
+    /// Has a worker list its runs and one end.
+    fn answer(&mut self, n: usize, ended: Vec<ReportedEnd>) {
         let running: Vec<ReportedRun> = self.runs.iter().filter(|a| is_on(a, n)).filter_map(listed).collect();
-        self.world.answers(&worker(n, 0).id, Listing { running, ..Listing::default() });
+        self.world.answers(&worker(n, 0).id, Listing { running, ended, ..Listing::default() });
     }
 
     /// Ticks once; the starts are accepted and returned.
@@ -67,6 +74,17 @@
         self.tick()
     }
 
+    /// Ends a run; returns the starts that follow.
+    fn end_run(&mut self, run: &Action, kind: EndKind) -> Vec<Action> {
+        let Action::Start { task, attempt, .. } = run else { return Vec::new() };
+        let n = (0..self.workers).find(|n| is_on(run, *n)).expect("a worker");
+        self.runs.retain(|a| a != run);
+        self.ends += 1;
+        let (task, attempt, sequence_number) = (*task, *attempt, self.ends);
+        self.answer(n, vec![ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() }]);
+        self.tick()
+    }
+
     /// Lets some time pass; returns the starts.
     fn wait(&mut self, ms: u64) -> Vec<Action> {
         let until = self.now_ms + ms;
@@ -74,7 +92,7 @@
         while self.now_ms < until {
             self.now_ms += TICK_MS;
             self.world.at(self.now_ms);
-            (0..self.workers).for_each(|n| self.answer(n));
+            (0..self.workers).for_each(|n| self.answer(n, Vec::new()));
             starts.extend(self.tick());
         }
         starts
@@ -90,6 +108,21 @@
         let of_job = starts.iter().filter(|a| task_of(a).is_some_and(|t| t.job == key));
         of_job.filter_map(|a| (0..self.workers).find(|n| is_on(a, *n))).collect()
     }
+
+    /// Gives a worker a label.
+    fn label(&mut self, n: usize, label: &str) {
+        let info = WorkerInfo { labels: vec![label.to_string()], ..worker(n, 0) };
+        self.world.sched.handle(Event::WorkerListed(info));
+    }
+
+    /// Fills all workers but one up for good: each of the others has a run of this size.
+    fn fill_others(&mut self, but: usize, cpu_millis: u64) {
+        let others: Vec<usize> = (0..self.workers).filter(|n| *n != but).collect();
+        others.iter().for_each(|n| self.label(*n, OTHERS));
+        let filler =
+            StepSpec { label: Some(OTHERS.to_string()), max_per_worker: 1, ..ordinary(others.len() as u32) };
+        assert_eq!(self.submit(99, job(vec![sized(filler, cpu_millis)], 100)).len(), others.len());
+    }
 }
 
 /// A step of tasks that take much longer than a test.
@@ -194,3 +227,35 @@
     assert_eq!(pool.workers_of(&starts, 3).len(), 4, "its priority is higher, and it is reached");
     assert!(pool.workers_of(&starts, 2).is_empty());
 }
+
+#[test]
+fn avoids_only_worker_with_room() {
+    let mut pool = Pool::new(2);
+    let first = pool.submit(1, job(vec![long_running(1, 1000)], 100));
+    let at = pool.workers_of(&first, 1)[0];
+    pool.fill_others(at, 4000);
+    let mut again = pool.end_run(&first[0], EndKind::Failed);
+    again.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(
+        pool.workers_of(&again, 1),
+        [at],
+        "only the worker that it failed on has room: {:#?}",
+        pool.absences()
+    );
+}
+
+#[test]
+fn pause_between_failures() {
+    let mut pool = Pool::new(2);
+    let first = pool.submit(1, job(vec![long_running(1, 1000)], 100));
+    let at = pool.workers_of(&first, 1)[0];
+    pool.fill_others(at, 4000);
+    let mut run = first[0].clone();
+    for _ in 0..4 {
+        assert!(pool.end_run(&run, EndKind::Failed).is_empty(), "other workers go first");
+        let failed_at = pool.now_ms;
+        let started = (0..START_WITHIN_MS / TICK_MS).find_map(|_| pool.wait(TICK_MS).first().cloned());
+        run = started.expect("a start");
+        assert!(pool.now_ms >= failed_at + PAUSE_MS, "started again after {} ms", pool.now_ms - failed_at);
+    }
+}
