Don't let a long-running task that avoids a worker block its siblings

What callers saw: a long-running task waits although a worker has room for it, since another task of its step waits in front of it.

Cause: once one task of a step finds no worker, the others aren't tried, as they need the same resources. But each task avoids the worker that it failed on for itself.

Evidence: long_running_placement::waits_behind_task_that_avoids_worker: after a task of a step failed on the only worker with room, its sibling, which avoids none, isn't started there. Before: fails with no start; after: passes.

Why it works: the tasks of a long-running step are tried once for each different choice of workers, four at most; after a task that takes any worker, none. Ordinary steps are placed as before.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -29,6 +29,8 @@
 const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
 /// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
 const MAX_UNREACHED_STEPS: usize = 32;
+/// Most different choices of workers that are tried in vain for the tasks of one step.
+const MAX_CHOICES_TRIED: usize = 4;
 /// After this time without a run or a failure, a long-running task is placed on any worker with room.
 const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -174,7 +176,7 @@
     }
 
     /// Places the waiting tasks of a step. All need the same resources: if one does not fit, none
-    /// does.
+    /// does, except for long-running tasks that avoid other workers.
     fn place_step(&mut self, service: &str, id: &StepId) -> StepPlacement {
         let Some(job) = self.jobs.get(&id.job) else { return StepPlacement::Done };
         let spec = job.spec.clone();
@@ -184,11 +186,8 @@
         if self.is_held_back(&spec, step, id) || !self.may_start_now(step, id) {
             return StepPlacement::Done;
         }
-        // Members of a gang start together, each as a trial if it is suspected.
-        let startable = |s: &Scheduler, task: &TaskId| step.gang || !s.waits_for_trial(task, service);
-        while let Some(task) =
-            self.ready.get(service).and_then(|w| w.tasks_of(id).find(|t| startable(self, t)))
-        {
+        let mut unplaced: Vec<WorkerChoice> = Vec::new();
+        while let Some(task) = self.next_startable(id, step, service, &unplaced) {
             if !self.is_within_limit(held.owner, &needed_at_once) {
                 return StepPlacement::OverLimit;
             }
@@ -196,11 +195,43 @@
                 true => self.place_gang(&task, step, service),
                 false => self.place_task(&task, step, service),
             };
-            if !placed {
+            if placed {
+                continue;
+            }
+            let choice = self.worker_choice(&task);
+            // No other task has a wider choice than one that takes any worker.
+            let was_widest = !step.long_running || step.gang || choice.takes_any;
+            unplaced.push(choice);
+            if was_widest || unplaced.len() == MAX_CHOICES_TRIED {
                 return StepPlacement::NoWorker;
             }
         }
-        StepPlacement::Done
+        if unplaced.is_empty() { StepPlacement::Done } else { StepPlacement::NoWorker }
+    }
+
+    /// The first waiting task of a step that may be started now, without those whose choice of workers
+    /// is the same as that of a task that found none.
+    fn next_startable(
+        &self,
+        id: &StepId,
+        step: &StepSpec,
+        service: &str,
+        unplaced: &[WorkerChoice],
+    ) -> Option<TaskId> {
+        // Members of a gang start together, each as a trial if it is suspected.
+        let startable = |task: &TaskId| step.gang || !self.waits_for_trial(task, service);
+        let has_choice = |task: &TaskId| unplaced.is_empty() || !unplaced.contains(&self.worker_choice(task));
+        self.ready.get(service)?.tasks_of(id).find(|t| startable(t) && has_choice(t))
+    }
+
+    /// What the choice of a worker depends on, the step aside.
+    fn worker_choice(&self, id: &TaskId) -> WorkerChoice {
+        let job = self.jobs.get(&id.job);
+        let avoided = job.and_then(|j| j.task(id)).and_then(|t| t.worker_to_avoid(self.now));
+        WorkerChoice {
+            avoided: avoided.cloned(),
+            takes_any: job.is_some_and(|job| self.takes_any_worker(job, id)),
+        }
     }
 
     fn place_task(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
@@ -433,6 +464,15 @@
     }
 }
 
+/// What the choice of a worker for a task depends on, the step aside.
+#[derive(PartialEq, Eq)]
+struct WorkerChoice {
+    /// The worker that the task avoids.
+    avoided: Option<WorkerId>,
+    /// Whether any worker with room will do.
+    takes_any: bool,
+}
+
 /// Outcome of placing the tasks of a step.
 enum StepPlacement {
     /// All tasks were placed, or need no placement any more.
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -259,3 +259,21 @@
         assert!(pool.now_ms >= failed_at + PAUSE_MS, "started again after {} ms", pool.now_ms - failed_at);
     }
 }
+
+#[test]
+fn waits_behind_task_that_avoids_worker() {
+    let mut pool = Pool::new(3);
+    let first = pool.submit(1, job(vec![long_running(2, 1000)], 100));
+    let at = pool.workers_of(&first, 1);
+    assert_eq!(at.len(), 2);
+    assert_ne!(at[0], at[1], "they are spread");
+    let third = 3 - at[0] - at[1];
+    pool.label(third, OTHERS);
+    let filler = StepSpec { label: Some(OTHERS.to_string()), ..sized(ordinary(1), 4000) };
+    assert_eq!(pool.submit(2, job(vec![filler], 100)).len(), 1);
+    pool.world.sched.handle(Event::WorkerListed(WorkerInfo { draining: true, ..worker(at[1], 0) }));
+    assert!(pool.end_run(&first[0], EndKind::Failed).is_empty(), "it avoids the only worker with room");
+    let again = pool.end_run(&first[1], EndKind::Stopped);
+    let second = task_of(&first[1]);
+    assert!(again.iter().any(|a| task_of(a) == second), "it avoids no worker: {again:?}");
+}
