Place long-running tasks on slow workers if nothing else has room

What callers saw: a long-running task waits although a worker has room for it, as long as that worker is kept from new work because it is slow, and the others stay full.

Cause: a slow worker is used only if no other one could run the task if it were empty. It stays slow for as long as its runs of several steps take too long. For an ordinary task it is worth waiting; a long-running one is missed.

Evidence: long_running_placement::only_slow_worker_has_room, before: no start within 2 s, `reason=no_worker with_room=1 ... slow=1`. After: it passes, as do all of slow_workers.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -280,7 +280,7 @@
 
     /// The best worker with enough room. For tasks that are neither long-running nor tied to the
     /// rack of their data, it is the first fit in the order of the index. A slow worker is chosen only
-    /// if no other one could ever run the task.
+    /// if no other one could ever run the task, or if the task takes any worker.
     pub(super) fn choose_worker(
         &self,
         job: &Job,
@@ -293,9 +293,11 @@
         if found.is_some() || self.slow_workers.is_empty() {
             return found;
         }
-        let mut others = self.workers.available(service, 0).filter(|(wid, _)| !is_slow(wid));
-        if others.any(|(_, w)| self.could_run(w, step, id)) {
-            return None;
+        if !self.takes_any_worker(job, id) {
+            let mut others = self.workers.available(service, 0).filter(|(wid, _)| !is_slow(wid));
+            if others.any(|(_, w)| self.could_run(w, step, id)) {
+                return None;
+            }
         }
         self.choose_worker_except(job, step, id, service, &|_| false)
     }
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -277,3 +277,23 @@
     let second = task_of(&first[1]);
     assert!(again.iter().any(|a| task_of(a) == second), "it avoids no worker: {again:?}");
 }
+
+#[test]
+fn only_slow_worker_has_room() {
+    let mut pool = Pool::new(4);
+    pool.world.sched.policy.slow_workers.enabled = true;
+    let wide = StepSpec { max_per_worker: 1, ..step(4, vec![]) };
+    let starts = pool.submit(1, job(vec![wide.clone(), wide], 100));
+    assert_eq!(starts.len(), 8);
+    let slow = 0;
+    pool.wait(300);
+    for run in starts.iter().filter(|a| !is_on(a, slow)) {
+        pool.end_run(run, EndKind::Done);
+    }
+    pool.fill_others(slow, 4000);
+    pool.wait(2000);
+    assert_eq!(pool.world.sched.counters.workers_slow, 1);
+    let mut starts = pool.submit(2, job(vec![long_running(1, 1000)], 2400));
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(pool.workers_of(&starts, 2), [slow], "only the slow worker has room: {:#?}", pool.absences());
+}
