Count the grants of earlier holders from their last record, not from the claim

Cause: a new holder took "predecessors may extend for 4 s" from its own claim, whatever the lease topic told.

Change: 4 s count from the reading of the last record before the claim. The release of a holder whose scheduler has ended says how long from then on anybody may still extend leases (`extensions_left_ms`, optional): the longest grant of relays in other entries and what is left of earlier terms. Absent: 4 s from the reading, as before for versions before. The store still takes renewals of the holder before between the claim and the first renewal of the new term; they are read before that renewal, so the bound counts only once that is read, at most 200 ms after the fence, else the old one holds. A claim without a renewal tells nothing. The first grant of a holder now counts from the sending of its claim and not from its reading, which others can't know. Workers keep 2 s after a claim to answer first.

The worlds count from the last renewal too, and have planned handovers (short_histories_with_handovers, new).

--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -37,6 +37,8 @@
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
 /// The check visits every run.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that workers have after a takeover for a first answer, before their runs count as lapsed.
+const FIRST_ANSWER_TIME: Duration = Duration::from_secs(2);
 
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
@@ -46,6 +48,8 @@
     pub wall: UnixMs,
     /// When the scheduler lease was claimed.
     pub claimed_at: Duration,
+    /// Until when holders of earlier terms may extend workers' leases; `None` if that is not known.
+    pub predecessors_extend_until: Option<Duration>,
     /// Fencing token of this term.
     pub token: Term,
     /// Name of the entry that holds the lease.
@@ -168,6 +172,7 @@
             now: claimed_at,
             wall,
             claimed_at,
+            predecessors_extend_until: None,
             token,
             holder: String::new(),
             strength: EntryCapacity::MAX,
@@ -305,9 +310,16 @@
         }
     }
 
-    /// Returns when the last lease that a predecessor may have extended ends.
+    /// Returns until when holders of earlier terms may extend workers' leases.
+    pub fn predecessors_extend_until(&self) -> Duration {
+        self.predecessors_extend_until.unwrap_or(self.claimed_at + self.limits.extension_grace)
+    }
+
+    /// Returns when the last lease that a predecessor may have extended ends, and workers have had time to
+    /// tell what ended there.
     fn inherited_lease_end(&self) -> Duration {
-        self.claimed_at + self.limits.extension_grace + self.lease_with_drift()
+        let lease_end = self.predecessors_extend_until() + self.lease_with_drift();
+        lease_end.max(self.claimed_at + FIRST_ANSWER_TIME)
     }
 
     /// The longest real time that a worker's lease may last, with clock drift.
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -113,6 +113,8 @@
             shown_completed: HashMap::new(),
             failed_runs: HashMap::new(),
             term: 0,
+            last_renewal: Duration::ZERO,
+            released_until: None,
             lives: 0,
             acked_done: BTreeSet::new(),
             acked_failures: HashMap::new(),
--- a/crates/workswood-test-support/src/job_world/crashes.rs
+++ b/crates/workswood-test-support/src/job_world/crashes.rs
@@ -84,6 +84,13 @@
         self.take_down(n, downtime);
     }
 
+    /// Ends a worker for good; it stays listed and does not answer.
+    pub fn vanish(&mut self, n: usize) {
+        self.record_lost_runs(n);
+        self.workers[n].up = false;
+        self.workers[n].running.clear();
+    }
+
     /// Takes a worker down for some time; its runs are lost.
     pub(super) fn take_down(&mut self, n: usize, downtime: Duration) {
         self.workers[n].up = false;
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -54,6 +54,8 @@
     pub store_away_until: Duration,
     next_tick: Duration,
     sessions: BTreeMap<HostId, RelaySession>,
+    /// Until when relays of other processes may extend leases.
+    relays_extend_until: Duration,
     /// Relay and fencing token of each watched worker.
     watched: BTreeMap<WorkerId, (HostId, Term)>,
     /// Events that have not arrived yet, with the time of their arrival.
@@ -75,6 +77,7 @@
             store_away_until: Duration::ZERO,
             next_tick: now,
             sessions: BTreeMap::new(),
+            relays_extend_until: Duration::ZERO,
             watched: BTreeMap::new(),
             inbox: Vec::new(),
             shown: HashMap::new(),
@@ -101,6 +104,7 @@
         let h = &mut self.holders[n];
         if newest && h.store_away_until <= now {
             h.renewed = now;
+            self.last_renewal = now;
         }
         if std::mem::replace(&mut h.last_awake, now) + MAX_PAUSE <= now {
             h.writing_since = now;
@@ -232,6 +236,9 @@
             ToHolder::Heartbeat(sent) => {
                 t.last_heartbeat = now;
                 t.extends_until = h.renewed + EXTENSION_GRACE;
+                if *entry != h.sched.holder {
+                    h.relays_extend_until = t.extends_until;
+                }
                 let (number, left) = (t.number, t.extends_until.saturating_sub(now));
                 h.sched.handle(Event::RelayHeard(entry.clone()));
                 self.send_to_relay(number, ToRelay::Grant { sent, left });
@@ -290,6 +297,14 @@
         self.publish(n, batch);
     }
 
+    /// Has the newest holder end by plan, with its relay, and release the lease, which a successor claims.
+    pub fn hand_over(&mut self) {
+        let Some(h) = self.holders.last() else { return };
+        self.released_until = Some(h.relays_extend_until.max(h.sched.predecessors_extend_until()));
+        self.kill_holder();
+        self.take_over();
+    }
+
     /// Makes the store silent for the newest holder; it may have stored the batch that was being
     /// written.
     pub fn lose_store(&mut self, duration: Duration) {
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -146,6 +146,10 @@
     /// Failed runs per task.
     failed_runs: HashMap<TaskId, u32>,
     term: Term,
+    /// When a holder last renewed the lease.
+    last_renewal: Duration,
+    /// Until when leases may still be extended, as a release has told.
+    released_until: Option<Duration>,
     /// Number of worker lives created; used to name them.
     lives: u64,
     /// Tasks whose successful end a holder has acknowledged.
@@ -291,6 +295,9 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
+        let extended_until = self.released_until.take().unwrap_or(self.last_renewal + EXTENSION_GRACE);
+        sched.predecessors_extend_until = Some(extended_until);
+        self.last_renewal = self.now;
         sched.policy.second_runs.enabled = self.second_runs;
         sched.policy.outage = self.outage.clone();
         self.set_relays(&mut sched);
@@ -477,6 +484,11 @@
         self.workers.iter().filter(|w| w.up && w.running.contains_key(id)).count()
     }
 
+    /// Returns a worker that is running a task.
+    pub fn worker_of(&self, id: &TaskId) -> Option<usize> {
+        self.workers.iter().position(|w| w.up && w.running.contains_key(id))
+    }
+
     /// Advances the simulation by a duration.
     pub fn run_for(&mut self, duration: Duration) {
         let end = self.now + duration;
--- /dev/null
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -0,0 +1,105 @@
+//! Until when holders of earlier terms may still extend workers' leases.
+//!
+//! A holder extends leases, itself or through relays, until [`EXTENSION_GRACE`] after it sent its last
+//! renewal at the latest. What was sent before a record was read here is over that long after the
+//! reading, and a claim is carried out only if the topic still ends with the last record that was read.
+//! The store refuses renewals of earlier terms once it has seen one of the new term; those that it took
+//! between the claim and that one are read before it, so the bound holds once that one is read.
+//!
+//! A claim alone tells nothing: versions before this one count from when they read it. The release of
+//! a holder whose scheduler had ended may tell a shorter time, which counts from its reading too. All
+//! times are on the clock of this process, which goes on while its host is suspended.
+
+use std::time::Duration;
+
+use workswood_core::ids::Term;
+
+use super::lease_renewal::EXTENSION_GRACE;
+
+/// What a record of the lease tells.
+#[derive(Clone, Copy, Debug)]
+pub struct RecordFacts {
+    /// Term of its writer.
+    pub term: Term,
+    /// Whether it releases the lease.
+    pub released: bool,
+    /// How long anybody may still extend leases under the term or an earlier one.
+    pub extensions_left: Option<Duration>,
+}
+
+/// A claim of this process.
+#[derive(Clone, Copy, Debug)]
+struct OwnClaim {
+    term: Term,
+    /// When it was first sent.
+    sent_at: Duration,
+    /// Until when holders of earlier terms may extend leases; `None` if that is not known.
+    extended_until: Option<Duration>,
+    /// Whether a renewal of the claimed term was read.
+    renewal_read: bool,
+}
+
+/// Bounds of the grants of all terms whose records were read.
+#[derive(Debug, Default)]
+pub struct EarlierGrants {
+    /// Highest term that was read.
+    term: Option<Term>,
+    /// Until when the holders of the terms read so far may extend leases, if they write nothing more;
+    /// `None` if that is not known.
+    extended_until: Option<Duration>,
+    claim: Option<OwnClaim>,
+}
+
+impl EarlierGrants {
+    /// Notes a record that is read for the first time.
+    pub fn note_record(&mut self, rec: RecordFacts, now: Duration) {
+        let by_reading = now + EXTENSION_GRACE;
+        self.note_record_after_claim(rec.term, by_reading);
+        let (begins_term, is_late) = match self.term {
+            None => (true, false),
+            Some(term) => (term < rec.term, rec.term < term),
+        };
+        self.term = self.term.max(Some(rec.term));
+        self.extended_until = match (rec.released, rec.extensions_left) {
+            _ if is_late => self.extended_until.map(|_| by_reading),
+            (true, Some(left)) => Some(now + left),
+            (false, _) if begins_term => None,
+            (true, None) | (false, _) => Some(by_reading),
+        };
+    }
+
+    /// Notes a record that can't be read.
+    pub fn note_unknown_record(&mut self) {
+        self.extended_until = None;
+        self.claim = None;
+    }
+
+    /// Notes a record that follows the claim of this process, if that was carried out.
+    fn note_record_after_claim(&mut self, term: Term, by_reading: Duration) {
+        let last_term = self.term;
+        let Some(claim) = self.claim.as_mut().filter(|c| last_term == Some(c.term)) else { return };
+        if term < claim.term && !claim.renewal_read {
+            claim.extended_until = claim.extended_until.map(|until| until.max(by_reading));
+        }
+        claim.renewal_read |= term == claim.term;
+    }
+
+    /// Notes that this process is about to claim a term. A repeated claim has the same term.
+    pub fn note_claim(&mut self, term: Term, now: Duration) {
+        if self.claim.is_none_or(|c| c.term != term) {
+            let extended_until = self.extended_until;
+            self.claim = Some(OwnClaim { term, sent_at: now, extended_until, renewal_read: false });
+        }
+    }
+
+    /// When this process first claimed a term; `None` if that is not known.
+    pub fn claim_sent_at(&self, term: Term) -> Option<Duration> {
+        self.claim.filter(|c| c.term == term).map(|c| c.sent_at)
+    }
+
+    /// Until when holders before the term, which this process holds, may extend leases; `None` until that
+    /// is certain.
+    pub fn extended_until(&self, term: Term) -> Option<Duration> {
+        self.claim.filter(|c| c.term == term && c.renewal_read)?.extended_until
+    }
+}
--- a/src/workswood/ops/jobs/handover.rs
+++ b/src/workswood/ops/jobs/handover.rs
@@ -8,6 +8,7 @@
 
 use workswood_core::jobs::lease_handover::{StopStep, StoppingHolder};
 
+use super::lease::LeaseRecord;
 use super::node::{LastRenewal, Node, SchedulerHandle};
 use super::{lease_renewal, peer_requests};
 
@@ -78,8 +79,12 @@
 
 /// Writes the release, from here or through a peer; returns whether it is written.
 async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
-    lease_renewal::release(node, handle).await
-        || peer_requests::release_lease_through_peer(node, handle.term).await
+    let rec = || match handle.stop.is_closed() {
+        true => LeaseRecord::release_after_end(node, handle),
+        false => LeaseRecord::of(node, handle.term, true),
+    };
+    lease_renewal::write_release(node, handle, rec()).await
+        || peer_requests::write_release_through_peer(node, rec()).await
 }
 
 /// Whether the lease was read as released in a term, or as held in a later one.
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -17,7 +17,8 @@
 };
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
-use super::node::{Holder, Node};
+use super::earlier_grants::{EarlierGrants, RecordFacts};
+use super::node::{Holder, Node, SchedulerHandle};
 use super::scheduler_task;
 use super::topic_reader::retry_delay;
 
@@ -52,6 +53,10 @@
     /// Number of workers that the entry can serve as lease holder.
     #[serde(default)]
     pub strength: Option<EntryCapacity>,
+    /// In a release: for how many milliseconds from then on anybody may still extend workers' leases
+    /// under this term or an earlier one. Absent if the scheduler may not have ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub extensions_left_ms: Option<u64>,
 }
 
 impl LeaseRecord {
@@ -64,6 +69,22 @@
             term,
             released,
             strength: Some(node.settings.strength()),
+            extensions_left_ms: None,
+        }
+    }
+
+    /// Returns the record with which a process releases the lease after its scheduler has ended.
+    pub(super) fn release_after_end(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
+        let left = handle.extensions_left(node.now()).as_millis() as u64;
+        LeaseRecord { extensions_left_ms: Some(left), ..LeaseRecord::of(node, handle.term, true) }
+    }
+
+    /// Returns what the record tells about the end of its writer's grants.
+    fn facts(&self) -> RecordFacts {
+        RecordFacts {
+            term: self.term,
+            released: self.released,
+            extensions_left: self.extensions_left_ms.map(Duration::from_millis),
         }
     }
 
@@ -98,6 +119,8 @@
     term_seen_at: Duration,
     /// Latest term in which the scheduler ran in this process.
     last_own_term: Term,
+    /// Until when holders of earlier terms may extend workers' leases.
+    earlier_grants: EarlierGrants,
     /// Whether to read continuously until the next renewal, because the process is new, or the
     /// holder or the store may be gone.
     awaits_renewal: bool,
@@ -113,6 +136,7 @@
             expiry_counted_from: now,
             term_seen_at: now,
             last_own_term,
+            earlier_grants: EarlierGrants::default(),
             awaits_renewal: true,
         }
     }
@@ -272,8 +296,10 @@
     let value = rec.value.as_deref().unwrap_or_default();
     let Ok(lease) = serde_json::from_slice::<LeaseRecord>(value) else {
         log::error!("event=lease_not_read code=203");
+        v.earlier_grants.note_unknown_record();
         return;
     };
+    v.earlier_grants.note_record(lease.facts(), node.now());
     // A renewal or release of an earlier term may arrive late.
     if v.holder.as_ref().is_some_and(|h| lease.term < h.term) {
         return;
@@ -312,6 +338,7 @@
     let Some(reason) = v.reason_to_claim(node) else { return };
     let reason = reason.label();
     let term = v.next + 1;
+    v.earlier_grants.note_claim(term, node.now());
     let rec = LeaseRecord::of(node, term, false).keyed();
     let res = node.platform.append(Topic::Lease, vec![rec], Guard::EndsAt(v.next)).await;
     match res {
@@ -327,12 +354,13 @@
     match node.scheduler.load().as_ref() {
         None if held_here && h.term > v.last_own_term && !node.is_stopping() => {
             v.last_own_term = h.term;
-            scheduler_task::start(node, h.term);
+            scheduler_task::start(node, h.term, v.earlier_grants.claim_sent_at(h.term));
         }
         Some(running) if running.term < h.term => {
             log::warn!("event=lease_lost term={} to={} to_term={}", running.term, h.name, h.term);
             let _ = running.stop.send(true);
         }
+        Some(running) => running.set_earlier_grants_end(v.earlier_grants.extended_until(running.term)),
         _ => {}
     }
 }
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -75,8 +75,12 @@
 
 /// Releases the lease, so that another process can claim it at once. Returns whether that is written.
 pub async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
-    let term = handle.term;
-    let rec = LeaseRecord::of(node, term, true).keyed();
+    write_release(node, handle, LeaseRecord::of(node, handle.term, true)).await
+}
+
+/// Writes this record, which releases the lease; returns whether it is written.
+pub(super) async fn write_release(node: &Node, handle: &SchedulerHandle, rec: LeaseRecord) -> bool {
+    let (term, rec) = (handle.term, rec.keyed());
     let guard = match *handle.last_renewal.borrow() {
         LastRenewal::Written { next_append } => Guard::Term(term, next_append),
         // The store refuses a gap in the numbers of a term, and it is not known here which renewals
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -9,7 +9,8 @@
 //! * [`admission_control`] asks the lease holder whether a submitted job can be done in time.
 //! * [`topic_reader`] follows the operators' records, and [`operator_state`] holds which data centres
 //!   they evacuated.
-//! * [`lease`] watches and claims the scheduler lease.
+//! * [`lease`] watches and claims the scheduler lease; [`earlier_grants`] tells until when holders before
+//!   may still extend workers' leases.
 //! * [`scheduler_task`] runs the scheduler while this process holds the lease. [`restore_state`]
 //!   restores it from a predecessor's state, and [`scheduler_io`] supplies its events and publishes
 //!   the status of waves. [`lease_renewal`] renews the lease, [`relay_sessions`] has relays serve
@@ -32,6 +33,7 @@
 pub mod advice;
 mod batch_writer;
 pub mod bridges;
+pub mod earlier_grants;
 pub mod handover;
 mod hedged_call;
 pub mod helped_store;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -19,6 +19,7 @@
 use super::admission_control::HolderPause;
 use super::inbox::{InboxIndex, InboxWriter};
 use super::job_status_table::JobStatusTable;
+use super::lease_renewal::EXTENSION_GRACE;
 use super::operator_state::OperatorState;
 use super::peers::Peers;
 use super::relay::Grant;
@@ -29,6 +30,8 @@
 
 /// Value of `store_polled_since_ms` while the store is not polled continuously.
 const NOT_POLLED: u64 = u64::MAX;
+/// Grants end at full milliseconds.
+const GRANT_ROUNDING: Duration = Duration::from_millis(1);
 
 /// Who holds the scheduler lease, as last read.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +77,10 @@
     pub inbox_keys: Mutex<InboxIndex>,
     /// Until when this process may extend workers' leases and send orders to hosts.
     pub grant: Grant,
+    /// Until when relays in other processes may extend workers' leases.
+    pub relays_grant: Grant,
+    /// Until when holders of earlier terms may extend workers' leases, once that is certain.
+    pub earlier_grants_end: watch::Sender<Option<Duration>>,
     /// Decides which submitted jobs are admitted.
     pub admission: Mutex<Admission>,
     /// Set to true to stop the scheduler.
@@ -102,12 +109,31 @@
             inbox_read_ms: AtomicU64::new(0),
             inbox_keys: Mutex::default(),
             grant: Grant::until(held_since + extension_grace),
+            relays_grant: Grant::default(),
+            earlier_grants_end: watch::Sender::new(None),
             admission: Mutex::default(),
             stop,
             renewals: watch::Sender::new(0),
             last_renewal: watch::Sender::new(LastRenewal::NotAsked),
         }
     }
+
+    /// Sets until when holders of earlier terms may extend workers' leases, once that is certain.
+    pub(super) fn set_earlier_grants_end(&self, end: Option<Duration>) {
+        self.earlier_grants_end.send_if_modified(|known| {
+            let is_new = known.is_none() && end.is_some();
+            *known = known.or(end);
+            is_new
+        });
+    }
+
+    /// How long anybody may still extend workers' leases, under this term or an earlier one, after the
+    /// scheduler of this term has ended.
+    pub(super) fn extensions_left(&self, now: Duration) -> Duration {
+        let earlier = (*self.earlier_grants_end.borrow()).unwrap_or(self.held_since + EXTENSION_GRACE);
+        let left = self.relays_grant.end().max(earlier).saturating_sub(now);
+        if left.is_zero() { left } else { left + GRANT_ROUNDING }
+    }
 }
 
 /// State that the tasks of one process share.
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -240,7 +240,12 @@
 
 /// Has a peer release this process's lease; returns whether one has.
 pub async fn release_lease_through_peer(node: &Node, term: u64) -> bool {
-    let record = LeaseRecord::of(node, term, true).keyed().value.unwrap_or_default();
+    write_release_through_peer(node, LeaseRecord::of(node, term, true)).await
+}
+
+/// Has a peer write this record, which releases the lease; returns whether one has.
+pub(super) async fn write_release_through_peer(node: &Node, rec: LeaseRecord) -> bool {
+    let record = rec.keyed().value.unwrap_or_default();
     for address in addresses_to_call(node) {
         let msg = Msg::LeaseReleaseRequest(LeaseReleaseRequest { record: record.clone() });
         if node.peers.call(&node.id, &address, msg, PEER_TIMEOUT).await.is_ok() {
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -331,6 +331,7 @@
         let until = self.handle.grant.end();
         let remaining = until.saturating_sub(self.node.now());
         self.granted_until_ms.fetch_max(until.as_millis() as u64, Ordering::AcqRel);
+        self.handle.relays_grant.extend(until);
         let grant = wire::LeaseGrant { heartbeat, duration_ms: remaining.as_millis() as u32 };
         wire::RelayOrders { grant: Some(grant), orders: Vec::new() }
     }
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -12,10 +12,14 @@
 
 use super::inbox::{self, InboxIndex};
 use super::limits::scheduler_limits;
-use super::node::Node;
+use super::node::{Node, SchedulerHandle};
 use super::record::{InboxKey, InboxRecordKind, StateKey, parse_inbox_key, parse_state_key};
 use super::{job_spec, job_state};
 
+/// Longest wait until it is certain when the grants of earlier terms end. The first renewal and its reading
+/// take no longer than the reads of the state, unless the store is slow.
+const GRANTS_END_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// A scheduler restored from its predecessors' state.
 pub struct RestoredScheduler {
     /// The scheduler.
@@ -27,18 +31,16 @@
 }
 
 /// Fences all earlier holders off from the stored state, and restores the scheduler from it.
-pub async fn restore(
-    node: &Arc<Node>,
-    term: u64,
-    held_since: Duration,
-) -> Result<RestoredScheduler, StoreError> {
+pub async fn restore(node: &Arc<Node>, handle: &SchedulerHandle) -> Result<RestoredScheduler, StoreError> {
+    let (term, held_since) = (handle.term, handle.held_since);
     let started = node.now();
     node.platform.append(Topic::State, Vec::new(), Guard::Term(term, 0)).await?;
     let fenced = node.now();
     // No other process writes state from here on, so these reads may run in any order.
     let partitions: Vec<Partition> = inbox::partitions(node.settings.store_partitions).collect();
     let inbox = try_join_all(partitions.iter().map(|p| node.platform.latest(Topic::Inbox(*p))));
-    let (inbox, state) = tokio::try_join!(inbox, node.platform.latest(Topic::State))?;
+    let grants_end = async { Ok(earlier_grants_end(handle).await) };
+    let (inbox, state, grants_end) = tokio::try_join!(inbox, node.platform.latest(Topic::State), grants_end)?;
     node.note_store_answer();
     let read = node.now();
     let inbox: Vec<(Partition, LatestRecords)> = partitions.into_iter().zip(inbox).collect();
@@ -52,6 +54,7 @@
     sched.holder = node.settings.name.clone();
     sched.strength = node.settings.strength();
     sched.now = node.now();
+    sched.predecessors_extend_until = grants_end;
     if let Some(cfg) = node.config.load_full() {
         sched.handle(Event::ConfigChanged(cfg));
     }
@@ -73,15 +76,23 @@
         sched.handle(Event::WaveRequested(wave.clone(), None));
     }
     log::info!(
-        "event=state_loaded term={term} jobs={} fence_ms={} read_ms={} restore_ms={}",
+        "event=state_loaded term={term} jobs={} fence_ms={} read_ms={} restore_ms={} earlier_grants_ms={}",
         sched.jobs.len(),
         (fenced - started).as_millis(),
         (read - fenced).as_millis(),
-        (node.now() - read).as_millis()
+        (node.now() - read).as_millis(),
+        sched.predecessors_extend_until().saturating_sub(held_since).as_millis()
     );
     Ok(RestoredScheduler { sched, inbox_next, inbox_keys })
 }
 
+/// When the grants of earlier terms end; `None` if that is not certain in time.
+async fn earlier_grants_end(handle: &SchedulerHandle) -> Option<Duration> {
+    let mut end = handle.earlier_grants_end.subscribe();
+    let known = tokio::time::timeout(GRANTS_END_TIMEOUT, end.wait_for(Option::is_some)).await;
+    *known.ok()?.ok()?
+}
+
 /// The stored state.
 #[derive(Default)]
 struct StoredState {
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -22,6 +22,7 @@
 use super::inbox_cleanup;
 use super::lease_renewal;
 use super::node::{Node, SchedulerHandle};
+use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
 use super::restore_state::{RestoredScheduler, restore};
 use super::scheduler_io::{
@@ -41,11 +42,15 @@
 /// Interval between requests for the list of hosts while the scheduler needs it.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Starts the scheduler for a term of the lease.
-pub fn start(node: &Arc<Node>, term: u64) {
+/// Starts the scheduler for a term of the lease that was first claimed at this time, if that is known.
+pub fn start(node: &Arc<Node>, term: u64, claim_sent_at: Option<Duration>) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (stop, stopped) = watch::channel(false);
-    let handle = Arc::new(SchedulerHandle::new(term, node.now(), lease_renewal::EXTENSION_GRACE, tx, stop));
+    let grace = lease_renewal::EXTENSION_GRACE;
+    // Counted from the sending, so that others can tell from the record of the claim when it ends.
+    let grant = claim_sent_at.map_or_else(Grant::default, |sent| Grant::until(sent + grace));
+    let handle = SchedulerHandle { grant, ..SchedulerHandle::new(term, node.now(), grace, tx, stop) };
+    let handle = Arc::new(handle);
     node.scheduler.store(Some(handle.clone()));
     node.metrics.lease_terms.inc();
     node.peers.request_read();
@@ -81,13 +86,10 @@
 
 /// Restores the scheduler from its predecessors' state and retries until that succeeds; `None` if
 /// another term has begun.
-async fn restore_with_retries(
-    node: &Arc<Node>,
-    term: u64,
-    held_since: Duration,
-) -> Option<RestoredScheduler> {
+async fn restore_with_retries(node: &Arc<Node>, handle: &SchedulerHandle) -> Option<RestoredScheduler> {
+    let term = handle.term;
     loop {
-        match restore(node, term, held_since).await {
+        match restore(node, handle).await {
             Ok(restored) => return Some(restored),
             Err(StoreError::GuardFailed) => return None,
             Err(e) => {
@@ -105,7 +107,7 @@
     mut rx: mpsc::UnboundedReceiver<Event>,
     tasks: &mut JoinSet<()>,
 ) {
-    let Some(restored) = restore_with_retries(&node, handle.term, handle.held_since).await else { return };
+    let Some(restored) = restore_with_retries(&node, &handle).await else { return };
     *handle.inbox_keys.lock() = restored.inbox_keys;
     let progress = Arc::new(InboxProgress::new(restored.inbox_next.len()));
     for (partition, next) in restored.inbox_next {
--- /dev/null
+++ b/tests/testsuite/inherited_leases.rs
@@ -0,0 +1,223 @@
+//! How long a new lease holder believes in leases that holders before it may have extended.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use tokio::sync::{mpsc, watch};
+use workswood::ops::jobs::earlier_grants::{EarlierGrants, RecordFacts};
+use workswood::ops::jobs::node::SchedulerHandle;
+use workswood::ops::jobs::operator_state::Evacuations;
+use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
+use workswood_core::jobs::lease_handover::HandoverPolicy;
+use workswood_core::jobs::{SchedConfig, StepSpec, TaskId};
+use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::job_node::settings;
+use workswood_test_support::job_world::{FaultRng, World, job, step};
+use workswood_test_support::turn_store::TurnStore;
+
+/// How long after its last renewal a holder extends leases.
+const GRACE: Duration = lease_renewal::EXTENSION_GRACE;
+/// Longest time that a lease lasts.
+const LEASE: Duration = Duration::from_millis(5_403);
+/// Longest time from the end of a lease to the start of what was lost.
+const MARGIN: Duration = Duration::from_millis(1_500);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn renewal(term: u64) -> RecordFacts {
+    RecordFacts { term, released: false, extensions_left: None }
+}
+
+fn release(term: u64, left: Option<u64>) -> RecordFacts {
+    RecordFacts { term, released: true, extensions_left: left.map(ms) }
+}
+
+/// The bound of a process that reads these records at these times, then claims term 20, and then reads its
+/// claim and its first renewal, at this time or earlier.
+fn bound(records: &[(u64, RecordFacts)], between: &[(u64, RecordFacts)]) -> Option<Duration> {
+    let mut grants = EarlierGrants::default();
+    records.iter().for_each(|(at, rec)| grants.note_record(*rec, ms(*at)));
+    grants.note_claim(20, ms(9_000));
+    grants.note_record(renewal(20), ms(9_010));
+    between.iter().for_each(|(at, rec)| grants.note_record(*rec, ms(*at)));
+    assert_eq!(grants.extended_until(20), None, "a renewal of a predecessor may follow");
+    grants.note_record(renewal(20), ms(9_800));
+    assert_eq!(grants.claim_sent_at(20), Some(ms(9_000)));
+    grants.extended_until(20)
+}
+
+#[test]
+fn expired_lease_counts_from_last_renewal() {
+    assert_eq!(bound(&[(1_000, renewal(7)), (1_500, renewal(7))], &[]), Some(ms(1_500) + GRACE));
+    assert_eq!(bound(&[(1_500, renewal(7))], &[]), None, "the holder may have read its claim much later");
+    assert_eq!(bound(&[(1_000, renewal(7)), (1_500, renewal(7)), (8_000, renewal(9))], &[]), None);
+    assert_eq!(bound(&[], &[]), None);
+}
+
+#[test]
+fn release_tells_the_rest() {
+    let read = (1_000, renewal(7));
+    assert_eq!(bound(&[read, (2_000, release(7, Some(0)))], &[]), Some(ms(2_000)));
+    assert_eq!(bound(&[read, (2_000, release(7, Some(700)))], &[]), Some(ms(2_700)));
+    assert_eq!(bound(&[read, (2_000, release(7, None))], &[]), Some(ms(2_000) + GRACE), "it tells nothing");
+    let repeated = [read, (2_000, release(7, Some(700))), (5_000, release(7, Some(300)))];
+    assert_eq!(bound(&repeated, &[]), Some(ms(5_300)), "a release that is written again");
+    let late = [read, (2_000, release(7, Some(0))), (6_000, renewal(5))];
+    assert_eq!(bound(&late, &[]), Some(ms(6_000) + GRACE), "a record of a term before");
+    let renewed = [read, (2_000, release(7, Some(0))), (6_000, renewal(7))];
+    assert_eq!(bound(&renewed, &[]), Some(ms(6_000) + GRACE), "a renewal that is written after the release");
+}
+
+/// The store takes a renewal of the holder before after the claim.
+#[test]
+fn late_renewal_moves_the_bound() {
+    let before = [(1_000, renewal(7)), (2_000, renewal(7))];
+    assert_eq!(bound(&before, &[(9_500, renewal(7))]), Some(ms(9_500) + GRACE));
+    let released = [(1_000, renewal(7)), (2_000, release(7, Some(0)))];
+    assert_eq!(bound(&released, &[(9_500, renewal(7))]), Some(ms(9_500) + GRACE));
+}
+
+#[test]
+fn repeated_claim_keeps_its_time() {
+    let mut grants = EarlierGrants::default();
+    grants.note_claim(20, ms(9_000));
+    grants.note_claim(20, ms(9_500));
+    assert_eq!(grants.claim_sent_at(20), Some(ms(9_000)));
+    grants.note_claim(21, ms(9_900));
+    assert_eq!((grants.claim_sent_at(20), grants.claim_sent_at(21)), (None, Some(ms(9_900))));
+}
+
+fn lease_record(rec: &Value) -> KeyedRecord {
+    KeyedRecord { key: "holder".to_string(), value: Some(rec.to_string().into()) }
+}
+
+fn held_by_other(term: u64) -> Value {
+    json!({"id": "other", "name": "entry-9", "peers": "127.0.0.1:9", "term": term, "strength": 600})
+}
+
+/// A process that follows the lease, which another one holds; its claim, once it holds the lease, and until when it
+/// believes that the holder before may extend leases, both from the last record of that one on.
+async fn succeed(last: Value) -> (Duration, Option<Duration>) {
+    let store = Arc::new(TurnStore::new(ms(2), &[]));
+    store.keep_lease(lease_record(&held_by_other(1)));
+    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
+    node.configure(Arc::new(SchedConfig { version: 1, ..SchedConfig::default() }), "config".into());
+    node.operator_state.set_evacuations(Evacuations::default());
+    node.operator_state.note_read_success();
+    tokio::spawn(lease::run(node.clone()));
+    tokio::time::sleep(ms(450)).await;
+    store.write_lease(lease_record(&last));
+    let written = node.now();
+    for _ in 0..40 {
+        tokio::time::sleep(ms(100)).await;
+        let Some(handle) = node.scheduler.load_full() else { continue };
+        tokio::time::sleep(ms(100)).await;
+        let end = *handle.earlier_grants_end.borrow();
+        return (handle.held_since - written, end.map(|end| end - written));
+    }
+    panic!("the lease is not claimed");
+}
+
+/// Whether a time is another one, or up to the time between two reads of the lease later.
+fn is_about(time: Duration, other: Duration) -> bool {
+    other <= time && time <= other + ms(20)
+}
+
+#[tokio::test(start_paused = true)]
+async fn successor_reads_the_release() {
+    let mut released = held_by_other(1);
+    released["released"] = json!(true);
+    let (held, end) = succeed(released.clone()).await;
+    assert!(held < ms(50) && end.is_some_and(|end| is_about(end, GRACE)), "{held:?} {end:?}");
+    released["extensions_left_ms"] = json!(800);
+    let (held, end) = succeed(released.clone()).await;
+    assert!(held < ms(50) && end.is_some_and(|end| is_about(end, ms(800))), "{held:?} {end:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn successor_of_expired_lease() {
+    let (held, end) = succeed(held_by_other(1)).await;
+    assert!(held > ms(1_800) && end.is_some_and(|end| is_about(end, GRACE)), "{held:?} {end:?}");
+}
+
+/// Has a holder of term 7 give up the lease after a time, with relays that may extend leases until then;
+/// returns its release. `stops` says whether its scheduler ends when it is told to.
+async fn released_after(age: Duration, relays_until: Duration, stops: bool) -> Value {
+    let store = Arc::new(TurnStore::new(ms(2), &[]));
+    store.keep_lease(lease_record(&held_by_other(6)));
+    let mut settings = settings("entry-1");
+    settings.policy.handover = HandoverPolicy { decides_until_answered: true, ..HandoverPolicy::default() };
+    let node = Arc::new(Node::new(settings, store.clone()));
+    let (stop, stopped) = watch::channel(false);
+    let handle = SchedulerHandle::new(7, node.now(), GRACE, mpsc::unbounded_channel().0, stop);
+    let handle = Arc::new(handle);
+    node.scheduler.store(Some(handle.clone()));
+    let _runs_on = (!stops).then(|| stopped.clone());
+    tokio::spawn(lease_renewal::run(node.clone(), handle.clone()));
+    tokio::spawn(async move {
+        let mut stopped = stopped;
+        stopped.wait_for(|s| *s).await.expect("it is told to end");
+    });
+    tokio::time::sleep(age).await;
+    handle.relays_grant.extend(relays_until);
+    handover::run(&node, node.now() + Duration::from_secs(5)).await;
+    let last = store.lease().pop().and_then(|rec| rec.value).expect("a release");
+    serde_json::from_slice(&last).expect("a record")
+}
+
+#[tokio::test(start_paused = true)]
+async fn release_after_end_of_scheduler() {
+    let old = released_after(ms(10_000), Duration::ZERO, true).await;
+    assert_eq!((&old["released"], &old["extensions_left_ms"]), (&json!(true), &json!(0)));
+    let relayed = released_after(ms(10_000), ms(12_000), true).await;
+    let left = relayed["extensions_left_ms"].as_u64().expect("a time");
+    assert!((1_900..=2_001).contains(&left), "{left}");
+    let young = released_after(ms(1_000), Duration::ZERO, true).await;
+    let left = young["extensions_left_ms"].as_u64().expect("a time");
+    assert!((2_900..=3_001).contains(&left), "holders before may go on: {left}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn release_before_end_of_scheduler() {
+    let release = released_after(ms(10_000), Duration::ZERO, false).await;
+    assert_eq!((&release["released"], release.get("extensions_left_ms")), (&json!(true), None));
+}
+
+/// A job of one long-running task.
+const JOB: u64 = 1;
+const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
+
+/// A world without faults in which the task has run for some seconds, and the worker that runs it.
+fn world_with_lasting_task(mut w: World) -> (World, usize) {
+    w.run_for(ms(600));
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    w.submit(JOB, job(vec![lasting], w.now.as_millis() as u64));
+    w.run_for(Duration::from_secs(9));
+    let at = w.worker_of(&TASK).expect("the task runs");
+    (w, at)
+}
+
+/// Ends a worker that nobody hears of, hands the lease over after each of these times, and returns how long the
+/// task then runs nowhere.
+fn absence(mut w: World, at: usize, handovers: &[u64]) -> Duration {
+    w.vanish(at);
+    let gone = w.now;
+    for after in handovers {
+        w.run_for(ms(*after));
+        w.hand_over();
+    }
+    while w.running(&TASK) == 0 && w.now < gone + Duration::from_secs(60) {
+        w.run_for(ms(20));
+    }
+    w.now - gone
+}
+
+#[test]
+fn planned_handover_counts_no_grace() {
+    let (w, at) = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)));
+    let absent = absence(w, at, &[1_000]);
+    assert!(absent < ms(1_000) + LEASE + MARGIN, "{absent:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -30,6 +30,7 @@
 mod foreign_entries;
 mod holder_help;
 mod inbox_appends;
+mod inherited_leases;
 mod job_account;
 mod job_admission;
 mod job_limits;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -104,6 +104,8 @@
     Copies,
     /// Outages of the store, for the holder alone or for all.
     Outages,
+    /// Holders that end by plan, one after the other.
+    Handovers,
 }
 
 /// The store goes silent for the holder; a successor may claim the lease meanwhile, and the holder may
@@ -161,6 +163,9 @@
         if with == With::Outages && w.rng.below(4) == 0 {
             lose_store(&mut w);
         }
+        if with == With::Handovers && w.rng.below(3) == 0 {
+            w.hand_over();
+        }
         match w.rng.below(12) {
             0..=4 => {
                 let mut steps = vec![step(1 + w.rng.below(3) as u32, vec![])];
@@ -266,6 +271,13 @@
     assert!(starts > HISTORIES && unrecorded > HISTORIES, "{starts} starts, {unrecorded} without record");
 }
 
+/// Planned changes of holder follow each other faster than leases end.
+#[test]
+fn short_histories_with_handovers() {
+    play_with_starts(HISTORIES, World::new, With::Handovers);
+    play_with_starts(HISTORIES, World::relayed, With::Handovers);
+}
+
 #[test]
 fn short_histories_with_outages_and_restarts() {
     let starts = play_all(HISTORIES, outages_and_restarts, With::Outages).unrecorded_starts;
@@ -380,6 +392,8 @@
         "advised" => (World::advised, With::Nothing),
         "limit" => (World::limited, With::Nothing),
         "relays" => (World::relayed, With::Relays),
+        "handovers" => (World::new, With::Handovers),
+        "handovers-relays" => (World::relayed, With::Handovers),
         "evacuations" => (World::two_centres, With::Evacuations),
         "outages" => (outages, With::Outages),
         "outages-restarts" => (outages_and_restarts, With::Outages),
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -1059,6 +1059,7 @@
     assert_eq!((earlier.term, earlier.released), (8, false));
     let released = text(LEASE_AND_PEERS, "lease-released");
     assert!(holder_read(released).await.released);
+    assert!(holder_read(text(LEASE_AND_PEERS, "lease-released-after-end")).await.released);
     let (store, node) = lease_follower(released);
     let (key, claimed) = store.appended().await;
     assert_eq!(claimed.replace(&node.id, "ID"), text(LEASE_AND_PEERS, "lease-claimed"));
