--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -298,13 +298,29 @@
     }
 
     /// Has the newest holder end by plan, with its relay, and release the lease, which a successor claims.
+    /// What it is writing is stored before if the store answers.
     pub fn hand_over(&mut self) {
-        let Some(h) = self.holders.last() else { return };
-        self.released_until = Some(h.relays_extend_until.max(h.sched.predecessors_extend_until()));
+        if let Some(last) = self.holders.len().checked_sub(1) {
+            self.finish_last_write(last);
+            let h = &self.holders[last];
+            self.released_until = Some(h.relays_extend_until.max(h.sched.predecessors_extend_until()));
+        }
         self.kill_holder();
         self.take_over();
     }
 
+    /// Stores and publishes what a holder is writing, if it runs and the store answers.
+    fn finish_last_write(&mut self, n: usize) {
+        let h = &mut self.holders[n];
+        if h.store_away_until > self.now || h.paused_until > self.now || h.sched.deposed {
+            return;
+        }
+        let Some((_, batch)) = h.writing.take() else { return };
+        self.store_records(&batch);
+        self.holders[n].sched.records_stored(&batch.records);
+        self.publish(n, batch);
+    }
+
     /// Makes the store silent for the newest holder; it may have stored the batch that was being
     /// written.
     pub fn lose_store(&mut self, duration: Duration) {
@@ -462,7 +478,11 @@
         let tickets: Vec<(WorkerId, Arc<str>)> =
             suitable.map(|id| (id.clone(), adviser::ticket(&step, id, issued_at))).collect();
         let answer = AdviceReply::Answered(Advice { tickets, valid_for: Some(ADVICE.ticket_lifetime) });
-        let (reply, wait) = match (self.rng.fate(), self.rng.below(8)) {
+        let fate = self.rng.fate();
+        if fate != Fate::Fine {
+            self.note_fault();
+        }
+        let (reply, wait) = match (fate, self.rng.below(8)) {
             (Fate::Fine, _) => (answer, duration),
             (_, 0 | 1) => (AdviceReply::Busy, STEP),
             (_, 2 | 3) => (AdviceReply::NotSent, STEP),
