Place long-running tasks on shunned workers if nothing else has room

What callers saw: a long-running task waits although a worker has room for it, as long as that worker is shunned after failed runs, and the others stay full.

Only a task that completes clears its faults, which long-running ones never do; and these may fail at any moment on a sound worker.

Why it works: a long-running task that has been absent for a second takes a shunned worker if no other one has room at that moment. A worker that refused a start is left alone as before; so the two times are kept apart.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -331,7 +331,7 @@
         let advised = self.needs_ticket(&id.step_id());
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            let kept_free = w.in_backoff(self.now) || w.in_quarantine(self.now);
+            let kept_free = w.refuses_starts(self.now) || w.in_quarantine(self.now);
             let on_record = self.store_access == StoreAccess::Answering || w.open_on_record;
             ticket
                 && !kept_free
@@ -347,29 +347,31 @@
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
-        let best = |skip: Option<&WorkerId>| {
-            let mut open = available().filter(|(wid, _)| skip != Some(*wid));
+        let best = |skip: Option<&WorkerId>, shunned_too: bool| {
+            let usable = |w: &Worker| shunned_too || !w.is_shunned(self.now);
+            let mut open = available().filter(|(wid, w)| skip != Some(*wid) && usable(w));
             let found = match step.long_running || step.data_rack.is_some() {
                 true => open.min_by_key(|(_, w)| cost(w)),
                 false => open.next(),
             };
             found.map(|(wid, _)| wid.clone())
         };
-        let found = best(avoid);
-        if found.is_some() || avoid.is_none() {
+        let found = best(avoid, false);
+        if found.is_some() {
             return found;
         }
-        // The worker to avoid is used only if there is no other candidate, or if the task is missed.
         if self.takes_any_worker(job, id) {
-            return best(None);
+            return best(None, false).or_else(|| best(None, true));
         }
+        // The worker to avoid is used only if there is no other candidate.
+        avoid?;
         let candidates = if advised {
             self.count_possible_workers(&self.available_workers(service), &id.step_id())
         } else {
             let all = self.workers.available(service, 0);
             all.filter(|(_, w)| self.could_run(w, step, id)).take(2).count()
         };
-        if candidates > 1 { None } else { best(None) }
+        if candidates > 1 { None } else { best(None, false) }
     }
 
     /// Whether the worker has the label that the step requires, and room under the step's limit of
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -252,8 +252,10 @@
     pub last_recorded_end: u64,
     /// Tasks that failed or stalled here since a task last completed here.
     pub faults: u32,
-    /// The worker gets no new work before this time.
+    /// The worker gets no new work before this time, since it refused a start.
     pub backoff_until: Duration,
+    /// The worker gets no work before this time, since runs failed on it.
+    pub shunned_until: Duration,
     /// Whether maintenance or a move to another pool keeps new work away.
     pub cordoned: bool,
     /// Whether a later incarnation of the worker is known. The runs of this one are settled with
@@ -309,6 +311,7 @@
             last_recorded_end: 0,
             faults: 0,
             backoff_until: Duration::ZERO,
+            shunned_until: Duration::ZERO,
             cordoned: false,
             superseded: false,
             evacuated: false,
@@ -327,6 +330,16 @@
 
     /// Whether the worker is kept from new work for a while, after faults or a refused start.
     pub fn in_backoff(&self, now: Duration) -> bool {
+        self.refuses_starts(now) || self.is_shunned(now)
+    }
+
+    /// Whether the worker is kept from new work because runs failed on it.
+    pub fn is_shunned(&self, now: Duration) -> bool {
+        self.shunned_until > now
+    }
+
+    /// Whether the worker is kept from new work because it refused a start.
+    pub fn refuses_starts(&self, now: Duration) -> bool {
         self.backoff_until > now
     }
 
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -280,7 +280,7 @@
         }
         let until = now + (self.policy.health.shun_for * faults).min(self.policy.health.max_shun);
         if let Some(mut w) = self.workers.get_mut(id) {
-            w.backoff_until = until;
+            w.shunned_until = until;
         }
         self.notes.push(format_args!("event=worker_shunned worker={id} faults={faults}"));
     }
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -4,7 +4,7 @@
 
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobSpec, Listing, ReportedEnd, ReportedRun, SchedConfig, StepSpec, TaskId,
+    Action, EndKind, Event, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec, TaskId,
     WorkerInfo, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, listed, worker};
@@ -16,12 +16,16 @@
 const START_WITHIN_MS: u64 = 2000;
 /// A long-running task that failed waits this long for another worker.
 const PAUSE_MS: u64 = 1000;
+/// Time between failures of long-running tasks, longer than a worker is shunned for at first.
+const FAILS_AFTER_MS: u64 = 8000;
 /// Jobs of one step each, more than the misses that end a placement pass.
 const LARGE_JOBS: u64 = 12;
 /// More long-running jobs than a placement pass tries.
 const MANY_JOBS: u64 = 80;
 /// Name of a workspace.
 const TEAM: &str = "team-a";
+/// Label of one worker.
+const LABEL: &str = "wide";
 /// Label of the workers that are filled up.
 const OTHERS: &str = "narrow";
 
@@ -297,3 +301,22 @@
     starts.extend(pool.wait(START_WITHIN_MS));
     assert_eq!(pool.workers_of(&starts, 2), [slow], "only the slow worker has room: {:#?}", pool.absences());
 }
+
+#[test]
+fn only_shunned_worker_has_room() {
+    let mut pool = Pool::new(4);
+    pool.label(0, LABEL);
+    // Long-running tasks of several jobs fail by themselves on the first worker.
+    for key in 1..=4 {
+        pool.wait(FAILS_AFTER_MS);
+        let tied = StepSpec { label: Some(LABEL.to_string()), ..long_running(1, 500) };
+        let starts = pool.submit(key, job(vec![tied], 100));
+        assert_eq!(pool.workers_of(&starts, key), [0]);
+        pool.end_run(&starts[0], EndKind::Failed);
+        pool.world.sched.handle(Event::Cancelled(key, Owner::PUBLIC));
+    }
+    pool.fill_others(0, 4000);
+    let mut starts = pool.submit(20, job(vec![long_running(1, 1000)], 200));
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(pool.workers_of(&starts, 20), [0], "only the shunned worker has room: {:#?}", pool.absences());
+}
