Place long-running tasks on workers reserved for a trial if nothing else has room

What callers saw: a long-running task waits although a worker has room for it, as long as that worker is reserved for the trial of a large suspected task, which waits for it to become empty, and the others stay full.

Cause: a reservation lasts 0.65 s and is made anew as long as the trial finds no worker. Nothing starts there, a long-running task neither.

Evidence: long_running_placement::only_reserved_worker_has_room, before: no start within 2 s, `reason=no_worker with_room=1 ... quarantined=1`. After: it passes, as do crash_evidence, crashing_tasks and chance_crashes.

Why it works: a long-running task that has been absent for a second takes a reserved worker if no other one has room at that moment. Beside a trial that runs, still nothing starts.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -331,7 +331,7 @@
         let advised = self.needs_ticket(&id.step_id());
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            let kept_free = w.refuses_starts(self.now) || w.in_quarantine(self.now);
+            let kept_free = w.refuses_starts(self.now) || w.is_on_trial(self.now);
             let on_record = self.store_access == StoreAccess::Answering || w.open_on_record;
             ticket
                 && !kept_free
@@ -347,8 +347,9 @@
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
-        let best = |skip: Option<&WorkerId>, shunned_too: bool| {
-            let usable = |w: &Worker| shunned_too || !w.is_shunned(self.now);
+        let best = |skip: Option<&WorkerId>, kept_ones_too: bool| {
+            let kept = |w: &Worker| w.is_shunned(self.now) || w.in_quarantine(self.now);
+            let usable = |w: &Worker| kept_ones_too || !kept(w);
             let mut open = available().filter(|(wid, w)| skip != Some(*wid) && usable(w));
             let found = match step.long_running || step.data_rack.is_some() {
                 true => open.min_by_key(|(_, w)| cost(w)),
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -354,6 +354,11 @@
         self.quarantine.is_some_and(|q| q.until > now)
     }
 
+    /// Whether a trial runs here, and nothing else may start.
+    pub fn is_on_trial(&self, now: Duration) -> bool {
+        self.quarantine.is_some_and(|q| q.until > now && q.trial.is_some())
+    }
+
     /// The ticket with which a task of the step may be started now.
     pub fn ticket(&self, step: &StepId, now: Duration) -> Option<Arc<str>> {
         match self.advice.get(step) {
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -1,11 +1,13 @@
 //! A long-running task starts soon wherever a worker has room for it.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec, TaskId,
-    WorkerInfo, Workspace, Workspaces,
+    Action, EndKind, Event, Job, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
+    TaskId, WorkerInfo, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{config, job, step};
@@ -131,7 +133,7 @@
 
 /// A step of tasks that take much longer than a test.
 fn ordinary(count: u32) -> StepSpec {
-    StepSpec { estimate: std::time::Duration::from_secs(600), ..step(count, vec![]) }
+    StepSpec { estimate: Duration::from_secs(600), ..step(count, vec![]) }
 }
 
 fn sized(mut step: StepSpec, cpu_millis: u64) -> StepSpec {
@@ -320,3 +322,25 @@
     starts.extend(pool.wait(START_WITHIN_MS));
     assert_eq!(pool.workers_of(&starts, 20), [0], "only the shunned worker has room: {:#?}", pool.absences());
 }
+
+#[test]
+fn only_reserved_worker_has_room() {
+    let mut pool = Pool::new(2);
+    let each = StepSpec { max_per_worker: 1, ..ordinary(2) };
+    assert_eq!(pool.submit(1, job(vec![each], 100)).len(), 2);
+    pool.fill_others(0, 3000);
+    // A task that was lost with two workers waits for an empty one.
+    let suspected = job(vec![sized(ordinary(1), 4000)], 100);
+    let mut known = Job::new(5, Arc::new(suspected.clone()));
+    known.open_round();
+    let mut record = known.record();
+    for attempt in 1..=2 {
+        let crash = CrashRecord { evidence: Evidence::LikelyCause, max_run_time: Some(Duration::ZERO) };
+        record.rounds[0][0][0].crashes.0.insert(attempt, crash);
+    }
+    pool.world.sched.restore_job(5, Some(Arc::new(suspected)), Some(record));
+    pool.wait(1000);
+    let mut starts = pool.submit(2, job(vec![long_running(1, 1000)], 200));
+    starts.extend(pool.wait(START_WITHIN_MS));
+    assert_eq!(pool.workers_of(&starts, 2), [0], "only the reserved worker has room: {:#?}", pool.absences());
+}
