--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -102,13 +102,17 @@
     pub(super) fn is_absent_for(&self, id: &TaskId, least: Duration, now: Duration) -> bool {
         self.by_task.get(id).is_some_and(|a| a.since + least <= now)
     }
+
+    /// Tasks that have been absent for at least this long.
+    pub(super) fn absent_for(&self, least: Duration, now: Duration) -> impl Iterator<Item = &TaskId> {
+        self.by_task.iter().filter(move |(_, a)| a.since + least <= now).map(|(id, _)| id)
+    }
 }
 
 impl Scheduler {
     /// Number of long-running tasks that have run nowhere for a second or longer.
     pub fn absent_long_running_tasks(&self) -> usize {
-        let absent = self.absent_tasks.by_task.values();
-        absent.filter(|a| a.since + LOG_ABSENT_AFTER <= self.now).count()
+        self.absent_tasks.absent_for(LOG_ABSENT_AFTER, self.now).count()
     }
 
     /// Looks for long-running tasks that run nowhere, and logs those that have been absent for long.
--- a/crates/workswood-core/src/jobs/drain_order.rs
+++ b/crates/workswood-core/src/jobs/drain_order.rs
@@ -33,6 +33,11 @@
 }
 
 impl DrainCandidate {
+    /// Whether draining it made no progress.
+    pub(super) fn was_put_back(&self) -> bool {
+        self.put_back_at.is_some()
+    }
+
     /// Whether it runs long-running tasks.
     pub(super) fn has_long_running(&self) -> bool {
         self.long_running > 0
@@ -62,6 +67,20 @@
         true
     }
 
+    /// Whether draining a host would make progress: all of its tasks may be evicted now, or one of
+    /// them has room elsewhere.
+    pub(super) fn promises_progress(&mut self, sched: &Scheduler, host: &HostId) -> bool {
+        let Some(worker) = sched.worker_of(host) else { return true };
+        let tasks = sched.tasks_to_evict(worker);
+        let mut needed: BTreeMap<StepId, u32> = BTreeMap::new();
+        tasks.iter().for_each(|task| *needed.entry(task.step_id()).or_default() += 1);
+        let mut allowed =
+            |task: &TaskId, count: u32| self.of_step(sched, task).is_none_or(|room| room >= count);
+        let has_place = |task: &TaskId| sched.has_room_elsewhere(task, worker);
+        tasks.iter().all(|task| allowed(task, needed[&task.step_id()]))
+            || tasks.iter().any(|task| allowed(task, 1) && has_place(task))
+    }
+
     /// Takes the eviction of one task, if it is allowed.
     fn claim(&mut self, sched: &Scheduler, task: &TaskId) {
         let room = self.of_step(sched, task);
@@ -128,6 +147,17 @@
         }
     }
 
+    /// Whether some other worker has room for a task now. One that needs a ticket may get it later.
+    fn has_room_elsewhere(&self, id: &TaskId, worker: &WorkerId) -> bool {
+        if self.needs_ticket(&id.step_id()) {
+            return true;
+        }
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        let Some(step) = job.step(id) else { return false };
+        let service = &job.spec.service;
+        self.choose_worker_except(job, step, id, service, &|other| other == worker).is_some()
+    }
+
     /// Number of long-running tasks on a host.
     pub(super) fn long_running_on(&self, host: &HostId) -> usize {
         self.worker_of(host).map_or(0, |id| self.runs_of_long_running_tasks(id).len())
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -388,6 +388,7 @@
             if (behind == 0 && !is_surplus)
                 || (candidate.has_long_running() && long_running_slots == 0)
                 || self.in_maintenance(&candidate.host)
+                || (candidate.was_put_back() && !room.promises_progress(self, &candidate.host))
                 || !room.take(self, &candidate.host)
             {
                 continue;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -32,7 +32,7 @@
 /// Most different choices of workers that are tried in vain for the tasks of one step.
 const MAX_CHOICES_TRIED: usize = 4;
 /// After this time without a run or a failure, a long-running task is placed on any worker with room.
-const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
+pub(super) const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -7,10 +7,10 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     Action, EndKind, Event, Job, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
-    TaskId, WorkerInfo, Workspace, Workspaces,
+    TaskId, Wave, WorkerInfo, Workspace, Workspaces,
 };
-use workswood_test_support::host_world::{HostWorld, listed, worker};
-use workswood_test_support::job_world::{config, job, step};
+use workswood_test_support::host_world::{HostWorld, host, listed, wave, worker};
+use workswood_test_support::job_world::{SERVICE, config, job, step};
 
 /// Time between two ticks.
 const TICK_MS: u64 = 100;
@@ -26,6 +26,8 @@
 const MANY_JOBS: u64 = 80;
 /// Name of a workspace.
 const TEAM: &str = "team-a";
+/// A long-running task has to run again within this time if a worker has room for it.
+const LONGEST_ABSENCE_MS: u64 = 6000;
 /// Label of one worker.
 const LABEL: &str = "wide";
 /// Label of the workers that are filled up.
@@ -104,6 +106,28 @@
         starts
     }
 
+    /// As [`Self::wait`], while each run that is to be stopped ends; returns the longest time for which
+    /// a job had no run.
+    fn longest_absence(&mut self, key: u64, ms: u64) -> u64 {
+        let (mut longest, mut absent_since) = (0, self.now_ms);
+        for _ in 0..ms / TICK_MS {
+            let before = self.world.actions.len();
+            self.wait(TICK_MS);
+            let actions = self.world.actions.split_off(before);
+            for stop in &actions {
+                let Action::Stop(id, task, _) = stop else { continue };
+                let stopped = |a: &&Action| matches!(a, Action::Start { worker, .. } if worker == id);
+                let run = self.runs.iter().filter(stopped).find(|a| task_of(a) == Some(*task)).cloned();
+                run.iter().for_each(|run| drop(self.end_run(run, EndKind::Stopped)));
+            }
+            if self.runs.iter().any(|a| task_of(a).is_some_and(|t| t.job == key)) {
+                absent_since = self.now_ms;
+            }
+            longest = longest.max(self.now_ms - absent_since);
+        }
+        longest
+    }
+
     /// Log lines about long-running tasks that run nowhere.
     fn absences(&self) -> Vec<&str> {
         self.world.sched.notes.iter().filter(|l| l.contains("event=long_running_task_absent")).collect()
@@ -344,3 +368,21 @@
     starts.extend(pool.wait(START_WITHIN_MS));
     assert_eq!(pool.workers_of(&starts, 2), [0], "only the reserved worker has room: {:#?}", pool.absences());
 }
+
+#[test]
+fn drained_host_keeps_only_room() {
+    let mut pool = Pool::new(3);
+    pool.world.list((0..3).map(|n| host(n, SERVICE, Some(0))).collect());
+    pool.fill_others(0, 4000);
+    let evictable = |step| StepSpec { max_unavailable: 1, ..step };
+    assert_eq!(pool.submit(1, job(vec![evictable(long_running(1, 1000))], 100)).len(), 1);
+    // One of its two tasks has no place, so the other one can't be evicted.
+    let spread = StepSpec { max_per_worker: 1, ..long_running(2, 1000) };
+    assert_eq!(pool.submit(2, job(vec![evictable(spread)], 100)).len(), 1);
+    pool.wait(500);
+    let wave = Wave { time_allowed: Duration::from_secs(5), ..wave(&[0], 1) };
+    pool.world.sched.handle(Event::WaveRequested(wave, None));
+    let longest = pool.longest_absence(1, 60_000);
+    assert!(longest > 0, "the wave has not begun");
+    assert!(longest <= LONGEST_ABSENCE_MS, "absent for {longest} ms: {:#?}", pool.absences());
+}
