Pass on when the leases of silent workers end, and extend them on order only

Seen by callers: changes of holder or of relay in series add up: each new holder counts a whole lease of a worker that nobody reaches, whatever holders before knew, and each new relay counts as having extended it. Its tasks are placed only when no change has come for a lease's time.

Change: a relay extends a worker's lease only on the holder's order, anew after each poll without an answer; the order names the number of such polls, so that one that crosses a newer silence has no effect. A holder records when the lease of a worker ends that has been silent for a second and has runs (`lease_left` in its record, every 500 ms until then). While such a record may be stored the lease is not extended and nothing is placed there: the record without it is stored first. A successor counts from its reading of the record, and detaching a relay that may not extend moves no end. New fields and orders are optional on the wire and in the store.

The worlds take runs that last as warm at once (they were moved as stuck after 2.5 s).

--- /dev/null
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -0,0 +1,179 @@
+//! What one term passes on to the next about the leases of workers that don't answer.
+//!
+//! A relay extends a worker's lease only on the lease holder's order, given anew after each poll that had
+//! no answer (`waits` of [`Action::StartPolling`]). The order names how many such polls the holder knows
+//! of in this assignment; a relay that has had another one ignores it. So once a holder has heard of the
+//! silence and has not ordered since, no lease is extended and the last one ends by `Worker::lease_end`.
+//!
+//! The holder then records how long that is from now, the *bound* ([`WorkerRecord::lease_left`]). While a bound
+//! may be on record the holder does not order extensions: it has a record without the bound stored first.
+//! Only the holder that has fenced off the earlier ones can store that record. A successor that reads the
+//! bound therefore knows that no earlier holder has extended the lease since, nor can; the record was
+//! decided before the successor read it, so the lease ends at most that long after the reading. It passes on
+//! what is left then. No clocks of two hosts are compared.
+//!
+//! A bound says nothing about runs that are not on record; `open` does.
+
+use std::time::Duration;
+
+use super::job::{Phase, WorkerId};
+use super::scheduler::Scheduler;
+use super::types::Action;
+use super::worker::{Worker, WorkerRecord};
+
+/// Time without an answer after which the end of a worker's lease is recorded.
+const RECORD_AFTER: Duration = Duration::from_secs(1);
+/// Interval between two records of it. A change of holder adds at most this time to the end.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What is known of the extensions of a worker's lease.
+#[derive(Clone, Debug, Default)]
+pub struct LeaseExtensions {
+    /// Whether the present relay extends the lease only on order.
+    pub relay_waits: bool,
+    /// Whether the present relay may extend the lease.
+    pub allowed: bool,
+    /// Number of polls without an answer that the present relay has reported.
+    pub unanswered: u32,
+    /// Whether the record that was last taken for the store has a bound.
+    bound_written: bool,
+    /// Whether a record with a bound may be stored.
+    pub bound_on_record: bool,
+    /// When a bound was last taken for the store.
+    bound_taken_at: Duration,
+}
+
+impl LeaseExtensions {
+    /// Begins an assignment to a relay.
+    fn begin(&mut self, relay_waits: bool) {
+        *self = LeaseExtensions { relay_waits, allowed: !relay_waits, unanswered: 0, ..self.clone() };
+    }
+
+    /// Notes that a poll had no answer.
+    pub(super) fn note_unanswered(&mut self) {
+        self.unanswered += 1;
+        self.allowed &= !self.relay_waits;
+    }
+
+    /// Ends an assignment; returns whether its relay may have extended the lease.
+    pub(super) fn end(&mut self) -> bool {
+        std::mem::take(&mut self.allowed)
+    }
+
+    /// Takes over a bound of a predecessor.
+    pub(super) fn restore_bound(&mut self) {
+        (self.bound_written, self.bound_on_record) = (true, true);
+    }
+}
+
+impl Scheduler {
+    /// When the lease of a worker ends that a predecessor recorded with this much left.
+    pub(super) fn restored_lease_end(&self, lease_left: Option<u64>) -> Duration {
+        let inherited = self.inherited_lease_end();
+        lease_left.map_or(inherited, |left| inherited.min(self.now + Duration::from_millis(left)))
+    }
+
+    /// Begins the assignment of a worker to a relay; returns whether the relay is to wait for orders
+    /// before it extends the lease.
+    pub(super) fn begin_extensions(&mut self, id: &WorkerId) -> bool {
+        let records_bounds = self.policy.handover.records_lease_ends;
+        let forgotten = self.forgotten_bounds.contains(id);
+        let Some(mut w) = self.workers.get_mut(id) else { return false };
+        if forgotten {
+            w.extensions.restore_bound();
+        }
+        let waits = records_bounds || w.extensions.bound_on_record;
+        w.extensions.begin(waits);
+        waits
+    }
+
+    /// Has the lease of a worker that answers extended, unless a bound may be on record; then has the
+    /// record written without it.
+    pub(super) fn allow_extensions(&mut self, id: &WorkerId) {
+        let Some(mut w) = self.workers.get_mut(id) else { return };
+        if w.extensions.allowed || !w.reachable {
+            return;
+        }
+        if w.extensions.bound_on_record {
+            drop(w);
+            self.dirty_workers.insert(id.clone());
+            return;
+        }
+        w.extensions.allowed = true;
+        let unanswered = w.extensions.unanswered;
+        drop(w);
+        self.relays.push_order(Action::ExtendLeases(id.clone(), unanswered));
+    }
+
+    /// Has bounds recorded that are due.
+    pub(super) fn record_due_bounds(&mut self) {
+        if !self.policy.handover.records_lease_ends {
+            return;
+        }
+        let now = self.now;
+        let due = |w: &Worker| {
+            let due = w.silent_since() + RECORD_AFTER;
+            w.lease_end > now && now >= due.max(w.extensions.bound_taken_at + RECORD_INTERVAL)
+        };
+        let silent = self.workers.unreachable().filter(|(_, w)| due(w)).map(|(id, _)| id.clone());
+        let silent: Vec<WorkerId> = silent.collect();
+        for id in silent {
+            if self.may_record_bound(&id) {
+                self.dirty_workers.insert(id);
+            }
+        }
+    }
+
+    /// Whether nothing extends the lease of a worker any more that has runs and does not answer.
+    fn may_record_bound(&self, id: &WorkerId) -> bool {
+        let Some(w) = self.workers.get(id) else { return false };
+        let silent = !w.reachable && !w.extensions.allowed && !w.superseded;
+        let recorded = w.info.is_some() && !w.runs.is_empty();
+        let starting = |(task, attempt): &(_, u32)| {
+            self.run(id, task, *attempt).is_some_and(|run| run.phase == Phase::Starting)
+        };
+        silent && recorded && !w.runs.keys().any(starting)
+    }
+
+    /// Returns the bound of a worker for its record, in milliseconds. One that is on record is kept until
+    /// the worker answers.
+    pub(super) fn take_lease_left(&mut self, id: &WorkerId) -> Option<u64> {
+        let now = self.now;
+        let may_record = self.policy.handover.records_lease_ends && self.may_record_bound(id);
+        let mut w = self.workers.get_mut(id)?;
+        let silent = !w.reachable && !w.extensions.allowed;
+        let long_silent = now >= w.silent_since() + RECORD_AFTER;
+        let kept = silent && w.extensions.bound_on_record;
+        let bounded = kept || may_record && long_silent;
+        w.extensions.bound_written = bounded;
+        if !bounded {
+            return None;
+        }
+        w.extensions.bound_on_record = true;
+        w.extensions.bound_taken_at = now;
+        // Rounded up, so that no lease appears to end too early.
+        Some(w.lease_end.saturating_sub(now).as_millis() as u64 + 1)
+    }
+
+    /// Keeps in mind that a worker that is being forgotten may have a bound on record, until that record is
+    /// deleted.
+    pub(super) fn keep_forgotten_bound(&mut self, id: &WorkerId, w: &Worker) {
+        if w.extensions.bound_on_record {
+            self.forgotten_bounds.insert(id.clone());
+        }
+    }
+
+    /// Notes that the record of a worker is stored; if it has no bound, the lease may be extended.
+    pub(super) fn note_bound_stored(&mut self, id: &WorkerId, rec: &WorkerRecord) {
+        let Some(mut w) = self.workers.get_mut(id) else { return };
+        if rec.lease_left.is_some() || w.extensions.bound_written || !w.extensions.bound_on_record {
+            return;
+        }
+        w.extensions.bound_on_record = false;
+        self.forgotten_bounds.remove(id);
+        let service = w.info.as_ref().map(|i| i.service.clone());
+        drop(w);
+        self.services_to_place.extend(service);
+        self.allow_extensions(id);
+    }
+}
--- a/crates/workswood-core/src/jobs/lease_handover.rs
+++ b/crates/workswood-core/src/jobs/lease_handover.rs
@@ -27,6 +27,10 @@
     /// Whether a holder that is told to stop decides until the store answers. Otherwise it stops at once and
     /// tries to release the lease once.
     pub decides_until_answered: bool,
+    /// Whether it is recorded when the leases of workers that don't answer end. All entries must be of a
+    /// version that knows this setting. Such records are obeyed in any case.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub records_lease_ends: bool,
 }
 
 impl Default for HandoverPolicy {
@@ -35,6 +39,7 @@
             through_peers: false,
             late_after: Duration::from_millis(250),
             decides_until_answered: false,
+            records_lease_ends: false,
         }
     }
 }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -81,6 +81,7 @@
 pub mod job;
 mod job_end;
 pub mod job_table;
+pub mod lease_bounds;
 pub mod lease_claim;
 pub mod lease_handover;
 mod log_lines;
--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -147,6 +147,7 @@
             | Action::CloseRelay(_)
             | Action::StartPolling { .. }
             | Action::StopPolling(_)
+            | Action::ExtendLeases(..)
             | Action::ReportFigures(..) => false,
         }
     }
@@ -161,7 +162,8 @@
         let Some(run) = self.run(worker, task, attempt) else { return false };
         let undecided = run.phase == Phase::Starting && run.trial_quarantine.is_none();
         let open = self.workers.get(worker).is_some_and(|w| w.open_on_record && w.reachable);
-        undecided && open && self.may_start_now(step, &task.step_id())
+        let bounded = self.workers.get(worker).is_none_or(|w| w.extensions.bound_on_record);
+        undecided && open && !bounded && self.may_start_now(step, &task.step_id())
     }
 
     /// Notes that records are stored.
@@ -177,9 +179,10 @@
                     if let Some(mut w) = self.workers.get_mut(id) {
                         w.open_on_record = rec.open && w.open_written;
                     }
+                    self.note_bound_stored(id, rec);
                 }
-                Record::DropJob(_) | Record::Wave(..) | Record::DropWorker(_) | Record::HostOrderMark(..) => {
-                }
+                Record::DropWorker(id) => _ = self.forgotten_bounds.remove(id),
+                Record::DropJob(_) | Record::Wave(..) | Record::HostOrderMark(..) => {}
             }
         }
     }
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -110,6 +110,11 @@
 }
 
 impl Relays {
+    /// Adds an order that need not be recorded before it is sent.
+    pub(super) fn push_order(&mut self, order: Action) {
+        self.orders.push(order);
+    }
+
     /// When a relay was last heard from; zero if it is not active.
     pub(super) fn last_heard(&self, relay: &str) -> Duration {
         self.active.get(relay).map_or(Duration::ZERO, |r| r.last_heard)
@@ -183,7 +188,7 @@
     fn detach_relay(&mut self, id: &WorkerId, lease_end: Duration) {
         let Some(mut w) = self.workers.get_mut(id) else { return };
         let relay = w.relay.take();
-        if relay.is_some() {
+        if w.extensions.end() && relay.is_some() {
             w.lease_end = w.lease_end.max(lease_end);
         }
         w.reachable = false;
@@ -259,11 +264,17 @@
             self.record_relay_count(id, relays);
         }
         let token = self.worker_token(relays);
+        let waits = self.begin_extensions(id);
         self.open_relay(&entry);
         let Some(r) = self.relays.active.get_mut(&entry) else { return };
         r.workers.insert(id.clone());
         if r.ready {
-            self.relays.orders.push(Action::StartPolling { relay: entry, info: (*info).clone(), token });
+            self.relays.orders.push(Action::StartPolling {
+                relay: entry,
+                info: (*info).clone(),
+                token,
+                waits,
+            });
         }
     }
 
@@ -362,7 +373,10 @@
             w.last_heard = w.last_heard.max(heard);
         }
         match update {
-            WorkerUpdate::Reported(report) => self.handle_report(id, &report),
+            WorkerUpdate::Reported(report) => {
+                self.handle_report(id, &report);
+                self.allow_extensions(id);
+            }
             WorkerUpdate::ProbeLate => self.mark_answer_late(id),
             WorkerUpdate::Unanswered { lease_end, .. } => self.mark_unreachable(id, lease_end),
             WorkerUpdate::Deposed => self.note_higher_token(id),
@@ -400,7 +414,8 @@
             let Some(w) = self.workers.get(&id) else { continue };
             let Some(info) = &w.info else { continue };
             let (info, token) = ((**info).clone(), self.worker_token(w.relay_count));
-            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token });
+            let waits = w.extensions.relay_waits;
+            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token, waits });
         }
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -109,6 +109,8 @@
     pub(super) advice: AdviceState,
     /// Whether the store takes records, and what is done while it does not.
     pub(super) store_access: StoreAccess,
+    /// Forgotten workers whose record with a bound may still be stored.
+    pub(super) forgotten_bounds: BTreeSet<WorkerId>,
     /// Tasks that a predecessor may have started without a record.
     pub(super) barrier: TakeoverBarrier,
     /// Whether a worker reported a higher fencing token than this term's.
@@ -202,6 +204,7 @@
             pools: PoolState::default(),
             advice: AdviceState::default(),
             store_access: StoreAccess::default(),
+            forgotten_bounds: BTreeSet::new(),
             barrier: TakeoverBarrier::default(),
             deposed: false,
             dirty_jobs: BTreeSet::new(),
@@ -225,12 +228,15 @@
 
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
-        let open = rec.open;
+        let (open, lease_left) = (rec.open, rec.lease_left);
         let info = WorkerInfo::from_record(id.clone(), rec);
-        let (lease_end, since) = (self.inherited_lease_end(), self.claimed_at);
+        let (lease_end, since) = (self.restored_lease_end(lease_left), self.claimed_at);
         let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
         w.info = Some(Arc::new(info));
         (w.open_written, w.open_on_record) = (open, open);
+        if lease_left.is_some() {
+            w.extensions.restore_bound();
+        }
         drop(w);
         self.hold_back_for(&id, open);
         // A probe of its address shows whether that incarnation has ended.
@@ -317,7 +323,7 @@
 
     /// Returns when the last lease that a predecessor may have extended ends, and workers have had time to
     /// tell what ended there.
-    fn inherited_lease_end(&self) -> Duration {
+    pub(super) fn inherited_lease_end(&self) -> Duration {
         let lease_end = self.predecessors_extend_until() + self.lease_with_drift();
         lease_end.max(self.claimed_at + FIRST_ANSWER_TIME)
     }
@@ -498,6 +504,7 @@
         self.ready.values_mut().for_each(|w| w.downgrade_late_steps(wall));
         self.settle_expired_leases();
         self.settle_expired_barrier();
+        self.record_due_bounds();
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
             self.send_due_stops();
@@ -582,9 +589,9 @@
             batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
         }
         for id in std::mem::take(&mut self.dirty_workers) {
-            let open = self.take_open(&id);
+            let (open, lease_left) = (self.take_open(&id), self.take_lease_left(&id));
             batch.records.push(match self.workers.get(&id).and_then(|w| w.info.as_ref()) {
-                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, ..info.record() }),
+                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, lease_left, ..info.record() }),
                 None => Record::DropWorker(id),
             });
         }
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -221,7 +221,12 @@
         info: WorkerInfo,
         /// Fencing token of the relay's orders to the worker.
         token: Term,
+        /// Whether the relay extends the worker's lease only on order; see
+        /// [`lease_bounds`](super::lease_bounds).
+        waits: bool,
     },
+    /// Have the relay of a worker extend its lease from now on, if this many of its polls had no answer.
+    ExtendLeases(WorkerId, u32),
     /// Have the relay of a worker stop polling it.
     StopPolling(WorkerId),
     /// Set whether the worker's relay reports the load figures of all of the worker's tasks with each
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -10,6 +10,7 @@
 use super::crash_attribution::LostRun;
 use super::crash_trials::Quarantine;
 use super::job::WorkerId;
+use super::lease_bounds::LeaseExtensions;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
 use super::stable_map::StableMap;
 use super::workspace_usage::{Reservation, UsageChange};
@@ -63,6 +64,10 @@
     /// Whether the worker is open: its lease holder may start tasks there that are not on record.
     #[serde(default, rename = "open", skip_serializing_if = "std::ops::Not::not")]
     pub open: bool,
+    /// Milliseconds after which the last lease of the worker has ended; no lease is extended before a record
+    /// without this is stored. See [`lease_bounds`](super::lease_bounds).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lease_left: Option<u64>,
 }
 
 impl WorkerInfo {
@@ -83,6 +88,7 @@
             host: self.host.clone(),
             data_centre: self.data_centre.clone(),
             open: false,
+            lease_left: None,
         }
     }
 
@@ -226,6 +232,8 @@
     pub silent_for: Duration,
     /// When everything on the worker must have ended if its lease is no longer extended.
     pub lease_end: Duration,
+    /// Whether the lease is extended, and what is on record of its end.
+    pub extensions: LeaseExtensions,
     /// Runs that may exist on the worker, with the resources of each.
     pub runs: StableMap<(TaskId, u32), Reservation>,
     /// Reservations and releases that are not yet counted in the usage of workspaces.
@@ -296,6 +304,7 @@
             last_heard: Duration::ZERO,
             silent_for: Duration::ZERO,
             lease_end,
+            extensions: LeaseExtensions::default(),
             runs: StableMap::default(),
             usage_changes: Vec::new(),
             long_running: BTreeSet::new(),
@@ -322,7 +331,13 @@
     pub fn accepts_work(&self) -> bool {
         let Some(info) = &self.info else { return false };
         let open = !self.cordoned && !self.evacuated && !info.draining;
-        self.listed && self.runs_known && self.reachable && open
+        let leased = !self.extensions.bound_on_record;
+        self.listed && self.runs_known && self.reachable && leased && open
+    }
+
+    /// Since when a worker that does not answer has been silent, as far as is known in this term.
+    pub(super) fn silent_since(&self) -> Duration {
+        self.last_heard.max(self.known_since)
     }
 
     /// Whether the worker is kept from new work for a while, after faults or a refused start.
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -146,6 +146,7 @@
     /// Forgets a worker. Returns whether it was known.
     fn forget_worker(&mut self, id: &WorkerId) -> bool {
         let Some(w) = self.workers.remove(id) else { return false };
+        self.keep_forgotten_bound(id, &w);
         self.settle_barrier(id);
         self.dirty_workers.insert(id.clone());
         self.forget_relay_assignment(id, w.relay);
@@ -165,6 +166,7 @@
         }
         w.reachable = false;
         w.lease_end = w.lease_end.max(lease_end);
+        w.extensions.note_unanswered();
         drop(w);
         self.update_open(id);
     }
--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -53,7 +53,7 @@
     #[prost(uint32, tag = "1")]
     pub worker: u32,
     /// The order.
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 10")]
     pub order: Option<Order>,
     /// With a stop: whether only the start of the task is to be dropped, if it has not been sent.
     /// Versions that do not read this stop the task.
@@ -85,6 +85,9 @@
     /// Limit the pace of a task.
     #[prost(message, tag = "8")]
     Throttle(ThrottleTask),
+    /// Extend the worker's lease, if this many polls had no answer. Tag 9 is taken by `unless_sent`.
+    #[prost(uint32, tag = "10")]
+    ExtendLeases(u32),
 }
 
 /// A worker that the relay is to poll.
@@ -105,6 +108,9 @@
     /// Start time of this incarnation of the worker, in milliseconds since 1970, if known.
     #[prost(uint64, optional, tag = "5")]
     pub started: Option<u64>,
+    /// Whether the relay extends the worker's lease only on order.
+    #[prost(bool, tag = "6")]
+    pub waits: bool,
 }
 
 /// An empty message.
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -65,6 +65,14 @@
         self
     }
 
+    /// Has holders record when the leases of workers that don't answer end.
+    #[must_use]
+    pub fn with_lease_ends(mut self) -> World {
+        self.records_lease_ends = true;
+        self.take_over();
+        self
+    }
+
     /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
     /// many tasks, such as those of [`small_step`](super::small_step).
     #[must_use]
@@ -124,6 +132,7 @@
             limited: false,
             restarts: false,
             second_runs: false,
+            records_lease_ends: false,
             worker_limits: WorkerLimits::default(),
             order_queues: false,
             order_faults_per_mille: 0,
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -383,10 +383,13 @@
                     s.kept_by_holder = false;
                 }
             }
-            Action::StartPolling { relay, info, token } => {
+            Action::StartPolling { relay, info, token, waits } => {
                 let id = info.id;
                 self.holders[n].watched.insert(id.clone(), (relay, token));
-                self.order(n, &id.clone(), ToRelay::Watch { id, token });
+                self.order(n, &id.clone(), ToRelay::Watch { id, token, waits });
+            }
+            Action::ExtendLeases(id, unanswered) => {
+                self.order(n, &id.clone(), ToRelay::ExtendLeases(id, unanswered));
             }
             Action::StopPolling(id) => {
                 self.order(n, &id, ToRelay::Unwatch(id.clone()));
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -166,6 +166,8 @@
     restarts: bool,
     /// Whether holders start late tasks a second time where their step allows copies.
     second_runs: bool,
+    /// Whether holders record when the leases of workers that don't answer end.
+    records_lease_ends: bool,
     worker_limits: WorkerLimits,
     /// Whether few orders at a time are under way to a worker, and the others wait in its relay.
     order_queues: bool,
@@ -299,6 +301,7 @@
         sched.predecessors_extend_until = Some(extended_until);
         self.last_renewal = self.now;
         sched.policy.second_runs.enabled = self.second_runs;
+        sched.policy.handover.records_lease_ends = self.records_lease_ends;
         sched.policy.outage = self.outage.clone();
         self.set_relays(&mut sched);
         let mut cfg = config();
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -44,7 +44,11 @@
     Watch {
         id: WorkerId,
         token: Term,
+        /// Whether the lease is extended on order only.
+        waits: bool,
     },
+    /// Have the lease extended, if this many probes had no answer.
+    ExtendLeases(WorkerId, u32),
     Unwatch(WorkerId),
     /// Acknowledges a worker's ends up to a sequence number.
     Forget(WorkerId, u64),
@@ -99,6 +103,11 @@
     next_probe: Duration,
     /// Whether the last probe was not answered; the worker's lease is then not extended.
     silent: bool,
+    /// Whether the lease is extended on order only.
+    waits: bool,
+    /// Number of probes without an answer, and the number for which the last order was given.
+    unanswered: u32,
+    extended_at: Option<u32>,
     /// Whether the holder was told that the worker did not answer, and no report has followed.
     reported_silent: bool,
     leased_until: Duration,
@@ -109,6 +118,13 @@
     orders: OrderQueue,
 }
 
+impl Watched {
+    /// Whether the lease may be extended, as far as the worker and orders of the holder matter.
+    fn may_extend(&self) -> bool {
+        !self.silent && (!self.waits || self.extended_at == Some(self.unanswered))
+    }
+}
+
 /// An answer of a worker, or a timeout, that a relay has not received yet.
 enum PendingAnswer {
     Listed {
@@ -268,7 +284,12 @@
         let now = self.now;
         match msg {
             ToRelay::Grant { sent, left } => session.extends_until = session.extends_until.max(sent + left),
-            ToRelay::Watch { id, token } => {
+            ToRelay::ExtendLeases(id, unanswered) => {
+                if let Some(w) = session.watched.get_mut(&id) {
+                    w.extended_at = Some(unanswered);
+                }
+            }
+            ToRelay::Watch { id, token, waits } => {
                 let worker = Watched {
                     token,
                     acked: 0,
@@ -276,6 +297,9 @@
                     answered: None,
                     next_probe: now,
                     silent: false,
+                    waits,
+                    unanswered: 0,
+                    extended_at: None,
                     reported_silent: false,
                     leased_until: Duration::ZERO,
                     last_answer: Duration::ZERO,
@@ -366,7 +390,7 @@
             }
             let lease = self.lease_from(session);
             let Some(w) = session.watched.get_mut(id) else { return Duration::ZERO };
-            let Some(lease_end) = lease.filter(|_| !w.silent) else { break };
+            let Some(lease_end) = lease.filter(|_| w.may_extend()) else { break };
             w.leased_until = self.now + lease_with_drift(LEASE, limits().clock_drift);
             let order = Order::Start { token, task, attempt, lease_end, ticket: ticket.clone() };
             let answer = self.deliver(id, order).map(|a| match a {
@@ -440,7 +464,7 @@
         let now = self.now;
         let lease = self.lease_from(session);
         let Some(w) = session.watched.get_mut(&id) else { return };
-        let lease_end = if w.silent { None } else { lease };
+        let lease_end = lease.filter(|_| w.may_extend());
         if lease_end.is_some() {
             w.leased_until = now + lease_with_drift(LEASE, limits().clock_drift);
         }
@@ -502,6 +526,7 @@
             }
             PendingAnswer::ProbeLost { gone: false } => {
                 w.silent = true;
+                w.unanswered += 1;
                 w.reported_silent = true;
                 WorkerUpdate::Unanswered {
                     lease_end: w.leased_until.saturating_sub(now),
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -81,6 +81,9 @@
     Reply(StartReply),
 }
 
+/// A run of at least so many milliseconds is one of a task that lasts.
+const LASTING_MS: u64 = 1_000_000;
+
 impl SimWorker {
     pub(super) fn new(id: WorkerId, limits: WorkerLimits) -> SimWorker {
         SimWorker {
@@ -183,7 +186,8 @@
                 task: *task,
                 attempt: r.attempt,
                 checkpoint: String::new(),
-                percent: (elapsed / total).min(100) as u32,
+                // A task that lasts is warm at once.
+                percent: if total >= LASTING_MS { 100 } else { (elapsed / total).min(100) as u32 },
                 load: 0,
                 stalled_for: Duration::ZERO,
             }
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -1,6 +1,6 @@
 //! State that the tasks of a relay share about one worker.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -41,8 +41,15 @@
     last_answered_poll: Mutex<LastAnsweredPoll>,
     unassigned: AtomicBool,
     silent: AtomicBool,
+    /// Number of polls without an answer.
+    unanswered: AtomicU32,
+    /// Value of `unanswered` for which the lease may be extended; `None` for any.
+    extended_at: Option<AtomicU32>,
 }
 
+/// Value of `extended_at` before the first order to extend the lease.
+const NOT_ORDERED: u32 = u32::MAX;
+
 impl AssignedWorker {
     /// Creates the state of a worker to which nothing was sent yet.
     pub fn new(number: WorkerNumber, address: WorkerAddress, token: Term) -> AssignedWorker {
@@ -61,9 +68,31 @@
             last_answered_poll: Mutex::default(),
             unassigned: AtomicBool::new(false),
             silent: AtomicBool::new(false),
+            unanswered: AtomicU32::new(0),
+            extended_at: None,
+        }
+    }
+
+    /// Creates the state of a worker whose lease is extended on order only: the first one, and another one
+    /// after each poll without an answer.
+    pub fn without_lease(number: WorkerNumber, address: WorkerAddress, token: Term) -> AssignedWorker {
+        let extended_at = Some(AtomicU32::new(NOT_ORDERED));
+        AssignedWorker { extended_at, ..AssignedWorker::new(number, address, token) }
+    }
+
+    /// Has the lease extended until a poll has no answer, if this many had none so far.
+    pub fn allow_extensions(&self, unanswered: u32) {
+        if let Some(extended_at) = &self.extended_at {
+            extended_at.store(unanswered, Ordering::SeqCst);
         }
     }
 
+    /// Whether no order to extend the lease is needed, or it has come.
+    pub(super) fn is_extension_allowed(&self) -> bool {
+        let unanswered = self.unanswered.load(Ordering::SeqCst);
+        self.extended_at.as_ref().is_none_or(|at| at.load(Ordering::SeqCst) == unanswered)
+    }
+
     /// Whether a long wait of an order may be logged now. At most one of the worker is logged in each
     /// interval.
     pub(super) fn may_log_wait(&self, now: Duration, interval: Duration) -> bool {
@@ -124,6 +153,7 @@
     /// Returns the latest end of the leases that were sent.
     pub(super) fn record_poll_failure(&self) -> Duration {
         self.silent.store(true, Ordering::SeqCst);
+        self.unanswered.fetch_add(1, Ordering::SeqCst);
         Duration::from_millis(self.leased_until_ms.load(Ordering::SeqCst))
     }
 
@@ -140,6 +170,6 @@
     /// before the check, so that a poll that fails at the same time takes it into account.
     pub(super) fn may_lease_until(&self, until: Duration) -> bool {
         self.leased_until_ms.fetch_max(until.as_millis() as u64 + 1, Ordering::SeqCst);
-        !self.is_silent() && !self.is_unassigned()
+        !self.is_silent() && !self.is_unassigned() && self.is_extension_allowed()
     }
 }
--- a/src/workswood/ops/jobs/relay/codec.rs
+++ b/src/workswood/ops/jobs/relay/codec.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood_core::ids::Term;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
     EndKind, Report, ReportedEnd, ReportedRun, StartReply, StopReply, TaskId, WorkerAddress,
@@ -45,15 +46,29 @@
     orders.into_iter().map(write).collect()
 }
 
+fn write_assignment(worker: WorkerAddress, token: Term, waits: bool) -> wire::AssignWorker {
+    let started = worker.id.started_at();
+    let (name, address, data_centre) = (worker.id.name().to_string(), worker.address, worker.data_centre);
+    wire::AssignWorker { name, address, token, data_centre, started, waits }
+}
+
+fn read_assignment(a: wire::AssignWorker) -> WorkerOrder {
+    let id = WorkerId::new(&a.name, a.started);
+    let worker = WorkerAddress { id, address: a.address, data_centre: a.data_centre };
+    match a.waits {
+        true => WorkerOrder::AssignWithoutLease { worker, token: a.token },
+        false => WorkerOrder::Assign { worker, token: a.token },
+    }
+}
+
 /// Converts an order other than a start, whose specification depends on the previous start.
 fn write_order(order: WorkerOrder) -> wire::Order {
     match order {
-        WorkerOrder::Assign { worker, token } => {
-            let started = worker.id.started_at();
-            let (name, address, data_centre) =
-                (worker.id.name().to_string(), worker.address, worker.data_centre);
-            wire::Order::Assign(wire::AssignWorker { name, address, token, data_centre, started })
+        WorkerOrder::Assign { worker, token } => wire::Order::Assign(write_assignment(worker, token, false)),
+        WorkerOrder::AssignWithoutLease { worker, token } => {
+            wire::Order::Assign(write_assignment(worker, token, true))
         }
+        WorkerOrder::ExtendLeases(unanswered) => wire::Order::ExtendLeases(unanswered),
         WorkerOrder::Unassign => wire::Order::Unassign(wire::Empty {}),
         WorkerOrder::AckEnds(end) => wire::Order::AckEnds(end),
         WorkerOrder::ReportLoad(wanted) => wire::Order::ReportLoad(wanted),
@@ -77,14 +92,8 @@
     let mut spec: Arc<str> = "".into();
     let read = |o: wire::RelayOrder| {
         let order = match o.order? {
-            wire::Order::Assign(a) => WorkerOrder::Assign {
-                worker: WorkerAddress {
-                    id: WorkerId::new(&a.name, a.started),
-                    address: a.address,
-                    data_centre: a.data_centre,
-                },
-                token: a.token,
-            },
+            wire::Order::Assign(a) => read_assignment(a),
+            wire::Order::ExtendLeases(unanswered) => WorkerOrder::ExtendLeases(unanswered),
             wire::Order::Unassign(_) => WorkerOrder::Unassign,
             wire::Order::AckEnds(end) => WorkerOrder::AckEnds(end),
             wire::Order::ReportLoad(wanted) => WorkerOrder::ReportLoad(wanted),
--- a/src/workswood/ops/jobs/relay/messages.rs
+++ b/src/workswood/ops/jobs/relay/messages.rs
@@ -36,6 +36,15 @@
         /// Fencing token of the orders to the worker.
         token: Term,
     },
+    /// The same, but extend the worker's lease only on order.
+    AssignWithoutLease {
+        /// The worker.
+        worker: WorkerAddress,
+        /// Fencing token of the orders to the worker.
+        token: Term,
+    },
+    /// Extend the worker's lease, if this many polls had no answer in this assignment.
+    ExtendLeases(u32),
     /// Stop polling the worker.
     Unassign,
     /// Acknowledge to the worker the ended tasks up to this number, which are recorded.
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -100,6 +100,14 @@
         while self.tasks.try_join_next().is_some() {}
         match order {
             WorkerOrder::Assign { worker, token } => self.assign(AssignedWorker::new(number, worker, token)),
+            WorkerOrder::AssignWithoutLease { worker, token } => {
+                self.assign(AssignedWorker::without_lease(number, worker, token));
+            }
+            WorkerOrder::ExtendLeases(unanswered) => {
+                if let Some(worker) = self.workers.get(&number) {
+                    worker.allow_extensions(unanswered);
+                }
+            }
             WorkerOrder::Unassign => {
                 if let Some(worker) = self.workers.remove(&number) {
                     worker.unassign();
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -13,6 +13,8 @@
 
 /// How long a poll waits at the worker for a task to end.
 const POLL_WAIT: Duration = Duration::from_millis(900);
+/// The same while the order to extend the worker's lease has not come.
+const EXTENSION_ORDER_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time between the starts of two polls, so that tasks that end together are reported
 /// together.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -106,7 +108,11 @@
     /// worker tasks end all the time, so replies are frequent; waiting for the full timeout of a
     /// lost poll would delay the reports of all these ends.
     async fn request_with_resend(&mut self) -> Result<PollReply, WorkerError> {
-        let wait = if self.may_extend_lease() { POLL_WAIT } else { Duration::ZERO };
+        let wait = match (self.may_extend_lease(), self.worker.is_extension_allowed()) {
+            (true, true) => POLL_WAIT,
+            (true, false) => EXTENSION_ORDER_WAIT,
+            (false, _) => Duration::ZERO,
+        };
         if !self.cx.node.settings.policy.calls.resend_probe {
             return self.request(wait).await;
         }
@@ -139,7 +145,12 @@
             self.worker.lease_end(sent, worker_lease.duration).filter(|_| self.may_extend_lease());
         let lease_end =
             lease_end.filter(|_| self.worker.may_lease_until(sent + worker_lease.max_duration_with_drift()));
-        let wait = if lease_end.is_some() { wait } else { Duration::ZERO };
+        let awaits_order = !self.worker.is_silent() && !self.worker.is_extension_allowed();
+        let wait = match lease_end {
+            Some(_) => wait,
+            None if awaits_order => wait.min(EXTENSION_ORDER_WAIT),
+            None => Duration::ZERO,
+        };
         let platform = &self.cx.node.platform;
         let reply = platform.poll_worker(&self.worker.address, self.worker.token, acked_end, lease_end, wait);
         let (clock, listing) = reply.await?;
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -86,7 +86,8 @@
         match action {
             Action::OpenRelay(entry) => self.open(entry, tasks),
             Action::CloseRelay(entry) => self.close(&entry),
-            Action::StartPolling { relay, info, token } => self.assign(relay, info, token),
+            Action::StartPolling { relay, info, token, waits } => self.assign(relay, info, token, waits),
+            Action::ExtendLeases(id, unanswered) => self.order(&id, WorkerOrder::ExtendLeases(unanswered)),
             Action::StopPolling(id) => {
                 if let Some(a) = self.assignments.remove(&id) {
                     self.end_assignment(&a);
@@ -128,7 +129,7 @@
     }
 
     /// Has a relay serve a worker, in place of the relay that served it before.
-    fn assign(&mut self, relay: HostId, info: WorkerInfo, token: Term) {
+    fn assign(&mut self, relay: HostId, info: WorkerInfo, token: Term, waits: bool) {
         self.last_number += 1;
         let number = self.last_number;
         if let Some(s) = self.sessions.get(&relay) {
@@ -138,7 +139,11 @@
         if let Some(before) = self.assignments.insert(info.id.clone(), Assignment { relay, number, token }) {
             self.end_assignment(&before);
         }
-        self.order(&info.id, WorkerOrder::Assign { worker, token });
+        let order = match waits {
+            true => WorkerOrder::AssignWithoutLease { worker, token },
+            false => WorkerOrder::Assign { worker, token },
+        };
+        self.order(&info.id, order);
     }
 
     /// Has a relay no longer serve a worker.
--- a/src/workswood/ops/model/batches.rs
+++ b/src/workswood/ops/model/batches.rs
@@ -107,6 +107,7 @@
             }
             // The model has no advice, pacing or relays, and its starts do not wait.
             Action::StopPolling(_)
+            | Action::ExtendLeases(..)
             | Action::WithdrawStart(..)
             | Action::SetPace { .. }
             | Action::Advise { .. }
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -6,12 +6,16 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 use workswood::ops::jobs::earlier_grants::{EarlierGrants, RecordFacts};
+use workswood::ops::jobs::limits::WorkerLease;
 use workswood::ops::jobs::node::SchedulerHandle;
 use workswood::ops::jobs::operator_state::Evacuations;
+use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
+use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
 use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
 use workswood_core::jobs::lease_handover::HandoverPolicy;
-use workswood_core::jobs::{SchedConfig, StepSpec, TaskId};
+use workswood_core::jobs::{Event, SchedConfig, StepSpec, TaskId, WorkerUpdate};
 use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::host_world::worker;
 use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 use workswood_test_support::turn_store::TurnStore;
@@ -186,6 +190,51 @@
     assert_eq!((&release["released"], release.get("extensions_left_ms")), (&json!(true), None));
 }
 
+/// A relay that polls a worker and loses one poll in ten; it extends the lease on order only.
+fn relay_without_lease() -> (Arc<TurnStore>, Arc<Node>, Arc<AssignedWorker>, mpsc::UnboundedReceiver<Event>) {
+    let store = Arc::new(TurnStore::new(ms(4), &[]));
+    let mut settings = settings("entry-1");
+    settings.policy.calls.resend_probe = false;
+    let node = Arc::new(Node::new(settings, store.clone()));
+    let (tx, rx) = mpsc::unbounded_channel();
+    let grant = Grant::until(Duration::from_secs(600));
+    let worker_lease = WorkerLease::of(&node.settings);
+    let cx = RelayContext { node: node.clone(), grant, worker_lease, sink: EventSink::Local(tx) };
+    let assigned = Arc::new(AssignedWorker::without_lease(1, worker(0, 0).worker_address(), 1));
+    tokio::spawn(poll::run(Arc::new(cx), assigned.clone()));
+    (store, node, assigned, rx)
+}
+
+/// Waits until a poll has no answer.
+async fn unanswered(events: &mut mpsc::UnboundedReceiver<Event>) {
+    loop {
+        let ev = events.recv().await.expect("the relay runs");
+        if matches!(ev, Event::WorkerUpdate(_, _, WorkerUpdate::Unanswered { .. })) {
+            return;
+        }
+    }
+}
+
+/// An order that crosses a newer silence has no effect.
+#[tokio::test(start_paused = true)]
+async fn extension_order_of_an_earlier_silence() {
+    let (store, _node, assigned, mut events) = relay_without_lease();
+    let extended_within = async |time: Duration| {
+        let before = store.leases();
+        tokio::time::sleep(time).await;
+        store.leases() > before
+    };
+    assert!(!extended_within(ms(300)).await, "no order yet");
+    assigned.allow_extensions(0);
+    assert!(extended_within(ms(300)).await);
+    unanswered(&mut events).await;
+    assigned.allow_extensions(0);
+    assert!(!extended_within(ms(300)).await, "the order was given before the silence");
+    assigned.allow_extensions(1);
+    assert!(extended_within(ms(300)).await);
+    assigned.unassign();
+}
+
 /// A job of one long-running task.
 const JOB: u64 = 1;
 const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
@@ -200,24 +249,101 @@
     (w, at)
 }
 
-/// Ends a worker that nobody hears of, hands the lease over after each of these times, and returns how long the
-/// task then runs nowhere.
-fn absence(mut w: World, at: usize, handovers: &[u64]) -> Duration {
+/// Ends a worker without a word, has something happen so many times, and returns how long the task then runs
+/// nowhere.
+fn absence_with(
+    (mut w, at): (World, usize),
+    (times, interval): (u32, Duration),
+    happens: fn(&mut World),
+) -> Duration {
     w.vanish(at);
     let gone = w.now;
-    for after in handovers {
-        w.run_for(ms(*after));
-        w.hand_over();
-    }
+    let mut happened = 0;
     while w.running(&TASK) == 0 && w.now < gone + Duration::from_secs(60) {
         w.run_for(ms(20));
+        if happened < times && w.now >= gone + interval * (happened + 1) {
+            happens(&mut w);
+            happened += 1;
+        }
     }
     w.now - gone
 }
 
 #[test]
 fn planned_handover_counts_no_grace() {
-    let (w, at) = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)));
-    let absent = absence(w, at, &[1_000]);
-    assert!(absent < ms(1_000) + LEASE + MARGIN, "{absent:?}");
+    let world = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)));
+    let absent = absence_with(world, (1, ms(4_000)), World::hand_over);
+    assert!(absent < ms(4_000) + LEASE + MARGIN, "{absent:?}");
+}
+
+/// Each successor would count a whole lease from its own claim.
+#[test]
+fn handovers_in_series_add_nothing() {
+    for world in [World::new(4, FaultRng::new(7, 0)), World::relayed(4, FaultRng::new(7, 0))] {
+        let world = world_with_lasting_task(world.with_lease_ends());
+        let absent = absence_with(world, (3, ms(3_000)), World::hand_over);
+        assert!(absent < LEASE + MARGIN, "{absent:?}");
+    }
+}
+
+/// A holder that is killed leaves the bound on record.
+#[test]
+fn kills_in_series_add_nothing() {
+    let world = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)).with_lease_ends());
+    let absent = absence_with(world, (3, ms(2_500)), |w| {
+        w.kill_holder();
+        w.take_over();
+    });
+    assert!(absent < LEASE + MARGIN, "{absent:?}");
+}
+
+/// Each relay that a worker gets would count as having extended its lease.
+#[test]
+fn relay_changes_in_series_add_nothing() {
+    let world = world_with_lasting_task(World::relayed(4, FaultRng::new(7, 0)).with_lease_ends());
+    let absent = absence_with(world, (5, ms(1_500)), |w| (0..4).for_each(|n| w.stop_relay(n, false)));
+    assert!(absent < LEASE + MARGIN, "{absent:?}");
+}
+
+/// TWICE: a worker whose lease has a bound on record answers while the store is away. If its lease were extended, a
+/// successor would give it up while it runs.
+#[test]
+fn bounded_worker_is_not_given_up_while_it_runs() {
+    for seed in 1..=40 {
+        let world = if seed % 2 == 0 { World::new } else { World::relayed };
+        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)).with_lease_ends());
+        w.cut(at, true);
+        let silent = ms(2_200 + w.rng.below(800));
+        w.run_for(silent);
+        w.lose_store(ms(20_000));
+        w.cut(at, false);
+        let answering = ms(1_000 + w.rng.below(1_000));
+        w.run_for(answering);
+        w.kill_holder();
+        w.cut(at, true);
+        w.take_over();
+        for _ in 0..500 {
+            w.run_for(ms(20));
+            assert!(w.running(&TASK) <= 1, "seed {seed}: two runs at {:?}", w.now);
+        }
+        assert_eq!(w.running(&TASK), 1, "seed {seed}: it is placed again");
+    }
+}
+
+/// A worker that is cut off for short times between changes of holder keeps its task.
+#[test]
+fn worker_that_comes_back_keeps_its_task() {
+    for seed in 1..=20 {
+        let world = if seed % 2 == 0 { World::new } else { World::relayed };
+        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)).with_lease_ends());
+        for _ in 0..4 {
+            w.cut(at, true);
+            let silent = ms(1_200 + w.rng.below(1_200));
+            w.run_for(silent);
+            w.hand_over();
+            w.cut(at, false);
+            w.run_for(ms(2_500));
+            assert_eq!((w.running(&TASK), w.worker_of(&TASK)), (1, Some(at)), "seed {seed} at {:?}", w.now);
+        }
+    }
 }
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -55,6 +55,19 @@
     World::restarting(workers, luck).with_unrecorded_starts().with_order_queues()
 }
 
+/// Worlds whose holders record when the leases of workers that don't answer end.
+fn lease_ends(workers: usize, luck: FaultRng) -> World {
+    World::new(workers, luck).with_lease_ends()
+}
+
+fn lease_ends_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::restarting_relayed(workers, luck).with_lease_ends()
+}
+
+fn lease_ends_and_outages(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_unrecorded_starts().with_lease_ends()
+}
+
 /// Relays of a world.
 const RELAYS: u64 = 4;
 
@@ -278,6 +291,22 @@
     play_with_starts(HISTORIES, World::relayed, With::Handovers);
 }
 
+/// The same where holders record when leases end.
+#[test]
+fn short_histories_with_lease_ends() {
+    play_with_starts(HISTORIES, lease_ends, With::Handovers);
+}
+
+#[test]
+fn short_histories_with_lease_ends_and_relays() {
+    play_with_starts(HISTORIES, lease_ends_and_relays, With::Relays);
+}
+
+#[test]
+fn short_histories_with_lease_ends_and_outages() {
+    play_with_starts(HISTORIES, lease_ends_and_outages, With::Outages);
+}
+
 #[test]
 fn short_histories_with_outages_and_restarts() {
     let starts = play_all(HISTORIES, outages_and_restarts, With::Outages).unrecorded_starts;
@@ -394,6 +423,9 @@
         "relays" => (World::relayed, With::Relays),
         "handovers" => (World::new, With::Handovers),
         "handovers-relays" => (World::relayed, With::Handovers),
+        "lease-ends" => (lease_ends, With::Handovers),
+        "lease-ends-relays" => (lease_ends_and_relays, With::Relays),
+        "lease-ends-outages" => (lease_ends_and_outages, With::Outages),
         "evacuations" => (World::two_centres, With::Evacuations),
         "outages" => (outages, With::Outages),
         "outages-restarts" => (outages_and_restarts, With::Outages),
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -130,7 +130,7 @@
 #[test]
 fn peer_frames() {
     let all = lines(PEER_FRAMES);
-    assert_eq!(all.len(), 43);
+    assert_eq!(all.len(), 44);
     for (n, (name, hex)) in all.into_iter().enumerate() {
         let frame = Frame::decode(from_hex(hex).as_slice()).expect(name);
         assert!(frame.msg.is_some(), "{name}");
@@ -265,6 +265,18 @@
     assert_eq!(orders[8].1, WorkerOrder::Throttle { task: task(), attempt: 6, percent: 45 });
 }
 
+/// Orders that only relays of this version and later ones get.
+#[test]
+fn relay_lease_orders() {
+    let m = message!(RelayOrders "relay-lease-orders");
+    let orders = read_orders(m.orders.clone()).expect("orders that are known");
+    let written = RelayOrders { orders: write_orders(orders.clone()), ..m.clone() };
+    assert_eq!(to_hex(&written.encode_to_vec()), to_hex(&m.encode_to_vec()));
+    let (11, WorkerOrder::AssignWithoutLease { worker, token }) = &orders[0] else { panic!("{orders:?}") };
+    assert_eq!((worker.id.name(), *token, worker.data_centre.as_str()), ("w-1", 77, "north"));
+    assert_eq!(orders[1], (12, WorkerOrder::ExtendLeases(3)));
+}
+
 fn check_report(report: &Report) {
     let running = &report.running[0];
     assert_eq!((report.full, running.task, running.attempt), (true, task(), 8));
@@ -370,7 +382,7 @@
 #[test]
 fn scheduler_state() {
     let all = lines(SCHEDULER_STATE);
-    assert_eq!(all.len(), 11);
+    assert_eq!(all.len(), 12);
     for line in all {
         let stored = keyed(line);
         assert_eq!(state_record(&read_state(&stored)), stored, "{}", line.0);
@@ -385,6 +397,9 @@
     assert_eq!((id.name(), id.started_at()), ("w-1", Some(1_700_000_000_000)));
     assert_eq!((worker.address.as_str(), worker.service.as_str()), ("10.0.1.1:9000", "till"));
     assert_eq!((worker.host.as_str(), worker.data_centre.as_str()), ("m-1", "north"));
+    assert_eq!(worker.lease_left, None);
+    let Record::Worker(_, worker) = state_of("worker-w-3@1700000000000") else { panic!("another record") };
+    assert_eq!(worker.lease_left, Some(1_200));
     let Record::HostOrderMark(host, holder) = state_of("ordered-m-1") else { panic!("another record") };
     assert_eq!((host.as_str(), holder.as_deref()), ("m-1", Some("entry-4")));
 }
