Never give a long-running task up for crashes; start it again after a pause

Callers saw: a long-running task whose workers crashed soon after its starts was never started again (task_given_up), on record for all later holders, while its job was shown as running; a job of one such task was shown as failed. Cause: give_up_task treated long-running tasks like those with an end. The platform counts no attempts for them and expects them to be started again, however they end, within some seconds; no crash is an exception. The evidence may be wrong, too: five workers that are replaced at once under a sound task suffice. Weighed: never again (against the rule); at once (one worker after the other, without end).

--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -17,9 +17,9 @@
 /// Worker-seconds that the rate assumes before any are observed. Keeps a single crash in the first
 /// seconds of a term from looking like a high rate.
 const PRIOR_WORKER_SECONDS: f64 = 60.0;
-/// How long a task that was given up counts as recent.
+/// How long a task that was proved to crash its workers counts as recent.
 /// Tasks that crash their workers come in groups, of one queue or one caller.
-const RECENTLY_GIVEN_UP_AGE: Duration = Duration::from_secs(30);
+const RECENTLY_PROVED_AGE: Duration = Duration::from_secs(30);
 /// Shortest run time that enters a score, since the reported times are late by a few milliseconds.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 
@@ -37,8 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
     crashes: VecDeque<UnexplainedCrash>,
-    /// When tasks were given up.
-    given_up_times: VecDeque<Duration>,
+    /// When tasks were first proved to crash their workers.
+    proved_times: VecDeque<Duration>,
 }
 
 impl CrashRate {
@@ -52,15 +52,21 @@
         self.crashes.push_back(UnexplainedCrash { at, running_tasks, chance_probability });
     }
 
-    /// Records that a task was given up. Its crashes no longer count towards the rate.
-    pub fn record_given_up(&mut self, task: &TaskId, at: Duration) {
+    /// Records that a task was proved to crash its workers. Its crashes no longer count towards the
+    /// rate.
+    pub fn record_proved(&mut self, task: &TaskId, at: Duration) {
+        self.drop_crashes_under(task);
+        self.proved_times.push_back(at);
+    }
+
+    /// Drops the crashes during runs of a task that is known to cause them.
+    pub fn drop_crashes_under(&mut self, task: &TaskId) {
         self.crashes.retain(|c| !c.running_tasks.contains(task));
-        self.given_up_times.push_back(at);
     }
 
-    /// Number of tasks that were given up recently.
-    pub fn recently_given_up(&self, now: Duration) -> usize {
-        self.given_up_times.iter().filter(|at| **at + RECENTLY_GIVEN_UP_AGE >= now).count()
+    /// Number of tasks that were proved recently to crash their workers.
+    pub fn recently_proved(&self, now: Duration) -> usize {
+        self.proved_times.iter().filter(|at| **at + RECENTLY_PROVED_AGE >= now).count()
     }
 
     /// Crashes per worker-second, without those during runs of the task, when `workers` were
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -41,6 +41,8 @@
     NoWorker,
     /// Its workspace has reached its limit.
     OverLimit,
+    /// It has crashed its workers, and its pause is not over.
+    Paused,
     /// The task does not wait for a trial any more.
     NotWaiting,
 }
@@ -84,7 +86,7 @@
                     }
                     continue;
                 }
-                TrialPlacement::OverLimit => continue,
+                TrialPlacement::OverLimit | TrialPlacement::Paused => continue,
                 TrialPlacement::NotWaiting => {}
             }
             if let Some(t) = self.trials.get_mut(service) {
@@ -116,6 +118,7 @@
         let idle = self.jobs.get(&id.job).filter(|j| j.is_open());
         let idle = idle.and_then(|j| j.task(id)).is_some_and(Task::is_idle);
         let idle = idle && self.needs_trial(id);
+        let paused = self.jobs.get(&id.job).and_then(|j| j.task(id)).is_some_and(|t| t.is_paused(self.now));
         let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)).filter(|_| idle) else {
             return TrialPlacement::NotWaiting;
         };
@@ -124,6 +127,9 @@
         if held_back {
             return TrialPlacement::NoWorker;
         }
+        if paused {
+            return TrialPlacement::Paused;
+        }
         if self.jobs.reservation(id).is_some_and(|h| !self.is_within_limit(h.owner, &h.charged)) {
             return TrialPlacement::OverLimit;
         }
@@ -187,6 +193,16 @@
         self.crashes.count() > 1 || now < s.suspected_at + policy.max_first_trial_wait
     }
 
+    /// Time until a long-running task that has crashed its workers may be tried again.
+    pub(super) fn pause_left(&self, now: Duration) -> Duration {
+        self.suspicion.and_then(|s| s.paused_until).unwrap_or_default().saturating_sub(now)
+    }
+
+    /// Whether the task must not be tried yet.
+    fn is_paused(&self, now: Duration) -> bool {
+        !self.pause_left(now).is_zero()
+    }
+
     /// Handles the end of a trial that its worker survived.
     pub(super) fn passed_trial(&mut self, policy: &CrashPolicy) {
         if self.crashes.count() < policy.suspect_after_crashes {
