Reserve no workers for trials that the takeover barrier holds back

Callers see: after a change of holder a long-running task isn't started although workers are idle. Cause: a suspected task that may run somewhere without a record is held back until the barrier is over, up to a lease and the grace of extensions (9.1 s), and counted as one without a worker. So workers were reserved for it all that time, all of them while the service had little load, and nothing else could start there. Change: a trial that may not begin yet, for the barrier or for its pause, takes no reservation.

--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -41,8 +41,8 @@
     NoWorker,
     /// Its workspace has reached its limit.
     OverLimit,
-    /// It has crashed its workers, and its pause is not over.
-    Paused,
+    /// It may not be started yet, whatever workers there are.
+    NotYet,
     /// The task does not wait for a trial any more.
     NotWaiting,
 }
@@ -86,7 +86,7 @@
                     }
                     continue;
                 }
-                TrialPlacement::OverLimit | TrialPlacement::Paused => continue,
+                TrialPlacement::OverLimit | TrialPlacement::NotYet => continue,
                 TrialPlacement::NotWaiting => {}
             }
             if let Some(t) = self.trials.get_mut(service) {
@@ -124,11 +124,8 @@
         };
         let held_back =
             self.jobs.get(&id.job).is_some_and(|j| self.is_held_back(&j.spec, step, &id.step_id()));
-        if held_back {
-            return TrialPlacement::NoWorker;
-        }
-        if paused {
-            return TrialPlacement::Paused;
+        if held_back || paused {
+            return TrialPlacement::NotYet;
         }
         if self.jobs.reservation(id).is_some_and(|h| !self.is_within_limit(h.owner, &h.charged)) {
             return TrialPlacement::OverLimit;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -76,6 +76,7 @@
 mod stored_formats;
 mod suspended_host;
 mod task_packing;
+mod trial_waits;
 mod wave_handover;
 mod wave_orders;
 mod whole_path;
--- /dev/null
+++ b/tests/testsuite/trial_waits.rs
@@ -0,0 +1,126 @@
+//! How long long-running tasks wait for trials, their own and those of other tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use workswood_core::jobs::crash_attribution::{CrashHistory, CrashRecord, Evidence};
+use workswood_core::jobs::{Action, Event, Job, JobSpec, StepSpec, TaskId, WorkerUpdate};
+use workswood_test_support::host_world::{HostWorld, host, worker};
+use workswood_test_support::job_world::{SERVICE, job, step};
+
+/// Hosts of a site.
+const HOSTS: usize = 4;
+/// Longest wait of a long-running task for which there is room, in milliseconds.
+const MAX_WAIT_MS: u64 = 2500;
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 100;
+
+fn lasting() -> StepSpec {
+    StepSpec { long_running: true, ..step(1, vec![]) }
+}
+
+/// Number of the host of a worker.
+fn host_of(id: &str) -> usize {
+    id.split('-').nth(1).and_then(|n| n.parse().ok()).expect("a host")
+}
+
+/// Hosts whose workers take all starts and never end a task.
+struct Site {
+    world: HostWorld,
+    lives: Vec<usize>,
+    /// Hosts that don't answer.
+    silent: Vec<usize>,
+    started: BTreeMap<TaskId, Action>,
+    ms: u64,
+}
+
+impl Site {
+    fn new(hosts: usize) -> Site {
+        let world = HostWorld::new(hosts);
+        Site { world, lives: vec![0; hosts], silent: vec![], started: BTreeMap::new(), ms: 0 }
+    }
+
+    /// A job whose first task was lost in some crashes under earlier holders.
+    fn restore(&mut self, key: u64, spec: JobSpec, crashes: u32) {
+        let spec = Arc::new(spec);
+        let mut before = Job::new(key, spec.clone());
+        before.open_round();
+        let mut record = before.record();
+        let crash = CrashRecord { evidence: Evidence::Unconfirmed, max_run_time: None };
+        record.rounds[0][0][0].crashes = CrashHistory((1..=crashes).map(|n| (n, crash)).collect());
+        record.rounds[0][0][0].latest_attempt = crashes;
+        self.world.sched.restore_job(key, Some(spec), Some(record));
+    }
+
+    fn submit(&mut self, key: u64, spec: JobSpec) {
+        self.world.sched.handle(Event::Submitted(key, Arc::new(spec)));
+    }
+
+    fn tick(&mut self) {
+        self.ms += TICK_MS;
+        self.world.at(self.ms);
+        for n in (0..self.lives.len()).filter(|n| !self.silent.contains(n)) {
+            let on = |a: &&Action| matches!(a, Action::Start { worker, .. } if host_of(worker) == n);
+            let here: Vec<Action> = self.started.values().filter(on).cloned().collect();
+            self.world.report(n, self.lives[n], &here);
+        }
+        for a in self.world.tick() {
+            if let Action::Start { worker, task, attempt, .. } = &a {
+                self.world.taken(worker, *task, *attempt);
+                self.started.insert(*task, a.clone());
+            }
+        }
+    }
+
+    fn play(&mut self, ms: u64) {
+        let end = self.ms + ms;
+        while self.ms < end {
+            self.tick();
+        }
+    }
+
+    /// Plays until the task of a job has been started; returns how long that took.
+    fn wait_for(&mut self, key: u64) -> u64 {
+        let begin = self.ms;
+        let id = TaskId { job: key, round: 0, step: 0, index: 0 };
+        while !self.started.contains_key(&id) {
+            assert!(self.ms < begin + 20_000, "job {key} never runs");
+            self.tick();
+        }
+        self.ms - begin
+    }
+
+    /// A worker doesn't answer any more; its lease lasts for a while.
+    fn silence(&mut self, n: usize) {
+        self.silent.push(n);
+        let heard = self.world.sched.now;
+        let lease_end = heard + Duration::from_secs(1);
+        self.world.tells(&worker(n, self.lives[n]).id, WorkerUpdate::Unanswered { lease_end, heard });
+    }
+
+    /// A silent worker is replaced by another one, which runs nothing.
+    fn replace(&mut self, n: usize) {
+        self.started.retain(|_, a| !matches!(a, Action::Start { worker, .. } if host_of(worker) == n));
+        self.lives[n] += 1;
+        self.silent.retain(|other| *other != n);
+        let hosts = self.lives.iter().enumerate().map(|(n, life)| host(n, SERVICE, Some(*life)));
+        self.world.list(hosts.collect());
+        self.world.sched.handle(Event::WorkerListed(worker(n, self.lives[n])));
+    }
+}
+
+#[test]
+fn held_back_trials_reserve_no_worker() {
+    let mut site = Site::new(HOSTS);
+    let unreachable = worker(HOSTS, 0);
+    let mut record = unreachable.record();
+    record.open = true;
+    site.world.sched.restore_worker(unreachable.id, record);
+    (1..=HOSTS as u64).for_each(|key| site.restore(key, job(vec![step(1, vec![])], 0), 3));
+    site.play(500);
+    assert!(site.started.is_empty(), "they may run without a record");
+    site.submit(9, job(vec![lasting()], 500));
+    let waited = site.wait_for(9);
+    assert!(waited <= 2 * TICK_MS, "it waits for {waited} ms");
+}
