Go on with other trials after one that no worker can be reserved for

Callers see: a task that was lost in some crashes is not started again, with room for it, while another suspected task needs more than any worker has (or a label that none has). Cause: the pass over the waiting trials ended once as many had found no worker as may be in quarantine. A trial that no worker can be reserved for counted, at the head of the queue for good. Change: only trials count that wait for a reserved worker.

--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -72,6 +72,7 @@
         let waiting: Vec<(Duration, TaskId)> = waiting.iter().copied().collect();
         let (on_trial, mut reserved) = self.quarantine_counts(service);
         let mut quarantine_room = self.max_quarantined_workers(service).saturating_sub(on_trial);
+        // Tasks that wait for one of the reserved workers.
         let mut unplaced = 0;
         for (since, id) in waiting {
             if unplaced >= quarantine_room {
@@ -80,10 +81,11 @@
             match self.place_trial(service, &id) {
                 TrialPlacement::Started => quarantine_room -= 1,
                 TrialPlacement::NoWorker => {
-                    unplaced += 1;
-                    if reserved < unplaced && self.reserve_for_trial(service, &id) {
+                    // A task that no worker can be reserved for must not block the others.
+                    if reserved <= unplaced && self.reserve_for_trial(service, &id) {
                         reserved += 1;
                     }
+                    unplaced = reserved.min(unplaced + 1);
                     continue;
                 }
                 TrialPlacement::OverLimit | TrialPlacement::NotYet => continue,
--- a/tests/testsuite/trial_waits.rs
+++ b/tests/testsuite/trial_waits.rs
@@ -124,3 +124,17 @@
     let waited = site.wait_for(9);
     assert!(waited <= 2 * TICK_MS, "it waits for {waited} ms");
 }
+
+#[test]
+fn unplaceable_trial_blocks_no_other() {
+    let mut site = Site::new(2);
+    site.submit(3, job(vec![step(5, vec![])], 0));
+    site.play(500);
+    // It needs more than any worker has.
+    let mut large = step(1, vec![]);
+    large.resources.cpu_millis = 5000;
+    site.restore(1, job(vec![large], 0), 3);
+    site.restore(2, job(vec![step(1, vec![])], 0), 3);
+    let waited = site.wait_for(2);
+    assert!(waited <= 500, "it waits for {waited} ms");
+}
