Queue a task for its trial that is suspected while it waits

Callers see: a task whose run lapsed with its worker's lease waits without end, with room for it, once the worker turns out to have crashed. Cause: tasks are queued for a trial when they are queued. A lapsed run counts as lost when its worker is found over, when its task waits already. It then needed a trial and was not queued for one: neither placement nor the trials came to it while any other trial of the service waited.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -371,6 +371,9 @@
 
     /// Records the loss of a run in a crash that runs of the given role explain. `same_role` is the
     /// number of lost runs with that role.
+    ///
+    /// The task may be waiting already, if the run was settled when its worker's lease ended; then it is
+    /// queued anew, for a trial.
     fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
         let rate = self.background_crash_rate(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
@@ -402,6 +405,7 @@
                  suspicion={score:.1} crashes_per_s={rate:.4}",
                 run.task, run.attempt, run.role
             ));
+            self.queue_task(&run.task);
         }
     }
 
@@ -443,6 +447,7 @@
             true => self.crash_rate.drop_crashes_under(&run.task),
             false => self.crash_rate.record_proved(&run.task, self.now),
         }
+        self.queue_task(&run.task);
     }
 
     /// Keeps a run that is settled because its worker's lease ended. Whether the worker has crashed
--- a/tests/testsuite/trial_waits.rs
+++ b/tests/testsuite/trial_waits.rs
@@ -138,3 +138,26 @@
     let waited = site.wait_for(2);
     assert!(waited <= 500, "it waits for {waited} ms");
 }
+
+#[test]
+fn lapsed_task_is_queued_for_trial() {
+    let mut site = Site::new(2);
+    // It needs more than any worker has, so that its trial never begins.
+    let mut large = step(1, vec![]);
+    large.resources.cpu_millis = 5000;
+    site.restore(1, job(vec![large], 0), 3);
+    site.restore(2, job(vec![step(1, vec![])], 0), 1);
+    site.play(5000);
+    let id = TaskId { job: 2, round: 0, step: 0, index: 0 };
+    let Some(Action::Start { worker: at, .. }) = site.started.get(&id).cloned() else { panic!("it runs") };
+    let n = host_of(&at);
+    // The other worker is full.
+    site.submit(3, job(vec![step(7, vec![])], 0));
+    site.play(500);
+    site.silence(n);
+    site.play(2000);
+    site.replace(n);
+    site.started.remove(&id);
+    let waited = site.wait_for(2);
+    assert!(waited <= 1000, "it waits for {waited} ms");
+}
