Bound how long trials keep a long-running task waiting

Callers see: a long-running task isn't started again although workers have room for it. Cause: three waits without a bound. (1) A task with two crashes or more needed a trial for good. (2) While trials of other tasks hold the workers in quarantine (each until its run ends from three crashes on; all workers while the service has little load), no long-running task could start, suspected or not. (3) Only so many trials began as may be in quarantine, whoever waited. Change: the queue notes since when a long-running task waits. After 2 s it starts without a trial and, if no other worker has room, in quarantine. A task that is proved to crash its workers is still tried after each pause, after 2 s on any worker with room, but no more of them than make up a quarter of the workers, those counted that crashed under such tasks within 4 s: a session all of whose tasks crash their workers would take the pool down otherwise. For the same reason a long-running task is paused after five crashes that came within 2 s of its starts, where workers crash so often that chance explains them. Limit: beyond that quarter such tasks wait, with room elsewhere.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -96,6 +96,9 @@
 /// confirmed or not.
 /// The platform allows two starts after the third crash.
 const EXHAUSTED_AFTER_CRASHES: usize = 5;
+/// A crash within this time after the start of a run hardly happens by chance several times in a row.
+/// Covers the time until the worker is found silent.
+const QUICK_CRASH: Duration = Duration::from_secs(2);
 /// Share of [`CrashPolicy::give_up_threshold`] that suffices then.
 const EXHAUSTED_THRESHOLD_SHARE: f64 = 0.7;
 /// Added to the score for each crash with an unknown run time.
@@ -107,7 +110,7 @@
 const FIRST_RETRY_PAUSE: Duration = Duration::from_secs(1);
 /// Longest such pause, counted from the crash. The platform expects a long-running task to be back at
 /// work within some seconds, whatever ended its last run.
-const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
+pub(super) const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
 /// Crashes of a task that are kept, the latest ones: a long-running task may have any number.
 const MAX_KEPT_CRASHES: usize = 8;
 /// A long-running task that has been warm for this long is taken not to crash its worker.
@@ -185,6 +188,15 @@
         self.score(rate) + untimed >= policy.give_up_threshold * EXHAUSTED_THRESHOLD_SHARE
     }
 
+    /// Whether so many crashes came soon after the start of a run that is the likely cause that a
+    /// long-running task is paused, even where workers crash often.
+    fn are_repeatedly_quick(&self) -> bool {
+        let quick = |c: &&CrashRecord| {
+            c.evidence == Evidence::LikelyCause && c.max_run_time.is_some_and(|time| time < QUICK_CRASH)
+        };
+        self.0.values().filter(quick).count() >= EXHAUSTED_AFTER_CRASHES
+    }
+
     /// Whether the task is suspect for the number of its crashes, unless chance explains them.
     fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64) -> bool {
         let (count, timed) = (self.count(), self.known_run_times().count());
@@ -212,7 +224,7 @@
     pub suspected_at: Duration,
     /// Longest known run time of the task when its worker crashed.
     pub run_time: Option<Duration>,
-    /// For a long-running task that is known to crash its workers: when it may be started again.
+    /// For a long-running task that is proved to crash its workers: when it may be started again.
     pub paused_until: Option<Duration>,
 }
 
@@ -377,6 +389,7 @@
     fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
         let rate = self.background_crash_rate(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
+        let long_running = job.step(&run.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&run.task).filter(|t| !t.done) else { return };
         let policy = &self.policy.crashes;
         let threshold = policy.give_up_threshold_after(self.crash_rate.recently_proved(self.now));
@@ -393,8 +406,14 @@
         let score = task.crashes.score(rate);
         let proved =
             run.role == RunRole::OnTrial && run.run_time.is_some() && task.crashes.is_proof(threshold, rate);
-        if run.role == role && same_role == 1 && (proved || task.crashes.exhausts_retries(policy, rate)) {
-            self.handle_proved_task(id, run, count, score);
+        let alone = run.role == role && same_role == 1;
+        let proved = alone && (proved || task.crashes.exhausts_retries(policy, rate));
+        if long_running && (proved || explains && task.crashes.are_repeatedly_quick()) {
+            self.pause_task(id, run, count, score);
+            return;
+        }
+        if proved {
+            self.give_up_task(id, &run.task, count, score);
             return;
         }
         if explains && score >= policy.suspicion_threshold || task.crashes.are_suspiciously_many(policy, rate)
@@ -409,15 +428,6 @@
         }
     }
 
-    /// Handles a task that is proved to crash its workers.
-    fn handle_proved_task(&mut self, id: &WorkerId, run: &LostRun, crashes: usize, score: f64) {
-        let step = self.jobs.get(&run.task.job).and_then(|j| j.step(&run.task));
-        match step.is_some_and(|s| s.long_running) {
-            true => self.pause_task(id, run, crashes, score),
-            false => self.give_up_task(id, &run.task, crashes, score),
-        }
-    }
-
     /// Gives a task up, which fails its job.
     fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
         self.notes.push(format_args!(
@@ -437,8 +447,10 @@
             run.task,
             until.saturating_sub(self.now).as_millis()
         ));
-        let Some(task) = self.jobs.get_mut(&run.task.job).and_then(|j| j.task_mut(&run.task)) else { return };
-        let proved_before = task.suspicion.is_some_and(|s| s.paused_until.is_some());
+        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
+        self.crash_rate.record_under_proved(&job.spec.service, self.now);
+        let Some(task) = job.task_mut(&run.task) else { return };
+        let proved_before = task.is_proved_crashing();
         suspect(task, run.run_time, self.now);
         if let Some(s) = &mut task.suspicion {
             s.paused_until = Some(until);
--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::spec::TaskId;
+use crate::ids::ServiceId;
 
 /// The rate is taken over this time; long enough to cover recurring crashes.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -39,6 +40,8 @@
     crashes: VecDeque<UnexplainedCrash>,
     /// When tasks were first proved to crash their workers.
     proved_times: VecDeque<Duration>,
+    /// Crashes under long-running tasks that were proved to cause them, by service.
+    under_proved: VecDeque<(Duration, ServiceId)>,
 }
 
 impl CrashRate {
@@ -64,6 +67,20 @@
         self.crashes.retain(|c| !c.running_tasks.contains(task));
     }
 
+    /// Records a crash under a long-running task that was proved to cause it.
+    pub fn record_under_proved(&mut self, service: &ServiceId, at: Duration) {
+        while self.under_proved.front().is_some_and(|(earlier, _)| *earlier + RATE_WINDOW < at) {
+            self.under_proved.pop_front();
+        }
+        self.under_proved.push_back((at, service.clone()));
+    }
+
+    /// Number of crashes in a service since a time, at most [`RATE_WINDOW`] ago, under long-running
+    /// tasks that were proved to cause them.
+    pub fn under_proved_since(&self, service: &str, since: Duration) -> usize {
+        self.under_proved.iter().filter(|(at, s)| *at >= since && s == service).count()
+    }
+
     /// Number of tasks that were proved recently to crash their workers.
     pub fn recently_proved(&self, now: Duration) -> usize {
         self.proved_times.iter().filter(|at| **at + RECENTLY_PROVED_AGE >= now).count()
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -4,13 +4,17 @@
 //! trial has lasted longer than the task's earlier runs. A crash of that worker can then be
 //! attributed to the task. Few workers are in quarantine at a time, so that the rest of the service
 //! goes on.
+//!
+//! Long-running tasks must be at work. One that has waited for [`MAX_TRIAL_WAIT`] starts without a
+//! trial and, if there is no other room, on a worker in quarantine. Only those that are proved to
+//! crash their workers are tried in any case; how many workers they may crash at a time is limited.
 
 use std::time::Duration;
 
-use super::crash_attribution::{CrashPolicy, PROVEN_SAFE_AFTER};
+use super::crash_attribution::{CrashPolicy, MAX_RETRY_PAUSE, PROVEN_SAFE_AFTER};
 use super::job::{Task, WorkerId};
 use super::scheduler::Scheduler;
-use super::spec::{StepSpec, TaskId};
+use super::spec::{StepId, StepSpec, TaskId};
 use super::worker::Worker;
 use crate::ids::ServiceId;
 
@@ -25,6 +29,10 @@
 /// time for a few placement passes.
 const TRIAL_RESERVATION_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time for which trials, its own and those of other tasks, keep a long-running task from a
+/// worker that has room for it.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(2);
+
 /// State of a worker that takes no work except a trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Quarantine {
@@ -50,8 +58,46 @@
 impl Scheduler {
     /// Whether a task may only be started as a trial.
     fn needs_trial(&self, id: &TaskId) -> bool {
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        task.is_some_and(|t| t.needs_trial(&self.policy.crashes, self.now))
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        let Some((step, task)) = job.step(id).zip(job.task(id)) else { return false };
+        task.needs_trial(step, &self.policy.crashes, self.now)
+    }
+
+    /// Notes that long-running tasks that were not queued wait from now on.
+    pub(super) fn note_waiting(&mut self, step: &StepId, service: &str, tasks: &[u32]) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let queue = self.ready.get(service);
+        for id in tasks.iter().map(|index| step.task(*index)) {
+            if queue.is_some_and(|q| q.contains(&id)) {
+                continue;
+            }
+            if let Some(task) = job.task_mut(&id) {
+                task.waiting_since = self.now;
+            }
+        }
+    }
+
+    /// Whether a task is long-running and has waited for so long that it starts without regard to
+    /// trials.
+    pub(super) fn is_overdue(&self, id: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        job.step(id).zip(job.task(id)).is_some_and(|(step, task)| task.is_overdue(step, self.now))
+    }
+
+    /// Whether one more task that is proved to crash its workers may be tried in a service.
+    fn may_try_proved(&self, service: &str) -> bool {
+        let proved = |id: &TaskId| {
+            self.jobs.get(&id.job).and_then(|j| j.task(id)).is_some_and(Task::is_proved_crashing)
+        };
+        let on_trial = |w: &Worker| {
+            let q = w.quarantine.filter(|q| q.until > self.now);
+            q.and_then(|q| q.trial).is_some_and(|(id, _)| proved(&id))
+        };
+        let available = || self.workers.available(service, 0).map(|(_, w)| w);
+        let most = available().count() as f64 * self.policy.crashes.max_quarantined_share;
+        let since = self.now.saturating_sub(MAX_RETRY_PAUSE);
+        let crashed = self.crash_rate.under_proved_since(service, since);
+        crashed + available().filter(|w| on_trial(w)).count() < most.ceil() as usize
     }
 
     /// Queues a waiting task for a trial if it is suspected.
@@ -75,11 +121,14 @@
         // Tasks that wait for one of the reserved workers.
         let mut unplaced = 0;
         for (since, id) in waiting {
-            if unplaced >= quarantine_room {
-                return;
+            let proved =
+                self.jobs.get(&id.job).and_then(|j| j.task(&id)).is_some_and(Task::is_proved_crashing);
+            let has_room = unplaced < quarantine_room || proved && self.is_overdue(&id);
+            if !has_room || proved && !self.may_try_proved(service) {
+                continue;
             }
             match self.place_trial(service, &id) {
-                TrialPlacement::Started => quarantine_room -= 1,
+                TrialPlacement::Started => quarantine_room = quarantine_room.saturating_sub(1),
                 TrialPlacement::NoWorker => {
                     // A task that no worker can be reserved for must not block the others.
                     if reserved <= unplaced && self.reserve_for_trial(service, &id) {
@@ -145,16 +194,16 @@
         let no_young_run = |w: &Worker| w.last_start_at.is_none_or(|at| at + young <= self.now);
         let not_quarantined =
             |w: &Worker| !w.in_quarantine(self.now) || w.quarantine.is_some_and(|q| q.trial.is_none());
+        let overdue = self.is_overdue(id);
         let fits = |w: &Worker| {
-            no_young_run(w)
-                && not_quarantined(w)
+            (overdue || no_young_run(w) && not_quarantined(w))
                 && w.free_resources().contains(&needed)
                 && self.trial_allowed(w, step, id)
         };
         let open = self.workers.available(service, needed.cpu_millis).filter(|(_, w)| fits(w));
         let cost = |w: &Worker| {
             let (away_from_data, ..) = self.placement_cost(w, step, id);
-            (away_from_data, w.runs.len())
+            (!no_young_run(w) || !not_quarantined(w), away_from_data, w.runs.len())
         };
         open.min_by_key(|(_, w)| cost(w)).map(|(id, _)| id.clone())
     }
@@ -186,12 +235,27 @@
 
 impl Task {
     /// Whether the task may only be started as a trial. A task with a single crash waits for a
-    /// limited time only, since such a crash is usually not its fault.
-    fn needs_trial(&self, policy: &CrashPolicy, now: Duration) -> bool {
+    /// limited time only, since such a crash is usually not its fault; so does a long-running task
+    /// that is only suspected.
+    fn needs_trial(&self, step: &StepSpec, policy: &CrashPolicy, now: Duration) -> bool {
         let Some(s) = self.suspicion else { return false };
+        if step.long_running {
+            return self.is_proved_crashing() || !self.is_overdue(step, now);
+        }
         self.crashes.count() > 1 || now < s.suspected_at + policy.max_first_trial_wait
     }
 
+    /// Whether the task is long-running and proved to crash its workers.
+    pub(super) fn is_proved_crashing(&self) -> bool {
+        self.suspicion.is_some_and(|s| s.paused_until.is_some())
+    }
+
+    /// Whether the task is long-running and has waited for too long, not counting its pause.
+    fn is_overdue(&self, step: &StepSpec, now: Duration) -> bool {
+        let paused_until = self.suspicion.and_then(|s| s.paused_until).unwrap_or_default();
+        step.long_running && self.waiting_since.max(paused_until) + MAX_TRIAL_WAIT <= now
+    }
+
     /// Time until a long-running task that has crashed its workers may be tried again.
     pub(super) fn pause_left(&self, now: Duration) -> Duration {
         self.suspicion.and_then(|s| s.paused_until).unwrap_or_default().saturating_sub(now)
@@ -216,7 +280,7 @@
         policy: &CrashPolicy,
         now: Duration,
     ) -> Option<Duration> {
-        let s = self.suspicion.filter(|_| self.needs_trial(policy, now))?;
+        let s = self.suspicion.filter(|_| self.needs_trial(step, policy, now))?;
         if self.crashes.count() >= policy.suspect_after_crashes {
             // Lasts until the run ends, since no run time is known to be harmless.
             return Some(if step.long_running { PROVEN_SAFE_AFTER } else { Duration::MAX });
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -153,6 +153,8 @@
     pub failed_attempts: BTreeSet<u32>,
     /// Crashes of workers while they ran this task.
     pub crashes: CrashHistory,
+    /// Since when a waiting long-running task has been waiting.
+    pub waiting_since: Duration,
     /// Why the task is started only as a trial; `None` if it is not suspected.
     pub suspicion: Option<Suspicion>,
     /// Number of the latest attempt; 0 if the task was never started.
@@ -487,6 +489,7 @@
             done: self.done,
             failed_attempts: self.failed_attempts,
             crashes: self.crashes,
+            waiting_since: now,
             suspicion: None,
             latest_attempt: self.latest_attempt,
             checkpoint: self.checkpoint,
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -258,9 +258,10 @@
         let needed = step.reserved_resources();
         let avoid = job.task(id).and_then(|t| t.worker_to_avoid(self.now));
         let advised = self.needs_ticket(&id.step_id());
+        let overdue = self.is_overdue(id);
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            let kept_free = w.in_backoff(self.now) || w.in_quarantine(self.now);
+            let kept_free = w.in_backoff(self.now) || w.in_quarantine(self.now) && !overdue;
             let on_record = self.store_access == StoreAccess::Answering || w.open_on_record;
             ticket
                 && !kept_free
@@ -272,7 +273,8 @@
             let is_due = |info: &Arc<WorkerInfo>| self.is_due_for_maintenance(&info.host);
             let is_due = step.long_running && w.info.as_ref().is_some_and(is_due);
             let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
-            (away_from_data, crowding + usize::from(is_due) * DUE_MAINTENANCE_COST, faults, free_cpu)
+            let crowding = crowding + usize::from(is_due) * DUE_MAINTENANCE_COST;
+            (w.in_quarantine(self.now), away_from_data, crowding, faults, free_cpu)
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -448,6 +448,10 @@
             queue_position(job, &id, queue, &self.durations, &self.policy.order, self.wall);
         let spec = job.spec.clone();
         let room = step.reserved_resources();
+        let (gang, long_running) = (step.gang, step.long_running);
+        if long_running {
+            self.note_waiting(&id, &spec.service, &tasks);
+        }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
             None => {
@@ -455,7 +459,7 @@
                 waiting.insert(position, deadlines, room, tasks.iter().copied());
             }
         }
-        if step.gang {
+        if gang {
             self.schedule_placement(&spec.service);
             return;
         }
--- a/crates/workswood-core/src/jobs/task_queue.rs
+++ b/crates/workswood-core/src/jobs/task_queue.rs
@@ -194,6 +194,11 @@
         self.steps.values().map(|s| (&s.position, s.tasks.len()))
     }
 
+    /// Whether a task waits.
+    pub fn contains(&self, task: &TaskId) -> bool {
+        self.steps.get(&task.step_id()).is_some_and(|s| s.tasks.contains(&task.index))
+    }
+
     /// Waiting tasks of a step, by index.
     pub fn tasks_of(&self, step: &StepId) -> impl Iterator<Item = TaskId> {
         let tasks = self.steps.get(step).into_iter().flat_map(|s| &s.tasks);
--- a/tests/testsuite/chance_crashes.rs
+++ b/tests/testsuite/chance_crashes.rs
@@ -204,6 +204,24 @@
     assert_eq!(site.stops(), 4);
 }
 
+#[test]
+fn crashing_session_spares_most_workers() {
+    let count = 8;
+    let mut site = Site::new(job(vec![lasting(count)], 0));
+    let mut crashed_at = Vec::new();
+    while site.ms < 60_000 {
+        let running: Vec<usize> = (0..count).filter_map(|index| site.host_of(index)).collect();
+        for n in running {
+            crashed_at.push(site.ms);
+            site.crash(n);
+        }
+        site.go_on(100);
+    }
+    // A quarter of the workers, within each longest pause.
+    let late = crashed_at.iter().filter(|ms| **ms >= 20_000).count();
+    assert!((10..=33).contains(&late), "{late} crashes in 40 s");
+}
+
 /// A sound lasting task under which one worker after the other is replaced at once.
 #[test]
 fn replaced_workers_keep_no_lasting_task() {
--- a/tests/testsuite/trial_waits.rs
+++ b/tests/testsuite/trial_waits.rs
@@ -110,6 +110,26 @@
     }
 }
 
+#[test]
+fn quarantined_workers_take_lasting_task() {
+    let mut site = Site::new(HOSTS);
+    (1..=HOSTS as u64).for_each(|key| site.restore(key, job(vec![step(1, vec![])], 0), 3));
+    site.play(500);
+    assert_eq!(site.started.len(), HOSTS, "each worker has a trial");
+    site.submit(9, job(vec![lasting()], 500));
+    let waited = site.wait_for(9);
+    assert!(waited <= MAX_WAIT_MS, "it waits for {waited} ms");
+}
+
+#[test]
+fn suspected_lasting_task_waits_briefly() {
+    let mut site = Site::new(HOSTS);
+    (1..=HOSTS as u64).for_each(|key| site.restore(key, job(vec![step(1, vec![])], 0), 3));
+    site.restore(9, job(vec![lasting()], 0), 2);
+    let waited = site.wait_for(9);
+    assert!(waited <= MAX_WAIT_MS, "it waits for {waited} ms");
+}
+
 #[test]
 fn held_back_trials_reserve_no_worker() {
     let mut site = Site::new(HOSTS);
