--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -39,8 +39,8 @@
 /// Why a long-running task runs nowhere, as far as is known.
 #[derive(Debug)]
 enum AbsenceReason {
-    /// It crashes its workers, and its next trial begins after this time.
-    Paused(Duration),
+    /// It was given up because it crashes its workers.
+    GivenUp,
     /// A run may exist on a worker that does not answer. The lease there ends after this time.
     UnreachableWorker(WorkerId, Duration),
     /// Its start has no answer yet.
@@ -73,7 +73,7 @@
 impl fmt::Display for AbsenceReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            AbsenceReason::Paused(left) => write!(f, "reason=paused left_ms={}", left.as_millis()),
+            AbsenceReason::GivenUp => f.write_str("reason=given_up"),
             AbsenceReason::UnreachableWorker(id, left) => {
                 write!(f, "reason=worker_unreachable worker={id} lease_left_ms={}", left.as_millis())
             }
@@ -160,15 +160,15 @@
     fn absence_reason(&self, id: &TaskId) -> Option<AbsenceReason> {
         let job = self.jobs.get(&id.job)?;
         let (step, task) = (job.step(id)?, job.task(id)?);
+        if task.given_up {
+            return Some(AbsenceReason::GivenUp);
+        }
         if let Some(run) = task.runs.last() {
             return Some(self.reason_of_run(run));
         }
         let held = job.spec.reservation(step);
-        let pause_left = task.pause_left(self.now);
         Some(if self.store_access != StoreAccess::Answering {
             AbsenceReason::StoreAway
-        } else if !pause_left.is_zero() {
-            AbsenceReason::Paused(pause_left)
         } else if self.waits_for_trial(id, &job.spec.service) {
             AbsenceReason::WaitsForTrial
         } else if !self.is_within_limit(held.owner, &held.charged) {
--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -13,9 +13,8 @@
 //!   those that may never have started. Other runs are suspected after several losses.
 //! * A suspected task is started as a *trial* ([`crash_trials`](super::crash_trials)), with nothing
 //!   else started beside it. If the worker crashes during the trial, and chance does not explain
-//!   the crashes, the task is given up, and its job fails.
-//! * A long-running task is never given up, since it must run until its job is cancelled. It is
-//!   *paused* instead: its next trial begins after a pause that grows with the number of its crashes.
+//!   the crashes, the task is given up. Its job fails, except that a long-running job goes on
+//!   without the task.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -70,49 +69,35 @@
 }
 
 impl CrashPolicy {
-    /// Score needed to prove that a task crashes its workers after this many other tasks were proved
-    /// to do so recently: such tasks tend to come in groups.
-    fn give_up_threshold_after(&self, proved: usize) -> f64 {
-        self.give_up_threshold - THRESHOLD_DROP_PER_PROVED * proved.min(MAX_PROVED_COUNTED) as f64
+    /// Score needed to give a task up after this many tasks were given up recently: tasks that
+    /// crash their workers tend to come in groups.
+    fn give_up_threshold_after(&self, given_up: usize) -> f64 {
+        self.give_up_threshold - THRESHOLD_DROP_PER_GIVEN_UP * given_up.min(MAX_GIVEN_UP_COUNTED) as f64
     }
 }
 
-/// Reduction of [`CrashPolicy::give_up_threshold`] for each task that was proved recently to crash
-/// its workers.
-const THRESHOLD_DROP_PER_PROVED: f64 = 1.5;
-/// Most such tasks that reduce the threshold.
-const MAX_PROVED_COUNTED: usize = 2;
+/// Reduction of [`CrashPolicy::give_up_threshold`] for each task that was given up recently.
+const THRESHOLD_DROP_PER_GIVEN_UP: f64 = 1.5;
+/// Most recently given up tasks that reduce the threshold.
+const MAX_GIVEN_UP_COUNTED: usize = 2;
 /// A start without an answer counts as a young run if the crash was noticed within this time after
 /// it. Covers the delay until a busy entry notices the refused connection.
 const YOUNG_IF_SILENT_WITHIN: Duration = Duration::from_millis(300);
 /// A worker that still answers this long after it was removed from the worker list has left without
 /// notice, and has not crashed. An answer sent before a crash may arrive within this time.
 const ANSWERS_AFTER_UNLISTED: Duration = Duration::from_secs(1);
-/// Fewest crashes during confirmed runs that prove that a task crashes its workers.
-const MIN_PROVING_CRASHES: usize = 2;
 /// A task is suspected after this many crashes if the run times are unknown.
 const SUSPECT_AFTER_UNTIMED_CRASHES: usize = 2;
 /// After this many crashes a lower score suffices to give a task up, whether its runs were
 /// confirmed or not.
 /// The platform allows two starts after the third crash.
 const EXHAUSTED_AFTER_CRASHES: usize = 5;
-/// A crash within this time after the start of a run hardly happens by chance several times in a row.
-/// Covers the time until the worker is found silent.
-const QUICK_CRASH: Duration = Duration::from_secs(2);
 /// Share of [`CrashPolicy::give_up_threshold`] that suffices then.
 const EXHAUSTED_THRESHOLD_SHARE: f64 = 0.7;
 /// Added to the score for each crash with an unknown run time.
 const SCORE_PER_UNTIMED_CRASH: f64 = 1.0;
 /// Share of [`CrashPolicy::give_up_threshold`] from which a task with several crashes is suspected.
 const MANY_CRASHES_THRESHOLD_SHARE: f64 = 0.15;
-/// Pause of a long-running task after the crash that first proves that it crashes its workers.
-/// Doubles with each further crash.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_secs(1);
-/// Longest such pause, counted from the crash. The platform expects a long-running task to be back at
-/// work within some seconds, whatever ended its last run.
-pub(super) const MAX_RETRY_PAUSE: Duration = Duration::from_secs(4);
-/// Crashes of a task that are kept, the latest ones: a long-running task may have any number.
-const MAX_KEPT_CRASHES: usize = 8;
 /// A long-running task that has been warm for this long is taken not to crash its worker.
 pub(super) const PROVEN_SAFE_AFTER: Duration = Duration::from_secs(10);
 
@@ -166,6 +151,11 @@
         self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
     }
 
+    /// Number of crashes that the task is the likely cause of.
+    pub(super) fn likely_cause_count(&self) -> usize {
+        self.0.values().filter(|c| c.evidence == Evidence::LikelyCause).count()
+    }
+
     /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
     fn score(&self, rate: f64) -> f64 {
         task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
@@ -174,7 +164,7 @@
     /// Whether the crashes prove that the task crashes its workers, given that the last one
     /// happened during its trial.
     fn is_proof(&self, threshold: f64, rate: f64) -> bool {
-        self.confirmed_count() >= MIN_PROVING_CRASHES && self.score(rate) >= threshold
+        self.confirmed_count() >= 2 && self.score(rate) >= threshold
     }
 
     /// Whether there are too many crashes to go on, on weaker evidence. If no start time is known,
@@ -188,15 +178,6 @@
         self.score(rate) + untimed >= policy.give_up_threshold * EXHAUSTED_THRESHOLD_SHARE
     }
 
-    /// Whether so many crashes came soon after the start of a run that is the likely cause that a
-    /// long-running task is paused, even where workers crash often.
-    fn are_repeatedly_quick(&self) -> bool {
-        let quick = |c: &&CrashRecord| {
-            c.evidence == Evidence::LikelyCause && c.max_run_time.is_some_and(|time| time < QUICK_CRASH)
-        };
-        self.0.values().filter(quick).count() >= EXHAUSTED_AFTER_CRASHES
-    }
-
     /// Whether the task is suspect for the number of its crashes, unless chance explains them.
     fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64) -> bool {
         let (count, timed) = (self.count(), self.known_run_times().count());
@@ -210,9 +191,6 @@
     fn record(&mut self, attempt: u32, crash: CrashRecord) -> bool {
         let new = !self.0.contains_key(&attempt);
         self.0.entry(attempt).or_insert(crash);
-        while self.0.len() > MAX_KEPT_CRASHES {
-            self.0.pop_first();
-        }
         new
     }
 }
@@ -224,8 +202,6 @@
     pub suspected_at: Duration,
     /// Longest known run time of the task when its worker crashed.
     pub run_time: Option<Duration>,
-    /// For a long-running task that is proved to crash its workers: when it may be started again.
-    pub paused_until: Option<Duration>,
 }
 
 /// How an incarnation of a worker was found to be over.
@@ -389,10 +365,9 @@
     fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
         let rate = self.background_crash_rate(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
-        let long_running = job.step(&run.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&run.task).filter(|t| !t.done) else { return };
         let policy = &self.policy.crashes;
-        let threshold = policy.give_up_threshold_after(self.crash_rate.recently_proved(self.now));
+        let threshold = policy.give_up_threshold_after(self.crash_rate.recently_given_up(self.now));
         let explains = run.role == role && run.role != RunRole::Old;
         let evidence = match run.run_time {
             Some(_) if explains => Evidence::LikelyCause,
@@ -406,13 +381,7 @@
         let score = task.crashes.score(rate);
         let proved =
             run.role == RunRole::OnTrial && run.run_time.is_some() && task.crashes.is_proof(threshold, rate);
-        let alone = run.role == role && same_role == 1;
-        let proved = alone && (proved || task.crashes.exhausts_retries(policy, rate));
-        if long_running && (proved || explains && task.crashes.are_repeatedly_quick()) {
-            self.pause_task(id, run, count, score);
-            return;
-        }
-        if proved {
+        if run.role == role && same_role == 1 && (proved || task.crashes.exhausts_retries(policy, rate)) {
             self.give_up_task(id, &run.task, count, score);
             return;
         }
@@ -428,38 +397,26 @@
         }
     }
 
-    /// Gives a task up, which fails its job.
+    /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
+    /// stopping all of them at once would break its availability budget.
     fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
         self.notes.push(format_args!(
             "event=task_given_up worker={id} task={task} crashes={crashes} suspicion={score:.1}"
         ));
         self.counters.tasks_given_up += 1;
-        self.crash_rate.record_proved(task, self.now);
-        self.end_job(task.job, Outcome::Failed);
-    }
-
-    /// Has a long-running task wait before it is tried again.
-    fn pause_task(&mut self, id: &WorkerId, run: &LostRun, crashes: usize, score: f64) {
-        let crashed_at = self.workers.get(id).map_or(self.now, |w| w.last_heard);
-        let until = crashed_at + retry_pause(crashes);
-        self.notes.push(format_args!(
-            "event=task_paused worker={id} task={} crashes={crashes} suspicion={score:.1} pause_ms={}",
-            run.task,
-            until.saturating_sub(self.now).as_millis()
-        ));
-        let Some(job) = self.jobs.get_mut(&run.task.job) else { return };
-        self.crash_rate.record_under_proved(&job.spec.service, self.now);
-        let Some(task) = job.task_mut(&run.task) else { return };
-        let proved_before = task.is_proved_crashing();
-        suspect(task, run.run_time, self.now);
-        if let Some(s) = &mut task.suspicion {
-            s.paused_until = Some(until);
+        self.crash_rate.record_given_up(task, self.now);
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if !job.step(task).is_some_and(|s| s.long_running) {
+            self.end_job(task.job, Outcome::Failed);
+            return;
+        }
+        if let Some(t) = job.task_mut(task) {
+            t.given_up = true;
         }
-        match proved_before {
-            true => self.crash_rate.drop_crashes_under(&run.task),
-            false => self.crash_rate.record_proved(&run.task, self.now),
+        self.dirty_jobs.insert(task.job);
+        if job.all_done_or_given_up() {
+            self.end_job(task.job, Outcome::Failed);
         }
-        self.queue_task(&run.task);
     }
 
     /// Keeps a run that is settled because its worker's lease ended. Whether the worker has crashed
@@ -520,12 +477,5 @@
 /// Marks a task as suspected; `run_time` is how long the lost run had lasted.
 fn suspect(task: &mut Task, run_time: Option<Duration>, now: Duration) {
     let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
-    let paused_until = task.suspicion.and_then(|s| s.paused_until);
-    task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest, paused_until });
-}
-
-/// Pause of a long-running task after this many crashes.
-fn retry_pause(crashes: usize) -> Duration {
-    let doublings = crashes.saturating_sub(MIN_PROVING_CRASHES).min(MAX_KEPT_CRASHES) as u32;
-    (FIRST_RETRY_PAUSE * 2_u32.pow(doublings)).min(MAX_RETRY_PAUSE)
+    task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest });
 }
--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use super::spec::TaskId;
-use crate::ids::ServiceId;
 
 /// The rate is taken over this time; long enough to cover recurring crashes.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -18,9 +17,9 @@
 /// Worker-seconds that the rate assumes before any are observed. Keeps a single crash in the first
 /// seconds of a term from looking like a high rate.
 const PRIOR_WORKER_SECONDS: f64 = 60.0;
-/// How long a task that was proved to crash its workers counts as recent.
+/// How long a task that was given up counts as recent.
 /// Tasks that crash their workers come in groups, of one queue or one caller.
-const RECENTLY_PROVED_AGE: Duration = Duration::from_secs(30);
+const RECENTLY_GIVEN_UP_AGE: Duration = Duration::from_secs(30);
 /// Shortest run time that enters a score, since the reported times are late by a few milliseconds.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 
@@ -38,10 +37,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
     crashes: VecDeque<UnexplainedCrash>,
-    /// When tasks were first proved to crash their workers.
-    proved_times: VecDeque<Duration>,
-    /// Crashes under long-running tasks that were proved to cause them, by service.
-    under_proved: VecDeque<(Duration, ServiceId)>,
+    /// When tasks were given up.
+    given_up_times: VecDeque<Duration>,
 }
 
 impl CrashRate {
@@ -55,35 +52,15 @@
         self.crashes.push_back(UnexplainedCrash { at, running_tasks, chance_probability });
     }
 
-    /// Records that a task was proved to crash its workers. Its crashes no longer count towards the
-    /// rate.
-    pub fn record_proved(&mut self, task: &TaskId, at: Duration) {
-        self.drop_crashes_under(task);
-        self.proved_times.push_back(at);
-    }
-
-    /// Drops the crashes during runs of a task that is known to cause them.
-    pub fn drop_crashes_under(&mut self, task: &TaskId) {
+    /// Records that a task was given up. Its crashes no longer count towards the rate.
+    pub fn record_given_up(&mut self, task: &TaskId, at: Duration) {
         self.crashes.retain(|c| !c.running_tasks.contains(task));
+        self.given_up_times.push_back(at);
     }
 
-    /// Records a crash under a long-running task that was proved to cause it.
-    pub fn record_under_proved(&mut self, service: &ServiceId, at: Duration) {
-        while self.under_proved.front().is_some_and(|(earlier, _)| *earlier + RATE_WINDOW < at) {
-            self.under_proved.pop_front();
-        }
-        self.under_proved.push_back((at, service.clone()));
-    }
-
-    /// Number of crashes in a service since a time, at most [`RATE_WINDOW`] ago, under long-running
-    /// tasks that were proved to cause them.
-    pub fn under_proved_since(&self, service: &str, since: Duration) -> usize {
-        self.under_proved.iter().filter(|(at, s)| *at >= since && s == service).count()
-    }
-
-    /// Number of tasks that were proved recently to crash their workers.
-    pub fn recently_proved(&self, now: Duration) -> usize {
-        self.proved_times.iter().filter(|at| **at + RECENTLY_PROVED_AGE >= now).count()
+    /// Number of tasks that were given up recently.
+    pub fn recently_given_up(&self, now: Duration) -> usize {
+        self.given_up_times.iter().filter(|at| **at + RECENTLY_GIVEN_UP_AGE >= now).count()
     }
 
     /// Crashes per worker-second, without those during runs of the task, when `workers` were
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -153,6 +153,9 @@
     pub failed_attempts: BTreeSet<u32>,
     /// Crashes of workers while they ran this task.
     pub crashes: CrashHistory,
+    /// Whether it is never started again because it crashes its workers; the job continues without
+    /// it.
+    pub given_up: bool,
     /// Since when a waiting long-running task has been waiting.
     pub waiting_since: Duration,
     /// Why the task is started only as a trial; `None` if it is not suspected.
@@ -177,9 +180,10 @@
 }
 
 impl Task {
-    /// Whether the task is neither done nor running. Does not look at the state of its job or step.
+    /// Whether the task is neither done, given up nor running. Does not look at the state of its
+    /// job or step.
     pub fn is_idle(&self) -> bool {
-        !self.done && self.runs.is_empty()
+        !self.done && !self.given_up && self.runs.is_empty()
     }
 
     /// Has the next runs placed elsewhere for a while, if possible.
@@ -290,6 +294,11 @@
         others.filter(|(_, t)| !t.runs.iter().any(&is_running)).count() as u32
     }
 
+    /// Whether every task of the opened rounds is done or given up.
+    pub fn all_done_or_given_up(&self) -> bool {
+        self.rounds.iter().flatten().flatten().all(|t| t.done || t.given_up)
+    }
+
     /// Whether all rounds were opened and all their tasks are done.
     pub fn all_done(&self) -> bool {
         let all_opened = self.rounds.len() as u32 == self.spec.round_count();
@@ -362,7 +371,7 @@
             done: t.done,
             failed_attempts: t.failed_attempts.clone(),
             crashes: if t.done { CrashHistory::default() } else { t.crashes.clone() },
-            given_up: false,
+            given_up: t.given_up,
             latest_attempt: t.latest_attempt,
             checkpoint: t.checkpoint.clone(),
             runs: t.runs.iter().map(|r| (r.worker.clone(), r.attempt)).collect(),
@@ -453,7 +462,7 @@
     /// Crashes of workers while they ran this task.
     #[serde(default, rename = "k", skip_serializing_if = "CrashHistory::is_empty")]
     pub crashes: CrashHistory,
-    /// Whether an earlier version gave the long-running task up; such a task is started again.
+    /// Whether it is never started again.
     #[serde(default, rename = "g", skip_serializing_if = "is_false")]
     pub given_up: bool,
     /// Number of the latest attempt; 0 if the task was never started.
@@ -489,6 +498,7 @@
             done: self.done,
             failed_attempts: self.failed_attempts,
             crashes: self.crashes,
+            given_up: self.given_up,
             waiting_since: now,
             suspicion: None,
             latest_attempt: self.latest_attempt,
