--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -47,6 +47,7 @@
 mod log_retention;
 mod lost_attempts;
 mod lost_looks;
+mod lost_relays;
 mod maintenance_waves;
 mod operator_changes;
 mod order_marks;
