--- a/tests/testsuite/lost_relays.rs
+++ b/tests/testsuite/lost_relays.rs
@@ -62,3 +62,24 @@
     }
     assert_eq!(ends.first(), ends.last(), "nothing extends its lease");
 }
+
+#[test]
+fn silent_worker_outlasts_no_relay() {
+    let mut world = holder_without_relay();
+    let id = worker(0, 0).id;
+    let heard = Duration::from_millis(100);
+    let lease_end = Duration::from_millis(5000);
+    world.tells(&id, WorkerUpdate::Unanswered { lease_end, heard });
+    let before = world.sched.workers.get(&id).expect("it is known").lease_end;
+    for ms in (250..14_000).step_by(150) {
+        world.at(ms);
+        world.tick();
+        world.sched.assign_relays();
+        // The relay is tried again after each backoff.
+        lose_relay(&mut world);
+        (1..WORKERS).for_each(|n| world.report(n, 0, &[]));
+        world.tells(&id, WorkerUpdate::Unanswered { lease_end, heard });
+    }
+    let after = world.sched.workers.get(&id).expect("it is known").lease_end;
+    assert_eq!(before, after, "nothing extends its lease");
+}
