Test what gives long-running tasks up, and what does not

In the worlds a crashed worker is often found over only after its lease. What could tell them apart: a crashed worker's entry is removed from the list after three pings without a write, one that is cut off stays listed; the worlds don't model that.

--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -250,3 +250,43 @@
     let kept = CrashRecord { evidence: Evidence::LikelyCause, max_run_time: Some(Duration::ZERO) };
     assert_eq!(read.rounds[0][0][0].crashes.0.get(&1), Some(&kept));
 }
+
+/// Time after which a cut worker is replaced once its lease has ended.
+const REPLACED_AFTER: Duration = Duration::from_millis(1500);
+/// Time after which the lease of a cut worker has ended.
+const LEASE_OVER_AFTER: Duration = Duration::from_millis(5200);
+
+/// Sets the time; all workers but some answer.
+fn at_beside(world: &mut HostWorld, time: Duration, silent: &[usize], lives: &[usize]) {
+    world.at(time.as_millis() as u64);
+    (0..HOSTS).filter(|n| !silent.contains(n)).for_each(|n| world.report(n, lives[n], &[]));
+}
+
+#[test]
+fn lapsed_runs_prove_nothing() {
+    let (mut world, mut lives) = world();
+    let mut lasting = step(1, vec![]);
+    lasting.long_running = true;
+    let mut actions = submit(&mut world, 1, job(vec![lasting], 200));
+    let mut silent = Vec::new();
+    for round in 0..6 {
+        let Some((_, cut)) = starts(&actions).first().copied() else { panic!("not started, round {round}") };
+        take(&mut world, &actions);
+        let heard = world.sched.now;
+        silent.push(cut);
+        at_beside(&mut world, heard + Duration::from_millis(100), &silent, &lives);
+        let lease_end = heard + Duration::from_secs(5);
+        world.tells(&worker(cut, lives[cut]).id, WorkerUpdate::Unanswered { lease_end, heard });
+        at_beside(&mut world, heard + REPLACED_AFTER, &silent, &lives);
+        if silent.len() > 1 {
+            let n = silent.remove(0);
+            lives[n] += 1;
+            world.list(listed(&lives));
+            world.sched.handle(Event::WorkerListed(worker(n, lives[n])));
+        }
+        at_beside(&mut world, heard + REPLACED_AFTER, &silent, &lives);
+        world.tick();
+        at_beside(&mut world, heard + LEASE_OVER_AFTER, &silent, &lives);
+        actions = world.tick();
+    }
+}
--- a/tests/testsuite/crashing_tasks.rs
+++ b/tests/testsuite/crashing_tasks.rs
@@ -14,7 +14,7 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{JobStatus, Outcome, TaskId};
+use workswood_core::jobs::{JobStatus, Outcome, StepSpec, TaskId};
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 
 /// Time from the start of a task to the crash of its worker.
@@ -149,3 +149,48 @@
     assert_eq!(w.seen.violations, Vec::<String>::new());
     assert_eq!(ended(&w, 1), Some(Outcome::Completed));
 }
+
+/// Crashes that a lasting task may cost at most: two starts after the third one.
+const MOST_CRASHES: u32 = 5;
+
+/// Plays a job of lasting tasks the first of which crashes its workers; the holder changes after each of
+/// the first crashes. Returns how many workers crash.
+fn crashes_under_lasting_task(seed: u64, after: Duration, changes: u32) -> u32 {
+    let mut w = World::new(6, FaultRng::new(seed, 0));
+    w.run_for(Duration::from_millis(500));
+    w.crashes(task(1), after);
+    let lasting = StepSpec { long_running: true, ..step(4, vec![]) };
+    w.submit(1, job(vec![lasting], w.now.as_millis() as u64));
+    let (mut crashes, mut changed) = (0, 0);
+    for _ in 0..600 {
+        w.run_for(Duration::from_millis(100));
+        if w.crashed() > crashes && changed < changes {
+            changed += 1;
+            w.take_over();
+        }
+        crashes = w.crashed();
+    }
+    assert_eq!(w.seen.violations, Vec::<String>::new(), "seed {seed}");
+    assert_eq!(w.shown(1), Some(JobStatus::Running), "seed {seed}: its other tasks go on");
+    crashes
+}
+
+#[test]
+fn lasting_task_given_up() {
+    for seed in 31..39 {
+        for after in [AT_ONCE, Duration::from_millis(900)] {
+            let crashes = crashes_under_lasting_task(seed, after, 0);
+            assert!(crashes <= MOST_CRASHES, "seed {seed}: {crashes} crashes");
+        }
+    }
+}
+
+#[test]
+fn lasting_task_given_up_by_next_holder() {
+    for seed in 41..49 {
+        for changes in 1..=4 {
+            let crashes = crashes_under_lasting_task(seed, AT_ONCE, changes);
+            assert!(crashes <= changes + MOST_CRASHES, "seed {seed}: {crashes} crashes, {changes} holders");
+        }
+    }
+}
