--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -151,6 +151,11 @@
         self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
     }
 
+    /// Number of crashes that the task is the likely cause of.
+    pub(super) fn likely_cause_count(&self) -> usize {
+        self.0.values().filter(|c| c.evidence == Evidence::LikelyCause).count()
+    }
+
     /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
     fn score(&self, rate: f64) -> f64 {
         task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
@@ -354,6 +359,9 @@
 
     /// Records the loss of a run in a crash that runs of the given role explain. `same_role` is the
     /// number of lost runs with that role.
+    ///
+    /// The task may be waiting already, if the run was settled when its worker's lease ended; then it is
+    /// queued anew, for a trial.
     fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
         let rate = self.background_crash_rate(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
@@ -385,6 +393,7 @@
                  suspicion={score:.1} crashes_per_s={rate:.4}",
                 run.task, run.attempt, run.role
             ));
+            self.queue_task(&run.task);
         }
     }
 
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -4,13 +4,17 @@
 //! trial has lasted longer than the task's earlier runs. A crash of that worker can then be
 //! attributed to the task. Few workers are in quarantine at a time, so that the rest of the service
 //! goes on.
+//!
+//! Long-running tasks must be at work. One that has waited for [`MAX_TRIAL_WAIT`] starts without a
+//! trial and, if there is no other room, on a worker in quarantine. Only one that is the likely cause
+//! of several crashes waits for its trial without limit.
 
 use std::time::Duration;
 
 use super::crash_attribution::{CrashPolicy, PROVEN_SAFE_AFTER};
 use super::job::{Task, WorkerId};
 use super::scheduler::Scheduler;
-use super::spec::{StepSpec, TaskId};
+use super::spec::{StepId, StepSpec, TaskId};
 use super::worker::Worker;
 use crate::ids::ServiceId;
 
@@ -25,6 +29,14 @@
 /// time for a few placement passes.
 const TRIAL_RESERVATION_MARGIN: Duration = Duration::from_millis(500);
 
+/// Longest time for which trials, its own and those of other tasks, keep a long-running task from a
+/// worker that has room for it.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(2);
+
+/// A long-running task that is the likely cause of this many crashes waits for its trial without
+/// limit.
+const MIN_CAUSED_CRASHES: usize = 2;
+
 /// State of a worker that takes no work except a trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Quarantine {
@@ -41,6 +53,8 @@
     NoWorker,
     /// Its workspace has reached its limit.
     OverLimit,
+    /// It may not be started yet, whatever workers there are.
+    NotYet,
     /// The task does not wait for a trial any more.
     NotWaiting,
 }
@@ -48,8 +62,30 @@
 impl Scheduler {
     /// Whether a task may only be started as a trial.
     fn needs_trial(&self, id: &TaskId) -> bool {
-        let task = self.jobs.get(&id.job).and_then(|j| j.task(id));
-        task.is_some_and(|t| t.needs_trial(&self.policy.crashes, self.now))
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        let Some((step, task)) = job.step(id).zip(job.task(id)) else { return false };
+        task.needs_trial(step, &self.policy.crashes, self.now)
+    }
+
+    /// Notes that long-running tasks that were not queued wait from now on.
+    pub(super) fn note_waiting(&mut self, step: &StepId, service: &str, tasks: &[u32]) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let queue = self.ready.get(service);
+        for id in tasks.iter().map(|index| step.task(*index)) {
+            if queue.is_some_and(|q| q.contains(&id)) {
+                continue;
+            }
+            if let Some(task) = job.task_mut(&id) {
+                task.waiting_since = self.now;
+            }
+        }
+    }
+
+    /// Whether a task is long-running and has waited for so long that it starts without regard to
+    /// trials.
+    pub(super) fn is_overdue(&self, id: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&id.job) else { return false };
+        job.step(id).zip(job.task(id)).is_some_and(|(step, task)| task.is_overdue(step, self.now))
     }
 
     /// Queues a waiting task for a trial if it is suspected.
@@ -70,6 +106,7 @@
         let waiting: Vec<(Duration, TaskId)> = waiting.iter().copied().collect();
         let (on_trial, mut reserved) = self.quarantine_counts(service);
         let mut quarantine_room = self.max_quarantined_workers(service).saturating_sub(on_trial);
+        // Tasks that wait for one of the reserved workers.
         let mut unplaced = 0;
         for (since, id) in waiting {
             if unplaced >= quarantine_room {
@@ -78,13 +115,14 @@
             match self.place_trial(service, &id) {
                 TrialPlacement::Started => quarantine_room -= 1,
                 TrialPlacement::NoWorker => {
-                    unplaced += 1;
-                    if reserved < unplaced && self.reserve_for_trial(service, &id) {
+                    // A task that no worker can be reserved for must not block the others.
+                    if reserved <= unplaced && self.reserve_for_trial(service, &id) {
                         reserved += 1;
                     }
+                    unplaced = reserved.min(unplaced + 1);
                     continue;
                 }
-                TrialPlacement::OverLimit => continue,
+                TrialPlacement::OverLimit | TrialPlacement::NotYet => continue,
                 TrialPlacement::NotWaiting => {}
             }
             if let Some(t) = self.trials.get_mut(service) {
@@ -122,7 +160,7 @@
         let held_back =
             self.jobs.get(&id.job).is_some_and(|j| self.is_held_back(&j.spec, step, &id.step_id()));
         if held_back {
-            return TrialPlacement::NoWorker;
+            return TrialPlacement::NotYet;
         }
         if self.jobs.reservation(id).is_some_and(|h| !self.is_within_limit(h.owner, &h.charged)) {
             return TrialPlacement::OverLimit;
@@ -181,12 +219,21 @@
 
 impl Task {
     /// Whether the task may only be started as a trial. A task with a single crash waits for a
-    /// limited time only, since such a crash is usually not its fault.
-    fn needs_trial(&self, policy: &CrashPolicy, now: Duration) -> bool {
+    /// limited time only, since such a crash is usually not its fault; so does a long-running task
+    /// that is not the likely cause of several.
+    fn needs_trial(&self, step: &StepSpec, policy: &CrashPolicy, now: Duration) -> bool {
         let Some(s) = self.suspicion else { return false };
+        if step.long_running {
+            return self.crashes.likely_cause_count() >= MIN_CAUSED_CRASHES || !self.is_overdue(step, now);
+        }
         self.crashes.count() > 1 || now < s.suspected_at + policy.max_first_trial_wait
     }
 
+    /// Whether the task is long-running and has waited for too long.
+    fn is_overdue(&self, step: &StepSpec, now: Duration) -> bool {
+        step.long_running && self.waiting_since + MAX_TRIAL_WAIT <= now
+    }
+
     /// Handles the end of a trial that its worker survived.
     pub(super) fn passed_trial(&mut self, policy: &CrashPolicy) {
         if self.crashes.count() < policy.suspect_after_crashes {
@@ -201,7 +248,7 @@
         policy: &CrashPolicy,
         now: Duration,
     ) -> Option<Duration> {
-        let s = self.suspicion.filter(|_| self.needs_trial(policy, now))?;
+        let s = self.suspicion.filter(|_| self.needs_trial(step, policy, now))?;
         if self.crashes.count() >= policy.suspect_after_crashes {
             // Lasts until the run ends, since no run time is known to be harmless.
             return Some(if step.long_running { PROVEN_SAFE_AFTER } else { Duration::MAX });
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -156,6 +156,8 @@
     /// Whether it is never started again because it crashes its workers; the job continues without
     /// it.
     pub given_up: bool,
+    /// Since when a waiting long-running task has been waiting.
+    pub waiting_since: Duration,
     /// Why the task is started only as a trial; `None` if it is not suspected.
     pub suspicion: Option<Suspicion>,
     /// Number of the latest attempt; 0 if the task was never started.
@@ -503,6 +505,7 @@
             failed_attempts: self.failed_attempts,
             crashes: self.crashes,
             given_up: self.given_up,
+            waiting_since: now,
             suspicion: None,
             latest_attempt: self.latest_attempt,
             checkpoint: self.checkpoint,
