Leave the holder its workers while no other relay can be had

Callers see: tasks of a worker that doesn't answer are not started again, long-running ones among them, while the holder reaches no other entry.

Cause: a holder with more workers than it polls itself hands them to relays at each tick. With all candidates lost and in backoff it chose itself again: each tick detached up to 64 workers, gave them a new token, had all their runs listed anew, and counted a whole lease from then for those that are silent. So such a lease never ended.

Evidence: lost_relays::holder_keeps_workers_of_lost_relay fails on the code before: the token counts from 1048580 to 1048598 within 2.7 s.

Change: workers are handed on only if another entry is a relay or may be chosen as one.

--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -459,10 +459,16 @@
         self.relays.orders.push(Action::CloseRelay(entry.clone()));
     }
 
+    /// Whether an entry other than the holder is a relay or may be chosen as one.
+    fn has_other_relay(&self) -> bool {
+        let active = self.relays.active.keys().any(|name| *name != self.holder);
+        active || self.next_relay_candidate(None).is_some()
+    }
+
     /// Moves workers that the holder polls itself to relays, if relays are needed.
     pub(super) fn offload_holder(&mut self) {
         self.relays.backoff_until.retain(|_, until| *until > self.now);
-        if !self.needs_relays() {
+        if !self.needs_relays() || !self.has_other_relay() {
             return;
         }
         let Some(own) = self.relays.active.get(&self.holder) else { return };
--- a/tests/testsuite/lost_relays.rs
+++ b/tests/testsuite/lost_relays.rs
@@ -15,6 +15,7 @@
 fn holder_without_relay() -> HostWorld {
     let mut world = HostWorld::new(WORKERS);
     world.sched.strength = 1;
+    world.sched.policy.handover.records_lease_ends = true;
     let relay =
         RelayCandidate { name: RELAY.to_string(), data_centre: "north".to_string(), holder_capacity: 100 };
     world.sched.set_relay_candidates(vec![relay]);
