Worlds that play alike each time, and usual faults in the histories of long-running tasks

Cause: stored workers were restored in the order of a hash map, which differs by process; now in the order of their ids.

Evacuations weren't ended by World::heal where all workers are in one data centre; now they are.

New mixture 'usual': workers that are replaced or cut off, takeovers, pauses, evacuations, jobs submitted again. The oracle copies no steps at each moment.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -115,7 +115,7 @@
             cancelled: BTreeMap::new(),
             trimmed: BTreeSet::new(),
             stored_jobs: HashMap::new(),
-            stored_workers: HashMap::new(),
+            stored_workers: BTreeMap::new(),
             done: BTreeSet::new(),
             shown_completed: HashMap::new(),
             failed_runs: HashMap::new(),
--- a/crates/workswood-test-support/src/job_world/evacuations.rs
+++ b/crates/workswood-test-support/src/job_world/evacuations.rs
@@ -51,7 +51,7 @@
 
     /// Ends the evacuations of all data centres.
     pub(super) fn end_evacuations(&mut self) {
-        if self.evacuations.two_centres {
+        if self.evacuations.two_centres || !self.evacuations.since.is_empty() {
             self.evacuate("north", false);
             self.evacuate("south", false);
         }
--- a/crates/workswood-test-support/src/job_world/lasting.rs
+++ b/crates/workswood-test-support/src/job_world/lasting.rs
@@ -1,6 +1,7 @@
 //! Checks at every moment that long-running tasks are at work.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use workswood_core::jobs::spec::Resources;
@@ -51,8 +52,8 @@
         }
         let due = self.due_lasting_tasks();
         self.lasting.tasks.retain(|id, _| due.contains_key(id));
-        for (id, step) in due {
-            self.check_presence(id, &step);
+        for (id, spec) in due {
+            self.check_presence(id, &spec.steps[usize::from(id.step)]);
         }
     }
 
@@ -67,15 +68,16 @@
             || self.workers.iter().any(|w| w.partitioned)
     }
 
-    /// Long-running tasks of open jobs whose earlier steps are done, with their steps.
-    fn due_lasting_tasks(&self) -> BTreeMap<TaskId, StepSpec> {
-        let open = self.jobs.iter().filter(|(key, _)| self.has_to_last(**key));
+    /// Long-running tasks of open jobs whose earlier steps are done, with their jobs.
+    fn due_lasting_tasks(&self) -> BTreeMap<TaskId, Arc<JobSpec>> {
+        let lasts = |spec: &JobSpec| spec.steps.iter().any(|s| s.long_running);
+        let open = self.jobs.iter().filter(|(key, spec)| lasts(spec) && self.has_to_last(**key));
         let mut due = BTreeMap::new();
         for (key, spec) in open {
             for (n, step) in spec.steps.iter().enumerate().filter(|(_, s)| s.long_running && !s.gang) {
                 let id = TaskId { job: *key, round: 0, step: n as u16, index: 0 };
                 if self.is_step_due(spec, &id) {
-                    due.extend((0..step.count).map(|index| (TaskId { index, ..id }, step.clone())));
+                    due.extend((0..step.count).map(|index| (TaskId { index, ..id }, spec.clone())));
                 }
             }
         }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -144,7 +144,7 @@
     /// Jobs that were cancelled, and when they first were.
     cancelled: BTreeMap<JobKey, Duration>,
     stored_jobs: HashMap<JobKey, JobRecord>,
-    stored_workers: HashMap<WorkerId, WorkerRecord>,
+    stored_workers: BTreeMap<WorkerId, WorkerRecord>,
     /// Tasks that some worker has run successfully.
     done: BTreeSet<TaskId>,
     /// When each job was first shown as completed.
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -41,17 +41,20 @@
     Outages,
     /// Troubles of relays.
     Relays,
+    /// Workers that are replaced or cut off, takeovers, pauses of the holder and evacuations.
+    Usual,
     /// Any of these, spell by spell.
     All,
 }
 
-const MIXTURES: [(&str, Mixture); 7] = [
+const MIXTURES: [(&str, Mixture); 8] = [
     ("lapses", Mixture::Lapses),
     ("handovers", Mixture::Handovers),
     ("demand", Mixture::Demand),
     ("crashes", Mixture::Crashes),
     ("outages", Mixture::Outages),
     ("relays", Mixture::Relays),
+    ("usual", Mixture::Usual),
     ("all", Mixture::All),
 ];
 
@@ -222,6 +225,33 @@
         }
     }
 
+    /// The holder is paused, and a successor may claim the lease meanwhile.
+    fn pause(&mut self) {
+        let ms = 500 + self.below(9000);
+        self.w.pause(Duration::from_millis(ms));
+        if self.below(2) == 0 {
+            self.w.take_over();
+        }
+    }
+
+    fn usual(&mut self) {
+        for _ in 0..3 + self.below(6) {
+            let at = self.below(WORKERS) as usize;
+            match self.below(8) {
+                0 => self.w.take_over(),
+                1 | 2 => self.pause(),
+                3 => self.w.replace(at),
+                4 | 5 => self.w.cut(at, true),
+                6 => {
+                    let (south, wanted) = (self.below(2) == 0, self.below(3) > 0);
+                    self.w.evacuate(if south { "south" } else { "north" }, wanted);
+                }
+                _ => self.w.submit_again(),
+            }
+            self.run_between(200, 3000);
+        }
+    }
+
     /// One spell of faults.
     fn spell(&mut self, mixture: Mixture) {
         self.w.rng.faults_per_mille = [0, 0, 20][self.below(3) as usize];
@@ -236,6 +266,7 @@
             Mixture::Crashes => self.crashes(),
             Mixture::Outages => self.outages(),
             Mixture::Relays => self.relays(),
+            Mixture::Usual => self.usual(),
             Mixture::All => {
                 let at = self.below(MIXTURES.len() as u64 - 1) as usize;
                 self.spell(MIXTURES[at].1);
@@ -329,6 +360,11 @@
     play_all(World::relayed, Mixture::Relays);
 }
 
+#[test]
+fn short_histories_with_usual_faults() {
+    play_all(World::two_centres, Mixture::Usual);
+}
+
 #[test]
 fn short_histories_with_all() {
     play_all(World::restarting_relayed, Mixture::All);
