--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -1,8 +1,9 @@
 //! Placement: chooses the worker that a task is started on.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeSet, BinaryHeap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::fair_share::weighted_usage;
 use super::job::{Job, Phase, Run, Task, WorkerId};
@@ -26,6 +27,12 @@
 /// as one task of the same step: with more, a wave over most hosts would gather a step's tasks on the
 /// few others, where one crash takes many of them.
 const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
+/// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
+const MAX_UNREACHED_STEPS: usize = 32;
+/// Most different choices of workers that are tried in vain for the tasks of one step.
+const MAX_CHOICES_TRIED: usize = 4;
+/// After this time without a run or a failure, a long-running task is placed on any worker with room.
+pub(super) const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Places the waiting tasks of a service, most urgent first.
@@ -33,26 +40,51 @@
         if self.store_access == StoreAccess::Answering {
             self.place_trials(service);
         }
+        let reached = self.place_in_order(service);
+        self.place_unreached_long_running(service, &reached);
+    }
+
+    /// Places steps in the order of placement until too many found no worker; returns the
+    /// long-running ones that were tried.
+    fn place_in_order(&mut self, service: &ServiceId) -> BTreeSet<StepId> {
         // Steps that found no worker; see `PlacementPolicy::max_misses`.
         let mut misses = 0;
+        let mut reached = BTreeSet::new();
         let mut steps = StepQueue::new(self.placement_order(service));
         let owners: Vec<Owner> = self.ready.get(service).map(|w| w.owners().collect()).unwrap_or_default();
         owners.into_iter().for_each(|owner| self.queue_next_step(&mut steps, service, owner, None));
         while misses < self.policy.placement.max_misses {
-            let Some(next) = steps.next() else { return };
+            let Some(next) = steps.next() else { break };
+            let long_running = self.is_long_running(&next.step);
+            if long_running {
+                reached.insert(next.step);
+            }
             match self.place_step(service, &next.step) {
                 StepPlacement::Done => {}
                 StepPlacement::NoWorker => {
                     // Long-running tasks, which may find no worker for hours, and tasks that need a
                     // ticket do not count as misses.
-                    misses +=
-                        usize::from(!self.is_long_running(&next.step) && !self.needs_ticket(&next.step));
+                    misses += usize::from(!long_running && !self.needs_ticket(&next.step));
                 }
-                // Nothing else of this workspace can start either, so its next step is not queued.
+                // The workspace keeps what is left of its limit for this step, so its next step is not
+                // queued.
                 StepPlacement::OverLimit => continue,
             }
             self.queue_next_step(&mut steps, service, next.owner, Some(&next));
         }
+        reached
+    }
+
+    /// Places long-running tasks behind steps that find no worker or exceed the limit of their
+    /// workspace. Those may be waiting for long, and users miss a long-running task at once.
+    fn place_unreached_long_running(&mut self, service: &ServiceId, reached: &BTreeSet<StepId>) {
+        let Some(waiting) = self.ready.get_mut(service) else { return };
+        if waiting.long_running_steps() == 0 {
+            return;
+        }
+        for step in waiting.next_long_running(MAX_UNREACHED_STEPS, reached) {
+            self.place_step(service, &step);
+        }
     }
 
     /// Order of placement among steps with the same priority and timeliness.
@@ -144,7 +176,7 @@
     }
 
     /// Places the waiting tasks of a step. All need the same resources: if one does not fit, none
-    /// does.
+    /// does, except for long-running tasks that avoid other workers.
     fn place_step(&mut self, service: &str, id: &StepId) -> StepPlacement {
         let Some(job) = self.jobs.get(&id.job) else { return StepPlacement::Done };
         let spec = job.spec.clone();
@@ -154,11 +186,8 @@
         if self.is_held_back(&spec, step, id) || !self.may_start_now(step, id) {
             return StepPlacement::Done;
         }
-        // Members of a gang start together, each as a trial if it is suspected.
-        let startable = |s: &Scheduler, task: &TaskId| step.gang || !s.waits_for_trial(task, service);
-        while let Some(task) =
-            self.ready.get(service).and_then(|w| w.tasks_of(id).find(|t| startable(self, t)))
-        {
+        let mut unplaced: Vec<WorkerChoice> = Vec::new();
+        while let Some(task) = self.next_startable(id, step, service, &unplaced) {
             if !self.is_within_limit(held.owner, &needed_at_once) {
                 return StepPlacement::OverLimit;
             }
@@ -166,11 +195,43 @@
                 true => self.place_gang(&task, step, service),
                 false => self.place_task(&task, step, service),
             };
-            if !placed {
+            if placed {
+                continue;
+            }
+            let choice = self.worker_choice(&task);
+            // No other task has a wider choice than one that takes any worker.
+            let was_widest = !step.long_running || step.gang || choice.takes_any;
+            unplaced.push(choice);
+            if was_widest || unplaced.len() == MAX_CHOICES_TRIED {
                 return StepPlacement::NoWorker;
             }
         }
-        StepPlacement::Done
+        if unplaced.is_empty() { StepPlacement::Done } else { StepPlacement::NoWorker }
+    }
+
+    /// The first waiting task of a step that may be started now, without those whose choice of workers
+    /// is the same as that of a task that found none.
+    fn next_startable(
+        &self,
+        id: &StepId,
+        step: &StepSpec,
+        service: &str,
+        unplaced: &[WorkerChoice],
+    ) -> Option<TaskId> {
+        // Members of a gang start together, each as a trial if it is suspected.
+        let startable = |task: &TaskId| step.gang || !self.waits_for_trial(task, service);
+        let has_choice = |task: &TaskId| unplaced.is_empty() || !unplaced.contains(&self.worker_choice(task));
+        self.ready.get(service)?.tasks_of(id).find(|t| startable(t) && has_choice(t))
+    }
+
+    /// What the choice of a worker depends on, the step aside.
+    fn worker_choice(&self, id: &TaskId) -> WorkerChoice {
+        let job = self.jobs.get(&id.job);
+        let avoided = job.and_then(|j| j.task(id)).and_then(|t| t.worker_to_avoid(self.now));
+        WorkerChoice {
+            avoided: avoided.cloned(),
+            takes_any: job.is_some_and(|job| self.takes_any_worker(job, id)),
+        }
     }
 
     fn place_task(&mut self, id: &TaskId, step: &StepSpec, service: &str) -> bool {
@@ -219,7 +280,7 @@
 
     /// The best worker with enough room. For tasks that are neither long-running nor tied to the
     /// rack of their data, it is the first fit in the order of the index. A slow worker is chosen only
-    /// if no other one could ever run the task.
+    /// if no other one could ever run the task, or if the task takes any worker.
     pub(super) fn choose_worker(
         &self,
         job: &Job,
@@ -232,13 +293,23 @@
         if found.is_some() || self.slow_workers.is_empty() {
             return found;
         }
-        let mut others = self.workers.available(service, 0).filter(|(wid, _)| !is_slow(wid));
-        if others.any(|(_, w)| self.could_run(w, step, id)) {
-            return None;
+        if !self.takes_any_worker(job, id) {
+            let mut others = self.workers.available(service, 0).filter(|(wid, _)| !is_slow(wid));
+            if others.any(|(_, w)| self.could_run(w, step, id)) {
+                return None;
+            }
         }
         self.choose_worker_except(job, step, id, service, &|_| false)
     }
 
+    /// Whether a task is placed on any worker with room, also on one that is rather avoided. While a
+    /// long-running task waits for a better one, its users are not served. One that has just failed
+    /// waits nevertheless, so that it is not started over and over on a faulty worker.
+    fn takes_any_worker(&self, job: &Job, id: &TaskId) -> bool {
+        let just_failed = job.task(id).is_some_and(|t| t.failed_within(LONG_RUNNING_PATIENCE, self.now));
+        !just_failed && self.absent_tasks.is_absent_for(id, LONG_RUNNING_PATIENCE, self.now)
+    }
+
     /// Whether a worker outside of backoff could run a task if it were empty.
     fn could_run(&self, w: &Worker, step: &StepSpec, id: &TaskId) -> bool {
         let needed = step.reserved_resources();
@@ -260,7 +331,7 @@
         let advised = self.needs_ticket(&id.step_id());
         let fits = |w: &Worker| {
             let ticket = !advised || w.ticket(&id.step_id(), self.now).is_some();
-            let kept_free = w.in_backoff(self.now) || w.in_quarantine(self.now);
+            let kept_free = w.refuses_starts(self.now) || w.is_on_trial(self.now);
             let on_record = self.store_access == StoreAccess::Answering || w.open_on_record;
             ticket
                 && !kept_free
@@ -276,26 +347,32 @@
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
-        let best = |skip: Option<&WorkerId>| {
-            let mut open = available().filter(|(wid, _)| skip != Some(*wid));
+        let best = |skip: Option<&WorkerId>, kept_ones_too: bool| {
+            let kept = |w: &Worker| w.is_shunned(self.now) || w.in_quarantine(self.now);
+            let usable = |w: &Worker| kept_ones_too || !kept(w);
+            let mut open = available().filter(|(wid, w)| skip != Some(*wid) && usable(w));
             let found = match step.long_running || step.data_rack.is_some() {
                 true => open.min_by_key(|(_, w)| cost(w)),
                 false => open.next(),
             };
             found.map(|(wid, _)| wid.clone())
         };
-        let found = best(avoid);
-        if found.is_some() || avoid.is_none() {
+        let found = best(avoid, false);
+        if found.is_some() {
             return found;
         }
+        if self.takes_any_worker(job, id) {
+            return best(None, false).or_else(|| best(None, true));
+        }
         // The worker to avoid is used only if there is no other candidate.
+        avoid?;
         let candidates = if advised {
             self.count_possible_workers(&self.available_workers(service), &id.step_id())
         } else {
             let all = self.workers.available(service, 0);
             all.filter(|(_, w)| self.could_run(w, step, id)).take(2).count()
         };
-        if candidates > 1 { None } else { best(None) }
+        if candidates > 1 { None } else { best(None, false) }
     }
 
     /// Whether the worker has the label that the step requires, and room under the step's limit of
@@ -392,6 +469,15 @@
     }
 }
 
+/// What the choice of a worker for a task depends on, the step aside.
+#[derive(PartialEq, Eq)]
+struct WorkerChoice {
+    /// The worker that the task avoids.
+    avoided: Option<WorkerId>,
+    /// Whether any worker with room will do.
+    takes_any: bool,
+}
+
 /// Outcome of placing the tasks of a step.
 enum StepPlacement {
     /// All tasks were placed, or need no placement any more.
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -37,6 +37,8 @@
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
 /// The check visits every run.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time that workers have after a takeover for a first answer, before their runs count as lapsed.
+const FIRST_ANSWER_TIME: Duration = Duration::from_secs(2);
 
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
@@ -46,6 +48,8 @@
     pub wall: UnixMs,
     /// When the scheduler lease was claimed.
     pub claimed_at: Duration,
+    /// Until when holders of earlier terms may extend workers' leases; `None` if that is not known.
+    pub predecessors_extend_until: Option<Duration>,
     /// Fencing token of this term.
     pub token: Term,
     /// Name of the entry that holds the lease.
@@ -105,6 +109,8 @@
     pub(super) advice: AdviceState,
     /// Whether the store takes records, and what is done while it does not.
     pub(super) store_access: StoreAccess,
+    /// Forgotten workers whose record with a bound may still be stored.
+    pub(super) forgotten_bounds: BTreeSet<WorkerId>,
     /// Tasks that a predecessor may have started without a record.
     pub(super) barrier: TakeoverBarrier,
     /// Whether a worker reported a higher fencing token than this term's.
@@ -168,6 +174,7 @@
             now: claimed_at,
             wall,
             claimed_at,
+            predecessors_extend_until: None,
             token,
             holder: String::new(),
             strength: EntryCapacity::MAX,
@@ -197,6 +204,7 @@
             pools: PoolState::default(),
             advice: AdviceState::default(),
             store_access: StoreAccess::default(),
+            forgotten_bounds: BTreeSet::new(),
             barrier: TakeoverBarrier::default(),
             deposed: false,
             dirty_jobs: BTreeSet::new(),
@@ -220,12 +228,15 @@
 
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
-        let open = rec.open;
+        let (open, lease_left) = (rec.open, rec.lease_left);
         let info = WorkerInfo::from_record(id.clone(), rec);
-        let (lease_end, since) = (self.inherited_lease_end(), self.claimed_at);
+        let (lease_end, since) = (self.restored_lease_end(lease_left), self.claimed_at);
         let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
         w.info = Some(Arc::new(info));
         (w.open_written, w.open_on_record) = (open, open);
+        if lease_left.is_some() {
+            w.extensions.restore_bound();
+        }
         drop(w);
         self.hold_back_for(&id, open);
         // A probe of its address shows whether that incarnation has ended.
@@ -305,9 +316,16 @@
         }
     }
 
-    /// Returns when the last lease that a predecessor may have extended ends.
-    fn inherited_lease_end(&self) -> Duration {
-        self.claimed_at + self.limits.extension_grace + self.lease_with_drift()
+    /// Returns until when holders of earlier terms may extend workers' leases.
+    pub fn predecessors_extend_until(&self) -> Duration {
+        self.predecessors_extend_until.unwrap_or(self.claimed_at + self.limits.extension_grace)
+    }
+
+    /// Returns when the last lease that a predecessor may have extended ends, and workers have had time to
+    /// tell what ended there.
+    pub(super) fn inherited_lease_end(&self) -> Duration {
+        let lease_end = self.predecessors_extend_until() + self.lease_with_drift();
+        lease_end.max(self.claimed_at + FIRST_ANSWER_TIME)
     }
 
     /// The longest real time that a worker's lease may last, with clock drift.
@@ -486,6 +504,7 @@
         self.ready.values_mut().for_each(|w| w.downgrade_late_steps(wall));
         self.settle_expired_leases();
         self.settle_expired_barrier();
+        self.record_due_bounds();
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
             self.send_due_stops();
@@ -570,9 +589,9 @@
             batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
         }
         for id in std::mem::take(&mut self.dirty_workers) {
-            let open = self.take_open(&id);
+            let (open, lease_left) = (self.take_open(&id), self.take_lease_left(&id));
             batch.records.push(match self.workers.get(&id).and_then(|w| w.info.as_ref()) {
-                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, ..info.record() }),
+                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, lease_left, ..info.record() }),
                 None => Record::DropWorker(id),
             });
         }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -152,6 +152,10 @@
     /// Failed runs per task.
     failed_runs: HashMap<TaskId, u32>,
     term: Term,
+    /// When a holder last renewed the lease.
+    last_renewal: Duration,
+    /// Until when leases may still be extended, as a release has told.
+    released_until: Option<Duration>,
     /// Number of worker lives created; used to name them.
     lives: u64,
     /// Tasks whose successful end a holder has acknowledged.
@@ -169,6 +173,8 @@
     restarts: bool,
     /// Whether holders start late tasks a second time where their step allows copies.
     second_runs: bool,
+    /// Whether holders record when the leases of workers that don't answer end.
+    records_lease_ends: bool,
     worker_limits: WorkerLimits,
     /// Whether few orders at a time are under way to a worker, and the others wait in its relay.
     order_queues: bool,
@@ -323,7 +329,11 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
+        let extended_until = self.released_until.take().unwrap_or(self.last_renewal + EXTENSION_GRACE);
+        sched.predecessors_extend_until = Some(extended_until);
+        self.last_renewal = self.now;
         sched.policy.second_runs.enabled = self.second_runs;
+        sched.policy.handover.records_lease_ends = self.records_lease_ends;
         sched.policy.outage = self.outage.clone();
         self.set_relays(&mut sched);
         let mut cfg = config();
@@ -355,16 +365,6 @@
         self.open(self.holders.len() - 1, own);
     }
 
-    /// Ends the current holder as planned, once its write is stored if the store answers, and lets a
-    /// new one claim the lease.
-    pub fn hand_over(&mut self) {
-        if let Some(last) = self.holders.len().checked_sub(1) {
-            self.finish_last_write(last);
-        }
-        self.kill_holder();
-        self.take_over();
-    }
-
     /// Sets the entries that a scheduler may use as relays.
     fn set_relays(&self, sched: &mut Scheduler) {
         let others = self.relays.iter().filter(|r| r.own.is_none());
@@ -521,6 +521,11 @@
         self.workers.iter().filter(|w| w.up && w.running.contains_key(id)).count()
     }
 
+    /// Returns a worker that is running a task.
+    pub fn worker_of(&self, id: &TaskId) -> Option<usize> {
+        self.workers.iter().position(|w| w.up && w.running.contains_key(id))
+    }
+
     /// Advances the simulation by a duration.
     pub fn run_for(&mut self, duration: Duration) {
         let end = self.now + duration;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -56,6 +56,19 @@
     World::restarting(workers, luck).with_unrecorded_starts().with_order_queues()
 }
 
+/// Worlds whose holders record when the leases of workers that don't answer end.
+fn lease_ends(workers: usize, luck: FaultRng) -> World {
+    World::new(workers, luck).with_lease_ends()
+}
+
+fn lease_ends_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::restarting_relayed(workers, luck).with_lease_ends()
+}
+
+fn lease_ends_and_outages(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_unrecorded_starts().with_lease_ends()
+}
+
 /// Relays of a world.
 const RELAYS: u64 = 4;
 
@@ -105,6 +118,8 @@
     Copies,
     /// Outages of the store, for the holder alone or for all.
     Outages,
+    /// Holders that end by plan, one after the other.
+    Handovers,
 }
 
 /// The store goes silent for the holder; a successor may claim the lease meanwhile, and the holder may
@@ -162,6 +177,9 @@
         if with == With::Outages && w.rng.below(4) == 0 {
             lose_store(&mut w);
         }
+        if with == With::Handovers && w.rng.below(3) == 0 {
+            w.hand_over();
+        }
         match w.rng.below(12) {
             0..=4 => {
                 let mut steps = vec![step(1 + w.rng.below(3) as u32, vec![])];
@@ -267,6 +285,29 @@
     assert!(starts > HISTORIES && unrecorded > HISTORIES, "{starts} starts, {unrecorded} without record");
 }
 
+/// Planned changes of holder follow each other faster than leases end.
+#[test]
+fn short_histories_with_handovers() {
+    play_with_starts(HISTORIES, World::new, With::Handovers);
+    play_with_starts(HISTORIES, World::relayed, With::Handovers);
+}
+
+/// The same where holders record when leases end.
+#[test]
+fn short_histories_with_lease_ends() {
+    play_with_starts(HISTORIES, lease_ends, With::Handovers);
+}
+
+#[test]
+fn short_histories_with_lease_ends_and_relays() {
+    play_with_starts(HISTORIES, lease_ends_and_relays, With::Relays);
+}
+
+#[test]
+fn short_histories_with_lease_ends_and_outages() {
+    play_with_starts(HISTORIES, lease_ends_and_outages, With::Outages);
+}
+
 #[test]
 fn short_histories_with_outages_and_restarts() {
     let starts = play_all(HISTORIES, outages_and_restarts, With::Outages).unrecorded_starts;
@@ -381,6 +422,11 @@
         "advised" => (World::advised, With::Nothing),
         "limit" => (World::limited, With::Nothing),
         "relays" => (World::relayed, With::Relays),
+        "handovers" => (World::new, With::Handovers),
+        "handovers-relays" => (World::relayed, With::Handovers),
+        "lease-ends" => (lease_ends, With::Handovers),
+        "lease-ends-relays" => (lease_ends_and_relays, With::Relays),
+        "lease-ends-outages" => (lease_ends_and_outages, With::Outages),
         "evacuations" => (World::two_centres, With::Evacuations),
         "outages" => (outages, With::Outages),
         "outages-restarts" => (outages_and_restarts, With::Outages),
