--- a/crates/workswood-test-support/src/job_world/crashes.rs
+++ b/crates/workswood-test-support/src/job_world/crashes.rs
@@ -43,6 +43,11 @@
         self.crashes.crashing_tasks.insert(task, after);
     }
 
+    /// Returns whether a task of a job crashes its workers.
+    pub(super) fn has_crashing_task(&self, key: JobKey) -> bool {
+        self.crashes.crashing_tasks.keys().any(|task| task.job == key)
+    }
+
     /// Returns the number of workers that crashed while running a task.
     pub fn crashed_under(&self, task: &TaskId) -> u32 {
         self.crashes.crashed_under.get(task).copied().unwrap_or(0)
