Count no lease that a relay doesn't send

A poll that waits for the order to extend a worker's lease noted the end of a lease that it didn't send. Found by reading, in the review of the change; the worlds' relays note only what they send.

--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -169,6 +169,10 @@
     /// would outlast the end that [`Self::record_poll_failure`] returned. The end is recorded
     /// before the check, so that a poll that fails at the same time takes it into account.
     pub(super) fn may_lease_until(&self, until: Duration) -> bool {
+        // A lease that is not sent must not count as one that may last.
+        if !self.is_extension_allowed() {
+            return false;
+        }
         self.leased_until_ms.fetch_max(until.as_millis() as u64 + 1, Ordering::SeqCst);
         !self.is_silent() && !self.is_unassigned() && self.is_extension_allowed()
     }
