Record the end of a lease only if that costs no extension

A bound that is on record keeps a lease from being extended until a record without it is stored. So none is recorded any more while the store is away, where a worker that answers again would lapse. The second of silence counts from the first poll without an answer or from the start of an assignment: a quiet worker is heard from seldom, and a mere change of relay had its bound recorded before the first answer to the new relay. And a worker that may have runs without a record gets a bound too, since tasks are held back for it until its lease ends.

--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use super::job::{Phase, WorkerId};
+use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
 use super::types::Action;
 use super::worker::{Worker, WorkerRecord};
@@ -41,16 +42,22 @@
     pub bound_on_record: bool,
     /// When a bound was last taken for the store.
     bound_taken_at: Duration,
+    /// When the assignment began or, after an answer, when a poll first had none.
+    silent_since: Duration,
 }
 
 impl LeaseExtensions {
     /// Begins an assignment to a relay.
-    fn begin(&mut self, relay_waits: bool) {
-        *self = LeaseExtensions { relay_waits, allowed: !relay_waits, unanswered: 0, ..self.clone() };
+    fn begin(&mut self, relay_waits: bool, now: Duration) {
+        let allowed = !relay_waits;
+        *self = LeaseExtensions { relay_waits, allowed, unanswered: 0, silent_since: now, ..self.clone() };
     }
 
-    /// Notes that a poll had no answer.
-    pub(super) fn note_unanswered(&mut self) {
+    /// Notes that a poll had no answer, the first one of a silence or a further one.
+    pub(super) fn note_unanswered(&mut self, first: bool, now: Duration) {
+        if first {
+            self.silent_since = now;
+        }
         self.unanswered += 1;
         self.allowed &= !self.relay_waits;
     }
@@ -78,12 +85,13 @@
     pub(super) fn begin_extensions(&mut self, id: &WorkerId) -> bool {
         let records_bounds = self.policy.handover.records_lease_ends;
         let forgotten = self.forgotten_bounds.contains(id);
+        let now = self.now;
         let Some(mut w) = self.workers.get_mut(id) else { return false };
         if forgotten {
             w.extensions.restore_bound();
         }
         let waits = records_bounds || w.extensions.bound_on_record;
-        w.extensions.begin(waits);
+        w.extensions.begin(waits, now);
         waits
     }
 
@@ -105,14 +113,20 @@
         self.relays.push_order(Action::ExtendLeases(id.clone(), unanswered));
     }
 
+    /// Whether new bounds may be recorded. While the store is away, a bound would keep the lease of a worker
+    /// that answers again from being extended until the store is back.
+    fn records_bounds(&self) -> bool {
+        self.policy.handover.records_lease_ends && self.store_access == StoreAccess::Answering
+    }
+
     /// Has bounds recorded that are due.
     pub(super) fn record_due_bounds(&mut self) {
-        if !self.policy.handover.records_lease_ends {
+        if !self.records_bounds() {
             return;
         }
         let now = self.now;
         let due = |w: &Worker| {
-            let due = w.silent_since() + RECORD_AFTER;
+            let due = w.extensions.silent_since + RECORD_AFTER;
             w.lease_end > now && now >= due.max(w.extensions.bound_taken_at + RECORD_INTERVAL)
         };
         let silent = self.workers.unreachable().filter(|(_, w)| due(w)).map(|(id, _)| id.clone());
@@ -124,11 +138,12 @@
         }
     }
 
-    /// Whether nothing extends the lease of a worker any more that has runs and does not answer.
+    /// Whether nothing extends the lease of a worker any more that does not answer and has runs, or may have
+    /// some without a record.
     fn may_record_bound(&self, id: &WorkerId) -> bool {
         let Some(w) = self.workers.get(id) else { return false };
         let silent = !w.reachable && !w.extensions.allowed && !w.superseded;
-        let recorded = w.info.is_some() && !w.runs.is_empty();
+        let recorded = w.info.is_some() && (!w.runs.is_empty() || !self.is_settled(id));
         let starting = |(task, attempt): &(_, u32)| {
             self.run(id, task, *attempt).is_some_and(|run| run.phase == Phase::Starting)
         };
@@ -139,10 +154,10 @@
     /// the worker answers.
     pub(super) fn take_lease_left(&mut self, id: &WorkerId) -> Option<u64> {
         let now = self.now;
-        let may_record = self.policy.handover.records_lease_ends && self.may_record_bound(id);
+        let may_record = self.records_bounds() && self.may_record_bound(id);
         let mut w = self.workers.get_mut(id)?;
         let silent = !w.reachable && !w.extensions.allowed;
-        let long_silent = now >= w.silent_since() + RECORD_AFTER;
+        let long_silent = now >= w.extensions.silent_since + RECORD_AFTER;
         let kept = silent && w.extensions.bound_on_record;
         let bounded = kept || may_record && long_silent;
         w.extensions.bound_written = bounded;
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -338,11 +338,6 @@
         self.listed && self.runs_known && self.reachable && leased && open
     }
 
-    /// Since when a worker that does not answer has been silent, as far as is known in this term.
-    pub(super) fn silent_since(&self) -> Duration {
-        self.last_heard.max(self.known_since)
-    }
-
     /// Whether the worker is kept from new work for a while, after faults or a refused start.
     pub fn in_backoff(&self, now: Duration) -> bool {
         self.refuses_starts(now) || self.is_shunned(now)
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -155,8 +155,10 @@
 
     /// Marks a worker that did not answer a probe as unreachable.
     pub(super) fn mark_unreachable(&mut self, id: &WorkerId, lease_end: Duration) {
+        let now = self.now;
         let Some(mut w) = self.workers.get_mut(id) else { return };
-        if w.reachable {
+        let first = w.reachable;
+        if first {
             w.silent_for = self.now.saturating_sub(w.last_heard);
             let silent = w.silent_for.as_millis();
             self.notes.push(format_args!(
@@ -166,7 +168,7 @@
         }
         w.reachable = false;
         w.lease_end = w.lease_end.max(lease_end);
-        w.extensions.note_unanswered();
+        w.extensions.note_unanswered(first, now);
         drop(w);
         self.update_open(id);
     }
