Count the grant of a relay in another entry that may not hear that it has to stop

A worker that is taken from such a relay counted as leased for one lease from then. If the order to stop is lost, the relay extends its lease until its grant ends. The successor's own wait used to cover that; now the end is passed on. Found by reading, in the review of the change.

--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -171,18 +171,29 @@
 
     /// Queues a worker for a new relay. No orders are sent to it until it has answered that relay.
     pub(super) fn request_relay(&mut self, id: &WorkerId) {
-        let lease_end = self.now + self.lease_with_drift();
+        let lease_end = self.last_lease_end_of_relay(id);
         self.detach_relay(id, lease_end);
         self.relays.unassigned.insert(id.clone());
     }
 
     /// Takes a worker from its relay without assigning another; its runs are not settled by that.
     pub(super) fn withdraw_relay(&mut self, id: &WorkerId) {
-        let lease_end = self.now + self.lease_with_drift();
+        let lease_end = self.last_lease_end_of_relay(id);
         self.detach_relay(id, lease_end);
         self.relays.unassigned.remove(id);
     }
 
+    /// When the last lease ends that the present relay of a worker may extend. The order to stop may not
+    /// reach a relay in another entry, which then goes on until its grant ends.
+    fn last_lease_end_of_relay(&self, id: &WorkerId) -> Duration {
+        let relay = self.workers.get(id).and_then(|w| w.relay.as_ref());
+        let grace = match relay {
+            Some(relay) if *relay != self.holder => self.limits.extension_grace,
+            _ => Duration::ZERO,
+        };
+        self.now + grace + self.lease_with_drift()
+    }
+
     /// Detaches a worker from its relay, which may have extended the worker's lease until
     /// `lease_end`.
     fn detach_relay(&mut self, id: &WorkerId, lease_end: Duration) {
