A release tells when earlier grants end only if that is certain

A holder that was stopped before it had read its own first renewal told the end of its predecessors' grants as counted from its own claim; a renewal that the store took after that claim could end later. Now it counts from the answer to the first renewal of the term, which fences earlier ones off, or is left out.

--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -75,8 +75,8 @@
 
     /// Returns the record with which a process releases the lease after its scheduler has ended.
     pub(super) fn release_after_end(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
-        let left = handle.extensions_left(node.now()).as_millis() as u64;
-        LeaseRecord { extensions_left_ms: Some(left), ..LeaseRecord::of(node, handle.term, true) }
+        let left = handle.extensions_left(node.now()).map(|left| left.as_millis() as u64);
+        LeaseRecord { extensions_left_ms: left, ..LeaseRecord::of(node, handle.term, true) }
     }
 
     /// Returns what the record tells about the end of its writer's grants.
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -38,6 +38,7 @@
                 next_append += 1;
                 renewed_at = sent;
                 handle.grant.extend(sent + EXTENSION_GRACE);
+                handle.first_renewed_at.get_or_init(|| node.now());
                 handle.renewals.send_modify(|n| *n += 1);
                 if *last_renewal.borrow_and_update() == LastRenewal::Asked {
                     handle.last_renewal.send_replace(LastRenewal::Written { next_append });
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -1,8 +1,8 @@
 //! State that the tasks of one process share.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwapOption;
@@ -85,6 +85,8 @@
     pub admission: Mutex<Admission>,
     /// Set to true to stop the scheduler.
     pub stop: watch::Sender<bool>,
+    /// When the first renewal of the term was acknowledged.
+    pub first_renewed_at: OnceLock<Duration>,
     /// Number of times that the lease was renewed.
     pub renewals: watch::Sender<u64>,
     /// Asks for the last renewal, and tells when it is written.
@@ -114,6 +116,7 @@
             admission: Mutex::default(),
             stop,
             renewals: watch::Sender::new(0),
+            first_renewed_at: OnceLock::new(),
             last_renewal: watch::Sender::new(LastRenewal::NotAsked),
         }
     }
@@ -129,10 +132,13 @@
 
     /// How long anybody may still extend workers' leases, under this term or an earlier one, after the
     /// scheduler of this term has ended.
-    pub(super) fn extensions_left(&self, now: Duration) -> Duration {
-        let earlier = (*self.earlier_grants_end.borrow()).unwrap_or(self.held_since + EXTENSION_GRACE);
+    /// `None` if that is not certain.
+    pub(super) fn extensions_left(&self, now: Duration) -> Option<Duration> {
+        // The store takes no renewal of an earlier term after the first one of this term.
+        let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
+        let earlier = (*self.earlier_grants_end.borrow()).or_else(fenced)?;
         let left = self.relays_grant.end().max(earlier).saturating_sub(now);
-        if left.is_zero() { left } else { left + GRANT_ROUNDING }
+        Some(if left.is_zero() { left } else { left + GRANT_ROUNDING })
     }
 }
 
