--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -54,6 +54,7 @@
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
 //!   tasks a new lease holder holds back because its predecessor may have started them so; [`owed_batch`] merges the batches that wait.
+//! * `lease_bounds` records when the leases of workers end that don't answer, for the next lease holder.
 //! * [`policy`] holds the parameters of the decisions.
 //! * [`pool_need`] computes how many hosts each pool needs, from the [`demand_history`];
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -13,9 +13,9 @@
 use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
 use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
 use workswood_core::jobs::lease_handover::HandoverPolicy;
-use workswood_core::jobs::{Event, SchedConfig, StepSpec, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, Record, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerUpdate};
 use workswood_platform::jobs::KeyedRecord;
-use workswood_test_support::host_world::worker;
+use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 use workswood_test_support::turn_store::TurnStore;
@@ -348,3 +348,52 @@
         }
     }
 }
+
+/// The bounds in the records that a batch holds.
+fn recorded_bounds(world: &mut HostWorld) -> Vec<u64> {
+    let batch = world.sched.take_batch();
+    let bound = |rec: &Record| match rec {
+        Record::Worker(_, rec) => rec.lease_left,
+        _ => None,
+    };
+    batch.records.iter().filter_map(bound).collect()
+}
+
+/// A worker with a run that has been silent since 200 ms.
+fn world_with_silent_worker() -> HostWorld {
+    let mut world = HostWorld::new(1);
+    world.sched.policy.handover.records_lease_ends = true;
+    // The next assignment is the first one with the setting.
+    let own = world.sched.holder.clone();
+    world.sched.handle(Event::RelayLeaving(own));
+    world.report(0, 0, &[]);
+    world.at(100);
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    world.sched.handle(Event::Submitted(JOB, Arc::new(job(vec![lasting], 100))));
+    let started = world.tick();
+    let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
+    world.taken(worker, *task, *attempt);
+    world.at(200);
+    world.tells(worker, WorkerUpdate::Unanswered { lease_end: ms(6_000), heard: ms(100) });
+    world
+}
+
+#[test]
+fn bound_after_a_second_of_silence() {
+    let mut world = world_with_silent_worker();
+    world.at(1_000);
+    world.sched.handle(Event::Tick);
+    assert_eq!(recorded_bounds(&mut world), Vec::<u64>::new());
+    world.at(1_300);
+    world.sched.handle(Event::Tick);
+    assert_eq!(recorded_bounds(&mut world), vec![4_701]);
+}
+
+#[test]
+fn no_bound_while_store_is_away() {
+    let mut world = world_with_silent_worker();
+    world.sched.set_store_access(StoreAccess::Away);
+    world.at(1_300);
+    world.sched.handle(Event::Tick);
+    assert_eq!(recorded_bounds(&mut world), Vec::<u64>::new());
+}
