--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -119,6 +119,7 @@
                     if reserved <= unplaced && self.reserve_for_trial(service, &id) {
                         reserved += 1;
                     }
+                    // Each reserved worker counts for one of the tasks that wait.
                     unplaced = reserved.min(unplaced + 1);
                     continue;
                 }
--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -13,6 +13,13 @@
 //! what is left then. No clocks of two hosts are compared.
 //!
 //! A bound says nothing about runs that are not on record; `open` does.
+//!
+//! | state of a worker | `allowed` | `bound_on_record` |
+//! |---|---|---|
+//! | answers, its lease is extended | yes | no |
+//! | silent, or not heard since its assignment began | no | no |
+//! | silent, and its bound is or may be stored | no | yes |
+//! | answers again, and the record without a bound is not stored yet | no | yes |
 
 use std::time::Duration;
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -37,7 +37,8 @@
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
 /// The check visits every run.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time that workers have after a takeover for a first answer, before their runs count as lapsed.
+/// Time that workers have after a takeover for a first answer, before their runs count as lapsed. A worker
+/// with a bound on record needs none: its lease was not extended since.
 const FIRST_ANSWER_TIME: Duration = Duration::from_secs(2);
 
 /// The state of the process that holds the scheduler lease.
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -54,6 +54,7 @@
     /// Notes a record that is read for the first time.
     pub fn note_record(&mut self, rec: RecordFacts, now: Duration) {
         let by_reading = now + EXTENSION_GRACE;
+        // Compares the record with the term that was read before it.
         self.note_record_after_claim(rec.term, by_reading);
         let (begins_term, is_late) = match self.term {
             None => (true, false),
