--- a/tests/testsuite/absent_tasks.rs
+++ b/tests/testsuite/absent_tasks.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{Action, Event, JobSpec, StepSpec, StoreAccess, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_world::{job, step};
@@ -20,6 +21,17 @@
     world.tick().into_iter().filter(|a| matches!(a, Action::Start { .. })).collect()
 }
 
+/// A world whose only worker runs a long-running task.
+fn world_with_running_task() -> (HostWorld, WorkerId) {
+    let mut world = HostWorld::new(1);
+    world.at(100);
+    let started = submit(&mut world, 1, long_running_job(1000));
+    let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
+    world.taken(worker, *task, *attempt);
+    let worker = worker.clone();
+    (world, worker)
+}
+
 /// Ticks from one time to another; returns the lines about absent tasks.
 fn lines_until(world: &mut HostWorld, from_ms: u64, to_ms: u64) -> Vec<String> {
     world.sched.notes.clear();
@@ -33,11 +45,7 @@
 
 #[test]
 fn no_line_while_running() {
-    let mut world = HostWorld::new(1);
-    world.at(100);
-    let started = submit(&mut world, 1, long_running_job(1000));
-    let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
-    world.taken(worker, *task, *attempt);
+    let (mut world, _) = world_with_running_task();
     assert_eq!(lines_until(&mut world, 200, 5_000), Vec::<String>::new());
     assert_eq!(world.sched.absent_long_running_tasks(), 0);
 }
@@ -69,13 +77,9 @@
 
 #[test]
 fn unreachable_worker() {
-    let mut world = HostWorld::new(1);
-    world.at(100);
-    let started = submit(&mut world, 1, long_running_job(1000));
-    let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
-    world.taken(worker, *task, *attempt);
+    let (mut world, worker) = world_with_running_task();
     let lease_end = Duration::from_secs(9);
-    world.tells(worker, WorkerUpdate::Unanswered { lease_end, heard: Duration::from_millis(100) });
+    world.tells(&worker, WorkerUpdate::Unanswered { lease_end, heard: Duration::from_millis(100) });
     let lines = lines_until(&mut world, 200, 2_000);
     let wanted = format!("reason=worker_unreachable worker={worker} lease_left_ms=");
     assert!(lines[0].contains(&wanted), "{}", lines[0]);
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -139,6 +139,14 @@
         of_job.filter_map(|a| (0..self.workers).find(|n| is_on(a, *n))).collect()
     }
 
+    /// Submits a job of one long-running task, and checks that it starts in time.
+    fn assert_starts_soon(&mut self, key: u64, lasting: JobSpec) {
+        let mut starts = self.submit(key, lasting);
+        starts.extend(self.wait(START_WITHIN_MS));
+        let started = self.workers_of(&starts, key).len();
+        assert_eq!(started, 1, "a worker has room for it: {:#?}", self.absences());
+    }
+
     /// Gives a worker a label.
     fn label(&mut self, n: usize, label: &str) {
         let info = WorkerInfo { labels: vec![label.to_string()], ..worker(n, 0) };
@@ -193,14 +201,7 @@
 fn not_reached_behind_urgent_steps() {
     let mut pool = pool_with_large_steps();
     let lasting = JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 200) };
-    let mut starts = pool.submit(2, lasting);
-    starts.extend(pool.wait(START_WITHIN_MS));
-    assert_eq!(
-        pool.workers_of(&starts, 2).len(),
-        1,
-        "each worker has two cores free: {:#?}",
-        pool.absences()
-    );
+    pool.assert_starts_soon(2, lasting);
 }
 
 #[test]
@@ -213,14 +214,7 @@
     for key in 0..LARGE_JOBS {
         assert!(pool.submit(10 + key, job(vec![sized(ordinary(1), 4000)], 100)).is_empty());
     }
-    let mut starts = pool.submit(2, of_team(job(vec![long_running(1, 1000)], 200)));
-    starts.extend(pool.wait(START_WITHIN_MS));
-    assert_eq!(
-        pool.workers_of(&starts, 2).len(),
-        1,
-        "each worker has two cores free: {:#?}",
-        pool.absences()
-    );
+    pool.assert_starts_soon(2, of_team(job(vec![long_running(1, 1000)], 200)));
 }
 
 #[test]
@@ -230,9 +224,7 @@
     let of_team = |spec| JobSpec { workspace: Some(TEAM.to_string()), ..spec };
     assert_eq!(pool.submit(1, of_team(job(vec![ordinary(5)], 100))).len(), 5);
     assert!(pool.submit(2, of_team(job(vec![long_running(1, 4000)], 100))).is_empty(), "over the limit");
-    let mut starts = pool.submit(3, of_team(job(vec![long_running(1, 1000)], 200)));
-    starts.extend(pool.wait(START_WITHIN_MS));
-    assert_eq!(pool.workers_of(&starts, 3).len(), 1, "it is within the limit: {:#?}", pool.absences());
+    pool.assert_starts_soon(3, of_team(job(vec![long_running(1, 1000)], 200)));
 }
 
 #[test]
@@ -243,9 +235,7 @@
         assert!(pool.submit(100 + key, large).is_empty(), "no worker has this much room");
     }
     let last = 100 + MANY_JOBS;
-    let mut starts = pool.submit(last, JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 200) });
-    starts.extend(pool.wait(START_WITHIN_MS));
-    assert_eq!(pool.workers_of(&starts, last).len(), 1, "each worker has two cores free");
+    pool.assert_starts_soon(last, JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 200) });
 }
 
 #[test]
