Log runs that lapse on a worker, and when a relay may extend no lease

A lapse told neither whether the relay had believed in the lease, nor whether its grant had ended: hypotheses 3 and 4 of docs/incidents/lapsed-lasting-tasks could not be told from 1 and 2. runs_lapsed and lease_extensions do.

--- a/crates/workswood-test-support/src/job_node.rs
+++ b/crates/workswood-test-support/src/job_node.rs
@@ -1,6 +1,18 @@
 //! Settings of an entry that runs jobs within the test process.
 
 use workswood::util::job_settings::JobSettings;
+use workswood_core::jobs::Policy;
+
+/// Template of the settings with which entries are deployed.
+const TEMPLATE: &str = include_str!("../../../deploy/settings.json");
+
+/// Returns the policy with which entries are deployed.
+pub fn deployed_policy() -> Policy {
+    let at = TEMPLATE.find("\"policy\":").expect("a policy in the template");
+    let text = TEMPLATE[at..].trim_start_matches("\"policy\":");
+    let mut values = serde_json::Deserializer::from_str(text).into_iter();
+    values.next().expect("a value").expect("a good policy")
+}
 
 /// Returns valid settings for an entry of this name.
 pub fn settings(name: &str) -> JobSettings {
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -89,7 +89,7 @@
 
     /// Whether no order to extend the lease is needed, or it has come.
     pub(super) fn is_extension_allowed(&self) -> bool {
-        let unanswered = self.unanswered.load(Ordering::SeqCst);
+        let unanswered = self.unanswered();
         self.extended_at.as_ref().is_none_or(|at| at.load(Ordering::SeqCst) == unanswered)
     }
 
@@ -149,12 +149,22 @@
         }
     }
 
+    /// Latest end of the leases that were sent; zero if none was.
+    pub(super) fn leased_until(&self) -> Duration {
+        Duration::from_millis(self.leased_until_ms.load(Ordering::SeqCst))
+    }
+
+    /// Number of polls without an answer.
+    pub(super) fn unanswered(&self) -> u32 {
+        self.unanswered.load(Ordering::SeqCst)
+    }
+
     /// Records that a poll had no answer. No lease is sent until another poll is answered.
     /// Returns the latest end of the leases that were sent.
     pub(super) fn record_poll_failure(&self) -> Duration {
         self.silent.store(true, Ordering::SeqCst);
         self.unanswered.fetch_add(1, Ordering::SeqCst);
-        Duration::from_millis(self.leased_until_ms.load(Ordering::SeqCst))
+        self.leased_until()
     }
 
     /// End of a lease that begins now, on the worker's clock; `None` until the worker has
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -23,7 +23,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::task::JoinSet;
@@ -73,6 +73,27 @@
     pub worker_lease: WorkerLease,
     /// Where events are reported.
     pub sink: EventSink,
+    /// Whether the permission was last seen to have ended.
+    grant_ended: AtomicBool,
+}
+
+impl RelayContext {
+    /// Creates what the tasks of one relay share.
+    pub fn new(node: Arc<Node>, grant: Grant, sink: EventSink) -> RelayContext {
+        let worker_lease = WorkerLease::of(&node.settings);
+        let grant_ended = AtomicBool::new(!grant.holds(node.now()));
+        RelayContext { node, grant, worker_lease, sink, grant_ended }
+    }
+
+    /// Whether leases may be extended now; logs when that changes.
+    fn holds_grant(&self, now: Duration) -> bool {
+        let holds = self.grant.holds(now);
+        if self.grant_ended.swap(!holds, Ordering::Relaxed) == holds {
+            let ended = now.saturating_sub(self.grant.end()).as_millis();
+            log::info!("event=lease_extensions allowed={holds} grant_ended_ms={ended}");
+        }
+        holds
+    }
 }
 
 /// Polls and commands workers for one lease holder.
@@ -85,8 +106,7 @@
 impl Relay {
     /// Creates a relay without workers.
     pub fn new(node: Arc<Node>, grant: Grant, sink: EventSink) -> Relay {
-        let worker_lease = WorkerLease::of(&node.settings);
-        let cx = Arc::new(RelayContext { node, grant, worker_lease, sink });
+        let cx = Arc::new(RelayContext::new(node, grant, sink));
         Relay { cx, workers: HashMap::new(), tasks: JoinSet::new() }
     }
 
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::{EndCoverage, Listing};
+use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{WorkerClock, WorkerError};
 
@@ -67,6 +67,8 @@
     sent: Duration,
     /// Highest number of an end that the poll acknowledged; 0 for none.
     acked_end: u64,
+    /// Latest end of the leases that were sent before the poll.
+    leased_until: Duration,
     clock: WorkerClock,
     listing: Listing,
 }
@@ -130,13 +132,14 @@
 
     /// Whether the lease of the worker may be extended now.
     fn may_extend_lease(&self) -> bool {
-        !self.worker.is_silent() && self.cx.grant.holds(self.now())
+        !self.worker.is_silent() && self.cx.holds_grant(self.now())
     }
 
     /// Sends one poll, which waits at the worker up to `wait` for a task to end.
     async fn request(&mut self, wait: Duration) -> Result<PollReply, WorkerError> {
         let sent = self.now();
         let acked_end = self.end_to_ack(sent);
+        let leased_until = self.worker.leased_until();
         self.last_answered = None;
         let worker_lease = &self.cx.worker_lease;
         // The end of the lease is computed before the permission to send it is checked. If the
@@ -154,7 +157,7 @@
         let platform = &self.cx.node.platform;
         let reply = platform.poll_worker(&self.worker.address, self.worker.token, acked_end, lease_end, wait);
         let (clock, listing) = reply.await?;
-        Ok(PollReply { sent, acked_end, clock, listing })
+        Ok(PollReply { sent, acked_end, leased_until, clock, listing })
     }
 
     /// Highest number of an end to acknowledge with a poll that is sent now; 0 if there is none,
@@ -177,9 +180,28 @@
         );
     }
 
+    /// Logs runs that ended with the worker's lease, with what this relay had believed of the lease when it
+    /// sent the poll.
+    fn log_lapsed_runs(&self, report: &Report, leased_until: Duration, now: Duration) {
+        let mut lapsed = report.ended.iter().filter(|end| end.kind == EndKind::Lapsed);
+        let Some(first) = lapsed.next() else { return };
+        log::info!(
+            "event=runs_lapsed worker={} runs={} task={} attempt={} lease_left_ms={} grant_left_ms={} \
+             unanswered={} extends={}",
+            self.worker.address.id,
+            1 + lapsed.count(),
+            first.task,
+            first.attempt,
+            leased_until.saturating_sub(now).as_millis(),
+            self.cx.grant.end().saturating_sub(now).as_millis(),
+            self.worker.unanswered(),
+            self.worker.is_extension_allowed()
+        );
+    }
+
     /// Reports what has changed according to a reply, and waits until the next poll is due.
     async fn handle_reply(&mut self, reply: PollReply, started: Duration) {
-        let PollReply { sent, acked_end, clock, listing } = reply;
+        let PollReply { sent, acked_end, leased_until, clock, listing } = reply;
         let now = self.now();
         self.last_answered = Some(sent);
         self.acked_end = self.acked_end.max(acked_end);
@@ -190,6 +212,7 @@
             self.record_partial_ends(&listing, last_end);
         }
         let report = self.worker.run_tracker.lock().diff_listing(listing, sent, now);
+        self.log_lapsed_runs(&report, leased_until, now);
         if !self.reported_reachable || !report.is_empty() {
             self.reported_reachable = true;
             self.report(WorkerEvent::Reported(report));
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -6,7 +6,6 @@
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 use workswood::ops::jobs::earlier_grants::{EarlierGrants, RecordFacts};
-use workswood::ops::jobs::limits::WorkerLease;
 use workswood::ops::jobs::node::SchedulerHandle;
 use workswood::ops::jobs::operator_state::Evacuations;
 use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
@@ -198,8 +197,7 @@
     let node = Arc::new(Node::new(settings, store.clone()));
     let (tx, rx) = mpsc::unbounded_channel();
     let grant = Grant::until(Duration::from_secs(600));
-    let worker_lease = WorkerLease::of(&node.settings);
-    let cx = RelayContext { node: node.clone(), grant, worker_lease, sink: EventSink::Local(tx) };
+    let cx = RelayContext::new(node.clone(), grant, EventSink::Local(tx));
     let assigned = Arc::new(AssignedWorker::without_lease(1, worker(0, 0).worker_address(), 1));
     tokio::spawn(poll::run(Arc::new(cx), assigned.clone()));
     (store, node, assigned, rx)
--- a/tests/testsuite/lost_looks.rs
+++ b/tests/testsuite/lost_looks.rs
@@ -5,7 +5,6 @@
 
 use tokio::sync::mpsc;
 use workswood::ops::jobs::Node;
-use workswood::ops::jobs::limits::WorkerLease;
 use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
 use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
 use workswood_core::jobs::{Event, WorkerUpdate};
@@ -21,12 +20,8 @@
     let store = Arc::new(TurnStore::new(Duration::from_millis(4), &[]));
     let node = Arc::new(Node::new(settings("entry-1"), store));
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let shared = RelayContext {
-        node: node.clone(),
-        grant: Grant::until(Duration::from_secs(60)),
-        worker_lease: WorkerLease::of(&node.settings),
-        sink: EventSink::Local(tx),
-    };
+    let grant = Grant::until(Duration::from_secs(60));
+    let shared = RelayContext::new(node.clone(), grant, EventSink::Local(tx));
     let assigned = Arc::new(AssignedWorker::new(1, worker(0, 0).worker_address(), 1));
     tokio::spawn(poll::run(Arc::new(shared), assigned.clone()));
     let (mut last, mut longest) = (node.now(), Duration::ZERO);
--- a/tests/testsuite/suspended_host.rs
+++ b/tests/testsuite/suspended_host.rs
@@ -9,7 +9,6 @@
 use tokio::sync::{mpsc, watch};
 use workswood::ops::jobs::Node;
 use workswood::ops::jobs::host_orders::{HostOrder, send_order};
-use workswood::ops::jobs::limits::WorkerLease;
 use workswood::ops::jobs::node::SchedulerHandle;
 use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
 use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
@@ -41,9 +40,7 @@
     let (store, node) = process();
     let grant = Grant::until(node.now() + RIGHT);
     let (tx, mut rx) = mpsc::unbounded_channel();
-    let worker_lease = WorkerLease::of(&node.settings);
-    let shared =
-        RelayContext { node: node.clone(), grant: grant.clone(), worker_lease, sink: EventSink::Local(tx) };
+    let shared = RelayContext::new(node.clone(), grant.clone(), EventSink::Local(tx));
     let assigned = Arc::new(AssignedWorker::new(1, worker(0, 0).worker_address(), 1));
     tokio::spawn(poll::run(Arc::new(shared), assigned.clone()));
     tokio::time::sleep(Duration::from_secs(1)).await;
