Test leases of silent workers with the deployed settings

The tests of inherited leases and the histories with long-running tasks switched records_lease_ends on, which is off in deploy/settings.json: what they proved was not what runs. They take the handover policy from the template now.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -12,6 +12,7 @@
 use super::relay::SimRelay;
 use super::worker::WorkerLimits;
 use super::{STEP, Seen, World};
+use crate::job_node::deployed_policy;
 
 /// Most ends that a worker lists at once in a world with short lists.
 const SHORT_END_LIST: usize = 2;
@@ -69,7 +70,7 @@
     /// Has holders record when the leases of workers that don't answer end.
     #[must_use]
     pub fn with_lease_ends(mut self) -> World {
-        self.records_lease_ends = true;
+        self.handover.records_lease_ends = true;
         self.take_over();
         self
     }
@@ -148,7 +149,7 @@
             limited: false,
             restarts: false,
             second_runs: false,
-            records_lease_ends: false,
+            handover: deployed_policy().handover,
             worker_limits: WorkerLimits::default(),
             order_queues: false,
             order_faults_per_mille: 0,
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -25,6 +25,7 @@
 
 use workswood_core::ids::{HostId, Term};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, OutagePolicy, Owner, QueueConfig,
@@ -175,8 +176,8 @@
     restarts: bool,
     /// Whether holders start late tasks a second time where their step allows copies.
     second_runs: bool,
-    /// Whether holders record when the leases of workers that don't answer end.
-    records_lease_ends: bool,
+    /// How holders hand over.
+    handover: HandoverPolicy,
     worker_limits: WorkerLimits,
     /// Whether few orders at a time are under way to a worker, and the others wait in its relay.
     order_queues: bool,
@@ -335,7 +336,7 @@
         sched.predecessors_extend_until = Some(extended_until);
         self.last_renewal = self.now;
         sched.policy.second_runs.enabled = self.second_runs;
-        sched.policy.handover.records_lease_ends = self.records_lease_ends;
+        sched.policy.handover = self.handover.clone();
         sched.policy.outage = self.outage.clone();
         self.set_relays(&mut sched);
         let mut cfg = config();
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -15,7 +15,7 @@
 use workswood_core::jobs::{Action, Event, Record, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerUpdate};
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::host_world::{HostWorld, worker};
-use workswood_test_support::job_node::settings;
+use workswood_test_support::job_node::{deployed_policy, settings};
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 use workswood_test_support::turn_store::TurnStore;
 
@@ -279,7 +279,7 @@
 #[test]
 fn handovers_in_series_add_nothing() {
     for world in [World::new(4, FaultRng::new(7, 0)), World::relayed(4, FaultRng::new(7, 0))] {
-        let world = world_with_lasting_task(world.with_lease_ends());
+        let world = world_with_lasting_task(world);
         let absent = absence_with(world, (3, ms(3_000)), World::hand_over);
         assert!(absent < LEASE + MARGIN, "{absent:?}");
     }
@@ -288,7 +288,7 @@
 /// A holder that is killed leaves the bound on record.
 #[test]
 fn kills_in_series_add_nothing() {
-    let world = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)).with_lease_ends());
+    let world = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)));
     let absent = absence_with(world, (3, ms(2_500)), |w| {
         w.kill_holder();
         w.take_over();
@@ -299,7 +299,7 @@
 /// Each relay that a worker gets would count as having extended its lease.
 #[test]
 fn relay_changes_in_series_add_nothing() {
-    let world = world_with_lasting_task(World::relayed(4, FaultRng::new(7, 0)).with_lease_ends());
+    let world = world_with_lasting_task(World::relayed(4, FaultRng::new(7, 0)));
     let absent = absence_with(world, (5, ms(1_500)), |w| (0..4).for_each(|n| w.stop_relay(n, false)));
     assert!(absent < LEASE + MARGIN, "{absent:?}");
 }
@@ -310,7 +310,7 @@
 fn bounded_worker_is_not_given_up_while_it_runs() {
     for seed in 1..=40 {
         let world = if seed % 2 == 0 { World::new } else { World::relayed };
-        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)).with_lease_ends());
+        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)));
         w.cut(at, true);
         let silent = ms(2_200 + w.rng.below(800));
         w.run_for(silent);
@@ -334,7 +334,7 @@
 fn worker_that_comes_back_keeps_its_task() {
     for seed in 1..=20 {
         let world = if seed % 2 == 0 { World::new } else { World::relayed };
-        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)).with_lease_ends());
+        let (mut w, at) = world_with_lasting_task(world(4, FaultRng::new(seed, 0)));
         for _ in 0..4 {
             w.cut(at, true);
             let silent = ms(1_200 + w.rng.below(1_200));
@@ -360,7 +360,7 @@
 /// A worker with a run that has been silent since 200 ms.
 fn world_with_silent_worker() -> HostWorld {
     let mut world = HostWorld::new(1);
-    world.sched.policy.handover.records_lease_ends = true;
+    world.sched.policy.handover = deployed_policy().handover;
     // The next assignment is the first one with the setting.
     let own = world.sched.holder.clone();
     world.sched.handle(Event::RelayLeaving(own));
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -71,7 +71,7 @@
 
 impl History {
     fn new(seed: u64, world: NewWorld) -> History {
-        let w = world(WORKERS as usize, FaultRng::mixed(seed)).with_many_runs().with_lease_ends();
+        let w = world(WORKERS as usize, FaultRng::mixed(seed)).with_many_runs();
         let mut h = History { w, last_key: 0, lasting: Vec::new(), ordinary: Vec::new() };
         h.w.run_for(Duration::from_millis(600));
         h
