Record when leases of silent workers end, as deployed, at no cost to the others

A relay now extends from the start, waits for an order only after a poll without an answer, and says so (AwaitsOrder); a worker that was silent when its last assignment ended is still assigned without a lease. The holder counts on nothing that a relay has not said, so relays of earlier versions, which never say it, have no bound recorded for them.

--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -1,9 +1,11 @@
 //! What one term passes on to the next about the leases of workers that don't answer.
 //!
-//! A relay extends a worker's lease only on the lease holder's order, given anew after each poll that had
-//! no answer (`waits` of [`Action::StartPolling`]). The order names how many such polls the holder knows
-//! of in this assignment; a relay that has had another one ignores it. So once a holder has heard of the
-//! silence and has not ordered since, no lease is extended and the last one ends by `Worker::lease_end`.
+//! After a poll without an answer, a relay extends a worker's lease again only on the lease holder's order. It says
+//! so with the silence ([`WorkerUpdate::AwaitsOrder`](super::types::WorkerUpdate)). The order names how many
+//! polls without an answer the holder knows of in this assignment; a relay that has had another one ignores it. A
+//! relay that takes over a silent worker waits, and says so, from the start ([`ExtensionOrders`]). So once a relay
+//! has said that it waits and the holder has not ordered since, no lease is extended and the last one ends by
+//! `Worker::lease_end`.
 //!
 //! The holder then records how long that is from now, the *bound* ([`WorkerRecord::lease_left`]). While a bound
 //! may be on record the holder does not order extensions: it has a record without the bound stored first.
@@ -16,8 +18,8 @@
 //!
 //! | state of a worker | `allowed` | `bound_on_record` |
 //! |---|---|---|
-//! | answers, its lease is extended | yes | no |
-//! | silent, or not heard since its assignment began | no | no |
+//! | answers, or its assignment has just begun | yes | no |
+//! | silent | no | no |
 //! | silent, and its bound is or may be stored | no | yes |
 //! | answers again, and the record without a bound is not stored yet | no | yes |
 
@@ -34,13 +36,28 @@
 /// Interval between two records of it. A change of holder adds at most this time to the end.
 const RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
+/// When a relay extends a worker's lease only on order of the lease holder.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ExtensionOrders {
+    /// Never: it extends the lease whenever the worker answers.
+    #[default]
+    NotNeeded,
+    /// After each poll without an answer.
+    AfterSilence,
+    /// From the start of the assignment, and after each poll without an answer.
+    FromStart,
+}
+
 /// What is known of the extensions of a worker's lease.
 #[derive(Clone, Debug, Default)]
 pub struct LeaseExtensions {
-    /// Whether the present relay extends the lease only on order.
-    pub relay_waits: bool,
-    /// Whether the present relay may extend the lease.
+    /// When the present relay extends the lease only on order.
+    pub orders: ExtensionOrders,
+    /// Whether the present relay may extend the lease: it has not said that it waits for an order, or it has
+    /// been ordered to.
     pub allowed: bool,
+    /// Whether the present relay may wait for an order.
+    order_due: bool,
     /// Number of polls without an answer that the present relay has reported.
     pub unanswered: u32,
     /// Whether the record that was last taken for the store has a bound.
@@ -49,15 +66,23 @@
     pub bound_on_record: bool,
     /// When a bound was last taken for the store.
     bound_taken_at: Duration,
-    /// When the assignment began or, after an answer, when a poll first had none.
+    /// Whether the worker was silent when its last assignment ended.
+    was_silent: bool,
+    /// When the assignment began or, after an answer, when a poll first had none. A worker that was silent
+    /// before counts on.
     silent_since: Duration,
 }
 
 impl LeaseExtensions {
     /// Begins an assignment to a relay.
-    fn begin(&mut self, relay_waits: bool, now: Duration) {
-        let allowed = !relay_waits;
-        *self = LeaseExtensions { relay_waits, allowed, unanswered: 0, silent_since: now, ..self.clone() };
+    fn begin(&mut self, orders: ExtensionOrders, now: Duration) {
+        self.orders = orders;
+        self.allowed = true;
+        self.order_due = orders == ExtensionOrders::FromStart;
+        self.unanswered = 0;
+        if !self.order_due {
+            self.silent_since = now;
+        }
     }
 
     /// Notes that a poll had no answer, the first one of a silence or a further one.
@@ -66,11 +91,14 @@
             self.silent_since = now;
         }
         self.unanswered += 1;
-        self.allowed &= !self.relay_waits;
+        // Not every version says that it waits.
+        self.order_due |= self.orders == ExtensionOrders::FromStart;
     }
 
-    /// Ends an assignment; returns whether its relay may have extended the lease.
-    pub(super) fn end(&mut self) -> bool {
+    /// Ends an assignment, at the end of which the worker answered or not; returns whether its relay may have
+    /// extended the lease.
+    pub(super) fn end(&mut self, answered: bool) -> bool {
+        self.was_silent = !answered && (self.was_silent || self.unanswered > 0);
         std::mem::take(&mut self.allowed)
     }
 
@@ -87,26 +115,39 @@
         lease_left.map_or(inherited, |left| inherited.min(self.now + Duration::from_millis(left)))
     }
 
-    /// Begins the assignment of a worker to a relay; returns whether the relay is to wait for orders
-    /// before it extends the lease.
-    pub(super) fn begin_extensions(&mut self, id: &WorkerId) -> bool {
+    /// Begins the assignment of a worker to a relay; returns when that extends the lease only on order.
+    pub(super) fn begin_extensions(&mut self, id: &WorkerId) -> ExtensionOrders {
         let records_bounds = self.policy.handover.records_lease_ends;
         let forgotten = self.forgotten_bounds.contains(id);
         let now = self.now;
-        let Some(mut w) = self.workers.get_mut(id) else { return false };
+        let Some(mut w) = self.workers.get_mut(id) else { return ExtensionOrders::default() };
         if forgotten {
             w.extensions.restore_bound();
         }
-        let waits = records_bounds || w.extensions.bound_on_record;
-        w.extensions.begin(waits, now);
-        waits
+        let extensions = &mut w.extensions;
+        let orders = match records_bounds {
+            _ if extensions.bound_on_record => ExtensionOrders::FromStart,
+            true if extensions.was_silent => ExtensionOrders::FromStart,
+            true => ExtensionOrders::AfterSilence,
+            false => ExtensionOrders::NotNeeded,
+        };
+        extensions.begin(orders, now);
+        orders
+    }
+
+    /// Notes that the relay of a worker does not extend its lease again before it is ordered to.
+    pub(super) fn note_awaited_order(&mut self, id: &WorkerId) {
+        if let Some(mut w) = self.workers.get_mut(id) {
+            w.extensions.allowed = false;
+            w.extensions.order_due = true;
+        }
     }
 
     /// Has the lease of a worker that answers extended, unless a bound may be on record; then has the
     /// record written without it.
     pub(super) fn allow_extensions(&mut self, id: &WorkerId) {
         let Some(mut w) = self.workers.get_mut(id) else { return };
-        if w.extensions.allowed || !w.reachable {
+        if !w.extensions.order_due || !w.reachable {
             return;
         }
         if w.extensions.bound_on_record {
@@ -115,6 +156,7 @@
             return;
         }
         w.extensions.allowed = true;
+        w.extensions.order_due = false;
         let unanswered = w.extensions.unanswered;
         drop(w);
         self.relays.push_order(Action::ExtendLeases(id.clone(), unanswered));
--- a/crates/workswood-core/src/jobs/lease_handover.rs
+++ b/crates/workswood-core/src/jobs/lease_handover.rs
@@ -29,7 +29,7 @@
     pub decides_until_answered: bool,
     /// Whether it is recorded when the leases of workers that don't answer end. All entries must be of a
     /// version that knows this setting. Such records are obeyed in any case.
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    #[serde(skip_serializing_if = "Clone::clone")]
     pub records_lease_ends: bool,
 }
 
@@ -39,7 +39,7 @@
             through_peers: false,
             late_after: Duration::from_millis(250),
             decides_until_answered: false,
-            records_lease_ends: false,
+            records_lease_ends: true,
         }
     }
 }
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -199,7 +199,8 @@
     fn detach_relay(&mut self, id: &WorkerId, lease_end: Duration) {
         let Some(mut w) = self.workers.get_mut(id) else { return };
         let relay = w.relay.take();
-        if w.extensions.end() && relay.is_some() {
+        let answered = w.reachable;
+        if relay.is_some() && w.extensions.end(answered) {
             w.lease_end = w.lease_end.max(lease_end);
         }
         w.reachable = false;
@@ -275,7 +276,7 @@
             self.record_relay_count(id, relays);
         }
         let token = self.worker_token(relays);
-        let waits = self.begin_extensions(id);
+        let orders = self.begin_extensions(id);
         self.open_relay(&entry);
         let Some(r) = self.relays.active.get_mut(&entry) else { return };
         r.workers.insert(id.clone());
@@ -284,7 +285,7 @@
                 relay: entry,
                 info: (*info).clone(),
                 token,
-                waits,
+                orders,
             });
         }
     }
@@ -390,6 +391,7 @@
             }
             WorkerUpdate::ProbeLate => self.mark_answer_late(id),
             WorkerUpdate::Unanswered { lease_end, .. } => self.mark_unreachable(id, lease_end),
+            WorkerUpdate::AwaitsOrder => self.note_awaited_order(id),
             WorkerUpdate::Deposed => self.note_higher_token(id),
             WorkerUpdate::Started(task, attempt, reply) => self.handle_start_reply(id, task, attempt, reply),
             WorkerUpdate::Stopped(task, attempt, reply) => self.handle_stop_reply(id, task, attempt, reply),
@@ -410,7 +412,7 @@
             WorkerUpdate::Unanswered { heard, .. } => Some(*heard),
             WorkerUpdate::Started(_, _, reply) => reply.is_answer().then_some(self.now),
             WorkerUpdate::Stopped(_, _, reply) => (*reply == StopReply::Taken).then_some(self.now),
-            WorkerUpdate::ProbeLate => None,
+            WorkerUpdate::ProbeLate | WorkerUpdate::AwaitsOrder => None,
         }
     }
 
@@ -425,8 +427,8 @@
             let Some(w) = self.workers.get(&id) else { continue };
             let Some(info) = &w.info else { continue };
             let (info, token) = ((**info).clone(), self.worker_token(w.relay_count));
-            let waits = w.extensions.relay_waits;
-            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token, waits });
+            let orders = w.extensions.orders;
+            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token, orders });
         }
     }
 
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -8,6 +8,7 @@
 use super::config::SchedConfig;
 use super::host::{Host, HostReply};
 use super::job::{JobRecord, JobStatus, WorkerId};
+use super::lease_bounds::ExtensionOrders;
 use super::maintenance_waves::{Wave, WaveRecord};
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
 use super::worker::{Report, WorkerInfo, WorkerRecord};
@@ -112,6 +113,9 @@
         /// When the worker last answered.
         heard: Duration,
     },
+    /// The relay does not extend the lease (again) before it is ordered to: after a probe without an answer, or
+    /// from the start of the assignment.
+    AwaitsOrder,
     /// The worker has seen a higher fencing token.
     Deposed,
     /// The reply to a start of this attempt of a task.
@@ -221,9 +225,8 @@
         info: WorkerInfo,
         /// Fencing token of the relay's orders to the worker.
         token: Term,
-        /// Whether the relay extends the worker's lease only on order; see
-        /// [`lease_bounds`](super::lease_bounds).
-        waits: bool,
+        /// When the relay extends the worker's lease only on order.
+        orders: ExtensionOrders,
     },
     /// Have the relay of a worker extend its lease from now on, if this many of its polls had no answer.
     ExtendLeases(WorkerId, u32),
--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -108,9 +108,13 @@
     /// Start time of this incarnation of the worker, in milliseconds since 1970, if known.
     #[prost(uint64, optional, tag = "5")]
     pub started: Option<u64>,
-    /// Whether the relay extends the worker's lease only on order.
+    /// Whether the relay extends the worker's lease only on order, from the start on.
     #[prost(bool, tag = "6")]
     pub waits: bool,
+    /// Whether the relay does so after a poll without an answer only. Versions that do not read this need
+    /// no orders, and never send [`News::AwaitsOrder`].
+    #[prost(bool, tag = "7")]
+    pub waits_after_silence: bool,
 }
 
 /// An empty message.
@@ -194,7 +198,7 @@
     #[prost(uint64, optional, tag = "10")]
     pub restarted_at: Option<u64>,
     /// The event.
-    #[prost(oneof = "News", tags = "2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "News", tags = "2, 3, 4, 5, 6, 7, 8, 11")]
     pub event: Option<News>,
 }
 
@@ -223,6 +227,10 @@
     /// The outcome of a stop order.
     #[prost(message, tag = "8")]
     Stopped(StoppedTask),
+    /// Its lease is not extended (again) before an order to extend it: after a poll without an answer, or
+    /// from the start of the assignment. Tags 9 and 10 are taken by `silent_ms` and `restarted_at`.
+    #[prost(message, tag = "11")]
+    AwaitsOrder(Empty),
 }
 
 /// What has changed in the list of tasks that a worker reports.
--- a/crates/workswood-test-support/src/host_world.rs
+++ b/crates/workswood-test-support/src/host_world.rs
@@ -140,6 +140,12 @@
         self.sched.handle(Event::WorkerUpdate(id.clone(), token, update));
     }
 
+    /// Reports that a worker did not answer, as its relay does, which then waits for an order.
+    pub fn tells_silence(&mut self, id: &WorkerId, lease_end: Duration, heard: Duration) {
+        self.tells(id, WorkerUpdate::Unanswered { lease_end, heard });
+        self.tells(id, WorkerUpdate::AwaitsOrder);
+    }
+
     /// Reports that a worker accepted a start.
     pub fn taken(&mut self, id: &WorkerId, task: TaskId, attempt: u32) {
         let now = self.sched.now;
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -400,10 +400,10 @@
                     s.kept_by_holder = false;
                 }
             }
-            Action::StartPolling { relay, info, token, waits } => {
+            Action::StartPolling { relay, info, token, orders } => {
                 let id = info.id;
                 self.holders[n].watched.insert(id.clone(), (relay, token));
-                self.order(n, &id.clone(), ToRelay::Watch { id, token, waits });
+                self.order(n, &id.clone(), ToRelay::Watch { id, token, extensions: orders });
             }
             Action::ExtendLeases(id, unanswered) => {
                 self.order(n, &id.clone(), ToRelay::ExtendLeases(id, unanswered));
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -51,10 +51,12 @@
         }
     }
 
-    /// Removes a worker's ends up to a sequence number and records them as acknowledged.
+    /// Removes a worker's ends up to a sequence number and records them as acknowledged. A successful end
+    /// does not count if the worker's lease has expired since.
     pub(super) fn record_acked_ends(&mut self, at: usize, forget: u64) {
         let w = &mut self.workers[at];
-        let done = w.ended.iter().filter(|e| e.sequence_number <= forget && e.kind == EndKind::Done);
+        let noted = w.ends_before_expiry + 1..=forget;
+        let done = w.ended.iter().filter(|e| noted.contains(&e.sequence_number) && e.kind == EndKind::Done);
         self.acked_done.extend(done.map(|e| e.task));
         for e in w.ended.iter().filter(|e| e.sequence_number <= forget && e.kind == EndKind::Failed) {
             *self.acked_failures.entry(e.task).or_default() += 1;
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -11,6 +11,7 @@
 use workswood_core::ids::{HostId, Term, UnixMs};
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::types::lease_with_drift;
 use workswood_core::jobs::{Listing, RunTracker, StartReply, StopReply, TaskId, WorkerUpdate};
 
@@ -44,8 +45,8 @@
     Watch {
         id: WorkerId,
         token: Term,
-        /// Whether the lease is extended on order only.
-        waits: bool,
+        /// When the lease is extended only on order.
+        extensions: ExtensionOrders,
     },
     /// Have the lease extended, if this many probes had no answer.
     ExtendLeases(WorkerId, u32),
@@ -103,8 +104,8 @@
     next_probe: Duration,
     /// Whether the last probe was not answered; the worker's lease is then not extended.
     silent: bool,
-    /// Whether the lease is extended on order only.
-    waits: bool,
+    /// When the lease is extended only on order.
+    extensions: ExtensionOrders,
     /// Number of probes without an answer, and the number for which the last order was given.
     unanswered: u32,
     extended_at: Option<u32>,
@@ -121,7 +122,12 @@
 impl Watched {
     /// Whether the lease may be extended, as far as the worker and orders of the holder matter.
     fn may_extend(&self) -> bool {
-        !self.silent && (!self.waits || self.extended_at == Some(self.unanswered))
+        !self.silent && self.is_ordered()
+    }
+
+    /// Whether no order to extend the lease is needed, or it has come.
+    fn is_ordered(&self) -> bool {
+        self.extensions == ExtensionOrders::NotNeeded || self.extended_at == Some(self.unanswered)
     }
 }
 
@@ -289,7 +295,7 @@
                     w.extended_at = Some(unanswered);
                 }
             }
-            ToRelay::Watch { id, token, waits } => {
+            ToRelay::Watch { id, token, extensions } => {
                 let worker = Watched {
                     token,
                     acked: 0,
@@ -297,9 +303,9 @@
                     answered: None,
                     next_probe: now,
                     silent: false,
-                    waits,
+                    extensions,
                     unanswered: 0,
-                    extended_at: None,
+                    extended_at: (extensions == ExtensionOrders::AfterSilence).then_some(0),
                     reported_silent: false,
                     leased_until: Duration::ZERO,
                     last_answer: Duration::ZERO,
@@ -307,6 +313,10 @@
                     runs: RunTracker::default(),
                     orders: OrderQueue::default(),
                 };
+                if !worker.is_ordered() {
+                    let update = ToHolder::Update(id.clone(), token, WorkerUpdate::AwaitsOrder);
+                    self.send_to_holder(session.number, update);
+                }
                 session.watched.insert(id, worker);
             }
             ToRelay::Unwatch(id) => {
@@ -548,6 +558,10 @@
                 WorkerUpdate::Stopped(task, attempt, reply)
             }
         };
-        self.send_to_holder(session.number, ToHolder::Update(id, token, update));
+        let awaits_order = matches!(update, WorkerUpdate::Unanswered { .. }) && !w.is_ordered();
+        self.send_to_holder(session.number, ToHolder::Update(id.clone(), token, update));
+        if awaits_order {
+            self.send_to_holder(session.number, ToHolder::Update(id, token, WorkerUpdate::AwaitsOrder));
+        }
     }
 }
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -54,6 +54,8 @@
     pub ended: Vec<ReportedEnd>,
     /// Sequence number of the last end.
     pub last_end: u64,
+    /// Ends up to this sequence number came before the lease last expired.
+    pub ends_before_expiry: u64,
     /// Highest attempt of each task that was stopped or has ended on this worker.
     pub finished_attempts: HashMap<TaskId, u32>,
     /// Whether no order reaches the worker.
@@ -96,6 +98,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             last_end: 0,
+            ends_before_expiry: 0,
             finished_attempts: HashMap::new(),
             partitioned: false,
             limits,
@@ -107,6 +110,9 @@
     /// Ends the runs that are due, or all of them if the lease has expired; returns how they ended.
     pub(super) fn end_runs(&mut self, now: Duration) -> Vec<(TaskId, EndKind)> {
         let expired = self.lease_end < now;
+        if expired {
+            self.ends_before_expiry = self.last_end;
+        }
         let is_over = |r: &Running| expired || r.ends_at <= now || r.stops_at.is_some_and(|at| at <= now);
         let over: Vec<TaskId> = self.running.iter().filter(|(_, r)| is_over(r)).map(|(t, _)| *t).collect();
         let first = self.ended.len();
--- a/crates/workswood-test-support/src/relay_site.rs
+++ b/crates/workswood-test-support/src/relay_site.rs
@@ -8,6 +8,7 @@
 use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
 use workswood::ops::jobs::relay::{EventSink, Grant, Relay};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{Event, TaskId, WorkerAddress, WorkerUpdate};
 use workswood_platform::jobs::JobPlatform;
 
@@ -41,7 +42,7 @@
             data_centre: "north".to_string(),
         };
         let mut site = RelaySite { node, relay, events };
-        site.order(WorkerOrder::Assign { worker, token: TOKEN });
+        site.order(WorkerOrder::Assign { worker, token: TOKEN, extensions: ExtensionOrders::NotNeeded });
         site.event(|ev| matches!(ev, Event::WorkerUpdate(_, _, WorkerUpdate::Reported(_))).then_some(()))
             .await;
         site
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -7,6 +7,7 @@
 use tokio::sync::watch;
 use workswood_core::ids::Term;
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
@@ -73,11 +74,15 @@
         }
     }
 
-    /// Creates the state of a worker whose lease is extended on order only: the first one, and another one
-    /// after each poll without an answer.
-    pub fn without_lease(number: WorkerNumber, address: WorkerAddress, token: Term) -> AssignedWorker {
-        let extended_at = Some(AtomicU32::new(NOT_ORDERED));
-        AssignedWorker { extended_at, ..AssignedWorker::new(number, address, token) }
+    /// Sets when the lease is extended only on order.
+    #[must_use]
+    pub fn with_orders(self, extensions: ExtensionOrders) -> AssignedWorker {
+        let extended_at = match extensions {
+            ExtensionOrders::NotNeeded => None,
+            ExtensionOrders::AfterSilence => Some(AtomicU32::new(0)),
+            ExtensionOrders::FromStart => Some(AtomicU32::new(NOT_ORDERED)),
+        };
+        AssignedWorker { extended_at, ..self }
     }
 
     /// Has the lease extended until a poll has no answer, if this many had none so far.
--- a/src/workswood/ops/jobs/relay/codec.rs
+++ b/src/workswood/ops/jobs/relay/codec.rs
@@ -5,6 +5,7 @@
 
 use workswood_core::ids::Term;
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{
     EndKind, Report, ReportedEnd, ReportedRun, StartReply, StopReply, TaskId, WorkerAddress,
 };
@@ -46,27 +47,30 @@
     orders.into_iter().map(write).collect()
 }
 
-fn write_assignment(worker: WorkerAddress, token: Term, waits: bool) -> wire::AssignWorker {
+fn write_assignment(worker: WorkerAddress, token: Term, extensions: ExtensionOrders) -> wire::AssignWorker {
     let started = worker.id.started_at();
     let (name, address, data_centre) = (worker.id.name().to_string(), worker.address, worker.data_centre);
-    wire::AssignWorker { name, address, token, data_centre, started, waits }
+    let waits = extensions == ExtensionOrders::FromStart;
+    let waits_after_silence = extensions == ExtensionOrders::AfterSilence;
+    wire::AssignWorker { name, address, token, data_centre, started, waits, waits_after_silence }
 }
 
 fn read_assignment(a: wire::AssignWorker) -> WorkerOrder {
     let id = WorkerId::new(&a.name, a.started);
     let worker = WorkerAddress { id, address: a.address, data_centre: a.data_centre };
-    match a.waits {
-        true => WorkerOrder::AssignWithoutLease { worker, token: a.token },
-        false => WorkerOrder::Assign { worker, token: a.token },
-    }
+    let extensions = match (a.waits, a.waits_after_silence) {
+        (true, _) => ExtensionOrders::FromStart,
+        (false, true) => ExtensionOrders::AfterSilence,
+        (false, false) => ExtensionOrders::NotNeeded,
+    };
+    WorkerOrder::Assign { worker, token: a.token, extensions }
 }
 
 /// Converts an order other than a start, whose specification depends on the previous start.
 fn write_order(order: WorkerOrder) -> wire::Order {
     match order {
-        WorkerOrder::Assign { worker, token } => wire::Order::Assign(write_assignment(worker, token, false)),
-        WorkerOrder::AssignWithoutLease { worker, token } => {
-            wire::Order::Assign(write_assignment(worker, token, true))
+        WorkerOrder::Assign { worker, token, extensions } => {
+            wire::Order::Assign(write_assignment(worker, token, extensions))
         }
         WorkerOrder::ExtendLeases(unanswered) => wire::Order::ExtendLeases(unanswered),
         WorkerOrder::Unassign => wire::Order::Unassign(wire::Empty {}),
@@ -160,6 +164,7 @@
         WorkerEvent::IncarnationEnded(_) | WorkerEvent::Restarted(..) => {
             wire::News::IncarnationEnded(wire::Empty {})
         }
+        WorkerEvent::AwaitsOrder => wire::News::AwaitsOrder(wire::Empty {}),
         WorkerEvent::Fenced => wire::News::Fenced(wire::Empty {}),
         WorkerEvent::Started { task, attempt, reply } => {
             let outcome = write_start_reply(reply) as i32;
@@ -215,6 +220,7 @@
             Some(started) => WorkerEvent::Restarted(started, silent_for),
             None => WorkerEvent::IncarnationEnded(silent_for),
         },
+        wire::News::AwaitsOrder(_) => WorkerEvent::AwaitsOrder,
         wire::News::Fenced(_) => WorkerEvent::Fenced,
         wire::News::Started(s) => {
             let reply = read_start_reply(wire::StartOutcome::try_from(s.outcome).ok()?);
--- a/src/workswood/ops/jobs/relay/messages.rs
+++ b/src/workswood/ops/jobs/relay/messages.rs
@@ -5,6 +5,7 @@
 
 use workswood_core::ids::{Term, UnixMs};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{Event, Report, StartReply, StopReply, TaskId, WorkerAddress, WorkerUpdate};
 
 /// Number by which the lease holder and a relay identify a worker. The holder chooses a new one
@@ -35,13 +36,8 @@
         worker: WorkerAddress,
         /// Fencing token of the orders to the worker.
         token: Term,
-    },
-    /// The same, but extend the worker's lease only on order.
-    AssignWithoutLease {
-        /// The worker.
-        worker: WorkerAddress,
-        /// Fencing token of the orders to the worker.
-        token: Term,
+        /// When to extend the worker's lease only on order.
+        extensions: ExtensionOrders,
     },
     /// Extend the worker's lease, if this many polls had no answer in this assignment.
     ExtendLeases(u32),
@@ -97,6 +93,9 @@
     /// It has restarted under the same name, at this time. Contains how long ago the previous
     /// incarnation last answered.
     Restarted(UnixMs, Duration),
+    /// Its lease is not extended (again) before an order to extend it: after a poll without an answer, or from
+    /// the start of the assignment.
+    AwaitsOrder,
     /// It has seen a higher fencing token.
     Fenced,
     /// The outcome of a start order.
@@ -136,6 +135,7 @@
                 lease_end: now + lease_left,
                 heard: now.saturating_sub(silent_for),
             },
+            WorkerEvent::AwaitsOrder => WorkerUpdate::AwaitsOrder,
             WorkerEvent::Fenced => WorkerUpdate::Deposed,
             WorkerEvent::Started { task, attempt, reply } => WorkerUpdate::Started(task, attempt, reply),
             WorkerEvent::Stopped { task, attempt, reply } => WorkerUpdate::Stopped(task, attempt, reply),
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -119,9 +119,8 @@
     pub fn execute(&mut self, number: WorkerNumber, order: WorkerOrder) {
         while self.tasks.try_join_next().is_some() {}
         match order {
-            WorkerOrder::Assign { worker, token } => self.assign(AssignedWorker::new(number, worker, token)),
-            WorkerOrder::AssignWithoutLease { worker, token } => {
-                self.assign(AssignedWorker::without_lease(number, worker, token));
+            WorkerOrder::Assign { worker, token, extensions } => {
+                self.assign(AssignedWorker::new(number, worker, token).with_orders(extensions));
             }
             WorkerOrder::ExtendLeases(unanswered) => {
                 if let Some(worker) = self.workers.get(&number) {
@@ -183,6 +182,9 @@
         if let Some(previous) = self.workers.insert(worker.number, worker.clone()) {
             previous.unassign();
         }
+        if !worker.is_extension_allowed() {
+            self.cx.sink.report(&self.cx.node, &worker, WorkerEvent::AwaitsOrder);
+        }
         self.tasks.spawn(poll::run(self.cx.clone(), worker));
     }
 }
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -100,6 +100,9 @@
                 let lease_left = leased_until.saturating_sub(now);
                 let silent_for = self.worker.silent_for(now);
                 self.report(WorkerEvent::Unanswered { lease_left, silent_for });
+                if !self.worker.is_extension_allowed() {
+                    self.report(WorkerEvent::AwaitsOrder);
+                }
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -14,6 +14,7 @@
 use workswood_core::ids::{HostId, Term};
 use workswood_core::jobs::bridges::Way;
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{Action, Event, WorkerInfo};
 use workswood_peers::relay as wire;
 use workswood_peers::{Closed, DuplexRx, DuplexTx, Msg};
@@ -86,7 +87,7 @@
         match action {
             Action::OpenRelay(entry) => self.open(entry, tasks),
             Action::CloseRelay(entry) => self.close(&entry),
-            Action::StartPolling { relay, info, token, waits } => self.assign(relay, info, token, waits),
+            Action::StartPolling { relay, info, token, orders } => self.assign(relay, info, token, orders),
             Action::ExtendLeases(id, unanswered) => self.order(&id, WorkerOrder::ExtendLeases(unanswered)),
             Action::StopPolling(id) => {
                 if let Some(a) = self.assignments.remove(&id) {
@@ -129,7 +130,7 @@
     }
 
     /// Has a relay serve a worker, in place of the relay that served it before.
-    fn assign(&mut self, relay: HostId, info: WorkerInfo, token: Term, waits: bool) {
+    fn assign(&mut self, relay: HostId, info: WorkerInfo, token: Term, extensions: ExtensionOrders) {
         self.last_number += 1;
         let number = self.last_number;
         if let Some(s) = self.sessions.get(&relay) {
@@ -139,11 +140,7 @@
         if let Some(before) = self.assignments.insert(info.id.clone(), Assignment { relay, number, token }) {
             self.end_assignment(&before);
         }
-        let order = match waits {
-            true => WorkerOrder::AssignWithoutLease { worker, token },
-            false => WorkerOrder::Assign { worker, token },
-        };
-        self.order(&info.id, order);
+        self.order(&info.id, WorkerOrder::Assign { worker, token, extensions });
     }
 
     /// Has a relay no longer serve a worker.
--- a/tests/testsuite/evacuated_centres.rs
+++ b/tests/testsuite/evacuated_centres.rs
@@ -9,6 +9,7 @@
 use workswood::ops::jobs::operator_state::Evacuations;
 use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
 use workswood::ops::jobs::relay::{EventSink, Grant, Relay};
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{Action, Event, Host, Listing, StartReply, TaskId, WorkerInfo, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, SPARE, host, listed, moves, worker};
 use workswood_test_support::job_node::settings;
@@ -158,7 +159,8 @@
     let (tx, mut rx) = mpsc::unbounded_channel();
     let grant = Grant::until(node.now() + Duration::from_secs(60));
     let mut relay = Relay::new(node.clone(), grant, EventSink::Local(tx));
-    relay.execute(1, WorkerOrder::Assign { worker: southern(1).worker_address(), token: 7 });
+    let (worker, extensions) = (southern(1).worker_address(), ExtensionOrders::NotNeeded);
+    relay.execute(1, WorkerOrder::Assign { worker, token: 7, extensions });
     tokio::time::sleep(Duration::from_secs(1)).await;
     let mut start = |attempt| {
         let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -11,6 +11,7 @@
 use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
 use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
 use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::{Action, Event, Record, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerUpdate};
 use workswood_platform::jobs::KeyedRecord;
@@ -190,7 +191,9 @@
 }
 
 /// A relay that polls a worker and loses one poll in ten; it extends the lease on order only.
-fn relay_without_lease() -> (Arc<TurnStore>, Arc<Node>, Arc<AssignedWorker>, mpsc::UnboundedReceiver<Event>) {
+fn relay_with_orders(
+    extensions: ExtensionOrders,
+) -> (Arc<TurnStore>, Arc<Node>, Arc<AssignedWorker>, mpsc::UnboundedReceiver<Event>) {
     let store = Arc::new(TurnStore::new(ms(4), &[]));
     let mut settings = settings("entry-1");
     settings.policy.calls.resend_probe = false;
@@ -198,7 +201,7 @@
     let (tx, rx) = mpsc::unbounded_channel();
     let grant = Grant::until(Duration::from_secs(600));
     let cx = RelayContext::new(node.clone(), grant, EventSink::Local(tx));
-    let assigned = Arc::new(AssignedWorker::without_lease(1, worker(0, 0).worker_address(), 1));
+    let assigned = Arc::new(AssignedWorker::new(1, worker(0, 0).worker_address(), 1).with_orders(extensions));
     tokio::spawn(poll::run(Arc::new(cx), assigned.clone()));
     (store, node, assigned, rx)
 }
@@ -216,7 +219,7 @@
 /// An order that crosses a newer silence has no effect.
 #[tokio::test(start_paused = true)]
 async fn extension_order_of_an_earlier_silence() {
-    let (store, _node, assigned, mut events) = relay_without_lease();
+    let (store, _node, assigned, mut events) = relay_with_orders(ExtensionOrders::FromStart);
     let extended_within = async |time: Duration| {
         let before = store.leases();
         tokio::time::sleep(time).await;
@@ -233,6 +236,25 @@
     assigned.unassign();
 }
 
+/// A relay that knows a worker from before extends its lease until a poll has no answer.
+#[tokio::test(start_paused = true)]
+async fn extension_without_order_until_silence() {
+    let (store, _node, assigned, mut events) = relay_with_orders(ExtensionOrders::AfterSilence);
+    let extended_within = async |time: Duration| {
+        let before = store.leases();
+        tokio::time::sleep(time).await;
+        store.leases() > before
+    };
+    assert!(extended_within(ms(300)).await, "no order is needed");
+    unanswered(&mut events).await;
+    let next = events.recv().await.expect("the relay runs");
+    assert!(matches!(next, Event::WorkerUpdate(_, _, WorkerUpdate::AwaitsOrder)), "{next:?}");
+    assert!(!extended_within(ms(300)).await, "no order yet");
+    assigned.allow_extensions(1);
+    assert!(extended_within(ms(300)).await);
+    assigned.unassign();
+}
+
 /// A job of one long-running task.
 const JOB: u64 = 1;
 const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
@@ -372,7 +394,7 @@
     let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
     world.taken(worker, *task, *attempt);
     world.at(200);
-    world.tells(worker, WorkerUpdate::Unanswered { lease_end: ms(6_000), heard: ms(100) });
+    world.tells_silence(worker, ms(6_000), ms(100));
     world
 }
 
--- a/tests/testsuite/lost_relays.rs
+++ b/tests/testsuite/lost_relays.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use workswood_core::jobs::Event;
 use workswood_core::jobs::relays::RelayCandidate;
-use workswood_core::jobs::{Event, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, worker};
 
 /// Workers of the holder, more than it polls itself if there are relays.
@@ -15,7 +15,6 @@
 fn holder_without_relay() -> HostWorld {
     let mut world = HostWorld::new(WORKERS);
     world.sched.strength = 1;
-    world.sched.policy.handover.records_lease_ends = true;
     let relay =
         RelayCandidate { name: RELAY.to_string(), data_centre: "north".to_string(), holder_capacity: 100 };
     world.sched.set_relay_candidates(vec![relay]);
@@ -58,7 +57,7 @@
         world.tick();
         world.sched.assign_relays();
         let heard = Duration::from_millis(100);
-        world.tells(&id, WorkerUpdate::Unanswered { lease_end: Duration::from_millis(5000), heard });
+        world.tells_silence(&id, Duration::from_millis(5000), heard);
         ends.push(world.sched.workers.get(&id).expect("it is known").lease_end);
     }
     assert_eq!(ends.first(), ends.last(), "nothing extends its lease");
@@ -70,7 +69,7 @@
     let id = worker(0, 0).id;
     let heard = Duration::from_millis(100);
     let lease_end = Duration::from_millis(5000);
-    world.tells(&id, WorkerUpdate::Unanswered { lease_end, heard });
+    world.tells_silence(&id, lease_end, heard);
     let before = world.sched.workers.get(&id).expect("it is known").lease_end;
     for ms in (250..14_000).step_by(150) {
         world.at(ms);
@@ -79,7 +78,7 @@
         // The relay is tried again after each backoff.
         lose_relay(&mut world);
         (1..WORKERS).for_each(|n| world.report(n, 0, &[]));
-        world.tells(&id, WorkerUpdate::Unanswered { lease_end, heard });
+        world.tells_silence(&id, lease_end, heard);
     }
     let after = world.sched.workers.get(&id).expect("it is known").lease_end;
     assert_eq!(before, after, "nothing extends its lease");
--- a/tests/testsuite/restarted_workers.rs
+++ b/tests/testsuite/restarted_workers.rs
@@ -8,6 +8,7 @@
 use workswood::ops::jobs::topic_reader::TopicUpdate;
 use workswood::ops::jobs::worker_list::WorkerList;
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{
     Action, EndCoverage, EndKind, Event, Listing, Report, ReportedEnd, TaskId, WorkerAddress, WorkerInfo,
     WorkerUpdate,
@@ -301,7 +302,7 @@
         address: "10.0.0.1:80".to_string(),
         data_centre: "north".to_string(),
     };
-    let order = WorkerOrder::Assign { worker, token: 7 };
+    let order = WorkerOrder::Assign { worker, token: 7, extensions: ExtensionOrders::NotNeeded };
     let written = codec::write_orders(vec![(1, order.clone())]);
     let Some(workswood_peers::relay::Order::Assign(a)) = written[0].order.clone() else { panic!("an order") };
     assert_eq!(a.name, "w", "calls name the worker only");
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -41,6 +41,7 @@
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
 use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::policy::ShareOrder;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
@@ -249,9 +250,10 @@
     let written = RelayOrders { orders: write_orders(orders.clone()), ..m.clone() };
     assert_eq!(to_hex(&written.encode_to_vec()), to_hex(&m.encode_to_vec()));
     assert_eq!(orders.iter().map(|(n, _)| *n).collect::<Vec<_>>(), (11..20).collect::<Vec<_>>());
-    let WorkerOrder::Assign { worker, token } = &orders[0].1 else { panic!("{:?}", orders[0]) };
+    let WorkerOrder::Assign { worker, token, extensions } = &orders[0].1 else { panic!("{:?}", orders[0]) };
     assert_eq!((worker.id.name(), worker.id.started_at(), *token), ("w-1", Some(1_700_000_000_123), 77));
     assert_eq!((worker.address.as_str(), worker.data_centre.as_str()), ("10.0.1.1:9000", "north"));
+    assert_eq!(*extensions, ExtensionOrders::NotNeeded);
     let WorkerOrder::Assign { worker, .. } = &orders[1].1 else { panic!("{:?}", orders[1]) };
     assert_eq!(worker.id.started_at(), None);
     assert_eq!((&orders[2].1, &orders[3].1), (&WorkerOrder::Unassign, &WorkerOrder::AckEnds(19)));
@@ -272,7 +274,8 @@
     let orders = read_orders(m.orders.clone()).expect("orders that are known");
     let written = RelayOrders { orders: write_orders(orders.clone()), ..m.clone() };
     assert_eq!(to_hex(&written.encode_to_vec()), to_hex(&m.encode_to_vec()));
-    let (11, WorkerOrder::AssignWithoutLease { worker, token }) = &orders[0] else { panic!("{orders:?}") };
+    let (11, WorkerOrder::Assign { worker, token, extensions }) = &orders[0] else { panic!("{orders:?}") };
+    assert_eq!(*extensions, ExtensionOrders::FromStart);
     assert_eq!((worker.id.name(), *token, worker.data_centre.as_str()), ("w-1", 77, "north"));
     assert_eq!(orders[1], (12, WorkerOrder::ExtendLeases(3)));
 }
