Record the end of a silent worker's lease after 0.3 s instead of 1 s

What callers saw: a lasting task away for over 9 s where the holder was lost within two seconds of the task's worker. The end of the lease was recorded a second after the first poll without an answer, which itself comes up to 1.3 s after the last answer. So a holder that was killed meanwhile left nothing on record, and its successor waited 9.4 s. A bound costs one record, and a worker that answers again takes work once that record is replaced.

--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -32,7 +32,7 @@
 use super::worker::{Worker, WorkerRecord};
 
 /// Time without an answer after which the end of a worker's lease is recorded.
-const RECORD_AFTER: Duration = Duration::from_secs(1);
+const RECORD_AFTER: Duration = Duration::from_millis(300);
 /// Interval between two records of it. A change of holder adds at most this time to the end.
 const RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
