Give no lease that ends later than eight seconds after the holder's last renewal

What callers saw: a lasting task away for over 9 s after its worker and the lease holder were lost together. Cause: a holder extends leases for four seconds after its last renewal, each by 5.4 s as a successor must count them, so the successor waited 9.4 s. In the fourth second, leases now end no later than those of the third, so it waits 8.4 s; tasks are still started for four seconds without the store. Records of the lease tell that time (full_leases_ms), and the longest one counts, so a holder of a version before is given its four seconds; relays of versions before get the grant for full leases only.

lease_record of stored_formats has the new field in what is written; the form before is read as it was.

--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -41,9 +41,13 @@
     /// Number of the heartbeat that it answers.
     #[prost(uint64, tag = "1")]
     pub heartbeat: u64,
-    /// How long it is valid from the time when the heartbeat was sent, in milliseconds.
+    /// How long leases get their full length from the time when the heartbeat was sent, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub duration_ms: u32,
+    /// How long it is valid after that, in milliseconds, for leases that end no later than one that is
+    /// extended at the end of `duration_ms`. Versions that do not read this extend no lease then.
+    #[prost(uint32, tag = "3")]
+    pub shortened_ms: u32,
 }
 
 /// An order about one worker.
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -16,7 +16,7 @@
 use super::adviser::{self, ADVICE, may_run};
 use super::evacuations::is_evacuated;
 use super::fault_rng::Fate;
-use super::relay::{Session, ToHolder, ToRelay};
+use super::relay::{Session, ToHolder, ToRelay, full_leases_until};
 use super::{EXTENSION_GRACE, LEASE, STEP, World, limits};
 
 /// Interval between ticks of the scheduler.
@@ -269,7 +269,7 @@
         if let Some(s) = self.sessions.get_mut(&t.number) {
             s.kept_by_holder = false;
         }
-        let end = t.extends_until + lease_with_drift(LEASE, limits().clock_drift);
+        let end = full_leases_until(t.extends_until) + lease_with_drift(LEASE, limits().clock_drift);
         h.sched.handle(Event::RelayDown { entry: entry.clone(), lease_end: end, may_return });
     }
 
@@ -303,7 +303,8 @@
         if let Some(last) = self.holders.len().checked_sub(1) {
             self.finish_last_write(last);
             let h = &self.holders[last];
-            let extended_until = h.relays_extend_until.max(h.sched.predecessors_extend_until());
+            let by_relays = full_leases_until(h.relays_extend_until);
+            let extended_until = by_relays.max(h.sched.predecessors_extend_until());
             self.released_until = Some(extended_until.max(self.now));
         }
         self.kill_holder();
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -33,6 +33,8 @@
     Workspace, Workspaces,
 };
 
+use workswood::ops::jobs::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
+
 pub use self::fault_rng::{Fate, FaultRng};
 
 use self::adviser::ADVICE;
@@ -49,8 +51,6 @@
 const LEASE: Duration = Duration::from_millis(5000);
 /// Longest lease that a worker accepts.
 const MAX_LEASE: Duration = Duration::from_secs(10);
-/// How long a holder may extend workers' leases after its last renewal of its own lease.
-const EXTENSION_GRACE: Duration = Duration::from_millis(4000);
 /// Latency between holder and relay on slow links; less than the silence after which a holder
 /// closes a session.
 const SLOW_LINK_LATENCY: Duration = Duration::from_millis(900);
@@ -198,7 +198,7 @@
     Limits {
         lease: LEASE,
         max_lease: MAX_LEASE,
-        extension_grace: EXTENSION_GRACE,
+        extension_grace: FULL_LEASE_GRACE,
         clock_drift: 0.02,
         host_order_delay: Duration::from_secs(3),
         host_orders_per_s: 64.0,
@@ -332,7 +332,7 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
-        let extended_until = self.released_until.take().unwrap_or(self.last_renewal + EXTENSION_GRACE);
+        let extended_until = self.released_until.take().unwrap_or(self.last_renewal + FULL_LEASE_GRACE);
         sched.predecessors_extend_until = Some(extended_until);
         self.last_renewal = self.now;
         sched.policy.second_runs.enabled = self.second_runs;
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -17,7 +17,7 @@
 
 use super::order_queue::{OrderQueue, QueuedOrder};
 use super::worker::{Answer, Order};
-use super::{LEASE, STEP, World, limits};
+use super::{EXTENSION_GRACE, FULL_LEASE_GRACE, LEASE, STEP, World, limits};
 
 /// Interval between probes of a worker.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -131,6 +131,11 @@
     }
 }
 
+/// Until when a relay gives full leases that may extend leases until this time; later ones end no later.
+pub(super) fn full_leases_until(extends_until: Duration) -> Duration {
+    extends_until.saturating_sub(EXTENSION_GRACE - FULL_LEASE_GRACE)
+}
+
 /// An answer of a worker, or a timeout, that a relay has not received yet.
 enum PendingAnswer {
     Listed {
@@ -274,7 +279,7 @@
         let now = self.now;
         if let Some(term) = self.relays[at].own {
             let renewed = self.holders.iter().find(|h| h.sched.token == term).map(|h| h.renewed);
-            session.extends_until = renewed.unwrap_or_default() + super::EXTENSION_GRACE;
+            session.extends_until = renewed.unwrap_or_default() + EXTENSION_GRACE;
         }
         if session.next_heartbeat > now {
             return;
@@ -380,7 +385,8 @@
 
     /// Returns the end of a lease that is sent now; `None` if leases may not be extended.
     fn lease_from(&self, session: &HolderSession) -> Option<Duration> {
-        (self.now < session.extends_until).then(|| self.now + LEASE)
+        let from = self.now.min(full_leases_until(session.extends_until));
+        (self.now < session.extends_until).then(|| from + LEASE)
     }
 
     /// Sends a start; returns how long it is under way.
@@ -401,7 +407,7 @@
             let lease = self.lease_from(session);
             let Some(w) = session.watched.get_mut(id) else { return Duration::ZERO };
             let Some(lease_end) = lease.filter(|_| w.may_extend()) else { break };
-            w.leased_until = self.now + lease_with_drift(LEASE, limits().clock_drift);
+            w.leased_until = lease_end - LEASE + lease_with_drift(LEASE, limits().clock_drift);
             let order = Order::Start { token, task, attempt, lease_end, ticket: ticket.clone() };
             let answer = self.deliver(id, order).map(|a| match a {
                 Answer::Reply(reply) => reply,
@@ -475,8 +481,8 @@
         let lease = self.lease_from(session);
         let Some(w) = session.watched.get_mut(&id) else { return };
         let lease_end = lease.filter(|_| w.may_extend());
-        if lease_end.is_some() {
-            w.leased_until = now + lease_with_drift(LEASE, limits().clock_drift);
+        if let Some(end) = lease_end {
+            w.leased_until = end - LEASE + lease_with_drift(LEASE, limits().clock_drift);
         }
         let may_ack = w.answered.take().is_some_and(|at| now < at + ACK_WINDOW);
         let forget = if may_ack && w.acked > w.forgotten { w.acked } else { 0 };
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -1,7 +1,8 @@
-//! Until when holders of earlier terms may still extend workers' leases.
+//! Until when holders of earlier terms may still give workers full leases. What they extend after that ends no
+//! later.
 //!
-//! A holder extends leases, itself or through relays, until [`EXTENSION_GRACE`] after it sent its last
-//! renewal at the latest. What was sent before a record was read here is over that long after the
+//! A holder gives full leases, itself or through relays, for a time after it sent its last renewal, which the
+//! record tells. What was sent before a record was read here is over that long after the
 //! reading, and a claim is carried out only if the topic still ends with the last record that was read.
 //! The store refuses renewals of earlier terms once it has seen one of the new term; those that it took
 //! between the claim and that one are read before it, so the bound holds once that one is read.
@@ -14,8 +15,6 @@
 
 use workswood_core::ids::Term;
 
-use super::lease_renewal::EXTENSION_GRACE;
-
 /// What a record of the lease tells.
 #[derive(Clone, Copy, Debug)]
 pub struct RecordFacts {
@@ -23,6 +22,8 @@
     pub term: Term,
     /// Whether it releases the lease.
     pub released: bool,
+    /// How long after sending it its writer may give full leases.
+    pub grace: Duration,
     /// How long anybody may still extend leases under the term or an earlier one.
     pub extensions_left: Option<Duration>,
 }
@@ -33,7 +34,7 @@
     term: Term,
     /// When it was first sent.
     sent_at: Duration,
-    /// Until when holders of earlier terms may extend leases; `None` if that is not known.
+    /// Until when holders of earlier terms may give full leases; `None` if that is not known.
     extended_until: Option<Duration>,
     /// Whether a renewal of the claimed term was read.
     renewal_read: bool,
@@ -44,16 +45,19 @@
 pub struct EarlierGrants {
     /// Highest term that was read.
     term: Option<Term>,
-    /// Until when the holders of the terms read so far may extend leases, if they write nothing more;
+    /// Until when the holders of the terms read so far may give full leases, if they write nothing more;
     /// `None` if that is not known.
     extended_until: Option<Duration>,
+    /// Until when any holder whose records were read may do so, as far as renewals tell.
+    renewed_until: Duration,
     claim: Option<OwnClaim>,
 }
 
 impl EarlierGrants {
     /// Notes a record that is read for the first time.
     pub fn note_record(&mut self, rec: RecordFacts, now: Duration) {
-        let by_reading = now + EXTENSION_GRACE;
+        self.renewed_until = self.renewed_until.max(now + rec.grace);
+        let by_reading = self.renewed_until;
         // Compares the record with the term that was read before it.
         self.note_record_after_claim(rec.term, by_reading);
         let (begins_term, is_late) = match self.term {
@@ -98,7 +102,7 @@
         self.claim.filter(|c| c.term == term).map(|c| c.sent_at)
     }
 
-    /// Until when holders before the term, which this process holds, may extend leases; `None` until that
+    /// Until when holders before the term, which this process holds, may give full leases; `None` until that
     /// is certain.
     pub fn extended_until(&self, term: Term) -> Option<Duration> {
         self.claim.filter(|c| c.term == term && c.renewal_read)?.extended_until
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -18,6 +18,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
 use super::earlier_grants::{EarlierGrants, RecordFacts};
+use super::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
 use super::node::{Holder, Node, SchedulerHandle};
 use super::scheduler_task;
 use super::topic_reader::retry_delay;
@@ -53,7 +54,11 @@
     /// Number of workers that the entry can serve as lease holder.
     #[serde(default)]
     pub strength: Option<EntryCapacity>,
-    /// In a release: for how many milliseconds from then on anybody may still extend workers' leases
+    /// For how many milliseconds after sending the record its writer may give workers full leases. Absent in
+    /// records of versions that do so as long as they may extend leases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub full_leases_ms: Option<u64>,
+    /// In a release: for how many milliseconds from then on anybody may still give workers full leases
     /// under this term or an earlier one. Absent if the scheduler may not have ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub extensions_left_ms: Option<u64>,
@@ -69,6 +74,7 @@
             term,
             released,
             strength: Some(node.settings.strength()),
+            full_leases_ms: Some(FULL_LEASE_GRACE.as_millis() as u64),
             extensions_left_ms: None,
         }
     }
@@ -84,6 +90,7 @@
         RecordFacts {
             term: self.term,
             released: self.released,
+            grace: self.full_leases_ms.map_or(EXTENSION_GRACE, Duration::from_millis),
             extensions_left: self.extensions_left_ms.map(Duration::from_millis),
         }
     }
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -13,10 +13,12 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
 /// Delay after a failed renewal.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// How long after its last renewal a lease holder may still extend workers' leases. A successor
-/// waits for the same time before it gives up workers that it can't reach.
-/// With the workers' lease, what runs survives nine seconds without the store.
+/// How long after its last renewal a lease holder may still extend workers' leases and start tasks.
 pub const EXTENSION_GRACE: Duration = Duration::from_secs(4);
+/// How long after its last renewal it may give them full leases. A successor waits for the same time before it
+/// gives up workers that it can't reach. With the workers' lease, what runs survives eight seconds without
+/// the store.
+pub const FULL_LEASE_GRACE: Duration = Duration::from_secs(3);
 
 /// A holder that has not renewed its lease for this long releases it through another process, if
 /// one can write to the store. A successor can then claim it before it expires.
@@ -37,7 +39,7 @@
                 node.note_store_answer();
                 next_append += 1;
                 renewed_at = sent;
-                handle.grant.extend(sent + EXTENSION_GRACE);
+                handle.grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
                 handle.first_renewed_at.get_or_init(|| node.now());
                 handle.renewals.send_modify(|n| *n += 1);
                 if *last_renewal.borrow_and_update() == LastRenewal::Asked {
--- a/src/workswood/ops/jobs/limits.rs
+++ b/src/workswood/ops/jobs/limits.rs
@@ -5,7 +5,7 @@
 use workswood_core::jobs::Limits;
 use workswood_core::jobs::types::lease_with_drift;
 
-use super::lease_renewal::EXTENSION_GRACE;
+use super::lease_renewal::FULL_LEASE_GRACE;
 use crate::util::job_settings::JobSettings;
 
 /// Duration of a worker's lease. It has to outlast a takeover by a successor of the lease holder,
@@ -41,7 +41,7 @@
     Limits {
         lease: WorkerLease::of(s).duration,
         max_lease: Duration::from_millis(s.max_lease_ms),
-        extension_grace: EXTENSION_GRACE,
+        extension_grace: FULL_LEASE_GRACE,
         clock_drift: CLOCK_DRIFT,
         host_order_delay: Duration::from_millis(s.host_handover_ms) + HANDOVER_MARGIN,
         host_orders_per_s: s.host_orders_per_s,
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -130,14 +130,14 @@
         });
     }
 
-    /// How long anybody may still extend workers' leases, under this term or an earlier one, after the
+    /// How long anybody may still give workers full leases, under this term or an earlier one, after the
     /// scheduler of this term has ended.
     /// `None` if that is not certain.
     pub(super) fn extensions_left(&self, now: Duration) -> Option<Duration> {
         // The store takes no renewal of an earlier term after the first one of this term.
         let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
         let earlier = (*self.earlier_grants_end.borrow()).or_else(fenced)?;
-        let left = self.relays_grant.end().max(earlier).saturating_sub(now);
+        let left = self.relays_grant.full_until().max(earlier).saturating_sub(now);
         Some(if left.is_zero() { left } else { left + GRANT_ROUNDING })
     }
 }
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -13,6 +13,7 @@
 pub mod assigned_worker;
 pub mod codec;
 mod event_sink;
+mod grant;
 pub mod messages;
 mod order_permits;
 mod order_wait;
@@ -23,7 +24,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::task::JoinSet;
@@ -31,45 +32,19 @@
 
 use self::assigned_worker::AssignedWorker;
 pub use self::event_sink::{EventQueue, EventSink};
+pub use self::grant::Grant;
 use self::messages::{WorkerEvent, WorkerNumber, WorkerOrder};
 use self::pending_starts::Recall;
 use super::limits::WorkerLease;
 use super::node::Node;
 
-/// Permission to extend the leases of workers until some time, in milliseconds since the process
-/// started. The time never decreases; clones share it.
-#[derive(Clone, Debug, Default)]
-pub struct Grant(Arc<AtomicU64>);
-
-impl Grant {
-    /// Creates a permission that ends at a time.
-    pub fn until(end: Duration) -> Grant {
-        Grant(Arc::new(AtomicU64::new(end.as_millis() as u64)))
-    }
-
-    /// Extends the permission, unless it already ends later.
-    pub fn extend(&self, until: Duration) {
-        self.0.fetch_max(until.as_millis() as u64, Ordering::AcqRel);
-    }
-
-    /// Whether the permission is valid at a time.
-    pub fn holds(&self, now: Duration) -> bool {
-        self.end() > now
-    }
-
-    /// When the permission ends.
-    pub fn end(&self) -> Duration {
-        Duration::from_millis(self.0.load(Ordering::Acquire))
-    }
-}
-
 /// What the tasks of one relay share.
 pub struct RelayContext {
     /// The process.
     pub node: Arc<Node>,
     /// Permission to extend leases.
     pub grant: Grant,
-    /// Durations of workers' leases.
+    /// Full length of workers' leases.
     pub worker_lease: WorkerLease,
     /// Where events are reported.
     pub sink: EventSink,
@@ -85,6 +60,11 @@
         RelayContext { node, grant, worker_lease, sink, grant_ended }
     }
 
+    /// The lease that a worker gets now.
+    fn lease_from(&self, now: Duration) -> WorkerLease {
+        WorkerLease { duration: self.grant.lease_from(now, self.worker_lease.duration) }
+    }
+
     /// Whether leases may be extended now; logs when that changes.
     fn holds_grant(&self, now: Duration) -> bool {
         let holds = self.grant.holds(now);
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -144,7 +144,7 @@
         let acked_end = self.end_to_ack(sent);
         let leased_until = self.worker.leased_until();
         self.last_answered = None;
-        let worker_lease = &self.cx.worker_lease;
+        let worker_lease = self.cx.lease_from(sent);
         // The end of the lease is computed before the permission to send it is checked. If the
         // process is paused in between, it sends a lease that has ended.
         let lease_end =
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -51,13 +51,12 @@
             log::info!("event=start_not_sent worker={worker} task={task} reason=data_centre_evacuated");
             break;
         }
-        let Some(lease_end) = worker.lease_end(now, cx.worker_lease.duration) else { break };
+        let lease = cx.lease_from(now);
+        let Some(lease_end) = worker.lease_end(now, lease.duration) else { break };
         if !worker.pending_starts.may_send((start.task, start.attempt)) {
             break;
         }
-        if !cx.grant.holds(cx.node.now())
-            || !worker.may_lease_until(now + cx.worker_lease.max_duration_with_drift())
-        {
+        if !cx.grant.holds(cx.node.now()) || !worker.may_lease_until(now + lease.max_duration_with_drift()) {
             break;
         }
         let order = StartOrder {
--- a/src/workswood/ops/jobs/relay/session.rs
+++ b/src/workswood/ops/jobs/relay/session.rs
@@ -114,7 +114,8 @@
             && let Some(sent) = heartbeats.take(g.heartbeat)
         {
             // Counted from when the heartbeat was sent, which was before the holder granted it.
-            grant.extend(sent + Duration::from_millis(u64::from(g.duration_ms)));
+            let full_until = sent + Duration::from_millis(u64::from(g.duration_ms));
+            grant.extend_to(full_until, full_until + Duration::from_millis(u64::from(g.shortened_ms)));
         }
         let orders = codec::read_orders(msg.orders).ok_or(Closed)?;
         orders.into_iter().for_each(|(number, order)| relay.execute(number, order));
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -209,7 +209,7 @@
     /// Number of the session in this term.
     session_number: u64,
     workers: WorkersByNumber,
-    /// Until when the relay may extend leases, in milliseconds since the process started.
+    /// Until when the relay may give full leases, in milliseconds since the process started.
     granted_until_ms: AtomicU64,
 }
 
@@ -330,11 +330,13 @@
 
     /// Returns the answer to a heartbeat: the relay may extend leases for as long as this process.
     fn grant(&self, heartbeat: u64) -> wire::RelayOrders {
-        let until = self.handle.grant.end();
-        let remaining = until.saturating_sub(self.node.now());
-        self.granted_until_ms.fetch_max(until.as_millis() as u64, Ordering::AcqRel);
-        self.handle.relays_grant.extend(until);
-        let grant = wire::LeaseGrant { heartbeat, duration_ms: remaining.as_millis() as u32 };
+        let (full_until, end) = (self.handle.grant.full_until(), self.handle.grant.end());
+        self.granted_until_ms.fetch_max(full_until.as_millis() as u64, Ordering::AcqRel);
+        self.handle.relays_grant.extend_to(full_until, end);
+        let now = self.node.now();
+        let duration_ms = full_until.saturating_sub(now).as_millis() as u32;
+        let shortened_ms = end.saturating_sub(full_until.max(now)).as_millis() as u32;
+        let grant = wire::LeaseGrant { heartbeat, duration_ms, shortened_ms };
         wire::RelayOrders { grant: Some(grant), orders: Vec::new() }
     }
 
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -11,6 +11,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, LatestRecords, Partition, StoreError, Topic};
 
 use super::inbox::{self, InboxIndex};
+use super::lease_renewal::EXTENSION_GRACE;
 use super::limits::scheduler_limits;
 use super::node::{Node, SchedulerHandle};
 use super::record::{InboxKey, InboxRecordKind, StateKey, parse_inbox_key, parse_state_key};
@@ -54,7 +55,8 @@
     sched.holder = node.settings.name.clone();
     sched.strength = node.settings.strength();
     sched.now = node.now();
-    sched.predecessors_extend_until = grants_end;
+    // Holders of earlier versions give full leases for all of that time.
+    sched.predecessors_extend_until = grants_end.or(Some(held_since + EXTENSION_GRACE));
     if let Some(cfg) = node.config.load_full() {
         sched.handle(Event::ConfigChanged(cfg));
     }
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -20,7 +20,7 @@
 use super::batch_writer::BatchWriter;
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
-use super::lease_renewal;
+use super::lease_renewal::{self, EXTENSION_GRACE, FULL_LEASE_GRACE};
 use super::node::{Node, SchedulerHandle};
 use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
@@ -46,10 +46,13 @@
 pub fn start(node: &Arc<Node>, term: u64, claim_sent_at: Option<Duration>) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (stop, stopped) = watch::channel(false);
-    let grace = lease_renewal::EXTENSION_GRACE;
     // Counted from the sending, so that others can tell from the record of the claim when it ends.
-    let grant = claim_sent_at.map_or_else(Grant::default, |sent| Grant::until(sent + grace));
-    let handle = SchedulerHandle { grant, ..SchedulerHandle::new(term, node.now(), grace, tx, stop) };
+    let grant = Grant::default();
+    if let Some(sent) = claim_sent_at {
+        grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
+    }
+    let handle = SchedulerHandle::new(term, node.now(), EXTENSION_GRACE, tx, stop);
+    let handle = SchedulerHandle { grant, ..handle };
     let handle = Arc::new(handle);
     node.scheduler.store(Some(handle.clone()));
     node.metrics.lease_terms.inc();
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -20,7 +20,7 @@
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 use workswood_test_support::turn_store::TurnStore;
 
-/// How long after its last renewal a holder extends leases.
+/// How long after its last renewal a holder gives full leases whose records don't tell.
 const GRACE: Duration = lease_renewal::EXTENSION_GRACE;
 /// Longest time that a lease lasts.
 const LEASE: Duration = Duration::from_millis(5_403);
@@ -32,11 +32,11 @@
 }
 
 fn renewal(term: u64) -> RecordFacts {
-    RecordFacts { term, released: false, extensions_left: None }
+    RecordFacts { term, released: false, grace: GRACE, extensions_left: None }
 }
 
 fn release(term: u64, left: Option<u64>) -> RecordFacts {
-    RecordFacts { term, released: true, extensions_left: left.map(ms) }
+    RecordFacts { term, released: true, grace: GRACE, extensions_left: left.map(ms) }
 }
 
 /// The bound of a process that reads these records at these times, then claims term 20, and then reads its
@@ -75,6 +75,15 @@
     assert_eq!(bound(&renewed, &[]), Some(ms(6_000) + GRACE), "a renewal that is written after the release");
 }
 
+/// A holder of an earlier version gives full leases for longer than its successor.
+#[test]
+fn longest_grace_counts() {
+    let short = |term| RecordFacts { grace: ms(3_000), ..renewal(term) };
+    assert_eq!(bound(&[(1_000, short(7)), (1_500, short(7))], &[]), Some(ms(4_500)));
+    let mixed = [(1_000, renewal(5)), (1_400, short(7)), (1_800, short(7))];
+    assert_eq!(bound(&mixed, &[]), Some(ms(1_000) + GRACE));
+}
+
 /// The store takes a renewal of the holder before after the claim.
 #[test]
 fn late_renewal_moves_the_bound() {
@@ -145,6 +154,13 @@
 async fn successor_of_expired_lease() {
     let (held, end) = succeed(held_by_other(1)).await;
     assert!(held > ms(1_800) && end.is_some_and(|end| is_about(end, GRACE)), "{held:?} {end:?}");
+    let mut last = held_by_other(1);
+    last["full_leases_ms"] = json!(3_000);
+    let (_, end) = succeed(last).await;
+    assert!(
+        end.is_some_and(|end| is_about(end, GRACE - ms(450))),
+        "from the record before, which tells nothing: {end:?}"
+    );
 }
 
 /// Has a holder of term 7 give up the lease after a time, with relays that may extend leases until then;
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -1075,6 +1075,8 @@
     assert_eq!((held.term, held.released), (7, false));
     let earlier = holder_read(text(LEASE_AND_PEERS, "lease-of-earlier-version")).await;
     assert_eq!((earlier.term, earlier.released), (8, false));
+    let before = holder_read(text(LEASE_AND_PEERS, "lease-claimed-by-version-before")).await;
+    assert_eq!((before.term, before.released), (2, false));
     let released = text(LEASE_AND_PEERS, "lease-released");
     assert!(holder_read(released).await.released);
     assert!(holder_read(text(LEASE_AND_PEERS, "lease-released-after-end")).await.released);
