--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -3,11 +3,13 @@
 //!
 //! A seed decides which faults come when; several overlap. What callers and
 //! workers see is checked while it runs and afterwards: no task runs twice, a
-//! refused job never runs, an accepted job is known everywhere and completed.
+//! refused job never runs, an accepted job is known everywhere and completed. [`lasting_soak`](super::lasting_soak)
+//! does the same with long-running tasks.
 //! A short run of some seeds is part of the suite. By hand:
 //! `SOAK_SEEDS=1-50 cargo test --test testsuite fault_soak::by_hand -- --ignored --nocapture`.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
@@ -18,12 +20,13 @@
 use workswood_adapter_standin::caller::{JobReply, Submission, config, request_state, submit_job};
 use workswood_adapter_standin::{Ledger, StoreStandin, StoredTopic, WorkerStandin};
 use workswood_test_support::cut::{Cut, Fault};
+use workswood_test_support::job_node::deployed_policy;
 use workswood_test_support::job_world::FaultRng;
 use workswood_test_support::program::{Program, free_ports};
 
 const SERVICE: &str = "desk";
-const ENTRIES: usize = 4;
-const WORKERS: usize = 5;
+pub(super) const ENTRIES: usize = 4;
+pub(super) const WORKERS: usize = 5;
 /// Listeners of an entry.
 const PORTS: usize = 4;
 /// Seeds that failed once, each with its cause.
@@ -36,10 +39,10 @@
 /// How long a task takes.
 const TAKES: Duration = Duration::from_millis(120);
 /// Time between two jobs.
-const JOB_EVERY: Duration = Duration::from_millis(120);
+pub(super) const JOB_EVERY: Duration = Duration::from_millis(120);
 /// Time between two faults; they last up to [`LONGEST`], so that some overlap.
-const FAULT_EVERY: Duration = Duration::from_millis(500);
-const LONGEST: Duration = Duration::from_millis(2500);
+pub(super) const FAULT_EVERY: Duration = Duration::from_millis(500);
+pub(super) const LONGEST: Duration = Duration::from_millis(2500);
 /// After the last fault, all that was accepted must be done within this time: a
 /// lease and the grace of its holder (9 s), a takeover, and the work itself.
 const SETTLES: Duration = Duration::from_secs(25);
@@ -47,13 +50,13 @@
 const VISIBLE: Duration = Duration::from_secs(3);
 
 /// A process that runs jobs, behind a relay to its store.
-struct Entry {
+pub(super) struct Entry {
     program: Option<Program>,
     /// Ends once the process that was told to stop has.
     ending: Option<JoinHandle<()>>,
     settings: PathBuf,
-    callers: SocketAddr,
-    store: Cut,
+    pub(super) callers: SocketAddr,
+    pub(super) store: Cut,
 }
 
 impl Entry {
@@ -63,6 +66,7 @@
             "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
             "peers": ports[2], "metrics": ports[3], "store": relay.address, "machines": relay.address, "store_parts": 4,
             "longest_lease_ms": 10000, "machine_handover_ms": 3000, "keep_ended_s": 120, "stop_within_s": 6,
+            "policy": deployed_policy(),
         });
         let path = folder.join(format!("entry-{n}.json"));
         std::fs::write(&path, settings.to_string()).expect("a settings file");
@@ -85,7 +89,7 @@
     }
 
     /// Ends the process by a signal; a planned stop takes seconds.
-    fn end(&mut self, name: &str) {
+    pub(super) fn end(&mut self, name: &str) {
         let Some(mut p) = self.program.take() else { return };
         p.signal(name);
         let name = name.to_string();
@@ -116,17 +120,17 @@
 }
 
 /// A life of a worker, behind a relay.
-struct Life {
+pub(super) struct Life {
     standin: WorkerStandin,
-    relay: Cut,
+    pub(super) relay: Cut,
     id: String,
 }
 
 /// All that is seen from outside.
-struct World {
-    store: Arc<StoreStandin>,
-    ledger: Arc<Ledger>,
-    lives: Vec<Life>,
+pub(super) struct World {
+    pub(super) store: Arc<StoreStandin>,
+    pub(super) ledger: Arc<Ledger>,
+    pub(super) lives: Vec<Life>,
     lived: usize,
 }
 
@@ -155,7 +159,7 @@
     }
 
     /// A worker crashes and comes back with another life.
-    async fn crash(&mut self, n: usize) {
+    pub(super) async fn crash(&mut self, n: usize) {
         let next = self.bear(n).await;
         let old = std::mem::replace(&mut self.lives[n], next);
         self.store.drop_worker(&old.id);
@@ -164,7 +168,9 @@
 
 /// A fault that stands until a time.
 #[derive(Clone, Copy, Debug)]
-enum Standing {
+pub(super) enum Standing {
+    /// So many further planned stops of the lease holder, one after the other.
+    PlannedStops(u64),
     Frozen(usize),
     Ended(usize),
     StoreRelay(usize),
@@ -180,14 +186,53 @@
     Fault::Slow(Duration::from_millis(150)),
 ];
 
-struct Soak {
-    luck: FaultRng,
-    world: World,
-    entries: Vec<Entry>,
-    standing: Vec<(Instant, Standing)>,
+pub(super) struct Soak {
+    pub(super) luck: FaultRng,
+    pub(super) world: World,
+    pub(super) entries: Vec<Entry>,
+    pub(super) standing: Vec<(Instant, Standing)>,
+    /// Where settings and logs are.
+    folder: PathBuf,
 }
 
 impl Soak {
+    /// Starts all processes.
+    pub(super) async fn new(name: &str, seed: u64) -> Soak {
+        let folder = std::env::temp_dir().join(format!("workswood-{name}-{}-{seed}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let world = World::new().await;
+        let store = world.store.address.to_string();
+        // Runs beside this one must not take a port while its process is down; and
+        // all at once, as a port that is let go may be given out again.
+        let pid = std::process::id();
+        let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * ENTRIES);
+        let mut entries = Vec::new();
+        for (n, own) in ports.chunks(PORTS).enumerate() {
+            entries.push(Entry::new(&folder, n, &store, own).await);
+        }
+        let luck = FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
+        Soak { luck, world, entries, standing: Vec::new(), folder }
+    }
+
+    /// Waits until all faults are over.
+    pub(super) async fn heal_all(&mut self) {
+        while !self.standing.is_empty() {
+            self.heal(Instant::now() + LONGEST);
+            tokio::time::sleep(JOB_EVERY).await;
+        }
+    }
+
+    /// Ends all processes; keeps their logs if something was broken.
+    pub(super) fn end(self, seed: u64, broken: &[String]) {
+        let folder = self.folder.clone();
+        drop(self);
+        if broken.is_empty() {
+            let _ = std::fs::remove_dir_all(folder);
+        } else {
+            println!("event=soak_broken seed={seed} logs={}", folder.display());
+        }
+    }
+
     /// Begins one fault.
     async fn begin(&mut self) {
         let until = Instant::now() + Duration::from_millis(self.luck.below(LONGEST.as_millis() as u64));
@@ -244,7 +289,7 @@
         self.standing.push((until, fault));
     }
 
-    fn store_fault(&mut self) {
+    pub(super) fn store_fault(&mut self) {
         let (which, slow) = (self.luck.below(4), Duration::from_millis(self.luck.below(240)));
         self.world.store.faults(|f| match which {
             0 => f.down = true,
@@ -258,7 +303,7 @@
     }
 
     /// Ends faults whose time has come.
-    fn heal(&mut self, now: Instant) {
+    pub(super) fn heal(&mut self, now: Instant) {
         let all = std::mem::take(&mut self.standing);
         for (until, fault) in all {
             if until > now {
@@ -266,6 +311,7 @@
                 continue;
             }
             match fault {
+                Standing::PlannedStops(left) => self.stop_holder(left),
                 Standing::Frozen(n) => self.entries[n].signal("-CONT"),
                 Standing::Ended(n) => {
                     if !self.entries[n].start_again() {
@@ -281,11 +327,11 @@
 }
 
 /// What became of a job, and when that was known.
-type Outcome = (String, Submission, Instant);
+pub(super) type Outcome = (String, Submission, Instant);
 
 /// Hands a job in, again and elsewhere while nobody knows, as callers do. It is
 /// refused only if every try was.
-async fn submit(job: String, mut order: Vec<SocketAddr>) -> Outcome {
+pub(super) async fn submit(job: String, mut order: Vec<SocketAddr>) -> Outcome {
     let mut unknown = false;
     for to in order.drain(..) {
         match submit_job(to, &job, TASKS).await {
@@ -300,36 +346,11 @@
 
 /// Plays one seed; returns what was broken.
 async fn play(seed: u64, lasts: Duration) -> Vec<String> {
-    let folder = std::env::temp_dir().join(format!("workswood-soak-{}-{seed}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder");
-    let world = World::new().await;
-    let store = world.store.address.to_string();
-    // Runs beside this one must not take a port while its process is down; and
-    // all at once, as a port that is let go may be given out again.
-    let pid = std::process::id();
-    let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * ENTRIES);
-    let mut entries = Vec::new();
-    for (n, own) in ports.chunks(PORTS).enumerate() {
-        entries.push(Entry::new(&folder, n, &store, own).await);
-    }
-    let mut soak = Soak {
-        luck: FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0),
-        world,
-        entries,
-        standing: Vec::new(),
-    };
+    let mut soak = Soak::new("soak", seed).await;
     let jobs = run(&mut soak, seed, lasts).await;
-    while !soak.standing.is_empty() {
-        soak.heal(Instant::now() + LONGEST);
-        tokio::time::sleep(JOB_EVERY).await;
-    }
+    soak.heal_all().await;
     let broken = settle(&soak, jobs).await;
-    drop(soak);
-    if broken.is_empty() {
-        let _ = std::fs::remove_dir_all(folder);
-    } else {
-        println!("event=soak_broken seed={seed} logs={}", folder.display());
-    }
+    soak.end(seed, &broken);
     broken
 }
 
@@ -357,7 +378,7 @@
 }
 
 /// Waits until all that was accepted is completed, and checks what must hold.
-async fn settle(soak: &Soak, jobs: Vec<Outcome>) -> Vec<String> {
+pub(super) async fn settle(soak: &Soak, jobs: Vec<Outcome>) -> Vec<String> {
     let until = Instant::now() + SETTLES;
     let mut broken = Vec::new();
     let accepted: Vec<&Outcome> =
@@ -404,15 +425,19 @@
     }
 }
 
+/// The seeds in the variable `SOAK_SEEDS`.
+pub(super) fn hand_seeds() -> RangeInclusive<u64> {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-10".to_string());
+    let (first, last) = seeds.split_once('-').expect("two numbers with a dash");
+    first.parse().expect("a number")..=last.parse().expect("a number")
+}
+
 /// Seeds from the variable `SOAK_SEEDS`, such as `1-50`, longer than in the suite.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "takes 20 s and more a seed"]
 async fn by_hand() {
-    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1-10".to_string());
-    let (first, last) = seeds.split_once('-').expect("two numbers with a dash");
-    let (first, last) = (first.parse().expect("a number"), last.parse().expect("a number"));
     let mut failed = Vec::new();
-    for seed in first..=last {
+    for seed in hand_seeds() {
         let broken = play(seed, Duration::from_secs(15)).await;
         if !broken.is_empty() {
             failed.push((seed, broken));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod job_status;
 mod keyed_requests;
 mod lasting_jobs;
+mod lasting_soak;
 mod late_jobs;
 mod late_starts;
 mod lease_claims;
