--- a/src/workswood/ops/jobs/worker_list.rs
+++ b/src/workswood/ops/jobs/worker_list.rs
@@ -8,6 +8,11 @@
 
 use super::topic_reader::TopicUpdate;
 
+/// Most records of one update that are logged because they can't be read; the others are counted.
+const MAX_UNREAD_LINES: usize = 8;
+/// Most characters of a name in such a line.
+const MAX_NAME_CHARS: usize = 128;
+
 /// The listed workers, by their keys in the list.
 #[derive(Debug, Default)]
 pub struct WorkerList {
@@ -33,16 +38,22 @@
             }
             TopicUpdate::Changes(records) => records,
         };
+        let mut unread = 0;
         for rec in &records {
-            events.extend(self.apply_record(rec, &parse));
+            events.extend(self.apply_record(rec, &parse, &mut unread));
+        }
+        if unread > MAX_UNREAD_LINES {
+            log::error!("event=workers_not_read code=203 unread={unread} logged={MAX_UNREAD_LINES}");
         }
         events
     }
 
+    /// Applies one record; `unread` counts those of the update that can't be read.
     fn apply_record(
         &mut self,
         rec: &KeyedRecord,
         parse: impl Fn(&KeyedRecord) -> Result<WorkerInfo, String>,
+        unread: &mut usize,
     ) -> Option<Event> {
         if rec.value.is_none() {
             return self.unlist(&rec.key);
@@ -50,7 +61,11 @@
         match parse(rec) {
             Ok(info) => self.list(&rec.key, info),
             Err(e) => {
-                log::error!("event=worker_not_read code=203 worker={} error=\"{e}\"", rec.key);
+                *unread += 1;
+                if *unread <= MAX_UNREAD_LINES {
+                    let name: String = rec.key.escape_default().take(MAX_NAME_CHARS).collect();
+                    log::error!("event=worker_not_read code=203 worker={name} error=\"{e}\"");
+                }
                 self.unlist(&rec.key)
             }
         }
--- a/tests/testsuite/foreign_entries.rs
+++ b/tests/testsuite/foreign_entries.rs
@@ -108,6 +108,123 @@
     }
 }
 
+/// Amounts that no host has would be summed up, and draw all work.
+#[test]
+fn capacity_that_no_host_has() {
+    let huge = [json!(1e30), json!(1e308), json!(u64::MAX), json!(1e12)];
+    for (field, value) in ["cpu", "mem_mb", "gpus"].iter().flat_map(|f| huge.iter().map(move |v| (f, v))) {
+        let mut e = entry();
+        e["capacity"][*field] = value.clone();
+        assert!(!is_read(e.to_string().as_bytes()), "`{field}` as {value}");
+    }
+    let mut large = entry();
+    large["capacity"] = json!({"cpu": 512_000, "mem_mb": 16 << 20, "gpus": 16});
+    assert!(is_read(large.to_string().as_bytes()), "a large host");
+}
+
+#[test]
+fn number_out_of_range() {
+    for (field, value) in [("seq", json!(1e300)), ("born", json!(u64::MAX)), ("slots", json!(1e300))] {
+        let mut e = entry();
+        e[field] = value.clone();
+        assert!(!is_read(e.to_string().as_bytes()), "`{field}` as {value}");
+    }
+    let text = entry().to_string();
+    for number in ["1e999", "-1e999", "1e-999e", "99999999999999999999999999999999"] {
+        let odd = text.replace("\"seq\":1", &format!("\"seq\":{number}"));
+        assert!(odd != text && !is_read(odd.as_bytes()), "{number}");
+    }
+}
+
+#[test]
+fn port_out_of_range() {
+    for port in ["0", "-1", "65536", "99999", "18446744073709551616", "8405x", ""] {
+        let mut e = entry();
+        e["address"] = json!(format!("127.0.0.1:{port}"));
+        assert!(!is_read(e.to_string().as_bytes()), "port {port}");
+    }
+}
+
+#[test]
+fn deeply_nested_entry() {
+    let text = entry().to_string();
+    for depth in [200, 100_000] {
+        for (open, close) in [("[", "]"), ("{\"a\":", "}")] {
+            let nested = format!("{}1{}", open.repeat(depth), close.repeat(depth));
+            let odd = text.replace("\"seq\":1", &format!("\"seq\":1,\"later\":{nested}"));
+            assert!(!is_read(odd.as_bytes()), "{depth} of {open}");
+            assert!(!is_read(nested.as_bytes()), "{depth} of {open} alone");
+        }
+    }
+}
+
+/// A text that is stored with a worker's record could exceed what the store takes.
+#[test]
+fn text_without_end() {
+    let long = "x".repeat(1 << 20);
+    for field in ["backend", "zone", "machine", "version", "state", "address"] {
+        let mut e = entry();
+        e[field] = json!(long);
+        assert!(!is_read(e.to_string().as_bytes()), "`{field}`");
+    }
+    for labels in [json!([long]), json!(vec!["a"; 100_000])] {
+        let mut e = entry();
+        e["labels"] = labels;
+        assert!(!is_read(e.to_string().as_bytes()), "labels");
+    }
+}
+
+#[test]
+fn error_of_bounded_length() {
+    let mut e = entry();
+    e["state"] = json!("x".repeat(1 << 20));
+    let rec = KeyedRecord { key: "i-1".to_string(), value: Some(e.to_string().into()) };
+    let error = client("127.0.0.1:9").parse_worker_info(&rec).expect_err("an unknown state");
+    assert!(error.len() < 200, "{} bytes", error.len());
+}
+
+/// The name of a worker is part of keys in the state and of log lines.
+#[test]
+fn name_that_is_no_word() {
+    let c = client("127.0.0.1:9");
+    let is_read = |key: &str| {
+        let value = Some(entry().to_string().into());
+        c.parse_worker_info(&KeyedRecord { key: key.to_string(), value }).is_ok()
+    };
+    assert!(is_read("i-8f29bd56"));
+    for key in ["", "i 1", "i-1\nlevel=info", "i-\u{7}", "\u{202e}i", &"i".repeat(250)] {
+        assert!(!is_read(key), "{key:?}");
+    }
+}
+
+/// A worker between odd entries, and one whose entry changes back and forth, are followed all the same.
+#[test]
+fn page_of_odd_entries() {
+    let c = client("127.0.0.1:9");
+    let mut list = WorkerList::default();
+    let odd = ["{", "[1]", "{\"seq\":1e999}", &"[".repeat(100_000), "\"text\""];
+    let mut world = HostWorld::new(1);
+    for round in 0..20 {
+        let mut records: Vec<KeyedRecord> = (0..500)
+            .map(|n| KeyedRecord {
+                key: format!("odd-{n}"),
+                value: Some(odd[n % odd.len()].to_string().into()),
+            })
+            .collect();
+        let text = if round % 2 == 0 { entry().to_string() } else { odd[round % odd.len()].to_string() };
+        records.insert(250, KeyedRecord { key: "i-1".to_string(), value: Some(text.into()) });
+        let events = list.apply(TopicUpdate::Changes(records), |r| c.parse_worker_info(r));
+        match (&events[..], round % 2) {
+            ([Event::WorkerListed(info)], 0) => assert_eq!(info.id.name(), "i-1"),
+            ([Event::WorkerUnlisted(id)], 1) => assert_eq!(id.name(), "i-1"),
+            other => panic!("round {round}: {other:?}"),
+        }
+        events.into_iter().for_each(|ev| world.sched.handle(ev));
+        world.at(1000 + 150 * round as u64);
+        world.tick();
+    }
+}
+
 #[test]
 fn no_text_at_all() {
     for value in [&b"\xff\xfe\x00\x01"[..], b"", b"{", b"[]", b"null", b"12", b"\"text\""] {
