--- a/tests/testsuite/foreign_entries.rs
+++ b/tests/testsuite/foreign_entries.rs
@@ -7,7 +7,7 @@
 use workswood::ops::jobs::topic_reader::TopicUpdate;
 use workswood::ops::jobs::worker_list::WorkerList;
 use workswood_adapter::{Addresses, PlatformClient};
-use workswood_adapter_standin::StoreStandin;
+use workswood_adapter_standin::{MachinesStandin, StoreStandin};
 use workswood_core::jobs::{Action, Event};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, Topic};
 use workswood_test_support::host_world::{HostWorld, worker};
@@ -225,6 +225,23 @@
     }
 }
 
+/// A row of the list of hosts that can't be read hides no others.
+#[tokio::test]
+async fn odd_row_among_hosts() {
+    let odd = [
+        json!({"machine": "m-2", "pool": "desk"}),
+        json!({"machine": "m-3", "pool": "desk", "state": "up", "capacity": {"cpu": 1e30}}),
+        json!([1]),
+        Value::Null,
+    ];
+    let machines = MachinesStandin::start_with_odd_rows("desk", &["m-1", "m-4"], &odd).await;
+    let address = machines.address.to_string();
+    let c = PlatformClient::new(Addresses { store: address.clone(), machines: address, adviser: None });
+    let hosts = c.list_hosts().await.expect("the others are read");
+    let names: Vec<&str> = hosts.iter().map(|h| h.name.as_str()).collect();
+    assert_eq!(names, ["m-1", "m-4"]);
+}
+
 #[test]
 fn no_text_at_all() {
     for value in [&b"\xff\xfe\x00\x01"[..], b"", b"{", b"[]", b"null", b"12", b"\"text\""] {
