Sum up resources without overflow

The same cause elsewhere: a job may ask for any amount, and the work of its steps was multiplied and its resources added without bounds. That panics in a debug build and wraps in a release build. foreign_entries::job_without_bounds failed before: 'attempt to multiply with overflow' in queue_order.rs.

--- a/crates/workswood-core/src/jobs/queue_order.rs
+++ b/crates/workswood-core/src/jobs/queue_order.rs
@@ -234,7 +234,5 @@
 /// Work of a step and of all later steps, in core-milliseconds.
 fn remaining_work(spec: &JobSpec, step: usize, duration: &dyn Fn(usize) -> Duration) -> u64 {
     let steps = spec.steps.iter().enumerate().skip(step);
-    steps
-        .map(|(n, s)| u64::from(s.count) * s.resources.cpu_millis * duration(n).as_millis() as u64 / 1000)
-        .sum()
+    steps.map(|(n, s)| s.work_core_ms(duration(n))).fold(0, u64::saturating_add)
 }
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -47,11 +47,11 @@
         other.cpu_millis <= self.cpu_millis && other.mem_mb <= self.mem_mb && other.gpus <= self.gpus
     }
 
-    /// Adds another amount.
+    /// Adds another amount. Jobs may ask for any amount, so the sum stops at the largest number.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu_millis += other.cpu_millis;
-        self.mem_mb += other.mem_mb;
-        self.gpus += other.gpus;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.mem_mb = self.mem_mb.saturating_add(other.mem_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     /// The larger amount of each kind.
@@ -146,6 +146,13 @@
     pub fn reserved_resources(&self) -> Resources {
         if self.best_effort { Resources { cpu_millis: 0, ..self.resources } } else { self.resources }
     }
+
+    /// Work of all tasks if each takes this long, in core-milliseconds. Jobs may ask for any amount, so it stops
+    /// at the largest number.
+    pub fn work_core_ms(&self, duration: Duration) -> u64 {
+        let cpu_millis = u64::from(self.count).saturating_mul(self.resources.cpu_millis);
+        cpu_millis.saturating_mul(duration.as_millis() as u64) / 1000
+    }
 }
 
 /// Schedule of a job whose steps run in several rounds.
--- a/tests/testsuite/foreign_entries.rs
+++ b/tests/testsuite/foreign_entries.rs
@@ -8,10 +8,11 @@
 use workswood::ops::jobs::worker_list::WorkerList;
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::{MachinesStandin, StoreStandin};
-use workswood_core::jobs::{Action, Event};
+use workswood_core::jobs::spec::Resources;
+use workswood_core::jobs::{Action, Event, StepSpec};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, Topic};
 use workswood_test_support::host_world::{HostWorld, worker};
-use workswood_test_support::job_world::config;
+use workswood_test_support::job_world::{config, job, step};
 
 fn client(store: &str) -> PlatformClient {
     PlatformClient::new(Addresses { store: store.into(), machines: store.into(), adviser: None })
@@ -225,6 +226,26 @@
     }
 }
 
+/// Jobs may ask for any amount, and their amounts are summed up too.
+#[test]
+fn job_without_bounds() {
+    let mut world = HostWorld::new(2);
+    world.report(0, 0, &[]);
+    let mut endless = step(3, vec![]);
+    endless.resources = Resources { cpu_millis: u64::MAX, mem_mb: u64::MAX, gpus: u64::MAX };
+    let again = StepSpec { depends_on: vec![0], ..endless.clone() };
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![endless.clone()], 100))));
+    world.sched.handle(Event::Submitted(2, Arc::new(job(vec![endless, again], 100))));
+    world.sched.handle(Event::Submitted(3, Arc::new(job(vec![step(1, vec![])], 100))));
+    let mut started = Vec::new();
+    for ms in (250..2000).step_by(150) {
+        world.at(ms);
+        started.extend(world.tick());
+    }
+    let is_third = |a: &Action| matches!(a, Action::Start { task, .. } if task.job == 3);
+    assert!(started.iter().any(is_third), "{started:?}");
+}
+
 /// A row of the list of hosts that can't be read hides no others.
 #[tokio::test]
 async fn odd_row_among_hosts() {
