Have relays confirm that they end when the lease holder stops by plan

What callers would see: on deployments with relays, a lasting task away for up to 9.7 s after its worker vanished shortly before a planned change of holder. The release counted three seconds for relays in other processes, though they end with their session, since nothing said so. A holder that is told to stop now asks its relays to end (RelayOrders .end), they stop polling and confirm (RelayUpdate.ended), and a confirmed session's grant counts no more. It waits 0.1 s at most; relays of versions before confirm nothing, and count as before.

--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -33,6 +33,10 @@
     /// The orders.
     #[prost(message, repeated, tag = "2")]
     pub orders: Vec<RelayOrder>,
+    /// Whether the holder gives up its lease: the relay stops to poll all workers and says so. Versions that do
+    /// not read this do so when the connection ends.
+    #[prost(bool, tag = "3")]
+    pub end: bool,
 }
 
 /// Permission to extend the leases of workers for some time.
@@ -186,6 +190,9 @@
     /// Events of workers, in the order in which they occurred.
     #[prost(message, repeated, tag = "3")]
     pub events: Vec<WorkerEvent>,
+    /// Whether the relay has ended the session, and extends no lease any more.
+    #[prost(bool, tag = "4")]
+    pub ended: bool,
 }
 
 /// An event of one worker.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -55,6 +55,7 @@
 pub mod peers;
 pub mod record;
 pub mod relay;
+pub mod relay_grants;
 mod relay_sessions;
 mod restore_state;
 mod scheduler_io;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -24,6 +24,7 @@
 use super::peers::Peers;
 use super::relay::Grant;
 use super::relay::session::SessionId;
+use super::relay_grants::RelayGrants;
 use crate::util::clock::Clock;
 use crate::util::job_metrics::JobMetrics;
 use crate::util::job_settings::JobSettings;
@@ -77,8 +78,8 @@
     pub inbox_keys: Mutex<InboxIndex>,
     /// Until when this process may extend workers' leases and send orders to hosts.
     pub grant: Grant,
-    /// Until when relays in other processes may extend workers' leases.
-    pub relays_grant: Grant,
+    /// Until when relays in other processes may give workers full leases.
+    pub relay_grants: RelayGrants,
     /// Until when holders of earlier terms may extend workers' leases, once that is certain.
     pub earlier_grants_end: watch::Sender<Option<Duration>>,
     /// Decides which submitted jobs are admitted.
@@ -111,7 +112,7 @@
             inbox_read_ms: AtomicU64::new(0),
             inbox_keys: Mutex::default(),
             grant: Grant::until(held_since + extension_grace),
-            relays_grant: Grant::default(),
+            relay_grants: RelayGrants::default(),
             earlier_grants_end: watch::Sender::new(None),
             admission: Mutex::default(),
             stop,
@@ -137,7 +138,7 @@
         // The store takes no renewal of an earlier term after the first one of this term.
         let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
         let earlier = (*self.earlier_grants_end.borrow()).or_else(fenced)?;
-        let left = self.relays_grant.full_until().max(earlier).saturating_sub(now);
+        let left = self.relay_grants.latest().max(earlier).saturating_sub(now);
         Some(if left.is_zero() { left } else { left + GRANT_ROUNDING })
     }
 }
--- a/src/workswood/ops/jobs/relay/session.rs
+++ b/src/workswood/ops/jobs/relay/session.rs
@@ -62,8 +62,11 @@
     let heartbeats = PendingHeartbeats::default();
     let mut newest = node.relay_session.subscribe();
     let reason = tokio::select! {
-        _ = receive_orders(&node, rx, &mut relay, &grant, &heartbeats) => "holder_gone",
-        _ = send_updates(&node, tx, &events, &heartbeats) => "connection_broken",
+        received = receive_orders(&node, rx, &mut relay, &grant, &heartbeats) => match received {
+            Ok(EndAsked) => "holder_stops",
+            Err(Closed) => "holder_gone",
+        },
+        _ = send_updates(&node, &mut tx, &events, &heartbeats) => "connection_broken",
         _ = newest.wait_for(|s| *s > session) => "replaced",
         () = node.timer_lag.clone().measure() => "never",
     };
@@ -73,8 +76,19 @@
         open.term,
         relay.worker_count()
     );
+    // No lease is extended any more once the relay is gone.
+    drop(relay);
+    if reason == "holder_stops" {
+        let ended = wire::RelayUpdate { ended: true, ..wire::RelayUpdate::default() };
+        if tx.send(Msg::RelayUpdate(ended)).await.is_err() {
+            log::info!("event=session_end_not_confirmed holder={} term={}", open.holder, open.term);
+        }
+    }
 }
 
+/// The lease holder has asked to end the session.
+struct EndAsked;
+
 /// Numbers and send times of heartbeats that wait for their replies.
 #[derive(Default)]
 struct PendingHeartbeats(Mutex<VecDeque<(u64, Duration)>>);
@@ -106,7 +120,7 @@
     relay: &mut Relay,
     grant: &Grant,
     heartbeats: &PendingHeartbeats,
-) -> Result<(), Closed> {
+) -> Result<EndAsked, Closed> {
     loop {
         let msg = node.timer_lag.timeout(HOLDER_TIMEOUT, rx.next()).await.ok_or(Closed)??;
         let Msg::RelayOrders(msg) = msg else { return Err(Closed) };
@@ -120,12 +134,15 @@
         let orders = codec::read_orders(msg.orders).ok_or(Closed)?;
         orders.into_iter().for_each(|(number, order)| relay.execute(number, order));
         node.metrics.relayed_workers.set(relay.worker_count() as i64);
+        if msg.end {
+            return Ok(EndAsked);
+        }
     }
 }
 
 async fn send_updates(
     node: &Node,
-    mut tx: DuplexTx,
+    tx: &mut DuplexTx,
     events: &EventQueue,
     heartbeats: &PendingHeartbeats,
 ) -> Result<(), Closed> {
@@ -150,7 +167,7 @@
             heartbeat_due = now + HEARTBEAT_INTERVAL;
         }
         let events = codec::write_events(batch);
-        let update = wire::RelayUpdate { heartbeat, stopping: stop_announced, events };
+        let update = wire::RelayUpdate { heartbeat, stopping: stop_announced, events, ended: false };
         tx.send(Msg::RelayUpdate(update)).await?;
     }
 }
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -159,7 +159,7 @@
         for s in self.sessions.values_mut().filter(|s| !s.waiting.is_empty()) {
             let orders = codec::write_orders(std::mem::take(&mut s.waiting));
             // Sending fails if the session has just ended; its task reports that.
-            let _ = s.tx.send(wire::RelayOrders { grant: None, orders });
+            let _ = s.tx.send(wire::RelayOrders { orders, ..wire::RelayOrders::default() });
         }
     }
 
@@ -226,6 +226,8 @@
     WayLost,
     /// It went through a bridge, and the relay answers directly again.
     DirectAgain,
+    /// The lease is given up.
+    GivenUp,
 }
 
 impl SessionEnd {
@@ -233,7 +235,7 @@
     fn may_return(self) -> bool {
         match self {
             SessionEnd::Broken | SessionEnd::WayLost | SessionEnd::DirectAgain => true,
-            SessionEnd::NotOpened | SessionEnd::Silent => false,
+            SessionEnd::NotOpened | SessionEnd::Silent | SessionEnd::GivenUp => false,
         }
     }
 }
@@ -262,13 +264,20 @@
         tx: mpsc::UnboundedSender<wire::RelayOrders>,
         rx: mpsc::UnboundedReceiver<wire::RelayOrders>,
     ) -> SessionEnd {
-        let Some((way, (out, updates))) = self.connect().await else { return SessionEnd::NotOpened };
+        let Some((way, (mut out, mut updates))) = self.connect().await else { return SessionEnd::NotOpened };
         self.notify(Event::RelayUp(self.entry.clone()));
+        let mut stop = self.handle.stop.subscribe();
         let mut reason = tokio::select! {
-            _ = send_orders(out, rx) => SessionEnd::Broken,
-            reason = self.receive_updates(updates, tx, &way) => reason,
+            // A stop also ends the sending of orders.
+            biased;
+            _ = stop.wait_for(|stop| *stop) => SessionEnd::GivenUp,
+            _ = send_orders(&mut out, rx) => SessionEnd::Broken,
+            reason = self.receive_updates(&mut updates, tx, &way) => reason,
             () = bridges::until_direct_again(&self.node, &self.entry, &way) => SessionEnd::DirectAgain,
         };
+        if reason == SessionEnd::GivenUp {
+            self.end_session(out, updates).await;
+        }
         // The same session by yet another way would be lost again, with a full report each time.
         if reason == SessionEnd::WayLost && self.node.routes.lock().way_lost(&self.entry, self.node.now()) {
             reason = SessionEnd::Silent;
@@ -279,6 +288,20 @@
         reason
     }
 
+    /// Has the relay stop extending leases; if it confirms that, its grant counts no more.
+    async fn end_session(&self, mut out: DuplexTx, mut updates: DuplexRx) {
+        let end = wire::RelayOrders { end: true, ..wire::RelayOrders::default() };
+        if out.send(Msg::RelayOrders(end)).await.is_err() {
+            return;
+        }
+        while let Ok(Msg::RelayUpdate(update)) = updates.next().await {
+            if update.ended {
+                self.handle.relay_grants.end(self.session_number);
+                return;
+            }
+        }
+    }
+
     fn notify(&self, ev: Event) {
         // Sending fails if the scheduler has just stopped.
         let _ = self.handle.tx.send(ev);
@@ -297,7 +320,7 @@
     /// Receives updates from the relay until it is lost.
     async fn receive_updates(
         &self,
-        mut updates: DuplexRx,
+        updates: &mut DuplexRx,
         tx: mpsc::UnboundedSender<wire::RelayOrders>,
         way: &Way,
     ) -> SessionEnd {
@@ -332,12 +355,12 @@
     fn grant(&self, heartbeat: u64) -> wire::RelayOrders {
         let (full_until, end) = (self.handle.grant.full_until(), self.handle.grant.end());
         self.granted_until_ms.fetch_max(full_until.as_millis() as u64, Ordering::AcqRel);
-        self.handle.relays_grant.extend_to(full_until, end);
         let now = self.node.now();
+        self.handle.relay_grants.note(self.session_number, full_until);
         let duration_ms = full_until.saturating_sub(now).as_millis() as u32;
         let shortened_ms = end.saturating_sub(full_until.max(now)).as_millis() as u32;
         let grant = wire::LeaseGrant { heartbeat, duration_ms, shortened_ms };
-        wire::RelayOrders { grant: Some(grant), orders: Vec::new() }
+        wire::RelayOrders { grant: Some(grant), ..wire::RelayOrders::default() }
     }
 
     fn handle_update(&self, update: wire::WorkerEvent) {
@@ -351,7 +374,7 @@
 }
 
 async fn send_orders(
-    mut out: DuplexTx,
+    out: &mut DuplexTx,
     mut rx: mpsc::UnboundedReceiver<wire::RelayOrders>,
 ) -> Result<(), Closed> {
     while let Some(frame) = rx.recv().await {
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -39,6 +39,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Largest number of events that the scheduler handles before the next batch may be taken.
 const MAX_EVENTS_AT_ONCE: usize = 512;
+/// Longest wait until the relays have confirmed that they extend no lease any more. A release must not wait long.
+const RELAYS_END_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval between requests for the list of hosts while the scheduler needs it.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -82,6 +84,11 @@
         () = schedule(node.clone(), handle.clone(), rx, &mut tasks) => {}
         _ = stopped.wait_for(|s| *s) => {}
     }
+    // The sessions with relays see the stop themselves, and end with the confirmation of their relay.
+    let relays_ended = handle.relay_grants.until_ended(node.now());
+    if tokio::time::timeout(RELAYS_END_TIMEOUT, relays_ended).await.is_err() {
+        log::info!("event=relays_not_ended term={}", handle.term);
+    }
     tasks.shutdown().await;
     node.scheduler.store(None);
     log::info!("event=scheduler_ended term={}", handle.term);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod deferred_requests;
 mod demand_history;
 mod drain_order;
+mod ended_sessions;
 mod entry_silence;
 mod entry_stop;
 mod evacuated_centres;
