--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -229,7 +229,7 @@
         if broken.is_empty() {
             let _ = std::fs::remove_dir_all(folder);
         } else {
-            println!("event=soak_broken seed={seed} logs={}", folder.display());
+            println!("event=soak_broken seed={seed} logs={} broken={broken:?}", folder.display());
         }
     }
 
--- a/tests/testsuite/lasting_soak.rs
+++ b/tests/testsuite/lasting_soak.rs
@@ -45,17 +45,22 @@
     fn holder(&self) -> Option<usize> {
         let record = self.world.store.newest(StoredTopic::Lease, "holder")?;
         let record: serde_json::Value = serde_json::from_str(&record).ok()?;
+        if record["released"] == true {
+            return None;
+        }
         record["name"].as_str()?.strip_prefix("entry-")?.parse().ok()
     }
 
     /// Has the lease holder stop by plan and start again; so many further stops follow.
     pub(super) fn stop_holder(&mut self, further: u64) {
         let now = Instant::now();
-        if let Some(n) = self.holder() {
-            println!("event=fault fault=PlannedStop({n}) further={further}");
-            self.entries[n].end("-TERM");
-            self.standing.push((now + Duration::from_millis(300), Standing::Ended(n)));
-        }
+        let Some(n) = self.holder() else {
+            self.standing.push((now + JOB_EVERY, Standing::PlannedStops(further)));
+            return;
+        };
+        println!("event=fault fault=PlannedStop({n}) further={further}");
+        self.entries[n].end("-TERM");
+        self.standing.push((now + Duration::from_millis(300), Standing::Ended(n)));
         if further > 0 {
             let gap = STOP_GAP_MS.0 + self.luck.below(STOP_GAP_MS.1 - STOP_GAP_MS.0);
             self.standing.push((now + Duration::from_millis(gap), Standing::PlannedStops(further - 1)));
