--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -67,7 +67,8 @@
         self
     }
 
-    /// Has holders record when the leases of workers that don't answer end.
+    /// Has holders record when the leases of workers that don't answer end, as deployed, from a change of
+    /// holder on.
     #[must_use]
     pub fn with_lease_ends(mut self) -> World {
         self.handover.records_lease_ends = true;
@@ -75,6 +76,15 @@
         self
     }
 
+    /// Has holders not record when the leases of workers that don't answer end, unlike what is deployed. Seeds
+    /// that were found before such records play their histories then.
+    #[must_use]
+    pub fn without_lease_ends(mut self) -> World {
+        self.handover.records_lease_ends = false;
+        self.holders.iter_mut().for_each(|h| h.sched.policy.handover = self.handover.clone());
+        self
+    }
+
     /// Has few orders at a time under way to a worker, and the others wait in its relay. Workers run
     /// many tasks, such as those of [`small_step`](super::small_step).
     #[must_use]
