--- a/tests/testsuite/lasting_soak.rs
+++ b/tests/testsuite/lasting_soak.rs
@@ -29,6 +29,10 @@
 const STOP_GAP_MS: (u64, u64) = (1000, 2600);
 /// Most planned stops of a series after the first.
 const MAX_STOPS: u64 = 4;
+/// Workers that are cut off for good while the lease holder is stopped again and again.
+const CUT_WORKERS: usize = 2;
+/// Planned stops of that series after the first.
+const STOPS: u64 = 9;
 /// Time after the end of a task's last run in which it may be absent.
 const RESTART_BOUND: Duration = Duration::from_secs(6);
 /// Longest absence after that.
@@ -133,12 +137,17 @@
     /// Tasks that are absent for too long, if it has been calm since this time.
     fn absent(&self, tasks: &[String], calm_since: Instant) -> Vec<String> {
         let calm = calm_since.elapsed() >= CALM_BEFORE + ABSENCE_BOUND;
+        if calm { self.long_absent(tasks) } else { Vec::new() }
+    }
+
+    /// Tasks that do not run, and have not for longer than is allowed in a calm.
+    fn long_absent(&self, tasks: &[String]) -> Vec<String> {
         let is_absent = |task: &&String| {
             let ended = self.world.ledger.last_end(task);
             let long = ended.is_some_and(|at| at.elapsed() >= RESTART_BOUND + ABSENCE_BOUND);
             !self.world.ledger.is_running(task) && long
         };
-        tasks.iter().filter(|_| calm).filter(is_absent).cloned().collect()
+        tasks.iter().filter(is_absent).cloned().collect()
     }
 }
 
@@ -238,6 +247,25 @@
     play_short(2).await;
 }
 
+/// LOST: each planned change of holder made a task of a worker that was cut off wait for a whole lease.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_stops_in_series() {
+    let mut soak = Soak::new("planned-stops", 1).await;
+    let tasks = soak.submit_lasting(&["8000000000000001".to_string()]).await;
+    soak.world.lives.iter().take(CUT_WORKERS).for_each(|life| life.relay.set(Fault::Silent));
+    soak.stop_holder(STOPS);
+    let mut absent = Vec::new();
+    while soak.standing.iter().any(|(_, fault)| matches!(fault, Standing::PlannedStops(_))) {
+        soak.heal(Instant::now());
+        absent.extend(soak.long_absent(&tasks));
+        tokio::time::sleep(JOB_EVERY).await;
+    }
+    soak.heal_all().await;
+    assert!(tasks.iter().any(|task| soak.world.ledger.last_end(task).is_some()), "no lease has ended");
+    soak.end(1, &absent);
+    assert!(absent.is_empty(), "{absent:?}");
+}
+
 /// Seeds from the variable `SOAK_SEEDS`, such as `1-50`, longer than in the suite.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "takes 50 s and more a seed"]
