--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -60,6 +60,8 @@
     looks: Mutex<u64>,
     /// Looks that extended a lease.
     leases: Mutex<u64>,
+    /// End of the last lease that was sent, on the clock of a worker that stands nearly still.
+    last_lease_end: Mutex<WorkerClock>,
     /// Starts and stops in the order in which they were sent.
     sent: Mutex<Vec<SentOrder>>,
     /// For how long a start or stop is under way without an answer; `None` if it fails at once.
@@ -98,6 +100,7 @@
             done: Mutex::default(),
             looks: Mutex::default(),
             leases: Mutex::default(),
+            last_lease_end: Mutex::default(),
             sent: Mutex::default(),
             order_wait: Mutex::default(),
             orders: Mutex::default(),
@@ -178,6 +181,11 @@
         *self.each.lock() = each;
     }
 
+    /// How long the last lease was that was sent, within the time that a poll takes.
+    pub fn last_lease(&self) -> Duration {
+        *self.last_lease_end.lock()
+    }
+
     /// Looks that extended a lease so far.
     pub fn leases(&self) -> u64 {
         *self.leases.lock()
@@ -325,7 +333,10 @@
         lease_end: Option<WorkerClock>,
         wait: Duration,
     ) -> BoxFuture<'a, Result<(WorkerClock, Listing), WorkerError>> {
-        *self.leases.lock() += u64::from(lease_end.is_some());
+        if let Some(end) = lease_end {
+            *self.leases.lock() += 1;
+            *self.last_lease_end.lock() = end;
+        }
         let n = {
             let mut looks = self.looks.lock();
             *looks += 1;
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -286,6 +286,45 @@
     assigned.unassign();
 }
 
+/// A successor counts on it that leases in the last part of a grant end no later than those before.
+#[tokio::test(start_paused = true)]
+async fn leases_get_shorter_in_the_end() {
+    let store = Arc::new(TurnStore::new(ms(4), &[]));
+    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
+    let (tx, _rx) = mpsc::unbounded_channel();
+    let grant = Grant::default();
+    grant.extend_to(ms(3_000), ms(4_000));
+    assert_eq!(grant.lease_from(ms(2_900), ms(5_000)), ms(5_000));
+    assert_eq!(grant.lease_from(ms(3_900), ms(5_000)), ms(4_100));
+    let cx = RelayContext::new(node.clone(), grant, EventSink::Local(tx));
+    let assigned = Arc::new(AssignedWorker::new(1, worker(0, 0).worker_address(), 1));
+    tokio::spawn(poll::run(Arc::new(cx), assigned.clone()));
+    let slack = ms(400);
+    tokio::time::sleep(ms(2_900)).await;
+    assert!(store.last_lease() >= ms(5_000), "{:?}", store.last_lease());
+    tokio::time::sleep(ms(1_050)).await;
+    assert!(store.last_lease() < ms(4_100) + slack, "{:?}", store.last_lease());
+    assigned.unassign();
+}
+
+/// TWICE: a holder without the store extends the lease of a worker up to the end of its grant.
+#[test]
+fn lease_of_the_last_second_is_over_in_time() {
+    for seed in 1..=40 {
+        let (mut w, at) = world_with_lasting_task(World::new(4, FaultRng::new(seed, 0)));
+        w.lose_store(ms(20_000));
+        let deciding = ms(3_000 + w.rng.below(990));
+        w.run_for(deciding);
+        w.cut(at, true);
+        w.take_over();
+        for _ in 0..500 {
+            w.run_for(ms(20));
+            assert!(w.running(&TASK) <= 1, "seed {seed}: two runs at {:?}", w.now);
+        }
+        assert_eq!(w.running(&TASK), 1, "seed {seed}: it is placed again");
+    }
+}
+
 /// A job of one long-running task.
 const JOB: u64 = 1;
 const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
