Simulated relays send no lease before a worker has answered, as real ones

They counted one with the first probe of each assignment, so a successor in the worlds gave a silent worker a lease from its own claim.

--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -102,6 +102,8 @@
     /// When the last probe was sent, if it was answered.
     answered: Option<Duration>,
     next_probe: Duration,
+    /// Whether a probe was answered; before that, the worker's clock is not known, and no lease is sent.
+    has_answered: bool,
     /// Whether the last probe was not answered; the worker's lease is then not extended.
     silent: bool,
     /// When the lease is extended only on order.
@@ -122,7 +124,7 @@
 impl Watched {
     /// Whether the lease may be extended, as far as the worker and orders of the holder matter.
     fn may_extend(&self) -> bool {
-        !self.silent && self.is_ordered()
+        self.has_answered && !self.silent && self.is_ordered()
     }
 
     /// Whether no order to extend the lease is needed, or it has come.
@@ -307,6 +309,7 @@
                     forgotten: 0,
                     answered: None,
                     next_probe: now,
+                    has_answered: false,
                     silent: false,
                     extensions,
                     unanswered: 0,
@@ -517,6 +520,7 @@
         let update = match answer {
             PendingAnswer::Listed { listing, sent, forget } => {
                 w.answered = Some(sent);
+                w.has_answered = true;
                 w.forgotten = w.forgotten.max(forget);
                 w.silent = false;
                 w.last_answer = now;
