--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -131,7 +131,7 @@
 #[test]
 fn peer_frames() {
     let all = lines(PEER_FRAMES);
-    assert_eq!(all.len(), 44);
+    assert_eq!(all.len(), 46);
     for (n, (name, hex)) in all.into_iter().enumerate() {
         let frame = Frame::decode(from_hex(hex).as_slice()).expect(name);
         assert!(frame.msg.is_some(), "{name}");
@@ -280,6 +280,25 @@
     assert_eq!(orders[1], (12, WorkerOrder::ExtendLeases(3)));
 }
 
+/// Orders and news about silent workers, and of sessions that end by plan.
+#[test]
+fn relay_silence_and_end() {
+    let m = message!(RelayOrders "relay-silence-orders");
+    assert_eq!(m.grant.map(|g| (g.heartbeat, g.duration_ms, g.shortened_ms)), Some((5, 1_800, 1_000)));
+    assert!(m.end);
+    let orders = read_orders(m.orders.clone()).expect("orders that are known");
+    let written = RelayOrders { orders: write_orders(orders.clone()), ..m.clone() };
+    assert_eq!(to_hex(&written.encode_to_vec()), to_hex(&m.encode_to_vec()));
+    let (11, WorkerOrder::Assign { extensions, .. }) = &orders[0] else { panic!("{orders:?}") };
+    assert_eq!(*extensions, ExtensionOrders::AfterSilence);
+    let m = message!(RelayUpdate "relay-silence-news");
+    assert!(m.ended);
+    let news = read_event(m.events[0].clone()).expect("news that are known");
+    assert_eq!(news, (11, WorkerEvent::AwaitsOrder));
+    let written = RelayUpdate { events: write_events(vec![news]), ..m.clone() };
+    assert_eq!(to_hex(&written.encode_to_vec()), to_hex(&m.encode_to_vec()));
+}
+
 fn check_report(report: &Report) {
     let running = &report.running[0];
     assert_eq!((report.full, running.task, running.attempt), (true, task(), 8));
