Keep the grant of a relay's session once, and name the end of a session by a type

Found in the read-through of the change: a session's grant stood in RelayGrants and in an atomic beside it; a stop asked by the holder was told apart by the text of its log line; a grant was extended by the same two sums in two places, and the time that an old record stands for was filled in in two. The action that assigns a worker calls its field extensions, as the order to the relay does. A session that ends because the holder stops no longer reports its loss to the scheduler, which ends too.

--- a/crates/workswood-core/src/jobs/lease_handover.rs
+++ b/crates/workswood-core/src/jobs/lease_handover.rs
@@ -29,10 +29,15 @@
     pub decides_until_answered: bool,
     /// Whether it is recorded when the leases of workers that don't answer end. All entries must be of a
     /// version that knows this setting. Such records are obeyed in any case.
-    #[serde(skip_serializing_if = "Clone::clone")]
+    #[serde(skip_serializing_if = "is_true")]
     pub records_lease_ends: bool,
 }
 
+/// Whether a setting has its default `true`, with which it is not written.
+fn is_true(setting: &bool) -> bool {
+    *setting
+}
+
 impl Default for HandoverPolicy {
     fn default() -> HandoverPolicy {
         HandoverPolicy {
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -276,7 +276,7 @@
             self.record_relay_count(id, relays);
         }
         let token = self.worker_token(relays);
-        let orders = self.begin_extensions(id);
+        let extensions = self.begin_extensions(id);
         self.open_relay(&entry);
         let Some(r) = self.relays.active.get_mut(&entry) else { return };
         r.workers.insert(id.clone());
@@ -285,7 +285,7 @@
                 relay: entry,
                 info: (*info).clone(),
                 token,
-                orders,
+                extensions,
             });
         }
     }
@@ -427,8 +427,8 @@
             let Some(w) = self.workers.get(&id) else { continue };
             let Some(info) = &w.info else { continue };
             let (info, token) = ((**info).clone(), self.worker_token(w.relay_count));
-            let orders = w.extensions.orders;
-            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token, orders });
+            let extensions = w.extensions.orders;
+            self.relays.orders.push(Action::StartPolling { relay: entry.clone(), info, token, extensions });
         }
     }
 
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -226,7 +226,7 @@
         /// Fencing token of the relay's orders to the worker.
         token: Term,
         /// When the relay extends the worker's lease only on order.
-        orders: ExtensionOrders,
+        extensions: ExtensionOrders,
     },
     /// Have the relay of a worker extend its lease from now on, if this many of its polls had no answer.
     ExtendLeases(WorkerId, u32),
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -403,10 +403,10 @@
                     s.kept_by_holder = false;
                 }
             }
-            Action::StartPolling { relay, info, token, orders } => {
+            Action::StartPolling { relay, info, token, extensions } => {
                 let id = info.id;
                 self.holders[n].watched.insert(id.clone(), (relay, token));
-                self.order(n, &id.clone(), ToRelay::Watch { id, token, extensions: orders });
+                self.order(n, &id.clone(), ToRelay::Watch { id, token, extensions });
             }
             Action::ExtendLeases(id, unanswered) => {
                 self.order(n, &id.clone(), ToRelay::ExtendLeases(id, unanswered));
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -31,6 +31,13 @@
     pub extensions_left: Option<Duration>,
 }
 
+impl RecordFacts {
+    /// How long after sending it its writer and holders before it may give full leases at most.
+    pub fn longest_grace(&self) -> Duration {
+        self.grace.unwrap_or(EXTENSION_GRACE)
+    }
+}
+
 /// A claim of this process.
 #[derive(Clone, Copy, Debug)]
 struct OwnClaim {
@@ -59,7 +66,7 @@
 impl EarlierGrants {
     /// Notes a record that is read for the first time.
     pub fn note_record(&mut self, rec: RecordFacts, now: Duration) {
-        self.renewed_until = self.renewed_until.max(now + rec.grace.unwrap_or(EXTENSION_GRACE));
+        self.renewed_until = self.renewed_until.max(now + rec.longest_grace());
         let by_reading = self.renewed_until;
         // Compares the record with the term that was read before it.
         self.note_record_after_claim(rec.term, by_reading);
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -18,7 +18,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
 use super::earlier_grants::{EarlierGrants, RecordFacts};
-use super::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
+use super::lease_renewal::FULL_LEASE_GRACE;
 use super::node::{Holder, Node, SchedulerHandle};
 use super::scheduler_task;
 use super::topic_reader::retry_delay;
@@ -310,7 +310,7 @@
     let facts = lease.facts();
     v.earlier_grants.note_record(facts, node.now());
     if lease.id != node.id {
-        node.note_full_leases_of_other(facts.grace.unwrap_or(EXTENSION_GRACE));
+        node.note_full_leases_of_other(facts.longest_grace());
     }
     // A renewal or release of an earlier term may arrive late.
     if v.holder.as_ref().is_some_and(|h| lease.term < h.term) {
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -8,6 +8,7 @@
 use super::lease::LeaseRecord;
 use super::node::{LastRenewal, Node, SchedulerHandle};
 use super::peer_requests;
+use super::relay::Grant;
 
 /// Interval between renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
@@ -25,6 +26,11 @@
 /// That is one renewal without an answer over two connections, or several that were refused.
 const RELEASE_AFTER: Duration = Duration::from_millis(900);
 
+/// Extends the holder's permission to extend workers' leases by a claim or renewal that was sent at this time.
+pub(super) fn extend_grant(grant: &Grant, sent: Duration) {
+    grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
+}
+
 /// Renews the lease until another process holds it, it is released, or the last renewal that was asked for is
 /// answered.
 pub async fn run(node: Arc<Node>, handle: Arc<SchedulerHandle>) {
@@ -39,7 +45,7 @@
                 node.note_store_answer();
                 next_append += 1;
                 renewed_at = sent;
-                handle.grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
+                extend_grant(&handle.grant, sent);
                 handle.first_renewed_at.get_or_init(|| node.now());
                 handle.renewals.send_modify(|n| *n += 1);
                 if *last_renewal.borrow_and_update() == LastRenewal::Asked {
--- a/src/workswood/ops/jobs/relay/session.rs
+++ b/src/workswood/ops/jobs/relay/session.rs
@@ -63,22 +63,23 @@
     let mut newest = node.relay_session.subscribe();
     let reason = tokio::select! {
         received = receive_orders(&node, rx, &mut relay, &grant, &heartbeats) => match received {
-            Ok(EndAsked) => "holder_stops",
-            Err(Closed) => "holder_gone",
+            Ok(EndAsked) => SessionOver::HolderStops,
+            Err(Closed) => SessionOver::HolderGone,
         },
-        _ = send_updates(&node, &mut tx, &events, &heartbeats) => "connection_broken",
-        _ = newest.wait_for(|s| *s > session) => "replaced",
-        () = node.timer_lag.clone().measure() => "never",
+        _ = send_updates(&node, &mut tx, &events, &heartbeats) => SessionOver::ConnectionBroken,
+        _ = newest.wait_for(|s| *s > session) => SessionOver::Replaced,
+        () = node.timer_lag.clone().measure() => SessionOver::Never,
     };
     log::info!(
-        "event=relay_session_ended holder={} term={} reason={reason} workers={}",
+        "event=relay_session_ended holder={} term={} reason={} workers={}",
         open.holder,
         open.term,
+        reason.label(),
         relay.worker_count()
     );
     // No lease is extended any more once the relay is gone.
     drop(relay);
-    if reason == "holder_stops" {
+    if reason == SessionOver::HolderStops {
         let ended = wire::RelayUpdate { ended: true, ..wire::RelayUpdate::default() };
         if tx.send(Msg::RelayUpdate(ended)).await.is_err() {
             log::info!("event=session_end_not_confirmed holder={} term={}", open.holder, open.term);
@@ -89,6 +90,31 @@
 /// The lease holder has asked to end the session.
 struct EndAsked;
 
+/// Why a session is over.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum SessionOver {
+    HolderStops,
+    HolderGone,
+    ConnectionBroken,
+    /// A later session has begun.
+    Replaced,
+    /// The measurement of timers, which never does, has ended.
+    Never,
+}
+
+impl SessionOver {
+    /// Name of the reason in the log.
+    fn label(self) -> &'static str {
+        match self {
+            SessionOver::HolderStops => "holder_stops",
+            SessionOver::HolderGone => "holder_gone",
+            SessionOver::ConnectionBroken => "connection_broken",
+            SessionOver::Replaced => "replaced",
+            SessionOver::Never => "never",
+        }
+    }
+}
+
 /// Numbers and send times of heartbeats that wait for their replies.
 #[derive(Default)]
 struct PendingHeartbeats(Mutex<VecDeque<(u64, Duration)>>);
--- a/src/workswood/ops/jobs/relay_grants.rs
+++ b/src/workswood/ops/jobs/relay_grants.rs
@@ -26,6 +26,11 @@
         self.ended.notify_one();
     }
 
+    /// Until when the relay of a session may give full leases; zero if it was granted nothing.
+    pub fn until(&self, session: u64) -> Duration {
+        self.by_session.lock().get(&session).copied().unwrap_or_default()
+    }
+
     /// The latest end of all grants.
     pub fn latest(&self) -> Duration {
         self.by_session.lock().values().copied().max().unwrap_or_default()
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -5,7 +5,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -87,7 +86,9 @@
         match action {
             Action::OpenRelay(entry) => self.open(entry, tasks),
             Action::CloseRelay(entry) => self.close(&entry),
-            Action::StartPolling { relay, info, token, orders } => self.assign(relay, info, token, orders),
+            Action::StartPolling { relay, info, token, extensions } => {
+                self.assign(relay, info, token, extensions);
+            }
             Action::ExtendLeases(id, unanswered) => self.order(&id, WorkerOrder::ExtendLeases(unanswered)),
             Action::StopPolling(id) => {
                 if let Some(a) = self.assignments.remove(&id) {
@@ -174,7 +175,6 @@
             entry: entry.clone(),
             session_number: self.opened,
             workers: workers.clone(),
-            granted_until_ms: AtomicU64::new(0),
         };
         let task = tasks.spawn(session_task.run(tx.clone(), rx));
         self.sessions.insert(entry, Session { waiting: Vec::new(), tx, workers, task });
@@ -209,8 +209,6 @@
     /// Number of the session in this term.
     session_number: u64,
     workers: WorkersByNumber,
-    /// Until when the relay may give full leases, in milliseconds since the process started.
-    granted_until_ms: AtomicU64,
 }
 
 /// Why a session ended. The names of the variants are written to the log.
@@ -248,13 +246,15 @@
         rx: mpsc::UnboundedReceiver<wire::RelayOrders>,
     ) {
         let reason = self.run_until_lost(tx, rx).await;
-        let granted_until = Duration::from_millis(self.granted_until_ms.load(Ordering::Acquire));
         let lease = WorkerLease::of(&self.node.settings).max_duration_with_drift();
         log::info!("event=relay_session_over relay={} reason={reason:?}", self.entry);
-        let leases_end = granted_until + lease;
+        // The scheduler ends too.
+        if reason == SessionEnd::GivenUp {
+            return;
+        }
         self.notify(Event::RelayDown {
             entry: self.entry.clone(),
-            lease_end: leases_end,
+            lease_end: self.handle.relay_grants.until(self.session_number) + lease,
             may_return: reason.may_return(),
         });
     }
@@ -354,7 +354,6 @@
     /// Returns the answer to a heartbeat: the relay may extend leases for as long as this process.
     fn grant(&self, heartbeat: u64) -> wire::RelayOrders {
         let (full_until, end) = (self.handle.grant.full_until(), self.handle.grant.end());
-        self.granted_until_ms.fetch_max(full_until.as_millis() as u64, Ordering::AcqRel);
         let now = self.node.now();
         self.handle.relay_grants.note(self.session_number, full_until);
         let duration_ms = full_until.saturating_sub(now).as_millis() as u32;
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -20,7 +20,7 @@
 use super::batch_writer::BatchWriter;
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
-use super::lease_renewal::{self, EXTENSION_GRACE, FULL_LEASE_GRACE};
+use super::lease_renewal::{self, EXTENSION_GRACE};
 use super::node::{Node, SchedulerHandle};
 use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
@@ -51,7 +51,7 @@
     // Counted from the sending, so that others can tell from the record of the claim when it ends.
     let grant = Grant::default();
     if let Some(sent) = claim_sent_at {
-        grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
+        lease_renewal::extend_grant(&grant, sent);
     }
     let handle = SchedulerHandle::new(term, node.now(), EXTENSION_GRACE, tx, stop);
     let handle = SchedulerHandle { grant, ..handle };
