Share what the tests of leases and of long-running tasks set up

The bounds of the rule stood in the simulated worlds and in the soak; the set-up of a process that follows the lease, and the look for an extension, stood twice in inherited_leases; random_jobs had two functions that play a history, and lasting_jobs the same alias as random_jobs. Assertions are as they were.

--- a/crates/workswood-test-support/src/job_world/lasting.rs
+++ b/crates/workswood-test-support/src/job_world/lasting.rs
@@ -12,11 +12,11 @@
 use super::{STEP, WORKER_CAPACITY, World};
 
 /// Time after the end of a task's last run in which it may be absent.
-const RESTART_BOUND: Duration = Duration::from_secs(6);
+pub const RESTART_BOUND: Duration = Duration::from_secs(6);
 /// Longest absence after that while there is room.
-const ABSENCE_BOUND: Duration = Duration::from_secs(3);
+pub const ABSENCE_BOUND: Duration = Duration::from_secs(3);
 /// Time before such an absence without faults.
-const CALM_BEFORE: Duration = Duration::from_secs(4);
+pub const CALM_BEFORE: Duration = Duration::from_secs(4);
 /// How often there has to be room for an absent task.
 const ROOM_FACTOR: u64 = 2;
 
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -36,6 +36,7 @@
 use workswood::ops::jobs::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
 
 pub use self::fault_rng::{Fate, FaultRng};
+pub use self::lasting::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
 
 use self::adviser::ADVICE;
 use self::crashes::Crashes;
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -84,7 +84,7 @@
     assert_eq!(bound(&mixed, &[]), Some(ms(1_000) + GRACE));
 }
 
-/// A process that has just started has read one record of the lease only, and claimed it, and counted from its claim.
+/// A process that has just started reads a single record of the lease.
 #[test]
 fn single_record_tells_the_grace() {
     let last = |grace| RecordFacts { grace: Some(ms(grace)), ..renewal(7) };
@@ -124,16 +124,22 @@
     json!({"id": "other", "name": "entry-9", "peers": "127.0.0.1:9", "term": term, "strength": 600})
 }
 
-/// A process that follows the lease, which another one holds; its claim, once it holds the lease, and until when it
-/// believes that the holder before may extend leases, both from the last record of that one on.
-async fn succeed(last: Value) -> (Duration, Option<Duration>) {
+/// A process that follows the lease in a store whose newest record is this one.
+fn follower(newest: &Value) -> (Arc<TurnStore>, Arc<Node>) {
     let store = Arc::new(TurnStore::new(ms(2), &[]));
-    store.keep_lease(lease_record(&held_by_other(1)));
+    store.keep_lease(lease_record(newest));
     let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
     node.configure(Arc::new(SchedConfig { version: 1, ..SchedConfig::default() }), "config".into());
     node.operator_state.set_evacuations(Evacuations::default());
     node.operator_state.note_read_success();
     tokio::spawn(lease::run(node.clone()));
+    (store, node)
+}
+
+/// A process that follows the lease, which another one holds; its claim, once it holds the lease, and until when it
+/// believes that the holder before may extend leases, both from the last record of that one on.
+async fn succeed(last: Value) -> (Duration, Option<Duration>) {
+    let (store, node) = follower(&held_by_other(1));
     tokio::time::sleep(ms(450)).await;
     store.write_lease(lease_record(&last));
     let written = node.now();
@@ -237,6 +243,13 @@
     (store, node, assigned, rx)
 }
 
+/// Whether a lease is extended within 0.3 s.
+async fn is_extended(store: &TurnStore) -> bool {
+    let before = store.leases();
+    tokio::time::sleep(ms(300)).await;
+    store.leases() > before
+}
+
 /// Waits until a poll has no answer.
 async fn unanswered(events: &mut mpsc::UnboundedReceiver<Event>) {
     loop {
@@ -251,19 +264,14 @@
 #[tokio::test(start_paused = true)]
 async fn extension_order_of_an_earlier_silence() {
     let (store, _node, assigned, mut events) = relay_with_orders(ExtensionOrders::FromStart);
-    let extended_within = async |time: Duration| {
-        let before = store.leases();
-        tokio::time::sleep(time).await;
-        store.leases() > before
-    };
-    assert!(!extended_within(ms(300)).await, "no order yet");
+    assert!(!is_extended(&store).await, "no order yet");
     assigned.allow_extensions(0);
-    assert!(extended_within(ms(300)).await);
+    assert!(is_extended(&store).await);
     unanswered(&mut events).await;
     assigned.allow_extensions(0);
-    assert!(!extended_within(ms(300)).await, "the order was given before the silence");
+    assert!(!is_extended(&store).await, "the order was given before the silence");
     assigned.allow_extensions(1);
-    assert!(extended_within(ms(300)).await);
+    assert!(is_extended(&store).await);
     assigned.unassign();
 }
 
@@ -271,18 +279,13 @@
 #[tokio::test(start_paused = true)]
 async fn extension_without_order_until_silence() {
     let (store, _node, assigned, mut events) = relay_with_orders(ExtensionOrders::AfterSilence);
-    let extended_within = async |time: Duration| {
-        let before = store.leases();
-        tokio::time::sleep(time).await;
-        store.leases() > before
-    };
-    assert!(extended_within(ms(300)).await, "no order is needed");
+    assert!(is_extended(&store).await, "no order is needed");
     unanswered(&mut events).await;
     let next = events.recv().await.expect("the relay runs");
     assert!(matches!(next, Event::WorkerUpdate(_, _, WorkerUpdate::AwaitsOrder)), "{next:?}");
-    assert!(!extended_within(ms(300)).await, "no order yet");
+    assert!(!is_extended(&store).await, "no order yet");
     assigned.allow_extensions(1);
-    assert!(extended_within(ms(300)).await);
+    assert!(is_extended(&store).await);
     assigned.unassign();
 }
 
@@ -500,13 +503,7 @@
 
 /// The time that the claim of a process tells that reads this record of the lease and nothing else.
 async fn claimed_after(last: Value) -> u64 {
-    let store = Arc::new(TurnStore::new(ms(2), &[]));
-    store.keep_lease(lease_record(&last));
-    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
-    node.configure(Arc::new(SchedConfig { version: 1, ..SchedConfig::default() }), "config".into());
-    node.operator_state.set_evacuations(Evacuations::default());
-    node.operator_state.note_read_success();
-    tokio::spawn(lease::run(node.clone()));
+    let (store, _node) = follower(&last);
     for _ in 0..400 {
         tokio::time::sleep(ms(10)).await;
         let claim = store.lease().into_iter().filter_map(|rec| rec.value).find_map(|value| {
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -7,7 +7,9 @@
 use workswood_core::jobs::{JobKey, StepSpec};
 use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
 
-use super::random_jobs::{hand_seeds, named_world, outages, outages_and_restarts, report, trouble_relays};
+use super::random_jobs::{
+    NewWorld, hand_seeds, named_world, outages, outages_and_restarts, report, trouble_relays,
+};
 
 /// Histories of one mixture in one run of the suite.
 const HISTORIES: u64 = 25;
@@ -58,8 +60,6 @@
     ("all", Mixture::All),
 ];
 
-type NewWorld = fn(usize, FaultRng) -> World;
-
 /// A history in its course.
 struct History {
     w: World,
--- a/tests/testsuite/lasting_soak.rs
+++ b/tests/testsuite/lasting_soak.rs
@@ -11,6 +11,7 @@
 use workswood_adapter_standin::StoredTopic;
 use workswood_adapter_standin::caller::{Submission, request_with_key, submit_lasting_job};
 use workswood_test_support::cut::Fault;
+use workswood_test_support::job_world::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
 
 use super::fault_soak::{
     ENTRIES, JOB_EVERY, LONGEST, Outcome, Soak, Standing, WORKERS, hand_seeds, settle, submit,
@@ -35,12 +36,6 @@
 const CUT_WORKERS: usize = 2;
 /// Planned stops of that series after the first.
 const STOPS: u64 = 9;
-/// Time after the end of a task's last run in which it may be absent.
-const RESTART_BOUND: Duration = Duration::from_secs(6);
-/// Longest absence after that.
-const ABSENCE_BOUND: Duration = Duration::from_secs(3);
-/// Time before such an absence without faults.
-const CALM_BEFORE: Duration = Duration::from_secs(4);
 /// For how long absences are looked for in a calm.
 const WATCHED_FOR: Duration = Duration::from_secs(4);
 /// Time in which the tasks of cancelled jobs end.
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -70,7 +70,7 @@
 }
 
 /// Makes a world of so many workers.
-type NewWorld = fn(usize, FaultRng) -> World;
+pub(super) type NewWorld = fn(usize, FaultRng) -> World;
 
 /// Relays of a world.
 const RELAYS: u64 = 4;
@@ -141,19 +141,19 @@
 }
 
 /// Plays one history in a world, in which nothing may be broken.
-fn play(seed: u64, world: fn(usize, FaultRng) -> World, with: With) -> Seen {
+fn play(seed: u64, world: NewWorld, with: With) -> Seen {
     try_play(seed, world, with).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"))
 }
 
 /// Plays a history whose seed was found in worlds without recorded lease ends, in which it meets what it was
 /// found for.
 fn play_as_found(seed: u64, world: NewWorld, with: With) {
-    let found = try_play_in(seed, |workers, luck| world(workers, luck).without_lease_ends(), with);
+    let found = try_play(seed, |workers, luck| world(workers, luck).without_lease_ends(), with);
     found.unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"));
 }
 
 /// Plays so many histories in a world, in which nothing may be broken; returns what all have seen.
-fn play_all(histories: u64, world: fn(usize, FaultRng) -> World, with: With) -> Seen {
+fn play_all(histories: u64, world: NewWorld, with: With) -> Seen {
     let mut total = Seen::default();
     (1..=histories).for_each(|seed| total.add(&play(seed, world, with)));
     assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
@@ -161,18 +161,13 @@
 }
 
 /// Plays so many histories, in which tasks are started.
-fn play_with_starts(histories: u64, world: fn(usize, FaultRng) -> World, with: With) {
+fn play_with_starts(histories: u64, world: NewWorld, with: With) {
     let starts = play_all(histories, world, with).starts;
     assert!(starts > HISTORIES, "{starts} starts");
 }
 
 /// Plays one history in a world; tells what was broken.
-fn try_play(seed: u64, world: NewWorld, with: With) -> Result<Seen, String> {
-    try_play_in(seed, world, with)
-}
-
-/// The same in a world that a closure makes.
-fn try_play_in(seed: u64, world: impl Fn(usize, FaultRng) -> World, with: With) -> Result<Seen, String> {
+fn try_play(seed: u64, world: impl Fn(usize, FaultRng) -> World, with: With) -> Result<Seen, String> {
     let mut w = world(4, FaultRng::mixed(seed));
     w.run_for(Duration::from_millis(600));
     w.rng.faults_per_mille = 60;
@@ -430,7 +425,7 @@
 }
 
 /// The world that HISTORY_WORLD names, and what its histories hold.
-pub(super) fn named_world() -> (fn(usize, FaultRng) -> World, With) {
+pub(super) fn named_world() -> (NewWorld, With) {
     let name = std::env::var("HISTORY_WORLD").unwrap_or_default();
     match name.as_str() {
         "plain" => (World::new, With::Nothing),
