Restart deadline: what may keep a long-running task from a worker is asked in one place

The interface of the design, without a change of behaviour: a safeguard names its longest wait, and gives way after that or when what is left until the deadline is needed for the start.

--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -10,6 +10,7 @@
 
 use super::job::{Job, Phase, Run, Task};
 use super::outage::StoreAccess;
+use super::restart_deadline::RESTART_BOUND;
 use super::scheduler::Scheduler;
 use super::spec::{StepSpec, TaskId};
 use super::worker::Worker;
@@ -98,9 +99,14 @@
 }
 
 impl AbsentTasks {
-    /// Whether a task has been absent for at least this long.
-    pub(super) fn is_absent_for(&self, id: &TaskId, least: Duration, now: Duration) -> bool {
-        self.by_task.get(id).is_some_and(|a| a.since + least <= now)
+    /// Since when a task has been absent; `None` if it is not.
+    pub(super) fn absent_since(&self, id: &TaskId) -> Option<Duration> {
+        self.by_task.get(id).map(|a| a.since)
+    }
+
+    /// When a task has to be at work again; `None` if it is not absent.
+    pub(super) fn restart_by(&self, id: &TaskId) -> Option<Duration> {
+        self.by_task.get(id).map(|a| a.since + RESTART_BOUND)
     }
 
     /// Tasks that have been absent for at least this long.
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -39,7 +39,8 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
-//! * `absent_tasks` logs long-running tasks that run nowhere, with the reason.
+//! * `absent_tasks` logs long-running tasks that run nowhere, with the reason; [`restart_deadline`] decides what gives
+//!   way so that they are at work again in time.
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
@@ -101,6 +102,7 @@
 pub mod pool_planning;
 pub mod queue_order;
 pub mod relays;
+pub mod restart_deadline;
 pub mod run_tracker;
 pub mod scheduler;
 mod second_runs;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -10,6 +10,7 @@
 use super::outage::StoreAccess;
 use super::policy::ShareOrder;
 use super::queue_order::{QueueOrder, QueuePosition, Timeliness};
+use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
 use super::types::Action;
@@ -307,7 +308,7 @@
     /// waits nevertheless, so that it is not started over and over on a faulty worker.
     fn takes_any_worker(&self, job: &Job, id: &TaskId) -> bool {
         let just_failed = job.task(id).is_some_and(|t| t.failed_within(LONG_RUNNING_PATIENCE, self.now));
-        !just_failed && self.absent_tasks.is_absent_for(id, LONG_RUNNING_PATIENCE, self.now)
+        !just_failed && self.gives_way(Safeguard::PreferredWorkers, id)
     }
 
     /// Whether a worker outside of backoff could run a task if it were empty.
--- /dev/null
+++ b/crates/workswood-core/src/jobs/restart_deadline.rs
@@ -0,0 +1,68 @@
+//! When a long-running task has to be at work again, and what gives way for it.
+//!
+//! A long-running task serves users until its job is cancelled. Its *restart deadline* is [`RESTART_BOUND`] after the
+//! earliest time at which its last run may have ended. While a run of it may still exist, nothing else can be done
+//! than to wait. Everything else that keeps it from a worker is a [`Safeguard`]: something that is preferred
+//! and gives way in time.
+
+use std::time::Duration;
+
+use super::scheduler::Scheduler;
+use super::spec::TaskId;
+
+/// Longest time from the end of a long-running task's run until the task is at work again.
+pub const RESTART_BOUND: Duration = Duration::from_secs(9);
+
+/// What a start takes: its record, the order to the worker, and another attempt if that has no answer.
+pub const START_RESERVE: Duration = Duration::from_millis(2500);
+
+/// What may keep a long-running task from a worker that has room for it, though nothing forbids the start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Safeguard {
+    /// Workers that are rather not used: the one that the task failed on, slow and shunned ones, and those
+    /// reserved for trials.
+    PreferredWorkers,
+    /// Trials: its own, for which it waits, and those that other tasks have on a worker.
+    Trials,
+    /// The backoff of a worker that refused a start.
+    Backoff,
+}
+
+impl Safeguard {
+    /// All safeguards.
+    pub const ALL: [Safeguard; 3] = [Safeguard::PreferredWorkers, Safeguard::Trials, Safeguard::Backoff];
+
+    /// The longest time for which it keeps a task that waits from a worker.
+    pub const fn longest_wait(self) -> Duration {
+        match self {
+            Safeguard::PreferredWorkers => Duration::from_secs(1),
+            Safeguard::Trials => Duration::from_secs(2),
+            Safeguard::Backoff => Duration::from_secs(2),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Whether a safeguard gives way for a task: the task has waited for long enough, or what is left until its
+    /// restart deadline is needed for the start.
+    pub(super) fn gives_way(&self, safeguard: Safeguard, id: &TaskId) -> bool {
+        self.waited_for(safeguard, id) >= safeguard.longest_wait()
+            || self.time_to_restart(id).is_some_and(|left| left <= START_RESERVE)
+    }
+
+    /// How long a safeguard may have kept a task from a worker. Trials matter once no run of the task may exist any
+    /// more; what is preferred among workers can be weighed before.
+    fn waited_for(&self, safeguard: Safeguard, id: &TaskId) -> Duration {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        let since = match safeguard {
+            Safeguard::PreferredWorkers | Safeguard::Backoff => self.absent_tasks.absent_since(id),
+            Safeguard::Trials => task.filter(|t| t.is_idle()).map(|t| t.waiting_since),
+        };
+        since.map_or(Duration::ZERO, |since| self.now.saturating_sub(since))
+    }
+
+    /// Time left until the restart deadline of an absent long-running task; `None` if it is not absent.
+    pub(super) fn time_to_restart(&self, id: &TaskId) -> Option<Duration> {
+        self.absent_tasks.restart_by(id).map(|deadline| deadline.saturating_sub(self.now))
+    }
+}
