Take a task that is given up out of the queue

Callers saw (BUDGET, our own check): a long-running task that crashes its workers was started once more after it had been given up. Cause: when the lease of an unlisted worker ends, its runs are settled, which queues their tasks, and then the worker is found to have crashed. give_up_task marked the task and left it in the queue of its service; the placement in the same batch started it. Fix: the task leaves the queue when it is given up; a job that ends leaves it as a whole already.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -413,8 +413,10 @@
         if let Some(t) = job.task_mut(task) {
             t.given_up = true;
         }
+        let is_over = job.all_done_or_given_up();
         self.dirty_jobs.insert(task.job);
-        if job.all_done_or_given_up() {
+        self.dequeue(task);
+        if is_over {
             self.end_job(task.job, Outcome::Failed);
         }
     }
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
-use workswood_core::jobs::{Action, Event, JobSpec, JobStatus, Outcome, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, JobSpec, JobStatus, Outcome, StepSpec, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -290,3 +290,28 @@
         actions = world.tick();
     }
 }
+
+/// Its runs lapse before their workers are found to have crashed, so that it waits for a start by then.
+#[test]
+fn given_up_task_leaves_the_queue() {
+    let (mut world, mut lives) = world();
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    let mut actions = submit(&mut world, 1, job(vec![lasting, step(1, vec![])], 200));
+    for _ in 0..6 {
+        take(&mut world, &actions);
+        let (_, at) = *starts(&actions).iter().find(|(t, _)| *t == task(1, 0)).expect("it is started");
+        let heard = world.sched.now;
+        let id = worker(at, lives[at]).id;
+        world.tells(&id, WorkerUpdate::Unanswered { lease_end: heard + Duration::from_secs(5), heard });
+        world.sched.handle(Event::WorkerUnlisted(id));
+        lives[at] += 1;
+        world.sched.handle(Event::WorkerListed(worker(at, lives[at])));
+        at_beside(&mut world, heard + LEASE_OVER_AFTER, &[], &lives);
+        actions = world.tick();
+        if world.sched.counters.tasks_given_up > 0 {
+            assert!(starts(&actions).iter().all(|(t, _)| *t != task(1, 0)), "{actions:?}");
+            return;
+        }
+    }
+    panic!("it is started without end");
+}
