Bound the wait of a likely cause for its trial, and try it in the open after that

Cause: MIN_CAUSED_CRASHES let a likely cause of two crashes wait without limit, since a run that starts without a trial proved nothing. is_overdue had a clock of its own beside the restart deadline. Fix: trials give way through Scheduler::gives_way(Safeguard::Trials, ..), whatever the number of crashes. The task then starts in an open trial: on a worker without a young run if there is one, with no quarantine. Its crash counts as one in a trial, unless another trial or a run that had just started was lost with it. So it stays provable, and no wait without limit is needed for that. Run::trial_quarantine is trial_length now. Tests: trial_waits::{likely_cause_waits_briefly, crash_in_open_trial_is_proof, crash_in_open_trial_beside_young_run_is_not} failed before ('job 9 never runs').

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -151,11 +151,6 @@
         self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
     }
 
-    /// Number of crashes that the task is the likely cause of.
-    pub(super) fn likely_cause_count(&self) -> usize {
-        self.0.values().filter(|c| c.evidence == Evidence::LikelyCause).count()
-    }
-
     /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
     fn score(&self, rate: f64) -> f64 {
         task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
@@ -265,6 +260,8 @@
     /// Longest time that the run may have lasted; `None` if its start time is unknown.
     max_run_time: Option<Duration>,
     role: RunRole,
+    /// Whether nothing else was started on the worker during its trial.
+    quarantined: bool,
 }
 
 impl Scheduler {
@@ -277,6 +274,7 @@
         let current = w.runs.keys().filter_map(|(task, n)| self.lost_run(id, task, *n));
         let mut lost: Vec<LostRun> = w.lapsed_runs.iter().cloned().chain(current).collect();
         lost.sort_by_key(|run| (run.task, run.attempt));
+        judge_open_trials(&mut lost);
         // Only runs with the most suspicious role explain the crash.
         let role = lost.iter().map(|run| run.role).min();
         let chance_probability = if role.is_some_and(|role| role != RunRole::Old) {
@@ -321,12 +319,13 @@
             run_time,
             max_run_time,
             role: self.run_role(run, run_time, max_run_time),
+            quarantined: w.quarantine.is_some_and(|q| q.trial == Some((*task, attempt))),
         })
     }
 
     fn run_role(&self, run: &Run, run_time: Option<Duration>, max_run_time: Option<Duration>) -> RunRole {
         let unheard = run_time.is_none() && run.phase != Phase::Inherited;
-        if !unheard && run.trial_quarantine.is_some_and(|length| run_time.is_none_or(|ran| ran < length)) {
+        if !unheard && run.trial_length.is_some_and(|length| run_time.is_none_or(|ran| ran < length)) {
             return RunRole::OnTrial;
         }
         match run_time {
@@ -481,3 +480,13 @@
     let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
     task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest });
 }
+
+/// Counts a trial without quarantine as a run that had just started if another such run was lost with
+/// it: either may have crashed the worker.
+fn judge_open_trials(lost: &mut [LostRun]) {
+    let suspects = lost.iter().filter(|run| run.role <= RunRole::Young).count();
+    let open = |run: &&mut LostRun| run.role == RunRole::OnTrial && !run.quarantined;
+    if suspects > 1 {
+        lost.iter_mut().filter(open).for_each(|run| run.role = RunRole::Young);
+    }
+}
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -5,14 +5,17 @@
 //! attributed to the task. Few workers are in quarantine at a time, so that the rest of the service
 //! goes on.
 //!
-//! Long-running tasks must be at work. One that has waited for [`MAX_TRIAL_WAIT`] starts without a
-//! trial and, if there is no other room, on a worker in quarantine. Only one that is the likely cause
-//! of several crashes waits for its trial without limit.
+//! Long-running tasks must be at work, so trials give way to them in time
+//! ([`Safeguard::Trials`]). Such a task then starts in an *open trial*: nothing is kept from its
+//! worker, which has no young run if there is such a worker. A crash is attributed to an open trial
+//! as to any other unless a run that had just started was lost with it. If there is no other room,
+//! the task starts on a worker in quarantine.
 
 use std::time::Duration;
 
 use super::crash_attribution::{CrashPolicy, PROVEN_SAFE_AFTER};
 use super::job::{Task, WorkerId};
+use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
 use super::spec::{StepId, StepSpec, TaskId};
 use super::worker::Worker;
@@ -29,14 +32,6 @@
 /// time for a few placement passes.
 const TRIAL_RESERVATION_MARGIN: Duration = Duration::from_millis(500);
 
-/// Longest time for which trials, its own and those of other tasks, keep a long-running task from a
-/// worker that has room for it.
-const MAX_TRIAL_WAIT: Duration = Duration::from_secs(2);
-
-/// A long-running task that is the likely cause of this many crashes waits for its trial without
-/// limit.
-const MIN_CAUSED_CRASHES: usize = 2;
-
 /// State of a worker that takes no work except a trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Quarantine {
@@ -46,6 +41,15 @@
     pub until: Duration,
 }
 
+/// How a suspected task starts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Trial {
+    /// How long the trial lasts.
+    pub length: Duration,
+    /// Whether nothing else starts on the worker meanwhile.
+    pub quarantined: bool,
+}
+
 /// Outcome of an attempt to place a trial.
 enum TrialPlacement {
     Started,
@@ -60,11 +64,25 @@
 }
 
 impl Scheduler {
-    /// Whether a task may only be started as a trial.
+    /// Whether a task may only be started in quarantine. A task with a single crash waits for a
+    /// limited time only, since such a crash is usually not its fault; so does a long-running task.
     fn needs_trial(&self, id: &TaskId) -> bool {
         let Some(job) = self.jobs.get(&id.job) else { return false };
         let Some((step, task)) = job.step(id).zip(job.task(id)) else { return false };
-        task.needs_trial(step, &self.policy.crashes, self.now)
+        let Some(s) = task.suspicion else { return false };
+        if step.long_running {
+            return !self.gives_way(Safeguard::Trials, id);
+        }
+        task.crashes.count() > 1 || self.now < s.suspected_at + self.policy.crashes.max_first_trial_wait
+    }
+
+    /// The trial in which a task starts now; `None` if it needs none.
+    pub(super) fn trial(&self, id: &TaskId) -> Option<Trial> {
+        let job = self.jobs.get(&id.job)?;
+        let (step, task) = job.step(id).zip(job.task(id))?;
+        let quarantined = self.needs_trial(id);
+        let length = task.trial_length(step, &self.policy.crashes)?;
+        (quarantined || step.long_running).then_some(Trial { length, quarantined })
     }
 
     /// Notes that long-running tasks that were not queued wait from now on.
@@ -81,11 +99,10 @@
         }
     }
 
-    /// Whether a task is long-running and has waited for so long that it starts without regard to
-    /// trials.
+    /// Whether a task is long-running and starts without regard to trials.
     pub(super) fn is_overdue(&self, id: &TaskId) -> bool {
-        let Some(job) = self.jobs.get(&id.job) else { return false };
-        job.step(id).zip(job.task(id)).is_some_and(|(step, task)| task.is_overdue(step, self.now))
+        let long_running = self.jobs.get(&id.job).and_then(|j| j.step(id)).is_some_and(|s| s.long_running);
+        long_running && self.gives_way(Safeguard::Trials, id)
     }
 
     /// Queues a waiting task for a trial if it is suspected.
@@ -104,6 +121,7 @@
     pub(super) fn place_trials(&mut self, service: &ServiceId) {
         let Some(waiting) = self.trials.get(service).filter(|t| !t.is_empty()) else { return };
         let waiting: Vec<(Duration, TaskId)> = waiting.iter().copied().collect();
+        let waiting = self.place_open_trials(service, waiting);
         let (on_trial, mut reserved) = self.quarantine_counts(service);
         let mut quarantine_room = self.max_quarantined_workers(service).saturating_sub(on_trial);
         // Tasks that wait for one of the reserved workers.
@@ -132,6 +150,23 @@
         }
     }
 
+    /// Starts the tasks that wait for no quarantine any more, each on a worker without a young run;
+    /// returns the others. One for which there is no such worker is left to the usual placement.
+    fn place_open_trials(
+        &mut self,
+        service: &ServiceId,
+        waiting: Vec<(Duration, TaskId)>,
+    ) -> Vec<(Duration, TaskId)> {
+        let (open, others): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|(_, id)| self.is_overdue(id));
+        for (since, id) in open {
+            self.place_trial(service, &id);
+            if let Some(t) = self.trials.get_mut(service) {
+                t.remove(&(since, id));
+            }
+        }
+        others
+    }
+
     /// Most workers of a service that may be in quarantine: all of them while the service has
     /// little load.
     fn max_quarantined_workers(&self, service: &str) -> usize {
@@ -154,7 +189,7 @@
     fn place_trial(&mut self, service: &ServiceId, id: &TaskId) -> TrialPlacement {
         let idle = self.jobs.get(&id.job).filter(|j| j.is_open());
         let idle = idle.and_then(|j| j.task(id)).is_some_and(Task::is_idle);
-        let idle = idle && self.needs_trial(id);
+        let idle = idle && self.trial(id).is_some();
         let Some(step) = self.jobs.get(&id.job).and_then(|j| j.step(id)).filter(|_| idle) else {
             return TrialPlacement::NotWaiting;
         };
@@ -219,22 +254,6 @@
 }
 
 impl Task {
-    /// Whether the task may only be started as a trial. A task with a single crash waits for a
-    /// limited time only, since such a crash is usually not its fault; so does a long-running task
-    /// that is not the likely cause of several.
-    fn needs_trial(&self, step: &StepSpec, policy: &CrashPolicy, now: Duration) -> bool {
-        let Some(s) = self.suspicion else { return false };
-        if step.long_running {
-            return self.crashes.likely_cause_count() >= MIN_CAUSED_CRASHES || !self.is_overdue(step, now);
-        }
-        self.crashes.count() > 1 || now < s.suspected_at + policy.max_first_trial_wait
-    }
-
-    /// Whether the task is long-running and has waited for too long.
-    fn is_overdue(&self, step: &StepSpec, now: Duration) -> bool {
-        step.long_running && self.waiting_since + MAX_TRIAL_WAIT <= now
-    }
-
     /// Handles the end of a trial that its worker survived.
     pub(super) fn passed_trial(&mut self, policy: &CrashPolicy) {
         if self.crashes.count() < policy.suspect_after_crashes {
@@ -242,14 +261,9 @@
         }
     }
 
-    /// How long a trial of the task lasts; `None` if it needs none.
-    pub(super) fn trial_length(
-        &self,
-        step: &StepSpec,
-        policy: &CrashPolicy,
-        now: Duration,
-    ) -> Option<Duration> {
-        let s = self.suspicion.filter(|_| self.needs_trial(step, policy, now))?;
+    /// How long a trial of the task lasts; `None` if it is not suspected.
+    fn trial_length(&self, step: &StepSpec, policy: &CrashPolicy) -> Option<Duration> {
+        let s = self.suspicion?;
         if self.crashes.count() >= policy.suspect_after_crashes {
             // Lasts until the run ends, since no run time is known to be harmless.
             return Some(if step.long_running { PROVEN_SAFE_AFTER } else { Duration::MAX });
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -100,8 +100,8 @@
     pub pace_percent: u32,
     /// Whether this or an earlier lease holder evicts it; counts against the availability budget.
     pub evicted: bool,
-    /// For a trial of a suspected task: how long no other task may start on the worker.
-    pub trial_quarantine: Option<Duration>,
+    /// For a trial of a suspected task: how long it lasts.
+    pub trial_length: Option<Duration>,
 }
 
 impl Run {
@@ -121,7 +121,7 @@
             load_metric: 0,
             pace_percent: FULL_PACE_PERCENT,
             evicted: false,
-            trial_quarantine: None,
+            trial_length: None,
         }
     }
 
--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -160,7 +160,7 @@
         let Some(job) = self.jobs.get(&task.job).filter(|j| j.is_open()) else { return false };
         let Some(step) = job.step(task) else { return false };
         let Some(run) = self.run(worker, task, attempt) else { return false };
-        let undecided = run.phase == Phase::Starting && run.trial_quarantine.is_none();
+        let undecided = run.phase == Phase::Starting && run.trial_length.is_none();
         let open = self.workers.get(worker).is_some_and(|w| w.open_on_record && w.reachable);
         let bounded = self.workers.get(worker).is_none_or(|w| w.extensions.bound_on_record);
         undecided && open && !bounded && self.may_start_now(step, &task.step_id())
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -425,7 +425,7 @@
     /// number that the members of a gang share; with `None` the task gets its next one.
     pub(super) fn start_task(&mut self, id: &TaskId, worker: &WorkerId, attempt: Option<u32>) {
         self.dequeue(id);
-        let now = self.now;
+        let (now, trial) = (self.now, self.trial(id));
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(id.step)];
@@ -439,9 +439,8 @@
         }
         task.latest_attempt = attempt.unwrap_or(task.latest_attempt + 1);
         let attempt = task.latest_attempt;
-        let trial_length = task.trial_length(step, &self.policy.crashes, now);
         let run = Run::new(worker.clone(), attempt, Phase::Starting, now);
-        task.runs.push(Run { trial_quarantine: trial_length, placed_at: Some(now), ..run });
+        task.runs.push(Run { trial_length: trial.map(|t| t.length), placed_at: Some(now), ..run });
         let checkpoint = task.checkpoint.clone();
         job.started = true;
         self.dirty_jobs.insert(id.job);
@@ -452,8 +451,8 @@
             w.add_run(*id, attempt, held);
             w.note_task_kind(id, step);
             w.last_start_at = Some(now);
-            if let Some(length) = trial_length {
-                w.begin_trial(*id, attempt, now, length);
+            if let Some(t) = trial.filter(|t| t.quarantined) {
+                w.begin_trial(*id, attempt, now, t.length);
             }
         }
         self.update_load_reporting(worker);
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -174,7 +174,7 @@
         let run = run.map(|n| task.runs.remove(n));
         let known = run.is_some();
         let survived = matches!(end.kind, EndKind::Done | EndKind::Failed);
-        if survived && run.as_ref().is_some_and(|r| r.trial_quarantine.is_some()) {
+        if survived && run.as_ref().is_some_and(|r| r.trial_length.is_some()) {
             task.passed_trial(&self.policy.crashes);
         }
         if let Some(run) = run.filter(|r| end.kind == EndKind::Done && r.phase == Phase::Running) {
--- a/tests/testsuite/trial_waits.rs
+++ b/tests/testsuite/trial_waits.rs
@@ -181,3 +181,74 @@
     let waited = site.wait_for(2);
     assert!(waited <= 1000, "it waits for {waited} ms");
 }
+
+impl Site {
+    /// A job whose first task is the likely cause of some crashes under earlier holders.
+    fn restore_likely_cause(&mut self, key: u64, crashes: u32) {
+        let spec = Arc::new(job(vec![lasting()], 0));
+        let mut before = Job::new(key, spec.clone());
+        before.open_round();
+        let mut record = before.record();
+        let max_run_time = Some(Duration::from_millis(100));
+        let crash = CrashRecord { evidence: Evidence::LikelyCause, max_run_time };
+        record.rounds[0][0][0].crashes = CrashHistory((1..=crashes).map(|n| (n, crash)).collect());
+        record.rounds[0][0][0].latest_attempt = crashes;
+        self.world.sched.restore_job(key, Some(spec), Some(record));
+    }
+
+    /// A task is started on each worker; none of them ends.
+    fn fill_with_trials(&mut self) {
+        (1..=self.lives.len() as u64).for_each(|key| self.restore(key, job(vec![step(1, vec![])], 0), 3));
+    }
+}
+
+#[test]
+fn likely_cause_waits_briefly() {
+    let mut site = Site::new(HOSTS);
+    site.fill_with_trials();
+    site.restore_likely_cause(9, 2);
+    let waited = site.wait_for(9);
+    assert!(waited <= MAX_WAIT_MS, "it waits for {waited} ms");
+}
+
+/// A site whose workers are loaded, so that one may be in quarantine, on which a trial lasts; a long-running
+/// task with two crashes has started without one. Returns the host that it runs on too.
+fn site_with_open_trial() -> (Site, usize) {
+    let mut site = Site::new(HOSTS);
+    site.submit(5, job(vec![step(10, vec![])], 0));
+    site.restore(1, job(vec![step(1, vec![])], 0), 3);
+    site.play(500);
+    site.restore_likely_cause(9, 2);
+    site.wait_for(9);
+    let id = TaskId { job: 9, round: 0, step: 0, index: 0 };
+    let Action::Start { worker: at, .. } = &site.started[&id] else { panic!("a start") };
+    let n = host_of(at);
+    let q = site.world.sched.workers.get(at).and_then(|w| w.quarantine);
+    assert!(q.is_none_or(|q| q.trial.is_none()), "its worker takes other work");
+    (site, n)
+}
+
+/// A worker crashes and is replaced; returns how many tasks are given up.
+fn crash(site: &mut Site, n: usize) -> u64 {
+    site.silence(n);
+    site.play(TICK_MS);
+    site.replace(n);
+    site.play(TICK_MS);
+    site.world.sched.counters.tasks_given_up
+}
+
+#[test]
+fn crash_in_open_trial_is_proof() {
+    let (mut site, n) = site_with_open_trial();
+    assert_eq!(crash(&mut site, n), 1);
+}
+
+#[test]
+fn crash_in_open_trial_beside_young_run_is_not() {
+    let (mut site, n) = site_with_open_trial();
+    site.submit(10, job(vec![step(5, vec![])], 0));
+    site.tick();
+    let beside = |a: &&Action| matches!(a, Action::Start { worker, task, .. } if task.job == 10 && host_of(worker) == n);
+    assert!(site.started.values().any(|a| beside(&a)), "a run has just started beside it");
+    assert_eq!(crash(&mut site, n), 0);
+}
