Absent long-running tasks that no worker may take get a host

What callers saw: a long-running task whose worker had been cut off was not at work again for up to 11 s, over two terms, while hosts stood idle in other pools: no_worker, with room on one to three workers, all unsuitable.

Cause: the few workers that still answered had a task of the step each (max_per_worker), and the pool got no other host, since its need counts tasks by the largest step alone and its size counts hosts whose workers are silent, gone or draining.

Why this works: each planning pass looks for a place for every task that has been absent for a second, also while the lease of a silent worker still runs: on workers that take starts, by room, label and limit, and on hosts that are on their way. Idle hosts that are found stay in the pool; for each task without a place a suitable free host is moved in, from the spare pool, a pool with a surplus, or one that has more than it could use now. So the host is there when the lease ends. Nothing changes while no task is absent for a second; what is left over afterwards goes by the floors as before.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -59,8 +59,9 @@
 //! * [`policy`] holds the parameters of the decisions.
 //! * [`pool_need`] computes how many hosts each pool needs, from the [`demand_history`];
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
-//!   and [`pool_moves`] carries it out.
+//!   and [`pool_moves`] carries it out. `absent_room` gets hosts for long-running tasks that no worker takes.
 
+mod absent_room;
 mod absent_tasks;
 pub mod admission;
 mod admission_load;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -527,8 +527,12 @@
 
 /// Number of tasks of the same step and round on a worker.
 pub(super) fn count_same_step(w: &Worker, id: &TaskId) -> usize {
-    let same = |t: &TaskId| t.job == id.job && t.round == id.round && t.step == id.step;
-    w.runs.keys().filter(|(t, _)| same(t)).count()
+    w.runs.keys().filter(|(t, _)| is_same_step(t, id)).count()
+}
+
+/// Whether two tasks are of the same step and round.
+pub(super) fn is_same_step(a: &TaskId, b: &TaskId) -> bool {
+    a.job == b.job && a.round == b.round && a.step == b.step
 }
 
 /// Latest checkpoint of a task, if it has one.
--- a/crates/workswood-core/src/jobs/pool_count.rs
+++ b/crates/workswood-core/src/jobs/pool_count.rs
@@ -3,7 +3,7 @@
 //! They are collected in one pass and updated with each decision. Collecting them again for each
 //! host would make a planning pass quadratic in the number of hosts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::host::{Host, HostState};
 use super::job::WorkerId;
@@ -33,6 +33,17 @@
         self.free.get_or_insert_with(|| sched.free_hosts())
     }
 
+    /// Keeps free hosts in their pool.
+    pub(super) fn keep_hosts(&mut self, sched: &Scheduler, pool: &ServiceId, kept: &BTreeSet<HostId>) {
+        if kept.is_empty() {
+            return;
+        }
+        let free = self.free.get_or_insert_with(|| sched.free_hosts());
+        if let Some(free) = free.get_mut(pool) {
+            free.retain(|host, _| !kept.contains(host));
+        }
+    }
+
     /// Counts a free host for another pool; returns its worker.
     pub(super) fn record_move(
         &mut self,
--- a/crates/workswood-core/src/jobs/pool_planning.rs
+++ b/crates/workswood-core/src/jobs/pool_planning.rs
@@ -32,6 +32,10 @@
     pub(super) impossible_moves: BTreeSet<(HostId, ServiceId)>,
     /// Recent moves, with time and pool; the list of hosts may be older.
     pub(super) recent_moves: BTreeMap<HostId, (Duration, ServiceId)>,
+    /// Hosts on their way to a pool, with the time at which they were last seen moving.
+    pub(super) arriving: BTreeMap<HostId, Duration>,
+    /// Number of absent long-running tasks of each service for which the pool had no place.
+    pub(super) short_for_absent: BTreeMap<ServiceId, usize>,
     /// Recent history of submitted work, by service.
     pub(super) demand: BTreeMap<ServiceId, DemandHistory>,
     /// Number of hosts that each pool had before any work was submitted.
@@ -64,7 +68,7 @@
     }
 
     /// Services whose hosts are turned on.
-    fn active_services(&self) -> Vec<ServiceId> {
+    pub(super) fn active_services(&self) -> Vec<ServiceId> {
         self.config.services.values().filter(|s| !s.spare).map(|s| s.name.clone()).collect()
     }
 
@@ -101,6 +105,7 @@
         let mut count = self.count_pools();
         self.compute_need(&count);
         if let Some(spare) = self.spare_pool() {
+            self.provide_for_absent_tasks(&spare, &mut count);
             self.fill_pools(&spare, &mut count);
             self.trim_pools(&spare, &mut count);
         }
@@ -129,9 +134,11 @@
         let waiting = self.ready.get(service).map_or(0, TaskQueue::count);
         let Need { now, soon, lend_floor, power_off_floor } = need;
         let moving = self.pools.moves.len();
+        let no_place = self.pools.short_for_absent.get(service).copied().unwrap_or(0);
         format!(
             "event=pool_state service={service} have={have} busy={busy:.1} need_now={now:.1} need_soon={soon:.1} \
-             need_lend={lend_floor:.1} need_keep={power_off_floor:.1} waiting={waiting} moving={moving}"
+             need_lend={lend_floor:.1} need_keep={power_off_floor:.1} waiting={waiting} moving={moving} \
+             absent_without_place={no_place}"
         )
     }
 
@@ -152,11 +159,17 @@
     }
 
     /// Whether a pool has at least one host more than its lend floor and margin.
-    fn has_surplus(&self, count: &PoolCount, service: &ServiceId) -> bool {
+    pub(super) fn has_surplus(&self, count: &PoolCount, service: &ServiceId) -> bool {
         let pool = self.pool(count, service);
         pool.have >= (pool.need.lend_floor + self.margin()).ceil() + 1.0
     }
 
+    /// Whether a pool has at least one host more than it could use now.
+    pub(super) fn exceeds_need(&self, count: &PoolCount, service: &ServiceId) -> bool {
+        let pool = self.pool(count, service);
+        pool.have >= pool.need.now.ceil() + 1.0
+    }
+
     /// Whether a pool has fewer hosts than it is expected to need soon, margin included. Before its
     /// first work, a pool is assumed to have the right size, also while its hosts start.
     fn is_short(&self, count: &PoolCount, service: &ServiceId) -> bool {
@@ -167,9 +180,10 @@
         pool.have < (pool.need.soon + self.margin()).ceil()
     }
 
-    /// Services whose pools are short of hosts.
+    /// Services whose pools are short of hosts, also of some for absent long-running tasks.
     pub(super) fn short_pools(&self, count: &PoolCount) -> Vec<ServiceId> {
-        self.active_services().into_iter().filter(|s| self.is_short(count, s)).collect()
+        let lacks_place = |s: &ServiceId| self.pools.short_for_absent.get(s).is_some_and(|tasks| *tasks > 0);
+        self.active_services().into_iter().filter(|s| lacks_place(s) || self.is_short(count, s)).collect()
     }
 
     /// Whether as many moves are under way as are allowed when one to the spare pool, or to another
@@ -209,7 +223,7 @@
     }
 
     /// Begins the move of a free host.
-    fn begin_free_host_move(&mut self, host: HostId, to: &ServiceId, count: &mut PoolCount) {
+    pub(super) fn begin_free_host_move(&mut self, host: HostId, to: &ServiceId, count: &mut PoolCount) {
         let Some(from) = self.hosts.get(&host).map(|host| host.pool.clone()) else { return };
         let worker = count.record_move(&host, &from, to);
         self.begin_move(host, to.clone(), worker);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! The test suite: one module for each feature.
 
+mod absent_room;
 mod absent_tasks;
 mod act_tokens;
 mod advice_batches;
