A long-running task that is absent goes before a turn of demand

What callers saw: a long-running task had no worker with room (no_worker with_room=0) while its service's tasks asked for more than the pool holds; each worker that became free, and each host that was moved in, was filled with them.

Cause: long-running tasks behind steps that go first in the order of placement are tried last, however long they have been absent.

New long-running tasks keep to the order.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -41,10 +41,32 @@
         if self.store_access == StoreAccess::Answering {
             self.place_trials(service);
         }
+        self.place_absent_tasks(service);
         let reached = self.place_in_order(service);
         self.place_unreached_long_running(service, &reached);
     }
 
+    /// Places long-running tasks that have run before and have been absent for a while, before all others:
+    /// under a high demand those would fill whatever room there is.
+    fn place_absent_tasks(&mut self, service: &ServiceId) {
+        let waits = |id: &&TaskId| {
+            let Some(job) = self.jobs.get(&id.job).filter(|job| job.spec.service == *service) else {
+                return false;
+            };
+            job.task(id).is_some_and(|t| t.is_idle() && t.latest_attempt > 0)
+                && self.gives_way(Safeguard::OrderOfPlacement, id)
+        };
+        let steps: BTreeSet<StepId> = self
+            .absent_tasks
+            .absent_for(Duration::ZERO, self.now)
+            .filter(waits)
+            .map(TaskId::step_id)
+            .collect();
+        for step in steps.into_iter().take(MAX_UNREACHED_STEPS) {
+            self.place_step(service, &step);
+        }
+    }
+
     /// Places steps in the order of placement until too many found no worker; returns the
     /// long-running ones that were tried.
     fn place_in_order(&mut self, service: &ServiceId) -> BTreeSet<StepId> {
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -376,3 +376,17 @@
     assert!(longest > 0, "the wave has not begun");
     assert!(longest <= LONGEST_ABSENCE_MS, "absent for {longest} ms: {:#?}", pool.absences());
 }
+
+#[test]
+fn room_filled_by_demand_before_absent_task() {
+    let mut pool = Pool::new(2);
+    let first = pool.submit(1, JobSpec { priority: 1, ..job(vec![long_running(1, 1000)], 100) });
+    let large = |key: u64, pool: &mut Pool| pool.submit(key, job(vec![sized(ordinary(1), 4000)], 100));
+    let mut others = large(2, &mut pool);
+    (3..8).for_each(|key| others.extend(large(key, &mut pool)));
+    others.extend(pool.end_run(&first[0], EndKind::Lapsed));
+    assert_eq!(others.len(), 2, "each worker has one of the others");
+    pool.wait(START_WITHIN_MS);
+    let started = pool.end_run(&others[0], EndKind::Done);
+    assert_eq!(pool.workers_of(&started, 1).len(), 1, "it has been absent for long: {started:?}");
+}
