A long-running task goes to a worker whose answer is late only if no other has room

What callers saw: after the lease of one silent worker the task was started on another that had fallen silent too, and was gone until that one's lease or stop was over (start_pending, being_stopped, worker_unreachable in series).

Cause: the choice of a worker knows only whether the last poll had no answer at all. That the answer to the present one is late (ProbeLate, up to a second earlier) was used for relays and second runs and not here.

Why this works: such a worker costs more than any other difference except quarantine, so it is taken only where no other one has room.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -368,7 +368,9 @@
             let is_due = step.long_running && w.info.as_ref().is_some_and(is_due);
             let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
             let crowding = crowding + usize::from(is_due) * DUE_MAINTENANCE_COST;
-            (w.in_quarantine(self.now), away_from_data, crowding, faults, free_cpu)
+            // A start on a worker that has fallen silent holds the task until its lease ends.
+            let may_be_silent = step.long_running && w.poll_overdue;
+            (w.in_quarantine(self.now), may_be_silent, away_from_data, crowding, faults, free_cpu)
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -7,7 +7,7 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     Action, EndKind, Event, Job, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
-    TaskId, Wave, WorkerInfo, Workspace, Workspaces,
+    TaskId, Wave, WorkerInfo, WorkerUpdate, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, host, listed, wave, worker};
 use workswood_test_support::job_world::{SERVICE, config, job, step};
@@ -390,3 +390,14 @@
     let started = pool.end_run(&others[0], EndKind::Done);
     assert_eq!(pool.workers_of(&started, 1).len(), 1, "it has been absent for long: {started:?}");
 }
+
+#[test]
+fn worker_with_late_answer_only_if_none_else() {
+    for late in 0..2 {
+        let mut pool = Pool::new(2);
+        pool.world.tells(&worker(late, 0).id, WorkerUpdate::ProbeLate);
+        let spread = StepSpec { max_per_worker: 1, ..long_running(2, 1000) };
+        let starts = pool.submit(1, job(vec![spread], 100));
+        assert_eq!(pool.workers_of(&starts, 1), [1 - late, late]);
+    }
+}
