--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -41,10 +41,32 @@
         if self.store_access == StoreAccess::Answering {
             self.place_trials(service);
         }
+        self.place_absent_tasks(service);
         let reached = self.place_in_order(service);
         self.place_unreached_long_running(service, &reached);
     }
 
+    /// Places long-running tasks that have run before and have been absent for a while, before all others:
+    /// under a high demand those would fill whatever room there is.
+    fn place_absent_tasks(&mut self, service: &ServiceId) {
+        let waits = |id: &&TaskId| {
+            let Some(job) = self.jobs.get(&id.job).filter(|job| job.spec.service == *service) else {
+                return false;
+            };
+            job.task(id).is_some_and(|t| t.is_idle() && t.latest_attempt > 0)
+                && self.gives_way(Safeguard::OrderOfPlacement, id)
+        };
+        let steps: BTreeSet<StepId> = self
+            .absent_tasks
+            .absent_for(Duration::ZERO, self.now)
+            .filter(waits)
+            .map(TaskId::step_id)
+            .collect();
+        for step in steps.into_iter().take(MAX_UNREACHED_STEPS) {
+            self.place_step(service, &step);
+        }
+    }
+
     /// Places steps in the order of placement until too many found no worker; returns the
     /// long-running ones that were tried.
     fn place_in_order(&mut self, service: &ServiceId) -> BTreeSet<StepId> {
@@ -346,7 +368,9 @@
             let is_due = step.long_running && w.info.as_ref().is_some_and(is_due);
             let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
             let crowding = crowding + usize::from(is_due) * DUE_MAINTENANCE_COST;
-            (w.in_quarantine(self.now), away_from_data, crowding, faults, free_cpu)
+            // A start on a worker that has fallen silent holds the task until its lease ends.
+            let may_be_silent = step.long_running && w.poll_overdue;
+            (w.in_quarantine(self.now), may_be_silent, away_from_data, crowding, faults, free_cpu)
         };
         let with_room = || self.workers.available(service, needed.cpu_millis);
         let available = || with_room().filter(|(wid, w)| !excluded(wid) && fits(w));
@@ -526,8 +550,12 @@
 
 /// Number of tasks of the same step and round on a worker.
 pub(super) fn count_same_step(w: &Worker, id: &TaskId) -> usize {
-    let same = |t: &TaskId| t.job == id.job && t.round == id.round && t.step == id.step;
-    w.runs.keys().filter(|(t, _)| same(t)).count()
+    w.runs.keys().filter(|(t, _)| is_same_step(t, id)).count()
+}
+
+/// Whether two tasks are of the same step and round.
+pub(super) fn is_same_step(a: &TaskId, b: &TaskId) -> bool {
+    a.job == b.job && a.round == b.round && a.step == b.step
 }
 
 /// Latest checkpoint of a task, if it has one.
