--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod closed_pipes;
 mod connection_suspicion;
 mod crash_evidence;
+mod crashed_standin;
 mod crashing_tasks;
 mod deferred_requests;
 mod demand_history;
