Play long-running tasks on processes in the troubles that the users' machines have, and measure each absence at the workers

The mixture of lasting_soak and of fault_soak is as it was; its entries reach the store through an address of their own each (StoreDoor), so that the store can turn some of them away.

--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -18,7 +18,7 @@
 use futures::FutureExt;
 use tokio::task::JoinHandle;
 use workswood_adapter_standin::caller::{JobReply, Submission, config, request_state, submit_job};
-use workswood_adapter_standin::{Ledger, StoreStandin, StoredTopic, WorkerStandin};
+use workswood_adapter_standin::{Ledger, StoreDoor, StoreStandin, StoredTopic, WorkerStandin};
 use workswood_test_support::cut::{Cut, Fault};
 use workswood_test_support::job_node::deployed_policy;
 use workswood_test_support::job_world::FaultRng;
@@ -51,6 +51,14 @@
 /// A job that was accepted must be known everywhere after this time.
 const VISIBLE: Duration = Duration::from_secs(3);
 
+/// How many processes a soak has, and how long an ordinary task takes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Size {
+    pub(super) entries: usize,
+    pub(super) workers: usize,
+    pub(super) takes: Duration,
+}
+
 /// A process that runs jobs, behind a relay to its store.
 pub(super) struct Entry {
     program: Option<Program>,
@@ -61,11 +69,14 @@
     settings: PathBuf,
     pub(super) callers: SocketAddr,
     pub(super) store: Cut,
+    /// The address of the store for this entry alone.
+    pub(super) door: StoreDoor,
 }
 
 impl Entry {
-    async fn new(folder: &Path, n: usize, store: &str, ports: &[SocketAddr]) -> Entry {
-        let relay = Cut::start(store).await;
+    async fn new(folder: &Path, n: usize, store: &StoreStandin, ports: &[SocketAddr]) -> Entry {
+        let door = store.open_door().await;
+        let relay = Cut::start(&door.address.to_string()).await;
         let settings = serde_json::json!({
             "name": format!("entry-{n}"), "data_centre": "north", "callers": ports[0], "readiness": ports[1],
             "peers": ports[2], "metrics": ports[3], "store": relay.address, "machines": relay.address, "store_parts": 4,
@@ -81,6 +92,7 @@
             settings: path,
             callers: ports[0],
             store: relay,
+            door,
         };
         entry.start();
         entry
@@ -93,6 +105,11 @@
         self.program = Some(Program::start_logged(command, &self.settings.with_extension("log")));
     }
 
+    /// Whether the process was started and neither killed nor told to stop since.
+    pub(super) fn runs(&self) -> bool {
+        self.program.is_some()
+    }
+
     /// Whether the process has run for so long that it handles signals.
     pub(super) fn handles_signals(&self) -> bool {
         self.started_at.elapsed() > HANDLES_SIGNALS_AFTER
@@ -123,7 +140,7 @@
     }
 
     /// Starts the process again if it has ended; returns whether it runs.
-    fn start_again(&mut self) -> bool {
+    pub(super) fn start_again(&mut self) -> bool {
         if self.ending.as_ref().is_some_and(|e| !e.is_finished()) {
             return false;
         }
@@ -137,9 +154,10 @@
 
 /// A life of a worker, behind a relay.
 pub(super) struct Life {
-    standin: WorkerStandin,
+    /// `None` after a crash.
+    pub(super) standin: Option<WorkerStandin>,
     pub(super) relay: Cut,
-    id: String,
+    pub(super) id: String,
 }
 
 /// All that is seen from outside.
@@ -148,14 +166,15 @@
     pub(super) ledger: Arc<Ledger>,
     pub(super) lives: Vec<Life>,
     lived: usize,
+    takes: Duration,
 }
 
 impl World {
-    async fn new() -> World {
+    async fn new(size: Size) -> World {
         let store = Arc::new(StoreStandin::start().await);
         store.declare(&config(SERVICE, 1));
-        let mut w = World { store, ledger: Arc::default(), lives: Vec::new(), lived: 0 };
-        for n in 0..WORKERS {
+        let mut w = World { store, ledger: Arc::default(), lives: Vec::new(), lived: 0, takes: size.takes };
+        for n in 0..size.workers {
             let life = w.bear(n).await;
             w.lives.push(life);
         }
@@ -166,12 +185,18 @@
     async fn bear(&mut self, n: usize) -> Life {
         self.lived += 1;
         let id = format!("i-{n}-{}", self.lived);
-        let standin = WorkerStandin::start_with_ledger(&id, TAKES, self.ledger.clone()).await;
+        let standin = WorkerStandin::start_with_ledger(&id, self.takes, self.ledger.clone()).await;
         let relay = Cut::start(&standin.address.to_string()).await;
         let entry = standin.entry(SERVICE, &format!("m-{n}"));
         let entry = entry.replace(&standin.address.to_string(), &relay.address);
         self.store.enter_worker(&id, &entry);
-        Life { standin, relay, id }
+        Life { standin: Some(standin), relay, id }
+    }
+
+    /// A worker crashes and stays away.
+    pub(super) fn kill(&mut self, n: usize) {
+        self.lives[n].relay.set(Fault::Closed);
+        self.lives[n].standin = None;
     }
 
     /// A worker crashes and comes back with another life.
@@ -180,6 +205,13 @@
         let old = std::mem::replace(&mut self.lives[n], next);
         self.store.drop_worker(&old.id);
     }
+
+    /// The next two starts on a worker have no good answer.
+    pub(super) fn lose_starts(&self, n: usize) {
+        if let Some(standin) = &self.lives[n].standin {
+            standin.faults(|f| f.lose_starts += 2);
+        }
+    }
 }
 
 /// A fault that stands until a time.
@@ -208,23 +240,28 @@
     pub(super) entries: Vec<Entry>,
     pub(super) standing: Vec<(Instant, Standing)>,
     /// Where settings and logs are.
-    folder: PathBuf,
+    pub(super) folder: PathBuf,
 }
 
 impl Soak {
     /// Starts all processes.
     pub(super) async fn new(name: &str, seed: u64) -> Soak {
+        let size = Size { entries: ENTRIES, workers: WORKERS, takes: TAKES };
+        Soak::with_size(name, seed, size).await
+    }
+
+    /// Starts so many processes.
+    pub(super) async fn with_size(name: &str, seed: u64, size: Size) -> Soak {
         let folder = std::env::temp_dir().join(format!("workswood-{name}-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
-        let world = World::new().await;
-        let store = world.store.address.to_string();
+        let world = World::new(size).await;
         // Runs beside this one must not take a port while its process is down; and
         // all at once, as a port that is let go may be given out again.
         let pid = std::process::id();
-        let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * ENTRIES);
+        let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * size.entries);
         let mut entries = Vec::new();
         for (n, own) in ports.chunks(PORTS).enumerate() {
-            entries.push(Entry::new(&folder, n, &store, own).await);
+            entries.push(Entry::new(&folder, n, &world.store, own).await);
         }
         let luck = FaultRng::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1, 0);
         Soak { luck, world, entries, standing: Vec::new(), folder }
@@ -240,13 +277,19 @@
 
     /// Ends all processes; keeps their logs if something was broken.
     pub(super) fn end(self, seed: u64, broken: &[String]) {
+        self.end_keeping(seed, broken, false);
+    }
+
+    /// Ends all processes; keeps their logs if something was broken, or if they are wanted.
+    pub(super) fn end_keeping(self, seed: u64, broken: &[String], keeps_logs: bool) {
         let folder = self.folder.clone();
         drop(self);
-        if broken.is_empty() {
+        if broken.is_empty() && !keeps_logs {
             let _ = std::fs::remove_dir_all(folder);
-        } else {
-            println!("event=soak_broken seed={seed} logs={} broken={broken:?}", folder.display());
+            return;
         }
+        let what = if broken.is_empty() { "soak_logs_kept" } else { "soak_broken" };
+        println!("event={what} seed={seed} logs={} broken={broken:?}", folder.display());
     }
 
     /// Begins one fault.
@@ -283,7 +326,7 @@
                 return;
             }
             7 => {
-                self.world.lives[w].standin.faults(|f| f.lose_starts += 2);
+                self.world.lose_starts(w);
                 return;
             }
             8 => {
@@ -401,7 +444,7 @@
         jobs.iter().filter(|(_, became, _)| *became == Submission::Accepted).collect();
     for (n, (job, _, known)) in accepted.iter().enumerate() {
         loop {
-            let told = request_state(soak.entries[n % ENTRIES].callers, job).await;
+            let told = request_state(soak.entries[n % soak.entries.len()].callers, job).await;
             if told == JobReply::State("completed".to_string()) {
                 break;
             }
--- a/tests/testsuite/lasting_soak.rs
+++ b/tests/testsuite/lasting_soak.rs
@@ -9,17 +9,15 @@
 
 use tokio::task::JoinSet;
 use workswood_adapter_standin::StoredTopic;
-use workswood_adapter_standin::caller::{Submission, request_with_key, submit_lasting_job};
+use workswood_adapter_standin::caller::{Submission, request_with_key, submit_lasting};
 use workswood_test_support::cut::Fault;
 use workswood_test_support::job_world::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
 
-use super::fault_soak::{
-    ENTRIES, JOB_EVERY, LONGEST, Outcome, Soak, Standing, WORKERS, hand_seeds, settle, submit,
-};
+use super::fault_soak::{JOB_EVERY, LONGEST, Outcome, Soak, Standing, WORKERS, hand_seeds, settle, submit};
 
 /// Jobs of long-running tasks, and tasks of each.
-const JOBS: u64 = 2;
-const TASKS: u32 = 4;
+pub(super) const JOBS: u64 = 2;
+pub(super) const TASKS: u32 = 4;
 /// Spells of a seed by hand, and how long the faults of each go on.
 const BY_HAND: (u32, Duration) = (2, Duration::from_secs(9));
 /// Time in which such a job is accepted and all its tasks start, before the first fault.
@@ -37,13 +35,13 @@
 /// Planned stops of that series after the first.
 const STOPS: u64 = 9;
 /// For how long absences are looked for in a calm.
-const WATCHED_FOR: Duration = Duration::from_secs(4);
+pub(super) const WATCHED_FOR: Duration = Duration::from_secs(4);
 /// Time in which the tasks of cancelled jobs end.
 const CANCELLED_WITHIN: Duration = Duration::from_secs(6);
 
 impl Soak {
     /// The entry that holds the lease, as the store tells.
-    fn holder(&self) -> Option<usize> {
+    pub(super) fn holder(&self) -> Option<usize> {
         let record = self.world.store.newest(StoredTopic::Lease, "holder")?;
         let record: serde_json::Value = serde_json::from_str(&record).ok()?;
         if record["released"] == true {
@@ -107,16 +105,20 @@
         self.standing.push(fault);
     }
 
-    fn callers(&self, first: usize) -> Vec<SocketAddr> {
-        (0..ENTRIES).map(|i| self.entries[(first + i) % ENTRIES].callers).collect()
+    pub(super) fn callers(&self, first: usize) -> Vec<SocketAddr> {
+        let entries = self.entries.len();
+        (0..entries).map(|i| self.entries[(first + i) % entries].callers).collect()
     }
 
-    /// Submits the long-running jobs; returns their tasks once all of them run.
-    async fn submit_lasting(&mut self, jobs: &[String]) -> Vec<String> {
+    /// Submits the long-running jobs, with at most so many tasks of one on a worker (0 for no limit); returns
+    /// their tasks once all of them run.
+    pub(super) async fn submit_lasting(&mut self, jobs: &[String], max_per_worker: u32) -> Vec<String> {
         let until = Instant::now() + STARTS_WITHIN;
         for job in jobs {
             let mut tries = 0;
-            while submit_lasting_job(self.callers(tries)[0], job, TASKS).await != Submission::Accepted {
+            while submit_lasting(self.callers(tries)[0], job, TASKS, max_per_worker).await
+                != Submission::Accepted
+            {
                 assert!(Instant::now() < until, "job {job} is not accepted");
                 tries += 1;
                 tokio::time::sleep(JOB_EVERY).await;
@@ -149,16 +151,25 @@
 }
 
 /// Short jobs that are submitted while the faults go on.
-struct ShortJobs {
+pub(super) struct ShortJobs {
     seed: u64,
     number: u64,
     tries: JoinSet<Outcome>,
 }
 
 impl ShortJobs {
-    fn submit(&mut self, soak: &mut Soak) {
+    pub(super) fn new(seed: u64) -> ShortJobs {
+        ShortJobs { seed, number: 0, tries: JoinSet::new() }
+    }
+
+    /// What became of all that were submitted.
+    pub(super) async fn outcomes(self) -> Vec<Outcome> {
+        self.tries.join_all().await
+    }
+
+    pub(super) fn submit(&mut self, soak: &mut Soak) {
         self.number += 1;
-        let first = soak.luck.below(ENTRIES as u64) as usize;
+        let first = soak.luck.below(soak.entries.len() as u64) as usize;
         let job = format!("{:016x}", self.seed << 32 | self.number);
         self.tries.spawn(submit(job, soak.callers(first)));
     }
@@ -196,7 +207,7 @@
 }
 
 /// Cancels the long-running jobs; returns tasks that run on.
-async fn cancel(soak: &Soak, jobs: &[String], tasks: &[String]) -> Vec<String> {
+pub(super) async fn cancel(soak: &Soak, jobs: &[String], tasks: &[String]) -> Vec<String> {
     let until = Instant::now() + CANCELLED_WITHIN;
     for (n, job) in jobs.iter().enumerate() {
         let _ = request_with_key(soak.callers(n)[0], "DELETE", job, None).await;
@@ -215,15 +226,15 @@
 async fn play(seed: u64, spells: u32, lasts: Duration) -> Vec<String> {
     let mut soak = Soak::new("lasting-soak", seed).await;
     let jobs: Vec<String> = (1..=JOBS).map(|n| format!("{:016x}", 1 << 63 | seed << 32 | n)).collect();
-    let tasks = soak.submit_lasting(&jobs).await;
-    let mut short = ShortJobs { seed, number: 0, tries: JoinSet::new() };
+    let tasks = soak.submit_lasting(&jobs, 0).await;
+    let mut short = ShortJobs::new(seed);
     let mut broken = Vec::new();
     for n in 0..spells {
         let absent = spell(&mut soak, &mut short, &tasks, lasts).await;
         broken.extend(absent.into_iter().map(|task| format!("{task} is absent after spell {n}")));
     }
     broken.extend(cancel(&soak, &jobs, &tasks).await);
-    let outcomes = short.tries.join_all().await;
+    let outcomes = short.outcomes().await;
     broken.extend(settle(&soak, outcomes).await);
     soak.end(seed, &broken);
     broken
@@ -248,7 +259,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn planned_stops_in_series() {
     let mut soak = Soak::new("planned-stops", 1).await;
-    let tasks = soak.submit_lasting(&["8000000000000001".to_string()]).await;
+    let tasks = soak.submit_lasting(&["8000000000000001".to_string()], 0).await;
     soak.world.lives.iter().take(CUT_WORKERS).for_each(|life| life.relay.set(Fault::Silent));
     soak.stop_holder(STOPS);
     let mut absent = Vec::new();
