Long-running tasks: an absence and its restart deadline span terms, and the log tells its end

Callers miss a long-running task for longer than nine seconds from the end of its last run, and a window of two seconds of the holder's log doesn't tell since when, nor for what it waits: `absent_ms` began anew with each term, a line came each three seconds, and none told that a task is at work again.

The job's record is written once when an absence has lasted for a second, and once when it is over; a task without one keeps its bytes. A successor takes it over, within limits that a wrong clock can't leave, and tells it at its first check. The deadline is nine seconds after the earliest time at which the last run may have ended (`earliest_end`), which is known better with time, so it only moves earlier. Absences begin at the end of a run and end with the start that is taken or the report that lists the run, no more at the next check, so that two are not taken for one.

Each absent task is logged once a second with the kind of its wait (safety, safeguard, capacity, store, placement) and what is left; at most 16 lines a check, those absent longest first, the others counted. `long_running_task_back` tells what a task waited for in this term, and whether it was in time.

Evidence: `absent_tasks` tests. The existing test `full_workers` held two lines in 6 s, an interval of three seconds; it now holds exactly five, one each second.

--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -168,6 +168,18 @@
     pub runs: Vec<Run>,
     /// Worker of the latest failed or stalled run; the next run is placed elsewhere if possible.
     pub avoided_worker: Option<AvoidedWorker>,
+    /// Its absence, if it is long-running and has run nowhere for a while.
+    pub absence: Option<AbsenceRecord>,
+}
+
+/// Since when a long-running task has run nowhere, in the stored form. The times of day may be those of another
+/// host's clock, so only urgency may follow from them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AbsenceRecord {
+    /// Since when it has run nowhere.
+    pub since: UnixMs,
+    /// When it has to be at work again.
+    pub restart_by: UnixMs,
 }
 
 /// A worker on which a task failed or stalled.
@@ -382,6 +394,7 @@
             checkpoint: t.checkpoint.clone(),
             runs: t.runs.iter().map(|r| (r.worker.clone(), r.attempt)).collect(),
             evicted_attempts: t.runs.iter().filter(|r| r.evicted).map(|r| r.attempt).collect(),
+            absence: t.absence,
         };
         let step = |tasks: &Vec<Task>| tasks.iter().map(task).collect();
         JobRecord {
@@ -483,6 +496,9 @@
     /// Attempts that were evicted and that their workers may still list.
     #[serde(default, rename = "e", skip_serializing_if = "BTreeSet::is_empty")]
     pub evicted_attempts: BTreeSet<u32>,
+    /// Since when it has run nowhere, if it is long-running and is absent.
+    #[serde(default, rename = "n", skip_serializing_if = "Option::is_none")]
+    pub absence: Option<AbsenceRecord>,
 }
 
 fn is_false(b: &bool) -> bool {
@@ -511,6 +527,7 @@
             checkpoint: self.checkpoint,
             runs: self.runs.into_iter().map(run).collect(),
             avoided_worker: None,
+            absence: self.absence,
         }
     }
 }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -39,8 +39,8 @@
 //!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
-//! * `absent_tasks` logs long-running tasks that run nowhere, with the reason; [`restart_deadline`] decides what gives
-//!   way so that they are at work again in time.
+//! * [`absent_tasks`] follows long-running tasks that run nowhere, and [`absence_reason`] tells why; [`restart_deadline`]
+//!   decides what gives way so that they are at work again in time.
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
@@ -61,7 +61,8 @@
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
 //!   and [`pool_moves`] carries it out.
 
-mod absent_tasks;
+pub mod absence_reason;
+pub mod absent_tasks;
 pub mod admission;
 mod admission_load;
 pub mod advice;
@@ -124,6 +125,8 @@
 pub mod workspace;
 pub mod workspace_usage;
 
+pub use absence_reason::WaitReason;
+pub use absent_tasks::EndedAbsence;
 pub use admission::{Admission, AdmissionPolicy, Candidate, Verdict};
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
--- a/crates/workswood-core/src/jobs/restart_deadline.rs
+++ b/crates/workswood-core/src/jobs/restart_deadline.rs
@@ -9,6 +9,7 @@
 
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
+use super::types::Limits;
 
 /// Longest time from the end of a long-running task's run until the task is at work again.
 pub const RESTART_BOUND: Duration = Duration::from_secs(9);
@@ -16,6 +17,37 @@
 /// What a start takes: its record, the order to the worker, and another attempt if that has no answer.
 pub const START_RESERVE: Duration = Duration::from_millis(2500);
 
+/// Longest time by which the silence of a worker is older than its notice: a poll, with its repeat, that is not
+/// answered, or the loss of its relay.
+pub const MAX_UNNOTICED_SILENCE: Duration = Duration::from_secs(2);
+
+/// What is known of the last run of a long-running task. Times are on the scheduler's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastRun {
+    /// It exists on a worker that answers.
+    Alive,
+    /// Its worker answered at this time and said that it is over.
+    Reported(Duration),
+    /// Its worker has been silent since it answered at this time.
+    Silent(Duration),
+    /// The life of its worker is over, which last answered at this time.
+    Gone(Duration),
+}
+
+/// The earliest time at which a run may have ended.
+pub fn earliest_end(run: LastRun, shortest_lease: Duration, now: Duration) -> Duration {
+    match run {
+        LastRun::Alive => now,
+        LastRun::Reported(at) | LastRun::Gone(at) => at,
+        LastRun::Silent(answered_at) => answered_at + shortest_lease,
+    }
+}
+
+/// The shortest real time that a worker's lease may last, on a worker whose clock runs fast.
+pub fn shortest_lease(limits: &Limits) -> Duration {
+    limits.lease.mul_f64(1.0 - limits.clock_drift)
+}
+
 /// What may keep a long-running task from a worker that has room for it, though nothing forbids the start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Safeguard {
@@ -40,14 +72,18 @@
             Safeguard::Backoff => Duration::from_secs(2),
         }
     }
+
+    /// Whether it gives way for a task that it may have kept from a worker for this long: that is long enough, or
+    /// what is left until the restart deadline is needed for the start.
+    pub fn gives_way_after(self, waited: Duration, time_to_restart: Option<Duration>) -> bool {
+        waited >= self.longest_wait() || time_to_restart.is_some_and(|left| left <= START_RESERVE)
+    }
 }
 
 impl Scheduler {
-    /// Whether a safeguard gives way for a task: the task has waited for long enough, or what is left until its
-    /// restart deadline is needed for the start.
+    /// Whether a safeguard gives way for a task.
     pub(super) fn gives_way(&self, safeguard: Safeguard, id: &TaskId) -> bool {
-        self.waited_for(safeguard, id) >= safeguard.longest_wait()
-            || self.time_to_restart(id).is_some_and(|left| left <= START_RESERVE)
+        safeguard.gives_way_after(self.waited_for(safeguard, id), self.time_to_restart(id))
     }
 
     /// How long a safeguard may have kept a task from a worker. Trials matter once no run of the task may exist any
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -280,6 +280,7 @@
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
+        self.inherit_absences(&job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
         for id in job.task_ids() {
@@ -470,6 +471,7 @@
         let (gang, long_running) = (step.gang, step.long_running);
         if long_running {
             self.note_waiting(&id, &spec.service, &tasks);
+            self.note_first_turn(&id, &tasks);
         }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -203,7 +203,9 @@
         let lost = self.workers.get(id).map_or(0, |w| w.runs.len());
         self.counters.incarnations_lost += u64::from(lost > 0);
         self.counters.runs_lost += lost as u64;
+        let long_running = self.workers.get(id).map(|w| w.long_running.clone()).unwrap_or_default();
         self.settle_all_runs(id, reason);
+        self.note_life_over(id, &long_running);
         if self.forget_worker(id) {
             self.notes.push(format_args!("event=worker_life_over worker={id} runs={lost} reason={reason}"));
         }
@@ -236,6 +238,7 @@
             RuntimeMs(run.known_runtime(heard))
         ));
         self.dirty_jobs.insert(task_id.job);
+        self.note_run_over(task_id, &run);
         self.queue_task(task_id);
     }
 
@@ -283,6 +286,7 @@
                     run.set_phase(Phase::Running, now);
                     run.progressed_at = now;
                 }
+                self.note_tasks_at_work(id);
             }
             StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer => {
                 if !matches!(run.phase, Phase::Stopping | Phase::Stopped) {
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -19,6 +19,7 @@
             self.update_listed_run(id, run);
         }
         self.settle_unlisted_runs(id, report);
+        self.note_tasks_at_work(id);
         if report.full {
             self.settle_barrier(id);
         }
@@ -173,6 +174,7 @@
         let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == end.attempt);
         let run = run.map(|n| task.runs.remove(n));
         let known = run.is_some();
+        let ended_run = run.clone();
         let survived = matches!(end.kind, EndKind::Done | EndKind::Failed);
         if survived && run.as_ref().is_some_and(|r| r.trial_quarantine.is_some()) {
             task.passed_trial(&self.policy.crashes);
@@ -197,6 +199,9 @@
             EndKind::Failed => self.record_failure(id, &task_id, end.attempt, step.long_running),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
         }
+        if let Some(run) = ended_run {
+            self.note_run_over(&task_id, &run);
+        }
         self.queue_task(&task_id);
     }
 
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -10,7 +10,7 @@
 
 use prost::Message;
 use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
-use workswood_core::jobs::job::{TaskRecord, WorkerId};
+use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{FinishedJobRecord, JobRecord, Outcome, Owner};
 
@@ -111,6 +111,18 @@
     /// Whether the task is never started again.
     #[prost(bool, tag = "8")]
     given_up: bool,
+    /// Since when it has run nowhere.
+    #[prost(message, optional, tag = "9")]
+    absence: Option<AbsenceState>,
+}
+
+/// Stored form of [`AbsenceRecord`], in milliseconds since the Unix epoch.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+struct AbsenceState {
+    #[prost(uint64, tag = "1")]
+    since: u64,
+    #[prost(uint64, tag = "2")]
+    restart_by: u64,
 }
 
 /// The workers of one record. They are few, so a linear search is enough.
@@ -182,6 +194,7 @@
                     .collect(),
                 crash_run_times: t.crashes.0.values().map(|c| encode_run_time(c.max_run_time)).collect(),
                 given_up: t.given_up,
+                absence: t.absence.map(|a| AbsenceState { since: a.since, restart_by: a.restart_by }),
             });
         }
     }
@@ -194,7 +207,8 @@
     let latest = t.runs.iter().map(|(_, attempt)| *attempt).max().unwrap_or(0);
     let attempt_not_in_runs = !t.done && t.latest_attempt != latest;
     let has_failures = !t.failed_attempts.is_empty() || !t.crashes.is_empty() || t.given_up;
-    attempt_not_in_runs || has_failures || !t.checkpoint.is_empty() || !t.evicted_attempts.is_empty()
+    let has_run_state = !t.checkpoint.is_empty() || !t.evicted_attempts.is_empty();
+    attempt_not_in_runs || has_failures || has_run_state || t.absence.is_some()
 }
 
 /// Decodes the state of a job.
@@ -242,6 +256,7 @@
         task.checkpoint = t.checkpoint;
         task.evicted_attempts = t.evicted_attempts.into_iter().collect();
         task.given_up = t.given_up;
+        task.absence = t.absence.map(|a| AbsenceRecord { since: a.since, restart_by: a.restart_by });
         for (n, crash) in t.crashes.chunks(2).enumerate() {
             let [attempt, evidence] = *crash else {
                 return Err("a crash has fewer than two numbers".to_string());
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -226,6 +226,8 @@
         self.sched.set_advice_entries(1 + self.node.peers.other_addresses(&own).len());
         self.update_relay_entries();
         self.sched.handle(Event::Tick);
+        let ended = self.sched.take_ended_absences();
+        ended.iter().for_each(|absence| self.node.metrics.count_absence(absence));
         admission_control::publish(&self.node, &self.handle, &self.sched);
         let (m, counters) = (&self.node.metrics, &self.sched.counters);
         m.lost_workers.set(counters.incarnations_lost as i64);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -2,6 +2,7 @@
 
 use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use workswood_core::invariant;
+use workswood_core::jobs::EndedAbsence;
 use workswood_traffic::Traffic;
 
 use super::logs;
@@ -14,6 +15,10 @@
 /// a caller.
 const BUCKETS_S: [f64; 11] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 5.0];
 
+/// Bucket bounds of the absences of long-running tasks, in seconds: finer around the restart deadline.
+const ABSENCE_BUCKETS_S: [f64; 14] =
+    [1.0, 1.5, 2.0, 3.0, 4.0, 5.0, 6.0, 7.0, 8.0, 9.0, 10.0, 15.0, 30.0, 60.0];
+
 /// Metrics of one `jobs` process.
 pub struct JobMetrics {
     registry: Registry,
@@ -86,6 +91,12 @@
     pub abandoned_tasks: IntGauge,
     /// Long-running tasks that have had no known run for a second or longer.
     pub absent_tasks: IntGauge,
+    /// Absences of long-running tasks that ended, by what the task waited for longest.
+    pub absences: IntCounterVec,
+    /// How long they lasted, in seconds.
+    pub absence_seconds: Histogram,
+    /// Absences that lasted beyond the restart deadline.
+    pub late_restarts: IntCounter,
     /// Workers that were kept from new work because they were slow, in this term.
     pub slow_workers: IntGauge,
     /// Second runs that were started, in this term.
@@ -285,6 +296,23 @@
                 "workswood_long_running_tasks_absent",
                 "long-running tasks that have had no known run for a second or longer",
             ),
+            absences: register_counter_vec(
+                &registry,
+                "workswood_long_running_absences_total",
+                "absences of long-running tasks that ended, by what the task waited for longest",
+                &["reason"],
+            ),
+            absence_seconds: register_histogram(
+                &registry,
+                "workswood_long_running_absence_seconds",
+                "how long absences of long-running tasks lasted",
+                &ABSENCE_BUCKETS_S,
+            ),
+            late_restarts: register_counter(
+                &registry,
+                "workswood_long_running_late_restarts_total",
+                "absences of long-running tasks that lasted beyond the restart deadline",
+            ),
             slow_workers: register_gauge(
                 &registry,
                 "workswood_workers_slow",
@@ -333,6 +361,13 @@
         self.task_starts.with_label_values(&["withdrawn"]).inc();
     }
 
+    /// Counts an absence after which a long-running task is at work again.
+    pub fn count_absence(&self, absence: &EndedAbsence) {
+        self.absences.with_label_values(&[absence.waited_for.label()]).inc();
+        self.absence_seconds.observe(absence.length.as_secs_f64());
+        self.late_restarts.inc_by(u64::from(!absence.in_time));
+    }
+
     /// Updates the metrics of the network link.
     pub fn set_traffic(&self, traffic: &Traffic) {
         for (purpose, amount) in traffic.totals() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -68,6 +68,7 @@
 mod random_fleet;
 mod random_jobs;
 mod random_keys;
+mod restart_deadline;
 mod restarted_workers;
 mod result_codes;
 mod second_runs;
