A repeated call carries the lease end of the first one

What callers saw: a long-running task whose worker had fallen silent was started elsewhere up to 1.1 s later than safety needs.

Cause: a poll that seems lost is sent again with a full lease from then, up to 1.1 s later; if the worker is silent, the lease that is waited for ends that much later. Each repeat of a start did the same, by up to 0.6 s.

Evidence: unanswered_leases failed before: second_poll_extends_lease_of_silent_worker (unanswered_leases.rs:30: [Some(5.021s), Some(6.121s)]), repeated_start_extends_lease_of_silent_worker (unanswered_leases.rs:42, left: 3, right: 1: [Some(5.001s), Some(5.013s), Some(5.045s)] on a clock that stands nearly still).

Why this works: the repeat carries the same end, which is recorded already; the end of a lease that may last is still recorded before the permission to send it is checked. A worker that lives and loses polls has the lease of the first poll, at least 3.9 of 5 s after its repeat, and a full one with the next poll that is answered, which follows at once.

--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -62,6 +62,10 @@
     leases: Mutex<u64>,
     /// End of the last lease that was sent, on the clock of a worker that stands nearly still.
     last_lease_end: Mutex<WorkerClock>,
+    /// Whether no look is answered.
+    silent: Mutex<bool>,
+    /// Lease ends that looks carried since then, and that starts carried.
+    unanswered_leases: Mutex<Vec<Option<WorkerClock>>>,
     /// Starts and stops in the order in which they were sent.
     sent: Mutex<Vec<SentOrder>>,
     /// For how long a start or stop is under way without an answer; `None` if it fails at once.
@@ -101,6 +105,8 @@
             looks: Mutex::default(),
             leases: Mutex::default(),
             last_lease_end: Mutex::default(),
+            silent: Mutex::default(),
+            unanswered_leases: Mutex::default(),
             sent: Mutex::default(),
             order_wait: Mutex::default(),
             orders: Mutex::default(),
@@ -186,6 +192,16 @@
         *self.last_lease_end.lock()
     }
 
+    /// From now on no look is answered.
+    pub fn falls_silent(&self) {
+        *self.silent.lock() = true;
+    }
+
+    /// Lease ends of the looks that were not answered since, and of starts, in the order in which they were sent.
+    pub fn unanswered_leases(&self) -> Vec<Option<WorkerClock>> {
+        self.unanswered_leases.lock().clone()
+    }
+
     /// Looks that extended a lease so far.
     pub fn leases(&self) -> u64 {
         *self.leases.lock()
@@ -342,8 +358,12 @@
             *looks += 1;
             *looks
         };
+        let silent = *self.silent.lock();
+        if silent {
+            self.unanswered_leases.lock().push(lease_end);
+        }
         async move {
-            if n.is_multiple_of(LOST_LOOK) {
+            if silent || n.is_multiple_of(LOST_LOOK) {
                 tokio::time::sleep(wait + LOOK_SLACK).await;
                 return Err(WorkerError::NoAnswer);
             }
@@ -359,6 +379,7 @@
         _: Term,
         order: StartOrder,
     ) -> BoxFuture<'a, Result<(), WorkerError>> {
+        self.unanswered_leases.lock().push(Some(order.lease_end));
         self.order(SentOrder::Start(order.task, order.attempt)).boxed()
     }
 
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -189,6 +189,11 @@
             return false;
         }
         self.leased_until_ms.fetch_max(until.as_millis() as u64 + 1, Ordering::SeqCst);
+        self.may_repeat_lease()
+    }
+
+    /// Whether a lease may be sent again that [`Self::may_lease_until`] has allowed, and recorded, before.
+    pub(super) fn may_repeat_lease(&self) -> bool {
         !self.is_silent() && !self.is_unassigned() && self.is_extension_allowed()
     }
 }
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -38,8 +38,15 @@
 /// Polls a worker until its assignment ends.
 pub async fn run(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>) {
     let late_timeout = AdaptiveTimeout::new(LATE_MULTIPLE, MIN_LATE_AFTER).with_initial_mean(POLL_WAIT);
-    let mut poller =
-        Poller { cx, worker, late_timeout, reported_reachable: false, last_answered: None, acked_end: 0 };
+    let mut poller = Poller {
+        cx,
+        worker,
+        late_timeout,
+        reported_reachable: false,
+        last_answered: None,
+        acked_end: 0,
+        sent_lease: None,
+    };
     while !poller.worker.is_unassigned() {
         if !poller.poll().await {
             return;
@@ -59,6 +66,18 @@
     last_answered: Option<Duration>,
     /// Highest number of an end that was acknowledged with an answered poll.
     acked_end: u64,
+    /// End of the lease that the latest poll carried, if it carried one.
+    sent_lease: Option<WorkerClock>,
+}
+
+/// Which end of the lease a poll carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PollLease {
+    /// A full lease from now.
+    Full,
+    /// The same as the poll before, which seems to be lost. A later one would hold up the tasks of a worker that
+    /// has fallen silent for as long as the first poll was waited for.
+    Repeated,
 }
 
 /// The reply to a poll.
@@ -119,15 +138,15 @@
             (false, _) => Duration::ZERO,
         };
         if !self.cx.node.settings.policy.calls.resend_probe {
-            return self.request(wait).await;
+            return self.request(wait, PollLease::Full).await;
         }
         let late_after = self.late_timeout.late_after().min(wait + MAX_LATE_AFTER_WAIT);
-        match tokio::time::timeout(late_after, self.request(wait)).await {
+        match tokio::time::timeout(late_after, self.request(wait, PollLease::Full)).await {
             Ok(Err(WorkerError::NoAnswer)) | Err(_) => {
                 if std::mem::take(&mut self.reported_reachable) {
                     self.report(WorkerEvent::ReplyLate);
                 }
-                self.request(Duration::ZERO).await
+                self.request(Duration::ZERO, PollLease::Repeated).await
             }
             Ok(res) => res,
         }
@@ -139,18 +158,16 @@
     }
 
     /// Sends one poll, which waits at the worker up to `wait` for a task to end.
-    async fn request(&mut self, wait: Duration) -> Result<PollReply, WorkerError> {
+    async fn request(&mut self, wait: Duration, lease: PollLease) -> Result<PollReply, WorkerError> {
         let sent = self.now();
         let acked_end = self.end_to_ack(sent);
         let leased_until = self.worker.leased_until();
         self.last_answered = None;
-        let worker_lease = self.cx.lease_from(sent);
-        // The end of the lease is computed before the permission to send it is checked. If the
-        // process is paused in between, it sends a lease that has ended.
-        let lease_end =
-            self.worker.lease_end(sent, worker_lease.duration).filter(|_| self.may_extend_lease());
-        let lease_end =
-            lease_end.filter(|_| self.worker.may_lease_until(sent + worker_lease.max_duration_with_drift()));
+        let lease_end = match lease {
+            PollLease::Full => self.full_lease(sent),
+            PollLease::Repeated => self.repeated_lease(),
+        };
+        self.sent_lease = lease_end;
         let awaits_order = !self.worker.is_silent() && !self.worker.is_extension_allowed();
         let wait = match lease_end {
             Some(_) => wait,
@@ -163,6 +180,21 @@
         Ok(PollReply { sent, acked_end, leased_until, clock, listing })
     }
 
+    /// End of a full lease from now; `None` if it may not be sent.
+    fn full_lease(&self, sent: Duration) -> Option<WorkerClock> {
+        let worker_lease = self.cx.lease_from(sent);
+        // The end of the lease is computed before the permission to send it is checked. If the
+        // process is paused in between, it sends a lease that has ended.
+        let lease_end = self.worker.lease_end(sent, worker_lease.duration)?;
+        let until = sent + worker_lease.max_duration_with_drift();
+        (self.may_extend_lease() && self.worker.may_lease_until(until)).then_some(lease_end)
+    }
+
+    /// End of the lease that the latest poll carried; `None` if it may not be sent again.
+    fn repeated_lease(&self) -> Option<WorkerClock> {
+        self.sent_lease.filter(|_| self.may_extend_lease() && self.worker.may_repeat_lease())
+    }
+
     /// Highest number of an end to acknowledge with a poll that is sent now; 0 if there is none,
     /// or if the worker may have restarted since the previous poll.
     fn end_to_ack(&self, now: Duration) -> u64 {
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -41,6 +41,9 @@
 /// Sends a start order until it is answered or its attempts are used up.
 async fn try_start(cx: &RelayContext, worker: &AssignedWorker, start: &StartTask) -> StartReply {
     let mut unanswered = false;
+    // All attempts carry the same end of the lease, so that a worker that has fallen silent holds its tasks no longer
+    // than after the first one.
+    let mut lease_end = None;
     for timeout in START_TIMEOUTS {
         let Some(send_until) = confirm_incarnation(cx, worker, start.task).await else { break };
         // The end of the lease is computed before the permission to send it is checked. If the
@@ -52,11 +55,15 @@
             break;
         }
         let lease = cx.lease_from(now);
-        let Some(lease_end) = worker.lease_end(now, lease.duration) else { break };
+        let until = now + lease.max_duration_with_drift();
+        let first = lease_end.is_none();
+        lease_end = lease_end.or_else(|| worker.lease_end(now, lease.duration));
+        let Some(lease_end) = lease_end else { break };
         if !worker.pending_starts.may_send((start.task, start.attempt)) {
             break;
         }
-        if !cx.grant.holds(cx.node.now()) || !worker.may_lease_until(now + lease.max_duration_with_drift()) {
+        let may_lease = || if first { worker.may_lease_until(until) } else { worker.may_repeat_lease() };
+        if !cx.grant.holds(cx.node.now()) || !may_lease() {
             break;
         }
         let order = StartOrder {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -84,6 +84,7 @@
 mod suspended_host;
 mod task_packing;
 mod trial_waits;
+mod unanswered_leases;
 mod wave_handover;
 mod wave_orders;
 mod whole_path;
