Give each soak of a process an address of its own

Soaks that run beside each other in one test process took their ports on one address, so one could be given a port of an entry of another one that was down for a moment.

--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -13,6 +13,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
@@ -29,6 +30,11 @@
 pub(super) const WORKERS: usize = 5;
 /// Listeners of an entry.
 const PORTS: usize = 4;
+/// Soaks that this process has begun. Each has an address of its own.
+static SOAKS: AtomicU8 = AtomicU8::new(0);
+/// Second number of the first of these addresses, and how many there are.
+const FIRST_ADDRESS: u8 = 100;
+const ADDRESSES: u8 = 16;
 /// Seeds that failed once, each with its cause.
 const FAILED_ONCE: [(u64, &str); 2] = [
     (25, "the soak itself gave two entries one port; all are taken at once now"),
@@ -257,8 +263,9 @@
         let world = World::new(size).await;
         // Runs beside this one must not take a port while its process is down; and
         // all at once, as a port that is let go may be given out again.
-        let pid = std::process::id();
-        let ports = free_ports(&format!("127.78.{}.{}", pid >> 8 & 255, pid & 255), PORTS * size.entries);
+        let (pid, number) = (std::process::id(), SOAKS.fetch_add(1, Ordering::Relaxed) % ADDRESSES);
+        let address = format!("127.{}.{}.{}", FIRST_ADDRESS + number, pid >> 8 & 255, pid & 255);
+        let ports = free_ports(&address, PORTS * size.entries);
         let mut entries = Vec::new();
         for (n, own) in ports.chunks(PORTS).enumerate() {
             entries.push(Entry::new(&folder, n, &world.store, own).await);
