--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -61,9 +61,8 @@
 //!   [`pool_planning`] decides which host moves to another pool, with the counts of `pool_count`,
 //!   and [`pool_moves`] carries it out. `absent_room` gets hosts for long-running tasks that no worker takes.
 
-mod absent_room;
-mod absent_tasks;
 pub mod absence_reason;
+mod absent_room;
 pub mod absent_tasks;
 pub mod admission;
 mod admission_load;
