Tell workers that are cut off from workers that crash, by the lists that show them alive

Cause: a worker that falls silent and is replaced later was taken to have crashed at the moment of its silence, under the run that had just started. Silence is all that the attribution knew, and a cut and a crash are equally silent. Fix (cut_off_workers.rs): a silent worker that a list shows alive after its silence was cut off, and how it ends tells nothing of its runs. The list of hosts names the worker of each host that is up (1 s after the silence, for what is on its way); the entry of a crashed worker leaves the list of workers after three pings, so one that is listed for longer (7 s) was alive. The runs of such a worker are not suspected when its lease ends; if the lists come late or it answers again, their suspicion is lifted. Deadly tasks lose no evidence: a crashed worker is gone from the list of hosts at once. New: task_of_cut_off_worker_is_not_suspected, suspicion_ends_when_cut_off_worker_answers, replaced_cut_off_worker_proves_nothing (all three failed before), crash_before_the_entry_goes_counts and list_of_paused_holder_shows_no_cut (they guard the bounds of the new evidence and passed before).

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -146,16 +146,16 @@
         self.0.values().filter_map(|c| c.max_run_time)
     }
 
-    /// Number of crashes during runs that are known to have started.
-    fn confirmed_count(&self) -> usize {
-        self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
-    }
-
     /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
     fn score(&self, rate: f64) -> f64 {
         task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
     }
 
+    /// Number of crashes during runs that are known to have started.
+    fn confirmed_count(&self) -> usize {
+        self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
+    }
+
     /// Whether the crashes prove that the task crashes its workers, given that the last one
     /// happened during its trial.
     fn is_proof(&self, threshold: f64, rate: f64) -> bool {
@@ -253,7 +253,7 @@
 /// A run that was lost with its worker.
 #[derive(Clone, Debug)]
 pub struct LostRun {
-    task: TaskId,
+    pub(super) task: TaskId,
     attempt: u32,
     /// How long the run was known to be there; `None` if it may never have started.
     run_time: Option<Duration>,
@@ -271,6 +271,12 @@
         if !end.is_sudden() || !self.is_crash(w) {
             return;
         }
+        if !w.reachable && self.was_cut_off(w) {
+            let runs = w.runs.len() + w.lapsed_runs.len();
+            self.notes.push(format_args!("event=cut_off_worker_over worker={id} runs={runs}"));
+            self.clear_lapsed_runs(id);
+            return;
+        }
         let current = w.runs.keys().filter_map(|(task, n)| self.lost_run(id, task, *n));
         let mut lost: Vec<LostRun> = w.lapsed_runs.iter().cloned().chain(current).collect();
         lost.sort_by_key(|run| (run.task, run.attempt));
@@ -424,9 +430,11 @@
     /// or is only cut off is not known yet; young runs are suspected meanwhile.
     pub(super) fn record_lapsed_run(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32) {
         let Some(run) = self.lost_run(id, task_id, attempt) else { return };
+        let cut_off = self.workers.get(id).is_some_and(|w| self.was_cut_off(w));
         let rate = self.background_crash_rate(task_id);
         let threshold = self.policy.crashes.suspicion_threshold;
-        if run.role < RunRole::Unheard
+        if !cut_off
+            && run.role < RunRole::Unheard
             && let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id))
         {
             let timed: Vec<Duration> = task.crashes.known_run_times().chain(run.max_run_time).collect();
--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -245,6 +245,7 @@
         self.correct_host_list();
         self.record_declared_sizes();
         self.end_incarnations_by_host_list(requested_at);
+        self.note_hosts_of_silent_workers(requested_at);
         self.mark_finished_hosts(requested_at);
     }
 
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -72,6 +72,7 @@
 pub mod crash_attribution;
 pub mod crash_rate;
 pub mod crash_trials;
+mod cut_off_workers;
 pub mod demand_history;
 mod drain_order;
 mod drain_stalls;
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -8,6 +8,7 @@
 use super::advice::AdviceState;
 use super::config::SchedConfig;
 use super::crash_rate::CrashRate;
+use super::cut_off_workers::ListWatch;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
 use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Task, WorkerId};
@@ -110,6 +111,8 @@
     pub(super) advice: AdviceState,
     /// Whether the store takes records, and what is done while it does not.
     pub(super) store_access: StoreAccess,
+    /// Whether the list of workers has been followed.
+    pub(super) list_watch: ListWatch,
     /// Forgotten workers whose record with a bound may still be stored.
     pub(super) forgotten_bounds: BTreeSet<WorkerId>,
     /// Tasks that a predecessor may have started without a record.
@@ -205,6 +208,7 @@
             pools: PoolState::default(),
             advice: AdviceState::default(),
             store_access: StoreAccess::default(),
+            list_watch: ListWatch::new(claimed_at),
             forgotten_bounds: BTreeSet::new(),
             barrier: TakeoverBarrier::default(),
             deposed: false,
@@ -498,6 +502,7 @@
 
     /// Does the work that depends only on the time.
     fn tick(&mut self) {
+        self.watch_worker_list();
         for key in self.jobs.repeating() {
             let before = self.jobs.get(&key).map_or(0, |j| j.rounds.len());
             self.open_due_rounds(key);
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -248,6 +248,9 @@
     pub used_resources: Resources,
     /// When the worker disappeared from the worker list.
     pub unlisted_at: Option<Duration>,
+    /// Latest list of hosts that showed the worker on its host while it was silent, by the time of its
+    /// request.
+    pub(super) shown_on_host_at: Option<Duration>,
     /// Runs that were settled because the lease ended, kept until it is known whether the worker
     /// crashed.
     pub lapsed_runs: Vec<LostRun>,
@@ -314,6 +317,7 @@
             serving: BTreeSet::new(),
             used_resources: Resources::default(),
             unlisted_at: None,
+            shown_on_host_at: None,
             lapsed_runs: Vec::new(),
             quarantine: None,
             last_start_at: None,
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -29,10 +29,10 @@
 
     /// Marks a worker as reachable, and with a full report as one whose runs are known.
     fn mark_reachable(&mut self, id: &WorkerId, full: bool) {
+        self.clear_lapsed_runs(id);
         let Some(mut w) = self.workers.get_mut(id) else { return };
         let known_before = w.reachable && w.runs_known;
         w.poll_overdue = false;
-        w.lapsed_runs.clear();
         w.reachable = true;
         w.runs_known |= full;
         if !known_before {
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -315,3 +315,83 @@
     }
     panic!("it is started without end");
 }
+
+/// A lasting task on a worker that falls silent right after the start, and whose lease has ended since.
+fn lapsed_when_young(listed_meanwhile: bool) -> (HostWorld, Vec<usize>, usize) {
+    let (mut world, lives) = world();
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    let actions = submit(&mut world, 1, job(vec![lasting], 200));
+    take(&mut world, &actions);
+    let (at, heard) = (starts(&actions)[0].1, world.sched.now);
+    world.tells(
+        &worker(at, 0).id,
+        WorkerUpdate::Unanswered { lease_end: heard + Duration::from_secs(5), heard },
+    );
+    go_on(&mut world, heard + REPLACED_AFTER, &[at], &lives);
+    if listed_meanwhile {
+        world.list(listed(&lives));
+    }
+    go_on(&mut world, heard + LEASE_OVER_AFTER, &[at], &lives);
+    (world, lives, at)
+}
+
+/// Plays until a time; all workers but some answer.
+fn go_on(world: &mut HostWorld, until: Duration, silent: &[usize], lives: &[usize]) {
+    while world.sched.now < until {
+        let next = until.min(world.sched.now + Duration::from_millis(500));
+        at_beside(world, next, silent, lives);
+        world.tick();
+    }
+}
+
+fn is_suspected(world: &HostWorld) -> bool {
+    world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").suspicion.is_some()
+}
+
+#[test]
+fn task_of_cut_off_worker_is_not_suspected() {
+    assert!(is_suspected(&lapsed_when_young(false).0), "its worker may have crashed");
+    assert!(!is_suspected(&lapsed_when_young(true).0), "its worker is up, and cut off");
+}
+
+#[test]
+fn suspicion_ends_when_cut_off_worker_answers() {
+    let (mut world, lives, at) = lapsed_when_young(false);
+    world.report(at, lives[at], &[]);
+    assert!(!is_suspected(&world));
+}
+
+#[test]
+fn replaced_cut_off_worker_proves_nothing() {
+    for listed_meanwhile in [true, false] {
+        let (mut world, mut lives, at) = lapsed_when_young(listed_meanwhile);
+        // It was listed for longer than a crashed worker is.
+        go_on(&mut world, Duration::from_millis(8000), &[at], &lives);
+        lives[at] += 1;
+        world.list(listed(&lives));
+        let task = world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").clone();
+        assert!(task.crashes.is_empty() && task.suspicion.is_none(), "{listed_meanwhile}: {task:?}");
+    }
+}
+
+/// Shown by the list of workers only as long as the entry of a crashed worker may be.
+#[test]
+fn crash_before_the_entry_goes_counts() {
+    let (mut world, mut lives, at) = lapsed_when_young(false);
+    go_on(&mut world, Duration::from_millis(6900), &[at], &lives);
+    lives[at] += 1;
+    world.list(listed(&lives));
+    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
+    assert_eq!(crashes.count(), 1);
+}
+
+/// The list of workers may be out of date by as long as the lease holder was paused.
+#[test]
+fn list_of_paused_holder_shows_no_cut() {
+    let (mut world, mut lives, at) = lapsed_when_young(false);
+    world.at(8000);
+    lives[at] += 1;
+    world.list(listed(&lives));
+    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
+    assert_eq!(crashes.count(), 1);
+}
