--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -26,7 +26,9 @@
 /// Most lines of one check; the others are only counted.
 const MAX_LINES_PER_CHECK: usize = 16;
 /// Most tasks of one check for which it is found out what they wait for.
-const MAX_EXAMINED_PER_CHECK: usize = 64;
+const MAX_EXAMINED_PER_CHECK: usize = 32;
+/// Most absences that are stored, so that records stay small while much of the fleet is away.
+const MAX_STORED_ABSENCES: usize = 256;
 /// Most ended absences that are kept for metrics.
 const MAX_ENDED_ABSENCES: usize = 1024;
 /// Longest absence that is taken over from a predecessor. A longer one, or one that a wrong clock makes appear longer,
@@ -220,7 +222,7 @@
     /// Notes when the last run of a task may have ended; the task is absent from now on if it was not.
     fn note_end(&mut self, id: &TaskId, last_run: LastRun) {
         let now = self.now;
-        let end = earliest_end(last_run, shortest_lease(&self.limits), now);
+        let end = earliest_end(last_run, shortest_lease(self.limits.lease, self.limits.clock_drift), now);
         let absence = self.absent_tasks.by_task.entry(*id).or_insert_with(|| Absence::new(now, end));
         if !absence.first_start {
             absence.may_have_ended_at(end);
@@ -375,15 +377,20 @@
     /// begin of an absence, and not for each change of its deadline.
     fn store_long_absences(&mut self) {
         let (now, wall) = (self.now, self.wall);
+        let mut stored = 0;
         for (id, absence) in &mut self.absent_tasks.by_task {
             let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else { continue };
             let is_stored = task.absence.is_some();
             let is_due = absence.length(now) >= LOG_ABSENT_AFTER && !task.given_up;
-            if is_due && (!is_stored || absence.changed) {
+            if !is_due || !is_stored && stored >= MAX_STORED_ABSENCES {
+                continue;
+            }
+            stored += 1;
+            if !is_stored || absence.changed {
                 task.absence = Some(absence.record(now, wall));
                 absence.changed = false;
             }
-            if is_due && !is_stored {
+            if !is_stored {
                 self.dirty_jobs.insert(id.job);
             }
         }
--- a/crates/workswood-core/src/jobs/restart_deadline.rs
+++ b/crates/workswood-core/src/jobs/restart_deadline.rs
@@ -9,7 +9,6 @@
 
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
-use super::types::Limits;
 
 /// Longest time from the end of a long-running task's run until the task is at work again.
 pub const RESTART_BOUND: Duration = Duration::from_secs(9);
@@ -43,9 +42,9 @@
     }
 }
 
-/// The shortest real time that a worker's lease may last, on a worker whose clock runs fast.
-pub fn shortest_lease(limits: &Limits) -> Duration {
-    limits.lease.mul_f64(1.0 - limits.clock_drift)
+/// The shortest real time that a worker's lease may last, on a worker whose clock runs fast by the share `drift`.
+pub fn shortest_lease(lease: Duration, drift: f64) -> Duration {
+    lease.mul_f64(1.0 - drift)
 }
 
 /// What may keep a long-running task from a worker that has room for it, though nothing forbids the start.
--- a/src/workswood/ops/jobs/limits.rs
+++ b/src/workswood/ops/jobs/limits.rs
@@ -10,12 +10,12 @@
 
 /// Duration of a worker's lease. It has to outlast a takeover by a successor of the lease holder,
 /// and delays the restart of tasks that ran on a lost worker.
-const WORKER_LEASE: Duration = Duration::from_millis(5000);
+pub const WORKER_LEASE: Duration = Duration::from_millis(5000);
 /// Time in which a lease holder that was replaced may still send orders to hosts, until it has
 /// read of its replacement.
 const HANDOVER_MARGIN: Duration = Duration::from_millis(300);
 /// Largest share by which a worker's clock may run slow, as the platform specifies.
-const CLOCK_DRIFT: f64 = 0.02;
+pub const CLOCK_DRIFT: f64 = 0.02;
 
 /// Duration of workers' leases.
 #[derive(Clone, Copy, Debug)]
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -78,6 +78,7 @@
 use workswood_traffic::Traffic;
 
 pub use node::Node;
+pub use scheduler_task::{MIN_BATCH_INTERVAL, TICK_INTERVAL};
 
 use self::helped_store::HelpedStore;
 use crate::util::clock::Clock;
--- a/src/workswood/ops/jobs/relay/mod.rs
+++ b/src/workswood/ops/jobs/relay/mod.rs
@@ -35,6 +35,7 @@
 pub use self::grant::Grant;
 use self::messages::{WorkerEvent, WorkerNumber, WorkerOrder};
 use self::pending_starts::Recall;
+pub use self::send::START_TIMEOUTS;
 use super::limits::WorkerLease;
 use super::node::Node;
 
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -12,22 +12,22 @@
 use super::messages::WorkerEvent;
 
 /// How long a poll waits at the worker for a task to end.
-const POLL_WAIT: Duration = Duration::from_millis(900);
+pub const POLL_WAIT: Duration = Duration::from_millis(900);
 /// The same while the order to extend the worker's lease has not come.
 const EXTENSION_ORDER_WAIT: Duration = Duration::from_millis(100);
 /// Shortest time between the starts of two polls, so that tasks that end together are reported
 /// together.
-const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The reply to a poll is late after this multiple of the mean time of earlier replies.
 const LATE_MULTIPLE: f64 = 4.0;
 /// Lower bound of the time after which a reply is late.
 const MIN_LATE_AFTER: Duration = Duration::from_millis(250);
 /// Upper bound of the time after which a reply is late, beyond the wait at the worker.
-const MAX_LATE_AFTER_WAIT: Duration = Duration::from_millis(200);
+pub const MAX_LATE_AFTER_WAIT: Duration = Duration::from_millis(200);
 /// Delay after an unanswered poll.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 /// Longest wait until the ends that a poll has reported are recorded, before the next poll.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const RECORD_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// Ends are acknowledged only if the previous poll was answered and was sent no longer ago than
 /// this. The sequence numbers of ends start again with each incarnation of a worker, so an
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -14,7 +14,7 @@
 
 /// Timeouts of the attempts to send a start order. They grow, so that a lost order is soon sent
 /// again, and a slow worker can still answer the last attempt.
-const START_TIMEOUTS: [Duration; 3] =
+pub const START_TIMEOUTS: [Duration; 3] =
     [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(600)];
 /// Number of attempts to send a stop order.
 const STOP_ATTEMPTS: u32 = 2;
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -31,10 +31,10 @@
 use crate::util::logs;
 
 /// Interval between ticks of the scheduler.
-const TICK_INTERVAL: Duration = Duration::from_millis(150);
+pub const TICK_INTERVAL: Duration = Duration::from_millis(150);
 /// Shortest interval between the starts of two batches. Each batch is a call to the store, so
 /// decisions within this interval are written together.
-const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(20);
+pub const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Delay after a failed restore.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Largest number of events that the scheduler handles before the next batch may be taken.
--- a/tests/testsuite/absent_tasks.rs
+++ b/tests/testsuite/absent_tasks.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood::util::job_metrics::JobMetrics;
 use workswood_core::jobs::job::AbsenceRecord;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
@@ -282,6 +283,72 @@
     assert_eq!(rec.rounds[0][0][0].absence, None);
 }
 
+/// Absences of 300 tasks in the record of their job.
+#[test]
+fn most_stored_absences() {
+    let mut world = HostWorld::new(1);
+    world.at(100);
+    let many = StepSpec { long_running: true, ..step(300, vec![]) };
+    let spec = job(vec![StepSpec { resources: long_running_job(9000).steps[0].resources, ..many }], 100);
+    submit(&mut world, 1, spec);
+    let mut records = Vec::new();
+    for ms in (200..=6_000).step_by(100) {
+        world.at(ms);
+        records.extend(recorded(&mut world));
+    }
+    let [rec] = records.as_slice() else { panic!("one record, not {}", records.len()) };
+    assert_eq!(rec.rounds[0][0].iter().filter(|t| t.absence.is_some()).count(), 256);
+}
+
+#[test]
+fn deadline_counts_from_last_answer_of_a_life_that_is_over() {
+    let (mut world, worker) = world_with_silent_worker();
+    world.sched.handle(Event::OtherIncarnationAnswered(worker, Duration::from_millis(100)));
+    let lines = lines_until(&mut world, 3_100, 4_500);
+    let (absent, left) = (number(&lines[0], "absent_ms"), number(&lines[0], "restart_left_ms"));
+    assert_eq!(500 + absent + left, 100 + 9_000, "{}", lines[0]);
+}
+
+#[test]
+fn deadline_stays_while_further_workers_are_silent() {
+    let (mut world, worker) = world_with_silent_worker();
+    world.sched.handle(Event::WorkerListed(self::worker(1, 0)));
+    world.report(1, 0, &[]);
+    world.sched.handle(Event::OtherIncarnationAnswered(worker, Duration::from_millis(100)));
+    let started = world.tick();
+    let on_second =
+        |a: &Action| matches!(a, Action::Start { worker, .. } if *worker == self::worker(1, 0).id);
+    assert!(started.iter().any(on_second), "{started:?}");
+    let (lease_end, heard) = (Duration::from_secs(9), Duration::from_secs(3));
+    world.tells(&self::worker(1, 0).id, WorkerUpdate::Unanswered { lease_end, heard });
+    let lines = lines_until(&mut world, 3_100, 4_500);
+    assert_eq!(field(&lines[0], "reason"), "worker_unreachable", "{}", lines[0]);
+    let (absent, left) = (number(&lines[0], "absent_ms"), number(&lines[0], "restart_left_ms"));
+    assert_eq!(500 + absent + left, 100 + 9_000, "{}", lines[0]);
+}
+
+#[test]
+fn second_absence_counts_anew() {
+    let (mut world, worker) = world_with_silent_worker();
+    restart_on(&mut world, &worker);
+    let (lease_end, heard) = (Duration::from_secs(9), Duration::from_millis(3_000));
+    world.tells(&worker, WorkerUpdate::Unanswered { lease_end, heard });
+    let lines = lines_until(&mut world, 3_100, 5_000);
+    let (absent, left) = (number(&lines[0], "absent_ms"), number(&lines[0], "restart_left_ms"));
+    assert_eq!((absent, absent + left), (1_000, 4_900 + 9_000 - 500), "{}", lines[0]);
+}
+
+#[test]
+fn metrics_of_a_late_restart() {
+    let metrics = JobMetrics::default();
+    let length = Duration::from_millis(9_400);
+    metrics.count_absence(&EndedAbsence { length, waited_for: WaitReason::NoWorker, in_time: false });
+    let text = metrics.text();
+    assert!(text.contains("workswood_long_running_absences_total{reason=\"no_worker\"} 1"), "{text}");
+    assert!(text.contains("workswood_long_running_absence_seconds_sum 9.4"), "{text}");
+    assert!(text.contains("workswood_long_running_late_restarts_total 1"), "{text}");
+}
+
 #[test]
 fn successor_tells_inherited_absence() {
     let stored = AbsenceRecord { since: LATER - 4_000, restart_by: LATER + 3_000 };
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -40,7 +40,7 @@
 };
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
 use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
-use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::policy::ShareOrder;
 use workswood_core::jobs::spec::Resources;
@@ -540,6 +540,19 @@
     check_spec(&spec);
 }
 
+/// A job with a task that has been absent for a while, and one without.
+const JOB_WITH_ABSENCE: &str = "10012a1a0a1808022214080110034a0e08fbd095ffbc3110a39796ffbc31";
+
+/// The restart deadline of a task that a new lease holder doesn't read as its predecessor wrote it.
+#[test]
+fn absence_of_a_task() {
+    let state = job_state::decode(&from_hex(JOB_WITH_ABSENCE)).expect("a job's state");
+    let absence = AbsenceRecord { since: 1_700_000_000_123, restart_by: 1_700_000_009_123 };
+    let absent = TaskRecord { latest_attempt: 3, absence: Some(absence), ..TaskRecord::default() };
+    assert_eq!(state.rounds, [[[TaskRecord::default(), absent]]]);
+    assert_eq!(to_hex(&job_state::encode(&state)), JOB_WITH_ABSENCE);
+}
+
 /// One text of a file that holds nothing else.
 fn whole(file: &str) -> &str {
     file.strip_suffix('\n').expect("a line")
