A worker is polled at once after the stop of a run of which it has told nothing

What callers saw: a task whose start had no answer was still being stopped 1.6 to 2.6 s after its worker answered again, and could start nowhere meanwhile.

Cause: a run that was never there has no end, so nothing wakes the poll that waits at the worker for up to 0.9 s, and that one was sent before the stop and tells nothing. Only the next one settles the run, which waits for 0.9 s as well.

Evidence: stop_settled_by_next_poll_only failed before: unanswered_starts.rs:215: 80ms (at a fake worker at which a poll waits for 60 ms).

The poll neither extends a lease nor acknowledges ends. The run tracker knows already that answers may overtake each other. Stops of runs that were listed cost no poll: their ends wake the one that waits.

--- a/crates/workswood-core/src/jobs/run_tracker.rs
+++ b/crates/workswood-core/src/jobs/run_tracker.rs
@@ -83,10 +83,18 @@
     }
 
     /// Records that the worker has accepted a stop. After that, it accepts no start of this attempt
-    /// or an earlier one.
-    pub fn stop_accepted(&mut self, task: TaskId, attempt: u32, now: Duration) {
+    /// or an earlier one. Returns whether it is not known that the run was ever there: then no end of it may be
+    /// listed, and only a poll that is sent from now on tells that it is over.
+    pub fn stop_accepted(&mut self, task: TaskId, attempt: u32, now: Duration) -> bool {
         let run = self.runs.entry((task, attempt)).or_default();
+        let unheard = run.expected_since.is_none();
         run.expected_since.get_or_insert(now);
+        unheard
+    }
+
+    /// Whether a run may exist, as far as polls and orders have told.
+    pub fn is_tracked(&self, run: RunKey) -> bool {
+        self.runs.contains_key(&run)
     }
 
     /// Handles the listing of a poll that was sent at `sent_at`; returns what has changed. Answers
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -70,6 +70,8 @@
     sent: Mutex<Vec<SentOrder>>,
     /// For how long a start or stop is under way without an answer; `None` if it fails at once.
     order_wait: Mutex<Option<Duration>>,
+    /// Whether stops are accepted at once.
+    accepts_stops: Mutex<bool>,
     /// Orders to hosts.
     orders: Mutex<u64>,
     /// Records of the lease, if the store keeps them, and how often they were read.
@@ -109,6 +111,7 @@
             unanswered_leases: Mutex::default(),
             sent: Mutex::default(),
             order_wait: Mutex::default(),
+            accepts_stops: Mutex::default(),
             orders: Mutex::default(),
             lease: Mutex::default(),
             lease_reads: Mutex::default(),
@@ -217,6 +220,11 @@
         *self.order_wait.lock() = Some(wait);
     }
 
+    /// From now on stops are accepted at once.
+    pub fn accepts_stops(&self) {
+        *self.accepts_stops.lock() = true;
+    }
+
     /// The starts and stops so far.
     pub fn sent(&self) -> Vec<SentOrder> {
         self.sent.lock().clone()
@@ -224,6 +232,9 @@
 
     async fn order(&self, order: SentOrder) -> Result<(), WorkerError> {
         self.sent.lock().push(order);
+        if *self.accepts_stops.lock() && matches!(order, SentOrder::Stop(..)) {
+            return Ok(());
+        }
         let wait = *self.order_wait.lock();
         let Some(wait) = wait else { return Err(WorkerError::NotSent) };
         tokio::time::sleep(wait).await;
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood_core::jobs::run_tracker::RunKey;
 use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{WorkerClock, WorkerError};
@@ -259,6 +260,24 @@
     }
 }
 
+/// Polls a worker without a wait, beside the poll that waits there for a run to end, and reports what has changed;
+/// unless another poll has told by now what became of the run that was stopped.
+pub(super) async fn poll_after_stop(cx: &RelayContext, worker: &AssignedWorker, run: RunKey) {
+    tokio::time::sleep(MIN_POLL_INTERVAL).await;
+    if worker.is_unassigned() || !worker.run_tracker.lock().is_tracked(run) {
+        return;
+    }
+    let sent = cx.node.now();
+    let reply = cx.node.platform.poll_worker(&worker.address, worker.token, 0, None, Duration::ZERO).await;
+    let Ok((_, listing)) = reply else { return };
+    let now = cx.node.now();
+    worker.record_answer(now);
+    let report = worker.run_tracker.lock().diff_listing(listing, sent, now);
+    if !report.is_empty() {
+        cx.sink.report(&cx.node, worker, WorkerEvent::Reported(report));
+    }
+}
+
 /// Reports an answer to a poll after which the worker is not polled with this assignment any more;
 /// returns whether it is one.
 pub(super) fn report_end_of_assignment(cx: &RelayContext, worker: &AssignedWorker, e: WorkerError) -> bool {
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -10,7 +10,7 @@
 use super::assigned_worker::AssignedWorker;
 use super::messages::{StartTask, WorkerEvent};
 use super::order_wait::{OrderKind, OrderWait};
-use super::poll::report_end_of_assignment;
+use super::poll::{self, report_end_of_assignment};
 
 /// Timeouts of the attempts to send a start order. They grow, so that a lost order is soon sent
 /// again, and a slow worker can still answer the last attempt.
@@ -164,7 +164,7 @@
 
 pub(super) async fn stop(cx: Arc<RelayContext>, worker: Arc<AssignedWorker>, task: TaskId, attempt: u32) {
     let wait = OrderWait::begin(&cx, OrderKind::Stop);
-    let _permit = worker.order_permits.for_other().await;
+    let permit = worker.order_permits.for_other().await;
     wait.end(&cx, &worker, task);
     let mut reply = StopReply::NoAnswer;
     for _ in 0..STOP_ATTEMPTS {
@@ -182,7 +182,12 @@
     }
     if reply == StopReply::Taken {
         worker.record_answer(cx.node.now());
-        worker.run_tracker.lock().stop_accepted(task, attempt, cx.node.now());
     }
+    let now = cx.node.now();
+    let unheard = reply == StopReply::Taken && worker.run_tracker.lock().stop_accepted(task, attempt, now);
     cx.sink.report(&cx.node, &worker, WorkerEvent::Stopped { task, attempt, reply });
+    if unheard {
+        drop(permit);
+        poll::poll_after_stop(&cx, &worker, (task, attempt)).await;
+    }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -85,6 +85,7 @@
 mod task_packing;
 mod trial_waits;
 mod unanswered_leases;
+mod unanswered_starts;
 mod wave_handover;
 mod wave_orders;
 mod whole_path;
