A long-running task's start without an answer is ordered again once its worker answers

What callers saw: after the end of its last run a task was placed on a worker that had fallen silent for a moment; its start had no answer, and when the worker answered again the run was stopped, also where the worker listed it as running. The task was gone for up to 7.8 s (being_stopped).

Cause: a start without an answer was always followed by a stop, and the task waited for the stop, a poll after it and another placement.

Why this works: a worker starts each attempt once at most, answers a repeat with success while the run is there, and refuses an attempt that has ended or was stopped there. So the same attempt is ordered again as soon as the worker answers a poll; whichever order is carried out, it is one run, also if an earlier one is carried out late. In between the run is in the phase Unanswered: nothing is under way, its lease counts and its end is recorded as for a run that is being stopped. If the repeat is refused or can't be sent, or the task is not wanted there any more (cancelled, draining), the run is stopped as before and never taken for over, since an earlier order may still be carried out. A worker that answers polls and not starts gets one more order. A run that a listing has shown is not stopped because the answer to its start is lost.

--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -205,7 +205,9 @@
                 AbsenceReason::UnreachableWorker(id, lease_end.saturating_sub(self.now))
             }
             Phase::Stopping | Phase::Stopped => AbsenceReason::BeingStopped(id),
-            Phase::Starting | Phase::Inherited | Phase::Running => AbsenceReason::StartPending(id),
+            Phase::Starting | Phase::Unanswered | Phase::Inherited | Phase::Running => {
+                AbsenceReason::StartPending(id)
+            }
         }
     }
 
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -51,6 +51,9 @@
     Inherited,
     /// The worker is running it.
     Running,
+    /// Its start had no answer, nor has its worker answered since: it may exist. The same start is ordered again
+    /// once the worker answers.
+    Unanswered,
     /// The worker has been told to stop it, or is about to be.
     Stopping,
     /// The worker has accepted the stop; its next report settles the run.
@@ -83,6 +86,8 @@
     pub phase_since: Duration,
     /// How far its start has got.
     pub start_order: StartOrder,
+    /// Number of start orders in vain since the first one without an answer, which may still be carried out.
+    pub unanswered_starts: u32,
     /// When this lease holder placed the run; `None` if an earlier one did.
     pub placed_at: Option<Duration>,
     /// When the worker first confirmed the run, by accepting the start or by listing it.
@@ -113,6 +118,7 @@
             phase,
             phase_since: now,
             start_order: StartOrder::Decided,
+            unanswered_starts: 0,
             placed_at: None,
             confirmed_at: None,
             progress_percent: 0,
--- a/crates/workswood-core/src/jobs/job_end.rs
+++ b/crates/workswood-core/src/jobs/job_end.rs
@@ -86,7 +86,7 @@
                 // What it becomes is known with the outcome of the start.
                 Phase::Starting => run.recall_start(),
                 Phase::Stopping | Phase::Stopped => false,
-                Phase::Inherited | Phase::Running => {
+                Phase::Inherited | Phase::Running | Phase::Unanswered => {
                     run.set_phase(Phase::Stopping, now);
                     true
                 }
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -482,6 +482,14 @@
         }
         self.update_load_reporting(worker);
         self.notes.push(format_args!("event=task_placed worker={worker} task={id} attempt={attempt}"));
+        self.order_start(id, worker, attempt, checkpoint);
+    }
+
+    /// Has a start sent once what is decided is on record.
+    pub(super) fn order_start(&mut self, id: &TaskId, worker: &WorkerId, attempt: u32, checkpoint: String) {
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let text = Arc::clone(&job.spec.task_input);
+        let now = self.now;
         let w = self.workers.get(worker);
         let ticket = w.and_then(|w| w.ticket(&id.step_id(), now));
         self.actions.push(Action::Start {
@@ -489,7 +497,7 @@
             token: self.worker_token(w.map_or(0, |w| w.relay_count)),
             task: *id,
             attempt,
-            text: Arc::clone(&spec.task_input),
+            text,
             checkpoint,
             ticket,
         });
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -221,7 +221,7 @@
             let Some(run) = self.run_mut(id, &task, attempt) else { continue };
             match run.phase {
                 // The new token blocks the start, or the first report lists the run.
-                Phase::Starting => run.set_phase(Phase::Inherited, now),
+                Phase::Starting | Phase::Unanswered => run.set_phase(Phase::Inherited, now),
                 // Sent again as soon as the worker is reachable.
                 Phase::Stopping | Phase::Stopped => run.set_phase(Phase::Stopping, Duration::ZERO),
                 Phase::Inherited | Phase::Running => {}
--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -184,7 +184,7 @@
         match run.phase {
             Phase::Stopping | Phase::Stopped => Lateness::Stopping,
             Phase::Running if answers => Lateness::Slow,
-            Phase::Running | Phase::Starting | Phase::Inherited => Lateness::Mute,
+            Phase::Running | Phase::Starting | Phase::Unanswered | Phase::Inherited => Lateness::Mute,
         }
     }
 
--- a/crates/workswood-core/src/jobs/start_orders.rs
+++ b/crates/workswood-core/src/jobs/start_orders.rs
@@ -41,6 +41,11 @@
     pub fn hand_on_start(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) -> bool {
         let Some(run) = self.run_mut(id, task, attempt) else { return false };
         match (run.phase, run.start_order) {
+            // An earlier order of the same start may still be carried out.
+            (Phase::Starting, StartOrder::Withdrawn) if run.unanswered_starts > 0 => {
+                self.stop_run(id, task, attempt);
+                false
+            }
             (Phase::Starting, StartOrder::Withdrawn) => {
                 self.settle_run(id, task, attempt, "start_withdrawn");
                 false
@@ -49,8 +54,11 @@
                 run.start_order = StartOrder::HandedOn;
                 true
             }
-            // The worker has another relay since the decision, whose full report settles the run.
-            (Phase::Inherited | Phase::Running | Phase::Stopping | Phase::Stopped, _) => false,
+            // The worker has listed the run, or has another relay since the decision, whose full report settles
+            // the run.
+            (Phase::Inherited | Phase::Running | Phase::Unanswered | Phase::Stopping | Phase::Stopped, _) => {
+                false
+            }
         }
     }
 
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -338,6 +338,12 @@
         self.listed && self.runs_known && self.reachable && leased && open
     }
 
+    /// Whether the worker may be given new work as soon as its lease is extended again.
+    pub fn waits_for_lease(&self) -> bool {
+        let draining = self.info.as_ref().is_none_or(|info| info.draining);
+        self.extensions.bound_on_record && !self.cordoned && !self.evacuated && !draining
+    }
+
     /// Whether the worker is kept from new work for a while, after faults or a refused start.
     pub fn in_backoff(&self, now: Duration) -> bool {
         self.refuses_starts(now) || self.is_shunned(now)
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -13,6 +13,7 @@
 use super::crash_attribution::IncarnationEnd;
 use super::host::HostState;
 use super::job::{FULL_PACE_PERCENT, Phase, Run, StartOrder, WorkerId};
+use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
 use super::spec::{StepSpec, TaskId};
 use super::types::{Action, StartReply, StopReply};
@@ -34,6 +35,8 @@
     retries: Vec<WorkerRun>,
     /// Runs that make no progress.
     stalled: Vec<WorkerRun>,
+    /// Runs whose start had no answer.
+    unanswered: Vec<WorkerRun>,
 }
 
 /// Formats the known runtime of a run in milliseconds, or `unknown`, for the log.
@@ -273,9 +276,12 @@
         if reply == StartReply::Ticket {
             self.ticket_rejected(id, &task);
         }
-        let job = self.jobs.get(&task.job);
-        let wanted = job.is_some_and(|j| j.is_open() && j.task(&task).is_some_and(|t| !t.done));
+        let wanted = self.is_run_wanted(&task);
         let Some(run) = self.run_mut(id, &task, attempt) else { return };
+        let may_exist = reply == StartReply::NoAnswer || run.unanswered_starts > 0;
+        let was_in_vain = matches!(reply, StartReply::NoAnswer | StartReply::NotSent);
+        run.unanswered_starts += u32::from(may_exist && was_in_vain);
+        let is_listed = run.phase == Phase::Running;
         match reply {
             StartReply::Taken if wanted => {
                 run.confirmed_at.get_or_insert(now);
@@ -284,13 +290,20 @@
                     run.progressed_at = now;
                 }
             }
+            // A listing has told before the reply that the run exists.
+            StartReply::Unsure | StartReply::NoAnswer if wanted && is_listed && !recalled => {}
+            StartReply::NoAnswer | StartReply::NotSent
+                if may_exist && !recalled && self.may_repeat_start(id, &task, attempt) =>
+            {
+                self.set_unanswered(id, &task, attempt);
+            }
             StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer => {
-                if !matches!(run.phase, Phase::Stopping | Phase::Stopped) {
-                    run.set_phase(Phase::Stopping, now);
-                    if !recalled {
-                        self.actions.push(Action::Stop(id.clone(), task, attempt));
-                    }
-                }
+                self.stop_run_once(id, &task, attempt, recalled);
+            }
+            StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent
+                if may_exist =>
+            {
+                self.stop_run_once(id, &task, attempt, recalled);
             }
             StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent => {
                 self.settle_run(id, &task, attempt, "start_refused");
@@ -299,6 +312,90 @@
         }
     }
 
+    /// Whether a run of a task is still wanted.
+    fn is_run_wanted(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|j| j.is_open() && j.task(task).is_some_and(|t| !t.done))
+    }
+
+    /// Has a run stopped.
+    pub(super) fn stop_run(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) {
+        self.stop_run_once(id, task, attempt, false);
+    }
+
+    /// Has a run stopped that is not being stopped; the relay needs no order if it has one already.
+    fn stop_run_once(&mut self, id: &WorkerId, task: &TaskId, attempt: u32, ordered: bool) {
+        let now = self.now;
+        let Some(run) = self.run_mut(id, task, attempt) else { return };
+        if matches!(run.phase, Phase::Stopping | Phase::Stopped) {
+            return;
+        }
+        run.set_phase(Phase::Stopping, now);
+        if !ordered {
+            self.actions.push(Action::Stop(id.clone(), *task, attempt));
+        }
+    }
+
+    /// Whether a start without an answer may be ordered again with the same attempt. A worker starts each attempt
+    /// once at most, so this does no harm, whatever became of the earlier orders; and a long-running task is at work
+    /// as soon as the worker answers. A worker that answers polls and not starts gets one more order.
+    fn may_repeat_start(&self, id: &WorkerId, task: &TaskId, attempt: u32) -> bool {
+        let Some(run) = self.run(id, task, attempt) else { return false };
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+        let lasts = step.is_some_and(|s| s.long_running && !s.gang) && run.trial_quarantine.is_none();
+        let silent = self.workers.get(id).is_none_or(|w| !w.reachable || w.poll_overdue);
+        let starting = matches!(run.phase, Phase::Starting | Phase::Unanswered);
+        lasts && starting && self.is_run_wanted(task) && (silent || run.unanswered_starts <= 1)
+    }
+
+    /// Notes that a start had no answer, and orders it again if the worker answers.
+    fn set_unanswered(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) {
+        let now = self.now;
+        if let Some(run) = self.run_mut(id, task, attempt) {
+            run.set_phase(Phase::Unanswered, now);
+        }
+        self.resume_unanswered_start(id, task, attempt);
+    }
+
+    /// Orders the starts on a worker again that had no answer, or has their runs stopped.
+    pub(super) fn resume_unanswered_starts(&mut self, id: &WorkerId) {
+        let runs = self.workers.get(id).map(|w| w.runs.keys().copied().collect::<Vec<_>>());
+        for (task, attempt) in runs.unwrap_or_default() {
+            self.resume_unanswered_start(id, &task, attempt);
+        }
+    }
+
+    fn resume_unanswered_start(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) {
+        let unanswered = self.run(id, task, attempt).is_some_and(|run| run.phase == Phase::Unanswered);
+        let Some(w) = self.workers.get(id).filter(|w| unanswered && w.reachable && !w.poll_overdue) else {
+            return;
+        };
+        let store_answers = self.store_access == StoreAccess::Answering;
+        let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
+        let may_start = step.is_some_and(|step| self.may_start_now(step, &task.step_id()));
+        let on_record = store_answers || w.open_on_record;
+        if w.accepts_work() && on_record && may_start && self.is_run_wanted(task) {
+            self.repeat_start(id, task, attempt);
+        } else if !(w.waits_for_lease() && store_answers) {
+            self.stop_run(id, task, attempt);
+        }
+    }
+
+    /// Orders a start again that had no answer, with the same attempt.
+    fn repeat_start(&mut self, id: &WorkerId, task: &TaskId, attempt: u32) {
+        let now = self.now;
+        let Some(run) = self.run_mut(id, task, attempt) else { return };
+        run.set_phase(Phase::Starting, now);
+        run.start_order = StartOrder::Decided;
+        let unanswered = run.unanswered_starts;
+        self.notes.push(format_args!(
+            "event=start_repeated worker={id} task={task} attempt={attempt} unanswered={unanswered}"
+        ));
+        let checkpoint =
+            self.jobs.get(&task.job).and_then(|job| job.task(task)).map(|t| t.checkpoint.clone());
+        self.order_start(task, id, attempt, checkpoint.unwrap_or_default());
+    }
+
     /// Puts a worker into backoff after it refused a start.
     fn back_off_after_refusal(&mut self, id: &WorkerId, reply: StartReply) {
         let backoff = match reply {
@@ -357,9 +454,12 @@
         }
     }
 
-    /// Resends stops that had no effect, and stops runs that make no progress.
+    /// Resends stops that had no effect and starts without an answer, and stops runs that make no progress.
     pub(super) fn send_due_stops(&mut self) {
-        let RunsToStop { retries: mut stops, stalled } = self.runs_to_stop();
+        let RunsToStop { retries: mut stops, stalled, unanswered } = self.runs_to_stop();
+        for (id, task, attempt) in unanswered {
+            self.resume_unanswered_start(&id, &task, attempt);
+        }
         for (id, task, attempt) in stalled {
             self.notes.push(format_args!("event=run_stuck worker={id} task={task} attempt={attempt}"));
             self.record_fault(&id, &task);
@@ -392,6 +492,7 @@
                     Phase::Stopped if run.phase_since + ACCEPTED_STOP_RETRY_AFTER < self.now => {
                         due.retries.push((id.clone(), *task, *attempt));
                     }
+                    Phase::Unanswered => due.unanswered.push((id.clone(), *task, *attempt)),
                     Phase::Running if self.is_stalled(step, run) => {
                         due.stalled.push((id.clone(), *task, *attempt));
                     }
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -19,6 +19,7 @@
             self.update_listed_run(id, run);
         }
         self.settle_unlisted_runs(id, report);
+        self.resume_unanswered_starts(id);
         if report.full {
             self.settle_barrier(id);
         }
@@ -315,7 +316,7 @@
     run.progressed_at = now.saturating_sub(listed.stalled_for);
     run.stalled_since = (!listed.stalled_for.is_zero()).then_some(run.progressed_at);
     run.confirmed_at.get_or_insert(now);
-    if matches!(run.phase, Phase::Starting | Phase::Inherited) {
+    if matches!(run.phase, Phase::Starting | Phase::Unanswered | Phase::Inherited) {
         run.set_phase(Phase::Running, now);
     }
     Some((run, task.done))
