--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -160,11 +160,6 @@
         task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
     }
 
-    /// Number of crashes during runs that are known to have started.
-    fn confirmed_count(&self) -> usize {
-        self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed).count()
-    }
-
     /// Whether the crashes prove that the task crashes its workers, given that the last one
     /// happened during its trial. Runs that may never have started prove nothing.
     fn is_proof(&self, threshold: f64, rate: f64) -> bool {
