Let lapse_and_start_without_an_answer meet the moment of the start, whenever it comes

Now the stand-in workers lose starts (WorkerFaults::drop_starts: neither carried out nor answered), and the worker that lost the task's start crashes in that moment, the holder with it. The check is the same.

--- a/tests/testsuite/fault_scripts.rs
+++ b/tests/testsuite/fault_scripts.rs
@@ -232,20 +232,14 @@
         Schedule { acts }
     }
 
-    /// A worker is cut off until further notice.
-    pub(super) fn cut(w: usize) -> Schedule {
+    /// A worker is cut off until it is reconnected.
+    pub(super) fn cut_off(w: usize) -> Schedule {
         Schedule { acts: vec![(Instant::now(), Act::Cut(w, Fault::Silent))] }
     }
 
-    /// All workers but one are cut off and replaced, and that one is reconnected, while the lease holder is killed.
-    pub(super) fn others_replaced(w: usize, workers: usize, after: Duration, back: Duration) -> Schedule {
-        let now = Instant::now();
-        let mut acts = vec![(now + after, Act::Reconnect(w)), (now + after, Act::KillHolder(back))];
-        for other in (0..workers).filter(|n| *n != w) {
-            acts.push((now, Act::Cut(other, Fault::Silent)));
-            acts.push((now + after, Act::ReplaceWorker(other)));
-        }
-        Schedule { acts }
+    /// A worker is reconnected.
+    pub(super) fn reconnect(w: usize) -> Schedule {
+        Schedule { acts: vec![(Instant::now(), Act::Reconnect(w))] }
     }
 
     /// Has entries stand still as well: the lease holder or any other, up to three times.
@@ -261,6 +255,12 @@
         }
     }
 
+    /// Both of them.
+    pub(super) fn and(mut self, other: Schedule) -> Schedule {
+        self.acts.extend(other.acts);
+        self
+    }
+
     pub(super) fn is_over(&self) -> bool {
         self.acts.is_empty()
     }
--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -175,6 +175,13 @@
     takes: Duration,
 }
 
+impl Life {
+    /// Whether the worker dropped a start of a task.
+    pub(super) fn has_dropped_start(&self, task: &str) -> bool {
+        self.standin.as_ref().is_some_and(|standin| standin.has_dropped_start(task))
+    }
+}
+
 impl World {
     async fn new(size: Size) -> World {
         let store = Arc::new(StoreStandin::start().await);
@@ -212,6 +219,13 @@
         self.store.drop_worker(&old.id);
     }
 
+    /// Whether starts are lost on their way to all workers.
+    pub(super) fn drop_starts(&self, drops: bool) {
+        for standin in self.lives.iter().filter_map(|life| life.standin.as_ref()) {
+            standin.faults(|f| f.drop_starts = drops);
+        }
+    }
+
     /// The next two starts on a worker have no good answer.
     pub(super) fn lose_starts(&self, n: usize) {
         if let Some(standin) = &self.lives[n].standin {
--- a/tests/testsuite/mixed_soak.rs
+++ b/tests/testsuite/mixed_soak.rs
@@ -8,7 +8,7 @@
 use workswood_test_support::job_world::{ABSENCE_BOUND, CALM_BEFORE, FaultRng};
 
 use super::fault_scripts::{Mixture, Schedule};
-use super::fault_soak::{Life, Soak, hand_seeds, settle};
+use super::fault_soak::{Life, Soak, World, hand_seeds, settle};
 use super::lasting_soak::{JOBS, ShortJobs, WATCHED_FOR, cancel};
 use super::soak_absences::{Watch, tell};
 
@@ -16,6 +16,8 @@
 const SPELLS_BY_HAND: u32 = 3;
 /// Time between two looks at the world.
 const LOOK_EVERY: Duration = Duration::from_millis(30);
+/// Time between two looks where a moment has to be met.
+const LOOK_OFTEN: Duration = Duration::from_millis(5);
 /// How long an ordinary task takes.
 const TAKES: Duration = Duration::from_millis(600);
 /// Ordinary jobs per second and worker in the mean: they use about a third of the workers.
@@ -30,11 +32,6 @@
 /// next process starts, before another entry claims the lease.
 const KILLED_AFTER: Duration = Duration::from_millis(200);
 const BACK_AFTER: Duration = Duration::from_millis(900);
-/// How long after the end of a lease, at most, the holder starts its task elsewhere; the other workers are cut off before, for so long.
-const STARTED_AFTER: Duration = Duration::from_millis(1200);
-const UNANSWERED_FOR: Duration = Duration::from_millis(750);
-/// When the next process of the holder starts there.
-const BACK_SOON: Duration = Duration::from_millis(400);
 /// Time in which all faults of a spell have come and gone.
 const SPELL_WITHIN: Duration = Duration::from_secs(60);
 
@@ -173,18 +170,30 @@
     let w = soak.world.lives.iter().position(runs_it).expect("its worker");
     let mixture = Mixture::draw(1, TAKES);
     let (mut demand, mut watch) = (Demand::new(1, &mixture), Watch::new(vec![task.clone()], 0));
-    Schedule::cut(w).carry_out(&mut soak).await;
-    while soak.world.ledger.last_end(&task).is_none() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    tokio::time::sleep(STARTED_AFTER).await;
-    let schedule = Schedule::others_replaced(w, soak.world.lives.len(), UNANSWERED_FOR, BACK_SOON);
+    Schedule::cut_off(w).carry_out(&mut soak).await;
+    let next = lose_start(&soak.world, &task).await;
+    let lost = Schedule::killed_with_worker(next, Duration::ZERO, BACK_AFTER);
+    let schedule = Schedule::reconnect(w).and(lost);
     spell(&mut soak, &mut demand, &mut watch, schedule).await;
     watch.report(&soak, 1);
     soak.end(1, &watch.broken());
     assert!(watch.broken().is_empty(), "{:?}", watch.broken());
 }
 
+/// Has all starts lost until one of a task is, and returns its worker.
+async fn lose_start(world: &World, task: &str) -> usize {
+    world.drop_starts(true);
+    let until = Instant::now() + SPELL_WITHIN;
+    loop {
+        if let Some(next) = world.lives.iter().position(|life| life.has_dropped_start(task)) {
+            world.drop_starts(false);
+            return next;
+        }
+        assert!(Instant::now() < until, "{task} is not started again");
+        tokio::time::sleep(LOOK_OFTEN).await;
+    }
+}
+
 async fn play_by_hand(freezes: Freezes) {
     let mut failed = Vec::new();
     for seed in hand_seeds() {
