--- a/crates/workswood-core/src/jobs/cut_off_workers.rs
+++ b/crates/workswood-core/src/jobs/cut_off_workers.rs
@@ -22,7 +22,48 @@
 /// A list of hosts that was requested this long after the silence shows a crash before it.
 const HOST_LIST_DELAY: Duration = Duration::from_secs(1);
 
+/// After a longer time without a tick the lease holder was paused, and the list of workers may be out of
+/// date.
+const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+
+/// Whether the list of workers has been followed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ListWatch {
+    /// Since when it has been followed without a break.
+    followed_since: Duration,
+    ticked_at: Duration,
+}
+
+impl ListWatch {
+    /// Creates the state of a lease holder that begins now.
+    pub(super) fn new(now: Duration) -> ListWatch {
+        ListWatch { followed_since: now, ticked_at: now }
+    }
+
+    fn note_tick(&mut self, now: Duration, store_answers: bool) {
+        if !store_answers || self.was_paused(now) {
+            self.followed_since = now;
+        }
+        self.ticked_at = now;
+    }
+
+    fn was_paused(&self, now: Duration) -> bool {
+        self.ticked_at + MAX_TICK_GAP < now
+    }
+
+    /// Whether the list has been followed since this time.
+    fn has_followed_since(&self, at: Duration, now: Duration) -> bool {
+        self.followed_since <= at && !self.was_paused(now)
+    }
+}
+
 impl Scheduler {
+    /// Notes whether the list of workers is followed.
+    pub(super) fn watch_worker_list(&mut self) {
+        let store_answers = self.store_access == StoreAccess::Answering;
+        self.list_watch.note_tick(self.now, store_answers);
+    }
+
     /// Notes which silent workers a list of hosts shows. The list does not tell incarnations of one
     /// name apart.
     pub(super) fn note_hosts_of_silent_workers(&mut self, requested_at: Duration) {
@@ -46,13 +87,10 @@
         // A worker that has not answered this lease holder fell silent at some time before.
         let silent_since = (w.last_heard + w.silent_for).max(w.known_since);
         let on_host = w.shown_on_host_at.is_some_and(|at| at >= silent_since + HOST_LIST_DELAY);
-        on_host || self.listed_until(w).is_some_and(|at| at > silent_since + UNLISTED_WITHIN)
-    }
-
-    /// Until when a worker was listed; `None` if the list is not known to be up to date.
-    fn listed_until(&self, w: &Worker) -> Option<Duration> {
         let now = Some(self.now).filter(|_| w.listed);
-        w.unlisted_at.or(now).filter(|_| self.store_access == StoreAccess::Answering)
+        let listed_until = w.unlisted_at.or(now);
+        let followed = self.list_watch.has_followed_since(silent_since, self.now);
+        on_host || followed && listed_until.is_some_and(|at| at > silent_since + UNLISTED_WITHIN)
     }
 
     /// Lifts the suspicion of tasks whose runs lapsed on a worker that did not crash, unless there are
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -327,15 +327,23 @@
         &worker(at, 0).id,
         WorkerUpdate::Unanswered { lease_end: heard + Duration::from_secs(5), heard },
     );
-    at_beside(&mut world, heard + REPLACED_AFTER, &[at], &lives);
+    go_on(&mut world, heard + REPLACED_AFTER, &[at], &lives);
     if listed_meanwhile {
         world.list(listed(&lives));
     }
-    at_beside(&mut world, heard + LEASE_OVER_AFTER, &[at], &lives);
-    world.tick();
+    go_on(&mut world, heard + LEASE_OVER_AFTER, &[at], &lives);
     (world, lives, at)
 }
 
+/// Plays until a time; all workers but some answer.
+fn go_on(world: &mut HostWorld, until: Duration, silent: &[usize], lives: &[usize]) {
+    while world.sched.now < until {
+        let next = until.min(world.sched.now + Duration::from_millis(500));
+        at_beside(world, next, silent, lives);
+        world.tick();
+    }
+}
+
 fn is_suspected(world: &HostWorld) -> bool {
     world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").suspicion.is_some()
 }
@@ -358,7 +366,7 @@
     for listed_meanwhile in [true, false] {
         let (mut world, mut lives, at) = lapsed_when_young(listed_meanwhile);
         // It was listed for longer than a crashed worker is.
-        world.at(8000);
+        go_on(&mut world, Duration::from_millis(8000), &[at], &lives);
         lives[at] += 1;
         world.list(listed(&lives));
         let task = world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").clone();
@@ -370,7 +378,18 @@
 #[test]
 fn crash_before_the_entry_goes_counts() {
     let (mut world, mut lives, at) = lapsed_when_young(false);
-    world.at(6900);
+    go_on(&mut world, Duration::from_millis(6900), &[at], &lives);
+    lives[at] += 1;
+    world.list(listed(&lives));
+    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
+    assert_eq!(crashes.count(), 1);
+}
+
+/// The list of workers may be out of date by as long as the lease holder was paused.
+#[test]
+fn list_of_paused_holder_shows_no_cut() {
+    let (mut world, mut lives, at) = lapsed_when_young(false);
+    world.at(8000);
     lives[at] += 1;
     world.list(listed(&lives));
     let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
