A claim grants no leases, and a former life of a process none any more

Cause: each successor counted three seconds of full leases for every writer of a record that it read: for a claim after which the holder never renewed, and for its own former life.

Fix: a holder gives no lease before its first renewal is acknowledged, so its claim tells only what is left of holders before it (full_leases_ms). Records also tell how long anybody but the writing process may give full leases (others_full_leases_ms). Relays in other processes are granted no more than the last acknowledged record tells, and the first session of a term has the lease renewed at once. A process that has bound the peer address of the writer in the same network stack (boot and namespace, bound_in) counts only that. The address is kept bound until the last thread of a process is gone, so a frozen process keeps it. Ends of leases are absolute and worked out before sending, so late packets give nothing more. Records of versions before are counted as before.

Tests: claim_sent_at is gone with the grant that counted from it, so repeated_claim_keeps_its_time became repeated_claim_keeps_its_bound, and claim_grants_nothing checks what the time was for. lease-claimed in the stored formats has the new field; the bytes of before are read as lease-claimed-without-others.

--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -17,7 +17,7 @@
 use super::evacuations::is_evacuated;
 use super::fault_rng::Fate;
 use super::relay::{Session, ToHolder, ToRelay, full_leases_until};
-use super::{EXTENSION_GRACE, LEASE, STEP, World, limits};
+use super::{EXTENSION_GRACE, FULL_LEASE_GRACE, LEASE, STEP, World, limits};
 
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(160);
@@ -39,7 +39,7 @@
 /// A lease holder.
 pub(super) struct Holder {
     pub sched: Scheduler,
-    /// When the holder last renewed its own lease.
+    /// When the holder last renewed its own lease; zero before it first did.
     pub renewed: Duration,
     pub paused_until: Duration,
     /// A batch that is being written to the store, and when the write finishes.
@@ -68,7 +68,7 @@
     pub(super) fn new(sched: Scheduler, now: Duration) -> Holder {
         Holder {
             sched,
-            renewed: now,
+            renewed: Duration::ZERO,
             paused_until: Duration::ZERO,
             writing: None,
             writing_since: now,
@@ -104,7 +104,7 @@
         let h = &mut self.holders[n];
         if newest && h.store_away_until <= now {
             h.renewed = now;
-            self.last_renewal = now;
+            self.full_leases_until = self.full_leases_until.max(now + FULL_LEASE_GRACE);
         }
         if std::mem::replace(&mut h.last_awake, now) + MAX_PAUSE <= now {
             h.writing_since = now;
@@ -307,7 +307,7 @@
             let unreached = self.relays.iter().any(|r| r.partitioned || r.paused_until > self.now);
             let by_relays = if unreached { full_leases_until(h.relays_extend_until) } else { Duration::ZERO };
             let extended_until = by_relays.max(h.sched.predecessors_extend_until());
-            self.released_until = Some(extended_until.max(self.now));
+            self.full_leases_until = extended_until.max(self.now);
         }
         self.kill_holder();
         self.take_over();
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -154,10 +154,8 @@
     /// Failed runs per task.
     failed_runs: HashMap<TaskId, u32>,
     term: Term,
-    /// When a holder last renewed the lease.
-    last_renewal: Duration,
-    /// Until when leases may still be extended, as a release has told.
-    released_until: Option<Duration>,
+    /// Until when anybody may give full leases, as the records of the holder's lease tell. A claim grants nothing.
+    full_leases_until: Duration,
     /// Number of worker lives created; used to name them.
     lives: u64,
     /// Tasks whose successful end a holder has acknowledged.
@@ -333,9 +331,7 @@
         let own = format!("holder-{}", self.term);
         let mut sched = Scheduler::new(self.term, limits(), self.now, self.now.as_millis() as u64);
         sched.holder.clone_from(&own);
-        let extended_until = self.released_until.take().unwrap_or(self.last_renewal + FULL_LEASE_GRACE);
-        sched.predecessors_extend_until = Some(extended_until);
-        self.last_renewal = self.now;
+        sched.predecessors_extend_until = Some(self.full_leases_until);
         sched.policy.second_runs.enabled = self.second_runs;
         sched.policy.handover = self.handover.clone();
         sched.policy.outage = self.outage.clone();
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -71,6 +71,8 @@
     /// Records of the lease, if the store keeps them, and how often they were read.
     lease: Mutex<Option<Vec<KeyedRecord>>>,
     lease_reads: Mutex<u64>,
+    /// Whether renewals of the lease are refused.
+    refuses_renewals: Mutex<bool>,
     /// Whether the next read of the lease from an offset finds that the records are gone, and the one of its
     /// newest record after that is refused.
     lease_forgotten: Mutex<bool>,
@@ -106,6 +108,7 @@
             orders: Mutex::default(),
             lease: Mutex::default(),
             lease_reads: Mutex::default(),
+            refuses_renewals: Mutex::default(),
             lease_forgotten: Mutex::default(),
             hanging: Mutex::default(),
             kept: Mutex::default(),
@@ -117,6 +120,11 @@
         *self.lease.lock() = Some(vec![rec]);
     }
 
+    /// Sets whether renewals of the lease are refused.
+    pub fn refuse_renewals(&self, refused: bool) {
+        *self.refuses_renewals.lock() = refused;
+    }
+
     /// From now on reads of the newest record are never answered.
     pub fn hang_on_reads(&self) {
         *self.hanging.lock() = true;
@@ -276,6 +284,9 @@
             if matches!(guard, Guard::EndsAt(at) if at != end) {
                 return async { Err(StoreError::GuardFailed) }.boxed();
             }
+            if matches!(guard, Guard::Term(..)) && *self.refuses_renewals.lock() {
+                return away();
+            }
             lease.extend(records);
             return async move { Ok(end) }.boxed();
         }
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -7,9 +7,18 @@
 //! The store refuses renewals of earlier terms once it has seen one of the new term; those that it took
 //! between the claim and that one are read before it, so the bound holds once that one is read.
 //!
-//! A claim alone tells nothing if it doesn't tell a time: its version counts from when it read it. The release of
+//! A claim alone tells nothing if it doesn't tell a time: its version counts from when it read it. A claim that
+//! tells one grants nothing itself, and tells what is left of holders before it. The release of
 //! a holder whose scheduler had ended may tell a shorter time, which counts from its reading too. All
 //! times are on the clock of this process, which goes on while its host is suspended.
+//!
+//! A writer that has ended ([`RecordFacts::writer_ended`]) extends nothing any more. This is certain of a former life
+//! of this process: it had bound the address that this process has bound since, in the same network stack, and kept it
+//! until its last thread was gone ([`bound_address`](crate::util::bound_address)). A frozen process keeps it.
+//! The end of a lease is worked out before the order is sent, as an absolute time on the
+//! worker's clock, so what the writer had sent gives no lease beyond a full one from this process's binding, however
+//! late it arrives. What is left then is what others may give: holders before the writer, and its
+//! relays in other processes, to which it grants no more than its records tell.
 
 use std::time::Duration;
 
@@ -27,14 +36,20 @@
     /// How long after sending it its writer and holders before it may give full leases; `None` if it is of a
     /// version that doesn't tell.
     pub grace: Option<Duration>,
+    /// How long after sending it anybody but the process that wrote it may give full leases; `None` if it is of a
+    /// version that doesn't tell.
+    pub others_grace: Option<Duration>,
+    /// Whether the process that wrote it has ended.
+    pub writer_ended: bool,
     /// How long anybody may still extend leases under the term or an earlier one.
     pub extensions_left: Option<Duration>,
 }
 
 impl RecordFacts {
-    /// How long after sending it its writer and holders before it may give full leases at most.
+    /// How long after its reading its writer and holders before it may give full leases at most.
     pub fn longest_grace(&self) -> Duration {
-        self.grace.unwrap_or(EXTENSION_GRACE)
+        let others = self.others_grace.filter(|_| self.writer_ended);
+        others.or(self.grace).unwrap_or(EXTENSION_GRACE)
     }
 }
 
@@ -42,8 +57,6 @@
 #[derive(Clone, Copy, Debug)]
 struct OwnClaim {
     term: Term,
-    /// When it was first sent.
-    sent_at: Duration,
     /// Until when holders of earlier terms may give full leases; `None` if that is not known.
     extended_until: Option<Duration>,
     /// Whether a renewal of the claimed term was read.
@@ -99,19 +112,20 @@
         claim.renewal_read |= term == claim.term;
     }
 
+    /// How long holders whose records were read may still give full leases, if they write nothing more; `None` if that
+    /// is not known.
+    pub fn left(&self, now: Duration) -> Option<Duration> {
+        self.extended_until.map(|until| until.saturating_sub(now))
+    }
+
     /// Notes that this process is about to claim a term. A repeated claim has the same term.
-    pub fn note_claim(&mut self, term: Term, now: Duration) {
+    pub fn note_claim(&mut self, term: Term) {
         if self.claim.is_none_or(|c| c.term != term) {
             let extended_until = self.extended_until;
-            self.claim = Some(OwnClaim { term, sent_at: now, extended_until, renewal_read: false });
+            self.claim = Some(OwnClaim { term, extended_until, renewal_read: false });
         }
     }
 
-    /// When this process first claimed a term; `None` if that is not known.
-    pub fn claim_sent_at(&self, term: Term) -> Option<Duration> {
-        self.claim.filter(|c| c.term == term).map(|c| c.sent_at)
-    }
-
     /// Until when holders before the term, which this process holds, may give full leases; `None` until that
     /// is certain.
     pub fn extended_until(&self, term: Term) -> Option<Duration> {
--- a/src/workswood/ops/jobs/handover.rs
+++ b/src/workswood/ops/jobs/handover.rs
@@ -81,7 +81,7 @@
 async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
     let rec = || match handle.stop.is_closed() {
         true => LeaseRecord::release_after_end(node, handle),
-        false => LeaseRecord::of(node, handle.term, true),
+        false => LeaseRecord::release(node, handle),
     };
     lease_renewal::write_release(node, handle, rec()).await
         || peer_requests::write_release_through_peer(node, rec()).await
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -18,7 +18,7 @@
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Tail, Topic};
 
 use super::earlier_grants::{EarlierGrants, RecordFacts};
-use super::lease_renewal::FULL_LEASE_GRACE;
+use super::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
 use super::node::{Holder, Node, SchedulerHandle};
 use super::scheduler_task;
 use super::topic_reader::retry_delay;
@@ -58,6 +58,13 @@
     /// leases. Absent in records of versions that do so as long as they may extend leases.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub full_leases_ms: Option<u64>,
+    /// For how many milliseconds after sending the record anybody but the process that wrote it may give workers
+    /// full leases. Absent in records of versions that didn't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub others_full_leases_ms: Option<u64>,
+    /// Network stack in which the writer has bound the address for peers until it ends. Absent if that is not certain.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bound_in: Option<String>,
     /// In a release: for how many milliseconds from then on anybody may still give workers full leases
     /// under this term or an earlier one. Absent if the scheduler may not have ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -65,33 +72,70 @@
 }
 
 impl LeaseRecord {
-    /// Returns the record with which a process claims, renews or releases the lease.
-    pub(super) fn of(node: &Node, term: Term, released: bool) -> LeaseRecord {
-        let full_leases = FULL_LEASE_GRACE.max(node.others_full_leases_left());
+    /// Returns a record that tells for how long its writer itself and others may give full leases.
+    fn new(node: &Node, term: Term, own_grace: Duration, others_left: Duration) -> LeaseRecord {
         LeaseRecord {
             id: node.id.clone(),
             name: node.settings.name.clone(),
             peer_address: node.settings.peers.to_string(),
             term,
-            released,
+            released: false,
             strength: Some(node.settings.strength()),
-            full_leases_ms: Some(full_leases.as_millis() as u64),
+            full_leases_ms: Some(full_ms(own_grace.max(others_left))),
+            others_full_leases_ms: Some(full_ms(others_left)),
+            bound_in: node.bound_in().cloned(),
             extensions_left_ms: None,
         }
     }
 
+    /// Returns the record with which a process claims a term. It gives no leases before its first renewal.
+    fn claim(node: &Node, term: Term, earlier: &EarlierGrants) -> LeaseRecord {
+        let unknown = || EXTENSION_GRACE.max(node.others_full_leases_left());
+        let others_left = earlier.left(node.now()).unwrap_or_else(unknown);
+        LeaseRecord::new(node, term, Duration::ZERO, others_left)
+    }
+
+    /// Returns the record with which a holder renews the lease.
+    pub(super) fn renewal(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
+        let earlier =
+            handle.earlier_grants_left(node.now()).unwrap_or_else(|| node.others_full_leases_left());
+        let others_left = earlier.max(handle.relay_grants.left_to_tell(node.now()));
+        LeaseRecord::new(node, handle.term, FULL_LEASE_GRACE, others_left)
+    }
+
+    /// Returns the record with which a holder releases the lease.
+    pub(super) fn release(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
+        LeaseRecord { released: true, ..LeaseRecord::renewal(node, handle) }
+    }
+
+    /// Returns the record with which a peer releases the lease for a holder that can't write. Relays may go on.
+    pub(super) fn release_by_peer(node: &Node, term: Term) -> LeaseRecord {
+        let others_left = FULL_LEASE_GRACE.max(node.others_full_leases_left());
+        LeaseRecord { released: true, ..LeaseRecord::new(node, term, FULL_LEASE_GRACE, others_left) }
+    }
+
     /// Returns the record with which a process releases the lease after its scheduler has ended.
     pub(super) fn release_after_end(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
         let left = handle.extensions_left(node.now()).map(|left| left.as_millis() as u64);
-        LeaseRecord { extensions_left_ms: left, ..LeaseRecord::of(node, handle.term, true) }
+        LeaseRecord { extensions_left_ms: left, ..LeaseRecord::release(node, handle) }
+    }
+
+    /// Whether a former life of a process wrote the record, which has ended since.
+    fn is_of_former_life(&self, node: &Node) -> bool {
+        let same_entry = self.name == node.settings.name && self.id != node.id;
+        let same_address = self.peer_address == node.settings.peers.to_string();
+        let same_network = self.bound_in.is_some() && self.bound_in.as_ref() == node.bound_in();
+        same_entry && same_address && same_network
     }
 
     /// Returns what the record tells about the end of its writer's grants.
-    fn facts(&self) -> RecordFacts {
+    fn facts(&self, node: &Node) -> RecordFacts {
         RecordFacts {
             term: self.term,
             released: self.released,
             grace: self.full_leases_ms.map(Duration::from_millis),
+            others_grace: self.others_full_leases_ms.map(Duration::from_millis),
+            writer_ended: self.is_of_former_life(node),
             extensions_left: self.extensions_left_ms.map(Duration::from_millis),
         }
     }
@@ -114,6 +158,11 @@
     }
 }
 
+/// A time in milliseconds, rounded up.
+fn full_ms(time: Duration) -> u64 {
+    time.as_micros().div_ceil(1000) as u64
+}
+
 /// What a process knows of the lease.
 struct LeaseView {
     /// Offset of the first record that was not read yet.
@@ -307,7 +356,7 @@
         v.earlier_grants.note_unknown_record();
         return;
     };
-    let facts = lease.facts();
+    let facts = lease.facts(node);
     v.earlier_grants.note_record(facts, node.now());
     if lease.id != node.id {
         node.note_full_leases_of_other(facts.longest_grace());
@@ -350,8 +399,8 @@
     let Some(reason) = v.reason_to_claim(node) else { return };
     let reason = reason.label();
     let term = v.next + 1;
-    v.earlier_grants.note_claim(term, node.now());
-    let rec = LeaseRecord::of(node, term, false).keyed();
+    v.earlier_grants.note_claim(term);
+    let rec = LeaseRecord::claim(node, term, &v.earlier_grants).keyed();
     let res = node.platform.append(Topic::Lease, vec![rec], Guard::EndsAt(v.next)).await;
     match res {
         Ok(_) => log::info!("event=lease_claimed term={term} reason={reason}"),
@@ -366,7 +415,7 @@
     match node.scheduler.load().as_ref() {
         None if held_here && h.term > v.last_own_term && !node.is_stopping() => {
             v.last_own_term = h.term;
-            scheduler_task::start(node, h.term, v.earlier_grants.claim_sent_at(h.term));
+            scheduler_task::start(node, h.term);
         }
         Some(running) if running.term < h.term => {
             log::warn!("event=lease_lost term={} to={} to_term={}", running.term, h.name, h.term);
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -8,7 +8,6 @@
 use super::lease::LeaseRecord;
 use super::node::{LastRenewal, Node, SchedulerHandle};
 use super::peer_requests;
-use super::relay::Grant;
 
 /// Interval between renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
@@ -26,11 +25,6 @@
 /// That is one renewal without an answer over two connections, or several that were refused.
 const RELEASE_AFTER: Duration = Duration::from_millis(900);
 
-/// Extends the holder's permission to extend workers' leases by a claim or renewal that was sent at this time.
-pub(super) fn extend_grant(grant: &Grant, sent: Duration) {
-    grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
-}
-
 /// Renews the lease until another process holds it, it is released, or the last renewal that was asked for is
 /// answered.
 pub async fn run(node: Arc<Node>, handle: Arc<SchedulerHandle>) {
@@ -39,21 +33,28 @@
     let mut last_renewal = handle.last_renewal.subscribe();
     loop {
         let sent = node.now();
-        let rec = LeaseRecord::of(&node, handle.term, false).keyed();
+        let had_relays = handle.relay_grants.is_opened();
+        let rec = LeaseRecord::renewal(&node, &handle);
+        let others_until = sent + Duration::from_millis(rec.others_full_leases_ms.unwrap_or_default());
+        let rec = rec.keyed();
         match node.platform.append(Topic::Lease, vec![rec], Guard::Term(handle.term, next_append)).await {
             Ok(_) => {
                 node.note_store_answer();
                 next_append += 1;
                 renewed_at = sent;
-                extend_grant(&handle.grant, sent);
+                handle.relay_grants.note_told(others_until);
+                handle.grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
                 handle.first_renewed_at.get_or_init(|| node.now());
                 handle.renewals.send_modify(|n| *n += 1);
                 if *last_renewal.borrow_and_update() == LastRenewal::Asked {
                     handle.last_renewal.send_replace(LastRenewal::Written { next_append });
                     return;
                 }
-                // Elapsed, or the last renewal is asked for.
-                let _ = tokio::time::timeout(RENEWAL_INTERVAL, last_renewal.changed()).await;
+                tokio::select! {
+                    () = tokio::time::sleep(RENEWAL_INTERVAL) => {}
+                    _ = last_renewal.changed() => {}
+                    () = handle.relay_grants.until_opened(), if !had_relays => {}
+                }
             }
             Err(StoreError::GuardFailed) => {
                 log::warn!("event=lease_overtaken term={}", handle.term);
@@ -84,7 +85,7 @@
 
 /// Releases the lease, so that another process can claim it at once. Returns whether that is written.
 pub async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
-    write_release(node, handle, LeaseRecord::of(node, handle.term, true)).await
+    write_release(node, handle, LeaseRecord::release(node, handle)).await
 }
 
 /// Writes this record, which releases the lease; returns whether it is written.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -80,6 +80,7 @@
 pub use node::Node;
 
 use self::helped_store::HelpedStore;
+use crate::util::bound_address;
 use crate::util::clock::Clock;
 use crate::util::errors::{Error, ListenSnafu, Result};
 use crate::util::job_settings::{JobSettings, PATH_ENV_VAR};
@@ -120,6 +121,9 @@
     tokio::spawn(clock.clone().log_suspensions());
     let node = Arc::new(Node::with_shared(settings, platform.clone(), clock, half_open, traffic));
     platform.attach(&node);
+    if let Some(network) = bound_address::keep_until_exit(&peer_listener, node.settings.peers.port()) {
+        node.note_bound_in(network);
+    }
     log::info!(
         "event=started id={} name={} data_centre={} callers={} peers={}",
         node.id,
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -131,13 +131,23 @@
         });
     }
 
+    /// Until when holders of earlier terms may give workers full leases; `None` if that is not certain.
+    fn earlier_grants_end(&self) -> Option<Duration> {
+        // The store takes no renewal of an earlier term after the first one of this term.
+        let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
+        (*self.earlier_grants_end.borrow()).or_else(fenced)
+    }
+
+    /// How long holders of earlier terms may still give workers full leases; `None` if that is not certain.
+    pub(super) fn earlier_grants_left(&self, now: Duration) -> Option<Duration> {
+        self.earlier_grants_end().map(|end| end.saturating_sub(now))
+    }
+
     /// How long anybody may still give workers full leases, under this term or an earlier one, after the
     /// scheduler of this term has ended.
     /// `None` if that is not certain.
     pub(super) fn extensions_left(&self, now: Duration) -> Option<Duration> {
-        // The store takes no renewal of an earlier term after the first one of this term.
-        let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
-        let earlier = (*self.earlier_grants_end.borrow()).or_else(fenced)?;
+        let earlier = self.earlier_grants_end()?;
         let left = self.relay_grants.latest().max(earlier).saturating_sub(now);
         Some(if left.is_zero() { left } else { left + GRANT_ROUNDING })
     }
@@ -187,6 +197,8 @@
     /// Set to true by the first configuration.
     configured: watch::Sender<bool>,
     clock: Clock,
+    /// Network stack in which this process has bound its address for peers until it ends.
+    bound_in: OnceLock<String>,
     /// Until when lease holders in other processes may give full leases, as far as records tell that were read, in
     /// milliseconds since the process started.
     others_full_leases_ms: AtomicU64,
@@ -245,6 +257,7 @@
             stopping: watch::Sender::new(false),
             configured: watch::Sender::new(false),
             clock,
+            bound_in: OnceLock::new(),
             others_full_leases_ms: AtomicU64::new(0),
             store_answered_ms: AtomicU64::new(0),
             store_polled_since_ms: AtomicU64::new(0),
@@ -263,6 +276,16 @@
         &self.clock
     }
 
+    /// Notes in which network stack this process has bound its address for peers until it ends.
+    pub fn note_bound_in(&self, network: String) {
+        let _ = self.bound_in.set(network);
+    }
+
+    /// Network stack in which this process has bound its address for peers until it ends, if that is certain.
+    pub(super) fn bound_in(&self) -> Option<&String> {
+        self.bound_in.get()
+    }
+
     /// [`Node::now`] in milliseconds, for atomics.
     pub fn now_ms(&self) -> u64 {
         self.now().as_millis() as u64
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -240,7 +240,7 @@
 
 /// Has a peer release this process's lease; returns whether one has.
 pub async fn release_lease_through_peer(node: &Node, term: u64) -> bool {
-    write_release_through_peer(node, LeaseRecord::of(node, term, true)).await
+    write_release_through_peer(node, LeaseRecord::release_by_peer(node, term)).await
 }
 
 /// Has a peer write this record, which releases the lease; returns whether one has.
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -24,6 +24,7 @@
 use super::relay::messages::{StartTask, WorkerNumber, WorkerOrder};
 use super::relay::session::HEARTBEAT_INTERVAL;
 use super::relay::{EventSink, Relay, codec};
+use super::relay_grants::GrantedTimes;
 
 /// Timeout for opening a session, until the relay reports that it takes orders.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -166,6 +167,7 @@
 
     fn open(&mut self, entry: HostId, tasks: &mut JoinSet<()>) {
         self.close(&entry);
+        self.handle.relay_grants.note_opened();
         self.opened += 1;
         let (tx, rx) = mpsc::unbounded_channel();
         let workers = WorkersByNumber::default();
@@ -351,9 +353,10 @@
         }
     }
 
-    /// Returns the answer to a heartbeat: the relay may extend leases for as long as this process.
+    /// Returns the answer to a heartbeat: the relay may extend leases for as long as this process, as far as the records
+    /// of the lease tell of it.
     fn grant(&self, heartbeat: u64) -> wire::RelayOrders {
-        let (full_until, end) = (self.handle.grant.full_until(), self.handle.grant.end());
+        let GrantedTimes { full_until, end } = self.handle.relay_grants.allowed(&self.handle.grant);
         let now = self.node.now();
         self.handle.relay_grants.note(self.session_number, full_until);
         let duration_ms = full_until.saturating_sub(now).as_millis() as u32;
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -44,18 +44,14 @@
 /// Interval between requests for the list of hosts while the scheduler needs it.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Starts the scheduler for a term of the lease that was first claimed at this time, if that is known.
-pub fn start(node: &Arc<Node>, term: u64, claim_sent_at: Option<Duration>) {
+/// Starts the scheduler for a term of the lease.
+pub fn start(node: &Arc<Node>, term: u64) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (stop, stopped) = watch::channel(false);
-    // Counted from the sending, so that others can tell from the record of the claim when it ends.
+    // The claim tells that it grants nothing.
     let grant = Grant::default();
-    if let Some(sent) = claim_sent_at {
-        lease_renewal::extend_grant(&grant, sent);
-    }
     let handle = SchedulerHandle::new(term, node.now(), EXTENSION_GRACE, tx, stop);
-    let handle = SchedulerHandle { grant, ..handle };
-    let handle = Arc::new(handle);
+    let handle = Arc::new(SchedulerHandle { grant, ..handle });
     node.scheduler.store(Some(handle.clone()));
     node.metrics.lease_terms.inc();
     node.peers.request_read();
--- a/src/workswood/util/mod.rs
+++ b/src/workswood/util/mod.rs
@@ -1,5 +1,6 @@
 //! Settings, logging, metrics, errors, and output of commands.
 
+pub mod bound_address;
 pub mod clock;
 pub mod errors;
 pub mod job_metrics;
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -32,11 +32,18 @@
 }
 
 fn renewal(term: u64) -> RecordFacts {
-    RecordFacts { term, released: false, grace: None, extensions_left: None }
+    RecordFacts {
+        term,
+        released: false,
+        grace: None,
+        others_grace: None,
+        writer_ended: false,
+        extensions_left: None,
+    }
 }
 
 fn release(term: u64, left: Option<u64>) -> RecordFacts {
-    RecordFacts { term, released: true, grace: None, extensions_left: left.map(ms) }
+    RecordFacts { released: true, extensions_left: left.map(ms), ..renewal(term) }
 }
 
 /// The bound of a process that reads these records at these times, then claims term 20, and then reads its
@@ -44,12 +51,11 @@
 fn bound(records: &[(u64, RecordFacts)], between: &[(u64, RecordFacts)]) -> Option<Duration> {
     let mut grants = EarlierGrants::default();
     records.iter().for_each(|(at, rec)| grants.note_record(*rec, ms(*at)));
-    grants.note_claim(20, ms(9_000));
+    grants.note_claim(20);
     grants.note_record(renewal(20), ms(9_010));
     between.iter().for_each(|(at, rec)| grants.note_record(*rec, ms(*at)));
     assert_eq!(grants.extended_until(20), None, "a renewal of a predecessor may follow");
     grants.note_record(renewal(20), ms(9_800));
-    assert_eq!(grants.claim_sent_at(20), Some(ms(9_000)));
     grants.extended_until(20)
 }
 
@@ -107,13 +113,52 @@
 }
 
 #[test]
-fn repeated_claim_keeps_its_time() {
+fn repeated_claim_keeps_its_bound() {
+    let mut grants = EarlierGrants::default();
+    grants.note_record(renewal(7), ms(1_000));
+    grants.note_record(renewal(7), ms(1_500));
+    grants.note_claim(20);
+    grants.note_claim(20);
+    [9_010, 9_800].into_iter().for_each(|at| grants.note_record(renewal(20), ms(at)));
+    assert_eq!(grants.extended_until(20), Some(ms(1_500) + GRACE));
+    grants.note_claim(21);
+    assert_eq!((grants.extended_until(20), grants.extended_until(21)), (None, None));
+}
+
+/// A renewal after which others may give full leases for this long.
+fn told(grace: u64, others: u64) -> RecordFacts {
+    RecordFacts { grace: Some(ms(grace)), others_grace: Some(ms(others)), ..renewal(7) }
+}
+
+/// A process that has ended extends no lease; holders before it and its relays may.
+#[test]
+fn ended_writer_counts_by_its_others() {
+    let ended = |rec: RecordFacts| RecordFacts { writer_ended: true, ..rec };
+    assert_eq!(bound(&[(8_000, ended(told(3_000, 0)))], &[]), Some(ms(8_000)));
+    assert_eq!(bound(&[(8_000, ended(told(3_000, 1_200)))], &[]), Some(ms(9_200)));
+    let untold = RecordFacts { grace: Some(ms(3_000)), ..renewal(7) };
+    assert_eq!(bound(&[(8_000, ended(untold))], &[]), Some(ms(11_000)), "a version that doesn't tell");
+}
+
+/// The store takes a renewal of the former life after the claim, which itself grants nothing.
+#[test]
+fn late_renewal_of_ended_writer() {
     let mut grants = EarlierGrants::default();
-    grants.note_claim(20, ms(9_000));
-    grants.note_claim(20, ms(9_500));
-    assert_eq!(grants.claim_sent_at(20), Some(ms(9_000)));
-    grants.note_claim(21, ms(9_900));
-    assert_eq!((grants.claim_sent_at(20), grants.claim_sent_at(21)), (None, Some(ms(9_900))));
+    let renewed = RecordFacts { writer_ended: true, ..told(3_000, 0) };
+    grants.note_record(renewed, ms(8_000));
+    grants.note_claim(20);
+    grants.note_record(RecordFacts { term: 20, ..told(0, 0) }, ms(9_010));
+    grants.note_record(renewed, ms(9_500));
+    grants.note_record(RecordFacts { term: 20, ..told(3_000, 0) }, ms(9_800));
+    assert_eq!(grants.extended_until(20), Some(ms(9_500)));
+}
+
+/// TWICE: another holder may go on, whatever it tells of others.
+#[test]
+fn writer_that_may_live_counts_in_full() {
+    assert_eq!(bound(&[(8_000, told(3_000, 0))], &[]), Some(ms(11_000)));
+    let other = RecordFacts { term: 9, writer_ended: true, ..told(3_000, 0) };
+    assert_eq!(bound(&[(8_000, told(3_000, 0)), (8_100, other)], &[]), Some(ms(11_000)));
 }
 
 fn lease_record(rec: &Value) -> KeyedRecord {
@@ -182,6 +227,126 @@
     );
 }
 
+/// The network stack in which the process that follows the lease has bound its address.
+const OWN_NETWORK: &str = "boot-1/net:[1]";
+
+/// How long after reading this record, as its only one, a process that has claimed believes in full leases of others.
+/// `network` is where it has bound its address.
+async fn believed_after(last: Value, network: Option<&str>) -> Duration {
+    let (store, node) = follower(&last);
+    network.into_iter().for_each(|network| node.note_bound_in(network.to_string()));
+    for _ in 0..400 {
+        tokio::time::sleep(ms(10)).await;
+        let end = node.scheduler.load_full().and_then(|handle| *handle.earlier_grants_end.borrow());
+        if let Some(end) = end {
+            // It read the record at its start.
+            assert!(store.lease().len() > 1);
+            return end;
+        }
+    }
+    panic!("the end is not known");
+}
+
+/// A record of a former life of the process that follows the lease.
+fn held_by_former_life() -> Value {
+    json!({
+        "id": "former", "name": "entry-1", "peers": settings("entry-1").peers.to_string(), "term": 1, "strength": 600,
+        "full_leases_ms": 3_000, "others_full_leases_ms": 500, "bound_in": OWN_NETWORK
+    })
+}
+
+/// The next process of a holder that was killed waited for leases that no process could have given.
+#[tokio::test(start_paused = true)]
+async fn own_former_life_has_ended() {
+    let end = believed_after(held_by_former_life(), Some(OWN_NETWORK)).await;
+    assert!(is_about(end, ms(500)), "{end:?}");
+}
+
+/// TWICE: a process of the same name may run elsewhere.
+#[tokio::test(start_paused = true)]
+async fn namesake_may_live() {
+    let former = held_by_former_life();
+    let unbound = believed_after(former.clone(), None).await;
+    let elsewhere = believed_after(former.clone(), Some("boot-2/net:[1]")).await;
+    let (mut moved, mut untold) = (former.clone(), former.clone());
+    moved["peers"] = json!("127.0.0.1:9");
+    untold.as_object_mut().expect("a record").remove("bound_in");
+    let moved = believed_after(moved, Some(OWN_NETWORK)).await;
+    let untold = believed_after(untold, Some(OWN_NETWORK)).await;
+    for end in [unbound, elsewhere, moved, untold] {
+        assert!(is_about(end, ms(3_000)), "{end:?}");
+    }
+}
+
+/// TWICE: a successor takes a claim for one that grants nothing.
+#[tokio::test(start_paused = true)]
+async fn claim_grants_nothing() {
+    let mut released = held_by_other(1);
+    (released["released"], released["extensions_left_ms"]) = (json!(true), json!(0));
+    let (store, node) = follower(&released);
+    store.refuse_renewals(true);
+    tokio::time::sleep(ms(500)).await;
+    let handle = node.scheduler.load_full().expect("it holds the lease");
+    assert!(!handle.grant.holds(node.now()), "its renewals are refused");
+    let claim = store.lease().pop().and_then(|rec| rec.value).expect("a claim");
+    let claim: Value = serde_json::from_slice(&claim).expect("a record");
+    assert_eq!((&claim["full_leases_ms"], &claim["others_full_leases_ms"]), (&json!(0), &json!(0)));
+    store.refuse_renewals(false);
+    tokio::time::sleep(ms(500)).await;
+    assert!(handle.grant.holds(node.now()), "its renewals are stored");
+}
+
+/// A holder of term 7 that renews its lease.
+fn renewing_holder() -> (Arc<TurnStore>, Arc<Node>, Arc<SchedulerHandle>) {
+    let store = Arc::new(TurnStore::new(ms(2), &[]));
+    store.keep_lease(lease_record(&held_by_other(6)));
+    let node = Arc::new(Node::new(settings("entry-1"), store.clone()));
+    let (stop, _) = watch::channel(false);
+    let handle = SchedulerHandle::new(7, node.now(), Duration::ZERO, mpsc::unbounded_channel().0, stop);
+    handle.earlier_grants_end.send_replace(Some(Duration::ZERO));
+    let handle = Arc::new(handle);
+    tokio::spawn(lease_renewal::run(node.clone(), handle.clone()));
+    (store, node, handle)
+}
+
+/// What the last record of the lease tells of others than its writer.
+fn told_of_others(store: &TurnStore) -> u64 {
+    let last = store.lease().pop().and_then(|rec| rec.value).expect("a record");
+    let rec: Value = serde_json::from_slice(&last).expect("a record");
+    rec["others_full_leases_ms"].as_u64().unwrap_or_default()
+}
+
+/// TWICE: a relay goes on after its holder, for longer than the holder's last record tells.
+#[tokio::test(start_paused = true)]
+async fn relays_get_no_more_than_is_told() {
+    let (store, node, handle) = renewing_holder();
+    for at in 0..400 {
+        if at == 250 {
+            handle.relay_grants.note_opened();
+        }
+        // The last record was sent by now.
+        let told_until = node.now() + ms(told_of_others(&store));
+        let granted = handle.relay_grants.allowed(&handle.grant).full_until;
+        assert!(granted <= told_until, "{granted:?} {told_until:?}");
+        tokio::time::sleep(ms(20)).await;
+    }
+    assert_eq!(told_of_others(&store), 3_000);
+}
+
+/// Without relays, the next process of a holder that was killed has nothing to wait for.
+#[tokio::test(start_paused = true)]
+async fn holder_without_relays_tells_of_none() {
+    let (store, node, handle) = renewing_holder();
+    tokio::time::sleep(ms(4_000)).await;
+    assert_eq!(told_of_others(&store), 0);
+    let times = handle.relay_grants.allowed(&handle.grant);
+    assert!(times.end <= node.now(), "{times:?}");
+    handle.relay_grants.note_opened();
+    tokio::time::sleep(ms(10)).await;
+    let times = handle.relay_grants.allowed(&handle.grant);
+    assert!(times.full_until > node.now() + ms(2_900), "the next renewal comes at once: {times:?}");
+}
+
 /// Has a holder of term 7 give up the lease after a time, with relays that may extend leases until then;
 /// returns its release. `stops` says whether its scheduler ends when it is told to.
 async fn released_after(age: Duration, relays_until: Duration, stops: bool) -> Value {
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -1096,6 +1096,8 @@
     assert_eq!((earlier.term, earlier.released), (8, false));
     let before = holder_read(text(LEASE_AND_PEERS, "lease-claimed-by-version-before")).await;
     assert_eq!((before.term, before.released), (2, false));
+    let without_others = holder_read(text(LEASE_AND_PEERS, "lease-claimed-without-others")).await;
+    assert_eq!((without_others.term, without_others.released), (2, false));
     let released = text(LEASE_AND_PEERS, "lease-released");
     assert!(holder_read(released).await.released);
     assert!(holder_read(text(LEASE_AND_PEERS, "lease-released-after-end")).await.released);
@@ -1103,6 +1105,10 @@
     let (key, claimed) = store.appended().await;
     assert_eq!(claimed.replace(&node.id, "ID"), text(LEASE_AND_PEERS, "lease-claimed"));
     assert_eq!(key, "holder");
+    let (store, node) = lease_follower(released);
+    node.note_bound_in("boot/net:[1]".to_string());
+    let (_, claimed) = store.appended().await;
+    assert_eq!(claimed.replace(&node.id, "ID"), text(LEASE_AND_PEERS, "lease-bound"));
 }
 
 /// Processes of two versions do not find each other.
