Ends of leases are recorded beside a start under way, and afresh before a planned release

Callers saw: a start without an answer and a change of holder made a task wait for 8.4 s more, and each planned change added the age of the record of a silent worker (up to 0.25 s and the time from claim to reading).

Cause: no bound was recorded while a run was starting; the stopping holder recorded none at its end.

With the last renewal of a stop, the scheduler writes the bounds of silent workers once more; the release waits for that for 0.1 s at most, and not where nothing is silent.

Evidence: bound_of_a_worker_with_a_start_under_way (no bound instead of 5501 ms) and quick_handovers_add_little (7.96 s instead of at most 6.15 s) fail without.

--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -7,6 +7,11 @@
 //! has said that it waits and the holder has not ordered since, no lease is extended and the last one ends by
 //! `Worker::lease_end`.
 //!
+//! A start carries the end of a lease too. The relay works out what it reports with a poll without an answer after it has
+//! closed the way for further starts (`AssignedWorker::may_lease_until`), so `Worker::lease_end` holds for starts that
+//! are under way; one that waits, or is tried again, is not sent before an order. So a bound can be recorded
+//! while the holder waits for the reply to a start. The run is settled only with that reply or by a successor.
+//!
 //! The holder then records how long that is from now, the *bound* ([`WorkerRecord::lease_left`]). While a bound
 //! may be on record the holder does not order extensions: it has a record without the bound stored first.
 //! Only the holder that has fenced off the earlier ones can store that record. A successor that reads the
@@ -14,6 +19,10 @@
 //! decided before the successor read it, so the lease ends at most that long after the reading. It passes on
 //! what is left then. No clocks of two hosts are compared.
 //!
+//! The bound of an incarnation that a later one has superseded also covers what the later one may have received of the
+//! orders meant for it ([`WorkerRecord::superseded`]). It is not polled again in any term that knows the
+//! later one, so a successor counts no such time from its own taking over.
+//!
 //! A bound says nothing about runs that are not on record; `open` does.
 //!
 //! | state of a worker | `allowed` | `bound_on_record` |
@@ -25,7 +34,7 @@
 
 use std::time::Duration;
 
-use super::job::{Phase, WorkerId};
+use super::job::WorkerId;
 use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
 use super::types::Action;
@@ -33,7 +42,7 @@
 
 /// Time without an answer after which the end of a worker's lease is recorded.
 const RECORD_AFTER: Duration = Duration::from_millis(300);
-/// Interval between two records of it. A change of holder adds at most this time to the end.
+/// Interval between two records of it. An unplanned change of holder adds at most this time to the end.
 const RECORD_INTERVAL: Duration = Duration::from_millis(250);
 
 /// When a relay extends a worker's lease only on order of the lease holder.
@@ -170,13 +179,24 @@
 
     /// Has bounds recorded that are due.
     pub(super) fn record_due_bounds(&mut self) {
+        self.record_bounds(RECORD_INTERVAL);
+    }
+
+    /// Has all bounds recorded with the next batch, also those that were recorded a moment ago: the lease is about to
+    /// be released.
+    pub fn record_last_bounds(&mut self) {
+        self.record_bounds(Duration::ZERO);
+    }
+
+    /// Has bounds recorded that were not recorded for this long.
+    fn record_bounds(&mut self, interval: Duration) {
         if !self.records_bounds() {
             return;
         }
         let now = self.now;
         let due = |w: &Worker| {
             let due = w.extensions.silent_since + RECORD_AFTER;
-            w.lease_end > now && now >= due.max(w.extensions.bound_taken_at + RECORD_INTERVAL)
+            w.lease_end > now && now >= due.max(w.extensions.bound_taken_at + interval)
         };
         let silent = self.workers.unreachable().filter(|(_, w)| due(w)).map(|(id, _)| id.clone());
         let silent: Vec<WorkerId> = silent.collect();
@@ -187,16 +207,13 @@
         }
     }
 
-    /// Whether nothing extends the lease of a worker any more that does not answer and has runs, or may have
-    /// some without a record.
+    /// Whether nothing extends the lease of a worker any more that does not answer and has runs, some of which may be
+    /// starting, or may have some without a record.
     fn may_record_bound(&self, id: &WorkerId) -> bool {
         let Some(w) = self.workers.get(id) else { return false };
-        let silent = !w.reachable && !w.extensions.allowed && !w.superseded;
+        let silent = !w.reachable && !w.extensions.allowed;
         let recorded = w.info.is_some() && (!w.runs.is_empty() || !self.is_settled(id));
-        let starting = |(task, attempt): &(_, u32)| {
-            self.run(id, task, *attempt).is_some_and(|run| run.phase == Phase::Starting)
-        };
-        silent && recorded && !w.runs.keys().any(starting)
+        silent && recorded
     }
 
     /// Returns the bound of a worker for its record, in milliseconds. One that is on record is kept until
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -229,14 +229,16 @@
 
     /// Takes over a worker that a predecessor recorded.
     pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
-        let (open, lease_left) = (rec.open, rec.lease_left);
+        let (open, lease_left, superseded) = (rec.open, rec.lease_left, rec.superseded);
         let info = WorkerInfo::from_record(id.clone(), rec);
+        let now = self.now;
         let (lease_end, since) = (self.restored_lease_end(lease_left), self.claimed_at);
         let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
         w.info = Some(Arc::new(info));
         (w.open_written, w.open_on_record) = (open, open);
-        if lease_left.is_some() {
+        if let Some(left) = lease_left {
             w.extensions.restore_bound();
+            w.superseded_lease_end = superseded.then(|| now + Duration::from_millis(left));
         }
         drop(w);
         self.hold_back_for(&id, open);
@@ -245,6 +247,14 @@
         self.keep_latest_incarnation(&id);
     }
 
+    /// Returns the record of a worker for the next batch; `None` if there is none any more.
+    fn take_worker_record(&mut self, id: &WorkerId) -> Option<WorkerRecord> {
+        let (open, lease_left) = (self.take_open(id), self.take_lease_left(id));
+        let w = self.workers.get(id)?;
+        let superseded = w.superseded && lease_left.is_some();
+        Some(WorkerRecord { open, lease_left, superseded, ..w.info.as_ref()?.record() })
+    }
+
     /// Takes over a job from the inbox with the state that a predecessor recorded. Of a finished
     /// job only the state is stored.
     pub fn restore_job(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
@@ -594,11 +604,10 @@
             batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
         }
         for id in std::mem::take(&mut self.dirty_workers) {
-            let (open, lease_left) = (self.take_open(&id), self.take_lease_left(&id));
-            batch.records.push(match self.workers.get(&id).and_then(|w| w.info.as_ref()) {
-                Some(info) => Record::Worker(id.clone(), WorkerRecord { open, lease_left, ..info.record() }),
-                None => Record::DropWorker(id),
-            });
+            batch.records.push(
+                self.take_worker_record(&id)
+                    .map_or_else(|| Record::DropWorker(id.clone()), |rec| Record::Worker(id.clone(), rec)),
+            );
         }
         for n in std::mem::take(&mut self.dirty_waves) {
             let Some(wave) = self.waves.get(&n) else { continue };
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -68,6 +68,10 @@
     /// without this is stored. See [`lease_bounds`](super::lease_bounds).
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_left: Option<u64>,
+    /// Whether a later incarnation of the worker is known, so that `lease_left` holds for what that one may have
+    /// received of the orders meant for this one.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub superseded: bool,
 }
 
 impl WorkerInfo {
@@ -89,6 +93,7 @@
             data_centre: self.data_centre.clone(),
             open: false,
             lease_left: None,
+            superseded: false,
         }
     }
 
@@ -269,6 +274,8 @@
     /// Whether a later incarnation of the worker is known. The runs of this one are settled with
     /// the first answer of the later one.
     pub superseded: bool,
+    /// When the last lease has ended that a later incarnation may have received instead, as a predecessor recorded.
+    pub superseded_lease_end: Option<Duration>,
     /// Whether the data centre is being evacuated, which keeps new work away too.
     pub evacuated: bool,
     /// Whether the worker is open in the record that was last taken for the store.
@@ -323,6 +330,7 @@
             shunned_until: Duration::ZERO,
             cordoned: false,
             superseded: false,
+            superseded_lease_end: None,
             evacuated: false,
             open_written: false,
             open_on_record: false,
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -10,7 +10,8 @@
 //! * Until then, runs of the earlier incarnation may exist in the later one. They are settled with
 //!   the first full report of it: listed runs go on in the later incarnation, the others are over.
 //! * A lease that was meant for the earlier incarnation is read on the clock of the later one.
-//!   There it may last as long as the longest lease that the platform accepts.
+//!   There it may last as long as the longest lease that the platform accepts, from when the later incarnation became
+//!   known. What is left of that is passed on from term to term ([`lease_bounds`](super::lease_bounds)).
 
 use std::time::Duration;
 
@@ -70,10 +71,12 @@
     /// one.
     fn supersede_earlier_incarnations(&mut self, later: &WorkerId) {
         for id in self.earlier_incarnations(later) {
-            let lease_end = self.misdelivered_lease_end();
+            let misdelivered = self.misdelivered_lease_end();
             let Some(mut w) = self.workers.get_mut(&id).filter(|w| !w.superseded) else { continue };
             w.superseded = true;
             w.listed = false;
+            // A predecessor that knew of the later incarnation has sent nothing to this one since.
+            let lease_end = w.superseded_lease_end.unwrap_or(misdelivered);
             w.lease_end = w.lease_end.max(lease_end);
             let (runs, relays) = (w.runs.len(), w.relay_count);
             drop(w);
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -273,8 +273,15 @@
         h.sched.handle(Event::RelayDown { entry: entry.clone(), lease_end: end, may_return });
     }
 
+    /// Latency between the two sides of a session. A holder's own relay is in its process.
+    pub(super) fn latency_of(&self, number: u64) -> Duration {
+        let relay = self.sessions.get(&number).map(|s| &s.relay);
+        let own = self.relays.iter().any(|r| Some(&r.name) == relay && r.own.is_some());
+        if own { STEP } else { self.link_latency }
+    }
+
     fn send_to_relay(&mut self, number: u64, msg: ToRelay) {
-        let at = self.now + self.link_latency;
+        let at = self.now + self.latency_of(number);
         if let Some(s) = self.sessions.get_mut(&number) {
             s.to_relay.push_back((at, msg));
         }
@@ -292,9 +299,7 @@
             h.sched.deposed = true;
             return;
         }
-        self.store_records(&batch);
-        self.holders[n].sched.records_stored(&batch.records);
-        self.publish(n, batch);
+        self.store_and_publish(n, batch);
     }
 
     /// Has the newest holder end by plan, with its relay, and release the lease, which a successor claims.
@@ -313,13 +318,26 @@
         self.take_over();
     }
 
-    /// Stores and publishes what a holder is writing, if it runs and the store answers.
+    /// Stores and publishes what a holder is writing, and then when the leases of silent workers end, if it runs and
+    /// the store answers.
     fn finish_last_write(&mut self, n: usize) {
         let h = &mut self.holders[n];
         if h.store_away_until > self.now || h.paused_until > self.now || h.sched.deposed {
             return;
         }
-        let Some((_, batch)) = h.writing.take() else { return };
+        if let Some((_, batch)) = h.writing.take() {
+            self.store_and_publish(n, batch);
+        }
+        let h = &mut self.holders[n];
+        h.sched.record_last_bounds();
+        let batch = h.sched.take_batch();
+        h.owed.add(batch);
+        let batch = std::mem::take(&mut h.owed).into_batch();
+        self.print_notes(n);
+        self.store_and_publish(n, batch);
+    }
+
+    fn store_and_publish(&mut self, n: usize, batch: Batch) {
         self.store_records(&batch);
         self.holders[n].sched.records_stored(&batch.records);
         self.publish(n, batch);
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -271,7 +271,7 @@
     }
 
     fn send_to_holder(&mut self, number: u64, msg: ToHolder) {
-        let at = self.now + self.link_latency;
+        let at = self.now + self.latency_of(number);
         if let Some(s) = self.sessions.get_mut(&number) {
             s.to_holder.push_back((at, msg));
         }
--- a/src/workswood/ops/jobs/handover.rs
+++ b/src/workswood/ops/jobs/handover.rs
@@ -9,7 +9,7 @@
 use workswood_core::jobs::lease_handover::{StopStep, StoppingHolder};
 
 use super::lease::LeaseRecord;
-use super::node::{LastRenewal, Node, SchedulerHandle};
+use super::node::{LastBounds, LastRenewal, Node, SchedulerHandle};
 use super::{lease_renewal, peer_requests};
 
 /// Longest time between two steps.
@@ -53,6 +53,9 @@
             StopStep::Decide => {
                 let written = last_renewal.wait_for(|r| matches!(r, LastRenewal::Written { .. }));
                 state.renewed = tokio::time::timeout(STEP_INTERVAL, written).await.is_ok();
+                if state.renewed {
+                    wait_for_last_bounds(handle).await;
+                }
             }
             StopStep::StopDeciding => {
                 let _ = handle.stop.send(true);
@@ -77,6 +80,16 @@
     );
 }
 
+/// Waits until it is on record when the leases of silent workers end, which is written beside the last renewal. What is
+/// recorded later than that is only older.
+async fn wait_for_last_bounds(handle: &SchedulerHandle) {
+    let mut bounds = handle.last_bounds.subscribe();
+    let recorded = bounds.wait_for(|state| *state == LastBounds::Recorded);
+    if tokio::time::timeout(STEP_INTERVAL, recorded).await.is_err() {
+        log::info!("event=last_bounds_not_recorded term={}", handle.term);
+    }
+}
+
 /// Writes the release, from here or through a peer; returns whether it is written.
 async fn release(node: &Node, handle: &SchedulerHandle) -> bool {
     let rec = || match handle.stop.is_closed() {
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -61,6 +61,17 @@
     },
 }
 
+/// Whether the bounds of workers' leases are on record as they are at the stop of the scheduler.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastBounds {
+    /// The scheduler runs and has not recorded them since it was told of the stop.
+    Due,
+    /// They are in the batch that is being written.
+    Writing,
+    /// They are stored, or there are none.
+    Recorded,
+}
+
 /// What other tasks use of the scheduler while this process runs it.
 pub struct SchedulerHandle {
     /// Term of the lease.
@@ -92,6 +103,8 @@
     pub renewals: watch::Sender<u64>,
     /// Asks for the last renewal, and tells when it is written.
     pub last_renewal: watch::Sender<LastRenewal>,
+    /// Whether the bounds of workers' leases are recorded that are wanted with the last renewal.
+    pub last_bounds: watch::Sender<LastBounds>,
 }
 
 impl SchedulerHandle {
@@ -119,6 +132,7 @@
             renewals: watch::Sender::new(0),
             first_renewed_at: OnceLock::new(),
             last_renewal: watch::Sender::new(LastRenewal::NotAsked),
+            last_bounds: watch::Sender::new(LastBounds::Recorded),
         }
     }
 
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -21,7 +21,7 @@
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
 use super::lease_renewal::{self, EXTENSION_GRACE};
-use super::node::{Node, SchedulerHandle};
+use super::node::{LastBounds, LastRenewal, Node, SchedulerHandle};
 use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
 use super::restore_state::{RestoredScheduler, restore};
@@ -137,6 +137,7 @@
         entries_version: 0,
     };
     task.update_relay_entries();
+    handle.last_bounds.send_replace(LastBounds::Due);
     task.run(&mut rx, tasks).await;
 }
 
@@ -170,6 +171,8 @@
         let mut batch_due = Instant::now();
         // Whether events were handled since the last batch was taken.
         let mut batch_wanted = true;
+        let mut last_renewal = self.handle.last_renewal.subscribe();
+        let mut stops = false;
         loop {
             let until_away = self.until_away();
             tokio::select! {
@@ -189,9 +192,17 @@
                 () = tokio::time::sleep(until_away.unwrap_or_default()), if until_away.is_some() => {
                     batch_wanted = true;
                 }
+                _ = last_renewal.wait_for(|r| *r != LastRenewal::NotAsked), if !stops => {
+                    stops = true;
+                    self.update_clocks();
+                    self.sched.record_last_bounds();
+                    batch_wanted = true;
+                    batch_due = Instant::now();
+                }
                 written = self.writer.next_written() => {
                     let Some(batch) = written else { return };
                     self.sched.records_stored(&batch.records);
+                    self.move_last_bounds(LastBounds::Writing, LastBounds::Recorded);
                     self.carry_out(batch, tasks);
                     // Batches may be owed.
                     batch_wanted = true;
@@ -207,6 +218,9 @@
             }
             if batch_wanted && self.writer.takes_batches() && Instant::now() >= batch_due {
                 self.take_batch(tasks);
+                if stops {
+                    self.note_last_bounds_taken();
+                }
                 batch_due = Instant::now() + MIN_BATCH_INTERVAL;
                 batch_wanted = false;
             }
@@ -214,6 +228,21 @@
         }
     }
 
+    /// Notes that a batch was taken that has the last bounds.
+    fn note_last_bounds_taken(&self) {
+        let next = if self.writer.is_writing() { LastBounds::Writing } else { LastBounds::Recorded };
+        self.move_last_bounds(LastBounds::Due, next);
+    }
+
+    /// Notes a step in recording the last bounds, if the step before it was the last one.
+    fn move_last_bounds(&self, before: LastBounds, next: LastBounds) {
+        self.handle.last_bounds.send_if_modified(|state| {
+            let moved = *state == before;
+            *state = if moved { next } else { *state };
+            moved
+        });
+    }
+
     /// Tells the scheduler that time passed, updates metrics, and requests the list of hosts if the
     /// scheduler needs it.
     fn tick(&mut self, tasks: &mut JoinSet<()>) {
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -9,7 +9,8 @@
 use workswood::ops::jobs::node::SchedulerHandle;
 use workswood::ops::jobs::operator_state::Evacuations;
 use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
-use workswood::ops::jobs::relay::{EventSink, Grant, RelayContext, poll};
+use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
+use workswood::ops::jobs::relay::{EventSink, Grant, Relay, RelayContext, poll};
 use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::lease_handover::HandoverPolicy;
@@ -24,6 +25,8 @@
 const GRACE: Duration = lease_renewal::EXTENSION_GRACE;
 /// Longest time that a lease lasts.
 const LEASE: Duration = Duration::from_millis(5_403);
+/// Longest time that a lease lasts which a worker received that had started again.
+const LONGEST_LEASE: Duration = Duration::from_millis(10_205);
 /// Longest time from the end of a lease to the start of what was lost.
 const MARGIN: Duration = Duration::from_millis(1_500);
 
@@ -454,6 +457,34 @@
     assigned.unassign();
 }
 
+/// TWICE: a start that waited at the relay carries a lease that ends after the one on record.
+#[tokio::test(start_paused = true)]
+async fn no_start_between_silence_and_order() {
+    let store = Arc::new(TurnStore::new(ms(4), &[]));
+    let mut settings = settings("entry-1");
+    settings.policy.calls.resend_probe = false;
+    let node = Arc::new(Node::new(settings, store.clone()));
+    let (tx, mut events) = mpsc::unbounded_channel();
+    let mut relay = Relay::new(node, Grant::until(Duration::from_secs(600)), EventSink::Local(tx));
+    let address = worker(0, 0).worker_address();
+    let extensions = ExtensionOrders::AfterSilence;
+    relay.execute(1, WorkerOrder::Assign { worker: address, token: 1, extensions });
+    unanswered(&mut events).await;
+    let start = |attempt| {
+        let (spec, checkpoint) = ("text".into(), String::new());
+        WorkerOrder::Start(StartTask { task: TASK, attempt, spec, checkpoint, ticket: None })
+    };
+    relay.execute(1, start(1));
+    tokio::time::sleep(ms(300)).await;
+    relay.execute(1, start(2));
+    tokio::time::sleep(ms(300)).await;
+    assert_eq!(store.starts(), 0, "the worker answers polls, and no order has come");
+    relay.execute(1, WorkerOrder::ExtendLeases(1));
+    relay.execute(1, start(3));
+    tokio::time::sleep(ms(50)).await;
+    assert!(store.starts() > 0);
+}
+
 /// A successor counts on it that leases in the last part of a grant end no later than those before.
 #[tokio::test(start_paused = true)]
 async fn leases_get_shorter_in_the_end() {
@@ -545,6 +576,34 @@
     }
 }
 
+/// Each planned change of holder would add the age of the record of a silent worker.
+#[test]
+fn quick_handovers_add_little() {
+    let world = world_with_lasting_task(World::new(4, FaultRng::new(7, 0)));
+    let absent = absence_with(world, (6, ms(1_100)), World::hand_over);
+    assert!(absent < LEASE + MARGIN / 2, "{absent:?}");
+}
+
+/// Each successor would count the longest lease of the platform from its own claim for a worker that restarted and
+/// can't be reached since.
+#[test]
+fn handovers_after_restart_add_nothing() {
+    let (mut w, at) = world_with_lasting_task(World::restarting(4, FaultRng::new(7, 0)));
+    w.replace(at);
+    w.run_for(ms(100));
+    w.cut(at, true);
+    w.run_for(ms(2_900));
+    let known = w.now;
+    while w.running(&TASK) == 0 && w.now < known + Duration::from_secs(60) {
+        if (w.now - known).as_millis().is_multiple_of(3_000) {
+            w.hand_over();
+        }
+        w.run_for(ms(20));
+    }
+    let absent = w.now - known;
+    assert!(absent < LONGEST_LEASE + MARGIN, "{absent:?}");
+}
+
 /// A holder that is killed leaves the bound on record.
 #[test]
 fn kills_in_series_add_nothing() {
@@ -619,6 +678,11 @@
 
 /// A worker with a run that has been silent since 200 ms.
 fn world_with_silent_worker() -> HostWorld {
+    silent_worker_with_run(true)
+}
+
+/// A worker that has been silent since 200 ms, and has accepted the start of a run or not answered it.
+fn silent_worker_with_run(taken: bool) -> HostWorld {
     let mut world = HostWorld::new(1);
     world.sched.policy.handover = deployed_policy().handover;
     // The next assignment is the first one with the setting.
@@ -630,7 +694,9 @@
     world.sched.handle(Event::Submitted(JOB, Arc::new(job(vec![lasting], 100))));
     let started = world.tick();
     let Some(Action::Start { worker, task, attempt, .. }) = started.first() else { panic!("no start") };
-    world.taken(worker, *task, *attempt);
+    if taken {
+        world.taken(worker, *task, *attempt);
+    }
     world.at(200);
     world.tells_silence(worker, ms(6_000), ms(100));
     world
@@ -647,6 +713,15 @@
     assert_eq!(recorded_bounds(&mut world), vec![5_501]);
 }
 
+/// A start without an answer and a change of holder made a task wait for a whole lease more.
+#[test]
+fn bound_of_a_worker_with_a_start_under_way() {
+    let mut world = silent_worker_with_run(false);
+    world.at(500);
+    world.sched.handle(Event::Tick);
+    assert_eq!(recorded_bounds(&mut world), vec![5_501]);
+}
+
 #[test]
 fn no_bound_while_store_is_away() {
     let mut world = world_with_silent_worker();
