--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -17,7 +17,7 @@
 use super::evacuations::is_evacuated;
 use super::fault_rng::Fate;
 use super::relay::{Session, ToHolder, ToRelay, full_leases_until};
-use super::{EXTENSION_GRACE, LEASE, STEP, World, limits};
+use super::{EXTENSION_GRACE, FULL_LEASE_GRACE, LEASE, STEP, World, limits};
 
 /// Interval between ticks of the scheduler.
 const TICK_INTERVAL: Duration = Duration::from_millis(160);
@@ -39,7 +39,7 @@
 /// A lease holder.
 pub(super) struct Holder {
     pub sched: Scheduler,
-    /// When the holder last renewed its own lease.
+    /// When the holder last renewed its own lease; zero before it first did.
     pub renewed: Duration,
     pub paused_until: Duration,
     /// A batch that is being written to the store, and when the write finishes.
@@ -68,7 +68,7 @@
     pub(super) fn new(sched: Scheduler, now: Duration) -> Holder {
         Holder {
             sched,
-            renewed: now,
+            renewed: Duration::ZERO,
             paused_until: Duration::ZERO,
             writing: None,
             writing_since: now,
@@ -104,7 +104,7 @@
         let h = &mut self.holders[n];
         if newest && h.store_away_until <= now {
             h.renewed = now;
-            self.last_renewal = now;
+            self.full_leases_until = self.full_leases_until.max(now + FULL_LEASE_GRACE);
         }
         if std::mem::replace(&mut h.last_awake, now) + MAX_PAUSE <= now {
             h.writing_since = now;
@@ -273,8 +273,15 @@
         h.sched.handle(Event::RelayDown { entry: entry.clone(), lease_end: end, may_return });
     }
 
+    /// Latency between the two sides of a session. A holder's own relay is in its process.
+    pub(super) fn latency_of(&self, number: u64) -> Duration {
+        let relay = self.sessions.get(&number).map(|s| &s.relay);
+        let own = self.relays.iter().any(|r| Some(&r.name) == relay && r.own.is_some());
+        if own { STEP } else { self.link_latency }
+    }
+
     fn send_to_relay(&mut self, number: u64, msg: ToRelay) {
-        let at = self.now + self.link_latency;
+        let at = self.now + self.latency_of(number);
         if let Some(s) = self.sessions.get_mut(&number) {
             s.to_relay.push_back((at, msg));
         }
@@ -292,9 +299,7 @@
             h.sched.deposed = true;
             return;
         }
-        self.store_records(&batch);
-        self.holders[n].sched.records_stored(&batch.records);
-        self.publish(n, batch);
+        self.store_and_publish(n, batch);
     }
 
     /// Has the newest holder end by plan, with its relay, and release the lease, which a successor claims.
@@ -307,19 +312,32 @@
             let unreached = self.relays.iter().any(|r| r.partitioned || r.paused_until > self.now);
             let by_relays = if unreached { full_leases_until(h.relays_extend_until) } else { Duration::ZERO };
             let extended_until = by_relays.max(h.sched.predecessors_extend_until());
-            self.released_until = Some(extended_until.max(self.now));
+            self.full_leases_until = extended_until.max(self.now);
         }
         self.kill_holder();
         self.take_over();
     }
 
-    /// Stores and publishes what a holder is writing, if it runs and the store answers.
+    /// Stores and publishes what a holder is writing, and then when the leases of silent workers end, if it runs and
+    /// the store answers.
     fn finish_last_write(&mut self, n: usize) {
         let h = &mut self.holders[n];
         if h.store_away_until > self.now || h.paused_until > self.now || h.sched.deposed {
             return;
         }
-        let Some((_, batch)) = h.writing.take() else { return };
+        if let Some((_, batch)) = h.writing.take() {
+            self.store_and_publish(n, batch);
+        }
+        let h = &mut self.holders[n];
+        h.sched.record_last_bounds();
+        let batch = h.sched.take_batch();
+        h.owed.add(batch);
+        let batch = std::mem::take(&mut h.owed).into_batch();
+        self.print_notes(n);
+        self.store_and_publish(n, batch);
+    }
+
+    fn store_and_publish(&mut self, n: usize, batch: Batch) {
         self.store_records(&batch);
         self.holders[n].sched.records_stored(&batch.records);
         self.publish(n, batch);
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -21,7 +21,7 @@
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
 use super::lease_renewal::{self, EXTENSION_GRACE};
-use super::node::{Node, SchedulerHandle};
+use super::node::{LastBounds, LastRenewal, Node, SchedulerHandle};
 use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
 use super::restore_state::{RestoredScheduler, restore};
@@ -44,18 +44,14 @@
 /// Interval between requests for the list of hosts while the scheduler needs it.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Starts the scheduler for a term of the lease that was first claimed at this time, if that is known.
-pub fn start(node: &Arc<Node>, term: u64, claim_sent_at: Option<Duration>) {
+/// Starts the scheduler for a term of the lease.
+pub fn start(node: &Arc<Node>, term: u64) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (stop, stopped) = watch::channel(false);
-    // Counted from the sending, so that others can tell from the record of the claim when it ends.
+    // The claim tells that it grants nothing.
     let grant = Grant::default();
-    if let Some(sent) = claim_sent_at {
-        lease_renewal::extend_grant(&grant, sent);
-    }
     let handle = SchedulerHandle::new(term, node.now(), EXTENSION_GRACE, tx, stop);
-    let handle = SchedulerHandle { grant, ..handle };
-    let handle = Arc::new(handle);
+    let handle = Arc::new(SchedulerHandle { grant, ..handle });
     node.scheduler.store(Some(handle.clone()));
     node.metrics.lease_terms.inc();
     node.peers.request_read();
@@ -141,6 +137,7 @@
         entries_version: 0,
     };
     task.update_relay_entries();
+    handle.last_bounds.send_replace(LastBounds::Due);
     task.run(&mut rx, tasks).await;
 }
 
@@ -174,6 +171,8 @@
         let mut batch_due = Instant::now();
         // Whether events were handled since the last batch was taken.
         let mut batch_wanted = true;
+        let mut last_renewal = self.handle.last_renewal.subscribe();
+        let mut stops = false;
         loop {
             let until_away = self.until_away();
             tokio::select! {
@@ -193,9 +192,17 @@
                 () = tokio::time::sleep(until_away.unwrap_or_default()), if until_away.is_some() => {
                     batch_wanted = true;
                 }
+                _ = last_renewal.wait_for(|r| *r != LastRenewal::NotAsked), if !stops => {
+                    stops = true;
+                    self.update_clocks();
+                    self.sched.record_last_bounds();
+                    batch_wanted = true;
+                    batch_due = Instant::now();
+                }
                 written = self.writer.next_written() => {
                     let Some(batch) = written else { return };
                     self.sched.records_stored(&batch.records);
+                    self.move_last_bounds(LastBounds::Writing, LastBounds::Recorded);
                     self.carry_out(batch, tasks);
                     // Batches may be owed.
                     batch_wanted = true;
@@ -211,6 +218,9 @@
             }
             if batch_wanted && self.writer.takes_batches() && Instant::now() >= batch_due {
                 self.take_batch(tasks);
+                if stops {
+                    self.note_last_bounds_taken();
+                }
                 batch_due = Instant::now() + MIN_BATCH_INTERVAL;
                 batch_wanted = false;
             }
@@ -218,6 +228,21 @@
         }
     }
 
+    /// Notes that a batch was taken that has the last bounds.
+    fn note_last_bounds_taken(&self) {
+        let next = if self.writer.is_writing() { LastBounds::Writing } else { LastBounds::Recorded };
+        self.move_last_bounds(LastBounds::Due, next);
+    }
+
+    /// Notes a step in recording the last bounds, if the step before it was the last one.
+    fn move_last_bounds(&self, before: LastBounds, next: LastBounds) {
+        self.handle.last_bounds.send_if_modified(|state| {
+            let moved = *state == before;
+            *state = if moved { next } else { *state };
+            moved
+        });
+    }
+
     /// Tells the scheduler that time passed, updates metrics, and requests the list of hosts if the
     /// scheduler needs it.
     fn tick(&mut self, tasks: &mut JoinSet<()>) {
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -404,7 +404,7 @@
 #[test]
 fn scheduler_state() {
     let all = lines(SCHEDULER_STATE);
-    assert_eq!(all.len(), 12);
+    assert_eq!(all.len(), 13);
     for line in all {
         let stored = keyed(line);
         assert_eq!(state_record(&read_state(&stored)), stored, "{}", line.0);
@@ -421,7 +421,9 @@
     assert_eq!((worker.host.as_str(), worker.data_centre.as_str()), ("m-1", "north"));
     assert_eq!(worker.lease_left, None);
     let Record::Worker(_, worker) = state_of("worker-w-3@1700000000000") else { panic!("another record") };
-    assert_eq!(worker.lease_left, Some(1_200));
+    assert_eq!((worker.lease_left, worker.superseded), (Some(1_200), false));
+    let Record::Worker(_, worker) = state_of("worker-w-4@1700000000000") else { panic!("another record") };
+    assert_eq!((worker.lease_left, worker.superseded), (Some(9_200), true));
     let Record::HostOrderMark(host, holder) = state_of("ordered-m-1") else { panic!("another record") };
     assert_eq!((host.as_str(), holder.as_deref()), ("m-1", Some("entry-4")));
 }
@@ -1109,6 +1111,8 @@
     assert_eq!((earlier.term, earlier.released), (8, false));
     let before = holder_read(text(LEASE_AND_PEERS, "lease-claimed-by-version-before")).await;
     assert_eq!((before.term, before.released), (2, false));
+    let without_others = holder_read(text(LEASE_AND_PEERS, "lease-claimed-without-others")).await;
+    assert_eq!((without_others.term, without_others.released), (2, false));
     let released = text(LEASE_AND_PEERS, "lease-released");
     assert!(holder_read(released).await.released);
     assert!(holder_read(text(LEASE_AND_PEERS, "lease-released-after-end")).await.released);
@@ -1116,6 +1120,10 @@
     let (key, claimed) = store.appended().await;
     assert_eq!(claimed.replace(&node.id, "ID"), text(LEASE_AND_PEERS, "lease-claimed"));
     assert_eq!(key, "holder");
+    let (store, node) = lease_follower(released);
+    node.note_bound_in("boot/net:[1]".to_string());
+    let (_, claimed) = store.appended().await;
+    assert_eq!(claimed.replace(&node.id, "ID"), text(LEASE_AND_PEERS, "lease-bound"));
 }
 
 /// Processes of two versions do not find each other.
