Workers that a new holder has not heard of yet are neither silent nor lost places

A holder that has just taken over knows of no worker that answers, and would have hosts moved for every task that is absent. A run is on a silent worker only once a poll has had no answer, and workers of which the holder has learned not long ago count as places until they are polled.

Evidence: absent_room failed before: workers_not_polled_yet_counted_as_silent (absent_room.rs:174, left: [(m-9, desk)]), new_workers_not_counted_as_places (absent_room.rs:192, left: [(m-9, desk)]).

--- a/crates/workswood-core/src/jobs/absent_room.rs
+++ b/crates/workswood-core/src/jobs/absent_room.rs
@@ -153,9 +153,11 @@
         }
     }
 
+    /// Whether no worker with a run of a task answers. One that has not been polled yet, since the holder or the
+    /// relay has changed, is not known to be silent.
     fn is_on_silent_workers(&self, task: &Task) -> bool {
-        let is_silent = |run: &Run| self.workers.get(&run.worker).is_none_or(|w| !w.reachable);
-        task.runs.iter().all(is_silent)
+        let is_silent = |w: &Worker| !w.reachable && w.extensions.unanswered > 0;
+        task.runs.iter().all(|run: &Run| self.workers.get(&run.worker).is_none_or(is_silent))
     }
 
     /// Finds places for tasks among the workers of a service that take starts, busy ones first, and the hosts on
@@ -163,6 +165,7 @@
     fn find_places(&self, service: &ServiceId, tasks: &[TaskId]) -> Provision {
         let mut places: Vec<Place> =
             self.workers.available(service, 0).filter_map(|(_, w)| Place::on_worker(w)).collect();
+        places.extend(self.new_workers_of(service).filter_map(Place::on_worker));
         let present: BTreeSet<HostId> = places.iter().map(|place| place.host.clone()).collect();
         let arriving = self.hosts_arriving_at(service).filter(|host| !present.contains(&host.name));
         places.extend(arriving.map(Place::on_host));
@@ -179,6 +182,19 @@
         provision
     }
 
+    /// Workers of a service of which this holder has learned not long ago, and which have not been polled yet.
+    fn new_workers_of<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Worker> {
+        let takes_starts = |w: &&Worker| {
+            let Some(info) = &w.info else { return false };
+            w.listed && info.service == *service && !info.draining && !w.cordoned && !w.evacuated
+        };
+        let is_new = |w: &&Worker| {
+            let unheard = !w.reachable && w.extensions.unanswered == 0;
+            unheard && w.known_since + ARRIVAL_TIME > self.now
+        };
+        self.workers.values().filter(is_new).filter(takes_starts)
+    }
+
     /// Hosts that are on their way to the pool of a service.
     fn hosts_arriving_at<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Host> {
         let arriving = self.pools.arriving.keys().filter_map(|name| self.hosts.get(name));
--- a/tests/testsuite/absent_room.rs
+++ b/tests/testsuite/absent_room.rs
@@ -156,6 +156,42 @@
     assert_eq!(pool.moves(), []);
 }
 
+#[test]
+fn workers_not_polled_yet_counted_as_silent() {
+    let before = Pool::new(vec![host(9, SPARE, None)], lasting(None));
+    let job = before.world.sched.jobs.get(&1).expect("the job");
+    let mut world = HostWorld::new(0);
+    world.sched.restore_job(1, Some(job.spec.clone()), Some(job.record()));
+    (0..4).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
+    world.list((0..4).map(|n| host(n, SERVICE, Some(0))).chain([host(9, SPARE, None)]).collect());
+    let idle = (0..4).find(|n| !before.runs.iter().any(|run| is_on(run, *n))).expect("an idle worker");
+    for ms in (TICK_MS..3 * 1000).step_by(TICK_MS as usize) {
+        world.at(ms);
+        world.report(idle, 0, &[]);
+        world.tick();
+    }
+    assert_eq!(world.sched.absent_long_running_tasks(), 3);
+    assert_eq!(moves(&world.actions), []);
+}
+
+#[test]
+fn new_workers_not_counted_as_places() {
+    let before = Pool::new(vec![host(9, SPARE, None)], lasting(None));
+    let mut record = before.world.sched.jobs.get(&1).expect("the job").record();
+    record.rounds[0][0].iter_mut().for_each(|task| task.runs.clear());
+    let spec = before.world.sched.jobs.get(&1).map(|job| job.spec.clone());
+    let mut world = HostWorld::new(0);
+    world.sched.restore_job(1, spec, Some(record));
+    world.list((0..4).map(|n| host(n, SERVICE, Some(0))).chain([host(9, SPARE, None)]).collect());
+    (0..4).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
+    for ms in (TICK_MS..2000).step_by(TICK_MS as usize) {
+        world.at(ms);
+        world.tick();
+    }
+    assert_eq!(world.sched.absent_long_running_tasks(), 3);
+    assert_eq!(moves(&world.actions), [], "they have not been polled yet");
+}
+
 #[test]
 fn only_host_below_margin_of_other_pool() {
     let id: WorkerId = worker(9, 0).id;
