Suspect a long-running task for evidence of its own only

Fix: (1) for a long-running task the score that n runs share counts less by ln n. (2) for a long-running task too: an inherited run that has been listed for a second is a bystander, and bystanders of unknown length count neither for suspicion nor for the number of crashes after which a task is given up; two crashes of which only one has a known length need a score, as more do. One that was listed for less is unconfirmed. Tests: crash_evidence::{crash_under_many_alike_suspects_none, inherited_run_counts_by_what_is_known_of_it, crashes_under_long_runs_are_no_suspicion} failed before.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -86,6 +86,9 @@
 /// A worker that still answers this long after it was removed from the worker list has left without
 /// notice, and has not crashed. An answer sent before a crash may arrive within this time.
 const ANSWERS_AFTER_UNLISTED: Duration = Duration::from_secs(1);
+/// An inherited run that this lease holder knows to have lasted for this long did not crash its worker
+/// soon after its start.
+const LONG_RUN: Duration = Duration::from_secs(1);
 /// A task is suspected after this many crashes if the run times are unknown.
 const SUSPECT_AFTER_UNTIMED_CRASHES: usize = 2;
 /// After this many crashes a lower score suffices to give a task up, whether its runs were
@@ -107,7 +110,8 @@
     /// The run is the likely cause of the crash.
     #[serde(rename = "Explains")]
     LikelyCause,
-    /// The run was there, but is not the likely cause.
+    /// The run was there, but is not the likely cause. If its start time is unknown and it is
+    /// of a long-running task, it lasted for [`LONG_RUN`] at least.
     #[serde(rename = "Beside")]
     Bystander,
     /// The run may never have started: its start was not answered, or was sent by an earlier lease
@@ -141,6 +145,13 @@
         self.0.len()
     }
 
+    /// Number of crashes that may tell something of the task. Those during long runs of a long-running
+    /// task don't.
+    fn telling_count(&self, long_running: bool) -> usize {
+        let tells = |c: &&CrashRecord| c.max_run_time.is_some() || c.evidence != Evidence::Bystander;
+        self.0.values().filter(|c| !long_running || tells(c)).count()
+    }
+
     /// Longest possible run times, of the runs whose start time is known.
     fn known_run_times(&self) -> impl Iterator<Item = Duration> {
         self.0.values().filter_map(|c| c.max_run_time)
@@ -161,8 +172,8 @@
 
     /// Whether there are too many crashes to go on, on weaker evidence. If no start time is known,
     /// because the lease holder changed after each crash, only their number counts.
-    fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64) -> bool {
-        let (count, timed) = (self.count(), self.known_run_times().count());
+    fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
         if count < EXHAUSTED_AFTER_CRASHES || timed == 0 {
             return count >= EXHAUSTED_AFTER_CRASHES;
         }
@@ -171,10 +182,10 @@
     }
 
     /// Whether the task is suspect for the number of its crashes, unless chance explains them.
-    fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64) -> bool {
-        let (count, timed) = (self.count(), self.known_run_times().count());
-        let doubtful =
-            timed < 2 || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
+    fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
+        let untimed = if long_running { timed == 0 } else { timed < 2 };
+        let doubtful = untimed || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
         doubtful
             && (count >= policy.suspect_after_crashes || count >= SUSPECT_AFTER_UNTIMED_CRASHES && timed < 2)
     }
@@ -261,6 +272,20 @@
     quarantined: bool,
 }
 
+impl LostRun {
+    /// What the crash tells of the task; `explains` is whether the run may have caused it.
+    fn evidence(&self, explains: bool, long_running: bool) -> Evidence {
+        let inherited = long_running && self.max_run_time.is_none();
+        match self.run_time {
+            Some(_) if explains => Evidence::LikelyCause,
+            // An inherited run may have started long before it was first listed, or just then.
+            Some(ran) if inherited && ran < LONG_RUN => Evidence::Unconfirmed,
+            Some(_) => Evidence::Bystander,
+            None => Evidence::Unconfirmed,
+        }
+    }
+}
+
 impl Scheduler {
     /// Attributes the end of a worker to one of its runs, if it was a crash.
     pub(super) fn attribute_crash(&mut self, id: &WorkerId, end: IncarnationEnd) {
@@ -367,15 +392,12 @@
     fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
         let rate = self.background_crash_rate(&run.task);
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
+        let long_running = job.step(&run.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&run.task).filter(|t| !t.done) else { return };
         let policy = &self.policy.crashes;
         let threshold = policy.give_up_threshold_after(self.crash_rate.recently_given_up(self.now));
         let explains = run.role == role && run.role != RunRole::Old;
-        let evidence = match run.run_time {
-            Some(_) if explains => Evidence::LikelyCause,
-            Some(_) => Evidence::Bystander,
-            None => Evidence::Unconfirmed,
-        };
+        let evidence = run.evidence(explains, long_running);
         if task.crashes.record(run.attempt, CrashRecord { evidence, max_run_time: run.max_run_time }) {
             self.dirty_jobs.insert(run.task.job);
         }
@@ -383,12 +405,15 @@
         let score = task.crashes.score(rate);
         let proved =
             run.role == RunRole::OnTrial && run.run_time.is_some() && task.crashes.is_proof(threshold, rate);
-        if run.role == role && same_role == 1 && (proved || task.crashes.exhausts_retries(policy, rate)) {
+        if run.role == role
+            && same_role == 1
+            && (proved || task.crashes.exhausts_retries(policy, rate, long_running))
+        {
             self.give_up_task(id, &run.task, count, score);
             return;
         }
-        if explains && score >= policy.suspicion_threshold || task.crashes.are_suspiciously_many(policy, rate)
-        {
+        let suspicious = score - shared_score(long_running, same_role) >= policy.suspicion_threshold;
+        if explains && suspicious || task.crashes.are_suspiciously_many(policy, rate, long_running) {
             suspect(task, run.run_time, self.now);
             self.notes.push(format_args!(
                 "event=task_suspected worker={id} task={} attempt={} part={:?} crashes={count} \
@@ -429,7 +454,10 @@
         let Some(run) = self.lost_run(id, task_id, attempt) else { return };
         let cut_off = self.workers.get(id).is_some_and(|w| self.was_cut_off(w));
         let rate = self.background_crash_rate(task_id);
-        let threshold = self.policy.crashes.suspicion_threshold;
+        let long_running =
+            self.jobs.get(&task_id.job).and_then(|j| j.step(task_id)).is_some_and(|s| s.long_running);
+        let threshold =
+            self.policy.crashes.suspicion_threshold + shared_score(long_running, self.young_runs_on(id));
         if !cut_off
             && run.role < RunRole::Unheard
             && let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id))
@@ -444,21 +472,43 @@
         }
     }
 
+    /// Number of runs on a worker that had just started when it last answered, including those that have
+    /// lapsed since.
+    fn young_runs_on(&self, id: &WorkerId) -> usize {
+        let Some(w) = self.workers.get(id) else { return 0 };
+        let present = w.runs.keys().filter_map(|(task, attempt)| self.lost_run(id, task, *attempt));
+        let roles = w.lapsed_runs.iter().map(|run| run.role).chain(present.map(|run| run.role));
+        roles.filter(|role| *role < RunRole::Unheard).count()
+    }
+
     /// Suspects tasks that were lost in several crashes under earlier lease holders.
     pub(super) fn suspect_inherited(&self, job: &mut Job) {
         // This holder has recorded no crashes of the job yet, so one rate holds for all of its tasks.
         let rate = self.background_crash_rate(&TaskId { job: job.key, round: 0, step: 0, index: 0 });
-        for task in job.rounds.iter_mut().flatten().flatten() {
-            let many = task.crashes.count() >= SUSPECT_AFTER_UNTIMED_CRASHES;
-            let timed = task.crashes.known_run_times().count();
-            let chance_suffices =
-                timed >= 2 && task.crashes.score(rate) < self.policy.crashes.suspicion_threshold;
-            if many && !chance_suffices {
+        let spec = job.spec.clone();
+        for (n, task) in job.rounds.iter_mut().flat_map(|round| steps_with_tasks(round)) {
+            if self.is_inherited_suspect(
+                &task.crashes,
+                rate,
+                spec.steps.get(n).is_some_and(|s| s.long_running),
+            ) {
                 suspect(task, None, self.now);
             }
         }
     }
 
+    /// Whether the crashes of a task under earlier lease holders make it suspect.
+    fn is_inherited_suspect(&self, crashes: &CrashHistory, rate: f64, long_running: bool) -> bool {
+        let policy = &self.policy.crashes;
+        let needed = match crashes.known_run_times().count() {
+            0 => 0.0,
+            1 if long_running => policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE,
+            1 => 0.0,
+            _ => policy.suspicion_threshold,
+        };
+        crashes.telling_count(long_running) >= SUSPECT_AFTER_UNTIMED_CRASHES && crashes.score(rate) >= needed
+    }
+
     /// Clears the crashes of long-running tasks that have been warm for long enough.
     pub(super) fn clear_proven_tasks(&mut self) {
         let long_running = self.workers.values().filter(|w| w.reachable).flat_map(|w| &w.long_running);
@@ -480,12 +530,23 @@
     }
 }
 
+/// The tasks of a round, with the number of the step of each.
+fn steps_with_tasks(round: &mut [Vec<Task>]) -> impl Iterator<Item = (usize, &mut Task)> {
+    round.iter_mut().enumerate().flat_map(|(n, tasks)| tasks.iter_mut().map(move |task| (n, task)))
+}
+
 /// Marks a task as suspected; `run_time` is how long the lost run had lasted.
 fn suspect(task: &mut Task, run_time: Option<Duration>, now: Duration) {
     let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
     task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest });
 }
 
+/// What a crash that several runs explain equally well counts less for each of them. A long-running task
+/// must be at work, so it only waits for a trial for evidence of its own.
+fn shared_score(long_running: bool, alike: usize) -> f64 {
+    if long_running { (alike.max(1) as f64).ln() } else { 0.0 }
+}
+
 /// Counts a trial without quarantine as a run that had just started if another such run was lost with
 /// it: either may have crashed the worker.
 fn judge_open_trials(lost: &mut [LostRun]) {
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
-use workswood_core::jobs::{Action, Event, JobSpec, JobStatus, Outcome, StepSpec, TaskId, WorkerUpdate};
+use workswood_core::jobs::crash_attribution::{CrashHistory, CrashRecord, Evidence};
+use workswood_core::jobs::{
+    Action, Event, Job, JobSpec, JobStatus, Listing, Outcome, ReportedRun, StepSpec, TaskId, WorkerUpdate,
+};
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -395,3 +397,81 @@
     let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
     assert_eq!(crashes.count(), 1);
 }
+
+/// Long-running tasks that start on one worker, which is found silent soon after; returns how many of them
+/// are suspected once it has crashed.
+fn suspected_of(tasks: u64) -> usize {
+    let (mut world, mut lives) = world();
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    for key in 1..=tasks {
+        world.sched.handle(Event::Submitted(key, Arc::new(job(vec![lasting.clone()], 200))));
+    }
+    let actions = world.tick();
+    take(&mut world, &actions);
+    let on: Vec<usize> = starts(&actions).iter().map(|(_, n)| *n).collect();
+    assert!(on.len() as u64 == tasks && on.iter().all(|n| *n == on[0]), "all are on one worker: {on:?}");
+    let heard = world.sched.now;
+    world.at((heard + Duration::from_millis(300)).as_millis() as u64);
+    lose(&mut world, on[0], &mut lives, heard);
+    let suspected =
+        |key: &u64| world.sched.jobs[key].task(&task(*key, 0)).is_some_and(|t| t.suspicion.is_some());
+    (1..=tasks).filter(suspected).count()
+}
+
+#[test]
+fn crash_under_many_alike_suspects_none() {
+    assert_eq!(suspected_of(1), 1);
+    assert_eq!(suspected_of(4), 0);
+}
+
+/// What the crash of a worker tells of a run that it took under an earlier holder, this long after the
+/// run was listed first.
+fn evidence_of_inherited(known_for: Duration) -> Evidence {
+    let (mut world, mut lives) = world();
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    let spec = Arc::new(job(vec![lasting], 0));
+    let mut before = Job::new(1, spec.clone());
+    before.open_round();
+    let mut record = before.record();
+    record.rounds[0][0][0].latest_attempt = 1;
+    record.rounds[0][0][0].runs.push((worker(0, 0).id, 1));
+    world.sched.restore_job(1, Some(spec), Some(record));
+    world.attend_anew();
+    let run = ReportedRun {
+        task: task(1, 0),
+        attempt: 1,
+        checkpoint: String::new(),
+        percent: 100,
+        load: 0,
+        stalled_for: Duration::ZERO,
+    };
+    let listing = || Listing { running: vec![run.clone()], ..Listing::default() };
+    world.answers(&worker(0, 0).id, listing());
+    let heard = world.sched.now + known_for;
+    world.at(heard.as_millis() as u64);
+    world.answers(&worker(0, 0).id, listing());
+    lose(&mut world, 0, &mut lives, heard);
+    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.0;
+    crashes[&1].evidence
+}
+
+#[test]
+fn inherited_run_counts_by_what_is_known_of_it() {
+    assert_eq!(evidence_of_inherited(Duration::from_millis(500)), Evidence::Unconfirmed);
+    assert_eq!(evidence_of_inherited(Duration::from_secs(2)), Evidence::Bystander);
+}
+
+/// Long-running tasks whose workers crash now and then, under one holder after the other.
+#[test]
+fn crashes_under_long_runs_are_no_suspicion() {
+    let (mut world, _) = world();
+    let spec = Arc::new(job(vec![StepSpec { long_running: true, ..step(1, vec![]) }], 0));
+    let mut before = Job::new(1, spec.clone());
+    before.open_round();
+    let mut record = before.record();
+    let crash = CrashRecord { evidence: Evidence::Bystander, max_run_time: None };
+    record.rounds[0][0][0].crashes = CrashHistory((1..=5).map(|n| (n, crash)).collect());
+    record.rounds[0][0][0].latest_attempt = 5;
+    world.sched.restore_job(1, Some(spec), Some(record));
+    assert!(!is_suspected(&world));
+}
