--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -110,8 +110,8 @@
     /// The run is the likely cause of the crash.
     #[serde(rename = "Explains")]
     LikelyCause,
-    /// The run was there, but is not the likely cause. If its start time is unknown, it lasted for
-    /// [`LONG_RUN`] at least.
+    /// The run was there, but is not the likely cause. If its start time is unknown and it is
+    /// of a long-running task, it lasted for [`LONG_RUN`] at least.
     #[serde(rename = "Beside")]
     Bystander,
     /// The run may never have started: its start was not answered, or was sent by an earlier lease
@@ -145,9 +145,11 @@
         self.0.len()
     }
 
-    /// Number of crashes during runs that may have been short.
-    fn telling_count(&self) -> usize {
-        self.0.values().filter(|c| c.max_run_time.is_some() || c.evidence != Evidence::Bystander).count()
+    /// Number of crashes that may tell something of the task. Those during long runs of a long-running
+    /// task don't.
+    fn telling_count(&self, long_running: bool) -> usize {
+        let tells = |c: &&CrashRecord| c.max_run_time.is_some() || c.evidence != Evidence::Bystander;
+        self.0.values().filter(|c| !long_running || tells(c)).count()
     }
 
     /// Longest possible run times, of the runs whose start time is known.
@@ -170,8 +172,8 @@
 
     /// Whether there are too many crashes to go on, on weaker evidence. If no start time is known,
     /// because the lease holder changed after each crash, only their number counts.
-    fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64) -> bool {
-        let (count, timed) = (self.telling_count(), self.known_run_times().count());
+    fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
         if count < EXHAUSTED_AFTER_CRASHES || timed == 0 {
             return count >= EXHAUSTED_AFTER_CRASHES;
         }
@@ -180,10 +182,10 @@
     }
 
     /// Whether the task is suspect for the number of its crashes, unless chance explains them.
-    fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64) -> bool {
-        let (count, timed) = (self.telling_count(), self.known_run_times().count());
-        let doubtful =
-            timed == 0 || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
+    fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
+        let untimed = if long_running { timed == 0 } else { timed < 2 };
+        let doubtful = untimed || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
         doubtful
             && (count >= policy.suspect_after_crashes || count >= SUSPECT_AFTER_UNTIMED_CRASHES && timed < 2)
     }
@@ -272,11 +274,12 @@
 
 impl LostRun {
     /// What the crash tells of the task; `explains` is whether the run may have caused it.
-    fn evidence(&self, explains: bool) -> Evidence {
+    fn evidence(&self, explains: bool, long_running: bool) -> Evidence {
+        let inherited = long_running && self.max_run_time.is_none();
         match self.run_time {
             Some(_) if explains => Evidence::LikelyCause,
             // An inherited run may have started long before it was first listed, or just then.
-            Some(ran) if self.max_run_time.is_none() && ran < LONG_RUN => Evidence::Unconfirmed,
+            Some(ran) if inherited && ran < LONG_RUN => Evidence::Unconfirmed,
             Some(_) => Evidence::Bystander,
             None => Evidence::Unconfirmed,
         }
@@ -394,7 +397,7 @@
         let policy = &self.policy.crashes;
         let threshold = policy.give_up_threshold_after(self.crash_rate.recently_given_up(self.now));
         let explains = run.role == role && run.role != RunRole::Old;
-        let evidence = run.evidence(explains);
+        let evidence = run.evidence(explains, long_running);
         if task.crashes.record(run.attempt, CrashRecord { evidence, max_run_time: run.max_run_time }) {
             self.dirty_jobs.insert(run.task.job);
         }
@@ -402,12 +405,15 @@
         let score = task.crashes.score(rate);
         let proved =
             run.role == RunRole::OnTrial && run.run_time.is_some() && task.crashes.is_proof(threshold, rate);
-        if run.role == role && same_role == 1 && (proved || task.crashes.exhausts_retries(policy, rate)) {
+        if run.role == role
+            && same_role == 1
+            && (proved || task.crashes.exhausts_retries(policy, rate, long_running))
+        {
             self.give_up_task(id, &run.task, count, score);
             return;
         }
         let suspicious = score - shared_score(long_running, same_role) >= policy.suspicion_threshold;
-        if explains && suspicious || task.crashes.are_suspiciously_many(policy, rate) {
+        if explains && suspicious || task.crashes.are_suspiciously_many(policy, rate, long_running) {
             suspect(task, run.run_time, self.now);
             self.notes.push(format_args!(
                 "event=task_suspected worker={id} task={} attempt={} part={:?} crashes={count} \
@@ -479,20 +485,30 @@
     pub(super) fn suspect_inherited(&self, job: &mut Job) {
         // This holder has recorded no crashes of the job yet, so one rate holds for all of its tasks.
         let rate = self.background_crash_rate(&TaskId { job: job.key, round: 0, step: 0, index: 0 });
-        for task in job.rounds.iter_mut().flatten().flatten() {
-            let policy = &self.policy.crashes;
-            let many = task.crashes.telling_count() >= SUSPECT_AFTER_UNTIMED_CRASHES;
-            let needed = match task.crashes.known_run_times().count() {
-                0 => 0.0,
-                1 => policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE,
-                _ => policy.suspicion_threshold,
-            };
-            if many && task.crashes.score(rate) >= needed {
+        let spec = job.spec.clone();
+        for (n, task) in job.rounds.iter_mut().flat_map(|round| steps_with_tasks(round)) {
+            if self.is_inherited_suspect(
+                &task.crashes,
+                rate,
+                spec.steps.get(n).is_some_and(|s| s.long_running),
+            ) {
                 suspect(task, None, self.now);
             }
         }
     }
 
+    /// Whether the crashes of a task under earlier lease holders make it suspect.
+    fn is_inherited_suspect(&self, crashes: &CrashHistory, rate: f64, long_running: bool) -> bool {
+        let policy = &self.policy.crashes;
+        let needed = match crashes.known_run_times().count() {
+            0 => 0.0,
+            1 if long_running => policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE,
+            1 => 0.0,
+            _ => policy.suspicion_threshold,
+        };
+        crashes.telling_count(long_running) >= SUSPECT_AFTER_UNTIMED_CRASHES && crashes.score(rate) >= needed
+    }
+
     /// Clears the crashes of long-running tasks that have been warm for long enough.
     pub(super) fn clear_proven_tasks(&mut self) {
         let long_running = self.workers.values().filter(|w| w.reachable).flat_map(|w| &w.long_running);
@@ -514,6 +530,11 @@
     }
 }
 
+/// The tasks of a round, with the number of the step of each.
+fn steps_with_tasks(round: &mut [Vec<Task>]) -> impl Iterator<Item = (usize, &mut Task)> {
+    round.iter_mut().enumerate().flat_map(|(n, tasks)| tasks.iter_mut().map(move |task| (n, task)))
+}
+
 /// Marks a task as suspected; `run_time` is how long the lost run had lasted.
 fn suspect(task: &mut Task, run_time: Option<Duration>, now: Duration) {
     let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
