A holder without relays tells of none from its second renewal on

Cause: the first renewal told of relays that might be opened, and every record tells at least the rest of that.

Fix: a record tells of relays only once a session is being opened. The opening has the lease renewed at once, and the relay's workers are assigned when that is acknowledged, after 0.2 s at most. The first renewal still tells three seconds, since a holder before may have renewed until then.

--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -97,8 +97,9 @@
 
     /// Returns the record with which a holder renews the lease.
     pub(super) fn renewal(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
-        let earlier =
-            handle.earlier_grants_left(node.now()).unwrap_or_else(|| node.others_full_leases_left());
+        // A holder before may have renewed its lease until the first renewal of this term.
+        let unknown = || FULL_LEASE_GRACE.max(node.others_full_leases_left());
+        let earlier = handle.earlier_grants_left(node.now()).unwrap_or_else(unknown);
         let others_left = earlier.max(handle.relay_grants.left_to_tell(node.now()));
         LeaseRecord::new(node, handle.term, FULL_LEASE_GRACE, others_left)
     }
--- a/src/workswood/ops/jobs/lease_renewal.rs
+++ b/src/workswood/ops/jobs/lease_renewal.rs
@@ -34,15 +34,14 @@
     loop {
         let sent = node.now();
         let had_relays = handle.relay_grants.is_opened();
-        let rec = LeaseRecord::renewal(&node, &handle);
-        let others_until = sent + Duration::from_millis(rec.others_full_leases_ms.unwrap_or_default());
-        let rec = rec.keyed();
+        let relays_until = sent + handle.relay_grants.left_to_tell(sent);
+        let rec = LeaseRecord::renewal(&node, &handle).keyed();
         match node.platform.append(Topic::Lease, vec![rec], Guard::Term(handle.term, next_append)).await {
             Ok(_) => {
                 node.note_store_answer();
                 next_append += 1;
                 renewed_at = sent;
-                handle.relay_grants.note_told(others_until);
+                handle.relay_grants.note_told(relays_until);
                 handle.grant.extend_to(sent + FULL_LEASE_GRACE, sent + EXTENSION_GRACE);
                 handle.first_renewed_at.get_or_init(|| node.now());
                 handle.renewals.send_modify(|n| *n += 1);
--- a/src/workswood/ops/jobs/relay_grants.rs
+++ b/src/workswood/ops/jobs/relay_grants.rs
@@ -2,8 +2,8 @@
 //!
 //! A successor may count the holder itself as ended, but not its relays. So each record of the lease tells for how
 //! long they may give full leases, and they are granted no more than the last record that the store has
-//! acknowledged tells ([`RelayGrants::allowed`]). A holder that has opened no session with a relay has nothing to tell
-//! after its first renewal; when it opens the first one, it renews its lease at once.
+//! acknowledged tells ([`RelayGrants::allowed`]). A holder that has opened no session with a relay has nothing to tell;
+//! when it opens the first one, it renews its lease at once.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,8 +20,8 @@
 pub struct RelayGrants {
     by_session: Mutex<BTreeMap<u64, Duration>>,
     ended: Notify,
-    /// Until when records of the lease tell that they may; `None` before the first one of the term.
-    told_until: Mutex<Option<Duration>>,
+    /// Until when records of the lease tell that they may.
+    told_until: Mutex<Duration>,
     /// Whether a session was opened in this term.
     opened: watch::Sender<bool>,
 }
@@ -55,23 +55,18 @@
     /// How long relays may give full leases, for a record that is sent now: as long as earlier records tell, and for
     /// the full time if there may be relays.
     pub fn left_to_tell(&self, now: Duration) -> Duration {
-        match *self.told_until.lock() {
-            Some(until) if !self.is_opened() => until.saturating_sub(now),
-            // Sessions are opened soon after the first renewal.
-            Some(_) | None => FULL_LEASE_GRACE,
-        }
+        if self.is_opened() { FULL_LEASE_GRACE } else { self.told_until.lock().saturating_sub(now) }
     }
 
     /// Notes that a record is stored that tells that relays may give full leases until a time.
     pub fn note_told(&self, until: Duration) {
         let mut told = self.told_until.lock();
-        *told = (*told).max(Some(until));
+        *told = until.max(*told);
     }
 
     /// What a relay may be granted of what the holder has itself: nothing beyond what records tell.
     pub fn allowed(&self, own: &Grant) -> GrantedTimes {
-        let told = self.told_until.lock().unwrap_or_default();
-        let full_until = own.full_until().min(told);
+        let full_until = own.full_until().min(*self.told_until.lock());
         let end = if full_until < own.full_until() { full_until } else { own.end() };
         GrantedTimes { full_until, end }
     }
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -28,6 +28,8 @@
 
 /// Timeout for opening a session, until the relay reports that it takes orders.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest wait for the renewal of the lease that tells of relays.
+const TOLD_TIMEOUT: Duration = Duration::from_millis(200);
 /// A relay from which no message came for this long is lost: five heartbeats.
 const SILENCE_TIMEOUT: Duration = HEARTBEAT_INTERVAL.saturating_mul(5);
 
@@ -267,6 +269,7 @@
         rx: mpsc::UnboundedReceiver<wire::RelayOrders>,
     ) -> SessionEnd {
         let Some((way, (mut out, mut updates))) = self.connect().await else { return SessionEnd::NotOpened };
+        self.wait_until_told().await;
         self.notify(Event::RelayUp(self.entry.clone()));
         let mut stop = self.handle.stop.subscribe();
         let mut reason = tokio::select! {
@@ -290,6 +293,13 @@
         reason
     }
 
+    /// Waits until a record of the lease tells that relays may give leases. Workers of one that may not would get none.
+    async fn wait_until_told(&self) {
+        let mut renewals = self.handle.renewals.subscribe();
+        let is_told = || self.handle.relay_grants.allowed(&self.handle.grant).full_until > self.node.now();
+        let _ = tokio::time::timeout(TOLD_TIMEOUT, renewals.wait_for(|_| is_told())).await;
+    }
+
     /// Has the relay stop extending leases; if it confirms that, its grant counts no more.
     async fn end_session(&self, mut out: DuplexTx, mut updates: DuplexRx) {
         let end = wire::RelayOrders { end: true, ..wire::RelayOrders::default() };
