Tell the kill of a holder that has held the lease for a while from that of the first one

holder_killed_with_a_worker killed the holder 0.7 s after the first claim of all, whose term counts four seconds of grants of earlier holders, though nobody ever held the lease (lease_claimed reason=never_held, earlier_grants_ms=4000). Now it kills a holder that has held the lease for 5 s, and first_holder_killed_with_a_worker plays the case as it was. The check is the same.

--- a/tests/testsuite/mixed_soak.rs
+++ b/tests/testsuite/mixed_soak.rs
@@ -28,6 +28,8 @@
 /// Shortest and longest time of high and of low demand, in milliseconds.
 const HIGH_MS: (u64, u64) = (3000, 5000);
 const LOW_MS: (u64, u64) = (5000, 11000);
+/// Time after which no holder before the first one can have given a lease.
+const HELD_FOR: Duration = Duration::from_secs(5);
 /// How long after a worker the lease holder is killed, before it records the end of the worker's lease; and how long after that its
 /// next process starts, before another entry claims the lease.
 const KILLED_AFTER: Duration = Duration::from_millis(200);
@@ -147,8 +149,20 @@
 /// LOST: the next process of a holder that was killed with a worker waits for the grants of its own former life.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn holder_killed_with_a_worker() {
-    let mut soak = Soak::new("killed-with-worker", 1).await;
+    kill_holder_with_worker("killed-with-worker", HELD_FOR).await;
+}
+
+/// LOST: the next process of a first holder that was killed with a worker waits for grants of holders that never were.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn first_holder_killed_with_a_worker() {
+    kill_holder_with_worker("first-killed-with-worker", Duration::ZERO).await;
+}
+
+/// Kills the holder with a worker, once it has held the lease for a time.
+async fn kill_holder_with_worker(name: &str, held_for: Duration) {
+    let mut soak = Soak::new(name, 1).await;
     let tasks = soak.submit_lasting(&["8000000000000001".to_string()], 0).await;
+    tokio::time::sleep(held_for).await;
     let runs_one = |life: &Life| !soak.world.ledger.running_on(&life.id).is_empty();
     let w = soak.world.lives.iter().position(runs_one).expect("a worker with a task");
     let schedule = Schedule::killed_with_worker(w, KILLED_AFTER, BACK_AFTER);
