Mends after the review: order of reports, limits of repeated starts, what a release and the first term tell

Safeguard::Backoff had no caller and goes: an order to a worker that refused would be refused again.

--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -205,7 +205,7 @@
         }
         let last_run = match self.is_reachable(&run.worker) {
             true => LastRun::Reported(self.now),
-            false => LastRun::Silent(self.last_answer(&run.worker, id)),
+            false => self.silent_run(&run.worker, id),
         };
         self.note_end(id, last_run);
     }
@@ -229,6 +229,14 @@
         }
     }
 
+    /// What is known of a run on a worker that doesn't answer. On one that has not answered in this term it may have
+    /// ended before.
+    fn silent_run(&self, worker: &WorkerId, id: &TaskId) -> LastRun {
+        let last_answer = self.last_answer(worker, id);
+        let answered = self.workers.get(worker).is_some_and(|w| w.last_heard > self.claimed_at);
+        if answered { LastRun::Silent(last_answer) } else { LastRun::Gone(last_answer) }
+    }
+
     /// When a worker last answered. While its relay reports nothing new or is lost, that is not known exactly; it was
     /// shortly before the absence of the task began, or later.
     fn last_answer(&self, worker: &WorkerId, id: &TaskId) -> Duration {
@@ -313,7 +321,7 @@
         };
         Some(match self.is_reachable(&run.worker) {
             true => LastRun::Alive,
-            false => LastRun::Silent(self.last_answer(&run.worker, id)),
+            false => self.silent_run(&run.worker, id),
         })
     }
 
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -56,14 +56,14 @@
             job.task(id).is_some_and(|t| t.is_idle() && t.latest_attempt > 0)
                 && self.gives_way(Safeguard::OrderOfPlacement, id)
         };
-        let steps: BTreeSet<StepId> = self
-            .absent_tasks
-            .absent_for(Duration::ZERO, self.now)
-            .filter(waits)
-            .map(TaskId::step_id)
-            .collect();
-        for step in steps.into_iter().take(MAX_UNREACHED_STEPS) {
-            self.place_step(service, &step);
+        let waiting = self.absent_tasks.absent_for(Duration::ZERO, self.now).filter(waits);
+        let by_deadline: BTreeSet<(Option<Duration>, StepId)> =
+            waiting.map(|id| (self.absent_tasks.restart_by(id), id.step_id())).collect();
+        let mut placed = BTreeSet::new();
+        for (_, step) in by_deadline {
+            if placed.len() < MAX_UNREACHED_STEPS && placed.insert(step) {
+                self.place_step(service, &step);
+            }
         }
     }
 
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -186,12 +186,16 @@
     /// When the last lease ends that the present relay of a worker may extend. The order to stop may not
     /// reach a relay in another entry, which then goes on until its grant ends.
     fn last_lease_end_of_relay(&self, id: &WorkerId) -> Duration {
-        let relay = self.workers.get(id).and_then(|w| w.relay.as_ref());
-        let grace = match relay {
-            Some(relay) if *relay != self.holder => self.limits.extension_grace,
+        self.now + self.relay_grace(id) + self.lease_with_drift()
+    }
+
+    /// How long the present relay of a worker may go on extending its lease if no order reaches it.
+    pub(super) fn relay_grace(&self, id: &WorkerId) -> Duration {
+        let relay = self.workers.get(id).and_then(|w| w.relay.clone());
+        match relay {
+            Some(relay) if relay != self.holder => self.limits.extension_grace,
             _ => Duration::ZERO,
-        };
-        self.now + grace + self.lease_with_drift()
+        }
     }
 
     /// Detaches a worker from its relay, which may have extended the worker's lease until
--- a/crates/workswood-core/src/jobs/restart_deadline.rs
+++ b/crates/workswood-core/src/jobs/restart_deadline.rs
@@ -55,23 +55,20 @@
     PreferredWorkers,
     /// Trials: its own, for which it waits, and those that other tasks have on a worker.
     Trials,
-    /// The backoff of a worker that refused a start.
-    Backoff,
     /// Tasks that go first in the order of placement and take the room.
     OrderOfPlacement,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Safeguard; 4] =
-        [Safeguard::PreferredWorkers, Safeguard::Trials, Safeguard::Backoff, Safeguard::OrderOfPlacement];
+    pub const ALL: [Safeguard; 3] =
+        [Safeguard::PreferredWorkers, Safeguard::Trials, Safeguard::OrderOfPlacement];
 
     /// The longest time for which it keeps a task that waits from a worker.
     pub const fn longest_wait(self) -> Duration {
         match self {
             Safeguard::PreferredWorkers | Safeguard::OrderOfPlacement => Duration::from_secs(1),
             Safeguard::Trials => Duration::from_secs(2),
-            Safeguard::Backoff => Duration::from_secs(2),
         }
     }
 
@@ -93,9 +90,7 @@
     fn waited_for(&self, safeguard: Safeguard, id: &TaskId) -> Duration {
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         let since = match safeguard {
-            Safeguard::PreferredWorkers | Safeguard::Backoff | Safeguard::OrderOfPlacement => {
-                self.absent_tasks.absent_since(id)
-            }
+            Safeguard::PreferredWorkers | Safeguard::OrderOfPlacement => self.absent_tasks.absent_since(id),
             Safeguard::Trials => task.filter(|t| t.is_idle()).map(|t| t.waiting_since),
         };
         since.map_or(Duration::ZERO, |since| self.now.saturating_sub(since))
--- a/crates/workswood-core/src/jobs/run_tracker.rs
+++ b/crates/workswood-core/src/jobs/run_tracker.rs
@@ -97,10 +97,16 @@
         self.runs.contains_key(&run)
     }
 
+    /// Whether the answer to a poll that was sent later has been processed, so that one to a poll that was sent at
+    /// `sent_at` is ignored.
+    pub fn is_overtaken(&self, sent_at: Duration) -> bool {
+        sent_at < self.last_poll_sent
+    }
+
     /// Handles the listing of a poll that was sent at `sent_at`; returns what has changed. Answers
     /// may overtake each other, so one to an earlier poll is ignored.
     pub fn diff_listing(&mut self, listing: Listing, sent_at: Duration, now: Duration) -> Report {
-        if sent_at < self.last_poll_sent {
+        if self.is_overtaken(sent_at) {
             return Report::default();
         }
         self.last_poll_sent = sent_at;
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -236,13 +236,17 @@
         let (open, lease_left, superseded) = (rec.open, rec.lease_left, rec.superseded);
         let info = WorkerInfo::from_record(id.clone(), rec);
         let now = self.now;
-        let (lease_end, since) = (self.restored_lease_end(lease_left), self.claimed_at);
+        let superseded_lease_end =
+            lease_left.filter(|_| superseded).map(|ms| now + Duration::from_millis(ms));
+        // What a later incarnation may have taken lasts longer than what predecessors extend.
+        let lease_end = superseded_lease_end.unwrap_or_else(|| self.restored_lease_end(lease_left));
+        let since = self.claimed_at;
         let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
         w.info = Some(Arc::new(info));
         (w.open_written, w.open_on_record) = (open, open);
-        if let Some(left) = lease_left {
+        if lease_left.is_some() {
             w.extensions.restore_bound();
-            w.superseded_lease_end = superseded.then(|| now + Duration::from_millis(left));
+            w.superseded_lease_end = superseded_lease_end;
         }
         drop(w);
         self.hold_back_for(&id, open);
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -24,6 +24,8 @@
 /// A stop that the worker accepted is sent again only after this time, since probes that were sent
 /// before it may still list the run.
 const ACCEPTED_STOP_RETRY_AFTER: Duration = Duration::from_millis(4000);
+/// Most orders of one start without an answer before its run is stopped.
+const MAX_UNANSWERED_STARTS: u32 = 3;
 
 /// Worker, task and attempt of a run.
 type WorkerRun = (WorkerId, TaskId, u32);
@@ -280,6 +282,8 @@
             self.ticket_rejected(id, &task);
         }
         let wanted = self.is_run_wanted(&task);
+        // A relay that has taken a start back sends no stop; an earlier order may have been carried out.
+        let stop_ordered = recalled && reply != StartReply::NotSent;
         let Some(run) = self.run_mut(id, &task, attempt) else { return };
         let may_exist = reply == StartReply::NoAnswer || run.unanswered_starts > 0;
         let was_in_vain = matches!(reply, StartReply::NoAnswer | StartReply::NotSent);
@@ -302,12 +306,12 @@
                 self.set_unanswered(id, &task, attempt);
             }
             StartReply::Taken | StartReply::Unsure | StartReply::NoAnswer => {
-                self.stop_run_once(id, &task, attempt, recalled);
+                self.stop_run_once(id, &task, attempt, stop_ordered);
             }
             StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent
                 if may_exist =>
             {
-                self.stop_run_once(id, &task, attempt, recalled);
+                self.stop_run_once(id, &task, attempt, stop_ordered);
             }
             StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent => {
                 self.settle_run(id, &task, attempt, "start_refused");
@@ -342,14 +346,16 @@
 
     /// Whether a start without an answer may be ordered again with the same attempt. A worker starts each attempt
     /// once at most, so this does no harm, whatever became of the earlier orders; and a long-running task is at work
-    /// as soon as the worker answers. A worker that answers polls and not starts gets one more order.
+    /// as soon as the worker answers. A worker that answers polls and not starts gets one more order; one that falls
+    /// silent each time gets [`MAX_UNANSWERED_STARTS`] in all.
     fn may_repeat_start(&self, id: &WorkerId, task: &TaskId, attempt: u32) -> bool {
         let Some(run) = self.run(id, task, attempt) else { return false };
         let step = self.jobs.get(&task.job).and_then(|job| job.step(task));
         let lasts = step.is_some_and(|s| s.long_running && !s.gang) && run.trial_length.is_none();
         let silent = self.workers.get(id).is_none_or(|w| !w.reachable || w.poll_overdue);
+        let most = if silent { MAX_UNANSWERED_STARTS } else { 2 };
         let starting = matches!(run.phase, Phase::Starting | Phase::Unanswered);
-        lasts && starting && self.is_run_wanted(task) && (silent || run.unanswered_starts <= 1)
+        lasts && starting && self.is_run_wanted(task) && run.unanswered_starts < most
     }
 
     /// Notes that a start had no answer, and orders it again if the worker answers.
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -91,7 +91,7 @@
     fn supersede(&mut self, later: &WorkerId) -> Vec<WorkerId> {
         let mut superseded = Vec::new();
         for id in self.earlier_incarnations(later) {
-            let misdelivered = self.misdelivered_lease_end();
+            let misdelivered = self.misdelivered_lease_end() + self.relay_grace(&id);
             let Some(mut w) = self.workers.get_mut(&id).filter(|w| !w.superseded) else { continue };
             w.superseded = true;
             w.listed = false;
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -26,6 +26,9 @@
 
 use super::lease_renewal::EXTENSION_GRACE;
 
+/// The term of a claim that is carried out only if the topic of the lease is empty: nobody has held it before.
+const FIRST_TERM: Term = 1;
+
 /// What a record of the lease tells.
 #[derive(Clone, Copy, Debug)]
 pub struct RecordFacts {
@@ -90,7 +93,10 @@
         self.term = self.term.max(Some(rec.term));
         self.extended_until = match (rec.released, rec.extensions_left) {
             _ if is_late => self.extended_until.map(|_| by_reading),
-            (true, Some(left)) => Some(now + left),
+            (true, Some(left)) => {
+                self.renewed_until = now + left;
+                Some(now + left)
+            }
             (false, _) if begins_term && rec.grace.is_none() => None,
             (true, None) | (false, _) => Some(by_reading),
         };
@@ -121,7 +127,7 @@
     /// Notes that this process is about to claim a term. A repeated claim has the same term.
     pub fn note_claim(&mut self, term: Term) {
         if self.claim.is_none_or(|c| c.term != term) {
-            let extended_until = self.extended_until;
+            let extended_until = if term == FIRST_TERM { Some(Duration::ZERO) } else { self.extended_until };
             self.claim = Some(OwnClaim { term, extended_until, renewal_read: false });
         }
     }
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -235,6 +235,24 @@
         );
     }
 
+    /// Reports what has changed according to a listing; returns false if a later one was processed before.
+    /// Two polls of a worker may be under way, and their reports have to come in the order of their listings.
+    fn report_changes(&mut self, listing: Listing, sent: Duration, leased_until: Duration) -> bool {
+        let now = self.now();
+        let worker = self.worker.clone();
+        let mut tracker = worker.run_tracker.lock();
+        if tracker.is_overtaken(sent) {
+            return false;
+        }
+        let report = tracker.diff_listing(listing, sent, now);
+        self.log_lapsed_runs(&report, leased_until, now);
+        if !self.reported_reachable || !report.is_empty() {
+            self.reported_reachable = true;
+            self.report(WorkerEvent::Reported(report));
+        }
+        true
+    }
+
     /// Reports what has changed according to a reply, and waits until the next poll is due.
     async fn handle_reply(&mut self, reply: PollReply, started: Duration) {
         let PollReply { sent, acked_end, leased_until, clock, listing } = reply;
@@ -247,13 +265,9 @@
         if listing.coverage == EndCoverage::Earliest {
             self.record_partial_ends(&listing, last_end);
         }
-        let report = self.worker.run_tracker.lock().diff_listing(listing, sent, now);
-        self.log_lapsed_runs(&report, leased_until, now);
-        if !self.reported_reachable || !report.is_empty() {
-            self.reported_reachable = true;
-            self.report(WorkerEvent::Reported(report));
-        }
-        if last_end > *self.worker.recorded_end.borrow() {
+        let reported = self.report_changes(listing, sent, leased_until);
+        // The ends of an answer that was ignored are listed again.
+        if reported && last_end > *self.worker.recorded_end.borrow() {
             wait_until_recorded(&self.worker, last_end).await;
         }
         tokio::time::sleep(MIN_POLL_INTERVAL.saturating_sub(self.now() - started)).await;
@@ -272,7 +286,8 @@
     let Ok((_, listing)) = reply else { return };
     let now = cx.node.now();
     worker.record_answer(now);
-    let report = worker.run_tracker.lock().diff_listing(listing, sent, now);
+    let mut tracker = worker.run_tracker.lock();
+    let report = tracker.diff_listing(listing, sent, now);
     if !report.is_empty() {
         cx.sink.report(&cx.node, worker, WorkerEvent::Reported(report));
     }
--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -70,6 +70,24 @@
     assert_eq!(bound(&[], &[]), None);
 }
 
+/// Nobody has held the lease before, and four seconds were counted for it.
+#[test]
+fn first_term_waits_for_nobody() {
+    let mut grants = EarlierGrants::default();
+    grants.note_claim(1);
+    grants.note_record(renewal(1), ms(1_000));
+    grants.note_record(renewal(1), ms(1_450));
+    assert_eq!(grants.extended_until(1), Some(Duration::ZERO));
+}
+
+/// The rest that a release told was forgotten once the next holder had claimed and gone.
+#[test]
+fn release_counts_beside_the_next_claim() {
+    let claim = RecordFacts { grace: Some(Duration::ZERO), ..renewal(9) };
+    let records = [(1_000, renewal(7)), (1_450, renewal(7)), (2_000, release(7, Some(0))), (2_100, claim)];
+    assert_eq!(bound(&records, &[]), Some(ms(2_100)));
+}
+
 #[test]
 fn release_tells_the_rest() {
     let read = (1_000, renewal(7));
--- a/tests/testsuite/unanswered_starts.rs
+++ b/tests/testsuite/unanswered_starts.rs
@@ -99,6 +99,22 @@
     assert_eq!(ordered.world.sched.absent_long_running_tasks(), 0);
 }
 
+/// A worker that fell silent at each order got another one without end, and the task was bound to it.
+#[test]
+fn ordered_again_without_end() {
+    let mut ordered = Ordered::unanswered(false);
+    for n in 2..=3 {
+        let orders = ordered.orders();
+        assert_eq!(orders, [ordered.start.clone()], "order {n}");
+        assert_eq!(ordered.hand_on(&orders), 1);
+        ordered.falls_silent();
+        ordered.replies(StartReply::NoAnswer);
+        ordered.world.at(1000 * n);
+        ordered.answers(false);
+    }
+    assert_eq!(ordered.orders(), [ordered.stop()]);
+}
+
 #[test]
 fn stopped_although_listed() {
     let mut ordered = Ordered::unanswered(true);
