--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -230,11 +230,12 @@
     }
 
     /// What is known of a run on a worker that doesn't answer. On one that has not answered in this term it may have
-    /// ended before.
+    /// ended before, unless an earlier term has told when.
     fn silent_run(&self, worker: &WorkerId, id: &TaskId) -> LastRun {
         let last_answer = self.last_answer(worker, id);
         let answered = self.workers.get(worker).is_some_and(|w| w.last_heard > self.claimed_at);
-        if answered { LastRun::Silent(last_answer) } else { LastRun::Gone(last_answer) }
+        let told = self.absent_tasks.absent_since(id).is_some_and(|since| since < self.claimed_at);
+        if answered || told { LastRun::Silent(last_answer) } else { LastRun::Gone(last_answer) }
     }
 
     /// When a worker last answered. While its relay reports nothing new or is lost, that is not known exactly; it was
--- a/tests/testsuite/absent_tasks.rs
+++ b/tests/testsuite/absent_tasks.rs
@@ -158,13 +158,28 @@
     })
 }
 
+/// Whether the run of a task is on record when a successor takes over.
+#[derive(PartialEq)]
+enum LastRunIs {
+    /// It is over.
+    Over,
+    /// It is on a worker that doesn't answer the successor.
+    OnSilentWorker,
+}
+
 /// A successor that takes over job 1 with this absence of its task, on record as tried once.
 fn successor(wall: u64, absence: Option<AbsenceRecord>) -> Scheduler {
+    successor_of(LastRunIs::Over, wall, absence)
+}
+
+fn successor_of(last_run: LastRunIs, wall: u64, absence: Option<AbsenceRecord>) -> Scheduler {
     let (mut world, _) = world_with_running_task();
     world.at(150);
     let spec = world.sched.jobs.get(&1).expect("the job").spec.clone();
     let mut rec = world.sched.jobs.get(&1).expect("the job").record();
-    rec.rounds[0][0][0].runs.clear();
+    if last_run == LastRunIs::Over {
+        rec.rounds[0][0][0].runs.clear();
+    }
     rec.rounds[0][0][0].absence = absence;
     let claimed_at = Duration::from_secs(30);
     let mut sched = Scheduler::new(2, limits(), claimed_at, wall);
@@ -357,6 +372,24 @@
     assert_eq!((field(&line, "term"), field(&line, "term_age_ms")), ("2", "0"), "{line}");
 }
 
+#[test]
+fn successor_keeps_inherited_deadline() {
+    let stored = AbsenceRecord { since: LATER - 1_000, restart_by: LATER + 10_000 };
+    let line = first_line(&successor_of(LastRunIs::OnSilentWorker, LATER, Some(stored)));
+    assert_eq!((number(&line, "absent_ms"), number(&line, "restart_left_ms")), (1_000, 10_000), "{line}");
+}
+
+/// The worker may have been gone before the term, and a whole lease of it was counted.
+#[test]
+fn worker_not_heard_in_the_term() {
+    let mut sched = successor_of(LastRunIs::OnSilentWorker, LATER, None);
+    sched.now += Duration::from_secs(1);
+    sched.wall += 1_000;
+    sched.handle(Event::Tick);
+    let line = first_line(&sched);
+    assert_eq!(number(&line, "restart_left_ms"), 9_000 - 2_000 - 1_000, "{line}");
+}
+
 #[test]
 fn clock_of_predecessor_ahead() {
     let stored = AbsenceRecord { since: LATER + 90_000, restart_by: LATER + 99_000 };
