Crashes on record say how certain they are and under which worker; no change of what follows

The history of a task's crashes and the verdicts on it move to modules of their own. A crash is certain if the life of its worker is known to be over before the lease of the run could have ended, and possible otherwise; both this and the worker are stored with the task, and are read as possible and unknown from records of earlier versions. Nothing is decided by them yet.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -16,13 +16,17 @@
 //!   the crashes, the task is given up. Its job fails, except that a long-running job goes on
 //!   without the task.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_history::{
+    Certainty, CrashHistory, CrashRecord, Evidence, MANY_CRASHES_THRESHOLD_SHARE,
+    SUSPECT_AFTER_UNTIMED_CRASHES,
+};
 use super::crash_rate::task_fault_score;
-use super::job::{Job, Outcome, Phase, Run, Task, WorkerId};
+use super::crash_verdict::{Loss, shared_score, suspect};
+use super::job::{Job, Phase, Run, Task, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
 use super::worker::Worker;
@@ -71,7 +75,7 @@
 impl CrashPolicy {
     /// Score needed to give a task up after this many tasks were given up recently: tasks that
     /// crash their workers tend to come in groups.
-    fn give_up_threshold_after(&self, given_up: usize) -> f64 {
+    pub(super) fn give_up_threshold_after(&self, given_up: usize) -> f64 {
         self.give_up_threshold - THRESHOLD_DROP_PER_GIVEN_UP * given_up.min(MAX_GIVEN_UP_COUNTED) as f64
     }
 }
@@ -89,115 +93,9 @@
 /// An inherited run that this lease holder knows to have lasted for this long did not crash its worker
 /// soon after its start.
 const LONG_RUN: Duration = Duration::from_secs(1);
-/// A task is suspected after this many crashes if the run times are unknown.
-const SUSPECT_AFTER_UNTIMED_CRASHES: usize = 2;
-/// After this many crashes a lower score suffices to give a task up, whether its runs were
-/// confirmed or not.
-/// The platform allows two starts after the third crash.
-const EXHAUSTED_AFTER_CRASHES: usize = 5;
-/// Share of [`CrashPolicy::give_up_threshold`] that suffices then.
-const EXHAUSTED_THRESHOLD_SHARE: f64 = 0.7;
-/// Added to the score for each crash with an unknown run time.
-const SCORE_PER_UNTIMED_CRASH: f64 = 1.0;
-/// Share of [`CrashPolicy::give_up_threshold`] from which a task with several crashes is suspected.
-const MANY_CRASHES_THRESHOLD_SHARE: f64 = 0.15;
 /// A long-running task that has been warm for this long is taken not to crash its worker.
 pub(super) const PROVEN_SAFE_AFTER: Duration = Duration::from_secs(10);
 
-/// What is known of a run during which its worker crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Evidence {
-    /// The run is the likely cause of the crash.
-    #[serde(rename = "Explains")]
-    LikelyCause,
-    /// The run was there, but is not the likely cause. If its start time is unknown and it is
-    /// of a long-running task, it lasted for [`LONG_RUN`] at least.
-    #[serde(rename = "Beside")]
-    Bystander,
-    /// The run may never have started: its start was not answered, or was sent by an earlier lease
-    /// holder.
-    #[serde(rename = "Supposed")]
-    Unconfirmed,
-}
-
-/// A crash of a worker during a run of a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashRecord {
-    /// What the run has to do with the crash.
-    pub evidence: Evidence,
-    /// Longest time that the run may have lasted; `None` if its start time is unknown.
-    #[serde(rename = "within")]
-    pub max_run_time: Option<Duration>,
-}
-
-/// Crashes of workers during runs of one task, by attempt number.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CrashHistory(pub BTreeMap<u32, CrashRecord>);
-
-impl CrashHistory {
-    /// Whether there are no crashes.
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    /// Number of crashes, including those during unconfirmed runs.
-    pub fn count(&self) -> usize {
-        self.0.len()
-    }
-
-    /// Number of crashes that may tell something of the task. Those during long runs of a long-running
-    /// task don't.
-    fn telling_count(&self, long_running: bool) -> usize {
-        let tells = |c: &&CrashRecord| c.max_run_time.is_some() || c.evidence != Evidence::Bystander;
-        self.0.values().filter(|c| !long_running || tells(c)).count()
-    }
-
-    /// Longest possible run times, of the runs whose start time is known.
-    fn known_run_times(&self) -> impl Iterator<Item = Duration> {
-        self.0.values().filter_map(|c| c.max_run_time)
-    }
-
-    /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
-    fn score(&self, rate: f64) -> f64 {
-        task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
-    }
-
-    /// Whether the crashes prove that the task crashes its workers, given that the last one
-    /// happened during its trial. Runs that may never have started prove nothing.
-    fn is_proof(&self, threshold: f64, rate: f64) -> bool {
-        let confirmed = || self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed);
-        let times = || confirmed().filter_map(|c| c.max_run_time);
-        confirmed().count() >= 2 && task_fault_score(times().count(), times().sum(), rate) >= threshold
-    }
-
-    /// Whether there are too many crashes to go on, on weaker evidence. If no start time is known,
-    /// because the lease holder changed after each crash, only their number counts.
-    fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
-        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
-        if count < EXHAUSTED_AFTER_CRASHES || timed == 0 {
-            return count >= EXHAUSTED_AFTER_CRASHES;
-        }
-        let untimed = (count - timed) as f64 * SCORE_PER_UNTIMED_CRASH;
-        self.score(rate) + untimed >= policy.give_up_threshold * EXHAUSTED_THRESHOLD_SHARE
-    }
-
-    /// Whether the task is suspect for the number of its crashes, unless chance explains them.
-    fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
-        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
-        let untimed = if long_running { timed == 0 } else { timed < 2 };
-        let doubtful = untimed || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
-        doubtful
-            && (count >= policy.suspect_after_crashes || count >= SUSPECT_AFTER_UNTIMED_CRASHES && timed < 2)
-    }
-
-    /// Records a crash during an attempt; returns whether it is new.
-    fn record(&mut self, attempt: u32, crash: CrashRecord) -> bool {
-        let new = !self.0.contains_key(&attempt);
-        self.0.entry(attempt).or_insert(crash);
-        new
-    }
-}
-
 /// Why a task may only be started as a trial.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Suspicion {
@@ -258,6 +156,17 @@
     Old,
 }
 
+/// What the runs that were lost in one crash have in common.
+#[derive(Clone, Copy, Debug)]
+struct Suspects {
+    /// The most suspicious role of a lost run.
+    role: RunRole,
+    /// Number of lost runs with that role.
+    same_role: usize,
+    /// Whether the worker crashed under its runs.
+    certainty: Certainty,
+}
+
 /// A run that was lost with its worker.
 #[derive(Clone, Debug)]
 pub struct LostRun {
@@ -299,6 +208,7 @@
             self.clear_lapsed_runs(id);
             return;
         }
+        let certainty = self.certainty_of_crash(id, w, end);
         let current = w.runs.keys().filter_map(|(task, n)| self.lost_run(id, task, *n));
         let mut lost: Vec<LostRun> = w.lapsed_runs.iter().cloned().chain(current).collect();
         lost.sort_by_key(|run| (run.task, run.attempt));
@@ -318,7 +228,7 @@
             lost.len()
         ));
         for run in lost {
-            self.attribute_lost_run(id, &run, role, same_role);
+            self.attribute_lost_run(id, &run, Suspects { role, same_role, certainty });
         }
     }
 
@@ -375,7 +285,7 @@
     }
 
     /// Crashes per worker-second, without those during runs of the task.
-    fn background_crash_rate(&self, task: &TaskId) -> f64 {
+    pub(super) fn background_crash_rate(&self, task: &TaskId) -> f64 {
         self.crash_rate.rate_without(
             task,
             self.now,
@@ -384,68 +294,36 @@
         )
     }
 
-    /// Records the loss of a run in a crash that runs of the given role explain. `same_role` is the
-    /// number of lost runs with that role.
+    /// Records the loss of a run in a crash, and judges its task.
     ///
     /// The task may be waiting already, if the run was settled when its worker's lease ended; then it is
     /// queued anew, for a trial.
-    fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, role: RunRole, same_role: usize) {
-        let rate = self.background_crash_rate(&run.task);
+    fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, suspects: Suspects) {
+        let Suspects { role, same_role, certainty } = suspects;
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
         let long_running = job.step(&run.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&run.task).filter(|t| !t.done) else { return };
-        let policy = &self.policy.crashes;
-        let threshold = policy.give_up_threshold_after(self.crash_rate.recently_given_up(self.now));
         let explains = run.role == role && run.role != RunRole::Old;
-        let evidence = run.evidence(explains, long_running);
-        if task.crashes.record(run.attempt, CrashRecord { evidence, max_run_time: run.max_run_time }) {
+        let crash = CrashRecord {
+            evidence: run.evidence(explains, long_running),
+            max_run_time: run.max_run_time,
+            certainty,
+            worker: Some(id.clone()),
+        };
+        if task.crashes.record(run.attempt, crash) {
             self.dirty_jobs.insert(run.task.job);
         }
-        let count = task.crashes.count();
-        let score = task.crashes.score(rate);
-        let proved =
-            run.role == RunRole::OnTrial && run.run_time.is_some() && task.crashes.is_proof(threshold, rate);
-        if run.role == role
-            && same_role == 1
-            && (proved || task.crashes.exhausts_retries(policy, rate, long_running))
-        {
-            self.give_up_task(id, &run.task, count, score);
-            return;
-        }
-        let suspicious = score - shared_score(long_running, same_role) >= policy.suspicion_threshold;
-        if explains && suspicious || task.crashes.are_suspiciously_many(policy, rate, long_running) {
-            suspect(task, run.run_time, self.now);
-            self.notes.push(format_args!(
-                "event=task_suspected worker={id} task={} attempt={} part={:?} crashes={count} \
-                 suspicion={score:.1} crashes_per_s={rate:.4}",
-                run.task, run.attempt, run.role
-            ));
-            self.queue_task(&run.task);
-        }
-    }
-
-    /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
-    /// stopping all of them at once would break its availability budget.
-    fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
-        self.notes.push(format_args!(
-            "event=task_given_up worker={id} task={task} crashes={crashes} suspicion={score:.1}"
-        ));
-        self.counters.tasks_given_up += 1;
-        self.crash_rate.record_given_up(task, self.now);
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        if !job.step(task).is_some_and(|s| s.long_running) {
-            self.end_job(task.job, Outcome::Failed);
-            return;
-        }
-        if let Some(t) = job.task_mut(task) {
-            t.given_up = true;
-        }
-        let is_over = job.all_done_or_given_up();
-        self.dirty_jobs.insert(task.job);
-        self.dequeue(task);
-        if is_over {
-            self.end_job(task.job, Outcome::Failed);
-        }
+        let loss = Loss {
+            worker: id.clone(),
+            task: run.task,
+            attempt: run.attempt,
+            role: run.role,
+            run_time: run.run_time,
+            is_first_suspect: run.role == role,
+            explains,
+            same_role,
+        };
+        self.judge_task(&loss);
     }
 
     /// Keeps a run that is settled because its worker's lease ended. Whether the worker has crashed
@@ -534,18 +412,6 @@
     round.iter_mut().enumerate().flat_map(|(n, tasks)| tasks.iter_mut().map(move |task| (n, task)))
 }
 
-/// Marks a task as suspected; `run_time` is how long the lost run had lasted.
-fn suspect(task: &mut Task, run_time: Option<Duration>, now: Duration) {
-    let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
-    task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest });
-}
-
-/// What a crash that several runs explain equally well counts less for each of them. A long-running task
-/// must be at work, so it only waits for a trial for evidence of its own.
-fn shared_score(long_running: bool, alike: usize) -> f64 {
-    if long_running { (alike.max(1) as f64).ln() } else { 0.0 }
-}
-
 /// Counts a trial without quarantine as a run that had just started if another such run was lost with
 /// it: either may have crashed the worker.
 fn judge_open_trials(lost: &mut [LostRun]) {
--- /dev/null
+++ b/crates/workswood-core/src/jobs/crash_history.rs
@@ -0,0 +1,166 @@
+//! The crashes of workers during runs of a task, as they are stored with it.
+//!
+//! Each crash says what the run has to do with it ([`Evidence`]) and whether it is certain that the worker
+//! crashed under the run ([`Certainty`]).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::crash_attribution::CrashPolicy;
+use super::crash_rate::task_fault_score;
+use super::job::WorkerId;
+
+/// A task is suspected after this many crashes if the run times are unknown.
+pub(super) const SUSPECT_AFTER_UNTIMED_CRASHES: usize = 2;
+/// After this many crashes a lower score suffices to give a task up, whether its runs were
+/// confirmed or not.
+/// The platform allows two starts after the third crash.
+const EXHAUSTED_AFTER_CRASHES: usize = 5;
+/// Share of [`CrashPolicy::give_up_threshold`] that suffices then.
+const EXHAUSTED_THRESHOLD_SHARE: f64 = 0.7;
+/// Added to the score for each crash with an unknown run time.
+const SCORE_PER_UNTIMED_CRASH: f64 = 1.0;
+/// Share of [`CrashPolicy::give_up_threshold`] from which a task with several crashes is suspected.
+pub(super) const MANY_CRASHES_THRESHOLD_SHARE: f64 = 0.15;
+
+/// What is known of a run during which its worker crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Evidence {
+    /// The run is the likely cause of the crash.
+    #[serde(rename = "Explains")]
+    LikelyCause,
+    /// The run was there, but is not the likely cause. If its start time is unknown and it is
+    /// of a long-running task, it lasted for [`LONG_RUN`] at least.
+    #[serde(rename = "Beside")]
+    Bystander,
+    /// The run may never have started: its start was not answered, or was sent by an earlier lease
+    /// holder.
+    #[serde(rename = "Supposed")]
+    Unconfirmed,
+}
+
+/// Whether a worker is known to have crashed under a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Certainty {
+    /// The run may have lapsed before the life of its worker ended, or the life may not have ended at all.
+    #[default]
+    Possible,
+    /// The life is known to have ended before the lease of the run could have.
+    Certain,
+}
+
+impl Certainty {
+    fn is_possible(&self) -> bool {
+        *self == Certainty::Possible
+    }
+}
+
+/// A crash of a worker during a run of a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashRecord {
+    /// What the run has to do with the crash.
+    pub evidence: Evidence,
+    /// Longest time that the run may have lasted; `None` if its start time is unknown.
+    #[serde(rename = "within")]
+    pub max_run_time: Option<Duration>,
+    /// Whether the worker is known to have crashed under the run.
+    #[serde(default, skip_serializing_if = "Certainty::is_possible")]
+    pub certainty: Certainty,
+    /// The life that is counted as crashed; `None` in records of versions that did not store it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub worker: Option<WorkerId>,
+}
+
+impl CrashRecord {
+    /// A possible crash under a run, as versions without certainty have stored it.
+    pub fn possible(evidence: Evidence, max_run_time: Option<Duration>) -> CrashRecord {
+        CrashRecord { evidence, max_run_time, certainty: Certainty::Possible, worker: None }
+    }
+
+    /// Whether it is certain that the worker crashed under the run.
+    pub fn is_certain(&self) -> bool {
+        self.certainty == Certainty::Certain
+    }
+}
+
+/// Crashes of workers during runs of one task, by attempt number.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashHistory(pub BTreeMap<u32, CrashRecord>);
+
+impl CrashHistory {
+    /// Whether there are no crashes.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Number of crashes, including those during unconfirmed runs.
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Number of crashes that are certain to have come under a run.
+    pub fn certain_count(&self) -> usize {
+        self.0.values().filter(|c| c.is_certain()).count()
+    }
+
+    /// Takes back the crashes of a life that has not ended; returns how many there were.
+    pub fn withdraw(&mut self, worker: &WorkerId) -> usize {
+        let before = self.count();
+        self.0.retain(|_, crash| crash.worker.as_ref() != Some(worker));
+        before - self.count()
+    }
+
+    /// Number of crashes that may tell something of the task. Those during long runs of a long-running
+    /// task don't.
+    pub(super) fn telling_count(&self, long_running: bool) -> usize {
+        let tells = |c: &&CrashRecord| c.max_run_time.is_some() || c.evidence != Evidence::Bystander;
+        self.0.values().filter(|c| !long_running || tells(c)).count()
+    }
+
+    /// Longest possible run times, of the runs whose start time is known.
+    pub(super) fn known_run_times(&self) -> impl Iterator<Item = Duration> {
+        self.0.values().filter_map(|c| c.max_run_time)
+    }
+
+    /// How much better the task explains the crashes than chance does. Includes unconfirmed runs.
+    pub(super) fn score(&self, rate: f64) -> f64 {
+        task_fault_score(self.known_run_times().count(), self.known_run_times().sum(), rate)
+    }
+
+    /// Whether the crashes prove that the task crashes its workers, given that the last one
+    /// happened during its trial. Runs that may never have started prove nothing.
+    pub(super) fn is_proof(&self, threshold: f64, rate: f64) -> bool {
+        let confirmed = || self.0.values().filter(|c| c.evidence != Evidence::Unconfirmed);
+        let times = || confirmed().filter_map(|c| c.max_run_time);
+        confirmed().count() >= 2 && task_fault_score(times().count(), times().sum(), rate) >= threshold
+    }
+
+    /// Whether there are too many crashes to go on, on weaker evidence. If no start time is known,
+    /// because the lease holder changed after each crash, only their number counts.
+    pub(super) fn exhausts_retries(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
+        if count < EXHAUSTED_AFTER_CRASHES || timed == 0 {
+            return count >= EXHAUSTED_AFTER_CRASHES;
+        }
+        let untimed = (count - timed) as f64 * SCORE_PER_UNTIMED_CRASH;
+        self.score(rate) + untimed >= policy.give_up_threshold * EXHAUSTED_THRESHOLD_SHARE
+    }
+
+    /// Whether the task is suspect for the number of its crashes, unless chance explains them.
+    pub(super) fn are_suspiciously_many(&self, policy: &CrashPolicy, rate: f64, long_running: bool) -> bool {
+        let (count, timed) = (self.telling_count(long_running), self.known_run_times().count());
+        let untimed = if long_running { timed == 0 } else { timed < 2 };
+        let doubtful = untimed || self.score(rate) >= policy.give_up_threshold * MANY_CRASHES_THRESHOLD_SHARE;
+        doubtful
+            && (count >= policy.suspect_after_crashes || count >= SUSPECT_AFTER_UNTIMED_CRASHES && timed < 2)
+    }
+
+    /// Records a crash during an attempt; returns whether it is new.
+    pub(super) fn record(&mut self, attempt: u32, crash: CrashRecord) -> bool {
+        let new = !self.0.contains_key(&attempt);
+        self.0.entry(attempt).or_insert(crash);
+        new
+    }
+}
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use super::crash_attribution::{CrashHistory, Suspicion};
+use super::crash_attribution::Suspicion;
+use super::crash_history::CrashHistory;
 use super::spec::{JobKey, JobSpec, QueueId, Resources, StepId, StepSpec, TaskId};
 use super::workspace::Owner;
 
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -36,7 +36,7 @@
 //! * [`scheduler`] handles events; [`worker_reports`], [`worker_events`], [`placement`], [`pacing`] and [`eviction`] make
 //!   its decisions about tasks.
 //! * [`crash_attribution`] finds tasks that crash their workers more often than the usual
-//!   [`crash_rate`], and [`crash_trials`] tests suspected ones.
+//!   [`crash_rate`], from the crashes on record ([`crash_history`]); [`crash_trials`] tests suspected ones.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
 //! * [`absent_tasks`] follows long-running tasks that run nowhere, and [`absence_reason`] tells why; [`restart_deadline`]
@@ -72,8 +72,11 @@
 pub mod bridges;
 pub mod config;
 pub mod crash_attribution;
+pub mod crash_certainty;
+pub mod crash_history;
 pub mod crash_rate;
 pub mod crash_trials;
+mod crash_verdict;
 mod cut_off_workers;
 pub mod demand_history;
 mod drain_order;
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use prost::Message;
-use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{FinishedJobRecord, JobRecord, Outcome, Owner};
@@ -114,6 +114,12 @@
     /// Since when it has run nowhere.
     #[prost(message, optional, tag = "9")]
     absence: Option<AbsenceState>,
+    /// For each crash in `crashes`, 1 if it is certain, else 0. Zeros at the end are omitted.
+    #[prost(uint32, repeated, tag = "10")]
+    certain_crashes: Vec<u32>,
+    /// For each crash in `crashes`, the worker's index plus one; 0 if it is not known. Zeros at the end are omitted.
+    #[prost(uint32, repeated, tag = "11")]
+    crashed_workers: Vec<u32>,
 }
 
 /// Stored form of [`AbsenceRecord`], in milliseconds since the Unix epoch.
@@ -195,6 +201,12 @@
                 crash_run_times: t.crashes.0.values().map(|c| encode_run_time(c.max_run_time)).collect(),
                 given_up: t.given_up,
                 absence: t.absence.map(|a| AbsenceState { since: a.since, restart_by: a.restart_by }),
+                certain_crashes: without_trailing_zeros(
+                    t.crashes.0.values().map(|c| u32::from(c.is_certain())),
+                ),
+                crashed_workers: without_trailing_zeros(
+                    t.crashes.0.values().map(|c| encode_worker(&c.worker, workers)),
+                ),
             });
         }
     }
@@ -257,19 +269,67 @@
         task.evicted_attempts = t.evicted_attempts.into_iter().collect();
         task.given_up = t.given_up;
         task.absence = t.absence.map(|a| AbsenceRecord { since: a.since, restart_by: a.restart_by });
-        for (n, crash) in t.crashes.chunks(2).enumerate() {
-            let [attempt, evidence] = *crash else {
-                return Err("a crash has fewer than two numbers".to_string());
-            };
-            let max_run_time = t.crash_run_times.get(n).and_then(|ms| decode_run_time(*ms));
-            task.crashes
-                .0
-                .insert(attempt, CrashRecord { evidence: decode_evidence(evidence)?, max_run_time });
-        }
+        task.crashes = decode_crashes(&StoredCrashes {
+            crashes: &t.crashes,
+            run_times: &t.crash_run_times,
+            certain: &t.certain_crashes,
+            crashed_workers: &t.crashed_workers,
+            workers,
+        })?;
     }
     Ok(tasks)
 }
 
+/// The crashes of a task in the stored form, with the workers of the job.
+struct StoredCrashes<'a> {
+    crashes: &'a [u32],
+    run_times: &'a [u32],
+    certain: &'a [u32],
+    crashed_workers: &'a [u32],
+    workers: &'a [WorkerId],
+}
+
+fn decode_crashes(stored: &StoredCrashes<'_>) -> Result<CrashHistory, String> {
+    let mut history = CrashHistory::default();
+    for (n, crash) in stored.crashes.chunks(2).enumerate() {
+        let [attempt, evidence] = *crash else {
+            return Err("a crash has fewer than two numbers".to_string());
+        };
+        let is_certain = stored.certain.get(n).is_some_and(|c| *c == CERTAIN);
+        let crash = CrashRecord {
+            evidence: decode_evidence(evidence)?,
+            max_run_time: stored.run_times.get(n).and_then(|ms| decode_run_time(*ms)),
+            certainty: if is_certain { Certainty::Certain } else { Certainty::Possible },
+            worker: decode_worker(stored.crashed_workers.get(n).copied(), stored.workers)?,
+        };
+        history.0.insert(attempt, crash);
+    }
+    Ok(history)
+}
+
+/// Numbers that are zero where they are missing at the end.
+fn without_trailing_zeros(numbers: impl Iterator<Item = u32>) -> Vec<u32> {
+    let mut all: Vec<u32> = numbers.collect();
+    while all.last() == Some(&0) {
+        all.pop();
+    }
+    all
+}
+
+/// Stored form of [`Certainty::Certain`].
+const CERTAIN: u32 = 1;
+
+/// The worker's index plus one; 0 for none.
+fn encode_worker<'a>(worker: &'a Option<WorkerId>, workers: &mut WorkerTable<'a>) -> u32 {
+    worker.as_ref().map_or(0, |id| workers.index_of(id) + 1)
+}
+
+fn decode_worker(stored: Option<u32>, workers: &[WorkerId]) -> Result<Option<WorkerId>, String> {
+    let Some(index) = stored.and_then(|n| n.checked_sub(1)) else { return Ok(None) };
+    let worker = workers.get(index as usize).ok_or("the worker index of a crash is out of range")?;
+    Ok(Some(worker.clone()))
+}
+
 /// Longest run time that is stored. A longer one gives no more evidence.
 const MAX_RUN_TIME_MS: u128 = 3_600_000;
 
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::crash_attribution::{CrashHistory, CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use workswood_core::jobs::{
     Action, Event, Job, JobSpec, JobStatus, Listing, Outcome, ReportedRun, StepSpec, TaskId, WorkerUpdate,
 };
@@ -86,6 +86,16 @@
     (task(1, 0), task(2, 0), at)
 }
 
+/// The record of a crash of the first life on a host, right after the start that explains it.
+fn certain_cause(at: usize) -> CrashRecord {
+    CrashRecord {
+        evidence: Evidence::LikelyCause,
+        max_run_time: Some(Duration::ZERO),
+        certainty: Certainty::Certain,
+        worker: Some(worker(at, 0).id),
+    }
+}
+
 #[test]
 fn youngest_is_blamed() {
     let (mut world, mut lives) = world();
@@ -95,11 +105,8 @@
     let place = |id| again.iter().find(|(t, _)| *t == id).map(|(_, n)| *n).expect("it is started again");
     assert_ne!(place(old), place(young), "nothing begins beside a trial");
     let task = world.sched.jobs[&2].task(&young).expect("it is known").clone();
-    let crashes: Vec<CrashRecord> = task.crashes.0.values().copied().collect();
-    assert_eq!(
-        crashes,
-        [CrashRecord { evidence: Evidence::LikelyCause, max_run_time: Some(Duration::ZERO) }]
-    );
+    let crashes: Vec<CrashRecord> = task.crashes.0.values().cloned().collect();
+    assert_eq!(crashes, [certain_cause(at)]);
     assert!(world.sched.jobs[&1].task(&old).expect("it is known").suspicion.is_none());
 }
 
@@ -249,8 +256,7 @@
     let record = world.sched.jobs[&1].record();
     let stored = workswood::ops::jobs::job_state::encode(&record);
     let read = workswood::ops::jobs::job_state::decode(&stored).expect("it is read back");
-    let kept = CrashRecord { evidence: Evidence::LikelyCause, max_run_time: Some(Duration::ZERO) };
-    assert_eq!(read.rounds[0][0][0].crashes.0.get(&1), Some(&kept));
+    assert_eq!(read.rounds[0][0][0].crashes.0.get(&1), Some(&certain_cause(at)));
 }
 
 /// Time after which a cut worker is replaced once its lease has ended.
@@ -469,8 +475,8 @@
     let mut before = Job::new(1, spec.clone());
     before.open_round();
     let mut record = before.record();
-    let crash = CrashRecord { evidence: Evidence::Bystander, max_run_time: None };
-    record.rounds[0][0][0].crashes = CrashHistory((1..=5).map(|n| (n, crash)).collect());
+    let crash = CrashRecord::possible(Evidence::Bystander, None);
+    record.rounds[0][0][0].crashes = CrashHistory((1..=5).map(|n| (n, crash.clone())).collect());
     record.rounds[0][0][0].latest_attempt = 5;
     world.sched.restore_job(1, Some(spec), Some(record));
     assert!(!is_suspected(&world));
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -7,7 +7,7 @@
 use workswood::ops::jobs::job_spec;
 use workswood::ops::jobs::job_state::{decode, encode};
 use workswood::ops::jobs::job_status_table::JobStatusTable;
-use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{Certainty, CrashRecord, Evidence};
 use workswood_core::jobs::job::{TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
@@ -22,7 +22,9 @@
 fn crash(u: &mut Unstructured<'_>) -> Result<CrashRecord> {
     let all = [Evidence::LikelyCause, Evidence::Bystander, Evidence::Unconfirmed];
     let within = if u.arbitrary()? { Some(Duration::from_millis(u.int_in_range(0..=90_000)?)) } else { None };
-    Ok(CrashRecord { evidence: *u.choose(&all)?, max_run_time: within })
+    let worker = if u.arbitrary()? { Some(worker(u)?) } else { None };
+    let certainty = *u.choose(&[Certainty::Possible, Certainty::Certain])?;
+    Ok(CrashRecord { evidence: *u.choose(&all)?, max_run_time: within, certainty, worker })
 }
 
 fn task(u: &mut Unstructured<'_>) -> Result<TaskRecord> {
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{CrashRecord, Evidence};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     Action, EndKind, Event, Job, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
@@ -349,7 +349,7 @@
     known.open_round();
     let mut record = known.record();
     for attempt in 1..=2 {
-        let crash = CrashRecord { evidence: Evidence::LikelyCause, max_run_time: Some(Duration::ZERO) };
+        let crash = CrashRecord::possible(Evidence::LikelyCause, Some(Duration::ZERO));
         record.rounds[0][0][0].crashes.0.insert(attempt, crash);
     }
     pool.world.sched.restore_job(5, Some(Arc::new(suspected)), Some(record));
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -39,7 +39,7 @@
     BudgetStatus, CheckpointAssembler, HostPhase, JobPhase, KeyState, Rejection, State,
 };
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
-use workswood_core::jobs::crash_attribution::{CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{CrashRecord, Evidence};
 use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::policy::ShareOrder;
@@ -473,7 +473,7 @@
     assert_eq!((&full.failed_attempts, &full.evicted_attempts), (&[1, 2].into(), &[6].into()));
     let runs: Vec<_> = full.runs.iter().map(|(worker, attempt)| (worker.as_str(), *attempt)).collect();
     assert_eq!(runs, [("w-2", 6), ("w-3", 7)]);
-    let crash = |evidence, max_run_time| CrashRecord { evidence, max_run_time };
+    let crash = |evidence, max_run_time| CrashRecord::possible(evidence, max_run_time);
     assert_eq!(full.crashes.0[&3], crash(Evidence::LikelyCause, Some(millis(40))));
     assert_eq!(full.crashes.0[&4], crash(Evidence::Bystander, Some(millis(0))));
     assert_eq!(full.crashes.0[&5], crash(Evidence::Unconfirmed, None));
