--- a/crates/workswood-test-support/src/job_world/lasting.rs
+++ b/crates/workswood-test-support/src/job_world/lasting.rs
@@ -45,6 +45,12 @@
         self.lasting.last_fault = self.now;
     }
 
+    /// Returns the first long-running task of a job.
+    pub fn first_lasting_task(&self, key: JobKey) -> Option<TaskId> {
+        let step = self.jobs.get(&key)?.steps.iter().position(|s| s.long_running)?;
+        Some(TaskId { job: key, round: 0, step: step as u16, index: 0 })
+    }
+
     /// Checks all long-running tasks.
     pub(super) fn check_lasting(&mut self) {
         if self.is_fault_on() {
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -7,6 +7,7 @@
 use workswood_core::jobs::{JobKey, StepSpec};
 use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
 
+use super::chased_tasks::{Loss, chase};
 use super::random_jobs::{
     NewWorld, hand_seeds, named_world, outages, outages_and_restarts, report, trouble_relays,
 };
@@ -30,7 +31,7 @@
 
 /// What the spells of a history consist of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Mixture {
+pub(super) enum Mixture {
     /// Workers that are cut off until their leases end.
     Lapses,
     /// Planned handovers, beside workers that leave and a store that is away.
@@ -47,9 +48,18 @@
     Usual,
     /// Any of these, spell by spell.
     All,
+    /// Workers that are cut off just after one task was started there, and healed.
+    Chase,
+    /// The same, with another life of the worker at the end of the cut.
+    ChaseReborn,
+    /// Workers that crash just after one task was started there.
+    ChaseCrash,
 }
 
-const MIXTURES: [(&str, Mixture); 8] = [
+/// Mixtures of which [`Mixture::All`] draws, the first ones of [`MIXTURES`].
+const DRAWN_MIXTURES: u64 = 7;
+
+const MIXTURES: [(&str, Mixture); 11] = [
     ("lapses", Mixture::Lapses),
     ("handovers", Mixture::Handovers),
     ("demand", Mixture::Demand),
@@ -58,6 +68,9 @@
     ("relays", Mixture::Relays),
     ("usual", Mixture::Usual),
     ("all", Mixture::All),
+    ("chase", Mixture::Chase),
+    ("chase-reborn", Mixture::ChaseReborn),
+    ("chase-crash", Mixture::ChaseCrash),
 ];
 
 /// A history in its course.
@@ -252,6 +265,14 @@
         }
     }
 
+    /// Loses the workers of the first long-running task.
+    fn chase(&mut self, loss: Loss) {
+        let task = self.lasting.first().and_then(|key| self.w.first_lasting_task(*key));
+        if let Some(task) = task {
+            chase(&mut self.w, task, loss);
+        }
+    }
+
     /// One spell of faults.
     fn spell(&mut self, mixture: Mixture) {
         self.w.rng.faults_per_mille = [0, 0, 20][self.below(3) as usize];
@@ -268,9 +289,12 @@
             Mixture::Relays => self.relays(),
             Mixture::Usual => self.usual(),
             Mixture::All => {
-                let at = self.below(MIXTURES.len() as u64 - 1) as usize;
+                let at = self.below(DRAWN_MIXTURES) as usize;
                 self.spell(MIXTURES[at].1);
             }
+            Mixture::Chase => self.chase(Loss::Cut),
+            Mixture::ChaseReborn => self.chase(Loss::Reborn),
+            Mixture::ChaseCrash => self.chase(Loss::Crash),
         }
     }
 
@@ -320,7 +344,7 @@
 }
 
 /// Plays the histories of one mixture.
-fn play_all(world: NewWorld, mixture: Mixture) {
+pub(super) fn play_all(world: NewWorld, mixture: Mixture) {
     let mut starts = 0;
     for seed in 1..=HISTORIES {
         let seen = try_play(seed, world, mixture).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"));
