--- a/tests/testsuite/fault_scripts.rs
+++ b/tests/testsuite/fault_scripts.rs
@@ -23,6 +23,9 @@
 /// Shortest and longest time between two ends of lease holders in series, in milliseconds.
 const GAP_MS: (u64, u64) = (300, 2600);
 
+/// Shortest and longest time between two troubles of the store, and between two ends of lease holders, while all is unsteady.
+const UNSTEADY_GAP_MS: (u64, u64) = (700, 6000);
+
 /// The time from the beginning of a sudden loss to the crash; the lease holder may end before it.
 const SUDDEN_FROM: Duration = Duration::from_millis(300);
 /// Shortest and longest time until a worker that is lost suddenly is replaced, in milliseconds.
@@ -33,7 +36,8 @@
 /// Shortest and longest time for which an entry stands still, in milliseconds.
 const FROZEN_MS: (u64, u64) = (500, 5500);
 
-fn between(luck: &mut FaultRng, (least, most): (u64, u64)) -> Duration {
+/// Draws a time between two, in milliseconds.
+pub(super) fn between(luck: &mut FaultRng, (least, most): (u64, u64)) -> Duration {
     Duration::from_millis(least + luck.below(most - least))
 }
 
@@ -255,6 +259,25 @@
         }
     }
 
+    /// The store turns entries away again and again, and lease holders end in series, in this time from now.
+    pub(super) fn unsteady(size: Size, luck: &mut FaultRng, lasts: Duration) -> Schedule {
+        let mut drawn = Draw { size, luck, schedule: Schedule::default() };
+        let (refuses, ends) = [(true, false), (false, true), (true, true)][drawn.luck.below(3) as usize];
+        let now = Instant::now();
+        let until = now + lasts;
+        let mut at = now + between(drawn.luck, UNSTEADY_GAP_MS);
+        while refuses && at < until {
+            drawn.refuse(at);
+            at += between(drawn.luck, UNSTEADY_GAP_MS);
+        }
+        let mut at = now + between(drawn.luck, UNSTEADY_GAP_MS);
+        while ends && at < until {
+            drawn.end_holder(at);
+            at += between(drawn.luck, UNSTEADY_GAP_MS);
+        }
+        drawn.schedule
+    }
+
     /// Both of them.
     pub(super) fn and(mut self, other: Schedule) -> Schedule {
         self.acts.extend(other.acts);
--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -200,10 +200,27 @@
         let id = format!("i-{n}-{}", self.lived);
         let standin = WorkerStandin::start_with_ledger(&id, self.takes, self.ledger.clone()).await;
         let relay = Cut::start(&standin.address.to_string()).await;
+        let life = Life { standin: Some(standin), relay, id };
+        self.enter(n, &life);
+        life
+    }
+
+    /// Enters a worker into the store.
+    fn enter(&self, n: usize, life: &Life) {
+        let Some(standin) = &life.standin else { return };
         let entry = standin.entry(SERVICE, &format!("m-{n}"));
-        let entry = entry.replace(&standin.address.to_string(), &relay.address);
-        self.store.enter_worker(&id, &entry);
-        Life { standin: Some(standin), relay, id }
+        let entry = entry.replace(&standin.address.to_string(), &life.relay.address);
+        self.store.enter_worker(&life.id, &entry);
+    }
+
+    /// A worker that lives enters itself into the store again.
+    pub(super) fn list(&self, n: usize) {
+        self.enter(n, &self.lives[n]);
+    }
+
+    /// A worker that may live leaves the list of workers.
+    pub(super) fn unlist(&self, n: usize) {
+        self.store.drop_worker(&self.lives[n].id);
     }
 
     /// A worker crashes and stays away.
--- a/tests/testsuite/soak_absences.rs
+++ b/tests/testsuite/soak_absences.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Watches further tasks.
+    pub(super) fn add(&mut self, tasks: Vec<String>) {
+        self.tasks.extend(tasks);
+    }
+
     pub(super) fn tasks(&self) -> &[String] {
         &self.tasks
     }
