One module writes the lines of crashes counted, taken back, given up on, paced, reinstated

task_given_up told how many crashes, not of which runs, on which workers and how each was known; it now names its threshold, the certain ones and its evidence, run by run. The other lines and their counters have their functions here and are called by nothing yet.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -107,7 +107,7 @@
 
 /// How an incarnation of a worker was found to be over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum IncarnationEnd {
+pub enum IncarnationEnd {
     /// Another incarnation answers at its address.
     OtherIncarnation,
     /// The list of hosts shows its host without this worker.
@@ -145,7 +145,7 @@
 
 /// How likely a lost run is to have caused the crash, most likely first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum RunRole {
+pub enum RunRole {
     /// The run was on trial.
     OnTrial,
     /// The run had just started.
--- a/crates/workswood-core/src/jobs/crash_verdict.rs
+++ b/crates/workswood-core/src/jobs/crash_verdict.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::crash_attribution::{RunRole, Suspicion};
+use super::crash_log::{Grounds, log_given_up};
 use super::job::{Outcome, Task, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
@@ -39,7 +40,7 @@
         let proved = on_trial && task.crashes.is_proof(threshold, rate);
         let exhausted = task.crashes.exhausts_retries(policy, rate, long_running);
         if loss.is_first_suspect && loss.same_role == 1 && (proved || exhausted) {
-            self.give_up_task(&loss.worker, &loss.task, count, score);
+            self.give_up_task(&loss.worker, &loss.task, score, threshold);
             return;
         }
         let suspicious = score - shared_score(long_running, loss.same_role) >= policy.suspicion_threshold;
@@ -56,11 +57,13 @@
 
     /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
     /// stopping all of them at once would break its availability budget.
-    fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
-        self.notes.push(format_args!(
-            "event=task_given_up worker={id} task={task} crashes={crashes} suspicion={score:.1}"
-        ));
-        self.counters.tasks_given_up += 1;
+    fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, score: f64, threshold: f64) {
+        let Some(history) = self.jobs.get(&task.job).and_then(|job| job.task(task)).map(|t| &t.crashes)
+        else {
+            return;
+        };
+        let grounds = Grounds { worker: id, history, score, threshold };
+        log_given_up(&mut self.notes, &mut self.counters, task, &grounds);
         self.crash_rate.record_given_up(task, self.now);
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         if !job.step(task).is_some_and(|s| s.long_running) {
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -36,7 +36,8 @@
 //! * [`scheduler`] handles events; [`worker_reports`], [`worker_events`], [`placement`], [`pacing`] and [`eviction`] make
 //!   its decisions about tasks.
 //! * [`crash_attribution`] finds tasks that crash their workers more often than the usual
-//!   [`crash_rate`], from the crashes on record ([`crash_history`]); [`crash_trials`] tests suspected ones.
+//!   [`crash_rate`], from the crashes on record ([`crash_history`]); [`crash_trials`] tests suspected ones, and
+//!   [`crash_log`] logs what is counted and taken back.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
 //! * [`absent_tasks`] follows long-running tasks that run nowhere, and [`absence_reason`] tells why; [`restart_deadline`]
@@ -74,6 +75,7 @@
 pub mod crash_attribution;
 pub mod crash_certainty;
 pub mod crash_history;
+pub mod crash_log;
 pub mod crash_rate;
 pub mod crash_trials;
 mod crash_verdict;
@@ -92,7 +94,7 @@
 pub mod lease_bounds;
 pub mod lease_claim;
 pub mod lease_handover;
-mod log_lines;
+pub mod log_lines;
 pub mod maintenance_orders;
 pub mod maintenance_waves;
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -163,6 +163,16 @@
     pub runs_lost: u64,
     /// Tasks that were given up because they crash their workers.
     pub tasks_given_up: u64,
+    /// Tasks that were given up and came back.
+    pub tasks_reinstated: u64,
+    /// Starts of tasks that were put off since the task may crash its workers.
+    pub tasks_paced: u64,
+    /// Crashes put on record for tasks that are certain to have come under a run.
+    pub certain_crashes: u64,
+    /// Crashes put on record for tasks that may have come under a run.
+    pub possible_crashes: u64,
+    /// Crashes on record that were taken back.
+    pub crashes_withdrawn: u64,
     /// Workers that were kept from new work because they were slow.
     pub workers_slow: u64,
     /// Second runs that were started.
