Each crash on record has a line, and a task that is given up shows in each two seconds

Callers found a lasting task gone, and the log of two seconds told neither on which crashes nor how they were known. Now crash_counted names run, worker, certainty, how the end of the life is known and both times that the certainty follows from, since the last answer; tasks that are neither long-running nor suspected share a line for each worker. Crashes cleared by a task at work are logged as taken back. Counters and metrics tell certain, possible, withdrawn, reinstated and paced.

The absence line of a task that is given up has kind=final and the counts. Such tasks have lines of their own in each check, from the first check of a term on, and their absences are stored, so that a successor tells the whole length.

--- a/crates/workswood-core/src/jobs/absence_reason.rs
+++ b/crates/workswood-core/src/jobs/absence_reason.rs
@@ -1,11 +1,12 @@
 //! Why a long-running task runs nowhere, and what it has waited for.
 //!
 //! A wait is of one [`WaitKind`]: for safety, since a run of the task may still exist; for a safeguard, though
-//! nothing forbids the start; for capacity; or for the store.
+//! nothing forbids the start; for capacity; or for the store. A task that is given up waits for nothing.
 
 use std::fmt;
 use std::time::Duration;
 
+use super::crash_history::CrashHistory;
 use super::job::{Job, Phase, Run, WorkerId};
 use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
@@ -20,6 +21,8 @@
 pub enum WaitReason {
     /// Nothing: it was given up because it crashes its workers.
     GivenUp,
+    /// The end of a wait that is put between its starts, since it may crash its workers.
+    Paced,
     /// The answer, or the end of the lease, of a worker that may run it.
     WorkerUnreachable,
     /// The answer to its start.
@@ -45,6 +48,7 @@
     pub fn label(self) -> &'static str {
         match self {
             WaitReason::GivenUp => "given_up",
+            WaitReason::Paced => "paced",
             WaitReason::WorkerUnreachable => "worker_unreachable",
             WaitReason::StartPending => "start_pending",
             WaitReason::BeingStopped => "being_stopped",
@@ -71,6 +75,8 @@
     Store,
     /// It is about to be placed.
     Placement,
+    /// It is not started again.
+    Final,
 }
 
 impl WaitKind {
@@ -82,15 +88,38 @@
             WaitKind::Capacity => "capacity",
             WaitKind::Store => "store",
             WaitKind::Placement => "placement",
+            WaitKind::Final => "final",
         }
     }
 }
 
+/// Number of crashes on record for a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashCounts {
+    /// Those that are certain to have come under a run.
+    pub certain: usize,
+    /// All others.
+    pub possible: usize,
+}
+
+impl CrashCounts {
+    fn of(history: &CrashHistory) -> CrashCounts {
+        let certain = history.certain_count();
+        CrashCounts { certain, possible: history.count() - certain }
+    }
+}
+
+impl fmt::Display for CrashCounts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "certain_crashes={} possible_crashes={}", self.certain, self.possible)
+    }
+}
+
 /// Why a long-running task runs nowhere, as far as is known.
 #[derive(Debug)]
 pub(super) enum AbsenceReason {
     /// It was given up because it crashes its workers.
-    GivenUp,
+    GivenUp(CrashCounts),
     /// A run may exist on a worker that does not answer. The lease there ends after this time.
     UnreachableWorker(WorkerId, Duration),
     /// Its start has no answer yet.
@@ -100,7 +129,7 @@
     /// The store takes no records, which its start needs first.
     StoreAway,
     /// It may only start as a trial, and waits for a worker for it.
-    WaitsForTrial,
+    WaitsForTrial(CrashCounts),
     /// Its workspace has reached its limit.
     OverLimit,
     /// A worker could run it now, and placement has not come to it.
@@ -113,12 +142,12 @@
     /// What the task waits for.
     pub(super) fn wait(&self) -> WaitReason {
         match self {
-            AbsenceReason::GivenUp => WaitReason::GivenUp,
+            AbsenceReason::GivenUp(_) => WaitReason::GivenUp,
             AbsenceReason::UnreachableWorker(..) => WaitReason::WorkerUnreachable,
             AbsenceReason::StartPending(_) => WaitReason::StartPending,
             AbsenceReason::BeingStopped(_) => WaitReason::BeingStopped,
             AbsenceReason::StoreAway => WaitReason::StoreAway,
-            AbsenceReason::WaitsForTrial => WaitReason::WaitsForTrial,
+            AbsenceReason::WaitsForTrial(_) => WaitReason::WaitsForTrial,
             AbsenceReason::OverLimit => WaitReason::OverLimit,
             AbsenceReason::NotReached => WaitReason::NotReached,
             AbsenceReason::NoWorker(_) => WaitReason::NoWorker,
@@ -131,7 +160,8 @@
             AbsenceReason::UnreachableWorker(..)
             | AbsenceReason::StartPending(_)
             | AbsenceReason::BeingStopped(_) => WaitKind::Safety,
-            AbsenceReason::GivenUp | AbsenceReason::WaitsForTrial => WaitKind::Safeguard,
+            AbsenceReason::GivenUp(_) => WaitKind::Final,
+            AbsenceReason::WaitsForTrial(_) => WaitKind::Safeguard,
             AbsenceReason::NoWorker(room) if room.kept > 0 => WaitKind::Safeguard,
             AbsenceReason::NoWorker(_) | AbsenceReason::OverLimit => WaitKind::Capacity,
             AbsenceReason::StoreAway => WaitKind::Store,
@@ -149,11 +179,10 @@
             }
             AbsenceReason::StartPending(id) | AbsenceReason::BeingStopped(id) => write!(f, " worker={id}"),
             AbsenceReason::NoWorker(room) => write!(f, " {room}"),
-            AbsenceReason::GivenUp
-            | AbsenceReason::StoreAway
-            | AbsenceReason::WaitsForTrial
-            | AbsenceReason::OverLimit
-            | AbsenceReason::NotReached => Ok(()),
+            AbsenceReason::GivenUp(crashes) | AbsenceReason::WaitsForTrial(crashes) => {
+                write!(f, " {crashes}")
+            }
+            AbsenceReason::StoreAway | AbsenceReason::OverLimit | AbsenceReason::NotReached => Ok(()),
         }
     }
 }
@@ -251,7 +280,7 @@
         let job = self.jobs.get(&id.job)?;
         let (step, task) = (job.step(id)?, job.task(id)?);
         if task.given_up {
-            return Some(AbsenceReason::GivenUp);
+            return Some(AbsenceReason::GivenUp(CrashCounts::of(&task.crashes)));
         }
         if let Some(run) = task.runs.last() {
             return Some(self.reason_of_run(run));
@@ -260,7 +289,7 @@
         Some(if self.store_access != StoreAccess::Answering {
             AbsenceReason::StoreAway
         } else if self.waits_for_trial(id, &job.spec.service) {
-            AbsenceReason::WaitsForTrial
+            AbsenceReason::WaitsForTrial(CrashCounts::of(&task.crashes))
         } else if !self.is_within_limit(held.owner, &held.charged) {
             AbsenceReason::OverLimit
         } else if self.choose_worker(job, step, id, &job.spec.service).is_some() {
--- a/crates/workswood-core/src/jobs/absent_tasks.rs
+++ b/crates/workswood-core/src/jobs/absent_tasks.rs
@@ -27,7 +27,10 @@
 const MAX_LINES_PER_CHECK: usize = 16;
 /// Most tasks of one check for which it is found out what they wait for.
 const MAX_EXAMINED_PER_CHECK: usize = 32;
-/// Most absences that are stored, so that records stay small while much of the fleet is away.
+/// Most lines of one check about tasks that are given up. Those logged least lately go first.
+const MAX_GIVEN_UP_LINES_PER_CHECK: usize = 16;
+/// Most absences that are stored, of tasks that wait and of those that are given up, so that records stay small while
+/// much of the fleet is away.
 const MAX_STORED_ABSENCES: usize = 256;
 /// Most ended absences that are kept for metrics.
 const MAX_ENDED_ABSENCES: usize = 1024;
@@ -326,27 +329,31 @@
         })
     }
 
-    /// Finds out what absent tasks wait for, and logs those for which a line is due, those absent longest first.
+    /// Finds out what absent tasks wait for, and logs those for which a line is due.
     fn examine_absences(&mut self) {
+        let (given_up, others): (Vec<TaskId>, Vec<TaskId>) =
+            self.absent_tasks.by_task.keys().copied().partition(|id| self.is_given_up(id));
+        self.examine_waiting(others);
+        self.examine_given_up(&given_up);
+    }
+
+    /// Examines tasks that wait, the one that is absent longest first.
+    fn examine_waiting(&mut self, mut ids: Vec<TaskId>) {
         let now = self.now;
         let mut lines = 0;
         let mut unlogged = 0;
-        for (n, id) in self.longest_absent().into_iter().enumerate() {
+        let length = |id: &TaskId| self.absent_tasks.by_task.get(id).map(|a| a.length(now));
+        ids.sort_by_cached_key(|id| (Reverse(length(id)), *id));
+        for (n, id) in ids.into_iter().enumerate() {
             let is_due = self.absent_tasks.by_task.get(&id).is_some_and(|a| is_line_due(a, now));
             if n >= MAX_EXAMINED_PER_CHECK {
                 unlogged += usize::from(is_due);
                 continue;
             }
-            let Some(reason) = self.absence_reason(&id) else { continue };
             let may_log = lines < MAX_LINES_PER_CHECK;
             unlogged += usize::from(is_due && !may_log);
-            let Some(absence) = self.absent_tasks.by_task.get_mut(&id) else { continue };
-            absence.waits.note(reason.wait(), now);
-            if is_due && may_log {
-                lines += 1;
-                absence.logged_at = Some(now);
-                self.log_absence(&id, &reason);
-            }
+            lines += usize::from(is_due && may_log);
+            self.examine_absence(&id, is_due && may_log);
         }
         if unlogged > 0 {
             let tasks = self.absent_tasks.by_task.len();
@@ -357,15 +364,41 @@
         }
     }
 
-    /// Absent tasks, the one that is absent longest first, and those that are given up last.
-    fn longest_absent(&self) -> Vec<TaskId> {
-        let given_up = |id: &TaskId| {
-            self.jobs.get(&id.job).and_then(|job| job.task(id)).is_some_and(|task| task.given_up)
-        };
-        let mut ids: Vec<TaskId> = self.absent_tasks.by_task.keys().copied().collect();
-        let length = |id: &TaskId| self.absent_tasks.by_task.get(id).map(|a| a.length(self.now));
-        ids.sort_by_cached_key(|id| (given_up(id), Reverse(length(id)), *id));
-        ids
+    /// Examines tasks that are given up, the one that was logged least lately first. Their lines don't wait until an
+    /// absence is long.
+    fn examine_given_up(&mut self, ids: &[TaskId]) {
+        let now = self.now;
+        let logged_at = |id: &TaskId| self.absent_tasks.by_task.get(id).and_then(|a| a.logged_at);
+        let is_due = |at: Option<Duration>| at.is_none_or(|at| at + LOG_INTERVAL <= now);
+        let mut due: Vec<(Option<Duration>, TaskId)> =
+            ids.iter().map(|id| (logged_at(id), *id)).filter(|(at, _)| is_due(*at)).collect();
+        due.sort_unstable();
+        for (_, id) in due.iter().take(MAX_GIVEN_UP_LINES_PER_CHECK) {
+            self.examine_absence(id, true);
+        }
+        let unlogged = due.len().saturating_sub(MAX_GIVEN_UP_LINES_PER_CHECK);
+        if unlogged > 0 {
+            let (tasks, term) = (ids.len(), self.token);
+            self.notes.push(format_args!(
+                "event=given_up_tasks_absent tasks={tasks} unlogged={unlogged} term={term}"
+            ));
+        }
+    }
+
+    /// Finds out what an absent task waits for, and logs it on request.
+    fn examine_absence(&mut self, id: &TaskId, log: bool) {
+        let now = self.now;
+        let Some(reason) = self.absence_reason(id) else { return };
+        let Some(absence) = self.absent_tasks.by_task.get_mut(id) else { return };
+        absence.waits.note(reason.wait(), now);
+        if log {
+            absence.logged_at = Some(now);
+            self.log_absence(id, &reason);
+        }
+    }
+
+    fn is_given_up(&self, id: &TaskId) -> bool {
+        self.jobs.get(&id.job).and_then(|job| job.task(id)).is_some_and(|task| task.given_up)
     }
 
     fn log_absence(&mut self, id: &TaskId, reason: &AbsenceReason) {
@@ -386,15 +419,16 @@
     /// begin of an absence, and not for each change of its deadline.
     fn store_long_absences(&mut self) {
         let (now, wall) = (self.now, self.wall);
-        let mut stored = 0;
+        let (mut waiting, mut given_up) = (0, 0);
         for (id, absence) in &mut self.absent_tasks.by_task {
             let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else { continue };
             let is_stored = task.absence.is_some();
-            let is_due = absence.length(now) >= LOG_ABSENT_AFTER && !task.given_up;
-            if !is_due || !is_stored && stored >= MAX_STORED_ABSENCES {
+            let is_due = absence.length(now) >= LOG_ABSENT_AFTER;
+            let stored = if task.given_up { &mut given_up } else { &mut waiting };
+            if !is_due || !is_stored && *stored >= MAX_STORED_ABSENCES {
                 continue;
             }
-            stored += 1;
+            *stored += 1;
             if !is_stored || absence.changed {
                 task.absence = Some(absence.record(now, wall));
                 absence.changed = false;
--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -24,6 +24,7 @@
     Certainty, CrashHistory, CrashRecord, Evidence, MANY_CRASHES_THRESHOLD_SHARE,
     SUSPECT_AFTER_UNTIMED_CRASHES,
 };
+use super::crash_log::{CountedCrash, CountedLines, CrashTimes, WithdrawnBy, log_withdrawn};
 use super::crash_rate::task_fault_score;
 use super::crash_verdict::{Loss, shared_score, suspect};
 use super::job::{Job, Phase, Run, Task, WorkerId};
@@ -165,6 +166,8 @@
     same_role: usize,
     /// Whether the worker crashed under its runs.
     certainty: Certainty,
+    /// What the certainty follows from.
+    times: CrashTimes,
 }
 
 /// A run that was lost with its worker.
@@ -179,6 +182,8 @@
     role: RunRole,
     /// Whether nothing else was started on the worker during its trial.
     quarantined: bool,
+    /// Whether the run was settled as lapsed before the end of the worker was known.
+    lapsed: bool,
 }
 
 impl LostRun {
@@ -209,6 +214,7 @@
             return;
         }
         let certainty = self.certainty_of_crash(id, w, end);
+        let times = self.crash_times(id, w, end);
         let current = w.runs.keys().filter_map(|(task, n)| self.lost_run(id, task, *n));
         let mut lost: Vec<LostRun> = w.lapsed_runs.iter().cloned().chain(current).collect();
         lost.sort_by_key(|run| (run.task, run.attempt));
@@ -227,9 +233,11 @@
             "event=worker_crashed worker={id} runs={} part={role:?} alike={same_role}",
             lost.len()
         ));
+        let mut lines = CountedLines::default();
         for run in lost {
-            self.attribute_lost_run(id, &run, Suspects { role, same_role, certainty });
+            self.attribute_lost_run(id, &run, Suspects { role, same_role, certainty, times }, &mut lines);
         }
+        lines.log_others(&mut self.notes, &mut self.counters, id, (certainty, times));
     }
 
     /// Whether a worker that is gone has crashed: it was not draining, and no order of the
@@ -258,6 +266,7 @@
             max_run_time,
             role: self.run_role(run, run_time, max_run_time),
             quarantined: w.quarantine.is_some_and(|q| q.trial == Some((*task, attempt))),
+            lapsed: false,
         })
     }
 
@@ -298,8 +307,14 @@
     ///
     /// The task may be waiting already, if the run was settled when its worker's lease ended; then it is
     /// queued anew, for a trial.
-    fn attribute_lost_run(&mut self, id: &WorkerId, run: &LostRun, suspects: Suspects) {
-        let Suspects { role, same_role, certainty } = suspects;
+    fn attribute_lost_run(
+        &mut self,
+        id: &WorkerId,
+        run: &LostRun,
+        suspects: Suspects,
+        lines: &mut CountedLines,
+    ) {
+        let Suspects { role, same_role, certainty, times } = suspects;
         let Some(job) = self.jobs.get_mut(&run.task.job).filter(|j| j.is_open()) else { return };
         let long_running = job.step(&run.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&run.task).filter(|t| !t.done) else { return };
@@ -310,8 +325,21 @@
             certainty,
             worker: Some(id.clone()),
         };
-        if task.crashes.record(run.attempt, crash) {
+        if task.crashes.record(run.attempt, crash.clone()) {
             self.dirty_jobs.insert(run.task.job);
+            let counted = CountedCrash {
+                worker: id,
+                task: run.task,
+                attempt: run.attempt,
+                crash: &crash,
+                role: run.role,
+                run_time: run.run_time,
+                times,
+                lapsed: run.lapsed,
+                history: &task.crashes,
+            };
+            let names_task = long_running || task.suspicion.is_some();
+            lines.log(&mut self.notes, &mut self.counters, &counted, names_task);
         }
         let loss = Loss {
             worker: id.clone(),
@@ -345,7 +373,7 @@
             }
         }
         if let Some(mut w) = self.workers.get_mut(id) {
-            w.lapsed_runs.push(run);
+            w.lapsed_runs.push(LostRun { lapsed: true, ..run });
         }
     }
 
@@ -392,8 +420,12 @@
         let proven: Vec<TaskId> = long_running.filter(|id| self.is_proven_safe(id)).copied().collect();
         for id in proven {
             if let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(&id)) {
-                task.crashes = CrashHistory::default();
+                let withdrawn = std::mem::take(&mut task.crashes);
                 task.suspicion = None;
+                for (attempt, crash) in &withdrawn.0 {
+                    let by = (crash, WithdrawnBy::ProvenSafe);
+                    log_withdrawn(&mut self.notes, &mut self.counters, (&id, *attempt), by, &task.crashes);
+                }
                 self.dirty_jobs.insert(id.job);
             }
         }
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -8,6 +8,7 @@
 
 use super::crash_attribution::IncarnationEnd;
 use super::crash_history::Certainty;
+use super::crash_log::{CrashTimes, EndKnownBy};
 use super::job::WorkerId;
 use super::restart_deadline::shortest_lease;
 use super::scheduler::Scheduler;
@@ -37,6 +38,21 @@
         certainty(self.over_by(id, w, end), self.lapses_from(w))
     }
 
+    /// The times that tell whether a worker whose life is found to be over now crashed under its runs.
+    pub(super) fn crash_times(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> CrashTimes {
+        CrashTimes {
+            heard: Some(w.last_heard).filter(|heard| !heard.is_zero()),
+            over_by: self.over_by(id, w, end),
+            known_by: match self.next_life_known_since(id, w) {
+                Some(since) if since < self.now || end == IncarnationEnd::UnreachableAndUnlisted => {
+                    EndKnownBy::NextLife
+                }
+                _ => end.into(),
+            },
+            lapses_from: self.lapses_from(w),
+        }
+    }
+
     /// The time by which the life of a worker had ended.
     fn over_by(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> Option<Duration> {
         let shown = match end {
--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -16,6 +16,9 @@
 /// Most crashes that a line names one by one; those of the latest attempts go first.
 pub const MAX_CRASHES_NAMED: usize = 8;
 
+/// Most tasks that the lines about the crash of one worker name.
+pub const MAX_TASKS_NAMED: usize = 16;
+
 /// How it is known that the life of a worker is over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndKnownBy {
@@ -166,8 +169,49 @@
     ));
 }
 
+/// Which of the tasks that a worker crashed under get a line of their own.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CountedLines {
+    /// Lines that name a task.
+    named: usize,
+    /// Tasks that are not named.
+    others: usize,
+}
+
+impl CountedLines {
+    /// Logs and counts a crash that was put on record for a task. It gets a line only if `names_task`, and up to
+    /// [`MAX_TASKS_NAMED`] lines.
+    pub fn log(
+        &mut self,
+        notes: &mut LogLines,
+        counters: &mut SchedulerCounters,
+        counted: &CountedCrash<'_>,
+        names_task: bool,
+    ) {
+        if names_task && self.named < MAX_TASKS_NAMED {
+            self.named += 1;
+            log_counted(notes, counters, counted);
+        } else {
+            self.others += 1;
+        }
+    }
+
+    /// Logs and counts the crash for the tasks that got no line.
+    pub fn log_others(
+        self,
+        notes: &mut LogLines,
+        counters: &mut SchedulerCounters,
+        worker: &WorkerId,
+        crash: (Certainty, CrashTimes),
+    ) {
+        if self.others > 0 {
+            log_counted_others(notes, counters, worker, self.others, crash);
+        }
+    }
+}
+
 /// Logs and counts the crash of a worker for tasks that get no line of their own.
-pub fn log_counted_others(
+fn log_counted_others(
     notes: &mut LogLines,
     counters: &mut SchedulerCounters,
     worker: &WorkerId,
--- a/crates/workswood-core/src/jobs/crash_verdict.rs
+++ b/crates/workswood-core/src/jobs/crash_verdict.rs
@@ -48,8 +48,12 @@
             suspect(task, loss.run_time, self.now);
             self.notes.push(format_args!(
                 "event=task_suspected worker={} task={} attempt={} part={:?} crashes={count} \
-                 suspicion={score:.1} crashes_per_s={rate:.4}",
-                loss.worker, loss.task, loss.attempt, loss.role
+                 suspicion={score:.1} crashes_per_s={rate:.4} certain={}",
+                loss.worker,
+                loss.task,
+                loss.attempt,
+                loss.role,
+                task.crashes.certain_count()
             ));
             self.queue_task(&loss.task);
         }
--- a/src/workswood/ops/explain/job_history.rs
+++ b/src/workswood/ops/explain/job_history.rs
@@ -19,10 +19,13 @@
 use crate::util::table::columns;
 
 /// Events of workers that are not about a run of the job.
-const WORKER_EVENTS: [&str; 8] = [
+const WORKER_EVENTS: [&str; 11] = [
     "worker_unreachable",
     "worker_reached",
     "worker_life_over",
+    "worker_crashed",
+    "crash_counted_others",
+    "cut_off_worker_over",
     "worker_restarted",
     "worker_shunned",
     "worker_draining",
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -259,7 +259,7 @@
         let (m, counters) = (&self.node.metrics, &self.sched.counters);
         m.lost_workers.set(counters.incarnations_lost as i64);
         m.lost_runs.set(counters.runs_lost as i64);
-        m.abandoned_tasks.set(counters.tasks_given_up as i64);
+        m.set_crash_counters(counters);
         m.absent_tasks.set(self.sched.absent_long_running_tasks() as i64);
         m.slow_workers.set(counters.workers_slow as i64);
         m.second_runs.set(counters.second_runs as i64);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -3,6 +3,9 @@
 use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
 use workswood_core::invariant;
 use workswood_core::jobs::EndedAbsence;
+use workswood_core::jobs::crash_history::Certainty;
+use workswood_core::jobs::crash_log::certainty_label;
+use workswood_core::jobs::scheduler::SchedulerCounters;
 use workswood_traffic::Traffic;
 
 use super::logs;
@@ -88,7 +91,15 @@
     /// Jobs that were shown as completed before that was on record.
     pub early_completed_jobs: IntCounter,
     /// Tasks that are not started again because they crash their workers, in this term.
-    pub abandoned_tasks: IntGauge,
+    abandoned_tasks: IntGauge,
+    /// Crashes put on record for tasks, by certainty, in this term.
+    counted_crashes: IntGaugeVec,
+    /// Crashes on record that were taken back, in this term.
+    withdrawn_crashes: IntGauge,
+    /// Tasks that were given up and came back, in this term.
+    reinstated_tasks: IntGauge,
+    /// Starts of tasks that were put off since the task may crash its workers, in this term.
+    paced_tasks: IntGauge,
     /// Long-running tasks that have had no known run for a second or longer.
     pub absent_tasks: IntGauge,
     /// Absences of long-running tasks that ended, by what the task waited for longest.
@@ -291,6 +302,27 @@
                 "workswood_tasks_given_up",
                 "tasks not started again because they crash their workers, in this term",
             ),
+            counted_crashes: register_gauge_vec(
+                &registry,
+                "workswood_task_crashes_counted",
+                "crashes of workers put on record for tasks, by certainty, in this term",
+                &["certainty"],
+            ),
+            withdrawn_crashes: register_gauge(
+                &registry,
+                "workswood_task_crashes_withdrawn",
+                "crashes on record for tasks that were taken back, in this term",
+            ),
+            reinstated_tasks: register_gauge(
+                &registry,
+                "workswood_tasks_reinstated",
+                "tasks that were given up and came back, in this term",
+            ),
+            paced_tasks: register_gauge(
+                &registry,
+                "workswood_tasks_paced",
+                "starts put off since the task may crash its workers, in this term",
+            ),
             absent_tasks: register_gauge(
                 &registry,
                 "workswood_long_running_tasks_absent",
@@ -368,6 +400,21 @@
         self.late_restarts.inc_by(u64::from(!absence.in_time));
     }
 
+    /// Updates the metrics of the crashes on record for tasks, and of what follows from them.
+    pub fn set_crash_counters(&self, counters: &SchedulerCounters) {
+        let counted = [
+            (Certainty::Certain, counters.certain_crashes),
+            (Certainty::Possible, counters.possible_crashes),
+        ];
+        for (certainty, crashes) in counted {
+            self.counted_crashes.with_label_values(&[certainty_label(certainty)]).set(crashes as i64);
+        }
+        self.withdrawn_crashes.set(counters.crashes_withdrawn as i64);
+        self.abandoned_tasks.set(counters.tasks_given_up as i64);
+        self.reinstated_tasks.set(counters.tasks_reinstated as i64);
+        self.paced_tasks.set(counters.tasks_paced as i64);
+    }
+
     /// Updates the metrics of the network link.
     pub fn set_traffic(&self, traffic: &Traffic) {
         for (purpose, amount) in traffic.totals() {
