Stored formats: crashes of a task with certainty and worker, and those of the former version

A renumbered field would make a certain crash a possible one for the next holder, or one that it can't take back. Evidence: stored_formats passes; no sample that stood before is changed.

--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -39,7 +39,7 @@
     BudgetStatus, CheckpointAssembler, HostPhase, JobPhase, KeyState, Rejection, State,
 };
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
-use workswood_core::jobs::crash_history::{CrashRecord, Evidence};
+use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::policy::ShareOrder;
@@ -555,6 +555,49 @@
     assert_eq!(to_hex(&job_state::encode(&state)), JOB_WITH_ABSENCE);
 }
 
+/// A job with a task under which workers have crashed, certainly or not, and one without.
+const JOB_WITH_CRASHES: &str = "10012211772d3140313730303030303030303030302203772d322211772d3340313730303030303030303030302a270a250802222108011005320801000203040005023a052900018507400152030100015a03010203";
+
+/// A crash on record that a new lease holder can't take back, or takes for less certain than its predecessor did.
+#[test]
+fn crashes_of_a_task() {
+    let state = job_state::decode(&from_hex(JOB_WITH_CRASHES)).expect("a job's state");
+    let certain = |evidence, ms, worker: &str| CrashRecord {
+        evidence,
+        max_run_time: Some(millis(ms)),
+        certainty: Certainty::Certain,
+        worker: Some(worker.into()),
+    };
+    let unconfirmed =
+        CrashRecord { worker: Some("w-2".into()), ..CrashRecord::possible(Evidence::Unconfirmed, None) };
+    let crashes = [
+        (1, certain(Evidence::LikelyCause, 40, "w-1@1700000000000")),
+        (2, unconfirmed),
+        (4, certain(Evidence::LikelyCause, 0, "w-3@1700000000000")),
+        (5, CrashRecord::possible(Evidence::Bystander, Some(millis(900)))),
+    ];
+    let crashes = CrashHistory(crashes.into());
+    let given_up = TaskRecord { latest_attempt: 5, crashes, given_up: true, ..TaskRecord::default() };
+    let expected = JobRecord {
+        started: true,
+        rounds: vec![vec![vec![TaskRecord::default(), given_up]]],
+        ..JobRecord::default()
+    };
+    assert_eq!(to_hex(&job_state::encode(&expected)), JOB_WITH_CRASHES);
+    assert_eq!(state.rounds, expected.rounds);
+}
+
+/// Crashes of a version that stored neither certainty nor worker, which must not count as certain.
+#[test]
+fn crashes_of_former_version() {
+    let earlier = job_state::decode(text(EARLIER_JOBS, "state").as_bytes()).expect("a job's state");
+    for state in [job_state_of("00000000000000ab"), earlier] {
+        let crashes = &state.rounds[0][0][4].crashes;
+        assert_eq!((crashes.count(), crashes.certain_count()), (3, 0));
+        assert!(crashes.0.values().all(|crash| crash.worker.is_none()), "{crashes:?}");
+    }
+}
+
 /// One text of a file that holds nothing else.
 fn whole(file: &str) -> &str {
     file.strip_suffix('\n').expect("a line")
