--- a/tests/testsuite/crash_log.rs
+++ b/tests/testsuite/crash_log.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood::ops::explain::job_history::{HostLog, job_history};
 use workswood::util::job_metrics::JobMetrics;
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use workswood_core::jobs::crash_log::{
@@ -420,6 +421,24 @@
     assert_eq!(missing, Vec::new());
 }
 
+/// The lines of a world as a host writes them.
+fn host_log(world: &HostWorld) -> HostLog {
+    let stamped =
+        world.sched.notes.iter().map(|line| format!("ts=2026-03-01T10:00:01.000Z level=info {line}\n"));
+    HostLog { host: "entry-1".to_string(), text: stamped.collect() }
+}
+
+/// A job whose tasks share a line about the crash of a worker.
+#[test]
+fn explained_crash_of_bystanders() {
+    let (mut world, mut lives) = world();
+    let at = start_on_one(&mut world, 1, job(vec![step(3, vec![])], 200));
+    crash(&mut world, at, &mut lives);
+    let told = job_history(1, &[host_log(&world)]).expect("there are lines about it");
+    let others = told.lines.iter().find(|line| line.event == "crash_counted_others").expect("a line");
+    assert!(others.text.contains(" tasks=3 certainty=certain "), "{others:?}");
+}
+
 #[test]
 fn metrics_of_crashes() {
     let metrics = JobMetrics::default();
