--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod closed_pipes;
 mod connection_suspicion;
 mod crash_evidence;
+mod crash_log;
 mod crashed_standin;
 mod crashing_tasks;
 mod deferred_requests;
