A task is given up on certain crashes only, paced without them, and comes back once they are taken back

What callers saw: a lasting task whose workers' paths were lost three times in a row was given up for good, since each lapse counted as a crash under it; an ordinary job could be shown as failed for the same reason.

Cause: the verdict took each crash on record as one under the run, and nothing took it back.

Now: - On trial, only certain crashes under runs that had started prove, and the last one has to be one of them. Five crashes give a task up only if two are certain. The exception: five of which each is certain or was inherited without a start time. Where the holder changes after each crash nothing can be certain, and crashing_tasks counted_by_next_holder demands an end; a lapse that this holder has seen is none of the five. - Five without that pace the restarts: Safeguard::RestartPacing, 2 s from when no run may exist, asked through gives_way, for ordinary tasks and gangs too. - reconsider_task judges a task anew after a crash was taken back; one without a proof left is queued at once, and no longer lowers the threshold for others or explains crashes of the rate. - A holder that reads given_up with less than that on record starts the task again; it goes by stored counts, since it does not know the rate. - A lasting job is not ended any more when all its tasks are given up: that could not be undone, and it lasts until it is cancelled.

Evidence: crash_verdicts (new), restart_deadline, crash_evidence, chance_crashes, trial_waits pass.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -103,6 +103,8 @@
     pub suspected_at: Duration,
     /// Longest known run time of the task when its worker crashed.
     pub run_time: Option<Duration>,
+    /// Whether its restarts are paced: many crashes are counted, and they are no proof.
+    pub paced: bool,
 }
 
 /// How an incarnation of a worker was found to be over.
--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -23,9 +23,9 @@
 /// Shortest run time that enters a score, since the reported times are late by a few milliseconds.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 
-/// A crash without a known cause.
+/// A crash of a worker.
 #[derive(Clone, Debug)]
-struct UnexplainedCrash {
+struct WorkerCrash {
     at: Duration,
     /// Tasks that ran on the worker.
     running_tasks: Vec<TaskId>,
@@ -33,12 +33,12 @@
     chance_probability: f64,
 }
 
-/// Recent crashes of workers that no task is known to have caused.
+/// Recent crashes of workers, and the tasks that are known to have caused some of them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
-    crashes: VecDeque<UnexplainedCrash>,
-    /// When tasks were given up.
-    given_up_times: VecDeque<Duration>,
+    crashes: VecDeque<WorkerCrash>,
+    /// Tasks that were given up lately, and when.
+    given_up: VecDeque<(TaskId, Duration)>,
 }
 
 impl CrashRate {
@@ -49,18 +49,30 @@
         while self.crashes.front().is_some_and(|c| c.at + RATE_WINDOW < at) {
             self.crashes.pop_front();
         }
-        self.crashes.push_back(UnexplainedCrash { at, running_tasks, chance_probability });
+        self.crashes.push_back(WorkerCrash { at, running_tasks, chance_probability });
     }
 
     /// Records that a task was given up. Its crashes no longer count towards the rate.
     pub fn record_given_up(&mut self, task: &TaskId, at: Duration) {
-        self.crashes.retain(|c| !c.running_tasks.contains(task));
-        self.given_up_times.push_back(at);
+        while self.given_up.front().is_some_and(|(_, before)| *before + RECENTLY_GIVEN_UP_AGE < at) {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((*task, at));
+    }
+
+    /// Takes back that a task was given up: its crashes count again.
+    pub fn withdraw_given_up(&mut self, task: &TaskId) {
+        self.given_up.retain(|(id, _)| id != task);
     }
 
     /// Number of tasks that were given up recently.
     pub fn recently_given_up(&self, now: Duration) -> usize {
-        self.given_up_times.iter().filter(|at| **at + RECENTLY_GIVEN_UP_AGE >= now).count()
+        self.given_up.iter().filter(|(_, at)| *at + RECENTLY_GIVEN_UP_AGE >= now).count()
+    }
+
+    /// Whether a task that was given up explains a crash.
+    fn is_explained(&self, crash: &WorkerCrash) -> bool {
+        self.given_up.iter().any(|(task, _)| crash.running_tasks.contains(task))
     }
 
     /// Crashes per worker-second, without those during runs of the task, when `workers` were
@@ -68,6 +80,7 @@
     pub fn rate_without(&self, task: &TaskId, now: Duration, workers: usize, watched: Duration) -> f64 {
         let others =
             self.crashes.iter().filter(|c| c.at + RATE_WINDOW >= now && !c.running_tasks.contains(task));
+        let others = others.filter(|c| !self.is_explained(c));
         let seconds = workers as f64 * watched.min(RATE_WINDOW).as_secs_f64();
         (others.map(|c| c.chance_probability).sum::<f64>() + PRIOR_CRASHES) / (seconds + PRIOR_WORKER_SECONDS)
     }
--- a/crates/workswood-core/src/jobs/crash_verdict.rs
+++ b/crates/workswood-core/src/jobs/crash_verdict.rs
@@ -1,11 +1,19 @@
-//! What follows from the crashes of workers under a task: it is suspected, or given up.
+//! What follows from the crashes of workers under a task.
+//!
+//! * It is *suspected*, and tried alone, for possible crashes too.
+//! * It is *given up* on proof only: crashes that are certain to have come under runs that had started.
+//! * Its restarts are *paced* when many crashes are counted without a proof.
+//! * It is *taken back* and started again when crashes are taken back and no proof is left, or when an earlier
+//!   lease holder has given it up without a proof.
 
 use std::time::Duration;
 
 use super::crash_attribution::{RunRole, Suspicion};
-use super::job::{Outcome, Task, WorkerId};
+use super::job::{Job, Outcome, Task, WorkerId};
+use super::log_lines::LogLines;
+use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
-use super::spec::TaskId;
+use super::spec::{StepId, TaskId};
 
 /// A run that was lost in a crash and is on record, with what its task is judged by.
 #[derive(Clone, Debug)]
@@ -24,6 +32,13 @@
     pub(super) same_role: usize,
 }
 
+impl Loss {
+    /// Whether the run was lost during a trial and is known to have started.
+    fn is_on_trial(&self) -> bool {
+        self.role == RunRole::OnTrial && self.run_time.is_some()
+    }
+}
+
 impl Scheduler {
     /// Judges a task after the loss of a run.
     pub(super) fn judge_task(&mut self, loss: &Loss) {
@@ -33,32 +48,111 @@
         let Some(job) = self.jobs.get_mut(&loss.task.job) else { return };
         let long_running = job.step(&loss.task).is_some_and(|s| s.long_running);
         let Some(task) = job.task_mut(&loss.task) else { return };
-        let count = task.crashes.count();
+        let (count, certain) = (task.crashes.count(), task.crashes.certain_count());
         let score = task.crashes.score(rate);
-        let on_trial = loss.role == RunRole::OnTrial && loss.run_time.is_some();
-        let proved = on_trial && task.crashes.is_proof(threshold, rate);
         let exhausted = task.crashes.exhausts_retries(policy, rate, long_running);
-        if loss.is_first_suspect && loss.same_role == 1 && (proved || exhausted) {
-            self.give_up_task(&loss.worker, &loss.task, count, score);
+        let proved = loss.is_on_trial() && task.crashes.is_proving(loss.attempt);
+        let proved = proved && task.crashes.is_proof(threshold, rate);
+        let to_give_up = proved || exhausted && task.crashes.allows_giving_up();
+        if loss.is_first_suspect && loss.same_role == 1 && to_give_up {
+            self.give_up_task(&loss.worker, &loss.task, score);
             return;
         }
         let suspicious = score - shared_score(long_running, loss.same_role) >= policy.suspicion_threshold;
-        if loss.explains && suspicious || task.crashes.are_suspiciously_many(policy, rate, long_running) {
+        let many = task.crashes.are_suspiciously_many(policy, rate, long_running);
+        if loss.explains && suspicious || many || exhausted {
             suspect(task, loss.run_time, self.now);
+            set_paced(task, exhausted);
             self.notes.push(format_args!(
                 "event=task_suspected worker={} task={} attempt={} part={:?} crashes={count} \
-                 suspicion={score:.1} crashes_per_s={rate:.4}",
+                 certain={certain} paced={exhausted} suspicion={score:.1} crashes_per_s={rate:.4}",
                 loss.worker, loss.task, loss.attempt, loss.role
             ));
             self.queue_task(&loss.task);
         }
     }
 
+    /// Judges a task anew after a crash was taken back. One that was given up and has no proof against
+    /// it any more is started again.
+    pub fn reconsider_task(&mut self, id: &TaskId) {
+        let rate = self.background_crash_rate(id);
+        let policy = &self.policy.crashes;
+        let threshold = policy.give_up_threshold_after(self.crash_rate.recently_given_up(self.now));
+        let Some(job) = self.jobs.get_mut(&id.job).filter(|job| job.is_open()) else { return };
+        let long_running = job.step(id).is_some_and(|s| s.long_running);
+        let Some(task) = job.task_mut(id).filter(|task| !task.done) else { return };
+        self.dirty_jobs.insert(id.job);
+        let exhausted = task.crashes.exhausts_retries(policy, rate, long_running);
+        let many = task.crashes.are_suspiciously_many(policy, rate, long_running);
+        if !many && !exhausted && task.crashes.score(rate) < policy.suspicion_threshold {
+            task.suspicion = None;
+        }
+        set_paced(task, exhausted);
+        let proved = exhausted && task.crashes.allows_giving_up() || task.crashes.is_proof(threshold, rate);
+        if task.given_up && !proved {
+            self.take_back_task(id);
+        }
+    }
+
+    /// Starts a task again that was given up.
+    fn take_back_task(&mut self, id: &TaskId) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else { return };
+        note_taken_back(&mut self.notes, id, task);
+        task.given_up = false;
+        self.counters.tasks_taken_back += 1;
+        self.crash_rate.withdraw_given_up(id);
+        self.queue_task(id);
+    }
+
+    /// Reviews what earlier lease holders concluded of the tasks of a job. A task that was given up and has no
+    /// proof on record is started again.
+    pub(super) fn review_inherited(&mut self, job: &mut Job) {
+        if !job.is_open() {
+            return;
+        }
+        for id in job.task_ids() {
+            let long_running = job.step(&id).is_some_and(|s| s.long_running);
+            let Some(task) = job.task_mut(&id).filter(|t| t.given_up || !t.crashes.is_empty()) else {
+                continue;
+            };
+            let rate = self.background_crash_rate(&id);
+            if task.crashes.exhausts_retries(&self.policy.crashes, rate, long_running) {
+                suspect(task, None, self.now);
+                set_paced(task, true);
+            }
+            if task.given_up && !task.crashes.allows_giving_up() {
+                note_taken_back(&mut self.notes, &id, task);
+                task.given_up = false;
+                self.counters.tasks_taken_back += 1;
+            }
+        }
+    }
+
+    /// Whether a task waits because its restarts are paced.
+    pub(super) fn is_held_by_pacing(&self, id: &TaskId) -> bool {
+        let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
+        task.is_some_and(Task::is_paced) && !self.gives_way(Safeguard::RestartPacing, id)
+    }
+
+    /// Notes that those of some tasks whose restarts are paced wait from now on, if they were not queued.
+    pub(super) fn note_paced_waiting(&mut self, step: &StepId, service: &str, tasks: &[u32]) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let is_paced = |index: &u32| job.task(&step.task(*index)).is_some_and(Task::is_paced);
+        let paced: Vec<u32> = tasks.iter().copied().filter(is_paced).collect();
+        if !paced.is_empty() {
+            self.note_waiting(step, service, &paced);
+        }
+    }
+
     /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
-    /// stopping all of them at once would break its availability budget.
-    fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
+    /// stopping all of them at once would break its availability budget. It goes on without any task too, so
+    /// that each of them can be taken back.
+    fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, score: f64) {
+        let history = self.jobs.get(&task.job).and_then(|job| job.task(task)).map(|t| &t.crashes);
+        let (crashes, certain) = history.map_or((0, 0), |h| (h.count(), h.certain_count()));
         self.notes.push(format_args!(
-            "event=task_given_up worker={id} task={task} crashes={crashes} suspicion={score:.1}"
+            "event=task_given_up worker={id} task={task} crashes={crashes} certain={certain} \
+             suspicion={score:.1}"
         ));
         self.counters.tasks_given_up += 1;
         self.crash_rate.record_given_up(task, self.now);
@@ -70,19 +164,29 @@
         if let Some(t) = job.task_mut(task) {
             t.given_up = true;
         }
-        let is_over = job.all_done_or_given_up();
         self.dirty_jobs.insert(task.job);
         self.dequeue(task);
-        if is_over {
-            self.end_job(task.job, Outcome::Failed);
-        }
     }
 }
 
 /// Marks a task as suspected; `run_time` is how long the lost run had lasted.
 pub(super) fn suspect(task: &mut Task, run_time: Option<Duration>, now: Duration) {
     let longest = task.suspicion.and_then(|s| s.run_time).max(run_time);
-    task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest });
+    let paced = task.is_paced();
+    task.suspicion = Some(Suspicion { suspected_at: now, run_time: longest, paced });
+}
+
+/// Sets whether the restarts of a suspected task are paced.
+fn set_paced(task: &mut Task, paced: bool) {
+    if let Some(s) = &mut task.suspicion {
+        s.paced = paced;
+    }
+}
+
+/// Logs that a task is started again that was given up.
+fn note_taken_back(notes: &mut LogLines, id: &TaskId, task: &Task) {
+    let (crashes, certain) = (task.crashes.count(), task.crashes.certain_count());
+    notes.push(format_args!("event=task_taken_back task={id} crashes={crashes} certain={certain}"));
 }
 
 /// What a crash that several runs explain equally well counts less for each of them. A long-running task
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -163,7 +163,7 @@
     /// Whether it is never started again because it crashes its workers; the job continues without
     /// it.
     pub given_up: bool,
-    /// Since when a waiting long-running task has been waiting.
+    /// Since when a waiting task has been waiting, if it is long-running or its restarts are paced.
     pub waiting_since: Duration,
     /// Why the task is started only as a trial; `None` if it is not suspected.
     pub suspicion: Option<Suspicion>,
@@ -205,6 +205,11 @@
         !self.done && !self.given_up && self.runs.is_empty()
     }
 
+    /// Whether its restarts are paced because of many crashes that are no proof.
+    pub fn is_paced(&self) -> bool {
+        self.suspicion.is_some_and(|s| s.paced)
+    }
+
     /// Has the next runs placed elsewhere for a while, if possible.
     pub fn avoid_worker(&mut self, id: &WorkerId, now: Duration) {
         self.avoided_worker = Some(AvoidedWorker { id: id.clone(), since: now });
@@ -319,11 +324,6 @@
         others.filter(|(_, t)| !t.runs.iter().any(&is_running)).count() as u32
     }
 
-    /// Whether every task of the opened rounds is done or given up.
-    pub fn all_done_or_given_up(&self) -> bool {
-        self.rounds.iter().flatten().flatten().all(|t| t.done || t.given_up)
-    }
-
     /// Whether all rounds were opened and all their tasks are done.
     pub fn all_done(&self) -> bool {
         let all_opened = self.rounds.len() as u32 == self.spec.round_count();
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -241,8 +241,12 @@
         service: &str,
         unplaced: &[WorkerChoice],
     ) -> Option<TaskId> {
+        let paced = |task: TaskId| self.is_held_by_pacing(&task);
+        if step.gang && self.ready.get(service)?.tasks_of(id).any(paced) {
+            return None;
+        }
         // Members of a gang start together, each as a trial if it is suspected.
-        let startable = |task: &TaskId| step.gang || !self.waits_for_trial(task, service);
+        let startable = |task: &TaskId| step.gang || !paced(*task) && !self.waits_for_trial(task, service);
         let has_choice = |task: &TaskId| unplaced.is_empty() || !unplaced.contains(&self.worker_choice(task));
         self.ready.get(service)?.tasks_of(id).find(|t| startable(t) && has_choice(t))
     }
--- a/crates/workswood-core/src/jobs/restart_deadline.rs
+++ b/crates/workswood-core/src/jobs/restart_deadline.rs
@@ -55,20 +55,26 @@
     PreferredWorkers,
     /// Trials: its own, for which it waits, and those that other tasks have on a worker.
     Trials,
+    /// The pace of restarts after many crashes that don't prove that the task causes them.
+    RestartPacing,
     /// Tasks that go first in the order of placement and take the room.
     OrderOfPlacement,
 }
 
 impl Safeguard {
     /// All safeguards.
-    pub const ALL: [Safeguard; 3] =
-        [Safeguard::PreferredWorkers, Safeguard::Trials, Safeguard::OrderOfPlacement];
+    pub const ALL: [Safeguard; 4] = [
+        Safeguard::PreferredWorkers,
+        Safeguard::Trials,
+        Safeguard::RestartPacing,
+        Safeguard::OrderOfPlacement,
+    ];
 
     /// The longest time for which it keeps a task that waits from a worker.
     pub const fn longest_wait(self) -> Duration {
         match self {
             Safeguard::PreferredWorkers | Safeguard::OrderOfPlacement => Duration::from_secs(1),
-            Safeguard::Trials => Duration::from_secs(2),
+            Safeguard::Trials | Safeguard::RestartPacing => Duration::from_secs(2),
         }
     }
 
@@ -85,13 +91,15 @@
         safeguard.gives_way_after(self.waited_for(safeguard, id), self.time_to_restart(id))
     }
 
-    /// How long a safeguard may have kept a task from a worker. Trials matter once no run of the task may exist any
-    /// more; what is preferred among workers can be weighed before.
+    /// How long a safeguard may have kept a task from a worker. Trials and the pace of restarts matter once no run of
+    /// the task may exist any more; what is preferred among workers can be weighed before.
     fn waited_for(&self, safeguard: Safeguard, id: &TaskId) -> Duration {
         let task = self.jobs.get(&id.job).and_then(|job| job.task(id));
         let since = match safeguard {
             Safeguard::PreferredWorkers | Safeguard::OrderOfPlacement => self.absent_tasks.absent_since(id),
-            Safeguard::Trials => task.filter(|t| t.is_idle()).map(|t| t.waiting_since),
+            Safeguard::Trials | Safeguard::RestartPacing => {
+                task.filter(|t| t.is_idle()).map(|t| t.waiting_since)
+            }
         };
         since.map_or(Duration::ZERO, |since| self.now.saturating_sub(since))
     }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -163,6 +163,8 @@
     pub runs_lost: u64,
     /// Tasks that were given up because they crash their workers.
     pub tasks_given_up: u64,
+    /// Tasks that were given up and started again, because the crashes on record were no proof.
+    pub tasks_taken_back: u64,
     /// Workers that were kept from new work because they were slow.
     pub workers_slow: u64,
     /// Second runs that were started.
@@ -298,6 +300,7 @@
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
+        self.review_inherited(&mut job);
         self.inherit_absences(&job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
@@ -490,6 +493,8 @@
         if long_running {
             self.note_waiting(&id, &spec.service, &tasks);
             self.note_first_turn(&id, &tasks);
+        } else {
+            self.note_paced_waiting(&id, &spec.service, &tasks);
         }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod closed_pipes;
 mod connection_suspicion;
 mod crash_evidence;
+mod crash_verdicts;
 mod crashed_standin;
 mod crashing_tasks;
 mod deferred_requests;
