--- a/crates/workswood-core/src/jobs/absence_reason.rs
+++ b/crates/workswood-core/src/jobs/absence_reason.rs
@@ -128,6 +128,8 @@
     BeingStopped(WorkerId),
     /// The store takes no records, which its start needs first.
     StoreAway,
+    /// Its restarts are paced, since it may crash its workers.
+    Paced(CrashCounts),
     /// It may only start as a trial, and waits for a worker for it.
     WaitsForTrial(CrashCounts),
     /// Its workspace has reached its limit.
@@ -147,6 +149,7 @@
             AbsenceReason::StartPending(_) => WaitReason::StartPending,
             AbsenceReason::BeingStopped(_) => WaitReason::BeingStopped,
             AbsenceReason::StoreAway => WaitReason::StoreAway,
+            AbsenceReason::Paced(_) => WaitReason::Paced,
             AbsenceReason::WaitsForTrial(_) => WaitReason::WaitsForTrial,
             AbsenceReason::OverLimit => WaitReason::OverLimit,
             AbsenceReason::NotReached => WaitReason::NotReached,
@@ -161,7 +164,7 @@
             | AbsenceReason::StartPending(_)
             | AbsenceReason::BeingStopped(_) => WaitKind::Safety,
             AbsenceReason::GivenUp(_) => WaitKind::Final,
-            AbsenceReason::WaitsForTrial(_) => WaitKind::Safeguard,
+            AbsenceReason::Paced(_) | AbsenceReason::WaitsForTrial(_) => WaitKind::Safeguard,
             AbsenceReason::NoWorker(room) if room.kept > 0 => WaitKind::Safeguard,
             AbsenceReason::NoWorker(_) | AbsenceReason::OverLimit => WaitKind::Capacity,
             AbsenceReason::StoreAway => WaitKind::Store,
@@ -179,7 +182,9 @@
             }
             AbsenceReason::StartPending(id) | AbsenceReason::BeingStopped(id) => write!(f, " worker={id}"),
             AbsenceReason::NoWorker(room) => write!(f, " {room}"),
-            AbsenceReason::GivenUp(crashes) | AbsenceReason::WaitsForTrial(crashes) => {
+            AbsenceReason::GivenUp(crashes)
+            | AbsenceReason::Paced(crashes)
+            | AbsenceReason::WaitsForTrial(crashes) => {
                 write!(f, " {crashes}")
             }
             AbsenceReason::StoreAway | AbsenceReason::OverLimit | AbsenceReason::NotReached => Ok(()),
@@ -288,6 +293,8 @@
         let held = job.spec.reservation(step);
         Some(if self.store_access != StoreAccess::Answering {
             AbsenceReason::StoreAway
+        } else if self.is_held_by_pacing(id) {
+            AbsenceReason::Paced(CrashCounts::of(&task.crashes))
         } else if self.waits_for_trial(id, &job.spec.service) {
             AbsenceReason::WaitsForTrial(CrashCounts::of(&task.crashes))
         } else if !self.is_within_limit(held.owner, &held.charged) {
