A crash is certain only before the end of a lease that the worker has confirmed, and an answer takes it back

What callers saw: a lasting task was given up on crashes that had not happened. A crash was taken for certain by the last answer and a full lease, though an answer to a stop extends none, a relay that waits for an order or has no grant extends none, and a paused process notes an answer late.

Now a relay says until when the worker has at least confirmed its lease (LeaseConfirmed, before Unanswered and before the end of a life), on the scheduler's clock; a relay in another process says so only to a holder that names its time with each grant. Without it, and for runs of workers that have not answered this holder, a crash is possible.

A life is known to be over by another one only if that one answers and became known later: a mere entry may be late. A list of hosts counts if it was requested after the last answer. Workers that name no host are no lives of one host. The next life is looked up by host and name, not by a scan of all workers.

A life that is counted as crashed and reports takes all its crashes back, in the rate as well, and has each task reconsidered (stub here); also under a later holder, which builds the index from the stored records.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -220,7 +220,10 @@
         } else {
             1.0
         };
-        self.crash_rate.record_crash(self.now, lost.iter().map(|run| run.task).collect(), chance_probability);
+        let tasks = lost.iter().map(|run| run.task).collect();
+        self.crash_rate.record_crash(self.now, id.clone(), tasks, chance_probability);
+        self.trim_counted_lives();
+        self.counted_lives.note_crash(id);
         let Some(role) = role else { return };
         let same_role = lost.iter().filter(|run| run.role == role).count();
         self.notes.push(format_args!(
@@ -312,6 +315,7 @@
         };
         if task.crashes.record(run.attempt, crash) {
             self.dirty_jobs.insert(run.task.job);
+            self.counted_lives.note_task(id, run.task);
         }
         let loss = Loss {
             worker: id.clone(),
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -2,7 +2,15 @@
 //!
 //! Two times on the scheduler's clock are compared: by when the life of the worker had ended, and from when
 //! the run may have lapsed. A worker that is only cut off lives on, its runs lapse, and how its life ends
-//! later tells nothing of them.
+//! later tells nothing of them. Both times err towards a possible crash:
+//!
+//! * A life had ended by the time at which another life answers at its address, or first answered on its host;
+//!   or at which a list of hosts arrived that was requested after the worker's last answer and shows the host
+//!   without it. Neither list of workers nor start times tell: entries are written late and linger, and the clocks
+//!   of two hosts may be seconds apart.
+//! * A run may have lapsed from the end of the lease on that its worker has confirmed with an answer
+//!   ([`WorkerUpdate::LeaseConfirmed`]). A worker that has confirmed none to this lease holder may have lapsed at
+//!   any time.
 
 use std::time::Duration;
 
@@ -11,11 +19,26 @@
 use super::job::WorkerId;
 use super::restart_deadline::shortest_lease;
 use super::scheduler::Scheduler;
+use super::types::WorkerUpdate;
 use super::worker::Worker;
 
-/// Longest time from when a poll is sent until its answer is noted. The lease that it carries counts from
-/// when it is sent.
-pub const LONGEST_POLL: Duration = Duration::from_millis(1200);
+/// A reading of a worker's clock, in times on the clock of the process that has asked for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// When the call was sent; the worker has read its clock since.
+    pub sent: Duration,
+    /// When the answer was noted.
+    pub received: Duration,
+}
+
+/// The earliest time at which a lease may end whose end was worked out at `at` as this long after, from a reading of
+/// the worker's clock, which may run fast by the share `drift`.
+///
+/// The end is worked out as if the worker had read its clock when the answer was noted. So it comes sooner by as much
+/// as the reading may be older.
+pub fn earliest_lapse(reading: ClockReading, at: Duration, lease: Duration, drift: f64) -> Duration {
+    reading.sent + shortest_lease(at.saturating_sub(reading.received) + lease, drift)
+}
 
 /// Whether a life that had ended by `over_by` ended under a run that may have lapsed from `lapses_from` on.
 /// `None` if a time is not known.
@@ -26,43 +49,67 @@
     }
 }
 
-/// The earliest time at which a lease may end that was extended by the poll answered at `heard`.
-pub fn earliest_lapse(heard: Duration, lease: Duration, drift: f64) -> Duration {
-    (heard + shortest_lease(lease, drift)).saturating_sub(LONGEST_POLL)
-}
-
 impl Scheduler {
-    /// Whether a worker whose life is found to be over now crashed under its runs.
+    /// Whether a worker whose life is found to be over now crashed under its runs, those included that were settled
+    /// because its lease had ended.
     pub(super) fn certainty_of_crash(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> Certainty {
-        certainty(self.over_by(id, w, end), self.lapses_from(w))
+        let lapses_from = Some(w.confirmed_lease_end).filter(|end| !end.is_zero());
+        certainty(self.over_by(id, w, end), lapses_from)
     }
 
     /// The time by which the life of a worker had ended.
     fn over_by(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> Option<Duration> {
         let shown = match end {
-            IncarnationEnd::OtherIncarnation
-            | IncarnationEnd::HostWithoutWorker
-            | IncarnationEnd::Maintenance
-            | IncarnationEnd::HostMoved => Some(self.now),
+            // A later life with the same name may be known from the list of workers only.
+            IncarnationEnd::OtherIncarnation => id.started_at().is_none(),
+            IncarnationEnd::HostWithoutWorker => self.hosts_requested_at > w.last_heard,
+            IncarnationEnd::Maintenance | IncarnationEnd::HostMoved => true,
             // A worker that is cut off from the store leaves the list as well.
-            IncarnationEnd::UnreachableAndUnlisted => None,
+            IncarnationEnd::UnreachableAndUnlisted => false,
         };
-        shown.into_iter().chain(self.next_life_known_since(id, w)).min()
+        let shown = Some(self.now).filter(|_| shown);
+        shown.into_iter().chain(self.next_life_heard(id, w)).min()
     }
 
-    /// Since when another life is known on the host of a worker.
-    fn next_life_known_since(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
-        let host = &w.info.as_ref()?.host;
-        let is_next = |other: &WorkerId, o: &Worker| {
-            other != id && o.known_since > w.known_since && o.info.as_ref().is_some_and(|i| i.host == *host)
-        };
-        let next = self.workers.iter().filter(|(other, o)| is_next(other, o));
-        next.map(|(_, o)| o.known_since).min()
+    /// When a later life on the host of a worker, or with its name, first answered.
+    fn next_life_heard(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
+        let host = w.info.as_ref().map(|info| &info.host).filter(|host| !host.is_empty());
+        let on_host = host.map(|host| self.workers.on_host(host)).unwrap_or_default();
+        let others = on_host.iter().chain(self.workers.incarnations_of(id.name()));
+        let others = others.filter(|other| *other != id).filter_map(|other| self.workers.get(other));
+        let later = others.filter(|other| other.known_since > w.known_since);
+        later.filter_map(|other| other.first_heard).filter(|heard| *heard > w.last_heard).min()
+    }
+
+    /// Notes when a worker answered, if an update tells.
+    pub(super) fn note_answer_in(&mut self, id: &WorkerId, update: &WorkerUpdate) {
+        let Some(heard) = self.answer_time(update) else { return };
+        self.note_last_heard(id, heard);
+        // The time of an earlier answer may be that of none at all.
+        if !matches!(update, WorkerUpdate::Unanswered { .. }) {
+            self.note_first_heard(id);
+        }
+    }
+
+    /// Notes that a worker answered at this time.
+    pub(super) fn note_last_heard(&mut self, id: &WorkerId, heard: Duration) {
+        if let Some(mut w) = self.workers.get_mut(id) {
+            w.last_heard = w.last_heard.max(heard);
+        }
+    }
+
+    /// Notes that a worker has answered by now.
+    pub(super) fn note_first_heard(&mut self, id: &WorkerId) {
+        let now = self.now;
+        if let Some(mut w) = self.workers.get_mut(id) {
+            w.first_heard.get_or_insert(now);
+        }
     }
 
-    /// From when the runs of a worker may have lapsed; `None` if it has not answered this lease holder.
-    fn lapses_from(&self, w: &Worker) -> Option<Duration> {
-        let heard = Some(w.last_heard).filter(|heard| !heard.is_zero())?;
-        Some(earliest_lapse(heard, self.limits.lease, self.limits.clock_drift))
+    /// Notes that a worker has confirmed a lease that doesn't end before this time.
+    pub(super) fn note_confirmed_lease(&mut self, id: &WorkerId, until: Duration) {
+        if let Some(mut w) = self.workers.get_mut(id) {
+            w.confirmed_lease_end = w.confirmed_lease_end.max(until);
+        }
     }
 }
--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::spec::TaskId;
+use super::worker_id::WorkerId;
 
 /// The rate is taken over this time; long enough to cover recurring crashes.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -27,6 +28,8 @@
 #[derive(Clone, Debug)]
 struct UnexplainedCrash {
     at: Duration,
+    /// The life that is counted as crashed.
+    worker: WorkerId,
     /// Tasks that ran on the worker.
     running_tasks: Vec<TaskId>,
     /// Probability that the crash was not caused by one of the tasks.
@@ -45,11 +48,22 @@
     /// Records the crash of a worker with the tasks that ran on it. `chance_probability` is 1 if
     /// none of them explains the crash, else the share of workers that had such a task: where most
     /// workers have one, its presence says little.
-    pub fn record_crash(&mut self, at: Duration, running_tasks: Vec<TaskId>, chance_probability: f64) {
+    pub fn record_crash(
+        &mut self,
+        at: Duration,
+        worker: WorkerId,
+        running_tasks: Vec<TaskId>,
+        chance_probability: f64,
+    ) {
         while self.crashes.front().is_some_and(|c| c.at + RATE_WINDOW < at) {
             self.crashes.pop_front();
         }
-        self.crashes.push_back(UnexplainedCrash { at, running_tasks, chance_probability });
+        self.crashes.push_back(UnexplainedCrash { at, worker, running_tasks, chance_probability });
+    }
+
+    /// Takes back the crash of a life that has not ended.
+    pub fn withdraw(&mut self, worker: &WorkerId) {
+        self.crashes.retain(|c| c.worker != *worker);
     }
 
     /// Records that a task was given up. Its crashes no longer count towards the rate.
--- a/crates/workswood-core/src/jobs/crash_verdict.rs
+++ b/crates/workswood-core/src/jobs/crash_verdict.rs
@@ -54,6 +54,9 @@
         }
     }
 
+    /// Judges a task anew after crashes of it were taken back.
+    pub(super) fn reconsider_task(&mut self, _id: &TaskId) {}
+
     /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
     /// stopping all of them at once would break its availability budget.
     fn give_up_task(&mut self, id: &WorkerId, task: &TaskId, crashes: usize, score: f64) {
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -37,6 +37,8 @@
 //!   its decisions about tasks.
 //! * [`crash_attribution`] finds tasks that crash their workers more often than the usual
 //!   [`crash_rate`], from the crashes on record ([`crash_history`]); [`crash_trials`] tests suspected ones.
+//! * [`crash_certainty`] tells whether a worker is known to have crashed under a run, and `crash_withdrawal` takes back the
+//!   crashes of a life that answers after all.
 //! * `sibling_times` tells what the tasks of a step took, and `slow_workers` keeps new work away from
 //!   workers whose runs take much longer.
 //! * [`absent_tasks`] follows long-running tasks that run nowhere, and [`absence_reason`] tells why; [`restart_deadline`]
@@ -77,6 +79,7 @@
 pub mod crash_rate;
 pub mod crash_trials;
 mod crash_verdict;
+mod crash_withdrawal;
 mod cut_off_workers;
 pub mod demand_history;
 mod drain_order;
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -383,11 +383,7 @@
         if present.is_none_or(|w| self.worker_token(w.relay_count) != token) {
             return;
         }
-        if let Some(heard) = self.answer_time(&update)
-            && let Some(mut w) = self.workers.get_mut(id)
-        {
-            w.last_heard = w.last_heard.max(heard);
-        }
+        self.note_answer_in(id, &update);
         match update {
             WorkerUpdate::Reported(report) => {
                 self.handle_report(id, &report);
@@ -396,6 +392,7 @@
             WorkerUpdate::ProbeLate => self.mark_answer_late(id),
             WorkerUpdate::Unanswered { lease_end, .. } => self.mark_unreachable(id, lease_end),
             WorkerUpdate::AwaitsOrder => self.note_awaited_order(id),
+            WorkerUpdate::LeaseConfirmed(until) => self.note_confirmed_lease(id, until),
             WorkerUpdate::Deposed => self.note_higher_token(id),
             WorkerUpdate::Started(task, attempt, reply) => self.handle_start_reply(id, task, attempt, reply),
             WorkerUpdate::Stopped(task, attempt, reply) => self.handle_stop_reply(id, task, attempt, reply),
@@ -410,13 +407,13 @@
     }
 
     /// The latest time at which the worker answered, according to the update.
-    fn answer_time(&self, update: &WorkerUpdate) -> Option<Duration> {
+    pub(super) fn answer_time(&self, update: &WorkerUpdate) -> Option<Duration> {
         match update {
             WorkerUpdate::Reported(_) | WorkerUpdate::Deposed => Some(self.now),
             WorkerUpdate::Unanswered { heard, .. } => Some(*heard),
             WorkerUpdate::Started(_, _, reply) => reply.is_answer().then_some(self.now),
             WorkerUpdate::Stopped(_, _, reply) => (*reply == StopReply::Taken).then_some(self.now),
-            WorkerUpdate::ProbeLate | WorkerUpdate::AwaitsOrder => None,
+            WorkerUpdate::ProbeLate | WorkerUpdate::AwaitsOrder | WorkerUpdate::LeaseConfirmed(_) => None,
         }
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -8,6 +8,7 @@
 use super::advice::AdviceState;
 use super::config::SchedConfig;
 use super::crash_rate::CrashRate;
+use super::crash_withdrawal::CountedLives;
 use super::cut_off_workers::ListWatch;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
@@ -85,6 +86,8 @@
     pub(super) submission_rates: SubmissionRates,
     /// How often workers crash by themselves.
     pub(super) crash_rate: CrashRate,
+    /// Lives that are counted as crashed, and the tasks that this is on record of.
+    pub(super) counted_lives: CountedLives,
     /// Durations of tasks.
     pub(super) durations: TaskDurations,
     /// Times of completed tasks of open jobs.
@@ -195,6 +198,7 @@
             fleet_cpu_millis: 0,
             submission_rates: SubmissionRates::default(),
             crash_rate: CrashRate::default(),
+            counted_lives: CountedLives::default(),
             durations: TaskDurations::default(),
             sibling_times: SiblingTimes::default(),
             slow_workers: SlowWorkers::default(),
@@ -298,6 +302,7 @@
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
+        self.counted_lives.note_job(&job);
         self.inherit_absences(&job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -116,6 +116,9 @@
     /// The relay does not extend the lease (again) before it is ordered to: after a probe without an answer, or
     /// from the start of the assignment.
     AwaitsOrder,
+    /// The worker has answered a call that carried a lease: the lease does not end before this time on the
+    /// scheduler's clock. A relay says so before it says that the worker does not answer or that its life is over.
+    LeaseConfirmed(Duration),
     /// The worker has seen a higher fencing token.
     Deposed,
     /// The reply to a start of this attempt of a task.
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -233,6 +233,10 @@
     /// When the worker last answered, as far as that was reported. A relay does not report an
     /// answer without news; it reports the time of the last one when a poll goes unanswered.
     pub last_heard: Duration,
+    /// When the worker first answered this scheduler; `None` if it has not.
+    pub first_heard: Option<Duration>,
+    /// The earliest time at which the lease may end that the worker is known to have; zero if none is known.
+    pub confirmed_lease_end: Duration,
     /// Time since the last answer when the worker was found unreachable.
     pub silent_for: Duration,
     /// When everything on the worker must have ended if its lease is no longer extended.
@@ -314,6 +318,8 @@
             reports_load: false,
             known_since,
             last_heard: Duration::ZERO,
+            first_heard: None,
+            confirmed_lease_end: Duration::ZERO,
             silent_for: Duration::ZERO,
             lease_end,
             extensions: LeaseExtensions::default(),
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -195,11 +195,10 @@
 
     /// Records when an incarnation that is over last answered, and for how long it had been silent.
     pub(super) fn record_last_heard(&mut self, id: &WorkerId, heard: Duration) {
-        if let Some(mut w) = self.workers.get_mut(id) {
-            w.last_heard = w.last_heard.max(heard);
-            if w.reachable {
-                w.silent_for = self.now.saturating_sub(w.last_heard);
-            }
+        self.note_last_heard(id, heard);
+        let now = self.now;
+        if let Some(mut w) = self.workers.get_mut(id).filter(|w| w.reachable) {
+            w.silent_for = now.saturating_sub(w.last_heard);
         }
     }
 
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -12,6 +12,9 @@
 impl Scheduler {
     /// Handles a report of a worker.
     pub(super) fn handle_report(&mut self, id: &WorkerId, report: &Report) {
+        if self.workers.get(id).is_some_and(|w| !w.reachable) {
+            self.withdraw_crashes(id);
+        }
         self.settle_earlier_incarnations(id, report);
         self.mark_reachable(id, report.full);
         self.handle_ends(id, &report.ended);
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -43,6 +43,7 @@
             self.dirty_workers.insert(later.clone());
             self.request_relay(&later);
         }
+        self.note_first_heard(&later);
         self.supersede_earlier_incarnations(&later);
     }
 
--- a/crates/workswood-peers/src/relay.rs
+++ b/crates/workswood-peers/src/relay.rs
@@ -52,6 +52,10 @@
     /// extended at the end of `duration_ms`. Versions that do not read this extend no lease then.
     #[prost(uint32, tag = "3")]
     pub shortened_ms: u32,
+    /// Milliseconds since the holder's process started, when it granted this. Versions that do not send it don't read
+    /// [`News::LeaseConfirmed`].
+    #[prost(uint64, optional, tag = "4")]
+    pub holder_ms: Option<u64>,
 }
 
 /// An order about one worker.
@@ -209,7 +213,7 @@
     #[prost(uint64, optional, tag = "10")]
     pub restarted_at: Option<u64>,
     /// The event.
-    #[prost(oneof = "News", tags = "2, 3, 4, 5, 6, 7, 8, 11")]
+    #[prost(oneof = "News", tags = "2, 3, 4, 5, 6, 7, 8, 11, 12")]
     pub event: Option<News>,
 }
 
@@ -242,6 +246,10 @@
     /// from the start of the assignment. Tags 9 and 10 are taken by `silent_ms` and `restarted_at`.
     #[prost(message, tag = "11")]
     AwaitsOrder(Empty),
+    /// It has confirmed a lease, which ends no earlier than this many milliseconds after the holder's process
+    /// started. Told only to a holder that has sent [`LeaseGrant::holder_ms`].
+    #[prost(uint64, tag = "12")]
+    LeaseConfirmed(u64),
 }
 
 /// What has changed in the list of tasks that a worker reports.
--- a/crates/workswood-test-support/src/host_world.rs
+++ b/crates/workswood-test-support/src/host_world.rs
@@ -36,6 +36,10 @@
 /// Time without an answer after which a worker's probe is reported as late.
 const PROBE_LATE_AFTER: Duration = Duration::from_millis(1100);
 
+/// Time from a worker's last answer until the lease may end that it has confirmed: a lease on a clock that runs fast,
+/// less the time of the poll and the age of the reading of the clock.
+pub const CONFIRMED_LEASE: Duration = Duration::from_millis(4900 - 1000 - 900);
+
 /// Returns the capacity of each host and its worker.
 fn capacity() -> Resources {
     Resources { cpu_millis: 4000, mem_mb: 8000, gpus: 0 }
@@ -134,8 +138,18 @@
         self.watched.values_mut().for_each(|(runs, _)| *runs = RunTracker::default());
     }
 
-    /// Passes an update of a worker to the scheduler.
+    /// Passes an update of a worker to the scheduler, as a relay does that has extended the lease with each poll.
     pub fn tells(&mut self, id: &WorkerId, update: WorkerUpdate) {
+        if let WorkerUpdate::Unanswered { heard, .. } = &update
+            && !heard.is_zero()
+        {
+            self.tells_only(id, WorkerUpdate::LeaseConfirmed(*heard + CONFIRMED_LEASE));
+        }
+        self.tells_only(id, update);
+    }
+
+    /// Passes an update of a worker to the scheduler, and nothing else.
+    pub fn tells_only(&mut self, id: &WorkerId, update: WorkerUpdate) {
         let token = self.sched.token_of(id).unwrap_or(0);
         self.sched.handle(Event::WorkerUpdate(id.clone(), token, update));
     }
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -12,6 +12,7 @@
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
+use workswood_core::jobs::restart_deadline::shortest_lease;
 use workswood_core::jobs::types::lease_with_drift;
 use workswood_core::jobs::{Listing, RunTracker, StartReply, StopReply, TaskId, WorkerUpdate};
 
@@ -75,7 +76,8 @@
     /// The worker has restarted under the same name at this Unix time; the last answer of its
     /// earlier life is this long ago.
     Restarted(WorkerId, UnixMs, Duration),
-    /// An update of a worker that is watched with this token. Times are relative to the sending.
+    /// An update of a worker that is watched with this token. Times are relative to the sending, except that of a
+    /// confirmed lease.
     Update(WorkerId, Term, WorkerUpdate),
 }
 
@@ -114,6 +116,8 @@
     /// Whether the holder was told that the worker did not answer, and no report has followed.
     reported_silent: bool,
     leased_until: Duration,
+    /// The earliest time at which the lease may end that the worker has confirmed; zero if it has confirmed none.
+    confirmed_until: Duration,
     last_answer: Duration,
     last_answered_poll: LastAnsweredPoll,
     runs: RunTracker,
@@ -133,6 +137,11 @@
     }
 }
 
+/// The earliest time at which a lease may end that was sent at this time, on a clock that runs fast.
+fn earliest_lapse(lease_end: Duration, sent: Duration) -> Duration {
+    sent + shortest_lease(lease_end.saturating_sub(sent), limits().clock_drift)
+}
+
 /// Until when a relay gives full leases that may extend leases until this time; later ones end no later.
 pub(super) fn full_leases_until(extends_until: Duration) -> Duration {
     extends_until.saturating_sub(EXTENSION_GRACE - FULL_LEASE_GRACE)
@@ -144,6 +153,8 @@
         listing: Listing,
         sent: Duration,
         forget: u64,
+        /// End of the lease that the probe carried.
+        lease_end: Option<Duration>,
     },
     /// A probe was not answered; `gone` if the relay knows that no such worker exists.
     ProbeLost {
@@ -316,6 +327,7 @@
                     extended_at: (extensions == ExtensionOrders::AfterSilence).then_some(0),
                     reported_silent: false,
                     leased_until: Duration::ZERO,
+                    confirmed_until: Duration::ZERO,
                     last_answer: Duration::ZERO,
                     last_answered_poll: LastAnsweredPoll::default(),
                     runs: RunTracker::default(),
@@ -411,6 +423,7 @@
             let Some(w) = session.watched.get_mut(id) else { return Duration::ZERO };
             let Some(lease_end) = lease.filter(|_| w.may_extend()) else { break };
             w.leased_until = lease_end - LEASE + lease_with_drift(LEASE, limits().clock_drift);
+            let earliest = earliest_lapse(lease_end, self.now);
             let order = Order::Start { token, task, attempt, lease_end, ticket: ticket.clone() };
             let answer = self.deliver(id, order).map(|a| match a {
                 Answer::Reply(reply) => reply,
@@ -421,6 +434,9 @@
                 (Some(r), _) => r,
                 (None, _) => StartReply::NoAnswer,
             };
+            if let Some(w) = session.watched.get_mut(id).filter(|_| reply == StartReply::Taken) {
+                w.confirmed_until = w.confirmed_until.max(earliest);
+            }
             if reply != StartReply::NoAnswer {
                 break;
             }
@@ -495,7 +511,9 @@
         let (answer, wait) = match self.deliver(&id, Order::Probe { token, forget, lease_end }) {
             Some(Answer::Listing(listing)) => match later {
                 Some(later) => (PendingAnswer::Restarted(later), self.probe_latency()),
-                None => (PendingAnswer::Listed { listing, sent: now, forget }, self.probe_latency()),
+                None => {
+                    (PendingAnswer::Listed { listing, sent: now, forget, lease_end }, self.probe_latency())
+                }
             },
             Some(Answer::Reply(_) | Answer::Accepted(..)) => (PendingAnswer::Fenced, STEP),
             None if gone && self.rng.below(4) == 0 => (PendingAnswer::ProbeLost { gone: true }, STEP),
@@ -517,8 +535,16 @@
     ) {
         let now = self.now;
         let Some(w) = session.watched.get_mut(&id).filter(|w| w.token == token) else { return };
+        let tells_of_lease = matches!(answer, PendingAnswer::ProbeLost { .. } | PendingAnswer::Restarted(_));
+        if tells_of_lease && !w.confirmed_until.is_zero() {
+            let confirmed = WorkerUpdate::LeaseConfirmed(w.confirmed_until);
+            self.send_to_holder(session.number, ToHolder::Update(id.clone(), token, confirmed));
+        }
+        let Some(w) = session.watched.get_mut(&id) else { return };
         let update = match answer {
-            PendingAnswer::Listed { listing, sent, forget } => {
+            PendingAnswer::Listed { listing, sent, forget, lease_end } => {
+                let earliest = lease_end.map(|end| earliest_lapse(end, sent));
+                w.confirmed_until = w.confirmed_until.max(earliest.unwrap_or_default());
                 w.answered = Some(sent);
                 w.has_answered = true;
                 w.forgotten = w.forgotten.max(forget);
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -6,15 +6,29 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 use workswood_core::ids::Term;
+use workswood_core::jobs::crash_certainty::{ClockReading, earliest_lapse};
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
+use super::super::limits::CLOCK_DRIFT;
 use super::messages::WorkerNumber;
 use super::order_permits::OrderPermits;
 use super::pending_starts::PendingStarts;
 
+/// Rounding of a worker's clock and of the end of a lease, to whole milliseconds each.
+const CLOCK_ROUNDING: Duration = Duration::from_millis(2);
+
+/// The end of a lease that is sent to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseEnd {
+    /// The end on the worker's clock.
+    pub at: WorkerClock,
+    /// The earliest time on the clock of this process at which that may be.
+    pub earliest: Duration,
+}
+
 /// A worker that is assigned to this relay.
 pub struct AssignedWorker {
     /// Number that the lease holder gave it.
@@ -33,10 +47,13 @@
     wait_logged_ms: AtomicU64,
     /// The runs as they were last reported to the scheduler.
     pub run_tracker: Mutex<RunTracker>,
-    /// The worker's clock, and the clock of this process when the worker sent it.
-    clock: Mutex<Option<(WorkerClock, Duration)>>,
+    /// The worker's clock, and when it was read.
+    clock: Mutex<Option<(WorkerClock, ClockReading)>>,
     /// Latest end of the leases that were sent, in milliseconds since this process started.
     leased_until_ms: AtomicU64,
+    /// The earliest time at which the lease may end that the worker has confirmed with an answer, in milliseconds since
+    /// this process started; 0 if it has confirmed none.
+    confirmed_until_ms: AtomicU64,
     /// When the worker last answered anything, in milliseconds since this process started.
     heard_at_ms: AtomicU64,
     last_answered_poll: Mutex<LastAnsweredPoll>,
@@ -65,6 +82,7 @@
             run_tracker: Mutex::default(),
             clock: Mutex::new(None),
             leased_until_ms: AtomicU64::new(0),
+            confirmed_until_ms: AtomicU64::new(0),
             heard_at_ms: AtomicU64::new(0),
             last_answered_poll: Mutex::default(),
             unassigned: AtomicBool::new(false),
@@ -135,7 +153,7 @@
     pub(super) fn record_poll_answer(&self, clock: WorkerClock, sent: Duration, now: Duration) {
         self.record_answer(now);
         self.record_incarnation(sent);
-        *self.clock.lock() = Some((clock, now));
+        *self.clock.lock() = Some((clock, ClockReading { sent, received: now }));
         self.silent.store(false, Ordering::SeqCst);
     }
 
@@ -159,6 +177,17 @@
         Duration::from_millis(self.leased_until_ms.load(Ordering::SeqCst))
     }
 
+    /// Records that the worker has answered a call that carried a lease.
+    pub(super) fn confirm_lease(&self, end: LeaseEnd) {
+        self.confirmed_until_ms.fetch_max(end.earliest.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// The earliest time at which the lease may end that the worker has confirmed; `None` if it has confirmed none.
+    pub(super) fn confirmed_lease_end(&self) -> Option<Duration> {
+        let ms = self.confirmed_until_ms.load(Ordering::SeqCst);
+        (ms > 0).then(|| Duration::from_millis(ms))
+    }
+
     /// Number of polls without an answer.
     pub(super) fn unanswered(&self) -> u32 {
         self.unanswered.load(Ordering::SeqCst)
@@ -172,11 +201,12 @@
         self.leased_until()
     }
 
-    /// End of a lease that begins now, on the worker's clock; `None` until the worker has
-    /// answered a poll.
-    pub fn lease_end(&self, now: Duration, lease: Duration) -> Option<WorkerClock> {
-        let (worker_clock, own_clock) = (*self.clock.lock())?;
-        Some(worker_clock + now.saturating_sub(own_clock) + lease)
+    /// End of a lease that begins now; `None` until the worker has answered a poll.
+    pub fn lease_end(&self, now: Duration, lease: Duration) -> Option<LeaseEnd> {
+        let (worker_clock, reading) = (*self.clock.lock())?;
+        let at = worker_clock + now.saturating_sub(reading.received) + lease;
+        let earliest = earliest_lapse(reading, now, lease, CLOCK_DRIFT).saturating_sub(CLOCK_ROUNDING);
+        Some(LeaseEnd { at, earliest })
     }
 
     /// Records that a lease is about to be sent that may last until a time on the clock of this
--- a/src/workswood/ops/jobs/relay/codec.rs
+++ b/src/workswood/ops/jobs/relay/codec.rs
@@ -165,6 +165,8 @@
             wire::News::IncarnationEnded(wire::Empty {})
         }
         WorkerEvent::AwaitsOrder => wire::News::AwaitsOrder(wire::Empty {}),
+        // Rounded down, so that no lease appears to end too late.
+        WorkerEvent::LeaseConfirmed(until) => wire::News::LeaseConfirmed(until.as_millis() as u64),
         WorkerEvent::Fenced => wire::News::Fenced(wire::Empty {}),
         WorkerEvent::Started { task, attempt, reply } => {
             let outcome = write_start_reply(reply) as i32;
@@ -221,6 +223,7 @@
             None => WorkerEvent::IncarnationEnded(silent_for),
         },
         wire::News::AwaitsOrder(_) => WorkerEvent::AwaitsOrder,
+        wire::News::LeaseConfirmed(ms) => WorkerEvent::LeaseConfirmed(Duration::from_millis(ms)),
         wire::News::Fenced(_) => WorkerEvent::Fenced,
         wire::News::Started(s) => {
             let reply = read_start_reply(wire::StartOutcome::try_from(s.outcome).ok()?);
--- a/src/workswood/ops/jobs/relay/messages.rs
+++ b/src/workswood/ops/jobs/relay/messages.rs
@@ -96,6 +96,8 @@
     /// Its lease is not extended (again) before an order to extend it: after a poll without an answer, or from
     /// the start of the assignment.
     AwaitsOrder,
+    /// It has confirmed a lease, which does not end before this time on the scheduler's clock.
+    LeaseConfirmed(Duration),
     /// It has seen a higher fencing token.
     Fenced,
     /// The outcome of a start order.
@@ -136,6 +138,7 @@
                 heard: now.saturating_sub(silent_for),
             },
             WorkerEvent::AwaitsOrder => WorkerUpdate::AwaitsOrder,
+            WorkerEvent::LeaseConfirmed(until) => WorkerUpdate::LeaseConfirmed(until),
             WorkerEvent::Fenced => WorkerUpdate::Deposed,
             WorkerEvent::Started { task, attempt, reply } => WorkerUpdate::Started(task, attempt, reply),
             WorkerEvent::Stopped { task, attempt, reply } => WorkerUpdate::Stopped(task, attempt, reply),
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -9,7 +9,7 @@
 use workswood_platform::jobs::{WorkerClock, WorkerError};
 
 use super::RelayContext;
-use super::assigned_worker::AssignedWorker;
+use super::assigned_worker::{AssignedWorker, LeaseEnd};
 use super::messages::WorkerEvent;
 
 /// How long a poll waits at the worker for a task to end.
@@ -68,7 +68,7 @@
     /// Highest number of an end that was acknowledged with an answered poll.
     acked_end: u64,
     /// End of the lease that the latest poll carried, if it carried one.
-    sent_lease: Option<WorkerClock>,
+    sent_lease: Option<LeaseEnd>,
 }
 
 /// Which end of the lease a poll carries.
@@ -89,6 +89,8 @@
     acked_end: u64,
     /// Latest end of the leases that were sent before the poll.
     leased_until: Duration,
+    /// End of the lease that the poll carried, if it carried one.
+    lease_end: Option<LeaseEnd>,
     clock: WorkerClock,
     listing: Listing,
 }
@@ -119,6 +121,7 @@
                 let now = self.now();
                 let lease_left = leased_until.saturating_sub(now);
                 let silent_for = self.worker.silent_for(now);
+                report_confirmed_lease(&self.cx, &self.worker);
                 self.report(WorkerEvent::Unanswered { lease_left, silent_for });
                 if !self.worker.is_extension_allowed() {
                     self.report(WorkerEvent::AwaitsOrder);
@@ -176,13 +179,14 @@
             None => Duration::ZERO,
         };
         let platform = &self.cx.node.platform;
-        let reply = platform.poll_worker(&self.worker.address, self.worker.token, acked_end, lease_end, wait);
+        let (address, token) = (&self.worker.address, self.worker.token);
+        let reply = platform.poll_worker(address, token, acked_end, lease_end.map(|end| end.at), wait);
         let (clock, listing) = reply.await?;
-        Ok(PollReply { sent, acked_end, leased_until, clock, listing })
+        Ok(PollReply { sent, acked_end, leased_until, lease_end, clock, listing })
     }
 
     /// End of a full lease from now; `None` if it may not be sent.
-    fn full_lease(&self, sent: Duration) -> Option<WorkerClock> {
+    fn full_lease(&self, sent: Duration) -> Option<LeaseEnd> {
         let worker_lease = self.cx.lease_from(sent);
         // The end of the lease is computed before the permission to send it is checked. If the
         // process is paused in between, it sends a lease that has ended.
@@ -192,7 +196,7 @@
     }
 
     /// End of the lease that the latest poll carried; `None` if it may not be sent again.
-    fn repeated_lease(&self) -> Option<WorkerClock> {
+    fn repeated_lease(&self) -> Option<LeaseEnd> {
         self.sent_lease.filter(|_| self.may_extend_lease() && self.worker.may_repeat_lease())
     }
 
@@ -255,12 +259,15 @@
 
     /// Reports what has changed according to a reply, and waits until the next poll is due.
     async fn handle_reply(&mut self, reply: PollReply, started: Duration) {
-        let PollReply { sent, acked_end, leased_until, clock, listing } = reply;
+        let PollReply { sent, acked_end, leased_until, lease_end, clock, listing } = reply;
         let now = self.now();
         self.last_answered = Some(sent);
         self.acked_end = self.acked_end.max(acked_end);
         self.late_timeout.record(now - started);
         self.worker.record_poll_answer(clock, sent, now);
+        if let Some(end) = lease_end {
+            self.worker.confirm_lease(end);
+        }
         let last_end = listing.ended.iter().map(|e| e.sequence_number).max().unwrap_or(0);
         if listing.coverage == EndCoverage::Earliest {
             self.record_partial_ends(&listing, last_end);
@@ -293,6 +300,15 @@
     }
 }
 
+/// Reports the lease that the worker has confirmed, before it is reported that the worker does not answer or that its
+/// life is over.
+pub(super) fn report_confirmed_lease(cx: &RelayContext, worker: &AssignedWorker) {
+    let end = worker.confirmed_lease_end().and_then(|end| cx.sink.on_scheduler_clock(end));
+    if let Some(end) = end {
+        cx.sink.report(&cx.node, worker, WorkerEvent::LeaseConfirmed(end));
+    }
+}
+
 /// Reports an answer to a poll after which the worker is not polled with this assignment any more;
 /// returns whether it is one.
 pub(super) fn report_end_of_assignment(cx: &RelayContext, worker: &AssignedWorker, e: WorkerError) -> bool {
@@ -311,6 +327,7 @@
         | WorkerError::NotSent
         | WorkerError::NoAnswer => return false,
     };
+    report_confirmed_lease(cx, worker);
     cx.sink.report(&cx.node, worker, event);
     if matches!(e, WorkerError::Restarted(_)) {
         // Pending orders were meant for the previous incarnation.
--- a/src/workswood/ops/jobs/relay/send.rs
+++ b/src/workswood/ops/jobs/relay/send.rs
@@ -72,14 +72,18 @@
             spec: start.spec.clone(),
             checkpoint: start.checkpoint.clone(),
             ticket: start.ticket.clone(),
-            lease_end,
+            lease_end: lease_end.at,
             timeout: timeout.min(send_until.saturating_sub(now)),
         };
         match cx.node.platform.start_task(&worker.address, worker.token, order).await {
-            Ok(()) => return StartReply::Taken,
+            Ok(()) => {
+                worker.confirm_lease(lease_end);
+                return StartReply::Taken;
+            }
             Err(WorkerError::Fenced) => return StartReply::Deposed,
             Err(WorkerError::OtherLife) => {
                 let silent_for = worker.silent_for(cx.node.now());
+                poll::report_confirmed_lease(cx, worker);
                 cx.sink.report(&cx.node, worker, WorkerEvent::IncarnationEnded(silent_for));
                 return StartReply::NoAnswer;
             }
--- a/src/workswood/ops/jobs/relay/session.rs
+++ b/src/workswood/ops/jobs/relay/session.rs
@@ -62,7 +62,7 @@
     let heartbeats = PendingHeartbeats::default();
     let mut newest = node.relay_session.subscribe();
     let reason = tokio::select! {
-        received = receive_orders(&node, rx, &mut relay, &grant, &heartbeats) => match received {
+        received = receive_orders(&node, rx, &mut relay, &grant, &heartbeats, &events) => match received {
             Ok(EndAsked) => SessionOver::HolderStops,
             Err(Closed) => SessionOver::HolderGone,
         },
@@ -146,10 +146,14 @@
     relay: &mut Relay,
     grant: &Grant,
     heartbeats: &PendingHeartbeats,
+    events: &EventQueue,
 ) -> Result<EndAsked, Closed> {
     loop {
         let msg = node.timer_lag.timeout(HOLDER_TIMEOUT, rx.next()).await.ok_or(Closed)??;
         let Msg::RelayOrders(msg) = msg else { return Err(Closed) };
+        if let Some(ms) = msg.grant.and_then(|g| g.holder_ms) {
+            events.note_holder_time(Duration::from_millis(ms), node.now());
+        }
         if let Some(g) = msg.grant
             && let Some(sent) = heartbeats.take(g.heartbeat)
         {
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -371,7 +371,12 @@
         self.handle.relay_grants.note(self.session_number, full_until);
         let duration_ms = full_until.saturating_sub(now).as_millis() as u32;
         let shortened_ms = end.saturating_sub(full_until.max(now)).as_millis() as u32;
-        let grant = wire::LeaseGrant { heartbeat, duration_ms, shortened_ms };
+        let grant = wire::LeaseGrant {
+            heartbeat,
+            duration_ms,
+            shortened_ms,
+            holder_ms: Some(now.as_millis() as u64),
+        };
         wire::RelayOrders { grant: Some(grant), ..wire::RelayOrders::default() }
     }
 
