--- a/crates/workswood-core/src/jobs/crash_history.rs
+++ b/crates/workswood-core/src/jobs/crash_history.rs
@@ -138,11 +138,12 @@
         self.0.get(&attempt).is_some_and(CrashRecord::is_proving)
     }
 
-    /// Takes back the crashes of a life that has not ended; returns how many there were.
-    pub fn withdraw(&mut self, worker: &WorkerId) -> usize {
-        let before = self.count();
-        self.0.retain(|_, crash| crash.worker.as_ref() != Some(worker));
-        before - self.count()
+    /// Takes back the crashes of a life that has not ended; returns them by attempt number.
+    pub fn withdraw(&mut self, worker: &WorkerId) -> BTreeMap<u32, CrashRecord> {
+        let is_of_life = |crash: &CrashRecord| crash.worker.as_ref() == Some(worker);
+        let (withdrawn, left) = std::mem::take(&mut self.0).into_iter().partition(|(_, c)| is_of_life(c));
+        self.0 = left;
+        withdrawn
     }
 
     /// Number of crashes that may tell something of the task. Those during long runs of a long-running
--- a/tests/testsuite/crash_verdicts.rs
+++ b/tests/testsuite/crash_verdicts.rs
@@ -137,7 +137,7 @@
     fn take_back_crash(&mut self, host: usize) {
         let id = worker(host, 0).id;
         let task = self.world.sched.jobs.get_mut(&TASK.job).and_then(|job| job.task_mut(&TASK));
-        assert_eq!(task.expect("it is known").crashes.withdraw(&id), 1);
+        assert_eq!(task.expect("it is known").crashes.withdraw(&id).len(), 1);
         self.world.sched.reconsider_task(&TASK);
     }
 
@@ -335,7 +335,7 @@
     let mut rate = CrashRate::default();
     let other = TaskId { job: 2, ..TASK };
     let rate_of_other = |rate: &CrashRate| rate.rate_without(&other, at, 10, at);
-    rate.record_crash(at, vec![TASK], 1.0);
+    rate.record_crash(at, "w-1".into(), vec![TASK], 1.0);
     let before = rate_of_other(&rate);
     rate.record_given_up(&TASK, at);
     assert_eq!(rate.recently_given_up(at), 1);
