--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -288,6 +288,14 @@
         }
     }
 
+    /// Sends a message to a holder that goes with the next one. It draws no latency.
+    fn send_ahead_of_next(&mut self, number: u64, msg: ToHolder) {
+        let at = self.now;
+        if let Some(s) = self.sessions.get_mut(&number) {
+            s.to_holder.push_back((at, msg));
+        }
+    }
+
     fn send_heartbeat(&mut self, at: usize, session: &mut HolderSession) {
         let now = self.now;
         if let Some(term) = self.relays[at].own {
@@ -538,7 +546,7 @@
         let tells_of_lease = matches!(answer, PendingAnswer::ProbeLost { .. } | PendingAnswer::Restarted(_));
         if tells_of_lease && !w.confirmed_until.is_zero() {
             let confirmed = WorkerUpdate::LeaseConfirmed(w.confirmed_until);
-            self.send_to_holder(session.number, ToHolder::Update(id.clone(), token, confirmed));
+            self.send_ahead_of_next(session.number, ToHolder::Update(id.clone(), token, confirmed));
         }
         let Some(w) = session.watched.get_mut(&id) else { return };
         let update = match answer {
--- a/src/workswood/ops/jobs/relay/event_sink.rs
+++ b/src/workswood/ops/jobs/relay/event_sink.rs
@@ -27,7 +27,7 @@
     }
 
     /// Notes that a grant came at `now` that names a time on the holder's clock.
-    pub(super) fn note_holder_time(&self, holder_time: Duration, now: Duration) {
+    pub fn note_holder_time(&self, holder_time: Duration, now: Duration) {
         *self.holder_time.lock() = Some((holder_time, now));
     }
 
--- a/tests/testsuite/crash_certainty.rs
+++ b/tests/testsuite/crash_certainty.rs
@@ -3,12 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+use workswood::ops::jobs::Node;
+use workswood::ops::jobs::relay::assigned_worker::AssignedWorker;
+use workswood::ops::jobs::relay::codec::{read_event, write_events};
+use workswood::ops::jobs::relay::messages::WorkerEvent;
+use workswood::ops::jobs::relay::{EventQueue, EventSink, Grant, RelayContext, poll};
 use workswood_core::jobs::crash_certainty::{ClockReading, earliest_lapse};
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{Action, Event, Host, Job, StepSpec, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, host, worker};
+use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::turn_store::TurnStore;
 
 /// Hosts of the world.
 const HOSTS: usize = 4;
@@ -299,3 +308,55 @@
     assert_eq!(earliest_lapse(reading, ms(2400), ms(5000), 0.0), ms(6500));
     assert_eq!(earliest_lapse(reading, ms(1900), ms(5000), 0.02), ms(5900));
 }
+
+/// Waits until a poll has no answer; returns the lease that was confirmed just before.
+async fn confirmed_before_silence(events: &mut mpsc::UnboundedReceiver<Event>) -> Option<Duration> {
+    let mut confirmed = None;
+    loop {
+        match events.recv().await.expect("the relay runs") {
+            Event::WorkerUpdate(_, _, WorkerUpdate::Unanswered { .. }) => return confirmed,
+            Event::WorkerUpdate(_, _, WorkerUpdate::LeaseConfirmed(until)) => confirmed = Some(until),
+            _ => confirmed = None,
+        }
+    }
+}
+
+/// A relay that waits for an order extends no lease, though its polls are answered.
+#[tokio::test(start_paused = true)]
+async fn unextended_lease_is_not_confirmed() {
+    let mut settings = settings("entry-1");
+    settings.policy.calls.resend_probe = false;
+    let node = Arc::new(Node::new(settings, Arc::new(TurnStore::new(ms(4), &[]))));
+    let (tx, mut events) = mpsc::unbounded_channel();
+    let grant = Grant::until(Duration::from_secs(600));
+    let cx = RelayContext::new(node.clone(), grant, EventSink::Local(tx));
+    let orders = ExtensionOrders::AfterSilence;
+    let assigned = Arc::new(AssignedWorker::new(1, worker(0, 0).worker_address(), 1).with_orders(orders));
+    tokio::spawn(poll::run(Arc::new(cx), assigned.clone()));
+    let first = confirmed_before_silence(&mut events).await.expect("a lease was answered");
+    assert!(first > node.now() && first < node.now() + ms(4900), "{first:?} at {:?}", node.now());
+    let second = confirmed_before_silence(&mut events).await;
+    assert_eq!(second, Some(first), "no order came");
+    assigned.allow_extensions(2);
+    let third = confirmed_before_silence(&mut events).await.expect("a lease was answered");
+    assert!(third > first, "{third:?} after {first:?}");
+    assigned.unassign();
+}
+
+/// What a grant tells of the holder's clock is as old as its way to the relay.
+#[test]
+fn delayed_grant_shortens_lease() {
+    let events = EventQueue::default();
+    assert_eq!(events.on_holder_clock(ms(9000)), None);
+    events.note_holder_time(ms(50_000), ms(4000));
+    assert_eq!(events.on_holder_clock(ms(9000)), Some(ms(55_000)));
+    events.note_holder_time(ms(50_200), ms(4700));
+    assert_eq!(events.on_holder_clock(ms(9000)), Some(ms(54_500)));
+}
+
+#[test]
+fn confirmed_lease_is_rounded_down() {
+    let told = (7, WorkerEvent::LeaseConfirmed(Duration::from_micros(1_234_999)));
+    let read = read_event(write_events(vec![told]).remove(0));
+    assert_eq!(read, Some((7, WorkerEvent::LeaseConfirmed(ms(1234)))));
+}
