The test of a task that leaves the queue has the next life answer, not only be listed

given_up_task_leaves_the_queue lists the next life of a crashed worker at once and has it answer only after the lease.

The time that a lease is confirmed for in host_world is what crash_log expects.

--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -314,6 +314,7 @@
         world.sched.handle(Event::WorkerUnlisted(id));
         lives[at] += 1;
         world.sched.handle(Event::WorkerListed(worker(at, lives[at])));
+        at_beside(&mut world, heard + REPLACED_AFTER, &[], &lives);
         at_beside(&mut world, heard + LEASE_OVER_AFTER, &[], &lives);
         actions = world.tick();
         if world.sched.counters.tasks_given_up > 0 {
