A lapse under each of five holders is no proof; a task found sound at work comes back

A crash whose life isn't known to have ended before all leases of its worker is on record as one after a lapse now, and none of the five. A life counts from when it became known, once it has answered, so that given_up_task_leaves_the_queue holds as it was written. A task that was given up while a later run of it was at work is reinstated once that run proves it sound.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -425,16 +425,21 @@
         let long_running = self.workers.values().filter(|w| w.reachable).flat_map(|w| &w.long_running);
         let proven: Vec<TaskId> = long_running.filter(|id| self.is_proven_safe(id)).copied().collect();
         for id in proven {
-            if let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(&id)) {
-                let withdrawn = std::mem::take(&mut task.crashes);
-                task.suspicion = None;
-                for (attempt, crash) in &withdrawn.0 {
-                    let by = (crash, WithdrawnBy::ProvenSafe);
-                    log_withdrawn(&mut self.notes, &mut self.counters, (&id, *attempt), by, &task.crashes);
-                }
-                self.dirty_jobs.insert(id.job);
-            }
+            self.clear_crashes(&id);
+            self.reconsider_task(&id);
+        }
+    }
+
+    /// Takes back all crashes on record for a task.
+    fn clear_crashes(&mut self, id: &TaskId) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|j| j.task_mut(id)) else { return };
+        let withdrawn = std::mem::take(&mut task.crashes);
+        task.suspicion = None;
+        for (attempt, crash) in &withdrawn.0 {
+            let by = (crash, WithdrawnBy::ProvenSafe);
+            log_withdrawn(&mut self.notes, &mut self.counters, (id, *attempt), by, &task.crashes);
         }
+        self.dirty_jobs.insert(id.job);
     }
 
     fn is_proven_safe(&self, id: &TaskId) -> bool {
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -4,10 +4,10 @@
 //! the run may have lapsed. A worker that is only cut off lives on, its runs lapse, and how its life ends
 //! later tells nothing of them. Both times err towards a possible crash:
 //!
-//! * A life had ended by the time at which another life answers at its address, or first answered on its host;
-//!   or at which a list of hosts arrived that was requested after the worker's last answer and shows the host
-//!   without it. Neither list of workers nor start times tell: entries are written late and linger, and the clocks
-//!   of two hosts may be seconds apart.
+//! * A life had ended by the time at which another life answers at its address, or became known on its host and has
+//!   answered since; or at which a list of hosts arrived that was requested after the worker's last answer and shows
+//!   the host without it. The list of workers alone does not tell, since entries are written late and linger; nor do
+//!   start times, since the clocks of two hosts may be seconds apart.
 //! * A run may have lapsed from the end of the lease on that its worker has confirmed with an answer
 //!   ([`WorkerUpdate::LeaseConfirmed`]). A worker that has confirmed none to this lease holder may have lapsed at
 //!   any time.
@@ -55,11 +55,21 @@
     Some(w.confirmed_lease_end).filter(|end| !end.is_zero())
 }
 
+/// Whether a life that had ended by `over_by` ended before all leases of the worker had.
+fn is_over_in_lease(w: &Worker, over_by: Option<Duration>) -> bool {
+    w.reachable || over_by.is_some_and(|at| at <= w.lease_end)
+}
+
 impl Scheduler {
     /// Whether a worker whose life is found to be over now crashed under its runs, those included that were settled
     /// because its lease had ended.
     pub(super) fn certainty_of_crash(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> Certainty {
-        certainty(self.over_by(id, w, end), lapses_from(w))
+        let over_by = self.over_by(id, w, end);
+        match certainty(over_by, lapses_from(w)) {
+            Certainty::Certain => Certainty::Certain,
+            Certainty::Possible | Certainty::Lapsed if is_over_in_lease(w, over_by) => Certainty::Possible,
+            Certainty::Possible | Certainty::Lapsed => Certainty::Lapsed,
+        }
     }
 
     /// The times that tell whether a worker whose life is found to be over now crashed under its runs.
@@ -67,7 +77,7 @@
         CrashTimes {
             heard: Some(w.last_heard).filter(|heard| !heard.is_zero()),
             over_by: self.over_by(id, w, end),
-            known_by: match self.next_life_heard(id, w) {
+            known_by: match self.next_life_known_since(id, w) {
                 Some(since) if since < self.now || end == IncarnationEnd::UnreachableAndUnlisted => {
                     EndKnownBy::NextLife
                 }
@@ -88,17 +98,18 @@
             IncarnationEnd::UnreachableAndUnlisted => false,
         };
         let shown = Some(self.now).filter(|_| shown);
-        shown.into_iter().chain(self.next_life_heard(id, w)).min()
+        shown.into_iter().chain(self.next_life_known_since(id, w)).min()
     }
 
-    /// When a later life on the host of a worker, or with its name, first answered.
-    fn next_life_heard(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
+    /// Since when a later life on the host of a worker, or with its name, has been known that has answered since.
+    fn next_life_known_since(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
         let host = w.info.as_ref().map(|info| &info.host).filter(|host| !host.is_empty());
         let on_host = host.map(|host| self.workers.on_host(host)).unwrap_or_default();
         let others = on_host.iter().chain(self.workers.incarnations_of(id.name()));
         let others = others.filter(|other| *other != id).filter_map(|other| self.workers.get(other));
         let later = others.filter(|other| other.known_since > w.known_since);
-        later.filter_map(|other| other.first_heard).filter(|heard| *heard > w.last_heard).min()
+        let answered = later.filter(|other| other.first_heard.is_some_and(|heard| heard > w.last_heard));
+        answered.map(|other| other.known_since).min()
     }
 
     /// Notes when a worker answered, if an update tells.
--- a/crates/workswood-core/src/jobs/crash_history.rs
+++ b/crates/workswood-core/src/jobs/crash_history.rs
@@ -49,6 +49,8 @@
     /// The run may have lapsed before the life of its worker ended, or the life may not have ended at all.
     #[default]
     Possible,
+    /// The life is not known to have ended before all leases of its worker had, so that the run had lapsed.
+    Lapsed,
     /// The life is known to have ended before the lease of the run could have.
     Certain,
 }
@@ -86,10 +88,11 @@
         self.certainty == Certainty::Certain
     }
 
-    /// Whether the run was started by an earlier lease holder than the one that found the crash, and is not known to
-    /// have lasted for long.
+    /// Whether the run was started by an earlier lease holder than the one that found the crash, before the run
+    /// had lapsed, and is not known to have lasted for long.
     fn is_inherited(&self) -> bool {
-        self.max_run_time.is_none() && self.evidence != Evidence::Bystander
+        let in_doubt = self.certainty == Certainty::Possible;
+        in_doubt && self.max_run_time.is_none() && self.evidence != Evidence::Bystander
     }
 
     /// Whether it is certain that the worker crashed under a run that had started.
@@ -127,7 +130,7 @@
     /// crashes, which a later lease holder does not know.
     ///
     /// That is so if [`PROOF_CRASHES`] are certain. Where the lease holder changed after each crash, nothing can
-    /// make them certain, and [`EXHAUSTED_AFTER_CRASHES`] are enough.
+    /// make them certain, and [`EXHAUSTED_AFTER_CRASHES`] are enough; those whose runs had lapsed are none of them.
     pub fn allows_giving_up(&self) -> bool {
         let irrefutable = self.0.values().filter(|c| c.is_certain() || c.is_inherited()).count();
         self.certain_count() >= PROOF_CRASHES || irrefutable >= EXHAUSTED_AFTER_CRASHES
--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -228,7 +228,7 @@
 fn count_crash(counters: &mut SchedulerCounters, certainty: Certainty) {
     match certainty {
         Certainty::Certain => counters.certain_crashes += 1,
-        Certainty::Possible => counters.possible_crashes += 1,
+        Certainty::Possible | Certainty::Lapsed => counters.possible_crashes += 1,
     }
 }
 
@@ -333,7 +333,7 @@
 pub fn certainty_label(certainty: Certainty) -> &'static str {
     match certainty {
         Certainty::Certain => "certain",
-        Certainty::Possible => "possible",
+        Certainty::Possible | Certainty::Lapsed => "possible",
     }
 }
 
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -114,9 +114,9 @@
     /// Since when it has run nowhere.
     #[prost(message, optional, tag = "9")]
     absence: Option<AbsenceState>,
-    /// For each crash in `crashes`, 1 if it is certain, else 0. Zeros at the end are omitted.
+    /// For each crash in `crashes`, how certain it is. Zeros at the end are omitted.
     #[prost(uint32, repeated, tag = "10")]
-    certain_crashes: Vec<u32>,
+    crash_certainties: Vec<u32>,
     /// For each crash in `crashes`, the worker's index plus one; 0 if it is not known. Zeros at the end are omitted.
     #[prost(uint32, repeated, tag = "11")]
     crashed_workers: Vec<u32>,
@@ -201,8 +201,8 @@
                 crash_run_times: t.crashes.0.values().map(|c| encode_run_time(c.max_run_time)).collect(),
                 given_up: t.given_up,
                 absence: t.absence.map(|a| AbsenceState { since: a.since, restart_by: a.restart_by }),
-                certain_crashes: without_trailing_zeros(
-                    t.crashes.0.values().map(|c| u32::from(c.is_certain())),
+                crash_certainties: without_trailing_zeros(
+                    t.crashes.0.values().map(|c| encode_certainty(c.certainty)),
                 ),
                 crashed_workers: without_trailing_zeros(
                     t.crashes.0.values().map(|c| encode_worker(&c.worker, workers)),
@@ -272,7 +272,7 @@
         task.crashes = decode_crashes(&StoredCrashes {
             crashes: &t.crashes,
             run_times: &t.crash_run_times,
-            certain: &t.certain_crashes,
+            certainties: &t.crash_certainties,
             crashed_workers: &t.crashed_workers,
             workers,
         })?;
@@ -284,7 +284,7 @@
 struct StoredCrashes<'a> {
     crashes: &'a [u32],
     run_times: &'a [u32],
-    certain: &'a [u32],
+    certainties: &'a [u32],
     crashed_workers: &'a [u32],
     workers: &'a [WorkerId],
 }
@@ -295,11 +295,10 @@
         let [attempt, evidence] = *crash else {
             return Err("a crash has fewer than two numbers".to_string());
         };
-        let is_certain = stored.certain.get(n).is_some_and(|c| *c == CERTAIN);
         let crash = CrashRecord {
             evidence: decode_evidence(evidence)?,
             max_run_time: stored.run_times.get(n).and_then(|ms| decode_run_time(*ms)),
-            certainty: if is_certain { Certainty::Certain } else { Certainty::Possible },
+            certainty: decode_certainty(stored.certainties.get(n).copied())?,
             worker: decode_worker(stored.crashed_workers.get(n).copied(), stored.workers)?,
         };
         history.0.insert(attempt, crash);
@@ -316,8 +315,22 @@
     all
 }
 
-/// Stored form of [`Certainty::Certain`].
-const CERTAIN: u32 = 1;
+fn encode_certainty(certainty: Certainty) -> u32 {
+    match certainty {
+        Certainty::Possible => 0,
+        Certainty::Certain => 1,
+        Certainty::Lapsed => 2,
+    }
+}
+
+fn decode_certainty(stored: Option<u32>) -> Result<Certainty, String> {
+    match stored.unwrap_or_default() {
+        0 => Ok(Certainty::Possible),
+        1 => Ok(Certainty::Certain),
+        2 => Ok(Certainty::Lapsed),
+        other => Err(format!("unknown certainty {other}")),
+    }
+}
 
 /// The worker's index plus one; 0 for none.
 fn encode_worker<'a>(worker: &'a Option<WorkerId>, workers: &mut WorkerTable<'a>) -> u32 {
--- a/tests/testsuite/crash_verdicts.rs
+++ b/tests/testsuite/crash_verdicts.rs
@@ -20,6 +20,9 @@
 /// Longest wait of a task whose restarts are paced, in milliseconds.
 const LONGEST_PACE_MS: u64 = 2000;
 
+/// Time at work after which a task is taken to be sound, in milliseconds.
+const PROVEN_AFTER_MS: u64 = 11_000;
+
 const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
 
 fn ordinary() -> StepSpec {
@@ -220,6 +223,25 @@
     assert_eq!(site.world.sched.counters.tasks_reinstated, 1);
 }
 
+/// They may have been cut off, each under another holder.
+#[test]
+fn five_lapsed_are_no_proof() {
+    let lapsed = CrashRecord { certainty: Certainty::Lapsed, ..inherited() };
+    let site = Site::restored(lasting(), &vec![lapsed; 5], true);
+    assert_eq!(site.world.sched.counters.tasks_reinstated, 1);
+}
+
+/// It is given up for the lapse of an earlier run.
+#[test]
+fn task_at_work_comes_back() {
+    let mut site = Site::restored(lasting(), &[crash(Certainty::Certain)], false);
+    site.wait_for_start();
+    let job = site.world.sched.jobs.get_mut(&TASK.job);
+    job.and_then(|job| job.task_mut(&TASK)).expect("it is known").given_up = true;
+    site.play(PROVEN_AFTER_MS);
+    assert_eq!((site.world.sched.counters.tasks_reinstated, site.certain_crashes()), (1, (0, 0)));
+}
+
 /// This holder has seen the run of the fifth one lapse.
 #[test]
 fn lapse_beside_inherited_is_no_proof() {
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -23,7 +23,7 @@
     let all = [Evidence::LikelyCause, Evidence::Bystander, Evidence::Unconfirmed];
     let within = if u.arbitrary()? { Some(Duration::from_millis(u.int_in_range(0..=90_000)?)) } else { None };
     let worker = if u.arbitrary()? { Some(worker(u)?) } else { None };
-    let certainty = *u.choose(&[Certainty::Possible, Certainty::Certain])?;
+    let certainty = *u.choose(&[Certainty::Possible, Certainty::Lapsed, Certainty::Certain])?;
     Ok(CrashRecord { evidence: *u.choose(&all)?, max_run_time: within, certainty, worker })
 }
 
