Paced restarts: the counter and the line are about the begin of the pace

A pace is set once for a task and holds for its restarts, so counting "starts put off" told something else.

--- a/crates/workswood-core/src/jobs/absence_reason.rs
+++ b/crates/workswood-core/src/jobs/absence_reason.rs
@@ -21,7 +21,7 @@
 pub enum WaitReason {
     /// Nothing: it was given up because it crashes its workers.
     GivenUp,
-    /// The end of a wait that is put between its starts, since it may crash its workers.
+    /// The pace of its restarts, since it may crash its workers.
     Paced,
     /// The answer, or the end of the lease, of a worker that may run it.
     WorkerUnreachable,
--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -316,7 +316,8 @@
     ));
 }
 
-/// Logs and counts that the next start of a task waits, since it may crash its workers.
+/// Logs and counts that the restarts of a task are paced from now on, since it may crash its workers: each waits for
+/// `wait` at most.
 pub fn log_paced(
     notes: &mut LogLines,
     counters: &mut SchedulerCounters,
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -165,7 +165,7 @@
     pub tasks_given_up: u64,
     /// Tasks that were given up and came back.
     pub tasks_reinstated: u64,
-    /// Starts of tasks that were put off since the task may crash its workers.
+    /// Times that the restarts of a task were paced from then on, since it may crash its workers.
     pub tasks_paced: u64,
     /// Crashes put on record for tasks that are certain to have come under a run.
     pub certain_crashes: u64,
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -98,7 +98,7 @@
     withdrawn_crashes: IntGauge,
     /// Tasks that were given up and came back, in this term.
     reinstated_tasks: IntGauge,
-    /// Starts of tasks that were put off since the task may crash its workers, in this term.
+    /// Times that the restarts of a task were paced from then on, in this term.
     paced_tasks: IntGauge,
     /// Long-running tasks that have had no known run for a second or longer.
     pub absent_tasks: IntGauge,
@@ -321,7 +321,7 @@
             paced_tasks: register_gauge(
                 &registry,
                 "workswood_tasks_paced",
-                "starts put off since the task may crash its workers, in this term",
+                "times that the restarts of a task were paced from then on, in this term",
             ),
             absent_tasks: register_gauge(
                 &registry,
