--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -400,6 +400,8 @@
                 task.suspicion = None;
                 self.dirty_jobs.insert(id.job);
             }
+            // A run of it may have been there when it was given up.
+            self.reconsider_task(&id);
         }
     }
 
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -53,12 +53,8 @@
     /// Whether a worker whose life is found to be over now crashed under its runs, those included that were settled
     /// because its lease had ended.
     pub(super) fn certainty_of_crash(&self, id: &WorkerId, w: &Worker, end: IncarnationEnd) -> Certainty {
-        certainty(self.over_by(id, w, end), self.lapses_from(w))
-    }
-
-    /// From when the runs of a worker may have lapsed; `None` if it has confirmed no lease to this lease holder.
-    fn lapses_from(&self, w: &Worker) -> Option<Duration> {
-        Some(w.confirmed_lease_end).filter(|end| !end.is_zero())
+        let lapses_from = Some(w.confirmed_lease_end).filter(|end| !end.is_zero());
+        certainty(self.over_by(id, w, end), lapses_from)
     }
 
     /// The time by which the life of a worker had ended.
@@ -72,11 +68,11 @@
             IncarnationEnd::UnreachableAndUnlisted => false,
         };
         let shown = Some(self.now).filter(|_| shown);
-        shown.into_iter().chain(self.next_life_known_since(id, w)).min()
+        shown.into_iter().chain(self.next_life_heard(id, w)).min()
     }
 
     /// When a later life on the host of a worker, or with its name, first answered.
-    fn next_life_known_since(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
+    fn next_life_heard(&self, id: &WorkerId, w: &Worker) -> Option<Duration> {
         let host = w.info.as_ref().map(|info| &info.host).filter(|host| !host.is_empty());
         let on_host = host.map(|host| self.workers.on_host(host)).unwrap_or_default();
         let others = on_host.iter().chain(self.workers.incarnations_of(id.name()));
