--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -426,6 +426,7 @@
         let proven: Vec<TaskId> = long_running.filter(|id| self.is_proven_safe(id)).copied().collect();
         for id in proven {
             self.clear_crashes(&id);
+            // A run of it may have been there when it was given up.
             self.reconsider_task(&id);
         }
     }
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -98,7 +98,7 @@
             IncarnationEnd::UnreachableAndUnlisted => false,
         };
         let shown = Some(self.now).filter(|_| shown);
-        shown.into_iter().chain(self.next_life_known_since(id, w)).min()
+        shown.into_iter().chain(self.next_life_heard(id, w)).min()
     }
 
     /// Since when a later life on the host of a worker, or with its name, has been known that has answered since.
