--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -397,6 +397,7 @@
                 task.crashes = CrashHistory::default();
                 task.suspicion = None;
                 self.dirty_jobs.insert(id.job);
+                self.reconsider_task(&id);
             }
         }
     }
--- a/tests/testsuite/crash_verdicts.rs
+++ b/tests/testsuite/crash_verdicts.rs
@@ -343,3 +343,15 @@
     rate.withdraw_given_up(&TASK);
     assert_eq!((rate.recently_given_up(at), rate_of_other(&rate)), (0, before));
 }
+
+/// It was at work on another worker already when it was given up, and stays so.
+#[test]
+fn task_at_work_is_proven_safe() {
+    let crashes = [Certainty::Certain, Certainty::Possible, Certainty::Certain, Certainty::Possible];
+    let mut site = Site::restored(lasting(), &crashes.map(crash), false);
+    site.cut_off();
+    let is_given_up = |site: &Site| site.world.sched.jobs[&TASK.job].task(&TASK).is_some_and(|t| t.given_up);
+    assert!(is_given_up(&site) && site.run.is_some());
+    site.play(11_000);
+    assert!(!is_given_up(&site), "it would not be started again");
+}
