Chased tasks beside outages, relays in trouble and crashes; chased tasks that end

Faults aimed at a lasting task now come with an outage of the store, relays in trouble, or crashes of other workers (chase-outages, chase-relays, chase-crashes). chased_jobs aims the same at the first task of ordinary jobs, three to five times in a row: the job must end and isn't shown as failed. In half of its histories runs are longer than the lease of their start, since a short one ends behind the cut and is reported as done.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -12,7 +12,7 @@
 use super::relay::SimRelay;
 use super::store_cuts::StoreCuts;
 use super::worker::WorkerLimits;
-use super::{STEP, Seen, World};
+use super::{LONG_RUN_TIMES_MS, RUN_TIMES_MS, STEP, Seen, World};
 use crate::job_node::deployed_policy;
 
 /// Most ends that a worker lists at once in a world with short lists.
@@ -101,6 +101,13 @@
         self
     }
 
+    /// Has tasks that end run for longer than the lease of their start.
+    #[must_use]
+    pub fn with_long_runs(mut self) -> World {
+        self.run_times_ms = LONG_RUN_TIMES_MS;
+        self
+    }
+
     /// Has workers run many tasks, such as those of [`small_step`](super::small_step).
     #[must_use]
     pub fn with_many_runs(mut self) -> World {
@@ -155,6 +162,7 @@
             lasting: LastingTasks::default(),
             store_cuts: StoreCuts::default(),
             endless_runs: false,
+            run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
             advised,
             limited: false,
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -60,6 +60,10 @@
 const SLOW_LINK_LATENCY: Duration = Duration::from_millis(900);
 /// Time until a worker that has left is replaced.
 const VACANCY: Duration = Duration::from_secs(40);
+/// Shortest and longest run of a task that ends, in milliseconds.
+const RUN_TIMES_MS: (u64, u64) = (200, 1100);
+/// The same in a world with long runs: none ends within the lease of its start.
+const LONG_RUN_TIMES_MS: (u64, u64) = (6000, 9000);
 /// Capacity of each worker.
 const WORKER_CAPACITY: Resources = Resources { cpu_millis: 4000, mem_mb: 8000, gpus: 0 };
 /// Name of the service that runs the tasks.
@@ -170,6 +174,8 @@
     store_cuts: StoreCuts,
     /// Whether no run of a long-running task fails.
     endless_runs: bool,
+    /// Shortest and longest run of a task that ends, in milliseconds.
+    run_times_ms: (u64, u64),
     evacuations: Evacuations,
     /// Whether the queue has an adviser.
     advised: bool,
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -122,11 +122,7 @@
             self.seen.violations.push(format!("{text}: {task} attempt {attempt} at {now:?}"));
         }
         let long_running = self.is_long_running(&task);
-        let duration = if long_running {
-            self.long_running_duration()
-        } else {
-            Duration::from_millis(200 + self.rng.below(900))
-        };
+        let duration = if long_running { self.long_running_duration() } else { self.draw_run_time() };
         let failure_percent =
             if task.job.is_multiple_of(FLAKY_JOB_INTERVAL) { FLAKY_FAILURE_PERCENT } else { FAILURE_PERCENT };
         let fails = self.rng.below(100) < failure_percent || long_running;
@@ -146,6 +142,12 @@
         self.jobs.get(&task.job).is_some_and(|spec| spec.steps[usize::from(task.step)].long_running)
     }
 
+    /// Draws how long a task runs that ends.
+    fn draw_run_time(&mut self) -> Duration {
+        let (from_ms, to_ms) = self.run_times_ms;
+        Duration::from_millis(from_ms + self.rng.below(to_ms - from_ms))
+    }
+
     /// Draws how long a long-running task works until it fails.
     fn long_running_duration(&mut self) -> Duration {
         if self.endless_runs || self.rng.below(FAILING_RUN_INTERVAL) > 0 {
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -7,7 +7,9 @@
 use workswood_core::jobs::{JobKey, StepSpec};
 use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
 
-use super::chased_tasks::{Loss, chase};
+use super::chased_tasks::{
+    Aim, CHASE, CHASE_CRASH, CHASE_CRASHES, CHASE_OUTAGES, CHASE_REBORN, CHASE_RELAYS, chase,
+};
 use super::random_jobs::{
     NewWorld, hand_seeds, named_world, outages, outages_and_restarts, report, trouble_relays,
 };
@@ -15,7 +17,7 @@
 /// Histories of one mixture in one run of the suite.
 const HISTORIES: u64 = 25;
 /// Workers of a world.
-const WORKERS: u64 = 6;
+pub(super) const WORKERS: u64 = 6;
 /// Spells of faults in one history.
 const SPELLS: u64 = 4;
 /// Shortest and longest calm after a spell, in milliseconds.
@@ -48,18 +50,14 @@
     Usual,
     /// Any of these, spell by spell.
     All,
-    /// Workers that are cut off just after one task was started there, and healed.
-    Chase,
-    /// The same, with another life of the worker at the end of the cut.
-    ChaseReborn,
-    /// Workers that crash just after one task was started there.
-    ChaseCrash,
+    /// The workers of one task are lost, one after the other, each just after it was started there.
+    Chase(Aim),
 }
 
 /// Mixtures of which [`Mixture::All`] draws, the first ones of [`MIXTURES`].
 const DRAWN_MIXTURES: u64 = 7;
 
-const MIXTURES: [(&str, Mixture); 11] = [
+const MIXTURES: [(&str, Mixture); 14] = [
     ("lapses", Mixture::Lapses),
     ("handovers", Mixture::Handovers),
     ("demand", Mixture::Demand),
@@ -68,9 +66,12 @@
     ("relays", Mixture::Relays),
     ("usual", Mixture::Usual),
     ("all", Mixture::All),
-    ("chase", Mixture::Chase),
-    ("chase-reborn", Mixture::ChaseReborn),
-    ("chase-crash", Mixture::ChaseCrash),
+    ("chase", CHASE),
+    ("chase-reborn", CHASE_REBORN),
+    ("chase-crash", CHASE_CRASH),
+    ("chase-outages", CHASE_OUTAGES),
+    ("chase-relays", CHASE_RELAYS),
+    ("chase-crashes", CHASE_CRASHES),
 ];
 
 /// A history in its course.
@@ -266,10 +267,10 @@
     }
 
     /// Loses the workers of the first long-running task.
-    fn chase(&mut self, loss: Loss) {
+    fn chase(&mut self, aim: Aim) {
         let task = self.lasting.first().and_then(|key| self.w.first_lasting_task(*key));
         if let Some(task) = task {
-            chase(&mut self.w, task, loss);
+            chase(&mut self.w, task, aim);
         }
     }
 
@@ -292,9 +293,7 @@
                 let at = self.below(DRAWN_MIXTURES) as usize;
                 self.spell(MIXTURES[at].1);
             }
-            Mixture::Chase => self.chase(Loss::Cut),
-            Mixture::ChaseReborn => self.chase(Loss::Reborn),
-            Mixture::ChaseCrash => self.chase(Loss::Crash),
+            Mixture::Chase(aim) => self.chase(aim),
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod centre_bridges;
 mod chance_crashes;
 mod changing_room;
+mod chased_jobs;
 mod chased_tasks;
 mod closed_pipes;
 mod connection_suspicion;
