--- a/crates/workswood-core/src/jobs/crash_rate.rs
+++ b/crates/workswood-core/src/jobs/crash_rate.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::spec::TaskId;
+use super::worker_id::WorkerId;
 
 /// The rate is taken over this time; long enough to cover recurring crashes.
 const RATE_WINDOW: Duration = Duration::from_secs(10);
@@ -23,44 +24,69 @@
 /// Shortest run time that enters a score, since the reported times are late by a few milliseconds.
 const MIN_RUN_TIME: Duration = Duration::from_millis(5);
 
-/// A crash without a known cause.
+/// A crash of a worker.
 #[derive(Clone, Debug)]
-struct UnexplainedCrash {
+struct WorkerCrash {
     at: Duration,
+    /// The life that is counted as crashed.
+    worker: WorkerId,
     /// Tasks that ran on the worker.
     running_tasks: Vec<TaskId>,
     /// Probability that the crash was not caused by one of the tasks.
     chance_probability: f64,
 }
 
-/// Recent crashes of workers that no task is known to have caused.
+/// Recent crashes of workers, and the tasks that are known to have caused some of them.
 #[derive(Clone, Debug, Default)]
 pub struct CrashRate {
-    crashes: VecDeque<UnexplainedCrash>,
-    /// When tasks were given up.
-    given_up_times: VecDeque<Duration>,
+    crashes: VecDeque<WorkerCrash>,
+    /// Tasks that were given up lately, and when.
+    given_up: VecDeque<(TaskId, Duration)>,
 }
 
 impl CrashRate {
     /// Records the crash of a worker with the tasks that ran on it. `chance_probability` is 1 if
     /// none of them explains the crash, else the share of workers that had such a task: where most
     /// workers have one, its presence says little.
-    pub fn record_crash(&mut self, at: Duration, running_tasks: Vec<TaskId>, chance_probability: f64) {
+    pub fn record_crash(
+        &mut self,
+        at: Duration,
+        worker: WorkerId,
+        running_tasks: Vec<TaskId>,
+        chance_probability: f64,
+    ) {
         while self.crashes.front().is_some_and(|c| c.at + RATE_WINDOW < at) {
             self.crashes.pop_front();
         }
-        self.crashes.push_back(UnexplainedCrash { at, running_tasks, chance_probability });
+        self.crashes.push_back(WorkerCrash { at, worker, running_tasks, chance_probability });
+    }
+
+    /// Takes back the crash of a life that has not ended.
+    pub fn withdraw(&mut self, worker: &WorkerId) {
+        self.crashes.retain(|c| c.worker != *worker);
     }
 
     /// Records that a task was given up. Its crashes no longer count towards the rate.
     pub fn record_given_up(&mut self, task: &TaskId, at: Duration) {
-        self.crashes.retain(|c| !c.running_tasks.contains(task));
-        self.given_up_times.push_back(at);
+        while self.given_up.front().is_some_and(|(_, before)| *before + RECENTLY_GIVEN_UP_AGE < at) {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((*task, at));
+    }
+
+    /// Takes back that a task was given up: its crashes count again.
+    pub fn withdraw_given_up(&mut self, task: &TaskId) {
+        self.given_up.retain(|(id, _)| id != task);
     }
 
     /// Number of tasks that were given up recently.
     pub fn recently_given_up(&self, now: Duration) -> usize {
-        self.given_up_times.iter().filter(|at| **at + RECENTLY_GIVEN_UP_AGE >= now).count()
+        self.given_up.iter().filter(|(_, at)| *at + RECENTLY_GIVEN_UP_AGE >= now).count()
+    }
+
+    /// Whether a task that was given up explains a crash.
+    fn is_explained(&self, crash: &WorkerCrash) -> bool {
+        self.given_up.iter().any(|(task, _)| crash.running_tasks.contains(task))
     }
 
     /// Crashes per worker-second, without those during runs of the task, when `workers` were
@@ -68,6 +94,7 @@
     pub fn rate_without(&self, task: &TaskId, now: Duration, workers: usize, watched: Duration) -> f64 {
         let others =
             self.crashes.iter().filter(|c| c.at + RATE_WINDOW >= now && !c.running_tasks.contains(task));
+        let others = others.filter(|c| !self.is_explained(c));
         let seconds = workers as f64 * watched.min(RATE_WINDOW).as_secs_f64();
         (others.map(|c| c.chance_probability).sum::<f64>() + PRIOR_CRASHES) / (seconds + PRIOR_WORKER_SECONDS)
     }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -8,6 +8,7 @@
 use super::advice::AdviceState;
 use super::config::SchedConfig;
 use super::crash_rate::CrashRate;
+use super::crash_withdrawal::CountedLives;
 use super::cut_off_workers::ListWatch;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
@@ -85,6 +86,8 @@
     pub(super) submission_rates: SubmissionRates,
     /// How often workers crash by themselves.
     pub(super) crash_rate: CrashRate,
+    /// Lives that are counted as crashed, and the tasks that this is on record of.
+    pub(super) counted_lives: CountedLives,
     /// Durations of tasks.
     pub(super) durations: TaskDurations,
     /// Times of completed tasks of open jobs.
@@ -163,6 +166,16 @@
     pub runs_lost: u64,
     /// Tasks that were given up because they crash their workers.
     pub tasks_given_up: u64,
+    /// Tasks that were given up and came back.
+    pub tasks_reinstated: u64,
+    /// Starts of tasks that were put off since the task may crash its workers.
+    pub tasks_paced: u64,
+    /// Crashes put on record for tasks that are certain to have come under a run.
+    pub certain_crashes: u64,
+    /// Crashes put on record for tasks that may have come under a run.
+    pub possible_crashes: u64,
+    /// Crashes on record that were taken back.
+    pub crashes_withdrawn: u64,
     /// Workers that were kept from new work because they were slow.
     pub workers_slow: u64,
     /// Second runs that were started.
@@ -195,6 +208,7 @@
             fleet_cpu_millis: 0,
             submission_rates: SubmissionRates::default(),
             crash_rate: CrashRate::default(),
+            counted_lives: CountedLives::default(),
             durations: TaskDurations::default(),
             sibling_times: SiblingTimes::default(),
             slow_workers: SlowWorkers::default(),
@@ -298,6 +312,8 @@
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
+        self.review_inherited(&mut job);
+        self.counted_lives.note_job(&job);
         self.inherit_absences(&job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
@@ -490,6 +506,8 @@
         if long_running {
             self.note_waiting(&id, &spec.service, &tasks);
             self.note_first_turn(&id, &tasks);
+        } else {
+            self.note_paced_waiting(&id, &spec.service, &tasks);
         }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
