--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -297,20 +297,20 @@
     notes.push(format_args!("event=task_given_up worker={} task={task} {on}", on.worker));
 }
 
-/// Logs and counts that a task that was given up comes back; `given_up_for` is `None` if it is not known how long
-/// ago it was given up.
+/// Logs and counts that a task that was given up comes back; `absent_for` is `None` if it is not known
+/// since when it has been absent.
 pub fn log_reinstated(
     notes: &mut LogLines,
     counters: &mut SchedulerCounters,
     task: &TaskId,
-    (why, given_up_for): (ReinstatedFor, Option<Duration>),
+    (why, absent_for): (ReinstatedFor, Option<Duration>),
     left: &CrashHistory,
 ) {
     counters.tasks_reinstated += 1;
     notes.push(format_args!(
-        "event=task_reinstated task={task} why={} given_up_ms={} crashes={} certain={}",
+        "event=task_reinstated task={task} why={} absent_ms={} crashes={} certain={}",
         why.label(),
-        OrUnknown(given_up_for.map(|length| length.as_millis())),
+        OrUnknown(absent_for.map(|length| length.as_millis())),
         left.count(),
         left.certain_count()
     ));
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -308,6 +308,7 @@
         job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
         self.second_runs.track(key, &job.spec);
         self.suspect_inherited(&mut job);
+        self.review_inherited(&mut job);
         self.inherit_absences(&job);
         let bound = self.inherited_lease_end();
         let mut workers = BTreeSet::new();
@@ -500,6 +501,8 @@
         if long_running {
             self.note_waiting(&id, &spec.service, &tasks);
             self.note_first_turn(&id, &tasks);
+        } else {
+            self.note_paced_waiting(&id, &spec.service, &tasks);
         }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
--- a/tests/testsuite/crash_log.rs
+++ b/tests/testsuite/crash_log.rs
@@ -312,7 +312,7 @@
     for why in why {
         log_reinstated(&mut notes, &mut counters, &task(1, 0), why, &left);
     }
-    let wanted = ["why=withdrawal given_up_ms=2400", "why=unproven_record given_up_ms=unknown"]
+    let wanted = ["why=withdrawal absent_ms=2400", "why=unproven_record absent_ms=unknown"]
         .map(|why| format!("event=task_reinstated task={} {why} crashes=2 certain=1", task(1, 0)));
     assert_eq!((lines(&notes, "task_reinstated"), counters.tasks_reinstated), (wanted.to_vec(), 2));
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod connection_suspicion;
 mod crash_evidence;
 mod crash_log;
+mod crash_verdicts;
 mod crashed_standin;
 mod crashing_tasks;
 mod deferred_requests;
