The aimed soak prints how the entries took its losses

event=evidence tells crashes counted as certain and as possible, those taken back, tasks paced, given up and reinstated. Nothing crashes under a run of a long-running task there, so certain=0 is expected; it is printed, not checked.

--- a/tests/testsuite/aimed_soak.rs
+++ b/tests/testsuite/aimed_soak.rs
@@ -167,13 +167,22 @@
     /// Prints how many events of a kind the entries logged: what was taken for a crash, though none was.
     fn print_evidence(&self) {
         let lines = log_lines(&self.soak);
-        let count = |event: &str| lines.iter().filter(|l| l.contains(&format!("event={event} "))).count();
+        let of = |event: &str, part: &str| {
+            let event = format!("event={event} ");
+            lines.iter().filter(|l| l.contains(&event) && l.contains(part)).count()
+        };
+        let count = |event: &str| of(event, "");
         println!(
-            "event=evidence seed={} crashes={} suspected={} given_up={}",
+            "event=evidence seed={} crashes={} certain={} possible={} withdrawn={} suspected={} paced={} given_up={} reinstated={}",
             self.seed,
             count("worker_crashed"),
+            of("crash_counted", " certainty=certain "),
+            of("crash_counted", " certainty=possible "),
+            count("crash_withdrawn"),
             count("task_suspected"),
-            count(GIVEN_UP)
+            count("task_paced"),
+            count(GIVEN_UP),
+            count("task_reinstated")
         );
     }
 
