The token of a worker that is forgotten and listed again doesn't fall

What callers saw: a job that nobody tells of. A worker without a time of start that is cut off, forgotten and listed again as the same life had its relays counted from one again, so that its token was lower than one that it had seen in the same term; it refused, and a sound holder took itself for deposed. The numbers of forgotten workers are kept, 4,096 at most. lost_relays::token_of_relisted_worker_falls guards it.

--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -15,7 +15,7 @@
 //! * If a relay is lost, its workers are assigned to others. The loss is reported with the time at
 //!   which the last lease that it may have extended ends.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -25,6 +25,7 @@
 use super::lease_claim::EntryCapacity;
 use super::scheduler::Scheduler;
 use super::types::{Action, StopReply, WorkerUpdate};
+use super::worker::Worker;
 use super::worker_id::WorkerId;
 use crate::ids::{DataCentre, HostId, Token};
 
@@ -101,8 +102,14 @@
     /// Highest number of relays in this term, by name, for workers that keep their name when they
     /// restart. Keeps tokens rising from one incarnation to the next.
     relay_counts: BTreeMap<String, u32>,
+    /// Number of relays of other workers that were forgotten, the latest last: one that was only cut off may be
+    /// listed again.
+    forgotten_counts: VecDeque<(WorkerId, u32)>,
 }
 
+/// Most forgotten workers whose number of relays is kept.
+const MAX_FORGOTTEN_COUNTS: usize = 4096;
+
 impl Relay {
     fn is_full(&self) -> bool {
         self.workers.len() >= self.max_workers
@@ -110,6 +117,21 @@
 }
 
 impl Relays {
+    /// Keeps the number of relays of a worker that is forgotten.
+    fn keep_forgotten_count(&mut self, id: &WorkerId, relays: u32) {
+        if self.forgotten_counts.len() >= MAX_FORGOTTEN_COUNTS {
+            self.forgotten_counts.pop_front();
+        }
+        self.forgotten_counts.push_back((id.clone(), relays));
+    }
+
+    /// Highest number of relays that a worker, or an earlier incarnation of it, has had in this term.
+    fn earlier_count(&self, id: &WorkerId) -> u32 {
+        let of_name = self.relay_counts.get(id.name()).copied();
+        let forgotten = self.forgotten_counts.iter().rev().find(|(other, _)| other == id);
+        of_name.max(forgotten.map(|(_, relays)| *relays)).unwrap_or(0)
+    }
+
     /// Adds an order that need not be recorded before it is sent.
     pub(super) fn push_order(&mut self, order: Action) {
         self.orders.push(order);
@@ -241,10 +263,13 @@
     }
 
     /// Forgets the relay assignment of a worker that is removed.
-    pub(super) fn forget_relay_assignment(&mut self, id: &WorkerId, relay: Option<HostId>) {
+    pub(super) fn forget_relay_assignment(&mut self, id: &WorkerId, w: &Worker) {
         self.relays.unassigned.remove(id);
-        if let Some(relay) = relay {
-            self.remove_from_relay(id, &relay);
+        if id.started_at().is_none() && w.relay_count > 0 {
+            self.relays.keep_forgotten_count(id, w.relay_count);
+        }
+        if let Some(relay) = &w.relay {
+            self.remove_from_relay(id, relay);
         }
     }
 
@@ -270,7 +295,7 @@
     fn assign_relay(&mut self, id: &WorkerId) {
         let Some(info) = self.workers.get(id).and_then(|w| w.info.clone()) else { return };
         let entry = self.choose_relay(&info.data_centre, &info.host);
-        let earlier_count = self.relays.relay_counts.get(id.name()).copied().unwrap_or(0);
+        let earlier_count = self.relays.earlier_count(id);
         let Some(mut w) = self.workers.get_mut(id) else { return };
         w.relay = Some(entry.clone());
         w.relay_count = 1 + w.relay_count.max(earlier_count);
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -156,7 +156,7 @@
         self.keep_forgotten_bound(id, &w);
         self.settle_barrier(id);
         self.dirty_workers.insert(id.clone());
-        self.forget_relay_assignment(id, w.relay);
+        self.forget_relay_assignment(id, &w);
         true
     }
 
--- a/tests/testsuite/lost_relays.rs
+++ b/tests/testsuite/lost_relays.rs
@@ -83,3 +83,31 @@
     let after = world.sched.workers.get(&id).expect("it is known").lease_end;
     assert_eq!(before, after, "nothing extends its lease");
 }
+
+/// A worker has seen the token of its last relay, and refuses a lower one.
+#[test]
+fn token_of_relisted_worker_falls() {
+    let mut world = HostWorld::new(WORKERS);
+    let id = worker(0, 0).id;
+    for ms in [100, 200] {
+        world.at(ms);
+        world.sched.assign_relays();
+        (0..WORKERS).for_each(|n| world.report(n, 0, &[]));
+        world.tick();
+    }
+    world.sched.handle(Event::RelayDown {
+        entry: world.sched.holder.clone(),
+        lease_end: Duration::ZERO,
+        may_return: true,
+    });
+    world.sched.assign_relays();
+    let before = world.sched.token_of(&id);
+    world.sched.handle(Event::WorkerUnlisted(id.clone()));
+    world.tells_silence(&id, Duration::from_millis(300), Duration::from_millis(200));
+    world.at(1000);
+    world.tick();
+    assert_eq!(world.sched.token_of(&id), None, "it is forgotten");
+    world.sched.handle(Event::WorkerListed(worker(0, 0)));
+    world.sched.assign_relays();
+    assert!(before.is_some() && world.sched.token_of(&id) > before, "{before:?}");
+}
