--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -12,10 +12,6 @@
 //! a holder whose scheduler had ended may tell a shorter time, which counts from its reading too. All
 //! times are on the clock of this process, which goes on while its host is suspended.
 //!
-//! Such a release also holds for the claim that follows it, before any renewal of the new term is read. The holder has
-//! ended, and it knew the end of the grants before it because the store had taken its renewal, so that it takes none of
-//! an earlier term, or because its own claim followed such a release. So the first renewal tells what the release told.
-//!
 //! A writer that has ended ([`RecordFacts::writer_ended`]) extends nothing any more. This is certain of a former life
 //! of this process: it had bound the address that this process has bound since, in the same network stack, and kept it
 //! until its last thread was gone ([`bound_address`](crate::util::bound_address)). A frozen process keeps it.
@@ -66,8 +62,6 @@
     term: Term,
     /// Until when holders of earlier terms may give full leases; `None` if that is not known.
     extended_until: Option<Duration>,
-    /// Until when anybody may do so, if the claim follows a release that told it.
-    released_until: Option<Duration>,
     /// Whether a renewal of the claimed term was read.
     renewal_read: bool,
 }
@@ -82,8 +76,6 @@
     extended_until: Option<Duration>,
     /// Until when any holder whose records were read may do so, as far as renewals tell.
     renewed_until: Duration,
-    /// Until when anybody may do so, if the last record that was read is a release that told it.
-    released_until: Option<Duration>,
     claim: Option<OwnClaim>,
 }
 
@@ -99,8 +91,6 @@
             Some(term) => (term < rec.term, rec.term < term),
         };
         self.term = self.term.max(Some(rec.term));
-        let release = rec.extensions_left.filter(|_| rec.released && !is_late);
-        self.released_until = release.map(|left| now + left);
         self.extended_until = match (rec.released, rec.extensions_left) {
             _ if is_late => self.extended_until.map(|_| by_reading),
             (true, Some(left)) => {
@@ -115,7 +105,6 @@
     /// Notes a record that can't be read.
     pub fn note_unknown_record(&mut self) {
         self.extended_until = None;
-        self.released_until = None;
         self.claim = None;
     }
 
@@ -144,17 +133,10 @@
     pub fn note_claim(&mut self, term: Term) {
         if self.claim.is_none_or(|c| c.term != term) {
             let extended_until = self.extended_before(term);
-            let released_until = self.released_until;
-            self.claim = Some(OwnClaim { term, extended_until, released_until, renewal_read: false });
+            self.claim = Some(OwnClaim { term, extended_until, renewal_read: false });
         }
     }
 
-    /// Until when anybody before the term, which this process has claimed, may give full leases; `None` unless the
-    /// claim follows a release that told it.
-    pub fn released_until(&self, term: Term) -> Option<Duration> {
-        self.claim.filter(|c| c.term == term)?.released_until
-    }
-
     /// Until when holders before the term, which this process holds, may give full leases; `None` until that
     /// is certain.
     pub fn extended_until(&self, term: Term) -> Option<Duration> {
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -97,7 +97,7 @@
 
     /// Returns the record with which a holder renews the lease.
     pub(super) fn renewal(node: &Node, handle: &SchedulerHandle) -> LeaseRecord {
-        // A holder before that had not ended may have renewed its lease until the first renewal of this term.
+        // A holder before may have renewed its lease until the first renewal of this term.
         let unknown = || FULL_LEASE_GRACE.max(node.others_full_leases_left());
         let earlier = handle.earlier_grants_left(node.now()).unwrap_or_else(unknown);
         let others_left = earlier.max(handle.relay_grants.left_to_tell(node.now()));
@@ -416,7 +416,7 @@
     match node.scheduler.load().as_ref() {
         None if held_here && h.term > v.last_own_term && !node.is_stopping() => {
             v.last_own_term = h.term;
-            scheduler_task::start(node, h.term, &v.earlier_grants);
+            scheduler_task::start(node, h.term, v.earlier_grants.extended_until(h.term));
         }
         Some(running) if running.term < h.term => {
             log::warn!("event=lease_lost term={} to={} to_term={}", running.term, h.name, h.term);
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -93,8 +93,6 @@
     pub relay_grants: RelayGrants,
     /// Until when holders of earlier terms may extend workers' leases, once that is certain.
     pub earlier_grants_end: watch::Sender<Option<Duration>>,
-    /// Until when anybody of earlier terms may give full leases, if the claim follows a release that told it.
-    pub released_until: Option<Duration>,
     /// Decides which submitted jobs are admitted.
     pub admission: Mutex<Admission>,
     /// Set to true to stop the scheduler.
@@ -129,7 +127,6 @@
             grant: Grant::until(held_since + extension_grace),
             relay_grants: RelayGrants::default(),
             earlier_grants_end: watch::Sender::new(None),
-            released_until: None,
             admission: Mutex::default(),
             stop,
             renewals: watch::Sender::new(0),
@@ -152,7 +149,7 @@
     fn earlier_grants_end(&self) -> Option<Duration> {
         // The store takes no renewal of an earlier term after the first one of this term.
         let fenced = || self.first_renewed_at.get().map(|at| *at + EXTENSION_GRACE);
-        (*self.earlier_grants_end.borrow()).or(self.released_until).or_else(fenced)
+        (*self.earlier_grants_end.borrow()).or_else(fenced)
     }
 
     /// How long holders of earlier terms may still give workers full leases; `None` if that is not certain.
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -18,7 +18,6 @@
 use super::admission_control;
 use super::advice::{self, AdviceCall};
 use super::batch_writer::BatchWriter;
-use super::earlier_grants::EarlierGrants;
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
 use super::lease_renewal::{self, EXTENSION_GRACE};
@@ -45,16 +44,16 @@
 /// Interval between requests for the list of hosts while the scheduler needs it.
 const HOST_LIST_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Starts the scheduler for a term of the lease. `earlier` is what was read about holders of earlier terms.
-pub fn start(node: &Arc<Node>, term: u64, earlier: &EarlierGrants) {
+/// Starts the scheduler for a term of the lease. `earlier_grants_end` is until when holders of earlier terms may give
+/// full leases, if that is certain already.
+pub fn start(node: &Arc<Node>, term: u64, earlier_grants_end: Option<Duration>) {
     let (tx, rx) = mpsc::unbounded_channel();
     let (stop, stopped) = watch::channel(false);
     // The claim tells that it grants nothing.
     let grant = Grant::default();
     let handle = SchedulerHandle::new(term, node.now(), EXTENSION_GRACE, tx, stop);
-    let released_until = earlier.released_until(term);
-    let handle = Arc::new(SchedulerHandle { grant, released_until, ..handle });
-    handle.set_earlier_grants_end(earlier.extended_until(term));
+    let handle = Arc::new(SchedulerHandle { grant, ..handle });
+    handle.set_earlier_grants_end(earlier_grants_end);
     node.scheduler.store(Some(handle.clone()));
     node.metrics.lease_terms.inc();
     node.peers.request_read();
