Mends after the review: what gives a task up, what a listed run takes back, bounds

By reading, found by a reviewer who hadn't seen the work: - A lasting task is never given up without a certain crash: five crashes that a later holder finds may each be a lapse.

--- a/crates/workswood-core/src/jobs/crash_attribution.rs
+++ b/crates/workswood-core/src/jobs/crash_attribution.rs
@@ -93,7 +93,7 @@
 const ANSWERS_AFTER_UNLISTED: Duration = Duration::from_secs(1);
 /// An inherited run that this lease holder knows to have lasted for this long did not crash its worker
 /// soon after its start.
-const LONG_RUN: Duration = Duration::from_secs(1);
+pub(super) const LONG_RUN: Duration = Duration::from_secs(1);
 /// A long-running task that has been warm for this long is taken not to crash its worker.
 pub(super) const PROVEN_SAFE_AFTER: Duration = Duration::from_secs(10);
 
--- a/crates/workswood-core/src/jobs/crash_certainty.rs
+++ b/crates/workswood-core/src/jobs/crash_certainty.rs
@@ -57,7 +57,8 @@
 
 /// Whether a life that had ended by `over_by` ended before all leases of the worker had.
 fn is_over_in_lease(w: &Worker, over_by: Option<Duration>) -> bool {
-    w.reachable || over_by.is_some_and(|at| at <= w.lease_end)
+    let lease_end = w.own_lease_end.unwrap_or(w.lease_end);
+    w.reachable || over_by.is_some_and(|at| at <= lease_end)
 }
 
 impl Scheduler {
--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -67,10 +67,8 @@
 pub enum WithdrawnBy {
     /// The life that was counted as crashed answers.
     Answer,
-    /// It reports the end of the run.
-    ReportedEnd,
-    /// The list of hosts shows its host with it.
-    HostWithWorker,
+    /// A worker lists the run, or its end.
+    ReportedRun,
     /// The task has been at work for long on another worker.
     ProvenSafe,
 }
@@ -80,8 +78,7 @@
     pub fn label(self) -> &'static str {
         match self {
             WithdrawnBy::Answer => "answer",
-            WithdrawnBy::ReportedEnd => "reported_end",
-            WithdrawnBy::HostWithWorker => "machine_listed_with_it",
+            WithdrawnBy::ReportedRun => "reported_run",
             WithdrawnBy::ProvenSafe => "proven_safe",
         }
     }
--- a/crates/workswood-core/src/jobs/crash_trials.rs
+++ b/crates/workswood-core/src/jobs/crash_trials.rs
@@ -85,7 +85,7 @@
         (quarantined || step.long_running).then_some(Trial { length, quarantined })
     }
 
-    /// Notes that tasks that were not queued wait from now on.
+    /// Notes that long-running tasks that were not queued wait from now on.
     pub(super) fn note_waiting(&mut self, step: &StepId, service: &str, tasks: &[u32]) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let queue = self.ready.get(service);
--- a/crates/workswood-core/src/jobs/crash_verdict.rs
+++ b/crates/workswood-core/src/jobs/crash_verdict.rs
@@ -2,7 +2,7 @@
 //!
 //! * It is *suspected*, and tried alone, for possible crashes too.
 //! * It is *given up* on proof only: crashes that are certain to have come under runs that had started.
-//! * Its restarts are *paced* when many crashes are counted without a proof.
+//! * The restarts of a long-running task are *paced* when many crashes are counted without a proof.
 //! * It is *taken back* and started again when crashes are taken back and no proof is left, or when an earlier
 //!   lease holder has given it up without a proof.
 
@@ -13,7 +13,7 @@
 use super::job::{Job, Outcome, Task, WorkerId};
 use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
-use super::spec::{StepId, TaskId};
+use super::spec::TaskId;
 
 /// A run that was lost in a crash and is on record, with what its task is judged by.
 #[derive(Clone, Debug)]
@@ -53,7 +53,7 @@
         let exhausted = task.crashes.exhausts_retries(policy, rate, long_running);
         let proved = loss.is_on_trial() && task.crashes.is_proving(loss.attempt);
         let proved = proved && task.crashes.is_proof(threshold, rate);
-        let to_give_up = proved || exhausted && task.crashes.allows_giving_up();
+        let to_give_up = proved || exhausted && task.crashes.allows_giving_up(long_running);
         if loss.is_first_suspect && loss.same_role == 1 && to_give_up {
             self.give_up_task(&loss.worker, &loss.task, score, threshold);
             return;
@@ -62,8 +62,9 @@
         let many = task.crashes.are_suspiciously_many(policy, rate, long_running);
         if loss.explains && suspicious || many || exhausted {
             suspect(task, loss.run_time, self.now);
-            set_paced(task, exhausted);
-            if exhausted {
+            let paced = exhausted && long_running;
+            set_paced(task, paced);
+            if paced {
                 let grounds = Grounds { worker: &loss.worker, history: &task.crashes, score, threshold };
                 let wait = Safeguard::RestartPacing.longest_wait();
                 log_paced(&mut self.notes, &mut self.counters, &loss.task, wait, &grounds);
@@ -92,8 +93,9 @@
         if !many && !exhausted && task.crashes.score(rate) < policy.suspicion_threshold {
             task.suspicion = None;
         }
-        set_paced(task, exhausted);
-        let proved = exhausted && task.crashes.allows_giving_up() || task.crashes.is_proof(threshold, rate);
+        set_paced(task, exhausted && long_running);
+        let proved = exhausted && task.crashes.allows_giving_up(long_running)
+            || task.crashes.is_proof(threshold, rate);
         if task.given_up && !proved {
             self.take_back_task(id);
         }
@@ -124,9 +126,9 @@
             let rate = self.background_crash_rate(&id);
             if task.crashes.exhausts_retries(&self.policy.crashes, rate, long_running) {
                 suspect(task, None, self.now);
-                set_paced(task, true);
+                set_paced(task, long_running);
             }
-            if task.given_up && !task.crashes.allows_giving_up() {
+            if task.given_up && !task.crashes.allows_giving_up(long_running) {
                 let why = (ReinstatedFor::UnprovenRecord, None);
                 log_reinstated(&mut self.notes, &mut self.counters, &id, why, &task.crashes);
                 task.given_up = false;
@@ -140,16 +142,6 @@
         task.is_some_and(Task::is_paced) && !self.gives_way(Safeguard::RestartPacing, id)
     }
 
-    /// Notes that those of some tasks whose restarts are paced wait from now on, if they were not queued.
-    pub(super) fn note_paced_waiting(&mut self, step: &StepId, service: &str, tasks: &[u32]) {
-        let Some(job) = self.jobs.get(&step.job) else { return };
-        let is_paced = |index: &u32| job.task(&step.task(*index)).is_some_and(Task::is_paced);
-        let paced: Vec<u32> = tasks.iter().copied().filter(is_paced).collect();
-        if !paced.is_empty() {
-            self.note_waiting(step, service, &paced);
-        }
-    }
-
     /// Gives a task up. A long-running job goes on without it: its other tasks serve users, and
     /// stopping all of them at once would break its availability budget. It goes on without any task too, so
     /// that each of them can be taken back.
--- a/crates/workswood-core/src/jobs/crash_withdrawal.rs
+++ b/crates/workswood-core/src/jobs/crash_withdrawal.rs
@@ -13,6 +13,7 @@
 use super::job::{Job, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
+use super::worker::Report;
 
 /// Lives that the index holds at least before it is rebuilt.
 const MIN_LIVES_TO_REBUILD: usize = 256;
@@ -86,6 +87,25 @@
         }
     }
 
+    /// Takes back the crashes under runs that a worker lists, or whose ends it lists: they outlasted the life that was
+    /// counted as crashed.
+    pub(super) fn withdraw_listed(&mut self, report: &Report) {
+        let running = report.running.iter().map(|run| (run.task, run.attempt));
+        let ended = report.ended.iter().map(|end| (end.task, end.attempt));
+        for (id, attempt) in running.chain(ended) {
+            self.withdraw_attempt(&id, attempt);
+        }
+    }
+
+    fn withdraw_attempt(&mut self, id: &TaskId, attempt: u32) {
+        let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else { return };
+        let Some(crash) = task.crashes.withdraw_attempt(attempt) else { return };
+        let why = (&crash, WithdrawnBy::ReportedRun);
+        log_withdrawn(&mut self.notes, &mut self.counters, (id, attempt), why, &task.crashes);
+        self.dirty_jobs.insert(id.job);
+        self.reconsider_task(id);
+    }
+
     fn withdraw_crashes_of(&mut self, life: &WorkerId, id: &TaskId) {
         let Some(task) = self.jobs.get_mut(&id.job).and_then(|job| job.task_mut(id)) else { return };
         let withdrawn = task.crashes.withdraw(life);
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -163,7 +163,7 @@
     /// Whether it is never started again because it crashes its workers; the job continues without
     /// it.
     pub given_up: bool,
-    /// Since when a waiting task has been waiting, if it is long-running or its restarts are paced.
+    /// Since when a waiting long-running task has been waiting.
     pub waiting_since: Duration,
     /// Why the task is started only as a trial; `None` if it is not suspected.
     pub suspicion: Option<Suspicion>,
--- a/crates/workswood-core/src/jobs/relays.rs
+++ b/crates/workswood-core/src/jobs/relays.rs
@@ -15,7 +15,7 @@
 //! * If a relay is lost, its workers are assigned to others. The loss is reported with the time at
 //!   which the last lease that it may have extended ends.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -102,9 +102,10 @@
     /// Highest number of relays in this term, by name, for workers that keep their name when they
     /// restart. Keeps tokens rising from one incarnation to the next.
     relay_counts: BTreeMap<String, u32>,
-    /// Number of relays of other workers that were forgotten, the latest last: one that was only cut off may be
-    /// listed again.
-    forgotten_counts: VecDeque<(WorkerId, u32)>,
+    /// Number of relays of other workers that were forgotten: one that was only cut off may be listed again.
+    forgotten_counts: HashMap<WorkerId, u32>,
+    /// The order in which they were forgotten.
+    forgotten: VecDeque<WorkerId>,
 }
 
 /// Most forgotten workers whose number of relays is kept.
@@ -119,17 +120,20 @@
 impl Relays {
     /// Keeps the number of relays of a worker that is forgotten.
     fn keep_forgotten_count(&mut self, id: &WorkerId, relays: u32) {
-        if self.forgotten_counts.len() >= MAX_FORGOTTEN_COUNTS {
-            self.forgotten_counts.pop_front();
+        if self.forgotten_counts.insert(id.clone(), relays).is_none() {
+            self.forgotten.push_back(id.clone());
+        }
+        if self.forgotten.len() > MAX_FORGOTTEN_COUNTS
+            && let Some(earliest) = self.forgotten.pop_front()
+        {
+            self.forgotten_counts.remove(&earliest);
         }
-        self.forgotten_counts.push_back((id.clone(), relays));
     }
 
     /// Highest number of relays that a worker, or an earlier incarnation of it, has had in this term.
     fn earlier_count(&self, id: &WorkerId) -> u32 {
         let of_name = self.relay_counts.get(id.name()).copied();
-        let forgotten = self.forgotten_counts.iter().rev().find(|(other, _)| other == id);
-        of_name.max(forgotten.map(|(_, relays)| *relays)).unwrap_or(0)
+        of_name.max(self.forgotten_counts.get(id).copied()).unwrap_or(0)
     }
 
     /// Adds an order that need not be recorded before it is sent.
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -506,8 +506,6 @@
         if long_running {
             self.note_waiting(&id, &spec.service, &tasks);
             self.note_first_turn(&id, &tasks);
-        } else {
-            self.note_paced_waiting(&id, &spec.service, &tasks);
         }
         match self.ready.get_mut(&spec.service) {
             Some(waiting) => waiting.insert(position, deadlines, room, tasks.iter().copied()),
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -241,6 +241,9 @@
     pub silent_for: Duration,
     /// When everything on the worker must have ended if its lease is no longer extended.
     pub lease_end: Duration,
+    /// When the lease of its own runs ends at the latest, without what a later incarnation may have received instead;
+    /// `None` unless it is superseded.
+    pub own_lease_end: Option<Duration>,
     /// Whether the lease is extended, and what is on record of its end.
     pub extensions: LeaseExtensions,
     /// Runs that may exist on the worker, with the resources of each.
@@ -322,6 +325,7 @@
             confirmed_lease_end: Duration::ZERO,
             silent_for: Duration::ZERO,
             lease_end,
+            own_lease_end: None,
             extensions: LeaseExtensions::default(),
             runs: StableMap::default(),
             usage_changes: Vec::new(),
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -15,6 +15,7 @@
         if self.workers.get(id).is_some_and(|w| !w.reachable) {
             self.withdraw_crashes(id);
         }
+        self.withdraw_listed(report);
         self.settle_earlier_incarnations(id, report);
         self.mark_reachable(id, report.full);
         self.handle_ends(id, &report.ended);
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -98,6 +98,7 @@
             w.listed = false;
             // A predecessor that knew of the later incarnation has counted all that is sent to this one.
             let lease_end = w.superseded_lease_end.unwrap_or(misdelivered);
+            w.own_lease_end = Some(w.lease_end);
             w.lease_end = w.lease_end.max(lease_end);
             let (runs, relays) = (w.runs.len(), w.relay_count);
             drop(w);
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -298,8 +298,8 @@
         let crash = CrashRecord {
             evidence: decode_evidence(evidence)?,
             max_run_time: stored.run_times.get(n).and_then(|ms| decode_run_time(*ms)),
-            certainty: decode_certainty(stored.certainties.get(n).copied())?,
-            worker: decode_worker(stored.crashed_workers.get(n).copied(), stored.workers)?,
+            certainty: decode_certainty(stored.certainties.get(n).copied()),
+            worker: decode_worker(stored.crashed_workers.get(n).copied(), stored.workers),
         };
         history.0.insert(attempt, crash);
     }
@@ -323,12 +323,12 @@
     }
 }
 
-fn decode_certainty(stored: Option<u32>) -> Result<Certainty, String> {
-    match stored.unwrap_or_default() {
-        0 => Ok(Certainty::Possible),
-        1 => Ok(Certainty::Certain),
-        2 => Ok(Certainty::Lapsed),
-        other => Err(format!("unknown certainty {other}")),
+/// A certainty that is not known proves nothing.
+fn decode_certainty(stored: Option<u32>) -> Certainty {
+    match stored {
+        Some(1) => Certainty::Certain,
+        Some(2) => Certainty::Lapsed,
+        _ => Certainty::Possible,
     }
 }
 
@@ -337,10 +337,9 @@
     worker.as_ref().map_or(0, |id| workers.index_of(id) + 1)
 }
 
-fn decode_worker(stored: Option<u32>, workers: &[WorkerId]) -> Result<Option<WorkerId>, String> {
-    let Some(index) = stored.and_then(|n| n.checked_sub(1)) else { return Ok(None) };
-    let worker = workers.get(index as usize).ok_or("the worker index of a crash is out of range")?;
-    Ok(Some(worker.clone()))
+fn decode_worker(stored: Option<u32>, workers: &[WorkerId]) -> Option<WorkerId> {
+    let index = stored?.checked_sub(1)?;
+    workers.get(index as usize).cloned()
 }
 
 /// Longest run time that is stored. A longer one gives no more evidence.
--- a/tests/testsuite/withdrawn_crashes.rs
+++ b/tests/testsuite/withdrawn_crashes.rs
@@ -144,6 +144,51 @@
     assert_eq!(count(&world), 0);
 }
 
+/// Takes over a lasting task with these crashes on record, by attempt.
+fn taken_over(crashes: &[CrashRecord], given_up: bool) -> HostWorld {
+    let mut world = HostWorld::new(0);
+    let spec = Arc::new(job(vec![lasting()], 0));
+    let mut before = Job::new(1, spec.clone());
+    before.open_round();
+    let mut record = before.record();
+    let task = &mut record.rounds[0][0][0];
+    task.crashes.0 = (1..).zip(crashes.iter().cloned()).collect();
+    task.latest_attempt = crashes.len() as u32;
+    task.given_up = given_up;
+    world.sched.restore_job(1, Some(spec), Some(record));
+    world.at(300);
+    world
+}
+
+/// The record of an earlier version doesn't tell which life was counted.
+#[test]
+fn listed_end_withdraws() {
+    let crash = CrashRecord::possible(Evidence::LikelyCause, None);
+    let mut world = taken_over(&[crash.clone(), crash], false);
+    let end = ReportedEnd {
+        sequence_number: 1,
+        task: TASK,
+        attempt: 1,
+        kind: EndKind::Lapsed,
+        checkpoint: String::new(),
+    };
+    answers_again(&mut world, 1, Listing { ended: vec![end], ..Listing::default() });
+    let crashes = &world.sched.jobs[&1].task(&TASK).expect("it is known").crashes;
+    assert_eq!(crashes.0.keys().copied().collect::<Vec<_>>(), [2]);
+}
+
+#[test]
+fn answer_reinstates_task() {
+    let mut world = taken_over(&[inherited_crash(1), inherited_crash(2)], true);
+    let starts = |a: &Action| matches!(a, Action::Start { task, .. } if *task == TASK);
+    answers_again(&mut world, 3, Listing::default());
+    assert!(!world.tick().iter().any(starts), "there is proof");
+    answers_again(&mut world, 1, Listing::default());
+    world.at(500);
+    assert!(world.tick().iter().any(starts), "one crash is no proof");
+    assert_eq!(world.sched.counters.tasks_reinstated, 1);
+}
+
 /// More lives are counted as crashed than the index of them holds.
 #[test]
 fn trimmed_index_keeps_lives() {
