--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -157,6 +157,6 @@
 };
 pub use worker::{
     AdviceVerdict, EndCoverage, EndKind, Listing, Report, ReportedEnd, ReportedRun, Worker, WorkerAddress,
-    WorkerInfo, WorkerRecord,
+    WorkerClock, WorkerInfo, WorkerRecord,
 };
 pub use workspace::{Owner, Workspace, Workspaces};
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -175,9 +175,15 @@
     Earliest,
 }
 
+/// Time on the clock of a worker, which is steady and starts anew with each incarnation.
+pub type WorkerClock = Duration;
+
 /// A worker's answer to a poll.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
+    /// When the worker made the listing. A poll may wait at the worker, so listings are not made in the
+    /// order in which their polls were sent.
+    pub made_at: WorkerClock,
     /// All current runs.
     pub running: Vec<ReportedRun>,
     /// Ends of runs that the worker has not been told to forget, as far as `coverage` tells.
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -10,6 +10,7 @@
 use futures::future::BoxFuture;
 use snafu::Snafu;
 use workswood_core::ids::{DataCentre, HostId, Offset, ServiceId, Term, UnixMs};
+pub use workswood_core::jobs::WorkerClock;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
     AdviceReply, Host, HostReply, Listing, SchedConfig, StepId, TaskId, Wave, WorkerAddress, WorkerInfo,
@@ -137,9 +138,6 @@
     NoAnswer,
 }
 
-/// Time on the clock of a worker.
-pub type WorkerClock = Duration;
-
 /// An order to start a task.
 #[derive(Clone, Debug)]
 pub struct StartOrder {
@@ -182,7 +180,7 @@
 
     /// Polls a worker: presents the fencing token, acknowledges the ended tasks numbered up
     /// to `acked_end`, extends the lease if `lease_end` is given, and waits up to `wait` for
-    /// a task to end. Returns the clock of the worker and the tasks that it lists.
+    /// a task to end.
     fn poll_worker<'a>(
         &'a self,
         worker: &'a WorkerAddress,
@@ -190,7 +188,7 @@
         acked_end: u64,
         lease_end: Option<WorkerClock>,
         wait: Duration,
-    ) -> BoxFuture<'a, Result<(WorkerClock, Listing), WorkerError>>;
+    ) -> BoxFuture<'a, Result<Listing, WorkerError>>;
     /// Starts a task on a worker.
     fn start_task<'a>(
         &'a self,
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -204,7 +204,7 @@
         let listed = self.ended.len().min(self.limits.listed_ends);
         let coverage =
             if listed < self.limits.listed_ends { EndCoverage::All } else { EndCoverage::Earliest };
-        Listing { running: running.collect(), ended: self.ended[..listed].to_vec(), coverage }
+        Listing { made_at: now, running: running.collect(), ended: self.ended[..listed].to_vec(), coverage }
     }
 }
 
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -370,7 +370,7 @@
         _: u64,
         lease_end: Option<WorkerClock>,
         wait: Duration,
-    ) -> BoxFuture<'a, Result<(WorkerClock, Listing), WorkerError>> {
+    ) -> BoxFuture<'a, Result<Listing, WorkerError>> {
         if let Some(end) = lease_end {
             *self.leases.lock() += 1;
             *self.last_lease_end.lock() = end;
@@ -390,7 +390,7 @@
                 return Err(WorkerError::NoAnswer);
             }
             tokio::time::sleep(wait.min(BUSY)).await;
-            Ok((Duration::from_millis(n), busy(n)))
+            Ok(busy(n))
         }
         .boxed()
     }
@@ -455,5 +455,5 @@
         load: 0,
         stalled_for: Duration::ZERO,
     };
-    Listing { running: vec![run], ..Listing::default() }
+    Listing { made_at: Duration::from_millis(n), running: vec![run], ..Listing::default() }
 }
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -393,7 +393,7 @@
         acked_end: u64,
         lease_end: Option<WorkerClock>,
         wait: Duration,
-    ) -> BoxFuture<'a, Result<(WorkerClock, Listing), WorkerError>> {
+    ) -> BoxFuture<'a, Result<Listing, WorkerError>> {
         self.direct.poll_worker(worker, token, acked_end, lease_end, wait)
     }
 
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -6,7 +6,7 @@
 use workswood_core::jobs::run_tracker::RunKey;
 use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
 use workswood_liveness::AdaptiveTimeout;
-use workswood_platform::jobs::{WorkerClock, WorkerError};
+use workswood_platform::jobs::WorkerError;
 
 use super::RelayContext;
 use super::assigned_worker::{AssignedWorker, LeaseEnd};
@@ -91,7 +91,6 @@
     leased_until: Duration,
     /// End of the lease that the poll carried, if it carried one.
     lease_end: Option<LeaseEnd>,
-    clock: WorkerClock,
     listing: Listing,
 }
 
@@ -181,8 +180,8 @@
         let platform = &self.cx.node.platform;
         let (address, token) = (&self.worker.address, self.worker.token);
         let reply = platform.poll_worker(address, token, acked_end, lease_end.map(|end| end.at), wait);
-        let (clock, listing) = reply.await?;
-        Ok(PollReply { sent, acked_end, leased_until, lease_end, clock, listing })
+        let listing = reply.await?;
+        Ok(PollReply { sent, acked_end, leased_until, lease_end, listing })
     }
 
     /// End of a full lease from now; `None` if it may not be sent.
@@ -259,12 +258,12 @@
 
     /// Reports what has changed according to a reply, and waits until the next poll is due.
     async fn handle_reply(&mut self, reply: PollReply, started: Duration) {
-        let PollReply { sent, acked_end, leased_until, lease_end, clock, listing } = reply;
+        let PollReply { sent, acked_end, leased_until, lease_end, listing } = reply;
         let now = self.now();
         self.last_answered = Some(sent);
         self.acked_end = self.acked_end.max(acked_end);
         self.late_timeout.record(now - started);
-        self.worker.record_poll_answer(clock, sent, now);
+        self.worker.record_poll_answer(listing.made_at, sent, now);
         if let Some(end) = lease_end {
             self.worker.confirm_lease(end);
         }
@@ -290,7 +289,7 @@
     }
     let sent = cx.node.now();
     let reply = cx.node.platform.poll_worker(&worker.address, worker.token, 0, None, Duration::ZERO).await;
-    let Ok((_, listing)) = reply else { return };
+    let Ok(listing) = reply else { return };
     let now = cx.node.now();
     worker.record_answer(now);
     let mut tracker = worker.run_tracker.lock();
--- a/src/workswood/ops/model/model_host.rs
+++ b/src/workswood/ops/model/model_host.rs
@@ -188,7 +188,12 @@
             load: 0,
             stalled_for: Duration::ZERO,
         });
-        Listing { running: running.collect(), ended: self.unacked_ends.clone(), ..Listing::default() }
+        Listing {
+            made_at: now,
+            running: running.collect(),
+            ended: self.unacked_ends.clone(),
+            ..Listing::default()
+        }
     }
 
     /// Drops the ends up to a sequence number, as the scheduler has stored them.
--- a/tests/testsuite/advice_protocol.rs
+++ b/tests/testsuite/advice_protocol.rs
@@ -102,7 +102,7 @@
         .parse_worker_info(&KeyedRecord { key: "i-1".to_string(), value })
         .expect("the entry is read")
         .worker_address();
-    let (clock, _) = c.poll_worker(&info, 7, 0, None, Duration::ZERO).await.expect("it is looked at");
+    let clock = c.poll_worker(&info, 7, 0, None, Duration::ZERO).await.expect("it is looked at").made_at;
     let start = async |info: &WorkerAddress, attempt: u32, index: u32, ticket: Option<Arc<str>>| {
         let task = TaskId { job: STEP.job, round: 0, step: 1, index };
         let order = StartOrder {
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -140,7 +140,7 @@
 
 async fn look(c: &PlatformClient, w: &WorkerAddress, wait: Duration) -> WorkerClock {
     let lease_end = (wait > Duration::ZERO).then_some(LONG);
-    c.poll_worker(w, 7, 0, lease_end, wait).await.expect("the worker answers").0
+    c.poll_worker(w, 7, 0, lease_end, wait).await.expect("the worker answers").made_at
 }
 
 #[tokio::test]
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -1075,7 +1075,7 @@
         _: u64,
         _: Option<WorkerClock>,
         _: Duration,
-    ) -> BoxFuture<'a, Result<(WorkerClock, Listing), WorkerError>> {
+    ) -> BoxFuture<'a, Result<Listing, WorkerError>> {
         no_worker()
     }
 
--- a/tests/testsuite/worker_protocol.rs
+++ b/tests/testsuite/worker_protocol.rs
@@ -39,17 +39,17 @@
     let info = info(&c, &w, "i-1");
     assert_eq!((info.service.as_str(), info.host.as_str()), ("desk", "m-1"));
     assert_eq!(info.capacity.cpu_millis, 4000);
-    let (clock, first) =
+    let first =
         c.poll_worker(&info.worker_address(), 7, 0, None, Duration::ZERO).await.expect("it is looked at");
     assert!(first.running.is_empty() && first.ended.is_empty());
-    let end = clock + Duration::from_secs(5);
+    let end = first.made_at + Duration::from_secs(5);
     c.start_task(&info.worker_address(), 7, order(2, end)).await.expect("it starts");
     assert_eq!(w.starts(), [("5c0e7a21d94b36f8.0.1.17".to_string(), 2)]);
     let wait = Duration::from_millis(1000);
-    let (_, report) = c.poll_worker(&info.worker_address(), 7, 0, Some(end), wait).await.expect("it ends");
+    let report = c.poll_worker(&info.worker_address(), 7, 0, Some(end), wait).await.expect("it ends");
     let e = &report.ended[0];
     assert_eq!((e.sequence_number, e.task, e.attempt, e.kind), (1, TASK, 2, EndKind::Done));
-    let (_, report) =
+    let report =
         c.poll_worker(&info.worker_address(), 7, 1, Some(end), Duration::ZERO).await.expect("it forgets");
     assert!(report.ended.is_empty());
 }
@@ -60,7 +60,7 @@
     let w = WorkerStandin::start("i-1", Duration::from_millis(1)).await;
     let c = client();
     let worker = info(&c, &w, "i-1").worker_address();
-    let (clock, _) = c.poll_worker(&worker, 7, 0, None, Duration::ZERO).await.expect("it is polled");
+    let clock = c.poll_worker(&worker, 7, 0, None, Duration::ZERO).await.expect("it is polled").made_at;
     let end = clock + Duration::from_secs(60);
     for index in 0..501 {
         let start = StartOrder { task: TaskId { index, ..TASK }, ..order(1, end) };
@@ -69,7 +69,7 @@
     let mut seen = Vec::new();
     let mut acked = 0;
     while acked < 501 {
-        let (_, listing) =
+        let listing =
             c.poll_worker(&worker, 7, acked, Some(end), Duration::ZERO).await.expect("it is polled");
         let last = listing.ended.last().map_or(acked, |e| e.sequence_number);
         if last - acked == 500 || last == 501 {
@@ -85,8 +85,9 @@
     let w = WorkerStandin::start("i-1", Duration::from_secs(5)).await;
     let c = client();
     let mine = info(&c, &w, "i-1");
-    let (clock, _) =
+    let listing =
         c.poll_worker(&mine.worker_address(), 7, 0, None, Duration::ZERO).await.expect("it is looked at");
+    let clock = listing.made_at;
     let fenced = c.poll_worker(&mine.worker_address(), 6, 0, None, Duration::ZERO).await;
     assert_eq!(fenced.err(), Some(WorkerError::Fenced));
     let other = info(&c, &w, "i-2");
@@ -107,8 +108,9 @@
     let w = WorkerStandin::start("i-1", Duration::from_millis(5)).await;
     let c = client();
     let info = info(&c, &w, "i-1");
-    let (clock, _) =
+    let listing =
         c.poll_worker(&info.worker_address(), 7, 0, None, Duration::ZERO).await.expect("it is looked at");
+    let clock = listing.made_at;
     let end = clock + Duration::from_secs(5);
     c.start_task(&info.worker_address(), 7, order(1, end)).await.expect("it starts");
     let wait = Duration::from_millis(1000);
