The log tells which listing settled a run, what was known at a second start, and runs that come back

The log did not tell which answer of a worker settled a run, what the answer before had said, what the holder knew of a task's earlier runs when it started it again, or whether a settled run came back. Now the relay logs runs_missing with the times of both listings, and warns when a worker's clock goes back; run_settled has the phase and the age of the confirmation; task_placed of a later attempt ends with what is known of the last run; settled_run_returned and workswood_settled_runs_returned tell of runs that come back.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -44,6 +44,7 @@
 //!   workers whose runs take much longer.
 //! * [`absent_tasks`] follows long-running tasks that run nowhere, and [`absence_reason`] tells why; [`restart_deadline`]
 //!   decides what gives way so that they are at work again in time.
+//! * `over_runs` remembers for the log how runs are known to be over, and [`listing_log`] which listing told it.
 //! * `second_runs` starts late tasks a second time where their step allows copies.
 //! * [`advice`] asks the adviser in advance which workers may run a step: `advice_candidates` finds
 //!   the steps and workers, [`advice_batch`] chooses those of one call.
@@ -97,12 +98,14 @@
 pub mod lease_bounds;
 pub mod lease_claim;
 pub mod lease_handover;
+pub mod listing_log;
 pub mod log_lines;
 pub mod maintenance_orders;
 pub mod maintenance_waves;
 
 pub mod order_marks;
 pub mod outage;
+mod over_runs;
 pub mod owed_batch;
 pub mod pacing;
 pub mod placement;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -463,6 +463,7 @@
         }) {
             return;
         }
+        let has_other_run = !task.runs.is_empty();
         task.latest_attempt = attempt.unwrap_or(task.latest_attempt + 1);
         let attempt = task.latest_attempt;
         let run = Run::new(worker.clone(), attempt, Phase::Starting, now);
@@ -482,7 +483,7 @@
             }
         }
         self.update_load_reporting(worker);
-        self.notes.push(format_args!("event=task_placed worker={worker} task={id} attempt={attempt}"));
+        self.log_placement(worker, id, attempt, has_other_run);
         self.order_start(id, worker, attempt, checkpoint);
     }
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -19,6 +19,7 @@
 use super::maintenance_waves::{WaveRecord, WaveState};
 use super::order_marks::OrderMarks;
 use super::outage::StoreAccess;
+use super::over_runs::OverRuns;
 use super::policy::Policy;
 use super::pool_planning::PoolState;
 use super::queue_order::{TaskDurations, queue_position};
@@ -98,6 +99,8 @@
     pub(super) absent_tasks: AbsentTasks,
     /// Open jobs whose tasks may get second runs.
     pub(super) second_runs: SecondRuns,
+    /// The runs that were over last.
+    pub(super) over_runs: OverRuns,
     /// Hosts, as last listed.
     pub hosts: StableMap<HostId, Host>,
     /// When that list was requested.
@@ -182,6 +185,8 @@
     pub second_runs: u64,
     /// Second runs that completed their task before the first run did.
     pub second_runs_first: u64,
+    /// Runs that were settled without an end and came back.
+    pub settled_runs_returned: u64,
 }
 
 impl Scheduler {
@@ -214,6 +219,7 @@
             slow_workers: SlowWorkers::default(),
             absent_tasks: AbsentTasks::default(),
             second_runs: SecondRuns::default(),
+            over_runs: OverRuns::default(),
             hosts: StableMap::default(),
             hosts_requested_at: Duration::ZERO,
             order_marks: OrderMarks::default(),
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -14,6 +14,7 @@
 use super::host::HostState;
 use super::job::{FULL_PACE_PERCENT, Phase, Run, StartOrder, WorkerId};
 use super::outage::StoreAccess;
+use super::over_runs::{OverAs, START_REFUSED};
 use super::scheduler::Scheduler;
 use super::spec::{StepSpec, TaskId};
 use super::types::{Action, StartReply, StopReply};
@@ -55,6 +56,18 @@
     }
 }
 
+/// Formats how long ago a run was confirmed in milliseconds, or `unconfirmed`, for the log.
+struct ConfirmedMsAgo(Option<Duration>);
+
+impl fmt::Display for ConfirmedMsAgo {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(ago) => write!(f, "{}", ago.as_millis()),
+            None => f.write_str("unconfirmed"),
+        }
+    }
+}
+
 impl Scheduler {
     /// Handles a worker in the worker list that is new or changed.
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
@@ -223,7 +236,7 @@
     }
 
     /// Settles all runs that may exist on a worker; `reason` is for the log.
-    fn settle_all_runs(&mut self, id: &WorkerId, reason: &str) {
+    fn settle_all_runs(&mut self, id: &WorkerId, reason: &'static str) {
         for (task, attempt) in self.runs_on(id) {
             self.settle_run(id, &task, attempt, reason);
         }
@@ -231,7 +244,7 @@
 
     /// Settles a run that is over without a reported end: releases its resources and queues its
     /// task again.
-    pub(super) fn settle_run(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, reason: &str) {
+    pub(super) fn settle_run(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, reason: &'static str) {
         let heard = self.workers.get_mut(id).map_or(Duration::ZERO, |mut w| {
             w.remove_run(*task_id, attempt);
             w.last_heard
@@ -240,9 +253,13 @@
         let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == attempt);
         let Some(run) = run.map(|n| task.runs.remove(n)) else { return };
         self.notes.push(format_args!(
-            "event=run_settled worker={id} task={task_id} attempt={attempt} ran_ms={} reason={reason}",
-            RuntimeMs(run.known_runtime(heard))
+            "event=run_settled worker={id} task={task_id} attempt={attempt} ran_ms={} reason={reason} \
+             phase={:?} confirmed_ms_ago={}",
+            RuntimeMs(run.known_runtime(heard)),
+            run.phase,
+            ConfirmedMsAgo(run.confirmed_at.map(|at| self.now.saturating_sub(at)))
         ));
+        self.remember_over(id, (*task_id, attempt), OverAs::Settled(reason));
         self.dirty_jobs.insert(task_id.job);
         self.note_run_over(task_id, &run);
         self.queue_task(task_id);
@@ -315,7 +332,7 @@
                 self.stop_run_once(id, &task, attempt, stop_ordered);
             }
             StartReply::Refused | StartReply::Ticket | StartReply::Unwell | StartReply::NotSent => {
-                self.settle_run(id, &task, attempt, "start_refused");
+                self.settle_run(id, &task, attempt, START_REFUSED);
             }
             StartReply::Deposed => self.note_higher_token(id),
         }
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::job::{Job, Outcome, Phase, Run, WorkerId};
+use super::over_runs::{OverAs, ReturnedAs};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
 use super::types::Action;
@@ -97,6 +98,7 @@
             "event=stray_run worker={id} task={} attempt={}",
             listed.task, listed.attempt
         ));
+        self.note_settled_run_returned(id, (listed.task, listed.attempt), ReturnedAs::Stray);
         if let Some(reservation) = self.jobs.reservation(&listed.task)
             && let Some(mut w) = self.workers.get_mut(id)
         {
@@ -132,6 +134,7 @@
             "event=run_adopted worker={id} task={} attempt={}",
             listed.task, listed.attempt
         ));
+        self.note_settled_run_returned(id, (listed.task, listed.attempt), ReturnedAs::Adopted);
         true
     }
 
@@ -169,6 +172,9 @@
             "event=run_ended worker={id} task={task_id} attempt={} how={:?} number={}",
             end.attempt, end.kind, end.sequence_number
         ));
+        if end.kind != EndKind::Lapsed {
+            self.note_settled_run_returned(id, (task_id, end.attempt), ReturnedAs::Ended(end.kind));
+        }
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
         let spec = job.spec.clone();
         let Some(step) = spec.steps.get(usize::from(task_id.step)) else { return };
@@ -204,6 +210,10 @@
         if let Some(run) = ended_run {
             self.note_run_over(&task_id, &run);
         }
+        // A task that is done is not started again.
+        if end.kind != EndKind::Done || step.long_running {
+            self.remember_over(id, (task_id, end.attempt), OverAs::Ended(end.kind));
+        }
         self.queue_task(&task_id);
     }
 
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -9,6 +9,8 @@
 use workswood_core::jobs::crash_certainty::{ClockReading, earliest_lapse};
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
+use workswood_core::jobs::listing_log::{ListingLog, ListingTimes, PollKind};
+use workswood_core::jobs::run_tracker::RunKey;
 use workswood_core::jobs::{RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
@@ -47,6 +49,8 @@
     wait_logged_ms: AtomicU64,
     /// The runs as they were last reported to the scheduler.
     pub run_tracker: Mutex<RunTracker>,
+    /// When the listings were made that `run_tracker` has handled.
+    listing_log: Mutex<ListingLog>,
     /// The worker's clock, and when it was read.
     clock: Mutex<Option<(WorkerClock, ClockReading)>>,
     /// Latest end of the leases that were sent, in milliseconds since this process started.
@@ -80,6 +84,7 @@
             order_permits: OrderPermits::default(),
             wait_logged_ms: AtomicU64::new(0),
             run_tracker: Mutex::default(),
+            listing_log: Mutex::default(),
             clock: Mutex::new(None),
             leased_until_ms: AtomicU64::new(0),
             confirmed_until_ms: AtomicU64::new(0),
@@ -157,6 +162,18 @@
         self.silent.store(false, Ordering::SeqCst);
     }
 
+    /// Logs which listing has told that runs are over, and a clock of the worker that has gone back.
+    pub(super) fn log_listing(&self, listing: ListingTimes, poll: PollKind, missing: &[RunKey]) {
+        let (runs_missing, clock_went_back) =
+            self.listing_log.lock().note(&self.address.id, listing, poll, missing);
+        if let Some(line) = runs_missing {
+            log::info!("{line}");
+        }
+        if let Some(line) = clock_went_back {
+            log::warn!("{line}");
+        }
+    }
+
     /// Records that this incarnation answered a poll that was sent at `sent`.
     pub(super) fn record_incarnation(&self, sent: Duration) {
         self.last_answered_poll.lock().record(sent);
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood_core::jobs::listing_log::{ListingTimes, PollKind};
 use workswood_core::jobs::run_tracker::RunKey;
 use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
 use workswood_liveness::AdaptiveTimeout;
@@ -247,7 +248,9 @@
         if tracker.is_overtaken(sent) {
             return false;
         }
+        let times = ListingTimes { sent, made_at: listing.made_at, received: now };
         let report = tracker.diff_listing(listing, sent, now);
+        worker.log_listing(times, PollKind::Waiting, &report.missing);
         self.log_lapsed_runs(&report, leased_until, now);
         if !self.reported_reachable || !report.is_empty() {
             self.reported_reachable = true;
@@ -293,7 +296,9 @@
     let now = cx.node.now();
     worker.record_answer(now);
     let mut tracker = worker.run_tracker.lock();
+    let times = ListingTimes { sent, made_at: listing.made_at, received: now };
     let report = tracker.diff_listing(listing, sent, now);
+    worker.log_listing(times, PollKind::AfterStop, &report.missing);
     if !report.is_empty() {
         cx.sink.report(&cx.node, worker, WorkerEvent::Reported(report));
     }
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -114,6 +114,8 @@
     pub second_runs: IntGauge,
     /// Second runs that completed their task first, in this term.
     pub second_runs_first: IntGauge,
+    /// Runs that were settled without an end and came back, in this term.
+    pub settled_runs_returned: IntGauge,
     /// Bytes sent and received over the network link, by purpose and direction.
     link_bytes: IntGaugeVec,
     /// Calls and messages over the network link, by purpose.
@@ -360,6 +362,11 @@
                 "workswood_second_runs_first",
                 "second runs that completed their task before the first run, in this term",
             ),
+            settled_runs_returned: register_gauge(
+                &registry,
+                "workswood_settled_runs_returned",
+                "runs that were settled without an end and came back, in this term",
+            ),
             link_bytes: register_gauge_vec(
                 &registry,
                 "workswood_link_bytes",
