An older list of runs settles none that a newer one has told of, and brings none back

Cause: listings of one worker were ordered by when their polls were sent, but a list is as old as its making. A poll that waits at the worker is answered with a later state than a poll that is sent after it without a wait. When the first one's answer was processed first, a run that it listed was expected in every poll (expected_since zero), the older list of the second one passed the check of the order, and the run was taken for over. In the other direction an older list still had a run whose end had been told: it was tracked and adopted again, and as its end was not told a second time, nothing settled it.

Fix: a run is over by absence only if the poll was sent after it was known here that the run had been there, and a run that is known to be over is not taken back from a poll that was sent before. Of two polls that were under way together, the time of making on the worker's clock tells which listing is older; an older one is ignored once a newer one was processed. The first rule needs no clock.

--- a/crates/workswood-core/src/jobs/listing_log.rs
+++ b/crates/workswood-core/src/jobs/listing_log.rs
@@ -5,7 +5,7 @@
 
 use super::job::WorkerId;
 use super::run_tracker::RunKey;
-use super::worker::WorkerClock;
+use super::worker::ListingTimes;
 
 /// Shortest time between two warnings that the clock of one worker went back.
 const CLOCK_WARNING_INTERVAL: Duration = Duration::from_secs(60);
@@ -28,17 +28,6 @@
     }
 }
 
-/// When a listing was asked for, made and received.
-#[derive(Clone, Copy, Debug)]
-pub struct ListingTimes {
-    /// When its poll was sent.
-    pub sent: Duration,
-    /// When the worker made it, on the worker's clock.
-    pub made_at: WorkerClock,
-    /// When it was received.
-    pub received: Duration,
-}
-
 /// The times of the last listing of one worker, under one assignment.
 #[derive(Debug, Default)]
 pub struct ListingLog {
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -159,7 +159,7 @@
     StopReply, WorkerUpdate,
 };
 pub use worker::{
-    AdviceVerdict, EndCoverage, EndKind, Listing, Report, ReportedEnd, ReportedRun, Worker, WorkerAddress,
-    WorkerClock, WorkerInfo, WorkerRecord,
+    AdviceVerdict, EndCoverage, EndKind, Listing, ListingTimes, Report, ReportedEnd, ReportedRun, Worker,
+    WorkerAddress, WorkerClock, WorkerInfo, WorkerRecord,
 };
 pub use workspace::{Owner, Workspace, Workspaces};
--- a/crates/workswood-core/src/jobs/run_tracker.rs
+++ b/crates/workswood-core/src/jobs/run_tracker.rs
@@ -1,9 +1,18 @@
 //! Reduces the run listings of one worker to what has changed.
 //!
 //! Each poll lists all runs of a worker, mostly unchanged. Whoever polls a worker keeps a
-//! [`RunTracker`] and reports only the changes to the scheduler. The tracker knows the order of its
-//! own calls: a run that it has started is over if a poll sent later lists neither the run nor its
-//! end. That holds only for answers with all ends; see [`EndCoverage`].
+//! [`RunTracker`] and reports only the changes to the scheduler. A run that is known to have been
+//! there is over if a later listing has neither the run nor its end. That holds only for answers
+//! with all ends; see [`EndCoverage`].
+//!
+//! Several polls of a worker may be under way, one of which may wait at the worker. So the order in
+//! which they were sent, or answered, is not the order in which their listings were made:
+//!
+//! * A listing proves that a run is over only if its poll was sent after it was known here that the
+//!   run had been there. For the same reason a run that is known to be over is not taken back from
+//!   a poll that was sent before that was known.
+//! * Of two polls that were under way together, the worker's clock tells which listing is older, and
+//!   an older one is ignored once a newer one was processed.
 
 use std::collections::HashSet;
 use std::time::Duration;
@@ -11,7 +20,7 @@
 use super::spec::TaskId;
 use super::stable_map::StableMap;
 use super::types::StartReply;
-use super::worker::{EndCoverage, Listing, Report, ReportedRun};
+use super::worker::{EndCoverage, Listing, ListingTimes, Report, ReportedRun, WorkerClock};
 
 /// A run without progress for this long is reported as stalled. Must be longer than a run normally
 /// needs for one percent, and shorter than
@@ -46,14 +55,17 @@
 #[derive(Debug, Default)]
 pub struct RunTracker {
     runs: StableMap<RunKey, TrackedRun>,
+    /// Runs that are over, with the time when that became known. A poll that was sent before that may still list
+    /// them.
+    over: StableMap<RunKey, Duration>,
     /// Whether a full report was made.
     full_report_made: bool,
     /// Highest sequence number of an end that was reported.
     last_end: u64,
     /// Whether every run is reported each time, for its load.
     report_load: bool,
-    /// When the latest poll was sent whose answer was processed.
-    last_poll_sent: Duration,
+    /// The listing that was processed last.
+    last_listing: Option<ListingTimes>,
 }
 
 impl RunTracker {
@@ -97,19 +109,21 @@
         self.runs.contains_key(&run)
     }
 
-    /// Whether the answer to a poll that was sent later has been processed, so that one to a poll that was sent at
-    /// `sent_at` is ignored.
-    pub fn is_overtaken(&self, sent_at: Duration) -> bool {
-        sent_at < self.last_poll_sent
+    /// Whether a newer listing has been processed than one that was made at `made_at`, for a poll that was sent at
+    /// `sent_at`. A poll that was sent after the last answer had come has the newer listing, whatever the clocks say.
+    pub fn is_overtaken(&self, made_at: WorkerClock, sent_at: Duration) -> bool {
+        self.last_listing.is_some_and(|last| sent_at < last.received && made_at < last.made_at)
     }
 
-    /// Handles the listing of a poll that was sent at `sent_at`; returns what has changed. Answers
-    /// may overtake each other, so one to an earlier poll is ignored.
-    pub fn diff_listing(&mut self, listing: Listing, sent_at: Duration, now: Duration) -> Report {
-        if self.is_overtaken(sent_at) {
+    /// Handles the listing of a poll that was sent at `sent_at`; returns what has changed. A listing that is older
+    /// than one that was processed is ignored.
+    pub fn diff_listing(&mut self, mut listing: Listing, sent_at: Duration, now: Duration) -> Report {
+        if self.is_overtaken(listing.made_at, sent_at) {
             return Report::default();
         }
-        self.last_poll_sent = sent_at;
+        self.last_listing = Some(ListingTimes { sent: sent_at, made_at: listing.made_at, received: now });
+        self.over.retain(|_, known_at| sent_at <= *known_at);
+        listing.running.retain(|r| !self.over.contains_key(&(r.task, r.attempt)));
         let all_ends = listing.coverage == EndCoverage::All;
         let full = all_ends && !self.full_report_made;
         self.full_report_made |= full;
@@ -118,12 +132,14 @@
             self.runs.remove(&(end.task, end.attempt));
         }
         let missing = if all_ends { self.remove_missing(&listed, sent_at) } else { Vec::new() };
+        self.over.extend(missing.iter().map(|key| (*key, now)));
         let all = full || self.report_load;
         let running =
             listing.running.into_iter().filter_map(|listed| self.changed_run(listed, all, now)).collect();
         let known_end = if full { 0 } else { self.last_end };
         let ended: Vec<_> = listing.ended.into_iter().filter(|e| e.sequence_number > known_end).collect();
         self.last_end = ended.iter().map(|e| e.sequence_number).fold(known_end, u64::max);
+        self.over.extend(ended.iter().map(|e| ((e.task, e.attempt), now)));
         Report { full, running, missing, ended }
     }
 
@@ -145,7 +161,7 @@
     fn changed_run(&mut self, listed: ReportedRun, all: bool, now: Duration) -> Option<ReportedRun> {
         let new_run = || TrackedRun { progressed_at: now, ..TrackedRun::default() };
         let run = self.runs.entry((listed.task, listed.attempt)).or_insert_with(new_run);
-        run.expected_since.get_or_insert(Duration::ZERO);
+        run.expected_since.get_or_insert(now);
         if listed.percent != run.listed_percent {
             run.progressed_at = now;
             run.listed_percent = listed.percent;
--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -192,6 +192,17 @@
     pub coverage: EndCoverage,
 }
 
+/// When a listing was asked for, made and received.
+#[derive(Clone, Copy, Debug)]
+pub struct ListingTimes {
+    /// When its poll was sent.
+    pub sent: Duration,
+    /// When the worker made it, on the worker's clock.
+    pub made_at: WorkerClock,
+    /// When it was received.
+    pub received: Duration,
+}
+
 /// Changes since the previous answer of a worker.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Report {
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -9,9 +9,9 @@
 use workswood_core::jobs::crash_certainty::{ClockReading, earliest_lapse};
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
-use workswood_core::jobs::listing_log::{ListingLog, ListingTimes, PollKind};
+use workswood_core::jobs::listing_log::{ListingLog, PollKind};
 use workswood_core::jobs::run_tracker::RunKey;
-use workswood_core::jobs::{RunTracker, WorkerAddress};
+use workswood_core::jobs::{ListingTimes, RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
 use super::super::limits::CLOCK_DRIFT;
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::listing_log::{ListingTimes, PollKind};
+use workswood_core::jobs::listing_log::PollKind;
 use workswood_core::jobs::run_tracker::RunKey;
-use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
+use workswood_core::jobs::{EndCoverage, EndKind, Listing, ListingTimes, Report};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::WorkerError;
 
@@ -239,13 +239,13 @@
         );
     }
 
-    /// Reports what has changed according to a listing; returns false if a later one was processed before.
+    /// Reports what has changed according to a listing; returns false if a newer one was processed before.
     /// Two polls of a worker may be under way, and their reports have to come in the order of their listings.
     fn report_changes(&mut self, listing: Listing, sent: Duration, leased_until: Duration) -> bool {
         let now = self.now();
         let worker = self.worker.clone();
         let mut tracker = worker.run_tracker.lock();
-        if tracker.is_overtaken(sent) {
+        if tracker.is_overtaken(listing.made_at, sent) {
             return false;
         }
         let times = ListingTimes { sent, made_at: listing.made_at, received: now };
--- a/tests/testsuite/settled_runs.rs
+++ b/tests/testsuite/settled_runs.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use workswood::util::job_metrics::JobMetrics;
+use workswood_core::jobs::ListingTimes;
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::listing_log::{ListingLog, ListingTimes, PollKind};
+use workswood_core::jobs::listing_log::{ListingLog, PollKind};
 use workswood_core::jobs::{Action, EndKind, Event, Report, ReportedEnd, StartReply, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{job, step};
