Tasks wait for all unsettled workers of their service, whatever these list by now

What callers see: a task runs twice at once (TWICE), or once more than its attempts allow (BUDGET), after a change of holder while the store is away.

Cause: a predecessor starts tasks without a record on workers that are open on record. Its successor asked which of the workers that have not answered yet could run a task by the capacity and labels that they list now. A worker that has shrunk, or has lost the label, since the start let the task go.

Evidence: unrecorded_starts::shrunk_worker_is_waited_for and relabelled_worker_is_waited_for failed before.

Why it works: the barrier asks only what was on record at the takeover, the service and that the worker is open. Those don't change before it is settled.

New: the world variation draws from a stream of its own, so existing seeds keep their histories.

--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -3,8 +3,9 @@
 //!
 //! Such a run may be on any worker that was open on record at the takeover. A worker is *settled* once
 //! the new holder knows what runs there: with its first full report, which follows the new token, when
-//! its incarnation is over, or when its lease has expired. Until all are settled that could take the
-//! task, tasks of jobs that had a record at the takeover are not started.
+//! its incarnation is over, or when its lease has expired. Until all of a service are settled, tasks of
+//! its jobs that had a record at the takeover are not started, whatever capacity and labels the workers
+//! list by then.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,7 +17,7 @@
 use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId};
 
-/// With more unsettled workers than this, they count as able to run everything that waits.
+/// With more unsettled workers than this, they count as having room for everything that waits.
 const MAX_EXAMINED_WORKERS: usize = 16;
 
 /// What tasks that may run without a record would use.
@@ -160,14 +161,13 @@
         }
     }
 
-    /// Whether tasks of a step without a run may run somewhere, started without a record.
+    /// Whether tasks of a step without a run may run somewhere, started without a record. What a worker that
+    /// is not settled lists now doesn't tell what a predecessor started there: it may have shrunk or lost a
+    /// label since.
     pub(super) fn is_held_back(&self, spec: &JobSpec, step: &StepSpec, id: &StepId) -> bool {
-        let Some(unsettled) = self.barrier.unsettled.get(&spec.service) else { return false };
-        if !self.barrier.recorded_jobs.contains_key(&id.job) || !allows_unrecorded_starts(step) {
-            return false;
-        }
-        unsettled.len() > MAX_EXAMINED_WORKERS
-            || unsettled.iter().filter_map(|id| self.workers.get(id)).any(|w| could_run(w, step))
+        self.barrier.unsettled.contains_key(&spec.service)
+            && self.barrier.recorded_jobs.contains_key(&id.job)
+            && allows_unrecorded_starts(step)
     }
 
     /// Resources that tasks of an owner may use without a record, as of the last batch.
@@ -229,11 +229,3 @@
         self.workers.largest_capacity(&info.service)
     }
 }
-
-/// Whether a worker has enough capacity and the label for tasks of a step; `true` while these are not
-/// known.
-fn could_run(w: &Worker, step: &StepSpec) -> bool {
-    let Some(info) = &w.info else { return true };
-    let known = info.capacity != Resources::default();
-    !known || step.allows_labels(&info.labels) && info.capacity.contains(&step.reserved_resources())
-}
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -161,6 +161,7 @@
             crashes: Crashes::default(),
             lasting: LastingTasks::default(),
             store_cuts: StoreCuts::default(),
+            changes: None,
             endless_runs: false,
             run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -39,6 +39,12 @@
         rng
     }
 
+    /// Creates a generator without faults whose draws depend on the state of this one, from which nothing is
+    /// drawn.
+    pub(super) fn other_stream(&self) -> FaultRng {
+        FaultRng::mixed(self.state.rotate_left(32))
+    }
+
     /// Draws a number below `n`; zero if `n` is zero.
     pub fn below(&mut self, n: u64) -> u64 {
         self.state ^= self.state << 13;
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -20,6 +20,7 @@
 mod restarts;
 mod store_cuts;
 mod worker;
+mod worker_changes;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -48,6 +49,7 @@
 use self::relay::{Session, SimRelay};
 use self::store_cuts::StoreCuts;
 use self::worker::{Answer, Order, SimWorker, WorkerLimits};
+use self::worker_changes::WorkerChanges;
 
 /// Simulated time of one step.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -105,6 +107,8 @@
     pub crashing_tasks: u64,
     /// Crashes of workers that ran such a task.
     pub crashes_under_them: u64,
+    /// Times that a worker began to list less capacity, or no label.
+    pub worker_changes: u64,
 }
 
 impl Seen {
@@ -119,6 +123,7 @@
         self.sound_jobs_given_up += other.sound_jobs_given_up;
         self.crashing_tasks += other.crashing_tasks;
         self.crashes_under_them += other.crashes_under_them;
+        self.worker_changes += other.worker_changes;
     }
 }
 
@@ -172,6 +177,8 @@
     crashes: Crashes,
     lasting: LastingTasks,
     store_cuts: StoreCuts,
+    /// What workers list for a while instead of what they have; `None` if they don't change.
+    changes: Option<WorkerChanges>,
     /// Whether no run of a long-running task fails.
     endless_runs: bool,
     /// Shortest and longest run of a task that ends, in milliseconds.
@@ -288,14 +295,15 @@
     }
 
     fn info(&self, n: usize, id: &WorkerId) -> WorkerInfo {
+        let (capacity, labels) = self.listed_room(id);
         WorkerInfo {
             id: id.clone(),
             service: SERVICE.to_string(),
             address: format!("10.0.0.{n}:80"),
             data_centre: self.data_centre(n),
             host: format!("m-{n}"),
-            capacity: WORKER_CAPACITY,
-            labels: Vec::new(),
+            capacity,
+            labels,
             draining: self.workers.iter().any(|w| w.id == *id && w.draining_since.is_some()),
         }
     }
@@ -446,6 +454,7 @@
     /// Submits a job.
     pub fn submit(&mut self, key: JobKey, mut spec: JobSpec) {
         spec.workspace = self.limited.then(|| WORKSPACE.to_string());
+        self.require_label(key, &mut spec);
         let spec = Arc::new(spec);
         self.jobs.insert(key, spec.clone());
         self.trimmed.remove(&key);
@@ -513,6 +522,7 @@
         self.link_latency = STEP;
         (0..self.workers.len()).for_each(|n| self.cut(n, false));
         self.end_evacuations();
+        self.end_worker_changes();
         self.regain_store();
         for r in &mut self.relays {
             (r.partitioned, r.leaving) = (false, false);
@@ -559,6 +569,7 @@
         }
         self.run_due_crashes();
         self.unlist_cut_workers();
+        self.change_workers();
         let now = self.now;
         let ended: Vec<(TaskId, EndKind)> = self.workers.iter_mut().flat_map(|w| w.end_runs(now)).collect();
         self.record_ends(&ended);
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -22,11 +22,11 @@
     World::restarting(workers, luck).with_unrecorded_starts()
 }
 
-fn outages_and_limit(workers: usize, luck: FaultRng) -> World {
+pub(super) fn outages_and_limit(workers: usize, luck: FaultRng) -> World {
     World::limited(workers, luck).with_unrecorded_starts()
 }
 
-fn outages_and_relays(workers: usize, luck: FaultRng) -> World {
+pub(super) fn outages_and_relays(workers: usize, luck: FaultRng) -> World {
     World::relayed(workers, luck).with_unrecorded_starts()
 }
 
@@ -141,7 +141,7 @@
 }
 
 /// Plays one history in a world, in which nothing may be broken.
-fn play(seed: u64, world: NewWorld, with: With) -> Seen {
+pub(super) fn play(seed: u64, world: NewWorld, with: With) -> Seen {
     try_play(seed, world, with).unwrap_or_else(|wrong| panic!("seed {seed}: {wrong}"))
 }
 
@@ -153,7 +153,7 @@
 }
 
 /// Plays so many histories in a world, in which nothing may be broken; returns what all have seen.
-fn play_all(histories: u64, world: NewWorld, with: With) -> Seen {
+pub(super) fn play_all(histories: u64, world: NewWorld, with: With) -> Seen {
     let mut total = Seen::default();
     (1..=histories).for_each(|seed| total.add(&play(seed, world, with)));
     assert_eq!(invariant::failed_checks(), 0, "{:?}", invariant::first_failure());
@@ -167,7 +167,11 @@
 }
 
 /// Plays one history in a world; tells what was broken.
-fn try_play(seed: u64, world: impl Fn(usize, FaultRng) -> World, with: With) -> Result<Seen, String> {
+pub(super) fn try_play(
+    seed: u64,
+    world: impl Fn(usize, FaultRng) -> World,
+    with: With,
+) -> Result<Seen, String> {
     let mut w = world(4, FaultRng::mixed(seed));
     w.run_for(Duration::from_millis(600));
     w.rng.faults_per_mille = 60;
--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -18,21 +18,21 @@
 /// Workers of a world.
 const WORKERS: usize = 2;
 /// Time of the outage of the first holder, and of the takeover, in milliseconds.
-const AWAY_AT: u64 = 2000;
+pub(super) const AWAY_AT: u64 = 2000;
 const TAKEN_OVER_AT: u64 = 4000;
 /// The only job.
-const JOB: u64 = 1;
+pub(super) const JOB: u64 = 1;
 
-fn task(step: u16, index: u32) -> TaskId {
+pub(super) fn task(step: u16, index: u32) -> TaskId {
     TaskId { job: JOB, round: 0, step, index }
 }
 
 /// Two steps of one task.
-fn two_steps() -> Arc<JobSpec> {
+pub(super) fn two_steps() -> Arc<JobSpec> {
     Arc::new(job(vec![step(1, vec![]), step(1, vec![0])], 0))
 }
 
-fn listed(task: TaskId, attempt: u32) -> ReportedRun {
+pub(super) fn listed(task: TaskId, attempt: u32) -> ReportedRun {
     ReportedRun {
         task,
         attempt,
@@ -43,12 +43,12 @@
     }
 }
 
-fn ended(sequence_number: u64, task: TaskId, attempt: u32, kind: EndKind) -> ReportedEnd {
+pub(super) fn ended(sequence_number: u64, task: TaskId, attempt: u32, kind: EndKind) -> ReportedEnd {
     ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() }
 }
 
 /// A holder that starts tasks before their record while the store is away, and has listed the hosts.
-fn holder(at: u64, workers: usize) -> HostWorld {
+pub(super) fn holder(at: u64, workers: usize) -> HostWorld {
     let mut world = HostWorld::new(workers);
     world.at(at);
     world.sched.claimed_at = world.sched.now;
@@ -57,23 +57,23 @@
     world
 }
 
-fn list(world: &mut HostWorld) {
+pub(super) fn list(world: &mut HostWorld) {
     world.list((0..WORKERS).map(|n| host(n, SERVICE, Some(0))).collect());
 }
 
-fn answer(world: &mut HostWorld, n: usize, running: Vec<ReportedRun>, ended: Vec<ReportedEnd>) {
+pub(super) fn answer(world: &mut HostWorld, n: usize, running: Vec<ReportedRun>, ended: Vec<ReportedEnd>) {
     world.answers(&worker(n, 0).id, Listing { running, ended, ..Listing::default() });
 }
 
 /// Takes the next batch, which the store acknowledges.
-fn store(world: &mut HostWorld) -> Batch {
+pub(super) fn store(world: &mut HostWorld) -> Batch {
     let batch = world.sched.take_batch();
     world.sched.records_stored(&batch.records);
     batch
 }
 
 /// The starts among actions: task, attempt and worker.
-fn starts(actions: &[Action]) -> Vec<(TaskId, u32, usize)> {
+pub(super) fn starts(actions: &[Action]) -> Vec<(TaskId, u32, usize)> {
     let number =
         |id: &WorkerId| (0..WORKERS).find(|n| worker(*n, 0).id == *id).expect("a worker of the world");
     let start = |action: &Action| match action {
@@ -116,7 +116,7 @@
 }
 
 /// What of a batch may be done before it is stored, after the store has been away for a time.
-fn early(world: &HostWorld, batch: Batch, away_for: Duration) -> (Vec<Action>, usize, Batch) {
+pub(super) fn early(world: &HostWorld, batch: Batch, away_for: Duration) -> (Vec<Action>, usize, Batch) {
     let mut owed = OwedBatch::default();
     owed.add(batch);
     let work = owed.take_early_work(None, &world.sched, away_for);
@@ -221,11 +221,11 @@
 }
 
 /// A successor of a holder that recorded both workers as open, or as closed.
-fn successor(open: bool) -> HostWorld {
+pub(super) fn successor(open: bool) -> HostWorld {
     successor_of(two_steps(), open)
 }
 
-fn successor_of(spec: Arc<JobSpec>, open: bool) -> HostWorld {
+pub(super) fn successor_of(spec: Arc<JobSpec>, open: bool) -> HostWorld {
     let (_, at, record) = begin_first_step(spec.clone());
     assert_eq!(at, 0, "workers are filled in order");
     let mut world = holder(TAKEN_OVER_AT, 0);
@@ -240,7 +240,7 @@
 }
 
 /// The worker of the first step tells that it is done.
-fn first_step_done(world: &mut HostWorld) {
+pub(super) fn first_step_done(world: &mut HostWorld) {
     answer(world, 0, Vec::new(), vec![ended(1, task(0, 0), 1, EndKind::Done)]);
 }
 
@@ -270,13 +270,13 @@
 }
 
 /// A job of a workspace whose first step has one task and whose second step has three.
-fn job_of(workspace: &str) -> Arc<JobSpec> {
+pub(super) fn job_of(workspace: &str) -> Arc<JobSpec> {
     let steps = vec![step(1, vec![]), step(3, vec![0])];
     Arc::new(JobSpec { workspace: Some(workspace.to_string()), ..job(steps, 0) })
 }
 
 /// Sets a limit of three cores for two workspaces.
-fn limit_workspaces(world: &mut HostWorld) {
+pub(super) fn limit_workspaces(world: &mut HostWorld) {
     let mut workspaces = Workspaces::default();
     for name in ["one", "two"] {
         let limit = Resources { cpu_millis: 3000, ..Resources::default() };
