--- a/tests/testsuite/settled_runs.rs
+++ b/tests/testsuite/settled_runs.rs
@@ -6,7 +6,9 @@
 use workswood::util::job_metrics::JobMetrics;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::listing_log::{ListingLog, ListingTimes, PollKind};
-use workswood_core::jobs::{Action, EndKind, Event, Report, ReportedEnd, StartReply, TaskId, WorkerUpdate};
+use workswood_core::jobs::{
+    Action, EndKind, Event, Report, ReportedEnd, ReportedRun, StartReply, TaskId, WorkerUpdate,
+};
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
@@ -166,6 +168,24 @@
     assert!(line.ends_with(&wanted), "{line}");
 }
 
+/// Memory: of more settled runs than are remembered, the oldest is forgotten first.
+#[test]
+fn many_settled_runs() {
+    let (mut world, first) = started();
+    let mut last = first.clone();
+    for attempt in 1..=4097 {
+        let report = Report { missing: vec![(TASK, attempt)], ..Report::default() };
+        world.tells(&id(), WorkerUpdate::Reported(report));
+        last = start(&mut world);
+    }
+    assert!(matches!(last, Action::Start { attempt: 4098, .. }), "{last:?}");
+    lists(&mut world, &first);
+    assert_eq!(world.sched.counters.settled_runs_returned, 0);
+    let running = listed(&first).into_iter().map(|run| ReportedRun { attempt: 2, ..run }).collect();
+    world.tells(&id(), WorkerUpdate::Reported(Report { running, ..Report::default() }));
+    assert_eq!(world.sched.counters.settled_runs_returned, 1);
+}
+
 fn times(sent: u64, made_at: u64, received: u64) -> ListingTimes {
     ListingTimes { sent: ms(sent), made_at: ms(made_at), received: ms(received) }
 }
