The known lease holder never goes back to an earlier term

Seen by callers: an entry whose reads of the lease are late answered for no job (or asked a holder that had been replaced) although a peer had told it of the present holder.

Cause: `Node::set_holder` took whatever came last. A peer tells of the holder of term 9; the entry's own read, made before, tells of the release of term 7 and replaces it. The order of receiving was taken for the order of terms.

Evidence: known_holder::late_read_hides_later_holder, failed before (the holder of term 7 or 8 was known at the end), passes now; centre_bridges, stopping_holder and peer_help pass.

Why it works: terms order the holders, and the comparison and the change happen under one lock, so two readers can't overtake each other. A release of the known term is still taken.

--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -367,11 +367,18 @@
         }
     }
 
-    /// Sets the known holder of the lease.
+    /// Sets the known holder of the lease, unless that of a later term is known: peers may tell of a holder before
+    /// this process reads of it, and its own reads may be late.
     pub fn set_holder(&self, holder: Holder) {
-        let term = holder.term;
-        self.holder.store(Some(Arc::new(holder)));
-        self.holder_term.send_replace(term);
+        self.holder_term.send_if_modified(|known| {
+            if holder.term < *known {
+                return false;
+            }
+            let is_later = *known < holder.term;
+            *known = holder.term;
+            self.holder.store(Some(Arc::new(holder)));
+            is_later
+        });
     }
 
     /// Requests a check of the lease and waits until a holder of a later term than `term` is known;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -49,6 +49,7 @@
 mod job_settings;
 mod job_status;
 mod keyed_requests;
+mod known_holder;
 mod lasting_jobs;
 mod lasting_soak;
 mod late_jobs;
