A list of hosts that was requested before a move doesn't undo it, however late it comes

Seen by operators: a host that had just been moved to a pool was ordered to move there again after a slow answer of the list of hosts, and counted in its former pool until the next list.

Cause: `correct_host_list` kept a move in mind for 1.2 s after it, by the time when a list came. A list of several pages, or from a slow platform, that was requested before the move and came later than that took the host back. The order of receiving was taken for the order of telling.

Evidence: late_host_lists::late_list_takes_host_back, failed before (two orders to move m-7), passes now; pool_moves, maintenance_waves, restarted_workers, worker_lives and wave tests pass.

Why it works: the move is kept in mind until a list comes that was requested 1.2 s after it. Lists are taken in the order of their requests, so all later ones show the move.

--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -242,7 +242,7 @@
         self.hosts_requested_at = requested_at;
         self.hosts = list.into_iter().map(|host| (host.name.clone(), host)).collect();
         self.update_fleet_cpu();
-        self.correct_host_list();
+        self.correct_host_list(requested_at);
         self.record_declared_sizes();
         self.end_incarnations_by_host_list(requested_at);
         self.note_hosts_of_silent_workers(requested_at);
--- a/crates/workswood-core/src/jobs/pool_moves.rs
+++ b/crates/workswood-core/src/jobs/pool_moves.rs
@@ -13,7 +13,7 @@
 use super::types::Action;
 use crate::ids::{HostId, ServiceId};
 
-/// How long after a move a list of hosts that was requested before it may still arrive.
+/// A list of hosts that was requested less than this long after a move may not show it.
 const HOST_LIST_LAG: Duration = Duration::from_millis(1200);
 
 /// Moves under way are limited to as many as can be ordered in this time: hosts need some time to
@@ -127,10 +127,9 @@
         self.actions.push(Action::MoveHost(name, to));
     }
 
-    /// Corrects the list of hosts where it is older than a move.
-    pub(super) fn correct_host_list(&mut self) {
-        let now = self.now;
-        self.pools.recent_moves.retain(|_, (at, _)| *at + HOST_LIST_LAG > now);
+    /// Corrects the list of hosts, which was requested at `requested_at`, where it may be older than a move.
+    pub(super) fn correct_host_list(&mut self, requested_at: Duration) {
+        self.pools.recent_moves.retain(|_, (at, _)| *at + HOST_LIST_LAG > requested_at);
         for (name, (_, to)) in &self.pools.recent_moves {
             if let Some(host) = self.hosts.get_mut(name).filter(|host| host.pool != *to) {
                 set_moving_to(host, to.clone());
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -52,6 +52,7 @@
 mod known_holder;
 mod lasting_jobs;
 mod lasting_soak;
+mod late_host_lists;
 mod late_jobs;
 mod late_starts;
 mod lease_claims;
