--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -13,7 +13,6 @@
 use super::outage::allows_unrecorded_starts;
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec, TaskId};
-use super::worker::Worker;
 use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId};
 
@@ -214,18 +213,20 @@
             return None;
         }
         let mut total = Resources::default();
-        for id in self.barrier.services.keys() {
-            total.add(&self.largest_capacity_like(self.workers.get(id)?));
+        for (id, service) in &self.barrier.services {
+            total.add(&self.largest_room_like(id, service)?);
         }
         (total != Resources::default()).then_some(total)
     }
 
-    /// Capacity of a worker; while it is not listed, the largest one of its service.
-    fn largest_capacity_like(&self, w: &Worker) -> Resources {
-        let Some(info) = &w.info else { return Resources::default() };
-        if info.capacity != Resources::default() {
-            return w.free_resources();
-        }
-        self.workers.largest_capacity(&info.service)
+    /// The most that a worker may have had for runs without a record: it may have shrunk since, so what its
+    /// host has and the largest capacity of its service count as well.
+    fn largest_room_like(&self, id: &WorkerId, service: &str) -> Option<Resources> {
+        let w = self.workers.get(id)?;
+        let info = w.info.as_ref()?;
+        let of_host = self.hosts.get(&info.host).map(|host| host.capacity).unwrap_or_default();
+        let largest = self.workers.largest_capacity(service).max(&of_host).max(&info.capacity);
+        let is_listed = info.capacity != Resources::default();
+        Some(if is_listed { largest.saturating_sub(&w.used_resources) } else { largest })
     }
 }
--- a/tests/testsuite/unrecorded_starts.rs
+++ b/tests/testsuite/unrecorded_starts.rs
@@ -7,7 +7,9 @@
 use workswood_test_support::host_world::{HostWorld, OTHER, worker};
 use workswood_test_support::job_world::{job, step};
 
-use super::store_outages::{answer, first_step_done, starts, store, successor, successor_of};
+use super::store_outages::{
+    answer, first_step_done, job_of, limit_workspaces, starts, store, successor, successor_of,
+};
 
 /// Label that some steps require.
 const LABEL: &str = "large";
@@ -68,3 +70,14 @@
     world.sched.handle(Event::WorkerUnlisted(worker(1, 0).id));
     assert_is_waited_for(&mut world, worker(1, 0));
 }
+
+/// QUOTA: a worker has shrunk since a predecessor filled it with tasks without a record.
+#[test]
+fn shrunk_worker_may_be_full() {
+    let mut world = successor_of(job_of("one"), true);
+    limit_workspaces(&mut world);
+    world.sched.handle(Event::WorkerListed(with_cpu(1000)));
+    first_step_done(&mut world);
+    world.sched.handle(Event::Submitted(3, job_of("one")));
+    assert_eq!(starts(&store(&mut world).actions), [], "three tasks of the first job may run on worker 1");
+}
