A worker that lists another service is open for it only once that is on record

What callers see: a task runs twice after a change of holder while the store is away, on a fleet whose workers come to another service under the same life.

Cause: a successor waits for the workers of a service that are open on record, and takes the service from the record. Two ways left the record with another service than that of the runs: a holder whose worker lists a new service went on to count as open there before the new service was on record (and a worker that was listed all the time was not recorded anew); and a successor recorded the new service of a worker that it had not settled, so that a third holder would not wait for the old service's tasks, which may run there.

Evidence: unrecorded_starts::changed_service_waits_for_its_record and unsettled_worker_keeps_its_service_on_record failed before and pass now.

Why it works: a worker counts as open only after a record that names the service that it lists. An unsettled worker's record keeps the service that it had at the takeover, and is written again once the worker is settled.

--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -177,7 +177,8 @@
                 }
                 Record::Worker(id, rec) => {
                     if let Some(mut w) = self.workers.get_mut(id) {
-                        w.open_on_record = rec.open && w.open_written;
+                        let same_service = w.info.as_ref().is_some_and(|i| i.service == rec.service);
+                        w.open_on_record = rec.open && w.open_written && same_service;
                     }
                     self.note_bound_stored(id, rec);
                 }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -274,7 +274,10 @@
         let (open, lease_left) = (self.take_open(id), self.take_lease_left(id));
         let w = self.workers.get(id)?;
         let superseded = w.superseded && lease_left.is_some();
-        Some(WorkerRecord { open, lease_left, superseded, ..w.info.as_ref()?.record() })
+        let record = w.info.as_ref()?.record();
+        // The next holder waits for tasks of the service that predecessors may have started there.
+        let service = self.unsettled_service(id).unwrap_or(&record.service).clone();
+        Some(WorkerRecord { open, lease_left, superseded, service, ..record })
     }
 
     /// Takes over a job from the inbox with the state that a predecessor recorded. Of a finished
--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -92,14 +92,16 @@
         self.recorded_jobs.insert(job.key, recorded);
     }
 
-    fn remove(&mut self, id: &WorkerId) {
-        let Some(service) = self.services.remove(id) else { return };
-        let Some(workers) = self.unsettled.get_mut(&service) else { return };
+    /// Removes a worker; returns the service that it had on record if it was not settled.
+    fn remove(&mut self, id: &WorkerId) -> Option<ServiceId> {
+        let service = self.services.remove(id)?;
+        let workers = self.unsettled.get_mut(&service)?;
         workers.remove(id);
         if workers.is_empty() {
             self.unsettled.remove(&service);
-            self.finished.insert(service);
+            self.finished.insert(service.clone());
         }
+        Some(service)
     }
 }
 
@@ -131,9 +133,19 @@
         self.barrier.services.len()
     }
 
-    /// Notes that it is known what predecessors started on a worker.
+    /// Notes that it is known what predecessors started on a worker. Its record may name the service that it
+    /// lists from now on.
     pub(super) fn settle_barrier(&mut self, id: &WorkerId) {
-        self.barrier.remove(id);
+        let Some(recorded) = self.barrier.remove(id) else { return };
+        let info = self.workers.get(id).and_then(|w| w.info.as_ref());
+        if info.is_some_and(|info| info.service != recorded) {
+            self.dirty_workers.insert(id.clone());
+        }
+    }
+
+    /// The service for which tasks may run on a worker that is not settled.
+    pub(super) fn unsettled_service(&self, id: &WorkerId) -> Option<&ServiceId> {
+        self.barrier.services.get(id)
     }
 
     /// Settles unreachable workers whose lease has expired.
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -78,6 +78,9 @@
         let newly_listed = w.info.is_none() || !w.listed;
         let starts_draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
         let recorded = w.info.as_ref().is_some_and(|i| i.record() == info.record());
+        let changes_service = w.info.as_ref().is_some_and(|i| i.service != info.service);
+        // The worker is open on record for the tasks of the service that the record names.
+        w.open_on_record &= !changes_service;
         // A worker that is recorded, or was missing from the list for a while, may have a relay
         // already.
         let has_relay = w.info.as_ref().is_some_and(|i| i.address == info.address);
@@ -86,14 +89,14 @@
         w.listed = true;
         w.unlisted_at = None;
         drop(w);
+        if newly_listed && !recorded || changes_service {
+            self.dirty_workers.insert(id.clone());
+        }
         if newly_listed {
             self.notes.push(format_args!(
                 "event=worker_listed worker={id} service={} address={} machine={}",
                 info.service, info.address, info.host
             ));
-            if !recorded {
-                self.dirty_workers.insert(id.clone());
-            }
             if !has_relay {
                 self.request_relay(&id);
             }
--- a/tests/testsuite/unrecorded_starts.rs
+++ b/tests/testsuite/unrecorded_starts.rs
@@ -3,12 +3,16 @@
 use std::sync::Arc;
 
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{Event, JobSpec, StepSpec, WorkerInfo};
+use workswood_core::jobs::types::Record;
+use workswood_core::jobs::{
+    Batch, EndKind, Event, JobSpec, StepSpec, StoreAccess, TaskId, WorkerInfo, WorkerRecord,
+};
 use workswood_test_support::host_world::{HostWorld, OTHER, worker};
-use workswood_test_support::job_world::{job, step};
+use workswood_test_support::job_world::{SERVICE, job, step};
 
 use super::store_outages::{
-    answer, first_step_done, job_of, limit_workspaces, starts, store, successor, successor_of,
+    AWAY_AT, JOB, answer, early, ended, first_step_done, holder, job_of, limit_workspaces, list, listed,
+    starts, store, successor, successor_of, task,
 };
 
 /// Label that some steps require.
@@ -45,6 +49,15 @@
     assert_eq!(starts(&store(world).actions).len(), 1);
 }
 
+/// The latest record of the second worker in a batch.
+fn record_of(batch: &Batch) -> Option<WorkerRecord> {
+    let record = |rec: &Record| match rec {
+        Record::Worker(id, rec) if *id == worker(1, 0).id => Some(rec.clone()),
+        _ => None,
+    };
+    batch.records.iter().rev().find_map(record)
+}
+
 /// TWICE: a worker has shrunk since its predecessor started a task there without a record.
 #[test]
 fn shrunk_worker_is_waited_for() {
@@ -81,3 +94,43 @@
     world.sched.handle(Event::Submitted(3, job_of("one")));
     assert_eq!(starts(&store(&mut world).actions), [], "three tasks of the first job may run on worker 1");
 }
+
+/// TWICE: the record of a worker names another service than that of the tasks that may run there without
+/// a record, and a third holder waits for those of the wrong service.
+#[test]
+fn unsettled_worker_keeps_its_service_on_record() {
+    let mut world = successor(true);
+    world.sched.handle(Event::WorkerUnlisted(worker(1, 0).id));
+    world.sched.handle(Event::WorkerListed(of_other_service(1)));
+    let record = record_of(&store(&mut world));
+    assert!(record.is_none_or(|rec| rec.open && rec.service == SERVICE), "tasks of it may run there");
+    answer(&mut world, 1, Vec::new(), Vec::new());
+    let record = record_of(&store(&mut world)).expect("a record after the first answer");
+    assert_eq!(record.service, OTHER);
+}
+
+/// TWICE: tasks of a service are started without a record on a worker that is open on record, but for
+/// another service.
+#[test]
+fn changed_service_waits_for_its_record() {
+    let mut world = holder(100, 0);
+    [of_other_service(0), worker(1, 0)].into_iter().for_each(|w| world.sched.handle(Event::WorkerListed(w)));
+    list(&mut world);
+    (0..2).for_each(|n| answer(&mut world, n, Vec::new(), Vec::new()));
+    store(&mut world);
+    let steps = vec![step(1, vec![]), step(5, vec![0])];
+    let spec = JobSpec { service: OTHER.to_string(), ..job(steps, 0) };
+    world.sched.handle(Event::Submitted(JOB, Arc::new(spec)));
+    assert_eq!(starts(&store(&mut world).actions).len(), 1);
+    answer(&mut world, 0, vec![listed(task(0, 0), 1)], Vec::new());
+    store(&mut world);
+    world.sched.handle(Event::WorkerListed(of_other_service(1)));
+    world.at(AWAY_AT);
+    world.sched.set_store_access(StoreAccess::Away);
+    answer(&mut world, 0, Vec::new(), vec![ended(1, task(0, 0), 1, EndKind::Done)]);
+    let batch = world.sched.take_batch();
+    let (actions, ..) = early(&world, batch, std::time::Duration::from_secs(1));
+    let begun: Vec<(TaskId, usize)> = starts(&actions).into_iter().map(|(task, _, at)| (task, at)).collect();
+    assert_eq!(begun.len(), 4, "as many as fit on worker 0");
+    assert!(begun.iter().all(|(_, at)| *at == 0), "{begun:?}");
+}
