--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -13,7 +13,6 @@
 use super::outage::allows_unrecorded_starts;
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec, TaskId};
-use super::worker::Worker;
 use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId};
 
@@ -93,14 +92,16 @@
         self.recorded_jobs.insert(job.key, recorded);
     }
 
-    fn remove(&mut self, id: &WorkerId) {
-        let Some(service) = self.services.remove(id) else { return };
-        let Some(workers) = self.unsettled.get_mut(&service) else { return };
+    /// Removes a worker; returns the service that it had on record if it was not settled.
+    fn remove(&mut self, id: &WorkerId) -> Option<ServiceId> {
+        let service = self.services.remove(id)?;
+        let workers = self.unsettled.get_mut(&service)?;
         workers.remove(id);
         if workers.is_empty() {
             self.unsettled.remove(&service);
-            self.finished.insert(service);
+            self.finished.insert(service.clone());
         }
+        Some(service)
     }
 }
 
@@ -132,9 +133,19 @@
         self.barrier.services.len()
     }
 
-    /// Notes that it is known what predecessors started on a worker.
+    /// Notes that it is known what predecessors started on a worker. Its record may name the service that it
+    /// lists from now on.
     pub(super) fn settle_barrier(&mut self, id: &WorkerId) {
-        self.barrier.remove(id);
+        let Some(recorded) = self.barrier.remove(id) else { return };
+        let info = self.workers.get(id).and_then(|w| w.info.as_ref());
+        if info.is_some_and(|info| info.service != recorded) {
+            self.dirty_workers.insert(id.clone());
+        }
+    }
+
+    /// The service for which tasks may run on a worker that is not settled.
+    pub(super) fn unsettled_service(&self, id: &WorkerId) -> Option<&ServiceId> {
+        self.barrier.services.get(id)
     }
 
     /// Settles unreachable workers whose lease has expired.
@@ -214,18 +225,20 @@
             return None;
         }
         let mut total = Resources::default();
-        for id in self.barrier.services.keys() {
-            total.add(&self.largest_capacity_like(self.workers.get(id)?));
+        for (id, service) in &self.barrier.services {
+            total.add(&self.largest_room_like(id, service)?);
         }
         (total != Resources::default()).then_some(total)
     }
 
-    /// Capacity of a worker; while it is not listed, the largest one of its service.
-    fn largest_capacity_like(&self, w: &Worker) -> Resources {
-        let Some(info) = &w.info else { return Resources::default() };
-        if info.capacity != Resources::default() {
-            return w.free_resources();
-        }
-        self.workers.largest_capacity(&info.service)
+    /// The most that a worker may have had for runs without a record: it may have shrunk since, so what its
+    /// host has and the largest capacity of its service count as well.
+    fn largest_room_like(&self, id: &WorkerId, service: &str) -> Option<Resources> {
+        let w = self.workers.get(id)?;
+        let info = w.info.as_ref()?;
+        let of_host = self.hosts.get(&info.host).map(|host| host.capacity).unwrap_or_default();
+        let largest = self.workers.largest_capacity(service).max(&of_host).max(&info.capacity);
+        let is_listed = info.capacity != Resources::default();
+        Some(if is_listed { largest.saturating_sub(&w.used_resources) } else { largest })
     }
 }
