--- a/tests/testsuite/aimed_soak.rs
+++ b/tests/testsuite/aimed_soak.rs
@@ -74,7 +74,7 @@
 }
 
 /// Clients that keep a connection to each entry open.
-fn open_connections(soak: &Soak, job: &str) -> JoinSet<()> {
+pub(super) fn open_connections(soak: &Soak, job: &str) -> JoinSet<()> {
     let mut all = JoinSet::new();
     for to in soak.callers(0) {
         let job = job.to_string();
--- a/tests/testsuite/fault_soak.rs
+++ b/tests/testsuite/fault_soak.rs
@@ -25,7 +25,7 @@
 use workswood_test_support::job_world::FaultRng;
 use workswood_test_support::program::{Program, free_ports};
 
-const SERVICE: &str = "desk";
+pub(super) const SERVICE: &str = "desk";
 pub(super) const ENTRIES: usize = 4;
 pub(super) const WORKERS: usize = 5;
 /// Listeners of an entry.
