The inbox counts as read up to when an answer was made, not up to when it came

Seen by callers: "unknown" (410) for an accepted job up to 0.9 s longer than the 2.5 s that JOBS.md promises, if the last answer of the store before a silence was late (LOST: 410 later than `visible_ms` after the acknowledgement).

Cause: `InboxProgress` took the receipt of an answer for the time up to which it shows the inbox. An answer without records was made when its wait was over, one with records at some time after the sending; a late answer, or a process that was paused, made it look newer by as much as a read may take (0.9 s beyond its wait).

Evidence: inbox_progress::late_answer_counts_as_new and slowest_partition_counts, both failed with the receipt (6.9 s instead of 6 s; 5.52 s instead of 5.5 s), pass now; tests named inbox_*, job_status, chased_jobs, late_jobs, whole_path, log_retention, holder_help and deferred_requests pass.

Why it works: the time that counts is never later than the making, unless the HTTP client has sent a read again without its wait; then it is too late by the rest of that wait at most.

--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -40,6 +40,7 @@
 pub mod host_orders;
 pub mod inbox;
 mod inbox_cleanup;
+pub mod inbox_progress;
 mod job_api;
 pub mod job_queries;
 pub mod job_spec;
--- a/src/workswood/ops/jobs/scheduler_io.rs
+++ b/src/workswood/ops/jobs/scheduler_io.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::Mutex;
 use tokio::sync::watch;
 use workswood_core::ids::Offset;
 use workswood_core::jobs::Event;
 use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
 
 use super::hedged_call::hedged_call;
+use super::inbox_progress::{InboxProgress, InboxRead};
 use super::node::{Node, SchedulerHandle};
 use super::restore_state::{note_inbox_key, parse_inbox_event};
 use super::topic_reader::follow_topic;
@@ -27,27 +27,6 @@
 /// How long one read of the inbox waits for new records.
 const INBOX_READ_WAIT: Duration = Duration::from_millis(1000);
 
-/// When each partition of the inbox was last read to its end.
-pub(super) struct InboxProgress {
-    read_at: Mutex<Vec<Duration>>,
-}
-
-impl InboxProgress {
-    /// Progress of a number of partitions that have not been read.
-    pub(super) fn new(partition_count: usize) -> InboxProgress {
-        InboxProgress { read_at: Mutex::new(vec![Duration::ZERO; partition_count]) }
-    }
-
-    /// Records that a partition was read to its end; returns the earliest such time of all partitions.
-    fn record(&self, partition: Partition, at: Duration) -> Duration {
-        let mut read_at = self.read_at.lock();
-        if let Some(last) = read_at.get_mut(usize::from(partition)) {
-            *last = at;
-        }
-        read_at.iter().min().copied().unwrap_or_default()
-    }
-}
-
 /// Forwards jobs and cancellations from a partition of the inbox to the scheduler.
 pub(super) async fn follow_inbox(
     node: Arc<Node>,
@@ -60,15 +39,18 @@
     // After a failure the read does not wait, so that it shows at once when the store is back.
     let mut wait = INBOX_READ_WAIT;
     loop {
+        let sent = node.now();
         let read = || node.platform.tail(topic, next, wait);
         match hedged_call(&node, wait + HEDGE_AFTER, read).await {
             Ok(tail) => {
                 node.note_store_answer();
+                let found_records = !tail.records.is_empty();
+                let read = InboxRead { sent, wait, answered: node.now(), found_records };
                 wait = INBOX_READ_WAIT;
                 next = tail.next;
                 forward_records(&handle, partition, &tail.records);
                 // All partitions have been read up to this time, and their records forwarded.
-                let all_read_at = progress.record(partition, node.now());
+                let all_read_at = progress.record(partition, read);
                 // Sending fails if the scheduler has just stopped.
                 let _ = handle.tx.send(Event::InboxRead(all_read_at));
             }
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -20,14 +20,13 @@
 use super::batch_writer::BatchWriter;
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
+use super::inbox_progress::InboxProgress;
 use super::lease_renewal::{self, EXTENSION_GRACE};
 use super::node::{LastBounds, LastRenewal, Node, SchedulerHandle};
 use super::relay::Grant;
 use super::relay_sessions::RelaySessions;
 use super::restore_state::{RestoredScheduler, restore};
-use super::scheduler_io::{
-    InboxProgress, follow_inbox, follow_workers, list_hosts_once, publish_wave_status,
-};
+use super::scheduler_io::{follow_inbox, follow_workers, list_hosts_once, publish_wave_status};
 use crate::util::logs;
 
 /// Interval between ticks of the scheduler.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod foreign_entries;
 mod holder_help;
 mod inbox_appends;
+mod inbox_progress;
 mod inherited_leases;
 mod job_account;
 mod job_admission;
