--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,6 +59,7 @@
 mod lease_claims;
 mod lease_looks;
 mod lingering_lives;
+mod list_order;
 mod log_faults;
 mod log_retention;
 mod long_running_placement;
