A failing test: an ended run comes back from an older list of the same millisecond

What callers see: a run that ended is taken for running; if its end is still listed, nothing settles it (LOST). Very rare: the list with the run, the end, its telling and one more poll with its answer in one millisecond of the worker's clock.

Cause: diff_listing forgets a run that is over with the first poll that was sent after that was known, although an older poll may still be under way; of equal times the order by the clock says nothing.

Evidence: ended_run_listed_late_in_same_millisecond fails (the real run_tracker.rs with a stub of the rest of the crate).

--- a/tests/testsuite/list_order.rs
+++ b/tests/testsuite/list_order.rs
@@ -85,3 +85,13 @@
     assert!(tracker.is_overtaken(ms(8_000), ms(20) - us(1)));
     assert_eq!(tracker.diff_listing(ends(8_000, EndKind::Done), ms(20), ms(30)).ended.len(), 1);
 }
+
+/// LOST: the end was told, and a poll was sent and answered after that, all within one millisecond of the worker's clock.
+#[test]
+fn ended_run_listed_late_in_same_millisecond() {
+    let mut tracker = tracker();
+    assert_eq!(tracker.diff_listing(ends(355, EndKind::Stopped), ms(300), us(355_400)).ended.len(), 1);
+    assert!(tracker.diff_listing(ends(355, EndKind::Stopped), us(355_500), us(355_900)).is_empty());
+    let report = tracker.diff_listing(runs(355, 20), ms(100), ms(380));
+    assert!(report.is_empty(), "{report:?}");
+}
