A run that is over stays over for all polls that were under way

What callers would see: a job that waits for a run that has ended (LOST), in rare cases: the end of a run was told, one more poll was sent and answered, and a third list that still had the run came last, all three made within one millisecond of the worker's clock. The run was listed as running again, and nothing settled it.

Cause: runs that are over were forgotten with the first poll that was sent after that, while an older poll could still be under way.

Fix: they are remembered for two seconds, longer than a poll is under way, and hidden only from polls that were sent before it was known. The late answer to a start of such a run, or to a stop, expects it in no listing any more. An answer that is ignored as older reports that the worker answers, if it was not known.

--- a/crates/workswood-core/src/jobs/run_tracker.rs
+++ b/crates/workswood-core/src/jobs/run_tracker.rs
@@ -29,6 +29,9 @@
 /// Shortest time between two reports of a run's checkpoint.
 const CHECKPOINT_REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
+/// A run that is over is remembered for this long. Longer than a poll is under way.
+const OVER_KEPT_FOR: Duration = Duration::from_millis(2000);
+
 /// A task and its attempt number.
 pub type RunKey = (TaskId, u32);
 
@@ -76,6 +79,9 @@
 
     /// Handles the outcome of a start.
     pub fn start_answered(&mut self, task: TaskId, attempt: u32, reply: StartReply, now: Duration) {
+        if self.over.contains_key(&(task, attempt)) {
+            return;
+        }
         match reply {
             StartReply::Taken => {
                 let run = self.runs.entry((task, attempt)).or_default();
@@ -98,6 +104,9 @@
     /// or an earlier one. Returns whether it is not known that the run was ever there: then no end of it may be
     /// listed, and only a poll that is sent from now on tells that it is over.
     pub fn stop_accepted(&mut self, task: TaskId, attempt: u32, now: Duration) -> bool {
+        if self.over.contains_key(&(task, attempt)) {
+            return false;
+        }
         let run = self.runs.entry((task, attempt)).or_default();
         let unheard = run.expected_since.is_none();
         run.expected_since.get_or_insert(now);
@@ -122,8 +131,8 @@
             return Report::default();
         }
         self.last_listing = Some(ListingTimes { sent: sent_at, made_at: listing.made_at, received: now });
-        self.over.retain(|_, known_at| sent_at <= *known_at);
-        listing.running.retain(|r| !self.over.contains_key(&(r.task, r.attempt)));
+        self.over.retain(|_, known_at| now < *known_at + OVER_KEPT_FOR);
+        listing.running.retain(|r| !self.was_over(&(r.task, r.attempt), sent_at));
         let all_ends = listing.coverage == EndCoverage::All;
         let full = all_ends && !self.full_report_made;
         self.full_report_made |= full;
@@ -143,6 +152,17 @@
         Report { full, running, missing, ended }
     }
 
+    /// Whether a run was known to be over when a poll was sent or became so since: that poll's listing can't tell that
+    /// it is there.
+    fn was_over(&self, key: &RunKey, sent_at: Duration) -> bool {
+        self.over.get(key).is_some_and(|known_at| sent_at <= *known_at)
+    }
+
+    /// Number of runs that are remembered as over.
+    pub fn remembered_over(&self) -> usize {
+        self.over.len()
+    }
+
     /// Removes and returns runs that should be listed and are not.
     fn remove_missing(&mut self, listed: &HashSet<RunKey>, sent_at: Duration) -> Vec<RunKey> {
         let is_missing = |key: &RunKey, run: &TrackedRun| {
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -246,6 +246,9 @@
         let worker = self.worker.clone();
         let mut tracker = worker.run_tracker.lock();
         if tracker.is_overtaken(listing.made_at, sent) {
+            if !std::mem::replace(&mut self.reported_reachable, true) {
+                self.report(WorkerEvent::Reported(Report::default()));
+            }
             return false;
         }
         let times = ListingTimes { sent, made_at: listing.made_at, received: now };
--- a/tests/testsuite/list_order.rs
+++ b/tests/testsuite/list_order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{EndKind, Listing, ReportedEnd, ReportedRun, RunTracker, TaskId};
+use workswood_core::jobs::{EndKind, Listing, ReportedEnd, ReportedRun, RunTracker, StartReply, TaskId};
 
 const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
 
@@ -95,3 +95,25 @@
     let report = tracker.diff_listing(runs(355, 20), ms(100), ms(380));
     assert!(report.is_empty(), "{report:?}");
 }
+
+/// The answer to the start comes after the end was told and acknowledged; the run would be reported as missing.
+#[test]
+fn late_start_answer_after_end() {
+    let mut tracker = tracker();
+    assert_eq!(tracker.diff_listing(ends(100, EndKind::Done), ms(90), ms(110)).ended.len(), 1);
+    tracker.start_answered(TASK, 1, StartReply::Taken, ms(120));
+    let report = tracker.diff_listing(idle(140), ms(130), ms(150));
+    assert!(report.is_empty(), "{report:?}");
+}
+
+/// The memory of runs that are over would grow with every run of a worker.
+#[test]
+fn runs_over_are_forgotten() {
+    let mut tracker = tracker();
+    tracker.diff_listing(ends(100, EndKind::Done), ms(90), ms(110));
+    assert_eq!(tracker.remembered_over(), 1);
+    tracker.diff_listing(idle(1_500), ms(1_490), ms(1_510));
+    assert_eq!(tracker.remembered_over(), 1, "an older poll may be under way");
+    tracker.diff_listing(idle(2_200), ms(2_190), ms(2_210));
+    assert_eq!(tracker.remembered_over(), 0);
+}
