A list of hosts without a worker that may be older than the worker's last answer doesn't end its life

A second run of its task may start meanwhile (TWICE).

Cause: a list of hosts counted against every worker that was known before its request, also against one that had answered after it. If the list says that the host is down without a worker, it may be older than that answer. Whether the platform lists a host so whose worker lives isn't known.

Evidence: settled_alive::host_list_before_last_answer, failed before (settled by a list that was requested 0.3 s before the last answer), passes now. The other tests of settled_alive passed before too: they pin down that news of earlier lives and silences that are over settle nothing. worker_lives, restarted_workers, lingering_lives, crash_*, withdrawn_crashes, worker_losses and wave_orders pass.

Why it works: the next list, 0.6 s later, was requested after the answer and ends the life if it is over. A list that names another worker on the host is believed as before, since that one began later.

--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -108,7 +108,8 @@
     /// worker, is in the spare pool without a worker, or runs another worker. The worker list
     /// cannot show this: its records outlive the incarnation, and a late write may appear after its
     /// end. `requested_at` is when the host list was requested; only incarnations known before that
-    /// are ended.
+    /// are ended. A host without a worker tells nothing of one that has answered since: the list may be
+    /// older than the answer. Another worker on its host began later.
     pub(super) fn end_incarnations_by_host_list(&mut self, requested_at: Duration) {
         let spare = self.spare_pool();
         let is_over = |id: &WorkerId, w: &Worker| {
@@ -121,7 +122,8 @@
                 (HostState::Up, None) => spare.as_ref() == Some(&host.pool),
                 _ => false,
             };
-            absent_from_host && !w.reachable && w.known_since < requested_at
+            let older_than_answer = host.worker.is_none() && w.last_heard >= requested_at;
+            absent_from_host && !w.reachable && w.known_since < requested_at && !older_than_answer
         };
         let ended: Vec<WorkerId> =
             self.workers.iter().filter(|(id, w)| is_over(id, w)).map(|(id, _)| id.clone()).collect();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -86,6 +86,7 @@
 mod result_codes;
 mod second_runs;
 mod separate_processes;
+mod settled_alive;
 mod silent_connections;
 mod slot_dispatch;
 mod slow_workers;
