--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -91,6 +91,7 @@
 mod second_runs;
 mod separate_processes;
 mod settled_runs;
+mod settled_alive;
 mod silent_connections;
 mod slot_dispatch;
 mod slow_workers;
