--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -199,9 +199,10 @@
                 total.entry(recorded.owner).or_default().add(&self.hidden_use_of_job(*key, recorded));
             }
         }
-        let room = self.room_behind_barrier();
-        self.barrier.hidden_use =
-            total.into_iter().map(|(owner, used)| (owner, used.charged_within(room))).collect();
+        let charged =
+            |(owner, used): (Owner, HiddenUse)| (owner, used.charged_within(self.room_behind_barrier(owner)));
+        let hidden_use = total.into_iter().map(charged).collect();
+        self.barrier.hidden_use = hidden_use;
     }
 
     /// What the tasks of a job may use without a record. A task with a recorded run is charged already.
@@ -219,26 +220,30 @@
         }
     }
 
-    /// Room for runs without a record on workers that are not settled; `None` if that is not known.
-    fn room_behind_barrier(&self) -> Option<Resources> {
+    /// Room for an owner's runs without a record on workers that are not settled; `None` if that is not known.
+    fn room_behind_barrier(&self, owner: Owner) -> Option<Resources> {
         if self.barrier.services.len() > MAX_EXAMINED_WORKERS {
             return None;
         }
         let mut total = Resources::default();
         for (id, service) in &self.barrier.services {
-            total.add(&self.largest_room_like(id, service)?);
+            total.add(&self.largest_room_like(id, service, owner)?);
         }
         (total != Resources::default()).then_some(total)
     }
 
-    /// The most that a worker may have had for runs without a record: it may have shrunk since, so what its
-    /// host has and the largest capacity of its service count as well.
-    fn largest_room_like(&self, id: &WorkerId, service: &str) -> Option<Resources> {
+    /// The most that a worker may have had for an owner's runs without a record. It may have shrunk since, so
+    /// what its host has and the largest capacity of its service count as well. Recorded runs of other owners
+    /// may have been over before.
+    fn largest_room_like(&self, id: &WorkerId, service: &str, owner: Owner) -> Option<Resources> {
         let w = self.workers.get(id)?;
         let info = w.info.as_ref()?;
         let of_host = self.hosts.get(&info.host).map(|host| host.capacity).unwrap_or_default();
-        let largest = self.workers.largest_capacity(service).max(&of_host).max(&info.capacity);
-        let is_listed = info.capacity != Resources::default();
-        Some(if is_listed { largest.saturating_sub(&w.used_resources) } else { largest })
+        let mut room = self.workers.largest_capacity(service).max(&of_host).max(&info.capacity);
+        if info.capacity != Resources::default() {
+            let own = w.runs.values().filter(|held| held.owner == owner);
+            own.for_each(|held| room = room.saturating_sub(&held.resources));
+        }
+        Some(room)
     }
 }
--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -19,7 +19,7 @@
 const WORKERS: usize = 2;
 /// Time of the outage of the first holder, and of the takeover, in milliseconds.
 pub(super) const AWAY_AT: u64 = 2000;
-const TAKEN_OVER_AT: u64 = 4000;
+pub(super) const TAKEN_OVER_AT: u64 = 4000;
 /// The only job.
 pub(super) const JOB: u64 = 1;
 
--- a/tests/testsuite/unrecorded_starts.rs
+++ b/tests/testsuite/unrecorded_starts.rs
@@ -11,8 +11,8 @@
 use workswood_test_support::job_world::{SERVICE, job, step};
 
 use super::store_outages::{
-    AWAY_AT, JOB, answer, early, ended, first_step_done, holder, job_of, limit_workspaces, list, listed,
-    starts, store, successor, successor_of, task,
+    AWAY_AT, JOB, TAKEN_OVER_AT, answer, early, ended, first_step_done, holder, job_of, limit_workspaces,
+    list, listed, starts, store, successor, successor_of, task,
 };
 
 /// Label that some steps require.
@@ -95,6 +95,45 @@
     assert_eq!(starts(&store(&mut world).actions), [], "three tasks of the first job may run on worker 1");
 }
 
+/// The records of a holder whose second worker is filled by a job of another workspace than that of the first job.
+fn records_beside_other_workspace() -> Vec<Record> {
+    let mut world = holder(100, 2);
+    list(&mut world);
+    (0..2).for_each(|n| answer(&mut world, n, Vec::new(), Vec::new()));
+    let mut records = store(&mut world).records;
+    world.sched.handle(Event::Submitted(JOB, job_of("one")));
+    records.extend(store(&mut world).records);
+    world.sched.handle(Event::Submitted(2, filling_job()));
+    records.extend(store(&mut world).records);
+    records
+}
+
+/// A job of another workspace that takes what the first step of a job leaves of both workers.
+fn filling_job() -> Arc<JobSpec> {
+    Arc::new(JobSpec { workspace: Some("two".to_string()), ..job(vec![step(7, vec![])], 0) })
+}
+
+/// QUOTA: recorded runs of another workspace ended before a worker was filled with tasks without a record.
+#[test]
+fn runs_of_other_workspaces_may_be_over() {
+    let mut world = holder(TAKEN_OVER_AT, 0);
+    for rec in records_beside_other_workspace() {
+        match rec {
+            Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
+            Record::Job(JOB, rec) => world.sched.restore_job(JOB, Some(job_of("one")), Some(rec)),
+            Record::Job(key, rec) => world.sched.restore_job(key, Some(filling_job()), Some(rec)),
+            _ => {}
+        }
+    }
+    (0..2).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
+    list(&mut world);
+    limit_workspaces(&mut world);
+    first_step_done(&mut world);
+    world.sched.handle(Event::Submitted(3, job_of("one")));
+    let begun: Vec<u64> = starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job).collect();
+    assert!(!begun.contains(&3), "three tasks of the first job may run on worker 1");
+}
+
 /// TWICE: the record of a worker names another service than that of the tasks that may run there without
 /// a record, and a third holder waits for those of the wrong service.
 #[test]
