Known red: two failed runs with one attempt number count as one

What callers see: a task is started once more than its attempts allow (BUDGET).

Cause: a start without a record on a worker that can't be reached until its lease has ended. The successor knows of no such attempt and gives the number again; when the worker is back it lists the end of its own run with that number. Failures are kept by number, so one of the two is not counted.

Evidence: unrecorded_starts::failures_with_one_number fails.

--- a/tests/testsuite/unrecorded_starts.rs
+++ b/tests/testsuite/unrecorded_starts.rs
@@ -5,7 +5,8 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Batch, EndKind, Event, JobSpec, StepSpec, StoreAccess, TaskId, WorkerInfo, WorkerRecord,
+    Batch, EndKind, Event, JobSpec, JobStatus, Outcome, StepSpec, StoreAccess, TaskId, WorkerInfo,
+    WorkerRecord,
 };
 use workswood_test_support::host_world::{HostWorld, OTHER, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -84,6 +85,24 @@
     assert_is_waited_for(&mut world, worker(1, 0));
 }
 
+/// BUDGET: of two failed runs with one number, the first of which began without a record, one is counted.
+#[test]
+fn failures_with_one_number() {
+    let failed = |number, attempt| vec![ended(number, task(1, 0), attempt, EndKind::Failed)];
+    let mut world = successor(true);
+    first_step_done(&mut world);
+    store(&mut world);
+    world.at(TAKEN_OVER_AT + 9500);
+    world.sched.handle(Event::Tick);
+    assert_eq!(starts(&store(&mut world).actions), [(task(1, 0), 1, 0)], "the lease of worker 1 has ended");
+    answer(&mut world, 0, Vec::new(), failed(2, 1));
+    answer(&mut world, 1, Vec::new(), failed(1, 1));
+    let begun = starts(&store(&mut world).actions);
+    assert_eq!(begun.len(), 1, "two of three attempts have failed");
+    answer(&mut world, begun[0].2, Vec::new(), failed(3, begun[0].1));
+    assert_eq!(world.sched.jobs.status(&JOB), Some(JobStatus::Ended(Outcome::Failed)));
+}
+
 /// QUOTA: a worker has shrunk since a predecessor filled it with tasks without a record.
 #[test]
 fn shrunk_worker_may_be_full() {
