--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -199,6 +199,7 @@
     time_bounds: bool,
     /// What holders do while the store is away.
     outage: OutagePolicy,
+    /// Polls that wait at workers.
     waiting_polls: Vec<WaitingPoll>,
     /// What the oracle has recorded.
     pub seen: Seen,
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -572,8 +572,10 @@
                             w.next_probe = Duration::MAX;
                         }
                         let (until, session) = (now + wait, session.number);
-                        let poll = WaitingPoll { session, id, token, sent: now, forget, lease_end, until, last_end: 0 };
-                        self.add_waiting_poll(poll);
+                        let last_end = self.last_end_of(&id);
+                        let poll =
+                            WaitingPoll { session, id, token, sent: now, forget, lease_end, until, last_end };
+                        self.waiting_polls.push(poll);
                         return;
                     }
                     (PendingAnswer::Listed { listing, sent: now, forget, lease_end }, latency)
--- a/crates/workswood-test-support/src/job_world/waiting_polls.rs
+++ b/crates/workswood-test-support/src/job_world/waiting_polls.rs
@@ -36,7 +36,7 @@
     pub lease_end: Option<Duration>,
     /// When the wait is over.
     pub until: Duration,
-    /// Last end that the worker had listed when the poll came.
+    /// Sequence number of the last end on the worker when the poll came.
     pub last_end: u64,
 }
 
@@ -72,10 +72,9 @@
         self.draw_delay(MAX_ORDER_DELAY)
     }
 
-    /// Has a poll wait that its worker has received.
-    pub(super) fn add_waiting_poll(&mut self, poll: WaitingPoll) {
-        let last_end = self.workers.iter().find(|w| w.id == poll.id).map_or(0, |w| w.last_end);
-        self.waiting_polls.push(WaitingPoll { last_end, ..poll });
+    /// Sequence number of the last end on a worker.
+    pub(super) fn last_end_of(&self, id: &WorkerId) -> u64 {
+        self.workers.iter().find(|w| w.id == *id).map_or(0, |w| w.last_end)
     }
 
     /// Has the workers answer the polls whose wait is over.
--- a/tests/testsuite/overlapping_polls.rs
+++ b/tests/testsuite/overlapping_polls.rs
@@ -62,7 +62,6 @@
     assert!(starts > JOBS * HISTORIES, "{starts} starts");
 }
 
-/// TWICE: a listing that is older than the one before settles a run that lives.
 #[test]
 fn stops_beside_starts() {
     play_all(World::new, false);
@@ -78,6 +77,24 @@
     play_all(outages_and_restarts, true);
 }
 
+/// TWICE: the answer to a poll after a stop comes after that to a poll that has waited.
+#[test]
+fn late_answer_settles_listed_run() {
+    try_play(171, World::relayed, false).unwrap_or_else(|wrong| panic!("{wrong}"));
+}
+
+/// TWICE: the same among workers that start again under their names, beside outages of the store.
+#[test]
+fn late_answer_beside_outages() {
+    try_play(138, World::restarting, true).unwrap_or_else(|wrong| panic!("{wrong}"));
+}
+
+/// LOST: the same, and the job never ends.
+#[test]
+fn late_answer_keeps_job_open() {
+    try_play(85, World::relayed, false).unwrap_or_else(|wrong| panic!("{wrong}"));
+}
+
 #[test]
 #[ignore = "by hand: the seeds FROM-TO in HISTORY_SEEDS, in the world HISTORY_WORLD; HISTORY_OUTAGES for outages"]
 fn seeds_by_hand() {
