--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -7,7 +7,7 @@
 
 use super::crashes::Crashes;
 use super::evacuations::Evacuations;
-use super::fault_rng::FaultRng;
+use super::fault_rng::{FaultRng, Stream};
 use super::lasting::LastingTasks;
 use super::relay::SimRelay;
 use super::store_cuts::StoreCuts;
@@ -175,7 +175,9 @@
             order_faults_per_mille: 0,
             time_bounds: false,
             outage: OutagePolicy::default(),
+            waiting_polls: Vec::new(),
             seen: Seen::default(),
+            poll_rng: rng.stream(Stream::Polls),
             rng,
         };
         for _ in 0..workers {
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -23,6 +23,15 @@
     pub faults_per_mille: u64,
 }
 
+/// What a generator beside that of a world's faults draws.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Stream {
+    /// Which polls wait at a worker, and the latency of answers.
+    Polls,
+    /// When workers change what they list.
+    WorkerChanges,
+}
+
 impl FaultRng {
     /// Creates a generator from a seed.
     pub fn new(seed: u64, faults_per_mille: u64) -> FaultRng {
@@ -39,10 +48,13 @@
         rng
     }
 
-    /// Creates a generator without faults whose draws depend on the state of this one, from which nothing is
-    /// drawn.
-    pub(super) fn other_stream(&self) -> FaultRng {
-        FaultRng::mixed(self.state.rotate_left(32))
+    /// Creates a generator without faults whose draws depend on the state of this one, from which nothing is drawn.
+    pub(super) fn stream(&self, stream: Stream) -> FaultRng {
+        let rotation = match stream {
+            Stream::Polls => 0,
+            Stream::WorkerChanges => 32,
+        };
+        FaultRng::mixed(self.state.rotate_left(rotation))
     }
 
     /// Draws a number below `n`; zero if `n` is zero.
--- a/crates/workswood-test-support/src/job_world/worker_changes.rs
+++ b/crates/workswood-test-support/src/job_world/worker_changes.rs
@@ -7,7 +7,7 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{Event, JobKey, JobSpec};
 
-use super::fault_rng::FaultRng;
+use super::fault_rng::{FaultRng, Stream};
 use super::{WORKER_CAPACITY, World};
 
 /// Label that all workers have, unless they lose it.
@@ -70,7 +70,7 @@
     /// Has workers list less capacity at times, or no label, while some jobs require the label.
     #[must_use]
     pub fn with_worker_changes(mut self) -> World {
-        let rng = self.rng.other_stream();
+        let rng = self.rng.stream(Stream::WorkerChanges);
         self.changes =
             Some(WorkerChanges { rng, next_at: self.now, present: BTreeMap::new(), unseen: Vec::new() });
         self.take_over();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -73,6 +73,7 @@
 mod operator_changes;
 mod order_marks;
 mod over_jobs;
+mod overlapping_polls;
 mod overtaken_lists;
 mod overtaking_looks;
 mod partial_end_lists;
