Polls wait at the simulated workers, and answers of a worker overtake each other

In all worlds a poll may wait at its worker and is listed when a run ends there or when the wait is over; after an accepted stop of a run of which nothing is known a second poll is listed at once; and each answer, also to starts and stops, has a latency of its own. These draws have a generator of their own, so the others don't shift. Before, no poll waited while another was answered, so a listing was as old as its poll.

overlapping_polls has histories with stops of runs not told of beside starts.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -174,7 +174,9 @@
             order_faults_per_mille: 0,
             time_bounds: false,
             outage: OutagePolicy::default(),
+            waiting_polls: Vec::new(),
             seen: Seen::default(),
+            poll_rng: rng.fork(),
             rng,
         };
         for _ in 0..workers {
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -39,6 +39,11 @@
         rng
     }
 
+    /// Creates a generator without faults whose draws depend on those of this one so far, and shift none of them.
+    pub(super) fn fork(&self) -> FaultRng {
+        FaultRng::mixed(self.state)
+    }
+
     /// Draws a number below `n`; zero if `n` is zero.
     pub fn below(&mut self, n: u64) -> u64 {
         self.state ^= self.state << 13;
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -19,6 +19,7 @@
 mod relay;
 mod restarts;
 mod store_cuts;
+mod waiting_polls;
 mod worker;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -47,6 +48,7 @@
 use self::lasting::LastingTasks;
 use self::relay::{Session, SimRelay};
 use self::store_cuts::StoreCuts;
+use self::waiting_polls::WaitingPoll;
 use self::worker::{Answer, Order, SimWorker, WorkerLimits};
 
 /// Simulated time of one step.
@@ -197,10 +199,14 @@
     time_bounds: bool,
     /// What holders do while the store is away.
     outage: OutagePolicy,
+    /// Polls that wait at workers.
+    waiting_polls: Vec<WaitingPoll>,
     /// What the oracle has recorded.
     pub seen: Seen,
     /// Draws the fate of messages and the duration and outcome of runs.
     pub rng: FaultRng,
+    /// Draws which polls wait at a worker, and the latency of answers.
+    poll_rng: FaultRng,
 }
 
 pub(super) fn limits() -> Limits {
@@ -562,6 +568,7 @@
         let now = self.now;
         let ended: Vec<(TaskId, EndKind)> = self.workers.iter_mut().flat_map(|w| w.end_runs(now)).collect();
         self.record_ends(&ended);
+        self.answer_waiting_polls();
         for at in 0..self.relays.len() {
             if !self.is_paused(at) {
                 self.run_relay(at);
@@ -601,6 +608,11 @@
             false => self.rng.faults_per_mille,
         };
         let fate = self.rng.fate_with(faults_per_mille);
+        self.deliver_as(fate, id, order)
+    }
+
+    /// Sends an order that meets a fate; returns the answer unless the order or the answer is lost.
+    fn deliver_as(&mut self, fate: Fate, id: &WorkerId, order: Order) -> Option<Answer> {
         if fate != Fate::Fine {
             self.note_fault();
         }
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -13,10 +13,12 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::restart_deadline::shortest_lease;
+use workswood_core::jobs::run_tracker::RunKey;
 use workswood_core::jobs::types::lease_with_drift;
 use workswood_core::jobs::{Listing, RunTracker, StartReply, StopReply, TaskId, WorkerUpdate};
 
 use super::order_queue::{OrderQueue, QueuedOrder};
+use super::waiting_polls::{PollAfterStop, WaitingPoll};
 use super::worker::{Answer, Order};
 use super::{EXTENSION_GRACE, FULL_LEASE_GRACE, LEASE, STEP, World, limits};
 
@@ -28,7 +30,7 @@
 /// Longest delay of an answer to a probe; less than [`ANSWER_TIMEOUT`].
 const MAX_PROBE_DELAY: Duration = Duration::from_millis(500);
 /// How long a relay waits for an answer of a worker.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 /// A probe acknowledges ends only within this time after the last answered probe was sent.
 const ACK_WINDOW: Duration = Duration::from_millis(600);
 /// Interval between heartbeats to the holder.
@@ -103,6 +105,7 @@
     forgotten: u64,
     /// When the last probe was sent, if it was answered.
     answered: Option<Duration>,
+    /// When the next probe is due; never while one waits at the worker.
     next_probe: Duration,
     /// Whether a probe was answered; before that, the worker's clock is not known, and no lease is sent.
     has_answered: bool,
@@ -148,7 +151,7 @@
 }
 
 /// An answer of a worker, or a timeout, that a relay has not received yet.
-enum PendingAnswer {
+pub(super) enum PendingAnswer {
     Listed {
         listing: Listing,
         sent: Duration,
@@ -156,6 +159,11 @@
         /// End of the lease that the probe carried.
         lease_end: Option<Duration>,
     },
+    /// The answer to a probe that was sent after a stop.
+    ListedAfterStop {
+        listing: Listing,
+        sent: Duration,
+    },
     /// A probe was not answered; `gone` if the relay knows that no such worker exists.
     ProbeLost {
         gone: bool,
@@ -181,6 +189,7 @@
     term: Term,
     watched: BTreeMap<WorkerId, Watched>,
     pending: Vec<(Duration, WorkerId, Term, PendingAnswer)>,
+    polls_after_stops: Vec<PollAfterStop>,
     /// Until when leases may be extended.
     extends_until: Duration,
     /// When the last message of the holder arrived.
@@ -188,6 +197,30 @@
     next_heartbeat: Duration,
 }
 
+impl HolderSession {
+    /// Has an answer of a worker received at a time. The next probe is due soon after the answer to one that waited.
+    pub(super) fn receive_later(&mut self, at: Duration, id: WorkerId, token: Term, answer: PendingAnswer) {
+        let waited = !matches!(answer, PendingAnswer::ListedAfterStop { .. });
+        if let Some(w) = self.watched.get_mut(&id).filter(|w| waited && w.token == token) {
+            w.next_probe = at + STEP;
+        }
+        self.pending.push((at, id, token, answer));
+    }
+
+    /// Takes out the polls after stops that are due.
+    pub(super) fn take_polls_after_stops(&mut self, now: Duration) -> Vec<PollAfterStop> {
+        let (due, later) =
+            std::mem::take(&mut self.polls_after_stops).into_iter().partition(|poll| poll.due <= now);
+        self.polls_after_stops = later;
+        due
+    }
+
+    /// Whether a run may exist on a worker that is watched with this token.
+    pub(super) fn may_exist(&self, id: &WorkerId, token: Term, run: RunKey) -> bool {
+        self.watched.get(id).is_some_and(|w| w.token == token && w.runs.is_tracked(run))
+    }
+}
+
 /// A simulated relay.
 pub(super) struct SimRelay {
     pub name: HostId,
@@ -222,6 +255,7 @@
             term,
             watched: BTreeMap::new(),
             pending: Vec::new(),
+            polls_after_stops: Vec::new(),
             extends_until: Duration::ZERO,
             last_message: now,
             next_heartbeat: now,
@@ -229,6 +263,11 @@
         true
     }
 
+    /// Its session of this number.
+    pub(super) fn session_of(&mut self, number: u64) -> Option<&mut HolderSession> {
+        self.session.as_mut().filter(|s| s.number == number)
+    }
+
     /// Replaces the relay's process by a new one without sessions.
     pub(super) fn restart(&mut self) {
         self.session = None;
@@ -268,6 +307,7 @@
         for id in due {
             self.probe(&mut session, id);
         }
+        self.send_polls_after_stops(&mut session);
         self.relays[at].session = Some(session);
     }
 
@@ -353,7 +393,9 @@
             ToRelay::Forget(id, number) => {
                 if let Some(w) = session.watched.get_mut(&id) {
                     w.acked = number;
-                    w.next_probe = now;
+                    if w.next_probe != Duration::MAX {
+                        w.next_probe = now;
+                    }
                 }
             }
             ToRelay::Start { id, task, attempt, ticket } if self.order_queues => {
@@ -449,7 +491,10 @@
                 break;
             }
         }
-        let wait = if reply == StartReply::NoAnswer { ANSWER_TIMEOUT * 3 } else { STEP };
+        let wait = match reply {
+            StartReply::NoAnswer => ANSWER_TIMEOUT * 3,
+            _ => self.draw_order_delay(),
+        };
         let answer = PendingAnswer::Started { task, attempt, reply };
         session.pending.push((self.now + wait, id.clone(), token, answer));
         wait
@@ -481,8 +526,8 @@
     ) -> Duration {
         let Some(token) = session.watched.get(id).map(|w| w.token) else { return Duration::ZERO };
         let (reply, wait) = match self.deliver(id, Order::Stop { token, task, attempt }) {
-            Some(Answer::Reply(StartReply::Deposed)) => (StopReply::Deposed, STEP),
-            Some(_) => (StopReply::Taken, STEP),
+            Some(Answer::Reply(StartReply::Deposed)) => (StopReply::Deposed, self.draw_order_delay()),
+            Some(_) => (StopReply::Taken, self.draw_order_delay()),
             None => (StopReply::NoAnswer, self.lost_stop_wait()),
         };
         let answer = PendingAnswer::Stopped { task, attempt, reply };
@@ -520,7 +565,20 @@
             Some(Answer::Listing(listing)) => match later {
                 Some(later) => (PendingAnswer::Restarted(later), self.probe_latency()),
                 None => {
-                    (PendingAnswer::Listed { listing, sent: now, forget, lease_end }, self.probe_latency())
+                    let latency = self.probe_latency();
+                    let wait = lease_end.map_or(Duration::ZERO, |_| self.draw_poll_wait(&id));
+                    if !wait.is_zero() {
+                        if let Some(w) = session.watched.get_mut(&id) {
+                            w.next_probe = Duration::MAX;
+                        }
+                        let (until, session) = (now + wait, session.number);
+                        let last_end = self.last_end_of(&id);
+                        let poll =
+                            WaitingPoll { session, id, token, sent: now, forget, lease_end, until, last_end };
+                        self.waiting_polls.push(poll);
+                        return;
+                    }
+                    (PendingAnswer::Listed { listing, sent: now, forget, lease_end }, latency)
                 }
             },
             Some(Answer::Reply(_) | Answer::Accepted(..)) => (PendingAnswer::Fenced, STEP),
@@ -566,6 +624,14 @@
                 }
                 WorkerUpdate::Reported(report)
             }
+            PendingAnswer::ListedAfterStop { listing, sent } => {
+                w.last_answer = now;
+                let report = w.runs.diff_listing(listing, sent, now);
+                if report.is_empty() {
+                    return;
+                }
+                WorkerUpdate::Reported(report)
+            }
             PendingAnswer::Restarted(later) => {
                 let silent = now.saturating_sub(w.last_answer);
                 let started = later.started_at().unwrap_or_default();
@@ -596,8 +662,10 @@
                 WorkerUpdate::Started(task, attempt, reply)
             }
             PendingAnswer::Stopped { task, attempt, reply } => {
-                if reply == StopReply::Taken {
-                    w.runs.stop_accepted(task, attempt, now);
+                if reply == StopReply::Taken && w.runs.stop_accepted(task, attempt, now) {
+                    let due = now + STEP;
+                    let poll = PollAfterStop { due, id: id.clone(), token, run: (task, attempt) };
+                    session.polls_after_stops.push(poll);
                 }
                 WorkerUpdate::Stopped(task, attempt, reply)
             }
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    fn listing(&self, now: Duration) -> Listing {
+    pub(super) fn listing(&self, now: Duration) -> Listing {
         let running = self.running.iter().map(|(task, r)| {
             let elapsed = (now - r.started_at).as_millis() as u64 * 100;
             let total = (r.ends_at - r.started_at).as_millis().max(1) as u64;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -67,6 +67,7 @@
 mod operator_changes;
 mod order_marks;
 mod over_jobs;
+mod overlapping_polls;
 mod overtaking_looks;
 mod partial_end_lists;
 mod peer_help;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -127,7 +127,7 @@
 
 /// The store goes silent for the holder; a successor may claim the lease meanwhile, and the holder may
 /// be killed.
-fn lose_store(w: &mut World) {
+pub(super) fn lose_store(w: &mut World) {
     let long = Duration::from_millis(200 + w.rng.below(6000));
     w.lose_store(long);
     if w.rng.below(2) == 0 {
