--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -123,6 +123,13 @@
         self
     }
 
+    /// Has no poll wait at a worker, no poll follow a stop, and orders answered at once.
+    #[must_use]
+    pub fn without_waiting_polls(mut self) -> World {
+        self.polls_wait = false;
+        self
+    }
+
     /// Has workers list few ends at once, and the others once these are acknowledged.
     #[must_use]
     pub fn with_short_end_lists(mut self) -> World {
@@ -175,6 +182,7 @@
             order_faults_per_mille: 0,
             time_bounds: false,
             outage: OutagePolicy::default(),
+            polls_wait: true,
             waiting_polls: Vec::new(),
             seen: Seen::default(),
             poll_rng: rng.stream(Stream::Polls),
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -206,6 +206,8 @@
     time_bounds: bool,
     /// What holders do while the store is away.
     outage: OutagePolicy,
+    /// Whether polls wait at workers and follow stops, and answers overtake each other.
+    polls_wait: bool,
     /// Polls that wait at workers.
     waiting_polls: Vec<WaitingPoll>,
     /// What the oracle has recorded.
--- a/crates/workswood-test-support/src/job_world/relay.rs
+++ b/crates/workswood-test-support/src/job_world/relay.rs
@@ -662,7 +662,8 @@
                 WorkerUpdate::Started(task, attempt, reply)
             }
             PendingAnswer::Stopped { task, attempt, reply } => {
-                if reply == StopReply::Taken && w.runs.stop_accepted(task, attempt, now) {
+                let unheard = reply == StopReply::Taken && w.runs.stop_accepted(task, attempt, now);
+                if unheard && self.polls_wait {
                     let due = now + STEP;
                     let poll = PollAfterStop { due, id: id.clone(), token, run: (task, attempt) };
                     session.polls_after_stops.push(poll);
--- a/crates/workswood-test-support/src/job_world/waiting_polls.rs
+++ b/crates/workswood-test-support/src/job_world/waiting_polls.rs
@@ -52,7 +52,7 @@
     /// Draws how long a poll with a lease waits at its worker; zero if it doesn't. A worker with ends to list answers
     /// at once.
     pub(super) fn draw_poll_wait(&mut self, id: &WorkerId) -> Duration {
-        if self.poll_rng.below(WAIT_INTERVAL) > 0 {
+        if !self.polls_wait || self.poll_rng.below(WAIT_INTERVAL) > 0 {
             return Duration::ZERO;
         }
         let wait = Duration::from_millis(self.poll_rng.below(MAX_POLL_WAIT.as_millis() as u64));
@@ -61,7 +61,7 @@
     }
 
     fn draw_delay(&mut self, longest: Duration) -> Duration {
-        if self.poll_rng.below(DELAY_INTERVAL) > 0 {
+        if !self.polls_wait || self.poll_rng.below(DELAY_INTERVAL) > 0 {
             return STEP;
         }
         Duration::from_millis(self.poll_rng.below(longest.as_millis() as u64)).max(STEP)
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -375,11 +375,21 @@
 
 #[test]
 fn short_histories_with_outages() {
+    play_all(prompt_outages, Mixture::Outages);
+}
+
+#[test]
+fn waiting_polls_with_outages() {
     play_all(outages_and_restarts, Mixture::Outages);
 }
 
 #[test]
 fn short_histories_with_relays() {
+    play_all(prompt_relays, Mixture::Relays);
+}
+
+#[test]
+fn waiting_polls_with_relays() {
     play_all(World::relayed, Mixture::Relays);
 }
 
@@ -393,6 +403,16 @@
     play_all(World::restarting_relayed, Mixture::All);
 }
 
+/// Outages and restarts of workers that answer every poll at once.
+fn prompt_outages(workers: usize, luck: FaultRng) -> World {
+    outages_and_restarts(workers, luck).without_waiting_polls()
+}
+
+/// Relays whose workers answer every poll at once.
+fn prompt_relays(workers: usize, luck: FaultRng) -> World {
+    World::relayed(workers, luck).without_waiting_polls()
+}
+
 /// The mixture that HISTORY_MIXTURE names.
 fn named_mixture() -> Mixture {
     let name = std::env::var("HISTORY_MIXTURE").unwrap_or_default();
