--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -13,9 +13,10 @@
 //!   may still extend workers' leases.
 //! * [`scheduler_task`] runs the scheduler while this process holds the lease. [`restore_state`]
 //!   restores it from a predecessor's state, and [`scheduler_io`] supplies its events and publishes
-//!   the status of waves. [`inbox_progress`] tells up to when the inbox was read. [`lease_renewal`] renews the lease, [`relay_sessions`] has relays serve
-//!   workers, [`host_orders`] sends orders to hosts, [`advice`] calls the adviser, and
-//!   [`inbox_cleanup`] deletes finished and forgotten jobs from the inbox.
+//!   the status of waves. [`inbox_progress`] tells up to when the inbox was read. [`lease_renewal`]
+//!   renews the lease, [`relay_sessions`] has relays serve workers, [`host_orders`] sends orders to
+//!   hosts, [`advice`] calls the adviser, and [`inbox_cleanup`] deletes finished and forgotten jobs
+//!   from the inbox.
 //! * [`record`], [`job_spec`] and [`job_state`] define the stored form of jobs and state.
 //! * [`limits`] holds durations of leases, and [`worker_list`] follows the list of workers.
 //! * [`relay`] communicates with workers for the lease holder, in this process or elsewhere.
--- a/tests/testsuite/overlapping_polls.rs
+++ b/tests/testsuite/overlapping_polls.rs
@@ -89,7 +89,7 @@
     try_play(138, World::restarting, true).unwrap_or_else(|wrong| panic!("{wrong}"));
 }
 
-/// LOST: the same, and the job never ends.
+/// LOST: a job never ends.
 #[test]
 fn late_answer_keeps_job_open() {
     try_play(85, World::relayed, false).unwrap_or_else(|wrong| panic!("{wrong}"));
