The times of the last listing stand once, and one function takes a listing in

The log of listings kept the same times as the tracker of runs and repeated its check of the order, behind a second lock; and the poll that waits and the poll after a stop each took in a listing step by step. The log reads the tracker's last listing now, and both polls call AssignedWorker::take_listing.

--- a/crates/workswood-core/src/jobs/crash_log.rs
+++ b/crates/workswood-core/src/jobs/crash_log.rs
@@ -9,7 +9,7 @@
 use super::crash_attribution::{IncarnationEnd, RunRole};
 use super::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use super::job::WorkerId;
-use super::log_lines::LogLines;
+use super::log_lines::{LogLines, OrWord};
 use super::scheduler::SchedulerCounters;
 use super::spec::TaskId;
 
@@ -119,7 +119,7 @@
 impl fmt::Display for CrashTimes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let after_answer =
-            |at: Option<Duration>| OrUnknown(at.zip(self.heard).map(|(at, heard)| ms_from(heard, at)));
+            |at: Option<Duration>| OrWord::unknown(at.zip(self.heard).map(|(at, heard)| ms_from(heard, at)));
         let (over_by, lapses_from) = (after_answer(self.over_by), after_answer(self.lapses_from));
         let why = self.known_by.label();
         write!(f, "why={why} over_by_ms={over_by} lapses_from_ms={lapses_from}")
@@ -159,8 +159,8 @@
         certainty_label(crash.certainty),
         if counted.lapsed { "yes" } else { "no" },
         evidence_label(crash.evidence),
-        OrUnknown(counted.run_time.map(|ran| ran.as_millis())),
-        OrUnknown(crash.max_run_time.map(|max| max.as_millis())),
+        OrWord::unknown(counted.run_time.map(|ran| ran.as_millis())),
+        OrWord::unknown(crash.max_run_time.map(|max| max.as_millis())),
         history.count(),
         history.certain_count()
     ));
@@ -282,7 +282,7 @@
             worker_label(crash),
             certainty_label(crash.certainty),
             evidence_label(crash.evidence),
-            OrUnknown(crash.max_run_time.map(|max| max.as_millis()))
+            OrWord::unknown(crash.max_run_time.map(|max| max.as_millis()))
         )?;
     }
     write!(f, "\" unnamed={}", history.count().saturating_sub(MAX_CRASHES_NAMED))
@@ -307,7 +307,7 @@
     notes.push(format_args!(
         "event=task_reinstated task={task} why={} absent_ms={} crashes={} certain={}",
         why.label(),
-        OrUnknown(absent_for.map(|length| length.as_millis())),
+        OrWord::unknown(absent_for.map(|length| length.as_millis())),
         left.count(),
         left.certain_count()
     ));
@@ -343,23 +343,11 @@
     }
 }
 
-fn worker_label(crash: &CrashRecord) -> OrUnknown<&WorkerId> {
-    OrUnknown(crash.worker.as_ref())
+fn worker_label(crash: &CrashRecord) -> OrWord<&WorkerId> {
+    OrWord::unknown(crash.worker.as_ref())
 }
 
 /// Milliseconds from one time to another, negative if the other was earlier.
 fn ms_from(from: Duration, to: Duration) -> i128 {
     to.as_millis() as i128 - from.as_millis() as i128
 }
-
-/// A value of a log line that may not be known.
-struct OrUnknown<T>(Option<T>);
-
-impl<T: fmt::Display> fmt::Display for OrUnknown<T> {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match &self.0 {
-            Some(value) => value.fmt(f),
-            None => f.write_str("unknown"),
-        }
-    }
-}
--- a/crates/workswood-core/src/jobs/log_lines.rs
+++ b/crates/workswood-core/src/jobs/log_lines.rs
@@ -1,6 +1,25 @@
 //! Log lines that record the scheduler's decisions.
 
-use std::fmt::{Arguments, Write};
+use std::fmt::{self, Arguments, Write};
+
+/// A value of a log line, and the word for one that is not known.
+pub(super) struct OrWord<T>(pub Option<T>, pub &'static str);
+
+impl<T> OrWord<T> {
+    /// A value, or `unknown`.
+    pub(super) fn unknown(value: Option<T>) -> OrWord<T> {
+        OrWord(value, "unknown")
+    }
+}
+
+impl<T: fmt::Display> fmt::Display for OrWord<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Some(value) => value.fmt(f),
+            None => f.write_str(self.1),
+        }
+    }
+}
 
 /// Log lines, kept in one buffer to avoid an allocation for each line.
 #[derive(Debug, Default)]
--- a/crates/workswood-core/src/jobs/run_tracker.rs
+++ b/crates/workswood-core/src/jobs/run_tracker.rs
@@ -118,6 +118,11 @@
         self.runs.contains_key(&run)
     }
 
+    /// The listing that was processed last.
+    pub fn last_listing(&self) -> Option<ListingTimes> {
+        self.last_listing
+    }
+
     /// Whether a newer listing has been processed than one that was made at `made_at`, for a poll that was sent at
     /// `sent_at`. A poll that was sent after the last answer had come has the newer listing, whatever the clocks say.
     pub fn is_overtaken(&self, made_at: WorkerClock, sent_at: Duration) -> bool {
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -6,13 +6,13 @@
 //! report does not list the run, when that incarnation of the worker is over, or when the lease of
 //! the worker has expired.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::crash_attribution::IncarnationEnd;
 use super::host::HostState;
 use super::job::{FULL_PACE_PERCENT, Phase, Run, StartOrder, WorkerId};
+use super::log_lines::OrWord;
 use super::outage::StoreAccess;
 use super::over_runs::{OverAs, START_REFUSED};
 use super::scheduler::Scheduler;
@@ -44,30 +44,6 @@
     unanswered: Vec<WorkerRun>,
 }
 
-/// Formats the known runtime of a run in milliseconds, or `unknown`, for the log.
-struct RuntimeMs(Option<Duration>);
-
-impl fmt::Display for RuntimeMs {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(runtime) => write!(f, "{}", runtime.as_millis()),
-            None => f.write_str("unknown"),
-        }
-    }
-}
-
-/// Formats how long ago a run was confirmed in milliseconds, or `unconfirmed`, for the log.
-struct ConfirmedMsAgo(Option<Duration>);
-
-impl fmt::Display for ConfirmedMsAgo {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            Some(ago) => write!(f, "{}", ago.as_millis()),
-            None => f.write_str("unconfirmed"),
-        }
-    }
-}
-
 impl Scheduler {
     /// Handles a worker in the worker list that is new or changed.
     pub(super) fn worker_listed(&mut self, info: WorkerInfo) {
@@ -257,12 +233,13 @@
         let Some(task) = self.jobs.get_mut(&task_id.job).and_then(|j| j.task_mut(task_id)) else { return };
         let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == attempt);
         let Some(run) = run.map(|n| task.runs.remove(n)) else { return };
+        let confirmed_ago = run.confirmed_at.map(|at| self.now.saturating_sub(at));
         self.notes.push(format_args!(
             "event=run_settled worker={id} task={task_id} attempt={attempt} ran_ms={} reason={reason} \
              phase={:?} confirmed_ms_ago={}",
-            RuntimeMs(run.known_runtime(heard)),
+            OrWord::unknown(run.known_runtime(heard).map(|t| t.as_millis())),
             run.phase,
-            ConfirmedMsAgo(run.confirmed_at.map(|at| self.now.saturating_sub(at)))
+            OrWord(confirmed_ago.map(|t| t.as_millis()), "unconfirmed")
         ));
         self.remember_over(id, (*task_id, attempt), OverAs::Settled(reason));
         self.dirty_jobs.insert(task_id.job);
--- a/src/workswood/ops/jobs/relay/assigned_worker.rs
+++ b/src/workswood/ops/jobs/relay/assigned_worker.rs
@@ -9,9 +9,8 @@
 use workswood_core::jobs::crash_certainty::{ClockReading, earliest_lapse};
 use workswood_core::jobs::incarnation_check::LastAnsweredPoll;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
-use workswood_core::jobs::listing_log::{ListingLog, PollKind};
-use workswood_core::jobs::run_tracker::RunKey;
-use workswood_core::jobs::{ListingTimes, RunTracker, WorkerAddress};
+use workswood_core::jobs::listing_log::{ClockWarnings, PollKind, runs_missing_line};
+use workswood_core::jobs::{Listing, ListingTimes, Report, RunTracker, WorkerAddress};
 use workswood_platform::jobs::WorkerClock;
 
 use super::super::limits::CLOCK_DRIFT;
@@ -49,8 +48,7 @@
     wait_logged_ms: AtomicU64,
     /// The runs as they were last reported to the scheduler.
     pub run_tracker: Mutex<RunTracker>,
-    /// When the listings were made that `run_tracker` has handled.
-    listing_log: Mutex<ListingLog>,
+    clock_warnings: Mutex<ClockWarnings>,
     /// The worker's clock, and when it was read.
     clock: Mutex<Option<(WorkerClock, ClockReading)>>,
     /// Latest end of the leases that were sent, in milliseconds since this process started.
@@ -84,7 +82,7 @@
             order_permits: OrderPermits::default(),
             wait_logged_ms: AtomicU64::new(0),
             run_tracker: Mutex::default(),
-            listing_log: Mutex::default(),
+            clock_warnings: Mutex::default(),
             clock: Mutex::new(None),
             leased_until_ms: AtomicU64::new(0),
             confirmed_until_ms: AtomicU64::new(0),
@@ -162,16 +160,30 @@
         self.silent.store(false, Ordering::SeqCst);
     }
 
-    /// Logs which listing has told that runs are over, and a clock of the worker that has gone back.
-    pub(super) fn log_listing(&self, listing: ListingTimes, poll: PollKind, missing: &[RunKey]) {
-        let (runs_missing, clock_went_back) =
-            self.listing_log.lock().note(&self.address.id, listing, poll, missing);
-        if let Some(line) = runs_missing {
+    /// Takes in the listing of a poll that was sent at `sent` and logs what it tells; returns what has changed,
+    /// `None` if a newer listing was taken in before.
+    pub(super) fn take_listing(
+        &self,
+        tracker: &mut RunTracker,
+        listing: Listing,
+        poll: PollKind,
+        sent: Duration,
+        now: Duration,
+    ) -> Option<Report> {
+        if tracker.is_overtaken(listing.made_at, sent) {
+            return None;
+        }
+        let previous = tracker.last_listing();
+        let times = ListingTimes { sent, made_at: listing.made_at, received: now };
+        let report = tracker.diff_listing(listing, sent, now);
+        let id = &self.address.id;
+        if let Some(line) = runs_missing_line(id, times, previous, poll, &report.missing) {
             log::info!("{line}");
         }
-        if let Some(line) = clock_went_back {
+        if let Some(line) = self.clock_warnings.lock().warning(id, times, previous) {
             log::warn!("{line}");
         }
+        Some(report)
     }
 
     /// Records that this incarnation answered a poll that was sent at `sent`.
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::listing_log::PollKind;
 use workswood_core::jobs::run_tracker::RunKey;
-use workswood_core::jobs::{EndCoverage, EndKind, Listing, ListingTimes, Report};
+use workswood_core::jobs::{EndCoverage, EndKind, Listing, Report};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::WorkerError;
 
@@ -245,21 +245,16 @@
         let now = self.now();
         let worker = self.worker.clone();
         let mut tracker = worker.run_tracker.lock();
-        if tracker.is_overtaken(listing.made_at, sent) {
-            if !std::mem::replace(&mut self.reported_reachable, true) {
-                self.report(WorkerEvent::Reported(Report::default()));
-            }
-            return false;
-        }
-        let times = ListingTimes { sent, made_at: listing.made_at, received: now };
-        let report = tracker.diff_listing(listing, sent, now);
-        worker.log_listing(times, PollKind::Waiting, &report.missing);
+        let report = worker.take_listing(&mut tracker, listing, PollKind::Waiting, sent, now);
+        let is_newest = report.is_some();
+        // An older listing tells that the worker answers, and nothing else.
+        let report = report.unwrap_or_default();
         self.log_lapsed_runs(&report, leased_until, now);
         if !self.reported_reachable || !report.is_empty() {
             self.reported_reachable = true;
             self.report(WorkerEvent::Reported(report));
         }
-        true
+        is_newest
     }
 
     /// Reports what has changed according to a reply, and waits until the next poll is due.
@@ -299,10 +294,8 @@
     let now = cx.node.now();
     worker.record_answer(now);
     let mut tracker = worker.run_tracker.lock();
-    let times = ListingTimes { sent, made_at: listing.made_at, received: now };
-    let report = tracker.diff_listing(listing, sent, now);
-    worker.log_listing(times, PollKind::AfterStop, &report.missing);
-    if !report.is_empty() {
+    let report = worker.take_listing(&mut tracker, listing, PollKind::AfterStop, sent, now);
+    if let Some(report) = report.filter(|r| !r.is_empty()) {
         cx.sink.report(&cx.node, worker, WorkerEvent::Reported(report));
     }
 }
--- a/tests/testsuite/settled_runs.rs
+++ b/tests/testsuite/settled_runs.rs
@@ -6,7 +6,7 @@
 use workswood::util::job_metrics::JobMetrics;
 use workswood_core::jobs::ListingTimes;
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::listing_log::{ListingLog, PollKind};
+use workswood_core::jobs::listing_log::{ClockWarnings, PollKind, runs_missing_line};
 use workswood_core::jobs::{
     Action, EndKind, Event, Report, ReportedEnd, ReportedRun, StartReply, TaskId, WorkerUpdate,
 };
@@ -194,9 +194,12 @@
 /// The first poll waited at the worker; the one after a stop was answered before, and came later.
 #[test]
 fn missing_run_shows_both_listings() {
-    let mut listings = ListingLog::default();
-    assert_eq!(listings.note(&id(), times(100, 355, 360), PollKind::Waiting, &[]), (None, None));
-    let (line, warning) = listings.note(&id(), times(300, 305, 380), PollKind::AfterStop, &[(TASK, 1)]);
+    let (first, second) = (times(100, 355, 360), times(300, 305, 380));
+    let mut warnings = ClockWarnings::default();
+    assert_eq!(runs_missing_line(&id(), first, None, PollKind::Waiting, &[]), None);
+    assert_eq!(warnings.warning(&id(), first, None), None);
+    let line = runs_missing_line(&id(), second, Some(first), PollKind::AfterStop, &[(TASK, 1)]);
+    let warning = warnings.warning(&id(), second, Some(first));
     let wanted = format!(
         "event=runs_missing worker={} runs=1 task={TASK} attempt=1 asked_ms_ago=80 clock_ms=305 \
          previous_clock_ms=355 previous_asked_ms_ago=280 previous_heard_ms_ago=20 poll=after_stop",
@@ -207,8 +210,8 @@
 
 #[test]
 fn run_missing_from_first_listing() {
-    let (line, _) =
-        ListingLog::default().note(&id(), times(100, 110, 120), PollKind::Waiting, &[(TASK, 2), (TASK, 3)]);
+    let runs = [(TASK, 2), (TASK, 3)];
+    let line = runs_missing_line(&id(), times(100, 110, 120), None, PollKind::Waiting, &runs);
     let line = line.expect("a line");
     assert!(line.contains(" runs=2 ") && line.contains(" attempt=2 "), "{line}");
     let wanted = " previous_clock_ms=none previous_asked_ms_ago=none previous_heard_ms_ago=none poll=waiting";
@@ -217,14 +220,16 @@
 
 #[test]
 fn clock_that_goes_back_is_told_seldom() {
-    let mut listings = ListingLog::default();
-    listings.note(&id(), times(100, 9_000, 120), PollKind::Waiting, &[]);
-    let (_, warning) = listings.note(&id(), times(130, 8_000, 140), PollKind::Waiting, &[]);
+    let mut warnings = ClockWarnings::default();
+    let (first, second) = (times(100, 9_000, 120), times(130, 8_000, 140));
+    assert_eq!(warnings.warning(&id(), first, None), None);
+    let warning = warnings.warning(&id(), second, Some(first));
     let wanted = format!("event=worker_clock_went_back worker={} clock_ms=8000 previous_clock_ms=9000", id());
     assert_eq!(warning, Some(wanted));
-    let again = listings.note(&id(), times(150, 7_000, 160), PollKind::Waiting, &[]);
-    assert_eq!(again, (None, None), "a warning was given 20 ms before");
-    let (_, warning) = listings.note(&id(), times(60_150, 6_000, 60_160), PollKind::Waiting, &[]);
+    let third = times(150, 7_000, 160);
+    let again = warnings.warning(&id(), third, Some(second));
+    assert_eq!(again, None, "a warning was given 20 ms before");
+    let warning = warnings.warning(&id(), times(60_150, 6_000, 60_160), Some(third));
     assert!(warning.is_some(), "a minute later");
 }
 
