--- a/tests/testsuite/list_order.rs
+++ b/tests/testsuite/list_order.rs
@@ -39,6 +39,31 @@
     tracker
 }
 
+/// TWICE: the first poll waits at the worker and lists the run; the second was answered before the run began.
+#[test]
+fn older_list_settles_listed_run() {
+    let mut tracker = RunTracker::default();
+    tracker.diff_listing(idle(5), ms(0), ms(10));
+    let report = tracker.diff_listing(runs(355, 10), ms(100), ms(360));
+    assert_eq!(report.running.len(), 1);
+    let report = tracker.diff_listing(idle(305), ms(300), ms(380));
+    assert!(report.is_empty(), "{report:?}");
+    let report = tracker.diff_listing(idle(405), ms(400), ms(410));
+    assert_eq!(report.missing, [(TASK, 1)], "a later list tells that it is over");
+}
+
+/// BUDGET: the first poll waits at the worker and tells of the end; the second was answered while the run lived.
+#[test]
+fn older_list_revives_ended_run() {
+    let mut tracker = tracker();
+    let report = tracker.diff_listing(ends(355, EndKind::Failed), ms(100), ms(360));
+    assert_eq!(report.ended.len(), 1);
+    let report = tracker.diff_listing(runs(305, 10), ms(300), ms(380));
+    assert!(report.is_empty(), "{report:?}");
+    let report = tracker.diff_listing(idle(405), ms(400), ms(410));
+    assert!(report.is_empty(), "{report:?}");
+}
+
 /// LOST: both listings are of one millisecond, so the clock doesn't tell that the one with the run is older.
 #[test]
 fn ended_run_listed_in_same_millisecond() {
--- a/tests/testsuite/overtaking_looks.rs
+++ b/tests/testsuite/overtaking_looks.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{EndKind, Listing, ReportedEnd, ReportedRun, RunTracker, StartReply, TaskId};
+use workswood_core::jobs::{Listing, ReportedRun, RunTracker, StartReply, TaskId};
 
 const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
 
@@ -35,38 +35,3 @@
     let report = follow.diff_listing(listing(&[]), ms(380), ms(400));
     assert_eq!(report.missing, [(TASK, 1)], "a later look tells that it is over");
 }
-
-fn made_at(at: u64, listing: Listing) -> Listing {
-    Listing { made_at: ms(at), ..listing }
-}
-
-fn end(kind: EndKind) -> Listing {
-    let end = ReportedEnd { sequence_number: 1, task: TASK, attempt: 1, kind, checkpoint: String::new() };
-    Listing { ended: vec![end], ..Listing::default() }
-}
-
-/// TWICE: the first look waits at the worker and lists the run; the second was answered before the run began.
-#[test]
-fn older_list_settles_listed_run() {
-    let mut follow = RunTracker::default();
-    follow.diff_listing(made_at(5, listing(&[])), ms(0), ms(10));
-    let report = follow.diff_listing(made_at(355, listing(&[TASK])), ms(100), ms(360));
-    assert_eq!(report.running.len(), 1);
-    let report = follow.diff_listing(made_at(305, listing(&[])), ms(300), ms(380));
-    assert!(report.is_empty(), "{report:?}");
-    let report = follow.diff_listing(made_at(405, listing(&[])), ms(400), ms(410));
-    assert_eq!(report.missing, [(TASK, 1)], "a later look tells that it is over");
-}
-
-/// BUDGET: the first look waits at the worker and tells of the end; the second was answered while the run lived.
-#[test]
-fn older_list_revives_ended_run() {
-    let mut follow = RunTracker::default();
-    follow.diff_listing(made_at(5, listing(&[TASK])), ms(0), ms(10));
-    let report = follow.diff_listing(made_at(355, end(EndKind::Failed)), ms(100), ms(360));
-    assert_eq!(report.ended.len(), 1);
-    let report = follow.diff_listing(made_at(305, listing(&[TASK])), ms(300), ms(380));
-    assert!(report.is_empty(), "{report:?}");
-    let report = follow.diff_listing(made_at(405, listing(&[])), ms(400), ms(410));
-    assert!(report.is_empty(), "{report:?}");
-}
--- a/tests/testsuite/pool_moves.rs
+++ b/tests/testsuite/pool_moves.rs
@@ -6,8 +6,8 @@
 use workswood_test_support::host_world::{HostWorld, OTHER, SPARE, host, moves, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
-#[test]
-fn short_pool_gets_host() {
+/// A pool that is short of hosts gets one from the spare pool, at 300 ms.
+pub(super) fn moved_to_short_pool() -> HostWorld {
     let mut world = HostWorld::new(1);
     world.list(vec![host(0, SERVICE, Some(0)), host(7, SPARE, None)]);
     world.at(150);
@@ -16,6 +16,12 @@
     world.at(300);
     world.tick();
     assert_eq!(moves(&world.actions), [("m-7".to_string(), SERVICE.to_string())]);
+    world
+}
+
+#[test]
+fn short_pool_gets_host() {
+    moved_to_short_pool();
 }
 
 #[test]
