--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -142,7 +142,7 @@
         headers = {"host": "jobs.test", "x-request-deadline": str(budget_ms)}
         if key:
             headers["authorization"] = f"Bearer {key}"
-        data = json.dumps(body).encode() if body is not None else b""
+        data = json.dumps(body, separators=(",", ":")).encode() if body is not None else b""
         status, answer = await http(node.front, method, path, data, headers, timeout=budget_ms / 1000 + 0.5)
         self.log(f"{method} {path} at {node.name}{' key ' + key if key else ''} -> {status} {answer[:80].decode(errors='replace') if status == 200 else ''}")
         return status, answer
--- a/review/stage2/stand_platform.py
+++ b/review/stage2/stand_platform.py
@@ -3,7 +3,7 @@
 It speaks what PROTOCOL.md says, on loopback addresses and the real clock, as a sound platform would. What
 minions saw is kept in `Judge`, which checks some rules of RULES.md on it. One asyncio process.
 """
-import asyncio, base64, bisect, collections, heapq, json, struct, time, urllib.parse
+import asyncio, base64, collections, heapq, json, random, struct, time, urllib.parse, zlib
 
 HOST = "127.0.0.1"
 
@@ -252,7 +252,14 @@
     def __init__(self, record):
         self.record, self.jobs, self.broken = record, {}, []
         self.runs = collections.defaultdict(list)  # task -> runs
-        self.begun = now()
+        self.begun, self.after_done, self.issued = now(), [], {}
+
+    def settle(self):
+        """Checks what only later events decide."""
+        for run, other in self.after_done:
+            if other.noted:
+                self.broke("TWICE", f"{run.task} attempt {run.attempt} on {run.worker.id} after attempt {other.attempt} ended done on {other.worker.id}, an end that was taken note of")
+        self.after_done = []
 
     def log(self, text):
         self.record.write(f"{now() - self.begun:8.3f} {text}\n")
@@ -282,13 +289,18 @@
             return
         if body["spec"] != run.spec:
             self.broke("UNASKED", f"{run.task} on {worker.id}: another spec")
+        if run.ckpt:
+            of = self.issued.get(run.ckpt, "")
+            if of != run.task and not (group.get("gang") and of.rsplit(".", 1)[0] == run.task.rsplit(".", 1)[0]):
+                self.broke("UNASKED", f"{run.task} on {worker.id}: the checkpoint is of {of or 'no task'}")
         others = self.runs[run.task]
         if not group.get("speculative"):
             for other in others:
                 if other.ended is None and not other.worker.down:
                     self.broke("TWICE", f"{run.task} attempt {run.attempt} on {worker.id} while attempt {other.attempt} is at work on {other.worker.id}")
-                elif other.ended == "done" and not group.get("long_running") and (other.noted or not other.worker.down):
-                    self.broke("TWICE", f"{run.task} attempt {run.attempt} on {worker.id} after attempt {other.attempt} ended done on {other.worker.id}")
+                elif other.ended == "done" and not group.get("long_running"):
+                    # Counts if the end is, or will be, taken note of: see `settle`.
+                    self.after_done.append((run, other))
         job, k, _, _ = self.parse(run.task)
         if not group.get("long_running"):
             failed = sum(1 for other in others if other.ended == "failed" and other.noted)
@@ -385,6 +397,20 @@
         if headers.get("x-target-instance") != self.id:
             return js(421, self.stamp())
         b = json.loads(body)
+        if path in ("/workswood/run-start", "/workswood/run-stop"):
+            fate = self.fleet.fate()
+            if fate == "late":
+                # Left without an answer, and done seconds later, by this life or by none.
+                await asyncio.sleep(random.uniform(2, 12))
+                if not self.down:
+                    await self.carry_out(path, b)
+                return None
+            if fate == "lost":
+                await self.carry_out(path, b)
+                return None
+        return await self.carry_out(path, b)
+
+    async def carry_out(self, path, b):
         if b.get("fencing_token", 0) < self.fence:
             return js(409, self.stamp(reason="fence"))
         self.fence = b.get("fencing_token", 0)
@@ -403,7 +429,8 @@
             key = (b["task"], b["attempt"])
             self.over[b["task"]] = max(self.over.get(b["task"], 0), b["attempt"])
             if key in self.runs:
-                self.end(self.runs[key], "stopped")
+                run, delay = self.runs[key], random.uniform(0, self.fleet.stop_ms / 1000)
+                asyncio.get_running_loop().call_later(delay, lambda: run.ended is None and not self.down and self.end(run, "stopped"))
             return js(200, self.stamp())
         return js(200, self.stamp())
 
@@ -415,6 +442,8 @@
             return js(409, self.stamp(reason="old"))
         _, group = self.fleet.judge.step_of(b["task"])
         group = group or {"count": 1}
+        if self.down:
+            return None
         if self.guards and not self.fits(group):
             return js(409, self.stamp(reason="room"))
         run = Run()
@@ -462,7 +491,9 @@
         if not run.group.get("checkpointing") or run.began is None or now() - run.began < self.fleet.save_s:
             return run.ckpt
         saves = int((now() - run.began) / self.fleet.save_s)
-        return f"{saves:08x}{run.task[:8]}"
+        text = f"{saves:08x}{zlib.crc32(run.task.encode()):08x}"
+        self.fleet.judge.issued[text] = run.task
+        return text
 
     def tick(self):
         if self.clock() > self.deadline:
@@ -498,6 +529,12 @@
         self.store, self.judge, self.max_hold_ms, self.save_s, self.gang_ms = store, judge, max_hold_ms, save_s, gang_ms
         self.workers, self.due, self.gangs, self.plans, self.starts = [], [], {}, {}, 0
         self.orders = []
+        self.stop_ms, self.late_share, self.lost_share = 400, 0.0, 0.0
+
+    def fate(self):
+        """What becomes of an order: carried out late, its answer lost, or neither."""
+        n = random.random()
+        return "late" if n < self.late_share else "lost" if n < self.late_share + self.lost_share else None
 
     def plan(self, spec):
         if spec not in self.plans:
