--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,53 +1,59 @@
-"""One large job, whose state is larger than a record of the store may be."""
+"""Some jobs that can never be done keep all jobs of a lower priority from ever beginning."""
 import pathlib
 from stage import *
 
-LARGE = {"spec": json.dumps({"work_ms": 12000}),
-         "task_groups": [{"count": 10000, "cpu": 100, "mem_mb": 10, "estimate_ms": 12000, "checkpointing": True}]}
-SMALL = {"spec": json.dumps({"work_ms": 800}), "task_groups": [{"count": 4, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800}]}
 FINISH_S = 14
+SHARE = 0.05  # of the jobs of one queue can never be done
+
+
+def job_body(**more):
+    return {"spec": json.dumps({"work_ms": 800}), "task_groups": [{"count": 4, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800, **more}]}
 
 
 async def play(s):
-    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(48)]
-    route = {"name": "q", "host": "jobs.test", "path_prefix": "/q/", "backend": "svc", "priority": 0, "max_attempts": 3,
-             "extension": 1.6, "target_latency_ms": 600}
-    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}])
-    accepted = []
-    large = f"{0xB16:016x}"
-    if TROUBLE and await s.submit(s.nodes[0], "/q/", large, LARGE) == 200:
-        accepted.append(large)
-    for n in range(24):
-        job = f"{n + 1:016x}"
-        if await s.submit(s.nodes[n % 3], "/q/", job, SMALL) == 200:
-            accepted.append(job)
-        await asyncio.sleep(1.0)
-        s.log(f"runs at work: {sum(len(w.runs) for w in workers)}; starts so far: {s.fleet.starts}; "
-              f"largest record sent: {s.store.largest['keyed.state']} bytes; appends refused for size: {s.store.refused['keyed.state']}")
-    s.log(f"the traffic has ended; jobs are asked for in {FINISH_S} s")
-    idle_since, longest_idle = now(), 0.0
-    until = now() + FINISH_S
+    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(9)]
+    route = {"host": "jobs.test", "backend": "svc", "max_attempts": 3, "extension": 1.6, "target_latency_ms": 600}
+    routes = [{**route, "name": "urgent", "path_prefix": "/urgent/", "priority": 0},
+              {**route, "name": "plain", "path_prefix": "/plain/", "priority": 1}]
+    await s.begin(workers, routes, [{"name": "svc", "preconditions": True}])
+    accepted, hopeless, tasks = {}, set(), []
+
+    async def hand_in(node, prefix, job, body):
+        if await s.submit(node, prefix, job, body) == 200:
+            accepted[job] = (prefix, now())
+
+    for n in range(1, 241):
+        job = f"{n:016x}"
+        prefix, body = ("/plain/", job_body()) if n % 6 == 0 else ("/urgent/", job_body())
+        if TROUBLE and prefix == "/urgent/" and n % int(1 / SHARE) == 1:
+            # The same job, but for more cores than any minion has (32).
+            body = job_body(cpu=64000)
+            hopeless.add(job)
+        tasks.append(asyncio.ensure_future(hand_in(s.nodes[n % 3], prefix, job, body)))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+    s.log(f"the traffic has ended: {len(accepted)} jobs accepted, {len(hopeless)} of which can never be done; jobs are asked for in {FINISH_S} s")
+    room = sum(w.cap["cpu"] for w in workers)
+    until, starved_since, starved_for = now() + FINISH_S, {}, {}
     while now() < until:
         await asyncio.sleep(0.1)
-        if any(w.runs for w in workers):
-            idle_since = now()
-        longest_idle = max(longest_idle, now() - idle_since)
-    unanswered, unfinished = [], []
-    for n, job in enumerate(accepted):
-        state = await s.state(s.nodes[n % 3], "/q/", job)
-        if not isinstance(state, str):
-            state = await s.state(s.nodes[(n + 1) % 3], "/q/", job)
-        if not isinstance(state, str):
-            unanswered.append(job)
-        elif state != "completed":
-            unfinished.append(job)
-    never_begun = [job for job in accepted if not any(task.startswith(job) for task in s.judge.runs)]
-    s.log(f"accepted {len(accepted)}; not answered for {len(unanswered)}; not completed {len(unfinished)}; never begun {len(never_begun)}; "
-          f"no minion had anything to do for the last {longest_idle:.1f} s")
-    if unanswered:
-        s.judge.broke("LOST", f"{len(unanswered)} accepted jobs aren't answered for {FINISH_S} s after the traffic")
-    if never_begun and longest_idle > 3:
-        s.judge.broke("LOST", f"{len(never_begun)} accepted jobs run nothing for {longest_idle:.1f} s while all minions are idle")
+        in_use = sum(w.used["cpu"] for w in workers)
+        begun = {task.split(".")[0] for task in s.judge.runs}
+        for job, (_, at) in accepted.items():
+            if job in hopeless or job in begun or in_use * 2 > room or now() - at < 1:
+                starved_since.pop(job, None)
+            else:
+                starved_for[job] = max(starved_for.get(job, 0), now() - starved_since.setdefault(job, now()))
+    states = {}
+    for n, (job, (prefix, _)) in enumerate(accepted.items()):
+        if job not in hopeless:
+            state = await s.state(s.nodes[n % 3], prefix, job)
+            states.setdefault((prefix, state), []).append(job)
+    s.log("states of the jobs that can be done: " + ", ".join(f"{prefix} {state}: {len(jobs)}" for (prefix, state), jobs in sorted(states.items(), key=str)))
+    starved = [job for job, seconds in starved_for.items() if seconds > 3]
+    if starved:
+        s.judge.broke("LOST", f"{len(starved)} accepted jobs run nothing for {max(starved_for.values()):.1f} s on end, while "
+                              f"{sum(w.used['cpu'] for w in workers)} of {room} thousandths of a core are in use")
 
 
 main(pathlib.Path(__file__).parent, play)
