--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -45,8 +45,11 @@
 
     def __init__(self, stage, n, zone):
         self.stage, self.name, self.zone, self.n = stage, f"frontend-{zone}-{n}", zone, n
-        self.front, self.ready, self.control, self.peers, self.metrics = free_ports(5)
         self.proc = None
+        self.take_ports()
+
+    def take_ports(self):
+        self.front, self.ready, self.control, self.peers, self.metrics = free_ports(5)
 
     def write_settings(self):
         s = self.stage
@@ -123,6 +126,10 @@
             while (await http(node.ready, "GET", "/workswood/readyz", timeout=1.0))[0] != 200:
                 if now() > until:
                     raise CouldNotRun(f"{node.name} is not ready")
+                if node.proc.poll() is not None:
+                    # Somebody else took one of its ports meanwhile.
+                    node.take_ports()
+                    node.start()
                 await asyncio.sleep(0.1)
         while not self.holder():
             if now() > until:
