--- a/review/5/play.py
+++ b/review/5/play.py
@@ -1,56 +1,80 @@
-"""Two tenants choose the same ID at the same time, and the lease holder is killed while the jobs run."""
-import pathlib
+"""The store flaps: it refuses hand-ins, holds them for a moment before it is back, and is gone again. A job that was answered 503 runs."""
+import pathlib, collections
 from stage import *
 
-FINISH_S = 14
-PAIRS = 20
+SLOW_S = 0.24  # 60 times the 4 ms of an answer
 
 
-def body(tenant):
-    group = {"count": 2, "cpu": 1000, "mem_mb": 500, "estimate_ms": 2500}
-    return {"spec": json.dumps({"work_ms": 2500, "of": tenant}), "task_groups": [group, {**group, "after": [0]}]}
+def keys(body):
+    """The keys of the records of an append."""
+    found, at = [], 0
+    while at < len(body):
+        length = int.from_bytes(body[at:at + 4], "big")
+        found.append(body[at + 5:at + 5 + body[at + 4]].decode())
+        at += 4 + length
+    return found
 
 
 async def play(s):
-    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(8)]
+    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(9)]
     route = {"name": "q", "host": "jobs.test", "path_prefix": "/q/", "backend": "svc", "priority": 0, "max_attempts": 3,
-             "extension": 1.6, "target_latency_ms": 600, "public": False}
-    tenants = [{"name": f"tenant-{t}", "api_keys": [f"key-{t}"], "weight": 10.0, "max_items": {}} for t in "ab"]
-    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}], tenants=tenants)
-    sent, ran, accepted = {}, {}, []
-    s.judge.started = lambda worker, run: ran.setdefault((run.task, run.spec), []).append(run)  # checks are made below
-    holder = s.holder()
-    others = [node for node in s.nodes if node is not holder]
-
-    async def hand_in(tenant, job, node):
-        sent[tenant, job] = body(tenant)
-        s.judge.jobs[job] = sent[tenant, job]
-        status, _ = await s.call(node, "POST", "/q/" + job, sent[tenant, job], f"key-{tenant}")
-        if status == 200:
-            accepted.append((tenant, job))
-
-    for n in range(1, PAIRS + 1):
+             "extension": 1.6, "target_latency_ms": 600}
+    phases, handle, seen = ["sound"], s.store.handle, collections.defaultdict(list)
+
+    async def flapping(method, path, query, headers, body):
+        if path != "/workswood/log-append" or query.get("topic") != "keyed.inbox" or phases[0] == "sound":
+            return await handle(method, path, query, headers, body)
+        came, phase, jobs = now() - s.judge.begun, phases[0], keys(body)
+        done = phase == "open"
+        answer = await handle(method, path, query, headers, body) if done else js(503, {})
+        if phase != "closed":
+            await asyncio.sleep(SLOW_S)
+        for job in jobs:
+            seen[job].append(f"came {came:.3f}, answered {now() - s.judge.begun:.3f} with {answer[0]}{', done' if done else ''}")
+        return answer
+
+    s.store.handle = flapping
+    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}])
+
+    async def turn():
+        # Three times 4.5 s of trouble, in which the store comes back for a moment now and then.
+        for _ in range(3):
+            await asyncio.sleep(4.0)
+            until = now() + 4.5
+            while now() < until:
+                for phase, least, most in [("closed", 0.7, 1.5), ("slow", 0.1, 0.2), ("open", 0.05, 0.15)]:
+                    phases[0] = phase
+                    await asyncio.sleep(min(random.uniform(least, most), max(0, until - now())))
+            phases[0] = "sound"
+
+    turning = asyncio.ensure_future(turn()) if TROUBLE else None
+    answers = collections.defaultdict(list)
+
+    async def hand_in(n):
         job = f"{n:016x}"
-        await asyncio.gather(hand_in("a", job, others[0]), hand_in("b", job, others[1]))
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(3.2)
-    if TROUBLE:
-        s.log(f"the lease holder {holder.name} is killed, and starts again after 2 s")
-        holder.kill()
-        await asyncio.sleep(2.0)
-        holder.start()
-    s.log(f"the traffic has ended; jobs are asked for in {FINISH_S} s")
-    await asyncio.sleep(FINISH_S)
-    wrong = []
-    for tenant, job in accepted:
-        state = await s.state(others[0], "/q/", job, f"key-{tenant}")
-        spec = sent[tenant, job]["spec"]
-        done = [f"{job}.0.{step}.{i}" for step in (0, 1) for i in (0, 1) if any(r.ended == "done" for r in ran.get((f"{job}.0.{step}.{i}", spec), []))]
-        s.log(f"job {job} of tenant-{tenant}: state {state}, {len(done)} of its 4 tasks have ended done")
-        if state == "completed" and len(done) < 4:
-            wrong.append((tenant, job, len(done)))
+        b = {"spec": json.dumps({"work_ms": 300, "n": n}), "task_groups": [{"count": 1, "cpu": 500, "mem_mb": 50, "estimate_ms": 300}]}
+        s.judge.sent(job, b)
+        for attempt in range(2):
+            status, _ = await s.call(s.nodes[(n + attempt) % 3], "POST", "/q/" + job, b)
+            answers[job].append(status)
+            if status not in (429, 503):
+                break
+            await asyncio.sleep(1.0)
+
+    tasks = []
+    for n in range(1, 500):
+        tasks.append(asyncio.ensure_future(hand_in(n)))
+        await asyncio.sleep(0.06)
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(8)
+    ran = {task.split(".")[0] for task in s.judge.runs}
+    s.log("answers: " + str(collections.Counter(a for v in answers.values() for a in v)))
+    refused = [job for job, a in answers.items() if all(x in (429, 503) for x in a)]
+    wrong = [job for job in refused if job in ran]
+    for job in wrong[:3]:
+        s.log(f"job {job}, its appends at the store: " + "; ".join(seen[job]))
     if wrong:
-        s.judge.broke("MIXED", f"{len(wrong)} of {len(accepted)} accepted jobs are shown as completed though tasks of theirs never ended done: {wrong[:4]}")
+        s.judge.broke("REFUSED", f"{len(wrong)} of {len(refused)} jobs all of whose hand-ins were answered 503 run: {wrong[:5]}")
 
 
 main(pathlib.Path(__file__).parent, play)
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,55 +1,56 @@
-"""One job of many steps, over which the scheduler computes for tens of seconds at a time."""
+"""Two tenants choose the same ID at the same time, and the lease holder is killed while the jobs run."""
 import pathlib
 from stage import *
 
-STEPS, BEFORE = 1000, 45
-MANY = {"spec": json.dumps({"work_ms": 500}),
-        "task_groups": [{"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 500, **({"after": list(range(max(0, n - BEFORE), n))} if n else {})}
-                        for n in range(STEPS)]}
-SMALL = {"spec": json.dumps({"work_ms": 800}), "task_groups": [{"count": 4, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800}]}
 FINISH_S = 14
+PAIRS = 20
+
+
+def body(tenant):
+    group = {"count": 2, "cpu": 1000, "mem_mb": 500, "estimate_ms": 2500}
+    return {"spec": json.dumps({"work_ms": 2500, "of": tenant}), "task_groups": [group, {**group, "after": [0]}]}
 
 
 async def play(s):
-    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(24)]
+    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(8)]
     route = {"name": "q", "host": "jobs.test", "path_prefix": "/q/", "backend": "svc", "priority": 0, "max_attempts": 3,
-             "extension": 1.6, "target_latency_ms": 600}
-    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}])
-    accepted = []
-    many = f"{0xDA6:016x}"
-    s.log(f"the job of {STEPS} steps is a body of {len(json.dumps(MANY, separators=(',', ':')))} bytes")
-    if TROUBLE and await s.submit(s.nodes[0], "/q/", many, MANY) == 200:
-        accepted.append(many)
-    for n in range(8):
-        job = f"{n + 1:016x}"
-        if await s.submit(s.nodes[n % 3], "/q/", job, SMALL) == 200:
-            accepted.append(job)
-        await asyncio.sleep(1.0)
-        s.log(f"runs at work: {sum(len(w.runs) for w in workers)}; starts so far: {s.fleet.starts}")
+             "extension": 1.6, "target_latency_ms": 600, "public": False}
+    tenants = [{"name": f"tenant-{t}", "api_keys": [f"key-{t}"], "weight": 10.0, "max_items": {}} for t in "ab"]
+    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}], tenants=tenants)
+    sent, ran, accepted = {}, {}, []
+    s.judge.started = lambda worker, run: ran.setdefault((run.task, run.spec), []).append(run)  # checks are made below
+    holder = s.holder()
+    others = [node for node in s.nodes if node is not holder]
+
+    async def hand_in(tenant, job, node):
+        sent[tenant, job] = body(tenant)
+        s.judge.jobs[job] = sent[tenant, job]
+        status, _ = await s.call(node, "POST", "/q/" + job, sent[tenant, job], f"key-{tenant}")
+        if status == 200:
+            accepted.append((tenant, job))
+
+    for n in range(1, PAIRS + 1):
+        job = f"{n:016x}"
+        await asyncio.gather(hand_in("a", job, others[0]), hand_in("b", job, others[1]))
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(3.2)
+    if TROUBLE:
+        s.log(f"the lease holder {holder.name} is killed, and starts again after 2 s")
+        holder.kill()
+        await asyncio.sleep(2.0)
+        holder.start()
     s.log(f"the traffic has ended; jobs are asked for in {FINISH_S} s")
-    idle_since, longest_idle = now(), 0.0
-    until = now() + FINISH_S
-    while now() < until:
-        await asyncio.sleep(0.1)
-        waits = [job for job in accepted if not any(task.startswith(job) for task in s.judge.runs)]
-        if any(w.runs for w in workers) or not waits:
-            idle_since = now()
-        longest_idle = max(longest_idle, now() - idle_since)
-    unanswered, unfinished = [], []
-    for n, job in enumerate(accepted):
-        state = await s.state(s.nodes[n % 3], "/q/", job)
-        if not isinstance(state, str):
-            state = await s.state(s.nodes[(n + 1) % 3], "/q/", job)
-        if not isinstance(state, str):
-            unanswered.append(job)
-        elif state != "completed" and job != many:
-            unfinished.append(job)
-    s.log(f"accepted {len(accepted)}; not answered for {len(unanswered)}; small ones not completed {len(unfinished)}; accepted jobs had tasks to "
-          f"begin and no minion had anything to do for {longest_idle:.1f} s on end")
-    if unanswered:
-        s.judge.broke("LOST", f"{len(unanswered)} accepted jobs aren't answered for {FINISH_S} s after the traffic")
-    if longest_idle > 3:
-        s.judge.broke("LOST", f"accepted jobs run nothing for {longest_idle:.1f} s while all minions are idle")
+    await asyncio.sleep(FINISH_S)
+    wrong = []
+    for tenant, job in accepted:
+        state = await s.state(others[0], "/q/", job, f"key-{tenant}")
+        spec = sent[tenant, job]["spec"]
+        done = [f"{job}.0.{step}.{i}" for step in (0, 1) for i in (0, 1) if any(r.ended == "done" for r in ran.get((f"{job}.0.{step}.{i}", spec), []))]
+        s.log(f"job {job} of tenant-{tenant}: state {state}, {len(done)} of its 4 tasks have ended done")
+        if state == "completed" and len(done) < 4:
+            wrong.append((tenant, job, len(done)))
+    if wrong:
+        s.judge.broke("MIXED", f"{len(wrong)} of {len(accepted)} accepted jobs are shown as completed though tasks of theirs never ended done: {wrong[:4]}")
 
 
 main(pathlib.Path(__file__).parent, play)
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,49 +1,55 @@
-"""Two tenants choose the same ID for their jobs."""
+"""One job of many steps, over which the scheduler computes for tens of seconds at a time."""
 import pathlib
 from stage import *
 
+STEPS, BEFORE = 1000, 45
+MANY = {"spec": json.dumps({"work_ms": 500}),
+        "task_groups": [{"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 500, **({"after": list(range(max(0, n - BEFORE), n))} if n else {})}
+                        for n in range(STEPS)]}
+SMALL = {"spec": json.dumps({"work_ms": 800}), "task_groups": [{"count": 4, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800}]}
 FINISH_S = 14
-VISIBLE_MS = 3000
-
-
-def body(tenant):
-    return {"spec": json.dumps({"work_ms": 800, "of": tenant}), "task_groups": [{"count": 3, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800}]}
 
 
 async def play(s):
-    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(8)]
+    workers = [Worker(s.fleet, f"w{n}", "svc", f"m{n}", f"z{n % 2 + 1}", labels=("a", f"r{n // 4}")) for n in range(24)]
     route = {"name": "q", "host": "jobs.test", "path_prefix": "/q/", "backend": "svc", "priority": 0, "max_attempts": 3,
-             "extension": 1.6, "target_latency_ms": 600, "public": False}
-    tenants = [{"name": f"tenant-{t}", "api_keys": [f"key-{t}"], "weight": 10.0, "max_items": {}} for t in "ab"]
-    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}], tenants=tenants)
-    s.judge.sent = lambda job, body, tenant=None: None  # below, a job is known by its ID and its tenant
-    sent, accepted = {}, []
-    for n in range(1, 11):
-        for tenant in "ab":
-            # Each tenant numbers its jobs from 1; without the disruption, b begins at 1001.
-            number = n if TROUBLE or tenant == "a" else 1000 + n
-            job, job_body = f"{number:016x}", body(tenant)
-            s.judge.jobs[job] = job_body if tenant == "a" or not TROUBLE else s.judge.jobs[job]
-            sent[tenant, job] = job_body
-            if await s.submit(s.nodes[n % 3], "/q/", job, job_body, f"key-{tenant}") == 200:
-                accepted.append((tenant, job, now()))
-        await asyncio.sleep(0.5)
+             "extension": 1.6, "target_latency_ms": 600}
+    await s.begin(workers, [route], [{"name": "svc", "preconditions": True}])
+    accepted = []
+    many = f"{0xDA6:016x}"
+    s.log(f"the job of {STEPS} steps is a body of {len(json.dumps(MANY, separators=(',', ':')))} bytes")
+    if TROUBLE and await s.submit(s.nodes[0], "/q/", many, MANY) == 200:
+        accepted.append(many)
+    for n in range(8):
+        job = f"{n + 1:016x}"
+        if await s.submit(s.nodes[n % 3], "/q/", job, SMALL) == 200:
+            accepted.append(job)
+        await asyncio.sleep(1.0)
+        s.log(f"runs at work: {sum(len(w.runs) for w in workers)}; starts so far: {s.fleet.starts}")
     s.log(f"the traffic has ended; jobs are asked for in {FINISH_S} s")
-    await asyncio.sleep(FINISH_S)
-    gone, foreign = [], []
-    for tenant, job, at in accepted:
-        state = await s.state(s.nodes[0], "/q/", job, f"key-{tenant}")
-        if state == 410 and now() - at > VISIBLE_MS / 1000:
-            gone.append((tenant, job))
-        ran = {r.spec for task, runs in s.judge.runs.items() if task.startswith(job) for r in runs}
-        if sent[tenant, job]["spec"] not in ran:
-            s.log(f"job {job} of tenant-{tenant}: no task of it was ever started; state {state}")
-            if state == "completed":
-                foreign.append((tenant, job))
-    if gone:
-        s.judge.broke("LOST", f"{len(gone)} of {len(accepted)} accepted jobs that nobody has cancelled are answered with 410")
-    if foreign:
-        s.judge.broke("MIXED", f"{len(foreign)} jobs are shown as completed whose tasks never ran")
+    idle_since, longest_idle = now(), 0.0
+    until = now() + FINISH_S
+    while now() < until:
+        await asyncio.sleep(0.1)
+        waits = [job for job in accepted if not any(task.startswith(job) for task in s.judge.runs)]
+        if any(w.runs for w in workers) or not waits:
+            idle_since = now()
+        longest_idle = max(longest_idle, now() - idle_since)
+    unanswered, unfinished = [], []
+    for n, job in enumerate(accepted):
+        state = await s.state(s.nodes[n % 3], "/q/", job)
+        if not isinstance(state, str):
+            state = await s.state(s.nodes[(n + 1) % 3], "/q/", job)
+        if not isinstance(state, str):
+            unanswered.append(job)
+        elif state != "completed" and job != many:
+            unfinished.append(job)
+    s.log(f"accepted {len(accepted)}; not answered for {len(unanswered)}; small ones not completed {len(unfinished)}; accepted jobs had tasks to "
+          f"begin and no minion had anything to do for {longest_idle:.1f} s on end")
+    if unanswered:
+        s.judge.broke("LOST", f"{len(unanswered)} accepted jobs aren't answered for {FINISH_S} s after the traffic")
+    if longest_idle > 3:
+        s.judge.broke("LOST", f"accepted jobs run nothing for {longest_idle:.1f} s while all minions are idle")
 
 
 main(pathlib.Path(__file__).parent, play)
