--- a/review/4/play.py
+++ b/review/4/play.py
@@ -3,11 +3,13 @@
 from stage import *
 
 FINISH_S = 14
-SHARE = 0.05  # of the jobs of one queue can never be done
+TASK_CPU = 1800
+SHARE = 0.05  # of the jobs of one queue can never be done,
+SPELLS = [(1.0, 4.0), (7.0, 10.0), (13.0, 16.0), (19.0, 22.0)]  # in these spells of 3 s
 
 
 def job_body(**more):
-    return {"spec": json.dumps({"work_ms": 800}), "task_groups": [{"count": 4, "cpu": 1800, "mem_mb": 500, "estimate_ms": 800, **more}]}
+    return {"spec": json.dumps({"work_ms": 400}), "task_groups": [{"count": 4, "cpu": TASK_CPU, "mem_mb": 500, "estimate_ms": 400, **more}]}
 
 
 async def play(s):
@@ -22,16 +24,20 @@
         if await s.submit(node, prefix, job, body) == 200:
             accepted[job] = (prefix, now())
 
-    for n in range(1, 241):
-        job = f"{n:016x}"
-        prefix, body = ("/plain/", job_body()) if n % 6 == 0 else ("/urgent/", job_body())
-        if TROUBLE and prefix == "/urgent/" and n % int(1 / SHARE) == 1:
-            # The same job, but for more cores than any minion has (32).
-            body = job_body(cpu=64000)
-            hopeless.add(job)
+    begun_at, in_spells, n = now(), 0, 0
+    while now() < begun_at + 26:
+        n += 1
+        job, prefix, body = f"{n:016x}", "/plain/" if n % 6 == 0 else "/urgent/", job_body()
+        if prefix == "/urgent/" and any(a <= now() - begun_at < b for a, b in SPELLS):
+            in_spells += 1
+            if TROUBLE and in_spells % int(1 / SHARE) == 0:
+                # The same job, but for more cores than any minion has (32).
+                body = job_body(cpu=64000)
+                hopeless.add(job)
         tasks.append(asyncio.ensure_future(hand_in(s.nodes[n % 3], prefix, job, body)))
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(max(0.0, begun_at + n * 0.04 - now()))
     await asyncio.gather(*tasks)
+    s.log(f"{in_spells} jobs of /urgent/ came in the spells, {len(hopeless)} of which can never be done")
     s.log(f"the traffic has ended: {len(accepted)} jobs accepted, {len(hopeless)} of which can never be done; jobs are asked for in {FINISH_S} s")
     room = sum(w.cap["cpu"] for w in workers)
     until, starved_since, starved_for = now() + FINISH_S, {}, {}
@@ -39,8 +45,8 @@
         await asyncio.sleep(0.1)
         in_use = sum(w.used["cpu"] for w in workers)
         begun = {task.split(".")[0] for task in s.judge.runs}
-        for job, (_, at) in accepted.items():
-            if job in hopeless or job in begun or in_use * 2 > room or now() - at < 1:
+        for job in accepted:
+            if job in hopeless or job in begun or in_use * 2 > room or room - in_use < 2 * 4 * TASK_CPU:
                 starved_since.pop(job, None)
             else:
                 starved_for[job] = max(starved_for.get(job, 0), now() - starved_since.setdefault(job, now()))
