Log: on what the end of a lease rests when its runs are settled (worker_lease_over)

No change of behaviour. The line tells a lease that a predecessor is believed to have extended (inherited=true, known since the claim) from one that this holder has, and how long the life has been known.

--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -447,19 +447,39 @@
         }
     }
 
+    /// Logs that the lease of a worker with runs is taken for over, and what that rests on.
+    fn log_lease_over(&mut self, id: &WorkerId, runs: usize) {
+        let Some(w) = self.workers.get(id) else { return };
+        let since = |at: Duration| self.now.saturating_sub(at).as_millis();
+        self.notes.push(format_args!(
+            "event=worker_lease_over worker={id} runs={runs} over_ms={} heard_ms_ago={} known_ms={} \
+             inherited={} superseded={}",
+            since(w.lease_end),
+            OrWord(w.first_heard.map(|_| since(w.last_heard)), "never"),
+            since(w.known_since),
+            w.known_since == self.claimed_at,
+            w.superseded
+        ));
+    }
+
     /// Settles the runs of workers whose lease has expired.
     pub(super) fn settle_expired_leases(&mut self) {
         let now = self.now;
         let expired = self.workers.unreachable().filter(|(_, w)| w.lease_end < now);
         let expired: Vec<WorkerId> = expired.map(|(id, _)| id.clone()).collect();
         for id in expired {
-            for (task, attempt) in self.runs_on(&id) {
-                // The reply to a start that is still under way may extend the lease.
-                let starting = self.run_mut(&id, &task, attempt).is_some_and(|r| r.phase == Phase::Starting);
-                if !starting {
-                    self.record_lapsed_run(&id, &task, attempt);
-                    self.settle_run(&id, &task, attempt, "lease_ended");
-                }
+            // The reply to a start that is still under way may extend the lease.
+            let is_starting = |(task, n): &(TaskId, u32)| {
+                self.run(&id, task, *n).is_some_and(|r| r.phase == Phase::Starting)
+            };
+            let over: Vec<(TaskId, u32)> =
+                self.runs_on(&id).into_iter().filter(|run| !is_starting(run)).collect();
+            if !over.is_empty() {
+                self.log_lease_over(&id, over.len());
+            }
+            for (task, attempt) in over {
+                self.record_lapsed_run(&id, &task, attempt);
+                self.settle_run(&id, &task, attempt, "lease_ended");
             }
             self.forget_if_unlisted_and_idle(&id);
         }
