TWICE: a former life without runs leaves the later one its leases, and they count

Callers saw a task run twice. A poll or a start for a former life of a worker reaches the later one, whose clock has started anew: it reads the lease as far ahead and holds the longest one that the platform accepts. That was counted with the first report of the later life, but only if a former one was still known. One without runs is forgotten at once, so the later life, cut off soon after, was given up with its own lease of 5.4 s.

Each incarnation that is forgotten now leaves behind until when such a lease may last, whichever way it ended; the first answer of the later one, whose token is higher, makes that final.

--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -87,6 +87,7 @@
 pub mod demand_history;
 mod drain_order;
 mod drain_stalls;
+pub mod ended_incarnations;
 mod evacuation;
 pub mod eviction;
 pub mod fair_share;
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -10,6 +10,7 @@
 use super::crash_rate::CrashRate;
 use super::crash_withdrawal::CountedLives;
 use super::cut_off_workers::ListWatch;
+use super::ended_incarnations::EndedIncarnations;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
 use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Task, WorkerId};
@@ -121,6 +122,8 @@
     pub(super) list_watch: ListWatch,
     /// Forgotten workers whose record with a bound may still be stored.
     pub(super) forgotten_bounds: BTreeSet<WorkerId>,
+    /// Incarnations of workers that have ended lately.
+    pub(super) ended_incarnations: EndedIncarnations,
     /// Tasks that a predecessor may have started without a record.
     pub(super) barrier: TakeoverBarrier,
     /// Whether a worker reported a higher fencing token than this term's.
@@ -230,6 +233,7 @@
             store_access: StoreAccess::default(),
             list_watch: ListWatch::new(claimed_at),
             forgotten_bounds: BTreeSet::new(),
+            ended_incarnations: EndedIncarnations::default(),
             barrier: TakeoverBarrier::default(),
             deposed: false,
             dirty_jobs: BTreeSet::new(),
@@ -557,6 +561,7 @@
         self.ready.values_mut().for_each(|w| w.downgrade_late_steps(wall));
         self.settle_expired_leases();
         self.settle_expired_barrier();
+        self.drop_ended_incarnations();
         self.record_due_bounds();
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -78,6 +78,7 @@
         w.listed = true;
         w.unlisted_at = None;
         drop(w);
+        self.forget_ended(&id);
         if newly_listed && !recorded || changes_service {
             self.dirty_workers.insert(id.clone());
         }
@@ -146,7 +147,9 @@
 
     /// Forgets a worker. Returns whether it was known.
     fn forget_worker(&mut self, id: &WorkerId) -> bool {
+        let left_lease_end = self.left_lease_end(id);
         let Some(w) = self.workers.remove(id) else { return false };
+        self.remember_ended(id, if w.superseded { w.lease_end.max(left_lease_end) } else { left_lease_end });
         self.keep_forgotten_bound(id, &w);
         self.settle_barrier(id);
         self.dirty_workers.insert(id.clone());
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -10,8 +10,8 @@
 //! * Until then, runs of the earlier incarnation may exist in the later one. They are settled with
 //!   the first full report of it: listed runs go on in the later incarnation, the others are over.
 //! * A lease that was meant for the earlier incarnation is read on the clock of the later one.
-//!   There it may last as long as the longest lease that the platform accepts, from when the later incarnation became
-//!   known. What is left of that is passed on from term to term ([`lease_bounds`](super::lease_bounds)).
+//!   There it may last as long as the longest lease that the platform accepts. What is left of that counts for the later
+//!   one, also when the earlier one is forgotten ([`ended_incarnations`](super::ended_incarnations)).
 
 use std::time::Duration;
 
@@ -19,7 +19,6 @@
 use super::job::{Run, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
-use super::types::lease_with_drift;
 use super::worker::{Report, Worker, WorkerInfo};
 use crate::ids::UnixMs;
 
@@ -62,6 +61,7 @@
         if let Some(latest) = self.latest_of_several(id) {
             self.supersede_earlier_incarnations(&latest);
         }
+        self.count_earlier_leases(id);
     }
 
     /// Supersedes them while the runs that a predecessor recorded are not known yet.
@@ -86,13 +86,14 @@
                 self.end_incarnation(&id, IncarnationEnd::OtherIncarnation);
             }
         }
+        self.count_earlier_leases(later);
     }
 
     /// Supersedes earlier incarnations; returns those that were not before.
     fn supersede(&mut self, later: &WorkerId) -> Vec<WorkerId> {
         let mut superseded = Vec::new();
         for id in self.earlier_incarnations(later) {
-            let misdelivered = self.misdelivered_lease_end() + self.relay_grace(&id);
+            let misdelivered = self.left_lease_end(&id);
             let Some(mut w) = self.workers.get_mut(&id).filter(|w| !w.superseded) else { continue };
             w.superseded = true;
             w.listed = false;
@@ -105,16 +106,12 @@
             self.record_relay_count(&id, relays);
             self.notes.push(format_args!("event=worker_restarted worker={later} before={id} runs={runs}"));
             self.withdraw_relay(&id);
+            self.raise_lease_end(later, lease_end);
             superseded.push(id);
         }
         superseded
     }
 
-    /// Latest end of a lease that is sent now to an earlier incarnation but received by a later one.
-    fn misdelivered_lease_end(&self) -> Duration {
-        self.now + lease_with_drift(self.limits.max_lease, self.limits.clock_drift)
-    }
-
     /// Settles the runs of earlier incarnations with the first full report of a later one. Those of
     /// which an answer before it tells are carried over.
     pub(super) fn settle_earlier_incarnations(&mut self, later: &WorkerId, report: &Report) {
@@ -122,12 +119,8 @@
             return;
         }
         let incarnations = self.earlier_incarnations(later);
-        if incarnations.is_empty() {
-            return;
-        }
-        let lease_end = self.misdelivered_lease_end();
-        if let Some(mut w) = self.workers.get_mut(later) {
-            w.lease_end = w.lease_end.max(lease_end);
+        if !incarnations.is_empty() {
+            self.raise_lease_end(later, self.misdelivered_lease_end());
         }
         let running = report.running.iter().map(|r| (r.task, r.attempt));
         let ended = report.ended.iter().map(|e| (e.task, e.attempt));
@@ -140,6 +133,7 @@
                 self.end_incarnation(&id, IncarnationEnd::OtherIncarnation);
             }
         }
+        self.finalize_earlier_leases(later);
     }
 
     /// Moves a run of an earlier incarnation to a later one that lists the run or its end.
