TWICE: what a former life leaves to the later one is on record for every holder after

Callers saw a task run twice, at the same time: a worker started again under its old id, was cut off soon after, and the lease holder was killed in between. The bound of the lease that the later life may hold of those meant for the former one was on the record of the former life, which goes with its end; the later life's said nothing.

A record `ended-ID` is written in the batch that deletes the record of the incarnation. It tells what is left and whether that is final; it is written again each second once a later incarnation is known, and deleted when it ends. A successor counts it from its reading. Workers that did not restart have no such record, so a takeover waits for them as before.

--- a/crates/workswood-core/src/jobs/ended_incarnations.rs
+++ b/crates/workswood-core/src/jobs/ended_incarnations.rs
@@ -9,19 +9,37 @@
 //! * The lease of a later incarnation is not taken for over before.
 //! * The later one receives such orders until it has answered a poll, whose token is higher than theirs. With its first
 //!   answer the end is worked out again, and is final then.
+//! * It is on record from the batch on that deletes the record of the incarnation, before anything starts on a later one.
+//!   The record tells what is left; a successor counts that from its reading, so no clocks of two hosts are compared.
+//!   Once a later incarnation is known it is written again now and then, so that changes of holder add little.
 //!
 //! Only workers that tell when they started can return under the same name.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::job::WorkerId;
+use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
-use super::types::lease_with_drift;
+use super::types::{Record, lease_with_drift};
 
 /// Longest time from the sending of an order that has no answer until a worker carries it out.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+/// Interval between two records of one incarnation. A change of holder adds at most this time to the end of its leases.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The stored form of an incarnation that is over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedIncarnationRecord {
+    /// Milliseconds after which the last lease has ended that a later incarnation may hold of those meant for this one.
+    pub lease_left: u64,
+    /// Whether a later incarnation has answered since, so that `lease_left` is final.
+    #[serde(default, rename = "final", skip_serializing_if = "std::ops::Not::not")]
+    pub is_final: bool,
+}
 
 /// An incarnation of a worker that is over.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +48,8 @@
     lease_end: Duration,
     /// Whether a later incarnation has answered since, so that no order meant for this one is carried out any more.
     is_final: bool,
+    /// When its record was last taken for the store.
+    recorded_at: Duration,
 }
 
 impl EndedIncarnation {
@@ -43,28 +63,33 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndedIncarnations {
     by_id: BTreeMap<WorkerId, EndedIncarnation>,
+    /// Incarnations whose record is to be written or deleted.
+    unrecorded: BTreeSet<WorkerId>,
 }
 
 impl EndedIncarnations {
     /// Those before an incarnation of the same worker.
-    fn before(&mut self, later: &WorkerId) -> impl Iterator<Item = &mut EndedIncarnation> {
+    fn before(&mut self, later: &WorkerId) -> impl Iterator<Item = (&WorkerId, &mut EndedIncarnation)> {
         let of_name = self.by_id.range_mut::<str, _>((Bound::Included(later.name()), Bound::Unbounded));
         let of_name = of_name.take_while(|(id, _)| id.starts_with(later.name()));
-        of_name.filter(|(id, _)| later.supersedes(id)).map(|(_, ended)| ended)
+        of_name.filter(|(id, _)| later.supersedes(id))
     }
 
     /// Until when an incarnation may hold a lease that was meant for an earlier one.
     fn lease_end_before(&mut self, later: &WorkerId) -> Option<Duration> {
-        self.before(later).map(|ended| ended.lease_end).max()
+        self.before(later).map(|(_, ended)| ended.lease_end).max()
     }
 
     /// Notes that no order meant for an earlier incarnation is carried out any more, so that the last lease in one ends
     /// by `lease_end`.
     fn finalize_before(&mut self, later: &WorkerId, lease_end: Duration) {
-        for ended in self.before(later).filter(|ended| !ended.is_final) {
+        let mut changed = Vec::new();
+        for (id, ended) in self.before(later).filter(|(_, ended)| !ended.is_final) {
             ended.lease_end = ended.lease_end.max(lease_end);
             ended.is_final = true;
+            changed.push(id.clone());
         }
+        self.unrecorded.extend(changed);
     }
 }
 
@@ -85,12 +110,30 @@
         if id.started_at().is_none() {
             return;
         }
-        self.ended_incarnations.by_id.insert(id.clone(), EndedIncarnation { lease_end, is_final: false });
+        let recorded_at = self.now;
+        let ended = EndedIncarnation { lease_end, is_final: false, recorded_at };
+        self.ended_incarnations.by_id.insert(id.clone(), ended);
+        self.ended_incarnations.unrecorded.insert(id.clone());
+    }
+
+    /// Takes over an incarnation that a predecessor recorded as over.
+    pub fn restore_ended(&mut self, id: WorkerId, rec: &EndedIncarnationRecord) {
+        let recorded_at = self.now;
+        let lease_end = recorded_at + Duration::from_millis(rec.lease_left);
+        let ended = EndedIncarnation { lease_end, is_final: rec.is_final, recorded_at };
+        for later in self.workers.incarnations_of(id.name()).to_vec() {
+            if later.supersedes(&id) {
+                self.raise_lease_end(&later, lease_end);
+            }
+        }
+        self.ended_incarnations.by_id.insert(id, ended);
     }
 
     /// Forgets that an incarnation seemed to be over: it is listed.
     pub(super) fn forget_ended(&mut self, id: &WorkerId) {
-        self.ended_incarnations.by_id.remove(id);
+        if self.ended_incarnations.by_id.remove(id).is_some() {
+            self.ended_incarnations.unrecorded.insert(id.clone());
+        }
     }
 
     /// Counts the leases that an incarnation may hold of those meant for earlier ones.
@@ -113,9 +156,35 @@
         self.count_earlier_leases(id);
     }
 
-    /// Drops incarnations whose leases are over.
-    pub(super) fn drop_ended_incarnations(&mut self) {
+    /// Drops incarnations whose leases are over, and has those recorded again whose record is old.
+    pub(super) fn watch_ended_incarnations(&mut self) {
+        let now = self.now;
+        let EndedIncarnations { by_id, unrecorded } = &mut self.ended_incarnations;
+        unrecorded.extend(by_id.extract_if(.., |_, ended| ended.kept_until() < now).map(|(id, _)| id));
+        if self.store_access != StoreAccess::Answering {
+            return;
+        }
+        let is_due =
+            |ended: &EndedIncarnation| ended.lease_end > now && now >= ended.recorded_at + RECORD_INTERVAL;
+        let due = self.ended_incarnations.by_id.iter().filter(|(_, ended)| is_due(ended));
+        let due: Vec<WorkerId> =
+            due.map(|(id, _)| id).filter(|id| self.has_later_incarnation(id)).cloned().collect();
+        self.ended_incarnations.unrecorded.extend(due);
+    }
+
+    /// Takes the records of ended incarnations that are due.
+    pub(super) fn take_ended_records(&mut self) -> Vec<Record> {
         let now = self.now;
-        self.ended_incarnations.by_id.retain(|_, ended| now <= ended.kept_until());
+        let EndedIncarnations { by_id, unrecorded } = &mut self.ended_incarnations;
+        let record = |id: WorkerId| {
+            let rec = by_id.get_mut(&id).map(|ended| {
+                ended.recorded_at = now;
+                // Rounded up, so that no lease appears to end too early.
+                let lease_left = ended.lease_end.saturating_sub(now).as_millis() as u64 + 1;
+                EndedIncarnationRecord { lease_left, is_final: ended.is_final }
+            });
+            Record::EndedIncarnation(id, rec)
+        };
+        std::mem::take(unrecorded).into_iter().map(record).collect()
     }
 }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -144,6 +144,7 @@
 pub use admission::{Admission, AdmissionPolicy, Candidate, Verdict};
 pub use advice::AdvicePolicy;
 pub use config::{AdviceConfig, QueueConfig, SchedConfig, ServiceConfig};
+pub use ended_incarnations::EndedIncarnationRecord;
 pub use host::{Host, HostReply, HostState};
 pub use job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Phase, Run, Task};
 pub use maintenance_waves::{Wave, WaveRecord};
--- a/crates/workswood-core/src/jobs/owed_batch.rs
+++ b/crates/workswood-core/src/jobs/owed_batch.rs
@@ -15,6 +15,7 @@
     Job(JobKey),
     Wave(u64),
     Worker(WorkerId),
+    EndedIncarnation(WorkerId),
     HostOrderMark(HostId),
 }
 
@@ -24,6 +25,7 @@
             Record::Job(key, _) | Record::DropJob(key) => RecordKey::Job(*key),
             Record::Wave(n, _) => RecordKey::Wave(*n),
             Record::Worker(id, _) | Record::DropWorker(id) => RecordKey::Worker(id.clone()),
+            Record::EndedIncarnation(id, _) => RecordKey::EndedIncarnation(id.clone()),
             Record::HostOrderMark(host, _) => RecordKey::HostOrderMark(host.clone()),
         }
     }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -561,7 +561,7 @@
         self.ready.values_mut().for_each(|w| w.downgrade_late_steps(wall));
         self.settle_expired_leases();
         self.settle_expired_barrier();
-        self.drop_ended_incarnations();
+        self.watch_ended_incarnations();
         self.record_due_bounds();
         if self.now >= self.stuck_checked_at + STUCK_CHECK_INTERVAL {
             self.stuck_checked_at = self.now;
@@ -652,6 +652,7 @@
                     .map_or_else(|| Record::DropWorker(id.clone()), |rec| Record::Worker(id.clone(), rec)),
             );
         }
+        batch.records.extend(self.take_ended_records());
         for n in std::mem::take(&mut self.dirty_waves) {
             let Some(wave) = self.waves.get(&n) else { continue };
             batch.records.push(Record::Wave(n, wave.record.clone()));
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::config::SchedConfig;
+use super::ended_incarnations::EndedIncarnationRecord;
 use super::host::{Host, HostReply};
 use super::job::{JobRecord, JobStatus, WorkerId};
 use super::lease_bounds::ExtensionOrders;
@@ -302,6 +303,8 @@
     Worker(WorkerId, WorkerRecord),
     /// The record of one incarnation of a worker is deleted.
     DropWorker(WorkerId),
+    /// What one incarnation of a worker has left behind that is over; `None` deletes the record.
+    EndedIncarnation(WorkerId, Option<EndedIncarnationRecord>),
     /// Name of the lease holder that has ordered a host recently, or is about to; `None` deletes
     /// the mark.
     HostOrderMark(HostId, Option<String>),
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -69,6 +69,7 @@
         if let Some(latest) = self.latest_of_several(id) {
             self.supersede(&latest);
         }
+        self.count_earlier_leases(id);
     }
 
     /// The latest incarnation of the worker of `id`, if several are known.
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -157,6 +157,7 @@
             trimmed: BTreeSet::new(),
             stored_jobs: HashMap::new(),
             stored_workers: BTreeMap::new(),
+            stored_ended: BTreeMap::new(),
             done: BTreeSet::new(),
             shown_completed: HashMap::new(),
             failed_runs: HashMap::new(),
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -377,6 +377,12 @@
                 Record::DropWorker(id) => {
                     self.stored_workers.remove(id);
                 }
+                Record::EndedIncarnation(id, Some(ended)) => {
+                    self.stored_ended.insert(id.clone(), ended.clone());
+                }
+                Record::EndedIncarnation(id, None) => {
+                    self.stored_ended.remove(id);
+                }
                 // The simulation has no host orders and no waves.
                 Record::DropJob(_) | Record::Wave(..) | Record::HostOrderMark(..) => {}
             }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -32,9 +32,9 @@
 use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, OutagePolicy, Owner, QueueConfig,
-    RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo, WorkerRecord,
-    Workspace, Workspaces,
+    EndKind, EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, OutagePolicy,
+    Owner, QueueConfig, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
+    WorkerRecord, Workspace, Workspaces,
 };
 
 use workswood::ops::jobs::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
@@ -161,6 +161,7 @@
     cancelled: BTreeMap<JobKey, Duration>,
     stored_jobs: HashMap<JobKey, JobRecord>,
     stored_workers: BTreeMap<WorkerId, WorkerRecord>,
+    stored_ended: BTreeMap<WorkerId, EndedIncarnationRecord>,
     /// Tasks that some worker has run successfully.
     done: BTreeSet<TaskId>,
     /// When each job was first shown as completed.
@@ -376,6 +377,9 @@
         for (id, rec) in &self.stored_workers {
             sched.restore_worker(id.clone(), rec.clone());
         }
+        for (id, ended) in &self.stored_ended {
+            sched.restore_ended(id.clone(), ended);
+        }
         for (key, spec) in &self.jobs {
             let spec = Some(spec.clone()).filter(|_| !self.trimmed.contains(key));
             sched.restore_job(*key, spec, self.stored_jobs.get(key).cloned());
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -5,8 +5,9 @@
 //! so that one workspace can't replace what another wrote under the same job key.
 //!
 //! The state holds a job under its 16 hex digits, the progress of a wave under `wave-` and its
-//! number, an incarnation of a worker under `worker-` and its id, and the mark of a host that
-//! recently received an order under `ordered-` and its name.
+//! number, an incarnation of a worker under `worker-` and its id, what one has left behind that is
+//! over under `ended-` and its id, and the mark of a host that recently received an order under
+//! `ordered-` and its name.
 
 use std::fmt;
 
@@ -28,6 +29,8 @@
 const WAVE_PREFIX: &str = "wave-";
 /// Prefix of the key of an incarnation of a worker.
 const WORKER_PREFIX: &str = "worker-";
+/// Prefix of the key of an incarnation of a worker that is over.
+const ENDED_PREFIX: &str = "ended-";
 /// Prefix of the key of the mark of a host that recently received an order.
 const ORDERED_PREFIX: &str = "ordered-";
 
@@ -59,6 +62,8 @@
     Wave(u64),
     /// An incarnation of a worker.
     Worker(WorkerId),
+    /// An incarnation of a worker that is over.
+    EndedIncarnation(WorkerId),
     /// The mark of a host that recently received an order.
     HostOrderMark(HostId),
 }
@@ -86,6 +91,9 @@
     if let Some(id) = key.strip_prefix(WORKER_PREFIX) {
         return Some(StateKey::Worker(id.into()));
     }
+    if let Some(id) = key.strip_prefix(ENDED_PREFIX) {
+        return Some(StateKey::EndedIncarnation(id.into()));
+    }
     if let Some(host) = key.strip_prefix(ORDERED_PREFIX) {
         return Some(StateKey::HostOrderMark(host.to_string()));
     }
@@ -146,6 +154,8 @@
         Record::DropJob(job) => deletion_record(format_job_key(*job)),
         Record::Wave(n, progress) => json_record(format!("{WAVE_PREFIX}{n}"), progress),
         Record::Worker(id, worker) => json_record(format!("{WORKER_PREFIX}{id}"), worker),
+        Record::EndedIncarnation(id, Some(ended)) => json_record(format!("{ENDED_PREFIX}{id}"), ended),
+        Record::EndedIncarnation(id, None) => deletion_record(format!("{ENDED_PREFIX}{id}")),
         Record::HostOrderMark(host, Some(holder)) => json_record(format!("{ORDERED_PREFIX}{host}"), holder),
         Record::HostOrderMark(host, None) => deletion_record(format!("{ORDERED_PREFIX}{host}")),
         Record::DropWorker(id) => deletion_record(format!("{WORKER_PREFIX}{id}")),
@@ -160,6 +170,7 @@
         | Record::Wave(..)
         | Record::Worker(..)
         | Record::DropWorker(..)
+        | Record::EndedIncarnation(..)
         | Record::HostOrderMark(..) => None,
     }
 }
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -7,7 +7,9 @@
 use futures::future::try_join_all;
 use workswood_core::ids::{HostId, Offset};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Scheduler, WaveRecord, WorkerRecord};
+use workswood_core::jobs::{
+    EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, Scheduler, WaveRecord, WorkerRecord,
+};
 use workswood_platform::jobs::{Guard, KeyedRecord, LatestRecords, Partition, StoreError, Topic};
 
 use super::inbox::{self, InboxIndex};
@@ -65,6 +67,9 @@
     for (id, rec) in state.workers {
         sched.restore_worker(id, rec);
     }
+    for (id, rec) in state.ended_incarnations {
+        sched.restore_ended(id, &rec);
+    }
     for (host, holder) in state.order_marks {
         sched.restore_order_mark(host, &holder);
     }
@@ -101,6 +106,7 @@
     jobs: HashMap<JobKey, JobRecord>,
     waves: HashMap<u64, WaveRecord>,
     workers: HashMap<WorkerId, WorkerRecord>,
+    ended_incarnations: HashMap<WorkerId, EndedIncarnationRecord>,
     /// Hosts that recently received an order, each with the name of the holder that sent it.
     order_marks: Vec<(HostId, String)>,
 }
@@ -125,6 +131,11 @@
                     s.workers.insert(id, w);
                 }
             }
+            Some(StateKey::EndedIncarnation(id)) => {
+                if let Some(ended) = parse_json(&rec.key, &value) {
+                    s.ended_incarnations.insert(id, ended);
+                }
+            }
             // Records of the previous version have no name; the mark is then taken for another
             // holder's.
             Some(StateKey::HostOrderMark(host)) => {
--- a/src/workswood/ops/model/batches.rs
+++ b/src/workswood/ops/model/batches.rs
@@ -5,8 +5,8 @@
 use workswood_core::ids::HostId;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, Batch, JobKey, JobRecord, JobStatus, JobStatusUpdate, Outcome, Record, RunTracker, Scheduler,
-    WaveRecord, WorkerRecord,
+    Action, Batch, EndedIncarnationRecord, JobKey, JobRecord, JobStatus, JobStatusUpdate, Outcome, Record,
+    RunTracker, Scheduler, WaveRecord, WorkerRecord,
 };
 
 use super::event_queue::{HostOrder, ModelEvent};
@@ -20,6 +20,8 @@
     pub jobs: BTreeMap<JobKey, JobRecord>,
     /// Worker records by incarnation.
     pub workers: BTreeMap<WorkerId, WorkerRecord>,
+    /// What incarnations of workers have left behind that are over.
+    pub ended_incarnations: BTreeMap<WorkerId, EndedIncarnationRecord>,
     /// Progress of waves by number.
     pub waves: BTreeMap<u64, WaveRecord>,
     /// Lease holder that last ordered each host.
@@ -34,6 +36,8 @@
             Record::Wave(n, wave) => drop(self.waves.insert(n, wave)),
             Record::Worker(id, w) => drop(self.workers.insert(id, w)),
             Record::DropWorker(id) => drop(self.workers.remove(&id)),
+            Record::EndedIncarnation(id, Some(ended)) => drop(self.ended_incarnations.insert(id, ended)),
+            Record::EndedIncarnation(id, None) => drop(self.ended_incarnations.remove(&id)),
             Record::HostOrderMark(host, Some(holder)) => drop(self.ordered.insert(host, holder)),
             Record::HostOrderMark(host, None) => drop(self.ordered.remove(&host)),
         }
--- a/src/workswood/ops/model/faults.rs
+++ b/src/workswood/ops/model/faults.rs
@@ -38,6 +38,9 @@
         for (id, rec) in &self.stored.workers {
             s.restore_worker(id.clone(), rec.clone());
         }
+        for (id, ended) in &self.stored.ended_incarnations {
+            s.restore_ended(id.clone(), ended);
+        }
         for (host, holder) in &self.stored.ordered {
             s.restore_order_mark(host.clone(), holder);
         }
--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -102,6 +102,7 @@
     for rec in records {
         match rec {
             Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
+            Record::EndedIncarnation(id, Some(ended)) => world.sched.restore_ended(id, &ended),
             Record::Job(key, rec) => world.sched.restore_job(key, Some(one_task()), Some(rec)),
             other => panic!("{other:?}"),
         }
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -383,6 +383,10 @@
             Record::Worker(id, serde_json::from_slice(value).expect("a worker"))
         }
         (StateKey::Worker(id), None) => Record::DropWorker(id),
+        (StateKey::EndedIncarnation(id), value) => {
+            let ended = value.map(|v| serde_json::from_slice(v).expect("an incarnation that is over"));
+            Record::EndedIncarnation(id, ended)
+        }
         (StateKey::HostOrderMark(host), value) => {
             Record::HostOrderMark(host, value.map(|v| serde_json::from_slice(v).expect("a holder's name")))
         }
@@ -404,7 +408,7 @@
 #[test]
 fn scheduler_state() {
     let all = lines(SCHEDULER_STATE);
-    assert_eq!(all.len(), 13);
+    assert_eq!(all.len(), 16);
     for line in all {
         let stored = keyed(line);
         assert_eq!(state_record(&read_state(&stored)), stored, "{}", line.0);
