Placement: long-running tasks rather not on a worker that would hold them for longer if it fell silent

A worker that has just started again under its name may hold a lease meant for its former life, 10.5 s long, so a long-running task on it comes back after 8.5 s if it is cut off, where another worker gives it back after 5.4 s. Such a worker now costs a long-running task as much as one task of the same step, as one that is due for maintenance.

misdelivered_leases::lasting_task_avoids_restarted_worker failed before.

--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -28,6 +28,9 @@
 /// as one task of the same step: with more, a wave over most hosts would gather a step's tasks on the
 /// few others, where one crash takes many of them.
 const DUE_MAINTENANCE_COST: usize = SAME_STEP_COST;
+/// Cost of a worker that would hold a task for longer than others if it fell silent, for tasks that run until their job is
+/// cancelled; as much as one task of the same step.
+const LONG_LEASE_COST: usize = SAME_STEP_COST;
 /// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
 const MAX_UNREACHED_STEPS: usize = 32;
 /// Most different choices of workers that are tried in vain for the tasks of one step.
@@ -367,11 +370,15 @@
                 && w.free_resources().contains(&needed)
                 && self.meets_constraints(w, step, id)
         };
+        let ordinary_lease_end = self.now + self.lease_with_drift();
         let cost = |w: &Worker| {
             let is_due = |info: &Arc<WorkerInfo>| self.is_due_for_maintenance(&info.host);
             let is_due = step.long_running && w.info.as_ref().is_some_and(is_due);
             let (away_from_data, crowding, faults, free_cpu) = self.placement_cost(w, step, id);
-            let crowding = crowding + usize::from(is_due) * DUE_MAINTENANCE_COST;
+            let holds_long = step.long_running && w.lease_end > ordinary_lease_end;
+            let crowding = crowding
+                + usize::from(is_due) * DUE_MAINTENANCE_COST
+                + usize::from(holds_long) * LONG_LEASE_COST;
             // A start on a worker that has fallen silent holds the task until its lease ends.
             let may_be_silent = step.long_running && w.poll_overdue;
             (w.in_quarantine(self.now), may_be_silent, away_from_data, crowding, faults, free_cpu)
--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Action, Batch, Event, JobSpec, Listing, Record, Scheduler, WorkerInfo};
+use workswood_core::jobs::{Action, Batch, Event, JobSpec, Listing, Record, Scheduler, StepSpec, WorkerInfo};
 use workswood_test_support::host_world::{HostWorld, limits, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
@@ -21,7 +21,7 @@
 
 /// A life of the worker that restarts, by when it started.
 fn life(started: u64) -> WorkerInfo {
-    WorkerInfo { id: WorkerId::new("w", Some(started)), ..worker(1, 0) }
+    WorkerInfo { id: WorkerId::new("a", Some(started)), ..worker(1, 0) }
 }
 
 fn one_task() -> Arc<JobSpec> {
@@ -132,3 +132,14 @@
     world.at(CLAIMED_AT + AFTER_LEASE);
     assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
 }
+
+/// A long-running task would be held for longer by a worker that started again than by another one.
+#[test]
+fn lasting_task_avoids_restarted_worker() {
+    let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
+    let mut world = with_former_life();
+    list_other_worker(&mut world);
+    restart(&mut world);
+    world.sched.handle(Event::Submitted(JOB, Arc::new(job(vec![lasting], 0))));
+    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 1)]);
+}
