--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -59,6 +59,7 @@
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
 //!   tasks a new lease holder holds back because its predecessor may have started them so; [`owed_batch`] merges the batches that wait.
+//! * `inherited_state` takes over what predecessors recorded.
 //! * `lease_bounds` records when the leases of workers end that don't answer, for the next lease holder.
 //! * [`policy`] holds the parameters of the decisions.
 //! * [`pool_need`] computes how many hosts each pool needs, from the [`demand_history`];
@@ -93,6 +94,7 @@
 pub mod fair_share;
 pub mod host;
 pub mod incarnation_check;
+mod inherited_state;
 pub mod job;
 mod job_end;
 pub mod job_table;
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -13,7 +13,7 @@
 use super::ended_incarnations::EndedIncarnations;
 use super::fair_share::SubmissionRates;
 use super::host::Host;
-use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Task, WorkerId};
+use super::job::{FinishedJobRecord, Job, JobRecord, Task, WorkerId};
 use super::job_table::{ArchivedJob, JobTable};
 use super::lease_claim::EntryCapacity;
 use super::log_lines::LogLines;
@@ -33,7 +33,7 @@
 use super::takeover_barrier::TakeoverBarrier;
 use super::task_queue::TaskQueue;
 use super::types::{Action, Batch, Event, JobStatusUpdate, Limits, Record, lease_with_drift};
-use super::worker::{Worker, WorkerInfo, WorkerRecord};
+use super::worker::{WorkerInfo, WorkerRecord};
 use super::worker_table::WorkerTable;
 use super::workspace::Owner;
 use crate::ids::{DataCentre, HostId, ServiceId, Term, UnixMs};
@@ -41,9 +41,6 @@
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
 /// The check visits every run.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time that workers have after a takeover for a first answer, before their runs count as lapsed. A worker
-/// with a bound on record needs none: its lease was not extended since.
-const FIRST_ANSWER_TIME: Duration = Duration::from_secs(2);
 
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
@@ -135,11 +132,11 @@
     /// Workers whose record changed since the last batch.
     pub(super) dirty_workers: BTreeSet<WorkerId>,
     /// States of jobs to show to callers with the next batch, besides those of `dirty_jobs`.
-    status_updates: Vec<JobStatusUpdate>,
+    pub(super) status_updates: Vec<JobStatusUpdate>,
     /// Jobs that ended and no longer run anywhere, since the last batch.
-    finished_jobs: Vec<JobKey>,
+    pub(super) finished_jobs: Vec<JobKey>,
     /// Jobs forgotten since the last batch.
-    forgotten_jobs: Vec<(JobKey, QueueId, Owner)>,
+    pub(super) forgotten_jobs: Vec<(JobKey, QueueId, Owner)>,
     /// Hosts whose workers are cordoned.
     pub(super) cordoned_hosts: BTreeSet<HostId>,
     /// When stuck runs were last looked for.
@@ -255,30 +252,6 @@
         }
     }
 
-    /// Takes over a worker that a predecessor recorded.
-    pub fn restore_worker(&mut self, id: WorkerId, rec: WorkerRecord) {
-        let (open, lease_left, superseded) = (rec.open, rec.lease_left, rec.superseded);
-        let info = WorkerInfo::from_record(id.clone(), rec);
-        let now = self.now;
-        let superseded_lease_end =
-            lease_left.filter(|_| superseded).map(|ms| now + Duration::from_millis(ms));
-        // What a later incarnation may have taken lasts longer than what predecessors extend.
-        let lease_end = superseded_lease_end.unwrap_or_else(|| self.restored_lease_end(lease_left));
-        let since = self.claimed_at;
-        let mut w = self.workers.get_or_insert_with(&id, || Worker::new(lease_end, since));
-        w.info = Some(Arc::new(info));
-        (w.open_written, w.open_on_record) = (open, open);
-        if lease_left.is_some() {
-            w.extensions.restore_bound();
-            w.superseded_lease_end = superseded_lease_end;
-        }
-        drop(w);
-        self.hold_back_for(&id, open);
-        // A probe of its address shows whether that incarnation has ended.
-        self.request_relay(&id);
-        self.restore_latest_incarnation(&id);
-    }
-
     /// Returns the record of a worker for the next batch; `None` if there is none any more.
     fn take_worker_record(&mut self, id: &WorkerId) -> Option<WorkerRecord> {
         let (open, lease_left) = (self.take_open(id), self.take_lease_left(id));
@@ -290,95 +263,6 @@
         Some(WorkerRecord { open, lease_left, superseded, service, ..record })
     }
 
-    /// Takes over a job from the inbox with the state that a predecessor recorded. Of a finished
-    /// job only the state is stored.
-    pub fn restore_job(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
-        let final_record = rec.as_ref().and_then(|rec| rec.outcome.zip(rec.over.clone()));
-        match (spec, final_record) {
-            (spec, Some((outcome, record))) => {
-                self.restore_archived_job(key, outcome, record, spec.is_some())
-            }
-            (Some(spec), None) => self.restore_unarchived_job(key, spec, rec),
-            // The record remains from a job that was being forgotten.
-            (None, None) => self.forgotten_jobs.push((key, QueueId::new(), Owner::PUBLIC)),
-        }
-    }
-
-    fn restore_unarchived_job(&mut self, key: JobKey, spec: Arc<JobSpec>, rec: Option<JobRecord>) {
-        let now = self.now;
-        let fits = rec.as_ref().is_none_or(|rec| rec.matches_spec(&spec));
-        let recorded = rec.is_some();
-        let mut job = match rec {
-            Some(rec) if fits => Job::restore(key, spec, rec, now),
-            _ => Job::new(key, spec),
-        };
-        if !fits {
-            // The job was submitted again with different steps. What was begun does not match them
-            // and must not be started again.
-            self.notes.push(format_args!("event=job_changed job={key:016x} outcome=Failed"));
-            job.outcome = Some(Outcome::Failed);
-            job.ended_at = now;
-        }
-        if recorded {
-            self.barrier.note_recorded_job(&job);
-        }
-        job.max_cpu_millis = self.config.workspaces.limit(job.spec.owner()).cpu_millis;
-        self.second_runs.track(key, &job.spec);
-        if job.has_crashes() {
-            self.suspect_inherited(&mut job);
-            self.review_inherited(&mut job);
-            self.counted_lives.note_job(&job);
-        }
-        self.inherit_absences(&job);
-        let bound = self.inherited_lease_end();
-        let mut workers = BTreeSet::new();
-        for id in job.task_ids() {
-            let Some(task) = job.task(&id) else { continue };
-            for run in &task.runs {
-                let since = self.claimed_at;
-                let mut w = self.workers.get_or_insert_with(&run.worker, || Worker::new(bound, since));
-                if let Some(step) = job.step(&id) {
-                    w.add_run(id, run.attempt, job.spec.reservation(step));
-                    w.note_task_kind(&id, step);
-                }
-                workers.insert(run.worker.clone());
-            }
-        }
-        self.jobs.insert(job);
-        workers.iter().for_each(|id| self.keep_latest_incarnation(id));
-        self.track_advised_job(key);
-        self.open_due_rounds(key);
-        self.queue_job(key);
-        self.dirty_jobs.insert(key);
-    }
-
-    fn restore_archived_job(
-        &mut self,
-        key: JobKey,
-        outcome: Outcome,
-        record: FinishedJobRecord,
-        in_inbox: bool,
-    ) {
-        let (queue, owner, state) = (record.queue.clone(), record.owner, Some(JobStatus::Ended(outcome)));
-        self.jobs.archive(key, ArchivedJob { outcome, record }, self.now);
-        self.status_updates.push(JobStatusUpdate { key, queue, owner, state, repeats: false });
-        if in_inbox {
-            self.finished_jobs.push(key);
-        }
-    }
-
-    /// Returns until when holders of earlier terms may extend workers' leases.
-    pub fn predecessors_extend_until(&self) -> Duration {
-        self.predecessors_extend_until.unwrap_or(self.claimed_at + self.limits.extension_grace)
-    }
-
-    /// Returns when the last lease that a predecessor may have extended ends, and workers have had time to
-    /// tell what ended there.
-    pub(super) fn inherited_lease_end(&self) -> Duration {
-        let lease_end = self.predecessors_extend_until() + self.lease_with_drift();
-        lease_end.max(self.claimed_at + FIRST_ANSWER_TIME)
-    }
-
     /// The longest real time that a worker's lease may last, with clock drift.
     pub fn lease_with_drift(&self) -> Duration {
         lease_with_drift(self.limits.lease, self.limits.clock_drift)
