--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod fleet_files;
 mod fold_rules;
 mod foreign_entries;
+mod former_lives;
 mod holder_help;
 mod inbox_appends;
 mod inbox_progress;
