--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -234,7 +234,7 @@
     assert_starts_between(&mut world, ENDS_AT + grace + IN_LEASE, ENDS_AT + grace + AFTER_LEASE);
 }
 
-/// A holder that takes over from records, the newest last.
+/// A holder that takes over from these records.
 fn successor(claimed_at: u64, records: &[Record]) -> HostWorld {
     let mut world = HostWorld::new(0);
     let config = world.sched.config.clone();
@@ -242,7 +242,10 @@
     world.at(claimed_at);
     world.sched.predecessors_extend_until = Some(ms(claimed_at));
     world.sched.handle(Event::ConfigChanged(config));
-    for rec in records.iter().cloned() {
+    // Jobs come last, as after a claim.
+    let (jobs, workers): (Vec<_>, Vec<_>) =
+        records.iter().cloned().partition(|rec| matches!(rec, Record::Job(..)));
+    for rec in workers.into_iter().chain(jobs) {
         match rec {
             Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
             Record::EndedIncarnation(id, Some(ended)) => world.sched.restore_ended(id, &ended),
