--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -256,14 +256,19 @@
     world
 }
 
-/// What the store has once these batches are stored.
-fn stored<'a>(batches: impl IntoIterator<Item = &'a Batch>) -> Vec<Record> {
+/// The records of batches that have waited for the store.
+fn merged<'a>(batches: impl IntoIterator<Item = &'a Batch>) -> Batch {
     let mut owed = OwedBatch::default();
     for batch in batches {
         owed.add(Batch { records: batch.records.clone(), ..Batch::default() });
     }
+    owed.into_batch()
+}
+
+/// What the store has once these batches are stored.
+fn stored<'a>(batches: impl IntoIterator<Item = &'a Batch>) -> Vec<Record> {
     let kept = |rec: &Record| !matches!(rec, Record::DropWorker(_) | Record::EndedIncarnation(_, None));
-    owed.into_batch().records.into_iter().filter(kept).collect()
+    merged(batches).records.into_iter().filter(kept).collect()
 }
 
 /// The later life runs the task after a restart at [`ENDS_AT`]; returns what is stored then.
@@ -342,8 +347,9 @@
         world.at(at);
         assert_eq!(ended_records(&decide(&mut world)), [], "at {at} ms");
     }
-    let owed = stored([&first, &second]);
-    let left: Vec<_> = ended_records(&Batch { records: owed, ..Batch::default() });
+    let owed = merged([&first, &second]);
+    assert!(owed.records.iter().any(|rec| matches!(rec, Record::DropWorker(id) if *id == life(10).id)));
+    let left = ended_records(&owed);
     let [(id, Some(rec))] = &left[..] else { panic!("{left:?}") };
     assert!(*id == life(10).id && rec.is_final && rec.lease_left > IN_LEASE, "{rec:?}");
     world.sched.set_store_access(StoreAccess::Answering);
