TWICE: a poll that is sent again gives the next life of a worker no lease

A poll without an answer was sent again with the lease and the acknowledgement of the first: by the relay after the first was late, and by the HTTP client over a new connection. A worker that has started again under its id meanwhile takes the copy for its own: it reads the lease on a clock that has started anew, holds the longest one that the platform accepts, and may forget ends by numbers of the former life.

An answer to such a copy confirms no lease and no acknowledgement, so both go out again with the next poll. Other workers refuse what is meant for another life and are polled as before (unanswered_leases).

--- a/crates/workswood-core/src/jobs/worker.rs
+++ b/crates/workswood-core/src/jobs/worker.rs
@@ -190,6 +190,8 @@
     pub ended: Vec<ReportedEnd>,
     /// Which ends `ended` holds.
     pub coverage: EndCoverage,
+    /// Whether it may answer a copy of the poll, which extends no lease.
+    pub answers_copy: bool,
 }
 
 /// When a listing was asked for, made and received.
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -204,7 +204,8 @@
         let listed = self.ended.len().min(self.limits.listed_ends);
         let coverage =
             if listed < self.limits.listed_ends { EndCoverage::All } else { EndCoverage::Earliest };
-        Listing { made_at: now, running: running.collect(), ended: self.ended[..listed].to_vec(), coverage }
+        let (running, ended) = (running.collect(), self.ended[..listed].to_vec());
+        Listing { made_at: now, running, ended, coverage, answers_copy: false }
     }
 }
 
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -64,6 +64,10 @@
     last_lease_end: Mutex<WorkerClock>,
     /// Whether no look is answered.
     silent: Mutex<bool>,
+    /// What each look acknowledged, 0 for nothing.
+    acks: Mutex<Vec<u64>>,
+    /// Whether answers to looks are to copies of them.
+    copies: Mutex<bool>,
     /// Lease ends that looks carried since then, and that starts carried.
     unanswered_leases: Mutex<Vec<Option<WorkerClock>>>,
     /// Starts and stops in the order in which they were sent.
@@ -110,6 +114,8 @@
             leases: Mutex::default(),
             last_lease_end: Mutex::default(),
             silent: Mutex::default(),
+            acks: Mutex::default(),
+            copies: Mutex::default(),
             unanswered_leases: Mutex::default(),
             sent: Mutex::default(),
             order_wait: Mutex::default(),
@@ -208,6 +214,16 @@
         *self.silent.lock() = true;
     }
 
+    /// What the looks acknowledged so far, 0 for nothing.
+    pub fn acks(&self) -> Vec<u64> {
+        self.acks.lock().clone()
+    }
+
+    /// From now on each look is lost, and a copy of it is answered.
+    pub fn answers_copies(&self) {
+        *self.copies.lock() = true;
+    }
+
     /// Lease ends of the looks that were not answered since, and of starts, in the order in which they were sent.
     pub fn unanswered_leases(&self) -> Vec<Option<WorkerClock>> {
         self.unanswered_leases.lock().clone()
@@ -367,10 +383,11 @@
         &'a self,
         _: &'a WorkerAddress,
         _: Term,
-        _: u64,
+        last_seen: u64,
         lease_end: Option<WorkerClock>,
         wait: Duration,
     ) -> BoxFuture<'a, Result<Listing, WorkerError>> {
+        self.acks.lock().push(last_seen);
         if let Some(end) = lease_end {
             *self.leases.lock() += 1;
             *self.last_lease_end.lock() = end;
@@ -380,7 +397,7 @@
             *looks += 1;
             *looks
         };
-        let silent = *self.silent.lock();
+        let (silent, answers_copy) = (*self.silent.lock(), *self.copies.lock());
         if silent {
             self.unanswered_leases.lock().push(lease_end);
         }
@@ -390,7 +407,7 @@
                 return Err(WorkerError::NoAnswer);
             }
             tokio::time::sleep(wait.min(BUSY)).await;
-            Ok(busy(n))
+            Ok(Listing { answers_copy, ..busy(n) })
         }
         .boxed()
     }
--- a/src/workswood/ops/jobs/relay/poll.rs
+++ b/src/workswood/ops/jobs/relay/poll.rs
@@ -77,8 +77,8 @@
 enum PollLease {
     /// A full lease from now.
     Full,
-    /// The same as the poll before, which seems to be lost. A later one would hold up the tasks of a worker that
-    /// has fallen silent for as long as the first poll was waited for.
+    /// The same as the poll before, which seems to be lost, or none. A later one would hold up the tasks of a worker
+    /// that has fallen silent for as long as the first poll was waited for.
     Repeated,
 }
 
@@ -195,9 +195,11 @@
         (self.may_extend_lease() && self.worker.may_lease_until(until)).then_some(lease_end)
     }
 
-    /// End of the lease that the latest poll carried; `None` if it may not be sent again.
+    /// End of the lease that the latest poll carried; `None` if it may not be sent again. A worker that keeps its name
+    /// may have started again since, and would read it on another clock.
     fn repeated_lease(&self) -> Option<LeaseEnd> {
-        self.sent_lease.filter(|_| self.may_extend_lease() && self.worker.may_repeat_lease())
+        let keeps_name = self.worker.address.id.started_at().is_some();
+        self.sent_lease.filter(|_| !keeps_name && self.may_extend_lease() && self.worker.may_repeat_lease())
     }
 
     /// Highest number of an end to acknowledge with a poll that is sent now; 0 if there is none,
@@ -262,11 +264,12 @@
         let PollReply { sent, acked_end, leased_until, lease_end, listing } = reply;
         let now = self.now();
         self.last_answered = Some(sent);
-        self.acked_end = self.acked_end.max(acked_end);
         self.late_timeout.record(now - started);
         self.worker.record_poll_answer(listing.made_at, sent, now);
-        if let Some(end) = lease_end {
-            self.worker.confirm_lease(end);
+        // The poll itself may be lost.
+        if !listing.answers_copy {
+            self.acked_end = self.acked_end.max(acked_end);
+            lease_end.into_iter().for_each(|end| self.worker.confirm_lease(end));
         }
         let last_end = listing.ended.iter().map(|e| e.sequence_number).max().unwrap_or(0);
         if listing.coverage == EndCoverage::Earliest {
--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -1,16 +1,24 @@
 //! What was meant for a former life of a worker and reaches the later one breaks no rule.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use workswood::ops::jobs::relay::messages::WorkerOrder;
+use workswood_adapter::{Addresses, PlatformClient};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::owed_batch::OwedBatch;
 use workswood_core::jobs::{
     Action, Batch, EndKind, EndedIncarnationRecord, Event, Host, HostReply, HostState, JobSpec, Listing,
-    Record, ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerInfo, WorkerUpdate,
+    Record, ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
 };
+use workswood_platform::jobs::JobPlatform;
 use workswood_test_support::host_world::{HostWorld, host, limits, listed, wave, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
+use workswood_test_support::relay_site::RelaySite;
+use workswood_test_support::turn_store::TurnStore;
 
 /// Number of the only job.
 const JOB: u64 = 1;
@@ -408,3 +416,120 @@
     }
     assert!(world.sched.jobs.get(&JOB).is_some_and(|j| j.is_open()), "a refusal is no failure");
 }
+
+/// When the worker has started, as its id tells.
+const STARTED: u64 = 1_000;
+
+/// A relay that has polled a life of a worker which may return under its name.
+async fn relay_of_life() -> (RelaySite, Arc<TurnStore>) {
+    let store = Arc::new(TurnStore::new(ms(4), &[]));
+    let relay = RelaySite::new(store.clone(), "10.0.0.1:80", Some(STARTED)).await;
+    (relay, store)
+}
+
+/// The events of a silence: how often a confirmed lease was reported before it.
+async fn confirmed_before_silence(relay: &mut RelaySite) -> usize {
+    let confirmed = Cell::new(0);
+    let silence = |ev: &Event| match ev {
+        Event::WorkerUpdate(_, _, WorkerUpdate::LeaseConfirmed(_)) => {
+            confirmed.set(confirmed.get() + 1);
+            None
+        }
+        Event::WorkerUpdate(_, _, WorkerUpdate::Unanswered { .. }) => Some(()),
+        _ => None,
+    };
+    relay.event(silence).await;
+    confirmed.get()
+}
+
+/// TWICE: a poll that is sent again, since the worker has restarted, gives the later life a lease.
+#[tokio::test(start_paused = true)]
+async fn second_poll_extends_the_later_life() {
+    let (mut relay, store) = relay_of_life().await;
+    store.falls_silent();
+    confirmed_before_silence(&mut relay).await;
+    let leases = store.unanswered_leases();
+    assert!(matches!(leases[..], [Some(_), None]), "{leases:?}");
+}
+
+/// A run that lapsed counts as a crash: a lease is taken for confirmed that only a lost poll has carried.
+#[tokio::test(start_paused = true)]
+async fn answer_to_a_copy_confirms_no_lease() {
+    for copies in [false, true] {
+        let (mut relay, store) = relay_of_life().await;
+        if copies {
+            store.answers_copies();
+        }
+        let extended = store.leases() + 3;
+        while store.leases() < extended {
+            tokio::time::sleep(ms(10)).await;
+        }
+        store.falls_silent();
+        let confirmed = confirmed_before_silence(&mut relay).await;
+        assert_eq!(confirmed > 0, !copies, "{confirmed} confirmed leases");
+    }
+}
+
+/// A worker lists ends for ever: an acknowledgement is taken for received that only a lost poll has carried.
+#[tokio::test(start_paused = true)]
+async fn answer_to_a_copy_acknowledges_nothing() {
+    for copies in [false, true] {
+        let (mut relay, store) = relay_of_life().await;
+        if copies {
+            store.answers_copies();
+        }
+        relay.order(WorkerOrder::AckEnds(5));
+        let sent = store.acks().len();
+        // Fewer looks than until the next one that is lost.
+        while store.acks().len() < sent + 5 {
+            tokio::time::sleep(ms(10)).await;
+        }
+        let acks = store.acks().into_iter().filter(|end| *end == 5).count();
+        assert_eq!(acks > 1, copies, "{:?}", store.acks());
+        assert!(acks > 0);
+    }
+}
+
+/// Reads one request from a connection; returns its body.
+async fn read_body(conn: &mut TcpStream) -> serde_json::Value {
+    let mut text = Vec::new();
+    loop {
+        assert_ne!(conn.read_buf(&mut text).await.expect("a request"), 0, "the request is whole");
+        let read = String::from_utf8_lossy(&text);
+        if let Some((_, body)) = read.split_once("\r\n\r\n")
+            && let Ok(body) = serde_json::from_str(body)
+        {
+            return body;
+        }
+    }
+}
+
+/// TWICE, LOST: the copy of a poll without an answer gives the later life a lease, or has it forget ends.
+#[tokio::test]
+async fn copy_of_a_poll_reaches_the_later_life() {
+    let nowhere = "127.0.0.1:1".to_string();
+    let client = PlatformClient::new(Addresses { store: nowhere.clone(), machines: nowhere, adviser: None });
+    for wait in [Duration::ZERO, ms(50)] {
+        let worker = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = WorkerAddress {
+            id: WorkerId::new("w", Some(STARTED)),
+            address: worker.local_addr().expect("an address").to_string(),
+            data_centre: "north".to_string(),
+        };
+        let answers = async {
+            let (mut first, _) = worker.accept().await.expect("the poll");
+            let poll = read_body(&mut first).await;
+            let (mut second, _) = worker.accept().await.expect("its copy");
+            let copy = read_body(&mut second).await;
+            let body = format!(r#"{{"clock_ms":5,"born":{STARTED}}}"#);
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+            second.write_all(answer.as_bytes()).await.expect("it is read");
+            (poll, copy)
+        };
+        let polled = client.poll_worker(&address, 7, 5, Some(ms(9_000)), wait);
+        let (listing, (poll, copy)) = tokio::join!(polled, answers);
+        assert!(listing.expect("the copy is answered").answers_copy);
+        assert_eq!((&poll["deadline_ms"], &poll["last_seen"]), (&9_000.into(), &5.into()));
+        assert_eq!((&copy["deadline_ms"], &copy["last_seen"]), (&serde_json::Value::Null, &0.into()));
+    }
+}
