--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -143,3 +143,114 @@
     world.sched.handle(Event::Submitted(JOB, Arc::new(job(vec![lasting], 0))));
     assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 1)]);
 }
+
+/// When the later life first answers, long after the former one is known to be over, in milliseconds.
+const LATE_ANSWER_AT: u64 = 9_000;
+
+/// The former life has gone without runs; the later one has answered late and been given the task.
+fn with_late_answer() -> (HostWorld, Batch) {
+    let mut world = with_former_life();
+    world.at(RESTARTED_AT);
+    world.sched.handle(Event::WorkerUnlisted(life(10).id));
+    world.sched.take_batch();
+    world.at(LATE_ANSWER_AT);
+    world.sched.handle(Event::WorkerListed(life(20)));
+    world.answers(&life(20).id, Listing::default());
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let batch = decide(&mut world);
+    assert_eq!(starts(&batch), [(life(20).id, 1)]);
+    (world, batch)
+}
+
+/// TWICE: the later life takes a lease meant for the former one until it first answers, however late that is.
+#[test]
+fn lease_counts_from_the_first_answer() {
+    let (mut world, batch) = with_late_answer();
+    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+    world.taken(&life(20).id, run.task, run.attempt);
+    list_other_worker(&mut world);
+    world.at(LATE_ANSWER_AT + 900);
+    let lease_end = Duration::from_millis(LATE_ANSWER_AT + 5_900);
+    world.tells_silence(&life(20).id, lease_end, Duration::from_millis(LATE_ANSWER_AT));
+    for at in [12_000, 16_000, LATE_ANSWER_AT + 10_400] {
+        world.at(at);
+        assert_eq!(starts(&decide(&mut world)), [], "the later life runs it at {at} ms");
+    }
+    world.at(LATE_ANSWER_AT + 10_600);
+    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
+}
+
+/// TWICE: the record of a former life tells of a lease that the later one took just before it first answered.
+#[test]
+fn record_counts_from_the_first_answer() {
+    let (_, batch) = with_late_answer();
+    let recorded = batch.records.iter().find_map(|rec| match rec {
+        Record::EndedIncarnation(id, Some(ended)) if *id == life(10).id => Some(ended),
+        _ => None,
+    });
+    let ended = recorded.expect("it is on record with the start");
+    assert!(ended.is_final && ended.lease_left >= 10_500, "{ended:?}");
+}
+
+/// What the newest record of an incarnation in some batches tells is left; `None` if none has one.
+fn last_left(batches: &[Batch], id: &WorkerId) -> Option<u64> {
+    let records = batches.iter().flat_map(|b| &b.records);
+    let left = records.filter_map(|rec| match rec {
+        Record::EndedIncarnation(other, Some(ended)) if other == id => Some(ended.lease_left),
+        _ => None,
+    });
+    left.last()
+}
+
+/// A successor waits for what is left, not for the longest lease from its own reading on.
+#[test]
+fn record_is_kept_up_to_date() {
+    let mut world = with_former_life();
+    restart(&mut world);
+    let mut batches = vec![decide(&mut world)];
+    for at in (300..8_000).step_by(150) {
+        world.at(at);
+        batches.push(decide(&mut world));
+    }
+    let left = last_left(&batches, &life(10).id);
+    assert!(left.is_some_and(|ms| ms <= 10_600 - 7_950 + 1_150), "{left:?}");
+}
+
+/// The record goes once no lease is left.
+#[test]
+fn record_is_deleted() {
+    let mut world = with_former_life();
+    restart(&mut world);
+    decide(&mut world);
+    world.at(AFTER_LEASE);
+    let batch = decide(&mut world);
+    let is_deletion = |rec: &Record| matches!(rec, Record::EndedIncarnation(id, None) if *id == life(10).id);
+    assert!(batch.records.iter().any(is_deletion), "{:?}", batch.records);
+}
+
+/// TWICE: of three lives in a row the last one has a lease that was meant for the first or the second.
+#[test]
+fn third_life_counts_the_leases_of_both() {
+    let mut world = with_former_life();
+    restart(&mut world);
+    decide(&mut world);
+    let again = 3_000;
+    world.at(again);
+    world.sched.handle(Event::WorkerRestarted(life(20).id, 30, Duration::from_millis(2_000)));
+    world.sched.handle(Event::WorkerListed(life(30)));
+    world.answers(&life(30).id, Listing::default());
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let batch = decide(&mut world);
+    assert_eq!(starts(&batch), [(life(30).id, 1)]);
+    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+    world.taken(&life(30).id, run.task, run.attempt);
+    list_other_worker(&mut world);
+    world.at(again + 900);
+    world.tells_silence(&life(30).id, Duration::from_millis(again + 5_900), Duration::from_millis(again));
+    for at in [10_000, again + 10_400] {
+        world.at(at);
+        assert_eq!(starts(&decide(&mut world)), [], "the third life runs it at {at} ms");
+    }
+    world.at(again + 10_600);
+    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
+}
