--- a/crates/workswood-core/src/jobs/ended_incarnations.rs
+++ b/crates/workswood-core/src/jobs/ended_incarnations.rs
@@ -28,8 +28,11 @@
 
 /// Longest time from the sending of an order that has no answer until a worker carries it out.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
-/// Interval between two records of one incarnation. A change of holder adds at most this time to the end of its leases.
+/// Interval between two records of one incarnation. A change of holder adds at most this time, and the time without a
+/// holder, to the end of its leases.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+/// Most records that are written again in one batch.
+const MAX_REFRESHED_RECORDS: usize = 200;
 
 /// The stored form of an incarnation that is over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -111,15 +114,17 @@
             return;
         }
         let recorded_at = self.now;
-        let ended = EndedIncarnation { lease_end, is_final: false, recorded_at };
+        let known = self.ended_incarnations.by_id.get(id).map_or(Duration::ZERO, |ended| ended.lease_end);
+        let ended = EndedIncarnation { lease_end: lease_end.max(known), is_final: false, recorded_at };
         self.ended_incarnations.by_id.insert(id.clone(), ended);
         self.ended_incarnations.unrecorded.insert(id.clone());
     }
 
     /// Takes over an incarnation that a predecessor recorded as over.
     pub fn restore_ended(&mut self, id: WorkerId, rec: &EndedIncarnationRecord) {
-        let recorded_at = self.now;
-        let lease_end = recorded_at + Duration::from_millis(rec.lease_left);
+        let lease_end = self.now + Duration::from_millis(rec.lease_left);
+        // Recorded again at once, so that terms that are shorter than the interval don't add up.
+        let recorded_at = self.now.saturating_sub(RECORD_INTERVAL);
         let ended = EndedIncarnation { lease_end, is_final: rec.is_final, recorded_at };
         for later in self.workers.incarnations_of(id.name()).to_vec() {
             if later.supersedes(&id) {
@@ -160,15 +165,26 @@
     pub(super) fn watch_ended_incarnations(&mut self) {
         let now = self.now;
         let EndedIncarnations { by_id, unrecorded } = &mut self.ended_incarnations;
-        unrecorded.extend(by_id.extract_if(.., |_, ended| ended.kept_until() < now).map(|(id, _)| id));
+        by_id.retain(|id, ended| {
+            let kept = now <= ended.kept_until();
+            if !kept {
+                unrecorded.insert(id.clone());
+            }
+            kept
+        });
+        self.refresh_ended_records(RECORD_INTERVAL);
+    }
+
+    /// Has incarnations recorded again that were not recorded for this long and of which a later one is known.
+    pub(super) fn refresh_ended_records(&mut self, interval: Duration) {
         if self.store_access != StoreAccess::Answering {
             return;
         }
-        let is_due =
-            |ended: &EndedIncarnation| ended.lease_end > now && now >= ended.recorded_at + RECORD_INTERVAL;
+        let now = self.now;
+        let is_due = |ended: &EndedIncarnation| ended.lease_end > now && now >= ended.recorded_at + interval;
         let due = self.ended_incarnations.by_id.iter().filter(|(_, ended)| is_due(ended));
-        let due: Vec<WorkerId> =
-            due.map(|(id, _)| id).filter(|id| self.has_later_incarnation(id)).cloned().collect();
+        let due = due.map(|(id, _)| id).filter(|id| self.has_later_incarnation(id));
+        let due: Vec<WorkerId> = due.take(MAX_REFRESHED_RECORDS).cloned().collect();
         self.ended_incarnations.unrecorded.extend(due);
     }
 
--- a/crates/workswood-core/src/jobs/lease_bounds.rs
+++ b/crates/workswood-core/src/jobs/lease_bounds.rs
@@ -186,6 +186,7 @@
     /// be released.
     pub fn record_last_bounds(&mut self) {
         self.record_bounds(Duration::ZERO);
+        self.refresh_ended_records(Duration::ZERO);
     }
 
     /// Has bounds recorded that were not recorded for this long.
--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -99,7 +99,10 @@
     world.at(CLAIMED_AT);
     world.sched.predecessors_extend_until = Some(Duration::from_millis(CLAIMED_AT));
     world.sched.handle(Event::ConfigChanged(config));
-    for rec in records {
+    // Workers come first, as in the product.
+    let (jobs, workers): (Vec<Record>, Vec<Record>) =
+        records.into_iter().partition(|rec| matches!(rec, Record::Job(..)));
+    for rec in workers.into_iter().chain(jobs) {
         match rec {
             Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
             Record::EndedIncarnation(id, Some(ended)) => world.sched.restore_ended(id, &ended),
@@ -147,13 +150,17 @@
 /// When the later life first answers, long after the former one is known to be over, in milliseconds.
 const LATE_ANSWER_AT: u64 = 9_000;
 
+/// The same, once no lease is left that was taken in time, but before orders are carried out no more.
+const LATEST_ANSWER_AT: u64 = 15_000;
+
 /// The former life has gone without runs; the later one has answered late and been given the task.
-fn with_late_answer() -> (HostWorld, Batch) {
+fn with_late_answer(answer_at: u64) -> (HostWorld, Batch) {
     let mut world = with_former_life();
     world.at(RESTARTED_AT);
     world.sched.handle(Event::WorkerUnlisted(life(10).id));
     world.sched.take_batch();
-    world.at(LATE_ANSWER_AT);
+    world.at(answer_at);
+    decide(&mut world);
     world.sched.handle(Event::WorkerListed(life(20)));
     world.answers(&life(20).id, Listing::default());
     world.sched.handle(Event::Submitted(JOB, one_task()));
@@ -165,25 +172,27 @@
 /// TWICE: the later life takes a lease meant for the former one until it first answers, however late that is.
 #[test]
 fn lease_counts_from_the_first_answer() {
-    let (mut world, batch) = with_late_answer();
-    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
-    world.taken(&life(20).id, run.task, run.attempt);
-    list_other_worker(&mut world);
-    world.at(LATE_ANSWER_AT + 900);
-    let lease_end = Duration::from_millis(LATE_ANSWER_AT + 5_900);
-    world.tells_silence(&life(20).id, lease_end, Duration::from_millis(LATE_ANSWER_AT));
-    for at in [12_000, 16_000, LATE_ANSWER_AT + 10_400] {
-        world.at(at);
-        assert_eq!(starts(&decide(&mut world)), [], "the later life runs it at {at} ms");
+    for answer_at in [LATE_ANSWER_AT, LATEST_ANSWER_AT] {
+        let (mut world, batch) = with_late_answer(answer_at);
+        let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+        world.taken(&life(20).id, run.task, run.attempt);
+        list_other_worker(&mut world);
+        world.at(answer_at + 900);
+        let lease_end = Duration::from_millis(answer_at + 5_900);
+        world.tells_silence(&life(20).id, lease_end, Duration::from_millis(answer_at));
+        for at in [answer_at + 3_000, answer_at + 7_000, answer_at + 10_400] {
+            world.at(at);
+            assert_eq!(starts(&decide(&mut world)), [], "the later life runs it at {at} ms");
+        }
+        world.at(answer_at + 10_600);
+        assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
     }
-    world.at(LATE_ANSWER_AT + 10_600);
-    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
 }
 
 /// TWICE: the record of a former life tells of a lease that the later one took just before it first answered.
 #[test]
 fn record_counts_from_the_first_answer() {
-    let (_, batch) = with_late_answer();
+    let (_, batch) = with_late_answer(LATE_ANSWER_AT);
     let recorded = batch.records.iter().find_map(|rec| match rec {
         Record::EndedIncarnation(id, Some(ended)) if *id == life(10).id => Some(ended),
         _ => None,
@@ -192,6 +201,17 @@
     assert!(ended.is_final && ended.lease_left >= 10_500, "{ended:?}");
 }
 
+/// A successor in a short term records again what is left.
+#[test]
+fn short_term_records_what_is_left() {
+    let mut world = with_former_life();
+    restart(&mut world);
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let mut world = successor(records_of_holder(&mut world));
+    let batch = decide(&mut world);
+    assert!(last_left(&[batch], &life(10).id).is_some());
+}
+
 /// What the newest record of an incarnation in some batches tells is left; `None` if none has one.
 fn last_left(batches: &[Batch], id: &WorkerId) -> Option<u64> {
     let records = batches.iter().flat_map(|b| &b.records);
