TWICE: a start for a former life without an answer is waited for until no worker carries it out any more

Its lease was counted for 10.5 s from when it was known; an order without an answer may be carried out up to 12 s after its sending, by a life that has not answered yet, and the run then lasts for the longest lease. Only runs whose start had no answer wait for that, and only while the later life has not answered.

misdelivered_leases::late_start_for_a_former_life_is_waited_for failed before ("the later life may run it at 10700 ms"). A successor doesn't know which inherited starts had an answer and counts without the 12 s.

--- a/crates/workswood-core/src/jobs/ended_incarnations.rs
+++ b/crates/workswood-core/src/jobs/ended_incarnations.rs
@@ -27,7 +27,7 @@
 use super::types::{Record, lease_with_drift};
 
 /// Longest time from the sending of an order that has no answer until a worker carries it out.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
+pub(super) const MAX_ORDER_DELAY: Duration = Duration::from_secs(12);
 /// Interval between two records of one incarnation. A change of holder adds at most this time, and the time without a
 /// holder, to the end of its leases.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -472,11 +472,12 @@
         let expired: Vec<WorkerId> = expired.map(|(id, _)| id.clone()).collect();
         for id in expired {
             // The reply to a start that is still under way may extend the lease.
-            let is_starting = |(task, n): &(TaskId, u32)| {
-                self.run(&id, task, *n).is_some_and(|r| r.phase == Phase::Starting)
+            let may_begin = |(task, n): &(TaskId, u32)| {
+                let is_starting = self.run(&id, task, *n).is_some_and(|r| r.phase == Phase::Starting);
+                is_starting || self.may_begin_late(&id, task, *n)
             };
             let over: Vec<(TaskId, u32)> =
-                self.runs_on(&id).into_iter().filter(|run| !is_starting(run)).collect();
+                self.runs_on(&id).into_iter().filter(|run| !may_begin(run)).collect();
             if !over.is_empty() {
                 self.log_lease_over(&id, over.len());
             }
--- a/crates/workswood-core/src/jobs/worker_restart.rs
+++ b/crates/workswood-core/src/jobs/worker_restart.rs
@@ -16,7 +16,8 @@
 use std::time::Duration;
 
 use super::crash_attribution::IncarnationEnd;
-use super::job::{Run, WorkerId};
+use super::ended_incarnations::MAX_ORDER_DELAY;
+use super::job::{Phase, Run, StartOrder, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::TaskId;
 use super::worker::{Report, Worker, WorkerInfo};
@@ -95,6 +96,7 @@
         let mut superseded = Vec::new();
         for id in self.earlier_incarnations(later) {
             let misdelivered = self.left_lease_end(&id);
+            self.note_unanswered_starts(&id);
             let Some(mut w) = self.workers.get_mut(&id).filter(|w| !w.superseded) else { continue };
             w.superseded = true;
             w.listed = false;
@@ -113,6 +115,25 @@
         superseded
     }
 
+    /// Notes that the starts that are under way to an incarnation have no answer: a later one may carry them out.
+    fn note_unanswered_starts(&mut self, id: &WorkerId) {
+        for (task, attempt) in self.runs_on(id) {
+            let Some(run) = self.run_mut(id, &task, attempt) else { continue };
+            let under_way = run.phase == Phase::Starting && run.start_order == StartOrder::HandedOn;
+            if under_way || run.phase == Phase::Unanswered {
+                run.unanswered_starts = run.unanswered_starts.max(1);
+            }
+        }
+    }
+
+    /// Whether a later incarnation may still carry out the start of a run, which had no answer.
+    pub(super) fn may_begin_late(&self, id: &WorkerId, task: &TaskId, attempt: u32) -> bool {
+        let Some(w) = self.workers.get(id).filter(|w| w.superseded) else { return false };
+        let run = self.run(id, task, attempt).filter(|run| run.confirmed_at.is_none());
+        let unanswered = run.is_some_and(|run| run.unanswered_starts > 0);
+        unanswered && self.now <= w.lease_end + MAX_ORDER_DELAY
+    }
+
     /// Settles the runs of earlier incarnations with the first full report of a later one. Those of
     /// which an answer before it tells are carried over.
     pub(super) fn settle_earlier_incarnations(&mut self, later: &WorkerId, report: &Report) {
--- a/src/workswood/ops/jobs/earlier_grants.rs
+++ b/src/workswood/ops/jobs/earlier_grants.rs
@@ -17,7 +17,8 @@
 //! until its last thread was gone ([`bound_address`](crate::util::bound_address)). A frozen process keeps it.
 //! The end of a lease is worked out before the order is sent, as an absolute time on the
 //! worker's clock, so what the writer had sent gives no lease beyond a full one from this process's binding, however
-//! late it arrives. What is left then is what others may give: holders before the writer, and its
+//! late it arrives, to the life of the worker that it was meant for
+//! ([`ended_incarnations`](workswood_core::jobs::ended_incarnations) for a later one). What is left then is what others may give: holders before the writer, and its
 //! relays in other processes, to which it grants no more than its records tell.
 
 use std::time::Duration;
--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Action, Batch, Event, JobSpec, Listing, Record, Scheduler, StepSpec, WorkerInfo};
+use workswood_core::jobs::{
+    Action, Batch, Event, JobSpec, Listing, Record, Scheduler, StartReply, StepSpec, WorkerInfo, WorkerUpdate,
+};
 use workswood_test_support::host_world::{HostWorld, limits, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
@@ -274,3 +276,22 @@
     world.at(again + 10_600);
     assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
 }
+
+/// TWICE: the later life carries out a start for the former one that had no answer, up to 12 s after it was sent.
+#[test]
+fn late_start_for_a_former_life_is_waited_for() {
+    let mut world = with_former_life();
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let batch = decide(&mut world);
+    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+    world.at(RESTARTED_AT);
+    world.tells(&life(10).id, WorkerUpdate::Started(run.task, run.attempt, StartReply::NoAnswer));
+    world.sched.handle(Event::WorkerListed(life(20)));
+    list_other_worker(&mut world);
+    for at in [AFTER_LEASE, 12_000, 22_400] {
+        world.at(at);
+        assert_eq!(starts(&decide(&mut world)), [], "the later life may run it at {at} ms");
+    }
+    world.at(22_700);
+    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
+}
