Worlds: a deposed holder isn't the newest while its successor has gone

The simulated store took the writes of an earlier term between the death of a holder and the claim of the next one, and the holder renewed its lease: an artefact (jobs that nobody shows, "job 2 is still None"), which a history that kills a holder and waits meets. The newest holder is now known by its term.

--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -100,7 +100,8 @@
     /// Runs a holder for one step.
     pub(super) fn run_holder(&mut self, n: usize) {
         let now = self.now;
-        let newest = n + 1 == self.holders.len();
+        // One that was deposed isn't the newest either while its successor has gone.
+        let newest = self.holders[n].sched.token == self.term;
         let h = &mut self.holders[n];
         if newest && h.store_away_until <= now {
             h.renewed = now;
