Worlds: later lives of workers carry out orders meant for former ones (with_misdelivered_orders)

Callers saw a task run twice at once, and no history could show it: an order under way was dropped with the life of its worker, and orders to a worker that is down were lost. In worlds with misdelivered orders the life that the worker has at its return carries them out, at once or within 12 s, with a lease of the longest that the platform accepts; its draws come from a stream of their own. A copy of a start that some life has taken is lost, but in worlds with_repeated_starts: nobody can prevent that two copies run one after the other.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -170,6 +170,7 @@
             lasting: LastingTasks::default(),
             store_cuts: StoreCuts::default(),
             changes: None,
+            misdelivery: None,
             endless_runs: false,
             run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -30,6 +30,8 @@
     Polls,
     /// When workers change what they list.
     WorkerChanges,
+    /// Which orders reach a later life of a worker.
+    Misdelivery,
 }
 
 impl FaultRng {
@@ -53,6 +55,7 @@
         let rotation = match stream {
             Stream::Polls => 0,
             Stream::WorkerChanges => 32,
+            Stream::Misdelivery => 16,
         };
         FaultRng::mixed(self.state.rotate_left(rotation))
     }
--- a/crates/workswood-test-support/src/job_world/lasting.rs
+++ b/crates/workswood-test-support/src/job_world/lasting.rs
@@ -79,6 +79,7 @@
         self.holders.is_empty()
             || self.link_latency != STEP
             || !self.delayed_orders.is_empty()
+            || self.holds_orders()
             || self.holders.iter().any(|h| h.paused_until > now || h.store_away_until > now)
             || self.relays.iter().any(|r| r.paused_until > now || r.partitioned || r.leaving)
             || self.workers.iter().any(|w| w.partitioned)
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -14,6 +14,7 @@
 mod given_up;
 mod holder;
 mod lasting;
+mod misdelivered;
 mod oracle;
 mod order_queue;
 mod relay;
@@ -47,6 +48,7 @@
 use self::evacuations::Evacuations;
 use self::holder::Holder;
 use self::lasting::LastingTasks;
+use self::misdelivered::Misdelivery;
 use self::relay::{Session, SimRelay};
 use self::store_cuts::StoreCuts;
 use self::waiting_polls::WaitingPoll;
@@ -111,6 +113,8 @@
     pub crashes_under_them: u64,
     /// Times that a worker began to list less capacity, or no label.
     pub worker_changes: u64,
+    /// Orders that a later life of a worker received than they were sent to, while it was down or cut off.
+    pub misdelivered_orders: u64,
 }
 
 impl Seen {
@@ -126,10 +130,12 @@
         self.crashing_tasks += other.crashing_tasks;
         self.crashes_under_them += other.crashes_under_them;
         self.worker_changes += other.worker_changes;
+        self.misdelivered_orders += other.misdelivered_orders;
     }
 }
 
-/// An order whose delivery is delayed; it is dropped if the worker's life ends before.
+/// An order whose delivery is delayed; it is dropped if the worker's life ends before, unless later lives receive
+/// orders meant for former ones.
 #[derive(Clone)]
 struct DelayedOrder {
     due: Duration,
@@ -182,6 +188,8 @@
     store_cuts: StoreCuts,
     /// What workers list for a while instead of what they have; `None` if they don't change.
     changes: Option<WorkerChanges>,
+    /// Orders that may reach a later life; `None` if none does.
+    misdelivery: Option<Misdelivery>,
     /// Whether no run of a long-running task fails.
     endless_runs: bool,
     /// Shortest and longest run of a task that ends, in milliseconds.
@@ -575,11 +583,12 @@
             self.delayed_orders.iter().filter(|l| l.due <= self.now).cloned().collect();
         self.delayed_orders.retain(|l| l.due > self.now);
         for l in due {
-            if self.workers.iter().any(|w| w.id == l.recipient) {
+            if self.outlives_its_recipient() || self.workers.iter().any(|w| w.id == l.recipient) {
                 self.carry_out(&l.addressee, &l.order, true);
             }
         }
         self.run_due_crashes();
+        self.deliver_held_orders();
         self.unlist_cut_workers();
         self.change_workers();
         let now = self.now;
@@ -634,10 +643,10 @@
             self.note_fault();
         }
         match fate {
-            Fate::Fine => self.carry_out(id, &order, false),
+            Fate::Fine => self.carry_out_or_hold(id, &order),
             Fate::Lost => None,
             Fate::AnswerLost => {
-                self.carry_out(id, &order, false);
+                self.carry_out_or_hold(id, &order);
                 None
             }
             Fate::Late(after) => {
@@ -654,11 +663,23 @@
         }
     }
 
+    /// Delivers an order at once, or keeps it if its worker is not reached and may receive it later.
+    fn carry_out_or_hold(&mut self, id: &WorkerId, order: &Order) -> Option<Answer> {
+        let answer = self.carry_out(id, order, false);
+        if answer.is_none() {
+            self.hold_order(id, order);
+        }
+        answer
+    }
+
     /// Delivers an order to the worker of this name, possibly long after it was sent; returns
     /// `None` if that worker is down, partitioned or unknown.
     fn carry_out(&mut self, id: &WorkerId, order: &Order, late: bool) -> Option<Answer> {
         // Calls are addressed by worker name, so an order for one life can reach the next one.
         let at = self.workers.iter().position(|w| w.id.name() == id.name() && w.up && !w.partitioned)?;
+        if self.is_lost_copy(id, order) {
+            return None;
+        }
         let order = &self.order_as_received(at, id, order);
         if let Order::Probe { token, forget, .. } = order
             && *token >= self.workers[at].fence
@@ -668,6 +689,7 @@
         let answer = self.workers[at].handle(order, self.advised, self.now);
         match &answer {
             Answer::Accepted(task, attempt) => {
+                self.note_taken((*task, *attempt));
                 if !late {
                     self.check_evacuated(at, task);
                     self.check_time_bounds(at, task);
