Tests: random histories in which orders reach a later life than they were meant for

Callers saw a task run twice, at the same time. A worker restarts under its name, takes tasks and is cut off, the holder is killed, killed twice, frozen or hands over, and the store is away at times.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -70,6 +70,7 @@
 mod lost_relays;
 mod maintenance_waves;
 mod misdelivered_leases;
+mod misdelivered_orders;
 mod mixed_soak;
 mod operator_changes;
 mod order_marks;
