--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -217,11 +217,11 @@
 /// What the newest record of an incarnation in some batches tells is left; `None` if none has one.
 fn last_left(batches: &[Batch], id: &WorkerId) -> Option<u64> {
     let records = batches.iter().flat_map(|b| &b.records);
-    let left = records.filter_map(|rec| match rec {
+    let mut left = records.filter_map(|rec| match rec {
         Record::EndedIncarnation(other, Some(ended)) if other == id => Some(ended.lease_left),
         _ => None,
     });
-    left.last()
+    left.next_back()
 }
 
 /// A successor waits for what is left, not for the longest lease from its own reading on.
