Settings: memory and descriptors of the host

The deploy template hands in the host's limits. Settings without them are written as before, so that earlier versions read them.

--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -19,6 +19,14 @@
 /// Longest wait of a read; less than the 30 s after which the store answers in any case.
 const MAX_LONG_POLL_WAIT: Duration = Duration::from_secs(20);
 
+/// Least memory of a process, in MB: what it needs itself, and room for the bodies of callers.
+const MIN_MEMORY_MB: u64 = 64;
+/// Least number of descriptors of a process: those kept for files, and connections to its platform, its
+/// peers and its callers.
+const MIN_FDS: u64 = 400;
+/// Largest value of either that is taken for meant.
+const MAX_HOST_LIMIT: u64 = 1 << 24;
+
 /// Settings of one `jobs` process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -59,6 +67,12 @@
     /// Bandwidth of the entry's network link, in Mbit/s.
     #[serde(default = "default_link")]
     pub link_mbps: f64,
+    /// Memory that the host gives the process, in MB.
+    #[serde(default = "default_memory", skip_serializing_if = "is_default_memory")]
+    pub memory_mb: u64,
+    /// Number of descriptors that the host gives the process.
+    #[serde(default = "default_fds", skip_serializing_if = "is_default_fds")]
+    pub max_fds: u64,
     /// Longest lease that workers accept, in milliseconds.
     #[serde(rename = "longest_lease_ms")]
     pub max_lease_ms: u64,
@@ -112,6 +126,23 @@
     1000.0
 }
 
+fn default_memory() -> u64 {
+    260
+}
+
+fn default_fds() -> u64 {
+    4_096
+}
+
+/// Versions that don't know `memory_mb` and `max_fds` read what is written without them.
+fn is_default_memory(mb: &u64) -> bool {
+    *mb == default_memory()
+}
+
+fn is_default_fds(fds: &u64) -> bool {
+    *fds == default_fds()
+}
+
 fn default_level() -> log::LevelFilter {
     log::LevelFilter::Info
 }
@@ -147,6 +178,12 @@
         if !(self.link_mbps > 0.0 && self.link_mbps.is_finite()) {
             return Err("`link_mbps` must be above 0".to_string());
         }
+        if !(MIN_MEMORY_MB..=MAX_HOST_LIMIT).contains(&self.memory_mb) {
+            return Err(format!("`memory_mb` must be between {MIN_MEMORY_MB} and {MAX_HOST_LIMIT}"));
+        }
+        if !(MIN_FDS..=MAX_HOST_LIMIT).contains(&self.max_fds) {
+            return Err(format!("`max_fds` must be between {MIN_FDS} and {MAX_HOST_LIMIT}"));
+        }
         if self.store_partitions == 0 {
             return Err("`store_parts` must be at least 1".to_string());
         }
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -28,6 +28,7 @@
     let s = read("good", GOOD).expect("the file is good");
     assert_eq!((s.name.as_str(), s.adviser.as_deref()), ("entry-1", None));
     assert_eq!(s.stop_timeout().as_secs(), 6);
+    assert_eq!((s.memory_mb, s.max_fds), (260, 4096));
 }
 
 #[test]
@@ -40,6 +41,10 @@
         (r#""stop_within_s": 6"#, r#""stop_within_s": 0"#, "`stop_within_s`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "cores": 0"#, "`cores`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "link_mbps": -1"#, "`link_mbps`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "memory_mb": 0"#, "`memory_mb`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "memory_mb": 99999999"#, "`memory_mb`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "max_fds": 200"#, "`max_fds`"),
+        (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "max_fds": 99999999"#, "`max_fds`"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "colour": 1"#, "colour"),
         (r#""stop_within_s": 6"#, r#""stop_within_s": 6, "seeds": "127.0.0.1:9,seed:9""#, "`seeds`"),
     ];
@@ -87,7 +92,9 @@
         let filled = match line.split_once(": ") {
             Some((field, value)) if value.contains("{{") => {
                 let comma = if value.ends_with(',') { "," } else { "" };
-                let number = ["_ms", "_s\"", "cores", "_mbps", "_parts"].iter().any(|n| field.contains(n));
+                let number = ["_ms", "_s\"", "cores", "_mbps", "_mb\"", "_fds", "_parts"]
+                    .iter()
+                    .any(|n| field.contains(n));
                 let address = !field.contains("\"name\"") && !field.contains("data_centre");
                 let value = if number {
                     "2000"
@@ -104,4 +111,5 @@
     }
     let s = read("template", &text).expect("the template fills to settings that are read");
     assert_eq!(s.adviser.as_deref(), Some("127.0.0.1:9"));
+    assert_eq!((s.memory_mb, s.max_fds), (2000, 2000));
 }
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -759,6 +759,7 @@
 fn earlier_settings() {
     let settings: JobSettings = from_json(whole(EARLIER_JOB_SETTINGS));
     assert_eq!(to_json(&settings), whole(EARLIER_JOB_SETTINGS));
+    assert_eq!((settings.memory_mb, settings.max_fds), (260, 4096));
     let spec: model::ModelSpec = from_json(whole(EARLIER_MODEL_FILE));
     assert_eq!(to_json(&spec), whole(EARLIER_MODEL_FILE));
 }
@@ -774,6 +775,7 @@
     assert_eq!(s.seed_listener.map(|a| a.port()), Some(8015));
     assert_eq!(s.seeds().collect::<Vec<_>>(), ["10.0.0.3:8015", "10.0.0.4:8015"]);
     assert_eq!((s.adviser(), s.cores, s.link_mbps), (Some("10.0.0.2:9003"), 0.125, 20.5));
+    assert_eq!((s.memory_mb, s.max_fds), (270, 4097));
     assert_eq!((s.max_lease_ms, s.host_handover_ms, s.catch_up_within_ms), (10_001, 3_002, 3_003));
     assert_eq!((s.host_orders_per_s, s.round_lead_ms), (65.5, 104));
     assert_eq!((s.ended_job_retention_s, s.stop_timeout_s), (120.5, 6.25));
