--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -23,7 +23,7 @@
 const MIN_MEMORY_MB: u64 = 64;
 /// Least number of descriptors of a process: those kept for files, and connections to its platform, its
 /// peers and its callers.
-const MIN_FDS: u64 = 400;
+const MIN_FDS: u64 = 240;
 /// Largest value of either that is taken for meant.
 const MAX_HOST_LIMIT: u64 = 1 << 24;
 
