--- a/crates/workswood-test-support/src/program.rs
+++ b/crates/workswood-test-support/src/program.rs
@@ -30,6 +30,16 @@
         Program { child: command.stdout(file).stderr(errors).spawn().expect("the process starts") }
     }
 
+    /// The identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("the state of the process").is_none()
+    }
+
     /// Sends a signal; `name` is an option of `kill`, such as `-TERM`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
