--- a/crates/workswood-test-support/src/crowd.rs
+++ b/crates/workswood-test-support/src/crowd.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -157,25 +157,37 @@
 }
 
 impl Client {
+    /// Sends until the other side ends the connection.
     async fn run(self, to: SocketAddr) {
         let stream = TcpStream::connect(to).await;
         self.progress.connected.fetch_add(1, Ordering::Relaxed);
+        let has_sent = AtomicBool::new(false);
         if let Ok(stream) = stream {
             let (rx, mut tx) = stream.into_split();
-            // An answer may come before all is sent; the rest is then sent for as long as it is taken.
-            let (_, answer) = tokio::join!(self.send(&mut tx), read_answer(rx));
+            let sending = async {
+                // An error means that the connection has ended, which the reading half sees as well.
+                let _ = self.send(&mut tx, &has_sent).await;
+                std::future::pending().await
+            };
+            let answer = tokio::select! {
+                answer = read_answer(rx) => answer,
+                answer = sending => answer,
+            };
             if !answer.is_empty() {
                 self.progress.answers.lock().insert(self.number, answer);
             }
         }
+        if !has_sent.into_inner() {
+            self.progress.settled.fetch_add(1, Ordering::Relaxed);
+        }
         self.progress.ended.fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Sends all. An error means that the other side has ended the connection.
-    async fn send(&self, tx: &mut OwnedWriteHalf) -> std::io::Result<()> {
-        let sent = self.send_most(tx).await;
+    /// Sends all.
+    async fn send(&self, tx: &mut OwnedWriteHalf, has_sent: &AtomicBool) -> std::io::Result<()> {
+        self.send_most(tx).await?;
+        has_sent.store(true, Ordering::Relaxed);
         self.progress.settled.fetch_add(1, Ordering::Relaxed);
-        sent?;
         let mut may_end = self.may_end.clone();
         // The crowd drops its clients with the sender, so that waiting does not fail.
         let may_end = async move { may_end.wait_for(|may| *may).await.is_ok() };
--- a/tests/testsuite/client_crowds.rs
+++ b/tests/testsuite/client_crowds.rs
@@ -452,3 +452,14 @@
     site.check_ordinary_caller("afterwards").await;
     site.check_limits();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn announced_size_is_refused_unread() {
+    let site = Site::start("announced-one", BODIES).await;
+    let head = announced(1, 10_000_000_000).into_bytes();
+    let exchange = exchange(site.listeners.callers, [head], Duration::ZERO);
+    let answer = tokio::time::timeout(PATIENCE, exchange).await.ok().flatten().unwrap_or_default();
+    let code = format!("x-workswood-code: {}\r\n", Code::BodyTooLarge.number());
+    assert!(status_of(&answer) == Some(413) && answer.contains(&code), "{answer}");
+    assert!(answer.contains("x-workswood-ran: not-run\r\n"), "{answer}");
+}
