--- a/crates/workswood-test-support/src/crowd.rs
+++ b/crates/workswood-test-support/src/crowd.rs
@@ -26,6 +26,8 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between two pieces of a client that goes on slowly.
 const SLOW_INTERVAL: Duration = Duration::from_millis(400);
+/// Time after which a client comes back.
+const BACK_AFTER: Duration = Duration::from_millis(100);
 
 /// What each client of a crowd sends.
 #[derive(Clone, Debug)]
@@ -40,12 +42,21 @@
     pub then: Bytes,
     /// What each client sends once it may end.
     pub last: Bytes,
+    /// Whether each client opens another connection when the other side has ended one.
+    pub comes_back: bool,
 }
 
 impl Sent {
     /// A head and nothing else.
     pub fn head(head: impl Into<Bytes>) -> Sent {
-        Sent { head: head.into(), piece: Bytes::new(), pieces: 0, then: Bytes::new(), last: Bytes::new() }
+        Sent {
+            head: head.into(),
+            piece: Bytes::new(),
+            pieces: 0,
+            then: Bytes::new(),
+            last: Bytes::new(),
+            comes_back: false,
+        }
     }
 
     /// Adds pieces.
@@ -62,6 +73,11 @@
     pub fn with_last(self, last: impl Into<Bytes>) -> Sent {
         Sent { last: last.into(), ..self }
     }
+
+    /// Has each client come back when the other side has ended its connection.
+    pub fn coming_back(self) -> Sent {
+        Sent { comes_back: true, ..self }
+    }
 }
 
 /// What became of the clients of a crowd so far.
@@ -72,8 +88,10 @@
     connected: AtomicUsize,
     /// Clients that have sent all, or whose connection has ended before.
     settled: AtomicUsize,
-    /// Connections that the other side has ended.
+    /// Clients whose first connection the other side has ended.
     ended: AtomicUsize,
+    /// Further connections of clients that come back.
+    returns: AtomicUsize,
     answers: Mutex<BTreeMap<usize, String>>,
 }
 
@@ -124,7 +142,7 @@
         }
     }
 
-    /// Has the clients send their last bytes, and waits until the other side has ended all connections.
+    /// Has the clients send their last bytes, and waits until the other side has ended the first connection of each.
     pub async fn end(&self) {
         self.may_end.send_replace(true);
         while self.open() > 0 {
@@ -132,7 +150,12 @@
         }
     }
 
-    /// Number of connections that the other side has not ended.
+    /// Number of further connections of clients that come back.
+    pub fn returns(&self) -> usize {
+        self.progress.returns.load(Ordering::Relaxed)
+    }
+
+    /// Number of clients whose first connection the other side has not ended.
     pub fn open(&self) -> usize {
         self.clients - self.progress.ended.load(Ordering::Relaxed)
     }
@@ -157,37 +180,57 @@
 }
 
 impl Client {
-    /// Sends until the other side ends the connection.
+    /// Sends until the other side ends the connection; comes back if it is such a client.
     async fn run(self, to: SocketAddr) {
-        let stream = TcpStream::connect(to).await;
-        self.progress.connected.fetch_add(1, Ordering::Relaxed);
-        let has_sent = AtomicBool::new(false);
-        if let Ok(stream) = stream {
-            let (rx, mut tx) = stream.into_split();
-            let sending = async {
-                // An error means that the connection has ended, which the reading half sees as well.
-                let _ = self.send(&mut tx, &has_sent).await;
-                std::future::pending().await
-            };
-            let answer = tokio::select! {
-                answer = read_answer(rx) => answer,
-                answer = sending => answer,
-            };
-            if !answer.is_empty() {
-                self.progress.answers.lock().insert(self.number, answer);
-            }
+        self.run_once(to).await;
+        if !self.sent.comes_back {
+            return;
         }
-        if !has_sent.into_inner() {
-            self.progress.settled.fetch_add(1, Ordering::Relaxed);
+        loop {
+            tokio::time::sleep(BACK_AFTER).await;
+            self.progress.returns.fetch_add(1, Ordering::Relaxed);
+            self.connect_and_send(to, &AtomicBool::new(true)).await;
+        }
+    }
+
+    async fn run_once(&self, to: SocketAddr) {
+        let has_settled = AtomicBool::new(false);
+        let answer = self.connect_and_send(to, &has_settled).await;
+        if !answer.is_empty() {
+            self.progress.answers.lock().insert(self.number, answer);
         }
+        self.settle(&has_settled);
         self.progress.ended.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts the client as settled, once.
+    fn settle(&self, has_settled: &AtomicBool) {
+        if !has_settled.swap(true, Ordering::Relaxed) {
+            self.progress.settled.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Sends on a connection until the other side ends it, and returns the answer.
+    async fn connect_and_send(&self, to: SocketAddr, has_settled: &AtomicBool) -> String {
+        let stream = TcpStream::connect(to).await;
+        self.progress.connected.fetch_add(1, Ordering::Relaxed);
+        let Ok(stream) = stream else { return String::new() };
+        let (rx, mut tx) = stream.into_split();
+        let sending = async {
+            // An error means that the connection has ended, which the reading half sees as well.
+            let _ = self.send(&mut tx, has_settled).await;
+            std::future::pending().await
+        };
+        tokio::select! {
+            answer = read_answer(rx) => answer,
+            answer = sending => answer,
+        }
+    }
+
     /// Sends all.
-    async fn send(&self, tx: &mut OwnedWriteHalf, has_sent: &AtomicBool) -> std::io::Result<()> {
+    async fn send(&self, tx: &mut OwnedWriteHalf, has_settled: &AtomicBool) -> std::io::Result<()> {
         self.send_most(tx).await?;
-        has_sent.store(true, Ordering::Relaxed);
-        self.progress.settled.fetch_add(1, Ordering::Relaxed);
+        self.settle(has_settled);
         let mut may_end = self.may_end.clone();
         // The crowd drops its clients with the sender, so that waiting does not fail.
         let may_end = async move { may_end.wait_for(|may| *may).await.is_ok() };
--- a/tests/testsuite/client_crowds.rs
+++ b/tests/testsuite/client_crowds.rs
@@ -168,8 +168,9 @@
         crowd.settled().await;
         self.usage.at_rest().await;
         println!(
-            "event=crowd_settled open={} sent_mb={} {}",
+            "event=crowd_settled open={} returns={} sent_mb={} {}",
             crowd.open(),
+            crowd.returns(),
             crowd.bytes() / MIB,
             self.figures()
         );
@@ -306,6 +307,15 @@
     site.check(crowd).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn crowd_that_comes_back() {
+    let mut site = Site::start("back", BODIES).await;
+    let body = padded_job(LEGAL_BODY - 1);
+    let sent = |n| Sent::head(announced(n, LEGAL_BODY as u64)).with_pieces(body.clone(), 1).coming_back();
+    let crowd = crowd(site.listeners.callers, SENDERS, sent).await;
+    site.check(crowd).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn crowd_that_announces_too_much() {
     let mut site = Site::start("announced", BODIES).await;
