Callers: connections and bodies are held within the host's memory and descriptors

Cause: a listener took 16,384 connections, each with a head of 32 kB and a body of max_body_bytes for as long as a byte came every 10 s, and read a body announced beyond the limit before it refused it.

Change: one table for each listener. Connections are bounded by a share of max_fds: the one that waited longest for its client goes for a newcomer. Buffers and bodies are bounded by a share of memory_mb, taken as bytes come and held until the job is written: the unfinished ones that cost most byte-seconds go first, and a body that finds no room is refused with 503 (111) and retry-after. A connection whose request is handled never goes. Bodies have a least rate, those announced far beyond the limit are refused unread, and at most 16 are discarded at once. Readiness and metrics have small limits. A line a second at most, and a counter, for each kind of loss.

--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -1,5 +1,10 @@
 //! The listener for callers: an HTTP/1.1 server with limits and a graceful shutdown.
 
+mod connection_table;
+mod held_bytes;
+mod limits;
+mod losses;
+mod metered_stream;
 mod request_body;
 
 use std::convert::Infallible;
@@ -10,24 +15,34 @@
 use futures::future::BoxFuture;
 use http_body_util::combinators::BoxBody;
 use hyper::HeaderMap;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{AUTHORIZATION, WWW_AUTHENTICATE};
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use workswood_core::code::{Code, ExecutionStatus};
 
-pub use request_body::{BODY_IDLE_TIMEOUT, BodyError, read_body};
+pub use connection_table::{Connection, ConnectionTable, Full, LOSS_LOG_INTERVAL};
+pub use held_bytes::HeldBytes;
+pub use limits::Limits;
+pub use losses::{Loss, Losses};
+pub use request_body::{
+    BODY_IDLE_TIMEOUT, BODY_RATE_GRACE, BodyError, LEAST_BODY_RATE, longest_time, read_body, read_request,
+};
+
+use metered_stream::MeteredStream;
 
 /// Timeout for reading the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Size of the buffer of a connection, in bytes, which bounds the head of a request.
 const MAX_HEADER_BYTES: usize = 32 * 1024;
-/// Maximum number of concurrent connections.
-const MAX_CONNECTIONS: usize = 16_384;
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// When a caller whose body found no memory should retry.
+const RETRY_AFTER_FULL: Duration = Duration::from_secs(1);
 
 /// Request header with the idempotency key of a request.
 pub const KEY_HEADER: &str = "x-workswood-key";
@@ -98,35 +113,66 @@
 }
 
 /// Accepts connections until `stop` becomes true, and returns when the last connection has ended.
-pub async fn serve(listener: TcpListener, handler: Handler, mut stop: watch::Receiver<bool>) {
+pub async fn serve(listener: TcpListener, handler: Handler, stop: watch::Receiver<bool>) {
+    serve_within(ConnectionTable::new(Limits::default()), listener, handler, stop).await;
+}
+
+/// Like [`serve`], within the limits of a table, which holds the connections.
+pub async fn serve_within(
+    table: Arc<ConnectionTable>,
+    listener: TcpListener,
+    handler: Handler,
+    mut stop: watch::Receiver<bool>,
+) {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT).max_buf_size(MAX_HEADER_BYTES);
     loop {
-        let permit = permits.clone().acquire_owned().await;
+        while !table.may_accept() {
+            tokio::task::yield_now().await;
+        }
         let accepted = tokio::select! {
             result = listener.accept() => result,
             _ = stop.wait_for(|stopped| *stopped) => break,
         };
         let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
+        let Some(connection) = table.admit() else { continue };
         let _ = stream.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |req| {
-            let answer = handler(req);
-            async move { Ok::<_, Infallible>(answer.await) }
-        });
-        let connection = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
-        tokio::spawn(async move {
-            let _permit = permit;
-            if let Err(e) = connection.await {
+        let (handler, of_service) = (handler.clone(), connection.clone());
+        let service = service_fn(move |req| answer(&handler, of_service.clone(), req));
+        let stream = MeteredStream::new(stream, connection.clone());
+        let served = graceful.watch(builder.serve_connection(stream, service));
+        let task = tokio::spawn(async move {
+            if let Err(e) = served.await {
                 log::debug!("event=caller_connection_ended error={e:?}");
             }
         });
+        connection.set_task(task.abort_handle());
     }
     drop(listener);
     graceful.shutdown().await;
 }
+
+/// Has a request answered, and keeps its connection from being closed meanwhile.
+fn answer(
+    handler: &Handler,
+    connection: Arc<Connection>,
+    mut req: Request<Incoming>,
+) -> impl Future<Output = Result<Response<ReplyBody>, Infallible>> + use<> {
+    let begun = connection.begin_request();
+    if begun && !req.body().is_end_stream() {
+        req.extensions_mut().insert(connection.clone());
+    }
+    let answer = begun.then(|| handler(req));
+    async move {
+        let Some(answer) = answer else {
+            return Ok(refusal(Code::TooManyBodies, ExecutionStatus::NotRun, Some(RETRY_AFTER_FULL)));
+        };
+        let res = answer.await;
+        connection.end_request();
+        Ok(res)
+    }
+}
--- /dev/null
+++ b/crates/workswood-callers/src/limits.rs
@@ -0,0 +1,62 @@
+//! Limits of a listener, and how they follow from what the host gives the process.
+
+/// Descriptors that the host keeps for files.
+const FILE_FDS: u64 = 200;
+/// Part of the other descriptors that is kept for the store, workers, peers and probes.
+const FD_SHARES: u64 = 2;
+/// Share of the memory that callers may hold, as a fraction: numerator and denominator. The rest is for
+/// the state of jobs, for encoding what is stored and for what the allocator keeps.
+const MEMORY_SHARE: (u64, u64) = (3, 10);
+/// Limits of a process that is not told what the host gives it.
+const DEFAULT_MEMORY_MB: u64 = 260;
+const DEFAULT_FDS: u64 = 4_096;
+/// Number of bodies whose rest may be discarded at the same time.
+const MAX_DISCARDS: usize = 16;
+/// Connections of a listener for probes: at most, and as a part of the descriptors.
+const MAX_PROBE_CONNECTIONS: u64 = 64;
+const PROBE_FD_SHARES: u64 = 16;
+/// Memory of a listener for probes, in bytes.
+const PROBE_BYTES: usize = 2 * 1024 * 1024;
+
+/// Limits of all connections of a listener together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum number of connections.
+    pub max_connections: usize,
+    /// Maximum number of bytes that they and their requests hold.
+    pub max_bytes: usize,
+    /// Maximum number of bodies whose rest is discarded at the same time.
+    pub max_discards: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits::for_callers(DEFAULT_MEMORY_MB, DEFAULT_FDS)
+    }
+}
+
+impl Limits {
+    /// Limits of the listener for callers of a process with so much memory and so many descriptors.
+    pub fn for_callers(memory_mb: u64, max_fds: u64) -> Limits {
+        let (part, of) = MEMORY_SHARE;
+        Limits {
+            max_connections: share(max_fds, FD_SHARES) as usize,
+            max_bytes: (memory_mb * 1_000_000 / of * part) as usize,
+            max_discards: MAX_DISCARDS,
+        }
+    }
+
+    /// Limits of a listener for probes.
+    pub fn for_probes(max_fds: u64) -> Limits {
+        Limits {
+            max_connections: share(max_fds, PROBE_FD_SHARES).min(MAX_PROBE_CONNECTIONS) as usize,
+            max_bytes: PROBE_BYTES,
+            max_discards: MAX_DISCARDS,
+        }
+    }
+}
+
+/// One of so many equal shares of the descriptors that are not for files; at least 1.
+fn share(max_fds: u64, shares: u64) -> u64 {
+    (max_fds.saturating_sub(FILE_FDS) / shares).max(1)
+}
--- a/crates/workswood-callers/src/request_body.rs
+++ b/crates/workswood-callers/src/request_body.rs
@@ -1,27 +1,40 @@
-//! Reads the bodies of requests, up to a size limit.
+//! Reads the bodies of requests, up to a size limit and within the memory of the listener.
 //!
-//! The rest of a body that is too large is read and discarded for a while before the request is refused.
+//! The rest of a body that is refused is read and discarded for a while before the request is refused.
 //! A response that is sent while the caller still writes would close the connection with unread bytes,
-//! which resets it before the caller has read the response.
+//! which resets it before the caller has read the response. Bodies that are announced far too large are
+//! refused without that.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
+use hyper::Request;
 use hyper::body::{Body, Frame};
+use tokio::time::Instant;
 use workswood_core::code::Code;
 
 use crate::HEADER_TIMEOUT;
+use crate::connection_table::{Connection, Full};
+use crate::held_bytes::HeldBytes;
+use crate::losses::Loss;
 
-/// Maximum number of bytes that are discarded before a refusal; must exceed the limit of any buffered
-/// body.
-const MAX_DISCARDED_BYTES: usize = 32 * 1024 * 1024;
+/// Maximum number of bytes that are discarded before a refusal.
+const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
 /// Longest time for which bytes are discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Longest wait for the next bytes of a body, so that a silent caller does not hold its connection
-/// forever. There is no limit on the time for a whole body.
+/// forever.
 pub const BODY_IDLE_TIMEOUT: Duration = HEADER_TIMEOUT;
+/// Least mean rate of the body of a request to a listener with limits, in bytes per second, and the time
+/// that each body has beside it.
+pub const LEAST_BODY_RATE: u32 = 4096;
+/// See [`LEAST_BODY_RATE`].
+pub const BODY_RATE_GRACE: Duration = Duration::from_secs(10);
+/// How often a body looks whether connections that are being closed have given their memory back.
+const MAX_YIELDS: usize = 64;
 
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +45,10 @@
     Broken,
     /// The caller sent nothing for [`BODY_IDLE_TIMEOUT`].
     IdleTimeout,
+    /// The caller sent less than [`LEAST_BODY_RATE`].
+    TooSlow,
+    /// Bodies and connections of callers hold all the memory that they may.
+    NoMemory,
 }
 
 impl BodyError {
@@ -39,52 +56,170 @@
     pub fn code(self) -> Code {
         match self {
             BodyError::TooLarge | BodyError::Broken => Code::BodyTooLarge,
-            BodyError::IdleTimeout => Code::BodySilent,
+            BodyError::IdleTimeout | BodyError::TooSlow => Code::BodySilent,
+            BodyError::NoMemory => Code::TooManyBodies,
+        }
+    }
+
+    fn loss(self) -> Loss {
+        match self {
+            BodyError::TooLarge => Loss::BodyTooLarge,
+            BodyError::Broken => Loss::BodyBroken,
+            BodyError::IdleTimeout => Loss::BodySilent,
+            BodyError::TooSlow => Loss::BodySlow,
+            BodyError::NoMemory => Loss::BodyRefused,
+        }
+    }
+}
+
+/// A body that is counted as held by its connection while it is read.
+struct Buffer {
+    bytes: Vec<u8>,
+    held: HeldBytes,
+    connection: Option<Arc<Connection>>,
+}
+
+impl Buffer {
+    /// Appends bytes; a body of the announced size gets no larger buffer.
+    async fn append(&mut self, data: &[u8], announced: usize) -> Result<(), Full> {
+        let needed = self.bytes.len() + data.len();
+        if needed > self.bytes.capacity() {
+            let doubled = (self.bytes.capacity() * 2).min(announced);
+            let more = needed.max(doubled) - self.bytes.capacity();
+            self.take(more).await?;
+            let free = needed.max(doubled) - self.bytes.len();
+            self.bytes.reserve_exact(free);
+        }
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    async fn take(&mut self, bytes: usize) -> Result<(), Full> {
+        let Some(connection) = &self.connection else { return Ok(()) };
+        self.held.join(connection.take(bytes)?);
+        for _ in 0..MAX_YIELDS {
+            if !connection.waits_for_room() {
+                return Ok(());
+            }
+            tokio::task::yield_now().await;
+        }
+        Err(Full)
+    }
+
+    /// The body with the memory that it holds.
+    fn finish(mut self) -> (Bytes, HeldBytes) {
+        let held = std::mem::take(&mut self.held);
+        if let Some(connection) = &self.connection {
+            connection.hand_on(held.len());
+        }
+        (Bytes::from(std::mem::take(&mut self.bytes)), held)
+    }
+}
+
+impl Drop for Buffer {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.hand_on(self.held.len());
         }
     }
 }
 
-/// Reads a whole body of at most `max_bytes` bytes. If an error is returned, hyper closes the connection
-/// after the response, because the body was not read to its end.
-pub async fn read_body<B>(mut body: B, max_bytes: usize) -> Result<Bytes, BodyError>
+/// Reads a whole body of at most `max_bytes` bytes, at whatever rate it comes. If an error is returned,
+/// hyper closes the connection after the response, because the body was not read to its end.
+pub async fn read_body<B>(body: B, max_bytes: usize) -> Result<Bytes, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = next_frame(&mut body, buf.len()).await? {
-        let Ok(data) = frame.into_data() else { continue };
-        if buf.len() + data.len() > max_bytes {
-            discard_rest(body).await;
-            return Err(BodyError::TooLarge);
+    read(body, max_bytes, None).await.map(|(bytes, _)| bytes)
+}
+
+/// Reads the whole body of a request like [`read_body`], within the limits of the listener that it came
+/// to. The memory that the body holds is given back when the second value is dropped.
+pub async fn read_request<B>(req: Request<B>, max_bytes: usize) -> Result<(Bytes, HeldBytes), BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let (mut parts, body) = req.into_parts();
+    let connection = parts.extensions.remove::<Arc<Connection>>();
+    drop(parts);
+    if let Some(c) = &connection {
+        c.begin_body();
+    }
+    let read = read(body, max_bytes, connection.clone()).await;
+    let Some(c) = connection else { return read };
+    if !c.end_body() {
+        return Err(BodyError::NoMemory);
+    }
+    read.inspect_err(|e| c.table().count(e.loss()))
+}
+
+async fn read<B>(
+    mut body: B,
+    max_bytes: usize,
+    connection: Option<Arc<Connection>>,
+) -> Result<(Bytes, HeldBytes), BodyError>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let least = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if least > max_bytes {
+        if least <= max_bytes.saturating_add(MAX_DISCARDED_BYTES) {
+            discard_rest(body, connection.as_deref()).await;
         }
-        buf.extend_from_slice(&data);
+        return Err(BodyError::TooLarge);
     }
-    Ok(buf.freeze())
+    let announced = body.size_hint().exact().map_or(max_bytes, |n| max_bytes.min(n as usize));
+    let begun = connection.as_ref().map(|_| Instant::now());
+    let mut buf = Buffer { bytes: Vec::new(), held: HeldBytes::default(), connection };
+    let error = loop {
+        let deadline = begun.map(|at| at + longest_time(buf.bytes.len()));
+        let data = match next_frame(&mut body, deadline).await {
+            Ok(Some(frame)) => frame.into_data().unwrap_or_default(),
+            Ok(None) => return Ok(buf.finish()),
+            Err(e) => return Err(e),
+        };
+        if buf.bytes.len() + data.len() > max_bytes {
+            break BodyError::TooLarge;
+        }
+        if buf.append(&data, announced).await.is_err() {
+            break BodyError::NoMemory;
+        }
+    };
+    let connection = buf.connection.clone();
+    drop(buf);
+    discard_rest(body, connection.as_deref()).await;
+    Err(error)
 }
 
-/// Waits for the next frame of a body, of which `received` bytes were read before.
-async fn next_frame<B>(body: &mut B, received: usize) -> Result<Option<Frame<Bytes>>, BodyError>
+/// The time in which so many bytes of a body, and one more, must have come.
+pub fn longest_time(bytes: usize) -> Duration {
+    BODY_RATE_GRACE + Duration::from_secs(bytes as u64) / LEAST_BODY_RATE
+}
+
+/// Waits for the next frame of a body, until `deadline` at most.
+async fn next_frame<B>(body: &mut B, deadline: Option<Instant>) -> Result<Option<Frame<Bytes>>, BodyError>
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    match tokio::time::timeout(BODY_IDLE_TIMEOUT, body.frame()).await {
+    let idle = Instant::now() + BODY_IDLE_TIMEOUT;
+    let too_slow = deadline.filter(|deadline| *deadline < idle);
+    match tokio::time::timeout_at(too_slow.unwrap_or(idle), body.frame()).await {
         Ok(frame) => frame.transpose().map_err(|_| BodyError::Broken),
-        Err(_) => {
-            log::info!(
-                "event=body_cut reason=silent limit_ms={} bytes={received} code={}",
-                BODY_IDLE_TIMEOUT.as_millis(),
-                Code::BodySilent.number()
-            );
-            Err(BodyError::IdleTimeout)
-        }
+        Err(_) if too_slow.is_some() => Err(BodyError::TooSlow),
+        Err(_) => Err(BodyError::IdleTimeout),
     }
 }
 
-/// Reads and discards the rest of a body, up to [`MAX_DISCARDED_BYTES`] and [`DISCARD_TIMEOUT`].
-async fn discard_rest<B>(mut body: B)
+/// Reads and discards the rest of a body, up to [`MAX_DISCARDED_BYTES`] and [`DISCARD_TIMEOUT`], unless
+/// too many others do.
+async fn discard_rest<B>(mut body: B, connection: Option<&Connection>)
 where
     B: Body<Data = Bytes> + Unpin,
 {
+    let permit = connection.map(|c| c.table().begin_discard());
+    if let Some(None) = permit {
+        return;
+    }
     let mut remaining = MAX_DISCARDED_BYTES;
     let rest = async {
         while let Some(Ok(frame)) = body.frame().await {
@@ -95,7 +230,6 @@
             remaining -= len;
         }
     };
-    if tokio::time::timeout(DISCARD_TIMEOUT, rest).await.is_err() {
-        log::info!("event=body_cut reason=too_large limit_ms={}", DISCARD_TIMEOUT.as_millis());
-    }
+    // The request is refused whether all was discarded or not.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, rest).await;
 }
--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -68,6 +68,7 @@
     108 EndpointTimeout "the endpoint did not answer before the deadline" "see code 106";
     109 Stopping "this entry host is stopping and accepts no new requests" "send the request to another entry host";
     110 BodySilent "timed out waiting for the rest of the request's body" "retry, and send the body without long pauses";
+    111 TooManyBodies "bodies and connections of callers hold all the memory that they may" "retry after the time in retry-after";
     120 KeyMissing "the route is not repeatable and the request has no key" "send the headers `x-workswood-key` and `x-workswood-last-moment`";
     121 KeyMalformed "the key or the last moment is malformed or out of range" "use a key of 1 to 128 visible characters, and a last moment in milliseconds since 1970 within the window";
     122 KeyConflict "the key is in use for another request or with another last moment" "use a new key for a new request";
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -25,6 +25,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
+use workswood_callers::HeldBytes;
 use workswood_core::jobs::{JobKey, Owner};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
@@ -144,6 +145,8 @@
     /// caller may retry at another entry.
     refused_by_peers: bool,
     reply: oneshot::Sender<Stored>,
+    /// Memory of the caller's request, which is held until the record is stored or given up.
+    _held: HeldBytes,
 }
 
 /// Writes records into the inbox: the queue of those that have yet to be stored.
@@ -222,16 +225,21 @@
     /// Stores a record of a caller within `timeout`, through peers if necessary. Returns [`Stored::No`] at
     /// once if the store is too slow for that.
     pub async fn store(&self, rec: KeyedRecord, timeout: Duration) -> Stored {
-        self.enqueue(rec, timeout, false).await
+        self.enqueue(rec, timeout, false, HeldBytes::default()).await
+    }
+
+    /// Stores a record like [`InboxWriter::store`], and holds memory until it is stored or given up.
+    pub async fn store_holding(&self, rec: KeyedRecord, timeout: Duration, held: HeldBytes) -> Stored {
+        self.enqueue(rec, timeout, false, held).await
     }
 
     /// Stores a record that a peer sent, without sending it on to other peers.
     pub async fn store_for_peer(&self, rec: KeyedRecord, timeout: Duration) -> Stored {
-        self.enqueue(rec, timeout, true).await
+        self.enqueue(rec, timeout, true, HeldBytes::default()).await
     }
 
     /// Queues a record and waits until it is stored, given up or abandoned.
-    async fn enqueue(&self, rec: KeyedRecord, timeout: Duration, for_peer: bool) -> Stored {
+    async fn enqueue(&self, rec: KeyedRecord, timeout: Duration, for_peer: bool, held: HeldBytes) -> Stored {
         // The record has to wait for the append in flight and then for its own. With none in flight it is
         // sent whatever the mean latency, so that a store that is fast again is noticed.
         let busy = self.appends_in_flight.load(Ordering::Relaxed) > 0;
@@ -249,6 +257,7 @@
             stored_by_peer: false,
             refused_by_peers: false,
             reply,
+            _held: held,
         };
         if self.tx.try_send(queued).is_err() {
             return Stored::No;
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 use workswood_adapter::callers as wire;
-use workswood_callers::{Handler, ReplyBody, bearer_token, full_body, read_body, refusal};
+use workswood_callers::{BodyError, Handler, ReplyBody, bearer_token, full_body, read_request, refusal};
 use workswood_core::code::{Code, ExecutionStatus};
 use workswood_core::ids::WorkspaceId;
 use workswood_core::jobs::admission::retry_after_outage;
@@ -188,11 +188,12 @@
     req: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let timeout = caller_timeout(&req);
-    let body = match read_body(req.into_body(), cfg.max_body_bytes).await {
-        Ok(b) => b,
+    let (body, mut held) = match read_request(req, cfg.max_body_bytes).await {
+        Ok(read) => read,
         Err(e) => {
-            log::info!("event=job_refused job={job:016x} reason=body error={e:?}");
-            return refusal(e.code(), ExecutionStatus::NotRun, None);
+            log::debug!("event=job_refused job={job:016x} reason=body error={e:?}");
+            let retry_after = (e == BodyError::NoMemory).then_some(RETRY_AFTER);
+            return refusal(e.code(), ExecutionStatus::NotRun, retry_after);
         }
     };
     let mut spec = match parse_spec(node, queue, workspace, &body) {
@@ -202,6 +203,7 @@
             return refusal(Code::JobMalformed, ExecutionStatus::NotRun, None);
         }
     };
+    drop(body);
     let start = node.now();
     match admission_control::weigh(node, job, &spec).await {
         // What waits is ordered by when its callers first came.
@@ -224,7 +226,9 @@
         }
         None => {}
     }
-    let stored = node.inbox_writer.store(job_record(job, &spec), timeout).await;
+    let rec = job_record(job, &spec);
+    held.resize(rec.value.as_ref().map_or(0, Bytes::len));
+    let stored = node.inbox_writer.store_holding(rec, timeout, held).await;
     log::info!(
         "event=job_handed_in job={job:016x} queue={} workspace={} version={} stored={stored:?} took_ms={} \
          store_silence_ms={}",
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -154,7 +154,8 @@
     tokio::spawn(peers::run(node.clone()));
     tokio::spawn(usage_log::run(node.clone()));
     tokio::spawn(shutdown::watch_reload(path));
-    let callers = tokio::spawn(workswood_callers::serve(
+    let callers = tokio::spawn(workswood_callers::serve_within(
+        node.caller_connections.clone(),
         caller_listener,
         job_api::handler(node.clone()),
         callers_stopped,
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
+use workswood_callers::{ConnectionTable, Limits};
 use workswood_core::ids::{Incarnation, Term, UnixMs};
 use workswood_core::jobs::bridges::Routes;
 use workswood_core::jobs::{Admission, Event, SchedConfig, Wave};
@@ -192,6 +193,8 @@
     pub peers: Peers,
     /// Through which entries those of data centres that are cut off are reached.
     pub routes: Mutex<Routes>,
+    /// Connections of callers.
+    pub caller_connections: Arc<ConnectionTable>,
     /// Submitted jobs and cancellations that wait to be stored.
     pub inbox_writer: InboxWriter,
     /// When the lease holder may be asked again whether a job is admitted.
@@ -249,6 +252,7 @@
         traffic: Traffic,
     ) -> Node {
         let operator_state = OperatorState::new(settings.long_poll_wait());
+        let caller_limits = Limits::for_callers(settings.memory_mb, settings.max_fds);
         Node {
             settings,
             platform,
@@ -261,6 +265,7 @@
             scheduler: ArcSwapOption::empty(),
             peers: Peers::sharing(half_open.clone(), traffic.clone()),
             routes: Mutex::default(),
+            caller_connections: ConnectionTable::new(caller_limits),
             inbox_writer: InboxWriter::default(),
             admission_pause: HolderPause::default(),
             half_open,
@@ -402,6 +407,7 @@
         m.half_open_connections.set(self.half_open.count() as i64);
         m.store_silence_ms.set(self.store_silence().as_millis() as i64);
         m.stalled_ms.set(self.timer_lag.total().as_millis() as i64);
+        m.set_callers(&self.caller_connections);
         m.set_traffic(&self.traffic);
         m.text()
     }
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the `jobs` process. `docs/OPERATIONS.md` lists them.
 
 use prometheus::{Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry};
+use workswood_callers::{ConnectionTable, Loss};
 use workswood_core::invariant;
 use workswood_core::jobs::EndedAbsence;
 use workswood_core::jobs::crash_history::Certainty;
@@ -116,6 +117,12 @@
     pub second_runs_first: IntGauge,
     /// Runs that were settled without an end and came back, in this term.
     pub settled_runs_returned: IntGauge,
+    /// What callers lost to the limits of their listener, by reason.
+    caller_losses: IntGaugeVec,
+    /// Open connections of callers.
+    caller_connections: IntGauge,
+    /// Bytes that these and their requests hold.
+    caller_bytes: IntGauge,
     /// Bytes sent and received over the network link, by purpose and direction.
     link_bytes: IntGaugeVec,
     /// Calls and messages over the network link, by purpose.
@@ -367,6 +374,22 @@
                 "workswood_settled_runs_returned",
                 "runs that were settled without an end and came back, in this term",
             ),
+            caller_losses: register_gauge_vec(
+                &registry,
+                "workswood_callers_lost",
+                "connections and requests of callers lost to the limits of their listener since the start",
+                &["reason"],
+            ),
+            caller_connections: register_gauge(
+                &registry,
+                "workswood_caller_connections",
+                "open connections of callers",
+            ),
+            caller_bytes: register_gauge(
+                &registry,
+                "workswood_caller_bytes",
+                "memory that connections and requests of callers hold, in bytes",
+            ),
             link_bytes: register_gauge_vec(
                 &registry,
                 "workswood_link_bytes",
@@ -422,6 +445,16 @@
         self.paced_tasks.set(counters.tasks_paced as i64);
     }
 
+    /// Updates the metrics of the listener for callers.
+    pub fn set_callers(&self, connections: &ConnectionTable) {
+        for loss in Loss::ALL {
+            let total = connections.losses().total(loss) as i64;
+            self.caller_losses.with_label_values(&[loss.label()]).set(total);
+        }
+        self.caller_connections.set(connections.open() as i64);
+        self.caller_bytes.set(connections.held() as i64);
+    }
+
     /// Updates the metrics of the network link.
     pub fn set_traffic(&self, traffic: &Traffic) {
         for (purpose, amount) in traffic.totals() {
