Peers: connections that have not opened hold little, and their number is bounded

Cause: the peers' and the seed listener took any number of connections, each of which could announce a frame of 64 MiB before it showed the token.

Change: a frame before the token has 4 kB at most; at most 64 connections are opening, the oldest of which goes for a newcomer; those that have opened are bounded by a share of max_fds.

--- a/crates/workswood-peers/src/lib.rs
+++ b/crates/workswood-peers/src/lib.rs
@@ -14,13 +14,14 @@
 mod duplex;
 mod link;
 mod message;
+mod opening;
 pub mod relay;
 mod server;
 
 pub use duplex::{Closed, DuplexRx, DuplexTx, ReceivedBytes, connect_duplex};
 pub use link::{CallError, Link};
 pub use message::*;
-pub use server::{Handler, RelayHandler, serve, serve_with_relay};
+pub use server::{Handler, RelayHandler, serve, serve_with_relay, serve_within};
 
 /// Longest frame that is accepted.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
--- a/crates/workswood-peers/src/server.rs
+++ b/crates/workswood-peers/src/server.rs
@@ -14,6 +14,7 @@
 
 use crate::bridge;
 use crate::duplex::{self, DuplexRx, DuplexTx, FramedTcp};
+use crate::opening::{MustGo, Openings};
 use crate::relay::RelayOpen;
 use crate::{Frame, Hello, MAX_FRAME_BYTES, Msg, Pong};
 
@@ -27,6 +28,13 @@
 /// Maximum number of encoded replies that wait to be written to one connection.
 const REPLY_QUEUE_LEN: usize = 256;
 
+/// Longest frame of a connection that has not shown the token.
+const MAX_HELLO_BYTES: usize = 4 * 1024;
+/// Maximum number of connections of a listener that have not sent what follows their [`Hello`].
+const MAX_OPENING: usize = 64;
+/// Maximum number of others, unless it is given.
+const DEFAULT_MAX_CONNECTIONS: usize = 512;
+
 /// Handles a message and returns the reply, or `None` if there is no reply.
 pub type Handler = Arc<dyn Fn(Msg) -> BoxFuture<'static, Option<Msg>> + Send + Sync>;
 
@@ -53,6 +61,7 @@
     /// `None` if this entry does not serve as a relay.
     relay_handler: Option<RelayHandler>,
     traffic: Traffic,
+    openings: Arc<Openings>,
 }
 
 impl ServerContext {
@@ -65,8 +74,9 @@
 
 /// Serves peers on a listener until the future is dropped.
 pub async fn serve(listener: TcpListener, token: String, handler: Handler) {
-    accept(listener, ServerContext { token, handler, relay_handler: None, traffic: Traffic::default() })
-        .await;
+    let openings = openings(DEFAULT_MAX_CONNECTIONS);
+    let traffic = Traffic::default();
+    accept(listener, ServerContext { token, handler, relay_handler: None, traffic, openings }).await;
 }
 
 /// Like [`serve`], and also serves lease holders that use this entry as a relay. All
@@ -78,14 +88,33 @@
     relay_handler: RelayHandler,
     traffic: Traffic,
 ) {
-    accept(listener, ServerContext { token, handler, relay_handler: Some(relay_handler), traffic }).await;
+    serve_within(DEFAULT_MAX_CONNECTIONS, listener, token, handler, relay_handler, traffic).await;
+}
+
+/// Like [`serve_with_relay`], with so many connections at most.
+pub async fn serve_within(
+    max_connections: usize,
+    listener: TcpListener,
+    token: String,
+    handler: Handler,
+    relay_handler: RelayHandler,
+    traffic: Traffic,
+) {
+    let openings = openings(max_connections);
+    accept(listener, ServerContext { token, handler, relay_handler: Some(relay_handler), traffic, openings })
+        .await;
+}
+
+fn openings(max_connections: usize) -> Arc<Openings> {
+    Arc::new(Openings::new(max_connections, max_connections.min(MAX_OPENING)))
 }
 
 async fn accept(listener: TcpListener, server: ServerContext) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(stream, server.clone()));
+                let must_go = server.openings.add();
+                tokio::spawn(serve_connection(stream, server.clone(), must_go));
             }
             Err(e) => {
                 log::warn!("event=peer_accept_failed error={e:?}");
@@ -95,19 +124,15 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, server: ServerContext) {
+async fn serve_connection(stream: TcpStream, server: ServerContext, must_go: MustGo) {
     let _ = stream.set_nodelay(true);
     let mut framed = Framed::new(stream, codec());
-    let hello = tokio::time::timeout(HELLO_TIMEOUT, framed.next()).await;
-    let Ok(Some(Ok(buf))) = hello else { return };
-    let hello = match Frame::decode(buf) {
-        Ok(Frame { msg: Some(Msg::Hello(h)), .. }) if server.accepts(&h) => h,
-        _ => {
-            log::warn!("event=peer_refused reason=bad_token code=225");
-            return;
-        }
+    let opened = tokio::select! {
+        opened = open(&mut framed, &server) => opened,
+        _ = must_go => None,
     };
-    let Ok(Some(Ok(first))) = tokio::time::timeout(IDLE_TIMEOUT, framed.next()).await else { return };
+    let Some((hello, first)) = opened else { return };
+    let Some(_permit) = server.openings.open() else { return };
     match (&server.relay_handler, Frame::decode(first.clone())) {
         (Some(relay_handler), Ok(Frame { msg: Some(Msg::RelayOpen(open)), .. })) => {
             let (tx, rx) = duplex::split(framed, server.traffic);
@@ -120,6 +145,22 @@
     }
 }
 
+/// Waits for the [`Hello`] of a new connection and for its first message.
+async fn open(framed: &mut FramedTcp, server: &ServerContext) -> Option<(Hello, BytesMut)> {
+    framed.codec_mut().set_max_frame_length(MAX_HELLO_BYTES);
+    let buf = tokio::time::timeout(HELLO_TIMEOUT, framed.next()).await.ok()??.ok()?;
+    let hello = match Frame::decode(buf) {
+        Ok(Frame { msg: Some(Msg::Hello(h)), .. }) if server.accepts(&h) => h,
+        _ => {
+            server.openings.note_refused("bad_token code=225");
+            return None;
+        }
+    };
+    framed.codec_mut().set_max_frame_length(MAX_FRAME_BYTES);
+    let first = tokio::time::timeout(IDLE_TIMEOUT, framed.next()).await.ok()??.ok()?;
+    Some((hello, first))
+}
+
 /// Handles the messages of a connection concurrently. Replies are sent in the order in
 /// which they become ready.
 async fn serve_messages(framed: FramedTcp, first: BytesMut, server: ServerContext) {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -139,7 +139,8 @@
     tokio::spawn(monitoring::serve_readiness(readiness_listener, node.clone()));
     tokio::spawn(monitoring::serve_metrics(metrics_listener, node.clone()));
     for listener in std::iter::once(peer_listener).chain(seed_listener) {
-        tokio::spawn(workswood_peers::serve_with_relay(
+        tokio::spawn(workswood_peers::serve_within(
+            node.settings.max_peer_connections(),
             listener,
             peers::TOKEN.to_string(),
             peer_requests::handler(node.clone()),
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -24,6 +24,10 @@
 /// Least number of descriptors of a process: those kept for files, and connections to its platform, its
 /// peers and its callers.
 const MIN_FDS: u64 = 240;
+/// Descriptors that the host keeps for files.
+const FILE_FDS: u64 = 200;
+/// Part of the others that each listener for peers may use.
+const PEER_FD_SHARES: u64 = 12;
 /// Largest value of either that is taken for meant.
 const MAX_HOST_LIMIT: u64 = 1 << 24;
 
@@ -227,6 +231,11 @@
         Duration::from_millis(self.catch_up_within_ms).saturating_sub(RECONNECT_TIME).min(MAX_LONG_POLL_WAIT)
     }
 
+    /// Maximum number of connections of each listener for peers.
+    pub fn max_peer_connections(&self) -> usize {
+        (self.max_fds.saturating_sub(FILE_FDS) / PEER_FD_SHARES).max(1) as usize
+    }
+
     /// Longest time of a planned stop.
     pub fn stop_timeout(&self) -> Duration {
         Duration::from_secs_f64(self.stop_timeout_s)
