Callers: a body that comes is kept in blocks, and buffers count twice

Change: blocks of 16 kB at most; the buffer of a connection counts twice, since frames keep one while another is read into; callers hold a quarter of the memory.

--- a/crates/workswood-callers/src/limits.rs
+++ b/crates/workswood-callers/src/limits.rs
@@ -4,9 +4,11 @@
 const FILE_FDS: u64 = 200;
 /// Part of the other descriptors that is kept for the store, workers, peers and probes.
 const FD_SHARES: u64 = 2;
-/// Share of the memory that callers may hold, as a fraction: numerator and denominator. The rest is for
-/// the state of jobs, for encoding what is stored and for what the allocator keeps.
-const MEMORY_SHARE: (u64, u64) = (3, 10);
+/// Part of the memory that callers may hold. The rest is for the state of jobs, for encoding what is
+/// stored, and for what the allocator and the network stack keep beside what callers hold.
+const MEMORY_SHARES: u64 = 4;
+/// Bytes of a megabyte.
+const MB: u64 = 1_000_000;
 /// Limits of a process that is not told what the host gives it.
 const DEFAULT_MEMORY_MB: u64 = 260;
 const DEFAULT_FDS: u64 = 4_096;
@@ -38,10 +40,9 @@
 impl Limits {
     /// Limits of the listener for callers of a process with so much memory and so many descriptors.
     pub fn for_callers(memory_mb: u64, max_fds: u64) -> Limits {
-        let (part, of) = MEMORY_SHARE;
         Limits {
             max_connections: share(max_fds, FD_SHARES) as usize,
-            max_bytes: (memory_mb * 1_000_000 / of * part) as usize,
+            max_bytes: (memory_mb * MB / MEMORY_SHARES) as usize,
             max_discards: MAX_DISCARDS,
         }
     }
--- a/crates/workswood-callers/src/metered_stream.rs
+++ b/crates/workswood-callers/src/metered_stream.rs
@@ -35,7 +35,8 @@
         let size = if head_unfinished { room.max(MAX_HEADER_BYTES) } else { room };
         if size > self.counted {
             self.counted = size;
-            self.connection.note_buffers(size);
+            // Bytes of a body that wait to be taken keep one buffer while another one is read into.
+            self.connection.note_buffers(2 * size);
         }
     }
 }
--- a/crates/workswood-callers/src/request_body.rs
+++ b/crates/workswood-callers/src/request_body.rs
@@ -22,6 +22,9 @@
 
 /// Maximum number of bytes that are discarded before a refusal.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+/// Sizes of the blocks in which a body is kept while it comes.
+const MIN_BLOCK_BYTES: usize = 512;
+const MAX_BLOCK_BYTES: usize = 16 * 1024;
 /// Longest time for which bytes are discarded.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1000);
 
@@ -72,25 +75,32 @@
     }
 }
 
-/// A body that is counted as held by its connection while it is read.
+/// A body that is counted as held by its connection while it is read. It is kept in blocks, since buffers
+/// of all sizes that grow leave gaps in the memory of the process.
 struct Buffer {
-    bytes: Vec<u8>,
+    blocks: Vec<Vec<u8>>,
+    len: usize,
     held: HeldBytes,
     connection: Option<Arc<Connection>>,
 }
 
 impl Buffer {
-    /// Appends bytes; a body of the announced size gets no larger buffer.
-    async fn append(&mut self, data: &[u8], announced: usize) -> Result<(), Full> {
-        let needed = self.bytes.len() + data.len();
-        if needed > self.bytes.capacity() {
-            let doubled = (self.bytes.capacity() * 2).min(announced);
-            let more = needed.max(doubled) - self.bytes.capacity();
-            self.take(more).await?;
-            let free = needed.max(doubled) - self.bytes.len();
-            self.bytes.reserve_exact(free);
+    /// Appends bytes; a body of the announced size gets no more memory than that.
+    async fn append(&mut self, mut data: &[u8], announced: usize) -> Result<(), Full> {
+        while !data.is_empty() {
+            let free = self.blocks.last().map_or(0, |block| block.capacity() - block.len());
+            if free == 0 {
+                let size = self.len.max(data.len()).clamp(MIN_BLOCK_BYTES, MAX_BLOCK_BYTES);
+                let size = size.min(announced.max(self.len + data.len()) - self.len);
+                self.take(size).await?;
+                self.blocks.push(Vec::with_capacity(size));
+                continue;
+            }
+            let (now, rest) = data.split_at(free.min(data.len()));
+            self.blocks.iter_mut().last().into_iter().for_each(|block| block.extend_from_slice(now));
+            self.len += now.len();
+            data = rest;
         }
-        self.bytes.extend_from_slice(data);
         Ok(())
     }
 
@@ -112,7 +122,9 @@
         if let Some(connection) = &self.connection {
             connection.hand_on(held.len());
         }
-        (Bytes::from(std::mem::take(&mut self.bytes)), held)
+        let mut blocks = std::mem::take(&mut self.blocks);
+        let whole = if blocks.len() == 1 { blocks.remove(0) } else { blocks.concat() };
+        (Bytes::from(whole), held)
     }
 }
 
@@ -170,15 +182,15 @@
     }
     let announced = body.size_hint().exact().map_or(max_bytes, |n| max_bytes.min(n as usize));
     let begun = connection.as_ref().map(|_| Instant::now());
-    let mut buf = Buffer { bytes: Vec::new(), held: HeldBytes::default(), connection };
+    let mut buf = Buffer { blocks: Vec::new(), len: 0, held: HeldBytes::default(), connection };
     let error = loop {
-        let deadline = begun.map(|at| at + longest_time(buf.bytes.len()));
+        let deadline = begun.map(|at| at + longest_time(buf.len));
         let data = match next_frame(&mut body, deadline).await {
             Ok(Some(frame)) => frame.into_data().unwrap_or_default(),
             Ok(None) => return Ok(buf.finish()),
             Err(e) => return Err(e),
         };
-        if buf.bytes.len() + data.len() > max_bytes {
+        if buf.len + data.len() > max_bytes {
             break BodyError::TooLarge;
         }
         if buf.append(&data, announced).await.is_err() {
