Callers: what the network stack holds unread is bounded, too

Cause: bytes that have arrived and were not read count as memory of the process.

Change: the receive buffer of a connection follows from the memory of callers and the number of connections.

--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -3,6 +3,7 @@
 mod connection_table;
 mod held_bytes;
 mod limits;
+mod listen;
 mod losses;
 mod metered_stream;
 mod request_body;
@@ -28,6 +29,7 @@
 pub use connection_table::{Connection, ConnectionTable, Full, LOSS_LOG_INTERVAL};
 pub use held_bytes::HeldBytes;
 pub use limits::Limits;
+pub use listen::listen;
 pub use losses::{Loss, Losses};
 pub use request_body::{
     BODY_IDLE_TIMEOUT, BODY_RATE_GRACE, BodyError, LEAST_BODY_RATE, longest_time, read_body, read_request,
--- a/crates/workswood-callers/src/limits.rs
+++ b/crates/workswood-callers/src/limits.rs
@@ -12,6 +12,9 @@
 /// Limits of a process that is not told what the host gives it.
 const DEFAULT_MEMORY_MB: u64 = 260;
 const DEFAULT_FDS: u64 = 4_096;
+/// Sizes of the receive buffer of a connection, in bytes.
+const MIN_RECEIVE_BUFFER: usize = 8 * 1024;
+const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
 /// Number of bodies whose rest may be discarded at the same time.
 const MAX_DISCARDS: usize = 16;
 /// Connections of a listener for probes: at most, and as a part of the descriptors.
@@ -55,6 +58,14 @@
             max_discards: MAX_DISCARDS,
         }
     }
+
+    /// Size of the receive buffer of a connection, in bytes: all of them together hold about as much as
+    /// callers may hold in the process.
+    pub fn receive_buffer(&self) -> u32 {
+        // Linux doubles the size that it is given.
+        let size = self.max_bytes / self.max_connections.max(1) / 2;
+        size.clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER) as u32
+    }
 }
 
 /// One of so many equal shares of the descriptors that are not for files; at least 1.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -75,6 +75,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use workswood_adapter::{Addresses, PlatformClient};
+use workswood_callers::Limits;
 use workswood_liveness::HalfOpenDetector;
 use workswood_platform::jobs::JobPlatform;
 use workswood_traffic::Traffic;
@@ -93,6 +94,10 @@
     TcpListener::bind(address).await.context(ListenSnafu { address: address.to_string() })
 }
 
+fn listen_within(address: SocketAddr, limits: &Limits) -> Result<TcpListener> {
+    workswood_callers::listen(address, limits).context(ListenSnafu { address: address.to_string() })
+}
+
 /// Runs the process until a signal stops it. The settings file is `settings_path`, or the one that
 /// the environment variable names.
 pub async fn run(settings_path: Option<String>) -> Result<()> {
@@ -103,9 +108,9 @@
         })?;
     let settings = JobSettings::read(&path)?;
     crate::util::logs::start(settings.log_level);
-    let caller_listener = listen(settings.callers).await?;
-    let readiness_listener = listen(settings.readiness).await?;
-    let metrics_listener = listen(settings.metrics).await?;
+    let caller_listener = listen_within(settings.callers, &settings.caller_limits())?;
+    let readiness_listener = listen_within(settings.readiness, &settings.probe_limits())?;
+    let metrics_listener = listen_within(settings.metrics, &settings.probe_limits())?;
     let peer_listener = listen(settings.peers).await?;
     let seed_listener = match settings.seed_listener {
         Some(address) => Some(listen(address).await?),
--- a/src/workswood/ops/jobs/monitoring.rs
+++ b/src/workswood/ops/jobs/monitoring.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use workswood_callers::{ConnectionTable, Limits, ReplyBody, full_body};
+use workswood_callers::{ConnectionTable, ReplyBody, full_body};
 
 use super::node::Node;
 
@@ -43,11 +43,10 @@
 async fn serve(listener: TcpListener, node: Arc<Node>, respond: fn(&Node) -> Response<ReplyBody>) {
     // The listener would stop if the sender were dropped.
     let (_stop, stopped) = watch::channel(false);
-    let max_fds = node.settings.max_fds;
+    let connections = ConnectionTable::new(node.settings.probe_limits());
     let handler: workswood_callers::Handler = Arc::new(move |_| {
         let node = node.clone();
         async move { respond(&node) }.boxed()
     });
-    let connections = ConnectionTable::new(Limits::for_probes(max_fds));
     workswood_callers::serve_within(connections, listener, handler, stopped).await;
 }
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::{Notify, mpsc, watch};
-use workswood_callers::{ConnectionTable, Limits};
+use workswood_callers::ConnectionTable;
 use workswood_core::ids::{Incarnation, Term, UnixMs};
 use workswood_core::jobs::bridges::Routes;
 use workswood_core::jobs::{Admission, Event, SchedConfig, Wave};
@@ -252,7 +252,7 @@
         traffic: Traffic,
     ) -> Node {
         let operator_state = OperatorState::new(settings.long_poll_wait());
-        let caller_limits = Limits::for_callers(settings.memory_mb, settings.max_fds);
+        let caller_limits = settings.caller_limits();
         Node {
             settings,
             platform,
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use workswood_callers::Limits;
 use workswood_core::ids::DataCentre;
 use workswood_core::jobs::Policy;
 use workswood_core::jobs::lease_claim::{self, EntryCapacity};
@@ -231,6 +232,16 @@
         Duration::from_millis(self.catch_up_within_ms).saturating_sub(RECONNECT_TIME).min(MAX_LONG_POLL_WAIT)
     }
 
+    /// Limits of the listener for callers.
+    pub fn caller_limits(&self) -> Limits {
+        Limits::for_callers(self.memory_mb, self.max_fds)
+    }
+
+    /// Limits of each listener for probes.
+    pub fn probe_limits(&self) -> Limits {
+        Limits::for_probes(self.max_fds)
+    }
+
     /// Maximum number of connections of each listener for peers.
     pub fn max_peer_connections(&self) -> usize {
         (self.max_fds.saturating_sub(FILE_FDS) / PEER_FD_SHARES).max(1) as usize
--- a/tests/testsuite/connection_limits.rs
+++ b/tests/testsuite/connection_limits.rs
@@ -9,6 +9,8 @@
 /// Memory enough for what these tests do.
 const MAX_BYTES: usize = 1 << 20;
 
+const MB: u64 = 1_000_000;
+
 fn table(max_connections: usize) -> Arc<ConnectionTable> {
     ConnectionTable::new(Limits { max_connections, max_bytes: MAX_BYTES, max_discards: 1 })
 }
@@ -121,7 +123,9 @@
         let own = 2 * probes.max_connections + callers.max_connections;
         assert!(callers.max_connections > 0 && probes.max_connections > 0);
         assert!((own + 200) as u64 * 8 <= max_fds * 8 - (max_fds - 200) * 2, "{callers:?} {probes:?}");
-        assert!(callers.max_bytes as u64 * 3 <= memory_mb * 1_000_000, "{callers:?}");
+        let unread = callers.max_connections as u64 * u64::from(2 * callers.receive_buffer());
+        assert!(unread * 10 <= memory_mb * MB * 3, "{callers:?}");
+        assert!(callers.max_bytes as u64 * 3 <= memory_mb * MB, "{callers:?}");
     }
 }
 
