--- a/crates/workswood-callers/src/limits.rs
+++ b/crates/workswood-callers/src/limits.rs
@@ -9,9 +9,9 @@
 const MEMORY_SHARES: u64 = 4;
 /// Bytes of a megabyte.
 const MB: u64 = 1_000_000;
-/// Limits of a process that is not told what the host gives it.
-const DEFAULT_MEMORY_MB: u64 = 260;
-const DEFAULT_FDS: u64 = 4_096;
+/// Limits of a listener whose process is not told what the host gives it.
+const DEFAULT_MAX_CONNECTIONS: usize = 16_384;
+const DEFAULT_MAX_BYTES: usize = 1 << 30;
 /// Sizes of the receive buffer of a connection, in bytes.
 const MIN_RECEIVE_BUFFER: usize = 8 * 1024;
 const MAX_RECEIVE_BUFFER: usize = 64 * 1024;
@@ -36,7 +36,11 @@
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits::for_callers(DEFAULT_MEMORY_MB, DEFAULT_FDS)
+        Limits {
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            max_bytes: DEFAULT_MAX_BYTES,
+            max_discards: MAX_DISCARDS,
+        }
     }
 }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -81,6 +81,7 @@
 mod overtaking_looks;
 mod partial_end_lists;
 mod peer_help;
+mod peer_limits;
 mod peer_members;
 mod platform_words;
 mod policy_model;
