--- a/src/bin/workswood/commands/jobs.rs
+++ b/src/bin/workswood/commands/jobs.rs
@@ -1,6 +1,7 @@
 //! `workswood jobs`
 
 use clap::{Arg, ArgMatches, Command};
+use workswood::util::job_settings::JobSettings;
 use workswood::{Result, ops};
 
 /// Builds the command line of the command.
@@ -18,5 +19,7 @@
 /// Runs the command.
 pub fn exec(args: &ArgMatches) -> Result<()> {
     let path = args.get_one::<String>("settings").cloned();
-    super::block_on(ops::jobs::run(path))
+    let path = ops::jobs::settings_path(path)?;
+    let settings = JobSettings::read(&path)?;
+    super::block_on_threads(settings.worker_threads(), ops::jobs::run(path, settings))
 }
--- a/src/bin/workswood/commands/mod.rs
+++ b/src/bin/workswood/commands/mod.rs
@@ -91,8 +91,18 @@
 
 /// Runs a future on a runtime with several threads.
 fn block_on<T>(f: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    runtime.expect("the system can start threads").block_on(f)
+    run_on(tokio::runtime::Builder::new_multi_thread(), f)
+}
+
+/// Runs a future on a runtime with so many threads.
+fn block_on_threads<T>(threads: usize, f: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    builder.worker_threads(threads);
+    run_on(builder, f)
+}
+
+fn run_on<T>(mut builder: tokio::runtime::Builder, f: impl Future<Output = T>) -> T {
+    builder.enable_all().build().expect("the system can start threads").block_on(f)
 }
 
 /// The time in milliseconds since 1970.
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -98,15 +98,16 @@
     workswood_callers::listen(address, limits).context(ListenSnafu { address: address.to_string() })
 }
 
-/// Runs the process until a signal stops it. The settings file is `settings_path`, or the one that
-/// the environment variable names.
-pub async fn run(settings_path: Option<String>) -> Result<()> {
-    let path =
-        settings_path.or_else(|| std::env::var(PATH_ENV_VAR).ok()).ok_or_else(|| Error::InvalidSettings {
-            path: String::new(),
-            text: format!("no settings file: name one, or set {PATH_ENV_VAR}"),
-        })?;
-    let settings = JobSettings::read(&path)?;
+/// The settings file of the process: `named`, or the one that the environment variable names.
+pub fn settings_path(named: Option<String>) -> Result<String> {
+    named.or_else(|| std::env::var(PATH_ENV_VAR).ok()).ok_or_else(|| Error::InvalidSettings {
+        path: String::new(),
+        text: format!("no settings file: name one, or set {PATH_ENV_VAR}"),
+    })
+}
+
+/// Runs the process with the settings that were read from the file `path`, until a signal stops it.
+pub async fn run(path: String, settings: JobSettings) -> Result<()> {
     crate::util::logs::start(settings.log_level);
     let caller_listener = listen_within(settings.callers, &settings.caller_limits())?;
     let readiness_listener = listen_within(settings.readiness, &settings.probe_limits())?;
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -220,6 +220,12 @@
         self.seeds.split(',').map(str::trim).filter(|a| !a.is_empty())
     }
 
+    /// Number of threads that run the process. Each keeps memory of its own, so there are not many more than cores.
+    pub fn worker_threads(&self) -> usize {
+        let of_host = std::thread::available_parallelism().map_or(1, usize::from);
+        of_host.min(self.cores.ceil() as usize + 1)
+    }
+
     /// Number of workers that this entry can manage as lease holder.
     pub fn strength(&self) -> EntryCapacity {
         lease_claim::entry_capacity(self.cores, self.link_mbps)
