--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -176,10 +176,13 @@
     panic!("it is ordered down");
 }
 
+/// How the former life ends.
+type EndOfLife = fn(&mut HostWorld);
+
 /// TWICE: the later life's lease is counted in whatever way the former life is found to be over.
 #[test]
 fn every_end_of_a_life_leaves_its_lease() {
-    let ends: [(&str, fn(&mut HostWorld)); 4] = [
+    let ends: [(&str, EndOfLife); 4] = [
         ("unlisted", |world| world.sched.handle(Event::WorkerUnlisted(life(10).id))),
         ("another life answers", |world| {
             world.sched.handle(Event::OtherIncarnationAnswered(life(10).id, Duration::ZERO))
