--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -176,7 +176,7 @@
     panic!("it is ordered down");
 }
 
-/// Brings it about that the former life is found to be over.
+/// How the former life ends.
 type EndOfLife = fn(&mut HostWorld);
 
 /// TWICE: the later life's lease is counted in whatever way the former life is found to be over.
