Tests: a later life is given up without the relay of the former one (fails)

Before a later life has answered, what the relay of the former one may still send to it counts (3 s more). It counted on after the answer, from which on the worker refuses that: a long-running task starts again 13.44 s after its start on the later life, and not after 10.2 s.

--- a/tests/testsuite/misdelivered_orders.rs
+++ b/tests/testsuite/misdelivered_orders.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::invariant;
 use workswood_core::jobs::{JobKey, StepSpec};
-use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
+use workswood_test_support::job_world::{FaultRng, STEP, Seen, World, job, step};
 
 use super::random_jobs::{NewWorld, hand_seeds, report, trouble_relays};
 
@@ -23,6 +23,10 @@
 const CALM_MS: (u64, u64) = (6_000, 14_000);
 /// Time after the last fault in which all jobs end.
 const SETTLED_AFTER: Duration = Duration::from_secs(60);
+/// Longest lease that a worker may hold of those meant for a former life.
+const LONGEST_LEASE: Duration = Duration::from_millis(10_200);
+/// Time in which a task is started once the lease is over.
+const SLACK: Duration = Duration::from_millis(1_000);
 /// Processor that a long-running task needs, in thousandths of a core.
 const LASTING_CPU: [u64; 3] = [100, 300, 1000];
 
@@ -301,6 +305,27 @@
     play_all(order_queues, false);
 }
 
+/// LOST: the relay of a former life counts although the later life has answered and refuses its orders.
+#[test]
+fn later_life_is_given_up_without_the_relay_of_the_former() {
+    let mut w = World::restarting_relayed(6, FaultRng::new(7, 0)).with_endless_runs();
+    w.submit(1, job(vec![StepSpec { long_running: true, ..step(1, vec![]) }], 1));
+    let task = w.first_lasting_task(1).expect("a long-running task");
+    let run_until = |w: &mut World, is_there: &dyn Fn(&World) -> bool| {
+        let latest = w.now + Duration::from_secs(30);
+        while !is_there(w) && w.now < latest {
+            w.run_for(STEP);
+        }
+    };
+    run_until(&mut w, &|w| w.worker_of(&task).is_some());
+    let (at, started) = (w.worker_of(&task).expect("a run"), w.now);
+    w.cut(at, true);
+    run_until(&mut w, &|w| w.worker_of(&task).is_some_and(|other| other != at));
+    let after = w.now - started;
+    assert!(after < LONGEST_LEASE + SLACK, "started again {after:?} after the start on the later life");
+    assert_eq!(w.seen.violations, Vec::<String>::new());
+}
+
 /// The world that HISTORY_WORLD names, and whether entries relay for its holders.
 fn named_world() -> (NewWorld, bool) {
     match std::env::var("HISTORY_WORLD").unwrap_or_default().as_str() {
