LOST: what the relay of a former life may still send counts no more once the later one has answered

Long-running tasks stayed away for longer than needed: their worker, whose former life had a relay in another entry, was given up 3 s late. With the first answer of the later life the worker refuses the orders of the former one, so the last lease ends as long as the longest one after it. A predecessor's guess is replaced by that too.

misdelivered_orders::later_life_is_given_up_without_the_relay_of_the_former failed before (13.44 s).

--- a/crates/workswood-core/src/jobs/ended_incarnations.rs
+++ b/crates/workswood-core/src/jobs/ended_incarnations.rs
@@ -85,7 +85,7 @@
     fn finalize_before(&mut self, later: &WorkerId, lease_end: Duration) {
         let mut changed = Vec::new();
         for (id, ended) in self.before(later).filter(|(_, ended)| !ended.is_final) {
-            ended.lease_end = ended.lease_end.max(lease_end);
+            ended.lease_end = lease_end;
             ended.is_final = true;
             changed.push(id.clone());
         }
@@ -153,6 +153,10 @@
     pub(super) fn finalize_earlier_leases(&mut self, id: &WorkerId) {
         let lease_end = self.misdelivered_lease_end();
         self.ended_incarnations.finalize_before(id, lease_end);
+        if let Some(mut w) = self.workers.get_mut(id).filter(|w| !w.superseded) {
+            // What the relay of an earlier one may still send is refused.
+            w.lease_end = w.lease_end.min(lease_end);
+        }
         self.count_earlier_leases(id);
     }
 
