--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Action, Batch, Event, JobSpec, Listing, Record, Scheduler, StepSpec, WorkerInfo};
+use workswood_core::jobs::{
+    Action, Batch, Event, JobSpec, Listing, Record, Scheduler, StartReply, StepSpec, WorkerInfo, WorkerUpdate,
+};
 use workswood_test_support::host_world::{HostWorld, limits, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
@@ -99,7 +101,10 @@
     world.at(CLAIMED_AT);
     world.sched.predecessors_extend_until = Some(Duration::from_millis(CLAIMED_AT));
     world.sched.handle(Event::ConfigChanged(config));
-    for rec in records {
+    // Workers come first, as in the product.
+    let (jobs, workers): (Vec<Record>, Vec<Record>) =
+        records.into_iter().partition(|rec| matches!(rec, Record::Job(..)));
+    for rec in workers.into_iter().chain(jobs) {
         match rec {
             Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
             Record::EndedIncarnation(id, Some(ended)) => world.sched.restore_ended(id, &ended),
@@ -147,13 +152,17 @@
 /// When the later life first answers, long after the former one is known to be over, in milliseconds.
 const LATE_ANSWER_AT: u64 = 9_000;
 
+/// The same, once no lease is left that was taken in time, but before orders are carried out no more.
+const LATEST_ANSWER_AT: u64 = 15_000;
+
 /// The former life has gone without runs; the later one has answered late and been given the task.
-fn with_late_answer() -> (HostWorld, Batch) {
+fn with_late_answer(answer_at: u64) -> (HostWorld, Batch) {
     let mut world = with_former_life();
     world.at(RESTARTED_AT);
     world.sched.handle(Event::WorkerUnlisted(life(10).id));
     world.sched.take_batch();
-    world.at(LATE_ANSWER_AT);
+    world.at(answer_at);
+    decide(&mut world);
     world.sched.handle(Event::WorkerListed(life(20)));
     world.answers(&life(20).id, Listing::default());
     world.sched.handle(Event::Submitted(JOB, one_task()));
@@ -165,25 +174,27 @@
 /// TWICE: the later life takes a lease meant for the former one until it first answers, however late that is.
 #[test]
 fn lease_counts_from_the_first_answer() {
-    let (mut world, batch) = with_late_answer();
-    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
-    world.taken(&life(20).id, run.task, run.attempt);
-    list_other_worker(&mut world);
-    world.at(LATE_ANSWER_AT + 900);
-    let lease_end = Duration::from_millis(LATE_ANSWER_AT + 5_900);
-    world.tells_silence(&life(20).id, lease_end, Duration::from_millis(LATE_ANSWER_AT));
-    for at in [12_000, 16_000, LATE_ANSWER_AT + 10_400] {
-        world.at(at);
-        assert_eq!(starts(&decide(&mut world)), [], "the later life runs it at {at} ms");
+    for answer_at in [LATE_ANSWER_AT, LATEST_ANSWER_AT] {
+        let (mut world, batch) = with_late_answer(answer_at);
+        let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+        world.taken(&life(20).id, run.task, run.attempt);
+        list_other_worker(&mut world);
+        world.at(answer_at + 900);
+        let lease_end = Duration::from_millis(answer_at + 5_900);
+        world.tells_silence(&life(20).id, lease_end, Duration::from_millis(answer_at));
+        for at in [answer_at + 3_000, answer_at + 7_000, answer_at + 10_400] {
+            world.at(at);
+            assert_eq!(starts(&decide(&mut world)), [], "the later life runs it at {at} ms");
+        }
+        world.at(answer_at + 10_600);
+        assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
     }
-    world.at(LATE_ANSWER_AT + 10_600);
-    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
 }
 
 /// TWICE: the record of a former life tells of a lease that the later one took just before it first answered.
 #[test]
 fn record_counts_from_the_first_answer() {
-    let (_, batch) = with_late_answer();
+    let (_, batch) = with_late_answer(LATE_ANSWER_AT);
     let recorded = batch.records.iter().find_map(|rec| match rec {
         Record::EndedIncarnation(id, Some(ended)) if *id == life(10).id => Some(ended),
         _ => None,
@@ -192,14 +203,25 @@
     assert!(ended.is_final && ended.lease_left >= 10_500, "{ended:?}");
 }
 
+/// A successor in a short term records again what is left.
+#[test]
+fn short_term_records_what_is_left() {
+    let mut world = with_former_life();
+    restart(&mut world);
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let mut world = successor(records_of_holder(&mut world));
+    let batch = decide(&mut world);
+    assert!(last_left(&[batch], &life(10).id).is_some());
+}
+
 /// What the newest record of an incarnation in some batches tells is left; `None` if none has one.
 fn last_left(batches: &[Batch], id: &WorkerId) -> Option<u64> {
     let records = batches.iter().flat_map(|b| &b.records);
-    let left = records.filter_map(|rec| match rec {
+    let mut left = records.filter_map(|rec| match rec {
         Record::EndedIncarnation(other, Some(ended)) if other == id => Some(ended.lease_left),
         _ => None,
     });
-    left.last()
+    left.next_back()
 }
 
 /// A successor waits for what is left, not for the longest lease from its own reading on.
@@ -254,3 +276,22 @@
     world.at(again + 10_600);
     assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
 }
+
+/// TWICE: the later life carries out a start for the former one that had no answer, up to 12 s after it was sent.
+#[test]
+fn late_start_for_a_former_life_is_waited_for() {
+    let mut world = with_former_life();
+    world.sched.handle(Event::Submitted(JOB, one_task()));
+    let batch = decide(&mut world);
+    let Some(run) = batch.actions.iter().find_map(listed) else { panic!("no start") };
+    world.at(RESTARTED_AT);
+    world.tells(&life(10).id, WorkerUpdate::Started(run.task, run.attempt, StartReply::NoAnswer));
+    world.sched.handle(Event::WorkerListed(life(20)));
+    list_other_worker(&mut world);
+    for at in [AFTER_LEASE, 12_000, 22_400] {
+        world.at(at);
+        assert_eq!(starts(&decide(&mut world)), [], "the later life may run it at {at} ms");
+    }
+    world.at(22_700);
+    assert_eq!(starts(&decide(&mut world)), [(worker(0, 0).id, 2)]);
+}
