--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -11,8 +11,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::owed_batch::OwedBatch;
 use workswood_core::jobs::{
-    Action, Batch, EndKind, EndedIncarnationRecord, Event, Host, HostReply, HostState, JobSpec, Listing,
-    Record, ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
+    Action, Batch, EndKind, EndedIncarnationRecord, Event, Host, HostReply, HostState, Listing, Record,
+    ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
 };
 use workswood_platform::jobs::JobPlatform;
 use workswood_test_support::host_world::{HostWorld, host, limits, listed, wave, worker};
@@ -20,8 +20,8 @@
 use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::TurnStore;
 
-/// Number of the only job.
-const JOB: u64 = 1;
+use super::misdelivered_leases::{JOB, NAME, decide, life, one_task, starts, with_former_life};
+
 /// The only task.
 const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
 /// When the former life ends, in milliseconds.
@@ -40,24 +40,6 @@
     Duration::from_millis(n)
 }
 
-/// A life of the worker that restarts, by when it started.
-fn life(started: u64) -> WorkerInfo {
-    WorkerInfo { id: WorkerId::new("w", Some(started)), ..worker(1, 0) }
-}
-
-fn one_task() -> Arc<JobSpec> {
-    Arc::new(job(vec![step(1, vec![])], 0))
-}
-
-/// Worker and attempt of each start.
-fn starts(batch: &Batch) -> Vec<(WorkerId, u32)> {
-    let start = |a: &Action| match a {
-        Action::Start { worker, attempt, .. } => Some((worker.clone(), *attempt)),
-        _ => None,
-    };
-    batch.actions.iter().filter_map(start).collect()
-}
-
 /// What is recorded of incarnations that are over.
 fn ended_records(batch: &Batch) -> Vec<(WorkerId, Option<EndedIncarnationRecord>)> {
     let ended = |rec: &Record| match rec {
@@ -67,12 +49,6 @@
     batch.records.iter().filter_map(ended).collect()
 }
 
-/// Ticks once and takes a batch.
-fn decide(world: &mut HostWorld) -> Batch {
-    world.sched.handle(Event::Tick);
-    world.sched.take_batch()
-}
-
 /// A life is listed and answers.
 fn appears(world: &mut HostWorld, life: WorkerInfo) {
     let id = life.id.clone();
@@ -80,13 +56,6 @@
     world.answers(&id, Listing::default());
 }
 
-/// The former life is listed and answers.
-fn with_former_life() -> HostWorld {
-    let mut world = HostWorld::new(0);
-    appears(&mut world, life(10));
-    world
-}
-
 /// A life answers that another one has started, which answers then.
 fn restarts(world: &mut HostWorld, at: u64, former: u64, later: u64) {
     world.at(at);
@@ -162,7 +131,7 @@
 
 /// The host of the former life goes down for maintenance.
 fn maintain(world: &mut HostWorld) {
-    world.list(vec![host_of_worker(HostState::Up, Some("w"))]);
+    world.list(vec![host_of_worker(HostState::Up, Some(NAME))]);
     world.sched.handle(Event::WaveRequested(wave(&[1], 1), None));
     for at in (ENDS_AT..ENDS_AT + 3_000).step_by(150) {
         world.at(at);
@@ -208,7 +177,7 @@
         let at = ended_at + 4_000;
         for listed_at in [ended_at + 2_000, at] {
             world.at(listed_at);
-            world.list(vec![host_of_worker(HostState::Up, Some("w"))]);
+            world.list(vec![host_of_worker(HostState::Up, Some(NAME))]);
             decide(&mut world);
         }
         appears(&mut world, life(20));
--- a/tests/testsuite/misdelivered_leases.rs
+++ b/tests/testsuite/misdelivered_leases.rs
@@ -11,7 +11,9 @@
 use workswood_test_support::job_world::{job, step};
 
 /// Number of the only job.
-const JOB: u64 = 1;
+pub(super) const JOB: u64 = 1;
+/// Name of the worker that restarts.
+pub(super) const NAME: &str = "a";
 /// When the former life is known to be over and the later one first answers, in milliseconds.
 const RESTARTED_AT: u64 = 100;
 /// When a successor claims the lease, in milliseconds.
@@ -22,16 +24,16 @@
 const AFTER_LEASE: u64 = 10_700;
 
 /// A life of the worker that restarts, by when it started.
-fn life(started: u64) -> WorkerInfo {
-    WorkerInfo { id: WorkerId::new("a", Some(started)), ..worker(1, 0) }
+pub(super) fn life(started: u64) -> WorkerInfo {
+    WorkerInfo { id: WorkerId::new(NAME, Some(started)), ..worker(1, 0) }
 }
 
-fn one_task() -> Arc<JobSpec> {
+pub(super) fn one_task() -> Arc<JobSpec> {
     Arc::new(job(vec![step(1, vec![])], 0))
 }
 
 /// Worker and attempt of each start.
-fn starts(batch: &Batch) -> Vec<(WorkerId, u32)> {
+pub(super) fn starts(batch: &Batch) -> Vec<(WorkerId, u32)> {
     let start = |a: &Action| match a {
         Action::Start { worker, attempt, .. } => Some((worker.clone(), *attempt)),
         _ => None,
@@ -40,13 +42,13 @@
 }
 
 /// Ticks once and takes a batch.
-fn decide(world: &mut HostWorld) -> Batch {
+pub(super) fn decide(world: &mut HostWorld) -> Batch {
     world.sched.handle(Event::Tick);
     world.sched.take_batch()
 }
 
 /// The former life is listed and answers.
-fn with_former_life() -> HostWorld {
+pub(super) fn with_former_life() -> HostWorld {
     let mut world = HostWorld::new(0);
     world.sched.handle(Event::WorkerListed(life(10)));
     world.answers(&life(10).id, Listing::default());
