Peers: the listener takes connections of a quarter of the descriptors

A twelfth of 3,900 descriptors is 325 connections; in a fleet of 588 entries a lease holder with 4,100 descriptors would turn some of them away, and they could not be answered for.

--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -144,9 +144,11 @@
     let (stop_callers, callers_stopped) = watch::channel(false);
     tokio::spawn(monitoring::serve_readiness(readiness_listener, node.clone()));
     tokio::spawn(monitoring::serve_metrics(metrics_listener, node.clone()));
-    for listener in std::iter::once(peer_listener).chain(seed_listener) {
+    let (max_peers, max_seeds) = (node.settings.max_peer_connections(), node.settings.max_seed_connections());
+    let seed_listener = seed_listener.map(|listener| (max_seeds, listener));
+    for (max_connections, listener) in std::iter::once((max_peers, peer_listener)).chain(seed_listener) {
         tokio::spawn(workswood_peers::serve_within(
-            node.settings.max_peer_connections(),
+            max_connections,
             listener,
             peers::TOKEN.to_string(),
             peer_requests::handler(node.clone()),
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -27,8 +27,10 @@
 const MIN_FDS: u64 = 240;
 /// Descriptors that the host keeps for files.
 const FILE_FDS: u64 = 200;
-/// Part of the others that each listener for peers may use.
-const PEER_FD_SHARES: u64 = 12;
+/// Part of the others that the listener for peers may use.
+const PEER_FD_SHARES: u64 = 4;
+/// The same of the second listener, which few ask.
+const SEED_FD_SHARES: u64 = 12;
 /// Largest value of either that is taken for meant.
 const MAX_HOST_LIMIT: u64 = 1 << 24;
 
@@ -248,9 +250,19 @@
         Limits::for_probes(self.max_fds)
     }
 
-    /// Maximum number of connections of each listener for peers.
+    /// Maximum number of connections of the listener for peers: all other entries may ask the lease holder.
     pub fn max_peer_connections(&self) -> usize {
-        (self.max_fds.saturating_sub(FILE_FDS) / PEER_FD_SHARES).max(1) as usize
+        self.fd_share(PEER_FD_SHARES)
+    }
+
+    /// Maximum number of connections of the second listener for peers.
+    pub fn max_seed_connections(&self) -> usize {
+        self.fd_share(SEED_FD_SHARES)
+    }
+
+    /// One of so many equal shares of the descriptors that are not for files; at least 1.
+    fn fd_share(&self, shares: u64) -> usize {
+        (self.max_fds.saturating_sub(FILE_FDS) / shares).max(1) as usize
     }
 
     /// Longest time of a planned stop.
--- a/tests/testsuite/job_settings.rs
+++ b/tests/testsuite/job_settings.rs
@@ -29,6 +29,7 @@
     assert_eq!((s.name.as_str(), s.adviser.as_deref()), ("entry-1", None));
     assert_eq!(s.stop_timeout().as_secs(), 6);
     assert_eq!((s.memory_mb, s.max_fds), (260, 4096));
+    assert!(s.max_peer_connections() > 900, "hundreds of entries ask a lease holder");
 }
 
 #[test]
