Callers: a listener without limits discards 32 MiB of a body again before it refuses it

The rest of a body is read so that the caller can read its refusal; that had become 1 MiB for all, with the budget of the listener for jobs, where it has to be small.

--- a/crates/workswood-callers/src/request_body.rs
+++ b/crates/workswood-callers/src/request_body.rs
@@ -20,8 +20,9 @@
 use crate::held_bytes::HeldBytes;
 use crate::losses::Loss;
 
-/// Maximum number of bytes that are discarded before a refusal.
+/// Maximum number of bytes of a body that are discarded before a refusal, by a listener with limits and by one without.
 const MAX_DISCARDED_BYTES: usize = 1024 * 1024;
+const MAX_DISCARDED_WITHOUT_LIMITS: usize = 32 * 1024 * 1024;
 /// Sizes of the blocks in which a body is kept while it comes.
 const MIN_BLOCK_BYTES: usize = 512;
 const MAX_BLOCK_BYTES: usize = 16 * 1024;
@@ -175,7 +176,7 @@
 {
     let least = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if least > max_bytes {
-        if least <= max_bytes.saturating_add(MAX_DISCARDED_BYTES) {
+        if least <= max_bytes.saturating_add(max_discarded(connection.as_deref())) {
             discard_rest(body, connection.as_deref()).await;
         }
         return Err(BodyError::TooLarge);
@@ -222,8 +223,16 @@
     }
 }
 
-/// Reads and discards the rest of a body, up to [`MAX_DISCARDED_BYTES`] and [`DISCARD_TIMEOUT`], unless
-/// too many others do.
+/// Number of bytes that are discarded of a body that came over a connection of a listener with limits, or without.
+fn max_discarded(connection: Option<&Connection>) -> usize {
+    match connection {
+        Some(_) => MAX_DISCARDED_BYTES,
+        None => MAX_DISCARDED_WITHOUT_LIMITS,
+    }
+}
+
+/// Reads and discards the rest of a body, up to [`max_discarded`] and [`DISCARD_TIMEOUT`], unless too many
+/// others do.
 async fn discard_rest<B>(mut body: B, connection: Option<&Connection>)
 where
     B: Body<Data = Bytes> + Unpin,
@@ -232,7 +241,7 @@
     if let Some(None) = permit {
         return;
     }
-    let mut remaining = MAX_DISCARDED_BYTES;
+    let mut remaining = max_discarded(connection);
     let rest = async {
         while let Some(Ok(frame)) = body.frame().await {
             let len = frame.data_ref().map_or(0, Bytes::len);
