Settings: the template hands over the host's limits as one table

It now hands over `limits` whole, as `host_limits`. platform/ decodes the table under the platform's names into HostLimits; what it lacks keeps the value of `cores`, `link_mbps`, `memory_mb` and `max_fds`, which settings written before still name. Settings are written as before.

wire-names: `host_limits` is new in JobSettings (read, not written), and the fields of HostLimits.

--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use workswood_adapter::HostLimits;
 use workswood_callers::Limits;
 use workswood_core::ids::DataCentre;
 use workswood_core::jobs::Policy;
@@ -80,6 +81,9 @@
     /// Number of descriptors that the host gives the process.
     #[serde(default = "default_fds", skip_serializing_if = "is_default_fds")]
     pub max_fds: u64,
+    /// Limits of the host as the platform lists them. They replace `cores`, `link_mbps`, `memory_mb` and `max_fds`.
+    #[serde(default, skip_serializing)]
+    pub host_limits: HostLimits,
     /// Longest lease that workers accept, in milliseconds.
     #[serde(rename = "longest_lease_ms")]
     pub max_lease_ms: u64,
@@ -157,7 +161,18 @@
 impl JobSettings {
     /// Reads and checks a settings file.
     pub fn read(path: &str) -> Result<JobSettings> {
-        read_checked(path, JobSettings::check)
+        let settings = read_checked(path, |s: &JobSettings| s.clone().with_host_limits().check())?;
+        Ok(settings.with_host_limits())
+    }
+
+    /// The settings with the limits of the host in effect.
+    fn with_host_limits(mut self) -> JobSettings {
+        let limits = std::mem::take(&mut self.host_limits);
+        self.cores = limits.cores.unwrap_or(self.cores);
+        self.link_mbps = limits.link_mbps.unwrap_or(self.link_mbps);
+        self.memory_mb = limits.memory_mb.unwrap_or(self.memory_mb);
+        self.max_fds = limits.max_fds.unwrap_or(self.max_fds);
+        self
     }
 
     fn check(&self) -> std::result::Result<(), String> {
