--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -1,5 +1,6 @@
 //! Calls whose responses are read into memory.
 
+use std::future::Future;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use workswood_traffic::{Purpose, Traffic};
 
 use crate::attempt::Attempt;
+use crate::copies::{CopyAnswers, CopyOutcome, settle};
 use crate::pool::{Pool, PoolLimits};
 
 /// A header of a call: name in lower case, and value.
@@ -73,9 +75,11 @@
     pub status: StatusCode,
     /// The body.
     pub body: Bytes,
-    /// Whether this is the response to the second request, and the outcome of the first is
-    /// not known. A refusal then proves nothing: the first request may still be carried out.
+    /// Whether this is the response to the second request.
     pub retried: bool,
+    /// What is known of the other request, if two were sent. A refusal proves nothing while the
+    /// other one may still be carried out.
+    pub other_copy: CopyOutcome,
 }
 
 impl Response {
@@ -84,6 +88,12 @@
     fn is_final(&self) -> bool {
         self.status != StatusCode::TOO_MANY_REQUESTS && !self.status.is_server_error()
     }
+
+    /// What is known of the change that the call asks for, over all requests that were sent.
+    pub fn outcome(&self) -> CopyOutcome {
+        let own = if self.status.is_success() { CopyOutcome::Done } else { CopyOutcome::NotDone };
+        own.with(self.other_copy)
+    }
 }
 
 /// Why a call has no complete response.
@@ -175,28 +185,43 @@
             }
             FirstAttempt::Late => {
                 first.renew_connection();
-                let resent = AtomicBool::new(false);
-                let mut retry = pin!(self.resend_late(call, &first, &resent, deadline));
-                let second = tokio::select! {
-                    res = &mut retry => res,
-                    res = &mut first_exchange => return match res {
-                        // The second request may have been sent, so `NotSent` would be wrong.
-                        Err(e) if matches!(e, CallError::NoAnswer(_)) || resent.load(Ordering::Relaxed) => {
-                            retry.await
-                        }
-                        res => res,
-                    },
-                };
-                if second.as_ref().is_ok_and(Response::is_final) {
-                    first.abandon();
-                    return second;
-                }
-                // The outcome of the second request says nothing about the first.
-                tokio::select! {
-                    res = first_exchange => res.or(second),
-                    () = first.until_overdue(deadline) => second,
-                }
+                self.settle_late(call, &first, first_exchange, deadline).await
+            }
+        }
+    }
+
+    /// Sends a call again whose response is late, and returns what both requests tell.
+    async fn settle_late(
+        &self,
+        call: &Call<'_>,
+        first: &Attempt<Full<Bytes>>,
+        first_exchange: impl Future<Output = Result<Response, CallError>>,
+        deadline: Instant,
+    ) -> Result<Response, CallError> {
+        let resent = AtomicBool::new(false);
+        let is_resent = || resent.load(Ordering::Relaxed);
+        let first_answer = async {
+            let res = tokio::select! {
+                res = first_exchange => res,
+                () = first.until_overdue(deadline) => Err(timed_out()),
+            };
+            if is_resent() {
+                log_refusal_beside_copy(call, &res);
             }
+            res
+        };
+        let settles = |res: &Result<Response, CallError>| match res {
+            Ok(res) => res.is_final() || !is_resent(),
+            Err(CallError::NotSent(_)) => !is_resent(),
+            Err(CallError::NoAnswer(_)) => false,
+        };
+        match settle(first_answer, self.resend_late(call, first, &resent, deadline), settles).await {
+            CopyAnswers::Settled(res) => {
+                first.abandon();
+                let other_copy = if is_resent() { CopyOutcome::Unknown } else { CopyOutcome::NotDone };
+                res.map(|res| Response { other_copy, ..res })
+            }
+            CopyAnswers::Both(earlier, later) => combined(earlier, later),
         }
     }
 
@@ -263,7 +288,7 @@
         let started = Instant::now();
         tokio::select! {
             res = self.exchange(call, &second, req, false) => match res {
-                Ok(response) => Ok(Response { retried: true, ..response }),
+                Ok(res) => Ok(Response { retried: true, other_copy: CopyOutcome::Unknown, ..res }),
                 // The first request may have arrived, so `NotSent` would be wrong.
                 Err(e) => Err(CallError::NoAnswer(text_of(e))),
             },
@@ -315,7 +340,7 @@
         })?;
         let status = res.status();
         let body = read_body(Limited::new(res.into_body(), self.max_body_bytes)).await?;
-        Ok(Response { status, body, retried: false })
+        Ok(Response { status, body, retried: false, other_copy: CopyOutcome::NotDone })
     }
 }
 
@@ -362,6 +387,33 @@
     req.body(Full::new(body.clone())).map_err(|e| CallError::NotSent(e.to_string()))
 }
 
+/// The answer to two requests of a call neither of which settles it: a refusal, with what is known of the other
+/// request, or else a failure.
+fn combined(a: Result<Response, CallError>, b: Result<Response, CallError>) -> Result<Response, CallError> {
+    match (a, b) {
+        (Ok(res), other) | (other, Ok(res)) => Ok(Response { other_copy: outcome(&other), ..res }),
+        (Err(CallError::NotSent(text)), Err(CallError::NotSent(_))) => Err(CallError::NotSent(text)),
+        (Err(a), Err(_)) => Err(CallError::NoAnswer(text_of(a))),
+    }
+}
+
+/// What the answer to a request tells about it alone.
+fn outcome(res: &Result<Response, CallError>) -> CopyOutcome {
+    match res {
+        Ok(res) if res.status.is_success() => CopyOutcome::Done,
+        Ok(_) | Err(CallError::NotSent(_)) => CopyOutcome::NotDone,
+        Err(CallError::NoAnswer(_)) => CopyOutcome::Unknown,
+    }
+}
+
+/// Logs that the first request was refused although the second one was sent.
+fn log_refusal_beside_copy(call: &Call<'_>, res: &Result<Response, CallError>) {
+    let Ok(res) = res else { return };
+    if !res.is_final() {
+        log::info!("event=refusal_beside_copy purpose={} status={}", call.purpose, res.status.as_u16());
+    }
+}
+
 fn timed_out() -> CallError {
     CallError::NoAnswer("timed out".to_string())
 }
--- a/crates/workswood-platform/src/http.rs
+++ b/crates/workswood-platform/src/http.rs
@@ -11,7 +11,7 @@
 use snafu::ResultExt;
 use workswood_core::ids::Offset;
 use workswood_core::plan::{HostAction, ObservedFleet};
-use workswood_http::{Call, CallError, HttpClient, PoolLimits, Response, RetryPolicy};
+use workswood_http::{Call, CallError, CopyOutcome, HttpClient, PoolLimits, Response, RetryPolicy};
 use workswood_liveness::HalfOpenDetector;
 use workswood_traffic::Traffic;
 
@@ -96,8 +96,8 @@
     if response.status.is_success() {
         return serde_json::from_slice(&response.body).context(GarbledSnafu);
     }
-    // If the second request was refused, the first may still have taken effect.
-    if response.status.is_server_error() || response.retried {
+    // If one request was refused, the other one may still have taken effect.
+    if response.status.is_server_error() || response.outcome() != CopyOutcome::NotDone {
         return Err(Error::NoAnswer { text: response.status.to_string() });
     }
     let text = String::from_utf8_lossy(&response.body).into_owned();
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -15,6 +15,7 @@
 use workswood_core::jobs::{
     AdviceReply, Host, HostReply, Listing, SchedConfig, StepId, TaskId, Wave, WorkerAddress, WorkerInfo,
 };
+pub use workswood_http::CopyOutcome;
 
 /// Number of a partition of a topic.
 pub type Partition = u16;
@@ -75,7 +76,7 @@
         /// What went wrong.
         text: String,
     },
-    /// The precondition did not hold, since another writer was first; nothing was done.
+    /// The precondition did not hold, since another writer was first; this copy of the call did nothing.
     #[snafu(display("another writer has appended to the store before"))]
     GuardFailed,
     /// The store no longer keeps the requested records; it keeps later ones.
@@ -83,6 +84,18 @@
     RecordsGone,
 }
 
+impl StoreError {
+    /// What is known of the change that the call asked for, over all copies of the call.
+    pub fn outcome(&self) -> CopyOutcome {
+        match self {
+            StoreError::NotDone { .. } | StoreError::GuardFailed | StoreError::RecordsGone => {
+                CopyOutcome::NotDone
+            }
+            StoreError::Unknown { .. } => CopyOutcome::Unknown,
+        }
+    }
+}
+
 /// The latest record of every key of a topic.
 #[derive(Clone, Debug, Default)]
 pub struct LatestRecords {
--- a/crates/workswood-platform/src/lib.rs
+++ b/crates/workswood-platform/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `GET /hosts` | the list, [`workswood_core::plan::ObservedFleet`] |
 //! | `POST /acts` with a [`HostAction`] | `{}` |
 
+pub mod copies;
 mod http;
 pub mod jobs;
 
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -4,6 +4,7 @@
 //! each of which is at a busy worker or is lost.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::FutureExt;
@@ -15,6 +16,7 @@
 use workswood_core::jobs::{
     AdviceReply, Host, HostReply, Listing, ReportedRun, StepId, TaskId, WorkerAddress, WorkerInfo,
 };
+use workswood_platform::copies::first_settled;
 use workswood_platform::jobs::{
     Guard, JobPlatform, KeyedRecord, LatestRecords, OperatorRecord, StartOrder, StoreError, Tail, Topic,
     WorkerClock, WorkerError,
@@ -44,18 +46,23 @@
     Stop(TaskId, u32),
 }
 
-/// The store.
-pub struct TurnStore {
+/// The appends, which the store carries out also when nobody awaits them any more.
+struct Appends {
     /// Time that an append takes once it is its turn.
     each: Mutex<Duration>,
     /// Held by the append whose turn it is, a lock for each stream.
-    turns: Mutex<HashMap<Topic, std::sync::Arc<tokio::sync::Mutex<()>>>>,
+    turns: Mutex<HashMap<Topic, Arc<tokio::sync::Mutex<()>>>>,
     /// Fates of the next appends; afterwards all are done.
     fates: Mutex<VecDeque<Fate>>,
-    /// Guard of each append that was begun.
-    begun: Mutex<Vec<Guard>>,
     /// Keys of each append that was done.
     done: Mutex<Vec<Vec<String>>>,
+}
+
+/// The store.
+pub struct TurnStore {
+    appends: Arc<Appends>,
+    /// Guard of each append that was begun.
+    begun: Mutex<Vec<Guard>>,
     /// Looks so far.
     looks: Mutex<u64>,
     /// Looks that extended a lease.
@@ -88,6 +95,10 @@
     lease_forgotten: Mutex<bool>,
     /// Whether reads of the newest record are never answered.
     hanging: Mutex<bool>,
+    /// When a second copy of an append is sent whose first one has no answer, and how long either is awaited.
+    copies_after: Mutex<Option<(Duration, Duration)>>,
+    /// Appends of which a copy was refused after the other one was sent.
+    late_refusals: Mutex<u64>,
     /// Records of another topic, if the store keeps one.
     kept: Mutex<Option<(Topic, Vec<KeyedRecord>)>>,
 }
@@ -101,15 +112,41 @@
 /// Longest wait for the answer to a look beyond what it asks for.
 const LOOK_SLACK: Duration = Duration::from_millis(700);
 
+impl Appends {
+    async fn take(self: Arc<Self>, topic: Topic, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
+        let fate = self.fates.lock().pop_front().unwrap_or(Fate::Done);
+        if fate == Fate::Silent {
+            std::future::pending::<()>().await;
+        }
+        let turn = self.turns.lock().entry(topic).or_default().clone();
+        let _turn = turn.lock().await;
+        let each = *self.each.lock();
+        tokio::time::sleep(each).await;
+        if fate == Fate::Refused {
+            return Err(StoreError::NotDone { text: "not now".to_string() });
+        }
+        if fate == Fate::Overtaken {
+            return Err(StoreError::GuardFailed);
+        }
+        self.done.lock().push(records.into_iter().map(|r| r.key).collect());
+        match fate {
+            Fate::AnswerLost => Err(StoreError::Unknown { text: "lost".to_string() }),
+            _ => Ok(0),
+        }
+    }
+}
+
 impl TurnStore {
     /// A store whose appends take so long each.
     pub fn new(each: Duration, fates: &[Fate]) -> TurnStore {
         TurnStore {
-            each: Mutex::new(each),
-            turns: Mutex::default(),
-            fates: Mutex::new(fates.iter().copied().collect()),
+            appends: Arc::new(Appends {
+                each: Mutex::new(each),
+                turns: Mutex::default(),
+                fates: Mutex::new(fates.iter().copied().collect()),
+                done: Mutex::default(),
+            }),
             begun: Mutex::default(),
-            done: Mutex::default(),
             looks: Mutex::default(),
             leases: Mutex::default(),
             last_lease_end: Mutex::default(),
@@ -126,6 +163,8 @@
             refuses_renewals: Mutex::default(),
             lease_forgotten: Mutex::default(),
             hanging: Mutex::default(),
+            copies_after: Mutex::default(),
+            late_refusals: Mutex::default(),
             kept: Mutex::default(),
         }
     }
@@ -199,9 +238,25 @@
         }
     }
 
+    /// From now on an append is sent again if it has no answer after the first of these times, and is given up after
+    /// the second one.
+    pub fn sends_copies(&self, after: Duration, timeout: Duration) {
+        *self.copies_after.lock() = Some((after, timeout));
+    }
+
+    /// Appends so far of which a copy was refused after the other one was sent.
+    pub fn late_refusals(&self) -> u64 {
+        *self.late_refusals.lock()
+    }
+
+    /// Adds fates of further appends.
+    pub fn add_fates(&self, fates: impl IntoIterator<Item = Fate>) {
+        self.appends.fates.lock().extend(fates);
+    }
+
     /// From now on each append takes so long.
     pub fn takes(&self, each: Duration) {
-        *self.each.lock() = each;
+        *self.appends.each.lock() = each;
     }
 
     /// How long the last lease was that was sent, within the time that a poll takes.
@@ -277,29 +332,39 @@
 
     /// Keys of each append that was done.
     pub fn done(&self) -> Vec<Vec<String>> {
-        self.done.lock().clone()
+        self.appends.done.lock().clone()
+    }
+
+    /// Makes an append, a second time as well if it is late.
+    async fn take_copies(&self, topic: Topic, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
+        let copies = *self.copies_after.lock();
+        let Some((after, timeout)) = copies else { return self.appends.clone().take(topic, records).await };
+        let deadline = Instant::now() + timeout;
+        let mut first = Box::pin(self.take_until(deadline, topic, records.clone()));
+        match tokio::time::timeout(after, &mut first).await {
+            Ok(res) => res,
+            Err(_) => {
+                let first = async {
+                    let res = first.await;
+                    *self.late_refusals.lock() += u64::from(matches!(res, Err(StoreError::NotDone { .. })));
+                    res
+                };
+                first_settled(first, self.take_until(deadline, topic, records)).await
+            }
+        }
     }
 
-    async fn take(&self, topic: Topic, records: Vec<KeyedRecord>) -> Result<Offset, StoreError> {
-        let fate = self.fates.lock().pop_front().unwrap_or(Fate::Done);
-        if fate == Fate::Silent {
-            std::future::pending::<()>().await;
-        }
-        let turn = self.turns.lock().entry(topic).or_default().clone();
-        let _turn = turn.lock().await;
-        let each = *self.each.lock();
-        tokio::time::sleep(each).await;
-        if fate == Fate::Refused {
-            return Err(StoreError::NotDone { text: "not now".to_string() });
-        }
-        if fate == Fate::Overtaken {
-            return Err(StoreError::GuardFailed);
-        }
-        self.done.lock().push(records.into_iter().map(|r| r.key).collect());
-        match fate {
-            Fate::AnswerLost => Err(StoreError::Unknown { text: "lost".to_string() }),
-            _ => Ok(0),
-        }
+    /// Makes an append, whose answer is awaited until a deadline; it may be done later.
+    async fn take_until(
+        &self,
+        deadline: Instant,
+        topic: Topic,
+        records: Vec<KeyedRecord>,
+    ) -> Result<Offset, StoreError> {
+        let append = tokio::spawn(self.appends.clone().take(topic, records));
+        let answer = tokio::time::timeout_at(deadline, append).await;
+        let late = || Err(StoreError::Unknown { text: "timed out".to_string() });
+        answer.map_or_else(|_| late(), |done| done.expect("an append does not panic"))
     }
 }
 
@@ -334,7 +399,7 @@
             return async move { Ok(end) }.boxed();
         }
         self.begun.lock().push(guard);
-        self.take(topic, records).boxed()
+        self.take_copies(topic, records).boxed()
     }
 
     fn latest(&self, topic: Topic) -> BoxFuture<'_, Result<LatestRecords, StoreError>> {
--- a/src/workswood/ops/jobs/hedged_call.rs
+++ b/src/workswood/ops/jobs/hedged_call.rs
@@ -1,12 +1,13 @@
 //! Calls to the store that are repeated when the store answers others.
 //!
 //! A call that the store received while it was silent stays without an answer although the store is
-//! back. It is therefore repeated once the store has answered a later call; the first answer counts.
+//! back. It is therefore repeated once the store has answered a later call; the first answer that settles it counts.
 
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
 
+use workswood_platform::copies::first_settled;
 use workswood_platform::jobs::StoreError;
 
 use super::node::Node;
@@ -35,9 +36,5 @@
         }
     }
     log::info!("event=store_call_repeated age_ms={}", (node.now() - made_at).as_millis());
-    let mut second = pin!(call());
-    tokio::select! {
-        res = &mut first => res,
-        res = &mut second => res,
-    }
+    first_settled(first, call()).await
 }
--- a/src/workswood/ops/jobs/helped_store.rs
+++ b/src/workswood/ops/jobs/helped_store.rs
@@ -23,13 +23,14 @@
 };
 use workswood_liveness::AdaptiveTimeout;
 use workswood_peers::Msg;
+use workswood_platform::copies::{combined, first_settled, is_settled};
 use workswood_platform::jobs::{
     Guard, JobPlatform, KeyedRecord, LatestRecords, OperatorRecord, StartOrder, StoreError, Tail, Topic,
     WorkerClock, WorkerError,
 };
 
 use super::node::Node;
-use super::store_calls::{self, MAX_READ_WAIT, StoreAnswer, is_settled, not_done};
+use super::store_calls::{self, MAX_READ_WAIT, StoreAnswer, not_done};
 
 /// An append is late after this multiple of the mean latency.
 const LATE_APPEND_MULTIPLE: f64 = 4.0;
@@ -176,7 +177,7 @@
             Ok(res) if is_settled(&res) => res,
             Ok(Err(e)) => {
                 self.note_refused(node, topic, &e.to_string());
-                worse(Err(e), self.call_through_peers(node, &request, PEER_TIMEOUT).await)
+                combined(Err(e), self.call_through_peers(node, &request, PEER_TIMEOUT).await)
             }
             // A settled answer is returned above.
             Ok(res) => res,
@@ -195,10 +196,10 @@
     ) -> StoreAnswer {
         let mut peer = pin!(self.call_through_peers(node, request, PEER_TIMEOUT));
         tokio::select! {
-            res = &mut direct => if is_settled(&res) { res } else { worse(res, peer.await) },
+            res = &mut direct => if is_settled(&res) { res } else { combined(res, peer.await) },
             res = &mut peer => {
                 if !is_settled(&res) {
-                    return worse(res, direct.await);
+                    return combined(res, direct.await);
                 }
                 self.note_refused(node, topic, "late");
                 res
@@ -279,7 +280,7 @@
         for _ in 0..MAX_ASKED_PEERS.min(addresses.len()) {
             let rank = self.next_rank.fetch_add(1, Ordering::Relaxed);
             let address = &addresses[rank % addresses.len()];
-            answer = worse(answer, self.call_peer(node, address, request.clone(), timeout).await);
+            answer = combined(answer, self.call_peer(node, address, request.clone(), timeout).await);
             if is_settled(&answer) {
                 self.next_rank.store(rank, Ordering::Relaxed);
                 return answer;
@@ -313,27 +314,6 @@
     }
 }
 
-/// The answer of two attempts that were made one after the other: a settled one, or else one that leaves
-/// open whether the call was carried out.
-fn worse(earlier: StoreAnswer, later: StoreAnswer) -> StoreAnswer {
-    match (&earlier, &later) {
-        (Err(StoreError::Unknown { .. }), Err(StoreError::NotDone { .. })) => earlier,
-        _ => later,
-    }
-}
-
-/// The first of two answers that settles the call; if none does, one that tells whether it is open.
-async fn first_settled(
-    a: impl Future<Output = StoreAnswer>,
-    b: impl Future<Output = StoreAnswer>,
-) -> StoreAnswer {
-    let (mut a, mut b) = (pin!(a), pin!(b));
-    tokio::select! {
-        first = &mut a => if is_settled(&first) { first } else { worse(first, b.await) },
-        first = &mut b => if is_settled(&first) { first } else { worse(first, a.await) },
-    }
-}
-
 impl JobPlatform for HelpedStore {
     fn append(
         &self,
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -28,7 +28,7 @@
 use workswood_callers::HeldBytes;
 use workswood_core::jobs::{JobKey, Owner};
 use workswood_liveness::AdaptiveTimeout;
-use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
+use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Partition, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::node::Node;
@@ -76,6 +76,16 @@
     Unknown,
 }
 
+impl From<CopyOutcome> for Stored {
+    fn from(outcome: CopyOutcome) -> Stored {
+        match outcome {
+            CopyOutcome::Done => Stored::Yes,
+            CopyOutcome::NotDone => Stored::No,
+            CopyOutcome::Unknown => Stored::Unknown,
+        }
+    }
+}
+
 /// Stage of a record: it is queued, it has been sent to the store or only to a peer, or its caller timed
 /// out before it was sent.
 #[derive(Debug, Default)]
@@ -135,12 +145,10 @@
     stage: Arc<Stage>,
     /// Number of appends with the record that were refused.
     refusals: u32,
-    /// Whether an append with the record had no reply.
-    outcome_unknown: bool,
+    /// What is known of the appends with the record that were sent, from here and by peers.
+    outcome: CopyOutcome,
     /// Whether a peer sent the record. It is not sent on to other peers.
     for_peer: bool,
-    /// Whether a peer has stored the record.
-    stored_by_peer: bool,
     /// Whether the peers that were asked have refused the record. It is not sent to peers again: its
     /// caller may retry at another entry.
     refused_by_peers: bool,
@@ -252,9 +260,8 @@
             rec,
             stage: stage.clone(),
             refusals: 0,
-            outcome_unknown: false,
+            outcome: CopyOutcome::NotDone,
             for_peer,
-            stored_by_peer: false,
             refused_by_peers: false,
             reply,
             _held: held,
@@ -326,48 +333,27 @@
     node.inbox_writer.appends_in_flight.fetch_sub(1, Ordering::Relaxed);
     let probes = node.settings.policy.outage.probe_before_append;
     for (queued, by_peer) in batch.iter_mut().zip(&result.by_peers) {
-        let not_sent = matches!(by_peer, None | Some(Stored::No)) && result.local == LocalOutcome::Refused;
-        if not_sent && !queued.outcome_unknown {
+        queued.outcome = queued.outcome.with(result.local).with(by_peer.unwrap_or_default());
+        if queued.outcome == CopyOutcome::NotDone {
             queued.stage.mark_refused();
         }
-        queued.refused_by_peers |= probes && *by_peer == Some(Stored::No);
-        queued.stored_by_peer = *by_peer == Some(Stored::Yes);
-        queued.outcome_unknown |= *by_peer == Some(Stored::Unknown);
-    }
-    match result.local {
-        LocalOutcome::Done => {
-            batch.into_iter().for_each(|queued| queued.send_reply(Stored::Yes));
-            return Vec::new();
-        }
-        LocalOutcome::Unknown => batch.iter_mut().for_each(|queued| queued.outcome_unknown = true),
-        LocalOutcome::Refused => {
-            batch.iter_mut().for_each(|queued| queued.refusals += 1);
-            if batch.iter().any(|queued| !queued.stored_by_peer) {
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
+        queued.refused_by_peers |= probes && *by_peer == Some(CopyOutcome::NotDone);
+        queued.refusals += u32::from(result.local == CopyOutcome::NotDone);
+    }
+    if result.local == CopyOutcome::NotDone && batch.iter().any(|queued| queued.outcome != CopyOutcome::Done)
+    {
+        tokio::time::sleep(RETRY_DELAY).await;
     }
     let (finished, retries): (Vec<_>, Vec<_>) = batch.into_iter().partition(QueuedRecord::is_finished);
     finished.into_iter().for_each(QueuedRecord::reply_with_outcome);
     retries
 }
 
-/// Outcome of an append from here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LocalOutcome {
-    /// The store has acknowledged it.
-    Done,
-    /// It was not carried out, and will not be.
-    Refused,
-    /// There was no reply, or none was awaited since peers have stored all records.
-    Unknown,
-}
-
 /// Outcome of an append from here, and of sending its records through peers; `None` for a record that was
-/// not sent to a peer.
+/// not sent to a peer. The first is also unknown if it was not awaited since peers have stored all records.
 struct AppendResult {
-    local: LocalOutcome,
-    by_peers: Vec<Option<Stored>>,
+    local: CopyOutcome,
+    by_peers: Vec<Option<CopyOutcome>>,
 }
 
 /// Sends an append, and sends its records through peers if it is refused or late.
@@ -386,22 +372,22 @@
         node.inbox_writer.append_latency.late_after()
     };
     let in_time = tokio::time::timeout(timeout, &mut local).await.ok();
-    if in_time == Some(LocalOutcome::Done) {
-        return AppendResult { local: LocalOutcome::Done, by_peers: not_sent };
+    if in_time == Some(CopyOutcome::Done) {
+        return AppendResult { local: CopyOutcome::Done, by_peers: not_sent };
     }
     node.inbox_writer.record_failure(node.now());
     let mut through_peers = pin!(store_through_peers(node, batch));
     let Some(in_time) = in_time else {
         return tokio::select! {
             local = &mut local => match local {
-                LocalOutcome::Done => AppendResult { local, by_peers: not_sent },
-                LocalOutcome::Refused | LocalOutcome::Unknown => {
+                CopyOutcome::Done => AppendResult { local, by_peers: not_sent },
+                CopyOutcome::NotDone | CopyOutcome::Unknown => {
                     AppendResult { local, by_peers: through_peers.await }
                 }
             },
             by_peers = &mut through_peers => {
-                let all_stored = by_peers.iter().all(|stored| *stored == Some(Stored::Yes));
-                let local = if all_stored { LocalOutcome::Unknown } else { local.await };
+                let all_stored = by_peers.iter().all(|stored| *stored == Some(CopyOutcome::Done));
+                let local = if all_stored { CopyOutcome::Unknown } else { local.await };
                 AppendResult { local, by_peers }
             }
         };
@@ -410,17 +396,17 @@
 }
 
 /// Sends an append from here, unless the store has been silent for too long.
-async fn append_locally(node: &Node, partition: Partition, batch: &[QueuedRecord]) -> LocalOutcome {
+async fn append_locally(node: &Node, partition: Partition, batch: &[QueuedRecord]) -> CopyOutcome {
     if node.store_silence() > APPEND_MAX_STORE_SILENCE {
-        return LocalOutcome::Refused;
+        return CopyOutcome::NotDone;
     }
     if node.settings.policy.outage.probe_before_append && !store_answers(node).await {
-        return LocalOutcome::Refused;
+        return CopyOutcome::NotDone;
     }
     let wanted = batch.iter().filter(|queued| queued.stage.mark_sent());
     let records: Vec<KeyedRecord> = wanted.map(|queued| queued.rec.clone()).collect();
     if records.is_empty() {
-        return LocalOutcome::Refused;
+        return CopyOutcome::NotDone;
     }
     let start = node.now();
     let res = node.platform.append(Topic::Inbox(partition), records, Guard::None).await;
@@ -429,17 +415,12 @@
             node.inbox_writer.append_latency.record(node.now() - start);
             node.note_store_answer();
             node.inbox_writer.last_append_failed.store(false, Ordering::Relaxed);
-            LocalOutcome::Done
-        }
-        Err(StoreError::Unknown { text }) => {
-            node.check_lease.notify_one();
-            log_failed("inbox_append_unanswered", batch, &text);
-            LocalOutcome::Unknown
+            CopyOutcome::Done
         }
         Err(e) => {
             node.check_lease.notify_one();
-            log_failed("inbox_append_refused", batch, &e.to_string());
-            LocalOutcome::Refused
+            log_failed(batch, &e);
+            e.outcome()
         }
     }
 }
@@ -473,7 +454,7 @@
 }
 
 /// Sends the records of callers, but not those of peers, to peers that store them.
-async fn store_through_peers(node: &Node, batch: &[QueuedRecord]) -> Vec<Option<Stored>> {
+async fn store_through_peers(node: &Node, batch: &[QueuedRecord]) -> Vec<Option<CopyOutcome>> {
     let sent: Vec<bool> = batch
         .iter()
         .map(|queued| queued.may_be_sent_to_peers() && queued.stage.mark_sent_to_peer())
@@ -484,18 +465,21 @@
         return vec![None; batch.len()];
     }
     let mut outcomes = peer_requests::store_through_peers(node, &records).await.into_iter();
-    let by_peers: Vec<Option<Stored>> =
+    let by_peers: Vec<Option<CopyOutcome>> =
         sent.into_iter().map(|sent| if sent { outcomes.next() } else { None }).collect();
     // A peer that was asked earlier and did not answer may yet store the record.
-    let refused = batch
-        .iter()
-        .zip(&by_peers)
-        .filter(|(queued, by_peer)| **by_peer == Some(Stored::No) && !queued.outcome_unknown);
+    let refused = batch.iter().zip(&by_peers).filter(|(queued, by_peer)| {
+        **by_peer == Some(CopyOutcome::NotDone) && queued.outcome == CopyOutcome::NotDone
+    });
     refused.for_each(|(queued, _)| queued.stage.mark_refused_by_peers());
     by_peers
 }
 
-fn log_failed(event: &str, batch: &[QueuedRecord], error: &str) {
+fn log_failed(batch: &[QueuedRecord], error: &StoreError) {
+    let event = match error.outcome() {
+        CopyOutcome::NotDone => "inbox_append_refused",
+        CopyOutcome::Unknown | CopyOutcome::Done => "inbox_append_unanswered",
+    };
     for queued in batch {
         log::warn!("event={event} key={} error=\"{error}\"", queued.rec.key);
     }
@@ -506,24 +490,15 @@
         !self.for_peer && !self.refused_by_peers
     }
 
-    /// Whether the record is not sent again: a peer has stored it, it was refused too often, or its caller
-    /// no longer waits.
+    /// Whether the record is not sent again: it is stored, it was refused too often, or its caller no longer
+    /// waits.
     fn is_finished(&self) -> bool {
-        self.stored_by_peer || self.refusals >= MAX_REFUSALS || self.reply.is_closed()
+        self.outcome == CopyOutcome::Done || self.refusals >= MAX_REFUSALS || self.reply.is_closed()
     }
 
     /// Replies to the caller with the outcome of all attempts.
     fn reply_with_outcome(self) {
-        let stored = match (self.stored_by_peer, self.outcome_unknown) {
-            (true, _) => Stored::Yes,
-            (false, true) => Stored::Unknown,
-            (false, false) => Stored::No,
-        };
-        self.send_reply(stored);
-    }
-
-    fn send_reply(self, stored: Stored) {
         // Nobody receives the reply once the caller's timeout has passed.
-        let _ = self.reply.send(stored);
+        let _ = self.reply.send(self.outcome.into());
     }
 }
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -14,7 +14,7 @@
     CallError, ConfigReply, ConfigRequest, EvacuatedDataCentres, HandInOutcome, Handler, InboxAppendReply,
     InboxAppendRequest, InboxRecord, LeaseHolder, LeaseReleaseRequest, Msg,
 };
-use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
+use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Topic};
 
 use super::inbox::Stored;
 use super::lease::{self, LeaseRecord};
@@ -86,10 +86,10 @@
     }
 }
 
-/// Has peers store records; returns the outcome of each. The outcome is [`Stored::No`] if no peer could be
-/// called or all of them refused the record.
-pub async fn store_through_peers(node: &Node, records: &[KeyedRecord]) -> Vec<Stored> {
-    let mut outcomes = vec![Stored::No; records.len()];
+/// Has peers store records; returns the outcome of each. The outcome is [`CopyOutcome::NotDone`] if no peer could
+/// be called or all of them refused the record.
+pub async fn store_through_peers(node: &Node, records: &[KeyedRecord]) -> Vec<CopyOutcome> {
+    let mut outcomes = vec![CopyOutcome::NotDone; records.len()];
     for address in addresses_to_call(node) {
         let to_wire =
             |r: &KeyedRecord| InboxRecord { key: r.key.clone(), value: r.value.clone().unwrap_or_default() };
@@ -99,29 +99,29 @@
         let msg = Msg::InboxAppendRequest(InboxAppendRequest { records, timeout_ms });
         let reply = node.peers.call(&node.id, &address, msg, PEER_TIMEOUT).await;
         apply_reply(&mut outcomes, reply);
-        if outcomes.iter().all(|s| *s == Stored::Yes) {
+        if outcomes.iter().all(|outcome| *outcome == CopyOutcome::Done) {
             break;
         }
     }
-    log::info!("event=handed_in_by_helper records={} stored={}", outcomes.len(), count_stored(&outcomes));
+    let stored = outcomes.iter().filter(|outcome| **outcome == CopyOutcome::Done).count();
+    log::info!("event=handed_in_by_helper records={} stored={stored}", outcomes.len());
     outcomes
 }
 
-/// Merges the reply of a peer into the outcomes. An unknown outcome stays unknown unless a later peer has
-/// stored the record.
-fn apply_reply(outcomes: &mut [Stored], reply: Result<Msg, CallError>) {
+/// Merges the reply of a peer into the outcomes.
+fn apply_reply(outcomes: &mut [CopyOutcome], reply: Result<Msg, CallError>) {
     let replied = match reply {
         Ok(Msg::InboxAppendReply(r)) => r.outcomes,
         Err(CallError::NotSent) => return,
         Ok(_) | Err(CallError::NoAnswer) => Vec::new(),
     };
-    for (n, stored) in outcomes.iter_mut().enumerate() {
-        let outcome = replied.get(n).and_then(|o| HandInOutcome::try_from(*o).ok());
-        match outcome.unwrap_or(HandInOutcome::Unknown) {
-            HandInOutcome::Stored => *stored = Stored::Yes,
-            HandInOutcome::Unknown if *stored != Stored::Yes => *stored = Stored::Unknown,
-            HandInOutcome::Unknown | HandInOutcome::NotStored => {}
-        }
+    for (n, outcome) in outcomes.iter_mut().enumerate() {
+        let replied = replied.get(n).and_then(|o| HandInOutcome::try_from(*o).ok());
+        *outcome = outcome.with(match replied {
+            Some(HandInOutcome::Stored) => CopyOutcome::Done,
+            Some(HandInOutcome::NotStored) => CopyOutcome::NotDone,
+            Some(HandInOutcome::Unknown) | None => CopyOutcome::Unknown,
+        });
     }
 }
 
--- a/src/workswood/ops/jobs/store_calls.rs
+++ b/src/workswood/ops/jobs/store_calls.rs
@@ -20,14 +20,6 @@
 /// What a call to the store returned: records if it was a read, and an offset.
 pub(super) type StoreAnswer = Result<Tail, StoreError>;
 
-/// Whether an answer settles a call, so that it need not be made elsewhere.
-pub(super) fn is_settled<T>(res: &Result<T, StoreError>) -> bool {
-    match res {
-        Ok(_) | Err(StoreError::GuardFailed | StoreError::RecordsGone) => true,
-        Err(StoreError::NotDone { .. } | StoreError::Unknown { .. }) => false,
-    }
-}
-
 /// A request to append records, if that may be done twice: they are guarded by a term, or delete keys of the
 /// inbox.
 pub(super) fn append_request(topic: Topic, records: &[KeyedRecord], guard: Guard) -> Option<Msg> {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -60,6 +60,7 @@
 mod lasting_soak;
 mod late_host_lists;
 mod late_jobs;
+mod late_refusals;
 mod late_starts;
 mod lease_claims;
 mod lease_looks;
