--- a/crates/workswood-core/src/jobs/maintenance_waves.rs
+++ b/crates/workswood-core/src/jobs/maintenance_waves.rs
@@ -240,7 +240,9 @@
             return;
         }
         self.hosts_requested_at = requested_at;
-        self.hosts = list.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let listed = list.into_iter().map(|host| (host.name.clone(), host)).collect();
+        let before = std::mem::replace(&mut self.hosts, listed);
+        self.restore_steps_for_hosts(&before);
         self.update_fleet_cpu();
         self.correct_host_list(requested_at);
         self.record_declared_sizes();
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 //! * [`host`] defines hosts and replies to orders.
 //! * [`stable_map`] is a map with the same iteration order in every run.
 //! * [`queue_order`] decides which waiting task is next, and [`task_queue`] holds the waiting tasks.
+//! * [`step_demand`] is what a step asks of a worker; `feasibility` sets steps aside that no worker could ever take.
 //! * `start_orders` withdraws starts that are not wanted any more before they are sent.
 //! * [`relays`] decides which entry polls which workers, and [`run_tracker`] finds what is new in a
 //!   worker's answers.
@@ -92,6 +93,7 @@
 mod evacuation;
 pub mod eviction;
 pub mod fair_share;
+mod feasibility;
 pub mod host;
 pub mod incarnation_check;
 mod inherited_state;
@@ -128,6 +130,7 @@
 pub mod spec;
 pub mod stable_map;
 mod start_orders;
+pub mod step_demand;
 mod takeover_barrier;
 pub mod task_queue;
 pub mod types;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -13,6 +13,7 @@
 use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
+use super::step_demand::StepDemand;
 use super::types::Action;
 use super::worker::{Worker, WorkerInfo};
 use super::workspace::Owner;
@@ -33,6 +34,11 @@
 const LONG_LEASE_COST: usize = SAME_STEP_COST;
 /// Most long-running steps that one pass tries beyond those that it reaches in the order of placement.
 const MAX_UNREACHED_STEPS: usize = 32;
+/// Most steps that one pass skips because others that ask for the same found no worker, in the order of placement and
+/// again in the sweep.
+const MAX_SKIPPED_STEPS: usize = 512;
+/// Most steps that find no worker in the sweep of one pass.
+const MAX_SWEEP_MISSES: usize = 32;
 /// Most different choices of workers that are tried in vain for the tasks of one step.
 const MAX_CHOICES_TRIED: usize = 4;
 /// After this time without a run or a failure, a long-running task is placed on any worker with room.
@@ -45,8 +51,13 @@
             self.place_trials(service);
         }
         self.place_absent_tasks(service);
-        let reached = self.place_in_order(service);
-        self.place_unreached_long_running(service, &reached);
+        let mut pass = PlacementPass::default();
+        self.place_in_order(service, &mut pass);
+        self.place_unreached_long_running(service, &pass.long_running);
+        if !pass.reached_end {
+            self.counters.passes_cut += 1;
+            self.sweep_unreached(service, &mut pass);
+        }
     }
 
     /// Places long-running tasks that have run before and have been absent for a while, before all others:
@@ -57,6 +68,7 @@
                 return false;
             };
             job.task(id).is_some_and(|t| t.is_idle() && t.latest_attempt > 0)
+                && !self.ready.get(service).is_some_and(|w| w.is_set_aside(&id.step_id()))
                 && self.gives_way(Safeguard::OrderOfPlacement, id)
         };
         let waiting = self.absent_tasks.absent_for(Duration::ZERO, self.now).filter(waits);
@@ -70,35 +82,82 @@
         }
     }
 
-    /// Places steps in the order of placement until too many found no worker; returns the
-    /// long-running ones that were tried.
-    fn place_in_order(&mut self, service: &ServiceId) -> BTreeSet<StepId> {
-        // Steps that found no worker; see `PlacementPolicy::max_misses`.
-        let mut misses = 0;
-        let mut reached = BTreeSet::new();
+    /// Places steps in the order of placement until too many found no worker.
+    fn place_in_order(&mut self, service: &ServiceId, pass: &mut PlacementPass) {
         let mut steps = StepQueue::new(self.placement_order(service));
         let owners: Vec<Owner> = self.ready.get(service).map(|w| w.owners().collect()).unwrap_or_default();
         owners.into_iter().for_each(|owner| self.queue_next_step(&mut steps, service, owner, None));
-        while misses < self.policy.placement.max_misses {
-            let Some(next) = steps.next() else { break };
-            let long_running = self.is_long_running(&next.step);
-            if long_running {
-                reached.insert(next.step);
+        while pass.misses < self.policy.placement.max_misses && pass.skipped < MAX_SKIPPED_STEPS {
+            let Some(next) = steps.next() else {
+                pass.reached_end = true;
+                return;
+            };
+            if self.is_long_running(&next.step) {
+                pass.long_running.insert(next.step);
+            }
+            // The workspace keeps what is left of its limit for this step, so its next step is not
+            // queued.
+            if self.place_in_pass(service, &next, pass) {
+                self.queue_next_step(&mut steps, service, next.owner, Some(&next));
+            }
+        }
+    }
+
+    /// Places a step as part of a pass, unless one that asks for the same has found no worker; returns false if its
+    /// owner has reached its limit.
+    fn place_in_pass(&mut self, service: &ServiceId, next: &QueuePosition, pass: &mut PlacementPass) -> bool {
+        self.counters.steps_looked_at += 1;
+        let demand = self.shared_demand(&next.step);
+        if demand.as_ref().is_some_and(|d| pass.unmet.contains(d)) {
+            pass.skipped += 1;
+            return true;
+        }
+        match self.place_step(service, &next.step) {
+            StepPlacement::Done => {}
+            StepPlacement::OverLimit => {
+                pass.owners_over_limit.insert(next.owner);
+                return false;
+            }
+            StepPlacement::NoWorker { .. } if self.set_aside_if_infeasible(service, &next.step) => {}
+            StepPlacement::NoWorker { for_any_task } => {
+                // Long-running tasks, which may find no worker for hours, and tasks that need a
+                // ticket do not count as misses.
+                pass.misses +=
+                    usize::from(!self.is_long_running(&next.step) && !self.needs_ticket(&next.step));
+                pass.unmet.extend(demand.filter(|_| for_any_task));
+            }
+        }
+        true
+    }
+
+    /// What a step asks for, if nothing else decides which workers may take its tasks.
+    fn shared_demand(&self, id: &StepId) -> Option<StepDemand> {
+        let step = self.jobs.get(&id.job)?.spec.steps.get(usize::from(id.step))?;
+        let own_rules = step.long_running || step.gang || step.max_per_worker > 0 || self.needs_ticket(id);
+        (!own_rules).then(|| StepDemand::of(step))
+    }
+
+    /// Places steps behind those that find no worker, some of them in each pass and all of them in turn.
+    fn sweep_unreached(&mut self, service: &ServiceId, pass: &mut PlacementPass) {
+        (pass.misses, pass.skipped) = (0, 0);
+        while pass.misses < MAX_SWEEP_MISSES && pass.skipped < MAX_SKIPPED_STEPS {
+            let Some(waiting) = self.ready.get_mut(service) else { return };
+            let next = waiting.next_after(waiting.sweep.cursor.as_ref());
+            waiting.sweep.cursor = next;
+            let Some(next) = next else {
+                waiting.sweep.owners_over_limit.clear();
+                return;
+            };
+            let over_limit = &waiting.sweep.owners_over_limit;
+            if over_limit.contains(&next.owner) || pass.owners_over_limit.contains(&next.owner) {
+                pass.skipped += 1;
+                continue;
             }
-            match self.place_step(service, &next.step) {
-                StepPlacement::Done => {}
-                StepPlacement::NoWorker => {
-                    // Long-running tasks, which may find no worker for hours, and tasks that need a
-                    // ticket do not count as misses.
-                    misses += usize::from(!long_running && !self.needs_ticket(&next.step));
-                }
-                // The workspace keeps what is left of its limit for this step, so its next step is not
-                // queued.
-                StepPlacement::OverLimit => continue,
+            let within_limit = self.place_in_pass(service, &next, pass);
+            if let Some(waiting) = self.ready.get_mut(service).filter(|_| !within_limit) {
+                waiting.sweep.owners_over_limit.insert(next.owner);
             }
-            self.queue_next_step(&mut steps, service, next.owner, Some(&next));
         }
-        reached
     }
 
     /// Places long-running tasks behind steps that find no worker or exceed the limit of their
@@ -227,12 +286,17 @@
             let choice = self.worker_choice(&task);
             // No other task has a wider choice than one that takes any worker.
             let was_widest = !step.long_running || step.gang || choice.takes_any;
+            let for_any_task = choice.avoided.is_none();
             unplaced.push(choice);
             if was_widest || unplaced.len() == MAX_CHOICES_TRIED {
-                return StepPlacement::NoWorker;
+                return StepPlacement::NoWorker { for_any_task };
             }
         }
-        if unplaced.is_empty() { StepPlacement::Done } else { StepPlacement::NoWorker }
+        if unplaced.is_empty() {
+            StepPlacement::Done
+        } else {
+            StepPlacement::NoWorker { for_any_task: false }
+        }
     }
 
     /// The first waiting task of a step that may be started now, without those whose choice of workers
@@ -522,12 +586,32 @@
     takes_any: bool,
 }
 
+/// One look at the waiting tasks of a service.
+#[derive(Default)]
+struct PlacementPass {
+    /// Steps that found no worker; see `PlacementPolicy::max_misses`.
+    misses: usize,
+    /// Steps that were not tried.
+    skipped: usize,
+    /// What steps asked for that found no worker. Room becomes only less while the pass goes on.
+    unmet: BTreeSet<StepDemand>,
+    /// Owners that have reached their limit.
+    owners_over_limit: BTreeSet<Owner>,
+    /// Long-running steps that were tried.
+    long_running: BTreeSet<StepId>,
+    /// Whether all steps were tried.
+    reached_end: bool,
+}
+
 /// Outcome of placing the tasks of a step.
 enum StepPlacement {
     /// All tasks were placed, or need no placement any more.
     Done,
     /// A task found no worker.
-    NoWorker,
+    NoWorker {
+        /// Whether no task that asks for the same would have found one.
+        for_any_task: bool,
+    },
     /// The workspace has reached its limit.
     OverLimit,
 }
--- a/crates/workswood-core/src/jobs/policy.rs
+++ b/crates/workswood-core/src/jobs/policy.rs
@@ -123,10 +123,10 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlacementPolicy {
-    /// Number of steps without a fitting worker after which a placement pass stops, not counting
-    /// steps of long-running tasks and steps that need a ticket. Smaller tasks further back would
-    /// otherwise always fill the room that larger ones wait for. Long-running steps further back are
-    /// tried nevertheless.
+    /// Number of steps without a fitting worker after which a placement pass leaves the order of placement, not
+    /// counting steps of long-running tasks, steps that need a ticket, those that no known worker could ever take,
+    /// and those that ask for the same as an earlier one. Smaller tasks further back would otherwise always fill the
+    /// room that larger ones wait for. Steps further back are tried in turn, some of them in each pass.
     #[serde(rename = "most_misses")]
     pub max_misses: usize,
     /// Whether best-effort tasks are placed on hosts with serving tasks as readily as on others.
--- a/crates/workswood-core/src/jobs/pool_need.rs
+++ b/crates/workswood-core/src/jobs/pool_need.rs
@@ -133,9 +133,9 @@
         steps.map(|s| s.count.div_ceil(s.max_per_worker)).max().unwrap_or(0)
     }
 
-    /// Adds the work of a submitted job to the demand history.
+    /// Adds the work of a submitted job to the demand history, unless no worker could ever do it.
     pub(super) fn record_submitted_work(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(job) = self.jobs.get(&key).filter(|job| self.is_job_feasible(&job.spec)) else { return };
         let Some(work) = self.job_work(job) else { return };
         let (now, window) = (self.now, self.policy.need.arrival_window);
         let service = job.spec.service.clone();
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -187,6 +187,12 @@
     pub second_runs_first: u64,
     /// Runs that were settled without an end and came back.
     pub settled_runs_returned: u64,
+    /// Times that a step was set aside since no known worker could ever take it.
+    pub steps_set_aside: u64,
+    /// Steps that passes over the waiting tasks looked at.
+    pub steps_looked_at: u64,
+    /// Passes over the waiting tasks that ended before they had looked at all steps in order.
+    pub passes_cut: u64,
 }
 
 impl Scheduler {
--- a/crates/workswood-core/src/jobs/task_queue.rs
+++ b/crates/workswood-core/src/jobs/task_queue.rs
@@ -10,6 +10,7 @@
 
 use super::queue_order::{QueueOrder, QueuePosition, StartDeadlines, Timeliness};
 use super::spec::{Resources, StepId, TaskId};
+use super::step_demand::StepDemand;
 use super::workspace::Owner;
 use crate::ids::UnixMs;
 
@@ -22,6 +23,8 @@
     resources: Resources,
     /// Indexes of the waiting tasks.
     tasks: BTreeSet<u32>,
+    /// What the tasks ask for, if the step is set aside.
+    set_aside: Option<StepDemand>,
 }
 
 /// Number and total resources of waiting tasks.
@@ -85,6 +88,19 @@
     long_running: BTreeSet<QueuePosition>,
     /// Where the next look at long-running steps that the placement order does not reach begins.
     long_running_cursor: Option<QueuePosition>,
+    /// Steps that take no part in the placement order, by what they ask for.
+    set_aside: BTreeMap<StepDemand, BTreeSet<StepId>>,
+    /// The look at steps that the placement order does not reach.
+    pub(super) sweep: Sweep,
+}
+
+/// A look at all steps of a queue in turns, by position. It begins anew after the last step.
+#[derive(Debug, Default)]
+pub(super) struct Sweep {
+    /// The step that was looked at last.
+    pub(super) cursor: Option<QueuePosition>,
+    /// Owners whose limit leaves no room for a step that was looked at since the beginning.
+    pub(super) owners_over_limit: BTreeSet<Owner>,
 }
 
 impl TaskQueue {
@@ -99,7 +115,7 @@
         let earlier = self.take_step(&position.step);
         let mut all = earlier.map(|s| s.tasks).unwrap_or_default();
         all.extend(tasks);
-        self.put_step(WaitingStep { position, deadlines, resources, tasks: all });
+        self.put_step(WaitingStep { position, deadlines, resources, tasks: all, set_aside: None });
     }
 
     /// Removes a task.
@@ -110,7 +126,9 @@
             return;
         }
         let (position, resources, empty) = (s.position, s.resources, s.tasks.is_empty());
-        if let Some(queue) = self.by_owner.get_mut(&position.owner) {
+        if s.set_aside.is_none()
+            && let Some(queue) = self.by_owner.get_mut(&position.owner)
+        {
             queue.totals_mut(position.timeliness).remove(1, &resources);
         }
         if empty {
@@ -123,17 +141,59 @@
         self.take_step(step);
     }
 
-    /// Whether no task waits.
+    /// Takes a step out of the placement order until [`TaskQueue::restore_steps`], with what its tasks ask for.
+    pub fn set_aside(&mut self, step: &StepId, demand: StepDemand) {
+        let Some(s) = self.take_step(step) else { return };
+        self.set_aside.entry(demand.clone()).or_default().insert(*step);
+        self.steps.insert(*step, WaitingStep { set_aside: Some(demand), ..s });
+    }
+
+    /// Whether steps that ask for this are set aside.
+    pub fn has_set_aside(&self, demand: &StepDemand) -> bool {
+        self.set_aside.contains_key(demand)
+    }
+
+    /// Whether any step is set aside.
+    pub fn has_any_set_aside(&self) -> bool {
+        !self.set_aside.is_empty()
+    }
+
+    /// Number of steps that are set aside.
+    pub fn set_aside_steps(&self) -> usize {
+        self.set_aside.values().map(BTreeSet::len).sum()
+    }
+
+    /// Whether a step is set aside.
+    pub fn is_set_aside(&self, step: &StepId) -> bool {
+        self.steps.get(step).is_some_and(|s| s.set_aside.is_some())
+    }
+
+    /// Puts steps that were set aside and ask for what `fits` back into the placement order; returns their number.
+    pub fn restore_steps(&mut self, fits: impl Fn(&StepDemand) -> bool) -> usize {
+        let restored: Vec<StepId> = self
+            .set_aside
+            .iter()
+            .filter(|(demand, _)| fits(demand))
+            .flat_map(|(_, steps)| steps.iter().copied())
+            .collect();
+        for step in &restored {
+            let Some(s) = self.take_step(step) else { continue };
+            self.put_step(WaitingStep { set_aside: None, ..s });
+        }
+        restored.len()
+    }
+
+    /// Whether no task waits in the placement order.
     pub fn is_empty(&self) -> bool {
         self.by_position.is_empty()
     }
 
-    /// Number of waiting tasks.
+    /// Number of waiting tasks, without those that are set aside.
     pub fn count(&self) -> usize {
         self.by_owner.values().map(|q| q.in_time.tasks + q.late.tasks).sum()
     }
 
-    /// Resources that all waiting tasks request.
+    /// Resources that all waiting tasks request, without those that are set aside.
     pub fn requested(&self) -> RequestedResources {
         self.requested_within(|_| None)
     }
@@ -209,9 +269,9 @@
         self.by_owner.keys().copied()
     }
 
-    /// All steps with the number of their waiting tasks.
+    /// All steps in the placement order with the number of their waiting tasks.
     pub fn waiting_steps(&self) -> impl Iterator<Item = (&QueuePosition, usize)> {
-        self.steps.values().map(|s| (&s.position, s.tasks.len()))
+        self.steps.values().filter(|s| s.set_aside.is_none()).map(|s| (&s.position, s.tasks.len()))
     }
 
     /// Whether a task waits.
@@ -258,6 +318,10 @@
 
     fn take_step(&mut self, step: &StepId) -> Option<WaitingStep> {
         let s = self.steps.remove(step)?;
+        if let Some(demand) = &s.set_aside {
+            self.remove_set_aside(demand, step);
+            return Some(s);
+        }
         self.by_position.remove(&s.position);
         self.long_running.remove(&s.position);
         if let Some(at) = s.timely_until() {
@@ -273,6 +337,14 @@
         }
         Some(s)
     }
+
+    fn remove_set_aside(&mut self, demand: &StepDemand, step: &StepId) {
+        let Some(steps) = self.set_aside.get_mut(demand) else { return };
+        steps.remove(step);
+        if steps.is_empty() {
+            self.set_aside.remove(demand);
+        }
+    }
 }
 
 impl OwnerQueue {
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -65,6 +65,10 @@
         w.cordoned = cordoned;
         w.evacuated = evacuated;
         let newly_listed = w.info.is_none() || !w.listed;
+        let same_kind = |i: &Arc<WorkerInfo>| {
+            i.capacity == info.capacity && i.labels == info.labels && i.service == info.service
+        };
+        let new_kind = newly_listed || !w.info.as_ref().is_some_and(same_kind);
         let starts_draining = info.draining && !w.info.as_ref().is_some_and(|i| i.draining);
         let recorded = w.info.as_ref().is_some_and(|i| i.record() == info.record());
         let changes_service = w.info.as_ref().is_some_and(|i| i.service != info.service);
@@ -78,6 +82,9 @@
         w.listed = true;
         w.unlisted_at = None;
         drop(w);
+        if new_kind {
+            self.restore_steps_for(&info);
+        }
         self.forget_ended(&id);
         if newly_listed && !recorded || changes_service {
             self.dirty_workers.insert(id.clone());
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -264,6 +264,8 @@
         m.second_runs.set(counters.second_runs as i64);
         m.second_runs_first.set(counters.second_runs_first as i64);
         m.settled_runs_returned.set(counters.settled_runs_returned as i64);
+        m.steps_set_aside.set(counters.steps_set_aside as i64);
+        m.passes_cut.set(counters.passes_cut as i64);
         let (largest_share, active) = self.sched.workspace_limit_usage();
         m.max_workspace_usage_percent.set((largest_share * 100.0) as i64);
         m.active_workspaces.set(active as i64);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -117,6 +117,10 @@
     pub second_runs_first: IntGauge,
     /// Runs that were settled without an end and came back, in this term.
     pub settled_runs_returned: IntGauge,
+    /// Times that a step was set aside since no known worker could ever take it, in this term.
+    pub steps_set_aside: IntGauge,
+    /// Passes over waiting tasks that did not look at all steps in order, in this term.
+    pub passes_cut: IntGauge,
     /// What callers lost to the limits of their listener, by reason.
     caller_losses: IntGaugeVec,
     /// Open connections of callers.
@@ -374,6 +378,16 @@
                 "workswood_settled_runs_returned",
                 "runs that were settled without an end and came back, in this term",
             ),
+            steps_set_aside: register_gauge(
+                &registry,
+                "workswood_steps_set_aside",
+                "times that a step was set aside since no known worker could ever take it, in this term",
+            ),
+            passes_cut: register_gauge(
+                &registry,
+                "workswood_placement_passes_cut",
+                "passes over waiting tasks that did not look at all steps in order, in this term",
+            ),
             caller_losses: register_gauge_vec(
                 &registry,
                 "workswood_callers_lost",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -46,6 +46,7 @@
 mod holder_help;
 mod inbox_appends;
 mod inbox_progress;
+mod infeasible_steps;
 mod inherited_leases;
 mod job_account;
 mod job_admission;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use workswood_core::invariant;
-use workswood_core::jobs::{JobStatus, TaskId};
+use workswood_core::jobs::{JobSpec, JobStatus, TaskId};
 use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
 
 /// Histories in one run of the suite.
@@ -123,6 +123,20 @@
     Outages,
     /// Holders that end by plan, one after the other.
     Handovers,
+    /// Urgent jobs that no worker could ever take.
+    Infeasible,
+}
+
+/// Key of the first job that no worker could ever take.
+const FIRST_INFEASIBLE: u64 = 1_000;
+/// Processor that each task of such a job asks for at least, in thousandths of a core.
+const TOO_LARGE_CPU: u64 = 64_000;
+
+/// Submits an urgent job that no worker could ever take; each asks for something else.
+fn submit_infeasible(w: &mut World, n: u64) {
+    let mut large = step(1, vec![]);
+    large.resources.cpu_millis = TOO_LARGE_CPU + n;
+    w.submit(FIRST_INFEASIBLE + n, job(vec![large], w.now.as_millis() as u64));
 }
 
 /// The store goes silent for the holder; a successor may claim the lease meanwhile, and the holder may
@@ -195,6 +209,9 @@
         if with == With::Handovers && w.rng.below(3) == 0 {
             w.hand_over();
         }
+        if with == With::Infeasible && w.rng.below(2) == 0 {
+            submit_infeasible(&mut w, n);
+        }
         match w.rng.below(12) {
             0..=4 => {
                 let mut steps = vec![step(1 + w.rng.below(3) as u32, vec![])];
@@ -205,7 +222,8 @@
                 if with == With::Crashes && w.rng.below(JOBS_A_CRASHING_ONE) == 0 {
                     make_crashing(&mut w, n + 1);
                 }
-                w.submit(n + 1, job(steps, w.now.as_millis() as u64));
+                let priority = u32::from(with == With::Infeasible);
+                w.submit(n + 1, JobSpec { priority, ..job(steps, w.now.as_millis() as u64) });
                 keys.push(n + 1);
             }
             5 => {
@@ -293,6 +311,13 @@
     play_with_starts(HISTORIES, World::restarting, With::Nothing);
 }
 
+/// Jobs that can be done are done, however many urgent ones can't be.
+#[test]
+fn short_histories_with_infeasible_jobs() {
+    play_with_starts(HISTORIES, World::new, With::Infeasible);
+    play_with_starts(HISTORIES / 2, World::limited, With::Infeasible);
+}
+
 /// Holders start tasks before their record while the store is away, and are replaced or killed then.
 #[test]
 fn short_histories_with_outages() {
@@ -467,6 +492,9 @@
         "restarts" => (World::restarting, With::Nothing),
         "restarts-crashes" => (World::restarting, With::Crashes),
         "restarts-relays" => (World::restarting_relayed, With::Relays),
+        "infeasible" => (World::new, With::Infeasible),
+        "infeasible-limit" => (World::limited, With::Infeasible),
+        "infeasible-relays" => (World::restarting_relayed, With::Infeasible),
         "prompt-crashes" => (prompt, With::Crashes),
         _ => (World::new, With::Crashes),
     }
