--- a/crates/workswood-core/src/jobs/inherited_state.rs
+++ b/crates/workswood-core/src/jobs/inherited_state.rs
@@ -7,9 +7,10 @@
 
 use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, WorkerId};
 use super::job_table::ArchivedJob;
+use super::restored_jobs::{RestoredJob, RestoredJobs};
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, JobSpec, QueueId};
-use super::types::JobStatusUpdate;
+use super::types::{Event, JobStatusUpdate};
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
 use super::workspace::Owner;
 
@@ -42,6 +43,16 @@
         self.restore_latest_incarnation(&id);
     }
 
+    /// Restores all jobs that are stored.
+    pub fn restore_jobs(&mut self, restored: RestoredJobs) {
+        for RestoredJob { key, spec, state } in restored.jobs {
+            self.restore_job(key, spec, state);
+        }
+        for (key, spec) in restored.namesakes {
+            self.handle(Event::Submitted(key, spec));
+        }
+    }
+
     /// Takes over a job from the inbox with the state that a predecessor recorded. Of a finished
     /// job only the state is stored.
     pub fn restore_job(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -415,6 +415,7 @@
             started: self.started,
             rounds: self.rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
             over: None,
+            owner: Some(self.spec.owner()),
         }
     }
 
@@ -450,6 +451,9 @@
     /// What is kept of a finished job, whose spec is no longer stored.
     #[serde(skip)]
     pub over: Option<FinishedJobRecord>,
+    /// The owner of the job; `None` if an earlier version wrote the record of an open job.
+    #[serde(skip)]
+    pub owner: Option<Owner>,
 }
 
 /// What is kept of a job that has ended and has no runs left.
@@ -471,6 +475,11 @@
 }
 
 impl JobRecord {
+    /// The owner of the job, if the record tells it.
+    pub fn owner(&self) -> Option<Owner> {
+        self.owner.or(self.over.as_ref().map(|over| over.owner))
+    }
+
     /// Whether the record has the same steps and task counts as `spec`.
     pub fn matches_spec(&self, spec: &JobSpec) -> bool {
         let same_shape = |round: &Vec<Vec<TaskRecord>>| {
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -60,7 +60,7 @@
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
 //!   tasks a new lease holder holds back because its predecessor may have started them so; [`owed_batch`] merges the batches that wait.
-//! * `inherited_state` takes over what predecessors recorded.
+//! * `inherited_state` takes over what predecessors recorded; [`restored_jobs`] tells which state is whose.
 //! * `lease_bounds` records when the leases of workers end that don't answer, for the next lease holder.
 //! * [`policy`] holds the parameters of the decisions.
 //! * [`pool_need`] computes how many hosts each pool needs, from the [`demand_history`];
@@ -122,6 +122,7 @@
 pub mod queue_order;
 pub mod relays;
 pub mod restart_deadline;
+pub mod restored_jobs;
 pub mod run_tracker;
 pub mod scheduler;
 mod second_runs;
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -32,6 +32,9 @@
     rounds: Vec<RoundState>,
     #[prost(message, optional, tag = "6")]
     finished: Option<FinishedJobState>,
+    /// Number of the owner of an open job; 0 if it has none. Earlier versions don't write it.
+    #[prost(fixed64, optional, tag = "7")]
+    owner: Option<u64>,
 }
 
 /// What is stored of a job that has ended and runs nowhere.
@@ -170,6 +173,7 @@
             gpus: o.max_task_resources.gpus,
             owner: o.owner.number(),
         }),
+        owner: rec.owner.map(Owner::number),
     };
     state.encode_to_vec()
 }
@@ -245,6 +249,7 @@
             max_task_resources: Resources { cpu_millis: o.cpu_millis, mem_mb: o.mem_mb, gpus: o.gpus },
             owner: Owner::from_number(o.owner),
         }),
+        owner: state.owner.map(Owner::from_number),
     })
 }
 
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -7,6 +7,7 @@
 use futures::future::try_join_all;
 use workswood_core::ids::{HostId, Offset};
 use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::restored_jobs::join_states;
 use workswood_core::jobs::{
     EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, Scheduler, WaveRecord, WorkerRecord,
 };
@@ -154,37 +155,24 @@
 
 /// Restores the jobs and their state, and then applies cancellations. A state whose job is no
 /// longer in the inbox belongs to a job that is finished or was being forgotten.
-fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, mut states: HashMap<JobKey, JobRecord>) {
+fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, states: HashMap<JobKey, JobRecord>) {
     let mut cancels = BTreeSet::new();
-    let mut jobs: HashMap<JobKey, Arc<JobSpec>> = HashMap::new();
+    let mut submitted: Vec<(JobKey, Arc<JobSpec>)> = Vec::new();
     for rec in inbox {
         match parse_inbox_event(&rec) {
-            Some(Event::Submitted(key, spec)) => keep_earliest(&mut jobs, key, spec),
+            Some(Event::Submitted(key, spec)) => submitted.push((key, spec)),
             Some(Event::Cancelled(key, owner)) => {
                 cancels.insert((key, owner));
             }
             _ => {}
         }
     }
-    for (key, spec) in jobs {
-        sched.restore_job(key, Some(spec), states.remove(&key));
-    }
-    states.into_iter().for_each(|(key, rec)| sched.restore_job(key, None, Some(rec)));
+    sched.restore_jobs(join_states(submitted, states));
     for (key, owner) in cancels {
         sched.handle(Event::Cancelled(key, owner));
     }
 }
 
-/// Keeps the earliest submission of a job that was submitted at several entries.
-fn keep_earliest(jobs: &mut HashMap<JobKey, Arc<JobSpec>>, key: JobKey, spec: Arc<JobSpec>) {
-    match jobs.get(&key) {
-        Some(known) if known.accepted_at <= spec.accepted_at => {}
-        _ => {
-            jobs.insert(key, spec);
-        }
-    }
-}
-
 /// Notes that the inbox holds the key of a record, or no longer holds it if the record deletes it.
 pub fn note_inbox_key(inbox_keys: &mut InboxIndex, partition: Partition, rec: &KeyedRecord) {
     match (parse_inbox_key(&rec.key), &rec.value) {
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -75,7 +75,8 @@
         owner: Owner::from_number(u.arbitrary()?),
     };
     let over = outcome.is_some().then_some(over);
-    Ok(JobRecord { cancelled: u.arbitrary()?, outcome, started: u.arbitrary()?, rounds, over })
+    let owner = u.arbitrary::<Option<u64>>()?.map(Owner::from_number);
+    Ok(JobRecord { cancelled: u.arbitrary()?, outcome, started: u.arbitrary()?, rounds, over, owner })
 }
 
 #[test]
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -101,6 +101,7 @@
 mod separate_processes;
 mod settled_alive;
 mod settled_runs;
+mod shared_numbers;
 mod silent_connections;
 mod slot_dispatch;
 mod slow_workers;
