--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -9,6 +9,7 @@
 
 use super::crash_attribution::Suspicion;
 use super::crash_history::CrashHistory;
+use super::queue_order::StepPaths;
 use super::spec::{JobKey, JobSpec, QueueId, Resources, StepId, StepSpec, TaskId};
 use super::workspace::Owner;
 
@@ -259,6 +260,8 @@
     pub(super) recorded_rounds: u32,
     /// The status that was last published to callers.
     pub(super) published_status: Option<JobStatus>,
+    /// What is left from each step on, by the number of completed tasks of the queue for which it was computed.
+    pub(super) paths: Option<(u32, Arc<StepPaths>)>,
 }
 
 impl Job {
@@ -277,6 +280,7 @@
             rounds: Vec::new(),
             recorded_rounds: 0,
             published_status: None,
+            paths: None,
         }
     }
 
@@ -315,6 +319,30 @@
         depends_on.is_some_and(|steps| steps.iter().all(|s| self.is_step_done(round, *s)))
     }
 
+    /// Whether each step is done in the given round.
+    fn done_steps(&self, round: u32) -> Vec<bool> {
+        let steps = self.rounds.get(round as usize).map(Vec::as_slice).unwrap_or_default();
+        steps.iter().map(|tasks| tasks.iter().all(|t| t.done)).collect()
+    }
+
+    /// Steps of a round that depend on a step and all of whose dependencies are done.
+    pub fn ready_dependents(&self, step: &StepId) -> Vec<StepId> {
+        let done = self.done_steps(step.round);
+        let is_done = |n: &u16| done.get(usize::from(*n)).is_some_and(|done| *done);
+        let later = self.spec.steps.iter().enumerate().skip(usize::from(step.step) + 1);
+        let dependents = later.filter(|(_, s)| s.depends_on.contains(&step.step));
+        let ready = dependents.filter(|(_, s)| s.depends_on.iter().all(is_done));
+        ready.map(|(n, _)| StepId { step: n as u16, ..*step }).collect()
+    }
+
+    /// Steps of a round all of whose dependencies are done.
+    pub fn ready_steps(&self, round: u32) -> Vec<StepId> {
+        let done = self.done_steps(round);
+        let is_done = |n: &u16| done.get(usize::from(*n)).is_some_and(|done| *done);
+        let ready = self.spec.steps.iter().enumerate().filter(|(_, s)| s.depends_on.iter().all(is_done));
+        ready.map(|(n, _)| StepId { job: self.key, round, step: n as u16 }).collect()
+    }
+
     /// Number of tasks of the step of `id`, other than `id` itself, that have no run for which
     /// `is_running` holds.
     pub fn other_tasks_not_running(&self, id: &TaskId, is_running: impl Fn(&Run) -> bool) -> u32 {
@@ -386,6 +414,12 @@
         ids
     }
 
+    /// IDs of the tasks of which a run may exist.
+    pub fn tasks_with_runs(&self) -> Vec<TaskId> {
+        let has_runs = |id: &TaskId| self.task(id).is_some_and(|t| !t.runs.is_empty());
+        self.task_ids().into_iter().filter(has_runs).collect()
+    }
+
     /// The status to show to callers once the current state is recorded.
     pub fn status(&self) -> JobStatus {
         match self.outcome {
--- a/crates/workswood-core/src/jobs/job_end.rs
+++ b/crates/workswood-core/src/jobs/job_end.rs
@@ -60,15 +60,22 @@
         self.drop_advice(key);
         self.second_runs.forget(key);
         self.sibling_times.forget(key);
-        let ids = self.jobs.get(&key).map(Job::task_ids).unwrap_or_default();
-        for id in ids {
-            self.dequeue(&id);
+        self.dequeue_job(key);
+        let running = self.jobs.get(&key).map(Job::tasks_with_runs).unwrap_or_default();
+        for id in running {
             if !self.outlives_job(&id) {
                 self.stop_runs(&id);
             }
         }
     }
 
+    /// Takes all tasks of a job out of the queue.
+    fn dequeue_job(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(&key) else { return };
+        let Some(waiting) = self.ready.get_mut(&job.spec.service) else { return };
+        job.step_ids().for_each(|step| waiting.remove_step(&step));
+    }
+
     /// Completes a job once all its tasks are done.
     pub(super) fn complete_if_done(&mut self, key: JobKey) {
         let done = self.jobs.get(&key).is_some_and(|j| j.is_open() && j.all_done());
--- a/crates/workswood-core/src/jobs/queue_order.rs
+++ b/crates/workswood-core/src/jobs/queue_order.rs
@@ -129,37 +129,86 @@
         average.mean_ms += (ms - average.mean_ms) * weight;
     }
 
+    /// Number of completed tasks of a queue. Expected durations change only with it.
+    pub fn completed(&self, queue: &str) -> u32 {
+        self.by_queue.get(queue).map_or(0, |average| average.completed)
+    }
+
     /// Expected duration of a task with this estimate: the geometric mean of the caller's estimate
     /// and the average of the queue, since either can be far off. Until `policy.min_ends` tasks of
     /// the queue have completed, it is the estimate alone.
     pub fn expect(&self, queue: &str, estimate: Duration, policy: &OrderPolicy) -> Duration {
-        let estimate = if estimate.is_zero() { DEFAULT_ESTIMATE } else { estimate };
-        match self.by_queue.get(queue) {
-            Some(average) if average.completed >= policy.min_samples => {
-                let estimate_ms = estimate.as_secs_f64() * 1000.0;
-                Duration::from_secs_f64((estimate_ms * average.mean_ms).sqrt() / 1000.0)
+        self.of_queue(queue, policy)(estimate)
+    }
+
+    /// The expected duration of a queue's tasks by their estimate; see [`TaskDurations::expect`].
+    pub fn of_queue(&self, queue: &str, policy: &OrderPolicy) -> impl Fn(Duration) -> Duration + use<> {
+        let average = self.by_queue.get(queue).filter(|average| average.completed >= policy.min_samples);
+        let mean_ms = average.map(|average| average.mean_ms);
+        move |estimate| {
+            let estimate = if estimate.is_zero() { DEFAULT_ESTIMATE } else { estimate };
+            match mean_ms {
+                Some(mean_ms) => {
+                    let estimate_ms = estimate.as_secs_f64() * 1000.0;
+                    Duration::from_secs_f64((estimate_ms * mean_ms).sqrt() / 1000.0)
+                }
+                None => estimate,
+            }
+        }
+    }
+}
+
+/// What is left of one round of a job from each of its steps on, for one expectation of how long tasks take.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepPaths {
+    /// Length of the critical path that begins with each step, including that step.
+    from_step: Vec<Duration>,
+    /// Length of the critical path of the whole job.
+    longest: Duration,
+    /// Work of each step and of all later ones, in core-milliseconds.
+    work_left: Vec<u64>,
+}
+
+impl StepPaths {
+    /// Computes the paths of a job whose steps take so long. Visits each step and each dependency once.
+    pub fn new(spec: &JobSpec, duration: &dyn Fn(usize) -> Duration) -> StepPaths {
+        let count = spec.steps.len();
+        let mut from_step = vec![Duration::ZERO; count];
+        let mut work_left = vec![0; count];
+        let mut later_work: u64 = 0;
+        // Steps depend only on earlier ones, so all dependents of a step come before it here, and `from_step` holds
+        // the longest of their paths.
+        for (n, step) in spec.steps.iter().enumerate().rev() {
+            let takes = duration(n);
+            let path = from_step[n] + takes;
+            from_step[n] = path;
+            for earlier in &step.depends_on {
+                let longest_after = &mut from_step[usize::from(*earlier)];
+                *longest_after = path.max(*longest_after);
             }
-            _ => estimate,
+            later_work = later_work.saturating_add(step.work_core_ms(takes));
+            work_left[n] = later_work;
         }
+        let longest = from_step.iter().copied().max().unwrap_or_default();
+        StepPaths { from_step, longest, work_left }
     }
 }
 
 /// Length of the critical path that begins with `step`, including that step.
 pub fn critical_path_from(spec: &JobSpec, step: usize, duration: &dyn Fn(usize) -> Duration) -> Duration {
-    // Steps depend only on earlier ones, so one pass from the end is enough.
-    let mut lengths = vec![Duration::ZERO; spec.steps.len()];
-    for n in (0..spec.steps.len()).rev() {
-        let dependents = spec.steps.iter().enumerate().skip(n + 1);
-        let dependents = dependents.filter(|(_, s)| s.depends_on.iter().any(|a| usize::from(*a) == n));
-        let longest = dependents.map(|(m, _)| lengths[m]).max().unwrap_or_default();
-        lengths[n] = duration(n) + longest;
-    }
-    lengths.get(step).copied().unwrap_or_default()
+    StepPaths::new(spec, duration).from_step.get(step).copied().unwrap_or_default()
 }
 
 /// Length of the critical path of a whole job.
 pub fn critical_path(spec: &JobSpec, duration: &dyn Fn(usize) -> Duration) -> Duration {
-    (0..spec.steps.len()).map(|n| critical_path_from(spec, n, duration)).max().unwrap_or_default()
+    StepPaths::new(spec, duration).longest
+}
+
+/// Computes the paths of a job with the expected durations of its tasks.
+pub fn step_paths(job: &Job, durations: &TaskDurations, policy: &OrderPolicy) -> StepPaths {
+    let spec = &job.spec;
+    let expected = durations.of_queue(&spec.queue, policy);
+    StepPaths::new(spec, &|n| expected(spec.steps[n].estimate) * job.sequential_batches(&spec.steps[n]))
 }
 
 /// Computes the queue position of a step's tasks, and the start deadlines after which the position
@@ -168,19 +217,15 @@
     job: &Job,
     id: &StepId,
     queue: Option<&QueueConfig>,
-    durations: &TaskDurations,
+    paths: &StepPaths,
     policy: &OrderPolicy,
     now: UnixMs,
 ) -> (QueuePosition, StartDeadlines) {
-    let spec = &job.spec;
-    let duration = |n: usize| {
-        let step = &spec.steps[n];
-        durations.expect(&spec.queue, step.estimate, policy) * job.sequential_batches(step)
-    };
+    let (spec, step) = (&job.spec, usize::from(id.step));
     let long_running = spec.steps.get(usize::from(id.step)).is_some_and(|s| s.long_running);
     let available_at = spec.accepted_at.max(spec.round_due_at(id.round));
-    let time_to_deadline = time_to_deadline(spec, queue, &duration);
-    let path_left = critical_path_from(spec, usize::from(id.step), &duration).as_millis() as u64;
+    let time_to_deadline = time_for_path(paths.longest, queue);
+    let path_left = paths.from_step.get(step).map_or(0, |path| path.as_millis() as u64);
     let deadline = available_at + time_to_deadline.as_millis() as u64;
     let worthless_at = available_at + time_to_deadline.mul_f64(policy.worthless_after).as_millis() as u64;
     let deadlines = if long_running {
@@ -200,7 +245,7 @@
     };
     let work_key = match timeliness {
         _ if long_running => 0,
-        Timeliness::InTime => remaining_work(spec, usize::from(id.step), &duration),
+        Timeliness::InTime => paths.work_left.get(step).copied().unwrap_or(0),
         Timeliness::Late | Timeliness::Worthless => available_at,
     };
     let (over_rate, owner) = (job.over_rate, spec.owner());
@@ -222,17 +267,17 @@
     queue: Option<&QueueConfig>,
     duration: &dyn Fn(usize) -> Duration,
 ) -> Duration {
+    time_for_path(critical_path(spec, duration), queue)
+}
+
+/// Time from when a job with a critical path of this length is available to its deadline.
+fn time_for_path(path: Duration, queue: Option<&QueueConfig>) -> Duration {
     let (factor, offset) = queue.map_or((1.0, Duration::ZERO), |q| (q.deadline_factor, q.deadline_offset));
-    critical_path(spec, duration).mul_f64(factor) + offset
+    path.mul_f64(factor) + offset
 }
 
 /// Work of one round of a job, in core-milliseconds.
 pub fn round_work(spec: &JobSpec, duration: &dyn Fn(usize) -> Duration) -> u64 {
-    remaining_work(spec, 0, duration)
-}
-
-/// Work of a step and of all later steps, in core-milliseconds.
-fn remaining_work(spec: &JobSpec, step: usize, duration: &dyn Fn(usize) -> Duration) -> u64 {
-    let steps = spec.steps.iter().enumerate().skip(step);
+    let steps = spec.steps.iter().enumerate();
     steps.map(|(n, s)| s.work_core_ms(duration(n))).fold(0, u64::saturating_add)
 }
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -23,7 +23,7 @@
 use super::over_runs::OverRuns;
 use super::policy::Policy;
 use super::pool_planning::PoolState;
-use super::queue_order::{TaskDurations, queue_position};
+use super::queue_order::{StepPaths, TaskDurations, queue_position, step_paths};
 use super::relays::Relays;
 use super::second_runs::SecondRuns;
 use super::sibling_times::SiblingTimes;
@@ -42,6 +42,9 @@
 /// The check visits every run.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Most rounds of a job that one event opens.
+const MAX_ROUNDS_OPENED: u32 = 1_000;
+
 /// The state of the process that holds the scheduler lease.
 pub struct Scheduler {
     /// Monotonic time.
@@ -193,6 +196,10 @@
     pub steps_looked_at: u64,
     /// Passes over the waiting tasks that ended before they had looked at all steps in order.
     pub passes_cut: u64,
+    /// Steps that were put into the queue of their service.
+    pub steps_queued: u64,
+    /// Times that the critical path of a job was computed for the order of its steps.
+    pub paths_computed: u64,
 }
 
 impl Scheduler {
@@ -352,11 +359,12 @@
         self.services_to_place.extend(self.ready.keys().cloned());
     }
 
-    /// Opens rounds that are due.
+    /// Opens rounds that are due, as many as one event may. The others follow at the next ticks.
     pub(super) fn open_due_rounds(&mut self, key: JobKey) {
         let ahead = self.wall + self.limits.round_lead_time.as_millis() as u64;
         let Some(job) = self.jobs.get_mut(&key) else { return };
-        while job.is_open() && (job.rounds.len() as u32) < job.spec.round_count() {
+        let last = job.spec.round_count().min(job.rounds.len() as u32 + MAX_ROUNDS_OPENED);
+        while job.is_open() && (job.rounds.len() as u32) < last {
             if job.spec.round_due_at(job.rounds.len() as u32) > ahead {
                 break;
             }
@@ -374,18 +382,34 @@
 
     /// Queues all tasks of a job that may be started now.
     pub(super) fn queue_job(&mut self, key: JobKey) {
-        let Some(job) = self.jobs.get(&key) else { return };
-        if !job.is_open() {
-            return;
-        }
-        let open = job.step_ids().filter(|id| job.is_step_ready(id.round, id.step));
-        let waiting: Vec<(StepId, Vec<u32>)> = open.map(|id| (id, job.idle_tasks(&id))).collect();
-        for (step, tasks) in waiting {
-            self.enqueue(step, tasks);
-        }
+        self.queue_rounds(key, 0);
         self.complete_if_done(key);
     }
 
+    /// Queues the tasks of a job that may be started now, of the rounds from this one on.
+    fn queue_rounds(&mut self, key: JobKey, first: u32) {
+        let Some(job) = self.jobs.get(&key).filter(|job| job.is_open()) else { return };
+        let rounds = first..job.rounds.len() as u32;
+        let steps: Vec<StepId> = rounds.flat_map(|round| job.ready_steps(round)).collect();
+        self.queue_steps(&steps);
+    }
+
+    /// Queues the tasks that may be started now that a step is done.
+    pub(super) fn queue_dependents(&mut self, done: &StepId) {
+        let Some(job) = self.jobs.get(&done.job).filter(|job| job.is_open()) else { return };
+        let steps = job.ready_dependents(done);
+        self.queue_steps(&steps);
+        self.complete_if_done(done.job);
+    }
+
+    /// Queues the idle tasks of steps whose turn has come.
+    fn queue_steps(&mut self, steps: &[StepId]) {
+        for step in steps {
+            let tasks = self.jobs.get(&step.job).map(|job| job.idle_tasks(step)).unwrap_or_default();
+            self.enqueue(*step, tasks);
+        }
+    }
+
     /// Queues one task if it may be started now.
     pub(super) fn queue_task(&mut self, id: &TaskId) {
         let Some(job) = self.jobs.get(&id.job) else { return };
@@ -396,15 +420,30 @@
         self.enqueue(id.step_id(), vec![id.index]);
     }
 
+    /// What is left of a job from each of its steps on. It is computed anew once a task of the queue has completed.
+    fn step_paths(&mut self, key: JobKey) -> Option<Arc<StepPaths>> {
+        let job = self.jobs.get_mut(&key)?;
+        let completed = self.durations.completed(&job.spec.queue);
+        if let Some((_, paths)) = job.paths.as_ref().filter(|(at, _)| *at == completed) {
+            return Some(paths.clone());
+        }
+        let paths = Arc::new(step_paths(job, &self.durations, &self.policy.order));
+        job.paths = Some((completed, paths.clone()));
+        self.counters.paths_computed += 1;
+        Some(paths)
+    }
+
     /// Adds tasks of a step to the queue of their service.
     fn enqueue(&mut self, id: StepId, tasks: Vec<u32>) {
-        let Some(job) = self.jobs.get(&id.job) else { return };
-        let Some(step) = job.spec.steps.get(usize::from(id.step)).filter(|_| !tasks.is_empty()) else {
+        if tasks.is_empty() {
             return;
-        };
+        }
+        let Some(paths) = self.step_paths(id.job) else { return };
+        let Some(job) = self.jobs.get(&id.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(id.step)) else { return };
         let queue = self.config.queues.get(&job.spec.queue);
-        let (position, deadlines) =
-            queue_position(job, &id, queue, &self.durations, &self.policy.order, self.wall);
+        let (position, deadlines) = queue_position(job, &id, queue, &paths, &self.policy.order, self.wall);
+        self.counters.steps_queued += 1;
         let spec = job.spec.clone();
         let room = step.reserved_resources();
         let (gang, long_running) = (step.gang, step.long_running);
@@ -444,7 +483,7 @@
             let before = self.jobs.get(&key).map_or(0, |j| j.rounds.len());
             self.open_due_rounds(key);
             if self.jobs.get(&key).map_or(0, |j| j.rounds.len()) > before {
-                self.queue_job(key);
+                self.queue_rounds(key, before as u32);
             }
         }
         let wall = self.wall;
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -244,7 +244,7 @@
             self.stop_runs(m);
         }
         if step_done {
-            self.queue_job(task_id.job);
+            self.queue_dependents(&task_id.step_id());
         }
     }
 
--- a/src/workswood/ops/bench/mod.rs
+++ b/src/workswood/ops/bench/mod.rs
@@ -1,10 +1,11 @@
 //! `workswood bench`: experiments whose results are published in `docs/`.
 //!
 //! [`route`] compares routing policies on a queueing model, [`fold`] and [`plan`] measure the
-//! state fold and the planner, [`scheduler`] measures the job scheduler, and [`loopback`]
+//! state fold and the planner, [`scheduler`] and [`large_jobs`] measure the job scheduler, and [`loopback`]
 //! measures entries over loopback sockets.
 
 pub mod fold;
+pub mod large_jobs;
 pub mod loopback;
 pub mod plan;
 mod quantiles;
@@ -22,7 +23,7 @@
 }
 
 /// All experiments.
-pub const ALL: [Bench; 14] = [
+pub const ALL: [Bench; 15] = [
     Bench { name: "route", about: "routing policies at 50, 80, 95 and 120% load, on a model" },
     Bench { name: "window", about: "windows of leased slots at the same loads, on a model" },
     Bench { name: "skew", about: "lending while one entry gets more requests, on a model" },
@@ -35,6 +36,7 @@
         about: "time of planning by number of hosts, and the quality of plans at 1x, 10x and 480x",
     },
     Bench { name: "pools", about: "time of a round of the scheduler at 50, 350 and 3,000 hosts" },
+    Bench { name: "large-jobs", about: "time of one event of the scheduler, for large jobs and many jobs" },
     Bench { name: "proxy", about: "latency and rate of requests through an entry and of direct ones" },
     Bench { name: "commit", about: "added time and appends at 10, 100 and 1,000 keyed requests per second" },
     Bench { name: "config", about: "time until a change is in force on 6 entries, over 200 changes" },
@@ -54,6 +56,7 @@
         "fold" => fold::run(),
         "plan" => plan::run(),
         "pools" => scheduler::run(),
+        "large-jobs" => large_jobs::run(),
         "proxy" => loopback::proxy().await?,
         "commit" => loopback::commit().await?,
         "wave" => loopback::wave().await?,
--- a/src/workswood/ops/bench/scheduler.rs
+++ b/src/workswood/ops/bench/scheduler.rs
@@ -17,9 +17,9 @@
 /// Pool whose hosts are switched off.
 const SPARE_POOL: &str = "off";
 /// Services whose hosts are switched on.
-const SERVICES: [&str; 3] = ["a", "b", "c"];
+pub(super) const SERVICES: [&str; 3] = ["a", "b", "c"];
 /// Queue of all jobs.
-const QUEUE: &str = "queue";
+pub(super) const QUEUE: &str = "queue";
 /// Time between two rounds.
 const TICK_INTERVAL: Duration = Duration::from_millis(160);
 /// Rounds without jobs before the demand shift.
@@ -140,7 +140,7 @@
     }
 }
 
-fn limits() -> Limits {
+pub(super) fn limits() -> Limits {
     Limits {
         lease: Duration::from_secs(5),
         max_lease: Duration::from_secs(10),
@@ -153,7 +153,7 @@
     }
 }
 
-fn config() -> SchedConfig {
+pub(super) fn config() -> SchedConfig {
     let service = |name: &str| ServiceConfig {
         name: name.to_string(),
         enforces_capacity: true,
@@ -177,7 +177,7 @@
     SchedConfig { version: 1, queues, services, ..SchedConfig::default() }
 }
 
-fn host(n: usize) -> Host {
+pub(super) fn host(n: usize) -> Host {
     let pools: Vec<ServiceId> = SERVICES.into_iter().chain([SPARE_POOL]).map(str::to_string).collect();
     let pool = pools[n % pools.len()].clone();
     let name = format!("m-{n:05}");
@@ -194,7 +194,7 @@
 }
 
 /// Returns the registration of a host's worker, if it has one.
-fn worker_info(host: &Host) -> Option<WorkerInfo> {
+pub(super) fn worker_info(host: &Host) -> Option<WorkerInfo> {
     Some(WorkerInfo {
         id: host.worker.clone()?,
         service: host.pool.clone(),
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -182,6 +182,7 @@
                         return;
                     }
                     self.update_clocks();
+                    let _timer = self.node.metrics.pass_seconds.start_timer();
                     events.drain(..).for_each(|ev| self.sched.handle(ev));
                     batch_wanted = true;
                 }
@@ -251,7 +252,9 @@
         let own = self.node.settings.peers.to_string();
         self.sched.set_advice_entries(1 + self.node.peers.other_addresses(&own).len());
         self.update_relay_entries();
+        let timer = self.node.metrics.pass_seconds.start_timer();
         self.sched.handle(Event::Tick);
+        timer.observe_duration();
         let ended = self.sched.take_ended_absences();
         ended.iter().for_each(|absence| self.node.metrics.count_absence(absence));
         admission_control::publish(&self.node, &self.handle, &self.sched);
@@ -285,7 +288,9 @@
     /// Takes the next batch from the scheduler and starts to write it. A batch without records is
     /// carried out at once, and so is what needs no record while the store is away.
     fn take_batch(&mut self, tasks: &mut JoinSet<()>) {
+        let timer = self.node.metrics.pass_seconds.start_timer();
         let batch = self.sched.take_batch();
+        timer.observe_duration();
         self.log_notes();
         if let Some(batch) = self.writer.take(batch) {
             self.carry_out(batch, tasks);
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -55,6 +55,8 @@
     pub advice_calls: IntCounterVec,
     /// Time to store a batch of the scheduler's records, in seconds.
     pub batch_seconds: Histogram,
+    /// Time for which events, a tick or a batch keep the scheduler from anything else.
+    pub pass_seconds: Histogram,
     /// Terms of the scheduler lease that this process has started.
     pub lease_terms: IntCounter,
     /// Calls to the store that peers made for this lease holder.
@@ -203,6 +205,12 @@
                 "time to store a batch of the scheduler's records",
                 &BUCKETS_S,
             ),
+            pass_seconds: register_histogram(
+                &registry,
+                "workswood_scheduler_pass_seconds",
+                "time for which events, a tick or a batch keep the scheduler",
+                &BUCKETS_S,
+            ),
             advice_calls: register_counter_vec(
                 &registry,
                 "workswood_advice_calls_total",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -74,6 +74,7 @@
 mod lost_looks;
 mod lost_relays;
 mod maintenance_waves;
+mod many_steps;
 mod misdelivered_leases;
 mod misdelivered_orders;
 mod mixed_soak;
--- a/tests/testsuite/queue_order.rs
+++ b/tests/testsuite/queue_order.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::policy::OrderPolicy;
 use workswood_core::jobs::queue_order::{
-    QueueOrder, QueuePosition, TaskDurations, Timeliness, queue_position,
+    QueueOrder, QueuePosition, StartDeadlines, TaskDurations, Timeliness, queue_position, step_paths,
 };
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::task_queue::{RequestedResources, TaskQueue};
@@ -23,9 +23,13 @@
 }
 
 fn first_place(j: &Job, now: u64) -> QueuePosition {
-    let cfg = config();
-    let id = first_step(j);
-    queue_position(j, &id, cfg.queues.get(QUEUE), &TaskDurations::default(), &OrderPolicy::default(), now).0
+    place_of(j, &first_step(j), &TaskDurations::default(), now).0
+}
+
+fn place_of(j: &Job, id: &StepId, known: &TaskDurations, now: u64) -> (QueuePosition, StartDeadlines) {
+    let (cfg, policy) = (config(), OrderPolicy::default());
+    let paths = step_paths(j, known, &policy);
+    queue_position(j, id, cfg.queues.get(QUEUE), &paths, &policy, now)
 }
 
 /// Steps are estimated at 500 ms: one is owed within 1.6 x 500 + 600 ms.
@@ -64,12 +68,10 @@
 
 #[test]
 fn standing_gets_worse() {
-    let cfg = config();
     let j = opened(1, job(vec![step(1, vec![])], 0));
     let id = first_step(&j);
     let mut waiting = TaskQueue::default();
-    let (place, dues) =
-        queue_position(&j, &id, cfg.queues.get(QUEUE), &TaskDurations::default(), &OrderPolicy::default(), 0);
+    let (place, dues) = place_of(&j, &id, &TaskDurations::default(), 0);
     waiting.insert(place, dues, ROOM, [0]);
     waiting.downgrade_late_steps(OWED);
     let standings: Vec<Timeliness> = waiting.positions().map(|p| p.timeliness).collect();
@@ -81,13 +83,11 @@
 /// What waits is counted by standing, whatever happens to it.
 #[test]
 fn room_waited_for() {
-    let cfg = config();
     let j = opened(1, job(vec![step(3, vec![])], 0));
     let id = first_step(&j);
     let mut waiting = TaskQueue::default();
     let requested = |in_time, late| RequestedResources { in_time, late };
-    let (place, dues) =
-        queue_position(&j, &id, cfg.queues.get(QUEUE), &TaskDurations::default(), &OrderPolicy::default(), 0);
+    let (place, dues) = place_of(&j, &id, &TaskDurations::default(), 0);
     waiting.insert(place, dues, ROOM, [0, 1]);
     waiting.insert(place, dues, ROOM, [1, 2]);
     assert_eq!((waiting.count(), waiting.requested()), (3, requested(ROOM.times(3), Resources::default())));
@@ -117,14 +117,12 @@
 /// A step with less work left goes first where not all can be in time, though it may begin later.
 #[test]
 fn least_work_first() {
-    let cfg = config();
     let mut waiting = TaskQueue::default();
     let small = opened(1, job(vec![step(1, vec![])], 200));
     let large = opened(2, job(vec![step(9, vec![])], 0));
     let long = opened(3, job(vec![step(1, vec![]), step(1, vec![0])], 0));
     for j in [&small, &large, &long] {
-        let (queue, known) = (cfg.queues.get(QUEUE), TaskDurations::default());
-        let (place, dues) = queue_position(j, &first_step(j), queue, &known, &OrderPolicy::default(), 300);
+        let (place, dues) = place_of(j, &first_step(j), &TaskDurations::default(), 300);
         waiting.insert(place, dues, ROOM, [0]);
     }
     let order = |rank| {
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use workswood_core::invariant;
-use workswood_core::jobs::{JobSpec, JobStatus, TaskId};
-use workswood_test_support::job_world::{FaultRng, Seen, World, job, step};
+use workswood_core::jobs::{JobSpec, JobStatus, StepSpec, TaskId};
+use workswood_test_support::job_world::{FaultRng, Seen, World, job, small_step, step};
 
 /// Histories in one run of the suite.
 const HISTORIES: u64 = 250;
@@ -125,6 +125,26 @@
     Handovers,
     /// Urgent jobs that no worker could ever take.
     Infeasible,
+    /// A job of hundreds of steps.
+    ManySteps,
+}
+
+/// Key of the job of hundreds of steps.
+const LARGE: u64 = 2_000;
+/// Layers of its steps, each of which depends on all steps of the layer before.
+const LAYERS: u16 = 8;
+/// Steps of a layer.
+const LAYER_STEPS: u16 = 40;
+
+/// Submits a job of hundreds of steps.
+fn submit_large(w: &mut World) {
+    let step_of = |layer: u16| {
+        let first = layer.saturating_sub(1) * LAYER_STEPS;
+        let before = if layer == 0 { 0..0 } else { first..first + LAYER_STEPS };
+        StepSpec { depends_on: before.collect(), ..small_step(1) }
+    };
+    let steps = (0..LAYERS * LAYER_STEPS).map(|n| step_of(n / LAYER_STEPS));
+    w.submit(LARGE, job(steps.collect(), w.now.as_millis() as u64));
 }
 
 /// Key of the first job that no worker could ever take.
@@ -191,6 +211,10 @@
     w.run_for(Duration::from_millis(600));
     w.rng.faults_per_mille = 60;
     let mut keys = Vec::new();
+    if with == With::ManySteps {
+        submit_large(&mut w);
+        keys.push(LARGE);
+    }
     for n in 0..EVENTS {
         if with == With::Relays && w.rng.below(3) == 0 {
             trouble_relays(&mut w);
@@ -318,6 +342,12 @@
     play_with_starts(HISTORIES / 2, World::limited, With::Infeasible);
 }
 
+/// Jobs of hundreds of steps are done beside others.
+#[test]
+fn short_histories_with_many_steps() {
+    play_with_starts(HISTORIES / 10, World::new, With::ManySteps);
+}
+
 /// Holders start tasks before their record while the store is away, and are replaced or killed then.
 #[test]
 fn short_histories_with_outages() {
@@ -492,6 +522,8 @@
         "restarts" => (World::restarting, With::Nothing),
         "restarts-crashes" => (World::restarting, With::Crashes),
         "restarts-relays" => (World::restarting_relayed, With::Relays),
+        "many-steps" => (World::new, With::ManySteps),
+        "many-steps-restarts" => (World::restarting, With::ManySteps),
         "infeasible" => (World::new, With::Infeasible),
         "infeasible-limit" => (World::limited, With::Infeasible),
         "infeasible-relays" => (World::restarting_relayed, With::Infeasible),
--- a/tests/testsuite/workspace_limits.rs
+++ b/tests/testsuite/workspace_limits.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::fair_share::{SubmissionRates, weighted_usage};
 use workswood_core::jobs::policy::OrderPolicy;
-use workswood_core::jobs::queue_order::{TaskDurations, queue_position};
+use workswood_core::jobs::queue_order::{TaskDurations, queue_position, step_paths};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::workspace_usage::{Reservation, UsageChange, WorkspaceUsage, limit_admits};
 use workswood_core::jobs::{
@@ -250,15 +250,9 @@
         j.max_cpu_millis = most_cpu;
         j.open_round();
         let id = StepId { job: 1, round: 0, step: 0 };
-        queue_position(
-            &j,
-            &id,
-            cfg.queues.get(QUEUE),
-            &TaskDurations::default(),
-            &OrderPolicy::default(),
-            100,
-        )
-        .1
+        let policy = OrderPolicy::default();
+        let paths = step_paths(&j, &TaskDurations::default(), &policy);
+        queue_position(&j, &id, cfg.queues.get(QUEUE), &paths, &policy, 100).1
     };
     // A task is estimated at 500 ms; a job is owed within 1.6 chains and 600 ms.
     assert_eq!(dues(0).in_time_until, 100 + 800 + 600 - 500);
