--- a/crates/workswood-core/src/jobs/inherited_state.rs
+++ b/crates/workswood-core/src/jobs/inherited_state.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, WorkerId};
+use super::job::{Job, JobRecord, JobStatus, Outcome, WorkerId};
 use super::job_table::ArchivedJob;
+use super::namesakes::ForgottenJob;
 use super::restored_jobs::{RestoredJob, RestoredJobs};
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, JobSpec, QueueId};
 use super::types::{Event, JobStatusUpdate};
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
-use super::workspace::Owner;
 
 /// Time that workers have after a takeover for a first answer, before their runs count as lapsed. A worker
 /// with a bound on record needs none: its lease was not extended since.
@@ -57,13 +57,18 @@
     /// job only the state is stored.
     pub fn restore_job(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
         let final_record = rec.as_ref().and_then(|rec| rec.outcome.zip(rec.over.clone()));
+        let slot = rec.as_ref().map(|rec| rec.slot).unwrap_or_default();
+        let owner = rec.as_ref().and_then(JobRecord::owner);
         match (spec, final_record) {
             (spec, Some((outcome, record))) => {
-                self.restore_archived_job(key, outcome, record, spec.is_some())
+                self.restore_archived_job(key, ArchivedJob { outcome, record, slot }, spec.is_some())
             }
             (Some(spec), None) => self.restore_unarchived_job(key, spec, rec),
             // The record remains from a job that was being forgotten.
-            (None, None) => self.forgotten_jobs.push((key, QueueId::new(), Owner::PUBLIC)),
+            (None, None) => {
+                let queue = QueueId::new();
+                self.forgotten_jobs.push(ForgottenJob { key, queue, owner: owner.unwrap_or_default(), slot });
+            }
         }
     }
 
@@ -115,18 +120,13 @@
         self.dirty_jobs.insert(key);
     }
 
-    fn restore_archived_job(
-        &mut self,
-        key: JobKey,
-        outcome: Outcome,
-        record: FinishedJobRecord,
-        in_inbox: bool,
-    ) {
-        let (queue, owner, state) = (record.queue.clone(), record.owner, Some(JobStatus::Ended(outcome)));
-        self.jobs.archive(key, ArchivedJob { outcome, record }, self.now);
+    fn restore_archived_job(&mut self, key: JobKey, archived: ArchivedJob, in_inbox: bool) {
+        let (queue, owner) = (archived.record.queue.clone(), archived.record.owner);
+        let state = Some(JobStatus::Ended(archived.outcome));
+        self.jobs.archive(key, archived, self.now);
         self.status_updates.push(JobStatusUpdate { key, queue, owner, state, repeats: false });
         if in_inbox {
-            self.finished_jobs.push(key);
+            self.finished_jobs.push((key, owner));
         }
     }
 
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -258,6 +258,10 @@
     pub rounds: Vec<Round>,
     /// Number of rounds in the newest record that is known to be stored.
     pub(super) recorded_rounds: u32,
+    /// Attempts up to this number were made of tasks of the same names, of earlier jobs of other owners.
+    pub(super) earlier_attempts: u32,
+    /// Under which key its state is stored.
+    pub(super) slot: StateSlot,
     /// The status that was last published to callers.
     pub(super) published_status: Option<JobStatus>,
     /// What is left from each step on, by the number of completed tasks of the queue for which it was computed.
@@ -279,6 +283,8 @@
             blamed_worker: None,
             rounds: Vec::new(),
             recorded_rounds: 0,
+            earlier_attempts: 0,
+            slot: StateSlot::Number,
             published_status: None,
             paths: None,
         }
@@ -286,8 +292,9 @@
 
     /// Opens the next round with fresh tasks.
     pub fn open_round(&mut self) {
+        let fresh = Task { latest_attempt: self.earlier_attempts, ..Task::default() };
         let steps = self.spec.steps.iter();
-        self.rounds.push(steps.map(|s| vec![Task::default(); s.count as usize]).collect());
+        self.rounds.push(steps.map(|s| vec![fresh.clone(); s.count as usize]).collect());
     }
 
     /// The spec of a task's step.
@@ -450,9 +457,17 @@
             rounds: self.rounds.iter().map(|r| r.iter().map(step).collect()).collect(),
             over: None,
             owner: Some(self.spec.owner()),
+            earlier_attempts: self.earlier_attempts,
+            slot: self.slot,
         }
     }
 
+    /// Latest attempt of any of its tasks.
+    pub fn latest_attempt(&self) -> u32 {
+        let tasks = self.rounds.iter().flatten().flatten();
+        tasks.map(|t| t.latest_attempt).max().unwrap_or(0).max(self.earlier_attempts)
+    }
+
     /// Restores a job from the record that an earlier lease holder stored.
     pub fn restore(key: JobKey, spec: Arc<JobSpec>, rec: JobRecord, now: Duration) -> Job {
         let mut job = Job::new(key, spec);
@@ -461,6 +476,7 @@
         job.started = rec.started;
         job.ended_at = now;
         let step = |tasks: Vec<TaskRecord>| tasks.into_iter().map(|t| t.restore(now)).collect();
+        (job.earlier_attempts, job.slot) = (rec.earlier_attempts, rec.slot);
         job.recorded_rounds = rec.rounds.len() as u32;
         job.rounds = rec.rounds.into_iter().map(|r| r.into_iter().map(step).collect()).collect();
         job
@@ -488,6 +504,22 @@
     /// The owner of the job; `None` if an earlier version wrote the record of an open job.
     #[serde(skip)]
     pub owner: Option<Owner>,
+    /// Attempts up to this number were made of tasks of the same names, of earlier jobs of other owners.
+    #[serde(skip)]
+    pub earlier_attempts: u32,
+    /// Under which key the record is stored.
+    #[serde(skip)]
+    pub slot: StateSlot,
+}
+
+/// Under which key the state of a job is stored.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StateSlot {
+    /// Its number.
+    #[default]
+    Number,
+    /// Its number and its owner: the number was that of another owner's job before, whose state is still stored.
+    NumberAndOwner,
 }
 
 /// What is kept of a job that has ended and has no runs left.
@@ -506,6 +538,8 @@
     pub max_task_resources: Resources,
     /// The owner of the job.
     pub owner: Owner,
+    /// Latest attempt of any of its tasks; `None` if an earlier version wrote the record.
+    pub latest_attempt: Option<u32>,
 }
 
 impl JobRecord {
--- a/crates/workswood-core/src/jobs/job_end.rs
+++ b/crates/workswood-core/src/jobs/job_end.rs
@@ -10,19 +10,20 @@
 impl Scheduler {
     /// Cancels a job, or notes the cancellation until the job is known.
     pub(super) fn cancel(&mut self, key: JobKey, owner: Owner) {
-        let known = self.jobs.owner(&key);
-        if known.is_some_and(|known| known != owner) {
-            self.notes
-                .push(format_args!("event=cancel_not_taken job={key:016x} reason=job_of_other_workspace"));
+        if self.cancel_namesake(key, owner) {
             return;
         }
-        if self.jobs.is_archived(&key) {
-            return;
-        }
-        let Some(job) = self.jobs.get_mut(&key) else {
+        if !self.jobs.contains(&key, owner) {
+            if self.jobs.contains_key(&key) {
+                self.notes.push(format_args!(
+                    "event=cancel_not_taken job={key:016x} reason=job_of_other_workspace"
+                ));
+            }
             self.early_cancels.insert((key, owner));
             return;
-        };
+        }
+        // A job that is archived is over.
+        let Some(job) = self.jobs.get_mut(&key).filter(|job| job.spec.owner() == owner) else { return };
         if job.cancelled {
             return;
         }
--- a/crates/workswood-core/src/jobs/job_table.rs
+++ b/crates/workswood-core/src/jobs/job_table.rs
@@ -9,7 +9,7 @@
 use std::ops::Index;
 use std::time::Duration;
 
-use super::job::{FinishedJobRecord, Job, JobStatus, Outcome};
+use super::job::{FinishedJobRecord, Job, JobStatus, Outcome, StateSlot};
 use super::spec::{JobKey, TaskId};
 use super::stable_map::StableMap;
 use super::workspace::Owner;
@@ -25,9 +25,10 @@
     repeating: BTreeSet<JobKey>,
     /// Jobs with long-running tasks that have not been reported as ended, by service.
     long_running: StableMap<ServiceId, BTreeSet<JobKey>>,
-    archived: BTreeMap<JobKey, ArchivedJob>,
+    /// Archived jobs. Those of several owners may share a number.
+    archived: BTreeMap<(JobKey, Owner), ArchivedJob>,
     /// When jobs were archived, in that order.
-    archive_order: VecDeque<(Duration, JobKey)>,
+    archive_order: VecDeque<(Duration, JobKey, Owner)>,
 }
 
 /// A job that has ended and runs nowhere.
@@ -37,6 +38,8 @@
     pub outcome: Outcome,
     /// What is on record of the job.
     pub record: FinishedJobRecord,
+    /// Under which key that is stored.
+    pub slot: StateSlot,
 }
 
 impl Index<&JobKey> for JobTable {
@@ -59,9 +62,15 @@
         self.by_key.get_mut(key)
     }
 
-    /// Whether a job is known, archived or not.
+    /// Whether a job of this number is known, archived or not.
     pub fn contains_key(&self, key: &JobKey) -> bool {
-        self.by_key.contains_key(key) || self.archived.contains_key(key)
+        self.by_key.contains_key(key) || self.is_archived(key)
+    }
+
+    /// Whether the job of this number and owner is known, archived or not.
+    pub fn contains(&self, key: &JobKey, owner: Owner) -> bool {
+        let is_open = self.by_key.get(key).is_some_and(|job| job.spec.owner() == owner);
+        is_open || self.archived.contains_key(&(*key, owner))
     }
 
     /// Number of jobs that are not archived.
@@ -74,9 +83,15 @@
         self.by_key.is_empty()
     }
 
-    /// Whether a job is archived.
+    /// Whether a job of this number is archived.
     pub fn is_archived(&self, key: &JobKey) -> bool {
-        self.archived.contains_key(key)
+        self.archived_under(key).next().is_some()
+    }
+
+    /// Archived jobs of this number, of all owners.
+    pub fn archived_under(&self, key: &JobKey) -> impl Iterator<Item = &ArchivedJob> {
+        let all = (*key, Owner::PUBLIC)..=(*key, Owner::LAST);
+        self.archived.range(all).map(|(_, archived)| archived)
     }
 
     /// Archived jobs.
@@ -84,9 +99,9 @@
         self.archived.values()
     }
 
-    /// The status of a job, archived or not.
+    /// The status of a job, archived or not. Of several under one number, that of the one that is not archived.
     pub fn status(&self, key: &JobKey) -> Option<JobStatus> {
-        let archived = || self.archived.get(key).map(|archived| JobStatus::Ended(archived.outcome));
+        let archived = || self.archived_under(key).next().map(|archived| JobStatus::Ended(archived.outcome));
         self.by_key.get(key).map(Job::status).or_else(archived)
     }
 
@@ -98,13 +113,13 @@
         };
         match self.by_key.get(&task.job) {
             Some(job) => job.step(task).map(|step| job.spec.reservation(step)),
-            None => self.archived.get(&task.job).map(archived),
+            None => self.archived_under(&task.job).next().map(archived),
         }
     }
 
-    /// Owner of a job.
+    /// Owner of a job. Of several under one number, that of the one that is not archived.
     pub fn owner(&self, key: &JobKey) -> Option<Owner> {
-        let archived = || self.archived.get(key).map(|archived| archived.record.owner);
+        let archived = || self.archived_under(key).next().map(|archived| archived.record.owner);
         self.by_key.get(key).map(|j| j.spec.owner()).or_else(archived)
     }
 
@@ -138,9 +153,12 @@
 
     /// Archives a job, or adds one that is archived already.
     pub fn archive(&mut self, key: JobKey, archived: ArchivedJob, archived_at: Duration) {
-        self.by_key.remove(&key);
-        if self.archived.insert(key, archived).is_none() {
-            self.archive_order.push_back((archived_at, key));
+        let owner = archived.record.owner;
+        if self.by_key.get(&key).is_some_and(|job| job.spec.owner() == owner) {
+            self.by_key.remove(&key);
+        }
+        if self.archived.insert((key, owner), archived).is_none() {
+            self.archive_order.push_back((archived_at, key, owner));
         }
     }
 
@@ -163,9 +181,10 @@
     /// Removes and returns jobs that were archived before the given time.
     pub fn forget_archived(&mut self, before: Duration) -> Vec<(JobKey, ArchivedJob)> {
         let mut forgotten = Vec::new();
-        while let Some((_, key)) = self.archive_order.front().copied().filter(|(at, _)| *at < before) {
+        while let Some((_, key, owner)) = self.archive_order.front().copied().filter(|(at, ..)| *at < before)
+        {
             self.archive_order.pop_front();
-            forgotten.extend(self.archived.remove(&key).map(|archived| (key, archived)));
+            forgotten.extend(self.archived.remove(&(key, owner)).map(|archived| (key, archived)));
         }
         forgotten
     }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -60,6 +60,7 @@
 //! * [`order_marks`] keeps a new lease holder from ordering hosts that were just ordered.
 //! * [`outage`] decides what may precede its record while the store is away, and `takeover_barrier` which
 //!   tasks a new lease holder holds back because its predecessor may have started them so; [`owed_batch`] merges the batches that wait.
+//! * `namesakes` holds jobs that wait until no job of another owner is at work under their number.
 //! * `inherited_state` takes over what predecessors recorded; [`restored_jobs`] tells which state is whose.
 //! * `lease_bounds` records when the leases of workers end that don't answer, for the next lease holder.
 //! * [`policy`] holds the parameters of the decisions.
@@ -107,6 +108,7 @@
 pub mod log_lines;
 pub mod maintenance_orders;
 pub mod maintenance_waves;
+mod namesakes;
 
 pub mod order_marks;
 pub mod outage;
--- a/crates/workswood-core/src/jobs/outage.rs
+++ b/crates/workswood-core/src/jobs/outage.rs
@@ -183,7 +183,7 @@
                     self.note_bound_stored(id, rec);
                 }
                 Record::DropWorker(id) => _ = self.forgotten_bounds.remove(id),
-                Record::DropJob(_)
+                Record::DropJob(..)
                 | Record::Wave(..)
                 | Record::EndedIncarnation(..)
                 | Record::HostOrderMark(..) => {}
--- a/crates/workswood-core/src/jobs/owed_batch.rs
+++ b/crates/workswood-core/src/jobs/owed_batch.rs
@@ -3,16 +3,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::job::WorkerId;
+use super::job::{StateSlot, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::JobKey;
 use super::types::{Action, Batch, JobStatusUpdate, Record};
+use super::workspace::Owner;
 use crate::ids::HostId;
 
 /// What a record is about. The store keeps the newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum RecordKey {
-    Job(JobKey),
+    /// A job, with its owner if that is part of the key under which it is stored.
+    Job(JobKey, Option<Owner>),
     Wave(u64),
     Worker(WorkerId),
     EndedIncarnation(WorkerId),
@@ -20,9 +22,17 @@
 }
 
 impl RecordKey {
+    fn of_job(key: JobKey, owner: Owner, slot: StateSlot) -> RecordKey {
+        match slot {
+            StateSlot::Number => RecordKey::Job(key, None),
+            StateSlot::NumberAndOwner => RecordKey::Job(key, Some(owner)),
+        }
+    }
+
     fn of(rec: &Record) -> RecordKey {
         match rec {
-            Record::Job(key, _) | Record::DropJob(key) => RecordKey::Job(*key),
+            Record::Job(key, rec) => RecordKey::of_job(*key, rec.owner().unwrap_or_default(), rec.slot),
+            Record::DropJob(key, owner, slot) => RecordKey::of_job(*key, *owner, *slot),
             Record::Wave(n, _) => RecordKey::Wave(*n),
             Record::Worker(id, _) | Record::DropWorker(id) => RecordKey::Worker(id.clone()),
             Record::EndedIncarnation(id, _) => RecordKey::EndedIncarnation(id.clone()),
--- a/crates/workswood-core/src/jobs/restored_jobs.rs
+++ b/crates/workswood-core/src/jobs/restored_jobs.rs
@@ -1,8 +1,9 @@
 //! Which stored state belongs to which job of the inbox.
 //!
-//! The state is stored under the number of a job, which jobs of several owners may share.
+//! The state is stored under the number of a job, which jobs of several owners may share. Their states that were
+//! stored later have the owner in their key.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::job::{JobRecord, Outcome};
@@ -23,9 +24,9 @@
 /// The jobs that are stored.
 #[derive(Debug, Default)]
 pub struct RestoredJobs {
-    /// One job of each number.
+    /// Jobs with a state, and of each number without one the job that comes first.
     pub jobs: Vec<RestoredJob>,
-    /// Submitted jobs whose number a job of another owner has, the earliest first.
+    /// Submitted jobs without a state whose number a job of another owner has, the earliest first.
     pub namesakes: Vec<(JobKey, Arc<JobSpec>)>,
 }
 
@@ -33,24 +34,39 @@
 /// at several entries the earliest submission counts.
 pub fn join_states(
     submitted: impl IntoIterator<Item = (JobKey, Arc<JobSpec>)>,
-    mut states: HashMap<JobKey, JobRecord>,
+    states: impl IntoIterator<Item = (JobKey, JobRecord)>,
 ) -> RestoredJobs {
-    let mut by_key: BTreeMap<JobKey, BTreeMap<Owner, Arc<JobSpec>>> = BTreeMap::new();
+    let mut by_key: BTreeMap<JobKey, StoredJobs> = BTreeMap::new();
     for (key, spec) in submitted {
-        keep_earliest(by_key.entry(key).or_default(), spec);
+        keep_earliest(&mut by_key.entry(key).or_default().submitted, spec);
+    }
+    for (key, state) in states {
+        by_key.entry(key).or_default().states.push(state);
     }
     let mut restored = RestoredJobs::default();
-    for (key, mut by_owner) in by_key {
-        restored.jobs.push(join(key, &mut by_owner, states.remove(&key)));
-        restored.namesakes.extend(by_owner.into_values().map(|spec| (key, spec)));
+    for (key, StoredJobs { mut submitted, mut states }) in by_key {
+        let has_state = !states.is_empty();
+        // Those that have ended first: a job at work may come after them.
+        states.sort_by_key(|state| state.over.is_none());
+        for state in states {
+            restored.jobs.push(join(key, &mut submitted, Some(state)));
+        }
+        if !has_state {
+            restored.jobs.push(join(key, &mut submitted, None));
+        }
+        restored.namesakes.extend(submitted.into_values().map(|spec| (key, spec)));
     }
-    let without_spec =
-        states.into_iter().map(|(key, state)| RestoredJob { key, spec: None, state: Some(state) });
-    restored.jobs.extend(without_spec);
     restored.namesakes.sort_by_key(|(_, spec)| spec.accepted_at);
     restored
 }
 
+/// What is stored under one number.
+#[derive(Default)]
+struct StoredJobs {
+    submitted: BTreeMap<Owner, Arc<JobSpec>>,
+    states: Vec<JobRecord>,
+}
+
 /// Keeps the earliest submission of each owner.
 fn keep_earliest(by_owner: &mut BTreeMap<Owner, Arc<JobSpec>>, spec: Arc<JobSpec>) {
     let known = by_owner.get(&spec.owner());
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -18,6 +18,7 @@
 use super::lease_claim::EntryCapacity;
 use super::log_lines::LogLines;
 use super::maintenance_waves::{WaveRecord, WaveState};
+use super::namesakes::{ForgottenJob, Namesakes};
 use super::order_marks::OrderMarks;
 use super::outage::StoreAccess;
 use super::over_runs::OverRuns;
@@ -28,7 +29,7 @@
 use super::second_runs::SecondRuns;
 use super::sibling_times::SiblingTimes;
 use super::slow_workers::SlowWorkers;
-use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
+use super::spec::{JobKey, JobSpec, StepId, TaskId};
 use super::stable_map::StableMap;
 use super::takeover_barrier::TakeoverBarrier;
 use super::task_queue::TaskQueue;
@@ -137,9 +138,11 @@
     /// States of jobs to show to callers with the next batch, besides those of `dirty_jobs`.
     pub(super) status_updates: Vec<JobStatusUpdate>,
     /// Jobs that ended and no longer run anywhere, since the last batch.
-    pub(super) finished_jobs: Vec<JobKey>,
+    pub(super) finished_jobs: Vec<(JobKey, Owner)>,
     /// Jobs forgotten since the last batch.
-    pub(super) forgotten_jobs: Vec<(JobKey, QueueId, Owner)>,
+    pub(super) forgotten_jobs: Vec<ForgottenJob>,
+    /// Jobs that wait until no job of another owner is at work under their number.
+    pub(super) namesakes: Namesakes,
     /// Hosts whose workers are cordoned.
     pub(super) cordoned_hosts: BTreeSet<HostId>,
     /// When stuck runs were last looked for.
@@ -252,6 +255,7 @@
             status_updates: Vec::new(),
             finished_jobs: Vec::new(),
             forgotten_jobs: Vec::new(),
+            namesakes: Namesakes::default(),
             cordoned_hosts: BTreeSet::new(),
             stuck_checked_at: Duration::ZERO,
             inherited_evictions: BTreeSet::new(),
@@ -308,17 +312,26 @@
         }
     }
 
-    /// Adds a job, unless it is known from an earlier read of the inbox.
+    /// Adds a job, unless it is known from an earlier read of the inbox. It waits while a job of another owner is at
+    /// work under its number.
     fn add_job(&mut self, key: JobKey, spec: Arc<JobSpec>) {
         let owner = spec.owner();
-        if let Some(known) = self.jobs.owner(&key) {
-            if known != owner {
-                self.notes.push(format_args!(
-                    "event=job_not_taken job={key:016x} reason=number_of_other_workspace"
-                ));
-            }
+        if self.jobs.contains(&key, owner) || self.namesakes.contains(key, owner) {
             return;
         }
+        if self.is_number_free(key) {
+            self.open_job(key, spec);
+        } else {
+            self.wait_for_number(key, spec);
+        }
+        if self.early_cancels.remove(&(key, owner)) {
+            self.cancel(key, owner);
+        }
+    }
+
+    /// Adds a job to those at work.
+    pub(super) fn open_job(&mut self, key: JobKey, spec: Arc<JobSpec>) {
+        let owner = spec.owner();
         let (stretch, target) = self
             .config
             .queues
@@ -335,15 +348,13 @@
         );
         let most_cpu = self.config.workspaces.limit(owner).cpu_millis;
         self.second_runs.track(key, &spec);
-        self.jobs.insert(Job { over_rate: excess, max_cpu_millis: most_cpu, ..Job::new(key, spec) });
+        let job = Job { over_rate: excess, max_cpu_millis: most_cpu, ..Job::new(key, spec) };
+        self.jobs.insert(self.after_namesakes(job));
         self.track_advised_job(key);
         self.dirty_jobs.insert(key);
         self.open_due_rounds(key);
         self.record_submitted_work(key);
         self.queue_job(key);
-        if self.early_cancels.remove(&(key, owner)) {
-            self.cancel(key, owner);
-        }
     }
 
     /// Applies a configuration unless a newer one is in force.
@@ -506,6 +517,7 @@
         self.drop_expired_marks();
         self.offload_holder();
         self.forget_jobs();
+        self.open_namesakes();
         self.services_to_place
             .extend(self.ready.iter().filter(|(_, s)| !s.is_empty()).map(|(k, _)| k.clone()));
     }
@@ -513,8 +525,8 @@
     /// Forgets finished jobs whose retention has ended.
     fn forget_jobs(&mut self) {
         let Some(ended_before) = self.now.checked_sub(self.limits.ended_job_retention) else { return };
-        for (key, archived) in self.jobs.forget_archived(ended_before) {
-            self.forgotten_jobs.push((key, archived.record.queue, archived.record.owner));
+        for (key, ArchivedJob { record, slot, .. }) in self.jobs.forget_archived(ended_before) {
+            self.forgotten_jobs.push(ForgottenJob { key, queue: record.queue, owner: record.owner, slot });
         }
     }
 
@@ -538,6 +550,7 @@
             return;
         };
         let (cancelled, begun, spec) = (job.cancelled, job.started, job.spec.clone());
+        let (latest_attempt, slot) = (Some(job.latest_attempt()), job.slot);
         let work = self.jobs.get(&key).and_then(|j| self.job_work(j));
         let record = FinishedJobRecord {
             queue: spec.queue.clone(),
@@ -546,13 +559,20 @@
             work_core_ms: work,
             max_task_resources: spec.max_task_resources(),
             owner: spec.owner(),
+            latest_attempt,
         };
         let over = Some(record.clone());
-        let stored =
-            JobRecord { cancelled, started: begun, outcome: Some(outcome), over, ..JobRecord::default() };
+        let stored = JobRecord {
+            cancelled,
+            started: begun,
+            outcome: Some(outcome),
+            over,
+            slot,
+            ..JobRecord::default()
+        };
         batch.records.push(Record::Job(key, stored));
-        self.jobs.archive(key, ArchivedJob { outcome, record }, self.now);
-        self.finished_jobs.push(key);
+        self.jobs.archive(key, ArchivedJob { outcome, record, slot }, self.now);
+        self.finished_jobs.push((key, spec.owner()));
     }
 
     /// Places waiting tasks, asks the adviser, and returns all that changed since the last batch.
@@ -567,14 +587,16 @@
         self.ask_adviser();
         let mut batch =
             Batch { status_updates: std::mem::take(&mut self.status_updates), ..Batch::default() };
+        // What is forgotten comes first: another job may have its number, and its key, since.
+        for ForgottenJob { key, queue, owner, slot } in std::mem::take(&mut self.forgotten_jobs) {
+            batch.records.push(Record::DropJob(key, owner, slot));
+            batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
+        }
+        batch.records.extend(self.namesakes.take_records());
         for key in std::mem::take(&mut self.dirty_jobs) {
             self.record_job(key, &mut batch);
         }
         batch.finished_jobs = std::mem::take(&mut self.finished_jobs);
-        for (key, queue, owner) in std::mem::take(&mut self.forgotten_jobs) {
-            batch.records.push(Record::DropJob(key));
-            batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
-        }
         for id in std::mem::take(&mut self.dirty_workers) {
             batch.records.push(
                 self.take_worker_record(&id)
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -8,7 +8,7 @@
 use super::config::SchedConfig;
 use super::ended_incarnations::EndedIncarnationRecord;
 use super::host::{Host, HostReply};
-use super::job::{JobRecord, JobStatus, WorkerId};
+use super::job::{JobRecord, JobStatus, StateSlot, WorkerId};
 use super::lease_bounds::ExtensionOrders;
 use super::maintenance_waves::{Wave, WaveRecord};
 use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
@@ -295,8 +295,8 @@
 pub enum Record {
     /// The state of a job.
     Job(JobKey, JobRecord),
-    /// The record of a job is deleted.
-    DropJob(JobKey),
+    /// The record of a job of this owner is deleted.
+    DropJob(JobKey, Owner, StateSlot),
     /// Progress of a wave.
     Wave(u64, WaveRecord),
     /// The record of one incarnation of a worker.
@@ -338,7 +338,7 @@
     /// States of jobs that callers may be shown.
     pub status_updates: Vec<JobStatusUpdate>,
     /// Jobs that ended and no longer run anywhere; the inbox need not hold them any more.
-    pub finished_jobs: Vec<JobKey>,
+    pub finished_jobs: Vec<(JobKey, Owner)>,
     /// Waves whose status is to be published, and whether they are complete.
     pub waves: Vec<(u64, bool)>,
     /// Everything that was in the inbox at this time is reflected in this batch.
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -114,6 +114,9 @@
     fn adopt_run(&mut self, id: &WorkerId, listed: &ReportedRun) -> bool {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&listed.task.job) else { return false };
+        if listed.attempt <= job.earlier_attempts {
+            return false;
+        }
         let spec = job.spec.clone();
         let Some(step) = spec.steps.get(usize::from(listed.task.step)) else { return false };
         let Some(task) = job.task_mut(&listed.task) else { return false };
@@ -176,6 +179,9 @@
             self.note_settled_run_returned(id, (task_id, end.attempt), ReturnedAs::Ended(end.kind));
         }
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
+        if end.attempt <= job.earlier_attempts {
+            return;
+        }
         let spec = job.spec.clone();
         let Some(step) = spec.steps.get(usize::from(task_id.step)) else { return };
         let Some(task) = job.task_mut(&task_id) else { return };
--- a/crates/workswood-core/src/jobs/workspace.rs
+++ b/crates/workswood-core/src/jobs/workspace.rs
@@ -20,6 +20,8 @@
 impl Owner {
     /// The owner of jobs without a workspace, whose queue is open to all.
     pub const PUBLIC: Owner = Owner(0);
+    /// The last of all owners in their order.
+    pub const LAST: Owner = Owner(u64::MAX);
 
     /// The owner of a workspace's jobs; [`Owner::PUBLIC`] without a workspace.
     pub fn of_workspace(workspace: Option<&str>) -> Owner {
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -385,14 +385,14 @@
                     self.stored_ended.remove(id);
                 }
                 // The simulation has no host orders and no waves.
-                Record::DropJob(_) | Record::Wave(..) | Record::HostOrderMark(..) => {}
+                Record::DropJob(..) | Record::Wave(..) | Record::HostOrderMark(..) => {}
             }
         }
     }
 
     /// Publishes a stored batch: job states, acknowledgements and actions.
     fn publish(&mut self, n: usize, batch: Batch) {
-        self.trimmed.extend(batch.finished_jobs);
+        self.trimmed.extend(batch.finished_jobs.into_iter().map(|(key, _)| key));
         self.show(n, batch.status_updates);
         for (id, number) in batch.acked_ends {
             self.order(n, &id.clone(), ToRelay::Forget(id, number));
--- a/src/workswood/ops/jobs/admission_control.rs
+++ b/src/workswood/ops/jobs/admission_control.rs
@@ -24,11 +24,11 @@
 pub struct HolderPause(AtomicU64);
 
 impl HolderPause {
-    fn is_over(&self, now: Duration) -> bool {
+    pub(super) fn is_over(&self, now: Duration) -> bool {
         now.as_millis() as u64 >= self.0.load(Ordering::Relaxed)
     }
 
-    fn begin(&self, now: Duration) {
+    pub(super) fn begin(&self, now: Duration) {
         self.0.store((now + SILENT_HOLDER_PAUSE).as_millis() as u64, Ordering::Relaxed);
     }
 }
--- a/src/workswood/ops/jobs/batch_writer.rs
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -9,7 +9,7 @@
 
 use tokio::task::JoinSet;
 use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
-use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Scheduler, StoreAccess};
+use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Owner, Scheduler, StoreAccess};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
 use super::hedged_call::hedged_call;
@@ -153,7 +153,7 @@
     node: Arc<Node>,
     handle: Arc<SchedulerHandle>,
     number: u64,
-    dropped: Vec<JobKey>,
+    dropped: Vec<(JobKey, Owner)>,
     records: Vec<KeyedRecord>,
 ) -> bool {
     let term = handle.term;
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -212,11 +212,11 @@
         self.0.get(&key).is_some_and(|partitions| partitions & (1 << partition) != 0)
     }
 
-    /// Keys of a job in a partition, of all owners.
-    pub fn keys_of_job(&self, partition: Partition, job: JobKey) -> Vec<InboxKey> {
-        let first = InboxKey { job, owner: Owner::PUBLIC, kind: InboxRecordKind::Job };
-        let all = self.0.range(first..).take_while(|(key, _)| key.job == job);
-        all.filter(|(_, partitions)| **partitions & (1 << partition) != 0).map(|(key, _)| *key).collect()
+    /// Keys of the job of an owner in a partition.
+    pub fn keys_of_job(&self, partition: Partition, job: JobKey, owner: Owner) -> Vec<InboxKey> {
+        let kinds = [InboxRecordKind::Job, InboxRecordKind::Cancel];
+        let keys = kinds.into_iter().map(|kind| InboxKey { job, owner, kind });
+        keys.filter(|key| self.contains(partition, *key)).collect()
     }
 
     /// Records that a partition no longer holds a key.
--- a/src/workswood/ops/jobs/inbox_cleanup.rs
+++ b/src/workswood/ops/jobs/inbox_cleanup.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use workswood_core::jobs::JobKey;
+use workswood_core::jobs::{JobKey, Owner};
 use workswood_platform::jobs::{Guard, KeyedRecord, Topic};
 
 use super::inbox;
@@ -25,11 +25,11 @@
 pub(super) async fn run(
     node: Arc<Node>,
     handle: Arc<SchedulerHandle>,
-    mut rx: mpsc::UnboundedReceiver<Vec<JobKey>>,
+    mut rx: mpsc::UnboundedReceiver<Vec<(JobKey, Owner)>>,
 ) {
     while let Some(first) = rx.recv().await {
         tokio::time::sleep(COLLECT_TIME).await;
-        let mut finished: BTreeSet<JobKey> = first.into_iter().collect();
+        let mut finished: BTreeSet<(JobKey, Owner)> = first.into_iter().collect();
         while let Ok(more) = rx.try_recv() {
             finished.extend(more);
         }
@@ -37,19 +37,19 @@
     }
 }
 
-/// Deletes all records of jobs from the inbox, and retries until that is done.
+/// Deletes all records of jobs of these owners from the inbox, and retries until that is done.
 ///
 /// The state of a job may be deleted only after this: a job in the inbox without a state is taken
 /// for a new one. The keys are removed from `inbox_keys` only when the deletions are read from the
 /// inbox, since a caller may submit the same job again in between.
-pub(super) async fn delete_from_inbox(node: &Node, handle: &SchedulerHandle, jobs: Vec<JobKey>) {
+pub(super) async fn delete_from_inbox(node: &Node, handle: &SchedulerHandle, jobs: Vec<(JobKey, Owner)>) {
     if jobs.is_empty() {
         return;
     }
     for partition in inbox::partitions(node.settings.store_partitions) {
         let deletions: Vec<KeyedRecord> = {
             let known = handle.inbox_keys.lock();
-            let keys = jobs.iter().flat_map(|job| known.keys_of_job(partition, *job));
+            let keys = jobs.iter().flat_map(|(job, owner)| known.keys_of_job(partition, *job, *owner));
             keys.map(InboxKey::deletion_record).collect()
         };
         if deletions.is_empty() {
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -19,6 +19,7 @@
 use super::inbox::Stored;
 use super::job_queries::{self, Lookup};
 use super::node::Node;
+use super::number_check;
 use super::record::{cancel_record, job_record};
 
 /// When a caller should retry after a refusal.
@@ -205,6 +206,17 @@
     };
     drop(body);
     let start = node.now();
+    if number_check::is_taken(node, cfg, job, spec.owner()).await {
+        log::info!(
+            "event=job_refused job={job:016x} reason=number_taken queue={} workspace={} took_ms={}",
+            queue.name,
+            spec.workspace.as_deref().unwrap_or("-"),
+            (node.now() - start).as_millis()
+        );
+        node.metrics.submissions.with_label_values(&["number_taken"]).inc();
+        let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
+        return refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after));
+    }
     match admission_control::weigh(node, job, &spec).await {
         // What waits is ordered by when its callers first came.
         Some(Verdict::Admitted { age }) => {
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -10,7 +10,7 @@
 
 use prost::Message;
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
-use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
+use workswood_core::jobs::job::{AbsenceRecord, StateSlot, TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{FinishedJobRecord, JobRecord, Outcome, Owner};
 
@@ -35,6 +35,9 @@
     /// Number of the owner of an open job; 0 if it has none. Earlier versions don't write it.
     #[prost(fixed64, optional, tag = "7")]
     owner: Option<u64>,
+    /// Attempts up to this number are of earlier jobs under the same number.
+    #[prost(uint32, tag = "8")]
+    earlier_attempts: u32,
 }
 
 /// What is stored of a job that has ended and runs nowhere.
@@ -60,6 +63,9 @@
     /// Number of the owner; 0 if it has none.
     #[prost(fixed64, tag = "8")]
     owner: u64,
+    /// Latest attempt of any of its tasks. Earlier versions don't write it.
+    #[prost(uint32, optional, tag = "9")]
+    latest_attempt: Option<u32>,
 }
 
 /// Stored form of [`Outcome`].
@@ -172,8 +178,10 @@
             mem_mb: o.max_task_resources.mem_mb,
             gpus: o.max_task_resources.gpus,
             owner: o.owner.number(),
+            latest_attempt: o.latest_attempt,
         }),
         owner: rec.owner.map(Owner::number),
+        earlier_attempts: rec.earlier_attempts,
     };
     state.encode_to_vec()
 }
@@ -227,7 +235,7 @@
     attempt_not_in_runs || has_failures || has_run_state || t.absence.is_some()
 }
 
-/// Decodes the state of a job.
+/// Decodes the state of a job. Under which key it is stored, the record does not tell.
 pub fn decode(value: &[u8]) -> Result<JobRecord, String> {
     if value.first() == Some(&JSON_FIRST_BYTE) {
         return serde_json::from_slice(value).map_err(|e| e.to_string());
@@ -248,8 +256,11 @@
             work_core_ms: o.work,
             max_task_resources: Resources { cpu_millis: o.cpu_millis, mem_mb: o.mem_mb, gpus: o.gpus },
             owner: Owner::from_number(o.owner),
+            latest_attempt: o.latest_attempt,
         }),
         owner: state.owner.map(Owner::from_number),
+        earlier_attempts: state.earlier_attempts,
+        slot: StateSlot::Number,
     })
 }
 
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -52,6 +52,7 @@
 pub mod limits;
 mod monitoring;
 pub mod node;
+mod number_check;
 pub mod operator_state;
 pub mod peer_requests;
 pub mod peers;
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -21,6 +21,7 @@
 use super::inbox::{InboxIndex, InboxWriter};
 use super::job_status_table::JobStatusTable;
 use super::lease_renewal::EXTENSION_GRACE;
+use super::number_check::NumberCheck;
 use super::operator_state::OperatorState;
 use super::peers::Peers;
 use super::relay::Grant;
@@ -199,6 +200,8 @@
     pub inbox_writer: InboxWriter,
     /// When the lease holder may be asked again whether a job is admitted.
     pub admission_pause: HolderPause,
+    /// Which numbers of jobs are known to be taken.
+    pub numbers: NumberCheck,
     /// Detects half-open connections.
     pub half_open: HalfOpenDetector,
     /// Counts the traffic over the entry's link.
@@ -268,6 +271,7 @@
             caller_connections: ConnectionTable::new(caller_limits),
             inbox_writer: InboxWriter::default(),
             admission_pause: HolderPause::default(),
+            numbers: NumberCheck::default(),
             half_open,
             traffic,
             timer_lag: TimerLag::default(),
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -4,7 +4,8 @@
 //! `x` and the digits. Where a workspace owns the job, `-` and 16 hex digits for the owner follow,
 //! so that one workspace can't replace what another wrote under the same job key.
 //!
-//! The state holds a job under its 16 hex digits, the progress of a wave under `wave-` and its
+//! The state holds a job under its 16 hex digits, or under these, `-` and 16 hex digits for the owner if the number was
+//! that of another owner's job before; the progress of a wave under `wave-` and its
 //! number, an incarnation of a worker under `worker-` and its id, what one has left behind that is
 //! over under `ended-` and its id, and the mark of a host that recently received an order under
 //! `ordered-` and its name.
@@ -14,7 +15,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 use workswood_core::ids::HostId;
-use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::job::{StateSlot, WorkerId};
 use workswood_core::jobs::spec::{format_job_key, parse_job_key};
 use workswood_core::jobs::{JobKey, JobSpec, Owner, Record};
 use workswood_platform::jobs::KeyedRecord;
@@ -56,8 +57,8 @@
 
 /// A key of the state.
 pub enum StateKey {
-    /// The state of a job.
-    Job(JobKey),
+    /// The state of a job, with its owner if that is part of the key.
+    Job(JobKey, Option<Owner>),
     /// The progress of the wave with this number.
     Wave(u64),
     /// An incarnation of a worker.
@@ -97,7 +98,13 @@
     if let Some(host) = key.strip_prefix(ORDERED_PREFIX) {
         return Some(StateKey::HostOrderMark(host.to_string()));
     }
-    parse_job_key(key).map(StateKey::Job)
+    match key.split_once(OWNER_SEPARATOR) {
+        None => Some(StateKey::Job(parse_job_key(key)?, None)),
+        Some((job, owner)) => {
+            let owner = Owner::from_number(parse_job_key(owner)?);
+            Some(StateKey::Job(parse_job_key(job)?, Some(owner)))
+        }
+    }
 }
 
 /// Returns the inbox record that cancels a job.
@@ -149,9 +156,10 @@
 pub fn state_record(rec: &Record) -> KeyedRecord {
     match rec {
         Record::Job(job, state) => {
-            KeyedRecord { key: format_job_key(*job), value: Some(job_state::encode(state).into()) }
+            let key = job_state_key(*job, state.owner().unwrap_or_default(), state.slot);
+            KeyedRecord { key, value: Some(job_state::encode(state).into()) }
         }
-        Record::DropJob(job) => deletion_record(format_job_key(*job)),
+        Record::DropJob(job, owner, slot) => deletion_record(job_state_key(*job, *owner, *slot)),
         Record::Wave(n, progress) => json_record(format!("{WAVE_PREFIX}{n}"), progress),
         Record::Worker(id, worker) => json_record(format!("{WORKER_PREFIX}{id}"), worker),
         Record::EndedIncarnation(id, Some(ended)) => json_record(format!("{ENDED_PREFIX}{id}"), ended),
@@ -162,10 +170,19 @@
     }
 }
 
-/// Returns the job whose state the record deletes, if any.
-pub fn deleted_job(rec: &Record) -> Option<JobKey> {
+/// The key under which the state of a job is stored.
+fn job_state_key(job: JobKey, owner: Owner, slot: StateSlot) -> String {
+    let job = format_job_key(job);
+    match slot {
+        StateSlot::Number => job,
+        StateSlot::NumberAndOwner => format!("{job}{OWNER_SEPARATOR}{}", format_job_key(owner.number())),
+    }
+}
+
+/// Returns the job whose state the record deletes, with its owner, if any.
+pub fn deleted_job(rec: &Record) -> Option<(JobKey, Owner)> {
     match rec {
-        Record::DropJob(job) => Some(*job),
+        Record::DropJob(job, owner, _) => Some((*job, *owner)),
         Record::Job(..)
         | Record::Wave(..)
         | Record::Worker(..)
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -6,7 +6,7 @@
 
 use futures::future::try_join_all;
 use workswood_core::ids::{HostId, Offset};
-use workswood_core::jobs::job::WorkerId;
+use workswood_core::jobs::job::{StateSlot, WorkerId};
 use workswood_core::jobs::restored_jobs::join_states;
 use workswood_core::jobs::{
     EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, Scheduler, WaveRecord, WorkerRecord,
@@ -104,7 +104,7 @@
 /// The stored state.
 #[derive(Default)]
 struct StoredState {
-    jobs: HashMap<JobKey, JobRecord>,
+    jobs: Vec<(JobKey, JobRecord)>,
     waves: HashMap<u64, WaveRecord>,
     workers: HashMap<WorkerId, WorkerRecord>,
     ended_incarnations: HashMap<WorkerId, EndedIncarnationRecord>,
@@ -118,8 +118,11 @@
     for rec in state.records {
         let value = rec.value.unwrap_or_default();
         match parse_state_key(&rec.key) {
-            Some(StateKey::Job(key)) => match job_state::decode(&value) {
-                Ok(j) => drop(s.jobs.insert(key, j)),
+            Some(StateKey::Job(key, owner)) => match job_state::decode(&value) {
+                Ok(state) => {
+                    let slot = owner.map_or(StateSlot::Number, |_| StateSlot::NumberAndOwner);
+                    s.jobs.push((key, JobRecord { owner: state.owner.or(owner), slot, ..state }));
+                }
                 Err(e) => log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key),
             },
             Some(StateKey::Wave(n)) => {
@@ -155,7 +158,7 @@
 
 /// Restores the jobs and their state, and then applies cancellations. A state whose job is no
 /// longer in the inbox belongs to a job that is finished or was being forgotten.
-fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, states: HashMap<JobKey, JobRecord>) {
+fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, states: Vec<(JobKey, JobRecord)>) {
     let mut cancels = BTreeSet::new();
     let mut submitted: Vec<(JobKey, Arc<JobSpec>)> = Vec::new();
     for rec in inbox {
--- a/src/workswood/ops/model/batches.rs
+++ b/src/workswood/ops/model/batches.rs
@@ -32,7 +32,7 @@
     fn apply(&mut self, rec: Record) {
         match rec {
             Record::Job(key, job) => drop(self.jobs.insert(key, job)),
-            Record::DropJob(key) => drop(self.jobs.remove(&key)),
+            Record::DropJob(key, ..) => drop(self.jobs.remove(&key)),
             Record::Wave(n, wave) => drop(self.waves.insert(n, wave)),
             Record::Worker(id, w) => drop(self.workers.insert(id, w)),
             Record::DropWorker(id) => drop(self.workers.remove(&id)),
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -8,7 +8,7 @@
 use workswood::ops::jobs::job_state::{decode, encode};
 use workswood::ops::jobs::job_status_table::JobStatusTable;
 use workswood_core::jobs::crash_history::{Certainty, CrashRecord, Evidence};
-use workswood_core::jobs::job::{TaskRecord, WorkerId};
+use workswood_core::jobs::job::{StateSlot, TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     FinishedJobRecord, JobRecord, JobSpec, JobStatus, JobStatusUpdate, Outcome, Owner, Repeat, StepSpec,
@@ -73,10 +73,20 @@
             gpus: u.arbitrary()?,
         },
         owner: Owner::from_number(u.arbitrary()?),
+        latest_attempt: u.arbitrary()?,
     };
     let over = outcome.is_some().then_some(over);
     let owner = u.arbitrary::<Option<u64>>()?.map(Owner::from_number);
-    Ok(JobRecord { cancelled: u.arbitrary()?, outcome, started: u.arbitrary()?, rounds, over, owner })
+    Ok(JobRecord {
+        cancelled: u.arbitrary()?,
+        outcome,
+        started: u.arbitrary()?,
+        rounds,
+        over,
+        owner,
+        earlier_attempts: u.arbitrary()?,
+        slot: StateSlot::Number,
+    })
 }
 
 #[test]
--- a/tests/testsuite/over_jobs.rs
+++ b/tests/testsuite/over_jobs.rs
@@ -14,6 +14,7 @@
 
 use workswood::ops::jobs::inbox::InboxIndex;
 use workswood::ops::jobs::record::{InboxKey, InboxRecordKind};
+use workswood_core::jobs::job::StateSlot;
 use workswood_core::jobs::job_table::{ArchivedJob, JobTable};
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
@@ -57,7 +58,7 @@
     s.handle(Event::Submitted(2, spec()));
     s.handle(Event::Cancelled(1, Owner::PUBLIC));
     let batch = s.take_batch();
-    assert_eq!(batch.finished_jobs, [1], "the inbox need not hold it");
+    assert_eq!(batch.finished_jobs, [(1, Owner::PUBLIC)], "the inbox need not hold it");
     assert!(s.jobs.is_archived(&1) && !s.jobs.is_archived(&2));
     let rec = recorded(&batch, 1).expect("it changed");
     assert!(rec.rounds.is_empty());
@@ -82,7 +83,7 @@
     next.restore_job(1, Some(spec()), Some(over_record()));
     let batch = next.take_batch();
     assert_eq!(batch.status_updates[0].state, Some(JobStatus::Ended(Outcome::Canceled)));
-    assert_eq!(batch.finished_jobs, [1], "its predecessor did not come to take it out");
+    assert_eq!(batch.finished_jobs, [(1, Owner::PUBLIC)], "its predecessor did not come to take it out");
 }
 
 #[test]
@@ -103,12 +104,20 @@
     let mut next = scheduler();
     next.restore_job(5, None, Some(begun.record()));
     let dropped = next.take_batch().records;
-    assert!(matches!(dropped.as_slice(), [Record::DropJob(5)]), "{} records", dropped.len());
+    assert!(
+        matches!(dropped.as_slice(), [Record::DropJob(5, Owner::PUBLIC, StateSlot::Number)]),
+        "{} records",
+        dropped.len()
+    );
 }
 
 #[test]
 fn forgotten_in_order() {
-    let over = || ArchivedJob { outcome: Outcome::Completed, record: FinishedJobRecord::default() };
+    let over = || ArchivedJob {
+        outcome: Outcome::Completed,
+        record: FinishedJobRecord::default(),
+        slot: StateSlot::Number,
+    };
     let mut jobs = JobTable::default();
     jobs.insert(Job::new(3, spec()));
     (1..=3).for_each(|n| jobs.archive(n, over(), Duration::from_secs(n)));
--- a/tests/testsuite/shared_numbers.rs
+++ b/tests/testsuite/shared_numbers.rs
@@ -1,12 +1,19 @@
 //! Jobs of several owners under one number.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use workswood::ops::jobs::inbox::InboxIndex;
 use workswood::ops::jobs::job_state;
+use workswood::ops::jobs::job_status_table::JobStatusTable;
+use workswood::ops::jobs::record::{InboxKey, InboxRecordKind, StateKey, parse_state_key, state_record};
+use workswood_core::jobs::job::StateSlot;
 use workswood_core::jobs::restored_jobs::join_states;
-use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Outcome, Owner, Record};
-use workswood_test_support::host_world::HostWorld;
+use workswood_core::jobs::{
+    Action, EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Listing, Outcome, Owner, Record,
+    ReportedEnd,
+};
+use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
 const KEY: JobKey = 1;
@@ -97,3 +104,213 @@
     let read = job_state::decode(&job_state::encode(&JobRecord::default())).expect("a state");
     assert_eq!(read.owner(), None, "as earlier versions wrote it");
 }
+
+/// A scheduler with one worker, what it has stored, and what callers are shown.
+struct Site {
+    world: HostWorld,
+    running: Vec<Action>,
+    ended: u64,
+    stored: BTreeMap<String, JobRecord>,
+    shown: JobStatusTable,
+}
+
+impl Site {
+    fn new() -> Site {
+        let mut world = HostWorld::new(1);
+        world.at(1000);
+        let (stored, shown) = (BTreeMap::new(), JobStatusTable::default());
+        Site { world, running: Vec::new(), ended: 0, stored, shown }
+    }
+
+    /// The next lease holder, which reads what is stored.
+    fn successor(self, submitted: &[Arc<JobSpec>]) -> Site {
+        let states = self.stored.iter().map(|(key, state)| match parse_state_key(key) {
+            Some(StateKey::Job(key, _)) => (key, state.clone()),
+            _ => panic!("{key} is no key of a job"),
+        });
+        let submitted = submitted.iter().map(|spec| (KEY, spec.clone()));
+        let mut next = Site { running: self.running, ended: self.ended, ..Site::new() };
+        next.world.sched.restore_jobs(join_states(submitted, states));
+        next.stored = self.stored;
+        next.report(Vec::new());
+        next
+    }
+
+    fn submit(&mut self, spec: &Arc<JobSpec>) {
+        self.world.sched.handle(Event::Submitted(KEY, spec.clone()));
+    }
+
+    /// Ticks; returns the attempts that are started, each with the owner's input.
+    fn tick(&mut self) -> Vec<u32> {
+        let next = self.world.sched.wall + 150;
+        self.world.at(next);
+        self.world.sched.handle(Event::Tick);
+        let batch = self.world.sched.take_batch();
+        for rec in &batch.records {
+            let key = state_record(rec).key;
+            match rec {
+                Record::Job(_, state) => drop(self.stored.insert(key, state.clone())),
+                Record::DropJob(..) => drop(self.stored.remove(&key)),
+                _ => {}
+            }
+        }
+        batch.status_updates.into_iter().for_each(|update| self.shown.update(update));
+        let mut attempts = Vec::new();
+        for action in batch.actions {
+            let Action::Start { worker, task, attempt, .. } = &action else { continue };
+            self.world.taken(worker, *task, *attempt);
+            attempts.push(*attempt);
+            self.running.push(action);
+        }
+        attempts
+    }
+
+    /// Has the worker tell that an attempt of the first task is done.
+    fn complete(&mut self, attempt: u32) {
+        self.running.retain(|a| !matches!(a, Action::Start { attempt: n, .. } if *n == attempt));
+        self.ended += 1;
+        let task = workswood_core::jobs::TaskId { job: KEY, round: 0, step: 0, index: 0 };
+        let (sequence_number, kind) = (self.ended, EndKind::Done);
+        self.report(vec![ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() }]);
+    }
+
+    fn report(&mut self, ended: Vec<ReportedEnd>) {
+        let running = self.running.iter().filter_map(listed).collect();
+        self.world.answers(&worker(0, 0).id, Listing { running, ended, ..Listing::default() });
+    }
+
+    fn shown(&self, workspace: &str) -> Option<JobStatus> {
+        self.shown.status(KEY, Some(owner(workspace)))
+    }
+}
+
+const COMPLETED: Option<JobStatus> = Some(JobStatus::Ended(Outcome::Completed));
+
+/// Guards against an accepted job that is dropped since another owner's has its number.
+#[test]
+fn second_owner_waits() {
+    let mut site = Site::new();
+    site.submit(&of("a", 10, 1));
+    site.submit(&of("b", 20, 1));
+    assert_eq!(site.tick(), [1]);
+    assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Running), Some(JobStatus::Queued)));
+    site.complete(1);
+    assert!(site.tick().is_empty(), "its end is not on record yet");
+    assert_eq!(site.shown("a"), COMPLETED);
+    assert_eq!(site.tick(), [2], "above the attempts of the first");
+    assert_eq!(site.shown("b"), Some(JobStatus::Running));
+    site.complete(2);
+    site.tick();
+    assert_eq!((site.shown("a"), site.shown("b")), (COMPLETED, COMPLETED));
+    assert_eq!(site.stored.len(), 2, "{:?}", site.stored.keys());
+}
+
+/// What is told of attempts of the first job is not taken for the second one's.
+#[test]
+fn late_end_of_first() {
+    let mut site = Site::new();
+    site.submit(&of("a", 10, 1));
+    site.submit(&of("b", 20, 1));
+    site.tick();
+    site.complete(1);
+    site.tick();
+    assert_eq!(site.tick(), [2]);
+    site.complete(1);
+    site.tick();
+    assert_eq!(site.shown("b"), Some(JobStatus::Running));
+    site.complete(2);
+    site.tick();
+    assert_eq!(site.shown("b"), COMPLETED);
+}
+
+/// A new holder goes on with both jobs, at each moment.
+#[test]
+fn holders_in_series() {
+    let (a, b) = (of("a", 10, 1), of("b", 20, 1));
+    let mut site = Site::new();
+    site.submit(&b);
+    site.submit(&a);
+    assert_eq!(site.tick(), [1], "the one that is read first");
+    site = site.successor(&[a.clone(), b.clone()]);
+    site.tick();
+    assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Queued), Some(JobStatus::Running)));
+    site.complete(1);
+    site.tick();
+    site = site.successor(std::slice::from_ref(&a));
+    assert_eq!(site.tick(), [2]);
+    assert_eq!(site.shown("b"), COMPLETED);
+    site = site.successor(std::slice::from_ref(&a));
+    site.tick();
+    assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Running), COMPLETED));
+    site.complete(2);
+    site.tick();
+    site = site.successor(&[]);
+    site.tick();
+    assert_eq!((site.shown("a"), site.shown("b")), (COMPLETED, COMPLETED));
+}
+
+#[test]
+fn waiting_job_cancelled() {
+    let (a, b) = (of("a", 10, 1), of("b", 20, 1));
+    let mut site = Site::new();
+    site.submit(&a);
+    site.submit(&b);
+    site.tick();
+    site.world.sched.handle(Event::Cancelled(KEY, owner("b")));
+    site.tick();
+    let canceled = Some(JobStatus::Ended(Outcome::Canceled));
+    assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Running), canceled));
+    site = site.successor(std::slice::from_ref(&a));
+    site.tick();
+    assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Running), canceled));
+    site.complete(1);
+    site.tick();
+    assert!(site.tick().is_empty(), "nothing of the other one is started");
+    assert_eq!(site.shown("a"), COMPLETED);
+}
+
+/// A job that ended under an earlier version may have made any attempt, so its number is not free yet.
+#[test]
+fn attempts_not_known() {
+    let state = JobRecord { outcome: Some(Outcome::Completed), ..JobRecord::default() };
+    let over = workswood_core::jobs::FinishedJobRecord { owner: owner("a"), ..Default::default() };
+    let mut site = Site::new();
+    let states = [(KEY, JobRecord { over: Some(over), ..state })];
+    site.world.sched.restore_jobs(join_states([(KEY, of("b", 20, 1))], states));
+    assert!(site.tick().is_empty());
+    assert_eq!((site.shown("a"), site.shown("b")), (COMPLETED, Some(JobStatus::Queued)));
+    let later = site.world.sched.wall + 61_000;
+    site.world.at(later);
+    site.report(Vec::new());
+    assert_eq!(site.tick(), [1]);
+    assert_eq!((site.shown("a"), site.shown("b")), (None, Some(JobStatus::Running)));
+    assert_eq!(site.stored.values().map(JobRecord::owner).collect::<Vec<_>>(), [Some(owner("b"))]);
+}
+
+/// The inbox loses only the records of the job that has ended.
+#[test]
+fn inbox_keeps_other_owner() {
+    let key = |workspace, kind| InboxKey { job: KEY, owner: owner(workspace), kind };
+    let mut kept = InboxIndex::default();
+    for workspace in ["a", "b"] {
+        kept.insert(0, key(workspace, InboxRecordKind::Job));
+    }
+    kept.insert(0, key("a", InboxRecordKind::Cancel));
+    kept.insert(1, key("b", InboxRecordKind::Job));
+    let of_a = [key("a", InboxRecordKind::Job), key("a", InboxRecordKind::Cancel)];
+    assert_eq!(kept.keys_of_job(0, KEY, owner("a")), of_a);
+    assert_eq!(kept.keys_of_job(1, KEY, owner("a")), []);
+}
+
+#[test]
+fn state_keys() {
+    let state = |slot| JobRecord { owner: Some(Owner::from_number(0xb)), slot, ..JobRecord::default() };
+    let key = |slot| state_record(&Record::Job(0xa, state(slot))).key;
+    assert_eq!(key(StateSlot::Number), "000000000000000a");
+    assert_eq!(key(StateSlot::NumberAndOwner), "000000000000000a-000000000000000b");
+    let owned = Some(Owner::from_number(0xb));
+    assert!(matches!(parse_state_key("000000000000000a"), Some(StateKey::Job(0xa, None))));
+    assert!(
+        matches!(parse_state_key(&key(StateSlot::NumberAndOwner)), Some(StateKey::Job(0xa, o)) if o == owned)
+    );
+}
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -40,7 +40,7 @@
 };
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
-use workswood_core::jobs::job::{AbsenceRecord, TaskRecord, WorkerId};
+use workswood_core::jobs::job::{AbsenceRecord, StateSlot, TaskRecord, WorkerId};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::policy::ShareOrder;
 use workswood_core::jobs::spec::Resources;
@@ -372,10 +372,17 @@
 fn read_state(rec: &KeyedRecord) -> Record {
     let value = rec.value.as_deref();
     match (parse_state_key(&rec.key).expect("a key of the state"), value) {
-        (StateKey::Job(job), Some(value)) => {
+        (StateKey::Job(job, None), Some(value)) => {
             Record::Job(job, job_state::decode(value).expect("a job's state"))
         }
-        (StateKey::Job(job), None) => Record::DropJob(job),
+        (StateKey::Job(job, Some(owner)), Some(value)) => {
+            let state = job_state::decode(value).expect("a job's state");
+            Record::Job(job, JobRecord { owner: Some(owner), slot: StateSlot::NumberAndOwner, ..state })
+        }
+        (StateKey::Job(job, owner), None) => {
+            let slot = owner.map_or(StateSlot::Number, |_| StateSlot::NumberAndOwner);
+            Record::DropJob(job, owner.unwrap_or_default(), slot)
+        }
         (StateKey::Wave(n), value) => {
             Record::Wave(n, serde_json::from_slice(value.expect("a value")).expect("a wave's progress"))
         }
