Histories: jobs of a second owner under the numbers of other jobs

The world and its oracle know such a job under a key of its own, workers and the scheduler the number alone, so that histories meet a state that is joined to another job and a job that is dropped. 250 and 125 of them in the suite. Jobs that are cancelled while they wait for their number are logged like others.

--- a/crates/workswood-core/src/jobs/namesakes.rs
+++ b/crates/workswood-core/src/jobs/namesakes.rs
@@ -120,8 +120,8 @@
         self.jobs.archive(key, ArchivedJob { outcome, record, slot }, self.now);
         self.finished_jobs.push((key, owner));
         self.show_namesake(key, &spec, JobStatus::Ended(outcome));
-        self.notes
-            .push(format_args!("event=job_ended job={key:016x} outcome={outcome:?} waited_for_number=true"));
+        let age_ms = self.wall.saturating_sub(spec.accepted_at);
+        self.notes.push(format_args!("event=job_ended job={key:016x} outcome={outcome:?} age_ms={age_ms}"));
         true
     }
 }
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -10,6 +10,7 @@
 use super::fault_rng::{FaultRng, Stream};
 use super::lasting::LastingTasks;
 use super::relay::SimRelay;
+use super::second_owner::{Attempts, StoredJobs};
 use super::store_cuts::StoreCuts;
 use super::worker::WorkerLimits;
 use super::{LONG_RUN_TIMES_MS, RUN_TIMES_MS, STEP, Seen, World};
@@ -155,7 +156,8 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             trimmed: BTreeSet::new(),
-            stored_jobs: HashMap::new(),
+            stored_jobs: StoredJobs::default(),
+            attempts: Attempts::default(),
             stored_workers: BTreeMap::new(),
             stored_ended: BTreeMap::new(),
             done: BTreeSet::new(),
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -17,6 +17,7 @@
 use super::evacuations::is_evacuated;
 use super::fault_rng::Fate;
 use super::relay::{Session, ToHolder, ToRelay, full_leases_until};
+use super::second_owner::key_of;
 use super::{EXTENSION_GRACE, FULL_LEASE_GRACE, LEASE, STEP, World, limits};
 
 /// Interval between ticks of the scheduler.
@@ -370,7 +371,7 @@
         for rec in &batch.records {
             match rec {
                 Record::Job(key, rec) => {
-                    self.stored_jobs.insert(*key, rec.clone());
+                    self.stored_jobs.insert(*key, rec);
                 }
                 Record::Worker(id, rec) => {
                     self.stored_workers.insert(id.clone(), rec.clone());
@@ -392,7 +393,7 @@
 
     /// Publishes a stored batch: job states, acknowledgements and actions.
     fn publish(&mut self, n: usize, batch: Batch) {
-        self.trimmed.extend(batch.finished_jobs.into_iter().map(|(key, _)| key));
+        self.trimmed.extend(batch.finished_jobs.into_iter().map(|(number, owner)| key_of(number, owner)));
         self.show(n, batch.status_updates);
         for (id, number) in batch.acked_ends {
             self.order(n, &id.clone(), ToRelay::Forget(id, number));
@@ -405,15 +406,16 @@
     /// Shows states of jobs to callers.
     fn show(&mut self, n: usize, statuses: Vec<JobStatusUpdate>) {
         for s in statuses {
+            let key = key_of(s.key, s.owner);
             match s.state {
                 Some(JobStatus::Ended(Outcome::Completed)) => {
-                    self.shown_completed.entry(s.key).or_insert(self.now);
-                    self.check_completed(s.key);
+                    self.shown_completed.entry(key).or_insert(self.now);
+                    self.check_completed(key);
                 }
-                Some(JobStatus::Ended(Outcome::Failed)) => self.check_failed(s.key),
+                Some(JobStatus::Ended(Outcome::Failed)) => self.check_failed(key),
                 _ => {}
             }
-            self.holders[n].shown.insert(s.key, s);
+            self.holders[n].shown.insert(key, s);
         }
     }
 
@@ -444,6 +446,7 @@
                 if !self.holders[n].sched.hand_on_start(&worker, &task, attempt) {
                     return;
                 }
+                self.note_attempt(n, task, attempt);
                 if self.holders[n].watched.get(&worker).is_some_and(|(_, t)| *t == token) {
                     let id = worker.clone();
                     self.order(n, &worker, ToRelay::Start { id, task, attempt, ticket });
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -19,6 +19,7 @@
 mod order_queue;
 mod relay;
 mod restarts;
+mod second_owner;
 mod store_cuts;
 mod waiting_polls;
 mod worker;
@@ -33,8 +34,8 @@
 use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    EndKind, EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, JobStatus, Limits, OutagePolicy,
-    Owner, QueueConfig, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
+    EndKind, EndedIncarnationRecord, Event, JobKey, JobSpec, JobStatus, Limits, OutagePolicy, Owner,
+    QueueConfig, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
     WorkerRecord, Workspace, Workspaces,
 };
 
@@ -42,6 +43,7 @@
 
 pub use self::fault_rng::{Fate, FaultRng};
 pub use self::lasting::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
+pub use self::second_owner::second_key;
 
 use self::adviser::ADVICE;
 use self::crashes::Crashes;
@@ -50,6 +52,7 @@
 use self::lasting::LastingTasks;
 use self::misdelivered::Misdelivery;
 use self::relay::{Session, SimRelay};
+use self::second_owner::{Attempts, StoredJobs};
 use self::store_cuts::StoreCuts;
 use self::waiting_polls::WaitingPoll;
 use self::worker::{Answer, Order, SimWorker, WorkerLimits};
@@ -165,7 +168,9 @@
     trimmed: BTreeSet<JobKey>,
     /// Jobs that were cancelled, and when they first were.
     cancelled: BTreeMap<JobKey, Duration>,
-    stored_jobs: HashMap<JobKey, JobRecord>,
+    stored_jobs: StoredJobs,
+    /// Whose attempts were ordered.
+    attempts: Attempts,
     stored_workers: BTreeMap<WorkerId, WorkerRecord>,
     stored_ended: BTreeMap<WorkerId, EndedIncarnationRecord>,
     /// Tasks that some worker has run successfully.
@@ -388,10 +393,7 @@
         for (id, ended) in &self.stored_ended {
             sched.restore_ended(id.clone(), ended);
         }
-        for (key, spec) in &self.jobs {
-            let spec = Some(spec.clone()).filter(|_| !self.trimmed.contains(key));
-            sched.restore_job(*key, spec, self.stored_jobs.get(key).cloned());
-        }
+        sched.restore_jobs(self.read_jobs());
         for key in self.cancelled.keys() {
             sched.handle(Event::Cancelled(*key, self.owner()));
         }
@@ -475,11 +477,7 @@
     pub fn submit(&mut self, key: JobKey, mut spec: JobSpec) {
         spec.workspace = self.limited.then(|| WORKSPACE.to_string());
         self.require_label(key, &mut spec);
-        let spec = Arc::new(spec);
-        self.jobs.insert(key, spec.clone());
-        self.trimmed.remove(&key);
-        let now = self.now;
-        self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Submitted(key, spec.clone())));
+        self.enqueue_submission(key, Arc::new(spec));
     }
 
     /// Submits a random known job again, as a caller does that received no answer.
@@ -487,7 +485,8 @@
         let Some(last) = self.jobs.len().checked_sub(1) else { return };
         let at = self.rng.below(last as u64 + 1) as usize;
         if let Some((key, spec)) = self.jobs.iter().nth(at) {
-            self.submit(*key, JobSpec::clone(spec));
+            let (key, spec) = (*key, spec.clone());
+            self.enqueue_submission(key, spec);
         }
     }
 
@@ -592,7 +591,8 @@
         self.unlist_cut_workers();
         self.change_workers();
         let now = self.now;
-        let ended: Vec<(TaskId, EndKind)> = self.workers.iter_mut().flat_map(|w| w.end_runs(now)).collect();
+        let ended: Vec<(TaskId, u32, EndKind)> =
+            self.workers.iter_mut().flat_map(|w| w.end_runs(now)).collect();
         self.record_ends(&ended);
         self.answer_waiting_polls();
         for at in 0..self.relays.len() {
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{EndKind, JobKey, TaskId};
+use workswood_core::jobs::{EndKind, JobKey, ReportedEnd, TaskId};
 
+use super::second_owner::number_of;
 use super::worker::Running;
 use super::{ATTEMPTS, WORKSPACE_TASK_LIMIT, World};
 
@@ -56,23 +57,27 @@
     pub(super) fn record_acked_ends(&mut self, at: usize, forget: u64) {
         let w = &mut self.workers[at];
         let noted = w.ends_before_expiry + 1..=forget;
-        let done = w.ended.iter().filter(|e| noted.contains(&e.sequence_number) && e.kind == EndKind::Done);
-        self.acked_done.extend(done.map(|e| e.task));
-        for e in w.ended.iter().filter(|e| e.sequence_number <= forget && e.kind == EndKind::Failed) {
-            *self.acked_failures.entry(e.task).or_default() += 1;
+        let acked: Vec<ReportedEnd> = w.ended.extract_if(.., |e| e.sequence_number <= forget).collect();
+        for e in acked {
+            let task = self.task_of_attempt(e.task, e.attempt);
+            match e.kind {
+                EndKind::Done if noted.contains(&e.sequence_number) => drop(self.acked_done.insert(task)),
+                EndKind::Failed => *self.acked_failures.entry(task).or_default() += 1,
+                _ => {}
+            }
         }
-        w.ended.retain(|e| e.sequence_number > forget);
     }
 
     /// Records the results of runs that have ended.
-    pub(super) fn record_ends(&mut self, ended: &[(TaskId, EndKind)]) {
-        for (task, kind) in ended {
+    pub(super) fn record_ends(&mut self, ended: &[(TaskId, u32, EndKind)]) {
+        for (task, attempt, kind) in ended {
+            let task = self.task_of_attempt(*task, *attempt);
             match kind {
                 EndKind::Done => {
-                    self.done.insert(*task);
+                    self.done.insert(task);
                 }
-                EndKind::Failed if self.is_long_running(task) => {}
-                EndKind::Failed => *self.failed_runs.entry(*task).or_default() += 1,
+                EndKind::Failed if self.is_long_running(&task) => {}
+                EndKind::Failed => *self.failed_runs.entry(task).or_default() += 1,
                 EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
             }
         }
@@ -82,13 +87,14 @@
     pub(super) fn begin_task(&mut self, at: usize, task: TaskId, attempt: u32) {
         self.seen.starts += 1;
         let now = self.now;
+        let (name, task) = (task, self.task_of_attempt(task, attempt));
         let spec = self.jobs.get(&task.job).cloned();
         let mut violations = Vec::new();
         match &spec {
             None => violations.push("UNASKED: the job was not submitted"),
             Some(spec) => {
                 let step = &spec.steps[usize::from(task.step)];
-                if !step.speculative && self.running(&task) > 0 {
+                if !step.speculative && self.running(&name) > 0 {
                     violations.push("TWICE: another run is in progress");
                 }
                 if !step.speculative && !step.long_running {
@@ -115,7 +121,7 @@
         if self.limited && running > WORKSPACE_TASK_LIMIT {
             violations.push("QUOTA: running tasks exceed the limit of the workspace by more than one");
         }
-        if self.started_beyond_crashes(&task) {
+        if self.started_beyond_crashes(&name) {
             violations.push("BUDGET: started three times more after three workers had crashed under it");
         }
         for text in violations {
@@ -128,13 +134,13 @@
         let fails = self.rng.below(100) < failure_percent || long_running;
         let kind = if fails { EndKind::Failed } else { EndKind::Done };
         // A task that crashes its workers must still be running when the crash is due.
-        let duration = duration.max(self.crash_delay(&task) + Duration::from_millis(1));
+        let duration = duration.max(self.crash_delay(&name) + Duration::from_millis(1));
         let w = &mut self.workers[at];
         w.running.insert(
-            task,
+            name,
             Running { attempt, started_at: now, ends_at: now + duration, kind, stops_at: None },
         );
-        self.schedule_crash(at, &task);
+        self.schedule_crash(at, &name);
     }
 
     /// Whether the step of a task is long-running.
@@ -172,7 +178,7 @@
         if !failed {
             self.record_given_up(key);
         }
-        if !failed && !self.workers_lost_twice(key) {
+        if !failed && !self.workers_lost_twice(number_of(key)) {
             self.seen.violations.push(format!("LOST: job {key} failed without a reason at {:?}", self.now));
         }
     }
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -108,7 +108,7 @@
     }
 
     /// Ends the runs that are due, or all of them if the lease has expired; returns how they ended.
-    pub(super) fn end_runs(&mut self, now: Duration) -> Vec<(TaskId, EndKind)> {
+    pub(super) fn end_runs(&mut self, now: Duration) -> Vec<(TaskId, u32, EndKind)> {
         let expired = self.lease_end < now;
         if expired {
             self.ends_before_expiry = self.last_end;
@@ -136,7 +136,7 @@
                 checkpoint,
             });
         }
-        self.ended[first..].iter().map(|e| (e.task, e.kind)).collect()
+        self.ended[first..].iter().map(|e| (e.task, e.attempt, e.kind)).collect()
     }
 
     /// Handles an order; answers `Deposed` if its token is lower than one received before.
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -6,7 +6,7 @@
 
 use workswood_core::invariant;
 use workswood_core::jobs::{JobSpec, JobStatus, StepSpec, TaskId};
-use workswood_test_support::job_world::{FaultRng, Seen, World, job, small_step, step};
+use workswood_test_support::job_world::{FaultRng, Seen, World, job, second_key, small_step, step};
 
 /// Histories in one run of the suite.
 const HISTORIES: u64 = 250;
@@ -127,6 +127,8 @@
     Infeasible,
     /// A job of hundreds of steps.
     ManySteps,
+    /// Jobs of a second owner under the numbers of other jobs.
+    SecondOwner,
 }
 
 /// Key of the job of hundreds of steps.
@@ -247,7 +249,13 @@
                     make_crashing(&mut w, n + 1);
                 }
                 let priority = u32::from(with == With::Infeasible);
-                w.submit(n + 1, JobSpec { priority, ..job(steps, w.now.as_millis() as u64) });
+                let spec = JobSpec { priority, ..job(steps, w.now.as_millis() as u64) };
+                if with == With::SecondOwner && w.rng.below(2) == 0 {
+                    let other = job(vec![step(1 + w.rng.below(3) as u32, vec![])], spec.accepted_at);
+                    w.submit_second(n + 1, other);
+                    keys.push(second_key(n + 1));
+                }
+                w.submit(n + 1, spec);
                 keys.push(n + 1);
             }
             5 => {
@@ -342,6 +350,13 @@
     play_with_starts(HISTORIES / 2, World::limited, With::Infeasible);
 }
 
+/// Jobs of two owners under one number are both done, and neither is taken for the other one.
+#[test]
+fn short_histories_with_second_owner() {
+    play_with_starts(HISTORIES, World::new, With::SecondOwner);
+    play_with_starts(HISTORIES / 2, World::restarting_relayed, With::SecondOwner);
+}
+
 /// Jobs of hundreds of steps are done beside others.
 #[test]
 fn short_histories_with_many_steps() {
@@ -522,6 +537,9 @@
         "restarts" => (World::restarting, With::Nothing),
         "restarts-crashes" => (World::restarting, With::Crashes),
         "restarts-relays" => (World::restarting_relayed, With::Relays),
+        "second-owner" => (World::new, With::SecondOwner),
+        "second-owner-restarts" => (World::restarting, With::SecondOwner),
+        "second-owner-relays" => (World::restarting_relayed, With::SecondOwner),
         "many-steps" => (World::new, With::ManySteps),
         "many-steps-restarts" => (World::restarting, With::ManySteps),
         "infeasible" => (World::new, With::Infeasible),
