Hand-ins: a refusal speaks for every earlier hand-in of the job that is known

Callers saw: of two workspaces that hand in one number at two entries, both accepted, the one that repeats at the other entry is answered 503, code 147, and its job runs. Cause: the entry's memory of numbers refused without asking for the caller's own job; the same for a hand-in that may be stored here and is refused by the store when repeated, and the lease holder's answer counted though it had not read the inbox since. A hand-in that was refused kept its number.

The entry keeps the outcome of a job's hand-ins (SubmittedNumbers); a number is refused once the entries and a lease holder that has read the inbox since know of no such job, else the answer is 504. Code 143 no longer blames the store.

--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -82,7 +82,7 @@
     140 JobMalformed "the job is malformed" "use a job number of 16 hex digits and correct the body; see docs/JOBS.md";
     141 JobUnknown "no job with this number is known" "check the number; ended jobs are kept for a limited time";
     142 HolderAway "the process that holds the jobs can't be reached" "retry after the time in retry-after";
-    143 OutcomeUnknown "the store did not answer; the job may have been accepted" "retry with the same job number; the job is accepted once";
+    143 OutcomeUnknown "it is not known whether the job was accepted" "retry with the same job number; the job is accepted once";
     144 MethodUnknown "queues do not support this method" "use POST, GET or DELETE";
     145 ApiKey "the call has no API key, or one that is not valid" "send `authorization: Bearer KEY` with a key of your workspace that has not been revoked";
     146 NoRoom "too much work waits for the job to be done in time" "retry after the time in retry-after";
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -501,6 +501,12 @@
     /// The state; unset if no such job is known.
     #[prost(enumeration = "JobState", optional, tag = "2")]
     pub state: Option<i32>,
+    /// An authoritative reply covers everything that was in the inbox this long before, in milliseconds.
+    #[prost(uint64, optional, tag = "3")]
+    pub inbox_age_ms: Option<u64>,
+    /// What is known of hand-ins of the owner's job to the answering entry; unset if there were none.
+    #[prost(enumeration = "HandInOutcome", optional, tag = "4")]
+    pub handed_in: Option<i32>,
 }
 
 /// The state of a job.
--- /dev/null
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -0,0 +1,176 @@
+//! Takes a job of a caller: checks its number, has the lease holder weigh it, and stores it.
+//!
+//! A caller that is refused takes the job for one that never runs. A hand-in is therefore refused only if no earlier one of
+//! the same job is known to be stored, or to be perhaps stored.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use workswood_callers::HeldBytes;
+use workswood_core::jobs::{JobKey, JobSpec, Owner, SchedConfig, Verdict};
+use workswood_platform::jobs::CopyOutcome;
+
+use super::inbox::Stored;
+use super::node::Node;
+use super::record::job_record;
+use super::submitted_numbers::NumberUse;
+use super::{admission_control, number_check};
+
+/// What became of a hand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandIn {
+    /// Whether the job is stored, by this hand-in or an earlier one.
+    Settled(Stored),
+    /// A job of another workspace has its number; nothing was stored.
+    NumberTaken,
+    /// It could not be done in time; nothing was stored.
+    NoRoom {
+        /// When its caller should try again.
+        retry_after: Duration,
+    },
+}
+
+impl HandIn {
+    /// Label in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            HandIn::Settled(Stored::Yes) => "accepted",
+            HandIn::Settled(Stored::No) => "refused",
+            HandIn::Settled(Stored::Unknown) => "unknown",
+            HandIn::NumberTaken => "number_taken",
+            HandIn::NoRoom { .. } => "no_room",
+        }
+    }
+}
+
+/// A job that is handed in.
+struct Submission<'a> {
+    node: &'a Arc<Node>,
+    cfg: &'a SchedConfig,
+    job: JobKey,
+    owner: Owner,
+    spec: JobSpec,
+    /// When it came.
+    arrived: Duration,
+    /// How long its caller may be kept waiting.
+    timeout: Duration,
+}
+
+/// Takes a job of a caller, who is answered within `timeout`. `held` is the memory of the request.
+pub async fn hand_in(
+    node: &Arc<Node>,
+    cfg: &SchedConfig,
+    job: JobKey,
+    spec: JobSpec,
+    timeout: Duration,
+    held: HeldBytes,
+) -> HandIn {
+    let (owner, arrived) = (spec.owner(), node.now());
+    let outcome = Submission { node, cfg, job, owner, spec, arrived, timeout }.run(held).await;
+    node.metrics.submissions.with_label_values(&[outcome.label()]).inc();
+    outcome
+}
+
+impl Submission<'_> {
+    async fn run(mut self, held: HeldBytes) -> HandIn {
+        let number_use =
+            number_check::use_of_number(self.node, self.cfg, self.job, self.owner, self.timeout).await;
+        match number_use {
+            NumberUse::Free => {}
+            NumberUse::Accepted => {
+                self.log_settled(Stored::Yes, "earlier");
+                return HandIn::Settled(Stored::Yes);
+            }
+            NumberUse::Unclear => {
+                self.log_settled(Stored::Unknown, "number");
+                return HandIn::Settled(Stored::Unknown);
+            }
+            NumberUse::Taken => {
+                self.log_refused("number_taken");
+                return HandIn::NumberTaken;
+            }
+        }
+        // A job that may be stored already is not refused for want of room.
+        if self.node.numbers.outcome(self.job, self.owner) == CopyOutcome::NotDone
+            && let Some(retry_after) = self.weigh().await
+        {
+            return HandIn::NoRoom { retry_after };
+        }
+        HandIn::Settled(self.store(held).await)
+    }
+
+    /// Has the lease holder weigh the job; returns when its caller should try again if there is no room for it.
+    async fn weigh(&mut self) -> Option<Duration> {
+        match admission_control::weigh(self.node, self.job, &self.spec).await? {
+            // What waits is ordered by when its callers first came.
+            Verdict::Admitted { age } => {
+                self.spec.accepted_at = self.spec.accepted_at.saturating_sub(age.as_millis() as u64);
+                None
+            }
+            Verdict::Refused { retry_after, wait, age } => {
+                log::info!(
+                    "event=job_refused job={:016x} reason=no_room queue={} workspace={} wait_ms={} age_ms={} \
+                     retry_after_ms={} took_ms={}",
+                    self.job,
+                    self.spec.queue,
+                    self.workspace(),
+                    wait.as_millis(),
+                    age.as_millis(),
+                    retry_after.as_millis(),
+                    self.took_ms()
+                );
+                Some(retry_after)
+            }
+        }
+    }
+
+    /// Stores the job; returns what is known of it over all of its hand-ins.
+    async fn store(&self, mut held: HeldBytes) -> Stored {
+        let rec = job_record(self.job, &self.spec);
+        held.resize(rec.value.as_ref().map_or(0, Bytes::len));
+        let under_way = self.node.numbers.begin(self.job, self.owner, self.node.now());
+        let waited = self.node.now() - self.arrived;
+        let timeout = self.timeout.saturating_sub(waited);
+        let stored = self.node.inbox_writer.store_holding(rec, timeout, held).await;
+        self.node.metrics.submission_seconds.observe((self.node.now() - self.arrived).as_secs_f64());
+        let known = Stored::from(under_way.settle(stored.into()));
+        // Another entry may have stored the job before.
+        let earlier = known == Stored::No && number_check::is_known(self.node, self.job, self.owner).await;
+        let known = if earlier { Stored::Yes } else { known };
+        self.log_settled(known, if known == stored { "now" } else { "earlier" });
+        known
+    }
+
+    fn workspace(&self) -> &str {
+        self.spec.workspace.as_deref().unwrap_or("-")
+    }
+
+    fn took_ms(&self) -> u128 {
+        (self.node.now() - self.arrived).as_millis()
+    }
+
+    fn log_refused(&self, reason: &str) {
+        log::info!(
+            "event=job_refused job={:016x} reason={reason} queue={} workspace={} took_ms={}",
+            self.job,
+            self.spec.queue,
+            self.workspace(),
+            self.took_ms()
+        );
+    }
+
+    /// `known_by` tells from what the outcome follows: this hand-in, an earlier one, or the check of the number.
+    fn log_settled(&self, stored: Stored, known_by: &str) {
+        log::info!(
+            "event=job_handed_in job={:016x} queue={} workspace={} version={} stored={stored:?} known_by={known_by} \
+             took_ms={} store_silence_ms={}",
+            self.job,
+            self.spec.queue,
+            self.workspace(),
+            self.cfg.version,
+            self.took_ms(),
+            self.node.store_silence().as_millis()
+        );
+    }
+}
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -86,6 +86,16 @@
     }
 }
 
+impl From<Stored> for CopyOutcome {
+    fn from(stored: Stored) -> CopyOutcome {
+        match stored {
+            Stored::Yes => CopyOutcome::Done,
+            Stored::No => CopyOutcome::NotDone,
+            Stored::Unknown => CopyOutcome::Unknown,
+        }
+    }
+}
+
 /// Stage of a record: it is queued, it has been sent to the store or only to a peer, or its caller timed
 /// out before it was sent.
 #[derive(Debug, Default)]
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -13,14 +13,13 @@
 use workswood_core::ids::WorkspaceId;
 use workswood_core::jobs::admission::retry_after_outage;
 use workswood_core::jobs::spec::parse_job_key;
-use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig, Verdict};
+use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig};
 
-use super::admission_control;
+use super::hand_in::{self, HandIn};
 use super::inbox::Stored;
 use super::job_queries::{self, Lookup};
 use super::node::Node;
-use super::number_check;
-use super::record::{cancel_record, job_record};
+use super::record::cancel_record;
 
 /// When a caller should retry after a refusal.
 /// A store or lease holder that is away is mostly back or replaced within a few seconds.
@@ -189,7 +188,7 @@
     req: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let timeout = caller_timeout(&req);
-    let (body, mut held) = match read_request(req, cfg.max_body_bytes).await {
+    let (body, held) = match read_request(req, cfg.max_body_bytes).await {
         Ok(read) => read,
         Err(e) => {
             log::debug!("event=job_refused job={job:016x} reason=body error={e:?}");
@@ -197,7 +196,7 @@
             return refusal(e.code(), ExecutionStatus::NotRun, retry_after);
         }
     };
-    let mut spec = match parse_spec(node, queue, workspace, &body) {
+    let spec = match parse_spec(node, queue, workspace, &body) {
         Ok(spec) => spec,
         Err(e) => {
             log::info!("event=job_refused job={job:016x} reason=malformed error=\"{e}\"");
@@ -205,54 +204,15 @@
         }
     };
     drop(body);
-    let start = node.now();
-    if number_check::is_taken(node, cfg, job, spec.owner()).await {
-        log::info!(
-            "event=job_refused job={job:016x} reason=number_taken queue={} workspace={} took_ms={}",
-            queue.name,
-            spec.workspace.as_deref().unwrap_or("-"),
-            (node.now() - start).as_millis()
-        );
-        node.metrics.submissions.with_label_values(&["number_taken"]).inc();
-        let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
-        return refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after));
-    }
-    match admission_control::weigh(node, job, &spec).await {
-        // What waits is ordered by when its callers first came.
-        Some(Verdict::Admitted { age }) => {
-            spec.accepted_at = spec.accepted_at.saturating_sub(age.as_millis() as u64);
-        }
-        Some(Verdict::Refused { retry_after, wait, age }) => {
-            log::info!(
-                "event=job_refused job={job:016x} reason=no_room queue={} workspace={} wait_ms={} age_ms={} \
-                 retry_after_ms={} took_ms={}",
-                queue.name,
-                spec.workspace.as_deref().unwrap_or("-"),
-                wait.as_millis(),
-                age.as_millis(),
-                retry_after.as_millis(),
-                (node.now() - start).as_millis()
-            );
-            node.metrics.submissions.with_label_values(&["no_room"]).inc();
-            return refusal(Code::NoRoom, ExecutionStatus::NotRun, Some(retry_after));
+    let retry_after = retry_after_store(node, job);
+    match hand_in::hand_in(node, cfg, job, spec, timeout, held).await {
+        HandIn::Settled(stored) => stored.into_response(retry_after),
+        HandIn::NumberTaken => {
+            let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
+            refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after))
         }
-        None => {}
+        HandIn::NoRoom { retry_after } => refusal(Code::NoRoom, ExecutionStatus::NotRun, Some(retry_after)),
     }
-    let rec = job_record(job, &spec);
-    held.resize(rec.value.as_ref().map_or(0, Bytes::len));
-    let stored = node.inbox_writer.store_holding(rec, timeout, held).await;
-    log::info!(
-        "event=job_handed_in job={job:016x} queue={} workspace={} version={} stored={stored:?} took_ms={} \
-         store_silence_ms={}",
-        queue.name,
-        spec.workspace.as_deref().unwrap_or("-"),
-        cfg.version,
-        (node.now() - start).as_millis(),
-        node.store_silence().as_millis()
-    );
-    node.metrics.submissions.with_label_values(&[stored.label()]).inc();
-    node.metrics.submission_seconds.observe((node.now() - start).as_secs_f64());
-    stored.into_response(retry_after_store(node, job))
 }
 
 fn parse_spec(
@@ -286,15 +246,6 @@
             Stored::Unknown => refusal(Code::OutcomeUnknown, ExecutionStatus::Unknown, Some(retry_after)),
         }
     }
-
-    /// Label in metrics.
-    fn label(self) -> &'static str {
-        match self {
-            Stored::Yes => "accepted",
-            Stored::No => "refused",
-            Stored::Unknown => "unknown",
-        }
-    }
 }
 
 /// How long the caller of a request may be kept waiting for the response.
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use workswood_core::jobs::{JobKey, JobStatus, Outcome, Owner};
-use workswood_peers::{JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest};
+use workswood_peers::{
+    HandInOutcome, JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest,
+};
+use workswood_platform::jobs::CopyOutcome;
 
 use super::bridges;
 use super::node::{Holder, Node, SchedulerHandle};
@@ -42,8 +45,13 @@
 
 /// Whether everything that was in the inbox recently is known here.
 pub(super) fn is_inbox_current(node: &Node, handle: &SchedulerHandle) -> bool {
+    inbox_age_ms(node, handle).is_some_and(|age| age < MAX_INBOX_AGE.as_millis() as u64)
+}
+
+/// How long ago everything in the inbox was known here, in milliseconds; `None` before it was first read.
+fn inbox_age_ms(node: &Node, handle: &SchedulerHandle) -> Option<u64> {
     let read_at = handle.inbox_read_ms.load(Ordering::Acquire);
-    read_at > 0 && node.now_ms() < read_at + MAX_INBOX_AGE.as_millis() as u64
+    (read_at > 0).then(|| node.now_ms().saturating_sub(read_at))
 }
 
 fn local_job_status(
@@ -151,16 +159,29 @@
 
 /// Answers another process's request for the state of a job.
 pub fn answer_job_state_request(node: &Node, request: &JobStateRequest) -> JobStateReply {
-    let handle = node.scheduler.load_full();
     let requester = request.owner.map(Owner::from_number);
-    let status =
-        handle.map_or(Lookup::Unavailable, |handle| local_job_status(node, &handle, request.job, requester));
-    let (authoritative, state) = match status {
+    let handed_in = requester.and_then(|owner| hand_ins_to_wire(node.numbers.outcome(request.job, owner)));
+    let handed_in = handed_in.map(|outcome| outcome as i32);
+    let Some(handle) = node.scheduler.load_full() else {
+        return JobStateReply { handed_in, ..JobStateReply::default() };
+    };
+    // Read before the status, which is at least as new.
+    let inbox_age_ms = inbox_age_ms(node, &handle);
+    let (authoritative, state) = match local_job_status(node, &handle, request.job, requester) {
         Lookup::Found(s) => (true, Some(status_to_wire(s) as i32)),
         Lookup::NotFound => (true, None),
         Lookup::Unavailable => (false, None),
     };
-    JobStateReply { authoritative, state }
+    JobStateReply { authoritative, state, inbox_age_ms, handed_in }
+}
+
+/// What is known of hand-ins here; `None` if there were none, or all were refused.
+fn hand_ins_to_wire(outcome: CopyOutcome) -> Option<HandInOutcome> {
+    match outcome {
+        CopyOutcome::NotDone => None,
+        CopyOutcome::Unknown => Some(HandInOutcome::Unknown),
+        CopyOutcome::Done => Some(HandInOutcome::Stored),
+    }
 }
 
 /// Answers another process's request for the number of jobs of a queue that have not started, without jobs
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! * [`job_api`] answers callers, [`inbox`] stores what they submit, and [`monitoring`] answers the
 //!   balancer and serves metrics.
-//! * [`admission_control`] asks the lease holder whether a submitted job can be done in time.
+//! * [`hand_in`] takes a job of a caller. [`admission_control`] asks the lease holder whether it can be done in time,
+//!   `number_check` whether its number is another owner's, and [`submitted_numbers`] holds what was handed in here.
 //! * [`topic_reader`] follows the operators' records, and [`operator_state`] holds which data centres
 //!   they evacuated.
 //! * [`lease`] watches and claims the scheduler lease; [`earlier_grants`] tells until when holders before
@@ -35,6 +36,7 @@
 mod batch_writer;
 pub mod bridges;
 pub mod earlier_grants;
+pub mod hand_in;
 pub mod handover;
 mod hedged_call;
 pub mod helped_store;
@@ -65,6 +67,7 @@
 mod scheduler_task;
 mod shutdown;
 mod store_calls;
+pub mod submitted_numbers;
 pub mod topic_reader;
 mod usage_log;
 pub mod worker_list;
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -1,26 +1,32 @@
-//! Whether the number of a submitted job is that of another owner's job.
+//! Whether the number of a submitted job is that of another owner's job, and whether the job itself was accepted before.
 //!
 //! Tasks are named by the number of their job alone, so jobs of several owners under one number can only be done one
-//! after the other. A submission whose number is known to be another owner's is therefore refused before it is
-//! stored. Two submissions at different entries at the same moment may both be accepted.
+//! after the other. A submission whose number is known to be another owner's is therefore refused before it is stored,
+//! unless its own job may have been stored by an earlier hand-in, here or at another entry. Two submissions at
+//! different entries at the same moment may both be accepted.
 
-use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use parking_lot::Mutex;
 use workswood_core::jobs::{JobKey, Owner, SchedConfig};
-use workswood_peers::{JobStateReply, JobStateRequest, Msg};
+use workswood_peers::{HandInOutcome, JobStateReply, JobStateRequest, Msg};
+use workswood_platform::jobs::CopyOutcome;
 
 use super::admission_control::HolderPause;
-use super::node::{Holder, Node};
+use super::job_queries;
+use super::node::Node;
+use super::submitted_numbers::{NumberUse, OwnJob, SubmittedNumbers};
 
-/// Timeout of a question to the holder.
-const HOLDER_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long this entry remembers a number. By then the lease holder has read the job from the inbox.
-const REMEMBERED_FOR: Duration = Duration::from_secs(5);
-/// Maximum number of numbers that are remembered.
-const MAX_REMEMBERED: usize = 10_000;
+/// Timeout of a question to the holder or to a peer.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long to wait until the holder has read the inbox after a hand-in. A read that finds nothing takes a second.
+const INBOX_READ_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two questions to the holder meanwhile.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of peers that are asked.
+const MAX_ASKED_PEERS: usize = 32;
 
 /// What an entry knows of the numbers of jobs.
 #[derive(Default)]
@@ -30,60 +36,121 @@
     pause: HolderPause,
 }
 
-/// Numbers that were submitted here lately.
-#[derive(Default)]
-struct SubmittedNumbers {
-    owners: HashMap<JobKey, Owner>,
-    /// When each number was submitted first, in that order.
-    order: VecDeque<(Duration, JobKey)>,
+impl NumberCheck {
+    /// What is known here of the hand-ins of a job.
+    pub fn outcome(&self, job: JobKey, owner: Owner) -> CopyOutcome {
+        self.submitted.lock().outcome(job, owner)
+    }
+
+    /// Notes that the record of a job may be stored from now on.
+    pub fn begin(&self, job: JobKey, owner: Owner, now: Duration) -> HandInUnderWay<'_> {
+        self.submitted.lock().begin(job, owner, now);
+        HandInUnderWay { numbers: self, job, owner, is_settled: false }
+    }
 }
 
-impl SubmittedNumbers {
-    /// Notes a submission; returns the owner who submitted the number first.
-    fn note(&mut self, job: JobKey, owner: Owner, now: Duration) -> Owner {
-        let is_old = |at: Duration, count: usize| at + REMEMBERED_FOR < now || count >= MAX_REMEMBERED;
-        while let Some((_, old)) = self.order.front().copied().filter(|(at, _)| is_old(*at, self.order.len()))
-        {
-            self.order.pop_front();
-            self.owners.remove(&old);
-        }
-        let first = *self.owners.entry(job).or_insert(owner);
-        if self.order.len() < self.owners.len() {
-            self.order.push_back((now, job));
+/// A hand-in whose record may be stored. If it is dropped, its caller has gone and the record may be stored later.
+pub struct HandInUnderWay<'a> {
+    numbers: &'a NumberCheck,
+    job: JobKey,
+    owner: Owner,
+    is_settled: bool,
+}
+
+impl HandInUnderWay<'_> {
+    /// Notes the outcome; returns what is known of the job over all of its hand-ins here.
+    pub fn settle(mut self, outcome: CopyOutcome) -> CopyOutcome {
+        self.is_settled = true;
+        self.numbers.submitted.lock().settle(self.job, self.owner, outcome)
+    }
+}
+
+impl Drop for HandInUnderWay<'_> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            self.numbers.submitted.lock().settle(self.job, self.owner, CopyOutcome::Unknown);
         }
-        first
     }
 }
 
-/// Whether a job of another owner is known to have this number. What can't be learned counts as no.
-pub async fn is_taken(node: &Arc<Node>, cfg: &SchedConfig, job: JobKey, owner: Owner) -> bool {
+/// What the number of a submitted job is to its owner. Answers within `timeout`.
+pub async fn use_of_number(
+    node: &Arc<Node>,
+    cfg: &SchedConfig,
+    job: JobKey,
+    owner: Owner,
+    timeout: Duration,
+) -> NumberUse {
+    let arrived = node.now();
+    match node.numbers.outcome(job, owner) {
+        CopyOutcome::Done => return NumberUse::Accepted,
+        CopyOutcome::Unknown => return NumberUse::Free,
+        CopyOutcome::NotDone => {}
+    }
     // Without workspaces there is one owner only.
     if cfg.workspaces.by_owner.is_empty() {
-        return false;
+        return NumberUse::Free;
     }
-    if node.numbers.submitted.lock().note(job, owner, node.now()) != owner {
-        return true;
+    let stored_here = node.numbers.submitted.lock().is_other_owners(job, owner);
+    if !stored_here && !ask_holder(node, job, None).await.is_some_and(|reply| reply.is_known) {
+        return NumberUse::Free;
     }
-    if let Some(handle) = node.scheduler.load_full() {
-        let statuses = handle.job_statuses.read();
-        return statuses.status(job, None).is_some() && statuses.status(job, Some(owner)).is_none();
-    }
-    let Some(holder) = node.holder.load_full().filter(|h| !h.released && h.id != node.id) else {
-        return false;
-    };
-    if !node.numbers.pause.is_over(node.now()) {
-        return false;
+    let (at_entries, at_holder) =
+        tokio::join!(ask_peers(node, job, owner), own_job(node, job, owner, arrived, timeout));
+    let number_use = NumberUse::of_taken(at_entries, at_holder);
+    log::info!(
+        "event=number_checked job={job:016x} use={number_use:?} stored_here={stored_here} at_entries={at_entries:?} \
+         at_holder={at_holder:?} took_ms={}",
+        (node.now() - arrived).as_millis()
+    );
+    number_use
+}
+
+/// Whether the lease holder knows a job of this owner. Without an answer it counts as unknown.
+pub async fn is_known(node: &Arc<Node>, job: JobKey, owner: Owner) -> bool {
+    ask_holder(node, job, Some(owner)).await.is_some_and(|reply| reply.is_known)
+}
+
+/// Asks the lease holder for a job until it knows it, or has read the inbox since the hand-in arrived.
+async fn own_job(
+    node: &Arc<Node>,
+    job: JobKey,
+    owner: Owner,
+    arrived: Duration,
+    timeout: Duration,
+) -> OwnJob {
+    let until = arrived + INBOX_READ_TIMEOUT.min(timeout);
+    loop {
+        let asked_after = node.now() - arrived;
+        let reply = ask_holder(node, job, Some(owner)).await;
+        let own = reply.map_or(OwnJob::Unclear, |r| OwnJob::of(r.is_known, r.inbox_age, asked_after));
+        if own != OwnJob::Unclear || node.now() + QUESTION_INTERVAL >= until {
+            return own;
+        }
+        tokio::time::sleep(QUESTION_INTERVAL).await;
     }
-    is_known(node, &holder, job, None).await && !is_known(node, &holder, job, Some(owner)).await
 }
 
-/// Whether the lease holder knows a job of this number, of this owner if one is given. Without an answer it is taken
-/// to know the one of the owner, and no other.
-async fn is_known(node: &Arc<Node>, holder: &Holder, job: JobKey, owner: Option<Owner>) -> bool {
-    let request = Msg::JobStateRequest(JobStateRequest { job, owner: owner.map(Owner::number) });
-    match node.peers.call(&node.id, &holder.peer_address, request, HOLDER_TIMEOUT).await {
-        Ok(Msg::JobStateReply(JobStateReply { authoritative: true, state })) => state.is_some(),
-        Ok(Msg::JobStateReply(_)) => owner.is_some(),
+/// What the lease holder says of a job.
+struct HolderReply {
+    is_known: bool,
+    /// The holder knows everything that was in the inbox this long ago; `None` if it doesn't tell.
+    inbox_age: Option<Duration>,
+}
+
+/// Asks the lease holder for a job of an owner, or of any owner; `None` without an authoritative answer.
+async fn ask_holder(node: &Arc<Node>, job: JobKey, owner: Option<Owner>) -> Option<HolderReply> {
+    let request = JobStateRequest { job, owner: owner.map(Owner::number) };
+    if node.scheduler.load().is_some() {
+        return holder_reply(&job_queries::answer_job_state_request(node, &request));
+    }
+    let holder = node.holder.load_full().filter(|h| !h.released && h.id != node.id)?;
+    if !node.numbers.pause.is_over(node.now()) {
+        return None;
+    }
+    let msg = Msg::JobStateRequest(request);
+    match node.peers.call(&node.id, &holder.peer_address, msg, QUESTION_TIMEOUT).await {
+        Ok(Msg::JobStateReply(reply)) => holder_reply(&reply),
         reply => {
             node.numbers.pause.begin(node.now());
             log::info!(
@@ -91,7 +158,40 @@
                 holder.id,
                 reply.is_ok()
             );
-            owner.is_some()
+            None
+        }
+    }
+}
+
+fn holder_reply(reply: &JobStateReply) -> Option<HolderReply> {
+    reply.authoritative.then(|| HolderReply {
+        is_known: reply.state.is_some(),
+        inbox_age: reply.inbox_age_ms.map(Duration::from_millis),
+    })
+}
+
+/// What the other entries know of hand-ins of a job. An entry that doesn't answer knows of none.
+async fn ask_peers(node: &Arc<Node>, job: JobKey, owner: Owner) -> CopyOutcome {
+    let addresses = node.peers.rotated_addresses(&node.settings.peers.to_string(), MAX_ASKED_PEERS);
+    let ask = |address: String| async move {
+        let msg = Msg::JobStateRequest(JobStateRequest { job, owner: Some(owner.number()) });
+        match node.peers.call(&node.id, &address, msg, QUESTION_TIMEOUT).await {
+            Ok(Msg::JobStateReply(reply)) => outcome_from_wire(&reply),
+            reply => {
+                log::info!("event=peer_not_asked job={job:016x} peer={address} answered={}", reply.is_ok());
+                CopyOutcome::NotDone
+            }
         }
+    };
+    let outcomes = join_all(addresses.into_iter().map(ask)).await;
+    outcomes.into_iter().fold(CopyOutcome::NotDone, CopyOutcome::with)
+}
+
+/// What the sender of a reply knows of hand-ins to it.
+fn outcome_from_wire(reply: &JobStateReply) -> CopyOutcome {
+    match reply.handed_in.and_then(|outcome| HandInOutcome::try_from(outcome).ok()) {
+        Some(HandInOutcome::Stored) => CopyOutcome::Done,
+        Some(HandInOutcome::Unknown) => CopyOutcome::Unknown,
+        Some(HandInOutcome::NotStored) | None => CopyOutcome::NotDone,
     }
 }
--- /dev/null
+++ b/src/workswood/ops/jobs/submitted_numbers.rs
@@ -0,0 +1,140 @@
+//! What an entry knows of the jobs that were handed in to it, by number and owner, and what follows for a job whose
+//! number another owner's job has.
+//!
+//! Callers hand a job in again, at any entry, when they got no answer. A refusal says that the job never runs, so it has
+//! to be true of every earlier hand-in of the same job.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use workswood_core::jobs::{JobKey, Owner};
+use workswood_platform::jobs::CopyOutcome;
+
+/// How long a hand-in is remembered: longer than callers try again, and than a store that is away carries out late appends.
+const REMEMBERED_FOR: Duration = Duration::from_secs(60);
+/// Maximum number of hand-ins that are remembered.
+const MAX_REMEMBERED: usize = 10_000;
+
+/// The hand-ins of one job.
+#[derive(Clone, Copy, Debug)]
+struct HandIns {
+    /// Number of them whose record may be stored at any moment.
+    under_way: u32,
+    /// What is known of the others.
+    outcome: CopyOutcome,
+    /// When the first of them began.
+    since: Duration,
+}
+
+impl HandIns {
+    /// What is known of the job over all of them.
+    fn outcome(&self) -> CopyOutcome {
+        if self.under_way > 0 { self.outcome.with(CopyOutcome::Unknown) } else { self.outcome }
+    }
+}
+
+/// The jobs that were handed in to one entry lately. A job of which all hand-ins were refused is not among them.
+#[derive(Debug, Default)]
+pub struct SubmittedNumbers {
+    by_job: BTreeMap<(JobKey, Owner), HandIns>,
+    /// When each job was handed in first, in that order.
+    order: VecDeque<(Duration, JobKey, Owner)>,
+}
+
+impl SubmittedNumbers {
+    /// Notes that the record of a job may be stored from now on.
+    pub fn begin(&mut self, job: JobKey, owner: Owner, now: Duration) {
+        self.forget_old(now);
+        let order = &mut self.order;
+        let first = || {
+            order.push_back((now, job, owner));
+            HandIns { under_way: 0, outcome: CopyOutcome::NotDone, since: now }
+        };
+        self.by_job.entry((job, owner)).or_insert_with(first).under_way += 1;
+    }
+
+    /// Notes the outcome of a hand-in that was begun; returns what is known of the job over all of its hand-ins.
+    pub fn settle(&mut self, job: JobKey, owner: Owner, outcome: CopyOutcome) -> CopyOutcome {
+        let Some(hand_ins) = self.by_job.get_mut(&(job, owner)) else { return outcome };
+        hand_ins.under_way = hand_ins.under_way.saturating_sub(1);
+        hand_ins.outcome = hand_ins.outcome.with(outcome);
+        let known = hand_ins.outcome();
+        if known == CopyOutcome::NotDone {
+            self.by_job.remove(&(job, owner));
+        }
+        known
+    }
+
+    /// What is known of a job: not done if it was not handed in here, or refused.
+    pub fn outcome(&self, job: JobKey, owner: Owner) -> CopyOutcome {
+        self.by_job.get(&(job, owner)).map_or(CopyOutcome::NotDone, HandIns::outcome)
+    }
+
+    /// Whether a job of another owner was stored under this number.
+    pub fn is_other_owners(&self, job: JobKey, owner: Owner) -> bool {
+        let mut of_number = self.by_job.range((job, Owner::PUBLIC)..=(job, Owner::LAST));
+        of_number.any(|((_, other), hand_ins)| *other != owner && hand_ins.outcome == CopyOutcome::Done)
+    }
+
+    fn forget_old(&mut self, now: Duration) {
+        let is_old = |at: Duration, count: usize| at + REMEMBERED_FOR < now || count >= MAX_REMEMBERED;
+        while let Some((at, job, owner)) = self.order.front().copied()
+            && is_old(at, self.order.len())
+        {
+            self.order.pop_front();
+            // The job may have been refused and handed in anew since.
+            if self.by_job.get(&(job, owner)).is_some_and(|hand_ins| hand_ins.since == at) {
+                self.by_job.remove(&(job, owner));
+            }
+        }
+    }
+}
+
+/// What the lease holder knows of a caller's own job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OwnJob {
+    /// It knows the job.
+    Known,
+    /// It has read all that was stored before this hand-in, and the job is not there.
+    NotStored,
+    /// It did not answer, or has not read the inbox since.
+    Unclear,
+}
+
+impl OwnJob {
+    /// What follows from the answer of a holder that knows what was in the inbox `inbox_age` before, to a question that was
+    /// sent this long after the hand-in came.
+    pub fn of(is_known: bool, inbox_age: Option<Duration>, asked_after: Duration) -> OwnJob {
+        match inbox_age {
+            _ if is_known => OwnJob::Known,
+            Some(age) if age <= asked_after => OwnJob::NotStored,
+            Some(_) | None => OwnJob::Unclear,
+        }
+    }
+}
+
+/// What a number is to the owner who hands a job in under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NumberUse {
+    /// The job is to be stored: no other owner's job is known, or the caller's own may be stored already.
+    Free,
+    /// The caller's own job was accepted before.
+    Accepted,
+    /// Another owner's job has the number, and the caller's own was never stored.
+    Taken,
+    /// Another owner's job has the number, and it is not known whether the caller's own was stored.
+    Unclear,
+}
+
+impl NumberUse {
+    /// What a number that another owner's job has is to the caller, by what the entries and the lease holder know of the
+    /// caller's own job.
+    pub fn of_taken(at_entries: CopyOutcome, at_holder: OwnJob) -> NumberUse {
+        match (at_entries, at_holder) {
+            (CopyOutcome::Done, _) | (_, OwnJob::Known) => NumberUse::Accepted,
+            (CopyOutcome::Unknown, _) => NumberUse::Free,
+            (CopyOutcome::NotDone, OwnJob::NotStored) => NumberUse::Taken,
+            (CopyOutcome::NotDone, OwnJob::Unclear) => NumberUse::Unclear,
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/repeated_hand_ins.rs
@@ -0,0 +1,82 @@
+//! Jobs that are handed in again at another entry, under a number that another workspace uses too; on real processes.
+
+use std::time::{Duration, Instant};
+
+use workswood_adapter_standin::caller::request_with_key;
+
+use super::workspace_keys::Stage;
+
+const NORTH: Option<&str> = Some("key-of-north-1");
+const SOUTH: Option<&str> = Some("key-of-south");
+/// How long after the answer that was lost the job is handed in again.
+const PAUSES: [Duration; 4] =
+    [Duration::ZERO, Duration::from_millis(50), Duration::from_millis(200), Duration::from_secs(1)];
+/// Tasks of a job.
+const TASKS: usize = 2;
+/// Numbers that each pause is tried with.
+const NUMBERS: u64 = 5;
+/// All that is waited for comes within this time.
+const WITHIN: Duration = Duration::from_secs(40);
+const POLL: Duration = Duration::from_millis(100);
+
+impl Stage {
+    /// The status of one hand-in, whatever it is.
+    async fn hand_in(&self, at: usize, job: &str, key: Option<&str>) -> u16 {
+        request_with_key(self.entries[at].0, "POST", job, key).await.expect("an answer").0
+    }
+
+    async fn until_holder_is_known(&self) {
+        assert_eq!(self.call(0, "GET", "00000000000000ff", NORTH).await.0, 410);
+        assert_eq!(self.call(1, "GET", "00000000000000ff", NORTH).await.0, 410);
+    }
+}
+
+/// Guards against a job that runs although its repeat was refused, since another owner's job has its number.
+#[tokio::test(flavor = "multi_thread")]
+async fn stored_elsewhere() {
+    let stage = Stage::new("repeats", 86).await;
+    stage.until_holder_is_known().await;
+    let (mut jobs, mut wrong) = (Vec::new(), Vec::new());
+    for (n, pause) in (0..NUMBERS).flat_map(|n| PAUSES.map(|pause| (n, pause))) {
+        let job = format!("{:016x}", 0x1000 + n * 0x1000 + pause.as_millis() as u64);
+        let (north, south) = tokio::join!(stage.hand_in(0, &job, NORTH), stage.hand_in(1, &job, SOUTH));
+        assert_eq!((north, south), (200, 200), "both are kept");
+        tokio::time::sleep(pause).await;
+        for (at, key) in [(0, SOUTH), (1, NORTH)] {
+            let status = stage.hand_in(at, &job, key).await;
+            if status != 200 {
+                wrong.push((job.clone(), pause, status));
+            }
+        }
+        jobs.push(job);
+    }
+    assert!(wrong.is_empty(), "repeats of accepted jobs that were not answered 200: {wrong:?}");
+    let until = Instant::now() + WITHIN;
+    for (job, key) in jobs.iter().flat_map(|job| [NORTH, SOUTH].map(|key| (job, key))) {
+        while stage.call(0, "GET", job, key).await.1.as_deref() != Some("completed") {
+            assert!(Instant::now() < until, "{job} of {key:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+    // The ledger knows tasks by their number alone: the second owner's are second attempts, and there is no third one.
+    let later = stage.ledger.violations();
+    assert!(later.iter().all(|text| text.starts_with("attempt 2 of")), "{later:?}");
+    assert_eq!((stage.ledger.done(), later.len()), (jobs.len() * TASKS, jobs.len() * TASKS));
+    stage.clean_up();
+}
+
+/// The number of another owner's job is refused where the caller's own was never accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_refusal_stays() {
+    let stage = Stage::new("plain", 87).await;
+    stage.until_holder_is_known().await;
+    let job = "00000000000000a3";
+    assert_eq!(stage.hand_in(0, job, NORTH).await, 200);
+    stage.until_state(job, "key-of-north-1", "running").await;
+    for at in [0, 1, 0] {
+        assert_eq!(stage.hand_in(at, job, SOUTH).await, 503, "at entry {at}");
+        assert_eq!(stage.call(at, "GET", job, SOUTH).await.0, 410);
+    }
+    assert_eq!(stage.hand_in(1, job, NORTH).await, 200, "its owner's");
+    stage.clean_up();
+}
--- a/tests/testsuite/workspace_keys.rs
+++ b/tests/testsuite/workspace_keys.rs
@@ -24,16 +24,18 @@
 const NORTH: WorkspaceConfig<'static> = ("north", &["key-of-north-1", "key-of-north-2"], 0);
 const SOUTH: WorkspaceConfig<'static> = ("south", &["key-of-south"], 0);
 
-struct Stage {
-    store: StoreStandin,
+/// Two entries whose queue requires a key, and one worker.
+pub(super) struct Stage {
+    pub(super) store: StoreStandin,
     _worker: WorkerStandin,
-    ledger: Arc<Ledger>,
-    entries: Vec<(SocketAddr, Program)>,
+    pub(super) ledger: Arc<Ledger>,
+    /// Each entry, with the address of its listener for callers.
+    pub(super) entries: Vec<(SocketAddr, Program)>,
     folder: PathBuf,
 }
 
 impl Stage {
-    async fn new(name: &str, net: u8) -> Stage {
+    pub(super) async fn new(name: &str, net: u8) -> Stage {
         let folder = std::env::temp_dir().join(format!("workswood-keys-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let store = StoreStandin::start().await;
@@ -53,7 +55,13 @@
     }
 
     /// The status of a call, once an entry has one that is not for now.
-    async fn call(&self, at: usize, method: &str, job: &str, key: Option<&str>) -> (u16, Option<String>) {
+    pub(super) async fn call(
+        &self,
+        at: usize,
+        method: &str,
+        job: &str,
+        key: Option<&str>,
+    ) -> (u16, Option<String>) {
         let until = Instant::now() + WITHIN;
         loop {
             match request_with_key(self.entries[at].0, method, job, key).await {
@@ -64,7 +72,12 @@
         }
     }
 
-    async fn until_state(&self, job: &str, key: &str, wanted: &str) {
+    /// Removes the folder with the logs.
+    pub(super) fn clean_up(&self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+
+    pub(super) async fn until_state(&self, job: &str, key: &str, wanted: &str) {
         let until = Instant::now() + WITHIN;
         loop {
             let (status, state) = self.call(0, "GET", job, Some(key)).await;
@@ -106,7 +119,7 @@
         assert!(log.contains("event=key_refused"), "refusals are told");
         assert!(!log.contains("key-of-"), "keys are not");
     }
-    let _ = std::fs::remove_dir_all(&stage.folder);
+    stage.clean_up();
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -122,7 +135,7 @@
         }
         assert_eq!(stage.call(at, "GET", JOB, Some("another-key-of-south")).await.0, 200);
     }
-    let _ = std::fs::remove_dir_all(&stage.folder);
+    stage.clean_up();
 }
 
 #[test]
