Histories: callers hand jobs in again at other entries, under numbers that two owners use

The twin of repeated_hand_ins in the simulated worlds: entries decide by the real SubmittedNumbers and NumberUse, their store refuses, is late or gives no answer, holders read the inbox with a delay. A caller who is told that its number is another owner's has to be told so truly. A hand-in counts from its arrival, not only once its record is sent: its caller may have gone and may try elsewhere while its number is checked.

--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -173,6 +173,7 @@
             store_cuts: StoreCuts::default(),
             changes: None,
             misdelivery: None,
+            entries: None,
             endless_runs: false,
             run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -32,6 +32,8 @@
     WorkerChanges,
     /// Which orders reach a later life of a worker.
     Misdelivery,
+    /// Where jobs are handed in, and what becomes of each hand-in.
+    HandIns,
 }
 
 impl FaultRng {
@@ -56,6 +58,7 @@
             Stream::Polls => 0,
             Stream::WorkerChanges => 32,
             Stream::Misdelivery => 16,
+            Stream::HandIns => 48,
         };
         FaultRng::mixed(self.state.rotate_left(rotation))
     }
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -63,6 +63,8 @@
     inbox: Vec<(Duration, Event)>,
     /// The last published state of each job.
     pub shown: HashMap<JobKey, JobStatusUpdate>,
+    /// The published states reflect everything that was in the inbox at this time; zero before it was first read.
+    pub shown_inbox_read_at: Duration,
 }
 
 impl Holder {
@@ -82,6 +84,7 @@
             watched: BTreeMap::new(),
             inbox: Vec::new(),
             shown: HashMap::new(),
+            shown_inbox_read_at: Duration::ZERO,
         }
     }
 
@@ -395,6 +398,7 @@
     fn publish(&mut self, n: usize, batch: Batch) {
         self.trimmed.extend(batch.finished_jobs.into_iter().map(|(number, owner)| key_of(number, owner)));
         self.show(n, batch.status_updates);
+        self.holders[n].shown_inbox_read_at = batch.inbox_read_at;
         for (id, number) in batch.acked_ends {
             self.order(n, &id.clone(), ToRelay::Forget(id, number));
         }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -9,6 +9,7 @@
 mod adviser;
 mod builders;
 mod crashes;
+mod entries;
 mod evacuations;
 mod fault_rng;
 mod given_up;
@@ -47,6 +48,7 @@
 
 use self::adviser::ADVICE;
 use self::crashes::Crashes;
+use self::entries::Entries;
 use self::evacuations::Evacuations;
 use self::holder::Holder;
 use self::lasting::LastingTasks;
@@ -118,6 +120,10 @@
     pub worker_changes: u64,
     /// Orders that a later life of a worker received than they were sent to, while it was down or cut off.
     pub misdelivered_orders: u64,
+    /// Callers who were told that another owner's job has their number.
+    pub taken_numbers: u64,
+    /// Callers who tried again under a number that another owner's job has, and were told that the job was accepted.
+    pub accepted_repeats: u64,
 }
 
 impl Seen {
@@ -134,6 +140,8 @@
         self.crashes_under_them += other.crashes_under_them;
         self.worker_changes += other.worker_changes;
         self.misdelivered_orders += other.misdelivered_orders;
+        self.taken_numbers += other.taken_numbers;
+        self.accepted_repeats += other.accepted_repeats;
     }
 }
 
@@ -195,6 +203,8 @@
     changes: Option<WorkerChanges>,
     /// Orders that may reach a later life; `None` if none does.
     misdelivery: Option<Misdelivery>,
+    /// Entries at which jobs are handed in; `None` if holders read jobs as they are submitted.
+    entries: Option<Entries>,
     /// Whether no run of a long-running task fails.
     endless_runs: bool,
     /// Shortest and longest run of a task that ends, in milliseconds.
@@ -606,6 +616,7 @@
             }
         }
         self.end_deposed();
+        self.run_entries();
         self.check_lasting();
         self.seen.sessions = self.last_session;
     }
--- a/crates/workswood-test-support/src/job_world/second_owner.rs
+++ b/crates/workswood-test-support/src/job_world/second_owner.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use workswood_core::jobs::job::StateSlot;
 use workswood_core::jobs::restored_jobs::{RestoredJobs, join_states};
@@ -27,6 +28,11 @@
     key & !SECOND
 }
 
+/// A job as one of the second owner.
+pub(super) fn second_spec(spec: JobSpec) -> JobSpec {
+    JobSpec { workspace: Some(WORKSPACE.to_string()), ..spec }
+}
+
 /// The key of the job of a number and owner.
 pub(super) fn key_of(number: JobKey, owner: Owner) -> JobKey {
     if owner == Owner::of_workspace(Some(WORKSPACE)) { second_key(number) } else { number }
@@ -50,16 +56,20 @@
 impl World {
     /// Submits a job of the second owner under a number.
     pub fn submit_second(&mut self, number: JobKey, spec: JobSpec) {
-        let spec = Arc::new(JobSpec { workspace: Some(WORKSPACE.to_string()), ..spec });
-        self.enqueue_submission(second_key(number), spec);
+        self.enqueue_submission(second_key(number), Arc::new(second_spec(spec)));
     }
 
     /// Has the holders read a submission.
     pub(super) fn enqueue_submission(&mut self, key: JobKey, spec: Arc<JobSpec>) {
+        self.enqueue_submission_after(Duration::ZERO, key, spec);
+    }
+
+    /// Stores a submission, which the holders read after a delay.
+    pub(super) fn enqueue_submission_after(&mut self, delay: Duration, key: JobKey, spec: Arc<JobSpec>) {
         self.jobs.insert(key, spec.clone());
         self.trimmed.remove(&key);
-        let (now, number) = (self.now, number_of(key));
-        self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Submitted(number, spec.clone())));
+        let (at, number) = (self.now + delay, number_of(key));
+        self.holders.iter_mut().for_each(|h| h.enqueue_event(at, Event::Submitted(number, spec.clone())));
     }
 
     /// The jobs as a new holder reads them.
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -13,6 +13,7 @@
 
 use super::inbox::Stored;
 use super::node::Node;
+use super::number_check::HandInUnderWay;
 use super::record::job_record;
 use super::submitted_numbers::NumberUse;
 use super::{admission_control, number_check};
@@ -32,6 +33,16 @@
 }
 
 impl HandIn {
+    /// What an answer that is given without the store says of earlier hand-ins.
+    fn stored_before(self) -> CopyOutcome {
+        match self {
+            HandIn::Settled(Stored::Yes) => CopyOutcome::Done,
+            HandIn::Settled(Stored::No | Stored::Unknown) | HandIn::NumberTaken | HandIn::NoRoom { .. } => {
+                CopyOutcome::NotDone
+            }
+        }
+    }
+
     /// Label in metrics.
     fn label(self) -> &'static str {
         match self {
@@ -51,6 +62,8 @@
     job: JobKey,
     owner: Owner,
     spec: JobSpec,
+    /// What is known of earlier hand-ins of the job here.
+    earlier: CopyOutcome,
     /// When it came.
     arrived: Duration,
     /// How long its caller may be kept waiting.
@@ -67,37 +80,46 @@
     held: HeldBytes,
 ) -> HandIn {
     let (owner, arrived) = (spec.owner(), node.now());
-    let outcome = Submission { node, cfg, job, owner, spec, arrived, timeout }.run(held).await;
+    let earlier = node.numbers.outcome(job, owner);
+    let under_way = node.numbers.begin(job, owner, arrived);
+    let mut submission = Submission { node, cfg, job, owner, spec, earlier, arrived, timeout };
+    let outcome = match submission.answer_without_store().await {
+        None => HandIn::Settled(submission.store(under_way, held).await),
+        Some(answer) => match under_way.settle(answer.stored_before()) {
+            CopyOutcome::NotDone => answer,
+            // Another hand-in of the job came here meanwhile.
+            known => HandIn::Settled(known.into()),
+        },
+    };
     node.metrics.submissions.with_label_values(&[outcome.label()]).inc();
     outcome
 }
 
 impl Submission<'_> {
-    async fn run(mut self, held: HeldBytes) -> HandIn {
-        let number_use =
-            number_check::use_of_number(self.node, self.cfg, self.job, self.owner, self.timeout).await;
-        match number_use {
+    /// The answer to a job that is not to be stored: it was accepted before, or it is refused.
+    async fn answer_without_store(&mut self) -> Option<HandIn> {
+        let (job, owner) = (self.job, self.owner);
+        match number_check::use_of_number(self.node, self.cfg, job, owner, self.earlier, self.timeout).await {
             NumberUse::Free => {}
             NumberUse::Accepted => {
                 self.log_settled(Stored::Yes, "earlier");
-                return HandIn::Settled(Stored::Yes);
+                return Some(HandIn::Settled(Stored::Yes));
             }
             NumberUse::Unclear => {
                 self.log_settled(Stored::Unknown, "number");
-                return HandIn::Settled(Stored::Unknown);
+                return Some(HandIn::Settled(Stored::Unknown));
             }
             NumberUse::Taken => {
                 self.log_refused("number_taken");
-                return HandIn::NumberTaken;
+                return Some(HandIn::NumberTaken);
             }
         }
         // A job that may be stored already is not refused for want of room.
-        if self.node.numbers.outcome(self.job, self.owner) == CopyOutcome::NotDone
-            && let Some(retry_after) = self.weigh().await
-        {
-            return HandIn::NoRoom { retry_after };
+        if self.earlier != CopyOutcome::NotDone {
+            return None;
         }
-        HandIn::Settled(self.store(held).await)
+        let retry_after = self.weigh().await?;
+        Some(HandIn::NoRoom { retry_after })
     }
 
     /// Has the lease holder weigh the job; returns when its caller should try again if there is no room for it.
@@ -118,7 +140,7 @@
                     wait.as_millis(),
                     age.as_millis(),
                     retry_after.as_millis(),
-                    self.took_ms()
+                    self.took().as_millis()
                 );
                 Some(retry_after)
             }
@@ -126,18 +148,18 @@
     }
 
     /// Stores the job; returns what is known of it over all of its hand-ins.
-    async fn store(&self, mut held: HeldBytes) -> Stored {
+    async fn store(&self, mut under_way: HandInUnderWay<'_>, mut held: HeldBytes) -> Stored {
         let rec = job_record(self.job, &self.spec);
         held.resize(rec.value.as_ref().map_or(0, Bytes::len));
-        let under_way = self.node.numbers.begin(self.job, self.owner, self.node.now());
-        let waited = self.node.now() - self.arrived;
-        let timeout = self.timeout.saturating_sub(waited);
+        let timeout = self.timeout.saturating_sub(self.took());
+        under_way.note_sent();
         let stored = self.node.inbox_writer.store_holding(rec, timeout, held).await;
-        self.node.metrics.submission_seconds.observe((self.node.now() - self.arrived).as_secs_f64());
-        let known = Stored::from(under_way.settle(stored.into()));
+        self.node.metrics.submission_seconds.observe(self.took().as_secs_f64());
+        let mut known = Stored::from(under_way.settle(stored.into()));
         // Another entry may have stored the job before.
-        let earlier = known == Stored::No && number_check::is_known(self.node, self.job, self.owner).await;
-        let known = if earlier { Stored::Yes } else { known };
+        if known == Stored::No && number_check::is_known(self.node, self.job, self.owner).await {
+            known = Stored::Yes;
+        }
         self.log_settled(known, if known == stored { "now" } else { "earlier" });
         known
     }
@@ -146,8 +168,8 @@
         self.spec.workspace.as_deref().unwrap_or("-")
     }
 
-    fn took_ms(&self) -> u128 {
-        (self.node.now() - self.arrived).as_millis()
+    fn took(&self) -> Duration {
+        self.node.now() - self.arrived
     }
 
     fn log_refused(&self, reason: &str) {
@@ -156,7 +178,7 @@
             self.job,
             self.spec.queue,
             self.workspace(),
-            self.took_ms()
+            self.took().as_millis()
         );
     }
 
@@ -169,7 +191,7 @@
             self.spec.queue,
             self.workspace(),
             self.cfg.version,
-            self.took_ms(),
+            self.took().as_millis(),
             self.node.store_silence().as_millis()
         );
     }
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -42,47 +42,55 @@
         self.submitted.lock().outcome(job, owner)
     }
 
-    /// Notes that the record of a job may be stored from now on.
+    /// Notes a hand-in that may store the job from now on.
     pub fn begin(&self, job: JobKey, owner: Owner, now: Duration) -> HandInUnderWay<'_> {
         self.submitted.lock().begin(job, owner, now);
-        HandInUnderWay { numbers: self, job, owner, is_settled: false }
+        HandInUnderWay { numbers: self, job, owner, at_drop: Some(CopyOutcome::NotDone) }
     }
 }
 
-/// A hand-in whose record may be stored. If it is dropped, its caller has gone and the record may be stored later.
+/// A hand-in that may store its job. It is dropped if its caller goes away.
 pub struct HandInUnderWay<'a> {
     numbers: &'a NumberCheck,
     job: JobKey,
     owner: Owner,
-    is_settled: bool,
+    /// What is known of it if it is dropped now; `None` once it is settled.
+    at_drop: Option<CopyOutcome>,
 }
 
 impl HandInUnderWay<'_> {
+    /// Notes that the record is given to the store, which may keep it whatever becomes of the caller.
+    pub fn note_sent(&mut self) {
+        self.at_drop = Some(CopyOutcome::Unknown);
+    }
+
     /// Notes the outcome; returns what is known of the job over all of its hand-ins here.
     pub fn settle(mut self, outcome: CopyOutcome) -> CopyOutcome {
-        self.is_settled = true;
+        self.at_drop = None;
         self.numbers.submitted.lock().settle(self.job, self.owner, outcome)
     }
 }
 
 impl Drop for HandInUnderWay<'_> {
     fn drop(&mut self) {
-        if !self.is_settled {
-            self.numbers.submitted.lock().settle(self.job, self.owner, CopyOutcome::Unknown);
+        if let Some(outcome) = self.at_drop {
+            self.numbers.submitted.lock().settle(self.job, self.owner, outcome);
         }
     }
 }
 
-/// What the number of a submitted job is to its owner. Answers within `timeout`.
+/// What the number of a submitted job is to its owner, by what is known of earlier hand-ins of the job here. Answers
+/// within `timeout`.
 pub async fn use_of_number(
     node: &Arc<Node>,
     cfg: &SchedConfig,
     job: JobKey,
     owner: Owner,
+    earlier: CopyOutcome,
     timeout: Duration,
 ) -> NumberUse {
     let arrived = node.now();
-    match node.numbers.outcome(job, owner) {
+    match earlier {
         CopyOutcome::Done => return NumberUse::Accepted,
         CopyOutcome::Unknown => return NumberUse::Free,
         CopyOutcome::NotDone => {}
--- a/src/workswood/ops/jobs/submitted_numbers.rs
+++ b/src/workswood/ops/jobs/submitted_numbers.rs
@@ -18,7 +18,7 @@
 /// The hand-ins of one job.
 #[derive(Clone, Copy, Debug)]
 struct HandIns {
-    /// Number of them whose record may be stored at any moment.
+    /// Number of them that may store the job at any moment.
     under_way: u32,
     /// What is known of the others.
     outcome: CopyOutcome,
@@ -42,7 +42,7 @@
 }
 
 impl SubmittedNumbers {
-    /// Notes that the record of a job may be stored from now on.
+    /// Notes a hand-in that may store the job from now on.
     pub fn begin(&mut self, job: JobKey, owner: Owner, now: Duration) {
         self.forget_old(now);
         let order = &mut self.order;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -131,6 +131,8 @@
     SecondOwner,
 }
 
+/// Events of a history for each number under which jobs are handed in at entries.
+const HAND_IN_EVERY: u64 = 3;
 /// Key of the job of hundreds of steps.
 const LARGE: u64 = 2_000;
 /// Layers of its steps, each of which depends on all steps of the layer before.
@@ -210,6 +212,9 @@
     with: With,
 ) -> Result<Seen, String> {
     let mut w = world(4, FaultRng::mixed(seed));
+    if with == With::SecondOwner {
+        w = w.with_entries();
+    }
     w.run_for(Duration::from_millis(600));
     w.rng.faults_per_mille = 60;
     let mut keys = Vec::new();
@@ -232,6 +237,10 @@
         if with == With::Outages && w.rng.below(4) == 0 {
             lose_store(&mut w);
         }
+        if with == With::SecondOwner && n % HAND_IN_EVERY == 0 {
+            let spec = |tasks: u32, w: &World| job(vec![step(tasks, vec![])], w.now.as_millis() as u64);
+            w.hand_in(spec(1, &w), spec(2, &w));
+        }
         if with == With::Handovers && w.rng.below(3) == 0 {
             w.hand_over();
         }
@@ -291,6 +300,7 @@
     if !w.seen.violations.is_empty() {
         return Err(format!("{:?}", w.seen.violations));
     }
+    keys.extend(w.accepted());
     match keys.into_iter().find(|key| !w.is_over(*key)) {
         Some(key) => Err(format!("job {key} is still {:?}", w.shown(key))),
         None => Ok(w.seen),
@@ -350,10 +360,14 @@
     play_with_starts(HISTORIES / 2, World::limited, With::Infeasible);
 }
 
-/// Jobs of two owners under one number are both done, and neither is taken for the other one.
+/// Jobs of two owners under one number are both done, and neither is taken for the other one. A caller who is told that
+/// its job isn't taken is told so truly, whatever became of earlier hand-ins of the job.
 #[test]
 fn short_histories_with_second_owner() {
-    play_with_starts(HISTORIES, World::new, With::SecondOwner);
+    let seen = play_all(HISTORIES, World::new, With::SecondOwner);
+    assert!(seen.starts > HISTORIES, "{} starts", seen.starts);
+    assert!(seen.taken_numbers > HISTORIES, "{} numbers refused", seen.taken_numbers);
+    assert!(seen.accepted_repeats > HISTORIES, "{} repeats accepted", seen.accepted_repeats);
     play_with_starts(HISTORIES / 2, World::restarting_relayed, With::SecondOwner);
 }
 
