Histories: entries are replaced while jobs are handed in there

With entries that never go away, what the lease holder knows made no difference to the histories: they passed with its old reads counted as new, and with its own answer left out. Entries lose what they know now, so that both are caught.

--- a/crates/workswood-test-support/src/job_world/entries.rs
+++ b/crates/workswood-test-support/src/job_world/entries.rs
@@ -26,6 +26,8 @@
 const LATE_MS: u64 = 6_000;
 /// Longest delay with which holders read the inbox, in milliseconds.
 const READ_MS: u64 = 900;
+/// An entry is replaced in one of so many steps.
+const REPLACED_ONE_IN: u64 = 200;
 /// How long an entry waits until a holder has read the inbox.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -72,12 +74,27 @@
     stage: Stage,
 }
 
+impl HandIn {
+    /// Whether it has reached this entry.
+    fn is_at(&self, entry: usize) -> bool {
+        self.entry == entry && !matches!(self.stage, Stage::Waiting(_))
+    }
+}
+
+/// A record that the store takes later.
+struct LateRecord {
+    at: Duration,
+    /// The entry that sent it.
+    entry: usize,
+    key: JobKey,
+    spec: Arc<JobSpec>,
+}
+
 /// The entries.
 pub(super) struct Entries {
     numbers: Vec<SubmittedNumbers>,
     hand_ins: Vec<HandIn>,
-    /// Records that the store takes later.
-    late: Vec<(Duration, JobKey, Arc<JobSpec>)>,
+    late: Vec<LateRecord>,
     /// What callers were told last, by job.
     told: BTreeMap<JobKey, Told>,
     /// Delay with which holders read the inbox.
@@ -169,10 +186,10 @@
     pub(super) fn run_entries(&mut self) {
         let Some(mut entries) = self.entries.take() else { return };
         let now = self.now;
-        let (due, late) = std::mem::take(&mut entries.late).into_iter().partition(|(at, ..)| *at <= now);
-        entries.late = late;
-        let due: Vec<_> = due;
-        due.into_iter().for_each(|(_, key, spec)| self.take_record(&entries, key, spec));
+        self.take_late_records(&mut entries, |record| record.at <= now);
+        if entries.rng.below(REPLACED_ONE_IN) == 0 {
+            self.replace_entry(&mut entries);
+        }
         for mut hand_in in std::mem::take(&mut entries.hand_ins) {
             match self.advance(&mut entries, &mut hand_in) {
                 Some(told) => self.tell(&mut entries, &hand_in, told),
@@ -184,6 +201,32 @@
         self.entries = Some(entries);
     }
 
+    fn take_late_records(&mut self, entries: &mut Entries, is_due: impl Fn(&LateRecord) -> bool) {
+        let (due, late): (Vec<_>, Vec<_>) = std::mem::take(&mut entries.late).into_iter().partition(is_due);
+        entries.late = late;
+        due.into_iter().for_each(|record| self.take_record(entries, record.key, record.spec));
+    }
+
+    /// Replaces an entry by one that knows nothing. What it has sent reaches the store before that or never, since nobody
+    /// could know of it afterwards. Its callers get no answer.
+    fn replace_entry(&mut self, entries: &mut Entries) {
+        let n = entries.draw_entry();
+        self.take_late_records(entries, |record| record.entry == n);
+        entries.numbers[n] = SubmittedNumbers::default();
+        let (gone, others): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut entries.hand_ins).into_iter().partition(|hand_in| hand_in.is_at(n));
+        entries.hand_ins = others;
+        for hand_in in gone {
+            if let Stage::Store(_, StoreFate::Done) = hand_in.stage {
+                self.take_record(entries, hand_in.key, hand_in.spec.clone());
+            }
+            if hand_in.is_heard && hand_in.tries_left > 0 {
+                let at = self.now + STEP + entries.draw_ms(RETRY_MS);
+                entries.begin(hand_in.key, hand_in.spec, at, hand_in.tries_left - 1);
+            }
+        }
+    }
+
     /// Advances a hand-in; returns what its caller is told once it is over.
     fn advance(&mut self, entries: &mut Entries, hand_in: &mut HandIn) -> Option<Told> {
         let now = self.now;
@@ -246,7 +289,8 @@
             }
             StoreFate::Refused => CopyOutcome::NotDone,
             StoreFate::Late(after) => {
-                entries.late.push((self.now + after, hand_in.key, hand_in.spec.clone()));
+                let (at, key, spec) = (self.now + after, hand_in.key, hand_in.spec.clone());
+                entries.late.push(LateRecord { at, entry: hand_in.entry, key, spec });
                 CopyOutcome::Unknown
             }
             StoreFate::Lost => CopyOutcome::Unknown,
