State of jobs: what is larger than a record or an append of the store is divided

A state that is too large is stored in parts by one append, with their number and a checksum under the job's own key. A batch that is too large is written by several appends, jobs first, those of one number together. An append to the inbox takes no more than the store accepts.

--- a/src/workswood/ops/jobs/batch_writer.rs
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -8,14 +8,17 @@
 use std::time::Duration;
 
 use tokio::task::JoinSet;
+use workswood_core::ids::Term;
 use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
 use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Owner, Scheduler, StoreAccess};
 use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
 
+use super::append_calls::appends_of;
 use super::hedged_call::hedged_call;
 use super::inbox_cleanup;
 use super::node::{Node, SchedulerHandle};
-use super::record::{deleted_job, state_record};
+use super::record::deleted_job;
+use super::state_parts::StateParts;
 
 /// An append without an answer is repeated after this time if the store answers other calls.
 const HEDGE_AFTER: Duration = Duration::from_millis(250);
@@ -41,13 +44,15 @@
     write: JoinSet<bool>,
     /// Batches that wait for the one in flight.
     owed: OwedBatch,
+    /// Parts of states that the store may hold.
+    parts: StateParts,
     /// When the scheduler's task last ran.
     last_awake: Duration,
 }
 
 impl BatchWriter {
-    /// Returns a writer for a term of the lease.
-    pub(super) fn new(node: Arc<Node>, handle: Arc<SchedulerHandle>) -> BatchWriter {
+    /// Returns a writer for a term of the lease, at whose start the store held these parts of states.
+    pub(super) fn new(node: Arc<Node>, handle: Arc<SchedulerHandle>, parts: StateParts) -> BatchWriter {
         BatchWriter {
             node,
             handle,
@@ -55,6 +60,7 @@
             in_flight: None,
             write: JoinSet::new(),
             owed: OwedBatch::default(),
+            parts,
             last_awake: Duration::ZERO,
         }
     }
@@ -119,10 +125,10 @@
             return Some(batch);
         }
         let number = self.next_append;
-        self.next_append += 1;
         let dropped = batch.records.iter().filter_map(deleted_job).collect();
-        let records = batch.records.iter().map(state_record).collect();
-        self.write.spawn(write_records(self.node.clone(), self.handle.clone(), number, dropped, records));
+        let appends = appends_of(&batch.records, &mut self.parts, self.node.settings.store_sizes());
+        self.next_append += appends.len() as u64;
+        self.write.spawn(write_records(self.node.clone(), self.handle.clone(), number, dropped, appends));
         self.in_flight = Some(BatchInFlight { batch, since: self.node.now() });
         None
     }
@@ -148,22 +154,32 @@
     }
 }
 
-/// Writes records and retries until they are stored; returns false if another term has begun.
+/// Writes the appends of a batch, the first of which has this number, and retries until they are stored; returns false
+/// if another term has begun.
 async fn write_records(
     node: Arc<Node>,
     handle: Arc<SchedulerHandle>,
-    number: u64,
+    first_number: u64,
     dropped: Vec<(JobKey, Owner)>,
-    records: Vec<KeyedRecord>,
+    appends: Vec<Vec<KeyedRecord>>,
 ) -> bool {
-    let term = handle.term;
     inbox_cleanup::delete_from_inbox(&node, &handle, dropped).await;
     let _timer = node.metrics.batch_seconds.start_timer();
+    for (number, records) in (first_number..).zip(appends) {
+        if !write_append(&node, handle.term, number, &records).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Makes one append, again until it is stored; returns false if another term has begun.
+async fn write_append(node: &Node, term: Term, number: u64, records: &[KeyedRecord]) -> bool {
     loop {
         let guard = Guard::Term(term, number);
-        let append = || node.platform.append(Topic::State, records.clone(), guard);
+        let append = || node.platform.append(Topic::State, records.to_vec(), guard);
         // The store takes a number only once.
-        match hedged_call(&node, HEDGE_AFTER, append).await {
+        match hedged_call(node, HEDGE_AFTER, append).await {
             Ok(_) => {
                 node.note_store_answer();
                 return true;
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -31,6 +31,7 @@
 use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Partition, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::append_calls::size_in_append;
 use super::node::Node;
 use super::peer_requests;
 use super::record::{InboxKey, InboxRecordKind};
@@ -324,7 +325,7 @@
             in_flight == 0 || in_flight < MAX_CONCURRENT_APPENDS && node.now() >= next_append_at
         };
         while may_append(appends.len()) && !queue.is_empty() {
-            let count = queue.len().min(MAX_APPEND_RECORDS);
+            let count = records_of_append(&queue, node.settings.store_sizes().append);
             let batch: Vec<QueuedRecord> =
                 queue.drain(..count).filter(|queued| !queued.stage.is_abandoned()).collect();
             if !batch.is_empty() {
@@ -336,6 +337,16 @@
     }
 }
 
+/// Number of the first records that one append takes; the first one in any case.
+fn records_of_append(queue: &[QueuedRecord], max_bytes: usize) -> usize {
+    let mut bytes = 0;
+    let fits = |queued: &&QueuedRecord| {
+        bytes += size_in_append(&queued.rec);
+        bytes <= max_bytes
+    };
+    queue.iter().take(MAX_APPEND_RECORDS).take_while(fits).count().max(1)
+}
+
 /// Stores records with one append; returns those that have to be sent again.
 async fn append(node: Arc<Node>, partition: Partition, mut batch: Vec<QueuedRecord>) -> Vec<QueuedRecord> {
     node.inbox_writer.appends_in_flight.fetch_add(1, Ordering::Relaxed);
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -39,6 +39,12 @@
     /// Attempts up to this number are of earlier jobs under the same number.
     #[prost(uint32, tag = "8")]
     earlier_attempts: u32,
+    /// Number of parts in which the state is stored, if it is too large for this record.
+    #[prost(uint32, tag = "9")]
+    parts: u32,
+    /// Checksum of the parts, one after the other.
+    #[prost(fixed64, tag = "10")]
+    parts_checksum: u64,
 }
 
 /// What is stored of a job that has ended and runs nowhere.
@@ -186,10 +192,42 @@
         }),
         owner: rec.owner.map(Owner::number),
         earlier_attempts: rec.earlier_attempts,
+        parts: 0,
+        parts_checksum: 0,
     };
     state.encode_to_vec()
 }
 
+/// What the record under a state's own key tells of its parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PartsHeader {
+    /// Number of parts.
+    pub count: usize,
+    /// Checksum of the parts, one after the other.
+    pub checksum: u64,
+}
+
+/// Encodes what is stored under the own key of a state in parts. Without them, as versions read it that know no parts,
+/// the job has failed: its tasks may have run, and must not run again.
+pub fn encode_header(rec: &JobRecord, header: PartsHeader) -> Vec<u8> {
+    let state = StoredJobState {
+        started: true,
+        outcome: Some(Ended::Failed as i32),
+        owner: rec.owner.map(Owner::number),
+        earlier_attempts: rec.earlier_attempts,
+        parts: header.count as u32,
+        parts_checksum: header.checksum,
+        ..StoredJobState::default()
+    };
+    state.encode_to_vec()
+}
+
+/// Decodes what a record tells of the parts of its state; `None` for a state that has none.
+pub fn decode_header(value: &[u8]) -> Option<PartsHeader> {
+    let state = StoredJobState::decode(value).ok().filter(|state| state.parts > 0)?;
+    Some(PartsHeader { count: state.parts as usize, checksum: state.parts_checksum })
+}
+
 fn encode_step<'a>(tasks: &'a [TaskRecord], workers: &mut WorkerTable<'a>) -> StepState {
     let mut s = StepState { count: tasks.len() as u32, ..StepState::default() };
     for (n, t) in tasks.iter().enumerate() {
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -18,7 +18,8 @@
 //!   renews the lease, [`relay_sessions`] has relays serve workers, [`host_orders`] sends orders to
 //!   hosts, [`advice`] calls the adviser, and [`inbox_cleanup`] deletes finished and forgotten jobs
 //!   from the inbox.
-//! * [`record`], [`job_spec`] and [`job_state`] define the stored form of jobs and state.
+//! * [`record`], [`job_spec`] and [`job_state`] define the stored form of jobs and state. [`state_parts`] divides states
+//!   that are too large for a record, and [`append_calls`] batches that are too large for an append.
 //! * [`limits`] holds durations of leases, and [`worker_list`] follows the list of workers.
 //! * [`relay`] communicates with workers for the lease holder, in this process or elsewhere.
 //! * [`job_status_table`] holds the statuses of jobs, as callers may see them. [`job_queries`] forwards callers'
@@ -33,6 +34,7 @@
 
 pub mod admission_control;
 pub mod advice;
+pub mod append_calls;
 mod batch_writer;
 pub mod bridges;
 pub mod earlier_grants;
@@ -66,6 +68,7 @@
 mod scheduler_io;
 mod scheduler_task;
 mod shutdown;
+pub mod state_parts;
 mod store_calls;
 pub mod submitted_numbers;
 pub mod topic_reader;
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -18,6 +18,7 @@
 use super::limits::scheduler_limits;
 use super::node::{Node, SchedulerHandle};
 use super::record::{InboxKey, InboxRecordKind, StateKey, parse_inbox_key, parse_state_key};
+use super::state_parts::StateParts;
 use super::{job_spec, job_state};
 
 /// Longest wait until it is certain when the grants of earlier terms end. The first renewal and its reading
@@ -32,6 +33,8 @@
     pub inbox_next: Vec<(Partition, Offset)>,
     /// Which partitions of the inbox hold which keys.
     pub inbox_keys: InboxIndex,
+    /// Parts of states that the store holds.
+    pub state_parts: StateParts,
 }
 
 /// Fences all earlier holders off from the stored state, and restores the scheduler from it.
@@ -64,7 +67,8 @@
         sched.handle(Event::ConfigChanged(cfg));
     }
     sched.handle(Event::Evacuated(node.operator_state.evacuations().data_centres.clone()));
-    let state = parse_state(state);
+    let (state_records, state_parts) = StateParts::join(state.records);
+    let state = parse_state(state_records);
     for (id, rec) in state.workers {
         sched.restore_worker(id, rec);
     }
@@ -91,7 +95,7 @@
         (node.now() - read).as_millis(),
         sched.predecessors_extend_until().saturating_sub(held_since).as_millis()
     );
-    Ok(RestoredScheduler { sched, inbox_next, inbox_keys })
+    Ok(RestoredScheduler { sched, inbox_next, inbox_keys, state_parts })
 }
 
 /// When the grants of earlier terms end; `None` if that is not certain in time.
@@ -113,9 +117,9 @@
 }
 
 /// Parses the records of the state. Malformed ones are logged and left out.
-fn parse_state(state: LatestRecords) -> StoredState {
+fn parse_state(records: Vec<KeyedRecord>) -> StoredState {
     let mut s = StoredState::default();
-    for rec in state.records {
+    for rec in records {
         let value = rec.value.unwrap_or_default();
         match parse_state_key(&rec.key) {
             Some(StateKey::Job(key, owner)) => match job_state::decode(&value) {
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -130,7 +130,7 @@
         handle: handle.clone(),
         sched: restored.sched,
         sessions: RelaySessions::new(node.clone(), handle.clone(), tasks),
-        writer: BatchWriter::new(node.clone(), handle.clone()),
+        writer: BatchWriter::new(node.clone(), handle.clone(), restored.state_parts),
         early_starts: 0,
         waves: waves_tx,
         finished_jobs: finished_tx,
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use workswood_adapter::HostLimits;
+use workswood_adapter::{HostLimits, StoreLimits};
 use workswood_callers::Limits;
 use workswood_core::ids::DataCentre;
 use workswood_core::jobs::Policy;
@@ -32,9 +32,23 @@
 const PEER_FD_SHARES: u64 = 4;
 /// The same of the second listener, which few ask.
 const SEED_FD_SHARES: u64 = 12;
+/// Largest record and append that a store accepts if the platform doesn't tell, in bytes.
+const MAX_RECORD_BYTES: usize = 262_144;
+const MAX_APPEND_BYTES: usize = 2_097_152;
+/// Least values of both.
+const MIN_RECORD_BYTES: usize = 4_096;
 /// Largest value of either that is taken for meant.
 const MAX_HOST_LIMIT: u64 = 1 << 24;
 
+/// Sizes that the store accepts, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreSizes {
+    /// Largest record, with its key.
+    pub record: usize,
+    /// Largest append: all its records together.
+    pub append: usize,
+}
+
 /// Settings of one `jobs` process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -84,6 +98,9 @@
     /// Limits of the host as the platform lists them. They replace `cores`, `link_mbps`, `memory_mb` and `max_fds`.
     #[serde(default, skip_serializing)]
     pub host_limits: HostLimits,
+    /// Sizes that the store accepts, as the platform lists them.
+    #[serde(default, skip_serializing)]
+    pub store_limits: StoreLimits,
     /// Longest lease that workers accept, in milliseconds.
     #[serde(rename = "longest_lease_ms")]
     pub max_lease_ms: u64,
@@ -224,6 +241,12 @@
         if !(0.0..=86_400.0).contains(&self.ended_job_retention_s) {
             return Err("`keep_ended_s` must be between 0 and 86400".to_string());
         }
+        let sizes = self.store_sizes();
+        if sizes.record < MIN_RECORD_BYTES || sizes.append < sizes.record {
+            return Err(format!(
+                "`store_limits` must allow records of {MIN_RECORD_BYTES} bytes, and appends of a whole record"
+            ));
+        }
         self.policy.check()
     }
 
@@ -255,6 +278,15 @@
         Duration::from_millis(self.catch_up_within_ms).saturating_sub(RECONNECT_TIME).min(MAX_LONG_POLL_WAIT)
     }
 
+    /// Sizes that the store accepts.
+    pub fn store_sizes(&self) -> StoreSizes {
+        let limits = &self.store_limits;
+        StoreSizes {
+            record: limits.record_bytes.unwrap_or(MAX_RECORD_BYTES),
+            append: limits.call_bytes.unwrap_or(MAX_APPEND_BYTES),
+        }
+    }
+
     /// Limits of the listener for callers.
     pub fn caller_limits(&self) -> Limits {
         Limits::for_callers(self.memory_mb, self.max_fds)
--- a/tests/testsuite/inbox_appends.rs
+++ b/tests/testsuite/inbox_appends.rs
@@ -61,6 +61,26 @@
     }
 }
 
+/// Guards against an append that the store refuses for its size, with all the jobs in it.
+#[tokio::test(start_paused = true)]
+async fn large_jobs_take_several_appends() {
+    const LARGE: usize = 600_000;
+    let store = Arc::new(TurnStore::new(ms(50), &[]));
+    let node = process(&store);
+    let mut callers = JoinSet::new();
+    for n in 0..20 {
+        let node = node.clone();
+        let large = KeyedRecord { key: format!("job-{n}"), value: Some(vec![b'1'; LARGE].into()) };
+        callers.spawn(async move { node.inbox_writer.store(large, WAITS).await });
+    }
+    let told = callers.join_all().await;
+    assert!(told.iter().all(|stored| *stored == Stored::Yes), "{told:?}");
+    let max_records = node.settings.store_sizes().append / LARGE;
+    let appends: Vec<usize> = store.done().iter().map(Vec::len).collect();
+    assert!(appends.iter().all(|records| (1..=max_records).contains(records)), "{appends:?}");
+    assert_eq!(appends.iter().sum::<usize>(), 20);
+}
+
 #[tokio::test(start_paused = true)]
 async fn too_slow_is_refused_at_once() {
     let store = Arc::new(TurnStore::new(ms(3000), &[]));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -113,6 +113,7 @@
 mod slow_workers;
 mod soak_absences;
 mod state_checkpoints;
+mod state_parts;
 mod stopping_holder;
 mod store_outages;
 mod store_protocol;
--- /dev/null
+++ b/tests/testsuite/state_parts.rs
@@ -0,0 +1,234 @@
+//! States of jobs that are larger than a record of the store, and batches that are larger than an append.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use workswood::ops::jobs::append_calls::{appends_of, size_in_append};
+use workswood::ops::jobs::job_state;
+use workswood::ops::jobs::state_parts::StateParts;
+use workswood::util::job_settings::StoreSizes;
+use workswood_adapter_standin::caller::{JobReply, Submission, config, request_state, submit_job};
+use workswood_adapter_standin::settings_template::{DEPLOYED, ProcessAddresses, fill, promised_fields};
+use workswood_adapter_standin::{Ledger, StoreStandin, StoredTopic, WorkerStandin};
+use workswood_core::jobs::job::{StateSlot, TaskRecord, WorkerId};
+use workswood_core::jobs::{JobKey, JobRecord, Outcome, Owner, Record};
+use workswood_platform::jobs::KeyedRecord;
+use workswood_test_support::program::{Program, free_ports};
+
+/// Sizes of the platform's store.
+const SIZES: StoreSizes = StoreSizes { record: 262_144, append: 2_097_152 };
+/// Bytes of an append beside key and value of a record.
+const FRAMING: usize = 4;
+const KEY: JobKey = 0xa1;
+
+/// The state of a job of so many tasks, all of which run, have a checkpoint and have failed once.
+fn state_of(tasks: u32) -> JobRecord {
+    let worker = |n: u32| WorkerId::from(format!("i-{:08x}", n % 12).as_str());
+    let task = |n: u32| TaskRecord {
+        failed_runs: [(1, Some(&worker(n)))].into_iter().collect(),
+        latest_attempt: 2,
+        checkpoint: format!("{n:016x}"),
+        runs: [(worker(n + 1), 2)].into(),
+        ..TaskRecord::default()
+    };
+    let owner = Some(Owner::of_workspace(Some("north")));
+    JobRecord {
+        started: true,
+        owner,
+        rounds: vec![vec![(0..tasks).map(task).collect()]],
+        ..JobRecord::default()
+    }
+}
+
+fn deleted(records: &[KeyedRecord]) -> Vec<&str> {
+    records.iter().filter(|rec| rec.value.is_none()).map(|rec| rec.key.as_str()).collect()
+}
+
+/// Guards against a state that the store refuses for its size.
+#[test]
+fn large_state_is_read_back() {
+    let state = state_of(10_000);
+    let mut parts = StateParts::default();
+    let stored = parts.split(&Record::Job(KEY, state.clone()), SIZES.record);
+    assert!(stored.len() > 2 && stored.iter().all(|rec| size_in_append(rec) - FRAMING <= SIZES.record));
+    let (read, known) = StateParts::join(stored);
+    assert_eq!(known, parts);
+    assert_eq!(read.iter().map(|rec| rec.key.as_str()).collect::<Vec<_>>(), ["00000000000000a1"]);
+    let read = job_state::decode(read[0].value.as_deref().expect("a value")).expect("a state");
+    assert_eq!(read, state);
+}
+
+#[test]
+fn parts_are_deleted() {
+    let large = parts_of(5_000, &mut StateParts::default()).len();
+    let mut parts = StateParts::default();
+    assert_eq!(parts_of(10, &mut parts).len(), 1, "a small state is one record");
+    parts_of(5_000, &mut parts);
+    let smaller = parts_of(10, &mut parts);
+    assert_eq!(deleted(&smaller).len(), large - 1, "{:?}", deleted(&smaller));
+    assert_eq!(parts_of(10, &mut parts).len(), 1, "once");
+    let stored = parts_of(5_000, &mut parts);
+    let (_, mut successors) = StateParts::join(stored);
+    let dropped = successors.split(&Record::DropJob(KEY, Owner::PUBLIC, StateSlot::Number), SMALL_RECORD);
+    assert_eq!(deleted(&dropped).len(), large, "{:?}", deleted(&dropped));
+}
+
+/// Largest record of a small store.
+const SMALL_RECORD: usize = 65_536;
+
+fn parts_of(tasks: u32, parts: &mut StateParts) -> Vec<KeyedRecord> {
+    parts.split(&Record::Job(KEY, state_of(tasks)), SMALL_RECORD)
+}
+
+/// Tasks whose state is lost may have run, so the job is not begun anew. Versions that know no parts read the same.
+#[test]
+fn parts_are_missing() {
+    let stored = parts_of(5_000, &mut StateParts::default());
+    for left_out in 1..stored.len() {
+        let mut stored = stored.clone();
+        stored.remove(left_out);
+        let (read, _) = StateParts::join(stored);
+        let state = job_state::decode(read[0].value.as_deref().expect("a value")).expect("a state");
+        assert_eq!((state.outcome, state.owner), (Some(Outcome::Failed), state_of(1).owner));
+    }
+}
+
+/// A batch that one append doesn't take is written by several; the jobs of a number stay together.
+#[test]
+fn large_batch() {
+    let small = Record::DropWorker("i-1".into());
+    let of = |key: JobKey| Record::Job(key, state_of(8_000));
+    let second = |key: JobKey| {
+        let owner = Some(Owner::of_workspace(Some("south")));
+        Record::Job(key, JobRecord { owner, slot: StateSlot::NumberAndOwner, ..state_of(8_000) })
+    };
+    let one = appends_of(&[of(1), small.clone()], &mut StateParts::default(), SIZES);
+    assert_eq!(one.len(), 1);
+    let batch: Vec<Record> = (1..=6).flat_map(|key| [of(key), second(key)]).chain([small]).collect();
+    let appends = appends_of(&batch, &mut StateParts::default(), SIZES);
+    assert!(appends.len() > 1);
+    let size = |records: &Vec<KeyedRecord>| records.iter().map(size_in_append).sum::<usize>();
+    assert!(appends.iter().all(|records| size(records) <= SIZES.append));
+    assert_eq!(
+        appends.last().and_then(|records| records.last()).map(|rec| rec.key.as_str()),
+        Some("worker-i-1")
+    );
+    for key in 1..=6 {
+        let number = format!("{key:016x}");
+        let with_job = appends.iter().filter(|records| records.iter().any(|rec| rec.key.contains(&number)));
+        assert_eq!(with_job.count(), 1, "job {key}");
+    }
+}
+
+const SERVICE: &str = "desk";
+const LARGE: &str = "00000000000000b1";
+const SMALL: &str = "00000000000000b2";
+/// Key of the first part of the state of the large job.
+const FIRST_PART: &str = "part-00000000000000b1+0";
+/// Tasks of the large job in each of two steps, all of which run at once.
+const TASKS: u32 = 2_000;
+/// Largest record and append of the store.
+const RECORD: usize = 4_096;
+const APPEND: usize = 65_536;
+/// How long a task takes.
+const TAKES: Duration = Duration::from_secs(4);
+/// All that is waited for comes within this time.
+const WITHIN: Duration = Duration::from_secs(60);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Two entries with the deployed settings at a store that takes small records only.
+struct Site {
+    store: StoreStandin,
+    ledger: Arc<Ledger>,
+    _worker: WorkerStandin,
+    entries: Vec<(SocketAddr, Program)>,
+    folder: PathBuf,
+}
+
+impl Site {
+    async fn new() -> Site {
+        let folder = std::env::temp_dir().join(format!("workswood-parts-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let store = StoreStandin::start().await;
+        store.faults(|f| f.max_bytes = Some((RECORD, APPEND)));
+        store.declare(&config(SERVICE, 1));
+        let ledger: Arc<Ledger> = Arc::default();
+        let worker = WorkerStandin::start_with_ledger("i-0", TAKES, ledger.clone()).await;
+        let mut entry: Value = serde_json::from_str(&worker.entry(SERVICE, "m-0")).expect("an entry");
+        entry["capacity"] = json!({"cpu": 2_000_000, "mem_mb": 1_000_000, "gpus": 0});
+        store.enter_worker("i-0", &entry.to_string());
+        let pid = std::process::id();
+        let ip = format!("127.88.{}.{}", pid >> 8 & 255, pid & 255);
+        let ports = free_ports(&ip, 10);
+        let address = store.address.to_string();
+        let start = |(n, ports): (usize, &[SocketAddr])| {
+            let numbers = std::array::from_fn(|n| ports[n].port());
+            let addresses = ProcessAddresses { ip: &ip, ports: numbers, store: &address, hosts: &address };
+            let mut fields = promised_fields(&format!("entry-{n}"), &addresses);
+            fields["platform"]["record_bytes"] = json!(RECORD);
+            fields["platform"]["call_bytes"] = json!(APPEND);
+            let path = folder.join(format!("entry-{n}.json"));
+            std::fs::write(&path, fill(DEPLOYED, &fields).expect("every gap is filled")).expect("a file");
+            let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
+            command.arg("jobs").arg(&path);
+            (ports[0], Program::start_logged(command, &path.with_extension("log")))
+        };
+        let entries = ports.chunks(5).enumerate().map(start).collect();
+        Site { store, ledger, _worker: worker, entries, folder }
+    }
+
+    async fn submit(&self, at: usize, job: &str, tasks: u32) {
+        let until = Instant::now() + WITHIN;
+        while submit_job(self.entries[at].0, job, tasks).await != Submission::Accepted {
+            assert!(Instant::now() < until, "{job} is not accepted");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    async fn until_state(&self, at: usize, job: &str, wanted: &str) {
+        let until = Instant::now() + WITHIN;
+        while request_state(self.entries[at].0, job).await != JobReply::State(wanted.to_string()) {
+            assert!(Instant::now() < until, "{job} is not {wanted}");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Waits until the state of the large job is stored in parts, or no longer is.
+    async fn until_in_parts(&self, wanted: bool) {
+        let until = Instant::now() + WITHIN;
+        while self.store.newest(StoredTopic::State, FIRST_PART).is_some() != wanted {
+            assert!(Instant::now() < until, "in parts: {}", !wanted);
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// The entry that holds the lease.
+    fn holder(&self) -> usize {
+        let lease = self.store.newest(StoredTopic::Lease, "holder").expect("a lease");
+        usize::from(!lease.contains("entry-0"))
+    }
+}
+
+/// LOST: a state outgrows the largest record, and no job is stored or begins any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_jobs_go_on() {
+    let mut site = Site::new().await;
+    site.submit(0, LARGE, TASKS).await;
+    site.until_in_parts(true).await;
+    let (holder, other) = (site.holder(), 1 - site.holder());
+    site.submit(holder, SMALL, 1).await;
+    site.until_state(holder, SMALL, "running").await;
+    site.until_in_parts(true).await;
+    site.entries[holder].1.signal("-KILL");
+    site.entries[holder].1.wait();
+    for job in [SMALL, LARGE] {
+        site.until_state(other, job, "completed").await;
+    }
+    site.until_in_parts(false).await;
+    assert_eq!(site.ledger.violations(), Vec::<String>::new());
+    let _ = std::fs::remove_dir_all(&site.folder);
+}
