--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -334,19 +334,19 @@
 
     /// Steps of a round that depend on a step and all of whose dependencies are done.
     pub fn ready_dependents(&self, step: &StepId) -> Vec<StepId> {
-        let done = self.done_steps(step.round);
-        let is_done = |n: &u16| done.get(usize::from(*n)).is_some_and(|done| *done);
-        let later = self.spec.steps.iter().enumerate().skip(usize::from(step.step) + 1);
-        let dependents = later.filter(|(_, s)| s.depends_on.contains(&step.step));
-        let ready = dependents.filter(|(_, s)| s.depends_on.iter().all(is_done));
-        ready.map(|(n, _)| StepId { step: n as u16, ..*step }).collect()
+        self.ready_steps_where(step.round, |s| s.depends_on.contains(&step.step))
     }
 
     /// Steps of a round all of whose dependencies are done.
     pub fn ready_steps(&self, round: u32) -> Vec<StepId> {
+        self.ready_steps_where(round, |_| true)
+    }
+
+    fn ready_steps_where(&self, round: u32, is_wanted: impl Fn(&StepSpec) -> bool) -> Vec<StepId> {
         let done = self.done_steps(round);
         let is_done = |n: &u16| done.get(usize::from(*n)).is_some_and(|done| *done);
-        let ready = self.spec.steps.iter().enumerate().filter(|(_, s)| s.depends_on.iter().all(is_done));
+        let wanted = self.spec.steps.iter().enumerate().filter(|(_, s)| is_wanted(s));
+        let ready = wanted.filter(|(_, s)| s.depends_on.iter().all(is_done));
         ready.map(|(n, _)| StepId { job: self.key, round, step: n as u16 }).collect()
     }
 
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -117,6 +117,7 @@
 pub mod owed_batch;
 pub mod pacing;
 pub mod placement;
+mod placement_pass;
 pub mod policy;
 mod pool_count;
 pub mod pool_moves;
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -1,15 +1,15 @@
 //! Placement: chooses the worker that a task is started on.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::fair_share::weighted_usage;
 use super::job::{Job, Phase, Run, Task, WorkerId};
 use super::outage::StoreAccess;
+use super::placement_pass::{PlacementPass, StepPlacement, StepQueue};
 use super::policy::ShareOrder;
-use super::queue_order::{QueueOrder, QueuePosition, Timeliness};
+use super::queue_order::{QueueOrder, QueuePosition};
 use super::restart_deadline::Safeguard;
 use super::scheduler::Scheduler;
 use super::spec::{Resources, StepId, StepSpec, TaskId};
@@ -586,70 +586,6 @@
     takes_any: bool,
 }
 
-/// One look at the waiting tasks of a service.
-#[derive(Default)]
-struct PlacementPass {
-    /// Steps that found no worker; see `PlacementPolicy::max_misses`.
-    misses: usize,
-    /// Steps that were not tried.
-    skipped: usize,
-    /// What steps asked for that found no worker. Room becomes only less while the pass goes on.
-    unmet: BTreeSet<StepDemand>,
-    /// Owners that have reached their limit.
-    owners_over_limit: BTreeSet<Owner>,
-    /// Long-running steps that were tried.
-    long_running: BTreeSet<StepId>,
-    /// Whether all steps were tried.
-    reached_end: bool,
-}
-
-/// Outcome of placing the tasks of a step.
-enum StepPlacement {
-    /// All tasks were placed, or need no placement any more.
-    Done,
-    /// A task found no worker.
-    NoWorker {
-        /// Whether no task that asks for the same would have found one.
-        for_any_task: bool,
-    },
-    /// The workspace has reached its limit.
-    OverLimit,
-}
-
-/// The next step of each owner, in the order of placement.
-struct StepQueue {
-    order: QueueOrder,
-    heap: BinaryHeap<Reverse<QueuedStep>>,
-}
-
-/// A step to place. The fields before `position` order steps of different owners.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct QueuedStep {
-    priority: u32,
-    timeliness: Timeliness,
-    over_rate: bool,
-    owner_usage: u64,
-    sort_key: u64,
-    position: QueuePosition,
-}
-
-impl StepQueue {
-    fn new(order: QueueOrder) -> StepQueue {
-        StepQueue { order, heap: BinaryHeap::new() }
-    }
-
-    fn push(&mut self, position: QueuePosition, owner_usage: u64) {
-        let QueuePosition { priority, timeliness, over_rate, .. } = position;
-        let sort_key = position.sort_key(self.order);
-        let step = QueuedStep { priority, timeliness, over_rate, owner_usage, sort_key, position };
-        self.heap.push(Reverse(step));
-    }
-
-    fn next(&mut self) -> Option<QueuePosition> {
-        self.heap.pop().map(|Reverse(step)| step.position)
-    }
-}
-
 /// Number of tasks of the same step and round on a worker.
 pub(super) fn count_same_step(w: &Worker, id: &TaskId) -> usize {
     w.runs.keys().filter(|(t, _)| is_same_step(t, id)).count()
--- a/crates/workswood-core/src/jobs/task_queue.rs
+++ b/crates/workswood-core/src/jobs/task_queue.rs
@@ -158,11 +158,6 @@
         !self.set_aside.is_empty()
     }
 
-    /// Number of steps that are set aside.
-    pub fn set_aside_steps(&self) -> usize {
-        self.set_aside.values().map(BTreeSet::len).sum()
-    }
-
     /// Whether a step is set aside.
     pub fn is_set_aside(&self, step: &StepId) -> bool {
         self.steps.get(step).is_some_and(|s| s.set_aside.is_some())
--- a/crates/workswood-http/src/client.rs
+++ b/crates/workswood-http/src/client.rs
@@ -91,8 +91,12 @@
 
     /// What is known of the change that the call asks for, over all requests that were sent.
     pub fn outcome(&self) -> CopyOutcome {
-        let own = if self.status.is_success() { CopyOutcome::Done } else { CopyOutcome::NotDone };
-        own.with(self.other_copy)
+        self.own_outcome().with(self.other_copy)
+    }
+
+    /// What the response tells about its own request alone.
+    fn own_outcome(&self) -> CopyOutcome {
+        if self.status.is_success() { CopyOutcome::Done } else { CopyOutcome::NotDone }
     }
 }
 
@@ -400,8 +404,8 @@
 /// What the answer to a request tells about it alone.
 fn outcome(res: &Result<Response, CallError>) -> CopyOutcome {
     match res {
-        Ok(res) if res.status.is_success() => CopyOutcome::Done,
-        Ok(_) | Err(CallError::NotSent(_)) => CopyOutcome::NotDone,
+        Ok(res) => res.own_outcome(),
+        Err(CallError::NotSent(_)) => CopyOutcome::NotDone,
         Err(CallError::NoAnswer(_)) => CopyOutcome::Unknown,
     }
 }
