Hand-ins: what another entry may have stored isn't refused by the store either

Where a number is another owner's too and another entry has a hand-in of the caller's own job of unknown outcome, the job is stored again; if the store refuses that, the answer is 504 now, not 503.

--- a/crates/workswood-test-support/src/job_world/entries.rs
+++ b/crates/workswood-test-support/src/job_world/entries.rs
@@ -71,6 +71,8 @@
     tries_left: u32,
     /// Whether the caller is there to hear the answer.
     is_heard: bool,
+    /// What is known of earlier hand-ins of the job.
+    earlier: CopyOutcome,
     stage: Stage,
 }
 
@@ -133,7 +135,8 @@
             let again = at + STEP + self.draw_ms(RETRY_MS);
             self.begin(key, spec.clone(), again, tries_left - 1);
         }
-        self.hand_ins.push(HandIn { key, spec, entry, tries_left, is_heard, stage: Stage::Waiting(at) });
+        let (earlier, stage) = (CopyOutcome::NotDone, Stage::Waiting(at));
+        self.hand_ins.push(HandIn { key, spec, entry, tries_left, is_heard, earlier, stage });
     }
 
     /// Gives the record of a hand-in to the store.
@@ -240,7 +243,10 @@
                 let at_entries = others.map(|(_, known)| known.outcome(job, owner)).max().unwrap_or_default();
                 match earlier {
                     CopyOutcome::Done => return Some(self.answer(entries, hand_in, NumberUse::Accepted)),
-                    CopyOutcome::Unknown => entries.give_to_store(hand_in, now),
+                    CopyOutcome::Unknown => {
+                        hand_in.earlier = earlier;
+                        entries.give_to_store(hand_in, now);
+                    }
                     CopyOutcome::NotDone => hand_in.stage = Stage::Check(now, at_entries),
                 }
                 None
@@ -255,7 +261,8 @@
                     return None;
                 }
                 match NumberUse::of_taken(at_entries, own) {
-                    NumberUse::Free => {
+                    NumberUse::PerhapsOwn => {
+                        hand_in.earlier = CopyOutcome::Unknown;
                         entries.give_to_store(hand_in, now);
                         None
                     }
@@ -272,7 +279,9 @@
         let (outcome, told) = match number_use {
             NumberUse::Accepted => (CopyOutcome::Done, Told::Accepted),
             NumberUse::Taken => (CopyOutcome::NotDone, Told::NumberTaken),
-            NumberUse::Unclear | NumberUse::Free => (CopyOutcome::NotDone, Told::Unknown),
+            NumberUse::Unclear | NumberUse::Free | NumberUse::PerhapsOwn => {
+                (CopyOutcome::NotDone, Told::Unknown)
+            }
         };
         match settle(entries, hand_in, outcome) {
             CopyOutcome::NotDone => told,
@@ -295,7 +304,7 @@
             }
             StoreFate::Lost => CopyOutcome::Unknown,
         };
-        match settle(entries, hand_in, outcome) {
+        match settle(entries, hand_in, outcome).with(hand_in.earlier) {
             CopyOutcome::NotDone if self.own_job(hand_in.key, Duration::ZERO) == OwnJob::Known => {
                 Told::Accepted
             }
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -62,7 +62,7 @@
     job: JobKey,
     owner: Owner,
     spec: JobSpec,
-    /// What is known of earlier hand-ins of the job here.
+    /// What is known of earlier hand-ins of the job.
     earlier: CopyOutcome,
     /// When it came.
     arrived: Duration,
@@ -101,6 +101,10 @@
         let (job, owner) = (self.job, self.owner);
         match number_check::use_of_number(self.node, self.cfg, job, owner, self.earlier, self.timeout).await {
             NumberUse::Free => {}
+            NumberUse::PerhapsOwn => {
+                self.earlier = self.earlier.with(CopyOutcome::Unknown);
+                return None;
+            }
             NumberUse::Accepted => {
                 self.log_settled(Stored::Yes, "earlier");
                 return Some(HandIn::Settled(Stored::Yes));
@@ -114,10 +118,6 @@
                 return Some(HandIn::NumberTaken);
             }
         }
-        // A job that may be stored already is not refused for want of room.
-        if self.earlier != CopyOutcome::NotDone {
-            return None;
-        }
         let retry_after = self.weigh().await?;
         Some(HandIn::NoRoom { retry_after })
     }
@@ -155,7 +155,7 @@
         under_way.note_sent();
         let stored = self.node.inbox_writer.store_holding(rec, timeout, held).await;
         self.node.metrics.submission_seconds.observe(self.took().as_secs_f64());
-        let mut known = Stored::from(under_way.settle(stored.into()));
+        let mut known = Stored::from(under_way.settle(stored.into()).with(self.earlier));
         // Another entry may have stored the job before.
         if known == Stored::No && number_check::is_known(self.node, self.job, self.owner).await {
             known = Stored::Yes;
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -92,7 +92,7 @@
     let arrived = node.now();
     match earlier {
         CopyOutcome::Done => return NumberUse::Accepted,
-        CopyOutcome::Unknown => return NumberUse::Free,
+        CopyOutcome::Unknown => return NumberUse::PerhapsOwn,
         CopyOutcome::NotDone => {}
     }
     // Without workspaces there is one owner only.
--- a/src/workswood/ops/jobs/submitted_numbers.rs
+++ b/src/workswood/ops/jobs/submitted_numbers.rs
@@ -116,8 +116,10 @@
 /// What a number is to the owner who hands a job in under it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NumberUse {
-    /// The job is to be stored: no other owner's job is known, or the caller's own may be stored already.
+    /// The job is to be stored: no other owner's job is known.
     Free,
+    /// The job is to be stored, and is not to be refused: an earlier hand-in of it may be stored.
+    PerhapsOwn,
     /// The caller's own job was accepted before.
     Accepted,
     /// Another owner's job has the number, and the caller's own was never stored.
@@ -132,7 +134,7 @@
     pub fn of_taken(at_entries: CopyOutcome, at_holder: OwnJob) -> NumberUse {
         match (at_entries, at_holder) {
             (CopyOutcome::Done, _) | (_, OwnJob::Known) => NumberUse::Accepted,
-            (CopyOutcome::Unknown, _) => NumberUse::Free,
+            (CopyOutcome::Unknown, _) => NumberUse::PerhapsOwn,
             (CopyOutcome::NotDone, OwnJob::NotStored) => NumberUse::Taken,
             (CopyOutcome::NotDone, OwnJob::Unclear) => NumberUse::Unclear,
         }
