Hand-ins: Retry-After follows from the store's silence after the hand-in, as before; parts are logged when their number changes

The time to come back was worked out before the record was given to the store since, so that it didn't count the silence that the hand-in itself had met. Found by reading the diff.

--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -204,9 +204,8 @@
         }
     };
     drop(body);
-    let retry_after = retry_after_store(node, job);
     match hand_in::hand_in(node, cfg, job, spec, timeout, held).await {
-        HandIn::Settled(stored) => stored.into_response(retry_after),
+        HandIn::Settled(stored) => stored.into_response(retry_after_store(node, job)),
         HandIn::NumberTaken => {
             let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
             refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after))
--- a/src/workswood/ops/jobs/state_parts.rs
+++ b/src/workswood/ops/jobs/state_parts.rs
@@ -51,7 +51,9 @@
         let parts: Vec<Bytes> =
             starts.map(|start| value.slice(start..value.len().min(start + max_bytes))).collect();
         let header = PartsHeader { count: parts.len(), checksum: xxh3_64(&value) };
-        log::info!("event=state_in_parts key={} bytes={} parts={}", stored.key, value.len(), parts.len());
+        if self.0.get(&stored.key) != Some(&parts.len()) {
+            log::info!("event=state_in_parts key={} bytes={} parts={}", stored.key, value.len(), parts.len());
+        }
         let stored = KeyedRecord { value: Some(job_state::encode_header(state, header).into()), ..stored };
         self.with_deletions(stored, parts)
     }
