Tidying: one piece of code where the change had two, and the store's framing known in the adapter alone

- The conversions between HandInOutcome and CopyOutcome stood in peer_requests, job_queries and number_check; they are outcome_to_wire and outcome_from_wire now.
- NumberUse::of_earlier is what an entry and the simulated entries follow; the world had written it again.
- SubmittedNumbers::begin returns what was known before, so that it is looked up once.
- The size of a record in an append is told by the adapter, which encodes it (size_in_append); StoreLimits has names of ours for the platform's two.
- A state without parts is stored without a look for parts, and without a copy of its key.
- Tests: WorkerRuns serves many_steps and shared_numbers, Program::wait_within the two waits for an end, start_with both tests of the template; the two benches of the scheduler share their job.

--- a/crates/workswood-test-support/src/host_world.rs
+++ b/crates/workswood-test-support/src/host_world.rs
@@ -10,8 +10,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, Event, Host, HostState, Limits, Listing, Record, ReportedRun, RunTracker, Scheduler,
-    ServiceConfig, StartReply, TaskId, Wave, WorkerInfo, WorkerUpdate,
+    Action, EndKind, Event, Host, HostState, Limits, Listing, Record, ReportedEnd, ReportedRun, RunTracker,
+    Scheduler, ServiceConfig, StartReply, TaskId, Wave, WorkerInfo, WorkerUpdate,
 };
 
 use crate::job_world::{SERVICE, config};
@@ -99,6 +99,48 @@
     })
 }
 
+/// The runs of the first worker of a [`HostWorld`], which end when the test says so.
+#[derive(Clone, Debug, Default)]
+pub struct WorkerRuns {
+    running: Vec<Action>,
+    ended: u64,
+}
+
+impl WorkerRuns {
+    /// Takes the starts among these actions; returns the task and the attempt of each.
+    pub fn start(&mut self, world: &mut HostWorld, actions: Vec<Action>) -> Vec<(TaskId, u32)> {
+        let mut started = Vec::new();
+        for action in actions {
+            let Action::Start { worker, task, attempt, .. } = &action else { continue };
+            world.taken(worker, *task, *attempt);
+            started.push((*task, *attempt));
+            self.running.push(action);
+        }
+        started
+    }
+
+    /// The run that was started first.
+    pub fn first(&self) -> Option<(TaskId, u32)> {
+        self.running.iter().find_map(listed).map(|run| (run.task, run.attempt))
+    }
+
+    /// Has the worker tell that a run is done, which it may tell again later.
+    pub fn complete(&mut self, world: &mut HostWorld, task: TaskId, attempt: u32) {
+        self.running
+            .retain(|start| listed(start).is_none_or(|run| (run.task, run.attempt) != (task, attempt)));
+        self.ended += 1;
+        let (sequence_number, kind) = (self.ended, EndKind::Done);
+        let end = ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() };
+        self.report(world, vec![end]);
+    }
+
+    /// Has the worker answer a poll.
+    pub fn report(&self, world: &mut HostWorld, ended: Vec<ReportedEnd>) {
+        let running = self.running.iter().filter_map(listed).collect();
+        world.answers(&worker(0, 0).id, Listing { running, ended, ..Listing::default() });
+    }
+}
+
 impl HostWorld {
     /// Creates a scheduler with this many workers, each idle in its first life.
     pub fn new(workers: usize) -> HostWorld {
--- a/crates/workswood-test-support/src/job_world/entries.rs
+++ b/crates/workswood-test-support/src/job_world/entries.rs
@@ -237,57 +237,45 @@
         match hand_in.stage {
             Stage::Waiting(begins) if begins > now => None,
             Stage::Waiting(_) => {
-                let earlier = entries.numbers[at].outcome(job, owner);
-                entries.numbers[at].begin(job, owner, now);
+                let earlier = entries.numbers[at].begin(job, owner, now);
                 let others = entries.numbers.iter().enumerate().filter(|(n, _)| *n != at);
                 let at_entries = others.map(|(_, known)| known.outcome(job, owner)).max().unwrap_or_default();
-                match earlier {
-                    CopyOutcome::Done => return Some(self.answer(entries, hand_in, NumberUse::Accepted)),
-                    CopyOutcome::Unknown => {
-                        hand_in.earlier = earlier;
-                        entries.give_to_store(hand_in, now);
-                    }
-                    CopyOutcome::NotDone => hand_in.stage = Stage::Check(now, at_entries),
-                }
-                None
+                let Some(number_use) = NumberUse::of_earlier(earlier) else {
+                    hand_in.stage = Stage::Check(now, at_entries);
+                    return None;
+                };
+                self.follow(entries, hand_in, number_use)
             }
             Stage::Check(since, at_entries) => {
                 if !entries.numbers[at].is_other_owners(job, owner) && !self.is_number_known(job) {
-                    entries.give_to_store(hand_in, now);
-                    return None;
+                    return self.follow(entries, hand_in, NumberUse::Free);
                 }
                 let own = self.own_job(hand_in.key, now - since);
                 if own == OwnJob::Unclear && now < since + CHECK_TIMEOUT {
                     return None;
                 }
-                match NumberUse::of_taken(at_entries, own) {
-                    NumberUse::PerhapsOwn => {
-                        hand_in.earlier = CopyOutcome::Unknown;
-                        entries.give_to_store(hand_in, now);
-                        None
-                    }
-                    number_use => Some(self.answer(entries, hand_in, number_use)),
-                }
+                self.follow(entries, hand_in, NumberUse::of_taken(at_entries, own))
             }
             Stage::Store(answered, _) if answered > now => None,
             Stage::Store(_, fate) => Some(self.answer_of_store(entries, hand_in, fate)),
         }
     }
 
-    /// The answer to a hand-in that isn't stored, by the use of its number.
-    fn answer(&self, entries: &mut Entries, hand_in: &HandIn, number_use: NumberUse) -> Told {
+    /// Does what follows from the use of a number; returns what the caller is told if nothing is to be stored.
+    fn follow(&self, entries: &mut Entries, hand_in: &mut HandIn, number_use: NumberUse) -> Option<Told> {
         let (outcome, told) = match number_use {
+            NumberUse::Free | NumberUse::PerhapsOwn => {
+                if number_use == NumberUse::PerhapsOwn {
+                    hand_in.earlier = CopyOutcome::Unknown;
+                }
+                entries.give_to_store(hand_in, self.now);
+                return None;
+            }
             NumberUse::Accepted => (CopyOutcome::Done, Told::Accepted),
             NumberUse::Taken => (CopyOutcome::NotDone, Told::NumberTaken),
-            NumberUse::Unclear | NumberUse::Free | NumberUse::PerhapsOwn => {
-                (CopyOutcome::NotDone, Told::Unknown)
-            }
+            NumberUse::Unclear => (CopyOutcome::NotDone, Told::Unknown),
         };
-        match settle(entries, hand_in, outcome) {
-            CopyOutcome::NotDone => told,
-            CopyOutcome::Unknown => Told::Unknown,
-            CopyOutcome::Done => Told::Accepted,
-        }
+        Some(told_of(settle(entries, hand_in, outcome)).unwrap_or(told))
     }
 
     fn answer_of_store(&mut self, entries: &mut Entries, hand_in: &HandIn, fate: StoreFate) -> Told {
@@ -304,14 +292,12 @@
             }
             StoreFate::Lost => CopyOutcome::Unknown,
         };
-        match settle(entries, hand_in, outcome).with(hand_in.earlier) {
-            CopyOutcome::NotDone if self.own_job(hand_in.key, Duration::ZERO) == OwnJob::Known => {
-                Told::Accepted
-            }
-            CopyOutcome::NotDone => Told::Refused,
-            CopyOutcome::Unknown => Told::Unknown,
-            CopyOutcome::Done => Told::Accepted,
-        }
+        let known = settle(entries, hand_in, outcome).with(hand_in.earlier);
+        let refused = || match self.own_job(hand_in.key, Duration::ZERO) {
+            OwnJob::Known => Told::Accepted,
+            OwnJob::NotStored | OwnJob::Unclear => Told::Refused,
+        };
+        told_of(known).unwrap_or_else(refused)
     }
 
     /// Tells a caller, who tries again if it learned nothing.
@@ -375,6 +361,15 @@
     }
 }
 
+/// What a caller is told of a job that is stored, or may be.
+fn told_of(known: CopyOutcome) -> Option<Told> {
+    match known {
+        CopyOutcome::NotDone => None,
+        CopyOutcome::Unknown => Some(Told::Unknown),
+        CopyOutcome::Done => Some(Told::Accepted),
+    }
+}
+
 /// Settles a hand-in at its entry; returns what is known over all hand-ins of the job there.
 fn settle(entries: &mut Entries, hand_in: &HandIn, outcome: CopyOutcome) -> CopyOutcome {
     let (job, owner) = (number_of(hand_in.key), hand_in.spec.owner());
--- a/crates/workswood-test-support/src/program.rs
+++ b/crates/workswood-test-support/src/program.rs
@@ -4,6 +4,10 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// Time between two looks whether a process has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A child process; it is killed when dropped.
 pub struct Program {
@@ -47,6 +51,18 @@
         assert!(sent.success());
     }
 
+    /// Waits until the process has ended; `None` if it has not within this time.
+    pub fn wait_within(&mut self, time: Duration) -> Option<ExitStatus> {
+        let until = Instant::now() + time;
+        while self.is_running() {
+            if Instant::now() >= until {
+                return None;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Some(self.wait())
+    }
+
     /// Waits until the process has ended.
     pub fn wait(&mut self) -> ExitStatus {
         self.child.wait().expect("the process ends")
--- a/src/workswood/ops/bench/large_jobs.rs
+++ b/src/workswood/ops/bench/large_jobs.rs
@@ -10,7 +10,7 @@
     StartReply, StepSpec, TaskId, WorkerUpdate,
 };
 
-use super::scheduler::{QUEUE, SERVICES, config, host, limits, worker_info};
+use super::scheduler::{self, config, host, limits, worker_info};
 use crate::ops::jobs::job_state;
 
 /// Completions that are played for each kind of job.
@@ -73,17 +73,7 @@
 }
 
 fn job(steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec {
-        queue: QUEUE.to_string(),
-        service: SERVICES[0].to_string(),
-        workspace: None,
-        priority: 0,
-        max_attempts: 3,
-        task_input: "".into(),
-        steps,
-        repeat: None,
-        accepted_at: 0,
-    }
+    scheduler::job(steps, 0)
 }
 
 /// A job of the most steps, each of which depends on so many before it.
--- a/src/workswood/ops/bench/scheduler.rs
+++ b/src/workswood/ops/bench/scheduler.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use workswood_core::ids::{HostId, ServiceId};
+use workswood_core::ids::{HostId, ServiceId, UnixMs};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
     Action, Event, Host, HostReply, HostState, JobSpec, Limits, QueueConfig, Report, SchedConfig, Scheduler,
@@ -17,9 +17,9 @@
 /// Pool whose hosts are switched off.
 const SPARE_POOL: &str = "off";
 /// Services whose hosts are switched on.
-pub(super) const SERVICES: [&str; 3] = ["a", "b", "c"];
+const SERVICES: [&str; 3] = ["a", "b", "c"];
 /// Queue of all jobs.
-pub(super) const QUEUE: &str = "queue";
+const QUEUE: &str = "queue";
 /// Time between two rounds.
 const TICK_INTERVAL: Duration = Duration::from_millis(160);
 /// Rounds without jobs before the demand shift.
@@ -95,17 +95,7 @@
             ..StepSpec::default()
         };
         for key in 1..=(hosts as u64 / 4) {
-            let spec = JobSpec {
-                queue: QUEUE.to_string(),
-                service: SERVICES[0].to_string(),
-                workspace: None,
-                priority: 0,
-                max_attempts: 3,
-                task_input: "".into(),
-                steps: vec![step.clone()],
-                repeat: None,
-                accepted_at: self.scheduler.wall,
-            };
+            let spec = job(vec![step.clone()], self.scheduler.wall);
             self.scheduler.handle(Event::Submitted(key, Arc::new(spec)));
         }
     }
@@ -140,6 +130,21 @@
     }
 }
 
+/// A job of the first service, accepted at this time in milliseconds.
+pub(super) fn job(steps: Vec<StepSpec>, accepted_at: UnixMs) -> JobSpec {
+    JobSpec {
+        queue: QUEUE.to_string(),
+        service: SERVICES[0].to_string(),
+        workspace: None,
+        priority: 0,
+        max_attempts: 3,
+        task_input: "".into(),
+        steps,
+        repeat: None,
+        accepted_at,
+    }
+}
+
 pub(super) fn limits() -> Limits {
     Limits {
         lease: Duration::from_secs(5),
--- a/src/workswood/ops/jobs/append_calls.rs
+++ b/src/workswood/ops/jobs/append_calls.rs
@@ -1,19 +1,12 @@
 //! Distributes the records of a batch among appends that the store accepts.
 
+use workswood_adapter::size_in_append;
 use workswood_core::jobs::{JobKey, Record};
 use workswood_platform::jobs::KeyedRecord;
 
 use super::state_parts::StateParts;
 use crate::util::job_settings::StoreSizes;
 
-/// Bytes of a record beside its key and value: their lengths.
-const FRAMING_BYTES: usize = 5;
-
-/// Size of a record in an append, in bytes.
-pub fn size_in_append(rec: &KeyedRecord) -> usize {
-    FRAMING_BYTES + rec.key.len() + rec.value.as_ref().map_or(0, |value| value.len())
-}
-
 /// What must be stored by one append: the jobs of one number, or everything that isn't about jobs.
 fn number_of(rec: &Record) -> Option<JobKey> {
     match rec {
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -80,8 +80,7 @@
     held: HeldBytes,
 ) -> HandIn {
     let (owner, arrived) = (spec.owner(), node.now());
-    let earlier = node.numbers.outcome(job, owner);
-    let under_way = node.numbers.begin(job, owner, arrived);
+    let (earlier, under_way) = node.numbers.begin(job, owner, arrived);
     let mut submission = Submission { node, cfg, job, owner, spec, earlier, arrived, timeout };
     let outcome = match submission.answer_without_store().await {
         None => HandIn::Settled(submission.store(under_way, held).await),
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -25,13 +25,13 @@
 use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinSet;
+use workswood_adapter::size_in_append;
 use workswood_callers::HeldBytes;
 use workswood_core::jobs::{JobKey, Owner};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Partition, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::append_calls::size_in_append;
 use super::node::Node;
 use super::peer_requests;
 use super::record::{InboxKey, InboxRecordKind};
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -5,13 +5,12 @@
 use std::time::Duration;
 
 use workswood_core::jobs::{JobKey, JobStatus, Outcome, Owner};
-use workswood_peers::{
-    HandInOutcome, JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest,
-};
+use workswood_peers::{JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest};
 use workswood_platform::jobs::CopyOutcome;
 
 use super::bridges;
 use super::node::{Holder, Node, SchedulerHandle};
+use super::peer_requests::outcome_to_wire;
 
 /// Longest wait for the holder's reply: a few round trips on a busy network.
 const HOLDER_TIMEOUT: Duration = Duration::from_millis(700);
@@ -160,8 +159,8 @@
 /// Answers another process's request for the state of a job.
 pub fn answer_job_state_request(node: &Node, request: &JobStateRequest) -> JobStateReply {
     let requester = request.owner.map(Owner::from_number);
-    let handed_in = requester.and_then(|owner| hand_ins_to_wire(node.numbers.outcome(request.job, owner)));
-    let handed_in = handed_in.map(|outcome| outcome as i32);
+    let known = requester.map(|owner| node.numbers.outcome(request.job, owner));
+    let handed_in = known.filter(|known| *known != CopyOutcome::NotDone).map(|o| outcome_to_wire(o) as i32);
     let Some(handle) = node.scheduler.load_full() else {
         return JobStateReply { handed_in, ..JobStateReply::default() };
     };
@@ -175,15 +174,6 @@
     JobStateReply { authoritative, state, inbox_age_ms, handed_in }
 }
 
-/// What is known of hand-ins here; `None` if there were none, or all were refused.
-fn hand_ins_to_wire(outcome: CopyOutcome) -> Option<HandInOutcome> {
-    match outcome {
-        CopyOutcome::NotDone => None,
-        CopyOutcome::Unknown => Some(HandInOutcome::Unknown),
-        CopyOutcome::Done => Some(HandInOutcome::Stored),
-    }
-}
-
 /// Answers another process's request for the number of jobs of a queue that have not started, without jobs
 /// that repeat on a schedule.
 pub fn answer_pending_jobs_request(node: &Node, request: &PendingJobsRequest) -> PendingJobsReply {
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -11,12 +11,13 @@
 use futures::future::join_all;
 use parking_lot::Mutex;
 use workswood_core::jobs::{JobKey, Owner, SchedConfig};
-use workswood_peers::{HandInOutcome, JobStateReply, JobStateRequest, Msg};
+use workswood_peers::{JobStateReply, JobStateRequest, Msg};
 use workswood_platform::jobs::CopyOutcome;
 
 use super::admission_control::HolderPause;
 use super::job_queries;
 use super::node::Node;
+use super::peer_requests::outcome_from_wire;
 use super::submitted_numbers::{NumberUse, OwnJob, SubmittedNumbers};
 
 /// Timeout of a question to the holder or to a peer.
@@ -42,10 +43,10 @@
         self.submitted.lock().outcome(job, owner)
     }
 
-    /// Notes a hand-in that may store the job from now on.
-    pub fn begin(&self, job: JobKey, owner: Owner, now: Duration) -> HandInUnderWay<'_> {
-        self.submitted.lock().begin(job, owner, now);
-        HandInUnderWay { numbers: self, job, owner, at_drop: Some(CopyOutcome::NotDone) }
+    /// Notes a hand-in that may store the job from now on; returns what was known of the job before, too.
+    pub fn begin(&self, job: JobKey, owner: Owner, now: Duration) -> (CopyOutcome, HandInUnderWay<'_>) {
+        let earlier = self.submitted.lock().begin(job, owner, now);
+        (earlier, HandInUnderWay { numbers: self, job, owner, at_drop: Some(CopyOutcome::NotDone) })
     }
 }
 
@@ -90,10 +91,8 @@
     timeout: Duration,
 ) -> NumberUse {
     let arrived = node.now();
-    match earlier {
-        CopyOutcome::Done => return NumberUse::Accepted,
-        CopyOutcome::Unknown => return NumberUse::PerhapsOwn,
-        CopyOutcome::NotDone => {}
+    if let Some(number_use) = NumberUse::of_earlier(earlier) {
+        return number_use;
     }
     // Without workspaces there is one owner only.
     if cfg.workspaces.by_owner.is_empty() {
@@ -184,7 +183,7 @@
     let ask = |address: String| async move {
         let msg = Msg::JobStateRequest(JobStateRequest { job, owner: Some(owner.number()) });
         match node.peers.call(&node.id, &address, msg, QUESTION_TIMEOUT).await {
-            Ok(Msg::JobStateReply(reply)) => outcome_from_wire(&reply),
+            Ok(Msg::JobStateReply(reply)) => reply.handed_in.and_then(outcome_from_wire).unwrap_or_default(),
             reply => {
                 log::info!("event=peer_not_asked job={job:016x} peer={address} answered={}", reply.is_ok());
                 CopyOutcome::NotDone
@@ -194,12 +193,3 @@
     let outcomes = join_all(addresses.into_iter().map(ask)).await;
     outcomes.into_iter().fold(CopyOutcome::NotDone, CopyOutcome::with)
 }
-
-/// What the sender of a reply knows of hand-ins to it.
-fn outcome_from_wire(reply: &JobStateReply) -> CopyOutcome {
-    match reply.handed_in.and_then(|outcome| HandInOutcome::try_from(outcome).ok()) {
-        Some(HandInOutcome::Stored) => CopyOutcome::Done,
-        Some(HandInOutcome::Unknown) => CopyOutcome::Unknown,
-        Some(HandInOutcome::NotStored) | None => CopyOutcome::NotDone,
-    }
-}
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -71,21 +71,30 @@
     };
     let stored = join_all(request.records.into_iter().map(store)).await;
     log::info!("event=helped_hand_in records={} stored={}", stored.len(), count_stored(&stored));
-    InboxAppendReply { outcomes: stored.into_iter().map(|s| outcome_to_wire(s) as i32).collect() }
+    InboxAppendReply { outcomes: stored.into_iter().map(|s| outcome_to_wire(s.into()) as i32).collect() }
 }
 
 fn count_stored(stored: &[Stored]) -> usize {
     stored.iter().filter(|s| **s == Stored::Yes).count()
 }
 
-fn outcome_to_wire(stored: Stored) -> HandInOutcome {
-    match stored {
-        Stored::Yes => HandInOutcome::Stored,
-        Stored::No => HandInOutcome::NotStored,
-        Stored::Unknown => HandInOutcome::Unknown,
+pub(super) fn outcome_to_wire(outcome: CopyOutcome) -> HandInOutcome {
+    match outcome {
+        CopyOutcome::Done => HandInOutcome::Stored,
+        CopyOutcome::NotDone => HandInOutcome::NotStored,
+        CopyOutcome::Unknown => HandInOutcome::Unknown,
     }
 }
 
+/// The outcome that a peer tells; `None` for one that this version does not know.
+pub(super) fn outcome_from_wire(outcome: i32) -> Option<CopyOutcome> {
+    HandInOutcome::try_from(outcome).ok().map(|outcome| match outcome {
+        HandInOutcome::Stored => CopyOutcome::Done,
+        HandInOutcome::NotStored => CopyOutcome::NotDone,
+        HandInOutcome::Unknown => CopyOutcome::Unknown,
+    })
+}
+
 /// Has peers store records; returns the outcome of each. The outcome is [`CopyOutcome::NotDone`] if no peer could
 /// be called or all of them refused the record.
 pub async fn store_through_peers(node: &Node, records: &[KeyedRecord]) -> Vec<CopyOutcome> {
@@ -116,12 +125,8 @@
         Ok(_) | Err(CallError::NoAnswer) => Vec::new(),
     };
     for (n, outcome) in outcomes.iter_mut().enumerate() {
-        let replied = replied.get(n).and_then(|o| HandInOutcome::try_from(*o).ok());
-        *outcome = outcome.with(match replied {
-            Some(HandInOutcome::Stored) => CopyOutcome::Done,
-            Some(HandInOutcome::NotStored) => CopyOutcome::NotDone,
-            Some(HandInOutcome::Unknown) | None => CopyOutcome::Unknown,
-        });
+        let replied = replied.get(n).and_then(|o| outcome_from_wire(*o));
+        *outcome = outcome.with(replied.unwrap_or(CopyOutcome::Unknown));
     }
 }
 
--- a/src/workswood/ops/jobs/state_parts.rs
+++ b/src/workswood/ops/jobs/state_parts.rs
@@ -60,6 +60,9 @@
 
     /// The record under a state's own key, its parts, and deletions of the parts that the store may hold beyond them.
     fn with_deletions(&mut self, stored: KeyedRecord, parts: Vec<Bytes>) -> Vec<KeyedRecord> {
+        if parts.is_empty() && !self.0.contains_key(&stored.key) {
+            return vec![stored];
+        }
         let (key, count) = (stored.key.clone(), parts.len());
         let known = if count > 0 { self.0.insert(key.clone(), count) } else { self.0.remove(&key) };
         let part = |(n, value)| KeyedRecord { key: part_key(&key, n), value: Some(value) };
--- a/src/workswood/ops/jobs/submitted_numbers.rs
+++ b/src/workswood/ops/jobs/submitted_numbers.rs
@@ -42,8 +42,9 @@
 }
 
 impl SubmittedNumbers {
-    /// Notes a hand-in that may store the job from now on.
-    pub fn begin(&mut self, job: JobKey, owner: Owner, now: Duration) {
+    /// Notes a hand-in that may store the job from now on; returns what was known of the job before.
+    pub fn begin(&mut self, job: JobKey, owner: Owner, now: Duration) -> CopyOutcome {
+        let earlier = self.outcome(job, owner);
         self.forget_old(now);
         let order = &mut self.order;
         let first = || {
@@ -51,6 +52,7 @@
             HandIns { under_way: 0, outcome: CopyOutcome::NotDone, since: now }
         };
         self.by_job.entry((job, owner)).or_insert_with(first).under_way += 1;
+        earlier
     }
 
     /// Notes the outcome of a hand-in that was begun; returns what is known of the job over all of its hand-ins.
@@ -129,6 +131,15 @@
 }
 
 impl NumberUse {
+    /// What follows from earlier hand-ins of the caller's own job to the same entry; `None` if nothing does.
+    pub fn of_earlier(earlier: CopyOutcome) -> Option<NumberUse> {
+        match earlier {
+            CopyOutcome::Done => Some(NumberUse::Accepted),
+            CopyOutcome::Unknown => Some(NumberUse::PerhapsOwn),
+            CopyOutcome::NotDone => None,
+        }
+    }
+
     /// What a number that another owner's job has is to the caller, by what the entries and the lease holder know of the
     /// caller's own job.
     pub fn of_taken(at_entries: CopyOutcome, at_holder: OwnJob) -> NumberUse {
--- a/src/workswood/util/job_settings.rs
+++ b/src/workswood/util/job_settings.rs
@@ -282,8 +282,8 @@
     pub fn store_sizes(&self) -> StoreSizes {
         let limits = &self.store_limits;
         StoreSizes {
-            record: limits.record_bytes.unwrap_or(MAX_RECORD_BYTES),
-            append: limits.call_bytes.unwrap_or(MAX_APPEND_BYTES),
+            record: limits.max_record.unwrap_or(MAX_RECORD_BYTES),
+            append: limits.max_append.unwrap_or(MAX_APPEND_BYTES),
         }
     }
 
--- a/tests/testsuite/many_steps.rs
+++ b/tests/testsuite/many_steps.rs
@@ -6,8 +6,8 @@
 
 use workswood_core::jobs::queue_order::{critical_path, critical_path_from, round_work};
 use workswood_core::jobs::spec::{MAX_STEPS, Repeat};
-use workswood_core::jobs::{Action, EndKind, Event, JobSpec, Listing, ReportedEnd, StepSpec};
-use workswood_test_support::host_world::{HostWorld, listed, worker};
+use workswood_core::jobs::{Event, JobSpec, StepSpec};
+use workswood_test_support::host_world::{HostWorld, WorkerRuns};
 use workswood_test_support::job_world::{job, small_step};
 
 /// Steps that each step of a job depends on.
@@ -27,8 +27,7 @@
 /// A scheduler that runs one job, whose tasks all end as soon as they start.
 struct Runner {
     world: HostWorld,
-    running: Vec<Action>,
-    ended: u64,
+    runs: WorkerRuns,
 }
 
 impl Runner {
@@ -36,27 +35,20 @@
         let mut world = HostWorld::new(1);
         world.at(1000);
         world.sched.handle(Event::Submitted(1, Arc::new(spec)));
-        let mut runner = Runner { world, running: Vec::new(), ended: 0 };
+        let mut runner = Runner { world, runs: WorkerRuns::default() };
         runner.start();
         runner
     }
 
     fn start(&mut self) {
-        for action in self.world.tick() {
-            let Action::Start { worker, task, attempt, .. } = &action else { continue };
-            self.world.taken(worker, *task, *attempt);
-            self.running.push(action.clone());
-        }
+        let actions = self.world.tick();
+        self.runs.start(&mut self.world, actions);
     }
 
     /// Completes the task that was started first.
     fn complete_one(&mut self) {
-        let Action::Start { task, attempt, .. } = self.running.remove(0) else { return };
-        self.ended += 1;
-        let (sequence_number, kind) = (self.ended, EndKind::Done);
-        let ended = vec![ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() }];
-        let running = self.running.iter().filter_map(listed).collect();
-        self.world.answers(&worker(0, 0).id, Listing { running, ended, ..Listing::default() });
+        let (task, attempt) = self.runs.first().expect("a task runs");
+        self.runs.complete(&mut self.world, task, attempt);
         self.start();
     }
 }
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -360,8 +360,7 @@
     play_with_starts(HISTORIES / 2, World::limited, With::Infeasible);
 }
 
-/// Jobs of two owners under one number are both done, and neither is taken for the other one. A caller who is told that
-/// its job isn't taken is told so truly, whatever became of earlier hand-ins of the job.
+/// Jobs of two owners under one number are both done, and a caller is told truly that its own was not taken.
 #[test]
 fn short_histories_with_second_owner() {
     let seen = play_all(HISTORIES, World::new, With::SecondOwner);
--- a/tests/testsuite/repeated_hand_ins.rs
+++ b/tests/testsuite/repeated_hand_ins.rs
@@ -85,10 +85,9 @@
             tokio::time::sleep(POLL).await;
         }
     }
-    // The ledger knows tasks by their number alone: the second owner's are second attempts, and there is no third one.
-    let later = stage.ledger.violations();
-    assert!(later.iter().all(|text| text.starts_with("attempt 2 of")), "{later:?}");
-    assert_eq!(later.len(), jobs.len() * TASKS);
+    let second_owners = stage.ledger.violations();
+    assert!(second_owners.iter().all(|text| text.starts_with("attempt 2 of")), "{second_owners:?}");
+    assert_eq!(second_owners.len(), jobs.len() * TASKS, "the ledger knows tasks by their number alone");
     stage.clean_up();
 }
 
--- a/tests/testsuite/review_cases.rs
+++ b/tests/testsuite/review_cases.rs
@@ -5,13 +5,12 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use workswood_test_support::program::Program;
 
 /// Each case ends by itself within this time.
 const LIMIT: Duration = Duration::from_secs(130);
-const PAUSE: Duration = Duration::from_millis(100);
 /// Exit statuses of a case that held, that was broken, and that could not run.
 const HELD: i32 = 0;
 const BROKEN: i32 = 1;
@@ -166,16 +165,11 @@
     let mut command = Command::new(folder.join("run.sh"));
     command.env("TROUBLE", if disrupted { "1" } else { "0" }).stdin(Stdio::null());
     let mut program = Program::start_logged(command, &log);
-    let until = Instant::now() + LIMIT;
-    while program.is_running() && Instant::now() < until {
-        std::thread::sleep(PAUSE);
-    }
-    let ended = !program.is_running();
-    let status = if ended { program.wait().code() } else { None };
+    let ended = program.wait_within(LIMIT);
     let output = std::fs::read_to_string(&log).expect("the output");
     let _ = std::fs::remove_file(&log);
     let record = std::fs::read_to_string(folder.join("record.txt")).unwrap_or_default();
-    if ended { reason_of(status, &output, &record) } else { Reason::Hangs }
+    ended.map_or(Reason::Hangs, |status| reason_of(status.code(), &output, &record))
 }
 
 #[test]
--- a/tests/testsuite/settings_template.rs
+++ b/tests/testsuite/settings_template.rs
@@ -1,7 +1,7 @@
 //! The deployed template of the settings, filled from what the platform gives every process.
 
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -95,12 +95,17 @@
     assert!(report.starts_with("error 300") && report.contains("`memory_mb`"), "{report}");
 }
 
+/// Starts a process with the settings of a file, which has a log beside it.
+pub(super) fn start_with(path: &Path) -> Program {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
+    command.arg("jobs").arg(path);
+    Program::start_logged(command, &path.with_extension("log"))
+}
+
 /// Starts a process with this text as its settings; returns it, and the path of the settings.
 fn start(name: &str, text: &str) -> (Program, PathBuf) {
     let path = file(name, text);
-    let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
-    command.arg("jobs").arg(&path);
-    (Program::start_logged(command, &path.with_extension("log")), path)
+    (start_with(&path), path)
 }
 
 /// Guards against settings that fill but with which no entry starts.
@@ -130,12 +135,8 @@
 /// The output of a process that ends by itself.
 fn output_of_failed(name: &str, text: &str) -> String {
     let (mut program, path) = start(name, text);
-    let until = Instant::now() + WITHIN;
-    while program.is_running() {
-        assert!(Instant::now() < until, "the process hangs");
-        std::thread::sleep(PAUSE);
-    }
-    assert!(!program.wait().success());
+    let status = program.wait_within(WITHIN).expect("the process does not hang");
+    assert!(!status.success());
     let log = path.with_extension("log");
     let output = std::fs::read_to_string(&log).expect("a log");
     let _ = (std::fs::remove_file(path), std::fs::remove_file(log));
--- a/tests/testsuite/shared_numbers.rs
+++ b/tests/testsuite/shared_numbers.rs
@@ -9,11 +9,8 @@
 use workswood::ops::jobs::record::{InboxKey, InboxRecordKind, StateKey, parse_state_key, state_record};
 use workswood_core::jobs::job::StateSlot;
 use workswood_core::jobs::restored_jobs::join_states;
-use workswood_core::jobs::{
-    Action, EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Listing, Outcome, Owner, Record,
-    ReportedEnd,
-};
-use workswood_test_support::host_world::{HostWorld, listed, worker};
+use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, JobStatus, Outcome, Owner, Record, TaskId};
+use workswood_test_support::host_world::{HostWorld, WorkerRuns};
 use workswood_test_support::job_world::{job, step};
 
 const KEY: JobKey = 1;
@@ -108,8 +105,7 @@
 /// A scheduler with one worker, what it has stored, and what callers are shown.
 struct Site {
     world: HostWorld,
-    running: Vec<Action>,
-    ended: u64,
+    runs: WorkerRuns,
     stored: BTreeMap<String, JobRecord>,
     shown: JobStatusTable,
 }
@@ -119,7 +115,7 @@
         let mut world = HostWorld::new(1);
         world.at(1000);
         let (stored, shown) = (BTreeMap::new(), JobStatusTable::default());
-        Site { world, running: Vec::new(), ended: 0, stored, shown }
+        Site { world, runs: WorkerRuns::default(), stored, shown }
     }
 
     /// The next lease holder, which reads what is stored.
@@ -129,10 +125,10 @@
             _ => panic!("{key} is no key of a job"),
         });
         let submitted = submitted.iter().map(|spec| (KEY, spec.clone()));
-        let mut next = Site { running: self.running, ended: self.ended, ..Site::new() };
+        let mut next = Site { runs: self.runs, ..Site::new() };
         next.world.sched.restore_jobs(join_states(submitted, states));
         next.stored = self.stored;
-        next.report(Vec::new());
+        next.runs.report(&mut next.world, Vec::new());
         next
     }
 
@@ -155,28 +151,14 @@
             }
         }
         batch.status_updates.into_iter().for_each(|update| self.shown.update(update));
-        let mut attempts = Vec::new();
-        for action in batch.actions {
-            let Action::Start { worker, task, attempt, .. } = &action else { continue };
-            self.world.taken(worker, *task, *attempt);
-            attempts.push(*attempt);
-            self.running.push(action);
-        }
-        attempts
+        let started = self.runs.start(&mut self.world, batch.actions);
+        started.into_iter().map(|(_, attempt)| attempt).collect()
     }
 
     /// Has the worker tell that an attempt of the first task is done.
     fn complete(&mut self, attempt: u32) {
-        self.running.retain(|a| !matches!(a, Action::Start { attempt: n, .. } if *n == attempt));
-        self.ended += 1;
-        let task = workswood_core::jobs::TaskId { job: KEY, round: 0, step: 0, index: 0 };
-        let (sequence_number, kind) = (self.ended, EndKind::Done);
-        self.report(vec![ReportedEnd { sequence_number, task, attempt, kind, checkpoint: String::new() }]);
-    }
-
-    fn report(&mut self, ended: Vec<ReportedEnd>) {
-        let running = self.running.iter().filter_map(listed).collect();
-        self.world.answers(&worker(0, 0).id, Listing { running, ended, ..Listing::default() });
+        let task = TaskId { job: KEY, round: 0, step: 0, index: 0 };
+        self.runs.complete(&mut self.world, task, attempt);
     }
 
     fn shown(&self, workspace: &str) -> Option<JobStatus> {
@@ -281,7 +263,7 @@
     assert_eq!((site.shown("a"), site.shown("b")), (COMPLETED, Some(JobStatus::Queued)));
     let later = site.world.sched.wall + 61_000;
     site.world.at(later);
-    site.report(Vec::new());
+    site.runs.report(&mut site.world, Vec::new());
     assert_eq!(site.tick(), [1]);
     assert_eq!((site.shown("a"), site.shown("b")), (None, Some(JobStatus::Running)));
     assert_eq!(site.stored.values().map(JobRecord::owner).collect::<Vec<_>>(), [Some(owner("b"))]);
--- a/tests/testsuite/state_parts.rs
+++ b/tests/testsuite/state_parts.rs
@@ -2,15 +2,15 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Command;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use workswood::ops::jobs::append_calls::{appends_of, size_in_append};
+use workswood::ops::jobs::append_calls::appends_of;
 use workswood::ops::jobs::job_state;
 use workswood::ops::jobs::state_parts::StateParts;
 use workswood::util::job_settings::StoreSizes;
+use workswood_adapter::size_in_append;
 use workswood_adapter_standin::caller::{JobReply, Submission, config, request_state, submit_job};
 use workswood_adapter_standin::settings_template::{DEPLOYED, ProcessAddresses, fill, promised_fields};
 use workswood_adapter_standin::{Ledger, StoreStandin, StoredTopic, WorkerStandin};
@@ -19,6 +19,8 @@
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::program::{Program, free_ports};
 
+use super::settings_template::start_with;
+
 /// Sizes of the platform's store.
 const SIZES: StoreSizes = StoreSizes { record: 262_144, append: 2_097_152 };
 /// Bytes of an append beside key and value of a record.
@@ -173,9 +175,7 @@
             fields["platform"]["call_bytes"] = json!(APPEND);
             let path = folder.join(format!("entry-{n}.json"));
             std::fs::write(&path, fill(DEPLOYED, &fields).expect("every gap is filled")).expect("a file");
-            let mut command = Command::new(env!("CARGO_BIN_EXE_workswood"));
-            command.arg("jobs").arg(&path);
-            (ports[0], Program::start_logged(command, &path.with_extension("log")))
+            (ports[0], start_with(&path))
         };
         let entries = ports.chunks(5).enumerate().map(start).collect();
         Site { store, ledger, _worker: worker, entries, folder }
