--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -21,6 +21,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 LOOPBACK = "127.0.0.1"
+# Entries have an address of their own, so that no other process takes one of their ports before they are bound.
+ENTRY_IP = f"127.{64 + os.getpid() % 128}.{1 + os.getpid() // 128 % 250}.1"
 ZONES = ["ktm-teku", "ktm-baneshwor", "ktm-lalitpur", "ktm-bhaktapur"]
 # Bounds of the small deployments (SYSTEM.md, DEPLOY.md).
 BOUNDS = {
@@ -31,6 +33,7 @@
     "save_s": 0.5, "restore_ms": 250, "notice_ms": 4500, "move_s": 1.5, "upkeep_s": 2, "require_fencing": True,
     "lease_ms": 3000, "thaw_slack_ms": 300, "pace_ms": 100, "harm_ms": 4000,
 }
+RECORD_BYTES, CALL_BYTES = 262144, 2097152
 DEPLOY = ROOT / "deploy" / "system.toml"
 
 
@@ -85,6 +88,8 @@
         self.handler = handler
         self.server = None
         self.address = None
+        # Channels opened before this time have gone silent.
+        self.silent_before = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, LOOPBACK, 0, limit=1 << 22)
@@ -92,11 +97,16 @@
         return self
 
     async def serve(self, reader, writer):
+        opened = time.monotonic()
         try:
             while (req := await read_request(reader)) is not None:
+                if opened < self.silent_before:
+                    await asyncio.sleep(3600)
                 answer = await self.handler(*req)
                 if answer is None:
                     break
+                if opened < self.silent_before:
+                    await asyncio.sleep(3600)
                 status, body, kind = answer
                 head = f"HTTP/1.1 {status} X\r\ncontent-type: {kind}\r\ncontent-length: {len(body)}\r\n\r\n"
                 writer.write(head.encode() + body)
@@ -141,6 +151,14 @@
 # ---------------------------------------------------------------- store
 
 
+def records_of(body):
+    at = 0
+    while at < len(body):
+        (length,) = struct.unpack_from(">I", body, at)
+        yield body[at + 4:at + 4 + length]
+        at += 4 + length
+
+
 class Partition:
     def __init__(self):
         self.records = []
@@ -156,6 +174,8 @@
 
     def __init__(self):
         self.parts = {}
+        # Number of appends that were larger than the store takes.
+        self.too_large = 0
         # Set to answer all calls with 503.
         self.down = False
         self.server = Server(self.answer)
@@ -164,6 +184,17 @@
         await self.server.start()
         return self
 
+    async def open_door(self):
+        """A further address, at which the store may turn one machine away while it serves the others."""
+        door = Server(None)
+        door.closed = False
+
+        async def answer(*req):
+            return json_answer(503, {}) if door.closed else await self.answer(*req)
+
+        door.handler = answer
+        return await door.start()
+
     def part(self, topic, n):
         return self.parts.setdefault((topic, n), Partition())
 
@@ -193,6 +224,9 @@
         return json_answer(404, {})
 
     def append(self, part, query, body):
+        if len(body) > CALL_BYTES or any(len(rec) > RECORD_BYTES for rec in records_of(body)):
+            self.too_large += 1
+            return json_answer(400, {"reason": "size"})
         if "at" in query and int(query["at"]) != len(part.records):
             return json_answer(412, {"end": len(part.records)})
         if "producer" in query:
@@ -207,11 +241,8 @@
             else:
                 part.answers = {}
             part.epoch, part.last = epoch, seq
-        offset, at = len(part.records), 0
-        while at < len(body):
-            (length,) = struct.unpack_from(">I", body, at)
-            rec = body[at + 4:at + 4 + length]
-            at += 4 + length
+        offset = len(part.records)
+        for rec in records_of(body):
             key = rec[1:1 + rec[0]]
             self.push(part, key, rec[1 + rec[0]:])
         answer = json_answer(200, {"offset": offset, "end": len(part.records)})
@@ -253,6 +284,8 @@
         self.guards = guards
         self.jobs = {}
         self.minions = []
+        # Least length of a checkpoint.
+        self.checkpoint_chars = 0
         # (task, attempt, minion, what, time) in order; what is "start" or how it ended.
         self.ledger = []
 
@@ -266,8 +299,14 @@
 
 
 class Run:
-    def __init__(self, attempt, began):
+    def __init__(self, attempt, began, done_ms=0):
         self.attempt, self.began, self.works_since = attempt, began, None
+        # Work that the checkpoint has brought, and the newest checkpoint.
+        self.done_ms, self.saved = done_ms, ""
+
+    def worked_ms(self):
+        since = 0 if self.works_since is None else (time.monotonic() - self.works_since) * 1000
+        return self.done_ms + since
 
 
 class Minion:
@@ -303,11 +342,20 @@
                 return False
         return True
 
+    def save(self, task, run):
+        """Renews the checkpoint: of the task, or of its gang, with the work that it holds."""
+        step = self.site.step(task)
+        if step.get("checkpointing") and run.works_since is not None:
+            owner = task.rsplit(".", 1)[0] if step.get("gang") else task
+            run.saved = f"{owner}:{int(run.worked_ms())}".rjust(self.site.checkpoint_chars, "0")
+
     def end(self, task, how):
         run = self.running.pop(task)
+        if how == "stopped":
+            self.save(task, run)
         self.last_end += 1
         self.barred[task] = max(run.attempt, self.barred.get(task, 0))
-        self.finished.append([self.last_end, task, run.attempt, how, ""])
+        self.finished.append([self.last_end, task, run.attempt, how, run.saved])
         self.site.note(task, run.attempt, self, how)
         self.changed.set()
         self.changed = asyncio.Event()
@@ -319,14 +367,16 @@
         gang = task.rsplit(".", 1)[0] + "."
         for minion in self.site.minions:
             for other, run in list(minion.running.items()):
-                if other.startswith(gang) and run.attempt == attempt and run.works_since is not None:
+                is_member = other.startswith(gang) and run.attempt == attempt and run.works_since is not None
+                if is_member and other in minion.running:
                     minion.end(other, "broken")
 
     def tick(self):
         """Ends what is over."""
         if self.running and self.clock() > self.deadline:
             for task in list(self.running):
-                self.end(task, "lapsed")
+                if task in self.running:
+                    self.end(task, "lapsed")
         now = time.monotonic()
         for task, run in list(self.running.items()):
             if task not in self.running:
@@ -340,8 +390,10 @@
             if run.works_since is None and not step.get("gang"):
                 run.works_since = run.began
             if run.works_since is not None and not step.get("long_running"):
-                if now >= run.works_since + step["work_ms"] / 1000:
+                if run.worked_ms() >= step["work_ms"]:
                     self.end(task, "done")
+                elif run.worked_ms() >= int((run.saved or "0").rpartition(":")[2]) + BOUNDS["save_s"] * 1000:
+                    self.save(task, run)
 
     def join_gang(self, task, run, step):
         gang = task.rsplit(".", 1)[0] + "."
@@ -384,8 +436,13 @@
             return refuse("old")
         if self.site.guards and not self.room(task):
             return refuse("room")
-        self.running[task] = Run(attempt, time.monotonic())
+        checkpoint = req.get("checkpoint", "")
+        owner, _, done_ms = checkpoint.rpartition(":")
+        owner = owner[-len(task):] if owner.endswith(task) else owner[-len(task.rsplit(".", 1)[0]):]
+        self.running[task] = Run(attempt, time.monotonic(), int(done_ms or 0))
         self.site.note(task, attempt, self, "start")
+        if checkpoint and owner not in (task, task.rsplit(".", 1)[0]):
+            self.site.note(task, attempt, self, f"foreign checkpoint {checkpoint}")
         if self.fails_all:
             # The fault of the minion: what it starts fails at once.
             self.end(task, "failed")
@@ -409,11 +466,10 @@
                 pass
         running = []
         for task, run in self.running.items():
-            step, percent = self.site.step(task), 0
-            if run.works_since is not None:
-                share = (time.monotonic() - run.works_since) * 1000 / max(step["work_ms"], 1)
-                percent = min(99 if not step.get("long_running") else 100, int(share * 100))
-            running.append([task, run.attempt, "", percent, 0])
+            step = self.site.step(task)
+            share = run.worked_ms() / max(step["work_ms"], 1)
+            percent = min(99 if not step.get("long_running") else 100, int(share * 100))
+            running.append([task, run.attempt, run.saved, percent, 0])
         return json_answer(200, {"clock_ms": self.clock(), "running": running, "finished": self.finished[:500]})
 
 
@@ -443,7 +499,7 @@
     sockets = [socket.socket() for _ in range(count)]
     try:
         for s in sockets:
-            s.bind((LOOPBACK, 0))
+            s.bind((ENTRY_IP, 0))
         return [s.getsockname()[1] for s in sockets]
     finally:
         for s in sockets:
@@ -507,11 +563,11 @@
         deploy = tomllib.loads(DEPLOY.read_text())
         role_name, role = next((k, r) for k, r in deploy["roles"].items() if "frontend" in r.get("serves", []))
         self.name = f"frontend-{ZONES[n % len(ZONES)]}-{n // len(ZONES) + 1}"
-        at = [f"{LOOPBACK}:{p}" for p in ports]
+        at = [f"{ENTRY_IP}:{p}" for p in ports]
         self.callers, self.readiness = at[0], at[1]
         fields = {
             "node_name": self.name, "role": role_name, "machine_class": "frontend", "serves": role["serves"],
-            "ip": LOOPBACK, "zone": ZONES[n % len(ZONES)], "region": "ktm", "zones": {z: "ktm" for z in ZONES},
+            "ip": ENTRY_IP, "zone": ZONES[n % len(ZONES)], "region": "ktm", "zones": {z: "ktm" for z in ZONES},
             "bind_addrs": {"frontend": at[0], "readiness": at[1], "control_plane": at[2]},
             "internal_ports": [ports[3], ports[4]], "seed_nodes": seeds, "bootstrap": True, "loss_counts": False,
             "limits": {"cpu_shares": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100, "link_mbps": 1000.0,
@@ -521,12 +577,13 @@
                           "sharing"],
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS, "commands": "call",
             "advice": addresses["advice"],
-            "platform": {"address": addresses["store"], "form": "log", "writes_per_s": 600, "reads_per_s": 2000,
+            "platform": {"address": addresses["door"].address, "form": "log", "writes_per_s": 600, "reads_per_s": 2000,
                          "parts": 24, "append_ms": 1.0, "part_mb_per_s": 20.0, "read_mb_per_s": 80.0,
-                         "record_bytes": 262144, "call_bytes": 2097152, "keep_s": 300, "part_mb": 200,
+                         "record_bytes": RECORD_BYTES, "call_bytes": CALL_BYTES, "keep_s": 300, "part_mb": 200,
                          "ttl_min_ms": 1000},
             "cloud_api": {"address": addresses["machines"], "rate_per_s": 64.0, "duties": [], "duty_qps_s": 64.0},
         }
+        self.door = addresses["door"]
         self.settings = pathlib.Path(folder) / f"{self.name}.settings"
         template = role.get("template")
         text = fill((ROOT / template).read_text(), fields) if template else json.dumps(fields)
@@ -593,10 +650,10 @@
         self.beat()
         self.tasks.append(asyncio.create_task(self.keep_time()))
         ports = [free_ports(5) for _ in range(self.entry_count)]
-        seeds = [f"{LOOPBACK}:{p[2]}" for p in ports[:3]]
-        addresses = {"store": self.store.server.address, "machines": self.machines.server.address,
-                     "advice": self.machines.server.address}
+        seeds = [f"{ENTRY_IP}:{p[2]}" for p in ports[:3]]
         for n in range(self.entry_count):
+            addresses = {"door": await self.store.open_door(), "machines": self.machines.server.address,
+                         "advice": self.machines.server.address}
             entry = Entry(n, ports[n], seeds, addresses, self.folder.name)
             if not (ROOT / entry.command[0]).exists():
                 raise CannotRun(f"{entry.command[0]} is not built")
@@ -663,6 +720,12 @@
             await asyncio.sleep(0.1)
         return last
 
+    def holder(self):
+        """The entry that last wrote to the store under a condition: it holds the lease."""
+        newest = self.store.part("keyed.lease", 0).newest.get(b"holder")
+        name = json.loads(newest[0])["name"] if newest else None
+        return next((e for e in self.entries if e.name == name), self.entries[0])
+
     def stop(self):
         for task in self.tasks:
             task.cancel()
