--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -289,9 +289,11 @@
         # (task, attempt, minion, what, time) in order; what is "start" or how it ended.
         self.ledger = []
 
-    def step(self, task):
+    def step(self, task, service=None):
+        """The step of a task; only minions of several services need to tell theirs."""
         job, _, step, _ = task.split(".")
-        return self.jobs[job]["task_groups"][int(step)]
+        service = service or next(s for s, j in self.jobs if j == job)
+        return self.jobs[service, job]["task_groups"][int(step)]
 
     def note(self, task, attempt, minion, what):
         self.ledger.append((task, attempt, minion.id, what, time.monotonic()))
@@ -337,14 +339,14 @@
     def room(self, task):
         """Whether the task fits into what is free here."""
         for name in ("cpu", "mem_mb", "gpus"):
-            used = sum(self.site.step(t).get(name, 0) for t in self.running)
-            if used + self.site.step(task).get(name, 0) > self.capacity[name]:
+            used = sum(self.site.step(t, self.service).get(name, 0) for t in self.running)
+            if used + self.site.step(task, self.service).get(name, 0) > self.capacity[name]:
                 return False
         return True
 
     def save(self, task, run):
         """Renews the checkpoint: of the task, or of its gang, with the work that it holds."""
-        step = self.site.step(task)
+        step = self.site.step(task, self.service)
         if step.get("checkpointing") and run.works_since is not None:
             owner = task.rsplit(".", 1)[0] if step.get("gang") else task
             run.saved = f"{owner}:{int(run.worked_ms())}".rjust(self.site.checkpoint_chars, "0")
@@ -359,7 +361,7 @@
         self.site.note(task, run.attempt, self, how)
         self.changed.set()
         self.changed = asyncio.Event()
-        if self.site.step(task).get("gang") and how != "done":
+        if self.site.step(task, self.service).get("gang") and how != "done":
             self.break_gang(task, run.attempt)
 
     def break_gang(self, task, attempt):
@@ -381,7 +383,7 @@
         for task, run in list(self.running.items()):
             if task not in self.running:
                 continue
-            step = self.site.step(task)
+            step = self.site.step(task, self.service)
             if run.works_since is None and step.get("gang"):
                 self.join_gang(task, run, step)
                 if run.works_since is None and now > run.began + BOUNDS["gang_ms"] / 1000:
@@ -466,7 +468,7 @@
                 pass
         running = []
         for task, run in self.running.items():
-            step = self.site.step(task)
+            step = self.site.step(task, self.service)
             share = run.worked_ms() / max(step["work_ms"], 1)
             percent = min(99 if not step.get("long_running") else 100, int(share * 100))
             running.append([task, run.attempt, run.saved, percent, 0])
@@ -624,16 +626,20 @@
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.host, self.prefix = "pule25.example", "/puxa400/"
         self.service = "sagar"
+        # Further queues: prefix and service of each; every second minion belongs to the last service.
+        self.more_queues = []
         self.seq = 0
 
     def manifest(self, version=7, max_attempts=3):
+        queues = [(self.prefix, self.service), *self.more_queues]
         return {
             "version": version,
-            "routes": [{"name": "r-1", "host": self.host, "path_prefix": self.prefix, "type": "non_idempotent",
-                        "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "backend": self.service,
-                        "max_attempts": max_attempts, "extension": 1.6}],
-            "backends": [{"name": self.service, "health_path": "/healthz", "max_connections": 64, "protocol": "h1",
-                          "tls": False, "preconditions": self.site.guards, "headroom": False}],
+            "routes": [{"name": f"r-{n + 1}", "host": self.host, "path_prefix": prefix, "type": "non_idempotent",
+                        "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "backend": service,
+                        "max_attempts": max_attempts, "extension": 1.6} for n, (prefix, service) in enumerate(queues)],
+            "backends": [{"name": service, "health_path": "/healthz", "max_connections": 64, "protocol": "h1",
+                          "tls": False, "preconditions": self.site.guards, "headroom": False}
+                         for service in sorted({service for _, service in queues})],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
         }
@@ -643,7 +649,8 @@
         await self.machines.server.start()
         for n in range(self.minion_count):
             zone = ZONES[n % len(ZONES)]
-            minion = Minion(self.site, f"i-{n + 1:08x}", f"m-{n + 1:05x}", self.service, zone, dict(self.capacity),
+            service = self.more_queues[-1][1] if self.more_queues and n % 2 else self.service
+            minion = Minion(self.site, f"i-{n + 1:08x}", f"m-{n + 1:05x}", service, zone, dict(self.capacity),
                             ["a", f"r1-{n // 4}"])
             await minion.server.start()
         self.store.write("keyed.op", "config", self.manifest())
@@ -686,34 +693,41 @@
                 beat_at += 1.5
                 self.beat()
 
-    async def hand_in(self, entry, job, body, wire=None):
+    async def hand_in(self, entry, job, body, prefix=None):
         """Hands a job in, again with the same ID after silence, 502 or 504; returns the last status."""
-        self.site.jobs[job] = body
+        prefix = prefix or self.prefix
+        service = dict([(self.prefix, self.service), *self.more_queues])[prefix]
+        self.site.jobs[service, job] = body
         sent = {"spec": body["spec"], "task_groups": [
             {k: v for k, v in group.items() if k != "work_ms"} for group in body["task_groups"]]}
         sent.update({k: v for k, v in body.items() if k not in ("spec", "task_groups")})
         status = None
         for _ in range(4):
-            self.record(f"consumer POST {job} to {entry.name}: {json.dumps(sent)}")
-            status, _ = await call(entry.callers, "POST", self.prefix + job, self.host, sent)
-            self.record(f"consumer POST {job} answered {status}")
+            self.record(f"consumer POST {prefix}{job} to {entry.name}: {json.dumps(sent)}")
+            status, _ = await call(entry.callers, "POST", prefix + job, self.host, sent)
+            self.record(f"consumer POST {prefix}{job} answered {status}")
             if status not in (None, 502, 504):
                 break
             await asyncio.sleep(0.5)
         return status
 
-    async def state(self, entry, job):
-        status, body = await call(entry.callers, "GET", self.prefix + job, self.host)
+    async def cancel(self, entry, job, prefix=None):
+        status, _ = await call(entry.callers, "DELETE", (prefix or self.prefix) + job, self.host)
+        self.record(f"consumer DELETE {prefix or self.prefix}{job} answered {status}")
+        return status
+
+    async def state(self, entry, job, prefix=None):
+        status, body = await call(entry.callers, "GET", (prefix or self.prefix) + job, self.host)
         shown = body.get("state") if status == 200 and isinstance(body, dict) else status
         return status, shown
 
-    async def until_state(self, entry, job, states, time_s):
+    async def until_state(self, entry, job, states, time_s, prefix=None):
         """Asks for the state of a job until it is one of these; returns the last one shown."""
         until, last = time.monotonic() + time_s, None
         while time.monotonic() < until:
-            _, shown = await self.state(entry, job)
+            _, shown = await self.state(entry, job, prefix)
             if shown != last:
-                self.record(f"consumer GET {job} at {entry.name}: {shown}")
+                self.record(f"consumer GET {prefix or self.prefix}{job} at {entry.name}: {shown}")
                 last = shown
             if shown in states:
                 return shown
