--- a/review/11/case.py
+++ b/review/11/case.py
@@ -3,11 +3,10 @@
 import asyncio
 import pathlib
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standin-3"))
-from platform3 import Deployment, main  # noqa: E402
+from platform3 import BOUNDS, Deployment, main  # noqa: E402
 
 QUEUE_A, QUEUE_B = "/puxa400/", "/kafi706/"
 SERVICE_A, SERVICE_B = "gorkha", "bagmati"
@@ -60,6 +59,17 @@
             record(f"the first house's job, which nobody has cancelled, is shown as {shown}")
             if shown in ("canceled", "failed"):
                 note(f"LOST: {QUEUE_A}{second_a} is shown as {shown}, and nobody has cancelled it")
+        # A consumer asks on its own queue for an ID that was handed in on the other queue alone, and cancels it there.
+        third_a = "3e9a6c417d20b85f"
+        third_b = third_a if trouble else "3e9a6c417d20b850"
+        if await site.hand_in(one, third_a, job(4, 4000), QUEUE_A) != 200:
+            raise RuntimeError("the job of the first house was not taken")
+        # Later than `visible_ms` after the ack, each entry knows which jobs there are.
+        await asyncio.sleep(BOUNDS["visible_ms"] / 1000 + 0.2)
+        status, shown = await site.state(two, third_b, QUEUE_B)
+        record(f"consumer GET {QUEUE_B}{third_b}, which nobody has submitted: {shown}")
+        if status == 200:
+            note(f"MIXED: {QUEUE_B}{third_b} is shown as {shown}, and nobody has submitted it")
         return not broken
     finally:
         site.stop()
