--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -284,6 +284,8 @@
         self.guards = guards
         self.jobs = {}
         self.minions = []
+        # The adviser without whose ticket no start is taken, if there is one.
+        self.adviser = None
         # Least length of a checkpoint.
         self.checkpoint_chars = 0
         # (task, attempt, minion, what, time) in order; what is "start" or how it ended.
@@ -438,6 +440,8 @@
             return refuse("old")
         if self.site.guards and not self.room(task):
             return refuse("room")
+        if self.site.adviser and not self.site.adviser.allows(task, self.id, req.get("ticket", "")):
+            return refuse("ticket")
         checkpoint = req.get("checkpoint", "")
         owner, _, done_ms = checkpoint.rpartition(":")
         owner = owner[-len(task):] if owner.endswith(task) else owner[-len(task.rsplit(".", 1)[0]):]
@@ -475,6 +479,36 @@
         return json_answer(200, {"clock_ms": self.clock(), "running": running, "finished": self.finished[:500]})
 
 
+class Adviser:
+    """The service at `advice`: says for a step which minions may run it, and gives tickets; a call after the other."""
+
+    def __init__(self, site):
+        self.site, self.turn, self.calls, self.tickets = site, asyncio.Lock(), 0, {}
+        # As in the manifest.
+        self.decide_ms = self.each_ms = self.valid_ms = 0
+        self.server = Server(self.answer)
+
+    async def answer(self, method, path, query, headers, body):
+        if path != "/workswood/advise":
+            return json_answer(404, {})
+        req = json.loads(body)
+        async with self.turn:
+            await asyncio.sleep((self.decide_ms + self.each_ms * len(req["workers"])) / 1000)
+        self.calls += 1
+        good = []
+        for minion in req["workers"]:
+            # Every second minion may run the step.
+            if int(minion.rpartition("-")[2], 16) % 2 == 0:
+                ticket = f"t{len(self.tickets):x}"
+                self.tickets[ticket] = (req["task_group"], minion, time.monotonic() + self.valid_ms / 1000)
+                good.append([minion, ticket])
+        return json_answer(200, {"good": good, "valid_ms": self.valid_ms})
+
+    def allows(self, task, minion, ticket):
+        step, name, until = self.tickets.get(ticket, ("", "", 0.0))
+        return step == task.rpartition(".")[0] and name == minion and time.monotonic() < until
+
+
 class Machines:
     """The machine service: lists the machines; all stay up."""
 
@@ -626,13 +660,15 @@
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.host, self.prefix = "pule25.example", "/puxa400/"
         self.service = "sagar"
+        # The `advice` of the first queue, if it has one.
+        self.advice = None
         # Further queues: prefix and service of each; every second minion belongs to the last service.
         self.more_queues = []
         self.seq = 0
 
     def manifest(self, version=7, max_attempts=3):
         queues = [(self.prefix, self.service), *self.more_queues]
-        return {
+        manifest = {
             "version": version,
             "routes": [{"name": f"r-{n + 1}", "host": self.host, "path_prefix": prefix, "type": "non_idempotent",
                         "timeout_ms": 3000, "target_latency_ms": 600, "priority": 0, "backend": service,
@@ -643,10 +679,20 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000},
         }
+        if self.advice:
+            manifest["routes"][0]["advice"] = {name: value for name, value in self.advice.items() if value}
+        return manifest
 
     async def start(self):
         await self.store.start()
         await self.machines.server.start()
+        advice_at = self.machines.server.address
+        if self.advice:
+            adviser = self.site.adviser = Adviser(self.site)
+            adviser.decide_ms, adviser.each_ms = self.advice["decide_ms"], self.advice["each_ms"]
+            adviser.valid_ms = self.advice["valid_ms"]
+            await adviser.server.start()
+            advice_at = adviser.server.address
         for n in range(self.minion_count):
             zone = ZONES[n % len(ZONES)]
             service = self.more_queues[-1][1] if self.more_queues and n % 2 else self.service
@@ -660,7 +706,7 @@
         seeds = [f"{ENTRY_IP}:{p[2]}" for p in ports[:3]]
         for n in range(self.entry_count):
             addresses = {"door": await self.store.open_door(), "machines": self.machines.server.address,
-                         "advice": self.machines.server.address}
+                         "advice": advice_at}
             entry = Entry(n, ports[n], seeds, addresses, self.folder.name)
             if not (ROOT / entry.command[0]).exists():
                 raise CannotRun(f"{entry.command[0]} is not built")
