Review cases: a rule that only the claim or the record names is read

The cases 9 to 12 print "the rule was broken" and name the rule in claim.txt and record.txt alone, so that by_hand took each for unclear. Their reason is now the rule that the record names, or else the claim's, and only together with the status and the last line that say so. claimed_rule_counts fails on the former code.

--- a/tests/testsuite/review_cases.rs
+++ b/tests/testsuite/review_cases.rs
@@ -33,8 +33,12 @@
     Unclear(String),
 }
 
-/// The reason that the output gives, with the record that the case wrote.
-fn reason_of(status: Option<i32>, output: &str, record: &str) -> Reason {
+/// Last lines of a case that held, and of one whose rule was broken but that names the rule in its claim alone.
+const HELD_LINES: [&str; 3] = ["exit 0: held", "result: the rule held", "the rule held"];
+const BROKEN_LINE: &str = "the rule was broken";
+
+/// The reason that the output gives, with the claim of the case and the record that it wrote.
+fn reason_of(status: Option<i32>, output: &str, record: &str, claim: &str) -> Reason {
     if output.contains("Traceback (most recent call last)") {
         return Reason::Traceback(last_line(output));
     }
@@ -53,10 +57,11 @@
         None => {}
     }
     match status {
-        Some(HELD) if ["exit 0: held", "result: the rule held"].contains(&last_line(output).as_str()) => {
-            Reason::Held
+        Some(HELD) if HELD_LINES.contains(&last_line(output).as_str()) => Reason::Held,
+        Some(BROKEN) => {
+            let broken = broken_rule(output).or_else(|| claimed_rule(output, record, claim));
+            broken.unwrap_or_else(|| Reason::Unclear(last_line(output)))
         }
-        Some(BROKEN) => broken_rule(output).unwrap_or_else(|| Reason::Unclear(last_line(output))),
         Some(COULD_NOT_RUN) => Reason::CouldNotRun(last_line(output)),
         _ => Reason::Unclear(format!("status {status:?}: {}", last_line(output))),
     }
@@ -70,6 +75,21 @@
     is_rule.then(|| Reason::Broken { rule: rule.to_string(), text: text.to_string() })
 }
 
+/// The rule that a case has broken whose output names none: the record names it, or else the claim. The text is what the
+/// record says of it, or what it says last.
+fn claimed_rule(output: &str, record: &str, claim: &str) -> Option<Reason> {
+    if last_line(output) != BROKEN_LINE {
+        return None;
+    }
+    let mut told = record.lines().filter_map(|line| line.trim_start().split_once(' ')).map(|(_, text)| text);
+    let named = told.clone().find_map(|text| broken_rule(text.strip_prefix("broken: ")?));
+    named.or_else(|| {
+        let rule = claim.lines().find_map(|line| line.strip_prefix("rule: "))?.trim().to_string();
+        let text = told.rfind(|text| *text != BROKEN_LINE).unwrap_or_default().to_string();
+        Some(Reason::Broken { rule, text })
+    })
+}
+
 fn last_line(text: &str) -> String {
     text.trim_end().lines().last().unwrap_or_default().to_string()
 }
@@ -102,29 +122,59 @@
 fn reasons_are_told_apart() {
     let traceback = "Traceback (most recent call last):\n  File \"play.py\"\nKeyError: 'memory_mb'\n";
     for status in [0, 1, 2] {
-        let reason = reason_of(Some(status), traceback, "");
+        let reason = reason_of(Some(status), traceback, "", "");
         assert_eq!(reason, Reason::Traceback("KeyError: 'memory_mb'".to_string()), "whatever its status");
     }
     let recorded = "the case can't run: Traceback (most recent call last): |   File \"case.py\" | KeyError: 'memory_mb' | ";
-    let reason = reason_of(Some(2), "result: the case could not run", recorded);
+    let reason = reason_of(Some(2), "result: the case could not run", recorded, "");
     assert_eq!(reason, Reason::Traceback("KeyError: 'memory_mb'".to_string()));
     let broken = |rule: &str, text: &str| Reason::Broken { rule: rule.to_string(), text: text.to_string() };
-    let reason = reason_of(Some(1), "exit 1: REFUSED: 9 of 149 jobs run\n", "");
+    let reason = reason_of(Some(1), "exit 1: REFUSED: 9 of 149 jobs run\n", "", "");
     assert_eq!(reason, broken("REFUSED", "9 of 149 jobs run"));
-    let reason = reason_of(Some(1), "LOST: job 5c is running\nresult: the rule was broken\n", "");
+    let reason = reason_of(Some(1), "LOST: job 5c is running\nresult: the rule was broken\n", "", "");
     assert_eq!(reason, broken("LOST", "job 5c is running"));
-    let reason = reason_of(Some(2), "exit 2: held\n", "12.1 could not run: entry-1 is not ready\n");
+    let reason = reason_of(Some(2), "exit 2: held\n", "12.1 could not run: entry-1 is not ready\n", "");
     assert_eq!(reason, Reason::CouldNotRun("entry-1 is not ready".to_string()));
     assert_eq!(
-        reason_of(Some(2), "the program is not built\n", ""),
+        reason_of(Some(2), "the program is not built\n", "", ""),
         Reason::CouldNotRun("the program is not built".to_string())
     );
-    for (status, output) in [(0, "exit 0: held\n"), (0, "result: the rule held\n")] {
-        assert_eq!(reason_of(Some(status), output, ""), Reason::Held);
-        assert!(matches!(reason_of(Some(1), output, ""), Reason::Unclear(_)), "its status says otherwise");
+    for (status, output) in [(0, "exit 0: held\n"), (0, "result: the rule held\n"), (0, "the rule held\n")] {
+        assert_eq!(reason_of(Some(status), output, "", ""), Reason::Held);
+        assert!(
+            matches!(reason_of(Some(1), output, "", ""), Reason::Unclear(_)),
+            "its status says otherwise"
+        );
+    }
+    assert!(matches!(reason_of(Some(1), "exit 1: held\n", "", ""), Reason::Unclear(_)), "no rule is named");
+    assert!(matches!(reason_of(None, "", "", ""), Reason::Unclear(_)));
+}
+
+/// Guards against a case that counts as unclear since its output names no rule.
+#[test]
+fn claimed_rule_counts() {
+    let broken = |rule: &str, text: &str| Reason::Broken { rule: rule.to_string(), text: text.to_string() };
+    let claim = "rule: LOST\nsite: sajha-kathmandu\n";
+    let record = "   0.000 trouble: True\n  12.345 5 jobs wait\n  12.346 the rule was broken\n";
+    let output = "the rule was broken\n";
+    assert_eq!(reason_of(Some(1), output, record, claim), broken("LOST", "5 jobs wait"));
+    let named = "   0.000 trouble: True\n   9.100 broken: MIXED: b is shown\n   9.200 the rule was broken\n";
+    assert_eq!(
+        reason_of(Some(1), output, named, claim),
+        broken("MIXED", "b is shown"),
+        "the record goes first"
+    );
+    for status in [0, 2] {
+        let reason = reason_of(Some(status), output, record, claim);
+        assert!(
+            !matches!(reason, Reason::Broken { .. } | Reason::Held),
+            "its status says otherwise: {reason:?}"
+        );
     }
-    assert!(matches!(reason_of(Some(1), "exit 1: held\n", ""), Reason::Unclear(_)), "no rule is named");
-    assert!(matches!(reason_of(None, "", ""), Reason::Unclear(_)));
+    assert!(matches!(reason_of(Some(1), "the rule held\n", record, claim), Reason::Unclear(_)));
+    assert!(matches!(reason_of(Some(1), output, record, ""), Reason::Unclear(_)), "no rule is named");
+    let reason = reason_of(Some(2), "could not run: the script hangs\n", record, claim);
+    assert_eq!(reason, Reason::CouldNotRun("the script hangs".to_string()));
 }
 
 /// Guards against a listed case that gives the expected exit status for another reason.
@@ -168,8 +218,9 @@
     let ended = program.wait_within(LIMIT);
     let output = std::fs::read_to_string(&log).expect("the output");
     let _ = std::fs::remove_file(&log);
-    let record = std::fs::read_to_string(folder.join("record.txt")).unwrap_or_default();
-    ended.map_or(Reason::Hangs, |status| reason_of(status.code(), &output, &record))
+    let file = |name: &str| std::fs::read_to_string(folder.join(name)).unwrap_or_default();
+    let (record, claim) = (file("record.txt"), file("claim.txt"));
+    ended.map_or(Reason::Hangs, |status| reason_of(status.code(), &output, &record, &claim))
 }
 
 #[test]
