--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -17,6 +17,9 @@
 pub use super::worker_id::WorkerId;
 use crate::ids::{ServiceId, UnixMs};
 
+/// A checkpoint of a task, as its worker saved it; empty for none.
+pub type Checkpoint = Arc<str>;
+
 /// Pace of a task that is not throttled, in percent of full speed.
 pub const FULL_PACE_PERCENT: u32 = 100;
 /// How long a task is placed elsewhere after a run failed or stalled on a worker. Afterwards it need
@@ -171,7 +174,7 @@
     /// Number of the latest attempt; 0 if the task was never started.
     pub latest_attempt: u32,
     /// Latest checkpoint; empty if there is none.
-    pub checkpoint: String,
+    pub checkpoint: Checkpoint,
     /// Runs that may exist on some worker.
     pub runs: Vec<Run>,
     /// Worker of the latest failed or stalled run; the next run is placed elsewhere if possible.
@@ -206,6 +209,19 @@
         !self.done && !self.given_up && self.runs.is_empty()
     }
 
+    /// Takes a checkpoint that a worker has told, unless the task is done and needs none.
+    pub fn save_checkpoint(&mut self, saved: &str) {
+        if !saved.is_empty() && !self.done && *self.checkpoint != *saved {
+            self.checkpoint = saved.into();
+        }
+    }
+
+    /// Marks the task as done. It is not started again, so that nobody needs its checkpoint.
+    pub fn complete(&mut self) {
+        self.done = true;
+        self.checkpoint = Checkpoint::default();
+    }
+
     /// Whether its restarts are paced because of many crashes that are no proof.
     pub fn is_paced(&self) -> bool {
         self.suspicion.is_some_and(|s| s.paced)
@@ -444,7 +460,7 @@
             crashes: if t.done { CrashHistory::default() } else { t.crashes.clone() },
             given_up: t.given_up,
             latest_attempt: t.latest_attempt,
-            checkpoint: t.checkpoint.clone(),
+            checkpoint: if t.done || !self.is_open() { Checkpoint::default() } else { t.checkpoint.clone() },
             runs: t.runs.iter().map(|r| (r.worker.clone(), r.attempt)).collect(),
             evicted_attempts: t.runs.iter().filter(|r| r.evicted).map(|r| r.attempt).collect(),
             absence: t.absence,
@@ -577,8 +593,8 @@
     #[serde(default, rename = "a", skip_serializing_if = "is_zero")]
     pub latest_attempt: u32,
     /// Latest checkpoint; empty if there is none.
-    #[serde(default, rename = "c", skip_serializing_if = "String::is_empty")]
-    pub checkpoint: String,
+    #[serde(default, rename = "c", skip_serializing_if = "str::is_empty")]
+    pub checkpoint: Checkpoint,
     /// Worker and attempt of each run that may exist.
     #[serde(default, rename = "w", skip_serializing_if = "SmallVec::is_empty")]
     pub runs: SmallVec<[(WorkerId, u32); 1]>,
--- a/crates/workswood-core/src/jobs/job_end.rs
+++ b/crates/workswood-core/src/jobs/job_end.rs
@@ -1,10 +1,11 @@
 //! How jobs end: they are completed, fail or are cancelled, and what is left of them is stopped.
 
-use super::job::{Job, Outcome, Phase};
+use super::job::{Job, Outcome, Phase, WorkerId};
 use super::scheduler::Scheduler;
 use super::spec::{JobKey, TaskId};
 use super::types::Action;
 use super::workspace::Owner;
+use crate::code::Code;
 use crate::invariant;
 
 impl Scheduler {
@@ -70,6 +71,27 @@
         }
     }
 
+    /// Ends a job whose state the store does not take. Nothing that it has begun may go on without a record. A job that
+    /// has ended already stays as it is: its caller is shown what was stored last.
+    pub fn fail_unstorable(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(&key) else { return };
+        let ended = job.outcome.is_some();
+        job.published_status = None;
+        self.notes.push(format_args!(
+            "event=job_not_storable code={} job={key:016x} ended={ended}",
+            Code::RecordTooLarge.number()
+        ));
+        self.end_job(key, Outcome::Failed);
+    }
+
+    /// Has ends of runs acknowledged with the next batch instead of the one that was to acknowledge them.
+    pub fn acknowledge_later(&mut self, ends: Vec<(WorkerId, u64)>) {
+        for (id, number) in ends {
+            let last = self.acked_ends.entry(id).or_default();
+            *last = (*last).max(number);
+        }
+    }
+
     /// Takes all tasks of a job out of the queue.
     fn dequeue_job(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(&key) else { return };
--- a/crates/workswood-core/src/jobs/placement.rs
+++ b/crates/workswood-core/src/jobs/placement.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::fair_share::weighted_usage;
-use super::job::{Job, Phase, Run, Task, WorkerId};
+use super::job::{Checkpoint, Job, Phase, Run, Task, WorkerId};
 use super::outage::StoreAccess;
 use super::placement_pass::{PlacementPass, StepPlacement, StepQueue};
 use super::policy::ShareOrder;
@@ -555,11 +555,11 @@
         }
         self.update_load_reporting(worker);
         self.log_placement(worker, id, attempt, has_other_run);
-        self.order_start(id, worker, attempt, checkpoint);
+        self.order_start(id, worker, attempt, &checkpoint);
     }
 
     /// Has a start sent once what is decided is on record.
-    pub(super) fn order_start(&mut self, id: &TaskId, worker: &WorkerId, attempt: u32, checkpoint: String) {
+    pub(super) fn order_start(&mut self, id: &TaskId, worker: &WorkerId, attempt: u32, checkpoint: &str) {
         let Some(job) = self.jobs.get(&id.job) else { return };
         let text = Arc::clone(&job.spec.task_input);
         let now = self.now;
@@ -571,7 +571,7 @@
             task: *id,
             attempt,
             text,
-            checkpoint,
+            checkpoint: checkpoint.to_string(),
             ticket,
         });
     }
@@ -597,7 +597,7 @@
 }
 
 /// Latest checkpoint of a task, if it has one.
-fn checkpoint_of(job: Option<&Job>, id: &TaskId) -> Option<String> {
+fn checkpoint_of(job: Option<&Job>, id: &TaskId) -> Option<Checkpoint> {
     let t = job?.task(id)?;
     if t.checkpoint.is_empty() { None } else { Some(t.checkpoint.clone()) }
 }
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -344,3 +344,14 @@
     /// Everything that was in the inbox at this time is reflected in this batch.
     pub inbox_read_at: Duration,
 }
+
+impl Batch {
+    /// Leaves out what may not follow since the records of these jobs are not stored. Returns the ends that are not to be
+    /// acknowledged yet, since runs of these jobs may be among them.
+    pub fn leave_out(&mut self, jobs: &BTreeSet<JobKey>) -> Vec<(WorkerId, u64)> {
+        self.records.retain(|rec| !matches!(rec, Record::Job(job, _) if jobs.contains(job)));
+        self.status_updates.retain(|update| !jobs.contains(&update.key));
+        self.finished_jobs.retain(|(job, _)| !jobs.contains(job));
+        std::mem::take(&mut self.acked_ends)
+    }
+}
--- a/crates/workswood-core/src/jobs/worker_events.rs
+++ b/crates/workswood-core/src/jobs/worker_events.rs
@@ -414,7 +414,7 @@
         ));
         let checkpoint =
             self.jobs.get(&task.job).and_then(|job| job.task(task)).map(|t| t.checkpoint.clone());
-        self.order_start(task, id, attempt, checkpoint.unwrap_or_default());
+        self.order_start(task, id, attempt, &checkpoint.unwrap_or_default());
     }
 
     /// Puts a worker into backoff after it refused a start.
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -201,8 +201,8 @@
         // An end that is reported again may be older than the known checkpoint.
         let newer = end.attempt > task.latest_attempt;
         task.latest_attempt = task.latest_attempt.max(end.attempt);
-        if (known || newer) && step.checkpointing && !end.checkpoint.is_empty() {
-            task.checkpoint.clone_from(&end.checkpoint);
+        if (known || newer) && step.checkpointing {
+            task.save_checkpoint(&end.checkpoint);
         }
         self.dirty_jobs.insert(task_id.job);
         match end.kind {
@@ -241,7 +241,7 @@
         };
         for m in &members {
             if let Some(t) = job.task_mut(m) {
-                t.done = true;
+                t.complete();
             }
         }
         let step_done = job.is_step_done(task_id.round, task_id.step);
@@ -330,10 +330,9 @@
     now: Duration,
 ) -> Option<(&'a mut Run, bool)> {
     let task = job.task_mut(&listed.task)?;
-    let run = task.runs.iter_mut().find(|r| r.worker == *id && r.attempt == listed.attempt)?;
-    if !listed.checkpoint.is_empty() {
-        task.checkpoint.clone_from(&listed.checkpoint);
-    }
+    let run = task.runs.iter().position(|r| r.worker == *id && r.attempt == listed.attempt)?;
+    task.save_checkpoint(&listed.checkpoint);
+    let run = &mut task.runs[run];
     run.load_metric = listed.load;
     run.progress_percent = listed.percent;
     run.progressed_at = now.saturating_sub(listed.stalled_for);
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -241,6 +241,8 @@
     GuardFailed = 3,
     /// The store no longer keeps the records.
     RecordsGone = 4,
+    /// The store does not take the call, however often it is made. Earlier versions read it as `Unknown`.
+    Rejected = 5,
 }
 
 /// A topic of the store.
--- a/crates/workswood-platform/src/copies.rs
+++ b/crates/workswood-platform/src/copies.rs
@@ -9,7 +9,7 @@
 /// Whether an answer settles a call, whatever becomes of other copies of it.
 pub fn is_settled<T>(res: &Result<T, StoreError>) -> bool {
     match res {
-        Ok(_) | Err(StoreError::GuardFailed | StoreError::RecordsGone) => true,
+        Ok(_) | Err(StoreError::Rejected { .. } | StoreError::GuardFailed | StoreError::RecordsGone) => true,
         Err(StoreError::NotDone { .. } | StoreError::Unknown { .. }) => false,
     }
 }
--- a/crates/workswood-platform/src/jobs.rs
+++ b/crates/workswood-platform/src/jobs.rs
@@ -70,6 +70,12 @@
         /// The reason that the store gave.
         text: String,
     },
+    /// The store does not take the call, however often it is made: nothing was done, and nothing will be.
+    #[snafu(display("the store refused the call for good: {text}"))]
+    Rejected {
+        /// The reason that the store gave.
+        text: String,
+    },
     /// No response came; the call may have been carried out, or may be carried out later.
     #[snafu(display("no response from the store: {text}"))]
     Unknown {
@@ -88,9 +94,10 @@
     /// What is known of the change that the call asked for, over all copies of the call.
     pub fn outcome(&self) -> CopyOutcome {
         match self {
-            StoreError::NotDone { .. } | StoreError::GuardFailed | StoreError::RecordsGone => {
-                CopyOutcome::NotDone
-            }
+            StoreError::NotDone { .. }
+            | StoreError::Rejected { .. }
+            | StoreError::GuardFailed
+            | StoreError::RecordsGone => CopyOutcome::NotDone,
             StoreError::Unknown { .. } => CopyOutcome::Unknown,
         }
     }
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -138,7 +138,7 @@
         self
     }
 
-    fn set_worker_limits(&mut self, limits: WorkerLimits) {
+    pub(super) fn set_worker_limits(&mut self, limits: WorkerLimits) {
         self.worker_limits = limits;
         self.workers.iter_mut().for_each(|w| w.limits = limits);
     }
@@ -160,6 +160,7 @@
             attempts: Attempts::default(),
             stored_workers: BTreeMap::new(),
             stored_ended: BTreeMap::new(),
+            bounded_store: None,
             done: BTreeSet::new(),
             shown_completed: HashMap::new(),
             failed_runs: HashMap::new(),
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use workswood::ops::jobs::append_calls::StateEncoder;
 use workswood_core::ids::{DataCentre, HostId, Term};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
@@ -40,6 +41,8 @@
 /// A lease holder.
 pub(super) struct Holder {
     pub sched: Scheduler,
+    /// How it writes its state, where the store holds that in its stored form.
+    pub encoder: StateEncoder,
     /// When the holder last renewed its own lease; zero before it first did.
     pub renewed: Duration,
     pub paused_until: Duration,
@@ -68,9 +71,10 @@
 }
 
 impl Holder {
-    pub(super) fn new(sched: Scheduler, now: Duration) -> Holder {
+    pub(super) fn new(sched: Scheduler, encoder: StateEncoder, now: Duration) -> Holder {
         Holder {
             sched,
+            encoder,
             renewed: Duration::ZERO,
             paused_until: Duration::ZERO,
             writing: None,
@@ -88,6 +92,11 @@
         }
     }
 
+    /// Takes the batch that is being written.
+    pub(super) fn take_write(&mut self) -> Option<Batch> {
+        self.writing.take().map(|(_, batch)| batch)
+    }
+
     /// Enqueues the set of evacuated data centres; it does not overtake an earlier one.
     pub(super) fn enqueue_evacuations(&mut self, at: Duration, evacuated: BTreeSet<DataCentre>) {
         let earlier = self.inbox.iter().filter(|(_, ev)| is_evacuated(ev)).map(|(at, _)| *at).max();
@@ -343,7 +352,7 @@
     }
 
     fn store_and_publish(&mut self, n: usize, batch: Batch) {
-        self.store_records(&batch);
+        self.store_records(n, &batch);
         self.holders[n].sched.records_stored(&batch.records);
         self.publish(n, batch);
     }
@@ -353,11 +362,12 @@
     pub fn lose_store(&mut self, duration: Duration) {
         let until = self.now + duration;
         let stored = self.rng.below(2) == 0;
-        let Some(h) = self.holders.last_mut() else { return };
+        let Some(last) = self.holders.len().checked_sub(1) else { return };
+        let h = &mut self.holders[last];
         h.store_away_until = until;
         if let Some((at, batch)) = h.writing.take() {
             if stored {
-                self.store_records(&batch);
+                self.store_records(last, &batch);
             }
             if let Some(h) = self.holders.last_mut() {
                 h.writing = Some((at, batch));
@@ -370,7 +380,11 @@
         self.holders.iter_mut().for_each(|h| h.store_away_until = Duration::ZERO);
     }
 
-    fn store_records(&mut self, batch: &Batch) {
+    fn store_records(&mut self, n: usize, batch: &Batch) {
+        if self.bounded_store.is_some() {
+            self.store_appends(n, batch, None);
+            return;
+        }
         for rec in &batch.records {
             match rec {
                 Record::Job(key, rec) => {
@@ -425,6 +439,7 @@
 
     /// Carries out an action, mostly by an order to a relay.
     fn send(&mut self, n: usize, action: Action) {
+        self.check_checkpoint(&action);
         match action {
             Action::OpenRelay(entry) => self.open(n, entry),
             Action::CloseRelay(entry) => {
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -7,6 +7,7 @@
 //! final job state that a holder publishes, and that long-running tasks are at work.
 
 mod adviser;
+mod bounded_store;
 mod builders;
 mod crashes;
 mod entries;
@@ -40,6 +41,7 @@
     WorkerRecord, Workspace, Workspaces,
 };
 
+use workswood::ops::jobs::append_calls::StateEncoder;
 use workswood::ops::jobs::lease_renewal::{EXTENSION_GRACE, FULL_LEASE_GRACE};
 
 pub use self::fault_rng::{Fate, FaultRng};
@@ -47,6 +49,7 @@
 pub use self::second_owner::second_key;
 
 use self::adviser::ADVICE;
+use self::bounded_store::BoundedStore;
 use self::crashes::Crashes;
 use self::entries::Entries;
 use self::evacuations::Evacuations;
@@ -120,6 +123,10 @@
     pub worker_changes: u64,
     /// Orders that a later life of a worker received than they were sent to, while it was down or cut off.
     pub misdelivered_orders: u64,
+    /// Batches that took several appends.
+    pub split_batches: u64,
+    /// Starts that brought a checkpoint.
+    pub resumed_starts: u64,
     /// Callers who were told that another owner's job has their number.
     pub taken_numbers: u64,
     /// Callers who tried again under a number that another owner's job has, and were told that the job was accepted.
@@ -140,6 +147,8 @@
         self.crashes_under_them += other.crashes_under_them;
         self.worker_changes += other.worker_changes;
         self.misdelivered_orders += other.misdelivered_orders;
+        self.split_batches += other.split_batches;
+        self.resumed_starts += other.resumed_starts;
         self.taken_numbers += other.taken_numbers;
         self.accepted_repeats += other.accepted_repeats;
     }
@@ -181,6 +190,8 @@
     attempts: Attempts,
     stored_workers: BTreeMap<WorkerId, WorkerRecord>,
     stored_ended: BTreeMap<WorkerId, EndedIncarnationRecord>,
+    /// The state in its stored form; `None` if the store takes records of any size.
+    bounded_store: Option<BoundedStore>,
     /// Tasks that some worker has run successfully.
     done: BTreeSet<TaskId>,
     /// When each job was first shown as completed.
@@ -397,13 +408,7 @@
         }
         sched.handle(Event::ConfigChanged(Arc::new(cfg)));
         sched.handle(Event::Evacuated(self.evacuated()));
-        for (id, rec) in &self.stored_workers {
-            sched.restore_worker(id.clone(), rec.clone());
-        }
-        for (id, ended) in &self.stored_ended {
-            sched.restore_ended(id.clone(), ended);
-        }
-        sched.restore_jobs(self.read_jobs());
+        let encoder = self.restore(&mut sched);
         for key in self.cancelled.keys() {
             sched.handle(Event::Cancelled(*key, self.owner()));
         }
@@ -411,10 +416,36 @@
             sched.handle(Event::WorkerListed(self.info(n, &w.id)));
         }
         self.relays.push(SimRelay::new(own.clone(), Some(self.term)));
-        self.holders.push(Holder::new(sched, self.now));
+        self.holders.push(Holder::new(sched, encoder, self.now));
         self.open(self.holders.len() - 1, own);
     }
 
+    /// Has a new holder take over what is stored; returns how it writes further records.
+    fn restore(&self, sched: &mut Scheduler) -> StateEncoder {
+        let (jobs, workers, ended, encoder) = match &self.bounded_store {
+            Some(store) => {
+                let (state, encoder) = store.read();
+                let jobs = self.join_stored(&state);
+                // In a fixed order, so that a seed plays the same each time.
+                let workers: BTreeMap<_, _> = state.workers.into_iter().collect();
+                let ended: BTreeMap<_, _> = state.ended_incarnations.into_iter().collect();
+                (jobs, workers, ended, encoder)
+            }
+            None => {
+                let (workers, ended) = (self.stored_workers.clone(), self.stored_ended.clone());
+                (self.read_jobs(), workers, ended, StateEncoder::default())
+            }
+        };
+        for (id, rec) in workers {
+            sched.restore_worker(id, rec);
+        }
+        for (id, ended) in &ended {
+            sched.restore_ended(id.clone(), ended);
+        }
+        sched.restore_jobs(jobs);
+        encoder
+    }
+
     /// Sets the entries that a scheduler may use as relays.
     fn set_relays(&self, sched: &mut Scheduler) {
         let others = self.relays.iter().filter(|r| r.own.is_none());
@@ -430,6 +461,11 @@
 
     /// Ends the process of the current holder, with its relay, without a trace.
     pub fn kill_holder(&mut self) {
+        if let Some(last) = self.holders.len().checked_sub(1)
+            && let Some(batch) = self.holders[last].take_write()
+        {
+            self.cut_write(last, &batch);
+        }
         let Some(h) = self.holders.pop() else { return };
         let term = h.sched.token;
         self.relays.retain(|r| r.own != Some(term));
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -34,11 +34,30 @@
     pub listed_ends: usize,
     /// Tasks that run on a worker at once.
     pub runs: usize,
+    /// Length of the longest checkpoint that it saves; 0 if it saves none.
+    pub checkpoint_bytes: usize,
+}
+
+/// Time of work after which a checkpoint is renewed.
+const SAVE_INTERVAL: Duration = Duration::from_millis(200);
+/// Lengths of checkpoints differ by multiples of this number.
+const LENGTH_STEP: usize = 389;
+
+impl WorkerLimits {
+    /// The checkpoint of a task that has run for so long; empty if there is none. It begins with the task's name.
+    fn checkpoint(&self, task: &TaskId, ran_for: Duration) -> String {
+        let saves = (ran_for.as_millis() / SAVE_INTERVAL.as_millis()) as usize;
+        if self.checkpoint_bytes == 0 || saves == 0 {
+            return String::new();
+        }
+        let len = (task.job as usize + task.index as usize + saves) * LENGTH_STEP % self.checkpoint_bytes;
+        format!("{task} {saves} {}", "x".repeat(len))
+    }
 }
 
 impl Default for WorkerLimits {
     fn default() -> WorkerLimits {
-        WorkerLimits { listed_ends: usize::MAX, runs: MAX_RUNS }
+        WorkerLimits { listed_ends: usize::MAX, runs: MAX_RUNS, checkpoint_bytes: 0 }
     }
 }
 
@@ -127,7 +146,7 @@
             };
             self.last_end += 1;
             self.finished_attempts.insert(task, r.attempt);
-            let checkpoint = String::new();
+            let checkpoint = self.limits.checkpoint(&task, now - r.started_at);
             self.ended.push(ReportedEnd {
                 sequence_number: self.last_end,
                 task,
@@ -194,7 +213,7 @@
             ReportedRun {
                 task: *task,
                 attempt: r.attempt,
-                checkpoint: String::new(),
+                checkpoint: self.limits.checkpoint(task, now - r.started_at),
                 // A task that lasts is warm at once.
                 percent: if total >= LASTING_MS { 100 } else { (elapsed / total).min(100) as u32 },
                 load: 0,
--- a/src/workswood/ops/job_status/mod.rs
+++ b/src/workswood/ops/job_status/mod.rs
@@ -97,7 +97,7 @@
 /// Describes why the host list could not be read.
 fn host_list_error(e: StoreError) -> String {
     match e {
-        StoreError::NotDone { text } => format!("refused: {text}"),
+        StoreError::NotDone { text } | StoreError::Rejected { text } => format!("refused: {text}"),
         StoreError::Unknown { text } => format!("no answer: {text}"),
         StoreError::GuardFailed | StoreError::RecordsGone => e.to_string(),
     }
--- a/src/workswood/ops/jobs/batch_writer.rs
+++ b/src/workswood/ops/jobs/batch_writer.rs
@@ -4,28 +4,28 @@
 //! acknowledged a write for [`OutagePolicy::write_stall`]. Batches that are taken then are merged and
 //! written as one when the write under way has succeeded.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::task::JoinSet;
-use workswood_core::ids::Term;
 use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
-use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Owner, Scheduler, StoreAccess};
-use workswood_platform::jobs::{Guard, KeyedRecord, StoreError, Topic};
+use workswood_core::jobs::{Batch, JobKey, OutagePolicy, Scheduler, StoreAccess};
 
-use super::append_calls::appends_of;
-use super::hedged_call::hedged_call;
-use super::inbox_cleanup;
+use super::append_calls::StateEncoder;
 use super::node::{Node, SchedulerHandle};
 use super::record::deleted_job;
-use super::state_parts::StateParts;
+use super::state_appends::{self, AppendsWritten};
 
-/// An append without an answer is repeated after this time if the store answers other calls.
-const HEDGE_AFTER: Duration = Duration::from_millis(250);
 /// After a longer pause of the scheduler's task, which runs at each tick, its host was suspended.
 const MAX_PAUSE: Duration = Duration::from_millis(400);
-/// Delay after a failed append.
-const RETRY_DELAY: Duration = Duration::from_millis(60);
+/// A batch that is stored.
+pub(super) struct WrittenBatch {
+    /// The batch.
+    pub batch: Batch,
+    /// Jobs whose records the store has refused for good; what the batch says of them is not stored.
+    pub refused_jobs: BTreeSet<JobKey>,
+}
 
 /// The batch that is being written.
 struct BatchInFlight {
@@ -40,19 +40,19 @@
     /// Number of the next append of this term.
     next_append: u64,
     in_flight: Option<BatchInFlight>,
-    /// Whether the batch in flight was stored; false if another term has begun.
-    write: JoinSet<bool>,
+    /// What became of the batch in flight; `None` if another term has begun.
+    write: JoinSet<Option<AppendsWritten>>,
     /// Batches that wait for the one in flight.
     owed: OwedBatch,
-    /// Parts of states that the store may hold.
-    parts: StateParts,
+    /// How records are written, given what the store may hold.
+    encoder: StateEncoder,
     /// When the scheduler's task last ran.
     last_awake: Duration,
 }
 
 impl BatchWriter {
-    /// Returns a writer for a term of the lease, at whose start the store held these parts of states.
-    pub(super) fn new(node: Arc<Node>, handle: Arc<SchedulerHandle>, parts: StateParts) -> BatchWriter {
+    /// Returns a writer for a term of the lease.
+    pub(super) fn new(node: Arc<Node>, handle: Arc<SchedulerHandle>, encoder: StateEncoder) -> BatchWriter {
         BatchWriter {
             node,
             handle,
@@ -60,7 +60,7 @@
             in_flight: None,
             write: JoinSet::new(),
             owed: OwedBatch::default(),
-            parts,
+            encoder,
             last_awake: Duration::ZERO,
         }
     }
@@ -126,9 +126,9 @@
         }
         let number = self.next_append;
         let dropped = batch.records.iter().filter_map(deleted_job).collect();
-        let appends = appends_of(&batch.records, &mut self.parts, self.node.settings.store_sizes());
-        self.next_append += appends.len() as u64;
-        self.write.spawn(write_records(self.node.clone(), self.handle.clone(), number, dropped, appends));
+        let appends = self.encoder.appends_of(&batch.records, self.node.settings.store_sizes());
+        let (node, handle) = (self.node.clone(), self.handle.clone());
+        self.write.spawn(state_appends::write(node, handle, number, dropped, appends));
         self.in_flight = Some(BatchInFlight { batch, since: self.node.now() });
         None
     }
@@ -147,51 +147,12 @@
 
     /// Waits until the batch in flight is stored and returns it; `None` if another term has begun or the
     /// write failed. Never returns while no batch is being written.
-    pub(super) async fn next_written(&mut self) -> Option<Batch> {
+    pub(super) async fn next_written(&mut self) -> Option<WrittenBatch> {
         let Some(written) = self.write.join_next().await else { return std::future::pending().await };
         let in_flight = self.in_flight.take()?;
-        matches!(written, Ok(true)).then_some(in_flight.batch)
-    }
-}
-
-/// Writes the appends of a batch, the first of which has this number, and retries until they are stored; returns false
-/// if another term has begun.
-async fn write_records(
-    node: Arc<Node>,
-    handle: Arc<SchedulerHandle>,
-    first_number: u64,
-    dropped: Vec<(JobKey, Owner)>,
-    appends: Vec<Vec<KeyedRecord>>,
-) -> bool {
-    inbox_cleanup::delete_from_inbox(&node, &handle, dropped).await;
-    let _timer = node.metrics.batch_seconds.start_timer();
-    for (number, records) in (first_number..).zip(appends) {
-        if !write_append(&node, handle.term, number, &records).await {
-            return false;
-        }
-    }
-    true
-}
-
-/// Makes one append, again until it is stored; returns false if another term has begun.
-async fn write_append(node: &Node, term: Term, number: u64, records: &[KeyedRecord]) -> bool {
-    loop {
-        let guard = Guard::Term(term, number);
-        let append = || node.platform.append(Topic::State, records.to_vec(), guard);
-        // The store takes a number only once.
-        match hedged_call(node, HEDGE_AFTER, append).await {
-            Ok(_) => {
-                node.note_store_answer();
-                return true;
-            }
-            Err(StoreError::GuardFailed) => {
-                log::warn!("event=state_overtaken term={term} number={number}");
-                return false;
-            }
-            Err(e) => {
-                log::warn!("event=state_not_written term={term} number={number} error=\"{e}\"");
-                tokio::time::sleep(RETRY_DELAY).await;
-            }
-        }
+        let written =
+            written.inspect_err(|e| log::error!("event=batch_not_written error=\"{e}\"")).ok()??;
+        self.next_append = written.next_number;
+        Some(WrittenBatch { batch: in_flight.batch, refused_jobs: written.refused_jobs })
     }
 }
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -27,6 +27,7 @@
 use tokio::task::JoinSet;
 use workswood_adapter::size_in_append;
 use workswood_callers::HeldBytes;
+use workswood_core::code::Code;
 use workswood_core::jobs::{JobKey, Owner};
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Partition, StoreError, Topic};
@@ -156,6 +157,8 @@
     stage: Arc<Stage>,
     /// Number of appends with the record that were refused.
     refusals: u32,
+    /// Maximum number of records in an append with it. The store may refuse an append for one of its records.
+    max_batch: usize,
     /// What is known of the appends with the record that were sent, from here and by peers.
     outcome: CopyOutcome,
     /// Whether a peer sent the record. It is not sent on to other peers.
@@ -271,6 +274,7 @@
             rec,
             stage: stage.clone(),
             refusals: 0,
+            max_batch: MAX_APPEND_RECORDS,
             outcome: CopyOutcome::NotDone,
             for_peer,
             refused_by_peers: false,
@@ -339,12 +343,14 @@
 
 /// Number of the first records that one append takes; the first one in any case.
 fn records_of_append(queue: &[QueuedRecord], max_bytes: usize) -> usize {
-    let mut bytes = 0;
+    let (mut bytes, mut count, mut max_count) = (0, 0, MAX_APPEND_RECORDS);
     let fits = |queued: &&QueuedRecord| {
         bytes += size_in_append(&queued.rec);
-        bytes <= max_bytes
+        count += 1;
+        max_count = max_count.min(queued.max_batch);
+        bytes <= max_bytes && count <= max_count
     };
-    queue.iter().take(MAX_APPEND_RECORDS).take_while(fits).count().max(1)
+    queue.iter().take_while(fits).count().max(1)
 }
 
 /// Stores records with one append; returns those that have to be sent again.
@@ -352,6 +358,9 @@
     node.inbox_writer.appends_in_flight.fetch_add(1, Ordering::Relaxed);
     let result = append_with_fallback(&node, partition, &batch).await;
     node.inbox_writer.appends_in_flight.fetch_sub(1, Ordering::Relaxed);
+    if result.is_rejected {
+        divide_rejected(&node, &mut batch);
+    }
     let probes = node.settings.policy.outage.probe_before_append;
     for (queued, by_peer) in batch.iter_mut().zip(&result.by_peers) {
         queued.outcome = queued.outcome.with(result.local).with(by_peer.unwrap_or_default());
@@ -370,64 +379,115 @@
     retries
 }
 
+/// Has the records of an append that the store refuses for good sent in smaller appends. A single one is given up.
+fn divide_rejected(node: &Node, batch: &mut [QueuedRecord]) {
+    let max_batch = batch.len() / 2;
+    for queued in batch.iter_mut() {
+        queued.max_batch = max_batch.max(1);
+    }
+    if let [single] = batch {
+        single.refusals = MAX_REFUSALS;
+        node.metrics.refused_records.with_label_values(&["inbox"]).inc();
+        log::error!(
+            "event=record_refused code={} kind=inbox key={} bytes={}",
+            Code::RecordTooLarge.number(),
+            single.rec.key,
+            size_in_append(&single.rec)
+        );
+    }
+}
+
 /// Outcome of an append from here, and of sending its records through peers; `None` for a record that was
 /// not sent to a peer. The first is also unknown if it was not awaited since peers have stored all records.
 struct AppendResult {
     local: CopyOutcome,
+    /// Whether the store never takes the append.
+    is_rejected: bool,
     by_peers: Vec<Option<CopyOutcome>>,
 }
 
+impl AppendResult {
+    fn new(local: CopyOutcome, by_peers: Vec<Option<CopyOutcome>>) -> AppendResult {
+        AppendResult { local, is_rejected: false, by_peers }
+    }
+
+    /// The result of an append that was not sent through peers.
+    fn of_local(local: LocalAppend, batch: &[QueuedRecord]) -> AppendResult {
+        let is_rejected = local == LocalAppend::Rejected;
+        AppendResult { is_rejected, ..AppendResult::new(local.outcome(), vec![None; batch.len()]) }
+    }
+}
+
+/// What became of an append from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LocalAppend {
+    /// It was made, refused for now, or had no answer.
+    Settled(CopyOutcome),
+    /// The store never takes it.
+    Rejected,
+}
+
+impl LocalAppend {
+    /// What is known of the records.
+    fn outcome(self) -> CopyOutcome {
+        match self {
+            LocalAppend::Settled(outcome) => outcome,
+            LocalAppend::Rejected => CopyOutcome::NotDone,
+        }
+    }
+
+    /// Whether peers needn't be asked.
+    fn is_final(self) -> bool {
+        self == LocalAppend::Rejected || self.outcome() == CopyOutcome::Done
+    }
+}
+
 /// Sends an append, and sends its records through peers if it is refused or late.
 async fn append_with_fallback(node: &Node, partition: Partition, batch: &[QueuedRecord]) -> AppendResult {
     if !node.settings.policy.calls.write_for_others {
-        return AppendResult {
-            local: append_locally(node, partition, batch).await,
-            by_peers: vec![None; batch.len()],
-        };
+        return AppendResult::of_local(append_locally(node, partition, batch).await, batch);
     }
     let mut local = pin!(append_locally(node, partition, batch));
-    let not_sent = vec![None; batch.len()];
     let timeout = if node.inbox_writer.last_append_failed.load(Ordering::Relaxed) {
         Duration::ZERO
     } else {
         node.inbox_writer.append_latency.late_after()
     };
     let in_time = tokio::time::timeout(timeout, &mut local).await.ok();
-    if in_time == Some(CopyOutcome::Done) {
-        return AppendResult { local: CopyOutcome::Done, by_peers: not_sent };
+    if let Some(local) = in_time.filter(|local| local.is_final()) {
+        return AppendResult::of_local(local, batch);
     }
     node.inbox_writer.record_failure(node.now());
     let mut through_peers = pin!(store_through_peers(node, batch));
     let Some(in_time) = in_time else {
         return tokio::select! {
-            local = &mut local => match local {
-                CopyOutcome::Done => AppendResult { local, by_peers: not_sent },
-                CopyOutcome::NotDone | CopyOutcome::Unknown => {
-                    AppendResult { local, by_peers: through_peers.await }
-                }
+            local = &mut local => match local.is_final() {
+                true => AppendResult::of_local(local, batch),
+                false => AppendResult::new(local.outcome(), through_peers.await),
             },
             by_peers = &mut through_peers => {
                 let all_stored = by_peers.iter().all(|stored| *stored == Some(CopyOutcome::Done));
-                let local = if all_stored { CopyOutcome::Unknown } else { local.await };
-                AppendResult { local, by_peers }
+                let local = if all_stored { CopyOutcome::Unknown } else { local.await.outcome() };
+                AppendResult::new(local, by_peers)
             }
         };
     };
-    AppendResult { local: in_time, by_peers: through_peers.await }
+    AppendResult::new(in_time.outcome(), through_peers.await)
 }
 
 /// Sends an append from here, unless the store has been silent for too long.
-async fn append_locally(node: &Node, partition: Partition, batch: &[QueuedRecord]) -> CopyOutcome {
+async fn append_locally(node: &Node, partition: Partition, batch: &[QueuedRecord]) -> LocalAppend {
+    const NOT_DONE: LocalAppend = LocalAppend::Settled(CopyOutcome::NotDone);
     if node.store_silence() > APPEND_MAX_STORE_SILENCE {
-        return CopyOutcome::NotDone;
+        return NOT_DONE;
     }
     if node.settings.policy.outage.probe_before_append && !store_answers(node).await {
-        return CopyOutcome::NotDone;
+        return NOT_DONE;
     }
     let wanted = batch.iter().filter(|queued| queued.stage.mark_sent());
     let records: Vec<KeyedRecord> = wanted.map(|queued| queued.rec.clone()).collect();
     if records.is_empty() {
-        return CopyOutcome::NotDone;
+        return NOT_DONE;
     }
     let start = node.now();
     let res = node.platform.append(Topic::Inbox(partition), records, Guard::None).await;
@@ -436,12 +496,17 @@
             node.inbox_writer.append_latency.record(node.now() - start);
             node.note_store_answer();
             node.inbox_writer.last_append_failed.store(false, Ordering::Relaxed);
-            CopyOutcome::Done
+            LocalAppend::Settled(CopyOutcome::Done)
+        }
+        Err(e @ StoreError::Rejected { .. }) => {
+            node.note_store_answer();
+            log_failed(batch, &e);
+            LocalAppend::Rejected
         }
         Err(e) => {
             node.check_lease.notify_one();
             log_failed(batch, &e);
-            e.outcome()
+            LocalAppend::Settled(e.outcome())
         }
     }
 }
--- a/src/workswood/ops/jobs/job_state.rs
+++ b/src/workswood/ops/jobs/job_state.rs
@@ -15,6 +15,8 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{FinishedJobRecord, JobRecord, Outcome, Owner};
 
+use super::saved_checkpoints::is_apart;
+
 /// First byte of a JSON record, as earlier versions wrote it.
 const JSON_FIRST_BYTE: u8 = b'{';
 
@@ -45,6 +47,9 @@
     /// Checksum of the parts, one after the other.
     #[prost(fixed64, tag = "10")]
     parts_checksum: u64,
+    /// Number of the first part.
+    #[prost(uint32, tag = "11")]
+    first_part: u32,
 }
 
 /// What is stored of a job that has ended and runs nowhere.
@@ -167,10 +172,20 @@
 
 /// Encodes the state of a job.
 pub fn encode(rec: &JobRecord) -> Vec<u8> {
+    encode_with(rec, |_| true)
+}
+
+/// Encodes the state of a job without the checkpoints that are stored apart.
+pub fn encode_without_apart(rec: &JobRecord) -> Vec<u8> {
+    encode_with(rec, |task| !is_apart(task))
+}
+
+/// Encodes the state of a job with those checkpoints for whose tasks `has_checkpoint` holds.
+fn encode_with(rec: &JobRecord, has_checkpoint: impl Fn(&TaskRecord) -> bool) -> Vec<u8> {
     let mut workers = WorkerTable::default();
     let mut rounds = Vec::with_capacity(rec.rounds.len());
     for round in &rec.rounds {
-        let steps = round.iter().map(|tasks| encode_step(tasks, &mut workers)).collect();
+        let steps = round.iter().map(|tasks| encode_step(tasks, &mut workers, &has_checkpoint)).collect();
         rounds.push(RoundState { steps });
     }
     let state = StoredJobState {
@@ -192,8 +207,7 @@
         }),
         owner: rec.owner.map(Owner::number),
         earlier_attempts: rec.earlier_attempts,
-        parts: 0,
-        parts_checksum: 0,
+        ..StoredJobState::default()
     };
     state.encode_to_vec()
 }
@@ -201,6 +215,8 @@
 /// What the record under a state's own key tells of its parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartsHeader {
+    /// Number of the first part.
+    pub first: usize,
     /// Number of parts.
     pub count: usize,
     /// Checksum of the parts, one after the other.
@@ -215,20 +231,40 @@
         outcome: Some(Ended::Failed as i32),
         owner: rec.owner.map(Owner::number),
         earlier_attempts: rec.earlier_attempts,
+        ..plain_header(header)
+    };
+    state.encode_to_vec()
+}
+
+/// Encodes what is stored under the own key of a record in parts that is no state of a job.
+pub fn encode_plain_header(header: PartsHeader) -> Vec<u8> {
+    plain_header(header).encode_to_vec()
+}
+
+fn plain_header(header: PartsHeader) -> StoredJobState {
+    StoredJobState {
         parts: header.count as u32,
         parts_checksum: header.checksum,
+        first_part: header.first as u32,
         ..StoredJobState::default()
-    };
-    state.encode_to_vec()
+    }
 }
 
 /// Decodes what a record tells of the parts of its state; `None` for a state that has none.
 pub fn decode_header(value: &[u8]) -> Option<PartsHeader> {
     let state = StoredJobState::decode(value).ok().filter(|state| state.parts > 0)?;
-    Some(PartsHeader { count: state.parts as usize, checksum: state.parts_checksum })
+    Some(PartsHeader {
+        first: state.first_part as usize,
+        count: state.parts as usize,
+        checksum: state.parts_checksum,
+    })
 }
 
-fn encode_step<'a>(tasks: &'a [TaskRecord], workers: &mut WorkerTable<'a>) -> StepState {
+fn encode_step<'a>(
+    tasks: &'a [TaskRecord],
+    workers: &mut WorkerTable<'a>,
+    has_checkpoint: &impl Fn(&TaskRecord) -> bool,
+) -> StepState {
     let mut s = StepState { count: tasks.len() as u32, ..StepState::default() };
     for (n, t) in tasks.iter().enumerate() {
         let task_index = n as u32;
@@ -239,12 +275,13 @@
         for (worker, attempt) in &t.runs {
             s.runs.extend([task_index, *attempt, workers.index_of(worker)]);
         }
-        if has_details(t) {
+        let with_checkpoint = !t.checkpoint.is_empty() && has_checkpoint(t);
+        if with_checkpoint || has_details(t) {
             s.detailed.push(TaskState {
                 index: task_index,
                 latest_attempt: t.latest_attempt,
                 failed_attempts: t.failed_runs.iter().map(|(attempt, _)| attempt).collect(),
-                checkpoint: t.checkpoint.clone(),
+                checkpoint: if with_checkpoint { t.checkpoint.to_string() } else { String::new() },
                 evicted_attempts: t.evicted_attempts.iter().copied().collect(),
                 crashes: t
                     .crashes
@@ -270,14 +307,14 @@
     s
 }
 
-/// Whether a task has more state than whether it is done and its runs. The latest attempt of a task that
+/// Whether a task has more state than whether it is done, its runs and its checkpoint. The latest attempt of a task that
 /// is done does not count: there will be no other.
 fn has_details(t: &TaskRecord) -> bool {
     let latest = t.runs.iter().map(|(_, attempt)| *attempt).max().unwrap_or(0);
     let attempt_not_in_runs = !t.done && t.latest_attempt != latest;
     let has_failures = !t.failed_runs.is_empty() || !t.crashes.is_empty() || t.given_up;
-    let has_run_state = !t.checkpoint.is_empty() || !t.evicted_attempts.is_empty();
-    attempt_not_in_runs || has_failures || has_run_state || t.absence.is_some()
+    let has_evictions = !t.evicted_attempts.is_empty();
+    attempt_not_in_runs || has_failures || has_evictions || t.absence.is_some()
 }
 
 /// Decodes the state of a job. Under which key it is stored, the record does not tell.
@@ -326,7 +363,7 @@
         let task = tasks.get_mut(t.index as usize).ok_or("the index of a task is out of range")?;
         task.latest_attempt = t.latest_attempt;
         task.failed_runs = decode_failed_runs(&t.failed_attempts, &t.failed_on, workers);
-        task.checkpoint = t.checkpoint;
+        task.checkpoint = t.checkpoint.into();
         task.evicted_attempts = t.evicted_attempts.into_iter().collect();
         task.given_up = t.given_up;
         task.absence = t.absence.map(|a| AbsenceRecord { since: a.since, restart_by: a.restart_by });
--- a/src/workswood/ops/jobs/mod.rs
+++ b/src/workswood/ops/jobs/mod.rs
@@ -18,8 +18,9 @@
 //!   renews the lease, [`relay_sessions`] has relays serve workers, [`host_orders`] sends orders to
 //!   hosts, [`advice`] calls the adviser, and [`inbox_cleanup`] deletes finished and forgotten jobs
 //!   from the inbox.
-//! * [`record`], [`job_spec`] and [`job_state`] define the stored form of jobs and state. [`state_parts`] divides states
-//!   that are too large for a record, and [`append_calls`] batches that are too large for an append.
+//! * [`record`], [`job_spec`] and [`job_state`] define the stored form of jobs and state. [`state_parts`] divides records
+//!   that are too large for the store, [`append_calls`] batches that are too large for an append, which `state_appends` writes, and [`saved_checkpoints`]
+//!   stores checkpoints apart. [`stored_state`] reads all of it.
 //! * [`limits`] holds durations of leases, and [`worker_list`] follows the list of workers.
 //! * [`relay`] communicates with workers for the lease holder, in this process or elsewhere.
 //! * [`job_status_table`] holds the statuses of jobs, as callers may see them. [`job_queries`] forwards callers'
@@ -65,11 +66,14 @@
 pub mod relay_grants;
 mod relay_sessions;
 mod restore_state;
+pub mod saved_checkpoints;
 mod scheduler_io;
 mod scheduler_task;
 mod shutdown;
+mod state_appends;
 pub mod state_parts;
 mod store_calls;
+pub mod stored_state;
 pub mod submitted_numbers;
 pub mod topic_reader;
 mod usage_log;
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -8,7 +8,8 @@
 //! that of another owner's job before; the progress of a wave under `wave-` and its
 //! number, an incarnation of a worker under `worker-` and its id, what one has left behind that is
 //! over under `ended-` and its id, and the mark of a host that recently received an order under
-//! `ordered-` and its name.
+//! `ordered-` and its name. A checkpoint that is stored apart is under `checkpoint-`, the key of its job's state, `+`, and the
+//! round, step and index of its task.
 
 use std::fmt;
 
@@ -35,6 +36,22 @@
 /// Prefix of the key of the mark of a host that recently received an order.
 const ORDERED_PREFIX: &str = "ordered-";
 
+/// Prefix of the key of a checkpoint.
+const CHECKPOINT_PREFIX: &str = "checkpoint-";
+/// Separates the key of the job's state from the place of the task.
+const PLACE_SEPARATOR: char = '+';
+
+/// Which task of its job a checkpoint is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TaskPlace {
+    /// Round of the job.
+    pub round: u32,
+    /// Step of the job.
+    pub step: u16,
+    /// Index of the task within its step.
+    pub index: u32,
+}
+
 /// A key of the inbox. Keys are ordered by job first, so those of one job are adjacent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct InboxKey {
@@ -67,6 +84,8 @@
     EndedIncarnation(WorkerId),
     /// The mark of a host that recently received an order.
     HostOrderMark(HostId),
+    /// The checkpoint of a task, with the key of its job's state.
+    Checkpoint(String, TaskPlace),
 }
 
 /// Parses a key of the inbox; `None` if it is malformed.
@@ -98,6 +117,10 @@
     if let Some(host) = key.strip_prefix(ORDERED_PREFIX) {
         return Some(StateKey::HostOrderMark(host.to_string()));
     }
+    if let Some(name) = key.strip_prefix(CHECKPOINT_PREFIX) {
+        let (job, place) = name.rsplit_once(PLACE_SEPARATOR)?;
+        return Some(StateKey::Checkpoint(job.to_string(), parse_place(place)?));
+    }
     match key.split_once(OWNER_SEPARATOR) {
         None => Some(StateKey::Job(parse_job_key(key)?, None)),
         Some((job, owner)) => {
@@ -107,6 +130,20 @@
     }
 }
 
+fn parse_place(text: &str) -> Option<TaskPlace> {
+    let mut numbers = text.split('.');
+    let round = numbers.next()?.parse().ok()?;
+    let step = numbers.next()?.parse().ok()?;
+    let index = numbers.next()?.parse().ok()?;
+    numbers.next().is_none().then_some(TaskPlace { round, step, index })
+}
+
+/// The key of a checkpoint that is stored apart, with the key of its job's state.
+pub fn checkpoint_key(job: &str, place: TaskPlace) -> String {
+    let TaskPlace { round, step, index } = place;
+    format!("{CHECKPOINT_PREFIX}{job}{PLACE_SEPARATOR}{round}.{step}.{index}")
+}
+
 /// Returns the inbox record that cancels a job.
 pub fn cancel_record(job: JobKey, owner: Owner) -> KeyedRecord {
     let key = InboxKey { job, owner, kind: InboxRecordKind::Cancel };
@@ -152,12 +189,12 @@
     KeyedRecord { key, value: None }
 }
 
-/// Returns the stored form of a record of the scheduler's state.
+/// Returns the stored form of a record of the scheduler's state. A job is without the checkpoints that are stored apart.
 pub fn state_record(rec: &Record) -> KeyedRecord {
     match rec {
         Record::Job(job, state) => {
             let key = job_state_key(*job, state.owner().unwrap_or_default(), state.slot);
-            KeyedRecord { key, value: Some(job_state::encode(state).into()) }
+            KeyedRecord { key, value: Some(job_state::encode_without_apart(state).into()) }
         }
         Record::DropJob(job, owner, slot) => deletion_record(job_state_key(*job, *owner, *slot)),
         Record::Wave(n, progress) => json_record(format!("{WAVE_PREFIX}{n}"), progress),
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -1,25 +1,22 @@
 //! Restores the scheduler from the state that earlier lease holders stored.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::try_join_all;
-use workswood_core::ids::{HostId, Offset};
-use workswood_core::jobs::job::{StateSlot, WorkerId};
+use workswood_core::ids::Offset;
 use workswood_core::jobs::restored_jobs::join_states;
-use workswood_core::jobs::{
-    EndedIncarnationRecord, Event, JobKey, JobRecord, JobSpec, Scheduler, WaveRecord, WorkerRecord,
-};
+use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Scheduler};
 use workswood_platform::jobs::{Guard, KeyedRecord, LatestRecords, Partition, StoreError, Topic};
 
+use super::append_calls::StateEncoder;
 use super::inbox::{self, InboxIndex};
 use super::lease_renewal::EXTENSION_GRACE;
 use super::limits::scheduler_limits;
 use super::node::{Node, SchedulerHandle};
-use super::record::{InboxKey, InboxRecordKind, StateKey, parse_inbox_key, parse_state_key};
-use super::state_parts::StateParts;
-use super::{job_spec, job_state};
+use super::record::{InboxKey, InboxRecordKind, parse_inbox_key};
+use super::{job_spec, stored_state};
 
 /// Longest wait until it is certain when the grants of earlier terms end. The first renewal and its reading
 /// take no longer than the reads of the state, unless the store is slow.
@@ -33,8 +30,8 @@
     pub inbox_next: Vec<(Partition, Offset)>,
     /// Which partitions of the inbox hold which keys.
     pub inbox_keys: InboxIndex,
-    /// Parts of states that the store holds.
-    pub state_parts: StateParts,
+    /// How further records of the state are to be written.
+    pub encoder: StateEncoder,
 }
 
 /// Fences all earlier holders off from the stored state, and restores the scheduler from it.
@@ -67,8 +64,7 @@
         sched.handle(Event::ConfigChanged(cfg));
     }
     sched.handle(Event::Evacuated(node.operator_state.evacuations().data_centres.clone()));
-    let (state_records, state_parts) = StateParts::join(state.records);
-    let state = parse_state(state_records);
+    let (state, encoder) = stored_state::read(state.records);
     for (id, rec) in state.workers {
         sched.restore_worker(id, rec);
     }
@@ -95,7 +91,7 @@
         (node.now() - read).as_millis(),
         sched.predecessors_extend_until().saturating_sub(held_since).as_millis()
     );
-    Ok(RestoredScheduler { sched, inbox_next, inbox_keys, state_parts })
+    Ok(RestoredScheduler { sched, inbox_next, inbox_keys, encoder })
 }
 
 /// When the grants of earlier terms end; `None` if that is not certain in time.
@@ -105,61 +101,6 @@
     *known.ok()?.ok()?
 }
 
-/// The stored state.
-#[derive(Default)]
-struct StoredState {
-    jobs: Vec<(JobKey, JobRecord)>,
-    waves: HashMap<u64, WaveRecord>,
-    workers: HashMap<WorkerId, WorkerRecord>,
-    ended_incarnations: HashMap<WorkerId, EndedIncarnationRecord>,
-    /// Hosts that recently received an order, each with the name of the holder that sent it.
-    order_marks: Vec<(HostId, String)>,
-}
-
-/// Parses the records of the state. Malformed ones are logged and left out.
-fn parse_state(records: Vec<KeyedRecord>) -> StoredState {
-    let mut s = StoredState::default();
-    for rec in records {
-        let value = rec.value.unwrap_or_default();
-        match parse_state_key(&rec.key) {
-            Some(StateKey::Job(key, owner)) => match job_state::decode(&value) {
-                Ok(state) => {
-                    let slot = owner.map_or(StateSlot::Number, |_| StateSlot::NumberAndOwner);
-                    s.jobs.push((key, JobRecord { owner: state.owner.or(owner), slot, ..state }));
-                }
-                Err(e) => log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key),
-            },
-            Some(StateKey::Wave(n)) => {
-                if let Some(w) = parse_json(&rec.key, &value) {
-                    s.waves.insert(n, w);
-                }
-            }
-            Some(StateKey::Worker(id)) => {
-                if let Some(w) = parse_json(&rec.key, &value) {
-                    s.workers.insert(id, w);
-                }
-            }
-            Some(StateKey::EndedIncarnation(id)) => {
-                if let Some(ended) = parse_json(&rec.key, &value) {
-                    s.ended_incarnations.insert(id, ended);
-                }
-            }
-            // Records of the previous version have no name; the mark is then taken for another
-            // holder's.
-            Some(StateKey::HostOrderMark(host)) => {
-                s.order_marks.push((host, serde_json::from_slice(&value).unwrap_or_default()));
-            }
-            None => log::error!("event=record_not_read code=203 key={}", rec.key),
-        }
-    }
-    s
-}
-
-fn parse_json<T: serde::de::DeserializeOwned>(key: &str, value: &[u8]) -> Option<T> {
-    let parsed = serde_json::from_slice(value);
-    parsed.inspect_err(|e| log::error!("event=record_not_read code=203 key={key} error=\"{e}\"")).ok()
-}
-
 /// Restores the jobs and their state, and then applies cancellations. A state whose job is no
 /// longer in the inbox belongs to a job that is finished or was being forgotten.
 fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, states: Vec<(JobKey, JobRecord)>) {
--- a/src/workswood/ops/jobs/scheduler_io.rs
+++ b/src/workswood/ops/jobs/scheduler_io.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use tokio::sync::watch;
+use workswood_core::code::Code;
 use workswood_core::ids::Offset;
 use workswood_core::jobs::Event;
 use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
@@ -123,6 +124,11 @@
                     log::info!("event=wave_published wave={wave} complete={complete}");
                     published.insert(wave, complete);
                 }
+                Err(e @ StoreError::Rejected { .. }) => {
+                    let code = Code::RecordTooLarge.number();
+                    log::error!("event=wave_not_published code={code} wave={wave} error=\"{e}\"");
+                    published.insert(wave, complete);
+                }
                 Err(e) => log::warn!("event=wave_not_published wave={wave} error=\"{e}\""),
             }
         }
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -17,7 +17,7 @@
 
 use super::admission_control;
 use super::advice::{self, AdviceCall};
-use super::batch_writer::BatchWriter;
+use super::batch_writer::{BatchWriter, WrittenBatch};
 use super::host_orders::{self, HostOrder};
 use super::inbox_cleanup;
 use super::inbox_progress::InboxProgress;
@@ -130,7 +130,7 @@
         handle: handle.clone(),
         sched: restored.sched,
         sessions: RelaySessions::new(node.clone(), handle.clone(), tasks),
-        writer: BatchWriter::new(node.clone(), handle.clone(), restored.state_parts),
+        writer: BatchWriter::new(node.clone(), handle.clone(), restored.encoder),
         early_starts: 0,
         waves: waves_tx,
         finished_jobs: finished_tx,
@@ -202,7 +202,13 @@
                     batch_due = Instant::now();
                 }
                 written = self.writer.next_written() => {
-                    let Some(batch) = written else { return };
+                    let Some(WrittenBatch { mut batch, refused_jobs }) = written else { return };
+                    if !refused_jobs.is_empty() {
+                        let ends = batch.leave_out(&refused_jobs);
+                        self.update_clocks();
+                        self.sched.acknowledge_later(ends);
+                        refused_jobs.iter().for_each(|job| self.sched.fail_unstorable(*job));
+                    }
                     self.sched.records_stored(&batch.records);
                     self.move_last_bounds(LastBounds::Writing, LastBounds::Recorded);
                     self.carry_out(batch, tasks);
--- a/src/workswood/ops/jobs/state_parts.rs
+++ b/src/workswood/ops/jobs/state_parts.rs
@@ -1,78 +1,100 @@
-//! States of jobs that are larger than a record of the store.
+//! Records of the state that are larger than a record of the store.
 //!
-//! Such a state is stored in parts. The record under the job's own key then tells how many there are, and a checksum of
-//! the whole. All are written by one append, so that they are of one state.
+//! Such a record is stored in parts. The record under its own key then is a header: it tells which parts are in force,
+//! and a checksum of the whole. Where one append takes all of them, the parts in force are replaced. Otherwise the new
+//! parts get numbers that aren't in force and come first, and the header follows: whoever reads only some of the appends
+//! finds the former record whole.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use bytes::{Bytes, BytesMut};
-use workswood_core::jobs::{JobRecord, Record};
 use workswood_platform::jobs::KeyedRecord;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::job_state::{self, PartsHeader};
-use super::record::{deletion_record, state_record};
+use super::record::deletion_record;
+use crate::util::job_settings::StoreSizes;
 
-/// Prefix of the key of a part: the state's own key and the number of the part follow.
+/// Prefix of the key of a part: the record's own key and the number of the part follow.
 const PART_PREFIX: &str = "part-";
-/// Separates the state's own key from the number of the part.
+/// Separates the record's own key from the number of the part.
 const NUMBER_SEPARATOR: char = '+';
 /// Room in a record for its key and framing, in bytes.
 const KEY_ROOM: usize = 512;
 
-/// How many parts of each state the store may hold, by the state's own key.
-#[derive(Debug, Default, PartialEq)]
-pub struct StateParts(BTreeMap<String, usize>);
+/// The parts of one record that the store may hold.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct HeldParts {
+    /// Numbers of the parts in force.
+    in_force: Range<usize>,
+    /// All parts have lower numbers.
+    end: usize,
+}
 
-impl StateParts {
-    /// The records with which a record of the state is stored, none of which is larger than `max_record_bytes`. Parts
-    /// of an earlier state that was larger are deleted.
-    pub fn split(&mut self, rec: &Record, max_record_bytes: usize) -> Vec<KeyedRecord> {
-        let stored = state_record(rec);
-        match rec {
-            Record::Job(_, state) => {
-                self.split_job(state, stored, max_record_bytes.saturating_sub(KEY_ROOM).max(1))
-            }
-            Record::DropJob(..) => self.with_deletions(stored, Vec::new()),
-            Record::Wave(..)
-            | Record::Worker(..)
-            | Record::DropWorker(..)
-            | Record::EndedIncarnation(..)
-            | Record::HostOrderMark(..) => vec![stored],
-        }
+impl HeldParts {
+    /// Numbers for so many new parts that are not in force.
+    fn free_numbers(&self, count: usize) -> Range<usize> {
+        let first = if count <= self.in_force.start { 0 } else { self.in_force.end };
+        first..first + count
     }
+}
+
+/// The parts that the store may hold, by the record's own key.
+#[derive(Debug, Default, PartialEq)]
+pub struct StateParts(BTreeMap<String, HeldParts>);
 
-    fn split_job(&mut self, state: &JobRecord, stored: KeyedRecord, max_bytes: usize) -> Vec<KeyedRecord> {
-        let value = stored.value.clone().unwrap_or_default();
+impl StateParts {
+    /// The records with which a record is stored, none of which is larger than the store takes. Each list has to be stored
+    /// as a whole, and they in their order. Parts of an earlier record that was larger are deleted. `header` encodes what
+    /// is stored under the record's own key if it is stored in parts.
+    pub fn split(
+        &mut self,
+        rec: KeyedRecord,
+        sizes: StoreSizes,
+        header: impl FnOnce(PartsHeader) -> Vec<u8>,
+    ) -> Vec<Vec<KeyedRecord>> {
+        let max_bytes = sizes.record.saturating_sub(KEY_ROOM).max(1);
+        let value = rec.value.clone().unwrap_or_default();
         if value.len() <= max_bytes {
-            return self.with_deletions(stored, Vec::new());
+            let deletions = self.replace_parts(&rec.key, 0..0);
+            return vec![std::iter::once(rec).chain(deletions).collect()];
         }
         let starts = (0..value.len()).step_by(max_bytes);
-        let parts: Vec<Bytes> =
+        let pieces: Vec<Bytes> =
             starts.map(|start| value.slice(start..value.len().min(start + max_bytes))).collect();
-        let header = PartsHeader { count: parts.len(), checksum: xxh3_64(&value) };
-        if self.0.get(&stored.key) != Some(&parts.len()) {
-            log::info!("event=state_in_parts key={} bytes={} parts={}", stored.key, value.len(), parts.len());
+        let fits = value.len() + (pieces.len() + 1) * KEY_ROOM <= sizes.append;
+        let held = self.0.get(&rec.key).cloned().unwrap_or_default();
+        let numbers = if fits { 0..pieces.len() } else { held.free_numbers(pieces.len()) };
+        if held.in_force.len() != numbers.len() {
+            log::info!("event=state_in_parts key={} bytes={} parts={}", rec.key, value.len(), numbers.len());
         }
-        let stored = KeyedRecord { value: Some(job_state::encode_header(state, header).into()), ..stored };
-        self.with_deletions(stored, parts)
+        let named = PartsHeader { first: numbers.start, count: numbers.len(), checksum: xxh3_64(&value) };
+        let header = KeyedRecord { key: rec.key.clone(), value: Some(header(named).into()) };
+        let part = |(n, value)| KeyedRecord { key: part_key(&rec.key, n), value: Some(value) };
+        let parts: Vec<KeyedRecord> = numbers.clone().zip(pieces).map(part).collect();
+        let deletions = self.replace_parts(&rec.key, numbers);
+        if fits {
+            return vec![std::iter::once(header).chain(parts).chain(deletions).collect()];
+        }
+        let last = std::iter::once(header).chain(deletions).collect();
+        parts.into_iter().map(|part| vec![part]).chain([last]).collect()
     }
 
-    /// The record under a state's own key, its parts, and deletions of the parts that the store may hold beyond them.
-    fn with_deletions(&mut self, stored: KeyedRecord, parts: Vec<Bytes>) -> Vec<KeyedRecord> {
-        if parts.is_empty() && !self.0.contains_key(&stored.key) {
-            return vec![stored];
-        }
-        let (key, count) = (stored.key.clone(), parts.len());
-        let known = if count > 0 { self.0.insert(key.clone(), count) } else { self.0.remove(&key) };
-        let part = |(n, value)| KeyedRecord { key: part_key(&key, n), value: Some(value) };
-        let mut records = vec![stored];
-        records.extend(parts.into_iter().enumerate().map(part));
-        records.extend((count..known.unwrap_or(0)).map(|n| deletion_record(part_key(&key, n))));
-        records
+    /// Notes which parts are in force from now on; returns the deletions of all others.
+    pub(super) fn replace_parts(&mut self, key: &str, numbers: Range<usize>) -> Vec<KeyedRecord> {
+        let held = match numbers.is_empty() {
+            true => self.0.remove(key),
+            false => {
+                let now = HeldParts { in_force: numbers.clone(), end: numbers.end };
+                self.0.insert(key.to_string(), now)
+            }
+        };
+        let others = (0..held.map_or(0, |held| held.end)).filter(|n| !numbers.contains(n));
+        others.map(|n| deletion_record(part_key(key, n))).collect()
     }
 
-    /// Joins the parts of states that were read; returns all other records, and what the store holds. A state whose
+    /// Joins the parts of records that were read; returns all other records, and what the store holds. A record whose
     /// parts don't fit is logged.
     pub fn join(records: Vec<KeyedRecord>) -> (Vec<KeyedRecord>, StateParts) {
         let mut parts: BTreeMap<(String, usize), Bytes> = BTreeMap::new();
@@ -85,22 +107,33 @@
         }
         let mut known = StateParts::default();
         for (key, n) in parts.keys() {
-            let count = known.0.entry(key.clone()).or_default();
-            *count = (*count).max(n + 1);
+            let held = known.0.entry(key.clone()).or_default();
+            held.end = held.end.max(n + 1);
         }
-        for rec in others.iter_mut().filter(|rec| known.0.contains_key(&rec.key)) {
-            join_parts(rec, &parts);
+        for rec in &mut others {
+            let Some(held) = known.0.get_mut(&rec.key) else { continue };
+            let Some(header) = rec.value.as_deref().and_then(job_state::decode_header) else { continue };
+            held.in_force = header.first..header.first + header.count;
+            held.end = held.end.max(held.in_force.end);
+            join_parts(rec, &header, &parts);
         }
         (others, known)
     }
+
+    /// Deletions of the parts whose own records are not among these keys. They remain where an earlier version has
+    /// deleted the record.
+    pub fn take_orphans(&mut self, is_stored: impl Fn(&str) -> bool) -> Vec<KeyedRecord> {
+        let orphans: Vec<String> = self.0.keys().filter(|key| !is_stored(key)).cloned().collect();
+        orphans.iter().flat_map(|key| self.replace_parts(key, 0..0)).collect()
+    }
 }
 
-/// Replaces a header by the state that its parts make up. Otherwise the job counts as failed, as the header tells, since
-/// its tasks may have run.
-fn join_parts(rec: &mut KeyedRecord, parts: &BTreeMap<(String, usize), Bytes>) {
-    let Some(header) = rec.value.as_deref().and_then(job_state::decode_header) else { return };
+/// Replaces a header by the record that its parts make up. Otherwise a job counts as failed, as the header tells, since its
+/// tasks may have run.
+fn join_parts(rec: &mut KeyedRecord, header: &PartsHeader, parts: &BTreeMap<(String, usize), Bytes>) {
     let mut value = BytesMut::new();
-    for part in (0..header.count).filter_map(|n| parts.get(&(rec.key.clone(), n))) {
+    let numbers = header.first..header.first + header.count;
+    for part in numbers.filter_map(|n| parts.get(&(rec.key.clone(), n))) {
         value.extend_from_slice(part);
     }
     if xxh3_64(&value) == header.checksum {
@@ -114,7 +147,7 @@
     format!("{PART_PREFIX}{key}{NUMBER_SEPARATOR}{n}")
 }
 
-/// The key of the state and the number of a part; `None` for any other key.
+/// The key of the record and the number of a part; `None` for any other key.
 fn parse_part_key(key: &str) -> Option<(String, usize)> {
     let (key, n) = key.strip_prefix(PART_PREFIX)?.rsplit_once(NUMBER_SEPARATOR)?;
     Some((key.to_string(), n.parse().ok()?))
--- a/src/workswood/ops/jobs/store_calls.rs
+++ b/src/workswood/ops/jobs/store_calls.rs
@@ -65,6 +65,7 @@
             Ok(Tail { records, next: reply.offset })
         }
         StoreOutcome::NotDone => Err(not_done("the peer is refused too")),
+        StoreOutcome::Rejected => Err(StoreError::Rejected { text: "as a peer was told".to_string() }),
         StoreOutcome::GuardFailed => Err(StoreError::GuardFailed),
         StoreOutcome::RecordsGone => Err(StoreError::RecordsGone),
         StoreOutcome::Unknown => Err(unknown("the store did not answer the peer")),
@@ -125,6 +126,7 @@
     let (outcome, tail) = match res {
         Ok(tail) => (StoreOutcome::Done, tail),
         Err(StoreError::NotDone { .. }) => (StoreOutcome::NotDone, Tail::default()),
+        Err(StoreError::Rejected { .. }) => (StoreOutcome::Rejected, Tail::default()),
         Err(StoreError::Unknown { .. }) => (StoreOutcome::Unknown, Tail::default()),
         Err(StoreError::GuardFailed) => (StoreOutcome::GuardFailed, Tail::default()),
         Err(StoreError::RecordsGone) => (StoreOutcome::RecordsGone, Tail::default()),
--- a/src/workswood/util/job_metrics.rs
+++ b/src/workswood/util/job_metrics.rs
@@ -55,6 +55,8 @@
     pub advice_calls: IntCounterVec,
     /// Time to store a batch of the scheduler's records, in seconds.
     pub batch_seconds: Histogram,
+    /// Records of the state and the inbox that the store has refused for good, by kind: `job`, `checkpoint`, `inbox`, `other`.
+    pub refused_records: IntCounterVec,
     /// Time for which events, a tick or a batch keep the scheduler from anything else.
     pub pass_seconds: Histogram,
     /// Terms of the scheduler lease that this process has started.
@@ -199,6 +201,12 @@
                 "workswood_partial_end_lists_total",
                 "answers to polls that may lack ends",
             ),
+            refused_records: register_counter_vec(
+                &registry,
+                "workswood_records_refused_total",
+                "records that the store has refused for good, by kind",
+                &["kind"],
+            ),
             batch_seconds: register_histogram(
                 &registry,
                 "workswood_batch_seconds",
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -44,7 +44,7 @@
         t.latest_attempt = attempt;
     }
     if u.ratio(1, 5)? {
-        t.checkpoint = "00000bb87a21d94b".to_string();
+        t.checkpoint = "00000bb87a21d94b".into();
     }
     t.given_up = !t.done && u.ratio(1, 5)?;
     // Of a task that is done, the number of its last try says nothing.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -71,6 +71,7 @@
 mod list_order;
 mod log_faults;
 mod log_retention;
+mod long_checkpoints;
 mod long_running_placement;
 mod lost_attempts;
 mod lost_looks;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -69,6 +69,19 @@
     World::restarting(workers, luck).with_unrecorded_starts().with_lease_ends()
 }
 
+/// Worlds whose store refuses what is too large, and whose workers save checkpoints of many lengths.
+fn long_checkpoints(workers: usize, luck: FaultRng) -> World {
+    World::new(workers, luck).with_bounded_store()
+}
+
+fn long_checkpoints_and_restarts(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_bounded_store()
+}
+
+fn long_checkpoints_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::restarting_relayed(workers, luck).with_bounded_store()
+}
+
 /// Makes a world of so many workers.
 pub(super) type NewWorld = fn(usize, FaultRng) -> World;
 
@@ -129,6 +142,8 @@
     ManySteps,
     /// Jobs of a second owner under the numbers of other jobs.
     SecondOwner,
+    /// Outages, and steps of many tasks that save their progress.
+    Checkpoints,
 }
 
 /// Events of a history for each number under which jobs are handed in at entries.
@@ -234,7 +249,7 @@
             let (south, wanted) = (w.rng.below(2) == 0, w.rng.below(3) > 0);
             w.evacuate(if south { "south" } else { "north" }, wanted);
         }
-        if with == With::Outages && w.rng.below(4) == 0 {
+        if matches!(with, With::Outages | With::Checkpoints) && w.rng.below(4) == 0 {
             lose_store(&mut w);
         }
         if with == With::SecondOwner && n % HAND_IN_EVERY == 0 {
@@ -254,6 +269,9 @@
                     steps.push(step(1 + w.rng.below(3) as u32, vec![0]));
                 }
                 steps[0].speculative = with == With::Copies || w.rng.below(6) == 0;
+                if with == With::Checkpoints {
+                    steps.push(StepSpec { checkpointing: true, ..small_step(10 + w.rng.below(40) as u32) });
+                }
                 if with == With::Crashes && w.rng.below(JOBS_A_CRASHING_ONE) == 0 {
                     make_crashing(&mut w, n + 1);
                 }
@@ -370,6 +388,16 @@
     play_with_starts(HISTORIES / 2, World::restarting_relayed, With::SecondOwner);
 }
 
+/// LOST: a state outgrows what the store takes in one append, and nothing is stored any more. Holders are killed between two
+/// appends of one batch.
+#[test]
+fn short_histories_with_long_checkpoints() {
+    let seen = play_all(HISTORIES / 5, long_checkpoints, With::Checkpoints);
+    assert!(seen.split_batches > HISTORIES, "{} batches took several appends", seen.split_batches);
+    assert!(seen.resumed_starts > HISTORIES, "{} starts brought a checkpoint", seen.resumed_starts);
+    play_with_starts(HISTORIES / 10, long_checkpoints_and_relays, With::Checkpoints);
+}
+
 /// Jobs of hundreds of steps are done beside others.
 #[test]
 fn short_histories_with_many_steps() {
@@ -558,6 +586,9 @@
         "infeasible" => (World::new, With::Infeasible),
         "infeasible-limit" => (World::limited, With::Infeasible),
         "infeasible-relays" => (World::restarting_relayed, With::Infeasible),
+        "long-checkpoints" => (long_checkpoints, With::Checkpoints),
+        "long-checkpoints-restarts" => (long_checkpoints_and_restarts, With::Checkpoints),
+        "long-checkpoints-relays" => (long_checkpoints_and_relays, With::Checkpoints),
         "prompt-crashes" => (prompt, With::Crashes),
         _ => (World::new, With::Crashes),
     }
--- a/tests/testsuite/state_parts.rs
+++ b/tests/testsuite/state_parts.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
-use workswood::ops::jobs::append_calls::appends_of;
+use workswood::ops::jobs::append_calls::{Append, StateEncoder};
 use workswood::ops::jobs::job_state;
+use workswood::ops::jobs::record::state_record;
 use workswood::ops::jobs::state_parts::StateParts;
 use workswood::util::job_settings::StoreSizes;
 use workswood_adapter::size_in_append;
@@ -33,7 +35,7 @@
     let task = |n: u32| TaskRecord {
         failed_runs: [(1, Some(&worker(n)))].into_iter().collect(),
         latest_attempt: 2,
-        checkpoint: format!("{n:016x}"),
+        checkpoint: format!("{n:016x}").into(),
         runs: [(worker(n + 1), 2)].into(),
         ..TaskRecord::default()
     };
@@ -46,6 +48,17 @@
     }
 }
 
+/// The records with which a record of the state is stored, none of which is larger than `record` bytes.
+fn split(rec: &Record, parts: &mut StateParts, record: usize) -> Vec<KeyedRecord> {
+    let header = |header| match rec {
+        Record::Job(_, state) => job_state::encode_header(state, header),
+        _ => job_state::encode_plain_header(header),
+    };
+    let units = parts.split(state_record(rec), StoreSizes { record, ..SIZES }, header);
+    assert_eq!(units.len(), 1, "one append takes them");
+    units.concat()
+}
+
 fn deleted(records: &[KeyedRecord]) -> Vec<&str> {
     records.iter().filter(|rec| rec.value.is_none()).map(|rec| rec.key.as_str()).collect()
 }
@@ -55,7 +68,7 @@
 fn large_state_is_read_back() {
     let state = state_of(10_000);
     let mut parts = StateParts::default();
-    let stored = parts.split(&Record::Job(KEY, state.clone()), SIZES.record);
+    let stored = split(&Record::Job(KEY, state.clone()), &mut parts, SIZES.record);
     assert!(stored.len() > 2 && stored.iter().all(|rec| size_in_append(rec) - FRAMING <= SIZES.record));
     let (read, known) = StateParts::join(stored);
     assert_eq!(known, parts);
@@ -75,7 +88,8 @@
     assert_eq!(parts_of(10, &mut parts).len(), 1, "once");
     let stored = parts_of(5_000, &mut parts);
     let (_, mut successors) = StateParts::join(stored);
-    let dropped = successors.split(&Record::DropJob(KEY, Owner::PUBLIC, StateSlot::Number), SMALL_RECORD);
+    let drop = Record::DropJob(KEY, Owner::PUBLIC, StateSlot::Number);
+    let dropped = split(&drop, &mut successors, SMALL_RECORD);
     assert_eq!(deleted(&dropped).len(), large, "{:?}", deleted(&dropped));
 }
 
@@ -83,7 +97,7 @@
 const SMALL_RECORD: usize = 65_536;
 
 fn parts_of(tasks: u32, parts: &mut StateParts) -> Vec<KeyedRecord> {
-    parts.split(&Record::Job(KEY, state_of(tasks)), SMALL_RECORD)
+    split(&Record::Job(KEY, state_of(tasks)), parts, SMALL_RECORD)
 }
 
 /// Tasks whose state is lost may have run, so the job is not begun anew. Versions that know no parts read the same.
@@ -108,10 +122,13 @@
         let owner = Some(Owner::of_workspace(Some("south")));
         Record::Job(key, JobRecord { owner, slot: StateSlot::NumberAndOwner, ..state_of(8_000) })
     };
-    let one = appends_of(&[of(1), small.clone()], &mut StateParts::default(), SIZES);
+    let appends_of = |records: &[Record]| -> Vec<Vec<KeyedRecord>> {
+        StateEncoder::default().appends_of(records, SIZES).iter().map(Append::records).collect()
+    };
+    let one = appends_of(&[of(1), small.clone()]);
     assert_eq!(one.len(), 1);
     let batch: Vec<Record> = (1..=6).flat_map(|key| [of(key), second(key)]).chain([small]).collect();
-    let appends = appends_of(&batch, &mut StateParts::default(), SIZES);
+    let appends = appends_of(&batch);
     assert!(appends.len() > 1);
     let size = |records: &Vec<KeyedRecord>| records.iter().map(size_in_append).sum::<usize>();
     assert!(appends.iter().all(|records| size(records) <= SIZES.append));
@@ -127,15 +144,16 @@
 }
 
 const SERVICE: &str = "desk";
-const LARGE: &str = "00000000000000b1";
-const SMALL: &str = "00000000000000b2";
+/// Number of sites so far.
+static SITES: AtomicUsize = AtomicUsize::new(0);
+pub(super) const LARGE: &str = "00000000000000b1";
+pub(super) const SMALL: &str = "00000000000000b2";
 /// Key of the first part of the state of the large job.
 const FIRST_PART: &str = "part-00000000000000b1+0";
 /// Tasks of the large job in each of two steps, all of which run at once.
 const TASKS: u32 = 2_000;
-/// Largest record and append of the store.
-const RECORD: usize = 4_096;
-const APPEND: usize = 65_536;
+/// Sizes that the store of a site takes.
+pub(super) const TAKEN: StoreSizes = StoreSizes { record: 4_096, append: 65_536 };
 /// How long a task takes.
 const TAKES: Duration = Duration::from_secs(4);
 /// All that is waited for comes within this time.
@@ -143,20 +161,27 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Two entries with the deployed settings at a store that takes small records only.
-struct Site {
-    store: StoreStandin,
-    ledger: Arc<Ledger>,
-    _worker: WorkerStandin,
-    entries: Vec<(SocketAddr, Program)>,
+pub(super) struct Site {
+    pub store: StoreStandin,
+    pub ledger: Arc<Ledger>,
+    pub worker: WorkerStandin,
+    pub entries: Vec<(SocketAddr, Program)>,
     folder: PathBuf,
 }
 
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl Site {
-    async fn new() -> Site {
-        let folder = std::env::temp_dir().join(format!("workswood-parts-{}", std::process::id()));
+    /// A site whose entries are told these sizes, in a folder of its own.
+    pub async fn new(name: &str, told: StoreSizes) -> Site {
+        let folder = std::env::temp_dir().join(format!("workswood-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let store = StoreStandin::start().await;
-        store.faults(|f| f.max_bytes = Some((RECORD, APPEND)));
+        store.faults(|f| f.max_bytes = Some((TAKEN.record, TAKEN.append)));
         store.declare(&config(SERVICE, 1));
         let ledger: Arc<Ledger> = Arc::default();
         let worker = WorkerStandin::start_with_ledger("i-0", TAKES, ledger.clone()).await;
@@ -164,24 +189,26 @@
         entry["capacity"] = json!({"cpu": 2_000_000, "mem_mb": 1_000_000, "gpus": 0});
         store.enter_worker("i-0", &entry.to_string());
         let pid = std::process::id();
-        let ip = format!("127.88.{}.{}", pid >> 8 & 255, pid & 255);
+        // Each site of a process has its own address.
+        let at = 88 + SITES.fetch_add(1, Ordering::Relaxed) % 16;
+        let ip = format!("127.{at}.{}.{}", pid >> 8 & 255, pid & 255);
         let ports = free_ports(&ip, 10);
         let address = store.address.to_string();
         let start = |(n, ports): (usize, &[SocketAddr])| {
             let numbers = std::array::from_fn(|n| ports[n].port());
             let addresses = ProcessAddresses { ip: &ip, ports: numbers, store: &address, hosts: &address };
             let mut fields = promised_fields(&format!("entry-{n}"), &addresses);
-            fields["platform"]["record_bytes"] = json!(RECORD);
-            fields["platform"]["call_bytes"] = json!(APPEND);
+            fields["platform"]["record_bytes"] = json!(told.record);
+            fields["platform"]["call_bytes"] = json!(told.append);
             let path = folder.join(format!("entry-{n}.json"));
             std::fs::write(&path, fill(DEPLOYED, &fields).expect("every gap is filled")).expect("a file");
             (ports[0], start_with(&path))
         };
         let entries = ports.chunks(5).enumerate().map(start).collect();
-        Site { store, ledger, _worker: worker, entries, folder }
+        Site { store, ledger, worker, entries, folder }
     }
 
-    async fn submit(&self, at: usize, job: &str, tasks: u32) {
+    pub async fn submit(&self, at: usize, job: &str, tasks: u32) {
         let until = Instant::now() + WITHIN;
         while submit_job(self.entries[at].0, job, tasks).await != Submission::Accepted {
             assert!(Instant::now() < until, "{job} is not accepted");
@@ -189,7 +216,7 @@
         }
     }
 
-    async fn until_state(&self, at: usize, job: &str, wanted: &str) {
+    pub async fn until_state(&self, at: usize, job: &str, wanted: &str) {
         let until = Instant::now() + WITHIN;
         while request_state(self.entries[at].0, job).await != JobReply::State(wanted.to_string()) {
             assert!(Instant::now() < until, "{job} is not {wanted}");
@@ -198,7 +225,7 @@
     }
 
     /// Waits until the state of the large job is stored in parts, or no longer is.
-    async fn until_in_parts(&self, wanted: bool) {
+    pub async fn until_in_parts(&self, wanted: bool) {
         let until = Instant::now() + WITHIN;
         while self.store.newest(StoredTopic::State, FIRST_PART).is_some() != wanted {
             assert!(Instant::now() < until, "in parts: {}", !wanted);
@@ -206,8 +233,22 @@
         }
     }
 
+    /// What the entries have logged so far.
+    pub fn logs(&self) -> String {
+        let log = |n: usize| std::fs::read_to_string(self.folder.join(format!("entry-{n}.log")));
+        (0..self.entries.len()).filter_map(|n| log(n).ok()).collect()
+    }
+
+    /// Ends the entry that holds the lease; returns the other one.
+    pub fn kill_holder(&mut self) -> usize {
+        let holder = self.holder();
+        self.entries[holder].1.signal("-KILL");
+        self.entries[holder].1.wait();
+        1 - holder
+    }
+
     /// The entry that holds the lease.
-    fn holder(&self) -> usize {
+    pub fn holder(&self) -> usize {
         let lease = self.store.newest(StoredTopic::Lease, "holder").expect("a lease");
         usize::from(!lease.contains("entry-0"))
     }
@@ -216,19 +257,17 @@
 /// LOST: a state outgrows the largest record, and no job is stored or begins any more.
 #[tokio::test(flavor = "multi_thread")]
 async fn other_jobs_go_on() {
-    let mut site = Site::new().await;
+    let mut site = Site::new("parts", TAKEN).await;
     site.submit(0, LARGE, TASKS).await;
     site.until_in_parts(true).await;
-    let (holder, other) = (site.holder(), 1 - site.holder());
+    let holder = site.holder();
     site.submit(holder, SMALL, 1).await;
     site.until_state(holder, SMALL, "running").await;
     site.until_in_parts(true).await;
-    site.entries[holder].1.signal("-KILL");
-    site.entries[holder].1.wait();
+    let other = site.kill_holder();
     for job in [SMALL, LARGE] {
         site.until_state(other, job, "completed").await;
     }
     site.until_in_parts(false).await;
     assert_eq!(site.ledger.violations(), Vec::<String>::new());
-    let _ = std::fs::remove_dir_all(&site.folder);
 }
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -394,6 +394,7 @@
             let ended = value.map(|v| serde_json::from_slice(v).expect("an incarnation that is over"));
             Record::EndedIncarnation(id, ended)
         }
+        (StateKey::Checkpoint(..), _) => panic!("no record of the scheduler, but a part of one"),
         (StateKey::HostOrderMark(host), value) => {
             Record::HostOrderMark(host, value.map(|v| serde_json::from_slice(v).expect("a holder's name")))
         }
@@ -480,7 +481,7 @@
     assert_eq!(tasks[1].runs, [("w-1@1700000000000".into(), 1)].into());
     assert_eq!((tasks[2].latest_attempt, tasks[3].latest_attempt, tasks[3].given_up), (2, 3, true));
     let full = &tasks[4];
-    assert_eq!((full.latest_attempt, full.checkpoint.as_str()), (9, "c-5"));
+    assert_eq!((full.latest_attempt, &*full.checkpoint), (9, "c-5"));
     assert_eq!(full.failed_runs.iter().collect::<Vec<_>>(), [(1, None), (2, None)]);
     assert_eq!(full.evicted_attempts, [6].into());
     let runs: Vec<_> = full.runs.iter().map(|(worker, attempt)| (worker.as_str(), *attempt)).collect();
