--- a/crates/workswood-core/src/jobs/admission.rs
+++ b/crates/workswood-core/src/jobs/admission.rs
@@ -13,9 +13,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::job_key::{JobKey, JobNumber};
 use super::policy::OrderPolicy;
 use super::queue_order::{QueueOrder, TaskDurations, critical_path, round_work, time_to_deadline};
-use super::spec::{JobKey, JobSpec, Resources};
+use super::spec::{JobSpec, Resources};
 use super::workspace::Owner;
 use super::{QueueConfig, config::SchedConfig};
 use crate::ids::{ServiceId, UnixMs};
@@ -319,7 +320,7 @@
             *booked = now + turn + own;
             return turn.min(MAX_RETRY_AFTER);
         }
-        (turn + spread(job.key, HOPELESS_SPREAD)).min(MAX_RETRY_AFTER)
+        (turn + spread(job.key.number, HOPELESS_SPREAD)).min(MAX_RETRY_AFTER)
     }
 
     fn remember(&mut self, job: &Candidate, admitted: Option<WaitingWork>, now: Duration) {
@@ -341,16 +342,16 @@
 }
 
 /// A delay below `most` that differs by the number of the job, so that callers do not return together.
-pub fn spread(key: JobKey, most: Duration) -> Duration {
+pub fn spread(number: JobNumber, most: Duration) -> Duration {
     const STEPS: u64 = 1024;
     // Callers may count their numbers up, so all bits of the number take part.
-    let step = key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
+    let step = number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 54;
     most.mul_f64(step as f64 / STEPS as f64)
 }
 
 /// When a caller should retry while the store has been away for `outage`: outages last for about as
 /// long again as they have lasted. `first` is the shortest time.
-pub fn retry_after_outage(key: JobKey, outage: Duration, first: Duration, most: Duration) -> Duration {
+pub fn retry_after_outage(number: JobNumber, outage: Duration, first: Duration, most: Duration) -> Duration {
     let expected = outage.clamp(first, most);
-    expected + spread(key, expected)
+    expected + spread(number, expected)
 }
--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -15,8 +15,9 @@
 use super::advice_candidates::{AdviceRequest, WorkersByService};
 use super::config::AdviceConfig;
 use super::job::WorkerId;
+use super::job_key::JobKey;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, QueueId, StepId, TaskId};
+use super::spec::{QueueId, StepId, TaskId};
 use super::types::{Action, Advice, AdviceReply, AdviceResult};
 use super::worker::AdviceVerdict;
 
--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::job_key::QueueTag;
 use super::spec::QueueId;
 use super::workspace::Workspaces;
 use crate::ids::ServiceId;
@@ -71,7 +72,19 @@
     pub max_body_bytes: usize,
 }
 
+impl QueueConfig {
+    /// The address of the queue.
+    pub fn tag(&self) -> QueueTag {
+        QueueTag::of_address(&self.host_name, &self.path_prefix)
+    }
+}
+
 impl SchedConfig {
+    /// The name of the queue at an address.
+    pub fn queue_of(&self, tag: QueueTag) -> Option<&QueueId> {
+        self.queues.values().find(|q| q.tag() == tag).map(|q| &q.name)
+    }
+
     /// The queue that a request belongs to: the one with the longest matching path prefix for its
     /// host name.
     pub fn route(&self, host_name: &str, path: &str) -> Option<&QueueConfig> {
--- a/crates/workswood-core/src/jobs/inherited_state.rs
+++ b/crates/workswood-core/src/jobs/inherited_state.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use super::job::{Job, JobRecord, JobStatus, Outcome, WorkerId};
+use super::job_key::JobKey;
 use super::job_table::ArchivedJob;
 use super::namesakes::ForgottenJob;
 use super::restored_jobs::{RestoredJob, RestoredJobs};
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, JobSpec, QueueId};
+use super::spec::{JobSpec, QueueId};
 use super::types::{Event, JobStatusUpdate};
 use super::worker::{Worker, WorkerInfo, WorkerRecord};
 
@@ -48,8 +49,8 @@
         for RestoredJob { key, spec, state } in restored.jobs {
             self.restore_job(key, spec, state);
         }
-        for (key, spec) in restored.namesakes {
-            self.handle(Event::Submitted(key, spec));
+        for (number, spec) in restored.namesakes {
+            self.handle(Event::Submitted(number, spec));
         }
     }
 
@@ -58,7 +59,6 @@
     pub fn restore_job(&mut self, key: JobKey, spec: Option<Arc<JobSpec>>, rec: Option<JobRecord>) {
         let final_record = rec.as_ref().and_then(|rec| rec.outcome.zip(rec.over.clone()));
         let slot = rec.as_ref().map(|rec| rec.slot).unwrap_or_default();
-        let owner = rec.as_ref().and_then(JobRecord::owner);
         match (spec, final_record) {
             (spec, Some((outcome, record))) => {
                 self.restore_archived_job(key, ArchivedJob { outcome, record, slot }, spec.is_some())
@@ -67,7 +67,7 @@
             // The record remains from a job that was being forgotten.
             (None, None) => {
                 let queue = QueueId::new();
-                self.forgotten_jobs.push(ForgottenJob { key, queue, owner: owner.unwrap_or_default(), slot });
+                self.forgotten_jobs.push(ForgottenJob { key, queue, slot });
             }
         }
     }
@@ -121,12 +121,12 @@
     }
 
     fn restore_archived_job(&mut self, key: JobKey, archived: ArchivedJob, in_inbox: bool) {
-        let (queue, owner) = (archived.record.queue.clone(), archived.record.owner);
+        let (queue, service) = (archived.record.queue.clone(), archived.record.service.clone());
         let state = Some(JobStatus::Ended(archived.outcome));
         self.jobs.archive(key, archived, self.now);
-        self.status_updates.push(JobStatusUpdate { key, queue, owner, state, repeats: false });
+        self.status_updates.push(JobStatusUpdate { key, queue, service, state, repeats: false });
         if in_inbox {
-            self.finished_jobs.push((key, owner));
+            self.finished_jobs.push(key);
         }
     }
 
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -10,8 +10,9 @@
 use super::crash_attribution::Suspicion;
 use super::crash_history::CrashHistory;
 use super::failed_runs::FailedRuns;
+use super::job_key::JobKey;
 use super::queue_order::StepPaths;
-use super::spec::{JobKey, JobSpec, QueueId, Resources, StepId, StepSpec, TaskId};
+use super::spec::{JobSpec, QueueId, Resources, StepId, StepSpec, TaskId};
 use super::workspace::Owner;
 
 pub use super::worker_id::WorkerId;
@@ -386,6 +387,11 @@
         all_opened && self.rounds.iter().flatten().flatten().all(|t| t.done)
     }
 
+    /// Whether a run of the job may exist on a worker.
+    pub fn has_run_on(&self, worker: &WorkerId) -> bool {
+        self.rounds.iter().flatten().flatten().any(|t| t.runs.iter().any(|run| run.worker == *worker))
+    }
+
     /// Whether no run of the job may exist anywhere.
     pub fn has_no_runs(&self) -> bool {
         self.rounds.iter().flatten().flatten().all(|t| t.runs.is_empty())
@@ -517,7 +523,7 @@
     /// What is kept of a finished job, whose spec is no longer stored.
     #[serde(skip)]
     pub over: Option<FinishedJobRecord>,
-    /// The owner of the job; `None` if an earlier version wrote the record of an open job.
+    /// The workspace of the job; `None` if an earlier version wrote the record of an open job.
     #[serde(skip)]
     pub owner: Option<Owner>,
     /// Attempts up to this number were made of tasks of the same names, of earlier jobs of other owners.
@@ -528,7 +534,7 @@
     pub slot: StateSlot,
 }
 
-/// Under which key the state of a job is stored.
+/// Under which key the state of a job is stored whose queue is not known. That of any other has the queue in its key.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StateSlot {
     /// Its number.
--- a/crates/workswood-core/src/jobs/job_end.rs
+++ b/crates/workswood-core/src/jobs/job_end.rs
@@ -1,30 +1,29 @@
 //! How jobs end: they are completed, fail or are cancelled, and what is left of them is stopped.
 
 use super::job::{Job, Outcome, Phase, WorkerId};
+use super::job_key::JobKey;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, TaskId};
+use super::spec::TaskId;
 use super::types::Action;
-use super::workspace::Owner;
 use crate::code::Code;
 use crate::invariant;
 
 impl Scheduler {
     /// Cancels a job, or notes the cancellation until the job is known.
-    pub(super) fn cancel(&mut self, key: JobKey, owner: Owner) {
-        if self.cancel_namesake(key, owner) {
-            return;
-        }
-        if !self.jobs.contains(&key, owner) {
-            if self.jobs.contains_key(&key) {
-                self.notes.push(format_args!(
-                    "event=cancel_not_taken job={key:016x} reason=job_of_other_workspace"
-                ));
+    pub(super) fn cancel(&mut self, key: JobKey) {
+        let Some(key) = self.known_key(key) else {
+            if self.jobs.queues_of(JobKey::all_of(key.number)).next().is_some() {
+                self.notes
+                    .push(format_args!("event=cancel_not_taken job={key:016x} reason=job_of_other_owner"));
             }
-            self.early_cancels.insert((key, owner));
+            self.early_cancels.insert(key);
+            return;
+        };
+        if self.cancel_namesake(key) {
             return;
         }
         // A job that is archived is over.
-        let Some(job) = self.jobs.get_mut(&key).filter(|job| job.spec.owner() == owner) else { return };
+        let Some(job) = self.jobs.get_mut(&key) else { return };
         if job.cancelled {
             return;
         }
--- a/crates/workswood-core/src/jobs/job_table.rs
+++ b/crates/workswood-core/src/jobs/job_table.rs
@@ -6,11 +6,12 @@
 //! enter the estimate of demand. Most known jobs are archived.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::Index;
+use std::ops::{Index, RangeInclusive};
 use std::time::Duration;
 
-use super::job::{FinishedJobRecord, Job, JobStatus, Outcome, StateSlot};
-use super::spec::{JobKey, TaskId};
+use super::job::{FinishedJobRecord, Job, JobStatus, Outcome, StateSlot, WorkerId};
+use super::job_key::{JobKey, JobNumber};
+use super::spec::{QueueId, TaskId};
 use super::stable_map::StableMap;
 use super::workspace::Owner;
 use super::workspace_usage::Reservation;
@@ -25,10 +26,10 @@
     repeating: BTreeSet<JobKey>,
     /// Jobs with long-running tasks that have not been reported as ended, by service.
     long_running: StableMap<ServiceId, BTreeSet<JobKey>>,
-    /// Archived jobs. Those of several owners may share a number.
-    archived: BTreeMap<(JobKey, Owner), ArchivedJob>,
+    /// Archived jobs.
+    archived: BTreeMap<JobKey, ArchivedJob>,
     /// When jobs were archived, in that order.
-    archive_order: VecDeque<(Duration, JobKey, Owner)>,
+    archive_order: VecDeque<(Duration, JobKey)>,
 }
 
 /// A job that has ended and runs nowhere.
@@ -62,15 +63,33 @@
         self.by_key.get_mut(key)
     }
 
-    /// Whether a job of this number is known, archived or not.
-    pub fn contains_key(&self, key: &JobKey) -> bool {
-        self.by_key.contains_key(key) || self.is_archived(key)
+    /// Whether a job is known, archived or not.
+    pub fn contains(&self, key: &JobKey) -> bool {
+        self.by_key.contains_key(key) || self.archived.contains_key(key)
+    }
+
+    /// The queues of all known jobs among these keys, archived or not.
+    pub fn queues_of(&self, keys: RangeInclusive<JobKey>) -> impl Iterator<Item = (JobKey, &QueueId)> {
+        let open = self.by_key.range(keys.clone()).map(|(key, job)| (*key, &job.spec.queue));
+        open.chain(self.archived.range(keys).map(|(key, archived)| (*key, &archived.record.queue)))
+    }
+
+    /// The job of a number whose tasks run on the workers of a service. Of several, the one that is not archived.
+    pub fn on_service(&self, number: JobNumber, service: &str) -> Option<JobKey> {
+        let mut open = self.by_key.range(JobKey::all_of(number));
+        let open = open.find(|(_, job)| job.spec.service == service).map(|(key, _)| *key);
+        open.or_else(|| self.archived_on(number, service).map(|(key, _)| *key).next())
+    }
+
+    /// The job of a number that has a run on a worker.
+    pub fn with_run_on(&self, number: JobNumber, worker: &WorkerId) -> Option<JobKey> {
+        let mut open = self.by_key.range(JobKey::all_of(number));
+        open.find(|(_, job)| job.has_run_on(worker)).map(|(key, _)| *key)
     }
 
-    /// Whether the job of this number and owner is known, archived or not.
-    pub fn contains(&self, key: &JobKey, owner: Owner) -> bool {
-        let is_open = self.by_key.get(key).is_some_and(|job| job.spec.owner() == owner);
-        is_open || self.archived.contains_key(&(*key, owner))
+    /// Whether a job of this number, which is not archived, has its tasks run on the workers of a service.
+    pub fn is_open_on(&self, number: JobNumber, service: &str) -> bool {
+        self.by_key.range(JobKey::all_of(number)).any(|(_, job)| job.spec.service == service)
     }
 
     /// Number of jobs that are not archived.
@@ -83,15 +102,20 @@
         self.by_key.is_empty()
     }
 
-    /// Whether a job of this number is archived.
+    /// Whether a job is archived.
     pub fn is_archived(&self, key: &JobKey) -> bool {
-        self.archived_under(key).next().is_some()
+        self.archived.contains_key(key)
     }
 
-    /// Archived jobs of this number, of all owners.
-    pub fn archived_under(&self, key: &JobKey) -> impl Iterator<Item = &ArchivedJob> {
-        let all = (*key, Owner::PUBLIC)..=(*key, Owner::LAST);
-        self.archived.range(all).map(|(_, archived)| archived)
+    /// Archived jobs of a number whose tasks ran on the workers of a service, or of which no service is on record.
+    pub fn archived_on(
+        &self,
+        number: JobNumber,
+        service: &str,
+    ) -> impl Iterator<Item = (&JobKey, &ArchivedJob)> {
+        let of_number = self.archived.range(JobKey::all_of(number));
+        let may_be_of = move |recorded: &str| recorded == service || recorded.is_empty();
+        of_number.filter(move |(_, archived)| may_be_of(&archived.record.service))
     }
 
     /// Archived jobs.
@@ -99,9 +123,9 @@
         self.archived.values()
     }
 
-    /// The status of a job, archived or not. Of several under one number, that of the one that is not archived.
+    /// The status of a job, archived or not.
     pub fn status(&self, key: &JobKey) -> Option<JobStatus> {
-        let archived = || self.archived_under(key).next().map(|archived| JobStatus::Ended(archived.outcome));
+        let archived = || self.archived.get(key).map(|archived| JobStatus::Ended(archived.outcome));
         self.by_key.get(key).map(Job::status).or_else(archived)
     }
 
@@ -113,14 +137,13 @@
         };
         match self.by_key.get(&task.job) {
             Some(job) => job.step(task).map(|step| job.spec.reservation(step)),
-            None => self.archived_under(&task.job).next().map(archived),
+            None => self.archived.get(&task.job).map(archived),
         }
     }
 
-    /// Owner of a job. Of several under one number, that of the one that is not archived.
+    /// Workspace of a known job.
     pub fn owner(&self, key: &JobKey) -> Option<Owner> {
-        let archived = || self.archived_under(key).next().map(|archived| archived.record.owner);
-        self.by_key.get(key).map(|j| j.spec.owner()).or_else(archived)
+        self.contains(key).then_some(key.owner.workspace)
     }
 
     /// Jobs that are not archived.
@@ -153,12 +176,9 @@
 
     /// Archives a job, or adds one that is archived already.
     pub fn archive(&mut self, key: JobKey, archived: ArchivedJob, archived_at: Duration) {
-        let owner = archived.record.owner;
-        if self.by_key.get(&key).is_some_and(|job| job.spec.owner() == owner) {
-            self.by_key.remove(&key);
-        }
-        if self.archived.insert((key, owner), archived).is_none() {
-            self.archive_order.push_back((archived_at, key, owner));
+        self.by_key.remove(&key);
+        if self.archived.insert(key, archived).is_none() {
+            self.archive_order.push_back((archived_at, key));
         }
     }
 
@@ -181,10 +201,9 @@
     /// Removes and returns jobs that were archived before the given time.
     pub fn forget_archived(&mut self, before: Duration) -> Vec<(JobKey, ArchivedJob)> {
         let mut forgotten = Vec::new();
-        while let Some((_, key, owner)) = self.archive_order.front().copied().filter(|(at, ..)| *at < before)
-        {
+        while let Some((_, key)) = self.archive_order.front().copied().filter(|(at, _)| *at < before) {
             self.archive_order.pop_front();
-            forgotten.extend(self.archived.remove(&(key, owner)).map(|archived| (key, archived)));
+            forgotten.extend(self.archived.remove(&key).map(|archived| (key, archived)));
         }
         forgotten
     }
--- a/crates/workswood-core/src/jobs/mod.rs
+++ b/crates/workswood-core/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 //!   are accepted.
 //! * [`workspace_usage`] holds the resources that each workspace uses, and [`fair_share`] who
 //!   submits more than its share.
+//! * [`job_key`] identifies jobs; `job_lookup` finds those that are named otherwise.
 //! * [`job`] holds the state of one job and its stored form, [`job_table`] all jobs; `job_end` ends jobs.
 //! * [`worker`] holds the state of one worker, its capacity and its lease; [`worker_id`] is its
 //!   name, and [`worker_table`] holds all workers.
@@ -101,6 +102,8 @@
 mod inherited_state;
 pub mod job;
 mod job_end;
+pub mod job_key;
+mod job_lookup;
 pub mod job_table;
 pub mod lease_bounds;
 pub mod lease_claim;
@@ -157,6 +160,7 @@
 pub use ended_incarnations::EndedIncarnationRecord;
 pub use host::{Host, HostReply, HostState};
 pub use job::{FinishedJobRecord, Job, JobRecord, JobStatus, Outcome, Phase, Run, Task};
+pub use job_key::{JobKey, JobNumber, JobOwner, QueueTag};
 pub use maintenance_waves::{Wave, WaveRecord};
 pub use outage::{OutagePolicy, StoreAccess};
 pub use policy::Policy;
@@ -165,7 +169,7 @@
 pub use scheduler::Scheduler;
 pub use second_runs::SecondRunPolicy;
 pub use slow_workers::SlowWorkerPolicy;
-pub use spec::{JobKey, JobSpec, Repeat, StepId, StepSpec, TaskId};
+pub use spec::{JobSpec, Repeat, StepId, StepSpec, TaskId};
 pub use types::{
     Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobStatusUpdate, Limits, Record, StartReply,
     StopReply, WorkerUpdate,
--- a/crates/workswood-core/src/jobs/owed_batch.rs
+++ b/crates/workswood-core/src/jobs/owed_batch.rs
@@ -4,17 +4,16 @@
 use std::time::Duration;
 
 use super::job::{StateSlot, WorkerId};
+use super::job_key::JobKey;
 use super::scheduler::Scheduler;
-use super::spec::JobKey;
 use super::types::{Action, Batch, JobStatusUpdate, Record};
-use super::workspace::Owner;
 use crate::ids::HostId;
 
 /// What a record is about. The store keeps the newest record of each key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum RecordKey {
-    /// A job, with its owner if that is part of the key under which it is stored.
-    Job(JobKey, Option<Owner>),
+    /// A job, and under which key it is stored.
+    Job(JobKey, StateSlot),
     Wave(u64),
     Worker(WorkerId),
     EndedIncarnation(WorkerId),
@@ -22,17 +21,18 @@
 }
 
 impl RecordKey {
-    fn of_job(key: JobKey, owner: Owner, slot: StateSlot) -> RecordKey {
-        match slot {
-            StateSlot::Number => RecordKey::Job(key, None),
-            StateSlot::NumberAndOwner => RecordKey::Job(key, Some(owner)),
+    /// The key of a job's record. Under its number alone it follows that of another workspace's job.
+    fn of_job(key: JobKey, slot: StateSlot) -> RecordKey {
+        match (slot, key.has_queue()) {
+            (StateSlot::Number, false) => RecordKey::Job(JobKey::of_number(key.number), slot),
+            (StateSlot::Number, true) | (StateSlot::NumberAndOwner, _) => RecordKey::Job(key, slot),
         }
     }
 
     fn of(rec: &Record) -> RecordKey {
         match rec {
-            Record::Job(key, rec) => RecordKey::of_job(*key, rec.owner().unwrap_or_default(), rec.slot),
-            Record::DropJob(key, owner, slot) => RecordKey::of_job(*key, *owner, *slot),
+            Record::Job(key, rec) => RecordKey::of_job(*key, rec.slot),
+            Record::DropJob(key, slot) => RecordKey::of_job(*key, *slot),
             Record::Wave(n, _) => RecordKey::Wave(*n),
             Record::Worker(id, _) | Record::DropWorker(id) => RecordKey::Worker(id.clone()),
             Record::EndedIncarnation(id, _) => RecordKey::EndedIncarnation(id.clone()),
--- a/crates/workswood-core/src/jobs/pool_need.rs
+++ b/crates/workswood-core/src/jobs/pool_need.rs
@@ -7,10 +7,11 @@
 
 use super::demand_history::DemandHistory;
 use super::job::Job;
+use super::job_key::JobKey;
 use super::pool_count::PoolCount;
 use super::queue_order::round_work;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, Resources};
+use super::spec::Resources;
 use super::task_queue::RequestedResources;
 use crate::ids::ServiceId;
 
--- a/crates/workswood-core/src/jobs/scheduler.rs
+++ b/crates/workswood-core/src/jobs/scheduler.rs
@@ -14,6 +14,7 @@
 use super::fair_share::SubmissionRates;
 use super::host::Host;
 use super::job::{FinishedJobRecord, Job, JobRecord, Task, WorkerId};
+use super::job_key::{JobKey, JobNumber};
 use super::job_table::{ArchivedJob, JobTable};
 use super::lease_claim::EntryCapacity;
 use super::log_lines::LogLines;
@@ -29,14 +30,13 @@
 use super::second_runs::SecondRuns;
 use super::sibling_times::SiblingTimes;
 use super::slow_workers::SlowWorkers;
-use super::spec::{JobKey, JobSpec, StepId, TaskId};
+use super::spec::{JobSpec, StepId, TaskId};
 use super::stable_map::StableMap;
 use super::takeover_barrier::TakeoverBarrier;
 use super::task_queue::TaskQueue;
 use super::types::{Action, Batch, Event, JobStatusUpdate, Limits, Record, lease_with_drift};
 use super::worker::{WorkerInfo, WorkerRecord};
 use super::worker_table::WorkerTable;
-use super::workspace::Owner;
 use crate::ids::{DataCentre, HostId, ServiceId, Term, UnixMs};
 
 /// Interval of the check for stuck runs: those that make no progress, or whose stop had no effect.
@@ -138,7 +138,7 @@
     /// States of jobs to show to callers with the next batch, besides those of `dirty_jobs`.
     pub(super) status_updates: Vec<JobStatusUpdate>,
     /// Jobs that ended and no longer run anywhere, since the last batch.
-    pub(super) finished_jobs: Vec<(JobKey, Owner)>,
+    pub(super) finished_jobs: Vec<JobKey>,
     /// Jobs forgotten since the last batch.
     pub(super) forgotten_jobs: Vec<ForgottenJob>,
     /// Jobs that wait until no job of another owner is at work under their number.
@@ -159,7 +159,7 @@
     /// When the inbox was last read to its end.
     inbox_read_at: Duration,
     /// Cancellations of jobs that are not known yet.
-    pub(super) early_cancels: BTreeSet<(JobKey, Owner)>,
+    pub(super) early_cancels: BTreeSet<JobKey>,
     /// Log lines about decisions; the process drains them.
     pub notes: LogLines,
     /// Counters for metrics since this term began.
@@ -288,15 +288,18 @@
     /// Processes one event.
     pub fn handle(&mut self, ev: Event) {
         match ev {
-            Event::Submitted(key, spec) => self.add_job(key, spec),
-            Event::Cancelled(key, owner) => self.cancel(key, owner),
+            Event::Submitted(number, spec) => self.add_job(number, spec),
+            Event::Cancelled(key) => self.cancel(key),
             Event::ConfigChanged(cfg) => self.set_config(cfg),
             Event::Evacuated(data_centres) => self.set_evacuated(data_centres),
             Event::WorkerListed(info) => self.worker_listed(info),
             Event::WorkerUnlisted(id) => self.worker_unlisted(&id),
             Event::OtherIncarnationAnswered(id, heard) => self.handle_other_incarnation(&id, heard),
             Event::WorkerRestarted(id, started, heard) => self.worker_restarted(&id, started, heard),
-            Event::WorkerUpdate(id, token, update) => self.handle_worker_update(&id, token, update),
+            Event::WorkerUpdate(id, token, mut update) => {
+                self.resolve_jobs(&id, &mut update);
+                self.handle_worker_update(&id, token, update);
+            }
             Event::AdviceReceived(a) => self.advice_received(a),
             Event::HostsListed(list, asked) => self.hosts_listed(list, asked),
             Event::WaveRequested(wave, rec) => self.wave_requested(wave, rec),
@@ -313,19 +316,19 @@
     }
 
     /// Adds a job, unless it is known from an earlier read of the inbox. It waits while a job of another owner is at
-    /// work under its number.
-    fn add_job(&mut self, key: JobKey, spec: Arc<JobSpec>) {
-        let owner = spec.owner();
-        if self.jobs.contains(&key, owner) || self.namesakes.contains(key, owner) {
+    /// work under its number on its service.
+    fn add_job(&mut self, number: JobNumber, spec: Arc<JobSpec>) {
+        let key = spec.key(number);
+        if self.is_submitted(&key, &spec.queue) {
             return;
         }
-        if self.is_number_free(key) {
+        if self.is_number_free(number, &spec.service) {
             self.open_job(key, spec);
         } else {
             self.wait_for_number(key, spec);
         }
-        if self.early_cancels.remove(&(key, owner)) {
-            self.cancel(key, owner);
+        if self.early_cancels.remove(&key) || self.early_cancels.remove(&key.without_queue()) {
+            self.cancel(key);
         }
     }
 
@@ -526,7 +529,7 @@
     fn forget_jobs(&mut self) {
         let Some(ended_before) = self.now.checked_sub(self.limits.ended_job_retention) else { return };
         for (key, ArchivedJob { record, slot, .. }) in self.jobs.forget_archived(ended_before) {
-            self.forgotten_jobs.push(ForgottenJob { key, queue: record.queue, owner: record.owner, slot });
+            self.forgotten_jobs.push(ForgottenJob { key, queue: record.queue, slot });
         }
     }
 
@@ -536,14 +539,9 @@
         let Some(job) = self.jobs.get_mut(&key) else { return };
         let state = Some(job.status());
         if std::mem::replace(&mut job.published_status, state) != state {
-            let (queue, repeats) = (job.spec.queue.clone(), job.spec.repeat.is_some());
-            batch.status_updates.push(JobStatusUpdate {
-                key,
-                queue,
-                owner: job.spec.owner(),
-                state,
-                repeats,
-            });
+            let (queue, service) = (job.spec.queue.clone(), job.spec.service.clone());
+            let repeats = job.spec.repeat.is_some();
+            batch.status_updates.push(JobStatusUpdate { key, queue, service, state, repeats });
         }
         let Some(outcome) = job.outcome.filter(|_| job.has_no_runs()) else {
             batch.records.push(Record::Job(key, job.record()));
@@ -572,7 +570,7 @@
         };
         batch.records.push(Record::Job(key, stored));
         self.jobs.archive(key, ArchivedJob { outcome, record, slot }, self.now);
-        self.finished_jobs.push((key, spec.owner()));
+        self.finished_jobs.push(key);
     }
 
     /// Places waiting tasks, asks the adviser, and returns all that changed since the last batch.
@@ -588,9 +586,10 @@
         let mut batch =
             Batch { status_updates: std::mem::take(&mut self.status_updates), ..Batch::default() };
         // What is forgotten comes first: another job may have its number, and its key, since.
-        for ForgottenJob { key, queue, owner, slot } in std::mem::take(&mut self.forgotten_jobs) {
-            batch.records.push(Record::DropJob(key, owner, slot));
-            batch.status_updates.push(JobStatusUpdate { key, queue, owner, state: None, repeats: false });
+        for ForgottenJob { key, queue, slot } in std::mem::take(&mut self.forgotten_jobs) {
+            batch.records.push(Record::DropJob(key, slot));
+            let (service, state) = (ServiceId::new(), None);
+            batch.status_updates.push(JobStatusUpdate { key, queue, service, state, repeats: false });
         }
         batch.records.extend(self.namesakes.take_records());
         for key in std::mem::take(&mut self.dirty_jobs) {
--- a/crates/workswood-core/src/jobs/second_runs.rs
+++ b/crates/workswood-core/src/jobs/second_runs.rs
@@ -11,9 +11,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::job::{Phase, Run, Task, WorkerId};
+use super::job_key::JobKey;
 use super::outage::StoreAccess;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, JobSpec, StepSpec, TaskId};
+use super::spec::{JobSpec, StepSpec, TaskId};
 use crate::ids::ServiceId;
 
 /// Interval between two searches for late runs.
--- a/crates/workswood-core/src/jobs/sibling_times.rs
+++ b/crates/workswood-core/src/jobs/sibling_times.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::spec::{JobKey, StepId};
+use super::job_key::JobKey;
+use super::spec::StepId;
 
 /// Number of tasks that must have completed before their siblings are compared with them.
 const MIN_SIBLINGS: u32 = 3;
--- a/crates/workswood-core/src/jobs/spec.rs
+++ b/crates/workswood-core/src/jobs/spec.rs
@@ -7,12 +7,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::job_key::{JobKey, JobNumber, JobOwner, QueueTag};
 use super::workspace::Owner;
 use super::workspace_usage::Reservation;
 use crate::ids::{Rack, ServiceId, UnixMs, WorkspaceId};
 
-/// Key of a job, chosen by its caller; written as 16 hex digits.
-pub type JobKey = u64;
 /// Name of a queue.
 pub type QueueId = String;
 
@@ -183,6 +182,9 @@
     /// The workspace that owns the job; `None` if its queue is open to all.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceId>,
+    /// The address at which the job was submitted; unknown if an entry of an earlier version accepted it.
+    #[serde(default, skip_serializing_if = "QueueTag::is_unknown")]
+    pub tag: QueueTag,
     /// Priority of its queue when the job was accepted; 0 is the most urgent.
     #[serde(default)]
     pub priority: u32,
@@ -202,7 +204,17 @@
 }
 
 impl JobSpec {
-    /// The owner of the job.
+    /// The key of the job under a number.
+    pub fn key(&self, number: JobNumber) -> JobKey {
+        JobKey { number, owner: self.job_owner() }
+    }
+
+    /// Whose job it is.
+    pub fn job_owner(&self) -> JobOwner {
+        JobOwner { workspace: self.owner(), queue: self.tag }
+    }
+
+    /// The workspace that owns the job.
     pub fn owner(&self) -> Owner {
         Owner::of_workspace(self.workspace.as_deref())
     }
@@ -266,7 +278,7 @@
 }
 
 /// ID of a task.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
     /// The job.
     pub job: JobKey,
@@ -279,6 +291,11 @@
 }
 
 impl TaskId {
+    /// The task as workers know it, by the number of its job alone.
+    pub fn unowned(self) -> TaskId {
+        TaskId { job: JobKey::of_number(self.job.number), ..self }
+    }
+
     /// The step that the task belongs to, in its round.
     pub fn step_id(&self) -> StepId {
         StepId { job: self.job, round: self.round, step: self.step }
@@ -322,7 +339,7 @@
         let bad = || format!("`{s}` is not a task ID");
         let mut parts = s.split('.');
         let mut next = || parts.next().ok_or_else(bad);
-        let job = parse_job_key(next()?).ok_or_else(bad)?;
+        let job = JobKey::of_number(parse_job_number(next()?).ok_or_else(bad)?);
         let round = next()?.parse().map_err(|_| bad())?;
         let step = next()?.parse().map_err(|_| bad())?;
         let index = next()?.parse().map_err(|_| bad())?;
@@ -330,12 +347,12 @@
     }
 }
 
-/// Parses a job key from its 16 hex digits.
-pub fn parse_job_key(s: &str) -> Option<JobKey> {
+/// Parses the number of a job from its 16 hex digits.
+pub fn parse_job_number(s: &str) -> Option<JobNumber> {
     if s.len() != 16 { None } else { u64::from_str_radix(s, 16).ok() }
 }
 
-/// Formats a job key as 16 hex digits.
-pub fn format_job_key(job: JobKey) -> String {
-    format!("{job:016x}")
+/// Formats the number of a job as 16 hex digits.
+pub fn format_job_number(number: JobNumber) -> String {
+    format!("{number:016x}")
 }
--- a/crates/workswood-core/src/jobs/takeover_barrier.rs
+++ b/crates/workswood-core/src/jobs/takeover_barrier.rs
@@ -10,9 +10,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::job::{Job, JobStatus, Outcome, Task, WorkerId};
+use super::job_key::JobKey;
 use super::outage::allows_unrecorded_starts;
 use super::scheduler::Scheduler;
-use super::spec::{JobKey, JobSpec, Resources, StepId, StepSpec, TaskId};
+use super::spec::{JobSpec, Resources, StepId, StepSpec, TaskId};
 use super::workspace::Owner;
 use crate::ids::{HostId, ServiceId};
 
--- a/crates/workswood-core/src/jobs/types.rs
+++ b/crates/workswood-core/src/jobs/types.rs
@@ -9,11 +9,11 @@
 use super::ended_incarnations::EndedIncarnationRecord;
 use super::host::{Host, HostReply};
 use super::job::{JobRecord, JobStatus, StateSlot, WorkerId};
+use super::job_key::{JobKey, JobNumber};
 use super::lease_bounds::ExtensionOrders;
 use super::maintenance_waves::{Wave, WaveRecord};
-use super::spec::{JobKey, JobSpec, QueueId, StepId, TaskId};
+use super::spec::{JobSpec, QueueId, StepId, TaskId};
 use super::worker::{Report, WorkerInfo, WorkerRecord};
-use super::workspace::Owner;
 use crate::ids::{DataCentre, HostId, ServiceId, Term, UnixMs};
 
 /// Limits that the platform sets, and the scheduler's own.
@@ -50,11 +50,10 @@
 /// An input of the scheduler.
 #[derive(Clone, Debug)]
 pub enum Event {
-    /// A caller submitted a job, and the job is on record.
-    Submitted(JobKey, Arc<JobSpec>),
-    /// A caller cancelled a job, and the cancellation is on record. The owner is that of the
-    /// caller's key.
-    Cancelled(JobKey, Owner),
+    /// A caller submitted a job under a number, and the job is on record.
+    Submitted(JobNumber, Arc<JobSpec>),
+    /// A caller cancelled a job, and the cancellation is on record. Entries of earlier versions don't tell the queue.
+    Cancelled(JobKey),
     /// The configuration changed.
     ConfigChanged(Arc<SchedConfig>),
     /// The set of all data centres that are being evacuated.
@@ -295,8 +294,8 @@
 pub enum Record {
     /// The state of a job.
     Job(JobKey, JobRecord),
-    /// The record of a job of this owner is deleted.
-    DropJob(JobKey, Owner, StateSlot),
+    /// The record of a job is deleted.
+    DropJob(JobKey, StateSlot),
     /// Progress of a wave.
     Wave(u64, WaveRecord),
     /// The record of one incarnation of a worker.
@@ -317,8 +316,8 @@
     pub key: JobKey,
     /// Its queue.
     pub queue: QueueId,
-    /// Its owner.
-    pub owner: Owner,
+    /// The service whose workers run it; empty if that is not known any more.
+    pub service: ServiceId,
     /// Its state; `None` once the job is forgotten.
     pub state: Option<JobStatus>,
     /// Whether the job repeats on a schedule; not set for jobs that a predecessor archived or that
@@ -338,7 +337,7 @@
     /// States of jobs that callers may be shown.
     pub status_updates: Vec<JobStatusUpdate>,
     /// Jobs that ended and no longer run anywhere; the inbox need not hold them any more.
-    pub finished_jobs: Vec<(JobKey, Owner)>,
+    pub finished_jobs: Vec<JobKey>,
     /// Waves whose status is to be published, and whether they are complete.
     pub waves: Vec<(u64, bool)>,
     /// Everything that was in the inbox at this time is reflected in this batch.
@@ -351,7 +350,7 @@
     pub fn leave_out(&mut self, jobs: &BTreeSet<JobKey>) -> Vec<(WorkerId, u64)> {
         self.records.retain(|rec| !matches!(rec, Record::Job(job, _) if jobs.contains(job)));
         self.status_updates.retain(|update| !jobs.contains(&update.key));
-        self.finished_jobs.retain(|(job, _)| !jobs.contains(job));
+        self.finished_jobs.retain(|job| !jobs.contains(job));
         std::mem::take(&mut self.acked_ends)
     }
 }
--- a/crates/workswood-peers/src/message.rs
+++ b/crates/workswood-peers/src/message.rs
@@ -277,6 +277,9 @@
     /// What its steps take.
     #[prost(message, repeated, tag = "4")]
     pub steps: Vec<StepDemand>,
+    /// Number of the queue's tag; 0 if it is not known.
+    #[prost(fixed64, tag = "5")]
+    pub queue_tag: u64,
 }
 
 /// What a step of a submitted job takes.
@@ -469,6 +472,9 @@
     /// The term of the lease.
     #[prost(uint64, tag = "3")]
     pub term: u64,
+    /// Whether it tells jobs of several queues apart. Earlier versions don't.
+    #[prost(bool, tag = "4")]
+    pub knows_queues: bool,
 }
 
 /// Data centres that operators have evacuated.
@@ -492,6 +498,12 @@
     /// version does not support the field.
     #[prost(fixed64, optional, tag = "2")]
     pub owner: Option<u64>,
+    /// Number of the queue's tag; 0 if it is not known, as earlier versions ask.
+    #[prost(fixed64, tag = "3")]
+    pub queue_tag: u64,
+    /// Without an owner: only jobs of this service are meant. Empty for all, as earlier versions ask.
+    #[prost(string, tag = "4")]
+    pub service: String,
 }
 
 /// The reply to a [`JobStateRequest`].
--- a/crates/workswood-test-support/src/job_world/adviser.rs
+++ b/crates/workswood-test-support/src/job_world/adviser.rs
@@ -18,7 +18,7 @@
 
 /// Returns whether worker `n` may run a step.
 pub fn may_run(step: &StepId, n: usize) -> bool {
-    let hash = step.job.wrapping_mul(7) + u64::from(step.step) * 5 + u64::from(step.round);
+    let hash = step.job.number.wrapping_mul(7) + u64::from(step.step) * 5 + u64::from(step.round);
     !(hash + n as u64).is_multiple_of(UNSUITABLE_INTERVAL)
 }
 
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -53,6 +53,19 @@
         w
     }
 
+    /// Creates a world with every other worker of a second service, and three queues.
+    pub fn two_queues(workers: usize, rng: FaultRng) -> World {
+        World::build(workers, 0, rng, false).with_two_queues()
+    }
+
+    /// Has every other worker be of a second service, with three queues in all.
+    #[must_use]
+    pub fn with_two_queues(mut self) -> World {
+        self.two_services = true;
+        self.take_over();
+        self
+    }
+
     /// Creates a world with every other worker in a second data centre.
     pub fn two_centres(workers: usize, rng: FaultRng) -> World {
         let mut w = World::build(workers, 0, rng, false);
@@ -179,6 +192,7 @@
             run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
             advised,
+            two_services: false,
             limited: false,
             restarts: false,
             second_runs: false,
--- a/crates/workswood-test-support/src/job_world/crashes.rs
+++ b/crates/workswood-test-support/src/job_world/crashes.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use workswood_core::jobs::{JobKey, TaskId};
+use workswood_core::jobs::{JobNumber, TaskId};
 
 use super::World;
 
@@ -34,7 +34,7 @@
     /// Starts of a task after the scheduler must have failed it.
     excess_starts: BTreeMap<TaskId, u32>,
     /// Jobs that were published as failed because of crashes.
-    given_up: BTreeSet<JobKey>,
+    given_up: BTreeSet<JobNumber>,
 }
 
 impl World {
@@ -44,8 +44,8 @@
     }
 
     /// Returns whether a task of a job crashes its workers.
-    pub(super) fn has_crashing_task(&self, key: JobKey) -> bool {
-        self.crashes.crashing_tasks.keys().any(|task| task.job == key)
+    pub(super) fn has_crashing_task(&self, key: JobNumber) -> bool {
+        self.crashes.crashing_tasks.keys().any(|task| task.job.number == key)
     }
 
     /// Returns the number of workers that crashed while running a task.
@@ -65,8 +65,8 @@
     }
 
     /// Records that a job was published as failed because of crashes.
-    pub(super) fn record_given_up(&mut self, key: JobKey) {
-        let crashes = |task: &TaskId| task.job == key && self.crashed_under(task) > 0;
+    pub(super) fn record_given_up(&mut self, key: JobNumber) {
+        let crashes = |task: &TaskId| task.job.number == key && self.crashed_under(task) > 0;
         let sound = !self.crashes.crashing_tasks.keys().any(crashes);
         if self.crashes.given_up.insert(key) && sound {
             self.seen.sound_jobs_given_up += 1;
@@ -170,7 +170,7 @@
     }
 
     /// Returns whether two workers crashed or were replaced while running the same task of a job.
-    pub(super) fn workers_lost_twice(&self, key: JobKey) -> bool {
-        self.crashes.lost_under.iter().any(|(t, n)| t.job == key && *n >= MAY_FAIL_AFTER)
+    pub(super) fn workers_lost_twice(&self, key: JobNumber) -> bool {
+        self.crashes.lost_under.iter().any(|(t, n)| t.job.number == key && *n >= MAY_FAIL_AFTER)
     }
 }
--- a/crates/workswood-test-support/src/job_world/entries.rs
+++ b/crates/workswood-test-support/src/job_world/entries.rs
@@ -8,16 +8,16 @@
 use std::time::Duration;
 
 use workswood::ops::jobs::submitted_numbers::{NumberUse, OwnJob, SubmittedNumbers};
-use workswood_core::jobs::{Event, JobKey, JobSpec};
+use workswood_core::jobs::{Event, JobNumber, JobSpec};
 use workswood_platform::jobs::CopyOutcome;
 
-use super::second_owner::{number_of, second_key, second_spec};
+use super::second_owner::{OtherOwner, number_of, second_key};
 use super::{FaultRng, STEP, World};
 
 /// Number of entries.
 const ENTRIES: usize = 3;
 /// First number under which jobs are handed in here.
-const FIRST_NUMBER: JobKey = 3_000;
+const FIRST_NUMBER: JobNumber = 3_000;
 /// How often a caller hands a job in at most.
 const TRIES: u32 = 6;
 /// Longest time until a caller tries again, until the store answers, and until it carries out a late append, in milliseconds.
@@ -65,7 +65,7 @@
 /// One hand-in.
 #[derive(Clone, Debug)]
 struct HandIn {
-    key: JobKey,
+    key: JobNumber,
     spec: Arc<JobSpec>,
     entry: usize,
     tries_left: u32,
@@ -88,7 +88,7 @@
     at: Duration,
     /// The entry that sent it.
     entry: usize,
-    key: JobKey,
+    key: JobNumber,
     spec: Arc<JobSpec>,
 }
 
@@ -98,10 +98,10 @@
     hand_ins: Vec<HandIn>,
     late: Vec<LateRecord>,
     /// What callers were told last, by job.
-    told: BTreeMap<JobKey, Told>,
+    told: BTreeMap<JobNumber, Told>,
     /// Delay with which holders read the inbox.
     read_delay: Duration,
-    next_number: JobKey,
+    next_number: JobNumber,
     rng: FaultRng,
 }
 
@@ -127,7 +127,7 @@
     }
 
     /// A hand-in at any entry, with the one that follows at another time if its answer is lost.
-    fn begin(&mut self, key: JobKey, spec: Arc<JobSpec>, at: Duration, tries_left: u32) {
+    fn begin(&mut self, key: JobNumber, spec: Arc<JobSpec>, at: Duration, tries_left: u32) {
         let is_heard = tries_left == 0 || self.rng.below(3) > 0;
         let entry = self.draw_entry();
         if !is_heard {
@@ -175,12 +175,17 @@
         if entries.rng.below(4) > 0 {
             let later =
                 if entries.rng.below(2) == 0 { Duration::ZERO } else { entries.draw_ms(RETRY_MS * 2) };
-            entries.begin(second_key(number), Arc::new(second_spec(other)), now + later, TRIES);
+            entries.begin(
+                second_key(number),
+                Arc::new(OtherOwner::Workspace.spec(other)),
+                now + later,
+                TRIES,
+            );
         }
     }
 
     /// Jobs whose callers were told last that they are accepted.
-    pub fn accepted(&self) -> Vec<JobKey> {
+    pub fn accepted(&self) -> Vec<JobNumber> {
         let told = self.entries.iter().flat_map(|entries| &entries.told);
         told.filter(|(_, told)| **told == Told::Accepted).map(|(key, _)| *key).collect()
     }
@@ -233,13 +238,14 @@
     /// Advances a hand-in; returns what its caller is told once it is over.
     fn advance(&mut self, entries: &mut Entries, hand_in: &mut HandIn) -> Option<Told> {
         let now = self.now;
-        let (job, owner, at) = (number_of(hand_in.key), hand_in.spec.owner(), hand_in.entry);
+        let (job, at) = (hand_in.spec.key(number_of(hand_in.key)), hand_in.entry);
+        let service = hand_in.spec.service.clone();
         match hand_in.stage {
             Stage::Waiting(begins) if begins > now => None,
             Stage::Waiting(_) => {
-                let earlier = entries.numbers[at].begin(job, owner, now);
+                let earlier = entries.numbers[at].begin(job, &service, now);
                 let others = entries.numbers.iter().enumerate().filter(|(n, _)| *n != at);
-                let at_entries = others.map(|(_, known)| known.outcome(job, owner)).max().unwrap_or_default();
+                let at_entries = others.map(|(_, known)| known.outcome(job)).max().unwrap_or_default();
                 let Some(number_use) = NumberUse::of_earlier(earlier) else {
                     hand_in.stage = Stage::Check(now, at_entries);
                     return None;
@@ -247,7 +253,7 @@
                 self.follow(entries, hand_in, number_use)
             }
             Stage::Check(since, at_entries) => {
-                if !entries.numbers[at].is_other_owners(job, owner) && !self.is_number_known(job) {
+                if !entries.numbers[at].is_other_owners(job, &service) && !self.is_number_known(job.number) {
                     return self.follow(entries, hand_in, NumberUse::Free);
                 }
                 let own = self.own_job(hand_in.key, now - since);
@@ -326,31 +332,31 @@
     }
 
     /// Has the store take the record of a job. Holders read it with the delay.
-    fn take_record(&mut self, entries: &Entries, key: JobKey, spec: Arc<JobSpec>) {
+    fn take_record(&mut self, entries: &Entries, key: JobNumber, spec: Arc<JobSpec>) {
         if entries.told.get(&key) == Some(&Told::NumberTaken) {
             self.note_untrue(key, "is stored after it was refused since its number is another owner's");
         }
         self.enqueue_submission_after(entries.read_delay, key, spec);
     }
 
-    fn note_untrue(&mut self, key: JobKey, what: &str) {
+    fn note_untrue(&mut self, key: JobNumber, what: &str) {
         let now = self.now;
         self.seen.violations.push(format!("REFUSED: job {key} {what}, at {now:?}"));
     }
 
     /// Whether jobs of both owners are stored under the number of a job.
-    fn is_shared(&self, key: JobKey) -> bool {
+    fn is_shared(&self, key: JobNumber) -> bool {
         let number = number_of(key);
         self.jobs.contains_key(&number) && self.jobs.contains_key(&second_key(number))
     }
 
     /// Whether the latest holder that is awake shows a job of any owner under a number.
-    fn is_number_known(&self, number: JobKey) -> bool {
+    fn is_number_known(&self, number: JobNumber) -> bool {
         [number, second_key(number)].into_iter().any(|key| self.own_job(key, Duration::ZERO) == OwnJob::Known)
     }
 
     /// What the latest holder knows of a job, asked so long after the hand-in came.
-    fn own_job(&self, key: JobKey, asked_after: Duration) -> OwnJob {
+    fn own_job(&self, key: JobNumber, asked_after: Duration) -> OwnJob {
         let Some(holder) = self.holders.last().filter(|h| h.paused_until <= self.now) else {
             return OwnJob::Unclear;
         };
@@ -372,6 +378,6 @@
 
 /// Settles a hand-in at its entry; returns what is known over all hand-ins of the job there.
 fn settle(entries: &mut Entries, hand_in: &HandIn, outcome: CopyOutcome) -> CopyOutcome {
-    let (job, owner) = (number_of(hand_in.key), hand_in.spec.owner());
-    entries.numbers[hand_in.entry].settle(job, owner, outcome)
+    let job = hand_in.spec.key(number_of(hand_in.key));
+    entries.numbers[hand_in.entry].settle(job, outcome)
 }
--- a/crates/workswood-test-support/src/job_world/given_up.rs
+++ b/crates/workswood-test-support/src/job_world/given_up.rs
@@ -8,14 +8,15 @@
 impl World {
     /// Whether the newest holder has given a task up.
     pub fn is_given_up(&self, id: &TaskId) -> bool {
-        let job = self.holders.last().and_then(|h| h.sched.jobs.get(&id.job));
+        let key = self.job_key(id.job.number);
+        let job = self.holders.last().and_then(|h| h.sched.jobs.get(&key));
         job.and_then(|job| job.task(id)).is_some_and(|task| task.given_up)
     }
 
     /// Whether a task is absent that may be: two workers have crashed under it, and it was given up for that, or
     /// its job has ended so.
     pub(super) fn may_stay_away(&self, id: &TaskId) -> bool {
-        let failed = self.shown(id.job) == Some(JobStatus::Ended(Outcome::Failed));
+        let failed = self.shown(id.job.number) == Some(JobStatus::Ended(Outcome::Failed));
         self.crashed_under(id) >= MAY_FAIL_AFTER && (failed || self.is_given_up(id))
     }
 
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -10,8 +10,8 @@
 use workswood_core::jobs::owed_batch::{EarlyWork, OwedBatch};
 use workswood_core::jobs::types::{JobStatusUpdate, Record, lease_with_drift};
 use workswood_core::jobs::{
-    Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobKey, JobStatus, Outcome, Scheduler, StepId,
-    StoreAccess, WorkerUpdate,
+    Action, Advice, AdviceReply, AdviceResult, Batch, Event, JobNumber, JobStatus, Outcome, Scheduler,
+    StepId, StoreAccess, WorkerUpdate,
 };
 
 use super::adviser::{self, ADVICE, may_run};
@@ -64,8 +64,8 @@
     watched: BTreeMap<WorkerId, (HostId, Term)>,
     /// Events that have not arrived yet, with the time of their arrival.
     inbox: Vec<(Duration, Event)>,
-    /// The last published state of each job.
-    pub shown: HashMap<JobKey, JobStatusUpdate>,
+    /// The last published state of each job, by the key under which the world knows it.
+    pub shown: HashMap<JobNumber, JobStatusUpdate>,
     /// The published states reflect everything that was in the inbox at this time; zero before it was first read.
     pub shown_inbox_read_at: Duration,
 }
@@ -410,7 +410,7 @@
 
     /// Publishes a stored batch: job states, acknowledgements and actions.
     fn publish(&mut self, n: usize, batch: Batch) {
-        self.trimmed.extend(batch.finished_jobs.into_iter().map(|(number, owner)| key_of(number, owner)));
+        self.trimmed.extend(batch.finished_jobs.into_iter().map(key_of));
         self.show(n, batch.status_updates);
         self.holders[n].shown_inbox_read_at = batch.inbox_read_at;
         for (id, number) in batch.acked_ends {
@@ -424,7 +424,7 @@
     /// Shows states of jobs to callers.
     fn show(&mut self, n: usize, statuses: Vec<JobStatusUpdate>) {
         for s in statuses {
-            let key = key_of(s.key, s.owner);
+            let key = key_of(s.key);
             match s.state {
                 Some(JobStatus::Ended(Outcome::Completed)) => {
                     self.shown_completed.entry(key).or_insert(self.now);
@@ -465,7 +465,8 @@
                 if !self.holders[n].sched.hand_on_start(&worker, &task, attempt) {
                     return;
                 }
-                self.note_attempt(n, task, attempt);
+                self.note_attempt(n, &worker, task, attempt);
+                let task = task.unowned();
                 if self.holders[n].watched.get(&worker).is_some_and(|(_, t)| *t == token) {
                     let id = worker.clone();
                     self.order(n, &worker, ToRelay::Start { id, task, attempt, ticket });
@@ -475,10 +476,10 @@
                 self.advise(n, channel, step, workers, timeout)
             }
             Action::Stop(worker, task, attempt) => {
-                self.order(n, &worker.clone(), ToRelay::Stop(worker, task, attempt));
+                self.order(n, &worker.clone(), ToRelay::Stop(worker, task.unowned(), attempt));
             }
             Action::WithdrawStart(worker, task, attempt) => {
-                self.order(n, &worker.clone(), ToRelay::WithdrawStart(worker, task, attempt));
+                self.order(n, &worker.clone(), ToRelay::WithdrawStart(worker, task.unowned(), attempt));
             }
             Action::SetPace { .. }
             | Action::MaintainHost(..)
--- a/crates/workswood-test-support/src/job_world/lasting.rs
+++ b/crates/workswood-test-support/src/job_world/lasting.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{JobKey, JobSpec, StepSpec, TaskId};
+use workswood_core::jobs::{JobKey, JobNumber, JobSpec, StepSpec, TaskId};
 
 use super::adviser::may_run;
 use super::worker::SimWorker;
@@ -48,9 +48,9 @@
     }
 
     /// Returns the first long-running task of a job.
-    pub fn first_lasting_task(&self, key: JobKey) -> Option<TaskId> {
+    pub fn first_lasting_task(&self, key: JobNumber) -> Option<TaskId> {
         let step = self.jobs.get(&key)?.steps.iter().position(|s| s.long_running)?;
-        Some(TaskId { job: key, round: 0, step: step as u16, index: 0 })
+        Some(TaskId { job: JobKey::of_number(key), round: 0, step: step as u16, index: 0 })
     }
 
     /// Checks all long-running tasks.
@@ -92,7 +92,7 @@
         let mut due = BTreeMap::new();
         for (key, spec) in open {
             for (n, step) in spec.steps.iter().enumerate().filter(|(_, s)| s.long_running && !s.gang) {
-                let id = TaskId { job: *key, round: 0, step: n as u16, index: 0 };
+                let id = TaskId { job: JobKey::of_number(*key), round: 0, step: n as u16, index: 0 };
                 if self.is_step_due(spec, &id) {
                     due.extend((0..step.count).map(|index| (TaskId { index, ..id }, spec.clone())));
                 }
@@ -103,7 +103,7 @@
 
     /// Whether the long-running tasks of a job have to run. A job with a task that crashes its workers
     /// isn't missed.
-    fn has_to_last(&self, key: JobKey) -> bool {
+    fn has_to_last(&self, key: JobNumber) -> bool {
         !self.limited
             && !self.has_crashing_task(key)
             && !self.cancelled.contains_key(&key)
@@ -177,7 +177,7 @@
 
     /// What a task reserves on its worker.
     fn reserved_by(&self, id: &TaskId) -> Resources {
-        let spec = self.jobs.get(&id.job);
+        let spec = self.jobs.get(&id.job.number);
         spec.map(|s| s.steps[usize::from(id.step)].reserved_resources()).unwrap_or_default()
     }
 }
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -36,8 +36,8 @@
 use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    EndKind, EndedIncarnationRecord, Event, JobKey, JobSpec, JobStatus, Limits, OutagePolicy, Owner,
-    QueueConfig, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
+    EndKind, EndedIncarnationRecord, Event, JobNumber, JobSpec, JobStatus, Limits, OutagePolicy, QueueConfig,
+    QueueTag, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
     WorkerRecord, Workspace, Workspaces,
 };
 
@@ -46,7 +46,7 @@
 
 pub use self::fault_rng::{Fate, FaultRng};
 pub use self::lasting::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
-pub use self::second_owner::second_key;
+pub use self::second_owner::{OtherOwner, second_key};
 
 use self::adviser::ADVICE;
 use self::bounded_store::BoundedStore;
@@ -180,11 +180,11 @@
     link_latency: Duration,
     holders: Vec<Holder>,
     delayed_orders: Vec<DelayedOrder>,
-    jobs: BTreeMap<JobKey, Arc<JobSpec>>,
+    jobs: BTreeMap<JobNumber, Arc<JobSpec>>,
     /// Jobs that have been removed from the inbox.
-    trimmed: BTreeSet<JobKey>,
+    trimmed: BTreeSet<JobNumber>,
     /// Jobs that were cancelled, and when they first were.
-    cancelled: BTreeMap<JobKey, Duration>,
+    cancelled: BTreeMap<JobNumber, Duration>,
     stored_jobs: StoredJobs,
     /// Whose attempts were ordered.
     attempts: Attempts,
@@ -195,7 +195,7 @@
     /// Tasks that some worker has run successfully.
     done: BTreeSet<TaskId>,
     /// When each job was first shown as completed.
-    shown_completed: HashMap<JobKey, Duration>,
+    shown_completed: HashMap<JobNumber, Duration>,
     /// Failed runs per task.
     failed_runs: HashMap<TaskId, u32>,
     term: Term,
@@ -223,6 +223,8 @@
     evacuations: Evacuations,
     /// Whether the queue has an adviser.
     advised: bool,
+    /// Whether every other worker is of another service, and each service has queues of its own.
+    two_services: bool,
     /// Whether all jobs belong to one workspace that has a limit.
     limited: bool,
     /// Whether workers report when they started and restart under the same name.
@@ -296,6 +298,7 @@
         queue: QUEUE.to_string(),
         service: SERVICE.to_string(),
         workspace: None,
+        tag: QueueTag::UNKNOWN,
         priority: 0,
         max_attempts: ATTEMPTS,
         task_input: "text".into(),
@@ -341,7 +344,7 @@
         let (capacity, labels) = self.listed_room(id);
         WorkerInfo {
             id: id.clone(),
-            service: SERVICE.to_string(),
+            service: self.service_of(n).to_string(),
             address: format!("10.0.0.{n}:80"),
             data_centre: self.data_centre(n),
             host: format!("m-{n}"),
@@ -406,11 +409,14 @@
             let workspace = Workspace { name: WORKSPACE.to_string(), jobs_per_s: 1.0, limit: room };
             cfg.workspaces.add(workspace, []);
         }
+        if self.two_services {
+            second_owner::add_queues(&mut cfg);
+        }
         sched.handle(Event::ConfigChanged(Arc::new(cfg)));
         sched.handle(Event::Evacuated(self.evacuated()));
         let encoder = self.restore(&mut sched);
         for key in self.cancelled.keys() {
-            sched.handle(Event::Cancelled(*key, self.owner()));
+            sched.handle(Event::Cancelled(self.job_key(*key)));
         }
         for (n, w) in self.workers.iter().enumerate().filter(|(n, w)| !w.has_left && !self.is_unlisted(*n)) {
             sched.handle(Event::WorkerListed(self.info(n, &w.id)));
@@ -520,8 +526,9 @@
     }
 
     /// Submits a job.
-    pub fn submit(&mut self, key: JobKey, mut spec: JobSpec) {
+    pub fn submit(&mut self, key: JobNumber, mut spec: JobSpec) {
         spec.workspace = self.limited.then(|| WORKSPACE.to_string());
+        spec.tag = self.first_tag();
         self.require_label(key, &mut spec);
         self.enqueue_submission(key, Arc::new(spec));
     }
@@ -536,16 +543,11 @@
         }
     }
 
-    /// Returns the owner of all jobs.
-    fn owner(&self) -> Owner {
-        Owner::of_workspace(self.limited.then_some(WORKSPACE))
-    }
-
     /// Cancels a job.
-    pub fn cancel(&mut self, key: JobKey) {
+    pub fn cancel(&mut self, key: JobNumber) {
         self.cancelled.entry(key).or_insert(self.now);
-        let (now, owner) = (self.now, self.owner());
-        self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Cancelled(key, owner)));
+        let (now, job) = (self.now, self.job_key(key));
+        self.holders.iter_mut().for_each(|h| h.enqueue_event(now, Event::Cancelled(job)));
     }
 
     /// Ends the life of worker `n` and starts another one in its place.
@@ -595,12 +597,12 @@
     }
 
     /// Returns the state of a job that the current holder publishes.
-    pub fn shown(&self, key: JobKey) -> Option<JobStatus> {
+    pub fn shown(&self, key: JobNumber) -> Option<JobStatus> {
         self.holders.last().and_then(|h| h.shown.get(&key)).and_then(|s| s.state)
     }
 
     /// Returns whether a job has ended for its caller.
-    pub fn is_over(&self, key: JobKey) -> bool {
+    pub fn is_over(&self, key: JobNumber) -> bool {
         matches!(self.shown(key), Some(JobStatus::Ended(_)))
     }
 
@@ -609,6 +611,13 @@
         self.workers.iter().filter(|w| w.up && w.running.contains_key(id)).count()
     }
 
+    /// Returns the number of workers of the same service that are running a task.
+    fn running_beside(&self, at: usize, id: &TaskId) -> usize {
+        let service = self.service_of(at);
+        let same = self.workers.iter().enumerate().filter(|(n, _)| self.service_of(*n) == service);
+        same.filter(|(_, w)| w.up && w.running.contains_key(id)).count()
+    }
+
     /// Returns a worker that is running a task.
     pub fn worker_of(&self, id: &TaskId) -> Option<usize> {
         self.workers.iter().position(|w| w.up && w.running.contains_key(id))
@@ -637,8 +646,11 @@
         self.unlist_cut_workers();
         self.change_workers();
         let now = self.now;
-        let ended: Vec<(TaskId, u32, EndKind)> =
-            self.workers.iter_mut().flat_map(|w| w.end_runs(now)).collect();
+        let end_runs = |(at, w): (usize, &mut SimWorker)| {
+            w.end_runs(now).into_iter().map(move |(task, attempt, kind)| (at, task, attempt, kind))
+        };
+        let ended: Vec<(usize, TaskId, u32, EndKind)> =
+            self.workers.iter_mut().enumerate().flat_map(end_runs).collect();
         self.record_ends(&ended);
         self.answer_waiting_polls();
         for at in 0..self.relays.len() {
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{EndKind, JobKey, ReportedEnd, TaskId};
+use workswood_core::jobs::{EndKind, JobKey, JobNumber, ReportedEnd, TaskId};
 
 use super::second_owner::number_of;
 use super::worker::Running;
@@ -38,7 +38,7 @@
             return;
         }
         let (now, worker) = (self.now, &self.workers[at]);
-        let cancelled = self.cancelled.get(&task.job).copied();
+        let cancelled = self.cancelled.get(&task.job.number).copied();
         let bounds = [
             ("UNASKED", "cancelled", cancelled, CANCEL_BOUND),
             ("DRAIN", "draining", worker.draining_since, DRAIN_BOUND),
@@ -59,7 +59,7 @@
         let noted = w.ends_before_expiry + 1..=forget;
         let acked: Vec<ReportedEnd> = w.ended.extract_if(.., |e| e.sequence_number <= forget).collect();
         for e in acked {
-            let task = self.task_of_attempt(e.task, e.attempt);
+            let task = self.task_of_attempt(at, e.task, e.attempt);
             match e.kind {
                 EndKind::Done if noted.contains(&e.sequence_number) => drop(self.acked_done.insert(task)),
                 EndKind::Failed => *self.acked_failures.entry(task).or_default() += 1,
@@ -69,9 +69,9 @@
     }
 
     /// Records the results of runs that have ended.
-    pub(super) fn record_ends(&mut self, ended: &[(TaskId, u32, EndKind)]) {
-        for (task, attempt, kind) in ended {
-            let task = self.task_of_attempt(*task, *attempt);
+    pub(super) fn record_ends(&mut self, ended: &[(usize, TaskId, u32, EndKind)]) {
+        for (at, task, attempt, kind) in ended {
+            let task = self.task_of_attempt(*at, *task, *attempt);
             match kind {
                 EndKind::Done => {
                     self.done.insert(task);
@@ -87,21 +87,25 @@
     pub(super) fn begin_task(&mut self, at: usize, task: TaskId, attempt: u32) {
         self.seen.starts += 1;
         let now = self.now;
-        let (name, task) = (task, self.task_of_attempt(task, attempt));
-        let spec = self.jobs.get(&task.job).cloned();
+        let (name, task) = (task, self.task_of_attempt(at, task, attempt));
+        let spec = self.jobs.get(&task.job.number).cloned();
         let mut violations = Vec::new();
         match &spec {
             None => violations.push("UNASKED: the job was not submitted"),
             Some(spec) => {
                 let step = &spec.steps[usize::from(task.step)];
-                if !step.speculative && self.running(&name) > 0 {
+                if !step.speculative && self.running_beside(at, &name) > 0 {
                     violations.push("TWICE: another run is in progress");
                 }
                 if !step.speculative && !step.long_running {
                     if self.acked_done.contains(&task) {
                         violations.push("TWICE: started after its successful end was acknowledged");
                     }
-                    if self.shown_completed.get(&task.job).is_some_and(|at| *at + START_AFTER_SHOWING < now) {
+                    if self
+                        .shown_completed
+                        .get(&task.job.number)
+                        .is_some_and(|at| *at + START_AFTER_SHOWING < now)
+                    {
                         violations.push("TWICE: started after its job was shown as completed");
                     }
                 }
@@ -129,8 +133,11 @@
         }
         let long_running = self.is_long_running(&task);
         let duration = if long_running { self.long_running_duration() } else { self.draw_run_time() };
-        let failure_percent =
-            if task.job.is_multiple_of(FLAKY_JOB_INTERVAL) { FLAKY_FAILURE_PERCENT } else { FAILURE_PERCENT };
+        let failure_percent = if task.job.number.is_multiple_of(FLAKY_JOB_INTERVAL) {
+            FLAKY_FAILURE_PERCENT
+        } else {
+            FAILURE_PERCENT
+        };
         let fails = self.rng.below(100) < failure_percent || long_running;
         let kind = if fails { EndKind::Failed } else { EndKind::Done };
         // A task that crashes its workers must still be running when the crash is due.
@@ -145,7 +152,7 @@
 
     /// Whether the step of a task is long-running.
     fn is_long_running(&self, task: &TaskId) -> bool {
-        self.jobs.get(&task.job).is_some_and(|spec| spec.steps[usize::from(task.step)].long_running)
+        self.jobs.get(&task.job.number).is_some_and(|spec| spec.steps[usize::from(task.step)].long_running)
     }
 
     /// Draws how long a task runs that ends.
@@ -167,13 +174,13 @@
     }
 
     /// Returns whether some task of a job has failed [`ATTEMPTS`] times.
-    pub fn exhausted_attempts(&self, key: JobKey) -> bool {
-        self.failed_runs.iter().any(|(t, n)| t.job == key && *n >= ATTEMPTS)
+    pub fn exhausted_attempts(&self, key: JobNumber) -> bool {
+        self.failed_runs.iter().any(|(t, n)| t.job.number == key && *n >= ATTEMPTS)
     }
 
     /// Checks that a job published as failed has a task that exhausted its attempts, or a task
     /// that was running on two workers when they crashed or were replaced.
-    pub(super) fn check_failed(&mut self, key: JobKey) {
+    pub(super) fn check_failed(&mut self, key: JobNumber) {
         let failed = self.exhausted_attempts(key);
         if !failed {
             self.record_given_up(key);
@@ -184,14 +191,14 @@
     }
 
     /// Checks that all tasks of a job published as completed are done.
-    pub(super) fn check_completed(&mut self, key: JobKey) {
+    pub(super) fn check_completed(&mut self, key: JobNumber) {
         let Some(spec) = self.jobs.get(&key).cloned() else {
             self.seen.violations.push(format!("MIXED: unknown job {key} completed"));
             return;
         };
         for (step, s) in spec.steps.iter().enumerate() {
             for index in 0..s.count {
-                let id = TaskId { job: key, round: 0, step: step as u16, index };
+                let id = TaskId { job: JobKey::of_number(key), round: 0, step: step as u16, index };
                 if !self.is_done(&id) {
                     self.seen.violations.push(format!("MIXED: {id} is not done in a completed job"));
                 }
--- a/crates/workswood-test-support/src/job_world/worker.rs
+++ b/crates/workswood-test-support/src/job_world/worker.rs
@@ -50,7 +50,8 @@
         if self.checkpoint_bytes == 0 || saves == 0 {
             return String::new();
         }
-        let len = (task.job as usize + task.index as usize + saves) * LENGTH_STEP % self.checkpoint_bytes;
+        let len =
+            (task.job.number as usize + task.index as usize + saves) * LENGTH_STEP % self.checkpoint_bytes;
         format!("{task} {saves} {}", "x".repeat(len))
     }
 }
--- a/crates/workswood-test-support/src/job_world/worker_changes.rs
+++ b/crates/workswood-test-support/src/job_world/worker_changes.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{Event, JobKey, JobSpec};
+use workswood_core::jobs::{Event, JobNumber, JobSpec};
 
 use super::fault_rng::{FaultRng, Stream};
 use super::{WORKER_CAPACITY, World};
@@ -13,7 +13,7 @@
 /// Label that all workers have, unless they lose it.
 const LABEL: &str = "large";
 /// Jobs whose key is a multiple of this require the label.
-const LABELLED_JOB_INTERVAL: JobKey = 2;
+const LABELLED_JOB_INTERVAL: JobNumber = 2;
 /// Capacity of a worker that has shrunk, too small for a task of one core.
 const SMALL_CAPACITY: Resources = Resources { cpu_millis: 500, ..WORKER_CAPACITY };
 /// Shortest and longest time from one change to the next, in milliseconds.
@@ -89,7 +89,7 @@
     }
 
     /// Has the tasks of some jobs require the label, if workers have it.
-    pub(super) fn require_label(&self, key: JobKey, spec: &mut JobSpec) {
+    pub(super) fn require_label(&self, key: JobNumber, spec: &mut JobSpec) {
         if self.changes.is_some() && key.is_multiple_of(LABELLED_JOB_INTERVAL) {
             spec.steps.iter_mut().for_each(|step| step.label = Some(LABEL.to_string()));
         }
--- a/crates/workswood-test-support/src/turn_store.rs
+++ b/crates/workswood-test-support/src/turn_store.rs
@@ -14,7 +14,7 @@
 use workswood_core::ids::{HostId, Offset, ServiceId, Term};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    AdviceReply, Host, HostReply, Listing, ReportedRun, StepId, TaskId, WorkerAddress, WorkerInfo,
+    AdviceReply, Host, HostReply, JobKey, Listing, ReportedRun, StepId, TaskId, WorkerAddress, WorkerInfo,
 };
 use workswood_platform::copies::first_settled;
 use workswood_platform::jobs::{
@@ -530,7 +530,7 @@
 /// What a busy worker lists: another run each time.
 fn busy(n: u64) -> Listing {
     let run = ReportedRun {
-        task: TaskId { job: 1, round: 0, step: 0, index: 0 },
+        task: TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 },
         attempt: n as u32,
         checkpoint: String::new(),
         percent: 0,
--- a/src/bin/workswood/commands/explain.rs
+++ b/src/bin/workswood/commands/explain.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use workswood::{Result, ops};
-use workswood_core::jobs::spec::parse_job_key;
+use workswood_core::jobs::spec::parse_job_number;
 
 /// Builds the command line of the command.
 pub fn cli() -> Command {
@@ -35,7 +35,7 @@
         return Ok(());
     }
     let what = super::string_arg(args, "what");
-    let Some(job) = parse_job_key(&what) else {
+    let Some(job) = parse_job_number(&what) else {
         workswood::out!("{}", ops::explain::run(&what)?);
         return Ok(());
     };
--- a/src/workswood/ops/bench/scheduler.rs
+++ b/src/workswood/ops/bench/scheduler.rs
@@ -8,8 +8,8 @@
 use workswood_core::ids::{HostId, ServiceId, UnixMs};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, Event, Host, HostReply, HostState, JobSpec, Limits, QueueConfig, Report, SchedConfig, Scheduler,
-    ServiceConfig, StepSpec, Wave, WorkerInfo, WorkerUpdate,
+    Action, Event, Host, HostReply, HostState, JobSpec, Limits, QueueConfig, QueueTag, Report, SchedConfig,
+    Scheduler, ServiceConfig, StepSpec, Wave, WorkerInfo, WorkerUpdate,
 };
 
 use super::quantiles::median;
@@ -136,6 +136,7 @@
         queue: QUEUE.to_string(),
         service: SERVICES[0].to_string(),
         workspace: None,
+        tag: QueueTag::UNKNOWN,
         priority: 0,
         max_attempts: 3,
         task_input: "".into(),
--- a/src/workswood/ops/explain/job_history.rs
+++ b/src/workswood/ops/explain/job_history.rs
@@ -9,8 +9,8 @@
 
 use serde::Serialize;
 use workswood_core::ids::UnixMs;
-use workswood_core::jobs::JobKey;
-use workswood_core::jobs::spec::{format_job_key, parse_job_key};
+use workswood_core::jobs::JobNumber;
+use workswood_core::jobs::spec::{format_job_number, parse_job_number};
 
 use crate::ops::late::log_line::{self, LogLine};
 use crate::ops::late::read_log;
@@ -84,7 +84,7 @@
 /// The history of one job.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct JobHistory {
-    /// Key of the job in hexadecimal.
+    /// Number of the job in hexadecimal.
     pub job: String,
     /// Last state of the job that the logs show.
     pub state: String,
@@ -101,7 +101,7 @@
 /// Reads the log files at `paths` and returns the history of a job.
 ///
 /// Returns an error if a file can't be read or no line is about the job.
-pub fn run(job: JobKey, paths: &[String]) -> Result<JobHistory> {
+pub fn run(job: JobNumber, paths: &[String]) -> Result<JobHistory> {
     if paths.is_empty() {
         return Err(Error::InsufficientLogs {
             message: "name at least one log file after the job".to_string(),
@@ -113,7 +113,7 @@
         .map(|(host, path)| Ok(HostLog { host, text: read_log(path)? }))
         .collect();
     job_history(job, &logs?).ok_or_else(|| Error::InsufficientLogs {
-        message: format!("no line about job {} in {} log(s)", format_job_key(job), paths.len()),
+        message: format!("no line about job {} in {} log(s)", format_job_number(job), paths.len()),
     })
 }
 
@@ -134,13 +134,13 @@
 }
 
 impl HostLine<'_> {
-    fn is_about(&self, job: JobKey) -> bool {
-        self.line.job().and_then(parse_job_key) == Some(job)
+    fn is_about(&self, job: JobNumber) -> bool {
+        self.line.job().and_then(parse_job_number) == Some(job)
     }
 }
 
 /// Collects the history of a job; `None` if no line is about it.
-pub fn job_history(job: JobKey, logs: &[HostLog]) -> Option<JobHistory> {
+pub fn job_history(job: JobNumber, logs: &[HostLog]) -> Option<JobHistory> {
     let mut all: Vec<HostLine<'_>> = logs.iter().flat_map(parse_log).collect();
     all.sort_by_key(|r| r.line.at);
     let own: Vec<&HostLine<'_>> = all.iter().filter(|r| r.is_about(job)).collect();
@@ -159,7 +159,7 @@
     let lines = all.iter().filter(|r| r.is_about(job) || is_related(r)).map(|r| history_line(r, first));
     let spent = timeline.time_by_cause().unwrap_or_default().into_iter();
     Some(JobHistory {
-        job: format_job_key(job),
+        job: format_job_number(job),
         state: state(&own),
         verdict: verdict_text(timeline.verdict()),
         time_spent: spent.map(|(cause, ms)| TimeSpent { cause: cause.to_string(), ms }).collect(),
--- a/src/workswood/ops/job_status/aggregate.rs
+++ b/src/workswood/ops/job_status/aggregate.rs
@@ -4,14 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 use workswood_core::ids::{DataCentre, HostId, Term, UnixMs, WorkspaceId};
-use workswood_core::jobs::spec::{Resources, parse_job_key};
+use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Host, HostState, JobKey, JobRecord, JobSpec, Outcome, SchedConfig, Wave, WaveRecord,
+    Host, HostState, JobKey, JobOwner, JobRecord, JobSpec, Outcome, SchedConfig, Wave, WaveRecord,
 };
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorRecord};
 
 use super::StatusInputs;
-use crate::ops::jobs::record::{InboxKey, InboxRecordKind, parse_inbox_key};
+use crate::ops::jobs::record::{InboxKey, InboxRecordKind, StateKey, parse_inbox_key, parse_state_key};
 use crate::ops::jobs::{job_spec, job_state};
 
 /// Prefix of the state keys under which the scheduler stores the progress of waves.
@@ -222,16 +222,16 @@
     let holder = inputs.lease.as_ref().and_then(|rec| decoder.decode_json::<HolderStatus>(rec));
     let OperatorState { cfg, waves, evacuated } =
         decoder.decode_operator_records(platform, &inputs.operators);
+    let submitted = submitted_jobs(&mut decoder, inputs);
     let mut jobs: BTreeMap<JobKey, JobRecord> = BTreeMap::new();
     let mut progress: BTreeMap<u64, WaveRecord> = BTreeMap::new();
     for rec in &inputs.state {
-        if let Some(key) = parse_job_key(&rec.key) {
-            jobs.extend(decoder.decode_job_state(rec).map(|j| (key, j)));
+        if let Some(StateKey::Job(key, _)) = parse_state_key(&rec.key) {
+            jobs.extend(decoder.decode_job_state(rec).map(|j| (stored_key(key, &j, &submitted), j)));
         } else if let Some(n) = rec.key.strip_prefix(WAVE_KEY_PREFIX).and_then(|n| n.parse().ok()) {
             progress.extend(decoder.decode_json(rec).map(|w| (n, w)));
         }
     }
-    let submitted = submitted_jobs(&mut decoder, inputs);
     let queues = queues(&cfg, inputs.read_at, &submitted, &jobs);
     let workspaces = workspaces(&cfg, &submitted, &jobs);
     let pools = pools(&mut decoder, platform, &cfg, inputs);
@@ -253,6 +253,19 @@
     }
 }
 
+/// The key of a stored job. Earlier versions stored it under its number, with the workspace in the state alone or not at all.
+fn stored_key(key: JobKey, state: &JobRecord, submitted: &BTreeMap<JobKey, JobSpec>) -> JobKey {
+    if key.has_queue() {
+        return key;
+    }
+    let told = JobKey { owner: JobOwner::of_workspace(state.owner().unwrap_or_default()), ..key };
+    if submitted.contains_key(&told) {
+        return told;
+    }
+    let mut of_number = submitted.range(JobKey::all_of(key.number)).map(|(key, _)| *key);
+    of_number.find(|key| !key.has_queue()).unwrap_or(told)
+}
+
 /// Submitted jobs by key; of several records for one key, the one accepted first.
 fn submitted_jobs(decoder: &mut RecordDecoder, inputs: &StatusInputs) -> BTreeMap<JobKey, JobSpec> {
     let mut all: BTreeMap<JobKey, JobSpec> = BTreeMap::new();
@@ -261,6 +274,7 @@
             continue;
         };
         let Some(spec) = decoder.decode_job_spec(rec) else { continue };
+        let job = spec.key(job.number);
         if all.get(&job).is_none_or(|first| spec.accepted_at < first.accepted_at) {
             all.insert(job, spec);
         }
--- a/src/workswood/ops/jobs/admission_control.rs
+++ b/src/workswood/ops/jobs/admission_control.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{JobKey, JobSpec, Owner, Scheduler, StepSpec, Verdict};
+use workswood_core::jobs::{JobKey, JobOwner, JobSpec, Owner, QueueTag, Scheduler, StepSpec, Verdict};
 use workswood_peers::{AdmissionOutcome, AdmissionReply, AdmissionRequest, Msg, StepDemand};
 
 use super::job_queries::is_inbox_current;
@@ -72,22 +72,24 @@
 pub fn publish(node: &Node, handle: &SchedulerHandle, sched: &Scheduler) {
     if sched.policy.admission.enabled {
         let loads = sched.loads();
-        handle.admission.lock().update(loads, |key| sched.jobs.contains_key(key), node.now());
+        handle.admission.lock().update(loads, |key| sched.jobs.contains(key), node.now());
     }
 }
 
 fn answer_for(node: &Node, handle: &SchedulerHandle, request: &AdmissionRequest) -> AdmissionReply {
-    let known = handle.job_statuses.read().status(request.job, None).is_some();
+    let spec = spec_of(request);
+    let workspace = Owner::from_number(request.owner);
+    let job = JobKey { number: request.job, owner: JobOwner { workspace, queue: spec.tag } };
+    let known = handle.job_statuses.read().status(job, Some(&spec.queue)).is_some();
     let Some(config) = node.config.load_full().filter(|_| !known && is_inbox_current(node, handle)) else {
         return AdmissionReply::default();
     };
     let policy = &node.settings.policy;
-    let spec = spec_of(request);
     let mut admission = handle.admission.lock();
-    let Some(candidate) = admission.candidate(request.job, &spec, &config, &policy.order) else {
+    let Some(candidate) = admission.candidate(job, &spec, &config, &policy.order) else {
         return AdmissionReply::default();
     };
-    let candidate = workswood_core::jobs::Candidate { owner: Owner::from_number(request.owner), ..candidate };
+    let candidate = workswood_core::jobs::Candidate { owner: workspace, ..candidate };
     reply_of(admission.decide(&candidate, &policy.admission, node.now(), node.wall()))
 }
 
@@ -99,10 +101,11 @@
         depends_on: s.depends_on.iter().map(|n| u32::from(*n)).collect(),
     };
     AdmissionRequest {
-        job,
+        job: job.number,
         owner: spec.owner().number(),
         queue: spec.queue.clone(),
         steps: spec.steps.iter().map(demand).collect(),
+        queue_tag: spec.tag.number(),
     }
 }
 
@@ -119,6 +122,7 @@
         queue: request.queue.clone(),
         service: String::new(),
         workspace: None,
+        tag: QueueTag::from_number(request.queue_tag),
         priority: 0,
         max_attempts: 1,
         task_input: "".into(),
--- a/src/workswood/ops/jobs/advice.rs
+++ b/src/workswood/ops/jobs/advice.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Advice, AdviceReply, AdviceResult, Event, StepId};
+use workswood_core::jobs::{Advice, AdviceReply, AdviceResult, Event, JobKey, StepId};
 use workswood_peers as wire;
 use workswood_peers::{AdviceOutcome, AdviceTicket, CallError, Msg};
 
@@ -61,7 +61,7 @@
         return AdviceReply::NotSent;
     };
     let msg = Msg::AdviceRequest(wire::AdviceRequest {
-        job: call.step.job,
+        job: call.step.job.number,
         round: call.step.round,
         step: u32::from(call.step.step),
         workers: call.workers.iter().map(|id| id.to_string()).collect(),
@@ -79,7 +79,7 @@
     let Ok(step) = u16::try_from(req.step) else {
         return to_wire(AdviceReply::Refused);
     };
-    let step = StepId { job: req.job, round: req.round, step };
+    let step = StepId { job: JobKey::of_number(req.job), round: req.round, step };
     let workers: Vec<WorkerId> = req.workers.iter().map(|id| id.as_str().into()).collect();
     let timeout = Duration::from_millis(u64::from(req.timeout_ms));
     let reply = node.platform.advise(step, &workers, timeout).await;
--- a/src/workswood/ops/jobs/append_calls.rs
+++ b/src/workswood/ops/jobs/append_calls.rs
@@ -1,7 +1,7 @@
 //! Distributes the records of a batch among appends that the store accepts.
 
 use workswood_adapter::size_in_append;
-use workswood_core::jobs::{JobKey, Record};
+use workswood_core::jobs::{JobKey, JobNumber, Record};
 use workswood_platform::jobs::KeyedRecord;
 
 use super::job_state;
@@ -125,10 +125,10 @@
     }
 }
 
-/// The job of a record.
-fn number_of(rec: &Record) -> Option<JobKey> {
+/// The number of the job of a record.
+fn number_of(rec: &Record) -> Option<JobNumber> {
     match rec {
-        Record::Job(number, _) | Record::DropJob(number, ..) => Some(*number),
+        Record::Job(job, _) | Record::DropJob(job, _) => Some(job.number),
         Record::Wave(..)
         | Record::Worker(..)
         | Record::DropWorker(..)
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use workswood_callers::HeldBytes;
-use workswood_core::jobs::{JobKey, JobSpec, Owner, SchedConfig, Verdict};
+use workswood_core::jobs::{JobKey, JobNumber, JobSpec, SchedConfig, Verdict};
 use workswood_platform::jobs::CopyOutcome;
 
 use super::inbox::Stored;
@@ -23,7 +23,7 @@
 pub enum HandIn {
     /// Whether the job is stored, by this hand-in or an earlier one.
     Settled(Stored),
-    /// A job of another workspace has its number; nothing was stored.
+    /// A job of another owner has its number; nothing was stored.
     NumberTaken,
     /// It could not be done in time; nothing was stored.
     NoRoom {
@@ -60,7 +60,6 @@
     node: &'a Arc<Node>,
     cfg: &'a SchedConfig,
     job: JobKey,
-    owner: Owner,
     spec: JobSpec,
     /// What is known of earlier hand-ins of the job.
     earlier: CopyOutcome,
@@ -74,14 +73,14 @@
 pub async fn hand_in(
     node: &Arc<Node>,
     cfg: &SchedConfig,
-    job: JobKey,
+    number: JobNumber,
     spec: JobSpec,
     timeout: Duration,
     held: HeldBytes,
 ) -> HandIn {
-    let (owner, arrived) = (spec.owner(), node.now());
-    let (earlier, under_way) = node.numbers.begin(job, owner, arrived);
-    let mut submission = Submission { node, cfg, job, owner, spec, earlier, arrived, timeout };
+    let (job, arrived) = (spec.key(number), node.now());
+    let (earlier, under_way) = node.numbers.begin(job, &spec.service, arrived);
+    let mut submission = Submission { node, cfg, job, spec, earlier, arrived, timeout };
     let outcome = match submission.answer_without_store().await {
         None => HandIn::Settled(submission.store(under_way, held).await),
         Some(answer) => match under_way.settle(answer.stored_before()) {
@@ -97,8 +96,9 @@
 impl Submission<'_> {
     /// The answer to a job that is not to be stored: it was accepted before, or it is refused.
     async fn answer_without_store(&mut self) -> Option<HandIn> {
-        let (job, owner) = (self.job, self.owner);
-        match number_check::use_of_number(self.node, self.cfg, job, owner, self.earlier, self.timeout).await {
+        let (job, service) = (self.job, &self.spec.service);
+        match number_check::use_of_number(self.node, self.cfg, job, service, self.earlier, self.timeout).await
+        {
             NumberUse::Free => {}
             NumberUse::PerhapsOwn => {
                 self.earlier = self.earlier.with(CopyOutcome::Unknown);
@@ -148,7 +148,7 @@
 
     /// Stores the job; returns what is known of it over all of its hand-ins.
     async fn store(&self, mut under_way: HandInUnderWay<'_>, mut held: HeldBytes) -> Stored {
-        let rec = job_record(self.job, &self.spec);
+        let rec = job_record(self.job.number, &self.spec);
         held.resize(rec.value.as_ref().map_or(0, Bytes::len));
         let timeout = self.timeout.saturating_sub(self.took());
         under_way.note_sent();
@@ -156,7 +156,7 @@
         self.node.metrics.submission_seconds.observe(self.took().as_secs_f64());
         let mut known = Stored::from(under_way.settle(stored.into()).with(self.earlier));
         // Another entry may have stored the job before.
-        if known == Stored::No && number_check::is_known(self.node, self.job, self.owner).await {
+        if known == Stored::No && number_check::is_known(self.node, self.job).await {
             known = Stored::Yes;
         }
         self.log_settled(known, if known == stored { "now" } else { "earlier" });
--- a/src/workswood/ops/jobs/inbox.rs
+++ b/src/workswood/ops/jobs/inbox.rs
@@ -28,7 +28,7 @@
 use workswood_adapter::size_in_append;
 use workswood_callers::HeldBytes;
 use workswood_core::code::Code;
-use workswood_core::jobs::{JobKey, Owner};
+use workswood_core::jobs::JobKey;
 use workswood_liveness::AdaptiveTimeout;
 use workswood_platform::jobs::{CopyOutcome, Guard, KeyedRecord, Partition, StoreError, Topic};
 use xxhash_rust::xxh3::xxh3_64;
@@ -226,11 +226,25 @@
         self.0.get(&key).is_some_and(|partitions| partitions & (1 << partition) != 0)
     }
 
-    /// Keys of the job of an owner in a partition.
-    pub fn keys_of_job(&self, partition: Partition, job: JobKey, owner: Owner) -> Vec<InboxKey> {
-        let kinds = [InboxRecordKind::Job, InboxRecordKind::Cancel];
-        let keys = kinds.into_iter().map(|kind| InboxKey { job, owner, kind });
-        keys.filter(|key| self.contains(partition, *key)).collect()
+    /// Keys of a job in a partition. The cancellation of a job without a record of its own is that of this one if it has
+    /// the same number and workspace and only one of the two tells the queue.
+    pub fn keys_of_job(&self, partition: Partition, job: JobKey) -> Vec<InboxKey> {
+        let is_own = |key: &InboxKey| {
+            let told_otherwise =
+                key.kind == InboxRecordKind::Cancel && key.job.has_queue() != job.has_queue();
+            key.job == job
+                || told_otherwise && !self.0.contains_key(&InboxKey { kind: InboxRecordKind::Job, ..*key })
+        };
+        let all = JobKey::all_of_workspace(job.number, job.owner.workspace);
+        let (first, last) = (*all.start(), *all.end());
+        let of_workspace = self.0.range(
+            InboxKey { job: first, kind: InboxRecordKind::Job }..=InboxKey {
+                job: last,
+                kind: InboxRecordKind::Cancel,
+            },
+        );
+        let own = of_workspace.map(|(key, _)| *key).filter(is_own);
+        own.filter(|key| self.contains(partition, *key)).collect()
     }
 
     /// Records that a partition no longer holds a key.
--- a/src/workswood/ops/jobs/inbox_cleanup.rs
+++ b/src/workswood/ops/jobs/inbox_cleanup.rs
@@ -9,7 +9,7 @@
 
 use tokio::sync::mpsc;
 use workswood_core::code::Code;
-use workswood_core::jobs::{JobKey, Owner};
+use workswood_core::jobs::JobKey;
 use workswood_platform::jobs::{Guard, KeyedRecord, Partition, StoreError, Topic};
 
 use super::inbox;
@@ -28,11 +28,11 @@
 pub(super) async fn run(
     node: Arc<Node>,
     handle: Arc<SchedulerHandle>,
-    mut rx: mpsc::UnboundedReceiver<Vec<(JobKey, Owner)>>,
+    mut rx: mpsc::UnboundedReceiver<Vec<JobKey>>,
 ) {
     while let Some(first) = rx.recv().await {
         tokio::time::sleep(COLLECT_TIME).await;
-        let mut finished: BTreeSet<(JobKey, Owner)> = first.into_iter().collect();
+        let mut finished: BTreeSet<JobKey> = first.into_iter().collect();
         while let Ok(more) = rx.try_recv() {
             finished.extend(more);
         }
@@ -40,7 +40,7 @@
     }
 }
 
-/// Deletes all records of jobs of these owners from the inbox, and retries until that is done. Returns the jobs that are
+/// Deletes all records of these jobs from the inbox, and retries until that is done. Returns the jobs that are
 /// still there since the store does not take the deletion.
 ///
 /// The state of a job may be deleted only after this: a job in the inbox without a state is taken
@@ -49,7 +49,7 @@
 pub(super) async fn delete_from_inbox(
     node: &Node,
     handle: &SchedulerHandle,
-    jobs: Vec<(JobKey, Owner)>,
+    jobs: Vec<JobKey>,
 ) -> BTreeSet<JobKey> {
     let mut kept = BTreeSet::new();
     if jobs.is_empty() {
@@ -58,7 +58,7 @@
     for partition in inbox::partitions(node.settings.store_partitions) {
         let keys: Vec<InboxKey> = {
             let known = handle.inbox_keys.lock();
-            jobs.iter().flat_map(|(job, owner)| known.keys_of_job(partition, *job, *owner)).collect()
+            jobs.iter().flat_map(|job| known.keys_of_job(partition, *job)).collect()
         };
         // The last chunk is deleted first; their order does not matter.
         let mut waiting: Vec<Vec<InboxKey>> = keys.chunks(MAX_DELETIONS).map(<[InboxKey]>::to_vec).collect();
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -12,8 +12,8 @@
 use workswood_core::code::{Code, ExecutionStatus};
 use workswood_core::ids::WorkspaceId;
 use workswood_core::jobs::admission::retry_after_outage;
-use workswood_core::jobs::spec::parse_job_key;
-use workswood_core::jobs::{JobKey, JobSpec, Owner, QueueConfig, SchedConfig};
+use workswood_core::jobs::spec::parse_job_number;
+use workswood_core::jobs::{JobKey, JobOwner, JobSpec, Owner, QueueConfig, QueueTag, SchedConfig};
 
 use super::hand_in::{self, HandIn};
 use super::inbox::Stored;
@@ -66,22 +66,30 @@
             return refusal(Code::ApiKey, ExecutionStatus::NotRun, None);
         }
     };
-    let owner = Owner::of_workspace(workspace.as_deref());
+    let tag = queue_tag(node, queue);
     let rest = path[queue.path_prefix.len()..].trim_matches('/');
     if rest.is_empty() {
         return get_queued_jobs(node, &req, queue).await;
     }
-    let Some(job) = parse_job_key(rest) else {
+    let Some(number) = parse_job_number(rest) else {
         return refusal(Code::JobMalformed, ExecutionStatus::NotRun, None);
     };
+    let owner = JobOwner { workspace: Owner::of_workspace(workspace.as_deref()), queue: tag };
+    let job = JobKey { number, owner };
     match *req.method() {
         Method::POST => submit_job(node, &cfg, queue, job, workspace, req).await,
-        Method::GET => get_job_status(node, job, owner).await,
-        Method::DELETE => cancel_job(node, job, owner, &req).await,
+        Method::GET => get_job_status(node, job).await,
+        Method::DELETE => cancel_job(node, job, &req).await,
         _ => refusal(Code::MethodUnknown, ExecutionStatus::NotRun, None),
     }
 }
 
+/// The tag of a queue, with which its jobs are stored. A lease holder of an earlier version doesn't read jobs with one.
+fn queue_tag(node: &Node, queue: &QueueConfig) -> QueueTag {
+    let knows_queues = node.holder.load().as_ref().is_none_or(|holder| holder.knows_queues);
+    if knows_queues { queue.tag() } else { QueueTag::UNKNOWN }
+}
+
 /// Why the API key of a call is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum KeyRefusal {
@@ -142,8 +150,8 @@
     }
 }
 
-async fn get_job_status(node: &Arc<Node>, job: JobKey, owner: Owner) -> Response<ReplyBody> {
-    let status = job_queries::job_status(node, job, owner).await;
+async fn get_job_status(node: &Arc<Node>, job: JobKey) -> Response<ReplyBody> {
+    let status = job_queries::job_status(node, job).await;
     node.metrics.status_queries.with_label_values(&[status.label()]).inc();
     match status {
         Lookup::Found(s) => json_response(wire::state_body(s)),
@@ -152,15 +160,10 @@
     }
 }
 
-async fn cancel_job(
-    node: &Arc<Node>,
-    job: JobKey,
-    owner: Owner,
-    req: &Request<Incoming>,
-) -> Response<ReplyBody> {
+async fn cancel_job(node: &Arc<Node>, job: JobKey, req: &Request<Incoming>) -> Response<ReplyBody> {
     // A job that was just accepted may not be known yet, so the cancel is stored in any case.
-    let unknown = job_queries::job_status(node, job, owner).await == Lookup::NotFound;
-    let stored = node.inbox_writer.store(cancel_record(job, owner), caller_timeout(req)).await;
+    let unknown = job_queries::job_status(node, job).await == Lookup::NotFound;
+    let stored = node.inbox_writer.store(cancel_record(job), caller_timeout(req)).await;
     if stored == Stored::Yes {
         log::info!("event=cancel_accepted job={job:016x} known={}", !unknown);
         if unknown {
@@ -173,7 +176,7 @@
 /// When the caller of a job should retry after the store has not taken its record.
 fn retry_after_store(node: &Node, job: JobKey) -> Duration {
     if node.settings.policy.admission.enabled {
-        retry_after_outage(job, node.store_silence(), RETRY_AFTER, MAX_EXPECTED_OUTAGE)
+        retry_after_outage(job.number, node.store_silence(), RETRY_AFTER, MAX_EXPECTED_OUTAGE)
     } else {
         RETRY_AFTER
     }
@@ -197,14 +200,14 @@
         }
     };
     let spec = match parse_spec(node, queue, workspace, &body) {
-        Ok(spec) => spec,
+        Ok(spec) => JobSpec { tag: job.owner.queue, ..spec },
         Err(e) => {
             log::info!("event=job_refused job={job:016x} reason=malformed error=\"{e}\"");
             return refusal(Code::JobMalformed, ExecutionStatus::NotRun, None);
         }
     };
     drop(body);
-    match hand_in::hand_in(node, cfg, job, spec, timeout, held).await {
+    match hand_in::hand_in(node, cfg, job.number, spec, timeout, held).await {
         HandIn::Settled(stored) => stored.into_response(retry_after_store(node, job)),
         HandIn::NumberTaken => {
             let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
@@ -225,6 +228,7 @@
         queue: queue.name.clone(),
         service: queue.service.clone(),
         workspace,
+        tag: QueueTag::UNKNOWN,
         priority: queue.priority,
         max_attempts: queue.max_attempts,
         task_input: submitted.text.into(),
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -4,7 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use workswood_core::jobs::{JobKey, JobStatus, Outcome, Owner};
+use workswood_core::ids::ServiceId;
+use workswood_core::jobs::{JobKey, JobNumber, JobOwner, JobStatus, Outcome, Owner, QueueTag};
 use workswood_peers::{JobState, JobStateReply, JobStateRequest, Msg, PendingJobsReply, PendingJobsRequest};
 use workswood_platform::jobs::CopyOutcome;
 
@@ -53,13 +54,48 @@
     (read_at > 0).then(|| node.now_ms().saturating_sub(read_at))
 }
 
-fn local_job_status(
-    node: &Node,
-    handle: &SchedulerHandle,
-    job: JobKey,
-    requester: Option<Owner>,
-) -> Lookup<JobStatus> {
-    match handle.job_statuses.read().status(job, requester) {
+/// The job that a question is about.
+enum Asked {
+    /// This job.
+    Job(JobKey),
+    /// Any job of a number on a service.
+    AnyOn(JobNumber, ServiceId),
+}
+
+impl Asked {
+    fn of_request(request: &JobStateRequest) -> Asked {
+        let owner = |workspace| JobOwner {
+            workspace: Owner::from_number(workspace),
+            queue: QueueTag::from_number(request.queue_tag),
+        };
+        match request.owner {
+            Some(workspace) => Asked::Job(JobKey { number: request.job, owner: owner(workspace) }),
+            None => Asked::AnyOn(request.job, request.service.clone()),
+        }
+    }
+}
+
+/// A request for the state of a job.
+pub(super) fn state_request(job: JobKey) -> JobStateRequest {
+    JobStateRequest {
+        job: job.number,
+        owner: Some(job.owner.workspace.number()),
+        queue_tag: job.owner.queue.number(),
+        service: String::new(),
+    }
+}
+
+fn local_job_status(node: &Node, handle: &SchedulerHandle, asked: &Asked) -> Lookup<JobStatus> {
+    let statuses = handle.job_statuses.read();
+    let status = match asked {
+        Asked::Job(job) => {
+            let cfg = node.config.load();
+            let queue = cfg.as_ref().and_then(|cfg| cfg.queue_of(job.owner.queue));
+            statuses.status(*job, queue.map(String::as_str))
+        }
+        Asked::AnyOn(number, service) => statuses.status_on_service(*number, service),
+    };
+    match status {
         Some(status) => Lookup::Found(status),
         None if is_inbox_current(node, handle) => Lookup::NotFound,
         None => Lookup::Unavailable,
@@ -74,11 +110,11 @@
 }
 
 /// Returns the status of a job. A job of another owner is not found.
-pub async fn job_status(node: &Arc<Node>, job: JobKey, owner: Owner) -> Lookup<JobStatus> {
+pub async fn job_status(node: &Arc<Node>, job: JobKey) -> Lookup<JobStatus> {
     if let Some(handle) = node.scheduler.load_full() {
-        return local_job_status(node, &handle, job, Some(owner));
+        return local_job_status(node, &handle, &Asked::Job(job));
     }
-    let request = JobStateRequest { job, owner: Some(owner.number()) };
+    let request = state_request(job);
     let is_authoritative = |msg: &Msg| matches!(msg, Msg::JobStateReply(r) if r.authoritative);
     match query_holder(node, Msg::JobStateRequest(request), is_authoritative, || {
         format!("job job={job:016x}")
@@ -158,15 +194,18 @@
 
 /// Answers another process's request for the state of a job.
 pub fn answer_job_state_request(node: &Node, request: &JobStateRequest) -> JobStateReply {
-    let requester = request.owner.map(Owner::from_number);
-    let known = requester.map(|owner| node.numbers.outcome(request.job, owner));
+    let asked = Asked::of_request(request);
+    let known = match &asked {
+        Asked::Job(job) => Some(node.numbers.outcome(*job)),
+        Asked::AnyOn(..) => None,
+    };
     let handed_in = known.filter(|known| *known != CopyOutcome::NotDone).map(|o| outcome_to_wire(o) as i32);
     let Some(handle) = node.scheduler.load_full() else {
         return JobStateReply { handed_in, ..JobStateReply::default() };
     };
     // Read before the status, which is at least as new.
     let inbox_age_ms = inbox_age_ms(node, &handle);
-    let (authoritative, state) = match local_job_status(node, &handle, request.job, requester) {
+    let (authoritative, state) = match local_job_status(node, &handle, &asked) {
         Lookup::Found(s) => (true, Some(status_to_wire(s) as i32)),
         Lookup::NotFound => (true, None),
         Lookup::Unavailable => (false, None),
--- a/src/workswood/ops/jobs/job_spec.rs
+++ b/src/workswood/ops/jobs/job_spec.rs
@@ -8,7 +8,7 @@
 
 use prost::Message;
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{JobSpec, Repeat, StepSpec};
+use workswood_core::jobs::{JobSpec, QueueTag, Repeat, StepSpec};
 
 /// First byte of a JSON record, as earlier versions wrote it.
 const JSON_FIRST_BYTE: u8 = b'{';
@@ -35,6 +35,9 @@
     /// `None` if the queue requires no key, and in records of earlier versions.
     #[prost(string, optional, tag = "9")]
     workspace: Option<String>,
+    /// Number of the queue's tag; 0 if it is not known. Earlier versions don't write it.
+    #[prost(fixed64, tag = "10")]
+    queue_tag: u64,
 }
 
 #[derive(Clone, Copy, PartialEq, prost::Message)]
@@ -104,6 +107,7 @@
         }),
         accepted_at: spec.accepted_at,
         workspace: spec.workspace.clone(),
+        queue_tag: spec.tag.number(),
     };
     stored.encode_to_vec()
 }
@@ -159,6 +163,7 @@
         repeat: stored.repeat.map(repeat),
         accepted_at: stored.accepted_at,
         workspace: stored.workspace,
+        tag: QueueTag::from_number(stored.queue_tag),
     })
 }
 
--- a/src/workswood/ops/jobs/job_status_table.rs
+++ b/src/workswood/ops/jobs/job_status_table.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 use workswood_core::jobs::spec::QueueId;
-use workswood_core::jobs::{JobKey, JobStatus, JobStatusUpdate, Owner};
+use workswood_core::jobs::{JobKey, JobNumber, JobStatus, JobStatusUpdate};
 
 /// The status of each job, as callers may see it, and the number of queued jobs of each queue.
 #[derive(Debug, Default)]
 pub struct JobStatusTable {
-    by_job: BTreeMap<(JobKey, Owner), JobStatusUpdate>,
+    by_job: BTreeMap<JobKey, JobStatusUpdate>,
     /// Per queue, the number of jobs that have not started, without jobs that repeat on a schedule.
     queued: HashMap<QueueId, u64>,
 }
@@ -19,13 +19,23 @@
 }
 
 impl JobStatusTable {
-    /// The status of a job, if it is known and belongs to the requester. Without a requester, that of any job of
-    /// the number.
-    pub fn status(&self, job: JobKey, requester: Option<Owner>) -> Option<JobStatus> {
-        match requester {
-            Some(owner) => self.by_job.get(&(job, owner))?.state,
-            None => self.by_job.range((job, Owner::PUBLIC)..=(job, Owner::LAST)).next()?.1.state,
+    /// The status of a job of a queue, if it is known. An entry of an earlier version may have accepted it, which didn't tell
+    /// the address of the queue, or ask for it without a queue.
+    pub fn status(&self, job: JobKey, queue: Option<&str>) -> Option<JobStatus> {
+        if let Some(update) = self.by_job.get(&job) {
+            return update.state;
         }
+        let of_workspace = self.by_job.range(JobKey::all_of_workspace(job.number, job.owner.workspace));
+        let mut told_otherwise = of_workspace.filter(|(key, _)| key.has_queue() != job.has_queue());
+        let is_same = |update: &JobStatusUpdate| queue.is_none_or(|queue| update.queue == queue);
+        told_otherwise.find(|(_, update)| is_same(update)).and_then(|(_, update)| update.state)
+    }
+
+    /// The status of any job of a number whose tasks run on the workers of a service; of any service if that is empty.
+    pub fn status_on_service(&self, number: JobNumber, service: &str) -> Option<JobStatus> {
+        let of_number = self.by_job.range(JobKey::all_of(number)).map(|(_, update)| update);
+        let mut on_service = of_number.filter(|update| service.is_empty() || update.service == service);
+        on_service.next().and_then(|update| update.state)
     }
 
     /// Number of jobs of a queue that have not started, without jobs that repeat on a schedule.
@@ -39,8 +49,8 @@
             *self.queued.entry(update.queue.clone()).or_default() += 1;
         }
         let previous = match update.state {
-            Some(_) => self.by_job.insert((update.key, update.owner), update),
-            None => self.by_job.remove(&(update.key, update.owner)),
+            Some(_) => self.by_job.insert(update.key, update),
+            None => self.by_job.remove(&update.key),
         };
         if let Some(previous) = previous.filter(is_counted)
             && let Some(n) = self.queued.get_mut(&previous.queue)
--- a/src/workswood/ops/jobs/lease.rs
+++ b/src/workswood/ops/jobs/lease.rs
@@ -65,6 +65,9 @@
     /// Network stack in which the writer has bound the address for peers until it ends. Absent if that is not certain.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub bound_in: Option<String>,
+    /// Whether the holder tells jobs of several queues under one number apart. Absent in records of versions that don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub knows_queues: bool,
     /// In a release: for how many milliseconds from then on anybody may still give workers full leases
     /// under this term or an earlier one. Absent if the scheduler may not have ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -84,6 +87,7 @@
             full_leases_ms: Some(full_ms(own_grace.max(others_left))),
             others_full_leases_ms: Some(full_ms(others_left)),
             bound_in: node.bound_in().cloned(),
+            knows_queues: true,
             extensions_left_ms: None,
         }
     }
@@ -375,9 +379,13 @@
         v.term_seen_at = v.expiry_counted_from;
     }
     log_holder(&seen);
-    let holder =
-        Holder { id: lease.id, peer_address: lease.peer_address, term: lease.term, released: lease.released };
-    node.set_holder(holder);
+    node.set_holder(Holder {
+        id: lease.id,
+        peer_address: lease.peer_address,
+        term: lease.term,
+        released: lease.released,
+        knows_queues: lease.knows_queues,
+    });
     v.holder = Some(seen);
 }
 
--- a/src/workswood/ops/jobs/node.rs
+++ b/src/workswood/ops/jobs/node.rs
@@ -47,6 +47,8 @@
     pub term: Term,
     /// Whether it released the lease.
     pub released: bool,
+    /// Whether it tells jobs of several queues under one number apart.
+    pub knows_queues: bool,
 }
 
 /// Whether the lease is renewed once more and then no longer.
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -1,7 +1,7 @@
 //! Whether the number of a submitted job is that of another owner's job, and whether the job itself was accepted before.
 //!
 //! Tasks are named by the number of their job alone, so jobs of several owners under one number can only be done one
-//! after the other. A submission whose number is known to be another owner's is therefore refused before it is stored,
+//! after the other on the workers of one service. A submission whose number is known to be another owner's is therefore refused before it is stored,
 //! unless its own job may have been stored by an earlier hand-in, here or at another entry. Two submissions at
 //! different entries at the same moment may both be accepted.
 
@@ -10,12 +10,12 @@
 
 use futures::future::join_all;
 use parking_lot::Mutex;
-use workswood_core::jobs::{JobKey, Owner, SchedConfig};
+use workswood_core::jobs::{JobKey, SchedConfig};
 use workswood_peers::{JobStateReply, JobStateRequest, Msg};
 use workswood_platform::jobs::CopyOutcome;
 
 use super::admission_control::HolderPause;
-use super::job_queries;
+use super::job_queries::{self, state_request};
 use super::node::Node;
 use super::peer_requests::outcome_from_wire;
 use super::submitted_numbers::{NumberUse, OwnJob, SubmittedNumbers};
@@ -39,14 +39,14 @@
 
 impl NumberCheck {
     /// What is known here of the hand-ins of a job.
-    pub fn outcome(&self, job: JobKey, owner: Owner) -> CopyOutcome {
-        self.submitted.lock().outcome(job, owner)
+    pub fn outcome(&self, job: JobKey) -> CopyOutcome {
+        self.submitted.lock().outcome(job)
     }
 
     /// Notes a hand-in that may store the job from now on; returns what was known of the job before, too.
-    pub fn begin(&self, job: JobKey, owner: Owner, now: Duration) -> (CopyOutcome, HandInUnderWay<'_>) {
-        let earlier = self.submitted.lock().begin(job, owner, now);
-        (earlier, HandInUnderWay { numbers: self, job, owner, at_drop: Some(CopyOutcome::NotDone) })
+    pub fn begin(&self, job: JobKey, service: &str, now: Duration) -> (CopyOutcome, HandInUnderWay<'_>) {
+        let earlier = self.submitted.lock().begin(job, service, now);
+        (earlier, HandInUnderWay { numbers: self, job, at_drop: Some(CopyOutcome::NotDone) })
     }
 }
 
@@ -54,7 +54,6 @@
 pub struct HandInUnderWay<'a> {
     numbers: &'a NumberCheck,
     job: JobKey,
-    owner: Owner,
     /// What is known of it if it is dropped now; `None` once it is settled.
     at_drop: Option<CopyOutcome>,
 }
@@ -68,14 +67,14 @@
     /// Notes the outcome; returns what is known of the job over all of its hand-ins here.
     pub fn settle(mut self, outcome: CopyOutcome) -> CopyOutcome {
         self.at_drop = None;
-        self.numbers.submitted.lock().settle(self.job, self.owner, outcome)
+        self.numbers.submitted.lock().settle(self.job, outcome)
     }
 }
 
 impl Drop for HandInUnderWay<'_> {
     fn drop(&mut self) {
         if let Some(outcome) = self.at_drop {
-            self.numbers.submitted.lock().settle(self.job, self.owner, outcome);
+            self.numbers.submitted.lock().settle(self.job, outcome);
         }
     }
 }
@@ -86,7 +85,7 @@
     node: &Arc<Node>,
     cfg: &SchedConfig,
     job: JobKey,
-    owner: Owner,
+    service: &str,
     earlier: CopyOutcome,
     timeout: Duration,
 ) -> NumberUse {
@@ -94,16 +93,15 @@
     if let Some(number_use) = NumberUse::of_earlier(earlier) {
         return number_use;
     }
-    // Without workspaces there is one owner only.
+    // Without workspaces a job waits for that of another queue under its number.
     if cfg.workspaces.by_owner.is_empty() {
         return NumberUse::Free;
     }
-    let stored_here = node.numbers.submitted.lock().is_other_owners(job, owner);
-    if !stored_here && !ask_holder(node, job, None).await.is_some_and(|reply| reply.is_known) {
+    let stored_here = node.numbers.submitted.lock().is_other_owners(job, service);
+    if !stored_here && !ask_holder(node, any_on(job, service)).await.is_some_and(|reply| reply.is_known) {
         return NumberUse::Free;
     }
-    let (at_entries, at_holder) =
-        tokio::join!(ask_peers(node, job, owner), own_job(node, job, owner, arrived, timeout));
+    let (at_entries, at_holder) = tokio::join!(ask_peers(node, job), own_job(node, job, arrived, timeout));
     let number_use = NumberUse::of_taken(at_entries, at_holder);
     log::info!(
         "event=number_checked job={job:016x} use={number_use:?} stored_here={stored_here} at_entries={at_entries:?} \
@@ -113,23 +111,22 @@
     number_use
 }
 
-/// Whether the lease holder knows a job of this owner. Without an answer it counts as unknown.
-pub async fn is_known(node: &Arc<Node>, job: JobKey, owner: Owner) -> bool {
-    ask_holder(node, job, Some(owner)).await.is_some_and(|reply| reply.is_known)
+/// Whether the lease holder knows a job. Without an answer it counts as unknown.
+pub async fn is_known(node: &Arc<Node>, job: JobKey) -> bool {
+    ask_holder(node, state_request(job)).await.is_some_and(|reply| reply.is_known)
+}
+
+/// A request for the state of any job under a number on a service.
+fn any_on(job: JobKey, service: &str) -> JobStateRequest {
+    JobStateRequest { owner: None, service: service.to_string(), ..state_request(job) }
 }
 
 /// Asks the lease holder for a job until it knows it, or has read the inbox since the hand-in arrived.
-async fn own_job(
-    node: &Arc<Node>,
-    job: JobKey,
-    owner: Owner,
-    arrived: Duration,
-    timeout: Duration,
-) -> OwnJob {
+async fn own_job(node: &Arc<Node>, job: JobKey, arrived: Duration, timeout: Duration) -> OwnJob {
     let until = arrived + INBOX_READ_TIMEOUT.min(timeout);
     loop {
         let asked_after = node.now() - arrived;
-        let reply = ask_holder(node, job, Some(owner)).await;
+        let reply = ask_holder(node, state_request(job)).await;
         let own = reply.map_or(OwnJob::Unclear, |r| OwnJob::of(r.is_known, r.inbox_age, asked_after));
         if own != OwnJob::Unclear || node.now() + QUESTION_INTERVAL >= until {
             return own;
@@ -145,9 +142,9 @@
     inbox_age: Option<Duration>,
 }
 
-/// Asks the lease holder for a job of an owner, or of any owner; `None` without an authoritative answer.
-async fn ask_holder(node: &Arc<Node>, job: JobKey, owner: Option<Owner>) -> Option<HolderReply> {
-    let request = JobStateRequest { job, owner: owner.map(Owner::number) };
+/// Asks the lease holder for a job, or for any job of a number; `None` without an authoritative answer.
+async fn ask_holder(node: &Arc<Node>, request: JobStateRequest) -> Option<HolderReply> {
+    let job = request.job;
     if node.scheduler.load().is_some() {
         return holder_reply(&job_queries::answer_job_state_request(node, &request));
     }
@@ -178,10 +175,10 @@
 }
 
 /// What the other entries know of hand-ins of a job. An entry that doesn't answer knows of none.
-async fn ask_peers(node: &Arc<Node>, job: JobKey, owner: Owner) -> CopyOutcome {
+async fn ask_peers(node: &Arc<Node>, job: JobKey) -> CopyOutcome {
     let addresses = node.peers.rotated_addresses(&node.settings.peers.to_string(), MAX_ASKED_PEERS);
     let ask = |address: String| async move {
-        let msg = Msg::JobStateRequest(JobStateRequest { job, owner: Some(owner.number()) });
+        let msg = Msg::JobStateRequest(state_request(job));
         match node.peers.call(&node.id, &address, msg, QUESTION_TIMEOUT).await {
             Ok(Msg::JobStateReply(reply)) => reply.handed_in.and_then(outcome_from_wire).unwrap_or_default(),
             reply => {
--- a/src/workswood/ops/jobs/peer_requests.rs
+++ b/src/workswood/ops/jobs/peer_requests.rs
@@ -187,6 +187,7 @@
         incarnation: h.id.clone(),
         peer_address: h.peer_address.clone(),
         term: h.term,
+        knows_queues: h.knows_queues,
     });
     ConfigReply { record: newer.map(|text| Bytes::clone(&text)).unwrap_or_default(), evacuated, holder }
 }
@@ -230,6 +231,7 @@
             peer_address: h.peer_address,
             term: h.term,
             released: false,
+            knows_queues: h.knows_queues,
         });
         updates.holder = updates.holder.into_iter().chain(holder).max_by_key(|h| h.term);
         updates.evacuations.extend(reply.evacuated.map(|e| Evacuations {
--- a/src/workswood/ops/jobs/record.rs
+++ b/src/workswood/ops/jobs/record.rs
@@ -1,11 +1,11 @@
 //! Keys and records of the inbox and of the scheduler's state, as they are stored.
 //!
-//! The inbox holds a job under the 16 hex digits of its key, and the cancellation of a job under
-//! `x` and the digits. Where a workspace owns the job, `-` and 16 hex digits for the owner follow,
-//! so that one workspace can't replace what another wrote under the same job key.
+//! The inbox holds a job under the 16 hex digits of its number, `-`, 16 hex digits for the workspace (0 for none), `-`, and 16
+//! hex digits for the address of the queue, so that nobody can replace what another caller wrote under the same number. The
+//! cancellation of a job has `x` in front. Earlier versions wrote no queue, and no workspace where there was none.
 //!
-//! The state holds a job under its 16 hex digits, or under these, `-` and 16 hex digits for the owner if the number was
-//! that of another owner's job before; the progress of a wave under `wave-` and its
+//! The state holds a job under the same key, or, if its queue is not known, under the digits of its number; these, `-`
+//! and the digits of its workspace if the number was that of another workspace's job before; the progress of a wave under `wave-` and its
 //! number, an incarnation of a worker under `worker-` and its id, what one has left behind that is
 //! over under `ended-` and its id, and the mark of a host that recently received an order under
 //! `ordered-` and its name. A checkpoint that is stored apart is under `checkpoint-`, the key of its job's state, `+`, and the
@@ -17,8 +17,8 @@
 use serde::Serialize;
 use workswood_core::ids::HostId;
 use workswood_core::jobs::job::{StateSlot, WorkerId};
-use workswood_core::jobs::spec::{format_job_key, parse_job_key};
-use workswood_core::jobs::{JobKey, JobSpec, Owner, Record};
+use workswood_core::jobs::spec::{format_job_number, parse_job_number};
+use workswood_core::jobs::{JobKey, JobNumber, JobOwner, JobSpec, Owner, QueueTag, Record};
 use workswood_platform::jobs::KeyedRecord;
 
 use super::{job_spec, job_state};
@@ -57,8 +57,6 @@
 pub struct InboxKey {
     /// The job.
     pub job: JobKey,
-    /// The workspace that wrote the record.
-    pub owner: Owner,
     /// What the record says of the job.
     pub kind: InboxRecordKind,
 }
@@ -74,8 +72,8 @@
 
 /// A key of the state.
 pub enum StateKey {
-    /// The state of a job, with its owner if that is part of the key.
-    Job(JobKey, Option<Owner>),
+    /// The state of a job. Its workspace is part of the key unless that is [`StateSlot::Number`] and has no queue.
+    Job(JobKey, StateSlot),
     /// The progress of the wave with this number.
     Wave(u64),
     /// An incarnation of a worker.
@@ -94,13 +92,33 @@
         Some(name) => (InboxRecordKind::Cancel, name),
         None => (InboxRecordKind::Job, key),
     };
-    let (job, owner) =
-        name.split_once(OWNER_SEPARATOR).map_or((name, None), |(job, owner)| (job, Some(owner)));
-    let owner = match owner {
-        Some(digits) => Owner::from_number(parse_job_key(digits)?),
-        None => Owner::PUBLIC,
-    };
-    Some(InboxKey { job: parse_job_key(job)?, owner, kind })
+    Some(InboxKey { job: parse_job_key(name)?, kind })
+}
+
+/// Parses the key of a job: its number, its workspace unless it has none, and its queue if that is known.
+fn parse_job_key(text: &str) -> Option<JobKey> {
+    let mut numbers = text.split(OWNER_SEPARATOR).map(parse_job_number);
+    let number = numbers.next()??;
+    let workspace = Owner::from_number(numbers.next().unwrap_or(Some(0))?);
+    let queue = QueueTag::from_number(numbers.next().unwrap_or(Some(0))?);
+    numbers.next().is_none().then_some(JobKey { number, owner: JobOwner { workspace, queue } })
+}
+
+/// Formats the key of a job whose queue is known.
+fn format_full_key(job: JobKey) -> String {
+    let JobOwner { workspace, queue } = job.owner;
+    format!(
+        "{}{OWNER_SEPARATOR}{}{OWNER_SEPARATOR}{}",
+        format_job_number(job.number),
+        format_job_number(workspace.number()),
+        format_job_number(queue.number())
+    )
+}
+
+/// Formats the number and the workspace of a job.
+fn format_workspace_key(job: JobKey) -> String {
+    let workspace = format_job_number(job.owner.workspace.number());
+    format!("{}{OWNER_SEPARATOR}{workspace}", format_job_number(job.number))
 }
 
 /// Parses a key of the state; `None` if it is malformed.
@@ -121,13 +139,9 @@
         let (job, place) = name.rsplit_once(PLACE_SEPARATOR)?;
         return Some(StateKey::Checkpoint(job.to_string(), parse_place(place)?));
     }
-    match key.split_once(OWNER_SEPARATOR) {
-        None => Some(StateKey::Job(parse_job_key(key)?, None)),
-        Some((job, owner)) => {
-            let owner = Owner::from_number(parse_job_key(owner)?);
-            Some(StateKey::Job(parse_job_key(job)?, Some(owner)))
-        }
-    }
+    let job = parse_job_key(key)?;
+    let has_workspace = key.contains(OWNER_SEPARATOR) && !job.has_queue();
+    Some(StateKey::Job(job, if has_workspace { StateSlot::NumberAndOwner } else { StateSlot::Number }))
 }
 
 fn parse_place(text: &str) -> Option<TaskPlace> {
@@ -145,14 +159,14 @@
 }
 
 /// Returns the inbox record that cancels a job.
-pub fn cancel_record(job: JobKey, owner: Owner) -> KeyedRecord {
-    let key = InboxKey { job, owner, kind: InboxRecordKind::Cancel };
+pub fn cancel_record(job: JobKey) -> KeyedRecord {
+    let key = InboxKey { job, kind: InboxRecordKind::Cancel };
     KeyedRecord { key: key.to_string(), value: Some(Bytes::from_static(b"1")) }
 }
 
-/// Returns the inbox record of a submitted job.
-pub fn job_record(job: JobKey, spec: &JobSpec) -> KeyedRecord {
-    let key = InboxKey { job, owner: spec.owner(), kind: InboxRecordKind::Job };
+/// Returns the inbox record of a job that was submitted under a number.
+pub fn job_record(number: JobNumber, spec: &JobSpec) -> KeyedRecord {
+    let key = InboxKey { job: spec.key(number), kind: InboxRecordKind::Job };
     KeyedRecord { key: key.to_string(), value: Some(job_spec::encode(spec).into()) }
 }
 
@@ -175,12 +189,12 @@
             InboxRecordKind::Job => "",
             InboxRecordKind::Cancel => CANCEL_PREFIX,
         };
-        write!(f, "{prefix}{}", format_job_key(self.job))?;
-        if self.owner.is_public() {
-            Ok(())
-        } else {
-            write!(f, "{OWNER_SEPARATOR}{}", format_job_key(self.owner.number()))
-        }
+        let key = match (self.job.has_queue(), self.job.owner.workspace.is_public()) {
+            (true, _) => format_full_key(self.job),
+            (false, false) => format_workspace_key(self.job),
+            (false, true) => format_job_number(self.job.number),
+        };
+        write!(f, "{prefix}{key}")
     }
 }
 
@@ -193,10 +207,10 @@
 pub fn state_record(rec: &Record) -> KeyedRecord {
     match rec {
         Record::Job(job, state) => {
-            let key = job_state_key(*job, state.owner().unwrap_or_default(), state.slot);
+            let key = job_state_key(*job, state.slot);
             KeyedRecord { key, value: Some(job_state::encode_without_apart(state).into()) }
         }
-        Record::DropJob(job, owner, slot) => deletion_record(job_state_key(*job, *owner, *slot)),
+        Record::DropJob(job, slot) => deletion_record(job_state_key(*job, *slot)),
         Record::Wave(n, progress) => json_record(format!("{WAVE_PREFIX}{n}"), progress),
         Record::Worker(id, worker) => json_record(format!("{WORKER_PREFIX}{id}"), worker),
         Record::EndedIncarnation(id, Some(ended)) => json_record(format!("{ENDED_PREFIX}{id}"), ended),
@@ -208,18 +222,18 @@
 }
 
 /// The key under which the state of a job is stored.
-fn job_state_key(job: JobKey, owner: Owner, slot: StateSlot) -> String {
-    let job = format_job_key(job);
-    match slot {
-        StateSlot::Number => job,
-        StateSlot::NumberAndOwner => format!("{job}{OWNER_SEPARATOR}{}", format_job_key(owner.number())),
+fn job_state_key(job: JobKey, slot: StateSlot) -> String {
+    match (job.has_queue(), slot) {
+        (true, _) => format_full_key(job),
+        (false, StateSlot::Number) => format_job_number(job.number),
+        (false, StateSlot::NumberAndOwner) => format_workspace_key(job),
     }
 }
 
-/// Returns the job whose state the record deletes, with its owner, if any.
-pub fn deleted_job(rec: &Record) -> Option<(JobKey, Owner)> {
+/// Returns the job whose state the record deletes, if any.
+pub fn deleted_job(rec: &Record) -> Option<JobKey> {
     match rec {
-        Record::DropJob(job, owner, _) => Some((*job, *owner)),
+        Record::DropJob(job, _) => Some(*job),
         Record::Job(..)
         | Record::Wave(..)
         | Record::Worker(..)
--- a/src/workswood/ops/jobs/relay/codec.rs
+++ b/src/workswood/ops/jobs/relay/codec.rs
@@ -7,7 +7,7 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{
-    EndKind, Report, ReportedEnd, ReportedRun, StartReply, StopReply, TaskId, WorkerAddress,
+    EndKind, JobKey, Report, ReportedEnd, ReportedRun, StartReply, StopReply, TaskId, WorkerAddress,
 };
 use workswood_peers::relay as wire;
 
@@ -15,12 +15,13 @@
 
 fn write_run(task: TaskId, attempt: u32) -> wire::TaskRun {
     let TaskId { job, round, step, index } = task;
-    wire::TaskRun { job, round, step: u32::from(step), index, attempt }
+    wire::TaskRun { job: job.number, round, step: u32::from(step), index, attempt }
 }
 
 fn read_run(run: &wire::TaskRun) -> Option<(TaskId, u32)> {
     let step = u16::try_from(run.step).ok()?;
-    Some((TaskId { job: run.job, round: run.round, step, index: run.index }, run.attempt))
+    let job = JobKey::of_number(run.job);
+    Some((TaskId { job, round: run.round, step, index: run.index }, run.attempt))
 }
 
 /// Converts orders to messages. Consecutive starts with the same specification contain it once.
--- a/src/workswood/ops/jobs/relay_sessions.rs
+++ b/src/workswood/ops/jobs/relay_sessions.rs
@@ -83,7 +83,7 @@
         RelaySessions { node, handle, own_relay, sessions, assignments, last_number: 0, opened: 0 }
     }
 
-    /// Carries out an action that concerns a relay or a worker. Orders to other relays wait until
+    /// Carries out an action that concerns a relay or a worker. Relays know tasks as workers do. Orders to other relays wait until
     /// [`Self::flush`].
     pub(super) fn carry_out(&mut self, action: Action, tasks: &mut JoinSet<()>) {
         match action {
@@ -99,17 +99,20 @@
                 }
             }
             Action::ReportFigures(id, wanted) => self.order(&id, WorkerOrder::ReportLoad(wanted)),
-            Action::Stop(id, task, attempt) => self.order(&id, WorkerOrder::Stop { task, attempt }),
+            Action::Stop(id, task, attempt) => {
+                self.order(&id, WorkerOrder::Stop { task: task.unowned(), attempt });
+            }
             Action::WithdrawStart(id, task, attempt) => {
-                self.order(&id, WorkerOrder::WithdrawStart { task, attempt });
+                self.order(&id, WorkerOrder::WithdrawStart { task: task.unowned(), attempt });
             }
             Action::SetPace { worker: id, task, attempt, percent } => {
-                self.order(&id, WorkerOrder::Throttle { task, attempt, percent });
+                self.order(&id, WorkerOrder::Throttle { task: task.unowned(), attempt, percent });
             }
             Action::Start { worker, token, task, attempt, text, checkpoint, ticket } => {
                 // The worker may have another relay since the start was decided. The first report
                 // from that relay shows that the task does not run, and the scheduler decides again.
                 if self.assignments.get(&worker).is_some_and(|a| a.token == token) {
+                    let task = task.unowned();
                     let start = StartTask { task, attempt, spec: text, checkpoint, ticket };
                     self.order(&worker, WorkerOrder::Start(start));
                 }
--- a/src/workswood/ops/jobs/restore_state.rs
+++ b/src/workswood/ops/jobs/restore_state.rs
@@ -7,7 +7,7 @@
 use futures::future::try_join_all;
 use workswood_core::ids::Offset;
 use workswood_core::jobs::restored_jobs::join_states;
-use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, Scheduler};
+use workswood_core::jobs::{Event, JobKey, JobNumber, JobRecord, JobSpec, Scheduler};
 use workswood_platform::jobs::{Guard, KeyedRecord, LatestRecords, Partition, StoreError, Topic};
 
 use super::append_calls::StateEncoder;
@@ -105,19 +105,19 @@
 /// longer in the inbox belongs to a job that is finished or was being forgotten.
 fn restore_jobs(sched: &mut Scheduler, inbox: Vec<KeyedRecord>, states: Vec<(JobKey, JobRecord)>) {
     let mut cancels = BTreeSet::new();
-    let mut submitted: Vec<(JobKey, Arc<JobSpec>)> = Vec::new();
+    let mut submitted: Vec<(JobNumber, Arc<JobSpec>)> = Vec::new();
     for rec in inbox {
         match parse_inbox_event(&rec) {
-            Some(Event::Submitted(key, spec)) => submitted.push((key, spec)),
-            Some(Event::Cancelled(key, owner)) => {
-                cancels.insert((key, owner));
+            Some(Event::Submitted(number, spec)) => submitted.push((number, spec)),
+            Some(Event::Cancelled(key)) => {
+                cancels.insert(key);
             }
             _ => {}
         }
     }
     sched.restore_jobs(join_states(submitted, states));
-    for (key, owner) in cancels {
-        sched.handle(Event::Cancelled(key, owner));
+    for key in cancels {
+        sched.handle(Event::Cancelled(key));
     }
 }
 
@@ -141,9 +141,9 @@
             let spec = spec.inspect_err(|e| {
                 log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key);
             });
-            Some(Event::Submitted(job, Arc::new(spec.ok()?)))
+            Some(Event::Submitted(job.number, Arc::new(spec.ok()?)))
         }
-        Some(InboxKey { job, owner, kind: InboxRecordKind::Cancel }) => Some(Event::Cancelled(job, owner)),
+        Some(InboxKey { job, kind: InboxRecordKind::Cancel }) => Some(Event::Cancelled(job)),
         None => {
             log::error!("event=record_not_read code=203 key={}", rec.key);
             None
--- a/src/workswood/ops/jobs/scheduler_task.rs
+++ b/src/workswood/ops/jobs/scheduler_task.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::Instant;
-use workswood_core::jobs::{Action, Batch, Event, JobKey, JobStatusUpdate, Owner, Scheduler, StoreAccess};
+use workswood_core::jobs::{Action, Batch, Event, JobKey, JobStatusUpdate, Scheduler, StoreAccess};
 use workswood_platform::jobs::StoreError;
 
 use super::admission_control;
@@ -156,7 +156,7 @@
     /// Waves whose status is published, and whether they are complete.
     waves: watch::Sender<BTreeMap<u64, bool>>,
     /// Finished jobs, to be deleted from the inbox.
-    finished_jobs: mpsc::UnboundedSender<Vec<(JobKey, Owner)>>,
+    finished_jobs: mpsc::UnboundedSender<Vec<JobKey>>,
     /// When the list of hosts was last requested.
     hosts_requested_at: Duration,
     /// Version of the list of entries that the scheduler knows.
--- a/src/workswood/ops/jobs/state_appends.rs
+++ b/src/workswood/ops/jobs/state_appends.rs
@@ -10,7 +10,7 @@
 
 use workswood_adapter::size_in_append;
 use workswood_core::code::Code;
-use workswood_core::jobs::{JobKey, Owner};
+use workswood_core::jobs::JobKey;
 use workswood_platform::jobs::{Guard, StoreError, Topic};
 
 use super::append_calls::{Append, Subject, Unit};
@@ -46,7 +46,7 @@
     node: Arc<Node>,
     handle: Arc<SchedulerHandle>,
     first_number: u64,
-    dropped: Vec<(JobKey, Owner)>,
+    dropped: Vec<JobKey>,
     appends: Vec<Append>,
 ) -> Option<AppendsWritten> {
     let kept = inbox_cleanup::delete_from_inbox(&node, &handle, dropped).await;
--- a/src/workswood/ops/jobs/stored_state.rs
+++ b/src/workswood/ops/jobs/stored_state.rs
@@ -42,11 +42,12 @@
     for rec in records {
         let value = rec.value.unwrap_or_default();
         match parse_state_key(&rec.key) {
-            Some(StateKey::Job(key, owner)) => match job_state::decode(&value) {
+            Some(StateKey::Job(key, slot)) => match job_state::decode(&value) {
                 Ok(state) => {
-                    let slot = owner.map_or(StateSlot::Number, |_| StateSlot::NumberAndOwner);
+                    let in_key = key.has_queue() || slot == StateSlot::NumberAndOwner;
+                    let owner = state.owner.or(in_key.then_some(key.owner.workspace));
                     state_keys.insert(rec.key, s.jobs.len());
-                    s.jobs.push((key, JobRecord { owner: state.owner.or(owner), slot, ..state }));
+                    s.jobs.push((key, JobRecord { owner, slot, ..state }));
                 }
                 Err(e) => log::error!("event=record_not_read code=203 key={} error=\"{e}\"", rec.key),
             },
--- a/src/workswood/ops/jobs/submitted_numbers.rs
+++ b/src/workswood/ops/jobs/submitted_numbers.rs
@@ -7,7 +7,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use workswood_core::jobs::{JobKey, Owner};
+use workswood_core::ids::ServiceId;
+use workswood_core::jobs::JobKey;
 use workswood_platform::jobs::CopyOutcome;
 
 /// How long a hand-in is remembered: longer than callers try again, and than a store that is away carries out late appends.
@@ -16,8 +17,10 @@
 const MAX_REMEMBERED: usize = 10_000;
 
 /// The hand-ins of one job.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct HandIns {
+    /// The service whose workers run the job.
+    service: ServiceId,
     /// Number of them that may store the job at any moment.
     under_way: u32,
     /// What is known of the others.
@@ -36,57 +39,58 @@
 /// The jobs that were handed in to one entry lately. A job of which all hand-ins were refused is not among them.
 #[derive(Debug, Default)]
 pub struct SubmittedNumbers {
-    by_job: BTreeMap<(JobKey, Owner), HandIns>,
+    by_job: BTreeMap<JobKey, HandIns>,
     /// When each job was handed in first, in that order.
-    order: VecDeque<(Duration, JobKey, Owner)>,
+    order: VecDeque<(Duration, JobKey)>,
 }
 
 impl SubmittedNumbers {
     /// Notes a hand-in that may store the job from now on; returns what was known of the job before.
-    pub fn begin(&mut self, job: JobKey, owner: Owner, now: Duration) -> CopyOutcome {
-        let earlier = self.outcome(job, owner);
+    pub fn begin(&mut self, job: JobKey, service: &str, now: Duration) -> CopyOutcome {
+        let earlier = self.outcome(job);
         self.forget_old(now);
         let order = &mut self.order;
         let first = || {
-            order.push_back((now, job, owner));
-            HandIns { under_way: 0, outcome: CopyOutcome::NotDone, since: now }
+            order.push_back((now, job));
+            HandIns { service: service.to_string(), under_way: 0, outcome: CopyOutcome::NotDone, since: now }
         };
-        self.by_job.entry((job, owner)).or_insert_with(first).under_way += 1;
+        self.by_job.entry(job).or_insert_with(first).under_way += 1;
         earlier
     }
 
     /// Notes the outcome of a hand-in that was begun; returns what is known of the job over all of its hand-ins.
-    pub fn settle(&mut self, job: JobKey, owner: Owner, outcome: CopyOutcome) -> CopyOutcome {
-        let Some(hand_ins) = self.by_job.get_mut(&(job, owner)) else { return outcome };
+    pub fn settle(&mut self, job: JobKey, outcome: CopyOutcome) -> CopyOutcome {
+        let Some(hand_ins) = self.by_job.get_mut(&job) else { return outcome };
         hand_ins.under_way = hand_ins.under_way.saturating_sub(1);
         hand_ins.outcome = hand_ins.outcome.with(outcome);
         let known = hand_ins.outcome();
         if known == CopyOutcome::NotDone {
-            self.by_job.remove(&(job, owner));
+            self.by_job.remove(&job);
         }
         known
     }
 
     /// What is known of a job: not done if it was not handed in here, or refused.
-    pub fn outcome(&self, job: JobKey, owner: Owner) -> CopyOutcome {
-        self.by_job.get(&(job, owner)).map_or(CopyOutcome::NotDone, HandIns::outcome)
+    pub fn outcome(&self, job: JobKey) -> CopyOutcome {
+        self.by_job.get(&job).map_or(CopyOutcome::NotDone, HandIns::outcome)
     }
 
-    /// Whether a job of another owner was stored under this number.
-    pub fn is_other_owners(&self, job: JobKey, owner: Owner) -> bool {
-        let mut of_number = self.by_job.range((job, Owner::PUBLIC)..=(job, Owner::LAST));
-        of_number.any(|((_, other), hand_ins)| *other != owner && hand_ins.outcome == CopyOutcome::Done)
+    /// Whether a job of another owner was stored under this number on a service.
+    pub fn is_other_owners(&self, job: JobKey, service: &str) -> bool {
+        let others = self.by_job.range(JobKey::all_of(job.number)).filter(|(other, _)| **other != job);
+        let mut on_service = others.filter(|(_, hand_ins)| hand_ins.service == service);
+        on_service.any(|(_, hand_ins)| hand_ins.outcome == CopyOutcome::Done)
     }
 
     fn forget_old(&mut self, now: Duration) {
         let is_old = |at: Duration, count: usize| at + REMEMBERED_FOR < now || count >= MAX_REMEMBERED;
-        while let Some((at, job, owner)) = self.order.front().copied()
+        while let Some((at, job)) = self.order.front().copied()
             && is_old(at, self.order.len())
         {
             self.order.pop_front();
             // The job may have been refused and handed in anew since.
-            if self.by_job.get(&(job, owner)).is_some_and(|hand_ins| hand_ins.since == at) {
-                self.by_job.remove(&(job, owner));
+            if self.by_job.get(&job).is_some_and(|hand_ins| hand_ins.since == at) {
+                self.by_job.remove(&job);
             }
         }
     }
--- a/src/workswood/ops/late/report.rs
+++ b/src/workswood/ops/late/report.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use workswood_core::ids::UnixMs;
-use workswood_core::jobs::JobKey;
-use workswood_core::jobs::spec::parse_job_key;
+use workswood_core::jobs::JobNumber;
+use workswood_core::jobs::spec::parse_job_number;
 
 use super::log_line::LogLine;
 use super::timeline::{Cause, JobTimeline, Verdict};
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 pub struct LatenessReport {
     window: Duration,
-    jobs: HashMap<JobKey, JobTimeline>,
+    jobs: HashMap<JobNumber, JobTimeline>,
     /// Totals by the second of the lines, in seconds since 1970.
     pools: BTreeMap<UnixMs, PoolTotals>,
 }
@@ -49,7 +49,7 @@
             self.add_pool_line(line);
             return;
         }
-        if let Some(key) = line.job().and_then(parse_job_key) {
+        if let Some(key) = line.job().and_then(parse_job_number) {
             self.jobs.entry(key).or_default().add_line(line);
         }
     }
--- a/src/workswood/ops/model/batches.rs
+++ b/src/workswood/ops/model/batches.rs
@@ -85,7 +85,7 @@
 
     fn record_completion(&mut self, update: &JobStatusUpdate) {
         if update.state == Some(JobStatus::Ended(Outcome::Completed)) {
-            self.completed_at.entry(update.key).or_insert(self.now);
+            self.completed_at.entry(update.key.number).or_insert(self.now);
         }
     }
 
--- a/src/workswood/ops/model/callers.rs
+++ b/src/workswood/ops/model/callers.rs
@@ -28,7 +28,8 @@
             return None;
         }
         let job = &self.jobs[n];
-        let candidate = self.admission.candidate(job.key, &job.spec, &scheduler.config, &policy.order)?;
+        let candidate =
+            self.admission.candidate(job.spec.key(job.key), &job.spec, &scheduler.config, &policy.order)?;
         let wall = self.now.as_millis() as u64;
         match self.admission.decide(&candidate, &policy.admission, self.now, wall) {
             Verdict::Admitted { .. } => None,
@@ -57,7 +58,7 @@
     /// Tells admission the loads of the scheduler.
     pub(super) fn update_admission(&mut self) {
         if let Some(s) = self.scheduler.as_ref().filter(|s| s.policy.admission.enabled) {
-            self.admission.update(s.loads(), |key| s.jobs.contains_key(key), self.now);
+            self.admission.update(s.loads(), |key| s.jobs.contains(key), self.now);
         }
     }
 }
--- a/src/workswood/ops/model/faults.rs
+++ b/src/workswood/ops/model/faults.rs
@@ -45,7 +45,8 @@
             s.restore_order_mark(host.clone(), holder);
         }
         for j in self.jobs.iter().filter(|j| self.accepted.contains(&j.key)) {
-            s.restore_job(j.key, Some(Arc::clone(&j.spec)), self.stored.jobs.get(&j.key).cloned());
+            let key = j.spec.key(j.key);
+            s.restore_job(key, Some(Arc::clone(&j.spec)), self.stored.jobs.get(&key).cloned());
         }
         s.restore_demand();
         if let Some(wave) = self.wave.clone() {
--- a/src/workswood/ops/model/host_events.rs
+++ b/src/workswood/ops/model/host_events.rs
@@ -94,7 +94,7 @@
     fn start_task(&mut self, n: usize, worker: WorkerId, task: TaskId, attempt: u32) {
         self.check_evacuation(n, &task);
         // Job keys are one-based indexes into `jobs`.
-        let job = &self.jobs[task.job as usize - 1];
+        let job = &self.jobs[task.job.number as usize - 1];
         let step = usize::from(task.step);
         let step_spec = &job.spec.steps[step];
         let ends_after = job.step_durations[step];
--- a/src/workswood/ops/model/simulation.rs
+++ b/src/workswood/ops/model/simulation.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use workswood_core::ids::{DataCentre, Term};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Admission, EndKind, Event, JobKey, Policy, Scheduler, Wave, WorkerUpdate};
+use workswood_core::jobs::{Admission, EndKind, Event, JobNumber, Policy, Scheduler, Wave, WorkerUpdate};
 
 use super::batches::StoredRecords;
 use super::event_queue::{EventQueue, ModelEvent};
@@ -38,11 +38,11 @@
     /// What the lease holder knows for the admission of jobs.
     pub admission: Admission,
     /// Jobs that were accepted.
-    pub accepted: BTreeSet<JobKey>,
+    pub accepted: BTreeSet<JobNumber>,
     /// How often each job was refused.
-    pub refusals: BTreeMap<JobKey, u32>,
+    pub refusals: BTreeMap<JobNumber, u32>,
     /// Completion times of jobs, since the start of the run.
-    pub completed_at: BTreeMap<JobKey, Duration>,
+    pub completed_at: BTreeMap<JobNumber, Duration>,
     pub wave: Option<Wave>,
     /// Factor on the time of an append; 1 while the store is healthy.
     pub append_slowdown: f64,
--- a/src/workswood/ops/model/workload.rs
+++ b/src/workswood/ops/model/workload.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{JobKey, JobSpec, StepSpec};
+use workswood_core::jobs::{JobNumber, JobSpec, QueueTag, StepSpec};
 
 use super::parameters::MAX_ATTEMPTS;
 use super::spec::{FaultKind, ModelSpec, ServiceSpec};
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug)]
 pub struct ModelJob {
     /// Key of the job.
-    pub key: JobKey,
+    pub key: JobNumber,
     /// When the job is submitted, since the start of the run.
     pub submitted_at: Duration,
     /// Spec of the job as submitted.
@@ -89,7 +89,7 @@
     let mut jobs = Vec::new();
     for s in &spec.services {
         if s.long_running_tasks > 0 {
-            let key = jobs.len() as JobKey + 1;
+            let key = jobs.len() as JobNumber + 1;
             jobs.push(long_running_job(key, s));
         }
     }
@@ -98,7 +98,7 @@
     while at < LEAD_TIME + spec.duration {
         for (n, s) in spec.services.iter().enumerate() {
             if sampler.happens(rate(spec, n, s, at - LEAD_TIME) * step.as_secs_f64()) {
-                let key = jobs.len() as JobKey + 1;
+                let key = jobs.len() as JobNumber + 1;
                 jobs.push(job(&mut sampler, key, s, at));
             }
         }
@@ -144,7 +144,7 @@
     }
 }
 
-fn long_running_job(key: JobKey, s: &ServiceSpec) -> ModelJob {
+fn long_running_job(key: JobNumber, s: &ServiceSpec) -> ModelJob {
     let step = StepSpec {
         count: s.long_running_tasks,
         resources: Resources { cpu_millis: s.task_cpu_millis, mem_mb: TASK_MEM_MB, gpus: 0 },
@@ -165,7 +165,7 @@
     }
 }
 
-fn job(sampler: &mut Sampler, key: JobKey, s: &ServiceSpec, at: Duration) -> ModelJob {
+fn job(sampler: &mut Sampler, key: JobNumber, s: &ServiceSpec, at: Duration) -> ModelJob {
     let count = sampler.count(s.steps);
     let mut steps = Vec::new();
     let mut step_durations = Vec::new();
@@ -202,6 +202,7 @@
         queue: s.name.clone(),
         service: s.name.clone(),
         workspace: None,
+        tag: QueueTag::UNKNOWN,
         priority: 0,
         max_attempts: MAX_ATTEMPTS,
         task_input: "".into(),
--- a/tests/testsuite/absent_room.rs
+++ b/tests/testsuite/absent_room.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Action, Event, Host, HostReply, Listing, StepSpec, TaskId, WorkerInfo};
+use workswood_core::jobs::{Action, Event, Host, HostReply, JobKey, Listing, StepSpec, TaskId, WorkerInfo};
 use workswood_test_support::host_world::{HostWorld, OTHER, SPARE, host, listed, moves, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -159,9 +159,9 @@
 #[test]
 fn workers_not_polled_yet_counted_as_silent() {
     let before = Pool::new(vec![host(9, SPARE, None)], lasting(None));
-    let job = before.world.sched.jobs.get(&1).expect("the job");
+    let job = before.world.sched.jobs.get(&JobKey::of_number(1)).expect("the job");
     let mut world = HostWorld::new(0);
-    world.sched.restore_job(1, Some(job.spec.clone()), Some(job.record()));
+    world.sched.restore_job(JobKey::of_number(1), Some(job.spec.clone()), Some(job.record()));
     (0..4).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
     world.list((0..4).map(|n| host(n, SERVICE, Some(0))).chain([host(9, SPARE, None)]).collect());
     let idle = (0..4).find(|n| !before.runs.iter().any(|run| is_on(run, *n))).expect("an idle worker");
@@ -177,11 +177,11 @@
 #[test]
 fn new_workers_not_counted_as_places() {
     let before = Pool::new(vec![host(9, SPARE, None)], lasting(None));
-    let mut record = before.world.sched.jobs.get(&1).expect("the job").record();
+    let mut record = before.world.sched.jobs.get(&JobKey::of_number(1)).expect("the job").record();
     record.rounds[0][0].iter_mut().for_each(|task| task.runs.clear());
-    let spec = before.world.sched.jobs.get(&1).map(|job| job.spec.clone());
+    let spec = before.world.sched.jobs.get(&JobKey::of_number(1)).map(|job| job.spec.clone());
     let mut world = HostWorld::new(0);
-    world.sched.restore_job(1, spec, Some(record));
+    world.sched.restore_job(JobKey::of_number(1), spec, Some(record));
     world.list((0..4).map(|n| host(n, SERVICE, Some(0))).chain([host(9, SPARE, None)]).collect());
     (0..4).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
     for ms in (TICK_MS..2000).step_by(TICK_MS as usize) {
--- a/tests/testsuite/absent_tasks.rs
+++ b/tests/testsuite/absent_tasks.rs
@@ -7,8 +7,8 @@
 use workswood_core::jobs::job::AbsenceRecord;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, EndKind, EndedAbsence, Event, JobRecord, JobSpec, Listing, Record, ReportedEnd, Scheduler,
-    StepSpec, StoreAccess, TaskId, WaitReason, WorkerUpdate,
+    Action, EndKind, EndedAbsence, Event, JobKey, JobRecord, JobSpec, Listing, Record, ReportedEnd,
+    Scheduler, StepSpec, StoreAccess, TaskId, WaitReason, WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, limits, worker};
 use workswood_test_support::job_world::{job, step};
@@ -104,7 +104,7 @@
 
 /// The only task of job 1.
 fn task() -> TaskId {
-    TaskId { job: 1, round: 0, step: 0, index: 0 }
+    TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 }
 }
 
 /// The value of a field in a log line.
@@ -153,7 +153,7 @@
 fn recorded(world: &mut HostWorld) -> Option<JobRecord> {
     world.sched.handle(Event::Tick);
     world.sched.take_batch().records.into_iter().find_map(|r| match r {
-        Record::Job(1, rec) => Some(rec),
+        Record::Job(key, rec) if key.number == 1 => Some(rec),
         _ => None,
     })
 }
@@ -175,8 +175,8 @@
 fn successor_of(last_run: LastRunIs, wall: u64, absence: Option<AbsenceRecord>) -> Scheduler {
     let (mut world, _) = world_with_running_task();
     world.at(150);
-    let spec = world.sched.jobs.get(&1).expect("the job").spec.clone();
-    let mut rec = world.sched.jobs.get(&1).expect("the job").record();
+    let spec = world.sched.jobs.get(&JobKey::of_number(1)).expect("the job").spec.clone();
+    let mut rec = world.sched.jobs.get(&JobKey::of_number(1)).expect("the job").record();
     if last_run == LastRunIs::Over {
         rec.rounds[0][0][0].runs.clear();
     }
@@ -184,7 +184,7 @@
     let claimed_at = Duration::from_secs(30);
     let mut sched = Scheduler::new(2, limits(), claimed_at, wall);
     sched.handle(Event::ConfigChanged(world.sched.config.clone()));
-    sched.restore_job(1, Some(spec), Some(rec));
+    sched.restore_job(JobKey::of_number(1), Some(spec), Some(rec));
     sched.handle(Event::Tick);
     sched
 }
--- a/tests/testsuite/advice_batches.rs
+++ b/tests/testsuite/advice_batches.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::advice_batch::{Candidate, EligibleRate, choose_batch};
-use workswood_core::jobs::{Action, AdviceConfig, Event, StepId, StepSpec};
+use workswood_core::jobs::{Action, AdviceConfig, Event, JobKey, StepId, StepSpec};
 use workswood_test_support::advised_world::{advice, advised, asked};
 use workswood_test_support::job_world::{job, step};
 
@@ -80,7 +80,7 @@
     });
     world.sched.handle(Event::Submitted(2, Arc::new(job(vec![step(1, vec![])], 0))));
     let (step, ids) = asked(&world.tick()).expect("the adviser is asked");
-    assert_eq!(step, StepId { job: 2, round: 0, step: 0 });
+    assert_eq!(step, StepId { job: JobKey::of_number(2), round: 0, step: 0 });
     assert_eq!(Some(&ids[0]), full.as_ref(), "the fullest first");
 }
 
@@ -108,9 +108,9 @@
     assert!(actions.iter().any(|a| matches!(a, Action::Start { .. })));
     // Its next step opens soon; but another job waits.
     world.sched.handle(Event::Submitted(2, Arc::new(chain)));
-    let step = |n: Option<(StepId, _)>| n.map(|(s, _)| (s.job, s.step));
+    let step = |n: Option<(StepId, _)>| n.map(|(s, _)| (s.job.number, s.step));
     let late = step(asked(&actions));
     assert_eq!(late, Some((1, 1)), "nothing waited when the first one began");
-    world.sched.handle(advice(StepId { job: 1, round: 0, step: 1 }, &[], &[], ms(3000)));
+    world.sched.handle(advice(StepId { job: JobKey::of_number(1), round: 0, step: 1 }, &[], &[], ms(3000)));
     assert_eq!(step(asked(&world.tick())), Some((2, 0)));
 }
--- a/tests/testsuite/advice_protocol.rs
+++ b/tests/testsuite/advice_protocol.rs
@@ -12,11 +12,11 @@
 use workswood_adapter_standin::caller::advised_config;
 use workswood_adapter_standin::{AdviserStandin, WorkerStandin};
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{Advice, AdviceConfig, AdviceReply, Event, StepId, TaskId, WorkerAddress};
+use workswood_core::jobs::{Advice, AdviceConfig, AdviceReply, Event, JobKey, StepId, TaskId, WorkerAddress};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorRecord, StartOrder, WorkerError};
 use workswood_test_support::job_node::settings;
 
-const STEP: StepId = StepId { job: 0x5c0e_7a21_d94b_36f8, round: 0, step: 1 };
+const STEP: StepId = StepId { job: JobKey::of_number(0x5c0e_7a21_d94b_36f8), round: 0, step: 1 };
 const NOWHERE: &str = "127.0.0.1:1";
 const LONG: Duration = Duration::from_secs(5);
 
--- a/tests/testsuite/advice_tickets.rs
+++ b/tests/testsuite/advice_tickets.rs
@@ -6,7 +6,7 @@
 
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, AdviceConfig, AdviceReply, EndKind, Event, Listing, Owner, ReportedEnd, StartReply, StepId,
+    Action, AdviceConfig, AdviceReply, EndKind, Event, JobKey, Listing, ReportedEnd, StartReply, StepId,
     TaskId, WorkerUpdate,
 };
 use workswood_test_support::advised_world::{
@@ -15,7 +15,7 @@
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_world::{job, step};
 
-const STEP: StepId = StepId { job: 1, round: 0, step: 0 };
+const STEP: StepId = StepId { job: JobKey::of_number(1), round: 0, step: 0 };
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -38,7 +38,7 @@
 
 /// What ends at a worker: a task of job 1 fails there.
 fn fails(world: &mut HostWorld, worker: &WorkerId, attempt: u32) {
-    let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     let end = ReportedEnd {
         sequence_number: u64::from(attempt),
         task,
@@ -139,7 +139,7 @@
     world.at(110);
     world.sched.handle(advice(STEP, &ids, &ids, ms(3000)));
     assert_eq!(started(&world.tick()).len(), 1);
-    let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     world.tells(&ids[0], WorkerUpdate::Started(task, 1, StartReply::Ticket));
     let actions = world.tick();
     assert!(started(&actions).is_empty() && asked(&actions).is_none(), "not in a hurry");
@@ -259,7 +259,7 @@
     world.sched.handle(Event::Submitted(2, Arc::new(job(vec![step(1, vec![])], 10))));
     world.sched.handle(failed(0, first, &ids, AdviceReply::Refused));
     world.at(60);
-    assert_eq!(asked(&world.tick()).map(|(s, _)| s.job), Some(2));
+    assert_eq!(asked(&world.tick()).map(|(s, _)| s.job.number), Some(2));
 }
 
 #[test]
@@ -270,7 +270,10 @@
         world.sched.handle(Event::Submitted(n, Arc::new(job(vec![step(1, vec![])], n))));
     }
     let first = calls(&world.tick());
-    assert_eq!(first.iter().map(|(lane, s, _)| (*lane, s.job)).collect::<Vec<_>>(), [(0, 1), (1, 2), (2, 3)]);
+    assert_eq!(
+        first.iter().map(|(lane, s, _)| (*lane, s.job.number)).collect::<Vec<_>>(),
+        [(0, 1), (1, 2), (2, 3)]
+    );
     // The second entry fails: while the others are free, it is not asked again.
     let (_, step_id, ids) = &first[1];
     world.sched.handle(failed(1, *step_id, ids, AdviceReply::NotSent));
@@ -358,8 +361,12 @@
     world.tick();
     let mut next = advised(1, cfg());
     next.at(200);
-    let spec = world.sched.jobs[&1].spec.clone();
-    next.sched.restore_job(1, Some(spec), Some(world.sched.jobs[&1].record()));
+    let spec = world.sched.jobs[&JobKey::of_number(1)].spec.clone();
+    next.sched.restore_job(
+        JobKey::of_number(1),
+        Some(spec),
+        Some(world.sched.jobs[&JobKey::of_number(1)].record()),
+    );
     // What the predecessor started is not listed by the worker, and waits again.
     next.report(0, 0, &[]);
     let actions = next.tick();
@@ -382,7 +389,7 @@
 #[test]
 fn ended_job_is_asked_about_no_more() {
     let (mut world, ids) = waiting(2, 1);
-    world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     world.sched.handle(advice(STEP, &ids, &ids, ms(3000)));
     let actions = world.tick();
     assert!(asked(&actions).is_none() && started(&actions).is_empty());
--- a/tests/testsuite/centre_bridges.rs
+++ b/tests/testsuite/centre_bridges.rs
@@ -12,7 +12,7 @@
 use workswood::ops::jobs::relay::session;
 use workswood::ops::jobs::{Node, bridges, peer_requests, peers};
 use workswood_core::jobs::bridges::{BridgeEntry, BridgePolicy, Routes, Way, spread_bridges};
-use workswood_core::jobs::{JobStatus, JobStatusUpdate, Owner, Policy};
+use workswood_core::jobs::{JobKey, JobStatus, JobStatusUpdate, Policy};
 use workswood_peers::bridge::{BridgeOpen, BridgedCall, BridgedReply};
 use workswood_peers::relay::RelayOpen;
 use workswood_peers::{Closed, Frame, JobStateRequest, Msg, Ping, ReceivedBytes, connect_duplex};
@@ -136,7 +136,7 @@
 
 #[test]
 fn only_questions_are_passed_on() {
-    let question = Msg::JobStateRequest(JobStateRequest { job: 1, owner: None });
+    let question = Msg::JobStateRequest(JobStateRequest { job: 1, ..JobStateRequest::default() });
     let passed = |msg| BridgedCall::new("x:1", msg, millis(9)).into_request();
     assert_eq!(passed(question.clone()), Some(question.clone()));
     assert_eq!(passed(Msg::Ping(Ping {})), Some(Msg::Ping(Ping {})));
@@ -227,18 +227,24 @@
 fn hold(holder: &Arc<Node>, asks: &Node, address: &str) {
     let (tx, _) = tokio::sync::mpsc::unbounded_channel();
     let handle = SchedulerHandle::new(7, millis(0), millis(4000), tx, tokio::sync::watch::channel(false).0);
-    let owner = Owner::from_number(0);
-    let state = Some(JobStatus::Running);
-    let update = JobStatusUpdate { key: 5, queue: "q".into(), owner, state, repeats: false };
+    let (state, service) = (Some(JobStatus::Running), String::new());
+    let update =
+        JobStatusUpdate { key: JobKey::of_number(5), queue: "q".into(), service, state, repeats: false };
     handle.job_statuses.write().update(update);
     holder.scheduler.store(Some(Arc::new(handle)));
     let id = holder.id.clone();
-    asks.set_holder(Holder { id, peer_address: address.to_string(), term: 7, released: false });
+    asks.set_holder(Holder {
+        id,
+        peer_address: address.to_string(),
+        term: 7,
+        released: false,
+        knows_queues: true,
+    });
 }
 
 async fn ask(node: &Arc<Node>) -> (Lookup<JobStatus>, Duration) {
     let begun = node.now();
-    let answer = job_queries::job_status(node, 5, Owner::from_number(0)).await;
+    let answer = job_queries::job_status(node, JobKey::of_number(5)).await;
     (answer, node.now() - begun)
 }
 
--- a/tests/testsuite/chance_crashes.rs
+++ b/tests/testsuite/chance_crashes.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobSpec, JobStatus, Listing, Outcome, Owner, ReportedEnd, ReportedRun, StepSpec,
+    Action, EndKind, Event, JobKey, JobSpec, JobStatus, Listing, Outcome, ReportedEnd, ReportedRun, StepSpec,
     TaskId, WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, host, listed, worker};
@@ -23,7 +23,7 @@
 const HOSTS: usize = 12;
 
 fn task(index: u32) -> TaskId {
-    TaskId { job: 1, round: 0, step: 0, index }
+    TaskId { job: JobKey::of_number(1), round: 0, step: 0, index }
 }
 
 /// A step of lasting tasks on hosts of their own, of which one may be away.
@@ -135,7 +135,7 @@
     assert_eq!(site.world.sched.counters.tasks_given_up, 0);
     assert_eq!(site.stops(), 0);
     assert_eq!(site.runs.len(), 4, "it is whole again");
-    assert_eq!(site.world.sched.jobs.status(&1), Some(JobStatus::Running));
+    assert_eq!(site.world.sched.jobs.status(&JobKey::of_number(1)), Some(JobStatus::Running));
 }
 
 /// Short tasks, lost again and again while workers crash: none of them waits for a trial.
@@ -148,7 +148,7 @@
         site.go_on(300);
     });
     let suspected = |site: &Site| {
-        let tasks = site.world.sched.jobs[&1].rounds.iter().flatten().flatten();
+        let tasks = site.world.sched.jobs[&JobKey::of_number(1)].rounds.iter().flatten().flatten();
         tasks.filter(|t| t.suspicion.is_some()).count()
     };
     for second in 0..4 {
@@ -171,12 +171,12 @@
     assert_eq!(site.world.sched.counters.tasks_given_up, 1);
     site.go_on(5000);
     assert_eq!((site.stops(), site.runs.len()), (0, 3), "its siblings serve on, and it isn't started");
-    assert_eq!(site.world.sched.jobs.status(&1), Some(JobStatus::Running));
-    let record = site.world.sched.jobs[&1].record();
+    assert_eq!(site.world.sched.jobs.status(&JobKey::of_number(1)), Some(JobStatus::Running));
+    let record = site.world.sched.jobs[&JobKey::of_number(1)].record();
     let stored = workswood::ops::jobs::job_state::encode(&record);
     let read = workswood::ops::jobs::job_state::decode(&stored).expect("it is read back");
     assert!(read.rounds[0][0][0].given_up, "the next holder doesn't start it either");
-    site.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    site.world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     site.go_on(200);
     assert_eq!(site.stops(), 3);
 }
@@ -203,9 +203,9 @@
         site.world.answers(&id, Listing { running, ended: vec![end], ..Listing::default() });
     }
     site.go_on(3000);
-    assert_eq!(site.world.sched.jobs.status(&1), Some(JobStatus::Ended(Outcome::Failed)));
+    assert_eq!(site.world.sched.jobs.status(&JobKey::of_number(1)), Some(JobStatus::Ended(Outcome::Failed)));
     assert_eq!((site.stops(), site.runs.len()), (1, 2));
-    site.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    site.world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     site.go_on(500);
     assert_eq!((site.stops(), site.runs.len()), (3, 0));
 }
--- a/tests/testsuite/changing_room.rs
+++ b/tests/testsuite/changing_room.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, EndKind, Event, Listing, Owner, ReportedEnd, ReportedRun, StopReply, TaskId, WorkerInfo,
+    Action, EndKind, Event, JobKey, Listing, ReportedEnd, ReportedRun, StopReply, TaskId, WorkerInfo,
     WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, worker};
@@ -93,7 +93,7 @@
     take(&mut world, &runs);
     world.at(300);
     list(&mut world, runs.iter().copied().map(running).collect(), vec![]);
-    world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     assert_eq!(starts(&submit(&mut world, 2, 4)), [], "they are only told to stop");
     for (task, attempt) in &runs {
         world.tells(&worker(0, 0).id, WorkerUpdate::Stopped(*task, *attempt, StopReply::Taken));
@@ -114,7 +114,7 @@
     take(&mut world, &runs);
     list(&mut world, vec![], vec![done(1, runs[0])]);
     world.tick();
-    let late = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let late = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     world.at(500);
     list(&mut world, vec![running((late, 9))], vec![]);
     let stops = world.tick();
--- a/tests/testsuite/chased_jobs.rs
+++ b/tests/testsuite/chased_jobs.rs
@@ -15,7 +15,7 @@
 /// Workers of a world.
 const WORKERS: usize = 6;
 /// Jobs of one history, whose first tasks are chased one after the other.
-const JOBS: JobKey = 5;
+const JOBS: u64 = 5;
 /// Workers that are lost in one chase, at the least, and one less than at the most.
 const STRIKES: (u64, u64) = (3, 6);
 /// Longest times from the start of a task to the loss of its worker, of which a chase draws one, in
@@ -64,8 +64,8 @@
 ];
 
 /// Submits a job and chases its first task.
-fn play_job(w: &mut World, key: JobKey, mixture: Mixture) {
-    let task = TaskId { job: key, round: 0, step: 0, index: 0 };
+fn play_job(w: &mut World, key: u64, mixture: Mixture) {
+    let task = TaskId { job: JobKey::of_number(key), round: 0, step: 0, index: 0 };
     if mixture.crashing {
         let after = Duration::from_millis(10 + w.rng.below(CRASH_WITHIN_MS));
         w.crashes(task, after);
@@ -153,7 +153,7 @@
 /// A run that has lapsed before the life ends excuses nothing; one that is there does.
 #[test]
 fn lapsed_run_excuses_nothing() {
-    let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     for (life_ends_after, lost) in [(Duration::from_secs(6), 0), (Duration::from_secs(2), 1)] {
         let mut w = World::new(2, FaultRng::new(7, 0)).with_endless_runs();
         w.run_for(Duration::from_millis(600));
--- a/tests/testsuite/chased_tasks.rs
+++ b/tests/testsuite/chased_tasks.rs
@@ -112,7 +112,7 @@
 
 impl Chase<'_> {
     fn is_over(&self) -> bool {
-        (self.strikes_left == 0 || self.w.is_over(self.task.job)) && self.cut.is_empty()
+        (self.strikes_left == 0 || self.w.is_over(self.task.job.number)) && self.cut.is_empty()
     }
 
     fn draw_between(&mut self, (from_ms, to_ms): (u64, u64)) -> Duration {
--- a/tests/testsuite/crash_certainty.rs
+++ b/tests/testsuite/crash_certainty.rs
@@ -13,7 +13,7 @@
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
-use workswood_core::jobs::{Action, Event, Host, Job, StepSpec, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, Host, Job, JobKey, StepSpec, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -22,7 +22,7 @@
 /// Hosts of the world.
 const HOSTS: usize = 4;
 /// The task that is followed.
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
@@ -124,7 +124,7 @@
     }
 
     fn crashes(&self) -> &CrashHistory {
-        &self.world.sched.jobs[&1].task(&TASK).expect("it is known").crashes
+        &self.world.sched.jobs[&JobKey::of_number(1)].task(&TASK).expect("it is known").crashes
     }
 
     /// How certain the only crash on record is.
@@ -215,14 +215,14 @@
 fn unheard_life_is_possible() {
     let mut scene = Scene::without_task();
     let spec = Arc::new(job(vec![StepSpec { long_running: true, ..step(1, vec![]) }], 0));
-    let mut before = Job::new(1, spec.clone());
+    let mut before = Job::new(JobKey::of_number(1), spec.clone());
     before.open_round();
     let mut record = before.record();
     record.rounds[0][0][0].latest_attempt = 1;
     let unheard = worker(0, 7);
     record.rounds[0][0][0].runs.push((unheard.id.clone(), 1));
     scene.world.sched.restore_worker(unheard.id.clone(), unheard.record());
-    scene.world.sched.restore_job(1, Some(spec), Some(record));
+    scene.world.sched.restore_job(JobKey::of_number(1), Some(spec), Some(record));
     scene.world.at(900);
     scene.world.list(scene.hosts());
     assert_eq!(scene.certainty(), Certainty::Possible);
--- a/tests/testsuite/crash_evidence.rs
+++ b/tests/testsuite/crash_evidence.rs
@@ -5,7 +5,8 @@
 
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
 use workswood_core::jobs::{
-    Action, Event, Job, JobSpec, JobStatus, Listing, Outcome, ReportedRun, StepSpec, TaskId, WorkerUpdate,
+    Action, Event, Job, JobKey, JobSpec, JobStatus, Listing, Outcome, ReportedRun, StepSpec, TaskId,
+    WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -14,7 +15,7 @@
 const HOSTS: usize = 4;
 
 fn task(job: u64, index: u32) -> TaskId {
-    TaskId { job, round: 0, step: 0, index }
+    TaskId { job: JobKey::of_number(job), round: 0, step: 0, index }
 }
 
 fn listed(lives: &[usize]) -> Vec<workswood_core::jobs::Host> {
@@ -104,10 +105,10 @@
     let again = starts(&again);
     let place = |id| again.iter().find(|(t, _)| *t == id).map(|(_, n)| *n).expect("it is started again");
     assert_ne!(place(old), place(young), "nothing begins beside a trial");
-    let task = world.sched.jobs[&2].task(&young).expect("it is known").clone();
+    let task = world.sched.jobs[&JobKey::of_number(2)].task(&young).expect("it is known").clone();
     let crashes: Vec<CrashRecord> = task.crashes.0.values().cloned().collect();
     assert_eq!(crashes, [certain_cause(at)]);
-    assert!(world.sched.jobs[&1].task(&old).expect("it is known").suspicion.is_none());
+    assert!(world.sched.jobs[&JobKey::of_number(1)].task(&old).expect("it is known").suspicion.is_none());
 }
 
 /// Settings allow longer times than a trial may last by default.
@@ -148,7 +149,10 @@
         actions = lose(&mut world, at, &mut lives, heard);
         if world.sched.counters.tasks_given_up > 0 {
             assert_eq!(starts(&actions), Vec::new());
-            assert_eq!(world.sched.jobs.status(&1), Some(JobStatus::Ended(Outcome::Failed)));
+            assert_eq!(
+                world.sched.jobs.status(&JobKey::of_number(1)),
+                Some(JobStatus::Ended(Outcome::Failed))
+            );
             assert_eq!(world.sched.counters.incarnations_lost, crashes as u64);
             return crashes;
         }
@@ -191,7 +195,9 @@
     assert!(ordered);
     world.at(world.sched.now.as_millis() as u64 + 200);
     crash(&mut world, at, &mut lives);
-    assert!(world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.is_empty());
+    assert!(
+        world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes.is_empty()
+    );
 }
 
 #[test]
@@ -204,7 +210,9 @@
     info.draining = true;
     world.sched.handle(Event::WorkerListed(info));
     crash(&mut world, at, &mut lives);
-    assert!(world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.is_empty());
+    assert!(
+        world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes.is_empty()
+    );
 }
 
 #[test]
@@ -218,7 +226,9 @@
     world.at(1900);
     world.report(at, 0, &actions);
     crash(&mut world, at, &mut lives);
-    assert!(world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.is_empty());
+    assert!(
+        world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes.is_empty()
+    );
 }
 
 #[test]
@@ -232,7 +242,9 @@
     actions = crash(&mut world, at, &mut lives);
     take(&mut world, &actions);
     let at = starts(&actions)[0].1;
-    assert!(!world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.is_empty());
+    assert!(
+        !world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes.is_empty()
+    );
     let began = world.sched.now.as_millis() as u64;
     for ms in (began..began + 11_000).step_by(500) {
         world.at(ms);
@@ -242,7 +254,7 @@
         });
         world.tick();
     }
-    let task = world.sched.jobs[&1].task(&task(1, 0)).expect("it is known");
+    let task = world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known");
     assert!(task.crashes.is_empty() && task.suspicion.is_none());
 }
 
@@ -253,7 +265,7 @@
     take(&mut world, &actions);
     let at = starts(&actions)[0].1;
     crash(&mut world, at, &mut lives);
-    let record = world.sched.jobs[&1].record();
+    let record = world.sched.jobs[&JobKey::of_number(1)].record();
     let stored = workswood::ops::jobs::job_state::encode(&record);
     let read = workswood::ops::jobs::job_state::decode(&stored).expect("it is read back");
     assert_eq!(read.rounds[0][0][0].crashes.0.get(&1), Some(&certain_cause(at)));
@@ -353,7 +365,7 @@
 }
 
 fn is_suspected(world: &HostWorld) -> bool {
-    world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").suspicion.is_some()
+    world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").suspicion.is_some()
 }
 
 #[test]
@@ -377,7 +389,7 @@
         go_on(&mut world, Duration::from_millis(8000), &[at], &lives);
         lives[at] += 1;
         world.list(listed(&lives));
-        let task = world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").clone();
+        let task = world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").clone();
         assert!(task.crashes.is_empty() && task.suspicion.is_none(), "{listed_meanwhile}: {task:?}");
     }
 }
@@ -389,7 +401,7 @@
     go_on(&mut world, Duration::from_millis(6900), &[at], &lives);
     lives[at] += 1;
     world.list(listed(&lives));
-    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
+    let crashes = &world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes;
     assert_eq!(crashes.count(), 1);
 }
 
@@ -400,7 +412,7 @@
     world.at(8000);
     lives[at] += 1;
     world.list(listed(&lives));
-    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes;
+    let crashes = &world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes;
     assert_eq!(crashes.count(), 1);
 }
 
@@ -419,8 +431,9 @@
     let heard = world.sched.now;
     world.at((heard + Duration::from_millis(300)).as_millis() as u64);
     lose(&mut world, on[0], &mut lives, heard);
-    let suspected =
-        |key: &u64| world.sched.jobs[key].task(&task(*key, 0)).is_some_and(|t| t.suspicion.is_some());
+    let suspected = |key: &u64| {
+        world.sched.jobs[&JobKey::of_number(*key)].task(&task(*key, 0)).is_some_and(|t| t.suspicion.is_some())
+    };
     (1..=tasks).filter(suspected).count()
 }
 
@@ -436,12 +449,12 @@
     let (mut world, mut lives) = world();
     let lasting = StepSpec { long_running: true, ..step(1, vec![]) };
     let spec = Arc::new(job(vec![lasting], 0));
-    let mut before = Job::new(1, spec.clone());
+    let mut before = Job::new(JobKey::of_number(1), spec.clone());
     before.open_round();
     let mut record = before.record();
     record.rounds[0][0][0].latest_attempt = 1;
     record.rounds[0][0][0].runs.push((worker(0, 0).id, 1));
-    world.sched.restore_job(1, Some(spec), Some(record));
+    world.sched.restore_job(JobKey::of_number(1), Some(spec), Some(record));
     world.attend_anew();
     let run = ReportedRun {
         task: task(1, 0),
@@ -457,7 +470,7 @@
     world.at(heard.as_millis() as u64);
     world.answers(&worker(0, 0).id, listing());
     lose(&mut world, 0, &mut lives, heard);
-    let crashes = &world.sched.jobs[&1].task(&task(1, 0)).expect("it is known").crashes.0;
+    let crashes = &world.sched.jobs[&JobKey::of_number(1)].task(&task(1, 0)).expect("it is known").crashes.0;
     crashes[&1].evidence
 }
 
@@ -472,12 +485,12 @@
 fn crashes_under_long_runs_are_no_suspicion() {
     let (mut world, _) = world();
     let spec = Arc::new(job(vec![StepSpec { long_running: true, ..step(1, vec![]) }], 0));
-    let mut before = Job::new(1, spec.clone());
+    let mut before = Job::new(JobKey::of_number(1), spec.clone());
     before.open_round();
     let mut record = before.record();
     let crash = CrashRecord::possible(Evidence::Bystander, None);
     record.rounds[0][0][0].crashes = CrashHistory((1..=5).map(|n| (n, crash.clone())).collect());
     record.rounds[0][0][0].latest_attempt = 5;
-    world.sched.restore_job(1, Some(spec), Some(record));
+    world.sched.restore_job(JobKey::of_number(1), Some(spec), Some(record));
     assert!(!is_suspected(&world));
 }
--- a/tests/testsuite/crash_log.rs
+++ b/tests/testsuite/crash_log.rs
@@ -13,7 +13,7 @@
 use workswood_core::jobs::log_lines::LogLines;
 use workswood_core::jobs::scheduler::SchedulerCounters;
 use workswood_core::jobs::{
-    Action, Event, Host, JobRecord, JobSpec, Scheduler, StepSpec, TaskId, WorkerUpdate,
+    Action, Event, Host, JobKey, JobRecord, JobSpec, Scheduler, StepSpec, TaskId, WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, host, limits, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -29,7 +29,7 @@
 type Lives = Vec<usize>;
 
 fn task(job: u64, index: u32) -> TaskId {
-    TaskId { job, round: 0, step: 0, index }
+    TaskId { job: JobKey::of_number(job), round: 0, step: 0, index }
 }
 
 fn listed(lives: &[usize]) -> Vec<Host> {
@@ -365,10 +365,10 @@
 
 /// A successor that takes over the job of a world.
 fn successor(world: &HostWorld, rec: JobRecord) -> Scheduler {
-    let spec = world.sched.jobs.get(&1).expect("the job").spec.clone();
+    let spec = world.sched.jobs.get(&JobKey::of_number(1)).expect("the job").spec.clone();
     let mut sched = Scheduler::new(2, limits(), Duration::from_secs(30), LATER);
     sched.handle(Event::ConfigChanged(world.sched.config.clone()));
-    sched.restore_job(1, Some(spec), Some(rec));
+    sched.restore_job(JobKey::of_number(1), Some(spec), Some(rec));
     sched.handle(Event::Tick);
     sched
 }
@@ -376,7 +376,7 @@
 #[test]
 fn given_up_shows_at_once_under_next_holder() {
     let (world, _) = world_with_given_up_task();
-    let sched = successor(&world, world.sched.jobs[&1].record());
+    let sched = successor(&world, world.sched.jobs[&JobKey::of_number(1)].record());
     let lines = lines(&sched.notes, "long_running_task_absent");
     assert!(lines.iter().any(|line| line.contains(" reason=given_up certain_crashes=2 ")), "{lines:#?}");
 }
@@ -385,7 +385,7 @@
 fn given_up_absence_outlasts_the_holder() {
     let (mut world, lives) = world_with_given_up_task();
     given_up_lines(&mut world, &lives, 2_000);
-    let mut rec = world.sched.jobs[&1].record();
+    let mut rec = world.sched.jobs[&JobKey::of_number(1)].record();
     let stored = &mut rec.rounds[0][0][0].absence;
     assert!(stored.is_some(), "its absence is on record");
     *stored = Some(AbsenceRecord { since: LATER - 40_000, restart_by: LATER - 31_000 });
@@ -398,13 +398,13 @@
 #[test]
 fn more_given_up_than_lines() {
     let (world, _) = world_with_given_up_task();
-    let mut rec = world.sched.jobs[&1].record();
+    let mut rec = world.sched.jobs[&JobKey::of_number(1)].record();
     let given_up = rec.rounds[0][0][0].clone();
     let spec = job(vec![lasting(40, 1_000), lasting(1, TOO_LARGE_CPU_MILLIS)], 200);
     rec.rounds[0][0] = vec![given_up; 40];
     let mut sched = Scheduler::new(2, limits(), Duration::from_secs(30), LATER);
     sched.handle(Event::ConfigChanged(world.sched.config.clone()));
-    sched.restore_job(1, Some(Arc::new(spec)), Some(rec));
+    sched.restore_job(JobKey::of_number(1), Some(Arc::new(spec)), Some(rec));
     sched.handle(Event::Tick);
     assert_eq!(
         line(&sched.notes, "given_up_tasks_absent"),
--- a/tests/testsuite/crash_verdicts.rs
+++ b/tests/testsuite/crash_verdicts.rs
@@ -6,7 +6,7 @@
 
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence, MAX_CRASHES};
 use workswood_core::jobs::crash_rate::CrashRate;
-use workswood_core::jobs::{Action, Event, Job, JobStatus, Outcome, StepSpec, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, Job, JobKey, JobStatus, Outcome, StepSpec, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -23,7 +23,7 @@
 /// Time at work after which a task is taken to be sound, in milliseconds.
 const PROVEN_AFTER_MS: u64 = 11_000;
 
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 
 fn ordinary() -> StepSpec {
     step(1, vec![])
@@ -388,7 +388,7 @@
 fn taken_back_task_lowers_no_threshold() {
     let at = Duration::from_secs(1);
     let mut rate = CrashRate::default();
-    let other = TaskId { job: 2, ..TASK };
+    let other = TaskId { job: JobKey::of_number(2), ..TASK };
     let rate_of_other = |rate: &CrashRate| rate.rate_without(&other, at, 10, at);
     rate.record_crash(at, "w-1".into(), vec![TASK], 1.0);
     let before = rate_of_other(&rate);
--- a/tests/testsuite/crashing_tasks.rs
+++ b/tests/testsuite/crashing_tasks.rs
@@ -14,14 +14,14 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{JobStatus, Outcome, StepSpec, TaskId};
+use workswood_core::jobs::{JobKey, JobStatus, Outcome, StepSpec, TaskId};
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 
 /// Time from the start of a task to the crash of its worker.
 const AT_ONCE: Duration = Duration::from_millis(10);
 
 fn task(job: u64) -> TaskId {
-    TaskId { job, round: 0, step: 0, index: 0 }
+    TaskId { job: JobKey::of_number(job), round: 0, step: 0, index: 0 }
 }
 
 /// Hands in jobs of four tasks each; the first task of the first ones crashes its workers.
--- a/tests/testsuite/demand_history.rs
+++ b/tests/testsuite/demand_history.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::demand_history::DemandHistory;
-use workswood_core::jobs::{Event, HostReply, JobSpec, Owner};
+use workswood_core::jobs::{Event, HostReply, JobKey, JobSpec};
 use workswood_test_support::host_world::{HostWorld, host, moves, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -56,9 +56,9 @@
     let mut hosts = vec![host(0, SERVICE, Some(0))];
     hosts.extend((1..30).map(|n| host(n, "spare", None)));
     if turn_before {
-        world.sched.restore_job(7, Some(work(80, 20_000)), None);
+        world.sched.restore_job(JobKey::of_number(7), Some(work(80, 20_000)), None);
         world.sched.restore_demand();
-        world.sched.handle(Event::Cancelled(7, Owner::PUBLIC));
+        world.sched.handle(Event::Cancelled(JobKey::of_number(7)));
         world.sched.take_batch();
     }
     world.sched.now = Duration::from_secs(1);
@@ -127,7 +127,7 @@
             world.report(n, 0, &[]);
         }
     }
-    (0..4).for_each(|n| world.sched.handle(Event::Cancelled(100 + n, Owner::PUBLIC)));
+    (0..4).for_each(|n| world.sched.handle(Event::Cancelled(JobKey::of_number(100 + n))));
     world.actions.clear();
     for t in 0..3 {
         world.at(2400 + t * 150);
@@ -150,9 +150,9 @@
     world.list(hosts);
     world.at(1000);
     world.sched.wall = 60_000;
-    world.sched.restore_job(7, Some(work(1, 20_000)), None);
+    world.sched.restore_job(JobKey::of_number(7), Some(work(1, 20_000)), None);
     world.sched.restore_demand();
-    world.sched.handle(Event::Cancelled(7, Owner::PUBLIC));
+    world.sched.handle(Event::Cancelled(JobKey::of_number(7)));
     hand_in(&mut world, 4, 4);
     world.tick();
     moves(&world.actions).len()
--- a/tests/testsuite/evacuated_centres.rs
+++ b/tests/testsuite/evacuated_centres.rs
@@ -10,7 +10,9 @@
 use workswood::ops::jobs::relay::messages::{StartTask, WorkerOrder};
 use workswood::ops::jobs::relay::{EventSink, Grant, Relay};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
-use workswood_core::jobs::{Action, Event, Host, Listing, StartReply, TaskId, WorkerInfo, WorkerUpdate};
+use workswood_core::jobs::{
+    Action, Event, Host, JobKey, Listing, StartReply, TaskId, WorkerInfo, WorkerUpdate,
+};
 use workswood_test_support::host_world::{HostWorld, SPARE, host, listed, moves, worker};
 use workswood_test_support::job_node::settings;
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -163,7 +165,7 @@
     relay.execute(1, WorkerOrder::Assign { worker, token: 7, extensions });
     tokio::time::sleep(Duration::from_secs(1)).await;
     let mut start = |attempt| {
-        let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+        let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
         let (text, checkpoint, ticket) = ("text".into(), String::new(), None);
         relay.execute(1, WorkerOrder::Start(StartTask { task, attempt, spec: text, checkpoint, ticket }));
     };
--- a/tests/testsuite/eviction_handover.rs
+++ b/tests/testsuite/eviction_handover.rs
@@ -5,7 +5,7 @@
 
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobRecord, JobSpec, Listing, ReportedEnd, ReportedRun, TaskId,
+    Action, EndKind, Event, JobKey, JobRecord, JobSpec, Listing, ReportedEnd, ReportedRun, TaskId,
 };
 use workswood_test_support::host_world::{HostWorld, host, wave, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
@@ -62,7 +62,7 @@
 /// The job's record, if it is among these.
 fn job_record(records: Vec<Record>) -> Option<JobRecord> {
     records.into_iter().find_map(|r| match r {
-        Record::Job(1, record) => Some(record),
+        Record::Job(key, record) if key.number == 1 => Some(record),
         _ => None,
     })
 }
@@ -118,7 +118,11 @@
 fn next_holder(record: &JobRecord) -> HostWorld {
     let stored = serde_json::to_string(record).expect("a record is JSON");
     let mut next = holder(TAKEN_OVER);
-    next.sched.restore_job(1, Some(spec()), Some(serde_json::from_str(&stored).expect("it is read back")));
+    next.sched.restore_job(
+        JobKey::of_number(1),
+        Some(spec()),
+        Some(serde_json::from_str(&stored).expect("it is read back")),
+    );
     next.attend_anew();
     next
 }
@@ -208,7 +212,11 @@
         checkpoint: String::new(),
     };
     answer(&mut next, gone, Vec::new(), vec![end]);
-    assert!(next.sched.jobs[&1].record().rounds[0][0].iter().all(|t| t.evicted_attempts.is_empty()));
+    assert!(
+        next.sched.jobs[&JobKey::of_number(1)].record().rounds[0][0]
+            .iter()
+            .all(|t| t.evicted_attempts.is_empty())
+    );
     next.tick();
     let (at, run) = begun(&mut next, task);
     let other = others(&tasks, gone)[0];
--- a/tests/testsuite/foreign_entries.rs
+++ b/tests/testsuite/foreign_entries.rs
@@ -9,7 +9,7 @@
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::{MachinesStandin, StoreStandin};
 use workswood_core::jobs::spec::Resources;
-use workswood_core::jobs::{Action, Event, StepSpec};
+use workswood_core::jobs::{Action, Event, JobKey, StepSpec};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, Topic};
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_world::{config, job, step};
@@ -242,7 +242,7 @@
         world.at(ms);
         started.extend(world.tick());
     }
-    let is_third = |a: &Action| matches!(a, Action::Start { task, .. } if task.job == 3);
+    let is_third = |a: &Action| matches!(a, Action::Start { task, .. } if task.job == JobKey::of_number(3));
     assert!(started.iter().any(is_third), "{started:?}");
 }
 
--- a/tests/testsuite/former_lives.rs
+++ b/tests/testsuite/former_lives.rs
@@ -11,8 +11,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::owed_batch::OwedBatch;
 use workswood_core::jobs::{
-    Action, Batch, EndKind, EndedIncarnationRecord, Event, Host, HostReply, HostState, Listing, Record,
-    ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
+    Action, Batch, EndKind, EndedIncarnationRecord, Event, Host, HostReply, HostState, JobKey, Listing,
+    Record, ReportedEnd, Scheduler, StartReply, StoreAccess, TaskId, WorkerAddress, WorkerInfo, WorkerUpdate,
 };
 use workswood_platform::jobs::JobPlatform;
 use workswood_test_support::host_world::{HostWorld, host, limits, listed, wave, worker};
@@ -23,7 +23,7 @@
 use super::misdelivered_leases::{JOB, NAME, decide, life, one_task, starts, with_former_life};
 
 /// The only task.
-const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(JOB), round: 0, step: 0, index: 0 };
 /// When the former life ends, in milliseconds.
 const ENDS_AT: u64 = 100;
 /// Before and after the end of the longest lease that a worker holds, in milliseconds: 10 s on a clock that may be 2%
@@ -259,11 +259,11 @@
         world.sched.handle(Event::Submitted(JOB + 1, one_task()));
         batches.push(decide(&mut world));
         assert_eq!(world.sched.workers.get(&life(10).id).map(|w| w.runs.len()), Some(1));
-        world.sched.handle(Event::Cancelled(JOB + 1, Default::default()));
+        world.sched.handle(Event::Cancelled(JobKey::of_number(JOB + 1)));
     }
     restarts(&mut world, ENDS_AT, 10, 20);
     batches.push(runs_on(&mut world, &life(20).id));
-    let of_task = |rec: &Record| !matches!(rec, Record::Job(key, _) if *key != JOB);
+    let of_task = |rec: &Record| !matches!(rec, Record::Job(key, _) if *key != JobKey::of_number(JOB));
     stored(&batches).into_iter().filter(of_task).collect()
 }
 
@@ -362,7 +362,10 @@
     world.answers(&life(20).id, Listing { ended: vec![done(TASK, 1)], ..Listing::default() });
     let batch = decide(&mut world);
     assert_eq!(batch.acked_ends, [(life(20).id, 1)]);
-    assert!(starts(&batch).is_empty() && !world.sched.jobs.get(&JOB).is_some_and(|j| j.is_open()));
+    assert!(
+        starts(&batch).is_empty()
+            && !world.sched.jobs.get(&JobKey::of_number(JOB)).is_some_and(|j| j.is_open())
+    );
 }
 
 /// A stop for the former life has the later one refuse the task up to that attempt: each start has a higher one.
@@ -386,7 +389,10 @@
         last = *attempt;
         world.tells(id, WorkerUpdate::Started(TASK, last, StartReply::Refused));
     }
-    assert!(world.sched.jobs.get(&JOB).is_some_and(|j| j.is_open()), "a refusal is no failure");
+    assert!(
+        world.sched.jobs.get(&JobKey::of_number(JOB)).is_some_and(|j| j.is_open()),
+        "a refusal is no failure"
+    );
 }
 
 /// When the worker has started, as its id tells.
--- a/tests/testsuite/hand_in_outcomes.rs
+++ b/tests/testsuite/hand_in_outcomes.rs
@@ -11,14 +11,16 @@
 use workswood::ops::jobs::node::SchedulerHandle;
 use workswood::ops::jobs::submitted_numbers::{NumberUse, OwnJob, SubmittedNumbers};
 use workswood_callers::HeldBytes;
-use workswood_core::jobs::{JobKey, JobSpec, JobStatus, JobStatusUpdate, Owner, SchedConfig, Workspace};
+use workswood_core::jobs::{
+    JobKey, JobOwner, JobSpec, JobStatus, JobStatusUpdate, Owner, SchedConfig, Workspace,
+};
 use workswood_platform::jobs::CopyOutcome;
 use workswood_test_support::job_node::settings;
-use workswood_test_support::job_world::{config, job, step};
+use workswood_test_support::job_world::{SERVICE, config, job, step};
 use workswood_test_support::turn_store::{Fate, TurnStore};
 
-const KEY: JobKey = 1;
-const OTHER_KEY: JobKey = 2;
+const KEY: u64 = 1;
+const OTHER_KEY: u64 = 2;
 /// Time that callers wait.
 const TIMEOUT: Duration = Duration::from_millis(2800);
 /// Refusals after which a record is given up.
@@ -33,6 +35,11 @@
     Owner::of_workspace(Some(workspace))
 }
 
+/// The key of a workspace's job.
+fn key_of(number: u64, workspace: &str) -> JobKey {
+    JobKey { number, owner: JobOwner::of_workspace(owner(workspace)) }
+}
+
 /// An entry with a store, whose configuration has two workspaces.
 struct Entry {
     node: Arc<Node>,
@@ -54,10 +61,10 @@
         Entry { node, store, cfg }
     }
 
-    async fn hand_in(&self, key: JobKey, workspace: &str) -> HandIn {
+    async fn hand_in(&self, number: u64, workspace: &str) -> HandIn {
         let spec = job(vec![step(1, vec![])], 10);
         let spec = JobSpec { workspace: Some(workspace.to_string()), ..spec };
-        hand_in(&self.node, &self.cfg, key, spec, TIMEOUT, HeldBytes::default()).await
+        hand_in(&self.node, &self.cfg, number, spec, TIMEOUT, HeldBytes::default()).await
     }
 
     fn refuses(&self) {
@@ -65,21 +72,21 @@
     }
 
     /// Number of appends that were carried out with a record of the job.
-    fn stored(&self, key: JobKey) -> usize {
-        let number = format!("{key:016x}");
+    fn stored(&self, number: u64) -> usize {
+        let number = format!("{number:016x}");
         self.store.done().iter().flatten().filter(|k| k.contains(&number)).count()
     }
 
     /// Lets the process hold the lease. It knows these jobs, and has read the inbox at a time.
-    fn holds_lease(&self, known: &[(JobKey, &str)], inbox_read_ms: u64) -> Arc<SchedulerHandle> {
+    fn holds_lease(&self, known: &[(u64, &str)], inbox_read_ms: u64) -> Arc<SchedulerHandle> {
         let (tx, stop) = (mpsc::unbounded_channel().0, watch::Sender::new(false));
         let handle = Arc::new(SchedulerHandle::new(7, self.node.now(), Duration::ZERO, tx, stop));
         let mut table = JobStatusTable::default();
         for (key, workspace) in known {
             table.update(JobStatusUpdate {
-                key: *key,
-                owner: owner(workspace),
+                key: key_of(*key, workspace),
                 queue: String::new(),
+                service: SERVICE.to_string(),
                 repeats: false,
                 state: Some(JobStatus::Queued),
             });
@@ -208,22 +215,23 @@
 #[test]
 fn hand_ins_are_forgotten() {
     let mut numbers = SubmittedNumbers::default();
-    let (a, b, second) = (owner("a"), owner("b"), Duration::from_secs(1));
-    numbers.begin(KEY, a, Duration::ZERO);
-    assert_eq!(numbers.outcome(KEY, a), CopyOutcome::Unknown);
-    assert!(!numbers.is_other_owners(KEY, b), "it may be refused");
-    assert_eq!(numbers.settle(KEY, a, CopyOutcome::NotDone), CopyOutcome::NotDone);
-    numbers.begin(KEY, a, second * 50);
-    assert_eq!(numbers.settle(KEY, a, CopyOutcome::Done), CopyOutcome::Done);
-    assert!(numbers.is_other_owners(KEY, b) && !numbers.is_other_owners(KEY, a));
-    numbers.begin(OTHER_KEY, b, second * 70);
-    assert_eq!(numbers.outcome(KEY, a), CopyOutcome::Done, "the refused one was the older one");
-    numbers.begin(OTHER_KEY, b, second * 111);
-    assert_eq!(numbers.outcome(KEY, a), CopyOutcome::NotDone);
-    assert_eq!(numbers.outcome(OTHER_KEY, b), CopyOutcome::Unknown);
+    let (a, b, other) = (key_of(KEY, "a"), key_of(KEY, "b"), key_of(OTHER_KEY, "b"));
+    let second = Duration::from_secs(1);
+    numbers.begin(a, SERVICE, Duration::ZERO);
+    assert_eq!(numbers.outcome(a), CopyOutcome::Unknown);
+    assert!(!numbers.is_other_owners(b, SERVICE), "it may be refused");
+    assert_eq!(numbers.settle(a, CopyOutcome::NotDone), CopyOutcome::NotDone);
+    numbers.begin(a, SERVICE, second * 50);
+    assert_eq!(numbers.settle(a, CopyOutcome::Done), CopyOutcome::Done);
+    assert!(numbers.is_other_owners(b, SERVICE) && !numbers.is_other_owners(a, SERVICE));
+    numbers.begin(other, SERVICE, second * 70);
+    assert_eq!(numbers.outcome(a), CopyOutcome::Done, "the refused one was the older one");
+    numbers.begin(other, SERVICE, second * 111);
+    assert_eq!(numbers.outcome(a), CopyOutcome::NotDone);
+    assert_eq!(numbers.outcome(other), CopyOutcome::Unknown);
     for n in 0..20_000 {
-        numbers.begin(n, a, second * 112);
+        numbers.begin(key_of(n, "a"), SERVICE, second * 112);
     }
-    assert_eq!(numbers.outcome(0, a), CopyOutcome::NotDone, "a bounded number of them");
-    assert_eq!(numbers.outcome(19_999, a), CopyOutcome::Unknown);
+    assert_eq!(numbers.outcome(key_of(0, "a")), CopyOutcome::NotDone, "a bounded number of them");
+    assert_eq!(numbers.outcome(key_of(19_999, "a")), CopyOutcome::Unknown);
 }
--- a/tests/testsuite/infeasible_steps.rs
+++ b/tests/testsuite/infeasible_steps.rs
@@ -12,7 +12,7 @@
 /// Time within which a step is reached for which there is room.
 const REACHED_WITHIN_MS: u64 = 3000;
 /// Key of the job that can be done.
-const SMALL: JobKey = 1_000_000;
+const SMALL: JobKey = JobKey::of_number(1_000_000);
 /// More cores than any worker has, in thousandths.
 const TOO_LARGE_CPU: u64 = 64_000;
 /// Most steps that a pass looks at without placing them.
@@ -22,7 +22,7 @@
 
 fn submit(world: &mut HostWorld, key: JobKey, priority: u32, step: StepSpec) {
     let spec = JobSpec { priority, ..job(vec![step], world.sched.wall) };
-    world.sched.handle(Event::Submitted(key, Arc::new(spec)));
+    world.sched.handle(Event::Submitted(key.number, Arc::new(spec)));
 }
 
 /// A step of one task that asks for so much.
@@ -60,8 +60,8 @@
 #[test]
 fn impossible_jobs() {
     let mut world = HostWorld::new(2);
-    (0..12).for_each(|n| submit(&mut world, n, 0, asks(TOO_LARGE_CPU, 100)));
-    (12..40).for_each(|n| submit(&mut world, n, 0, asks(TOO_LARGE_CPU + n, 100)));
+    (0..12).for_each(|n| submit(&mut world, JobKey::of_number(n), 0, asks(TOO_LARGE_CPU, 100)));
+    (12..40).for_each(|n| submit(&mut world, JobKey::of_number(n), 0, asks(TOO_LARGE_CPU + n, 100)));
     submit(&mut world, SMALL, 1, asks(1000, 100));
     assert_eq!(time_to_start(&mut world, SMALL), Some(0));
     assert_eq!(world.sched.counters.steps_set_aside, 40);
@@ -72,9 +72,9 @@
 fn same_demand_waits() {
     let mut world = HostWorld::new(2);
     world.sched.handle(Event::WorkerListed(labelled(1)));
-    submit(&mut world, 0, 0, wants_label(asks(4000, 100)));
-    assert_eq!(time_to_start(&mut world, 0), Some(0));
-    (1..15).for_each(|n| submit(&mut world, n, 0, wants_label(asks(4000, 100))));
+    submit(&mut world, JobKey::of_number(0), 0, wants_label(asks(4000, 100)));
+    assert_eq!(time_to_start(&mut world, JobKey::of_number(0)), Some(0));
+    (1..15).for_each(|n| submit(&mut world, JobKey::of_number(n), 0, wants_label(asks(4000, 100))));
     submit(&mut world, SMALL, 1, asks(1000, 100));
     assert_eq!(time_to_start(&mut world, SMALL), Some(0));
     assert_eq!(world.sched.counters.steps_set_aside, 0, "they wait for room");
@@ -85,9 +85,9 @@
 fn different_demands_wait() {
     let mut world = HostWorld::new(2);
     world.sched.handle(Event::WorkerListed(labelled(1)));
-    submit(&mut world, 0, 0, wants_label(asks(4000, 100)));
-    assert_eq!(time_to_start(&mut world, 0), Some(0));
-    (1..400).for_each(|n| submit(&mut world, n, 0, wants_label(asks(2000 + n, 100))));
+    submit(&mut world, JobKey::of_number(0), 0, wants_label(asks(4000, 100)));
+    assert_eq!(time_to_start(&mut world, JobKey::of_number(0)), Some(0));
+    (1..400).for_each(|n| submit(&mut world, JobKey::of_number(n), 0, wants_label(asks(2000 + n, 100))));
     submit(&mut world, SMALL, 1, asks(1000, 100));
     assert!(time_to_start(&mut world, SMALL).is_some());
 }
@@ -95,22 +95,22 @@
 #[test]
 fn larger_worker_comes() {
     let mut world = HostWorld::new(2);
-    submit(&mut world, 0, 0, asks(TOO_LARGE_CPU, 100));
-    submit(&mut world, 1, 0, wants_label(asks(1000, 100)));
+    submit(&mut world, JobKey::of_number(0), 0, asks(TOO_LARGE_CPU, 100));
+    submit(&mut world, JobKey::of_number(1), 0, wants_label(asks(1000, 100)));
     world.tick();
     assert_eq!(world.sched.counters.steps_set_aside, 2);
     world.sched.handle(Event::WorkerListed(labelled(1)));
-    assert_eq!(time_to_start(&mut world, 1), Some(0));
+    assert_eq!(time_to_start(&mut world, JobKey::of_number(1)), Some(0));
     let capacity = Resources { cpu_millis: TOO_LARGE_CPU, mem_mb: 8000, gpus: 0 };
     world.sched.handle(Event::WorkerListed(WorkerInfo { capacity, ..worker(0, 0) }));
-    assert_eq!(time_to_start(&mut world, 0), Some(0));
+    assert_eq!(time_to_start(&mut world, JobKey::of_number(0)), Some(0));
 }
 
 /// What no worker could ever take asks for no hosts, unlike what a spare host could take.
 #[test]
 fn room_asked_for() {
     let mut world = HostWorld::new(2);
-    submit(&mut world, 0, 0, asks(TOO_LARGE_CPU, 100));
+    submit(&mut world, JobKey::of_number(0), 0, asks(TOO_LARGE_CPU, 100));
     world.tick();
     assert_eq!(world.sched.room_wanted(&SERVICE.to_string()).cpu_millis, 0);
     let capacity = Resources { cpu_millis: TOO_LARGE_CPU, mem_mb: 8000, gpus: 0 };
@@ -131,9 +131,9 @@
     for of_kind in kinds {
         let mut world = HostWorld::new(2);
         world.sched.handle(Event::WorkerListed(labelled(1)));
-        submit(&mut world, JOBS, 0, wants_label(asks(4000, 100)));
+        submit(&mut world, JobKey::of_number(JOBS), 0, wants_label(asks(4000, 100)));
         world.tick();
-        (0..JOBS).for_each(|n| submit(&mut world, n, 0, of_kind(n)));
+        (0..JOBS).for_each(|n| submit(&mut world, JobKey::of_number(n), 0, of_kind(n)));
         world.tick();
         let before = world.sched.counters.steps_looked_at;
         world.tick();
