--- a/tests/testsuite/inherited_leases.rs
+++ b/tests/testsuite/inherited_leases.rs
@@ -14,7 +14,9 @@
 use workswood::ops::jobs::{Node, handover, lease, lease_renewal};
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::lease_handover::HandoverPolicy;
-use workswood_core::jobs::{Action, Event, Record, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerUpdate};
+use workswood_core::jobs::{
+    Action, Event, JobKey, Record, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerUpdate,
+};
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_node::{deployed_policy, settings};
@@ -567,7 +569,7 @@
 
 /// A job of one long-running task.
 const JOB: u64 = 1;
-const TASK: TaskId = TaskId { job: JOB, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(JOB), round: 0, step: 0, index: 0 };
 
 /// A world without faults in which the task has run for some seconds, and the worker that runs it.
 fn world_with_lasting_task(w: World) -> (World, usize) {
--- a/tests/testsuite/job_admission.rs
+++ b/tests/testsuite/job_admission.rs
@@ -78,8 +78,8 @@
 
 #[test]
 fn in_time_or_refused() {
-    assert!(admits(decide(&mut told(SLACK), &candidate(1), NOW)));
-    let verdict = decide(&mut told(SLACK + Duration::from_millis(10)), &candidate(1), NOW);
+    assert!(admits(decide(&mut told(SLACK), &candidate(JobKey::of_number(1)), NOW)));
+    let verdict = decide(&mut told(SLACK + Duration::from_millis(10)), &candidate(JobKey::of_number(1)), NOW);
     assert_eq!(
         verdict,
         Verdict::Refused {
@@ -96,56 +96,70 @@
     let mut idle = loads(Vec::new());
     idle.services.values_mut().for_each(|load| (load.cores, load.cores_after_moves) = (0.0, 0.0));
     admission.update(idle, |_| false, NOW);
-    let hopeless = Candidate { time_to_deadline: Duration::ZERO, ..candidate(1) };
+    let hopeless = Candidate { time_to_deadline: Duration::ZERO, ..candidate(JobKey::of_number(1)) };
     assert!(admits(decide(&mut admission, &hopeless, NOW)), "nothing waits");
 }
 
 #[test]
 fn unknown_load_refuses_nothing() {
-    assert!(admits(decide(&mut Admission::default(), &candidate(1), NOW)));
+    assert!(admits(decide(&mut Admission::default(), &candidate(JobKey::of_number(1)), NOW)));
 }
 
 /// All are weighed by the same loads: those that were just admitted count.
 #[test]
 fn admitted_work_counts_at_once() {
     let mut admission = told(Duration::from_millis(1));
-    let admitted = (0..100).filter(|key| admits(decide(&mut admission, &candidate(*key), NOW))).count();
+    let admitted = (0..100)
+        .filter(|key| admits(decide(&mut admission, &candidate(JobKey::of_number(*key)), NOW)))
+        .count();
     // Each takes 80 ms of the service.
     assert_eq!(admitted, 1_200 / 80);
     admission.update(loads(vec![waiting(1)]), |_| true, NOW);
-    assert!(admits(decide(&mut admission, &candidate(200), NOW)), "the scheduler counts them itself");
+    assert!(
+        admits(decide(&mut admission, &candidate(JobKey::of_number(200)), NOW)),
+        "the scheduler counts them itself"
+    );
 }
 
 /// What was admitted and never came could not be stored.
 #[test]
 fn admitted_work_expires() {
     let mut admission = told(Duration::from_millis(1));
-    (0..100).for_each(|key| _ = decide(&mut admission, &candidate(key), NOW));
+    (0..100).for_each(|key| _ = decide(&mut admission, &candidate(JobKey::of_number(key)), NOW));
     let later = NOW + Duration::from_secs(2);
     admission.update(loads(vec![waiting(1_000)]), |_| false, later);
-    assert!(admits(decide(&mut admission, &candidate(200), later)));
+    assert!(admits(decide(&mut admission, &candidate(JobKey::of_number(200)), later)));
 }
 
 #[test]
 fn admitted_stays_admitted() {
     let mut admission = told(SLACK);
-    assert!(admits(decide(&mut admission, &candidate(1), NOW)));
+    assert!(admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)));
     admission.update(loads(vec![waiting(WORK * 1_000)]), |_| false, NOW);
-    assert!(!admits(decide(&mut admission, &candidate(2), NOW)));
-    assert!(admits(decide(&mut admission, &candidate(1), NOW)), "its answer may have been lost");
+    assert!(!admits(decide(&mut admission, &candidate(JobKey::of_number(2)), NOW)));
+    assert!(
+        admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)),
+        "its answer may have been lost"
+    );
 }
 
 #[test]
 fn retry_is_as_old_as_first_try() {
     let mut admission = told(SLACK * 2);
-    assert!(!admits(decide(&mut admission, &candidate(1), NOW)));
+    assert!(!admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)));
     let later = NOW + Duration::from_secs(1);
     admission.update(loads(vec![waiting(30_000)]), |_| false, later);
-    assert!(admits(decide(&mut admission, &candidate(2), later)), "300 ms are left for a new one");
-    assert!(!admits(decide(&mut admission, &candidate(1), later)), "its slack is 200 ms by now");
+    assert!(
+        admits(decide(&mut admission, &candidate(JobKey::of_number(2)), later)),
+        "300 ms are left for a new one"
+    );
+    assert!(
+        !admits(decide(&mut admission, &candidate(JobKey::of_number(1)), later)),
+        "its slack is 200 ms by now"
+    );
     admission.update(loads(vec![waiting(10_000)]), |_| false, later);
     assert_eq!(
-        decide(&mut admission, &candidate(1), later),
+        decide(&mut admission, &candidate(JobKey::of_number(1)), later),
         Verdict::Admitted { age: Duration::from_secs(1) }
     );
 }
@@ -157,16 +171,27 @@
     now.owners_over_rate = vec![over];
     let mut admission = Admission::default();
     admission.update(now, |_| false, NOW);
-    assert!(admits(decide(&mut admission, &candidate(1), NOW)), "what is over its rate waits behind it");
-    assert!(!admits(decide(&mut admission, &Candidate { owner: over, ..candidate(2) }, NOW)));
+    assert!(
+        admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)),
+        "what is over its rate waits behind it"
+    );
+    assert!(!admits(decide(
+        &mut admission,
+        &Candidate { owner: over, ..candidate(JobKey::of_number(2)) },
+        NOW
+    )));
 }
 
 #[test]
 fn less_urgent_work_is_not_ahead() {
     let mut admission = Admission::default();
     admission.update(loads(vec![WaitingWork { priority: 1, ..waiting(WORK * 100) }]), |_| false, NOW);
-    assert!(admits(decide(&mut admission, &candidate(1), NOW)));
-    assert!(!admits(decide(&mut admission, &Candidate { priority: 1, ..candidate(2) }, NOW)));
+    assert!(admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)));
+    assert!(!admits(decide(
+        &mut admission,
+        &Candidate { priority: 1, ..candidate(JobKey::of_number(2)) },
+        NOW
+    )));
 }
 
 #[test]
@@ -175,7 +200,10 @@
     now.services.values_mut().for_each(|load| load.cores_after_moves = 100.0 * CORES);
     let mut admission = Admission::default();
     admission.update(now, |_| false, NOW);
-    assert!(admits(decide(&mut admission, &candidate(1), NOW)), "a second, then a hundred times as fast");
+    assert!(
+        admits(decide(&mut admission, &candidate(JobKey::of_number(1)), NOW)),
+        "a second, then a hundred times as fast"
+    );
 }
 
 /// Callers return one after the other, at the rate of the service and in the order in which they came.
@@ -183,8 +211,9 @@
 fn returns_follow_each_other() {
     let wait = Duration::from_secs(2);
     let mut admission = told(wait);
-    let after: Vec<Duration> =
-        (0..20).map(|key| retry_after(decide(&mut admission, &candidate(key), NOW))).collect();
+    let after: Vec<Duration> = (0..20)
+        .map(|key| retry_after(decide(&mut admission, &candidate(JobKey::of_number(key)), NOW)))
+        .collect();
     for (n, retry_after) in after.iter().enumerate() {
         assert_eq!(*retry_after, wait + Duration::from_millis(80) * n as u32);
     }
@@ -195,8 +224,9 @@
 fn hopeless_callers_are_spread() {
     let wait = Duration::from_secs(6);
     let mut admission = told(wait);
-    let mut after: Vec<Duration> =
-        (0..100).map(|key| retry_after(decide(&mut admission, &candidate(key), NOW))).collect();
+    let mut after: Vec<Duration> = (0..100)
+        .map(|key| retry_after(decide(&mut admission, &candidate(JobKey::of_number(key)), NOW)))
+        .collect();
     assert!(after.iter().all(|d| *d >= wait), "{after:?}");
     after.sort();
     let most = after.windows(11).map(|w| w[10] - w[0]).min().expect("many");
@@ -207,8 +237,11 @@
 fn late_share_admits_late_jobs() {
     let late = AdmissionPolicy { late_share: 1.0, ..policy() };
     let wait = SLACK + (PATH + SLACK) * 2;
-    assert!(admits(told(wait).decide(&candidate(1), &late, NOW, 0)));
-    assert!(!admits(told(wait + PATH).decide(&candidate(1), &late, NOW, 0)), "it would be worthless");
+    assert!(admits(told(wait).decide(&candidate(JobKey::of_number(1)), &late, NOW, 0)));
+    assert!(
+        !admits(told(wait + PATH).decide(&candidate(JobKey::of_number(1)), &late, NOW, 0)),
+        "it would be worthless"
+    );
 }
 
 /// Three times what a service can do is submitted for ten seconds. Without admission, all that is taken
@@ -243,7 +276,7 @@
         let ahead = busy_until.saturating_sub(now).as_secs_f64() * CORES * 1_000.0;
         let queue = if ahead >= 1.0 { vec![waiting(ahead as u64)] } else { Vec::new() };
         admission.update(loads(queue), |_| true, now);
-        match decide(&mut admission, &candidate(n.into()), now) {
+        match decide(&mut admission, &candidate(JobKey::of_number(n.into())), now) {
             Verdict::Refused { retry_after, .. } if refuses => {
                 if retry_after + PATH <= (PATH + SLACK) * 3 {
                     *returns.entry((now + retry_after).as_millis() / 100).or_default() += 1;
@@ -268,7 +301,7 @@
     let cfg = config();
     let weigh = |spec: &JobSpec| {
         let queue = cfg.queues.get(QUEUE).expect("the queue");
-        Candidate::new(1, spec, queue, &TaskDurations::default(), &OrderPolicy::default())
+        Candidate::new(JobKey::of_number(1), spec, queue, &TaskDurations::default(), &OrderPolicy::default())
     };
     let plain = job(vec![step(2, vec![]), step(3, vec![0])], 0);
     let weighed = weigh(&plain).expect("it is weighed");
@@ -326,6 +359,7 @@
         owner: 6,
         queue: "q".to_string(),
         steps: vec![StepDemand { tasks: 2, cpu_millis: 300, estimate_ms: 400, depends_on: vec![0] }],
+        queue_tag: 0,
     };
     let reply = AdmissionReply {
         outcome: AdmissionOutcome::Refused as i32,
--- a/tests/testsuite/job_limits.rs
+++ b/tests/testsuite/job_limits.rs
@@ -6,7 +6,7 @@
 use workswood_adapter::callers::read_job;
 use workswood_adapter_standin::caller::one_task;
 use workswood_core::jobs::{
-    Action, Event, Job, JobSpec, JobStatus, Outcome, Owner, Repeat, Scheduler, WorkerInfo, WorkerUpdate,
+    Action, Event, Job, JobKey, JobSpec, JobStatus, Outcome, Repeat, Scheduler, WorkerInfo, WorkerUpdate,
 };
 use workswood_test_support::host_world::limits;
 use workswood_test_support::job_world::{SERVICE, config, job, step};
@@ -39,7 +39,7 @@
 
 fn starts(s: &mut Scheduler) -> Vec<u64> {
     let of = |a: &Action| match a {
-        Action::Start { task, .. } => Some(task.job),
+        Action::Start { task, .. } => Some(task.job.number),
         _ => None,
     };
     s.take_batch().actions.iter().filter_map(of).collect()
@@ -74,13 +74,13 @@
 #[test]
 fn changed_job_restored() {
     let spec = Arc::new(job(vec![step(2, vec![]), step(1, vec![0])], 0));
-    let mut begun = Job::new(5, spec);
+    let mut begun = Job::new(JobKey::of_number(5), spec);
     begun.open_round();
     let rec = begun.record();
     let other: Arc<JobSpec> = Arc::new(job(vec![step(1, vec![])], 0));
     assert!(!rec.matches_spec(&other));
     let mut s = scheduler();
-    s.restore_job(5, Some(other), Some(rec));
+    s.restore_job(JobKey::of_number(5), Some(other), Some(rec));
     let shown = s.take_batch().status_updates;
     assert_eq!(shown[0].state, Some(JobStatus::Ended(Outcome::Failed)));
 }
@@ -88,7 +88,7 @@
 #[test]
 fn early_cancel_kept() {
     let mut s = with_worker(4);
-    s.handle(Event::Cancelled(9, Owner::PUBLIC));
+    s.handle(Event::Cancelled(JobKey::of_number(9)));
     s.handle(Event::Submitted(9, Arc::new(job(vec![step(1, vec![])], 0))));
     let batch = s.take_batch();
     assert!(!batch.actions.iter().any(|a| matches!(a, Action::Start { .. })), "{:?}", batch.actions);
@@ -118,8 +118,8 @@
     let mut s = with_worker(2);
     s.handle(Event::Submitted(1, spec.clone()));
     s.take_batch();
-    let rec = s.jobs[&1].record();
+    let rec = s.jobs[&JobKey::of_number(1)].record();
     let mut next = scheduler();
-    next.restore_job(1, Some(spec), Some(rec));
+    next.restore_job(JobKey::of_number(1), Some(spec), Some(rec));
     assert_eq!(next.workers.values().map(|w| w.best_effort.len()).sum::<usize>(), 1);
 }
--- a/tests/testsuite/job_records.rs
+++ b/tests/testsuite/job_records.rs
@@ -11,7 +11,8 @@
 use workswood_core::jobs::job::{StateSlot, TaskRecord, WorkerId};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    FinishedJobRecord, JobRecord, JobSpec, JobStatus, JobStatusUpdate, Outcome, Owner, Repeat, StepSpec,
+    FinishedJobRecord, JobKey, JobRecord, JobSpec, JobStatus, JobStatusUpdate, Outcome, Owner, QueueTag,
+    Repeat, StepSpec,
 };
 use workswood_test_support::job_world::{job, step};
 
@@ -163,6 +164,7 @@
         queue: u.arbitrary()?,
         service: u.arbitrary()?,
         workspace: u.arbitrary()?,
+        tag: QueueTag::from_number(u.arbitrary()?),
         priority: u.arbitrary()?,
         max_attempts: u.arbitrary()?,
         task_input: u.arbitrary::<String>()?.into(),
@@ -195,7 +197,8 @@
 }
 
 fn shown(key: u64, queue: &str, state: Option<JobStatus>) -> JobStatusUpdate {
-    JobStatusUpdate { key, queue: queue.to_string(), owner: Owner::PUBLIC, state, repeats: false }
+    let (key, service) = (JobKey::of_number(key), String::new());
+    JobStatusUpdate { key, queue: queue.to_string(), service, state, repeats: false }
 }
 
 #[test]
@@ -210,6 +213,9 @@
     all.update(shown(1, "a", Some(JobStatus::Running)));
     all.update(shown(2, "a", None));
     assert_eq!(all.queued_jobs("a"), 0);
-    let asks = Some(Owner::PUBLIC);
-    assert_eq!((all.status(1, asks), all.status(2, asks)), (Some(JobStatus::Running), None));
+    let asks = Some("a");
+    assert_eq!(
+        (all.status(JobKey::of_number(1), asks), all.status(JobKey::of_number(2), asks)),
+        (Some(JobStatus::Running), None)
+    );
 }
--- a/tests/testsuite/known_holder.rs
+++ b/tests/testsuite/known_holder.rs
@@ -18,6 +18,7 @@
         peer_address: "127.0.0.1:1".to_string(),
         term,
         released,
+        knows_queues: true,
     };
     node.set_holder(holder(9, false));
     node.set_holder(holder(7, true));
--- a/tests/testsuite/lasting_jobs.rs
+++ b/tests/testsuite/lasting_jobs.rs
@@ -78,15 +78,16 @@
 struct History {
     w: World,
     /// Key of the job submitted last.
-    last_key: JobKey,
-    lasting: Vec<JobKey>,
-    ordinary: Vec<JobKey>,
+    last_key: u64,
+    lasting: Vec<u64>,
+    ordinary: Vec<u64>,
 }
 
 impl History {
     fn new(seed: u64, world: NewWorld) -> History {
         let w = world(WORKERS as usize, FaultRng::mixed(seed)).with_many_runs();
-        let mut h = History { w, last_key: 0, lasting: Vec::new(), ordinary: Vec::new() };
+        let mut h =
+            History { w, last_key: (JobKey::of_number(0)).number, lasting: Vec::new(), ordinary: Vec::new() };
         h.w.run_for(Duration::from_millis(600));
         h
     }
@@ -101,7 +102,7 @@
         self.w.run_for(Duration::from_millis(ms));
     }
 
-    fn submit(&mut self, steps: Vec<StepSpec>, priority: u8) -> JobKey {
+    fn submit(&mut self, steps: Vec<StepSpec>, priority: u8) -> u64 {
         self.last_key += 1;
         let mut spec = job(steps, self.w.now.as_millis() as u64);
         spec.priority = priority.into();
--- a/tests/testsuite/late_starts.rs
+++ b/tests/testsuite/late_starts.rs
@@ -5,7 +5,7 @@
 
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::WorkerStandin;
-use workswood_core::jobs::{Event, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Event, JobKey, TaskId, WorkerUpdate};
 use workswood_platform::jobs::JobPlatform;
 use workswood_test_support::job_world::{FaultRng, STEP, World, job, step};
 use workswood_test_support::relay_site::RelaySite;
@@ -47,7 +47,7 @@
     assert!(broken.is_empty(), "{} of {histories} histories: {:#?}", broken.len(), &broken[..1]);
 }
 
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 /// When the worker has started, as it reports, and when it has started again.
 const STARTED: u64 = 1000;
 const STARTED_AGAIN: u64 = 2000;
--- a/tests/testsuite/long_checkpoints.rs
+++ b/tests/testsuite/long_checkpoints.rs
@@ -18,7 +18,7 @@
 
 /// Sizes of the platform's store.
 const SIZES: StoreSizes = StoreSizes { record: 262_144, append: 2_097_152 };
-const KEY: JobKey = 0xc1;
+const KEY: JobKey = JobKey::of_number(0xc1);
 /// A checkpoint of which two are more than a record.
 const LONG: usize = 150_000;
 /// Bytes of an append beside key and value of a record.
@@ -179,7 +179,7 @@
     for _ in 0..31 {
         full.write(&Record::Job(KEY, running(30, LONG)), SIZES);
     }
-    let drop_job = Record::DropJob(KEY, Owner::PUBLIC, StateSlot::Number);
+    let drop_job = Record::DropJob(KEY, StateSlot::Number);
     let small = StoreSizes { append: 512, ..SIZES };
     let (_, mut encoder) = full.read();
     let appends = encoder.appends_of(std::slice::from_ref(&drop_job), small);
--- a/tests/testsuite/long_running_placement.rs
+++ b/tests/testsuite/long_running_placement.rs
@@ -6,7 +6,7 @@
 use workswood_core::jobs::crash_history::{CrashRecord, Evidence};
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    Action, EndKind, Event, Job, JobSpec, Listing, Owner, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
+    Action, EndKind, Event, Job, JobKey, JobSpec, Listing, ReportedEnd, ReportedRun, SchedConfig, StepSpec,
     TaskId, Wave, WorkerInfo, WorkerUpdate, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::{HostWorld, host, listed, wave, worker};
@@ -120,7 +120,7 @@
                 let run = self.runs.iter().filter(stopped).find(|a| task_of(a) == Some(*task)).cloned();
                 run.iter().for_each(|run| drop(self.end_run(run, EndKind::Stopped)));
             }
-            if self.runs.iter().any(|a| task_of(a).is_some_and(|t| t.job == key)) {
+            if self.runs.iter().any(|a| task_of(a).is_some_and(|t| t.job.number == key)) {
                 absent_since = self.now_ms;
             }
             longest = longest.max(self.now_ms - absent_since);
@@ -135,7 +135,7 @@
 
     /// Workers of the starts of a job.
     fn workers_of(&self, starts: &[Action], key: u64) -> Vec<usize> {
-        let of_job = starts.iter().filter(|a| task_of(a).is_some_and(|t| t.job == key));
+        let of_job = starts.iter().filter(|a| task_of(a).is_some_and(|t| t.job.number == key));
         of_job.filter_map(|a| (0..self.workers).find(|n| is_on(a, *n))).collect()
     }
 
@@ -329,7 +329,7 @@
         let starts = pool.submit(key, job(vec![tied], 100));
         assert_eq!(pool.workers_of(&starts, key), [0]);
         pool.end_run(&starts[0], EndKind::Failed);
-        pool.world.sched.handle(Event::Cancelled(key, Owner::PUBLIC));
+        pool.world.sched.handle(Event::Cancelled(JobKey::of_number(key)));
     }
     pool.fill_others(0, 4000);
     let mut starts = pool.submit(20, job(vec![long_running(1, 1000)], 200));
@@ -345,14 +345,14 @@
     pool.fill_others(0, 3000);
     // A task that was lost with two workers waits for an empty one.
     let suspected = job(vec![sized(ordinary(1), 4000)], 100);
-    let mut known = Job::new(5, Arc::new(suspected.clone()));
+    let mut known = Job::new(JobKey::of_number(5), Arc::new(suspected.clone()));
     known.open_round();
     let mut record = known.record();
     for attempt in 1..=2 {
         let crash = CrashRecord::possible(Evidence::LikelyCause, Some(Duration::ZERO));
         record.rounds[0][0][0].crashes.0.insert(attempt, crash);
     }
-    pool.world.sched.restore_job(5, Some(Arc::new(suspected)), Some(record));
+    pool.world.sched.restore_job(JobKey::of_number(5), Some(Arc::new(suspected)), Some(record));
     pool.wait(1000);
     let mut starts = pool.submit(2, job(vec![long_running(1, 1000)], 200));
     starts.extend(pool.wait(START_WITHIN_MS));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -122,6 +122,7 @@
 mod suspended_host;
 mod task_packing;
 mod trial_waits;
+mod two_queues;
 mod unanswered_leases;
 mod unanswered_starts;
 mod unrecorded_starts;
--- a/tests/testsuite/misdelivered_orders.rs
+++ b/tests/testsuite/misdelivered_orders.rs
@@ -59,15 +59,21 @@
     /// Whether entries relay for the holder.
     relays: bool,
     /// Key of the job submitted last.
-    last_key: JobKey,
-    lasting: Vec<JobKey>,
-    ordinary: Vec<JobKey>,
+    last_key: u64,
+    lasting: Vec<u64>,
+    ordinary: Vec<u64>,
 }
 
 impl History {
     fn new(seed: u64, world: NewWorld, relays: bool) -> History {
         let w = world(WORKERS as usize, FaultRng::mixed(seed)).with_many_runs();
-        let mut h = History { w, relays, last_key: 0, lasting: Vec::new(), ordinary: Vec::new() };
+        let mut h = History {
+            w,
+            relays,
+            last_key: (JobKey::of_number(0)).number,
+            lasting: Vec::new(),
+            ordinary: Vec::new(),
+        };
         h.w.run_for(Duration::from_millis(600));
         h
     }
@@ -85,7 +91,7 @@
         self.w.run_for(time);
     }
 
-    fn submit(&mut self, tasks: StepSpec) -> JobKey {
+    fn submit(&mut self, tasks: StepSpec) -> u64 {
         self.last_key += 1;
         let now = self.w.now.as_millis() as u64;
         self.w.submit(self.last_key, job(vec![tasks], now));
--- a/tests/testsuite/over_jobs.rs
+++ b/tests/testsuite/over_jobs.rs
@@ -18,7 +18,7 @@
 use workswood_core::jobs::job_table::{ArchivedJob, JobTable};
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Batch, Event, FinishedJobRecord, Job, JobRecord, JobSpec, JobStatus, Outcome, Owner, Scheduler,
+    Batch, Event, FinishedJobRecord, Job, JobKey, JobRecord, JobSpec, JobStatus, Outcome, Scheduler,
 };
 use workswood_test_support::host_world::limits;
 use workswood_test_support::job_world::{QUEUE, SERVICE, config, job, step};
@@ -38,7 +38,7 @@
 /// What is recorded of a job in a batch.
 fn recorded(batch: &Batch, key: u64) -> Option<JobRecord> {
     batch.records.iter().find_map(|r| match r {
-        Record::Job(k, rec) if *k == key => Some(rec.clone()),
+        Record::Job(k, rec) if *k == JobKey::of_number(key) => Some(rec.clone()),
         _ => None,
     })
 }
@@ -47,7 +47,7 @@
 fn over_record() -> JobRecord {
     let mut s = scheduler();
     s.handle(Event::Submitted(1, spec()));
-    s.handle(Event::Cancelled(1, Owner::PUBLIC));
+    s.handle(Event::Cancelled(JobKey::of_number(1)));
     recorded(&s.take_batch(), 1).expect("it changed")
 }
 
@@ -56,10 +56,10 @@
     let mut s = scheduler();
     s.handle(Event::Submitted(1, spec()));
     s.handle(Event::Submitted(2, spec()));
-    s.handle(Event::Cancelled(1, Owner::PUBLIC));
+    s.handle(Event::Cancelled(JobKey::of_number(1)));
     let batch = s.take_batch();
-    assert_eq!(batch.finished_jobs, [(1, Owner::PUBLIC)], "the inbox need not hold it");
-    assert!(s.jobs.is_archived(&1) && !s.jobs.is_archived(&2));
+    assert_eq!(batch.finished_jobs, [JobKey::of_number(1)], "the inbox need not hold it");
+    assert!(s.jobs.is_archived(&JobKey::of_number(1)) && !s.jobs.is_archived(&JobKey::of_number(2)));
     let rec = recorded(&batch, 1).expect("it changed");
     assert!(rec.rounds.is_empty());
     let over = rec.over.expect("it is over");
@@ -71,7 +71,7 @@
 #[test]
 fn restored_without_its_text() {
     let mut next = scheduler();
-    next.restore_job(1, None, Some(over_record()));
+    next.restore_job(JobKey::of_number(1), None, Some(over_record()));
     let batch = next.take_batch();
     assert_eq!(batch.status_updates[0].state, Some(JobStatus::Ended(Outcome::Canceled)));
     assert_eq!((batch.records.len(), batch.finished_jobs.len()), (0, 0), "nothing is new");
@@ -80,32 +80,32 @@
 #[test]
 fn left_in_the_inbox() {
     let mut next = scheduler();
-    next.restore_job(1, Some(spec()), Some(over_record()));
+    next.restore_job(JobKey::of_number(1), Some(spec()), Some(over_record()));
     let batch = next.take_batch();
     assert_eq!(batch.status_updates[0].state, Some(JobStatus::Ended(Outcome::Canceled)));
-    assert_eq!(batch.finished_jobs, [(1, Owner::PUBLIC)], "its predecessor did not come to take it out");
+    assert_eq!(batch.finished_jobs, [JobKey::of_number(1)], "its predecessor did not come to take it out");
 }
 
 #[test]
 fn handed_in_again() {
     let mut next = scheduler();
-    next.restore_job(1, None, Some(over_record()));
+    next.restore_job(JobKey::of_number(1), None, Some(over_record()));
     next.take_batch();
     next.handle(Event::Submitted(1, spec()));
-    next.handle(Event::Cancelled(1, Owner::PUBLIC));
+    next.handle(Event::Cancelled(JobKey::of_number(1)));
     let batch = next.take_batch();
     assert!(batch.records.is_empty() && batch.status_updates.is_empty(), "it is not begun again");
 }
 
 #[test]
 fn state_without_a_job_dropped() {
-    let mut begun = Job::new(5, spec());
+    let mut begun = Job::new(JobKey::of_number(5), spec());
     begun.open_round();
     let mut next = scheduler();
-    next.restore_job(5, None, Some(begun.record()));
+    next.restore_job(JobKey::of_number(5), None, Some(begun.record()));
     let dropped = next.take_batch().records;
     assert!(
-        matches!(dropped.as_slice(), [Record::DropJob(5, Owner::PUBLIC, StateSlot::Number)]),
+        matches!(dropped.as_slice(), [Record::DropJob(key, StateSlot::Number)] if *key == JobKey::of_number(5)),
         "{} records",
         dropped.len()
     );
@@ -119,21 +119,21 @@
         slot: StateSlot::Number,
     };
     let mut jobs = JobTable::default();
-    jobs.insert(Job::new(3, spec()));
-    (1..=3).for_each(|n| jobs.archive(n, over(), Duration::from_secs(n)));
+    jobs.insert(Job::new(JobKey::of_number(3), spec()));
+    (1..=3).for_each(|n| jobs.archive(JobKey::of_number(n), over(), Duration::from_secs(n)));
     assert!(jobs.is_empty(), "a job that is over is no other any more");
-    jobs.archive(1, over(), Duration::from_secs(9));
+    jobs.archive(JobKey::of_number(1), over(), Duration::from_secs(9));
     let gone = |jobs: &mut JobTable, s| {
-        jobs.forget_archived(Duration::from_secs(s)).into_iter().map(|(k, _)| k).collect()
+        jobs.forget_archived(Duration::from_secs(s)).into_iter().map(|(k, _)| k.number).collect()
     };
     let first: Vec<u64> = gone(&mut jobs, 3);
     assert_eq!(first, [1, 2]);
-    assert!(!jobs.contains_key(&1) && jobs.contains_key(&3));
+    assert!(!jobs.contains(&JobKey::of_number(1)) && jobs.contains(&JobKey::of_number(3)));
 }
 
 #[test]
 fn kept_where_it_was_read() {
-    let key = InboxKey { job: 7, owner: Owner::PUBLIC, kind: InboxRecordKind::Job };
+    let key = InboxKey { job: JobKey::of_number(7), kind: InboxRecordKind::Job };
     let mut kept = InboxIndex::default();
     kept.insert(0, key);
     kept.insert(3, key);
--- a/tests/testsuite/overtaking_looks.rs
+++ b/tests/testsuite/overtaking_looks.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use workswood_core::jobs::{Listing, ReportedRun, RunTracker, StartReply, TaskId};
+use workswood_core::jobs::{JobKey, Listing, ReportedRun, RunTracker, StartReply, TaskId};
 
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/testsuite/partial_end_lists.rs
+++ b/tests/testsuite/partial_end_lists.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::{Action, EndCoverage, EndKind, Event, Listing, ReportedEnd, ReportedRun, TaskId};
+use workswood_core::jobs::{
+    Action, EndCoverage, EndKind, Event, JobKey, Listing, ReportedEnd, ReportedRun, TaskId,
+};
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{FaultRng, World, job, step};
 
@@ -58,8 +60,8 @@
 fn answer_rest(world: &mut HostWorld, rest: &[ReportedEnd]) {
     world.answers(&worker(0, 0).id, Listing { ended: rest.to_vec(), ..Listing::default() });
     assert_eq!(starts(&world.tick()), []);
-    let completed = world.sched.jobs.get(&1).is_some_and(|j| j.all_done());
-    assert!(completed || world.sched.jobs.is_archived(&1));
+    let completed = world.sched.jobs.get(&JobKey::of_number(1)).is_some_and(|j| j.all_done());
+    assert!(completed || world.sched.jobs.is_archived(&JobKey::of_number(1)));
 }
 
 /// TWICE: the first answer to a new relay or lease holder lacks the ends of tasks that are done.
@@ -123,7 +125,7 @@
     let running: Vec<ReportedRun> = started[3..].iter().filter_map(listed).collect();
     let ended = ends[2..3].to_vec();
     world.answers(&id, Listing { running, ended, ..Listing::default() });
-    let begun: Vec<u64> = starts(&world.tick()).iter().map(|(task, _)| task.job).collect();
+    let begun: Vec<u64> = starts(&world.tick()).iter().map(|(task, _)| task.job.number).collect();
     assert_eq!(begun, [2]);
 }
 
--- a/tests/testsuite/peer_help.rs
+++ b/tests/testsuite/peer_help.rs
@@ -37,7 +37,13 @@
 /// Makes a process know who holds the lease.
 fn tell_holder(node: &Node, holder: &Node) {
     let (id, peers) = (holder.id.clone(), holder.settings.peers.to_string());
-    node.holder.store(Some(Arc::new(Holder { id, peer_address: peers, term: 7, released: false })));
+    node.holder.store(Some(Arc::new(Holder {
+        id,
+        peer_address: peers,
+        term: 7,
+        released: false,
+        knows_queues: true,
+    })));
 }
 
 fn store(fates: &[Fate]) -> Arc<TurnStore> {
@@ -129,7 +135,8 @@
     let a = Arc::new(Node::new(settings, away.clone()));
     tokio::spawn(inbox::run(a.clone()));
     let peer_address = answering_peer(&[HandInOutcome::Unknown, HandInOutcome::NotStored]).await;
-    let holder = Holder { id: "peer".to_string(), peer_address, term: 7, released: false };
+    let holder =
+        Holder { id: "peer".to_string(), peer_address, term: 7, released: false, knows_queues: true };
     a.holder.store(Some(Arc::new(holder)));
     // Once the entry has not heard from the store lately, each try asks it for 1 s.
     let lately = Duration::from_millis(301).saturating_sub(a.now());
@@ -190,6 +197,7 @@
         peer_address: peers,
         term: 7,
         released: false,
+        knows_queues: true,
     })));
     assert_eq!(a.inbox_writer.store(rec("job-1"), WAITS).await, Stored::No, "nothing was sent to it");
 }
--- a/tests/testsuite/queue_order.rs
+++ b/tests/testsuite/queue_order.rs
@@ -9,11 +9,11 @@
 };
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::task_queue::{RequestedResources, TaskQueue};
-use workswood_core::jobs::{Job, JobSpec, Owner, StepId};
+use workswood_core::jobs::{Job, JobKey, JobSpec, Owner, StepId};
 use workswood_test_support::job_world::{QUEUE, config, job, step};
 
 fn opened(key: u64, spec: JobSpec) -> Job {
-    let mut j = Job::new(key, Arc::new(spec));
+    let mut j = Job::new(JobKey::of_number(key), Arc::new(spec));
     j.open_round();
     j
 }
@@ -129,7 +129,7 @@
         let mut at: Option<QueuePosition> = None;
         let mut jobs = Vec::new();
         while let Some(next) = waiting.next_of_owner(Owner::PUBLIC, at.as_ref(), rank) {
-            jobs.push(next.step.job);
+            jobs.push(next.step.job.number);
             at = Some(next);
         }
         jobs
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use workswood_core::invariant;
-use workswood_core::jobs::{JobSpec, JobStatus, StepSpec, TaskId};
-use workswood_test_support::job_world::{FaultRng, Seen, World, job, second_key, small_step, step};
+use workswood_core::jobs::{JobKey, JobSpec, JobStatus, StepSpec, TaskId};
+use workswood_test_support::job_world::{
+    FaultRng, OtherOwner, Seen, World, job, second_key, small_step, step,
+};
 
 /// Histories in one run of the suite.
 const HISTORIES: u64 = 250;
@@ -82,6 +84,15 @@
     World::restarting_relayed(workers, luck).with_bounded_store()
 }
 
+/// Worlds of two services and three queues.
+fn two_queues_and_relays(workers: usize, luck: FaultRng) -> World {
+    World::restarting_relayed(workers, luck).with_two_queues()
+}
+
+fn two_queues_and_bounded_store(workers: usize, luck: FaultRng) -> World {
+    World::restarting(workers, luck).with_two_queues().with_bounded_store()
+}
+
 /// Makes a world of so many workers.
 pub(super) type NewWorld = fn(usize, FaultRng) -> World;
 
@@ -117,7 +128,10 @@
 /// Has the first task of a job crash its workers.
 fn make_crashing(w: &mut World, job: u64) {
     let after = if w.rng.below(2) == 0 { 10 } else { w.rng.below(CRASH_WITHIN) };
-    w.crashes(TaskId { job, round: 0, step: 0, index: 0 }, Duration::from_millis(after));
+    w.crashes(
+        TaskId { job: JobKey::of_number(job), round: 0, step: 0, index: 0 },
+        Duration::from_millis(after),
+    );
 }
 
 /// What histories hold beside the usual troubles.
@@ -144,6 +158,8 @@
     SecondOwner,
     /// Outages, and steps of many tasks that save their progress.
     Checkpoints,
+    /// Jobs of other queues under the numbers of other jobs.
+    TwoQueues,
 }
 
 /// Events of a history for each number under which jobs are handed in at entries.
@@ -166,6 +182,17 @@
     w.submit(LARGE, job(steps.collect(), w.now.as_millis() as u64));
 }
 
+/// Submits jobs of other queues, or of another workspace, under a number.
+fn submit_on_other_queues(w: &mut World, number: u64, keys: &mut Vec<u64>) {
+    for owner in [OtherOwner::ApartQueue, OtherOwner::SharedQueue, OtherOwner::Workspace] {
+        if w.rng.below(2) == 0 {
+            let tasks = 1 + w.rng.below(3) as u32;
+            w.submit_other(owner, number, job(vec![step(tasks, vec![])], w.now.as_millis() as u64));
+            keys.push(owner.key(number));
+        }
+    }
+}
+
 /// Key of the first job that no worker could ever take.
 const FIRST_INFEASIBLE: u64 = 1_000;
 /// Processor that each task of such a job asks for at least, in thousandths of a core.
@@ -282,6 +309,9 @@
                     w.submit_second(n + 1, other);
                     keys.push(second_key(n + 1));
                 }
+                if with == With::TwoQueues {
+                    submit_on_other_queues(&mut w, n + 1, &mut keys);
+                }
                 w.submit(n + 1, spec);
                 keys.push(n + 1);
             }
@@ -388,6 +418,13 @@
     play_with_starts(HISTORIES / 2, World::restarting_relayed, With::SecondOwner);
 }
 
+/// MIXED, LOST: jobs of several queues share a number, on one service and on two.
+#[test]
+fn short_histories_with_two_queues() {
+    play_with_starts(HISTORIES, World::two_queues, With::TwoQueues);
+    play_with_starts(HISTORIES / 2, two_queues_and_relays, With::TwoQueues);
+}
+
 /// LOST: a state outgrows what the store takes in one append, and nothing is stored any more. Holders are killed between two
 /// appends of one batch.
 #[test]
@@ -586,6 +623,9 @@
         "infeasible" => (World::new, With::Infeasible),
         "infeasible-limit" => (World::limited, With::Infeasible),
         "infeasible-relays" => (World::restarting_relayed, With::Infeasible),
+        "two-queues" => (World::two_queues, With::TwoQueues),
+        "two-queues-relays" => (two_queues_and_relays, With::TwoQueues),
+        "two-queues-bounded" => (two_queues_and_bounded_store, With::TwoQueues),
         "long-checkpoints" => (long_checkpoints, With::Checkpoints),
         "long-checkpoints-restarts" => (long_checkpoints_and_restarts, With::Checkpoints),
         "long-checkpoints-relays" => (long_checkpoints_and_relays, With::Checkpoints),
--- a/tests/testsuite/restarted_workers.rs
+++ b/tests/testsuite/restarted_workers.rs
@@ -10,8 +10,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::lease_bounds::ExtensionOrders;
 use workswood_core::jobs::{
-    Action, EndCoverage, EndKind, Event, Listing, Report, ReportedEnd, TaskId, WorkerAddress, WorkerInfo,
-    WorkerUpdate,
+    Action, EndCoverage, EndKind, Event, JobKey, Listing, Report, ReportedEnd, TaskId, WorkerAddress,
+    WorkerInfo, WorkerUpdate,
 };
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::host_world::{HostWorld, host, listed, upkeeps, wave, worker};
@@ -91,12 +91,15 @@
     );
     let told = world.tick();
     assert!(!told.iter().any(|a| matches!(a, Action::Start { .. } | Action::Stop(..))), "{told:?}");
-    let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     let done =
         ReportedEnd { sequence_number: 1, task, attempt: 1, kind: EndKind::Done, checkpoint: String::new() };
     world.answers(&life(20).id, Listing { ended: vec![done], ..Listing::default() });
     world.tick();
-    assert!(world.sched.jobs.is_archived(&1) || world.sched.jobs.get(&1).is_some_and(|j| !j.is_open()));
+    assert!(
+        world.sched.jobs.is_archived(&JobKey::of_number(1))
+            || world.sched.jobs.get(&JobKey::of_number(1)).is_some_and(|j| !j.is_open())
+    );
 }
 
 /// Likewise, and the first answer lacks ends: the run is not stopped, and the earlier life is over only once
@@ -123,7 +126,7 @@
     let (mut world, _) = one_task();
     world.at(100);
     world.sched.handle(Event::WorkerListed(life(20)));
-    let task = TaskId { job: 1, round: 0, step: 0, index: 0 };
+    let task = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
     let done =
         ReportedEnd { sequence_number: 1, task, attempt: 1, kind: EndKind::Done, checkpoint: String::new() };
     world.answers(&life(20).id, Listing { ended: vec![done], ..Listing::default() });
@@ -154,7 +157,7 @@
     world.sched.handle(Event::WorkerRestarted(life(10).id, 20, Duration::ZERO));
     assert!(!world.sched.deposed && !world.sched.workers.contains_key(&life(10).id));
     assert!(world.sched.workers.get(&life(20).id).is_some_and(|w| w.listed && w.reachable));
-    assert!(world.sched.jobs.get(&1).is_some_and(|j| j.is_open()), "its task is not done");
+    assert!(world.sched.jobs.get(&JobKey::of_number(1)).is_some_and(|j| j.is_open()), "its task is not done");
 }
 
 /// An answer of a life comes after its worker has started once more.
@@ -218,13 +221,17 @@
 fn next_holder() {
     for before in [life(10).id, WorkerId::new("w", None)] {
         let (mut first, _) = one_task();
-        let mut rec = first.sched.jobs.get(&1).expect("it is open").record();
+        let mut rec = first.sched.jobs.get(&JobKey::of_number(1)).expect("it is open").record();
         let tasks = rec.rounds.iter_mut().flatten().flatten();
         tasks.for_each(|t| t.runs.iter_mut().for_each(|(worker, _)| *worker = before.clone()));
         first.tick();
         let mut world = HostWorld::new(0);
         world.sched.restore_worker(before.clone(), life(10).record());
-        world.sched.restore_job(1, Some(Arc::new(job(vec![step(1, vec![])], 0))), Some(rec));
+        world.sched.restore_job(
+            JobKey::of_number(1),
+            Some(Arc::new(job(vec![step(1, vec![])], 0))),
+            Some(rec),
+        );
         world.sched.handle(Event::WorkerListed(life(20)));
         assert_eq!(starts(&world.tick()), []);
         world.answers(&life(20).id, nothing());
--- a/tests/testsuite/second_runs.rs
+++ b/tests/testsuite/second_runs.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use workswood_core::jobs::{
-    Action, EndKind, Event, JobSpec, JobStatus, Listing, Outcome, ReportedEnd, StepSpec, TaskId, WorkerUpdate,
+    Action, EndKind, Event, JobKey, JobSpec, JobStatus, Listing, Outcome, ReportedEnd, StepSpec, TaskId,
+    WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_world::{job, step};
@@ -101,7 +102,7 @@
     }
 
     fn status(&self) -> JobStatus {
-        self.world.sched.jobs.status(&1).expect("the job is known")
+        self.world.sched.jobs.status(&JobKey::of_number(1)).expect("the job is known")
     }
 }
 
--- a/tests/testsuite/settled_runs.rs
+++ b/tests/testsuite/settled_runs.rs
@@ -8,12 +8,12 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::listing_log::{ClockWarnings, PollKind, runs_missing_line};
 use workswood_core::jobs::{
-    Action, EndKind, Event, Report, ReportedEnd, ReportedRun, StartReply, TaskId, WorkerUpdate,
+    Action, EndKind, Event, JobKey, Report, ReportedEnd, ReportedRun, StartReply, TaskId, WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{job, step};
 
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/testsuite/shared_numbers.rs
+++ b/tests/testsuite/shared_numbers.rs
@@ -1,6 +1,6 @@
 //! Jobs of several owners under one number.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use workswood::ops::jobs::inbox::InboxIndex;
@@ -9,17 +9,26 @@
 use workswood::ops::jobs::record::{InboxKey, InboxRecordKind, StateKey, parse_state_key, state_record};
 use workswood_core::jobs::job::StateSlot;
 use workswood_core::jobs::restored_jobs::join_states;
-use workswood_core::jobs::{Event, JobKey, JobRecord, JobSpec, JobStatus, Outcome, Owner, Record, TaskId};
+use workswood_core::jobs::{
+    Event, JobKey, JobOwner, JobRecord, JobSpec, JobStatus, Outcome, Owner, QueueTag, Record, TaskId,
+};
 use workswood_test_support::host_world::{HostWorld, WorkerRuns};
 use workswood_test_support::job_world::{job, step};
 
-const KEY: JobKey = 1;
+const NUMBER: u64 = 1;
 
 fn of(workspace: &str, accepted_at: u64, tasks: u32) -> Arc<JobSpec> {
     let spec = job(vec![step(tasks, vec![])], accepted_at);
     Arc::new(JobSpec { workspace: Some(workspace.to_string()), ..spec })
 }
 
+/// A job as earlier versions stored it: under its number alone.
+const KEY: JobKey = JobKey::of_number(NUMBER);
+
+fn key_of(workspace: &str) -> JobKey {
+    JobKey { number: NUMBER, owner: JobOwner::of_workspace(owner(workspace)) }
+}
+
 fn owner(workspace: &str) -> Owner {
     Owner::of_workspace(Some(workspace))
 }
@@ -27,10 +36,10 @@
 /// The state that a holder records of a job once it has started its tasks.
 fn state_of(spec: &Arc<JobSpec>) -> JobRecord {
     let mut world = HostWorld::new(4);
-    world.sched.handle(Event::Submitted(KEY, spec.clone()));
+    world.sched.handle(Event::Submitted(NUMBER, spec.clone()));
     let records = world.sched.take_batch().records;
     let state = records.into_iter().find_map(|rec| match rec {
-        Record::Job(KEY, state) => Some(state),
+        Record::Job(key, state) if key == spec.key(NUMBER) => Some(state),
         _ => None,
     });
     state.expect("the job is on record")
@@ -41,11 +50,11 @@
 fn state_of_its_owner() {
     let (early, late) = (of("a", 10, 1), of("b", 20, 1));
     let state = state_of(&late);
-    let restored = join_states([(KEY, early.clone()), (KEY, late)], HashMap::from([(KEY, state)]));
+    let restored = join_states([(NUMBER, early.clone()), (NUMBER, late.clone())], [(KEY, state)]);
     let mut next = HostWorld::new(0);
     next.sched.restore_jobs(restored);
-    assert_eq!(next.sched.jobs.owner(&KEY), Some(owner("b")));
-    assert!(next.sched.jobs.get(&KEY).is_some_and(|job| job.started));
+    assert_eq!(next.sched.jobs.owner(&late.key(NUMBER)), Some(owner("b")));
+    assert!(next.sched.jobs.get(&late.key(NUMBER)).is_some_and(|job| job.started));
 }
 
 /// The state of a finished job, whose submission the inbox no longer holds, is not that of another job.
@@ -53,7 +62,7 @@
 fn state_without_submission() {
     let over = state_of(&of("b", 20, 1)).owner();
     let state = JobRecord { outcome: Some(Outcome::Completed), ..state_of(&of("b", 20, 1)) };
-    let restored = join_states([(KEY, of("a", 10, 1))], HashMap::from([(KEY, state)]));
+    let restored = join_states([(NUMBER, of("a", 10, 1))], [(KEY, state)]);
     assert_eq!(over, Some(owner("b")));
     assert!(restored.jobs[0].spec.is_none());
     assert_eq!(restored.namesakes.len(), 1);
@@ -65,8 +74,8 @@
     let (one, two) = (of("a", 20, 1), of("b", 10, 2));
     let state = JobRecord { owner: None, ..state_of(&one) };
     let join = |specs: &[&Arc<JobSpec>]| {
-        let submitted: Vec<_> = specs.iter().map(|spec| (KEY, Arc::clone(spec))).collect();
-        join_states(submitted, HashMap::from([(KEY, state.clone())])).jobs.remove(0)
+        let submitted: Vec<_> = specs.iter().map(|spec| (NUMBER, Arc::clone(spec))).collect();
+        join_states(submitted, [(KEY, state.clone())]).jobs.remove(0)
     };
     let alone = join(&[&one]);
     assert_eq!(
@@ -84,8 +93,8 @@
 /// The earliest submission of an owner counts, and the earliest job of a number where none has a state.
 #[test]
 fn earliest_counts() {
-    let submitted = [of("a", 30, 1), of("b", 20, 1), of("a", 10, 1)].map(|spec| (KEY, spec));
-    let restored = join_states(submitted, HashMap::new());
+    let submitted = [of("a", 30, 1), of("b", 20, 1), of("a", 10, 1)].map(|spec| (NUMBER, spec));
+    let restored = join_states(submitted, []);
     assert_eq!(restored.jobs[0].spec.as_ref().map(|s| (s.owner(), s.accepted_at)), Some((owner("a"), 10)));
     assert_eq!(restored.namesakes.iter().map(|(_, s)| s.owner()).collect::<Vec<_>>(), [owner("b")]);
 }
@@ -124,7 +133,7 @@
             Some(StateKey::Job(key, _)) => (key, state.clone()),
             _ => panic!("{key} is no key of a job"),
         });
-        let submitted = submitted.iter().map(|spec| (KEY, spec.clone()));
+        let submitted = submitted.iter().map(|spec| (NUMBER, spec.clone()));
         let mut next = Site { runs: self.runs, ..Site::new() };
         next.world.sched.restore_jobs(join_states(submitted, states));
         next.stored = self.stored;
@@ -133,7 +142,7 @@
     }
 
     fn submit(&mut self, spec: &Arc<JobSpec>) {
-        self.world.sched.handle(Event::Submitted(KEY, spec.clone()));
+        self.world.sched.handle(Event::Submitted(NUMBER, spec.clone()));
     }
 
     /// Ticks; returns the attempts that are started, each with the owner's input.
@@ -162,7 +171,7 @@
     }
 
     fn shown(&self, workspace: &str) -> Option<JobStatus> {
-        self.shown.status(KEY, Some(owner(workspace)))
+        self.shown.status(key_of(workspace), None)
     }
 }
 
@@ -238,7 +247,7 @@
     site.submit(&a);
     site.submit(&b);
     site.tick();
-    site.world.sched.handle(Event::Cancelled(KEY, owner("b")));
+    site.world.sched.handle(Event::Cancelled(key_of("b")));
     site.tick();
     let canceled = Some(JobStatus::Ended(Outcome::Canceled));
     assert_eq!((site.shown("a"), site.shown("b")), (Some(JobStatus::Running), canceled));
@@ -258,7 +267,7 @@
     let over = workswood_core::jobs::FinishedJobRecord { owner: owner("a"), ..Default::default() };
     let mut site = Site::new();
     let states = [(KEY, JobRecord { over: Some(over), ..state })];
-    site.world.sched.restore_jobs(join_states([(KEY, of("b", 20, 1))], states));
+    site.world.sched.restore_jobs(join_states([(NUMBER, of("b", 20, 1))], states));
     assert!(site.tick().is_empty());
     assert_eq!((site.shown("a"), site.shown("b")), (COMPLETED, Some(JobStatus::Queued)));
     let later = site.world.sched.wall + 61_000;
@@ -272,7 +281,7 @@
 /// The inbox loses only the records of the job that has ended.
 #[test]
 fn inbox_keeps_other_owner() {
-    let key = |workspace, kind| InboxKey { job: KEY, owner: owner(workspace), kind };
+    let key = |workspace, kind| InboxKey { job: key_of(workspace), kind };
     let mut kept = InboxIndex::default();
     for workspace in ["a", "b"] {
         kept.insert(0, key(workspace, InboxRecordKind::Job));
@@ -280,19 +289,26 @@
     kept.insert(0, key("a", InboxRecordKind::Cancel));
     kept.insert(1, key("b", InboxRecordKind::Job));
     let of_a = [key("a", InboxRecordKind::Job), key("a", InboxRecordKind::Cancel)];
-    assert_eq!(kept.keys_of_job(0, KEY, owner("a")), of_a);
-    assert_eq!(kept.keys_of_job(1, KEY, owner("a")), []);
+    assert_eq!(kept.keys_of_job(0, key_of("a")), of_a);
+    assert_eq!(kept.keys_of_job(1, key_of("a")), []);
 }
 
 #[test]
 fn state_keys() {
-    let state = |slot| JobRecord { owner: Some(Owner::from_number(0xb)), slot, ..JobRecord::default() };
-    let key = |slot| state_record(&Record::Job(0xa, state(slot))).key;
-    assert_eq!(key(StateSlot::Number), "000000000000000a");
-    assert_eq!(key(StateSlot::NumberAndOwner), "000000000000000a-000000000000000b");
-    let owned = Some(Owner::from_number(0xb));
-    assert!(matches!(parse_state_key("000000000000000a"), Some(StateKey::Job(0xa, None))));
-    assert!(
-        matches!(parse_state_key(&key(StateSlot::NumberAndOwner)), Some(StateKey::Job(0xa, o)) if o == owned)
-    );
+    let workspace = Owner::from_number(0xb);
+    let old = JobKey { number: 0xa, owner: JobOwner::of_workspace(workspace) };
+    let new = JobKey { owner: JobOwner { workspace, queue: QueueTag::from_number(0xc) }, ..old };
+    let key = |key, slot| state_record(&Record::Job(key, JobRecord { slot, ..JobRecord::default() })).key;
+    assert_eq!(key(old, StateSlot::Number), "000000000000000a");
+    assert_eq!(key(old, StateSlot::NumberAndOwner), "000000000000000a-000000000000000b");
+    assert_eq!(key(new, StateSlot::Number), "000000000000000a-000000000000000b-000000000000000c");
+    let parsed = |text: &str| match parse_state_key(text) {
+        Some(StateKey::Job(key, slot)) => Some((key, slot)),
+        _ => None,
+    };
+    assert_eq!(parsed("000000000000000a"), Some((JobKey::of_number(0xa), StateSlot::Number)));
+    let with_owner = Some((old, StateSlot::NumberAndOwner));
+    assert_eq!(parsed(&key(old, StateSlot::NumberAndOwner)), with_owner);
+    assert_eq!(parsed(&key(new, StateSlot::Number)), Some((new, StateSlot::Number)));
+    assert_eq!(parsed("000000000000000a-000000000000000b-000000000000000c-000000000000000d"), None);
 }
--- a/tests/testsuite/silent_connections.rs
+++ b/tests/testsuite/silent_connections.rs
@@ -23,7 +23,7 @@
 use workswood::ops::jobs::{Node, peer_requests, peers};
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::{StoreStandin, WorkerStandin};
-use workswood_core::jobs::{JobStatus, JobStatusUpdate, WorkerAddress};
+use workswood_core::jobs::{JobKey, JobStatus, JobStatusUpdate, WorkerAddress};
 use workswood_liveness::HalfOpenDetector;
 use workswood_peers::{Ack, Handler, JobStateRequest, Link, Msg, StateReply, StateRequest};
 use workswood_platform::jobs::{Guard, JobPlatform, KeyedRecord, StoreError, Topic, WorkerClock};
@@ -195,7 +195,7 @@
         node.peers.call(
             &node.id,
             &cut.address,
-            Msg::JobStateRequest(JobStateRequest { job: 1, owner: None }),
+            Msg::JobStateRequest(JobStateRequest { job: 1, ..JobStateRequest::default() }),
             LONG,
         )
     };
@@ -214,20 +214,26 @@
     let (end, _ended) = watch::channel(false);
     let l = SchedulerHandle::new(7, holder.now(), LONG, tx, end);
     let shown = JobStatusUpdate {
-        key: 1,
+        key: JobKey::of_number(1),
         queue: "q".into(),
-        owner: workswood_core::jobs::Owner::PUBLIC,
+        service: String::new(),
         state: Some(JobStatus::Running),
         repeats: false,
     };
     l.job_statuses.write().update(shown);
     holder.scheduler.store(Some(Arc::new(l)));
     let node = Arc::new(Node::new(settings("entry-1"), store));
-    let seen = Holder { id: holder.id.clone(), peer_address: cut.address.clone(), term: 7, released: false };
+    let seen = Holder {
+        id: holder.id.clone(),
+        peer_address: cut.address.clone(),
+        term: 7,
+        released: false,
+        knows_queues: true,
+    };
     node.holder.store(Some(Arc::new(seen)));
     for _ in 0..3 {
         assert_eq!(
-            job_queries::job_status(&node, 1, workswood_core::jobs::Owner::PUBLIC).await,
+            job_queries::job_status(&node, JobKey::of_number(1)).await,
             Lookup::Found(JobStatus::Running),
             "each question is answered"
         );
--- a/tests/testsuite/state_parts.rs
+++ b/tests/testsuite/state_parts.rs
@@ -17,7 +17,7 @@
 use workswood_adapter_standin::settings_template::{DEPLOYED, ProcessAddresses, fill, promised_fields};
 use workswood_adapter_standin::{Ledger, StoreStandin, StoredTopic, WorkerStandin};
 use workswood_core::jobs::job::{StateSlot, TaskRecord, WorkerId};
-use workswood_core::jobs::{JobKey, JobRecord, Outcome, Owner, Record};
+use workswood_core::jobs::{JobKey, JobOwner, JobRecord, Outcome, Owner, Record};
 use workswood_platform::jobs::KeyedRecord;
 use workswood_test_support::program::{Program, free_ports};
 
@@ -27,7 +27,7 @@
 const SIZES: StoreSizes = StoreSizes { record: 262_144, append: 2_097_152 };
 /// Bytes of an append beside key and value of a record.
 const FRAMING: usize = 4;
-const KEY: JobKey = 0xa1;
+const KEY: JobKey = JobKey::of_number(0xa1);
 
 /// The state of a job of so many tasks, all of which run, have a checkpoint and have failed once.
 fn state_of(tasks: u32) -> JobRecord {
@@ -88,7 +88,7 @@
     assert_eq!(parts_of(10, &mut parts).len(), 1, "once");
     let stored = parts_of(5_000, &mut parts);
     let (_, mut successors) = StateParts::join(stored);
-    let drop = Record::DropJob(KEY, Owner::PUBLIC, StateSlot::Number);
+    let drop = Record::DropJob(KEY, StateSlot::Number);
     let dropped = split(&drop, &mut successors, SMALL_RECORD);
     assert_eq!(deleted(&dropped).len(), large, "{:?}", deleted(&dropped));
 }
@@ -117,10 +117,17 @@
 #[test]
 fn large_batch() {
     let small = Record::DropWorker("i-1".into());
-    let of = |key: JobKey| Record::Job(key, state_of(8_000));
-    let second = |key: JobKey| {
+    let key = |number: u64, name: &str| JobKey {
+        number,
+        owner: JobOwner::of_workspace(Owner::of_workspace(Some(name))),
+    };
+    let of = |number: u64| Record::Job(key(number, "north"), state_of(8_000));
+    let second = |number: u64| {
         let owner = Some(Owner::of_workspace(Some("south")));
-        Record::Job(key, JobRecord { owner, slot: StateSlot::NumberAndOwner, ..state_of(8_000) })
+        Record::Job(
+            key(number, "south"),
+            JobRecord { owner, slot: StateSlot::NumberAndOwner, ..state_of(8_000) },
+        )
     };
     let appends_of = |records: &[Record]| -> Vec<Vec<KeyedRecord>> {
         StateEncoder::default().appends_of(records, SIZES).iter().map(Append::records).collect()
@@ -148,8 +155,8 @@
 static SITES: AtomicUsize = AtomicUsize::new(0);
 pub(super) const LARGE: &str = "00000000000000b1";
 pub(super) const SMALL: &str = "00000000000000b2";
-/// Key of the first part of the state of the large job.
-const FIRST_PART: &str = "part-00000000000000b1+0";
+/// Beginning of the keys of parts of the state of the large job.
+const PART: &str = "part-00000000000000b1-";
 /// Tasks of the large job in each of two steps, all of which run at once.
 const TASKS: u32 = 2_000;
 /// Sizes that the store of a site takes.
@@ -227,7 +234,7 @@
     /// Waits until the state of the large job is stored in parts, or no longer is.
     pub async fn until_in_parts(&self, wanted: bool) {
         let until = Instant::now() + WITHIN;
-        while self.store.newest(StoredTopic::State, FIRST_PART).is_some() != wanted {
+        while self.store.has_key(StoredTopic::State, PART) != wanted {
             assert!(Instant::now() < until, "in parts: {}", !wanted);
             tokio::time::sleep(PAUSE).await;
         }
--- a/tests/testsuite/stopping_holder.rs
+++ b/tests/testsuite/stopping_holder.rs
@@ -127,7 +127,13 @@
 async fn released_lease_is_left() {
     let (node, store, stopped) = holder_in(&[&[Fate::Done][..], &[Fate::Refused; 1000]].concat(), true);
     let id = node.id.clone();
-    node.set_holder(Holder { id, peer_address: "127.0.0.1:1".to_string(), term: 7, released: true });
+    node.set_holder(Holder {
+        id,
+        peer_address: "127.0.0.1:1".to_string(),
+        term: 7,
+        released: true,
+        knows_queues: true,
+    });
     let began = node.now();
     stop(&node, stopped).await;
     assert!(node.now() - began < Duration::from_millis(500), "{:?}", node.now() - began);
--- a/tests/testsuite/store_outages.rs
+++ b/tests/testsuite/store_outages.rs
@@ -8,7 +8,7 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Action, Batch, EndKind, Event, JobRecord, JobSpec, JobStatus, Listing, OutagePolicy, Outcome, Owner,
+    Action, Batch, EndKind, Event, JobKey, JobRecord, JobSpec, JobStatus, Listing, OutagePolicy, Outcome,
     ReportedEnd, ReportedRun, SchedConfig, StepSpec, StoreAccess, TaskId, WorkerRecord, WorkerUpdate,
     Workspace, Workspaces,
 };
@@ -24,7 +24,7 @@
 pub(super) const JOB: u64 = 1;
 
 pub(super) fn task(step: u16, index: u32) -> TaskId {
-    TaskId { job: JOB, round: 0, step, index }
+    TaskId { job: JobKey::of_number(JOB), round: 0, step, index }
 }
 
 /// Two steps of one task.
@@ -96,7 +96,7 @@
     answer(&mut world, begun[0].2, vec![listed(begun[0].0, 1)], Vec::new());
     store(&mut world);
     let record = batch.records.into_iter().find_map(|rec| match rec {
-        Record::Job(JOB, record) => Some(record),
+        Record::Job(key, record) if key.number == JOB => Some(record),
         _ => None,
     });
     (world, begun[0].2, record.expect("the job is on record"))
@@ -214,10 +214,13 @@
     let mut owed = OwedBatch::default();
     for cancelled in [false, true] {
         let record = JobRecord { cancelled, ..JobRecord::default() };
-        owed.add(Batch { records: vec![Record::Job(JOB, record)], ..Batch::default() });
+        owed.add(Batch { records: vec![Record::Job(JobKey::of_number(JOB), record)], ..Batch::default() });
     }
     let records = owed.into_batch().records;
-    assert!(matches!(&records[..], [Record::Job(JOB, record)] if record.cancelled), "{records:?}");
+    assert!(
+        matches!(&records[..], [Record::Job(key, record)] if key.number == JOB && record.cancelled),
+        "{records:?}"
+    );
 }
 
 /// A successor of a holder that recorded both workers as open, or as closed.
@@ -233,7 +236,7 @@
         let info = worker(n, 0);
         world.sched.restore_worker(info.id.clone(), WorkerRecord { open, ..info.record() });
     }
-    world.sched.restore_job(JOB, Some(spec), Some(record));
+    world.sched.restore_job(JobKey::of_number(JOB), Some(spec), Some(record));
     (0..WORKERS).for_each(|n| world.sched.handle(Event::WorkerListed(worker(n, 0))));
     list(&mut world);
     world
@@ -265,7 +268,8 @@
     let mut world = successor(true);
     first_step_done(&mut world);
     world.sched.handle(Event::Submitted(2, two_steps()));
-    let begun: Vec<u64> = starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job).collect();
+    let begun: Vec<u64> =
+        starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job.number).collect();
     assert_eq!(begun, [2]);
 }
 
@@ -294,7 +298,8 @@
     first_step_done(&mut world);
     world.sched.handle(Event::Submitted(2, job_of("two")));
     world.sched.handle(Event::Submitted(3, job_of("one")));
-    let begun: Vec<u64> = starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job).collect();
+    let begun: Vec<u64> =
+        starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job.number).collect();
     assert_eq!(begun, [2], "three tasks of the first workspace may run on worker 1");
     answer(&mut world, 1, Vec::new(), Vec::new());
     let begun = starts(&store(&mut world).actions).len();
@@ -308,7 +313,7 @@
     limit_workspaces(&mut world);
     first_step_done(&mut world);
     store(&mut world);
-    world.sched.handle(Event::Cancelled(JOB, Owner::of_workspace(Some("one"))));
+    world.sched.handle(Event::Cancelled(job_of("one").key(JOB)));
     store(&mut world);
     world.sched.handle(Event::Submitted(3, job_of("one")));
     assert_eq!(starts(&store(&mut world).actions), []);
@@ -375,7 +380,7 @@
     let stops = batch.actions.iter().filter(|action| matches!(action, Action::Stop(..))).count();
     assert_eq!(stops, 0);
     answer(&mut world, 1, Vec::new(), vec![ended(1, task(1, 0), 3, EndKind::Done)]);
-    assert_eq!(world.sched.jobs.status(&JOB), Some(JobStatus::Ended(Outcome::Completed)));
+    assert_eq!(world.sched.jobs.status(&JobKey::of_number(JOB)), Some(JobStatus::Ended(Outcome::Completed)));
 }
 
 /// The predecessor knew that attempt 1 was over when it began attempt 2.
--- a/tests/testsuite/stored_formats.rs
+++ b/tests/testsuite/stored_formats.rs
@@ -45,8 +45,9 @@
 use workswood_core::jobs::policy::ShareOrder;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    AdviceReply, EndKind, Host, HostReply, HostState as JobHostState, JobRecord, JobSpec, Listing, Outcome,
-    Owner, Record, Report, SchedConfig, StartReply, StepId, StopReply, TaskId, WorkerAddress, WorkerInfo,
+    AdviceReply, EndKind, Host, HostReply, HostState as JobHostState, JobKey, JobRecord, JobSpec, Listing,
+    Outcome, Owner, Record, Report, SchedConfig, StartReply, StepId, StopReply, TaskId, WorkerAddress,
+    WorkerInfo,
 };
 use workswood_core::membership::Liveness;
 use workswood_core::plan::{HostAction, HostState, ObservedFleet, WaveState, WaveStatus};
@@ -238,7 +239,7 @@
 }
 
 fn task() -> TaskId {
-    TaskId { job: 0x0123_4567_89ab_cdef, round: 1, step: 2, index: 3 }
+    TaskId { job: JobKey::of_number(0x0123_4567_89ab_cdef), round: 1, step: 2, index: 3 }
 }
 
 /// Orders that a relay takes for other ones than the lease holder sent.
@@ -372,17 +373,14 @@
 fn read_state(rec: &KeyedRecord) -> Record {
     let value = rec.value.as_deref();
     match (parse_state_key(&rec.key).expect("a key of the state"), value) {
-        (StateKey::Job(job, None), Some(value)) => {
+        (StateKey::Job(job, StateSlot::Number), Some(value)) => {
             Record::Job(job, job_state::decode(value).expect("a job's state"))
         }
-        (StateKey::Job(job, Some(owner)), Some(value)) => {
+        (StateKey::Job(job, slot), Some(value)) => {
             let state = job_state::decode(value).expect("a job's state");
-            Record::Job(job, JobRecord { owner: Some(owner), slot: StateSlot::NumberAndOwner, ..state })
-        }
-        (StateKey::Job(job, owner), None) => {
-            let slot = owner.map_or(StateSlot::Number, |_| StateSlot::NumberAndOwner);
-            Record::DropJob(job, owner.unwrap_or_default(), slot)
+            Record::Job(job, JobRecord { owner: Some(job.owner.workspace), slot, ..state })
         }
+        (StateKey::Job(job, slot), None) => Record::DropJob(job, slot),
         (StateKey::Wave(n), value) => {
             Record::Wave(n, serde_json::from_slice(value.expect("a value")).expect("a wave's progress"))
         }
@@ -506,8 +504,8 @@
         let stored = keyed(line);
         let key = parse_inbox_key(line.0).expect("a key of the inbox");
         let written = match key.kind {
-            InboxRecordKind::Job => job_record(key.job, &inbox_spec(line.0)),
-            InboxRecordKind::Cancel => cancel_record(key.job, key.owner),
+            InboxRecordKind::Job => job_record(key.job.number, &inbox_spec(line.0)),
+            InboxRecordKind::Cancel => cancel_record(key.job),
         };
         assert_eq!(written, stored, "{}", line.0);
         assert_eq!(key.deletion_record(), deletion_record(line.0.to_string()));
@@ -1171,6 +1169,12 @@
     assert_eq!((before.term, before.released), (2, false));
     let without_others = holder_read(text(LEASE_AND_PEERS, "lease-claimed-without-others")).await;
     assert_eq!((without_others.term, without_others.released), (2, false));
+    for name in ["lease-claimed-without-queues", "lease-bound-without-queues"] {
+        let without_queues = holder_read(text(LEASE_AND_PEERS, name)).await;
+        assert_eq!((without_queues.term, without_queues.knows_queues), (2, false));
+    }
+    let claimed = text(LEASE_AND_PEERS, "lease-claimed");
+    assert!(holder_read(claimed).await.knows_queues);
     let released = text(LEASE_AND_PEERS, "lease-released");
     assert!(holder_read(released).await.released);
     assert!(holder_read(text(LEASE_AND_PEERS, "lease-released-after-end")).await.released);
@@ -1235,8 +1239,9 @@
     let open = JobRecord { outcome: None, ..job_state_of("00000000000000ab") };
     let spec = inbox_spec("00000000000000ab-828a5f41ad4304c3");
     seen.inbox.extend([1, 2, 3, 4, 5, 6].map(|job| job_record(job, &spec)));
-    seen.state.extend([4, 5].map(|job| state_record(&Record::Job(job, JobRecord::default()))));
-    seen.state.push(state_record(&Record::Job(6, open)));
+    seen.state
+        .extend([4, 5].map(|job| state_record(&Record::Job(JobKey::of_number(job), JobRecord::default()))));
+    seen.state.push(state_record(&Record::Job(JobKey::of_number(6), open)));
     seen.hosts = Err("no answer: late".to_string());
     seen.lease = Some(keyed(("holder", text(LEASE_AND_PEERS, "lease-released"))));
     assert_eq!(to_json(&aggregate_status(&platform, &seen)), text(JOBS_SHOWN, "status-with-open-jobs"));
--- a/tests/testsuite/trial_waits.rs
+++ b/tests/testsuite/trial_waits.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use workswood_core::jobs::crash_history::{Certainty, CrashHistory, CrashRecord, Evidence};
-use workswood_core::jobs::{Action, Event, Job, JobSpec, StepSpec, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, Job, JobKey, JobSpec, StepSpec, TaskId, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, host, worker};
 use workswood_test_support::job_world::{SERVICE, job, step};
 
@@ -44,13 +44,13 @@
     /// A job whose first task was lost in some crashes under earlier holders.
     fn restore(&mut self, key: u64, spec: JobSpec, crashes: u32) {
         let spec = Arc::new(spec);
-        let mut before = Job::new(key, spec.clone());
+        let mut before = Job::new(JobKey::of_number(key), spec.clone());
         before.open_round();
         let mut record = before.record();
         let crash = CrashRecord::possible(Evidence::Unconfirmed, None);
         record.rounds[0][0][0].crashes = CrashHistory((1..=crashes).map(|n| (n, crash.clone())).collect());
         record.rounds[0][0][0].latest_attempt = crashes;
-        self.world.sched.restore_job(key, Some(spec), Some(record));
+        self.world.sched.restore_job(JobKey::of_number(key), Some(spec), Some(record));
     }
 
     fn submit(&mut self, key: u64, spec: JobSpec) {
@@ -83,7 +83,7 @@
     /// Plays until the task of a job has been started; returns how long that took.
     fn wait_for(&mut self, key: u64) -> u64 {
         let begin = self.ms;
-        let id = TaskId { job: key, round: 0, step: 0, index: 0 };
+        let id = TaskId { job: JobKey::of_number(key), round: 0, step: 0, index: 0 };
         while !self.started.contains_key(&id) {
             assert!(self.ms < begin + 20_000, "job {key} never runs");
             self.tick();
@@ -168,7 +168,7 @@
     site.restore(1, job(vec![large], 0), 3);
     site.restore(2, job(vec![step(1, vec![])], 0), 1);
     site.play(5000);
-    let id = TaskId { job: 2, round: 0, step: 0, index: 0 };
+    let id = TaskId { job: JobKey::of_number(2), round: 0, step: 0, index: 0 };
     let Some(Action::Start { worker: at, .. }) = site.started.get(&id).cloned() else { panic!("it runs") };
     let n = host_of(&at);
     // The other worker is full.
@@ -186,7 +186,7 @@
     /// A job whose first task is the likely cause of some crashes under earlier holders.
     fn restore_likely_cause(&mut self, key: u64, crashes: u32) {
         let spec = Arc::new(job(vec![lasting()], 0));
-        let mut before = Job::new(key, spec.clone());
+        let mut before = Job::new(JobKey::of_number(key), spec.clone());
         before.open_round();
         let mut record = before.record();
         let max_run_time = Some(Duration::from_millis(100));
@@ -194,7 +194,7 @@
         let crash = CrashRecord { certainty: Certainty::Certain, ..possible };
         record.rounds[0][0][0].crashes = CrashHistory((1..=crashes).map(|n| (n, crash.clone())).collect());
         record.rounds[0][0][0].latest_attempt = crashes;
-        self.world.sched.restore_job(key, Some(spec), Some(record));
+        self.world.sched.restore_job(JobKey::of_number(key), Some(spec), Some(record));
     }
 
     /// A task is started on each worker; none of them ends.
@@ -221,7 +221,7 @@
     site.play(500);
     site.restore_likely_cause(9, 2);
     site.wait_for(9);
-    let id = TaskId { job: 9, round: 0, step: 0, index: 0 };
+    let id = TaskId { job: JobKey::of_number(9), round: 0, step: 0, index: 0 };
     let Action::Start { worker: at, .. } = &site.started[&id] else { panic!("a start") };
     let n = host_of(at);
     let q = site.world.sched.workers.get(at).and_then(|w| w.quarantine);
@@ -249,7 +249,7 @@
     let (mut site, n) = site_with_open_trial();
     site.submit(10, job(vec![step(5, vec![])], 0));
     site.tick();
-    let beside = |a: &&Action| matches!(a, Action::Start { worker, task, .. } if task.job == 10 && host_of(worker) == n);
+    let beside = |a: &&Action| matches!(a, Action::Start { worker, task, .. } if task.job == JobKey::of_number(10) && host_of(worker) == n);
     assert!(site.started.values().any(|a| beside(&a)), "a run has just started beside it");
     assert_eq!(crash(&mut site, n), 0);
 }
--- a/tests/testsuite/unanswered_leases.rs
+++ b/tests/testsuite/unanswered_leases.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use workswood_core::jobs::{Event, TaskId, WorkerUpdate};
+use workswood_core::jobs::{Event, JobKey, TaskId, WorkerUpdate};
 use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::TurnStore;
 
@@ -33,7 +33,7 @@
 #[tokio::test(start_paused = true)]
 async fn repeated_start_extends_lease_of_silent_worker() {
     let (mut relay, store) = site().await;
-    relay.order_start(TaskId { job: 1, round: 0, step: 0, index: 7 }, 1);
+    relay.order_start(TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 7 }, 1);
     let outcome =
         |ev: &Event| matches!(ev, Event::WorkerUpdate(_, _, WorkerUpdate::Started(..))).then_some(());
     relay.event(outcome).await;
--- a/tests/testsuite/unanswered_starts.rs
+++ b/tests/testsuite/unanswered_starts.rs
@@ -7,14 +7,14 @@
 use workswood::ops::jobs::relay::messages::WorkerOrder;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, Event, Listing, Owner, StartReply, StepSpec, StopReply, TaskId, WorkerInfo, WorkerUpdate,
+    Action, Event, JobKey, Listing, StartReply, StepSpec, StopReply, TaskId, WorkerInfo, WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, listed, worker};
 use workswood_test_support::job_world::{job, step};
 use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::TurnStore;
 
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 /// End of the lease of a worker that doesn't answer, in milliseconds.
 const LEASE_END_MS: u64 = 6000;
 
@@ -165,7 +165,7 @@
 fn cancelled_before_repeated_start_is_handed_on() {
     let mut ordered = Ordered::unanswered(false);
     let orders = ordered.orders();
-    ordered.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    ordered.world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     assert_eq!(ordered.hand_on(&orders), 0);
     assert!(ordered.may_exist());
     assert_eq!(ordered.orders(), [ordered.stop()]);
@@ -176,7 +176,7 @@
     let mut ordered = Ordered::new();
     ordered.falls_silent();
     ordered.replies(StartReply::NoAnswer);
-    ordered.world.sched.handle(Event::Cancelled(1, Owner::PUBLIC));
+    ordered.world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
     assert_eq!(ordered.orders(), [ordered.stop()]);
     ordered.answers(false);
     assert_eq!(ordered.orders(), [], "no start");
--- a/tests/testsuite/unrecorded_starts.rs
+++ b/tests/testsuite/unrecorded_starts.rs
@@ -5,7 +5,7 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::types::Record;
 use workswood_core::jobs::{
-    Batch, EndKind, Event, JobSpec, JobStatus, Outcome, StepSpec, StoreAccess, TaskId, WorkerInfo,
+    Batch, EndKind, Event, JobKey, JobSpec, JobStatus, Outcome, StepSpec, StoreAccess, TaskId, WorkerInfo,
     WorkerRecord,
 };
 use workswood_test_support::host_world::{HostWorld, OTHER, worker};
@@ -100,7 +100,7 @@
     let begun = starts(&store(&mut world).actions);
     assert_eq!(begun.len(), 1, "two of three attempts have failed");
     answer(&mut world, begun[0].2, Vec::new(), failed(3, begun[0].1));
-    assert_eq!(world.sched.jobs.status(&JOB), Some(JobStatus::Ended(Outcome::Failed)));
+    assert_eq!(world.sched.jobs.status(&JobKey::of_number(JOB)), Some(JobStatus::Ended(Outcome::Failed)));
 }
 
 /// QUOTA: a worker has shrunk since a predecessor filled it with tasks without a record.
@@ -139,7 +139,9 @@
     for rec in records_beside_other_workspace() {
         match rec {
             Record::Worker(id, rec) => world.sched.restore_worker(id, rec),
-            Record::Job(JOB, rec) => world.sched.restore_job(JOB, Some(job_of("one")), Some(rec)),
+            Record::Job(key, rec) if key.number == JOB => {
+                world.sched.restore_job(key, Some(job_of("one")), Some(rec));
+            }
             Record::Job(key, rec) => world.sched.restore_job(key, Some(filling_job()), Some(rec)),
             _ => {}
         }
@@ -149,7 +151,8 @@
     limit_workspaces(&mut world);
     first_step_done(&mut world);
     world.sched.handle(Event::Submitted(3, job_of("one")));
-    let begun: Vec<u64> = starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job).collect();
+    let begun: Vec<u64> =
+        starts(&store(&mut world).actions).iter().map(|(task, ..)| task.job.number).collect();
     assert!(!begun.contains(&3), "three tasks of the first job may run on worker 1");
 }
 
--- a/tests/testsuite/withdrawn_crashes.rs
+++ b/tests/testsuite/withdrawn_crashes.rs
@@ -7,7 +7,7 @@
 use workswood_core::jobs::crash_rate::CrashRate;
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{
-    Action, EndKind, Event, Host, Job, JobRecord, Listing, Record, ReportedEnd, StepSpec, TaskId,
+    Action, EndKind, Event, Host, Job, JobKey, JobRecord, Listing, Record, ReportedEnd, StepSpec, TaskId,
     WorkerUpdate,
 };
 use workswood_test_support::host_world::{HostWorld, host, worker};
@@ -16,7 +16,7 @@
 /// Hosts of the world.
 const HOSTS: usize = 4;
 /// The task that is followed.
-const TASK: TaskId = TaskId { job: 1, round: 0, step: 0, index: 0 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: 0 };
 
 fn hosts(lives: &[usize]) -> Vec<Host> {
     lives.iter().enumerate().map(|(n, life)| host(n, SERVICE, Some(*life))).collect()
@@ -27,7 +27,7 @@
 }
 
 fn count(world: &HostWorld) -> usize {
-    world.sched.jobs[&1].task(&TASK).expect("it is known").crashes.count()
+    world.sched.jobs[&JobKey::of_number(1)].task(&TASK).expect("it is known").crashes.count()
 }
 
 /// The worker on a host falls silent, and a list shows another life there.
@@ -70,7 +70,7 @@
     world.sched.handle(Event::Tick);
     let records = world.sched.take_batch().records;
     records.into_iter().find_map(|rec| match rec {
-        Record::Job(1, rec) => Some(rec),
+        Record::Job(key, rec) if key.number == 1 => Some(rec),
         _ => None,
     })
 }
@@ -129,7 +129,7 @@
 fn next_holder_withdraws() {
     let mut world = taken_over(&[inherited_crash(1), inherited_crash(2)], false);
     answers_again(&mut world, 1, Listing::default());
-    let crashes = &world.sched.jobs[&1].task(&TASK).expect("it is known").crashes;
+    let crashes = &world.sched.jobs[&JobKey::of_number(1)].task(&TASK).expect("it is known").crashes;
     assert_eq!(crashes.0.keys().copied().collect::<Vec<_>>(), [2]);
     answers_again(&mut world, 2, Listing::default());
     assert_eq!(count(&world), 0);
@@ -139,14 +139,14 @@
 fn taken_over(crashes: &[CrashRecord], given_up: bool) -> HostWorld {
     let mut world = HostWorld::new(0);
     let spec = Arc::new(job(vec![lasting()], 0));
-    let mut before = Job::new(1, spec.clone());
+    let mut before = Job::new(JobKey::of_number(1), spec.clone());
     before.open_round();
     let mut record = before.record();
     let task = &mut record.rounds[0][0][0];
     task.crashes.0 = (1..).zip(crashes.iter().cloned()).collect();
     task.latest_attempt = crashes.len() as u32;
     task.given_up = given_up;
-    world.sched.restore_job(1, Some(spec), Some(record));
+    world.sched.restore_job(JobKey::of_number(1), Some(spec), Some(record));
     world.at(300);
     world
 }
@@ -164,7 +164,7 @@
         checkpoint: String::new(),
     };
     answers_again(&mut world, 1, Listing { ended: vec![end], ..Listing::default() });
-    let crashes = &world.sched.jobs[&1].task(&TASK).expect("it is known").crashes;
+    let crashes = &world.sched.jobs[&JobKey::of_number(1)].task(&TASK).expect("it is known").crashes;
     assert_eq!(crashes.0.keys().copied().collect::<Vec<_>>(), [2]);
 }
 
--- a/tests/testsuite/withdrawn_starts.rs
+++ b/tests/testsuite/withdrawn_starts.rs
@@ -5,14 +5,14 @@
 
 use workswood::ops::jobs::relay::codec;
 use workswood::ops::jobs::relay::messages::WorkerOrder;
-use workswood_core::jobs::{Action, Event, Owner, StartReply, TaskId, WorkerInfo, WorkerUpdate};
+use workswood_core::jobs::{Action, Event, JobKey, StartReply, TaskId, WorkerInfo, WorkerUpdate};
 use workswood_test_support::host_world::{HostWorld, worker};
 use workswood_test_support::job_world::{FaultRng, World, job, small_step, step};
 use workswood_test_support::relay_site::RelaySite;
 use workswood_test_support::turn_store::{SentOrder, TurnStore};
 
 fn task(index: u32) -> TaskId {
-    TaskId { job: 1, round: 0, step: 0, index }
+    TaskId { job: JobKey::of_number(1), round: 0, step: 0, index }
 }
 
 /// A holder that has decided to start the three tasks of a job on its only worker.
@@ -37,7 +37,7 @@
 }
 
 fn cancel(world: &mut HostWorld) {
-    world.sched.handle(Event::Cancelled(1, Owner::of_workspace(None)));
+    world.sched.handle(Event::Cancelled(JobKey::of_number(1)));
 }
 
 fn draining() -> WorkerInfo {
@@ -58,7 +58,7 @@
     assert_eq!(hand_on(&mut world, &starts), []);
     assert_eq!(room_in_use(&world), 0);
     world.sched.take_batch();
-    assert!(world.sched.jobs.is_archived(&1));
+    assert!(world.sched.jobs.is_archived(&JobKey::of_number(1)));
 }
 
 /// UNASKED: the job is cancelled while its starts wait in the relay, which is told at once.
--- a/tests/testsuite/worker_protocol.rs
+++ b/tests/testsuite/worker_protocol.rs
@@ -5,10 +5,10 @@
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::WorkerStandin;
 use workswood_core::jobs::job::WorkerId;
-use workswood_core::jobs::{EndCoverage, EndKind, TaskId, WorkerAddress, WorkerInfo};
+use workswood_core::jobs::{EndCoverage, EndKind, JobKey, TaskId, WorkerAddress, WorkerInfo};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, StartOrder, WorkerError};
 
-const TASK: TaskId = TaskId { job: 0x5c0e_7a21_d94b_36f8, round: 0, step: 1, index: 17 };
+const TASK: TaskId = TaskId { job: JobKey::of_number(0x5c0e_7a21_d94b_36f8), round: 0, step: 1, index: 17 };
 
 fn client() -> PlatformClient {
     let nowhere = "127.0.0.1:1".to_string();
--- a/tests/testsuite/worker_table.rs
+++ b/tests/testsuite/worker_table.rs
@@ -4,11 +4,11 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
-use workswood_core::jobs::TaskId;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::worker::{Worker, WorkerInfo};
 use workswood_core::jobs::worker_id::WorkerId;
 use workswood_core::jobs::worker_table::WorkerTable;
+use workswood_core::jobs::{JobKey, TaskId};
 
 const SERVICES: [&str; 2] = ["desk", "till"];
 const HOSTS: [&str; 3] = ["m-0", "m-1", "m-2"];
@@ -27,7 +27,7 @@
 }
 
 fn task(u: &mut Unstructured<'_>) -> Result<TaskId> {
-    Ok(TaskId { job: 1, round: 0, step: 0, index: u.int_in_range(0..=3)? })
+    Ok(TaskId { job: JobKey::of_number(1), round: 0, step: 0, index: u.int_in_range(0..=3)? })
 }
 
 /// Changes one worker, or forgets it.
--- a/tests/testsuite/workspace_limits.rs
+++ b/tests/testsuite/workspace_limits.rs
@@ -9,8 +9,8 @@
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::workspace_usage::{Reservation, UsageChange, WorkspaceUsage, limit_admits};
 use workswood_core::jobs::{
-    Action, EndKind, Event, Job, JobSpec, Listing, Owner, Report, ReportedEnd, SchedConfig, StartReply,
-    StepId, TaskId, WorkerUpdate, Workspace, Workspaces,
+    Action, EndKind, Event, Job, JobKey, JobOwner, JobSpec, Listing, Owner, Report, ReportedEnd, SchedConfig,
+    StartReply, StepId, TaskId, WorkerUpdate, Workspace, Workspaces,
 };
 use workswood_test_support::host_world::HostWorld;
 use workswood_test_support::job_world::{QUEUE, config, job, step};
@@ -62,10 +62,15 @@
     }
 }
 
+/// The key of a workspace's job.
+fn key_of(number: u64, workspace: &str) -> JobKey {
+    JobKey { number, owner: JobOwner::of_workspace(Owner::of_workspace(Some(workspace))) }
+}
+
 /// Jobs whose tasks are started.
 fn jobs_of(starts: &[Action]) -> Vec<u64> {
     let of = |a: &Action| match a {
-        Action::Start { task, .. } => Some(task.job),
+        Action::Start { task, .. } => Some(task.job.number),
         _ => None,
     };
     starts.iter().filter_map(of).collect()
@@ -88,7 +93,7 @@
     let [Action::Start { worker: w, task, attempt, .. }, ..] = first.as_slice() else { panic!("a start") };
     world.tells(w, WorkerUpdate::Started(*task, *attempt, StartReply::NoAnswer));
     assert_eq!(submit(&mut world, 2, of("north", 3)).len(), 0);
-    world.sched.handle(Event::Cancelled(1, Owner::of_workspace(Some("north"))));
+    world.sched.handle(Event::Cancelled(key_of(1, "north")));
     assert_eq!(submit(&mut world, 3, of("north", 3)).len(), 0, "what is stopped may still run");
     // Its worker lists nothing of it any more.
     world.tells(w, WorkerUpdate::Reported(Report { full: true, ..Report::default() }));
@@ -101,9 +106,9 @@
     let mut before = world(&[("north", 3000)]);
     let first = submit(&mut before, 1, of("north", 4));
     assert_eq!(first.len(), 3);
-    let record = before.sched.jobs[&1].record();
+    let record = before.sched.jobs[&JobKey::of_number(1)].record();
     let mut next = world(&[("north", 3000)]);
-    next.sched.restore_job(1, Some(Arc::new(of("north", 4))), Some(record));
+    next.sched.restore_job(JobKey::of_number(1), Some(Arc::new(of("north", 4))), Some(record));
     assert_eq!(starts(next.sched.take_batch().actions).len(), 0);
     assert_eq!(submit(&mut next, 2, of("north", 2)).len(), 0);
 }
@@ -210,7 +215,8 @@
         submit(&mut world, key, of("north", 1));
     }
     submit(&mut world, 30, of("south", 1));
-    let ended: Vec<TaskId> = (0..4).map(|index| TaskId { job: 1, round: 0, step: 0, index }).collect();
+    let ended: Vec<TaskId> =
+        (0..4).map(|index| TaskId { job: JobKey::of_number(1), round: 0, step: 0, index }).collect();
     let Some(Action::Start { worker: w, .. }) = full.first() else { panic!("a start") };
     let ends = ended.iter().zip(1..).map(|(task, number)| ReportedEnd {
         sequence_number: number,
@@ -246,10 +252,10 @@
     let cfg = config();
     let spec = Arc::new(of("north", 8));
     let dues = |most_cpu| {
-        let mut j = Job::new(1, spec.clone());
+        let mut j = Job::new(JobKey::of_number(1), spec.clone());
         j.max_cpu_millis = most_cpu;
         j.open_round();
-        let id = StepId { job: 1, round: 0, step: 0 };
+        let id = StepId { job: JobKey::of_number(1), round: 0, step: 0 };
         let policy = OrderPolicy::default();
         let paths = step_paths(&j, &TaskDurations::default(), &policy);
         queue_position(&j, &id, cfg.queues.get(QUEUE), &paths, &policy, 100).1
@@ -264,10 +270,10 @@
     let mut world = world(&[("north", 0), ("south", 0)]);
     submit(&mut world, 1, of("north", 1));
     assert_eq!(submit(&mut world, 1, of("south", 5)).len(), 0, "the number is taken");
-    world.sched.handle(Event::Cancelled(1, Owner::of_workspace(Some("south"))));
-    assert!(world.sched.jobs[&1].is_open());
-    world.sched.handle(Event::Cancelled(2, Owner::of_workspace(Some("south"))));
+    world.sched.handle(Event::Cancelled(key_of(1, "south")));
+    assert!(world.sched.jobs[&JobKey::of_number(1)].is_open());
+    world.sched.handle(Event::Cancelled(key_of(2, "south")));
     assert_eq!(submit(&mut world, 2, of("north", 1)).len(), 1, "a cancel that came early was not its own");
-    world.sched.handle(Event::Cancelled(1, Owner::of_workspace(Some("north"))));
-    assert!(!world.sched.jobs[&1].is_open());
+    world.sched.handle(Event::Cancelled(key_of(1, "north")));
+    assert!(!world.sched.jobs[&JobKey::of_number(1)].is_open());
 }
