Advice: while a step waits, one worker is asked about; figures that can't be served are refused

Cause: choose_batch named a worker only if the fixed time of another call was above the time for that worker, the first one included. With decide_ms not above each_ms (0 if left out) no call was ever made, and no job began. Tickets that end at once were asked for about 30 times a second, for good.

Change: the first candidate is always named. A queue whose tickets end within 10 ms, or whose calls take over an hour, is not asked about; its hand-ins are refused with code 149 unless an earlier one may be stored, and an answer with such tickets counts as a failed call.

--- a/crates/workswood-core/src/code.rs
+++ b/crates/workswood-core/src/code.rs
@@ -88,6 +88,7 @@
     146 NoRoom "too much work waits for the job to be done in time" "retry after the time in retry-after";
     147 NumberTaken "a job of another workspace has this number" "submit the job under another number";
     148 RecordTooLarge "a record is larger than the platform's store accepts, or is refused by it for good" "submit the job in smaller parts, or save shorter checkpoints; see docs/OPERATIONS.md";
+    149 AdviceUnusable "the queue's advice can't be used: its tickets end too soon, or a call takes too long" "correct `advice` of the queue in the configuration; then retry";
     200 FileUnreadable "the file can't be read" "check the path and its permissions";
     201 FileNotJson "the file is not valid JSON" "correct the file at the position that is named";
     202 UnknownField "unknown field" "use the name suggested, or see docs/FLEET.md";
--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -13,7 +13,7 @@
 
 use super::advice_batch::{EligibleRate, choose_batch};
 use super::advice_candidates::{AdviceRequest, WorkersByService};
-use super::config::AdviceConfig;
+use super::config::{AdviceConfig, MIN_TICKET_LIFETIME};
 use super::job::WorkerId;
 use super::job_key::JobKey;
 use super::scheduler::Scheduler;
@@ -228,6 +228,13 @@
         let Some(channel) = self.advice.channels.get_mut(a.channel) else { return };
         let Some(call) = channel.call.take() else { return };
         match a.reply {
+            AdviceReply::Answered(answer) if answer.valid_for.is_some_and(|v| v < MIN_TICKET_LIFETIME) => {
+                channel.record_failure(&call, now, false, max_backoff);
+                self.notes.push(format_args!(
+                    "event=tickets_too_short step={} valid={:?} least={MIN_TICKET_LIFETIME:?}",
+                    call.step, answer.valid_for
+                ));
+            }
             AdviceReply::Answered(answer) => {
                 channel.record_answer(now.saturating_sub(call.due));
                 self.advice.last_failed = self.advice.last_failed.filter(|step| *step != call.step);
@@ -321,7 +328,7 @@
         request: &AdviceRequest,
         workers: &WorkersByService,
     ) -> Option<(StepId, Vec<WorkerId>, AdviceConfig)> {
-        let cfg = self.advice_config(request.step.job).copied()?;
+        let cfg = self.advice_config(request.step.job).copied().filter(AdviceConfig::is_usable)?;
         let (need, candidates) = self.need_and_candidates(request, &cfg, workers)?;
         let queue = &self.jobs.get(&request.step.job)?.spec.queue;
         let share = self.advice.eligible_rates.get(queue).copied().unwrap_or_default().value();
--- a/crates/workswood-core/src/jobs/advice_batch.rs
+++ b/crates/workswood-core/src/jobs/advice_batch.rs
@@ -58,14 +58,19 @@
 }
 
 /// Chooses the first candidates to ask about so that `need` tasks find a place. `share` is the
-/// expected share of eligible ones among those not known to be eligible. A worker is named only if
-/// the probability that the workers before it are not enough, times the fixed time of another call,
-/// is larger than the time that the call takes for it.
+/// expected share of eligible ones among those not known to be eligible. While there is a need, the
+/// first candidate is always named, since without a call no task of the step is placed. A further
+/// one is named only if the probability that the workers before it are not enough, times the fixed
+/// time of another call, is larger than the time that the call takes for it.
 pub fn choose_batch(candidates: &[Candidate], need: u32, share: f64, cfg: &AdviceConfig) -> Vec<WorkerId> {
     let mut shortfall = Shortfall::new(need);
     let mut batch = Vec::new();
+    if need == 0 {
+        return batch;
+    }
     for c in candidates.iter().take(worker_limit(cfg)) {
-        if shortfall.probability() * cfg.base_call_time.as_secs_f64() <= cfg.time_per_worker.as_secs_f64() {
+        let saved = shortfall.probability() * cfg.base_call_time.as_secs_f64();
+        if !batch.is_empty() && saved <= cfg.time_per_worker.as_secs_f64() {
             break;
         }
         shortfall.add(c.fits, if c.eligible { 1.0 } else { share });
--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -34,6 +34,12 @@
     pub advice: Option<AdviceConfig>,
 }
 
+/// A ticket that is valid for less than this can't be used: the start that carries it has to reach
+/// its worker in time.
+pub const MIN_TICKET_LIFETIME: Duration = Duration::from_millis(10);
+/// A call about one worker that takes longer than this is not made.
+pub const MAX_ADVICE_TIME: Duration = Duration::from_secs(3600);
+
 /// Timing of calls to the adviser and validity of its tickets.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AdviceConfig {
@@ -45,6 +51,15 @@
     pub ticket_lifetime: Duration,
 }
 
+impl AdviceConfig {
+    /// Whether tasks can be started with the tickets of this adviser: they hold for at least
+    /// [`MIN_TICKET_LIFETIME`], and a call about one worker takes at most [`MAX_ADVICE_TIME`].
+    pub fn is_usable(&self) -> bool {
+        let shortest_call = self.base_call_time.saturating_add(self.time_per_worker);
+        self.ticket_lifetime >= MIN_TICKET_LIFETIME && shortest_call <= MAX_ADVICE_TIME
+    }
+}
+
 /// A service: a pool of workers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceConfig {
--- a/crates/workswood-test-support/src/job_world/adviser.rs
+++ b/crates/workswood-test-support/src/job_world/adviser.rs
@@ -7,6 +7,8 @@
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{AdviceConfig, StepId};
 
+use super::FaultRng;
+
 /// Timing of the adviser.
 pub const ADVICE: AdviceConfig = AdviceConfig {
     base_call_time: Duration::from_millis(200),
@@ -22,9 +24,24 @@
     !(hash + n as u64).is_multiple_of(UNSUITABLE_INTERVAL)
 }
 
-/// Creates a ticket that is valid from now for [`AdviceConfig::ticket_lifetime`].
-pub fn ticket(step: &StepId, worker: &WorkerId, now: Duration) -> Arc<str> {
-    format!("{step}|{worker}|{}", (now + ADVICE.ticket_lifetime).as_millis()).as_str().into()
+/// Fixed and additional durations of a call that are drawn, in milliseconds.
+const DRAWN_TIMES_MS: [u64; 5] = [0, 1, 5, 40, 200];
+/// Lifetimes of tickets that are drawn, in milliseconds.
+const DRAWN_LIFETIMES_MS: [u64; 4] = [300, 1500, 3000, 100_000];
+
+/// Draws the figures of an adviser, each on its own.
+pub(super) fn draw_figures(rng: &mut FaultRng) -> AdviceConfig {
+    let mut one_of = |all: &[u64]| Duration::from_millis(all[rng.below(all.len() as u64) as usize]);
+    AdviceConfig {
+        base_call_time: one_of(&DRAWN_TIMES_MS),
+        time_per_worker: one_of(&DRAWN_TIMES_MS),
+        ticket_lifetime: one_of(&DRAWN_LIFETIMES_MS),
+    }
+}
+
+/// Creates a ticket.
+pub fn ticket(step: &StepId, worker: &WorkerId, expires_at: Duration) -> Arc<str> {
+    format!("{step}|{worker}|{}", expires_at.as_millis()).as_str().into()
 }
 
 /// Returns whether a ticket allows this life of a worker to start a task of a step now.
--- a/crates/workswood-test-support/src/job_world/builders.rs
+++ b/crates/workswood-test-support/src/job_world/builders.rs
@@ -5,9 +5,11 @@
 
 use workswood_core::jobs::OutagePolicy;
 
+use super::adviser::{self, ADVICE};
 use super::crashes::Crashes;
 use super::evacuations::Evacuations;
 use super::fault_rng::{FaultRng, Stream};
+use super::gangs::Gangs;
 use super::lasting::LastingTasks;
 use super::relay::SimRelay;
 use super::second_owner::{Attempts, StoredJobs};
@@ -32,6 +34,15 @@
         World::build(workers, 0, rng, true)
     }
 
+    /// As [`World::advised`], with drawn figures of the adviser: 0, small, large, one above the other.
+    pub fn advised_by_any(workers: usize, rng: FaultRng) -> World {
+        let advice = adviser::draw_figures(&mut rng.stream(Stream::Advice));
+        let mut w = World::build(workers, 0, rng, true);
+        w.advice = advice;
+        w.take_over();
+        w
+    }
+
     /// Creates a world in which four entries relay for the holder, each to at most two workers.
     pub fn relayed(workers: usize, rng: FaultRng) -> World {
         World::build(workers, 4, rng, false)
@@ -191,7 +202,9 @@
             endless_runs: false,
             run_times_ms: RUN_TIMES_MS,
             evacuations: Evacuations::default(),
+            gangs: Gangs::default(),
             advised,
+            advice: ADVICE,
             two_services: false,
             limited: false,
             restarts: false,
--- a/crates/workswood-test-support/src/job_world/fault_rng.rs
+++ b/crates/workswood-test-support/src/job_world/fault_rng.rs
@@ -34,6 +34,8 @@
     Misdelivery,
     /// Where jobs are handed in, and what becomes of each hand-in.
     HandIns,
+    /// The figures of the adviser.
+    Advice,
 }
 
 impl FaultRng {
@@ -59,6 +61,7 @@
             Stream::WorkerChanges => 32,
             Stream::Misdelivery => 16,
             Stream::HandIns => 48,
+            Stream::Advice => 24,
         };
         FaultRng::mixed(self.state.rotate_left(rotation))
     }
--- a/crates/workswood-test-support/src/job_world/holder.rs
+++ b/crates/workswood-test-support/src/job_world/holder.rs
@@ -14,7 +14,7 @@
     StepId, StoreAccess, WorkerUpdate,
 };
 
-use super::adviser::{self, ADVICE, may_run};
+use super::adviser::{self, may_run};
 use super::evacuations::is_evacuated;
 use super::fault_rng::Fate;
 use super::relay::{Session, ToHolder, ToRelay, full_leases_until};
@@ -526,13 +526,15 @@
 
     /// Simulates a call to the adviser, which may fail or time out.
     fn advise(&mut self, n: usize, channel: usize, step: StepId, workers: Vec<WorkerId>, timeout: Duration) {
-        let duration = ADVICE.base_call_time + ADVICE.time_per_worker * workers.len() as u32;
+        let cfg = self.advice;
+        let duration = (cfg.base_call_time + cfg.time_per_worker * workers.len() as u32).max(STEP);
         let index_of = |id: &&WorkerId| self.workers.iter().position(|w| w.id == **id);
         let suitable = workers.iter().filter(|id| index_of(id).is_some_and(|at| may_run(&step, at)));
         let issued_at = self.now + duration;
-        let tickets: Vec<(WorkerId, Arc<str>)> =
-            suitable.map(|id| (id.clone(), adviser::ticket(&step, id, issued_at))).collect();
-        let answer = AdviceReply::Answered(Advice { tickets, valid_for: Some(ADVICE.ticket_lifetime) });
+        let tickets: Vec<(WorkerId, Arc<str>)> = suitable
+            .map(|id| (id.clone(), adviser::ticket(&step, id, issued_at + cfg.ticket_lifetime)))
+            .collect();
+        let answer = AdviceReply::Answered(Advice { tickets, valid_for: Some(cfg.ticket_lifetime) });
         let fate = self.rng.fate();
         if fate != Fate::Fine {
             self.note_fault();
--- a/crates/workswood-test-support/src/job_world/mod.rs
+++ b/crates/workswood-test-support/src/job_world/mod.rs
@@ -13,6 +13,7 @@
 mod entries;
 mod evacuations;
 mod fault_rng;
+mod gangs;
 mod given_up;
 mod holder;
 mod lasting;
@@ -36,9 +37,9 @@
 use workswood_core::jobs::lease_handover::HandoverPolicy;
 use workswood_core::jobs::spec::Resources;
 use workswood_core::jobs::{
-    EndKind, EndedIncarnationRecord, Event, JobNumber, JobSpec, JobStatus, Limits, OutagePolicy, QueueConfig,
-    QueueTag, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec, TaskId, WorkerInfo,
-    WorkerRecord, Workspace, Workspaces,
+    AdviceConfig, EndKind, EndedIncarnationRecord, Event, JobNumber, JobSpec, JobStatus, Limits,
+    OutagePolicy, QueueConfig, QueueTag, RelayCandidate, SchedConfig, Scheduler, ServiceConfig, StepSpec,
+    TaskId, WorkerInfo, WorkerRecord, Workspace, Workspaces,
 };
 
 use workswood::ops::jobs::append_calls::StateEncoder;
@@ -48,11 +49,11 @@
 pub use self::lasting::{ABSENCE_BOUND, CALM_BEFORE, RESTART_BOUND};
 pub use self::second_owner::{OtherOwner, second_key};
 
-use self::adviser::ADVICE;
 use self::bounded_store::BoundedStore;
 use self::crashes::Crashes;
 use self::entries::Entries;
 use self::evacuations::Evacuations;
+use self::gangs::Gangs;
 use self::holder::Holder;
 use self::lasting::LastingTasks;
 use self::misdelivered::Misdelivery;
@@ -129,6 +130,8 @@
     pub resumed_starts: u64,
     /// Callers who were told that another owner's job has their number.
     pub taken_numbers: u64,
+    /// Members of gangs that failed.
+    pub failed_gangs: u64,
     /// Callers who tried again under a number that another owner's job has, and were told that the job was accepted.
     pub accepted_repeats: u64,
 }
@@ -150,6 +153,7 @@
         self.split_batches += other.split_batches;
         self.resumed_starts += other.resumed_starts;
         self.taken_numbers += other.taken_numbers;
+        self.failed_gangs += other.failed_gangs;
         self.accepted_repeats += other.accepted_repeats;
     }
 }
@@ -221,8 +225,11 @@
     /// Shortest and longest run of a task that ends, in milliseconds.
     run_times_ms: (u64, u64),
     evacuations: Evacuations,
+    gangs: Gangs,
     /// Whether the queue has an adviser.
     advised: bool,
+    /// Figures of the adviser.
+    advice: AdviceConfig,
     /// Whether every other worker is of another service, and each service has queues of its own.
     two_services: bool,
     /// Whether all jobs belong to one workspace that has a limit.
@@ -402,7 +409,7 @@
         self.set_relays(&mut sched);
         let mut cfg = config();
         if self.advised {
-            cfg.queues.values_mut().for_each(|q| q.advice = Some(ADVICE));
+            cfg.queues.values_mut().for_each(|q| q.advice = Some(self.advice));
         }
         if self.limited {
             let room = Resources { cpu_millis: 1000 * WORKSPACE_TASK_LIMIT as u64, ..Resources::default() };
@@ -652,6 +659,7 @@
         let ended: Vec<(usize, TaskId, u32, EndKind)> =
             self.workers.iter_mut().enumerate().flat_map(end_runs).collect();
         self.record_ends(&ended);
+        self.settle_gangs(&ended);
         self.answer_waiting_polls();
         for at in 0..self.relays.len() {
             if !self.is_paused(at) {
--- a/crates/workswood-test-support/src/job_world/oracle.rs
+++ b/crates/workswood-test-support/src/job_world/oracle.rs
@@ -61,7 +61,10 @@
         for e in acked {
             let task = self.task_of_attempt(at, e.task, e.attempt);
             match e.kind {
-                EndKind::Done if noted.contains(&e.sequence_number) => drop(self.acked_done.insert(task)),
+                EndKind::Done if noted.contains(&e.sequence_number) => {
+                    let members = self.members(task);
+                    self.acked_done.extend(members);
+                }
                 EndKind::Failed => *self.acked_failures.entry(task).or_default() += 1,
                 _ => {}
             }
@@ -74,10 +77,14 @@
             let task = self.task_of_attempt(*at, *task, *attempt);
             match kind {
                 EndKind::Done => {
-                    self.done.insert(task);
+                    let members = self.members(task);
+                    self.done.extend(members);
                 }
                 EndKind::Failed if self.is_long_running(&task) => {}
-                EndKind::Failed => *self.failed_runs.entry(task).or_default() += 1,
+                EndKind::Failed => {
+                    self.note_joint_failure(&task, *attempt);
+                    *self.failed_runs.entry(task).or_default() += 1;
+                }
                 EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
             }
         }
@@ -142,11 +149,9 @@
         let kind = if fails { EndKind::Failed } else { EndKind::Done };
         // A task that crashes its workers must still be running when the crash is due.
         let duration = duration.max(self.crash_delay(&name) + Duration::from_millis(1));
-        let w = &mut self.workers[at];
-        w.running.insert(
-            name,
-            Running { attempt, started_at: now, ends_at: now + duration, kind, stops_at: None },
-        );
+        let run = Running { attempt, started_at: now, ends_at: now + duration, kind, stops_at: None };
+        let run = self.begin_jointly(at, &name, run);
+        self.workers[at].running.insert(name, run);
         self.schedule_crash(at, &name);
     }
 
@@ -156,7 +161,7 @@
     }
 
     /// Draws how long a task runs that ends.
-    fn draw_run_time(&mut self) -> Duration {
+    pub(super) fn draw_run_time(&mut self) -> Duration {
         let (from_ms, to_ms) = self.run_times_ms;
         Duration::from_millis(from_ms + self.rng.below(to_ms - from_ms))
     }
@@ -175,7 +180,8 @@
 
     /// Returns whether some task of a job has failed [`ATTEMPTS`] times.
     pub fn exhausted_attempts(&self, key: JobNumber) -> bool {
-        self.failed_runs.iter().any(|(t, n)| t.job.number == key && *n >= ATTEMPTS)
+        let of_task = self.failed_runs.iter().any(|(t, n)| t.job.number == key && *n >= ATTEMPTS);
+        of_task || self.gang_exhausted(key)
     }
 
     /// Checks that a job published as failed has a task that exhausted its attempts, or a task
--- a/src/workswood/ops/jobs/advice.rs
+++ b/src/workswood/ops/jobs/advice.rs
@@ -65,7 +65,7 @@
         round: call.step.round,
         step: u32::from(call.step.step),
         workers: call.workers.iter().map(|id| id.to_string()).collect(),
-        timeout_ms: call.timeout.as_millis() as u32,
+        timeout_ms: call.timeout.as_millis().try_into().unwrap_or(u32::MAX),
     });
     match node.peers.call(&node.id, &address, msg, call.timeout + PEER_CALL_MARGIN).await {
         Ok(Msg::AdviceReply(reply)) => from_wire(reply),
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -25,6 +25,8 @@
     Settled(Stored),
     /// A job of another owner has its number; nothing was stored.
     NumberTaken,
+    /// Tasks of its queue can't be started, by the configuration of the queue; nothing was stored.
+    AdviceUnusable,
     /// It could not be done in time; nothing was stored.
     NoRoom {
         /// When its caller should try again.
@@ -37,9 +39,10 @@
     fn stored_before(self) -> CopyOutcome {
         match self {
             HandIn::Settled(Stored::Yes) => CopyOutcome::Done,
-            HandIn::Settled(Stored::No | Stored::Unknown) | HandIn::NumberTaken | HandIn::NoRoom { .. } => {
-                CopyOutcome::NotDone
-            }
+            HandIn::Settled(Stored::No | Stored::Unknown)
+            | HandIn::NumberTaken
+            | HandIn::AdviceUnusable
+            | HandIn::NoRoom { .. } => CopyOutcome::NotDone,
         }
     }
 
@@ -50,6 +53,7 @@
             HandIn::Settled(Stored::No) => "refused",
             HandIn::Settled(Stored::Unknown) => "unknown",
             HandIn::NumberTaken => "number_taken",
+            HandIn::AdviceUnusable => "advice_unusable",
             HandIn::NoRoom { .. } => "no_room",
         }
     }
@@ -97,28 +101,52 @@
     /// The answer to a job that is not to be stored: it was accepted before, or it is refused.
     async fn answer_without_store(&mut self) -> Option<HandIn> {
         let (job, service) = (self.job, &self.spec.service);
-        match number_check::use_of_number(self.node, self.cfg, job, service, self.earlier, self.timeout).await
-        {
+        let (node, timeout) = (self.node, self.timeout);
+        match number_check::use_of_number(node, self.cfg, job, service, self.earlier, timeout).await {
             NumberUse::Free => {}
+            NumberUse::Taken => {
+                self.log_refused("number_taken");
+                return Some(HandIn::NumberTaken);
+            }
+            known => return self.answer_known(known),
+        }
+        if !self.can_start() {
+            let timeout = timeout.saturating_sub(self.took());
+            return match number_check::use_of_refused(node, job, timeout).await {
+                NumberUse::Free | NumberUse::Taken => {
+                    self.log_refused("advice_unusable");
+                    Some(HandIn::AdviceUnusable)
+                }
+                known => self.answer_known(known),
+            };
+        }
+        let retry_after = self.weigh().await?;
+        Some(HandIn::NoRoom { retry_after })
+    }
+
+    /// The answer to a job of which an earlier hand-in is known; `None` if it is to be stored again.
+    fn answer_known(&mut self, known: NumberUse) -> Option<HandIn> {
+        match known {
+            NumberUse::Free | NumberUse::Taken => None,
             NumberUse::PerhapsOwn => {
                 self.earlier = self.earlier.with(CopyOutcome::Unknown);
-                return None;
+                None
             }
             NumberUse::Accepted => {
                 self.log_settled(Stored::Yes, "earlier");
-                return Some(HandIn::Settled(Stored::Yes));
+                Some(HandIn::Settled(Stored::Yes))
             }
             NumberUse::Unclear => {
                 self.log_settled(Stored::Unknown, "number");
-                return Some(HandIn::Settled(Stored::Unknown));
-            }
-            NumberUse::Taken => {
-                self.log_refused("number_taken");
-                return Some(HandIn::NumberTaken);
+                Some(HandIn::Settled(Stored::Unknown))
             }
         }
-        let retry_after = self.weigh().await?;
-        Some(HandIn::NoRoom { retry_after })
+    }
+
+    /// Whether tasks of the queue can be started at all.
+    fn can_start(&self) -> bool {
+        let queue = self.cfg.queues.get(&self.spec.queue);
+        queue.and_then(|q| q.advice).is_none_or(|advice| advice.is_usable())
     }
 
     /// Has the lease holder weigh the job; returns when its caller should try again if there is no room for it.
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -24,6 +24,8 @@
 /// When a caller should retry after a refusal.
 /// A store or lease holder that is away is mostly back or replaced within a few seconds.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When the caller of a job should retry that can't be done before the configuration is changed.
+const RETRY_AFTER_CONFIG: Duration = Duration::from_secs(60);
 /// Longest outage of the store that callers are told to wait out.
 const MAX_EXPECTED_OUTAGE: Duration = Duration::from_secs(8);
 /// Timeout of a caller that does not state one.
@@ -213,6 +215,9 @@
             let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
             refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after))
         }
+        HandIn::AdviceUnusable => {
+            refusal(Code::AdviceUnusable, ExecutionStatus::NotRun, Some(RETRY_AFTER_CONFIG))
+        }
         HandIn::NoRoom { retry_after } => refusal(Code::NoRoom, ExecutionStatus::NotRun, Some(retry_after)),
     }
 }
--- a/tests/testsuite/advice_batches.rs
+++ b/tests/testsuite/advice_batches.rs
@@ -49,6 +49,20 @@
     assert_eq!(choose_batch(&candidates(200, 1, false), 90, 0.5, &free).len(), 100);
 }
 
+/// Without a call no task of the step is placed, whatever a call costs.
+#[test]
+fn first_one_is_always_named() {
+    for (base, each) in [(5, 5), (0, 5), (0, 0), (1, 40), (5, 500), (0, 86_400_000)] {
+        let cfg =
+            AdviceConfig { base_call_time: ms(base), time_per_worker: ms(each), ticket_lifetime: ms(3000) };
+        for good in [true, false] {
+            let named = choose_batch(&candidates(12, 1, good), 4, 0.5, &cfg).len();
+            assert_eq!(named, 1, "{base} ms, {each} ms for each worker");
+        }
+        assert!(choose_batch(&candidates(12, 1, false), 0, 0.5, &cfg).is_empty());
+    }
+}
+
 #[test]
 fn known_good_ones_are_enough() {
     assert_eq!(choose_batch(&candidates(10, 2, true), 4, 0.5, &cfg()).len(), 2);
--- a/tests/testsuite/advised_queue.rs
+++ b/tests/testsuite/advised_queue.rs
@@ -48,11 +48,16 @@
 impl Stage {
     /// Four workers, two of which may run nothing, and two processes.
     async fn new(name: &str) -> Stage {
+        Stage::with_figures(name, 40, 2, VALID_MS).await
+    }
+
+    /// As [`Stage::new`], with these figures of the adviser.
+    async fn with_figures(name: &str, decide_ms: u64, each_ms: u64, valid_ms: u64) -> Stage {
         let folder = std::env::temp_dir().join(format!("workswood-advice-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let store = StoreStandin::start().await;
-        let adviser = AdviserStandin::start(ms(40), ms(2), ms(VALID_MS)).await;
-        store.declare(&advised_config(SERVICE, 1, 40, 2, VALID_MS));
+        let adviser = AdviserStandin::start(ms(decide_ms), ms(each_ms), ms(valid_ms)).await;
+        store.declare(&advised_config(SERVICE, 1, decide_ms, each_ms, valid_ms));
         let ledger: Arc<Ledger> = Arc::default();
         let mut workers = Vec::new();
         for n in 0..4 {
@@ -95,6 +100,13 @@
         jobs
     }
 
+    /// Whether a process has logged a line with this text.
+    fn logged(&self, text: &str) -> bool {
+        let files = std::fs::read_dir(&self.folder).expect("a folder").flatten();
+        let mut logs = files.filter_map(|f| std::fs::read_to_string(f.path()).ok());
+        logs.any(|log| log.contains(text))
+    }
+
     /// Waits until jobs are done, as any process tells.
     async fn completed(&self, jobs: &[String]) {
         let until = Instant::now() + WITHIN;
@@ -145,3 +157,30 @@
     let rejected: u64 = stage.workers.iter().map(WorkerStandin::without_ticket).sum();
     assert!(rejected >= 1, "void tickets were tried, and asked for again");
 }
+
+/// A further worker may cost as much as another call; then one is named at a time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_costs_as_much_as_a_call() {
+    for (n, (decide, each)) in [(5, 5), (0, 5), (0, 0)].into_iter().enumerate() {
+        let stage = Stage::with_figures(&format!("costs-{n}"), decide, each, VALID_MS).await;
+        let jobs = stage.hand_in(1..4).await;
+        stage.completed(&jobs).await;
+    }
+}
+
+/// Tickets that no start can use are no reason to keep a job: it is refused at once, and says why.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tickets_that_end_at_once() {
+    let stage = Stage::with_figures("no-time", 40, 2, 0).await;
+    let until = Instant::now() + WITHIN;
+    loop {
+        let told = submit_job(stage.entries[0].0, "00000000000000a1", 3).await;
+        assert_ne!(told, Submission::Accepted);
+        if told == Submission::Refused && stage.logged("reason=advice_unusable") {
+            break;
+        }
+        assert!(Instant::now() < until, "{told:?}");
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert_eq!(stage.adviser.calls().len(), 0);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod absent_tasks;
 mod act_tokens;
 mod advice_batches;
+mod advice_figures;
 mod advice_protocol;
 mod advice_tickets;
 mod advised_queue;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -160,6 +160,8 @@
     Checkpoints,
     /// Jobs of other queues under the numbers of other jobs.
     TwoQueues,
+    /// Gangs, workers that fail all that they start, and workers that crash.
+    Gangs,
 }
 
 /// Events of a history for each number under which jobs are handed in at entries.
@@ -193,6 +195,19 @@
     }
 }
 
+/// A worker fails all that it starts for a while, or crashes.
+fn trouble_gangs(w: &mut World) {
+    let at = w.rng.below(4) as usize;
+    match w.rng.below(12) {
+        0..=2 => {
+            let long = Duration::from_millis(500 + w.rng.below(6000));
+            w.make_faulty(at, long);
+        }
+        3 => w.crash(at),
+        _ => {}
+    }
+}
+
 /// Key of the first job that no worker could ever take.
 const FIRST_INFEASIBLE: u64 = 1_000;
 /// Processor that each task of such a job asks for at least, in thousandths of a core.
@@ -272,6 +287,9 @@
             let at = w.rng.below(4) as usize;
             w.crash(at);
         }
+        if with == With::Gangs {
+            trouble_gangs(&mut w);
+        }
         if with == With::Evacuations && w.rng.below(4) == 0 {
             let (south, wanted) = (w.rng.below(2) == 0, w.rng.below(3) > 0);
             w.evacuate(if south { "south" } else { "north" }, wanted);
@@ -302,6 +320,10 @@
                 if with == With::Crashes && w.rng.below(JOBS_A_CRASHING_ONE) == 0 {
                     make_crashing(&mut w, n + 1);
                 }
+                if with == With::Gangs {
+                    steps[0].speculative = false;
+                    steps.push(StepSpec { gang: true, ..step(2 + w.rng.below(4) as u32, vec![]) });
+                }
                 let priority = u32::from(with == With::Infeasible);
                 let spec = JobSpec { priority, ..job(steps, w.now.as_millis() as u64) };
                 if with == With::SecondOwner && w.rng.below(2) == 0 {
@@ -343,7 +365,11 @@
         w.run_for(long);
     }
     w.heal();
-    w.run_for(if with == With::Crashes { SETTLED_AFTER_CRASHES } else { SETTLED_AFTER });
+    w.run_for(if matches!(with, With::Crashes | With::Gangs) {
+        SETTLED_AFTER_CRASHES
+    } else {
+        SETTLED_AFTER
+    });
     w.count_crashes();
     if !w.seen.violations.is_empty() {
         return Err(format!("{:?}", w.seen.violations));
@@ -368,6 +394,12 @@
     assert!(without * 20 < starts, "{without} starts without a ticket that holds, beside {starts}");
 }
 
+/// The adviser's figures differ from world to world: a call may take no time, or each worker more than the call itself.
+#[test]
+fn short_histories_with_any_advice() {
+    play_with_starts(HISTORIES / 2, World::advised_by_any, With::Nothing);
+}
+
 #[test]
 fn short_histories_with_relays() {
     let Seen { starts, sessions, .. } = play_all(HISTORIES, World::relayed, With::Relays);
@@ -594,6 +626,10 @@
     match name.as_str() {
         "plain" => (World::new, With::Nothing),
         "advised" => (World::advised, With::Nothing),
+        "gangs" => (World::new, With::Gangs),
+        "gangs-relays" => (World::restarting_relayed, With::Gangs),
+        "gangs-restarts" => (World::restarting, With::Gangs),
+        "any-advice" => (World::advised_by_any, With::Nothing),
         "limit" => (World::limited, With::Nothing),
         "relays" => (World::relayed, With::Relays),
         "handovers" => (World::new, With::Handovers),
