Gangs: members that fail in one attempt are one failure

Cause: record_failure held the sum of the failed runs of all members against max_attempts, and record_fault took a second member's failure on another worker for a sign that the job itself is at fault.

Change: attempts are counted, each as often as the member that failed most often under its number; only the first failure of an attempt is held against a worker, and all members avoid that worker.

Tests, on the record_failure before: failed_gangs (3 of 4; one_member_fails passed) and the world gangs (both tests) fail.

--- a/crates/workswood-core/src/jobs/failed_runs.rs
+++ b/crates/workswood-core/src/jobs/failed_runs.rs
@@ -38,6 +38,17 @@
         self.0.values().map(SmallVec::len).sum()
     }
 
+    /// Number of failures of a gang with these members. Members that fail in one attempt are one failure of the gang,
+    /// on whichever workers. Two starts may have one attempt number: a member that failed twice in it tells them apart.
+    pub fn count_joint<'a>(members: impl Iterator<Item = &'a FailedRuns>) -> usize {
+        let mut by_attempt: BTreeMap<u32, usize> = BTreeMap::new();
+        for (attempt, workers) in members.flat_map(|m| &m.0) {
+            let most = by_attempt.entry(*attempt).or_default();
+            *most = workers.len().max(*most);
+        }
+        by_attempt.values().sum()
+    }
+
     /// Whether no run has failed.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/crates/workswood-core/src/jobs/job.rs
+++ b/crates/workswood-core/src/jobs/job.rs
@@ -331,6 +331,31 @@
         step.get_mut(id.index as usize)
     }
 
+    /// The members of the gang that a task belongs to; the task alone if it belongs to none.
+    pub fn members_mut(&mut self, id: &TaskId) -> &mut [Task] {
+        let members = self.member_range(id);
+        let step = self.rounds.get_mut(id.round as usize).and_then(|r| r.get_mut(usize::from(id.step)));
+        step.and_then(|tasks| tasks.get_mut(members)).unwrap_or_default()
+    }
+
+    /// Number of failures of a task, or of the gang that it belongs to.
+    pub fn count_failures(&self, id: &TaskId) -> usize {
+        let step = self.rounds.get(id.round as usize).and_then(|r| r.get(usize::from(id.step)));
+        let members = step.and_then(|tasks| tasks.get(self.member_range(id))).unwrap_or_default();
+        match members {
+            [alone] => alone.failed_runs.count(),
+            members => FailedRuns::count_joint(members.iter().map(|m| &m.failed_runs)),
+        }
+    }
+
+    /// Indices of the members of the gang that a task belongs to, or its own.
+    fn member_range(&self, id: &TaskId) -> std::ops::Range<usize> {
+        match self.step(id) {
+            Some(step) if step.gang => 0..step.count as usize,
+            _ => id.index as usize..id.index as usize + 1,
+        }
+    }
+
     /// Whether all tasks of a step are done in the given round.
     pub fn is_step_done(&self, round: u32, step: u16) -> bool {
         let r = self.rounds.get(round as usize);
--- a/crates/workswood-core/src/jobs/worker_reports.rs
+++ b/crates/workswood-core/src/jobs/worker_reports.rs
@@ -255,12 +255,12 @@
     }
 
     /// Records a failed run of a task; fails the job when its attempts are used up, unless the task
-    /// is long-running.
+    /// is long-running. Further members of a gang that fail in one attempt add nothing.
     fn record_failure(&mut self, id: &WorkerId, task_id: &TaskId, attempt: u32, long_running: bool) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&task_id.job) else { return };
-        let max_attempts = job.spec.max_attempts.max(1);
-        let gang = job.step(task_id).is_some_and(|s| s.gang);
+        let max_attempts = job.spec.max_attempts.max(1) as usize;
+        let before = job.count_failures(task_id);
         let Some(task) = job.task_mut(task_id) else { return };
         // Those of a long-running task are not limited, so their workers needn't be known.
         if !task.failed_runs.insert(attempt, Some(id).filter(|_| !long_running)) {
@@ -268,11 +268,12 @@
         }
         task.avoid_worker(id, now);
         let done = task.done;
-        let mut failed = task.failed_runs.count() as u32;
-        if gang {
-            let step = job.rounds.get(task_id.round as usize).and_then(|r| r.get(usize::from(task_id.step)));
-            failed = step.map_or(failed, |tasks| tasks.iter().map(|t| t.failed_runs.count() as u32).sum());
+        let failed = job.count_failures(task_id);
+        if failed == before {
+            return;
         }
+        // A gang fails with any member there.
+        job.members_mut(task_id).iter_mut().for_each(|m| m.avoid_worker(id, now));
         self.record_fault(id, task_id);
         // A second run may fail after the first one has completed the task.
         if !long_running && !done && failed >= max_attempts {
--- a/tests/testsuite/failed_runs.rs
+++ b/tests/testsuite/failed_runs.rs
@@ -48,3 +48,17 @@
     assert_eq!(failed, rec.rounds[0][0][0].failed_runs);
     assert!(!failed.insert(1, Some(&two)) && !failed.insert(3, Some(&two)) && failed.insert(3, Some(&one)));
 }
+
+/// Members that fail in one attempt are one failure; one member that fails twice under one number tells two starts apart.
+#[test]
+fn failures_of_a_gang() {
+    let [a, b, c] = workers();
+    let failed =
+        |runs: &[(u32, &WorkerId)]| -> FailedRuns { runs.iter().map(|(n, w)| (*n, Some(*w))).collect() };
+    let count = |members: &[FailedRuns]| FailedRuns::count_joint(members.iter());
+    assert_eq!(count(&[]), 0);
+    assert_eq!(count(&[failed(&[(1, &a)]), failed(&[(1, &a)]), failed(&[])]), 1);
+    assert_eq!(count(&[failed(&[(1, &a)]), failed(&[(1, &b)]), failed(&[(1, &c)])]), 1);
+    assert_eq!(count(&[failed(&[(1, &a), (3, &b)]), failed(&[(2, &b)]), failed(&[(3, &c)])]), 3);
+    assert_eq!(count(&[failed(&[(1, &a), (1, &b)]), failed(&[(1, &c)])]), 2);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,6 +38,7 @@
 mod evacuated_centres;
 mod eviction_budget;
 mod eviction_handover;
+mod failed_gangs;
 mod failed_runs;
 mod fault_scripts;
 mod fault_soak;
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -400,6 +400,19 @@
     play_with_starts(HISTORIES / 2, World::advised_by_any, With::Nothing);
 }
 
+/// Members of a gang fail together, on one worker or on several.
+#[test]
+fn short_histories_with_gangs() {
+    let failed = play_all(HISTORIES, World::new, With::Gangs).failed_gangs;
+    assert!(failed > HISTORIES, "{failed} members failed");
+}
+
+#[test]
+fn short_histories_with_gangs_and_relays() {
+    let failed = play_all(HISTORIES / 2, World::restarting_relayed, With::Gangs).failed_gangs;
+    assert!(failed > HISTORIES / 2, "{failed} members failed");
+}
+
 #[test]
 fn short_histories_with_relays() {
     let Seen { starts, sessions, .. } = play_all(HISTORIES, World::relayed, With::Relays);
