--- a/tests/testsuite/workspace_limits.rs
+++ b/tests/testsuite/workspace_limits.rs
@@ -106,9 +106,9 @@
     let mut before = world(&[("north", 3000)]);
     let first = submit(&mut before, 1, of("north", 4));
     assert_eq!(first.len(), 3);
-    let record = before.sched.jobs[&JobKey::of_number(1)].record();
+    let record = before.sched.jobs[&key_of(1, "north")].record();
     let mut next = world(&[("north", 3000)]);
-    next.sched.restore_job(JobKey::of_number(1), Some(Arc::new(of("north", 4))), Some(record));
+    next.sched.restore_job(key_of(1, "north"), Some(Arc::new(of("north", 4))), Some(record));
     assert_eq!(starts(next.sched.take_batch().actions).len(), 0);
     assert_eq!(submit(&mut next, 2, of("north", 2)).len(), 0);
 }
@@ -271,9 +271,9 @@
     submit(&mut world, 1, of("north", 1));
     assert_eq!(submit(&mut world, 1, of("south", 5)).len(), 0, "the number is taken");
     world.sched.handle(Event::Cancelled(key_of(1, "south")));
-    assert!(world.sched.jobs[&JobKey::of_number(1)].is_open());
+    assert!(world.sched.jobs[&key_of(1, "north")].is_open());
     world.sched.handle(Event::Cancelled(key_of(2, "south")));
     assert_eq!(submit(&mut world, 2, of("north", 1)).len(), 1, "a cancel that came early was not its own");
     world.sched.handle(Event::Cancelled(key_of(1, "north")));
-    assert!(!world.sched.jobs[&JobKey::of_number(1)].is_open());
+    assert!(!world.sched.jobs[&key_of(1, "north")].is_open());
 }
