Pools: late work calls a host to a service without workers

Cause: where no worker of a service is listed, its need follows from whether any task runs or waits, and late ones were left out. A job whose queue allows it no time (extension 0, no target), or that is past its deadline, waited for good while hosts were spare.

queue_figures::spare_host_whatever_the_figures failed before ("no host: extension 0 target 0") and passes now, with all 289 pairs of figures.

--- a/crates/workswood-core/src/jobs/pool_need.rs
+++ b/crates/workswood-core/src/jobs/pool_need.rs
@@ -30,7 +30,7 @@
 
 /// The load that running and waiting tasks put on a service.
 struct ServiceLoad {
-    /// Whether any task runs, or waits and can be in time.
+    /// Whether any task runs or waits, also late ones.
     any_task: bool,
     /// Number of hosts that these tasks fill.
     hosts_filled: f64,
@@ -105,7 +105,7 @@
         let mem =
             (room.mem_mb as f64 + late.mem_mb as f64 * policy.late_task_weight) / size.mem_mb.max(1) as f64;
         ServiceLoad {
-            any_task: room != Resources::default(),
+            any_task: room != Resources::default() || late != Resources::default(),
             hosts_filled: cpu.max(mem),
             cores_per_host: size.cpu_millis as f64 / 1000.0,
             spread_hosts: f64::from(self.spread_hosts(service)),
--- a/tests/testsuite/queue_figures.rs
+++ b/tests/testsuite/queue_figures.rs
@@ -8,9 +8,9 @@
 use serde_json::{Value, json};
 use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::caller::config;
-use workswood_core::jobs::{Action, Event, JobSpec, SchedConfig};
+use workswood_core::jobs::{Action, Event, JobSpec, SchedConfig, ServiceConfig};
 use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorRecord};
-use workswood_test_support::host_world::HostWorld;
+use workswood_test_support::host_world::{HostWorld, SPARE, host, moves};
 use workswood_test_support::job_world::{QUEUE, SERVICE, job, step};
 
 /// Drawn cases.
@@ -92,6 +92,39 @@
     })
 }
 
+/// Whether a pool without hosts gets a spare one for a job that waits.
+fn gets_host(cfg: &SchedConfig) -> bool {
+    let mut cfg = cfg.clone();
+    let spare = ServiceConfig { name: SPARE.to_string(), spare: true, enforces_capacity: true };
+    cfg.services.insert(SPARE.to_string(), spare);
+    let mut world = HostWorld::new(0);
+    world.sched.handle(Event::ConfigChanged(Arc::new(cfg)));
+    world.list((0..WORKERS).map(|n| host(n, SPARE, None)).collect());
+    world.sched.handle(Event::Submitted(1, Arc::new(job(vec![step(4, vec![])], 0))));
+    for n in 1..WITHIN_MS / TICK_MS {
+        world.at(n * TICK_MS);
+        world.tick();
+    }
+    moves(&world.actions).iter().any(|(_, to)| to == SERVICE)
+}
+
+/// LOST: a job that is late from its first moment on, since its queue allows it no time, waits for good while hosts are
+/// spare.
+#[test]
+fn spare_host_whatever_the_figures() {
+    for extension in FIGURES {
+        for target in FIGURES {
+            let mut cfg: Value = serde_json::from_str(&config(SERVICE, 2)).expect("a manifest");
+            cfg["routes"][0]["name"] = json!(QUEUE);
+            cfg["routes"][0]["extension"] = serde_json::from_str(extension).expect("a figure");
+            cfg["routes"][0]["target_latency_ms"] = serde_json::from_str(target).expect("a figure");
+            if let Some(cfg) = read(&cfg.to_string()) {
+                assert!(gets_host(&cfg), "no host: extension {extension} target {target}");
+            }
+        }
+    }
+}
+
 #[test]
 fn job_begins_whatever_the_figures() {
     for i in 0..RUNS {
