Hand-ins: a job whose record the store never takes is refused for good

Change: its size is looked at before the store is called; 413 with code 148 and no Retry-After, unless an earlier hand-in under its number may be stored.

long_checkpoints::hand_in_too_large failed before (503 for 413) and passes now.

--- a/crates/workswood-callers/src/lib.rs
+++ b/crates/workswood-callers/src/lib.rs
@@ -67,7 +67,7 @@
 pub fn status_of(code: Code) -> u16 {
     match code {
         Code::UnknownRoute | Code::KeyNotFound => 404,
-        Code::BodyTooLarge | Code::PayloadTooLarge => 413,
+        Code::BodyTooLarge | Code::PayloadTooLarge | Code::RecordTooLarge => 413,
         Code::KeyMissing | Code::KeyMalformed | Code::JobMalformed => 400,
         Code::MethodUnknown => 405,
         Code::BodySilent => 408,
--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use workswood_adapter::record_size;
 use workswood_callers::HeldBytes;
 use workswood_core::jobs::{JobKey, JobNumber, JobSpec, SchedConfig, Verdict};
 use workswood_platform::jobs::CopyOutcome;
@@ -25,6 +26,8 @@
     Settled(Stored),
     /// A job of another owner has its number; nothing was stored.
     NumberTaken,
+    /// Its record is larger than the store takes; nothing was stored.
+    TooLarge,
     /// Tasks of its queue can't be started, by the configuration of the queue; nothing was stored.
     AdviceUnusable,
     /// It could not be done in time; nothing was stored.
@@ -41,6 +44,7 @@
             HandIn::Settled(Stored::Yes) => CopyOutcome::Done,
             HandIn::Settled(Stored::No | Stored::Unknown)
             | HandIn::NumberTaken
+            | HandIn::TooLarge
             | HandIn::AdviceUnusable
             | HandIn::NoRoom { .. } => CopyOutcome::NotDone,
         }
@@ -53,6 +57,7 @@
             HandIn::Settled(Stored::No) => "refused",
             HandIn::Settled(Stored::Unknown) => "unknown",
             HandIn::NumberTaken => "number_taken",
+            HandIn::TooLarge => "too_large",
             HandIn::AdviceUnusable => "advice_unusable",
             HandIn::NoRoom { .. } => "no_room",
         }
@@ -86,7 +91,7 @@
     let (earlier, under_way) = node.numbers.begin(job, &spec.service, arrived);
     let mut submission = Submission { node, cfg, job, spec, earlier, arrived, timeout };
     let outcome = match submission.answer_without_store().await {
-        None => HandIn::Settled(submission.store(under_way, held).await),
+        None => submission.store(under_way, held).await,
         Some(answer) => match under_way.settle(answer.stored_before()) {
             CopyOutcome::NotDone => answer,
             // Another hand-in of the job came here meanwhile.
@@ -174,9 +179,12 @@
         }
     }
 
-    /// Stores the job; returns what is known of it over all of its hand-ins.
-    async fn store(&self, mut under_way: HandInUnderWay<'_>, mut held: HeldBytes) -> Stored {
+    /// Stores the job, unless the store never takes it; returns what is known of it over all of its hand-ins.
+    async fn store(&self, mut under_way: HandInUnderWay<'_>, mut held: HeldBytes) -> HandIn {
         let rec = job_record(self.job.number, &self.spec);
+        if record_size(&rec) > self.node.settings.store_sizes().record {
+            return self.refuse_too_large(under_way);
+        }
         held.resize(rec.value.as_ref().map_or(0, Bytes::len));
         let timeout = self.timeout.saturating_sub(self.took());
         under_way.note_sent();
@@ -188,7 +196,18 @@
             known = Stored::Yes;
         }
         self.log_settled(known, if known == stored { "now" } else { "earlier" });
-        known
+        HandIn::Settled(known)
+    }
+
+    /// Refuses the job because of its size, unless an earlier hand-in of it, with another body, may be stored.
+    fn refuse_too_large(&self, under_way: HandInUnderWay<'_>) -> HandIn {
+        match under_way.settle(self.earlier) {
+            CopyOutcome::NotDone => {
+                self.log_refused("too_large");
+                HandIn::TooLarge
+            }
+            known => HandIn::Settled(known.into()),
+        }
     }
 
     fn workspace(&self) -> &str {
--- a/src/workswood/ops/jobs/job_api.rs
+++ b/src/workswood/ops/jobs/job_api.rs
@@ -215,6 +215,7 @@
             let retry_after = Duration::from_secs_f64(node.settings.ended_job_retention_s);
             refusal(Code::NumberTaken, ExecutionStatus::NotRun, Some(retry_after))
         }
+        HandIn::TooLarge => refusal(Code::RecordTooLarge, ExecutionStatus::NotRun, None),
         HandIn::AdviceUnusable => {
             refusal(Code::AdviceUnusable, ExecutionStatus::NotRun, Some(RETRY_AFTER_CONFIG))
         }
--- a/tests/testsuite/long_checkpoints.rs
+++ b/tests/testsuite/long_checkpoints.rs
@@ -9,6 +9,7 @@
 use workswood::ops::jobs::stored_state;
 use workswood::util::job_settings::StoreSizes;
 use workswood_adapter::size_in_append;
+use workswood_adapter_standin::caller::submit_steps;
 use workswood_core::jobs::job::{Checkpoint, StateSlot, TaskRecord};
 use workswood_core::jobs::{Job, JobKey, JobRecord, Outcome, Owner, Record, StepSpec};
 use workswood_platform::jobs::{KeyedRecord, StoreError};
@@ -76,6 +77,25 @@
     }
 }
 
+/// Steps that make the record of their job larger than the store of a site takes.
+const TOO_MANY_STEPS: u32 = 900;
+const TOO_LARGE_JOB: &str = "00000000000000a1";
+const SMALL_JOB: &str = "00000000000000a2";
+
+/// A job whose record the store never takes is refused for good, at once and without asking the store; the caller of a
+/// plain 503 would come back for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn hand_in_too_large() {
+    let site = Site::new("too-large", TAKEN).await;
+    site.submit(0, SMALL_JOB, 1).await;
+    assert_eq!(submit_steps(site.entries[0].0, TOO_LARGE_JOB, TOO_MANY_STEPS).await, Some(413));
+    // Its lines are written before those of the small job's end.
+    site.until_state(1, SMALL_JOB, "completed").await;
+    let logs = site.logs();
+    assert!(logs.contains("reason=too_large"), "{logs}");
+    assert!(!logs.contains("event=inbox_append_refused"), "the store was asked: {logs}");
+}
+
 /// Nobody needs the checkpoint of a task that is not started again.
 #[test]
 fn done_tasks_need_none() {
