Explain, late: lines of several queues under one number are told as such

Since jobs of two queues may share a number, their lines were taken for those of one job: one state, one verdict, one cause. `explain` now names the queues, and `late` leaves such numbers out and counts them. The JSON of a job that one queue names is as before.

job_account::shared_number and late_jobs::shared_number; the latter counted one late job of the two on the code before, by reading.

--- a/src/workswood/ops/explain/job_history.rs
+++ b/src/workswood/ops/explain/job_history.rs
@@ -4,7 +4,7 @@
 //! about the workers that ran it, the lease holder and the store. Times are those of each
 //! host's own clock.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::path::Path;
 
 use serde::Serialize;
@@ -86,6 +86,10 @@
 pub struct JobHistory {
     /// Number of the job in hexadecimal.
     pub job: String,
+    /// The queues that its lines name, if there are several: each may have a job of this number, and the lines and the
+    /// times are then of all of them.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub queues: Vec<String>,
     /// Last state of the job that the logs show.
     pub state: String,
     /// Whether the job was done by its deadline, and the main cause if it was late; empty for
@@ -160,6 +164,7 @@
     let spent = timeline.time_by_cause().unwrap_or_default().into_iter();
     Some(JobHistory {
         job: format_job_number(job),
+        queues: several_queues(&own),
         state: state(&own),
         verdict: verdict_text(timeline.verdict()),
         time_spent: spent.map(|(cause, ms)| TimeSpent { cause: cause.to_string(), ms }).collect(),
@@ -187,6 +192,12 @@
     }
 }
 
+/// The queues that lines name, if there are several.
+fn several_queues(own: &[&HostLine<'_>]) -> Vec<String> {
+    let named: BTreeSet<&str> = own.iter().filter_map(|r| r.line.text("queue")).collect();
+    if named.len() < 2 { Vec::new() } else { named.into_iter().map(str::to_string).collect() }
+}
+
 /// Determines the last known state of a job from its own lines, sorted by time.
 fn state(own: &[&HostLine<'_>]) -> String {
     let end_lines = own.iter().filter(|r| r.line.event == "job_ended");
@@ -229,6 +240,12 @@
         if !self.verdict.is_empty() {
             summary += &format!(", {}", self.verdict);
         }
+        if !self.queues.is_empty() {
+            summary += &format!(
+                "\nthe lines name several queues ({}), which may each have a job of this number; state and times may be of either",
+                self.queues.join(", ")
+            );
+        }
         let spent = self.time_spent.iter().filter(|s| s.ms > 0 || s.cause == Cause::RunTime.to_string());
         let spent: Vec<String> = spent.map(|s| format!("{} {} s", s.cause, seconds(s.ms))).collect();
         if !spent.is_empty() {
--- a/src/workswood/ops/late/report.rs
+++ b/src/workswood/ops/late/report.rs
@@ -1,6 +1,6 @@
 //! Counts the causes of late jobs by time window.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use workswood_core::ids::UnixMs;
@@ -33,6 +33,10 @@
 pub struct LatenessReport {
     window: Duration,
     jobs: HashMap<JobNumber, JobTimeline>,
+    /// The queue of each number, as it is named first.
+    queues: HashMap<JobNumber, String>,
+    /// Numbers that several queues name. Their lines may be of several jobs, so they are not counted.
+    shared_numbers: BTreeSet<JobNumber>,
     /// Totals by the second of the lines, in seconds since 1970.
     pools: BTreeMap<UnixMs, PoolTotals>,
 }
@@ -40,7 +44,13 @@
 impl LatenessReport {
     /// Creates an empty report with time windows of length `window`.
     pub fn new(window: Duration) -> LatenessReport {
-        LatenessReport { window, jobs: HashMap::new(), pools: BTreeMap::new() }
+        LatenessReport {
+            window,
+            jobs: HashMap::new(),
+            queues: HashMap::new(),
+            shared_numbers: BTreeSet::new(),
+            pools: BTreeMap::new(),
+        }
     }
 
     /// Adds a log line. Lines about neither a pool nor a job are ignored.
@@ -49,8 +59,17 @@
             self.add_pool_line(line);
             return;
         }
-        if let Some(key) = line.job().and_then(parse_job_number) {
-            self.jobs.entry(key).or_default().add_line(line);
+        if let Some(number) = line.job().and_then(parse_job_number) {
+            self.note_queue(number, line);
+            self.jobs.entry(number).or_default().add_line(line);
+        }
+    }
+
+    fn note_queue(&mut self, number: JobNumber, line: &LogLine<'_>) {
+        let Some(queue) = line.text("queue") else { return };
+        let first = self.queues.entry(number).or_insert_with(|| queue.to_string());
+        if first != queue {
+            self.shared_numbers.insert(number);
         }
     }
 
@@ -65,7 +84,8 @@
     pub fn windows(&self) -> BTreeMap<UnixMs, TimeWindow> {
         let length = self.window.as_millis().max(1) as UnixMs;
         let mut windows: BTreeMap<UnixMs, TimeWindow> = BTreeMap::new();
-        for job in self.jobs.values() {
+        let alone = self.jobs.iter().filter(|(number, _)| !self.shared_numbers.contains(number));
+        for (_, job) in alone {
             let verdict = job.verdict();
             let Some(at) = job.submitted_at().filter(|_| verdict != Verdict::NotCounted) else { continue };
             let window = windows.entry(at / length * length).or_default();
@@ -93,7 +113,15 @@
             rows.push(row(&format!("{:.1}", (at - first) as f64 / 1000.0), window));
         }
         rows.push(row("all", &all));
-        format!("{}{}", table::columns(&rows), self.pool_means())
+        format!("{}{}{}", table::columns(&rows), self.shared_note(), self.pool_means())
+    }
+
+    /// Tells how many numbers are not counted; empty if all are.
+    fn shared_note(&self) -> String {
+        match self.shared_numbers.len() {
+            0 => String::new(),
+            n => format!("not counted, since several queues name them: {n} numbers of jobs\n"),
+        }
     }
 
     /// Formats the mean number of hosts in pools, and of hosts needed, over all seconds with pool lines.
--- a/tests/testsuite/job_account.rs
+++ b/tests/testsuite/job_account.rs
@@ -75,6 +75,17 @@
     assert!(text.contains("\n   0.020  b "), "times stand in a column of their own:\n{text}");
 }
 
+/// Jobs of two queues share a number: their lines are not taken for those of one job without a word.
+#[test]
+fn shared_number() {
+    assert_eq!(told().queues, [] as [&str; 0]);
+    let other = at(1050, "event=job_known job=00000000000000a1 queue=other stretch=1.5 target_ms=600");
+    let logs: Vec<HostLog> = hosts().into_iter().chain([log("d", &[other])]).collect();
+    let told = job_history(JOB, &logs).expect("there are lines about it");
+    assert_eq!(told.queues, ["other", "q"]);
+    assert!(told.text().contains("name several queues (other, q)"), "{}", told.text());
+}
+
 #[test]
 fn states_of_open_jobs() {
     let state = |lines: &[String]| job_history(JOB, &[log("a", lines)]).map(|a| a.state);
--- a/tests/testsuite/late_jobs.rs
+++ b/tests/testsuite/late_jobs.rs
@@ -51,6 +51,17 @@
     assert_eq!(causes(&lines), (1, vec![]));
 }
 
+/// Jobs of two queues share a number: their lines together tell of neither.
+#[test]
+fn shared_number() {
+    let other = at(15, "event=job_known job=00000000000000a1 queue=other stretch=1.5 target_ms=600");
+    let lines = with(&[other, placed(1900, "0.0"), ended(2900, "0.0", "Done"), completed(2950)]);
+    assert_eq!(causes(&lines), (0, vec![]));
+    let mut report = LatenessReport::new(Duration::from_secs(2));
+    lines.iter().filter_map(|l| log_line::parse(l)).for_each(|l| report.add_line(&l));
+    assert!(report.table().contains("several queues name them: 1 numbers of jobs"), "{}", report.table());
+}
+
 #[test]
 fn no_room() {
     let lines = with(&[placed(1900, "0.0"), ended(2900, "0.0", "Done"), completed(2950)]);
