Aimed soak: only a worker that tells its start starts again under its name

Trace of a broken play: i-0-1, which had never told when it started, restarts under its name. The holder goes on polling it under the id without a start time; attempt 1 of ...9d.0.0.1 is placed there, runs and is done in the new life. 0.4 s later the new registration tells a start time for the first time, so that everything told under the old id counts as of another life (run_settled reason=other_life), and attempt 2 starts.

No platform does that: a worker keeps its name over a restart only where `born` is told at the top level of all that it says of itself, from its first life on; without it, it has a new id after a crash. The soak's restart of a worker that tells no start is therefore a replacement under a new id, in the same time and from the same draws. Workers that do tell it restart under their names as before, and the checks are the same.

--- a/tests/testsuite/worker_losses.rs
+++ b/tests/testsuite/worker_losses.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use workswood_adapter_standin::WorkerStandin;
 use workswood_test_support::cut::Fault;
 use workswood_test_support::job_world::FaultRng;
 
@@ -101,8 +102,10 @@
         self.all.iter().any(|lost| lost.worker == worker)
     }
 
-    /// A worker is lost from now on.
+    /// A worker is lost from now on. One that doesn't tell when it started has another id in its next life.
     pub(super) fn begin(&mut self, world: &World, worker: usize, how: Loss, luck: &mut FaultRng) {
+        let reports_start = world.lives[worker].standin.as_ref().is_some_and(WorkerStandin::reports_start);
+        let how = if how == Loss::Restarted && !reports_start { Loss::Replaced } else { how };
         let now = Instant::now();
         let unlisted_at = now + between(luck, UNLISTED_MS);
         let back_at = now + between(luck, how.back_ms());
