Advice: a rejected ticket of a queue that needs none leaves nothing behind

Since a queue is found by its address, such a rejection left a verdict with the worker that nothing deleted.

--- a/crates/workswood-core/src/jobs/advice.rs
+++ b/crates/workswood-core/src/jobs/advice.rs
@@ -217,8 +217,8 @@
     /// Handles that a worker rejected a ticket: a new one is asked for.
     pub(super) fn ticket_rejected(&mut self, id: &WorkerId, task: &TaskId) {
         let until = self.now + REJECTED_TICKET_DELAY;
-        if !self.advice.jobs.contains(&task.job) {
-            self.note_unknown_adviser(task.job);
+        if !self.advice.jobs.contains(&task.job) && !self.note_unknown_adviser(task.job) {
+            return;
         }
         if let Some(mut w) = self.workers.get_mut(id) {
             w.advice.insert(task.step_id(), AdviceVerdict::TicketRejected(until));
@@ -238,15 +238,16 @@
         self.advice.unconfigured = kept;
     }
 
-    /// Notes that jobs of a queue that the configuration doesn't have need advice.
-    fn note_unknown_adviser(&mut self, key: JobKey) {
-        let Some(spec) = self.jobs.get(&key).map(|job| job.spec.clone()) else { return };
+    /// Notes that jobs of a queue that the configuration doesn't have need advice; returns false for any other queue.
+    fn note_unknown_adviser(&mut self, key: JobKey) -> bool {
+        let Some(spec) = self.jobs.get(&key).map(|job| job.spec.clone()) else { return false };
         if self.config.queue_at(spec.tag, &spec.queue).is_some() {
-            return;
+            return false;
         }
         self.notes.push(format_args!("event=advice_not_configured job={key:016x} queue={}", spec.queue));
         self.advice.unconfigured.insert((spec.tag, spec.queue.clone()), UNKNOWN_ADVISER);
         self.track_all_advised_jobs();
+        true
     }
 
     /// Sets how many entries may call the adviser, the lease holder included.
