Tests: checkpoints are seen in the store whenever tasks don't end together

The test was wrong: the state of a job is written when something of it is decided, and the checkpoints that running tasks have by then with it; in between, their workers tell a successor of them. The 30 tasks of each step start together and take 4 s each, so that their ends come in one list or in two, by chance, and where they come in one no task runs any more when the next record is written.

The stand-in's tasks now end 60 ms apart (ends_apart).

--- a/tests/testsuite/long_checkpoints.rs
+++ b/tests/testsuite/long_checkpoints.rs
@@ -304,12 +304,19 @@
     assert_eq!(site.ledger.violations(), Vec::<String>::new());
 }
 
+/// Time between the ends of two tasks of a step.
+const ENDS_APART: Duration = Duration::from_millis(60);
+
 /// LOST: checkpoints outgrow what the store takes in one append; the job is done, also by another holder.
 #[tokio::test(flavor = "multi_thread")]
 async fn long_checkpoints_are_stored() {
     const TASKS: u32 = 30;
     let mut site = Site::new("checkpoints", TAKEN).await;
-    site.worker.faults(|f| f.checkpoint_chars = TAKEN.append / 4);
+    // The first end is recorded while the others run, and their checkpoints with it.
+    site.worker.faults(|f| {
+        f.checkpoint_chars = TAKEN.append / 4;
+        f.ends_apart = ENDS_APART;
+    });
     site.submit(0, LARGE, TASKS).await;
     site.until_state(0, LARGE, "running").await;
     let until = Instant::now() + WITHIN;
