Tests: what the new tests had twice stands once

queue_figures and advice_figures share the reading of a manifest and the figures at its edges (the union of both lists, so each draws from more); the two tests of two_queues over real processes share their site; whoever sets single figures of a queue calls with_figures. Lines of comment on tests are one each. Assertions are as they were.

--- a/tests/testsuite/advice_figures.rs
+++ b/tests/testsuite/advice_figures.rs
@@ -6,42 +6,23 @@
 
 use arbtest::arbitrary::{Result, Unstructured};
 use arbtest::arbtest;
-use workswood_adapter::{Addresses, PlatformClient};
 use workswood_adapter_standin::caller::config;
 use workswood_core::jobs::config::{MAX_ADVICE_TIME, MIN_TICKET_LIFETIME};
 use workswood_core::jobs::job::WorkerId;
 use workswood_core::jobs::{AdviceConfig, Event};
-use workswood_platform::jobs::{JobPlatform, KeyedRecord, OperatorRecord};
 use workswood_test_support::advised_world::{advice, advised, asked, started};
 use workswood_test_support::host_world::worker;
 use workswood_test_support::job_world::{job, step};
 
+use super::queue_figures::{self, FIGURES};
+
 /// Drawn cases.
 const RUNS: u64 = 300;
-const NOWHERE: &str = "127.0.0.1:1";
 const WORKERS: usize = 12;
 /// A job with room begins within this time, beside the time that the adviser itself takes.
 const WITHIN: Duration = Duration::from_secs(3);
 /// Time between two events of the scheduler, in milliseconds.
 const TICK_MS: u64 = 10;
-/// Figures at the edges of what is read, as the text of the manifest.
-const FIGURES: [&str; 15] = [
-    "0",
-    "-1",
-    "-1e300",
-    "0.0001",
-    "0.7",
-    "1",
-    "5",
-    "20",
-    "40",
-    "500",
-    "3000",
-    "86400000",
-    "4294967296",
-    "1e19",
-    "1e300",
-];
 
 /// Reads the advice of a queue from these fields; a field may be left out.
 fn read(fields: &[(&str, Option<&str>)]) -> AdviceConfig {
@@ -50,12 +31,7 @@
     let mut cfg: serde_json::Value = serde_json::from_str(&config("desk", 1)).expect("a manifest");
     let body = format!("{{{}}}", written.join(","));
     cfg["routes"][0]["advice"] = serde_json::from_str(&body).expect("figures");
-    let rec = KeyedRecord { key: "config".to_string(), value: Some(cfg.to_string().into()) };
-    let addresses = Addresses { store: NOWHERE.to_string(), machines: NOWHERE.to_string(), adviser: None };
-    match PlatformClient::new(addresses).parse_operator_record(&rec) {
-        Ok(Some(OperatorRecord::Config(c))) => c.queues["q"].advice.expect("advice"),
-        other => panic!("no configuration but {other:?}"),
-    }
+    queue_figures::read(&cfg.to_string()).expect("a configuration").queues["q"].advice.expect("advice")
 }
 
 fn draw(u: &mut Unstructured<'_>) -> Result<Option<&'static str>> {
--- a/tests/testsuite/failed_gangs.rs
+++ b/tests/testsuite/failed_gangs.rs
@@ -137,8 +137,7 @@
     assert_eq!(play.attempts, BTreeSet::from([1, 2, 3]));
 }
 
-/// Members that fail on several workers in one attempt are one fault: it stays that of the worker that failed first, and
-/// is no sign that the job itself is at fault.
+/// Members that fail on several workers in one attempt are one fault, that of the worker that failed first.
 #[test]
 fn one_fault_an_attempt() {
     let mut play = submitted(12, gang(2, 1));
--- a/tests/testsuite/long_checkpoints.rs
+++ b/tests/testsuite/long_checkpoints.rs
@@ -82,8 +82,7 @@
 const TOO_LARGE_JOB: &str = "00000000000000a1";
 const SMALL_JOB: &str = "00000000000000a2";
 
-/// A job whose record the store never takes is refused for good, at once and without asking the store; the caller of a
-/// plain 503 would come back for ever.
+/// The caller of a job whose record the store never takes comes back for ever.
 #[tokio::test(flavor = "multi_thread")]
 async fn hand_in_too_large() {
     let site = Site::new("too-large", TAKEN).await;
@@ -285,8 +284,7 @@
 const WITHIN: Duration = Duration::from_secs(60);
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// LOST: the store refuses the state of a job for good, and the holder sends it again for ever, so that no other job is
-/// stored or begins. The entries are told that the store takes more than it does.
+/// LOST: the store refuses the state of one job for good, and no other job is stored or begins.
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_state_costs_nobody() {
     let site = Site::new("refused", SIZES).await;
--- a/tests/testsuite/queue_figures.rs
+++ b/tests/testsuite/queue_figures.rs
@@ -22,7 +22,7 @@
 /// Time between two events of the scheduler, in milliseconds.
 const TICK_MS: u64 = 10;
 /// Figures at the edges of what is read, as JSON.
-const FIGURES: [&str; 17] = [
+pub(super) const FIGURES: [&str; 18] = [
     "0",
     "-1",
     "-1e300",
@@ -31,6 +31,7 @@
     "1",
     "2",
     "5",
+    "20",
     "40",
     "500",
     "3000",
@@ -67,7 +68,8 @@
     Ok(cfg.to_string())
 }
 
-fn read(text: &str) -> Option<SchedConfig> {
+/// Reads a manifest as an entry does; `None` if it is refused.
+pub(super) fn read(text: &str) -> Option<SchedConfig> {
     let rec = KeyedRecord { key: "config".to_string(), value: Some(text.to_string().into()) };
     let addresses = Addresses { store: NOWHERE.to_string(), machines: NOWHERE.to_string(), adviser: None };
     match PlatformClient::new(addresses).parse_operator_record(&rec) {
@@ -76,6 +78,16 @@
     }
 }
 
+/// The configuration whose queue has these figures, if it is read.
+fn with_figures(figures: &[(&str, &str)]) -> Option<SchedConfig> {
+    let mut cfg: Value = serde_json::from_str(&config(SERVICE, 2)).expect("a manifest");
+    cfg["routes"][0]["name"] = json!(QUEUE);
+    for (name, figure) in figures {
+        cfg["routes"][0][*name] = serde_json::from_str(figure).expect("a figure");
+    }
+    read(&cfg.to_string())
+}
+
 fn begins(cfg: &SchedConfig) -> bool {
     let queue = &cfg.queues[QUEUE];
     let spec = JobSpec {
@@ -108,17 +120,13 @@
     moves(&world.actions).iter().any(|(_, to)| to == SERVICE)
 }
 
-/// LOST: a job that is late from its first moment on, since its queue allows it no time, waits for good while hosts are
-/// spare.
+/// LOST: a job whose queue allows it no time waits for good while hosts are spare.
 #[test]
 fn spare_host_whatever_the_figures() {
     for extension in FIGURES {
         for target in FIGURES {
-            let mut cfg: Value = serde_json::from_str(&config(SERVICE, 2)).expect("a manifest");
-            cfg["routes"][0]["name"] = json!(QUEUE);
-            cfg["routes"][0]["extension"] = serde_json::from_str(extension).expect("a figure");
-            cfg["routes"][0]["target_latency_ms"] = serde_json::from_str(target).expect("a figure");
-            if let Some(cfg) = read(&cfg.to_string()) {
+            let figures = [("extension", extension), ("target_latency_ms", target)];
+            if let Some(cfg) = with_figures(&figures) {
                 assert!(gets_host(&cfg), "no host: extension {extension} target {target}");
             }
         }
@@ -144,10 +152,7 @@
 fn each_figure_alone() {
     for name in OF_QUEUE {
         for figure in FIGURES {
-            let mut cfg: Value = serde_json::from_str(&config(SERVICE, 2)).expect("a manifest");
-            cfg["routes"][0]["name"] = json!(QUEUE);
-            cfg["routes"][0][name] = serde_json::from_str(figure).expect("a figure");
-            if let Some(cfg) = read(&cfg.to_string()) {
+            if let Some(cfg) = with_figures(&[(name, figure)]) {
                 assert!(begins(&cfg), "never begins: {name} {figure}");
             }
         }
--- a/tests/testsuite/random_jobs.rs
+++ b/tests/testsuite/random_jobs.rs
@@ -490,15 +490,13 @@
     play_with_starts(HISTORIES / 2, two_queues_and_relays, With::TwoQueues);
 }
 
-/// MIXED, TWICE: a second job under a number begins with an attempt that the first one has made, since the stored form of
-/// the first one's state doesn't tell the attempts of tasks that are done.
+/// MIXED, TWICE: a second job under a number begins with an attempt that the first one has made.
 #[test]
 fn stored_histories_with_two_queues() {
     play_with_starts(HISTORIES / 5, two_queues_and_bounded_store, With::TwoQueues);
 }
 
-/// LOST: a state outgrows what the store takes in one append, and nothing is stored any more. Holders are killed between two
-/// appends of one batch.
+/// LOST: a state outgrows what the store takes in one append, and nothing is stored any more.
 #[test]
 fn short_histories_with_long_checkpoints() {
     let seen = play_all(HISTORIES / 5, long_checkpoints, With::Checkpoints);
--- a/tests/testsuite/two_queues.rs
+++ b/tests/testsuite/two_queues.rs
@@ -94,8 +94,7 @@
     assert!(world.sched.jobs.get(&b.key(NUMBER)).is_none_or(|job| job.cancelled));
 }
 
-/// An entry of an earlier version doesn't tell the queue's address: what it accepted or cancels is the job of the same
-/// queue, not a second one.
+/// What an entry of an earlier version accepted or cancels, without the queue's address, is no second job.
 #[test]
 fn accepted_by_earlier_version() {
     let mut cfg = config();
@@ -189,17 +188,22 @@
     }
 }
 
-/// MIXED, LOST: the second job is accepted and lost, and its caller is shown and cancels the first one's. Queues are renamed,
-/// lead to other services, are taken away and brought back meanwhile.
-#[tokio::test(flavor = "multi_thread")]
-async fn same_number_on_two_queues() {
-    let site = Site::new("queues", SIZES).await;
+/// A site with a queue on each of two services, and the worker of the second one.
+async fn two_services(name: &str) -> (Site, WorkerStandin) {
+    let site = Site::new(name, SIZES).await;
     let yard = WorkerStandin::start_with_ledger("i-1", TAKES, site.ledger.clone()).await;
     site.store.enter_worker("i-1", &yard.entry(OTHER_SERVICE, "m-1"));
     site.store.declare(&queues_config(&[("q-a", A, "desk"), ("q-b", B, OTHER_SERVICE)], 2));
+    until(site.entries[0].0, A, (410, None)).await;
+    until(site.entries[1].0, B, (410, None)).await;
+    (site, yard)
+}
+
+/// MIXED, LOST: the second job is lost, and its caller is shown and cancels the first one's, while queues change.
+#[tokio::test(flavor = "multi_thread")]
+async fn same_number_on_two_queues() {
+    let (site, yard) = two_services("queues").await;
     let (one, two) = (site.entries[0].0, site.entries[1].0);
-    until(one, A, (410, None)).await;
-    until(two, B, (410, None)).await;
     assert_eq!(request_on(one, A, "POST", JOB, 2).await, Some((200, None)));
     until(two, A, (200, Some("running"))).await;
     until(two, B, (410, None)).await;
@@ -220,13 +224,8 @@
 /// LOST: the second job doesn't wait for the first one, which is on another service.
 #[tokio::test(flavor = "multi_thread")]
 async fn services_do_not_wait() {
-    let site = Site::new("apart", SIZES).await;
-    let yard = WorkerStandin::start("i-1", TAKES).await;
-    site.store.enter_worker("i-1", &yard.entry(OTHER_SERVICE, "m-1"));
-    site.store.declare(&queues_config(&[("q-a", A, "desk"), ("q-b", B, OTHER_SERVICE)], 2));
+    let (site, yard) = two_services("apart").await;
     let (one, two) = (site.entries[0].0, site.entries[1].0);
-    until(one, A, (410, None)).await;
-    until(two, B, (410, None)).await;
     assert_eq!(request_on(one, A, "POST", JOB, 2).await, Some((200, None)));
     until(two, A, (200, Some("running"))).await;
     assert_eq!(request_on(two, B, "POST", JOB, 3).await, Some((200, None)));
