--- a/src/workswood/ops/jobs/hand_in.rs
+++ b/src/workswood/ops/jobs/hand_in.rs
@@ -117,7 +117,7 @@
         }
         if !self.can_start() {
             let timeout = timeout.saturating_sub(self.took());
-            return match number_check::use_of_refused(node, job, timeout).await {
+            return match number_check::use_of_refused(node, job, false, timeout).await {
                 NumberUse::Free | NumberUse::Taken => {
                     self.log_refused("advice_unusable");
                     Some(HandIn::AdviceUnusable)
--- a/src/workswood/ops/jobs/number_check.rs
+++ b/src/workswood/ops/jobs/number_check.rs
@@ -100,18 +100,24 @@
     if !stored_here && !ask_holder(node, any_on(job, service)).await.is_some_and(|reply| reply.is_known) {
         return NumberUse::Free;
     }
-    use_of_refused(node, job, timeout).await
+    use_of_refused(node, job, stored_here, timeout).await
 }
 
 /// What the number of a job is that can't be stored now: [`NumberUse::Taken`] only if no hand-in of the job itself may
-/// have stored it. Answers within `timeout`.
-pub async fn use_of_refused(node: &Arc<Node>, job: JobKey, timeout: Duration) -> NumberUse {
+/// have stored it. `stored_here` tells whether another owner's job under the number came to this entry. Answers within
+/// `timeout`.
+pub async fn use_of_refused(
+    node: &Arc<Node>,
+    job: JobKey,
+    stored_here: bool,
+    timeout: Duration,
+) -> NumberUse {
     let arrived = node.now();
     let (at_entries, at_holder) = tokio::join!(ask_peers(node, job), own_job(node, job, arrived, timeout));
     let number_use = NumberUse::of_taken(at_entries, at_holder);
     log::info!(
-        "event=number_checked job={job:016x} use={number_use:?} at_entries={at_entries:?} at_holder={at_holder:?} \
-         took_ms={}",
+        "event=number_checked job={job:016x} use={number_use:?} stored_here={stored_here} at_entries={at_entries:?} \
+         at_holder={at_holder:?} took_ms={}",
         (node.now() - arrived).as_millis()
     );
     number_use
