--- a/crates/workswood-core/src/jobs/config.rs
+++ b/crates/workswood-core/src/jobs/config.rs
@@ -95,9 +95,9 @@
 }
 
 impl SchedConfig {
-    /// The name of the queue at an address.
-    pub fn queue_of(&self, tag: QueueTag) -> Option<&QueueId> {
-        self.queues.values().find(|q| q.tag() == tag).map(|q| &q.name)
+    /// The queue at an address.
+    pub fn queue_of(&self, tag: QueueTag) -> Option<&QueueConfig> {
+        self.queues.values().find(|q| q.tag() == tag)
     }
 
     /// The queue of jobs that were submitted at an address, whatever its name is by now. Jobs whose address is not known
@@ -107,7 +107,7 @@
         if tag.is_unknown() {
             return named;
         }
-        named.filter(|q| q.tag() == tag).or_else(|| self.queues.values().find(|q| q.tag() == tag))
+        named.filter(|q| q.tag() == tag).or_else(|| self.queue_of(tag))
     }
 
     /// The queue that a request belongs to: the one with the longest matching path prefix for its
--- a/crates/workswood-core/src/jobs/job_lookup.rs
+++ b/crates/workswood-core/src/jobs/job_lookup.rs
@@ -19,7 +19,7 @@
             return Some(key);
         }
         if key.has_queue() {
-            return self.counterpart(&key, self.config.queue_of(key.owner.queue)?);
+            return self.counterpart(&key, &self.config.queue_of(key.owner.queue)?.name);
         }
         let mut known = self.known_of_workspace(&key).map(|(known, _)| known);
         match (known.next(), known.next()) {
--- a/src/workswood/ops/jobs/job_queries.rs
+++ b/src/workswood/ops/jobs/job_queries.rs
@@ -91,7 +91,7 @@
         Asked::Job(job) => {
             let cfg = node.config.load();
             let queue = cfg.as_ref().and_then(|cfg| cfg.queue_of(job.owner.queue));
-            statuses.status(*job, queue.map(String::as_str))
+            statuses.status(*job, queue.map(|q| q.name.as_str()))
         }
         Asked::AnyOn(number, service) => statuses.status_on_service(*number, service),
     };
